Run the thin path as separate processes

Cause: nothing stood yet. A caller's completion now goes over HTTP to verbena-router, over ZeroMQ and protobuf to verbena-agent, over HTTP to the engine stand-in, and comes back as a stream of numbered frames.

Found on the way: the first request after a start was lost, because a connecting socket refuses messages until its connection stands. The router's link now says Hello until the agent answers and keeps requests unsent until then; tst_path sends its first request at once and shows it.

Before: nothing.

--- /dev/null
+++ b/src/libs/application/standardoptions.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+namespace Verbena::Application {
+
+/// \brief The options that every server program takes.
+struct StandardOptions
+{
+    std::string settingsPath;
+    bool isCheckOnly = false; ///< Check the settings and exit without starting.
+
+    /// \brief Reads the command line; prints help, version or an error and exits where the user asked for that.
+    static StandardOptions parse(int argc, char **argv, const std::string &description, const std::string &version);
+};
+
+} // namespace Verbena::Application
--- /dev/null
+++ b/src/libs/eventloop/signalwatcher.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <ev.h>
+
+#include <functional>
+
+namespace Verbena::EventLoop {
+
+class Loop;
+
+/// \brief Calls back on the loop each time the process gets a signal.
+class SignalWatcher
+{
+public:
+    SignalWatcher(Loop &loop, int signalNumber, std::function<void()> callback);
+    ~SignalWatcher();
+
+    SignalWatcher(const SignalWatcher &) = delete;
+    SignalWatcher &operator=(const SignalWatcher &) = delete;
+
+private:
+    Loop &m_loop;
+    std::function<void()> m_callback;
+    ev_signal m_watcher;
+};
+
+} // namespace Verbena::EventLoop
--- /dev/null
+++ b/src/libs/http/httpclient.cpp
@@ -0,0 +1,236 @@
+#include "httpclient.h"
+
+#include <eventloop/iowatcher.h>
+#include <eventloop/loop.h>
+
+#include <curl/curl.h>
+
+namespace Verbena::Http {
+
+struct HttpClient::Transfer
+{
+    ~Transfer()
+    {
+        curl_easy_cleanup(easy);
+        curl_slist_free_all(fields);
+    }
+
+    CURL *easy = nullptr;
+    curl_slist *fields = nullptr;
+    std::uint64_t id = 0;
+    std::string url;
+    std::string body;
+    std::shared_ptr<HttpReceiver> receiver;
+    bool isPaused = false;
+    bool isCancelled = false;
+};
+
+// libcurl calls plain functions; these find the objects again.
+struct HttpClient::Internals
+{
+    static std::size_t onData(char *data, std::size_t size, std::size_t count, void *context)
+    {
+        auto *transfer = static_cast<Transfer *>(context);
+        if (transfer->isPaused) {
+            return CURL_WRITEFUNC_PAUSE;
+        }
+        if (transfer->isCancelled) {
+            return 0;
+        }
+        long status = 0;
+        curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+        transfer->receiver->receiveData(static_cast<int>(status), std::string_view(data, size * count));
+        return size * count;
+    }
+
+    static int onSocket(CURL *, curl_socket_t socket, int what, void *context, void *socketContext)
+    {
+        auto *client = static_cast<HttpClient *>(context);
+        auto *watcher = static_cast<EventLoop::IoWatcher *>(socketContext);
+        if (what == CURL_POLL_REMOVE) {
+            delete watcher;
+            curl_multi_assign(client->m_multi, socket, nullptr);
+            return 0;
+        }
+        if (watcher == nullptr) {
+            watcher = new EventLoop::IoWatcher(client->m_loop, socket, [client, socket](int events) { onReady(*client, socket, events); });
+            curl_multi_assign(client->m_multi, socket, watcher);
+        }
+        const int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+        watcher->start(events);
+        return 0;
+    }
+
+    static void onReady(HttpClient &client, curl_socket_t socket, int events)
+    {
+        const int flags = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+        int running = 0;
+        curl_multi_socket_action(client.m_multi, socket, flags, &running);
+        client.processFinished();
+    }
+
+    static int onTimer(CURLM *, long milliseconds, void *context)
+    {
+        auto *client = static_cast<HttpClient *>(context);
+        if (milliseconds < 0) {
+            client->m_timer.stop();
+        } else {
+            client->m_timer.startAt(client->m_loop.now() + std::chrono::milliseconds(milliseconds));
+        }
+        return 0;
+    }
+
+    static void onTimeout(HttpClient &client)
+    {
+        int running = 0;
+        curl_multi_socket_action(client.m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+        client.processFinished();
+    }
+
+    static Core::ErrorCode codeOf(CURLcode code, CURL *easy)
+    {
+        if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT) {
+            return Core::ErrorCode::Unavailable;
+        }
+        // A request of which no byte was sent cannot have had an effect.
+        long sent = 0;
+        curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
+        return sent == 0 ? Core::ErrorCode::Unavailable : Core::ErrorCode::Unknown;
+    }
+};
+
+Core::Result<std::unique_ptr<HttpClient>> HttpClient::create(EventLoop::Loop &loop)
+{
+    static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+    std::unique_ptr<HttpClient> client(new HttpClient(loop));
+    if (initialised != CURLE_OK || client->m_multi == nullptr) {
+        return Core::Error{Core::ErrorCode::Internal, "http.client", "", "libcurl cannot be set up."};
+    }
+    return client;
+}
+
+HttpClient::HttpClient(EventLoop::Loop &loop)
+    : m_loop(loop)
+    , m_multi(curl_multi_init())
+    , m_timer(loop, [this] { Internals::onTimeout(*this); })
+    , m_remove(loop, [this] { removeCancelled(); })
+{
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Internals::onSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Internals::onTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+}
+
+HttpClient::~HttpClient()
+{
+    for (const auto &[id, transfer] : m_transfers) {
+        curl_multi_remove_handle(m_multi, transfer->easy);
+    }
+    m_transfers.clear();
+    curl_multi_cleanup(m_multi);
+}
+
+HttpCallId HttpClient::start(const HttpCall &call, std::shared_ptr<HttpReceiver> receiver)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->id = ++m_lastId;
+    transfer->easy = curl_easy_init();
+    transfer->url = call.url;
+    transfer->body = call.body;
+    transfer->receiver = std::move(receiver);
+    for (const std::string &field : call.fields) {
+        transfer->fields = curl_slist_append(transfer->fields, field.c_str());
+    }
+    // Without this libcurl waits for a "100 Continue" before it sends a long body.
+    transfer->fields = curl_slist_append(transfer->fields, "Expect:");
+    CURL *easy = transfer->easy;
+    curl_easy_setopt(easy, CURLOPT_URL, transfer->url.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->fields);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Internals::onData);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(call.deadline - m_loop.now());
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(1, left.count())));
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    if (!transfer->body.empty() || call.method == "POST" || call.method == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer->body.size()));
+    }
+    const std::uint64_t id = transfer->id;
+    m_transfers.emplace(id, std::move(transfer));
+    curl_multi_add_handle(m_multi, easy);
+    return HttpCallId(id);
+}
+
+void HttpClient::cancel(HttpCallId id)
+{
+    const auto found = m_transfers.find(static_cast<std::uint64_t>(id));
+    if (found == m_transfers.end() || found->second->isCancelled) {
+        return;
+    }
+    // libcurl forbids the removal of a handle from within its callbacks, so it waits for the end of the iteration.
+    found->second->isCancelled = true;
+    m_cancelled.push_back(found->first);
+    m_remove.schedule();
+}
+
+void HttpClient::pause(HttpCallId id)
+{
+    const auto found = m_transfers.find(static_cast<std::uint64_t>(id));
+    if (found != m_transfers.end()) {
+        found->second->isPaused = true;
+    }
+}
+
+void HttpClient::resume(HttpCallId id)
+{
+    const auto found = m_transfers.find(static_cast<std::uint64_t>(id));
+    if (found == m_transfers.end() || !found->second->isPaused) {
+        return;
+    }
+    found->second->isPaused = false;
+    curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
+}
+
+void HttpClient::processFinished()
+{
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        const CURLcode code = message->data.result;
+        Transfer *transfer = nullptr;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+        curl_multi_remove_handle(m_multi, transfer->easy);
+        const auto node = m_transfers.extract(transfer->id);
+        if (transfer->isCancelled) {
+            continue;
+        }
+        if (code == CURLE_OK) {
+            long status = 0;
+            curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+            transfer->receiver->finish(static_cast<int>(status));
+        } else {
+            transfer->receiver->finish(Core::Error{Internals::codeOf(code, transfer->easy), "http.call", transfer->url, curl_easy_strerror(code)});
+        }
+    }
+}
+
+void HttpClient::removeCancelled()
+{
+    std::vector<std::uint64_t> cancelled;
+    cancelled.swap(m_cancelled);
+    for (const std::uint64_t id : cancelled) {
+        const auto found = m_transfers.find(id);
+        if (found == m_transfers.end()) {
+            continue;
+        }
+        curl_multi_remove_handle(m_multi, found->second->easy);
+        m_transfers.erase(found);
+    }
+}
+
+} // namespace Verbena::Http
--- /dev/null
+++ b/src/libs/http/httpclient.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "httpcall.h"
+
+#include <eventloop/deferredcall.h>
+#include <eventloop/timer.h>
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+namespace Verbena::EventLoop {
+class Loop;
+}
+
+namespace Verbena::Http {
+
+/// \brief Names a running call of one client.
+enum class HttpCallId : std::uint64_t {};
+
+/// \brief An HTTP client by libcurl's multi interface on one event loop.
+class HttpClient
+{
+public:
+    /// \brief Makes a client. Errors: Internal, if libcurl cannot be set up.
+    static Core::Result<std::unique_ptr<HttpClient>> create(EventLoop::Loop &loop);
+    ~HttpClient();
+
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /// \brief Begins a call. The receiver is held until the call is over or cancelled.
+    HttpCallId start(const HttpCall &call, std::shared_ptr<HttpReceiver> receiver);
+
+    /// \brief Ends a call without a word to its receiver; the connection is closed.
+    void cancel(HttpCallId id);
+
+    /// \brief Stops reading the answer until resume(), so that the peer has to wait.
+    void pause(HttpCallId id);
+    void resume(HttpCallId id);
+
+private:
+    struct Transfer;
+    struct Internals;
+
+    explicit HttpClient(EventLoop::Loop &loop);
+    void processFinished();
+    void removeCancelled();
+
+    EventLoop::Loop &m_loop;
+    void *m_multi = nullptr;
+    std::uint64_t m_lastId = 0;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
+    std::vector<std::uint64_t> m_cancelled;
+    EventLoop::Timer m_timer;
+    EventLoop::DeferredCall m_remove;
+};
+
+} // namespace Verbena::Http
--- /dev/null
+++ b/src/libs/http/httpexchange.cpp
@@ -0,0 +1,201 @@
+#include "httpexchange.h"
+
+#include "httpserver.h"
+
+#include <microhttpd.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace Verbena::Http {
+
+HttpExchange::HttpExchange(HttpServer *server)
+    : m_server(server)
+{
+    ++m_server->m_openExchangeCount;
+}
+
+HttpExchange::~HttpExchange() = default;
+
+const std::string &HttpExchange::method() const
+{
+    return m_method;
+}
+
+const std::string &HttpExchange::path() const
+{
+    return m_path;
+}
+
+const std::string &HttpExchange::body() const
+{
+    return m_body;
+}
+
+std::optional<std::string> HttpExchange::header(const char *name) const
+{
+    if (m_connection == nullptr) {
+        return std::nullopt;
+    }
+    const char *value = MHD_lookup_connection_value(m_connection, MHD_HEADER_KIND, name);
+    return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+std::optional<std::string> HttpExchange::queryArgument(const char *name) const
+{
+    if (m_connection == nullptr) {
+        return std::nullopt;
+    }
+    const char *value = MHD_lookup_connection_value(m_connection, MHD_GET_ARGUMENT_KIND, name);
+    return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+bool HttpExchange::isOpen() const
+{
+    return m_state == State::Waiting || m_state == State::Streaming;
+}
+
+std::size_t HttpExchange::bufferedBytes() const
+{
+    return m_output.size() - m_outputOffset;
+}
+
+void HttpExchange::respond(int status, std::vector<HttpField> fields, std::string body)
+{
+    if (m_state != State::Waiting) {
+        return;
+    }
+    m_status = status;
+    m_fields = std::move(fields);
+    m_output = std::move(body);
+    m_state = State::Responding;
+    wake();
+}
+
+void HttpExchange::beginStream(int status, std::vector<HttpField> fields)
+{
+    if (m_state != State::Waiting) {
+        return;
+    }
+    m_status = status;
+    m_fields = std::move(fields);
+    m_state = State::Streaming;
+    wake();
+}
+
+void HttpExchange::write(std::string_view data)
+{
+    if (m_state != State::Streaming) {
+        return;
+    }
+    m_output.append(data);
+    wake();
+}
+
+void HttpExchange::endStream()
+{
+    if (m_state != State::Streaming) {
+        return;
+    }
+    m_state = State::Ended;
+    wake();
+}
+
+void HttpExchange::abortStream()
+{
+    if (m_state != State::Streaming) {
+        return;
+    }
+    m_state = State::Aborted;
+    wake();
+}
+
+void HttpExchange::setClosedCallback(std::function<void()> callback)
+{
+    m_closedCallback = std::move(callback);
+}
+
+void HttpExchange::setDrainedCallback(std::function<void()> callback)
+{
+    m_drainedCallback = std::move(callback);
+}
+
+void HttpExchange::wake()
+{
+    if (!m_isSuspended) {
+        return;
+    }
+    m_isSuspended = false;
+    MHD_resume_connection(m_connection);
+    m_server->scheduleRun();
+}
+
+int HttpExchange::queueResponse()
+{
+    MHD_Response *response = nullptr;
+    if (m_state == State::Responding) {
+        response = MHD_create_response_from_buffer(m_output.size(), m_output.data(), MHD_RESPMEM_MUST_COPY);
+    } else {
+        constexpr std::size_t blockBytes = 16 * 1024;
+        auto *self = new std::shared_ptr<HttpExchange>(shared_from_this());
+        response = MHD_create_response_from_callback(
+            MHD_SIZE_UNKNOWN,
+            blockBytes,
+            [](void *context, std::uint64_t, char *buffer, std::size_t size) -> ssize_t {
+                return (*static_cast<std::shared_ptr<HttpExchange> *>(context))->readStream(buffer, size);
+            },
+            self,
+            [](void *context) { delete static_cast<std::shared_ptr<HttpExchange> *>(context); });
+    }
+    for (const HttpField &field : m_fields) {
+        MHD_add_response_header(response, field.name.c_str(), field.value.c_str());
+    }
+    m_isQueued = true;
+    const int queued = MHD_queue_response(m_connection, static_cast<unsigned>(m_status), response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+long HttpExchange::readStream(char *buffer, std::size_t size)
+{
+    const std::size_t count = std::min(size, bufferedBytes());
+    if (count > 0) {
+        std::memcpy(buffer, m_output.data() + m_outputOffset, count);
+        m_outputOffset += count;
+        if (m_outputOffset == m_output.size()) {
+            m_output.clear();
+            m_outputOffset = 0;
+        }
+        return static_cast<long>(count);
+    }
+    if (m_state == State::Ended) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    if (m_state != State::Streaming) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    m_isSuspended = true;
+    MHD_suspend_connection(m_connection);
+    if (m_drainedCallback) {
+        m_drainedCallback();
+    }
+    return 0;
+}
+
+void HttpExchange::onCompleted()
+{
+    const bool wasOpen = isOpen();
+    --m_server->m_openExchangeCount;
+    m_connection = nullptr;
+    m_isSuspended = false;
+    m_state = State::Closed;
+    // The callbacks may hold the last reference to whatever owns this exchange, so they are let go here.
+    const std::function<void()> closed = std::move(m_closedCallback);
+    m_closedCallback = nullptr;
+    m_drainedCallback = nullptr;
+    if (wasOpen && closed) {
+        closed();
+    }
+}
+
+} // namespace Verbena::Http
--- /dev/null
+++ b/src/libs/http/httpserver.cpp
@@ -0,0 +1,181 @@
+#include "httpserver.h"
+
+#include <eventloop/loop.h>
+
+#include <microhttpd.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+namespace Verbena::Http {
+
+// libmicrohttpd calls plain functions; these find the objects again.
+struct HttpServer::Callbacks
+{
+    using Handle = std::shared_ptr<HttpExchange>;
+
+    static MHD_Result onAccess(
+        void *context, MHD_Connection *connection, const char *url, const char *method, const char *, const char *data, std::size_t *size, void **slot)
+    {
+        auto *server = static_cast<HttpServer *>(context);
+        if (*slot == nullptr) {
+            auto *created = new Handle(new HttpExchange(server));
+            (*created)->m_connection = connection;
+            (*created)->m_method = method;
+            (*created)->m_path = url;
+            *slot = created;
+            return MHD_YES;
+        }
+        const Handle exchange = *static_cast<Handle *>(*slot);
+        if (*size > 0) {
+            receive(*server, *exchange, std::string_view(data, *size));
+            *size = 0;
+            return MHD_YES;
+        }
+        if (exchange->m_state == HttpExchange::State::Receiving) {
+            exchange->m_state = HttpExchange::State::Waiting;
+            deliver(*server, exchange);
+        }
+        return answerOrWait(*exchange);
+    }
+
+    static void receive(const HttpServer &server, HttpExchange &exchange, std::string_view data)
+    {
+        if (exchange.m_body.size() + data.size() > server.m_options.maximumBodyBytes) {
+            exchange.m_isTooLarge = true;
+            exchange.m_body.clear();
+        }
+        if (!exchange.m_isTooLarge) {
+            exchange.m_body.append(data);
+        }
+    }
+
+    static void deliver(HttpServer &server, const Handle &exchange)
+    {
+        if (exchange->m_isTooLarge) {
+            exchange->respond(MHD_HTTP_CONTENT_TOO_LARGE,
+                {{"Content-Type", "application/json"}},
+                R"({"error":{"message":"The request body is too large.","type":"invalid_request_error","code":"body_too_large"}})");
+            return;
+        }
+        server.m_handler.handleRequest(exchange);
+    }
+
+    static MHD_Result answerOrWait(HttpExchange &exchange)
+    {
+        if (exchange.m_isQueued) {
+            return MHD_YES;
+        }
+        if (exchange.m_state == HttpExchange::State::Waiting) {
+            exchange.m_isSuspended = true;
+            MHD_suspend_connection(exchange.m_connection);
+            return MHD_YES;
+        }
+        return exchange.queueResponse() == MHD_YES ? MHD_YES : MHD_NO;
+    }
+
+    static void onCompleted(void *, MHD_Connection *, void **slot, MHD_RequestTerminationCode)
+    {
+        auto *exchange = static_cast<Handle *>(*slot);
+        if (exchange == nullptr) {
+            return;
+        }
+        (*exchange)->onCompleted();
+        delete exchange;
+        *slot = nullptr;
+    }
+};
+
+Core::Result<std::unique_ptr<HttpServer>> HttpServer::create(EventLoop::Loop &loop, const HttpServerOptions &options, HttpHandler &handler)
+{
+    const std::string peer = options.address + ":" + std::to_string(options.port);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(options.port);
+    if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+        return Core::Error{Core::ErrorCode::InvalidArgument, "http.listen", peer, "The address is not an IPv4 number."};
+    }
+    std::unique_ptr<HttpServer> server(new HttpServer(loop, options, handler));
+    unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+    std::vector<MHD_OptionItem> items{
+        {MHD_OPTION_SOCK_ADDR, 0, &address},
+        {MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<intptr_t>(options.maximumHeaderBytes), nullptr},
+        {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(options.maximumConnections), nullptr},
+        {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(options.idleTimeout.count()), nullptr},
+        {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&Callbacks::onCompleted), nullptr},
+    };
+    if (!options.certificatePem.empty()) {
+        flags |= MHD_USE_TLS;
+        items.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, server->m_options.certificatePem.data()});
+        items.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, server->m_options.privateKeyPem.data()});
+    }
+    items.push_back({MHD_OPTION_END, 0, nullptr});
+    server->m_daemon = MHD_start_daemon(flags, 0, nullptr, nullptr, &Callbacks::onAccess, server.get(), MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
+    if (server->m_daemon == nullptr) {
+        return Core::Error{Core::ErrorCode::Unavailable, "http.listen", peer, "The server cannot listen on this address."};
+    }
+    const MHD_DaemonInfo *info = MHD_get_daemon_info(server->m_daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    HttpServer *self = server.get();
+    server->m_watcher = std::make_unique<EventLoop::IoWatcher>(loop, info->epoll_fd, [self](int) { self->runDaemon(); });
+    server->m_watcher->start(EV_READ);
+    server->scheduleRun();
+    return server;
+}
+
+HttpServer::HttpServer(EventLoop::Loop &loop, const HttpServerOptions &options, HttpHandler &handler)
+    : m_loop(loop)
+    , m_options(options)
+    , m_handler(handler)
+    , m_timer(loop, [this] { runDaemon(); })
+    , m_run(loop, [this] { runDaemon(); })
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_watcher.reset();
+    if (m_daemon != nullptr) {
+        MHD_stop_daemon(m_daemon);
+    }
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+std::size_t HttpServer::openExchangeCount() const
+{
+    return m_openExchangeCount;
+}
+
+void HttpServer::stopListening()
+{
+    const MHD_socket socket = MHD_quiesce_daemon(m_daemon);
+    if (socket != MHD_INVALID_SOCKET) {
+        close(socket);
+    }
+}
+
+void HttpServer::scheduleRun()
+{
+    m_run.schedule();
+}
+
+void HttpServer::runDaemon()
+{
+    MHD_run(m_daemon);
+    MHD_UNSIGNED_LONG_LONG milliseconds = 0;
+    if (MHD_get_timeout(m_daemon, &milliseconds) != MHD_YES) {
+        m_timer.stop();
+        return;
+    }
+    if (milliseconds == 0) {
+        m_run.schedule();
+        return;
+    }
+    m_timer.startAt(m_loop.now() + std::chrono::milliseconds(milliseconds));
+}
+
+} // namespace Verbena::Http
--- /dev/null
+++ b/src/libs/router/callerrequest.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <core/result.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Verbena::Router {
+
+/// \brief Which of the callers' interfaces a request came by; the answer has the same form.
+enum class CallerInterface {
+    Completions,
+    ChatCompletions,
+};
+
+/// \brief A completion that a caller asks for, checked.
+struct CallerRequest
+{
+    CallerInterface interface = CallerInterface::Completions;
+    std::string model;
+    std::string promptText; ///< Empty if the prompt came as token ids.
+    std::vector<std::uint32_t> promptTokens;
+    std::uint32_t maximumTokens = 256;
+    bool isStream = false;
+
+    /// \brief Reads a JSON body. Errors: InvalidArgument with a sentence for the caller.
+    static Core::Result<CallerRequest> fromJson(CallerInterface interface, const std::string &body);
+};
+
+} // namespace Verbena::Router
--- /dev/null
+++ b/src/libs/settings/settingsreader.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "settingsproblem.h"
+
+#include <core/result.h>
+
+#include <yaml-cpp/yaml.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Verbena::Settings {
+
+/// \brief Reads one mapping of a YAML file and notes every problem instead of stopping at the first.
+///
+/// Each key is asked for with its type, range and default. finish() on the root reports unknown keys and all problems.
+class SettingsReader
+{
+public:
+    /// \brief Opens a file. Errors: NotFound, InvalidArgument (not YAML, or not a mapping), with file and line.
+    static Core::Result<SettingsReader> fromFile(const std::string &path);
+
+    /// \brief Reads \a text; \a name stands for the file in problems.
+    static Core::Result<SettingsReader> fromText(const std::string &text, const std::string &name);
+
+    bool has(const std::string &key) const;
+    std::vector<std::string> keys() const;
+
+    std::string requiredString(const std::string &key);
+    std::string string(const std::string &key, const std::string &defaultValue);
+    std::int64_t integer(const std::string &key, std::int64_t defaultValue, std::int64_t minimum, std::int64_t maximum);
+    double number(const std::string &key, double defaultValue, double minimum, double maximum);
+    bool boolean(const std::string &key, bool defaultValue);
+    std::vector<std::string> strings(const std::string &key);
+
+    /// \brief A span of time, written as a whole number with a unit: us, ms, s, min or h.
+    std::chrono::microseconds span(
+        const std::string &key, std::chrono::microseconds defaultValue, std::chrono::microseconds minimum, std::chrono::microseconds maximum);
+
+    /// \brief The mapping under \a key, which reads as empty if it is absent.
+    SettingsReader section(const std::string &key);
+
+    /// \brief The mappings in the list under \a key.
+    std::vector<SettingsReader> sections(const std::string &key);
+
+    /// \brief Notes a problem that the caller found with the value of \a key.
+    void addProblem(const std::string &key, const std::string &message);
+
+    /// \brief Fails with every problem noted in the file so far, unknown keys among them.
+    Core::Result<void> finish();
+
+private:
+    struct Document;
+
+    SettingsReader(std::shared_ptr<Document> document, const YAML::Node &node, std::string prefix);
+    YAML::Node take(const std::string &key);
+    template<typename T>
+    T scalar(const std::string &key, const T &defaultValue, const char *expected);
+    void noteUnknownKeys();
+    std::string pathOf(const std::string &key) const;
+
+    std::shared_ptr<Document> m_document;
+    YAML::Node m_node;
+    std::string m_prefix;
+    std::shared_ptr<std::set<std::string>> m_knownKeys;
+};
+
+} // namespace Verbena::Settings
--- /dev/null
+++ b/src/libs/wire/messagesocket.cpp
@@ -0,0 +1,197 @@
+#include "messagesocket.h"
+
+#include <eventloop/loop.h>
+
+#include <zmq.h>
+
+#include <array>
+#include <chrono>
+
+namespace Verbena::Wire {
+
+namespace {
+
+// Messages one socket hands over before others get their turn.
+constexpr int maximumBatch = 256;
+// Messages ZeroMQ holds for one peer before a send is refused.
+constexpr int highWaterMark = 10000;
+constexpr std::chrono::milliseconds reconnectInterval{50};
+constexpr std::chrono::milliseconds maximumReconnectInterval{1000};
+constexpr std::chrono::milliseconds heartbeatInterval{1000};
+constexpr std::chrono::milliseconds heartbeatTimeout{3000};
+
+void setOption(void *socket, int option, int value)
+{
+    zmq_setsockopt(socket, option, &value, sizeof value);
+}
+
+void setOption(void *socket, int option, std::chrono::milliseconds value)
+{
+    setOption(socket, option, static_cast<int>(value.count()));
+}
+
+bool applySecurity(void *socket, const SocketSecurity &security, bool isServer)
+{
+    if (!security.isEnabled()) {
+        return true;
+    }
+    bool isValid = zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, security.ownSecretKey.c_str(), security.ownSecretKey.size() + 1) == 0;
+    isValid = isValid && zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, security.ownPublicKey.c_str(), security.ownPublicKey.size() + 1) == 0;
+    if (isServer) {
+        setOption(socket, ZMQ_CURVE_SERVER, 1);
+        return isValid;
+    }
+    return isValid && zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, security.serverPublicKey.c_str(), security.serverPublicKey.size() + 1) == 0;
+}
+
+Core::Error socketError(const std::string &step, const std::string &peer)
+{
+    return Core::Error{Core::ErrorCode::Unavailable, step, peer, zmq_strerror(zmq_errno())};
+}
+
+} // namespace
+
+MessageContext::MessageContext()
+    : m_handle(zmq_ctx_new())
+{
+}
+
+MessageContext::~MessageContext()
+{
+    zmq_ctx_term(m_handle);
+}
+
+void *MessageContext::handle() const
+{
+    return m_handle;
+}
+
+Core::Result<std::unique_ptr<MessageSocket>> MessageSocket::bind(
+    EventLoop::Loop &loop, MessageContext &context, const std::string &endpoint, const SocketSecurity &security, MessageReceiver &receiver)
+{
+    return open(loop, context, endpoint, security, receiver, true);
+}
+
+Core::Result<std::unique_ptr<MessageSocket>> MessageSocket::connect(
+    EventLoop::Loop &loop, MessageContext &context, const std::string &endpoint, const SocketSecurity &security, MessageReceiver &receiver)
+{
+    return open(loop, context, endpoint, security, receiver, false);
+}
+
+Core::Result<std::unique_ptr<MessageSocket>> MessageSocket::open(
+    EventLoop::Loop &loop, MessageContext &context, const std::string &endpoint, const SocketSecurity &security, MessageReceiver &receiver, bool isRouter)
+{
+    void *socket = zmq_socket(context.handle(), isRouter ? ZMQ_ROUTER : ZMQ_DEALER);
+    if (socket == nullptr) {
+        return socketError("wire.open", endpoint);
+    }
+    std::unique_ptr<MessageSocket> result(new MessageSocket(loop, socket, receiver, isRouter, endpoint));
+    setOption(socket, ZMQ_LINGER, 0);
+    setOption(socket, ZMQ_SNDHWM, highWaterMark);
+    setOption(socket, ZMQ_RCVHWM, highWaterMark);
+    setOption(socket, ZMQ_RECONNECT_IVL, reconnectInterval);
+    setOption(socket, ZMQ_RECONNECT_IVL_MAX, maximumReconnectInterval);
+    setOption(socket, ZMQ_HEARTBEAT_IVL, heartbeatInterval);
+    setOption(socket, ZMQ_HEARTBEAT_TIMEOUT, heartbeatTimeout);
+    // A message that cannot reach the peer is refused here, so that the sender knows that it was not sent.
+    setOption(socket, isRouter ? ZMQ_ROUTER_MANDATORY : ZMQ_IMMEDIATE, 1);
+    if (!applySecurity(socket, security, isRouter)) {
+        return Core::Error{Core::ErrorCode::InvalidArgument, "wire.keys", endpoint, "A CURVE key is not a valid Z85 key of 40 characters."};
+    }
+    const int status = isRouter ? zmq_bind(socket, endpoint.c_str()) : zmq_connect(socket, endpoint.c_str());
+    if (status != 0) {
+        return socketError(isRouter ? "wire.bind" : "wire.connect", endpoint);
+    }
+    std::array<char, 256> last{};
+    std::size_t size = last.size();
+    zmq_getsockopt(socket, ZMQ_LAST_ENDPOINT, last.data(), &size);
+    result->m_endpoint = last.data();
+    int descriptor = -1;
+    size = sizeof descriptor;
+    zmq_getsockopt(socket, ZMQ_FD, &descriptor, &size);
+    MessageSocket *self = result.get();
+    result->m_watcher = std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [self](int) { self->receiveAll(); });
+    result->m_watcher->start(EV_READ);
+    result->m_receive.schedule();
+    return result;
+}
+
+MessageSocket::MessageSocket(EventLoop::Loop &loop, void *socket, MessageReceiver &receiver, bool isRouter, std::string endpoint)
+    : m_socket(socket)
+    , m_receiver(receiver)
+    , m_isRouter(isRouter)
+    , m_endpoint(std::move(endpoint))
+    , m_receive(loop, [this] { receiveAll(); })
+{
+}
+
+MessageSocket::~MessageSocket()
+{
+    m_watcher.reset();
+    zmq_close(m_socket);
+}
+
+std::string MessageSocket::endpoint() const
+{
+    return m_endpoint;
+}
+
+Core::Result<void> MessageSocket::send(const std::string &peer, const verbena::wire::Envelope &message)
+{
+    // ZMQ_FD signals edges only, and a send can swallow one: look for input before the loop blocks.
+    m_receive.schedule();
+    const std::size_t size = message.ByteSizeLong();
+    zmq_msg_t part;
+    zmq_msg_init_size(&part, size);
+    message.SerializeWithCachedSizesToArray(static_cast<std::uint8_t *>(zmq_msg_data(&part)));
+    if (m_isRouter && zmq_send(m_socket, peer.data(), peer.size(), ZMQ_SNDMORE | ZMQ_DONTWAIT) < 0) {
+        zmq_msg_close(&part);
+        return socketError("wire.send", m_endpoint);
+    }
+    if (zmq_msg_send(&part, m_socket, ZMQ_DONTWAIT) < 0) {
+        zmq_msg_close(&part);
+        return socketError("wire.send", m_endpoint);
+    }
+    return Core::success();
+}
+
+void MessageSocket::receiveAll()
+{
+    for (int count = 0; count < maximumBatch; ++count) {
+        if (!receiveOne()) {
+            return;
+        }
+    }
+    m_receive.schedule();
+}
+
+bool MessageSocket::receiveOne()
+{
+    std::string peer;
+    zmq_msg_t part;
+    zmq_msg_init(&part);
+    bool isFirst = true;
+    bool hasMore = true;
+    while (hasMore) {
+        if (zmq_msg_recv(&part, m_socket, ZMQ_DONTWAIT) < 0) {
+            zmq_msg_close(&part);
+            return false;
+        }
+        hasMore = zmq_msg_more(&part) != 0;
+        if (m_isRouter && isFirst) {
+            peer.assign(static_cast<const char *>(zmq_msg_data(&part)), zmq_msg_size(&part));
+        }
+        isFirst = false;
+    }
+    verbena::wire::Envelope message;
+    const bool isValid = message.ParseFromArray(zmq_msg_data(&part), static_cast<int>(zmq_msg_size(&part)));
+    zmq_msg_close(&part);
+    if (isValid && message.body_case() != verbena::wire::Envelope::BODY_NOT_SET) {
+        m_receiver.receiveMessage(peer, message);
+    } else {
+        m_receiver.receiveGarbage(peer);
+    }
+    return true;
+}
+
+} // namespace Verbena::Wire
