--- /dev/null
+++ b/src/libs/decisions/gate/admissiongate.cpp
@@ -0,0 +1,487 @@
+#include "admissiongate.h"
+
+#include <algorithm>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr std::uint32_t olderAttemptsLookedFor = 8;
+constexpr microseconds shortestRetryAfter(50000);
+constexpr microseconds longestRetryAfter(10000000);
+
+microseconds spanBetween(Core::TimePoint begin, Core::TimePoint end)
+{
+    return std::chrono::duration_cast<microseconds>(end - begin);
+}
+
+} // namespace
+
+AdmissionGate::AdmissionGate(const AdmissionGateOptions &options)
+    : m_options(options)
+    , m_cache(options.cache)
+    , m_cost(options.cost)
+    , m_duplicates(options.duplicateCapacity, options.duplicateMargin)
+    , m_overload(options.overload)
+    , m_heat(options.heat)
+{
+}
+
+std::vector<GateAction> AdmissionGate::submit(GateRequest request, Core::TimePoint now)
+{
+    std::vector<GateAction> actions;
+    if (std::optional<GateAction> answer = answerDuplicate(request, now)) {
+        actions.push_back(std::move(*answer));
+        return actions;
+    }
+    giveUpOlderAttempts(request.ref, actions);
+    m_duplicates.noteQueued(request);
+    noteWait(now);
+    if (std::optional<GateAction> refusal = refusalOf(request, now)) {
+        m_duplicates.noteNotRun(request.ref);
+        actions.push_back(std::move(*refusal));
+        return actions;
+    }
+    enqueue(std::move(request), now);
+    startWaiting(now, actions);
+    while (m_queue.size() > m_options.maximumQueued) {
+        // Room is made by the flow that holds most for its share, so that nobody is pushed out by another's flood.
+        refuseQueued(*m_byTicket.at(*m_queue.lastOfLargest()), GateRefusal::QueueFull, now, actions);
+    }
+    return actions;
+}
+
+std::vector<GateAction> AdmissionGate::cancel(const RequestRef &ref, Core::TimePoint now)
+{
+    std::vector<GateAction> actions;
+    Held *held = find(ref);
+    if (held == nullptr) {
+        return actions;
+    }
+    if (held->state != State::Queued) {
+        if (!held->isCancelled) {
+            held->isCancelled = true;
+            actions.emplace_back(CancelRun{ref});
+        }
+        return actions;
+    }
+    m_duplicates.noteNotRun(ref);
+    m_queue.erase(held->ticket);
+    actions.emplace_back(DropQueued{ref});
+    release(*held);
+    startWaiting(now, actions);
+    return actions;
+}
+
+std::vector<GateAction> AdmissionGate::noteFirstToken(const RequestRef &ref, std::optional<std::uint32_t> cachedTokens, Core::TimePoint now)
+{
+    std::vector<GateAction> actions;
+    Held *held = find(ref);
+    if (held == nullptr || held->state != State::Prefill) {
+        return actions;
+    }
+    if (cachedTokens) {
+        m_cost.notePrefill(
+            held->request.promptTokens - std::min(*cachedTokens, held->request.promptTokens), spanBetween(std::max(held->startedAt, m_prefillSince), now));
+    }
+    endPrefill(*held, now);
+    held->state = State::Decode;
+    held->lastTokenAt = now;
+    const std::optional<std::uint32_t> cachedPieces = cachedTokens ? std::optional(*cachedTokens / m_cost.pieceTokens()) : std::nullopt;
+    m_cache.notePromptProcessed(ref, cachedPieces, now);
+    startWaiting(now, actions);
+    return actions;
+}
+
+void AdmissionGate::noteTokens(const RequestRef &ref, std::uint32_t count, Core::TimePoint now)
+{
+    Held *held = find(ref);
+    if (held == nullptr || held->state != State::Decode || count == 0) {
+        return;
+    }
+    m_cost.noteTokenInterval(spanBetween(held->lastTokenAt, now) / count, static_cast<std::uint32_t>(m_running));
+    held->lastTokenAt = now;
+}
+
+std::vector<GateAction> AdmissionGate::noteRunEnded(const RequestRef &ref, const RunOutcome &outcome, Core::TimePoint now)
+{
+    std::vector<GateAction> actions;
+    Held *held = find(ref);
+    if (held == nullptr || held->state == State::Queued) {
+        return actions;
+    }
+    if (held->state == State::Prefill) {
+        endPrefill(*held, now);
+    }
+    const GateRequest &request = held->request;
+    if (outcome.end == RunEnd::Complete) {
+        m_cost.noteAnswerLength(outcome.completionTokens, request.maximumTokens);
+    }
+    // The flow pays for what was used, not for what had been estimated.
+    const std::uint32_t prompt = outcome.promptTokens.value_or(request.promptTokens);
+    const std::uint32_t missing = outcome.cachedTokens ? prompt - std::min(prompt, *outcome.cachedTokens) : held->missingTokens;
+    m_queue.charge(request.flow, m_cost.prefill(missing) + m_cost.decodeWorkOf(outcome.completionTokens) - held->work);
+    if (outcome.cachedTokens) {
+        m_cache.notePromptProcessed(ref, *outcome.cachedTokens / m_cost.pieceTokens(), now);
+    }
+    --m_running;
+    release(*held);
+    startWaiting(now, actions);
+    return actions;
+}
+
+void AdmissionGate::noteEngineIncarnation(std::uint64_t incarnation)
+{
+    m_cache.noteIncarnation(incarnation);
+}
+
+std::vector<GateAction> AdmissionGate::setEngineUp(bool isUp, Core::TimePoint now)
+{
+    m_isEngineUp = isUp;
+    return isUp ? std::vector<GateAction>() : refuseAllQueued(GateRefusal::EngineDown, now);
+}
+
+void AdmissionGate::noteCacheEvent(const CacheEvent &event, Core::TimePoint now)
+{
+    m_cache.noteEvent(event, now);
+}
+
+void AdmissionGate::noteEngineLoad(const EngineLoad &load, Core::TimePoint)
+{
+    m_engineLoad = load;
+}
+
+void AdmissionGate::setShares(const std::vector<FlowShare> &shares)
+{
+    m_queue.setShares(shares);
+}
+
+std::vector<GateAction> AdmissionGate::setServed(std::vector<ModelVersion> versions, Core::TimePoint now)
+{
+    for (const ModelVersion &version : m_served) {
+        if (std::find(versions.begin(), versions.end(), version) == versions.end()) {
+            m_cache.dropVersion(version);
+        }
+    }
+    m_served = std::move(versions);
+    std::vector<Held *> unserved;
+    for (auto &[ref, held] : m_held) {
+        if (held.state == State::Queued && !isServed(held.request)) {
+            unserved.push_back(&held);
+        }
+    }
+    std::vector<GateAction> actions;
+    std::sort(unserved.begin(), unserved.end(), [](const Held *left, const Held *right) { return left->ticket < right->ticket; });
+    for (Held *held : unserved) {
+        refuseQueued(*held, GateRefusal::NotServed, now, actions);
+    }
+    return actions;
+}
+
+std::vector<GateAction> AdmissionGate::setLeaving(bool isLeaving, Core::TimePoint now)
+{
+    m_isLeaving = isLeaving;
+    return isLeaving ? refuseAllQueued(GateRefusal::Leaving, now) : std::vector<GateAction>();
+}
+
+std::vector<GateAction> AdmissionGate::tick(Core::TimePoint now)
+{
+    std::vector<GateAction> actions;
+    m_cache.tick(now);
+    while (!m_alarms.empty() && m_alarms.begin()->first <= now) {
+        Held &held = *m_byTicket.at(m_alarms.begin()->second);
+        if (held.state == State::Queued) {
+            refuseQueued(held, GateRefusal::Deadline, now, actions);
+            continue;
+        }
+        m_alarms.erase(m_alarms.begin());
+        if (!held.isCancelled) {
+            held.isCancelled = true;
+            actions.emplace_back(CancelRun{held.request.ref});
+        }
+    }
+    startWaiting(now, actions);
+    noteWait(now);
+    return actions;
+}
+
+std::optional<Core::TimePoint> AdmissionGate::nextDeadline() const
+{
+    std::optional<Core::TimePoint> next = m_cache.nextDeadline();
+    const auto consider = [&next](std::optional<Core::TimePoint> other) {
+        if (other && (!next || *other < *next)) {
+            next = other;
+        }
+    };
+    consider(m_overload.nextDeadline());
+    if (!m_alarms.empty()) {
+        consider(m_alarms.begin()->first);
+    }
+    return next;
+}
+
+LoadReport AdmissionGate::load(Core::TimePoint now) const
+{
+    LoadReport report;
+    report.incarnation = m_cache.incarnation();
+    report.queuedWork = totalWait(now);
+    report.running = static_cast<std::uint32_t>(m_running);
+    report.queued = static_cast<std::uint32_t>(m_queue.size());
+    report.overloadLevel = m_overload.level();
+    report.prefillPerPiece = m_cost.prefillPerPiece();
+    report.isLeaving = m_isLeaving;
+    return report;
+}
+
+std::uint32_t AdmissionGate::warmPieces(const std::vector<PrefixKey> &keys, Core::TimePoint now) const
+{
+    return m_cache.likelyPieces(keys, now);
+}
+
+std::optional<HeatHint> AdmissionGate::heatHint(const std::vector<PrefixKey> &keys) const
+{
+    return m_heat.hint(keys);
+}
+
+bool AdmissionGate::isLeaving() const
+{
+    return m_isLeaving;
+}
+
+std::size_t AdmissionGate::running() const
+{
+    return m_running;
+}
+
+std::size_t AdmissionGate::queued() const
+{
+    return m_queue.size();
+}
+
+const CacheIndex &AdmissionGate::cache() const
+{
+    return m_cache;
+}
+
+const CostModel &AdmissionGate::cost() const
+{
+    return m_cost;
+}
+
+std::optional<GateAction> AdmissionGate::answerDuplicate(const GateRequest &request, Core::TimePoint now)
+{
+    switch (m_duplicates.check(request, now)) {
+    case DuplicateFilter::Verdict::New:
+        return std::nullopt;
+    case DuplicateFilter::Verdict::Queued:
+        return ReportDuplicate{request.ref, DuplicateState::Queued};
+    case DuplicateFilter::Verdict::MayHaveRun:
+        return ReportDuplicate{request.ref, DuplicateState::MayHaveRun};
+    case DuplicateFilter::Verdict::Refused:
+    case DuplicateFilter::Verdict::Superseded:
+        return Refuse{request.ref, GateRefusal::Superseded, microseconds(0)};
+    case DuplicateFilter::Verdict::NoRoom:
+        return Refuse{request.ref, GateRefusal::QueueFull, shortestRetryAfter};
+    }
+    return std::nullopt;
+}
+
+// Checks come in order of their cost.
+std::optional<GateAction> AdmissionGate::refusalOf(const GateRequest &request, Core::TimePoint now)
+{
+    const auto refuse = [this, &request, now](GateRefusal reason) {
+        return Refuse{request.ref, reason, retryAfter(reason, request.flow, now)};
+    };
+    if (m_isLeaving) {
+        return refuse(GateRefusal::Leaving);
+    }
+    if (!m_isEngineUp) {
+        return refuse(GateRefusal::EngineDown);
+    }
+    if (m_overload.isRefused(request.mark)) {
+        return refuse(GateRefusal::Overload);
+    }
+    if (!isServed(request)) {
+        return refuse(GateRefusal::NotServed);
+    }
+    Held probe;
+    probe.request = request;
+    estimate(probe, now);
+    m_heat.noteDemand(request.keys, probe.work, now);
+    if (now + expectedWait(request, probe.work, now) + probe.prefill > request.deadline) {
+        return refuse(GateRefusal::Deadline);
+    }
+    return std::nullopt;
+}
+
+// A router sends a later attempt only after it has given up on the earlier ones.
+void AdmissionGate::giveUpOlderAttempts(const RequestRef &ref, std::vector<GateAction> &actions)
+{
+    for (std::uint32_t back = 1; back <= olderAttemptsLookedFor && back < ref.attempt; ++back) {
+        const RequestRef older{ref.request, ref.attempt - back};
+        Held *held = find(older);
+        if (held == nullptr) {
+            continue;
+        }
+        if (held->state == State::Queued) {
+            m_duplicates.noteNotRun(older);
+            m_queue.erase(held->ticket);
+            actions.emplace_back(DropQueued{older});
+            release(*held);
+        } else if (!held->isCancelled) {
+            held->isCancelled = true;
+            actions.emplace_back(CancelRun{older});
+        }
+    }
+}
+
+void AdmissionGate::enqueue(GateRequest request, Core::TimePoint now)
+{
+    const RequestRef ref = request.ref;
+    Held &held = m_held[ref];
+    held.request = std::move(request);
+    held.ticket = TicketId(++m_lastTicket);
+    held.queuedAt = now;
+    estimate(held, now);
+    held.alarm = held.request.deadline - held.prefill;
+    m_byTicket[held.ticket] = &held;
+    m_alarms.emplace(held.alarm, held.ticket);
+    m_queue.push(held.request.flow, Ticket{held.ticket, held.work});
+}
+
+void AdmissionGate::startWaiting(Core::TimePoint now, std::vector<GateAction> &actions)
+{
+    while (m_isEngineUp && hasRoom(now)) {
+        const std::optional<Ticket> ticket = m_queue.pop();
+        if (!ticket) {
+            return;
+        }
+        start(*m_byTicket.at(ticket->id), now, actions);
+    }
+}
+
+void AdmissionGate::start(Held &held, Core::TimePoint now, std::vector<GateAction> &actions)
+{
+    const microseconds charged = held.work;
+    estimate(held, now);
+    if (now + held.prefill > held.request.deadline) {
+        m_queue.charge(held.request.flow, -charged);
+        refuseQueued(held, GateRefusal::Deadline, now, actions);
+        return;
+    }
+    m_queue.charge(held.request.flow, held.work - charged);
+    m_duplicates.noteStarted(held.request.ref);
+    m_alarms.erase({held.alarm, held.ticket});
+    held.alarm = held.request.deadline;
+    m_alarms.emplace(held.alarm, held.ticket);
+    held.state = State::Prefill;
+    held.startedAt = now;
+    if (m_prefillPromised == microseconds(0)) {
+        m_prefillSince = now;
+    }
+    m_prefillPromised += held.prefill;
+    ++m_running;
+    m_cache.noteRunStarted(held.request.ref, held.request.version, held.request.keys);
+    actions.emplace_back(StartRun{held.request.ref, m_cache.likelyPieces(held.request.keys, now), spanBetween(held.queuedAt, now)});
+}
+
+void AdmissionGate::refuseQueued(Held &held, GateRefusal reason, Core::TimePoint now, std::vector<GateAction> &actions)
+{
+    m_duplicates.noteNotRun(held.request.ref);
+    m_queue.erase(held.ticket);
+    actions.emplace_back(Refuse{held.request.ref, reason, retryAfter(reason, held.request.flow, now)});
+    release(held);
+}
+
+std::vector<GateAction> AdmissionGate::refuseAllQueued(GateRefusal reason, Core::TimePoint now)
+{
+    std::vector<GateAction> actions;
+    while (const std::optional<TicketId> ticket = m_queue.lastOfLargest()) {
+        refuseQueued(*m_byTicket.at(*ticket), reason, now, actions);
+    }
+    return actions;
+}
+
+void AdmissionGate::noteWait(Core::TimePoint now)
+{
+    m_overload.noteWait(totalWait(now), now);
+}
+
+void AdmissionGate::estimate(Held &held, Core::TimePoint now) const
+{
+    const GateRequest &request = held.request;
+    const std::uint32_t warm = m_cache.likelyPieces(request.keys, now);
+    held.missingTokens = m_cost.missingTokens(request.promptTokens, warm) + request.resumeTokens;
+    held.prefill = m_cost.prefill(held.missingTokens);
+    held.work = held.prefill + m_cost.decodeWork(request.maximumTokens - std::min(request.maximumTokens, request.resumeTokens));
+}
+
+// What the prompt took beyond or below its estimate is forgotten with it: the next one begins now.
+void AdmissionGate::endPrefill(Held &held, Core::TimePoint now)
+{
+    m_prefillPromised -= held.prefill;
+    m_prefillSince = now;
+}
+
+bool AdmissionGate::hasRoom(Core::TimePoint now) const
+{
+    return m_running < m_options.maximumRunning && prefillAhead(now) < m_options.maximumPrefillAhead;
+}
+
+bool AdmissionGate::isServed(const GateRequest &request) const
+{
+    return request.isServiceCall || std::find(m_served.begin(), m_served.end(), request.version) != m_served.end();
+}
+
+microseconds AdmissionGate::prefillAhead(Core::TimePoint now) const
+{
+    if (m_prefillPromised == microseconds(0)) {
+        return microseconds(0);
+    }
+    return std::max(microseconds(0), m_prefillPromised - spanBetween(m_prefillSince, now));
+}
+
+microseconds AdmissionGate::expectedWait(const GateRequest &request, microseconds work, Core::TimePoint now) const
+{
+    return prefillAhead(now) + m_queue.expectedWait(request.flow, work);
+}
+
+microseconds AdmissionGate::retryAfter(GateRefusal reason, const FlowPath &flow, Core::TimePoint now) const
+{
+    switch (reason) {
+    case GateRefusal::QueueFull:
+    case GateRefusal::Deadline:
+    case GateRefusal::Overload:
+        // Half the flow's queue will be gone then.
+        return std::clamp((prefillAhead(now) + m_queue.expectedWait(flow, microseconds(0))) / 2, shortestRetryAfter, longestRetryAfter);
+    case GateRefusal::Leaving:
+    case GateRefusal::NotServed:
+    case GateRefusal::EngineDown:
+    case GateRefusal::Superseded:
+        break;
+    }
+    return microseconds(0);
+}
+
+microseconds AdmissionGate::totalWait(Core::TimePoint now) const
+{
+    return prefillAhead(now) + m_queue.queuedWork();
+}
+
+void AdmissionGate::release(Held &held)
+{
+    m_alarms.erase({held.alarm, held.ticket});
+    m_byTicket.erase(held.ticket);
+    const RequestRef ref = held.request.ref;
+    m_held.erase(ref);
+}
+
+AdmissionGate::Held *AdmissionGate::find(const RequestRef &ref)
+{
+    const auto found = m_held.find(ref);
+    return found == m_held.end() ? nullptr : &found->second;
+}
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/gate/costmodel.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <core/time.h>
+
+#include <cstdint>
+
+namespace Verbena::Decisions {
+
+/// \brief What is assumed before anything has been measured.
+struct CostModelOptions
+{
+    std::uint32_t pieceTokens = 2048;
+    std::chrono::microseconds firstPrefillPerPiece{150000};
+    std::chrono::microseconds firstTokenInterval{20000}; ///< Between two tokens of one answer.
+    std::chrono::microseconds requestOverhead{2000}; ///< Of a prompt that is wholly cached.
+};
+
+/// \brief Learns from its runs what an engine's work costs.
+class CostModel
+{
+public:
+    explicit CostModel(const CostModelOptions &options = {});
+
+    /// \brief A prompt with \a missingTokens not in the cache took \a span to process.
+    void notePrefill(std::uint32_t missingTokens, std::chrono::microseconds span);
+
+    /// \brief A token came \a interval after the one before, with \a running answers in the engine.
+    void noteTokenInterval(std::chrono::microseconds interval, std::uint32_t running);
+
+    /// \brief An answer that might have had \a maximumTokens had \a tokens.
+    void noteAnswerLength(std::uint32_t tokens, std::uint32_t maximumTokens);
+
+    std::chrono::microseconds prefillPerPiece() const;
+
+    /// \brief Time to process a prompt of which \a missingTokens are not in the cache.
+    std::chrono::microseconds prefill(std::uint32_t missingTokens) const;
+
+    /// \brief Engine time that one answer uses beside others, by the length that answers have come to have.
+    std::chrono::microseconds decodeWork(std::uint32_t maximumTokens) const;
+
+    /// \brief Engine time of an answer of just \a tokens.
+    std::chrono::microseconds decodeWorkOf(std::uint32_t tokens) const;
+
+    /// \brief Prompt tokens left when \a warmPieces of \a promptTokens are cached.
+    std::uint32_t missingTokens(std::uint32_t promptTokens, std::uint32_t warmPieces) const;
+
+    std::uint32_t pieceTokens() const;
+
+private:
+    CostModelOptions m_options;
+    double m_prefillSecondsPerToken;
+    double m_decodeSecondsPerToken; ///< Of engine time: interval divided by the answers that share it.
+    double m_lengthRatio = 1.0; ///< Tokens of answers over their maximum.
+};
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/gate/fairqueue.cpp
@@ -0,0 +1,280 @@
+#include "fairqueue.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+constexpr std::size_t mostNodesKept = 4096;
+constexpr double smallestWeight = 1e-6;
+
+double seconds(std::chrono::microseconds span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+std::chrono::microseconds microseconds(double secondsCount)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::duration<double>(secondsCount));
+}
+
+} // namespace
+
+struct FairQueue::Node
+{
+    struct Earlier
+    {
+        bool operator()(const Node *left, const Node *right) const
+        {
+            return left->startTag != right->startTag ? left->startTag < right->startTag : left->number < right->number;
+        }
+    };
+
+    Node *parent = nullptr;
+    std::string name;
+    std::uint64_t number = 0; ///< Among siblings, in order of making: ties never depend on addresses.
+    double weight = 1.0;
+    double startTag = 0.0; ///< In the virtual time of the parent.
+    double virtualTime = 0.0; ///< Of the children.
+    double latestTag = 0.0; ///< Largest tag that any child had.
+    std::uint64_t nextNumber = 0;
+    std::chrono::microseconds work{0}; ///< Of all tickets below.
+    bool isActive = false;
+    std::map<std::string, std::unique_ptr<Node>> children;
+    std::set<Node *, Earlier> active;
+    std::list<Ticket> tickets; ///< Of a leaf.
+
+    bool isEmpty() const
+    {
+        return tickets.empty() && active.empty();
+    }
+
+    double activeWeight() const
+    {
+        double sum = 0.0;
+        for (const Node *child : active) {
+            sum += child->weight;
+        }
+        return sum;
+    }
+};
+
+FairQueue::FairQueue()
+    : m_root(std::make_unique<Node>())
+{
+}
+
+FairQueue::~FairQueue() = default;
+
+void FairQueue::setShares(const std::vector<FlowShare> &shares)
+{
+    m_organisationShares.clear();
+    m_teamShares.clear();
+    for (const FlowShare &share : shares) {
+        m_organisationShares[share.organisation] = std::max(share.organisationShare, smallestWeight);
+        m_teamShares[{share.organisation, share.team}] = std::max(share.teamShare, smallestWeight);
+    }
+    for (const auto &[organisation, node] : m_root->children) {
+        node->weight = weightOf(*node);
+        for (const auto &[team, child] : node->children) {
+            child->weight = weightOf(*child);
+        }
+    }
+}
+
+void FairQueue::push(const FlowPath &path, const Ticket &ticket)
+{
+    Node *leaf = leafFor(path);
+    leaf->tickets.push_back(ticket);
+    m_places[ticket.id] = Place{leaf, std::prev(leaf->tickets.end())};
+    for (Node *node = leaf; node != nullptr; node = node->parent) {
+        node->work += ticket.work;
+        if (node->parent != nullptr) {
+            activate(*node);
+        }
+    }
+}
+
+std::optional<Ticket> FairQueue::pop()
+{
+    if (m_root->isEmpty()) {
+        return std::nullopt;
+    }
+    Node *leaf = m_root.get();
+    while (!leaf->active.empty()) {
+        leaf = *leaf->active.begin();
+    }
+    const Ticket ticket = leaf->tickets.front();
+    for (Node *node = leaf; node->parent != nullptr; node = node->parent) {
+        Node &parent = *node->parent;
+        parent.virtualTime = std::max(parent.virtualTime, node->startTag);
+        parent.active.erase(node);
+        node->startTag += seconds(ticket.work) / node->weight;
+        parent.latestTag = std::max(parent.latestTag, node->startTag);
+        parent.active.insert(node);
+    }
+    takeOut(*leaf, leaf->tickets.begin());
+    return ticket;
+}
+
+bool FairQueue::erase(TicketId id)
+{
+    const auto found = m_places.find(id);
+    if (found == m_places.end()) {
+        return false;
+    }
+    const Place place = found->second;
+    takeOut(*place.leaf, place.ticket);
+    return true;
+}
+
+void FairQueue::charge(const FlowPath &path, std::chrono::microseconds extra)
+{
+    for (Node *node = leafFor(path); node->parent != nullptr; node = node->parent) {
+        Node &parent = *node->parent;
+        if (node->isActive) {
+            parent.active.erase(node);
+        }
+        node->startTag = std::max(node->startTag + seconds(extra) / node->weight, parent.virtualTime);
+        parent.latestTag = std::max(parent.latestTag, node->startTag);
+        if (node->isActive) {
+            parent.active.insert(node);
+        }
+    }
+}
+
+std::chrono::microseconds FairQueue::expectedWait(const FlowPath &path, std::chrono::microseconds work) const
+{
+    // Bottom up: what must be done before, stretched by the flow's part among those that wait, but never beyond all that waits.
+    const std::array<const std::string *, 3> names{&path.organisation, &path.team, &path.requestClass};
+    std::vector<const Node *> chain{m_root.get()};
+    for (const std::string *name : names) {
+        const auto found = chain.back()->children.find(*name);
+        if (found == chain.back()->children.end()) {
+            break;
+        }
+        chain.push_back(found->second.get());
+    }
+    double ahead = chain.size() == names.size() + 1 ? seconds(chain.back()->work) : 0.0;
+    const double own = seconds(work);
+    for (std::size_t level = names.size(); level > 0; --level) {
+        if (level - 1 >= chain.size()) {
+            continue;
+        }
+        const Node &parent = *chain[level - 1];
+        const Node *node = level < chain.size() ? chain[level] : nullptr;
+        const double weight = node == nullptr ? 1.0 : node->weight;
+        const double others = parent.activeWeight() - (node != nullptr && node->isActive ? weight : 0.0);
+        const double stretched = (ahead + own) * (weight + others) / weight - own;
+        ahead = std::min(stretched, seconds(parent.work));
+    }
+    return microseconds(std::max(ahead, 0.0));
+}
+
+std::optional<TicketId> FairQueue::lastOfLargest() const
+{
+    const Node *node = m_root.get();
+    while (!node->active.empty()) {
+        node = *std::max_element(node->active.begin(), node->active.end(), [](const Node *left, const Node *right) {
+            return seconds(left->work) / left->weight < seconds(right->work) / right->weight;
+        });
+    }
+    return node->tickets.empty() ? std::nullopt : std::optional(node->tickets.back().id);
+}
+
+std::size_t FairQueue::size() const
+{
+    return m_places.size();
+}
+
+std::chrono::microseconds FairQueue::queuedWork() const
+{
+    return m_root->work;
+}
+
+FairQueue::Node *FairQueue::leafFor(const FlowPath &path)
+{
+    if (m_nodes > mostNodesKept) {
+        removeIdle(*m_root);
+    }
+    Node &organisation = childFor(*m_root, path.organisation);
+    Node &team = childFor(organisation, path.team);
+    return &childFor(team, path.requestClass);
+}
+
+FairQueue::Node &FairQueue::childFor(Node &parent, const std::string &name)
+{
+    std::unique_ptr<Node> &child = parent.children[name];
+    if (!child) {
+        child = std::make_unique<Node>();
+        child->parent = &parent;
+        child->name = name;
+        child->number = parent.nextNumber++;
+        child->startTag = parent.virtualTime;
+        child->weight = weightOf(*child);
+        ++m_nodes;
+    }
+    return *child;
+}
+
+double FairQueue::weightOf(const Node &node) const
+{
+    const Node &parent = *node.parent;
+    if (parent.parent == nullptr) {
+        const auto found = m_organisationShares.find(node.name);
+        return found == m_organisationShares.end() ? 1.0 : found->second;
+    }
+    if (parent.parent->parent == nullptr) {
+        const auto found = m_teamShares.find({parent.name, node.name});
+        return found == m_teamShares.end() ? 1.0 : found->second;
+    }
+    return 1.0;
+}
+
+// A flow that was idle starts at the present virtual time: it gets its share from now on, and nothing for the past.
+void FairQueue::activate(Node &node)
+{
+    if (node.isActive) {
+        return;
+    }
+    Node &parent = *node.parent;
+    node.startTag = std::max(node.startTag, parent.virtualTime);
+    node.isActive = true;
+    parent.active.insert(&node);
+}
+
+void FairQueue::takeOut(Node &leaf, std::list<Ticket>::iterator ticket)
+{
+    const std::chrono::microseconds work = ticket->work;
+    m_places.erase(ticket->id);
+    leaf.tickets.erase(ticket);
+    for (Node *node = &leaf; node != nullptr; node = node->parent) {
+        node->work -= work;
+        if (!node->isEmpty()) {
+            continue;
+        }
+        // With nobody left below, all start level again: what was lent in a busy period is not held against the borrower.
+        node->virtualTime = node->latestTag;
+        if (node->parent != nullptr) {
+            node->parent->active.erase(node);
+            node->isActive = false;
+        }
+    }
+}
+
+void FairQueue::removeIdle(Node &node)
+{
+    for (auto child = node.children.begin(); child != node.children.end();) {
+        removeIdle(*child->second);
+        if (child->second->isEmpty() && child->second->children.empty()) {
+            child = node.children.erase(child);
+            --m_nodes;
+        } else {
+            ++child;
+        }
+    }
+}
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/gate/fairqueue.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "gatetypes.h"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace Verbena::Decisions {
+
+/// \brief Names what waits in a FairQueue; chosen by the owner of the queue.
+enum class TicketId : std::uint64_t {};
+
+/// \brief Something that waits for its turn.
+struct Ticket
+{
+    TicketId id{};
+    std::chrono::microseconds work{0}; ///< Estimated engine time that it will use.
+};
+
+/// \brief The weight of a team among the teams of its organisation, and of the organisation among the organisations.
+struct FlowShare
+{
+    std::string organisation;
+    double organisationShare = 1.0;
+    std::string team;
+    double teamShare = 1.0;
+};
+
+/// \brief Weighted fair queue over organisation, then team, then class, by estimated work.
+///
+/// Start-time fair queueing at each of the three levels: what a flow does not use goes to the others at once, and comes
+/// back to it with its next ticket. Each operation takes logarithmic time.
+class FairQueue
+{
+public:
+    FairQueue();
+    ~FairQueue();
+
+    FairQueue(const FairQueue &) = delete;
+    FairQueue &operator=(const FairQueue &) = delete;
+
+    /// \brief Takes the shares in place of those before. Flows that are not named have weight 1.
+    void setShares(const std::vector<FlowShare> &shares);
+
+    void push(const FlowPath &path, const Ticket &ticket);
+
+    /// \brief Takes out the next ticket, or nothing if the queue is empty.
+    std::optional<Ticket> pop();
+
+    /// \brief Takes out \a id; false if it does not wait.
+    bool erase(TicketId id);
+
+    /// \brief Charges \a extra work to a flow, negative if less was used than estimated.
+    void charge(const FlowPath &path, std::chrono::microseconds extra);
+
+    /// \brief How long a ticket of \a path would wait if pushed now, all flows that wait now using their full shares.
+    std::chrono::microseconds expectedWait(const FlowPath &path, std::chrono::microseconds work) const;
+
+    /// \brief The ticket that came last in the flow that holds the most work for its weight.
+    std::optional<TicketId> lastOfLargest() const;
+
+    std::size_t size() const;
+    std::chrono::microseconds queuedWork() const;
+
+private:
+    struct Node;
+
+    Node *leafFor(const FlowPath &path);
+    Node &childFor(Node &parent, const std::string &name);
+    double weightOf(const Node &node) const;
+    void activate(Node &node);
+    void takeOut(Node &leaf, std::list<Ticket>::iterator ticket);
+    void removeIdle(Node &node);
+
+    struct Place
+    {
+        Node *leaf = nullptr;
+        std::list<Ticket>::iterator ticket;
+    };
+
+    std::unique_ptr<Node> m_root;
+    std::unordered_map<TicketId, Place> m_places;
+    std::map<std::string, double> m_organisationShares;
+    std::map<std::pair<std::string, std::string>, double> m_teamShares;
+    std::size_t m_nodes = 1;
+};
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/gate/overloadcontrol.cpp
@@ -0,0 +1,65 @@
+#include "overloadcontrol.h"
+
+#include <algorithm>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+constexpr std::int64_t mostStepsAtOnce = 4;
+
+} // namespace
+
+OverloadControl::OverloadControl(const OverloadOptions &options)
+    : m_options(options)
+    , m_level(options.highestMark + 1)
+{
+}
+
+void OverloadControl::noteWait(std::chrono::microseconds wait, Core::TimePoint now)
+{
+    if (now < m_nextPeriod) {
+        return;
+    }
+    m_nextPeriod = now + m_options.period;
+    if (wait > m_options.highWait) {
+        tighten(wait);
+    } else if (wait < m_options.lowWait) {
+        loosen();
+    } else {
+        m_quiet = 0;
+    }
+}
+
+std::uint32_t OverloadControl::level() const
+{
+    return m_level > m_options.highestMark ? 0 : m_level;
+}
+
+bool OverloadControl::isRefused(std::uint32_t mark) const
+{
+    return std::min(mark, m_options.highestMark) >= m_level;
+}
+
+std::optional<Core::TimePoint> OverloadControl::nextDeadline() const
+{
+    return level() == 0 ? std::nullopt : std::optional(m_nextPeriod);
+}
+
+void OverloadControl::tighten(std::chrono::microseconds wait)
+{
+    m_quiet = 0;
+    const auto steps = static_cast<std::uint32_t>(std::clamp<std::int64_t>(wait / m_options.highWait, 1, mostStepsAtOnce));
+    m_level = m_level > steps ? m_level - steps : 1;
+}
+
+void OverloadControl::loosen()
+{
+    ++m_quiet;
+    if (m_quiet >= m_options.quietPeriods && m_level <= m_options.highestMark) {
+        ++m_level;
+        m_quiet = 0;
+    }
+}
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/gate/overloadcontrol.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <core/time.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace Verbena::Decisions {
+
+/// \brief Bounds of an OverloadControl.
+struct OverloadOptions
+{
+    std::uint32_t highestMark = 15;
+    std::chrono::milliseconds highWait{1000}; ///< Above, more is refused.
+    std::chrono::milliseconds lowWait{300}; ///< Below for several periods, less is refused.
+    std::chrono::milliseconds period{100};
+    std::uint32_t quietPeriods = 5;
+};
+
+/// \brief The overload level that an agent tells routers, from the wait in its queue.
+///
+/// Requests marked at or above the level are to be refused before they are sent. The level falls fast while the wait is
+/// high and rises step by step after the wait has been low for some periods.
+class OverloadControl
+{
+public:
+    explicit OverloadControl(const OverloadOptions &options = {});
+
+    /// \brief Takes the wait that a new request would have at \a now.
+    void noteWait(std::chrono::microseconds wait, Core::TimePoint now);
+
+    /// \brief The lowest mark that is refused; 0 if none is. Mark 0 is never refused by level.
+    std::uint32_t level() const;
+
+    bool isRefused(std::uint32_t mark) const;
+
+    /// \brief When the wait is to be noted again, even if nothing else happens.
+    std::optional<Core::TimePoint> nextDeadline() const;
+
+private:
+    void tighten(std::chrono::microseconds wait);
+    void loosen();
+
+    OverloadOptions m_options;
+    std::uint32_t m_level;
+    std::uint32_t m_quiet = 0;
+    Core::TimePoint m_nextPeriod;
+};
+
+} // namespace Verbena::Decisions
