Describe each program's settings and log its start and end

Cause: nobody could see which keys a program takes, and the programs logged nothing.

Section log (format, level) sets up the log; events 1000 to 1004 tell of start, signal, end and refusals.

Shown by: ctest -R 'settings|observe|path'.

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -1,4 +1,5 @@
 #include <agent/agenttask.h>
+#include <application/processreport.h>
 #include <application/standardoptions.h>
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
@@ -11,28 +12,37 @@
     using namespace Verbena;
     const auto options
         = Application::StandardOptions::parse(argc, argv, "Stands beside one backend server and decides what it runs and when.", VERBENA_VERSION);
+    if (options.isDescribing) {
+        return Application::printSettingsDescription([](Settings::SettingsReader &reader) { (void)Agent::AgentSettings::read(reader); });
+    }
     const auto settings = Agent::AgentSettings::fromFile(options.settingsPath);
     if (!settings) {
-        std::cerr << settings.error().toString() << '\n';
-        return 2;
+        return Application::refuseSettings("verbena-agent", settings.error());
     }
     if (options.isCheckOnly) {
         return 0;
     }
+    Observe::configureLog(settings.value().log);
     const auto loop = EventLoop::Loop::create();
     if (!loop) {
-        std::cerr << loop.error().toString() << '\n';
-        return 1;
+        return Application::refuseStart(loop.error());
     }
     EventLoop::Loop &running = *loop.value();
     const auto task = Agent::AgentTask::create(running, settings.value());
     if (!task) {
-        std::cerr << task.error().toString() << '\n';
-        return 1;
+        return Application::refuseStart(task.error());
     }
-    EventLoop::SignalWatcher terminate(running, SIGTERM, [&running] { running.stop(); });
-    EventLoop::SignalWatcher interrupt(running, SIGINT, [&running] { running.stop(); });
+    EventLoop::SignalWatcher terminate(running, SIGTERM, [&running] {
+        Application::reportSignal(SIGTERM);
+        running.stop();
+    });
+    EventLoop::SignalWatcher interrupt(running, SIGINT, [&running] {
+        Application::reportSignal(SIGINT);
+        running.stop();
+    });
     std::cout << "listening zmq " << task.value()->endpoint() << std::endl;
+    Application::reportStart(VERBENA_VERSION, task.value()->endpoint());
     running.run();
+    Application::reportStop();
     return 0;
 }
--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -1,3 +1,4 @@
+#include <application/processreport.h>
 #include <application/standardoptions.h>
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
@@ -11,28 +12,37 @@
     using namespace Verbena;
     const auto options
         = Application::StandardOptions::parse(argc, argv, "Routes callers' requests to the backend servers where their prompts are warm.", VERBENA_VERSION);
+    if (options.isDescribing) {
+        return Application::printSettingsDescription([](Settings::SettingsReader &reader) { (void)Router::RouterSettings::read(reader); });
+    }
     const auto settings = Router::RouterSettings::fromFile(options.settingsPath);
     if (!settings) {
-        std::cerr << settings.error().toString() << '\n';
-        return 2;
+        return Application::refuseSettings("verbena-router", settings.error());
     }
     if (options.isCheckOnly) {
         return 0;
     }
+    Observe::configureLog(settings.value().log);
     const auto loop = EventLoop::Loop::create();
     if (!loop) {
-        std::cerr << loop.error().toString() << '\n';
-        return 1;
+        return Application::refuseStart(loop.error());
     }
     EventLoop::Loop &running = *loop.value();
     const auto task = Router::RouterTask::create(running, settings.value());
     if (!task) {
-        std::cerr << task.error().toString() << '\n';
-        return 1;
+        return Application::refuseStart(task.error());
     }
-    EventLoop::SignalWatcher terminate(running, SIGTERM, [&running] { running.stop(); });
-    EventLoop::SignalWatcher interrupt(running, SIGINT, [&running] { running.stop(); });
+    EventLoop::SignalWatcher terminate(running, SIGTERM, [&running] {
+        Application::reportSignal(SIGTERM);
+        running.stop();
+    });
+    EventLoop::SignalWatcher interrupt(running, SIGINT, [&running] {
+        Application::reportSignal(SIGINT);
+        running.stop();
+    });
     std::cout << "listening http " << settings.value().listen.address << ":" << task.value()->port() << std::endl;
+    Application::reportStart(VERBENA_VERSION, settings.value().listen.address + ":" + std::to_string(task.value()->port()));
     running.run();
+    Application::reportStop();
     return 0;
 }
--- /dev/null
+++ b/src/libs/application/processreport.cpp
@@ -0,0 +1,50 @@
+#include "processreport.h"
+
+#include "processevents.h"
+
+#include <iostream>
+
+#include <unistd.h>
+
+namespace Verbena::Application {
+
+int refuseSettings(const std::string &process, const Core::Error &error)
+{
+    // How to log stands in the file that was refused, so the log takes its defaults.
+    Observe::configureLog({.process = process});
+    Observe::log(settingsRefused, error);
+    std::cerr << error.toString() << '\n';
+    return settingsRefusedStatus;
+}
+
+int refuseStart(const Core::Error &error)
+{
+    Observe::log(startFailed, error);
+    std::cerr << error.toString() << '\n';
+    return startFailedStatus;
+}
+
+void reportStart(const std::string &version, const std::string &endpoint)
+{
+    Observe::log(processStarted, {{"version", version}, {"endpoint", endpoint}, {"pid", std::to_string(getpid())}});
+}
+
+void reportSignal(int signalNumber)
+{
+    Observe::log(signalReceived, {{"signal", std::to_string(signalNumber)}});
+}
+
+void reportStop()
+{
+    Observe::log(processStopped);
+}
+
+int printSettingsDescription(const std::function<void(Settings::SettingsReader &)> &read)
+{
+    Settings::SettingsReader reader = Settings::SettingsReader::forDescription();
+    read(reader);
+    std::cout << Settings::describeAsTable(reader.descriptions());
+    return 0;
+}
+
+} // namespace Verbena::Application
--- a/src/libs/application/standardoptions.h
+++ b/src/libs/application/standardoptions.h
@@ -9,6 +9,7 @@
 {
     std::string settingsPath;
     bool isCheckOnly = false; ///< Check the settings and exit without starting.
+    bool isDescribing = false; ///< Print what the settings file may hold and exit; there is no settings file then.
 
     /// \brief Reads the command line; prints help, version or an error and exits where the user asked for that.
     static StandardOptions parse(int argc, char **argv, const std::string &description, const std::string &version);
--- a/src/libs/observe/metrics.cpp
+++ b/src/libs/observe/metrics.cpp
@@ -20,6 +20,13 @@
     return "organisation=\"" + escapePrometheusLabel(tenant.organisation) + "\",class=\"" + escapePrometheusLabel(tenant.requestClass) + '"';
 }
 
+void appendValue(std::string &text, const std::string &name, const char *type, const std::string &value)
+{
+    text += "# TYPE ";
+    text.append(namePrefix).append(name).append(" ").append(type).append("\n");
+    text.append(namePrefix).append(name).append(" ").append(value).append("\n");
+}
+
 void appendHistograms(std::string &text, const std::map<std::string, TenantHistograms> &histograms)
 {
     for (const auto &[name, tenants] : histograms) {
@@ -91,12 +98,10 @@
 {
     std::string text;
     for (const auto &[name, value] : m_internals->counters) {
-        const std::string fullName = namePrefix + name;
-        text += "# TYPE " + fullName + " counter\n" + fullName + ' ' + std::to_string(value) + '\n';
+        appendValue(text, name, "counter", std::to_string(value));
     }
     for (const auto &[name, value] : m_internals->gauges) {
-        const std::string fullName = namePrefix + name;
-        text += "# TYPE " + fullName + " gauge\n" + fullName + ' ' + prometheusNumber(value) + '\n';
+        appendValue(text, name, "gauge", prometheusNumber(value));
     }
     appendHistograms(text, m_internals->spans);
     appendHistograms(text, m_internals->amounts);
--- a/src/libs/observe/metrics.h
+++ b/src/libs/observe/metrics.h
@@ -14,7 +14,8 @@
     std::string organisation;
     std::string requestClass;
 
-    auto operator<=>(const TenantLabel &) const = default;
+    // The check takes the hidden 0 of the generated comparison for a pointer.
+    auto operator<=>(const TenantLabel &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// \brief Counts and histograms of one process, in bounded memory: beyond a number of tenants, the rest share one.
--- a/src/libs/observe/spreadhistogram.h
+++ b/src/libs/observe/spreadhistogram.h
@@ -12,8 +12,6 @@
 {
     double lowest;
     int decades;
-
-    auto operator<=>(const BinLayout &) const = default;
 };
 
 /// \brief Spans in seconds, from 10 microseconds to 1,000 seconds.
--- a/src/libs/router/routersettings.cpp
+++ b/src/libs/router/routersettings.cpp
@@ -1,5 +1,6 @@
 #include "routersettings.h"
 
+#include <settings/logsettings.h>
 #include <settings/settingsreader.h>
 
 namespace Verbena::Router {
@@ -32,8 +33,14 @@
 Core::Result<RouterSettings> RouterSettings::fromFile(const std::string &path)
 {
     BOOST_OUTCOME_TRY(reader, SettingsReader::fromFile(path));
+    return read(reader);
+}
+
+Core::Result<RouterSettings> RouterSettings::read(SettingsReader &reader)
+{
     RouterSettings settings;
     settings.name = reader.requiredString("name");
+    settings.log = Settings::readLogSettings(reader, settings.name);
     settings.failureDomain = reader.string("failure_domain", "");
     SettingsReader listen = reader.section("listen");
     settings.listen.address = listen.string("address", "127.0.0.1");
--- a/src/libs/router/routersettings.h
+++ b/src/libs/router/routersettings.h
@@ -3,10 +3,15 @@
 #include <core/result.h>
 #include <decisions/routing/backendserver.h>
 #include <http/httpserver.h>
+#include <observe/eventlog.h>
 
 #include <string>
 #include <vector>
 
+namespace Verbena::Settings {
+class SettingsReader;
+}
+
 namespace Verbena::Router {
 
 /// \brief A caller's key by its hash, and whom it stands for.
@@ -28,8 +33,13 @@
     std::vector<CallerKeySetting> callerKeys;
     std::vector<Decisions::BackendServer> backendServers;
 
+    Observe::LogOptions log;
+
     /// \brief Reads and checks a file. Errors name file, line and key of every problem.
     static Core::Result<RouterSettings> fromFile(const std::string &path);
+
+    /// \brief Asks \a reader for every key and finishes it.
+    static Core::Result<RouterSettings> read(Settings::SettingsReader &reader);
 };
 
 } // namespace Verbena::Router
--- a/src/libs/settings/settingsreader.h
+++ b/src/libs/settings/settingsreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "settingdescription.h"
 #include "settingsproblem.h"
 
 #include <core/result.h>
@@ -27,6 +28,13 @@
     /// \brief Reads \a text; \a name stands for the file in problems.
     static Core::Result<SettingsReader> fromText(const std::string &text, const std::string &name);
 
+    /// \brief A reader of nothing that notes each key asked for: every key seems to be there, every list has one item, and the
+    /// mappings with free names have one that is called "<name>". Values are the defaults and nothing is a problem.
+    static SettingsReader forDescription();
+
+    /// \brief The keys asked for so far, in that order; only from a reader made for description.
+    const std::vector<SettingDescription> &descriptions() const;
+
     bool has(const std::string &key) const;
     std::vector<std::string> keys() const;
 
@@ -37,6 +45,9 @@
     bool boolean(const std::string &key, bool defaultValue);
     std::vector<std::string> strings(const std::string &key);
 
+    /// \brief One of the words \a allowed.
+    std::string choice(const std::string &key, const std::string &defaultValue, const std::vector<std::string> &allowed);
+
     /// \brief A span of time, written as a whole number with a unit: us, ms, s, min or h.
     std::chrono::microseconds span(
         const std::string &key, std::chrono::microseconds defaultValue, std::chrono::microseconds minimum, std::chrono::microseconds maximum);
@@ -56,7 +67,10 @@
 private:
     struct Document;
 
-    SettingsReader(std::shared_ptr<Document> document, const YAML::Node &node, std::string prefix);
+    SettingsReader(std::shared_ptr<Document> document, const YAML::Node &node, std::string prefix, int line);
+    bool isPresent(const std::string &key) const;
+    int lineOf(const std::string &key) const;
+    void describe(const std::string &key, const std::string &type, const std::string &defaultValue, const std::string &range = {});
     YAML::Node take(const std::string &key);
     template<typename T>
     T scalar(const std::string &key, const T &defaultValue, const char *expected);
@@ -66,6 +80,7 @@
     std::shared_ptr<Document> m_document;
     YAML::Node m_node;
     std::string m_prefix;
+    int m_line; ///< Of this mapping, or of the one around it if this one is absent.
     std::shared_ptr<std::set<std::string>> m_knownKeys;
 };
 
