Start whole deployments in tests

Cause: tests of failures need several routers, engines and services as processes, and each would start them by hand. TestDeployment starts them on ports chosen by the system, and kills and restarts each by itself. tst_path uses it and passes.

--- a/tests/auto/path/tst_path.cpp
+++ b/tests/auto/path/tst_path.cpp
@@ -1,7 +1,5 @@
 #include <standin/answertext.h>
-#include <support/childprocess.h>
-#include <support/temporaryfolder.h>
-#include <support/testhttp.h>
+#include <support/testdeployment.h>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -10,44 +8,16 @@
 
 namespace {
 
-// SHA-256 of the caller's key "secret".
-constexpr const char *secretHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
-
 /// One engine, its agent and one router as separate processes.
 class PathTest : public testing::Test
 {
 protected:
-    PathTest()
-        : m_engine("verbena-standin", {"engine"})
-        , m_agent("verbena-agent", {"--settings", agentSettings(m_engine.waitForLine("listening http "))})
-        , m_router("verbena-router", {"--settings", routerSettings(m_agent.waitForLine("listening zmq "))})
-        , m_url("http://" + m_router.waitForLine("listening http "))
-    {
-    }
-
-    TestAnswer complete(const nlohmann::json &body, const std::string &key = "secret") const
-    {
-        return sendHttp("POST", m_url + "/v1/completions", {"Authorization: Bearer " + key}, body.dump());
-    }
-
-private:
-    std::string agentSettings(const std::string &engine) const
-    {
-        return m_folder.write("agent.yaml", "name: engine1\nendpoint: tcp://127.0.0.1:*\nbackend_url: http://" + engine + "\n");
-    }
-
-    std::string routerSettings(const std::string &agent) const
+    TestAnswer complete(const nlohmann::json &body) const
     {
-        return m_folder.write("router.yaml",
-            std::string("name: router1\ncaller_keys:\n  - {sha256: ") + secretHash
-                + ", organisation: kessick, team: dams}\nbackend_servers:\n  - {name: engine1, endpoint: \"" + agent + "\", models: [{model: analyst}]}\n");
+        return m_deployment.post("/v1/completions", body.dump());
     }
 
-    TemporaryFolder m_folder;
-    ChildProcess m_engine;
-    ChildProcess m_agent;
-    ChildProcess m_router;
-    std::string m_url;
+    TestDeployment m_deployment;
 };
 
 std::string textOfStream(const std::string &body)
@@ -80,7 +50,8 @@
 
 TEST_F(PathTest, refusesAnUnknownKeyAndAnUnknownModel)
 {
-    EXPECT_EQ(complete({{"model", "analyst"}, {"prompt", "x"}}, "wrong").status, 401);
+    const std::string body = R"({"model": "analyst", "prompt": "x"})";
+    EXPECT_EQ(sendHttp("POST", m_deployment.routerUrl() + "/v1/completions", {"Authorization: Bearer wrong"}, body).status, 401);
     const TestAnswer answer = complete({{"model", "nobody"}, {"prompt", "x"}});
     EXPECT_EQ(answer.status, 404);
     EXPECT_EQ(answer.fields.at("verbena-run"), "not-run");
--- a/tests/auto/router/tst_attempttracker.cpp
+++ b/tests/auto/router/tst_attempttracker.cpp
@@ -13,7 +13,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint32_t answerTokens = 6;
+constexpr std::uint32_t answerTokens = 3;
 constexpr BackendServerId firstServer{1};
 
 std::string tokenText(std::uint32_t index)
--- /dev/null
+++ b/tests/support/testdeployment.cpp
@@ -0,0 +1,126 @@
+#include "testdeployment.h"
+
+#include <csignal>
+
+namespace Verbena::Test {
+
+namespace {
+
+// SHA-256 of the callers' keys "secret" and "rosters".
+constexpr const char *secretHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+constexpr const char *rostersHash = "fb76e4203fc88b6f8d1d1d2510047ec27dbef3d62c937388ee80bcf457f233a5";
+
+std::string portOf(const std::string &address)
+{
+    return address.substr(address.rfind(':') + 1);
+}
+
+} // namespace
+
+TestDeployment::TestDeployment(DeploymentOptions options)
+    : m_options(std::move(options))
+    , m_engines(m_options.engines)
+    , m_services(m_options.services)
+    , m_routers(m_options.routers)
+{
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        m_engines[i].name = "engine" + std::to_string(i + 1);
+        startServer(m_engines[i], "0");
+        startAgent(m_engines[i]);
+    }
+    for (std::size_t i = 0; i < m_services.size(); ++i) {
+        m_services[i].name = "register" + std::to_string(i + 1);
+        startServer(m_services[i], "0");
+        startAgent(m_services[i]);
+    }
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+        startRouter(i);
+    }
+}
+
+TestDeployment::Backend &TestDeployment::engine(std::size_t index)
+{
+    return m_engines.at(index);
+}
+
+TestDeployment::Backend &TestDeployment::service(std::size_t index)
+{
+    return m_services.at(index);
+}
+
+ChildProcess &TestDeployment::router(std::size_t index)
+{
+    return *m_routers.at(index).process;
+}
+
+std::string TestDeployment::routerUrl(std::size_t index) const
+{
+    return "http://" + m_routers.at(index).address;
+}
+
+TestAnswer TestDeployment::post(const std::string &path, const std::string &body, const std::vector<std::string> &fields, std::size_t router) const
+{
+    std::vector<std::string> lines = fields;
+    lines.emplace_back("Authorization: Bearer secret");
+    return sendHttp("POST", routerUrl(router) + path, lines, body);
+}
+
+void TestDeployment::restartServer(Backend &backend)
+{
+    backend.server.reset();
+    startServer(backend, portOf(backend.address));
+}
+
+void TestDeployment::restartAgent(Backend &backend)
+{
+    backend.agent.reset();
+    startAgent(backend);
+}
+
+void TestDeployment::restartRouter(std::size_t index)
+{
+    m_routers.at(index).process.reset();
+    startRouter(index);
+}
+
+void TestDeployment::startServer(Backend &backend, const std::string &port)
+{
+    const bool isEngine = backend.name.starts_with("engine");
+    std::vector<std::string> arguments{isEngine ? "engine" : "service", "--port", port};
+    const std::vector<std::string> &further = isEngine ? m_options.engineArguments : m_options.serviceArguments;
+    arguments.insert(arguments.end(), further.begin(), further.end());
+    backend.server = std::make_unique<ChildProcess>("verbena-standin", arguments);
+    backend.address = backend.server->waitForLine("listening http ");
+}
+
+void TestDeployment::startAgent(Backend &backend)
+{
+    const std::string endpoint = backend.endpoint.empty() ? "tcp://127.0.0.1:*" : backend.endpoint;
+    const std::string path = m_folder.write(backend.name + ".yaml",
+        "name: " + backend.name + "\nendpoint: \"" + endpoint + "\"\nbackend_url: http://" + backend.address + "\n" + m_options.agentSettings);
+    backend.agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--settings", path});
+    backend.endpoint = backend.agent->waitForLine("listening zmq ");
+}
+
+void TestDeployment::startRouter(std::size_t index)
+{
+    Router &router = m_routers.at(index);
+    router.process = std::make_unique<ChildProcess>("verbena-router", std::vector<std::string>{"--settings", routerFile(index)});
+    router.address = router.process->waitForLine("listening http ");
+}
+
+std::string TestDeployment::routerFile(std::size_t index) const
+{
+    const std::string name = "router" + std::to_string(index + 1);
+    std::string text = "name: " + name + "\ncaller_keys:\n  - {sha256: " + secretHash + ", organisation: kessick, team: dams}\n  - {sha256: " + rostersHash
+        + ", organisation: kalari, team: kochi}\nbackend_servers:\n";
+    for (const Backend &backend : m_engines) {
+        text += "  - {name: " + backend.name + ", endpoint: \"" + backend.endpoint + "\", models: [{model: analyst}]}\n";
+    }
+    for (const Backend &backend : m_services) {
+        text += "  - {name: " + backend.name + ", endpoint: \"" + backend.endpoint + "\", service: register}\n";
+    }
+    return m_folder.write(name + ".yaml", text + m_options.routerSettings);
+}
+
+} // namespace Verbena::Test
