--- a/src/libs/settings/inforcesettings.h
+++ b/src/libs/settings/inforcesettings.h
@@ -63,10 +63,21 @@
 struct InForceSettings
 {
     std::uint64_t revision = 0;
-    std::map<std::string, OrganisationSettings> organisations;
+    std::map<std::string, std::shared_ptr<const OrganisationSettings>> organisations; ///< Never null; shared with other revisions.
     std::map<std::string, ModelSettings> models;
     std::map<std::string, ServiceSettings> services;
     std::map<std::string, BackendServerSettings> backendServers;
+
+    /// \brief The team \a name of \a organisation, or null if there is none in force.
+    const TeamSettings *findTeam(const std::string &organisation, const std::string &name) const
+    {
+        const auto owner = organisations.find(organisation);
+        if (owner == organisations.end()) {
+            return nullptr;
+        }
+        const auto team = owner->second->teams.find(name);
+        return team == owner->second->teams.end() ? nullptr : &team->second;
+    }
 };
 
 /// \brief Where a process looks up what is in force.
