--- a/src/libs/settings/settingsproblem.cpp
+++ b/src/libs/settings/settingsproblem.cpp
@@ -1,10 +1,24 @@
 #include "settingsproblem.h"
 
+#include <algorithm>
+#include <cctype>
+
 namespace Verbena::Settings {
 
+namespace {
+
+/// A quoted key may hold line ends, and yet a problem must stay on one line.
+std::string withoutControlCharacters(std::string text)
+{
+    std::replace_if(text.begin(), text.end(), [](unsigned char character) { return std::iscntrl(character) != 0; }, '?');
+    return text;
+}
+
+} // namespace
+
 std::string SettingsProblem::toString() const
 {
-    return file + ":" + std::to_string(line) + ": " + key + ": " + message;
+    return file + ":" + std::to_string(line) + ": " + withoutControlCharacters(key) + ": " + message;
 }
 
 std::string joinProblems(const std::vector<SettingsProblem> &problems)
--- a/tests/auto/settings/tst_settingsreader.cpp
+++ b/tests/auto/settings/tst_settingsreader.cpp
@@ -166,6 +166,15 @@
     }));
 }
 
+TEST(SettingsReaderTest, keepsAProblemOnOneLine)
+{
+    auto reader = SettingsReader::fromText("\"x\\ny\": 1\n", "file.yaml");
+    ASSERT_TRUE(reader);
+    const auto finished = reader.value().finish();
+    ASSERT_FALSE(finished);
+    EXPECT_EQ(finished.error().message, "file.yaml:1: x?y: This key is not known.");
+}
+
 TEST(SettingsReaderTest, refusesDeepNestingInsteadOfRunningOutOfStack)
 {
     EXPECT_FALSE(SettingsReader::fromText("a: " + std::string(100'000, '['), "file.yaml"));
