--- a/src/libs/settings/settingsproblem.cpp
+++ b/src/libs/settings/settingsproblem.cpp
@@ -10,7 +10,8 @@
 /// A quoted key may hold line ends, and yet a problem must stay on one line.
 std::string withoutControlCharacters(std::string text)
 {
-    std::replace_if(text.begin(), text.end(), [](unsigned char character) { return std::iscntrl(character) != 0; }, '?');
+    std::replace_if(
+        text.begin(), text.end(), [](unsigned char character) { return std::iscntrl(character) != 0; }, '?');
     return text;
 }
 
