Score a bounded set of candidates for each request

The router sent every request to the first home of its deepest key, whatever the load, and looked at the whole fleet to find it.

RouteChooser now weighs the believed holders of the deepest known prefix, the homes of the shared levels and the less loaded of a few drawn at random, by expected wait, prefill or import of missing pieces and a weight for recomputation, and says why. Placement ranks by multi-probe consistent hashing, which needs no look at the whole fleet. Prefix keys, hints and the router's own unanswered work are kept in bounded tables with deadlines.

--- a/src/libs/decisions/routing/backendserver.h
+++ b/src/libs/decisions/routing/backendserver.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Verbena::Decisions {
@@ -17,6 +18,11 @@
     std::string weightsVersion;
 
     bool operator==(const ModelVersion &) const = default;
+
+    bool operator<(const ModelVersion &other) const
+    {
+        return std::tie(model, adapter, weightsVersion) < std::tie(other.model, other.adapter, other.weightsVersion);
+    }
 };
 
 /// \brief Whether a backend server may get new work.
--- a/src/libs/decisions/routing/routechooser.h
+++ b/src/libs/decisions/routing/routechooser.h
@@ -1,58 +1,103 @@
 #pragma once
 
 #include "backendserver.h"
-#include "prefixchain.h"
+#include "keytable.h"
+#include "placement.h"
+#include "routedecision.h"
+#include "routequery.h"
+#include "routingoptions.h"
+#include "serverloads.h"
 
 #include <core/time.h>
 
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
 namespace Verbena::Decisions {
 
-/// \brief What a request needs of a backend server.
-struct RouteQuery
+/// \brief What a refusal tells the router besides the load report that comes with it.
+struct RouteRefusal
 {
-    ModelVersion version; ///< For a completion.
-    std::string service; ///< For a call of a plain service; then version is empty.
-    std::vector<PrefixKey> keys; ///< Shallow to deep.
-    PrefixKey root{};
-    std::vector<BackendServerId> excluded; ///< Tried before, or refused.
-};
-
-/// \brief What an agent says of itself with a reply.
-struct LoadReport
-{
-    std::uint64_t incarnation = 0;
-    std::chrono::microseconds queuedWork{0}; ///< Until a new request would begin prefill.
-    std::uint32_t running = 0;
-    std::uint32_t queued = 0;
-    std::uint32_t overloadLevel = 0; ///< Requests marked at or above this are refused; 0 means none.
-    std::chrono::microseconds prefillPerPiece{0};
+    std::chrono::microseconds retryAfter{0}; ///< Zero if the agent named none.
+    std::optional<BackendServerId> redirect; ///< A backend server that keeps the prompt.
     bool isLeaving = false;
 };
 
 /// \brief Chooses the backend server for each request of one router.
+///
+/// Order of calls for one attempt: choose, noteDispatched, then noteReply or noteRefusal or noteNoAnswer.
 class RouteChooser
 {
 public:
+    explicit RouteChooser(RoutingOptions options = {});
+
     /// \brief Takes the backend servers in place of those known before.
     void setFleet(std::vector<BackendServer> servers);
 
-    /// \brief Notes what an agent said of itself at \a now.
+    /// \brief Notes what an agent said of itself at \a now, outside of an attempt.
     void noteLoad(BackendServerId id, const LoadReport &report, Core::TimePoint now);
 
-    /// \brief The backend server to send to, or nothing if none may serve the request.
-    std::optional<BackendServerId> choose(const RouteQuery &query, Core::TimePoint now) const;
+    /// \brief Notes that the request of \a query, estimated at \a work of prefill and decoding, was sent to \a id.
+    void noteDispatched(BackendServerId id, const RouteQuery &query, std::chrono::microseconds work, Core::TimePoint now);
+
+    /// \brief Notes that \a id admitted the request and found \a warmPieces of it in its cache; \a work as it was dispatched.
+    void noteReply(BackendServerId id, const RouteQuery &query, std::uint32_t warmPieces, std::chrono::microseconds work, Core::TimePoint now);
+
+    /// \brief Notes that \a id refused the request.
+    void noteRefusal(BackendServerId id, const RouteQuery &query, const RouteRefusal &refusal, std::chrono::microseconds work, Core::TimePoint now);
 
+    /// \brief Notes that the attempt ended without a word from \a id: cancelled, or the agent is gone.
+    void noteNoAnswer(BackendServerId id, std::chrono::microseconds work);
+
+    /// \brief Notes that the owner of \a key asks for \a width homes; asked again before \a deadline, or it is narrowed.
+    void noteHeat(PrefixKey key, std::uint32_t width, Core::TimePoint deadline);
+
+    /// \brief Where to send the request: about four candidates, best first.
+    RouteDecision choose(const RouteQuery &query, Core::TimePoint now) const;
+
+    /// \brief Estimated prefill of \a query at \a id, as noteDispatched wants it.
+    std::chrono::microseconds expectedPrefill(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const;
+
+    /// \brief The backend server named \a id, or nothing if it is not in the fleet.
     const BackendServer *server(BackendServerId id) const;
 
 private:
-    std::vector<BackendServerId> poolFor(const RouteQuery &query) const;
+    struct Level
+    {
+        std::uint32_t pieces = 0; ///< Depth in the chain.
+        PrefixKey key{};
+    };
+
+    struct Search
+    {
+        const RouteQuery &query;
+        Core::TimePoint now;
+        const Placement &pool;
+        std::vector<RouteCandidate> candidates;
+    };
+
+    const Placement *poolFor(const RouteQuery &query) const;
+    std::vector<Level> sharedLevels(const RouteQuery &query, Core::TimePoint now) const;
+    bool isUsable(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const;
+    bool addCandidate(Search &search, BackendServerId id, CandidateOrigin origin, std::uint32_t assumedPieces) const;
+    void addHolders(Search &search) const;
+    void addHomes(Search &search, const Level &level, CandidateOrigin origin) const;
+    void addByLoad(Search &search) const;
+    void addAny(Search &search) const;
+    std::uint32_t warmPieces(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const;
+    void weigh(RouteCandidate &candidate, const Search &search) const;
+    std::uint64_t draw(const RouteQuery &query, std::uint64_t number) const;
+    void noteHolder(BackendServerId id, const RouteQuery &query, Core::TimePoint now);
 
+    RoutingOptions m_options;
     std::unordered_map<BackendServerId, BackendServer> m_servers;
-    std::unordered_map<BackendServerId, LoadReport> m_loads;
+    std::map<ModelVersion, Placement> m_models;
+    std::map<std::string, Placement> m_services;
+    ServerLoads m_loads;
+    KeyTable m_keys;
+    std::uint64_t m_dispatches = 0;
 };
 
 } // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/routing/routedecision.cpp
@@ -0,0 +1,10 @@
+#include "routedecision.h"
+
+namespace Verbena::Decisions {
+
+std::optional<BackendServerId> RouteDecision::best() const
+{
+    return candidates.empty() ? std::nullopt : std::optional(candidates.front().id);
+}
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/routing/routequery.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "backendserver.h"
+#include "prefixchain.h"
+
+#include <string>
+#include <vector>
+
+namespace Verbena::Decisions {
+
+/// \brief What a request needs of a backend server.
+struct RouteQuery
+{
+    ModelVersion version; ///< For a completion.
+    std::string service; ///< For a call of a plain service; then version is empty.
+    std::vector<PrefixKey> keys; ///< Shallow to deep.
+    PrefixKey root{};
+    std::uint32_t keptPieces = 0; ///< Leading pieces that the store of kept KV cache can hand out.
+    std::vector<BackendServerId> excluded; ///< Tried before, or refused.
+};
+
+} // namespace Verbena::Decisions
--- a/src/libs/router/routertask.cpp
+++ b/src/libs/router/routertask.cpp
@@ -106,7 +106,7 @@
     query.version = {request.model, "", ""};
     query.keys = chain.keys();
     query.root = chain.root();
-    const std::optional<Decisions::BackendServerId> chosen = m_chooser.choose(query, m_loop.now());
+    const std::optional<Decisions::BackendServerId> chosen = m_chooser.choose(query, m_loop.now()).best();
     if (!chosen.has_value()) {
         task.failNotRun(404, "model_not_found", "No backend server serves this model.");
         m_tasks.erase(task.id());
--- /dev/null
+++ b/tests/auto/routing/tst_routechooser.cpp
@@ -0,0 +1,183 @@
+#include <decisions/routing/routechooser.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace Verbena;
+using namespace Verbena::Decisions;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ModelVersion analyst{"analyst", "", "7"};
+const ModelVersion older{"analyst", "", "6"};
+const Core::TimePoint start{std::chrono::hours(1)};
+
+BackendServer serverNamed(const std::string &name, const std::string &domain, const ModelVersion &version)
+{
+    BackendServer server;
+    server.id = backendServerId(name);
+    server.name = name;
+    server.failureDomain = domain;
+    server.served = {version};
+    return server;
+}
+
+std::vector<BackendServer> fleetOf(int count)
+{
+    std::vector<BackendServer> servers;
+    servers.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        servers.push_back(serverNamed("e" + std::to_string(i), std::string(1, static_cast<char>('a' + i % 3)), analyst));
+    }
+    return servers;
+}
+
+RouteQuery queryFor(const std::vector<std::uint64_t> &keys)
+{
+    RouteQuery query;
+    query.version = analyst;
+    query.root = PrefixKey(77);
+    for (const std::uint64_t key : keys) {
+        query.keys.push_back(PrefixKey(key));
+    }
+    return query;
+}
+
+RouteChooser chooserFor(const std::vector<BackendServer> &servers, std::uint64_t seed = 1)
+{
+    RoutingOptions options;
+    options.seed = seed;
+    RouteChooser chooser(options);
+    chooser.setFleet(servers);
+    return chooser;
+}
+
+} // namespace
+
+TEST(RouteChooser, RoutersThatKnowNothingAgreeOnTheHome)
+{
+    const RouteChooser first = chooserFor(fleetOf(20), 1);
+    const RouteChooser second = chooserFor(fleetOf(20), 2);
+    EXPECT_EQ(first.choose(queryFor({1, 2, 3}), start).candidates.size(), 2U);
+    const Placement placement([] {
+        std::vector<BackendServerId> ids;
+        for (const BackendServer &server : fleetOf(20)) {
+            ids.push_back(server.id);
+        }
+        return ids;
+    }());
+    const BackendServerId home = placement.ranks(PrefixKey(1), 1).front();
+    for (const RouteChooser *chooser : {&first, &second}) {
+        const RouteDecision decision = chooser->choose(queryFor({1, 2, 3}), start);
+        EXPECT_TRUE(std::any_of(decision.candidates.begin(), decision.candidates.end(), [home](const RouteCandidate &candidate) {
+            return candidate.id == home && candidate.origin == CandidateOrigin::ShallowHome;
+        }));
+    }
+}
+
+TEST(RouteChooser, NeverChoosesAServerThatMayNotServe)
+{
+    EXPECT_TRUE(rc::check("leaving, dead, excluded, refusing and other versions are never candidates", [](const std::vector<std::uint8_t> &states) {
+        std::vector<BackendServer> servers = fleetOf(static_cast<int>(states.size()));
+        RouteQuery query = queryFor({1, 2, 3});
+        std::set<BackendServerId> usable;
+        std::vector<BackendServerId> refusing;
+        for (std::size_t i = 0; i < servers.size(); ++i) {
+            switch (states[i] % 8) {
+            case 0:
+                servers[i].state = BackendServerState::Leaving;
+                break;
+            case 1:
+                servers[i].state = BackendServerState::Dead;
+                break;
+            case 2:
+                query.excluded.push_back(servers[i].id);
+                break;
+            case 3:
+                servers[i].served = {older};
+                break;
+            case 4:
+                refusing.push_back(servers[i].id);
+                break;
+            default:
+                usable.insert(servers[i].id);
+            }
+        }
+        RouteChooser chooser = chooserFor(servers);
+        for (const BackendServer &server : servers) {
+            chooser.noteDispatched(server.id, query, 1ms, start);
+            chooser.noteReply(server.id, query, 3, 1ms, start);
+        }
+        for (const BackendServerId id : refusing) {
+            chooser.noteRefusal(id, query, {}, 1ms, start);
+        }
+        const RouteDecision decision = chooser.choose(query, start);
+        RC_ASSERT(decision.candidates.empty() == usable.empty());
+        for (const RouteCandidate &candidate : decision.candidates) {
+            RC_ASSERT(usable.contains(candidate.id));
+        }
+    }));
+}
+
+TEST(RouteChooser, PrefersTheHolderUntilItsWaitOutweighsThePrefill)
+{
+    RouteChooser chooser = chooserFor(fleetOf(20));
+    const RouteQuery query = queryFor({1, 2, 3, 4});
+    const BackendServerId holder = backendServerId("e5");
+    chooser.noteDispatched(holder, query, 1ms, start);
+    chooser.noteReply(holder, query, 0, 1ms, start);
+    LoadReport report;
+    report.prefillPerPiece = 100ms;
+    report.queuedWork = 300ms;
+    chooser.noteLoad(holder, report, start);
+    EXPECT_EQ(chooser.choose(query, start).best(), holder);
+    report.queuedWork = 3s;
+    chooser.noteLoad(holder, report, start);
+    EXPECT_NE(chooser.choose(query, start).best(), holder);
+}
+
+TEST(RouteChooser, ForgetsWhatADeadIncarnationKept)
+{
+    RouteChooser chooser = chooserFor(fleetOf(20));
+    const RouteQuery query = queryFor({1, 2, 3, 4});
+    const BackendServerId holder = backendServerId("e5");
+    LoadReport report;
+    report.incarnation = 1;
+    chooser.noteLoad(holder, report, start);
+    chooser.noteDispatched(holder, query, 1ms, start);
+    chooser.noteReply(holder, query, 0, 1ms, start);
+    EXPECT_EQ(chooser.choose(query, start).candidates.front().warmPieces, 4U);
+    report.incarnation = 2;
+    chooser.noteLoad(holder, report, start);
+    for (const RouteCandidate &candidate : chooser.choose(query, start).candidates) {
+        EXPECT_LT(candidate.warmPieces, 4U);
+    }
+}
+
+TEST(RouteChooser, StopsSendingToOneThatSaysItIsLeaving)
+{
+    RouteChooser chooser = chooserFor(fleetOf(2));
+    LoadReport report;
+    report.isLeaving = true;
+    chooser.noteLoad(backendServerId("e0"), report, start);
+    for (std::uint64_t key = 0; key < 100; ++key) {
+        EXPECT_EQ(chooser.choose(queryFor({key}), start + 3s).best(), backendServerId("e1"));
+    }
+}
+
+TEST(RouteChooser, CountsItsOwnWorkOnTopOfHints)
+{
+    RouteChooser chooser = chooserFor(fleetOf(4));
+    std::map<BackendServerId, int> counts;
+    for (int i = 0; i < 40; ++i) {
+        const RouteQuery query = queryFor({1});
+        const BackendServerId chosen = *chooser.choose(query, start).best();
+        ++counts[chosen];
+        chooser.noteDispatched(chosen, query, 100ms, start);
+    }
+    EXPECT_EQ(counts.size(), 4U);
+    for (const auto &[id, count] : counts) {
+        EXPECT_LE(count, 16);
+    }
+}
