Admit peers by key and never resend a call by accident

Cause: sockets were open to anybody, an owner could not learn that a connection was lost, and libcurl repeats a request on a kept connection that closes before the answer begins, which could run a call twice.

MessageSocket reports connections that come and go and tells a lost peer from a full queue. A call is repeatable only if it says so; others get a connection of their own. SseParser hands over events without a copy of each byte.

--- a/src/libs/agent/enginecall.cpp
+++ b/src/libs/agent/enginecall.cpp
@@ -14,12 +14,10 @@
 
 void EngineCall::receiveData(int, std::string_view data)
 {
-    for (const std::string &event : m_parser.feed(data)) {
-        receiveEvent(event);
-    }
+    m_parser.feed(data, [this](std::string_view event) { receiveEvent(event); });
 }
 
-void EngineCall::receiveEvent(const std::string &data)
+void EngineCall::receiveEvent(std::string_view data)
 {
     if (data == "[DONE]") {
         m_isDone = true;
--- a/src/libs/agent/enginecall.h
+++ b/src/libs/agent/enginecall.h
@@ -28,7 +28,7 @@
     void finish(Core::Result<int> status) override;
 
 private:
-    void receiveEvent(const std::string &data);
+    void receiveEvent(std::string_view data);
     void sendFrame(const std::string &text);
 
     std::string m_router;
--- /dev/null
+++ b/src/libs/http/httpcall.cpp
@@ -0,0 +1,9 @@
+#include "httpcall.h"
+
+namespace Verbena::Http {
+
+void HttpReceiver::receiveField(std::string_view, std::string_view)
+{
+}
+
+} // namespace Verbena::Http
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -43,6 +43,22 @@
         return size * count;
     }
 
+    static std::size_t onField(char *data, std::size_t size, std::size_t count, void *context)
+    {
+        auto *transfer = static_cast<Transfer *>(context);
+        std::string_view line(data, size * count);
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos || transfer->isCancelled) {
+            return size * count;
+        }
+        const std::size_t begin = line.find_first_not_of(" \t", colon + 1);
+        const std::size_t end = line.find_last_not_of(" \t\r\n");
+        if (begin != std::string_view::npos && begin <= end) {
+            transfer->receiver->receiveField(line.substr(0, colon), line.substr(begin, end - begin + 1));
+        }
+        return size * count;
+    }
+
     static int onSocket(CURL *, curl_socket_t socket, int what, void *context, void *socketContext)
     {
         auto *client = static_cast<HttpClient *>(context);
@@ -143,25 +159,38 @@
     }
     // Without this libcurl waits for a "100 Continue" before it sends a long body.
     transfer->fields = curl_slist_append(transfer->fields, "Expect:");
+    applyOptions(*transfer, call);
+    const std::uint64_t id = transfer->id;
     CURL *easy = transfer->easy;
-    curl_easy_setopt(easy, CURLOPT_URL, transfer->url.c_str());
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->fields);
+    m_transfers.emplace(id, std::move(transfer));
+    curl_multi_add_handle(m_multi, easy);
+    return HttpCallId(id);
+}
+
+void HttpClient::applyOptions(Transfer &transfer, const HttpCall &call) const
+{
+    CURL *easy = transfer.easy;
+    curl_easy_setopt(easy, CURLOPT_URL, transfer.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.fields);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Internals::onData);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Internals::onField);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(call.deadline - m_loop.now());
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(1, left.count())));
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-    if (!transfer->body.empty() || call.method == "POST" || call.method == "PUT") {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer->body.size()));
+    if (!transfer.body.empty() || call.method == "POST" || call.method == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer.body.c_str());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer.body.size()));
+    }
+    if (!call.isRepeatable && call.method != "GET" && call.method != "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
-    const std::uint64_t id = transfer->id;
-    m_transfers.emplace(id, std::move(transfer));
-    curl_multi_add_handle(m_multi, easy);
-    return HttpCallId(id);
 }
 
 void HttpClient::cancel(HttpCallId id)
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -44,6 +44,7 @@
     struct Internals;
 
     explicit HttpClient(EventLoop::Loop &loop);
+    void applyOptions(Transfer &transfer, const HttpCall &call) const;
     void processFinished();
     void removeCancelled();
 
--- a/src/libs/http/sseparser.cpp
+++ b/src/libs/http/sseparser.cpp
@@ -4,59 +4,58 @@
 
 namespace {
 
-constexpr std::string_view eventEnd = "\n\n";
 constexpr std::string_view dataField = "data:";
 
-std::string dataOf(std::string_view event)
+} // namespace
+
+void SseParser::feed(std::string_view bytes, const Visitor &visit)
 {
-    std::string data;
-    while (!event.empty()) {
-        const std::size_t end = event.find('\n');
-        std::string_view line = event.substr(0, end);
-        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
-        if (!line.starts_with(dataField)) {
-            continue;
-        }
-        line.remove_prefix(dataField.size());
-        if (line.starts_with(' ')) {
-            line.remove_prefix(1);
+    // Most often whole lines come, which need no copy.
+    std::size_t end = bytes.find('\n');
+    while (end != std::string_view::npos) {
+        if (m_pending.empty()) {
+            takeLine(bytes.substr(0, end), visit);
+        } else {
+            m_pending += bytes.substr(0, end);
+            takeLine(m_pending, visit);
+            m_pending.clear();
         }
-        if (!data.empty()) {
-            data += '\n';
-        }
-        data += line;
+        bytes.remove_prefix(end + 1);
+        end = bytes.find('\n');
     }
-    return data;
+    m_pending += bytes;
 }
 
-} // namespace
-
-std::vector<std::string> SseParser::feed(std::string_view bytes)
+void SseParser::takeLine(std::string_view line, const Visitor &visit)
 {
-    // Carriage returns are legal line ends of server-sent events; dropping them leaves one kind.
-    for (const char byte : bytes) {
-        if (byte != '\r') {
-            m_pending += byte;
-        }
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
     }
-    std::vector<std::string> events;
-    std::size_t begin = 0;
-    std::size_t end = m_pending.find(eventEnd);
-    while (end != std::string::npos) {
-        std::string data = dataOf(std::string_view(m_pending).substr(begin, end - begin));
-        if (!data.empty()) {
-            events.push_back(std::move(data));
+    if (line.empty()) {
+        if (m_hasData) {
+            visit(m_data);
         }
-        begin = end + eventEnd.size();
-        end = m_pending.find(eventEnd, begin);
+        m_data.clear();
+        m_hasData = false;
+        return;
+    }
+    if (!line.starts_with(dataField)) {
+        return;
+    }
+    line.remove_prefix(dataField.size());
+    if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+    }
+    if (m_hasData) {
+        m_data += '\n';
     }
-    m_pending.erase(0, begin);
-    return events;
+    m_data += line;
+    m_hasData = true;
 }
 
 std::size_t SseParser::pendingBytes() const
 {
-    return m_pending.size();
+    return m_pending.size() + m_data.size();
 }
 
 } // namespace Verbena::Http
--- a/src/libs/http/sseparser.h
+++ b/src/libs/http/sseparser.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace Verbena::Http {
 
@@ -10,14 +10,20 @@
 class SseParser
 {
 public:
-    /// \brief Takes the next bytes and returns the data of every event they complete, in order.
-    std::vector<std::string> feed(std::string_view bytes);
+    using Visitor = std::function<void(std::string_view data)>;
+
+    /// \brief Takes the next bytes and calls \a visit with the data of every event they complete, in order.
+    void feed(std::string_view bytes, const Visitor &visit);
 
     /// \brief Bytes kept of an event that is not complete.
     std::size_t pendingBytes() const;
 
 private:
-    std::string m_pending;
+    void takeLine(std::string_view line, const Visitor &visit);
+
+    std::string m_pending; ///< Of a line that is not complete.
+    std::string m_data; ///< Of an event that is not complete.
+    bool m_hasData = false;
 };
 
 } // namespace Verbena::Http
--- a/src/libs/wire/messagesocket.cpp
+++ b/src/libs/wire/messagesocket.cpp
@@ -1,22 +1,23 @@
 #include "messagesocket.h"
 
-#include <eventloop/loop.h>
-
+#include <google/protobuf/arena.h>
 #include <zmq.h>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 
 namespace Verbena::Wire {
 
 namespace {
 
-// Messages one socket hands over before others get their turn.
-constexpr int maximumBatch = 256;
+constexpr std::size_t arenaBlockSize = 1024;
 // Messages ZeroMQ holds for one peer before a send is refused.
 constexpr int highWaterMark = 10000;
 constexpr std::chrono::milliseconds reconnectInterval{50};
 constexpr std::chrono::milliseconds maximumReconnectInterval{1000};
+// A refused peer learns nothing and tries again after this.
+constexpr std::chrono::milliseconds handshakeTimeout{2000};
 constexpr std::chrono::milliseconds heartbeatInterval{1000};
 constexpr std::chrono::milliseconds heartbeatTimeout{3000};
 
@@ -46,24 +47,14 @@
 
 Core::Error socketError(const std::string &step, const std::string &peer)
 {
-    return Core::Error{Core::ErrorCode::Unavailable, step, peer, zmq_strerror(zmq_errno())};
+    const Core::ErrorCode code = zmq_errno() == EAGAIN ? Core::ErrorCode::ResourceExhausted : Core::ErrorCode::Unavailable;
+    return Core::Error{code, step, peer, zmq_strerror(zmq_errno())};
 }
 
 } // namespace
 
-MessageContext::MessageContext()
-    : m_handle(zmq_ctx_new())
-{
-}
-
-MessageContext::~MessageContext()
-{
-    zmq_ctx_term(m_handle);
-}
-
-void *MessageContext::handle() const
+void MessageReceiver::connectionChanged(ConnectionChange, const std::string &)
 {
-    return m_handle;
 }
 
 Core::Result<std::unique_ptr<MessageSocket>> MessageSocket::bind(
@@ -85,12 +76,13 @@
     if (socket == nullptr) {
         return socketError("wire.open", endpoint);
     }
-    std::unique_ptr<MessageSocket> result(new MessageSocket(loop, socket, receiver, isRouter, endpoint));
+    std::unique_ptr<MessageSocket> result(new MessageSocket(socket, receiver, isRouter, endpoint));
     setOption(socket, ZMQ_LINGER, 0);
     setOption(socket, ZMQ_SNDHWM, highWaterMark);
     setOption(socket, ZMQ_RCVHWM, highWaterMark);
     setOption(socket, ZMQ_RECONNECT_IVL, reconnectInterval);
     setOption(socket, ZMQ_RECONNECT_IVL_MAX, maximumReconnectInterval);
+    setOption(socket, ZMQ_HANDSHAKE_IVL, handshakeTimeout);
     setOption(socket, ZMQ_HEARTBEAT_IVL, heartbeatInterval);
     setOption(socket, ZMQ_HEARTBEAT_TIMEOUT, heartbeatTimeout);
     // A message that cannot reach the peer is refused here, so that the sender knows that it was not sent.
@@ -106,28 +98,27 @@
     std::size_t size = last.size();
     zmq_getsockopt(socket, ZMQ_LAST_ENDPOINT, last.data(), &size);
     result->m_endpoint = last.data();
-    int descriptor = -1;
-    size = sizeof descriptor;
-    zmq_getsockopt(socket, ZMQ_FD, &descriptor, &size);
     MessageSocket *self = result.get();
-    result->m_watcher = std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [self](int) { self->receiveAll(); });
-    result->m_watcher->start(EV_READ);
-    result->m_receive.schedule();
+    BOOST_OUTCOME_TRY(monitor, SocketMonitor::create(loop, context, socket, [self](ConnectionChange change, const std::string &address) {
+        self->m_receiver.connectionChanged(change, address);
+    }));
+    result->m_monitor = std::move(monitor);
+    result->m_watcher = std::make_unique<ZmqWatcher>(loop, socket, [self] { return self->receiveOne(); });
     return result;
 }
 
-MessageSocket::MessageSocket(EventLoop::Loop &loop, void *socket, MessageReceiver &receiver, bool isRouter, std::string endpoint)
+MessageSocket::MessageSocket(void *socket, MessageReceiver &receiver, bool isRouter, std::string endpoint)
     : m_socket(socket)
     , m_receiver(receiver)
     , m_isRouter(isRouter)
     , m_endpoint(std::move(endpoint))
-    , m_receive(loop, [this] { receiveAll(); })
 {
 }
 
 MessageSocket::~MessageSocket()
 {
     m_watcher.reset();
+    m_monitor.reset();
     zmq_close(m_socket);
 }
 
@@ -139,7 +130,7 @@
 Core::Result<void> MessageSocket::send(const std::string &peer, const verbena::wire::Envelope &message)
 {
     // ZMQ_FD signals edges only, and a send can swallow one: look for input before the loop blocks.
-    m_receive.schedule();
+    m_watcher->schedule();
     const std::size_t size = message.ByteSizeLong();
     zmq_msg_t part;
     zmq_msg_init_size(&part, size);
@@ -155,16 +146,6 @@
     return Core::success();
 }
 
-void MessageSocket::receiveAll()
-{
-    for (int count = 0; count < maximumBatch; ++count) {
-        if (!receiveOne()) {
-            return;
-        }
-    }
-    m_receive.schedule();
-}
-
 bool MessageSocket::receiveOne()
 {
     std::string peer;
@@ -183,11 +164,14 @@
         }
         isFirst = false;
     }
-    verbena::wire::Envelope message;
-    const bool isValid = message.ParseFromArray(zmq_msg_data(&part), static_cast<int>(zmq_msg_size(&part)));
+    // The arena keeps the small messages of a stream away from the heap.
+    std::array<char, arenaBlockSize> block{};
+    google::protobuf::Arena arena(block.data(), block.size());
+    auto *message = google::protobuf::Arena::CreateMessage<verbena::wire::Envelope>(&arena);
+    const bool isValid = message->ParseFromArray(zmq_msg_data(&part), static_cast<int>(zmq_msg_size(&part)));
     zmq_msg_close(&part);
-    if (isValid && message.body_case() != verbena::wire::Envelope::BODY_NOT_SET) {
-        m_receiver.receiveMessage(peer, message);
+    if (isValid && message->body_case() != verbena::wire::Envelope::BODY_NOT_SET) {
+        m_receiver.receiveMessage(peer, *message);
     } else {
         m_receiver.receiveGarbage(peer);
     }
--- a/src/libs/wire/messagesocket.h
+++ b/src/libs/wire/messagesocket.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "messagecontext.h"
+#include "socketmonitor.h"
 #include "socketsecurity.h"
+#include "zmqwatcher.h"
 
 #include <core/result.h>
-#include <eventloop/deferredcall.h>
-#include <eventloop/iowatcher.h>
 
 #include <verbena.pb.h>
 
@@ -13,22 +14,6 @@
 
 namespace Verbena::Wire {
 
-/// \brief Owns ZeroMQ's context; one per process.
-class MessageContext
-{
-public:
-    MessageContext();
-    ~MessageContext();
-
-    MessageContext(const MessageContext &) = delete;
-    MessageContext &operator=(const MessageContext &) = delete;
-
-    void *handle() const;
-
-private:
-    void *m_handle;
-};
-
 /// \brief Takes the messages of a socket.
 class MessageReceiver
 {
@@ -40,13 +25,20 @@
 
     /// \brief Something came from \a peer that is no message of ours.
     virtual void receiveGarbage(const std::string &peer) = 0;
+
+    /// \brief A connection of the socket came up, was lost or failed; \a address is for people.
+    ///
+    /// A socket that is bound does not know which peer a lost connection belonged to: a send to that peer fails from then on.
+    virtual void connectionChanged(ConnectionChange change, const std::string &address);
 };
 
 /// \brief One ZeroMQ socket on an event loop that carries envelopes.
 class MessageSocket
 {
 public:
-    /// \brief A socket that many peers connect to. Errors: Unavailable, if the endpoint cannot be bound.
+    /// \brief A socket that many peers connect to. With keys, the context must have a PeerAuthenticator.
+    ///
+    /// Errors: Unavailable, if the endpoint cannot be bound; InvalidArgument, if a key is not valid.
     static Core::Result<std::unique_ptr<MessageSocket>> bind(
         EventLoop::Loop &loop, MessageContext &context, const std::string &endpoint, const SocketSecurity &security, MessageReceiver &receiver);
 
@@ -64,22 +56,22 @@
 
     /// \brief Hands a message to the socket.
     ///
-    /// Errors: Unavailable, if there is no connection to the peer; then no byte of it was sent.
+    /// Errors, after which no byte of it was sent: Unavailable, if there is no connection to the peer; ResourceExhausted, if
+    /// the peer does not take what was sent before.
     Core::Result<void> send(const std::string &peer, const verbena::wire::Envelope &message);
 
 private:
-    MessageSocket(EventLoop::Loop &loop, void *socket, MessageReceiver &receiver, bool isRouter, std::string endpoint);
+    MessageSocket(void *socket, MessageReceiver &receiver, bool isRouter, std::string endpoint);
     static Core::Result<std::unique_ptr<MessageSocket>> open(
         EventLoop::Loop &loop, MessageContext &context, const std::string &endpoint, const SocketSecurity &security, MessageReceiver &receiver, bool isRouter);
-    void receiveAll();
     bool receiveOne();
 
     void *m_socket;
     MessageReceiver &m_receiver;
     bool m_isRouter;
     std::string m_endpoint;
-    std::unique_ptr<EventLoop::IoWatcher> m_watcher;
-    EventLoop::DeferredCall m_receive;
+    std::unique_ptr<SocketMonitor> m_monitor;
+    std::unique_ptr<ZmqWatcher> m_watcher;
 };
 
 } // namespace Verbena::Wire
--- a/src/libs/wire/socketsecurity.h
+++ b/src/libs/wire/socketsecurity.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <string>
-#include <vector>
 
 namespace Verbena::Wire {
 
@@ -11,7 +10,6 @@
     std::string ownPublicKey;
     std::string ownSecretKey;
     std::string serverPublicKey; ///< For a socket that connects: the key the peer must have.
-    std::vector<std::string> allowedClientKeys; ///< For a socket that binds: the keys that are let in.
 
     bool isEnabled() const
     {
