Give the stand-ins an engine's batching, cache, orders and faults

Cause: agents and the router need engines that crash, hang, cut streams, lose answers and evict cached pieces. Change: continuous batching with prefill and decode rates, a prefix cache of limited pieces with events late and with gaps, orders with fencing numbers, cancel, resume, KV export and import, a list of what ran, a plain service, and faults by flag or POST /control. HttpExchange::abortStream also closes a request that has no answer yet.

--- a/src/apps/standin/main.cpp
+++ b/src/apps/standin/main.cpp
@@ -1,43 +1,52 @@
+#include "standinoptions.h"
+
 #include <application/processreport.h>
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
 #include <standin/enginestandin.h>
-
-#include <tclap/CmdLine.h>
+#include <standin/servicestandin.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
+namespace {
+
+using namespace Verbena;
+
+void stopFor(EventLoop::Loop &loop, int signalNumber)
+{
+    Application::reportSignal(signalNumber);
+    loop.stop();
+}
+
+int runUntilSignal(EventLoop::Loop &loop, std::uint16_t port)
+{
+    EventLoop::SignalWatcher terminate(loop, SIGTERM, [&loop] { stopFor(loop, SIGTERM); });
+    EventLoop::SignalWatcher interrupt(loop, SIGINT, [&loop] { stopFor(loop, SIGINT); });
+    const std::string address = "127.0.0.1:" + std::to_string(port);
+    std::cout << "listening http " << address << std::endl;
+    Application::reportStart(VERBENA_VERSION, address);
+    loop.run();
+    Application::reportStop();
+    // Requests that a fault left unanswered are open for ever, so nothing is waited for.
+    std::_Exit(EXIT_SUCCESS);
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
-    using namespace Verbena;
-    TCLAP::CmdLine line("Stands in for the systems that verbenaladder meets.", ' ', VERBENA_VERSION);
-    std::vector<std::string> roles{"engine"};
-    TCLAP::ValuesConstraint<std::string> allowedRoles(roles);
-    TCLAP::UnlabeledValueArg<std::string> role("role", "What to stand in for.", true, "engine", &allowedRoles, line);
-    TCLAP::ValueArg<int> port("p", "port", "The port to listen on; 0 lets the system choose.", false, 0, "number", line);
-    line.parse(argc, argv);
-    Observe::configureLog({.process = "standin-" + role.getValue()});
+    const StandinOptions options = StandinOptions::parse(argc, argv, VERBENA_VERSION);
+    Observe::configureLog({.process = "standin-" + options.role});
     const auto loop = EventLoop::Loop::create();
     if (!loop) {
         return Application::refuseStart(loop.error());
     }
-    EventLoop::Loop &running = *loop.value();
-    const auto engine = Standin::EngineStandin::create(running, static_cast<std::uint16_t>(port.getValue()));
-    if (!engine) {
-        return Application::refuseStart(engine.error());
+    if (options.role == "service") {
+        const auto service = Standin::ServiceStandin::create(*loop.value(), options.service);
+        return service ? runUntilSignal(*loop.value(), service.value()->port()) : Application::refuseStart(service.error());
     }
-    EventLoop::SignalWatcher terminate(running, SIGTERM, [&running] {
-        Application::reportSignal(SIGTERM);
-        running.stop();
-    });
-    EventLoop::SignalWatcher interrupt(running, SIGINT, [&running] {
-        Application::reportSignal(SIGINT);
-        running.stop();
-    });
-    std::cout << "listening http 127.0.0.1:" << engine.value()->port() << std::endl;
-    Application::reportStart(VERBENA_VERSION, "127.0.0.1:" + std::to_string(engine.value()->port()));
-    running.run();
-    Application::reportStop();
-    return 0;
+    const auto engine = Standin::EngineStandin::create(*loop.value(), options.engine);
+    return engine ? runUntilSignal(*loop.value(), engine.value()->port()) : Application::refuseStart(engine.error());
 }
--- a/src/libs/http/httpexchange.cpp
+++ b/src/libs/http/httpexchange.cpp
@@ -103,7 +103,7 @@
 
 void HttpExchange::abortStream()
 {
-    if (m_state != State::Streaming) {
+    if (!isOpen()) {
         return;
     }
     m_state = State::Aborted;
--- a/src/libs/http/httpexchange.h
+++ b/src/libs/http/httpexchange.h
@@ -57,7 +57,7 @@
     /// \brief Ends a begun stream in good order.
     void endStream();
 
-    /// \brief Cuts a begun stream, so that the caller sees that it is not whole.
+    /// \brief Cuts a begun stream, so that the caller sees that it is not whole; without one, closes the connection unanswered.
     void abortStream();
 
     /// \brief Called once when the caller is gone before the answer was whole.
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -72,6 +72,9 @@
             MHD_suspend_connection(exchange.m_connection);
             return MHD_YES;
         }
+        if (exchange.m_state == HttpExchange::State::Aborted) {
+            return MHD_NO;
+        }
         return exchange.queueResponse() == MHD_YES ? MHD_YES : MHD_NO;
     }
 
--- a/src/libs/standin/enginestandin.cpp
+++ b/src/libs/standin/enginestandin.cpp
@@ -1,8 +1,15 @@
 #include "enginestandin.h"
 
-#include "answertext.h"
+#include "incarnation.h"
+
+#include <eventloop/loop.h>
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
 
 namespace Verbena::Standin {
 
@@ -10,46 +17,211 @@
 
 using nlohmann::json;
 
-std::string event(const json &value)
+json jsonOf(const std::vector<LoadedModel> &models)
+{
+    json list = json::array();
+    for (const LoadedModel &model : models) {
+        list.push_back({{"model", model.model}, {"adapter", model.adapter}, {"version", model.version}});
+    }
+    return list;
+}
+
+json jsonOf(const CacheEvent &event)
+{
+    if (event.kind == CacheEvent::Kind::Removed) {
+        return {{"sequence", event.sequence}, {"kind", "removed"}, {"piece", event.piece}};
+    }
+    return {{"sequence", event.sequence},
+        {"kind", "stored"},
+        {"piece", event.piece},
+        {"parent", event.parent},
+        {"position", event.position},
+        {"request", event.request}};
+}
+
+std::vector<PieceHash> piecesOf(const std::string &body)
 {
-    return "data: " + value.dump() + "\n\n";
+    const json root = json::parse(body, nullptr, false);
+    std::vector<PieceHash> pieces;
+    if (!root.is_object() || !root.contains("pieces") || !root["pieces"].is_array()) {
+        return pieces;
+    }
+    for (const json &piece : root["pieces"]) {
+        if (piece.is_number_unsigned()) {
+            pieces.push_back(PieceHash(piece.get<std::uint64_t>()));
+        }
+    }
+    return pieces;
 }
 
 } // namespace
 
-Core::Result<std::unique_ptr<EngineStandin>> EngineStandin::create(EventLoop::Loop &loop, std::uint16_t port)
+Core::Result<std::unique_ptr<EngineStandin>> EngineStandin::create(EventLoop::Loop &loop, const EngineOptions &options)
 {
-    std::unique_ptr<EngineStandin> engine(new EngineStandin);
-    Http::HttpServerOptions options;
-    options.port = port;
-    BOOST_OUTCOME_TRY(opened, Http::HttpServer::create(loop, options, *engine));
+    std::unique_ptr<EngineStandin> engine(new EngineStandin(loop, options));
+    EngineStandin *self = engine.get();
+    BOOST_OUTCOME_TRY(opened, FaultyServer::create(loop, options.port, options.faults, *engine));
     engine->m_server = std::move(opened);
+    engine->m_batch = std::make_unique<EngineBatch>(loop, engine->m_options, engine->m_cache, engine->m_runs, engine->m_server->faults());
+    engine->m_server->setChangedCallback([self] { self->m_batch->wake(); });
+    engine->refreshLoad();
     return engine;
 }
 
+EngineStandin::EngineStandin(EventLoop::Loop &loop, const EngineOptions &options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_incarnation(newIncarnation())
+    , m_cache(options.cachePieces)
+    , m_models(m_options)
+    , m_loadTimer(loop, [this] { refreshLoad(); })
+    , m_importTimer(loop, [this] { finishImports(); })
+{
+}
+
 std::uint16_t EngineStandin::port() const
 {
     return m_server->port();
 }
 
+void EngineStandin::respond(Http::HttpExchange &exchange, int status, std::string body) const
+{
+    exchange.respond(status, {{"Content-Type", "application/json"}, {"Engine-Incarnation", std::to_string(m_incarnation)}}, std::move(body));
+}
+
 void EngineStandin::handleRequest(const std::shared_ptr<Http::HttpExchange> &exchange)
 {
-    const json request = json::parse(exchange->body(), nullptr, false);
-    if (exchange->path() != "/v1/completions" || !request.is_object() || !request.contains("prompt")) {
-        exchange->respond(400, {{"Content-Type", "application/json"}}, R"({"error":{"message":"This is not a completion request."}})");
+    m_models.advance(m_loop.now());
+    const std::string &path = exchange->path();
+    if (path == "/v1/completions") {
+        complete(exchange);
+    } else if (path == "/load") {
+        respond(*exchange, 200, m_loadReport);
+    } else if (path == "/cache_events") {
+        answerEvents(*exchange);
+    } else if (path == "/runs") {
+        respond(*exchange, 200, m_runs.toJson(m_incarnation));
+    } else if (path == "/cancel") {
+        answerCancel(*exchange);
+    } else if (path == "/kv/export") {
+        answerExport(*exchange);
+    } else if (path == "/kv/import") {
+        answerImport(exchange);
+    } else if (path == "/orders") {
+        OrderAnswer answer = m_models.take(exchange->body(), m_loop.now());
+        respond(*exchange, answer.status, std::move(answer.body));
+    } else {
+        respond(*exchange, 404, R"({"error":{"message":"There is no such path."}})");
+    }
+}
+
+void EngineStandin::complete(const std::shared_ptr<Http::HttpExchange> &exchange)
+{
+    Core::Result<CompletionRequest> request = CompletionRequest::fromJson(exchange->body(), m_options.pieceSize);
+    if (!request) {
+        respond(*exchange, 400, json{{"error", {{"message", request.error().message}}}}.dump());
+        return;
+    }
+    if (!m_models.isServed(request.value().model)) {
+        respond(*exchange, 404, R"({"error":{"message":"This model is not loaded."}})");
         return;
     }
-    const std::string prompt = request["prompt"].is_string() ? request["prompt"].get<std::string>() : request["prompt"].dump();
-    const auto count = request.value("max_tokens", 16U);
-    const AnswerText answer(prompt);
-    exchange->beginStream(200, {{"Content-Type", "text/event-stream"}});
-    for (std::uint32_t i = 0; i < count; ++i) {
-        exchange->write(event({{"choices", json::array({{{"index", 0}, {"text", answer.token(i)}, {"finish_reason", nullptr}}})}}));
-    }
-    exchange->write(event({{"choices", json::array({{{"index", 0}, {"text", ""}, {"finish_reason", "length"}}})},
-        {"usage", {{"prompt_tokens", prompt.size() / 4}, {"completion_tokens", count}, {"cached_tokens", 0}}}}));
-    exchange->write("data: [DONE]\n\n");
-    exchange->endStream();
+    if (m_server->faults().crash == CrashPoint::BeforeAdmission) {
+        std::_Exit(EXIT_FAILURE);
+    }
+    request.value().computePieces(m_models.versionOf(request.value().model));
+    const RunId run = m_runs.start(*exchange);
+    exchange->setClosedCallback([this, run] { m_batch->remove(run); });
+    m_batch->add(std::make_unique<EngineSequence>(std::move(request.value()), run, exchange, m_incarnation));
+}
+
+void EngineStandin::answerCancel(Http::HttpExchange &exchange)
+{
+    const json root = json::parse(exchange.body(), nullptr, false);
+    const bool isRequest = root.is_object() && root.contains("request") && root["request"].is_string();
+    const bool isCancelled = isRequest && m_batch->cancel(root["request"].get<std::string>());
+    respond(exchange, 200, json{{"cancelled", isCancelled}}.dump());
+}
+
+void EngineStandin::answerExport(Http::HttpExchange &exchange) const
+{
+    std::vector<PieceHash> found;
+    for (const PieceHash piece : piecesOf(exchange.body())) {
+        if (m_cache.contains(piece)) {
+            found.push_back(piece);
+        }
+    }
+    respond(exchange, 200, json{{"incarnation", m_incarnation}, {"pieces", found}}.dump());
+}
+
+void EngineStandin::answerImport(const std::shared_ptr<Http::HttpExchange> &exchange)
+{
+    const json root = json::parse(exchange->body(), nullptr, false);
+    const bool hasRoot = root.is_object() && root.contains("root") && root["root"].is_number_unsigned();
+    const PieceHash rootHash = hasRoot ? PieceHash(root["root"].get<std::uint64_t>()) : PieceHash{};
+    std::vector<PieceHash> pieces = piecesOf(exchange->body());
+    // Imports share one link, so each waits for the one before.
+    const Core::TimePoint begin = m_imports.empty() ? m_loop.now() : m_imports.back().readyAt;
+    const Core::TimePoint readyAt = begin + m_options.importTimePerPiece * pieces.size();
+    m_imports.push_back({exchange, rootHash, std::move(pieces), readyAt});
+    m_importTimer.startAt(m_imports.front().readyAt);
+}
+
+void EngineStandin::finishImports()
+{
+    while (!m_imports.empty() && m_imports.front().readyAt <= m_loop.now()) {
+        const Import &import = m_imports.front();
+        m_cache.store(import.root, import.pieces, "", m_loop.now());
+        respond(*import.exchange, 200, json{{"imported", import.pieces.size()}}.dump());
+        m_imports.pop_front();
+    }
+    if (!m_imports.empty()) {
+        m_importTimer.startAt(m_imports.front().readyAt);
+    }
+}
+
+bool EngineStandin::isLost(const CacheEvent &event) const
+{
+    const std::uint64_t hash = XXH3_64bits_withSeed(&event.sequence, sizeof event.sequence, m_options.seed);
+    return static_cast<double>(hash) < m_options.eventLoss * static_cast<double>(UINT64_MAX);
+}
+
+void EngineStandin::answerEvents(Http::HttpExchange &exchange) const
+{
+    const std::string text = exchange.queryArgument("since").value_or("");
+    std::uint64_t next = 1;
+    std::from_chars(text.data(), text.data() + text.size(), next);
+    const Core::TimePoint newest = m_loop.now() - m_options.eventDelay;
+    json events = json::array();
+    const auto &known = m_cache.events();
+    const std::uint64_t first = known.empty() ? 1 : known.front().sequence;
+    next = std::max(next, first);
+    for (std::size_t i = next - first; i < known.size() && known[i].moment <= newest; ++i) {
+        next = known[i].sequence + 1;
+        if (!isLost(known[i])) {
+            events.push_back(jsonOf(known[i]));
+        }
+    }
+    respond(exchange, 200, json{{"incarnation", m_incarnation}, {"next", next}, {"events", std::move(events)}}.dump());
+}
+
+std::string EngineStandin::loadJson() const
+{
+    const json report{{"incarnation", m_incarnation},
+        {"running", m_batch->runningCount()},
+        {"queued", m_batch->queuedCount()},
+        {"cached_pieces", m_cache.size()},
+        {"role", m_models.role()},
+        {"models", jsonOf(m_models.loaded())},
+        {"loading", jsonOf(m_models.loading())}};
+    return report.dump();
+}
+
+void EngineStandin::refreshLoad()
+{
+    m_models.advance(m_loop.now());
+    m_loadReport = loadJson();
+    m_loadTimer.startAt(m_loop.now() + std::max(m_options.loadLag, std::chrono::milliseconds(1)));
 }
 
 } // namespace Verbena::Standin
