Send load and check every answer by its content

Cause: promises about whole, own and single answers need a caller that checks each one. Change: verbena-load sends two workloads of nested prefixes at Poisson moments by a seed and compares each answer with the text that belongs to its prompt; it tells whole, broken, crossed, doubled, lost, not run, unknown, failed and unreachable apart, compares service calls with the services' own lists of runs, and keeps histograms per organisation.

--- /dev/null
+++ b/src/apps/load/main.cpp
@@ -0,0 +1,113 @@
+#include <eventloop/loop.h>
+#include <eventloop/signalwatcher.h>
+#include <load/loadtask.h>
+
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include <unistd.h>
+
+namespace {
+
+using namespace Verbena;
+using Load::LoadOptions;
+using Load::Workload;
+using Load::WorkloadKind;
+
+struct Arguments
+{
+    LoadOptions load;
+    bool isJson = false;
+    bool isListingCallers = false;
+};
+
+Arguments parse(int argc, char **argv)
+{
+    using TCLAP::ValueArg;
+    Arguments arguments;
+    LoadOptions &load = arguments.load;
+    const Load::WorkloadOptions &standard = load.workload;
+    TCLAP::CmdLine line(
+        "Sends load to routers and checks every answer. The exit status is 0 only if none was lost, broken, crossed or doubled.", ' ', VERBENA_VERSION);
+    TCLAP::MultiArg<std::string> targets("t", "target", "A router to send to; several take turns.", false, "url", line);
+    TCLAP::MultiArg<std::string> services("", "service-url", "A plain service whose runs are compared in the end.", false, "url", line);
+    std::vector<std::string> names{"kessick", "kalari"};
+    TCLAP::ValuesConstraint<std::string> allowedNames(names);
+    ValueArg<std::string> workload("w", "workload", "Whose traffic to send.", false, "kessick", &allowedNames, line);
+    ValueArg<double> rate("r", "rate", "Requests a second, at random moments.", false, load.requestsPerSecond, "number", line);
+    ValueArg<double> seconds("d", "seconds", "How long to send.", false, 10, "number", line);
+    ValueArg<double> timeout("", "timeout", "How long to wait for each answer, in seconds.", false, 30, "number", line);
+    ValueArg<std::uint64_t> seed("", "seed", "The same seed sends the same requests.", false, standard.seed, "number", line);
+    ValueArg<std::size_t> pieceBytes("", "piece-bytes", "Prefixes are multiples of this.", false, standard.pieceBytes, "bytes", line);
+    ValueArg<std::uint32_t> tokens("", "answer-tokens", "Tokens of each answer.", false, standard.answerTokens, "number", line);
+    ValueArg<double> serviceShare("", "service-share", "Fraction of plain service calls.", false, standard.serviceShare, "fraction", line);
+    ValueArg<double> chatShare("", "chat-share", "Fraction of completions sent as chat.", false, standard.chatShare, "fraction", line);
+    ValueArg<double> tokenShare("", "token-share", "Fraction of completions sent as token ids.", false, standard.tokenShare, "fraction", line);
+    ValueArg<double> wholeShare("", "whole-share", "Fraction of completions not streamed.", false, standard.wholeShare, "fraction", line);
+    TCLAP::SwitchArg keep("", "keep-connections", "Uses connections again; dead ones may then repeat a request.", line);
+    TCLAP::SwitchArg json("", "json", "Prints the report as JSON.", line);
+    TCLAP::SwitchArg callers("", "list-callers", "Prints organisation and API key of each caller, and exits.", line);
+    line.parse(argc, argv);
+
+    using std::chrono::milliseconds;
+    load.targets = targets.getValue();
+    load.serviceUrls = services.getValue();
+    load.requestsPerSecond = rate.getValue();
+    load.duration = milliseconds(static_cast<std::int64_t>(seconds.getValue() * 1000));
+    load.timeout = milliseconds(static_cast<std::int64_t>(timeout.getValue() * 1000));
+    load.isKeepingConnections = keep.getValue();
+    load.isShowingProgress = isatty(STDERR_FILENO) != 0;
+    load.workload.kind = workload.getValue() == "kessick" ? WorkloadKind::Kessick : WorkloadKind::Kalari;
+    load.workload.seed = seed.getValue();
+    load.workload.pieceBytes = pieceBytes.getValue();
+    load.workload.answerTokens = tokens.getValue();
+    load.workload.serviceShare = serviceShare.getValue();
+    load.workload.chatShare = chatShare.getValue();
+    load.workload.tokenShare = tokenShare.getValue();
+    load.workload.wholeShare = wholeShare.getValue();
+    arguments.isJson = json.getValue();
+    arguments.isListingCallers = callers.getValue();
+    return arguments;
+}
+
+void listCallers(WorkloadKind kind)
+{
+    for (const std::string &organisation : Workload::organisations(kind)) {
+        std::cout << organisation << ' ' << Workload::apiKey(organisation) << '\n';
+    }
+}
+
+int fail(const Core::Error &error)
+{
+    std::cerr << error.toString() << '\n';
+    return EXIT_FAILURE;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Arguments arguments = parse(argc, argv);
+    if (arguments.isListingCallers) {
+        listCallers(arguments.load.workload.kind);
+        return EXIT_SUCCESS;
+    }
+    const auto loop = EventLoop::Loop::create();
+    if (!loop) {
+        return fail(loop.error());
+    }
+    const auto task = Load::LoadTask::create(*loop.value(), arguments.load);
+    if (!task) {
+        return fail(task.error());
+    }
+    Load::LoadTask &running = *task.value();
+    const EventLoop::SignalWatcher interrupt(*loop.value(), SIGINT, [&running] { running.stopSending(); });
+    running.start();
+    loop.value()->run();
+    std::cerr << running.problems();
+    std::cout << (arguments.isJson ? running.report().toJson() : running.report().toText()) << std::endl;
+    return running.report().isClean() && running.problems().empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/auto/load/tst_answerchecker.cpp
@@ -0,0 +1,160 @@
+#include <load/answerchecker.h>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace Verbena::Load {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint32_t tokenCount = 6;
+
+LoadRequest someRequest(bool isStream = true)
+{
+    LoadRequest request;
+    request.isStream = isStream;
+    request.answer = Standin::AnswerText("own prompt");
+    request.answerTokens = tokenCount;
+    return request;
+}
+
+std::vector<std::string> ownTokens()
+{
+    std::vector<std::string> tokens;
+    for (std::uint32_t i = 0; i < tokenCount; ++i) {
+        tokens.push_back(someRequest().answer.token(i));
+    }
+    return tokens;
+}
+
+std::string eventOf(const std::string &text)
+{
+    return "data: " + json{{"choices", json::array({{{"text", text}}})}}.dump() + "\n\n";
+}
+
+std::string streamOf(const std::vector<std::string> &tokens)
+{
+    std::string stream;
+    for (const std::string &token : tokens) {
+        stream += eventOf(token);
+    }
+    return stream;
+}
+
+constexpr const char *done = "data: [DONE]\n\n";
+
+Outcome judge(const std::string &stream, const Core::Result<int> &status = 200)
+{
+    AnswerChecker checker(someRequest());
+    checker.receiveData(200, stream);
+    return checker.finish(status);
+}
+
+Core::Result<int> cut()
+{
+    return Core::Error{Core::ErrorCode::Unknown, "", "", ""};
+}
+
+TEST(AnswerCheckerTest, acceptsTheOwnAnswerInAnyParts)
+{
+    EXPECT_TRUE(rc::check("parts", [] {
+        const std::string stream = streamOf(ownTokens()) + done;
+        AnswerChecker checker(someRequest());
+        std::uint32_t tokens = 0;
+        std::size_t begin = 0;
+        while (begin < stream.size()) {
+            const auto size = *rc::gen::inRange<std::size_t>(1, 120);
+            tokens += checker.receiveData(200, std::string_view(stream).substr(begin, size));
+            begin += size;
+        }
+        RC_ASSERT(tokens == tokenCount);
+        RC_ASSERT(checker.finish(200) == Outcome::Whole);
+    }));
+}
+
+TEST(AnswerCheckerTest, noticesEverythingThatIsNotTheOwnAnswer)
+{
+    const std::vector<std::string> own = ownTokens();
+    EXPECT_TRUE(rc::check("changed streams", [&own] {
+        std::vector<std::string> tokens = own;
+        const auto place = static_cast<std::ptrdiff_t>(*rc::gen::inRange<std::size_t>(0, tokenCount - 1));
+        switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+            tokens.erase(tokens.begin() + place);
+            RC_ASSERT(judge(streamOf(tokens) + done) == Outcome::Broken);
+            break;
+        case 1:
+            std::swap(tokens[place], tokens[place + 1]);
+            RC_ASSERT(judge(streamOf(tokens) + done) == Outcome::Broken);
+            break;
+        case 2:
+            tokens.insert(tokens.begin() + place + 1, tokens[place]);
+            RC_ASSERT(judge(streamOf(tokens) + done) == Outcome::Doubled);
+            break;
+        case 3:
+            tokens[place] = Standin::AnswerText("foreign prompt").token(static_cast<std::uint32_t>(place));
+            RC_ASSERT(judge(streamOf(tokens) + done) == Outcome::Crossed);
+            break;
+        default:
+            tokens[place] = "x\"y ";
+            RC_ASSERT(judge(streamOf(tokens) + done) == Outcome::Broken);
+        }
+    }));
+    EXPECT_EQ(judge(streamOf(own) + streamOf(own) + done), Outcome::Doubled);
+}
+
+TEST(AnswerCheckerTest, tellsEndsApart)
+{
+    const std::string whole = streamOf(ownTokens());
+    EXPECT_EQ(judge(whole), Outcome::Broken);
+    EXPECT_EQ(judge(whole, cut()), Outcome::Broken);
+    EXPECT_EQ(judge("", cut()), Outcome::Lost);
+    EXPECT_EQ(judge(done), Outcome::Broken);
+    EXPECT_EQ(judge(done + whole), Outcome::Broken);
+    EXPECT_EQ(judge(eventOf(ownTokens()[0]) + "data: {\"error\":{}}\n\n" + done), Outcome::Failed);
+    EXPECT_EQ(judge("", Core::Error{Core::ErrorCode::Unavailable, "", "", ""}), Outcome::Unreachable);
+}
+
+TEST(AnswerCheckerTest, takesTheRouterAtItsWordWhenItFails)
+{
+    const auto judgeRefusal = [](const char *run) {
+        AnswerChecker checker(someRequest());
+        checker.receiveField("verbena-run", run);
+        checker.receiveData(503, "{}");
+        return checker.finish(503);
+    };
+    EXPECT_EQ(judgeRefusal("not-run"), Outcome::NotRun);
+    EXPECT_EQ(judgeRefusal("unknown"), Outcome::Unknown);
+    EXPECT_EQ(judgeRefusal("run"), Outcome::Failed);
+}
+
+TEST(AnswerCheckerTest, checksAnswersThatComeAtOnce)
+{
+    const auto judgeBody = [](const json &body, RequestKind kind) {
+        LoadRequest request = someRequest(false);
+        request.kind = kind;
+        AnswerChecker checker(request);
+        checker.receiveData(200, body.dump());
+        return checker.finish(200);
+    };
+    const std::string own = someRequest().answer.whole(tokenCount);
+    const std::string foreign = Standin::AnswerText("foreign prompt").whole(tokenCount);
+    const auto chat = [](const std::string &text) {
+        return json{{"choices", json::array({{{"message", {{"content", text}}}}})}};
+    };
+    EXPECT_EQ(judgeBody(chat(own), RequestKind::ChatCompletion), Outcome::Whole);
+    EXPECT_EQ(judgeBody(chat(foreign), RequestKind::ChatCompletion), Outcome::Crossed);
+    EXPECT_EQ(judgeBody({{"answer", own}}, RequestKind::ServiceCall), Outcome::Whole);
+    EXPECT_EQ(judgeBody({{"answer", foreign}}, RequestKind::ServiceCall), Outcome::Crossed);
+    EXPECT_EQ(judgeBody({{"result", own}}, RequestKind::ServiceCall), Outcome::Broken);
+}
+
+} // namespace
+
+} // namespace Verbena::Load
