--- a/src/libs/settings/logsettings.cpp
+++ b/src/libs/settings/logsettings.cpp
@@ -36,6 +36,7 @@
     options.process = process;
     options.isJson = section.choice("format", "text", {"text", "json"}) == "json";
     std::vector<std::string> names;
+    names.reserve(levels.size());
     for (const Level &level : levels) {
         names.emplace_back(level.name);
     }
--- a/src/libs/settings/settingsreader.cpp
+++ b/src/libs/settings/settingsreader.cpp
@@ -284,7 +284,7 @@
 std::string SettingsReader::choice(const std::string &key, const std::string &defaultValue, const std::vector<std::string> &allowed)
 {
     describe(key, "word", asCode(defaultValue), joinWords(allowed, ", "));
-    const auto value = scalar<std::string>(key, defaultValue, "a text");
+    auto value = scalar<std::string>(key, defaultValue, "a text");
     if (std::find(allowed.begin(), allowed.end(), value) == allowed.end()) {
         addProblem(key, "The value must be one of " + joinWords(allowed, ", ") + ".");
         return defaultValue;
--- a/tests/benchmarks/slopes/agentslopes.cpp
+++ b/tests/benchmarks/slopes/agentslopes.cpp
@@ -34,8 +34,9 @@
 std::vector<PrefixKey> promptKeys(int run)
 {
     std::vector<PrefixKey> keys;
+    keys.reserve(piecesPerRun);
     for (int piece = 0; piece < piecesPerRun; ++piece) {
-        keys.push_back(PrefixKey{mixed(static_cast<std::uint64_t>(run * piecesPerRun + piece + 1))});
+        keys.push_back(PrefixKey{mixed(static_cast<std::uint64_t>(run) * piecesPerRun + static_cast<std::uint64_t>(piece) + 1)});
     }
     return keys;
 }
