Measure routing policies in virtual time

verbena-policybench drives the real RouteChooser of a few routers and the real AdmissionGate of each backend server against one fake engine, beside round-robin, least-loaded, prefix hash, the thin path's first version and an oracle that sees every cache and queue.

Its first runs showed that a refusal for one request's deadline kept all work away from a backend server; now only one that serves nobody is paused.

--- /dev/null
+++ b/src/apps/policybench/policy.cpp
@@ -0,0 +1,342 @@
+#include "policy.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Verbena::PolicyBench {
+
+using Decisions::BackendServer;
+using Decisions::BackendServerId;
+using Decisions::RouteQuery;
+using std::chrono::microseconds;
+
+namespace {
+
+constexpr std::size_t largestOracle = 200; ///< Backend servers; it looks at all of them for each request.
+
+bool isIn(const std::vector<BackendServerId> &ids, BackendServerId id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+// What the plain policies share: a list of live backend servers.
+class PlainPolicy : public Policy
+{
+public:
+    void setFleet(const std::vector<BackendServer> &fleet) override
+    {
+        m_live.clear();
+        for (const BackendServer &server : fleet) {
+            if (server.state == Decisions::BackendServerState::Live) {
+                m_live.push_back(server.id);
+            }
+        }
+    }
+
+protected:
+    // The first from \a start on that is not excluded.
+    std::optional<BackendServerId> firstFrom(std::size_t start, const RouteQuery &query) const
+    {
+        for (std::size_t i = 0; i < m_live.size(); ++i) {
+            const BackendServerId id = m_live[(start + i) % m_live.size()];
+            if (!isIn(query.excluded, id)) {
+                return id;
+            }
+        }
+        return std::nullopt;
+    }
+
+    std::vector<BackendServerId> m_live;
+};
+
+class RoundRobin : public PlainPolicy
+{
+public:
+    std::optional<BackendServerId> choose(std::size_t router, const RouteQuery &query, Core::TimePoint) override
+    {
+        return firstFrom(m_nexts[router]++, query);
+    }
+
+private:
+    std::map<std::size_t, std::size_t> m_nexts;
+};
+
+// Hashes the first pieces of the prompt, as many as the two upper levels have.
+class PrefixHash : public PlainPolicy
+{
+public:
+    explicit PrefixHash(std::size_t pieces)
+        : m_pieces(pieces)
+    {
+    }
+
+    std::optional<BackendServerId> choose(std::size_t, const RouteQuery &query, Core::TimePoint) override
+    {
+        return firstFrom(static_cast<std::uint64_t>(query.keys[m_pieces - 1]) % m_live.size(), query);
+    }
+
+private:
+    std::size_t m_pieces;
+};
+
+// The thin path's: the home of the whole prompt, whatever its load.
+class FirstVersion : public PlainPolicy
+{
+public:
+    void setFleet(const std::vector<BackendServer> &fleet) override
+    {
+        PlainPolicy::setFleet(fleet);
+        m_placement = Decisions::Placement(m_live);
+    }
+
+    std::optional<BackendServerId> choose(std::size_t, const RouteQuery &query, Core::TimePoint) override
+    {
+        for (const BackendServerId id : m_placement.ranks(query.keys.back(), query.excluded.size() + 1)) {
+            if (!isIn(query.excluded, id)) {
+                return id;
+            }
+        }
+        return std::nullopt;
+    }
+
+private:
+    Decisions::Placement m_placement;
+};
+
+// The least wait by the same hints that our own policy gets.
+class LeastLoaded : public PlainPolicy
+{
+public:
+    LeastLoaded(std::size_t routers, microseconds work)
+        : m_loads(routers, Decisions::ServerLoads(Decisions::RoutingOptions().hintLifetime))
+        , m_work(work)
+    {
+    }
+
+    std::optional<BackendServerId> choose(std::size_t router, const RouteQuery &query, Core::TimePoint now) override
+    {
+        std::optional<BackendServerId> best;
+        const std::size_t start = m_next++;
+        for (std::size_t i = 0; i < m_live.size(); ++i) {
+            const BackendServerId id = m_live[(start + i) % m_live.size()];
+            const bool isBetter = !best.has_value() || m_loads[router].wait(id, now) < m_loads[router].wait(*best, now);
+            if (isBetter && !isIn(query.excluded, id)) {
+                best = id;
+            }
+        }
+        return best;
+    }
+
+    microseconds expectedWork(std::size_t, BackendServerId, const RouteQuery &, Core::TimePoint) const override
+    {
+        return m_work;
+    }
+
+    void noteDispatched(std::size_t router, const Attempt &attempt, Core::TimePoint) override
+    {
+        m_loads[router].noteSent(attempt.server, attempt.work);
+    }
+
+    void noteReply(std::size_t router, const Attempt &attempt, const Reply &, Core::TimePoint) override
+    {
+        m_loads[router].noteAnswered(attempt.server, attempt.work);
+    }
+
+    void noteRefusal(std::size_t router, const Attempt &attempt, const Decisions::RouteRefusal &, Core::TimePoint) override
+    {
+        m_loads[router].noteAnswered(attempt.server, attempt.work);
+    }
+
+    void noteLoad(std::size_t router, BackendServerId server, const Decisions::LoadReport &report, Core::TimePoint now) override
+    {
+        m_loads[router].noteReport(server, report, now);
+    }
+
+private:
+    std::vector<Decisions::ServerLoads> m_loads;
+    microseconds m_work;
+    std::size_t m_next = 0;
+};
+
+Decisions::RoutingOptions optionsOf(const BenchOptions &options, std::size_t router)
+{
+    Decisions::RoutingOptions result;
+    const bool isTailTimeFirst = Deployment::named(options.deployment).isTailTimeFirst;
+    result.weights = isTailTimeFirst ? Decisions::RoutingWeights::forTailTime() : Decisions::RoutingWeights::forRecomputation();
+    result.seed = options.seed * 1000 + router;
+    return result;
+}
+
+// The product's own: a RouteChooser for each router.
+class Own : public Policy
+{
+public:
+    explicit Own(const BenchOptions &options)
+        : m_options(options)
+    {
+        restartRouters();
+    }
+
+    void restartRouters() override
+    {
+        m_choosers.clear();
+        for (std::size_t router = 0; router < m_options.routers; ++router) {
+            m_choosers.emplace_back(optionsOf(m_options, router)).setFleet(m_fleet);
+        }
+    }
+
+    void setFleet(const std::vector<BackendServer> &fleet) override
+    {
+        m_fleet = fleet;
+        for (Decisions::RouteChooser &chooser : m_choosers) {
+            chooser.setFleet(fleet);
+        }
+    }
+
+    std::optional<BackendServerId> choose(std::size_t router, const RouteQuery &query, Core::TimePoint now) override
+    {
+        return m_choosers[router].choose(query, now).best();
+    }
+
+    microseconds expectedWork(std::size_t router, BackendServerId server, const RouteQuery &query, Core::TimePoint now) const override
+    {
+        return m_choosers[router].expectedPrefill(server, query, now);
+    }
+
+    void noteDispatched(std::size_t router, const Attempt &attempt, Core::TimePoint now) override
+    {
+        m_choosers[router].noteDispatched(attempt.server, attempt.query, attempt.work, now);
+    }
+
+    void noteReply(std::size_t router, const Attempt &attempt, const Reply &reply, Core::TimePoint now) override
+    {
+        m_choosers[router].noteReply(attempt.server, attempt.query, reply.warmPieces, attempt.work, now);
+        if (reply.heat.has_value()) {
+            m_choosers[router].noteHeat(reply.heat->key, reply.heat->width, now + std::chrono::seconds(3));
+        }
+    }
+
+    void noteRefusal(std::size_t router, const Attempt &attempt, const Decisions::RouteRefusal &refusal, Core::TimePoint now) override
+    {
+        m_choosers[router].noteRefusal(attempt.server, attempt.query, refusal, attempt.work, now);
+    }
+
+    void noteLoad(std::size_t router, BackendServerId server, const Decisions::LoadReport &report, Core::TimePoint now) override
+    {
+        m_choosers[router].noteLoad(server, report, now);
+    }
+
+private:
+    BenchOptions m_options;
+    std::vector<BackendServer> m_fleet;
+    std::vector<Decisions::RouteChooser> m_choosers;
+};
+
+// Sees every cache and queue as they are; the bound, since no router can.
+class Oracle : public PlainPolicy
+{
+public:
+    Oracle(const BenchOptions &options, const std::vector<Worker> &workers)
+        : m_deployment(Deployment::named(options.deployment))
+        , m_weights(optionsOf(options, 0).weights)
+        , m_workers(workers)
+    {
+    }
+
+    std::optional<BackendServerId> choose(std::size_t, const RouteQuery &query, Core::TimePoint now) override
+    {
+        const Worker *best = nullptr;
+        double bestScore = 0;
+        for (const Worker &worker : m_workers) {
+            if (!isIn(m_live, worker.id) || isIn(query.excluded, worker.id) || worker.gate->isLeaving()) {
+                continue;
+            }
+            const double score = scoreOf(worker, query, now);
+            if (best == nullptr || score < bestScore) {
+                best = &worker;
+                bestScore = score;
+            }
+        }
+        return best == nullptr ? std::nullopt : std::optional(best->id);
+    }
+
+private:
+    double scoreOf(const Worker &worker, const RouteQuery &query, Core::TimePoint now) const
+    {
+        std::size_t warm = worker.engine.cachedPieces(query.keys);
+        for (const auto &[id, waiting] : worker.waiting) {
+            const auto differs = std::mismatch(query.keys.begin(), query.keys.end(), waiting->keys.begin(), waiting->keys.end()).first;
+            warm = std::max(warm, static_cast<std::size_t>(differs - query.keys.begin()));
+        }
+        const auto missing = static_cast<double>((query.keys.size() - warm) * static_cast<std::size_t>(m_deployment.prefillPerPiece.count()));
+        const auto wait = static_cast<double>(worker.gate->load(now).queuedWork.count());
+        return m_weights.timeToFirstToken * (wait + missing) + m_weights.recomputation * missing;
+    }
+
+    Deployment m_deployment;
+    Decisions::RoutingWeights m_weights;
+    const std::vector<Worker> &m_workers;
+};
+
+} // namespace
+
+std::unique_ptr<Policy> Policy::create(const std::string &name, const BenchOptions &options, const std::vector<Worker> &workers)
+{
+    const Deployment deployment = Deployment::named(options.deployment);
+    if (name == "round-robin") {
+        return std::make_unique<RoundRobin>();
+    }
+    if (name == "least-loaded") {
+        return std::make_unique<LeastLoaded>(options.routers, deployment.prefillPerPiece * deployment.promptPieces());
+    }
+    if (name == "prefix-hash") {
+        return std::make_unique<PrefixHash>(deployment.levelPieces[0] + deployment.levelPieces[1]);
+    }
+    if (name == "v1") {
+        return std::make_unique<FirstVersion>();
+    }
+    if (name == "own") {
+        return std::make_unique<Own>(options);
+    }
+    if (name == "oracle" && options.workers <= largestOracle) {
+        return std::make_unique<Oracle>(options, workers);
+    }
+    return nullptr;
+}
+
+const std::vector<std::string> &Policy::names()
+{
+    static const std::vector<std::string> names{"round-robin", "least-loaded", "prefix-hash", "v1", "own", "oracle"};
+    return names;
+}
+
+microseconds Policy::expectedWork(std::size_t, BackendServerId, const RouteQuery &, Core::TimePoint) const
+{
+    return microseconds(0);
+}
+
+void Policy::setFleet(const std::vector<BackendServer> &)
+{
+}
+
+void Policy::noteDispatched(std::size_t, const Attempt &, Core::TimePoint)
+{
+}
+
+void Policy::noteReply(std::size_t, const Attempt &, const Reply &, Core::TimePoint)
+{
+}
+
+void Policy::noteRefusal(std::size_t, const Attempt &, const Decisions::RouteRefusal &, Core::TimePoint)
+{
+}
+
+void Policy::noteLoad(std::size_t, BackendServerId, const Decisions::LoadReport &, Core::TimePoint)
+{
+}
+
+void Policy::restartRouters()
+{
+}
+
+} // namespace Verbena::PolicyBench
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -101,7 +101,9 @@
     if (!m_servers.contains(id)) {
         return;
     }
-    m_loads.pause(id, now + (refusal.retryAfter > microseconds(0) ? refusal.retryAfter : m_options.refusalPause));
+    if (refusal.isUnavailable) {
+        m_loads.pause(id, now + (refusal.retryAfter > microseconds(0) ? refusal.retryAfter : m_options.refusalPause));
+    }
     if (refusal.redirect.has_value() && m_servers.contains(*refusal.redirect)) {
         noteHolder(*refusal.redirect, query, now);
     }
--- a/src/libs/decisions/routing/routechooser.h
+++ b/src/libs/decisions/routing/routechooser.h
@@ -22,7 +22,7 @@
 {
     std::chrono::microseconds retryAfter{0}; ///< Zero if the agent named none.
     std::optional<BackendServerId> redirect; ///< A backend server that keeps the prompt.
-    bool isLeaving = false;
+    bool isUnavailable = false; ///< Nobody is served for now: it is leaving, or its engine is down.
 };
 
 /// \brief Chooses the backend server for each request of one router.
