--- a/src/apps/load/main.cpp
+++ b/src/apps/load/main.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 
 #include <unistd.h>
@@ -21,6 +22,7 @@
 {
     LoadOptions load;
     bool isJson = false;
+    std::string jsonFile;
     bool isListingCallers = false;
 };
 
@@ -49,6 +51,7 @@
     ValueArg<double> wholeShare("", "whole-share", "Fraction of completions not streamed.", false, standard.wholeShare, "fraction", line);
     TCLAP::SwitchArg keep("", "keep-connections", "Uses connections again; dead ones may then repeat a request.", line);
     TCLAP::SwitchArg json("", "json", "Prints the report as JSON.", line);
+    ValueArg<std::string> jsonFile("", "json-file", "Writes the report as JSON to a file too.", false, "", "file", line);
     TCLAP::SwitchArg callers("", "list-callers", "Prints organisation and API key of each caller, and exits.", line);
     line.parse(argc, argv);
 
@@ -69,6 +72,7 @@
     load.workload.tokenShare = tokenShare.getValue();
     load.workload.wholeShare = wholeShare.getValue();
     arguments.isJson = json.getValue();
+    arguments.jsonFile = jsonFile.getValue();
     arguments.isListingCallers = callers.getValue();
     return arguments;
 }
@@ -108,6 +112,9 @@
     running.start();
     loop.value()->run();
     std::cerr << running.problems();
+    if (!arguments.jsonFile.empty()) {
+        std::ofstream(arguments.jsonFile) << running.report().toJson() << '\n';
+    }
     std::cout << (arguments.isJson ? running.report().toJson() : running.report().toText()) << std::endl;
     return running.report().isClean() && running.problems().empty() ? EXIT_SUCCESS : EXIT_FAILURE;
 }
