--- a/tests/auto/docs/tst_checkdocs.py
+++ b/tests/auto/docs/tst_checkdocs.py
@@ -67,6 +67,7 @@
         self.assertIn("leads nowhere", self.page_problems("[a](docs/B.md)")[0])
         self.assertIn("names a heading", self.page_problems("[a](docs/A.md#two)")[0])
         self.assertIn("takes no --slow", self.page_problems("```\nscripts/run --slow\n```")[0])
+        self.assertIn("there is no test RouterTest.walks", self.page_problems("`RouterTest.walks`")[0])
         self.assertIn("there is no scripts/walk", self.page_problems("`scripts/walk`")[0])
 
 
