Spread the settings between processes

Every process keeps a copy of the settings tree that is one moment of the table's history: parts of a later state wait apart until they are whole. News is announced by a digest to a few random peers, who pull what they lack; a regular exchange brings the rest, and all processes together poll the table's feed at a fixed rate, at random moments. SettingsTask runs this on a loop; router and agent give it their connections as a PeerChannel.

--- /dev/null
+++ b/src/libs/decisions/spread/spreadplan.cpp
@@ -0,0 +1,69 @@
+#include "spreadplan.h"
+
+#include <algorithm>
+
+namespace Verbena::Decisions {
+
+SpreadPlan::SpreadPlan(const SpreadPlanOptions &options, std::uint64_t seed, Core::TimePoint now)
+    : m_options(options)
+    , m_random(seed)
+    , m_nextExchange(now)
+{
+}
+
+std::vector<std::string> SpreadPlan::drawAnnounced(std::span<const std::string> peers)
+{
+    return m_random.sample(peers, m_options.fanout);
+}
+
+std::vector<std::string> SpreadPlan::drawExchange(std::span<const std::string> peers, bool isStarting, Core::TimePoint now)
+{
+    if (now < m_nextExchange) {
+        return {};
+    }
+    // Between half and one and a half of the interval, so that processes that started together drift apart.
+    const double factor = 0.5 + m_random.uniform();
+    const std::chrono::milliseconds interval = isStarting ? m_options.startInterval : m_options.exchangeInterval;
+    m_nextExchange = now + std::chrono::duration_cast<Core::Clock::duration>(interval * factor);
+    return m_random.sample(peers, isStarting ? m_options.fanout : 1);
+}
+
+bool SpreadPlan::beginPull(const std::string &peer, Core::TimePoint now)
+{
+    if (m_pull.has_value()) {
+        return false;
+    }
+    m_pull = Pull{peer, now + m_options.pullTimeout};
+    return true;
+}
+
+bool SpreadPlan::continuePull(const std::string &peer, Core::TimePoint now)
+{
+    if (!m_pull.has_value() || m_pull->peer != peer) {
+        return false;
+    }
+    m_pull->deadline = now + m_options.pullTimeout;
+    return true;
+}
+
+void SpreadPlan::endPull(const std::string &peer)
+{
+    if (m_pull.has_value() && m_pull->peer == peer) {
+        m_pull.reset();
+    }
+}
+
+void SpreadPlan::expirePull(Core::TimePoint now)
+{
+    if (m_pull.has_value() && m_pull->deadline <= now) {
+        m_pull.reset();
+        m_nextExchange = now;
+    }
+}
+
+Core::TimePoint SpreadPlan::nextDeadline() const
+{
+    return m_pull.has_value() ? std::min(m_nextExchange, m_pull->deadline) : m_nextExchange;
+}
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/settingstree/settingstask.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "inforcebuilder.h"
+#include "peerchannel.h"
+
+#include <decisions/spread/settingsreplica.h>
+#include <eventloop/timer.h>
+#include <platform/objectstore.h>
+#include <platform/tableservice.h>
+#include <settings/inforcesettings.h>
+
+#include <memory>
+#include <optional>
+
+namespace Verbena::EventLoop {
+class Loop;
+}
+
+namespace Verbena::SettingsTree {
+
+/// \brief How a process keeps its copy of the settings tree.
+struct SettingsTaskOptions
+{
+    Decisions::SettingsReplicaOptions replica;
+    std::uint64_t seed = 0; ///< Another one in each process.
+    std::chrono::milliseconds platformTimeout{2'000}; ///< For each call of the table and the object store.
+    std::string snapshotName = "settings/snapshot"; ///< In the object store.
+};
+
+/// \brief What a process tells of its settings, for /status and /metrics.
+struct SettingsStatus
+{
+    std::uint64_t revision = 0; ///< In force.
+    std::uint64_t hash = 0; ///< Over all rows; equal in all processes at the same revision.
+    std::size_t rows = 0;
+    std::optional<std::chrono::microseconds> verifiedAge; ///< Every change accepted longer ago is in force; nothing if never known.
+    std::optional<std::chrono::microseconds> inForceAge; ///< Since this revision came into force.
+    std::uint64_t malformedRows = 0;
+    std::uint64_t messagesSent = 0;
+    std::uint64_t messagesReceived = 0;
+    std::uint64_t bytesSent = 0; ///< Of messages, without the transport's own.
+    std::uint64_t bytesReceived = 0;
+    std::uint64_t tableReads = 0;
+
+    /// \brief As the object that /status shows under "settings".
+    std::string toJson() const;
+};
+
+/// \brief Keeps the settings tree of one process up to date, by peers, the table and the snapshot.
+class SettingsTask : public Settings::SettingsView
+{
+public:
+    /// \brief Starts at once. All arguments must outlive the task; \a objects may be null.
+    static Core::Result<std::unique_ptr<SettingsTask>> create(
+        EventLoop::Loop &loop, const SettingsTaskOptions &options, Platform::TableService &table, Platform::ObjectStore *objects, PeerChannel &channel);
+    ~SettingsTask() override;
+
+    SettingsTask(const SettingsTask &) = delete;
+    SettingsTask &operator=(const SettingsTask &) = delete;
+
+    /// \brief Takes a message that isSettingsMessage().
+    void receiveFromPeer(const std::string &peer, const verbena::wire::Envelope &message);
+
+    /// \brief Notes that \a peer can be reached now, which speeds up a start.
+    void notePeerJoined(const std::string &peer);
+
+    void setChangedCallback(std::function<void()> callback) override;
+
+    std::shared_ptr<const Settings::InForceSettings> current() const override;
+
+    /// \brief True once there are settings to serve with.
+    bool isReady() const;
+
+    SettingsStatus status() const;
+
+    /// \brief True for the messages that receiveFromPeer() takes.
+    static bool isSettingsMessage(const verbena::wire::Envelope &message);
+
+private:
+    using Actions = Decisions::SettingsReplica::Actions;
+
+    SettingsTask(
+        EventLoop::Loop &loop, const SettingsTaskOptions &options, Platform::TableService &table, Platform::ObjectStore *objects, PeerChannel &channel);
+    void advance();
+    void carryOut(const Actions &actions);
+    void carryOut(const Decisions::SendDigest &action);
+    void carryOut(const Decisions::SendPull &action);
+    void carryOut(const Decisions::SendPush &action);
+    void carryOut(const Decisions::ScanTable &action);
+    void carryOut(const Decisions::ReadSnapshot &action);
+    void carryOut(const Decisions::PublishSettings &action);
+    void carryOut(const Decisions::ReportDivergence &action);
+    void takeTableAnswer(const Decisions::ScanTable &scan, Core::TimePoint sentAt, Core::Result<std::vector<Platform::TableRow>> answer);
+    void takeSnapshot(const Core::Result<std::string> &answer);
+    void send(const std::string &peer, const verbena::wire::Envelope &message);
+    void restartTimer();
+
+    EventLoop::Loop &m_loop;
+    SettingsTaskOptions m_options;
+    Platform::TableService &m_table;
+    Platform::ObjectStore *m_objects;
+    PeerChannel &m_channel;
+    Decisions::SettingsReplica m_replica;
+    InForceBuilder m_builder;
+    EventLoop::Timer m_timer;
+    std::function<void()> m_changedCallback;
+    std::optional<Core::TimePoint> m_inForceSince;
+    SettingsStatus m_counts; ///< Only its counters.
+    std::shared_ptr<bool> m_isAlive; ///< Answers that come after the end of this task find it false.
+};
+
+} // namespace Verbena::SettingsTree
--- a/src/libs/settingstree/treepath.cpp
+++ b/src/libs/settingstree/treepath.cpp
@@ -76,7 +76,7 @@
 
 std::string TreePath::toString() const
 {
-    const std::string prefix(treePrefix);
+    std::string prefix(treePrefix);
     switch (kind) {
     case RowKind::Model:
         return prefix + "models/" + name;
--- a/tests/auto/settingstree/tst_inforcebuilder.cpp
+++ b/tests/auto/settingstree/tst_inforcebuilder.cpp
@@ -18,7 +18,8 @@
         const std::string owner = TreePath{RowKind::Organisation, parsed.organisation, {}}.toString();
         const bool isOrphan = parsed.kind == RowKind::Team && (!rows.contains(owner) || rows.at(owner).isDeleted);
         if (!row.isDeleted && !isOrphan) {
-            text += path + "=" + row.content + "\n";
+            text += path;
+            text += "=" + row.content + "\n";
         }
     }
     return text;
@@ -38,7 +39,8 @@
     }
     std::string text;
     for (const auto &[path, content] : rows) {
-        text += path + "=" + content + "\n";
+        text += path;
+        text += "=" + content + "\n";
     }
     return text;
 }
