--- a/src/libs/decisions/gate/cacheindex.cpp
+++ b/src/libs/decisions/gate/cacheindex.cpp
@@ -34,7 +34,7 @@
     if (m_runs.contains(ref)) {
         return;
     }
-    m_runs.emplace(ref, Run{keys, m_incarnation, m_generation, versionNumber(version)});
+    m_runs.emplace(ref, Run{keys, m_incarnation, versionNumber(version)});
     m_runOrder.push_back(ref);
     if (m_runOrder.size() > m_options.maximumRuns) {
         m_runs.erase(m_runOrder.front());
@@ -52,10 +52,11 @@
         learnLife(*run, *cachedPieces, now);
     }
     for (std::size_t piece = 0; piece < run->keys.size(); ++piece) {
-        if (cachedPieces && piece < *cachedPieces) {
-            confirm(*run, piece);
+        const bool wasCached = cachedPieces && piece < *cachedPieces;
+        // What was filled anew is told by events, if the engine sends them; what it found is worth believing for a while.
+        if (wasCached || !m_hasEvents || m_byKey.contains(run->keys[piece])) {
+            assume(*run, piece, now);
         }
-        assume(*run, piece, now);
     }
 }
 
@@ -69,7 +70,7 @@
     m_heldBack.emplace(event.sequence, event);
     applyReady(now);
     if (m_heldBack.size() > m_options.maximumHeldBack) {
-        giveUpOnMissing();
+        giveUpOnMissing(now);
         applyReady(now);
     }
 }
@@ -77,7 +78,7 @@
 void CacheIndex::tick(Core::TimePoint now)
 {
     if (m_missingUntil && *m_missingUntil <= now) {
-        giveUpOnMissing();
+        giveUpOnMissing(now);
         applyReady(now);
     }
 }
@@ -133,6 +134,11 @@
     return m_incarnation;
 }
 
+std::uint64_t CacheIndex::lastSequence() const
+{
+    return m_lastSequence;
+}
+
 std::size_t CacheIndex::size() const
 {
     return m_entries.size();
@@ -143,15 +149,21 @@
     return m_generation;
 }
 
+bool CacheIndex::isConfirmed(const Entry &entry) const
+{
+    return entry.hasBlock && entry.generation == m_generation;
+}
+
 // While an event is missing, any block may have been removed by it; so nothing is known until it comes or is given up.
 bool CacheIndex::isKnown(const Entry &entry) const
 {
-    return entry.hasBlock && entry.generation == m_generation && m_heldBack.empty();
+    return isConfirmed(entry) && m_heldBack.empty();
 }
 
 bool CacheIndex::isLikely(const Entry &entry, Core::TimePoint now) const
 {
-    return entry.hasBlock || now < entry.assumedUntil;
+    const bool isNewlyDoubted = entry.hasBlock && entry.generation + 1 == m_generation;
+    return isConfirmed(entry) || now < entry.assumedUntil || (isNewlyDoubted && now < m_doubtedUntil);
 }
 
 std::uint16_t CacheIndex::versionNumber(const ModelVersion &version)
@@ -234,32 +246,21 @@
     }
 }
 
-void CacheIndex::giveUpOnMissing()
+void CacheIndex::giveUpOnMissing(Core::TimePoint now)
 {
     m_missingUntil.reset();
     if (m_heldBack.empty()) {
         return;
     }
     ++m_generation;
+    m_doubtedUntil = now + m_assumedLife;
     m_lastSequence = m_heldBack.begin()->first - 1;
 }
 
-// The run was handed over after the last gap, so all events that were lost are older than what the engine found.
-void CacheIndex::confirm(const Run &run, std::size_t piece)
-{
-    const auto found = m_byKey.find(run.keys[piece]);
-    if (found != m_byKey.end() && run.generation == m_generation) {
-        found->second->generation = m_generation;
-    }
-}
-
+// An answer that found a prefix does not make it known again: events that were lost may have moved it to another block,
+// and then its removal could not be recognised.
 void CacheIndex::assume(const Run &run, std::size_t piece, Core::TimePoint now)
 {
-    const auto found = m_byKey.find(run.keys[piece]);
-    if (found == m_byKey.end() && m_hasEvents) {
-        // Its events have come and it has been removed since, or they are still to come.
-        return;
-    }
     Entry &entry = entryFor(run.keys[piece]);
     entry.version = run.version;
     entry.assumedUntil = now + m_assumedLife;
@@ -270,10 +271,10 @@
 {
     for (std::size_t piece = 0; piece < run.keys.size(); ++piece) {
         const auto found = m_byKey.find(run.keys[piece]);
-        if (found == m_byKey.end() || found->second->hasBlock) {
+        if (found == m_byKey.end() || isConfirmed(*found->second)) {
             continue;
         }
-        const bool isAssumed = now < found->second->assumedUntil;
+        const bool isAssumed = isLikely(*found->second, now);
         if (piece >= cachedPieces && isAssumed) {
             m_assumedLife = std::max(shortestAssumedLife, m_assumedLife * 3 / 4);
             return;
--- a/src/libs/decisions/gate/cacheindex.h
+++ b/src/libs/decisions/gate/cacheindex.h
@@ -75,6 +75,9 @@
     std::uint32_t likelyPieces(const std::vector<PrefixKey> &keys, Core::TimePoint now) const;
 
     std::uint64_t incarnation() const;
+
+    /// \brief The event up to which all were applied or given up; what is known is known as of this event.
+    std::uint64_t lastSequence() const;
     std::size_t size() const;
 
     /// \brief Times that events were lost for good.
@@ -85,8 +88,8 @@
     {
         PrefixKey key{};
         BlockId block{};
-        Core::TimePoint assumedUntil; ///< Without a block: when the assumption ends.
-        std::uint32_t generation = 0; ///< Gaps that had happened when the block was last confirmed.
+        Core::TimePoint assumedUntil; ///< When it is no longer taken to be there without an event that says so.
+        std::uint32_t generation = 0; ///< Gaps that had happened when the block was filled.
         std::uint16_t version = 0;
         bool hasBlock = false;
     };
@@ -95,12 +98,12 @@
     {
         std::vector<PrefixKey> keys;
         std::uint64_t incarnation = 0;
-        std::uint32_t generation = 0;
         std::uint16_t version = 0;
     };
 
     using EntryList = std::list<Entry>;
 
+    bool isConfirmed(const Entry &entry) const;
     bool isKnown(const Entry &entry) const;
     bool isLikely(const Entry &entry, Core::TimePoint now) const;
     std::uint16_t versionNumber(const ModelVersion &version);
@@ -109,8 +112,7 @@
     void apply(const CacheEvent &event);
     void store(const CacheEvent &event);
     void remove(const CacheEvent &event);
-    void giveUpOnMissing();
-    void confirm(const Run &run, std::size_t piece);
+    void giveUpOnMissing(Core::TimePoint now);
     void assume(const Run &run, std::size_t piece, Core::TimePoint now);
     void learnLife(const Run &run, std::uint32_t cachedPieces, Core::TimePoint now);
     Entry &entryFor(PrefixKey key);
@@ -125,6 +127,7 @@
     std::chrono::milliseconds m_assumedLife;
     std::map<std::uint64_t, CacheEvent> m_heldBack;
     std::optional<Core::TimePoint> m_missingUntil;
+    Core::TimePoint m_doubtedUntil; ///< Until then, what the last gap put in doubt is still taken to be likely.
     EntryList m_entries; ///< Most recently used first.
     std::unordered_map<PrefixKey, EntryList::iterator> m_byKey;
     std::unordered_map<BlockId, EntryList::iterator> m_byBlock;
--- a/src/libs/decisions/gate/fairqueue.cpp
+++ b/src/libs/decisions/gate/fairqueue.cpp
@@ -38,7 +38,6 @@
     double weight = 1.0;
     double startTag = 0.0; ///< In the virtual time of the parent.
     double virtualTime = 0.0; ///< Of the children.
-    double latestTag = 0.0; ///< Largest tag that any child had.
     std::uint64_t nextNumber = 0;
     std::chrono::microseconds work{0}; ///< Of all tickets below.
     bool isActive = false;
@@ -68,6 +67,10 @@
 
 FairQueue::~FairQueue() = default;
 
+FairQueue::FairQueue(FairQueue &&) noexcept = default;
+
+FairQueue &FairQueue::operator=(FairQueue &&) noexcept = default;
+
 void FairQueue::setShares(const std::vector<FlowShare> &shares)
 {
     m_organisationShares.clear();
@@ -112,7 +115,6 @@
         parent.virtualTime = std::max(parent.virtualTime, node->startTag);
         parent.active.erase(node);
         node->startTag += seconds(ticket.work) / node->weight;
-        parent.latestTag = std::max(parent.latestTag, node->startTag);
         parent.active.insert(node);
     }
     takeOut(*leaf, leaf->tickets.begin());
@@ -138,7 +140,6 @@
             parent.active.erase(node);
         }
         node->startTag = std::max(node->startTag + seconds(extra) / node->weight, parent.virtualTime);
-        parent.latestTag = std::max(parent.latestTag, node->startTag);
         if (node->isActive) {
             parent.active.insert(node);
         }
@@ -252,12 +253,7 @@
     leaf.tickets.erase(ticket);
     for (Node *node = &leaf; node != nullptr; node = node->parent) {
         node->work -= work;
-        if (!node->isEmpty()) {
-            continue;
-        }
-        // With nobody left below, all start level again: what was lent in a busy period is not held against the borrower.
-        node->virtualTime = node->latestTag;
-        if (node->parent != nullptr) {
+        if (node->isEmpty() && node->parent != nullptr) {
             node->parent->active.erase(node);
             node->isActive = false;
         }
--- a/src/libs/decisions/gate/fairqueue.h
+++ b/src/libs/decisions/gate/fairqueue.h
@@ -41,6 +41,8 @@
 
     FairQueue(const FairQueue &) = delete;
     FairQueue &operator=(const FairQueue &) = delete;
+    FairQueue(FairQueue &&) noexcept;
+    FairQueue &operator=(FairQueue &&) noexcept;
 
     /// \brief Takes the shares in place of those before. Flows that are not named have weight 1.
     void setShares(const std::vector<FlowShare> &shares);
--- a/src/libs/decisions/gate/gatetypes.h
+++ b/src/libs/decisions/gate/gatetypes.h
@@ -5,11 +5,11 @@
 
 #include <core/time.h>
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -21,7 +21,12 @@
     std::string request;
     std::uint32_t attempt = 1; ///< Counts from 1.
 
-    auto operator<=>(const RequestRef &) const = default;
+    bool operator==(const RequestRef &) const = default;
+
+    bool operator<(const RequestRef &other) const
+    {
+        return std::tie(request, attempt) < std::tie(other.request, other.attempt);
+    }
 };
 
 /// \brief Hash of a RequestRef, for unordered containers.
@@ -40,7 +45,7 @@
     std::string team;
     std::string requestClass;
 
-    auto operator<=>(const FlowPath &) const = default;
+    bool operator==(const FlowPath &) const = default;
 };
 
 /// \brief A request as a router hands it to the gate.
@@ -67,7 +72,7 @@
     Leaving, ///< The backend server finishes what it has and takes nothing new.
     NotServed, ///< Model, adapter or version is not held.
     EngineDown, ///< The engine cannot be reached.
-    Superseded, ///< A later attempt of the same request has been received.
+    Superseded, ///< A later attempt has been received, or this one was refused before.
 };
 
 /// \brief Run the request at the engine now.
--- /dev/null
+++ b/tests/auto/gate/tst_admissiongate.cpp
@@ -0,0 +1,313 @@
+#include <decisions/gate/admissiongate.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+const ModelVersion version{"m", "", "7"};
+
+Core::TimePoint at(int count)
+{
+    return Core::TimePoint(std::chrono::milliseconds(count));
+}
+
+GateRequest requestOf(const std::string &id, std::uint32_t attempt = 1)
+{
+    GateRequest request;
+    request.ref = {id, attempt};
+    request.flow = {"kessick", "dams", "urgent"};
+    request.version = version;
+    request.keys = {PrefixKey(1), PrefixKey(2)};
+    request.promptTokens = 4096;
+    request.maximumTokens = 10;
+    request.deadline = at(60000);
+    return request;
+}
+
+AdmissionGate gateOf(const AdmissionGateOptions &options = {})
+{
+    AdmissionGate gate(options);
+    gate.setServed({version}, at(0));
+    return gate;
+}
+
+AdmissionGateOptions oneAtATime()
+{
+    AdmissionGateOptions options;
+    options.maximumRunning = 1;
+    return options;
+}
+
+std::optional<GateRefusal> refusalIn(const std::vector<GateAction> &actions, const std::string &id)
+{
+    for (const GateAction &action : actions) {
+        const auto *refusal = std::get_if<Refuse>(&action);
+        if (refusal != nullptr && refusal->ref.request == id) {
+            return refusal->reason;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<DuplicateState> duplicateIn(const std::vector<GateAction> &actions)
+{
+    const auto *duplicate = actions.empty() ? nullptr : std::get_if<ReportDuplicate>(&actions.front());
+    return duplicate == nullptr ? std::nullopt : std::optional(duplicate->state);
+}
+
+bool isStartedIn(const std::vector<GateAction> &actions, const std::string &id)
+{
+    return std::any_of(actions.begin(), actions.end(), [&id](const GateAction &action) {
+        const auto *start = std::get_if<StartRun>(&action);
+        return start != nullptr && start->ref.request == id;
+    });
+}
+
+TEST(AdmissionGateTest, refusesAtOnceWhatCannotMeetItsDeadline)
+{
+    AdmissionGate gate = gateOf(oneAtATime());
+    EXPECT_TRUE(isStartedIn(gate.submit(requestOf("a"), at(0)), "a"));
+    GateRequest late = requestOf("b");
+    late.deadline = at(400);
+    const std::vector<GateAction> actions = gate.submit(late, at(0));
+    ASSERT_EQ(refusalIn(actions, "b"), GateRefusal::Deadline);
+    EXPECT_GT(std::get<Refuse>(actions.front()).retryAfter, microseconds(0));
+    EXPECT_TRUE(gate.submit(requestOf("c"), at(0)).empty());
+    EXPECT_EQ(gate.queued(), 1U);
+}
+
+TEST(AdmissionGateTest, refusesWhatWaitsOnceItsDeadlineIsOutOfReach)
+{
+    AdmissionGate gate = gateOf(oneAtATime());
+    gate.submit(requestOf("a"), at(0));
+    GateRequest waiting = requestOf("b");
+    waiting.deadline = at(2000);
+    ASSERT_TRUE(gate.submit(waiting, at(0)).empty());
+    ASSERT_TRUE(gate.nextDeadline());
+    EXPECT_LT(*gate.nextDeadline(), at(2000));
+    EXPECT_EQ(refusalIn(gate.tick(at(2000)), "b"), GateRefusal::Deadline);
+}
+
+TEST(AdmissionGateTest, refusesWhileLeavingDownOrNotServing)
+{
+    AdmissionGate gate = gateOf(oneAtATime());
+    gate.submit(requestOf("a"), at(0));
+    gate.submit(requestOf("b"), at(0));
+    EXPECT_EQ(refusalIn(gate.setLeaving(true, at(1)), "b"), GateRefusal::Leaving);
+    EXPECT_EQ(refusalIn(gate.submit(requestOf("c"), at(2)), "c"), GateRefusal::Leaving);
+    EXPECT_EQ(gate.running(), 1U);
+    gate.setLeaving(false, at(3));
+    gate.submit(requestOf("d"), at(4));
+    EXPECT_EQ(refusalIn(gate.setServed({}, at(5)), "d"), GateRefusal::NotServed);
+    EXPECT_EQ(refusalIn(gate.submit(requestOf("e"), at(6)), "e"), GateRefusal::NotServed);
+    gate.setServed({version}, at(7));
+    gate.submit(requestOf("f"), at(8));
+    EXPECT_EQ(refusalIn(gate.setEngineUp(false, at(9)), "f"), GateRefusal::EngineDown);
+}
+
+TEST(AdmissionGateTest, neverRefusesACopyOfWhatMayRun)
+{
+    AdmissionGate gate = gateOf(oneAtATime());
+    gate.submit(requestOf("a"), at(0));
+    gate.submit(requestOf("b"), at(0));
+    EXPECT_EQ(duplicateIn(gate.submit(requestOf("a"), at(1))), DuplicateState::MayHaveRun);
+    EXPECT_EQ(duplicateIn(gate.submit(requestOf("b"), at(1))), DuplicateState::Queued);
+    gate.noteRunEnded({"a", 1}, {}, at(2));
+    EXPECT_EQ(duplicateIn(gate.submit(requestOf("a"), at(3))), DuplicateState::MayHaveRun);
+    GateRequest once = requestOf("a", 2);
+    once.isIdempotent = false;
+    EXPECT_EQ(duplicateIn(gate.submit(once, at(3))), DuplicateState::MayHaveRun);
+}
+
+TEST(AdmissionGateTest, aCopyOfARefusedAttemptNeverRuns)
+{
+    AdmissionGate gate = gateOf();
+    gate.setLeaving(true, at(0));
+    gate.submit(requestOf("a"), at(0));
+    gate.setLeaving(false, at(1));
+    EXPECT_EQ(refusalIn(gate.submit(requestOf("a"), at(2)), "a"), GateRefusal::Superseded);
+    EXPECT_TRUE(isStartedIn(gate.submit(requestOf("a", 3), at(3)), "a"));
+    EXPECT_EQ(refusalIn(gate.submit(requestOf("a", 2), at(4)), "a"), GateRefusal::Superseded);
+}
+
+TEST(AdmissionGateTest, aFloodPushesOutOnlyItself)
+{
+    AdmissionGateOptions options = oneAtATime();
+    options.maximumQueued = 10;
+    AdmissionGate gate = gateOf(options);
+    gate.submit(requestOf("first"), at(0));
+    for (int i = 0; i < 20; ++i) {
+        GateRequest flood = requestOf("flood" + std::to_string(i));
+        flood.flow.team = "flood";
+        gate.submit(flood, at(0));
+    }
+    EXPECT_EQ(gate.queued(), 10U);
+    for (int i = 0; i < 4; ++i) {
+        const std::string id = "dams" + std::to_string(i);
+        EXPECT_EQ(refusalIn(gate.submit(requestOf(id), at(0)), id), std::nullopt);
+    }
+    EXPECT_EQ(gate.queued(), 10U);
+}
+
+// Drives a gate as its owner does and notes how each attempt ends.
+class Owner
+{
+public:
+    explicit Owner(const AdmissionGateOptions &options)
+        : gate(gateOf(options))
+    {
+    }
+
+    void submit(const GateRequest &request)
+    {
+        const bool isNew = outcomes.try_emplace(request.ref).second;
+        obey(gate.submit(request, now), isNew ? std::nullopt : std::optional(request.ref));
+    }
+
+    // A copy may be refused again, if its first receipt was.
+    void obey(const std::vector<GateAction> &actions, const std::optional<RequestRef> &copy = std::nullopt)
+    {
+        for (const GateAction &action : actions) {
+            if (const auto *start = std::get_if<StartRun>(&action)) {
+                ++outcomes[start->ref].started;
+                running.push_back(start->ref);
+            } else if (const auto *refusal = std::get_if<Refuse>(&action)) {
+                if (copy != refusal->ref) {
+                    ++outcomes[refusal->ref].refused;
+                } else {
+                    RC_ASSERT(outcomes[refusal->ref].started == 0);
+                }
+            } else if (const auto *drop = std::get_if<DropQueued>(&action)) {
+                ++outcomes[drop->ref].cancelled;
+            } else if (const auto *duplicate = std::get_if<ReportDuplicate>(&action)) {
+                onlyOnce.insert(duplicate->ref);
+            }
+        }
+        for (const auto &[ref, outcome] : outcomes) {
+            RC_ASSERT(outcome.started + outcome.refused + outcome.cancelled <= 1);
+        }
+    }
+
+    struct Outcome
+    {
+        int started = 0;
+        int refused = 0;
+        int cancelled = 0;
+    };
+
+    AdmissionGate gate;
+    std::map<RequestRef, Outcome> outcomes;
+    std::set<RequestRef> onlyOnce; ///< Reported as copies, of themselves or of what may run once only.
+    std::vector<RequestRef> running;
+    Core::TimePoint now = at(0);
+};
+
+GateRequest randomRequest(const Owner &owner)
+{
+    GateRequest request = requestOf("r" + std::to_string(*rc::gen::inRange(0, 40)), *rc::gen::inRange(1U, 5U));
+    request.flow.team = *rc::gen::element<std::string>("a", "b", "c");
+    request.isIdempotent = *rc::gen::weightedElement<bool>({{3, true}, {1, false}});
+    request.mark = *rc::gen::inRange(0U, 16U);
+    request.promptTokens = *rc::gen::inRange(0U, 20000U);
+    request.deadline = owner.now + milliseconds(*rc::gen::inRange(0, 20000));
+    return request;
+}
+
+void endARun(Owner &owner)
+{
+    if (owner.running.empty()) {
+        return;
+    }
+    const auto chosen = owner.running.begin() + *rc::gen::inRange<std::ptrdiff_t>(0, static_cast<std::ptrdiff_t>(owner.running.size()));
+    const RequestRef ref = *chosen;
+    owner.running.erase(chosen);
+    if (*rc::gen::arbitrary<bool>()) {
+        owner.obey(owner.gate.noteFirstToken(ref, *rc::gen::inRange(0U, 4096U), owner.now));
+        owner.gate.noteTokens(ref, 3, owner.now);
+    }
+    owner.obey(owner.gate.noteRunEnded(ref, {RunEnd::Complete, std::nullopt, std::nullopt, 5}, owner.now));
+}
+
+void step(Owner &owner)
+{
+    switch (*rc::gen::weightedElement<int>({{10, 0}, {6, 1}, {2, 2}, {1, 3}, {1, 4}, {1, 5}, {4, 6}})) {
+    case 0:
+        owner.submit(randomRequest(owner));
+        break;
+    case 1:
+        endARun(owner);
+        break;
+    case 2:
+        owner.obey(owner.gate.cancel({"r" + std::to_string(*rc::gen::inRange(0, 40)), *rc::gen::inRange(1U, 5U)}, owner.now));
+        break;
+    case 3:
+        owner.obey(owner.gate.setLeaving(*rc::gen::weightedElement<bool>({{1, true}, {3, false}}), owner.now));
+        break;
+    case 4:
+        owner.obey(owner.gate.setEngineUp(*rc::gen::weightedElement<bool>({{1, false}, {3, true}}), owner.now));
+        break;
+    case 5:
+        owner.obey(
+            owner.gate.setServed(*rc::gen::weightedElement<bool>({{1, false}, {3, true}}) ? std::vector{version} : std::vector<ModelVersion>(), owner.now));
+        break;
+    default:
+        owner.now += milliseconds(*rc::gen::inRange(0, 3000));
+        owner.obey(owner.gate.tick(owner.now));
+    }
+}
+
+TEST(AdmissionGateTest, endsEachAttemptExactlyOnce)
+{
+    EXPECT_TRUE(rc::check("as started, refused or cancelled", [] {
+        AdmissionGateOptions options;
+        options.maximumRunning = 3;
+        options.maximumQueued = *rc::gen::inRange<std::size_t>(1, 12);
+        Owner owner(options);
+        const int steps = *rc::gen::inRange(1, 200);
+        for (int i = 0; i < steps; ++i) {
+            step(owner);
+            RC_ASSERT(owner.gate.queued() <= options.maximumQueued);
+            RC_ASSERT(owner.gate.running() == owner.running.size());
+        }
+        owner.now += std::chrono::hours(1);
+        owner.obey(owner.gate.tick(owner.now));
+        RC_ASSERT(owner.gate.queued() == 0U);
+        for (const auto &[ref, outcome] : owner.outcomes) {
+            const int ends = outcome.started + outcome.refused + outcome.cancelled;
+            RC_ASSERT(ends == 1 || (ends == 0 && owner.onlyOnce.contains(ref)));
+        }
+    }));
+}
+
+TEST(AdmissionGateTest, runsWhatMayRunOnceAtMostOnce)
+{
+    EXPECT_TRUE(rc::check("whatever attempts come in whatever order", [] {
+        Owner owner(oneAtATime());
+        for (int i = 0; i < 60; ++i) {
+            GateRequest request = randomRequest(owner);
+            request.ref.request = "r";
+            request.isIdempotent = false;
+            owner.submit(request);
+            step(owner);
+        }
+        int started = 0;
+        for (const auto &[ref, outcome] : owner.outcomes) {
+            started += ref.request == "r" ? outcome.started : 0;
+        }
+        RC_ASSERT(started <= 1);
+    }));
+}
+
+} // namespace
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/tests/auto/gate/tst_overloadcontrol.cpp
@@ -0,0 +1,100 @@
+#include <decisions/gate/costmodel.h>
+#include <decisions/gate/heatmeter.h>
+#include <decisions/gate/overloadcontrol.h>
+
+#include <gtest/gtest.h>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+Core::TimePoint at(int count)
+{
+    return Core::TimePoint(std::chrono::milliseconds(count));
+}
+
+TEST(OverloadControlTest, fallsFastAndRisesSlowly)
+{
+    OverloadControl control;
+    EXPECT_EQ(control.level(), 0U);
+    EXPECT_FALSE(control.isRefused(15));
+    int now = 0;
+    while (control.level() != 1) {
+        control.noteWait(milliseconds(5000), at(now += 100));
+        ASSERT_LT(now, 1000);
+    }
+    EXPECT_TRUE(control.isRefused(1));
+    EXPECT_FALSE(control.isRefused(0));
+    const int tightAt = now;
+    while (control.level() != 0) {
+        control.noteWait(milliseconds(0), at(now += 100));
+        ASSERT_LT(now, 20000);
+    }
+    EXPECT_GE(now - tightAt, 7500);
+    EXPECT_EQ(control.nextDeadline(), std::nullopt);
+}
+
+TEST(OverloadControlTest, standsStillBetweenTheWaits)
+{
+    OverloadControl control;
+    control.noteWait(milliseconds(1500), at(100));
+    EXPECT_EQ(control.level(), 15U);
+    for (int now = 200; now < 5000; now += 100) {
+        control.noteWait(milliseconds(now % 200 == 0 ? 600 : 100), at(now));
+        EXPECT_EQ(control.level(), 15U);
+    }
+}
+
+TEST(HeatMeterTest, widensAHotPrefixAndNarrowsItAgain)
+{
+    HeatMeter meter;
+    const std::vector<PrefixKey> keys{PrefixKey(1), PrefixKey(2)};
+    int now = 0;
+    for (; now < 1000; now += 10) {
+        meter.noteDemand(keys, milliseconds(1), at(now));
+    }
+    EXPECT_EQ(meter.hint(keys), std::nullopt);
+    for (; now < 10000; now += 10) {
+        meter.noteDemand(keys, milliseconds(20), at(now));
+    }
+    ASSERT_TRUE(meter.hint(keys));
+    EXPECT_EQ(meter.hint(keys)->key, PrefixKey(2));
+    EXPECT_GE(meter.hint(keys)->width, 4U);
+    for (; now < 120000; now += 1000) {
+        meter.noteDemand(keys, milliseconds(1), at(now));
+    }
+    EXPECT_EQ(meter.hint(keys), std::nullopt);
+}
+
+TEST(HeatMeterTest, staysBoundedAndKeepsTheHot)
+{
+    HeatOptions options;
+    options.maximumKeys = 16;
+    HeatMeter meter(options);
+    for (int i = 0; i < 1000; ++i) {
+        meter.noteDemand({PrefixKey(7)}, milliseconds(1), at(i));
+        meter.noteDemand({PrefixKey(100 + std::uint64_t(i))}, milliseconds(1), at(i));
+        ASSERT_LE(meter.size(), 16U);
+    }
+    EXPECT_GT(meter.load(PrefixKey(7), at(1000)), 0.3);
+}
+
+TEST(CostModelTest, learnsWhatWorkCosts)
+{
+    CostModel model;
+    for (int i = 0; i < 200; ++i) {
+        model.notePrefill(4096, milliseconds(402));
+        model.noteTokenInterval(milliseconds(40), 8);
+        model.noteAnswerLength(50, 200);
+    }
+    EXPECT_NEAR(std::chrono::duration<double>(model.prefillPerPiece()).count(), 0.2, 0.001);
+    EXPECT_NEAR(std::chrono::duration<double>(model.decodeWork(200)).count(), 50 * 0.005, 0.001);
+    EXPECT_EQ(model.missingTokens(5000, 2), 904U);
+    EXPECT_EQ(model.missingTokens(4000, 2), 0U);
+}
+
+} // namespace
+
+} // namespace Verbena::Decisions
