Add the platform over HTTP, its stand-ins with faults, and the membership view

Cause: settings, claims, leases and membership need a table service, an object store and a host list that fail as the platform does. Change: HttpPlatform speaks JSON to verbena-standin platform; MemoryPlatform gives the same faults in virtual time. Only a refusal by the platform or a request that never left counts as not sent. A tombstone stands at its own revision. Membership joins settings, host list and replies; a superseded incarnation never comes back.

--- a/src/apps/standin/main.cpp
+++ b/src/apps/standin/main.cpp
@@ -4,6 +4,7 @@
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
 #include <standin/enginestandin.h>
+#include <standin/platformstandin.h>
 #include <standin/servicestandin.h>
 
 #include <csignal>
@@ -43,6 +44,10 @@
     if (!loop) {
         return Application::refuseStart(loop.error());
     }
+    if (options.role == "platform") {
+        const auto platform = Standin::PlatformStandin::create(*loop.value(), options.engine.port);
+        return platform ? runUntilSignal(*loop.value(), platform.value()->port()) : Application::refuseStart(platform.error());
+    }
     if (options.role == "service") {
         const auto service = Standin::ServiceStandin::create(*loop.value(), options.service);
         return service ? runUntilSignal(*loop.value(), service.value()->port()) : Application::refuseStart(service.error());
--- a/src/apps/standin/standinoptions.cpp
+++ b/src/apps/standin/standinoptions.cpp
@@ -38,7 +38,7 @@
     StandinOptions options;
     const EngineOptions &standard = options.engine;
     TCLAP::CmdLine line("Stands in for the systems that verbenaladder meets.", ' ', version);
-    std::vector<std::string> roles{"engine", "service"};
+    std::vector<std::string> roles{"engine", "platform", "service"};
     TCLAP::ValuesConstraint<std::string> allowedRoles(roles);
     TCLAP::UnlabeledValueArg<std::string> role("role", "What to stand in for.", true, "engine", &allowedRoles, line);
     ValueArg<int> port("p", "port", "The port to listen on; 0 lets the system choose.", false, 0, "number", line);
--- /dev/null
+++ b/src/libs/decisions/control/membership.cpp
@@ -0,0 +1,223 @@
+#include "membership.h"
+
+#include <algorithm>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+// Late replies and lagging lists speak of the last few incarnations, not of all that ever were.
+constexpr std::size_t rememberedIncarnations = 8;
+
+ModelVersion versionOf(const std::string &declared, const Settings::InForceSettings &settings)
+{
+    const std::size_t colon = declared.find(':');
+    ModelVersion version;
+    version.model = declared.substr(0, colon);
+    version.adapter = colon == std::string::npos ? std::string() : declared.substr(colon + 1);
+    const auto model = settings.models.find(version.model);
+    version.weightsVersion = model == settings.models.end() ? std::string() : model->second.weightsVersion;
+    return version;
+}
+
+BackendServer serverOf(const Settings::BackendServerSettings &declared, const Settings::InForceSettings &settings)
+{
+    BackendServer server;
+    server.id = backendServerId(declared.name);
+    server.name = declared.name;
+    server.endpoint = declared.endpoint;
+    server.failureDomain = declared.failureDomain;
+    server.service = declared.service;
+    for (const std::string &model : declared.models) {
+        server.served.push_back(versionOf(model, settings));
+    }
+    return server;
+}
+
+} // namespace
+
+Membership::Membership(const MembershipLimits &limits)
+    : m_limits(limits)
+{
+}
+
+void Membership::setSettings(const Settings::InForceSettings &settings)
+{
+    std::map<BackendServerId, Member> members;
+    for (const auto &[name, declared] : settings.backendServers) {
+        const BackendServerId id = backendServerId(name);
+        const auto known = m_members.find(id);
+        Member member = known == m_members.end() ? Member() : std::move(known->second);
+        // Another endpoint is another place: what was seen of the old one says nothing of it.
+        if (member.server.endpoint != declared.endpoint) {
+            member = Member();
+        }
+        member.server = serverOf(declared, settings);
+        member.isDrained = declared.isDrained;
+        member.server.state = stateOf(member);
+        members.emplace(id, std::move(member));
+    }
+    m_members = std::move(members);
+    ++m_version;
+}
+
+void Membership::setHostList(const std::vector<Platform::HostEntry> &hosts, Core::TimePoint fetchedAt)
+{
+    if (m_listFetchedAt && fetchedAt < *m_listFetchedAt) {
+        return;
+    }
+    std::map<BackendServerId, const Platform::HostEntry *> entries;
+    for (const Platform::HostEntry &host : hosts) {
+        const BackendServerId id = backendServerId(host.name);
+        if (m_members.contains(id)) {
+            entries.emplace(id, &host);
+        }
+    }
+    if (entries.empty()) {
+        return;
+    }
+    m_listFetchedAt = fetchedAt;
+    for (auto &[id, member] : m_members) {
+        const auto entry = entries.find(id);
+        if (entry == entries.end()) {
+            member.isListed = false;
+        } else if (!isPast(member, entry->second->incarnation)) {
+            takeEntry(member, *entry->second);
+        }
+        updateState(member);
+    }
+}
+
+void Membership::noteReply(BackendServerId id, std::uint64_t incarnation, bool isLeaving, Core::TimePoint now)
+{
+    const auto found = m_members.find(id);
+    if (found == m_members.end() || isPast(found->second, incarnation)) {
+        return;
+    }
+    Member &member = found->second;
+    takeIncarnation(member, incarnation);
+    member.lastReply = now;
+    member.isLeavingBySelf = isLeaving;
+    member.timeouts = 0;
+    member.suspicions = 0;
+    member.skipUntil = {};
+    updateState(member);
+}
+
+void Membership::noteTimeout(BackendServerId id, Core::TimePoint now)
+{
+    const auto found = m_members.find(id);
+    // Requests that were under way when the suspicion began say nothing new.
+    if (found == m_members.end() || now < found->second.skipUntil) {
+        return;
+    }
+    Member &member = found->second;
+    ++member.timeouts;
+    if (member.timeouts < m_limits.timeoutsBeforeSuspicion) {
+        return;
+    }
+    // After the first suspicion one further timeout is enough for the next: the server has not answered since.
+    std::chrono::milliseconds span = m_limits.firstSuspicion;
+    for (std::uint32_t i = 0; i < member.suspicions && span < m_limits.longestSuspicion; ++i) {
+        span *= 2;
+    }
+    ++member.suspicions;
+    member.skipUntil = now + std::min(span, m_limits.longestSuspicion);
+}
+
+std::vector<BackendServer> Membership::fleet() const
+{
+    std::vector<BackendServer> servers;
+    servers.reserve(m_members.size());
+    for (const auto &[id, member] : m_members) {
+        servers.push_back(member.server);
+    }
+    return servers;
+}
+
+bool Membership::isSuspected(BackendServerId id, Core::TimePoint now) const
+{
+    const auto found = m_members.find(id);
+    return found != m_members.end() && now < found->second.skipUntil;
+}
+
+std::vector<BackendServerId> Membership::suspected(Core::TimePoint now) const
+{
+    std::vector<BackendServerId> ids;
+    for (const auto &[id, member] : m_members) {
+        if (now < member.skipUntil) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::uint64_t Membership::incarnation(BackendServerId id) const
+{
+    const auto found = m_members.find(id);
+    return found == m_members.end() ? 0 : found->second.incarnation;
+}
+
+std::uint64_t Membership::version() const
+{
+    return m_version;
+}
+
+BackendServerState Membership::stateOf(const Member &member) const
+{
+    if (member.wasListed && !member.isListed) {
+        // The platform took it away, but it may still be finishing what it has.
+        const bool isAnswering = member.lastReply && m_listFetchedAt && *member.lastReply > *m_listFetchedAt;
+        return isAnswering ? BackendServerState::Leaving : BackendServerState::Dead;
+    }
+    const bool isLeaving = member.isDrained || member.isLeavingBySelf || member.isLeavingByList;
+    return isLeaving ? BackendServerState::Leaving : BackendServerState::Live;
+}
+
+void Membership::updateState(Member &member)
+{
+    const BackendServerState state = stateOf(member);
+    if (state != member.server.state) {
+        member.server.state = state;
+        ++m_version;
+    }
+}
+
+// A number that was superseded never comes back, so that lists and replies that lag change nothing, in whatever order they come.
+bool Membership::isPast(const Member &member, std::uint64_t incarnation)
+{
+    return incarnation != 0 && std::find(member.pastIncarnations.begin(), member.pastIncarnations.end(), incarnation) != member.pastIncarnations.end();
+}
+
+void Membership::takeIncarnation(Member &member, std::uint64_t incarnation)
+{
+    if (incarnation == 0 || incarnation == member.incarnation) {
+        return;
+    }
+    if (member.incarnation != 0) {
+        member.pastIncarnations.push_back(member.incarnation);
+        if (member.pastIncarnations.size() > rememberedIncarnations) {
+            member.pastIncarnations.erase(member.pastIncarnations.begin());
+        }
+        // What was known was about another host.
+        member.isLeavingBySelf = false;
+        member.isLeavingByList = false;
+        member.wasListed = false;
+        member.isListed = false;
+        member.timeouts = 0;
+        member.suspicions = 0;
+        member.skipUntil = {};
+        member.lastReply.reset();
+    }
+    member.incarnation = incarnation;
+}
+
+void Membership::takeEntry(Member &member, const Platform::HostEntry &entry)
+{
+    takeIncarnation(member, entry.incarnation);
+    member.isListed = true;
+    member.wasListed = true;
+    member.isLeavingByList = entry.isLeaving;
+}
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/platform/httpplatform.cpp
@@ -0,0 +1,226 @@
+#include "httpplatform.h"
+
+#include "platformjson.h"
+
+#include <eventloop/loop.h>
+
+namespace Verbena::Platform {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 409;
+constexpr int statusTooManyRequests = 429;
+constexpr int statusUnavailable = 503;
+
+struct Answer
+{
+    int status = 0;
+    std::string body;
+};
+
+using AnswerCallback = std::function<void(Core::Result<Answer>)>;
+
+class AnswerCollector : public Http::HttpReceiver
+{
+public:
+    explicit AnswerCollector(AnswerCallback done)
+        : m_done(std::move(done))
+    {
+    }
+
+    void receiveData(int, std::string_view data) override
+    {
+        m_body.append(data);
+    }
+
+    void finish(Core::Result<int> status) override
+    {
+        if (!status) {
+            m_done(status.error());
+            return;
+        }
+        m_done(Answer{status.value(), std::move(m_body)});
+    }
+
+private:
+    AnswerCallback m_done;
+    std::string m_body;
+};
+
+Core::Error errorOf(int status, const char *step, const std::string &peer)
+{
+    switch (status) {
+    case statusBadRequest:
+        return {Core::ErrorCode::InvalidArgument, step, peer, "The platform does not understand the request."};
+    case statusNotFound:
+        return {Core::ErrorCode::NotFound, step, peer, "The platform does not have it."};
+    case statusTooManyRequests:
+        return {Core::ErrorCode::ResourceExhausted, step, peer, "The platform's budget is used up."};
+    case statusUnavailable:
+        return {Core::ErrorCode::Unavailable, step, peer, "The platform is out of service."};
+    default:
+        return {Core::ErrorCode::Unknown, step, peer, "The platform answered with status " + std::to_string(status) + "."};
+    }
+}
+
+// The error that keeps an answer from being read, if there is one.
+std::optional<Core::Error> failureOf(const Core::Result<Answer> &answer, const char *step, const std::string &peer)
+{
+    if (!answer) {
+        return Core::Error{answer.error().code, step, peer, answer.error().message};
+    }
+    if (answer.value().status != statusOk) {
+        return errorOf(answer.value().status, step, peer);
+    }
+    return std::nullopt;
+}
+
+template<typename Done, typename Decode>
+AnswerCallback decodingCallback(const char *step, const std::string &peer, Done done, Decode decode)
+{
+    return [step, peer, done = std::move(done), decode](const Core::Result<Answer> &answer) {
+        if (const auto failure = failureOf(answer, step, peer)) {
+            done(*failure);
+            return;
+        }
+        done(decode(answer.value().body));
+    };
+}
+
+CommitAnswer notSent(const std::string &detail)
+{
+    return {CommitOutcome::NotSent, 0, {}, detail};
+}
+
+// Only what the platform itself says, or a request that never left, proves that nothing was written.
+CommitAnswer commitAnswerOf(const Core::Result<Answer> &answer, const std::string &peer)
+{
+    const char *step = "table.commit";
+    if (!answer) {
+        const bool hasLeft = answer.error().code != Core::ErrorCode::Unavailable;
+        return {hasLeft ? CommitOutcome::Unknown : CommitOutcome::NotSent, 0, {}, answer.error().toString()};
+    }
+    const int status = answer.value().status;
+    if (status == statusOk) {
+        const auto revision = decodeRevision(answer.value().body);
+        return revision ? CommitAnswer{CommitOutcome::Committed, revision.value(), {}, {}}
+                        : CommitAnswer{CommitOutcome::Unknown, 0, {}, revision.error().toString()};
+    }
+    const std::string detail = errorOf(status, step, peer).toString();
+    if (status == statusConflict) {
+        const auto rows = decodeRows(answer.value().body);
+        return {CommitOutcome::Conflict, 0, rows ? rows.value() : std::vector<TableRow>{}, "A row stands at another revision."};
+    }
+    const bool isRefused = status == statusBadRequest || status == statusTooManyRequests || status == statusUnavailable;
+    return isRefused ? notSent(detail) : CommitAnswer{CommitOutcome::Unknown, 0, {}, detail};
+}
+
+bool isObjectName(const std::string &name)
+{
+    const auto isAllowed = [](unsigned char letter) {
+        return std::isalnum(letter) != 0 || letter == '-' || letter == '_' || letter == '.' || letter == '/';
+    };
+    return !name.empty() && std::all_of(name.begin(), name.end(), isAllowed);
+}
+
+Core::Error wrongObjectName(const char *step, const std::string &peer)
+{
+    return {Core::ErrorCode::InvalidArgument, step, peer, "The name of an object has letters, digits and the signs - _ . / only."};
+}
+
+Http::HttpCall jsonCall(const std::string &url, std::string body, Core::TimePoint deadline)
+{
+    return {"POST", url, {"Content-Type: application/json"}, std::move(body), deadline};
+}
+
+} // namespace
+
+Core::Result<std::unique_ptr<HttpPlatform>> HttpPlatform::create(EventLoop::Loop &loop, const std::string &url)
+{
+    BOOST_OUTCOME_TRY(client, Http::HttpClient::create(loop));
+    return std::unique_ptr<HttpPlatform>(new HttpPlatform(loop, url, std::move(client)));
+}
+
+HttpPlatform::HttpPlatform(EventLoop::Loop &loop, std::string url, std::unique_ptr<Http::HttpClient> client)
+    : m_loop(loop)
+    , m_url(std::move(url))
+    , m_client(std::move(client))
+    , m_runLater(loop, [this] { runLater(); })
+{
+}
+
+void HttpPlatform::callLater(std::function<void()> callback)
+{
+    m_later.push_back(std::move(callback));
+    m_runLater.schedule();
+}
+
+void HttpPlatform::runLater()
+{
+    std::vector<std::function<void()>> callbacks;
+    callbacks.swap(m_later);
+    for (const auto &callback : callbacks) {
+        callback();
+    }
+}
+
+void HttpPlatform::get(const std::vector<std::string> &keys, Core::TimePoint deadline, RowsCallback done)
+{
+    auto callback = decodingCallback("table.get", m_url, std::move(done), &decodeRows);
+    m_client->start(jsonCall(m_url + "/table/get", encodeKeys(keys), deadline), std::make_shared<AnswerCollector>(std::move(callback)));
+}
+
+void HttpPlatform::scan(const std::string &prefix, std::uint64_t sinceRevision, std::size_t limit, Core::TimePoint deadline, RowsCallback done)
+{
+    auto callback = decodingCallback("table.scan", m_url, std::move(done), &decodeRows);
+    const std::string body = encodeScan({prefix, sinceRevision, limit});
+    m_client->start(jsonCall(m_url + "/table/scan", body, deadline), std::make_shared<AnswerCollector>(std::move(callback)));
+}
+
+void HttpPlatform::commit(const std::vector<RowWrite> &writes, Core::TimePoint deadline, CommitCallback done)
+{
+    if (deadline <= m_loop.now()) {
+        callLater([done, url = m_url] { done(notSent("table.commit [" + url + "]: The deadline passed before anything was sent.")); });
+        return;
+    }
+    if (!isEncodable(writes)) {
+        callLater([done, url = m_url] { done(notSent("table.commit [" + url + "]: A row is not UTF-8 text.")); });
+        return;
+    }
+    auto callback = [peer = m_url, done = std::move(done)](const Core::Result<Answer> &answer) {
+        done(commitAnswerOf(answer, peer));
+    };
+    m_client->start(jsonCall(m_url + "/table/commit", encodeWrites(writes), deadline), std::make_shared<AnswerCollector>(std::move(callback)));
+}
+
+void HttpPlatform::get(const std::string &name, Core::TimePoint deadline, GetCallback done)
+{
+    if (!isObjectName(name)) {
+        callLater([done, url = m_url] { done(wrongObjectName("objects.get", url)); });
+        return;
+    }
+    auto callback = decodingCallback("objects.get", m_url, std::move(done), [](const std::string &body) { return Core::Result<std::string>(body); });
+    m_client->start({"GET", m_url + "/objects/" + name, {}, {}, deadline}, std::make_shared<AnswerCollector>(std::move(callback)));
+}
+
+void HttpPlatform::put(const std::string &name, const std::string &content, Core::TimePoint deadline, PutCallback done)
+{
+    if (!isObjectName(name)) {
+        callLater([done, url = m_url] { done(wrongObjectName("objects.put", url)); });
+        return;
+    }
+    auto callback = decodingCallback("objects.put", m_url, std::move(done), [](const std::string &) { return Core::Result<void>(Core::success()); });
+    m_client->start({"PUT", m_url + "/objects/" + name, {"Content-Type: application/octet-stream"}, content, deadline},
+        std::make_shared<AnswerCollector>(std::move(callback)));
+}
+
+void HttpPlatform::fetch(Core::TimePoint deadline, ListCallback done)
+{
+    auto callback = decodingCallback("hosts.fetch", m_url, std::move(done), &decodeHosts);
+    m_client->start({"GET", m_url + "/hosts", {}, {}, deadline}, std::make_shared<AnswerCollector>(std::move(callback)));
+}
+
+} // namespace Verbena::Platform
--- a/src/libs/platform/tableservice.h
+++ b/src/libs/platform/tableservice.h
@@ -25,7 +25,9 @@
 {
     std::string key;
     std::optional<std::string> value; ///< Nothing deletes the row.
-    std::optional<std::uint64_t> expectedRevision; ///< The commit fails unless the row stands at this revision; 0: it must not exist.
+    /// The commit fails unless the row stands at this revision; 0: there never was such a row. A tombstone stands at its own
+    /// revision, so that a late create cannot bring back what was deleted.
+    std::optional<std::uint64_t> expectedRevision;
 };
 
 /// \brief How a commit ended.
--- /dev/null
+++ b/src/libs/standin/memoryplatform.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "platformstate.h"
+
+#include <platform/objectstore.h>
+
+#include <functional>
+#include <map>
+
+namespace Verbena::Standin {
+
+/// \brief The platform in memory and in virtual time, with the same faults as the stand-in process.
+///
+/// Nothing happens until advanceTo(): an operation reaches the platform after half its latency and is answered after all of it,
+/// or at its deadline as lost.
+class MemoryPlatform : public Platform::TableService, public Platform::ObjectStore, public Platform::HostList
+{
+public:
+    /// \brief Makes a platform whose operations take \a latency.
+    MemoryPlatform(Core::TimePoint now, std::chrono::microseconds latency);
+
+    PlatformState &state();
+    Core::TimePoint now() const;
+
+    /// \brief When the next thing happens, if anything is under way.
+    std::optional<Core::TimePoint> nextEvent() const;
+
+    /// \brief Lets everything happen that is due up to \a moment, in order.
+    void advanceTo(Core::TimePoint moment);
+
+    void get(const std::vector<std::string> &keys, Core::TimePoint deadline, RowsCallback done) override;
+    void scan(const std::string &prefix, std::uint64_t sinceRevision, std::size_t limit, Core::TimePoint deadline, RowsCallback done) override;
+    void commit(const std::vector<Platform::RowWrite> &writes, Core::TimePoint deadline, CommitCallback done) override;
+    void get(const std::string &name, Core::TimePoint deadline, GetCallback done) override;
+    void put(const std::string &name, const std::string &content, Core::TimePoint deadline, PutCallback done) override;
+    void fetch(Core::TimePoint deadline, ListCallback done) override;
+
+private:
+    using Step = std::function<void()>;
+
+    void schedule(Core::TimePoint moment, Step step);
+    void answer(Core::TimePoint deadline, Step onTime, Step late);
+    template<typename Done, typename Read>
+    void read(const char *step, Core::TimePoint deadline, Done done, Read readValue);
+
+    PlatformState m_state;
+    Core::TimePoint m_now;
+    std::chrono::microseconds m_latency;
+    std::multimap<Core::TimePoint, Step> m_steps;
+};
+
+} // namespace Verbena::Standin
