Let the agent admit, queue, resume, cancel and leave

Cause: the agent passed each request on, whatever its queue, its engine's state or the router's wish.

Change: RunManager drives the admission gate between routers and a BackendAdapter (engine or plain service). Frames carry what came together and obey the router's credit; without credit the backend server is held back. BackendWatch notices an engine that is refused, hung or back as another incarnation; cache events feed the index, with gaps made known at once. A run is refused only if nothing was sent. SIGTERM and a drained backend server refuse new work and finish what runs; a router that cannot be reached loses its runs. /status, /metrics and /healthz by setting; SIGHUP reads keys and tree again.

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -1,8 +1,12 @@
+#include <agent/agentevents.h>
 #include <agent/agenttask.h>
+#include <agent/statuspage.h>
 #include <application/processreport.h>
 #include <application/standardoptions.h>
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
+#include <observe/eventlog.h>
+#include <settingstree/staticsettingsview.h>
 
 #include <csignal>
 #include <iostream>
@@ -28,20 +32,48 @@
         return Application::refuseStart(loop.error());
     }
     EventLoop::Loop &running = *loop.value();
-    const auto task = Agent::AgentTask::create(running, settings.value());
+    Observe::Metrics metrics;
+    const auto task = Agent::AgentTask::create(running, settings.value(), metrics);
     if (!task) {
         return Application::refuseStart(task.error());
     }
-    EventLoop::SignalWatcher terminate(running, SIGTERM, [&running] {
-        Application::reportSignal(SIGTERM);
-        running.stop();
-    });
-    EventLoop::SignalWatcher interrupt(running, SIGINT, [&running] {
-        Application::reportSignal(SIGINT);
-        running.stop();
+    Agent::AgentTask &agent = *task.value();
+    std::unique_ptr<Agent::StatusPage> page;
+    if (settings.value().status) {
+        auto opened = Agent::StatusPage::create(running, *settings.value().status, agent, metrics);
+        if (!opened) {
+            return Application::refuseStart(opened.error());
+        }
+        page = std::move(opened.value());
+        std::cout << "listening status " << page->address() << std::endl;
+    }
+    std::shared_ptr<SettingsTree::StaticSettingsView> view;
+    if (!settings.value().treeFiles.empty()) {
+        auto read = SettingsTree::StaticSettingsView::fromFiles(settings.value().treeFiles);
+        if (!read) {
+            return Application::refuseStart(read.error());
+        }
+        view = std::move(read.value());
+        agent.setSettingsView(view);
+    }
+    const auto end = [&running, &agent](int signalNumber) {
+        Application::reportSignal(signalNumber);
+        agent.leave([&running] { running.stop(); });
+    };
+    EventLoop::SignalWatcher terminate(running, SIGTERM, [&end] { end(SIGTERM); });
+    EventLoop::SignalWatcher interrupt(running, SIGINT, [&end] { end(SIGINT); });
+    EventLoop::SignalWatcher reload(running, SIGHUP, [&agent, &view] {
+        agent.reloadKeys();
+        if (!view) {
+            return;
+        }
+        const auto read = view->reload();
+        if (!read) {
+            Observe::log(Agent::agentSettingsInvalid, read.error());
+        }
     });
-    std::cout << "listening zmq " << task.value()->endpoint() << std::endl;
-    Application::reportStart(VERBENA_VERSION, task.value()->endpoint());
+    std::cout << "listening zmq " << agent.endpoint() << std::endl;
+    Application::reportStart(VERBENA_VERSION, agent.endpoint());
     running.run();
     Application::reportStop();
     return 0;
--- /dev/null
+++ b/src/libs/agent/engineadapter.cpp
@@ -0,0 +1,95 @@
+#include "engineadapter.h"
+
+#include "completionbody.h"
+
+#include <eventloop/loop.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Verbena::Agent {
+
+namespace {
+
+constexpr std::chrono::seconds cancelTimeout{1};
+
+} // namespace
+
+Core::Result<std::unique_ptr<BackendAdapter>> EngineAdapter::create(EventLoop::Loop &loop, const BackendWatchOptions &options, BackendListener &listener)
+{
+    BOOST_OUTCOME_TRY(client, Http::HttpClient::create(loop));
+    return std::unique_ptr<BackendAdapter>(new EngineAdapter(loop, std::move(client), options, listener));
+}
+
+EngineAdapter::EngineAdapter(EventLoop::Loop &loop, std::unique_ptr<Http::HttpClient> client, const BackendWatchOptions &options, BackendListener &listener)
+    : HttpAdapter(loop, std::move(client), options, listener)
+    , m_events(loop, *m_client, options, m_watch, listener)
+{
+}
+
+void EngineAdapter::start()
+{
+    HttpAdapter::start();
+    m_events.start();
+}
+
+void EngineAdapter::startRun(const Decisions::RequestRef &ref, const verbena::wire::Dispatch &dispatch, Core::TimePoint deadline)
+{
+    const auto cancelling = m_cancelling.find(ref.request);
+    if (cancelling != m_cancelling.end()) {
+        // The engine knows the request alone and could take the new attempt for the cancelled one.
+        cancelling->second.push_back({ref, dispatch, deadline});
+        return;
+    }
+    m_events.noteRunStarted(ref);
+    HttpAdapter::startRun(ref, dispatch, deadline);
+}
+
+void EngineAdapter::cancelRun(const Decisions::RequestRef &ref)
+{
+    const auto cancelling = m_cancelling.find(ref.request);
+    if (cancelling != m_cancelling.end()) {
+        std::erase_if(cancelling->second, [&ref](const WaitingRun &waiting) { return waiting.ref == ref; });
+        return;
+    }
+    HttpAdapter::cancelRun(ref);
+    m_cancelling[ref.request];
+    Http::HttpCall call;
+    call.method = "POST";
+    call.url = m_options.url + "/cancel";
+    call.fields = {"Content-Type: application/json"};
+    call.body = nlohmann::json{{"request", ref.request}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    call.deadline = m_loop.now() + cancelTimeout;
+    const std::string request = ref.request;
+    m_client->start(call, std::make_shared<BodyCollector>([this, request](const Core::Result<HttpReply> &) { finishCancel(request); }));
+}
+
+void EngineAdapter::finishCancel(const std::string &request)
+{
+    const auto node = m_cancelling.extract(request);
+    for (const WaitingRun &waiting : node.mapped()) {
+        startRun(waiting.ref, waiting.dispatch, waiting.deadline);
+    }
+}
+
+bool EngineAdapter::isServing(verbena::wire::RunKind kind) const
+{
+    return kind == verbena::wire::RUN_KIND_COMPLETION;
+}
+
+Core::Result<Http::HttpCall> EngineAdapter::makeCall(const verbena::wire::Dispatch &dispatch) const
+{
+    BOOST_OUTCOME_TRY(body, completionBody(dispatch));
+    Http::HttpCall call;
+    call.method = "POST";
+    call.url = m_options.url + dispatch.path();
+    call.fields = {"Content-Type: application/json", "Verbena-Request: " + dispatch.request()};
+    call.body = std::move(body);
+    return call;
+}
+
+std::shared_ptr<RunCall> EngineAdapter::makeRunCall(const Decisions::RequestRef &ref)
+{
+    return std::make_shared<CompletionCall>(ref, *this);
+}
+
+} // namespace Verbena::Agent
--- /dev/null
+++ b/src/libs/agent/engineadapter.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "cacheeventpoller.h"
+#include "httpadapter.h"
+
+#include <vector>
+
+namespace Verbena::Agent {
+
+/// \brief The way to a model engine: streamed completions, cancel, cache events.
+class EngineAdapter : public HttpAdapter
+{
+public:
+    /// \brief Errors: Internal, if there is no HTTP client.
+    static Core::Result<std::unique_ptr<BackendAdapter>> create(EventLoop::Loop &loop, const BackendWatchOptions &options, BackendListener &listener);
+
+    void start() override;
+    void startRun(const Decisions::RequestRef &ref, const verbena::wire::Dispatch &dispatch, Core::TimePoint deadline) override;
+    void cancelRun(const Decisions::RequestRef &ref) override;
+    bool isServing(verbena::wire::RunKind kind) const override;
+
+protected:
+    Core::Result<Http::HttpCall> makeCall(const verbena::wire::Dispatch &dispatch) const override;
+    std::shared_ptr<RunCall> makeRunCall(const Decisions::RequestRef &ref) override;
+
+private:
+    struct WaitingRun
+    {
+        Decisions::RequestRef ref;
+        verbena::wire::Dispatch dispatch;
+        Core::TimePoint deadline;
+    };
+
+    EngineAdapter(EventLoop::Loop &loop, std::unique_ptr<Http::HttpClient> client, const BackendWatchOptions &options, BackendListener &listener);
+    void finishCancel(const std::string &request);
+
+    CacheEventPoller m_events;
+    std::unordered_map<std::string, std::vector<WaitingRun>> m_cancelling; ///< By request: runs that wait for the cancel of an earlier attempt.
+};
+
+} // namespace Verbena::Agent
--- /dev/null
+++ b/src/libs/agent/httpadapter.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "backendwatch.h"
+#include "runcall.h"
+
+#include <unordered_map>
+
+namespace Verbena::Agent {
+
+/// \brief What adapters to backend servers that speak HTTP have in common.
+class HttpAdapter : public BackendAdapter, public RunCallOwner
+{
+public:
+    void start() override;
+    void startRun(const Decisions::RequestRef &ref, const verbena::wire::Dispatch &dispatch, Core::TimePoint deadline) override;
+    void cancelRun(const Decisions::RequestRef &ref) override;
+    void loseRuns(const std::string &detail) override;
+    void pauseRun(const Decisions::RequestRef &ref) override;
+    void resumeRun(const Decisions::RequestRef &ref) override;
+    bool isUp() const override;
+
+    void noteEngineIncarnation(std::uint64_t incarnation) override;
+    void receiveCallOutput(const Decisions::RequestRef &ref, std::string_view text, std::uint32_t tokens) override;
+    void finishCall(const Decisions::RequestRef &ref, const BackendEnd &end, const Core::Result<int> &status) override;
+
+protected:
+    HttpAdapter(EventLoop::Loop &loop, std::unique_ptr<Http::HttpClient> client, const BackendWatchOptions &options, BackendListener &listener);
+
+    virtual Core::Result<Http::HttpCall> makeCall(const verbena::wire::Dispatch &dispatch) const = 0;
+    virtual std::shared_ptr<RunCall> makeRunCall(const Decisions::RequestRef &ref) = 0;
+
+    EventLoop::Loop &m_loop;
+    std::unique_ptr<Http::HttpClient> m_client;
+    BackendWatchOptions m_options;
+    BackendListener &m_listener;
+    BackendWatch m_watch;
+
+private:
+    std::unordered_map<Decisions::RequestRef, Http::HttpCallId, Decisions::RequestRefHash> m_calls;
+};
+
+} // namespace Verbena::Agent
--- /dev/null
+++ b/src/libs/agent/wireconversion.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "runtable.h"
+
+#include <decisions/gate/gatetypes.h>
+#include <decisions/gate/heatmeter.h>
+#include <decisions/routing/routechooser.h>
+
+#include <verbena.pb.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Verbena::Agent {
+
+/// \brief Why \a dispatch cannot be taken at all; nothing if it can.
+std::optional<std::string> problemOf(const verbena::wire::Dispatch &dispatch);
+
+/// \brief What the gate has to know of \a run.
+Decisions::GateRequest gateRequestOf(const AgentRun &run);
+
+std::vector<Decisions::PrefixKey> prefixKeysOf(const google::protobuf::RepeatedField<std::uint64_t> &keys);
+
+verbena::wire::RefusalReason refusalReasonOf(Decisions::GateRefusal reason);
+
+/// \brief Writes \a load and \a heat to \a hint.
+void fillLoadHint(const Decisions::LoadReport &load, const std::optional<Decisions::HeatHint> &heat, verbena::wire::LoadHint &hint);
+
+} // namespace Verbena::Agent
