--- a/tests/benchmarks/slopes/settingsslopes.cpp
+++ b/tests/benchmarks/slopes/settingsslopes.cpp
@@ -1,6 +1,7 @@
 #include "measure.h"
 #include "slopelist.h"
 
+#include <decisions/spread/settingsstore.h>
 #include <observe/metrics.h>
 #include <settingstree/inforcebuilder.h>
 
@@ -58,6 +59,23 @@
     });
 }
 
+/// What every process holds of the tree besides what is in force.
+double bytesOfStore(int organisations)
+{
+    const std::vector<ChangedRow> rows = organisationRows(organisations);
+    return heapBytesOf([&rows] {
+        auto store = std::make_unique<Decisions::SettingsStore>();
+        Decisions::SettingsDelta delta;
+        delta.covered = rows.back().revision;
+        delta.highest = delta.covered;
+        for (const ChangedRow &row : rows) {
+            delta.rows.push_back({row.path, row.content, row.revision, false});
+        }
+        keep(store->merge(std::move(delta)));
+        return store;
+    });
+}
+
 double bytesOfRows(int organisations)
 {
     double bytes = 0;
@@ -114,6 +132,7 @@
     const std::vector<int> organisations{2'000, 4'000, 9'000, 18'000};
     return {
         measureSlope({"in_force_memory", "organisations", "bytes", {}}, organisations, bytesInForce),
+        measureSlope({"settings_store_memory", "organisations", "bytes", {}}, organisations, bytesOfStore),
         measureSlope({"settings_row_bytes", "organisations", "bytes", {}}, organisations, bytesOfRows),
         measureSlope({"settings_change_time", "organisations", "ns a change", {}}, organisations, timeOfChange),
         measureSlope({"settings_load_time", "organisations", "ns", {}}, organisations, timeOfWholeTree),
