--- a/src/libs/standin/enginebatch.cpp
+++ b/src/libs/standin/enginebatch.cpp
@@ -9,9 +9,15 @@
 
 namespace {
 
-// Prompts are prefilled at most so much at a time, so that a long one does not hold up the answers of others.
+// Prompts are prefilled at most so much at a time, or for as long as a decode step, so that a long one does not hold up the answers of others.
 constexpr std::uint32_t prefillChunkTokens = 2048;
 
+std::uint32_t prefillBudget(const EngineOptions &options)
+{
+    const double tokens = std::chrono::duration<double>(options.decodeInterval).count() * options.prefillTokensPerSecond;
+    return static_cast<std::uint32_t>(std::max<double>(prefillChunkTokens, std::min<double>(tokens, UINT32_MAX)));
+}
+
 // Until a process that is to crash has sent what it wrote before.
 constexpr std::chrono::milliseconds crashDelay{20};
 
@@ -23,6 +29,7 @@
     , m_cache(cache)
     , m_runs(runs)
     , m_faults(faults)
+    , m_prefillBudget(prefillBudget(options))
     , m_stepTimer(loop, [this] { step(); })
     , m_crashTimer(loop, [] { std::_Exit(EXIT_FAILURE); })
 {
@@ -106,7 +113,7 @@
         prefill += sequence->prefillLeft();
         isDecoding = isDecoding || sequence->prefillLeft() == 0;
     }
-    const double prefillSeconds = static_cast<double>(std::min(prefill, prefillChunkTokens)) / m_options.prefillTokensPerSecond;
+    const double prefillSeconds = static_cast<double>(std::min(prefill, m_prefillBudget)) / m_options.prefillTokensPerSecond;
     const double decodeSeconds = isDecoding ? std::chrono::duration<double>(m_options.decodeInterval).count() : 0;
     const std::chrono::duration<double> span((prefillSeconds + decodeSeconds) * m_faults.slowFactor);
     m_stepTimer.startAt(m_loop.now() + std::chrono::duration_cast<std::chrono::microseconds>(span));
@@ -118,7 +125,7 @@
         return;
     }
     m_isStepping = true;
-    std::uint32_t budget = prefillChunkTokens;
+    std::uint32_t budget = m_prefillBudget;
     // Writing an answer never removes a sequence here, as the callers' going is noticed on the loop only.
     for (const auto &sequence : m_running) {
         if (m_isCrashing) {
--- a/src/libs/standin/enginebatch.h
+++ b/src/libs/standin/enginebatch.h
@@ -56,6 +56,7 @@
     PrefixCache &m_cache;
     RunList &m_runs;
     Faults &m_faults;
+    std::uint32_t m_prefillBudget; ///< Tokens prefilled in one step.
     Sequences m_waiting;
     Sequences m_running;
     std::vector<EngineSequence *> m_ended;
