--- a/src/libs/agent/serviceadapter.cpp
+++ b/src/libs/agent/serviceadapter.cpp
@@ -18,7 +18,7 @@
     Http::HttpCall call;
     call.method = "POST";
     call.url = m_options.url + dispatch.path();
-    call.fields = {"Content-Type: application/json", "Verbena-Request: " + dispatch.request()};
+    call.fields = {"Content-Type: application/json", "Verbena-Request: " + dispatch.request(), "Verbena-Attempt: " + std::to_string(dispatch.attempt())};
     call.body = dispatch.body();
     return call;
 }
--- a/src/libs/wire/messagesocket.cpp
+++ b/src/libs/wire/messagesocket.cpp
@@ -16,6 +16,8 @@
 constexpr int highWaterMark = 10000;
 constexpr std::chrono::milliseconds reconnectInterval{50};
 constexpr std::chrono::milliseconds maximumReconnectInterval{1000};
+// What a process sends right before it ends still gets this long to reach its peers.
+constexpr std::chrono::milliseconds linger{500};
 // A refused peer learns nothing and tries again after this.
 constexpr std::chrono::milliseconds handshakeTimeout{2000};
 constexpr std::chrono::milliseconds heartbeatInterval{1000};
@@ -77,7 +79,7 @@
         return socketError("wire.open", endpoint);
     }
     std::unique_ptr<MessageSocket> result(new MessageSocket(socket, receiver, isRouter, endpoint));
-    setOption(socket, ZMQ_LINGER, 0);
+    setOption(socket, ZMQ_LINGER, isRouter ? linger : std::chrono::milliseconds(0));
     setOption(socket, ZMQ_SNDHWM, highWaterMark);
     setOption(socket, ZMQ_RCVHWM, highWaterMark);
     setOption(socket, ZMQ_RECONNECT_IVL, reconnectInterval);
