--- /dev/null
+++ b/src/libs/control/budgetedtable.cpp
@@ -0,0 +1,139 @@
+#include "budgetedtable.h"
+
+#include <eventloop/deferredcall.h>
+#include <eventloop/loop.h>
+
+#include <optional>
+
+namespace Verbena::Control {
+
+namespace {
+
+constexpr const char *peerName = "table";
+
+Core::Error overBudget(const char *step)
+{
+    return {Core::ErrorCode::ResourceExhausted, step, peerName, "This process's part of the table's budget is used up."};
+}
+
+Core::Error backingOff(const char *step)
+{
+    return {Core::ErrorCode::Unavailable, step, peerName, "The table failed a moment ago; it is left alone for now."};
+}
+
+} // namespace
+
+// Answers may come after the decorator is gone, so they hold on to this weakly.
+struct BudgetedTable::Internals
+{
+    Internals(Platform::TableService &wrapped, EventLoop::Loop &eventLoop, const TableBudget &budget, std::uint64_t seed)
+        : table(wrapped)
+        , loop(eventLoop)
+        , longestCall(budget.longestCall)
+        , reads(budget.readsPerSecond, budget.burst, eventLoop.now())
+        , writes(budget.writesPerSecond, budget.burst, eventLoop.now())
+        , backoff(budget.backoff, seed)
+        , refuse(eventLoop, [this] { runRefusals(); })
+    {
+    }
+
+    // The error that keeps a call from being sent, if there is one.
+    std::optional<Core::Error> admit(Decisions::StoreBudget &budget, const char *step)
+    {
+        const Core::TimePoint now = loop.now();
+        if (now < backoff.notBefore()) {
+            return backingOff(step);
+        }
+        return budget.take(now) ? std::nullopt : std::optional(overBudget(step));
+    }
+
+    Core::TimePoint boundedDeadline(Core::TimePoint deadline) const
+    {
+        return std::min(deadline, loop.now() + longestCall);
+    }
+
+    void refuseLater(std::function<void()> refusal)
+    {
+        refusals.push_back(std::move(refusal));
+        refuse.schedule();
+    }
+
+    void runRefusals()
+    {
+        std::vector<std::function<void()>> due;
+        due.swap(refusals);
+        for (const auto &refusal : due) {
+            refusal();
+        }
+    }
+
+    void noteEnd(bool isSuccess)
+    {
+        if (isSuccess) {
+            backoff.noteSuccess();
+        } else {
+            backoff.noteFailure(loop.now());
+        }
+    }
+
+    static RowsCallback watchRows(const std::shared_ptr<Internals> &self, RowsCallback done)
+    {
+        return [weak = std::weak_ptr(self), done = std::move(done)](const Core::Result<std::vector<Platform::TableRow>> &rows) {
+            if (const auto alive = weak.lock()) {
+                alive->noteEnd(rows.has_value());
+                done(rows);
+            }
+        };
+    }
+
+    Platform::TableService &table;
+    EventLoop::Loop &loop;
+    std::chrono::milliseconds longestCall;
+    Decisions::StoreBudget reads;
+    Decisions::StoreBudget writes;
+    Decisions::Backoff backoff;
+    std::vector<std::function<void()>> refusals;
+    EventLoop::DeferredCall refuse;
+};
+
+BudgetedTable::BudgetedTable(Platform::TableService &table, EventLoop::Loop &loop, const TableBudget &budget, std::uint64_t seed)
+    : m_internals(std::make_shared<Internals>(table, loop, budget, seed))
+{
+}
+
+BudgetedTable::~BudgetedTable() = default;
+
+void BudgetedTable::get(const std::vector<std::string> &keys, Core::TimePoint deadline, RowsCallback done)
+{
+    if (const auto error = m_internals->admit(m_internals->reads, "table.get")) {
+        m_internals->refuseLater([done = std::move(done), error] { done(*error); });
+        return;
+    }
+    m_internals->table.get(keys, m_internals->boundedDeadline(deadline), Internals::watchRows(m_internals, std::move(done)));
+}
+
+void BudgetedTable::scan(const std::string &prefix, std::uint64_t sinceRevision, std::size_t limit, Core::TimePoint deadline, RowsCallback done)
+{
+    if (const auto error = m_internals->admit(m_internals->reads, "table.scan")) {
+        m_internals->refuseLater([done = std::move(done), error] { done(*error); });
+        return;
+    }
+    m_internals->table.scan(prefix, sinceRevision, limit, m_internals->boundedDeadline(deadline), Internals::watchRows(m_internals, std::move(done)));
+}
+
+void BudgetedTable::commit(const std::vector<Platform::RowWrite> &writes, Core::TimePoint deadline, CommitCallback done)
+{
+    if (const auto error = m_internals->admit(m_internals->writes, "table.commit")) {
+        m_internals->refuseLater([done = std::move(done), detail = error->toString()] { done({Platform::CommitOutcome::NotSent, 0, {}, detail}); });
+        return;
+    }
+    auto watched = [weak = std::weak_ptr(m_internals), done = std::move(done)](const Platform::CommitAnswer &answer) {
+        if (const auto alive = weak.lock()) {
+            alive->noteEnd(answer.outcome == Platform::CommitOutcome::Committed || answer.outcome == Platform::CommitOutcome::Conflict);
+            done(answer);
+        }
+    };
+    m_internals->table.commit(writes, m_internals->boundedDeadline(deadline), std::move(watched));
+}
+
+} // namespace Verbena::Control
--- /dev/null
+++ b/src/libs/control/claimkeeper.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <decisions/control/claimledger.h>
+#include <eventloop/deferredcall.h>
+#include <eventloop/timer.h>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace Verbena::Control {
+
+/// \brief Claims requests that may run at most once in the platform's table; drives a ClaimLedger on an event loop.
+///
+/// Each claim that is granted has to end by exactly one of recordOutcome(), release() and abandon().
+class ClaimKeeper
+{
+public:
+    using DecidedCallback = std::function<void(const Decisions::ClaimResult &)>;
+
+    /// \brief Uses \a table, which has to live longer. \a owner and \a seed: see ClaimLedger.
+    ClaimKeeper(Platform::TableService &table, EventLoop::Loop &loop, const Decisions::ClaimOptions &options, std::string owner, std::uint64_t seed);
+    ~ClaimKeeper();
+
+    /// \brief Asks for a claim; \a done is called once from the loop, never from within this call.
+    Decisions::ClaimId claim(const Decisions::ClaimRequest &request, DecidedCallback done);
+
+    /// \brief To be asked right before the dispatch of a granted claim.
+    bool mayDispatch(Decisions::ClaimId id) const;
+
+    void recordOutcome(Decisions::ClaimId id, const Decisions::ClaimOutcome &outcome);
+    void release(Decisions::ClaimId id);
+    void abandon(Decisions::ClaimId id);
+
+private:
+    Decisions::ClockReading reading() const;
+    void run();
+    void carryOut(const Decisions::ClaimAction &action);
+
+    Platform::TableService &m_table;
+    EventLoop::Loop &m_loop;
+    Decisions::ClaimLedger m_ledger;
+    std::unordered_map<Decisions::ClaimId, DecidedCallback> m_callbacks;
+    EventLoop::Timer m_timer;
+    EventLoop::DeferredCall m_run;
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace Verbena::Control
--- /dev/null
+++ b/src/libs/control/hostlistpoller.cpp
@@ -0,0 +1,63 @@
+#include "hostlistpoller.h"
+
+#include <eventloop/loop.h>
+
+namespace Verbena::Control {
+
+namespace {
+
+constexpr std::chrono::seconds fetchTimeout(2);
+
+} // namespace
+
+HostListPoller::HostListPoller(
+    Platform::HostList &hosts, EventLoop::Loop &loop, const Decisions::FeedPollerOptions &options, std::uint64_t seed, ListCallback received)
+    : m_hosts(hosts)
+    , m_loop(loop)
+    , m_poller(options, seed, loop.now())
+    , m_received(std::move(received))
+    , m_timer(loop, [this] { poll(); })
+    , m_alive(std::make_shared<bool>(true))
+{
+    scheduleNext();
+}
+
+HostListPoller::~HostListPoller() = default;
+
+void HostListPoller::setProcessCount(std::size_t count)
+{
+    m_poller.setProcessCount(count);
+    scheduleNext();
+}
+
+void HostListPoller::noteHeard()
+{
+    m_poller.noteHeard(m_loop.now());
+    scheduleNext();
+}
+
+void HostListPoller::poll()
+{
+    // The list is as old as the request for it, at least.
+    const Core::TimePoint sentAt = m_loop.now();
+    m_poller.noteStarted(sentAt);
+    m_hosts.fetch(sentAt + fetchTimeout, [this, sentAt, alive = std::weak_ptr(m_alive)](const Core::Result<std::vector<Platform::HostEntry>> &hosts) {
+        if (alive.expired()) {
+            return;
+        }
+        if (hosts) {
+            m_received(hosts.value(), sentAt);
+        } else {
+            m_poller.noteFailed(m_loop.now());
+        }
+        scheduleNext();
+    });
+    scheduleNext();
+}
+
+void HostListPoller::scheduleNext()
+{
+    m_timer.startAt(m_poller.nextPoll());
+}
+
+} // namespace Verbena::Control
--- /dev/null
+++ b/src/libs/control/hostlistpoller.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <decisions/spread/feedpoller.h>
+#include <eventloop/timer.h>
+#include <platform/hostlist.h>
+
+#include <functional>
+#include <memory>
+
+namespace Verbena::Control {
+
+/// \brief Polls the platform's host list at this process's part of the common rate.
+class HostListPoller
+{
+public:
+    using ListCallback = std::function<void(const std::vector<Platform::HostEntry> &hosts, Core::TimePoint fetchedAt)>;
+
+    /// \brief Uses \a hosts, which has to live longer; \a received is called with each list, from the loop.
+    HostListPoller(Platform::HostList &hosts, EventLoop::Loop &loop, const Decisions::FeedPollerOptions &options, std::uint64_t seed, ListCallback received);
+    ~HostListPoller();
+
+    /// \brief Takes the number of processes that poll together.
+    void setProcessCount(std::size_t count);
+
+    /// \brief Notes that a peer passed the list on, so that this process need not poll for want of news.
+    void noteHeard();
+
+private:
+    void poll();
+    void scheduleNext();
+
+    Platform::HostList &m_hosts;
+    EventLoop::Loop &m_loop;
+    Decisions::FeedPoller m_poller;
+    ListCallback m_received;
+    EventLoop::Timer m_timer;
+    std::shared_ptr<bool> m_alive;
+};
+
+} // namespace Verbena::Control
--- /dev/null
+++ b/src/libs/decisions/control/claimledger.cpp
@@ -0,0 +1,415 @@
+#include "claimledger.h"
+
+#include <algorithm>
+
+namespace Verbena::Decisions {
+
+ClaimLedger::ClaimLedger(const ClaimOptions &options, std::string owner, std::uint64_t seed, Core::TimePoint now)
+    : m_options(options)
+    , m_owner(std::move(owner))
+    , m_random(seed)
+    , m_backoff(BackoffOptions(), m_random.next())
+    , m_writeBudget(options.writesPerSecond, options.writesPerSecond, now)
+    , m_readBudget(options.readsPerSecond, options.readsPerSecond, now)
+    , m_batchLimit(options.batchRows)
+{
+}
+
+ClaimId ClaimLedger::claim(const ClaimRequest &request, const ClockReading &reading)
+{
+    const ClaimId id{++m_lastId};
+    const std::string rowKey = claimRowKey(request.organisation, request.team, request.idempotencyKey);
+    if (const auto known = localResult(rowKey, request.requestHash)) {
+        decide(id, *known);
+        return id;
+    }
+    Claim claim;
+    claim.id = id;
+    claim.rowKey = rowKey;
+    claim.record.token = m_owner + "." + std::to_string(m_random.next()) + "." + std::to_string(m_lastId);
+    claim.record.requestHash = request.requestHash;
+    claim.record.expiry = reading.wall + m_options.lifetime;
+    claim.deadline = std::min(request.deadline, reading.now + m_options.patience);
+    claim.dispatchBy = std::min(request.deadline, reading.now + m_options.dispatchSpan);
+    m_deadlines.emplace(claim.deadline, id);
+    m_byRow.emplace(rowKey, id);
+    m_claims.emplace(id, std::move(claim));
+    m_waiting.push_back(id);
+    return id;
+}
+
+// What this process knows by itself spares the table.
+std::optional<ClaimResult> ClaimLedger::localResult(const std::string &rowKey, std::uint64_t requestHash) const
+{
+    const auto same = m_byRow.find(rowKey);
+    if (same != m_byRow.end()) {
+        return ClaimResult::duplicate(m_claims.at(same->second).record, requestHash);
+    }
+    if (!m_updates.contains(rowKey)) {
+        return std::nullopt;
+    }
+    const auto value = m_updates.valueFor(rowKey);
+    if (!value) {
+        return ClaimResult::notClaimed("An earlier claim of the idempotency key, which did not run, is still being withdrawn.");
+    }
+    const auto record = ClaimRecord::decode(*value);
+    return record ? ClaimResult::duplicate(record.value(), requestHash) : ClaimResult{};
+}
+
+bool ClaimLedger::mayDispatch(ClaimId id, Core::TimePoint now) const
+{
+    const Claim *claim = findGranted(id);
+    return claim != nullptr && now < claim->dispatchBy;
+}
+
+void ClaimLedger::recordOutcome(ClaimId id, const ClaimOutcome &outcome, Core::TimePoint now)
+{
+    const Claim *claim = findGranted(id);
+    if (claim == nullptr) {
+        return;
+    }
+    ClaimRecord record = claim->record;
+    record.outcome = outcome;
+    m_updates.add({claim->rowKey, record.token, record.encode(), claim->expectedRevision, now + m_options.updatePatience});
+    forget(id);
+}
+
+void ClaimLedger::release(ClaimId id, Core::TimePoint now)
+{
+    if (const Claim *claim = findGranted(id)) {
+        withdraw(*claim, now);
+        forget(id);
+    }
+}
+
+void ClaimLedger::abandon(ClaimId id)
+{
+    if (findGranted(id) != nullptr) {
+        forget(id);
+    }
+}
+
+void ClaimLedger::handleCommit(OperationId id, const Platform::CommitAnswer &answer, const ClockReading &reading)
+{
+    noteReached(answer.outcome == Platform::CommitOutcome::Committed || answer.outcome == Platform::CommitOutcome::Conflict, reading.now);
+    if (m_updateCommit == id) {
+        m_updateCommit.reset();
+        m_updates.handleCommit(answer);
+    } else if (m_claimCommit == id) {
+        m_claimCommit.reset();
+        handleClaimCommit(std::exchange(m_claimCommitIds, {}), answer, reading);
+    }
+}
+
+void ClaimLedger::handleClaimCommit(const std::vector<ClaimId> &ids, const Platform::CommitAnswer &answer, const ClockReading &reading)
+{
+    if (answer.outcome == Platform::CommitOutcome::Conflict) {
+        handleConflict(ids, answer.current, reading);
+        return;
+    }
+    m_batchLimit = m_options.batchRows;
+    // From the back, so that what goes in front of a queue again keeps its order.
+    for (auto id = ids.rbegin(); id != ids.rend(); ++id) {
+        Claim *claim = find(*id);
+        if (claim == nullptr) {
+            continue;
+        }
+        switch (answer.outcome) {
+        case Platform::CommitOutcome::Committed:
+            grant(*claim, answer.revision, reading.now);
+            break;
+        case Platform::CommitOutcome::Unknown:
+            claim->mayBeWritten = true;
+            requeue(*claim, Phase::Uncertain);
+            break;
+        case Platform::CommitOutcome::NotSent:
+        case Platform::CommitOutcome::Conflict:
+            requeue(*claim, Phase::Waiting);
+            break;
+        }
+    }
+}
+
+// One claim that was taken by somebody else fails its whole batch. Each round settles those that the table names, and
+// the innocent ones go again without them.
+void ClaimLedger::handleConflict(const std::vector<ClaimId> &ids, const std::vector<Platform::TableRow> &current, const ClockReading &reading)
+{
+    bool isAnyNamed = false;
+    for (auto id = ids.rbegin(); id != ids.rend(); ++id) {
+        Claim *claim = find(*id);
+        if (claim == nullptr) {
+            continue;
+        }
+        const Platform::TableRow *row = findRow(current, claim->rowKey);
+        if (row != nullptr) {
+            isAnyNamed = true;
+            takeRow(*claim, row, reading);
+        } else {
+            requeue(*claim, ids.size() == 1 ? Phase::Uncertain : Phase::Waiting);
+        }
+    }
+    m_batchLimit = isAnyNamed ? m_options.batchRows : std::max<std::size_t>(1, ids.size() / 2);
+}
+
+void ClaimLedger::handleRows(OperationId id, const Core::Result<std::vector<Platform::TableRow>> &rows, const ClockReading &reading)
+{
+    if (m_read != id) {
+        return;
+    }
+    m_read.reset();
+    noteReached(rows.has_value(), reading.now);
+    for (const ClaimId claimId : std::exchange(m_readIds, {})) {
+        Claim *claim = find(claimId);
+        if (claim == nullptr) {
+            continue;
+        }
+        if (rows) {
+            takeRow(*claim, findRow(rows.value(), claim->rowKey), reading);
+        } else {
+            requeue(*claim, Phase::Uncertain);
+        }
+    }
+}
+
+// What the table shows of a claim: ours, somebody else's, or nothing that stands in its way.
+void ClaimLedger::takeRow(Claim &claim, const Platform::TableRow *row, const ClockReading &reading)
+{
+    if (row == nullptr || row->isDeleted) {
+        claim.expectedRevision = row == nullptr ? 0 : row->revision;
+        requeue(claim, Phase::Waiting);
+        return;
+    }
+    const auto record = ClaimRecord::decode(row->value);
+    if (!record) {
+        finish(claim.id, ClaimResult::duplicate(ClaimRecord{{}, claim.record.requestHash, {}, {}}, claim.record.requestHash));
+        return;
+    }
+    if (record.value().token == claim.record.token) {
+        grant(claim, row->revision, reading.now);
+        return;
+    }
+    if (record.value().expiry + m_options.clockSkew <= reading.wall) {
+        claim.expectedRevision = row->revision;
+        requeue(claim, Phase::Waiting);
+        return;
+    }
+    finish(claim.id, ClaimResult::duplicate(record.value(), claim.record.requestHash));
+}
+
+void ClaimLedger::grant(Claim &claim, std::uint64_t revision, Core::TimePoint now)
+{
+    claim.expectedRevision = revision;
+    claim.mayBeWritten = true;
+    if (claim.deadline <= now) {
+        withdraw(claim, now);
+        finish(claim.id, ClaimResult::notClaimed("The claim came too late."));
+        return;
+    }
+    claim.phase = Phase::Granted;
+    ClaimResult result;
+    result.verdict = ClaimVerdict::Granted;
+    result.dispatchBy = claim.dispatchBy;
+    decide(claim.id, result);
+}
+
+void ClaimLedger::withdraw(const Claim &claim, Core::TimePoint now)
+{
+    m_updates.add({claim.rowKey, claim.record.token, std::nullopt, claim.expectedRevision, now + m_options.updatePatience});
+}
+
+void ClaimLedger::advance(const ClockReading &reading)
+{
+    giveUpLateClaims(reading.now);
+    if (reading.now < m_backoff.notBefore()) {
+        return;
+    }
+    beginRead(reading.now);
+    beginCommits(reading.now);
+}
+
+// Also those that nothing will be sent for before their deadline: there is no sense in letting their callers wait.
+void ClaimLedger::giveUpLateClaims(Core::TimePoint now)
+{
+    const Core::TimePoint limit = std::max(now, m_backoff.notBefore());
+    auto entry = m_deadlines.begin();
+    while (entry != m_deadlines.end() && entry->first <= limit) {
+        const Claim *claim = find(entry->second);
+        const bool isPending = claim != nullptr && claim->phase != Phase::Granted;
+        if (isPending && entry->first > now && claim->phase != Phase::Waiting) {
+            ++entry;
+            continue;
+        }
+        if (isPending) {
+            // A write whose fate is not known is fenced off; the request itself was never dispatched.
+            if (claim->mayBeWritten || claim->phase != Phase::Waiting) {
+                withdraw(*claim, now);
+            }
+            finish(claim->id, ClaimResult::notClaimed("The table did not take the claim in time."));
+        }
+        entry = m_deadlines.erase(entry);
+    }
+}
+
+void ClaimLedger::beginCommits(Core::TimePoint now)
+{
+    // In turns, so that neither starves the other.
+    const bool isUpdateFirst = !m_wasUpdateLast;
+    if (isUpdateFirst && beginUpdateCommit(now)) {
+        return;
+    }
+    if (beginClaimCommit(now)) {
+        return;
+    }
+    if (!isUpdateFirst) {
+        beginUpdateCommit(now);
+    }
+}
+
+bool ClaimLedger::beginClaimCommit(Core::TimePoint now)
+{
+    if (m_claimCommit || m_waiting.empty() || m_writeBudget.nextFree(now) > now) {
+        return false;
+    }
+    m_claimCommitIds = takeQueued(m_waiting, Phase::Waiting, Phase::Committing, m_batchLimit);
+    std::vector<Platform::RowWrite> writes;
+    for (const ClaimId id : m_claimCommitIds) {
+        const Claim *claim = find(id);
+        writes.push_back({claim->rowKey, claim->record.encode(), claim->expectedRevision});
+    }
+    m_claimCommit = beginCommit(std::move(writes), now);
+    m_wasUpdateLast = m_wasUpdateLast && !m_claimCommit;
+    return m_claimCommit.has_value();
+}
+
+bool ClaimLedger::beginUpdateCommit(Core::TimePoint now)
+{
+    if (m_updateCommit || !m_updates.isWaiting() || m_writeBudget.nextFree(now) > now) {
+        return false;
+    }
+    m_updateCommit = beginCommit(m_updates.beginCommit(m_options.batchRows, now), now);
+    m_wasUpdateLast = m_wasUpdateLast || m_updateCommit;
+    return m_updateCommit.has_value();
+}
+
+std::optional<OperationId> ClaimLedger::beginCommit(std::vector<Platform::RowWrite> writes, Core::TimePoint now)
+{
+    if (writes.empty()) {
+        return std::nullopt;
+    }
+    m_writeBudget.take(now);
+    const OperationId id = newOperation();
+    m_actions.emplace_back(CommitRows{id, std::move(writes), now + m_options.operationTimeout});
+    return id;
+}
+
+void ClaimLedger::beginRead(Core::TimePoint now)
+{
+    if (m_read || m_uncertain.empty() || m_readBudget.nextFree(now) > now) {
+        return;
+    }
+    ReadRows read;
+    m_readIds = takeQueued(m_uncertain, Phase::Uncertain, Phase::Reading, m_options.batchRows);
+    for (const ClaimId id : m_readIds) {
+        read.keys.push_back(find(id)->rowKey);
+    }
+    if (read.keys.empty()) {
+        return;
+    }
+    m_readBudget.take(now);
+    read.id = newOperation();
+    read.deadline = now + m_options.operationTimeout;
+    m_read = read.id;
+    m_actions.emplace_back(std::move(read));
+}
+
+// A queue may name claims that were decided meanwhile; they are passed over.
+std::vector<ClaimId> ClaimLedger::takeQueued(std::deque<ClaimId> &queue, Phase phase, Phase nextPhase, std::size_t limit)
+{
+    std::vector<ClaimId> ids;
+    while (!queue.empty() && ids.size() < limit) {
+        Claim *claim = find(queue.front());
+        queue.pop_front();
+        if (claim != nullptr && claim->phase == phase) {
+            claim->phase = nextPhase;
+            ids.push_back(claim->id);
+        }
+    }
+    return ids;
+}
+
+void ClaimLedger::requeue(Claim &claim, Phase phase)
+{
+    claim.phase = phase;
+    (phase == Phase::Waiting ? m_waiting : m_uncertain).push_front(claim.id);
+}
+
+std::vector<ClaimAction> ClaimLedger::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+std::optional<Core::TimePoint> ClaimLedger::nextDeadline(Core::TimePoint now) const
+{
+    std::optional<Core::TimePoint> next;
+    const auto consider = [&next](Core::TimePoint moment) {
+        next = next ? std::min(*next, moment) : moment;
+    };
+    if (!m_deadlines.empty()) {
+        consider(m_deadlines.begin()->first);
+    }
+    const bool isClaimDue = !m_waiting.empty() && !m_claimCommit;
+    const bool isUpdateDue = m_updates.isWaiting() && !m_updateCommit;
+    if (isClaimDue || isUpdateDue) {
+        consider(std::max(m_backoff.notBefore(), m_writeBudget.nextFree(now)));
+    }
+    if (!m_uncertain.empty() && !m_read) {
+        consider(std::max(m_backoff.notBefore(), m_readBudget.nextFree(now)));
+    }
+    return next;
+}
+
+ClaimLedger::Claim *ClaimLedger::find(ClaimId id)
+{
+    const auto found = m_claims.find(id);
+    return found == m_claims.end() ? nullptr : &found->second;
+}
+
+const ClaimLedger::Claim *ClaimLedger::findGranted(ClaimId id) const
+{
+    const auto found = m_claims.find(id);
+    return found != m_claims.end() && found->second.phase == Phase::Granted ? &found->second : nullptr;
+}
+
+void ClaimLedger::decide(ClaimId id, ClaimResult result)
+{
+    m_actions.emplace_back(ClaimDecided{id, std::move(result)});
+}
+
+void ClaimLedger::finish(ClaimId id, ClaimResult result)
+{
+    decide(id, std::move(result));
+    forget(id);
+}
+
+void ClaimLedger::forget(ClaimId id)
+{
+    const auto found = m_claims.find(id);
+    m_byRow.erase(found->second.rowKey);
+    m_claims.erase(found);
+}
+
+void ClaimLedger::noteReached(bool isReached, Core::TimePoint now)
+{
+    if (isReached) {
+        m_backoff.noteSuccess();
+    } else {
+        m_backoff.noteFailure(now);
+    }
+}
+
+OperationId ClaimLedger::newOperation()
+{
+    return OperationId{++m_lastOperation};
+}
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/control/claimledger.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "backoff.h"
+#include "claimtypes.h"
+#include "claimupdates.h"
+#include "clockreading.h"
+#include "storebudget.h"
+
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+namespace Verbena::Decisions {
+
+/// \brief Claims requests that may run at most once, by a conditional write before they are dispatched.
+///
+/// Call advance() after every event and at nextDeadline(), and carry out what takeActions() gives.
+class ClaimLedger
+{
+public:
+    /// \brief \a owner names the process, \a seed has to differ between any two starts: both go into the tokens.
+    ClaimLedger(const ClaimOptions &options, std::string owner, std::uint64_t seed, Core::TimePoint now);
+
+    /// \brief Asks for a claim; ClaimDecided tells what became of it, once.
+    ClaimId claim(const ClaimRequest &request, const ClockReading &reading);
+
+    /// \brief False once the time to dispatch has passed. To be asked right before the dispatch.
+    bool mayDispatch(ClaimId id, Core::TimePoint now) const;
+
+    /// \brief Notes what the run of a granted claim gave, for duplicates.
+    void recordOutcome(ClaimId id, const ClaimOutcome &outcome, Core::TimePoint now);
+
+    /// \brief Withdraws a granted claim whose request truly did not run, so that the key may be used again.
+    void release(ClaimId id, Core::TimePoint now);
+
+    /// \brief Ends the claim without an outcome: whether it ran cannot be known.
+    void abandon(ClaimId id);
+
+    void handleCommit(OperationId id, const Platform::CommitAnswer &answer, const ClockReading &reading);
+    void handleRows(OperationId id, const Core::Result<std::vector<Platform::TableRow>> &rows, const ClockReading &reading);
+
+    /// \brief Lets time pass and begins operations that are due.
+    void advance(const ClockReading &reading);
+
+    /// \brief What has to be done, in order; each action is given once.
+    std::vector<ClaimAction> takeActions();
+
+    /// \brief When advance() has something to do without an event.
+    std::optional<Core::TimePoint> nextDeadline(Core::TimePoint now) const;
+
+private:
+    enum class Phase {
+        Waiting, ///< To be written.
+        Committing,
+        Uncertain, ///< Written or not: to be read back.
+        Reading,
+        Granted,
+    };
+
+    struct Claim
+    {
+        ClaimId id{};
+        std::string rowKey;
+        ClaimRecord record;
+        std::uint64_t expectedRevision = 0;
+        Core::TimePoint deadline;
+        Core::TimePoint dispatchBy;
+        Phase phase = Phase::Waiting;
+        bool mayBeWritten = false; ///< A commit was sent whose fate is not known.
+    };
+
+    Claim *find(ClaimId id);
+    const Claim *findGranted(ClaimId id) const;
+    void noteReached(bool isReached, Core::TimePoint now);
+    void decide(ClaimId id, ClaimResult result);
+    void finish(ClaimId id, ClaimResult result);
+    void forget(ClaimId id);
+    std::optional<ClaimResult> localResult(const std::string &rowKey, std::uint64_t requestHash) const;
+    void withdraw(const Claim &claim, Core::TimePoint now);
+    void giveUpLateClaims(Core::TimePoint now);
+    void grant(Claim &claim, std::uint64_t revision, Core::TimePoint now);
+    void takeRow(Claim &claim, const Platform::TableRow *row, const ClockReading &reading);
+    void handleClaimCommit(const std::vector<ClaimId> &ids, const Platform::CommitAnswer &answer, const ClockReading &reading);
+    void handleConflict(const std::vector<ClaimId> &ids, const std::vector<Platform::TableRow> &current, const ClockReading &reading);
+    std::vector<ClaimId> takeQueued(std::deque<ClaimId> &queue, Phase phase, Phase nextPhase, std::size_t limit);
+    void beginCommits(Core::TimePoint now);
+    bool beginClaimCommit(Core::TimePoint now);
+    bool beginUpdateCommit(Core::TimePoint now);
+    std::optional<OperationId> beginCommit(std::vector<Platform::RowWrite> writes, Core::TimePoint now);
+    void beginRead(Core::TimePoint now);
+    void requeue(Claim &claim, Phase phase);
+    OperationId newOperation();
+
+    ClaimOptions m_options;
+    std::string m_owner;
+    RandomSource m_random;
+    Backoff m_backoff;
+    StoreBudget m_writeBudget;
+    StoreBudget m_readBudget;
+    std::uint64_t m_lastId = 0;
+    std::uint64_t m_lastOperation = 0;
+    std::size_t m_batchLimit;
+    bool m_wasUpdateLast = false;
+    std::map<ClaimId, Claim> m_claims;
+    std::unordered_map<std::string, ClaimId> m_byRow;
+    std::deque<ClaimId> m_waiting;
+    std::deque<ClaimId> m_uncertain;
+    std::multimap<Core::TimePoint, ClaimId> m_deadlines;
+    std::optional<OperationId> m_claimCommit;
+    std::vector<ClaimId> m_claimCommitIds;
+    std::optional<OperationId> m_updateCommit;
+    std::optional<OperationId> m_read;
+    std::vector<ClaimId> m_readIds;
+    ClaimUpdates m_updates;
+    std::vector<ClaimAction> m_actions;
+};
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/control/claimupdates.cpp
@@ -0,0 +1,87 @@
+#include "claimupdates.h"
+
+namespace Verbena::Decisions {
+
+void ClaimUpdates::add(Update update)
+{
+    m_values[update.rowKey] = update.value;
+    m_waiting.push_back(std::move(update));
+}
+
+bool ClaimUpdates::isWaiting() const
+{
+    return !m_waiting.empty();
+}
+
+bool ClaimUpdates::contains(const std::string &rowKey) const
+{
+    return m_values.contains(rowKey);
+}
+
+std::optional<std::string> ClaimUpdates::valueFor(const std::string &rowKey) const
+{
+    const auto found = m_values.find(rowKey);
+    return found == m_values.end() ? std::nullopt : found->second;
+}
+
+std::vector<Platform::RowWrite> ClaimUpdates::beginCommit(std::size_t limit, Core::TimePoint now)
+{
+    std::vector<Platform::RowWrite> writes;
+    while (!m_waiting.empty() && writes.size() < limit) {
+        Update update = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        if (update.deadline <= now) {
+            m_values.erase(update.rowKey);
+            continue;
+        }
+        writes.push_back({update.rowKey, update.value, update.expectedRevision});
+        m_underWay.push_back(std::move(update));
+    }
+    return writes;
+}
+
+void ClaimUpdates::handleCommit(const Platform::CommitAnswer &answer)
+{
+    std::vector<Update> updates;
+    updates.swap(m_underWay);
+    // From the back, so that what is put in front again keeps its order.
+    for (auto update = updates.rbegin(); update != updates.rend(); ++update) {
+        switch (answer.outcome) {
+        case Platform::CommitOutcome::Committed:
+            m_values.erase(update->rowKey);
+            break;
+        case Platform::CommitOutcome::Conflict:
+            resolveConflict(*update, findRow(answer.current, update->rowKey));
+            break;
+        case Platform::CommitOutcome::Unknown:
+        case Platform::CommitOutcome::NotSent:
+            // Repeatable: if it took effect after all, the next try meets a conflict that shows it.
+            requeue(std::move(*update));
+            break;
+        }
+    }
+}
+
+void ClaimUpdates::requeue(Update update)
+{
+    m_waiting.push_front(std::move(update));
+}
+
+void ClaimUpdates::resolveConflict(Update update, const Platform::TableRow *current)
+{
+    if (current == nullptr) {
+        requeue(std::move(update));
+        return;
+    }
+    const auto record = ClaimRecord::decode(current->value);
+    const bool isOurs = !current->isDeleted && record && record.value().token == update.token;
+    if (isOurs && current->value != update.value) {
+        update.expectedRevision = current->revision;
+        requeue(std::move(update));
+        return;
+    }
+    // It took effect before, or the row is not ours any more.
+    m_values.erase(update.rowKey);
+}
+
+} // namespace Verbena::Decisions
--- a/src/libs/standin/memoryplatform.cpp
+++ b/src/libs/standin/memoryplatform.cpp
@@ -128,6 +128,8 @@
         } else {
             if (admission == Admission::ServeWithoutAnswer) {
                 m_state.commit(writes);
+            } else if (admission == Admission::ServeLateWithoutAnswer) {
+                schedule(m_now + m_state.faults().writeDelay, [this, writes] { m_state.commit(writes); });
             }
             schedule(deadline, late);
         }
--- a/src/libs/standin/platformstandin.cpp
+++ b/src/libs/standin/platformstandin.cpp
@@ -41,6 +41,8 @@
     faults.readsPerSecond = request.value("reads_per_second", faults.readsPerSecond);
     faults.lostAnswers = request.value("lost_answers", faults.lostAnswers);
     faults.lostRequests = request.value("lost_requests", faults.lostRequests);
+    faults.delayedWrites = request.value("delayed_writes", faults.delayedWrites);
+    readMilliseconds(request, "write_delay_ms", faults.writeDelay);
     readMilliseconds(request, "slowness_ms", faults.slowness);
     readMilliseconds(request, "host_list_lag_ms", faults.hostListLag);
     if (request.contains("outage")) {
@@ -90,6 +92,10 @@
         write(*exchange);
         m_unanswered.push_back(exchange);
         return;
+    case Admission::ServeLateWithoutAnswer:
+        callAfter(m_state.faults().writeDelay, [this, exchange] { write(*exchange); });
+        m_unanswered.push_back(exchange);
+        return;
     case Admission::DropWithoutAnswer:
         m_unanswered.push_back(exchange);
         return;
@@ -172,9 +178,14 @@
         send();
         return;
     }
+    callAfter(m_state.faults().slowness, send);
+}
+
+void PlatformStandin::callAfter(std::chrono::milliseconds span, const std::function<void()> &callback)
+{
     std::erase_if(m_delayed, [](const auto &delayed) { return !delayed->isActive(); });
-    m_delayed.push_back(std::make_unique<EventLoop::Timer>(m_loop, send));
-    m_delayed.back()->startAt(m_loop.now() + m_state.faults().slowness);
+    m_delayed.push_back(std::make_unique<EventLoop::Timer>(m_loop, callback));
+    m_delayed.back()->startAt(m_loop.now() + span);
 }
 
 } // namespace Verbena::Standin
--- a/src/libs/standin/platformstandin.h
+++ b/src/libs/standin/platformstandin.h
@@ -33,6 +33,7 @@
     Reply control(const Http::HttpExchange &exchange);
     Reply read(const Http::HttpExchange &exchange) const;
     Reply write(const Http::HttpExchange &exchange);
+    void callAfter(std::chrono::milliseconds span, const std::function<void()> &callback);
     void answer(const std::shared_ptr<Http::HttpExchange> &exchange, Reply reply);
 
     EventLoop::Loop &m_loop;
--- a/src/libs/standin/platformstate.cpp
+++ b/src/libs/standin/platformstate.cpp
@@ -40,6 +40,10 @@
         --m_faults.lostRequests;
         return Admission::DropWithoutAnswer;
     }
+    if (m_faults.delayedWrites > 0) {
+        --m_faults.delayedWrites;
+        return Admission::ServeLateWithoutAnswer;
+    }
     return Admission::Serve;
 }
 
--- a/src/libs/standin/platformstate.h
+++ b/src/libs/standin/platformstate.h
@@ -28,6 +28,8 @@
     std::chrono::milliseconds slowness{0}; ///< Each answer comes this much later.
     std::uint32_t lostAnswers = 0; ///< So many of the next writes take effect and are not answered.
     std::uint32_t lostRequests = 0; ///< So many of the next writes are not answered and take no effect.
+    std::uint32_t delayedWrites = 0; ///< So many of the next writes are not answered and take effect after writeDelay.
+    std::chrono::milliseconds writeDelay{5'000};
     std::chrono::milliseconds hostListLag{0}; ///< A change of the host list shows this much later.
 };
 
@@ -35,6 +37,7 @@
 enum class Admission {
     Serve,
     ServeWithoutAnswer,
+    ServeLateWithoutAnswer,
     DropWithoutAnswer,
     OverBudget,
     Refused,
