--- a/scripts/support/bench_path.py
+++ b/scripts/support/bench_path.py
@@ -11,10 +11,10 @@
 import urllib.request
 
 from deployment import BIN, ROOT, Deployment, end_on_signals
+from process_use import cpu_seconds, resident_kilobytes
 
 FOLDER = ROOT / "build" / "bench-path"
 ENGINES = 4
-CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 ONLY_STREAMED_TEXT = ["--service-share", "0", "--chat-share", "0", "--token-share", "0", "--whole-share", "0", "--keep-connections"]
 
 
@@ -42,20 +42,6 @@
         }
 
 
-def cpu_seconds(pid):
-    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
-
-
-def resident_kilobytes(pid):
-    with open(f"/proc/{pid}/status", encoding="ascii") as file:
-        for line in file:
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1])
-    return 0
-
-
 def start(deployment, *engine_arguments):
     for number in range(1, ENGINES + 1):
         deployment.start_engine(f"engine{number}", "--batch-size", "4096", *engine_arguments)
--- a/tests/benchmarks/slopes/routerslopes.cpp
+++ b/tests/benchmarks/slopes/routerslopes.cpp
@@ -1,6 +1,7 @@
 #include "measure.h"
 #include "slopelist.h"
 
+#include <decisions/control/membership.h>
 #include <decisions/routing/routechooser.h>
 
 #include <memory>
@@ -102,6 +103,44 @@
     }) / rounds;
 }
 
+std::unique_ptr<Membership> membershipOf(int servers)
+{
+    Settings::InForceSettings settings;
+    std::vector<Platform::HostEntry> hosts;
+    for (const BackendServer &server : fleet(servers)) {
+        Settings::BackendServerSettings declared;
+        declared.name = server.name;
+        declared.endpoint = server.endpoint;
+        declared.failureDomain = server.failureDomain;
+        declared.models = {server.served.front().model};
+        settings.backendServers.emplace(server.name, declared);
+        hosts.push_back({server.name, server.endpoint, server.failureDomain, 1, false});
+    }
+    auto membership = std::make_unique<Membership>(MembershipLimits{});
+    membership->setSettings(settings);
+    membership->setHostList(hosts, start);
+    return membership;
+}
+
+double bytesOfMembership(int servers)
+{
+    return heapBytesOf([servers] { return membershipOf(servers); });
+}
+
+double timeOfHostList(int servers)
+{
+    const auto membership = membershipOf(servers);
+    std::vector<Platform::HostEntry> hosts;
+    for (const BackendServer &server : fleet(servers)) {
+        hosts.push_back({server.name, server.endpoint, server.failureDomain, 1, false});
+    }
+    Core::TimePoint now = start;
+    return processorNanoseconds([&] {
+        now += std::chrono::seconds(1);
+        membership->setHostList(hosts, now);
+    });
+}
+
 } // namespace
 
 std::vector<Slope> routerSlopes()
@@ -111,6 +150,8 @@
         measureSlope({"route_chooser_memory", "backend servers", "bytes", {}}, fleets, bytesOfChooser),
         measureSlope({"route_choice_time", "backend servers", "ns a choice", {}}, fleets, timeOfChoice),
         measureSlope({"fleet_change_time", "backend servers", "ns a change", {}}, fleets, timeOfFleetChange),
+        measureSlope({"membership_memory", "backend servers", "bytes", {}}, fleets, bytesOfMembership),
+        measureSlope({"host_list_time", "backend servers", "ns a list", {}}, fleets, timeOfHostList),
         measureSlope({"prefix_key_time", "KiB of prompt", "ns", {}}, {16, 64, 256, 1024}, timeOfPrefixKeys),
     };
 }
