Edit the settings tree with verbenactl

verbenactl checks, shows, applies and reads the settings tree, with its history; shows which processes lag, drains a backend server, asks a router to explain a choice and makes keys. A change is one conditional commit: of racing operators one wins and the other is told who won and what differs. A commit without an answer is sent again until the table says what it holds, which also keeps a late copy of it from taking effect; where that fails, the report says that the outcome is unknown.

--- a/src/libs/decisions/spread/settingsdelta.h
+++ b/src/libs/decisions/spread/settingsdelta.h
@@ -37,6 +37,11 @@
     }
 };
 
+/// \brief What the rows of a table's answer say, read since a revision with a limit on their number.
+///
+/// A full page may end inside of a commit, so its last commit is left to the next page.
+SettingsDelta deltaOfTablePage(std::uint64_t since, std::size_t limit, std::vector<SettingsRow> rows);
+
 /// \brief What processes tell each other of the settings they hold, a few bytes whatever the size of the tree.
 struct SettingsDigest
 {
--- a/src/libs/decisions/spread/settingsreplica.cpp
+++ b/src/libs/decisions/spread/settingsreplica.cpp
@@ -24,22 +24,6 @@
     return bytes;
 }
 
-// A full page may end inside of a commit, so its last commit is left to the next page.
-SettingsDelta deltaOfPage(const ScanTable &scan, std::vector<SettingsRow> rows)
-{
-    if (rows.empty()) {
-        return {scan.since, scan.since, scan.since, {}, true};
-    }
-    const std::uint64_t last = rows.back().revision;
-    if (rows.size() < scan.limit) {
-        return {scan.since, last, last, std::move(rows), true};
-    }
-    while (!rows.empty() && rows.back().revision == last) {
-        rows.pop_back();
-    }
-    return {scan.since, last - 1, last, std::move(rows), true};
-}
-
 } // namespace
 
 SettingsReplica::SettingsReplica(const SettingsReplicaOptions &options, std::uint64_t seed, Core::TimePoint start)
@@ -140,7 +124,7 @@
     m_isScanning = false;
     const bool isOneCommit = rows.size() >= scan.limit && rows.front().revision == rows.back().revision;
     m_pageRows = isOneCommit ? scan.limit * 2 : m_options.pageRows;
-    SettingsDelta delta = deltaOfPage(scan, std::move(rows));
+    SettingsDelta delta = deltaOfTablePage(scan.since, scan.limit, std::move(rows));
     const std::uint64_t highest = delta.highest;
     const bool isLast = delta.isLast();
     Actions actions = takeMerged(m_store.merge(std::move(delta)), peers, now);
--- a/src/libs/eventloop/loop.cpp
+++ b/src/libs/eventloop/loop.cpp
@@ -43,6 +43,11 @@
     ev_run(m_handle, 0);
 }
 
+void Loop::runOnce()
+{
+    ev_run(m_handle, EVRUN_ONCE);
+}
+
 void Loop::stop()
 {
     ev_break(m_handle, EVBREAK_ALL);
--- a/src/libs/eventloop/loop.h
+++ b/src/libs/eventloop/loop.h
@@ -26,6 +26,9 @@
     /// \brief Runs until stop() is called.
     void run();
 
+    /// \brief Waits for something to happen, handles it, and returns; for callers that do one thing at a time.
+    void runOnce();
+
     /// \brief Makes run() return after the current iteration.
     void stop();
 
--- /dev/null
+++ b/src/libs/operator/changehistory.cpp
@@ -0,0 +1,84 @@
+#include "changehistory.h"
+
+#include <nlohmann/json.hpp>
+
+#include <ctime>
+
+namespace Verbena::Operator {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char *historyPrefix = "history/";
+
+// The mark after the path cannot be part of a name, so that rows below the path are not in the ring.
+std::string ringPrefix(const std::string &path)
+{
+    return historyPrefix + path + "#";
+}
+
+std::string utcText(Core::WallTime moment)
+{
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(moment);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    char text[32];
+    const std::size_t length = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return std::string(text, length);
+}
+
+HistoryEntry decodeEntry(const std::string &path, const Platform::TableRow &row)
+{
+    HistoryEntry entry;
+    entry.path = path;
+    entry.revision = row.revision;
+    const Json json = Json::parse(row.value, nullptr, false);
+    const auto text = [&json](const char *key) {
+        return json.is_object() && json.contains(key) && json.at(key).is_string() ? json.at(key).get<std::string>() : "";
+    };
+    entry.author = text("by");
+    entry.changedAt = text("at");
+    entry.changeId = text("change");
+    entry.content = text("content");
+    entry.isDeleted = json.is_object() && json.contains("deleted");
+    return entry;
+}
+
+Json encodeEntry(const RowChange &change, const ChangeStamp &stamp)
+{
+    Json json{{"by", stamp.author}, {"at", utcText(stamp.changedAt)}, {"change", stamp.changeId}};
+    if (change.after.has_value()) {
+        json["content"] = *change.after;
+    } else {
+        json["deleted"] = true;
+    }
+    return json;
+}
+
+} // namespace
+
+ChangeHistory::ChangeHistory(TreeTable &table)
+    : m_table(table)
+{
+}
+
+Core::Result<std::vector<HistoryEntry>> ChangeHistory::entries(const std::string &path)
+{
+    BOOST_OUTCOME_TRY(rows, m_table.scan(ringPrefix(path), 0, entriesPerRow));
+    std::vector<HistoryEntry> found;
+    for (const Platform::TableRow &row : rows) {
+        found.push_back(decodeEntry(path, row));
+    }
+    return found;
+}
+
+Core::Result<Platform::RowWrite> ChangeHistory::record(const RowChange &change, const ChangeStamp &stamp)
+{
+    BOOST_OUTCOME_TRY(rows, m_table.scan(ringPrefix(change.path), 0, entriesPerRow));
+    // Slots fill in order; after that the oldest, which is first by revision, makes room.
+    const std::string slot = rows.size() < entriesPerRow ? ringPrefix(change.path) + std::to_string(rows.size()) : rows.front().key;
+    return Platform::RowWrite{slot, encodeEntry(change, stamp).dump(-1, ' ', false, Json::error_handler_t::replace), std::nullopt};
+}
+
+} // namespace Verbena::Operator
--- /dev/null
+++ b/src/libs/operator/treetable.cpp
@@ -0,0 +1,86 @@
+#include "treetable.h"
+
+#include <settingstree/treepath.h>
+
+#include <memory>
+
+namespace Verbena::Operator {
+
+namespace {
+
+constexpr std::size_t pageRows = 500;
+
+// Outlives the call, so that an answer which comes after all is not written into nowhere.
+template<typename Answer>
+struct Pending
+{
+    bool isDone = false;
+    Answer answer;
+};
+
+std::vector<Decisions::SettingsRow> settingsRows(std::vector<Platform::TableRow> rows)
+{
+    std::vector<Decisions::SettingsRow> result;
+    result.reserve(rows.size());
+    for (Platform::TableRow &row : rows) {
+        result.push_back({std::move(row.key), std::move(row.value), row.revision, row.isDeleted});
+    }
+    return result;
+}
+
+} // namespace
+
+TreeTable::TreeTable(Platform::TableService &table, Waiting waiting, std::chrono::milliseconds timeout)
+    : m_table(table)
+    , m_waiting(std::move(waiting))
+    , m_timeout(timeout)
+{
+}
+
+Core::Result<Decisions::SettingsStore> TreeTable::readTree()
+{
+    Decisions::SettingsStore store;
+    std::size_t limit = pageRows;
+    while (true) {
+        const std::uint64_t since = store.cursor();
+        BOOST_OUTCOME_TRY(rows, scan(std::string(SettingsTree::treePrefix), since, limit));
+        Decisions::SettingsDelta delta = Decisions::deltaOfTablePage(since, limit, settingsRows(std::move(rows)));
+        const bool isLast = delta.isLast();
+        // A page that holds one commit alone has to grow until it holds the whole of it.
+        limit = isLast || delta.covered > since ? pageRows : limit * 2;
+        store.merge(std::move(delta));
+        if (isLast) {
+            return store;
+        }
+    }
+}
+
+Core::Result<std::vector<Platform::TableRow>> TreeTable::scan(const std::string &prefix, std::uint64_t sinceRevision, std::size_t limit)
+{
+    using Answer = Core::Result<std::vector<Platform::TableRow>>;
+    auto pending = std::make_shared<Pending<Answer>>(Pending<Answer>{false, std::vector<Platform::TableRow>()});
+    m_table.scan(prefix, sinceRevision, limit, deadline(), [pending](Answer answer) {
+        pending->answer = std::move(answer);
+        pending->isDone = true;
+    });
+    m_waiting.waitUntil(pending->isDone);
+    return std::move(pending->answer);
+}
+
+Platform::CommitAnswer TreeTable::commit(const std::vector<Platform::RowWrite> &writes)
+{
+    auto pending = std::make_shared<Pending<Platform::CommitAnswer>>();
+    m_table.commit(writes, deadline(), [pending](const Platform::CommitAnswer &answer) {
+        pending->answer = answer;
+        pending->isDone = true;
+    });
+    m_waiting.waitUntil(pending->isDone);
+    return pending->answer;
+}
+
+Core::TimePoint TreeTable::deadline() const
+{
+    return m_waiting.now() + m_timeout;
+}
+
+} // namespace Verbena::Operator
--- a/src/libs/settingstree/treefiles.h
+++ b/src/libs/settingstree/treefiles.h
@@ -20,6 +20,9 @@
 class TreeFiles
 {
 public:
+    /// \brief No files at all: what is wrong in a tree is told by its rows.
+    TreeFiles() = default;
+
     /// \brief Reads all \a paths. Errors: NotFound, InvalidArgument, with every problem's file, line and key.
     static Core::Result<TreeFiles> read(const std::vector<std::string> &paths);
 
--- /dev/null
+++ b/tests/benchmarks/control/looptasks.cpp
@@ -0,0 +1,232 @@
+#include "looptasks.h"
+
+#include "../slopes/measure.h"
+
+#include <eventloop/loop.h>
+#include <eventloop/timer.h>
+#include <platform/httpplatform.h>
+#include <settingstree/settingstask.h>
+#include <support/childprocess.h>
+#include <wire/messagesocket.h>
+
+#include <algorithm>
+#include <ctime>
+#include <memory>
+#include <string>
+
+namespace Verbena::Bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t peersEach = 5; // That each process connects to; as many connect to it on average.
+constexpr std::chrono::milliseconds changeInterval = std::chrono::milliseconds(24h) / 60'000;
+constexpr std::chrono::seconds settlingTime{10};
+
+double processorSeconds()
+{
+    timespec spent{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spent);
+    return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) * 1e-9;
+}
+
+// A process: one socket that others connect to, some connections to others, and a settings task on them.
+class LoopbackProcess : public SettingsTree::PeerChannel, public Wire::MessageReceiver
+{
+public:
+    LoopbackProcess(EventLoop::Loop &loop, Wire::MessageContext &context)
+        : m_loop(loop)
+        , m_context(context)
+        , m_socket(Wire::MessageSocket::bind(loop, context, "tcp://127.0.0.1:*", {}, *this).value())
+    {
+    }
+
+    std::string endpoint() const
+    {
+        return m_socket->endpoint();
+    }
+
+    void connectTo(const std::string &endpoint)
+    {
+        const std::string id = std::to_string(m_links.size());
+        m_links.push_back(std::make_unique<Link>(*this, id));
+        m_links.back()->socket = Wire::MessageSocket::connect(m_loop, m_context, endpoint, {}, *m_links.back()).value();
+        m_peers.push_back(id);
+    }
+
+    void start(Platform::TableService &table, std::uint64_t seed)
+    {
+        SettingsTree::SettingsTaskOptions options;
+        options.seed = seed;
+        m_task = SettingsTree::SettingsTask::create(m_loop, options, table, nullptr, *this).value();
+        m_task->setChangedCallback([this] { m_publications.push_back({m_task->current()->revision, m_loop.now()}); });
+    }
+
+    SettingsTree::SettingsTask &task()
+    {
+        return *m_task;
+    }
+
+    Core::TimePoint inForceAt(std::uint64_t revision) const
+    {
+        for (const Publication &publication : m_publications) {
+            if (publication.revision >= revision) {
+                return publication.moment;
+            }
+        }
+        return Core::TimePoint::max();
+    }
+
+    const std::vector<std::string> &peers() const override
+    {
+        return m_peers;
+    }
+
+    Core::Result<void> sendToPeer(const std::string &peer, const verbena::wire::Envelope &message) override
+    {
+        // Identities that ZeroMQ gives begin with a zero byte, so they differ from the numbers of links.
+        return peer.front() == '\0' ? m_socket->send(peer, message) : m_links[std::stoul(peer)]->socket->send({}, message);
+    }
+
+    void receiveMessage(const std::string &peer, const verbena::wire::Envelope &message) override
+    {
+        if (std::find(m_peers.begin(), m_peers.end(), peer) == m_peers.end()) {
+            m_peers.push_back(peer);
+        }
+        m_task->receiveFromPeer(peer, message);
+    }
+
+    void receiveGarbage(const std::string &) override
+    {
+    }
+
+private:
+    struct Publication
+    {
+        std::uint64_t revision;
+        Core::TimePoint moment;
+    };
+
+    struct Link : public Wire::MessageReceiver
+    {
+        Link(LoopbackProcess &linkOwner, std::string linkId)
+            : owner(linkOwner)
+            , id(std::move(linkId))
+        {
+        }
+
+        void receiveMessage(const std::string &, const verbena::wire::Envelope &message) override
+        {
+            owner.m_task->receiveFromPeer(id, message);
+        }
+
+        void receiveGarbage(const std::string &) override
+        {
+        }
+
+        LoopbackProcess &owner;
+        std::string id;
+        std::unique_ptr<Wire::MessageSocket> socket;
+    };
+
+    EventLoop::Loop &m_loop;
+    Wire::MessageContext &m_context;
+    std::unique_ptr<Wire::MessageSocket> m_socket;
+    std::vector<std::unique_ptr<Link>> m_links;
+    std::vector<std::string> m_peers;
+    std::unique_ptr<SettingsTree::SettingsTask> m_task;
+    std::vector<Publication> m_publications;
+};
+
+void runFor(EventLoop::Loop &loop, std::chrono::milliseconds span)
+{
+    EventLoop::Timer timer(loop, [&loop] { loop.stop(); });
+    timer.startAt(loop.now() + span);
+    loop.run();
+}
+
+std::vector<std::unique_ptr<LoopbackProcess>> startProcesses(EventLoop::Loop &loop, Wire::MessageContext &context, Platform::TableService &table, int count)
+{
+    std::vector<std::unique_ptr<LoopbackProcess>> processes;
+    for (int i = 0; i < count; ++i) {
+        processes.push_back(std::make_unique<LoopbackProcess>(loop, context));
+    }
+    Decisions::RandomSource random(7);
+    for (int i = 0; i < count; ++i) {
+        for (std::size_t j = 0; j < peersEach; ++j) {
+            const std::size_t other = random.next() % processes.size();
+            processes[static_cast<std::size_t>(i)]->connectTo(processes[other]->endpoint());
+        }
+        processes[static_cast<std::size_t>(i)]->start(table, random.next());
+    }
+    return processes;
+}
+
+SettingsTree::SettingsStatus totalOf(const std::vector<std::unique_ptr<LoopbackProcess>> &processes)
+{
+    SettingsTree::SettingsStatus total;
+    for (const auto &process : processes) {
+        const SettingsTree::SettingsStatus status = process->task().status();
+        total.bytesSent += status.bytesSent;
+        total.messagesSent += status.messagesSent;
+        total.tableReads += status.tableReads;
+    }
+    return total;
+}
+
+struct Acceptance
+{
+    std::uint64_t revision = 0;
+    Core::TimePoint moment;
+};
+
+void commit(EventLoop::Loop &loop, Platform::TableService &table, const std::string &name, Acceptance &acceptance)
+{
+    const std::string path = "settings/organisations/" + name;
+    table.commit({{path, R"({"share":1.5})", std::nullopt}}, loop.now() + 5s, [&loop, &acceptance](const Platform::CommitAnswer &answer) {
+        acceptance = {answer.revision, loop.now()};
+    });
+}
+
+} // namespace
+
+SpreadFigures runOnLoopback(int processCount, int changes)
+{
+    Test::ChildProcess standin("verbena-standin", {"platform"});
+    const std::string url = "http://" + standin.waitForLine("listening http ");
+    const auto loop = EventLoop::Loop::create().value();
+    const auto platform = Platform::HttpPlatform::create(*loop, url).value();
+    Wire::MessageContext context;
+    const double heapBefore = heapBytes();
+    const auto processes = startProcesses(*loop, context, *platform, processCount);
+    Acceptance first;
+    commit(*loop, *platform, "first", first);
+    runFor(*loop, settlingTime);
+    const SettingsTree::SettingsStatus before = totalOf(processes);
+    const double processorBefore = processorSeconds();
+    std::vector<Acceptance> acceptances(static_cast<std::size_t>(changes));
+    for (int i = 0; i < changes; ++i) {
+        commit(*loop, *platform, "organisation" + std::to_string(i), acceptances[static_cast<std::size_t>(i)]);
+        runFor(*loop, changeInterval);
+    }
+    const SettingsTree::SettingsStatus after = totalOf(processes);
+    const double perProcessSecond = std::chrono::duration<double>(changeInterval * changes).count() * processCount;
+    SpreadFigures figures;
+    figures.processes = processCount;
+    figures.changes = changes;
+    figures.bytesPerProcessSecond = static_cast<double>(after.bytesSent - before.bytesSent) / perProcessSecond;
+    figures.messagesPerProcessSecond = static_cast<double>(after.messagesSent - before.messagesSent) / perProcessSecond;
+    figures.tableReadsPerSecond = static_cast<double>(after.tableReads - before.tableReads) / perProcessSecond * processCount;
+    figures.processorShare = (processorSeconds() - processorBefore) / perProcessSecond;
+    figures.heapBytesPerProcess = (heapBytes() - heapBefore) / processCount;
+    runFor(*loop, settlingTime);
+    for (const Acceptance &acceptance : acceptances) {
+        for (const auto &process : processes) {
+            figures.delays.push_back(std::chrono::duration_cast<std::chrono::microseconds>(process->inForceAt(acceptance.revision) - acceptance.moment));
+        }
+    }
+    return figures;
+}
+
+} // namespace Verbena::Bench
