Ask the candidates before choosing among them

An agent now learns how much of the queued work a request really waits for, and counts prompts that wait as warm for those behind them. A router finds the shallowest prefix that one backend server can serve from its part of the demand, takes that prefix's homes, spares, holders and one by load, and asks them before it chooses.

--- a/src/apps/policybench/bench.cpp
+++ b/src/apps/policybench/bench.cpp
@@ -198,15 +198,39 @@
         flight.attempt.query.version = modelVersion;
         flight.attempt.query.keys = request.keys;
         flight.attempt.query.root = request.root;
-        dispatch(request.id);
+        probe(request.id);
         arrive(m_now);
     });
 }
 
-void Bench::dispatch(std::uint64_t id)
+void Bench::probe(std::uint64_t id)
+{
+    const Flight &flight = m_flights.at(id);
+    const Decisions::RouteDecision probed = m_policy->probes(flight.router, flight.attempt.query, m_now);
+    if (probed.candidates.empty()) {
+        dispatch(id, probed);
+        return;
+    }
+    for (const Decisions::RouteCandidate &candidate : probed.candidates) {
+        noteMessage(flight, flight.request.keys.size() * sizeof(Decisions::PrefixKey));
+        noteMessage(flight, hintBytes);
+        at(m_now + hop, [this, id, server = candidate.id] { answerProbe(id, server); });
+    }
+    at(m_now + 2 * hop + 1us, [this, id, probed] { dispatch(id, probed); });
+}
+
+void Bench::answerProbe(std::uint64_t id, BackendServerId server)
+{
+    const Flight &flight = m_flights.at(id);
+    const Decisions::AdmissionGate &gate = *m_workers[m_indexes.at(server)].gate;
+    const ProbeReply reply{gate.warmPieces(flight.request.keys, m_now), gate.load(m_now)};
+    at(m_now + hop, [this, router = flight.router, query = flight.attempt.query, server, reply] { m_policy->noteProbe(router, server, query, reply, m_now); });
+}
+
+void Bench::dispatch(std::uint64_t id, const Decisions::RouteDecision &probed)
 {
     Flight &flight = m_flights.at(id);
-    const std::optional<BackendServerId> chosen = m_policy->choose(flight.router, flight.attempt.query, m_now);
+    const std::optional<BackendServerId> chosen = m_policy->choose(flight.router, flight.attempt.query, probed, m_now);
     if (!chosen.has_value() || flight.attempts == maximumAttempts) {
         note(flight.request, [](Figures &figures) { figures.noteNotRun(); });
         m_flights.erase(id);
@@ -227,7 +251,7 @@
 {
     Flight &flight = m_flights.at(id);
     flight.attempt.query.excluded.push_back(flight.attempt.server);
-    dispatch(id);
+    probe(id);
 }
 
 void Bench::deliver(std::uint64_t id, Worker &worker)
--- a/src/apps/policybench/bench.h
+++ b/src/apps/policybench/bench.h
@@ -49,7 +49,9 @@
     void beginEvent();
     void crash(Worker &worker);
     void arrive(Core::TimePoint last);
-    void dispatch(std::uint64_t id);
+    void probe(std::uint64_t id);
+    void answerProbe(std::uint64_t id, Decisions::BackendServerId server);
+    void dispatch(std::uint64_t id, const Decisions::RouteDecision &probed);
     void retry(std::uint64_t id);
     void deliver(std::uint64_t id, Worker &worker);
     void carryOut(Worker &worker, const std::vector<Decisions::GateAction> &actions);
--- a/src/libs/decisions/gate/admissiongate.cpp
+++ b/src/libs/decisions/gate/admissiongate.cpp
@@ -87,6 +87,7 @@
             held->request.promptTokens - std::min(*cachedTokens, held->request.promptTokens), spanBetween(std::max(held->startedAt, m_prefillSince), now));
     }
     endPrefill(*held, now);
+    forgetPrompt(held->request);
     held->state = State::Decode;
     held->lastTokenAt = now;
     const std::optional<std::uint32_t> cachedPieces = cachedTokens ? std::optional(*cachedTokens / m_cost.pieceTokens()) : std::nullopt;
@@ -237,7 +238,12 @@
 
 std::uint32_t AdmissionGate::warmPieces(const std::vector<PrefixKey> &keys, Core::TimePoint now) const
 {
-    return m_cache.likelyPieces(keys, now);
+    // Keys are chained: who waits with one of them brings all before it.
+    std::uint32_t expected = 0;
+    while (expected < keys.size() && m_expectedKeys.contains(keys[expected])) {
+        ++expected;
+    }
+    return std::max(expected, m_cache.likelyPieces(keys, now));
 }
 
 std::optional<HeatHint> AdmissionGate::heatHint(const std::vector<PrefixKey> &keys) const
@@ -310,7 +316,7 @@
     probe.request = request;
     estimate(probe, now);
     m_heat.noteDemand(request.keys, probe.work, now);
-    if (now + expectedWait(request, probe.work, now) + probe.prefill > request.deadline) {
+    if (now + expectedWait(request.flow, probe.work, now) + probe.prefill > request.deadline) {
         return refuse(GateRefusal::Deadline);
     }
     return std::nullopt;
@@ -344,11 +350,13 @@
     held.request = std::move(request);
     held.ticket = TicketId(++m_lastTicket);
     held.queuedAt = now;
+    held.workBefore = m_queue.queuedWork();
     estimate(held, now);
     held.alarm = held.request.deadline - held.prefill;
     m_byTicket[held.ticket] = &held;
     m_alarms.emplace(held.alarm, held.ticket);
     m_queue.push(held.request.flow, Ticket{held.ticket, held.work});
+    expectPrompt(held.request);
 }
 
 void AdmissionGate::startWaiting(Core::TimePoint now, std::vector<GateAction> &actions)
@@ -372,6 +380,7 @@
         return;
     }
     m_queue.charge(held.request.flow, held.work - charged);
+    m_cost.noteQueueWait(held.workBefore, spanBetween(held.queuedAt, now));
     m_duplicates.noteStarted(held.request.ref);
     m_alarms.erase({held.alarm, held.ticket});
     held.alarm = held.request.deadline;
@@ -412,7 +421,8 @@
 void AdmissionGate::estimate(Held &held, Core::TimePoint now) const
 {
     const GateRequest &request = held.request;
-    const std::uint32_t warm = m_cache.likelyPieces(request.keys, now);
+    const std::uint32_t warm
+        = held.state == State::Queued && held.ticket == TicketId{} ? warmPieces(request.keys, now) : m_cache.likelyPieces(request.keys, now);
     held.missingTokens = m_cost.missingTokens(request.promptTokens, warm) + request.resumeTokens;
     held.prefill = m_cost.prefill(held.missingTokens);
     held.work = held.prefill + m_cost.decodeWork(request.maximumTokens - std::min(request.maximumTokens, request.resumeTokens));
@@ -443,9 +453,9 @@
     return std::max(microseconds(0), m_prefillPromised - spanBetween(m_prefillSince, now));
 }
 
-microseconds AdmissionGate::expectedWait(const GateRequest &request, microseconds work, Core::TimePoint now) const
+microseconds AdmissionGate::expectedWait(const FlowPath &flow, microseconds work, Core::TimePoint now) const
 {
-    return prefillAhead(now) + m_queue.expectedWait(request.flow, work);
+    return prefillAhead(now) + m_cost.queueWait(m_queue.expectedWait(flow, work));
 }
 
 microseconds AdmissionGate::retryAfter(GateRefusal reason, const FlowPath &flow, Core::TimePoint now) const
@@ -455,7 +465,7 @@
     case GateRefusal::Deadline:
     case GateRefusal::Overload:
         // Half the flow's queue will be gone then.
-        return std::clamp((prefillAhead(now) + m_queue.expectedWait(flow, microseconds(0))) / 2, shortestRetryAfter, longestRetryAfter);
+        return std::clamp(expectedWait(flow, microseconds(0), now) / 2, shortestRetryAfter, longestRetryAfter);
     case GateRefusal::Leaving:
     case GateRefusal::NotServed:
     case GateRefusal::EngineDown:
@@ -467,17 +477,37 @@
 
 microseconds AdmissionGate::totalWait(Core::TimePoint now) const
 {
-    return prefillAhead(now) + m_queue.queuedWork();
+    return prefillAhead(now) + m_cost.queueWait(m_queue.queuedWork());
 }
 
 void AdmissionGate::release(Held &held)
 {
     m_alarms.erase({held.alarm, held.ticket});
     m_byTicket.erase(held.ticket);
+    if (held.state != State::Decode) {
+        forgetPrompt(held.request);
+    }
     const RequestRef ref = held.request.ref;
     m_held.erase(ref);
 }
 
+void AdmissionGate::expectPrompt(const GateRequest &request)
+{
+    for (const PrefixKey key : request.keys) {
+        ++m_expectedKeys[key];
+    }
+}
+
+void AdmissionGate::forgetPrompt(const GateRequest &request)
+{
+    for (const PrefixKey key : request.keys) {
+        const auto found = m_expectedKeys.find(key);
+        if (--found->second == 0) {
+            m_expectedKeys.erase(found);
+        }
+    }
+}
+
 AdmissionGate::Held *AdmissionGate::find(const RequestRef &ref)
 {
     const auto found = m_held.find(ref);
--- a/src/libs/decisions/gate/admissiongate.h
+++ b/src/libs/decisions/gate/admissiongate.h
@@ -87,7 +87,7 @@
     /// \brief What to tell routers with each reply.
     LoadReport load(Core::TimePoint now) const;
 
-    /// \brief How many of \a keys, from the first on, are cached as far as is known or likely.
+    /// \brief How many of \a keys, from the first on, are likely cached by the time that a new request begins.
     std::uint32_t warmPieces(const std::vector<PrefixKey> &keys, Core::TimePoint now) const;
 
     /// \brief The home set that a hot prefix among \a keys should have.
@@ -119,6 +119,7 @@
         Core::TimePoint alarm; ///< When waiting or running on is of no more use.
         std::chrono::microseconds work{0}; ///< Charged to the flow.
         std::chrono::microseconds prefill{0}; ///< Expected.
+        std::chrono::microseconds workBefore{0}; ///< Queued when it came.
         std::uint32_t missingTokens = 0;
         bool isCancelled = false;
     };
@@ -137,10 +138,12 @@
     bool hasRoom(Core::TimePoint now) const;
     bool isServed(const GateRequest &request) const;
     std::chrono::microseconds prefillAhead(Core::TimePoint now) const;
-    std::chrono::microseconds expectedWait(const GateRequest &request, std::chrono::microseconds work, Core::TimePoint now) const;
+    std::chrono::microseconds expectedWait(const FlowPath &flow, std::chrono::microseconds work, Core::TimePoint now) const;
     std::chrono::microseconds retryAfter(GateRefusal reason, const FlowPath &flow, Core::TimePoint now) const;
     std::chrono::microseconds totalWait(Core::TimePoint now) const;
     void release(Held &held);
+    void expectPrompt(const GateRequest &request);
+    void forgetPrompt(const GateRequest &request);
     Held *find(const RequestRef &ref);
 
     AdmissionGateOptions m_options;
@@ -155,6 +158,7 @@
     std::set<std::pair<Core::TimePoint, TicketId>> m_alarms;
     std::vector<ModelVersion> m_served;
     std::uint64_t m_lastTicket = 0;
+    std::unordered_map<PrefixKey, std::size_t> m_expectedKeys; ///< Of prompts that wait or are being processed, with their number.
     std::size_t m_running = 0;
     std::chrono::microseconds m_prefillPromised{0}; ///< Of all runs without a first token.
     Core::TimePoint m_prefillSince; ///< When the engine began the prompt it works on.
--- a/src/libs/decisions/gate/costmodel.cpp
+++ b/src/libs/decisions/gate/costmodel.cpp
@@ -8,6 +8,7 @@
 
 constexpr double learningRate = 0.1;
 constexpr std::uint32_t fewestTokensToLearnFrom = 64; // Below, overhead hides the cost of a token.
+constexpr std::chrono::milliseconds shortestQueueToLearnFrom{10};
 
 double seconds(std::chrono::microseconds span)
 {
@@ -52,6 +53,14 @@
     }
 }
 
+void CostModel::noteQueueWait(std::chrono::microseconds queuedWork, std::chrono::microseconds span)
+{
+    if (queuedWork >= shortestQueueToLearnFrom) {
+        m_waited += seconds(span) - learningRate * m_waited;
+        m_queued += seconds(queuedWork) - learningRate * m_queued;
+    }
+}
+
 std::chrono::microseconds CostModel::prefillPerPiece() const
 {
     return microseconds(m_prefillSecondsPerToken * m_options.pieceTokens);
@@ -78,6 +87,11 @@
     return warm >= promptTokens ? 0 : promptTokens - static_cast<std::uint32_t>(warm);
 }
 
+std::chrono::microseconds CostModel::queueWait(std::chrono::microseconds queuedWork) const
+{
+    return microseconds(seconds(queuedWork) * m_waited / m_queued);
+}
+
 std::uint32_t CostModel::pieceTokens() const
 {
     return m_options.pieceTokens;
--- a/src/libs/decisions/gate/costmodel.h
+++ b/src/libs/decisions/gate/costmodel.h
@@ -30,6 +30,9 @@
     /// \brief An answer that might have had \a maximumTokens had \a tokens.
     void noteAnswerLength(std::uint32_t tokens, std::uint32_t maximumTokens);
 
+    /// \brief A request began after \a span, with \a queuedWork before it when it came.
+    void noteQueueWait(std::chrono::microseconds queuedWork, std::chrono::microseconds span);
+
     std::chrono::microseconds prefillPerPiece() const;
 
     /// \brief Time to process a prompt of which \a missingTokens are not in the cache.
@@ -44,12 +47,17 @@
     /// \brief Prompt tokens left when \a warmPieces of \a promptTokens are cached.
     std::uint32_t missingTokens(std::uint32_t promptTokens, std::uint32_t warmPieces) const;
 
+    /// \brief Time until \a queuedWork has begun: less than its sum, as far as answers run beside each other.
+    std::chrono::microseconds queueWait(std::chrono::microseconds queuedWork) const;
+
     std::uint32_t pieceTokens() const;
 
 private:
     CostModelOptions m_options;
     double m_prefillSecondsPerToken;
     double m_decodeSecondsPerToken; ///< Of engine time: interval divided by the answers that share it.
+    double m_waited = 1.0; ///< Seconds, older ones counting less.
+    double m_queued = 1.0; ///< Seconds of work before those that waited.
     double m_lengthRatio = 1.0; ///< Tokens of answers over their maximum.
 };
 
--- a/src/libs/decisions/routing/keytable.cpp
+++ b/src/libs/decisions/routing/keytable.cpp
@@ -1,23 +1,10 @@
 #include "keytable.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace Verbena::Decisions {
 
-namespace {
-
-constexpr std::chrono::duration<double> demandLifetime{10.0};
-
-double faded(const KeyRecord &record, Core::TimePoint now)
-{
-    const std::chrono::duration<double> age = now - record.noted;
-    return age.count() <= 0 ? record.demand : record.demand * std::exp(-age / demandLifetime);
-}
-
-} // namespace
-
 KeyTable::KeyTable(std::size_t size)
     : m_sets(std::max<std::size_t>(1, (size + ways - 1) / ways))
 {
@@ -31,7 +18,7 @@
 const KeyRecord *KeyTable::find(PrefixKey key) const
 {
     for (const KeyRecord &record : setOf(key)) {
-        if (record.key == key && record.demand > 0) {
+        if (record.isUsed && record.key == key) {
             return &record;
         }
     }
@@ -46,7 +33,7 @@
 double KeyTable::demand(PrefixKey key, Core::TimePoint now) const
 {
     const KeyRecord *record = find(key);
-    return record == nullptr ? 0 : faded(*record, now);
+    return record == nullptr ? 0 : record->demand.at(now);
 }
 
 void KeyTable::noteDemand(PrefixKey key, Core::TimePoint now)
@@ -54,13 +41,13 @@
     KeyRecord *record = findRecord(key);
     if (record == nullptr) {
         Set &set = m_sets[static_cast<std::uint64_t>(key) % m_sets.size()];
-        record
-            = &*std::min_element(set.begin(), set.end(), [now](const KeyRecord &left, const KeyRecord &right) { return faded(left, now) < faded(right, now); });
+        record = &*std::min_element(
+            set.begin(), set.end(), [now](const KeyRecord &left, const KeyRecord &right) { return left.demand.at(now) < right.demand.at(now); });
         *record = KeyRecord{};
         record->key = key;
+        record->isUsed = true;
     }
-    record->demand = static_cast<float>(faded(*record, now) + 1);
-    record->noted = now;
+    record->demand.add(now);
 }
 
 void KeyTable::noteHolder(PrefixKey key, const PrefixHolder &holder)
--- a/src/libs/decisions/routing/keytable.h
+++ b/src/libs/decisions/routing/keytable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backendserver.h"
+#include "decayingcount.h"
 #include "prefixchain.h"
 
 #include <core/time.h>
@@ -25,9 +26,9 @@
     static constexpr std::size_t holderCount = 6;
 
     PrefixKey key{};
-    float demand = 0; ///< Requests, older ones counting less.
+    DecayingCount demand; ///< Requests.
+    bool isUsed = false;
     std::uint32_t width = 1; ///< Backend servers that the owner asked to spread it over.
-    Core::TimePoint noted{}; ///< When demand was brought up to date.
     Core::TimePoint widthDeadline{};
     std::array<PrefixHolder, holderCount> holders{};
 };
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace Verbena::Decisions {
 
@@ -12,15 +13,15 @@
 namespace {
 
 // Seen at least twice of late: anything less says nothing about what other requests share.
-constexpr double sharedDemand = 0.5;
-// Where demand falls by this factor from one level to the next, a shared prefix ends.
-constexpr double branchFactor = 1.5;
-constexpr std::size_t maximumLevels = 3;
+constexpr double sharedDemand = 0.7;
+// Of the work of an average backend server: a prefix in more demand is handed over to deeper ones, or shared by several homes.
+constexpr double homePart = 1.0;
+// Where demand falls by this factor, a shared prefix ends and a deeper one begins.
+constexpr double branchFactor = 1.2;
 constexpr std::size_t maximumHolders = 4;
 constexpr std::size_t loadDraws = 4;
+constexpr std::size_t spareCount = 1;
 constexpr std::size_t spareRanks = 4; ///< Looked up on top, in case that the first ones may not be used.
-// While no holder is known, a home may well be warm: the other routers know it as home too.
-constexpr double homeBelief = 0.5;
 constexpr double tieMicroseconds = 1000;
 
 } // namespace
@@ -54,13 +55,16 @@
         }
     }
     m_servers = std::move(known);
-    m_models.clear();
-    for (const auto &[version, pool] : models) {
-        m_models.emplace(version, Placement(pool));
-    }
-    m_services.clear();
-    for (const auto &[service, pool] : services) {
-        m_services.emplace(service, Placement(pool));
+    setPools(m_models, models);
+    setPools(m_services, services);
+}
+
+template<typename Key>
+void RouteChooser::setPools(std::map<Key, Pool> &pools, const std::map<Key, std::vector<BackendServerId>> &members)
+{
+    std::erase_if(pools, [&members](const auto &pool) { return !members.contains(pool.first); });
+    for (const auto &[key, ids] : members) {
+        pools[key].placement = Placement(ids);
     }
 }
 
@@ -78,6 +82,9 @@
         return;
     }
     m_loads.noteSent(id, work);
+    if (Pool *pool = const_cast<Pool *>(poolFor(query))) {
+        pool->demand.add(now);
+    }
     for (const PrefixKey key : query.keys) {
         m_keys.noteDemand(key, now);
     }
@@ -92,6 +99,22 @@
     }
 }
 
+void RouteChooser::noteProbe(BackendServerId id, const RouteQuery &query, std::uint32_t warmPieces, const LoadReport &report, Core::TimePoint now)
+{
+    if (!m_servers.contains(id)) {
+        return;
+    }
+    m_loads.noteReport(id, report, now);
+    const PrefixHolder holder{id, m_loads.epoch(id), now + m_options.holderLifetime};
+    for (std::size_t piece = 0; piece < query.keys.size(); ++piece) {
+        if (piece < warmPieces) {
+            m_keys.noteHolder(query.keys[piece], holder);
+        } else {
+            m_keys.forgetHolder(query.keys[piece], id);
+        }
+    }
+}
+
 void RouteChooser::noteRefusal(BackendServerId id, const RouteQuery &query, const RouteRefusal &refusal, microseconds work, Core::TimePoint now)
 {
     m_loads.noteAnswered(id, work);
@@ -128,7 +151,7 @@
     }
 }
 
-const Placement *RouteChooser::poolFor(const RouteQuery &query) const
+const RouteChooser::Pool *RouteChooser::poolFor(const RouteQuery &query) const
 {
     if (!query.service.empty()) {
         const auto found = m_services.find(query.service);
@@ -140,20 +163,43 @@
 
 RouteDecision RouteChooser::choose(const RouteQuery &query, Core::TimePoint now) const
 {
-    const Placement *pool = poolFor(query);
+    const Pool *pool = poolFor(query);
     if (pool == nullptr) {
         return {};
     }
     Search search{query, now, *pool, {}};
-    addHolders(search);
-    const std::vector<Level> levels = sharedLevels(query, now);
-    for (const Level &level : levels) {
-        addHomes(search, level, &level == &levels.back() ? CandidateOrigin::ShallowHome : CandidateOrigin::Home);
+    const Level home = homeLevel(search);
+    addHomes(search, home, CandidateOrigin::Home);
+    addSpares(search, home);
+    if (const std::optional<Level> deeper = deeperLevel(search, home)) {
+        addHomes(search, *deeper, CandidateOrigin::DeepHome);
     }
+    addHolders(search);
     addByLoad(search);
     if (search.candidates.empty()) {
         addAny(search);
     }
+    return ranked(std::move(search));
+}
+
+RouteDecision RouteChooser::chooseAmong(const RouteDecision &candidates, const RouteQuery &query, Core::TimePoint now) const
+{
+    const Pool *pool = poolFor(query);
+    if (pool == nullptr) {
+        return {};
+    }
+    Search search{query, now, *pool, {}};
+    const std::vector<BackendServerId> &members = pool->placement.members();
+    for (const RouteCandidate &candidate : candidates.candidates) {
+        if (std::binary_search(members.begin(), members.end(), candidate.id)) {
+            addCandidate(search, candidate.id, candidate.origin, 0);
+        }
+    }
+    return search.candidates.empty() ? choose(query, now) : ranked(std::move(search));
+}
+
+RouteDecision RouteChooser::ranked(Search search) const
+{
     for (RouteCandidate &candidate : search.candidates) {
         weigh(candidate, search);
     }
@@ -163,22 +209,38 @@
     return {std::move(search.candidates)};
 }
 
-// Demand falls from shallow to deep. A shared prefix ends where it falls steeply; the deepest ends are the dearest to miss.
-std::vector<RouteChooser::Level> RouteChooser::sharedLevels(const RouteQuery &query, Core::TimePoint now) const
+// The shallowest prefix that fits one backend server: so all that share it meet in one cache. Each router sees the same part of the
+// whole demand, so all find nearly the same level without a word between them.
+RouteChooser::Level RouteChooser::homeLevel(const Search &search) const
 {
-    std::vector<Level> levels;
-    double below = sharedDemand / branchFactor;
-    for (std::size_t pieces = query.keys.size(); pieces > 0 && levels.size() < maximumLevels; --pieces) {
-        const double demand = m_keys.demand(query.keys[pieces - 1], now);
-        if (demand >= below * branchFactor) {
-            levels.push_back({static_cast<std::uint32_t>(pieces), query.keys[pieces - 1]});
-            below = demand;
+    const std::vector<PrefixKey> &keys = search.query.keys;
+    const double perServer = search.pool.demand.at(search.now) / static_cast<double>(search.pool.placement.members().size());
+    Level level{0, keys.empty() ? search.query.root : keys.front(), 1};
+    for (std::size_t piece = 0; piece < keys.size(); ++piece) {
+        const double demand = m_keys.demand(keys[piece], search.now);
+        if (demand < sharedDemand) {
+            break;
+        }
+        const double homes = std::ceil(demand / (perServer * homePart));
+        level = {piece + 1, keys[piece], static_cast<std::size_t>(std::clamp(homes, 1.0, static_cast<double>(m_options.maximumHomes)))};
+        if (level.width == 1) {
+            break;
         }
     }
-    if (levels.empty()) {
-        levels.push_back({0, query.keys.empty() ? query.root : query.keys.front()});
+    return level;
+}
+
+std::optional<RouteChooser::Level> RouteChooser::deeperLevel(const Search &search, const Level &level) const
+{
+    const std::vector<PrefixKey> &keys = search.query.keys;
+    const double above = m_keys.demand(level.key, search.now);
+    for (std::size_t piece = level.pieces; piece < keys.size(); ++piece) {
+        const double demand = m_keys.demand(keys[piece], search.now);
+        if (demand * branchFactor < above) {
+            return demand < sharedDemand ? std::nullopt : std::optional(Level{piece + 1, keys[piece], 1});
+        }
     }
-    return levels;
+    return std::nullopt;
 }
 
 bool RouteChooser::isUsable(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const
@@ -186,7 +248,7 @@
     return std::find(query.excluded.begin(), query.excluded.end(), id) == query.excluded.end() && !m_loads.isPaused(id, now);
 }
 
-bool RouteChooser::addCandidate(Search &search, BackendServerId id, CandidateOrigin origin, std::uint32_t assumedPieces) const
+bool RouteChooser::addCandidate(Search &search, BackendServerId id, CandidateOrigin origin, std::size_t assumedPieces) const
 {
     const auto isSame = [id](const RouteCandidate &candidate) {
         return candidate.id == id;
@@ -197,7 +259,7 @@
     RouteCandidate candidate;
     candidate.id = id;
     candidate.origin = origin;
-    candidate.warmPieces = std::max(assumedPieces, warmPieces(id, search.query, search.now));
+    candidate.warmPieces = std::max(static_cast<std::uint32_t>(assumedPieces), warmPieces(id, search.query, search.now));
     search.candidates.push_back(candidate);
     return true;
 }
@@ -205,7 +267,7 @@
 // The deepest key with a holder names the backend servers that can save most.
 void RouteChooser::addHolders(Search &search) const
 {
-    const std::vector<BackendServerId> &members = search.pool.members();
+    const std::vector<BackendServerId> &members = search.pool.placement.members();
     std::size_t added = 0;
     for (std::size_t pieces = search.query.keys.size(); pieces > 0 && added < maximumHolders; --pieces) {
         const KeyRecord *record = m_keys.find(search.query.keys[pieces - 1]);
@@ -215,33 +277,38 @@
         for (const PrefixHolder &holder : record->holders) {
             const bool isWarm = search.now < holder.deadline && holder.epoch == m_loads.epoch(holder.id);
             if (isWarm && added < maximumHolders && std::binary_search(members.begin(), members.end(), holder.id)) {
-                added += addCandidate(search, holder.id, CandidateOrigin::Holder, static_cast<std::uint32_t>(pieces)) ? 1 : 0;
+                added += addCandidate(search, holder.id, CandidateOrigin::Holder, pieces) ? 1 : 0;
             }
         }
     }
 }
 
+// Without probes a home counts as warm even before it is: what is missing has to be computed once, and best where the next request
+// will look for it. With probes the least loaded of homes and spares takes a cold prefix, and the others find it there.
 void RouteChooser::addHomes(Search &search, const Level &level, CandidateOrigin origin) const
 {
-    const KeyRecord *record = m_keys.find(level.key);
-    const bool isWide = record != nullptr && search.now < record->widthDeadline;
-    const std::size_t width = isWide ? std::min<std::size_t>(record->width, m_options.maximumHomes) : 1;
-    std::size_t added = 0;
-    const bool isHeld = std::any_of(
-        search.candidates.begin(), search.candidates.end(), [&level](const RouteCandidate &candidate) { return candidate.warmPieces >= level.pieces; });
-    const auto assumed = isHeld ? 0 : static_cast<std::uint32_t>(homeBelief * level.pieces);
-    for (const BackendServerId id : search.pool.ranks(level.key, width + spareRanks)) {
-        if (added < width && isUsable(id, search.query, search.now)) {
-            ++added;
-            addCandidate(search, id, origin, assumed);
+    std::size_t left = level.width;
+    for (const BackendServerId id : search.pool.placement.ranks(level.key, level.width + spareRanks)) {
+        if (left > 0 && isUsable(id, search.query, search.now)) {
+            --left;
+            addCandidate(search, id, origin, m_options.isProbing || origin != CandidateOrigin::Home ? 0 : level.pieces);
         }
     }
 }
 
+// Where the overflow of the homes goes on every router.
+void RouteChooser::addSpares(Search &search, const Level &level) const
+{
+    std::size_t left = spareCount;
+    for (const BackendServerId id : search.pool.placement.ranks(level.key, level.width + spareRanks)) {
+        left -= left > 0 && addCandidate(search, id, CandidateOrigin::Spare, 0) ? 1 : 0;
+    }
+}
+
 // Of a few drawn at random the least loaded; those of failure domains that are not among the candidates go first.
 void RouteChooser::addByLoad(Search &search) const
 {
-    const std::vector<BackendServerId> &members = search.pool.members();
+    const std::vector<BackendServerId> &members = search.pool.placement.members();
     const auto isNewDomain = [&](BackendServerId id) {
         const std::string &domain = server(id)->failureDomain;
         return std::none_of(
@@ -268,7 +335,7 @@
 // Only if nothing else may be used: looks at all, from a place drawn at random.
 void RouteChooser::addAny(Search &search) const
 {
-    const std::vector<BackendServerId> &members = search.pool.members();
+    const std::vector<BackendServerId> &members = search.pool.placement.members();
     const std::size_t first = draw(search.query, loadDraws) % members.size();
     for (std::size_t i = 0; i < members.size() && search.candidates.empty(); ++i) {
         addCandidate(search, members[(first + i) % members.size()], CandidateOrigin::Load, 0);
--- a/src/libs/decisions/routing/routechooser.h
+++ b/src/libs/decisions/routing/routechooser.h
@@ -27,7 +27,8 @@
 
 /// \brief Chooses the backend server for each request of one router.
 ///
-/// Order of calls for one attempt: choose, noteDispatched, then noteReply or noteRefusal or noteNoAnswer.
+/// Order of calls for one attempt: choose; where candidates are probed, noteProbe for each that answers within some milliseconds, then
+/// chooseAmong; noteDispatched; then noteReply or noteRefusal or noteNoAnswer.
 class RouteChooser
 {
 public:
@@ -45,6 +46,9 @@
     /// \brief Notes that \a id admitted the request and found \a warmPieces of it in its cache; \a work as it was dispatched.
     void noteReply(BackendServerId id, const RouteQuery &query, std::uint32_t warmPieces, std::chrono::microseconds work, Core::TimePoint now);
 
+    /// \brief Notes the answer to a probe: \a id keeps \a warmPieces of the prompt, or will when it has run what waits.
+    void noteProbe(BackendServerId id, const RouteQuery &query, std::uint32_t warmPieces, const LoadReport &report, Core::TimePoint now);
+
     /// \brief Notes that \a id refused the request.
     void noteRefusal(BackendServerId id, const RouteQuery &query, const RouteRefusal &refusal, std::chrono::microseconds work, Core::TimePoint now);
 
@@ -57,6 +61,9 @@
     /// \brief Where to send the request: about four candidates, best first.
     RouteDecision choose(const RouteQuery &query, Core::TimePoint now) const;
 
+    /// \brief The same candidates by what is known now, after probes of them; anew if none of them may be used any more.
+    RouteDecision chooseAmong(const RouteDecision &candidates, const RouteQuery &query, Core::TimePoint now) const;
+
     /// \brief Estimated prefill of \a query at \a id, as noteDispatched wants it.
     std::chrono::microseconds expectedPrefill(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const;
 
@@ -64,26 +71,40 @@
     const BackendServer *server(BackendServerId id) const;
 
 private:
+    // The backend servers that serve one model version or service, and how much they are asked for.
+    struct Pool
+    {
+        Placement placement;
+        DecayingCount demand;
+    };
+
+    // A prefix with the number of backend servers that share it.
     struct Level
     {
-        std::uint32_t pieces = 0; ///< Depth in the chain.
+        std::size_t pieces = 0;
         PrefixKey key{};
+        std::size_t width = 1;
     };
 
     struct Search
     {
         const RouteQuery &query;
         Core::TimePoint now;
-        const Placement &pool;
+        const Pool &pool;
         std::vector<RouteCandidate> candidates;
     };
 
-    const Placement *poolFor(const RouteQuery &query) const;
-    std::vector<Level> sharedLevels(const RouteQuery &query, Core::TimePoint now) const;
+    template<typename Key>
+    static void setPools(std::map<Key, Pool> &pools, const std::map<Key, std::vector<BackendServerId>> &members);
+    const Pool *poolFor(const RouteQuery &query) const;
+    Level homeLevel(const Search &search) const;
+    std::optional<Level> deeperLevel(const Search &search, const Level &level) const;
     bool isUsable(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const;
-    bool addCandidate(Search &search, BackendServerId id, CandidateOrigin origin, std::uint32_t assumedPieces) const;
+    bool addCandidate(Search &search, BackendServerId id, CandidateOrigin origin, std::size_t assumedPieces) const;
     void addHolders(Search &search) const;
     void addHomes(Search &search, const Level &level, CandidateOrigin origin) const;
+    void addSpares(Search &search, const Level &level) const;
+    RouteDecision ranked(Search search) const;
     void addByLoad(Search &search) const;
     void addAny(Search &search) const;
     std::uint32_t warmPieces(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const;
@@ -93,8 +114,8 @@
 
     RoutingOptions m_options;
     std::unordered_map<BackendServerId, BackendServer> m_servers;
-    std::map<ModelVersion, Placement> m_models;
-    std::map<std::string, Placement> m_services;
+    std::map<ModelVersion, Pool> m_models;
+    std::map<std::string, Pool> m_services;
     ServerLoads m_loads;
     KeyTable m_keys;
     std::uint64_t m_dispatches = 0;
--- a/src/libs/decisions/routing/routedecision.h
+++ b/src/libs/decisions/routing/routedecision.h
@@ -11,10 +11,11 @@
 
 /// \brief Why a backend server was weighed.
 enum class CandidateOrigin {
+    Home, ///< Home of the shallowest shared prefix that one backend server can serve.
+    Spare, ///< Ranks next to the homes.
+    DeepHome, ///< Home of the next deeper shared prefix.
     Holder, ///< Was sent one of the prefixes lately.
-    Home, ///< Home of a deep shared prefix.
-    ShallowHome, ///< Home of the shallowest shared prefix, or of the scope.
-    Load, ///< The less loaded of two drawn at random.
+    Load, ///< The least loaded of a few drawn at random.
 };
 
 /// \brief One weighed backend server with the parts of its score.
--- a/src/libs/decisions/routing/routingoptions.h
+++ b/src/libs/decisions/routing/routingoptions.h
@@ -24,10 +24,11 @@
 {
     RoutingWeights weights;
     std::uint64_t seed = 0; ///< For draws and ties; differs between routers.
-    std::size_t maximumHomes = 4; ///< Widest home set of a hot prefix.
+    bool isProbing = true; ///< Whether candidates are asked before the last choice.
+    std::size_t maximumHomes = 8; ///< Widest home set of a hot prefix.
     std::size_t keyTableSize = 16384; ///< Prefix keys remembered.
     std::chrono::microseconds hintLifetime = std::chrono::seconds(3);
-    std::chrono::microseconds holderLifetime = std::chrono::seconds(20); ///< How long a backend server is believed to keep what it was sent.
+    std::chrono::microseconds holderLifetime = std::chrono::seconds(10); ///< How long a backend server is believed to keep what it was sent.
     std::chrono::microseconds refusalPause = std::chrono::milliseconds(500); ///< Without new work after a refusal that names no time.
     std::chrono::microseconds prefillPerPiece = std::chrono::milliseconds(100); ///< Until a backend server has said its own.
     std::chrono::microseconds importPerPiece{0}; ///< Zero if there is no store of kept KV cache.
