--- a/src/libs/decisions/control/orderplan.cpp
+++ b/src/libs/decisions/control/orderplan.cpp
@@ -25,28 +25,28 @@
     std::vector<Entry> entries;
     for (ModelOrder &order : orders) {
         const Entry *known = find(order);
-        entries.push_back(known == nullptr ? Entry{std::move(order), {}, false} : *known);
+        entries.push_back(known == nullptr ? Entry{std::move(order), {}} : *known);
     }
     m_entries = std::move(entries);
 }
 
 bool OrderPlan::isLeaseWanted() const
 {
-    return !m_entries.empty();
+    return !m_entries.empty() || m_underWay;
 }
 
 bool OrderPlan::isPermitWanted() const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [](const Entry &entry) { return entry.order.kind == ModelOrder::Kind::Load; });
+    const auto isLoad = [](const Entry &entry) {
+        return entry.order.kind == ModelOrder::Kind::Load;
+    };
+    return std::any_of(m_entries.begin(), m_entries.end(), isLoad) || (m_underWay && m_underWay->kind == ModelOrder::Kind::Load);
 }
 
 std::optional<EngineOrder> OrderPlan::nextOrder(const Lease &engineLease, const Lease &permit, Core::TimePoint now) const
 {
-    if (!engineLease.isHeld(now)) {
-        return std::nullopt;
-    }
     // One at a time: the effect of an order that is under way is not known yet.
-    if (std::any_of(m_entries.begin(), m_entries.end(), [](const Entry &entry) { return entry.isUnderWay; })) {
+    if (!engineLease.isHeld(now) || m_underWay) {
         return std::nullopt;
     }
     for (const Entry &entry : m_entries) {
@@ -62,41 +62,40 @@
     return std::nullopt;
 }
 
-bool OrderPlan::maySend(const EngineOrder &order, Core::TimePoint now) const
+// The lease may have been given back since and taken anew, so its number counts beside the deadline.
+bool OrderPlan::maySend(const EngineOrder &order, const Lease &engineLease, const Lease &permit, Core::TimePoint now) const
 {
-    return m_guard.maySend(order.sendBy, now);
+    const bool isLoad = order.order.kind == ModelOrder::Kind::Load;
+    const bool isLeaseHeld = engineLease.isHeld(now) && engineLease.fencingNumber() == order.fencingNumber;
+    return isLeaseHeld && (!isLoad || permit.isHeld(now)) && m_guard.maySend(order.sendBy, now);
 }
 
 void OrderPlan::noteSent(const EngineOrder &order, Core::TimePoint now)
 {
-    Entry *entry = find(order.order);
-    if (entry != nullptr) {
-        entry->isUnderWay = true;
+    m_underWay = order.order;
+    if (Entry *entry = find(order.order)) {
         entry->notBefore = now + m_options.repeatInterval;
     }
 }
 
 void OrderPlan::noteAnswer(const EngineOrder &order, OrderAnswer answer, Core::TimePoint now)
 {
-    Entry *entry = find(order.order);
-    if (entry == nullptr) {
-        return;
+    m_underWay.reset();
+    if (Entry *entry = find(order.order)) {
+        // After a lost answer the order is repeated soon; anything else waits to be seen in what the engine holds.
+        entry->notBefore = now + (answer == OrderAnswer::Unknown ? m_options.retryInterval : m_options.repeatInterval);
     }
-    entry->isUnderWay = false;
-    // A lost answer is repeated at once; anything else waits to be seen in what the engine holds.
-    entry->notBefore = answer == OrderAnswer::Unknown ? now : now + m_options.repeatInterval;
 }
 
 std::optional<Core::TimePoint> OrderPlan::nextDeadline() const
 {
-    std::optional<Core::TimePoint> next;
-    for (const Entry &entry : m_entries) {
-        if (entry.isUnderWay) {
-            return std::nullopt;
-        }
-        next = next ? std::min(*next, entry.notBefore) : entry.notBefore;
+    if (m_entries.empty() || m_underWay) {
+        return std::nullopt;
     }
-    return next;
+    const auto isSooner = [](const Entry &left, const Entry &right) {
+        return left.notBefore < right.notBefore;
+    };
+    return std::min_element(m_entries.begin(), m_entries.end(), isSooner)->notBefore;
 }
 
 OrderPlan::Entry *OrderPlan::find(const ModelOrder &order)
--- a/src/libs/decisions/control/orderplan.h
+++ b/src/libs/decisions/control/orderplan.h
@@ -42,6 +42,7 @@
 struct OrderPlanOptions
 {
     std::chrono::milliseconds sendMargin{500};
+    std::chrono::milliseconds retryInterval{500}; ///< After an answer that was lost.
     std::chrono::milliseconds repeatInterval{5'000}; ///< Until what the engine holds shows the effect.
 };
 
@@ -54,17 +55,18 @@
     /// \brief Takes what ModelPlan::orders() says.
     void setOrders(std::vector<ModelOrder> orders);
 
-    /// \brief True while the engine's lease should be held: something is to be ordered.
+    /// \brief True while the engine's lease should be held: something is to be ordered, or an order is under way.
     bool isLeaseWanted() const;
 
-    /// \brief True while a permit should be held: weights are to be loaded, or an order to load them has no effect yet.
+    /// \brief True while a permit should be held: weights are to be loaded, or an order to load them has no
+    /// effect yet.
     bool isPermitWanted() const;
 
     /// \brief The order to send now, if any may be. \a engineLease and \a permit are those of this agent.
     std::optional<EngineOrder> nextOrder(const Lease &engineLease, const Lease &permit, Core::TimePoint now) const;
 
-    /// \brief To be asked right before the order is written to the engine.
-    bool maySend(const EngineOrder &order, Core::TimePoint now) const;
+    /// \brief To be asked right before the order is written to the engine: it may have been made ready long ago.
+    bool maySend(const EngineOrder &order, const Lease &engineLease, const Lease &permit, Core::TimePoint now) const;
 
     void noteSent(const EngineOrder &order, Core::TimePoint now);
     void noteAnswer(const EngineOrder &order, OrderAnswer answer, Core::TimePoint now);
@@ -77,7 +79,6 @@
     {
         ModelOrder order;
         Core::TimePoint notBefore;
-        bool isUnderWay = false;
     };
 
     Entry *find(const ModelOrder &order);
@@ -85,6 +86,7 @@
     OrderPlanOptions m_options;
     FencingGuard m_guard;
     std::vector<Entry> m_entries;
+    std::optional<ModelOrder> m_underWay; ///< Sent and not answered; the leases stay until then.
 };
 
 } // namespace Verbena::Decisions
