Keep the agent's connections to the engine for idempotent completions

Cause: each completion opened a connection of its own. Kept ones would have called a request unsent that was sent once, when libcurl's own repetition could not connect. Change: HttpClient takes a call for unsent only if no byte was sent in any try; idempotent completions may be repeated by libcurl. The stand-ins' incarnation grows with each start, as the agent expects of backend servers.

--- a/src/libs/agent/engineadapter.cpp
+++ b/src/libs/agent/engineadapter.cpp
@@ -82,6 +82,7 @@
     Http::HttpCall call;
     call.method = "POST";
     call.url = m_options.url + dispatch.path();
+    call.isRepeatable = dispatch.idempotent();
     call.fields = {"Content-Type: application/json", "Verbena-Request: " + dispatch.request(), "Verbena-Attempt: " + std::to_string(dispatch.attempt())};
     call.body = std::move(body);
     return call;
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -103,12 +103,10 @@
         client.processFinished();
     }
 
-    static Core::ErrorCode codeOf(CURLcode code, CURL *easy)
+    static Core::ErrorCode codeOf(CURL *easy)
     {
-        if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST || code == CURLE_URL_MALFORMAT) {
-            return Core::ErrorCode::Unavailable;
-        }
-        // A request of which no byte was sent cannot have had an effect.
+        // A request of which no byte was sent cannot have had an effect. That no connection could be made does not prove it: libcurl may
+        // have sent a repeatable call on a kept connection before.
         long sent = 0;
         curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
         return sent == 0 ? Core::ErrorCode::Unavailable : Core::ErrorCode::Unknown;
@@ -243,7 +241,7 @@
             curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
             transfer->receiver->finish(static_cast<int>(status));
         } else {
-            transfer->receiver->finish(Core::Error{Internals::codeOf(code, transfer->easy), "http.call", transfer->url, curl_easy_strerror(code)});
+            transfer->receiver->finish(Core::Error{Internals::codeOf(transfer->easy), "http.call", transfer->url, curl_easy_strerror(code)});
         }
     }
 }
--- a/src/libs/standin/incarnation.cpp
+++ b/src/libs/standin/incarnation.cpp
@@ -1,14 +1,13 @@
 #include "incarnation.h"
 
-#include <random>
+#include <chrono>
 
 namespace Verbena::Standin {
 
 std::uint64_t newIncarnation()
 {
-    constexpr std::uint64_t highest = (std::uint64_t{1} << 53) - 1;
-    std::random_device device;
-    return std::uniform_int_distribution<std::uint64_t>(1, highest)(device);
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
 } // namespace Verbena::Standin
--- a/src/libs/standin/incarnation.h
+++ b/src/libs/standin/incarnation.h
@@ -4,7 +4,7 @@
 
 namespace Verbena::Standin {
 
-/// \brief A random number from 1 that names one start of a stand-in; JSON readers can hold it exactly.
+/// \brief A number that names one start of a stand-in and grows with each; JSON readers can hold it exactly.
 std::uint64_t newIncarnation();
 
 } // namespace Verbena::Standin
--- a/tests/auto/standin/tst_standin.cpp
+++ b/tests/auto/standin/tst_standin.cpp
@@ -7,6 +7,8 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <optional>
+
 namespace Verbena::Test {
 
 namespace {
@@ -57,28 +59,30 @@
 
     void finish(Core::Result<int> status) override
     {
-        isAnswered = status.has_value();
+        if (!status) {
+            failure = status.error().code;
+        }
         m_loop.stop();
     }
 
-    bool isAnswered = false;
+    std::optional<Core::ErrorCode> failure;
 
 private:
     EventLoop::Loop &m_loop;
 };
 
-bool isAnswered(EventLoop::Loop &loop, Http::HttpClient &client, const std::string &url)
+std::optional<Core::ErrorCode> failureOf(EventLoop::Loop &loop, Http::HttpClient &client, const std::string &url, bool isRepeatable)
 {
     Http::HttpCall call;
     call.method = "POST";
     call.url = url;
     call.body = "{}";
     call.deadline = loop.now() + std::chrono::seconds(20);
-    call.isRepeatable = false;
+    call.isRepeatable = isRepeatable;
     const auto waiter = std::make_shared<Waiter>(loop);
     client.start(call, waiter);
     loop.run();
-    return waiter->isAnswered;
+    return waiter->failure;
 }
 
 TEST(EngineStandinTest, countsCachedPiecesOfTheSameScopeOnly)
@@ -133,12 +137,25 @@
     ASSERT_TRUE(loop);
     const auto client = Http::HttpClient::create(*loop.value());
     ASSERT_TRUE(client);
-    EXPECT_TRUE(isAnswered(*loop.value(), *client.value(), service.url + "/append"));
+    EXPECT_EQ(failureOf(*loop.value(), *client.value(), service.url + "/append", false), std::nullopt);
     EXPECT_EQ(service.post("/control", {{"lose_answer", true}}).status, 200);
-    EXPECT_FALSE(isAnswered(*loop.value(), *client.value(), service.url + "/append"));
+    EXPECT_NE(failureOf(*loop.value(), *client.value(), service.url + "/append", false), std::nullopt);
     EXPECT_EQ(service.get("/runs")["runs"].size(), 2U);
 }
 
+TEST(ServiceStandinTest, aRepeatableCallThatWasSentOnceIsNotCalledUnsentWhenItsRepetitionCannotConnect)
+{
+    const Standin service({"service"});
+    const auto loop = EventLoop::Loop::create();
+    ASSERT_TRUE(loop);
+    const auto client = Http::HttpClient::create(*loop.value());
+    ASSERT_TRUE(client);
+    EXPECT_EQ(failureOf(*loop.value(), *client.value(), service.url + "/append", true), std::nullopt);
+    EXPECT_EQ(service.post("/control", {{"crash", "after_last_token"}}).status, 200);
+    EXPECT_EQ(failureOf(*loop.value(), *client.value(), service.url + "/append", true), Core::ErrorCode::Unknown);
+    EXPECT_EQ(failureOf(*loop.value(), *client.value(), service.url + "/append", true), Core::ErrorCode::Unavailable);
+}
+
 } // namespace
 
 } // namespace Verbena::Test
