--- a/tests/benchmarks/slopes/slopelist.h
+++ b/tests/benchmarks/slopes/slopelist.h
@@ -15,6 +15,9 @@
 /// \brief What is in force and what a change of it costs, and the histograms of tenants.
 std::vector<Slope> settingsSlopes();
 
+/// \brief How long a change of the settings takes to all processes, in virtual time with the real decision objects.
+std::vector<Slope> spreadSlopes();
+
 /// \brief Bytes of the messages between processes.
 std::vector<Slope> wireSlopes();
 
