--- a/tests/auto/docs/tst_packaging.py
+++ b/tests/auto/docs/tst_packaging.py
@@ -55,6 +55,12 @@
             checked = run(self.prefix / "bin" / f"verbena-{role}", "--settings", path, "--check")
             self.assertEqual(checked.returncode, 0, f"{path}: {checked.stderr}")
 
+    def test_example_trees_are_whole(self):
+        for folder in (self.prefix / "share/doc/verbenaladder/examples").iterdir():
+            files = sorted((folder / "tree").glob("*.yaml"))
+            checked = run(self.prefix / "bin/verbenactl", "settings", "check", *files)
+            self.assertEqual(checked.returncode, 0, f"{folder}: {checked.stderr}")
+
     def test_a_damaged_example_is_refused_with_its_place(self):
         damaged = self.prefix / "router.yaml"
         damaged.write_text((SOURCE / "examples/kessick/router.yaml").read_text() + "no_such_key: 1\n")
