--- a/scripts/support/bench_path.py
+++ b/scripts/support/bench_path.py
@@ -169,7 +169,7 @@
     end_on_signals()
     parts = {
         "latency": lambda: measure_latency(arguments.rate, arguments.seconds, arguments.rounds),
-        "streaming": lambda: measure_streaming(arguments.streaming_rate, arguments.seconds, 200, 2),
+        "streaming": lambda: measure_streaming(arguments.streaming_rate, arguments.seconds, 200, 3),
         "memory": lambda: measure_memory(arguments.streams),
     }
     result = {name: measure() for name, measure in parts.items() if arguments.only in (None, name)}
--- a/scripts/support/deployment.py
+++ b/scripts/support/deployment.py
@@ -136,7 +136,8 @@
 
     def _start_agent(self, name, server, serves):
         settings = self._write(
-            f"agent-{name}.yaml", {"name": name, "endpoint": "tcp://127.0.0.1:*", "backend_url": "http://" + server.address("http")})
+            f"agent-{name}.yaml",
+            {"name": name, "kind": server.role, "endpoint": "tcp://127.0.0.1:*", "backend_url": "http://" + server.address("http")})
         agent = self.start("agent-" + name, "agent", [BIN / "verbena-agent", "--settings", settings])
         self._backends.append({"name": name, "endpoint": agent.address("zmq"), **serves})
 
