--- a/tests/benchmarks/control/looptasks.cpp
+++ b/tests/benchmarks/control/looptasks.cpp
@@ -35,10 +35,9 @@
 class LoopbackProcess : public SettingsTree::PeerChannel, public Wire::MessageReceiver
 {
 public:
-    LoopbackProcess(EventLoop::Loop &loop, Wire::MessageContext &context)
+    explicit LoopbackProcess(EventLoop::Loop &loop)
         : m_loop(loop)
-        , m_context(context)
-        , m_socket(Wire::MessageSocket::bind(loop, context, "tcp://127.0.0.1:*", {}, *this).value())
+        , m_socket(Wire::MessageSocket::bind(loop, m_context, "tcp://127.0.0.1:*", {}, *this).value())
     {
     }
 
@@ -131,7 +130,7 @@
     };
 
     EventLoop::Loop &m_loop;
-    Wire::MessageContext &m_context;
+    Wire::MessageContext m_context; // One each, as a context takes a bounded number of sockets.
     std::unique_ptr<Wire::MessageSocket> m_socket;
     std::vector<std::unique_ptr<Link>> m_links;
     std::vector<std::string> m_peers;
@@ -146,11 +145,11 @@
     loop.run();
 }
 
-std::vector<std::unique_ptr<LoopbackProcess>> startProcesses(EventLoop::Loop &loop, Wire::MessageContext &context, Platform::TableService &table, int count)
+std::vector<std::unique_ptr<LoopbackProcess>> startProcesses(EventLoop::Loop &loop, Platform::TableService &table, int count)
 {
     std::vector<std::unique_ptr<LoopbackProcess>> processes;
     for (int i = 0; i < count; ++i) {
-        processes.push_back(std::make_unique<LoopbackProcess>(loop, context));
+        processes.push_back(std::make_unique<LoopbackProcess>(loop));
     }
     Decisions::RandomSource random(7);
     for (int i = 0; i < count; ++i) {
@@ -181,12 +180,19 @@
     Core::TimePoint moment;
 };
 
-void commit(EventLoop::Loop &loop, Platform::TableService &table, const std::string &name, Acceptance &acceptance)
+void commit(EventLoop::Loop &loop, Platform::TableService &table, const std::vector<Platform::RowWrite> &writes, Acceptance &acceptance)
 {
-    const std::string path = "settings/organisations/" + name;
-    table.commit({{path, R"({"share":1.5})", std::nullopt}}, loop.now() + 5s, [&loop, &acceptance](const Platform::CommitAnswer &answer) {
-        acceptance = {answer.revision, loop.now()};
-    });
+    table.commit(writes, loop.now() + 5s, [&loop, &acceptance](const Platform::CommitAnswer &answer) { acceptance = {answer.revision, loop.now()}; });
+}
+
+// The tree tells processes how many share the polls of the table.
+std::vector<Platform::RowWrite> backendServers(int count)
+{
+    std::vector<Platform::RowWrite> writes;
+    for (int i = 0; i < count; ++i) {
+        writes.push_back({"settings/backend_servers/e" + std::to_string(i), R"({"endpoint":"tcp://127.0.0.1:1"})", std::nullopt});
+    }
+    return writes;
 }
 
 } // namespace
@@ -197,17 +203,17 @@
     const std::string url = "http://" + standin.waitForLine("listening http ");
     const auto loop = EventLoop::Loop::create().value();
     const auto platform = Platform::HttpPlatform::create(*loop, url).value();
-    Wire::MessageContext context;
     const double heapBefore = heapBytes();
-    const auto processes = startProcesses(*loop, context, *platform, processCount);
+    const auto processes = startProcesses(*loop, *platform, processCount);
     Acceptance first;
-    commit(*loop, *platform, "first", first);
+    commit(*loop, *platform, backendServers(processCount), first);
     runFor(*loop, settlingTime);
     const SettingsTree::SettingsStatus before = totalOf(processes);
     const double processorBefore = processorSeconds();
     std::vector<Acceptance> acceptances(static_cast<std::size_t>(changes));
     for (int i = 0; i < changes; ++i) {
-        commit(*loop, *platform, "organisation" + std::to_string(i), acceptances[static_cast<std::size_t>(i)]);
+        const std::string path = "settings/organisations/organisation" + std::to_string(i);
+        commit(*loop, *platform, {{path, R"({"share":1.5})", std::nullopt}}, acceptances[static_cast<std::size_t>(i)]);
         runFor(*loop, changeInterval);
     }
     const SettingsTree::SettingsStatus after = totalOf(processes);
