--- a/src/libs/settingstree/settingstask.cpp
+++ b/src/libs/settingstree/settingstask.cpp
@@ -51,6 +51,11 @@
     EventLoop::Loop &loop, const SettingsTaskOptions &options, Platform::TableService &table, Platform::ObjectStore *objects, PeerChannel &channel)
 {
     std::unique_ptr<SettingsTask> task(new SettingsTask(loop, options, table, objects, channel));
+    if (objects != nullptr) {
+        const SnapshotWriterOptions writerOptions{options.snapshots, options.snapshotLease, options.seed, options.snapshotName};
+        const Decisions::SettingsReplica &replica = task->m_replica;
+        task->m_snapshotWriter = std::make_unique<SnapshotWriter>(loop, writerOptions, table, *objects, [&replica] { return replica.store().everything(); });
+    }
     task->restartTimer();
     return task;
 }
@@ -210,7 +215,10 @@
     }
     m_counts.malformedRows += errors.size();
     m_inForceSince = m_loop.now();
-    m_replica.setProcessCount(m_builder.current()->backendServers.size() + m_channel.peers().size() + 1);
+    m_replica.setProcessCount(processCount());
+    if (m_snapshotWriter != nullptr) {
+        m_snapshotWriter->setState(action.revision, processCount());
+    }
     Observe::log(settingsInForce, {{"revision", std::to_string(action.revision)}, {"rows", std::to_string(rows.size())}});
     if (m_changedCallback) {
         m_changedCallback();
@@ -257,6 +265,12 @@
     }
 }
 
+// Agents are as many as the tree has backend servers; of the routers, agents know those that talk to them.
+std::size_t SettingsTask::processCount() const
+{
+    return m_builder.current()->backendServers.size() + m_channel.peers().size() + 1;
+}
+
 void SettingsTask::restartTimer()
 {
     m_timer.startAt(m_replica.nextDeadline());
--- a/src/libs/settingstree/settingstask.h
+++ b/src/libs/settingstree/settingstask.h
@@ -2,6 +2,7 @@
 
 #include "inforcebuilder.h"
 #include "peerchannel.h"
+#include "snapshotwriter.h"
 
 #include <decisions/spread/settingsreplica.h>
 #include <eventloop/timer.h>
@@ -25,6 +26,8 @@
     std::uint64_t seed = 0; ///< Another one in each process.
     std::chrono::milliseconds platformTimeout{2'000}; ///< For each call of the table and the object store.
     std::string snapshotName = "settings/snapshot"; ///< In the object store.
+    Decisions::SnapshotPlanOptions snapshots;
+    Decisions::LeaseOptions snapshotLease;
 };
 
 /// \brief What a process tells of its settings, for /status and /metrics.
@@ -50,7 +53,7 @@
 class SettingsTask : public Settings::SettingsView
 {
 public:
-    /// \brief Starts at once. All arguments must outlive the task; \a objects may be null.
+    /// \brief Starts at once. All arguments must outlive the task. Without \a objects there are no snapshots.
     static Core::Result<std::unique_ptr<SettingsTask>> create(
         EventLoop::Loop &loop, const SettingsTaskOptions &options, Platform::TableService &table, Platform::ObjectStore *objects, PeerChannel &channel);
     ~SettingsTask() override;
@@ -93,6 +96,7 @@
     void takeTableAnswer(const Decisions::ScanTable &scan, Core::TimePoint sentAt, Core::Result<std::vector<Platform::TableRow>> answer);
     void takeSnapshot(const Core::Result<std::string> &answer);
     void send(const std::string &peer, const verbena::wire::Envelope &message);
+    std::size_t processCount() const;
     void restartTimer();
 
     EventLoop::Loop &m_loop;
@@ -102,6 +106,7 @@
     PeerChannel &m_channel;
     Decisions::SettingsReplica m_replica;
     InForceBuilder m_builder;
+    std::unique_ptr<SnapshotWriter> m_snapshotWriter; ///< Null without an object store.
     EventLoop::Timer m_timer;
     std::function<void()> m_changedCallback;
     std::optional<Core::TimePoint> m_inForceSince;
--- a/src/libs/settingstree/settingstreeevents.h
+++ b/src/libs/settingstree/settingstreeevents.h
@@ -13,5 +13,9 @@
     4004, Observe::Severity::Warning, "settings_table_failed", "The table could not be polled for changes of the settings."};
 inline constexpr Observe::Event settingsSnapshotFailed{
     4005, Observe::Severity::Warning, "settings_snapshot_failed", "The snapshot of the settings could not be read."};
+inline constexpr Observe::Event settingsSnapshotWritten{
+    4006, Observe::Severity::Info, "settings_snapshot_written", "This process wrote the snapshot of the settings."};
+inline constexpr Observe::Event settingsSnapshotNotWritten{
+    4007, Observe::Severity::Warning, "settings_snapshot_not_written", "The snapshot of the settings could not be written."};
 
 } // namespace Verbena::SettingsTree
--- a/tests/auto/settingstree/tst_settingstask.cpp
+++ b/tests/auto/settingstree/tst_settingstask.cpp
@@ -58,6 +58,26 @@
     std::vector<std::tuple<std::string, std::string, verbena::wire::Envelope>> m_messages;
 };
 
+// A table that is out of service.
+class Unavailable : public Platform::TableService
+{
+public:
+    void get(const std::vector<std::string> &, Core::TimePoint, RowsCallback done) override
+    {
+        done(Core::Error{Core::ErrorCode::Unavailable, "table.get", "", "The table is out of service."});
+    }
+
+    void scan(const std::string &, std::uint64_t, std::size_t, Core::TimePoint, RowsCallback done) override
+    {
+        done(Core::Error{Core::ErrorCode::Unavailable, "table.scan", "", "The table is out of service."});
+    }
+
+    void commit(const std::vector<Platform::RowWrite> &, Core::TimePoint, CommitCallback done) override
+    {
+        done({Platform::CommitOutcome::NotSent, 0, {}, "The table is out of service."});
+    }
+};
+
 class SettingsTaskTest : public testing::Test
 {
 protected:
@@ -69,7 +89,7 @@
     {
     }
 
-    void start(const std::string &name, std::vector<std::string> peers, Platform::ObjectStore *objects = nullptr)
+    void start(const std::string &name, std::vector<std::string> peers, Platform::ObjectStore *objects = nullptr, Platform::TableService *table = nullptr)
     {
         m_ports[name] = std::make_unique<Switchboard::Port>(m_board, name);
         m_ports[name]->m_peers = std::move(peers);
@@ -77,7 +97,8 @@
         options.seed = std::hash<std::string>()(name);
         options.replica.recovery.snapshotSpread = 20ms;
         options.replica.recovery.newTableSpread = 20ms;
-        m_tasks[name] = SettingsTask::create(*m_loop, options, *m_platform, objects, *m_ports[name]).value();
+        options.snapshots.interval = 100ms;
+        m_tasks[name] = SettingsTask::create(*m_loop, options, table == nullptr ? *m_platform : *table, objects, *m_ports[name]).value();
     }
 
     template<typename Condition>
@@ -156,6 +177,20 @@
     EXPECT_EQ(m_tasks["b"]->current()->revision, revision);
 }
 
+TEST_F(SettingsTaskTest, processWithoutPeersAndTableStartsFromTheSnapshotThatAnotherWrote)
+{
+    start("a", {}, m_platform.get());
+    const std::uint64_t revision = commit("settings/organisations/o", R"({"share":2})");
+    runUntil([&] { return isEverywhere(revision) && Verbena::Test::sendHttp("GET", m_url + "/objects/settings/snapshot", {}, "").status == 200; });
+    m_tasks.clear();
+    Unavailable table;
+    start("b", {}, m_platform.get(), &table);
+    runUntil([&] { return m_tasks["b"]->isReady(); });
+    EXPECT_EQ(m_tasks["b"]->current()->organisations.at("o")->share, 2);
+    EXPECT_EQ(m_tasks["b"]->current()->revision, revision);
+    m_tasks.clear();
+}
+
 TEST_F(SettingsTaskTest, malformedRowIsCountedAndChangesNothing)
 {
     start("a", {});
