Tie the agent to the platform: settings, host list, leases and orders

Cause: an agent knew the settings tree from files alone, never that its host was leaving, and gave its engine no orders.

Change: AgentControl runs the settings task over the routers' connections, the host list poller and ModelOrderTask, which orders the engine to hold what ModelPlan wants, under the engine's lease, with a permit for each load, and with the fencing number. An order's call ends with its lease. An engine that the settings do not name gets no orders. The engine stand-in leaves models out of its load report when it serves every model, so that none held and not told differ.

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -1,3 +1,4 @@
+#include <agent/agentcontrol.h>
 #include <agent/agentevents.h>
 #include <agent/agenttask.h>
 #include <agent/statuspage.h>
@@ -56,6 +57,17 @@
         view = std::move(read.value());
         agent.setSettingsView(view);
     }
+    std::unique_ptr<Agent::AgentControl> control;
+    if (!settings.value().platformUrl.empty()) {
+        auto started = Agent::AgentControl::create(running, settings.value().platformUrl, agent);
+        if (!started) {
+            return Application::refuseStart(started.error());
+        }
+        control = std::move(started.value());
+        if (page) {
+            page->setControl(control.get());
+        }
+    }
     const auto end = [&running, &agent](int signalNumber) {
         Application::reportSignal(signalNumber);
         agent.leave([&running] { running.stop(); });
--- /dev/null
+++ b/src/libs/agent/agentcontrol.cpp
@@ -0,0 +1,84 @@
+#include "agentcontrol.h"
+
+#include <eventloop/loop.h>
+
+#include <algorithm>
+#include <random>
+
+namespace Verbena::Agent {
+
+namespace {
+
+// A tenth of what the platform reads in a second, shared by all agents: up to 200 of them look every second.
+constexpr Decisions::FeedPollerOptions hostListOptions{.pollsPerSecond = 200,
+    .minimumInterval = std::chrono::milliseconds(1000),
+    .silenceLimit = std::chrono::milliseconds(60000),
+    .silentInterval = std::chrono::milliseconds(60000)};
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+} // namespace
+
+Core::Result<std::unique_ptr<AgentControl>> AgentControl::create(EventLoop::Loop &loop, const std::string &platformUrl, AgentTask &task)
+{
+    BOOST_OUTCOME_TRY(platform, Platform::HttpPlatform::create(loop, platformUrl));
+    const std::uint64_t seed = randomSeed();
+    std::unique_ptr<AgentControl> control(new AgentControl(loop, task, std::move(platform), seed));
+    SettingsTree::SettingsTaskOptions options;
+    options.seed = seed;
+    BOOST_OUTCOME_TRY(settings, SettingsTree::SettingsTask::create(loop, options, control->m_table, control->m_platform.get(), task));
+    control->m_settings = std::move(settings);
+    AgentControl *self = control.get();
+    task.setSettingsPeer(control->m_settings);
+    task.setSettingsView(control->m_settings, [self] { self->applySettings(); });
+    task.setReportCallback([self](const BackendReport &report) { self->m_orders.noteReport(report); });
+    control->m_hosts = std::make_unique<Control::HostListPoller>(
+        *control->m_platform, loop, hostListOptions, seed + 1, [self](const std::vector<Platform::HostEntry> &hosts, Core::TimePoint) {
+            self->receiveHosts(hosts);
+        });
+    return control;
+}
+
+AgentControl::AgentControl(EventLoop::Loop &loop, AgentTask &task, std::unique_ptr<Platform::HttpPlatform> platform, std::uint64_t seed)
+    : m_loop(loop)
+    , m_task(task)
+    , m_platform(std::move(platform))
+    , m_table(*m_platform, loop, {}, seed)
+    , m_orders(loop, m_table, task.backend(), task.settings().name, seed)
+{
+}
+
+SettingsTree::SettingsStatus AgentControl::settingsStatus() const
+{
+    return m_settings->status();
+}
+
+const ModelOrderTask &AgentControl::orders() const
+{
+    return m_orders;
+}
+
+void AgentControl::applySettings()
+{
+    if (m_settings->isReady()) {
+        const std::shared_ptr<const Settings::InForceSettings> settings = m_settings->current();
+        m_orders.setSettings(*settings);
+        if (m_hosts) {
+            m_hosts->setProcessCount(settings->backendServers.size());
+        }
+    }
+}
+
+void AgentControl::receiveHosts(const std::vector<Platform::HostEntry> &hosts)
+{
+    m_orders.setHosts(hosts);
+    const std::string &name = m_task.settings().name;
+    const auto own = std::find_if(hosts.begin(), hosts.end(), [&name](const Platform::HostEntry &host) { return host.name == name; });
+    m_task.setListedAsLeaving(own != hosts.end() && own->isLeaving);
+}
+
+} // namespace Verbena::Agent
--- a/src/libs/agent/agentevents.h
+++ b/src/libs/agent/agentevents.h
@@ -20,5 +20,7 @@
     3008, Severity::Error, "allowed_keys_invalid", "The keys of the routers that may connect cannot be read; those read before stay in use."};
 inline constexpr Event agentSettingsInvalid{
     3009, Severity::Error, "agent_settings_invalid", "The settings tree cannot be read; what was read before stays in force."};
+inline constexpr Event orderTaken{3010, Severity::Info, "order_taken", "The engine took an order to load or unload weights."};
+inline constexpr Event orderFailed{3011, Severity::Warning, "order_failed", "The engine did not take an order, or its answer was lost; it is repeated."};
 
 } // namespace Verbena::Agent
--- a/src/libs/agent/agentsettings.cpp
+++ b/src/libs/agent/agentsettings.cpp
@@ -63,7 +63,11 @@
     readLimits(reader.section("limits"), settings.runs);
     readCost(reader.section("first_cost"), settings.runs.gate.cost);
     readSecurity(reader.section("security"), settings.security);
+    settings.platformUrl = reader.string("platform_url", "");
     settings.treeFiles = reader.strings("settings_tree_files");
+    if (!settings.platformUrl.empty() && !settings.treeFiles.empty()) {
+        reader.addProblem("settings_tree_files", "The settings tree comes from files or from the platform, not from both.");
+    }
     settings.leaveGrace = reader.span("leave_grace", 1s, 0us, 600s);
     if (reader.has("status")) {
         SettingsReader status = reader.section("status");
--- a/src/libs/agent/agentsettings.h
+++ b/src/libs/agent/agentsettings.h
@@ -54,6 +54,7 @@
     RunManagerOptions runs;
     AgentSecurity security;
     std::optional<StatusListen> status;
+    std::string platformUrl; ///< Of the platform's table, object store and host list; empty if there is none.
     std::vector<std::string> treeFiles; ///< The settings tree, in YAML files; may be empty.
     std::chrono::microseconds leaveGrace{0}; ///< How long a leaving agent without work still refuses what comes.
 
--- a/src/libs/agent/agenttask.cpp
+++ b/src/libs/agent/agenttask.cpp
@@ -86,13 +86,30 @@
     return m_socket->endpoint();
 }
 
-void AgentTask::setSettingsView(std::shared_ptr<Settings::SettingsView> view)
+void AgentTask::setSettingsView(std::shared_ptr<Settings::SettingsView> view, std::function<void()> changed)
 {
     m_view = std::move(view);
+    m_settingsChanged = std::move(changed);
     m_view->setChangedCallback([this] { applySettings(); });
     applySettings();
 }
 
+void AgentTask::setSettingsPeer(std::shared_ptr<SettingsTree::SettingsTask> settings)
+{
+    m_settingsPeer = std::move(settings);
+}
+
+void AgentTask::setReportCallback(std::function<void(const BackendReport &)> callback)
+{
+    m_runs.setReportCallback(std::move(callback));
+}
+
+void AgentTask::setListedAsLeaving(bool isLeaving)
+{
+    m_isListedAsLeaving = isLeaving;
+    updateLeaving();
+}
+
 void AgentTask::leave(std::function<void()> finished)
 {
     if (m_isEnding) {
@@ -128,6 +145,11 @@
     return m_runs;
 }
 
+BackendAdapter &AgentTask::backend()
+{
+    return m_runs.backend();
+}
+
 std::size_t AgentTask::routerCount() const
 {
     return m_routers.size();
@@ -145,7 +167,10 @@
 
 void AgentTask::receiveMessage(const std::string &peer, const verbena::wire::Envelope &message)
 {
-    m_routers.noteHeard(peer, m_loop.now());
+    const bool isNew = m_routers.noteHeard(peer, m_loop.now());
+    if (isNew && m_settingsPeer) {
+        m_settingsPeer->notePeerJoined(peer);
+    }
     if (message.has_dispatch()) {
         receiveDispatch(peer, message.dispatch());
     } else if (message.has_credit()) {
@@ -156,6 +181,8 @@
         answerProbe(peer, message.probe());
     } else if (message.has_hello()) {
         sendWelcome(peer);
+    } else if (m_settingsPeer && SettingsTree::SettingsTask::isSettingsMessage(message)) {
+        m_settingsPeer->receiveFromPeer(peer, message);
     }
 }
 
@@ -182,6 +209,16 @@
     return sent;
 }
 
+const std::vector<std::string> &AgentTask::peers() const
+{
+    return m_routers.all();
+}
+
+Core::Result<void> AgentTask::sendToPeer(const std::string &peer, const verbena::wire::Envelope &message)
+{
+    return sendToRouter(peer, message);
+}
+
 void AgentTask::receiveDispatch(const std::string &peer, const verbena::wire::Dispatch &dispatch)
 {
     const std::uint64_t expected = dispatch.expected_incarnation();
@@ -236,16 +273,21 @@
     const auto own = settings->backendServers.find(m_settings.name);
     m_isDrained = own != settings->backendServers.end() && own->second.isDrained;
     updateLeaving();
+    if (m_settingsChanged) {
+        m_settingsChanged();
+    }
 }
 
 void AgentTask::updateLeaving()
 {
-    const bool isLeaving = m_isDrained || m_isEnding;
+    const bool isLeaving = m_isDrained || m_isListedAsLeaving || m_isEnding;
     if (isLeaving == m_runs.gate().isLeaving()) {
         return;
     }
     m_runs.setLeaving(isLeaving);
-    for (const std::string &peer : m_routers.all()) {
+    // A send that fails changes the list.
+    const std::vector<std::string> peers = m_routers.all();
+    for (const std::string &peer : peers) {
         sendWelcome(peer);
     }
 }
--- a/src/libs/agent/agenttask.h
+++ b/src/libs/agent/agenttask.h
@@ -5,6 +5,8 @@
 #include "runmanager.h"
 
 #include <settings/inforcesettings.h>
+#include <settingstree/peerchannel.h>
+#include <settingstree/settingstask.h>
 #include <wire/messagesocket.h>
 #include <wire/peerauthenticator.h>
 
@@ -14,7 +16,7 @@
 namespace Verbena::Agent {
 
 /// \brief The agent process: routers on one side, its backend server on the other.
-class AgentTask : public Wire::MessageReceiver, public RouterSender
+class AgentTask : public Wire::MessageReceiver, public RouterSender, public SettingsTree::PeerChannel
 {
 public:
     /// \brief Starts to listen. Errors: Unavailable, if the endpoint cannot be bound; InvalidArgument and NotFound for key files.
@@ -22,8 +24,17 @@
 
     std::string endpoint() const;
 
-    /// \brief Follows what \a view has in force: shares, and whether this backend server is drained.
-    void setSettingsView(std::shared_ptr<Settings::SettingsView> view);
+    /// \brief Follows what \a view has in force: shares, and whether this backend server is drained. \a changed is called after that.
+    void setSettingsView(std::shared_ptr<Settings::SettingsView> view, std::function<void()> changed = {});
+
+    /// \brief Hands \a settings what routers send of theirs.
+    void setSettingsPeer(std::shared_ptr<SettingsTree::SettingsTask> settings);
+
+    /// \brief Called with whatever the backend server says of itself.
+    void setReportCallback(std::function<void(const BackendReport &)> callback);
+
+    /// \brief Notes whether the platform's host list says that this host is leaving.
+    void setListedAsLeaving(bool isLeaving);
 
     /// \brief Takes no new work; \a finished is called once the work at hand is done and routers have had time to learn.
     void leave(std::function<void()> finished);
@@ -33,6 +44,7 @@
 
     const AgentSettings &settings() const;
     const RunManager &runs() const;
+    BackendAdapter &backend();
     std::size_t routerCount() const;
     std::uint64_t refusedPeerCount() const;
     std::uint64_t incarnation() const;
@@ -42,6 +54,9 @@
     void connectionChanged(Wire::ConnectionChange change, const std::string &address) override;
     Core::Result<void> sendToRouter(const std::string &peer, const verbena::wire::Envelope &message) override;
 
+    const std::vector<std::string> &peers() const override;
+    Core::Result<void> sendToPeer(const std::string &peer, const verbena::wire::Envelope &message) override;
+
 private:
     AgentTask(EventLoop::Loop &loop, const AgentSettings &settings, Observe::Metrics &metrics);
     Core::Result<void> openSocket();
@@ -64,7 +79,10 @@
     RunManager m_runs;
     KnownRouters m_routers;
     std::shared_ptr<Settings::SettingsView> m_view;
+    std::function<void()> m_settingsChanged;
+    std::shared_ptr<SettingsTree::SettingsTask> m_settingsPeer;
     bool m_isDrained = false; ///< By an operator's order.
+    bool m_isListedAsLeaving = false; ///< By the platform's host list.
     bool m_isEnding = false; ///< The process has been asked to end.
     std::function<void()> m_finished;
     EventLoop::Timer m_beatTimer;
--- a/src/libs/agent/backendadapter.h
+++ b/src/libs/agent/backendadapter.h
@@ -4,11 +4,13 @@
 
 #include <core/error.h>
 #include <core/time.h>
+#include <decisions/control/orderplan.h>
 #include <decisions/gate/cacheindex.h>
 #include <decisions/gate/gatetypes.h>
 
 #include <verbena.pb.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -39,7 +41,7 @@
 {
     std::uint64_t incarnation = 0; ///< Grows with every start.
     Decisions::EngineLoad load;
-    bool hasModels = false; ///< False if the engine does not tell what it holds.
+    bool hasModels = false; ///< False if the backend server does not tell what it holds.
     std::vector<Decisions::ModelVersion> models;
     std::string role;
 };
@@ -70,6 +72,8 @@
 class BackendAdapter
 {
 public:
+    using OrderCallback = std::function<void(Decisions::OrderAnswer answer)>;
+
     virtual ~BackendAdapter() = default;
 
     /// \brief Begins to watch the backend server.
@@ -88,6 +92,9 @@
     virtual void pauseRun(const Decisions::RequestRef &ref) = 0;
     virtual void resumeRun(const Decisions::RequestRef &ref) = 0;
 
+    /// \brief Writes \a order to the backend server; \a done is called with what became of it.
+    virtual void sendOrder(const Decisions::EngineOrder &order, OrderCallback done) = 0;
+
     /// \brief True if the backend server runs requests of this kind.
     virtual bool isServing(verbena::wire::RunKind kind) const = 0;
 
--- a/src/libs/agent/backendwatch.cpp
+++ b/src/libs/agent/backendwatch.cpp
@@ -25,7 +25,7 @@
 void readModels(const json &root, BackendReport &report)
 {
     const auto models = root.find("models");
-    if (models == root.end() || !models->is_array() || models->empty()) {
+    if (models == root.end() || !models->is_array()) {
         return;
     }
     report.hasModels = true;
--- a/src/libs/agent/engineadapter.cpp
+++ b/src/libs/agent/engineadapter.cpp
@@ -12,6 +12,23 @@
 
 constexpr std::chrono::seconds cancelTimeout{1};
 
+Decisions::OrderAnswer orderAnswerOf(const Core::Result<HttpReply> &reply)
+{
+    if (!reply) {
+        // What was not sent has no effect, but trying again at once would not help either.
+        return reply.error().code == Core::ErrorCode::Unavailable ? Decisions::OrderAnswer::Refused : Decisions::OrderAnswer::Unknown;
+    }
+    switch (reply.value().status) {
+    case 200:
+    case 202:
+        return Decisions::OrderAnswer::Done;
+    case 409:
+        return Decisions::OrderAnswer::Fenced;
+    default:
+        return Decisions::OrderAnswer::Refused;
+    }
+}
+
 } // namespace
 
 Core::Result<std::unique_ptr<BackendAdapter>> EngineAdapter::create(EventLoop::Loop &loop, const BackendWatchOptions &options, BackendListener &listener)
@@ -71,6 +88,25 @@
     }
 }
 
+void EngineAdapter::sendOrder(const Decisions::EngineOrder &order, OrderCallback done)
+{
+    const Decisions::ModelVersion &version = order.order.version;
+    const bool isLoad = order.order.kind == Decisions::ModelOrder::Kind::Load;
+    Http::HttpCall call;
+    call.method = "POST";
+    call.url = m_options.url + "/orders";
+    call.fields = {"Content-Type: application/json"};
+    call.body = nlohmann::json{{"order", isLoad ? "load" : "unload"},
+        {"fencing", order.fencingNumber},
+        {"model", version.model},
+        {"adapter", version.adapter},
+        {"version", version.weightsVersion}}
+                    .dump();
+    // Nothing of the order may be written after the end of the lease it is given under.
+    call.deadline = order.sendBy;
+    m_client->start(call, std::make_shared<BodyCollector>([done = std::move(done)](const Core::Result<HttpReply> &reply) { done(orderAnswerOf(reply)); }));
+}
+
 bool EngineAdapter::isServing(verbena::wire::RunKind kind) const
 {
     return kind == verbena::wire::RUN_KIND_COMPLETION;
--- /dev/null
+++ b/src/libs/agent/modelordertask.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "backendadapter.h"
+
+#include <control/leasekeeper.h>
+#include <decisions/gate/modelplan.h>
+#include <eventloop/timer.h>
+#include <platform/hostlist.h>
+#include <settings/inforcesettings.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Verbena::Agent {
+
+/// \brief Orders the engine to hold what settings and host list ask of it, under its lease and with a permit for each load.
+class ModelOrderTask
+{
+public:
+    /// \brief \a name is that of the engine. \a table and \a backend have to live longer.
+    ModelOrderTask(EventLoop::Loop &loop, Platform::TableService &table, BackendAdapter &backend, const std::string &name, std::uint64_t seed);
+
+    void setSettings(const Settings::InForceSettings &settings);
+    void setHosts(const std::vector<Platform::HostEntry> &hosts);
+
+    /// \brief Takes what the engine says that it holds; one that does not tell gets no orders.
+    void noteReport(const BackendReport &report);
+
+    std::uint64_t sentCount() const;
+    std::uint64_t fencedCount() const;
+
+private:
+    void setEngines();
+    bool isPresent(const std::string &name) const;
+    void run();
+    void updateLeases();
+    void send(const Decisions::EngineOrder &order);
+    void receiveAnswer(const Decisions::EngineOrder &order, Decisions::OrderAnswer answer);
+    void schedule();
+
+    EventLoop::Loop &m_loop;
+    BackendAdapter &m_backend;
+    std::string m_name;
+    Decisions::ModelPlan m_plan;
+    Decisions::OrderPlan m_orders;
+    Control::LeaseKeeper m_engineLease;
+    Control::LeaseKeeper m_permit;
+    std::vector<Settings::BackendServerSettings> m_servers;
+    std::vector<Platform::HostEntry> m_hosts;
+    std::vector<Decisions::ModelVersion> m_held;
+    bool m_hasReport = false;
+    bool m_isDeclared = false; ///< The settings name this engine.
+    std::uint64_t m_sentCount = 0;
+    std::uint64_t m_fencedCount = 0;
+    EventLoop::Timer m_timer;
+};
+
+} // namespace Verbena::Agent
--- a/src/libs/agent/runmanager.cpp
+++ b/src/libs/agent/runmanager.cpp
@@ -178,6 +178,16 @@
     return m_runs;
 }
 
+void RunManager::setReportCallback(std::function<void(const BackendReport &)> callback)
+{
+    m_reportCallback = std::move(callback);
+}
+
+BackendAdapter &RunManager::backend()
+{
+    return *m_backend;
+}
+
 const BackendAdapter &RunManager::backend() const
 {
     return *m_backend;
@@ -251,6 +261,9 @@
 void RunManager::receiveReport(const BackendReport &report)
 {
     m_gate.noteEngineLoad(report.load, m_loop.now());
+    if (m_reportCallback) {
+        m_reportCallback(report);
+    }
     if (!report.hasModels && m_isServingAll) {
         return;
     }
--- a/src/libs/agent/runmanager.h
+++ b/src/libs/agent/runmanager.h
@@ -42,6 +42,10 @@
     void setShares(const std::vector<Decisions::FlowShare> &shares);
     void setLeaving(bool isLeaving);
 
+    /// \brief Called with whatever the backend server says of itself.
+    void setReportCallback(std::function<void(const BackendReport &)> callback);
+    BackendAdapter &backend();
+
     // Queries
     const Decisions::AdmissionGate &gate() const;
     const RunTable &runs() const;
@@ -95,6 +99,7 @@
     bool m_isServingAll = true; ///< The engine does not tell what it holds.
     std::vector<Decisions::ModelVersion> m_served;
     std::function<void()> m_idleCallback;
+    std::function<void(const BackendReport &)> m_reportCallback;
     EventLoop::Timer m_tickTimer;
 };
 
--- a/src/libs/agent/serviceadapter.cpp
+++ b/src/libs/agent/serviceadapter.cpp
@@ -8,6 +8,11 @@
     return std::unique_ptr<BackendAdapter>(new ServiceAdapter(loop, std::move(client), options, listener));
 }
 
+void ServiceAdapter::sendOrder(const Decisions::EngineOrder &, OrderCallback done)
+{
+    done(Decisions::OrderAnswer::Refused);
+}
+
 bool ServiceAdapter::isServing(verbena::wire::RunKind kind) const
 {
     return kind == verbena::wire::RUN_KIND_SERVICE_CALL;
--- a/src/libs/agent/serviceadapter.h
+++ b/src/libs/agent/serviceadapter.h
@@ -11,6 +11,7 @@
     /// \brief Errors: Internal, if there is no HTTP client.
     static Core::Result<std::unique_ptr<BackendAdapter>> create(EventLoop::Loop &loop, const BackendWatchOptions &options, BackendListener &listener);
 
+    void sendOrder(const Decisions::EngineOrder &order, OrderCallback done) override;
     bool isServing(verbena::wire::RunKind kind) const override;
 
 protected:
--- a/src/libs/agent/statuspage.cpp
+++ b/src/libs/agent/statuspage.cpp
@@ -30,6 +30,11 @@
 {
 }
 
+void StatusPage::setControl(const AgentControl *control)
+{
+    m_control = control;
+}
+
 std::string StatusPage::address() const
 {
     return m_listen.address + ":" + std::to_string(m_server->port());
@@ -53,7 +58,7 @@
 {
     const RunManager &runs = m_task.runs();
     const Decisions::AdmissionGate &gate = runs.gate();
-    const nlohmann::json status{{"name", m_task.settings().name},
+    nlohmann::json status{{"name", m_task.settings().name},
         {"incarnation", m_task.incarnation()},
         {"backend_incarnation", gate.cache().incarnation()},
         {"backend_up", runs.backend().isUp()},
@@ -67,6 +72,11 @@
         {"body_bytes", runs.runs().bodyBytes()},
         {"cached_prefixes", gate.cache().size()},
         {"lost_event_gaps", gate.cache().lostGaps()}};
+    if (m_control != nullptr) {
+        status["settings"] = nlohmann::json::parse(m_control->settingsStatus().toJson(), nullptr, false);
+        status["orders_sent"] = m_control->orders().sentCount();
+        status["orders_fenced"] = m_control->orders().fencedCount();
+    }
     return status.dump(2) + "\n";
 }
 
--- a/src/libs/agent/statuspage.h
+++ b/src/libs/agent/statuspage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agentcontrol.h"
 #include "agenttask.h"
 
 #include <http/httpserver.h>
@@ -17,6 +18,9 @@
     static Core::Result<std::unique_ptr<StatusPage>> create(
         EventLoop::Loop &loop, const StatusListen &listen, const AgentTask &task, Observe::Metrics &metrics);
 
+    /// \brief Shows what \a control does as well; it has to live longer than the page's last answer.
+    void setControl(const AgentControl *control);
+
     /// \brief Address and port in use.
     std::string address() const;
 
@@ -30,6 +34,7 @@
     StatusListen m_listen;
     const AgentTask &m_task;
     Observe::Metrics &m_metrics;
+    const AgentControl *m_control = nullptr;
     std::unique_ptr<Http::HttpServer> m_server;
 };
 
--- a/src/libs/standin/enginestandin.cpp
+++ b/src/libs/standin/enginestandin.cpp
@@ -207,13 +207,16 @@
 
 std::string EngineStandin::loadJson() const
 {
-    const json report{{"incarnation", m_incarnation},
+    json report{{"incarnation", m_incarnation},
         {"running", m_batch->runningCount()},
         {"queued", m_batch->queuedCount()},
         {"cached_pieces", m_cache.size()},
         {"role", m_models.role()},
-        {"models", jsonOf(m_models.loaded())},
         {"loading", jsonOf(m_models.loading())}};
+    // An engine that serves every model does not tell what it holds.
+    if (!m_models.isServingAll()) {
+        report["models"] = jsonOf(m_models.loaded());
+    }
     return report.dump();
 }
 
--- a/src/libs/standin/modelset.cpp
+++ b/src/libs/standin/modelset.cpp
@@ -102,6 +102,11 @@
     return m_isServingAll || std::ranges::any_of(m_loaded, [&model](const LoadedModel &loaded) { return nameOf(loaded) == model; });
 }
 
+bool ModelSet::isServingAll() const
+{
+    return m_isServingAll;
+}
+
 std::string ModelSet::versionOf(const std::string &model) const
 {
     const auto found = std::ranges::find_if(m_loaded, [&model](const LoadedModel &loaded) { return nameOf(loaded) == model; });
--- a/src/libs/standin/modelset.h
+++ b/src/libs/standin/modelset.h
@@ -34,6 +34,9 @@
     /// \brief True if requests for \a model ("model" or "model:adapter") are served.
     bool isServed(const std::string &model) const;
 
+    /// \brief True if no models were given and none unloaded, so that every model is served.
+    bool isServingAll() const;
+
     /// \brief The version in use of \a model; empty if that is not known.
     std::string versionOf(const std::string &model) const;
 
--- a/tests/auto/agent/agentharness.cpp
+++ b/tests/auto/agent/agentharness.cpp
@@ -170,6 +170,11 @@
     return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&request](const auto &run) { return run["request"] == request; }));
 }
 
+std::string AgentHarness::backendUrl() const
+{
+    return "http://" + m_backendAddress;
+}
+
 std::string AgentHarness::backendPort() const
 {
     return m_backendAddress.substr(m_backendAddress.rfind(':') + 1);
--- a/tests/auto/agent/agentharness.h
+++ b/tests/auto/agent/agentharness.h
@@ -92,6 +92,9 @@
 
     std::string backendPort() const;
 
+    /// \brief Start of every URL at the backend server.
+    std::string backendUrl() const;
+
     TemporaryFolder folder;
     std::unique_ptr<ChildProcess> backend;
     std::unique_ptr<ChildProcess> agent;
