Remove claims whose time is over

Cause: claims of idempotency keys pile up in the table. Change: ClaimSweeper walks the claims from the oldest revision, removes what is expired with the revision that it saw, and keeps its place in a row that goes with each removal. ClaimSweepTask runs it under a lease, so that one process does it.

--- /dev/null
+++ b/src/libs/control/claimsweeptask.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "leasekeeper.h"
+
+#include <decisions/control/claimsweeper.h>
+
+#include <memory>
+
+namespace Verbena::Control {
+
+/// \brief Removes expired claims while this process holds the lease for it.
+class ClaimSweepTask
+{
+public:
+    /// \brief Starts at once. Uses \a table, which has to live longer. \a owner and \a seed: see Lease.
+    ClaimSweepTask(
+        Platform::TableService &table, EventLoop::Loop &loop, const Decisions::ClaimSweeperOptions &options, const std::string &owner, std::uint64_t seed);
+    ~ClaimSweepTask();
+
+private:
+    void noteLeaseChange();
+    void run();
+    void carryOut(const Decisions::SweepAction &action);
+
+    Platform::TableService &m_table;
+    EventLoop::Loop &m_loop;
+    Decisions::ClaimSweeper m_sweeper;
+    EventLoop::Timer m_timer;
+    std::shared_ptr<bool> m_alive;
+    LeaseKeeper m_lease;
+};
+
+} // namespace Verbena::Control
--- /dev/null
+++ b/src/libs/decisions/control/claimsweeper.cpp
@@ -0,0 +1,105 @@
+#include "claimsweeper.h"
+
+#include <charconv>
+
+namespace Verbena::Decisions {
+
+ClaimSweeper::ClaimSweeper(const ClaimSweeperOptions &options)
+    : m_options(options)
+{
+}
+
+std::optional<SweepAction> ClaimSweeper::advance(Core::TimePoint now)
+{
+    if (m_isUnderWay || now < m_nextAction) {
+        return std::nullopt;
+    }
+    m_isUnderWay = true;
+    const Core::TimePoint deadline = now + m_options.operationTimeout;
+    if (!m_cursor) {
+        return ReadSweepCursor{deadline};
+    }
+    if (!m_removals.empty()) {
+        // The cursor goes with the removals, so that it never says more than was done.
+        std::vector<Platform::RowWrite> writes = std::exchange(m_removals, {});
+        writes.push_back({cursorRow, std::to_string(m_nextCursor), m_cursorRevision});
+        return RemoveClaims{std::move(writes), deadline};
+    }
+    return ScanClaims{*m_cursor, m_options.pageRows, deadline};
+}
+
+void ClaimSweeper::takeCursor(const Core::Result<std::vector<Platform::TableRow>> &rows, Core::TimePoint now)
+{
+    if (!rows) {
+        finishStep(now + m_options.busyInterval);
+        return;
+    }
+    std::uint64_t cursor = 0;
+    m_cursorRevision = 0;
+    if (!rows.value().empty()) {
+        const Platform::TableRow &row = rows.value().front();
+        // A cursor that cannot be read costs a sweep from the beginning.
+        std::from_chars(row.value.data(), row.value.data() + row.value.size(), cursor);
+        m_cursorRevision = row.revision;
+    }
+    m_cursor = cursor;
+    finishStep(now);
+}
+
+void ClaimSweeper::takePage(const Core::Result<std::vector<Platform::TableRow>> &rows, const ClockReading &reading)
+{
+    if (!rows || rows.value().empty()) {
+        finishStep(reading.now + m_options.idleInterval);
+        return;
+    }
+    m_nextCursor = *m_cursor;
+    bool isEndReached = rows.value().size() < m_options.pageRows;
+    for (const Platform::TableRow &row : rows.value()) {
+        if (!row.isDeleted) {
+            const auto record = ClaimRecord::decode(row.value);
+            // What lies behind a claim that lives was written later, and lives longer.
+            if (record && record.value().expiry + m_options.clockSkew > reading.wall) {
+                isEndReached = true;
+                break;
+            }
+            m_removals.push_back({row.key, std::nullopt, row.revision});
+        }
+        m_nextCursor = row.revision;
+    }
+    if (m_removals.empty()) {
+        m_cursor = m_nextCursor;
+    }
+    const bool isBusy = !m_removals.empty();
+    finishStep(isBusy ? reading.now : reading.now + (isEndReached ? m_options.idleInterval : m_options.busyInterval));
+}
+
+void ClaimSweeper::takeCommit(const Platform::CommitAnswer &answer, Core::TimePoint now)
+{
+    if (answer.outcome == Platform::CommitOutcome::Committed) {
+        m_cursor = m_nextCursor;
+        m_cursorRevision = answer.revision;
+    } else if (answer.outcome != Platform::CommitOutcome::NotSent) {
+        // Somebody changed a row, or the answer was lost: the table tells.
+        restart();
+    }
+    finishStep(now + m_options.busyInterval);
+}
+
+void ClaimSweeper::restart()
+{
+    m_cursor.reset();
+    m_removals.clear();
+}
+
+std::optional<Core::TimePoint> ClaimSweeper::nextDeadline() const
+{
+    return m_isUnderWay ? std::nullopt : std::optional(m_nextAction);
+}
+
+void ClaimSweeper::finishStep(Core::TimePoint next)
+{
+    m_isUnderWay = false;
+    m_nextAction = next;
+}
+
+} // namespace Verbena::Decisions
--- a/tests/auto/control/tst_claimledger.cpp
+++ b/tests/auto/control/tst_claimledger.cpp
@@ -144,6 +144,7 @@
     m_first.claim("taken");
     runFor(100ms);
     std::vector<ClaimId> innocent;
+    innocent.reserve(20);
     for (int i = 0; i < 20; ++i) {
         innocent.push_back(m_second.claim("k" + std::to_string(i)));
     }
