--- a/scripts/support/deployment.py
+++ b/scripts/support/deployment.py
@@ -109,7 +109,7 @@
         return service
 
     def start_router(self, name):
-        settings = self._write(f"{name}.yaml", {"name": name, "settings_tree_files": [str(self._write_tree())], "shutdown": {"notice": "100ms"}})
+        settings = self._write(f"{name}.yaml", {"name": name, "settings_tree_files": [str(self._write_tree())]})
         router = self.start(name, "router", [BIN / "verbena-router", "--settings", settings])
         router.address("http")
         return router
--- a/src/libs/load/answerchecker.cpp
+++ b/src/libs/load/answerchecker.cpp
@@ -14,6 +14,7 @@
 
 constexpr int okStatus = 200;
 constexpr std::size_t tokenLetters = 8;
+constexpr std::size_t maximumExplanationBytes = 300;
 
 bool isField(std::string_view name, const std::string &expected)
 {
@@ -91,6 +92,7 @@
     }
     if (event.contains("error")) {
         m_hasErrorEvent = true;
+        m_problem = data;
         return;
     }
     if (event.contains("usage") && event["usage"].is_object()) {
@@ -169,6 +171,11 @@
 
 Outcome AnswerChecker::finish(const Core::Result<int> &status)
 {
+    if (!status) {
+        m_problem = status.error().toString();
+    } else if (status.value() != okStatus) {
+        m_problem = std::to_string(status.value()) + " " + m_body;
+    }
     if (!status && status.error().code == Core::ErrorCode::Unavailable) {
         return Outcome::Unreachable;
     }
@@ -197,6 +204,11 @@
     return m_usage;
 }
 
+std::string AnswerChecker::explanation() const
+{
+    return m_problem.substr(0, maximumExplanationBytes);
+}
+
 const std::string &AnswerChecker::requestId() const
 {
     return m_requestId;
--- a/src/libs/load/answerchecker.h
+++ b/src/libs/load/answerchecker.h
@@ -47,6 +47,9 @@
 
     const TokenUsage &usage() const;
 
+    /// \brief What the caller was told when the answer did not come whole, shortened.
+    std::string explanation() const;
+
     /// \brief The router's id of the request; empty if it gave none.
     const std::string &requestId() const;
 
@@ -69,6 +72,7 @@
     std::uint32_t m_receivedTokens = 0;
     bool m_isDone = false;
     bool m_hasErrorEvent = false;
+    std::string m_problem;
     Outcome m_textOutcome = Outcome::Whole;
     std::string m_run;
     std::string m_requestId;
--- a/src/libs/load/loadreport.cpp
+++ b/src/libs/load/loadreport.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 namespace Verbena::Load {
@@ -28,6 +29,13 @@
     {Outcome::Unreachable, "unreachable"},
 }};
 
+constexpr std::size_t maximumExamples = 3;
+
+const char *nameOf(Outcome outcome)
+{
+    return std::ranges::find(namedOutcomes, outcome, &NamedOutcome::outcome)->name;
+}
+
 double milliseconds(std::chrono::nanoseconds span)
 {
     return std::chrono::duration<double, std::milli>(span).count();
@@ -117,6 +125,14 @@
     m_lateness.record(span);
 }
 
+void LoadReport::addExample(Outcome outcome, const std::string &explanation)
+{
+    std::vector<std::string> &examples = m_examples[outcome];
+    if (examples.size() < maximumExamples) {
+        examples.push_back(explanation);
+    }
+}
+
 bool LoadReport::isClean() const
 {
     const LoadTally sum = total();
@@ -131,6 +147,9 @@
     root["doubled"] = sum.count(Outcome::Doubled) + m_doubledRuns;
     root["false_not_run"] = m_falseNotRuns;
     root["send_lateness_ms"] = jsonOf(m_lateness);
+    for (const auto &[outcome, examples] : m_examples) {
+        root["examples"][nameOf(outcome)] = examples;
+    }
     for (std::size_t i = 0; i < m_tallies.size(); ++i) {
         root["organisations"][m_organisations[i]] = jsonOf(m_tallies[i]);
     }
@@ -150,6 +169,11 @@
          << " prompt tokens)\ntime to first token:\n"
          << sum.firstToken.toText() << "time between tokens:\n"
          << sum.betweenTokens.toText();
+    for (const auto &[outcome, examples] : m_examples) {
+        for (const std::string &example : examples) {
+            text << nameOf(outcome) << ": " << example << '\n';
+        }
+    }
     return text.str();
 }
 
--- a/src/libs/load/loadreport.h
+++ b/src/libs/load/loadreport.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,9 @@
     /// \brief Notes how late a request was sent after its moment had come.
     void recordLateness(std::chrono::nanoseconds span);
 
+    /// \brief Keeps \a explanation as an example of \a outcome, unless there are enough already.
+    void addExample(Outcome outcome, const std::string &explanation);
+
     /// \brief True if nothing was lost, broken, crossed, doubled or untruly called not run.
     bool isClean() const;
 
@@ -56,6 +60,7 @@
     std::uint64_t m_doubledRuns = 0;
     std::uint64_t m_falseNotRuns = 0;
     LatencyHistogram m_lateness;
+    std::map<Outcome, std::vector<std::string>> m_examples;
 };
 
 } // namespace Verbena::Load
--- a/src/libs/load/loadtask.cpp
+++ b/src/libs/load/loadtask.cpp
@@ -54,6 +54,8 @@
         tally.usage.cachedTokens += m_checker.usage().cachedTokens;
         if (outcome == Outcome::Whole) {
             tally.wholeAnswer.record(Core::Clock::now() - m_sentAt);
+        } else {
+            m_task.m_report.addExample(outcome, m_checker.explanation());
         }
         m_task.finishOne(m_request, outcome);
     }
