Hear of leaving hosts from peers as well

Cause: each agent polled the host list by itself, at the target far too often for the platform or far too seldom for a leaving host.

Change: the agent runs HostListTask over its routers' connections. AgentTask hands whatever is not about requests to a PeerListener and knows neither the settings task nor the host list. A test reads the metrics page.

--- a/src/libs/agent/agentcontrol.cpp
+++ b/src/libs/agent/agentcontrol.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-// A tenth of what the platform reads in a second, shared by all agents: up to 200 of them look every second.
-constexpr Decisions::FeedPollerOptions hostListOptions{.pollsPerSecond = 200,
-    .minimumInterval = std::chrono::milliseconds(1000),
-    .silenceLimit = std::chrono::milliseconds(60000),
-    .silentInterval = std::chrono::milliseconds(60000)};
-
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -33,13 +27,13 @@
     BOOST_OUTCOME_TRY(settings, SettingsTree::SettingsTask::create(loop, options, control->m_table, control->m_platform.get(), task));
     control->m_settings = std::move(settings);
     AgentControl *self = control.get();
-    task.setSettingsPeer(control->m_settings);
     task.setSettingsView(control->m_settings, [self] { self->applySettings(); });
     task.setReportCallback([self](const BackendReport &report) { self->m_orders.noteReport(report); });
-    control->m_hosts = std::make_unique<Control::HostListPoller>(
-        *control->m_platform, loop, hostListOptions, seed + 1, [self](const std::vector<Platform::HostEntry> &hosts, Core::TimePoint) {
-            self->receiveHosts(hosts);
-        });
+    Control::HostListTaskOptions hostOptions;
+    hostOptions.seed = seed + 1;
+    control->m_hosts = std::make_unique<Control::HostListTask>(*control->m_platform, loop, task, hostOptions);
+    control->m_hosts->setChangedCallback([self] { self->applyHosts(); });
+    task.setPeerListener(self);
     return control;
 }
 
@@ -52,6 +46,12 @@
 {
 }
 
+AgentControl::~AgentControl()
+{
+    m_task.setPeerListener(nullptr);
+    m_task.setReportCallback({});
+}
+
 SettingsTree::SettingsStatus AgentControl::settingsStatus() const
 {
     return m_settings->status();
@@ -73,8 +73,23 @@
     }
 }
 
-void AgentControl::receiveHosts(const std::vector<Platform::HostEntry> &hosts)
+void AgentControl::peerJoined(const std::string &peer)
+{
+    m_settings->notePeerJoined(peer);
+}
+
+void AgentControl::receiveFromPeer(const std::string &peer, const verbena::wire::Envelope &message)
+{
+    if (SettingsTree::SettingsTask::isSettingsMessage(message)) {
+        m_settings->receiveFromPeer(peer, message);
+    } else if (Control::HostListTask::isHostMessage(message)) {
+        m_hosts->receiveFromPeer(message);
+    }
+}
+
+void AgentControl::applyHosts()
 {
+    const std::vector<Platform::HostEntry> hosts = m_hosts->hosts();
     m_orders.setHosts(hosts);
     const std::string &name = m_task.settings().name;
     const auto own = std::find_if(hosts.begin(), hosts.end(), [&name](const Platform::HostEntry &host) { return host.name == name; });
--- a/src/libs/agent/agentcontrol.h
+++ b/src/libs/agent/agentcontrol.h
@@ -4,7 +4,7 @@
 #include "modelordertask.h"
 
 #include <control/budgetedtable.h>
-#include <control/hostlistpoller.h>
+#include <control/hostlisttask.h>
 #include <platform/httpplatform.h>
 #include <settingstree/settingstask.h>
 
@@ -15,19 +15,24 @@
 namespace Verbena::Agent {
 
 /// \brief The agent's ties to the platform: the settings tree, the host list, leases and orders to the engine.
-class AgentControl
+class AgentControl : public PeerListener
 {
 public:
     /// \brief Starts at once; \a task has to live longer. Errors: Internal.
     static Core::Result<std::unique_ptr<AgentControl>> create(EventLoop::Loop &loop, const std::string &platformUrl, AgentTask &task);
 
+    ~AgentControl() override;
+
     SettingsTree::SettingsStatus settingsStatus() const;
     const ModelOrderTask &orders() const;
 
+    void peerJoined(const std::string &peer) override;
+    void receiveFromPeer(const std::string &peer, const verbena::wire::Envelope &message) override;
+
 private:
     AgentControl(EventLoop::Loop &loop, AgentTask &task, std::unique_ptr<Platform::HttpPlatform> platform, std::uint64_t seed);
     void applySettings();
-    void receiveHosts(const std::vector<Platform::HostEntry> &hosts);
+    void applyHosts();
 
     EventLoop::Loop &m_loop;
     AgentTask &m_task;
@@ -35,7 +40,7 @@
     Control::BudgetedTable m_table;
     ModelOrderTask m_orders;
     std::shared_ptr<SettingsTree::SettingsTask> m_settings;
-    std::unique_ptr<Control::HostListPoller> m_hosts;
+    std::unique_ptr<Control::HostListTask> m_hosts;
 };
 
 } // namespace Verbena::Agent
--- a/src/libs/agent/agenttask.cpp
+++ b/src/libs/agent/agenttask.cpp
@@ -94,9 +94,9 @@
     applySettings();
 }
 
-void AgentTask::setSettingsPeer(std::shared_ptr<SettingsTree::SettingsTask> settings)
+void AgentTask::setPeerListener(PeerListener *listener)
 {
-    m_settingsPeer = std::move(settings);
+    m_peerListener = listener;
 }
 
 void AgentTask::setReportCallback(std::function<void(const BackendReport &)> callback)
@@ -168,8 +168,8 @@
 void AgentTask::receiveMessage(const std::string &peer, const verbena::wire::Envelope &message)
 {
     const bool isNew = m_routers.noteHeard(peer, m_loop.now());
-    if (isNew && m_settingsPeer) {
-        m_settingsPeer->notePeerJoined(peer);
+    if (isNew && m_peerListener != nullptr) {
+        m_peerListener->peerJoined(peer);
     }
     if (message.has_dispatch()) {
         receiveDispatch(peer, message.dispatch());
@@ -181,8 +181,8 @@
         answerProbe(peer, message.probe());
     } else if (message.has_hello()) {
         sendWelcome(peer);
-    } else if (m_settingsPeer && SettingsTree::SettingsTask::isSettingsMessage(message)) {
-        m_settingsPeer->receiveFromPeer(peer, message);
+    } else if (m_peerListener != nullptr) {
+        m_peerListener->receiveFromPeer(peer, message);
     }
 }
 
--- a/src/libs/agent/agenttask.h
+++ b/src/libs/agent/agenttask.h
@@ -6,7 +6,6 @@
 
 #include <settings/inforcesettings.h>
 #include <settingstree/peerchannel.h>
-#include <settingstree/settingstask.h>
 #include <wire/messagesocket.h>
 #include <wire/peerauthenticator.h>
 
@@ -15,6 +14,17 @@
 
 namespace Verbena::Agent {
 
+/// \brief Takes what routers send besides requests.
+class PeerListener
+{
+public:
+    virtual ~PeerListener() = default;
+
+    /// \brief A router that was not known can be reached now.
+    virtual void peerJoined(const std::string &peer) = 0;
+    virtual void receiveFromPeer(const std::string &peer, const verbena::wire::Envelope &message) = 0;
+};
+
 /// \brief The agent process: routers on one side, its backend server on the other.
 class AgentTask : public Wire::MessageReceiver, public RouterSender, public SettingsTree::PeerChannel
 {
@@ -27,8 +37,8 @@
     /// \brief Follows what \a view has in force: shares, and whether this backend server is drained. \a changed is called after that.
     void setSettingsView(std::shared_ptr<Settings::SettingsView> view, std::function<void()> changed = {});
 
-    /// \brief Hands \a settings what routers send of theirs.
-    void setSettingsPeer(std::shared_ptr<SettingsTree::SettingsTask> settings);
+    /// \brief Hands \a listener what routers send besides requests; null for nobody.
+    void setPeerListener(PeerListener *listener);
 
     /// \brief Called with whatever the backend server says of itself.
     void setReportCallback(std::function<void(const BackendReport &)> callback);
@@ -80,7 +90,7 @@
     KnownRouters m_routers;
     std::shared_ptr<Settings::SettingsView> m_view;
     std::function<void()> m_settingsChanged;
-    std::shared_ptr<SettingsTree::SettingsTask> m_settingsPeer;
+    PeerListener *m_peerListener = nullptr;
     bool m_isDrained = false; ///< By an operator's order.
     bool m_isListedAsLeaving = false; ///< By the platform's host list.
     bool m_isEnding = false; ///< The process has been asked to end.
--- a/tests/auto/agent/agentharness.cpp
+++ b/tests/auto/agent/agentharness.cpp
@@ -159,6 +159,11 @@
     return nlohmann::json::parse(sendHttp("GET", "http://" + m_statusAddress + "/status", {}, {}).body, nullptr, false);
 }
 
+std::string AgentHarness::metrics() const
+{
+    return sendHttp("GET", "http://" + m_statusAddress + "/metrics", {}, {}).body;
+}
+
 nlohmann::json AgentHarness::runs() const
 {
     return nlohmann::json::parse(sendHttp("GET", "http://" + m_backendAddress + "/runs", {}, {}).body)["runs"];
--- a/tests/auto/agent/agentharness.h
+++ b/tests/auto/agent/agentharness.h
@@ -83,6 +83,7 @@
     void setFaults(const std::string &json) const;
 
     nlohmann::json status() const;
+    std::string metrics() const;
 
     /// \brief The entries of the stand-in's `GET /runs`.
     nlohmann::json runs() const;
--- a/tests/auto/agent/tst_agent.cpp
+++ b/tests/auto/agent/tst_agent.cpp
@@ -48,6 +48,9 @@
     EXPECT_EQ(received.tokens, 50U);
     EXPECT_EQ(received.ended->completion_tokens(), 50U);
     EXPECT_EQ(received.ended->finish_reason(), "length");
+    const std::string metrics = harness.metrics();
+    EXPECT_NE(metrics.find("verbena_agent_started_total 1"), std::string::npos) << metrics;
+    EXPECT_NE(metrics.find("verbena_agent_first_token_seconds_bucket{"), std::string::npos);
 }
 
 TEST(AgentTest, resumesAfterWhatTheCallerHas)
