--- a/scripts/support/process_slopes.py
+++ b/scripts/support/process_slopes.py
@@ -1,9 +1,9 @@
 """Slopes that are measured on running processes, in the form that bench_slopes prints."""
 
 import json
+import math
 import subprocess
 import time
-from pathlib import Path
 
 from deployment import ROOT, Deployment
 from process_use import cpu_seconds, resident_kilobytes
@@ -62,7 +62,32 @@
     return result
 
 
+def control_slopes():
+    """The spread of settings in virtual time, and what settings cost a process, from scripts/bench-control."""
+    control = run_json("bench-control", "--quick")
+
+    def line(part, x, x_unit, y, y_unit):
+        return slope(x_unit, y_unit, [[x(point), point[y]] for point in control[part]])
+
+    def doublings(point):
+        return math.log2(point["processes"])
+
+    def organisations(point):
+        return point["organisations"]
+
+    return {
+        "spread_worst_time": line("virtual", doublings, "doublings of processes", "worst_ms", "ms"),
+        "spread_p99_time": line("virtual", doublings, "doublings of processes", "p99_ms", "ms"),
+        "spread_bytes": line("virtual", doublings, "doublings of processes", "bytes_sent_per_process_second", "bytes/s"),
+        "spread_messages": line("virtual", doublings, "doublings of processes", "messages_sent_per_process_second", "messages/s"),
+        "spread_table_reads": line("virtual", doublings, "doublings of processes", "table_reads_per_second", "reads/s"),
+        "settings_store_memory": line("store", organisations, "organisations", "store_heap_bytes", "bytes"),
+        "in_force_memory": line("store", organisations, "organisations", "in_force_heap_bytes", "bytes"),
+        "settings_row_bytes": line("store", organisations, "organisations", "row_bytes", "bytes"),
+        "settings_change_time": line("store", organisations, "organisations", "change_ns", "ns a change"),
+        "settings_load_time": line("store", organisations, "organisations", "start_ns", "ns"),
+    }
+
+
 # The command that is shown for each measurement.
-MEASUREMENTS = {"scripts/bench-slopes": idle_slopes}
-if (Path(ROOT) / "scripts/bench-path").exists():
-    MEASUREMENTS["scripts/bench-path"] = path_slopes
+MEASUREMENTS = {"scripts/bench-slopes": idle_slopes, "scripts/bench-path": path_slopes, "scripts/bench-control --quick": control_slopes}
--- a/tests/benchmarks/slopes/main.cpp
+++ b/tests/benchmarks/slopes/main.cpp
@@ -6,7 +6,7 @@
 {
     using namespace Verbena::Bench;
     std::vector<Slope> slopes;
-    for (const auto &part : {agentSlopes(), routerSlopes(), settingsSlopes(), spreadSlopes(), wireSlopes()}) {
+    for (const auto &part : {agentSlopes(), routerSlopes(), metricsSlopes(), wireSlopes()}) {
         slopes.insert(slopes.end(), part.begin(), part.end());
     }
     std::cout << toJson(slopes) << '\n';
--- a/tests/benchmarks/slopes/wireslopes.cpp
+++ b/tests/benchmarks/slopes/wireslopes.cpp
@@ -89,35 +89,19 @@
     return static_cast<double>(load.ByteSizeLong()) * count;
 }
 
-constexpr std::uint64_t revision = 12'345'678;
-
-double bytesOfDigests(int count)
+/// What a router says to an agent and back to know that it is there, between requests.
+double bytesOfHeartbeats(int count)
 {
-    wire::Envelope envelope;
-    wire::SettingsDigest &digest = *envelope.mutable_settings_digest();
-    digest.set_highest_revision(revision);
-    digest.set_digest(0x123456789abcdefULL);
-    digest.set_verified_age_us(2'000'000);
-    return size(envelope) * count;
-}
-
-/// Teams as large as those of settingsSlopes(), pulled by one peer.
-double bytesOfChanges(int rows)
-{
-    constexpr std::size_t teamBytes = 320;
-    wire::Envelope pull;
-    pull.mutable_settings_pull()->set_since_revision(revision);
-    wire::Envelope push;
-    push.mutable_settings_push()->set_highest_revision(revision);
-    push.mutable_settings_push()->set_since_revision(revision);
-    push.mutable_settings_push()->set_covered_revision(revision);
-    for (int i = 0; i < rows; ++i) {
-        wire::SettingsRow &row = *push.mutable_settings_push()->add_rows();
-        row.set_path("settings/organisations/organisation12345/teams/team1");
-        row.set_revision(revision);
-        row.set_content(std::string(teamBytes, 'x'));
-    }
-    return size(pull) + size(push);
+    wire::Envelope hello;
+    hello.mutable_hello();
+    wire::Envelope welcome;
+    welcome.mutable_welcome()->set_name("analyst-01");
+    welcome.mutable_welcome()->set_incarnation(0x123456789abcdefULL);
+    fillLoad(*welcome.mutable_welcome()->mutable_load());
+    wire::ModelState &model = *welcome.mutable_welcome()->add_models();
+    model.set_model("analyst");
+    model.set_weights_version("2026-11");
+    return (size(hello) + size(welcome)) * count;
 }
 
 } // namespace
@@ -128,8 +112,7 @@
         measureSlope({"frame_bytes", "tokens", "bytes", {}}, {100, 200, 400, 800}, bytesOfAnswer),
         measureSlope({"dispatch_bytes", "pieces of the prompt", "bytes without the body", {}}, {1, 4, 16, 64}, bytesAroundAnswer),
         measureSlope({"load_hint_bytes", "replies", "bytes", {}}, {1, 2, 4}, bytesOfLoadHints),
-        measureSlope({"settings_digest_bytes", "digests", "bytes", {}}, {1, 2, 4}, bytesOfDigests),
-        measureSlope({"settings_push_bytes", "changed rows", "bytes with the pull", {}}, {1, 10, 100}, bytesOfChanges),
+        measureSlope({"heartbeat_bytes", "heartbeats", "bytes", {}}, {1, 2, 4}, bytesOfHeartbeats),
     };
 }
 
