Start warm prompts first, and refuse what cannot be whole in time

Cause: under overload the gate filled its engine with prompts that were cold or whose answers came after the deadline, and each cold prompt pushed others out of the cache. The wait foretold to a flow counted its own work at its own share, so a team within its share was refused while it was next in turn.

Change: within a class the cheapest prompt among the 32 oldest goes first; at most 16 may pass the oldest one. The deadline check counts the answer's tokens too, by the length that answers have come to have; while that is unknown they count for nothing, since a maximum is often far above what comes. The foretold wait follows the start tags of the queue. The engine is handed at most two prompts without a first token, however long they take.

--- a/src/libs/decisions/gate/admissiongate.cpp
+++ b/src/libs/decisions/gate/admissiongate.cpp
@@ -294,6 +294,12 @@
     return std::nullopt;
 }
 
+microseconds AdmissionGate::costNow(TicketId id) const
+{
+    const GateRequest &request = m_byTicket.at(id)->request;
+    return m_cost.prefill(m_cost.missingTokens(request.promptTokens, m_cache.likelyPieces(request.keys, m_now)));
+}
+
 // Checks come in order of their cost.
 std::optional<GateAction> AdmissionGate::refusalOf(const GateRequest &request, Core::TimePoint now)
 {
@@ -316,7 +322,7 @@
     probe.request = request;
     estimate(probe, now);
     m_heat.noteDemand(request.keys, probe.work, now);
-    if (now + expectedWait(request.flow, probe.work, now) + probe.prefill > request.deadline) {
+    if (now + expectedWait(request.flow, now) + probe.span > request.deadline) {
         return refuse(GateRefusal::Deadline);
     }
     return std::nullopt;
@@ -352,7 +358,7 @@
     held.queuedAt = now;
     held.workBefore = m_queue.queuedWork();
     estimate(held, now);
-    held.alarm = held.request.deadline - held.prefill;
+    held.alarm = held.request.deadline - held.span;
     m_byTicket[held.ticket] = &held;
     m_alarms.emplace(held.alarm, held.ticket);
     m_queue.push(held.request.flow, Ticket{held.ticket, held.work});
@@ -361,8 +367,9 @@
 
 void AdmissionGate::startWaiting(Core::TimePoint now, std::vector<GateAction> &actions)
 {
+    m_now = now;
     while (m_isEngineUp && hasRoom(now)) {
-        const std::optional<Ticket> ticket = m_queue.pop();
+        const std::optional<Ticket> ticket = m_queue.popCheapest(*this, m_options.classOrder);
         if (!ticket) {
             return;
         }
@@ -374,7 +381,7 @@
 {
     const microseconds charged = held.work;
     estimate(held, now);
-    if (now + held.prefill > held.request.deadline) {
+    if (now + held.span > held.request.deadline) {
         m_queue.charge(held.request.flow, -charged);
         refuseQueued(held, GateRefusal::Deadline, now, actions);
         return;
@@ -387,10 +394,10 @@
     m_alarms.emplace(held.alarm, held.ticket);
     held.state = State::Prefill;
     held.startedAt = now;
-    if (m_prefillPromised == microseconds(0)) {
+    if (m_prefills.empty()) {
         m_prefillSince = now;
     }
-    m_prefillPromised += held.prefill;
+    m_prefills.push_back(&held);
     ++m_running;
     m_cache.noteRunStarted(held.request.ref, held.request.version, held.request.keys);
     actions.emplace_back(StartRun{held.request.ref, m_cache.likelyPieces(held.request.keys, now), spanBetween(held.queuedAt, now)});
@@ -425,19 +432,22 @@
         = held.state == State::Queued && held.ticket == TicketId{} ? warmPieces(request.keys, now) : m_cache.likelyPieces(request.keys, now);
     held.missingTokens = m_cost.missingTokens(request.promptTokens, warm) + request.resumeTokens;
     held.prefill = m_cost.prefill(held.missingTokens);
-    held.work = held.prefill + m_cost.decodeWork(request.maximumTokens - std::min(request.maximumTokens, request.resumeTokens));
+    const std::uint32_t tokensLeft = request.maximumTokens - std::min(request.maximumTokens, request.resumeTokens);
+    held.work = held.prefill + m_cost.decodeWork(tokensLeft);
+    held.span = held.prefill + m_cost.answerSpan(tokensLeft);
 }
 
 // What the prompt took beyond or below its estimate is forgotten with it: the next one begins now.
 void AdmissionGate::endPrefill(Held &held, Core::TimePoint now)
 {
-    m_prefillPromised -= held.prefill;
+    std::erase(m_prefills, &held);
     m_prefillSince = now;
 }
 
+// The engine is handed only so many prompts that it has not begun: what waits there is out of the reach of shares and deadlines.
 bool AdmissionGate::hasRoom(Core::TimePoint now) const
 {
-    return m_running < m_options.maximumRunning && prefillAhead(now) < m_options.maximumPrefillAhead;
+    return m_running < m_options.maximumRunning && m_prefills.size() < m_options.maximumPrefills && prefillAhead(now) < m_options.maximumPrefillAhead;
 }
 
 bool AdmissionGate::isServed(const GateRequest &request) const
@@ -445,17 +455,19 @@
     return request.isServiceCall || std::find(m_served.begin(), m_served.end(), request.version) != m_served.end();
 }
 
+// The oldest prompt has been worked on since the one before was done; a prompt that takes longer than expected holds up the rest.
 microseconds AdmissionGate::prefillAhead(Core::TimePoint now) const
 {
-    if (m_prefillPromised == microseconds(0)) {
-        return microseconds(0);
+    microseconds ahead(0);
+    for (const Held *held : m_prefills) {
+        ahead += held->prefill;
     }
-    return std::max(microseconds(0), m_prefillPromised - spanBetween(m_prefillSince, now));
+    return m_prefills.empty() ? ahead : ahead - std::min(m_prefills.front()->prefill, spanBetween(m_prefillSince, now));
 }
 
-microseconds AdmissionGate::expectedWait(const FlowPath &flow, microseconds work, Core::TimePoint now) const
+microseconds AdmissionGate::expectedWait(const FlowPath &flow, Core::TimePoint now) const
 {
-    return prefillAhead(now) + m_cost.queueWait(m_queue.expectedWait(flow, work));
+    return prefillAhead(now) + m_cost.queueWait(m_queue.expectedWait(flow));
 }
 
 microseconds AdmissionGate::retryAfter(GateRefusal reason, const FlowPath &flow, Core::TimePoint now) const
@@ -465,7 +477,7 @@
     case GateRefusal::Deadline:
     case GateRefusal::Overload:
         // Half the flow's queue will be gone then.
-        return std::clamp(expectedWait(flow, microseconds(0), now) / 2, shortestRetryAfter, longestRetryAfter);
+        return std::clamp(expectedWait(flow, now) / 2, shortestRetryAfter, longestRetryAfter);
     case GateRefusal::Leaving:
     case GateRefusal::NotServed:
     case GateRefusal::EngineDown:
--- a/src/libs/decisions/gate/admissiongate.h
+++ b/src/libs/decisions/gate/admissiongate.h
@@ -9,6 +9,7 @@
 #include "heatmeter.h"
 #include "overloadcontrol.h"
 
+#include <deque>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -20,9 +21,11 @@
 {
     std::size_t maximumQueued = 1024;
     std::uint32_t maximumRunning = 32; ///< Runs that the engine batches at once.
+    std::size_t maximumPrefills = 2; ///< Runs without a first token that the engine is handed at once.
     std::chrono::milliseconds maximumPrefillAhead{100}; ///< Prompts handed to the engine beyond the one it works on.
     std::size_t duplicateCapacity = 16384;
     std::chrono::milliseconds duplicateMargin{60000}; ///< How long after its deadline a copy may still come.
+    ClassOrder classOrder;
     CacheIndexOptions cache;
     CostModelOptions cost;
     OverloadOptions overload;
@@ -33,7 +36,7 @@
 ///
 /// Each submitted attempt ends in exactly one of StartRun, Refuse and DropQueued. Every command returns what its owner
 /// has to do now, in order. The owner calls tick() at nextDeadline().
-class AdmissionGate
+class AdmissionGate : private TicketCosts
 {
 public:
     explicit AdmissionGate(const AdmissionGateOptions &options = {});
@@ -120,10 +123,12 @@
         std::chrono::microseconds work{0}; ///< Charged to the flow.
         std::chrono::microseconds prefill{0}; ///< Expected.
         std::chrono::microseconds workBefore{0}; ///< Queued when it came.
+        std::chrono::microseconds span{0}; ///< Expected from the start to the last token.
         std::uint32_t missingTokens = 0;
         bool isCancelled = false;
     };
 
+    std::chrono::microseconds costNow(TicketId id) const override;
     std::optional<GateAction> refusalOf(const GateRequest &request, Core::TimePoint now);
     std::optional<GateAction> answerDuplicate(const GateRequest &request, Core::TimePoint now);
     void giveUpOlderAttempts(const RequestRef &ref, std::vector<GateAction> &actions);
@@ -138,7 +143,7 @@
     bool hasRoom(Core::TimePoint now) const;
     bool isServed(const GateRequest &request) const;
     std::chrono::microseconds prefillAhead(Core::TimePoint now) const;
-    std::chrono::microseconds expectedWait(const FlowPath &flow, std::chrono::microseconds work, Core::TimePoint now) const;
+    std::chrono::microseconds expectedWait(const FlowPath &flow, Core::TimePoint now) const;
     std::chrono::microseconds retryAfter(GateRefusal reason, const FlowPath &flow, Core::TimePoint now) const;
     std::chrono::microseconds totalWait(Core::TimePoint now) const;
     void release(Held &held);
@@ -160,7 +165,8 @@
     std::uint64_t m_lastTicket = 0;
     std::unordered_map<PrefixKey, std::size_t> m_expectedKeys; ///< Of prompts that wait or are being processed, with their number.
     std::size_t m_running = 0;
-    std::chrono::microseconds m_prefillPromised{0}; ///< Of all runs without a first token.
+    std::deque<const Held *> m_prefills; ///< Runs without a first token, the oldest first.
+    Core::TimePoint m_now; ///< Of the command that is carried out.
     Core::TimePoint m_prefillSince; ///< When the engine began the prompt it works on.
     EngineLoad m_engineLoad;
     bool m_isLeaving = false;
--- a/src/libs/decisions/gate/costmodel.cpp
+++ b/src/libs/decisions/gate/costmodel.cpp
@@ -30,6 +30,7 @@
 CostModel::CostModel(const CostModelOptions &options)
     : m_options(options)
     , m_prefillSecondsPerToken(seconds(options.firstPrefillPerPiece) / std::max(options.pieceTokens, 1U))
+    , m_tokenInterval(seconds(options.firstTokenInterval))
     , m_decodeSecondsPerToken(seconds(options.firstTokenInterval))
 {
 }
@@ -43,6 +44,7 @@
 
 void CostModel::noteTokenInterval(std::chrono::microseconds interval, std::uint32_t running)
 {
+    learn(m_tokenInterval, seconds(interval));
     learn(m_decodeSecondsPerToken, seconds(interval) / std::max(running, 1U));
 }
 
@@ -76,6 +78,11 @@
     return microseconds(m_decodeSecondsPerToken * m_lengthRatio * maximumTokens);
 }
 
+std::chrono::microseconds CostModel::answerSpan(std::uint32_t maximumTokens) const
+{
+    return microseconds(m_tokenInterval * m_lengthRatio * maximumTokens);
+}
+
 std::chrono::microseconds CostModel::decodeWorkOf(std::uint32_t tokens) const
 {
     return microseconds(m_decodeSecondsPerToken * tokens);
--- a/src/libs/decisions/gate/fairqueue.cpp
+++ b/src/libs/decisions/gate/fairqueue.cpp
@@ -1,7 +1,6 @@
 #include "fairqueue.h"
 
 #include <algorithm>
-#include <array>
 
 namespace Verbena::Decisions {
 
@@ -9,6 +8,7 @@
 
 constexpr std::size_t mostNodesKept = 4096;
 constexpr double smallestWeight = 1e-6;
+constexpr std::size_t levelCount = 3; // Organisation, team, class.
 
 double seconds(std::chrono::microseconds span)
 {
@@ -43,7 +43,8 @@
     bool isActive = false;
     std::map<std::string, std::unique_ptr<Node>> children;
     std::set<Node *, Earlier> active;
-    std::list<Ticket> tickets; ///< Of a leaf.
+    std::list<Ticket> tickets; ///< Of a leaf, the oldest first.
+    std::size_t passed = 0; ///< Tickets of a leaf that went before its oldest.
 
     bool isEmpty() const
     {
@@ -102,23 +103,20 @@
 
 std::optional<Ticket> FairQueue::pop()
 {
-    if (m_root->isEmpty()) {
+    if (m_places.empty()) {
         return std::nullopt;
     }
-    Node *leaf = m_root.get();
-    while (!leaf->active.empty()) {
-        leaf = *leaf->active.begin();
-    }
-    const Ticket ticket = leaf->tickets.front();
-    for (Node *node = leaf; node->parent != nullptr; node = node->parent) {
-        Node &parent = *node->parent;
-        parent.virtualTime = std::max(parent.virtualTime, node->startTag);
-        parent.active.erase(node);
-        node->startTag += seconds(ticket.work) / node->weight;
-        parent.active.insert(node);
+    Node &leaf = nextLeaf();
+    return serve(leaf, leaf.tickets.begin());
+}
+
+std::optional<Ticket> FairQueue::popCheapest(const TicketCosts &costs, const ClassOrder &order)
+{
+    if (m_places.empty()) {
+        return std::nullopt;
     }
-    takeOut(*leaf, leaf->tickets.begin());
-    return ticket;
+    Node &leaf = nextLeaf();
+    return serve(leaf, cheapest(leaf, costs, order));
 }
 
 bool FairQueue::erase(TicketId id)
@@ -146,32 +144,20 @@
     }
 }
 
-std::chrono::microseconds FairQueue::expectedWait(const FlowPath &path, std::chrono::microseconds work) const
+// Bottom up, the work that is served before: a ticket starts when the virtual time of each level has come to its start tag,
+// and the virtual time moves by work over the weight of all that wait. No more is ever served before than what waits.
+std::chrono::microseconds FairQueue::expectedWait(const FlowPath &path) const
 {
-    // Bottom up: what must be done before, stretched by the flow's part among those that wait, but never beyond all that waits.
-    const std::array<const std::string *, 3> names{&path.organisation, &path.team, &path.requestClass};
-    std::vector<const Node *> chain{m_root.get()};
-    for (const std::string *name : names) {
-        const auto found = chain.back()->children.find(*name);
-        if (found == chain.back()->children.end()) {
-            break;
-        }
-        chain.push_back(found->second.get());
-    }
-    double ahead = chain.size() == names.size() + 1 ? seconds(chain.back()->work) : 0.0;
-    const double own = seconds(work);
-    for (std::size_t level = names.size(); level > 0; --level) {
-        if (level - 1 >= chain.size()) {
-            continue;
-        }
+    const std::vector<const Node *> chain = chainOf(path);
+    double ahead = chain.size() == levelCount + 1 ? seconds(chain.back()->work) : 0.0;
+    for (std::size_t level = chain.size() - 1; level > 0; --level) {
+        const Node &node = *chain[level];
         const Node &parent = *chain[level - 1];
-        const Node *node = level < chain.size() ? chain[level] : nullptr;
-        const double weight = node == nullptr ? 1.0 : node->weight;
-        const double others = parent.activeWeight() - (node != nullptr && node->isActive ? weight : 0.0);
-        const double stretched = (ahead + own) * (weight + others) / weight - own;
-        ahead = std::min(stretched, seconds(parent.work));
+        const double lag = std::max(0.0, node.startTag - parent.virtualTime) + ahead / node.weight;
+        const double activeWeight = parent.activeWeight() + (node.isActive ? 0.0 : node.weight);
+        ahead = std::min(lag * activeWeight, seconds(parent.work));
     }
-    return microseconds(std::max(ahead, 0.0));
+    return microseconds(ahead);
 }
 
 std::optional<TicketId> FairQueue::lastOfLargest() const
@@ -195,6 +181,19 @@
     return m_root->work;
 }
 
+std::vector<const FairQueue::Node *> FairQueue::chainOf(const FlowPath &path) const
+{
+    std::vector<const Node *> chain{m_root.get()};
+    for (const std::string *name : {&path.organisation, &path.team, &path.requestClass}) {
+        const auto found = chain.back()->children.find(*name);
+        if (found == chain.back()->children.end()) {
+            break;
+        }
+        chain.push_back(found->second.get());
+    }
+    return chain;
+}
+
 FairQueue::Node *FairQueue::leafFor(const FlowPath &path)
 {
     if (m_nodes > mostNodesKept) {
@@ -234,6 +233,49 @@
     return 1.0;
 }
 
+FairQueue::Node &FairQueue::nextLeaf()
+{
+    Node *leaf = m_root.get();
+    while (!leaf->active.empty()) {
+        leaf = *leaf->active.begin();
+    }
+    return *leaf;
+}
+
+// Only so many may pass the oldest before it goes, so that each ticket waits for a bounded number of others.
+std::list<Ticket>::iterator FairQueue::cheapest(Node &leaf, const TicketCosts &costs, const ClassOrder &order)
+{
+    auto best = leaf.tickets.begin();
+    if (leaf.passed >= order.mostPassed) {
+        return best;
+    }
+    std::chrono::microseconds bestCost = costs.costNow(best->id);
+    std::size_t looked = 1;
+    for (auto ticket = std::next(best); ticket != leaf.tickets.end() && looked < order.lookAhead; ++ticket, ++looked) {
+        const std::chrono::microseconds cost = costs.costNow(ticket->id);
+        if (cost < bestCost) {
+            best = ticket;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+Ticket FairQueue::serve(Node &leaf, std::list<Ticket>::iterator next)
+{
+    const Ticket ticket = *next;
+    leaf.passed = next == leaf.tickets.begin() ? 0 : leaf.passed + 1;
+    for (Node *node = &leaf; node->parent != nullptr; node = node->parent) {
+        Node &parent = *node->parent;
+        parent.virtualTime = std::max(parent.virtualTime, node->startTag);
+        parent.active.erase(node);
+        node->startTag += seconds(ticket.work) / node->weight;
+        parent.active.insert(node);
+    }
+    takeOut(leaf, next);
+    return ticket;
+}
+
 // A flow that was idle starts at the present virtual time: it gets its share from now on, and nothing for the past.
 void FairQueue::activate(Node &node)
 {
--- a/src/libs/decisions/gate/fairqueue.h
+++ b/src/libs/decisions/gate/fairqueue.h
@@ -20,6 +20,21 @@
     std::chrono::microseconds work{0}; ///< Estimated engine time that it will use.
 };
 
+/// \brief Tells what tickets would cost if they were started now.
+class TicketCosts
+{
+public:
+    virtual ~TicketCosts() = default;
+    virtual std::chrono::microseconds costNow(TicketId id) const = 0;
+};
+
+/// \brief How far the order of one class may leave the order of arrival.
+struct ClassOrder
+{
+    std::size_t lookAhead = 32; ///< Tickets from the oldest on, the cheapest of which goes first; 1 keeps the order of arrival.
+    std::size_t mostPassed = 16; ///< Tickets that may go before the oldest.
+};
+
 /// \brief The weight of a team among the teams of its organisation, and of the organisation among the organisations.
 struct FlowShare
 {
@@ -52,14 +67,17 @@
     /// \brief Takes out the next ticket, or nothing if the queue is empty.
     std::optional<Ticket> pop();
 
+    /// \brief The same, but in the class whose turn it is the cheapest ticket goes first, within the bounds of \a order.
+    std::optional<Ticket> popCheapest(const TicketCosts &costs, const ClassOrder &order);
+
     /// \brief Takes out \a id; false if it does not wait.
     bool erase(TicketId id);
 
     /// \brief Charges \a extra work to a flow, negative if less was used than estimated.
     void charge(const FlowPath &path, std::chrono::microseconds extra);
 
-    /// \brief How long a ticket of \a path would wait if pushed now, all flows that wait now using their full shares.
-    std::chrono::microseconds expectedWait(const FlowPath &path, std::chrono::microseconds work) const;
+    /// \brief How long a ticket of \a path would wait if pushed now, the flows that wait now going on to wait.
+    std::chrono::microseconds expectedWait(const FlowPath &path) const;
 
     /// \brief The ticket that came last in the flow that holds the most work for its weight.
     std::optional<TicketId> lastOfLargest() const;
@@ -70,9 +88,13 @@
 private:
     struct Node;
 
+    std::vector<const Node *> chainOf(const FlowPath &path) const;
     Node *leafFor(const FlowPath &path);
     Node &childFor(Node &parent, const std::string &name);
     double weightOf(const Node &node) const;
+    Node &nextLeaf();
+    static std::list<Ticket>::iterator cheapest(Node &leaf, const TicketCosts &costs, const ClassOrder &order);
+    Ticket serve(Node &leaf, std::list<Ticket>::iterator next);
     void activate(Node &node);
     void takeOut(Node &leaf, std::list<Ticket>::iterator ticket);
     void removeIdle(Node &node);
--- a/src/libs/decisions/gate/gatetypes.h
+++ b/src/libs/decisions/gate/gatetypes.h
@@ -67,7 +67,7 @@
 /// \brief Why a request was refused. A refused request has not run and will not.
 enum class GateRefusal {
     QueueFull, ///< The queue is full and the flow holds more than its share of it.
-    Deadline, ///< The first token cannot come before the deadline.
+    Deadline, ///< The answer is not expected to be whole before the deadline.
     Overload, ///< The mark is at or above the overload level.
     Leaving, ///< The backend server finishes what it has and takes nothing new.
     NotServed, ///< Model, adapter or version is not held.
--- a/tests/auto/gate/tst_admissiongate.cpp
+++ b/tests/auto/gate/tst_admissiongate.cpp
@@ -163,6 +163,19 @@
     EXPECT_EQ(gate.queued(), 10U);
 }
 
+TEST(AdmissionGateTest, startsWhatIsWarmFirst)
+{
+    AdmissionGate gate = gateOf(oneAtATime());
+    GateRequest cold = requestOf("cold");
+    cold.keys = {PrefixKey(50), PrefixKey(51)};
+    gate.submit(requestOf("first"), at(0));
+    gate.submit(cold, at(0));
+    gate.submit(requestOf("warm"), at(0));
+    gate.noteFirstToken({"first", 1}, 0, at(300));
+    EXPECT_TRUE(isStartedIn(gate.noteRunEnded({"first", 1}, {}, at(400)), "warm"));
+    EXPECT_TRUE(isStartedIn(gate.noteRunEnded({"warm", 1}, {}, at(500)), "cold"));
+}
+
 // Drives a gate as its owner does and notes how each attempt ends.
 class Owner
 {
