Begin calls from within an answer

Cause: libcurl refuses new handles from within its callbacks, and HttpClient took no notice. A request that an agent began when another's first token came was never sent: of three at once at one engine the third got no answer until its deadline.

Change: such a call is added when the callbacks have returned. tst_httpclientstart fails before (the second call never begins) and passes now.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -127,6 +127,7 @@
     : m_loop(loop)
     , m_multi(curl_multi_init())
     , m_timer(loop, [this] { Internals::onTimeout(*this); })
+    , m_add(loop, [this] { addWaiting(); })
     , m_remove(loop, [this] { removeCancelled(); })
 {
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Internals::onSocket);
@@ -161,10 +162,26 @@
     const std::uint64_t id = transfer->id;
     CURL *easy = transfer->easy;
     m_transfers.emplace(id, std::move(transfer));
-    curl_multi_add_handle(m_multi, easy);
+    // libcurl refuses new handles from within its callbacks.
+    if (curl_multi_add_handle(m_multi, easy) == CURLM_RECURSIVE_API_CALL) {
+        m_waiting.push_back(id);
+        m_add.schedule();
+    }
     return HttpCallId(id);
 }
 
+void HttpClient::addWaiting()
+{
+    std::vector<std::uint64_t> waiting;
+    waiting.swap(m_waiting);
+    for (const std::uint64_t id : waiting) {
+        const auto found = m_transfers.find(id);
+        if (found != m_transfers.end()) {
+            curl_multi_add_handle(m_multi, found->second->easy);
+        }
+    }
+}
+
 void HttpClient::applyOptions(Transfer &transfer, const HttpCall &call) const
 {
     CURL *easy = transfer.easy;
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -46,14 +46,17 @@
     explicit HttpClient(EventLoop::Loop &loop);
     void applyOptions(Transfer &transfer, const HttpCall &call) const;
     void processFinished();
+    void addWaiting();
     void removeCancelled();
 
     EventLoop::Loop &m_loop;
     void *m_multi = nullptr;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
+    std::vector<std::uint64_t> m_waiting;
     std::vector<std::uint64_t> m_cancelled;
     EventLoop::Timer m_timer;
+    EventLoop::DeferredCall m_add;
     EventLoop::DeferredCall m_remove;
 };
 
--- /dev/null
+++ b/tests/auto/http/tst_httpclientstart.cpp
@@ -0,0 +1,75 @@
+#include <http/httpclient.h>
+#include <http/httpserver.h>
+
+#include <eventloop/loop.h>
+#include <eventloop/timer.h>
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+namespace Verbena::Http {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class EchoHandler : public HttpHandler
+{
+public:
+    void handleRequest(const std::shared_ptr<HttpExchange> &exchange) override
+    {
+        exchange->respond(200, {}, exchange->path());
+    }
+};
+
+class Receiver : public HttpReceiver
+{
+public:
+    Receiver(std::function<void()> onData, std::function<void(bool)> onFinish)
+        : m_onData(std::move(onData))
+        , m_onFinish(std::move(onFinish))
+    {
+    }
+
+    void receiveData(int, std::string_view) override
+    {
+        m_onData();
+    }
+
+    void finish(Core::Result<int> status) override
+    {
+        m_onFinish(status.has_value());
+    }
+
+private:
+    std::function<void()> m_onData;
+    std::function<void(bool)> m_onFinish;
+};
+
+} // namespace
+
+TEST(HttpClientStart, beginsACallWhileAnAnswerIsReceived)
+{
+    const auto loop = EventLoop::Loop::create().value();
+    EchoHandler handler;
+    const auto server = HttpServer::create(*loop, {}, handler).value();
+    const auto client = HttpClient::create(*loop).value();
+    HttpCall call;
+    call.url = "http://127.0.0.1:" + std::to_string(server->port()) + "/";
+    call.deadline = loop->now() + 10s;
+    bool isSecondWhole = false;
+    const auto second = std::make_shared<Receiver>([] {},
+        [&](bool isWhole) {
+            isSecondWhole = isWhole;
+            loop->stop();
+        });
+    client->start(call, std::make_shared<Receiver>([&] { client->start(call, second); }, [](bool) {}));
+    // Ends the test where the second call never begins.
+    EventLoop::Timer giveUp(*loop, [&] { loop->stop(); });
+    giveUp.startAt(loop->now() + 15s);
+    loop->run();
+    EXPECT_TRUE(isSecondWhole);
+}
+
+} // namespace Verbena::Http
