--- /dev/null
+++ b/src/libs/control/tableclaimservice.cpp
@@ -0,0 +1,70 @@
+#include "tableclaimservice.h"
+
+namespace Verbena::Control {
+
+using namespace Decisions;
+
+namespace {
+
+// A duplicate is told that the request ran, not what it answered; the status stands for that.
+constexpr int ranStatus = 200;
+
+} // namespace
+
+TableClaimService::TableClaimService(
+    Platform::TableService &table, EventLoop::Loop &loop, const ClaimOptions &options, const std::string &owner, std::uint64_t seed)
+    : m_keeper(table, loop, options, owner, seed)
+{
+}
+
+void TableClaimService::claim(const Router::Claim &claim, Core::TimePoint deadline, Callback done)
+{
+    const ClaimRequest request{claim.organisation, claim.team, claim.key, 0, deadline};
+    // The result comes from the loop, when the id is known.
+    auto id = std::make_shared<ClaimId>();
+    *id = m_keeper.claim(
+        request, [this, id, name = claim.request, done = std::move(done)](const ClaimResult &result) { receiveResult(name, *id, result, done); });
+}
+
+void TableClaimService::receiveResult(const std::string &request, ClaimId id, const ClaimResult &result, const Callback &done)
+{
+    switch (result.verdict) {
+    case ClaimVerdict::Granted:
+        // The process may have slept since the claim was written.
+        if (!m_keeper.mayDispatch(id)) {
+            m_keeper.release(id);
+            done({Router::ClaimOutcome::Unavailable, RunState::Unknown});
+            return;
+        }
+        m_granted[request] = id;
+        done({Router::ClaimOutcome::Granted, RunState::Unknown});
+        return;
+    case ClaimVerdict::Duplicate:
+        done({Router::ClaimOutcome::Taken, result.outcome ? RunState::Run : RunState::Unknown});
+        return;
+    case ClaimVerdict::NotClaimed:
+        done({Router::ClaimOutcome::Unavailable, RunState::Unknown});
+        return;
+    }
+}
+
+void TableClaimService::noteEnd(const Router::Claim &claim, RunState run)
+{
+    const auto granted = m_granted.extract(claim.request);
+    if (granted.empty()) {
+        return;
+    }
+    switch (run) {
+    case RunState::Run:
+        m_keeper.recordOutcome(granted.mapped(), {ranStatus, {}, {}});
+        return;
+    case RunState::NotRun:
+        m_keeper.release(granted.mapped());
+        return;
+    case RunState::Unknown:
+        m_keeper.abandon(granted.mapped());
+        return;
+    }
+}
+
+} // namespace Verbena::Control
--- a/tests/auto/control/tst_keepers.cpp
+++ b/tests/auto/control/tst_keepers.cpp
@@ -2,6 +2,7 @@
 #include <control/claimkeeper.h>
 #include <control/hostlisttask.h>
 #include <control/leasekeeper.h>
+#include <control/tableclaimservice.h>
 #include <eventloop/loop.h>
 #include <eventloop/timer.h>
 #include <platform/httpplatform.h>
@@ -98,6 +99,31 @@
     EXPECT_EQ(later.verdict, ClaimVerdict::Granted);
 }
 
+TEST_F(KeepersTest, tellsARouterWhoHoldsAKeyAndGivesItBackIfNothingRan)
+{
+    Control::TableClaimService first(m_first.table, *m_loop, {}, "router1", 3);
+    Control::TableClaimService second(m_second.table, *m_loop, {}, "router2", 4);
+    const auto claimBy = [this](Control::TableClaimService &service, const std::string &request) {
+        std::optional<Router::ClaimAnswer> answer;
+        service.claim({"kessick", "dams", "key", request}, m_loop->now() + 60s, [&](const Router::ClaimAnswer &given) { answer = given; });
+        runUntil([&] { return answer.has_value(); });
+        return *answer;
+    };
+    EXPECT_EQ(claimBy(first, "r1").outcome, Router::ClaimOutcome::Granted);
+    EXPECT_EQ(claimBy(second, "r2").outcome, Router::ClaimOutcome::Taken);
+    first.noteEnd({"kessick", "dams", "key", "r1"}, RunState::NotRun);
+    Router::ClaimAnswer answer = claimBy(second, "r3");
+    while (answer.outcome != Router::ClaimOutcome::Granted) {
+        answer = claimBy(second, "r3");
+    }
+    second.noteEnd({"kessick", "dams", "key", "r3"}, RunState::Run);
+    answer = claimBy(first, "r4");
+    while (answer.holder != RunState::Run) {
+        EXPECT_EQ(answer.outcome, Router::ClaimOutcome::Taken);
+        answer = claimBy(first, "r4");
+    }
+}
+
 TEST_F(KeepersTest, refusesWithinItsBudgetWithoutAskingThePlatform)
 {
     Control::TableBudget budget;
--- a/tests/auto/control/tst_membership.cpp
+++ b/tests/auto/control/tst_membership.cpp
@@ -236,7 +236,10 @@
 
 TEST(Herd, staysInsideTheReadBudgetWhenThreeThousandStartAtOnce)
 {
-    EXPECT_GT(runHerd(3000, 1e9, 1).overBudget, 1000U);
+    const HerdResult atOnce = runHerd(3000, 1e9, 1);
+    EXPECT_GT(atOnce.overBudget, 1000U);
+    RecordProperty("overBudgetAtOnce", std::to_string(atOnce.overBudget));
+    RecordProperty("doneAtOnceMilliseconds", std::to_string((atOnce.lastDone - start) / 1ms));
     EXPECT_TRUE(rc::check("no read of a herd is over the budget, and all are done in 6 s and a bit", [] {
         const HerdResult result = runHerd(3000, 1000, *rc::gen::inRange<std::uint64_t>(1, 1'000'000));
         RC_ASSERT(result.overBudget == 0U);
