Serve a start the whole tree at once; pull what was announced meanwhile

A process that started beside one peer at 18,000 organisations had to wait for that peer's budget, worked out as 17.5 s.

--- a/src/libs/decisions/spread/settingsreplica.cpp
+++ b/src/libs/decisions/spread/settingsreplica.cpp
@@ -72,6 +72,7 @@
     const std::uint64_t ours = m_store.revision();
     if (theirs.revision > ours) {
         if (!m_spread.beginPull(peer, now)) {
+            m_spread.noteNewer(peer, theirs.revision);
             return {};
         }
         m_recovery.noteProgress(now);
@@ -108,7 +109,12 @@
     MergeResult result = m_store.merge(std::move(delta));
     if (result.outcome != MergeOutcome::Continued) {
         m_spread.endPull(peer);
-        return takeMerged(std::move(result), peers, now);
+        Actions actions = takeMerged(std::move(result), peers, now);
+        const std::optional<std::string> newer = m_spread.takeNewer(m_store.revision());
+        if (newer.has_value() && m_spread.beginPull(*newer, now)) {
+            actions.emplace_back(SendPull{*newer, m_store.cursor()});
+        }
+        return actions;
     }
     Actions actions = takeMerged(std::move(result), peers, now);
     if (m_spread.continuePull(peer, now)) {
--- a/src/libs/decisions/spread/settingsreplica.h
+++ b/src/libs/decisions/spread/settingsreplica.h
@@ -66,10 +66,10 @@
     SpreadPlanOptions spread;
     FeedPollerOptions poller;
     RecoveryPlanOptions recovery;
-    std::size_t pageBytes = 64 * 1024; ///< Of one push, about.
+    std::size_t pageBytes = 256 * 1024; ///< Of one push, about.
     std::size_t pageRows = 500; ///< Of one scan of the table.
-    std::size_t pushBytesPerSecond = 512 * 1024; ///< Served to peers, mostly to those that start.
-    std::size_t pushBurstBytes = 4 * 1024 * 1024;
+    std::size_t pushBytesPerSecond = 16 * 1024 * 1024; ///< Served to peers, mostly to those that start.
+    std::size_t pushBurstBytes = 16 * 1024 * 1024; ///< Holds the whole tree of 18,000 organisations.
     std::chrono::milliseconds catchUpTimeout{10'000}; ///< A later state that is not whole by then is given up.
 };
 
--- a/src/libs/decisions/spread/spreadplan.cpp
+++ b/src/libs/decisions/spread/spreadplan.cpp
@@ -1,6 +1,7 @@
 #include "spreadplan.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Verbena::Decisions {
 
@@ -37,6 +38,22 @@
     return true;
 }
 
+void SpreadPlan::noteNewer(const std::string &peer, std::uint64_t revision)
+{
+    if (revision > m_newerRevision) {
+        m_newerPeer = peer;
+        m_newerRevision = revision;
+    }
+}
+
+std::optional<std::string> SpreadPlan::takeNewer(std::uint64_t revision)
+{
+    if (std::exchange(m_newerRevision, 0) <= revision) {
+        return std::nullopt;
+    }
+    return std::move(m_newerPeer);
+}
+
 bool SpreadPlan::continuePull(const std::string &peer, Core::TimePoint now)
 {
     if (!m_pull.has_value() || m_pull->peer != peer) {
--- a/src/libs/decisions/spread/spreadplan.h
+++ b/src/libs/decisions/spread/spreadplan.h
@@ -40,6 +40,12 @@
     /// \brief Begins a pull from \a peer; false if another one is still open.
     bool beginPull(const std::string &peer, Core::TimePoint now);
 
+    /// \brief Remembers that \a peer holds \a revision, for the time after the open pull.
+    void noteNewer(const std::string &peer, std::uint64_t revision);
+
+    /// \brief The peer remembered, if it holds more than \a revision; it is forgotten then.
+    std::optional<std::string> takeNewer(std::uint64_t revision);
+
     /// \brief Lets an open pull from \a peer wait for its next part; false if it is not open.
     bool continuePull(const std::string &peer, Core::TimePoint now);
 
@@ -63,6 +69,8 @@
     RandomSource m_random;
     Core::TimePoint m_nextExchange;
     std::optional<Pull> m_pull;
+    std::string m_newerPeer;
+    std::uint64_t m_newerRevision = 0;
 };
 
 } // namespace Verbena::Decisions
--- a/tests/auto/settingstree/tst_settingstask.cpp
+++ b/tests/auto/settingstree/tst_settingstask.cpp
@@ -21,9 +21,10 @@
     class Port : public PeerChannel
     {
     public:
-        Port(Switchboard &board, std::string name)
+        Port(Switchboard &board, std::string name, std::vector<std::string> peers)
             : m_board(board)
             , m_name(std::move(name))
+            , m_peers(std::move(peers))
         {
         }
 
@@ -38,11 +39,10 @@
             return Core::success();
         }
 
-        std::vector<std::string> m_peers;
-
     private:
         Switchboard &m_board;
         std::string m_name;
+        std::vector<std::string> m_peers;
     };
 
     void deliver(const std::map<std::string, SettingsTask *> &tasks)
@@ -91,8 +91,7 @@
 
     void start(const std::string &name, std::vector<std::string> peers, Platform::ObjectStore *objects = nullptr, Platform::TableService *table = nullptr)
     {
-        m_ports[name] = std::make_unique<Switchboard::Port>(m_board, name);
-        m_ports[name]->m_peers = std::move(peers);
+        m_ports[name] = std::make_unique<Switchboard::Port>(m_board, name, std::move(peers));
         SettingsTaskOptions options;
         options.seed = std::hash<std::string>()(name);
         options.replica.recovery.snapshotSpread = 20ms;
--- a/tests/auto/spread/tst_settingsreplica.cpp
+++ b/tests/auto/spread/tst_settingsreplica.cpp
@@ -128,6 +128,26 @@
     }));
 }
 
+TEST(SettingsReplicaTest, whatIsAnnouncedDuringAPullIsPulledNext)
+{
+    const Core::TimePoint now(1h);
+    SettingsReplica replica(SettingsReplicaOptions{}, 1, now);
+    const auto pulls = [](const SettingsReplica::Actions &actions) {
+        std::vector<std::string> peers;
+        for (const ReplicaAction &action : actions) {
+            if (const auto *pull = std::get_if<SendPull>(&action)) {
+                peers.push_back(pull->peer + std::to_string(pull->since));
+            }
+        }
+        return peers;
+    };
+    EXPECT_EQ(pulls(replica.receiveDigest("a", {5, 0, std::nullopt}, now)), std::vector<std::string>{"a0"});
+    EXPECT_TRUE(pulls(replica.receiveDigest("b", {7, 0, std::nullopt}, now)).empty());
+    EXPECT_EQ(pulls(replica.receivePush("a", {0, 5, 5, {{"p", "v", 5, false}}, false}, {}, now)), std::vector<std::string>{"b5"});
+    EXPECT_TRUE(pulls(replica.receivePush("b", {5, 7, 7, {{"p", "w", 7, false}}, false}, {}, now)).empty());
+    EXPECT_EQ(replica.store().revision(), 7U);
+}
+
 TEST(SettingsReplicaTest, restartServesAtOnceFromPeersWhileTheStoreIsOut)
 {
     VirtualSpreadOptions options;
--- a/tests/benchmarks/control/looptasks.cpp
+++ b/tests/benchmarks/control/looptasks.cpp
@@ -1,5 +1,7 @@
 #include "looptasks.h"
 
+#include "storememory.h"
+
 #include "../slopes/measure.h"
 
 #include <eventloop/loop.h>
@@ -23,6 +25,7 @@
 constexpr std::size_t peersEach = 5; // That each process connects to; as many connect to it on average.
 constexpr std::chrono::milliseconds changeInterval = std::chrono::milliseconds(24h) / 60'000;
 constexpr std::chrono::seconds settlingTime{10};
+constexpr int organisationsPerCommit = 100;
 
 double processorSeconds()
 {
@@ -145,9 +148,18 @@
     loop.run();
 }
 
+template<typename Condition>
+void runUntil(EventLoop::Loop &loop, Condition condition)
+{
+    while (!condition()) {
+        loop.runOnce();
+    }
+}
+
 std::vector<std::unique_ptr<LoopbackProcess>> startProcesses(EventLoop::Loop &loop, Platform::TableService &table, int count)
 {
     std::vector<std::unique_ptr<LoopbackProcess>> processes;
+    processes.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         processes.push_back(std::make_unique<LoopbackProcess>(loop));
     }
@@ -185,10 +197,22 @@
     table.commit(writes, loop.now() + 5s, [&loop, &acceptance](const Platform::CommitAnswer &answer) { acceptance = {answer.revision, loop.now()}; });
 }
 
+std::vector<Platform::RowWrite> organisationRows(int first, int end)
+{
+    std::vector<Platform::RowWrite> writes;
+    const std::vector<Decisions::SettingsRow> rows = treeRows(first, end);
+    writes.reserve(rows.size());
+    for (const Decisions::SettingsRow &row : rows) {
+        writes.push_back({row.path, row.content, std::nullopt});
+    }
+    return writes;
+}
+
 // The tree tells processes how many share the polls of the table.
 std::vector<Platform::RowWrite> backendServers(int count)
 {
     std::vector<Platform::RowWrite> writes;
+    writes.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         writes.push_back({"settings/backend_servers/e" + std::to_string(i), R"({"endpoint":"tcp://127.0.0.1:1"})", std::nullopt});
     }
@@ -197,6 +221,31 @@
 
 } // namespace
 
+StartFigures runStart(int organisations)
+{
+    Test::ChildProcess standin("verbena-standin", {"platform"});
+    const std::string url = "http://" + standin.waitForLine("listening http ");
+    const auto loop = EventLoop::Loop::create().value();
+    const auto platform = Platform::HttpPlatform::create(*loop, url).value();
+    LoopbackProcess holder(*loop);
+    holder.start(*platform, 1);
+    Acceptance last;
+    for (int first = 0; first < organisations; first += organisationsPerCommit) {
+        last = {};
+        commit(*loop, *platform, organisationRows(first, std::min(first + organisationsPerCommit, organisations)), last);
+        runUntil(*loop, [&last] { return last.revision > 0; });
+    }
+    runUntil(*loop, [&] { return holder.task().current()->revision >= last.revision; });
+    LoopbackProcess starter(*loop);
+    starter.connectTo(holder.endpoint());
+    const double processorBefore = processorSeconds();
+    const Core::TimePoint begin = loop->now();
+    starter.start(*platform, 2);
+    runUntil(*loop, [&] { return starter.task().isReady(); });
+    const auto untilReady = std::chrono::duration_cast<std::chrono::microseconds>(loop->now() - begin);
+    return {organisations, untilReady, processorSeconds() - processorBefore};
+}
+
 SpreadFigures runOnLoopback(int processCount, int changes)
 {
     Test::ChildProcess standin("verbena-standin", {"platform"});
--- a/tests/benchmarks/control/looptasks.h
+++ b/tests/benchmarks/control/looptasks.h
@@ -8,4 +8,15 @@
 /// \a changes. All tasks share one thread, so that processor time is theirs together.
 SpreadFigures runOnLoopback(int processes, int changes);
 
+/// \brief How a process starts from one peer that holds a tree of some size.
+struct StartFigures
+{
+    int organisations = 0;
+    std::chrono::microseconds untilReady{0};
+    double processorSeconds = 0; ///< Of both processes.
+};
+
+/// \brief Starts a process beside one that holds \a organisations.
+StartFigures runStart(int organisations);
+
 } // namespace Verbena::Bench
--- a/tests/benchmarks/control/main.cpp
+++ b/tests/benchmarks/control/main.cpp
@@ -41,9 +41,14 @@
         {"start_ns", figures.startNanoseconds}};
 }
 
+nlohmann::json toJson(const StartFigures &figures)
+{
+    return {{"organisations", figures.organisations}, {"until_ready_ms", milliseconds(figures.untilReady)}, {"processor_seconds", figures.processorSeconds}};
+}
+
 } // namespace
 
-// Usage: bench_control virtual PROCESSES CHANGES | loopback PROCESSES CHANGES | store ORGANISATIONS. Prints one JSON object.
+// Usage: bench_control virtual PROCESSES CHANGES | loopback PROCESSES CHANGES | store ORGANISATIONS | start ORGANISATIONS. Prints one JSON object.
 int main(int argc, char **argv)
 {
     const std::string mode = argc > 2 ? argv[1] : "";
@@ -55,8 +60,10 @@
         std::cout << toJson(runOnLoopback(size, changes)).dump() << '\n';
     } else if (mode == "store") {
         std::cout << toJson(measureStore(size)).dump() << '\n';
+    } else if (mode == "start") {
+        std::cout << toJson(runStart(size)).dump() << '\n';
     } else {
-        std::cerr << "Usage: bench_control virtual PROCESSES CHANGES | loopback PROCESSES CHANGES | store ORGANISATIONS\n";
+        std::cerr << "Usage: bench_control virtual PROCESSES CHANGES | loopback PROCESSES CHANGES | store ORGANISATIONS | start ORGANISATIONS\n";
         return 2;
     }
     return 0;
--- a/tests/benchmarks/control/storememory.cpp
+++ b/tests/benchmarks/control/storememory.cpp
@@ -33,17 +33,9 @@
 Decisions::SettingsDelta treeOf(int organisations)
 {
     Decisions::SettingsDelta delta;
-    std::uint64_t revision = 0;
-    for (int i = 0; i < organisations; ++i) {
-        const std::string name = "organisation" + std::to_string(i);
-        const TreePath path{RowKind::Organisation, name, {}};
-        delta.rows.push_back({path.toString(), encodeRow(OrganisationRow{name, 1.0}), ++revision, false});
-        for (int j = 0; j < teamsEach; ++j) {
-            delta.rows.push_back(teamRow(name, j, ++revision, 1.0));
-        }
-    }
-    delta.covered = revision;
-    delta.highest = revision;
+    delta.rows = treeRows(0, organisations);
+    delta.covered = delta.rows.back().revision;
+    delta.highest = delta.covered;
     return delta;
 }
 
@@ -66,6 +58,21 @@
 
 } // namespace
 
+std::vector<Decisions::SettingsRow> treeRows(int first, int end)
+{
+    std::vector<Decisions::SettingsRow> rows;
+    std::uint64_t revision = 0;
+    for (int i = first; i < end; ++i) {
+        const std::string name = "organisation" + std::to_string(i);
+        const TreePath path{RowKind::Organisation, name, {}};
+        rows.push_back({path.toString(), encodeRow(OrganisationRow{name, 1.0}), ++revision, false});
+        for (int j = 0; j < teamsEach; ++j) {
+            rows.push_back(teamRow(name, j, ++revision, 1.0));
+        }
+    }
+    return rows;
+}
+
 StoreFigures measureStore(int organisations)
 {
     const Decisions::SettingsDelta tree = treeOf(organisations);
--- a/tests/benchmarks/control/storememory.h
+++ b/tests/benchmarks/control/storememory.h
@@ -1,7 +1,14 @@
 #pragma once
 
+#include <decisions/spread/settingsdelta.h>
+
+#include <vector>
+
 namespace Verbena::Bench {
 
+/// \brief Rows of the organisations from \a first on and before \a end, two teams with two keys in each, by rising revision.
+std::vector<Decisions::SettingsRow> treeRows(int first, int end);
+
 /// \brief What one process keeps and spends for a tree of some size; each organisation has two teams with two keys each.
 struct StoreFigures
 {
