--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -15,8 +15,8 @@
 int main(int argc, char **argv)
 {
     using namespace Verbena;
-    const auto options
-        = Application::StandardOptions::parse(argc, argv, "Stands beside one backend server and decides what it runs and when.", VERBENA_VERSION);
+    const auto options = Application::StandardOptions::parse(
+        argc, argv, "Stands beside one backend server and decides what it runs and when. SIGHUP makes it read its key and tree files again.", VERBENA_VERSION);
     if (options.isDescribing) {
         return Application::printSettingsDescription([](Settings::SettingsReader &reader) { (void)Agent::AgentSettings::read(reader); });
     }
