Learn what a prompt costs also from engines that tell of their cache in the end

Cause: engines tell how much of a prompt was cached with the last token, so the gate never learned what a prompt costs and went on with its first assumption of 150 ms a piece; with real 10 ms a piece it refused most requests. Change: the span up to the first token is kept until the engine tells. verbena-load asks for the usage of streams, as callers have to. The new test fails without the change (150 ms where below 15 ms is expected).

--- a/src/libs/decisions/gate/admissiongate.cpp
+++ b/src/libs/decisions/gate/admissiongate.cpp
@@ -82,9 +82,9 @@
     if (held == nullptr || held->state != State::Prefill) {
         return actions;
     }
+    held->prefillSpan = spanBetween(std::max(held->startedAt, m_prefillSince), now);
     if (cachedTokens) {
-        m_cost.notePrefill(
-            held->request.promptTokens - std::min(*cachedTokens, held->request.promptTokens), spanBetween(std::max(held->startedAt, m_prefillSince), now));
+        learnPrefill(*held, *cachedTokens);
     }
     endPrefill(*held, now);
     forgetPrompt(held->request);
@@ -125,6 +125,7 @@
     const std::uint32_t missing = outcome.cachedTokens ? prompt - std::min(prompt, *outcome.cachedTokens) : held->missingTokens;
     m_queue.charge(request.flow, m_cost.prefill(missing) + m_cost.decodeWorkOf(outcome.completionTokens) - held->work);
     if (outcome.cachedTokens) {
+        learnPrefill(*held, *outcome.cachedTokens);
         m_cache.notePromptProcessed(ref, *outcome.cachedTokens / m_cost.pieceTokens(), now);
     }
     --m_running;
@@ -437,6 +438,16 @@
     held.span = held.prefill + m_cost.answerSpan(tokensLeft);
 }
 
+// Most engines tell only with the last token how much of the prompt was cached.
+void AdmissionGate::learnPrefill(Held &held, std::uint32_t cachedTokens)
+{
+    if (held.prefillSpan) {
+        const std::uint32_t tokens = held.request.promptTokens + held.request.resumeTokens;
+        m_cost.notePrefill(tokens - std::min(cachedTokens, tokens), *held.prefillSpan);
+        held.prefillSpan.reset();
+    }
+}
+
 // What the prompt took beyond or below its estimate is forgotten with it: the next one begins now.
 void AdmissionGate::endPrefill(Held &held, Core::TimePoint now)
 {
--- a/src/libs/decisions/gate/admissiongate.h
+++ b/src/libs/decisions/gate/admissiongate.h
@@ -11,6 +11,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -123,6 +124,7 @@
         std::chrono::microseconds work{0}; ///< Charged to the flow.
         std::chrono::microseconds prefill{0}; ///< Expected.
         std::chrono::microseconds workBefore{0}; ///< Queued when it came.
+        std::optional<std::chrono::microseconds> prefillSpan; ///< Measured, with the cached tokens not told yet.
         std::chrono::microseconds span{0}; ///< Expected from the start to the last token.
         std::uint32_t missingTokens = 0;
         bool isCancelled = false;
@@ -139,6 +141,7 @@
     std::vector<GateAction> refuseAllQueued(GateRefusal reason, Core::TimePoint now);
     void noteWait(Core::TimePoint now);
     void estimate(Held &held, Core::TimePoint now) const;
+    void learnPrefill(Held &held, std::uint32_t cachedTokens);
     void endPrefill(Held &held, Core::TimePoint now);
     bool hasRoom(Core::TimePoint now) const;
     bool isServed(const GateRequest &request) const;
--- a/src/libs/load/workload.cpp
+++ b/src/libs/load/workload.cpp
@@ -142,10 +142,19 @@
     return request;
 }
 
+json Workload::commonBody(const LoadRequest &request) const
+{
+    json body{{"model", modelName(m_options.kind)}, {"max_tokens", request.answerTokens}, {"stream", request.isStream}};
+    if (request.isStream) {
+        body["stream_options"] = {{"include_usage", true}};
+    }
+    return body;
+}
+
 void Workload::fillText(LoadRequest &request, const std::string &prompt, RequestKind kind) const
 {
     request.kind = kind;
-    json body{{"model", modelName(m_options.kind)}, {"max_tokens", request.answerTokens}, {"stream", request.isStream}};
+    json body = commonBody(request);
     if (kind == RequestKind::ChatCompletion) {
         request.path = "/v1/chat/completions";
         body["messages"] = json::array({{{"role", "user"}, {"content", prompt}}});
@@ -168,7 +177,8 @@
         tokens.push_back(static_cast<std::uint32_t>(hashOf(std::string_view(prompt).substr(begin, bytesPerToken)) % 50'000));
     }
     request.answer = Standin::AnswerText(tokens.dump());
-    const json body{{"model", modelName(m_options.kind)}, {"max_tokens", request.answerTokens}, {"stream", request.isStream}, {"prompt", std::move(tokens)}};
+    json body = commonBody(request);
+    body["prompt"] = std::move(tokens);
     request.body = body.dump();
 }
 
--- a/src/libs/load/workload.h
+++ b/src/libs/load/workload.h
@@ -2,6 +2,8 @@
 
 #include "loadrequest.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
 #include <random>
 #include <string>
@@ -62,6 +64,7 @@
     std::string levelText(const std::string &path, std::size_t bytes) const;
     LoadRequest serviceCall(std::size_t organisation);
     LoadRequest completion(std::size_t organisation);
+    nlohmann::json commonBody(const LoadRequest &request) const;
     void fillText(LoadRequest &request, const std::string &prompt, RequestKind kind) const;
     void fillTokens(LoadRequest &request, const std::string &prompt) const;
 
--- a/tests/auto/gate/tst_admissiongate.cpp
+++ b/tests/auto/gate/tst_admissiongate.cpp
@@ -176,6 +176,20 @@
     EXPECT_TRUE(isStartedIn(gate.noteRunEnded({"warm", 1}, {}, at(500)), "cold"));
 }
 
+TEST(AdmissionGateTest, learnsWhatAPromptCostsFromEnginesThatTellOfTheirCacheInTheEnd)
+{
+    AdmissionGate gate = gateOf(oneAtATime());
+    const microseconds before = gate.cost().prefillPerPiece();
+    for (int i = 0; i < 40; ++i) {
+        const RequestRef ref{std::to_string(i), 1};
+        gate.submit(requestOf(ref.request), at(100 * i));
+        gate.noteFirstToken(ref, std::nullopt, at(100 * i + 22));
+        gate.noteRunEnded(ref, {RunEnd::Complete, 4096, 0, 5}, at(100 * i + 50));
+    }
+    EXPECT_GT(before, milliseconds(100));
+    EXPECT_LT(gate.cost().prefillPerPiece(), milliseconds(15));
+}
+
 // Drives a gate as its owner does and notes how each attempt ends.
 class Owner
 {
