Run the demo with the platform's stand-in and settings applied by verbenactl

Cause: the demo should show the settings' own way. Change: scripts/demo starts the platform's stand-in and the agents on it, and applies the tree with verbenactl; routers still read the tree from the file. scripts/bench-path lets agents run 4,096 requests at once and tells them that prompts cost nothing.

--- a/scripts/support/bench_path.py
+++ b/scripts/support/bench_path.py
@@ -15,6 +15,8 @@
 
 FOLDER = ROOT / "build" / "bench-path"
 ENGINES = 4
+# The stand-ins run any number of requests at once, and prompts cost them nothing.
+AGENT_SETTINGS = {"limits": {"running": 4096}, "first_cost": {"prefill_per_piece": "1ms", "token_interval": "1ms"}}
 ONLY_STREAMED_TEXT = ["--service-share", "0", "--chat-share", "0", "--token-share", "0", "--whole-share", "0", "--keep-connections"]
 
 
@@ -69,7 +71,7 @@
     """Time to first token straight to the engines and through the router, in turns so that both see the same machine."""
     use = MachineUse()
     spans = {"direct": [], "routed": []}
-    with Deployment(FOLDER) as deployment:
+    with Deployment(FOLDER, AGENT_SETTINGS) as deployment:
         start(deployment, "--decode-interval-us", "0", "--prefill-rate", "1000000000")
         targets = {"direct": deployment.urls("engine"), "routed": deployment.urls("router")}
         for name, urls in targets.items():
@@ -92,7 +94,7 @@
 def measure_streaming(rate, seconds, tokens, senders):
     """Streamed tokens for each second of processor time that the router uses."""
     use = MachineUse()
-    with Deployment(FOLDER) as deployment:
+    with Deployment(FOLDER, AGENT_SETTINGS) as deployment:
         router = start(deployment, "--decode-interval-us", "5000", "--prefill-rate", "1000000000")
         urls = deployment.urls("router")
         send(urls, 50, 1, 8, 1)
@@ -133,7 +135,7 @@
 def measure_memory(streams):
     """Resident memory of the router and of the largest agent, idle and with many open streams."""
     use = MachineUse()
-    with Deployment(FOLDER) as deployment:
+    with Deployment(FOLDER, AGENT_SETTINGS) as deployment:
         router = start(deployment, "--decode-interval-us", "50000", "--prefill-rate", "1000000000")
         agents = [process for process in deployment.processes if process.role == "agent"]
         idle = resident_kilobytes(router.pid), max(resident_kilobytes(agent.pid) for agent in agents)
--- a/scripts/support/demo.py
+++ b/scripts/support/demo.py
@@ -17,10 +17,12 @@
 
 
 def start(deployment):
+    deployment.start_platform()
     for number in range(1, 5):
         deployment.start_engine(f"engine{number}", *ENGINE_ARGUMENTS)
     for number in range(1, 3):
         deployment.start_service(f"register{number}")
+    deployment.apply_settings()
     for number in range(1, 3):
         deployment.start_router(f"router{number}")
     deployment.wait_until_ready()
--- a/scripts/support/deployment.py
+++ b/scripts/support/deployment.py
@@ -76,11 +76,13 @@
 class Deployment:
     """Routers, and backend servers with their agents; everything is ended when the block is left."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, agent_settings=None):
+        self._agent_settings = agent_settings or {}
         self._folder = Path(folder)
         self._folder.mkdir(parents=True, exist_ok=True)
         self._backends = {}
         self._callers = list_callers("kessick")
+        self._platform_url = None
         self.processes = []
 
     def __enter__(self):
@@ -98,6 +100,17 @@
         self.processes.append(process)
         return process
 
+    def start_platform(self):
+        """Starts the platform's stand-in; agents that are started later use it."""
+        self._platform_url = "http://" + self.start("platform", "platform", [BIN / "verbena-standin", "platform"]).address("http")
+
+    def apply_settings(self):
+        """Accepts the settings tree, with all backend servers started so far, at the platform."""
+        command = [BIN / "verbenactl", "--platform", self._platform_url, "settings", "apply", self._write_tree()]
+        result = subprocess.run(command, check=False, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+        if result.returncode != 0:
+            raise RuntimeError(f"The settings were not accepted:\n{result.stdout}")
+
     def start_engine(self, name, *arguments):
         engine = self.start(name, "engine", [BIN / "verbena-standin", "engine", *arguments])
         self._start_agent(name, engine, {"models": ["analyst"]})
@@ -109,8 +122,8 @@
         return service
 
     def start_router(self, name):
-        settings = self._write(f"{name}.yaml", {"name": name, "settings_tree_files": [str(self._write_tree())]})
-        router = self.start(name, "router", [BIN / "verbena-router", "--settings", settings])
+        source = {"settings_tree_files": [str(self._write_tree())]}
+        router = self.start(name, "router", [BIN / "verbena-router", "--settings", self._write(f"{name}.yaml", {"name": name, **source})])
         router.address("http")
         return router
 
@@ -130,11 +143,13 @@
     def describe(self):
         return {"api_key": self.api_key, "processes": [process.describe() for process in self.processes]}
 
+    def _platform(self):
+        return {"platform_url": self._platform_url} if self._platform_url else {}
+
     def _start_agent(self, name, server, serves):
-        settings = self._write(
-            f"agent-{name}.yaml",
-            {"name": name, "kind": server.role, "endpoint": "tcp://127.0.0.1:*", "backend_url": "http://" + server.address("http")})
-        agent = self.start("agent-" + name, "agent", [BIN / "verbena-agent", "--settings", settings])
+        settings = {"name": name, "kind": server.role, "endpoint": "tcp://127.0.0.1:*", "backend_url": "http://" + server.address("http")}
+        settings |= self._platform() | self._agent_settings
+        agent = self.start("agent-" + name, "agent", [BIN / "verbena-agent", "--settings", self._write(f"agent-{name}.yaml", settings)])
         self._backends[name] = {"endpoint": agent.address("zmq"), **serves}
 
     def _write_tree(self):
