--- /dev/null
+++ b/tests/auto/path/tst_failures.cpp
@@ -0,0 +1,413 @@
+#include <standin/answertext.h>
+#include <standin/runlist.h>
+#include <support/testdeployment.h>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include <array>
+#include <csignal>
+#include <future>
+#include <thread>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Verbena::Test {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint32_t answerTokens = 60;
+
+// A stand-in that refuses connections takes new faults when that is over.
+void setFaults(const TestDeployment::Backend &backend, const json &faults)
+{
+    while (sendHttp("POST", "http://" + backend.address + "/control", {}, faults.dump()).status != 200) {
+        std::this_thread::yield();
+    }
+}
+
+json runsOf(const TestDeployment::Backend &backend)
+{
+    for (;;) {
+        const TestAnswer answer = sendHttp("GET", "http://" + backend.address + "/runs", {}, "");
+        if (answer.status == 200) {
+            return json::parse(answer.body)["runs"];
+        }
+    }
+}
+
+json completion(const std::string &prompt, bool isStream = true)
+{
+    return {{"model", "analyst"}, {"prompt", prompt}, {"max_tokens", answerTokens}, {"stream", isStream}};
+}
+
+/// What a streamed answer said, in order.
+struct Streamed
+{
+    std::string text;
+    std::string run; ///< From an error event.
+    bool isDone = false;
+};
+
+Streamed readStream(const std::string &body)
+{
+    Streamed streamed;
+    std::size_t begin = 0;
+    while ((begin = body.find("data: ", begin)) != std::string::npos) {
+        begin += std::string_view("data: ").size();
+        const std::string data = body.substr(begin, body.find("\n\n", begin) - begin);
+        const json event = json::parse(data, nullptr, false);
+        if (data == "[DONE]") {
+            streamed.isDone = true;
+        } else if (event.contains("error")) {
+            streamed.run = event["error"]["verbena_run"];
+        } else if (!event["choices"].empty()) {
+            streamed.text += event["choices"][0]["text"].get<std::string>();
+        }
+    }
+    return streamed;
+}
+
+json statusOf(const TestDeployment &deployment)
+{
+    return json::parse(sendHttp("GET", deployment.routerUrl() + "/status", {}, "").body);
+}
+
+std::string frameCountOf(const TestDeployment &deployment)
+{
+    const std::string text = sendHttp("GET", deployment.routerUrl() + "/metrics", {}, "").body;
+    const std::size_t begin = text.find("verbena_time_between_tokens_seconds_count");
+    return begin == std::string::npos ? std::string() : text.substr(begin, text.find('\n', begin) - begin);
+}
+
+/// A caller that sends a completion, and reads and leaves when it likes.
+class RawCaller
+{
+public:
+    RawCaller(const std::string &url, const json &completion)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        constexpr int receiveBuffer = 4096;
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1))));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(connect(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+        const std::string body = completion.dump();
+        const std::string request = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer secret\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+        EXPECT_EQ(send(m_socket, request.data(), request.size(), MSG_NOSIGNAL), static_cast<ssize_t>(request.size()));
+    }
+
+    ~RawCaller()
+    {
+        close(m_socket);
+    }
+
+    RawCaller(const RawCaller &) = delete;
+    RawCaller &operator=(const RawCaller &) = delete;
+
+    /// The body of the answer, without its division into chunks.
+    std::string readAll() const
+    {
+        constexpr int receiveBuffer = 1 << 20;
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        std::string answer;
+        std::array<char, 65536> part{};
+        ssize_t count = 0;
+        while ((count = recv(m_socket, part.data(), part.size(), 0)) > 0) {
+            answer.append(part.data(), static_cast<std::size_t>(count));
+        }
+        std::string body;
+        std::size_t begin = answer.find("\r\n\r\n") + 4;
+        while (begin < answer.size()) {
+            const std::size_t lineEnd = answer.find("\r\n", begin);
+            const std::size_t size = std::stoul(answer.substr(begin, lineEnd - begin), nullptr, 16);
+            body.append(answer, lineEnd + 2, size);
+            begin = lineEnd + 2 + size + 2;
+        }
+        return body;
+    }
+
+private:
+    int m_socket;
+};
+
+/// Two engines and two services behind one router.
+class FailureTest : public testing::Test
+{
+protected:
+    static DeploymentOptions options()
+    {
+        DeploymentOptions options;
+        options.engines = 2;
+        options.services = 2;
+        options.engineArguments = {"--decode-interval-us", "2000", "--prefill-rate", "1000000"};
+        options.routerSettings = "shutdown: {notice: 300ms}\nlinks: {heartbeat_interval: 100ms, heartbeat_timeout: 1s}\n";
+        return options;
+    }
+
+    FailureTest()
+        : m_deployment(options())
+    {
+        // Whom a prompt goes to is known from here on.
+        EXPECT_EQ(m_deployment.post("/v1/completions", completion("first", false).dump()).status, 200);
+    }
+
+    TestDeployment::Backend &homeOf(const std::string &prompt)
+    {
+        const json explanation = json::parse(m_deployment.post("/explain", completion(prompt).dump()).body);
+        return explanation["candidates"][0]["backend_server"] == "engine1" ? m_deployment.engine(0) : m_deployment.engine(1);
+    }
+
+    void expectWhole(const std::string &prompt, const TestAnswer &answer)
+    {
+        EXPECT_EQ(answer.status, 200);
+        const Streamed streamed = readStream(answer.body);
+        EXPECT_EQ(streamed.text, Standin::AnswerText(prompt).whole(answerTokens));
+        EXPECT_TRUE(streamed.isDone);
+        EXPECT_EQ(streamed.run, "");
+    }
+
+    TestDeployment m_deployment;
+};
+
+struct EngineFault
+{
+    const char *name;
+    json faults;
+};
+
+class EngineFailureTest : public FailureTest, public testing::WithParamInterface<EngineFault>
+{
+};
+
+TEST_P(EngineFailureTest, theCallerOfAnIdempotentRequestSeesOneWholeStream)
+{
+    const std::string prompt = "piezometer 12";
+    setFaults(homeOf(prompt), GetParam().faults);
+    expectWhole(prompt, m_deployment.post("/v1/completions", completion(prompt).dump()));
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults,
+    EngineFailureTest,
+    testing::Values(EngineFault{"diesBeforeAdmission", {{"crash", "before_admission"}}},
+        EngineFault{"diesMidStream", {{"crash", "at_token"}, {"crash_token", 20}}},
+        EngineFault{"diesAfterTheLastToken", {{"crash", "after_last_token"}}},
+        EngineFault{"cutsTheStream", {{"cut_after_tokens", 20}, {"times", 1}}},
+        EngineFault{"losesTheEnd", {{"lose_answer", true}, {"times", 1}}}),
+    [](const auto &instance) { return std::string(instance.param.name); });
+
+TEST_F(FailureTest, aNonIdempotentStreamThatIsCutEndsWithAnErrorAndIsNotRunAgain)
+{
+    const std::string prompt = "seepage 3";
+    setFaults(homeOf(prompt), {{"cut_after_tokens", 20}, {"times", 1}});
+    const TestAnswer answer = m_deployment.post("/v1/completions", completion(prompt).dump(), {"Verbena-Idempotent: false"});
+    const Streamed streamed = readStream(answer.body);
+    EXPECT_FALSE(streamed.isDone);
+    EXPECT_EQ(streamed.run, "run");
+    EXPECT_TRUE(Standin::AnswerText(prompt).whole(answerTokens).starts_with(streamed.text));
+    std::size_t runs = 0;
+    for (std::size_t i = 0; i < 2; ++i) {
+        for (const json &run : runsOf(m_deployment.engine(i))) {
+            runs += run["request"] == answer.fields.at("verbena-request") ? 1 : 0;
+        }
+    }
+    EXPECT_EQ(runs, 1U);
+}
+
+TEST_F(FailureTest, anAgentThatIsKilledMidStreamIsReplacedByAnother)
+{
+    const std::string prompt = "settlement 9";
+    TestDeployment::Backend &home = homeOf(prompt);
+    setFaults(home, {{"slow_factor", 20}});
+    std::future<TestAnswer> answer = std::async(std::launch::async, [&] { return m_deployment.post("/v1/completions", completion(prompt).dump()); });
+    while (runsOf(home).empty() || runsOf(home).back()["state"] != "started") {
+        std::this_thread::yield();
+    }
+    home.agent->sendSignal(SIGKILL);
+    expectWhole(prompt, answer.get());
+    m_deployment.restartAgent(home);
+    setFaults(home, {{"slow_factor", 1}});
+    expectWhole("after", m_deployment.post("/v1/completions", completion("after").dump()));
+}
+
+TEST_F(FailureTest, aCallWhoseAnswerIsLostAfterItsEffectIsUnknownOrRepeatedIfItMayBe)
+{
+    for (std::size_t i = 0; i < 2; ++i) {
+        setFaults(m_deployment.service(i), {{"lose_answer", true}, {"times", 1}});
+    }
+    const TestAnswer once = m_deployment.post("/v1/services/register/append", R"({"entry": 1})");
+    EXPECT_EQ(once.status, 502);
+    EXPECT_EQ(once.fields.at("verbena-run"), "unknown");
+    const TestAnswer repeated = m_deployment.post("/v1/services/register/look", R"({"entry": 2})");
+    EXPECT_EQ(repeated.status, 200);
+    EXPECT_EQ(repeated.fields.at("verbena-run"), "run");
+}
+
+TEST_F(FailureTest, acrossFaultsNoMarkedCallRunsTwiceAndNotRunIsTrue)
+{
+    struct Answered
+    {
+        std::string hash;
+        std::string run;
+    };
+    std::vector<std::future<Answered>> calls;
+    const auto call = [this](const std::string &body) {
+        const TestAnswer answer = m_deployment.post("/v1/services/register/append", body, {"Verbena-Deadline-Ms: 10000"});
+        const auto run = answer.fields.find("verbena-run");
+        return Answered{Standin::RunList::bodyHash(body), run == answer.fields.end() ? "none" : run->second};
+    };
+    constexpr int rounds = 6;
+    constexpr int callsPerRound = 10;
+    for (int round = 0; round < rounds; ++round) {
+        TestDeployment::Backend &backend = m_deployment.service(static_cast<std::size_t>(round) % 2);
+        for (int i = 0; i < callsPerRound; ++i) {
+            calls.push_back(std::async(std::launch::async, call, json{{"round", round}, {"entry", i}}.dump()));
+        }
+        if (round % 3 == 0) {
+            setFaults(backend, {{"lose_answer", true}, {"times", 3}});
+        } else if (round % 3 == 1) {
+            setFaults(backend, {{"refuse_connections_ms", 50}});
+        } else {
+            m_deployment.restartAgent(backend);
+        }
+    }
+    std::map<std::string, int> runs;
+    std::vector<Answered> answers;
+    for (std::future<Answered> &future : calls) {
+        answers.push_back(future.get());
+    }
+    for (std::size_t i = 0; i < 2; ++i) {
+        for (const json &run : runsOf(m_deployment.service(i))) {
+            ++runs[run["body_hash"]];
+        }
+    }
+    for (const Answered &answer : answers) {
+        EXPECT_LE(runs[answer.hash], 1);
+        EXPECT_TRUE(answer.run != "not-run" || runs[answer.hash] == 0);
+        EXPECT_TRUE(answer.run != "run" || runs[answer.hash] == 1);
+        EXPECT_NE(answer.run, "none");
+    }
+}
+
+TEST_F(FailureTest, aCallerWhoLeavesFreesTheEngine)
+{
+    const std::string prompt = "leaving early";
+    TestDeployment::Backend &home = homeOf(prompt);
+    setFaults(home, {{"slow_factor", 1000}});
+    {
+        const RawCaller caller(m_deployment.routerUrl(), completion(prompt));
+        while (runsOf(home).empty() || runsOf(home).back()["state"] != "started") {
+            std::this_thread::yield();
+        }
+    }
+    while (runsOf(home).back()["state"] != "cancelled") {
+        std::this_thread::yield();
+    }
+    EXPECT_EQ(statusOf(m_deployment)["in_flight"], 0);
+}
+
+TEST_F(FailureTest, aDeadlineThatPassesFreesTheEngine)
+{
+    const std::string prompt = "too late";
+    TestDeployment::Backend &home = homeOf(prompt);
+    setFaults(home, {{"slow_factor", 1000}});
+    const TestAnswer answer = m_deployment.post("/v1/completions", completion(prompt).dump(), {"Verbena-Deadline-Ms: 200"});
+    EXPECT_TRUE(answer.status == 504 || readStream(answer.body).run == "run");
+    while (runsOf(home).back()["state"] != "cancelled") {
+        std::this_thread::yield();
+    }
+}
+
+TEST(SlowReaderTest, holdsTheEngineBackAndGetsTheWholeAnswerInTheEnd)
+{
+    constexpr std::uint32_t tokens = 20000;
+    DeploymentOptions options;
+    options.engineArguments = {"--decode-interval-us", "5"};
+    options.routerSettings = "streams: {maximum_buffered_bytes: 16384}\n";
+    const TestDeployment deployment(options);
+    json body = completion("slow");
+    body["max_tokens"] = tokens;
+    RawCaller caller(deployment.routerUrl(), body);
+    // No more comes from the agent, although the answer is not whole: the request is still running.
+    std::string before = "none";
+    std::string now = frameCountOf(deployment);
+    for (int same = 0; same < 5; same = now == before && !now.empty() ? same + 1 : 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        before = std::exchange(now, frameCountOf(deployment));
+    }
+    EXPECT_EQ(statusOf(deployment)["in_flight"], 1);
+    const Streamed streamed = readStream(caller.readAll());
+    EXPECT_EQ(streamed.text, Standin::AnswerText("slow").whole(tokens));
+    EXPECT_TRUE(streamed.isDone);
+}
+
+TEST_F(FailureTest, terminationUnderLoadCutsNothing)
+{
+    std::vector<std::future<TestAnswer>> answers;
+    constexpr int callers = 20;
+    for (int i = 0; i < callers; ++i) {
+        answers.push_back(
+            std::async(std::launch::async, [this, i] { return m_deployment.post("/v1/completions", completion("wall " + std::to_string(i)).dump()); }));
+    }
+    while (runsOf(m_deployment.engine(0)).size() + runsOf(m_deployment.engine(1)).size() < callers) {
+        std::this_thread::yield();
+    }
+    m_deployment.router().sendSignal(SIGTERM);
+    while (sendHttp("GET", m_deployment.routerUrl() + "/readyz", {}, "").status == 200) {
+        std::this_thread::yield();
+    }
+    // The balancer has not noticed yet and still sends new requests.
+    expectWhole("late", m_deployment.post("/v1/completions", completion("late").dump()));
+    for (int i = 0; i < callers; ++i) {
+        expectWhole("wall " + std::to_string(i), answers[static_cast<std::size_t>(i)].get());
+    }
+    EXPECT_EQ(m_deployment.router().waitForExit(), 0);
+}
+
+class MalformedRequestTest : public FailureTest, public testing::WithParamInterface<const char *>
+{
+};
+
+TEST_P(MalformedRequestTest, isAnsweredAndHarmsNothing)
+{
+    EXPECT_TRUE(rc::check("any body and header", [this](const std::string &noise, std::uint32_t position, bool isStream) {
+        std::string body = *rc::gen::element<std::string>(completion("x", isStream).dump(),
+            R"({"model":"analyst","messages":[{"role":"user","content":"x"}],"max_tokens":2})",
+            R"({"model":"analyst","prompt":[1,2,3],"max_tokens":1,"stream_options":7})",
+            std::string(100000, '['));
+        body.insert(position % (body.size() + 1), noise);
+        const std::string field
+            = *rc::gen::element<std::string>("Verbena-Class: nobody", "Verbena-Deadline-Ms: -1", "Verbena-Idempotent: perhaps", "Verbena-Deadline-Ms: 500");
+        const TestAnswer answer = m_deployment.post(GetParam(), body, {field});
+        RC_ASSERT(answer.status >= 200);
+        RC_ASSERT(answer.status < 500 || answer.status == 504);
+        RC_ASSERT(answer.status < 400 || json::parse(answer.body).contains("error"));
+    }));
+    EXPECT_EQ(sendHttp("GET", m_deployment.routerUrl() + "/healthz", {}, "").status, 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Paths, MalformedRequestTest, testing::Values("/v1/completions", "/v1/chat/completions", "/explain", "/v1/services/register/append", "/v1/services//"));
+
+TEST_F(FailureTest, limitsModelsAndServicesOfATeamHold)
+{
+    const TestAnswer models = sendHttp("GET", m_deployment.routerUrl() + "/v1/models", {"Authorization: Bearer secret"}, "");
+    EXPECT_EQ(json::parse(models.body)["data"].size(), 2U);
+    EXPECT_EQ(m_deployment.post("/v1/completions", R"({"model": "other", "prompt": "x"})").status, 404);
+    EXPECT_EQ(m_deployment.post("/v1/services/other/look", "{}").status, 404);
+    EXPECT_EQ(m_deployment.post("/v1/completions", completion("x").dump(), {"Verbena-Class: nobody"}).status, 400);
+}
+
+} // namespace
+
+} // namespace Verbena::Test
