Refuse by marks that are set once at the entry

Under overload agents cut every team alike, and a team within its share was served one time in two, since its prompts are warm at a few backend servers where a flood waits too.

EntryMarker marks each request by its team's demand against its share; agents tell the lowest mark that they refuse, and routers refuse it before it costs a message. A level heard of holds 250 ms at a router, and agents raise it after two quiet periods in place of five: nobody who is refused hears of a new one otherwise. The gate's test of the slow rise now names the five periods it counts on.

--- a/src/apps/policybench/bench.cpp
+++ b/src/apps/policybench/bench.cpp
@@ -198,6 +198,7 @@
         flight.attempt.query.version = modelVersion;
         flight.attempt.query.keys = request.keys;
         flight.attempt.query.root = request.root;
+        flight.attempt.query.mark = m_policy->mark(flight.router, Workload::organisationName(request.organisation), m_now);
         probe(request.id);
         arrive(m_now);
     });
@@ -207,7 +208,7 @@
 {
     const Flight &flight = m_flights.at(id);
     const Decisions::RouteDecision probed = m_policy->probes(flight.router, flight.attempt.query, m_now);
-    if (probed.candidates.empty()) {
+    if (probed.candidates.empty() || probed.isOverloaded) {
         dispatch(id, probed);
         return;
     }
@@ -261,6 +262,7 @@
     Decisions::GateRequest submitted;
     submitted.ref = {requestName(id), flight.attempts};
     submitted.flow = {Workload::organisationName(request.organisation), "team", ""};
+    submitted.mark = flight.attempt.query.mark;
     submitted.version = modelVersion;
     submitted.keys = request.keys;
     submitted.promptTokens = static_cast<std::uint32_t>(request.keys.size()) * Deployment::pieceTokens;
@@ -367,8 +369,10 @@
     tellLoad(m_flights.at(id).router, worker);
     const bool isUnavailable = action.reason == Decisions::GateRefusal::Leaving || action.reason == Decisions::GateRefusal::EngineDown;
     const Decisions::RouteRefusal refusal{action.retryAfter, {}, isUnavailable};
-    at(m_now + hop, [this, id, refusal] {
+    const bool isFinal = action.reason == Decisions::GateRefusal::Overload;
+    at(m_now + hop, [this, id, refusal, isFinal] {
         m_policy->noteRefusal(m_flights.at(id).router, m_flights.at(id).attempt, refusal, m_now);
+        m_flights.at(id).attempts = isFinal ? maximumAttempts : m_flights.at(id).attempts;
         retry(id);
     });
 }
--- a/src/apps/policybench/policy.cpp
+++ b/src/apps/policybench/policy.cpp
@@ -169,13 +169,22 @@
     return result;
 }
 
+// What the own policy can be run without.
+enum class Variant {
+    Whole,
+    Unprobed, ///< Candidates are not asked.
+    Unmarked, ///< All requests have the same mark.
+    Uniform, ///< Marks are drawn, whoever asks.
+};
+
 // The product's own: a RouteChooser for each router.
 class Own : public Policy
 {
 public:
-    Own(const BenchOptions &options, bool isProbing)
+    Own(const BenchOptions &options, Variant variant)
         : m_options(options)
-        , m_isProbing(isProbing)
+        , m_variant(variant)
+        , m_isProbing(variant != Variant::Unprobed)
     {
         restartRouters();
     }
@@ -183,10 +192,15 @@
     void restartRouters() override
     {
         m_choosers.clear();
+        m_markers.clear();
         for (std::size_t router = 0; router < m_options.routers; ++router) {
             Decisions::RoutingOptions options = optionsOf(m_options, router);
             options.isProbing = m_isProbing;
             m_choosers.emplace_back(options).setFleet(m_fleet);
+            Decisions::EntryMarker &marker = m_markers.emplace_back(options.seed);
+            for (std::size_t i = 0; i < Workload::shares().size(); ++i) {
+                marker.setShare(Workload::organisationName(i), Workload::shares()[i]);
+            }
         }
     }
 
@@ -198,6 +212,21 @@
         }
     }
 
+    std::uint32_t mark(std::size_t router, const std::string &organisation, Core::TimePoint now) override
+    {
+        if (m_variant == Variant::Unmarked) {
+            return 0;
+        }
+        // One flow that has the whole share gets marks that are drawn evenly.
+        const std::string flow = m_variant == Variant::Uniform ? "all" : organisation;
+        Decisions::EntryMarker &marker = m_markers[router];
+        if (m_variant == Variant::Uniform) {
+            marker.setShare(flow, 1);
+        }
+        marker.noteRequest(flow, now);
+        return marker.mark(flow, now);
+    }
+
     RouteDecision probes(std::size_t router, const RouteQuery &query, Core::TimePoint now) const override
     {
         return m_isProbing ? m_choosers[router].choose(query, now) : RouteDecision();
@@ -243,9 +272,11 @@
 
 private:
     BenchOptions m_options;
+    Variant m_variant;
     bool m_isProbing;
     std::vector<BackendServer> m_fleet;
     std::vector<Decisions::RouteChooser> m_choosers;
+    std::vector<Decisions::EntryMarker> m_markers;
 };
 
 // Sees every cache and queue as they are; the bound, since no router can.
@@ -310,10 +341,16 @@
         return std::make_unique<FirstVersion>();
     }
     if (name == "own") {
-        return std::make_unique<Own>(options, true);
+        return std::make_unique<Own>(options, Variant::Whole);
     }
     if (name == "own-unprobed") {
-        return std::make_unique<Own>(options, false);
+        return std::make_unique<Own>(options, Variant::Unprobed);
+    }
+    if (name == "own-unmarked") {
+        return std::make_unique<Own>(options, Variant::Unmarked);
+    }
+    if (name == "own-uniform") {
+        return std::make_unique<Own>(options, Variant::Uniform);
     }
     if (name == "oracle" && options.workers <= largestOracle) {
         return std::make_unique<Oracle>(options, workers);
@@ -323,11 +360,17 @@
 
 const std::vector<std::string> &Policy::names()
 {
-    static const std::vector<std::string> names{"round-robin", "least-loaded", "prefix-hash", "v1", "own", "own-unprobed", "oracle"};
+    static const std::vector<std::string> names{
+        "round-robin", "least-loaded", "prefix-hash", "v1", "own", "own-unprobed", "own-unmarked", "own-uniform", "oracle"};
     return names;
 }
 
-Decisions::RouteDecision Policy::probes(std::size_t, const RouteQuery &, Core::TimePoint) const
+std::uint32_t Policy::mark(std::size_t, const std::string &, Core::TimePoint)
+{
+    return 0;
+}
+
+RouteDecision Policy::probes(std::size_t, const RouteQuery &, Core::TimePoint) const
 {
     return {};
 }
--- a/src/apps/policybench/policy.h
+++ b/src/apps/policybench/policy.h
@@ -4,6 +4,7 @@
 #include "fakeengine.h"
 
 #include <decisions/gate/admissiongate.h>
+#include <decisions/routing/entrymarker.h>
 #include <decisions/routing/routechooser.h>
 
 #include <memory>
@@ -57,6 +58,9 @@
 
     static const std::vector<std::string> &names();
 
+    /// \brief The mark of a request of \a organisation that comes in now.
+    virtual std::uint32_t mark(std::size_t router, const std::string &organisation, Core::TimePoint now);
+
     /// \brief Whom to ask before choosing.
     virtual Decisions::RouteDecision probes(std::size_t router, const Decisions::RouteQuery &query, Core::TimePoint now) const;
 
--- a/src/libs/decisions/gate/overloadcontrol.h
+++ b/src/libs/decisions/gate/overloadcontrol.h
@@ -14,7 +14,7 @@
     std::chrono::milliseconds highWait{1000}; ///< Above, more is refused.
     std::chrono::milliseconds lowWait{300}; ///< Below for several periods, less is refused.
     std::chrono::milliseconds period{100};
-    std::uint32_t quietPeriods = 5;
+    std::uint32_t quietPeriods = 2;
 };
 
 /// \brief The overload level that an agent tells routers, from the wait in its queue.
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -206,7 +206,9 @@
     std::sort(search.candidates.begin(), search.candidates.end(), [](const RouteCandidate &left, const RouteCandidate &right) {
         return left.score != right.score ? left.score < right.score : left.id < right.id;
     });
-    return {std::move(search.candidates)};
+    // Refusing here costs nothing, and going elsewhere would cost more than the request is worth: its prompt is cold there.
+    const std::uint32_t level = search.candidates.empty() ? 0 : m_loads.overloadLevel(search.candidates.front().id, search.now);
+    return {std::move(search.candidates), level != 0 && search.query.mark >= level};
 }
 
 // The shallowest prefix that fits one backend server: so all that share it meet in one cache. Each router sees the same part of the
--- a/src/libs/decisions/routing/routedecision.cpp
+++ b/src/libs/decisions/routing/routedecision.cpp
@@ -4,7 +4,7 @@
 
 std::optional<BackendServerId> RouteDecision::best() const
 {
-    return candidates.empty() ? std::nullopt : std::optional(candidates.front().id);
+    return candidates.empty() || isOverloaded ? std::nullopt : std::optional(candidates.front().id);
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/routing/routedecision.h
+++ b/src/libs/decisions/routing/routedecision.h
@@ -35,8 +35,9 @@
 struct RouteDecision
 {
     std::vector<RouteCandidate> candidates; ///< Best first; empty if no backend server may serve the request.
+    bool isOverloaded = false; ///< The best candidate refuses the request's mark: it should be refused before it costs anything.
 
-    /// \brief The best candidate, or nothing if there is none.
+    /// \brief The best candidate, or nothing if there is none or the request should be refused.
     std::optional<BackendServerId> best() const;
 };
 
--- a/src/libs/decisions/routing/routequery.h
+++ b/src/libs/decisions/routing/routequery.h
@@ -16,6 +16,7 @@
     std::vector<PrefixKey> keys; ///< Shallow to deep.
     PrefixKey root{};
     std::uint32_t keptPieces = 0; ///< Leading pieces that the store of kept KV cache can hand out.
+    std::uint32_t mark = 0; ///< Agents whose overload level is at or below it refuse the request.
     std::vector<BackendServerId> excluded; ///< Tried before, or refused.
 };
 
--- a/src/libs/decisions/routing/serverloads.cpp
+++ b/src/libs/decisions/routing/serverloads.cpp
@@ -11,6 +11,8 @@
 
 // Long enough for the host list to say the same, short enough for one that stays after all.
 constexpr std::chrono::seconds leavingPause{10};
+// Nobody who is refused here hears of a new level, so an old one must not hold for long.
+constexpr std::chrono::milliseconds levelLifetime{250};
 
 } // namespace
 
@@ -84,7 +86,7 @@
 std::uint32_t ServerLoads::overloadLevel(BackendServerId id, Core::TimePoint now) const
 {
     const Load *load = find(id);
-    return load == nullptr || now >= load->deadline ? 0 : load->report.overloadLevel;
+    return load == nullptr || now >= load->noted + levelLifetime ? 0 : load->report.overloadLevel;
 }
 
 std::uint64_t ServerLoads::epoch(BackendServerId id) const
--- a/tests/auto/gate/tst_overloadcontrol.cpp
+++ b/tests/auto/gate/tst_overloadcontrol.cpp
@@ -17,7 +17,9 @@
 
 TEST(OverloadControlTest, fallsFastAndRisesSlowly)
 {
-    OverloadControl control;
+    OverloadOptions options;
+    options.quietPeriods = 5;
+    OverloadControl control(options);
     EXPECT_EQ(control.level(), 0U);
     EXPECT_FALSE(control.isRefused(15));
     int now = 0;
--- a/tests/auto/routing/tst_routechooser.cpp
+++ b/tests/auto/routing/tst_routechooser.cpp
@@ -181,3 +181,68 @@
         EXPECT_LE(count, 16);
     }
 }
+
+TEST(RouteChooser, RefusesWhatTheBestCandidateWouldRefuse)
+{
+    RouteChooser chooser = chooserFor(fleetOf(2));
+    LoadReport report;
+    report.overloadLevel = 5;
+    for (const BackendServer &server : fleetOf(2)) {
+        chooser.noteLoad(server.id, report, start);
+    }
+    RouteQuery query = queryFor({1, 2});
+    query.mark = 4;
+    EXPECT_TRUE(chooser.choose(query, start).best().has_value());
+    query.mark = 5;
+    EXPECT_TRUE(chooser.choose(query, start).isOverloaded);
+    EXPECT_EQ(chooser.choose(query, start).best(), std::nullopt);
+    EXPECT_TRUE(chooser.choose(query, start + 1s).best().has_value());
+}
+
+TEST(RouteChooser, BelievesProbesOfItsCandidates)
+{
+    RouteChooser chooser = chooserFor(fleetOf(20));
+    const RouteQuery query = queryFor({1, 2, 3, 4});
+    const RouteDecision first = chooser.choose(query, start);
+    ASSERT_GE(first.candidates.size(), 2U);
+    const BackendServerId warm = first.candidates.back().id;
+    chooser.noteDispatched(first.candidates.front().id, query, 1ms, start);
+    for (const RouteCandidate &candidate : first.candidates) {
+        chooser.noteProbe(candidate.id, query, candidate.id == warm ? 4 : 0, {}, start);
+    }
+    const RouteDecision second = chooser.chooseAmong(first, query, start);
+    EXPECT_EQ(second.best(), warm);
+    EXPECT_EQ(second.candidates.front().warmPieces, 4U);
+    EXPECT_EQ(second.candidates.size(), first.candidates.size());
+}
+
+TEST(RouteChooser, TakesTheLowestScoreOfAllWhenAllAreCandidates)
+{
+    EXPECT_TRUE(rc::check("with three backend servers and no ties it chooses as a look at all of them would", [](std::uint64_t seed) {
+        RouteChooser chooser = chooserFor(fleetOf(3), seed);
+        const RouteQuery query = queryFor({1, 2, 3, 4});
+        chooser.noteDispatched(backendServerId("e0"), query, 1ms, start);
+        const RouteDecision all = [&] {
+            RouteDecision decision;
+            for (const BackendServer &server : fleetOf(3)) {
+                decision.candidates.push_back({server.id, CandidateOrigin::Load, 0, 0, 0us, 0us, 0us, 0});
+            }
+            return decision;
+        }();
+        std::map<double, BackendServerId> scores;
+        for (const RouteCandidate &candidate : all.candidates) {
+            LoadReport report;
+            report.queuedWork = std::chrono::milliseconds(10 * *rc::gen::inRange(0, 200));
+            report.prefillPerPiece = std::chrono::milliseconds(10 * *rc::gen::inRange(1, 20));
+            const std::uint32_t warm = *rc::gen::inRange<std::uint32_t>(0, 5);
+            chooser.noteProbe(candidate.id, query, warm, report, start);
+            const double unanswered = candidate.id == backendServerId("e0") ? 1000 : 0;
+            const double missing = (4.0 - warm) * static_cast<double>(report.prefillPerPiece.count());
+            const RoutingWeights weights;
+            const double wait = static_cast<double>(report.queuedWork.count()) + unanswered;
+            scores.emplace(weights.timeToFirstToken * (wait + missing) + weights.recomputation * missing, candidate.id);
+        }
+        RC_PRE(scores.size() == 3 && std::next(scores.begin())->first - scores.begin()->first > 2000);
+        RC_ASSERT(chooser.chooseAmong(all, query, start).best() == scores.begin()->second);
+    }));
+}
