Tie the router to the platform's settings and claims

The router read its settings tree from files only, so nothing that verbenactl accepted reached it. With platform_url it now keeps its copy of the tree as agents do, hears from the agents that it has connections to and tells them, and claims keys in the table; it shows its copy under /status. A start asks the agents named in settings_peers.

The router does not follow the platform's host list yet.

--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -1,3 +1,5 @@
+#include "routercontrol.h"
+
 #include <application/processreport.h>
 #include <application/standardoptions.h>
 #include <eventloop/loop.h>
@@ -29,15 +31,29 @@
         return Application::refuseStart(loop.error());
     }
     EventLoop::Loop &running = *loop.value();
-    auto view = SettingsTree::StaticSettingsView::fromFiles(settings.value().treeFiles);
-    if (!view) {
-        return Application::refuseSettings("verbena-router", view.error());
+    std::unique_ptr<Router::RouterControl> control;
+    Router::RouterServices services;
+    if (settings.value().platformUrl.empty()) {
+        auto view = SettingsTree::StaticSettingsView::fromFiles(settings.value().treeFiles);
+        if (!view) {
+            return Application::refuseSettings("verbena-router", view.error());
+        }
+        services = {std::move(view.value()), std::make_shared<Router::RefusingClaimService>()};
+    } else {
+        auto started = Router::RouterControl::create(running, settings.value());
+        if (!started) {
+            return Application::refuseStart(started.error());
+        }
+        control = std::move(started.value());
+        services = control->services();
     }
-    const Router::RouterServices services{std::move(view.value()), std::make_shared<Router::RefusingClaimService>()};
     const auto task = Router::RouterTask::create(running, settings.value(), services);
     if (!task) {
         return Application::refuseStart(task.error());
     }
+    if (control) {
+        control->attach(*task.value());
+    }
     EventLoop::SignalWatcher terminate(running, SIGTERM, [&running, &task] {
         Application::reportSignal(SIGTERM);
         task.value()->beginShutdown([&running] { running.stop(); });
--- /dev/null
+++ b/src/apps/router/routercontrol.cpp
@@ -0,0 +1,132 @@
+#include "routercontrol.h"
+
+#include <control/tableclaimservice.h>
+#include <eventloop/loop.h>
+
+#include <algorithm>
+#include <random>
+
+namespace Verbena::Router {
+
+namespace {
+
+// A router without traffic keeps this many connections, so that it hears of settings.
+constexpr std::size_t minimumPeers = 3;
+constexpr std::chrono::seconds peerInterval{2};
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+std::string peerOf(Decisions::BackendServerId id)
+{
+    return std::to_string(static_cast<std::uint64_t>(id));
+}
+
+Decisions::BackendServer backendServer(const std::string &name, const std::string &endpoint)
+{
+    Decisions::BackendServer server;
+    server.id = Decisions::backendServerId(name);
+    server.name = name;
+    server.endpoint = endpoint;
+    return server;
+}
+
+} // namespace
+
+Core::Result<std::unique_ptr<RouterControl>> RouterControl::create(EventLoop::Loop &loop, const RouterSettings &settings)
+{
+    BOOST_OUTCOME_TRY(platform, Platform::HttpPlatform::create(loop, settings.platformUrl));
+    const std::uint64_t seed = randomSeed();
+    std::unique_ptr<RouterControl> control(new RouterControl(loop, settings, std::move(platform), seed));
+    SettingsTree::SettingsTaskOptions options;
+    options.seed = seed;
+    BOOST_OUTCOME_TRY(task, SettingsTree::SettingsTask::create(loop, options, control->m_table, control->m_platform.get(), *control));
+    control->m_settings = std::move(task);
+    control->m_claims = std::make_shared<Control::TableClaimService>(control->m_table, loop, Decisions::ClaimOptions(), settings.name, seed + 1);
+    return control;
+}
+
+RouterControl::RouterControl(EventLoop::Loop &loop, const RouterSettings &settings, std::unique_ptr<Platform::HttpPlatform> platform, std::uint64_t seed)
+    : m_loop(loop)
+    , m_firstPeers(settings.settingsPeers)
+    , m_platform(std::move(platform))
+    , m_table(*m_platform, loop, {}, seed)
+    , m_random(seed)
+    , m_peerTimer(loop, [this] { openPeers(); })
+{
+}
+
+RouterServices RouterControl::services() const
+{
+    return {m_settings, m_claims};
+}
+
+void RouterControl::attach(RouterTask &task)
+{
+    m_task = &task;
+    task.setPeerListener(this);
+    openPeers();
+}
+
+const std::vector<std::string> &RouterControl::peers() const
+{
+    return m_peers;
+}
+
+Core::Result<void> RouterControl::sendToPeer(const std::string &peer, const verbena::wire::Envelope &message)
+{
+    const Core::Result<void> sent = m_task->sendToPeer(Decisions::BackendServerId(std::stoull(peer)), message);
+    // Nobody tells of a connection that was closed because it was idle.
+    if (!sent && sent.error().code == Core::ErrorCode::NotFound) {
+        std::erase(m_peers, std::string(peer));
+    }
+    return sent;
+}
+
+void RouterControl::peerReady(Decisions::BackendServerId id)
+{
+    const std::string peer = peerOf(id);
+    if (std::find(m_peers.begin(), m_peers.end(), peer) == m_peers.end()) {
+        m_peers.push_back(peer);
+    }
+    m_settings->notePeerJoined(peer);
+}
+
+void RouterControl::peerLost(Decisions::BackendServerId id)
+{
+    std::erase(m_peers, peerOf(id));
+}
+
+void RouterControl::receiveFromPeer(Decisions::BackendServerId id, const verbena::wire::Envelope &message)
+{
+    if (SettingsTree::SettingsTask::isSettingsMessage(message)) {
+        m_settings->receiveFromPeer(peerOf(id), message);
+    }
+}
+
+std::string RouterControl::settingsJson() const
+{
+    return m_settings->status().toJson();
+}
+
+void RouterControl::openPeers()
+{
+    m_peerTimer.startAt(m_loop.now() + peerInterval);
+    if (m_peers.size() >= minimumPeers) {
+        return;
+    }
+    for (const SettingsPeer &peer : m_firstPeers) {
+        m_task->openPeer(backendServer(peer.name, peer.endpoint), peer.agentPublicKey);
+    }
+    const auto settings = m_settings->current();
+    for (std::size_t i = 0; i < minimumPeers && !settings->backendServers.empty(); ++i) {
+        const auto steps = static_cast<std::ptrdiff_t>(m_random.next() % settings->backendServers.size());
+        const auto &[name, server] = *std::next(settings->backendServers.begin(), steps);
+        m_task->openPeer(backendServer(name, server.endpoint), server.agentPublicKey);
+    }
+}
+
+} // namespace Verbena::Router
--- a/src/libs/router/agentlink.cpp
+++ b/src/libs/router/agentlink.cpp
@@ -70,6 +70,11 @@
     return m_socket->send({}, message);
 }
 
+Core::Result<void> AgentLink::sendAside(const verbena::wire::Envelope &message)
+{
+    return m_socket->send({}, message);
+}
+
 void AgentLink::onTimer()
 {
     const Core::TimePoint now = m_loop.now();
--- a/src/libs/router/agentlink.h
+++ b/src/libs/router/agentlink.h
@@ -56,6 +56,9 @@
     /// \brief Sends at once. Errors: Unavailable or ResourceExhausted; then no byte was sent.
     Core::Result<void> send(const verbena::wire::Envelope &message);
 
+    /// \brief The same for what has nothing to do with a request: it does not keep the connection open.
+    Core::Result<void> sendAside(const verbena::wire::Envelope &message);
+
     void receiveMessage(const std::string &peer, const verbena::wire::Envelope &message) override;
     void receiveGarbage(const std::string &peer) override;
     void connectionChanged(Wire::ConnectionChange change, const std::string &address) override;
--- a/src/libs/router/agentlinks.cpp
+++ b/src/libs/router/agentlinks.cpp
@@ -49,6 +49,11 @@
     }
 }
 
+void AgentLinks::setAgentKey(Decisions::BackendServerId id, const std::string &publicKey)
+{
+    m_agentKeys[id] = publicKey;
+}
+
 Core::Result<AgentLink *> AgentLinks::open(const Decisions::BackendServer &server)
 {
     if (AgentLink *link = find(server.id)) {
--- a/src/libs/router/agentlinks.h
+++ b/src/libs/router/agentlinks.h
@@ -25,6 +25,9 @@
     /// \brief Takes the keys of agents, and closes connections to backend servers that are gone or have moved.
     void setBackendServers(const std::map<std::string, Settings::BackendServerSettings> &servers);
 
+    /// \brief Takes the key of one agent that settings may not tell of yet.
+    void setAgentKey(Decisions::BackendServerId id, const std::string &publicKey);
+
     /// \brief The connection to \a server, opened if need be. Errors: ResourceExhausted, InvalidArgument, Unavailable.
     Core::Result<AgentLink *> open(const Decisions::BackendServer &server);
 
--- a/src/libs/router/introspection.cpp
+++ b/src/libs/router/introspection.cpp
@@ -40,6 +40,7 @@
         {"incarnation", status.incarnation},
         {"ready", status.isReady},
         {"settings_revision", status.settingsRevision},
+        {"settings", status.settingsJson.empty() ? json(nullptr) : json::parse(status.settingsJson, nullptr, false)},
         {"settings_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(status.settingsAge).count()},
         {"in_flight", status.inFlight},
         {"agent_links", status.agentLinks},
--- a/src/libs/router/introspection.h
+++ b/src/libs/router/introspection.h
@@ -18,6 +18,7 @@
     bool isReady = true;
     std::uint64_t settingsRevision = 0;
     std::chrono::microseconds settingsAge{0}; ///< Since this revision came into force here.
+    std::string settingsJson; ///< More of the settings; empty where they come from files.
     std::size_t inFlight = 0;
     std::size_t agentLinks = 0;
     std::size_t agentsDown = 0;
--- a/src/libs/router/routersettings.cpp
+++ b/src/libs/router/routersettings.cpp
@@ -70,7 +70,14 @@
     settings.log = Settings::readLogSettings(reader, settings.name);
     settings.failureDomain = reader.string("failure_domain", "");
     settings.secretKeyFile = reader.section("security").string("secret_key_file", "");
+    settings.platformUrl = reader.string("platform_url", "");
+    for (SettingsReader &peer : reader.sections("settings_peers")) {
+        settings.settingsPeers.push_back({peer.requiredString("name"), peer.requiredString("endpoint"), peer.string("agent_public_key", "")});
+    }
     settings.treeFiles = reader.strings("settings_tree_files");
+    if (!settings.platformUrl.empty() && !settings.treeFiles.empty()) {
+        reader.addProblem("settings_tree_files", "The settings tree comes from files or from the platform, not from both.");
+    }
     readListen(reader.section("listen"), settings);
     SettingsReader pieces = reader.section("pieces");
     settings.pieceBytes = static_cast<std::size_t>(pieces.integer("bytes", 8192, 64, 1 << 20));
--- a/src/libs/router/routersettings.h
+++ b/src/libs/router/routersettings.h
@@ -44,6 +44,14 @@
     std::size_t maximumOpen = 512;
 };
 
+/// \brief An agent that a starting router asks for settings before it knows any.
+struct SettingsPeer
+{
+    std::string name;
+    std::string endpoint;
+    std::string agentPublicKey; ///< CURVE key; empty without encryption.
+};
+
 /// \brief The settings of one router process.
 struct RouterSettings
 {
@@ -53,6 +61,8 @@
     std::string certificateFile; ///< PEM; empty for plain HTTP.
     std::string privateKeyFile;
     std::string secretKeyFile; ///< CURVE key towards agents; empty for no encryption.
+    std::string platformUrl; ///< Of the platform's table and object store; empty if the tree comes from files.
+    std::vector<SettingsPeer> settingsPeers;
     std::vector<std::string> treeFiles; ///< The settings tree, where there is no table service.
     std::size_t pieceBytes = 8192; ///< Bytes of text that stand for one piece of the engines' cache.
     std::size_t pieceTokens = 2048;
--- a/src/libs/router/routertask.cpp
+++ b/src/libs/router/routertask.cpp
@@ -199,6 +199,9 @@
         }
         return;
     }
+    if (m_peerListener != nullptr) {
+        m_peerListener->receiveFromPeer(id, message);
+    }
     if (const verbena::wire::LoadHint *hint = loadHintOf(message)) {
         noteHint(id, *hint);
     }
@@ -227,8 +230,32 @@
     }
 }
 
+void RouterTask::setPeerListener(PeerListener *listener)
+{
+    m_peerListener = listener;
+}
+
+void RouterTask::openPeer(const Decisions::BackendServer &server, const std::string &agentPublicKey)
+{
+    m_links.setAgentKey(server.id, agentPublicKey);
+    // One that cannot be opened is tried again with the next look for peers.
+    static_cast<void>(m_links.open(server));
+}
+
+Core::Result<void> RouterTask::sendToPeer(Decisions::BackendServerId id, const verbena::wire::Envelope &message)
+{
+    AgentLink *link = m_links.find(id);
+    if (link == nullptr) {
+        return Core::Error{Core::ErrorCode::NotFound, "router.peer", "", "There is no connection to this agent."};
+    }
+    return link->sendAside(message);
+}
+
 void RouterTask::agentReady(Decisions::BackendServerId id)
 {
+    if (m_peerListener != nullptr) {
+        m_peerListener->peerReady(id);
+    }
     for (const std::shared_ptr<RequestTask> &task : runningTasks()) {
         task->noteAgentReady(id);
     }
@@ -237,6 +264,9 @@
 void RouterTask::agentLost(Decisions::BackendServerId id)
 {
     m_metrics.count("agents_lost_total");
+    if (m_peerListener != nullptr) {
+        m_peerListener->peerLost(id);
+    }
     for (const std::shared_ptr<RequestTask> &task : runningTasks()) {
         task->noteAgentLost(id);
     }
@@ -277,6 +307,7 @@
     status.isReady = m_isReady;
     status.settingsRevision = m_settingsRevision;
     status.settingsAge = std::chrono::duration_cast<std::chrono::microseconds>(m_loop.now() - m_settingsSince);
+    status.settingsJson = m_peerListener == nullptr ? std::string() : m_peerListener->settingsJson();
     status.inFlight = m_tasks.size();
     status.agentLinks = m_links.count();
     status.agentsDown = m_links.down().size();
--- a/src/libs/router/routertask.h
+++ b/src/libs/router/routertask.h
@@ -3,6 +3,7 @@
 #include "agentlinks.h"
 #include "claimservice.h"
 #include "introspection.h"
+#include "peerlistener.h"
 #include "requestcontext.h"
 #include "requeststarter.h"
 #include "requesttask.h"
@@ -43,6 +44,15 @@
     /// \brief Takes the router out of service without cutting a request; \a done is called when nothing is left to do.
     void beginShutdown(std::function<void()> done);
 
+    /// \brief Passes what agents send beside requests to \a listener, which may be null.
+    void setPeerListener(PeerListener *listener);
+
+    /// \brief Opens a connection to \a server, if there is none, to hear of settings.
+    void openPeer(const Decisions::BackendServer &server, const std::string &agentPublicKey);
+
+    /// \brief Sends what has nothing to do with a request. Errors: NotFound, if there is no connection; Unavailable, ResourceExhausted.
+    Core::Result<void> sendToPeer(Decisions::BackendServerId id, const verbena::wire::Envelope &message);
+
     void handleRequest(const std::shared_ptr<Http::HttpExchange> &exchange) override;
     void receiveFromAgent(Decisions::BackendServerId id, const verbena::wire::Envelope &message) override;
     void agentReady(Decisions::BackendServerId id) override;
@@ -68,6 +78,7 @@
     EventLoop::Loop &m_loop;
     RouterSettings m_settings;
     RouterServices m_services;
+    PeerListener *m_peerListener = nullptr;
     std::uint64_t m_incarnation;
     Observe::Metrics m_metrics;
     Decisions::RouteChooser m_chooser;
