--- a/scripts/support/deployment.py
+++ b/scripts/support/deployment.py
@@ -12,6 +12,7 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 BIN = ROOT / "build" / "bin"
 START_TIMEOUT_SECONDS = 30
+SETTINGS_PEERS = 2
 STOP_TIMEOUT_SECONDS = 15
 
 
@@ -122,7 +123,11 @@
         return service
 
     def start_router(self, name):
-        source = {"settings_tree_files": [str(self._write_tree())]}
+        if self._platform_url:
+            peers = [{"name": name, "endpoint": backend["endpoint"]} for name, backend in self._backends.items()]
+            source = {"settings_peers": peers[:SETTINGS_PEERS], **self._platform()}
+        else:
+            source = {"settings_tree_files": [str(self._write_tree())]}
         router = self.start(name, "router", [BIN / "verbena-router", "--settings", self._write(f"{name}.yaml", {"name": name, **source})])
         router.address("http")
         return router
@@ -136,9 +141,10 @@
         return ["http://" + process.address("http") for process in self.processes if process.role == role]
 
     def wait_until_ready(self):
-        """Waits until every router says that it can serve."""
+        """Waits until every router says that it can serve, and knows the caller."""
         for url in self.urls("router"):
             wait_for(url + "/readyz")
+            wait_for(url + "/v1/models", {"Authorization": "Bearer " + self.api_key})
 
     def describe(self):
         return {"api_key": self.api_key, "processes": [process.describe() for process in self.processes]}
@@ -188,12 +194,12 @@
     return dict(line.split() for line in output.splitlines())
 
 
-def wait_for(url):
-    """Waits until a GET is answered with success."""
+def wait_for(url, fields=None):
+    """Waits until a GET with these header fields is answered with success."""
     deadline = time.monotonic() + START_TIMEOUT_SECONDS
     while True:
         try:
-            with urllib.request.urlopen(url, timeout=5):
+            with urllib.request.urlopen(urllib.request.Request(url, headers=fields or {}), timeout=5):
                 return
         except OSError as problem:
             if time.monotonic() > deadline:
