Send nothing more to a hung engine

Cause: when an engine hung, its runs were given up before the gate knew, so the gate sent what waited to the hung engine in their place. Those requests hung until their deadline and could run although a true refusal was due.

Change: the gate is told first. Runs that wait for the cancel of an earlier attempt are refused as not sent.

--- a/src/libs/agent/engineadapter.cpp
+++ b/src/libs/agent/engineadapter.cpp
@@ -80,6 +80,21 @@
     m_client->start(call, std::make_shared<BodyCollector>([this, request](const Core::Result<HttpReply> &) { finishCancel(request); }));
 }
 
+void EngineAdapter::loseRuns(const std::string &detail)
+{
+    BackendEnd end;
+    end.kind = BackendEnd::Kind::NotSent;
+    end.detail = detail;
+    for (auto &[request, runs] : m_cancelling) {
+        std::vector<WaitingRun> waiting;
+        waiting.swap(runs);
+        for (const WaitingRun &run : waiting) {
+            m_listener.finishRun(run.ref, end);
+        }
+    }
+    HttpAdapter::loseRuns(detail);
+}
+
 void EngineAdapter::finishCancel(const std::string &request)
 {
     const auto node = m_cancelling.extract(request);
--- a/src/libs/agent/engineadapter.h
+++ b/src/libs/agent/engineadapter.h
@@ -17,6 +17,7 @@
     void start() override;
     void startRun(const Decisions::RequestRef &ref, const verbena::wire::Dispatch &dispatch, Core::TimePoint deadline) override;
     void cancelRun(const Decisions::RequestRef &ref) override;
+    void loseRuns(const std::string &detail) override;
     void sendOrder(const Decisions::EngineOrder &order, OrderCallback done) override;
     bool isServing(verbena::wire::RunKind kind) const override;
 
--- a/src/libs/agent/runmanager.cpp
+++ b/src/libs/agent/runmanager.cpp
@@ -293,11 +293,12 @@
     } else {
         Observe::log(backendDown, reason);
     }
+    // First the gate has to know, or what waits would be sent in the place of the runs that are given up.
+    perform(m_gate.setEngineUp(isUp, m_loop.now()));
     const bool isHung = !isUp && reason.code != Core::ErrorCode::Unavailable;
     if (isHung) {
         m_backend->loseRuns(reason.message);
     }
-    perform(m_gate.setEngineUp(isUp, m_loop.now()));
 }
 
 // Actions may lead to further actions; each is done before what it leads to.
--- a/tests/auto/agent/tst_agent.cpp
+++ b/tests/auto/agent/tst_agent.cpp
@@ -210,6 +210,24 @@
     EXPECT_TRUE(harness.runUntil([&] { return harness.status()["backend_up"] == true; }));
 }
 
+TEST(AgentTest, sendsNothingMoreToAHungEngine)
+{
+    AgentHarness harness("engine", slowEngine, "watch: {load_interval: 20ms, hang_timeout: 200ms}\nlimits: {running: 1}\n");
+    const auto router = harness.connect();
+    ASSERT_TRUE(router);
+    router->dispatch(completion("running", "a", manyTokens));
+    router->dispatch(completion("queued", "b", 3));
+    ASSERT_TRUE(harness.runUntil([&] { return router->attempt("running").tokens > 0 && router->attempt("queued").isAdmitted; }));
+    harness.backend->sendSignal(SIGSTOP);
+    ASSERT_TRUE(harness.runUntil([&] { return router->attempt("running").isOver() && router->attempt("queued").isOver(); }));
+    EXPECT_EQ(router->attempt("running").ended->kind(), verbena::wire::END_KIND_ENGINE_LOST);
+    ASSERT_TRUE(router->attempt("queued").refused);
+    EXPECT_EQ(router->attempt("queued").refused->reason(), verbena::wire::REFUSAL_REASON_ENGINE_DOWN);
+    harness.backend->sendSignal(SIGCONT);
+    EXPECT_TRUE(harness.runUntil([&] { return harness.status()["backend_up"] == true; }));
+    EXPECT_EQ(harness.runCount("queued"), 0U);
+}
+
 TEST(AgentTest, finishesWhatRunsAndRefusesTheRestAtSigterm)
 {
     AgentHarness harness("engine", slowEngine, "limits: {running: 1}\n");
