Hold 4 KiB in place of 16 for each stream

Cause: a router with 2,000 open streams used 170 MB; massif shows 16 KiB of each stream in libmicrohttpd's block. Change: blocks of 4 KiB.

--- a/src/libs/http/httpexchange.cpp
+++ b/src/libs/http/httpexchange.cpp
@@ -158,7 +158,7 @@
     if (m_state == State::Responding) {
         response = MHD_create_response_from_buffer(m_output.size(), m_output.data(), MHD_RESPMEM_MUST_COPY);
     } else {
-        constexpr std::size_t blockBytes = 16 * 1024;
+        constexpr std::size_t blockBytes = 4 * 1024;
         auto *self = new std::shared_ptr<HttpExchange>(shared_from_this());
         response = MHD_create_response_from_callback(
             MHD_SIZE_UNKNOWN,
