--- a/src/apps/router/routercontrol.cpp
+++ b/src/apps/router/routercontrol.cpp
@@ -78,7 +78,7 @@
 
 Core::Result<void> RouterControl::sendToPeer(const std::string &peer, const verbena::wire::Envelope &message)
 {
-    const Core::Result<void> sent = m_task->sendToPeer(Decisions::BackendServerId(std::stoull(peer)), message);
+    Core::Result<void> sent = m_task->sendToPeer(Decisions::BackendServerId(std::stoull(peer)), message);
     // Nobody tells of a connection that was closed because it was idle.
     if (!sent && sent.error().code == Core::ErrorCode::NotFound) {
         std::erase(m_peers, std::string(peer));
