--- a/src/libs/agent/agentcontrol.cpp
+++ b/src/libs/agent/agentcontrol.cpp
@@ -38,8 +38,7 @@
 }
 
 AgentControl::AgentControl(EventLoop::Loop &loop, AgentTask &task, std::unique_ptr<Platform::HttpPlatform> platform, std::uint64_t seed)
-    : m_loop(loop)
-    , m_task(task)
+    : m_task(task)
     , m_platform(std::move(platform))
     , m_table(*m_platform, loop, {}, seed)
     , m_orders(loop, m_table, task.backend(), task.settings().name, seed)
--- a/src/libs/agent/agentcontrol.h
+++ b/src/libs/agent/agentcontrol.h
@@ -34,7 +34,6 @@
     void applySettings();
     void applyHosts();
 
-    EventLoop::Loop &m_loop;
     AgentTask &m_task;
     std::unique_ptr<Platform::HttpPlatform> m_platform;
     Control::BudgetedTable m_table;
--- a/src/libs/agent/runmanager.cpp
+++ b/src/libs/agent/runmanager.cpp
@@ -15,36 +15,6 @@
 // Models that an engine which does not tell what it holds is assumed to hold.
 constexpr std::size_t maximumAssumedModels = 256;
 
-verbena::wire::EndKind endKindOf(BackendEnd::Kind kind)
-{
-    switch (kind) {
-    case BackendEnd::Kind::Complete:
-        return verbena::wire::END_KIND_COMPLETE;
-    case BackendEnd::Kind::Rejected:
-        return verbena::wire::END_KIND_REJECTED;
-    case BackendEnd::Kind::NotSent:
-    case BackendEnd::Kind::Lost:
-        break;
-    }
-    return verbena::wire::END_KIND_ENGINE_LOST;
-}
-
-Decisions::RunOutcome outcomeOf(const AgentRun &run, const BackendEnd &end)
-{
-    Decisions::RunOutcome outcome;
-    outcome.completionTokens = run.tokens;
-    if (end.kind == BackendEnd::Kind::Complete) {
-        outcome.end = Decisions::RunEnd::Complete;
-    } else {
-        outcome.end = end.kind == BackendEnd::Kind::Rejected ? Decisions::RunEnd::Failed : Decisions::RunEnd::EngineLost;
-    }
-    if (end.usage) {
-        outcome.promptTokens = end.usage->promptTokens;
-        outcome.cachedTokens = end.usage->cachedTokens;
-    }
-    return outcome;
-}
-
 std::chrono::microseconds spanSince(Core::TimePoint begin, Core::TimePoint now)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(now - begin);
@@ -404,20 +374,7 @@
 void RunManager::setEnd(AgentRun &run, verbena::wire::EndKind kind, const BackendEnd &end)
 {
     verbena::wire::Ended &ended = run.end.emplace();
-    ended.set_request(run.dispatch.request());
-    ended.set_attempt(run.dispatch.attempt());
-    ended.set_kind(kind);
-    ended.set_status(end.status);
-    ended.set_content_type(end.contentType);
-    ended.set_finish_reason(end.finishReason);
-    ended.set_detail(end.detail);
-    ended.set_completion_tokens(run.tokens);
-    if (end.usage) {
-        ended.set_prompt_tokens(end.usage->promptTokens);
-        ended.set_cached_tokens(end.usage->cachedTokens.value_or(0));
-        ended.set_completion_tokens(end.usage->completionTokens);
-    }
-    ended.set_queue_wait_us(static_cast<std::uint64_t>(run.queueWait.count()));
+    fillEnded(run, kind, end, ended);
     fillLoad(prefixKeysOf(run.dispatch.prefix_keys()), *ended.mutable_load());
     m_metrics.count("agent_ended_total");
 }
--- a/src/libs/agent/wireconversion.cpp
+++ b/src/libs/agent/wireconversion.cpp
@@ -76,6 +76,54 @@
     return verbena::wire::REFUSAL_REASON_UNSPECIFIED;
 }
 
+verbena::wire::EndKind endKindOf(BackendEnd::Kind kind)
+{
+    switch (kind) {
+    case BackendEnd::Kind::Complete:
+        return verbena::wire::END_KIND_COMPLETE;
+    case BackendEnd::Kind::Rejected:
+        return verbena::wire::END_KIND_REJECTED;
+    case BackendEnd::Kind::NotSent:
+    case BackendEnd::Kind::Lost:
+        break;
+    }
+    return verbena::wire::END_KIND_ENGINE_LOST;
+}
+
+Decisions::RunOutcome outcomeOf(const AgentRun &run, const BackendEnd &end)
+{
+    Decisions::RunOutcome outcome;
+    outcome.completionTokens = run.tokens;
+    if (end.kind == BackendEnd::Kind::Complete) {
+        outcome.end = Decisions::RunEnd::Complete;
+    } else {
+        outcome.end = end.kind == BackendEnd::Kind::Rejected ? Decisions::RunEnd::Failed : Decisions::RunEnd::EngineLost;
+    }
+    if (end.usage) {
+        outcome.promptTokens = end.usage->promptTokens;
+        outcome.cachedTokens = end.usage->cachedTokens;
+    }
+    return outcome;
+}
+
+void fillEnded(const AgentRun &run, verbena::wire::EndKind kind, const BackendEnd &end, verbena::wire::Ended &ended)
+{
+    ended.set_request(run.dispatch.request());
+    ended.set_attempt(run.dispatch.attempt());
+    ended.set_kind(kind);
+    ended.set_status(end.status);
+    ended.set_content_type(end.contentType);
+    ended.set_finish_reason(end.finishReason);
+    ended.set_detail(end.detail);
+    ended.set_completion_tokens(run.tokens);
+    if (end.usage) {
+        ended.set_prompt_tokens(end.usage->promptTokens);
+        ended.set_cached_tokens(end.usage->cachedTokens.value_or(0));
+        ended.set_completion_tokens(end.usage->completionTokens);
+    }
+    ended.set_queue_wait_us(static_cast<std::uint64_t>(run.queueWait.count()));
+}
+
 void fillLoadHint(const Decisions::LoadReport &load, const std::optional<Decisions::HeatHint> &heat, verbena::wire::LoadHint &hint)
 {
     hint.set_incarnation(load.incarnation);
--- a/src/libs/agent/wireconversion.h
+++ b/src/libs/agent/wireconversion.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backendadapter.h"
 #include "runtable.h"
 
 #include <decisions/gate/gatetypes.h>
@@ -24,6 +25,14 @@
 
 verbena::wire::RefusalReason refusalReasonOf(Decisions::GateRefusal reason);
 
+verbena::wire::EndKind endKindOf(BackendEnd::Kind kind);
+
+/// \brief What the gate has to know of the end of \a run.
+Decisions::RunOutcome outcomeOf(const AgentRun &run, const BackendEnd &end);
+
+/// \brief Writes all but sequence and load of the end of \a run to \a ended.
+void fillEnded(const AgentRun &run, verbena::wire::EndKind kind, const BackendEnd &end, verbena::wire::Ended &ended);
+
 /// \brief Writes \a load and \a heat to \a hint.
 void fillLoadHint(const Decisions::LoadReport &load, const std::optional<Decisions::HeatHint> &heat, verbena::wire::LoadHint &hint);
 
