Count only a queue that stands as overload

Cause: the overload level fell as soon as the wait was above a second.

Change: the wait must have been high for a second without a break. The tests of the level's pace set that time to zero and are otherwise as they were; a new one holds the rule.

--- a/src/libs/decisions/gate/overloadcontrol.cpp
+++ b/src/libs/decisions/gate/overloadcontrol.cpp
@@ -23,8 +23,15 @@
     }
     m_nextPeriod = now + m_options.period;
     if (wait > m_options.highWait) {
-        tighten(wait);
-    } else if (wait < m_options.lowWait) {
+        m_highSince = m_highSince.value_or(now);
+        m_quiet = 0;
+        if (now - *m_highSince >= m_options.standingTime) {
+            tighten(wait);
+        }
+        return;
+    }
+    m_highSince.reset();
+    if (wait < m_options.lowWait) {
         loosen();
     } else {
         m_quiet = 0;
@@ -48,7 +55,6 @@
 
 void OverloadControl::tighten(std::chrono::microseconds wait)
 {
-    m_quiet = 0;
     const auto steps = static_cast<std::uint32_t>(std::clamp<std::int64_t>(wait / m_options.highWait, 1, mostStepsAtOnce));
     m_level = m_level > steps ? m_level - steps : 1;
 }
--- a/src/libs/decisions/gate/overloadcontrol.h
+++ b/src/libs/decisions/gate/overloadcontrol.h
@@ -11,6 +11,7 @@
 struct OverloadOptions
 {
     std::uint32_t highestMark = 15;
+    std::chrono::milliseconds standingTime{1000}; ///< For so long the wait must be high without a break before more is refused.
     std::chrono::milliseconds highWait{1000}; ///< Above, more is refused.
     std::chrono::milliseconds lowWait{300}; ///< Below for several periods, less is refused.
     std::chrono::milliseconds period{100};
@@ -20,7 +21,8 @@
 /// \brief The overload level that an agent tells routers, from the wait in its queue.
 ///
 /// Requests marked at or above the level are to be refused before they are sent. The level falls fast while the wait is
-/// high and rises step by step after the wait has been low for some periods.
+/// high and rises step by step after the wait has been low for some periods. Only a queue that stands counts: one dear
+/// prompt makes a wait that is high for a moment.
 class OverloadControl
 {
 public:
@@ -45,6 +47,7 @@
     std::uint32_t m_level;
     std::uint32_t m_quiet = 0;
     Core::TimePoint m_nextPeriod;
+    std::optional<Core::TimePoint> m_highSince;
 };
 
 } // namespace Verbena::Decisions
--- a/tests/auto/gate/tst_overloadcontrol.cpp
+++ b/tests/auto/gate/tst_overloadcontrol.cpp
@@ -15,9 +15,16 @@
     return Core::TimePoint(std::chrono::milliseconds(count));
 }
 
-TEST(OverloadControlTest, fallsFastAndRisesSlowly)
+OverloadOptions withoutStandingTime()
 {
     OverloadOptions options;
+    options.standingTime = milliseconds(0);
+    return options;
+}
+
+TEST(OverloadControlTest, fallsFastAndRisesSlowly)
+{
+    OverloadOptions options = withoutStandingTime();
     options.quietPeriods = 5;
     OverloadControl control(options);
     EXPECT_EQ(control.level(), 0U);
@@ -38,9 +45,24 @@
     EXPECT_EQ(control.nextDeadline(), std::nullopt);
 }
 
-TEST(OverloadControlTest, standsStillBetweenTheWaits)
+TEST(OverloadControlTest, countsOnlyAWaitThatStands)
 {
     OverloadControl control;
+    for (int now = 100; now <= 5000; now += 100) {
+        control.noteWait(milliseconds(now % 1000 == 0 ? 900 : 5000), at(now));
+        EXPECT_EQ(control.level(), 0U);
+    }
+    for (int now = 5100; now <= 6000; now += 100) {
+        control.noteWait(milliseconds(5000), at(now));
+        EXPECT_EQ(control.level(), 0U);
+    }
+    control.noteWait(milliseconds(5000), at(6100));
+    EXPECT_EQ(control.level(), 12U);
+}
+
+TEST(OverloadControlTest, standsStillBetweenTheWaits)
+{
+    OverloadControl control(withoutStandingTime());
     control.noteWait(milliseconds(1500), at(100));
     EXPECT_EQ(control.level(), 15U);
     for (int now = 200; now < 5000; now += 100) {
