Show claims, restarts and readiness with a platform; follow the host list

Cause: no test repeated a key at another router or restarted one without the platform; a router without settings said that it was ready and answered 401; hosts listed as leaving still got requests.

Change: TestDeployment can start a platform. Until there are settings /readyz answers 503 and requests are refused as not run. RouterControl follows the host list by HostListTask.

tst_failures passes, among it: a key repeated at another router is answered 409 and does not run again, also when the first router was killed while it ran; without the table a marked request is refused as not run and others are served; a router killed and started again without the platform serves.

--- a/src/apps/router/routercontrol.cpp
+++ b/src/apps/router/routercontrol.cpp
@@ -68,6 +68,10 @@
 {
     m_task = &task;
     task.setPeerListener(this);
+    Control::HostListTaskOptions options;
+    options.seed = m_random.next();
+    m_hosts = std::make_unique<Control::HostListTask>(*m_platform, m_loop, *this, options);
+    m_hosts->setChangedCallback([this] { applyHosts(); });
     openPeers();
 }
 
@@ -104,6 +108,8 @@
 {
     if (SettingsTree::SettingsTask::isSettingsMessage(message)) {
         m_settings->receiveFromPeer(peerOf(id), message);
+    } else if (m_hosts && Control::HostListTask::isHostMessage(message)) {
+        m_hosts->receiveFromPeer(message);
     }
 }
 
@@ -112,8 +118,20 @@
     return m_settings->status().toJson();
 }
 
+void RouterControl::applyHosts()
+{
+    std::set<std::string> leaving;
+    for (const Platform::HostEntry &host : m_hosts->hosts()) {
+        if (host.isLeaving) {
+            leaving.insert(host.name);
+        }
+    }
+    m_task->setLeavingHosts(std::move(leaving));
+}
+
 void RouterControl::openPeers()
 {
+    m_hosts->setProcessCount(m_settings->current()->backendServers.size());
     m_peerTimer.startAt(m_loop.now() + peerInterval);
     if (m_peers.size() >= minimumPeers) {
         return;
--- a/src/apps/router/routercontrol.h
+++ b/src/apps/router/routercontrol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <control/budgetedtable.h>
+#include <control/hostlisttask.h>
 #include <platform/httpplatform.h>
 #include <router/routertask.h>
 #include <settingstree/settingstask.h>
@@ -34,6 +35,7 @@
 private:
     RouterControl(EventLoop::Loop &loop, const RouterSettings &settings, std::unique_ptr<Platform::HttpPlatform> platform, std::uint64_t seed);
     void openPeers();
+    void applyHosts();
 
     EventLoop::Loop &m_loop;
     std::vector<SettingsPeer> m_firstPeers;
@@ -44,6 +46,7 @@
     RouterTask *m_task = nullptr;
     std::shared_ptr<SettingsTree::SettingsTask> m_settings;
     std::shared_ptr<ClaimService> m_claims;
+    std::unique_ptr<Control::HostListTask> m_hosts;
     EventLoop::Timer m_peerTimer;
 };
 
--- a/src/libs/router/routertask.cpp
+++ b/src/libs/router/routertask.cpp
@@ -126,7 +126,7 @@
 void RouterTask::followSettings()
 {
     const std::shared_ptr<const Settings::InForceSettings> inForce = m_services.settings->current();
-    m_chooser.setFleet(fleetOf(*inForce));
+    setFleet();
     m_links.setBackendServers(inForce->backendServers);
     m_starter.setSettings(inForce);
     m_settingsSince = m_loop.now();
@@ -134,12 +134,36 @@
     Observe::log(settingsFollowed, {{"revision", std::to_string(inForce->revision)}});
 }
 
+void RouterTask::setLeavingHosts(std::set<std::string> names)
+{
+    m_leavingHosts = std::move(names);
+    setFleet();
+}
+
+void RouterTask::setFleet()
+{
+    std::vector<Decisions::BackendServer> fleet = fleetOf(*m_services.settings->current());
+    for (Decisions::BackendServer &server : fleet) {
+        if (m_leavingHosts.contains(server.name)) {
+            server.state = Decisions::BackendServerState::Leaving;
+        }
+    }
+    m_chooser.setFleet(std::move(fleet));
+}
+
+bool RouterTask::isServing() const
+{
+    return m_isReady && m_settingsRevision > 0;
+}
+
 void RouterTask::handleRequest(const std::shared_ptr<Http::HttpExchange> &exchange)
 {
     if (!m_isReady) {
         exchange->closeAfterAnswer();
     }
-    if (isPostPath(exchange->path())) {
+    if (isPostPath(exchange->path()) && m_settingsRevision == 0) {
+        respondFailure(*exchange, {}, limitFailure(unavailableStatus, "starting", "The router has not learned the settings yet.", std::chrono::seconds(1)));
+    } else if (isPostPath(exchange->path())) {
         handlePost(exchange);
     } else {
         handleGet(*exchange);
@@ -167,7 +191,7 @@
     if (path == "/healthz") {
         exchange.respond(okStatus, {{"Content-Type", "text/plain"}}, "ok\n");
     } else if (path == "/readyz") {
-        exchange.respond(m_isReady ? okStatus : unavailableStatus, {{"Content-Type", "text/plain"}}, m_isReady ? "ready\n" : "shutting down\n");
+        exchange.respond(isServing() ? okStatus : unavailableStatus, {{"Content-Type", "text/plain"}}, isServing() ? "ready\n" : "not ready\n");
     } else if (path == "/metrics") {
         m_metrics.setGauge("requests_in_flight", static_cast<double>(m_tasks.size()));
         m_metrics.setGauge("agent_links", static_cast<double>(m_links.count()));
@@ -304,7 +328,7 @@
     RouterStatus status;
     status.name = m_settings.name;
     status.incarnation = m_incarnation;
-    status.isReady = m_isReady;
+    status.isReady = isServing();
     status.settingsRevision = m_settingsRevision;
     status.settingsAge = std::chrono::duration_cast<std::chrono::microseconds>(m_loop.now() - m_settingsSince);
     status.settingsJson = m_peerListener == nullptr ? std::string() : m_peerListener->settingsJson();
--- a/src/libs/router/routertask.h
+++ b/src/libs/router/routertask.h
@@ -19,6 +19,8 @@
 
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -41,6 +43,9 @@
 
     std::uint16_t port() const;
 
+    /// \brief Takes the names of hosts that the platform lists as leaving; they get no new work.
+    void setLeavingHosts(std::set<std::string> names);
+
     /// \brief Takes the router out of service without cutting a request; \a done is called when nothing is left to do.
     void beginShutdown(std::function<void()> done);
 
@@ -65,6 +70,8 @@
     Core::Result<void> listen();
     RequestContext context();
     void followSettings();
+    void setFleet();
+    bool isServing() const;
     void handlePost(const std::shared_ptr<Http::HttpExchange> &exchange);
     void handleGet(Http::HttpExchange &exchange);
     void begin(const std::shared_ptr<RequestTask> &task);
@@ -92,7 +99,8 @@
     EventLoop::DeferredCall m_removeFinished;
     std::unique_ptr<Http::HttpServer> m_server;
     Core::TimePoint m_settingsSince;
-    std::uint64_t m_settingsRevision = 0;
+    std::uint64_t m_settingsRevision = 0; ///< 0 until there are settings.
+    std::set<std::string> m_leavingHosts;
     bool m_isReady = true;
     bool m_isListening = true;
     EventLoop::Timer m_shutdownTimer;
--- a/tests/auto/path/tst_failures.cpp
+++ b/tests/auto/path/tst_failures.cpp
@@ -268,6 +268,7 @@
     };
     constexpr int rounds = 6;
     constexpr int callsPerRound = 10;
+    calls.reserve(static_cast<std::size_t>(rounds) * callsPerRound);
     for (int round = 0; round < rounds; ++round) {
         TestDeployment::Backend &backend = m_deployment.service(static_cast<std::size_t>(round) % 2);
         for (int i = 0; i < callsPerRound; ++i) {
@@ -283,6 +284,7 @@
     }
     std::map<std::string, int> runs;
     std::vector<Answered> answers;
+    answers.reserve(calls.size());
     for (std::future<Answered> &future : calls) {
         answers.push_back(future.get());
     }
@@ -328,6 +330,82 @@
     }
 }
 
+/// Two routers and a service, with claims in the platform's table.
+class ClaimTest : public testing::Test
+{
+protected:
+    static DeploymentOptions options()
+    {
+        DeploymentOptions options;
+        options.routers = 2;
+        options.services = 2;
+        options.hasPlatform = true;
+        options.routerSettings = "links: {heartbeat_interval: 100ms, heartbeat_timeout: 1s}\n";
+        return options;
+    }
+
+    TestAnswer append(const std::string &entry, std::size_t router) const
+    {
+        return m_deployment.post("/v1/services/register/append", json{{"entry", entry}}.dump(), {"Idempotency-Key: key-" + entry}, router);
+    }
+
+    std::size_t runCount()
+    {
+        return runsOf(m_deployment.service(0)).size() + runsOf(m_deployment.service(1)).size();
+    }
+
+    TestDeployment m_deployment{options()};
+};
+
+TEST_F(ClaimTest, aKeyThatIsRepeatedAtAnotherRouterDoesNotRunAgain)
+{
+    EXPECT_EQ(append("a", 0).status, 200);
+    const TestAnswer repeated = append("a", 1);
+    EXPECT_EQ(repeated.status, 409);
+    EXPECT_NE(repeated.fields.at("verbena-run"), "not-run");
+    EXPECT_EQ(runCount(), 1U);
+}
+
+TEST_F(ClaimTest, aKeyWhoseRouterIsKilledWhileItRunsDoesNotRunAgain)
+{
+    for (std::size_t i = 0; i < 2; ++i) {
+        setFaults(m_deployment.service(i), {{"slow_factor", 500}});
+    }
+    std::future<TestAnswer> lost = std::async(std::launch::async, [this] { return append("b", 0); });
+    while (runCount() == 0) {
+        std::this_thread::yield();
+    }
+    m_deployment.router(0).sendSignal(SIGKILL);
+    EXPECT_EQ(lost.get().status, 0);
+    const TestAnswer repeated = append("b", 1);
+    EXPECT_EQ(repeated.status, 409);
+    EXPECT_EQ(repeated.fields.at("verbena-run"), "unknown");
+    EXPECT_EQ(runCount(), 1U);
+    m_deployment.restartRouter(0);
+    EXPECT_EQ(append("c", 0).status, 200);
+}
+
+TEST_F(ClaimTest, withoutTheTableAMarkedRequestIsTrulyNotRunAndOthersAreServed)
+{
+    EXPECT_EQ(append("d", 0).status, 200);
+    m_deployment.platform().sendSignal(SIGKILL);
+    const TestAnswer refused = append("e", 0);
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(refused.fields.at("verbena-run"), "not-run");
+    EXPECT_TRUE(refused.fields.contains("retry-after"));
+    EXPECT_EQ(runCount(), 1U);
+    EXPECT_EQ(m_deployment.post("/v1/services/register/look", "{}").status, 200);
+}
+
+TEST_F(ClaimTest, aRouterThatRestartsWithoutThePlatformServes)
+{
+    EXPECT_EQ(append("f", 0).status, 200);
+    m_deployment.platform().sendSignal(SIGKILL);
+    // It is ready when this returns: its settings came from the agents.
+    m_deployment.restartRouter(0);
+    EXPECT_EQ(m_deployment.post("/v1/services/register/look", "{}").status, 200);
+}
+
 TEST(SlowReaderTest, holdsTheEngineBackAndGetsTheWholeAnswerInTheEnd)
 {
     constexpr std::uint32_t tokens = 20000;
@@ -355,6 +433,7 @@
 {
     std::vector<std::future<TestAnswer>> answers;
     constexpr int callers = 20;
+    answers.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         answers.push_back(
             std::async(std::launch::async, [this, i] { return m_deployment.post("/v1/completions", completion("wall " + std::to_string(i)).dump()); }));
--- a/tests/support/testdeployment.cpp
+++ b/tests/support/testdeployment.cpp
@@ -1,6 +1,8 @@
 #include "testdeployment.h"
 
 #include <csignal>
+#include <cstdlib>
+#include <thread>
 
 namespace Verbena::Test {
 
@@ -24,6 +26,8 @@
     return backend.name.starts_with("engine");
 }
 
+constexpr int readyStatus = 200;
+
 std::string portOf(const std::string &address)
 {
     return address.substr(address.rfind(':') + 1);
@@ -37,6 +41,9 @@
     , m_services(m_options.services)
     , m_routers(m_options.routers)
 {
+    if (m_options.hasPlatform) {
+        startPlatform();
+    }
     for (std::size_t i = 0; i < m_engines.size(); ++i) {
         m_engines[i].name = "engine" + std::to_string(i + 1);
         startServer(m_engines[i], "0");
@@ -47,6 +54,9 @@
         startServer(m_services[i], "0");
         startAgent(m_services[i]);
     }
+    if (m_options.hasPlatform) {
+        applyTree();
+    }
     for (std::size_t i = 0; i < m_routers.size(); ++i) {
         startRouter(i);
     }
@@ -67,6 +77,11 @@
     return *m_routers.at(index).process;
 }
 
+ChildProcess &TestDeployment::platform()
+{
+    return *m_platform;
+}
+
 std::string TestDeployment::routerUrl(std::size_t index) const
 {
     return "http://" + m_routers.at(index).address;
@@ -111,7 +126,7 @@
     const std::string endpoint = backend.endpoint.empty() ? "tcp://127.0.0.1:*" : backend.endpoint;
     const std::string path = m_folder.write(backend.name + ".yaml",
         "name: " + backend.name + "\nendpoint: \"" + endpoint + "\"\nbackend_url: http://" + backend.address
-            + "\nkind: " + (backend.name.starts_with("engine") ? "engine" : "service") + "\n" + m_options.agentSettings);
+            + "\nkind: " + (backend.name.starts_with("engine") ? "engine" : "service") + "\n" + platformLine() + m_options.agentSettings);
     backend.agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--settings", path});
     backend.endpoint = backend.agent->waitForLine("listening zmq ");
 }
@@ -121,12 +136,47 @@
     Router &router = m_routers.at(index);
     router.process = std::make_unique<ChildProcess>("verbena-router", std::vector<std::string>{"--settings", routerFile(index)});
     router.address = router.process->waitForLine("listening http ");
+    waitUntilReady(index);
+}
+
+void TestDeployment::waitUntilReady(std::size_t index) const
+{
+    int status = 0;
+    while ((status = sendHttp("GET", routerUrl(index) + "/readyz", {}, "").status) != readyStatus && status != 0) {
+        std::this_thread::yield();
+    }
+}
+
+void TestDeployment::startPlatform()
+{
+    m_platform = std::make_unique<ChildProcess>("verbena-standin", std::vector<std::string>{"platform", "--port", "0"});
+    m_platformUrl = "http://" + m_platform->waitForLine("listening http ");
+}
+
+void TestDeployment::applyTree() const
+{
+    ChildProcess apply("verbenactl", {"--platform", m_platformUrl, "settings", "apply", treeFile()});
+    if (apply.waitForExit() != 0) {
+        std::abort();
+    }
 }
 
 std::string TestDeployment::routerFile(std::size_t index) const
 {
     const std::string name = "router" + std::to_string(index + 1);
-    return m_folder.write(name + ".yaml", "name: " + name + "\nsettings_tree_files: [\"" + treeFile() + "\"]\n" + m_options.routerSettings);
+    const std::string files = m_options.hasPlatform ? std::string() : "settings_tree_files: [\"" + treeFile() + "\"]\n";
+    std::string text = "name: " + name + "\n" + files + platformLine() + "settings_peers:\n";
+    for (const std::vector<Backend> *backends : {&m_engines, &m_services}) {
+        for (const Backend &backend : *backends) {
+            text += "  - {name: " + backend.name + ", endpoint: \"" + backend.endpoint + "\"}\n";
+        }
+    }
+    return m_folder.write(name + ".yaml", text + m_options.routerSettings);
+}
+
+std::string TestDeployment::platformLine() const
+{
+    return m_options.hasPlatform ? "platform_url: " + m_platformUrl + "\n" : std::string();
 }
 
 std::string TestDeployment::treeFile() const
--- a/tests/support/testdeployment.h
+++ b/tests/support/testdeployment.h
@@ -16,6 +16,7 @@
     std::size_t routers = 1;
     std::size_t engines = 1; ///< Each with its agent; they serve the model "analyst".
     std::size_t services = 0; ///< Each with its agent; they serve the plain service "register".
+    bool hasPlatform = false; ///< Settings and claims go through a platform stand-in, not through a file.
     std::vector<std::string> engineArguments; ///< Further arguments for each engine stand-in.
     std::vector<std::string> serviceArguments; ///< Further arguments for each service stand-in.
     std::string routerSettings; ///< Further YAML lines of each router's settings.
@@ -45,6 +46,8 @@
     Backend &service(std::size_t index = 0);
     ChildProcess &router(std::size_t index = 0);
 
+    ChildProcess &platform();
+
     /// \brief Start of every URL at a router, for instance "http://127.0.0.1:9000".
     std::string routerUrl(std::size_t index = 0) const;
 
@@ -72,9 +75,15 @@
     void startRouter(std::size_t index);
     std::string routerFile(std::size_t index) const;
     std::string treeFile() const;
+    void startPlatform();
+    void applyTree() const;
+    std::string platformLine() const;
+    void waitUntilReady(std::size_t index) const;
 
     DeploymentOptions m_options;
     TemporaryFolder m_folder;
+    std::unique_ptr<ChildProcess> m_platform;
+    std::string m_platformUrl; ///< Empty if there is none.
     std::vector<Backend> m_engines;
     std::vector<Backend> m_services;
     std::vector<Router> m_routers;
