--- a/tests/auto/path/tst_failures.cpp
+++ b/tests/auto/path/tst_failures.cpp
@@ -406,6 +406,19 @@
     EXPECT_EQ(m_deployment.post("/v1/services/register/look", "{}").status, 200);
 }
 
+TEST_F(ClaimTest, aBackendServerThatIsListedAsLeavingGetsNothingNew)
+{
+    const json leaving{{"hosts", json::array({{{"name", "engine1"}, {"address", ""}, {"failure_domain", "a"}, {"incarnation", 1}, {"leaving", true}}})}};
+    ASSERT_EQ(sendHttp("POST", m_deployment.platformUrl() + "/control", {}, leaving.dump()).status, 200);
+    // The only engine is leaving, so nobody is left to answer.
+    TestAnswer answer;
+    do {
+        answer = m_deployment.post("/v1/completions", completion("anything", false).dump());
+    } while (answer.status == 200);
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(answer.fields.at("verbena-run"), "not-run");
+}
+
 TEST(SlowReaderTest, holdsTheEngineBackAndGetsTheWholeAnswerInTheEnd)
 {
     constexpr std::uint32_t tokens = 20000;
--- a/tests/support/testdeployment.cpp
+++ b/tests/support/testdeployment.cpp
@@ -82,6 +82,11 @@
     return *m_platform;
 }
 
+const std::string &TestDeployment::platformUrl() const
+{
+    return m_platformUrl;
+}
+
 std::string TestDeployment::routerUrl(std::size_t index) const
 {
     return "http://" + m_routers.at(index).address;
--- a/tests/support/testdeployment.h
+++ b/tests/support/testdeployment.h
@@ -48,6 +48,9 @@
 
     ChildProcess &platform();
 
+    /// \brief Where the platform listens, for instance "http://127.0.0.1:8080".
+    const std::string &platformUrl() const;
+
     /// \brief Start of every URL at a router, for instance "http://127.0.0.1:9000".
     std::string routerUrl(std::size_t index = 0) const;
 
