Expect a router without settings to be not ready

The test held that such a router answers 401. That was wrong: it cannot know whether the key is good, and a caller who is told 401 does not come back. In its place the test checks 503 here and at /readyz, then 401 for a key that is not yet in the settings and 200 at /readyz once there are some.

--- a/tests/auto/operator/tst_accepted.cpp
+++ b/tests/auto/operator/tst_accepted.cpp
@@ -88,9 +88,13 @@
 
 TEST_F(AcceptedSettingsTest, comeIntoForceAtTheRouterAndStayOverARestartWithoutThePlatform)
 {
-    EXPECT_EQ(completionStatus("first"), 401);
+    // Without settings the router cannot know whether a key is good, and says that it is not ready.
+    EXPECT_EQ(completionStatus("first"), 503);
+    EXPECT_EQ(sendHttp("GET", m_routerUrl + "/readyz", {}, "").status, 503);
     ASSERT_EQ(apply(tree("first")), 0);
     waitForStatus("first", 200);
+    EXPECT_EQ(completionStatus("second"), 401);
+    EXPECT_EQ(sendHttp("GET", m_routerUrl + "/readyz", {}, "").status, 200);
     ASSERT_EQ(apply(tree("second")), 0);
     waitForStatus("second", 200);
     EXPECT_EQ(completionStatus("first"), 401);
