End the programs of the demo beside each other

Cause: after an interrupt the demo waited for one program after the other, 15 s and more, as each router waits for its balancer and each agent for its grace. Change: all programs of one role are asked to end before any is waited for.

--- a/scripts/support/deployment.py
+++ b/scripts/support/deployment.py
@@ -49,10 +49,13 @@
     def is_running(self):
         return self._process.poll() is None
 
-    def stop(self):
-        """Asks the program to end, and makes it end if it does not."""
+    def begin_stop(self):
+        """Asks the program to end."""
         if self.is_running():
             self._process.send_signal(signal.SIGTERM)
+
+    def finish_stop(self):
+        """Waits until the program has ended, and makes it end if it does not."""
         try:
             self._process.wait(STOP_TIMEOUT_SECONDS)
         except subprocess.TimeoutExpired:
@@ -92,9 +95,11 @@
     def __exit__(self, *_):
         # Routers first, so that no request loses its backend server.
         for role in ("router", "agent", "engine", "service", "platform"):
-            for process in self.processes:
-                if process.role == role:
-                    process.stop()
+            ending = [process for process in self.processes if process.role == role]
+            for process in ending:
+                process.begin_stop()
+            for process in ending:
+                process.finish_stop()
 
     def start(self, name, role, arguments):
         process = Process(self._folder, name, role, arguments)
