--- a/src/libs/operator/treetable.cpp
+++ b/src/libs/operator/treetable.cpp
@@ -1,5 +1,6 @@
 #include "treetable.h"
 
+#include <settingstree/tablerows.h>
 #include <settingstree/treepath.h>
 
 #include <memory>
@@ -18,16 +19,6 @@
     Answer answer;
 };
 
-std::vector<Decisions::SettingsRow> settingsRows(std::vector<Platform::TableRow> rows)
-{
-    std::vector<Decisions::SettingsRow> result;
-    result.reserve(rows.size());
-    for (Platform::TableRow &row : rows) {
-        result.push_back({std::move(row.key), std::move(row.value), row.revision, row.isDeleted});
-    }
-    return result;
-}
-
 } // namespace
 
 TreeTable::TreeTable(Platform::TableService &table, Waiting waiting, std::chrono::milliseconds timeout)
@@ -44,7 +35,7 @@
     while (true) {
         const std::uint64_t since = store.cursor();
         BOOST_OUTCOME_TRY(rows, scan(std::string(SettingsTree::treePrefix), since, limit));
-        Decisions::SettingsDelta delta = Decisions::deltaOfTablePage(since, limit, settingsRows(std::move(rows)));
+        Decisions::SettingsDelta delta = Decisions::deltaOfTablePage(since, limit, SettingsTree::settingsRowsOf(std::move(rows)));
         const bool isLast = delta.isLast();
         // A page that holds one commit alone has to grow until it holds the whole of it.
         limit = isLast || delta.covered > since ? pageRows : limit * 2;
--- a/src/libs/settingstree/settingstask.cpp
+++ b/src/libs/settingstree/settingstask.cpp
@@ -2,6 +2,7 @@
 
 #include "settingstreeevents.h"
 #include "snapshotcodec.h"
+#include "tablerows.h"
 #include "treepath.h"
 #include "wireconversion.h"
 
@@ -19,16 +20,6 @@
     return span.has_value() ? nlohmann::json(std::chrono::duration<double>(*span).count()) : nlohmann::json(nullptr);
 }
 
-std::vector<Decisions::SettingsRow> fromTable(std::vector<Platform::TableRow> rows)
-{
-    std::vector<Decisions::SettingsRow> result;
-    result.reserve(rows.size());
-    for (Platform::TableRow &row : rows) {
-        result.push_back({std::move(row.key), std::move(row.value), row.revision, row.isDeleted});
-    }
-    return result;
-}
-
 } // namespace
 
 std::string SettingsStatus::toJson() const
@@ -238,7 +229,7 @@
         restartTimer();
         return;
     }
-    carryOut(m_replica.receiveTablePage(scan, fromTable(std::move(answer.value())), sentAt, m_channel.peers(), m_loop.now()));
+    carryOut(m_replica.receiveTablePage(scan, settingsRowsOf(std::move(answer.value())), sentAt, m_channel.peers(), m_loop.now()));
 }
 
 void SettingsTask::takeSnapshot(const Core::Result<std::string> &answer)
