Let the slow reader's answer be longer than what sockets hold

With the address sanitizer the agent joins more tokens into a frame, and the 20,000 of tst_failures' slow reader fitted into the buffers of the system: of three runs two failed, as nothing was left to hold back.

--- a/tests/auto/path/tst_failures.cpp
+++ b/tests/auto/path/tst_failures.cpp
@@ -94,7 +94,7 @@
     RawCaller(const std::string &url, const json &completion)
         : m_socket(socket(AF_INET, SOCK_STREAM, 0))
     {
-        constexpr int receiveBuffer = 4096;
+        constexpr int receiveBuffer = 32768;
         setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -421,10 +421,10 @@
 
 TEST(SlowReaderTest, holdsTheEngineBackAndGetsTheWholeAnswerInTheEnd)
 {
-    constexpr std::uint32_t tokens = 20000;
+    constexpr std::uint32_t tokens = 60000;
     DeploymentOptions options;
     options.engineArguments = {"--decode-interval-us", "5"};
-    options.routerSettings = "streams: {maximum_buffered_bytes: 16384}\n";
+    options.routerSettings = "streams: {maximum_buffered_bytes: 65536}\n";
     const TestDeployment deployment(options);
     json body = completion("slow");
     body["max_tokens"] = tokens;
