Turn declared settings into backend servers in one place, and draw seeds in one place

Cause: reading the whole change showed the same code twice. The router's fleetOf() and Membership each made backend servers of what settings declare, so that a change to how a model name is read would have had to be made in both; RouterControl and AgentControl each had the same randomSeed(). Change: decisions/routing/declaredserver and core/randomseed serve both sides. Behaviour stays: every builder of settings in force gives a backend server the name that it is kept under, so taking the name from either is the same. No test changed.

--- a/src/apps/router/routercontrol.cpp
+++ b/src/apps/router/routercontrol.cpp
@@ -1,10 +1,10 @@
 #include "routercontrol.h"
 
 #include <control/tableclaimservice.h>
+#include <core/randomseed.h>
 #include <eventloop/loop.h>
 
 #include <algorithm>
-#include <random>
 
 namespace Verbena::Router {
 
@@ -14,12 +14,6 @@
 constexpr std::size_t minimumPeers = 3;
 constexpr std::chrono::seconds peerInterval{2};
 
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
 std::string peerOf(Decisions::BackendServerId id)
 {
     return std::to_string(static_cast<std::uint64_t>(id));
@@ -39,7 +33,7 @@
 Core::Result<std::unique_ptr<RouterControl>> RouterControl::create(EventLoop::Loop &loop, const RouterSettings &settings)
 {
     BOOST_OUTCOME_TRY(platform, Platform::HttpPlatform::create(loop, settings.platformUrl));
-    const std::uint64_t seed = randomSeed();
+    const std::uint64_t seed = Core::randomSeed();
     std::unique_ptr<RouterControl> control(new RouterControl(loop, settings, std::move(platform), seed));
     SettingsTree::SettingsTaskOptions options;
     options.seed = seed;
--- a/src/libs/agent/agentcontrol.cpp
+++ b/src/libs/agent/agentcontrol.cpp
@@ -1,26 +1,16 @@
 #include "agentcontrol.h"
 
+#include <core/randomseed.h>
 #include <eventloop/loop.h>
 
 #include <algorithm>
-#include <random>
 
 namespace Verbena::Agent {
 
-namespace {
-
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32U) | device();
-}
-
-} // namespace
-
 Core::Result<std::unique_ptr<AgentControl>> AgentControl::create(EventLoop::Loop &loop, const std::string &platformUrl, AgentTask &task)
 {
     BOOST_OUTCOME_TRY(platform, Platform::HttpPlatform::create(loop, platformUrl));
-    const std::uint64_t seed = randomSeed();
+    const std::uint64_t seed = Core::randomSeed();
     std::unique_ptr<AgentControl> control(new AgentControl(loop, task, std::move(platform), seed));
     SettingsTree::SettingsTaskOptions options;
     options.seed = seed;
--- a/src/libs/decisions/control/membership.cpp
+++ b/src/libs/decisions/control/membership.cpp
@@ -1,38 +1,11 @@
 #include "membership.h"
 
+#include <decisions/routing/declaredserver.h>
+
 #include <algorithm>
 
 namespace Verbena::Decisions {
 
-namespace {
-
-ModelVersion versionOf(const std::string &declared, const Settings::InForceSettings &settings)
-{
-    const std::size_t colon = declared.find(':');
-    ModelVersion version;
-    version.model = declared.substr(0, colon);
-    version.adapter = colon == std::string::npos ? std::string() : declared.substr(colon + 1);
-    const auto model = settings.models.find(version.model);
-    version.weightsVersion = model == settings.models.end() ? std::string() : model->second.weightsVersion;
-    return version;
-}
-
-BackendServer serverOf(const Settings::BackendServerSettings &declared, const Settings::InForceSettings &settings)
-{
-    BackendServer server;
-    server.id = backendServerId(declared.name);
-    server.name = declared.name;
-    server.endpoint = declared.endpoint;
-    server.failureDomain = declared.failureDomain;
-    server.service = declared.service;
-    for (const std::string &model : declared.models) {
-        server.served.push_back(versionOf(model, settings));
-    }
-    return server;
-}
-
-} // namespace
-
 Membership::Membership(const MembershipLimits &limits)
     : m_limits(limits)
 {
@@ -49,7 +22,7 @@
         if (member.server.endpoint != declared.endpoint) {
             member = Member();
         }
-        member.server = serverOf(declared, settings);
+        member.server = declaredServer(declared, settings);
         member.isDrained = declared.isDrained;
         member.server.state = stateOf(member);
         members.emplace(id, std::move(member));
--- a/src/libs/router/fleet.cpp
+++ b/src/libs/router/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include <decisions/routing/declaredserver.h>
+
 namespace Verbena::Router {
 
 ModelName ModelName::fromText(const std::string &text)
@@ -15,8 +17,7 @@
 
 Decisions::ModelVersion versionInForce(const ModelName &name, const Settings::InForceSettings &settings)
 {
-    const auto found = settings.models.find(name.model);
-    return {name.model, name.adapter, found == settings.models.end() ? std::string() : found->second.weightsVersion};
+    return Decisions::declaredVersion(name.toText(), settings);
 }
 
 std::vector<Decisions::BackendServer> fleetOf(const Settings::InForceSettings &settings)
@@ -24,16 +25,8 @@
     std::vector<Decisions::BackendServer> fleet;
     fleet.reserve(settings.backendServers.size());
     for (const auto &[name, declared] : settings.backendServers) {
-        Decisions::BackendServer server;
-        server.id = Decisions::backendServerId(name);
-        server.name = name;
-        server.endpoint = declared.endpoint;
-        server.failureDomain = declared.failureDomain;
-        server.service = declared.service;
+        Decisions::BackendServer server = Decisions::declaredServer(declared, settings);
         server.state = declared.isDrained ? Decisions::BackendServerState::Leaving : Decisions::BackendServerState::Live;
-        for (const std::string &model : declared.models) {
-            server.served.push_back(versionInForce(ModelName::fromText(model), settings));
-        }
         fleet.push_back(std::move(server));
     }
     return fleet;
