--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace Verbena::Http {
 
@@ -91,7 +92,8 @@
         if (limits.bodyBytes.has_value()) {
             this->body_limit(*limits.bodyBytes);
         } else {
-            this->body_limit(boost::none);
+            // Without a limit this version of the library takes every body that ends with its connection for too long.
+            this->body_limit(std::numeric_limits<std::uint64_t>::max());
         }
     }
 
@@ -238,6 +240,7 @@
         }
         if (error) {
             fault = faultOf(error);
+            m_faultDetail = error.message();
             break;
         }
     }
@@ -255,6 +258,7 @@
     }
     beast::error_code error;
     m_parser->putEnd(error);
+    m_faultDetail = error ? error.message() : "";
     return error ? std::optional(faultOf(error)) : std::nullopt;
 }
 
@@ -278,6 +282,11 @@
     return m_parser->isHeadDone();
 }
 
+const std::string &MessageReader::faultDetail() const
+{
+    return m_faultDetail;
+}
+
 std::size_t MessageReader::surplusBytes() const
 {
     return m_buffer.size();
--- a/src/libs/http/messagereader.h
+++ b/src/libs/http/messagereader.h
@@ -97,6 +97,9 @@
     /// \brief Whether the head of the present message is whole.
     bool isHeadDone() const;
 
+    /// \brief For logs: what was wrong with the message that could not be read.
+    const std::string &faultDetail() const;
+
     /// \brief Bytes kept that belong to no message yet.
     std::size_t surplusBytes() const;
 
@@ -113,6 +116,7 @@
     MessageLimits m_limits;
     std::unique_ptr<Parser> m_parser;
     std::string m_buffer;
+    std::string m_faultDetail;
 };
 
 } // namespace Verbena::Http
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -141,7 +141,8 @@
     if (m_isWhole) {
         m_observer.receiveAnswerEnd();
     } else if (fault.has_value()) {
-        fail(*fault == Http::MessageFault::Truncated ? "the answer broke off" : "the answer is no HTTP");
+        const std::string detail = m_reader.faultDetail();
+        fail((*fault == Http::MessageFault::Truncated ? "the answer broke off: " : "the answer is no HTTP: ") + detail);
     }
 }
 
