Let agents tell routers how their engines are, and close the door after the notice of a shutdown

Change: datagrams from agents to the routers that ask; the schedule of loads is announced a second ahead; after the notice a router answers 503 and closes idle connections.

--- /dev/null
+++ b/src/libs/decisions/relay/enginestatus.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "serverregister.h"
+
+#include <core/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace Verbena::Decisions {
+
+/// \brief How an engine is, as the agent beside it says.
+struct EngineStatus
+{
+    std::vector<ServedWeights> weights;
+    bool isLoading = false; ///< Takes no new requests for now.
+    std::optional<Core::TimePoint> loadTime; ///< When it will begin to load new weights.
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint64_t usedTokens = 0; ///< Of its memory, those that cannot make room.
+    std::uint64_t totalTokens = 0;
+};
+
+} // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace Verbena::Decisions {
 
 using std::chrono::microseconds;
@@ -22,6 +24,19 @@
 // Without new work after a refusal: some answers later it has room again.
 constexpr milliseconds fullPause{100};
 
+// News come several times a second; without any for so long the agent counts as silent.
+constexpr milliseconds statusLifetime{1500};
+
+// An engine that is about to load weights first finishes what it runs. To keep that short, requests that would still run by then go elsewhere: a step
+// makes a token for each request and takes 4 to 10 ms in the known deployments, and a prompt is read in some tenths of a second.
+constexpr milliseconds timePerToken{6};
+constexpr milliseconds readTime{250};
+constexpr milliseconds longestForesight{1500};
+
+// Of an engine, until a request that comes begins to be read: for each that waits, and for each that runs and shares its steps.
+constexpr milliseconds waitPerWaiting{40};
+constexpr milliseconds waitPerRunning{2};
+
 // The pool of one model at one service; services may serve models of the same name.
 std::string poolName(const std::string &service, const std::string &model)
 {
@@ -75,8 +90,12 @@
     }
     m_followedRevision = m_register.revision();
     m_versions.clear();
+    m_idsByAddress.clear();
     std::vector<BackendServer> fleet;
     for (const auto &[id, registered] : m_register.servers()) {
+        if (!registered.weights.empty()) {
+            m_idsByAddress[registered.address] = id;
+        }
         if (registered.isLeaving) {
             continue;
         }
@@ -97,6 +116,54 @@
     m_chooser.setFleet(std::move(fleet));
 }
 
+void RelayFleet::noteStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now)
+{
+    followRegister();
+    const auto id = m_idsByAddress.find(address);
+    if (id == m_idsByAddress.end()) {
+        return;
+    }
+    const BackendServerId key = backendServerId(id->second);
+    m_heard[key] = {status, now + statusLifetime};
+    for (const ServedWeights &weights : status.weights) {
+        m_register.noteWeights(id->second, weights.model, weights.version);
+    }
+    LoadReport report;
+    report.running = status.running;
+    report.queued = status.waiting;
+    report.queuedWork = status.waiting * waitPerWaiting + status.running * waitPerRunning;
+    m_chooser.noteLoad(key, report, now);
+}
+
+std::vector<std::string> RelayFleet::engineAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[id, server] : m_register.servers()) {
+        if (!server.weights.empty()) {
+            addresses.push_back(server.address);
+        }
+    }
+    return addresses;
+}
+
+bool RelayFleet::isBusyWithWeights(const Heard &heard, const FleetQuery &query, Core::TimePoint now) const
+{
+    if (now >= heard.deadline) {
+        return false;
+    }
+    const milliseconds expected = std::min(longestForesight, readTime + query.prompt->maximumOutputTokens * timePerToken);
+    return heard.status.isLoading || (heard.status.loadTime.has_value() && now + expected > *heard.status.loadTime);
+}
+
+void RelayFleet::excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const
+{
+    for (const auto &[id, heard] : m_heard) {
+        if (isBusyWithWeights(heard, query, now)) {
+            route.excluded.push_back(id);
+        }
+    }
+}
+
 std::optional<std::uint64_t> RelayFleet::weightsFor(const FleetQuery &query, Core::TimePoint now) const
 {
     const auto versions = m_versions.find({query.service, query.prompt->model});
@@ -135,7 +202,15 @@
     for (const std::string &id : query.excluded) {
         route.excluded.push_back(backendServerId(id));
     }
-    const RouteDecision decision = m_chooser.choose(route, now);
+    const std::size_t tried = route.excluded.size();
+    if (query.prompt != nullptr) {
+        excludeBusyWithWeights(route, query, now);
+    }
+    RouteDecision decision = m_chooser.choose(route, now);
+    if (decision.candidates.empty() && route.excluded.size() > tried) {
+        route.excluded.resize(tried);
+        decision = m_chooser.choose(route, now);
+    }
     if (decision.candidates.empty()) {
         return std::nullopt;
     }
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "enginestatus.h"
 #include "promptoutline.h"
 #include "serverregister.h"
 #include "weightschoice.h"
@@ -9,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace Verbena::Decisions {
@@ -62,6 +64,12 @@
     /// \brief The newest version of \a model that was named, or 0.
     std::uint64_t newestWeights(const std::string &model) const;
 
+    /// \brief The agent beside the engine at \a address said how it is; believed for a moment.
+    void noteStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now);
+
+    /// \brief Addresses of all engines, whose agents can be asked.
+    std::vector<std::string> engineAddresses() const;
+
     /// \brief Where to send a request, or nothing if no backend server can take it now.
     std::optional<FleetChoice> choose(const FleetQuery &query, Core::TimePoint now);
 
@@ -78,7 +86,16 @@
     void noteAbandoned(const FleetChoice &choice);
 
 private:
+    // What an agent said of its engine, and until when it is believed.
+    struct Heard
+    {
+        EngineStatus status;
+        Core::TimePoint deadline;
+    };
+
     void followRegister();
+    bool isBusyWithWeights(const Heard &heard, const FleetQuery &query, Core::TimePoint now) const;
+    void excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const;
     std::optional<std::uint64_t> weightsFor(const FleetQuery &query, Core::TimePoint now) const;
 
     ServerRegister m_register;
@@ -86,6 +103,8 @@
     WeightsLimits m_weightsLimits;
     std::map<std::string, WeightsHistory> m_weights; ///< By model.
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, std::size_t>> m_versions; ///< By service and model.
+    std::unordered_map<BackendServerId, Heard> m_heard;
+    std::unordered_map<std::string, std::string> m_idsByAddress;
     std::uint64_t m_followedRevision = 0;
 };
 
--- a/src/libs/decisions/relay/weightsschedule.cpp
+++ b/src/libs/decisions/relay/weightsschedule.cpp
@@ -26,7 +26,7 @@
     const auto ownTurn = turn(*own, version);
     const auto before
         = std::count_if(holders.begin(), holders.end(), [&](const WeightsHolder &holder) { return holder.version < version && turn(holder, version) < ownTurn; });
-    return namedAt + before / pace.loadsAtOnce * pace.loadTime;
+    return namedAt + pace.notice + before / pace.loadsAtOnce * pace.loadTime;
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/weightsschedule.h
+++ b/src/libs/decisions/relay/weightsschedule.h
@@ -20,6 +20,7 @@
 {
     std::uint32_t loadsAtOnce = 3; ///< More slow each other down.
     std::chrono::milliseconds loadTime{600}; ///< Of one engine, while no more than that many load.
+    std::chrono::milliseconds notice{1000}; ///< Until the first ones load, so that what they run comes to its end.
 };
 
 /// \brief When the engine \a self should load weights that were named at \a namedAt.
--- /dev/null
+++ b/src/libs/relay/enginewatch.cpp
@@ -0,0 +1,74 @@
+#include "enginewatch.h"
+
+#include <eventloop/loop.h>
+
+namespace Verbena::Relay {
+
+namespace {
+
+// Well within the time for which agents remember who asked.
+constexpr std::chrono::milliseconds askPeriod{1200};
+
+Decisions::EngineStatus statusOf(const verbena::wire::EngineNews &news, Core::TimePoint now)
+{
+    Decisions::EngineStatus status;
+    for (const verbena::wire::EngineWeights &weights : news.weights()) {
+        status.weights.push_back({weights.model(), weights.version()});
+    }
+    status.isLoading = news.loading();
+    if (news.load_in_us() > 0) {
+        status.loadTime = now + std::chrono::microseconds(news.load_in_us() - 1);
+    }
+    status.running = news.running();
+    status.waiting = news.waiting();
+    status.usedTokens = news.used_tokens();
+    status.totalTokens = news.total_tokens();
+    return status;
+}
+
+} // namespace
+
+Core::Result<std::unique_ptr<EngineWatch>> EngineWatch::create(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay)
+{
+    std::unique_ptr<EngineWatch> watch(new EngineWatch(loop, address, relay));
+    auto socket = Wire::DatagramSocket::bind(
+        loop, address.address, [raw = watch.get()](const sockaddr_in &, const verbena::wire::Envelope &message) { raw->take(message); });
+    if (!socket) {
+        return socket.error();
+    }
+    watch->m_socket = std::move(socket.value());
+    watch->ask();
+    return watch;
+}
+
+EngineWatch::EngineWatch(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay)
+    : m_loop(loop)
+    , m_address(address)
+    , m_relay(relay)
+    , m_timer(loop, [this] { ask(); })
+{
+}
+
+void EngineWatch::ask()
+{
+    verbena::wire::Envelope message;
+    message.mutable_engine_watch();
+    for (const std::string &address : m_relay.fleet().engineAddresses()) {
+        auto agent = Http::Endpoint::parse(address);
+        if (agent) {
+            agent.value().address.sin_port = m_address.address.sin_port;
+            m_socket->send(agent.value().address, message);
+        }
+    }
+    m_timer.startAt(m_loop.now() + askPeriod);
+}
+
+void EngineWatch::take(const verbena::wire::Envelope &message)
+{
+    if (message.has_engine_news()) {
+        const Core::TimePoint now = m_loop.now();
+        m_relay.fleet().noteStatus(message.engine_news().address(), statusOf(message.engine_news(), now), now);
+    }
+}
+
+} // namespace Verbena::Relay
--- /dev/null
+++ b/src/libs/relay/enginewatch.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "relaytask.h"
+
+#include <eventloop/timer.h>
+#include <wire/datagramsocket.h>
+
+#include <memory>
+
+namespace Verbena::Relay {
+
+/// \brief Listens to the agents beside the engines of a relay's fleet.
+///
+/// Agents tell only those who ask, and for a few seconds only, so that a router that is gone is soon forgotten.
+class EngineWatch
+{
+public:
+    /// \brief Listens at \a address; the agents are at the same port of their hosts. Errors: Unavailable.
+    static Core::Result<std::unique_ptr<EngineWatch>> create(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay);
+
+    EngineWatch(const EngineWatch &) = delete;
+    EngineWatch &operator=(const EngineWatch &) = delete;
+
+private:
+    EngineWatch(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay);
+    void ask();
+    void take(const verbena::wire::Envelope &message);
+
+    EventLoop::Loop &m_loop;
+    Http::Endpoint m_address;
+    RelayTask &m_relay;
+    EventLoop::Timer m_timer;
+    std::unique_ptr<Wire::DatagramSocket> m_socket;
+};
+
+} // namespace Verbena::Relay
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -101,7 +101,7 @@
     }
     m_query = std::move(query.value());
     if (m_directory == nullptr) {
-        refuse(503, "No configuration is known yet.");
+        refuse(503, "This router has no configuration, or is about to end.");
         return false;
     }
     m_route = m_directory->route(m_query.host, m_query.path);
@@ -184,7 +184,7 @@
     context.cacheScope = choice.cacheScope;
     if (choice.sharedParts > 0) {
         context.cacheStore = m_directory->cacheStore();
-        context.cacheSource = choice.warmParts < choice.sharedParts ? context.cacheStore : "";
+        context.cacheSource = context.cacheStore;
     }
     const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority.has_value();
     context.priority = std::min(lowestPriority, hasOwnPriority ? *m_organisation->priority : m_route->priority);
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -24,6 +24,7 @@
         return listener.error();
     }
     task->m_listener = std::move(listener.value());
+    task->m_settings.listen = task->m_listener->endpoint();
     return task;
 }
 
@@ -73,7 +74,7 @@
 
 Http::Endpoint RelayTask::endpoint() const
 {
-    return m_listener->endpoint();
+    return m_settings.listen;
 }
 
 std::uint64_t RelayTask::configurationVersion() const
@@ -95,7 +96,8 @@
 
 std::unique_ptr<RelayedRequest> RelayTask::beginRequest(Http::MessageHead head, std::string body, AnswerSink &sink)
 {
-    return std::make_unique<RelayedRequest>(m_context, m_directory, std::move(head), std::move(body), sink);
+    const bool isTaken = m_listener != nullptr;
+    return std::make_unique<RelayedRequest>(m_context, isTaken ? m_directory : nullptr, std::move(head), std::move(body), sink);
 }
 
 Decisions::RelayLimits RelayTask::limits() const
@@ -126,9 +128,25 @@
     continueShutdown();
 }
 
+// Whoever still comes goes to another router at once: what would begin now might not end in time.
+void RelayTask::closeDoor()
+{
+    m_listener.reset();
+    std::vector<CallerConnection *> connections;
+    for (const auto &[connection, owned] : m_connections) {
+        connections.push_back(connection);
+    }
+    for (CallerConnection *connection : connections) {
+        connection->endIfIdle();
+    }
+}
+
 void RelayTask::continueShutdown()
 {
     const Core::TimePoint now = m_loop.now();
+    if (now >= m_noticeEnd && m_listener != nullptr) {
+        closeDoor();
+    }
     const auto isBusy = [](const auto &entry) {
         return entry.second->isBusy();
     };
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -20,7 +20,7 @@
     Decisions::RoutingOptions routing;
     std::uint32_t routerCount = 8; ///< Routers that share the resends, at most.
     std::uint64_t seed = 0;
-    std::chrono::milliseconds shutdownNotice{3500}; ///< Until the balancer sends no new callers any more.
+    std::chrono::milliseconds shutdownNotice{2900}; ///< Until the balancer sends no new callers any more.
     std::chrono::milliseconds shutdownGrace{7000}; ///< After that the process ends whatever still runs.
 };
 
@@ -63,6 +63,7 @@
     std::vector<Http::HttpField> refusalFields(const Refusal &refusal) const override;
     void connectionEnded(CallerConnection *connection) override;
     void acceptCaller(int descriptor);
+    void closeDoor();
     void continueShutdown();
 
     EventLoop::Loop &m_loop;
--- /dev/null
+++ b/src/libs/weights/newspublisher.cpp
@@ -0,0 +1,86 @@
+#include "newspublisher.h"
+
+#include <eventloop/loop.h>
+
+#include <algorithm>
+
+namespace Verbena::Weights {
+
+namespace {
+
+// Routers ask again in less than half of this.
+constexpr std::chrono::milliseconds watchTime{4000};
+
+// Routers that are told; more than the target has in one failure domain, and a bound on what a packet from anywhere can cost.
+constexpr std::size_t mostWatchers = 1024;
+
+} // namespace
+
+Core::Result<std::unique_ptr<NewsPublisher>> NewsPublisher::create(EventLoop::Loop &loop, const sockaddr_in &address, const std::string &engineAddress)
+{
+    std::unique_ptr<NewsPublisher> publisher(new NewsPublisher(loop, engineAddress));
+    const auto receive = [raw = publisher.get()](const sockaddr_in &from, const verbena::wire::Envelope &message) {
+        if (message.has_engine_watch()) {
+            raw->noteWatcher(from);
+        }
+    };
+    auto socket = Wire::DatagramSocket::bind(loop, address, receive);
+    if (!socket) {
+        return socket.error();
+    }
+    publisher->m_socket = std::move(socket.value());
+    return publisher;
+}
+
+NewsPublisher::NewsPublisher(EventLoop::Loop &loop, const std::string &engineAddress)
+    : m_loop(loop)
+    , m_engineAddress(engineAddress)
+{
+}
+
+void NewsPublisher::noteWatcher(const sockaddr_in &address)
+{
+    const Core::TimePoint deadline = m_loop.now() + watchTime;
+    const auto isSame = [&address](const Watcher &watcher) {
+        return watcher.address.sin_addr.s_addr == address.sin_addr.s_addr && watcher.address.sin_port == address.sin_port;
+    };
+    const auto known = std::find_if(m_watchers.begin(), m_watchers.end(), isSame);
+    if (known != m_watchers.end()) {
+        known->deadline = deadline;
+    } else if (m_watchers.size() < mostWatchers) {
+        m_watchers.push_back({address, deadline});
+    }
+}
+
+bool NewsPublisher::hasWatchers() const
+{
+    return !m_watchers.empty();
+}
+
+void NewsPublisher::publish(const Decisions::EngineStatus &status)
+{
+    const Core::TimePoint now = m_loop.now();
+    std::erase_if(m_watchers, [now](const Watcher &watcher) { return now >= watcher.deadline; });
+    verbena::wire::Envelope message;
+    verbena::wire::EngineNews &news = *message.mutable_engine_news();
+    news.set_address(m_engineAddress);
+    for (const Decisions::ServedWeights &weights : status.weights) {
+        verbena::wire::EngineWeights &entry = *news.add_weights();
+        entry.set_model(weights.model);
+        entry.set_version(weights.version);
+    }
+    news.set_loading(status.isLoading);
+    if (status.loadTime.has_value()) {
+        const auto left = std::chrono::duration_cast<std::chrono::microseconds>(*status.loadTime - now);
+        news.set_load_in_us(static_cast<std::uint64_t>(std::max<std::int64_t>(0, left.count())) + 1);
+    }
+    news.set_running(status.running);
+    news.set_waiting(status.waiting);
+    news.set_used_tokens(status.usedTokens);
+    news.set_total_tokens(status.totalTokens);
+    for (const Watcher &watcher : m_watchers) {
+        m_socket->send(watcher.address, message);
+    }
+}
+
+} // namespace Verbena::Weights
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -17,8 +17,8 @@
 // Changes of what operators declare are taken at once.
 constexpr milliseconds declarationsPause{0};
 
-// How often an engine with the newest weights is looked at: it may have been restarted with old ones.
-constexpr milliseconds idlePeriod{1000};
+// How often an engine is looked at: routers learn its load from this, and it may have been restarted with old weights.
+constexpr milliseconds idlePeriod{250};
 
 // While an order is carried out; a load takes half a second and more.
 constexpr milliseconds busyPeriod{100};
@@ -59,13 +59,15 @@
     Store::RowSource &rows,
     Store::FenceSource &fences,
     const Relay::DeploymentDecoder &decoder,
-    EngineControl &engine)
+    EngineControl &engine,
+    NewsPublisher &news)
     : m_loop(loop)
     , m_settings(settings)
     , m_rows(rows)
     , m_fences(fences)
     , m_decoder(decoder)
     , m_engine(engine)
+    , m_news(news)
     , m_timer(loop, [this] { look(); })
     , m_isAlive(std::make_shared<bool>(true))
     , m_declarations(loop, rows, decoder.tables().declarations, declarationsPause, *this)
@@ -150,7 +152,8 @@
             {"version", std::to_string(target.version)},
             {"engines", std::to_string(holders.size())},
             {"in_ms", std::to_string(wait.count())}});
-    lookAt(target.loadTime);
+    // Routers learn of the plan at once.
+    lookAt(m_loop.now());
 }
 
 void WeightsKeeper::lookAt(Core::TimePoint moment)
@@ -174,9 +177,31 @@
     m_isLooking = false;
     noteSilence(!report, report ? nullptr : &report.error());
     const Core::TimePoint next = report ? act(report.value()) : m_loop.now() + retryPeriod;
+    if (report) {
+        publish(report.value());
+    }
     lookAt(next);
 }
 
+void WeightsKeeper::publish(const EngineReport &report)
+{
+    Decisions::EngineStatus status;
+    status.weights = report.weights;
+    // An order that is on its way counts as carried out: requests that come now would wait for it.
+    status.isLoading = report.isCarryingOutOrder || m_isLooking;
+    for (const Decisions::ServedWeights &weights : report.weights) {
+        const auto target = m_targets.find(weights.model);
+        if (target != m_targets.end() && weights.version < target->second.version && target->second.loadTime != Core::TimePoint::max()) {
+            status.loadTime = target->second.loadTime;
+        }
+    }
+    status.running = report.running;
+    status.waiting = report.waiting;
+    status.usedTokens = report.usedTokens;
+    status.totalTokens = report.totalTokens;
+    m_news.publish(status);
+}
+
 void WeightsKeeper::noteSilence(bool isSilent, const Core::Error *error)
 {
     if (isSilent == m_isSilent) {
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "enginecontrol.h"
+#include "newspublisher.h"
 
 #include <decisions/relay/weightsschedule.h>
 #include <eventloop/timer.h>
@@ -34,7 +35,8 @@
         Store::RowSource &rows,
         Store::FenceSource &fences,
         const Relay::DeploymentDecoder &decoder,
-        EngineControl &engine);
+        EngineControl &engine,
+        NewsPublisher &news);
     ~WeightsKeeper() override;
 
     WeightsKeeper(const WeightsKeeper &) = delete;
@@ -57,6 +59,7 @@
     void planAmong(const std::string &model, Core::TimePoint namedAt, const Core::Result<Store::RowPage> &page);
     void look();
     void takeReport(const Core::Result<EngineReport> &report);
+    void publish(const EngineReport &report);
     void noteSilence(bool isSilent, const Core::Error *error);
     Core::TimePoint act(const EngineReport &report);
     void order(const std::string &model, std::uint64_t version, std::uint64_t expectedOrders);
@@ -71,6 +74,7 @@
     Store::FenceSource &m_fences;
     const Relay::DeploymentDecoder &m_decoder;
     EngineControl &m_engine;
+    NewsPublisher &m_news;
     EventLoop::Timer m_timer;
     std::shared_ptr<bool> m_isAlive; ///< Answers may come after this is gone.
     std::map<std::string, Target> m_targets; ///< By model.
