--- a/src/libs/decisions/relay/enginestatus.h
+++ b/src/libs/decisions/relay/enginestatus.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "partindex.h"
 #include "serverregister.h"
 
 #include <core/time.h>
@@ -20,6 +21,7 @@
     std::uint32_t waiting = 0;
     std::uint64_t usedTokens = 0; ///< Of its memory, those that cannot make room.
     std::uint64_t totalTokens = 0;
+    std::optional<std::vector<PartKey>> parts; ///< In its cache; nothing if they are as they were.
 };
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/relaydirectory.cpp
+++ b/src/libs/decisions/relay/relaydirectory.cpp
@@ -31,7 +31,7 @@
     }
     for (const RelayService &service : m_configuration.services) {
         if (!service.cacheStore.empty()) {
-            m_cacheStore = service.cacheStore;
+            m_cacheStore = &service;
         }
     }
 }
@@ -99,7 +99,7 @@
     return found == m_configuration.services.end() ? nullptr : &*found;
 }
 
-const std::string &RelayDirectory::cacheStore() const
+const RelayService *RelayDirectory::cacheStore() const
 {
     return m_cacheStore;
 }
--- a/src/libs/decisions/relay/relaydirectory.h
+++ b/src/libs/decisions/relay/relaydirectory.h
@@ -35,8 +35,8 @@
     /// \brief The service called \a name, or nothing.
     const RelayService *serviceNamed(std::string_view name) const;
 
-    /// \brief Address of the store of kept KV cache; empty if there is none.
-    const std::string &cacheStore() const;
+    /// \brief The store of kept KV cache, or nothing if there is none.
+    const RelayService *cacheStore() const;
 
 private:
     struct TextHash
@@ -53,7 +53,7 @@
     RelayConfiguration m_configuration;
     TextMap<TextMap<const RelayRoute *>> m_routes; ///< By host, then by prefix.
     TextMap<const RelayOrganisation *> m_organisations; ///< By key.
-    std::string m_cacheStore;
+    const RelayService *m_cacheStore = nullptr;
 };
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -17,6 +17,19 @@
 // Tokens that an engine reads in a millisecond, for the weight of a prompt against the wait at an engine: between the slowest and the fastest engines
 // of the known deployments (32 and 92).
 constexpr std::uint32_t tokensPerMillisecond = 50;
+constexpr microseconds readPerToken{40};
+
+// What another engine keeps comes over the network: 3 to 8 microseconds a token in the known deployments.
+constexpr microseconds fetchPerToken{20};
+
+// A cold prompt goes to its home, where all routers look for it, unless another engine is this much better off.
+constexpr milliseconds awayFromHome{100};
+
+// From a request until the news of its parts: events lag, agents ask and tell in turn.
+constexpr milliseconds newsDelay{900};
+
+// Parts remembered for that long; beyond this number the outdated ones are dropped.
+constexpr std::size_t mostSent = 4096;
 
 // Without new work after a connection that failed: as long as a quick restart takes.
 constexpr milliseconds unreachablePause{1000};
@@ -37,6 +50,19 @@
 constexpr milliseconds waitPerWaiting{40};
 constexpr milliseconds waitPerRunning{2};
 
+// Beyond this part of its memory a request that comes has to wait until another one ends.
+constexpr double fullMemory = 0.9;
+constexpr milliseconds waitForMemory{300};
+
+// Prompts of which a full store takes one, and from which part of its capacity on it counts as full.
+constexpr std::uint64_t savesOneOf = 4;
+constexpr double fullStore = 0.9;
+// The lower digits of a draw have chosen the weights already.
+constexpr std::uint64_t saveDrawDivisor = 1'000'000'007;
+
+// As long as it takes to bring new weights to all engines and to read again what is asked for.
+constexpr milliseconds refillTime{8000};
+
 // The pool of one model at one service; services may serve models of the same name.
 std::string poolName(const std::string &service, const std::string &model)
 {
@@ -49,6 +75,17 @@
     return query.prompt->model + '@' + std::to_string(version) + (query.dedicatedTo.empty() ? "" : '/' + query.dedicatedTo);
 }
 
+LoadReport loadOf(const EngineStatus &status)
+{
+    LoadReport report;
+    report.running = status.running;
+    report.queued = status.waiting;
+    report.queuedWork = status.waiting * waitPerWaiting + status.running * waitPerRunning;
+    const bool isMemoryFull = static_cast<double>(status.usedTokens) > fullMemory * static_cast<double>(status.totalTokens);
+    report.queuedWork += isMemoryFull ? waitForMemory : milliseconds(0);
+    return report;
+}
+
 PrefixKey chain(PrefixKey before, const std::string &id)
 {
     return PrefixKey(XXH3_64bits_withSeed(id.data(), id.size(), static_cast<std::uint64_t>(before)));
@@ -124,15 +161,17 @@
         return;
     }
     const BackendServerId key = backendServerId(id->second);
-    m_heard[key] = {status, now + statusLifetime};
+    Heard &heard = m_heard[key];
+    heard.status = status;
+    heard.deadline = now + statusLifetime;
+    if (status.parts.has_value()) {
+        heard.parts = {status.parts->begin(), status.parts->end()};
+        heard.status.parts.reset();
+    }
     for (const ServedWeights &weights : status.weights) {
         m_register.noteWeights(id->second, weights.model, weights.version);
     }
-    LoadReport report;
-    report.running = status.running;
-    report.queued = status.waiting;
-    report.queuedWork = status.waiting * waitPerWaiting + status.running * waitPerRunning;
-    m_chooser.noteLoad(key, report, now);
+    m_chooser.noteLoad(key, loadOf(status), now);
 }
 
 std::vector<std::string> RelayFleet::engineAddresses() const
@@ -146,6 +185,109 @@
     return addresses;
 }
 
+bool RelayFleet::isKept(const Heard &heard, BackendServerId id, PartKey part, Core::TimePoint now) const
+{
+    if (heard.parts.contains(part)) {
+        return true;
+    }
+    const auto sent = m_sent.find(part);
+    return sent != m_sent.end() && sent->second.id == id && now < sent->second.deadline;
+}
+
+// How many leading parts the engine keeps, if its agent has said so lately.
+std::optional<std::uint32_t> RelayFleet::warmParts(BackendServerId id, const std::vector<SharedPart> &parts, Core::TimePoint now) const
+{
+    const auto heard = m_heard.find(id);
+    if (heard == m_heard.end() || now >= heard->second.deadline) {
+        return std::nullopt;
+    }
+    const auto missing = std::find_if(parts.begin(), parts.end(), [&](const SharedPart &part) { return !isKept(heard->second, id, part.key, now); });
+    return static_cast<std::uint32_t>(missing - parts.begin());
+}
+
+void RelayFleet::setStoreIndex(const PartIndex *index)
+{
+    m_storeIndex = index;
+}
+
+// A full store drops something useful for each prompt that it takes, and half of what it takes belongs to one request alone. Letting in only one of
+// several keeps what is asked for again and again; right after new weights, when all that it holds is void, it takes all.
+bool RelayFleet::isWorthSaving(const FleetQuery &query, Core::TimePoint now) const
+{
+    if (m_storeIndex == nullptr) {
+        return false;
+    }
+    const auto history = m_weights.find(query.prompt->model);
+    const bool isRefilling = history != m_weights.end() && now < history->second.newestSince() + refillTime;
+    const bool hasRoom = static_cast<double>(m_storeIndex->tokens()) < fullStore * static_cast<double>(m_storeIndex->capacity());
+    return isRefilling || hasRoom || query.draw / saveDrawDivisor % savesOneOf == 0;
+}
+
+std::uint32_t RelayFleet::storedParts(const std::vector<SharedPart> &parts) const
+{
+    if (m_storeIndex == nullptr) {
+        return 0;
+    }
+    const auto missing = std::find_if(parts.begin(), parts.end(), [this](const SharedPart &part) { return !m_storeIndex->contains(part.key); });
+    return static_cast<std::uint32_t>(missing - parts.begin());
+}
+
+std::uint32_t RelayFleet::warmAnywhere(const std::vector<SharedPart> &parts, Core::TimePoint now) const
+{
+    std::uint32_t most = storedParts(parts);
+    for (const auto &[id, heard] : m_heard) {
+        most = std::max(most, m_chooser.server(id) == nullptr ? 0 : warmParts(id, parts, now).value_or(0));
+    }
+    return most;
+}
+
+// What a request would wait for at the candidate, and what it would cost the engine on top: reading what nobody keeps, fetching what another one does.
+microseconds RelayFleet::cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const
+{
+    candidate.warmPieces = warmParts(candidate.id, parts, now).value_or(candidate.warmPieces);
+    candidate.prefill = microseconds(0);
+    for (std::uint32_t part = candidate.warmPieces; part < parts.size(); ++part) {
+        candidate.prefill += parts[part].tokens * (part < warmAnywhere ? fetchPerToken : readPerToken);
+    }
+    return candidate.wait + candidate.prefill + (candidate.origin == CandidateOrigin::Home ? microseconds(0) : awayFromHome);
+}
+
+RouteCandidate RelayFleet::bestOf(const RouteDecision &decision, const std::vector<SharedPart> &parts, Core::TimePoint now) const
+{
+    const std::uint32_t anywhere = warmAnywhere(parts, now);
+    RouteCandidate best = decision.candidates.front();
+    microseconds lowest = cost(best, parts, anywhere, now);
+    for (RouteCandidate candidate : decision.candidates) {
+        const microseconds offered = cost(candidate, parts, anywhere, now);
+        if (offered < lowest) {
+            lowest = offered;
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+// The engine that keeps most of what the chosen one lacks, if it is more than the store has; one of the same failure domain if there are several.
+// What the store has is more certain: engines drop parts within seconds.
+std::string RelayFleet::sourceOf(const FleetChoice &choice, const std::vector<SharedPart> &parts, Core::TimePoint now) const
+{
+    std::pair<std::uint32_t, bool> best{std::max(choice.warmParts, choice.storedParts), true};
+    std::string source;
+    for (const auto &[id, heard] : m_heard) {
+        const BackendServer *server = m_chooser.server(id);
+        const auto warm = warmParts(id, parts, now);
+        if (server == nullptr || id == choice.id || !warm.has_value()) {
+            continue;
+        }
+        const std::pair<std::uint32_t, bool> offer{*warm, server->failureDomain == choice.failureDomain};
+        if (offer > best) {
+            best = offer;
+            source = server->endpoint;
+        }
+    }
+    return source;
+}
+
 bool RelayFleet::isBusyWithWeights(const Heard &heard, const FleetQuery &query, Core::TimePoint now) const
 {
     if (now >= heard.deadline) {
@@ -180,6 +322,7 @@
     followRegister();
     FleetChoice choice;
     RouteQuery &route = choice.route;
+    std::vector<SharedPart> parts;
     choice.work = plainWork;
     if (query.prompt != nullptr) {
         choice.weightsVersion = weightsFor(query, now);
@@ -193,6 +336,8 @@
         for (std::size_t part = 0; part + 1 < query.prompt->parts.size(); ++part) {
             key = chain(key, query.prompt->parts[part].id);
             route.keys.push_back(key);
+            parts.push_back({partKey(choice.cacheScope, query.prompt->parts[part].id), query.prompt->parts[part].tokens});
+            choice.parts.push_back(parts.back().key);
         }
         choice.sharedParts = static_cast<std::uint32_t>(route.keys.size());
     } else {
@@ -214,7 +359,7 @@
     if (decision.candidates.empty()) {
         return std::nullopt;
     }
-    const RouteCandidate &best = decision.candidates.front();
+    const RouteCandidate best = parts.empty() ? decision.candidates.front() : bestOf(decision, parts, now);
     const BackendServer *server = m_chooser.server(best.id);
     choice.id = best.id;
     choice.serverId = server->name;
@@ -223,6 +368,10 @@
     choice.warmParts = best.warmPieces;
     if (query.prompt != nullptr) {
         const std::uint32_t ownTokens = query.prompt->parts.empty() ? query.prompt->promptTokens : query.prompt->parts.back().tokens;
+        choice.isStoreKnown = m_storeIndex != nullptr;
+        choice.storedParts = storedParts(parts);
+        choice.isWorthSaving = isWorthSaving(query, now);
+        choice.cacheSource = sourceOf(choice, parts, now);
         choice.work = best.prefill + microseconds(1000) * (ownTokens / tokensPerMillisecond);
     }
     return choice;
@@ -231,6 +380,12 @@
 void RelayFleet::noteSent(const FleetChoice &choice, Core::TimePoint now)
 {
     m_chooser.noteDispatched(choice.id, choice.route, choice.work, now);
+    if (m_sent.size() > mostSent) {
+        std::erase_if(m_sent, [now](const auto &entry) { return now >= entry.second.deadline; });
+    }
+    for (const PartKey part : choice.parts) {
+        m_sent[part] = {choice.id, now + newsDelay};
+    }
 }
 
 void RelayFleet::noteAnswered(const FleetChoice &choice, Core::TimePoint now)
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Verbena::Decisions {
@@ -35,6 +36,11 @@
     std::string cacheScope; ///< Prompts of other scopes share no cached part with this one.
     std::uint32_t warmParts = 0; ///< Leading parts of the prompt believed to be in its cache.
     std::uint32_t sharedParts = 0; ///< Parts that other prompts may share.
+    std::vector<PartKey> parts; ///< The shared parts, in order.
+    std::string cacheSource; ///< Address of an engine that keeps more of them; empty if none is known.
+    std::uint32_t storedParts = 0; ///< Leading parts that the store of kept KV cache holds.
+    bool isStoreKnown = false; ///< Whether storedParts can be relied on.
+    bool isWorthSaving = false; ///< Whether the store should get what it lacks.
     BackendServerId id{};
     RouteQuery route;
     std::chrono::microseconds work{0};
@@ -67,6 +73,9 @@
     /// \brief The agent beside the engine at \a address said how it is; believed for a moment.
     void noteStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now);
 
+    /// \brief The store of kept KV cache holds what \a index says; nothing if it cannot be relied on. The index has to live until the next call.
+    void setStoreIndex(const PartIndex *index);
+
     /// \brief Addresses of all engines, whose agents can be asked.
     std::vector<std::string> engineAddresses() const;
 
@@ -90,11 +99,34 @@
     struct Heard
     {
         EngineStatus status;
+        std::unordered_set<PartKey> parts;
         Core::TimePoint deadline;
     };
 
     void followRegister();
     bool isBusyWithWeights(const Heard &heard, const FleetQuery &query, Core::TimePoint now) const;
+    // A part of a prompt that others may share.
+    struct SharedPart
+    {
+        PartKey key;
+        std::uint32_t tokens;
+    };
+
+    // Where a part was sent last, which no agent can have told of yet.
+    struct Sent
+    {
+        BackendServerId id{};
+        Core::TimePoint deadline;
+    };
+
+    std::optional<std::uint32_t> warmParts(BackendServerId id, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
+    bool isKept(const Heard &heard, BackendServerId id, PartKey part, Core::TimePoint now) const;
+    RouteCandidate bestOf(const RouteDecision &decision, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
+    std::chrono::microseconds cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const;
+    bool isWorthSaving(const FleetQuery &query, Core::TimePoint now) const;
+    std::uint32_t storedParts(const std::vector<SharedPart> &parts) const;
+    std::uint32_t warmAnywhere(const std::vector<SharedPart> &parts, Core::TimePoint now) const;
+    std::string sourceOf(const FleetChoice &choice, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
     void excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const;
     std::optional<std::uint64_t> weightsFor(const FleetQuery &query, Core::TimePoint now) const;
 
@@ -104,6 +136,8 @@
     std::map<std::string, WeightsHistory> m_weights; ///< By model.
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, std::size_t>> m_versions; ///< By service and model.
     std::unordered_map<BackendServerId, Heard> m_heard;
+    std::unordered_map<PartKey, Sent> m_sent;
+    const PartIndex *m_storeIndex = nullptr;
     std::unordered_map<std::string, std::string> m_idsByAddress;
     std::uint64_t m_followedRevision = 0;
 };
--- a/src/libs/decisions/relay/weightschoice.cpp
+++ b/src/libs/decisions/relay/weightschoice.cpp
@@ -42,6 +42,11 @@
     return m_named.empty() ? 0 : m_named.back().version;
 }
 
+Core::TimePoint WeightsHistory::newestSince() const
+{
+    return m_named.empty() ? Core::TimePoint() : m_named.back().at;
+}
+
 std::optional<Core::TimePoint> WeightsHistory::outdatedSince(std::uint64_t version) const
 {
     const auto newer = std::find_if(m_named.begin(), m_named.end(), [version](const Named &named) { return named.version > version; });
--- a/src/libs/decisions/relay/weightschoice.h
+++ b/src/libs/decisions/relay/weightschoice.h
@@ -28,6 +28,9 @@
     /// \brief The newest version, or 0 if none was named.
     std::uint64_t newest() const;
 
+    /// \brief When the newest version was named; long ago if none was.
+    Core::TimePoint newestSince() const;
+
     /// \brief When the first version after \a version was named, or nothing if it is the newest.
     std::optional<Core::TimePoint> outdatedSince(std::uint64_t version) const;
 
--- a/src/libs/relay/enginewatch.cpp
+++ b/src/libs/relay/enginewatch.cpp
@@ -23,6 +23,12 @@
     status.waiting = news.waiting();
     status.usedTokens = news.used_tokens();
     status.totalTokens = news.total_tokens();
+    if (news.has_parts()) {
+        status.parts.emplace();
+        for (const std::uint64_t part : news.parts()) {
+            status.parts->push_back(Decisions::PartKey(part));
+        }
+    }
     return status;
 }
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -182,16 +182,24 @@
     context.timeLeft = std::max(milliseconds(1), left);
     context.weightsVersion = choice.weightsVersion;
     context.cacheScope = choice.cacheScope;
-    if (choice.sharedParts > 0) {
-        context.cacheStore = m_directory->cacheStore();
-        context.cacheSource = context.cacheStore;
-    }
+    setCaches(context, choice);
     const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority.has_value();
     context.priority = std::min(lowestPriority, hasOwnPriority ? *m_organisation->priority : m_route->priority);
     context.lastEventId = m_cutter.lastId().has_value() ? std::to_string(*m_cutter.lastId()) : m_query.lastEventId;
     return context;
 }
 
+// What the engine keeps needs not to be fetched, and what the store has needs not to be saved: with each part the store would also get the one that
+// belongs to this request alone, and drop for it what others miss.
+void RelayedRequest::setCaches(CallContext &context, const FleetChoice &choice) const
+{
+    const Decisions::RelayService *store = m_directory->cacheStore();
+    if (store == nullptr || choice.sharedParts == 0) { return; }
+    context.cacheStore = choice.isWorthSaving ? store->cacheStore : "";
+    context.cacheSource = store->cacheStore;
+    if (choice.isStoreKnown && choice.storedParts >= choice.sharedParts) { context.cacheStore.clear(); }
+}
+
 std::string RelayedRequest::callText(const FleetChoice &choice) const
 {
     std::string text;
@@ -445,6 +453,8 @@
             {"server", m_choice.has_value() ? m_choice->serverId : ""},
             {"weights", m_choice.has_value() && m_choice->weightsVersion.has_value() ? std::to_string(*m_choice->weightsVersion) : ""},
             {"warm", m_choice.has_value() ? std::to_string(m_choice->warmParts) + "/" + std::to_string(m_choice->sharedParts) : ""},
+            {"stored", m_choice.has_value() ? std::to_string(m_choice->storedParts) : ""},
+            {"source", m_choice.has_value() ? m_choice->cacheSource : ""},
             {"sends", std::to_string(m_attempts.sends)},
             {"first_ms", text(m_firstPartAfter)},
             {"total_ms", text(sinceArrival())},
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -20,4 +20,7 @@
 inline constexpr Event drainBegun{2110, Severity::Info, "drain_begun", "The router ends: it finishes what it has and wants no new callers."};
 inline constexpr Event entryRefused{2111, Severity::Warning, "entry_refused", "The register's entry of a backend server could not be read."};
 
+inline constexpr Event cacheLost{2112, Severity::Warning, "cache_lost", "An engine or a store of kept KV cache does not say what it holds."};
+inline constexpr Event cacheFollowed{2113, Severity::Info, "cache_followed", "An engine or a store of kept KV cache says again what it holds."};
+
 } // namespace Verbena::Relay
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -82,6 +82,12 @@
     return m_directory == nullptr ? 0 : m_directory->version();
 }
 
+Decisions::RelayService RelayTask::cacheStore() const
+{
+    const bool isKnown = m_directory != nullptr && m_directory->cacheStore() != nullptr;
+    return isKnown ? *m_directory->cacheStore() : Decisions::RelayService();
+}
+
 void RelayTask::acceptCaller(int descriptor)
 {
     auto connection = std::make_unique<CallerConnection>(m_loop, descriptor, *this);
--- a/src/libs/weights/newspublisher.cpp
+++ b/src/libs/weights/newspublisher.cpp
@@ -11,6 +11,9 @@
 // Routers ask again in less than half of this.
 constexpr std::chrono::milliseconds watchTime{4000};
 
+// Those that were heard of last; so many fit one packet with the rest of the news.
+constexpr std::size_t mostParts = 150;
+
 // Routers that are told; more than the target has in one failure domain, and a bound on what a packet from anywhere can cost.
 constexpr std::size_t mostWatchers = 1024;
 
@@ -78,6 +81,14 @@
     news.set_waiting(status.waiting);
     news.set_used_tokens(status.usedTokens);
     news.set_total_tokens(status.totalTokens);
+    // Hashes of what is cached are by far the longest part of the news; who misses them hears them again soon.
+    news.set_has_parts(status.parts.has_value());
+    if (status.parts.has_value()) {
+        const std::size_t count = std::min(status.parts->size(), mostParts);
+        for (std::size_t part = status.parts->size() - count; part < status.parts->size(); ++part) {
+            news.add_parts(static_cast<std::uint64_t>((*status.parts)[part]));
+        }
+    }
     for (const Watcher &watcher : m_watchers) {
         m_socket->send(watcher.address, message);
     }
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -20,6 +20,9 @@
 // How often an engine is looked at: routers learn its load from this, and it may have been restarted with old weights.
 constexpr milliseconds idlePeriod{250};
 
+// How often routers are told all that is cached although nothing changed: some of them may have missed it, or be new.
+constexpr milliseconds wholePeriod{1000};
+
 // While an order is carried out; a load takes half a second and more.
 constexpr milliseconds busyPeriod{100};
 
@@ -60,6 +63,7 @@
     Store::FenceSource &fences,
     const Relay::DeploymentDecoder &decoder,
     EngineControl &engine,
+    Relay::CacheNewsSource &caches,
     NewsPublisher &news)
     : m_loop(loop)
     , m_settings(settings)
@@ -68,6 +72,7 @@
     , m_decoder(decoder)
     , m_engine(engine)
     , m_news(news)
+    , m_cache(loop, caches, settings.engineAddress)
     , m_timer(loop, [this] { look(); })
     , m_isAlive(std::make_shared<bool>(true))
     , m_declarations(loop, rows, decoder.tables().declarations, declarationsPause, *this)
@@ -199,6 +204,13 @@
     status.waiting = report.waiting;
     status.usedTokens = report.usedTokens;
     status.totalTokens = report.totalTokens;
+    m_cache.setCapacity(report.totalTokens);
+    const Core::TimePoint now = m_loop.now();
+    if (m_cache.index().revision() != m_publishedRevision || now >= m_publishedWhole + wholePeriod) {
+        m_publishedRevision = m_cache.index().revision();
+        m_publishedWhole = now;
+        status.parts = m_cache.index().parts();
+    }
     m_news.publish(status);
 }
 
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -5,6 +5,7 @@
 
 #include <decisions/relay/weightsschedule.h>
 #include <eventloop/timer.h>
+#include <relay/cachewatch.h>
 #include <relay/deploymentdecoder.h>
 #include <store/tablefollower.h>
 
@@ -36,6 +37,7 @@
         Store::FenceSource &fences,
         const Relay::DeploymentDecoder &decoder,
         EngineControl &engine,
+        Relay::CacheNewsSource &caches,
         NewsPublisher &news);
     ~WeightsKeeper() override;
 
@@ -75,6 +77,9 @@
     const Relay::DeploymentDecoder &m_decoder;
     EngineControl &m_engine;
     NewsPublisher &m_news;
+    Relay::CacheWatch m_cache;
+    std::uint64_t m_publishedRevision = 0; ///< Of the cache.
+    Core::TimePoint m_publishedWhole{}; ///< When routers were last told all that is cached.
     EventLoop::Timer m_timer;
     std::shared_ptr<bool> m_isAlive; ///< Answers may come after this is gone.
     std::map<std::string, Target> m_targets; ///< By model.
