Turn away what cannot be in time; leave dark engines alone sooner

Load: after new weights every prompt is cold, and engines are asked for more than they can read; all waited for a second and were late.

--- /dev/null
+++ b/src/libs/decisions/relay/admission.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <core/time.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace Verbena::Decisions {
+
+/// \brief What a router has learned of how long requests wait at engines, by those that it sent.
+class WaitEstimate
+{
+public:
+    /// \brief The first part of an answer came after \a span; \a waiting requests were before it when it was sent.
+    void note(std::uint32_t waiting, std::chrono::microseconds span, Core::TimePoint now);
+
+    /// \brief How long a request waits behind \a waiting others; nothing behind none.
+    std::chrono::microseconds expected(std::uint32_t waiting, Core::TimePoint now) const;
+
+private:
+    std::chrono::microseconds perWaiting(Core::TimePoint now) const;
+
+    std::chrono::microseconds m_unloaded{100'000};
+    std::chrono::microseconds m_perWaiting{40'000};
+    Core::TimePoint m_notedAt{};
+};
+
+/// \brief What is known when a request is to be sent or refused.
+struct AdmissionQuery
+{
+    std::chrono::microseconds wait{0}; ///< That it is expected to, at the best backend server, before it is begun.
+    std::chrono::microseconds target{0}; ///< That its route wants; zero for none.
+    std::chrono::microseconds patience{0}; ///< Until the caller leaves.
+};
+
+/// \brief When a refused caller should come back; nothing if the request should be sent.
+///
+/// It answers a load that stays above what engines can read, for instance right after new weights when every prompt is cold: if all were let in, all
+/// would wait for seconds and none would be in time. Turning away what cannot be in time keeps the queues as short as the target, so that what is let
+/// in is.
+std::optional<std::chrono::milliseconds> refuseUntil(const AdmissionQuery &query);
+
+} // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/enginestatus.h
+++ b/src/libs/decisions/relay/enginestatus.h
@@ -15,6 +15,7 @@
 struct EngineStatus
 {
     std::vector<ServedWeights> weights;
+    bool isSilent = false; ///< It does not answer its agent.
     bool isLoading = false; ///< Takes no new requests for now.
     std::optional<Core::TimePoint> loadTime; ///< When it will begin to load new weights.
     std::uint32_t running = 0;
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -31,8 +31,9 @@
 // Parts remembered for that long; beyond this number the outdated ones are dropped.
 constexpr std::size_t mostSent = 4096;
 
-// Without new work after a connection that failed: as long as a quick restart takes.
-constexpr milliseconds unreachablePause{1000};
+// Without new work after a connection that failed; doubles with each further one, so that a dark backend server costs few requests.
+constexpr milliseconds unreachablePause{500};
+constexpr std::uint32_t mostDoublings = 4;
 
 // Without new work after a refusal: some answers later it has room again.
 constexpr milliseconds fullPause{100};
@@ -267,25 +268,16 @@
     return best;
 }
 
-// The engine that keeps most of what the chosen one lacks, if it is more than the store has; one of the same failure domain if there are several.
-// What the store has is more certain: engines drop parts within seconds.
-std::string RelayFleet::sourceOf(const FleetChoice &choice, const std::vector<SharedPart> &parts, Core::TimePoint now) const
+void RelayFleet::estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
 {
-    std::pair<std::uint32_t, bool> best{std::max(choice.warmParts, choice.storedParts), true};
-    std::string source;
-    for (const auto &[id, heard] : m_heard) {
-        const BackendServer *server = m_chooser.server(id);
-        const auto warm = warmParts(id, parts, now);
-        if (server == nullptr || id == choice.id || !warm.has_value()) {
-            continue;
-        }
-        const std::pair<std::uint32_t, bool> offer{*warm, server->failureDomain == choice.failureDomain};
-        if (offer > best) {
-            best = offer;
-            source = server->endpoint;
-        }
+    const auto heard = m_heard.find(choice.id);
+    if (heard == m_heard.end() || now >= heard->second.deadline) {
+        return;
     }
-    return source;
+    static const WaitEstimate nothingLearned;
+    const auto learned = m_estimates.find(query.route);
+    choice.waiting = heard->second.status.waiting;
+    choice.expectedWait = (learned == m_estimates.end() ? nothingLearned : learned->second).expected(choice.waiting, now);
 }
 
 bool RelayFleet::isBusyWithWeights(const Heard &heard, const FleetQuery &query, Core::TimePoint now) const
@@ -294,7 +286,7 @@
         return false;
     }
     const milliseconds expected = std::min(longestForesight, readTime + query.prompt->maximumOutputTokens * timePerToken);
-    return heard.status.isLoading || (heard.status.loadTime.has_value() && now + expected > *heard.status.loadTime);
+    return heard.status.isSilent || heard.status.isLoading || (heard.status.loadTime.has_value() && now + expected > *heard.status.loadTime);
 }
 
 void RelayFleet::excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const
@@ -321,6 +313,7 @@
 {
     followRegister();
     FleetChoice choice;
+    choice.routeName = query.route;
     RouteQuery &route = choice.route;
     std::vector<SharedPart> parts;
     choice.work = plainWork;
@@ -371,14 +364,15 @@
         choice.isStoreKnown = m_storeIndex != nullptr;
         choice.storedParts = storedParts(parts);
         choice.isWorthSaving = isWorthSaving(query, now);
-        choice.cacheSource = sourceOf(choice, parts, now);
+        estimate(choice, query, now);
         choice.work = best.prefill + microseconds(1000) * (ownTokens / tokensPerMillisecond);
     }
     return choice;
 }
 
-void RelayFleet::noteSent(const FleetChoice &choice, Core::TimePoint now)
+void RelayFleet::noteSent(FleetChoice &choice, Core::TimePoint now)
 {
+    choice.sentAt = now;
     m_chooser.noteDispatched(choice.id, choice.route, choice.work, now);
     if (m_sent.size() > mostSent) {
         std::erase_if(m_sent, [now](const auto &entry) { return now >= entry.second.deadline; });
@@ -390,14 +384,18 @@
 
 void RelayFleet::noteAnswered(const FleetChoice &choice, Core::TimePoint now)
 {
+    m_failures.erase(choice.id);
     m_chooser.noteReply(choice.id, choice.route, choice.sharedParts, choice.work, now);
+    if (choice.expectedWait.has_value()) {
+        m_estimates[choice.routeName].note(choice.waiting, std::chrono::duration_cast<microseconds>(now - choice.sentAt), now);
+    }
 }
 
 void RelayFleet::noteTrouble(const FleetChoice &choice, ServerTrouble trouble, Core::TimePoint now)
 {
     RouteRefusal refusal;
     refusal.isUnavailable = true;
-    refusal.retryAfter = trouble == ServerTrouble::Full ? fullPause : unreachablePause;
+    refusal.retryAfter = trouble == ServerTrouble::Full ? fullPause : unreachablePause * (1 << std::min(m_failures[choice.id]++, mostDoublings));
     m_chooser.noteRefusal(choice.id, choice.route, refusal, choice.work, now);
 }
 
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission.h"
 #include "enginestatus.h"
 #include "promptoutline.h"
 #include "serverregister.h"
@@ -20,6 +21,7 @@
 struct FleetQuery
 {
     std::string service;
+    std::string route; ///< Whose requests are alike, for estimates.
     const PromptOutline *prompt = nullptr; ///< Of a completion; nothing for a plain call.
     std::string dedicatedTo; ///< The organisation that shares no KV cache with others, if the request is of such a one.
     std::vector<std::string> excluded; ///< Ids of backend servers that were tried before.
@@ -37,13 +39,16 @@
     std::uint32_t warmParts = 0; ///< Leading parts of the prompt believed to be in its cache.
     std::uint32_t sharedParts = 0; ///< Parts that other prompts may share.
     std::vector<PartKey> parts; ///< The shared parts, in order.
-    std::string cacheSource; ///< Address of an engine that keeps more of them; empty if none is known.
     std::uint32_t storedParts = 0; ///< Leading parts that the store of kept KV cache holds.
     bool isStoreKnown = false; ///< Whether storedParts can be relied on.
     bool isWorthSaving = false; ///< Whether the store should get what it lacks.
     BackendServerId id{};
     RouteQuery route;
     std::chrono::microseconds work{0};
+    std::string routeName;
+    std::uint32_t waiting = 0; ///< Requests that wait there, by the agent's last news.
+    std::optional<std::chrono::microseconds> expectedWait; ///< Before it is begun; nothing if there are no news.
+    Core::TimePoint sentAt;
 };
 
 /// \brief Why a backend server gets no new work for a while.
@@ -83,7 +88,7 @@
     std::optional<FleetChoice> choose(const FleetQuery &query, Core::TimePoint now);
 
     /// \brief The request of \a choice was sent.
-    void noteSent(const FleetChoice &choice, Core::TimePoint now);
+    void noteSent(FleetChoice &choice, Core::TimePoint now);
 
     /// \brief The first part of the answer has come.
     void noteAnswered(const FleetChoice &choice, Core::TimePoint now);
@@ -126,7 +131,7 @@
     bool isWorthSaving(const FleetQuery &query, Core::TimePoint now) const;
     std::uint32_t storedParts(const std::vector<SharedPart> &parts) const;
     std::uint32_t warmAnywhere(const std::vector<SharedPart> &parts, Core::TimePoint now) const;
-    std::string sourceOf(const FleetChoice &choice, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
+    void estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     void excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const;
     std::optional<std::uint64_t> weightsFor(const FleetQuery &query, Core::TimePoint now) const;
 
@@ -136,8 +141,10 @@
     std::map<std::string, WeightsHistory> m_weights; ///< By model.
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, std::size_t>> m_versions; ///< By service and model.
     std::unordered_map<BackendServerId, Heard> m_heard;
+    std::unordered_map<BackendServerId, std::uint32_t> m_failures; ///< Connections that failed since the last answer.
     std::unordered_map<PartKey, Sent> m_sent;
     const PartIndex *m_storeIndex = nullptr;
+    std::map<std::string, WaitEstimate> m_estimates; ///< By route.
     std::unordered_map<std::string, std::string> m_idsByAddress;
     std::uint64_t m_followedRevision = 0;
 };
--- a/src/libs/relay/enginewatch.cpp
+++ b/src/libs/relay/enginewatch.cpp
@@ -15,6 +15,7 @@
     for (const verbena::wire::EngineWeights &weights : news.weights()) {
         status.weights.push_back({weights.model(), weights.version()});
     }
+    status.isSilent = news.silent();
     status.isLoading = news.loading();
     if (news.load_in_us() > 0) {
         status.loadTime = now + std::chrono::microseconds(news.load_in_us() - 1);
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -25,8 +25,8 @@
 // Bytes that may wait for a slow caller before the backend server has to wait too.
 constexpr std::size_t bufferedBytesPerCaller = 256 * 1024;
 
-// Several times the way to any backend server; one that is not there by then is dark.
-constexpr milliseconds connectTime{300};
+// Many times the way to any backend server; one that is not there by then is dark, or a packet was lost that would be sent again a second later.
+constexpr milliseconds connectTime{120};
 
 // Taken off the time that a backend server is given, for the way there and back.
 constexpr milliseconds wayMargin{10};
@@ -37,9 +37,6 @@
 // Backend servers know ten.
 constexpr std::uint32_t lowestPriority = 9;
 
-// When a refused caller should come back: new work is taken within a few hundred milliseconds of nearly every trouble.
-constexpr milliseconds comeBackAfter{250};
-
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -132,6 +129,7 @@
     while (!m_isDone) {
         Decisions::FleetQuery query;
         query.service = m_service;
+        query.route = m_route->name;
         query.prompt = m_query.prompt.has_value() ? &*m_query.prompt : nullptr;
         query.dedicatedTo = m_organisation != nullptr && m_organisation->isDedicated ? m_organisation->name : "";
         query.excluded = m_excluded;
@@ -141,12 +139,28 @@
             finish(finalAction(m_attempts, CallFailure::NotSent));
             return;
         }
-        if (sendTo(*choice)) {
+        if (isTurnedAway(*choice) || sendTo(*choice)) {
             return;
         }
     }
 }
 
+bool RelayedRequest::isTurnedAway(const FleetChoice &choice)
+{
+    if (m_attempts.sends > 0 || !choice.expectedWait.has_value()) {
+        return false;
+    }
+    const auto patience = duration_cast<std::chrono::microseconds>(m_deadline - m_context.loop.now());
+    const auto comeBack = Decisions::refuseUntil({*choice.expectedWait, m_route->latencyTarget, patience});
+    if (!comeBack.has_value()) {
+        return false;
+    }
+    m_choice = choice;
+    m_context.metrics.count("requests_turned_away_total");
+    refuse(503, "Too much waits at the backend servers; it has not run.", *comeBack);
+    return true;
+}
+
 // False if the call could not even begin; then what becomes of the request is decided already or the next backend server is tried.
 bool RelayedRequest::sendTo(const FleetChoice &choice)
 {
@@ -154,7 +168,7 @@
     m_excluded.push_back(choice.serverId);
     ++m_attempts.sends;
     const Core::TimePoint now = m_context.loop.now();
-    m_context.fleet.noteSent(choice, now);
+    m_context.fleet.noteSent(*m_choice, now);
     m_isUnanswered = true;
     Core::Result<std::unique_ptr<BackendCall>> call = Core::Error{Core::ErrorCode::InvalidArgument, "relay.address", choice.address, "No address."};
     const auto endpoint = Http::Endpoint::parse(choice.address);
@@ -189,15 +203,17 @@
     return context;
 }
 
-// What the engine keeps needs not to be fetched, and what the store has needs not to be saved: with each part the store would also get the one that
-// belongs to this request alone, and drop for it what others miss.
+// The engine asks the store for what it lacks, even if the agent said that it lacks nothing: a question in vain costs a millisecond, reading a part
+// again a hundred. What the store has needs not to be saved: with each part it would also get the one that belongs to this request alone, and drop for
+// it what others miss.
 void RelayedRequest::setCaches(CallContext &context, const FleetChoice &choice) const
 {
     const Decisions::RelayService *store = m_directory->cacheStore();
-    if (store == nullptr || choice.sharedParts == 0) { return; }
-    context.cacheStore = choice.isWorthSaving ? store->cacheStore : "";
+    if (store == nullptr || choice.sharedParts == 0 || !choice.isStoreKnown) {
+        return;
+    }
     context.cacheSource = store->cacheStore;
-    if (choice.isStoreKnown && choice.storedParts >= choice.sharedParts) { context.cacheStore.clear(); }
+    context.cacheStore = choice.storedParts < choice.sharedParts && choice.isWorthSaving ? store->cacheStore : "";
 }
 
 std::string RelayedRequest::callText(const FleetChoice &choice) const
@@ -395,11 +411,11 @@
     }
 }
 
-void RelayedRequest::refuse(int status, std::string_view message)
+void RelayedRequest::refuse(int status, std::string_view message, milliseconds comeBack)
 {
     Refusal refusal{status, std::string(message), std::nullopt};
     if (status == 503) {
-        refusal.retryAfter = comeBackAfter;
+        refusal.retryAfter = comeBack;
     }
     m_sink.respond(status, m_context.protocol.refusalFields(refusal, m_query.attemptId), message);
     logOutcome(status, message);
@@ -454,7 +470,7 @@
             {"weights", m_choice.has_value() && m_choice->weightsVersion.has_value() ? std::to_string(*m_choice->weightsVersion) : ""},
             {"warm", m_choice.has_value() ? std::to_string(m_choice->warmParts) + "/" + std::to_string(m_choice->sharedParts) : ""},
             {"stored", m_choice.has_value() ? std::to_string(m_choice->storedParts) : ""},
-            {"source", m_choice.has_value() ? m_choice->cacheSource : ""},
+            {"waiting", m_choice.has_value() ? std::to_string(m_choice->waiting) : ""},
             {"sends", std::to_string(m_attempts.sends)},
             {"first_ms", text(m_firstPartAfter)},
             {"total_ms", text(sinceArrival())},
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -53,6 +53,10 @@
     void outputDrained();
 
 private:
+    /// When a refused caller should come back, if nothing better is known: new work is taken again within a few hundred milliseconds of nearly every
+    /// trouble.
+    static constexpr std::chrono::milliseconds comeBackAfter{250};
+
     enum class Relaying {
         Nothing, ///< No part of an answer has been kept.
         Holding, ///< An answer is kept back until it is whole.
@@ -74,7 +78,8 @@
     void beginPassing();
     bool isResend(Decisions::CallFailure failure);
     void finish(Decisions::AttemptAction action);
-    void refuse(int status, std::string_view message);
+    void refuse(int status, std::string_view message, std::chrono::milliseconds comeBack = comeBackAfter);
+    bool isTurnedAway(const Decisions::FleetChoice &choice);
     void onDeadline();
     void noteFirstPart();
     void logOutcome(int status, std::string_view outcome);
--- a/src/libs/weights/newspublisher.cpp
+++ b/src/libs/weights/newspublisher.cpp
@@ -72,6 +72,7 @@
         entry.set_model(weights.model);
         entry.set_version(weights.version);
     }
+    news.set_silent(status.isSilent);
     news.set_loading(status.isLoading);
     if (status.loadTime.has_value()) {
         const auto left = std::chrono::duration_cast<std::chrono::microseconds>(*status.loadTime - now);
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -30,7 +30,7 @@
 constexpr milliseconds retryPeriod{300};
 
 // The engine runs on this host; an answer that takes longer than this is lost.
-constexpr milliseconds engineAnswerTime{500};
+constexpr milliseconds engineAnswerTime{400};
 
 // Several times what a slow store takes.
 constexpr milliseconds storeAnswerTime{700};
@@ -183,14 +183,16 @@
     noteSilence(!report, report ? nullptr : &report.error());
     const Core::TimePoint next = report ? act(report.value()) : m_loop.now() + retryPeriod;
     if (report) {
-        publish(report.value());
+        m_lastReport = report.value();
     }
+    publish(m_lastReport, !report);
     lookAt(next);
 }
 
-void WeightsKeeper::publish(const EngineReport &report)
+void WeightsKeeper::publish(const EngineReport &report, bool isSilent)
 {
     Decisions::EngineStatus status;
+    status.isSilent = isSilent;
     status.weights = report.weights;
     // An order that is on its way counts as carried out: requests that come now would wait for it.
     status.isLoading = report.isCarryingOutOrder || m_isLooking;
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -61,7 +61,7 @@
     void planAmong(const std::string &model, Core::TimePoint namedAt, const Core::Result<Store::RowPage> &page);
     void look();
     void takeReport(const Core::Result<EngineReport> &report);
-    void publish(const EngineReport &report);
+    void publish(const EngineReport &report, bool isSilent);
     void noteSilence(bool isSilent, const Core::Error *error);
     Core::TimePoint act(const EngineReport &report);
     void order(const std::string &model, std::uint64_t version, std::uint64_t expectedOrders);
@@ -87,6 +87,7 @@
     std::optional<std::uint64_t> m_fence;
     bool m_isLooking = false; ///< A report or an order is under way.
     bool m_isSilent = false;
+    EngineReport m_lastReport;
     Store::TableFollower m_declarations;
 };
 
