--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -14,8 +14,8 @@
 int main(int argc, char **argv)
 {
     using namespace Verbena;
-    const auto options
-        = Application::StandardOptions::parseWithHost(argc, argv, "Routes callers' requests to the backend servers where their prompts are warm.", VERBENA_VERSION);
+    const auto options = Application::StandardOptions::parseWithHost(
+        argc, argv, "Routes callers' requests to the backend servers where their prompts are warm.", VERBENA_VERSION);
     if (!options.hostPath.empty()) {
         return Platform::runRouter(options, VERBENA_VERSION);
     }
--- a/src/libs/agent/engineadapter.cpp
+++ b/src/libs/agent/engineadapter.cpp
@@ -119,7 +119,8 @@
                     .dump();
     // Nothing of the order may be written after the end of the lease it is given under.
     call.deadline = order.sendBy;
-    m_client->start(call, std::make_shared<Http::BodyCollector>([done = std::move(done)](const Core::Result<Http::HttpReply> &reply) { done(orderAnswerOf(reply)); }));
+    m_client->start(
+        call, std::make_shared<Http::BodyCollector>([done = std::move(done)](const Core::Result<Http::HttpReply> &reply) { done(orderAnswerOf(reply)); }));
 }
 
 bool EngineAdapter::isServing(verbena::wire::RunKind kind) const
--- a/src/libs/application/standardoptions.cpp
+++ b/src/libs/application/standardoptions.cpp
@@ -20,7 +20,8 @@
 {
     TCLAP::CmdLine line(description + commonHelp, ' ', version);
     TCLAP::ValueArg<std::string> settings("s", "settings", "The YAML settings file of this process.", true, "", "file");
-    TCLAP::ValueArg<std::string> host("", "host", "The YAML file in which the users' platform describes this host; takes the place of settings.", true, "", "file");
+    TCLAP::ValueArg<std::string> host(
+        "", "host", "The YAML file in which the users' platform describes this host; takes the place of settings.", true, "", "file");
     TCLAP::SwitchArg describe("", "describe-settings", "Print every key of the settings file with type, default and range, and exit.");
     std::vector<TCLAP::Arg *> choices{&settings, &describe};
     if (hasHost) {
--- a/src/libs/decisions/relay/admission.cpp
+++ b/src/libs/decisions/relay/admission.cpp
@@ -25,7 +25,7 @@
 constexpr microseconds unlearned{50'000};
 
 // Of the target, that a request may wait before it is begun; the rest is for reading and the way.
-constexpr double waitingPart = 0.4;
+constexpr double waitingPart = 0.3;
 
 // Of when callers are told to come back. Sooner they would find the same queue, later they would have left.
 constexpr milliseconds soonest{150};
--- a/src/libs/decisions/relay/weightsschedule.cpp
+++ b/src/libs/decisions/relay/weightsschedule.cpp
@@ -24,8 +24,8 @@
         return namedAt;
     }
     const auto ownTurn = turn(*own, version);
-    const auto before
-        = std::count_if(holders.begin(), holders.end(), [&](const WeightsHolder &holder) { return holder.version < version && turn(holder, version) < ownTurn; });
+    const auto before = std::count_if(
+        holders.begin(), holders.end(), [&](const WeightsHolder &holder) { return holder.version < version && turn(holder, version) < ownTurn; });
     return namedAt + pace.notice + before / pace.loadsAtOnce * pace.loadTime;
 }
 
--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -24,8 +24,7 @@
 
 std::size_t MessageHead::fieldCount(std::string_view name) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(fields.begin(), fields.end(), [name](const HttpField &field) { return isSameFieldName(field.name, name); }));
+    return static_cast<std::size_t>(std::count_if(fields.begin(), fields.end(), [name](const HttpField &field) { return isSameFieldName(field.name, name); }));
 }
 
 namespace {
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -13,7 +13,7 @@
 namespace Verbena::EventLoop {
 class IoWatcher;
 class Loop;
-}
+} // namespace Verbena::EventLoop
 
 namespace Verbena::Http {
 
@@ -36,7 +36,9 @@
     virtual void receiveEnd(ChannelEnd end) = 0;
 
     /// \brief The kernel has taken all that had to wait for it.
-    virtual void outputDrained() { }
+    virtual void outputDrained()
+    {
+    }
 };
 
 /// \brief One TCP connection on an event loop.
--- a/src/libs/http/tcplistener.h
+++ b/src/libs/http/tcplistener.h
@@ -10,7 +10,7 @@
 namespace Verbena::EventLoop {
 class IoWatcher;
 class Loop;
-}
+} // namespace Verbena::EventLoop
 
 namespace Verbena::Http {
 
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -15,12 +15,8 @@
 
 } // namespace
 
-Core::Result<std::unique_ptr<BackendCall>> BackendCall::create(EventLoop::Loop &loop,
-    const Http::Endpoint &endpoint,
-    std::string_view request,
-    bool isHead,
-    Core::TimePoint connectDeadline,
-    CallObserver &observer)
+Core::Result<std::unique_ptr<BackendCall>> BackendCall::create(
+    EventLoop::Loop &loop, const Http::Endpoint &endpoint, std::string_view request, bool isHead, Core::TimePoint connectDeadline, CallObserver &observer)
 {
     std::unique_ptr<BackendCall> call(new BackendCall(loop, isHead, observer));
     auto channel = Http::TcpChannel::connect(loop, endpoint, *call);
@@ -36,12 +32,11 @@
 BackendCall::BackendCall(EventLoop::Loop &loop, bool isHead, CallObserver &observer)
     : m_observer(observer)
     , m_reader(Http::MessageReader::Kind::Answers, *this, {maximumHeadBytes, std::nullopt})
-    , m_connectTimer(loop,
-          [this] {
-              if (!m_channel->isConnected()) {
-                  m_observer.callFailed(CallFailure::NotSent, "no connection in time");
-              }
-          })
+    , m_connectTimer(loop, [this] {
+        if (!m_channel->isConnected()) {
+            m_observer.callFailed(CallFailure::NotSent, "no connection in time");
+        }
+    })
 {
     if (isHead) {
         m_reader.expectNoBody();
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -37,12 +37,8 @@
     /// \brief Sends \a request, head and body; without a connection by \a connectDeadline it is given up unsent.
     ///
     /// \a isHead: the answer has no body. Errors: Unavailable, if no connection can be begun.
-    static Core::Result<std::unique_ptr<BackendCall>> create(EventLoop::Loop &loop,
-        const Http::Endpoint &endpoint,
-        std::string_view request,
-        bool isHead,
-        Core::TimePoint connectDeadline,
-        CallObserver &observer);
+    static Core::Result<std::unique_ptr<BackendCall>> create(
+        EventLoop::Loop &loop, const Http::Endpoint &endpoint, std::string_view request, bool isHead, Core::TimePoint connectDeadline, CallObserver &observer);
     ~BackendCall() override;
 
     BackendCall(const BackendCall &) = delete;
--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -68,7 +68,8 @@
         }
     }
     m_relay.fleet().servers().replace(servers, m_loop.now());
-    Observe::log(serverChanged, {{"server", ""}, {"change", "register read"}, {"count", std::to_string(servers.size())}, {"revision", std::to_string(page.revision)}});
+    Observe::log(
+        serverChanged, {{"server", ""}, {"change", "register read"}, {"count", std::to_string(servers.size())}, {"revision", std::to_string(page.revision)}});
 }
 
 void DeploymentFeed::takeRow(const std::string &table, const Store::TableRow &row)
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -11,7 +11,8 @@
 inline constexpr Event callFailedEvent{2101, Severity::Warning, "call_failed", "A call to a backend server brought no answer that the caller could get."};
 inline constexpr Event callerLeft{2102, Severity::Info, "caller_left", "A caller closed its connection before its answer was whole."};
 inline constexpr Event configurationTaken{2103, Severity::Info, "configuration_taken", "A newer configuration is in force."};
-inline constexpr Event configurationRefused{2104, Severity::Error, "configuration_refused", "A configuration could not be read; the one before stays in force."};
+inline constexpr Event configurationRefused{
+    2104, Severity::Error, "configuration_refused", "A configuration could not be read; the one before stays in force."};
 inline constexpr Event serverChanged{2105, Severity::Info, "server_changed", "What is believed of a backend server has changed."};
 inline constexpr Event weightsNamed{2106, Severity::Info, "weights_named", "Newer weights of a model were named."};
 inline constexpr Event feedLost{2107, Severity::Warning, "feed_lost", "The store does not answer; what is known stays in force."};
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -35,8 +35,12 @@
 // Several times what a slow store takes.
 constexpr milliseconds storeAnswerTime{700};
 
-std::vector<Decisions::WeightsHolder> holdersOf(
-    const std::string &model, const std::string &table, const Store::RowPage &page, const Relay::DeploymentDecoder &decoder, const std::string &address, std::string &self)
+std::vector<Decisions::WeightsHolder> holdersOf(const std::string &model,
+    const std::string &table,
+    const Store::RowPage &page,
+    const Relay::DeploymentDecoder &decoder,
+    const std::string &address,
+    std::string &self)
 {
     std::vector<Decisions::WeightsHolder> holders;
     for (const Store::TableRow &row : page.rows) {
@@ -153,10 +157,7 @@
     target.loadTime = weightsLoadTime(holders, self, target.version, m_settings.pace, namedAt);
     const auto wait = std::chrono::duration_cast<milliseconds>(target.loadTime - m_loop.now());
     Observe::log(weightsPlanned,
-        {{"model", model},
-            {"version", std::to_string(target.version)},
-            {"engines", std::to_string(holders.size())},
-            {"in_ms", std::to_string(wait.count())}});
+        {{"model", model}, {"version", std::to_string(target.version)}, {"engines", std::to_string(holders.size())}, {"in_ms", std::to_string(wait.count())}});
     // Routers learn of the plan at once.
     lookAt(m_loop.now());
 }
--- a/src/libs/wire/datagramsocket.h
+++ b/src/libs/wire/datagramsocket.h
@@ -13,7 +13,7 @@
 namespace Verbena::EventLoop {
 class IoWatcher;
 class Loop;
-}
+} // namespace Verbena::EventLoop
 
 namespace Verbena::Wire {
 
