--- /dev/null
+++ b/tests/auto/http/tst_messagereader.cpp
@@ -0,0 +1,191 @@
+#include <http/eventcutter.h>
+#include <http/messagereader.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace Verbena::Http {
+
+namespace {
+
+/// Keeps what a reader tells.
+class Recorder : public MessageSink
+{
+public:
+    void receiveHead(MessageHead head) override
+    {
+        m_heads.push_back(std::move(head));
+    }
+
+    void receiveBody(std::string_view data) override
+    {
+        m_body.append(data);
+    }
+
+    void receiveEnd() override
+    {
+        ++m_ends;
+    }
+
+    const std::vector<MessageHead> &heads() const
+    {
+        return m_heads;
+    }
+
+    const std::string &body() const
+    {
+        return m_body;
+    }
+
+    int ends() const
+    {
+        return m_ends;
+    }
+
+private:
+    std::vector<MessageHead> m_heads;
+    std::string m_body;
+    int m_ends = 0;
+};
+
+std::optional<MessageFault> read(const std::string &text, Recorder &recorder, const MessageLimits &limits = {})
+{
+    MessageReader reader(MessageReader::Kind::Requests, recorder, limits);
+    return reader.feed(text);
+}
+
+std::optional<MessageFault> readRequest(const std::string &text)
+{
+    Recorder recorder;
+    return read(text, recorder);
+}
+
+const std::string chunkedRequest = "POST /a/b?c=d HTTP/1.1\r\nHost: x.example\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwarm\r\n7\r\n prompt\r\n0\r\n\r\n";
+
+TEST(MessageReaderTest, readsARequestInWhateverPiecesItComes)
+{
+    EXPECT_TRUE(rc::check([] {
+        const auto cut = *rc::gen::inRange<std::size_t>(0, chunkedRequest.size() + 1);
+        const auto next = *rc::gen::inRange<std::size_t>(cut, chunkedRequest.size() + 1);
+        Recorder recorder;
+        MessageReader reader(MessageReader::Kind::Requests, recorder, {});
+        RC_ASSERT(!reader.feed(chunkedRequest.substr(0, cut)).has_value());
+        RC_ASSERT(!reader.feed(chunkedRequest.substr(cut, next - cut)).has_value());
+        RC_ASSERT(!reader.feed(chunkedRequest.substr(next)).has_value());
+        RC_ASSERT(reader.isDone());
+        RC_ASSERT(recorder.ends() == 1);
+        RC_ASSERT(recorder.body() == "warm prompt");
+        RC_ASSERT(recorder.heads().front().target == "/a/b?c=d");
+        RC_ASSERT(recorder.heads().front().isChunked);
+    }));
+}
+
+TEST(MessageReaderTest, refusesARequestWithBothKindsOfLength)
+{
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n"), MessageFault::Malformed);
+}
+
+TEST(MessageReaderTest, refusesLengthsThatCanBeUnderstoodInTwoWays)
+{
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2, 2\r\n\r\nok"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +2\r\n\r\nok"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: identity\r\n\r\n"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), MessageFault::Malformed);
+}
+
+TEST(MessageReaderTest, refusesFoldedFieldsBareLineFeedsAndTwoHosts)
+{
+    EXPECT_EQ(readRequest("GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n\tc\r\n\r\n"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("GET / HTTP/1.1\nHost: x\n\n"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n"), MessageFault::Malformed);
+}
+
+TEST(MessageReaderTest, refusesOddChunkSizes)
+{
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0x2\r\nok\r\n0\r\n\r\n"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n-2\r\nok\r\n0\r\n\r\n"), MessageFault::Malformed);
+    EXPECT_EQ(readRequest("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n"), MessageFault::Malformed);
+}
+
+TEST(MessageReaderTest, keepsBytesThatFollowAWholeRequestApart)
+{
+    Recorder recorder;
+    MessageReader reader(MessageReader::Kind::Requests, recorder, {});
+    const std::string second = "GET /second HTTP/1.1\r\nHost: x\r\n\r\n";
+    EXPECT_FALSE(reader.feed("GET /first HTTP/1.1\r\nHost: x\r\n\r\n" + second).has_value());
+    ASSERT_EQ(recorder.heads().size(), 1U);
+    EXPECT_EQ(reader.surplusBytes(), second.size());
+    EXPECT_FALSE(reader.next().has_value());
+    EXPECT_EQ(recorder.heads().back().target, "/second");
+}
+
+TEST(MessageReaderTest, holdsToItsLimits)
+{
+    Recorder recorder;
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n";
+    EXPECT_EQ(read(head + "A: " + std::string(2000, 'a') + "\r\n\r\n", recorder, {1024, 200}), MessageFault::HeaderTooLarge);
+    EXPECT_EQ(read(head + "\r\n", recorder, {1024, 99}), MessageFault::BodyTooLarge);
+    EXPECT_EQ(read(head + "\r\n", recorder, {1024, 100}), std::nullopt);
+}
+
+TEST(MessageReaderTest, tellsAnAnswerThatEndsEarlyFromAWholeOne)
+{
+    Recorder recorder;
+    MessageReader shortened(MessageReader::Kind::Answers, recorder, {});
+    EXPECT_FALSE(shortened.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf").has_value());
+    EXPECT_EQ(shortened.feedEnd(), MessageFault::Truncated);
+    MessageReader unframed(MessageReader::Kind::Answers, recorder, {});
+    EXPECT_FALSE(unframed.feed("HTTP/1.1 200 OK\r\n\r\nall there is").has_value());
+    EXPECT_FALSE(unframed.isDone());
+    EXPECT_EQ(unframed.feedEnd(), std::nullopt);
+    EXPECT_TRUE(unframed.isDone());
+}
+
+// The library takes no limit for a limit of nothing where a body ends with its connection.
+TEST(MessageReaderTest, readsALongBodyThatEndsWithItsConnection)
+{
+    Recorder recorder;
+    MessageReader reader(MessageReader::Kind::Answers, recorder, {});
+    EXPECT_FALSE(reader.feed("HTTP/1.1 200 OK\r\n\r\n" + std::string(100'000, 'x')).has_value());
+    EXPECT_EQ(reader.feedEnd(), std::nullopt);
+    EXPECT_EQ(recorder.body().size(), 100'000U);
+}
+
+TEST(MessageReaderTest, seesNoBodyWhereNoneCanBe)
+{
+    Recorder recorder;
+    MessageReader reader(MessageReader::Kind::Answers, recorder, {});
+    reader.expectNoBody();
+    EXPECT_FALSE(reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n").has_value());
+    EXPECT_TRUE(reader.isDone());
+}
+
+TEST(EventCutterTest, handsOnWholeEventsInWhateverPiecesTheyCome)
+{
+    EXPECT_TRUE(rc::check([] {
+        const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\ndata:\n\n";
+        const auto cut = *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+        EventCutter cutter;
+        const std::string first = cutter.feed(text.substr(0, cut));
+        RC_ASSERT(first.empty() || (first.size() >= 2 && first.substr(first.size() - 2) == "\n\n"));
+        RC_ASSERT(first + cutter.feed(text.substr(cut)) == text);
+        RC_ASSERT(cutter.lastId() == std::optional<std::uint64_t>(3));
+    }));
+}
+
+TEST(EventCutterTest, dropsHalfAnEventAndWhatWasDeliveredBefore)
+{
+    EventCutter cutter;
+    EXPECT_EQ(cutter.feed("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    cutter.dropPending();
+    EXPECT_EQ(cutter.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+}
+
+} // namespace
+
+} // namespace Verbena::Http
--- /dev/null
+++ b/tests/auto/relay/tst_directory.cpp
@@ -0,0 +1,184 @@
+#include <decisions/relay/attemptpolicy.h>
+#include <decisions/relay/relaydirectory.h>
+#include <decisions/relay/resendbudget.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+RelayRoute routeFor(const std::string &host, const std::string &prefix)
+{
+    RelayRoute route;
+    route.name = host + prefix;
+    route.host = host;
+    route.prefix = prefix;
+    route.services = {{"service", 1.0}};
+    return route;
+}
+
+// What the pages say, word for word: of a host's routes, the one with the longest prefix that begins the path.
+const RelayRoute *longestPrefix(const std::vector<RelayRoute> &routes, const std::string &host, const std::string &path)
+{
+    const RelayRoute *best = nullptr;
+    for (const RelayRoute &route : routes) {
+        const bool isBegun = route.host == host && path.substr(0, route.prefix.size()) == route.prefix;
+        if (isBegun && (best == nullptr || route.prefix.size() > best->prefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+rc::Gen<std::string> pathGen()
+{
+    return rc::gen::map(rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3)), [](const std::vector<int> &parts) {
+        std::string path = "/";
+        for (const int part : parts) {
+            path += std::string(1, static_cast<char>('a' + part)) + (part == 2 ? "" : "/");
+        }
+        return path;
+    });
+}
+
+TEST(RelayDirectoryTest, findsTheRouteThatANaiveSearchFinds)
+{
+    EXPECT_TRUE(rc::check([] {
+        RelayConfiguration configuration;
+        const auto prefixes = *rc::gen::container<std::vector<std::string>>(pathGen());
+        for (const std::string &prefix : prefixes) {
+            const std::string whole = prefix.back() == '/' ? prefix : prefix + '/';
+            const auto isKnown = [&whole](const RelayRoute &route) {
+                return route.prefix == whole;
+            };
+            if (std::none_of(configuration.routes.begin(), configuration.routes.end(), isKnown)) {
+                configuration.routes.push_back(routeFor("one.example", whole));
+            }
+        }
+        const std::vector<RelayRoute> routes = configuration.routes;
+        const RelayDirectory directory(std::move(configuration));
+        const std::string path = *pathGen();
+        const RelayRoute *expected = longestPrefix(routes, "one.example", path);
+        const RelayRoute *found = directory.route("One.Example:80", path);
+        RC_ASSERT((expected == nullptr) == (found == nullptr));
+        if (expected != nullptr) {
+            RC_ASSERT(expected->prefix == found->prefix);
+        }
+        RC_ASSERT(directory.route("two.example", path) == nullptr);
+    }));
+}
+
+TEST(RelayDirectoryTest, doesNotTakeAPrefixForThePartOfAName)
+{
+    RelayConfiguration configuration;
+    configuration.routes = {routeFor("one.example", "/wall/")};
+    const RelayDirectory directory(std::move(configuration));
+    EXPECT_EQ(directory.route("one.example", "/wall"), nullptr);
+    EXPECT_EQ(directory.route("one.example", "/wall2/a"), nullptr);
+    EXPECT_NE(directory.route("one.example", "/wall/"), nullptr);
+}
+
+TEST(RelayDirectoryTest, splitsRequestsByWeight)
+{
+    RelayRoute route = routeFor("one.example", "/");
+    route.services = {{"big", 90}, {"small", 10}};
+    int small = 0;
+    constexpr int draws = 1000;
+    for (std::uint64_t draw = 0; draw < draws; ++draw) {
+        small += RelayDirectory::service(route, draw * 1000) == "small" ? 1 : 0;
+    }
+    EXPECT_EQ(small, draws / 10);
+}
+
+TEST(RelayDirectoryTest, knowsTheHolderOfAKey)
+{
+    RelayConfiguration configuration;
+    configuration.organisations = {{"dams", {"k1", "k2"}, std::nullopt, false}, {"rosters", {"k3"}, 1, true}};
+    const RelayDirectory directory(std::move(configuration));
+    EXPECT_EQ(directory.organisation("k2")->name, "dams");
+    EXPECT_EQ(directory.organisation("k3")->name, "rosters");
+    EXPECT_EQ(directory.organisation("k4"), nullptr);
+    EXPECT_EQ(directory.organisation(""), nullptr);
+}
+
+AttemptState state(RequestKind kind, bool isRepeatable, std::uint32_t runs)
+{
+    return {kind, isRepeatable, runs, 2, 1, false};
+}
+
+TEST(AttemptPolicyTest, neverSendsAgainWhatMayHaveRunAndMayNotRunTwice)
+{
+    const AttemptState lost = state(RequestKind::NonIdempotent, false, 1);
+    EXPECT_FALSE(mayBeSentAgain(lost, CallFailure::Lost));
+    EXPECT_FALSE(mayBeSentAgain(lost, CallFailure::NotSent));
+    EXPECT_FALSE(mayBeSentAgain(lost, CallFailure::ServerError));
+    EXPECT_EQ(finalAction(lost, CallFailure::Lost), AttemptAction::ReportLost);
+    EXPECT_EQ(finalAction(lost, CallFailure::NotSent), AttemptAction::ReportLost);
+}
+
+TEST(AttemptPolicyTest, sendsAgainWhatIsProvedNotToHaveRun)
+{
+    const AttemptState refused = state(RequestKind::NonIdempotent, false, 0);
+    EXPECT_TRUE(mayBeSentAgain(refused, CallFailure::NotRun));
+    EXPECT_TRUE(mayBeSentAgain(refused, CallFailure::NotSent));
+    EXPECT_EQ(finalAction(refused, CallFailure::NotRun), AttemptAction::Refuse);
+}
+
+TEST(AttemptPolicyTest, runsARepeatableRequestAtAsManyServersAsItsRouteAllows)
+{
+    EXPECT_TRUE(mayBeSentAgain(state(RequestKind::Idempotent, true, 1), CallFailure::Lost));
+    EXPECT_FALSE(mayBeSentAgain(state(RequestKind::Idempotent, true, 2), CallFailure::Lost));
+    EXPECT_EQ(finalAction(state(RequestKind::Idempotent, true, 2), CallFailure::ServerError), AttemptAction::PassAnswer);
+}
+
+TEST(AttemptPolicyTest, resumesOnlyStreamsThatMayBeResumedOnceTheyHaveBegun)
+{
+    AttemptState begun = state(RequestKind::Streaming, true, 1);
+    begun.isAnswerBegun = true;
+    EXPECT_TRUE(mayBeSentAgain(begun, CallFailure::Lost));
+    EXPECT_EQ(finalAction(begun, CallFailure::Lost), AttemptAction::CutStream);
+    begun.kind = RequestKind::Idempotent;
+    EXPECT_FALSE(mayBeSentAgain(begun, CallFailure::Lost));
+}
+
+// All routers together, each with its own part of the requests, against the limits that the service has in any window.
+TEST(ResendBudgetTest, keepsTheSumOfAllRoutersWithinTheLimits)
+{
+    EXPECT_TRUE(rc::check([] {
+        constexpr std::uint32_t routerCount = 5;
+        const ResendLimits limits{0.2, 54, 10'000ms};
+        std::vector<ResendBudget> routers(routerCount, ResendBudget(limits, routerCount));
+        const auto shares = *rc::gen::container<std::vector<int>>(routerCount, rc::gen::inRange(0, 8));
+        const Core::TimePoint start = Core::TimePoint() + 1h;
+        std::vector<Core::TimePoint> requests;
+        std::vector<Core::TimePoint> resends;
+        for (auto passed = 0ms; passed < 25'000ms; passed += 50ms) {
+            const Core::TimePoint now = start + passed;
+            for (std::uint32_t router = 0; router < routerCount; ++router) {
+                for (int request = 0; request < shares[router]; ++request) {
+                    routers[router].noteRequest("s", now);
+                    requests.push_back(now);
+                    if (routers[router].tryTake("s", now)) {
+                        resends.push_back(now);
+                    }
+                }
+            }
+        }
+        for (auto end = 10'000ms; end <= 25'000ms; end += 2500ms) {
+            const auto inWindow = [&](const std::vector<Core::TimePoint> &moments) {
+                return std::count_if(moments.begin(), moments.end(), [&](Core::TimePoint at) { return at > start + end - 10'000ms && at <= start + end; });
+            };
+            RC_ASSERT(static_cast<double>(inWindow(resends)) <= 0.2 * static_cast<double>(inWindow(requests)) + 54);
+        }
+    }));
+}
+
+} // namespace
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -0,0 +1,369 @@
+#include <decisions/relay/admission.h>
+#include <decisions/relay/relayfleet.h>
+#include <decisions/relay/weightschoice.h>
+#include <decisions/relay/weightsschedule.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const Core::TimePoint start = Core::TimePoint() + 1h;
+
+RegisteredServer engine(const std::string &id, std::uint64_t version = 1)
+{
+    return {id, "reader", "10.0.0." + id + ":8000", "hall", 96, false, {{"m", version}}};
+}
+
+RoutingOptions options()
+{
+    RoutingOptions routing;
+    routing.isProbing = false;
+    routing.seed = 7;
+    return routing;
+}
+
+PromptOutline prompt(const std::string &wall)
+{
+    return {"m", {{"rules", 2500}, {wall, 3800}, {"own", 2900}}, 9200, 60};
+}
+
+class RelayFleetTest : public testing::Test
+{
+protected:
+    RelayFleetTest()
+        : m_fleet(options(), {})
+    {
+        for (int number = 1; number <= 6; ++number) {
+            m_fleet.servers().put(engine(std::to_string(number)));
+        }
+    }
+
+    std::optional<FleetChoice> choose(const PromptOutline &outline, const std::string &dedicatedTo = "", std::vector<std::string> excluded = {})
+    {
+        FleetQuery query;
+        query.service = "reader";
+        query.route = "r";
+        query.prompt = &outline;
+        query.dedicatedTo = dedicatedTo;
+        query.excluded = std::move(excluded);
+        query.draw = ++m_draw * 7919;
+        return m_fleet.choose(query, m_now);
+    }
+
+    static EngineStatus status(std::uint64_t version = 1)
+    {
+        EngineStatus news;
+        news.weights = {{"m", version}};
+        news.totalTokens = 100'000;
+        return news;
+    }
+
+    RelayFleet m_fleet;
+    Core::TimePoint m_now = start;
+    std::uint64_t m_draw = 0;
+};
+
+TEST_F(RelayFleetTest, sendsPromptsWithTheSameOpeningToFewEngines)
+{
+    constexpr int walls = 24;
+    constexpr int rounds = 10;
+    std::map<std::string, std::set<std::string>> used;
+    for (int request = 0; request < walls * rounds; ++request) {
+        const std::string wall = "wall-" + std::to_string(request % walls);
+        auto choice = choose(prompt(wall));
+        ASSERT_TRUE(choice.has_value());
+        used[wall].insert(choice->serverId);
+        m_fleet.noteSent(*choice, m_now);
+        m_now += 100ms;
+        m_fleet.noteAnswered(*choice, m_now);
+    }
+    std::size_t engines = 0;
+    for (const auto &[wall, servers] : used) {
+        engines += servers.size();
+    }
+    // By chance alone each wall would meet nearly all six.
+    EXPECT_LE(engines, walls * 2U);
+}
+
+TEST_F(RelayFleetTest, goesWhereTheAgentSaysThatThePromptIsWarm)
+{
+    for (int number = 1; number <= 6; ++number) {
+        EngineStatus news = status();
+        news.parts.emplace();
+        if (number == 4) {
+            news.parts = {partKey("m@1", "rules"), partKey("m@1", "wall-7")};
+        }
+        m_fleet.noteStatus("10.0.0." + std::to_string(number) + ":8000", news, m_now);
+    }
+    std::set<std::string> used;
+    for (int request = 0; request < 10; ++request) {
+        const auto choice = choose(prompt("wall-7"));
+        ASSERT_TRUE(choice.has_value());
+        used.insert(choice->serverId);
+    }
+    // It is among the candidates whenever it ranks or is drawn; where it is, it wins.
+    EXPECT_TRUE(used.contains("4"));
+}
+
+TEST_F(RelayFleetTest, neverMixesScopesOfVersionsAndDedicatedOrganisations)
+{
+    const auto shared = choose(prompt("wall-7"));
+    const auto dedicated = choose(prompt("wall-7"), "council");
+    ASSERT_TRUE(shared.has_value() && dedicated.has_value());
+    EXPECT_NE(shared->cacheScope, dedicated->cacheScope);
+    for (int number = 1; number <= 6; ++number) {
+        m_fleet.servers().noteWeights(std::to_string(number), "m", 2);
+    }
+    const auto later = choose(prompt("wall-7"));
+    ASSERT_TRUE(later.has_value());
+    EXPECT_EQ(later->weightsVersion, std::optional<std::uint64_t>(2));
+    EXPECT_NE(later->cacheScope, shared->cacheScope);
+}
+
+TEST_F(RelayFleetTest, staysAwayFromAnEngineThatLoadsIsAboutToOrIsSilent)
+{
+    EngineStatus loading = status();
+    loading.isLoading = true;
+    EngineStatus planned = status();
+    planned.loadTime = m_now + 300ms;
+    EngineStatus silent = status();
+    silent.isSilent = true;
+    m_fleet.noteStatus("10.0.0.1:8000", loading, m_now);
+    m_fleet.noteStatus("10.0.0.2:8000", planned, m_now);
+    m_fleet.noteStatus("10.0.0.3:8000", silent, m_now);
+    for (int request = 0; request < 100; ++request) {
+        const auto choice = choose(prompt("wall-" + std::to_string(request)));
+        ASSERT_TRUE(choice.has_value());
+        EXPECT_FALSE(std::set<std::string>({"1", "2", "3"}).contains(choice->serverId));
+    }
+}
+
+TEST_F(RelayFleetTest, usesABusyEngineRatherThanNone)
+{
+    for (int number = 1; number <= 6; ++number) {
+        EngineStatus loading = status();
+        loading.isLoading = true;
+        m_fleet.noteStatus("10.0.0." + std::to_string(number) + ":8000", loading, m_now);
+    }
+    EXPECT_TRUE(choose(prompt("wall-7")).has_value());
+}
+
+TEST_F(RelayFleetTest, staysAwayLongerEachTimeAnEngineCannotBeReached)
+{
+    const auto first = choose(prompt("wall-7"));
+    ASSERT_TRUE(first.has_value());
+    int failures = 0;
+    for (auto passed = 0ms; passed < 10'000ms; passed += 100ms) {
+        auto choice = choose(prompt("wall-7"));
+        if (choice.has_value() && choice->serverId == first->serverId) {
+            m_fleet.noteSent(*choice, m_now);
+            m_fleet.noteTrouble(*choice, ServerTrouble::Unreachable, m_now);
+            ++failures;
+        }
+        m_now += 100ms;
+    }
+    // After 0.5, 1, 2, 4 and 8 seconds at the earliest.
+    EXPECT_LE(failures, 5);
+}
+
+TEST_F(RelayFleetTest, neverChoosesALeavingOrExcludedServer)
+{
+    RegisteredServer leaving = engine("1");
+    leaving.isLeaving = true;
+    m_fleet.servers().put(leaving);
+    for (int request = 0; request < 60; ++request) {
+        const auto choice = choose(prompt("wall-" + std::to_string(request)), "", {"2", "3"});
+        ASSERT_TRUE(choice.has_value());
+        EXPECT_FALSE(std::set<std::string>({"1", "2", "3"}).contains(choice->serverId));
+    }
+}
+
+TEST(ServerRegisterTest, forgetsAnEntryThatIsRemovedWhileTheStoreIsWell)
+{
+    ServerRegister servers;
+    servers.put(engine("1"));
+    servers.remove("1", start);
+    EXPECT_TRUE(servers.servers().empty());
+}
+
+TEST(ServerRegisterTest, believesEntriesThatLapsedInAnOutageUntilTheyAreOverdue)
+{
+    ServerRegister servers;
+    servers.put(engine("1"));
+    servers.put(engine("2"));
+    servers.noteStoreLost();
+    servers.replace({}, start);
+    EXPECT_EQ(servers.servers().size(), 2U);
+    servers.noteStoreRegained(start + 2s);
+    servers.put(engine("2"));
+    EXPECT_FALSE(servers.expire(start + 1s));
+    EXPECT_EQ(servers.servers().size(), 2U);
+    EXPECT_TRUE(servers.expire(start + 2s));
+    EXPECT_EQ(servers.servers().size(), 1U);
+    EXPECT_TRUE(servers.servers().contains("2"));
+}
+
+TEST(ServerRegisterTest, takesNoOldEntryForNewWeightsOrAReturn)
+{
+    ServerRegister servers;
+    servers.put(engine("1", 1));
+    servers.noteWeights("1", "m", 3);
+    RegisteredServer leaving = engine("1", 2);
+    leaving.isLeaving = true;
+    servers.put(leaving);
+    servers.put(engine("1", 2));
+    EXPECT_EQ(servers.servers().at("1").weights.front().version, 3U);
+    EXPECT_TRUE(servers.servers().at("1").isLeaving);
+}
+
+TEST(WeightsChoiceTest, neverGivesWeightsThatAreTooOld)
+{
+    EXPECT_TRUE(rc::check([] {
+        WeightsHistory history;
+        std::map<std::uint64_t, std::size_t> servers;
+        Core::TimePoint now = start;
+        const auto count = *rc::gen::inRange<std::uint64_t>(1, 6);
+        for (std::uint64_t version = 1; version <= count; ++version) {
+            history.note(version, now);
+            servers[version] = *rc::gen::inRange<std::size_t>(0, 5);
+            now += std::chrono::milliseconds(*rc::gen::inRange(100, 6000));
+        }
+        const WeightsLimits limits;
+        const auto chosen = chooseWeights(servers, history, limits, now, *rc::gen::arbitrary<std::uint64_t>());
+        if (chosen.has_value()) {
+            RC_ASSERT(servers.at(*chosen) > 0);
+            const auto since = history.outdatedSince(*chosen);
+            RC_ASSERT(now < since.value_or(now) + limits.longestUse);
+        }
+    }));
+}
+
+TEST(WeightsChoiceTest, givesAFewNewEnginesMoreThanTheirPartButNotAll)
+{
+    WeightsHistory history;
+    history.note(1, start);
+    history.note(2, start + 1s);
+    int newer = 0;
+    for (std::uint64_t draw = 0; draw < 1000; ++draw) {
+        newer += chooseWeights({{1, 15}, {2, 3}}, history, {}, start + 2s, draw * 1000) == std::optional<std::uint64_t>(2) ? 1 : 0;
+    }
+    EXPECT_GT(newer, 1000 * 3 / 18);
+    EXPECT_LT(newer, 700);
+}
+
+TEST(WeightsScheduleTest, bringsSmallGroupsOneAfterTheOtherAndTheOldestFirst)
+{
+    std::vector<WeightsHolder> holders;
+    for (int number = 0; number < 18; ++number) {
+        holders.push_back({std::to_string(number), number < 6 ? 1U : 2U});
+    }
+    const WeightsPace pace;
+    std::map<Core::TimePoint, int> groups;
+    Core::TimePoint lastOld{};
+    Core::TimePoint firstNew = Core::TimePoint::max();
+    for (const WeightsHolder &holder : holders) {
+        const Core::TimePoint at = weightsLoadTime(holders, holder.id, 3, pace, start);
+        ++groups[at];
+        lastOld = holder.version == 1 ? std::max(lastOld, at) : lastOld;
+        firstNew = holder.version == 2 ? std::min(firstNew, at) : firstNew;
+    }
+    EXPECT_EQ(groups.size(), 6U);
+    for (const auto &[at, count] : groups) {
+        EXPECT_EQ(count, 3);
+    }
+    EXPECT_LT(lastOld, firstNew);
+}
+
+// All prompts are cold after new weights: engines read 20 of them a second and 30 come. Without the limit the queue would grow for as long as that lasts,
+// and after the first seconds nobody would be answered in time.
+TEST(AdmissionTest, keepsTheQueueShortUnderALoadThatStaysAboveWhatIsRead)
+{
+    constexpr auto target = 400ms;
+    constexpr auto service = 50ms;
+    WaitEstimate estimate;
+    std::vector<std::chrono::microseconds> waits;
+    Core::TimePoint now = start;
+    Core::TimePoint freeAt = start;
+    int refused = 0;
+    for (int request = 0; request < 600; ++request) {
+        now += 33ms;
+        const auto queue = std::max(std::chrono::nanoseconds(0), freeAt - now);
+        const auto waiting = static_cast<std::uint32_t>(queue / service);
+        const auto comeBack = refuseUntil({estimate.expected(waiting, now), target, 5s});
+        if (comeBack.has_value()) {
+            EXPECT_GE(*comeBack, 100ms);
+            EXPECT_LE(*comeBack, 1500ms);
+            ++refused;
+            continue;
+        }
+        freeAt = std::max(freeAt, now) + service;
+        const auto span = std::chrono::duration_cast<std::chrono::microseconds>(freeAt - now + 100ms);
+        estimate.note(waiting, span, now);
+        waits.push_back(span);
+    }
+    const auto late = std::count_if(waits.begin(), waits.end(), [target](auto wait) { return wait > target; });
+    EXPECT_LT(late, static_cast<long>(waits.size()) / 10);
+    EXPECT_LT(refused, 600 / 2);
+}
+
+TEST(AdmissionTest, neverRefusesWhereNothingWaits)
+{
+    WaitEstimate estimate;
+    for (int sample = 0; sample < 100; ++sample) {
+        estimate.note(8, 5s, start);
+        estimate.note(0, 5s, start);
+    }
+    EXPECT_FALSE(refuseUntil({estimate.expected(0, start), 300ms, 5s}).has_value());
+}
+
+// Whoever turns all away gets no samples; what was learned in the worst second may not hold for ever.
+TEST(AdmissionTest, forgetsWhatNoRequestHasShownForASecond)
+{
+    WaitEstimate estimate;
+    for (int sample = 0; sample < 100; ++sample) {
+        estimate.note(4, 5s, start);
+    }
+    EXPECT_TRUE(refuseUntil({estimate.expected(2, start), 300ms, 5s}).has_value());
+    EXPECT_LT(estimate.expected(2, start + 2s), estimate.expected(2, start));
+}
+
+TEST(PartIndexTest, knowsPartsUntilMostOfThemIsGone)
+{
+    PartIndex index;
+    index.take({"s", "a", 1000});
+    EXPECT_TRUE(index.contains(partKey("s", "a")));
+    EXPECT_FALSE(index.contains(partKey("t", "a")));
+    index.take({"s", "a", 900});
+    EXPECT_TRUE(index.contains(partKey("s", "a")));
+    index.take({"s", "a", 100});
+    EXPECT_FALSE(index.contains(partKey("s", "a")));
+    index.take({"s", "a", 0});
+    EXPECT_EQ(index.tokens(), 0U);
+}
+
+TEST(PartIndexTest, holdsNoMoreThanTheCacheCanWhenEndsWereNotTold)
+{
+    EXPECT_TRUE(rc::check([] {
+        PartIndex index;
+        index.setCapacity(5000);
+        const auto events = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40));
+        for (const int part : events) {
+            index.take({"s", std::to_string(part), static_cast<std::uint32_t>(100 + part * 30)});
+        }
+        RC_ASSERT(index.tokens() <= 5000U);
+        if (!events.empty()) {
+            RC_ASSERT(index.contains(partKey("s", std::to_string(events.back()))));
+        }
+    }));
+}
+
+} // namespace
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/tests/auto/relay/tst_relay.cpp
@@ -0,0 +1,408 @@
+#include "workerfake.h"
+
+#include <relay/relaytask.h>
+
+#include <gtest/gtest.h>
+
+#include <array>
+
+namespace Verbena::Relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Test::CallerFake;
+using Test::PlainProtocol;
+using Test::runUntil;
+using Test::WorkerFake;
+using Test::WorkerScript;
+
+std::string answer(const Http::MessageHead &head, const std::string &body, const std::string &fields = "Receipt: r\r\n", const std::string &status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\nId: " + *head.field("Id") + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string chunk(const std::string &data)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", data.size());
+    return std::string(size.data()) + "\r\n" + data + "\r\n";
+}
+
+std::string streamHead(const Http::MessageHead &head)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + *head.field("Id") + "\r\nReceipt: r\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + "\n\n";
+}
+
+class RelayTest : public testing::Test
+{
+protected:
+    RelayTest()
+        : m_loop(std::move(EventLoop::Loop::create().value()))
+    {
+        RelaySettings settings;
+        settings.listen = Http::Endpoint::parse("127.0.0.1:0").value();
+        settings.resend = {0.2, 100, 10s};
+        settings.routerCount = 1;
+        settings.routing.isProbing = false;
+        settings.seed = 3;
+        settings.shutdownNotice = 50ms;
+        settings.shutdownGrace = 30s;
+        m_relay = std::move(RelayTask::create(*m_loop, settings, m_protocol).value());
+    }
+
+    // Nothing is declared of a route but what a test is about.
+    static Decisions::RelayRoute route(const std::string &prefix, Decisions::RequestKind kind, std::uint32_t attempts = 2)
+    {
+        Decisions::RelayRoute declared;
+        declared.name = prefix;
+        declared.host = "x";
+        declared.prefix = prefix;
+        declared.kind = kind;
+        declared.timeout = 20s;
+        declared.attempts = attempts;
+        declared.services = {{"s", 1.0}};
+        return declared;
+    }
+
+    Decisions::RelayConfiguration configuration(std::uint64_t version = 1)
+    {
+        Decisions::RelayConfiguration declared;
+        declared.version = version;
+        declared.routes = {route("/safe/", Decisions::RequestKind::Idempotent),
+            route("/once/", Decisions::RequestKind::NonIdempotent),
+            route("/stream/", Decisions::RequestKind::Streaming),
+            route("/resume/", Decisions::RequestKind::Streaming)};
+        declared.routes[3].isResumable = true;
+        declared.organisations = {{"dams", {"k"}, std::nullopt, false}};
+        declared.limits.bodyBytes = 1000;
+        return declared;
+    }
+
+    WorkerFake &addWorker(WorkerFake::Answer script)
+    {
+        m_workers.push_back(std::make_unique<WorkerFake>(*m_loop, std::move(script)));
+        const std::string id = "server-" + std::to_string(m_workers.size());
+        m_relay->fleet().servers().put({id, "s", m_workers.back()->address(), "hall", 6, false, {}});
+        return *m_workers.back();
+    }
+
+    void start(WorkerFake::Answer script)
+    {
+        m_relay->setConfiguration(configuration());
+        addWorker(std::move(script));
+    }
+
+    std::unique_ptr<CallerFake> caller()
+    {
+        return std::make_unique<CallerFake>(*m_loop, m_relay->endpoint());
+    }
+
+    static std::string request(const std::string &path, const std::string &fields = "", const std::string &body = "")
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: x\r\nId: a1\r\nKey: k\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    // All that the caller gets until the text \a end has come or the connection is closed.
+    std::string call(const std::string &text, const std::string &end)
+    {
+        const auto from = caller();
+        from->send(text);
+        EXPECT_TRUE(runUntil(*m_loop, [&] { return from->isClosed() || from->received().find(end) != std::string::npos; })) << from->received();
+        return from->received();
+    }
+
+    std::size_t runs() const
+    {
+        std::size_t count = 0;
+        for (const auto &worker : m_workers) {
+            count += worker->heads().size();
+        }
+        return count;
+    }
+
+    PlainProtocol m_protocol;
+    std::unique_ptr<EventLoop::Loop> m_loop;
+    std::unique_ptr<RelayTask> m_relay;
+    std::vector<std::unique_ptr<WorkerFake>> m_workers;
+};
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+TEST_F(RelayTest, carriesARequestAndItsAnswerUnchanged)
+{
+    start([](const auto &head, const auto &body) { return WorkerScript{answer(head, "echo " + body)}; });
+    const std::string got = call(request("/safe/a?b=c", "", "question"), "echo question");
+    EXPECT_TRUE(contains(got, "HTTP/1.1 200 OK\r\n"));
+    EXPECT_TRUE(contains(got, "Receipt: r\r\n"));
+    const Http::MessageHead &head = m_workers[0]->heads().at(0);
+    EXPECT_EQ(head.target, "/safe/a?b=c");
+    EXPECT_EQ(*head.field("Server"), "server-1");
+    EXPECT_EQ(*head.field("Organisation"), "dams");
+    EXPECT_EQ(head.field("Key"), nullptr);
+}
+
+TEST_F(RelayTest, refusesAWrongPathAndAWrongKey)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
+    EXPECT_TRUE(contains(call(request("/none/"), "\r\n\r\n"), "HTTP/1.1 404"));
+    EXPECT_TRUE(contains(call("GET /safe/ HTTP/1.1\r\nHost: x\r\nKey: other\r\n\r\n", "\r\n\r\n"), "HTTP/1.1 401"));
+    EXPECT_EQ(runs(), 0U);
+}
+
+TEST_F(RelayTest, isNotReadyAndRefusesBeforeItKnowsAConfiguration)
+{
+    EXPECT_FALSE(m_relay->isReady());
+    const std::string got = call(request("/safe/"), "\r\n\r\n");
+    EXPECT_TRUE(contains(got, "HTTP/1.1 503"));
+    EXPECT_TRUE(contains(got, "Come-Back-Ms: "));
+}
+
+TEST_F(RelayTest, neverGoesBackToAnOlderConfiguration)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
+    auto older = configuration(1);
+    older.routes.clear();
+    EXPECT_FALSE(m_relay->setConfiguration(std::move(older)));
+    EXPECT_TRUE(contains(call(request("/safe/"), "ok"), "200 OK"));
+    auto newer = configuration(7);
+    newer.routes.clear();
+    EXPECT_TRUE(m_relay->setConfiguration(std::move(newer)));
+    EXPECT_TRUE(contains(call(request("/safe/"), "\r\n\r\n"), "HTTP/1.1 404"));
+}
+
+TEST_F(RelayTest, keepsAConnectionForManyRequests)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
+    const auto from = caller();
+    for (std::size_t number = 1; number <= 3; ++number) {
+        from->send(request("/safe/"));
+        ASSERT_TRUE(runUntil(*m_loop, [&] { return runs() == number && from->received().size() >= number * 40; }));
+        ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), "ok"); }));
+    }
+    EXPECT_FALSE(from->isClosed());
+}
+
+// What follows a request on its connection may have been smuggled in by somebody else: the first request is answered, the rest is never run.
+TEST_F(RelayTest, runsNothingThatFollowsARequestBeforeItsAnswer)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
+    const std::string got = call(request("/safe/") + request("/safe/"), "never");
+    EXPECT_TRUE(contains(got, "200 OK"));
+    EXPECT_TRUE(contains(got, "Connection: close"));
+    EXPECT_EQ(runs(), 1U);
+}
+
+TEST_F(RelayTest, refusesATooLongBodyAndClosesTheConnection)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
+    const std::string got = call(request("/safe/", "", std::string(1001, 'x')), "never");
+    EXPECT_TRUE(contains(got, "HTTP/1.1 413"));
+    EXPECT_TRUE(contains(got, "Connection: close"));
+}
+
+TEST_F(RelayTest, takesNoAnswerOfAnotherRequest)
+{
+    start([](const auto &, const auto &) { return WorkerScript{"HTTP/1.1 200 OK\r\nId: other\r\nReceipt: r\r\nContent-Length: 6\r\n\r\nsecret"}; });
+    const std::string got = call(request("/once/"), "\r\n\r\n");
+    EXPECT_TRUE(contains(got, "HTTP/1.1 502"));
+    EXPECT_FALSE(contains(got, "secret"));
+}
+
+TEST_F(RelayTest, takesNoSuccessWithoutAReceipt)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "fake", "")}; });
+    EXPECT_TRUE(contains(call(request("/once/"), "\r\n\r\n"), "HTTP/1.1 502"));
+}
+
+// A 503 promises that the request has not run; without the backend server's proof the router may not say so.
+TEST_F(RelayTest, makesNoPromiseOutOfAnUnprovedRefusal)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "", "Receipt: r\r\n", "503 Busy")}; });
+    EXPECT_TRUE(contains(call(request("/once/"), "\r\n\r\n"), "HTTP/1.1 502"));
+    EXPECT_EQ(runs(), 1U);
+}
+
+TEST_F(RelayTest, asksAnotherServerAfterAProvedRefusal)
+{
+    const auto script = [this](const auto &head, const auto &) {
+        return WorkerScript{runs() == 1 ? answer(head, "", "Not-Run: 1\r\n", "503 Full") : answer(head, "done")};
+    };
+    start(script);
+    addWorker(script);
+    EXPECT_TRUE(contains(call(request("/once/"), "done"), "200 OK"));
+    EXPECT_EQ(runs(), 2U);
+}
+
+TEST_F(RelayTest, sendsOnceOnlyWhatMayNotRunTwice)
+{
+    const auto script = [](const auto &, const auto &) {
+        return WorkerScript{"", WorkerScript::End::Reset};
+    };
+    start(script);
+    addWorker(script);
+    EXPECT_TRUE(contains(call(request("/once/"), "\r\n\r\n"), "HTTP/1.1 502"));
+    EXPECT_EQ(runs(), 1U);
+}
+
+TEST_F(RelayTest, sendsAnIdempotentRequestAgainAfterABrokenAnswer)
+{
+    const auto script = [this](const auto &head, const auto &) {
+        return runs() == 1 ? WorkerScript{"HTTP/1.1 200 OK\r\nId: a1\r\nReceipt: r\r\nContent-Length: 10\r\n\r\nhalf", WorkerScript::End::Close}
+                           : WorkerScript{answer(head, "whole")};
+    };
+    start(script);
+    addWorker(script);
+    const std::string got = call(request("/safe/"), "whole");
+    EXPECT_FALSE(contains(got, "half"));
+    EXPECT_TRUE(contains(got, "200 OK"));
+}
+
+TEST_F(RelayTest, passesAServersOwnErrorOnWithItsReceipt)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "sorry", "Receipt: r\r\n", "500 Error")}; });
+    const std::string got = call(request("/once/"), "sorry");
+    EXPECT_TRUE(contains(got, "HTTP/1.1 500"));
+    EXPECT_TRUE(contains(got, "Receipt: r\r\n"));
+}
+
+TEST_F(RelayTest, relaysAStreamAsItComes)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{streamHead(head) + chunk(event(1))}; });
+    const auto from = caller();
+    from->send(request("/stream/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), event(1)); }));
+    m_workers[0]->sendMore(chunk(event(2)) + "0\r\n\r\n");
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), "0\r\n\r\n"); }));
+    EXPECT_TRUE(contains(from->received(), event(2)));
+    EXPECT_FALSE(from->isClosed());
+}
+
+TEST_F(RelayTest, letsABrokenStreamLookBroken)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{streamHead(head) + chunk(event(1)), WorkerScript::End::Close}; });
+    const std::string got = call(request("/stream/"), "never");
+    EXPECT_TRUE(contains(got, event(1)));
+    EXPECT_FALSE(contains(got, "\r\n0\r\n\r\n"));
+    EXPECT_EQ(runs(), 1U);
+}
+
+TEST_F(RelayTest, goesOnWithAResumableStreamElsewhereAfterTheLastWholeEvent)
+{
+    const auto script = [this](const auto &head, const auto &) {
+        if (runs() == 1) {
+            return WorkerScript{streamHead(head) + chunk(event(1) + event(2) + "id: 3\nda"), WorkerScript::End::Close};
+        }
+        return WorkerScript{streamHead(head) + chunk(event(3)) + "0\r\n\r\n"};
+    };
+    start(script);
+    addWorker(script);
+    const std::string got = call(request("/resume/"), "\r\n0\r\n\r\n");
+    EXPECT_EQ(runs(), 2U);
+    for (int id = 1; id <= 3; ++id) {
+        EXPECT_TRUE(contains(got, event(id)));
+        EXPECT_EQ(got.find(event(id)), got.rfind(event(id)));
+    }
+    std::string resumedAfter;
+    for (const auto &worker : m_workers) {
+        for (const Http::MessageHead &head : worker->heads()) {
+            resumedAfter += *head.field("Last-Event-Id");
+        }
+    }
+    EXPECT_EQ(resumedAfter, "2");
+}
+
+TEST_F(RelayTest, endsTheWorkOfACallerThatHangsUp)
+{
+    start([](const auto &, const auto &) { return WorkerScript{}; });
+    const auto from = caller();
+    from->send(request("/once/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return runs() == 1; }));
+    from->hangUp();
+    EXPECT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->openCount() == 0; }));
+}
+
+TEST_F(RelayTest, givesAFinalAnswerWhenTheTimeIsUp)
+{
+    start([](const auto &, const auto &) { return WorkerScript{}; });
+    EXPECT_TRUE(contains(call(request("/once/", "Deadline: 100\r\n"), "\r\n\r\n"), "HTTP/1.1 504"));
+}
+
+TEST_F(RelayTest, handsOnTheTimeThatIsLeft)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
+    call(request("/safe/", "Deadline: 5000\r\n"), "ok");
+    const int left = std::stoi(*m_workers[0]->heads().at(0).field("Time-Left"));
+    EXPECT_LE(left, 5000);
+    EXPECT_GT(left, 0);
+}
+
+TEST_F(RelayTest, refusesAsNotRunWhenNoServerCanBeReached)
+{
+    m_relay->setConfiguration(configuration());
+    m_relay->fleet().servers().put({"gone", "s", "127.0.0.1:1", "hall", 6, false, {}});
+    const std::string got = call(request("/once/"), "\r\n\r\n");
+    EXPECT_TRUE(contains(got, "HTTP/1.1 503"));
+    EXPECT_TRUE(contains(got, "Come-Back-Ms: "));
+}
+
+TEST_F(RelayTest, asksAnotherServerWhereOneCannotBeReached)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
+    m_relay->fleet().servers().put({"gone", "s", "127.0.0.1:1", "hall", 6, false, {}});
+    for (int number = 0; number < 5; ++number) {
+        EXPECT_TRUE(contains(call(request("/once/"), "ok"), "200 OK"));
+    }
+}
+
+TEST_F(RelayTest, holdsTheServerBackForACallerThatDoesNotRead)
+{
+    const std::string piece(60'000, 'x');
+    std::string text;
+    for (int number = 0; number < 200; ++number) {
+        text += chunk(piece);
+    }
+    start([&text](const auto &head, const auto &) { return WorkerScript{streamHead(head) + text + "0\r\n\r\n"}; });
+    const std::string got = call(request("/stream/"), "\r\n0\r\n\r\n");
+    EXPECT_GT(got.size(), 200 * piece.size());
+}
+
+TEST_F(RelayTest, finishesWhatRunsWhenItIsAskedToEnd)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{streamHead(head) + chunk(event(1))}; });
+    const auto from = caller();
+    from->send(request("/stream/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), event(1)); }));
+    bool isOver = false;
+    m_relay->beginShutdown([&isOver] { isOver = true; });
+    EXPECT_FALSE(m_relay->isReady());
+    const auto idle = caller();
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return idle->isClosed(); }));
+    EXPECT_FALSE(isOver);
+    m_workers[0]->sendMore("0\r\n\r\n");
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return isOver; }));
+    EXPECT_TRUE(contains(from->received(), "\r\n0\r\n\r\n"));
+}
+
+TEST_F(RelayTest, answersDuringTheNoticeOfAShutdownAndSaysThatItCloses)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
+    const auto from = caller();
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return true; }));
+    m_relay->beginShutdown([] {});
+    from->send(request("/safe/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return from->isClosed(); }));
+    EXPECT_TRUE(from->received().empty() || (contains(from->received(), "200 OK") && contains(from->received(), "Connection: close")));
+}
+
+} // namespace
+
+} // namespace Verbena::Relay
--- /dev/null
+++ b/tests/auto/relay/tst_tablefollower.cpp
@@ -0,0 +1,250 @@
+#include <store/tablefollower.h>
+
+#include <eventloop/loop.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <map>
+
+namespace Verbena::Store {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A store whose answers a test gives one by one.
+class ScriptedSource : public RowSource
+{
+public:
+    struct Question
+    {
+        bool isWhole = false;
+        std::uint64_t after = 0;
+        PageCallback done;
+    };
+
+    void readTable(const std::string &, Core::TimePoint, PageCallback done) override
+    {
+        m_questions.push_back({true, 0, std::move(done)});
+    }
+
+    void awaitChanges(const std::string &, std::uint64_t revision, Core::TimePoint, Core::TimePoint, PageCallback done) override
+    {
+        m_questions.push_back({false, revision, std::move(done)});
+    }
+
+    bool hasQuestion() const
+    {
+        return !m_questions.empty();
+    }
+
+    Question take()
+    {
+        Question question = std::move(m_questions.front());
+        m_questions.pop_front();
+        return question;
+    }
+
+private:
+    std::deque<Question> m_questions;
+};
+
+/// Keeps the rows as a router would.
+class Mirror : public RowConsumer
+{
+public:
+    void replaceRows(const std::string &, const RowPage &page) override
+    {
+        m_rows.clear();
+        changeRows("", page);
+    }
+
+    void changeRows(const std::string &, const RowPage &page) override
+    {
+        for (const TableRow &row : page.rows) {
+            if (row.isDeleted) {
+                m_rows.erase(row.key);
+            } else {
+                m_rows[row.key] = row.value;
+            }
+        }
+    }
+
+    void sourceLost(const std::string &, const Core::Error &) override
+    {
+        ++m_losses;
+    }
+
+    void sourceRegained(const std::string &) override
+    {
+        ++m_returns;
+    }
+
+    const std::map<std::string, std::string> &rows() const
+    {
+        return m_rows;
+    }
+
+    int losses() const
+    {
+        return m_losses;
+    }
+
+    int returns() const
+    {
+        return m_returns;
+    }
+
+private:
+    std::map<std::string, std::string> m_rows;
+    int m_losses = 0;
+    int m_returns = 0;
+};
+
+class TableFollowerTest : public testing::Test
+{
+protected:
+    TableFollowerTest()
+        : m_loop(std::move(EventLoop::Loop::create().value()))
+        , m_follower(std::make_unique<TableFollower>(*m_loop, m_source, "t", 0ms, m_mirror))
+    {
+    }
+
+    ScriptedSource::Question question()
+    {
+        while (!m_source.hasQuestion()) {
+            m_loop->runOnce();
+        }
+        return m_source.take();
+    }
+
+    static RowPage page(std::uint64_t revision, std::vector<TableRow> rows)
+    {
+        return {std::move(rows), revision, false};
+    }
+
+    std::unique_ptr<EventLoop::Loop> m_loop;
+    ScriptedSource m_source;
+    Mirror m_mirror;
+    std::unique_ptr<TableFollower> m_follower;
+};
+
+const Core::Error away{Core::ErrorCode::Unavailable, "store", "", "It is away."};
+
+TEST_F(TableFollowerTest, readsTheTableAndThenItsChanges)
+{
+    question().done(page(5, {{"a", "1", 3, false}, {"b", "1", 5, false}}));
+    auto next = question();
+    EXPECT_FALSE(next.isWhole);
+    EXPECT_EQ(next.after, 5U);
+    next.done(page(7, {{"a", "2", 6, false}, {"b", "", 7, true}}));
+    EXPECT_EQ(m_mirror.rows(), (std::map<std::string, std::string>{{"a", "2"}}));
+    EXPECT_EQ(question().after, 7U);
+}
+
+TEST_F(TableFollowerTest, doesNotBelieveAnAnswerFromThePast)
+{
+    question().done(page(5, {{"a", "new", 5, false}}));
+    question().done({RowPage{{}, 0, true}});
+    auto whole = question();
+    EXPECT_TRUE(whole.isWhole);
+    whole.done(page(4, {{"a", "old", 4, false}}));
+    EXPECT_EQ(m_mirror.rows().at("a"), "new");
+    auto again = question();
+    EXPECT_TRUE(again.isWhole);
+    again.done(page(9, {{"a", "newer", 9, false}}));
+    EXPECT_EQ(m_mirror.rows().at("a"), "newer");
+}
+
+TEST_F(TableFollowerTest, keepsWhatItKnowsWhileTheStoreIsAwayAndSaysSoOnce)
+{
+    question().done(page(5, {{"a", "1", 5, false}}));
+    for (int number = 0; number < 3; ++number) {
+        question().done(away);
+    }
+    EXPECT_EQ(m_mirror.losses(), 1);
+    EXPECT_EQ(m_mirror.rows().size(), 1U);
+    question().done(page(6, {{"b", "1", 6, false}}));
+    EXPECT_EQ(m_mirror.returns(), 1);
+    EXPECT_EQ(m_mirror.rows().size(), 2U);
+}
+
+TEST_F(TableFollowerTest, outlivesAnAnswerThatComesAfterItsEnd)
+{
+    auto late = question();
+    m_follower.reset();
+    late.done(page(5, {{"a", "1", 5, false}}));
+    EXPECT_TRUE(m_mirror.rows().empty());
+}
+
+// Whatever the store does to single answers, in the end the mirror holds what a reader of the whole table would.
+TEST_F(TableFollowerTest, agreesWithANaiveReaderAfterAnyTrouble)
+{
+    EXPECT_TRUE(rc::check([this] {
+        ScriptedSource source;
+        Mirror mirror;
+        const TableFollower follower(*m_loop, source, "t", 0ms, mirror);
+        std::map<std::string, std::pair<std::string, std::uint64_t>> table;
+        std::vector<TableRow> history;
+        std::uint64_t revision = 0;
+        std::uint64_t compacted = 0;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+        auto all = [&] {
+            std::vector<TableRow> rows;
+            for (const auto &[key, entry] : table) {
+                rows.push_back({key, entry.first, entry.second, false});
+            }
+            return page(revision, std::move(rows));
+        };
+        auto respond = [&](ScriptedSource::Question asked) {
+            if (asked.isWhole) {
+                asked.done(all());
+                return;
+            }
+            if (asked.after < compacted) {
+                asked.done(RowPage{{}, 0, true});
+                return;
+            }
+            std::vector<TableRow> rows;
+            std::copy_if(history.begin(), history.end(), std::back_inserter(rows), [&](const TableRow &row) { return row.revision > asked.after; });
+            asked.done(page(revision, std::move(rows)));
+        };
+        const auto next = [&] {
+            while (!source.hasQuestion()) {
+                m_loop->runOnce();
+            }
+            return source.take();
+        };
+        for (const int step : steps) {
+            const std::string key(1, static_cast<char>('a' + step % 3));
+            ++revision;
+            if (step == 0) {
+                table.erase(key);
+                history.push_back({key, "", revision, true});
+            } else {
+                table[key] = {std::to_string(revision), revision};
+                history.push_back({key, std::to_string(revision), revision, false});
+            }
+            if (step == 4) {
+                compacted = revision;
+            } else if (step == 5) {
+                next().done(page(revision / 2, {}));
+            } else {
+                respond(next());
+            }
+        }
+        for (int number = 0; number < 3; ++number) {
+            respond(next());
+        }
+        RC_ASSERT(mirror.rows().size() == table.size());
+        for (const auto &[rowKey, entry] : table) {
+            RC_ASSERT(mirror.rows().at(rowKey) == entry.first);
+        }
+    }));
+}
+
+} // namespace
+
+} // namespace Verbena::Store
--- /dev/null
+++ b/tests/auto/relay/workerfake.cpp
@@ -0,0 +1,231 @@
+#include "workerfake.h"
+
+#include <eventloop/deferredcall.h>
+#include <eventloop/timer.h>
+
+namespace Verbena::Test {
+
+using Http::HttpField;
+using namespace std::chrono_literals;
+
+class WorkerFake::Connection : private Http::ChannelObserver, private Http::MessageSink
+{
+public:
+    Connection(WorkerFake &worker, int descriptor)
+        : m_worker(worker)
+        , m_channel(Http::TcpChannel::adopt(worker.m_loop, descriptor, *this))
+        , m_reader(Http::MessageReader::Kind::Requests, *this, {})
+        , m_close(worker.m_loop, [this] { m_worker.m_connections.erase(this); })
+    {
+    }
+
+    void send(const std::string &bytes)
+    {
+        m_channel->write(bytes);
+    }
+
+private:
+    void receiveBytes(std::string_view data) override
+    {
+        (void)m_reader.feed(data);
+        if (!m_reader.isDone()) {
+            return;
+        }
+        m_worker.m_heads.push_back(m_head);
+        m_worker.m_bodies.push_back(m_body);
+        m_worker.m_last = this;
+        const WorkerScript script = m_worker.m_answer(m_head, m_body);
+        m_channel->write(script.bytes);
+        if (script.end == WorkerScript::End::Keep) {
+            return;
+        }
+        if (script.end == WorkerScript::End::Reset) {
+            m_channel->resetOnClose();
+        }
+        m_close.schedule();
+    }
+
+    void receiveEnd(Http::ChannelEnd) override
+    {
+        m_worker.m_last = m_worker.m_last == this ? nullptr : m_worker.m_last;
+        m_worker.m_connections.erase(this);
+    }
+
+    void receiveHead(Http::MessageHead head) override
+    {
+        m_head = std::move(head);
+    }
+
+    void receiveBody(std::string_view data) override
+    {
+        m_body.append(data);
+    }
+
+    void receiveEnd() override
+    {
+    }
+
+    WorkerFake &m_worker;
+    std::unique_ptr<Http::TcpChannel> m_channel;
+    Http::MessageReader m_reader;
+    EventLoop::DeferredCall m_close;
+    Http::MessageHead m_head;
+    std::string m_body;
+};
+
+WorkerFake::WorkerFake(EventLoop::Loop &loop, Answer answer)
+    : m_loop(loop)
+    , m_answer(std::move(answer))
+{
+    auto listener = Http::TcpListener::create(loop, Http::Endpoint::parse("127.0.0.1:0").value(), [this](int descriptor) {
+        auto connection = std::make_unique<Connection>(*this, descriptor);
+        Connection *raw = connection.get();
+        m_connections.emplace(raw, std::move(connection));
+    });
+    m_listener = std::move(listener.value());
+}
+
+WorkerFake::~WorkerFake() = default;
+
+std::string WorkerFake::address() const
+{
+    return m_listener->endpoint().toString();
+}
+
+const std::vector<Http::MessageHead> &WorkerFake::heads() const
+{
+    return m_heads;
+}
+
+const std::vector<std::string> &WorkerFake::bodies() const
+{
+    return m_bodies;
+}
+
+std::size_t WorkerFake::openCount() const
+{
+    return m_connections.size();
+}
+
+void WorkerFake::sendMore(const std::string &bytes)
+{
+    m_last->send(bytes);
+}
+
+CallerFake::CallerFake(EventLoop::Loop &loop, const Http::Endpoint &endpoint)
+    : m_channel(std::move(Http::TcpChannel::connect(loop, endpoint, *this).value()))
+{
+}
+
+void CallerFake::send(const std::string &bytes)
+{
+    m_channel->write(bytes);
+}
+
+void CallerFake::hangUp()
+{
+    m_channel.reset();
+    m_isClosed = true;
+}
+
+const std::string &CallerFake::received() const
+{
+    return m_received;
+}
+
+bool CallerFake::isClosed() const
+{
+    return m_isClosed;
+}
+
+void CallerFake::receiveBytes(std::string_view data)
+{
+    m_received.append(data);
+}
+
+void CallerFake::receiveEnd(Http::ChannelEnd)
+{
+    m_isClosed = true;
+}
+
+namespace {
+
+std::string value(const Http::MessageHead &head, const char *name)
+{
+    const std::string *field = head.field(name);
+    return field == nullptr ? std::string() : *field;
+}
+
+} // namespace
+
+Core::Result<Relay::RelayQuery> PlainProtocol::readQuery(const Http::MessageHead &head, Core::TimePoint now) const
+{
+    if (head.field("Host") == nullptr) {
+        return Core::Error{Core::ErrorCode::InvalidArgument, "test.request", "", "There is no host."};
+    }
+    Relay::RelayQuery query;
+    query.attemptId = value(head, "Id");
+    query.host = value(head, "Host");
+    query.path = head.target;
+    query.key = value(head, "Key");
+    query.lastEventId = value(head, "Last-Event-Id");
+    if (head.field("Deadline") != nullptr) {
+        query.deadline = now + std::chrono::milliseconds(std::stoi(value(head, "Deadline")));
+    }
+    return query;
+}
+
+std::vector<HttpField> PlainProtocol::callFields(const Http::MessageHead &head, const Relay::CallContext &context) const
+{
+    return {{"Id", value(head, "Id")},
+        {"Server", context.serverId},
+        {"Organisation", context.organisation},
+        {"Time-Left", std::to_string(context.timeLeft.count())},
+        {"Last-Event-Id", context.lastEventId}};
+}
+
+Relay::AnswerMarks PlainProtocol::readAnswer(const Http::MessageHead &head) const
+{
+    Relay::AnswerMarks marks;
+    marks.attemptId = value(head, "Id");
+    marks.isNotRun = head.field("Not-Run") != nullptr;
+    marks.isMisdirected = head.status == 421;
+    marks.hasReceipt = head.field("Receipt") != nullptr;
+    return marks;
+}
+
+std::vector<HttpField> PlainProtocol::answerFields(const Http::MessageHead &head) const
+{
+    std::vector<HttpField> fields;
+    for (const HttpField &field : head.fields) {
+        if (!Http::isSameFieldName(field.name, "Content-Length") && !Http::isSameFieldName(field.name, "Transfer-Encoding")) {
+            fields.push_back(field);
+        }
+    }
+    return fields;
+}
+
+std::vector<HttpField> PlainProtocol::refusalFields(const Relay::Refusal &refusal, const std::string &) const
+{
+    if (!refusal.retryAfter.has_value()) {
+        return {};
+    }
+    return {{"Come-Back-Ms", std::to_string(refusal.retryAfter->count())}};
+}
+
+bool runUntil(EventLoop::Loop &loop, const std::function<bool()> &isDone)
+{
+    // Far beyond what any of these tests needs, so that only a hang ends here.
+    const Core::TimePoint deadline = loop.now() + 60s;
+    EventLoop::Timer tick(loop, [] {});
+    while (!isDone()) {
+        if (loop.now() > deadline) {
+            return false;
+        }
+        tick.startAt(loop.now() + 10ms);
+        loop.runOnce();
+    }
+    return true;
+}
+
+} // namespace Verbena::Test
--- /dev/null
+++ b/tests/auto/relay/workerfake.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <eventloop/loop.h>
+#include <http/messagereader.h>
+#include <http/tcpchannel.h>
+#include <http/tcplistener.h>
+#include <relay/relayprotocol.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Verbena::Test {
+
+/// \brief What a backend server does with one request.
+struct WorkerScript
+{
+    enum class End {
+        Keep, ///< Waits for the relay to close.
+        Close,
+        Reset,
+    };
+
+    std::string bytes; ///< Sent at once.
+    End end = End::Keep;
+};
+
+/// \brief A backend server on the test's own loop that answers with whatever bytes a test wants.
+class WorkerFake
+{
+public:
+    using Answer = std::function<WorkerScript(const Http::MessageHead &head, const std::string &body)>;
+
+    WorkerFake(EventLoop::Loop &loop, Answer answer);
+    ~WorkerFake();
+
+    std::string address() const;
+
+    /// \brief Heads of all requests that came whole, in order.
+    const std::vector<Http::MessageHead> &heads() const;
+    const std::vector<std::string> &bodies() const;
+
+    /// \brief Connections that the relay has not closed.
+    std::size_t openCount() const;
+
+    /// \brief Sends more on the connection of the last request.
+    void sendMore(const std::string &bytes);
+
+private:
+    class Connection;
+
+    EventLoop::Loop &m_loop;
+    Answer m_answer;
+    std::vector<Http::MessageHead> m_heads;
+    std::vector<std::string> m_bodies;
+    std::map<Connection *, std::unique_ptr<Connection>> m_connections;
+    Connection *m_last = nullptr;
+    std::unique_ptr<Http::TcpListener> m_listener;
+};
+
+/// \brief A caller's connection on the test's own loop, without any HTTP library in between.
+class CallerFake : private Http::ChannelObserver
+{
+public:
+    CallerFake(EventLoop::Loop &loop, const Http::Endpoint &endpoint);
+
+    void send(const std::string &bytes);
+    void hangUp();
+
+    /// \brief All that has come.
+    const std::string &received() const;
+    bool isClosed() const;
+
+private:
+    void receiveBytes(std::string_view data) override;
+    void receiveEnd(Http::ChannelEnd end) override;
+
+    std::unique_ptr<Http::TcpChannel> m_channel;
+    std::string m_received;
+    bool m_isClosed = false;
+};
+
+/// \brief The smallest protocol that has all a relay asks for; its names are those of the fields of the types.
+class PlainProtocol : public Relay::RelayProtocol
+{
+public:
+    Core::Result<Relay::RelayQuery> readQuery(const Http::MessageHead &head, Core::TimePoint now) const override;
+    std::vector<Http::HttpField> callFields(const Http::MessageHead &head, const Relay::CallContext &context) const override;
+    Relay::AnswerMarks readAnswer(const Http::MessageHead &head) const override;
+    std::vector<Http::HttpField> answerFields(const Http::MessageHead &head) const override;
+    std::vector<Http::HttpField> refusalFields(const Relay::Refusal &refusal, const std::string &attemptId) const override;
+};
+
+/// \brief Runs \a loop until \a isDone; false if that takes longer than any healthy run.
+bool runUntil(EventLoop::Loop &loop, const std::function<bool()> &isDone);
+
+} // namespace Verbena::Test
