--- /dev/null
+++ b/tests/auto/platform/platformdeployment.cpp
@@ -0,0 +1,227 @@
+#include "platformdeployment.h"
+
+#include <unistd.h>
+
+namespace Verbena::Test {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *model = "m";
+constexpr const char *callersPort = "8782";
+constexpr const char *readinessPort = "8789";
+constexpr std::size_t engineHost = 200;
+
+std::string whole(const std::string &fields, const std::string &body, const std::string &status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Processes of tests that run at the same time differ in these two numbers.
+std::string networkNumber()
+{
+    const auto pid = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(1 + pid / 250 % 250) + '.' + std::to_string(1 + pid % 250) + '.';
+}
+
+} // namespace
+
+EngineFake::EngineFake(EventLoop::Loop &loop, const std::string &ip)
+    : m_worker(
+        loop, [this](const Http::MessageHead &head, const std::string &body) { return answer(head, body); }, ip + ":0")
+{
+}
+
+std::string EngineFake::address() const
+{
+    return m_worker.address();
+}
+
+const std::vector<json> &EngineFake::orders() const
+{
+    return m_orders;
+}
+
+const std::vector<Http::MessageHead> &EngineFake::runs() const
+{
+    return m_runs;
+}
+
+std::uint64_t EngineFake::version() const
+{
+    return m_version;
+}
+
+WorkerScript EngineFake::answer(const Http::MessageHead &head, const std::string &body)
+{
+    if (head.target == "/report") {
+        const json report{{"models", {{{"name", model}, {"version", m_version}}}},
+            {"busy", false},
+            {"sequence", m_orders.size()},
+            {"queued", 0},
+            {"running", 0},
+            {"kvUsed", 0},
+            {"kvTotal", 1000}};
+        return {whole("", report.dump())};
+    }
+    if (head.target.rfind("/kv-events", 0) == 0) {
+        // Answered late enough that nobody spins on it.
+        return {whole("", json{{"bootEpoch", 1}, {"next", 1}, {"lost", false}, {"events", json::array()}}.dump())};
+    }
+    if (head.target == "/order") {
+        return {order(body)};
+    }
+    m_runs.push_back(head);
+    const std::string *id = head.field("Verbenaladder-Attempt-Id");
+    const std::string fields = "Verbenaladder-Attempt-Id: " + (id == nullptr ? "" : *id) + "\r\nVerbenaladder-Server-Stamp: stamp\r\n";
+    return {whole(fields, "id: 1\ndata: answer of version " + std::to_string(m_version) + "\n\n")};
+}
+
+std::string EngineFake::order(const std::string &body)
+{
+    const json wanted = json::parse(body);
+    if (wanted.at("expectedRev") != m_orders.size()) {
+        return whole("", "", "409 Conflict");
+    }
+    m_orders.push_back(wanted);
+    m_version = wanted.at("version").get<std::uint64_t>();
+    return whole("", "", "202 Accepted");
+}
+
+PlatformDeployment::PlatformDeployment(std::size_t routers)
+    : m_loop(std::move(EventLoop::Loop::create().value()))
+    , m_store(*m_loop)
+    , m_engine(*m_loop, networkNumber() + std::to_string(engineHost))
+{
+    m_store.put("op", "config", configuration(3));
+    registerEngine();
+    const std::string file = hostFile("side-1", networkNumber() + std::to_string(engineHost), "app: \"" + m_engine.address() + "\"\nservice: \"reader\"\n");
+    m_agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--host", file});
+    m_routers.resize(routers);
+    for (std::size_t index = 0; index < routers; ++index) {
+        startRouter(index);
+    }
+}
+
+PlatformDeployment::~PlatformDeployment() = default;
+
+std::string PlatformDeployment::hostNumber(std::size_t index) const
+{
+    return networkNumber() + std::to_string(1 + index);
+}
+
+std::string PlatformDeployment::hostFile(const std::string &name, const std::string &ip, const std::string &more) const
+{
+    return m_folder.write(name + ".yaml",
+        "nodeName: \"" + name + "\"\nip: \"" + ip
+            + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nbounds:\n  graceS: 8\n  retrySlack: 54\nprovider:\n  address: \"" + m_store.address() + "\"\n"
+            + more);
+}
+
+void PlatformDeployment::startRouter(std::size_t index)
+{
+    const std::string ip = hostNumber(index);
+    const std::string file = hostFile(
+        "front-" + std::to_string(index + 1), ip, "listen:\n  front: \"" + ip + ':' + callersPort + "\"\n  ready: \"" + ip + ':' + readinessPort + "\"\n");
+    m_routers[index] = std::make_unique<ChildProcess>("verbena-router", std::vector<std::string>{"--host", file});
+}
+
+void PlatformDeployment::restartRouter(std::size_t index)
+{
+    m_routers[index].reset();
+    startRouter(index);
+}
+
+void PlatformDeployment::registerEngine()
+{
+    m_store.put("servers",
+        "i-1",
+        {{"service", "reader"},
+            {"address", m_engine.address()},
+            {"zone", "hall"},
+            {"slots", 96},
+            {"phase", "ready"},
+            {"models", {{{"name", model}, {"version", 1}}}},
+            {"sequence", 1}});
+}
+
+json PlatformDeployment::configuration(std::uint64_t version)
+{
+    const json route{{"name", "r"},
+        {"hostname", "x.example"},
+        {"prefix", "/wall/"},
+        {"kind", "streaming"},
+        {"timeoutMs", 20000},
+        {"targetLatencyMs", 400},
+        {"priority", 1},
+        {"service", "reader"},
+        {"attempts", 1},
+        {"public", false},
+        {"resumable", false}};
+    return {{"version", version},
+        {"routes", {route}},
+        {"services", {{{"name", "reader"}, {"engine", {{"slots", 96}}}}}},
+        {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 100000}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}},
+        {"tenants", {{{"name", "dams"}, {"apiKeys", {"secret"}}, {"dedicated", false}}}}};
+}
+
+EventLoop::Loop &PlatformDeployment::loop()
+{
+    return *m_loop;
+}
+
+StoreStandin &PlatformDeployment::store()
+{
+    return m_store;
+}
+
+EngineFake &PlatformDeployment::engine()
+{
+    return m_engine;
+}
+
+ChildProcess &PlatformDeployment::router(std::size_t index)
+{
+    return *m_routers[index];
+}
+
+ChildProcess &PlatformDeployment::agent()
+{
+    return *m_agent;
+}
+
+Http::Endpoint PlatformDeployment::callersEndpoint(std::size_t router) const
+{
+    return Http::Endpoint::parse(hostNumber(router) + ':' + callersPort).value();
+}
+
+std::string PlatformDeployment::ask(const std::string &key, const std::string &path, std::size_t router)
+{
+    CallerFake caller(*m_loop, callersEndpoint(router));
+    caller.send("POST " + path
+        + " HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: 9c41\r\nVerbenaladder-Model: m\r\nVerbenaladder-Token-Count: 100,10\r\n"
+        + "Verbenaladder-Prompt-Prefix: a:60,b:40\r\nVerbenaladder-Deadline-Ms: 10000\r\nAuthorization: Token " + key
+        + "\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
+    runUntil([&caller] { return caller.isClosed(); });
+    return caller.received();
+}
+
+bool PlatformDeployment::askUntil(const std::string &part, const std::string &key, const std::string &path, std::size_t router)
+{
+    const Core::TimePoint deadline = m_loop->now() + 30s;
+    while (m_loop->now() < deadline) {
+        if (ask(key, path, router).find(part) != std::string::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool PlatformDeployment::runUntil(const std::function<bool()> &isDone)
+{
+    return Test::runUntil(*m_loop, isDone);
+}
+
+} // namespace Verbena::Test
--- /dev/null
+++ b/tests/auto/platform/platformdeployment.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <platform/storestandin.h>
+#include <platform/workerfake.h>
+
+#include <eventloop/loop.h>
+#include <support/childprocess.h>
+#include <support/temporaryfolder.h>
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Verbena::Test {
+
+/// \brief An engine of the platform: answers prompts, reports, and takes orders for weights.
+class EngineFake
+{
+public:
+    EngineFake(EventLoop::Loop &loop, const std::string &ip);
+
+    std::string address() const;
+
+    /// \brief Bodies of the orders it got.
+    const std::vector<nlohmann::json> &orders() const;
+
+    /// \brief Requests of callers that it ran.
+    const std::vector<Http::MessageHead> &runs() const;
+
+    std::uint64_t version() const;
+
+private:
+    WorkerScript answer(const Http::MessageHead &head, const std::string &body);
+    std::string order(const std::string &body);
+
+    std::uint64_t m_version = 1;
+    std::vector<nlohmann::json> m_orders;
+    std::vector<Http::MessageHead> m_runs;
+    WorkerFake m_worker;
+};
+
+/// \brief The real router and agent as processes on loopback, between fakes on the test's own loop.
+///
+/// Each host has a loopback number of its own, so that all of them use the same ports as on the platform.
+class PlatformDeployment
+{
+public:
+    explicit PlatformDeployment(std::size_t routers = 1);
+    ~PlatformDeployment();
+
+    PlatformDeployment(const PlatformDeployment &) = delete;
+    PlatformDeployment &operator=(const PlatformDeployment &) = delete;
+
+    EventLoop::Loop &loop();
+    StoreStandin &store();
+    EngineFake &engine();
+    ChildProcess &router(std::size_t index = 0);
+    ChildProcess &agent();
+
+    /// \brief Kills a router and starts it again.
+    void restartRouter(std::size_t index = 0);
+
+    /// \brief The configuration that is written at first; tests change and write it again.
+    static nlohmann::json configuration(std::uint64_t version);
+
+    /// \brief What a caller gets for a prompt with \a key.
+    std::string ask(const std::string &key = "secret", const std::string &path = "/wall/2f", std::size_t router = 0);
+
+    /// \brief Asks until the answer has \a part; false if that does not come.
+    bool askUntil(const std::string &part, const std::string &key = "secret", const std::string &path = "/wall/2f", std::size_t router = 0);
+
+    bool runUntil(const std::function<bool()> &isDone);
+
+    /// \brief Where callers reach a router.
+    Http::Endpoint callersEndpoint(std::size_t router = 0) const;
+
+private:
+    std::string hostNumber(std::size_t index) const;
+    std::string hostFile(const std::string &name, const std::string &ip, const std::string &more) const;
+    void startRouter(std::size_t index);
+    void registerEngine();
+
+    TemporaryFolder m_folder;
+    std::unique_ptr<EventLoop::Loop> m_loop;
+    StoreStandin m_store;
+    EngineFake m_engine;
+    std::vector<std::unique_ptr<ChildProcess>> m_routers;
+    std::unique_ptr<ChildProcess> m_agent;
+};
+
+} // namespace Verbena::Test
--- /dev/null
+++ b/tests/auto/platform/tst_platformpath.cpp
@@ -0,0 +1,134 @@
+#include "platformdeployment.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace Verbena::Test {
+
+namespace {
+
+using nlohmann::json;
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+TEST(PlatformPathTest, servesACallerThroughRealProcesses)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    const Http::MessageHead &head = deployment.engine().runs().back();
+    EXPECT_EQ(*head.field("Verbenaladder-Tenant"), "dams");
+    EXPECT_EQ(*head.field("Verbenaladder-Expect-Instance"), "i-1");
+    EXPECT_EQ(*head.field("Verbenaladder-Expect-Version"), "1");
+    EXPECT_EQ(head.field("Authorization"), nullptr);
+    EXPECT_TRUE(contains(deployment.ask("wrong"), "HTTP/1.1 401"));
+    EXPECT_TRUE(contains(deployment.ask("secret", "/none/"), "HTTP/1.1 404"));
+}
+
+// A router without an answer to SIGHUP ends by it; the platform sends one whenever the file of the host has changed.
+TEST(PlatformPathTest, goesOnAfterSighup)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    deployment.router().sendSignal(SIGHUP);
+    deployment.agent().sendSignal(SIGHUP);
+    for (int number = 0; number < 3; ++number) {
+        EXPECT_TRUE(contains(deployment.ask(), "answer of version 1"));
+    }
+}
+
+TEST(PlatformPathTest, takesNewConfigurationsAndNoOldOnes)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    json revoked = PlatformDeployment::configuration(9);
+    revoked["tenants"][0]["apiKeys"] = {"other"};
+    deployment.store().put("op", "config", revoked);
+    EXPECT_TRUE(deployment.askUntil("HTTP/1.1 401"));
+    deployment.store().put("op", "config", PlatformDeployment::configuration(8));
+    for (int number = 0; number < 10; ++number) {
+        EXPECT_TRUE(contains(deployment.ask(), "HTTP/1.1 401"));
+    }
+    EXPECT_TRUE(contains(deployment.ask("other"), "answer of version 1"));
+}
+
+TEST(PlatformPathTest, ordersNewWeightsOnceAndUsesThem)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    deployment.store().put("op", "version/m", {{"model", "m"}, {"version", 2}});
+    ASSERT_TRUE(deployment.runUntil([&] { return deployment.engine().version() == 2; }));
+    ASSERT_TRUE(deployment.askUntil("answer of version 2"));
+    ASSERT_EQ(deployment.engine().orders().size(), 1U);
+    const json &order = deployment.engine().orders().front();
+    EXPECT_EQ(order.at("holder"), "side-1");
+    EXPECT_GT(order.at("fencingToken").get<int>(), 0);
+    EXPECT_EQ(order.at("switchMode"), "block");
+}
+
+TEST(PlatformPathTest, servesOnWhileTheStoreIsAway)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    for (const StoreStandin::Mode mode : {StoreStandin::Mode::Busy, StoreStandin::Mode::Silent, StoreStandin::Mode::Lossy}) {
+        deployment.store().setMode(mode);
+        for (int number = 0; number < 20; ++number) {
+            EXPECT_TRUE(contains(deployment.ask(), "answer of version 1"));
+        }
+    }
+    deployment.store().setMode(StoreStandin::Mode::Well);
+    json changed = PlatformDeployment::configuration(10);
+    changed["routes"][0]["prefix"] = "/other/";
+    deployment.store().put("op", "config", changed);
+    EXPECT_TRUE(deployment.askUntil("answer of version 1", "secret", "/other/2f"));
+}
+
+TEST(PlatformPathTest, readsTheTablesAgainWhenTheStoreForgetsItsHistory)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    deployment.store().setMode(StoreStandin::Mode::Silent);
+    json changed = PlatformDeployment::configuration(11);
+    changed["routes"][0]["prefix"] = "/other/";
+    deployment.store().put("op", "config", changed);
+    deployment.store().compact();
+    deployment.store().setMode(StoreStandin::Mode::Well);
+    EXPECT_TRUE(deployment.askUntil("answer of version 1", "secret", "/other/2f"));
+}
+
+TEST(PlatformPathTest, servesAtOnceAfterItWasKilled)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    deployment.router().sendSignal(SIGKILL);
+    deployment.restartRouter();
+    EXPECT_TRUE(deployment.askUntil("answer of version 1"));
+}
+
+TEST(PlatformPathTest, endsInGoodOrderOnSigterm)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    deployment.router().sendSignal(SIGTERM);
+    deployment.agent().sendSignal(SIGTERM);
+    EXPECT_EQ(deployment.router().waitForExit(), 0);
+    EXPECT_EQ(deployment.agent().waitForExit(), 0);
+}
+
+// Nobody reads the standard output of these processes: a log that waited for its reader would stop them once the pipe is full.
+TEST(PlatformPathTest, isNotHeldUpByALogThatNobodyReads)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    constexpr int requests = 400;
+    for (int number = 0; number < requests; ++number) {
+        ASSERT_TRUE(contains(deployment.ask(), "answer of version 1")) << number;
+    }
+}
+
+} // namespace
+
+} // namespace Verbena::Test
--- /dev/null
+++ b/tests/auto/platform/tst_translation.cpp
@@ -0,0 +1,254 @@
+#include <platform/nodefile.h>
+#include <platform/platformdecoder.h>
+#include <platform/platformprotocol.h>
+
+#include <support/temporaryfolder.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace Verbena::Platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Http::HttpField;
+using Http::MessageHead;
+
+const Core::TimePoint now = Core::TimePoint() + 1h;
+
+MessageHead request(std::vector<HttpField> fields)
+{
+    MessageHead head;
+    head.method = "POST";
+    head.target = "/wall/2f?x=1";
+    head.fields = std::move(fields);
+    head.fields.insert(head.fields.begin(), {"Host", "jepu9.example"});
+    return head;
+}
+
+std::string valueOf(const std::vector<HttpField> &fields, const std::string &name)
+{
+    std::string value;
+    for (const HttpField &field : fields) {
+        value += Http::isSameFieldName(field.name, name) ? field.value + ";" : "";
+    }
+    return value;
+}
+
+TEST(PlatformProtocolTest, readsWhatACallerSays)
+{
+    const PlatformProtocol protocol;
+    const auto query = protocol.readQuery(request({{"verbenaladder-attempt-id", "9c41"},
+                                              {"Verbenaladder-Model", "m"},
+                                              {"Verbenaladder-Token-Count", "1460,80"},
+                                              {"Verbenaladder-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410, e4402b7d:250"},
+                                              {"Verbenaladder-Deadline-Ms", "6000"},
+                                              {"Authorization", "Token secret"},
+                                              {"Last-Event-Id", "12"}}),
+        now);
+    ASSERT_TRUE(query) << query.error().message;
+    EXPECT_EQ(query.value().attemptId, "9c41");
+    EXPECT_EQ(query.value().path, "/wall/2f");
+    EXPECT_EQ(query.value().key, "secret");
+    EXPECT_EQ(query.value().deadline, now + 6s);
+    EXPECT_EQ(query.value().lastEventId, "12");
+    ASSERT_TRUE(query.value().prompt.has_value());
+    EXPECT_EQ(query.value().prompt->maximumOutputTokens, 80U);
+    ASSERT_EQ(query.value().prompt->parts.size(), 3U);
+    EXPECT_EQ(query.value().prompt->parts[2].id, "e4402b7d");
+    EXPECT_EQ(query.value().prompt->parts[2].tokens, 250U);
+}
+
+TEST(PlatformProtocolTest, refusesFieldsThatStandTwiceOrMakeNoSense)
+{
+    const PlatformProtocol protocol;
+    EXPECT_FALSE(protocol.readQuery(request({{"Verbenaladder-Attempt-Id", "a"}, {"Verbenaladder-Attempt-Id", "b"}}), now));
+    EXPECT_FALSE(protocol.readQuery(request({{"Authorization", "Token a"}, {"authorization", "Token b"}}), now));
+    EXPECT_FALSE(protocol.readQuery(request({{"Verbenaladder-Deadline-Ms", "soon"}}), now));
+    EXPECT_FALSE(protocol.readQuery(request({{"Verbenaladder-Model", "m"}, {"Verbenaladder-Prompt-Prefix", "a:b"}}), now));
+    MessageHead head = request({});
+    head.fields.clear();
+    EXPECT_FALSE(protocol.readQuery(head, now));
+}
+
+// Whatever a caller invents, a backend server sees only the router's word on who asks and how it is to be run.
+TEST(PlatformProtocolTest, passesNothingOnThatIsTheRoutersToSay)
+{
+    const PlatformProtocol protocol;
+    Relay::CallContext context;
+    context.serverId = "i-1";
+    context.organisation = "dams";
+    context.timeLeft = 1200ms;
+    const auto fields = protocol.callFields(request({{"Authorization", "Token secret"},
+                                                {"VERBENALADDER-TENANT", "forged"},
+                                                {"Verbenaladder-Hold", "h"},
+                                                {"Verbenaladder-Pin-Ms", "1"},
+                                                {"Verbenaladder-Kv-Backup", "1.2.3.4:5"},
+                                                {"Verbenaladder-Kv-Fetch", "1.2.3.4:5"},
+                                                {"Verbenaladder-Cache-Salt", "forged"},
+                                                {"Verbenaladder-Request-Priority", "0"},
+                                                {"Verbenaladder-Expect-Instance", "i-9"},
+                                                {"Verbenaladder-Deadline-Ms", "99999"},
+                                                {"Kv-From", "1.2.3.4:5/x"},
+                                                {"Connection", "close, X-Hop"},
+                                                {"X-Hop", "1"},
+                                                {"Transfer-Encoding", "chunked"},
+                                                {"Verbenaladder-Attempt-Id", "9c41"},
+                                                {"Accept", "text/event-stream"}}),
+        context);
+    EXPECT_EQ(valueOf(fields, "Verbenaladder-Tenant"), "dams;");
+    EXPECT_EQ(valueOf(fields, "Verbenaladder-Expect-Instance"), "i-1;");
+    EXPECT_EQ(valueOf(fields, "Verbenaladder-Deadline-Ms"), "1200;");
+    EXPECT_EQ(valueOf(fields, "Verbenaladder-Attempt-Id"), "9c41;");
+    EXPECT_EQ(valueOf(fields, "Accept"), "text/event-stream;");
+    for (const char *name : {"Authorization",
+             "Verbenaladder-Hold",
+             "Verbenaladder-Pin-Ms",
+             "Verbenaladder-Kv-Backup",
+             "Verbenaladder-Kv-Fetch",
+             "Verbenaladder-Cache-Salt",
+             "Verbenaladder-Request-Priority",
+             "Kv-From",
+             "Connection",
+             "X-Hop",
+             "Transfer-Encoding"}) {
+        EXPECT_EQ(valueOf(fields, name), "") << name;
+    }
+}
+
+TEST(PlatformProtocolTest, readsAnAnswersMarks)
+{
+    const PlatformProtocol protocol;
+    MessageHead head;
+    head.status = 503;
+    head.fields = {{"Verbenaladder-Not-Run", "1"}, {"Verbenaladder-Instance-Load", "3,1,8"}, {"Verbenaladder-Weight-Versions", "4"}};
+    const Relay::AnswerMarks marks = protocol.readAnswer(head);
+    EXPECT_TRUE(marks.isNotRun);
+    EXPECT_FALSE(marks.hasReceipt);
+    EXPECT_EQ(marks.waiting, std::optional<std::uint32_t>(1));
+    EXPECT_EQ(marks.weightsVersion, std::optional<std::uint64_t>(4));
+}
+
+TEST(PlatformProtocolTest, tellsARefusedCallerWhenToComeBack)
+{
+    const auto fields = PlatformProtocol().refusalFields({503, "", 250ms}, "9c41");
+    EXPECT_EQ(valueOf(fields, "Retry-After"), "0.250;");
+    EXPECT_EQ(valueOf(fields, "Verbenaladder-Attempt-Id"), "9c41;");
+}
+
+constexpr const char *configurationText = R"({"version":7,
+  "routes":[{"name":"r1","hostname":"a.example","prefix":"/x/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":400,"priority":1,
+             "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"attempts":2,"public":false,"sticky":true,"resumable":true},
+            {"name":"r2","hostname":"a.example","prefix":"/y/","kind":"idempotent","timeoutMs":800.5,"service":"s2","attempts":1,"public":true}],
+  "services":[{"name":"s1","engine":{"slots":96,"kvCapacityTokens":1000}},{"name":"k","kvStoreAddr":"1.2.3.4:5","kvCapacityTokens":2000}],
+  "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400},
+  "tenants":[{"name":"t1","apiKeys":["k1"],"priority":3,"dedicated":true}],"unknown":{}})";
+
+TEST(PlatformDecoderTest, understandsAConfiguration)
+{
+    const auto row = PlatformDecoder().decode("op", {"config", configurationText, 1, false});
+    ASSERT_TRUE(row) << row.error().message;
+    const auto &configuration = std::get<Decisions::RelayConfiguration>(row.value());
+    EXPECT_EQ(configuration.version, 7U);
+    ASSERT_EQ(configuration.routes.size(), 2U);
+    EXPECT_EQ(configuration.routes[0].kind, Decisions::RequestKind::Streaming);
+    EXPECT_TRUE(configuration.routes[0].isRepeatable());
+    EXPECT_EQ(configuration.routes[0].services.size(), 2U);
+    EXPECT_EQ(configuration.routes[1].timeout, 800ms);
+    EXPECT_TRUE(configuration.routes[1].isPublic);
+    EXPECT_EQ(configuration.services[1].cacheStore, "1.2.3.4:5");
+    EXPECT_EQ(configuration.services[0].engineSlots, 96U);
+    EXPECT_EQ(configuration.limits.bodyBytes, 200U);
+    EXPECT_TRUE(configuration.organisations[0].isDedicated);
+    EXPECT_EQ(configuration.organisations[0].priority, std::optional<std::uint32_t>(3));
+}
+
+TEST(PlatformDecoderTest, understandsEntriesOfServersAndNamesOfWeights)
+{
+    const PlatformDecoder decoder;
+    const std::string entry
+        = R"({"service":"s1","address":"1.2.3.4:5","zone":"hall","slots":96,"phase":"draining","models":[{"name":"m","version":3,"adapters":[]}],"sequence":4})";
+    const auto server = decoder.decode("servers", {"i-1", entry, 1, false});
+    ASSERT_TRUE(server);
+    EXPECT_TRUE(std::get<Decisions::RegisteredServer>(server.value()).isLeaving);
+    EXPECT_EQ(std::get<Decisions::RegisteredServer>(server.value()).weights.front().version, 3U);
+    const auto removed = decoder.decode("servers", {"i-1", "", 2, true});
+    EXPECT_EQ(std::get<Relay::RemovedServer>(removed.value()).id, "i-1");
+    const auto weights = decoder.decode("op", {"version/m", R"({"model":"m","version":5})", 3, false});
+    EXPECT_EQ(std::get<Relay::NamedWeights>(weights.value()).version, 5U);
+    EXPECT_TRUE(std::holds_alternative<std::monostate>(decoder.decode("op", {"other", "{", 3, false}).value()));
+}
+
+TEST(PlatformDecoderTest, namesTheRowThatItCannotUnderstand)
+{
+    const auto row = PlatformDecoder().decode("op", {"config", R"({"version":"seven","routes":[],"services":[]})", 1, false});
+    ASSERT_FALSE(row);
+    EXPECT_EQ(row.error().peer, "op/config");
+}
+
+// Nothing that the store hands out may end the process.
+TEST(PlatformDecoderTest, survivesAnyText)
+{
+    EXPECT_TRUE(rc::check([] {
+        std::string text = configurationText;
+        const auto cuts = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+            rc::gen::pair(rc::gen::inRange<std::size_t>(0, text.size()), rc::gen::arbitrary<char>()));
+        for (const auto &[place, character] : cuts) {
+            text[place] = character;
+        }
+        const PlatformDecoder decoder;
+        (void)decoder.decode("op", {"config", text, 1, false});
+        (void)decoder.decode("op", {"version/m", text, 1, false});
+        (void)decoder.decode("servers", {"i-1", text, 1, false});
+    }));
+}
+
+constexpr const char *nodeText = R"(nodeName: "front-1"
+ip: "10.1.0.30"
+zone: "hall"
+listen:
+  front: "10.1.0.30:8782"
+  ready: "10.1.0.30:8789"
+portRange:
+  - 7340
+  - 7355
+bounds:
+  graceS: 8
+  retryBudgetRatio: 0.2
+  retrySlack: 54
+  budgetWindowS: 10
+  versionMs: 8000
+provider:
+  address: "10.200.1.7:8784"
+somethingNew: {a: 1}
+)";
+
+TEST(NodeFileTest, readsWhatItNeedsAndLeavesTheRestAlone)
+{
+    const Verbena::Test::TemporaryFolder folder;
+    const auto file = NodeFile::fromFile(folder.write("boot.yaml", nodeText));
+    ASSERT_TRUE(file) << file.error().message;
+    EXPECT_EQ(file.value().callersEndpoint, "10.1.0.30:8782");
+    EXPECT_EQ(file.value().peerPorts.front(), "7340");
+    EXPECT_EQ(file.value().shutdownGrace, 8s);
+    EXPECT_EQ(file.value().longestWeightsUse, 8s);
+    EXPECT_EQ(file.value().resendWindow, 10s);
+    EXPECT_EQ(file.value().resendSlack, 54);
+}
+
+TEST(NodeFileTest, namesEachFieldThatIsWrong)
+{
+    const Verbena::Test::TemporaryFolder folder;
+    const auto file = NodeFile::fromFile(folder.write("boot.yaml", "nodeName: \"a\"\nbounds:\n  retryBudgetRatio: 7\n"));
+    ASSERT_FALSE(file);
+    EXPECT_NE(file.error().message.find("ip"), std::string::npos);
+    EXPECT_NE(file.error().message.find("provider.address"), std::string::npos);
+    EXPECT_NE(file.error().message.find("bounds.retryBudgetRatio"), std::string::npos);
+}
+
+} // namespace
+
+} // namespace Verbena::Platform
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -1,5 +1,6 @@
-#include "workerfake.h"
+#include "plainprotocol.h"
 
+#include <platform/workerfake.h>
 #include <relay/relaytask.h>
 
 #include <gtest/gtest.h>
--- /dev/null
+++ b/tests/platform/storestandin.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <eventloop/timer.h>
+#include <http/httpserver.h>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Verbena::Test {
+
+/// \brief The users' store as their pages describe it: rows with versions, a feed, transactions, and faults that a test switches on.
+class StoreStandin : public Http::HttpHandler
+{
+public:
+    /// \brief What the store does with a call.
+    enum class Mode {
+        Well,
+        Busy, ///< Answers 503 and does nothing.
+        Silent, ///< Does nothing and never answers.
+        Lossy, ///< Does what it is asked and never answers.
+    };
+
+    explicit StoreStandin(EventLoop::Loop &loop, const std::string &address = "127.0.0.1");
+
+    /// \brief IP:PORT.
+    std::string address() const;
+
+    void setMode(Mode mode);
+
+    /// \brief Writes a row as the operator or a backend server would.
+    void put(const std::string &table, const std::string &key, const nlohmann::json &value);
+    void remove(const std::string &table, const std::string &key);
+
+    /// \brief Forgets what changed so far, so that followers have to read whole tables.
+    void compact();
+
+    /// \brief Calls received, by path.
+    int callCount(const std::string &path) const;
+
+    std::uint64_t version() const;
+
+    void handleRequest(const std::shared_ptr<Http::HttpExchange> &exchange) override;
+
+private:
+    struct Row
+    {
+        std::string value;
+        std::uint64_t version = 0;
+        bool isDeleted = false;
+    };
+
+    struct Follower
+    {
+        std::shared_ptr<Http::HttpExchange> exchange;
+        std::string table;
+        std::uint64_t after;
+        Core::TimePoint deadline;
+    };
+
+    nlohmann::json rowJson(const std::string &table, const std::string &key, const Row &row) const;
+    nlohmann::json page(std::vector<nlohmann::json> rows) const;
+    std::vector<nlohmann::json> changes(const std::string &table, std::uint64_t after) const;
+    void get(const std::shared_ptr<Http::HttpExchange> &exchange);
+    void feed(const std::shared_ptr<Http::HttpExchange> &exchange);
+    void transact(const std::shared_ptr<Http::HttpExchange> &exchange);
+    void respond(const std::shared_ptr<Http::HttpExchange> &exchange, int status, const nlohmann::json &body);
+    void tellFollowers();
+
+    EventLoop::Loop &m_loop;
+    std::string m_host;
+    std::unique_ptr<Http::HttpServer> m_server;
+    EventLoop::Timer m_timer;
+    Mode m_mode = Mode::Well;
+    std::map<std::string, std::map<std::string, Row>> m_tables;
+    std::vector<Follower> m_followers;
+    std::vector<std::shared_ptr<Http::HttpExchange>> m_unanswered; ///< Held open, so that the caller sees silence.
+    std::map<std::string, int> m_calls;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_compacted = 0;
+};
+
+} // namespace Verbena::Test
--- a/tests/auto/relay/workerfake.cpp
+++ b/tests/platform/workerfake.cpp
@@ -5,7 +5,6 @@
 
 namespace Verbena::Test {
 
-using Http::HttpField;
 using namespace std::chrono_literals;
 
 class WorkerFake::Connection : private Http::ChannelObserver, private Http::MessageSink
@@ -37,6 +36,8 @@
         const WorkerScript script = m_worker.m_answer(m_head, m_body);
         m_channel->write(script.bytes);
         if (script.end == WorkerScript::End::Keep) {
+            m_body.clear();
+            (void)m_reader.next();
             return;
         }
         if (script.end == WorkerScript::End::Reset) {
@@ -73,11 +74,11 @@
     std::string m_body;
 };
 
-WorkerFake::WorkerFake(EventLoop::Loop &loop, Answer answer)
+WorkerFake::WorkerFake(EventLoop::Loop &loop, Answer answer, const std::string &address)
     : m_loop(loop)
     , m_answer(std::move(answer))
 {
-    auto listener = Http::TcpListener::create(loop, Http::Endpoint::parse("127.0.0.1:0").value(), [this](int descriptor) {
+    auto listener = Http::TcpListener::create(loop, Http::Endpoint::parse(address).value(), [this](int descriptor) {
         auto connection = std::make_unique<Connection>(*this, descriptor);
         Connection *raw = connection.get();
         m_connections.emplace(raw, std::move(connection));
@@ -148,71 +149,6 @@
     m_isClosed = true;
 }
 
-namespace {
-
-std::string value(const Http::MessageHead &head, const char *name)
-{
-    const std::string *field = head.field(name);
-    return field == nullptr ? std::string() : *field;
-}
-
-} // namespace
-
-Core::Result<Relay::RelayQuery> PlainProtocol::readQuery(const Http::MessageHead &head, Core::TimePoint now) const
-{
-    if (head.field("Host") == nullptr) {
-        return Core::Error{Core::ErrorCode::InvalidArgument, "test.request", "", "There is no host."};
-    }
-    Relay::RelayQuery query;
-    query.attemptId = value(head, "Id");
-    query.host = value(head, "Host");
-    query.path = head.target;
-    query.key = value(head, "Key");
-    query.lastEventId = value(head, "Last-Event-Id");
-    if (head.field("Deadline") != nullptr) {
-        query.deadline = now + std::chrono::milliseconds(std::stoi(value(head, "Deadline")));
-    }
-    return query;
-}
-
-std::vector<HttpField> PlainProtocol::callFields(const Http::MessageHead &head, const Relay::CallContext &context) const
-{
-    return {{"Id", value(head, "Id")},
-        {"Server", context.serverId},
-        {"Organisation", context.organisation},
-        {"Time-Left", std::to_string(context.timeLeft.count())},
-        {"Last-Event-Id", context.lastEventId}};
-}
-
-Relay::AnswerMarks PlainProtocol::readAnswer(const Http::MessageHead &head) const
-{
-    Relay::AnswerMarks marks;
-    marks.attemptId = value(head, "Id");
-    marks.isNotRun = head.field("Not-Run") != nullptr;
-    marks.isMisdirected = head.status == 421;
-    marks.hasReceipt = head.field("Receipt") != nullptr;
-    return marks;
-}
-
-std::vector<HttpField> PlainProtocol::answerFields(const Http::MessageHead &head) const
-{
-    std::vector<HttpField> fields;
-    for (const HttpField &field : head.fields) {
-        if (!Http::isSameFieldName(field.name, "Content-Length") && !Http::isSameFieldName(field.name, "Transfer-Encoding")) {
-            fields.push_back(field);
-        }
-    }
-    return fields;
-}
-
-std::vector<HttpField> PlainProtocol::refusalFields(const Relay::Refusal &refusal, const std::string &) const
-{
-    if (!refusal.retryAfter.has_value()) {
-        return {};
-    }
-    return {{"Come-Back-Ms", std::to_string(refusal.retryAfter->count())}};
-}
-
 bool runUntil(EventLoop::Loop &loop, const std::function<bool()> &isDone)
 {
     // Far beyond what any of these tests needs, so that only a hang ends here.
--- a/tests/auto/relay/workerfake.h
+++ b/tests/platform/workerfake.h
@@ -4,7 +4,6 @@
 #include <http/messagereader.h>
 #include <http/tcpchannel.h>
 #include <http/tcplistener.h>
-#include <relay/relayprotocol.h>
 
 #include <functional>
 #include <map>
@@ -33,7 +32,7 @@
 public:
     using Answer = std::function<WorkerScript(const Http::MessageHead &head, const std::string &body)>;
 
-    WorkerFake(EventLoop::Loop &loop, Answer answer);
+    WorkerFake(EventLoop::Loop &loop, Answer answer, const std::string &address = "127.0.0.1:0");
     ~WorkerFake();
 
     std::string address() const;
@@ -82,17 +81,6 @@
     bool m_isClosed = false;
 };
 
-/// \brief The smallest protocol that has all a relay asks for; its names are those of the fields of the types.
-class PlainProtocol : public Relay::RelayProtocol
-{
-public:
-    Core::Result<Relay::RelayQuery> readQuery(const Http::MessageHead &head, Core::TimePoint now) const override;
-    std::vector<Http::HttpField> callFields(const Http::MessageHead &head, const Relay::CallContext &context) const override;
-    Relay::AnswerMarks readAnswer(const Http::MessageHead &head) const override;
-    std::vector<Http::HttpField> answerFields(const Http::MessageHead &head) const override;
-    std::vector<Http::HttpField> refusalFields(const Relay::Refusal &refusal, const std::string &attemptId) const override;
-};
-
 /// \brief Runs \a loop until \a isDone; false if that takes longer than any healthy run.
 bool runUntil(EventLoop::Loop &loop, const std::function<bool()> &isDone);
 
