--- a/src/libs/application/standardoptions.cpp
+++ b/src/libs/application/standardoptions.cpp
@@ -10,7 +10,7 @@
     = "\nIt prints one line \"listening ...\" on standard output for each address it listens on, and logs numbered events on standard "
       "error; docs/EVENTS.md tells what each means and what to do.\nSIGTERM ends it after what runs has finished.\nExit status: 0 after an orderly end or a "
       "check without problems, 1 if it could not start, 2 if the settings "
-      "are wrong.\nThe keys of the settings file are explained in docs/SETTINGS.md, the rest in docs/OPERATING.md.";
+      "are wrong.\nThe keys of the settings file are explained in docs/SETTINGS.md, the rest in docs/OPERATIONS.md.";
 
 } // namespace
 
--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -22,8 +22,9 @@
 
 } // namespace
 
-DeploymentFeed::DeploymentFeed(EventLoop::Loop &loop, Store::RowSource &source, const DeploymentDecoder &decoder, RelayTask &relay)
+DeploymentFeed::DeploymentFeed(EventLoop::Loop &loop, PeerRows &source, const DeploymentDecoder &decoder, RelayTask &relay)
     : m_loop(loop)
+    , m_mirror(source.mirror())
     , m_decoder(decoder)
     , m_relay(relay)
     , m_serversTable(decoder.tables().servers)
@@ -42,14 +43,21 @@
 
 void DeploymentFeed::replaceRows(const std::string &table, const Store::RowPage &page)
 {
+    m_mirror.replace(table, page);
     if (table == m_serversTable) {
         replaceServers(page);
         return;
     }
-    changeRows(table, page);
+    takeRows(table, page);
 }
 
 void DeploymentFeed::changeRows(const std::string &table, const Store::RowPage &page)
+{
+    m_mirror.change(table, page);
+    takeRows(table, page);
+}
+
+void DeploymentFeed::takeRows(const std::string &table, const Store::RowPage &page)
 {
     for (const Store::TableRow &row : page.rows) {
         takeRow(table, row);
--- a/src/libs/relay/deploymentfeed.h
+++ b/src/libs/relay/deploymentfeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "deploymentdecoder.h"
+#include "peerrows.h"
 #include "relaytask.h"
 
 #include <eventloop/timer.h>
@@ -14,7 +15,7 @@
 class DeploymentFeed : private Store::RowConsumer
 {
 public:
-    DeploymentFeed(EventLoop::Loop &loop, Store::RowSource &source, const DeploymentDecoder &decoder, RelayTask &relay);
+    DeploymentFeed(EventLoop::Loop &loop, PeerRows &source, const DeploymentDecoder &decoder, RelayTask &relay);
     ~DeploymentFeed() override;
 
     DeploymentFeed(const DeploymentFeed &) = delete;
@@ -25,11 +26,13 @@
     void changeRows(const std::string &table, const Store::RowPage &page) override;
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
+    void takeRows(const std::string &table, const Store::RowPage &page);
     void takeRow(const std::string &table, const Store::TableRow &row);
     void takeServer(const Decisions::RegisteredServer &server);
     void replaceServers(const Store::RowPage &page);
 
     EventLoop::Loop &m_loop;
+    Store::RowMirror &m_mirror;
     const DeploymentDecoder &m_decoder;
     RelayTask &m_relay;
     std::string m_serversTable;
--- a/src/libs/relay/enginewatch.cpp
+++ b/src/libs/relay/enginewatch.cpp
@@ -35,9 +35,9 @@
 
 } // namespace
 
-Core::Result<std::unique_ptr<EngineWatch>> EngineWatch::create(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay)
+Core::Result<std::unique_ptr<EngineWatch>> EngineWatch::create(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, PeerRows &peers)
 {
-    std::unique_ptr<EngineWatch> watch(new EngineWatch(loop, address, relay));
+    std::unique_ptr<EngineWatch> watch(new EngineWatch(loop, address, relay, peers));
     auto socket = Wire::DatagramSocket::bind(
         loop, address.address, [raw = watch.get()](const sockaddr_in &, const verbena::wire::Envelope &message) { raw->take(message); });
     if (!socket) {
@@ -48,10 +48,11 @@
     return watch;
 }
 
-EngineWatch::EngineWatch(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay)
+EngineWatch::EngineWatch(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, PeerRows &peers)
     : m_loop(loop)
     , m_address(address)
     , m_relay(relay)
+    , m_peers(peers)
     , m_timer(loop, [this] { ask(); })
 {
 }
@@ -74,6 +75,12 @@
 {
     if (message.has_engine_news()) {
         const Core::TimePoint now = m_loop.now();
+        for (const std::uint32_t router : message.engine_news().routers()) {
+            Http::Endpoint peer;
+            peer.address.sin_addr.s_addr = router;
+            const std::string text = peer.toString();
+            m_peers.addPeer(text.substr(0, text.rfind(':')));
+        }
         m_relay.fleet().noteStatus(message.engine_news().address(), statusOf(message.engine_news(), now), now);
     }
 }
--- a/src/libs/relay/enginewatch.h
+++ b/src/libs/relay/enginewatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peerrows.h"
 #include "relaytask.h"
 
 #include <eventloop/timer.h>
@@ -16,19 +17,20 @@
 {
 public:
     /// \brief Listens at \a address; the agents are at the same port of their hosts. Errors: Unavailable.
-    static Core::Result<std::unique_ptr<EngineWatch>> create(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay);
+    static Core::Result<std::unique_ptr<EngineWatch>> create(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, PeerRows &peers);
 
     EngineWatch(const EngineWatch &) = delete;
     EngineWatch &operator=(const EngineWatch &) = delete;
 
 private:
-    EngineWatch(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay);
+    EngineWatch(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, PeerRows &peers);
     void ask();
     void take(const verbena::wire::Envelope &message);
 
     EventLoop::Loop &m_loop;
     Http::Endpoint m_address;
     RelayTask &m_relay;
+    PeerRows &m_peers;
     EventLoop::Timer m_timer;
     std::unique_ptr<Wire::DatagramSocket> m_socket;
 };
--- a/src/libs/weights/newspublisher.cpp
+++ b/src/libs/weights/newspublisher.cpp
@@ -14,6 +14,9 @@
 // Those that were heard of last; so many fit one packet with the rest of the news.
 constexpr std::size_t mostParts = 150;
 
+// Routers that are named to each other, so that they can ask one another when the store turns them away.
+constexpr std::size_t mostNamed = 32;
+
 // Routers that are told; more than the target has in one failure domain, and a bound on what a packet from anywhere can cost.
 constexpr std::size_t mostWatchers = 1024;
 
@@ -90,6 +93,9 @@
             news.add_parts(static_cast<std::uint64_t>((*status.parts)[part]));
         }
     }
+    for (std::size_t watcher = 0; watcher < std::min(m_watchers.size(), mostNamed); ++watcher) {
+        news.add_routers(m_watchers[watcher].address.sin_addr.s_addr);
+    }
     for (const Watcher &watcher : m_watchers) {
         m_socket->send(watcher.address, message);
     }
