--- a/src/libs/relay/peerrows.cpp
+++ b/src/libs/relay/peerrows.cpp
@@ -73,8 +73,12 @@
     return rows;
 }
 
-PeerRows::PeerRows(
-    EventLoop::Loop &loop, std::unique_ptr<Http::HttpClient> client, const std::string &address, std::uint16_t port, Store::RowSource &store, std::uint64_t seed)
+PeerRows::PeerRows(EventLoop::Loop &loop,
+    std::unique_ptr<Http::HttpClient> client,
+    const std::string &address,
+    std::uint16_t port,
+    Store::RowSource &store,
+    std::uint64_t seed)
     : m_loop(loop)
     , m_client(std::move(client))
     , m_address(address)
--- a/src/libs/relay/peerrows.h
+++ b/src/libs/relay/peerrows.h
@@ -33,7 +33,12 @@
     void awaitChanges(const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, Core::TimePoint deadline, PageCallback done) override;
 
 private:
-    PeerRows(EventLoop::Loop &loop, std::unique_ptr<Http::HttpClient> client, const std::string &address, std::uint16_t port, Store::RowSource &store, std::uint64_t seed);
+    PeerRows(EventLoop::Loop &loop,
+        std::unique_ptr<Http::HttpClient> client,
+        const std::string &address,
+        std::uint16_t port,
+        Store::RowSource &store,
+        std::uint64_t seed);
     void handleRequest(const std::shared_ptr<Http::HttpExchange> &exchange) override;
     void askPeer(const std::string &table, std::uint64_t revision, const Core::Error &failure, PageCallback done);
 
--- a/tests/auto/platform/tst_platformpath.cpp
+++ b/tests/auto/platform/tst_platformpath.cpp
@@ -1,4 +1,4 @@
-#include "platformdeployment.h"
+#include <platform/platformdeployment.h>
 
 #include <gtest/gtest.h>
 
--- a/tests/auto/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <platform/storestandin.h>
-#include <platform/workerfake.h>
+#include "storestandin.h"
+#include "workerfake.h"
 
 #include <eventloop/loop.h>
 #include <support/childprocess.h>
--- /dev/null
+++ b/tests/soak/ledger.cpp
@@ -0,0 +1,67 @@
+#include "ledger.h"
+
+namespace Verbena::Soak {
+
+void Ledger::noteRun(const std::string &id, bool mayRepeat)
+{
+    ++m_allRuns;
+    if (mayRepeat) {
+        return;
+    }
+    if (++m_runs[id] > 1) {
+        noteBroken("request " + id + " ran twice");
+    }
+    if (m_promised.contains(id)) {
+        noteBroken("request " + id + " ran after its caller was told that it never would");
+    }
+}
+
+void Ledger::notePromise(const std::string &id, bool mayRepeat)
+{
+    if (mayRepeat) {
+        return;
+    }
+    m_promised.insert(id);
+    if (m_runs.contains(id)) {
+        noteBroken("request " + id + " was said not to have run, and had");
+    }
+}
+
+void Ledger::noteOrder(const std::string &engine, const std::string &holder, unsigned long fence)
+{
+    const auto last = m_orders.find(engine);
+    if (last != m_orders.end() && last->second.first != holder) {
+        noteBroken("engine " + engine + " got orders of two holders");
+    }
+    if (last != m_orders.end() && last->second.second > fence) {
+        noteBroken("engine " + engine + " got a fence below an earlier one");
+    }
+    m_orders[engine] = {holder, fence};
+}
+
+void Ledger::noteBroken(const std::string &what)
+{
+    m_broken.push_back(what);
+}
+
+void Ledger::noteServed()
+{
+    ++m_served;
+}
+
+const std::vector<std::string> &Ledger::broken() const
+{
+    return m_broken;
+}
+
+int Ledger::served() const
+{
+    return m_served;
+}
+
+int Ledger::runs() const
+{
+    return m_allRuns;
+}
+
+} // namespace Verbena::Soak
--- /dev/null
+++ b/tests/soak/ledger.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Verbena::Soak {
+
+/// \brief What callers and backend servers saw, held against the promises.
+class Ledger
+{
+public:
+    /// \brief A backend server began to run the request \a id.
+    void noteRun(const std::string &id, bool mayRepeat);
+
+    /// \brief A caller was told that the request \a id has not run and never will.
+    void notePromise(const std::string &id, bool mayRepeat);
+
+    /// \brief An engine was given an order.
+    void noteOrder(const std::string &engine, const std::string &holder, unsigned long fence);
+
+    /// \brief Something was seen that must not be.
+    void noteBroken(const std::string &what);
+
+    void noteServed();
+
+    /// \brief All that was broken, in the order in which it was seen.
+    const std::vector<std::string> &broken() const;
+
+    int served() const;
+    int runs() const;
+
+private:
+    std::map<std::string, int> m_runs; ///< By id, of requests that may run once.
+    std::set<std::string> m_promised;
+    std::map<std::string, std::pair<std::string, unsigned long>> m_orders; ///< Last holder and fence by engine.
+    std::vector<std::string> m_broken;
+    int m_served = 0;
+    int m_allRuns = 0;
+};
+
+} // namespace Verbena::Soak
--- /dev/null
+++ b/tests/soak/soakcaller.cpp
@@ -0,0 +1,208 @@
+#include "soakcaller.h"
+
+#include "soakworker.h"
+
+#include <eventloop/loop.h>
+
+namespace Verbena::Soak {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds pause{5};
+constexpr milliseconds pauseAfterFailure{40};
+constexpr int deadlineMilliseconds = 3000;
+
+// A router that gives no final answer for so long after the deadline has lost the request.
+constexpr milliseconds patience{20'000};
+
+// Of requests that go to the router that was asked last, on the same connection.
+constexpr double stayShare = 0.8;
+
+bool mayRepeat(const std::string &path)
+{
+    return path.rfind("/once/", 0) != 0;
+}
+
+} // namespace
+
+SoakCaller::SoakCaller(
+    EventLoop::Loop &loop, std::vector<Http::Endpoint> routers, const std::string &name, Ledger &ledger, Decisions::RandomSource &random, Listener listener)
+    : m_loop(loop)
+    , m_routers(std::move(routers))
+    , m_name(name)
+    , m_ledger(ledger)
+    , m_random(random)
+    , m_listener(std::move(listener))
+    , m_timer(loop,
+          [this] {
+              if (m_isWaiting) {
+                  finish(false);
+              } else {
+                  ask();
+              }
+          })
+    , m_finished(loop, [this] { finish(m_isWhole); })
+{
+    m_timer.startAt(loop.now());
+}
+
+SoakCaller::~SoakCaller() = default;
+
+void SoakCaller::pinTo(std::size_t router, const std::string &path)
+{
+    m_router = router;
+    m_pinnedPath = path;
+}
+
+void SoakCaller::stop()
+{
+    m_isStopped = true;
+    m_isWaiting = false;
+    m_timer.stop();
+    m_channel.reset();
+}
+
+void SoakCaller::ask()
+{
+    if (m_isStopped) {
+        return;
+    }
+    if (m_pinnedPath.empty()) {
+        static const std::vector<std::string> paths{"/safe/", "/once/", "/resume/"};
+        m_path = paths[m_random.next() % paths.size()];
+        if (m_channel == nullptr || m_random.uniform() > stayShare) {
+            m_router = m_random.next() % m_routers.size();
+            m_channel.reset();
+        }
+    } else {
+        m_path = m_pinnedPath;
+    }
+    if (m_channel == nullptr) {
+        auto channel = Http::TcpChannel::connect(m_loop, m_routers[m_router], *this);
+        if (!channel) {
+            m_timer.startAt(m_loop.now() + pauseAfterFailure);
+            return;
+        }
+        m_channel = std::move(channel.value());
+    }
+    m_reader = std::make_unique<Http::MessageReader>(Http::MessageReader::Kind::Answers, *this, Http::MessageLimits{});
+    m_id = m_name + '.' + std::to_string(++m_count);
+    m_token = "token-" + m_id;
+    m_body.clear();
+    m_isWaiting = true;
+    m_isWhole = false;
+    const std::string model
+        = m_path == "/resume/" ? "Verbenaladder-Model: m\r\nVerbenaladder-Token-Count: 10,10\r\nVerbenaladder-Prompt-Prefix: a:5,b:5\r\n" : "";
+    m_channel->write("POST " + m_path + "x HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: " + m_id + "\r\n" + model + "Verbenaladder-Deadline-Ms: "
+        + std::to_string(deadlineMilliseconds) + "\r\nAuthorization: Token secret\r\nContent-Length: " + std::to_string(m_token.size()) + "\r\n\r\n" + m_token);
+    m_timer.startAt(m_loop.now() + milliseconds(deadlineMilliseconds) + patience);
+}
+
+void SoakCaller::receiveBytes(std::string_view data)
+{
+    if (!m_isWaiting || m_isWhole) {
+        m_ledger.noteBroken("bytes came to " + m_name + " that nobody asked for");
+        return;
+    }
+    if (m_reader->feed(data).has_value()) {
+        m_ledger.noteBroken("an answer to " + m_id + " is no HTTP");
+    }
+    if (m_isWhole) {
+        m_finished.schedule();
+    }
+}
+
+void SoakCaller::receiveEnd(Http::ChannelEnd)
+{
+    if (m_isWaiting) {
+        m_finished.schedule();
+        return;
+    }
+    m_channel.reset();
+}
+
+void SoakCaller::receiveHead(Http::MessageHead head)
+{
+    m_head = std::move(head);
+}
+
+void SoakCaller::receiveBody(std::string_view data)
+{
+    m_body.append(data);
+}
+
+void SoakCaller::receiveEnd()
+{
+    m_isWhole = true;
+}
+
+void SoakCaller::finish(bool isWhole)
+{
+    if (!m_isWaiting) {
+        return;
+    }
+    m_isWaiting = false;
+    const int status = isWhole ? m_head.status : 0;
+    if (isWhole) {
+        checkWhole();
+    } else {
+        checkPart();
+    }
+    if (!isWhole || !m_head.isKeptAlive) {
+        m_channel.reset();
+    }
+    m_listener(m_router, m_path, status);
+    if (!m_isStopped) {
+        m_timer.startAt(m_loop.now() + (status == 200 ? pause : pauseAfterFailure));
+    }
+}
+
+void SoakCaller::checkWhole()
+{
+    switch (m_head.status) {
+    case 200: {
+        std::string expected = answerText(m_token);
+        if (m_path == "/resume/") {
+            expected.clear();
+            for (int number = 1; number <= streamEvents; ++number) {
+                expected += eventText(number, m_token);
+            }
+        }
+        if (m_body != expected) {
+            m_ledger.noteBroken("request " + m_id + " got another answer than its own: " + m_body.substr(0, 200));
+        }
+        m_ledger.noteServed();
+        break;
+    }
+    case 503:
+        m_ledger.notePromise(m_id, mayRepeat(m_path));
+        break;
+    case 502:
+    case 504:
+        break;
+    case 404:
+        if (m_pinnedPath.empty()) {
+            m_ledger.noteBroken("request " + m_id + " on a route that always was got 404");
+        }
+        break;
+    default:
+        m_ledger.noteBroken("request " + m_id + " got status " + std::to_string(m_head.status));
+        break;
+    }
+}
+
+// What came of a stream that broke off must be its beginning.
+void SoakCaller::checkPart() const
+{
+    std::string expected;
+    for (int number = 1; number <= streamEvents; ++number) {
+        expected += eventText(number, m_token);
+    }
+    if (m_path == "/resume/" && !m_body.empty() && m_head.status == 200 && expected.substr(0, m_body.size()) != m_body) {
+        m_ledger.noteBroken("the stream " + m_id + " is not the beginning of its own: " + m_body.substr(0, 200));
+    }
+}
+
+} // namespace Verbena::Soak
--- /dev/null
+++ b/tests/soak/soakcaller.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "ledger.h"
+
+#include <decisions/spread/randomsource.h>
+#include <eventloop/deferredcall.h>
+#include <eventloop/timer.h>
+#include <http/messagereader.h>
+#include <http/tcpchannel.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Verbena::Soak {
+
+/// \brief A caller that asks one thing after the other, keeps its connection as long as it may, and checks every answer.
+class SoakCaller : public Http::ChannelObserver, public Http::MessageSink
+{
+public:
+    /// \brief Told of each answer: the router that gave it, the path, and the status; 0 if the connection ended first.
+    using Listener = std::function<void(std::size_t router, const std::string &path, int status)>;
+
+    SoakCaller(EventLoop::Loop &loop,
+        std::vector<Http::Endpoint> routers,
+        const std::string &name,
+        Ledger &ledger,
+        Decisions::RandomSource &random,
+        Listener listener);
+    ~SoakCaller() override;
+
+    SoakCaller(const SoakCaller &) = delete;
+    SoakCaller &operator=(const SoakCaller &) = delete;
+
+    /// \brief Asks for one path of one router only, again and again.
+    void pinTo(std::size_t router, const std::string &path);
+
+    void stop();
+
+private:
+    void receiveBytes(std::string_view data) override;
+    void receiveEnd(Http::ChannelEnd end) override;
+    void receiveHead(Http::MessageHead head) override;
+    void receiveBody(std::string_view data) override;
+    void receiveEnd() override;
+    void ask();
+    void finish(bool isWhole);
+    void checkWhole();
+    void checkPart() const;
+
+    EventLoop::Loop &m_loop;
+    std::vector<Http::Endpoint> m_routers;
+    std::string m_name;
+    Ledger &m_ledger;
+    Decisions::RandomSource &m_random;
+    Listener m_listener;
+    EventLoop::Timer m_timer;
+    EventLoop::DeferredCall m_finished;
+    std::unique_ptr<Http::TcpChannel> m_channel;
+    std::unique_ptr<Http::MessageReader> m_reader;
+    std::size_t m_router = 0;
+    std::string m_path;
+    std::string m_pinnedPath;
+    std::string m_id;
+    std::string m_token;
+    Http::MessageHead m_head;
+    std::string m_body;
+    int m_count = 0;
+    bool m_isWaiting = false;
+    bool m_isWhole = false;
+    bool m_isStopped = false;
+};
+
+} // namespace Verbena::Soak
--- /dev/null
+++ b/tests/soak/soakworker.cpp
@@ -0,0 +1,272 @@
+#include "soakworker.h"
+
+#include <eventloop/deferredcall.h>
+#include <eventloop/loop.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Verbena::Soak {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds eventPause{8};
+constexpr milliseconds workTime{10};
+
+std::string field(const Http::MessageHead &head, const char *name)
+{
+    const std::string *value = head.field(name);
+    return value == nullptr ? "" : *value;
+}
+
+std::string whole(const std::string &status, const std::string &fields, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string chunk(const std::string &data)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", data.size());
+    return size + data + "\r\n";
+}
+
+} // namespace
+
+std::string eventText(int number, const std::string &token)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + token + ' ' + std::to_string(number) + "\n\n";
+}
+
+std::string answerText(const std::string &token)
+{
+    return "answer to " + token;
+}
+
+// One connection of a router or an agent.
+class SoakWorker::Connection : private Http::ChannelObserver, private Http::MessageSink
+{
+public:
+    Connection(SoakWorker &worker, int descriptor)
+        : m_worker(worker)
+        , m_channel(Http::TcpChannel::adopt(worker.m_loop, descriptor, *this))
+        , m_reader(Http::MessageReader::Kind::Requests, *this, {})
+        , m_timer(worker.m_loop, [this] { goOn(); })
+        , m_close(worker.m_loop, [this] { m_worker.m_connections.erase(this); })
+    {
+    }
+
+private:
+    enum class Fault { None, Lose, Cut, Cross, Refuse };
+
+    void receiveBytes(std::string_view data) override
+    {
+        (void)m_reader.feed(data);
+        if (m_reader.isDone()) {
+            handle();
+            m_body.clear();
+            (void)m_reader.next();
+        }
+    }
+
+    void receiveEnd(Http::ChannelEnd) override
+    {
+        m_worker.m_connections.erase(this);
+    }
+
+    void receiveHead(Http::MessageHead head) override
+    {
+        m_head = std::move(head);
+    }
+
+    void receiveBody(std::string_view data) override
+    {
+        m_body.append(data);
+    }
+
+    void receiveEnd() override
+    {
+    }
+
+    void handle()
+    {
+        if (m_head.target == "/report") {
+            m_channel->write(whole("200 OK", "", m_worker.report()));
+        } else if (m_head.target == "/order") {
+            m_channel->write(whole(m_worker.takeOrder(m_body), "", ""));
+        } else if (m_head.target.rfind("/kv-events", 0) == 0) {
+            m_channel->write(whole("200 OK", "", R"({"bootEpoch":1,"next":1,"lost":false,"events":[]})"));
+        } else {
+            serve();
+        }
+    }
+
+    void serve()
+    {
+        const std::string expectedVersion = field(m_head, "Verbenaladder-Expect-Version");
+        const bool isOther = field(m_head, "Verbenaladder-Expect-Instance") != m_worker.id();
+        if (isOther || (!expectedVersion.empty() && expectedVersion != std::to_string(m_worker.m_version))) {
+            m_channel->write(whole("421 Misdirected", "Verbenaladder-Instance-Id: " + m_worker.id() + "\r\n", ""));
+            return;
+        }
+        m_fault = drawFault();
+        if (m_fault == Fault::Refuse) {
+            m_channel->write(whole("503 Full", "Verbenaladder-Not-Run: 1\r\n", ""));
+            return;
+        }
+        m_token = m_body;
+        m_id = field(m_head, "Verbenaladder-Attempt-Id");
+        m_worker.m_ledger.noteRun(m_id, m_head.target.rfind("/once/", 0) != 0);
+        const std::string last = field(m_head, "Last-Event-Id");
+        m_nextEvent = last.empty() ? 1 : std::stoi(last) + 1;
+        m_isStream = m_head.target.rfind("/resume/", 0) == 0;
+        m_timer.startAt(m_worker.m_loop.now() + workTime);
+    }
+
+    Fault drawFault()
+    {
+        if (m_worker.m_random.uniform() >= m_worker.m_faultShare) {
+            return Fault::None;
+        }
+        return static_cast<Fault>(1 + m_worker.m_random.next() % 4);
+    }
+
+    void goOn()
+    {
+        if (m_fault == Fault::Lose) {
+            m_channel->resetOnClose();
+            m_close.schedule();
+        } else if (m_isStream) {
+            sendEvent();
+        } else {
+            sendAnswer();
+        }
+    }
+
+    std::string fields() const
+    {
+        return "Verbenaladder-Attempt-Id: " + (m_fault == Fault::Cross ? "crossed" : m_id) + "\r\nVerbenaladder-Server-Stamp: s\r\n";
+    }
+
+    void sendAnswer()
+    {
+        const std::string answer = whole("200 OK", fields(), answerText(m_token));
+        if (m_fault == Fault::Cut) {
+            m_channel->write(answer.substr(0, answer.size() - 3));
+            m_close.schedule();
+            return;
+        }
+        m_channel->write(answer);
+    }
+
+    void sendEvent()
+    {
+        if (!m_hasHead) {
+            m_hasHead = true;
+            m_channel->write("HTTP/1.1 200 OK\r\n" + fields() + "Transfer-Encoding: chunked\r\n\r\n");
+        }
+        if (m_nextEvent > streamEvents) {
+            m_channel->write("0\r\n\r\n");
+            return;
+        }
+        const std::string text = eventText(m_nextEvent, m_token);
+        if (m_fault == Fault::Cut && m_nextEvent == streamEvents / 2) {
+            m_channel->write(chunk(text.substr(0, text.size() / 2)));
+            m_close.schedule();
+            return;
+        }
+        m_channel->write(chunk(text));
+        ++m_nextEvent;
+        m_timer.startAt(m_worker.m_loop.now() + eventPause);
+    }
+
+    SoakWorker &m_worker;
+    std::unique_ptr<Http::TcpChannel> m_channel;
+    Http::MessageReader m_reader;
+    EventLoop::Timer m_timer;
+    EventLoop::DeferredCall m_close;
+    Http::MessageHead m_head;
+    std::string m_body;
+    std::string m_id;
+    std::string m_token;
+    Fault m_fault = Fault::None;
+    bool m_isStream = false;
+    bool m_hasHead = false;
+    int m_nextEvent = 1;
+};
+
+SoakWorker::SoakWorker(EventLoop::Loop &loop, const std::string &ip, const std::string &name, bool isEngine, Ledger &ledger, Decisions::RandomSource &random)
+    : m_loop(loop)
+    , m_name(name)
+    , m_isEngine(isEngine)
+    , m_ledger(ledger)
+    , m_random(random)
+    , m_listener(std::move(Http::TcpListener::create(loop, Http::Endpoint::parse(ip + ":0").value(), [this](int descriptor) {
+        auto connection = std::make_unique<Connection>(*this, descriptor);
+        Connection *raw = connection.get();
+        m_connections.emplace(raw, std::move(connection));
+    }).value()))
+{
+}
+
+SoakWorker::~SoakWorker() = default;
+
+std::string SoakWorker::address() const
+{
+    return m_listener->endpoint().toString();
+}
+
+std::string SoakWorker::id() const
+{
+    return m_name + "-life-" + std::to_string(m_life);
+}
+
+std::uint64_t SoakWorker::version() const
+{
+    return m_version;
+}
+
+bool SoakWorker::isEngine() const
+{
+    return m_isEngine;
+}
+
+void SoakWorker::crash()
+{
+    ++m_life;
+    m_orders = 0;
+    m_connections.clear();
+}
+
+void SoakWorker::setFaultShare(double share)
+{
+    m_faultShare = share;
+}
+
+std::string SoakWorker::report() const
+{
+    return json{{"models", {{{"name", "m"}, {"version", m_version}}}},
+        {"busy", false},
+        {"sequence", m_orders},
+        {"queued", 0},
+        {"running", m_connections.size()},
+        {"kvUsed", 0},
+        {"kvTotal", 1000}}
+        .dump();
+}
+
+std::string SoakWorker::takeOrder(const std::string &body)
+{
+    const json order = json::parse(body);
+    m_ledger.noteOrder(m_name, order.at("holder").get<std::string>(), order.at("fencingToken").get<unsigned long>());
+    if (order.at("expectedRev").get<std::uint64_t>() != m_orders) {
+        return "409 Conflict";
+    }
+    ++m_orders;
+    m_version = order.at("version").get<std::uint64_t>();
+    return "202 Accepted";
+}
+
+} // namespace Verbena::Soak
--- /dev/null
+++ b/tests/soak/soakworker.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "ledger.h"
+
+#include <decisions/spread/randomsource.h>
+#include <eventloop/timer.h>
+#include <http/messagereader.h>
+#include <http/tcpchannel.h>
+#include <http/tcplistener.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Verbena::Soak {
+
+/// \brief Number of events in a whole stream.
+inline constexpr int streamEvents = 12;
+
+/// \brief The data of event \a number of the stream that the body \a token asks for.
+std::string eventText(int number, const std::string &token);
+
+/// \brief What the backend server answers to a plain request with the body \a token.
+std::string answerText(const std::string &token);
+
+/// \brief A backend server with faults of its own: it loses, cuts, crosses and refuses answers.
+class SoakWorker
+{
+public:
+    SoakWorker(EventLoop::Loop &loop, const std::string &ip, const std::string &name, bool isEngine, Ledger &ledger, Decisions::RandomSource &random);
+    ~SoakWorker();
+
+    SoakWorker(const SoakWorker &) = delete;
+    SoakWorker &operator=(const SoakWorker &) = delete;
+
+    std::string address() const;
+
+    /// \brief Of its present life.
+    std::string id() const;
+
+    std::uint64_t version() const;
+    bool isEngine() const;
+
+    /// \brief Ends all connections and begins another life, with the weights that it had.
+    void crash();
+
+    /// \brief Share of requests that go wrong.
+    void setFaultShare(double share);
+
+private:
+    class Connection;
+
+    std::string report() const;
+    std::string takeOrder(const std::string &body);
+
+    EventLoop::Loop &m_loop;
+    std::string m_name;
+    bool m_isEngine;
+    Ledger &m_ledger;
+    Decisions::RandomSource &m_random;
+    int m_life = 1;
+    std::uint64_t m_version = 1;
+    std::uint64_t m_orders = 0;
+    double m_faultShare = 0;
+    std::map<Connection *, std::unique_ptr<Connection>> m_connections;
+    std::unique_ptr<Http::TcpListener> m_listener;
+};
+
+} // namespace Verbena::Soak
--- /dev/null
+++ b/tests/soak/soakworld.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "faultyproxy.h"
+#include "ledger.h"
+#include "soakworker.h"
+
+#include <decisions/spread/randomsource.h>
+#include <eventloop/loop.h>
+#include <platform/storestandin.h>
+#include <support/childprocess.h>
+#include <support/temporaryfolder.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Verbena::Soak {
+
+/// \brief How many of each there are.
+struct WorldSize
+{
+    std::size_t routers = 3;
+    std::size_t engines = 3;
+    std::size_t services = 2;
+};
+
+/// \brief Real routers and agents as processes, behind proxies, between fakes of all else.
+class SoakWorld
+{
+public:
+    SoakWorld(std::uint64_t seed, const WorldSize &size);
+    ~SoakWorld();
+
+    SoakWorld(const SoakWorld &) = delete;
+    SoakWorld &operator=(const SoakWorld &) = delete;
+
+    EventLoop::Loop &loop();
+    Decisions::RandomSource &random();
+    Ledger &ledger();
+    Test::StoreStandin &store();
+    std::vector<Http::Endpoint> routerEndpoints() const;
+    std::size_t routerCount() const;
+    std::size_t workerCount() const;
+
+    /// \brief Names the path that only the newest configuration has.
+    std::string newestPath() const;
+
+    /// \brief Writes a newer configuration.
+    void changeConfiguration();
+
+    /// \brief Names newer weights.
+    void nameWeights();
+    std::uint64_t newestWeights() const;
+    bool hasNewestWeightsEverywhere() const;
+
+    /// \brief Sends a signal to router \a index; one that ends it is followed by a start.
+    void signalRouter(std::size_t index, int signalNumber);
+    void signalAgent(std::size_t index, int signalNumber);
+
+    /// \brief Starts what has ended; to be called now and then.
+    void restartEnded();
+
+    /// \brief Whether router \a index was started anew since the last question.
+    bool takeRestart(std::size_t index);
+
+    void crashWorker(std::size_t index);
+    SoakWorker &worker(std::size_t index);
+    FaultyProxy &workerProxy(std::size_t index);
+    FaultyProxy &storeProxy(std::size_t index);
+
+    /// \brief Ends every fault.
+    void heal();
+
+private:
+    struct Worker
+    {
+        std::unique_ptr<SoakWorker> server;
+        std::unique_ptr<FaultyProxy> proxy;
+        std::string ip;
+        std::unique_ptr<Test::ChildProcess> agent; ///< Of an engine.
+    };
+
+    struct Router
+    {
+        std::unique_ptr<Test::ChildProcess> process;
+        std::unique_ptr<FaultyProxy> store; ///< Its way to the store.
+        std::string ip;
+        bool isRestarted = false;
+    };
+
+    std::string ip(std::size_t number) const;
+    std::string hostFile(const std::string &name, const std::string &address, const std::string &store, const std::string &more) const;
+    void startRouter(std::size_t index);
+    void startAgent(std::size_t index);
+    void registerWorker(std::size_t index);
+    void writeConfiguration();
+
+    Test::TemporaryFolder m_folder;
+    std::unique_ptr<EventLoop::Loop> m_loop;
+    Decisions::RandomSource m_random;
+    Ledger m_ledger;
+    Test::StoreStandin m_store;
+    std::vector<Worker> m_workers; ///< Engines first.
+    std::vector<Router> m_routers;
+    std::size_t m_engines;
+    int m_configuration = 1;
+    std::uint64_t m_weights = 1;
+};
+
+} // namespace Verbena::Soak
