--- a/src/libs/application/processevents.h
+++ b/src/libs/application/processevents.h
@@ -8,7 +8,7 @@
 using Observe::Severity;
 
 inline constexpr Event processStarted{1000, Severity::Info, "process_started", "The process has started and listens."};
-inline constexpr Event signalReceived{1001, Severity::Info, "signal_received", "The process was asked to end."};
+inline constexpr Event signalReceived{1001, Severity::Info, "signal_received", "The process got a signal."};
 inline constexpr Event processStopped{1002, Severity::Info, "process_stopped", "The process has ended its work."};
 inline constexpr Event settingsRefused{1003, Severity::Error, "settings_refused", "The settings file is wrong, so that the process does not start."};
 inline constexpr Event startFailed{1004, Severity::Error, "start_failed", "The process could not start."};
--- a/src/libs/application/processreport.h
+++ b/src/libs/application/processreport.h
@@ -24,7 +24,7 @@
 /// \brief Logs that the process listens on \a endpoint, with its version and process id.
 void reportStart(const std::string &version, const std::string &endpoint);
 
-/// \brief Logs that the signal \a signalNumber asks the process to end.
+/// \brief Logs that the process got the signal \a signalNumber.
 void reportSignal(int signalNumber);
 
 /// \brief Logs that the process ends.
--- a/tests/auto/path/tst_path.cpp
+++ b/tests/auto/path/tst_path.cpp
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <csignal>
+
 namespace Verbena::Test {
 
 namespace {
@@ -57,6 +59,15 @@
     EXPECT_EQ(answer.fields.at("verbena-run"), "not-run");
 }
 
+// Whoever restarts logs or renews certificates sends one to each process.
+TEST_F(PathTest, goesOnAfterSighup)
+{
+    m_deployment.router().sendSignal(SIGHUP);
+    for (int number = 0; number < 3; ++number) {
+        EXPECT_EQ(complete({{"model", "analyst"}, {"prompt", "seepage"}, {"max_tokens", 5}}).status, 200);
+    }
+}
+
 } // namespace
 
 } // namespace Verbena::Test
