Split the choice of a backend server into its steps; let the soak keep logs and say when a program was replaced

Finding: three of about sixty soak runs ended with a process that never came back. Such a run now says so itself.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -152,6 +152,11 @@
         fleet.push_back(std::move(server));
     }
     m_chooser.setFleet(std::move(fleet));
+    const auto isGone = [this](const auto &entry) {
+        return m_chooser.server(entry.first) == nullptr;
+    };
+    std::erase_if(m_heard, isGone);
+    std::erase_if(m_failures, isGone);
 }
 
 void RelayFleet::noteStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now)
@@ -309,34 +314,29 @@
     return chooseWeights(versions->second, history == m_weights.end() ? nothingNamed : history->second, m_weightsLimits, now, query.draw);
 }
 
-std::optional<FleetChoice> RelayFleet::choose(const FleetQuery &query, Core::TimePoint now)
+// False if no weights that are there may be used any more.
+bool RelayFleet::describePrompt(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
 {
-    followRegister();
-    FleetChoice choice;
-    choice.routeName = query.route;
+    choice.weightsVersion = weightsFor(query, now);
+    if (!choice.weightsVersion.has_value()) {
+        return false;
+    }
+    choice.cacheScope = cacheScope(query, *choice.weightsVersion);
     RouteQuery &route = choice.route;
-    std::vector<SharedPart> parts;
-    choice.work = plainWork;
-    if (query.prompt != nullptr) {
-        choice.weightsVersion = weightsFor(query, now);
-        if (!choice.weightsVersion.has_value()) {
-            return std::nullopt;
-        }
-        route.version = {poolName(query.service, query.prompt->model), "", std::to_string(*choice.weightsVersion)};
-        choice.cacheScope = cacheScope(query, *choice.weightsVersion);
-        route.root = chain(PrefixKey(0), choice.cacheScope);
-        PrefixKey key = route.root;
-        for (std::size_t part = 0; part + 1 < query.prompt->parts.size(); ++part) {
-            key = chain(key, query.prompt->parts[part].id);
-            route.keys.push_back(key);
-            parts.push_back({partKey(choice.cacheScope, query.prompt->parts[part].id), query.prompt->parts[part].tokens});
-            choice.parts.push_back(parts.back().key);
-        }
-        choice.sharedParts = static_cast<std::uint32_t>(route.keys.size());
-    } else {
-        route.service = query.service;
-        route.root = PrefixKey(query.draw);
+    route.version = {poolName(query.service, query.prompt->model), "", std::to_string(*choice.weightsVersion)};
+    route.root = chain(PrefixKey(0), choice.cacheScope);
+    PrefixKey key = route.root;
+    for (std::size_t part = 0; part + 1 < query.prompt->parts.size(); ++part) {
+        const PromptPart &shared = query.prompt->parts[part];
+        key = chain(key, shared.id);
+        route.keys.push_back(key);
+        choice.parts.push_back({partKey(choice.cacheScope, shared.id), shared.tokens});
     }
+    return true;
+}
+
+RouteDecision RelayFleet::candidates(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const
+{
     for (const std::string &id : query.excluded) {
         route.excluded.push_back(backendServerId(id));
     }
@@ -346,27 +346,49 @@
     }
     RouteDecision decision = m_chooser.choose(route, now);
     if (decision.candidates.empty() && route.excluded.size() > tried) {
+        // One that is busy with weights is better than none.
         route.excluded.resize(tried);
         decision = m_chooser.choose(route, now);
     }
-    if (decision.candidates.empty()) {
-        return std::nullopt;
-    }
-    const RouteCandidate best = parts.empty() ? decision.candidates.front() : bestOf(decision, parts, now);
+    return decision;
+}
+
+void RelayFleet::settle(FleetChoice &choice, const RouteCandidate &best, const FleetQuery &query, Core::TimePoint now) const
+{
     const BackendServer *server = m_chooser.server(best.id);
     choice.id = best.id;
     choice.serverId = server->name;
     choice.address = server->endpoint;
     choice.failureDomain = server->failureDomain;
+    if (query.prompt == nullptr) {
+        choice.work = plainWork;
+        return;
+    }
+    const std::uint32_t ownTokens = query.prompt->parts.empty() ? query.prompt->promptTokens : query.prompt->parts.back().tokens;
+    choice.work = best.prefill + microseconds(1000) * (ownTokens / tokensPerMillisecond);
     choice.warmParts = best.warmPieces;
-    if (query.prompt != nullptr) {
-        const std::uint32_t ownTokens = query.prompt->parts.empty() ? query.prompt->promptTokens : query.prompt->parts.back().tokens;
-        choice.isStoreKnown = m_storeIndex != nullptr;
-        choice.storedParts = storedParts(parts);
-        choice.isWorthSaving = isWorthSaving(query, now);
-        estimate(choice, query, now);
-        choice.work = best.prefill + microseconds(1000) * (ownTokens / tokensPerMillisecond);
+    choice.isStoreKnown = m_storeIndex != nullptr;
+    choice.storedParts = storedParts(choice.parts);
+    choice.isWorthSaving = isWorthSaving(query, now);
+    estimate(choice, query, now);
+}
+
+std::optional<FleetChoice> RelayFleet::choose(const FleetQuery &query, Core::TimePoint now)
+{
+    followRegister();
+    FleetChoice choice;
+    choice.routeName = query.route;
+    if (query.prompt == nullptr) {
+        choice.route.service = query.service;
+        choice.route.root = PrefixKey(query.draw);
+    } else if (!describePrompt(choice, query, now)) {
+        return std::nullopt;
+    }
+    const RouteDecision decision = candidates(choice.route, query, now);
+    if (decision.candidates.empty()) {
+        return std::nullopt;
     }
+    settle(choice, choice.parts.empty() ? decision.candidates.front() : bestOf(decision, choice.parts, now), query, now);
     return choice;
 }
 
@@ -377,15 +399,15 @@
     if (m_sent.size() > mostSent) {
         std::erase_if(m_sent, [now](const auto &entry) { return now >= entry.second.deadline; });
     }
-    for (const PartKey part : choice.parts) {
-        m_sent[part] = {choice.id, now + newsDelay};
+    for (const SharedPart &part : choice.parts) {
+        m_sent[part.key] = {choice.id, now + newsDelay};
     }
 }
 
 void RelayFleet::noteAnswered(const FleetChoice &choice, Core::TimePoint now)
 {
     m_failures.erase(choice.id);
-    m_chooser.noteReply(choice.id, choice.route, choice.sharedParts, choice.work, now);
+    m_chooser.noteReply(choice.id, choice.route, static_cast<std::uint32_t>(choice.parts.size()), choice.work, now);
     if (choice.expectedWait.has_value()) {
         m_estimates[choice.routeName].note(choice.waiting, std::chrono::duration_cast<microseconds>(now - choice.sentAt), now);
     }
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -28,6 +28,13 @@
     std::uint64_t draw = 0; ///< Evenly spread over all numbers.
 };
 
+/// \brief A part of a prompt that others may share, as caches know it.
+struct SharedPart
+{
+    PartKey key{};
+    std::uint32_t tokens = 0;
+};
+
 /// \brief The backend server that a request goes to, with what was known when it was chosen.
 struct FleetChoice
 {
@@ -36,10 +43,9 @@
     std::string failureDomain;
     std::optional<std::uint64_t> weightsVersion; ///< That the request is meant for.
     std::string cacheScope; ///< Prompts of other scopes share no cached part with this one.
-    std::uint32_t warmParts = 0; ///< Leading parts of the prompt believed to be in its cache.
-    std::uint32_t sharedParts = 0; ///< Parts that other prompts may share.
-    std::vector<PartKey> parts; ///< The shared parts, in order.
-    std::uint32_t storedParts = 0; ///< Leading parts that the store of kept KV cache holds.
+    std::vector<SharedPart> parts; ///< Of the prompt, in order; without the last one, which is the request's own.
+    std::uint32_t warmParts = 0; ///< Leading ones believed to be in its cache.
+    std::uint32_t storedParts = 0; ///< Leading ones that the store of kept KV cache holds.
     bool isStoreKnown = false; ///< Whether storedParts can be relied on.
     bool isWorthSaving = false; ///< Whether the store should get what it lacks.
     BackendServerId id{};
@@ -110,13 +116,6 @@
 
     void followRegister();
     bool isBusyWithWeights(const Heard &heard, const FleetQuery &query, Core::TimePoint now) const;
-    // A part of a prompt that others may share.
-    struct SharedPart
-    {
-        PartKey key;
-        std::uint32_t tokens;
-    };
-
     // Where a part was sent last, which no agent can have told of yet.
     struct Sent
     {
@@ -126,6 +125,9 @@
 
     std::optional<std::uint32_t> warmParts(BackendServerId id, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
     bool isKept(const Heard &heard, BackendServerId id, PartKey part, Core::TimePoint now) const;
+    bool describePrompt(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
+    RouteDecision candidates(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const;
+    void settle(FleetChoice &choice, const RouteCandidate &best, const FleetQuery &query, Core::TimePoint now) const;
     RouteCandidate bestOf(const RouteDecision &decision, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
     std::chrono::microseconds cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const;
     bool isWorthSaving(const FleetQuery &query, Core::TimePoint now) const;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -209,11 +209,11 @@
 void RelayedRequest::setCaches(CallContext &context, const FleetChoice &choice) const
 {
     const Decisions::RelayService *store = m_directory->cacheStore();
-    if (store == nullptr || choice.sharedParts == 0 || !choice.isStoreKnown) {
+    if (store == nullptr || choice.parts.empty() || !choice.isStoreKnown) {
         return;
     }
     context.cacheSource = store->cacheStore;
-    context.cacheStore = choice.storedParts < choice.sharedParts && choice.isWorthSaving ? store->cacheStore : "";
+    context.cacheStore = choice.storedParts < choice.parts.size() && choice.isWorthSaving ? store->cacheStore : "";
 }
 
 std::string RelayedRequest::callText(const FleetChoice &choice) const
@@ -468,7 +468,7 @@
             {"service", m_service},
             {"server", m_choice.has_value() ? m_choice->serverId : ""},
             {"weights", m_choice.has_value() && m_choice->weightsVersion.has_value() ? std::to_string(*m_choice->weightsVersion) : ""},
-            {"warm", m_choice.has_value() ? std::to_string(m_choice->warmParts) + "/" + std::to_string(m_choice->sharedParts) : ""},
+            {"warm", m_choice.has_value() ? std::to_string(m_choice->warmParts) + "/" + std::to_string(m_choice->parts.size()) : ""},
             {"stored", m_choice.has_value() ? std::to_string(m_choice->storedParts) : ""},
             {"waiting", m_choice.has_value() ? std::to_string(m_choice->waiting) : ""},
             {"sends", std::to_string(m_attempts.sends)},
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,8 +26,10 @@
 class Run
 {
 public:
-    Run(std::uint64_t seed, std::chrono::seconds length)
-        : m_world(seed, {})
+    Run(std::uint64_t seed, std::chrono::seconds length, std::string logFolder, bool areLogsUnread)
+        : m_logFolder(std::move(logFolder))
+        , m_areLogsUnread(areLogsUnread)
+        , m_world(seed, {})
         , m_end(m_world.loop().now() + length)
         , m_faultTimer(m_world.loop(), [this] { strike(); })
         , m_tick(m_world.loop(), [this] { tick(); })
@@ -104,6 +106,9 @@
 
     void tick()
     {
+        if (!m_areLogsUnread) {
+            m_world.collectLogs();
+        }
         m_world.restartEnded();
         const Core::TimePoint now = m_world.loop().now();
         std::vector<Cure> due;
@@ -223,9 +228,15 @@
         for (const std::string &what : ledger.broken()) {
             std::cout << "BROKEN: " << what << std::endl;
         }
+        if (!ledger.broken().empty() && !m_logFolder.empty()) {
+            m_world.collectLogs();
+            m_world.writeLogs(m_logFolder);
+        }
         return ledger.broken().empty();
     }
 
+    std::string m_logFolder;
+    bool m_areLogsUnread;
     SoakWorld m_world;
     Core::TimePoint m_end;
     EventLoop::Timer m_faultTimer;
@@ -249,11 +260,13 @@
     TCLAP::ValueArg<std::uint64_t> first("", "seed", "The first seed.", false, 1, "number", line);
     TCLAP::ValueArg<std::uint64_t> count("", "count", "How many seeds, one after the other.", false, 1, "number", line);
     TCLAP::ValueArg<int> seconds("", "seconds", "How long faults come in each run.", false, 10, "seconds", line);
+    TCLAP::ValueArg<std::string> logs("", "logs", "Folder for the logs of a run that breaks a promise.", false, "", "folder", line);
+    TCLAP::SwitchArg unread("", "unread-logs", "Leave what the processes log unread, as a reader that has stopped would.", line);
     line.parse(argc, argv);
     bool isGood = true;
     for (std::uint64_t seed = first.getValue(); seed < first.getValue() + count.getValue(); ++seed) {
         std::cout << "seed " << seed << ": " << std::flush;
-        isGood = Verbena::Soak::Run(seed, std::chrono::seconds(seconds.getValue())).play() && isGood;
+        isGood = Verbena::Soak::Run(seed, std::chrono::seconds(seconds.getValue()), logs.getValue(), unread.getValue()).play() && isGood;
     }
     return isGood ? 0 : 1;
 }
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -1,6 +1,7 @@
 #include "soakworld.h"
 
 #include <csignal>
+#include <fstream>
 
 #include <nlohmann/json.hpp>
 
@@ -91,6 +92,7 @@
         "listen:\n  front: \"" + router.ip + ':' + callersPort + "\"\n  ready: \"" + router.ip + ':' + readinessPort + "\"\n");
     router.process = std::make_unique<Test::ChildProcess>("verbena-router", std::vector<std::string>{"--host", file});
     router.isRestarted = true;
+    checkStarted(*router.process, "verbena-router");
 }
 
 void SoakWorld::startAgent(std::size_t index)
@@ -99,6 +101,15 @@
     const std::string file
         = hostFile("side-" + std::to_string(index), worker.ip, m_store.address(), "app: \"" + worker.proxy->address() + "\"\nservice: \"reader\"\n");
     worker.agent = std::make_unique<Test::ChildProcess>("verbena-agent", std::vector<std::string>{"--host", file});
+    checkStarted(*worker.agent, "verbena-agent");
+}
+
+// A program that is missing, or is being built, never comes back: that says nothing of the promises, so the run says it by itself.
+void SoakWorld::checkStarted(const Test::ChildProcess &process, const std::string &program)
+{
+    if (process.pid() < 0) {
+        m_ledger.noteBroken(program + " could not be started; was it replaced while the soak ran?");
+    }
 }
 
 void SoakWorld::registerWorker(std::size_t index)
@@ -192,6 +203,23 @@
     }
 }
 
+void SoakWorld::collectLogs()
+{
+    for (std::size_t index = 0; index < m_routers.size(); ++index) {
+        m_logs["front-" + std::to_string(index)] += m_routers[index].process->takeOutput();
+    }
+    for (std::size_t index = 0; index < m_engines; ++index) {
+        m_logs["side-" + std::to_string(index)] += m_workers[index].agent->takeOutput();
+    }
+}
+
+void SoakWorld::writeLogs(const std::string &folder) const
+{
+    for (const auto &[name, text] : m_logs) {
+        std::ofstream(folder + '/' + name + ".log") << text;
+    }
+}
+
 bool SoakWorld::takeRestart(std::size_t index)
 {
     const bool isRestarted = m_routers[index].isRestarted;
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -10,6 +10,7 @@
 #include <support/childprocess.h>
 #include <support/temporaryfolder.h>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -60,6 +61,12 @@
     /// \brief Starts what has ended; to be called now and then.
     void restartEnded();
 
+    /// \brief Takes what the processes have logged; to be called now and then, or they leave lines out.
+    void collectLogs();
+
+    /// \brief Writes the logs of all processes to files in \a folder.
+    void writeLogs(const std::string &folder) const;
+
     /// \brief Whether router \a index was started anew since the last question.
     bool takeRestart(std::size_t index);
 
@@ -92,6 +99,7 @@
     std::string hostFile(const std::string &name, const std::string &address, const std::string &store, const std::string &more) const;
     void startRouter(std::size_t index);
     void startAgent(std::size_t index);
+    void checkStarted(const Test::ChildProcess &process, const std::string &program);
     void registerWorker(std::size_t index);
     void writeConfiguration();
 
@@ -103,6 +111,7 @@
     std::vector<Worker> m_workers; ///< Engines first.
     std::vector<Router> m_routers;
     std::size_t m_engines;
+    std::map<std::string, std::string> m_logs; ///< By name of the process.
     int m_configuration = 1;
     std::uint64_t m_weights = 1;
 };
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 
 #include <fcntl.h>
+#include <poll.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -74,6 +75,22 @@
     }
 }
 
+std::string ChildProcess::takeOutput()
+{
+    std::array<char, 65536> part{};
+    pollfd ready{m_output, POLLIN, 0};
+    while (poll(&ready, 1, 0) == 1 && (ready.revents & POLLIN) != 0) {
+        const ssize_t count = read(m_output, part.data(), part.size());
+        if (count <= 0) {
+            break;
+        }
+        m_buffer.append(part.data(), static_cast<std::size_t>(count));
+    }
+    std::string output;
+    output.swap(m_buffer);
+    return output;
+}
+
 void ChildProcess::sendSignal(int signalNumber) const
 {
     if (m_pid > 0) {
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -21,6 +21,9 @@
     /// \brief Waits for a line on standard output that begins with \a prefix and returns the rest; empty if the output ends.
     std::string waitForLine(const std::string &prefix);
 
+    /// \brief What has come on standard output and was not waited for, without waiting for more.
+    std::string takeOutput();
+
     void sendSignal(int signalNumber) const;
 
     /// \brief Waits for the end; the exit status, or minus the number of the signal.
