--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -261,6 +261,7 @@
 TEST(WeightsScheduleTest, bringsSmallGroupsOneAfterTheOtherAndTheOldestFirst)
 {
     std::vector<WeightsHolder> holders;
+    holders.reserve(18);
     for (int number = 0; number < 18; ++number) {
         holders.push_back({std::to_string(number), number < 6 ? 1U : 2U});
     }
--- a/tests/auto/relay/tst_tablefollower.cpp
+++ b/tests/auto/relay/tst_tablefollower.cpp
@@ -193,6 +193,7 @@
         const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
         auto all = [&] {
             std::vector<TableRow> rows;
+            rows.reserve(table.size());
             for (const auto &[key, entry] : table) {
                 rows.push_back({key, entry.first, entry.second, false});
             }
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -133,6 +133,7 @@
     }
     std::sort(changed.begin(), changed.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
     std::vector<json> rows;
+    rows.reserve(changed.size());
     for (auto &[version, row] : changed) {
         rows.push_back(std::move(row));
     }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -204,8 +204,8 @@
     void checkRecovery()
     {
         constexpr std::chrono::seconds patience{60};
-        const std::size_t kinds = 3;
-        if (!wait([this, kinds] { return m_servedInCalm.size() == kinds * m_world.routerCount(); }, patience)) {
+        constexpr std::size_t kinds = 3;
+        if (!wait([this] { return m_servedInCalm.size() == kinds * m_world.routerCount(); }, patience)) {
             m_world.ledger().noteBroken("not every router served every kind of request again");
         }
         const int newest = std::stoi(m_world.newestPath().substr(2));
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -216,7 +216,9 @@
 void SoakWorld::writeLogs(const std::string &folder) const
 {
     for (const auto &[name, text] : m_logs) {
-        std::ofstream(folder + '/' + name + ".log") << text;
+        std::string path = folder;
+        path.append("/").append(name).append(".log");
+        std::ofstream(path) << text;
     }
 }
 
