--- a/src/libs/http/eventcutter.cpp
+++ b/src/libs/http/eventcutter.cpp
@@ -57,6 +57,13 @@
     return true;
 }
 
+std::string EventCutter::takePending()
+{
+    std::string pending;
+    pending.swap(m_pending);
+    return pending;
+}
+
 void EventCutter::dropPending()
 {
     m_pending.clear();
--- a/src/libs/http/eventcutter.h
+++ b/src/libs/http/eventcutter.h
@@ -16,6 +16,9 @@
     /// Events whose id is not above lastId() have been delivered before and are left out.
     std::string feed(std::string_view bytes);
 
+    /// \brief What has come of an event that is not complete, for a stream that has ended.
+    std::string takePending();
+
     /// \brief Forgets an event that is not complete, for a stream that goes on elsewhere.
     void dropPending();
 
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -102,8 +102,8 @@
 // A failure shows when the loop comes back to the socket.
 void TcpChannel::flush()
 {
-    if (m_isConnected && !m_isBroken) {
-        sendBuffered();
+    if (m_isConnected && !m_isBroken && sendBuffered() && bufferedBytes() == 0) {
+        m_observer.outputDrained();
     }
     watch();
 }
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -35,7 +35,7 @@
     /// \brief Nothing will come any more. After Broken nothing can be sent either.
     virtual void receiveEnd(ChannelEnd end) = 0;
 
-    /// \brief The kernel has taken all that had to wait for it.
+    /// \brief The kernel has taken all that was written. This one may not destroy the channel.
     virtual void outputDrained()
     {
     }
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -339,6 +339,7 @@
     }
     m_call.reset();
     beginPassing();
+    m_sink.write(m_cutter.takePending());
     m_sink.endAnswer();
     logOutcome(m_answerHead.status, "answered");
 }
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -321,6 +321,12 @@
     EXPECT_EQ(resumedAfter, "2");
 }
 
+TEST_F(RelayTest, keepsTheLastBytesOfAStreamThatEndsWithoutABlankLine)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{streamHead(head) + chunk(event(1) + "data: end") + "0\r\n\r\n"}; });
+    EXPECT_TRUE(contains(call(request("/resume/"), "\r\n0\r\n\r\n"), "data: end"));
+}
+
 TEST_F(RelayTest, endsTheWorkOfACallerThatHangsUp)
 {
     start([](const auto &, const auto &) { return WorkerScript{}; });
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -99,6 +99,7 @@
     registerEngine();
     const std::string file = hostFile("side-1", networkNumber() + std::to_string(engineHost), "app: \"" + m_engine.address() + "\"\nservice: \"reader\"\n");
     m_agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--host", file});
+    waitUntilStarted(*m_agent);
     m_routers.resize(routers);
     for (std::size_t index = 0; index < routers; ++index) {
         startRouter(index);
@@ -126,6 +127,13 @@
     const std::string file = hostFile(
         "front-" + std::to_string(index + 1), ip, "listen:\n  front: \"" + ip + ':' + callersPort + "\"\n  ready: \"" + ip + ':' + readinessPort + "\"\n");
     m_routers[index] = std::make_unique<ChildProcess>("verbena-router", std::vector<std::string>{"--host", file});
+    waitUntilStarted(*m_routers[index]);
+}
+
+// Its first line says that it has started; a signal before that would meet no handler.
+void PlatformDeployment::waitUntilStarted(ChildProcess &process)
+{
+    process.waitForLine("{\"time\"");
 }
 
 void PlatformDeployment::restartRouter(std::size_t index)
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -81,6 +81,7 @@
     std::string hostNumber(std::size_t index) const;
     std::string hostFile(const std::string &name, const std::string &ip, const std::string &more) const;
     void startRouter(std::size_t index);
+    static void waitUntilStarted(ChildProcess &process);
     void registerEngine();
 
     TemporaryFolder m_folder;
