--- a/src/libs/decisions/relay/admission.cpp
+++ b/src/libs/decisions/relay/admission.cpp
@@ -62,9 +62,14 @@
     return waiting * perWaiting(now);
 }
 
+microseconds bearableWait(microseconds target)
+{
+    return target.count() == 0 ? microseconds::max() : duration_cast<microseconds>(waitingPart * target);
+}
+
 std::optional<milliseconds> refuseUntil(const AdmissionQuery &query)
 {
-    if (query.target.count() == 0 || static_cast<double>(query.wait.count()) <= waitingPart * static_cast<double>(query.target.count())) {
+    if (query.wait <= bearableWait(query.target)) {
         return std::nullopt;
     }
     const auto over = duration_cast<milliseconds>(query.wait);
--- a/src/libs/decisions/relay/admission.h
+++ b/src/libs/decisions/relay/admission.h
@@ -34,6 +34,9 @@
     std::chrono::microseconds patience{0}; ///< Until the caller leaves.
 };
 
+/// \brief How long a request whose answer is wanted within \a target may wait before it is begun; without a target, as long as it wants.
+std::chrono::microseconds bearableWait(std::chrono::microseconds target);
+
 /// \brief When a refused caller should come back; nothing if the request should be sent.
 ///
 /// It answers a load that stays above what engines can read, for instance right after new weights when every prompt is cold: if all were let in, all
--- a/src/libs/decisions/relay/attemptpolicy.cpp
+++ b/src/libs/decisions/relay/attemptpolicy.cpp
@@ -38,6 +38,8 @@
         return "lost";
     case CallFailure::ServerError:
         return "server_error";
+    case CallFailure::Moved:
+        return "moved";
     }
     return "unknown";
 }
@@ -57,6 +59,13 @@
     return state.isRepeatable && state.runs < state.attempts;
 }
 
+bool mayBeMoved(const AttemptState &state)
+{
+    AttemptState moved = state;
+    ++moved.runs;
+    return state.isAnswerBegun && mayBeSentAgain(moved, CallFailure::Moved);
+}
+
 AttemptAction finalAction(const AttemptState &state, CallFailure failure)
 {
     if (state.isAnswerBegun) {
--- a/src/libs/decisions/relay/attemptpolicy.h
+++ b/src/libs/decisions/relay/attemptpolicy.h
@@ -13,6 +13,7 @@
     NotRun, ///< The backend server proved that it did not run the request.
     Lost, ///< The connection broke, or something came that is no answer to this request.
     ServerError, ///< A whole answer that reports a failure of the backend server.
+    Moved, ///< This router ended it, to go on with the stream elsewhere.
 };
 
 /// \brief What becomes of a request after such an end.
@@ -43,6 +44,9 @@
 /// \brief Whether a request may go to another backend server after \a failure, if the budget and the deadline allow it.
 bool mayBeSentAgain(const AttemptState &state, CallFailure failure);
 
+/// \brief Whether a stream that runs may be ended by this router to go on elsewhere.
+bool mayBeMoved(const AttemptState &state);
+
 /// \brief What to do if it is not sent again.
 AttemptAction finalAction(const AttemptState &state, CallFailure failure);
 
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -55,6 +55,9 @@
 constexpr double fullMemory = 0.9;
 constexpr milliseconds waitForMemory{300};
 
+// From the moment that a request comes to an engine whose queue stands still until it begins: 3.6 s were seen on an engine with full memory.
+constexpr milliseconds slowestBegin{4500};
+
 // Prompts of which a full store takes one, and from which part of its capacity on it counts as full.
 constexpr std::uint64_t savesOneOf = 4;
 constexpr double fullStore = 0.9;
@@ -62,7 +65,7 @@
 constexpr std::uint64_t saveDrawDivisor = 1'000'000'007;
 
 // As long as it takes to bring new weights to all engines and to read again what is asked for.
-constexpr milliseconds refillTime{8000};
+constexpr milliseconds refillTime{10000};
 
 // The pool of one model at one service; services may serve models of the same name.
 std::string poolName(const std::string &service, const std::string &model)
@@ -76,14 +79,25 @@
     return query.prompt->model + '@' + std::to_string(version) + (query.dedicatedTo.empty() ? "" : '/' + query.dedicatedTo);
 }
 
+// How much a prompt is asked for has nothing to do with the weights. If it were counted anew for each version, the hottest openings would have a single
+// home just when every engine is cold.
+std::string demandScope(const FleetQuery &query)
+{
+    return query.prompt->model + (query.dedicatedTo.empty() ? "" : '/' + query.dedicatedTo);
+}
+
+bool isMemoryFull(const EngineStatus &status)
+{
+    return static_cast<double>(status.usedTokens) > fullMemory * static_cast<double>(status.totalTokens);
+}
+
 LoadReport loadOf(const EngineStatus &status)
 {
     LoadReport report;
     report.running = status.running;
     report.queued = status.waiting;
     report.queuedWork = status.waiting * waitPerWaiting + status.running * waitPerRunning;
-    const bool isMemoryFull = static_cast<double>(status.usedTokens) > fullMemory * static_cast<double>(status.totalTokens);
-    report.queuedWork += isMemoryFull ? waitForMemory : milliseconds(0);
+    report.queuedWork += isMemoryFull(status) ? waitForMemory : milliseconds(0);
     return report;
 }
 
@@ -100,6 +114,11 @@
 {
 }
 
+void RelayFleet::setRouterCount(std::uint32_t count)
+{
+    m_routerCount = std::max<std::uint32_t>(1, count);
+}
+
 ServerRegister &RelayFleet::servers()
 {
     return m_register;
@@ -115,12 +134,6 @@
     return m_weights[model].note(version, now);
 }
 
-std::uint64_t RelayFleet::newestWeights(const std::string &model) const
-{
-    const auto found = m_weights.find(model);
-    return found == m_weights.end() ? 0 : found->second.newest();
-}
-
 void RelayFleet::followRegister()
 {
     if (m_followedRevision == m_register.revision()) {
@@ -170,6 +183,7 @@
     Heard &heard = m_heard[key];
     heard.status = status;
     heard.deadline = now + statusLifetime;
+    heard.sentSince = 0;
     if (status.parts.has_value()) {
         heard.parts = {status.parts->begin(), status.parts->end()};
         heard.status.parts.reset();
@@ -216,6 +230,13 @@
     m_storeIndex = index;
 }
 
+// Whether caches are still being filled after new weights.
+bool RelayFleet::isRefilling(const FleetQuery &query, Core::TimePoint now) const
+{
+    const auto history = m_weights.find(query.prompt->model);
+    return history != m_weights.end() && now < history->second.newestSince() + refillTime;
+}
+
 // A full store drops something useful for each prompt that it takes, and half of what it takes belongs to one request alone. Letting in only one of
 // several keeps what is asked for again and again; right after new weights, when all that it holds is void, it takes all.
 bool RelayFleet::isWorthSaving(const FleetQuery &query, Core::TimePoint now) const
@@ -223,10 +244,8 @@
     if (m_storeIndex == nullptr) {
         return false;
     }
-    const auto history = m_weights.find(query.prompt->model);
-    const bool isRefilling = history != m_weights.end() && now < history->second.newestSince() + refillTime;
     const bool hasRoom = static_cast<double>(m_storeIndex->tokens()) < fullStore * static_cast<double>(m_storeIndex->capacity());
-    return isRefilling || hasRoom || query.draw / saveDrawDivisor % savesOneOf == 0;
+    return isRefilling(query, now) || hasRoom || query.draw / saveDrawDivisor % savesOneOf == 0;
 }
 
 std::uint32_t RelayFleet::storedParts(const std::vector<SharedPart> &parts) const
@@ -247,10 +266,26 @@
     return most;
 }
 
+std::string RelayFleet::holderOf(const FleetChoice &choice, Core::TimePoint now) const
+{
+    std::uint32_t most = std::max(choice.warmParts, choice.storedParts);
+    std::string holder;
+    for (const auto &[id, heard] : m_heard) {
+        const BackendServer *server = m_chooser.server(id);
+        const std::uint32_t warm = server == nullptr || most == choice.parts.size() ? 0 : warmParts(id, choice.parts, now).value_or(0);
+        if (warm > most) {
+            most = warm;
+            holder = server->endpoint;
+        }
+    }
+    return holder;
+}
+
 // What a request would wait for at the candidate, and what it would cost the engine on top: reading what nobody keeps, fetching what another one does.
 microseconds RelayFleet::cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const
 {
-    candidate.warmPieces = warmParts(candidate.id, parts, now).value_or(candidate.warmPieces);
+    // What was seen there before says nothing: it may have been on other weights.
+    candidate.warmPieces = warmParts(candidate.id, parts, now).value_or(0);
     candidate.prefill = microseconds(0);
     for (std::uint32_t part = candidate.warmPieces; part < parts.size(); ++part) {
         candidate.prefill += parts[part].tokens * (part < warmAnywhere ? fetchPerToken : readPerToken);
@@ -273,6 +308,16 @@
     return best;
 }
 
+// What waits there by the last news and what routers have sent since. Other routers choose alike, so each is taken to have sent as much as this one; a
+// single request says nothing of that. Without this all routers together would fill an engine's queue between two of its news, first of all one that
+// has just got new weights and seems idle.
+std::uint32_t RelayFleet::presentlyWaiting(const Heard &heard) const
+{
+    const std::uint32_t waiting = heard.status.waiting;
+    const std::uint32_t telling = waiting > 0 ? heard.sentSince : heard.sentSince - std::min<std::uint32_t>(heard.sentSince, 1);
+    return waiting + telling * m_routerCount;
+}
+
 void RelayFleet::estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
 {
     const auto heard = m_heard.find(choice.id);
@@ -281,7 +326,7 @@
     }
     static const WaitEstimate nothingLearned;
     const auto learned = m_estimates.find(query.route);
-    choice.waiting = heard->second.status.waiting;
+    choice.waiting = presentlyWaiting(heard->second);
     choice.expectedWait = (learned == m_estimates.end() ? nothingLearned : learned->second).expected(choice.waiting, now);
 }
 
@@ -303,28 +348,34 @@
     }
 }
 
-std::optional<std::uint64_t> RelayFleet::weightsFor(const FleetQuery &query, Core::TimePoint now) const
+// An engine whose queue stands still, for instance because its memory is full, may begin a request seconds after it came, and then on weights that
+// nothing may begin on any more.
+void RelayFleet::excludeLateBeginners(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
 {
-    const auto versions = m_versions.find({query.service, query.prompt->model});
-    if (versions == m_versions.end()) {
-        return std::nullopt;
+    const std::optional<Core::TimePoint> outdated = weightsHistory(query).outdatedSince(*choice.weightsVersion);
+    if (!outdated.has_value() || now + slowestBegin < *outdated + m_weightsLimits.longestUse) {
+        return;
     }
+    for (const auto &[id, heard] : m_heard) {
+        if (heard.status.waiting > 0 || isMemoryFull(heard.status)) {
+            choice.route.excluded.push_back(id);
+        }
+    }
+}
+
+const WeightsHistory &RelayFleet::weightsHistory(const FleetQuery &query) const
+{
     static const WeightsHistory nothingNamed;
     const auto history = m_weights.find(query.prompt->model);
-    return chooseWeights(versions->second, history == m_weights.end() ? nothingNamed : history->second, m_weightsLimits, now, query.draw);
+    return history == m_weights.end() ? nothingNamed : history->second;
 }
 
-// False if no weights that are there may be used any more.
-bool RelayFleet::describePrompt(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
+void RelayFleet::describePrompt(FleetChoice &choice, const FleetQuery &query) const
 {
-    choice.weightsVersion = weightsFor(query, now);
-    if (!choice.weightsVersion.has_value()) {
-        return false;
-    }
     choice.cacheScope = cacheScope(query, *choice.weightsVersion);
     RouteQuery &route = choice.route;
     route.version = {poolName(query.service, query.prompt->model), "", std::to_string(*choice.weightsVersion)};
-    route.root = chain(PrefixKey(0), choice.cacheScope);
+    route.root = chain(PrefixKey(0), demandScope(query));
     PrefixKey key = route.root;
     for (std::size_t part = 0; part + 1 < query.prompt->parts.size(); ++part) {
         const PromptPart &shared = query.prompt->parts[part];
@@ -332,23 +383,26 @@
         route.keys.push_back(key);
         choice.parts.push_back({partKey(choice.cacheScope, shared.id), shared.tokens});
     }
-    return true;
 }
 
-RouteDecision RelayFleet::candidates(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const
+RouteDecision RelayFleet::candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
 {
+    RouteQuery &route = choice.route;
     for (const std::string &id : query.excluded) {
         route.excluded.push_back(backendServerId(id));
     }
-    const std::size_t tried = route.excluded.size();
-    if (query.prompt != nullptr) {
-        excludeBusyWithWeights(route, query, now);
+    if (query.prompt == nullptr) {
+        return m_chooser.choose(route, now);
     }
+    excludeLateBeginners(choice, query, now);
+    const std::size_t usable = route.excluded.size();
+    excludeBusyWithWeights(route, query, now);
     RouteDecision decision = m_chooser.choose(route, now);
-    if (decision.candidates.empty() && route.excluded.size() > tried) {
+    if (decision.candidates.empty() && route.excluded.size() > usable) {
         // One that is busy with weights is better than none.
-        route.excluded.resize(tried);
+        route.excluded.resize(usable);
         decision = m_chooser.choose(route, now);
+        choice.isBusyWithWeights = true;
     }
     return decision;
 }
@@ -359,7 +413,6 @@
     choice.id = best.id;
     choice.serverId = server->name;
     choice.address = server->endpoint;
-    choice.failureDomain = server->failureDomain;
     if (query.prompt == nullptr) {
         choice.work = plainWork;
         return;
@@ -370,21 +423,31 @@
     choice.isStoreKnown = m_storeIndex != nullptr;
     choice.storedParts = storedParts(choice.parts);
     choice.isWorthSaving = isWorthSaving(query, now);
+    choice.holder = isRefilling(query, now) ? holderOf(choice, now) : "";
     estimate(choice, query, now);
 }
 
-std::optional<FleetChoice> RelayFleet::choose(const FleetQuery &query, Core::TimePoint now)
+std::optional<FleetChoice> RelayFleet::choosePlain(const FleetQuery &query, Core::TimePoint now) const
 {
-    followRegister();
     FleetChoice choice;
     choice.routeName = query.route;
-    if (query.prompt == nullptr) {
-        choice.route.service = query.service;
-        choice.route.root = PrefixKey(query.draw);
-    } else if (!describePrompt(choice, query, now)) {
+    choice.route.service = query.service;
+    choice.route.root = PrefixKey(query.draw);
+    const RouteDecision decision = candidates(choice, query, now);
+    if (decision.candidates.empty()) {
         return std::nullopt;
     }
-    const RouteDecision decision = candidates(choice.route, query, now);
+    settle(choice, decision.candidates.front(), query, now);
+    return choice;
+}
+
+std::optional<FleetChoice> RelayFleet::chooseOn(std::uint64_t weights, const FleetQuery &query, Core::TimePoint now) const
+{
+    FleetChoice choice;
+    choice.routeName = query.route;
+    choice.weightsVersion = weights;
+    describePrompt(choice, query);
+    const RouteDecision decision = candidates(choice, query, now);
     if (decision.candidates.empty()) {
         return std::nullopt;
     }
@@ -392,10 +455,65 @@
     return choice;
 }
 
+bool RelayFleet::isBearable(const FleetChoice &choice, const FleetQuery &query)
+{
+    return !choice.isBusyWithWeights && choice.expectedWait.value_or(microseconds(0)) <= query.bearableWait;
+}
+
+bool RelayFleet::isBetter(const FleetChoice &choice, const FleetChoice &other)
+{
+    const auto rank = [](const FleetChoice &one) {
+        return std::pair(one.isBusyWithWeights, one.expectedWait.value_or(microseconds(0)));
+    };
+    return rank(choice) < rank(other);
+}
+
+std::optional<FleetChoice> RelayFleet::choose(const FleetQuery &query, Core::TimePoint now)
+{
+    followRegister();
+    if (query.prompt == nullptr) {
+        return choosePlain(query, now);
+    }
+    const auto versions = m_versions.find({query.service, query.prompt->model});
+    if (versions == m_versions.end()) {
+        return std::nullopt;
+    }
+    const WeightsHistory &history = weightsHistory(query);
+    const auto drawn = chooseWeights(versions->second, history, m_weightsLimits, now, query.draw);
+    if (!drawn.has_value()) {
+        return std::nullopt;
+    }
+    std::optional<FleetChoice> best = chooseOn(*drawn, query, now);
+    for (const std::uint64_t weights : usableWeights(versions->second, history, m_weightsLimits, now)) {
+        if (best.has_value() && isBearable(*best, query)) {
+            break;
+        }
+        std::optional<FleetChoice> other = weights == *drawn ? std::nullopt : chooseOn(weights, query, now);
+        if (other.has_value() && (!best.has_value() || isBetter(*other, *best))) {
+            best = std::move(other);
+        }
+    }
+    return best;
+}
+
+bool RelayFleet::isHeldUpFromLoading(const FleetChoice &choice, Core::TimePoint now) const
+{
+    const auto heard = m_heard.find(choice.id);
+    if (heard == m_heard.end() || now >= heard->second.deadline) {
+        return false;
+    }
+    const EngineStatus &status = heard->second.status;
+    return status.isLoading || (status.loadTime.has_value() && now >= *status.loadTime);
+}
+
 void RelayFleet::noteSent(FleetChoice &choice, Core::TimePoint now)
 {
     choice.sentAt = now;
     m_chooser.noteDispatched(choice.id, choice.route, choice.work, now);
+    const auto heard = m_heard.find(choice.id);
+    if (heard != m_heard.end()) {
+        ++heard->second.sentSince;
+    }
     if (m_sent.size() > mostSent) {
         std::erase_if(m_sent, [now](const auto &entry) { return now >= entry.second.deadline; });
     }
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -26,6 +26,7 @@
     std::string dedicatedTo; ///< The organisation that shares no KV cache with others, if the request is of such a one.
     std::vector<std::string> excluded; ///< Ids of backend servers that were tried before.
     std::uint64_t draw = 0; ///< Evenly spread over all numbers.
+    std::chrono::microseconds bearableWait{std::chrono::microseconds::max()}; ///< At an engine; with more the request rather runs on older weights.
 };
 
 /// \brief A part of a prompt that others may share, as caches know it.
@@ -40,20 +41,21 @@
 {
     std::string serverId;
     std::string address;
-    std::string failureDomain;
     std::optional<std::uint64_t> weightsVersion; ///< That the request is meant for.
     std::string cacheScope; ///< Prompts of other scopes share no cached part with this one.
     std::vector<SharedPart> parts; ///< Of the prompt, in order; without the last one, which is the request's own.
     std::uint32_t warmParts = 0; ///< Leading ones believed to be in its cache.
     std::uint32_t storedParts = 0; ///< Leading ones that the store of kept KV cache holds.
+    std::string holder; ///< Address of an engine that keeps more leading parts than both; empty if there is none.
     bool isStoreKnown = false; ///< Whether storedParts can be relied on.
     bool isWorthSaving = false; ///< Whether the store should get what it lacks.
     BackendServerId id{};
     RouteQuery route;
     std::chrono::microseconds work{0};
     std::string routeName;
-    std::uint32_t waiting = 0; ///< Requests that wait there, by the agent's last news.
+    std::uint32_t waiting = 0; ///< Requests that wait there, by the agent's last news and what was sent since.
     std::optional<std::chrono::microseconds> expectedWait; ///< Before it is begun; nothing if there are no news.
+    bool isBusyWithWeights = false; ///< It loads new weights or is about to; all others do too.
     Core::TimePoint sentAt;
 };
 
@@ -72,15 +74,15 @@
     /// \brief The register of backend servers, to be kept up to date by its owner.
     ServerRegister &servers();
 
+    /// \brief So many routers, this one among them, send requests to the same backend servers.
+    void setRouterCount(std::uint32_t count);
+
     /// \brief Whether any backend server is known.
     bool hasServers() const;
 
     /// \brief New weights of \a model were named; returns whether it is news.
     bool noteWeightsNamed(const std::string &model, std::uint64_t version, Core::TimePoint now);
 
-    /// \brief The newest version of \a model that was named, or 0.
-    std::uint64_t newestWeights(const std::string &model) const;
-
     /// \brief The agent beside the engine at \a address said how it is; believed for a moment.
     void noteStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now);
 
@@ -91,8 +93,16 @@
     std::vector<std::string> engineAddresses() const;
 
     /// \brief Where to send a request, or nothing if no backend server can take it now.
+    ///
+    /// While new weights are brought to the fleet, those engines that have them are few and cold, and the others warm. A request that would have to wait
+    /// too long at the one kind goes to the other.
     std::optional<FleetChoice> choose(const FleetQuery &query, Core::TimePoint now);
 
+    /// \brief Whether the engine of \a choice waits for its runs to end so that it can load new weights.
+    ///
+    /// Until they have ended it takes nothing new, so streams that can go on elsewhere should.
+    bool isHeldUpFromLoading(const FleetChoice &choice, Core::TimePoint now) const;
+
     /// \brief The request of \a choice was sent.
     void noteSent(FleetChoice &choice, Core::TimePoint now);
 
@@ -112,6 +122,7 @@
         EngineStatus status;
         std::unordered_set<PartKey> parts;
         Core::TimePoint deadline;
+        std::uint32_t sentSince = 0; ///< By this router, that the status cannot know of.
     };
 
     void followRegister();
@@ -125,17 +136,25 @@
 
     std::optional<std::uint32_t> warmParts(BackendServerId id, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
     bool isKept(const Heard &heard, BackendServerId id, PartKey part, Core::TimePoint now) const;
-    bool describePrompt(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
-    RouteDecision candidates(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const;
+    const WeightsHistory &weightsHistory(const FleetQuery &query) const;
+    void describePrompt(FleetChoice &choice, const FleetQuery &query) const;
+    RouteDecision candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
+    std::optional<FleetChoice> choosePlain(const FleetQuery &query, Core::TimePoint now) const;
+    std::optional<FleetChoice> chooseOn(std::uint64_t weights, const FleetQuery &query, Core::TimePoint now) const;
+    static bool isBearable(const FleetChoice &choice, const FleetQuery &query);
+    static bool isBetter(const FleetChoice &choice, const FleetChoice &other);
     void settle(FleetChoice &choice, const RouteCandidate &best, const FleetQuery &query, Core::TimePoint now) const;
     RouteCandidate bestOf(const RouteDecision &decision, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
     std::chrono::microseconds cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const;
+    bool isRefilling(const FleetQuery &query, Core::TimePoint now) const;
     bool isWorthSaving(const FleetQuery &query, Core::TimePoint now) const;
     std::uint32_t storedParts(const std::vector<SharedPart> &parts) const;
+    std::string holderOf(const FleetChoice &choice, Core::TimePoint now) const;
     std::uint32_t warmAnywhere(const std::vector<SharedPart> &parts, Core::TimePoint now) const;
+    std::uint32_t presentlyWaiting(const Heard &heard) const;
     void estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     void excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const;
-    std::optional<std::uint64_t> weightsFor(const FleetQuery &query, Core::TimePoint now) const;
+    void excludeLateBeginners(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
 
     ServerRegister m_register;
     RouteChooser m_chooser;
@@ -149,6 +168,7 @@
     std::map<std::string, WaitEstimate> m_estimates; ///< By route.
     std::unordered_map<std::string, std::string> m_idsByAddress;
     std::uint64_t m_followedRevision = 0;
+    std::uint32_t m_routerCount = 1;
 };
 
 } // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/relay/routercensus.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <core/time.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Verbena::Decisions {
+
+/// \brief How many routers there are, by those that agents name.
+///
+/// What all routers may do together is shared out by this number, so a router that is gone counts until what it did has left every window.
+class RouterCensus
+{
+public:
+    /// \brief \a assumed is the count until a router has been named.
+    explicit RouterCensus(std::uint32_t assumed);
+
+    /// \brief A router at \a address was named.
+    void note(const std::string &address, Core::TimePoint now);
+
+    /// \brief Routers that were named lately, at least one.
+    std::uint32_t count(Core::TimePoint now);
+
+private:
+    std::uint32_t m_assumed;
+    std::map<std::string, Core::TimePoint> m_deadlines; ///< By address.
+};
+
+} // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/weightschoice.cpp
+++ b/src/libs/decisions/relay/weightschoice.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t rememberedVersions = 32;
 
 // How much more than its part a newer group gets: backend servers run at less than half of what they can bear on most days.
-constexpr double newerPreference = 2.5;
+constexpr double newerPreference = 1.5;
 
 // A request is on its way for a moment after it was given a version.
 constexpr std::chrono::milliseconds useMargin{400};
@@ -53,6 +53,18 @@
     return newer == m_named.end() ? std::nullopt : std::optional(newer->at);
 }
 
+std::vector<std::uint64_t> usableWeights(
+    const std::map<std::uint64_t, std::size_t> &servers, const WeightsHistory &history, const WeightsLimits &limits, Core::TimePoint now)
+{
+    std::vector<std::uint64_t> usable;
+    for (auto group = servers.rbegin(); group != servers.rend(); ++group) {
+        if (group->second > 0 && mayBeUsed(group->first, history, limits, now)) {
+            usable.push_back(group->first);
+        }
+    }
+    return usable;
+}
+
 std::optional<std::uint64_t> chooseWeights(
     const std::map<std::uint64_t, std::size_t> &servers, const WeightsHistory &history, const WeightsLimits &limits, Core::TimePoint now, std::uint64_t draw)
 {
--- a/src/libs/decisions/relay/weightschoice.h
+++ b/src/libs/decisions/relay/weightschoice.h
@@ -44,6 +44,10 @@
     std::vector<Named> m_named; ///< By rising version; the oldest are forgotten.
 };
 
+/// \brief Versions that requests may still begin on, the newest first.
+std::vector<std::uint64_t> usableWeights(
+    const std::map<std::uint64_t, std::size_t> &servers, const WeightsHistory &history, const WeightsLimits &limits, Core::TimePoint now);
+
 /// \brief The version that a request should run on, or nothing if none that is there may be used any more.
 ///
 /// \a servers counts the backend servers at each version. While weights are changed one group of backend servers after the other, the few that have the
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -55,6 +55,11 @@
     return m_channel->hasSent();
 }
 
+bool BackendCall::isWhole() const
+{
+    return m_isWhole;
+}
+
 void BackendCall::setReading(bool isReading)
 {
     m_channel->setReading(isReading);
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -47,6 +47,9 @@
     /// \brief Whether any byte of the request may have reached the backend server.
     bool hasSent() const;
 
+    /// \brief Whether all of the answer has come, though the observer may not have been told yet.
+    bool isWhole() const;
+
     /// \brief Pauses or resumes reading the answer.
     void setReading(bool isReading);
 
--- a/src/libs/relay/enginewatch.cpp
+++ b/src/libs/relay/enginewatch.cpp
@@ -75,12 +75,16 @@
 {
     if (message.has_engine_news()) {
         const Core::TimePoint now = m_loop.now();
+        std::vector<std::string> routers;
         for (const std::uint32_t router : message.engine_news().routers()) {
             Http::Endpoint peer;
             peer.address.sin_addr.s_addr = router;
             const std::string text = peer.toString();
-            m_peers.addPeer(text.substr(0, text.rfind(':')));
+            const std::string address = text.substr(0, text.rfind(':'));
+            m_peers.addPeer(address);
+            routers.push_back(address);
         }
+        m_relay.noteRouters(routers);
         m_relay.fleet().noteStatus(message.engine_news().address(), statusOf(message.engine_news(), now), now);
     }
 }
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -34,6 +34,9 @@
 // With less time left than this a request is not sent again.
 constexpr milliseconds leastTimeLeft{40};
 
+// Between two thoughts of moving a stream; its events come several times as often.
+constexpr milliseconds movePause{100};
+
 // Backend servers know ten.
 constexpr std::uint32_t lowestPriority = 9;
 
@@ -124,17 +127,23 @@
     return true;
 }
 
+Decisions::FleetQuery RelayedRequest::fleetQuery()
+{
+    Decisions::FleetQuery query;
+    query.service = m_service;
+    query.route = m_route->name;
+    query.prompt = m_query.prompt.has_value() ? &*m_query.prompt : nullptr;
+    query.dedicatedTo = m_organisation != nullptr && m_organisation->isDedicated ? m_organisation->name : "";
+    query.excluded = m_excluded;
+    query.draw = m_context.random.next();
+    query.bearableWait = Decisions::bearableWait(m_route->latencyTarget);
+    return query;
+}
+
 void RelayedRequest::dispatch()
 {
     while (!m_isDone) {
-        Decisions::FleetQuery query;
-        query.service = m_service;
-        query.route = m_route->name;
-        query.prompt = m_query.prompt.has_value() ? &*m_query.prompt : nullptr;
-        query.dedicatedTo = m_organisation != nullptr && m_organisation->isDedicated ? m_organisation->name : "";
-        query.excluded = m_excluded;
-        query.draw = m_context.random.next();
-        const std::optional<FleetChoice> choice = m_context.fleet.choose(query, m_context.loop.now());
+        const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(), m_context.loop.now());
         if (!choice.has_value()) {
             finish(finalAction(m_attempts, CallFailure::NotSent));
             return;
@@ -212,7 +221,7 @@
     if (store == nullptr || choice.parts.empty() || !choice.isStoreKnown) {
         return;
     }
-    context.cacheSource = store->cacheStore;
+    context.cacheSource = choice.holder.empty() ? store->cacheStore : choice.holder;
     context.cacheStore = choice.storedParts < choice.parts.size() && choice.isWorthSaving ? store->cacheStore : "";
 }
 
@@ -282,6 +291,7 @@
     }
     if (m_relaying == Relaying::Passing) {
         passBody(data);
+        moveIfHoldingUp();
         return;
     }
     m_heldBody.append(data);
@@ -319,6 +329,37 @@
         m_answerHead.status, m_context.protocol.answerFields(m_answerHead), isLengthKept ? m_answerHead.contentLength : std::optional<std::uint64_t>());
 }
 
+// An engine that is to load new weights first finishes what it runs and takes nothing new meanwhile. One long stream would keep it from all work for
+// as long as it lasts, so it goes on elsewhere, where it is only a short prompt more; the caller sees a pause.
+void RelayedRequest::moveIfHoldingUp()
+{
+    const Core::TimePoint now = m_context.loop.now();
+    const bool isMovable = m_route->isResumable && m_cutter.lastId().has_value() && !m_call->isWhole() && mayBeMoved(m_attempts);
+    if (!isMovable || now < m_nextMove || now + leastTimeLeft >= m_deadline || !m_context.fleet.isHeldUpFromLoading(*m_choice, now)) {
+        return;
+    }
+    m_nextMove = now + movePause;
+    const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(), now);
+    if (!choice.has_value() || choice->isBusyWithWeights || choice->waiting > 0 || !m_context.budget.tryTake(m_service, now)) {
+        return;
+    }
+    m_context.metrics.count("streams_moved_total");
+    Observe::log(streamMoved,
+        {{"request", m_query.attemptId},
+            {"server", m_choice->serverId},
+            {"to", choice->serverId},
+            {"after_event", std::to_string(*m_cutter.lastId())},
+            {"after_ms", text(sinceArrival())}});
+    m_call.reset();
+    m_cutter.dropPending();
+    ++m_attempts.runs;
+    ++m_arrivals;
+    m_relaying = Relaying::Nothing;
+    if (!sendTo(*choice) && !m_isDone) {
+        dispatch();
+    }
+}
+
 void RelayedRequest::outputDrained()
 {
     if (m_call != nullptr) {
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -65,6 +65,8 @@
 
     bool admit();
     void dispatch();
+    Decisions::FleetQuery fleetQuery();
+    void moveIfHoldingUp();
     bool sendTo(const Decisions::FleetChoice &choice);
     std::string callText(const Decisions::FleetChoice &choice) const;
     void setCaches(CallContext &context, const Decisions::FleetChoice &choice) const;
@@ -108,6 +110,7 @@
     std::string m_heldBody;
     bool m_isServerError = false;
     Http::EventCutter m_cutter;
+    Core::TimePoint m_nextMove{}; ///< When moving the stream may be thought of again.
     std::chrono::milliseconds m_firstPartAfter{-1};
     bool m_isDone = false;
 };
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -24,5 +24,6 @@
 inline constexpr Event cacheLost{2112, Severity::Warning, "cache_lost", "An engine or a store of kept KV cache does not say what it holds."};
 inline constexpr Event cacheFollowed{2113, Severity::Info, "cache_followed", "An engine or a store of kept KV cache says again what it holds."};
 inline constexpr Event peerAsked{2114, Severity::Warning, "peer_asked", "The store did not answer, but another router knew something newer."};
+inline constexpr Event streamMoved{2115, Severity::Info, "stream_moved", "A stream goes on elsewhere, so that its engine can load new weights."};
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -34,6 +34,7 @@
     , m_protocol(protocol)
     , m_fleet(settings.routing, settings.weights)
     , m_budget(settings.resend, settings.routerCount)
+    , m_routers(settings.routerCount)
     , m_random(settings.seed)
     , m_context{m_loop, m_protocol, m_fleet, m_budget, m_random, m_metrics}
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
@@ -62,6 +63,17 @@
     return m_fleet;
 }
 
+void RelayTask::noteRouters(const std::vector<std::string> &addresses)
+{
+    const Core::TimePoint now = m_loop.now();
+    for (const std::string &address : addresses) {
+        m_routers.note(address, now);
+    }
+    const std::uint32_t count = m_routers.count(now);
+    m_budget.setRouterCount(count);
+    m_fleet.setRouterCount(count);
+}
+
 Observe::Metrics &RelayTask::metrics()
 {
     return m_metrics;
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -2,12 +2,14 @@
 
 #include "callerconnection.h"
 
+#include <decisions/relay/routercensus.h>
 #include <http/tcplistener.h>
 #include <observe/metrics.h>
 
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace Verbena::Relay {
 
@@ -41,6 +43,9 @@
     /// \brief The backend servers, to be kept up to date by whoever follows the register.
     Decisions::RelayFleet &fleet();
 
+    /// \brief An agent named the routers at \a addresses, this one among them.
+    void noteRouters(const std::vector<std::string> &addresses);
+
     Observe::Metrics &metrics();
 
     /// \brief Whether new callers are welcome.
@@ -74,6 +79,7 @@
     const RelayProtocol &m_protocol;
     Decisions::RelayFleet m_fleet;
     Decisions::ResendBudget m_budget;
+    Decisions::RouterCensus m_routers;
     Decisions::RandomSource m_random;
     Observe::Metrics m_metrics;
     RelayContext m_context;
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -132,11 +132,21 @@
     if (named.version <= target.version) {
         return;
     }
+    if (!isOwed(named.model, target)) {
+        target.loadTime = Core::TimePoint::max();
+    }
     target.version = named.version;
-    target.loadTime = Core::TimePoint::max();
+    target.isOrdered = false;
     plan(named.model, m_loop.now());
 }
 
+// Whether the engine still waits for its turn, or for the order after it. The next version then takes that turn.
+bool WeightsKeeper::isOwed(const std::string &model, const Target &target) const
+{
+    const auto inPlace = m_inPlace.find(model);
+    return !target.isOrdered && (inPlace == m_inPlace.end() ? 0 : inPlace->second) < target.version;
+}
+
 void WeightsKeeper::plan(const std::string &model, Core::TimePoint namedAt)
 {
     const auto take = [this, model, namedAt](const Core::Result<Store::RowPage> &page) {
@@ -154,7 +164,7 @@
         holders = holdersOf(model, m_decoder.tables().servers, page.value(), m_decoder, m_settings.engineAddress, self);
     }
     // Without the register its turn is not known; then it is better early than late.
-    target.loadTime = weightsLoadTime(holders, self, target.version, m_settings.pace, namedAt);
+    target.loadTime = weightsLoadTime(holders, self, target.version, m_settings.pace, namedAt, target.loadTime);
     const auto wait = std::chrono::duration_cast<milliseconds>(target.loadTime - m_loop.now());
     Observe::log(weightsPlanned,
         {{"model", model}, {"version", std::to_string(target.version)}, {"engines", std::to_string(holders.size())}, {"in_ms", std::to_string(wait.count())}});
@@ -273,6 +283,8 @@
         if (answer == OrderAnswer::Fenced) {
             m_fence.reset();
         }
+        Target &target = m_targets[model];
+        target.isOrdered = target.isOrdered || (answer == OrderAnswer::Done && target.version == version);
         Observe::log(weightsOrdered, {{"model", model}, {"version", std::to_string(version)}, {"answer", std::to_string(static_cast<int>(answer))}});
         lookAt(m_loop.now() + (answer == OrderAnswer::Done ? busyPeriod : retryPeriod));
     };
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -50,6 +50,7 @@
     {
         std::uint64_t version = 0;
         Core::TimePoint loadTime = Core::TimePoint::max();
+        bool isOrdered = false; ///< The engine has taken the order to load them.
     };
 
     void replaceRows(const std::string &table, const Store::RowPage &page) override;
@@ -57,6 +58,7 @@
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
     void takeNamed(const Relay::NamedWeights &named);
+    bool isOwed(const std::string &model, const Target &target) const;
     void plan(const std::string &model, Core::TimePoint namedAt);
     void planAmong(const std::string &model, Core::TimePoint namedAt, const Core::Result<Store::RowPage> &page);
     void look();
--- a/tests/auto/platform/tst_platformpath.cpp
+++ b/tests/auto/platform/tst_platformpath.cpp
@@ -69,6 +69,25 @@
     EXPECT_EQ(order.at("switchMode"), "block");
 }
 
+// Versions that are named before the turn of the one before has come: the engine keeps that turn, so that it loads at all.
+TEST(PlatformPathTest, loadsWeightsAlthoughNewerOnesAreNamedBeforeEachTurn)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    constexpr int lastVersion = 60;
+    int version = 2;
+    const auto isOrdered = [&] {
+        return !deployment.engine().orders().empty();
+    };
+    for (; version <= lastVersion && !isOrdered(); ++version) {
+        deployment.store().put("op", "version/m", {{"model", "m"}, {"version", version}});
+        const Core::TimePoint next = deployment.loop().now() + std::chrono::milliseconds(300);
+        deployment.runUntil([&] { return deployment.loop().now() >= next; });
+    }
+    EXPECT_TRUE(isOrdered());
+    EXPECT_LT(version, lastVersion);
+}
+
 TEST(PlatformPathTest, servesOnWhileTheStoreIsAway)
 {
     PlatformDeployment deployment;
--- a/tests/auto/relay/plainprotocol.cpp
+++ b/tests/auto/relay/plainprotocol.cpp
@@ -28,6 +28,9 @@
     if (head.field("Deadline") != nullptr) {
         query.deadline = now + std::chrono::milliseconds(std::stoi(value(head, "Deadline")));
     }
+    if (head.field("Model") != nullptr) {
+        query.prompt = {value(head, "Model"), {{"part", 100}, {"own", 100}}, 200, 50};
+    }
     return query;
 }
 
--- a/tests/auto/relay/tst_directory.cpp
+++ b/tests/auto/relay/tst_directory.cpp
@@ -147,6 +147,19 @@
     EXPECT_FALSE(mayBeSentAgain(begun, CallFailure::Lost));
 }
 
+TEST(AttemptPolicyTest, movesOnlyWhatMayRunOnceMore)
+{
+    AttemptState begun = state(RequestKind::Streaming, true, 0);
+    EXPECT_FALSE(mayBeMoved(begun));
+    begun.isAnswerBegun = true;
+    EXPECT_TRUE(mayBeMoved(begun));
+    begun.runs = 1;
+    EXPECT_FALSE(mayBeMoved(begun));
+    begun.runs = 0;
+    begun.isRepeatable = false;
+    EXPECT_FALSE(mayBeMoved(begun));
+}
+
 // All routers together, each with its own part of the requests, against the limits that the service has in any window.
 TEST(ResendBudgetTest, keepsTheSumOfAllRoutersWithinTheLimits)
 {
--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -1,7 +1,6 @@
 #include <decisions/relay/admission.h>
 #include <decisions/relay/relayfleet.h>
-#include <decisions/relay/weightschoice.h>
-#include <decisions/relay/weightsschedule.h>
+#include <decisions/relay/routercensus.h>
 #include <decisions/spread/randomsource.h>
 
 #include <gtest/gtest.h>
@@ -46,15 +45,21 @@
         }
     }
 
-    std::optional<FleetChoice> choose(const PromptOutline &outline, const std::string &dedicatedTo = "", std::vector<std::string> excluded = {})
+    FleetQuery query(const PromptOutline &outline)
     {
         FleetQuery query;
         query.service = "reader";
         query.route = "r";
         query.prompt = &outline;
+        query.draw = ++m_draw * 7919;
+        return query;
+    }
+
+    std::optional<FleetChoice> choose(const PromptOutline &outline, const std::string &dedicatedTo = "", std::vector<std::string> excluded = {})
+    {
+        FleetQuery query = this->query(outline);
         query.dedicatedTo = dedicatedTo;
         query.excluded = std::move(excluded);
-        query.draw = ++m_draw * 7919;
         return m_fleet.choose(query, m_now);
     }
 
@@ -189,6 +194,133 @@
     }
 }
 
+// Right after new weights: few engines have them and are cold, the others are warm. A request that would wait too long at the one kind goes to the other.
+TEST_F(RelayFleetTest, goesToOlderWeightsWhereTheNewOnesHaveALongQueue)
+{
+    ASSERT_TRUE(m_fleet.noteWeightsNamed("m", 1, m_now - 60s));
+    ASSERT_TRUE(m_fleet.noteWeightsNamed("m", 2, m_now));
+    for (int number = 1; number <= 6; ++number) {
+        EngineStatus news = status(number <= 2 ? 2 : 1);
+        news.waiting = number <= 2 ? 20 : 0;
+        m_fleet.noteStatus("10.0.0." + std::to_string(number) + ":8000", news, m_now);
+    }
+    int older = 0;
+    constexpr int requests = 100;
+    for (int request = 0; request < requests; ++request) {
+        const PromptOutline outline = prompt("wall-" + std::to_string(request));
+        FleetQuery query = this->query(outline);
+        query.bearableWait = 120ms;
+        const auto choice = m_fleet.choose(query, m_now);
+        ASSERT_TRUE(choice.has_value());
+        older += choice->weightsVersion == 1 ? 1 : 0;
+    }
+    EXPECT_EQ(older, requests);
+}
+
+// An engine whose memory is full begins what waits there seconds later, and by then its weights may be too old.
+TEST_F(RelayFleetTest, sendsNothingToAQueueThatMayOutliveItsWeights)
+{
+    ASSERT_TRUE(m_fleet.noteWeightsNamed("m", 1, m_now - 60s));
+    ASSERT_TRUE(m_fleet.noteWeightsNamed("m", 2, m_now - 5s));
+    for (int number = 1; number <= 6; ++number) {
+        EngineStatus news = status();
+        news.waiting = number == 6 ? 0 : 1;
+        m_fleet.noteStatus("10.0.0." + std::to_string(number) + ":8000", news, m_now);
+    }
+    for (int request = 0; request < 60; ++request) {
+        const auto choice = choose(prompt("wall-" + std::to_string(request)));
+        ASSERT_TRUE(choice.has_value());
+        EXPECT_EQ(choice->serverId, "6");
+    }
+}
+
+// Five routers see the same idle engine between two of its news. Each of them has to count what the others will have sent as well.
+TEST_F(RelayFleetTest, countsWhatAllRoutersHaveSentSinceTheNews)
+{
+    m_fleet.setRouterCount(5);
+    m_fleet.noteStatus("10.0.0.1:8000", status(), m_now);
+    const auto choiceOfOne = [this] {
+        return choose(prompt("wall-7"), "", {"2", "3", "4", "5", "6"});
+    };
+    for (const std::uint32_t expected : {0U, 0U, 5U, 10U}) {
+        auto choice = choiceOfOne();
+        ASSERT_TRUE(choice.has_value());
+        EXPECT_EQ(choice->waiting, expected);
+        m_fleet.noteSent(*choice, m_now);
+    }
+    m_fleet.noteStatus("10.0.0.1:8000", status(), m_now);
+    EXPECT_EQ(choiceOfOne()->waiting, 0U);
+}
+
+// All prompts share their opening. Under new weights it is as hot as before, so it must not have one home for all until it has been counted again.
+TEST_F(RelayFleetTest, spreadsAHotOpeningAtOnceUnderNewWeights)
+{
+    constexpr int walls = 40;
+    const auto ask = [this](int request) {
+        auto choice = choose(prompt("wall-" + std::to_string(request % walls)));
+        m_fleet.noteSent(*choice, m_now);
+        m_now += 20ms;
+        m_fleet.noteAnswered(*choice, m_now);
+        return choice->serverId;
+    };
+    for (int request = 0; request < 10 * walls; ++request) {
+        ask(request);
+    }
+    m_fleet.noteWeightsNamed("m", 2, m_now);
+    for (int number = 1; number <= 6; ++number) {
+        m_fleet.servers().noteWeights(std::to_string(number), "m", 2);
+    }
+    std::map<std::string, int> used;
+    for (int request = 0; request < 24; ++request) {
+        ++used[ask(request)];
+    }
+    for (const auto &[server, count] : used) {
+        EXPECT_LE(count, 12) << server;
+    }
+}
+
+TEST_F(RelayFleetTest, namesTheEngineThatKeepsWhatTheChosenOneLacks)
+{
+    m_fleet.noteWeightsNamed("m", 1, m_now);
+    EngineStatus holder = status();
+    holder.parts = {partKey("m@1", "rules"), partKey("m@1", "wall-7")};
+    m_fleet.noteStatus("10.0.0.1:8000", holder, m_now);
+    EXPECT_EQ(choose(prompt("wall-7"), "", {"1"})->holder, "10.0.0.1:8000");
+    EXPECT_EQ(choose(prompt("wall-8"), "", {"1"})->holder, "10.0.0.1:8000");
+    EXPECT_EQ(choose(prompt("wall-7", "other"), "", {"1"})->holder, "");
+    // Caches that have been filled for long drop parts within seconds, so that what was heard of them is often gone.
+    m_now += 60s;
+    m_fleet.noteStatus("10.0.0.1:8000", holder, m_now);
+    EXPECT_EQ(choose(prompt("wall-7"), "", {"1"})->holder, "");
+}
+
+TEST_F(RelayFleetTest, saysThatAnEngineWaitsToLoad)
+{
+    const auto choice = choose(prompt("wall-7"));
+    ASSERT_TRUE(choice.has_value());
+    EXPECT_FALSE(m_fleet.isHeldUpFromLoading(*choice, m_now));
+    EngineStatus planned = status();
+    planned.loadTime = m_now + 300ms;
+    m_fleet.noteStatus(choice->address, planned, m_now);
+    EXPECT_FALSE(m_fleet.isHeldUpFromLoading(*choice, m_now));
+    EXPECT_TRUE(m_fleet.isHeldUpFromLoading(*choice, m_now + 300ms));
+    EXPECT_FALSE(m_fleet.isHeldUpFromLoading(*choice, m_now + 60s));
+}
+
+TEST(RouterCensusTest, countsTheRoutersThatWereNamedLately)
+{
+    RouterCensus census(8);
+    EXPECT_EQ(census.count(start), 8U);
+    for (const char *address : {"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.1"}) {
+        census.note(address, start);
+    }
+    EXPECT_EQ(census.count(start), 3U);
+    census.note("10.0.0.2", start + 15s);
+    // What the others have sent may still count in a window.
+    EXPECT_EQ(census.count(start + 15s), 3U);
+    EXPECT_EQ(census.count(start + 30s), 1U);
+}
+
 TEST(ServerRegisterTest, forgetsAnEntryThatIsRemovedWhileTheStoreIsWell)
 {
     ServerRegister servers;
@@ -227,66 +359,6 @@
     EXPECT_TRUE(servers.servers().at("1").isLeaving);
 }
 
-TEST(WeightsChoiceTest, neverGivesWeightsThatAreTooOld)
-{
-    EXPECT_TRUE(rc::check([] {
-        // Drawn evenly: small numbers, which a generator would begin with, reach no version that is too old.
-        RandomSource random(*rc::gen::arbitrary<std::uint64_t>());
-        WeightsHistory history;
-        std::map<std::uint64_t, std::size_t> servers;
-        Core::TimePoint now = start;
-        for (std::uint64_t version = 1; version <= 5; ++version) {
-            history.note(version, now);
-            servers[version] = random.next() % 3;
-            now += std::chrono::milliseconds(random.next() % 6000);
-        }
-        const WeightsLimits limits;
-        const auto chosen = chooseWeights(servers, history, limits, now, random.next());
-        if (chosen.has_value()) {
-            const auto since = history.outdatedSince(*chosen);
-            RC_ASSERT(servers.at(*chosen) > 0);
-            RC_ASSERT(now < since.value_or(now) + limits.longestUse);
-        }
-    }));
-}
-
-TEST(WeightsChoiceTest, givesAFewNewEnginesMoreThanTheirPartButNotAll)
-{
-    WeightsHistory history;
-    history.note(1, start);
-    history.note(2, start + 1s);
-    int newer = 0;
-    for (std::uint64_t draw = 0; draw < 1000; ++draw) {
-        newer += chooseWeights({{1, 15}, {2, 3}}, history, {}, start + 2s, draw * 1000) == std::optional<std::uint64_t>(2) ? 1 : 0;
-    }
-    EXPECT_GT(newer, 1000 * 3 / 18);
-    EXPECT_LT(newer, 700);
-}
-
-TEST(WeightsScheduleTest, bringsSmallGroupsOneAfterTheOtherAndTheOldestFirst)
-{
-    std::vector<WeightsHolder> holders;
-    holders.reserve(18);
-    for (int number = 0; number < 18; ++number) {
-        holders.push_back({std::to_string(number), number < 6 ? 1U : 2U});
-    }
-    const WeightsPace pace;
-    std::map<Core::TimePoint, int> groups;
-    Core::TimePoint lastOld{};
-    Core::TimePoint firstNew = Core::TimePoint::max();
-    for (const WeightsHolder &holder : holders) {
-        const Core::TimePoint at = weightsLoadTime(holders, holder.id, 3, pace, start);
-        ++groups[at];
-        lastOld = holder.version == 1 ? std::max(lastOld, at) : lastOld;
-        firstNew = holder.version == 2 ? std::min(firstNew, at) : firstNew;
-    }
-    EXPECT_EQ(groups.size(), 6U);
-    for (const auto &[at, count] : groups) {
-        EXPECT_EQ(count, 3);
-    }
-    EXPECT_LT(lastOld, firstNew);
-}
-
 // All prompts are cold after new weights: engines read 20 of them a second and 30 come. Without the limit the queue would grow for as long as that lasts,
 // and after the first seconds nobody would be answered in time.
 TEST(AdmissionTest, keepsTheQueueShortUnderALoadThatStaysAboveWhatIsRead)
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -322,6 +322,55 @@
     EXPECT_EQ(resumedAfter, "2");
 }
 
+// An engine that is to load new weights takes nothing new until its streams have ended; a long one would keep it from all work.
+TEST_F(RelayTest, movesAResumableStreamOffAnEngineThatWaitsToLoad)
+{
+    const auto script = [this](const auto &head, const auto &) {
+        const bool isResumed = !head.field("Last-Event-Id")->empty();
+        return isResumed ? WorkerScript{streamHead(head) + chunk(event(3)) + "0\r\n\r\n"} : WorkerScript{streamHead(head) + chunk(event(1))};
+    };
+    start(script);
+    addWorker(script);
+    const std::array<std::string, 2> ids{"server-1", "server-2"};
+    for (std::size_t worker = 0; worker < ids.size(); ++worker) {
+        m_relay->fleet().servers().put({ids[worker], "s", m_workers[worker]->address(), "hall", 6, false, {{"m", 1}}});
+    }
+    const auto from = caller();
+    from->send(request("/resume/", "Model: m\r\n"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), event(1)); }));
+    const std::size_t first = m_workers[0]->heads().empty() ? 1 : 0;
+    Decisions::EngineStatus loading;
+    loading.weights = {{"m", 1}};
+    loading.isLoading = true;
+    m_relay->fleet().noteStatus(m_workers[first]->address(), loading, m_loop->now());
+    m_workers[first]->sendMore(chunk(event(2) + "id: 3\nda"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), "\r\n0\r\n\r\n"); })) << from->received();
+    EXPECT_EQ(runs(), 2U);
+    for (int id = 1; id <= 3; ++id) {
+        EXPECT_EQ(from->received().find(event(id)), from->received().rfind(event(id)));
+        EXPECT_TRUE(contains(from->received(), event(id)));
+    }
+    EXPECT_TRUE(runUntil(*m_loop, [&] { return m_workers[first]->openCount() == 0; }));
+}
+
+// With nowhere to go the stream stays where it is.
+TEST_F(RelayTest, leavesAStreamWhereItIsIfNoOtherEngineIsFree)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{streamHead(head) + chunk(event(1))}; });
+    m_relay->fleet().servers().put({"server-1", "s", m_workers[0]->address(), "hall", 6, false, {{"m", 1}}});
+    const auto from = caller();
+    from->send(request("/resume/", "Model: m\r\n"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), event(1)); }));
+    Decisions::EngineStatus loading;
+    loading.weights = {{"m", 1}};
+    loading.isLoading = true;
+    m_relay->fleet().noteStatus(m_workers[0]->address(), loading, m_loop->now());
+    m_workers[0]->sendMore(chunk(event(2)) + "0\r\n\r\n");
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), "\r\n0\r\n\r\n"); })) << from->received();
+    EXPECT_TRUE(contains(from->received(), event(2)));
+    EXPECT_EQ(runs(), 1U);
+}
+
 TEST_F(RelayTest, keepsTheLastBytesOfAStreamThatEndsWithoutABlankLine)
 {
     start([](const auto &head, const auto &) { return WorkerScript{streamHead(head) + chunk(event(1) + "data: end") + "0\r\n\r\n"}; });
--- /dev/null
+++ b/tests/auto/relay/tst_weights.cpp
@@ -0,0 +1,132 @@
+#include <decisions/relay/weightschoice.h>
+#include <decisions/relay/weightsschedule.h>
+#include <decisions/spread/randomsource.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <vector>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const Core::TimePoint start = Core::TimePoint() + 1h;
+
+std::vector<WeightsHolder> fleet(int engines, std::uint64_t version = 1)
+{
+    std::vector<WeightsHolder> holders;
+    for (int number = 0; number < engines; ++number) {
+        holders.push_back({std::to_string(number), version});
+    }
+    return holders;
+}
+
+TEST(WeightsChoiceTest, neverGivesWeightsThatAreTooOld)
+{
+    EXPECT_TRUE(rc::check([] {
+        // Drawn evenly: small numbers, which a generator would begin with, reach no version that is too old.
+        RandomSource random(*rc::gen::arbitrary<std::uint64_t>());
+        WeightsHistory history;
+        std::map<std::uint64_t, std::size_t> servers;
+        Core::TimePoint now = start;
+        for (std::uint64_t version = 1; version <= 5; ++version) {
+            history.note(version, now);
+            servers[version] = random.next() % 3;
+            now += std::chrono::milliseconds(random.next() % 6000);
+        }
+        const WeightsLimits limits;
+        const auto chosen = chooseWeights(servers, history, limits, now, random.next());
+        if (chosen.has_value()) {
+            const auto since = history.outdatedSince(*chosen);
+            RC_ASSERT(servers.at(*chosen) > 0);
+            RC_ASSERT(now < since.value_or(now) + limits.longestUse);
+        }
+    }));
+}
+
+TEST(WeightsChoiceTest, givesAFewNewEnginesMoreThanTheirPartButNotAll)
+{
+    WeightsHistory history;
+    history.note(1, start);
+    history.note(2, start + 1s);
+    int newer = 0;
+    for (std::uint64_t draw = 0; draw < 1000; ++draw) {
+        newer += chooseWeights({{1, 15}, {2, 3}}, history, {}, start + 2s, draw * 1000) == std::optional<std::uint64_t>(2) ? 1 : 0;
+    }
+    EXPECT_GT(newer, 1000 * 3 / 18);
+    EXPECT_LT(newer, 700);
+}
+
+TEST(WeightsScheduleTest, bringsSmallGroupsOneAfterTheOtherAndTheOldestFirst)
+{
+    std::vector<WeightsHolder> holders;
+    holders.reserve(18);
+    for (int number = 0; number < 18; ++number) {
+        holders.push_back({std::to_string(number), number < 6 ? 1U : 2U});
+    }
+    const WeightsPace pace;
+    std::map<Core::TimePoint, int> groups;
+    Core::TimePoint lastOld{};
+    Core::TimePoint firstNew = Core::TimePoint::max();
+    for (const WeightsHolder &holder : holders) {
+        const Core::TimePoint at = weightsLoadTime(holders, holder.id, 3, pace, start);
+        ++groups[at];
+        lastOld = holder.version == 1 ? std::max(lastOld, at) : lastOld;
+        firstNew = holder.version == 2 ? std::min(firstNew, at) : firstNew;
+    }
+    EXPECT_EQ(groups.size(), 6U);
+    for (const auto &[at, count] : groups) {
+        EXPECT_EQ(count, 3);
+    }
+    EXPECT_LT(lastOld, firstNew);
+}
+
+// Versions that follow each other faster than the last one can be loaded: with a new turn for each version the engine whose turn is last would never
+// load, and its requests would begin on weights that are too old.
+TEST(WeightsScheduleTest, keepsAnEnginesTurnWhenTheNextVersionIsNamed)
+{
+    const std::vector<WeightsHolder> holders = fleet(18);
+    const WeightsPace pace;
+    for (const WeightsHolder &holder : holders) {
+        const Core::TimePoint first = weightsLoadTime(holders, holder.id, 2, pace, start);
+        Core::TimePoint planned = first;
+        for (std::uint64_t version = 3; version < 9; ++version) {
+            planned = weightsLoadTime(holders, holder.id, version, pace, start + 400ms * version, planned);
+        }
+        EXPECT_LE(planned, first);
+    }
+}
+
+// A fleet that is three times as large has to load more engines at once, or the last ones would come after the old weights may not be used any more.
+TEST(WeightsScheduleTest, isDoneWithinItsSpreadInAFleetOfAnySize)
+{
+    const WeightsPace pace;
+    for (const int engines : {1, 3, 18, 56, 400}) {
+        const std::vector<WeightsHolder> holders = fleet(engines);
+        std::map<Core::TimePoint, int> groups;
+        for (const WeightsHolder &holder : holders) {
+            ++groups[weightsLoadTime(holders, holder.id, 2, pace, start)];
+        }
+        EXPECT_LE(groups.rbegin()->first + pace.loadTime, start + pace.notice + pace.spread) << engines;
+        EXPECT_LE(groups.begin()->second, std::max(3, engines / 7 + 1)) << engines;
+    }
+}
+
+TEST(WeightsChoiceTest, listsTheNewestUsableVersionFirst)
+{
+    WeightsHistory history;
+    history.note(1, start - 60s);
+    history.note(2, start - 20s);
+    history.note(3, start);
+    const std::map<std::uint64_t, std::size_t> servers{{1, 4}, {2, 4}, {3, 4}, {4, 0}};
+    EXPECT_EQ(usableWeights(servers, history, {}, start + 1s), (std::vector<std::uint64_t>{3, 2}));
+    EXPECT_EQ(usableWeights(servers, history, {}, start + 9s), (std::vector<std::uint64_t>{3}));
+}
+
+} // namespace
+
+} // namespace Verbena::Decisions
