Keep a part of the resend budget for streams that have begun, and let requests wait for half of their target

Change: moves may fill four tenths of the budget, failures three quarters, begun streams nine tenths. A request may wait for half of its target rather than three tenths, and 25 ms are assumed for each that waits where nothing was learned lately.

--- a/src/libs/decisions/relay/admission.cpp
+++ b/src/libs/decisions/relay/admission.cpp
@@ -22,10 +22,10 @@
 
 // What was learned is forgotten when no request has shown it for so long: whoever turns all away learns nothing any more.
 constexpr milliseconds memory{1000};
-constexpr microseconds unlearned{50'000};
+constexpr microseconds unlearned{25'000};
 
 // Of the target, that a request may wait before it is begun; the rest is for reading and the way.
-constexpr double waitingPart = 0.3;
+constexpr double waitingPart = 0.5;
 
 // Of when callers are told to come back. Sooner they would find the same queue, later they would have left.
 constexpr milliseconds soonest{150};
--- a/src/libs/decisions/relay/resendbudget.cpp
+++ b/src/libs/decisions/relay/resendbudget.cpp
@@ -9,8 +9,24 @@
 // Parts of a window that are counted apart.
 constexpr int stepsPerWindow = 20;
 
-// Of what the limits allow; the rest covers clocks, steps and messages that are still on their way.
-constexpr double usedPart = 0.75;
+// Of what the limits allow, the part that each purpose may fill up. What is left of the whole covers clocks, steps and messages that are still on their
+// way; what moves leave is there for the failures that follow them, so that no stream that was moved breaks off for want of a resend.
+constexpr double movePart = 0.4;
+constexpr double failurePart = 0.75;
+constexpr double begunStreamPart = 0.9;
+
+double usedPart(ResendPurpose purpose)
+{
+    switch (purpose) {
+    case ResendPurpose::Move:
+        return movePart;
+    case ResendPurpose::Failure:
+        return failurePart;
+    case ResendPurpose::BegunStream:
+        return begunStreamPart;
+    }
+    return 0;
+}
 
 } // namespace
 
@@ -42,7 +58,7 @@
     ++currentStep(service, now).requests;
 }
 
-bool ResendBudget::tryTake(const std::string &service, Core::TimePoint now)
+bool ResendBudget::tryTake(const std::string &service, ResendPurpose purpose, Core::TimePoint now)
 {
     Step &current = currentStep(service, now);
     double requests = 0;
@@ -51,7 +67,7 @@
         requests += step.requests;
         resends += step.resends;
     }
-    const double allowed = usedPart * (m_limits.ratio * requests + m_limits.slack / m_routerCount);
+    const double allowed = usedPart(purpose) * (m_limits.ratio * requests + m_limits.slack / m_routerCount);
     if (resends + 1 > allowed) {
         return false;
     }
--- a/src/libs/decisions/relay/resendbudget.h
+++ b/src/libs/decisions/relay/resendbudget.h
@@ -17,6 +17,13 @@
     std::chrono::milliseconds window{10'000};
 };
 
+/// \brief What a resend is for; the more is lost without it, the more of the budget it may use.
+enum class ResendPurpose {
+    Move, ///< Makes room for others; the stream would go on without it.
+    Failure, ///< Without it the request fails, and the caller may ask again.
+    BegunStream, ///< Without it a stream breaks off that the caller has begun to read.
+};
+
 /// \brief One router's part of the resends that a service bears, without a word between routers.
 ///
 /// Each router uses a fixed part of what its own requests allow and an equal part of the slack, so that the sum stays within the limits however
@@ -32,8 +39,8 @@
     /// \brief Counts a request for \a service.
     void noteRequest(const std::string &service, Core::TimePoint now);
 
-    /// \brief Takes one resend to \a service; false if there is none left.
-    bool tryTake(const std::string &service, Core::TimePoint now);
+    /// \brief Takes one resend to \a service; false if there is none left for \a purpose.
+    bool tryTake(const std::string &service, ResendPurpose purpose, Core::TimePoint now);
 
 private:
     // Counts in steps of a part of the window, so that the memory does not grow with the load.
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -340,7 +340,7 @@
     }
     m_nextMove = now + movePause;
     const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(), now);
-    if (!choice.has_value() || choice->isBusyWithWeights || choice->waiting > 0 || !m_context.budget.tryTake(m_service, now)) {
+    if (!choice.has_value() || choice->isBusyWithWeights || choice->waiting > 0 || !m_context.budget.tryTake(m_service, Decisions::ResendPurpose::Move, now)) {
         return;
     }
     m_context.metrics.count("streams_moved_total");
@@ -428,7 +428,8 @@
     if (!mayBeSentAgain(m_attempts, failure) || now + leastTimeLeft >= m_deadline) {
         return false;
     }
-    return m_arrivals == 0 || m_context.budget.tryTake(m_service, now);
+    const auto purpose = m_attempts.isAnswerBegun ? Decisions::ResendPurpose::BegunStream : Decisions::ResendPurpose::Failure;
+    return m_arrivals == 0 || m_context.budget.tryTake(m_service, purpose, now);
 }
 
 void RelayedRequest::finish(AttemptAction action)
--- a/tests/auto/relay/tst_directory.cpp
+++ b/tests/auto/relay/tst_directory.cpp
@@ -167,6 +167,7 @@
         constexpr std::uint32_t routerCount = 5;
         const ResendLimits limits{0.2, 54, 10'000ms};
         std::vector<ResendBudget> routers(routerCount, ResendBudget(limits, routerCount));
+        const auto purpose = *rc::gen::element(ResendPurpose::Move, ResendPurpose::Failure, ResendPurpose::BegunStream);
         const auto shares = *rc::gen::container<std::vector<int>>(routerCount, rc::gen::inRange(0, 8));
         const Core::TimePoint start = Core::TimePoint() + 1h;
         std::vector<Core::TimePoint> requests;
@@ -177,7 +178,7 @@
                 for (int request = 0; request < shares[router]; ++request) {
                     routers[router].noteRequest("s", now);
                     requests.push_back(now);
-                    if (routers[router].tryTake("s", now)) {
+                    if (routers[router].tryTake("s", purpose, now)) {
                         resends.push_back(now);
                     }
                 }
@@ -192,6 +193,25 @@
     }));
 }
 
+// Versions that follow each other quickly move streams off one engine after the other. If the moves used up the budget, the next engine that refuses one
+// of them would break it off.
+TEST(ResendBudgetTest, keepsSomeForStreamsThatBreakOffWhateverIsMoved)
+{
+    const Core::TimePoint now = Core::TimePoint() + 1h;
+    ResendBudget budget({0.2, 50, 10'000ms}, 1);
+    const auto takeAll = [&](ResendPurpose purpose) {
+        int taken = 0;
+        while (budget.tryTake("s", purpose, now)) {
+            ++taken;
+        }
+        return taken;
+    };
+    EXPECT_EQ(takeAll(ResendPurpose::Move), 20);
+    EXPECT_GT(takeAll(ResendPurpose::Failure), 10);
+    EXPECT_GT(takeAll(ResendPurpose::BegunStream), 5);
+    EXPECT_EQ(takeAll(ResendPurpose::Move), 0);
+}
+
 } // namespace
 
 } // namespace Verbena::Decisions
