Place each prompt by all of its shared parts, and tell a request's story from the logs

Cause: until demand was counted, right after a start or new weights, all prompts with the same opening had one home, and later two prompts in three were placed by the opening alone, so that other routers read the rest again elsewhere.

Change: on the users' platform the home is that of all shared parts (RoutingOptions::isPlacedByWholePrompt), the same on every router without a word between them; the product's own interface keeps its levels. verbenactl explain REQUEST_ID LOG_FILE... tells what the logs of several processes say of one request; request_ended says what wait was expected and how old the news were.

--- a/src/apps/verbenactl/arguments.cpp
+++ b/src/apps/verbenactl/arguments.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-constexpr const char *description = "Operates verbenaladder. Commands: settings check FILE..., settings diff FILE..., settings apply FILE..., "
-                                    "settings get [SUBTREE], settings history PATH, settings watch, status, drain BACKEND_SERVER, explain PROMPT_FILE, "
-                                    "keygen curve, keygen api. Exit status: 0 success, 1 something could not be reached, 2 the command or the settings "
-                                    "are wrong, 3 it is not known whether the change was accepted, 4 somebody else was first, 5 not permitted.";
+constexpr const char *description
+    = "Operates verbenaladder. Commands: settings check FILE..., settings diff FILE..., settings apply FILE..., "
+      "settings get [SUBTREE], settings history PATH, settings watch, status, drain BACKEND_SERVER, explain PROMPT_FILE, "
+      "explain REQUEST_ID LOG_FILE..., keygen curve, keygen api. Exit status: 0 success, 1 something could not be reached, 2 the command or the settings "
+      "are wrong, 3 it is not known whether the change was accepted, 4 somebody else was first, 5 not permitted.";
 
 } // namespace
 
--- a/src/apps/verbenactl/fleetcommands.cpp
+++ b/src/apps/verbenactl/fleetcommands.cpp
@@ -4,6 +4,7 @@
 
 #include <operator/fleetreport.h>
 #include <operator/processclient.h>
+#include <operator/requeststory.h>
 
 #include <nlohmann/json.hpp>
 
@@ -110,4 +111,14 @@
     return answer.value().status == okStatus ? ExitStatus::Success : ExitStatus::Failure;
 }
 
+ExitStatus runTell(const std::string &requestId, const std::vector<std::string> &logFiles)
+{
+    const auto story = Operator::tellRequest(requestId, logFiles);
+    if (!story) {
+        return fail(story.error());
+    }
+    std::cout << story.value();
+    return ExitStatus::Success;
+}
+
 } // namespace Verbena::Tool
--- a/src/apps/verbenactl/main.cpp
+++ b/src/apps/verbenactl/main.cpp
@@ -26,6 +26,9 @@
     if (words.front() == "explain" && words.size() == 2) {
         return runExplain(arguments, words[1]);
     }
+    if (words.front() == "explain" && words.size() > 2) {
+        return runTell(words[1], {words.begin() + 2, words.end()});
+    }
     if (words.front() == "keygen" && words.size() == 2) {
         return runKeygen(words[1]);
     }
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -327,6 +327,7 @@
     static const WaitEstimate nothingLearned;
     const auto learned = m_estimates.find(query.route);
     choice.waiting = presentlyWaiting(heard->second);
+    choice.newsAge = std::chrono::duration_cast<milliseconds>(now - (heard->second.deadline - statusLifetime));
     choice.expectedWait = (learned == m_estimates.end() ? nothingLearned : learned->second).expected(choice.waiting, now);
 }
 
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -55,6 +55,7 @@
     std::string routeName;
     std::uint32_t waiting = 0; ///< Requests that wait there, by the agent's last news and what was sent since.
     std::optional<std::chrono::microseconds> expectedWait; ///< Before it is begun; nothing if there are no news.
+    std::optional<std::chrono::milliseconds> newsAge; ///< Of the agent's news by which the wait is expected.
     bool isBusyWithWeights = false; ///< It loads new weights or is about to; all others do too.
     Core::TimePoint sentAt;
 };
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -215,15 +215,16 @@
 RouteChooser::Level RouteChooser::homeLevel(const Search &search) const
 {
     const std::vector<PrefixKey> &keys = search.query.keys;
-    const double perServer = search.pool.demand.at(search.now) / static_cast<double>(search.pool.placement.members().size());
+    if (m_options.isPlacedByWholePrompt && !keys.empty()) {
+        return {keys.size(), keys.back(), homeCount(search, m_keys.demand(keys.back(), search.now))};
+    }
     Level level{0, keys.empty() ? search.query.root : keys.front(), 1};
     for (std::size_t piece = 0; piece < keys.size(); ++piece) {
         const double demand = m_keys.demand(keys[piece], search.now);
         if (demand < sharedDemand) {
             break;
         }
-        const double homes = std::ceil(demand / (perServer * homePart));
-        level = {piece + 1, keys[piece], static_cast<std::size_t>(std::clamp(homes, 1.0, static_cast<double>(m_options.maximumHomes)))};
+        level = {piece + 1, keys[piece], homeCount(search, demand)};
         if (level.width == 1) {
             break;
         }
@@ -231,6 +232,17 @@
     return level;
 }
 
+// So many that each has the work of an average backend server at most.
+std::size_t RouteChooser::homeCount(const Search &search, double demand) const
+{
+    const double perServer = search.pool.demand.at(search.now) / static_cast<double>(search.pool.placement.members().size());
+    if (demand <= perServer * homePart) {
+        return 1;
+    }
+    const double homes = std::ceil(demand / (perServer * homePart));
+    return static_cast<std::size_t>(std::clamp(homes, 1.0, static_cast<double>(m_options.maximumHomes)));
+}
+
 std::optional<RouteChooser::Level> RouteChooser::deeperLevel(const Search &search, const Level &level) const
 {
     const std::vector<PrefixKey> &keys = search.query.keys;
--- a/src/libs/decisions/routing/routechooser.h
+++ b/src/libs/decisions/routing/routechooser.h
@@ -98,6 +98,7 @@
     static void setPools(std::map<Key, Pool> &pools, const std::map<Key, std::vector<BackendServerId>> &members);
     const Pool *poolFor(const RouteQuery &query) const;
     Level homeLevel(const Search &search) const;
+    std::size_t homeCount(const Search &search, double demand) const;
     std::optional<Level> deeperLevel(const Search &search, const Level &level) const;
     bool isUsable(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const;
     bool addCandidate(Search &search, BackendServerId id, CandidateOrigin origin, std::size_t assumedPieces) const;
--- a/src/libs/decisions/routing/routingoptions.h
+++ b/src/libs/decisions/routing/routingoptions.h
@@ -25,6 +25,7 @@
     RoutingWeights weights;
     std::uint64_t seed = 0; ///< For draws and ties; differs between routers.
     bool isProbing = true; ///< Whether candidates are asked before the last choice.
+    bool isPlacedByWholePrompt = false; ///< Whether the home is that of all shared pieces, whatever each is asked for.
     std::size_t maximumHomes = 8; ///< Widest home set of a hot prefix.
     std::size_t keyTableSize = 16384; ///< Prefix keys remembered.
     std::chrono::microseconds hintLifetime = std::chrono::seconds(3);
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -514,6 +514,8 @@
             {"warm", m_choice.has_value() ? std::to_string(m_choice->warmParts) + "/" + std::to_string(m_choice->parts.size()) : ""},
             {"stored", m_choice.has_value() ? std::to_string(m_choice->storedParts) : ""},
             {"waiting", m_choice.has_value() ? std::to_string(m_choice->waiting) : ""},
+            {"expected_wait_ms", m_choice.has_value() && m_choice->expectedWait.has_value() ? text(duration_cast<milliseconds>(*m_choice->expectedWait)) : ""},
+            {"news_ms", m_choice.has_value() && m_choice->newsAge.has_value() ? text(*m_choice->newsAge) : ""},
             {"sends", std::to_string(m_attempts.sends)},
             {"first_ms", text(m_firstPartAfter)},
             {"total_ms", text(sinceArrival())},
--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -279,6 +279,42 @@
     }
 }
 
+// All routers restart at once: none has counted any demand, and all prompts have the same opening. Each prompt goes to one engine on all routers, and the
+// prompts are spread over all engines.
+TEST(RelayFleetStartTest, agreesOnSpreadHomesBeforeAnythingWasCounted)
+{
+    constexpr int walls = 120;
+    std::map<std::string, std::set<std::string>> chosen;
+    std::map<std::string, int> used;
+    for (const std::uint64_t seed : {7U, 8U, 9U}) {
+        RoutingOptions routing = options();
+        routing.seed = seed;
+        routing.isPlacedByWholePrompt = true;
+        RelayFleet fleet(routing, {});
+        for (int number = 1; number <= 6; ++number) {
+            fleet.servers().put(engine(std::to_string(number)));
+        }
+        for (int wall = 0; wall < walls; ++wall) {
+            const PromptOutline outline = prompt("wall-" + std::to_string(wall));
+            FleetQuery query;
+            query.service = "reader";
+            query.prompt = &outline;
+            query.draw = seed * 7919;
+            const auto choice = fleet.choose(query, start);
+            ASSERT_TRUE(choice.has_value());
+            chosen[outline.parts[1].id].insert(choice->serverId);
+            ++used[choice->serverId];
+        }
+    }
+    for (const auto &[wall, servers] : chosen) {
+        EXPECT_EQ(servers.size(), 1U) << wall;
+    }
+    EXPECT_EQ(used.size(), 6U);
+    for (const auto &[server, count] : used) {
+        EXPECT_LT(count, 3 * walls / 3) << server;
+    }
+}
+
 TEST_F(RelayFleetTest, namesTheEngineThatKeepsWhatTheChosenOneLacks)
 {
     m_fleet.noteWeightsNamed("m", 1, m_now);
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -325,7 +325,7 @@
 // An engine that is to load new weights takes nothing new until its streams have ended; a long one would keep it from all work.
 TEST_F(RelayTest, movesAResumableStreamOffAnEngineThatWaitsToLoad)
 {
-    const auto script = [this](const auto &head, const auto &) {
+    const auto script = [](const auto &head, const auto &) {
         const bool isResumed = !head.field("Last-Event-Id")->empty();
         return isResumed ? WorkerScript{streamHead(head) + chunk(event(3)) + "0\r\n\r\n"} : WorkerScript{streamHead(head) + chunk(event(1))};
     };
