Give what is believed of caches a class of its own

PromptCaches holds what a router believes of the caches of engines and of the store; RelayFleet chooses. Behaviour is unchanged but for engines that leave, which are no longer named as a source of parts. Two functions that nobody called are gone.

--- /dev/null
+++ b/src/libs/decisions/relay/promptcaches.cpp
@@ -0,0 +1,103 @@
+#include "promptcaches.h"
+
+#include <algorithm>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+// From a request until the news of its parts: events lag, agents ask and tell in turn.
+constexpr std::chrono::milliseconds newsDelay{900};
+
+// Parts remembered for that long; beyond this number the outdated ones are dropped.
+constexpr std::size_t mostSent = 4096;
+
+} // namespace
+
+void PromptCaches::noteNews(BackendServerId id, const std::optional<std::vector<PartKey>> &parts, Core::TimePoint deadline)
+{
+    Engine &engine = m_engines[id];
+    engine.deadline = deadline;
+    if (parts.has_value()) {
+        engine.parts = {parts->begin(), parts->end()};
+    }
+}
+
+void PromptCaches::noteSent(BackendServerId id, const std::vector<SharedPart> &parts, Core::TimePoint now)
+{
+    if (m_sent.size() > mostSent) {
+        std::erase_if(m_sent, [now](const auto &entry) { return now >= entry.second.deadline; });
+    }
+    for (const SharedPart &part : parts) {
+        m_sent[part.key] = {id, now + newsDelay};
+    }
+}
+
+void PromptCaches::forget(const std::function<bool(BackendServerId)> &isGone)
+{
+    std::erase_if(m_engines, [&isGone](const auto &entry) { return isGone(entry.first); });
+}
+
+void PromptCaches::setStore(const PartIndex *index)
+{
+    m_store = index;
+}
+
+const PartIndex *PromptCaches::store() const
+{
+    return m_store;
+}
+
+bool PromptCaches::isKept(const Engine &engine, BackendServerId id, PartKey part, Core::TimePoint now) const
+{
+    if (engine.parts.contains(part)) {
+        return true;
+    }
+    const auto sent = m_sent.find(part);
+    return sent != m_sent.end() && sent->second.id == id && now < sent->second.deadline;
+}
+
+std::optional<std::uint32_t> PromptCaches::warmParts(BackendServerId id, const std::vector<SharedPart> &parts, Core::TimePoint now) const
+{
+    const auto engine = m_engines.find(id);
+    if (engine == m_engines.end() || now >= engine->second.deadline) {
+        return std::nullopt;
+    }
+    const auto missing = std::find_if(parts.begin(), parts.end(), [&](const SharedPart &part) { return !isKept(engine->second, id, part.key, now); });
+    return static_cast<std::uint32_t>(missing - parts.begin());
+}
+
+std::uint32_t PromptCaches::storedParts(const std::vector<SharedPart> &parts) const
+{
+    if (m_store == nullptr) {
+        return 0;
+    }
+    const auto missing = std::find_if(parts.begin(), parts.end(), [this](const SharedPart &part) { return !m_store->contains(part.key); });
+    return static_cast<std::uint32_t>(missing - parts.begin());
+}
+
+std::uint32_t PromptCaches::warmAnywhere(const std::vector<SharedPart> &parts, Core::TimePoint now) const
+{
+    const std::uint32_t stored = storedParts(parts);
+    const std::optional<BackendServerId> engine = holder(parts, stored, now);
+    return engine.has_value() ? *warmParts(*engine, parts, now) : stored;
+}
+
+std::optional<BackendServerId> PromptCaches::holder(const std::vector<SharedPart> &parts, std::uint32_t least, Core::TimePoint now) const
+{
+    std::uint32_t most = least;
+    std::optional<BackendServerId> best;
+    for (const auto &[id, engine] : m_engines) {
+        if (most == parts.size()) {
+            break;
+        }
+        const std::uint32_t warm = warmParts(id, parts, now).value_or(0);
+        if (warm > most) {
+            most = warm;
+            best = id;
+        }
+    }
+    return best;
+}
+
+} // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/relaydirectory.cpp
+++ b/src/libs/decisions/relay/relaydirectory.cpp
@@ -92,13 +92,6 @@
     return route.services.back().service;
 }
 
-const RelayService *RelayDirectory::serviceNamed(std::string_view name) const
-{
-    const auto found
-        = std::find_if(m_configuration.services.begin(), m_configuration.services.end(), [name](const RelayService &service) { return service.name == name; });
-    return found == m_configuration.services.end() ? nullptr : &*found;
-}
-
 const RelayService *RelayDirectory::cacheStore() const
 {
     return m_cacheStore;
--- a/src/libs/decisions/relay/relaydirectory.h
+++ b/src/libs/decisions/relay/relaydirectory.h
@@ -32,9 +32,6 @@
     /// \brief The service of \a route for a request that drew \a draw, evenly spread over all numbers.
     static const std::string &service(const RelayRoute &route, std::uint64_t draw);
 
-    /// \brief The service called \a name, or nothing.
-    const RelayService *serviceNamed(std::string_view name) const;
-
     /// \brief The store of kept KV cache, or nothing if there is none.
     const RelayService *cacheStore() const;
 
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -25,12 +25,6 @@
 // A cold prompt goes to its home, where all routers look for it, unless another engine is this much better off.
 constexpr milliseconds awayFromHome{100};
 
-// From a request until the news of its parts: events lag, agents ask and tell in turn.
-constexpr milliseconds newsDelay{900};
-
-// Parts remembered for that long; beyond this number the outdated ones are dropped.
-constexpr std::size_t mostSent = 4096;
-
 // Without new work after a connection that failed; doubles with each further one, so that a dark backend server costs few requests.
 constexpr milliseconds unreachablePause{500};
 constexpr std::uint32_t mostDoublings = 4;
@@ -165,11 +159,12 @@
         fleet.push_back(std::move(server));
     }
     m_chooser.setFleet(std::move(fleet));
-    const auto isGone = [this](const auto &entry) {
-        return m_chooser.server(entry.first) == nullptr;
+    const auto isGone = [this](BackendServerId id) {
+        return m_chooser.server(id) == nullptr;
     };
-    std::erase_if(m_heard, isGone);
-    std::erase_if(m_failures, isGone);
+    std::erase_if(m_heard, [&](const auto &entry) { return isGone(entry.first); });
+    std::erase_if(m_failures, [&](const auto &entry) { return isGone(entry.first); });
+    m_caches.forget(isGone);
 }
 
 void RelayFleet::noteStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now)
@@ -184,9 +179,9 @@
     heard.status = status;
     heard.deadline = now + statusLifetime;
     heard.sentSince = 0;
-    if (status.parts.has_value()) {
-        heard.parts = {status.parts->begin(), status.parts->end()};
-        heard.status.parts.reset();
+    heard.status.parts.reset();
+    if (m_chooser.server(key) != nullptr) {
+        m_caches.noteNews(key, status.parts, heard.deadline);
     }
     for (const ServedWeights &weights : status.weights) {
         m_register.noteWeights(id->second, weights.model, weights.version);
@@ -205,29 +200,9 @@
     return addresses;
 }
 
-bool RelayFleet::isKept(const Heard &heard, BackendServerId id, PartKey part, Core::TimePoint now) const
-{
-    if (heard.parts.contains(part)) {
-        return true;
-    }
-    const auto sent = m_sent.find(part);
-    return sent != m_sent.end() && sent->second.id == id && now < sent->second.deadline;
-}
-
-// How many leading parts the engine keeps, if its agent has said so lately.
-std::optional<std::uint32_t> RelayFleet::warmParts(BackendServerId id, const std::vector<SharedPart> &parts, Core::TimePoint now) const
-{
-    const auto heard = m_heard.find(id);
-    if (heard == m_heard.end() || now >= heard->second.deadline) {
-        return std::nullopt;
-    }
-    const auto missing = std::find_if(parts.begin(), parts.end(), [&](const SharedPart &part) { return !isKept(heard->second, id, part.key, now); });
-    return static_cast<std::uint32_t>(missing - parts.begin());
-}
-
 void RelayFleet::setStoreIndex(const PartIndex *index)
 {
-    m_storeIndex = index;
+    m_caches.setStore(index);
 }
 
 // Whether caches are still being filled after new weights.
@@ -241,51 +216,26 @@
 // several keeps what is asked for again and again; right after new weights, when all that it holds is void, it takes all.
 bool RelayFleet::isWorthSaving(const FleetQuery &query, Core::TimePoint now) const
 {
-    if (m_storeIndex == nullptr) {
+    const PartIndex *store = m_caches.store();
+    if (store == nullptr) {
         return false;
     }
-    const bool hasRoom = static_cast<double>(m_storeIndex->tokens()) < fullStore * static_cast<double>(m_storeIndex->capacity());
+    const bool hasRoom = static_cast<double>(store->tokens()) < fullStore * static_cast<double>(store->capacity());
     return isRefilling(query, now) || hasRoom || query.draw / saveDrawDivisor % savesOneOf == 0;
 }
 
-std::uint32_t RelayFleet::storedParts(const std::vector<SharedPart> &parts) const
-{
-    if (m_storeIndex == nullptr) {
-        return 0;
-    }
-    const auto missing = std::find_if(parts.begin(), parts.end(), [this](const SharedPart &part) { return !m_storeIndex->contains(part.key); });
-    return static_cast<std::uint32_t>(missing - parts.begin());
-}
-
-std::uint32_t RelayFleet::warmAnywhere(const std::vector<SharedPart> &parts, Core::TimePoint now) const
-{
-    std::uint32_t most = storedParts(parts);
-    for (const auto &[id, heard] : m_heard) {
-        most = std::max(most, m_chooser.server(id) == nullptr ? 0 : warmParts(id, parts, now).value_or(0));
-    }
-    return most;
-}
-
 std::string RelayFleet::holderOf(const FleetChoice &choice, Core::TimePoint now) const
 {
-    std::uint32_t most = std::max(choice.warmParts, choice.storedParts);
-    std::string holder;
-    for (const auto &[id, heard] : m_heard) {
-        const BackendServer *server = m_chooser.server(id);
-        const std::uint32_t warm = server == nullptr || most == choice.parts.size() ? 0 : warmParts(id, choice.parts, now).value_or(0);
-        if (warm > most) {
-            most = warm;
-            holder = server->endpoint;
-        }
-    }
-    return holder;
+    const auto holder = m_caches.holder(choice.parts, std::max(choice.warmParts, choice.storedParts), now);
+    const BackendServer *server = holder.has_value() ? m_chooser.server(*holder) : nullptr;
+    return server == nullptr ? "" : server->endpoint;
 }
 
 // What a request would wait for at the candidate, and what it would cost the engine on top: reading what nobody keeps, fetching what another one does.
 microseconds RelayFleet::cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const
 {
     // What was seen there before says nothing: it may have been on other weights.
-    candidate.warmPieces = warmParts(candidate.id, parts, now).value_or(0);
+    candidate.warmPieces = m_caches.warmParts(candidate.id, parts, now).value_or(0);
     candidate.prefill = microseconds(0);
     for (std::uint32_t part = candidate.warmPieces; part < parts.size(); ++part) {
         candidate.prefill += parts[part].tokens * (part < warmAnywhere ? fetchPerToken : readPerToken);
@@ -295,7 +245,7 @@
 
 RouteCandidate RelayFleet::bestOf(const RouteDecision &decision, const std::vector<SharedPart> &parts, Core::TimePoint now) const
 {
-    const std::uint32_t anywhere = warmAnywhere(parts, now);
+    const std::uint32_t anywhere = m_caches.warmAnywhere(parts, now);
     RouteCandidate best = decision.candidates.front();
     microseconds lowest = cost(best, parts, anywhere, now);
     for (RouteCandidate candidate : decision.candidates) {
@@ -421,8 +371,8 @@
     const std::uint32_t ownTokens = query.prompt->parts.empty() ? query.prompt->promptTokens : query.prompt->parts.back().tokens;
     choice.work = best.prefill + microseconds(1000) * (ownTokens / tokensPerMillisecond);
     choice.warmParts = best.warmPieces;
-    choice.isStoreKnown = m_storeIndex != nullptr;
-    choice.storedParts = storedParts(choice.parts);
+    choice.isStoreKnown = m_caches.store() != nullptr;
+    choice.storedParts = m_caches.storedParts(choice.parts);
     choice.isWorthSaving = isWorthSaving(query, now);
     choice.holder = isRefilling(query, now) ? holderOf(choice, now) : "";
     estimate(choice, query, now);
@@ -515,12 +465,7 @@
     if (heard != m_heard.end()) {
         ++heard->second.sentSince;
     }
-    if (m_sent.size() > mostSent) {
-        std::erase_if(m_sent, [now](const auto &entry) { return now >= entry.second.deadline; });
-    }
-    for (const SharedPart &part : choice.parts) {
-        m_sent[part.key] = {choice.id, now + newsDelay};
-    }
+    m_caches.noteSent(choice.id, choice.parts, now);
 }
 
 void RelayFleet::noteAnswered(const FleetChoice &choice, Core::TimePoint now)
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -2,6 +2,7 @@
 
 #include "admission.h"
 #include "enginestatus.h"
+#include "promptcaches.h"
 #include "promptoutline.h"
 #include "serverregister.h"
 #include "weightschoice.h"
@@ -12,7 +13,6 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace Verbena::Decisions {
@@ -29,13 +29,6 @@
     std::chrono::microseconds bearableWait{std::chrono::microseconds::max()}; ///< At an engine; with more the request rather runs on older weights.
 };
 
-/// \brief A part of a prompt that others may share, as caches know it.
-struct SharedPart
-{
-    PartKey key{};
-    std::uint32_t tokens = 0;
-};
-
 /// \brief The backend server that a request goes to, with what was known when it was chosen.
 struct FleetChoice
 {
@@ -121,22 +114,12 @@
     struct Heard
     {
         EngineStatus status;
-        std::unordered_set<PartKey> parts;
         Core::TimePoint deadline;
         std::uint32_t sentSince = 0; ///< By this router, that the status cannot know of.
     };
 
     void followRegister();
     bool isBusyWithWeights(const Heard &heard, const FleetQuery &query, Core::TimePoint now) const;
-    // Where a part was sent last, which no agent can have told of yet.
-    struct Sent
-    {
-        BackendServerId id{};
-        Core::TimePoint deadline;
-    };
-
-    std::optional<std::uint32_t> warmParts(BackendServerId id, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
-    bool isKept(const Heard &heard, BackendServerId id, PartKey part, Core::TimePoint now) const;
     const WeightsHistory &weightsHistory(const FleetQuery &query) const;
     void describePrompt(FleetChoice &choice, const FleetQuery &query) const;
     RouteDecision candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
@@ -149,9 +132,7 @@
     std::chrono::microseconds cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const;
     bool isRefilling(const FleetQuery &query, Core::TimePoint now) const;
     bool isWorthSaving(const FleetQuery &query, Core::TimePoint now) const;
-    std::uint32_t storedParts(const std::vector<SharedPart> &parts) const;
     std::string holderOf(const FleetChoice &choice, Core::TimePoint now) const;
-    std::uint32_t warmAnywhere(const std::vector<SharedPart> &parts, Core::TimePoint now) const;
     std::uint32_t presentlyWaiting(const Heard &heard) const;
     void estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     void excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const;
@@ -164,8 +145,7 @@
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, std::size_t>> m_versions; ///< By service and model.
     std::unordered_map<BackendServerId, Heard> m_heard;
     std::unordered_map<BackendServerId, std::uint32_t> m_failures; ///< Connections that failed since the last answer.
-    std::unordered_map<PartKey, Sent> m_sent;
-    const PartIndex *m_storeIndex = nullptr;
+    PromptCaches m_caches;
     std::map<std::string, WaitEstimate> m_estimates; ///< By route.
     std::unordered_map<std::string, std::string> m_idsByAddress;
     std::uint64_t m_followedRevision = 0;
--- a/src/libs/weights/newspublisher.cpp
+++ b/src/libs/weights/newspublisher.cpp
@@ -58,11 +58,6 @@
     }
 }
 
-bool NewsPublisher::hasWatchers() const
-{
-    return !m_watchers.empty();
-}
-
 void NewsPublisher::publish(const Decisions::EngineStatus &status)
 {
     const Core::TimePoint now = m_loop.now();
--- a/src/libs/weights/newspublisher.h
+++ b/src/libs/weights/newspublisher.h
@@ -23,9 +23,6 @@
     /// \brief Tells all who asked lately.
     void publish(const Decisions::EngineStatus &status);
 
-    /// \brief Whether anybody asked lately.
-    bool hasWatchers() const;
-
 private:
     struct Watcher
     {
--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -324,6 +324,20 @@
     EXPECT_EQ(choose(prompt("wall-7"), "", {"1"})->holder, "10.0.0.1:8000");
     EXPECT_EQ(choose(prompt("wall-8"), "", {"1"})->holder, "10.0.0.1:8000");
     EXPECT_EQ(choose(prompt("wall-7", "other"), "", {"1"})->holder, "");
+    RegisteredServer leaving = engine("1");
+    leaving.isLeaving = true;
+    m_fleet.servers().put(leaving);
+    m_fleet.noteStatus("10.0.0.1:8000", holder, m_now);
+    EXPECT_EQ(choose(prompt("wall-7"))->holder, "");
+}
+
+TEST_F(RelayFleetTest, asksNoEngineForPartsOnceCachesAreFull)
+{
+    m_fleet.noteWeightsNamed("m", 1, m_now);
+    EngineStatus holder = status();
+    holder.parts = {partKey("m@1", "rules"), partKey("m@1", "wall-7")};
+    m_fleet.noteStatus("10.0.0.1:8000", holder, m_now);
+    EXPECT_EQ(choose(prompt("wall-7"), "", {"1"})->holder, "10.0.0.1:8000");
     // Caches that have been filled for long drop parts within seconds, so that what was heard of them is often gone.
     m_now += 60s;
     m_fleet.noteStatus("10.0.0.1:8000", holder, m_now);
