Take no chance for a queue where routers are many

Found in reading.

Change: at most eight routers are taken to act alike. Deployments of up to eight routers behave as before.

Test: RelayFleetTest.takesNoChanceForAQueueWhereRoutersAreMany, which fails without the limit.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -32,6 +32,10 @@
 // Without new work after a refusal: some answers later it has room again.
 constexpr milliseconds fullPause{100};
 
+// Routers that are taken to have sent to an engine as much as this one. With more of them each sends there so rarely that a second request in a row is
+// chance, and would make an idle engine look like one with a long queue.
+constexpr std::uint32_t mostRoutersAlike = 8;
+
 // News come several times a second; without any for so long the agent counts as silent.
 constexpr milliseconds statusLifetime{1500};
 
@@ -265,7 +269,7 @@
 {
     const std::uint32_t waiting = heard.status.waiting;
     const std::uint32_t telling = waiting > 0 ? heard.sentSince : heard.sentSince - std::min<std::uint32_t>(heard.sentSince, 1);
-    return waiting + telling * m_routerCount;
+    return waiting + telling * std::min(m_routerCount, mostRoutersAlike);
 }
 
 void RelayFleet::estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -252,6 +252,22 @@
     EXPECT_EQ(choiceOfOne()->waiting, 0U);
 }
 
+// With 30 routers a second request of one of them within a quarter of a second is chance; the engine is idle, so the request has to get in.
+TEST_F(RelayFleetTest, takesNoChanceForAQueueWhereRoutersAreMany)
+{
+    m_fleet.setRouterCount(30);
+    m_fleet.noteStatus("10.0.0.1:8000", status(), m_now);
+    std::optional<FleetChoice> choice;
+    for (int request = 0; request < 3; ++request) {
+        choice = choose(prompt("wall-7"), "", {"2", "3", "4", "5", "6"});
+        ASSERT_TRUE(choice.has_value());
+        if (request < 2) {
+            m_fleet.noteSent(*choice, m_now);
+        }
+    }
+    EXPECT_FALSE(refuseUntil({*choice->expectedWait, 400ms, 5s}).has_value());
+}
+
 // All prompts share their opening. Under new weights it is as hot as before, so it must not have one home for all until it has been counted again.
 TEST_F(RelayFleetTest, spreadsAHotOpeningAtOnceUnderNewWeights)
 {
