Let one piece of code say which weights may be used, and do less for each request

Cause: reading the whole change again. chooseWeights and usableWeights filtered the same versions by the same condition; isRefilling looked the history up beside weightsHistory; CallFailure::Moved meant what Lost means and was never logged; each request listed the usable versions although most find a place on the first one.

Change: chooseWeights builds on usableWeights, isRefilling on weightsHistory, moving asks about a lost call, and the other versions are listed only if the first one has too long a queue. Behaviour is unchanged; no test was touched.

--- a/src/libs/decisions/relay/attemptpolicy.cpp
+++ b/src/libs/decisions/relay/attemptpolicy.cpp
@@ -38,8 +38,6 @@
         return "lost";
     case CallFailure::ServerError:
         return "server_error";
-    case CallFailure::Moved:
-        return "moved";
     }
     return "unknown";
 }
@@ -63,7 +61,7 @@
 {
     AttemptState moved = state;
     ++moved.runs;
-    return state.isAnswerBegun && mayBeSentAgain(moved, CallFailure::Moved);
+    return state.isAnswerBegun && mayBeSentAgain(moved, CallFailure::Lost);
 }
 
 AttemptAction finalAction(const AttemptState &state, CallFailure failure)
--- a/src/libs/decisions/relay/attemptpolicy.h
+++ b/src/libs/decisions/relay/attemptpolicy.h
@@ -13,7 +13,6 @@
     NotRun, ///< The backend server proved that it did not run the request.
     Lost, ///< The connection broke, or something came that is no answer to this request.
     ServerError, ///< A whole answer that reports a failure of the backend server.
-    Moved, ///< This router ended it, to go on with the stream elsewhere.
 };
 
 /// \brief What becomes of a request after such an end.
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -212,8 +212,8 @@
 // Whether caches are still being filled after new weights.
 bool RelayFleet::isRefilling(const FleetQuery &query, Core::TimePoint now) const
 {
-    const auto history = m_weights.find(query.prompt->model);
-    return history != m_weights.end() && now < history->second.newestSince() + refillTime;
+    const WeightsHistory &history = weightsHistory(query);
+    return history.newest() > 0 && now < history.newestSince() + refillTime;
 }
 
 // A full store drops something useful for each prompt that it takes, and half of what it takes belongs to one request alone. Letting in only one of
@@ -439,14 +439,17 @@
         return std::nullopt;
     }
     std::optional<FleetChoice> best = chooseOn(*drawn, query, now);
+    if (best.has_value() && isBearable(*best, query)) {
+        return best;
+    }
     for (const std::uint64_t weights : usableWeights(versions->second, history, m_weightsLimits, now)) {
-        if (best.has_value() && isBearable(*best, query)) {
-            break;
-        }
         std::optional<FleetChoice> other = weights == *drawn ? std::nullopt : chooseOn(weights, query, now);
         if (other.has_value() && (!best.has_value() || isBetter(*other, *best))) {
             best = std::move(other);
         }
+        if (best.has_value() && isBearable(*best, query)) {
+            break;
+        }
     }
     return best;
 }
--- a/src/libs/decisions/relay/weightschoice.cpp
+++ b/src/libs/decisions/relay/weightschoice.cpp
@@ -68,18 +68,16 @@
 std::optional<std::uint64_t> chooseWeights(
     const std::map<std::uint64_t, std::size_t> &servers, const WeightsHistory &history, const WeightsLimits &limits, Core::TimePoint now, std::uint64_t draw)
 {
+    const std::vector<std::uint64_t> usable = usableWeights(servers, history, limits, now);
     double left = 0;
-    for (const auto &[version, count] : servers) {
-        left += mayBeUsed(version, history, limits, now) ? static_cast<double>(count) : 0.0;
+    for (const std::uint64_t version : usable) {
+        left += static_cast<double>(servers.at(version));
     }
     std::optional<std::uint64_t> chosen;
     double place = static_cast<double>(draw % drawScale) / static_cast<double>(drawScale);
-    for (auto group = servers.rbegin(); group != servers.rend(); ++group) {
-        const auto count = static_cast<double>(group->second);
-        if (group->second == 0 || !mayBeUsed(group->first, history, limits, now)) {
-            continue;
-        }
-        chosen = group->first;
+    for (const std::uint64_t version : usable) {
+        const auto count = static_cast<double>(servers.at(version));
+        chosen = version;
         const double part = std::min(1.0, newerPreference * count / left);
         if (place < part) {
             break;
