Take what another router tells for no sign that the store is back

A router that started while the store was silent got its tables from another router, counted that as the store's answer and asked the store a question that waits 3 s. The store, silent for another moment, never got it; the question hung until 3.7 s, and a configuration acknowledged meanwhile came into force 3.6 s after its ack in place of 2 s. Ruled out: the other router's tables (right, as old as they had to be), the declared pause (0), a refused configuration (no event). Change: a page says whether another process told it; then the next questions are short, as after a failure, until the store itself answers. The register's trust in removals is as before: it depends on whether anybody answers. Test: TableFollowerTest.asksShortlyUntilTheStoreItselfAnswers; without the change its first short question would be a long one.

--- a/src/libs/relay/peerrows.cpp
+++ b/src/libs/relay/peerrows.cpp
@@ -46,6 +46,7 @@
     }
     Store::RowPage page;
     page.revision = push.covered_revision();
+    page.isSecondHand = true;
     for (const verbena::wire::SettingsRow &entry : push.rows()) {
         page.rows.push_back({entry.path(), entry.content(), entry.revision(), entry.deleted()});
     }
--- a/src/libs/store/rowsource.h
+++ b/src/libs/store/rowsource.h
@@ -18,6 +18,7 @@
     std::vector<TableRow> rows;
     std::uint64_t revision = 0; ///< Of the store at that moment.
     bool isHistoryLost = false; ///< What changed is not known any more: read the whole table.
+    bool isSecondHand = false; ///< Another process told it; the store itself did not answer.
 };
 
 /// \brief Lets a process follow the tables of the platform's store.
--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -59,8 +59,9 @@
         m_source.readTable(m_table, now + answerTime, guarded(&TableFollower::takeTable));
         return;
     }
-    // After a failure a short question shows sooner whether the store is back.
-    const Core::TimePoint waitEnd = m_isLost ? now : now + waitTime;
+    // After a failure a short question shows sooner whether the store is back. A long one that the store never got would hang for 3.7 s, with a change
+    // that was made meanwhile untold.
+    const Core::TimePoint waitEnd = m_failures > 0 ? now : now + waitTime;
     m_source.awaitChanges(m_table, m_revision, waitEnd, waitEnd + answerTime, guarded(&TableFollower::takeChanges));
 }
 
@@ -72,8 +73,7 @@
     m_isTableKnown = true;
     m_revision = page.value().revision;
     m_consumer.replaceRows(m_table, page.value());
-    noteSuccess();
-    askAgainAt(m_loop.now() + m_pause);
+    noteAnswer(page.value());
 }
 
 void TableFollower::takeChanges(const Core::Result<RowPage> &page)
@@ -90,8 +90,7 @@
     if (!page.value().rows.empty()) {
         m_consumer.changeRows(m_table, page.value());
     }
-    noteSuccess();
-    askAgainAt(m_loop.now() + m_pause);
+    noteAnswer(page.value());
 }
 
 bool TableFollower::isBelieved(const Core::Result<RowPage> &page)
@@ -118,18 +117,29 @@
         m_isLost = true;
         m_consumer.sourceLost(m_table, error);
     }
+    askAgainAt(m_loop.now() + nextRetry());
+}
+
+milliseconds TableFollower::nextRetry()
+{
     const milliseconds wait = std::min(longestRetry, firstRetry * (1 << std::min(m_failures, mostDoublings)));
     ++m_failures;
-    askAgainAt(m_loop.now() + wait);
+    return wait;
 }
 
-void TableFollower::noteSuccess()
+// What another process told is worth as much, but shows nothing of the store, which has to be asked as after a failure.
+void TableFollower::noteAnswer(const RowPage &page)
 {
-    m_failures = 0;
     if (m_isLost) {
         m_isLost = false;
         m_consumer.sourceRegained(m_table);
     }
+    if (page.isSecondHand) {
+        askAgainAt(m_loop.now() + std::max(m_pause, nextRetry()));
+        return;
+    }
+    m_failures = 0;
+    askAgainAt(m_loop.now() + m_pause);
 }
 
 } // namespace Verbena::Store
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -51,7 +51,8 @@
     bool isBelieved(const Core::Result<RowPage> &page);
     void askAgainAt(Core::TimePoint moment);
     void noteFailure(const Core::Error &error);
-    void noteSuccess();
+    void noteAnswer(const RowPage &page);
+    std::chrono::milliseconds nextRetry();
 
     EventLoop::Loop &m_loop;
     RowSource &m_source;
@@ -62,8 +63,8 @@
     std::shared_ptr<bool> m_isAlive; ///< Answers may come after the follower is gone.
     std::uint64_t m_revision = 0;
     bool m_isTableKnown = false;
-    bool m_isLost = false;
-    std::uint32_t m_failures = 0;
+    bool m_isLost = false; ///< Nobody answers.
+    std::uint32_t m_failures = 0; ///< Of the store since it answered last.
 };
 
 } // namespace Verbena::Store
--- a/tests/auto/relay/tst_tablefollower.cpp
+++ b/tests/auto/relay/tst_tablefollower.cpp
@@ -22,17 +22,18 @@
     {
         bool isWhole = false;
         std::uint64_t after = 0;
+        Core::TimePoint waitEnd{}; ///< Of a question for changes.
         PageCallback done;
     };
 
     void readTable(const std::string &, Core::TimePoint, PageCallback done) override
     {
-        m_questions.push_back({true, 0, std::move(done)});
+        m_questions.push_back({true, 0, {}, std::move(done)});
     }
 
-    void awaitChanges(const std::string &, std::uint64_t revision, Core::TimePoint, Core::TimePoint, PageCallback done) override
+    void awaitChanges(const std::string &, std::uint64_t revision, Core::TimePoint waitEnd, Core::TimePoint, PageCallback done) override
     {
-        m_questions.push_back({false, revision, std::move(done)});
+        m_questions.push_back({false, revision, waitEnd, std::move(done)});
     }
 
     bool hasQuestion() const
@@ -171,6 +172,27 @@
     EXPECT_EQ(m_mirror.rows().size(), 2U);
 }
 
+// A store that went silent swallows questions, also in the moment of its return. A long one asked there would hang until its deadline while changes are
+// made, so only the store's own answer shows that it is back.
+TEST_F(TableFollowerTest, asksShortlyUntilTheStoreItselfAnswers)
+{
+    RowPage told = page(5, {{"a", "1", 5, false}});
+    told.isSecondHand = true;
+    question().done(told);
+    EXPECT_EQ(m_mirror.rows().at("a"), "1");
+    EXPECT_EQ(m_mirror.losses(), 0);
+    auto first = question();
+    EXPECT_LE(first.waitEnd, m_loop->now());
+    told = page(6, {{"a", "2", 6, false}});
+    told.isSecondHand = true;
+    first.done(told);
+    EXPECT_EQ(m_mirror.rows().at("a"), "2");
+    auto second = question();
+    EXPECT_LE(second.waitEnd, m_loop->now());
+    second.done(page(7, {{"a", "3", 7, false}}));
+    EXPECT_GT(question().waitEnd, m_loop->now() + 1s);
+}
+
 TEST_F(TableFollowerTest, outlivesAnAnswerThatComesAfterItsEnd)
 {
     auto late = question();
