Tell the starts of a backend server apart, and take no server from an entry that none of ours wrote

Cause: backend servers may start again under their id, which says so by 'born'; the router went on believing their cache, load, weights, failures and estimates. Numbers of a cache's events start anew too: asked for what came after event 40, a cache that has told of 2 since its start answered nothing, and its first events were never read. Entries of the register may be somebody else's: a phase that is not known counted as leaving, slots of -1 as four thousand million, an address that is none was called, an entry with the address of an engine took that engine's news, and one row that was no base64 hid the whole page. Ruled out: an id made of both (homes of prompts would move with each restart, and the engines that took them over be cold too); telling the later start by the larger number (clocks jump). Change: incarnation in entries, reports, news and choices; whoever learns first of another one drops all that was believed; what is late is told by the incarnations that were seen before. Agents read a cache from its first event after a restart.

--- a/src/libs/decisions/relay/enginestatus.h
+++ b/src/libs/decisions/relay/enginestatus.h
@@ -14,6 +14,7 @@
 /// \brief How an engine is, as the agent beside it says.
 struct EngineStatus
 {
+    std::uint64_t incarnation = 0; ///< Tells one start of it from another; 0 if it does not say.
     std::vector<ServedWeights> weights;
     bool isSilent = false; ///< It does not answer its agent.
     bool isLoading = false; ///< Takes no new requests for now.
--- a/src/libs/decisions/relay/promptcaches.cpp
+++ b/src/libs/decisions/relay/promptcaches.cpp
@@ -33,6 +33,12 @@
     }
 }
 
+void PromptCaches::noteRestart(BackendServerId id)
+{
+    m_engines.erase(id);
+    std::erase_if(m_sent, [id](const auto &entry) { return entry.second.id == id; });
+}
+
 void PromptCaches::forget(const std::function<bool(BackendServerId)> &isGone)
 {
     std::erase_if(m_engines, [&isGone](const auto &entry) { return isGone(entry.first); });
--- a/src/libs/decisions/relay/promptcaches.h
+++ b/src/libs/decisions/relay/promptcaches.h
@@ -33,6 +33,9 @@
     /// \brief A prompt of \a parts was sent to the engine \a id.
     void noteSent(BackendServerId id, const std::vector<SharedPart> &parts, Core::TimePoint now);
 
+    /// \brief The engine \a id has started again with an empty cache.
+    void noteRestart(BackendServerId id);
+
     /// \brief Forgets the engines for which \a isGone is true.
     void forget(const std::function<bool(BackendServerId)> &isGone);
 
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -92,6 +92,7 @@
 LoadReport loadOf(const EngineStatus &status)
 {
     LoadReport report;
+    report.incarnation = status.incarnation;
     report.running = status.running;
     report.queued = status.waiting;
     report.queuedWork = status.waiting * waitPerWaiting + status.running * waitPerRunning;
@@ -143,8 +144,9 @@
     std::vector<BackendServer> fleet;
     for (const auto &[id, registered] : m_register.servers()) {
         if (!registered.weights.empty()) {
-            m_idsByAddress[registered.address] = id;
+            m_idsByAddress[registered.address].push_back(id);
         }
+        followIncarnation(backendServerId(id), registered.incarnation);
         if (registered.isLeaving) {
             continue;
         }
@@ -153,6 +155,7 @@
         server.name = id;
         server.endpoint = registered.address;
         server.failureDomain = registered.failureDomain;
+        server.incarnation = registered.incarnation;
         for (const ServedWeights &weights : registered.weights) {
             server.served.push_back({poolName(registered.service, weights.model), "", std::to_string(weights.version)});
             ++m_versions[{registered.service, weights.model}][weights.version];
@@ -168,17 +171,59 @@
     };
     std::erase_if(m_heard, [&](const auto &entry) { return isGone(entry.first); });
     std::erase_if(m_failures, [&](const auto &entry) { return isGone(entry.first); });
+    std::erase_if(m_incarnations, [&](const auto &entry) { return isGone(entry.first); });
     m_caches.forget(isGone);
 }
 
+// A backend server that started again under its id is cold and idle. Believing it warm would send it the prompts of its earlier start, all to be read
+// again.
+void RelayFleet::followIncarnation(BackendServerId id, std::uint64_t incarnation)
+{
+    std::uint64_t &known = m_incarnations[id];
+    if (known != 0 && known != incarnation) {
+        m_heard.erase(id);
+        m_failures.erase(id);
+        m_caches.noteRestart(id);
+    }
+    known = incarnation;
+}
+
+// News name an address, and more than one entry may: one of an earlier engine there, or one that somebody else wrote.
+const std::string *RelayFleet::idAt(const std::string &address, std::uint64_t incarnation) const
+{
+    const auto found = m_idsByAddress.find(address);
+    if (found == m_idsByAddress.end()) {
+        return nullptr;
+    }
+    const std::vector<std::string> &ids = found->second;
+    const auto isItsStart = [&](const std::string &id) {
+        return incarnation != 0 && m_register.servers().at(id).incarnation == incarnation;
+    };
+    const auto exact = std::find_if(ids.begin(), ids.end(), isItsStart);
+    return exact == ids.end() ? &ids.back() : &*exact;
+}
+
+// Whether what becomes of the call says nothing of the backend server as it is now.
+bool RelayFleet::isOutdated(const FleetChoice &choice)
+{
+    followRegister();
+    const auto known = m_incarnations.find(choice.id);
+    return known != m_incarnations.end() && choice.incarnation != 0 && known->second != choice.incarnation;
+}
+
 void RelayFleet::noteStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now)
 {
     followRegister();
-    const auto id = m_idsByAddress.find(address);
-    if (id == m_idsByAddress.end()) {
+    const std::string *known = idAt(address, status.incarnation);
+    if (known == nullptr) {
+        return;
+    }
+    const std::string id = *known;
+    if (m_register.noteIncarnation(id, status.incarnation) == IncarnationNews::Outdated) {
         return;
     }
-    const BackendServerId key = backendServerId(id->second);
+    followRegister();
+    const BackendServerId key = backendServerId(id);
     Heard &heard = m_heard[key];
     heard.status = status;
     heard.deadline = now + statusLifetime;
@@ -188,7 +233,7 @@
         m_caches.noteNews(key, status.parts, heard.deadline);
     }
     for (const ServedWeights &weights : status.weights) {
-        m_register.noteWeights(id->second, weights.model, weights.version);
+        m_register.noteWeights(id, weights.model, weights.version);
     }
     m_chooser.noteLoad(key, loadOf(status), now);
 }
@@ -368,6 +413,7 @@
     choice.id = best.id;
     choice.serverId = server->name;
     choice.address = server->endpoint;
+    choice.incarnation = server->incarnation;
     if (query.prompt == nullptr) {
         choice.work = plainWork;
         return;
@@ -477,6 +523,9 @@
 
 void RelayFleet::noteAnswered(const FleetChoice &choice, Core::TimePoint now)
 {
+    if (isOutdated(choice)) {
+        return;
+    }
     m_failures.erase(choice.id);
     m_chooser.noteReply(choice.id, choice.route, static_cast<std::uint32_t>(choice.parts.size()), choice.work, now);
     if (choice.expectedWait.has_value()) {
@@ -486,6 +535,9 @@
 
 void RelayFleet::noteTrouble(const FleetChoice &choice, ServerTrouble trouble, Core::TimePoint now)
 {
+    if (isOutdated(choice)) {
+        return;
+    }
     RouteRefusal refusal;
     refusal.isUnavailable = true;
     refusal.retryAfter = trouble == ServerTrouble::Full ? fullPause : unreachablePause * (1 << std::min(m_failures[choice.id]++, mostDoublings));
@@ -494,7 +546,23 @@
 
 void RelayFleet::noteAbandoned(const FleetChoice &choice)
 {
-    m_chooser.noteNoAnswer(choice.id, choice.work);
+    if (!isOutdated(choice)) {
+        m_chooser.noteNoAnswer(choice.id, choice.work);
+    }
+}
+
+void RelayFleet::noteWeights(const FleetChoice &choice, const std::string &model, std::uint64_t version)
+{
+    if (!isOutdated(choice)) {
+        m_register.noteWeights(choice.serverId, model, version);
+    }
+}
+
+void RelayFleet::noteReplaced(const FleetChoice &choice)
+{
+    if (!isOutdated(choice)) {
+        m_register.noteReplaced(choice.serverId);
+    }
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -43,6 +43,7 @@
     bool isStoreKnown = false; ///< Whether storedParts can be relied on.
     bool isWorthSaving = false; ///< Whether the store should get what it lacks.
     BackendServerId id{};
+    std::uint64_t incarnation = 0; ///< Of the backend server when it was chosen.
     RouteQuery route;
     std::chrono::microseconds work{0};
     std::string routeName;
@@ -109,6 +110,12 @@
     /// \brief The call ended without a word about the backend server.
     void noteAbandoned(const FleetChoice &choice);
 
+    /// \brief The backend server answered with \a version of \a model, which counts more than its entry.
+    void noteWeights(const FleetChoice &choice, const std::string &model, std::uint64_t version);
+
+    /// \brief Another backend server answered in its place.
+    void noteReplaced(const FleetChoice &choice);
+
 private:
     // What an agent said of its engine, and until when it is believed.
     struct Heard
@@ -119,6 +126,9 @@
     };
 
     void followRegister();
+    void followIncarnation(BackendServerId id, std::uint64_t incarnation);
+    const std::string *idAt(const std::string &address, std::uint64_t incarnation) const;
+    bool isOutdated(const FleetChoice &choice);
     bool isBusyWithWeights(const Heard &heard, const FleetQuery &query, Core::TimePoint now) const;
     const WeightsHistory &weightsHistory(const FleetQuery &query) const;
     void describePrompt(FleetChoice &choice, const FleetQuery &query) const;
@@ -147,7 +157,8 @@
     std::unordered_map<BackendServerId, std::uint32_t> m_failures; ///< Connections that failed since the last answer.
     PromptCaches m_caches;
     std::map<std::string, WaitEstimate> m_estimates; ///< By route.
-    std::unordered_map<std::string, std::string> m_idsByAddress;
+    std::unordered_map<std::string, std::vector<std::string>> m_idsByAddress; ///< Of engines; entries may name an address twice.
+    std::unordered_map<BackendServerId, std::uint64_t> m_incarnations; ///< Of the backend servers that are known.
     std::uint64_t m_followedRevision = 0;
     std::uint32_t m_routerCount = 1;
 };
--- a/src/libs/decisions/relay/serverregister.cpp
+++ b/src/libs/decisions/relay/serverregister.cpp
@@ -5,6 +5,13 @@
 
 namespace Verbena::Decisions {
 
+namespace {
+
+// Of one id; news of a start that was followed by more others than this are no longer on their way.
+constexpr std::size_t rememberedIncarnations = 8;
+
+} // namespace
+
 void ServerRegister::replace(const std::vector<RegisteredServer> &servers, Core::TimePoint now)
 {
     std::set<std::string> present;
@@ -25,12 +32,22 @@
 
 void ServerRegister::put(const RegisteredServer &server)
 {
-    m_lapsed.erase(server.id);
     RegisteredServer &known = m_servers[server.id];
+    const IncarnationNews news = compare(known, server.incarnation);
+    if (news == IncarnationNews::Outdated) {
+        return;
+    }
+    m_lapsed.erase(server.id);
     if (known == server) {
         return;
     }
+    if (news == IncarnationNews::Restarted) {
+        noteRestart(known, server.incarnation);
+        known = server;
+        return;
+    }
     RegisteredServer taken = server;
+    taken.incarnation = server.incarnation == 0 ? known.incarnation : server.incarnation;
     // An entry is written now and then; what the server answered meanwhile is newer, and weights only ever go up.
     for (ServedWeights &weights : taken.weights) {
         for (const ServedWeights &before : known.weights) {
@@ -56,11 +73,58 @@
         m_lapsed.emplace(id, m_isStoreLost ? Core::TimePoint::max() : m_lapseDeadline);
         return;
     }
+    forget(id);
+}
+
+void ServerRegister::forget(const std::string &id)
+{
     m_lapsed.erase(id);
+    m_earlierIncarnations.erase(id);
     m_servers.erase(id);
     ++m_revision;
 }
 
+// Clocks jump, so a smaller number may be the later start: what was seen before tells.
+IncarnationNews ServerRegister::compare(const RegisteredServer &known, std::uint64_t incarnation) const
+{
+    if (incarnation == 0 || known.incarnation == 0 || incarnation == known.incarnation) {
+        return IncarnationNews::Same;
+    }
+    const auto earlier = m_earlierIncarnations.find(known.id);
+    const bool isEarlier
+        = earlier != m_earlierIncarnations.end() && std::find(earlier->second.begin(), earlier->second.end(), incarnation) != earlier->second.end();
+    return isEarlier ? IncarnationNews::Outdated : IncarnationNews::Restarted;
+}
+
+void ServerRegister::noteRestart(RegisteredServer &known, std::uint64_t incarnation)
+{
+    std::vector<std::uint64_t> &earlier = m_earlierIncarnations[known.id];
+    earlier.push_back(known.incarnation);
+    if (earlier.size() > rememberedIncarnations) {
+        earlier.erase(earlier.begin());
+    }
+    known.incarnation = incarnation;
+    known.isLeaving = false;
+    ++m_revision;
+}
+
+IncarnationNews ServerRegister::noteIncarnation(const std::string &id, std::uint64_t incarnation)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return IncarnationNews::Same;
+    }
+    RegisteredServer &known = found->second;
+    const IncarnationNews news = compare(known, incarnation);
+    if (news == IncarnationNews::Restarted) {
+        noteRestart(known, incarnation);
+    } else if (known.incarnation == 0 && incarnation != 0) {
+        known.incarnation = incarnation;
+        ++m_revision;
+    }
+    return news;
+}
+
 bool ServerRegister::isDoubtful(Core::TimePoint now) const
 {
     return m_isStoreLost || now < m_lapseDeadline;
@@ -96,9 +160,8 @@
 
 void ServerRegister::noteReplaced(const std::string &id)
 {
-    m_lapsed.erase(id);
-    if (m_servers.erase(id) > 0) {
-        ++m_revision;
+    if (m_servers.contains(id)) {
+        forget(id);
     }
 }
 
@@ -110,9 +173,9 @@
             ++entry;
             continue;
         }
-        m_servers.erase(entry->first);
-        entry = m_lapsed.erase(entry);
-        ++m_revision;
+        const std::string id = entry->first;
+        ++entry;
+        forget(id);
     }
     return m_revision != before;
 }
--- a/src/libs/decisions/relay/serverregister.h
+++ b/src/libs/decisions/relay/serverregister.h
@@ -22,17 +22,25 @@
 /// \brief A backend server as it registered itself.
 struct RegisteredServer
 {
-    std::string id; ///< Of this start of it; a restart is another backend server.
+    std::string id; ///< Kept over a restart at times; see incarnation.
     std::string service;
     std::string address; ///< IP number and port.
     std::string failureDomain;
     std::uint32_t slots = 0; ///< Requests that it runs at once.
     bool isLeaving = false;
     std::vector<ServedWeights> weights; ///< Empty for a plain service.
+    std::uint64_t incarnation = 0; ///< Tells one start of it from another; 0 if it does not say. Larger is not later.
 
     bool operator==(const RegisteredServer &) const = default;
 };
 
+/// \brief What the incarnation that a message names says of its sender.
+enum class IncarnationNews {
+    Same, ///< The start that is known, or nobody says which one it is.
+    Restarted, ///< Another start than the one that was known: nothing of before holds.
+    Outdated, ///< A start that was followed by another one already: the message is late.
+};
+
 /// \brief Which backend servers there are, from their entries in the store's register and from what they answer.
 ///
 /// Entries lapse while the store is away, although their servers live, and are back within a moment of its return. So an entry that is missing after
@@ -55,6 +63,9 @@
     /// \brief The store answers again; entries that are not back by \a lapseDeadline are gone.
     void noteStoreRegained(Core::TimePoint lapseDeadline);
 
+    /// \brief The backend server \a id named its incarnation; after a restart its weights are those that its entry says.
+    IncarnationNews noteIncarnation(const std::string &id, std::uint64_t incarnation);
+
     /// \brief A backend server answered with \a version of \a model, which counts more than its entry.
     void noteWeights(const std::string &id, const std::string &model, std::uint64_t version);
 
@@ -72,8 +83,12 @@
 
 private:
     bool isDoubtful(Core::TimePoint now) const;
+    void forget(const std::string &id);
+    IncarnationNews compare(const RegisteredServer &known, std::uint64_t incarnation) const;
+    void noteRestart(RegisteredServer &known, std::uint64_t incarnation);
 
     std::map<std::string, RegisteredServer> m_servers;
+    std::map<std::string, std::vector<std::uint64_t>> m_earlierIncarnations; ///< By id, the latest ones.
     std::map<std::string, Core::TimePoint> m_lapsed; ///< Entries that are missing, and until when they are believed.
     Core::TimePoint m_lapseDeadline{}; ///< Until then a missing entry may have lapsed in an outage.
     bool m_isStoreLost = false;
--- a/src/libs/decisions/routing/backendserver.h
+++ b/src/libs/decisions/routing/backendserver.h
@@ -42,6 +42,7 @@
     std::vector<ModelVersion> served;
     std::string service; ///< Name of the plain service; empty for a model engine.
     BackendServerState state = BackendServerState::Live;
+    std::uint64_t incarnation = 0; ///< Another one means that it started again and knows nothing of before; 0 if it is not told.
 };
 
 /// \brief The id that belongs to \a name, the same in every process.
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -51,8 +51,11 @@
         known.emplace(server.id, std::move(server));
     }
     for (const auto &[id, server] : m_servers) {
-        if (!known.contains(id)) {
+        const auto now = known.find(id);
+        if (now == known.end()) {
             m_loads.remove(id);
+        } else if (server.incarnation != 0 && now->second.incarnation != server.incarnation) {
+            m_loads.restart(id, now->second.incarnation);
         }
     }
     m_servers = std::move(known);
--- a/src/libs/decisions/routing/serverloads.cpp
+++ b/src/libs/decisions/routing/serverloads.cpp
@@ -48,6 +48,13 @@
     m_loads[id].pausedUntil = deadline;
 }
 
+void ServerLoads::restart(BackendServerId id, std::uint64_t incarnation)
+{
+    Load load;
+    load.report.incarnation = incarnation;
+    m_loads[id] = load;
+}
+
 void ServerLoads::remove(BackendServerId id)
 {
     m_loads.erase(id);
--- a/src/libs/decisions/routing/serverloads.h
+++ b/src/libs/decisions/routing/serverloads.h
@@ -39,6 +39,9 @@
     /// \brief Keeps new work away from \a id until \a deadline.
     void pause(BackendServerId id, Core::TimePoint deadline);
 
+    /// \brief The backend server \a id has started again: nothing of before holds.
+    void restart(BackendServerId id, std::uint64_t incarnation);
+
     /// \brief Forgets the backend server.
     void remove(BackendServerId id);
 
--- a/src/libs/relay/cachewatch.cpp
+++ b/src/libs/relay/cachewatch.cpp
@@ -51,6 +51,13 @@
     return m_isFollowing;
 }
 
+void CacheWatch::restart()
+{
+    ++m_restarts;
+    m_index.clear();
+    m_next = 0;
+}
+
 void CacheWatch::setCapacity(std::uint64_t tokens)
 {
     m_index.setCapacity(tokens);
@@ -59,11 +66,25 @@
 void CacheWatch::ask()
 {
     const Core::TimePoint waitEnd = m_loop.now() + waitTime;
-    m_source.awaitCacheNews(m_address, m_next, waitEnd, waitEnd + answerTime, [this, isAlive = m_isAlive](const Core::Result<CacheNews> &news) {
-        if (*isAlive) {
+    const auto takeIfCurrent = [this, isAlive = m_isAlive, restarts = m_restarts](const Core::Result<CacheNews> &news) {
+        if (!*isAlive) {
+            return;
+        }
+        if (restarts == m_restarts) {
             take(news);
+        } else {
+            m_timer.startAt(m_loop.now());
         }
-    });
+    };
+    m_source.awaitCacheNews(m_address, m_next, waitEnd, waitEnd + answerTime, takeIfCurrent);
+}
+
+// Numbers of events start anew with each incarnation, so that those below the last one that was read would be passed over.
+void CacheWatch::takeFromBeginning()
+{
+    m_index.clear();
+    m_next = 0;
+    m_timer.startAt(m_loop.now());
 }
 
 void CacheWatch::take(const Core::Result<CacheNews> &news)
@@ -77,8 +98,12 @@
         Observe::log(cacheFollowed, {{"cache", m_address}});
     }
     if (news.value().incarnation != m_incarnation) {
-        m_index.clear();
         m_incarnation = news.value().incarnation;
+        if (m_next > 0) {
+            takeFromBeginning();
+            return;
+        }
+        m_index.clear();
     }
     for (const Decisions::PartEvent &event : news.value().events) {
         m_index.take(event);
--- a/src/libs/relay/cachewatch.h
+++ b/src/libs/relay/cachewatch.h
@@ -25,12 +25,16 @@
     /// \brief Whether it answers, so that the index is worth something.
     bool isFollowing() const;
 
+    /// \brief The cache was emptied by a restart; what it says is read again from the beginning.
+    void restart();
+
     /// \brief The cache holds \a tokens at most.
     void setCapacity(std::uint64_t tokens);
 
 private:
     void ask();
     void take(const Core::Result<CacheNews> &news);
+    void takeFromBeginning();
     void noteFailure(const Core::Error &error);
 
     EventLoop::Loop &m_loop;
@@ -41,6 +45,7 @@
     std::shared_ptr<bool> m_isAlive; ///< Answers may come after this is gone.
     std::uint64_t m_next = 0;
     std::uint64_t m_incarnation = 0;
+    std::uint64_t m_restarts = 0; ///< Answers to questions of before the last one are not taken.
     bool m_isFollowing = false;
     bool m_hasFailed = false;
 };
--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -70,7 +70,7 @@
     for (const Store::TableRow &row : page.rows) {
         const auto decoded = m_decoder.decode(m_serversTable, row);
         if (!decoded) {
-            Observe::log(entryRefused, decoded.error(), {{"row", row.key}});
+            refuseEntry(row.key, decoded.error());
         } else if (const auto *server = std::get_if<Decisions::RegisteredServer>(&decoded.value())) {
             servers.push_back(*server);
         }
@@ -84,7 +84,12 @@
 {
     auto decoded = m_decoder.decode(table, row);
     if (!decoded) {
-        Observe::log(table == m_serversTable ? entryRefused : configurationRefused, decoded.error(), {{"row", row.key}});
+        if (table == m_serversTable) {
+            refuseEntry(row.key, decoded.error());
+            m_relay.fleet().servers().remove(row.key, m_loop.now());
+        } else {
+            Observe::log(configurationRefused, decoded.error(), {{"row", row.key}});
+        }
         return;
     }
     DeploymentRow &meaning = decoded.value();
@@ -97,13 +102,22 @@
     } else if (const auto *server = std::get_if<Decisions::RegisteredServer>(&meaning)) {
         takeServer(*server);
     } else if (const auto *removed = std::get_if<RemovedServer>(&meaning)) {
+        m_refused.forget(removed->id);
         m_relay.fleet().servers().remove(removed->id, m_loop.now());
         Observe::log(serverChanged, {{"server", removed->id}, {"change", "entry removed"}, {"revision", std::to_string(row.revision)}});
     }
 }
 
+void DeploymentFeed::refuseEntry(const std::string &id, const Core::Error &error)
+{
+    if (m_refused.isNews(id, error.message)) {
+        Observe::log(entryRefused, error, {{"row", id}});
+    }
+}
+
 void DeploymentFeed::takeServer(const Decisions::RegisteredServer &server)
 {
+    m_refused.forget(server.id);
     Decisions::ServerRegister &servers = m_relay.fleet().servers();
     const std::uint64_t before = servers.revision();
     servers.put(server);
@@ -113,6 +127,7 @@
                 {"change", server.isLeaving ? "leaving" : "registered"},
                 {"service", server.service},
                 {"address", server.address},
+                {"incarnation", std::to_string(server.incarnation)},
                 {"weights", server.weights.empty() ? "" : std::to_string(server.weights.front().version)}});
     }
 }
--- a/src/libs/relay/deploymentfeed.h
+++ b/src/libs/relay/deploymentfeed.h
@@ -2,6 +2,7 @@
 
 #include "deploymentdecoder.h"
 #include "peerrows.h"
+#include "refusedentries.h"
 #include "relaytask.h"
 
 #include <eventloop/timer.h>
@@ -28,6 +29,7 @@
     void sourceRegained(const std::string &table) override;
     void takeRows(const std::string &table, const Store::RowPage &page);
     void takeRow(const std::string &table, const Store::TableRow &row);
+    void refuseEntry(const std::string &id, const Core::Error &error);
     void takeServer(const Decisions::RegisteredServer &server);
     void replaceServers(const Store::RowPage &page);
 
@@ -36,6 +38,7 @@
     const DeploymentDecoder &m_decoder;
     RelayTask &m_relay;
     std::string m_serversTable;
+    RefusedEntries m_refused;
     EventLoop::Timer m_lapseTimer;
     Store::TableFollower m_declarations;
     Store::TableFollower m_servers;
--- a/src/libs/relay/enginewatch.cpp
+++ b/src/libs/relay/enginewatch.cpp
@@ -12,6 +12,7 @@
 Decisions::EngineStatus statusOf(const verbena::wire::EngineNews &news, Core::TimePoint now)
 {
     Decisions::EngineStatus status;
+    status.incarnation = news.incarnation();
     for (const verbena::wire::EngineWeights &weights : news.weights()) {
         status.weights.push_back({weights.model(), weights.version()});
     }
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -252,7 +252,7 @@
         return;
     }
     if (marks.weightsVersion.has_value() && m_query.prompt.has_value()) {
-        m_context.fleet.servers().noteWeights(m_choice->serverId, m_query.prompt->model, *marks.weightsVersion);
+        m_context.fleet.noteWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
     }
     if ((isSuccess(head.status) && !marks.hasReceipt) || isPromise(head.status)) {
         callFailed(CallFailure::Lost, "the answer is not that of a backend server");
@@ -273,11 +273,11 @@
 {
     const bool isOther = !marks.serverId.empty() && marks.serverId != m_choice->serverId;
     if (isOther) {
-        m_context.fleet.servers().noteReplaced(m_choice->serverId);
+        m_context.fleet.noteReplaced(*m_choice);
         Observe::log(serverChanged, {{"server", m_choice->serverId}, {"change", "replaced"}, {"by", marks.serverId}, {"request", m_query.attemptId}});
     }
     if (marks.weightsVersion.has_value() && m_query.prompt.has_value() && !isOther) {
-        m_context.fleet.servers().noteWeights(m_choice->serverId, m_query.prompt->model, *marks.weightsVersion);
+        m_context.fleet.noteWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
     }
     callFailed(CallFailure::NotRun, marks.isMisdirected ? "another backend server or other weights are there" : "refused");
 }
--- a/src/libs/weights/enginecontrol.h
+++ b/src/libs/weights/enginecontrol.h
@@ -15,6 +15,7 @@
 /// \brief What an engine says of itself when it is asked.
 struct EngineReport
 {
+    std::uint64_t incarnation = 0; ///< Tells one start of it from another; 0 if it does not say.
     std::vector<Decisions::ServedWeights> weights;
     bool isCarryingOutOrder = false;
     std::uint64_t acceptedOrders = 0; ///< Since its start.
--- a/src/libs/weights/newspublisher.cpp
+++ b/src/libs/weights/newspublisher.cpp
@@ -65,6 +65,7 @@
     verbena::wire::Envelope message;
     verbena::wire::EngineNews &news = *message.mutable_engine_news();
     news.set_address(m_engineAddress);
+    news.set_incarnation(status.incarnation);
     for (const Decisions::ServedWeights &weights : status.weights) {
         verbena::wire::EngineWeights &entry = *news.add_weights();
         entry.set_model(weights.model);
--- a/src/libs/weights/weightsevents.h
+++ b/src/libs/weights/weightsevents.h
@@ -15,5 +15,7 @@
 inline constexpr Event fenceMissing{3105, Severity::Warning, "fence_missing", "The store gave no number for orders; the order waits."};
 inline constexpr Event declarationsLost{3106, Severity::Warning, "declarations_lost", "The store does not answer; the weights that are known stay."};
 inline constexpr Event declarationsRegained{3107, Severity::Info, "declarations_regained", "The store answers again."};
+inline constexpr Event engineRestarted{
+    3108, Severity::Warning, "engine_restarted", "The engine has started again under its id; nothing of before is believed."};
 
 } // namespace Verbena::Weights
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -192,6 +192,9 @@
 {
     m_isLooking = false;
     noteSilence(!report, report ? nullptr : &report.error());
+    if (report) {
+        noteIncarnation(report.value());
+    }
     const Core::TimePoint next = report ? act(report.value()) : m_loop.now() + retryPeriod;
     if (report) {
         m_lastReport = report.value();
@@ -200,10 +203,26 @@
     lookAt(next);
 }
 
+// An engine that started again has forgotten its orders and its cache.
+void WeightsKeeper::noteIncarnation(const EngineReport &report)
+{
+    const std::uint64_t before = m_lastReport.incarnation;
+    if (before == 0 || report.incarnation == 0 || report.incarnation == before) {
+        return;
+    }
+    Observe::log(engineRestarted, {{"before", std::to_string(before)}, {"now", std::to_string(report.incarnation)}});
+    m_inPlace.clear();
+    for (auto &[model, target] : m_targets) {
+        target.isOrdered = false;
+    }
+    m_cache.restart();
+}
+
 void WeightsKeeper::publish(const EngineReport &report, bool isSilent)
 {
     Decisions::EngineStatus status;
     status.isSilent = isSilent;
+    status.incarnation = report.incarnation;
     status.weights = report.weights;
     // An order that is on its way counts as carried out: requests that come now would wait for it.
     status.isLoading = report.isCarryingOutOrder || m_isLooking;
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -63,6 +63,7 @@
     void planAmong(const std::string &model, Core::TimePoint namedAt, const Core::Result<Store::RowPage> &page);
     void look();
     void takeReport(const Core::Result<EngineReport> &report);
+    void noteIncarnation(const EngineReport &report);
     void publish(const EngineReport &report, bool isSilent);
     void noteSilence(bool isSilent, const Core::Error *error);
     Core::TimePoint act(const EngineReport &report);
--- a/tests/auto/platform/tst_platformstore.cpp
+++ b/tests/auto/platform/tst_platformstore.cpp
@@ -70,6 +70,18 @@
     EXPECT_EQ(changes.value().rows[1].value, "\"two\"");
 }
 
+// One row that nobody can read must not hide the others.
+TEST_F(PlatformStoreTest, readsTheOtherRowsBesideOneThatCannotBeRead)
+{
+    m_standin.put("op", "a", "one");
+    m_standin.putEncoded("op", "b", "%%% no base64 %%%");
+    const auto page = read();
+    ASSERT_TRUE(page) << page.error().message;
+    ASSERT_EQ(page.value().rows.size(), 2U);
+    EXPECT_EQ(page.value().rows[0].value, "\"one\"");
+    EXPECT_EQ(page.value().rows[1].value, "");
+}
+
 TEST_F(PlatformStoreTest, saysThatHistoryIsLost)
 {
     m_standin.put("op", "a", "one");
--- a/tests/auto/platform/tst_translation.cpp
+++ b/tests/auto/platform/tst_translation.cpp
@@ -5,6 +5,7 @@
 #include <support/temporaryfolder.h>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include <algorithm>
@@ -182,6 +183,68 @@
     EXPECT_TRUE(std::holds_alternative<std::monostate>(decoder.decode("op", {"other", "{", 3, false}).value()));
 }
 
+nlohmann::json registeredEntry()
+{
+    return nlohmann::json::parse(
+        R"({"service":"s1","address":"1.2.3.4:5","zone":"hall","version":"v1","slots":96,"phase":"ready","coldLeftMs":0,"stage":"combined",)"
+        R"("models":[{"name":"m","version":3,"adapters":[]}],"sequence":4,"born":1770000000123})");
+}
+
+TEST(PlatformDecoderTest, readsWhichStartAnEntryIsOf)
+{
+    const auto server = PlatformDecoder().decode("servers", {"i-1", registeredEntry().dump(), 1, false});
+    ASSERT_TRUE(server) << server.error().message;
+    EXPECT_EQ(std::get<Decisions::RegisteredServer>(server.value()).incarnation, 1'770'000'000'123U);
+}
+
+TEST(PlatformDecoderTest, takesNoServerFromAnEntryThatNobodyOfOursWrote)
+{
+    const PlatformDecoder decoder;
+    const auto isTaken = [&decoder](const nlohmann::json &entry) {
+        return static_cast<bool>(decoder.decode("servers", {"i-1", entry.dump(), 1, false}));
+    };
+    for (const auto &[key, value] : std::vector<std::pair<std::string, nlohmann::json>>{{"phase", "resting"},
+             {"service", ""},
+             {"address", "nowhere"},
+             {"slots", -1},
+             {"slots", 1e300},
+             {"slots", "96"},
+             {"born", 12.5},
+             {"born", "yesterday"},
+             {"models", nlohmann::json::object()},
+             {"models", {{{"name", 7}, {"version", 1}}}},
+             {"models", {{{"name", "m"}, {"version", -3}}}},
+             {"models", {"m"}}}) {
+        nlohmann::json entry = registeredEntry();
+        entry[key] = value;
+        EXPECT_FALSE(isTaken(entry)) << entry.dump();
+    }
+    EXPECT_FALSE(isTaken(nlohmann::json::array()));
+    EXPECT_FALSE(isTaken("text"));
+    EXPECT_FALSE(decoder.decode("servers", {"i-1", "\xff\xfe{", 1, false}));
+    EXPECT_FALSE(decoder.decode("servers", {"i-1", "", 1, false}));
+}
+
+// Any one field that is missing or of another type makes the entry somebody else's.
+TEST(PlatformDecoderTest, takesNoServerFromAnEntryWithOneFieldWrong)
+{
+    EXPECT_TRUE(rc::check([] {
+        const std::vector<std::string> needed{"service", "address", "zone", "slots", "phase", "sequence"};
+        const std::vector<nlohmann::json> others{nullptr, true, -7, 2.5, nlohmann::json::array({1}), nlohmann::json::object({{"a", 1}}), "some text"};
+        nlohmann::json entry = registeredEntry();
+        const std::string &key = needed[*rc::gen::inRange<std::size_t>(0, needed.size())];
+        const std::size_t way = *rc::gen::inRange<std::size_t>(0, others.size() + 1);
+        if (way == others.size()) {
+            entry.erase(key);
+        } else {
+            // Names of services and failure domains may be any text.
+            RC_PRE(!(others[way].is_string() && (key == "service" || key == "zone")));
+            entry[key] = others[way];
+        }
+        RC_ASSERT(!PlatformDecoder().decode("servers", {"i-1", entry.dump(), 1, false}));
+    }));
+}
+
 TEST(PlatformDecoderTest, namesTheRowThatItCannotUnderstand)
 {
     const auto row = PlatformDecoder().decode("op", {"config", R"({"version":"seven","routes":[],"services":[]})", 1, false});
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -58,6 +58,7 @@
 {
     if (head.target == "/report") {
         const json report{{"models", {{{"name", model}, {"version", m_version}}}},
+            {"born", 1'770'000'000'000},
             {"busy", false},
             {"sequence", m_orders.size()},
             {"queued", 0},
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -48,13 +48,19 @@
 
 void StoreStandin::put(const std::string &table, const std::string &key, const json &value)
 {
-    m_tables[table][key] = {value.dump(), ++m_version, false};
+    m_tables[table][key] = {value.dump(), ++m_version, false, ""};
+    tellFollowers();
+}
+
+void StoreStandin::putEncoded(const std::string &table, const std::string &key, const std::string &encoded)
+{
+    m_tables[table][key] = {"", ++m_version, false, encoded};
     tellFollowers();
 }
 
 void StoreStandin::remove(const std::string &table, const std::string &key)
 {
-    m_tables[table][key] = {"", ++m_version, true};
+    m_tables[table][key] = {"", ++m_version, true, ""};
     tellFollowers();
 }
 
@@ -98,7 +104,7 @@
     if (row.isDeleted) {
         object["deleted"] = true;
     } else {
-        object["value"] = encodeBase64(row.value);
+        object["value"] = row.encoded.empty() ? encodeBase64(row.value) : row.encoded;
     }
     return object;
 }
@@ -158,7 +164,7 @@
     const json body = json::parse(exchange->body());
     ++m_version;
     for (const json &entry : body.value("put", json::array())) {
-        m_tables[entry.at("table").get<std::string>()][entry.at("key").get<std::string>()] = {"", m_version, false};
+        m_tables[entry.at("table").get<std::string>()][entry.at("key").get<std::string>()] = {"", m_version, false, ""};
     }
     respond(exchange, 200, {{"ver", m_version}, {"nowMs", 1}});
     tellFollowers();
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -36,6 +36,9 @@
     void put(const std::string &table, const std::string &key, const nlohmann::json &value);
     void remove(const std::string &table, const std::string &key);
 
+    /// \brief Another writer's row, whose value is \a encoded as it goes over the wire.
+    void putEncoded(const std::string &table, const std::string &key, const std::string &encoded);
+
     /// \brief Forgets what changed so far, so that followers have to read whole tables.
     void compact();
 
@@ -52,6 +55,7 @@
         std::string value;
         std::uint64_t version = 0;
         bool isDeleted = false;
+        std::string encoded; ///< In place of the value's own encoding, if there is one.
     };
 
     struct Follower
