Read the register less often the more routers there are

Change: from nine routers on all together ask as often as eight would; one second at most, half of what a leaving server grants. Small deployments have five routers at most: nothing changes.

--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -2,6 +2,7 @@
 
 #include "relayevents.h"
 
+#include <decisions/relay/registerpace.h>
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
 
@@ -14,9 +15,6 @@
 // Changes of the configuration are taken at once.
 constexpr milliseconds declarationsPause{0};
 
-// Backend servers write often; a router that learns of one a quarter of a second late still has most of the time that a leaving one leaves.
-constexpr milliseconds serversPause{250};
-
 // Entries that lapsed in an outage are back about two seconds after it.
 constexpr milliseconds lapseTime{2000};
 
@@ -35,7 +33,7 @@
               }
           })
     , m_declarations(loop, source, decoder.tables().declarations, declarationsPause, *this)
-    , m_servers(loop, source, m_serversTable, serversPause, *this)
+    , m_servers(loop, source, m_serversTable, Decisions::registerPause(1), *this)
 {
 }
 
@@ -54,6 +52,9 @@
 void DeploymentFeed::changeRows(const std::string &table, const Store::RowPage &page)
 {
     m_mirror.change(table, page);
+    if (table == m_serversTable) {
+        m_servers.setPause(Decisions::registerPause(m_relay.routerCount()));
+    }
     takeRows(table, page);
 }
 
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -69,9 +69,14 @@
     for (const std::string &address : addresses) {
         m_routers.note(address, now);
     }
-    const std::uint32_t count = m_routers.count(now);
-    m_budget.setRouterCount(count);
-    m_fleet.setRouterCount(count);
+    m_routerCount = m_routers.count(now);
+    m_budget.setRouterCount(m_routerCount);
+    m_fleet.setRouterCount(m_routerCount);
+}
+
+std::uint32_t RelayTask::routerCount() const
+{
+    return m_routerCount;
 }
 
 Observe::Metrics &RelayTask::metrics()
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -46,6 +46,9 @@
     /// \brief An agent named the routers at \a addresses, this one among them.
     void noteRouters(const std::vector<std::string> &addresses);
 
+    /// \brief Routers that agents named lately, this one among them.
+    std::uint32_t routerCount() const;
+
     Observe::Metrics &metrics();
 
     /// \brief Whether new callers are welcome.
@@ -79,6 +82,7 @@
     const RelayProtocol &m_protocol;
     Decisions::RelayFleet m_fleet;
     Decisions::ResendBudget m_budget;
+    std::uint32_t m_routerCount = 1;
     Decisions::RouterCensus m_routers;
     Decisions::RandomSource m_random;
     Observe::Metrics m_metrics;
--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -40,6 +40,11 @@
     *m_isAlive = false;
 }
 
+void TableFollower::setPause(milliseconds pause)
+{
+    m_pause = pause;
+}
+
 std::uint64_t TableFollower::revision() const
 {
     return m_revision;
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -41,6 +41,9 @@
     TableFollower(const TableFollower &) = delete;
     TableFollower &operator=(const TableFollower &) = delete;
 
+    /// \brief Asks at most once in \a pause from now on.
+    void setPause(std::chrono::milliseconds pause);
+
     /// \brief The revision up to which the table is known; 0 before it was read once.
     std::uint64_t revision() const;
 
