--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -254,18 +254,6 @@
     return addresses;
 }
 
-std::vector<std::string> RelayFleet::silentEngineAddresses(Core::TimePoint now) const
-{
-    std::vector<std::string> addresses;
-    for (const auto &[id, server] : m_register.servers()) {
-        const auto heard = m_heard.find(backendServerId(id));
-        if (!server.weights.empty() && (heard == m_heard.end() || now >= heard->second.deadline)) {
-            addresses.push_back(server.address);
-        }
-    }
-    return addresses;
-}
-
 void RelayFleet::setStoreIndex(const PartIndex *index)
 {
     m_caches.setStore(index);
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -88,9 +88,6 @@
     /// \brief Addresses of all engines, whose agents can be asked.
     std::vector<std::string> engineAddresses() const;
 
-    /// \brief Addresses of the engines of which nothing was heard of late.
-    std::vector<std::string> silentEngineAddresses(Core::TimePoint now) const;
-
     /// \brief Where to send a request, or nothing if no backend server can take it now.
     ///
     /// While new weights are brought to the fleet, those engines that have them are few and cold, and the others warm. A request that would have to wait
--- a/src/libs/relay/enginewatch.cpp
+++ b/src/libs/relay/enginewatch.cpp
@@ -9,10 +9,6 @@
 // Well within the time for which agents remember who asked.
 constexpr std::chrono::milliseconds askPeriod{1200};
 
-// An agent that has started again does not know who asked before, and a router that has knows no engine when it asks first. Without news it cannot tell a full
-// engine from an idle one: in the first 4 s after a restart of all processes callers got 0.877 of what they were owed in place of 0.861 (means of 9 days).
-constexpr std::chrono::milliseconds askSilentPeriod{200};
-
 Decisions::EngineStatus statusOf(const verbena::wire::EngineNews &news, Core::TimePoint now)
 {
     Decisions::EngineStatus status;
@@ -64,19 +60,16 @@
 
 void EngineWatch::ask()
 {
-    const Core::TimePoint now = m_loop.now();
-    const bool isAllDue = now >= m_nextAll;
-    m_nextAll = isAllDue ? now + askPeriod : m_nextAll;
     verbena::wire::Envelope message;
     message.mutable_engine_watch();
-    for (const std::string &address : isAllDue ? m_relay.fleet().engineAddresses() : m_relay.fleet().silentEngineAddresses(now)) {
+    for (const std::string &address : m_relay.fleet().engineAddresses()) {
         auto agent = Http::Endpoint::parse(address);
         if (agent) {
             agent.value().address.sin_port = m_address.address.sin_port;
             m_socket->send(agent.value().address, message);
         }
     }
-    m_timer.startAt(now + askSilentPeriod);
+    m_timer.startAt(m_loop.now() + askPeriod);
 }
 
 void EngineWatch::take(const verbena::wire::Envelope &message)
--- a/src/libs/relay/enginewatch.h
+++ b/src/libs/relay/enginewatch.h
@@ -31,7 +31,6 @@
     Http::Endpoint m_address;
     RelayTask &m_relay;
     PeerRows &m_peers;
-    Core::TimePoint m_nextAll{}; ///< When all agents are asked again.
     EventLoop::Timer m_timer;
     std::unique_ptr<Wire::DatagramSocket> m_socket;
 };
