Use every store of kept KV cache, each in the failure domain of its prompts' homes

Cause: large deployments declare three or six stores, and a router used the last one only: its room (3.3 of 20 million tokens) and its link bound all prompts. Each prompt now has one store, computed from its shared parts; homes and store of a prompt lie in one failure domain, chosen in proportion to the engines of each. A prompt that a router saw once in a large fleet no longer counts as hot.

Tests: RelayFleetTest.spreadsPromptsOverAllStores, looksForAPromptAtOneStoreOnly, keepsAPromptsHomeAndItsStoreInOneFailureDomain, RouteChooser.KeepsAPromptAtOneHomeUntilItIsAskedForOften.

--- a/src/libs/decisions/relay/promptcaches.cpp
+++ b/src/libs/decisions/relay/promptcaches.cpp
@@ -44,14 +44,14 @@
     std::erase_if(m_engines, [&isGone](const auto &entry) { return isGone(entry.first); });
 }
 
-void PromptCaches::setStore(const PartIndex *index)
+CacheStores &PromptCaches::stores()
 {
-    m_store = index;
+    return m_stores;
 }
 
-const PartIndex *PromptCaches::store() const
+const CacheStores &PromptCaches::stores() const
 {
-    return m_store;
+    return m_stores;
 }
 
 bool PromptCaches::isKept(const Engine &engine, BackendServerId id, PartKey part, Core::TimePoint now) const
@@ -73,18 +73,18 @@
     return static_cast<std::uint32_t>(missing - parts.begin());
 }
 
-std::uint32_t PromptCaches::storedParts(const std::vector<SharedPart> &parts) const
+std::uint32_t PromptCaches::storedParts(const CacheStore *store, const std::vector<SharedPart> &parts)
 {
-    if (m_store == nullptr) {
+    if (store == nullptr) {
         return 0;
     }
-    const auto missing = std::find_if(parts.begin(), parts.end(), [this](const SharedPart &part) { return !m_store->contains(part.key); });
+    const auto missing = std::find_if(parts.begin(), parts.end(), [store](const SharedPart &part) { return !store->index->contains(part.key); });
     return static_cast<std::uint32_t>(missing - parts.begin());
 }
 
-std::uint32_t PromptCaches::warmAnywhere(const std::vector<SharedPart> &parts, Core::TimePoint now) const
+std::uint32_t PromptCaches::warmAnywhere(const CacheStore *store, const std::vector<SharedPart> &parts, Core::TimePoint now) const
 {
-    const std::uint32_t stored = storedParts(parts);
+    const std::uint32_t stored = storedParts(store, parts);
     const std::optional<BackendServerId> engine = holder(parts, stored, now);
     return engine.has_value() ? *warmParts(*engine, parts, now) : stored;
 }
--- a/src/libs/decisions/relay/promptcaches.h
+++ b/src/libs/decisions/relay/promptcaches.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cachestores.h"
 #include "partindex.h"
 
 #include <core/time.h>
@@ -39,20 +40,18 @@
     /// \brief Forgets the engines for which \a isGone is true.
     void forget(const std::function<bool(BackendServerId)> &isGone);
 
-    /// \brief The store of kept KV cache holds what \a index says; nothing if it cannot be relied on. The index has to live until the next call.
-    void setStore(const PartIndex *index);
-
-    /// \brief What the store holds, or nothing.
-    const PartIndex *store() const;
+    /// \brief The stores of kept KV cache.
+    CacheStores &stores();
+    const CacheStores &stores() const;
 
     /// \brief How many leading ones of \a parts the engine \a id keeps; nothing if there are no news of it.
     std::optional<std::uint32_t> warmParts(BackendServerId id, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
 
-    /// \brief How many leading ones of \a parts the store holds.
-    std::uint32_t storedParts(const std::vector<SharedPart> &parts) const;
+    /// \brief How many leading ones of \a parts \a store holds; none without a store.
+    static std::uint32_t storedParts(const CacheStore *store, const std::vector<SharedPart> &parts);
 
-    /// \brief The most leading ones of \a parts that the store or any engine has.
-    std::uint32_t warmAnywhere(const std::vector<SharedPart> &parts, Core::TimePoint now) const;
+    /// \brief The most leading ones of \a parts that \a store or any engine has.
+    std::uint32_t warmAnywhere(const CacheStore *store, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
 
     /// \brief The engine that keeps most leading ones of \a parts, if those are more than \a least.
     std::optional<BackendServerId> holder(const std::vector<SharedPart> &parts, std::uint32_t least, Core::TimePoint now) const;
@@ -75,7 +74,7 @@
 
     std::unordered_map<BackendServerId, Engine> m_engines;
     std::unordered_map<PartKey, Sent> m_sent;
-    const PartIndex *m_store = nullptr;
+    CacheStores m_stores;
 };
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/relayconfiguration.h
+++ b/src/libs/decisions/relay/relayconfiguration.h
@@ -50,6 +50,7 @@
     std::string name;
     std::uint32_t engineSlots = 0; ///< Requests that one engine runs at once; 0 for a plain service.
     std::string cacheStore; ///< Address of the store of kept KV cache; empty if the service is none.
+    std::string failureDomain; ///< Of the store.
     std::uint64_t cacheTokens = 0; ///< That an engine or the store can keep.
 };
 
--- a/src/libs/decisions/relay/relaydirectory.cpp
+++ b/src/libs/decisions/relay/relaydirectory.cpp
@@ -31,7 +31,7 @@
     }
     for (const RelayService &service : m_configuration.services) {
         if (!service.cacheStore.empty()) {
-            m_cacheStore = &service;
+            m_cacheStores.push_back(&service);
         }
     }
 }
@@ -92,9 +92,9 @@
     return route.services.back().service;
 }
 
-const RelayService *RelayDirectory::cacheStore() const
+const std::vector<const RelayService *> &RelayDirectory::cacheStores() const
 {
-    return m_cacheStore;
+    return m_cacheStores;
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/relaydirectory.h
+++ b/src/libs/decisions/relay/relaydirectory.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace Verbena::Decisions {
 
@@ -32,8 +33,8 @@
     /// \brief The service of \a route for a request that drew \a draw, evenly spread over all numbers.
     static const std::string &service(const RelayRoute &route, std::uint64_t draw);
 
-    /// \brief The store of kept KV cache, or nothing if there is none.
-    const RelayService *cacheStore() const;
+    /// \brief The stores of kept KV cache.
+    const std::vector<const RelayService *> &cacheStores() const;
 
 private:
     struct TextHash
@@ -50,7 +51,7 @@
     RelayConfiguration m_configuration;
     TextMap<TextMap<const RelayRoute *>> m_routes; ///< By host, then by prefix.
     TextMap<const RelayOrganisation *> m_organisations; ///< By key.
-    const RelayService *m_cacheStore = nullptr;
+    std::vector<const RelayService *> m_cacheStores;
 };
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <numeric>
 
 namespace Verbena::Decisions {
@@ -145,6 +147,7 @@
     }
     m_followedRevision = m_register.revision();
     m_versions.clear();
+    m_domains.clear();
     m_idsByAddress.clear();
     std::vector<BackendServer> fleet;
     for (const auto &[id, registered] : m_register.servers()) {
@@ -164,6 +167,7 @@
         for (const ServedWeights &weights : registered.weights) {
             server.served.push_back({poolName(registered.service, weights.model), "", std::to_string(weights.version)});
             ++m_versions[{registered.service, weights.model}][weights.version];
+            ++m_domains[{registered.service, weights.model}][registered.failureDomain];
         }
         if (registered.weights.empty()) {
             server.service = registered.service;
@@ -254,9 +258,15 @@
     return addresses;
 }
 
-void RelayFleet::setStoreIndex(const PartIndex *index)
+CacheStores &RelayFleet::cacheStores()
 {
-    m_caches.setStore(index);
+    return m_caches.stores();
+}
+
+// The deepest of its shared parts tells a prompt's store, in every version of the weights and without what belongs to the request alone.
+const CacheStore *RelayFleet::storeOf(const FleetChoice &choice) const
+{
+    return choice.route.keys.empty() || !isWorthMoving(choice.parts) ? nullptr : m_caches.stores().storeOf(choice.route.keys.back(), choice.route.homeDomain);
 }
 
 // A part that is short is read sooner than it is fetched: transfers of an engine run one after the other, and a long prompt's takes up to a tenth of a
@@ -279,13 +289,9 @@
 
 // A full store drops something useful for each prompt that it takes, and half of what it takes belongs to one request alone. Letting in only one of
 // several keeps what is asked for again and again; right after new weights, when all that it holds is void, it takes all.
-bool RelayFleet::isWorthSaving(const FleetQuery &query, Core::TimePoint now) const
+bool RelayFleet::isWorthSaving(const PartIndex &store, const FleetQuery &query, Core::TimePoint now) const
 {
-    const PartIndex *store = m_caches.store();
-    if (store == nullptr) {
-        return false;
-    }
-    const bool hasRoom = static_cast<double>(store->tokens()) < fullStore * static_cast<double>(store->capacity());
+    const bool hasRoom = static_cast<double>(store.tokens()) < fullStore * static_cast<double>(store.capacity());
     return isRefilling(query, now) || hasRoom || query.draw / saveDrawDivisor % savesOneOf == 0;
 }
 
@@ -308,9 +314,29 @@
     return candidate.wait + candidate.prefill + (candidate.origin == CandidateOrigin::Home ? microseconds(0) : awayFromHome);
 }
 
-RouteCandidate RelayFleet::bestOf(const RouteDecision &decision, const std::vector<SharedPart> &parts, Core::TimePoint now) const
+// The engine asks the store for what it lacks, even if the agent said that it lacks nothing: a question in vain costs a millisecond, reading a part
+// again a hundred. What the store has needs not to be saved: with each part it would also get the one that belongs to this request alone, and drop for
+// it what others miss.
+void RelayFleet::settleCaches(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
+{
+    const CacheStore *store = storeOf(choice);
+    choice.storedParts = PromptCaches::storedParts(store, choice.parts);
+    choice.cacheSource = isRefilling(query, now) ? holderOf(choice, now) : "";
+    if (store == nullptr) {
+        return;
+    }
+    if (choice.cacheSource.empty()) {
+        choice.cacheSource = store->address;
+    }
+    if (choice.storedParts < choice.parts.size() && isWorthSaving(*store->index, query, now)) {
+        choice.cacheStore = store->address;
+    }
+}
+
+RouteCandidate RelayFleet::bestOf(const RouteDecision &decision, const FleetChoice &choice, Core::TimePoint now) const
 {
-    const std::uint32_t anywhere = m_caches.warmAnywhere(parts, now);
+    const std::vector<SharedPart> &parts = choice.parts;
+    const std::uint32_t anywhere = m_caches.warmAnywhere(storeOf(choice), parts, now);
     RouteCandidate best = decision.candidates.front();
     microseconds lowest = cost(best, parts, anywhere, now);
     for (RouteCandidate candidate : decision.candidates) {
@@ -401,6 +427,27 @@
         route.keys.push_back(key);
         choice.parts.push_back({partKey(choice.cacheScope, shared.id), shared.tokens});
     }
+    if (m_caches.stores().isAny() && isWorthMoving(choice.parts)) {
+        route.homeDomain = homeDomain(query, key);
+    }
+}
+
+// The failure domain in which a prompt is at home, with a part of all prompts that is each domain's part of the engines. With its store there too, what is
+// saved and fetched stays inside.
+std::string RelayFleet::homeDomain(const FleetQuery &query, PrefixKey prompt) const
+{
+    std::string home;
+    double lowest = std::numeric_limits<double>::infinity();
+    for (const auto &[domain, engines] : m_domains.at({query.service, query.prompt->model})) {
+        const std::uint64_t hash = XXH3_64bits_withSeed(domain.data(), domain.size(), static_cast<std::uint64_t>(prompt));
+        // Weighted rendezvous hashing: a domain that grows takes prompts from all others alike.
+        const double distance = -std::log((static_cast<double>(hash >> 11) + 1) * 0x1p-53) / static_cast<double>(engines);
+        if (distance < lowest) {
+            lowest = distance;
+            home = domain;
+        }
+    }
+    return home;
 }
 
 RouteDecision RelayFleet::candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
@@ -439,10 +486,7 @@
     const std::uint32_t ownTokens = query.prompt->parts.empty() ? query.prompt->promptTokens : query.prompt->parts.back().tokens;
     choice.work = best.prefill + microseconds(1000) * (ownTokens / tokensPerMillisecond);
     choice.warmParts = best.warmPieces;
-    choice.isStoreKnown = m_caches.store() != nullptr && isWorthMoving(choice.parts);
-    choice.storedParts = m_caches.storedParts(choice.parts);
-    choice.isWorthSaving = isWorthSaving(query, now);
-    choice.holder = isRefilling(query, now) ? holderOf(choice, now) : "";
+    settleCaches(choice, query, now);
     estimate(choice, query, now);
 }
 
@@ -470,7 +514,7 @@
     if (decision.candidates.empty()) {
         return std::nullopt;
     }
-    settle(choice, choice.parts.empty() ? decision.candidates.front() : bestOf(decision, choice.parts, now), query, now);
+    settle(choice, choice.parts.empty() ? decision.candidates.front() : bestOf(decision, choice, now), query, now);
     return choice;
 }
 
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -38,10 +38,9 @@
     std::string cacheScope; ///< Prompts of other scopes share no cached part with this one.
     std::vector<SharedPart> parts; ///< Of the prompt, in order; without the last one, which is the request's own.
     std::uint32_t warmParts = 0; ///< Leading ones believed to be in its cache.
-    std::uint32_t storedParts = 0; ///< Leading ones that the store of kept KV cache holds.
-    std::string holder; ///< Address of an engine that keeps more leading parts than both; empty if there is none.
-    bool isStoreKnown = false; ///< Whether storedParts can be relied on.
-    bool isWorthSaving = false; ///< Whether the store should get what it lacks.
+    std::uint32_t storedParts = 0; ///< Leading ones that the prompt's store of kept KV cache holds.
+    std::string cacheSource; ///< Address of an engine or a store, to fetch missing parts from; empty for none.
+    std::string cacheStore; ///< Address of the store that should get what it lacks; empty for none.
     BackendServerId id{};
     std::uint64_t incarnation = 0; ///< Of the backend server when it was chosen.
     RouteQuery route;
@@ -82,8 +81,8 @@
     /// \brief The agent beside the engine at \a address said how it is; believed for a moment.
     void noteStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now);
 
-    /// \brief The store of kept KV cache holds what \a index says; nothing if it cannot be relied on. The index has to live until the next call.
-    void setStoreIndex(const PartIndex *index);
+    /// \brief The stores of kept KV cache, to be kept up to date by who follows them.
+    CacheStores &cacheStores();
 
     /// \brief Addresses of all engines, whose agents can be asked.
     std::vector<std::string> engineAddresses() const;
@@ -139,12 +138,15 @@
     static bool isBearable(const FleetChoice &choice);
     static bool isBetter(const FleetChoice &choice, const FleetChoice &other);
     void settle(FleetChoice &choice, const RouteCandidate &best, const FleetQuery &query, Core::TimePoint now) const;
-    RouteCandidate bestOf(const RouteDecision &decision, const std::vector<SharedPart> &parts, Core::TimePoint now) const;
+    const CacheStore *storeOf(const FleetChoice &choice) const;
+    std::string homeDomain(const FleetQuery &query, PrefixKey prompt) const;
+    RouteCandidate bestOf(const RouteDecision &decision, const FleetChoice &choice, Core::TimePoint now) const;
     std::chrono::microseconds cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const;
     static bool isWorthMoving(const std::vector<SharedPart> &parts);
     bool isRefilling(const FleetQuery &query, Core::TimePoint now) const;
-    bool isWorthSaving(const FleetQuery &query, Core::TimePoint now) const;
+    bool isWorthSaving(const PartIndex &store, const FleetQuery &query, Core::TimePoint now) const;
     std::string holderOf(const FleetChoice &choice, Core::TimePoint now) const;
+    void settleCaches(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     std::uint32_t presentlyWaiting(const Heard &heard) const;
     void estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     void excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const;
@@ -155,6 +157,7 @@
     WeightsLimits m_weightsLimits;
     std::map<std::string, WeightsHistory> m_weights; ///< By model.
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, std::size_t>> m_versions; ///< By service and model.
+    std::map<std::pair<std::string, std::string>, std::map<std::string, std::size_t>> m_domains; ///< Engines by service and model, then by failure domain.
     std::unordered_map<BackendServerId, Heard> m_heard;
     std::unordered_map<BackendServerId, std::uint32_t> m_failures; ///< Connections that failed since the last answer.
     PromptCaches m_caches;
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -16,6 +16,9 @@
 constexpr double sharedDemand = 0.7;
 // Of the work of an average backend server: a prefix in more demand is handed over to deeper ones, or shared by several homes.
 constexpr double homePart = 1.0;
+// Requests that say something of how much a prefix is asked for. In a large fleet a router sends each backend server less than one request in the time that
+// is counted, and each prompt that it sees once would seem to be in more demand than that.
+constexpr double leastHotDemand = 4;
 // Where demand falls by this factor, a shared prefix ends and a deeper one begins.
 constexpr double branchFactor = 1.2;
 constexpr std::size_t maximumHolders = 4;
@@ -38,11 +41,13 @@
 {
     std::map<ModelVersion, std::vector<BackendServerId>> models;
     std::map<std::string, std::vector<BackendServerId>> services;
+    std::map<std::pair<ModelVersion, std::string>, std::vector<BackendServerId>> domains;
     std::unordered_map<BackendServerId, BackendServer> known;
     for (BackendServer &server : servers) {
         if (server.state == BackendServerState::Live) {
             for (const ModelVersion &version : server.served) {
                 models[version].push_back(server.id);
+                domains[{version, server.failureDomain}].push_back(server.id);
             }
             if (!server.service.empty()) {
                 services[server.service].push_back(server.id);
@@ -61,6 +66,10 @@
     m_servers = std::move(known);
     setPools(m_models, models);
     setPools(m_services, services);
+    m_domains.clear();
+    for (const auto &[domain, ids] : domains) {
+        m_domains[domain] = Placement(ids);
+    }
 }
 
 template<typename Key>
@@ -165,6 +174,13 @@
     return found == m_models.end() ? nullptr : &found->second;
 }
 
+// Where the homes of the prompt are: in its own failure domain as long as that has any backend server for it.
+const Placement &RouteChooser::homePlacement(const Search &search) const
+{
+    const auto domain = m_domains.find({search.query.version, search.query.homeDomain});
+    return domain == m_domains.end() ? search.pool.placement : domain->second;
+}
+
 RouteDecision RouteChooser::choose(const RouteQuery &query, Core::TimePoint now) const
 {
     const Pool *pool = poolFor(query);
@@ -239,7 +255,7 @@
 std::size_t RouteChooser::homeCount(const Search &search, double demand) const
 {
     const double perServer = search.pool.demand.at(search.now) / static_cast<double>(search.pool.placement.members().size());
-    if (demand <= perServer * homePart) {
+    if (demand < leastHotDemand || demand <= perServer * homePart) {
         return 1;
     }
     const double homes = std::ceil(demand / (perServer * homePart));
@@ -304,7 +320,7 @@
 void RouteChooser::addHomes(Search &search, const Level &level, CandidateOrigin origin) const
 {
     std::size_t left = level.width;
-    for (const BackendServerId id : search.pool.placement.ranks(level.key, level.width + spareRanks)) {
+    for (const BackendServerId id : homePlacement(search).ranks(level.key, level.width + spareRanks)) {
         if (left > 0 && isUsable(id, search.query, search.now)) {
             --left;
             addCandidate(search, id, origin, m_options.isProbing || origin != CandidateOrigin::Home ? 0 : level.pieces);
@@ -316,7 +332,7 @@
 void RouteChooser::addSpares(Search &search, const Level &level) const
 {
     std::size_t left = spareCount;
-    for (const BackendServerId id : search.pool.placement.ranks(level.key, level.width + spareRanks)) {
+    for (const BackendServerId id : homePlacement(search).ranks(level.key, level.width + spareRanks)) {
         left -= left > 0 && addCandidate(search, id, CandidateOrigin::Spare, 0) ? 1 : 0;
     }
 }
--- a/src/libs/decisions/routing/routechooser.h
+++ b/src/libs/decisions/routing/routechooser.h
@@ -97,6 +97,7 @@
     template<typename Key>
     static void setPools(std::map<Key, Pool> &pools, const std::map<Key, std::vector<BackendServerId>> &members);
     const Pool *poolFor(const RouteQuery &query) const;
+    const Placement &homePlacement(const Search &search) const;
     Level homeLevel(const Search &search) const;
     std::size_t homeCount(const Search &search, double demand) const;
     std::optional<Level> deeperLevel(const Search &search, const Level &level) const;
@@ -117,6 +118,7 @@
     RoutingOptions m_options;
     std::unordered_map<BackendServerId, BackendServer> m_servers;
     std::map<ModelVersion, Pool> m_models;
+    std::map<std::pair<ModelVersion, std::string>, Placement> m_domains; ///< By model version and failure domain.
     std::map<std::string, Pool> m_services;
     ServerLoads m_loads;
     KeyTable m_keys;
--- a/src/libs/relay/cachewatch.cpp
+++ b/src/libs/relay/cachewatch.cpp
@@ -5,6 +5,8 @@
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
 
+#include <algorithm>
+
 namespace Verbena::Relay {
 
 using std::chrono::milliseconds;
@@ -18,7 +20,7 @@
 constexpr milliseconds answerTime{500};
 
 // Changes come together in groups, so that a busy cache is not asked for each.
-constexpr milliseconds pause{200};
+constexpr milliseconds shortestPause{200};
 
 // Until a failed question is asked again; longer if the cache said that too many ask.
 constexpr milliseconds retryPeriod{500};
@@ -30,6 +32,7 @@
     : m_loop(loop)
     , m_source(source)
     , m_address(address)
+    , m_pause(shortestPause)
     , m_timer(loop, [this] { ask(); })
     , m_isAlive(std::make_shared<bool>(true))
 {
@@ -58,6 +61,11 @@
     m_next = 0;
 }
 
+void CacheWatch::setPause(milliseconds pause)
+{
+    m_pause = std::max(shortestPause, pause);
+}
+
 void CacheWatch::setCapacity(std::uint64_t tokens)
 {
     m_index.setCapacity(tokens);
@@ -110,7 +118,7 @@
     }
     m_next = news.value().next;
     m_isFollowing = true;
-    m_timer.startAt(m_loop.now() + pause);
+    m_timer.startAt(m_loop.now() + m_pause);
 }
 
 void CacheWatch::noteFailure(const Core::Error &error)
--- a/src/libs/relay/cachewatch.h
+++ b/src/libs/relay/cachewatch.h
@@ -28,6 +28,9 @@
     /// \brief The cache was emptied by a restart; what it says is read again from the beginning.
     void restart();
 
+    /// \brief From an answer to the next question there are at least \a pause from now on.
+    void setPause(std::chrono::milliseconds pause);
+
     /// \brief The cache holds \a tokens at most.
     void setCapacity(std::uint64_t tokens);
 
@@ -40,6 +43,7 @@
     EventLoop::Loop &m_loop;
     CacheNewsSource &m_source;
     std::string m_address;
+    std::chrono::milliseconds m_pause;
     EventLoop::Timer m_timer;
     Decisions::PartIndex m_index;
     std::shared_ptr<bool> m_isAlive; ///< Answers may come after this is gone.
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -205,26 +205,14 @@
     context.timeLeft = std::max(milliseconds(1), left);
     context.weightsVersion = choice.weightsVersion;
     context.cacheScope = choice.cacheScope;
-    setCaches(context, choice);
+    context.cacheSource = choice.cacheSource;
+    context.cacheStore = choice.cacheStore;
     const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority.has_value();
     context.priority = std::min(lowestPriority, hasOwnPriority ? *m_organisation->priority : m_route->priority);
     context.lastEventId = m_cutter.lastId().has_value() ? std::to_string(*m_cutter.lastId()) : m_query.lastEventId;
     return context;
 }
 
-// The engine asks the store for what it lacks, even if the agent said that it lacks nothing: a question in vain costs a millisecond, reading a part
-// again a hundred. What the store has needs not to be saved: with each part it would also get the one that belongs to this request alone, and drop for
-// it what others miss.
-void RelayedRequest::setCaches(CallContext &context, const FleetChoice &choice) const
-{
-    const Decisions::RelayService *store = m_directory->cacheStore();
-    if (store == nullptr || choice.parts.empty() || !choice.isStoreKnown) {
-        return;
-    }
-    context.cacheSource = choice.holder.empty() ? store->cacheStore : choice.holder;
-    context.cacheStore = choice.storedParts < choice.parts.size() && choice.isWorthSaving ? store->cacheStore : "";
-}
-
 std::string RelayedRequest::callText(const FleetChoice &choice) const
 {
     std::string text;
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -69,7 +69,6 @@
     void moveIfHoldingUp();
     bool sendTo(const Decisions::FleetChoice &choice);
     std::string callText(const Decisions::FleetChoice &choice) const;
-    void setCaches(CallContext &context, const Decisions::FleetChoice &choice) const;
     CallContext callContext(const Decisions::FleetChoice &choice) const;
     void receiveAnswerHead(const Http::MessageHead &head) override;
     void receiveAnswerBody(std::string_view data) override;
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -99,10 +99,15 @@
     return m_directory == nullptr ? 0 : m_directory->version();
 }
 
-Decisions::RelayService RelayTask::cacheStore() const
+std::vector<Decisions::RelayService> RelayTask::cacheStores() const
 {
-    const bool isKnown = m_directory != nullptr && m_directory->cacheStore() != nullptr;
-    return isKnown ? *m_directory->cacheStore() : Decisions::RelayService();
+    std::vector<Decisions::RelayService> stores;
+    if (m_directory != nullptr) {
+        for (const Decisions::RelayService *store : m_directory->cacheStores()) {
+            stores.push_back(*store);
+        }
+    }
+    return stores;
 }
 
 void RelayTask::acceptCaller(int descriptor)
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -60,8 +60,8 @@
     /// \brief The version of the configuration in force, or 0.
     std::uint64_t configurationVersion() const;
 
-    /// \brief The store of kept KV cache by the configuration in force; its address is empty if there is none.
-    Decisions::RelayService cacheStore() const;
+    /// \brief The stores of kept KV cache by the configuration in force.
+    std::vector<Decisions::RelayService> cacheStores() const;
 
     /// \brief Stops being ready, answers what comes until the notice has passed, then calls \a done once nothing runs any more.
     void beginShutdown(std::function<void()> done);
--- a/src/libs/relay/storewatch.cpp
+++ b/src/libs/relay/storewatch.cpp
@@ -2,12 +2,22 @@
 
 #include <eventloop/loop.h>
 
+#include <algorithm>
+
 namespace Verbena::Relay {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 // How soon a store that is lost, or elsewhere, is noticed.
-constexpr std::chrono::milliseconds lookPeriod{200};
+constexpr milliseconds lookPeriod{200};
+
+// For each store that is followed, from an answer to the next question: what a router spends on questions does not grow with the number of stores.
+constexpr milliseconds pausePerStore{200};
+
+// What is believed of a store is no older than news of an engine are at most.
+constexpr milliseconds longestPause{800};
 
 } // namespace
 
@@ -22,24 +32,44 @@
 
 StoreWatch::~StoreWatch()
 {
-    m_relay.fleet().setStoreIndex(nullptr);
+    m_relay.fleet().cacheStores().set({});
 }
 
 void StoreWatch::look()
 {
-    const Decisions::RelayService store = m_relay.cacheStore();
-    const std::string &address = store.cacheStore;
-    if (address != m_address) {
-        m_relay.fleet().setStoreIndex(nullptr);
-        m_address = address;
-        m_watch = address.empty() ? nullptr : std::make_unique<CacheWatch>(m_loop, m_source, address);
+    const std::vector<Decisions::RelayService> stores = m_relay.cacheStores();
+    follow(stores);
+    tellRelay(stores);
+    m_timer.startAt(m_loop.now() + lookPeriod);
+}
+
+void StoreWatch::follow(const std::vector<Decisions::RelayService> &stores)
+{
+    // The relay may not use the index of a watch that ends here.
+    m_relay.fleet().cacheStores().set({});
+    const auto isGone = [&stores](const auto &watch) {
+        return std::none_of(stores.begin(), stores.end(), [&watch](const Decisions::RelayService &store) { return store.cacheStore == watch.first; });
+    };
+    std::erase_if(m_watches, isGone);
+    for (const Decisions::RelayService &store : stores) {
+        std::unique_ptr<CacheWatch> &watch = m_watches[store.cacheStore];
+        if (watch == nullptr) {
+            watch = std::make_unique<CacheWatch>(m_loop, m_source, store.cacheStore);
+        }
+        watch->setCapacity(store.cacheTokens);
+        watch->setPause(std::min(longestPause, pausePerStore * static_cast<int>(stores.size())));
     }
-    if (m_watch != nullptr) {
-        m_watch->setCapacity(store.cacheTokens);
+}
+
+// A store that does not answer keeps its prompts: others would not find them elsewhere.
+void StoreWatch::tellRelay(const std::vector<Decisions::RelayService> &stores)
+{
+    std::vector<Decisions::CacheStore> known;
+    for (const Decisions::RelayService &store : stores) {
+        const CacheWatch &watch = *m_watches.at(store.cacheStore);
+        known.push_back({store.cacheStore, store.failureDomain, watch.isFollowing() ? &watch.index() : nullptr});
     }
-    const bool isKnown = m_watch != nullptr && m_watch->isFollowing();
-    m_relay.fleet().setStoreIndex(isKnown ? &m_watch->index() : nullptr);
-    m_timer.startAt(m_loop.now() + lookPeriod);
+    m_relay.fleet().cacheStores().set(std::move(known));
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/storewatch.h
+++ b/src/libs/relay/storewatch.h
@@ -5,12 +5,13 @@
 
 #include <eventloop/timer.h>
 
+#include <map>
 #include <memory>
 #include <string>
 
 namespace Verbena::Relay {
 
-/// \brief Keeps a relay informed of what the store of kept KV cache holds, wherever the configuration puts that store.
+/// \brief Keeps a relay informed of what the stores of kept KV cache hold, wherever the configuration puts those stores.
 class StoreWatch
 {
 public:
@@ -22,13 +23,14 @@
 
 private:
     void look();
+    void follow(const std::vector<Decisions::RelayService> &stores);
+    void tellRelay(const std::vector<Decisions::RelayService> &stores);
 
     EventLoop::Loop &m_loop;
     CacheNewsSource &m_source;
     RelayTask &m_relay;
     EventLoop::Timer m_timer;
-    std::string m_address;
-    std::unique_ptr<CacheWatch> m_watch;
+    std::map<std::string, std::unique_ptr<CacheWatch>> m_watches; ///< By address of the store.
 };
 
 } // namespace Verbena::Relay
--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <map>
 #include <set>
 
 namespace Verbena::Decisions {
@@ -326,14 +328,14 @@
     EngineStatus holder = status();
     holder.parts = {partKey("m@1", "rules"), partKey("m@1", "wall-7")};
     m_fleet.noteStatus("10.0.0.1:8000", holder, m_now);
-    EXPECT_EQ(choose(prompt("wall-7"), "", {"1"})->holder, "10.0.0.1:8000");
-    EXPECT_EQ(choose(prompt("wall-8"), "", {"1"})->holder, "10.0.0.1:8000");
-    EXPECT_EQ(choose(prompt("wall-7", "other"), "", {"1"})->holder, "");
+    EXPECT_EQ(choose(prompt("wall-7"), "", {"1"})->cacheSource, "10.0.0.1:8000");
+    EXPECT_EQ(choose(prompt("wall-8"), "", {"1"})->cacheSource, "10.0.0.1:8000");
+    EXPECT_EQ(choose(prompt("wall-7", "other"), "", {"1"})->cacheSource, "");
     RegisteredServer leaving = engine("1");
     leaving.isLeaving = true;
     m_fleet.servers().put(leaving);
     m_fleet.noteStatus("10.0.0.1:8000", holder, m_now);
-    EXPECT_EQ(choose(prompt("wall-7"))->holder, "");
+    EXPECT_EQ(choose(prompt("wall-7"))->cacheSource, "");
 }
 
 TEST_F(RelayFleetTest, asksNoEngineForPartsOnceCachesAreFull)
@@ -342,11 +344,11 @@
     EngineStatus holder = status();
     holder.parts = {partKey("m@1", "rules"), partKey("m@1", "wall-7")};
     m_fleet.noteStatus("10.0.0.1:8000", holder, m_now);
-    EXPECT_EQ(choose(prompt("wall-7"), "", {"1"})->holder, "10.0.0.1:8000");
+    EXPECT_EQ(choose(prompt("wall-7"), "", {"1"})->cacheSource, "10.0.0.1:8000");
     // Caches that have been filled for long drop parts within seconds, so that what was heard of them is often gone.
     m_now += 60s;
     m_fleet.noteStatus("10.0.0.1:8000", holder, m_now);
-    EXPECT_EQ(choose(prompt("wall-7"), "", {"1"})->holder, "");
+    EXPECT_EQ(choose(prompt("wall-7"), "", {"1"})->cacheSource, "");
 }
 
 TEST_F(RelayFleetTest, saysThatAnEngineWaitsToLoad)
@@ -423,7 +425,7 @@
     constexpr int walls = 8;
     PartIndex store;
     store.setCapacity(storeTokens);
-    m_fleet.setStoreIndex(&store);
+    m_fleet.cacheStores().set({{"10.1.0.1:8000", "hall", &store}});
     int found = 0;
     int asked = 0;
     for (int request = 0; request < 3600; ++request) {
@@ -435,7 +437,7 @@
         ASSERT_TRUE(choice.has_value());
         asked += isLong ? 1 : 0;
         found += isLong && choice->storedParts == 1 ? 1 : 0;
-        if (choice->isStoreKnown && choice->isWorthSaving && choice->storedParts < choice->parts.size()) {
+        if (!choice->cacheStore.empty()) {
             for (const PromptPart &part : outline.parts) {
                 store.take({choice->cacheScope, part.id, part.tokens});
             }
@@ -445,6 +447,96 @@
     EXPECT_GT(found, asked / 2);
 }
 
+// More prompts than one store has room for, asked for in turn: at a single store each would have been dropped before it is asked for again.
+TEST_F(RelayFleetTest, spreadsPromptsOverAllStores)
+{
+    constexpr std::uint64_t storeTokens = 100'000;
+    constexpr int walls = 30;
+    std::vector<PartIndex> indexes(3);
+    std::vector<CacheStore> stores;
+    for (PartIndex &index : indexes) {
+        index.setCapacity(storeTokens);
+        stores.push_back({"10.1.0." + std::to_string(stores.size()) + ":8000", "hall", &index});
+    }
+    m_fleet.cacheStores().set(stores);
+    int found = 0;
+    constexpr int rounds = 4;
+    for (int request = 0; request < rounds * walls; ++request) {
+        const PromptOutline outline{"m", {{"rules", 2500}, {"wall-" + std::to_string(request % walls), 3800}, {"own", 600}}, 6900, 10};
+        const auto choice = choose(outline);
+        ASSERT_TRUE(choice.has_value());
+        found += choice->storedParts == 2 ? 1 : 0;
+        const auto saved = std::find_if(stores.begin(), stores.end(), [&](const CacheStore &store) { return store.address == choice->cacheStore; });
+        if (saved != stores.end()) {
+            PartIndex &index = indexes[static_cast<std::size_t>(saved - stores.begin())];
+            for (std::size_t part = 0; part + 1 < outline.parts.size(); ++part) {
+                index.take({choice->cacheScope, outline.parts[part].id, outline.parts[part].tokens});
+            }
+        }
+        m_now += 10ms;
+    }
+    EXPECT_GT(found, (rounds - 1) * walls * 9 / 10);
+}
+
+// Stores in some failure domains, and in each as many engines: what a prompt saves and fetches does not leave the domain of the engine that it goes to,
+// and each domain gets its part of the prompts.
+TEST_F(RelayFleetTest, keepsAPromptsHomeAndItsStoreInOneFailureDomain)
+{
+    const std::vector<std::string> domains{"hall-a", "hall-b", "hall-c"};
+    std::vector<PartIndex> indexes(domains.size());
+    std::vector<CacheStore> stores;
+    std::map<std::string, std::string> domainOf;
+    for (std::size_t number = 0; number < 18; ++number) {
+        RegisteredServer server = engine(std::to_string(number + 1));
+        server.failureDomain = domains[number % domains.size()];
+        m_fleet.servers().put(server);
+        domainOf[server.address] = server.failureDomain;
+    }
+    for (std::size_t number = 0; number < domains.size(); ++number) {
+        stores.push_back({"10.1.0." + std::to_string(number) + ":8000", domains[number], &indexes[number]});
+        domainOf[stores.back().address] = domains[number];
+    }
+    m_fleet.cacheStores().set(stores);
+    std::map<std::string, int> prompts;
+    constexpr int walls = 300;
+    for (int wall = 0; wall < walls; ++wall) {
+        const auto choice = choose(prompt("wall-" + std::to_string(wall)));
+        ASSERT_TRUE(choice.has_value());
+        EXPECT_EQ(domainOf[choice->address], domainOf[choice->cacheSource]);
+        ++prompts[domainOf[choice->address]];
+    }
+    for (const std::string &domain : domains) {
+        EXPECT_GT(prompts[domain], walls / 5);
+    }
+    // Without engines in its domain a prompt goes elsewhere.
+    for (std::size_t number = 0; number < 18; number += domains.size()) {
+        RegisteredServer leaving = engine(std::to_string(number + 1));
+        leaving.failureDomain = "hall-a";
+        leaving.isLeaving = true;
+        m_fleet.servers().put(leaving);
+    }
+    EXPECT_TRUE(choose(prompt("wall-7")).has_value());
+}
+
+// What one router saves, another one has to look for at the same store, whatever it knows of the others.
+TEST_F(RelayFleetTest, looksForAPromptAtOneStoreOnly)
+{
+    PartIndex index;
+    m_fleet.cacheStores().set({{"10.1.0.1:8000", "hall", &index}, {"10.1.0.2:8000", "hall", &index}, {"10.1.0.3:8000", "hall", &index}});
+    std::map<std::string, std::string> storeOf;
+    for (int wall = 0; wall < 20; ++wall) {
+        const std::string name = "wall-" + std::to_string(wall);
+        storeOf[name] = choose(prompt(name))->cacheSource;
+        EXPECT_EQ(choose(prompt(name))->cacheSource, storeOf[name]);
+    }
+    m_fleet.cacheStores().set({{"10.1.0.3:8000", "hall", &index}, {"10.1.0.2:8000", "hall", nullptr}, {"10.1.0.1:8000", "hall", &index}});
+    for (const auto &[name, store] : storeOf) {
+        const auto choice = choose(prompt(name));
+        EXPECT_EQ(choice->cacheSource, store == "10.1.0.2:8000" ? "" : store) << name;
+        EXPECT_EQ(choice->storedParts, 0U);
+    }
+}
+
 TEST(PartIndexTest, knowsPartsUntilMostOfThemIsGone)
 {
     PartIndex index;
--- a/tests/auto/routing/tst_routechooser.cpp
+++ b/tests/auto/routing/tst_routechooser.cpp
@@ -76,6 +76,27 @@
     }
 }
 
+// One router of many before a large fleet: it sends each backend server less than a request in the time that is counted, so that a prompt which it sees
+// for the second time seems hot. Spread over many homes it would be cold at each.
+TEST(RouteChooser, KeepsAPromptAtOneHomeUntilItIsAskedForOften)
+{
+    RouteChooser chooser = chooserFor(fleetOf(180));
+    const auto homes = [&chooser](const RouteQuery &query) {
+        const std::vector<RouteCandidate> candidates = chooser.choose(query, start).candidates;
+        return std::count_if(candidates.begin(), candidates.end(), [](const RouteCandidate &candidate) { return candidate.origin == CandidateOrigin::Home; });
+    };
+    const RouteQuery rare = queryFor({1, 2, 3});
+    const RouteQuery hot = queryFor({4, 5, 6});
+    for (int request = 0; request < 20; ++request) {
+        chooser.noteDispatched(backendServerId("e0"), hot, 1ms, start);
+    }
+    for (int request = 0; request < 2; ++request) {
+        chooser.noteDispatched(backendServerId("e1"), rare, 1ms, start);
+    }
+    EXPECT_EQ(homes(rare), 1);
+    EXPECT_GT(homes(hot), 4);
+}
+
 TEST(RouteChooser, NeverChoosesAServerThatMayNotServe)
 {
     EXPECT_TRUE(rc::check("leaving, dead, excluded, refusing and other versions are never candidates", [](const std::vector<std::uint8_t> &states) {
