Let agents hear of new weights from routers, and a few routers follow the store for all

Change: routers tell the agents that they watch which weights were named and when it is their engine's turn; agents follow the store only while no router does. Where there are more than eight routers, eight elected ones follow the store and answer the others, which turn to the store if one does not answer or has not heard of it for 1.6 s. Agents name eight routers with each of their news, in turn, in place of the first 32.

Tests: FreshRowsTest.*, RouterCensusTest.electsTheSameRoutersEverywhere, PlatformPathTest.letsAgentsAskTheStoreOnlyWhileNoRouterTellsThem.

--- a/src/libs/core/boottime.h
+++ b/src/libs/core/boottime.h
@@ -10,10 +10,7 @@
 struct BootClock
 {
     using duration = std::chrono::nanoseconds;
-    using rep = duration::rep;
-    using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
 
     static time_point now();
 };
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -254,17 +254,6 @@
     m_chooser.noteLoad(key, loadOf(status), now);
 }
 
-std::vector<std::string> RelayFleet::engineAddresses() const
-{
-    std::vector<std::string> addresses;
-    for (const auto &[id, server] : m_register.servers()) {
-        if (!server.weights.empty()) {
-            addresses.push_back(server.address);
-        }
-    }
-    return addresses;
-}
-
 std::vector<OrphanedEngine> RelayFleet::orphanedEngines(Core::TimePoint now)
 {
     followRegister();
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -85,9 +85,6 @@
     /// \brief The stores of kept KV cache, to be kept up to date by who follows them.
     CacheStores &cacheStores();
 
-    /// \brief Addresses of all engines, whose agents can be asked.
-    std::vector<std::string> engineAddresses() const;
-
     /// \brief Engines without the newest weights whose agents were not heard of for long; to be asked several times a second.
     std::vector<OrphanedEngine> orphanedEngines(Core::TimePoint now);
 
--- a/src/libs/decisions/relay/routercensus.cpp
+++ b/src/libs/decisions/relay/routercensus.cpp
@@ -1,6 +1,9 @@
 #include "routercensus.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <utility>
 
 namespace Verbena::Decisions {
 
@@ -27,4 +30,18 @@
     return m_deadlines.empty() ? m_assumed : static_cast<std::uint32_t>(m_deadlines.size());
 }
 
+std::vector<std::string> RouterCensus::elected(std::size_t most) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto &[address, deadline] : m_deadlines) {
+        ranked.emplace_back(XXH3_64bits(address.data(), address.size()), address);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<std::string> first;
+    for (std::size_t place = 0; place < std::min(most, ranked.size()); ++place) {
+        first.push_back(ranked[place].second);
+    }
+    return first;
+}
+
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/routercensus.h
+++ b/src/libs/decisions/relay/routercensus.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace Verbena::Decisions {
 
@@ -23,6 +24,9 @@
     /// \brief Routers that were named lately, at least one.
     std::uint32_t count(Core::TimePoint now);
 
+    /// \brief Up to \a most of the routers that were named lately: the same ones on every router that knows them all.
+    std::vector<std::string> elected(std::size_t most) const;
+
 private:
     std::uint32_t m_assumed;
     std::map<std::string, Core::TimePoint> m_deadlines; ///< By address.
--- a/src/libs/decisions/relay/weightsschedule.cpp
+++ b/src/libs/decisions/relay/weightsschedule.cpp
@@ -30,6 +30,37 @@
 
 } // namespace
 
+std::map<std::string, WeightsTurn> weightsTurns(const std::vector<WeightsHolder> &holders, std::uint64_t version)
+{
+    std::vector<const WeightsHolder *> waiting;
+    for (const WeightsHolder &holder : holders) {
+        if (holder.version < version) {
+            waiting.push_back(&holder);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [version](const WeightsHolder *left, const WeightsHolder *right) {
+        return turn(*left, version) < turn(*right, version);
+    });
+    std::map<std::string, WeightsTurn> turns;
+    for (const WeightsHolder &holder : holders) {
+        turns[holder.id] = {static_cast<std::uint32_t>(holders.size()), 0};
+    }
+    for (std::size_t place = 0; place < waiting.size(); ++place) {
+        turns[waiting[place]->id].before = static_cast<std::uint32_t>(place);
+    }
+    return turns;
+}
+
+Core::TimePoint weightsLoadTime(const WeightsTurn &turn, const WeightsPace &pace, Core::TimePoint namedAt, Core::TimePoint planned)
+{
+    if (turn.engines == 0) {
+        return std::min(namedAt, planned);
+    }
+    const std::size_t size = groupSize(turn.engines, pace);
+    const auto group = static_cast<int>(turn.before / size);
+    return std::min(planned, namedAt + pace.notice + group * groupStep(turn.engines, pace, size));
+}
+
 Core::TimePoint weightsLoadTime(const std::vector<WeightsHolder> &holders,
     const std::string &self,
     std::uint64_t version,
@@ -37,16 +68,9 @@
     Core::TimePoint namedAt,
     Core::TimePoint planned)
 {
-    const auto own = std::find_if(holders.begin(), holders.end(), [&self](const WeightsHolder &holder) { return holder.id == self; });
-    if (own == holders.end()) {
-        return std::min(namedAt, planned);
-    }
-    const auto ownTurn = turn(*own, version);
-    const auto before = std::count_if(
-        holders.begin(), holders.end(), [&](const WeightsHolder &holder) { return holder.version < version && turn(holder, version) < ownTurn; });
-    const std::size_t size = groupSize(holders.size(), pace);
-    const auto group = before / static_cast<std::ptrdiff_t>(size);
-    return std::min(planned, namedAt + pace.notice + group * groupStep(holders.size(), pace, size));
+    const std::map<std::string, WeightsTurn> turns = weightsTurns(holders, version);
+    const auto own = turns.find(self);
+    return weightsLoadTime(own == turns.end() ? WeightsTurn() : own->second, pace, namedAt, planned);
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/weightsschedule.h
+++ b/src/libs/decisions/relay/weightsschedule.h
@@ -3,6 +3,7 @@
 #include <core/time.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -24,14 +25,27 @@
     std::chrono::milliseconds spread{4400}; ///< From the first group to the end of the last.
 };
 
-/// \brief When the engine \a self should load weights that were named at \a namedAt.
+/// \brief The place of an engine among those that load new weights one group after the other.
+struct WeightsTurn
+{
+    std::uint32_t engines = 0; ///< That serve the model; 0 if this one is not among them.
+    std::uint32_t before = 0; ///< Of those, the ones whose turn comes first.
+};
+
+/// \brief The turns of all \a holders to load \a version, by id.
 ///
-/// Every agent works this out alone from the same register, so that engines change in small groups without a word between agents. Those with the oldest
+/// Everybody works them out alone from the same register, so that engines change in small groups without a word between hosts. Those with the oldest
 /// weights go first: their answers lose most, and when the next version is named before all have this one, they skip it.
+std::map<std::string, WeightsTurn> weightsTurns(const std::vector<WeightsHolder> &holders, std::uint64_t version);
+
+/// \brief When the engine of \a turn should load weights that were named at \a namedAt.
 ///
 /// It answers two loads: a fleet whose engines all come back cold at once, which the spread avoids, and versions that follow each other faster than
 /// they can be loaded, where an engine that began to wait anew with each of them would never have its turn. So an engine whose turn was \a planned
 /// keeps it.
+Core::TimePoint weightsLoadTime(const WeightsTurn &turn, const WeightsPace &pace, Core::TimePoint namedAt, Core::TimePoint planned = Core::TimePoint::max());
+
+/// \brief The same for the engine \a self of \a holders.
 Core::TimePoint weightsLoadTime(const std::vector<WeightsHolder> &holders,
     const std::string &self,
     std::uint64_t version,
--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -20,9 +20,9 @@
 
 } // namespace
 
-DeploymentFeed::DeploymentFeed(EventLoop::Loop &loop, PeerRows &source, const DeploymentDecoder &decoder, RelayTask &relay)
+DeploymentFeed::DeploymentFeed(EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, const DeploymentDecoder &decoder, RelayTask &relay)
     : m_loop(loop)
-    , m_mirror(source.mirror())
+    , m_mirror(mirror)
     , m_decoder(decoder)
     , m_relay(relay)
     , m_serversTable(decoder.tables().servers)
@@ -53,7 +53,7 @@
 {
     m_mirror.change(table, page);
     if (table == m_serversTable) {
-        m_servers.setPause(Decisions::registerPause(m_relay.routerCount()));
+        m_servers.setPause(m_relay.registerPause());
     }
     takeRows(table, page);
 }
@@ -97,7 +97,7 @@
     if (auto *configuration = std::get_if<Decisions::RelayConfiguration>(&meaning)) {
         m_relay.setConfiguration(std::move(*configuration));
     } else if (const auto *weights = std::get_if<NamedWeights>(&meaning)) {
-        if (m_relay.fleet().noteWeightsNamed(weights->model, weights->version, m_loop.now())) {
+        if (m_relay.noteWeightsNamed(weights->model, weights->version)) {
             Observe::log(weightsNamed, {{"model", weights->model}, {"version", std::to_string(weights->version)}, {"revision", std::to_string(row.revision)}});
         }
     } else if (const auto *server = std::get_if<Decisions::RegisteredServer>(&meaning)) {
--- a/src/libs/relay/deploymentfeed.h
+++ b/src/libs/relay/deploymentfeed.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "deploymentdecoder.h"
-#include "peerrows.h"
 #include "refusedentries.h"
 #include "relaytask.h"
 
 #include <eventloop/timer.h>
+#include <store/rowmirror.h>
 #include <store/tablefollower.h>
 
 #include <string>
@@ -16,7 +16,8 @@
 class DeploymentFeed : private Store::RowConsumer
 {
 public:
-    DeploymentFeed(EventLoop::Loop &loop, PeerRows &source, const DeploymentDecoder &decoder, RelayTask &relay);
+    /// \brief Follows \a source; what it tells goes on into \a mirror too.
+    DeploymentFeed(EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, const DeploymentDecoder &decoder, RelayTask &relay);
     ~DeploymentFeed() override;
 
     DeploymentFeed(const DeploymentFeed &) = delete;
--- a/src/libs/relay/enginewatch.cpp
+++ b/src/libs/relay/enginewatch.cpp
@@ -45,6 +45,7 @@
         return socket.error();
     }
     watch->m_socket = std::move(socket.value());
+    relay.setWeightsObserver([raw = watch.get()] { raw->ask(); });
     watch->ask();
     return watch;
 }
@@ -60,18 +61,44 @@
 
 void EngineWatch::ask()
 {
-    verbena::wire::Envelope message;
-    message.mutable_engine_watch();
-    for (const std::string &address : m_relay.fleet().engineAddresses()) {
-        auto agent = Http::Endpoint::parse(address);
-        if (agent) {
-            agent.value().address.sin_port = m_address.address.sin_port;
-            m_socket->send(agent.value().address, message);
+    followGoals();
+    for (const auto &[id, server] : m_relay.fleet().servers().servers()) {
+        auto agent = Http::Endpoint::parse(server.address);
+        if (server.weights.empty() || !agent) {
+            continue;
         }
+        verbena::wire::Envelope message;
+        verbena::wire::EngineWatch &watch = *message.mutable_engine_watch();
+        for (const Decisions::ServedWeights &weights : server.weights) {
+            const auto goal = m_goals.find(weights.model);
+            if (goal == m_goals.end()) {
+                continue;
+            }
+            verbena::wire::WeightsTurn &entry = *watch.add_turns();
+            entry.set_model(weights.model);
+            entry.set_version(goal->second.version);
+            const auto turn = goal->second.turns.find(id);
+            if (turn != goal->second.turns.end()) {
+                entry.set_engines(turn->second.engines);
+                entry.set_before(turn->second.before);
+            }
+        }
+        agent.value().address.sin_port = m_address.address.sin_port;
+        m_socket->send(agent.value().address, message);
     }
     m_timer.startAt(m_loop.now() + askPeriod);
 }
 
+void EngineWatch::followGoals()
+{
+    for (const auto &[model, goal] : m_relay.fleet().weightsGoals()) {
+        WeightsGoalTurns &known = m_goals[model];
+        if (known.version != goal.version) {
+            known = {goal.version, Decisions::weightsTurns(goal.holders, goal.version)};
+        }
+    }
+}
+
 void EngineWatch::take(const verbena::wire::Envelope &message)
 {
     if (message.has_engine_news()) {
--- a/src/libs/relay/enginewatch.h
+++ b/src/libs/relay/enginewatch.h
@@ -6,13 +6,15 @@
 #include <eventloop/timer.h>
 #include <wire/datagramsocket.h>
 
+#include <map>
 #include <memory>
 
 namespace Verbena::Relay {
 
 /// \brief Listens to the agents beside the engines of a relay's fleet.
 ///
-/// Agents tell only those who ask, and for a few seconds only, so that a router that is gone is soon forgotten.
+/// Agents tell only those who ask, and for a few seconds only, so that a router that is gone is soon forgotten. With each question an agent also hears which
+/// weights were named and when it is its engine's turn, so that it need not ask the store.
 class EngineWatch
 {
 public:
@@ -23,8 +25,16 @@
     EngineWatch &operator=(const EngineWatch &) = delete;
 
 private:
+    // The newest weights of a model and the turns of its engines, as they were when this process learned of them.
+    struct WeightsGoalTurns
+    {
+        std::uint64_t version = 0;
+        std::map<std::string, Decisions::WeightsTurn> turns; ///< By id of the engine.
+    };
+
     EngineWatch(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, PeerRows &peers);
     void ask();
+    void followGoals();
     void take(const verbena::wire::Envelope &message);
 
     EventLoop::Loop &m_loop;
@@ -32,6 +42,7 @@
     RelayTask &m_relay;
     PeerRows &m_peers;
     EventLoop::Timer m_timer;
+    std::map<std::string, WeightsGoalTurns> m_goals; ///< By model.
     std::unique_ptr<Wire::DatagramSocket> m_socket;
 };
 
--- a/src/libs/relay/peerrows.cpp
+++ b/src/libs/relay/peerrows.cpp
@@ -13,6 +13,7 @@
 
 constexpr int statusOk = 200;
 constexpr int statusGone = 410;
+constexpr int statusBusy = 503;
 constexpr const char *path = "/rows";
 constexpr const char *step = "relay.peer";
 
@@ -22,12 +23,25 @@
 // More than a deployment has in one failure domain; a bound on what is remembered of news from anywhere.
 constexpr std::size_t mostPeers = 256;
 
-std::string encode(const Store::RowPage &page, std::uint64_t since)
+// Of what an elected router knows, when it tells others: its longest question to the store, the pause before it, and the answer's way.
+constexpr std::chrono::milliseconds freshTime{1600};
+
+// How soon a peer that waits hears of a change.
+constexpr std::chrono::milliseconds waitingTick{50};
+
+// Peers that wait at once; more than a deployment has beside the elected ones, twice.
+constexpr std::size_t mostWaiting = 8192;
+
+// What a peer may ask to wait at most.
+constexpr std::chrono::milliseconds longestWait{3000};
+
+std::string encode(const Store::RowPage &page, std::uint64_t since, std::chrono::microseconds age)
 {
     verbena::wire::SettingsPush push;
     push.set_highest_revision(page.revision);
     push.set_since_revision(since);
     push.set_covered_revision(page.revision);
+    push.set_age_us(static_cast<std::uint64_t>(age.count()));
     for (const Store::TableRow &row : page.rows) {
         verbena::wire::SettingsRow &entry = *push.add_rows();
         entry.set_path(row.key);
@@ -38,19 +52,26 @@
     return push.SerializeAsString();
 }
 
-Core::Result<Store::RowPage> decode(const std::string &body, const std::string &peer)
+struct PeerPage
+{
+    Store::RowPage page;
+    std::chrono::microseconds age{0}; ///< Since the store said so.
+};
+
+Core::Result<PeerPage> decode(const std::string &body, const std::string &peer)
 {
     verbena::wire::SettingsPush push;
     if (!push.ParseFromString(body)) {
         return Core::Error{Core::ErrorCode::InvalidArgument, step, peer, "The peer's answer is no message of ours."};
     }
-    Store::RowPage page;
-    page.revision = push.covered_revision();
-    page.isSecondHand = true;
+    PeerPage answer;
+    answer.page.revision = push.covered_revision();
+    answer.page.isSecondHand = true;
+    answer.age = std::chrono::microseconds(push.age_us());
     for (const verbena::wire::SettingsRow &entry : push.rows()) {
-        page.rows.push_back({entry.path(), entry.content(), entry.revision(), entry.deleted()});
+        answer.page.rows.push_back({entry.path(), entry.content(), entry.revision(), entry.deleted()});
     }
-    return page;
+    return answer;
 }
 
 } // namespace
@@ -86,6 +107,7 @@
     , m_port(port)
     , m_store(store)
     , m_random(seed)
+    , m_waitingTimer(loop, [this] { answerWaiting(); })
 {
 }
 
@@ -105,13 +127,105 @@
 {
     const std::string table = exchange->queryArgument("table").value_or("");
     const std::uint64_t after = std::strtoull(exchange->queryArgument("after").value_or("0").c_str(), nullptr, 10);
-    const Store::RowPage page = m_mirror.since(table, after);
-    exchange->respond(page.isHistoryLost ? statusGone : statusOk, {{"Content-Type", "application/x-protobuf"}}, encode(page, after));
+    const std::optional<std::string> wait = exchange->queryArgument("wait");
+    if (!wait.has_value()) {
+        const Store::RowPage page = m_mirror.since(table, after);
+        exchange->respond(page.isHistoryLost ? statusGone : statusOk, {{"Content-Type", "application/x-protobuf"}}, encode(page, after, {}));
+        return;
+    }
+    const auto span = std::min<std::chrono::milliseconds>(longestWait, std::chrono::milliseconds(std::strtoul(wait->c_str(), nullptr, 10)));
+    const Waiting waiting{exchange, table, after, m_loop.now() + span};
+    if (!answer(waiting) && m_waiting.size() < mostWaiting) {
+        m_waiting.push_back(waiting);
+        m_waitingTimer.startAt(m_loop.now() + waitingTick);
+    } else if (m_waiting.size() >= mostWaiting) {
+        exchange->respond(statusBusy, {}, "");
+    }
+}
+
+bool PeerRows::isFresh(const std::string &table) const
+{
+    const auto heard = m_heard.find(table);
+    return heard != m_heard.end() && m_loop.now() < heard->second.at + freshTime;
+}
+
+// False while there is nothing to tell yet.
+bool PeerRows::answer(const Waiting &waiting)
+{
+    const Core::TimePoint now = m_loop.now();
+    if (!isFresh(waiting.table)) {
+        waiting.exchange->respond(statusBusy, {}, "");
+        return true;
+    }
+    Store::RowPage page = m_mirror.since(waiting.table, waiting.after);
+    if (page.isHistoryLost) {
+        waiting.exchange->respond(statusGone, {}, "");
+        return true;
+    }
+    if (page.rows.empty() && now < waiting.deadline) {
+        return false;
+    }
+    const Heard &heard = m_heard.at(waiting.table);
+    page.revision = std::max(page.revision, heard.revision);
+    const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - heard.at);
+    waiting.exchange->respond(statusOk, {{"Content-Type", "application/x-protobuf"}}, encode(page, waiting.after, age));
+    return true;
+}
+
+void PeerRows::answerWaiting()
+{
+    std::erase_if(m_waiting, [this](const Waiting &waiting) { return answer(waiting); });
+    if (!m_waiting.empty()) {
+        m_waitingTimer.startAt(m_loop.now() + waitingTick);
+    }
+}
+
+// Notes what the store itself says, once its consumer has taken it.
+Store::RowSource::PageCallback PeerRows::hearing(const std::string &table, PageCallback done)
+{
+    return [this, table, done = std::move(done)](Core::Result<Store::RowPage> page) {
+        if (!page || page.value().isHistoryLost || page.value().isSecondHand) {
+            done(std::move(page));
+            return;
+        }
+        const std::uint64_t revision = page.value().revision;
+        done(std::move(page));
+        Heard &heard = m_heard[table];
+        heard = {std::max(heard.revision, revision), m_loop.now()};
+    };
+}
+
+void PeerRows::awaitFresh(const std::string &peer, const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, PageCallback done)
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(waitEnd - m_loop.now());
+    Http::HttpCall call;
+    call.url = "http://" + peer + ':' + std::to_string(m_port) + path + "?table=" + table + "&after=" + std::to_string(revision)
+        + "&wait=" + std::to_string(std::max<std::int64_t>(0, wait.count()));
+    call.deadline = waitEnd + answerTime;
+    const auto take = [this, table, revision, peer, done = std::move(done)](const Core::Result<Http::HttpReply> &reply) {
+        const Core::Error stale{Core::ErrorCode::Unavailable, step, peer, "The peer does not know what the store says now."};
+        if (!reply || reply.value().status != statusOk) {
+            done(reply ? stale : reply.error());
+            return;
+        }
+        auto answer = decode(reply.value().body, peer);
+        if (!answer || answer.value().page.revision < revision) {
+            done(answer ? stale : answer.error());
+            return;
+        }
+        answer.value().page.isSecondHand = false;
+        const std::uint64_t covered = answer.value().page.revision;
+        const Core::TimePoint saidAt = m_loop.now() - answer.value().age;
+        done(std::move(answer.value().page));
+        Heard &heard = m_heard[table];
+        heard = {std::max(heard.revision, covered), std::max(heard.at, saidAt)};
+    };
+    m_client->start(call, std::make_shared<Http::BodyCollector>(take));
 }
 
 void PeerRows::readTable(const std::string &table, Core::TimePoint deadline, PageCallback done)
 {
-    m_store.readTable(table, deadline, [this, table, done = std::move(done)](Core::Result<Store::RowPage> page) {
+    m_store.readTable(table, deadline, [this, table, done = hearing(table, std::move(done))](Core::Result<Store::RowPage> page) {
         if (page) {
             done(std::move(page));
         } else {
@@ -122,13 +236,14 @@
 
 void PeerRows::awaitChanges(const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, Core::TimePoint deadline, PageCallback done)
 {
-    m_store.awaitChanges(table, revision, waitEnd, deadline, [this, table, revision, done = std::move(done)](Core::Result<Store::RowPage> page) {
-        if (page) {
-            done(std::move(page));
-        } else {
-            askPeer(table, revision, page.error(), done);
-        }
-    });
+    m_store.awaitChanges(
+        table, revision, waitEnd, deadline, [this, table, revision, done = hearing(table, std::move(done))](Core::Result<Store::RowPage> page) {
+            if (page) {
+                done(std::move(page));
+            } else {
+                askPeer(table, revision, page.error(), done);
+            }
+        });
 }
 
 // Only a peer that knows more than the asker has been served by the store since; any other answer leaves the store's failure standing.
@@ -147,13 +262,14 @@
             done(failure);
             return;
         }
-        auto page = decode(reply.value().body, peer);
-        if (!page || page.value().revision <= revision) {
-            done(page ? failure : page.error());
+        auto answer = decode(reply.value().body, peer);
+        if (!answer || answer.value().page.revision <= revision) {
+            done(answer ? failure : answer.error());
             return;
         }
-        Observe::log(peerAsked, {{"table", table}, {"peer", peer}, {"revision", std::to_string(page.value().revision)}, {"after", std::to_string(revision)}});
-        done(std::move(page));
+        const std::uint64_t covered = answer.value().page.revision;
+        Observe::log(peerAsked, {{"table", table}, {"peer", peer}, {"revision", std::to_string(covered)}, {"after", std::to_string(revision)}});
+        done(std::move(answer.value().page));
     };
     m_client->start(call, std::make_shared<Http::BodyCollector>(take));
 }
--- a/src/libs/relay/peerrows.h
+++ b/src/libs/relay/peerrows.h
@@ -2,13 +2,16 @@
 
 #include <decisions/spread/randomsource.h>
 #include <eventloop/loop.h>
+#include <eventloop/timer.h>
 #include <http/httpclient.h>
 #include <http/httpserver.h>
 #include <store/rowmirror.h>
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Verbena::Relay {
 
@@ -29,6 +32,10 @@
     /// \brief What this process knows, for those who ask.
     Store::RowMirror &mirror();
 
+    /// \brief Asks the router at \a peer what changed; it waits for a change until \a waitEnd. Errors: Unavailable, also if the peer has not heard of the store
+    /// for longer than a moment or knows less than the asker.
+    void awaitFresh(const std::string &peer, const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, PageCallback done);
+
     void readTable(const std::string &table, Core::TimePoint deadline, PageCallback done) override;
     void awaitChanges(const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, Core::TimePoint deadline, PageCallback done) override;
 
@@ -40,6 +47,26 @@
         Store::RowSource &store,
         std::uint64_t seed);
     void handleRequest(const std::shared_ptr<Http::HttpExchange> &exchange) override;
+    // What the store said of a table last, and when.
+    struct Heard
+    {
+        std::uint64_t revision = 0;
+        Core::TimePoint at;
+    };
+
+    // A peer that waits for a change.
+    struct Waiting
+    {
+        std::shared_ptr<Http::HttpExchange> exchange;
+        std::string table;
+        std::uint64_t after = 0;
+        Core::TimePoint deadline;
+    };
+
+    PageCallback hearing(const std::string &table, PageCallback done);
+    bool isFresh(const std::string &table) const;
+    bool answer(const Waiting &waiting);
+    void answerWaiting();
     void askPeer(const std::string &table, std::uint64_t revision, const Core::Error &failure, PageCallback done);
 
     EventLoop::Loop &m_loop;
@@ -50,6 +77,9 @@
     Decisions::RandomSource m_random;
     Store::RowMirror m_mirror;
     std::set<std::string> m_peers;
+    std::map<std::string, Heard> m_heard; ///< By table.
+    std::vector<Waiting> m_waiting;
+    EventLoop::Timer m_waitingTimer;
     std::unique_ptr<Http::HttpServer> m_server;
 };
 
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -2,6 +2,7 @@
 
 #include "relayevents.h"
 
+#include <decisions/relay/registerpace.h>
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
 
@@ -14,6 +15,10 @@
 // How often a relay that ends looks whether it is done.
 constexpr std::chrono::milliseconds shutdownStep{50};
 
+// Routers that tell all agents of new weights at once, on average: enough that some do while a third of them are lost. If all did, each agent of a large
+// fleet would get thousands of messages in the same moment.
+constexpr std::uint32_t routersThatTellAtOnce = 8;
+
 } // namespace
 
 Core::Result<std::unique_ptr<RelayTask>> RelayTask::create(EventLoop::Loop &loop, const RelaySettings &settings, const RelayProtocol &protocol)
@@ -74,11 +79,41 @@
     m_fleet.setRouterCount(m_routerCount);
 }
 
+bool RelayTask::noteWeightsNamed(const std::string &model, std::uint64_t version)
+{
+    if (!m_fleet.noteWeightsNamed(model, version, m_loop.now())) {
+        return false;
+    }
+    if (m_weightsObserver && m_random.next() % m_routerCount < routersThatTellAtOnce) {
+        m_weightsObserver();
+    }
+    return true;
+}
+
+void RelayTask::setWeightsObserver(std::function<void()> observer)
+{
+    m_weightsObserver = std::move(observer);
+}
+
 std::uint32_t RelayTask::routerCount() const
 {
     return m_routerCount;
 }
 
+std::vector<std::string> RelayTask::electedRouters() const
+{
+    return m_routerCount > Decisions::electedRouters ? m_routers.elected(Decisions::electedRouters) : std::vector<std::string>();
+}
+
+std::chrono::milliseconds RelayTask::registerPause() const
+{
+    const std::vector<std::string> elected = electedRouters();
+    const std::string own = m_settings.listen.toString();
+    const bool isElected = std::find(elected.begin(), elected.end(), own.substr(0, own.rfind(':'))) != elected.end();
+    // What the others hear is older by the pause of the elected ones, so that one is short.
+    return Decisions::registerPause(isElected ? 2 * Decisions::electedRouters : m_routerCount);
+}
+
 Observe::Metrics &RelayTask::metrics()
 {
     return m_metrics;
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -46,9 +46,21 @@
     /// \brief An agent named the routers at \a addresses, this one among them.
     void noteRouters(const std::vector<std::string> &addresses);
 
+    /// \brief New weights of \a model were named; returns whether it is news.
+    bool noteWeightsNamed(const std::string &model, std::uint64_t version);
+
+    /// \brief Calls \a observer when new weights were named, on one of a few routers; on the others agents hear of them with the next question.
+    void setWeightsObserver(std::function<void()> observer);
+
     /// \brief Routers that agents named lately, this one among them.
     std::uint32_t routerCount() const;
 
+    /// \brief Routers that follow the store's tables for all, the same ones on every router that knows them all; none while all do.
+    std::vector<std::string> electedRouters() const;
+
+    /// \brief How long this router waits between two questions for changes of the register.
+    std::chrono::milliseconds registerPause() const;
+
     Observe::Metrics &metrics();
 
     /// \brief Whether new callers are welcome.
@@ -87,6 +99,7 @@
     Decisions::RandomSource m_random;
     Observe::Metrics m_metrics;
     RelayContext m_context;
+    std::function<void()> m_weightsObserver;
     std::shared_ptr<const Decisions::RelayDirectory> m_directory;
     std::unique_ptr<Http::TcpListener> m_listener;
     std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
--- a/src/libs/weights/newspublisher.cpp
+++ b/src/libs/weights/newspublisher.cpp
@@ -14,8 +14,9 @@
 // Those that were heard of last; so many fit one packet with the rest of the news.
 constexpr std::size_t mostParts = 150;
 
-// Routers that are named to each other, so that they can ask one another when the store turns them away.
-constexpr std::size_t mostNamed = 32;
+// Routers that are named to each other with each of the news, so that they can ask one another in place of the store. Each packet names the next ones, and
+// all are named within some seconds.
+constexpr std::size_t mostNamed = 8;
 
 // Routers that are told; more than the target has in one failure domain, and a bound on what a packet from anywhere can cost.
 constexpr std::size_t mostWatchers = 1024;
@@ -28,6 +29,9 @@
     const auto receive = [raw = publisher.get()](const sockaddr_in &from, const verbena::wire::Envelope &message) {
         if (message.has_engine_watch()) {
             raw->noteWatcher(from);
+            if (raw->m_watchObserver) {
+                raw->m_watchObserver(message.engine_watch());
+            }
         }
     };
     auto socket = Wire::DatagramSocket::bind(loop, address, receive);
@@ -44,6 +48,11 @@
 {
 }
 
+void NewsPublisher::setWatchObserver(std::function<void(const verbena::wire::EngineWatch &)> observer)
+{
+    m_watchObserver = std::move(observer);
+}
+
 void NewsPublisher::noteWatcher(const sockaddr_in &address)
 {
     const Core::TimePoint deadline = m_loop.now() + watchTime;
@@ -89,8 +98,9 @@
             news.add_parts(static_cast<std::uint64_t>((*status.parts)[part]));
         }
     }
-    for (std::size_t watcher = 0; watcher < std::min(m_watchers.size(), mostNamed); ++watcher) {
-        news.add_routers(m_watchers[watcher].address.sin_addr.s_addr);
+    for (std::size_t count = 0; count < std::min(m_watchers.size(), mostNamed); ++count) {
+        m_nextNamed = (m_nextNamed + 1) % m_watchers.size();
+        news.add_routers(m_watchers[m_nextNamed].address.sin_addr.s_addr);
     }
     for (const Watcher &watcher : m_watchers) {
         m_socket->send(watcher.address, message);
--- a/src/libs/weights/newspublisher.h
+++ b/src/libs/weights/newspublisher.h
@@ -4,6 +4,7 @@
 #include <decisions/relay/enginestatus.h>
 #include <wire/datagramsocket.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +21,9 @@
     NewsPublisher(const NewsPublisher &) = delete;
     NewsPublisher &operator=(const NewsPublisher &) = delete;
 
+    /// \brief Calls \a observer with every question of a router.
+    void setWatchObserver(std::function<void(const verbena::wire::EngineWatch &)> observer);
+
     /// \brief Tells all who asked lately.
     void publish(const Decisions::EngineStatus &status);
 
@@ -37,6 +41,8 @@
     std::string m_engineAddress;
     std::unique_ptr<Wire::DatagramSocket> m_socket;
     std::vector<Watcher> m_watchers;
+    std::size_t m_nextNamed = 0; ///< Of the watchers, in turn.
+    std::function<void(const verbena::wire::EngineWatch &)> m_watchObserver;
 };
 
 } // namespace Verbena::Weights
--- a/src/libs/weights/weightsfailover.cpp
+++ b/src/libs/weights/weightsfailover.cpp
@@ -173,7 +173,10 @@
 void WeightsFailover::takeOrderAnswer(const OrphanedEngine &engine, OrderAnswer answer)
 {
     Observe::log(weightsOrdered,
-        {{"engine", engine.address}, {"model", engine.model}, {"version", std::to_string(engine.version)}, {"answer", std::to_string(static_cast<int>(answer))}});
+        {{"engine", engine.address},
+            {"model", engine.model},
+            {"version", std::to_string(engine.version)},
+            {"answer", std::to_string(static_cast<int>(answer))}});
     if (answer == OrderAnswer::Fenced) {
         m_failover.lease(engine.address)->noteFenced();
     }
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -18,6 +18,9 @@
 // Changes of what operators declare are taken at once.
 constexpr milliseconds declarationsPause{0};
 
+// Routers ask every 1.2 s; without any for so long there is none that could tell which weights are named.
+constexpr milliseconds watchLifetime{3000};
+
 // How often an engine is looked at: routers learn its load from this, and it may have been restarted with old weights.
 constexpr milliseconds idlePeriod{250};
 
@@ -81,13 +84,18 @@
     , m_timer(loop, [this] { look(); })
     , m_isAlive(std::make_shared<bool>(true))
     , m_lease(settings.lease, {settings.host, true, ""})
-    , m_declarations(loop, rows, decoder.tables().declarations, declarationsPause, *this)
+    , m_watchedUntil(loop.now() + watchLifetime)
+    , m_watchTimer(loop, [this] { followStoreIfUnwatched(); })
 {
+    m_news.setWatchObserver([this](const verbena::wire::EngineWatch &watch) { takeWatch(watch); });
+    m_watchTimer.startAt(m_watchedUntil);
+    lookAt(loop.now());
 }
 
 WeightsKeeper::~WeightsKeeper()
 {
     *m_isAlive = false;
+    m_news.setWatchObserver(nullptr);
 }
 
 template<typename Function>
@@ -113,7 +121,9 @@
             continue; // Routers tell of it; a keeper only reads the names of weights.
         }
         if (const auto *named = std::get_if<Relay::NamedWeights>(&decoded.value())) {
-            takeNamed(*named);
+            if (takeNamed(*named)) {
+                plan(named->model, m_loop.now());
+            }
         }
     }
 }
@@ -128,18 +138,43 @@
     Observe::log(declarationsRegained, {{"table", table}});
 }
 
-void WeightsKeeper::takeNamed(const Relay::NamedWeights &named)
+// A router may be late, so it can only add to what is known.
+void WeightsKeeper::takeWatch(const verbena::wire::EngineWatch &watch)
+{
+    const Core::TimePoint now = m_loop.now();
+    m_watchedUntil = now + watchLifetime;
+    for (const verbena::wire::WeightsTurn &turn : watch.turns()) {
+        if (takeNamed({turn.model(), turn.version()})) {
+            planTurn(turn.model(), now, {turn.engines(), turn.before()});
+        }
+    }
+}
+
+void WeightsKeeper::followStoreIfUnwatched()
+{
+    const bool isWatched = m_loop.now() < m_watchedUntil;
+    if (isWatched) {
+        m_declarations.reset();
+    } else if (m_declarations == nullptr) {
+        Store::RowConsumer &consumer = *this;
+        m_declarations = std::make_unique<Store::TableFollower>(m_loop, m_rows, m_decoder.tables().declarations, declarationsPause, consumer);
+    }
+    m_watchTimer.startAt(isWatched ? m_watchedUntil : m_loop.now() + watchLifetime);
+}
+
+// Returns whether it is news.
+bool WeightsKeeper::takeNamed(const Relay::NamedWeights &named)
 {
     Target &target = m_targets[named.model];
     if (named.version <= target.version) {
-        return;
+        return false;
     }
     if (!isOwed(named.model, target)) {
         target.loadTime = Core::TimePoint::max();
     }
     target.version = named.version;
     target.isOrdered = false;
-    plan(named.model, m_loop.now());
+    return true;
 }
 
 // Whether the engine still waits for its turn, or for the order after it. The next version then takes that turn.
@@ -159,17 +194,28 @@
 
 void WeightsKeeper::planAmong(const std::string &model, Core::TimePoint namedAt, const Core::Result<Store::RowPage> &page)
 {
-    Target &target = m_targets[model];
     std::string self;
     std::vector<Decisions::WeightsHolder> holders;
     if (page) {
         holders = holdersOf(model, m_decoder.tables().servers, page.value(), m_decoder, m_settings.engineAddress, self);
     }
+    const auto turns = Decisions::weightsTurns(holders, m_targets[model].version);
+    const auto own = turns.find(self);
+    planTurn(model, namedAt, own == turns.end() ? Decisions::WeightsTurn() : own->second);
+}
+
+void WeightsKeeper::planTurn(const std::string &model, Core::TimePoint namedAt, const Decisions::WeightsTurn &turn)
+{
+    Target &target = m_targets[model];
     // Without the register its turn is not known; then it is better early than late.
-    target.loadTime = weightsLoadTime(holders, self, target.version, m_settings.pace, namedAt, target.loadTime);
+    target.loadTime = weightsLoadTime(turn, m_settings.pace, namedAt, target.loadTime);
     const auto wait = std::chrono::duration_cast<milliseconds>(target.loadTime - m_loop.now());
     Observe::log(weightsPlanned,
-        {{"model", model}, {"version", std::to_string(target.version)}, {"engines", std::to_string(holders.size())}, {"in_ms", std::to_string(wait.count())}});
+        {{"model", model},
+            {"version", std::to_string(target.version)},
+            {"engines", std::to_string(turn.engines)},
+            {"before", std::to_string(turn.before)},
+            {"in_ms", std::to_string(wait.count())}});
     // Routers learn of the plan at once.
     lookAt(m_loop.now());
 }
@@ -340,7 +386,8 @@
     switch (answer.outcome) {
     case Store::CommitOutcome::Committed:
         m_lease.noteTaken(answer.revision, askedAt, Core::BootClock::now());
-        Observe::log(ordersTaken, {{"engine", m_settings.engineAddress}, {"revision", std::to_string(answer.revision)}, {"after", m_lease.holder()->successorOf}});
+        Observe::log(
+            ordersTaken, {{"engine", m_settings.engineAddress}, {"revision", std::to_string(answer.revision)}, {"after", m_lease.holder()->successorOf}});
         return;
     case Store::CommitOutcome::Conflict:
         for (const Store::TableRow &row : answer.current) {
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -30,6 +30,8 @@
 ///
 /// While this process is not heard of, a router may order its engine in its place. Who does is said by a row of the store, whose revision fences the orders;
 /// this process takes the row back when it has something to order.
+///
+/// Routers that watch the engine tell which weights were named and when it is the engine's turn; the store is followed only while none does.
 class WeightsKeeper : private Store::RowConsumer
 {
 public:
@@ -59,9 +61,12 @@
     void changeRows(const std::string &table, const Store::RowPage &page) override;
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
-    void takeNamed(const Relay::NamedWeights &named);
+    void takeWatch(const verbena::wire::EngineWatch &watch);
+    void followStoreIfUnwatched();
+    bool takeNamed(const Relay::NamedWeights &named);
     bool isOwed(const std::string &model, const Target &target) const;
     void plan(const std::string &model, Core::TimePoint namedAt);
+    void planTurn(const std::string &model, Core::TimePoint namedAt, const Decisions::WeightsTurn &turn);
     void planAmong(const std::string &model, Core::TimePoint namedAt, const Core::Result<Store::RowPage> &page);
     void look();
     void takeReport(const Core::Result<EngineReport> &report);
@@ -96,7 +101,9 @@
     bool m_isLooking = false; ///< A report or an order is under way.
     bool m_isSilent = false;
     EngineReport m_lastReport;
-    Store::TableFollower m_declarations;
+    Core::TimePoint m_watchedUntil; ///< Routers tell what is named until then.
+    EventLoop::Timer m_watchTimer;
+    std::unique_ptr<Store::TableFollower> m_declarations; ///< While no router tells what is named.
 };
 
 } // namespace Verbena::Weights
--- a/tests/auto/platform/tst_platformpath.cpp
+++ b/tests/auto/platform/tst_platformpath.cpp
@@ -69,6 +69,24 @@
     EXPECT_EQ(order.at("switchMode"), "block");
 }
 
+// Agents are many; as long as a router tells them which weights are named, they leave the store in peace.
+TEST(PlatformPathTest, letsAgentsAskTheStoreOnlyWhileNoRouterTellsThem)
+{
+    using namespace std::chrono_literals;
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    std::size_t most = 0;
+    const Core::TimePoint end = deployment.loop().now() + 4s;
+    deployment.runUntil([&] {
+        most = std::max(most, deployment.store().followerCount("op"));
+        return deployment.loop().now() >= end;
+    });
+    EXPECT_EQ(most, 1U);
+    deployment.router().sendSignal(SIGKILL);
+    deployment.store().put("op", "version/m", {{"model", "m"}, {"version", 2}});
+    EXPECT_TRUE(deployment.runUntil([&] { return deployment.engine().version() == 2; }));
+}
+
 // The loss of any number of hosts beside engines: without orders their engines would keep weights that nobody may use any more.
 TEST(PlatformPathTest, ordersNewWeightsFromARouterWhereTheAgentIsGone)
 {
--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -378,6 +378,35 @@
     EXPECT_EQ(census.count(start + 30s), 1U);
 }
 
+// All routers have to elect the same few, whatever the order in which they heard of each other.
+TEST(RouterCensusTest, electsTheSameRoutersEverywhere)
+{
+    RouterCensus one(8);
+    RouterCensus other(8);
+    for (int router = 0; router < 40; ++router) {
+        one.note("10.0.0." + std::to_string(router), start);
+        other.note("10.0.0." + std::to_string(39 - router), start + 1s);
+    }
+    EXPECT_EQ(one.elected(8).size(), 8U);
+    EXPECT_EQ(one.elected(8), other.elected(8));
+    // One that is gone is replaced, and the others stay.
+    RouterCensus fewer(8);
+    for (int router = 0; router < 40; ++router) {
+        const std::string address = "10.0.0." + std::to_string(router);
+        if (address != one.elected(8).front()) {
+            fewer.note(address, start);
+        }
+    }
+    const std::vector<std::string> now = fewer.elected(8);
+    EXPECT_EQ(std::count_if(now.begin(),
+                  now.end(),
+                  [&one](const std::string &address) {
+                      const std::vector<std::string> before = one.elected(8);
+                      return std::find(before.begin(), before.end(), address) != before.end();
+                  }),
+        7);
+}
+
 TEST(ServerRegisterTest, forgetsAnEntryThatIsRemovedWhileTheStoreIsWell)
 {
     ServerRegister servers;
--- a/tests/auto/relay/tst_peerrows.cpp
+++ b/tests/auto/relay/tst_peerrows.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+
 #include <unistd.h>
 
 namespace Verbena::Relay {
@@ -88,6 +90,110 @@
     EXPECT_EQ(page.error().step, "store");
 }
 
+/// A store that answers at once what a test wants.
+class AnsweringStore : public Store::RowSource
+{
+public:
+    Store::RowPage page;
+    int questions = 0;
+
+    void readTable(const std::string &, Core::TimePoint, PageCallback done) override
+    {
+        ++questions;
+        done(page);
+    }
+
+    void awaitChanges(const std::string &, std::uint64_t, Core::TimePoint, Core::TimePoint, PageCallback done) override
+    {
+        ++questions;
+        done(page);
+    }
+};
+
+// A router that the store answers, and one that asks it in place of the store.
+class FreshRowsTest : public testing::Test
+{
+protected:
+    FreshRowsTest()
+        : m_loop(std::move(EventLoop::Loop::create().value()))
+        , m_network("127.78." + std::to_string(1 + getpid() % 250) + '.')
+        , m_elected(std::move(PeerRows::create(*m_loop, m_network + "1", port, m_store, 1).value()))
+        , m_asking(std::move(PeerRows::create(*m_loop, m_network + "2", port, m_refusing, 2).value()))
+    {
+        m_store.page = {{{"a", "1", 3, false}}, 7, false};
+        m_elected->mirror().replace("op", {m_store.page.rows, 3, false});
+    }
+
+    void hear()
+    {
+        m_elected->awaitChanges("op", 3, m_loop->now(), m_loop->now() + 10s, [](const Core::Result<Store::RowPage> &) {});
+    }
+
+    void ask(std::uint64_t after, std::chrono::milliseconds wait)
+    {
+        m_answer.reset();
+        m_asking->awaitFresh(m_network + "1", "op", after, m_loop->now() + wait, [this](Core::Result<Store::RowPage> page) { m_answer = std::move(page); });
+    }
+
+    Core::Result<Store::RowPage> answer()
+    {
+        EXPECT_TRUE(Verbena::Test::runUntil(*m_loop, [this] { return m_answer.has_value(); }));
+        return *m_answer;
+    }
+
+    static constexpr std::uint16_t port = 7340;
+
+    std::unique_ptr<EventLoop::Loop> m_loop;
+    std::string m_network;
+    AnsweringStore m_store;
+    RefusingStore m_refusing;
+    std::unique_ptr<PeerRows> m_elected;
+    std::unique_ptr<PeerRows> m_asking;
+    std::optional<Core::Result<Store::RowPage>> m_answer;
+};
+
+TEST_F(FreshRowsTest, takesWhatAnElectedRouterKnowsAsTheStoresWord)
+{
+    hear();
+    ask(3, 0ms);
+    const auto page = answer();
+    ASSERT_TRUE(page);
+    // As far as the store has spoken, although nothing of this table changed since.
+    EXPECT_EQ(page.value().revision, 7U);
+    EXPECT_TRUE(page.value().rows.empty());
+    EXPECT_FALSE(page.value().isSecondHand);
+}
+
+TEST_F(FreshRowsTest, hearsOfAChangeAsSoonAsTheElectedRouterDoes)
+{
+    hear();
+    ask(7, 30s);
+    m_store.page = {{{"a", "2", 9, false}}, 9, false};
+    m_elected->mirror().change("op", m_store.page);
+    hear();
+    const auto page = answer();
+    ASSERT_TRUE(page);
+    ASSERT_EQ(page.value().rows.size(), 1U);
+    EXPECT_EQ(page.value().rows.front().value, "2");
+}
+
+// An elected router that is cut off from the store must not keep others from what it says.
+TEST_F(FreshRowsTest, takesNothingFromARouterThatHasNotHeardOfTheStoreLately)
+{
+    ask(3, 0ms);
+    EXPECT_FALSE(answer());
+    hear();
+    ask(7, 30s);
+    EXPECT_FALSE(answer());
+}
+
+TEST_F(FreshRowsTest, takesNothingFromARouterThatKnowsLess)
+{
+    hear();
+    ask(8, 0ms);
+    EXPECT_FALSE(answer());
+}
+
 TEST(RowMirrorTest, saysThatHistoryIsLostBeforeItsFirstWholeReading)
 {
     Store::RowMirror mirror;
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -75,6 +75,12 @@
     return found == m_calls.end() ? 0 : found->second;
 }
 
+std::size_t StoreStandin::followerCount(const std::string &table) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_followers.begin(), m_followers.end(), [&table](const Follower &follower) { return follower.table == table; }));
+}
+
 std::uint64_t StoreStandin::version() const
 {
     return m_version;
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -45,6 +45,9 @@
     /// \brief Calls received, by path.
     int callCount(const std::string &path) const;
 
+    /// \brief Callers that wait for changes of \a table.
+    std::size_t followerCount(const std::string &table) const;
+
     std::uint64_t version() const;
 
     void handleRequest(const std::shared_ptr<Http::HttpExchange> &exchange) override;
