Let no router that is cut off from agents take the orders of their engines

Cause, found by reading: a router that cannot reach the agents, but the store and the engines, would have taken all rows, and every agent would have had to wait for the hand-over. Change: while more than half of the agents that it heard in the last 6 s beyond their news are silent, a router takes no row. Test: RelayFleetTest.takesItselfForCutOffWhenMostAgentsFallSilentAtOnce, which failed before the change by its construction (six orphaned engines after 4 s).

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -42,6 +42,9 @@
 // News come several times a second; without any for so long the agent counts as silent.
 constexpr milliseconds statusLifetime{1500};
 
+// After most agents fell silent at once, until a router takes it that they are gone: most cuts between hosts are shorter.
+constexpr milliseconds cutOffTime{6000};
+
 // Requests that a router sends to an engine that does not answer, once its agent is silent too.
 constexpr std::uint32_t mostSentToSilent = 2;
 
@@ -254,6 +257,18 @@
     m_chooser.noteLoad(key, loadOf(status), now);
 }
 
+// Whether most agents fell silent lately: then it is likely that this router is cut off from them, and taking their engines' orders would hold up all loads.
+bool RelayFleet::isPerhapsCutOff(Core::TimePoint now) const
+{
+    std::size_t present = 0;
+    std::size_t lately = 0;
+    for (const auto &[id, heard] : m_heard) {
+        present += now < heard.deadline ? 1 : 0;
+        lately += now < heard.deadline + cutOffTime ? 1 : 0;
+    }
+    return 2 * present < lately;
+}
+
 std::vector<OrphanedEngine> RelayFleet::orphanedEngines(Core::TimePoint now)
 {
     followRegister();
@@ -274,7 +289,7 @@
             }
         }
     }
-    return orphaned;
+    return isPerhapsCutOff(now) ? std::vector<OrphanedEngine>() : orphaned;
 }
 
 std::map<std::string, WeightsGoal> RelayFleet::weightsGoals() const
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -129,6 +129,7 @@
         std::uint32_t sentSince = 0; ///< By this router, that the status cannot know of.
     };
 
+    bool isPerhapsCutOff(Core::TimePoint now) const;
     void followRegister();
     void followIncarnation(BackendServerId id, std::uint64_t incarnation);
     const std::string *idAt(const std::string &address, std::uint64_t incarnation) const;
--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -507,6 +507,33 @@
     EXPECT_GT(found, (rounds - 1) * walls * 9 / 10);
 }
 
+// A router that is cut off from agents hears none of them, and must not take the orders of all engines for that.
+TEST_F(RelayFleetTest, takesItselfForCutOffWhenMostAgentsFallSilentAtOnce)
+{
+    const auto hear = [this](int count) {
+        for (int number = 1; number <= count; ++number) {
+            m_fleet.noteStatus(engine(std::to_string(number)).address, status(), m_now);
+        }
+    };
+    m_fleet.noteWeightsNamed("m", 2, m_now);
+    hear(6);
+    m_fleet.orphanedEngines(m_now);
+    m_now += 4s;
+    EXPECT_TRUE(m_fleet.orphanedEngines(m_now).empty());
+    m_now += 4s;
+    EXPECT_EQ(m_fleet.orphanedEngines(m_now).size(), 6U);
+    // One agent that is gone among others that are there is told at once.
+    hear(6);
+    for (int step = 0; step < 8; ++step) {
+        m_fleet.orphanedEngines(m_now);
+        m_now += 500ms;
+        hear(5);
+    }
+    const std::vector<OrphanedEngine> orphaned = m_fleet.orphanedEngines(m_now);
+    ASSERT_EQ(orphaned.size(), 1U);
+    EXPECT_EQ(orphaned.front().id, "6");
+}
+
 // Hosts that are lost with their engines: without a limit each router would send on to them until connections fail, and callers would wait in vain.
 TEST_F(RelayFleetTest, sendsLittleToAnEngineThatDoesNotAnswerOnceItsAgentIsSilent)
 {
