--- a/src/libs/decisions/relay/orderfailover.h
+++ b/src/libs/decisions/relay/orderfailover.h
@@ -52,7 +52,7 @@
 /// \brief Gives engines whose agents are silent their orders from a router, one router for each engine.
 ///
 /// It answers the loss of any number of hosts beside engines. Without it their engines keep weights that may not be used any more, and every request to
-/// them is refused: where no engine had an agent, half of all requests were (58 % refused, share of the requests of a day with five changes of weights).
+/// them is refused: where no engine had an agent, 49 % of a day's requests were, with five changes of weights, and 1 % are with it.
 ///
 /// Routers need not know each other. Each begins at a moment of its own after new weights were named; the first one takes the rows of all engines that
 /// nobody orders, and the others see so. One that holds a row and does nothing, because it is gone or cut off, is replaced once its engine is overdue. The row
