--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -549,8 +549,7 @@
     }
     EXPECT_EQ(sent, 2);
     // Once it has answered it gets as much as before.
-    auto late = *first;
-    m_fleet.noteAnswered(late, m_now);
+    m_fleet.noteAnswered(*first, m_now);
     EXPECT_EQ(choose(prompt("wall-7"))->address, first->address);
 }
 
--- a/tests/auto/relay/tst_orders.cpp
+++ b/tests/auto/relay/tst_orders.cpp
@@ -347,6 +347,7 @@
 {
     constexpr int routerCount = 10;
     std::vector<OrderFailover> routers;
+    routers.reserve(routerCount);
     for (int number = 0; number < routerCount; ++number) {
         routers.push_back(router("front-" + std::to_string(number), number));
     }
