Take no engine for orphaned whose agent is heard under another id of its address

Cause: an engine that crashed and came back under another id leaves its earlier entry at the same address for seconds. Seen in the logs: orders_taken of the agent "after" routers although the agent had never been away. Change: whether an agent is there is noted by the address of its engine. Test: takesNoEngineForOrphanedWhoseAgentIsHeardUnderAnotherId, which fails without it.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -188,6 +188,7 @@
         return m_chooser.server(id) == nullptr;
     };
     std::erase_if(m_heard, [&](const auto &entry) { return isGone(entry.first); });
+    std::erase_if(m_agentsPresent, [this](const auto &entry) { return !m_idsByAddress.contains(entry.first); });
     std::erase_if(m_silentSince, [&](const auto &entry) { return isGone(entry.first); });
     std::erase_if(m_failures, [&](const auto &entry) { return isGone(entry.first); });
     std::erase_if(m_incarnations, [&](const auto &entry) { return isGone(entry.first); });
@@ -237,6 +238,8 @@
     if (known == nullptr) {
         return;
     }
+    // Whatever becomes of the news: the register may name an earlier engine at this address too, of which nobody ever hears again.
+    m_agentsPresent[address] = now + statusLifetime;
     const std::string id = *known;
     if (m_register.noteIncarnation(id, status.incarnation) == IncarnationNews::Outdated) {
         return;
@@ -275,8 +278,8 @@
     std::vector<OrphanedEngine> orphaned;
     for (const auto &[id, server] : m_register.servers()) {
         const BackendServerId key = backendServerId(id);
-        const auto heard = m_heard.find(key);
-        if (heard != m_heard.end() && now < heard->second.deadline) {
+        const auto present = m_agentsPresent.find(server.address);
+        if (present != m_agentsPresent.end() && now < present->second) {
             m_silentSince.erase(key);
             continue;
         }
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -165,6 +165,7 @@
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, std::size_t>> m_versions; ///< By service and model.
     std::map<std::pair<std::string, std::string>, std::map<std::string, std::size_t>> m_domains; ///< Engines by service and model, then by failure domain.
     std::unordered_map<BackendServerId, Heard> m_heard;
+    std::unordered_map<std::string, Core::TimePoint> m_agentsPresent; ///< Until when, by address of the engine.
     std::unordered_map<BackendServerId, Core::TimePoint> m_silentSince; ///< Engines whose agents are not heard of.
     std::unordered_map<BackendServerId, std::uint32_t> m_failures; ///< Connections that failed since the last answer.
     PromptCaches m_caches;
--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -507,6 +507,22 @@
     EXPECT_GT(found, (rounds - 1) * walls * 9 / 10);
 }
 
+// An engine that crashed and came back under another id leaves its earlier entry behind for seconds. Its agent is there, so nobody else may take its orders.
+TEST_F(RelayFleetTest, takesNoEngineForOrphanedWhoseAgentIsHeardUnderAnotherId)
+{
+    RegisteredServer earlier = engine("1");
+    earlier.id = "0-earlier";
+    m_fleet.servers().put(earlier);
+    m_fleet.noteWeightsNamed("m", 2, m_now);
+    for (int step = 0; step < 8; ++step) {
+        for (int number = 1; number <= 6; ++number) {
+            m_fleet.noteStatus(engine(std::to_string(number)).address, status(), m_now);
+        }
+        EXPECT_TRUE(m_fleet.orphanedEngines(m_now).empty());
+        m_now += 1s;
+    }
+}
+
 // A router that is cut off from agents hears none of them, and must not take the orders of all engines for that.
 TEST_F(RelayFleetTest, takesItselfForCutOffWhenMostAgentsFallSilentAtOnce)
 {
