Write down what was seen of requests on weights that were too old

Ruled out by reading: an engine whose version was only believed, since each request names the version that it is meant for.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -552,6 +552,10 @@
     const std::uint32_t ownTokens = query.prompt->parts.empty() ? query.prompt->promptTokens : query.prompt->parts.back().tokens;
     choice.work = best.prefill + microseconds(1000) * (ownTokens / tokensPerMillisecond);
     choice.warmParts = best.warmPieces;
+    const std::optional<Core::TimePoint> outdated = weightsHistory(query).outdatedSince(*choice.weightsVersion);
+    if (outdated.has_value()) {
+        choice.outdatedFor = std::chrono::duration_cast<milliseconds>(now - *outdated);
+    }
     settleCaches(choice, query, now);
     estimate(choice, query, now);
 }
--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -46,7 +46,7 @@
         replaceServers(page);
         return;
     }
-    takeRows(table, page);
+    takeRows(table, page, "table");
 }
 
 void DeploymentFeed::changeRows(const std::string &table, const Store::RowPage &page)
@@ -55,13 +55,13 @@
     if (table == m_serversTable) {
         m_servers.setPause(m_relay.registerPause());
     }
-    takeRows(table, page);
+    takeRows(table, page, "change");
 }
 
-void DeploymentFeed::takeRows(const std::string &table, const Store::RowPage &page)
+void DeploymentFeed::takeRows(const std::string &table, const Store::RowPage &page, const std::string &how)
 {
     for (const Store::TableRow &row : page.rows) {
-        takeRow(table, row);
+        takeRow(table, row, how);
     }
 }
 
@@ -81,7 +81,7 @@
         serverChanged, {{"server", ""}, {"change", "register read"}, {"count", std::to_string(servers.size())}, {"revision", std::to_string(page.revision)}});
 }
 
-void DeploymentFeed::takeRow(const std::string &table, const Store::TableRow &row)
+void DeploymentFeed::takeRow(const std::string &table, const Store::TableRow &row, const std::string &how)
 {
     auto decoded = m_decoder.decode(table, row);
     if (!decoded) {
@@ -98,7 +98,11 @@
         m_relay.setConfiguration(std::move(*configuration));
     } else if (const auto *weights = std::get_if<NamedWeights>(&meaning)) {
         if (m_relay.noteWeightsNamed(weights->model, weights->version)) {
-            Observe::log(weightsNamed, {{"model", weights->model}, {"version", std::to_string(weights->version)}, {"revision", std::to_string(row.revision)}});
+            Observe::log(weightsNamed,
+                {{"model", weights->model},
+                    {"version", std::to_string(weights->version)},
+                    {"revision", std::to_string(row.revision)},
+                    {"learned", how}});
         }
     } else if (const auto *server = std::get_if<Decisions::RegisteredServer>(&meaning)) {
         takeServer(*server);
--- a/src/libs/relay/deploymentfeed.h
+++ b/src/libs/relay/deploymentfeed.h
@@ -28,8 +28,8 @@
     void changeRows(const std::string &table, const Store::RowPage &page) override;
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
-    void takeRows(const std::string &table, const Store::RowPage &page);
-    void takeRow(const std::string &table, const Store::TableRow &row);
+    void takeRows(const std::string &table, const Store::RowPage &page, const std::string &how);
+    void takeRow(const std::string &table, const Store::TableRow &row, const std::string &how);
     void refuseEntry(const std::string &id, const Core::Error &error);
     void takeServer(const Decisions::RegisteredServer &server);
     void replaceServers(const Store::RowPage &page);
