Reproduce requests on weights that are too old after a router started

Real router and agent on loopback: weights are named, the engine takes its order and never carries it out, and the router starts again half the allowed time later. It goes on giving requests to the engine for that long once more. The second test holds what a mend must not cost: old weights that are young enough are used after a start.

The store's stand-in now tells its clock, as its answers say, and the deployment takes the bound on old weights.

--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -99,10 +99,7 @@
     } else if (const auto *weights = std::get_if<NamedWeights>(&meaning)) {
         if (m_relay.noteWeightsNamed(weights->model, weights->version)) {
             Observe::log(weightsNamed,
-                {{"model", weights->model},
-                    {"version", std::to_string(weights->version)},
-                    {"revision", std::to_string(row.revision)},
-                    {"learned", how}});
+                {{"model", weights->model}, {"version", std::to_string(weights->version)}, {"revision", std::to_string(row.revision)}, {"learned", how}});
         }
     } else if (const auto *server = std::get_if<Decisions::RegisteredServer>(&meaning)) {
         takeServer(*server);
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -54,6 +54,11 @@
     return m_version;
 }
 
+void EngineFake::holdOrders()
+{
+    m_isHoldingOrders = true;
+}
+
 WorkerScript EngineFake::answer(const Http::MessageHead &head, const std::string &body)
 {
     if (head.target == "/report") {
@@ -87,12 +92,13 @@
         return whole("", "", "409 Conflict");
     }
     m_orders.push_back(wanted);
-    m_version = wanted.at("version").get<std::uint64_t>();
+    m_version = m_isHoldingOrders ? m_version : wanted.at("version").get<std::uint64_t>();
     return whole("", "", "202 Accepted");
 }
 
-PlatformDeployment::PlatformDeployment(std::size_t routers)
-    : m_loop(std::move(EventLoop::Loop::create().value()))
+PlatformDeployment::PlatformDeployment(std::size_t routers, std::chrono::milliseconds longestWeightsUse)
+    : m_longestWeightsUse(longestWeightsUse)
+    , m_loop(std::move(EventLoop::Loop::create().value()))
     , m_store(*m_loop)
     , m_engine(*m_loop, networkNumber() + std::to_string(engineHost))
 {
@@ -117,9 +123,8 @@
 std::string PlatformDeployment::hostFile(const std::string &name, const std::string &ip, const std::string &more) const
 {
     return m_folder.write(name + ".yaml",
-        "nodeName: \"" + name + "\"\nip: \"" + ip
-            + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nbounds:\n  graceS: 8\n  retrySlack: 54\nprovider:\n  address: \"" + m_store.address() + "\"\n"
-            + more);
+        "nodeName: \"" + name + "\"\nip: \"" + ip + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nbounds:\n  graceS: 8\n  retrySlack: 54\n  versionMs: "
+            + std::to_string(m_longestWeightsUse.count()) + "\nprovider:\n  address: \"" + m_store.address() + "\"\n" + more);
 }
 
 void PlatformDeployment::startRouter(std::size_t index)
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -32,11 +32,15 @@
 
     std::uint64_t version() const;
 
+    /// \brief Takes orders from now on without carrying them out.
+    void holdOrders();
+
 private:
     WorkerScript answer(const Http::MessageHead &head, const std::string &body);
     std::string order(const std::string &body);
 
     std::uint64_t m_version = 1;
+    bool m_isHoldingOrders = false;
     std::vector<nlohmann::json> m_orders;
     std::vector<Http::MessageHead> m_runs;
     WorkerFake m_worker;
@@ -48,7 +52,8 @@
 class PlatformDeployment
 {
 public:
-    explicit PlatformDeployment(std::size_t routers = 1);
+    /// \brief \a longestWeightsUse is the bound on old weights that the platform tells all processes.
+    explicit PlatformDeployment(std::size_t routers = 1, std::chrono::milliseconds longestWeightsUse = std::chrono::milliseconds(8000));
     ~PlatformDeployment();
 
     PlatformDeployment(const PlatformDeployment &) = delete;
@@ -85,6 +90,7 @@
     void registerEngine();
 
     TemporaryFolder m_folder;
+    std::chrono::milliseconds m_longestWeightsUse;
     std::unique_ptr<EventLoop::Loop> m_loop;
     StoreStandin m_store;
     EngineFake m_engine;
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -28,6 +28,7 @@
 StoreStandin::StoreStandin(EventLoop::Loop &loop, const std::string &address)
     : m_loop(loop)
     , m_host(address)
+    , m_start(loop.now())
     , m_timer(loop, [this] { tellFollowers(); })
 {
     Http::HttpServerOptions options;
@@ -117,7 +118,12 @@
 
 json StoreStandin::page(std::vector<json> rows) const
 {
-    return {{"rows", std::move(rows)}, {"morePages", false}, {"ver", m_version}, {"nowMs", 1}};
+    return {{"rows", std::move(rows)}, {"morePages", false}, {"ver", m_version}, {"nowMs", nowMs()}};
+}
+
+std::int64_t StoreStandin::nowMs() const
+{
+    return std::chrono::duration_cast<milliseconds>(m_loop.now() - m_start).count() + 1;
 }
 
 void StoreStandin::get(const std::shared_ptr<Http::HttpExchange> &exchange)
@@ -187,7 +193,7 @@
     for (const json &entry : body.value("put", json::array())) {
         m_tables[entry.at("table").get<std::string>()][entry.at("key").get<std::string>()] = {"", m_version, false, entry.at("value").get<std::string>()};
     }
-    respond(exchange, 200, {{"ver", m_version}, {"nowMs", 1}});
+    respond(exchange, 200, {{"ver", m_version}, {"nowMs", nowMs()}});
     tellFollowers();
 }
 
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -70,6 +70,7 @@
     };
 
     nlohmann::json rowJson(const std::string &table, const std::string &key, const Row &row) const;
+    std::int64_t nowMs() const;
     nlohmann::json page(std::vector<nlohmann::json> rows) const;
     std::vector<nlohmann::json> changes(const std::string &table, std::uint64_t after) const;
     void get(const std::shared_ptr<Http::HttpExchange> &exchange);
@@ -80,6 +81,7 @@
 
     EventLoop::Loop &m_loop;
     std::string m_host;
+    Core::TimePoint m_start;
     std::unique_ptr<Http::HttpServer> m_server;
     EventLoop::Timer m_timer;
     Mode m_mode = Mode::Well;
