--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -36,7 +36,7 @@
     std::string serverId;
     std::string address;
     std::optional<std::uint64_t> weightsVersion; ///< That the request is meant for.
-    std::optional<std::chrono::milliseconds> outdatedFor; ///< How long newer weights had been named by then, as far as this process knows; nothing if none were.
+    std::optional<std::chrono::milliseconds> outdatedFor; ///< Since newer weights were named, as far as is known; nothing if none were.
     std::string cacheScope; ///< Prompts of other scopes share no cached part with this one.
     std::vector<SharedPart> parts; ///< Of the prompt, in order; without the last one, which is the request's own.
     std::uint32_t warmParts = 0; ///< Leading ones believed to be in its cache.
