Count engines' turns from the naming and tell none without the register

Cause, of turns that start anew: an agent counted its engine's turn from when it heard of the weights. Routers now tell how long ago they were named, and the agent counts from there; a turn that has passed is due at once, and an earlier one told later brings the load forward, never back. A turn that an engine keeps of the version before is told too while the register says that the engine lacks it. Who reads the register in the middle of a change comes to the same turns, since engines that are done are counted.

Cause, of turns without a register: EngineWatch worked out the turns once a version, on a starting router before it had read the register, and sent "0 of 0" for ever. WeightsTurnBook keeps them now: none without the register, one for an engine that joins, the others' as they were.

Where the age is not known nobody uses the old weights. All at once was ruled out: more than a group slow each other down, so the last engine would be back no sooner and the first one no earlier than the last. An agent that cannot read the register draws its group by hash; before it loaded at once.

weights_planned tells named_ms and done.

--- a/src/libs/decisions/relay/orderfailover.cpp
+++ b/src/libs/decisions/relay/orderfailover.cpp
@@ -41,7 +41,7 @@
             if (!turns.contains(engine.model)) {
                 turns[engine.model] = weightsTurns(goal.holders, goal.version);
             }
-            entry.turn = weightsLoadTime(turns[engine.model][engine.id], m_pace, goal.namedAt, planned);
+            entry.turn = weightsLoadTime(turns[engine.model][engine.id], m_pace, {goal.namedAt, engine.since}, planned);
             entry.begin = std::max(goal.namedAt, engine.since) + wait;
             entry.overdue = std::max(entry.turn, engine.since) + m_options.overdue + wait;
         }
--- a/src/libs/decisions/relay/weightsschedule.cpp
+++ b/src/libs/decisions/relay/weightsschedule.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+// Routers learn of a naming within some milliseconds of each other; a turn that is earlier by less than this needs no new plan, and no line in the log.
+constexpr std::chrono::milliseconds leastGain{100};
+
+// Of a fleet whose size is not known: enough for an even draw over all groups.
+constexpr std::uint32_t drawnEngines = 10'000;
+
 auto turn(const WeightsHolder &holder, std::uint64_t version)
 {
     return std::tuple(holder.version, XXH3_64bits_withSeed(holder.id.data(), holder.id.size(), version), holder.id);
@@ -41,9 +47,10 @@
     std::sort(waiting.begin(), waiting.end(), [version](const WeightsHolder *left, const WeightsHolder *right) {
         return turn(*left, version) < turn(*right, version);
     });
+    const auto done = static_cast<std::uint32_t>(holders.size() - waiting.size());
     std::map<std::string, WeightsTurn> turns;
     for (const WeightsHolder &holder : holders) {
-        turns[holder.id] = {static_cast<std::uint32_t>(holders.size()), 0};
+        turns[holder.id] = {static_cast<std::uint32_t>(holders.size()), 0, done};
     }
     for (std::size_t place = 0; place < waiting.size(); ++place) {
         turns[waiting[place]->id].before = static_cast<std::uint32_t>(place);
@@ -51,14 +58,39 @@
     return turns;
 }
 
-Core::TimePoint weightsLoadTime(const WeightsTurn &turn, const WeightsPace &pace, Core::TimePoint namedAt, Core::TimePoint planned)
+bool WeightsNaming::isTimeKnown() const
+{
+    return at != Core::TimePoint::min();
+}
+
+WeightsTurn drawnWeightsTurn(const std::string &id, std::uint64_t version)
+{
+    const std::uint64_t draw = XXH3_64bits_withSeed(id.data(), id.size(), version);
+    return {drawnEngines, static_cast<std::uint32_t>(draw % drawnEngines), 0};
+}
+
+Core::TimePoint weightsLoadTime(const WeightsTurn &turn, const WeightsPace &pace, const WeightsNaming &naming, Core::TimePoint planned)
 {
     if (turn.engines == 0) {
-        return std::min(namedAt, planned);
+        return std::min(planned, naming.isTimeKnown() ? naming.at : naming.learnedAt);
     }
     const std::size_t size = groupSize(turn.engines, pace);
-    const auto group = static_cast<int>(turn.before / size);
-    return std::min(planned, namedAt + pace.notice + group * groupStep(turn.engines, pace, size));
+    if (!naming.isTimeKnown()) {
+        // All at once would take as long, since more than a group slow each other down, but the first engine would be back only with the last one.
+        const auto group = static_cast<int>(turn.before / size);
+        return std::min(planned, naming.learnedAt + group * pace.loadTime);
+    }
+    const auto group = static_cast<int>((turn.done + turn.before) / size);
+    return std::min(planned, naming.at + pace.notice + group * groupStep(turn.engines, pace, size));
+}
+
+bool bringsForward(const WeightsTurn &turn, const WeightsPace &pace, const WeightsNaming &naming, Core::TimePoint planned)
+{
+    // Who does not know when the weights were named has nothing better than what is planned, and what is due cannot be brought forward.
+    if (turn.engines == 0 || !naming.isTimeKnown() || planned <= naming.learnedAt) {
+        return false;
+    }
+    return weightsLoadTime(turn, pace, naming) + leastGain <= planned;
 }
 
 Core::TimePoint weightsLoadTime(const std::vector<WeightsHolder> &holders,
@@ -70,7 +102,7 @@
 {
     const std::map<std::string, WeightsTurn> turns = weightsTurns(holders, version);
     const auto own = turns.find(self);
-    return weightsLoadTime(own == turns.end() ? WeightsTurn() : own->second, pace, namedAt, planned);
+    return weightsLoadTime(own == turns.end() ? WeightsTurn() : own->second, pace, {namedAt, namedAt}, planned);
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/weightsschedule.h
+++ b/src/libs/decisions/relay/weightsschedule.h
@@ -29,21 +29,41 @@
 struct WeightsTurn
 {
     std::uint32_t engines = 0; ///< That serve the model; 0 if this one is not among them.
-    std::uint32_t before = 0; ///< Of those, the ones whose turn comes first.
+    std::uint32_t before = 0; ///< Of those that wait, the ones whose turn comes first.
+    std::uint32_t done = 0; ///< Of those that serve the model, the ones that had the weights when the turns were worked out.
+};
+
+/// \brief When weights were named, as far as who plans knows.
+struct WeightsNaming
+{
+    Core::TimePoint at = Core::TimePoint::min(); ///< min() if that is not known, or long ago.
+    Core::TimePoint learnedAt{}; ///< By who plans.
+
+    bool isTimeKnown() const;
 };
 
 /// \brief The turns of all \a holders to load \a version, by id.
 ///
 /// Everybody works them out alone from the same register, so that engines change in small groups without a word between hosts. Those with the oldest
-/// weights go first: their answers lose most, and when the next version is named before all have this one, they skip it.
+/// weights go first: their answers lose most, and when the next version is named before all have this one, they skip it. Who reads the register in the
+/// middle of the change comes to the same turns, since those that are done count too.
 std::map<std::string, WeightsTurn> weightsTurns(const std::vector<WeightsHolder> &holders, std::uint64_t version);
 
-/// \brief When the engine of \a turn should load weights that were named at \a namedAt.
+/// \brief A turn of the engine \a id where the register cannot be read: drawn by hash, so that a fleet of any size is spread evenly.
+WeightsTurn drawnWeightsTurn(const std::string &id, std::uint64_t version);
+
+/// \brief When the engine of \a turn should load weights that were named at \a naming; a moment that has passed means at once.
 ///
 /// It answers two loads: a fleet whose engines all come back cold at once, which the spread avoids, and versions that follow each other faster than
 /// they can be loaded, where an engine that began to wait anew with each of them would never have its turn. So an engine whose turn was \a planned
 /// keeps it.
-Core::TimePoint weightsLoadTime(const WeightsTurn &turn, const WeightsPace &pace, Core::TimePoint namedAt, Core::TimePoint planned = Core::TimePoint::max());
+///
+/// If nobody knows when the weights were named, nobody uses the old ones any more either: the groups then load one right after the other.
+Core::TimePoint weightsLoadTime(
+    const WeightsTurn &turn, const WeightsPace &pace, const WeightsNaming &naming, Core::TimePoint planned = Core::TimePoint::max());
+
+/// \brief Whether \a turn, told once more by somebody, brings the load forward that was \a planned.
+bool bringsForward(const WeightsTurn &turn, const WeightsPace &pace, const WeightsNaming &naming, Core::TimePoint planned);
 
 /// \brief The same for the engine \a self of \a holders.
 Core::TimePoint weightsLoadTime(const std::vector<WeightsHolder> &holders,
--- a/src/libs/relay/enginewatch.cpp
+++ b/src/libs/relay/enginewatch.cpp
@@ -61,42 +61,34 @@
 
 void EngineWatch::ask()
 {
-    followGoals();
+    m_turns.follow(m_relay.fleet().weightsGoals());
     for (const auto &[id, server] : m_relay.fleet().servers().servers()) {
         auto agent = Http::Endpoint::parse(server.address);
         if (server.weights.empty() || !agent) {
             continue;
         }
-        verbena::wire::Envelope message;
-        verbena::wire::EngineWatch &watch = *message.mutable_engine_watch();
-        for (const Decisions::ServedWeights &weights : server.weights) {
-            const auto goal = m_goals.find(weights.model);
-            if (goal == m_goals.end()) {
-                continue;
-            }
-            verbena::wire::WeightsTurn &entry = *watch.add_turns();
-            entry.set_model(weights.model);
-            entry.set_version(goal->second.version);
-            const auto turn = goal->second.turns.find(id);
-            if (turn != goal->second.turns.end()) {
-                entry.set_engines(turn->second.engines);
-                entry.set_before(turn->second.before);
-            }
-        }
         agent.value().address.sin_port = m_address.address.sin_port;
-        m_socket->send(agent.value().address, message);
+        m_socket->send(agent.value().address, question(id, server));
     }
     m_timer.startAt(m_loop.now() + askPeriod);
 }
 
-void EngineWatch::followGoals()
+verbena::wire::Envelope EngineWatch::question(const std::string &id, const Decisions::RegisteredServer &server) const
 {
-    for (const auto &[model, goal] : m_relay.fleet().weightsGoals()) {
-        WeightsGoalTurns &known = m_goals[model];
-        if (known.version != goal.version) {
-            known = {goal.version, Decisions::weightsTurns(goal.holders, goal.version)};
+    verbena::wire::Envelope message;
+    verbena::wire::EngineWatch &watch = *message.mutable_engine_watch();
+    for (const Decisions::ServedWeights &weights : server.weights) {
+        for (const Decisions::ToldTurn &told : m_turns.turns(weights.model, id, weights.version, m_loop.now())) {
+            verbena::wire::WeightsTurn &entry = *watch.add_turns();
+            entry.set_model(weights.model);
+            entry.set_version(told.version);
+            entry.set_engines(told.turn.engines);
+            entry.set_before(told.turn.before);
+            entry.set_done(told.turn.done);
+            entry.set_named_ago_us(told.age.has_value() ? static_cast<std::uint64_t>(told.age->count()) + 1 : 0);
         }
     }
+    return message;
 }
 
 void EngineWatch::take(const verbena::wire::Envelope &message)
--- a/src/libs/relay/enginewatch.h
+++ b/src/libs/relay/enginewatch.h
@@ -3,10 +3,10 @@
 #include "peerrows.h"
 #include "relaytask.h"
 
+#include <decisions/relay/weightsturnbook.h>
 #include <eventloop/timer.h>
 #include <wire/datagramsocket.h>
 
-#include <map>
 #include <memory>
 
 namespace Verbena::Relay {
@@ -25,16 +25,9 @@
     EngineWatch &operator=(const EngineWatch &) = delete;
 
 private:
-    // The newest weights of a model and the turns of its engines, as they were when this process learned of them.
-    struct WeightsGoalTurns
-    {
-        std::uint64_t version = 0;
-        std::map<std::string, Decisions::WeightsTurn> turns; ///< By id of the engine.
-    };
-
     EngineWatch(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, PeerRows &peers);
     void ask();
-    void followGoals();
+    verbena::wire::Envelope question(const std::string &id, const Decisions::RegisteredServer &server) const;
     void take(const verbena::wire::Envelope &message);
 
     EventLoop::Loop &m_loop;
@@ -42,7 +35,7 @@
     RelayTask &m_relay;
     PeerRows &m_peers;
     EventLoop::Timer m_timer;
-    std::map<std::string, WeightsGoalTurns> m_goals; ///< By model.
+    Decisions::WeightsTurnBook m_turns;
     std::unique_ptr<Wire::DatagramSocket> m_socket;
 };
 
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -39,6 +39,23 @@
 // Several times what a slow store takes.
 constexpr milliseconds storeAnswerTime{700};
 
+// Beyond it only that a turn has passed matters; keeps a moment from an odd packet within the clock.
+constexpr std::chrono::hours longestAge{1};
+
+std::string milliText(Core::Clock::duration time)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+}
+
+Decisions::WeightsNaming namingOf(const verbena::wire::WeightsTurn &told, Core::TimePoint now)
+{
+    if (told.named_ago_us() == 0) {
+        return {Core::TimePoint::min(), now};
+    }
+    constexpr auto most = static_cast<std::uint64_t>(std::chrono::microseconds(longestAge).count());
+    return {now - std::chrono::microseconds(std::min(told.named_ago_us() - 1, most)), now};
+}
+
 std::vector<Decisions::WeightsHolder> holdersOf(const std::string &model,
     const std::string &table,
     const Store::RowPage &page,
@@ -108,12 +125,18 @@
     };
 }
 
+// How long ago these were named is not said.
 void WeightsKeeper::replaceRows(const std::string &table, const Store::RowPage &page)
 {
-    changeRows(table, page);
+    takeDeclarations(table, page, {Core::TimePoint::min(), m_loop.now()});
 }
 
 void WeightsKeeper::changeRows(const std::string &table, const Store::RowPage &page)
+{
+    takeDeclarations(table, page, {m_loop.now(), m_loop.now()});
+}
+
+void WeightsKeeper::takeDeclarations(const std::string &table, const Store::RowPage &page, const Decisions::WeightsNaming &naming)
 {
     for (const Store::TableRow &row : page.rows) {
         const auto decoded = m_decoder.decode(table, row);
@@ -122,7 +145,7 @@
         }
         if (const auto *named = std::get_if<Relay::NamedWeights>(&decoded.value())) {
             if (takeNamed(*named)) {
-                plan(named->model, m_loop.now());
+                plan(named->model, naming);
             }
         }
     }
@@ -141,12 +164,23 @@
 // A router may be late, so it can only add to what is known.
 void WeightsKeeper::takeWatch(const verbena::wire::EngineWatch &watch)
 {
-    const Core::TimePoint now = m_loop.now();
-    m_watchedUntil = now + watchLifetime;
+    m_watchedUntil = m_loop.now() + watchLifetime;
     for (const verbena::wire::WeightsTurn &turn : watch.turns()) {
-        if (takeNamed({turn.model(), turn.version()})) {
-            planTurn(turn.model(), now, {turn.engines(), turn.before()});
-        }
+        takeTurn(turn);
+    }
+}
+
+// Routers that started in the middle, or were late, may tell a later turn than others; the earliest one counts.
+void WeightsKeeper::takeTurn(const verbena::wire::WeightsTurn &told)
+{
+    const Decisions::WeightsTurn turn{told.engines(), told.before(), told.done()};
+    const Decisions::WeightsNaming naming = namingOf(told, m_loop.now());
+    const bool isNews = takeNamed({told.model(), told.version()});
+    const Target &target = m_targets[told.model()];
+    if (isNews && turn.engines == 0) {
+        plan(told.model(), naming);
+    } else if (isNews || (isOutOfDate(told.model(), told.version()) && !target.isOrdered && bringsForward(turn, m_settings.pace, naming, target.loadTime))) {
+        planTurn(told.model(), naming, turn);
     }
 }
 
@@ -179,43 +213,56 @@
 
 // Whether the engine still waits for its turn, or for the order after it. The next version then takes that turn.
 bool WeightsKeeper::isOwed(const std::string &model, const Target &target) const
+{
+    return !target.isOrdered && isOutOfDate(model, target.version);
+}
+
+// Whether the engine lacks these weights, as far as is known.
+bool WeightsKeeper::isOutOfDate(const std::string &model, std::uint64_t version) const
 {
     const auto inPlace = m_inPlace.find(model);
-    return !target.isOrdered && (inPlace == m_inPlace.end() ? 0 : inPlace->second) < target.version;
+    const bool isInPlace = inPlace != m_inPlace.end() && inPlace->second >= version;
+    const std::vector<Decisions::ServedWeights> &served = m_lastReport.weights;
+    return !isInPlace && std::none_of(served.begin(), served.end(), [&](const Decisions::ServedWeights &weights) {
+        return weights.model == model && weights.version >= version;
+    });
 }
 
-void WeightsKeeper::plan(const std::string &model, Core::TimePoint namedAt)
+void WeightsKeeper::plan(const std::string &model, const Decisions::WeightsNaming &naming)
 {
-    const auto take = [this, model, namedAt](const Core::Result<Store::RowPage> &page) {
-        planAmong(model, namedAt, page);
+    const auto take = [this, model, naming](const Core::Result<Store::RowPage> &page) {
+        planAmong(model, naming, page);
     };
-    m_rows.readTable(m_decoder.tables().servers, namedAt + storeAnswerTime, guarded(take));
+    m_rows.readTable(m_decoder.tables().servers, naming.learnedAt + storeAnswerTime, guarded(take));
 }
 
-void WeightsKeeper::planAmong(const std::string &model, Core::TimePoint namedAt, const Core::Result<Store::RowPage> &page)
+void WeightsKeeper::planAmong(const std::string &model, const Decisions::WeightsNaming &naming, const Core::Result<Store::RowPage> &page)
 {
-    std::string self;
-    std::vector<Decisions::WeightsHolder> holders;
-    if (page) {
-        holders = holdersOf(model, m_decoder.tables().servers, page.value(), m_decoder, m_settings.engineAddress, self);
+    if (!page) {
+        planTurn(model, naming, Decisions::drawnWeightsTurn(m_settings.engineAddress, m_targets[model].version));
+        return;
     }
+    std::string self;
+    const std::vector<Decisions::WeightsHolder> holders = holdersOf(model, m_decoder.tables().servers, page.value(), m_decoder, m_settings.engineAddress, self);
     const auto turns = Decisions::weightsTurns(holders, m_targets[model].version);
     const auto own = turns.find(self);
-    planTurn(model, namedAt, own == turns.end() ? Decisions::WeightsTurn() : own->second);
+    // An engine that is not registered serves nobody who would lose by a load at once.
+    planTurn(model, naming, own == turns.end() ? Decisions::WeightsTurn() : own->second);
 }
 
-void WeightsKeeper::planTurn(const std::string &model, Core::TimePoint namedAt, const Decisions::WeightsTurn &turn)
+void WeightsKeeper::planTurn(const std::string &model, const Decisions::WeightsNaming &naming, const Decisions::WeightsTurn &turn)
 {
     Target &target = m_targets[model];
-    // Without the register its turn is not known; then it is better early than late.
-    target.loadTime = weightsLoadTime(turn, m_settings.pace, namedAt, target.loadTime);
-    const auto wait = std::chrono::duration_cast<milliseconds>(target.loadTime - m_loop.now());
+    target.loadTime = weightsLoadTime(turn, m_settings.pace, naming, target.loadTime);
+    const Core::TimePoint now = m_loop.now();
     Observe::log(weightsPlanned,
         {{"model", model},
             {"version", std::to_string(target.version)},
             {"engines", std::to_string(turn.engines)},
             {"before", std::to_string(turn.before)},
-            {"in_ms", std::to_string(wait.count())}});
+            {"done", std::to_string(turn.done)},
+            {"named_ms", naming.isTimeKnown() ? milliText(now - naming.at) : ""},
+            {"in_ms", milliText(std::max(target.loadTime, now) - now)}});
     // Routers learn of the plan at once.
     lookAt(m_loop.now());
 }
--- a/tests/auto/relay/tst_weights.cpp
+++ b/tests/auto/relay/tst_weights.cpp
@@ -141,6 +141,75 @@
     }
 }
 
+// Nine agents heard of weights without a turn and loaded in the same millisecond, so that no engine was left to serve:
+//   weights_planned version=2 engines=0 before=0 in_ms=0, nine times
+// Where nobody knows when weights were named, the same could come of turns that all have passed. Nobody uses the old weights then, so it has to be quick too.
+TEST(WeightsScheduleTest, neverLoadsAllEnginesAtOnceWhenNobodyKnowsSinceWhen)
+{
+    const WeightsPace pace;
+    for (const int engines : {4, 9, 18, 56, 400, 10000}) {
+        std::map<Core::TimePoint, int> groups;
+        for (const auto &[id, turn] : weightsTurns(fleet(engines), 2)) {
+            ++groups[weightsLoadTime(turn, pace, {Core::TimePoint::min(), start})];
+        }
+        EXPECT_EQ(groups.begin()->first, start) << engines;
+        EXPECT_LE(groups.rbegin()->first + pace.loadTime, start + pace.spread) << engines;
+        for (const auto &[at, count] : groups) {
+            EXPECT_LE(count, std::max(3, engines / 7 + 1)) << engines;
+        }
+    }
+}
+
+// An engine alone need not wait for those that are done.
+TEST(WeightsScheduleTest, letsTheLastEngineLoadAtOnceWhenNobodyKnowsSinceWhen)
+{
+    std::vector<WeightsHolder> holders = fleet(18, 2);
+    holders[7].version = 1;
+    EXPECT_EQ(weightsLoadTime(weightsTurns(holders, 2).at("7"), {}, {Core::TimePoint::min(), start}), start);
+}
+
+// The register cannot be read: engines that draw their turns must not load together either, nor later than by the register.
+TEST(WeightsScheduleTest, spreadsDrawnTurnsEvenly)
+{
+    const WeightsPace pace;
+    constexpr int engines = 400;
+    std::map<Core::TimePoint, int> groups;
+    for (const WeightsHolder &holder : fleet(engines)) {
+        ++groups[weightsLoadTime(drawnWeightsTurn(holder.id, 2), pace, {start, start})];
+    }
+    EXPECT_GE(groups.size(), 6U);
+    EXPECT_LE(groups.rbegin()->first + pace.loadTime, start + pace.notice + pace.spread);
+    for (const auto &[at, count] : groups) {
+        EXPECT_LE(count, 2 * engines / static_cast<int>(groups.size()));
+    }
+}
+
+TEST(WeightsScheduleTest, isDueAtOnceWhenTheTurnHasPassed)
+{
+    const WeightsPace pace;
+    const std::vector<WeightsHolder> holders = fleet(9);
+    for (const WeightsHolder &holder : holders) {
+        EXPECT_LE(weightsLoadTime(holders, holder.id, 2, pace, start - 10s), start);
+    }
+}
+
+// Routers that started in the middle, or were late, tell other turns than the rest.
+TEST(WeightsScheduleTest, bringsALoadForwardAndNeverPutsItBack)
+{
+    const WeightsPace pace;
+    const WeightsTurn turn{9, 4, 0};
+    const Core::TimePoint planned = weightsLoadTime(turn, pace, {start, start});
+    EXPECT_FALSE(bringsForward(turn, pace, {start, start + 100ms}, planned));
+    EXPECT_FALSE(bringsForward({9, 8, 0}, pace, {start, start + 100ms}, planned));
+    EXPECT_FALSE(bringsForward(turn, pace, {start + 1s, start + 1s}, planned));
+    EXPECT_FALSE(bringsForward({9, 0, 0}, pace, {Core::TimePoint::min(), start + 100ms}, planned));
+    EXPECT_FALSE(bringsForward({}, pace, {start, start + 100ms}, planned));
+    EXPECT_TRUE(bringsForward({9, 0, 0}, pace, {start, start + 100ms}, planned));
+    EXPECT_TRUE(bringsForward(turn, pace, {start - 1s, start + 100ms}, planned));
+    EXPECT_FALSE(bringsForward(turn, pace, {start - 1s, planned}, planned));
+    EXPECT_EQ(weightsLoadTime({9, 8, 0}, pace, {start, start}, planned), planned);
+}
+
 TEST(WeightsChoiceTest, listsTheNewestUsableVersionFirst)
 {
     WeightsHistory history;
