Order engines without an agent also if nobody knows since when

The moment of the naming may be the earliest that the clock has; a router without any other holder of the rows has to order its engines then too.

--- a/tests/auto/relay/tst_orders.cpp
+++ b/tests/auto/relay/tst_orders.cpp
@@ -362,6 +362,19 @@
     EXPECT_GE(*std::max_element(ordered.begin(), ordered.end()), 3U);
 }
 
+// A router that starts may not learn since when the weights are named; the moment that says so is as far in the past as the clock goes.
+TEST_F(OrderFailoverTest, ordersEnginesAlsoIfNobodyKnowsSinceWhen)
+{
+    m_namedAt = Core::TimePoint::min();
+    OrderFailover only = router("front-1", 1);
+    std::size_t ordered = 0;
+    for (; m_now < start + 2500ms; m_now += 250ms) {
+        ordered += turn(only);
+    }
+    EXPECT_EQ(m_commits, 1);
+    EXPECT_GE(ordered, 3U);
+}
+
 // Hosts that are lost with their engines: when both are back, the agent has to be able to order at once.
 TEST_F(OrderFailoverTest, takesNoRowOfAnEngineThatIsLostToo)
 {
--- a/tests/auto/relay/tst_weightsturnbook.cpp
+++ b/tests/auto/relay/tst_weightsturnbook.cpp
@@ -19,6 +19,7 @@
 std::vector<WeightsHolder> fleet(int engines, std::uint64_t version = 1)
 {
     std::vector<WeightsHolder> holders;
+    holders.reserve(static_cast<std::size_t>(engines));
     for (int number = 0; number < engines; ++number) {
         holders.push_back({std::to_string(number), version});
     }
