--- a/tests/auto/relay/tst_weights.cpp
+++ b/tests/auto/relay/tst_weights.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -117,6 +118,98 @@
     }
 }
 
+// Three restarts within 4.5 s put the last engine's load from 24.8 s to 30.7 s after the start of the day, of weights that were named at 20.0 s. Who starts in
+// the middle reads a register in which the first engines have the new weights already; counted among those that still wait, all others would come forward at
+// once, and more would load at a time than may.
+TEST(WeightsScheduleTest, givesTheSameTurnsToWhomStartsInTheMiddle)
+{
+    const WeightsPace pace;
+    for (const int engines : {9, 18, 400}) {
+        std::vector<WeightsHolder> holders = fleet(engines);
+        std::map<std::string, Core::TimePoint> planned;
+        for (const WeightsHolder &holder : holders) {
+            planned[holder.id] = weightsLoadTime(holders, holder.id, 2, pace, start);
+        }
+        const Core::TimePoint middle = start + pace.notice + pace.spread / 2;
+        for (WeightsHolder &holder : holders) {
+            holder.version = planned[holder.id] + pace.loadTime < middle ? 2 : 1;
+        }
+        const auto moved = std::count_if(holders.begin(), holders.end(), [&](const WeightsHolder &holder) {
+            return holder.version == 1 && weightsLoadTime(holders, holder.id, 2, pace, start) != planned[holder.id];
+        });
+        EXPECT_EQ(moved, 0) << engines;
+    }
+}
+
+// Nine agents heard of weights without a turn and loaded in the same millisecond, so that no engine was left to serve:
+//   weights_planned version=2 engines=0 before=0 in_ms=0, nine times
+// Where nobody knows when weights were named, the same could come of turns that all have passed. Nobody uses the old weights then, so it has to be quick too.
+TEST(WeightsScheduleTest, neverLoadsAllEnginesAtOnceWhenNobodyKnowsSinceWhen)
+{
+    const WeightsPace pace;
+    for (const int engines : {4, 9, 18, 56, 400, 10000}) {
+        std::map<Core::TimePoint, int> groups;
+        for (const auto &[id, turn] : weightsTurns(fleet(engines), 2)) {
+            ++groups[weightsLoadTime(turn, pace, {Core::TimePoint::min(), start})];
+        }
+        EXPECT_EQ(groups.begin()->first, start) << engines;
+        EXPECT_LE(groups.rbegin()->first + pace.loadTime, start + pace.spread) << engines;
+        for (const auto &[at, count] : groups) {
+            EXPECT_LE(count, std::max(3, engines / 7 + 1)) << engines;
+        }
+    }
+}
+
+// An engine alone need not wait for those that are done.
+TEST(WeightsScheduleTest, letsTheLastEngineLoadAtOnceWhenNobodyKnowsSinceWhen)
+{
+    std::vector<WeightsHolder> holders = fleet(18, 2);
+    holders[7].version = 1;
+    EXPECT_EQ(weightsLoadTime(weightsTurns(holders, 2).at("7"), {}, {Core::TimePoint::min(), start}), start);
+}
+
+// The register cannot be read: engines that draw their turns must not load together either, nor later than by the register.
+TEST(WeightsScheduleTest, spreadsDrawnTurnsEvenly)
+{
+    const WeightsPace pace;
+    constexpr int engines = 400;
+    std::map<Core::TimePoint, int> groups;
+    for (const WeightsHolder &holder : fleet(engines)) {
+        ++groups[weightsLoadTime(drawnWeightsTurn(holder.id, 2), pace, {start, start})];
+    }
+    EXPECT_GE(groups.size(), 6U);
+    EXPECT_LE(groups.rbegin()->first + pace.loadTime, start + pace.notice + pace.spread);
+    for (const auto &[at, count] : groups) {
+        EXPECT_LE(count, 2 * engines / static_cast<int>(groups.size()));
+    }
+}
+
+TEST(WeightsScheduleTest, isDueAtOnceWhenTheTurnHasPassed)
+{
+    const WeightsPace pace;
+    const std::vector<WeightsHolder> holders = fleet(9);
+    for (const WeightsHolder &holder : holders) {
+        EXPECT_LE(weightsLoadTime(holders, holder.id, 2, pace, start - 10s), start);
+    }
+}
+
+// Routers that started in the middle, or were late, tell other turns than the rest.
+TEST(WeightsScheduleTest, bringsALoadForwardAndNeverPutsItBack)
+{
+    const WeightsPace pace;
+    const WeightsTurn turn{9, 4, 0};
+    const Core::TimePoint planned = weightsLoadTime(turn, pace, {start, start});
+    EXPECT_FALSE(bringsForward(turn, pace, {start, start + 100ms}, planned));
+    EXPECT_FALSE(bringsForward({9, 8, 0}, pace, {start, start + 100ms}, planned));
+    EXPECT_FALSE(bringsForward(turn, pace, {start + 1s, start + 1s}, planned));
+    EXPECT_FALSE(bringsForward({9, 0, 0}, pace, {Core::TimePoint::min(), start + 100ms}, planned));
+    EXPECT_FALSE(bringsForward({}, pace, {start, start + 100ms}, planned));
+    EXPECT_TRUE(bringsForward({9, 0, 0}, pace, {start, start + 100ms}, planned));
+    EXPECT_TRUE(bringsForward(turn, pace, {start - 1s, start + 100ms}, planned));
+    EXPECT_FALSE(bringsForward(turn, pace, {start - 1s, planned}, planned));
+    EXPECT_EQ(weightsLoadTime({9, 8, 0}, pace, {start, start}, planned), planned);
+}
+
 TEST(WeightsChoiceTest, listsTheNewestUsableVersionFirst)
 {
     WeightsHistory history;
