Reproduce orders that wait for a hand-over that is long over

A router that took rows, ordered and starts again 12 s later waits 4.3 s as if it had taken them a moment ago: its first order comes 5.25 s after the naming where 2.5 s are allowed. An agent that had its row back from a router pays the same at each start.

The property now also plays processes that are killed right after they sent a commit, at a store that is slow and loses answers.

--- a/tests/auto/relay/tst_orders.cpp
+++ b/tests/auto/relay/tst_orders.cpp
@@ -100,12 +100,28 @@
     std::vector<Order> orders;
 };
 
+// How the processes of the property below and their store fare.
+struct Habits
+{
+    double lostAnswers; ///< Part of all.
+    double killedAfterWrite; ///< Chance for each step in the second after a commit was sent.
+    unsigned longestStep; ///< Milliseconds until a call is carried out whose answer comes.
+    unsigned longestPace; ///< Milliseconds between two deeds.
+};
+
+// Kills come at any time, and most answers come.
+constexpr Habits usualHabits{0.15, 0.0005, 300, 400};
+
+// Most processes are killed right after they took the row, and start again at once; the store is slow and loses answers.
+constexpr Habits hastyHabits{0.4, 0.02, 600, 50};
+
 // A process that wants to order whenever it can, with answers of the store that come late or never, and pauses.
 class Orderer
 {
 public:
-    Orderer(World &world, const std::string &host, bool isAgent, std::uint64_t seed)
+    Orderer(World &world, const std::string &host, bool isAgent, const Habits &habits, std::uint64_t seed)
         : m_world(world)
+        , m_habits(habits)
         , m_host(host)
         , m_self{host, isAgent, ""}
         , m_random(seed)
@@ -123,7 +139,7 @@
             m_pausedUntil = now + milliseconds(m_random.next() % 8000);
             return;
         }
-        if (m_random.uniform() < 0.0005) {
+        if (m_random.uniform() < (now < m_writtenAt + 1s ? m_habits.killedAfterWrite : 0.0005)) {
             m_lease = OrderLease({}, m_self); // Killed and started again.
             m_question.reset();
         }
@@ -131,7 +147,7 @@
         if (m_question.has_value() || now < m_next) {
             return;
         }
-        m_next = now + milliseconds(50 + m_random.next() % 400);
+        m_next = now + milliseconds(m_habits.longestPace / 8 + m_random.next() % m_habits.longestPace);
         if (m_lease.mayOrder(now)) {
             m_world.orders.push_back({m_host, m_lease.fence(), now + milliseconds(m_random.next() % 250)});
         } else if (!m_lease.isHeld() && m_random.uniform() < 0.3) {
@@ -159,12 +175,15 @@
     {
         Question question;
         question.askedAt = now;
-        question.appliedAt = now + milliseconds(m_random.next() % 300);
-        question.isLost = m_random.uniform() < 0.15;
+        question.appliedAt = now + milliseconds(m_random.next() % m_habits.longestStep);
+        question.isLost = m_random.uniform() < m_habits.lostAnswers;
         question.answeredAt = question.isLost ? now + 700ms : question.appliedAt + milliseconds(m_random.next() % 300);
         if (question.isLost) {
             question.appliedAt = now + milliseconds(m_random.next() % 3000); // It may be carried out after its caller gave up.
         }
+        if (write.has_value()) {
+            m_writtenAt = now;
+        }
         question.write = std::move(write);
         m_question = question;
         m_unapplied.push_back(question);
@@ -212,6 +231,7 @@
     }
 
     World &m_world;
+    const Habits &m_habits;
     std::string m_host;
     OrderHolder m_self;
     RandomSource m_random;
@@ -220,32 +240,61 @@
     std::vector<Question> m_unapplied;
     Core::BootTime m_pausedUntil{};
     Core::BootTime m_next{};
+    Core::BootTime m_writtenAt{}; ///< When it last sent a commit.
 };
 
-// An agent and two routers that all want to order one engine, paused, killed and cut off from answers at any moment.
+// The orders that an agent and two routers give to one engine, by their arrival; all want to, and are paused, killed and cut off from answers at any moment.
+std::vector<World::Order> playOrders(const Habits &habits, std::uint64_t seed)
+{
+    World world;
+    std::vector<Orderer> orderers;
+    orderers.emplace_back(world, "side-1", true, habits, seed);
+    orderers.emplace_back(world, "front-1", false, habits, seed + 1ULL);
+    orderers.emplace_back(world, "front-2", false, habits, seed + 2ULL);
+    for (Core::BootTime now = bootStart; now < bootStart + 60s; now += 10ms) {
+        for (Orderer &orderer : orderers) {
+            orderer.step(now);
+        }
+    }
+    std::sort(world.orders.begin(), world.orders.end(), [](const auto &left, const auto &right) { return left.arrival < right.arrival; });
+    return world.orders;
+}
+
+bool isHandOverKept(const World::Order &before, const World::Order &after)
+{
+    return before.host == after.host || before.arrival + OrderLeaseOptions().handOver <= after.arrival;
+}
+
+bool doFencesRise(const World::Order &before, const World::Order &after)
+{
+    return before.host == after.host ? before.fence <= after.fence : before.fence < after.fence;
+}
+
 TEST(OrderLeasePropertyTest, neverLetsTwoHoldersOrderWithinTheHandOver)
 {
-    EXPECT_TRUE(rc::check([] {
-        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-        World world;
-        std::vector<Orderer> orderers;
-        orderers.emplace_back(world, "side-1", true, seed);
-        orderers.emplace_back(world, "front-1", false, seed + 1ULL);
-        orderers.emplace_back(world, "front-2", false, seed + 2ULL);
-        for (Core::BootTime now = bootStart; now < bootStart + 60s; now += 10ms) {
-            for (Orderer &orderer : orderers) {
-                orderer.step(now);
+    for (const Habits &habits : {usualHabits, hastyHabits}) {
+        EXPECT_TRUE(rc::check([&habits] {
+            const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+            const std::vector<World::Order> orders = playOrders(habits, seed);
+            for (std::size_t order = 1; order < orders.size(); ++order) {
+                RC_ASSERT(isHandOverKept(orders[order - 1], orders[order]));
+                RC_ASSERT(doFencesRise(orders[order - 1], orders[order]));
             }
+        }));
+    }
+}
+
+// A process was killed right after it had sent the commit that took the row, and the commit was carried out while the next one of its host asked for the row.
+// That one counted its wait from its question, which was up to 0.6 s before the commit, and ordered within the hand-over.
+TEST(OrderLeasePropertyTest, keepsTheHandOverIfTheRowIsTakenWhileAsking)
+{
+    for (const std::uint64_t seed : {58313, 368238, 3661986, 6123412}) {
+        const std::vector<World::Order> orders = playOrders(hastyHabits, seed);
+        for (std::size_t order = 1; order < orders.size(); ++order) {
+            EXPECT_TRUE(isHandOverKept(orders[order - 1], orders[order])) << "seed " << seed;
+            EXPECT_TRUE(doFencesRise(orders[order - 1], orders[order])) << "seed " << seed;
         }
-        std::sort(world.orders.begin(), world.orders.end(), [](const auto &left, const auto &right) { return left.arrival < right.arrival; });
-        for (std::size_t order = 1; order < world.orders.size(); ++order) {
-            const World::Order &before = world.orders[order - 1];
-            const World::Order &after = world.orders[order];
-            RC_ASSERT(before.host == after.host || before.arrival + OrderLeaseOptions().handOver <= after.arrival);
-            RC_ASSERT(before.fence <= after.fence);
-            RC_ASSERT(before.host == after.host || before.fence < after.fence);
-        }
-    }));
+    }
 }
 
 class OrderFailoverTest : public testing::Test
@@ -418,6 +467,34 @@
     EXPECT_EQ(row->revision, taken);
 }
 
+// Engines stayed on old weights beyond the time for which these may be used. Their agents had taken the rows back from a router once; started again 16 s
+// later, each waited as if it had been a moment ago:
+//   9.50  agent orders_taken after=router-b
+//   25.25 agent process_started
+//   27.00 nothing, although it was the engine's turn
+//   31.26 agent weights_ordered answer=0
+// The row named the earlier holder for ever, and each process counted the hand-over from the moment at which it read so.
+TEST_F(OrderFailoverTest, ordersAtOnceAfterAStartLongAfterTheHandOver)
+{
+    for (int engine = 0; engine < engineCount; ++engine) {
+        put({address(engine), OrderHolder{"side-" + std::to_string(engine), true, ""}.encode(), ++m_revision, false});
+    }
+    OrderFailover before = router("front-1", 1);
+    std::size_t ordered = 0;
+    for (; m_now < start + 8s; m_now += 250ms) {
+        ordered += turn(before);
+    }
+    ASSERT_GE(ordered, static_cast<std::size_t>(engineCount));
+    m_now = start + 20s;
+    m_namedAt = m_now;
+    m_version = 3;
+    OrderFailover after = router("front-1", 2);
+    for (ordered = 0; ordered == 0; m_now += 250ms) {
+        ordered += turn(after);
+    }
+    EXPECT_LE(m_now, m_namedAt + 2500ms);
+}
+
 } // namespace
 
 } // namespace Verbena::Decisions
