Play a hand-over with the real agent, and its start afterwards

The row names another host before the agent's first order; the agent waits 4.3 s, tells so once, and orders.

--- a/tests/auto/platform/tst_platformpath.cpp
+++ b/tests/auto/platform/tst_platformpath.cpp
@@ -100,6 +100,30 @@
     EXPECT_EQ(deployment.engine().orders().front().at("holder"), "front-1");
 }
 
+// The agent had the row from another host, as after a time without it. It waits for the hand-over once, and not again after each start.
+TEST(PlatformPathTest, waitsForAHandOverOnceAlthoughTheAgentStartsAgain)
+{
+    using namespace std::chrono_literals;
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    deployment.store().putEncoded("verbena_orders", deployment.engine().address(), "cm91dGVyIGZyb250LTk="); // router front-9
+    Core::TimePoint namedAt = deployment.loop().now();
+    deployment.store().put("op", "version/m", {{"model", "m"}, {"version", 2}});
+    ASSERT_TRUE(deployment.runUntil([&] { return deployment.engine().version() == 2; }));
+    EXPECT_GE(deployment.loop().now(), namedAt + 4300ms);
+    const std::string lines = deployment.agent().takeOutput();
+    const std::size_t told = lines.find("\"order_waits\"");
+    ASSERT_NE(told, std::string::npos);
+    EXPECT_EQ(lines.find("\"order_waits\"", told + 1), std::string::npos);
+    EXPECT_TRUE(contains(lines.substr(told), "\"after\":\"front-9\""));
+    deployment.restartAgent();
+    namedAt = deployment.loop().now();
+    deployment.store().put("op", "version/m", {{"model", "m"}, {"version", 3}});
+    ASSERT_TRUE(deployment.runUntil([&] { return deployment.engine().version() == 3; }));
+    EXPECT_LT(deployment.loop().now(), namedAt + 4300ms);
+    EXPECT_EQ(deployment.engine().orders().back().at("holder"), "side-1");
+}
+
 // Versions that are named before the turn of the one before has come: the engine keeps that turn, so that it loads at all.
 TEST(PlatformPathTest, loadsWeightsAlthoughNewerOnesAreNamedBeforeEachTurn)
 {
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -104,9 +104,7 @@
 {
     m_store.put("op", "config", configuration(3));
     registerEngine();
-    const std::string file = hostFile("side-1", networkNumber() + std::to_string(engineHost), "app: \"" + m_engine.address() + "\"\nservice: \"reader\"\n");
-    m_agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--host", file});
-    waitUntilStarted(*m_agent);
+    startAgent();
     m_routers.resize(routers);
     for (std::size_t index = 0; index < routers; ++index) {
         startRouter(index);
@@ -136,6 +134,13 @@
     waitUntilStarted(*m_routers[index]);
 }
 
+void PlatformDeployment::startAgent()
+{
+    const std::string file = hostFile("side-1", networkNumber() + std::to_string(engineHost), "app: \"" + m_engine.address() + "\"\nservice: \"reader\"\n");
+    m_agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--host", file});
+    waitUntilStarted(*m_agent);
+}
+
 // Its first line says that it has started; a signal before that would meet no handler.
 void PlatformDeployment::waitUntilStarted(ChildProcess &process)
 {
@@ -148,6 +153,12 @@
     startRouter(index);
 }
 
+void PlatformDeployment::restartAgent()
+{
+    m_agent.reset();
+    startAgent();
+}
+
 void PlatformDeployment::registerEngine()
 {
     m_store.put("servers",
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -68,6 +68,9 @@
     /// \brief Kills a router and starts it again.
     void restartRouter(std::size_t index = 0);
 
+    /// \brief Kills the agent and starts it again.
+    void restartAgent();
+
     /// \brief The configuration that is written at first; tests change and write it again.
     static nlohmann::json configuration(std::uint64_t version);
 
@@ -86,6 +89,7 @@
     std::string hostNumber(std::size_t index) const;
     std::string hostFile(const std::string &name, const std::string &ip, const std::string &more) const;
     void startRouter(std::size_t index);
+    void startAgent();
     static void waitUntilStarted(ChildProcess &process);
     void registerEngine();
 
