Reproduce requests that wait too long at an engine with old weights

In them a request is given to an engine, or left there, until it may begin on weights that nothing may begin on any more:

- sendsNothingWhereNoFreshNewsSayThatItBeginsInTime: 60 of 60 requests went to an engine that was never heard of, 2.5 s before the end, although another one said 250 ms ago that it is idle.
- usesEnginesWithoutNewsForMostOfTheTime: also 2.5 s before the end.
- countsItsOwnUnansweredRequestsWhereItHearsNoNews: also with 300 ms of this router's own work unanswered.
- callsBackAStreamThatHasNotBegunWhenItsWeightsAreTooOld, callsBackAStreamThatWasSentAfterNewerWeightsWereNamed, sendsNoStreamAgainThatWasCalledBackAndMayNotRunTwice, callsNothingBackBeforeANamingIsDated and callsBackAtOnceWhereANamingCannotBeDated: the connection to the engine stood open for 20 s, until the time of the route was up (504); it should close within the 2 s of the test.

--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -235,6 +235,53 @@
     }
 }
 
+// An engine whose agent was lost a moment ago, or was never heard of, may have a queue that nobody knows of.
+TEST_F(RelayFleetTest, sendsNothingWhereNoFreshNewsSayThatItBeginsInTime)
+{
+    ASSERT_TRUE(m_fleet.noteWeightsNamed("m", 1, m_now - 60s));
+    ASSERT_TRUE(m_fleet.noteWeightsNamed("m", 2, m_now - 5500ms));
+    for (int number = 3; number <= 5; ++number) {
+        m_fleet.noteStatus("10.0.0." + std::to_string(number) + ":8000", status(), m_now - 800ms);
+    }
+    m_fleet.noteStatus("10.0.0.6:8000", status(), m_now - 250ms);
+    for (int request = 0; request < 60; ++request) {
+        const auto choice = choose(prompt("wall-" + std::to_string(request)));
+        ASSERT_TRUE(choice.has_value());
+        EXPECT_EQ(choice->serverId, "6");
+    }
+    EXPECT_TRUE(choose(prompt("wall-1"), "", {"1"}).has_value());
+    EXPECT_FALSE(choose(prompt("wall-1"), "", {"6"}).has_value());
+}
+
+// Without any agent engines would stand idle if they got nothing as early as those with a known queue; two thirds of the time are theirs.
+TEST_F(RelayFleetTest, usesEnginesWithoutNewsForMostOfTheTime)
+{
+    ASSERT_TRUE(m_fleet.noteWeightsNamed("m", 1, m_now - 60s));
+    ASSERT_TRUE(m_fleet.noteWeightsNamed("m", 2, m_now));
+    m_now += 5200ms;
+    EXPECT_TRUE(choose(prompt("wall-1")).has_value());
+    m_now += 300ms;
+    EXPECT_FALSE(choose(prompt("wall-1")).has_value());
+}
+
+// Of an engine without news this router knows what it has sent there itself, and takes it that others have sent as much.
+TEST_F(RelayFleetTest, countsItsOwnUnansweredRequestsWhereItHearsNoNews)
+{
+    m_fleet.setRouterCount(4);
+    ASSERT_TRUE(m_fleet.noteWeightsNamed("m", 1, m_now - 60s));
+    ASSERT_TRUE(m_fleet.noteWeightsNamed("m", 2, m_now - 4500ms));
+    const auto choiceOfFirst = [this] {
+        return choose(prompt("wall-1"), "", {"2", "3", "4", "5", "6"});
+    };
+    auto choice = choiceOfFirst();
+    ASSERT_TRUE(choice.has_value());
+    for (std::chrono::microseconds work{0}; work < 300ms; work += choice->work) {
+        m_fleet.noteSent(*choice, m_now);
+    }
+    EXPECT_FALSE(choiceOfFirst().has_value());
+    EXPECT_TRUE(choose(prompt("wall-1"), "", {"1"}).has_value());
+}
+
 // Five routers see the same idle engine between two of its news. Each of them has to count what the others will have sent as well.
 TEST_F(RelayFleetTest, countsWhatAllRoutersHaveSentSinceTheNews)
 {
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -52,6 +52,7 @@
         settings.routerCount = 1;
         settings.routing.isProbing = false;
         settings.seed = 3;
+        settings.weights.longestUse = 2s;
         settings.shutdownNotice = 50ms;
         settings.shutdownGrace = 30s;
         m_relay = std::move(RelayTask::create(*m_loop, settings, m_protocol).value());
@@ -99,6 +100,24 @@
         addWorker(std::move(script));
     }
 
+    // The only engine there has the first version of the weights.
+    void startOnOldWeights(WorkerFake::Answer script)
+    {
+        start(std::move(script));
+        m_relay->fleet().servers().put({"server-1", "s", m_workers[0]->address(), "hall", 6, false, {{"m", 1}}});
+        EXPECT_TRUE(m_relay->fleet().noteWeightsNamed("m", 1, m_loop->now()));
+    }
+
+    // Names the second version, which a second engine has; returns when.
+    Core::TimePoint nameNewWeights()
+    {
+        addWorker([](const auto &head, const auto &) { return WorkerScript{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"}; });
+        m_relay->fleet().servers().put({"server-2", "s", m_workers[1]->address(), "hall", 6, false, {{"m", 2}}});
+        const Core::TimePoint now = m_loop->now();
+        EXPECT_TRUE(m_relay->fleet().noteWeightsNamed("m", 2, now));
+        return now;
+    }
+
     std::unique_ptr<CallerFake> caller()
     {
         return std::make_unique<CallerFake>(*m_loop, m_relay->endpoint());
@@ -353,6 +372,97 @@
     EXPECT_TRUE(runUntil(*m_loop, [&] { return m_workers[first]->openCount() == 0; }));
 }
 
+// A stream that waits in an engine's queue would begin on weights that nothing may begin on any more.
+TEST_F(RelayTest, callsBackAStreamThatHasNotBegunWhenItsWeightsAreTooOld)
+{
+    startOnOldWeights([](const auto &head, const auto &) { return WorkerScript{streamHead(head)}; });
+    const auto from = caller();
+    from->send(request("/resume/", "Model: m\r\n"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 1; }));
+    const Core::TimePoint named = nameNewWeights();
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->openCount() == 0; }));
+    EXPECT_GT(m_loop->now(), named + 1500ms);
+    EXPECT_LT(m_loop->now(), named + 2s);
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), "\r\n0\r\n\r\n"); })) << from->received();
+    EXPECT_TRUE(contains(from->received(), event(1)));
+    EXPECT_EQ(m_workers[1]->heads().size(), 1U);
+}
+
+TEST_F(RelayTest, callsBackAStreamThatWasSentAfterNewerWeightsWereNamed)
+{
+    startOnOldWeights([](const auto &, const auto &) { return WorkerScript{}; });
+    Decisions::EngineStatus idle;
+    idle.weights = {{"m", 1}};
+    m_relay->fleet().noteStatus(m_workers[0]->address(), idle, m_loop->now());
+    const Core::TimePoint named = m_loop->now();
+    ASSERT_TRUE(m_relay->fleet().noteWeightsNamed("m", 2, named));
+    const auto from = caller();
+    from->send(request("/resume/", "Model: m\r\n"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 1; }));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->openCount() == 0; }));
+    EXPECT_LT(m_loop->now(), named + 2s);
+    // It may have run, so nobody may say that it has not.
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), "\r\n\r\n"); }));
+    EXPECT_TRUE(contains(from->received(), " 502 ")) << from->received();
+}
+
+TEST_F(RelayTest, sendsNoStreamAgainThatWasCalledBackAndMayNotRunTwice)
+{
+    startOnOldWeights([](const auto &, const auto &) { return WorkerScript{}; });
+    const auto from = caller();
+    from->send(request("/stream/", "Model: m\r\n"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 1; }));
+    const Core::TimePoint named = nameNewWeights();
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), " 502 "); })) << from->received();
+    EXPECT_LT(m_loop->now(), named + 2s);
+    EXPECT_EQ(runs(), 1U);
+}
+
+// A naming that was learned late is dated by the store a moment later.
+TEST_F(RelayTest, callsNothingBackBeforeANamingIsDated)
+{
+    startOnOldWeights([](const auto &, const auto &) { return WorkerScript{}; });
+    const auto from = caller();
+    from->send(request("/resume/", "Model: m\r\n"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 1; }));
+    const Core::TimePoint named = m_loop->now();
+    ASSERT_TRUE(m_relay->fleet().noteWeightsNamed("m", 2, Core::TimePoint::min()));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_loop->now() > named + 30ms; }));
+    (void)m_relay->fleet().noteWeightsNamed("m", 2, named);
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->openCount() == 0; }));
+    EXPECT_GT(m_loop->now(), named + 1500ms);
+    EXPECT_LT(m_loop->now(), named + 2s);
+}
+
+TEST_F(RelayTest, callsBackAtOnceWhereANamingCannotBeDated)
+{
+    startOnOldWeights([](const auto &, const auto &) { return WorkerScript{}; });
+    const auto from = caller();
+    from->send(request("/resume/", "Model: m\r\n"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 1; }));
+    const Core::TimePoint named = m_loop->now();
+    ASSERT_TRUE(m_relay->fleet().noteWeightsNamed("m", 2, Core::TimePoint::min()));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->openCount() == 0; }));
+    EXPECT_LT(m_loop->now(), named + 500ms);
+}
+
+// What has begun in time may go on. When an answer began that comes as one whole is not to be seen, so it is left alone too.
+TEST_F(RelayTest, leavesAloneWhatMayHaveBegunInTime)
+{
+    startOnOldWeights(
+        [](const auto &head, const auto &) { return head.target == "/safe/" ? WorkerScript{} : WorkerScript{streamHead(head) + chunk(event(1))}; });
+    const auto stream = caller();
+    stream->send(request("/resume/", "Model: m\r\n"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(stream->received(), event(1)); }));
+    const auto whole = caller();
+    whole->send(request("/safe/", "Model: m\r\n"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 2; }));
+    const Core::TimePoint named = nameNewWeights();
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_loop->now() > named + 2200ms; }));
+    EXPECT_EQ(m_workers[0]->openCount(), 2U);
+    EXPECT_EQ(runs(), 2U);
+}
+
 // With nowhere to go the stream stays where it is.
 TEST_F(RelayTest, leavesAStreamWhereItIsIfNoOtherEngineIsFree)
 {
