Let nothing wait at an engine until its weights are too old

Cause: a request that was sent in time could wait at its engine beyond the time for which older weights may be used. The choice took an engine of which nothing is heard for idle, believed news for 1.5 s, and nothing looked at the request again once it was sent.

- An engine without news of the last 600 ms gets nothing on older weights in the last 2.7 s, and by as much earlier as routers have unanswered work there, each taken to have as much as this one.
One whose agent says that it is silent counts as one with a queue.
- A stream that has not begun 250 ms before the end is called back: its call is closed, so that the engine drops it.
It may have run (failure `lost`, reason "weights too old before the engine began"): what may run twice goes elsewhere within the resend budget, the rest ends as 502, never as 503.
The moment is looked up when a call is made, when newer weights are named and when the moment has come, with one timer for each call that waits on older weights.
It says nothing against the engine, which is not paused for it.
Where a naming has no date yet the look is taken again 100 ms later.

Ruled out: calling back answers that come as one whole. Their first byte comes at their end, so most of what would be called back has begun in time; they are kept away by the choice alone. Ruled out: excluding engines without news as early as those with a known queue (4.5 s); without agents up to 2.1 s of each engine would be lost at each naming, against 0.3 s (reckoned from the pace of loads, not measured).

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -68,6 +68,18 @@
 // From the moment that a request comes to an engine whose queue stands still until it begins: 3.6 s were seen on an engine with full memory.
 constexpr milliseconds slowestBegin{4500};
 
+// News by which an engine begins at once: two rounds of its agent may be lost. Older ones say nothing of the queue that it has by now.
+constexpr milliseconds freshNews{600};
+
+// As slowestBegin, at an engine without fresh news and without work of this router: twice the 1.35 s that were seen where an agent had just been lost. Loads
+// are spread over 5.6 s of the 8 s for which old weights may be used, so where no agent tells anything an engine stands idle for 0.3 s at most before its
+// load, if it is ordered in time; with slowestBegin it would be 2.1 s.
+constexpr milliseconds unknownBegin{2700};
+
+// From the moment that a request is called back until its engine has dropped it: the way, a step of the engine, a round of this router's loop under load, and
+// the way on which the naming was learned.
+constexpr milliseconds callBackMargin{250};
+
 // Shared tokens of a prompt, from which on they are worth moving: an engine reads so many in 10 to 30 ms, about as long as it asks and waits for its turn
 // at its link.
 constexpr std::uint32_t leastMovedTokens = 1000;
@@ -146,7 +158,16 @@
 
 bool RelayFleet::noteWeightsNamed(const std::string &model, std::uint64_t version, Core::TimePoint at)
 {
-    return m_weights[model].note(version, at);
+    const bool isNews = m_weights[model].note(version, at);
+    if (isNews && m_namingObserver) {
+        m_namingObserver();
+    }
+    return isNews;
+}
+
+void RelayFleet::setNamingObserver(std::function<void()> observer)
+{
+    m_namingObserver = std::move(observer);
 }
 
 void RelayFleet::followRegister()
@@ -457,16 +478,33 @@
     }
 }
 
+// Whether a request that comes to it now may begin after \a until, when slowestBegin is all that is left. Of an engine without fresh news this router knows its
+// own unanswered work, and takes it that others have sent as much.
+bool RelayFleet::mayBeginLate(BackendServerId id, Core::TimePoint until, Core::TimePoint now) const
+{
+    const auto known = m_heard.find(id);
+    if (known != m_heard.end()) {
+        const Heard &heard = known->second;
+        if (presentlyWaiting(heard) > 0 || isMemoryFull(heard.status) || heard.status.isSilent) {
+            return true;
+        }
+        if (now < heard.deadline - statusLifetime + freshNews) {
+            return false;
+        }
+    }
+    return now + unknownBegin + m_chooser.unanswered(id) * std::min(m_routerCount, mostRoutersAlike) >= until;
+}
+
 // An engine whose queue stands still, for instance because its memory is full, may begin a request seconds after it came, and then on weights that
-// nothing may begin on any more.
+// nothing may begin on any more. What is known here lets few requests come to that; those that do are called back.
 void RelayFleet::excludeLateBeginners(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
 {
-    const std::optional<Core::TimePoint> outdated = weightsHistory(query).outdatedSince(*choice.weightsVersion);
-    if (!outdated.has_value() || now + slowestBegin < *outdated + m_weightsLimits.longestUse) {
+    const std::optional<Core::TimePoint> until = begunUntil(*choice.weightsVersion, weightsHistory(query), m_weightsLimits);
+    if (!until.has_value() || now + slowestBegin < *until) {
         return;
     }
-    for (const auto &[id, heard] : m_heard) {
-        if (presentlyWaiting(heard) > 0 || isMemoryFull(heard.status)) {
+    for (const auto &[id, incarnation] : m_incarnations) {
+        if (mayBeginLate(id, *until, now)) {
             choice.route.excluded.push_back(id);
         }
     }
@@ -524,8 +562,13 @@
     if (query.prompt == nullptr) {
         return m_chooser.choose(route, now);
     }
+    const std::size_t tried = route.excluded.size();
     excludeLateBeginners(choice, query, now);
     const std::size_t usable = route.excluded.size();
+    if (usable - tried == m_incarnations.size()) {
+        // Looking through all of them in vain takes time by the square of their number.
+        return {};
+    }
     excludeSilent(route, now);
     excludeBusyWithWeights(route, query, now);
     RouteDecision decision = m_chooser.choose(route, now);
@@ -642,6 +685,16 @@
     return status.isLoading || (status.loadTime.has_value() && now >= *status.loadTime);
 }
 
+std::optional<Core::TimePoint> RelayFleet::callBackTime(const FleetChoice &choice, const std::string &model) const
+{
+    const auto history = m_weights.find(model);
+    if (history == m_weights.end() || !choice.weightsVersion.has_value()) {
+        return std::nullopt;
+    }
+    const std::optional<Core::TimePoint> until = begunUntil(*choice.weightsVersion, history->second, m_weightsLimits);
+    return until.has_value() ? std::optional(*until - callBackMargin) : std::nullopt;
+}
+
 void RelayFleet::noteSent(FleetChoice &choice, Core::TimePoint now)
 {
     choice.sentAt = now;
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -10,6 +10,7 @@
 
 #include <decisions/routing/routechooser.h>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -82,6 +83,9 @@
     /// A later call for the same version corrects the moment; Core::TimePoint::min() says that nobody can tell it.
     bool noteWeightsNamed(const std::string &model, std::uint64_t version, Core::TimePoint at);
 
+    /// \brief Calls \a observer when newer weights were named: calls that wait may have to be called back, or sooner than before.
+    void setNamingObserver(std::function<void()> observer);
+
     /// \brief The agent beside the engine at \a address said how it is; believed for a moment.
     void noteStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now);
 
@@ -105,6 +109,11 @@
     /// Until they have ended it takes nothing new, so streams that can go on elsewhere should.
     bool isHeldUpFromLoading(const FleetChoice &choice, Core::TimePoint now) const;
 
+    /// \brief When the request of \a choice, sent for \a model, has to be called back if it has not begun by then; nothing on the newest weights.
+    ///
+    /// It changes when newer weights are named.
+    std::optional<Core::TimePoint> callBackTime(const FleetChoice &choice, const std::string &model) const;
+
     /// \brief The request of \a choice was sent.
     void noteSent(FleetChoice &choice, Core::TimePoint now);
 
@@ -159,12 +168,14 @@
     void estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     void excludeSilent(RouteQuery &route, Core::TimePoint now) const;
     void excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const;
+    bool mayBeginLate(BackendServerId id, Core::TimePoint until, Core::TimePoint now) const;
     void excludeLateBeginners(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
 
     ServerRegister m_register;
     RouteChooser m_chooser;
     WeightsLimits m_weightsLimits;
     std::map<std::string, WeightsHistory> m_weights; ///< By model.
+    std::function<void()> m_namingObserver;
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, std::size_t>> m_versions; ///< By service and model.
     std::map<std::pair<std::string, std::string>, std::map<std::string, std::size_t>> m_domains; ///< Engines by service and model, then by failure domain.
     std::unordered_map<BackendServerId, Heard> m_heard;
--- a/src/libs/decisions/relay/weightschoice.cpp
+++ b/src/libs/decisions/relay/weightschoice.cpp
@@ -20,8 +20,8 @@
 
 bool mayBeUsed(std::uint64_t version, const WeightsHistory &history, const WeightsLimits &limits, Core::TimePoint now)
 {
-    const std::optional<Core::TimePoint> since = history.outdatedSince(version);
-    return !since.has_value() || now < *since + limits.longestUse - useMargin;
+    const std::optional<Core::TimePoint> until = begunUntil(version, history, limits);
+    return !until.has_value() || now < *until - useMargin;
 }
 
 } // namespace
@@ -61,6 +61,12 @@
     return newer == m_named.end() ? std::nullopt : std::optional(newer->at);
 }
 
+std::optional<Core::TimePoint> begunUntil(std::uint64_t version, const WeightsHistory &history, const WeightsLimits &limits)
+{
+    const std::optional<Core::TimePoint> since = history.outdatedSince(version);
+    return since.has_value() ? std::optional(*since + limits.longestUse) : std::nullopt;
+}
+
 std::vector<std::uint64_t> usableWeights(
     const std::map<std::uint64_t, std::size_t> &servers, const WeightsHistory &history, const WeightsLimits &limits, Core::TimePoint now)
 {
--- a/src/libs/decisions/relay/weightschoice.h
+++ b/src/libs/decisions/relay/weightschoice.h
@@ -44,6 +44,9 @@
     std::vector<Named> m_named; ///< By rising version; the oldest are forgotten.
 };
 
+/// \brief The last moment at which a request may begin on \a version, or nothing if it is the newest.
+std::optional<Core::TimePoint> begunUntil(std::uint64_t version, const WeightsHistory &history, const WeightsLimits &limits);
+
 /// \brief Versions that requests may still begin on, the newest first.
 std::vector<std::uint64_t> usableWeights(
     const std::map<std::uint64_t, std::size_t> &servers, const WeightsHistory &history, const WeightsLimits &limits, Core::TimePoint now);
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -443,6 +443,11 @@
     return XXH3_64bits_withSeed(parts.data(), sizeof parts, m_options.seed);
 }
 
+microseconds RouteChooser::unanswered(BackendServerId id) const
+{
+    return m_loads.unanswered(id);
+}
+
 const BackendServer *RouteChooser::server(BackendServerId id) const
 {
     const auto found = m_servers.find(id);
--- a/src/libs/decisions/routing/routechooser.h
+++ b/src/libs/decisions/routing/routechooser.h
@@ -67,6 +67,9 @@
     /// \brief Estimated prefill of \a query at \a id, as noteDispatched wants it.
     std::chrono::microseconds expectedPrefill(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const;
 
+    /// \brief Work that this router sent to \a id and that was not answered yet.
+    std::chrono::microseconds unanswered(BackendServerId id) const;
+
     /// \brief The backend server named \a id, or nothing if it is not in the fleet.
     const BackendServer *server(BackendServerId id) const;
 
--- a/src/libs/decisions/routing/serverloads.cpp
+++ b/src/libs/decisions/routing/serverloads.cpp
@@ -78,6 +78,12 @@
     return hinted + load->unanswered;
 }
 
+microseconds ServerLoads::unanswered(BackendServerId id) const
+{
+    const Load *load = find(id);
+    return load == nullptr ? microseconds(0) : load->unanswered;
+}
+
 microseconds ServerLoads::prefillPerPiece(BackendServerId id, microseconds otherwise) const
 {
     const Load *load = find(id);
--- a/src/libs/decisions/routing/serverloads.h
+++ b/src/libs/decisions/routing/serverloads.h
@@ -48,6 +48,9 @@
     /// \brief Expected time until a new request would begin prefill.
     std::chrono::microseconds wait(BackendServerId id, Core::TimePoint now) const;
 
+    /// \brief Work that was sent and not answered yet.
+    std::chrono::microseconds unanswered(BackendServerId id) const;
+
     /// \brief Measured cost of a missing piece, or \a otherwise if it has not been said.
     std::chrono::microseconds prefillPerPiece(BackendServerId id, std::chrono::microseconds otherwise) const;
 
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -187,6 +187,13 @@
     return text;
 }
 
+void CallerConnection::followWeights()
+{
+    if (m_request != nullptr) {
+        m_request->followWeights();
+    }
+}
+
 void CallerConnection::respond(int status, const std::vector<HttpField> &fields, std::string_view body)
 {
     std::string text = headText(status, fields);
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -56,6 +56,9 @@
     /// \brief Ends the connection if it is idle.
     void endIfIdle();
 
+    /// \brief New weights were named.
+    void followWeights();
+
     void respond(int status, const std::vector<Http::HttpField> &fields, std::string_view body) override;
     void beginAnswer(int status, const std::vector<Http::HttpField> &fields, std::optional<std::uint64_t> length) override;
     void write(std::string_view data) override;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -37,6 +37,10 @@
 // Between two thoughts of moving a stream; its events come several times as often.
 constexpr milliseconds movePause{100};
 
+// From news of newer weights by which a call would have to be called back at once until that is done: a naming that was learned late counts as long ago until
+// the store has told its date, some milliseconds later.
+constexpr milliseconds secondLook{100};
+
 // Backend servers know ten.
 constexpr std::uint32_t lowestPriority = 9;
 
@@ -67,6 +71,7 @@
     , m_sink(sink)
     , m_arrival(context.loop.now())
     , m_deadlineTimer(context.loop, [this] { onDeadline(); })
+    , m_weightsTimer(context.loop, [this] { onWeightsTooOld(); })
 {
 }
 
@@ -186,6 +191,7 @@
     }
     if (call) {
         m_call = std::move(call.value());
+        followWeights();
         return true;
     }
     m_isUnanswered = false;
@@ -468,12 +474,47 @@
     }
 }
 
+// A stream begins to run with its first event; of an answer that comes as one whole nobody sees when it did, so such a call is left alone. So is one that
+// has begun.
+std::optional<Core::TimePoint> RelayedRequest::callBackTime() const
+{
+    if (m_isDone || m_call == nullptr || !m_isUnanswered || !m_query.prompt.has_value() || m_route->kind != RequestKind::Streaming) {
+        return std::nullopt;
+    }
+    return m_context.fleet.callBackTime(*m_choice, m_query.prompt->model);
+}
+
+void RelayedRequest::followWeights()
+{
+    m_weightsTimer.stop();
+    const std::optional<Core::TimePoint> moment = callBackTime();
+    if (moment.has_value()) {
+        m_weightsTimer.startAt(std::max(*moment, m_context.loop.now() + secondLook));
+    }
+}
+
+// The engine drops what waits when its connection is closed. Whether it began a moment before cannot be known, so what may not run twice ends here.
+void RelayedRequest::onWeightsTooOld()
+{
+    const std::optional<Core::TimePoint> moment = callBackTime();
+    if (!moment.has_value() || m_context.loop.now() < *moment) {
+        followWeights();
+        return;
+    }
+    // That it waited says nothing against the engine.
+    m_isUnanswered = false;
+    m_context.fleet.noteAbandoned(*m_choice);
+    m_context.metrics.count("calls_called_back_total");
+    callFailed(m_call->hasSent() ? CallFailure::Lost : CallFailure::NotSent, "weights too old before the engine began");
+}
+
 void RelayedRequest::noteFirstPart()
 {
     if (!m_isUnanswered) {
         return;
     }
     m_isUnanswered = false;
+    m_weightsTimer.stop();
     m_context.fleet.noteAnswered(*m_choice, m_context.loop.now());
     if (m_firstPartAfter.count() < 0) {
         m_firstPartAfter = sinceArrival();
@@ -484,6 +525,7 @@
 {
     m_isDone = true;
     m_deadlineTimer.stop();
+    m_weightsTimer.stop();
     const Observe::TenantLabel label{m_organisation != nullptr ? m_organisation->name : "", m_route != nullptr ? m_route->name : ""};
     m_context.metrics.count("requests_" + std::to_string(status) + "_total");
     m_context.metrics.recordSpan("request_seconds", label, sinceArrival());
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -13,6 +13,7 @@
 #include <http/eventcutter.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,6 +53,9 @@
     /// \brief The caller has taken all that was written.
     void outputDrained();
 
+    /// \brief New weights were named: what has not begun may have to be called back at another moment.
+    void followWeights();
+
 private:
     /// When a refused caller should come back, if nothing better is known: new work is taken again within a few hundred milliseconds of nearly every
     /// trouble.
@@ -82,6 +86,8 @@
     void refuse(int status, std::string_view message, std::chrono::milliseconds comeBack = comeBackAfter);
     bool isTurnedAway(const Decisions::FleetChoice &choice);
     void onDeadline();
+    std::optional<Core::TimePoint> callBackTime() const;
+    void onWeightsTooOld();
     void noteFirstPart();
     void logOutcome(int status, std::string_view outcome);
     std::chrono::milliseconds sinceArrival() const;
@@ -94,6 +100,7 @@
     Core::TimePoint m_arrival;
     Core::TimePoint m_deadline; ///< Of the final answer.
     EventLoop::Timer m_deadlineTimer;
+    EventLoop::Timer m_weightsTimer; ///< Runs while the present call has not begun on weights that are not the newest.
     RelayQuery m_query;
     const Decisions::RelayRoute *m_route = nullptr;
     const Decisions::RelayOrganisation *m_organisation = nullptr;
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -44,6 +44,7 @@
     , m_context{m_loop, m_protocol, m_fleet, m_budget, m_random, m_metrics}
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
 {
+    m_fleet.setNamingObserver([this] { followWeights(); });
 }
 
 RelayTask::~RelayTask() = default;
@@ -84,6 +85,13 @@
     return m_random.next() % m_routerCount < routersOfAFew;
 }
 
+void RelayTask::followWeights()
+{
+    for (const auto &[raw, connection] : m_connections) {
+        connection->followWeights();
+    }
+}
+
 void RelayTask::announceWeights()
 {
     if (m_weightsObserver && isOneOfFew()) {
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -88,6 +88,7 @@
     bool isDraining() const override;
     std::vector<Http::HttpField> refusalFields(const Refusal &refusal) const override;
     void connectionEnded(CallerConnection *connection) override;
+    void followWeights();
     void acceptCaller(int descriptor);
     void closeDoor();
     void continueShutdown();
