--- a/src/libs/store/storetime.h
+++ b/src/libs/store/storetime.h
@@ -3,18 +3,14 @@
 #include <core/boottime.h>
 
 #include <chrono>
-#include <cstdint>
 
 namespace Verbena::Store {
 
 /// \brief The store's own clock, as its answers tell it: steady, and the same for all hosts.
 struct StoreClock
 {
-    using rep = std::int64_t;
-    using period = std::milli;
     using duration = std::chrono::milliseconds;
     using time_point = std::chrono::time_point<StoreClock>;
-    static constexpr bool is_steady = true;
 };
 
 /// \brief A moment of the store's clock.
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -141,13 +141,6 @@
     waitUntilStarted(*m_routers[index]);
 }
 
-void PlatformDeployment::startAgent()
-{
-    const std::string file = hostFile("side-1", networkNumber() + std::to_string(engineHost), "app: \"" + m_engine.address() + "\"\nservice: \"reader\"\n");
-    m_agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--host", file});
-    waitUntilStarted(*m_agent);
-}
-
 // Its first line says that it has started; a signal before that would meet no handler.
 void PlatformDeployment::waitUntilStarted(ChildProcess &process)
 {
