Let the slow reader's answer be longer than all buffers however it is joined

Cause, a fault of the test: SlowReaderTest.holdsTheEngineBackAndGetsTheWholeAnswerInTheEnd took an answer of 60,000 tokens for longer than what the system holds for a caller that does not read. That is so only if most tokens have an event of their own. The agent joins what waits into one frame, so slow processes make fewer events and a shorter answer; the router's socket holds 3.8 MB and the caller's 60 KB (`ss -tm`).

Ruled out: a router that gives up or cuts (no request_failed in the log, text and [DONE] whole), a look before the request began (the loop waits for its second frame).

The text alone, 540,000 bytes, is longer than all buffers together (about 350 KB). The test waits until the agent is full and no frame comes any more, or the request is over.

As strict: the check of the request in flight is the same and is made where the agent is known to be full; text and end are compared as before. New is that the agent holds 16 to 32 KiB.

--- a/tests/auto/path/tst_failures.cpp
+++ b/tests/auto/path/tst_failures.cpp
@@ -14,6 +14,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -87,6 +88,11 @@
     return begin == std::string::npos ? std::string() : text.substr(begin, text.find('\n', begin) - begin);
 }
 
+std::size_t bytesHeldBy(const TestDeployment::Backend &backend)
+{
+    return json::parse(sendHttp("GET", "http://" + backend.statusAddress + "/status", {}, "").body)["buffered_bytes"];
+}
+
 /// A caller that sends a completion, and reads and leaves when it likes.
 class RawCaller
 {
@@ -94,8 +100,12 @@
     RawCaller(const std::string &url, const json &completion)
         : m_socket(socket(AF_INET, SOCK_STREAM, 0))
     {
-        constexpr int receiveBuffer = 32768;
+        // The system sizes the router's send buffer by the segments and the window of this end. With loopback's segments of 64 KiB it holds
+        // 3.9 MB for a caller that does not read, with these 150 KB (`ss -tm`).
+        constexpr int receiveBuffer = 4096;
+        constexpr int segmentBytes = 536;
         setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        setsockopt(m_socket, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof segmentBytes);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1))));
@@ -419,24 +429,43 @@
     EXPECT_EQ(answer.fields.at("verbena-run"), "not-run");
 }
 
+/// Waits until the agent holds \a full bytes and no more of the answer comes to the router, or the request is over; what the agent holds then.
+std::size_t waitForStandstill(TestDeployment &deployment, std::size_t full)
+{
+    constexpr int looks = 5;
+    std::string before;
+    std::size_t held = 0;
+    for (int same = 0; same < looks;) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        const std::string now = frameCountOf(deployment);
+        if (!now.empty() && statusOf(deployment)["in_flight"] != 1) {
+            break;
+        }
+        held = bytesHeldBy(deployment.engine());
+        same = now == before && held >= full ? same + 1 : 0;
+        before = now;
+    }
+    return held;
+}
+
 TEST(SlowReaderTest, holdsTheEngineBackAndGetsTheWholeAnswerInTheEnd)
 {
+    // Of nine bytes each. However many of them the agent joins into a frame, the text alone is longer than what the sockets (150 KB), the
+    // router (16 KiB), the frames under way (4 of 32 KiB) and the agent (32 KiB) hold together.
     constexpr std::uint32_t tokens = 60000;
+    constexpr std::size_t fullAgent = 16 * 1024; // The agent stops the engine from here on, and one read of 16 KiB can come on top.
     DeploymentOptions options;
     options.engineArguments = {"--decode-interval-us", "5"};
-    options.routerSettings = "streams: {maximum_buffered_bytes: 65536}\n";
-    const TestDeployment deployment(options);
+    options.routerSettings = "streams: {maximum_buffered_bytes: 16384, frame_credit: 4}\n";
+    TestDeployment deployment(options);
     json body = completion("slow");
     body["max_tokens"] = tokens;
     RawCaller caller(deployment.routerUrl(), body);
-    // No more comes from the agent, although the answer is not whole: the request is still running.
-    std::string before = "none";
-    std::string now = frameCountOf(deployment);
-    for (int same = 0; same < 5; same = now == before && !now.empty() ? same + 1 : 0) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        before = std::exchange(now, frameCountOf(deployment));
-    }
+    const std::size_t held = waitForStandstill(deployment, fullAgent);
+    // The answer is not whole, so the request is still running.
     EXPECT_EQ(statusOf(deployment)["in_flight"], 1);
+    EXPECT_GE(held, fullAgent);
+    EXPECT_LE(held, 2 * fullAgent);
     const Streamed streamed = readStream(caller.readAll());
     EXPECT_EQ(streamed.text, Standin::AnswerText("slow").whole(tokens));
     EXPECT_TRUE(streamed.isDone);
--- a/tests/support/testdeployment.cpp
+++ b/tests/support/testdeployment.cpp
@@ -131,8 +131,9 @@
     const std::string endpoint = backend.endpoint.empty() ? "tcp://127.0.0.1:*" : backend.endpoint;
     const std::string path = m_folder.write(backend.name + ".yaml",
         "name: " + backend.name + "\nendpoint: \"" + endpoint + "\"\nbackend_url: http://" + backend.address
-            + "\nkind: " + (backend.name.starts_with("engine") ? "engine" : "service") + "\n" + platformLine() + m_options.agentSettings);
+            + "\nkind: " + (backend.name.starts_with("engine") ? "engine" : "service") + "\nstatus: {port: 0}\n" + platformLine() + m_options.agentSettings);
     backend.agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--settings", path});
+    backend.statusAddress = backend.agent->waitForLine("listening status ");
     backend.endpoint = backend.agent->waitForLine("listening zmq ");
 }
 
--- a/tests/support/testdeployment.h
+++ b/tests/support/testdeployment.h
@@ -35,6 +35,7 @@
         std::string name;
         std::string address; ///< Of the backend server, for instance "127.0.0.1:8000".
         std::string endpoint; ///< Of its agent.
+        std::string statusAddress; ///< Where its agent serves its status, for instance "127.0.0.1:8001".
         std::unique_ptr<ChildProcess> server;
         std::unique_ptr<ChildProcess> agent;
     };
