--- /dev/null
+++ b/tests/auto/relay/tst_silentpeers.cpp
@@ -0,0 +1,139 @@
+#include "plainprotocol.h"
+
+#include <platform/workerfake.h>
+#include <relay/peerrows.h>
+#include <relay/relaytask.h>
+#include <relay/sharedrows.h>
+#include <store/tablefollower.h>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <optional>
+
+#include <unistd.h>
+
+namespace Verbena::Relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+Store::StoreTime storeNow()
+{
+    return Store::StoreTime(std::chrono::floor<std::chrono::milliseconds>(Core::BootClock::now().time_since_epoch()));
+}
+
+/// A store that tells a change to those who wait for it at once; its clock is the host's.
+class PromptStore : public Store::RowSource
+{
+public:
+    Store::RowPage present{{}, 5, false};
+    std::uint64_t questions = 0;
+
+    void readTable(const std::string &, Core::TimePoint, PageCallback done) override
+    {
+        respond(0, done);
+    }
+
+    void awaitChanges(const std::string &, std::uint64_t revision, Core::TimePoint, Core::TimePoint, PageCallback done) override
+    {
+        ++questions;
+        if (revision < present.revision) {
+            respond(revision, done);
+        } else {
+            m_waiting = std::move(done);
+        }
+    }
+
+    void put(const Store::TableRow &row)
+    {
+        present.rows = {row};
+        present.revision = row.revision;
+        if (m_waiting) {
+            respond(row.revision - 1, std::exchange(m_waiting, nullptr));
+        }
+    }
+
+private:
+    void respond(std::uint64_t after, const PageCallback &done) const
+    {
+        Store::RowPage page = present;
+        std::erase_if(page.rows, [after](const Store::TableRow &row) { return row.revision <= after; });
+        page.saidAt = storeNow();
+        done(std::move(page));
+    }
+
+    PageCallback m_waiting;
+};
+
+class Dates : public Store::RowConsumer
+{
+public:
+    void replaceRows(const std::string &, const Store::RowPage &) override
+    {
+        isRead = true;
+    }
+
+    void changeRows(const std::string &, const Store::RowPage &page) override
+    {
+        for (const Store::TableRow &row : page.rows) {
+            byKey[row.key] = row.committedAfter;
+        }
+    }
+
+    void sourceLost(const std::string &, const Core::Error &) override
+    {
+    }
+    void sourceRegained(const std::string &) override
+    {
+    }
+
+    bool isRead = false;
+    std::map<std::string, std::optional<Store::StoreTime>> byKey;
+};
+
+// A router that is not elected asks an elected one first, which may be lost; all that time nobody waits at the store in its place.
+TEST(SilentPeersTest, doNotMakeAChangeLookYoungerByTheTimeInWhichTheyWereAskedInVain)
+{
+    const auto loop = std::move(EventLoop::Loop::create().value());
+    const std::string network = "127.81." + std::to_string(1 + getpid() % 250) + '.';
+    constexpr std::uint16_t port = 7340;
+    const Verbena::Test::PlainProtocol protocol;
+    RelaySettings settings;
+    settings.listen = Http::Endpoint::parse("127.0.0.1:0").value();
+    const auto relay = std::move(RelayTask::create(*loop, settings, protocol).value());
+    std::vector<std::string> routers;
+    for (int number = 10; number < 40; ++number) {
+        routers.push_back(network + std::to_string(number));
+    }
+    relay->noteRouters(routers);
+    ASSERT_FALSE(relay->electedRouters().empty());
+    std::vector<std::unique_ptr<Verbena::Test::WorkerFake>> silent;
+    for (const std::string &elected : relay->electedRouters()) {
+        const auto keep = [](const Http::MessageHead &, const std::string &) {
+            return Verbena::Test::WorkerScript{};
+        };
+        silent.push_back(std::make_unique<Verbena::Test::WorkerFake>(*loop, keep, elected + ':' + std::to_string(port)));
+    }
+    PromptStore store;
+    const auto peers = std::move(PeerRows::create(*loop, network + "1", port, store, 1).value());
+    SharedRows rows(*loop, *peers, *relay, network + "1", 1);
+    Dates dates;
+    const Store::TableFollower follower(*loop, rows, "op", 0ms, dates);
+    ASSERT_TRUE(Verbena::Test::runUntil(*loop, [&] { return dates.isRead; }));
+    const Core::TimePoint read = loop->now();
+    ASSERT_TRUE(Verbena::Test::runUntil(*loop, [&] { return loop->now() >= read + 200ms; }));
+    ASSERT_EQ(store.questions, 0U);
+    const Store::StoreTime made = storeNow();
+    store.put({"version/m", "2", 6, false});
+
+    ASSERT_TRUE(Verbena::Test::runUntil(*loop, [&] { return dates.byKey.contains("version/m"); }));
+    const std::optional<Store::StoreTime> date = dates.byKey.at("version/m");
+    ASSERT_TRUE(date.has_value());
+    EXPECT_LE(date->time_since_epoch().count(), made.time_since_epoch().count());
+}
+
+} // namespace
+
+} // namespace Verbena::Relay
