--- a/src/libs/decisions/relay/weightsrecord.cpp
+++ b/src/libs/decisions/relay/weightsrecord.cpp
@@ -10,6 +10,9 @@
 // Namings that are kept. Weights may be used for seconds after newer ones were named, and an engine takes half a second and more to load.
 constexpr std::size_t mostNamings = 16;
 
+// Milliseconds of the store's clock: a hundred years. Beyond it a row is garbled, and would not fit the clocks of hosts.
+constexpr std::int64_t lastMoment = 3'155'760'000'000;
+
 } // namespace
 
 Core::Result<WeightsRecord> WeightsRecord::decode(const std::string &text)
@@ -21,7 +24,7 @@
         std::istringstream words(line);
         DatedWeights dated;
         std::int64_t moment = 0;
-        if (!(words >> dated.after >> dated.version >> moment) || dated.after >= dated.version) {
+        if (!(words >> dated.after >> dated.version >> moment) || dated.after >= dated.version || moment < 0 || moment > lastMoment) {
             return Core::Error{Core::ErrorCode::InvalidArgument, "weights.record", "", "A line does not say which versions were named after which moment."};
         }
         dated.notBefore = Store::StoreTime(std::chrono::milliseconds(moment));
--- a/src/libs/relay/peerrows.cpp
+++ b/src/libs/relay/peerrows.cpp
@@ -204,8 +204,9 @@
 // Notes what the store itself says, once its consumer has taken it.
 Store::RowSource::PageCallback PeerRows::hearing(const std::string &table, PageCallback done)
 {
-    return [this, table, done = std::move(done)](Core::Result<Store::RowPage> page) {
-        if (page && page.value().clock.has_value()) {
+    return [this, table, askedAt = Core::BootClock::now(), done = std::move(done)](Core::Result<Store::RowPage> page) {
+        if (page && page.value().saidAt.has_value()) {
+            page.value().clock = Store::StoreReading{*page.value().saidAt, askedAt};
             m_storeClock.note(*page.value().clock);
         }
         if (!page || page.value().isHistoryLost || page.value().isSecondHand) {
--- a/src/libs/relay/weightsnamings.cpp
+++ b/src/libs/relay/weightsnamings.cpp
@@ -5,6 +5,8 @@
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
 
+#include <algorithm>
+
 namespace Verbena::Relay {
 
 using std::chrono::milliseconds;
@@ -19,6 +21,9 @@
 // Between two tries at a record, and from the end of a suspension until ages are right again: a small part of the time for which old weights may be used.
 constexpr milliseconds lookPeriod{400};
 
+// Of the time between two tries: five in all where the record stays missing.
+constexpr std::uint32_t mostDoublings = 3;
+
 // A date that may be further off than this costs callers engines that could still be used, so the store is asked for a better one.
 constexpr milliseconds preciseAge{1000};
 
@@ -70,6 +75,8 @@
     }
     model.newest = weights.version;
     model.giveUpTime = m_loop.now() + m_longestUse;
+    model.nextTry = m_loop.now();
+    model.tries = 0;
     model.isAnnounced = false;
     tellFleet(weights.model, model);
     const std::optional<milliseconds> known = age(model);
@@ -135,9 +142,10 @@
         }
         isOver = false;
         tellFleet(name, model);
-        if (model.isAsking || model.step == Step::Nothing) {
+        if (model.isAsking || model.step == Step::Nothing || now < model.nextTry) {
             continue;
         }
+        model.nextTry = now + lookPeriod * (1 << std::min(model.tries++, mostDoublings));
         if (model.step == Step::Read) {
             read(name);
         } else {
@@ -162,28 +170,32 @@
 {
     Model &model = m_models[name];
     model.isAsking = false;
+    bool isRecorded = false;
     if (!row) {
         Observe::log(weightsRecordFailed, row.error(), {{"model", name}});
     } else if (row.value().has_value()) {
-        mergeRow(name, model, *row.value());
+        isRecorded = mergeRow(name, model, *row.value()).knows(model.newest);
     }
     if (model.record.knows(model.newest)) {
-        model.step = Step::Nothing;
+        // A date of its own that the record lacks, though perhaps too early, is better than none for who starts later.
+        model.step = row && !isRecorded ? Step::Write : Step::Nothing;
         Observe::log(weightsDated, {{"model", name}, {"version", std::to_string(model.newest)}, {"age_ms", text(age(model))}});
     }
     announce(model);
 }
 
-void WeightsNamings::mergeRow(const std::string &name, Model &model, const Store::TableRow &row)
+// Returns what the row says.
+Decisions::WeightsRecord WeightsNamings::mergeRow(const std::string &name, Model &model, const Store::TableRow &row)
 {
     const auto record = Decisions::WeightsRecord::decode(row.value);
     model.rowRevision = row.revision;
     if (!record) {
         Observe::log(weightsRecordFailed, record.error(), {{"model", name}});
-        return;
+        return {};
     }
     model.record.merge(record.value());
     tellFleet(name, model);
+    return record.value();
 }
 
 void WeightsNamings::write(const std::string &name)
@@ -206,15 +218,15 @@
     }
     // Another router was faster, or recorded an earlier version meanwhile.
     for (const Store::TableRow &row : answer.current) {
-        const auto record = Decisions::WeightsRecord::decode(row.value);
-        isRecorded = isRecorded || (record && record.value().knows(version));
-        mergeRow(name, model, row);
+        isRecorded = mergeRow(name, model, row).knows(version) || isRecorded;
     }
     if (isRecorded && model.newest == version) {
         model.step = Step::Nothing;
-    } else if (answer.outcome == Store::CommitOutcome::Conflict) {
+    } else if (!answer.current.empty() && m_loop.now() < model.giveUpTime) {
         write(name);
     } else if (!isRecorded) {
+        // Whatever row the store compared with is not known; a conflict that names none says that there is none.
+        model.rowRevision = 0;
         Observe::log(weightsRecordFailed, {{"model", name}, {"detail", answer.detail}});
     }
 }
--- a/src/libs/relay/weightsnamings.h
+++ b/src/libs/relay/weightsnamings.h
@@ -52,6 +52,8 @@
         Step step = Step::Nothing;
         bool isAsking = false;
         bool isAnnounced = true;
+        Core::TimePoint nextTry{}; ///< Of the step.
+        std::uint32_t tries = 0;
         Core::TimePoint giveUpTime{}; ///< By then the weights before are too old in any case.
     };
 
@@ -61,7 +63,7 @@
     void proceed();
     void read(const std::string &name);
     void takeRecord(const std::string &name, const Core::Result<std::optional<Store::TableRow>> &row);
-    void mergeRow(const std::string &name, Model &model, const Store::TableRow &row);
+    Decisions::WeightsRecord mergeRow(const std::string &name, Model &model, const Store::TableRow &row);
     void write(const std::string &name);
     void takeCommit(const std::string &name, std::uint64_t version, const Store::CommitAnswer &answer);
     template<typename Function>
--- a/src/libs/store/rowsource.h
+++ b/src/libs/store/rowsource.h
@@ -21,7 +21,7 @@
     bool isHistoryLost = false; ///< What changed is not known any more: read the whole table.
     bool isSecondHand = false; ///< Another process told it; the store itself did not answer.
     std::optional<StoreTime> saidAt = {}; ///< When the store itself said so; nothing if another process told it.
-    std::optional<StoreReading> clock = {}; ///< Of the store's clock, from whoever answered.
+    std::optional<StoreReading> clock = {}; ///< Of the store's clock, from whoever answered; nothing if a TableFollower has to note it.
 };
 
 /// \brief Lets a process follow the tables of the platform's store.
--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -3,7 +3,6 @@
 #include <eventloop/loop.h>
 
 #include <algorithm>
-#include <chrono>
 
 namespace Verbena::Store {
 
@@ -72,15 +71,15 @@
     m_source.awaitChanges(m_table, m_revision, waitEnd, waitEnd + answerTime, guarded(&TableFollower::takeChanges));
 }
 
-void TableFollower::takeTable(const Core::Result<RowPage> &page, Core::BootTime)
+void TableFollower::takeTable(const Core::Result<RowPage> &page, Core::BootTime askedAt)
 {
     if (!isBelieved(page)) {
         return;
     }
     m_isTableKnown = true;
-    const RowPage rows = dated(page.value(), m_saidAt);
+    RowPage rows = dated(page.value(), m_saidAt);
     m_revision = page.value().revision;
-    noteSaid(page.value());
+    noteSaid(rows, askedAt);
     m_consumer.replaceRows(m_table, rows);
     noteAnswer(page.value());
 }
@@ -95,21 +94,28 @@
     if (!isBelieved(page)) {
         return;
     }
-    std::optional<StoreTime> committedAfter;
-    if (m_saidAt.has_value() && page.value().saidAt.has_value()) {
-        // The store tells those who wait at once, so that only while nobody waited can a change be older than the answer that tells it.
-        const auto unwatched = std::chrono::ceil<StoreTime::duration>(askedAt - m_answeredAt);
-        committedAfter = std::max(*m_saidAt, *page.value().saidAt - unwatched);
-    }
-    const RowPage rows = page.value().rows.empty() ? RowPage() : dated(page.value(), committedAfter);
+    RowPage rows = dated(page.value(), changedAfter(page.value(), askedAt));
     m_revision = page.value().revision;
-    noteSaid(page.value());
+    noteSaid(rows, askedAt);
     if (!rows.rows.empty()) {
         m_consumer.changeRows(m_table, rows);
     }
     noteAnswer(page.value());
 }
 
+// The store tells those who wait at once. So a change is older than the answer that tells it only by the time for which no question waited there: from the
+// last answer, when it was given and not when it came, until the present question was sent, whoever sent it in this follower's place.
+std::optional<StoreTime> TableFollower::changedAfter(const RowPage &page, Core::BootTime askedAt) const
+{
+    if (!m_saidAt.has_value() || !page.saidAt.has_value()) {
+        return std::nullopt;
+    }
+    const Core::BootTime sentAt = page.clock.has_value() ? page.clock->askedAt : askedAt;
+    const StoreTime sent = m_clock.latest(sentAt).value_or(*page.saidAt);
+    const StoreTime::duration unwatched = std::max(StoreTime::duration(0), sent - *m_saidAt);
+    return std::max(*m_saidAt, *page.saidAt - unwatched);
+}
+
 // Another process dates what it tells by itself, as well as it can.
 RowPage TableFollower::dated(const RowPage &page, std::optional<StoreTime> committedAfter) const
 {
@@ -125,12 +131,16 @@
     return rows;
 }
 
-void TableFollower::noteSaid(const RowPage &page)
+void TableFollower::noteSaid(RowPage &page, Core::BootTime askedAt)
 {
-    if (page.saidAt.has_value()) {
-        m_saidAt = page.saidAt;
-        m_answeredAt = Core::BootClock::now();
+    if (!page.saidAt.has_value()) {
+        return;
+    }
+    if (!page.clock.has_value()) {
+        page.clock = StoreReading{*page.saidAt, askedAt};
     }
+    m_saidAt = page.saidAt;
+    m_clock.note(*page.clock);
 }
 
 bool TableFollower::isBelieved(const Core::Result<RowPage> &page)
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rowsource.h"
+#include "storeclockestimate.h"
 
 #include <eventloop/timer.h>
 
@@ -52,8 +53,9 @@
     void ask();
     void takeTable(const Core::Result<RowPage> &page, Core::BootTime askedAt);
     void takeChanges(const Core::Result<RowPage> &page, Core::BootTime askedAt);
+    void noteSaid(RowPage &page, Core::BootTime askedAt);
     RowPage dated(const RowPage &page, std::optional<StoreTime> committedAfter) const;
-    void noteSaid(const RowPage &page);
+    std::optional<StoreTime> changedAfter(const RowPage &page, Core::BootTime askedAt) const;
     bool isBelieved(const Core::Result<RowPage> &page);
     void askAgainAt(Core::TimePoint moment);
     void noteFailure(const Core::Error &error);
@@ -69,7 +71,7 @@
     std::shared_ptr<bool> m_isAlive; ///< Answers may come after the follower is gone.
     std::uint64_t m_revision = 0;
     std::optional<StoreTime> m_saidAt; ///< When the store itself answered last, by its clock.
-    Core::BootTime m_answeredAt{}; ///< The same answer, when it came.
+    StoreClockEstimate m_clock;
     bool m_isTableKnown = false;
     bool m_isLost = false; ///< Nobody answers.
     std::uint32_t m_failures = 0; ///< Of the store since it answered last.
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -138,6 +138,9 @@
 
 void WeightsKeeper::takeDeclarations(const std::string &table, const Store::RowPage &page, const Decisions::WeightsNaming &naming)
 {
+    if (page.clock.has_value()) {
+        m_storeClock.note(*page.clock);
+    }
     for (const Store::TableRow &row : page.rows) {
         const auto decoded = m_decoder.decode(table, row);
         if (!decoded) {
@@ -145,12 +148,19 @@
         }
         if (const auto *named = std::get_if<Relay::NamedWeights>(&decoded.value())) {
             if (takeNamed(*named)) {
-                plan(named->model, naming);
+                plan(named->model, dated(naming, row));
             }
         }
     }
 }
 
+// The row may have been written a while before it was told, for instance while the store was away.
+Decisions::WeightsNaming WeightsKeeper::dated(const Decisions::WeightsNaming &naming, const Store::TableRow &row) const
+{
+    const auto age = row.committedAfter.has_value() ? m_storeClock.age(*row.committedAfter, Core::BootClock::now()) : std::nullopt;
+    return age.has_value() ? Decisions::WeightsNaming{naming.learnedAt - *age, naming.learnedAt} : naming;
+}
+
 void WeightsKeeper::sourceLost(const std::string &table, const Core::Error &error)
 {
     Observe::log(declarationsLost, error, {{"table", table}});
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -8,6 +8,7 @@
 #include <eventloop/timer.h>
 #include <relay/cachewatch.h>
 #include <relay/deploymentdecoder.h>
+#include <store/storeclockestimate.h>
 #include <store/tablefollower.h>
 
 #include <map>
@@ -62,6 +63,7 @@
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
     void takeDeclarations(const std::string &table, const Store::RowPage &page, const Decisions::WeightsNaming &naming);
+    Decisions::WeightsNaming dated(const Decisions::WeightsNaming &naming, const Store::TableRow &row) const;
     void takeWatch(const verbena::wire::EngineWatch &watch);
     void followStoreIfUnwatched();
     void takeTurn(const verbena::wire::WeightsTurn &told);
@@ -104,6 +106,7 @@
     bool m_isLooking = false; ///< A report or an order is under way.
     bool m_isSilent = false;
     EngineReport m_lastReport;
+    Store::StoreClockEstimate m_storeClock;
     Core::TimePoint m_watchedUntil; ///< Routers tell what is named until then.
     EventLoop::Timer m_watchTimer;
     std::unique_ptr<Store::TableFollower> m_declarations; ///< While no router tells what is named.
--- a/tests/auto/relay/tst_weightsnamings.cpp
+++ b/tests/auto/relay/tst_weightsnamings.cpp
@@ -130,6 +130,59 @@
     EXPECT_EQ(m_records.values[1], "1 3 90000\n0 4 100000\n");
 }
 
+// A naming says nothing of the versions below the one before it: an engine that has one of those may be outdated since long ago.
+TEST_F(WeightsNamingsTest, takesVersionsBelowTheRecordForTooOld)
+{
+    m_records.record = Store::TableRow{"m", "3 4 99500\n", 9, false, {}};
+    m_namings->noteClock({Store::StoreTime(100s), Core::BootClock::now()});
+    m_namings->take({"m", 4}, row(4, 4, std::nullopt), "table");
+    pass(50ms);
+    Decisions::FleetChoice choice;
+    choice.weightsVersion = 3;
+    EXPECT_GT(m_relay->fleet().callBackTime(choice, "m"), m_loop->now() + 5s);
+    choice.weightsVersion = 2;
+    EXPECT_LT(m_relay->fleet().callBackTime(choice, "m"), m_loop->now());
+}
+
+TEST_F(WeightsNamingsTest, writesEachNamingOnceAndTellsAgentsOnce)
+{
+    int announced = 0;
+    m_relay->setWeightsObserver([&announced] { ++announced; });
+    m_namings->noteClock({Store::StoreTime(100s), Core::BootClock::now()});
+    m_namings->take({"m", 4}, row(4, 4, Store::StoreTime(100s)), "change");
+    EXPECT_EQ(announced, 1);
+    pass(900ms);
+    EXPECT_EQ(m_records.values, std::vector<std::string>{"0 4 100000\n"});
+    m_namings->take({"m", 5}, row(5, 5, Store::StoreTime(100s + 900ms)), "change");
+    pass(900ms);
+    ASSERT_EQ(m_records.values.size(), 2U);
+    EXPECT_EQ(m_records.values[1], "0 4 100000\n4 5 100900\n");
+    EXPECT_EQ(announced, 2);
+}
+
+// A router that starts learns of a naming with the whole table, and agents hear of it with its date, or when it is clear that nobody has one.
+TEST_F(WeightsNamingsTest, tellsAgentsOfAnUndatedNamingOnceTheRecordWasAsked)
+{
+    int announced = 0;
+    m_relay->setWeightsObserver([&announced] { ++announced; });
+    m_namings->noteClock({Store::StoreTime(100s), Core::BootClock::now()});
+    m_namings->take({"m", 4}, row(4, 4, std::nullopt), "table");
+    pass(6s);
+    EXPECT_EQ(announced, 1);
+    EXPECT_LE(m_records.reads, 6);
+    EXPECT_GE(m_records.reads, 3);
+    EXPECT_TRUE(m_records.values.empty());
+}
+
+// Who learned of a naming seconds late, and finds no record, writes the date that it can prove.
+TEST_F(WeightsNamingsTest, writesADateThatMayBeTooEarlyWhereThereIsNone)
+{
+    m_namings->noteClock({Store::StoreTime(102s), Core::BootClock::now()});
+    m_namings->take({"m", 4}, row(4, 4, Store::StoreTime(100s)), "change");
+    ASSERT_TRUE(Verbena::Test::runUntil(*m_loop, [this] { return !m_records.values.empty(); }));
+    EXPECT_EQ(m_records.values[0], "0 4 100000\n");
+}
+
 // A conflict names the rows that stand there; where the record is gone there are none to name.
 TEST_F(WeightsNamingsTest, doesNotWriteWithoutPauseWhileTheStoreReportsAConflictWithoutRows)
 {
