Keep what agents say of their engines in a class of its own

EngineNews takes the news, what was sent since and what follows from both: silent engines, those busy with weights, late beginners, a router that is cut off. Constants moved with their users.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -35,47 +35,9 @@
 // Without new work after a refusal: some answers later it has room again.
 constexpr milliseconds fullPause{100};
 
-// Routers that are taken to have sent to an engine as much as this one. With more of them each sends there so rarely that a second request in a row is
-// chance, and would make an idle engine look like one with a long queue.
-constexpr std::uint32_t mostRoutersAlike = 8;
-
-// News come several times a second; without any for so long the agent counts as silent.
-constexpr milliseconds statusLifetime{1500};
-
-// After most agents fell silent at once, until a router takes it that they are gone: most cuts between hosts are shorter.
-constexpr milliseconds cutOffTime{6000};
-
-// Requests that a router sends to an engine that does not answer, once its agent is silent too.
-constexpr std::uint32_t mostSentToSilent = 2;
-
-// From then on, until its engine gets its orders from elsewhere: an agent that is started again is back within a second.
+// From the moment that an agent is silent until its engine gets its orders from elsewhere: an agent that is started again is back within a second.
 constexpr milliseconds agentAbsence{1500};
 
-// An engine that is about to load weights first finishes what it runs. To keep that short, requests that would still run by then go elsewhere: a step
-// makes a token for each request and takes 4 to 10 ms in the known deployments, and a prompt is read in some tenths of a second.
-constexpr milliseconds timePerToken{6};
-constexpr milliseconds readTime{250};
-constexpr milliseconds longestForesight{1500};
-
-// Of an engine, until a request that comes begins to be read: for each that waits, and for each that runs and shares its steps.
-constexpr milliseconds waitPerWaiting{40};
-constexpr milliseconds waitPerRunning{2};
-
-// Beyond this part of its memory a request that comes has to wait until another one ends.
-constexpr double fullMemory = 0.9;
-constexpr milliseconds waitForMemory{300};
-
-// From the moment that a request comes to an engine whose queue stands still until it begins: 3.6 s were seen on an engine with full memory.
-constexpr milliseconds slowestBegin{4500};
-
-// News by which an engine begins at once: two rounds of its agent may be lost. Older ones say nothing of the queue that it has by now.
-constexpr milliseconds freshNews{600};
-
-// As slowestBegin, at an engine without fresh news and without work of this router: twice the 1.35 s that were seen where an agent had just been lost. Loads
-// are spread over 5.6 s of the 8 s for which old weights may be used, so where no agent tells anything an engine stands idle for 0.3 s at most before its
-// load, if it is ordered in time; with slowestBegin it would be 2.1 s.
-constexpr milliseconds unknownBegin{2700};
-
 // From the moment that a request is called back until its engine has dropped it: the way, a step of the engine, a round of this router's loop under load, and
 // the way on which the naming was learned.
 constexpr milliseconds callBackMargin{250};
@@ -112,22 +74,6 @@
     return query.prompt->model + (query.dedicatedTo.empty() ? "" : '/' + query.dedicatedTo);
 }
 
-bool isMemoryFull(const EngineStatus &status)
-{
-    return static_cast<double>(status.usedTokens) > fullMemory * static_cast<double>(status.totalTokens);
-}
-
-LoadReport loadOf(const EngineStatus &status)
-{
-    LoadReport report;
-    report.incarnation = status.incarnation;
-    report.running = status.running;
-    report.queued = status.waiting;
-    report.queuedWork = status.waiting * waitPerWaiting + status.running * waitPerRunning;
-    report.queuedWork += isMemoryFull(status) ? waitForMemory : milliseconds(0);
-    return report;
-}
-
 PrefixKey chain(PrefixKey before, const std::string &id)
 {
     return PrefixKey(XXH3_64bits_withSeed(id.data(), id.size(), static_cast<std::uint64_t>(before)));
@@ -143,7 +89,7 @@
 
 void RelayFleet::setRouterCount(std::uint32_t count)
 {
-    m_routerCount = std::max<std::uint32_t>(1, count);
+    m_news.setRouterCount(count);
 }
 
 ServerRegister &RelayFleet::servers()
@@ -208,7 +154,7 @@
     const auto isGone = [this](BackendServerId id) {
         return m_chooser.server(id) == nullptr;
     };
-    std::erase_if(m_heard, [&](const auto &entry) { return isGone(entry.first); });
+    m_news.forget(isGone);
     std::erase_if(m_agentsPresent, [this](const auto &entry) { return !m_idsByAddress.contains(entry.first); });
     std::erase_if(m_silentSince, [&](const auto &entry) { return isGone(entry.first); });
     std::erase_if(m_failures, [&](const auto &entry) { return isGone(entry.first); });
@@ -222,7 +168,7 @@
 {
     std::uint64_t &known = m_incarnations[id];
     if (known != 0 && known != incarnation) {
-        m_heard.erase(id);
+        m_news.noteRestart(id);
         m_failures.erase(id);
         m_caches.noteRestart(id);
     }
@@ -260,37 +206,21 @@
         return;
     }
     // Whatever becomes of the news: the register may name an earlier engine at this address too, of which nobody ever hears again.
-    m_agentsPresent[address] = now + statusLifetime;
+    m_agentsPresent[address] = now + EngineNews::lifetime;
     const std::string id = *known;
     if (m_register.noteIncarnation(id, status.incarnation) == IncarnationNews::Outdated) {
         return;
     }
     followRegister();
     const BackendServerId key = backendServerId(id);
-    Heard &heard = m_heard[key];
-    heard.status = status;
-    heard.deadline = now + statusLifetime;
-    heard.sentSince = 0;
-    heard.status.parts.reset();
+    m_news.note(key, status, now);
     if (m_chooser.server(key) != nullptr) {
-        m_caches.noteNews(key, status.parts, heard.deadline);
+        m_caches.noteNews(key, status.parts, now + EngineNews::lifetime);
     }
     for (const ServedWeights &weights : status.weights) {
         m_register.noteWeights(id, weights.model, weights.version);
     }
-    m_chooser.noteLoad(key, loadOf(status), now);
-}
-
-// Whether most agents fell silent lately: then it is likely that this router is cut off from them, and taking their engines' orders would hold up all loads.
-bool RelayFleet::isPerhapsCutOff(Core::TimePoint now) const
-{
-    std::size_t present = 0;
-    std::size_t lately = 0;
-    for (const auto &[id, heard] : m_heard) {
-        present += now < heard.deadline ? 1 : 0;
-        lately += now < heard.deadline + cutOffTime ? 1 : 0;
-    }
-    return 2 * present < lately;
+    m_chooser.noteLoad(key, EngineNews::loadOf(status), now);
 }
 
 std::vector<OrphanedEngine> RelayFleet::orphanedEngines(Core::TimePoint now)
@@ -313,7 +243,7 @@
             }
         }
     }
-    return isPerhapsCutOff(now) ? std::vector<OrphanedEngine>() : orphaned;
+    return m_news.isPerhapsCutOff(now) ? std::vector<OrphanedEngine>() : orphaned;
 }
 
 std::map<std::string, WeightsGoal> RelayFleet::weightsGoals() const
@@ -424,87 +354,31 @@
     return best;
 }
 
-// What waits there by the last news and what routers have sent since. Other routers choose alike, so each is taken to have sent as much as this one; a
-// single request says nothing of that. Without this all routers together would fill an engine's queue between two of its news, first of all one that
-// has just got new weights and seems idle.
-std::uint32_t RelayFleet::presentlyWaiting(const Heard &heard) const
-{
-    const std::uint32_t waiting = heard.status.waiting;
-    const std::uint32_t telling = waiting > 0 ? heard.sentSince : heard.sentSince - std::min<std::uint32_t>(heard.sentSince, 1);
-    return waiting + telling * std::min(m_routerCount, mostRoutersAlike);
-}
-
 void RelayFleet::estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
 {
-    const auto heard = m_heard.find(choice.id);
-    if (heard == m_heard.end() || now >= heard->second.deadline) {
+    const std::optional<EngineQueue> queue = m_news.queue(choice.id, now);
+    if (!queue.has_value()) {
         return;
     }
     static const WaitEstimate nothingLearned;
     const auto learned = m_estimates.find(query.route);
-    choice.waiting = presentlyWaiting(heard->second);
-    choice.newsAge = std::chrono::duration_cast<milliseconds>(now - (heard->second.deadline - statusLifetime));
+    choice.waiting = queue->waiting;
+    choice.newsAge = queue->newsAge;
     const WaitEstimate &waits = learned == m_estimates.end() ? nothingLearned : learned->second;
     choice.expectedWait = waits.expected(choice.waiting, now);
     choice.bearableWait = waits.bearable(query.latencyTarget);
 }
 
-bool RelayFleet::isBusyWithWeights(const Heard &heard, const FleetQuery &query, Core::TimePoint now) const
-{
-    if (now >= heard.deadline) {
-        return false;
-    }
-    const milliseconds expected = std::min(longestForesight, readTime + query.prompt->maximumOutputTokens * timePerToken);
-    return heard.status.isSilent || heard.status.isLoading || (heard.status.loadTime.has_value() && now + expected > *heard.status.loadTime);
-}
-
-// An engine whose agent fell silent may be gone with its host, or answer on. As long as nothing came back of what was sent to it since, one more request is
-// enough to find out.
-void RelayFleet::excludeSilent(RouteQuery &route, Core::TimePoint now) const
-{
-    for (const auto &[id, heard] : m_heard) {
-        if (now >= heard.deadline && heard.sentSince >= mostSentToSilent) {
-            route.excluded.push_back(id);
-        }
-    }
-}
-
-void RelayFleet::excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const
-{
-    for (const auto &[id, heard] : m_heard) {
-        if (isBusyWithWeights(heard, query, now)) {
-            route.excluded.push_back(id);
-        }
-    }
-}
-
-// Whether a request that comes to it now may begin after \a until, when slowestBegin is all that is left. Of an engine without fresh news this router knows its
-// own unanswered work, and takes it that others have sent as much.
-bool RelayFleet::mayBeginLate(BackendServerId id, Core::TimePoint until, Core::TimePoint now) const
-{
-    const auto known = m_heard.find(id);
-    if (known != m_heard.end()) {
-        const Heard &heard = known->second;
-        if (presentlyWaiting(heard) > 0 || isMemoryFull(heard.status) || heard.status.isSilent) {
-            return true;
-        }
-        if (now < heard.deadline - statusLifetime + freshNews) {
-            return false;
-        }
-    }
-    return now + unknownBegin + m_chooser.unanswered(id) * std::min(m_routerCount, mostRoutersAlike) >= until;
-}
-
 // An engine whose queue stands still, for instance because its memory is full, may begin a request seconds after it came, and then on weights that
 // nothing may begin on any more. What is known here lets few requests come to that; those that do are called back.
 void RelayFleet::excludeLateBeginners(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
 {
     const std::optional<Core::TimePoint> until = begunUntil(*choice.weightsVersion, weightsHistory(query), m_weightsLimits);
-    if (!until.has_value() || now + slowestBegin < *until) {
+    if (!until.has_value() || EngineNews::beginsAnywhere(*until, now)) {
         return;
     }
     for (const auto &[id, incarnation] : m_incarnations) {
-        if (mayBeginLate(id, *until, now)) {
+        if (m_news.mayBeginLate(id, m_chooser.unanswered(id), *until, now)) {
             choice.route.excluded.push_back(id);
         }
     }
@@ -569,8 +443,8 @@
         // Looking through all of them in vain takes time by the square of their number.
         return {};
     }
-    excludeSilent(route, now);
-    excludeBusyWithWeights(route, query, now);
+    m_news.addSilent(route.excluded, now);
+    m_news.addBusyWithWeights(route.excluded, query.prompt->maximumOutputTokens, now);
     RouteDecision decision = m_chooser.choose(route, now);
     if (decision.candidates.empty() && route.excluded.size() > usable) {
         // One that is busy with weights is better than none.
@@ -677,12 +551,7 @@
 
 bool RelayFleet::isHeldUpFromLoading(const FleetChoice &choice, Core::TimePoint now) const
 {
-    const auto heard = m_heard.find(choice.id);
-    if (heard == m_heard.end() || now >= heard->second.deadline) {
-        return false;
-    }
-    const EngineStatus &status = heard->second.status;
-    return status.isLoading || (status.loadTime.has_value() && now >= *status.loadTime);
+    return m_news.isHeldUpFromLoading(choice.id, now);
 }
 
 std::optional<Core::TimePoint> RelayFleet::callBackTime(const FleetChoice &choice, const std::string &model) const
@@ -699,10 +568,7 @@
 {
     choice.sentAt = now;
     m_chooser.noteDispatched(choice.id, choice.route, choice.work, now);
-    const auto heard = m_heard.find(choice.id);
-    if (heard != m_heard.end()) {
-        ++heard->second.sentSince;
-    }
+    m_news.noteSent(choice.id);
     m_caches.noteSent(choice.id, choice.parts, now);
 }
 
@@ -712,10 +578,7 @@
         return;
     }
     m_failures.erase(choice.id);
-    const auto heard = m_heard.find(choice.id);
-    if (heard != m_heard.end() && now >= heard->second.deadline) {
-        heard->second.sentSince = 0;
-    }
+    m_news.noteAnswered(choice.id, now);
     m_chooser.noteReply(choice.id, choice.route, static_cast<std::uint32_t>(choice.parts.size()), choice.work, now);
     if (choice.expectedWait.has_value()) {
         m_estimates[choice.routeName].note(choice.waiting, std::chrono::duration_cast<microseconds>(now - choice.sentAt), now);
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission.h"
+#include "enginenews.h"
 #include "enginestatus.h"
 #include "orderfailover.h"
 #include "promptcaches.h"
@@ -133,20 +134,10 @@
     void noteReplaced(const FleetChoice &choice);
 
 private:
-    // What an agent said of its engine, and until when it is believed.
-    struct Heard
-    {
-        EngineStatus status;
-        Core::TimePoint deadline;
-        std::uint32_t sentSince = 0; ///< By this router, that the status cannot know of.
-    };
-
-    bool isPerhapsCutOff(Core::TimePoint now) const;
     void followRegister();
     void followIncarnation(BackendServerId id, std::uint64_t incarnation);
     const std::string *idAt(const std::string &address, std::uint64_t incarnation) const;
     bool isOutdated(const FleetChoice &choice);
-    bool isBusyWithWeights(const Heard &heard, const FleetQuery &query, Core::TimePoint now) const;
     const WeightsHistory &weightsHistory(const FleetQuery &query) const;
     void describePrompt(FleetChoice &choice, const FleetQuery &query) const;
     RouteDecision candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
@@ -164,11 +155,7 @@
     bool isWorthSaving(const PartIndex &store, const FleetQuery &query, Core::TimePoint now) const;
     std::string holderOf(const FleetChoice &choice, Core::TimePoint now) const;
     void settleCaches(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
-    std::uint32_t presentlyWaiting(const Heard &heard) const;
     void estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
-    void excludeSilent(RouteQuery &route, Core::TimePoint now) const;
-    void excludeBusyWithWeights(RouteQuery &route, const FleetQuery &query, Core::TimePoint now) const;
-    bool mayBeginLate(BackendServerId id, Core::TimePoint until, Core::TimePoint now) const;
     void excludeLateBeginners(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
 
     ServerRegister m_register;
@@ -178,7 +165,7 @@
     std::function<void()> m_namingObserver;
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, std::size_t>> m_versions; ///< By service and model.
     std::map<std::pair<std::string, std::string>, std::map<std::string, std::size_t>> m_domains; ///< Engines by service and model, then by failure domain.
-    std::unordered_map<BackendServerId, Heard> m_heard;
+    EngineNews m_news;
     std::unordered_map<std::string, Core::TimePoint> m_agentsPresent; ///< Until when, by address of the engine.
     std::unordered_map<BackendServerId, Core::TimePoint> m_silentSince; ///< Engines whose agents are not heard of.
     std::unordered_map<BackendServerId, std::uint32_t> m_failures; ///< Connections that failed since the last answer.
@@ -187,7 +174,6 @@
     std::unordered_map<std::string, std::vector<std::string>> m_idsByAddress; ///< Of engines; entries may name an address twice.
     std::unordered_map<BackendServerId, std::uint64_t> m_incarnations; ///< Of the backend servers that are known.
     std::uint64_t m_followedRevision = 0;
-    std::uint32_t m_routerCount = 1;
 };
 
 } // namespace Verbena::Decisions
