Describe prompts for keys and caches beside RelayFleet

How a prompt is named in pools, homes and caches needs nothing of the fleet, so it stands in promptkeys; what a request wants and where it goes stands in fleetchoice.h, which both need. No behaviour changes.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -1,5 +1,7 @@
 #include "relayfleet.h"
 
+#include "promptkeys.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -55,30 +57,6 @@
 // As long as it takes to bring new weights to all engines and to read again what is asked for.
 constexpr milliseconds refillTime{10000};
 
-// The pool of one model at one service; services may serve models of the same name.
-std::string poolName(const std::string &service, const std::string &model)
-{
-    return service + '/' + model;
-}
-
-// Weights stand in the scope, so that no part that was made on others can match, and so does the organisation where it shares nothing.
-std::string cacheScope(const FleetQuery &query, std::uint64_t version)
-{
-    return query.prompt->model + '@' + std::to_string(version) + (query.dedicatedTo.empty() ? "" : '/' + query.dedicatedTo);
-}
-
-// How much a prompt is asked for has nothing to do with the weights. If it were counted anew for each version, the hottest openings would have a single
-// home just when every engine is cold.
-std::string demandScope(const FleetQuery &query)
-{
-    return query.prompt->model + (query.dedicatedTo.empty() ? "" : '/' + query.dedicatedTo);
-}
-
-PrefixKey chain(PrefixKey before, const std::string &id)
-{
-    return PrefixKey(XXH3_64bits_withSeed(id.data(), id.size(), static_cast<std::uint64_t>(before)));
-}
-
 } // namespace
 
 RelayFleet::RelayFleet(const RoutingOptions &routing, const WeightsLimits &weights)
@@ -271,18 +249,21 @@
 // The deepest of its shared parts tells a prompt's store, in every version of the weights and without what belongs to the request alone.
 const CacheStore *RelayFleet::storeOf(const FleetChoice &choice) const
 {
-    return choice.route.keys.empty() || !isWorthMoving(choice.parts) ? nullptr : m_caches.stores().storeOf(choice.route.keys.back(), choice.route.homeDomain);
+    return isWorthMoving(choice) ? m_caches.stores().storeOf(choice.route.keys.back(), choice.route.homeDomain) : nullptr;
 }
 
 // A part that is short is read sooner than it is fetched: transfers of an engine run one after the other, and a long prompt's takes up to a tenth of a
 // second. Saved with what belongs to the request alone, many short ones push the few long ones out of the store. Leaving them out raised the worth that
 // callers got from 0.818 to 0.822 of what they were owed (means of 27 busy days).
-bool RelayFleet::isWorthMoving(const std::vector<SharedPart> &parts)
+bool RelayFleet::isWorthMoving(const FleetChoice &choice)
 {
+    if (choice.parts.empty()) {
+        return false;
+    }
     const auto add = [](std::uint32_t tokens, const SharedPart &part) {
         return tokens + part.tokens;
     };
-    return std::accumulate(parts.begin(), parts.end(), std::uint32_t(0), add) >= leastMovedTokens;
+    return std::accumulate(choice.parts.begin(), choice.parts.end(), std::uint32_t(0), add) >= leastMovedTokens;
 }
 
 // Whether caches are still being filled after new weights.
@@ -391,24 +372,6 @@
     return history == m_weights.end() ? nothingNamed : history->second;
 }
 
-void RelayFleet::describePrompt(FleetChoice &choice, const FleetQuery &query) const
-{
-    choice.cacheScope = cacheScope(query, *choice.weightsVersion);
-    RouteQuery &route = choice.route;
-    route.version = {poolName(query.service, query.prompt->model), "", std::to_string(*choice.weightsVersion)};
-    route.root = chain(PrefixKey(0), demandScope(query));
-    PrefixKey key = route.root;
-    for (std::size_t part = 0; part + 1 < query.prompt->parts.size(); ++part) {
-        const PromptPart &shared = query.prompt->parts[part];
-        key = chain(key, shared.id);
-        route.keys.push_back(key);
-        choice.parts.push_back({partKey(choice.cacheScope, shared.id), shared.tokens});
-    }
-    if (m_caches.stores().isAny() && isWorthMoving(choice.parts)) {
-        route.homeDomain = homeDomain(query, key);
-    }
-}
-
 // The failure domain in which a prompt is at home, with a part of all prompts that is each domain's part of the engines. With its store there too, what is
 // saved and fetched stays inside.
 std::string RelayFleet::homeDomain(const FleetQuery &query, PrefixKey prompt) const
@@ -497,6 +460,9 @@
     choice.routeName = query.route;
     choice.weightsVersion = weights;
     describePrompt(choice, query);
+    if (m_caches.stores().isAny() && isWorthMoving(choice)) {
+        choice.route.homeDomain = homeDomain(query, choice.route.keys.back());
+    }
     const RouteDecision decision = candidates(choice, query, now);
     if (decision.candidates.empty()) {
         return std::nullopt;
