Choose the home domains of prompts in a class of its own

HomeDomains counts the engines of each failure domain and says where a prompt is at home; RelayFleet only tells it of the engines. No behaviour changes.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -2,11 +2,7 @@
 
 #include "promptkeys.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <numeric>
 
 namespace Verbena::Decisions {
@@ -101,7 +97,7 @@
     }
     m_followedRevision = m_register.revision();
     m_versions.clear();
-    m_domains.clear();
+    m_homeDomains.clear();
     m_idsByAddress.clear();
     std::vector<BackendServer> fleet;
     for (const auto &[id, registered] : m_register.servers()) {
@@ -121,7 +117,7 @@
         for (const ServedWeights &weights : registered.weights) {
             server.served.push_back({poolName(registered.service, weights.model), "", std::to_string(weights.version)});
             ++m_versions[{registered.service, weights.model}][weights.version];
-            ++m_domains[{registered.service, weights.model}][registered.failureDomain];
+            m_homeDomains.addEngine(registered.service, weights.model, registered.failureDomain);
         }
         if (registered.weights.empty()) {
             server.service = registered.service;
@@ -372,24 +368,6 @@
     return history == m_weights.end() ? nothingNamed : history->second;
 }
 
-// The failure domain in which a prompt is at home, with a part of all prompts that is each domain's part of the engines. With its store there too, what is
-// saved and fetched stays inside.
-std::string RelayFleet::homeDomain(const FleetQuery &query, PrefixKey prompt) const
-{
-    std::string home;
-    double lowest = std::numeric_limits<double>::infinity();
-    for (const auto &[domain, engines] : m_domains.at({query.service, query.prompt->model})) {
-        const std::uint64_t hash = XXH3_64bits_withSeed(domain.data(), domain.size(), static_cast<std::uint64_t>(prompt));
-        // Weighted rendezvous hashing: a domain that grows takes prompts from all others alike.
-        const double distance = -std::log((static_cast<double>(hash >> 11) + 1) * 0x1p-53) / static_cast<double>(engines);
-        if (distance < lowest) {
-            lowest = distance;
-            home = domain;
-        }
-    }
-    return home;
-}
-
 RouteDecision RelayFleet::candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
 {
     RouteQuery &route = choice.route;
@@ -461,7 +439,7 @@
     choice.weightsVersion = weights;
     describePrompt(choice, query);
     if (m_caches.stores().isAny() && isWorthMoving(choice)) {
-        choice.route.homeDomain = homeDomain(query, choice.route.keys.back());
+        choice.route.homeDomain = m_homeDomains.homeOf(query.service, query.prompt->model, choice.route.keys.back());
     }
     const RouteDecision decision = candidates(choice, query, now);
     if (decision.candidates.empty()) {
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -4,6 +4,7 @@
 #include "enginenews.h"
 #include "enginestatus.h"
 #include "fleetchoice.h"
+#include "homedomains.h"
 #include "orderfailover.h"
 #include "promptcaches.h"
 #include "serverregister.h"
@@ -108,7 +109,6 @@
     static bool isBetter(const FleetChoice &choice, const FleetChoice &other);
     void settle(FleetChoice &choice, const RouteCandidate &best, const FleetQuery &query, Core::TimePoint now) const;
     const CacheStore *storeOf(const FleetChoice &choice) const;
-    std::string homeDomain(const FleetQuery &query, PrefixKey prompt) const;
     RouteCandidate bestOf(const RouteDecision &decision, const FleetChoice &choice, Core::TimePoint now) const;
     std::chrono::microseconds cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const;
     static bool isWorthMoving(const FleetChoice &choice);
@@ -125,7 +125,7 @@
     std::map<std::string, WeightsHistory> m_weights; ///< By model.
     std::function<void()> m_namingObserver;
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, std::size_t>> m_versions; ///< By service and model.
-    std::map<std::pair<std::string, std::string>, std::map<std::string, std::size_t>> m_domains; ///< Engines by service and model, then by failure domain.
+    HomeDomains m_homeDomains;
     EngineNews m_news;
     std::unordered_map<std::string, Core::TimePoint> m_agentsPresent; ///< Until when, by address of the engine.
     std::unordered_map<BackendServerId, Core::TimePoint> m_silentSince; ///< Engines whose agents are not heard of.
