Decide what is moved among caches in a class of its own

PromptMoves has the caches, what a prompt costs at an engine and where its parts are fetched from and saved to; the constants moved with it.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -3,7 +3,6 @@
 #include "promptkeys.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace Verbena::Decisions {
 
@@ -15,17 +14,6 @@
 // Of a plain call until it is answered; plain services are compared with each other only, so any figure does.
 constexpr milliseconds plainWork{50};
 
-// Tokens that an engine reads in a millisecond, for the weight of a prompt against the wait at an engine: between the slowest and the fastest engines
-// of the known deployments (32 and 92).
-constexpr std::uint32_t tokensPerMillisecond = 50;
-constexpr microseconds readPerToken{40};
-
-// What another engine keeps comes over the network: 3 to 8 microseconds a token in the known deployments.
-constexpr microseconds fetchPerToken{20};
-
-// A cold prompt goes to its home, where all routers look for it, unless another engine is this much better off.
-constexpr milliseconds awayFromHome{100};
-
 // Without new work after a connection that failed; doubles with each further one, so that a dark backend server costs few requests.
 constexpr milliseconds unreachablePause{500};
 constexpr std::uint32_t mostDoublings = 4;
@@ -40,19 +28,6 @@
 // the way on which the naming was learned.
 constexpr milliseconds callBackMargin{250};
 
-// Shared tokens of a prompt, from which on they are worth moving: an engine reads so many in 10 to 30 ms, about as long as it asks and waits for its turn
-// at its link.
-constexpr std::uint32_t leastMovedTokens = 1000;
-
-// Prompts of which a full store takes one, and from which part of its capacity on it counts as full.
-constexpr std::uint64_t savesOneOf = 4;
-constexpr double fullStore = 0.9;
-// The lower digits of a draw have chosen the weights already.
-constexpr std::uint64_t saveDrawDivisor = 1'000'000'007;
-
-// As long as it takes to bring new weights to all engines and to read again what is asked for.
-constexpr milliseconds refillTime{10000};
-
 } // namespace
 
 RelayFleet::RelayFleet(const RoutingOptions &routing, const WeightsLimits &weights)
@@ -133,7 +108,7 @@
     std::erase_if(m_silentSince, [&](const auto &entry) { return isGone(entry.first); });
     std::erase_if(m_failures, [&](const auto &entry) { return isGone(entry.first); });
     std::erase_if(m_incarnations, [&](const auto &entry) { return isGone(entry.first); });
-    m_caches.forget(isGone);
+    m_moves.caches().forget(isGone);
 }
 
 // A backend server that started again under its id is cold and idle. Believing it warm would send it the prompts of its earlier start, all to be read
@@ -144,7 +119,7 @@
     if (known != 0 && known != incarnation) {
         m_news.noteRestart(id);
         m_failures.erase(id);
-        m_caches.noteRestart(id);
+        m_moves.caches().noteRestart(id);
     }
     known = incarnation;
 }
@@ -189,7 +164,7 @@
     const BackendServerId key = backendServerId(id);
     m_news.note(key, status, now);
     if (m_chooser.server(key) != nullptr) {
-        m_caches.noteNews(key, status.parts, now + EngineNews::lifetime);
+        m_moves.caches().noteNews(key, status.parts, now + EngineNews::lifetime);
     }
     for (const ServedWeights &weights : status.weights) {
         m_register.noteWeights(id, weights.model, weights.version);
@@ -239,96 +214,7 @@
 
 CacheStores &RelayFleet::cacheStores()
 {
-    return m_caches.stores();
-}
-
-// The deepest of its shared parts tells a prompt's store, in every version of the weights and without what belongs to the request alone.
-const CacheStore *RelayFleet::storeOf(const FleetChoice &choice) const
-{
-    return isWorthMoving(choice) ? m_caches.stores().storeOf(choice.route.keys.back(), choice.route.homeDomain) : nullptr;
-}
-
-// A part that is short is read sooner than it is fetched: transfers of an engine run one after the other, and a long prompt's takes up to a tenth of a
-// second. Saved with what belongs to the request alone, many short ones push the few long ones out of the store. Leaving them out raised the worth that
-// callers got from 0.818 to 0.822 of what they were owed (means of 27 busy days).
-bool RelayFleet::isWorthMoving(const FleetChoice &choice)
-{
-    if (choice.parts.empty()) {
-        return false;
-    }
-    const auto add = [](std::uint32_t tokens, const SharedPart &part) {
-        return tokens + part.tokens;
-    };
-    return std::accumulate(choice.parts.begin(), choice.parts.end(), std::uint32_t(0), add) >= leastMovedTokens;
-}
-
-// Whether caches are still being filled after new weights.
-bool RelayFleet::isRefilling(const FleetQuery &query, Core::TimePoint now) const
-{
-    const WeightsHistory &history = weightsHistory(query);
-    return history.newest() > 0 && now < history.newestSince() + refillTime;
-}
-
-// A full store drops something useful for each prompt that it takes, and half of what it takes belongs to one request alone. Letting in only one of
-// several keeps what is asked for again and again; right after new weights, when all that it holds is void, it takes all.
-bool RelayFleet::isWorthSaving(const PartIndex &store, const FleetQuery &query, Core::TimePoint now) const
-{
-    const bool hasRoom = static_cast<double>(store.tokens()) < fullStore * static_cast<double>(store.capacity());
-    return isRefilling(query, now) || hasRoom || query.draw / saveDrawDivisor % savesOneOf == 0;
-}
-
-std::string RelayFleet::holderOf(const FleetChoice &choice, Core::TimePoint now) const
-{
-    const auto holder = m_caches.holder(choice.parts, std::max(choice.warmParts, choice.storedParts), now);
-    const BackendServer *server = holder.has_value() ? m_chooser.server(*holder) : nullptr;
-    return server == nullptr ? "" : server->endpoint;
-}
-
-// What a request would wait for at the candidate, and what it would cost the engine on top: reading what nobody keeps, fetching what another one does.
-microseconds RelayFleet::cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const
-{
-    // What was seen there before says nothing: it may have been on other weights.
-    candidate.warmPieces = m_caches.warmParts(candidate.id, parts, now).value_or(0);
-    candidate.prefill = microseconds(0);
-    for (std::uint32_t part = candidate.warmPieces; part < parts.size(); ++part) {
-        candidate.prefill += parts[part].tokens * (part < warmAnywhere ? fetchPerToken : readPerToken);
-    }
-    return candidate.wait + candidate.prefill + (candidate.origin == CandidateOrigin::Home ? microseconds(0) : awayFromHome);
-}
-
-// The engine asks the store for what it lacks, even if the agent said that it lacks nothing: a question in vain costs a millisecond, reading a part
-// again a hundred. What the store has needs not to be saved: with each part it would also get the one that belongs to this request alone, and drop for
-// it what others miss.
-void RelayFleet::settleCaches(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
-{
-    const CacheStore *store = storeOf(choice);
-    choice.storedParts = PromptCaches::storedParts(store, choice.parts);
-    choice.cacheSource = isRefilling(query, now) ? holderOf(choice, now) : "";
-    if (store == nullptr) {
-        return;
-    }
-    if (choice.cacheSource.empty()) {
-        choice.cacheSource = store->address;
-    }
-    if (choice.storedParts < choice.parts.size() && isWorthSaving(*store->index, query, now)) {
-        choice.cacheStore = store->address;
-    }
-}
-
-RouteCandidate RelayFleet::bestOf(const RouteDecision &decision, const FleetChoice &choice, Core::TimePoint now) const
-{
-    const std::vector<SharedPart> &parts = choice.parts;
-    const std::uint32_t anywhere = m_caches.warmAnywhere(storeOf(choice), parts, now);
-    RouteCandidate best = decision.candidates.front();
-    microseconds lowest = cost(best, parts, anywhere, now);
-    for (RouteCandidate candidate : decision.candidates) {
-        const microseconds offered = cost(candidate, parts, anywhere, now);
-        if (offered < lowest) {
-            lowest = offered;
-            best = candidate;
-        }
-    }
-    return best;
+    return m_moves.caches().stores();
 }
 
 void RelayFleet::estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
@@ -407,14 +293,14 @@
         choice.work = plainWork;
         return;
     }
-    const std::uint32_t ownTokens = query.prompt->parts.empty() ? query.prompt->promptTokens : query.prompt->parts.back().tokens;
-    choice.work = best.prefill + microseconds(1000) * (ownTokens / tokensPerMillisecond);
+    choice.work = PromptMoves::work(best, *query.prompt);
     choice.warmParts = best.warmPieces;
-    const std::optional<Core::TimePoint> outdated = weightsHistory(query).outdatedSince(*choice.weightsVersion);
+    const WeightsHistory &history = weightsHistory(query);
+    const std::optional<Core::TimePoint> outdated = history.outdatedSince(*choice.weightsVersion);
     if (outdated.has_value() && *outdated != Core::TimePoint::min()) {
         choice.outdatedFor = std::chrono::duration_cast<milliseconds>(now - *outdated);
     }
-    settleCaches(choice, query, now);
+    m_moves.settle(choice, query, history, m_chooser, now);
     estimate(choice, query, now);
 }
 
@@ -438,14 +324,14 @@
     choice.routeName = query.route;
     choice.weightsVersion = weights;
     describePrompt(choice, query);
-    if (m_caches.stores().isAny() && isWorthMoving(choice)) {
+    if (m_moves.isForStores(choice)) {
         choice.route.homeDomain = m_homeDomains.homeOf(query.service, query.prompt->model, choice.route.keys.back());
     }
     const RouteDecision decision = candidates(choice, query, now);
     if (decision.candidates.empty()) {
         return std::nullopt;
     }
-    settle(choice, choice.parts.empty() ? decision.candidates.front() : bestOf(decision, choice, now), query, now);
+    settle(choice, choice.parts.empty() ? decision.candidates.front() : m_moves.bestOf(decision, choice, now), query, now);
     return choice;
 }
 
@@ -513,7 +399,7 @@
     choice.sentAt = now;
     m_chooser.noteDispatched(choice.id, choice.route, choice.work, now);
     m_news.noteSent(choice.id);
-    m_caches.noteSent(choice.id, choice.parts, now);
+    m_moves.caches().noteSent(choice.id, choice.parts, now);
 }
 
 void RelayFleet::noteAnswered(const FleetChoice &choice, Core::TimePoint now)
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -6,7 +6,7 @@
 #include "fleetchoice.h"
 #include "homedomains.h"
 #include "orderfailover.h"
-#include "promptcaches.h"
+#include "promptmoves.h"
 #include "serverregister.h"
 #include "weightschoice.h"
 
@@ -108,14 +108,6 @@
     static bool isBearable(const FleetChoice &choice);
     static bool isBetter(const FleetChoice &choice, const FleetChoice &other);
     void settle(FleetChoice &choice, const RouteCandidate &best, const FleetQuery &query, Core::TimePoint now) const;
-    const CacheStore *storeOf(const FleetChoice &choice) const;
-    RouteCandidate bestOf(const RouteDecision &decision, const FleetChoice &choice, Core::TimePoint now) const;
-    std::chrono::microseconds cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmAnywhere, Core::TimePoint now) const;
-    static bool isWorthMoving(const FleetChoice &choice);
-    bool isRefilling(const FleetQuery &query, Core::TimePoint now) const;
-    bool isWorthSaving(const PartIndex &store, const FleetQuery &query, Core::TimePoint now) const;
-    std::string holderOf(const FleetChoice &choice, Core::TimePoint now) const;
-    void settleCaches(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     void estimate(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     void excludeLateBeginners(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
 
@@ -130,7 +122,7 @@
     std::unordered_map<std::string, Core::TimePoint> m_agentsPresent; ///< Until when, by address of the engine.
     std::unordered_map<BackendServerId, Core::TimePoint> m_silentSince; ///< Engines whose agents are not heard of.
     std::unordered_map<BackendServerId, std::uint32_t> m_failures; ///< Connections that failed since the last answer.
-    PromptCaches m_caches;
+    PromptMoves m_moves;
     std::map<std::string, WaitEstimate> m_estimates; ///< By route.
     std::unordered_map<std::string, std::vector<std::string>> m_idsByAddress; ///< Of engines; entries may name an address twice.
     std::unordered_map<BackendServerId, std::uint64_t> m_incarnations; ///< Of the backend servers that are known.
