Tell in one place whether a router is elected

RelayTask worked it out by the IP number at which callers come in, SharedRows by the host's own, as agents name it. Elections are among the latter, so a router whose two numbers differ would have been elected for the store's tables and yet have asked for the register at the pause of those that are not. RelayTask::isElected serves both, by the host's own number. Where the two are the same, nothing changes.

--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -114,13 +114,16 @@
     return m_routerCount > Decisions::electedRouters ? m_routers.elected(Decisions::electedRouters) : std::vector<std::string>();
 }
 
-std::chrono::milliseconds RelayTask::registerPause() const
+bool RelayTask::isElected() const
 {
     const std::vector<std::string> elected = electedRouters();
-    const std::string own = m_settings.listen.toString();
-    const bool isElected = std::find(elected.begin(), elected.end(), own.substr(0, own.rfind(':'))) != elected.end();
+    return std::find(elected.begin(), elected.end(), m_settings.address) != elected.end();
+}
+
+std::chrono::milliseconds RelayTask::registerPause() const
+{
     // What the others hear is older by the pause of the elected ones, so that one is short.
-    return Decisions::registerPause(isElected ? 2 * Decisions::electedRouters : m_routerCount);
+    return Decisions::registerPause(isElected() ? 2 * Decisions::electedRouters : m_routerCount);
 }
 
 Observe::Metrics &RelayTask::metrics()
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -17,6 +17,7 @@
 struct RelaySettings
 {
     Http::Endpoint listen;
+    std::string address; ///< IP number of this router, as agents name it.
     Decisions::ResendLimits resend;
     Decisions::WeightsLimits weights;
     Decisions::RoutingOptions routing;
@@ -61,6 +62,9 @@
     /// \brief Routers that follow the store's tables for all, the same ones on every router that knows them all; none while all do.
     std::vector<std::string> electedRouters() const;
 
+    /// \brief Whether this router is one of them.
+    bool isElected() const;
+
     /// \brief How long this router waits between two questions for changes of the register.
     std::chrono::milliseconds registerPause() const;
 
--- a/src/libs/relay/sharedrows.cpp
+++ b/src/libs/relay/sharedrows.cpp
@@ -13,11 +13,10 @@
 
 } // namespace
 
-SharedRows::SharedRows(EventLoop::Loop &loop, PeerRows &peers, RelayTask &relay, const std::string &address, std::uint64_t seed)
+SharedRows::SharedRows(EventLoop::Loop &loop, PeerRows &peers, RelayTask &relay, std::uint64_t seed)
     : m_loop(loop)
     , m_peers(peers)
     , m_relay(relay)
-    , m_address(address)
     , m_random(seed)
 {
 }
@@ -37,7 +36,7 @@
     }
     const Core::TimePoint sharedEnd = std::min(waitEnd, now + sharedWait);
     const Core::TimePoint sharedDeadline = std::min(deadline, sharedEnd + (deadline - waitEnd));
-    if (std::find(elected.begin(), elected.end(), m_address) != elected.end()) {
+    if (m_relay.isElected()) {
         m_peers.awaitChanges(table, revision, sharedEnd, sharedDeadline, std::move(done));
         return;
     }
--- a/src/libs/relay/sharedrows.h
+++ b/src/libs/relay/sharedrows.h
@@ -19,8 +19,7 @@
 class SharedRows : public Store::RowSource
 {
 public:
-    /// \brief \a address is this router's own, as agents name it.
-    SharedRows(EventLoop::Loop &loop, PeerRows &peers, RelayTask &relay, const std::string &address, std::uint64_t seed);
+    SharedRows(EventLoop::Loop &loop, PeerRows &peers, RelayTask &relay, std::uint64_t seed);
 
     void readTable(const std::string &table, Core::TimePoint deadline, PageCallback done) override;
     void awaitChanges(const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, Core::TimePoint deadline, PageCallback done) override;
@@ -29,7 +28,6 @@
     EventLoop::Loop &m_loop;
     PeerRows &m_peers;
     RelayTask &m_relay;
-    std::string m_address;
     Decisions::RandomSource m_random;
 };
 
