--- a/tests/auto/relay/tst_silentpeers.cpp
+++ b/tests/auto/relay/tst_silentpeers.cpp
@@ -102,6 +102,7 @@
     const Verbena::Test::PlainProtocol protocol;
     RelaySettings settings;
     settings.listen = Http::Endpoint::parse("127.0.0.1:0").value();
+    settings.address = network + "1";
     const auto relay = std::move(RelayTask::create(*loop, settings, protocol).value());
     std::vector<std::string> routers;
     for (int number = 10; number < 40; ++number) {
@@ -118,7 +119,7 @@
     }
     PromptStore store;
     const auto peers = std::move(PeerRows::create(*loop, network + "1", port, store, 1).value());
-    SharedRows rows(*loop, *peers, *relay, network + "1", 1);
+    SharedRows rows(*loop, *peers, *relay, 1);
     Dates dates;
     const Store::TableFollower follower(*loop, rows, "op", 0ms, dates);
     ASSERT_TRUE(Verbena::Test::runUntil(*loop, [&] { return dates.isRead; }));
