Let the caller that does not read be one that the system holds little for

RelayTest.holdsTheServerBackForACallerThatDoesNotRead checked nothing: its caller read whenever the loop ran, and the test passed with the hold-back of RelayedRequest disabled (seen by another reader).

Change: the caller's socket has the small segments and buffer of SlowReaderTest's (now in one place), and the answer is longer than what the system lets the relay's receive buffer and the server's send buffer grow to, and 1 MiB. Standstill is not a span: the relay answers 50 other requests at a time until none of them sees the server send more of the stream. Afterwards the caller reads.

As strict: all bytes of the answer are counted (before: at least so many) and its end is compared; new are that the server has to wait and that others are served meanwhile.

--- a/tests/auto/path/tst_failures.cpp
+++ b/tests/auto/path/tst_failures.cpp
@@ -1,5 +1,6 @@
 #include <standin/answertext.h>
 #include <standin/runlist.h>
+#include <support/smallsocket.h>
 #include <support/testdeployment.h>
 
 #include <gtest/gtest.h>
@@ -14,7 +15,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -98,19 +98,8 @@
 {
 public:
     RawCaller(const std::string &url, const json &completion)
-        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+        : m_socket(connectSmall(addressOf(url)))
     {
-        // The system sizes the router's send buffer by the segments and the window of this end. With loopback's segments of 64 KiB it holds
-        // 3.9 MB for a caller that does not read, with these 150 KB (`ss -tm`).
-        constexpr int receiveBuffer = 4096;
-        constexpr int segmentBytes = 536;
-        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
-        setsockopt(m_socket, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof segmentBytes);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1))));
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        EXPECT_EQ(connect(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
         const std::string body = completion.dump();
         const std::string request = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer secret\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -128,8 +117,7 @@
     /// The body of the answer, without its division into chunks.
     std::string readAll() const
     {
-        constexpr int receiveBuffer = 1 << 20;
-        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        widen(m_socket);
         std::string answer;
         std::array<char, 65536> part{};
         ssize_t count = 0;
@@ -148,6 +136,15 @@
     }
 
 private:
+    static sockaddr_in addressOf(const std::string &url)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1))));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
     int m_socket;
 };
 
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -5,7 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
+#include <fstream>
 
 namespace Verbena::Relay {
 
@@ -40,11 +42,31 @@
     return "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + "\n\n";
 }
 
+// What the system lets the receive buffer of one end and the send buffer of the other grow to, together.
+std::size_t longestSocketBuffers()
+{
+    std::size_t sum = 0;
+    for (const char *file : {"/proc/sys/net/ipv4/tcp_rmem", "/proc/sys/net/ipv4/tcp_wmem"}) {
+        std::ifstream stream(file);
+        std::size_t least = 0;
+        std::size_t usual = 0;
+        std::size_t most = 0;
+        EXPECT_TRUE(stream >> least >> usual >> most) << file;
+        sum += most;
+    }
+    return sum;
+}
+
 class RelayTest : public testing::Test
 {
 protected:
     RelayTest()
         : m_loop(std::move(EventLoop::Loop::create().value()))
+        , m_relay(std::move(RelayTask::create(*m_loop, settings(), m_protocol).value()))
+    {
+    }
+
+    static RelaySettings settings()
     {
         RelaySettings settings;
         settings.listen = Http::Endpoint::parse("127.0.0.1:0").value();
@@ -54,7 +76,7 @@
         settings.seed = 3;
         settings.shutdownNotice = 50ms;
         settings.shutdownGrace = 30s;
-        m_relay = std::move(RelayTask::create(*m_loop, settings, m_protocol).value());
+        return settings;
     }
 
     // Nothing is declared of a route but what a test is about.
@@ -425,14 +447,33 @@
 
 TEST_F(RelayTest, holdsTheServerBackForACallerThatDoesNotRead)
 {
+    // The relay's 256 KiB and one read, and what the system holds for a caller that is slow (150 KB), are below this.
+    constexpr std::size_t heldBytes = 1 << 20;
     const std::string piece(60'000, 'x');
+    const std::size_t pieces = (longestSocketBuffers() + heldBytes) / piece.size() + 1;
     std::string text;
-    for (int number = 0; number < 200; ++number) {
+    for (std::size_t number = 0; number < pieces; ++number) {
         text += chunk(piece);
     }
-    start([&text](const auto &head, const auto &) { return WorkerScript{streamHead(head) + text + "0\r\n\r\n"}; });
-    const std::string got = call(request("/stream/"), "\r\n0\r\n\r\n");
-    EXPECT_GT(got.size(), 200 * piece.size());
+    start([&text](
+              const auto &head, const auto &) { return WorkerScript{head.target == "/stream/" ? streamHead(head) + text + "0\r\n\r\n" : answer(head, "ok")}; });
+    const auto from = CallerFake::createSlow(*m_loop, m_relay->endpoint());
+    from->send(request("/stream/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return runs() == 1; }));
+    // Each request takes some turns of the loop, in any of which a relay that reads takes 64 KiB of the stream.
+    constexpr int otherRequests = 50;
+    std::size_t before = 0;
+    do {
+        before = m_workers[0]->waitingBytes();
+        for (int number = 0; number < otherRequests; ++number) {
+            ASSERT_TRUE(contains(call(request("/safe/"), "ok"), "200 OK"));
+        }
+    } while (m_workers[0]->waitingBytes() != before);
+    EXPECT_GT(before, 0U);
+    from->read();
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return from->isClosed() || from->received().ends_with("\r\n0\r\n\r\n"); }));
+    EXPECT_EQ(static_cast<std::size_t>(std::count(from->received().begin(), from->received().end(), 'x')), pieces * piece.size());
+    EXPECT_TRUE(from->received().ends_with("\r\n0\r\n\r\n"));
 }
 
 TEST_F(RelayTest, finishesWhatRunsWhenItIsAskedToEnd)
--- a/tests/platform/workerfake.cpp
+++ b/tests/platform/workerfake.cpp
@@ -2,6 +2,11 @@
 
 #include <eventloop/deferredcall.h>
 #include <eventloop/timer.h>
+#include <support/smallsocket.h>
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
 
 namespace Verbena::Test {
 
@@ -23,6 +28,11 @@
         m_channel->write(bytes);
     }
 
+    std::size_t waitingBytes() const
+    {
+        return m_channel->bufferedBytes();
+    }
+
 private:
     void receiveBytes(std::string_view data) override
     {
@@ -108,6 +118,15 @@
     return m_connections.size();
 }
 
+std::size_t WorkerFake::waitingBytes() const
+{
+    std::size_t sum = 0;
+    for (const auto &[connection, owned] : m_connections) {
+        sum += connection->waitingBytes();
+    }
+    return sum;
+}
+
 void WorkerFake::sendMore(const std::string &bytes)
 {
     m_last->send(bytes);
@@ -118,6 +137,20 @@
 {
 }
 
+CallerFake::CallerFake(EventLoop::Loop &loop, int slowSocket)
+    : m_slowSocket(slowSocket)
+    , m_channel(Http::TcpChannel::adopt(loop, slowSocket, *this))
+{
+    m_channel->setReading(false);
+}
+
+std::unique_ptr<CallerFake> CallerFake::createSlow(EventLoop::Loop &loop, const Http::Endpoint &endpoint)
+{
+    const int socket = connectSmall(endpoint.address);
+    EXPECT_EQ(fcntl(socket, F_SETFL, O_NONBLOCK), 0);
+    return std::unique_ptr<CallerFake>(new CallerFake(loop, socket));
+}
+
 void CallerFake::send(const std::string &bytes)
 {
     m_channel->write(bytes);
@@ -129,6 +162,12 @@
     m_isClosed = true;
 }
 
+void CallerFake::read()
+{
+    widen(m_slowSocket);
+    m_channel->setReading(true);
+}
+
 const std::string &CallerFake::received() const
 {
     return m_received;
--- a/tests/platform/workerfake.h
+++ b/tests/platform/workerfake.h
@@ -44,6 +44,9 @@
     /// \brief Connections that the relay has not closed.
     std::size_t openCount() const;
 
+    /// \brief Bytes of answers that the kernel has not taken yet, for instance as the relay does not read them.
+    std::size_t waitingBytes() const;
+
     /// \brief Sends more on the connection of the last request.
     void sendMore(const std::string &bytes);
 
@@ -65,17 +68,26 @@
 public:
     CallerFake(EventLoop::Loop &loop, const Http::Endpoint &endpoint);
 
+    /// \brief A caller that leaves unread what comes, and for which the system holds little.
+    static std::unique_ptr<CallerFake> createSlow(EventLoop::Loop &loop, const Http::Endpoint &endpoint);
+
     void send(const std::string &bytes);
     void hangUp();
 
+    /// \brief Reads on, if the caller is a slow one.
+    void read();
+
     /// \brief All that has come.
     const std::string &received() const;
     bool isClosed() const;
 
 private:
+    CallerFake(EventLoop::Loop &loop, int slowSocket);
+
     void receiveBytes(std::string_view data) override;
     void receiveEnd(Http::ChannelEnd end) override;
 
+    int m_slowSocket = -1; ///< Owned by the channel.
     std::unique_ptr<Http::TcpChannel> m_channel;
     std::string m_received;
     bool m_isClosed = false;
