--- a/tests/auto/relay/tst_tablefollower.cpp
+++ b/tests/auto/relay/tst_tablefollower.cpp
@@ -250,6 +250,19 @@
     EXPECT_GE(*m_mirror.dateOf("a"), StoreTime(50s));
 }
 
+// An answer may be late by seconds: its host was suspended or its link slow. What the store takes in meanwhile is told by the next answer, at once.
+TEST_F(TableFollowerTest, datesAChangeThatWasMadeWhileTheAnswerBeforeWasOnItsWay)
+{
+    question().done(pageSaid(50s, 5, {}));
+    const auto late = question();
+    pass(400ms);
+    late.done(pageSaid(50s + 20ms, 6, {{"other", "1", 6, false}}));
+    const auto made = StoreTime(50s + 50ms);
+    question().done(pageSaid(50s + 420ms, 7, {{"a", "1", 7, false}}));
+    ASSERT_TRUE(m_mirror.dateOf("a").has_value());
+    EXPECT_LE(*m_mirror.dateOf("a"), made);
+}
+
 TEST_F(TableFollowerTest, datesWhatIsNewInATableThatIsReadAgainByTheLastAnswerBefore)
 {
     question().done(pageSaid(50s, 5, {{"a", "1", 5, false}}));
--- a/tests/auto/relay/tst_weightsrecord.cpp
+++ b/tests/auto/relay/tst_weightsrecord.cpp
@@ -48,6 +48,23 @@
     EXPECT_EQ(clock.age(Store::StoreTime(103s), bootStart + 2s), std::nullopt);
 }
 
+// Two clocks of which none is disciplined differ by 20 and more parts in a million; a router runs for days.
+TEST(StoreClockEstimateTest, makesNoAgeTooSmallByTheDriftOfTwoClocks)
+{
+    Store::StoreClockEstimate clock;
+    constexpr auto hour = std::chrono::hours(1);
+    constexpr std::chrono::microseconds gainPerHour = 72ms; // 20 in a million.
+    Store::StoreTime said{};
+    Core::BootTime now = bootStart;
+    for (int number = 0; number <= 72; ++number) {
+        now = bootStart + number * hour;
+        said = Store::StoreTime(std::chrono::floor<Store::StoreTime::duration>(number * (hour + gainPerHour)));
+        clock.note({said, now});
+    }
+    // What was written when the store said so is two seconds old two seconds later.
+    EXPECT_GE(clock.age(said, now + 2s), 1900ms);
+}
+
 TEST(WeightsRecordTest, readsWhatItWrote)
 {
     WeightsRecord record;
