--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -20,11 +20,13 @@
 
 } // namespace
 
-DeploymentFeed::DeploymentFeed(EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, const DeploymentDecoder &decoder, RelayTask &relay)
+DeploymentFeed::DeploymentFeed(
+    EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, const DeploymentDecoder &decoder, RelayTask &relay, WeightsNamings &namings)
     : m_loop(loop)
     , m_mirror(mirror)
     , m_decoder(decoder)
     , m_relay(relay)
+    , m_namings(namings)
     , m_serversTable(decoder.tables().servers)
     , m_lapseTimer(loop,
           [this] {
@@ -46,7 +48,7 @@
         replaceServers(page);
         return;
     }
-    takeRows(table, page);
+    takeRows(table, page, "table");
 }
 
 void DeploymentFeed::changeRows(const std::string &table, const Store::RowPage &page)
@@ -55,18 +57,27 @@
     if (table == m_serversTable) {
         m_servers.setPause(m_relay.registerPause());
     }
-    takeRows(table, page);
+    takeRows(table, page, "change");
 }
 
-void DeploymentFeed::takeRows(const std::string &table, const Store::RowPage &page)
+void DeploymentFeed::takeRows(const std::string &table, const Store::RowPage &page, const std::string &how)
 {
+    noteClock(page);
     for (const Store::TableRow &row : page.rows) {
-        takeRow(table, row);
+        takeRow(table, row, how);
+    }
+}
+
+void DeploymentFeed::noteClock(const Store::RowPage &page)
+{
+    if (page.clock.has_value()) {
+        m_namings.noteClock(*page.clock);
     }
 }
 
 void DeploymentFeed::replaceServers(const Store::RowPage &page)
 {
+    noteClock(page);
     std::vector<Decisions::RegisteredServer> servers;
     for (const Store::TableRow &row : page.rows) {
         const auto decoded = m_decoder.decode(m_serversTable, row);
@@ -81,7 +92,7 @@
         serverChanged, {{"server", ""}, {"change", "register read"}, {"count", std::to_string(servers.size())}, {"revision", std::to_string(page.revision)}});
 }
 
-void DeploymentFeed::takeRow(const std::string &table, const Store::TableRow &row)
+void DeploymentFeed::takeRow(const std::string &table, const Store::TableRow &row, const std::string &how)
 {
     auto decoded = m_decoder.decode(table, row);
     if (!decoded) {
@@ -97,9 +108,7 @@
     if (auto *configuration = std::get_if<Decisions::RelayConfiguration>(&meaning)) {
         m_relay.setConfiguration(std::move(*configuration));
     } else if (const auto *weights = std::get_if<NamedWeights>(&meaning)) {
-        if (m_relay.noteWeightsNamed(weights->model, weights->version)) {
-            Observe::log(weightsNamed, {{"model", weights->model}, {"version", std::to_string(weights->version)}, {"revision", std::to_string(row.revision)}});
-        }
+        m_namings.take(*weights, row, how);
     } else if (const auto *server = std::get_if<Decisions::RegisteredServer>(&meaning)) {
         takeServer(*server);
     } else if (const auto *removed = std::get_if<RemovedServer>(&meaning)) {
