Date rows in place, and keep one guard against answers that come too late

Read again as a whole: TableFollower copied each page that the store told, rows and all, only to date it; callbacks own their pages, so it is dated where it is. Three classes had the same template, and the follower a fourth form of it, to pass by answers that come after their end: Core::Lifetime serves them. An overload of weightsLoadTime had only tests for callers and stands with them now; two test files shared the making of a fleet, three tests a set-up.

No behaviour and no assertion changed.

--- a/src/libs/decisions/relay/weightsschedule.cpp
+++ b/src/libs/decisions/relay/weightsschedule.cpp
@@ -93,16 +93,4 @@
     return weightsLoadTime(turn, pace, naming) + leastGain <= planned;
 }
 
-Core::TimePoint weightsLoadTime(const std::vector<WeightsHolder> &holders,
-    const std::string &self,
-    std::uint64_t version,
-    const WeightsPace &pace,
-    Core::TimePoint namedAt,
-    Core::TimePoint planned)
-{
-    const std::map<std::string, WeightsTurn> turns = weightsTurns(holders, version);
-    const auto own = turns.find(self);
-    return weightsLoadTime(own == turns.end() ? WeightsTurn() : own->second, pace, {namedAt, namedAt}, planned);
-}
-
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/weightsschedule.h
+++ b/src/libs/decisions/relay/weightsschedule.h
@@ -65,12 +65,4 @@
 /// \brief Whether \a turn, told once more by somebody, brings the load forward that was \a planned.
 bool bringsForward(const WeightsTurn &turn, const WeightsPace &pace, const WeightsNaming &naming, Core::TimePoint planned);
 
-/// \brief The same for the engine \a self of \a holders.
-Core::TimePoint weightsLoadTime(const std::vector<WeightsHolder> &holders,
-    const std::string &self,
-    std::uint64_t version,
-    const WeightsPace &pace,
-    Core::TimePoint namedAt,
-    Core::TimePoint planned = Core::TimePoint::max());
-
 } // namespace Verbena::Decisions
--- a/src/libs/relay/weightsnamings.cpp
+++ b/src/libs/relay/weightsnamings.cpp
@@ -40,24 +40,10 @@
     , m_relay(relay)
     , m_longestUse(longestUse)
     , m_timer(loop, [this] { proceed(); })
-    , m_isAlive(std::make_shared<bool>(true))
 {
 }
 
-WeightsNamings::~WeightsNamings()
-{
-    *m_isAlive = false;
-}
-
-template<typename Function>
-auto WeightsNamings::guarded(Function function)
-{
-    return [isAlive = m_isAlive, function](const auto &answer) {
-        if (*isAlive) {
-            function(answer);
-        }
-    };
-}
+WeightsNamings::~WeightsNamings() = default;
 
 void WeightsNamings::noteClock(const Store::StoreReading &reading)
 {
@@ -163,7 +149,7 @@
     const auto take = [this, name](const Core::Result<std::optional<Store::TableRow>> &row) {
         takeRecord(name, row);
     };
-    m_records.readRow(recordTable, name, m_loop.now() + storeAnswerTime, guarded(take));
+    m_records.readRow(recordTable, name, m_loop.now() + storeAnswerTime, m_lifetime.guard(take));
 }
 
 void WeightsNamings::takeRecord(const std::string &name, const Core::Result<std::optional<Store::TableRow>> &row)
@@ -205,7 +191,7 @@
     const auto take = [this, name, version = model.newest](const Store::CommitAnswer &answer) {
         takeCommit(name, version, answer);
     };
-    m_records.commit(recordTable, {{name, model.record.encode(), model.rowRevision}}, m_loop.now() + storeAnswerTime, guarded(take));
+    m_records.commit(recordTable, {{name, model.record.encode(), model.rowRevision}}, m_loop.now() + storeAnswerTime, m_lifetime.guard(take));
 }
 
 void WeightsNamings::takeCommit(const std::string &name, std::uint64_t version, const Store::CommitAnswer &answer)
--- a/src/libs/relay/weightsnamings.h
+++ b/src/libs/relay/weightsnamings.h
@@ -3,6 +3,7 @@
 #include "deploymentdecoder.h"
 #include "relaytask.h"
 
+#include <core/lifetime.h>
 #include <decisions/relay/weightsrecord.h>
 #include <eventloop/timer.h>
 #include <store/rowsource.h>
@@ -66,8 +67,6 @@
     Decisions::WeightsRecord mergeRow(const std::string &name, Model &model, const Store::TableRow &row);
     void write(const std::string &name);
     void takeCommit(const std::string &name, std::uint64_t version, const Store::CommitAnswer &answer);
-    template<typename Function>
-    auto guarded(Function function);
 
     EventLoop::Loop &m_loop;
     Store::RowStore &m_records;
@@ -76,7 +75,7 @@
     Store::StoreClockEstimate m_clock;
     std::map<std::string, Model> m_models; ///< By name.
     EventLoop::Timer m_timer;
-    std::shared_ptr<bool> m_isAlive; ///< Answers may come after this is gone.
+    Core::Lifetime m_lifetime;
 };
 
 } // namespace Verbena::Relay
--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -3,6 +3,7 @@
 #include <eventloop/loop.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Verbena::Store {
 
@@ -30,15 +31,11 @@
     , m_pause(pause)
     , m_consumer(consumer)
     , m_timer(loop, [this] { ask(); })
-    , m_isAlive(std::make_shared<bool>(true))
 {
     askAgainAt(loop.now());
 }
 
-TableFollower::~TableFollower()
-{
-    *m_isAlive = false;
-}
+TableFollower::~TableFollower() = default;
 
 void TableFollower::setPause(milliseconds pause)
 {
@@ -54,37 +51,34 @@
 {
     const Core::TimePoint now = m_loop.now();
     const Core::BootTime askedAt = Core::BootClock::now();
-    const auto guarded = [this, askedAt, isAlive = m_isAlive](void (TableFollower::*take)(const Core::Result<RowPage> &, Core::BootTime)) {
-        return [this, askedAt, isAlive, take](const Core::Result<RowPage> &page) {
-            if (*isAlive) {
-                (this->*take)(page, askedAt);
-            }
-        };
-    };
     if (!m_isTableKnown) {
-        m_source.readTable(m_table, now + answerTime, guarded(&TableFollower::takeTable));
+        const auto take = [this, askedAt](Core::Result<RowPage> page) {
+            takeTable(std::move(page), askedAt);
+        };
+        m_source.readTable(m_table, now + answerTime, m_lifetime.guard(take));
         return;
     }
     // After a failure a short question shows sooner whether the store is back. A long one that the store never got would hang for 3.7 s, with a change
     // that was made meanwhile untold.
     const Core::TimePoint waitEnd = m_failures > 0 ? now : now + waitTime;
-    m_source.awaitChanges(m_table, m_revision, waitEnd, waitEnd + answerTime, guarded(&TableFollower::takeChanges));
+    const auto take = [this, askedAt](Core::Result<RowPage> page) {
+        takeChanges(std::move(page), askedAt);
+    };
+    m_source.awaitChanges(m_table, m_revision, waitEnd, waitEnd + answerTime, m_lifetime.guard(take));
 }
 
-void TableFollower::takeTable(const Core::Result<RowPage> &page, Core::BootTime askedAt)
+void TableFollower::takeTable(Core::Result<RowPage> page, Core::BootTime askedAt)
 {
     if (!isBelieved(page)) {
         return;
     }
     m_isTableKnown = true;
-    RowPage rows = dated(page.value(), m_saidAt);
-    m_revision = page.value().revision;
-    noteSaid(rows, askedAt);
-    m_consumer.replaceRows(m_table, rows);
+    noteSaid(page.value(), m_saidAt, askedAt);
+    m_consumer.replaceRows(m_table, page.value());
     noteAnswer(page.value());
 }
 
-void TableFollower::takeChanges(const Core::Result<RowPage> &page, Core::BootTime askedAt)
+void TableFollower::takeChanges(Core::Result<RowPage> page, Core::BootTime askedAt)
 {
     if (page && page.value().isHistoryLost) {
         m_isTableKnown = false;
@@ -94,11 +88,9 @@
     if (!isBelieved(page)) {
         return;
     }
-    RowPage rows = dated(page.value(), changedAfter(page.value(), askedAt));
-    m_revision = page.value().revision;
-    noteSaid(rows, askedAt);
-    if (!rows.rows.empty()) {
-        m_consumer.changeRows(m_table, rows);
+    noteSaid(page.value(), changedAfter(page.value(), askedAt), askedAt);
+    if (!page.value().rows.empty()) {
+        m_consumer.changeRows(m_table, page.value());
     }
     noteAnswer(page.value());
 }
@@ -116,26 +108,18 @@
     return std::max(*m_saidAt, *page.saidAt - unwatched);
 }
 
-// Another process dates what it tells by itself, as well as it can.
-RowPage TableFollower::dated(const RowPage &page, std::optional<StoreTime> committedAfter) const
+// Takes the revision and the clock of the page and dates its new rows. Another process dates what it tells by itself, as well as it can.
+void TableFollower::noteSaid(RowPage &page, std::optional<StoreTime> committedAfter, Core::BootTime askedAt)
 {
-    RowPage rows = page;
+    const std::uint64_t before = std::exchange(m_revision, page.revision);
     if (!page.saidAt.has_value()) {
-        return rows;
+        return;
     }
-    for (TableRow &row : rows.rows) {
-        if (row.revision > m_revision) {
+    for (TableRow &row : page.rows) {
+        if (row.revision > before) {
             row.committedAfter = committedAfter;
         }
     }
-    return rows;
-}
-
-void TableFollower::noteSaid(RowPage &page, Core::BootTime askedAt)
-{
-    if (!page.saidAt.has_value()) {
-        return;
-    }
     if (!page.clock.has_value()) {
         page.clock = StoreReading{*page.saidAt, askedAt};
     }
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -3,6 +3,7 @@
 #include "rowsource.h"
 #include "storeclockestimate.h"
 
+#include <core/lifetime.h>
 #include <eventloop/timer.h>
 
 #include <memory>
@@ -51,10 +52,9 @@
 
 private:
     void ask();
-    void takeTable(const Core::Result<RowPage> &page, Core::BootTime askedAt);
-    void takeChanges(const Core::Result<RowPage> &page, Core::BootTime askedAt);
-    void noteSaid(RowPage &page, Core::BootTime askedAt);
-    RowPage dated(const RowPage &page, std::optional<StoreTime> committedAfter) const;
+    void takeTable(Core::Result<RowPage> page, Core::BootTime askedAt);
+    void takeChanges(Core::Result<RowPage> page, Core::BootTime askedAt);
+    void noteSaid(RowPage &page, std::optional<StoreTime> committedAfter, Core::BootTime askedAt);
     std::optional<StoreTime> changedAfter(const RowPage &page, Core::BootTime askedAt) const;
     bool isBelieved(const Core::Result<RowPage> &page);
     void askAgainAt(Core::TimePoint moment);
@@ -68,13 +68,13 @@
     std::chrono::milliseconds m_pause;
     RowConsumer &m_consumer;
     EventLoop::Timer m_timer;
-    std::shared_ptr<bool> m_isAlive; ///< Answers may come after the follower is gone.
     std::uint64_t m_revision = 0;
     std::optional<StoreTime> m_saidAt; ///< When the store itself answered last, by its clock.
     StoreClockEstimate m_clock;
     bool m_isTableKnown = false;
     bool m_isLost = false; ///< Nobody answers.
     std::uint32_t m_failures = 0; ///< Of the store since it answered last.
+    Core::Lifetime m_lifetime;
 };
 
 } // namespace Verbena::Store
--- a/src/libs/weights/weightsfailover.cpp
+++ b/src/libs/weights/weightsfailover.cpp
@@ -51,25 +51,11 @@
     , m_engines(engines)
     , m_failover({}, settings.lease, settings.pace, settings.host, settings.seed)
     , m_timer(loop, [this] { look(); })
-    , m_isAlive(std::make_shared<bool>(true))
 {
     m_timer.startAt(loop.now() + lookPeriod);
 }
 
-WeightsFailover::~WeightsFailover()
-{
-    *m_isAlive = false;
-}
-
-template<typename Function>
-auto WeightsFailover::guarded(Function function)
-{
-    return [isAlive = m_isAlive, function](const auto &answer) {
-        if (*isAlive) {
-            function(answer);
-        }
-    };
-}
+WeightsFailover::~WeightsFailover() = default;
 
 void WeightsFailover::look()
 {
@@ -112,7 +98,7 @@
         }
         m_failover.noteRows(page.value().rows, askedAt, BootClock::now(), now);
     };
-    m_rows.readTable(orderTable, m_loop.now() + storeAnswerTime, guarded(take));
+    m_rows.readTable(orderTable, m_loop.now() + storeAnswerTime, m_lifetime.guard(take));
 }
 
 void WeightsFailover::tellWaits(const std::vector<OrphanedEngine> &engines)
@@ -154,14 +140,16 @@
             m_nextQuestion = m_loop.now() + storeRetry;
         }
     };
-    m_orderRows.commit(orderTable, writes, m_loop.now() + storeAnswerTime, guarded(noteAnswer));
+    m_orderRows.commit(orderTable, writes, m_loop.now() + storeAnswerTime, m_lifetime.guard(noteAnswer));
 }
 
 void WeightsFailover::lookAtEngine(const OrphanedEngine &engine)
 {
     const Core::TimePoint deadline = m_loop.now() + engineAnswerTime;
     m_failover.postpone(engine.address, deadline + engineRetry);
-    m_engines.control(engine.address).readReport(deadline, guarded([this, engine](const Core::Result<EngineReport> &report) { takeReport(engine, report); }));
+    m_engines.control(engine.address).readReport(deadline, m_lifetime.guard([this, engine](const Core::Result<EngineReport> &report) {
+        takeReport(engine, report);
+    }));
 }
 
 void WeightsFailover::takeReport(const OrphanedEngine &engine, const Core::Result<EngineReport> &report)
@@ -193,7 +181,9 @@
     const Core::TimePoint deadline = m_loop.now() + engineAnswerTime;
     m_failover.postpone(engine.address, deadline + engineRetry);
     const WeightsOrder weightsOrder{engine.model, engine.version, m_host, lease->fence(), acceptedOrders};
-    m_engines.control(engine.address).orderWeights(weightsOrder, deadline, guarded([this, engine](OrderAnswer answer) { takeOrderAnswer(engine, answer); }));
+    m_engines.control(engine.address).orderWeights(weightsOrder, deadline, m_lifetime.guard([this, engine](OrderAnswer answer) {
+        takeOrderAnswer(engine, answer);
+    }));
 }
 
 void WeightsFailover::takeOrderAnswer(const OrphanedEngine &engine, OrderAnswer answer)
--- a/src/libs/weights/weightsfailover.h
+++ b/src/libs/weights/weightsfailover.h
@@ -2,6 +2,7 @@
 
 #include "enginecontrol.h"
 
+#include <core/lifetime.h>
 #include <decisions/relay/orderfailover.h>
 #include <decisions/relay/relayfleet.h>
 #include <eventloop/timer.h>
@@ -50,8 +51,6 @@
     void takeReport(const Decisions::OrphanedEngine &engine, const Core::Result<EngineReport> &report);
     void order(const Decisions::OrphanedEngine &engine, std::uint64_t acceptedOrders);
     void takeOrderAnswer(const Decisions::OrphanedEngine &engine, Decisions::OrderAnswer answer);
-    template<typename Function>
-    auto guarded(Function function);
 
     EventLoop::Loop &m_loop;
     std::string m_host;
@@ -61,9 +60,9 @@
     EngineControls &m_engines;
     Decisions::OrderFailover m_failover;
     EventLoop::Timer m_timer;
-    std::shared_ptr<bool> m_isAlive; ///< Answers may come after this is gone.
     bool m_isAskingStore = false;
     Core::TimePoint m_nextQuestion{}; ///< To the store, after a failure.
+    Core::Lifetime m_lifetime;
 };
 
 } // namespace Verbena::Weights
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -99,7 +99,6 @@
     , m_news(news)
     , m_cache(loop, caches, settings.engineAddress)
     , m_timer(loop, [this] { look(); })
-    , m_isAlive(std::make_shared<bool>(true))
     , m_lease(settings.lease, {settings.host, true, ""})
     , m_watchedUntil(loop.now() + watchLifetime)
     , m_watchTimer(loop, [this] { followStoreIfUnwatched(); })
@@ -111,20 +110,9 @@
 
 WeightsKeeper::~WeightsKeeper()
 {
-    *m_isAlive = false;
     m_news.setWatchObserver(nullptr);
 }
 
-template<typename Function>
-auto WeightsKeeper::guarded(Function function)
-{
-    return [isAlive = m_isAlive, function](const auto &answer) {
-        if (*isAlive) {
-            function(answer);
-        }
-    };
-}
-
 // How long ago these were named is not said.
 void WeightsKeeper::replaceRows(const std::string &table, const Store::RowPage &page)
 {
@@ -243,7 +231,7 @@
     const auto take = [this, model, naming](const Core::Result<Store::RowPage> &page) {
         planAmong(model, naming, page);
     };
-    m_rows.readTable(m_decoder.tables().servers, naming.learnedAt + storeAnswerTime, guarded(take));
+    m_rows.readTable(m_decoder.tables().servers, naming.learnedAt + storeAnswerTime, m_lifetime.guard(take));
 }
 
 void WeightsKeeper::planAmong(const std::string &model, const Decisions::WeightsNaming &naming, const Core::Result<Store::RowPage> &page)
@@ -290,7 +278,7 @@
         return;
     }
     m_isLooking = true;
-    m_engine.readReport(m_loop.now() + engineAnswerTime, guarded([this](const Core::Result<EngineReport> &report) { takeReport(report); }));
+    m_engine.readReport(m_loop.now() + engineAnswerTime, m_lifetime.guard([this](const Core::Result<EngineReport> &report) { takeReport(report); }));
 }
 
 void WeightsKeeper::takeReport(const Core::Result<EngineReport> &report)
@@ -413,7 +401,7 @@
         lookAt(m_loop.now() + (answer == OrderAnswer::Done ? busyPeriod : retryPeriod));
     };
     const WeightsOrder weightsOrder{model, version, m_settings.host, m_lease.fence(), expectedOrders};
-    m_engine.orderWeights(weightsOrder, m_loop.now() + engineAnswerTime, guarded(take));
+    m_engine.orderWeights(weightsOrder, m_loop.now() + engineAnswerTime, m_lifetime.guard(take));
 }
 
 // Asks the store for what is missing to give an order; the engine is looked at again afterwards.
@@ -441,7 +429,7 @@
         const bool isAnswered = answer.outcome != Store::CommitOutcome::NotSent;
         lookAt(m_loop.now() + (isAnswered && m_lease.isHeld() ? milliseconds(0) : retryPeriod));
     };
-    m_orderRows.commit(orderTable, {write}, m_loop.now() + storeAnswerTime, guarded(take));
+    m_orderRows.commit(orderTable, {write}, m_loop.now() + storeAnswerTime, m_lifetime.guard(take));
 }
 
 void WeightsKeeper::takeLeaseAnswer(const Store::RowWrite &write, const Store::CommitAnswer &answer, Core::BootTime askedAt)
@@ -489,7 +477,7 @@
         }
         lookAt(m_loop.now() + (row ? milliseconds(0) : retryPeriod));
     };
-    m_orderRows.readRow(orderTable, m_settings.engineAddress, m_loop.now() + storeAnswerTime, guarded(take));
+    m_orderRows.readRow(orderTable, m_settings.engineAddress, m_loop.now() + storeAnswerTime, m_lifetime.guard(take));
 }
 
 } // namespace Verbena::Weights
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -3,6 +3,7 @@
 #include "enginecontrol.h"
 #include "newspublisher.h"
 
+#include <core/lifetime.h>
 #include <decisions/relay/orderlease.h>
 #include <decisions/relay/weightsschedule.h>
 #include <eventloop/timer.h>
@@ -85,8 +86,6 @@
     void confirmLease();
     void takeLeaseAnswer(const Store::RowWrite &write, const Store::CommitAnswer &answer, Core::BootTime askedAt);
     void lookAt(Core::TimePoint moment);
-    template<typename Function>
-    auto guarded(Function function);
 
     EventLoop::Loop &m_loop;
     WeightsSettings m_settings;
@@ -99,7 +98,6 @@
     std::uint64_t m_publishedRevision = 0; ///< Of the cache.
     Core::TimePoint m_publishedWhole{}; ///< When routers were last told all that is cached.
     EventLoop::Timer m_timer;
-    std::shared_ptr<bool> m_isAlive; ///< Answers may come after this is gone.
     std::map<std::string, Target> m_targets; ///< By model.
     std::map<std::string, std::uint64_t> m_inPlace; ///< By model, for the log.
     Decisions::OrderLease m_lease;
@@ -110,6 +108,7 @@
     Core::TimePoint m_watchedUntil; ///< Routers tell what is named until then.
     EventLoop::Timer m_watchTimer;
     std::unique_ptr<Store::TableFollower> m_declarations; ///< While no router tells what is named.
+    Core::Lifetime m_lifetime;
 };
 
 } // namespace Verbena::Weights
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -130,6 +130,16 @@
         EXPECT_TRUE(m_relay->fleet().noteWeightsNamed("m", 1, m_loop->now()));
     }
 
+    // A caller whose request has come to that engine, which says nothing.
+    std::unique_ptr<CallerFake> callerThatWaits(const std::string &path)
+    {
+        startOnOldWeights([](const auto &, const auto &) { return WorkerScript{}; });
+        auto from = caller();
+        from->send(request(path, "Model: m\r\n"));
+        EXPECT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 1; }));
+        return from;
+    }
+
     // Names the second version, which a second engine has; returns when.
     Core::TimePoint nameNewWeights()
     {
@@ -433,10 +443,7 @@
 
 TEST_F(RelayTest, sendsNoStreamAgainThatWasCalledBackAndMayNotRunTwice)
 {
-    startOnOldWeights([](const auto &, const auto &) { return WorkerScript{}; });
-    const auto from = caller();
-    from->send(request("/stream/", "Model: m\r\n"));
-    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 1; }));
+    const auto from = callerThatWaits("/stream/");
     const Core::TimePoint named = nameNewWeights();
     ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(from->received(), " 502 "); })) << from->received();
     EXPECT_LT(m_loop->now(), named + 2s);
@@ -446,10 +453,7 @@
 // A naming that was learned late is dated by the store a moment later.
 TEST_F(RelayTest, callsNothingBackBeforeANamingIsDated)
 {
-    startOnOldWeights([](const auto &, const auto &) { return WorkerScript{}; });
-    const auto from = caller();
-    from->send(request("/resume/", "Model: m\r\n"));
-    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 1; }));
+    const auto from = callerThatWaits("/resume/");
     const Core::TimePoint named = m_loop->now();
     ASSERT_TRUE(m_relay->fleet().noteWeightsNamed("m", 2, Core::TimePoint::min()));
     ASSERT_TRUE(runUntil(*m_loop, [&] { return m_loop->now() > named + 30ms; }));
@@ -461,10 +465,7 @@
 
 TEST_F(RelayTest, callsBackAtOnceWhereANamingCannotBeDated)
 {
-    startOnOldWeights([](const auto &, const auto &) { return WorkerScript{}; });
-    const auto from = caller();
-    from->send(request("/resume/", "Model: m\r\n"));
-    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 1; }));
+    const auto from = callerThatWaits("/resume/");
     const Core::TimePoint named = m_loop->now();
     ASSERT_TRUE(m_relay->fleet().noteWeightsNamed("m", 2, Core::TimePoint::min()));
     ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->openCount() == 0; }));
--- a/tests/auto/relay/tst_weights.cpp
+++ b/tests/auto/relay/tst_weights.cpp
@@ -1,5 +1,6 @@
+#include "weightsfleet.h"
+
 #include <decisions/relay/weightschoice.h>
-#include <decisions/relay/weightsschedule.h>
 #include <decisions/spread/randomsource.h>
 
 #include <gtest/gtest.h>
@@ -17,16 +18,6 @@
 
 const Core::TimePoint start = Core::TimePoint() + 1h;
 
-std::vector<WeightsHolder> fleet(int engines, std::uint64_t version = 1)
-{
-    std::vector<WeightsHolder> holders;
-    holders.reserve(static_cast<std::size_t>(engines));
-    for (int number = 0; number < engines; ++number) {
-        holders.push_back({std::to_string(number), version});
-    }
-    return holders;
-}
-
 TEST(WeightsChoiceTest, neverGivesWeightsThatAreTooOld)
 {
     EXPECT_TRUE(rc::check([] {
--- a/tests/auto/relay/tst_weightsturnbook.cpp
+++ b/tests/auto/relay/tst_weightsturnbook.cpp
@@ -1,3 +1,5 @@
+#include "weightsfleet.h"
+
 #include <decisions/relay/weightsturnbook.h>
 
 #include <gtest/gtest.h>
@@ -16,16 +18,6 @@
     return {{model, {version, namedAt, std::move(holders)}}};
 }
 
-std::vector<WeightsHolder> fleet(int engines, std::uint64_t version = 1)
-{
-    std::vector<WeightsHolder> holders;
-    holders.reserve(static_cast<std::size_t>(engines));
-    for (int number = 0; number < engines; ++number) {
-        holders.push_back({std::to_string(number), version});
-    }
-    return holders;
-}
-
 // An agent that starts with nothing and hears what is told at \a now.
 Core::TimePoint loadTime(const std::vector<ToldTurn> &told, Core::TimePoint now)
 {
