Let long streams go on under new weights in place of holding up their engine

Cause: an order that lets runs finish first keeps the engine from all new work until the last stream has ended.

Change: an engine has 0.4 s from its turn to finish what it runs, in which routers send nothing new and move streams away; then the order lets what is left go on. Engines without an agent are still ordered to finish.

--- a/src/libs/decisions/relay/weightsschedule.cpp
+++ b/src/libs/decisions/relay/weightsschedule.cpp
@@ -34,6 +34,9 @@
     return std::max<std::size_t>(pace.loadsAtOnce, (engines + groups - 1) / groups);
 }
 
+// From the moment that routers send nothing new to an engine until it loads, whatever it runs.
+constexpr std::chrono::milliseconds runsTime{400};
+
 } // namespace
 
 std::map<std::string, WeightsTurn> weightsTurns(const std::vector<WeightsHolder> &holders, std::uint64_t version)
@@ -84,6 +87,11 @@
     return std::min(planned, naming.at + pace.notice + group * groupStep(turn.engines, pace, size));
 }
 
+bool mayRunsFinish(std::uint32_t running, Core::TimePoint loadTime, Core::TimePoint now)
+{
+    return running > 0 && now < loadTime + runsTime;
+}
+
 bool bringsForward(const WeightsTurn &turn, const WeightsPace &pace, const WeightsNaming &naming, Core::TimePoint planned)
 {
     // Who does not know when the weights were named has nothing better than what is planned, and what is due cannot be brought forward.
--- a/src/libs/decisions/relay/weightsschedule.h
+++ b/src/libs/decisions/relay/weightsschedule.h
@@ -62,6 +62,12 @@
 Core::TimePoint weightsLoadTime(
     const WeightsTurn &turn, const WeightsPace &pace, const WeightsNaming &naming, Core::TimePoint planned = Core::TimePoint::max());
 
+/// \brief Whether an engine that still runs \a running requests at \a now, after its \a loadTime, should finish them before it is ordered to load.
+///
+/// It answers a few long streams among many short requests: an engine that finishes what it runs takes nothing new, and one stream would keep it idle for
+/// seconds with each version. Most of what runs ends, or goes on elsewhere, within a moment; the few streams that do not go on under the new weights.
+bool mayRunsFinish(std::uint32_t running, Core::TimePoint loadTime, Core::TimePoint now);
+
 /// \brief Whether \a turn, told once more by somebody, brings the load forward that was \a planned.
 bool bringsForward(const WeightsTurn &turn, const WeightsPace &pace, const WeightsNaming &naming, Core::TimePoint planned);
 
--- a/src/libs/weights/enginecontrol.h
+++ b/src/libs/weights/enginecontrol.h
@@ -25,6 +25,12 @@
     std::uint64_t totalTokens = 0;
 };
 
+/// \brief What becomes of what an engine runs when it gets new weights.
+enum class RunsOrder {
+    Finish, ///< They finish first; the engine takes nothing new meanwhile.
+    GoOn, ///< They go on under the new weights.
+};
+
 /// \brief An order to run a version of a model's weights.
 struct WeightsOrder
 {
@@ -33,6 +39,7 @@
     std::string holder; ///< Who gives the order.
     std::uint64_t fence = 0; ///< Engines that check it refuse a lower one than they have seen.
     std::uint64_t expectedOrders = 0; ///< The order is void if the engine has accepted others since.
+    RunsOrder runs = RunsOrder::Finish;
 };
 
 /// \brief The way to the engine beside this process.
@@ -47,7 +54,7 @@
     /// \brief Asks the engine how it is.
     virtual void readReport(Core::TimePoint deadline, ReportCallback done) = 0;
 
-    /// \brief Gives an order; runs that have begun finish first.
+    /// \brief Gives an order.
     virtual void orderWeights(const WeightsOrder &order, Core::TimePoint deadline, OrderCallback done) = 0;
 };
 
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -30,6 +30,9 @@
 // While an order is carried out; a load takes half a second and more.
 constexpr milliseconds busyPeriod{100};
 
+// While the engine finishes what it runs before an order.
+constexpr milliseconds runsPeriod{50};
+
 // Until a failed step is tried again.
 constexpr milliseconds retryPeriod{300};
 
@@ -377,6 +380,9 @@
             next = std::min(next, target->second.loadTime);
             continue;
         }
+        if (Decisions::mayRunsFinish(report.running, target->second.loadTime, now)) {
+            return now + runsPeriod;
+        }
         order(weights.model, target->second.version, report.acceptedOrders);
         return now + busyPeriod;
     }
@@ -400,7 +406,7 @@
         Observe::log(weightsOrdered, {{"model", model}, {"version", std::to_string(version)}, {"answer", std::to_string(static_cast<int>(answer))}});
         lookAt(m_loop.now() + (answer == OrderAnswer::Done ? busyPeriod : retryPeriod));
     };
-    const WeightsOrder weightsOrder{model, version, m_settings.host, m_lease.fence(), expectedOrders};
+    const WeightsOrder weightsOrder{model, version, m_settings.host, m_lease.fence(), expectedOrders, RunsOrder::GoOn};
     m_engine.orderWeights(weightsOrder, m_loop.now() + engineAnswerTime, m_lifetime.guard(take));
 }
 
--- a/tests/auto/relay/tst_weights.cpp
+++ b/tests/auto/relay/tst_weights.cpp
@@ -54,6 +54,22 @@
     EXPECT_LT(newer, 700);
 }
 
+// Twenty streams of which one lasts for three seconds. Finished first, it would keep the engine from all new work for as long.
+TEST(WeightsScheduleTest, doesNotHoldUpALoadForTheLongestStream)
+{
+    const Core::TimePoint loadTime = Core::TimePoint() + 1h;
+    const auto runningAt = [](std::chrono::milliseconds after) {
+        return after < 200ms ? 20U : 1U;
+    };
+    std::chrono::milliseconds idle{0};
+    while (mayRunsFinish(runningAt(idle), loadTime, loadTime + idle) && idle < 3s) {
+        idle += 10ms;
+    }
+    EXPECT_GE(idle, 200ms);
+    EXPECT_LE(idle, 500ms);
+    EXPECT_FALSE(mayRunsFinish(0, loadTime, loadTime));
+}
+
 TEST(WeightsScheduleTest, bringsSmallGroupsOneAfterTheOtherAndTheOldestFirst)
 {
     std::vector<WeightsHolder> holders;
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -35,12 +35,16 @@
     /// \brief Takes orders from now on without carrying them out.
     void holdOrders();
 
+    /// \brief Says from now on that it runs \a count requests.
+    void setRunning(int count);
+
 private:
     WorkerScript answer(const Http::MessageHead &head, const std::string &body);
     std::string order(const std::string &body);
 
     std::uint64_t m_version = 1;
     bool m_isHoldingOrders = false;
+    int m_running = 0;
     std::vector<nlohmann::json> m_orders;
     std::vector<Http::MessageHead> m_runs;
     WorkerFake m_worker;
