--- a/src/libs/decisions/relay/admission.cpp
+++ b/src/libs/decisions/relay/admission.cpp
@@ -24,9 +24,8 @@
 constexpr microseconds unlearned{25'000};
 constexpr double unlearnedWeight = 20;
 
-// Of the target, that waiting and reading may take; the rest is for the way and for what is not foreseen. Half of the target for the waiting alone turned
-// away short prompts that would have been in time, and let in long ones that were not: with it callers got 0.814 of the worth that they were owed in place
-// of 0.818 (means of 27 busy days).
+// Of the target, that waiting and reading may take; the rest is for the way and for what is not foreseen. A bound on the waiting alone would turn away short
+// prompts that would be in time, and let in long ones that are not.
 constexpr double usedPart = 0.9;
 
 // A prompt that takes most of its target by itself may still wait so long; else one slow second would turn all of its kind away.
@@ -64,8 +63,8 @@
     return std::exp(-std::chrono::duration<double>(now - m_notedAt) / std::chrono::duration<double>(memory));
 }
 
-// All time that was waited by all that waited. The mean of single quotients would be ruled by the few that stall behind a short queue: short prompts behind
-// 20 others were expected to wait 800 ms and began after 150 (medians of a busy day).
+// All time that was waited by all that waited. The mean of single quotients would be ruled by the few that stall behind a short queue, and would expect
+// several times what most of them wait.
 microseconds WaitEstimate::perWaiting(Core::TimePoint now) const
 {
     const double kept = keptPart(now);
--- a/src/libs/decisions/relay/enginenews.cpp
+++ b/src/libs/decisions/relay/enginenews.cpp
@@ -33,15 +33,15 @@
 constexpr double fullMemory = 0.9;
 constexpr milliseconds waitForMemory{300};
 
-// From the moment that a request comes to an engine whose queue stands still until it begins: 3.6 s were seen on an engine with full memory.
+// From the moment that a request comes to an engine whose queue stands still, for instance with full memory, until it begins.
 constexpr milliseconds slowestBegin{4500};
 
 // News by which an engine begins at once: two rounds of its agent may be lost. Older ones say nothing of the queue that it has by now.
 constexpr milliseconds freshNews{600};
 
-// As slowestBegin, at an engine without fresh news and without work of this router: twice the 1.35 s that were seen where an agent had just been lost. Loads
-// are spread over 5.6 s of the 8 s for which old weights may be used, so where no agent tells anything an engine stands idle for 0.3 s at most before its
-// load, if it is ordered in time; with slowestBegin it would be 2.1 s.
+// As slowestBegin, at an engine without fresh news and without work of this router. Loads are spread over seven tenths of the time for which old weights may
+// be used, so where no agent tells anything an engine stands idle only briefly before its load, if it is ordered in time; with slowestBegin it would for
+// seconds.
 constexpr milliseconds unknownBegin{2700};
 
 bool isMemoryFull(const EngineStatus &status)
--- a/src/libs/decisions/relay/promptmoves.cpp
+++ b/src/libs/decisions/relay/promptmoves.cpp
@@ -95,8 +95,7 @@
 }
 
 // A part that is short is read sooner than it is fetched: transfers of an engine run one after the other, and a long prompt's takes up to a tenth of a
-// second. Saved with what belongs to the request alone, many short ones push the few long ones out of the store. Leaving them out raised the worth that
-// callers got from 0.818 to 0.822 of what they were owed (means of 27 busy days).
+// second. Saved with what belongs to the request alone, many short ones push the few long ones out of the store.
 bool PromptMoves::isWorthMoving(const FleetChoice &choice)
 {
     if (choice.parts.empty()) {
--- a/src/libs/decisions/relay/weightschoice.cpp
+++ b/src/libs/decisions/relay/weightschoice.cpp
@@ -13,7 +13,7 @@
 constexpr double newerPreference = 1.5;
 
 // From the choice until the engine begins: the way, and a few long prompts that other routers send there in the same moment. An engine that comes back with
-// old weights while others are busy gets as many at once; with 400 ms some began up to 700 ms too late.
+// old weights while others are busy gets as many at once.
 constexpr std::chrono::milliseconds useMargin{1200};
 
 constexpr std::uint64_t drawScale = 1'000'000;
