Log what decides whether a request is sent again

The logs could not tell why: call_failed said neither how often a request had arrived somewhere nor what its router believed of its budget, and no line said in how many routers it believed or that it had stood still.

call_failed has arrivals, service, resends_left and routers now, stream_moved the service; new are routers_counted, router_stood_still, resends_total and resends_refused_total. No decision changes.

--- a/src/libs/decisions/relay/resendbudget.cpp
+++ b/src/libs/decisions/relay/resendbudget.cpp
@@ -58,9 +58,9 @@
     ++currentStep(service, now).requests;
 }
 
-bool ResendBudget::tryTake(const std::string &service, ResendPurpose purpose, Core::TimePoint now)
+ResendBalance ResendBudget::balance(const std::string &service, ResendPurpose purpose, Core::TimePoint now)
 {
-    Step &current = currentStep(service, now);
+    currentStep(service, now);
     double requests = 0;
     double resends = 0;
     for (const Step &step : m_services[service].steps) {
@@ -68,10 +68,15 @@
         resends += step.resends;
     }
     const double allowed = usedPart(purpose) * (m_limits.ratio * requests + m_limits.slack / m_routerCount);
-    if (resends + 1 > allowed) {
+    return {allowed - resends, m_routerCount};
+}
+
+bool ResendBudget::tryTake(const std::string &service, ResendPurpose purpose, Core::TimePoint now)
+{
+    if (balance(service, purpose, now).left < 1) {
         return false;
     }
-    ++current.resends;
+    ++currentStep(service, now).resends;
     return true;
 }
 
--- a/src/libs/decisions/relay/resendbudget.h
+++ b/src/libs/decisions/relay/resendbudget.h
@@ -24,6 +24,13 @@
     BegunStream, ///< Without it a stream breaks off that the caller has begun to read.
 };
 
+/// \brief What a router believes of its part of the resends, for its log.
+struct ResendBalance
+{
+    double left = 0; ///< Resends to one service for one purpose that there are.
+    std::uint32_t routers = 1; ///< That share the slack.
+};
+
 /// \brief One router's part of the resends that a service bears, without a word between routers.
 ///
 /// Each router uses a fixed part of what its own requests allow and an equal part of the slack, so that the sum stays within the limits however
@@ -42,6 +49,9 @@
     /// \brief Takes one resend to \a service; false if there is none left for \a purpose.
     bool tryTake(const std::string &service, ResendPurpose purpose, Core::TimePoint now);
 
+    /// \brief What there is for \a purpose.
+    ResendBalance balance(const std::string &service, ResendPurpose purpose, Core::TimePoint now);
+
 private:
     // Counts in steps of a part of the window, so that the memory does not grow with the load.
     struct Step
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -387,6 +387,7 @@
     Observe::log(streamMoved,
         {{"request", m_query.attemptId},
             {"server", m_choice->serverId},
+            {"service", m_service},
             {"to", choice->serverId},
             {"after_event", std::to_string(*m_cutter.lastId())},
             {"after_ms", text(sinceArrival())}});
@@ -440,6 +441,7 @@
         ++m_attempts.runs;
     }
     m_arrivals += hasSent ? 1 : 0;
+    const Decisions::ResendBalance balance = m_context.budget.balance(m_service, resendPurpose(), now);
     const bool isAgain = isResend(failure);
     const AttemptAction action = isAgain ? AttemptAction::SendAgain : finalAction(m_attempts, failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
@@ -450,6 +452,10 @@
             {"reason", std::string(reason)},
             {"sends", std::to_string(m_attempts.sends)},
             {"runs", std::to_string(m_attempts.runs)},
+            {"arrivals", std::to_string(m_arrivals)},
+            {"service", m_service},
+            {"resends_left", std::to_string(static_cast<int>(balance.left))},
+            {"routers", std::to_string(balance.routers)},
             {"after_ms", text(sinceArrival())},
             {"action", std::string(attemptActionName(action))}});
     if (!isAgain) {
@@ -468,8 +474,17 @@
     if (!mayBeSentAgain(m_attempts, failure) || now + leastTimeLeft >= m_deadline) {
         return false;
     }
-    const auto purpose = m_attempts.isAnswerBegun ? Decisions::ResendPurpose::BegunStream : Decisions::ResendPurpose::Failure;
-    return m_arrivals == 0 || m_context.budget.tryTake(m_service, purpose, now);
+    if (m_arrivals == 0) {
+        return true;
+    }
+    const bool isGranted = m_context.budget.tryTake(m_service, resendPurpose(), now);
+    m_context.metrics.count(isGranted ? "resends_total" : "resends_refused_total");
+    return isGranted;
+}
+
+Decisions::ResendPurpose RelayedRequest::resendPurpose() const
+{
+    return m_attempts.isAnswerBegun ? Decisions::ResendPurpose::BegunStream : Decisions::ResendPurpose::Failure;
 }
 
 void RelayedRequest::finish(AttemptAction action)
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -88,6 +88,7 @@
     void passBody(std::string_view data);
     void beginPassing();
     bool isResend(Decisions::CallFailure failure);
+    Decisions::ResendPurpose resendPurpose() const;
     void finish(Decisions::AttemptAction action);
     void refuse(int status, std::string_view message, std::chrono::milliseconds comeBack = comeBackAfter);
     bool isTurnedAway(const Decisions::FleetChoice &choice);
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -32,5 +32,8 @@
 inline constexpr Event usageKeeperLost{
     2118, Severity::Warning, "usage_keeper_lost", "The keeper of usage caps does not answer; this router uses its own share of them."};
 inline constexpr Event usageKeeperFound{2119, Severity::Info, "usage_keeper_found", "The keeper of usage caps answers again."};
+inline constexpr Event routersCounted{2120, Severity::Info, "routers_counted", "The number of routers that agents named lately has changed."};
+inline constexpr Event routerStoodStill{
+    2121, Severity::Warning, "router_stood_still", "This process did nothing for a while; what callers sent meanwhile is read now."};
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+// A relay without callers does something so often, by which it can tell that it stood still.
+constexpr std::chrono::milliseconds lifePeriod{100};
+
 // How often a relay that ends looks whether it is done.
 constexpr std::chrono::milliseconds shutdownStep{50};
 
@@ -42,8 +45,16 @@
     , m_routers(settings.routerCount)
     , m_random(settings.seed)
     , m_context{m_loop, m_protocol, m_fleet, m_budget, m_random, m_metrics}
+    , m_standstill(loop.now())
+    , m_lifeTimer(
+          loop,
+          [this] {
+              showLife();
+              m_lifeTimer.startAt(m_loop.now() + lifePeriod);
+          })
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
 {
+    m_lifeTimer.startAt(loop.now() + lifePeriod);
     m_fleet.setNamingObserver([this] { followWeights(); });
 }
 
@@ -75,11 +86,24 @@
     for (const std::string &address : addresses) {
         m_routers.note(address, now);
     }
+    const std::uint32_t before = m_routerCount;
     m_routerCount = m_routers.count(now);
+    if (m_routerCount != before) {
+        Observe::log(routersCounted, {{"routers", std::to_string(m_routerCount)}, {"before", std::to_string(before)}});
+        m_metrics.setGauge("routers_known", m_routerCount);
+    }
     m_budget.setRouterCount(m_routerCount);
     m_fleet.setRouterCount(m_routerCount);
 }
 
+void RelayTask::showLife()
+{
+    const std::optional<std::chrono::milliseconds> silence = m_standstill.note(m_loop.now());
+    if (silence.has_value()) {
+        Observe::log(routerStoodStill, {{"for_ms", std::to_string(silence->count())}});
+    }
+}
+
 bool RelayTask::isOneOfFew()
 {
     return m_random.next() % m_routerCount < routersOfAFew;
@@ -181,6 +205,7 @@
 
 std::unique_ptr<RelayedRequest> RelayTask::beginRequest(Http::MessageHead head, std::string body, AnswerSink &sink)
 {
+    showLife();
     const bool isTaken = m_listener != nullptr;
     return std::make_unique<RelayedRequest>(m_context, isTaken ? m_directory : nullptr, std::move(head), std::move(body), sink);
 }
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -3,6 +3,7 @@
 #include "callerconnection.h"
 
 #include <decisions/relay/routercensus.h>
+#include <decisions/relay/standstill.h>
 #include <http/tcplistener.h>
 #include <observe/metrics.h>
 
@@ -99,6 +100,7 @@
     std::vector<Http::HttpField> refusalFields(const Refusal &refusal) const override;
     void connectionEnded(CallerConnection *connection) override;
     void followWeights();
+    void showLife();
     void acceptCaller(int descriptor);
     void closeDoor();
     void continueShutdown();
@@ -117,6 +119,8 @@
     std::shared_ptr<const Decisions::RelayDirectory> m_directory;
     std::unique_ptr<Http::TcpListener> m_listener;
     std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
+    Decisions::Standstill m_standstill;
+    EventLoop::Timer m_lifeTimer;
     EventLoop::Timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
     bool m_isDraining = false;
