Add a test, red, of resends while routers are killed, stand still or come

A model of routers with a budget each counts as the promise does: requests when callers sent them, resends whenever they are taken, in every window.

--- /dev/null
+++ b/tests/auto/relay/tst_resendsafterkills.cpp
@@ -0,0 +1,110 @@
+#include "resendmodel.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr ResendLimits limits{0.2, 52, 10'000ms};
+constexpr auto step = 100ms;
+
+// Backend servers turn calls away from one moment on, and all routers are killed every four seconds.
+TEST(ResendsAfterKillsTest, staysWithinTheLimitsThoughRoutersAreKilledTwiceInAWindow)
+{
+    ResendModel model(limits, 3, 3);
+    for (auto passed = 0ms; passed < 30s; passed += step) {
+        if (passed == 9s || passed == 13s || passed == 17s) {
+            for (std::size_t router = 0; router < model.routers(); ++router) {
+                model.kill(router, 600ms);
+            }
+        }
+        for (std::size_t router = 0; router < model.routers(); ++router) {
+            model.send(router, 7, passed < 4s ? 0 : 2, ResendPurpose::Failure);
+        }
+        model.advance(step);
+    }
+    EXPECT_GT(model.resends(), 300U);
+    EXPECT_LE(model.excess(), 0);
+}
+
+struct Disruption
+{
+    int atStep = 0;
+    int kind = 0;
+    std::size_t router = 0;
+    int steps = 0;
+};
+
+void disrupt(ResendModel &model, const Disruption &disruption)
+{
+    const std::size_t router = disruption.router % model.routers();
+    switch (disruption.kind) {
+    case 0:
+        model.kill(router, disruption.steps * step);
+        return;
+    case 1:
+        model.freeze(router, disruption.steps * step);
+        return;
+    case 2:
+        for (std::size_t each = 0; each < model.routers(); ++each) {
+            model.kill(each, disruption.steps * step);
+        }
+        return;
+    case 3:
+        for (std::size_t each = 0; each < model.routers(); ++each) {
+            model.freeze(each, disruption.steps * step);
+        }
+        return;
+    default:
+        if (model.routers() < 6) {
+            model.add();
+        }
+        return;
+    }
+}
+
+rc::Gen<Disruption> anyDisruption(int steps)
+{
+    return rc::gen::build<Disruption>(rc::gen::set(&Disruption::atStep, rc::gen::inRange(0, steps)),
+        rc::gen::set(&Disruption::kind, rc::gen::inRange(0, 5)),
+        rc::gen::set(&Disruption::router, rc::gen::inRange<std::size_t>(0, 6)),
+        rc::gen::set(&Disruption::steps, rc::gen::inRange(0, 60)));
+}
+
+// Any order of starts, kills, freezes and newcomers, with counts of routers that are too high or too low by a third, and traffic that changes between routers
+// as it does when a balancer takes one out.
+TEST(ResendsAfterKillsTest, staysWithinTheLimitsWhateverBecomesOfRouters)
+{
+    EXPECT_TRUE(rc::check([] {
+        constexpr int steps = 350;
+        ResendModel model(limits, static_cast<std::size_t>(*rc::gen::inRange(1, 5)), 8);
+        const auto purpose = *rc::gen::element(ResendPurpose::Move, ResendPurpose::Failure, ResendPurpose::BegunStream);
+        const auto disruptions = *rc::gen::container<std::vector<Disruption>>(anyDisruption(steps));
+        const auto traffic = *rc::gen::container<std::vector<int>>(64, rc::gen::inRange(0, 9));
+        const auto failing = *rc::gen::container<std::vector<int>>(16, rc::gen::element(0, 0, 1, 3));
+        const auto beliefs = *rc::gen::container<std::vector<int>>(16, rc::gen::inRange(-2, 6));
+        for (int at = 0; at < steps; ++at) {
+            for (const Disruption &disruption : disruptions) {
+                if (disruption.atStep == at) {
+                    disrupt(model, disruption);
+                }
+            }
+            for (std::size_t router = 0; router < model.routers(); ++router) {
+                const auto phase = static_cast<std::size_t>(at) / 25 + router * 7;
+                const int routers = static_cast<int>(model.routers());
+                model.setCount(router, static_cast<std::uint32_t>(std::max(beliefs[phase % beliefs.size()] + routers, (2 * routers + 2) / 3)));
+                model.send(router, traffic[phase % traffic.size()], failing[static_cast<std::size_t>(at) / 20 % failing.size()], purpose);
+            }
+            model.advance(step);
+        }
+        RC_ASSERT(model.excess() <= 0);
+    }));
+}
+
+} // namespace
+
+} // namespace Verbena::Decisions
