Let resends stay within their limits however often routers are killed

Cause: each router counted its resends of the last window in its own memory. A process that started had its part of the slack and of its own requests anew; two routers whose windows ended at different moments added up to more than one window; and each forgot the last resends of a step half a second early. Its logs show it: in one window 299, 168 and 49 resends by the first, second and third processes of three routers, 506 allowed.

A router has a token bucket a service now. It begins empty, requests and time fill it, and it keeps no more than the requests of the last window bear. In any window all routers use at most what was in the buckets of those that lived when it began, borne by the window before, and what its own requests add; both parts are below the whole together. Who dies takes its bucket with it. Requests read after a standstill add nothing; the slack is divided by at least the routers that are set.

--- a/src/libs/decisions/relay/attemptpolicy.cpp
+++ b/src/libs/decisions/relay/attemptpolicy.cpp
@@ -15,6 +15,8 @@
     switch (action) {
     case AttemptAction::SendAgain:
         return "send_again";
+    case AttemptAction::AwaitResend:
+        return "await_resend";
     case AttemptAction::Refuse:
         return "refuse";
     case AttemptAction::ReportLost:
--- a/src/libs/decisions/relay/attemptpolicy.h
+++ b/src/libs/decisions/relay/attemptpolicy.h
@@ -18,6 +18,7 @@
 /// \brief What becomes of a request after such an end.
 enum class AttemptAction {
     SendAgain, ///< To another backend server.
+    AwaitResend, ///< The same, as soon as the budget of this router has filled.
     Refuse, ///< The caller is told that it has not run and when to come back.
     ReportLost, ///< The caller is told that nobody knows whether it ran.
     PassAnswer, ///< The caller gets the backend server's own answer.
--- a/src/libs/decisions/relay/resendbudget.cpp
+++ b/src/libs/decisions/relay/resendbudget.cpp
@@ -9,30 +9,40 @@
 // Parts of a window that are counted apart.
 constexpr int stepsPerWindow = 20;
 
-// Of what the limits allow, the part that each purpose may fill up. What is left of the whole covers clocks, steps and messages that are still on their
-// way; what moves leave is there for the failures that follow them, so that no stream that was moved breaks off for want of a resend.
-constexpr double movePart = 0.4;
-constexpr double failurePart = 0.75;
-constexpr double begunStreamPart = 0.9;
+// Parts of what a request allows: what it adds to the bucket, and what the bucket may keep for each request of the last window. In a window all routers
+// together use at most what was in their buckets when it began, which the requests of the window before bear, and what the requests in it add. So both parts
+// together must stay below 1, whoever dies after it has emptied its bucket and whoever takes over its callers. The rest is for requests that are read late.
+constexpr double earnedPart = 0.6;
+constexpr double keptPart = 0.3;
 
-double usedPart(ResendPurpose purpose)
+// The same of the slack: what time adds in a window, and what the buckets of all routers may keep. The rest is for routers that know too few others.
+constexpr double earnedSlackPart = 0.2;
+constexpr double keptSlackPart = 0.4;
+
+// What callers sent while a process stood still is read by then.
+constexpr std::chrono::milliseconds backlogTime{500};
+
+// The part of a full bucket that a purpose has to leave: moves to the failures that follow them, failures to streams that would break off.
+double leftPart(ResendPurpose purpose)
 {
     switch (purpose) {
     case ResendPurpose::Move:
-        return movePart;
+        return 0.5;
     case ResendPurpose::Failure:
-        return failurePart;
+        return 0.1;
     case ResendPurpose::BegunStream:
-        return begunStreamPart;
+        return 0;
     }
-    return 0;
+    return 1;
 }
 
 } // namespace
 
-ResendBudget::ResendBudget(const ResendLimits &limits, std::uint32_t routerCount)
+ResendBudget::ResendBudget(const ResendLimits &limits, std::uint32_t routerCount, Core::TimePoint start)
     : m_limits(limits)
     , m_routerCount(std::max<std::uint32_t>(1, routerCount))
+    , m_start(start)
+    , m_backlogEnd(start)
 {
 }
 
@@ -41,34 +51,50 @@
     m_routerCount = std::max<std::uint32_t>(1, count);
 }
 
-ResendBudget::Step &ResendBudget::currentStep(const std::string &service, Core::TimePoint now)
+void ResendBudget::noteStandstill(Core::TimePoint now)
 {
-    std::deque<Step> &steps = m_services[service].steps;
-    while (!steps.empty() && steps.front().begin + m_limits.window < now) {
-        steps.pop_front();
-    }
-    if (steps.empty() || steps.back().begin + m_limits.window / stepsPerWindow < now) {
-        steps.push_back({now});
+    m_backlogEnd = now + backlogTime;
+}
+
+double ResendBudget::capacity(const Account &account) const
+{
+    return keptPart * m_limits.ratio * static_cast<double>(account.requests) + keptSlackPart * m_limits.slack / m_routerCount;
+}
+
+// What an earlier process at this address has used is not known, nor what others have. So a bucket begins empty; it fills from the start of the process on.
+ResendBudget::Account &ResendBudget::account(const std::string &service, Core::TimePoint now)
+{
+    Account &account = m_accounts.try_emplace(service, Account{0, m_start, {}, 0}).first->second;
+    while (!account.steps.empty() && account.steps.front().begin + m_limits.window < now) {
+        account.requests -= account.steps.front().requests;
+        account.steps.pop_front();
     }
-    return steps.back();
+    const std::chrono::duration<double> passed = std::max(now, account.filledAt) - account.filledAt;
+    const double added = earnedSlackPart * m_limits.slack / m_routerCount * (passed / m_limits.window);
+    account.level = std::min(account.level + added, capacity(account));
+    account.filledAt = std::max(now, account.filledAt);
+    return account;
 }
 
+// Callers may have sent what is read after a standstill in an earlier window, which has borne its resends already.
 void ResendBudget::noteRequest(const std::string &service, Core::TimePoint now)
 {
-    ++currentStep(service, now).requests;
+    if (now < m_backlogEnd) {
+        return;
+    }
+    Account &asked = account(service, now);
+    if (asked.steps.empty() || asked.steps.back().begin + m_limits.window / stepsPerWindow < now) {
+        asked.steps.push_back({now});
+    }
+    ++asked.steps.back().requests;
+    ++asked.requests;
+    asked.level = std::min(asked.level + earnedPart * m_limits.ratio, capacity(asked));
 }
 
 ResendBalance ResendBudget::balance(const std::string &service, ResendPurpose purpose, Core::TimePoint now)
 {
-    currentStep(service, now);
-    double requests = 0;
-    double resends = 0;
-    for (const Step &step : m_services[service].steps) {
-        requests += step.requests;
-        resends += step.resends;
-    }
-    const double allowed = usedPart(purpose) * (m_limits.ratio * requests + m_limits.slack / m_routerCount);
-    return {allowed - resends, m_routerCount};
+    const Account &asked = account(service, now);
+    return {asked.level - leftPart(purpose) * capacity(asked), m_routerCount};
 }
 
 bool ResendBudget::tryTake(const std::string &service, ResendPurpose purpose, Core::TimePoint now)
@@ -76,7 +102,7 @@
     if (balance(service, purpose, now).left < 1) {
         return false;
     }
-    ++currentStep(service, now).resends;
+    --m_accounts[service].level;
     return true;
 }
 
--- a/src/libs/decisions/relay/resendbudget.h
+++ b/src/libs/decisions/relay/resendbudget.h
@@ -31,18 +31,22 @@
     std::uint32_t routers = 1; ///< That share the slack.
 };
 
-/// \brief One router's part of the resends that a service bears, without a word between routers.
+/// \brief One router's part of the resends that a service bears, without a word between routers and without memory beyond the process.
 ///
-/// Each router uses a fixed part of what its own requests allow and an equal part of the slack, so that the sum stays within the limits however
-/// unevenly the callers are spread. It answers failures that come in numbers: without it each of them would cost the service a second request just
-/// when it is weakest.
+/// It answers failures that come in numbers: without it each of them would cost the service a second request just when it is weakest. A token bucket a
+/// service, empty when the process starts, that requests and time fill: the sum over all routers stays within the limits in any window, whichever of them
+/// are killed, stand still, start or take over the callers of others, and however often.
 class ResendBudget
 {
 public:
-    ResendBudget(const ResendLimits &limits, std::uint32_t routerCount);
+    /// \brief Begins at \a start; \a routerCount routers share the slack.
+    ResendBudget(const ResendLimits &limits, std::uint32_t routerCount, Core::TimePoint start);
 
     void setRouterCount(std::uint32_t count);
 
+    /// \brief The process stood still until \a now: callers sent the requests that it reads next long before.
+    void noteStandstill(Core::TimePoint now);
+
     /// \brief Counts a request for \a service.
     void noteRequest(const std::string &service, Core::TimePoint now);
 
@@ -58,19 +62,24 @@
     {
         Core::TimePoint begin;
         std::uint32_t requests = 0;
-        std::uint32_t resends = 0;
     };
 
-    struct Service
+    struct Account
     {
+        double level = 0;
+        Core::TimePoint filledAt;
         std::deque<Step> steps;
+        std::uint64_t requests = 0; ///< In all steps.
     };
 
-    Step &currentStep(const std::string &service, Core::TimePoint now);
+    Account &account(const std::string &service, Core::TimePoint now);
+    double capacity(const Account &account) const;
 
     ResendLimits m_limits;
     std::uint32_t m_routerCount;
-    std::map<std::string, Service> m_services;
+    Core::TimePoint m_start;
+    Core::TimePoint m_backlogEnd; ///< Until then requests are read that callers sent long before.
+    std::map<std::string, Account> m_accounts; ///< By service.
 };
 
 } // namespace Verbena::Decisions
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -77,6 +77,7 @@
 
 RelayedRequest::~RelayedRequest()
 {
+    m_context.waits.withdraw(m_waitNumber);
     if (m_isUnanswered) {
         m_context.fleet.noteAbandoned(*m_choice);
     }
@@ -442,8 +443,7 @@
     }
     m_arrivals += hasSent ? 1 : 0;
     const Decisions::ResendBalance balance = m_context.budget.balance(m_service, resendPurpose(), now);
-    const bool isAgain = isResend(failure);
-    const AttemptAction action = isAgain ? AttemptAction::SendAgain : finalAction(m_attempts, failure);
+    const AttemptAction action = chooseAction(failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
     Observe::log(Relay::callFailedEvent,
         {{"request", m_query.attemptId},
@@ -458,28 +458,53 @@
             {"routers", std::to_string(balance.routers)},
             {"after_ms", text(sinceArrival())},
             {"action", std::string(attemptActionName(action))}});
-    if (!isAgain) {
+    if (action == AttemptAction::SendAgain) {
+        sendAgain();
+    } else if (action != AttemptAction::AwaitResend) {
         finish(action);
-        return;
     }
-    m_relaying = Relaying::Nothing;
-    m_heldBody.clear();
-    m_isServerError = false;
-    dispatch();
 }
 
-bool RelayedRequest::isResend(CallFailure failure)
+AttemptAction RelayedRequest::chooseAction(CallFailure failure)
 {
     const Core::TimePoint now = m_context.loop.now();
     if (!mayBeSentAgain(m_attempts, failure) || now + leastTimeLeft >= m_deadline) {
-        return false;
+        return finalAction(m_attempts, failure);
     }
     if (m_arrivals == 0) {
-        return true;
+        return AttemptAction::SendAgain;
+    }
+    if (m_context.budget.tryTake(m_service, resendPurpose(), now)) {
+        m_context.metrics.count("resends_total");
+        return AttemptAction::SendAgain;
     }
-    const bool isGranted = m_context.budget.tryTake(m_service, resendPurpose(), now);
-    m_context.metrics.count(isGranted ? "resends_total" : "resends_refused_total");
-    return isGranted;
+    if (awaitResend(failure)) {
+        return AttemptAction::AwaitResend;
+    }
+    m_context.metrics.count("resends_refused_total");
+    return finalAction(m_attempts, failure);
+}
+
+bool RelayedRequest::awaitResend(CallFailure failure)
+{
+    m_waitNumber = m_context.waits.wait(m_service, resendPurpose(), [this, failure](bool isGranted) {
+        m_waitNumber = 0;
+        m_context.metrics.count(isGranted ? "resends_total" : "resends_refused_total");
+        if (isGranted) {
+            sendAgain();
+        } else {
+            finish(finalAction(m_attempts, failure));
+        }
+    });
+    return m_waitNumber != 0;
+}
+
+void RelayedRequest::sendAgain()
+{
+    m_relaying = Relaying::Nothing;
+    m_heldBody.clear();
+    m_isServerError = false;
+    dispatch();
 }
 
 Decisions::ResendPurpose RelayedRequest::resendPurpose() const
@@ -504,6 +529,7 @@
         return;
     case AttemptAction::Refuse:
     case AttemptAction::SendAgain:
+    case AttemptAction::AwaitResend:
         refuse(503, "No backend server can take the request now; it has not run.");
         return;
     }
@@ -585,6 +611,7 @@
 void RelayedRequest::logOutcome(int status, std::string_view outcome)
 {
     m_isDone = true;
+    m_context.waits.withdraw(m_waitNumber);
     if (status == 503) {
         releaseUsage();
     }
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -3,6 +3,7 @@
 #include "answersink.h"
 #include "backendcall.h"
 #include "relayprotocol.h"
+#include "resendwaits.h"
 #include "usagecontrol.h"
 
 #include <decisions/relay/attemptpolicy.h>
@@ -32,6 +33,7 @@
     const RelayProtocol &protocol;
     Decisions::RelayFleet &fleet;
     Decisions::ResendBudget &budget;
+    ResendWaits &waits;
     Decisions::RandomSource &random;
     Observe::Metrics &metrics;
     UsageControl *usage = nullptr; ///< Nothing while no caps are kept.
@@ -87,7 +89,9 @@
     void handleNotRun(const AnswerMarks &marks);
     void passBody(std::string_view data);
     void beginPassing();
-    bool isResend(Decisions::CallFailure failure);
+    Decisions::AttemptAction chooseAction(Decisions::CallFailure failure);
+    bool awaitResend(Decisions::CallFailure failure);
+    void sendAgain();
     Decisions::ResendPurpose resendPurpose() const;
     void finish(Decisions::AttemptAction action);
     void refuse(int status, std::string_view message, std::chrono::milliseconds comeBack = comeBackAfter);
@@ -117,6 +121,7 @@
     std::string m_service;
     Decisions::AttemptState m_attempts;
     std::uint32_t m_arrivals = 0; ///< Calls that reached a backend server, whatever it did with them.
+    std::uint64_t m_waitNumber = 0; ///< While this waits to be sent again.
     std::vector<std::string> m_excluded;
     std::optional<Decisions::FleetChoice> m_choice; ///< Of the present call.
     std::unique_ptr<BackendCall> m_call;
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -15,6 +15,9 @@
 // A relay without callers does something so often, by which it can tell that it stood still.
 constexpr std::chrono::milliseconds lifePeriod{100};
 
+// Until a process that is asked at all has earned several resends.
+constexpr std::chrono::seconds budgetFillTime{3};
+
 // How often a relay that ends looks whether it is done.
 constexpr std::chrono::milliseconds shutdownStep{50};
 
@@ -41,13 +44,13 @@
     , m_settings(settings)
     , m_protocol(protocol)
     , m_fleet(settings.routing, settings.weights)
-    , m_budget(settings.resend, settings.routerCount)
+    , m_budget(settings.resend, settings.routerCount, loop.now())
+    , m_waits(loop, m_budget, loop.now() + budgetFillTime)
     , m_routers(settings.routerCount)
     , m_random(settings.seed)
-    , m_context{m_loop, m_protocol, m_fleet, m_budget, m_random, m_metrics}
+    , m_context{m_loop, m_protocol, m_fleet, m_budget, m_waits, m_random, m_metrics}
     , m_standstill(loop.now())
-    , m_lifeTimer(
-          loop,
+    , m_lifeTimer(loop,
           [this] {
               showLife();
               m_lifeTimer.startAt(m_loop.now() + lifePeriod);
@@ -92,14 +95,16 @@
         Observe::log(routersCounted, {{"routers", std::to_string(m_routerCount)}, {"before", std::to_string(before)}});
         m_metrics.setGauge("routers_known", m_routerCount);
     }
-    m_budget.setRouterCount(m_routerCount);
+    m_budget.setRouterCount(std::max(m_settings.routerCount, m_routerCount));
     m_fleet.setRouterCount(m_routerCount);
 }
 
 void RelayTask::showLife()
 {
-    const std::optional<std::chrono::milliseconds> silence = m_standstill.note(m_loop.now());
+    const Core::TimePoint now = m_loop.now();
+    const std::optional<std::chrono::milliseconds> silence = m_standstill.note(now);
     if (silence.has_value()) {
+        m_budget.noteStandstill(now);
         Observe::log(routerStoodStill, {{"for_ms", std::to_string(silence->count())}});
     }
 }
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -22,7 +22,7 @@
     Decisions::ResendLimits resend;
     Decisions::WeightsLimits weights;
     Decisions::RoutingOptions routing;
-    std::uint32_t routerCount = 8; ///< Routers that share the resends, at most.
+    std::uint32_t routerCount = 8; ///< Routers that share the resends at least, however few are named.
     std::uint64_t seed = 0;
     std::chrono::milliseconds shutdownNotice{2900}; ///< Until the balancer sends no new callers any more.
     std::chrono::milliseconds shutdownGrace{7000}; ///< After that the process ends whatever still runs.
@@ -110,6 +110,7 @@
     const RelayProtocol &m_protocol;
     Decisions::RelayFleet m_fleet;
     Decisions::ResendBudget m_budget;
+    ResendWaits m_waits;
     std::uint32_t m_routerCount = 1;
     Decisions::RouterCensus m_routers;
     Decisions::RandomSource m_random;
