Give a router that starts a few retries only, on the product's own interface

A router had requests.retry_capacity (200) retries at each start: one that is killed again and again while backend servers fail could multiply their load without end. The same class as the resends of the users' platform: a bound kept in the memory of one process, full again at its start. It starts with requests.retry_at_start (10) now and earns the rest by answers. RetryBudgetTest.givesLittleAnewWithEachStart: 50 retries in five starts without a success, where the same code gave 1,000.

--- a/src/libs/decisions/attempts/retrybudget.cpp
+++ b/src/libs/decisions/attempts/retrybudget.cpp
@@ -4,10 +4,12 @@
 
 namespace Verbena::Decisions {
 
-RetryBudget::RetryBudget(double fraction, double capacity)
+// What a process starts with it has anew with each start, whatever the one before it used. So that is little, for a router that is killed again and again
+// while backend servers fail.
+RetryBudget::RetryBudget(double fraction, double capacity, double atStart)
     : m_fraction(fraction)
     , m_capacity(capacity)
-    , m_available(capacity)
+    , m_available(std::min(capacity, atStart))
 {
 }
 
--- a/src/libs/decisions/attempts/retrybudget.h
+++ b/src/libs/decisions/attempts/retrybudget.h
@@ -6,8 +6,8 @@
 class RetryBudget
 {
 public:
-    /// \brief Starts full at \a capacity retries; each success adds \a fraction of one.
-    RetryBudget(double fraction, double capacity);
+    /// \brief Starts with \a atStart retries; each success adds \a fraction of one, up to \a capacity.
+    RetryBudget(double fraction, double capacity, double atStart);
 
     void noteSuccess();
 
--- a/src/libs/router/routersettings.cpp
+++ b/src/libs/router/routersettings.cpp
@@ -34,6 +34,7 @@
     settings.defaultMark = static_cast<std::uint32_t>(requests.integer("default_mark", settings.defaultMark, 0, 1000));
     settings.retryFraction = requests.number("retry_fraction", settings.retryFraction, 0, 1);
     settings.retryCapacity = requests.number("retry_capacity", settings.retryCapacity, 0, 100000);
+    settings.retryAtStart = requests.number("retry_at_start", settings.retryAtStart, 0, 100000);
 }
 
 void readStreams(SettingsReader streams, StreamSettings &settings)
--- a/src/libs/router/routersettings.h
+++ b/src/libs/router/routersettings.h
@@ -24,6 +24,7 @@
     std::uint32_t defaultMark = 4; ///< Of requests without a class.
     double retryFraction = 0.1; ///< Retries allowed for each success.
     double retryCapacity = 200; ///< Retries that can be saved up.
+    double retryAtStart = 10; ///< Of those, what a router starts with.
 };
 
 /// \brief How much of an answer is kept for a caller that reads slowly.
--- a/src/libs/router/routertask.cpp
+++ b/src/libs/router/routertask.cpp
@@ -76,7 +76,7 @@
     , m_services(services)
     , m_incarnation(newIncarnation())
     , m_chooser(routingOptionsOf(settings, m_incarnation))
-    , m_budget(settings.requests.retryFraction, settings.requests.retryCapacity)
+    , m_budget(settings.requests.retryFraction, settings.requests.retryCapacity, settings.requests.retryAtStart)
     , m_links(loop, m_context, settings.links, *this)
     , m_starter(context(), m_settings)
     , m_removeFinished(loop, [this] { m_finished.clear(); })
--- a/tests/auto/relay/tst_resendbudget.cpp
+++ b/tests/auto/relay/tst_resendbudget.cpp
@@ -109,6 +109,36 @@
     }));
 }
 
+// A process that is killed as soon as it has used what it was given must not be given it again.
+TEST(ResendBudgetTest, givesNothingToAProcessForItsStart)
+{
+    ResendModel model({0, 52, 10s}, 3, 3);
+    for (auto passed = 0ms; passed < 20s; passed += step) {
+        for (std::size_t router = 0; router < model.routers(); ++router) {
+            model.send(router, 1, 20, ResendPurpose::BegunStream);
+            if (passed % 300ms == 0ms) {
+                model.kill(router, step);
+            }
+        }
+        model.advance(step);
+    }
+    EXPECT_LE(model.excess(), 0);
+}
+
+// Nothing fails for two windows, and then everything: what was saved and what is earned meanwhile fall into one window.
+TEST(ResendBudgetTest, bearsWhatItSavedBesideWhatItEarns)
+{
+    ResendModel model({0.2, 0, 10s}, 3, 3);
+    for (auto passed = 0ms; passed < 30s; passed += step) {
+        for (std::size_t router = 0; router < model.routers(); ++router) {
+            model.send(router, 10, passed < 20s ? 0 : 20, ResendPurpose::BegunStream);
+        }
+        model.advance(step);
+    }
+    EXPECT_GT(model.resends(), 400U);
+    EXPECT_LE(model.excess(), 0);
+}
+
 // All routers together, each with its own part of the requests, against the limits that the service has in any window.
 TEST(ResendBudgetTest, keepsTheSumOfAllRoutersWithinTheLimits)
 {
--- a/tests/auto/router/tst_attempttracker.cpp
+++ b/tests/auto/router/tst_attempttracker.cpp
@@ -64,7 +64,7 @@
 public:
     explicit World(bool isIdempotent)
         : m_isIdempotent(isIdempotent)
-        , m_budget(0.1, 100)
+        , m_budget(0.1, 100, 100)
         , m_tracker(policy(isIdempotent), m_budget)
     {
         take(m_tracker.start());
@@ -228,7 +228,7 @@
         return tracker;
     }
 
-    RetryBudget m_budget{0.1, 10};
+    RetryBudget m_budget{0.1, 10, 10};
 };
 
 template<typename Action>
@@ -317,9 +317,22 @@
     EXPECT_EQ(find<FailRequest>(actions)->retryAfter, 7ms);
 }
 
+// A router that is killed again and again while backend servers fail would get all that can be saved up with each start.
+TEST(RetryBudgetTest, givesLittleAnewWithEachStart)
+{
+    int taken = 0;
+    for (int start = 0; start < 5; ++start) {
+        RetryBudget budget(0.1, 200, 10);
+        while (budget.tryTake()) {
+            ++taken;
+        }
+    }
+    EXPECT_EQ(taken, 50);
+}
+
 TEST(RetryBudgetTest, isAFractionOfSuccessesAndBounded)
 {
-    RetryBudget budget(0.5, 2);
+    RetryBudget budget(0.5, 2, 2);
     EXPECT_TRUE(budget.tryTake());
     EXPECT_TRUE(budget.tryTake());
     EXPECT_FALSE(budget.tryTake());
