--- a/src/libs/decisions/relay/resendbudget.cpp
+++ b/src/libs/decisions/relay/resendbudget.cpp
@@ -22,14 +22,17 @@
 // What callers sent while a process stood still is read by then.
 constexpr std::chrono::milliseconds backlogTime{500};
 
-// The part of a full bucket that a purpose has to leave: moves to the failures that follow them, failures to streams that would break off.
+// Parts of a full bucket that moves leave to the failures that follow them, and failures to streams that would break off.
+constexpr double partLeftByMoves = 0.5;
+constexpr double partLeftByFailures = 0.1;
+
 double leftPart(ResendPurpose purpose)
 {
     switch (purpose) {
     case ResendPurpose::Move:
-        return 0.5;
+        return partLeftByMoves;
     case ResendPurpose::Failure:
-        return 0.1;
+        return partLeftByFailures;
     case ResendPurpose::BegunStream:
         return 0;
     }
--- a/src/libs/relay/resendwaits.cpp
+++ b/src/libs/relay/resendwaits.cpp
@@ -13,6 +13,7 @@
 // Within it most services earn a resend; longer, and callers are better off to ask another router.
 constexpr milliseconds patience{500};
 
+// A small part of any latency target.
 constexpr milliseconds lookPeriod{20};
 
 // More cannot be granted within their patience at the pace at which a budget fills.
