--- a/tests/auto/platform/tst_platformpath.cpp
+++ b/tests/auto/platform/tst_platformpath.cpp
@@ -214,7 +214,8 @@
     ASSERT_TRUE(deployment.askUntil("answer of version 1"));
     constexpr int requests = 400;
     for (int number = 0; number < requests; ++number) {
-        ASSERT_TRUE(contains(deployment.ask(), "answer of version 1")) << number;
+        const std::string answer = deployment.ask();
+        ASSERT_TRUE(contains(answer, "answer of version 1")) << number << ": " << answer;
     }
 }
 
