Name the identity of requests whose calls were lost

Callers saw requests fail by the hundred while one request ended one backend server after the other, and no log line said which requests are the same one. call_failed names it now, a digest of organisation, method, host, path and body, so that repeats of a request can be told apart from others that were lost beside it.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -144,6 +144,12 @@
     return m_attempts.runs > 0 || (m_call != nullptr && m_call->hasSent());
 }
 
+Decisions::RequestIdentity RelayedRequest::identity() const
+{
+    const std::string_view organisation = m_organisation != nullptr ? std::string_view(m_organisation->name) : std::string_view();
+    return Decisions::RequestIdentity::of({organisation, m_head.method, m_query.host, m_query.path, m_body});
+}
+
 bool RelayedRequest::admit()
 {
     auto query = m_context.protocol.readQuery(m_head, m_arrival);
@@ -454,6 +460,7 @@
             {"runs", std::to_string(m_attempts.runs)},
             {"arrivals", std::to_string(m_arrivals)},
             {"service", m_service},
+            {"identity", failure == CallFailure::Lost ? identity().text() : ""},
             {"resends_left", std::to_string(static_cast<int>(balance.left))},
             {"routers", std::to_string(balance.routers)},
             {"after_ms", text(sinceArrival())},
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -9,6 +9,7 @@
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/relaydirectory.h>
 #include <decisions/relay/relayfleet.h>
+#include <decisions/relay/requestidentity.h>
 #include <decisions/relay/resendbudget.h>
 #include <decisions/spread/randomsource.h>
 #include <eventloop/timer.h>
@@ -76,6 +77,7 @@
     void takeVerdict(const Decisions::UsageVerdict &verdict);
     void releaseUsage();
     bool mayHaveRun() const;
+    Decisions::RequestIdentity identity() const;
     void dispatch();
     Decisions::FleetQuery fleetQuery();
     void moveIfHoldingUp();
