--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -89,11 +89,13 @@
 
     bool runUntil(const std::function<bool()> &isDone);
 
+    /// \brief A loopback number of this deployment's own.
+    std::string hostNumber(std::size_t index) const;
+
     /// \brief Where callers reach a router.
     Http::Endpoint callersEndpoint(std::size_t router = 0) const;
 
 private:
-    std::string hostNumber(std::size_t index) const;
     std::string hostFile(const std::string &name, const std::string &ip, const std::string &more) const;
     void startRouter(std::size_t index);
     void startAgent();
