Keep a request that crashes its servers from more of them, on all routers together

Callers saw streams of all kinds break off for a minute: one request ended 53 engines, as each of its repeats, at any router, was tried on two more of them. The cause: what a router knew of a request ended with the caller's attempt.

A lost connection is a crash only if a connection to the same address is refused right after, or the register shows another life. Each router puts the crash, by request and life of the server, into a table of the store that all follow, and tells the others by datagram. After crashes of two servers without a success in between a request runs only as a trial, granted by a conditional write in that table, so one at a time in the fleet, with pauses that grow. A whole answer frees it everywhere, so what only ran beside is not held back. Turned away is 503 if it never reached a server, else 502.

Why it holds: records are equal whoever made them and merge in any order; the table outlives all processes; a trial is a conditional write, so no two routers grant the same one.

RelayedRequest gives what it reports and what it claims of usage caps to classes of their own.

--- a/src/libs/decisions/relay/routercensus.cpp
+++ b/src/libs/decisions/relay/routercensus.cpp
@@ -49,4 +49,14 @@
     return first;
 }
 
+std::vector<std::string> RouterCensus::addresses() const
+{
+    std::vector<std::string> addresses;
+    addresses.reserve(m_deadlines.size());
+    for (const auto &[address, deadline] : m_deadlines) {
+        addresses.push_back(address);
+    }
+    return addresses;
+}
+
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/routercensus.h
+++ b/src/libs/decisions/relay/routercensus.h
@@ -27,6 +27,9 @@
     /// \brief Whether any router has been named.
     bool isAnyNamed() const;
 
+    /// \brief Addresses of the routers that were named lately.
+    std::vector<std::string> addresses() const;
+
     /// \brief Up to \a most of the routers that were named lately: the same ones on every router that knows them all.
     std::vector<std::string> elected(std::size_t most) const;
 
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -54,8 +54,9 @@
     const int status = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&endpoint.address), sizeof endpoint.address);
     if (status != 0 && errno != EINPROGRESS) {
         const std::string reason = std::strerror(errno);
+        const Core::ErrorCode code = errno == ECONNREFUSED ? Core::ErrorCode::NotFound : Core::ErrorCode::Unavailable;
         close(descriptor);
-        return Core::Error{Core::ErrorCode::Unavailable, "http.connect", endpoint.toString(), reason};
+        return Core::Error{code, "http.connect", endpoint.toString(), reason};
     }
     return std::unique_ptr<TcpChannel>(new TcpChannel(loop, descriptor, observer, status == 0));
 }
@@ -123,6 +124,11 @@
     return m_isConnected;
 }
 
+bool TcpChannel::isRefused() const
+{
+    return m_isRefused;
+}
+
 void TcpChannel::setReading(bool isReading)
 {
     m_isReading = isReading;
@@ -196,6 +202,7 @@
     int error = 0;
     socklen_t size = sizeof error;
     if (getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+        m_isRefused = error == ECONNREFUSED;
         return false;
     }
     m_isConnected = true;
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -48,7 +48,7 @@
 class TcpChannel
 {
 public:
-    /// \brief Begins to connect to \a endpoint. Errors: Unavailable, if the kernel refuses at once.
+    /// \brief Begins to connect to \a endpoint. Errors: NotFound, if it is known at once that nobody listens there; Unavailable, if the kernel refuses.
     static Core::Result<std::unique_ptr<TcpChannel>> connect(EventLoop::Loop &loop, const Endpoint &endpoint, ChannelObserver &observer);
 
     /// \brief Takes over the accepted socket \a descriptor.
@@ -69,6 +69,9 @@
 
     bool isConnected() const;
 
+    /// \brief Whether the host answered that nobody listens there.
+    bool isRefused() const;
+
     /// \brief Pauses or resumes reading, so that the far side has to wait.
     void setReading(bool isReading);
 
@@ -96,6 +99,7 @@
     std::string m_output;
     std::size_t m_outputOffset = 0;
     bool m_isConnected;
+    bool m_isRefused = false;
     bool m_isReading = true;
     bool m_isEnded = false; ///< The far side sends nothing more.
     bool m_isBroken = false;
--- /dev/null
+++ b/src/libs/relay/connectcheck.cpp
@@ -0,0 +1,51 @@
+#include "connectcheck.h"
+
+#include <eventloop/loop.h>
+
+namespace Verbena::Relay {
+
+ConnectCheck::ConnectCheck(EventLoop::Loop &loop, const Http::Endpoint &endpoint, Core::TimePoint deadline, Callback done)
+    : m_loop(loop)
+    , m_done(std::move(done))
+    , m_timer(loop, [this] {
+        // Moved out, as the check may end with the call.
+        const Callback tell = std::move(m_done);
+        tell(m_finding);
+    })
+{
+    auto channel = Http::TcpChannel::connect(loop, endpoint, *this);
+    if (!channel) {
+        find(channel.error().code == Core::ErrorCode::NotFound ? Finding::Refused : Finding::Unknown);
+        return;
+    }
+    m_channel = std::move(channel.value());
+    m_timer.startAt(deadline);
+    if (m_channel->isConnected()) {
+        find(Finding::Listening);
+    }
+}
+
+ConnectCheck::~ConnectCheck() = default;
+
+// Told by the timer, so that nobody destroys the channel in its own call.
+void ConnectCheck::find(Finding finding)
+{
+    m_finding = finding;
+    m_timer.startAt(m_loop.now());
+}
+
+void ConnectCheck::receiveBytes(std::string_view)
+{
+}
+
+void ConnectCheck::receiveEnd(Http::ChannelEnd)
+{
+    find(m_channel->isRefused() ? Finding::Refused : Finding::Listening);
+}
+
+void ConnectCheck::outputDrained()
+{
+    find(Finding::Listening);
+}
+
+} // namespace Verbena::Relay
--- /dev/null
+++ b/src/libs/relay/crashguard.cpp
@@ -0,0 +1,383 @@
+#include "crashguard.h"
+
+#include "relayevents.h"
+
+#include <decisions/relay/crashrow.h>
+#include <eventloop/loop.h>
+#include <observe/eventlog.h>
+
+#include <utility>
+
+namespace Verbena::Relay {
+
+using Decisions::CrashRecord;
+using Decisions::RequestIdentity;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using Store::TableRow;
+
+namespace {
+
+constexpr const char *crashTable = "verbena_crashes";
+
+// Changes are taken at once: until all routers know of a crash, its request goes on to other servers.
+constexpr milliseconds followPause{0};
+
+// Many times the way to any backend server; a request that could be sent again waits no longer for it.
+constexpr milliseconds checkTime{50};
+
+// For how long a server that ended is remembered, and the register may still tell that one did: its entries lapse seconds after it.
+constexpr milliseconds endedTime{6000};
+
+constexpr milliseconds lookPeriod{500};
+constexpr milliseconds storeAnswerTime{700};
+
+// A trial elsewhere ends within moments, mostly.
+constexpr milliseconds trialTime{500};
+
+// Told to all routers in each look while the store is away.
+constexpr std::size_t mostTold = 64;
+
+std::string lifeOf(const LostCall &call)
+{
+    return call.serverId + '.' + std::to_string(call.incarnation);
+}
+
+TableRow rowOf(const CrashRecord &record, bool isDeleted)
+{
+    return {Decisions::rowKey(record), isDeleted ? "" : record.organisation, 0, isDeleted};
+}
+
+} // namespace
+
+Core::Result<std::unique_ptr<CrashGuard>> CrashGuard::create(
+    EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, Store::RowStore &store, const Http::Endpoint &address, RelayTask &relay)
+{
+    std::unique_ptr<CrashGuard> guard(new CrashGuard(loop, source, mirror, store, relay));
+    auto news = CrashNews::create(loop, address, [raw = guard.get()](const TableRow &row) { raw->takeRow(row, "router"); });
+    if (!news) {
+        return news.error();
+    }
+    guard->m_news = std::move(news.value());
+    relay.setCrashControl(guard.get());
+    return guard;
+}
+
+CrashGuard::CrashGuard(EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, Store::RowStore &store, RelayTask &relay)
+    : m_loop(loop)
+    , m_mirror(mirror)
+    , m_store(store)
+    , m_relay(relay)
+    , m_writer(loop, store, crashTable)
+    , m_timer(loop, [this] { look(); })
+    , m_follower(loop, source, crashTable, followPause, *this)
+{
+    m_timer.startAt(loop.now() + lookPeriod);
+}
+
+CrashGuard::~CrashGuard()
+{
+    m_relay.setCrashControl(nullptr);
+}
+
+bool CrashGuard::hasRecords() const
+{
+    return !m_ledger.isEmpty();
+}
+
+bool CrashGuard::isSuspected(const RequestIdentity &request) const
+{
+    return m_ledger.isSuspected(request);
+}
+
+// A server that was leaving, or whose entry had gone before, may end without a crash.
+bool CrashGuard::isStaying(const LostCall &call) const
+{
+    const auto &servers = m_relay.fleet().servers().servers();
+    const auto known = servers.find(call.serverId);
+    return known != servers.end() && !known->second.isLeaving;
+}
+
+// Whether the register says that the life of the call's server is over.
+bool CrashGuard::hasEnded(const LostCall &call) const
+{
+    const auto &servers = m_relay.fleet().servers().servers();
+    const auto known = servers.find(call.serverId);
+    return known == servers.end() || (call.incarnation != 0 && known->second.incarnation != call.incarnation);
+}
+
+std::uint64_t CrashGuard::noteLost(const LostCall &call, CheckCallback done)
+{
+    const std::string life = lifeOf(call);
+    if (m_ended.contains(life)) {
+        record(call, "seen before");
+        done();
+        return 0;
+    }
+    const auto endpoint = Http::Endpoint::parse(call.address);
+    if (!isStaying(call) || !endpoint) {
+        done();
+        return 0;
+    }
+    Check &check = m_checks[life];
+    check.deadline = m_loop.now() + endedTime;
+    check.suspicions.push_back({call, ++m_lastNumber, std::move(done)});
+    if (check.check == nullptr) {
+        check.check = std::make_unique<ConnectCheck>(
+            m_loop, endpoint.value(), m_loop.now() + checkTime, [this, life](ConnectCheck::Finding finding) { takeFinding(life, finding); });
+    }
+    return m_lastNumber;
+}
+
+void CrashGuard::takeFinding(const std::string &life, ConnectCheck::Finding finding)
+{
+    Check &check = m_checks[life];
+    const std::unique_ptr<ConnectCheck> ended = std::move(check.check);
+    std::vector<CheckCallback> callbacks;
+    for (Suspicion &suspicion : std::exchange(check.suspicions, {})) {
+        if (finding == ConnectCheck::Finding::Refused) {
+            record(suspicion.call, "connection refused");
+        } else {
+            check.doubtful.push_back(suspicion.call);
+        }
+        if (suspicion.done) {
+            callbacks.push_back(std::move(suspicion.done));
+        }
+    }
+    if (finding == ConnectCheck::Finding::Refused) {
+        m_ended[life] = m_loop.now() + endedTime;
+        m_checks.erase(life);
+    }
+    for (const CheckCallback &done : callbacks) {
+        done();
+    }
+}
+
+void CrashGuard::record(const LostCall &call, const char *proof)
+{
+    const CrashRecord crash{call.request, lifeOf(call), call.organisation};
+    if (!m_ledger.note(crash, m_loop.now())) {
+        return;
+    }
+    m_writer.write(Decisions::rowKey(crash), crash.organisation);
+    tell({rowOf(crash, false)});
+    m_relay.metrics().count("crashes_seen_total");
+    Observe::log(crashCounted,
+        {{"identity", crash.request.text()},
+            {"organisation", crash.organisation},
+            {"server", crash.server},
+            {"request", call.attemptId},
+            {"proof", proof},
+            {"told_by", "this router"},
+            {"crashes", std::to_string(m_ledger.crashes(crash.request))}});
+    showGauges();
+}
+
+void CrashGuard::noteServed(const RequestIdentity &request)
+{
+    const std::uint32_t trials = m_ledger.trials(request).count;
+    const std::vector<CrashRecord> records = m_ledger.clear(request, m_loop.now());
+    if (records.empty()) {
+        return;
+    }
+    std::vector<TableRow> rows;
+    for (const CrashRecord &record : records) {
+        m_writer.write(Decisions::rowKey(record), std::nullopt);
+        rows.push_back(rowOf(record, true));
+    }
+    if (trials > 0) {
+        m_writer.write(Decisions::trialKey(request), std::nullopt);
+    }
+    tell(rows);
+    if (records.size() >= Decisions::CrashLedger::suspectedFrom) {
+        Observe::log(requestCleared, {{"identity", request.text()}, {"crashes", std::to_string(records.size())}, {"trials", std::to_string(trials)}});
+    }
+    showGauges();
+}
+
+std::uint64_t CrashGuard::claimTrial(const RequestIdentity &request, TrialCallback done)
+{
+    const Core::TimePoint now = m_loop.now();
+    const Decisions::CrashLedger::Trials trials = m_ledger.trials(request);
+    if (now < trials.nextTime) {
+        done({false, std::chrono::ceil<milliseconds>(trials.nextTime - now)});
+        return 0;
+    }
+    if (m_isStoreLost || m_claims.contains(request)) {
+        done({false, trialTime});
+        return 0;
+    }
+    m_claims[request] = {++m_lastNumber, std::move(done), trials.count + 1};
+    const auto take = [this, request](const Store::CommitAnswer &answer) {
+        takeClaim(request, answer);
+    };
+    m_store.commit(
+        crashTable, {{Decisions::trialKey(request), std::to_string(trials.count + 1), trials.revision}}, now + storeAnswerTime, m_lifetime.guard(take));
+    return m_lastNumber;
+}
+
+void CrashGuard::takeClaim(const RequestIdentity &request, const Store::CommitAnswer &answer)
+{
+    const Claim claim = std::move(m_claims[request]);
+    m_claims.erase(request);
+    followTrials(request, answer, claim.count);
+    const bool isGranted = answer.outcome == Store::CommitOutcome::Committed;
+    Observe::log(trialDecided,
+        {{"identity", request.text()},
+            {"granted", isGranted ? "yes" : "no"},
+            {"trial", std::to_string(claim.count)},
+            {"crashes", std::to_string(m_ledger.crashes(request))},
+            {"detail", answer.detail}});
+    m_relay.metrics().count(isGranted ? "trials_granted_total" : "trials_refused_total");
+    if (claim.done) {
+        claim.done({isGranted, trialTime});
+    } else if (isGranted) {
+        giveBackTrial(request);
+    }
+}
+
+void CrashGuard::followTrials(const RequestIdentity &request, const Store::CommitAnswer &answer, std::uint32_t count)
+{
+    if (answer.outcome == Store::CommitOutcome::Committed) {
+        m_ledger.noteTrials(request, count, answer.revision, m_loop.now());
+        return;
+    }
+    if (answer.outcome == Store::CommitOutcome::Conflict && answer.current.empty()) {
+        m_ledger.forgetTrials(request);
+    }
+    for (const TableRow &row : answer.current) {
+        takeRow(row, "store");
+    }
+}
+
+void CrashGuard::giveBackTrial(const RequestIdentity &request)
+{
+    const std::uint32_t count = m_ledger.trials(request).count;
+    if (count > 1) {
+        m_writer.write(Decisions::trialKey(request), std::to_string(count - 1));
+    } else {
+        m_writer.write(Decisions::trialKey(request), std::nullopt);
+        m_ledger.forgetTrials(request);
+    }
+}
+
+void CrashGuard::withdraw(std::uint64_t number)
+{
+    for (auto &[request, claim] : m_claims) {
+        if (claim.number == number) {
+            claim.done = nullptr;
+        }
+    }
+    for (auto &[life, check] : m_checks) {
+        for (Suspicion &suspicion : check.suspicions) {
+            if (suspicion.number == number) {
+                suspicion.done = nullptr;
+            }
+        }
+    }
+}
+
+void CrashGuard::replaceRows(const std::string &table, const Store::RowPage &page)
+{
+    m_mirror.replace(table, page);
+    for (const TableRow &row : page.rows) {
+        takeRow(row, "store");
+    }
+}
+
+void CrashGuard::changeRows(const std::string &table, const Store::RowPage &page)
+{
+    m_mirror.change(table, page);
+    for (const TableRow &row : page.rows) {
+        takeRow(row, "store");
+    }
+}
+
+void CrashGuard::takeRow(const TableRow &row, const char *toldBy)
+{
+    const auto decoded = Decisions::decodeCrashRow(row.key, row.isDeleted ? "" : row.value);
+    if (!decoded) {
+        Observe::log(crashRowRefused, decoded.error(), {{"row", row.key}});
+        return;
+    }
+    if (const auto *record = std::get_if<CrashRecord>(&decoded.value())) {
+        takeRecord(*record, row.isDeleted, toldBy);
+        return;
+    }
+    const auto &trials = std::get<Decisions::TrialCount>(decoded.value());
+    if (row.isDeleted) {
+        m_ledger.forgetTrials(trials.request);
+    } else {
+        m_ledger.noteTrials(trials.request, trials.count, row.revision, m_loop.now());
+    }
+}
+
+void CrashGuard::takeRecord(const CrashRecord &record, bool isDeleted, const char *toldBy)
+{
+    if (isDeleted) {
+        m_ledger.takeBack(record.key(), m_loop.now());
+    } else if (m_ledger.note(record, m_loop.now())) {
+        Observe::log(crashCounted,
+            {{"identity", record.request.text()},
+                {"organisation", record.organisation},
+                {"server", record.server},
+                {"request", ""},
+                {"proof", ""},
+                {"told_by", toldBy},
+                {"crashes", std::to_string(m_ledger.crashes(record.request))}});
+    }
+    showGauges();
+}
+
+void CrashGuard::sourceLost(const std::string &table, const Core::Error &error)
+{
+    m_isStoreLost = true;
+    Observe::log(feedLost, error, {{"table", table}});
+}
+
+void CrashGuard::sourceRegained(const std::string &table)
+{
+    m_isStoreLost = false;
+    Observe::log(feedRegained, {{"table", table}});
+}
+
+void CrashGuard::tell(const std::vector<TableRow> &rows)
+{
+    m_news->tell(m_relay.routerAddresses(), rows);
+}
+
+// A router that slept, or was cut off, learns of a loss after its server is back; then the register tells that the server's life is another one.
+void CrashGuard::look()
+{
+    const Core::TimePoint now = m_loop.now();
+    for (auto &[life, check] : m_checks) {
+        if (!check.doubtful.empty() && hasEnded(check.doubtful.front())) {
+            for (const LostCall &call : std::exchange(check.doubtful, {})) {
+                record(call, "register");
+            }
+        }
+    }
+    std::erase_if(m_checks, [now](const auto &check) { return check.second.check == nullptr && now >= check.second.deadline; });
+    std::erase_if(m_ended, [now](const auto &ended) { return now >= ended.second; });
+    for (const CrashRecord &expired : m_ledger.expire(now)) {
+        if (m_relay.isOneOfFew()) {
+            m_writer.write(Decisions::rowKey(expired), std::nullopt);
+            m_writer.write(Decisions::trialKey(expired.request), std::nullopt);
+        }
+    }
+    if (m_isStoreLost) {
+        std::vector<TableRow> rows;
+        for (const CrashRecord &record : m_ledger.suspicions(mostTold)) {
+            rows.push_back(rowOf(record, false));
+        }
+        tell(rows);
+    }
+    m_timer.startAt(now + lookPeriod);
+}
+
+void CrashGuard::showGauges()
+{
+    m_relay.metrics().setGauge("requests_suspected", static_cast<double>(m_ledger.suspectedCount()));
+}
+
+} // namespace Verbena::Relay
--- /dev/null
+++ b/src/libs/relay/crashticket.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "crashcontrol.h"
+
+#include <functional>
+#include <optional>
+
+namespace Verbena::Relay {
+
+/// \brief What one request has to do with crashes: whether it may go to a backend server, and what becomes of it there.
+class CrashTicket
+{
+public:
+    /// \brief \a control may be nothing; \a identity is asked for once it is needed.
+    CrashTicket(CrashControl *control, std::function<Decisions::RequestIdentity()> identity);
+    ~CrashTicket();
+
+    CrashTicket(const CrashTicket &) = delete;
+    CrashTicket &operator=(const CrashTicket &) = delete;
+
+    /// \brief Whether the request may go only as a trial.
+    bool isSuspected();
+
+    /// \brief Whether it may go nowhere any more after \a arrivals at backend servers: one trial is one arrival.
+    bool isBarred(std::uint32_t arrivals);
+
+    /// \brief Asks whether the request may go as a trial.
+    void claimTrial(CrashControl::TrialCallback done);
+
+    /// \brief The call was lost; calls \a done once it is known whether its server ended. \a done may be called at once.
+    void noteLost(LostCall call, CrashControl::CheckCallback done);
+
+    /// \brief The request was answered whole, with success or not.
+    void noteAnswered(bool isSuccess);
+
+    /// \brief The request is over; a trial that reached no backend server goes back.
+    void end(bool mayHaveRun);
+
+    /// \brief The digest of the request.
+    const Decisions::RequestIdentity &identity();
+
+private:
+    CrashControl *m_control;
+    std::function<Decisions::RequestIdentity()> m_makeIdentity;
+    std::optional<Decisions::RequestIdentity> m_identity;
+    std::uint64_t m_number = 0; ///< Of the open question.
+    bool m_isTrial = false;
+};
+
+} // namespace Verbena::Relay
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -1,6 +1,7 @@
 #include "relayedrequest.h"
 
 #include "relayevents.h"
+#include "requestreport.h"
 
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
@@ -72,18 +73,21 @@
     , m_arrival(context.loop.now())
     , m_deadlineTimer(context.loop, [this] { onDeadline(); })
     , m_weightsTimer(context.loop, [this] { onWeightsTooOld(); })
+    , m_usage(context.usage)
+    , m_crashes(context.crashes, [this] { return identity(); })
 {
 }
 
 RelayedRequest::~RelayedRequest()
 {
     m_context.waits.withdraw(m_waitNumber);
+    m_crashes.end(mayHaveRun());
     if (m_isUnanswered) {
         m_context.fleet.noteAbandoned(*m_choice);
     }
     if (!m_isDone) {
         if (!mayHaveRun()) {
-            releaseUsage();
+            m_usage.release();
         }
         m_context.metrics.count("requests_left_total");
         Observe::log(callerLeft,
@@ -99,44 +103,25 @@
     if (!admit()) {
         return;
     }
-    if (m_organisation != nullptr && m_organisation->usageCap.has_value() && m_context.usage != nullptr) {
+    if (m_organisation != nullptr && m_organisation->usageCap.has_value() && m_usage.isKept()) {
         claimUsage();
     } else {
-        dispatch();
+        begin();
     }
 }
 
 void RelayedRequest::claimUsage()
 {
     const Decisions::UsageCap &cap = *m_organisation->usageCap;
-    m_claim = Decisions::UsageClaim{m_organisation->name, cap, m_directory->version(), usageCost(cap, m_query.tokens)};
-    m_claimNumber = m_context.usage->claim(*m_claim, [this](const Decisions::UsageVerdict &verdict) { takeVerdict(verdict); });
-}
-
-void RelayedRequest::takeVerdict(const Decisions::UsageVerdict &verdict)
-{
-    m_claimNumber = 0;
-    if (verdict.isGranted) {
-        m_isCharged = true;
-        dispatch();
-        return;
-    }
-    m_context.metrics.count("requests_over_cap_total");
-    const auto patience = duration_cast<std::chrono::microseconds>(m_deadline - m_context.loop.now());
-    refuse(429, "The usage cap of the organisation is reached; it has not run.", Decisions::comeBackWithin(verdict.comeBack, patience));
-}
-
-// What did not run, and never will, leaves its part of the cap to others.
-void RelayedRequest::releaseUsage()
-{
-    if (m_claimNumber != 0) {
-        m_context.usage->withdraw(m_claimNumber);
-        m_claimNumber = 0;
-    }
-    if (m_isCharged) {
-        m_isCharged = false;
-        m_context.usage->giveBack(*m_claim);
-    }
+    const Decisions::UsageClaim claim{m_organisation->name, cap, m_directory->version(), usageCost(cap, m_query.tokens)};
+    m_usage.claim(claim, [this](const Decisions::UsageVerdict &verdict) {
+        if (verdict.isGranted) {
+            begin();
+            return;
+        }
+        m_context.metrics.count("requests_over_cap_total");
+        refuse(429, "The usage cap of the organisation is reached; it has not run.", Decisions::comeBackWithin(verdict.comeBack, patience()));
+    });
 }
 
 bool RelayedRequest::mayHaveRun() const
@@ -146,8 +131,12 @@
 
 Decisions::RequestIdentity RelayedRequest::identity() const
 {
-    const std::string_view organisation = m_organisation != nullptr ? std::string_view(m_organisation->name) : std::string_view();
-    return Decisions::RequestIdentity::of({organisation, m_head.method, m_query.host, m_query.path, m_body});
+    return Decisions::RequestIdentity::of({organisationName(), m_head.method, m_query.host, m_query.path, m_body});
+}
+
+std::string RelayedRequest::organisationName() const
+{
+    return m_organisation != nullptr ? m_organisation->name : "";
 }
 
 bool RelayedRequest::admit()
@@ -198,6 +187,35 @@
     return query;
 }
 
+// A request under which several backend servers ended goes to one only as a trial, which is granted to one router at a time.
+void RelayedRequest::begin()
+{
+    if (!m_crashes.isSuspected()) {
+        dispatch();
+        return;
+    }
+    m_crashes.claimTrial([this](const TrialVerdict &verdict) {
+        if (verdict.isGranted) {
+            dispatch();
+            return;
+        }
+        noteBarred("turned away");
+        refuse(503, "Backend servers ended under this request; it has not run.", Decisions::comeBackWithin(verdict.comeBack, patience()));
+    });
+}
+
+void RelayedRequest::noteBarred(const char *outcome)
+{
+    m_context.metrics.count("requests_barred_total");
+    Observe::log(requestBarred,
+        {{"request", m_query.attemptId},
+            {"identity", m_crashes.identity().text()},
+            {"organisation", organisationName()},
+            {"route", m_route->name},
+            {"outcome", outcome},
+            {"arrivals", std::to_string(m_arrivals)}});
+}
+
 void RelayedRequest::dispatch()
 {
     while (!m_isDone) {
@@ -217,8 +235,7 @@
     if (m_attempts.sends > 0 || !choice.expectedWait.has_value()) {
         return false;
     }
-    const auto patience = duration_cast<std::chrono::microseconds>(m_deadline - m_context.loop.now());
-    const auto comeBack = Decisions::refuseUntil({*choice.expectedWait, choice.bearableWait, patience});
+    const auto comeBack = Decisions::refuseUntil({*choice.expectedWait, choice.bearableWait, patience()});
     if (!comeBack.has_value()) {
         return false;
     }
@@ -259,7 +276,7 @@
 {
     CallContext context;
     context.serverId = choice.serverId;
-    context.organisation = m_organisation != nullptr ? m_organisation->name : "";
+    context.organisation = organisationName();
     const auto left = duration_cast<milliseconds>(m_deadline - m_context.loop.now()) - wayMargin;
     context.timeLeft = std::max(milliseconds(1), left);
     context.weightsVersion = choice.weightsVersion;
@@ -291,7 +308,7 @@
 {
     const AnswerMarks marks = m_context.protocol.readAnswer(head);
     if (!marks.attemptId.empty() && !m_query.attemptId.empty() && marks.attemptId != m_query.attemptId) {
-        callFailed(CallFailure::Lost, "the answer belongs to another request");
+        takeFailure(CallFailure::Lost, "the answer belongs to another request");
         return;
     }
     if (marks.isNotRun || marks.isMisdirected) {
@@ -302,11 +319,11 @@
         m_context.fleet.noteWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
     }
     if ((isSuccess(head.status) && !marks.hasReceipt) || isPromise(head.status)) {
-        callFailed(CallFailure::Lost, "the answer is not that of a backend server");
+        takeFailure(CallFailure::Lost, "the answer is not that of a backend server");
         return;
     }
     if (m_attempts.isAnswerBegun && !isSuccess(head.status)) {
-        callFailed(CallFailure::Lost, "the stream cannot be resumed there");
+        takeFailure(CallFailure::Lost, "the stream cannot be resumed there");
         return;
     }
     m_isServerError = head.status >= 500;
@@ -326,7 +343,7 @@
     if (marks.weightsVersion.has_value() && m_query.prompt.has_value() && !isOther) {
         m_context.fleet.noteWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
     }
-    callFailed(CallFailure::NotRun, marks.isMisdirected ? "another backend server or other weights are there" : "refused");
+    takeFailure(CallFailure::NotRun, marks.isMisdirected ? "another backend server or other weights are there" : "refused");
 }
 
 void RelayedRequest::receiveAnswerBody(std::string_view data)
@@ -382,7 +399,8 @@
 {
     const Core::TimePoint now = m_context.loop.now();
     const bool isMovable = m_route->isResumable && m_cutter.lastId().has_value() && !m_call->isWhole() && mayBeMoved(m_attempts);
-    if (!isMovable || now < m_nextMove || now + leastTimeLeft >= m_deadline || !m_context.fleet.isHeldUpFromLoading(*m_choice, now)) {
+    if (!isMovable || m_crashes.isSuspected() || now < m_nextMove || now + leastTimeLeft >= m_deadline
+        || !m_context.fleet.isHeldUpFromLoading(*m_choice, now)) {
         return;
     }
     m_nextMove = now + movePause;
@@ -419,9 +437,10 @@
 {
     noteFirstPart();
     if (m_isServerError && !m_attempts.isAnswerBegun) {
-        callFailed(CallFailure::ServerError, "the backend server failed");
+        takeFailure(CallFailure::ServerError, "the backend server failed");
         return;
     }
+    m_crashes.noteAnswered(isSuccess(m_answerHead.status));
     if (m_relaying == Relaying::Holding && !m_attempts.isAnswerBegun) {
         finish(AttemptAction::PassAnswer);
         return;
@@ -433,14 +452,36 @@
     logOutcome(m_answerHead.status, "answered");
 }
 
+// The connection itself has ended, perhaps as the backend server has. A request that could be sent again waits until that is known.
 void RelayedRequest::callFailed(CallFailure failure, std::string_view reason)
 {
-    const Core::TimePoint now = m_context.loop.now();
+    if (failure != CallFailure::Lost) {
+        takeFailure(failure, reason);
+        return;
+    }
+    closeCall(failure);
+    const LostCall call{{}, m_query.attemptId, organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address};
+    if (mayBeSentAgainInTime(failure)) {
+        m_crashes.noteLost(call, [this, failure, text = std::string(reason)] { decide(failure, text); });
+    } else {
+        m_crashes.noteLost(call, [] {});
+        decide(failure, reason);
+    }
+}
+
+void RelayedRequest::takeFailure(CallFailure failure, std::string_view reason)
+{
+    closeCall(failure);
+    decide(failure, reason);
+}
+
+void RelayedRequest::closeCall(CallFailure failure)
+{
     const bool hasSent = m_call->hasSent();
     if (m_isUnanswered) {
         m_isUnanswered = false;
         const bool isUnreachable = failure == CallFailure::NotSent || failure == CallFailure::Lost;
-        m_context.fleet.noteTrouble(*m_choice, isUnreachable ? Decisions::ServerTrouble::Unreachable : Decisions::ServerTrouble::Full, now);
+        m_context.fleet.noteTrouble(*m_choice, isUnreachable ? Decisions::ServerTrouble::Unreachable : Decisions::ServerTrouble::Full, m_context.loop.now());
     }
     m_call.reset();
     m_cutter.dropPending();
@@ -448,7 +489,11 @@
         ++m_attempts.runs;
     }
     m_arrivals += hasSent ? 1 : 0;
-    const Decisions::ResendBalance balance = m_context.budget.balance(m_service, resendPurpose(), now);
+}
+
+void RelayedRequest::decide(CallFailure failure, std::string_view reason)
+{
+    const Decisions::ResendBalance balance = m_context.budget.balance(m_service, resendPurpose(), m_context.loop.now());
     const AttemptAction action = chooseAction(failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
     Observe::log(Relay::callFailedEvent,
@@ -460,7 +505,7 @@
             {"runs", std::to_string(m_attempts.runs)},
             {"arrivals", std::to_string(m_arrivals)},
             {"service", m_service},
-            {"identity", failure == CallFailure::Lost ? identity().text() : ""},
+            {"identity", failure == CallFailure::Lost ? m_crashes.identity().text() : ""},
             {"resends_left", std::to_string(static_cast<int>(balance.left))},
             {"routers", std::to_string(balance.routers)},
             {"after_ms", text(sinceArrival())},
@@ -472,10 +517,19 @@
     }
 }
 
+bool RelayedRequest::mayBeSentAgainInTime(CallFailure failure) const
+{
+    return mayBeSentAgain(m_attempts, failure) && m_context.loop.now() + leastTimeLeft < m_deadline;
+}
+
 AttemptAction RelayedRequest::chooseAction(CallFailure failure)
 {
     const Core::TimePoint now = m_context.loop.now();
-    if (!mayBeSentAgain(m_attempts, failure) || now + leastTimeLeft >= m_deadline) {
+    if (!mayBeSentAgainInTime(failure)) {
+        return finalAction(m_attempts, failure);
+    }
+    if (m_crashes.isBarred(m_arrivals)) {
+        noteBarred("not sent again");
         return finalAction(m_attempts, failure);
     }
     if (m_arrivals == 0) {
@@ -497,7 +551,7 @@
     m_waitNumber = m_context.waits.wait(m_service, resendPurpose(), [this, failure](bool isGranted) {
         m_waitNumber = 0;
         m_context.metrics.count(isGranted ? "resends_total" : "resends_refused_total");
-        if (isGranted) {
+        if (isGranted && !m_crashes.isBarred(m_arrivals)) {
             sendAgain();
         } else {
             finish(finalAction(m_attempts, failure));
@@ -599,7 +653,7 @@
     m_isUnanswered = false;
     m_context.fleet.noteAbandoned(*m_choice);
     m_context.metrics.count("calls_called_back_total");
-    callFailed(m_call->hasSent() ? CallFailure::Lost : CallFailure::NotSent, "weights too old before the engine began");
+    takeFailure(m_call->hasSent() ? CallFailure::Lost : CallFailure::NotSent, "weights too old before the engine began");
 }
 
 void RelayedRequest::noteFirstPart()
@@ -619,37 +673,25 @@
 {
     m_isDone = true;
     m_context.waits.withdraw(m_waitNumber);
+    m_crashes.end(mayHaveRun());
     if (status == 503) {
-        releaseUsage();
+        m_usage.release();
     }
     m_deadlineTimer.stop();
     m_weightsTimer.stop();
-    const Observe::TenantLabel label{m_organisation != nullptr ? m_organisation->name : "", m_route != nullptr ? m_route->name : ""};
-    m_context.metrics.count("requests_" + std::to_string(status) + "_total");
-    m_context.metrics.recordSpan("request_seconds", label, sinceArrival());
-    if (m_firstPartAfter.count() >= 0) {
-        m_context.metrics.recordSpan("first_part_seconds", label, m_firstPartAfter);
-    }
-    Observe::log(requestEnded,
-        {{"request", m_query.attemptId},
-            {"status", std::to_string(status)},
-            {"outcome", std::string(outcome)},
-            {"route", label.requestClass},
-            {"organisation", label.organisation},
-            {"service", m_service},
-            {"server", m_choice.has_value() ? m_choice->serverId : ""},
-            {"weights", m_choice.has_value() && m_choice->weightsVersion.has_value() ? std::to_string(*m_choice->weightsVersion) : ""},
-            {"outdated_ms", m_choice.has_value() && m_choice->outdatedFor.has_value() ? text(*m_choice->outdatedFor) : ""},
-            {"warm", m_choice.has_value() ? std::to_string(m_choice->warmParts) + "/" + std::to_string(m_choice->parts.size()) : ""},
-            {"stored", m_choice.has_value() ? std::to_string(m_choice->storedParts) : ""},
-            {"waiting", m_choice.has_value() ? std::to_string(m_choice->waiting) : ""},
-            {"expected_wait_ms", m_choice.has_value() && m_choice->expectedWait.has_value() ? text(duration_cast<milliseconds>(*m_choice->expectedWait)) : ""},
-            {"news_ms", m_choice.has_value() && m_choice->newsAge.has_value() ? text(*m_choice->newsAge) : ""},
-            {"sends", std::to_string(m_attempts.sends)},
-            {"sent_ms", m_attempts.sends > 0 ? text(duration_cast<milliseconds>(m_choice->sentAt - m_arrival)) : ""},
-            {"first_ms", text(m_firstPartAfter)},
-            {"total_ms", text(sinceArrival())},
-            {"configuration", m_directory != nullptr ? std::to_string(m_directory->version()) : ""}});
+    RequestReport report{status, outcome, {organisationName(), m_route != nullptr ? m_route->name : ""}, m_query.attemptId, m_service};
+    report.choice = m_choice.has_value() ? &*m_choice : nullptr;
+    report.sends = m_attempts.sends;
+    report.arrival = m_arrival;
+    report.firstPartAfter = m_firstPartAfter;
+    report.total = sinceArrival();
+    report.configuration = m_directory != nullptr ? m_directory->version() : 0;
+    reportEnd(report, m_context.metrics);
+}
+
+std::chrono::microseconds RelayedRequest::patience() const
+{
+    return duration_cast<std::chrono::microseconds>(m_deadline - m_context.loop.now());
 }
 
 milliseconds RelayedRequest::sinceArrival() const
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -2,9 +2,10 @@
 
 #include "answersink.h"
 #include "backendcall.h"
+#include "crashticket.h"
 #include "relayprotocol.h"
 #include "resendwaits.h"
-#include "usagecontrol.h"
+#include "usageticket.h"
 
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/relaydirectory.h>
@@ -38,6 +39,7 @@
     Decisions::RandomSource &random;
     Observe::Metrics &metrics;
     UsageControl *usage = nullptr; ///< Nothing while no caps are kept.
+    CrashControl *crashes = nullptr; ///< Nothing while nobody follows crashes.
 };
 
 /// \brief Carries one request to a backend server and the answer back; destroying it ends all work for it.
@@ -74,10 +76,10 @@
 
     bool admit();
     void claimUsage();
-    void takeVerdict(const Decisions::UsageVerdict &verdict);
-    void releaseUsage();
     bool mayHaveRun() const;
     Decisions::RequestIdentity identity() const;
+    std::string organisationName() const;
+    void begin();
     void dispatch();
     Decisions::FleetQuery fleetQuery();
     void moveIfHoldingUp();
@@ -88,6 +90,11 @@
     void receiveAnswerBody(std::string_view data) override;
     void receiveAnswerEnd() override;
     void callFailed(Decisions::CallFailure failure, std::string_view reason) override;
+    void takeFailure(Decisions::CallFailure failure, std::string_view reason);
+    void closeCall(Decisions::CallFailure failure);
+    void decide(Decisions::CallFailure failure, std::string_view reason);
+    bool mayBeSentAgainInTime(Decisions::CallFailure failure) const;
+    void noteBarred(const char *outcome);
     void handleNotRun(const AnswerMarks &marks);
     void passBody(std::string_view data);
     void beginPassing();
@@ -104,6 +111,7 @@
     void noteFirstPart();
     void logOutcome(int status, std::string_view outcome);
     std::chrono::milliseconds sinceArrival() const;
+    std::chrono::microseconds patience() const;
 
     const RelayContext &m_context;
     std::shared_ptr<const Decisions::RelayDirectory> m_directory;
@@ -117,9 +125,6 @@
     RelayQuery m_query;
     const Decisions::RelayRoute *m_route = nullptr;
     const Decisions::RelayOrganisation *m_organisation = nullptr;
-    std::optional<Decisions::UsageClaim> m_claim; ///< Of an organisation with a cap.
-    std::uint64_t m_claimNumber = 0; ///< While the verdict is awaited.
-    bool m_isCharged = false;
     std::string m_service;
     Decisions::AttemptState m_attempts;
     std::uint32_t m_arrivals = 0; ///< Calls that reached a backend server, whatever it did with them.
@@ -127,6 +132,8 @@
     std::vector<std::string> m_excluded;
     std::optional<Decisions::FleetChoice> m_choice; ///< Of the present call.
     std::unique_ptr<BackendCall> m_call;
+    UsageTicket m_usage;
+    CrashTicket m_crashes;
     bool m_isUnanswered = false; ///< The present call counts as load at its backend server.
     Relaying m_relaying = Relaying::Nothing;
     Http::MessageHead m_answerHead;
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -36,4 +36,12 @@
 inline constexpr Event routerStoodStill{
     2121, Severity::Warning, "router_stood_still", "This process did nothing for a while; what callers sent meanwhile is read now."};
 
+inline constexpr Event crashCounted{2122, Severity::Warning, "crash_counted", "A backend server ended while it ran a request."};
+inline constexpr Event requestCleared{2123, Severity::Info, "request_cleared", "A suspected request was answered whole; it is free again."};
+inline constexpr Event trialDecided{2124, Severity::Warning, "trial_decided", "A suspected request asked to run once, as the only one of its kind."};
+inline constexpr Event requestBarred{
+    2125, Severity::Warning, "request_barred", "A request was turned away, or not sent again, as backend servers ended under it."};
+inline constexpr Event crashRowsUnwritten{2126, Severity::Warning, "crash_rows_unwritten", "The store did not take rows of crashes; they are sent again."};
+inline constexpr Event crashRowRefused{2127, Severity::Warning, "crash_row_refused", "A row of the table of crashes could not be read."};
+
 } // namespace Verbena::Relay
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -148,6 +148,16 @@
     m_context.usage = control;
 }
 
+void RelayTask::setCrashControl(CrashControl *control)
+{
+    m_context.crashes = control;
+}
+
+std::vector<std::string> RelayTask::routerAddresses() const
+{
+    return m_routers.addresses();
+}
+
 std::vector<std::string> RelayTask::electedRouters() const
 {
     return m_routerCount > Decisions::electedRouters ? m_routers.elected(Decisions::electedRouters) : std::vector<std::string>();
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -66,6 +66,12 @@
     /// \brief Asks \a control whether requests stay within their organisations' caps; without one, nothing is capped.
     void setUsageControl(UsageControl *control);
 
+    /// \brief Tells \a control of lost calls and asks it about suspected requests; without one, nothing is suspected.
+    void setCrashControl(CrashControl *control);
+
+    /// \brief Addresses of the routers that agents named lately.
+    std::vector<std::string> routerAddresses() const;
+
     /// \brief Routers that follow the store's tables for all, the same ones on every router that knows them all; none while all do.
     std::vector<std::string> electedRouters() const;
 
--- /dev/null
+++ b/src/libs/relay/requestreport.cpp
@@ -0,0 +1,67 @@
+#include "requestreport.h"
+
+#include "relayevents.h"
+
+#include <observe/eventlog.h>
+
+namespace Verbena::Relay {
+
+using Decisions::FleetChoice;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::string text(milliseconds span)
+{
+    return std::to_string(span.count());
+}
+
+template<typename Value>
+std::string text(const std::optional<Value> &value)
+{
+    if (!value.has_value()) {
+        return "";
+    }
+    if constexpr (std::is_integral_v<Value>) {
+        return std::to_string(*value);
+    } else {
+        return text(duration_cast<milliseconds>(*value));
+    }
+}
+
+} // namespace
+
+void reportEnd(const RequestReport &report, Observe::Metrics &metrics)
+{
+    metrics.count("requests_" + std::to_string(report.status) + "_total");
+    metrics.recordSpan("request_seconds", report.label, report.total);
+    if (report.firstPartAfter.count() >= 0) {
+        metrics.recordSpan("first_part_seconds", report.label, report.firstPartAfter);
+    }
+    const bool isChosen = report.choice != nullptr;
+    static const FleetChoice none;
+    const FleetChoice &choice = isChosen ? *report.choice : none;
+    Observe::log(requestEnded,
+        {{"request", report.attemptId},
+            {"status", std::to_string(report.status)},
+            {"outcome", std::string(report.outcome)},
+            {"route", report.label.requestClass},
+            {"organisation", report.label.organisation},
+            {"service", report.service},
+            {"server", choice.serverId},
+            {"weights", text(choice.weightsVersion)},
+            {"outdated_ms", text(choice.outdatedFor)},
+            {"warm", isChosen ? std::to_string(choice.warmParts) + "/" + std::to_string(choice.parts.size()) : ""},
+            {"stored", isChosen ? std::to_string(choice.storedParts) : ""},
+            {"waiting", isChosen ? std::to_string(choice.waiting) : ""},
+            {"expected_wait_ms", text(choice.expectedWait)},
+            {"news_ms", text(choice.newsAge)},
+            {"sends", std::to_string(report.sends)},
+            {"sent_ms", report.sends > 0 ? text(duration_cast<milliseconds>(choice.sentAt - report.arrival)) : ""},
+            {"first_ms", text(report.firstPartAfter)},
+            {"total_ms", text(report.total)},
+            {"configuration", report.configuration > 0 ? std::to_string(report.configuration) : ""}});
+}
+
+} // namespace Verbena::Relay
--- a/tests/auto/platform/tst_crashingrequests.cpp
+++ b/tests/auto/platform/tst_crashingrequests.cpp
@@ -91,6 +91,7 @@
 TEST_F(CrashingRequestsTest, reachesFewServersWhicheverRouterItComesTo)
 {
     crashFor(8s);
+    RecordProperty("crashes", static_cast<int>(m_fleet.crashes().size()));
     EXPECT_LE(retriesInAll(), mostRetries);
     EXPECT_LE(m_fleet.crashes().size(), 3 + mostRetries);
     EXPECT_EQ(status(ask("well", 0)), "200");
@@ -108,6 +109,7 @@
             EXPECT_TRUE(m_deployment.runUntil([&] { return status(ask("well", router)) == "200"; }));
         }
     }
+    RecordProperty("crashes", static_cast<int>(m_fleet.crashes().size()));
     EXPECT_LE(retriesInAll(), mostRetries);
     EXPECT_LE(m_fleet.crashes().size(), 3 + mostRetries);
 }
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -181,7 +181,8 @@
         const std::string table = expected.at("table").get<std::string>();
         const std::string key = expected.at("key").get<std::string>();
         const Row row = m_tables[table][key];
-        if (row.version != expected.at("ver").get<std::uint64_t>()) {
+        const std::uint64_t version = row.isDeleted ? 0 : row.version;
+        if (version != expected.at("ver").get<std::uint64_t>()) {
             different.push_back(rowJson(table, key, row));
         }
     }
@@ -193,6 +194,9 @@
     for (const json &entry : body.value("put", json::array())) {
         m_tables[entry.at("table").get<std::string>()][entry.at("key").get<std::string>()] = {"", m_version, false, entry.at("value").get<std::string>()};
     }
+    for (const json &entry : body.value("remove", json::array())) {
+        m_tables[entry.at("table").get<std::string>()][entry.at("key").get<std::string>()] = {"", m_version, true, ""};
+    }
     respond(exchange, 200, {{"ver", m_version}, {"nowMs", nowMs()}});
     tellFollowers();
 }
