--- a/src/libs/decisions/relay/attemptpolicy.cpp
+++ b/src/libs/decisions/relay/attemptpolicy.cpp
@@ -17,6 +17,8 @@
         return "send_again";
     case AttemptAction::AwaitResend:
         return "await_resend";
+    case AttemptAction::AwaitTrial:
+        return "await_trial";
     case AttemptAction::Refuse:
         return "refuse";
     case AttemptAction::ReportLost:
--- a/src/libs/decisions/relay/attemptpolicy.h
+++ b/src/libs/decisions/relay/attemptpolicy.h
@@ -19,6 +19,7 @@
 enum class AttemptAction {
     SendAgain, ///< To another backend server.
     AwaitResend, ///< The same, as soon as the budget of this router has filled.
+    AwaitTrial, ///< The same, if it may go as a trial although backend servers ended under it.
     Refuse, ///< The caller is told that it has not run and when to come back.
     ReportLost, ///< The caller is told that nobody knows whether it ran.
     PassAnswer, ///< The caller gets the backend server's own answer.
--- a/src/libs/relay/crashticket.cpp
+++ b/src/libs/relay/crashticket.cpp
@@ -30,14 +30,14 @@
 
 bool CrashTicket::isBarred(std::uint32_t arrivals)
 {
-    return isSuspected() && (!m_isTrial || arrivals > 0);
+    return isSuspected() && m_trialAfter != arrivals;
 }
 
-void CrashTicket::claimTrial(CrashControl::TrialCallback done)
+void CrashTicket::claimTrial(std::uint32_t arrivals, CrashControl::TrialCallback done)
 {
-    const auto take = [this, done = std::move(done)](const TrialVerdict &verdict) {
+    const auto take = [this, arrivals, done = std::move(done)](const TrialVerdict &verdict) {
         m_number = 0;
-        m_isTrial = verdict.isGranted;
+        m_trialAfter = verdict.isGranted ? std::optional(arrivals) : std::nullopt;
         done(verdict);
     };
     if (const std::uint64_t number = m_control->claimTrial(identity(), take); number != 0) {
@@ -63,23 +63,23 @@
 
 void CrashTicket::noteAnswered(bool isSuccess)
 {
-    m_isTrial = false;
+    m_trialAfter.reset();
     if (isSuccess && m_control != nullptr && m_control->hasRecords()) {
         m_control->noteServed(identity());
     }
 }
 
-void CrashTicket::end(bool mayHaveRun)
+void CrashTicket::end(std::uint32_t arrivals)
 {
     if (m_control == nullptr) {
         return;
     }
     m_control->withdraw(m_number);
     m_number = 0;
-    if (m_isTrial && !mayHaveRun) {
+    if (m_trialAfter == arrivals) {
         m_control->giveBackTrial(identity());
     }
-    m_isTrial = false;
+    m_trialAfter.reset();
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/crashticket.h
+++ b/src/libs/relay/crashticket.h
@@ -21,11 +21,11 @@
     /// \brief Whether the request may go only as a trial.
     bool isSuspected();
 
-    /// \brief Whether it may go nowhere any more after \a arrivals at backend servers: one trial is one arrival.
+    /// \brief Whether it may go nowhere without another trial after \a arrivals at backend servers.
     bool isBarred(std::uint32_t arrivals);
 
-    /// \brief Asks whether the request may go as a trial.
-    void claimTrial(CrashControl::TrialCallback done);
+    /// \brief Asks whether the request, after \a arrivals, may go as a trial, which is one more arrival; \a done may be called at once.
+    void claimTrial(std::uint32_t arrivals, CrashControl::TrialCallback done);
 
     /// \brief The call was lost; calls \a done once it is known whether its server ended. \a done may be called at once.
     void noteLost(LostCall call, CrashControl::CheckCallback done);
@@ -33,8 +33,8 @@
     /// \brief The request was answered whole, with success or not.
     void noteAnswered(bool isSuccess);
 
-    /// \brief The request is over; a trial that reached no backend server goes back.
-    void end(bool mayHaveRun);
+    /// \brief The request is over after \a arrivals; a trial that reached no backend server goes back.
+    void end(std::uint32_t arrivals);
 
     /// \brief The digest of the request.
     const Decisions::RequestIdentity &identity();
@@ -44,7 +44,7 @@
     std::function<Decisions::RequestIdentity()> m_makeIdentity;
     std::optional<Decisions::RequestIdentity> m_identity;
     std::uint64_t m_number = 0; ///< Of the open question.
-    bool m_isTrial = false;
+    std::optional<std::uint32_t> m_trialAfter; ///< Arrivals before the trial that was granted last.
 };
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -81,7 +81,7 @@
 RelayedRequest::~RelayedRequest()
 {
     m_context.waits.withdraw(m_waitNumber);
-    m_crashes.end(mayHaveRun());
+    m_crashes.end(arrivals());
     if (m_isUnanswered) {
         m_context.fleet.noteAbandoned(*m_choice);
     }
@@ -124,6 +124,11 @@
     });
 }
 
+std::uint32_t RelayedRequest::arrivals() const
+{
+    return m_arrivals + (m_call != nullptr && m_call->hasSent() ? 1 : 0);
+}
+
 bool RelayedRequest::mayHaveRun() const
 {
     return m_attempts.runs > 0 || (m_call != nullptr && m_call->hasSent());
@@ -194,7 +199,7 @@
         dispatch();
         return;
     }
-    m_crashes.claimTrial([this](const TrialVerdict &verdict) {
+    m_crashes.claimTrial(m_arrivals, [this](const TrialVerdict &verdict) {
         if (verdict.isGranted) {
             dispatch();
             return;
@@ -510,13 +515,33 @@
             {"routers", std::to_string(balance.routers)},
             {"after_ms", text(sinceArrival())},
             {"action", std::string(attemptActionName(action))}});
+    proceed(failure, action);
+}
+
+void RelayedRequest::proceed(CallFailure failure, AttemptAction action)
+{
     if (action == AttemptAction::SendAgain) {
         sendAgain();
+    } else if (action == AttemptAction::AwaitTrial) {
+        awaitTrial(failure);
     } else if (action != AttemptAction::AwaitResend) {
         finish(action);
     }
 }
 
+// Under crashes in series an innocent request is hit twice before it is answered; one trial more and it is free.
+void RelayedRequest::awaitTrial(CallFailure failure)
+{
+    m_crashes.claimTrial(m_arrivals, [this, failure](const TrialVerdict &verdict) {
+        if (verdict.isGranted) {
+            proceed(failure, chooseAction(failure));
+            return;
+        }
+        noteBarred("not sent again");
+        finish(finalAction(m_attempts, failure));
+    });
+}
+
 bool RelayedRequest::mayBeSentAgainInTime(CallFailure failure) const
 {
     return mayBeSentAgain(m_attempts, failure) && m_context.loop.now() + leastTimeLeft < m_deadline;
@@ -529,8 +554,7 @@
         return finalAction(m_attempts, failure);
     }
     if (m_crashes.isBarred(m_arrivals)) {
-        noteBarred("not sent again");
-        return finalAction(m_attempts, failure);
+        return AttemptAction::AwaitTrial;
     }
     if (m_arrivals == 0) {
         return AttemptAction::SendAgain;
@@ -551,10 +575,12 @@
     m_waitNumber = m_context.waits.wait(m_service, resendPurpose(), [this, failure](bool isGranted) {
         m_waitNumber = 0;
         m_context.metrics.count(isGranted ? "resends_total" : "resends_refused_total");
-        if (isGranted && !m_crashes.isBarred(m_arrivals)) {
-            sendAgain();
-        } else {
+        if (!isGranted) {
             finish(finalAction(m_attempts, failure));
+        } else if (m_crashes.isBarred(m_arrivals)) {
+            awaitTrial(failure);
+        } else {
+            sendAgain();
         }
     });
     return m_waitNumber != 0;
@@ -591,6 +617,7 @@
     case AttemptAction::Refuse:
     case AttemptAction::SendAgain:
     case AttemptAction::AwaitResend:
+    case AttemptAction::AwaitTrial:
         refuse(503, "No backend server can take the request now; it has not run.");
         return;
     }
@@ -673,7 +700,7 @@
 {
     m_isDone = true;
     m_context.waits.withdraw(m_waitNumber);
-    m_crashes.end(mayHaveRun());
+    m_crashes.end(arrivals());
     if (status == 503) {
         m_usage.release();
     }
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -76,6 +76,7 @@
 
     bool admit();
     void claimUsage();
+    std::uint32_t arrivals() const;
     bool mayHaveRun() const;
     Decisions::RequestIdentity identity() const;
     std::string organisationName() const;
@@ -94,6 +95,8 @@
     void closeCall(Decisions::CallFailure failure);
     void decide(Decisions::CallFailure failure, std::string_view reason);
     bool mayBeSentAgainInTime(Decisions::CallFailure failure) const;
+    void proceed(Decisions::CallFailure failure, Decisions::AttemptAction action);
+    void awaitTrial(Decisions::CallFailure failure);
     void noteBarred(const char *outcome);
     void handleNotRun(const AnswerMarks &marks);
     void passBody(std::string_view data);
