--- a/src/libs/decisions/relay/crashledger.cpp
+++ b/src/libs/decisions/relay/crashledger.cpp
@@ -100,18 +100,28 @@
     }
 }
 
-std::vector<CrashRecord> CrashLedger::clear(const RequestIdentity &request, Core::TimePoint now)
+std::vector<CrashRecord> CrashLedger::records(const RequestIdentity &request) const
 {
     std::vector<CrashRecord> records;
     const auto entry = m_entries.find(request);
-    if (entry == m_entries.end()) {
+    if (entry != m_entries.end()) {
+        for (const std::string &server : entry->second.servers) {
+            records.push_back({request, server, entry->second.organisation});
+        }
+    }
+    return records;
+}
+
+std::vector<CrashRecord> CrashLedger::clear(const RequestIdentity &request, Core::TimePoint now)
+{
+    std::vector<CrashRecord> records = this->records(request);
+    if (records.empty()) {
         return records;
     }
-    for (const std::string &server : entry->second.servers) {
-        records.push_back({request, server, entry->second.organisation});
-        remember(records.back().key(), now);
+    for (const CrashRecord &record : records) {
+        remember(record.key(), now);
     }
-    drop(entry);
+    drop(m_entries.find(request));
     m_trials.erase(request);
     return records;
 }
--- a/src/libs/decisions/relay/crashledger.h
+++ b/src/libs/decisions/relay/crashledger.h
@@ -72,6 +72,9 @@
     /// \brief Forgets what is too old, or too much; returns it.
     std::vector<CrashRecord> expire(Core::TimePoint now);
 
+    /// \brief What is recorded of \a request.
+    std::vector<CrashRecord> records(const RequestIdentity &request) const;
+
     /// \brief What is recorded of suspected requests, \a most of them.
     std::vector<CrashRecord> suspicions(std::size_t most) const;
 
--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -20,8 +20,11 @@
 
 constexpr const char *crashTable = "verbena_crashes";
 
-// Changes are taken at once: until all routers know of a crash, its request goes on to other servers.
-constexpr milliseconds followPause{0};
+// The other routers hear of crashes by datagram at once; the table is for those that did not.
+constexpr milliseconds followPause{300};
+
+// Most requests that were lost with a server are answered elsewhere within it, and nothing need be written of them.
+constexpr milliseconds settleTime{1000};
 
 // Many times the way to any backend server; a request that could be sent again waits no longer for it.
 constexpr milliseconds checkTime{50};
@@ -159,7 +162,7 @@
     if (!m_ledger.note(crash, m_loop.now())) {
         return;
     }
-    m_writer.write(Decisions::rowKey(crash), crash.organisation);
+    write(crash.request);
     tell({rowOf(crash, false)});
     m_relay.metrics().count("crashes_seen_total");
     Observe::log(crashCounted,
@@ -173,6 +176,15 @@
     showGauges();
 }
 
+// A suspicion goes into the table at once, with what others told of it: they may end before they have written it.
+void CrashGuard::write(const RequestIdentity &request)
+{
+    const Core::TimePoint due = m_ledger.isSuspected(request) ? m_loop.now() : m_loop.now() + settleTime;
+    for (const CrashRecord &record : m_ledger.records(request)) {
+        m_writer.write(Decisions::rowKey(record), record.organisation, due);
+    }
+}
+
 void CrashGuard::noteServed(const RequestIdentity &request)
 {
     const std::uint32_t trials = m_ledger.trials(request).count;
@@ -182,11 +194,11 @@
     }
     std::vector<TableRow> rows;
     for (const CrashRecord &record : records) {
-        m_writer.write(Decisions::rowKey(record), std::nullopt);
+        m_writer.remove(Decisions::rowKey(record), m_loop.now() + settleTime);
         rows.push_back(rowOf(record, true));
     }
     if (trials > 0) {
-        m_writer.write(Decisions::trialKey(request), std::nullopt);
+        m_writer.remove(Decisions::trialKey(request), m_loop.now() + settleTime);
     }
     tell(rows);
     if (records.size() >= Decisions::CrashLedger::suspectedFrom) {
@@ -254,9 +266,9 @@
 {
     const std::uint32_t count = m_ledger.trials(request).count;
     if (count > 1) {
-        m_writer.write(Decisions::trialKey(request), std::to_string(count - 1));
+        m_writer.write(Decisions::trialKey(request), std::to_string(count - 1), m_loop.now());
     } else {
-        m_writer.write(Decisions::trialKey(request), std::nullopt);
+        m_writer.remove(Decisions::trialKey(request), m_loop.now());
         m_ledger.forgetTrials(request);
     }
 }
@@ -361,8 +373,8 @@
     std::erase_if(m_ended, [now](const auto &ended) { return now >= ended.second; });
     for (const CrashRecord &expired : m_ledger.expire(now)) {
         if (m_relay.isOneOfFew()) {
-            m_writer.write(Decisions::rowKey(expired), std::nullopt);
-            m_writer.write(Decisions::trialKey(expired.request), std::nullopt);
+            m_writer.remove(Decisions::rowKey(expired), now);
+            m_writer.remove(Decisions::trialKey(expired.request), now);
         }
     }
     if (m_isStoreLost) {
--- a/src/libs/relay/crashguard.h
+++ b/src/libs/relay/crashguard.h
@@ -74,6 +74,7 @@
     void takeRow(const Store::TableRow &row, const char *toldBy);
     void takeRecord(const Decisions::CrashRecord &record, bool isDeleted, const char *toldBy);
     void record(const LostCall &call, const char *proof);
+    void write(const Decisions::RequestIdentity &request);
     void takeFinding(const std::string &life, ConnectCheck::Finding finding);
     bool hasEnded(const LostCall &call) const;
     bool isStaying(const LostCall &call) const;
--- a/src/libs/relay/crashrowwriter.cpp
+++ b/src/libs/relay/crashrowwriter.cpp
@@ -5,6 +5,8 @@
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
 
+#include <algorithm>
+
 namespace Verbena::Relay {
 
 using std::chrono::milliseconds;
@@ -14,7 +16,7 @@
 // The most that the users' store takes in one transaction.
 constexpr std::size_t rowsAtOnce = 100;
 
-// Rows that come in the same moment go together.
+// Rows that are due within it go together.
 constexpr milliseconds gatherTime{2};
 
 // Several times what a slow store takes.
@@ -34,53 +36,76 @@
 {
 }
 
-void CrashRowWriter::write(const std::string &key, std::optional<std::string> value)
+void CrashRowWriter::write(const std::string &key, const std::string &value, Core::TimePoint due)
 {
     if (m_waiting.size() >= mostWaiting && !m_waiting.contains(key)) {
         m_waiting.erase(m_waiting.begin());
     }
-    m_waiting[key] = std::move(value);
-    if (!m_isSending && !m_timer.isActive()) {
-        m_timer.startAt(m_loop.now() + gatherTime);
+    Waiting &row = m_waiting.try_emplace(key, Waiting{value, due}).first->second;
+    row.value = value;
+    row.due = std::min(row.due, due);
+    schedule();
+}
+
+void CrashRowWriter::remove(const std::string &key, Core::TimePoint due)
+{
+    const auto waiting = m_waiting.find(key);
+    if (waiting != m_waiting.end() && waiting->second.value.has_value() && !waiting->second.isSent) {
+        m_waiting.erase(waiting);
+        return;
     }
+    m_waiting[key] = {std::nullopt, due, waiting != m_waiting.end()};
+    schedule();
 }
 
-void CrashRowWriter::send()
+void CrashRowWriter::schedule()
 {
     if (m_isSending || m_waiting.empty()) {
         return;
     }
-    m_isSending = true;
+    const auto isEarlier = [](const auto &one, const auto &other) {
+        return one.second.due < other.second.due;
+    };
+    const Core::TimePoint first = std::min_element(m_waiting.begin(), m_waiting.end(), isEarlier)->second.due;
+    m_timer.startAt(std::max(m_nextTry, first + gatherTime));
+}
+
+void CrashRowWriter::send()
+{
+    const Core::TimePoint now = m_loop.now();
     std::map<std::string, std::optional<std::string>> sent;
     std::vector<Store::RowWrite> writes;
-    for (const auto &[key, value] : m_waiting) {
-        if (writes.size() == rowsAtOnce) {
-            break;
+    for (auto &[key, row] : m_waiting) {
+        if (row.due <= now && writes.size() < rowsAtOnce) {
+            row.isSent = true;
+            sent.emplace(key, row.value);
+            writes.push_back({key, row.value, std::nullopt});
         }
-        sent.emplace(key, value);
-        writes.push_back({key, value, std::nullopt});
     }
+    if (writes.empty()) {
+        schedule();
+        return;
+    }
+    m_isSending = true;
     const auto take = [this, sent](const Store::CommitAnswer &answer) {
         takeCommit(sent, answer);
     };
-    m_store.commit(m_table, writes, m_loop.now() + answerTime, m_lifetime.guard(take));
+    m_store.commit(m_table, writes, now + answerTime, m_lifetime.guard(take));
 }
 
 void CrashRowWriter::takeCommit(const std::map<std::string, std::optional<std::string>> &sent, const Store::CommitAnswer &answer)
 {
     m_isSending = false;
-    const bool isCommitted = answer.outcome == Store::CommitOutcome::Committed;
-    if (isCommitted) {
+    if (answer.outcome == Store::CommitOutcome::Committed) {
         std::erase_if(m_waiting, [&sent](const auto &row) {
             const auto written = sent.find(row.first);
-            return written != sent.end() && written->second == row.second;
+            return written != sent.end() && written->second == row.second.value;
         });
     } else {
+        m_nextTry = m_loop.now() + retryPause;
         Observe::log(crashRowsUnwritten, {{"rows", std::to_string(m_waiting.size())}, {"detail", answer.detail}});
     }
-    if (!m_waiting.empty()) {
-        m_timer.startAt(m_loop.now() + (isCommitted ? gatherTime : retryPause));
-    }
+    schedule();
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/crashrowwriter.h
+++ b/src/libs/relay/crashrowwriter.h
@@ -19,18 +19,30 @@
     CrashRowWriter(const CrashRowWriter &) = delete;
     CrashRowWriter &operator=(const CrashRowWriter &) = delete;
 
-    /// \brief Writes \a value into the row \a key, or deletes it if there is none; the last word on a row holds.
-    void write(const std::string &key, std::optional<std::string> value);
+    /// \brief Writes \a value into the row \a key by about \a due; the last word on a row holds.
+    void write(const std::string &key, const std::string &value, Core::TimePoint due);
+
+    /// \brief Deletes the row \a key by about \a due; what was to be written into it and has not been sent never is.
+    void remove(const std::string &key, Core::TimePoint due);
 
 private:
+    struct Waiting
+    {
+        std::optional<std::string> value; ///< Nothing deletes the row.
+        Core::TimePoint due;
+        bool isSent = false; ///< The store may have it already.
+    };
+
+    void schedule();
     void send();
     void takeCommit(const std::map<std::string, std::optional<std::string>> &sent, const Store::CommitAnswer &answer);
 
     EventLoop::Loop &m_loop;
     Store::RowStore &m_store;
     std::string m_table;
-    std::map<std::string, std::optional<std::string>> m_waiting; ///< By key.
+    std::map<std::string, Waiting> m_waiting; ///< By key.
     bool m_isSending = false;
+    Core::TimePoint m_nextTry{};
     EventLoop::Timer m_timer;
     Core::Lifetime m_lifetime;
 };
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -2,6 +2,14 @@
 
 namespace Verbena::Soak {
 
+namespace {
+
+// Within it all routers know of the third crash; so many more may follow.
+constexpr std::chrono::seconds contactTime{3};
+constexpr int mostRetries = 3;
+
+} // namespace
+
 void Ledger::noteRun(const std::string &id, bool mayRepeat)
 {
     ++m_allRuns;
@@ -27,6 +35,21 @@
     }
 }
 
+void Ledger::noteCrash(Core::TimePoint now)
+{
+    if (++m_crashes == 3) {
+        m_thirdCrash = now;
+    }
+    if (m_crashes > 3 && now > m_thirdCrash + contactTime && ++m_retries > mostRetries) {
+        noteBroken("the request that crashes servers reached one again, crash " + std::to_string(m_crashes));
+    }
+}
+
+int Ledger::crashes() const
+{
+    return m_crashes;
+}
+
 void Ledger::noteOrder(const std::string &engine, const std::string &holder, unsigned long fence)
 {
     const auto last = m_orders.find(engine);
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <core/time.h>
+
 #include <map>
 #include <set>
 #include <string>
@@ -25,6 +27,11 @@
 
     void noteServed();
 
+    /// \brief The request that crashes backend servers ended one at \a now.
+    void noteCrash(Core::TimePoint now);
+
+    int crashes() const;
+
     /// \brief All that was broken, in the order in which it was seen.
     const std::vector<std::string> &broken() const;
 
@@ -38,6 +45,9 @@
     std::vector<std::string> m_broken;
     int m_served = 0;
     int m_allRuns = 0;
+    int m_crashes = 0;
+    Core::TimePoint m_thirdCrash{};
+    int m_retries = 0; ///< Crashes later than the contact time after the third.
 };
 
 } // namespace Verbena::Soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -67,6 +67,9 @@
                 m_world.random(),
                 [this](std::size_t router, const std::string &path, int status) { noteAnswer(router, path, status); }));
         }
+        m_callers.push_back(std::make_unique<SoakCaller>(
+            m_world.loop(), m_world.routerEndpoints(), "crashing", m_world.ledger(), m_world.random(), [](std::size_t, const std::string &, int) {}));
+        m_callers.back()->sendCrashing();
         // One more for each router asks for the route that only the newest configuration has.
         m_highest.resize(m_world.routerCount());
         for (std::size_t router = 0; router < m_world.routerCount(); ++router) {
@@ -110,6 +113,7 @@
             m_world.collectLogs();
         }
         m_world.restartEnded();
+        m_world.endCrashing();
         const Core::TimePoint now = m_world.loop().now();
         std::vector<Cure> due;
         std::erase_if(m_cures, [&](Cure &cure) {
@@ -223,8 +227,8 @@
     bool report()
     {
         const Ledger &ledger = m_world.ledger();
-        std::cout << "served " << ledger.served() << ", runs " << ledger.runs() << ", configuration " << m_world.newestPath() << ", weights "
-                  << m_world.newestWeights() << ", broken " << ledger.broken().size() << std::endl;
+        std::cout << "served " << ledger.served() << ", runs " << ledger.runs() << ", crashes " << ledger.crashes() << ", configuration "
+                  << m_world.newestPath() << ", weights " << m_world.newestWeights() << ", broken " << ledger.broken().size() << std::endl;
         for (const std::string &what : ledger.broken()) {
             std::cout << "BROKEN: " << what << std::endl;
         }
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -12,6 +12,7 @@
 
 constexpr milliseconds pause{5};
 constexpr milliseconds pauseAfterFailure{40};
+constexpr milliseconds crashingPause{100};
 constexpr int deadlineMilliseconds = 3000;
 
 // A router that gives no final answer for so long after the deadline has lost the request.
@@ -56,6 +57,11 @@
     m_pinnedPath = path;
 }
 
+void SoakCaller::sendCrashing()
+{
+    m_isCrashing = true;
+}
+
 void SoakCaller::stop()
 {
     m_isStopped = true;
@@ -89,7 +95,8 @@
     }
     m_reader = std::make_unique<Http::MessageReader>(Http::MessageReader::Kind::Answers, *this, Http::MessageLimits{});
     m_id = m_name + '.' + std::to_string(++m_count);
-    m_token = "token-" + m_id;
+    m_path = m_isCrashing ? "/safe/" : m_path;
+    m_token = m_isCrashing ? crashingToken : "token-" + m_id;
     m_body.clear();
     m_isWaiting = true;
     m_isWhole = false;
@@ -155,7 +162,8 @@
     }
     m_listener(m_router, m_path, status);
     if (!m_isStopped) {
-        m_timer.startAt(m_loop.now() + (status == 200 ? pause : pauseAfterFailure));
+        const milliseconds next = m_isCrashing ? crashingPause : status == 200 ? pause : pauseAfterFailure;
+        m_timer.startAt(m_loop.now() + next);
     }
 }
 
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -36,6 +36,9 @@
     /// \brief Asks for one path of one router only, again and again.
     void pinTo(std::size_t router, const std::string &path);
 
+    /// \brief Sends nothing but the request that crashes the backend servers that run it, to any router.
+    void sendCrashing();
+
     void stop();
 
 private:
@@ -70,6 +73,7 @@
     bool m_isWaiting = false;
     bool m_isWhole = false;
     bool m_isStopped = false;
+    bool m_isCrashing = false;
 };
 
 } // namespace Verbena::Soak
--- a/tests/soak/soakworker.cpp
+++ b/tests/soak/soakworker.cpp
@@ -117,6 +117,11 @@
             return;
         }
         m_token = m_body;
+        if (m_token == crashingToken) {
+            m_worker.m_ledger.noteCrash(m_worker.m_loop.now());
+            m_worker.m_crashObserver();
+            return;
+        }
         m_id = field(m_head, "Verbenaladder-Attempt-Id");
         m_worker.m_ledger.noteRun(m_id, m_head.target.rfind("/once/", 0) != 0);
         const std::string last = field(m_head, "Last-Event-Id");
@@ -240,6 +245,11 @@
     m_connections.clear();
 }
 
+void SoakWorker::setCrashObserver(std::function<void()> observer)
+{
+    m_crashObserver = std::move(observer);
+}
+
 void SoakWorker::setFaultShare(double share)
 {
     m_faultShare = share;
--- a/tests/soak/soakworker.h
+++ b/tests/soak/soakworker.h
@@ -8,6 +8,7 @@
 #include <http/tcpchannel.h>
 #include <http/tcplistener.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -17,6 +18,9 @@
 /// \brief Number of events in a whole stream.
 inline constexpr int streamEvents = 12;
 
+/// \brief The body that ends the backend server that runs it.
+inline constexpr const char *crashingToken = "crash";
+
 /// \brief The data of event \a number of the stream that the body \a token asks for.
 std::string eventText(int number, const std::string &token);
 
@@ -44,6 +48,9 @@
     /// \brief Ends all connections and begins another life, with the weights that it had.
     void crash();
 
+    /// \brief Calls \a observer when a request crashes this server, which has to call crash() later.
+    void setCrashObserver(std::function<void()> observer);
+
     /// \brief Share of requests that go wrong.
     void setFaultShare(double share);
 
@@ -62,6 +69,7 @@
     std::uint64_t m_version = 1;
     std::uint64_t m_orders = 0;
     double m_faultShare = 0;
+    std::function<void()> m_crashObserver;
     std::map<Connection *, std::unique_ptr<Connection>> m_connections;
     std::unique_ptr<Http::TcpListener> m_listener;
 };
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -53,6 +53,7 @@
         Worker &worker = m_workers[index];
         worker.ip = ip(firstWorkerHost + index);
         worker.server = std::make_unique<SoakWorker>(*m_loop, worker.ip, "w" + std::to_string(index), index < m_engines, m_ledger, m_random);
+        worker.server->setCrashObserver([this, index] { m_crashing.insert(index); });
         worker.proxy = std::make_unique<FaultyProxy>(*m_loop, worker.ip + ":0", worker.server->address());
         registerWorker(index);
         if (index < m_engines) {
@@ -203,6 +204,13 @@
     }
 }
 
+void SoakWorld::endCrashing()
+{
+    for (const std::size_t index : std::exchange(m_crashing, {})) {
+        crashWorker(index);
+    }
+}
+
 void SoakWorld::collectLogs()
 {
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,9 @@
     /// \brief Starts what has ended; to be called now and then.
     void restartEnded();
 
+    /// \brief Ends the backend servers that a request has crashed; to be called now and then.
+    void endCrashing();
+
     /// \brief Takes what the processes have logged; to be called now and then, or they leave lines out.
     void collectLogs();
 
@@ -112,6 +116,7 @@
     std::vector<Router> m_routers;
     std::size_t m_engines;
     std::map<std::string, std::string> m_logs; ///< By name of the process.
+    std::set<std::size_t> m_crashing; ///< Backend servers that end with the next endCrashing().
     int m_configuration = 1;
     std::uint64_t m_weights = 1;
 };
