--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -1,10 +1,10 @@
 #include "relayedrequest.h"
 
-#include "relayevents.h"
+#include "answermeaning.h"
+#include "requestadmission.h"
 #include "requestreport.h"
 
 #include <eventloop/loop.h>
-#include <observe/eventlog.h>
 #include <observe/metrics.h>
 
 #include <algorithm>
@@ -45,22 +45,6 @@
 // Backend servers know ten.
 constexpr std::uint32_t lowestPriority = 9;
 
-bool isSuccess(int status)
-{
-    return status >= 200 && status < 300;
-}
-
-// These say that the request has not run. Without proof of it they may not be passed on.
-bool isPromise(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-std::string text(milliseconds span)
-{
-    return std::to_string(span.count());
-}
-
 } // namespace
 
 RelayedRequest::RelayedRequest(
@@ -74,7 +58,9 @@
     , m_deadlineTimer(context.loop, [this] { onDeadline(); })
     , m_weightsTimer(context.loop, [this] { onWeightsTooOld(); })
     , m_usage(context.usage)
-    , m_crashes(context.crashes, [this] { return identity(); })
+    , m_crashes(context.crashes, [this] {
+        return Decisions::RequestIdentity::of({organisationName(), m_head.method, m_query.host, m_query.path, m_body});
+    })
 {
 }
 
@@ -90,11 +76,7 @@
             m_usage.release();
         }
         m_context.metrics.count("requests_left_total");
-        Observe::log(callerLeft,
-            {{"request", m_query.attemptId},
-                {"server", m_choice.has_value() ? m_choice->serverId : ""},
-                {"begun", m_attempts.isAnswerBegun ? "yes" : "no"},
-                {"after_ms", text(sinceArrival())}});
+        reportLeft({m_query.attemptId, m_service, m_choice.has_value() ? m_choice->serverId : "", sinceArrival()}, m_attempts.isAnswerBegun);
     }
 }
 
@@ -134,11 +116,6 @@
     return m_attempts.runs > 0 || (m_call != nullptr && m_call->hasSent());
 }
 
-Decisions::RequestIdentity RelayedRequest::identity() const
-{
-    return Decisions::RequestIdentity::of({organisationName(), m_head.method, m_query.host, m_query.path, m_body});
-}
-
 std::string RelayedRequest::organisationName() const
 {
     return m_organisation != nullptr ? m_organisation->name : "";
@@ -146,24 +123,12 @@
 
 bool RelayedRequest::admit()
 {
-    auto query = m_context.protocol.readQuery(m_head, m_arrival);
-    if (!query) {
-        refuse(400, query.error().message);
-        return false;
-    }
-    m_query = std::move(query.value());
-    if (m_directory == nullptr) {
-        refuse(503, "This router has no configuration, or is about to end.");
-        return false;
-    }
-    m_route = m_directory->route(m_query.host, m_query.path);
-    if (m_route == nullptr) {
-        refuse(404, "No route serves this path.");
-        return false;
-    }
-    m_organisation = m_directory->organisation(m_query.key);
-    if (m_organisation == nullptr && !m_route->isPublic && m_directory->hasOrganisations()) {
-        refuse(401, "The key is not known.");
+    RequestAdmission admission = admitRequest(m_context.protocol, m_directory.get(), m_head, m_arrival);
+    m_query = std::move(admission.query);
+    m_route = admission.route;
+    m_organisation = admission.organisation;
+    if (admission.refusal.has_value()) {
+        refuse(admission.refusal->status, admission.refusal->message);
         return false;
     }
     m_service = Decisions::RelayDirectory::service(*m_route, m_context.random.next());
@@ -212,13 +177,8 @@
 void RelayedRequest::noteBarred(const char *outcome)
 {
     m_context.metrics.count("requests_barred_total");
-    Observe::log(requestBarred,
-        {{"request", m_query.attemptId},
-            {"identity", m_crashes.identity().text()},
-            {"organisation", organisationName()},
-            {"route", m_route->name},
-            {"outcome", outcome},
-            {"arrivals", std::to_string(m_arrivals)}});
+    const std::string server = m_choice.has_value() ? m_choice->serverId : "";
+    reportBarred({m_query.attemptId, m_service, server, sinceArrival()}, m_crashes.identity().text(), organisationName(), outcome, m_arrivals);
 }
 
 void RelayedRequest::dispatch()
@@ -262,7 +222,12 @@
     Core::Result<std::unique_ptr<BackendCall>> call = Core::Error{Core::ErrorCode::InvalidArgument, "relay.address", choice.address, "No address."};
     const auto endpoint = Http::Endpoint::parse(choice.address);
     if (endpoint) {
-        call = BackendCall::create(m_context.loop, endpoint.value(), callText(choice), m_head.method == "HEAD", now + connectTime, *this);
+        call = BackendCall::create(m_context.loop,
+            endpoint.value(),
+            callText(m_context.protocol, m_head, m_body, callContext(choice)),
+            m_head.method == "HEAD",
+            now + connectTime,
+            *this);
     }
     if (call) {
         m_call = std::move(call.value());
@@ -294,41 +259,19 @@
     return context;
 }
 
-std::string RelayedRequest::callText(const FleetChoice &choice) const
-{
-    std::string text;
-    text.reserve(1024 + m_body.size());
-    text.append(m_head.method).append(" ").append(m_head.target).append(" HTTP/1.1\r\n");
-    for (const Http::HttpField &field : m_context.protocol.callFields(m_head, callContext(choice))) {
-        text.append(field.name).append(": ").append(field.value).append("\r\n");
-    }
-    if (!m_body.empty() || m_head.contentLength.has_value() || m_head.isChunked) {
-        text.append("Content-Length: ").append(std::to_string(m_body.size())).append("\r\n");
-    }
-    text.append("Connection: close\r\n\r\n").append(m_body);
-    return text;
-}
-
 void RelayedRequest::receiveAnswerHead(const Http::MessageHead &head)
 {
     const AnswerMarks marks = m_context.protocol.readAnswer(head);
-    if (!marks.attemptId.empty() && !m_query.attemptId.empty() && marks.attemptId != m_query.attemptId) {
-        takeFailure(CallFailure::Lost, "the answer belongs to another request");
-        return;
-    }
-    if (marks.isNotRun || marks.isMisdirected) {
+    const AnswerMeaning meaning = meaningOf(head.status, marks, m_query.attemptId, m_attempts.isAnswerBegun);
+    if (meaning == AnswerMeaning::NotRun) {
         handleNotRun(marks);
         return;
     }
-    if (marks.weightsVersion.has_value() && m_query.prompt.has_value()) {
+    if (meaning != AnswerMeaning::OfAnotherRequest && marks.weightsVersion.has_value() && m_query.prompt.has_value()) {
         m_context.fleet.noteWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
     }
-    if ((isSuccess(head.status) && !marks.hasReceipt) || isPromise(head.status)) {
-        takeFailure(CallFailure::Lost, "the answer is not that of a backend server");
-        return;
-    }
-    if (m_attempts.isAnswerBegun && !isSuccess(head.status)) {
-        takeFailure(CallFailure::Lost, "the stream cannot be resumed there");
+    if (meaning != AnswerMeaning::OfThisRequest) {
+        takeFailure(CallFailure::Lost, reasonText(meaning));
         return;
     }
     m_isServerError = head.status >= 500;
@@ -343,7 +286,7 @@
     const bool isOther = !marks.serverId.empty() && marks.serverId != m_choice->serverId;
     if (isOther) {
         m_context.fleet.noteReplaced(*m_choice);
-        Observe::log(serverChanged, {{"server", m_choice->serverId}, {"change", "replaced"}, {"by", marks.serverId}, {"request", m_query.attemptId}});
+        reportReplaced({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, marks.serverId);
     }
     if (marks.weightsVersion.has_value() && m_query.prompt.has_value() && !isOther) {
         m_context.fleet.noteWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
@@ -404,8 +347,8 @@
 {
     const Core::TimePoint now = m_context.loop.now();
     const bool isMovable = m_route->isResumable && m_cutter.lastId().has_value() && !m_call->isWhole() && mayBeMoved(m_attempts);
-    if (!isMovable || m_crashes.isSuspected() || now < m_nextMove || now + leastTimeLeft >= m_deadline
-        || !m_context.fleet.isHeldUpFromLoading(*m_choice, now)) {
+    if (!isMovable || now < m_nextMove || now + leastTimeLeft >= m_deadline || !m_context.fleet.isHeldUpFromLoading(*m_choice, now)
+        || m_crashes.isSuspected()) {
         return;
     }
     m_nextMove = now + movePause;
@@ -414,13 +357,7 @@
         return;
     }
     m_context.metrics.count("streams_moved_total");
-    Observe::log(streamMoved,
-        {{"request", m_query.attemptId},
-            {"server", m_choice->serverId},
-            {"service", m_service},
-            {"to", choice->serverId},
-            {"after_event", std::to_string(*m_cutter.lastId())},
-            {"after_ms", text(sinceArrival())}});
+    reportMove({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, choice->serverId, *m_cutter.lastId());
     m_call.reset();
     m_cutter.dropPending();
     ++m_attempts.runs;
@@ -501,20 +438,8 @@
     const Decisions::ResendBalance balance = m_context.budget.balance(m_service, resendPurpose(), m_context.loop.now());
     const AttemptAction action = chooseAction(failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
-    Observe::log(Relay::callFailedEvent,
-        {{"request", m_query.attemptId},
-            {"server", m_choice->serverId},
-            {"failure", std::string(callFailureName(failure))},
-            {"reason", std::string(reason)},
-            {"sends", std::to_string(m_attempts.sends)},
-            {"runs", std::to_string(m_attempts.runs)},
-            {"arrivals", std::to_string(m_arrivals)},
-            {"service", m_service},
-            {"identity", failure == CallFailure::Lost ? m_crashes.identity().text() : ""},
-            {"resends_left", std::to_string(static_cast<int>(balance.left))},
-            {"routers", std::to_string(balance.routers)},
-            {"after_ms", text(sinceArrival())},
-            {"action", std::string(attemptActionName(action))}});
+    reportFailure({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()},
+        {failure, reason, m_attempts, m_arrivals, failure == CallFailure::Lost ? m_crashes.identity().text() : "", balance, action});
     proceed(failure, action);
 }
 
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -78,14 +78,12 @@
     void claimUsage();
     std::uint32_t arrivals() const;
     bool mayHaveRun() const;
-    Decisions::RequestIdentity identity() const;
     std::string organisationName() const;
     void begin();
     void dispatch();
     Decisions::FleetQuery fleetQuery();
     void moveIfHoldingUp();
     bool sendTo(const Decisions::FleetChoice &choice);
-    std::string callText(const Decisions::FleetChoice &choice) const;
     CallContext callContext(const Decisions::FleetChoice &choice) const;
     void receiveAnswerHead(const Http::MessageHead &head) override;
     void receiveAnswerBody(std::string_view data) override;
--- a/src/libs/relay/relayprotocol.h
+++ b/src/libs/relay/relayprotocol.h
@@ -83,4 +83,7 @@
     virtual std::vector<Http::HttpField> refusalFields(const Refusal &refusal, const std::string &attemptId) const = 0;
 };
 
+/// \brief The whole call to a backend server, as \a protocol says it: what may be passed on of \a head, \a body and \a context.
+std::string callText(const RelayProtocol &protocol, const Http::MessageHead &head, const std::string &body, const CallContext &context);
+
 } // namespace Verbena::Relay
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -32,6 +32,56 @@
 
 } // namespace
 
+void reportFailure(const RequestLabel &label, const FailureReport &report)
+{
+    Observe::log(callFailedEvent,
+        {{"request", label.attemptId},
+            {"server", label.serverId},
+            {"failure", std::string(callFailureName(report.failure))},
+            {"reason", std::string(report.reason)},
+            {"sends", std::to_string(report.attempts.sends)},
+            {"runs", std::to_string(report.attempts.runs)},
+            {"arrivals", std::to_string(report.arrivals)},
+            {"service", label.service},
+            {"identity", report.identity},
+            {"resends_left", std::to_string(static_cast<int>(report.balance.left))},
+            {"routers", std::to_string(report.balance.routers)},
+            {"after_ms", text(label.after)},
+            {"action", std::string(attemptActionName(report.action))}});
+}
+
+void reportBarred(const RequestLabel &label, const std::string &identity, const std::string &organisation, std::string_view outcome, std::uint32_t arrivals)
+{
+    Observe::log(requestBarred,
+        {{"request", label.attemptId},
+            {"identity", identity},
+            {"organisation", organisation},
+            {"service", label.service},
+            {"outcome", std::string(outcome)},
+            {"arrivals", std::to_string(arrivals)}});
+}
+
+void reportReplaced(const RequestLabel &label, const std::string &by)
+{
+    Observe::log(serverChanged, {{"server", label.serverId}, {"change", "replaced"}, {"by", by}, {"request", label.attemptId}});
+}
+
+void reportMove(const RequestLabel &label, const std::string &to, std::uint64_t lastId)
+{
+    Observe::log(streamMoved,
+        {{"request", label.attemptId},
+            {"server", label.serverId},
+            {"service", label.service},
+            {"to", to},
+            {"after_event", std::to_string(lastId)},
+            {"after_ms", text(label.after)}});
+}
+
+void reportLeft(const RequestLabel &label, bool isBegun)
+{
+    Observe::log(callerLeft, {{"request", label.attemptId}, {"server", label.serverId}, {"begun", isBegun ? "yes" : "no"}, {"after_ms", text(label.after)}});
+}
+
 void reportEnd(const RequestReport &report, Observe::Metrics &metrics)
 {
     metrics.count("requests_" + std::to_string(report.status) + "_total");
