--- a/src/libs/decisions/relay/crashledger.cpp
+++ b/src/libs/decisions/relay/crashledger.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t mostRequests = 512;
 
 // After each trial, until the next one: the software of the servers may have been mended.
-constexpr std::array<std::chrono::seconds, 5> trialPauses{10s, 60s, 10min, 2h, 24h};
+constexpr std::array<std::chrono::seconds, 4> trialPauses{30s, 5min, 1h, 24h};
 
 } // namespace
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -500,13 +500,8 @@
     m_waitNumber = m_context.waits.wait(m_service, resendPurpose(), [this, failure](bool isGranted) {
         m_waitNumber = 0;
         m_context.metrics.count(isGranted ? "resends_total" : "resends_refused_total");
-        if (!isGranted) {
-            finish(finalAction(m_attempts, failure));
-        } else if (m_crashes.isBarred(m_arrivals)) {
-            awaitTrial(failure);
-        } else {
-            sendAgain();
-        }
+        const AttemptAction sending = m_crashes.isBarred(m_arrivals) ? AttemptAction::AwaitTrial : AttemptAction::SendAgain;
+        proceed(failure, isGranted ? sending : finalAction(m_attempts, failure));
     });
     return m_waitNumber != 0;
 }
