--- a/src/libs/decisions/relay/requestidentity.h
+++ b/src/libs/decisions/relay/requestidentity.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <array>
-#include <compare>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,7 +32,12 @@
     /// \brief Hexadecimal digits, for logs and keys of rows.
     std::string text() const;
 
-    auto operator<=>(const RequestIdentity &) const = default;
+    bool operator==(const RequestIdentity &) const = default;
+
+    bool operator<(const RequestIdentity &other) const
+    {
+        return m_digest < other.m_digest;
+    }
 
 private:
     static constexpr std::size_t digestBytes = 16;
--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -12,7 +12,6 @@
 
 using Decisions::CrashRecord;
 using Decisions::RequestIdentity;
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using Store::TableRow;
 
