--- a/tests/auto/relay/crashmodel.cpp
+++ b/tests/auto/relay/crashmodel.cpp
@@ -71,6 +71,11 @@
     if (!reaches(router)) {
         return;
     }
+    followTrials(router);
+    if (router.followedChange == m_change) {
+        return;
+    }
+    router.followedChange = m_now >= m_changedAt + followTime ? m_change : 0;
     std::set<std::pair<RequestIdentity, std::string>> present;
     for (const Row &row : m_rows) {
         present.insert(row.record.key());
@@ -86,11 +91,21 @@
             router.followed.erase(current);
         }
     }
+}
+
+void CrashModel::followTrials(Router &router)
+{
     for (const auto &[request, trials] : m_trials) {
         router.ledger.noteTrials(request, trials.first, trials.second, m_now);
     }
 }
 
+void CrashModel::noteChange()
+{
+    ++m_change;
+    m_changedAt = m_now;
+}
+
 void CrashModel::write(Router &router)
 {
     if (!reaches(router)) {
@@ -99,6 +114,9 @@
     for (const CrashRecord &record : router.unwritten) {
         m_rows.push_back({record, m_now + followTime});
     }
+    if (!router.unwritten.empty()) {
+        noteChange();
+    }
     router.unwritten.clear();
 }
 
@@ -142,6 +160,7 @@
 {
     for (const CrashRecord &record : router.ledger.clear(m_innocent, m_now)) {
         std::erase_if(m_rows, [&record](const Row &row) { return row.record.key() == record.key(); });
+        noteChange();
     }
     std::erase_if(router.unwritten, [this](const CrashRecord &record) { return record.request == m_innocent; });
     m_trials.erase(m_innocent);
--- a/tests/auto/relay/crashmodel.h
+++ b/tests/auto/relay/crashmodel.h
@@ -34,6 +34,7 @@
         std::vector<Decisions::CrashRecord> unwritten;
         std::set<std::pair<Decisions::RequestIdentity, std::string>> followed; ///< Rows that it was told.
         Core::TimePoint touchedSince{}; ///< Its process runs and reaches the store.
+        std::uint64_t followedChange = 0; ///< The last change of the rows that it has heard of.
         bool isCut = false;
     };
 
@@ -46,6 +47,8 @@
     void disturb();
     void restart(Router &router);
     void follow(Router &router);
+    void followTrials(Router &router);
+    void noteChange();
     void write(Router &router);
     bool claimTrial(Router &router, const Decisions::RequestIdentity &request);
     void sendCrashing(Router &router);
@@ -58,6 +61,8 @@
     Core::TimePoint m_now;
     std::vector<Router> m_routers;
     std::vector<Row> m_rows;
+    std::uint64_t m_change = 1; ///< Of the rows.
+    Core::TimePoint m_changedAt{};
     std::map<Decisions::RequestIdentity, std::pair<std::uint32_t, std::uint64_t>> m_trials; ///< Count and revision.
     std::uint64_t m_revision = 0;
     Core::TimePoint m_storeBack{};
