Count suspected requests for the gauge twice a second, not with each crash

The gauge counted all records again for each crash that was seen or told, hundreds at once when servers end with all they run; the look that runs twice a second does it now, so it is up to half a second late. The time left in a call's context comes from patience().

--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -172,7 +172,6 @@
             {"proof", proof},
             {"told_by", "this router"},
             {"crashes", std::to_string(m_ledger.crashes(crash.request))}});
-    showGauges();
 }
 
 // A suspicion goes into the table at once, with what others told of it: they may end before they have written it.
@@ -203,7 +202,6 @@
     if (records.size() >= Decisions::CrashLedger::suspectedFrom) {
         Observe::log(requestCleared, {{"identity", request.text()}, {"crashes", std::to_string(records.size())}, {"trials", std::to_string(trials)}});
     }
-    showGauges();
 }
 
 std::uint64_t CrashGuard::claimTrial(const RequestIdentity &request, TrialCallback done)
@@ -337,7 +335,6 @@
                 {"told_by", toldBy},
                 {"crashes", std::to_string(m_ledger.crashes(record.request))}});
     }
-    showGauges();
 }
 
 void CrashGuard::sourceLost(const std::string &table, const Core::Error &error)
@@ -383,12 +380,8 @@
         }
         tell(rows);
     }
-    m_timer.startAt(now + lookPeriod);
-}
-
-void CrashGuard::showGauges()
-{
     m_relay.metrics().setGauge("requests_suspected", static_cast<double>(m_ledger.suspectedCount()));
+    m_timer.startAt(now + lookPeriod);
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/crashguard.h
+++ b/src/libs/relay/crashguard.h
@@ -82,7 +82,6 @@
     void followTrials(const Decisions::RequestIdentity &request, const Store::CommitAnswer &answer, std::uint32_t count);
     void tell(const std::vector<Store::TableRow> &rows);
     void look();
-    void showGauges();
 
     EventLoop::Loop &m_loop;
     Store::RowMirror &m_mirror;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -247,7 +247,7 @@
     CallContext context;
     context.serverId = choice.serverId;
     context.organisation = organisationName();
-    const auto left = duration_cast<milliseconds>(m_deadline - m_context.loop.now()) - wayMargin;
+    const auto left = duration_cast<milliseconds>(patience()) - wayMargin;
     context.timeLeft = std::max(milliseconds(1), left);
     context.weightsVersion = choice.weightsVersion;
     context.cacheScope = choice.cacheScope;
