Tell how old a router's tables may be, and which answers it refused

Callers saw two routers handle requests by a configuration that had been replaced 3.7 and 6.7 s before. No line said how old what a router believes is, from whom it came, or that an answer of the store was refused as one from the past.

Each follower now keeps the moment, by the store's clock, up to which all is known: that of the last answer that was taken, handed on between routers. No decision uses it yet.

--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -68,6 +68,7 @@
 CrashGuard::CrashGuard(EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, Store::RowStore &store, RelayTask &relay)
     : m_loop(loop)
     , m_mirror(mirror)
+    , m_report(mirror)
     , m_store(store)
     , m_relay(relay)
     , m_writer(loop, store, crashTable)
@@ -82,6 +83,11 @@
     m_relay.setCrashControl(nullptr);
 }
 
+void CrashGuard::showAge(AgeWatch &watch)
+{
+    watch.watch(crashTable, [this] { return m_follower.age(); });
+}
+
 bool CrashGuard::hasRecords() const
 {
     return !m_ledger.isEmpty();
@@ -340,13 +346,23 @@
 void CrashGuard::sourceLost(const std::string &table, const Core::Error &error)
 {
     m_isStoreLost = true;
-    Observe::log(feedLost, error, {{"table", table}});
+    m_report.lost(table, error);
 }
 
 void CrashGuard::sourceRegained(const std::string &table)
 {
     m_isStoreLost = false;
-    Observe::log(feedRegained, {{"table", table}});
+    m_report.regained(table);
+}
+
+void CrashGuard::tableCurrent(const std::string &table, Store::StoreTime currentAt)
+{
+    m_report.current(table, currentAt);
+}
+
+void CrashGuard::answerRefused(const std::string &table, const Store::RefusedAnswer &answer)
+{
+    m_report.refused(table, answer);
 }
 
 void CrashGuard::tell(const std::vector<TableRow> &rows)
--- a/src/libs/relay/crashguard.h
+++ b/src/libs/relay/crashguard.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "agewatch.h"
 #include "connectcheck.h"
 #include "crashcontrol.h"
 #include "crashnews.h"
 #include "crashrowwriter.h"
+#include "feedreport.h"
 #include "relaytask.h"
 
 #include <core/lifetime.h>
@@ -33,6 +35,9 @@
     CrashGuard(const CrashGuard &) = delete;
     CrashGuard &operator=(const CrashGuard &) = delete;
 
+    /// \brief Lets \a watch follow how old the table of crashes is.
+    void showAge(AgeWatch &watch);
+
     bool hasRecords() const override;
     bool isSuspected(const Decisions::RequestIdentity &request) const override;
     std::uint64_t claimTrial(const Decisions::RequestIdentity &request, TrialCallback done) override;
@@ -71,6 +76,8 @@
     void changeRows(const std::string &table, const Store::RowPage &page) override;
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
+    void tableCurrent(const std::string &table, Store::StoreTime currentAt) override;
+    void answerRefused(const std::string &table, const Store::RefusedAnswer &answer) override;
     void takeRow(const Store::TableRow &row, const char *toldBy);
     void takeRecord(const Decisions::CrashRecord &record, bool isDeleted, const char *toldBy);
     void record(const LostCall &call, const char *proof);
@@ -85,6 +92,7 @@
 
     EventLoop::Loop &m_loop;
     Store::RowMirror &m_mirror;
+    FeedReport m_report;
     Store::RowStore &m_store;
     RelayTask &m_relay;
     Decisions::CrashLedger m_ledger;
--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -24,9 +24,11 @@
     EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, const DeploymentDecoder &decoder, RelayTask &relay, WeightsNamings &namings)
     : m_loop(loop)
     , m_mirror(mirror)
+    , m_report(mirror)
     , m_decoder(decoder)
     , m_relay(relay)
     , m_namings(namings)
+    , m_declarationsTable(decoder.tables().declarations)
     , m_serversTable(decoder.tables().servers)
     , m_lapseTimer(loop,
           [this] {
@@ -34,13 +36,24 @@
                   Observe::log(serverChanged, {{"server", ""}, {"change", "lapsed entries gone"}});
               }
           })
-    , m_declarations(loop, source, decoder.tables().declarations, declarationsPause, *this)
+    , m_declarations(loop, source, m_declarationsTable, declarationsPause, *this)
     , m_servers(loop, source, m_serversTable, Decisions::registerPause(1), *this)
 {
 }
 
 DeploymentFeed::~DeploymentFeed() = default;
 
+void DeploymentFeed::showAges(AgeWatch &watch)
+{
+    watch.watch(m_declarationsTable, [this] { return m_declarations.age(); });
+    watch.watch(m_serversTable, [this] { return m_servers.age(); });
+}
+
+std::optional<milliseconds> DeploymentFeed::declarationsAge() const
+{
+    return m_declarations.age();
+}
+
 void DeploymentFeed::replaceRows(const std::string &table, const Store::RowPage &page)
 {
     m_mirror.replace(table, page);
@@ -144,7 +157,7 @@
 
 void DeploymentFeed::sourceLost(const std::string &table, const Core::Error &error)
 {
-    Observe::log(feedLost, error, {{"table", table}});
+    m_report.lost(table, error);
     if (table == m_serversTable) {
         m_relay.fleet().servers().noteStoreLost();
     }
@@ -152,7 +165,7 @@
 
 void DeploymentFeed::sourceRegained(const std::string &table)
 {
-    Observe::log(feedRegained, {{"table", table}});
+    m_report.regained(table);
     if (table == m_serversTable) {
         const Core::TimePoint lapseDeadline = m_loop.now() + lapseTime;
         m_relay.fleet().servers().noteStoreRegained(lapseDeadline);
@@ -160,4 +173,14 @@
     }
 }
 
+void DeploymentFeed::tableCurrent(const std::string &table, Store::StoreTime currentAt)
+{
+    m_report.current(table, currentAt);
+}
+
+void DeploymentFeed::answerRefused(const std::string &table, const Store::RefusedAnswer &answer)
+{
+    m_report.refused(table, answer);
+}
+
 } // namespace Verbena::Relay
--- a/src/libs/relay/deploymentfeed.h
+++ b/src/libs/relay/deploymentfeed.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "agewatch.h"
 #include "deploymentdecoder.h"
+#include "feedreport.h"
 #include "refusedentries.h"
 #include "relaytask.h"
 #include "weightsnamings.h"
@@ -9,6 +11,8 @@
 #include <store/rowmirror.h>
 #include <store/tablefollower.h>
 
+#include <chrono>
+#include <optional>
 #include <string>
 
 namespace Verbena::Relay {
@@ -22,6 +26,12 @@
         EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, const DeploymentDecoder &decoder, RelayTask &relay, WeightsNamings &namings);
     ~DeploymentFeed() override;
 
+    /// \brief Lets \a watch follow how old the tables are.
+    void showAges(AgeWatch &watch);
+
+    /// \brief How old the operators' declarations may be; nothing before they were read once.
+    std::optional<std::chrono::milliseconds> declarationsAge() const;
+
     DeploymentFeed(const DeploymentFeed &) = delete;
     DeploymentFeed &operator=(const DeploymentFeed &) = delete;
 
@@ -30,6 +40,8 @@
     void changeRows(const std::string &table, const Store::RowPage &page) override;
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
+    void tableCurrent(const std::string &table, Store::StoreTime currentAt) override;
+    void answerRefused(const std::string &table, const Store::RefusedAnswer &answer) override;
     void takeRows(const std::string &table, const Store::RowPage &page, const std::string &how);
     void takeRow(const std::string &table, const Store::TableRow &row, const std::string &how);
     void noteClock(const Store::RowPage &page);
@@ -39,9 +51,11 @@
 
     EventLoop::Loop &m_loop;
     Store::RowMirror &m_mirror;
+    FeedReport m_report;
     const DeploymentDecoder &m_decoder;
     RelayTask &m_relay;
     WeightsNamings &m_namings;
+    std::string m_declarationsTable;
     std::string m_serversTable;
     RefusedEntries m_refused;
     EventLoop::Timer m_lapseTimer;
--- /dev/null
+++ b/src/libs/relay/feedreport.cpp
@@ -0,0 +1,43 @@
+#include "feedreport.h"
+
+#include "relayevents.h"
+
+#include <observe/eventlog.h>
+
+namespace Verbena::Relay {
+
+FeedReport::FeedReport(Store::RowMirror &mirror)
+    : m_mirror(mirror)
+{
+}
+
+void FeedReport::lost(const std::string &table, const Core::Error &error)
+{
+    Observe::log(feedLost, error, {{"table", table}});
+}
+
+void FeedReport::regained(const std::string &table)
+{
+    Observe::log(feedRegained, {{"table", table}});
+}
+
+void FeedReport::current(const std::string &table, Store::StoreTime currentAt)
+{
+    m_isRefusing = false;
+    m_mirror.noteCurrent(table, currentAt);
+}
+
+void FeedReport::refused(const std::string &table, const Store::RefusedAnswer &answer)
+{
+    if (m_isRefusing) {
+        return;
+    }
+    m_isRefusing = true;
+    Observe::log(answerFromThePast,
+        {{"table", table},
+            {"revision", std::to_string(answer.revision)},
+            {"known", std::to_string(answer.knownRevision)},
+            {"said_ms", answer.saidAgo.has_value() ? std::to_string(answer.saidAgo->count()) : ""}});
+}
+
+} // namespace Verbena::Relay
--- a/src/libs/relay/peerrows.cpp
+++ b/src/libs/relay/peerrows.cpp
@@ -50,6 +50,7 @@
 {
     verbena::wire::SettingsPush push;
     push.set_store_now_ms(encodeTime(storeNow));
+    push.set_current_at_ms(encodeTime(page.currentAt));
     push.set_highest_revision(page.revision);
     push.set_since_revision(since);
     push.set_covered_revision(page.revision);
@@ -81,6 +82,7 @@
     answer.page.revision = push.covered_revision();
     answer.page.isSecondHand = true;
     answer.age = std::chrono::microseconds(push.age_us());
+    answer.page.currentAt = decodeTime(push.current_at_ms());
     if (const std::optional<Store::StoreTime> storeNow = decodeTime(push.store_now_ms())) {
         answer.page.clock = Store::StoreReading{*storeNow, askedAt};
     }
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -632,6 +632,7 @@
     report.arrival = m_arrival;
     report.firstPartAfter = m_firstPartAfter;
     report.total = sinceArrival();
+    report.configurationAge = m_context.configurationAge ? m_context.configurationAge() : std::nullopt;
     report.configuration = m_directory != nullptr ? m_directory->version() : 0;
     reportEnd(report, m_context.metrics);
 }
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -16,6 +16,7 @@
 #include <eventloop/timer.h>
 #include <http/eventcutter.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +39,7 @@
     ResendWaits &waits;
     Decisions::RandomSource &random;
     Observe::Metrics &metrics;
+    std::function<std::optional<std::chrono::milliseconds>()> configurationAge = {}; ///< Empty where nothing tells it.
     UsageControl *usage = nullptr; ///< Nothing while no caps are kept.
     CrashControl *crashes = nullptr; ///< Nothing while nobody follows crashes.
 };
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -44,4 +44,10 @@
 inline constexpr Event crashRowsUnwritten{2126, Severity::Warning, "crash_rows_unwritten", "The store did not take rows of crashes; they are sent again."};
 inline constexpr Event crashRowRefused{2127, Severity::Warning, "crash_row_refused", "A row of the table of crashes could not be read."};
 
+inline constexpr Event answerFromThePast{
+    2128, Severity::Warning, "answer_from_the_past", "The store told less than it had told before; its answer was not taken."};
+inline constexpr Event tableAged{
+    2129, Severity::Warning, "table_aged", "What this router knows of a table may be older than a change may take to be in force."};
+inline constexpr Event tableIsCurrent{2130, Severity::Info, "table_is_current", "What this router knows of a table is young enough again."};
+
 } // namespace Verbena::Relay
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -48,7 +48,7 @@
     , m_waits(loop, m_budget, loop.now() + budgetFillTime)
     , m_routers(settings.routerCount)
     , m_random(settings.seed)
-    , m_context{m_loop, m_protocol, m_fleet, m_budget, m_waits, m_random, m_metrics}
+    , m_context{m_loop, m_protocol, m_fleet, m_budget, m_waits, m_random, m_metrics, {}}
     , m_standstill(loop.now())
     , m_lifeTimer(loop,
           [this] {
@@ -180,6 +180,11 @@
     return m_metrics;
 }
 
+void RelayTask::setConfigurationAge(std::function<std::optional<std::chrono::milliseconds>()> age)
+{
+    m_context.configurationAge = std::move(age);
+}
+
 bool RelayTask::isReady() const
 {
     return m_directory != nullptr && !m_isDraining && m_fleet.hasServers();
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -83,6 +83,9 @@
 
     Observe::Metrics &metrics();
 
+    /// \brief \a age tells, for the report of each request, how old the configuration in force may be.
+    void setConfigurationAge(std::function<std::optional<std::chrono::milliseconds>()> age);
+
     /// \brief Whether new callers are welcome.
     bool isReady() const;
 
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -111,7 +111,8 @@
             {"sent_ms", report.sends > 0 ? text(duration_cast<milliseconds>(choice.sentAt - report.arrival)) : ""},
             {"first_ms", text(report.firstPartAfter)},
             {"total_ms", text(report.total)},
-            {"configuration", report.configuration > 0 ? std::to_string(report.configuration) : ""}});
+            {"configuration", report.configuration > 0 ? std::to_string(report.configuration) : ""},
+            {"configuration_age_ms", text(report.configurationAge)}});
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/requestreport.h
+++ b/src/libs/relay/requestreport.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -62,6 +63,7 @@
     std::chrono::milliseconds firstPartAfter{-1}; ///< Below 0 if no part of an answer came.
     std::chrono::milliseconds total{0};
     std::uint64_t configuration = 0; ///< 0 if none was known.
+    std::optional<std::chrono::milliseconds> configurationAge = {}; ///< At the end: an operator's change may have been unknown for so long.
 };
 
 /// \brief Logs the end of a request and counts it in \a metrics.
--- a/src/libs/store/rowmirror.cpp
+++ b/src/libs/store/rowmirror.cpp
@@ -18,7 +18,7 @@
 {
     Table before = std::move(m_tables[table]);
     Table &known = m_tables[table];
-    known = {{}, page.revision, page.revision};
+    known = {{}, page.revision, page.revision, before.currentAt};
     for (const TableRow &row : page.rows) {
         const auto entry = before.rows.find(row.key);
         if (entry != before.rows.end()) {
@@ -41,6 +41,11 @@
     }
 }
 
+void RowMirror::noteCurrent(const std::string &table, StoreTime currentAt)
+{
+    m_tables[table].currentAt = currentAt;
+}
+
 void RowMirror::note(Entry &entry, const TableRow &row)
 {
     entry.row = row;
@@ -73,6 +78,7 @@
         return page;
     }
     page.revision = known->second.revision;
+    page.currentAt = known->second.currentAt;
     page.isHistoryLost = revision != 0 && revision < known->second.wholeAt;
     for (const auto &[key, entry] : known->second.rows) {
         if (!page.isHistoryLost && entry.row.revision > revision && !(revision == 0 && entry.row.isDeleted)) {
--- a/src/libs/store/rowmirror.h
+++ b/src/libs/store/rowmirror.h
@@ -19,6 +19,9 @@
     /// \brief Takes changes of \a table.
     void change(const std::string &table, const RowPage &page);
 
+    /// \brief All of \a table is known that the store acknowledged before \a currentAt.
+    void noteCurrent(const std::string &table, StoreTime currentAt);
+
     /// \brief What changed in \a table after \a revision; the whole of it for 0.
     ///
     /// History is lost where rows may have been deleted that nobody remembers. A row is dated by its first change after \a revision, and so by no later moment
@@ -47,6 +50,7 @@
         std::map<std::string, Entry> rows; ///< Deleted ones too, as long as they are remembered.
         std::uint64_t revision = 0;
         std::uint64_t wholeAt = 0; ///< Deletions after this revision are remembered.
+        std::optional<StoreTime> currentAt = {};
     };
 
     std::map<std::string, Table> m_tables;
--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -47,6 +47,11 @@
     return m_revision;
 }
 
+std::optional<milliseconds> TableFollower::age() const
+{
+    return m_currentAt.has_value() ? m_clock.age(*m_currentAt, Core::BootClock::now()) : std::nullopt;
+}
+
 void TableFollower::ask()
 {
     const Core::TimePoint now = m_loop.now();
@@ -75,6 +80,7 @@
     m_isTableKnown = true;
     noteSaid(page.value(), m_saidAt, askedAt);
     m_consumer.replaceRows(m_table, page.value());
+    noteCurrent(page.value());
     noteAnswer(page.value());
 }
 
@@ -92,6 +98,7 @@
     if (!page.value().rows.empty()) {
         m_consumer.changeRows(m_table, page.value());
     }
+    noteCurrent(page.value());
     noteAnswer(page.value());
 }
 
@@ -112,19 +119,39 @@
 void TableFollower::noteSaid(RowPage &page, std::optional<StoreTime> committedAfter, Core::BootTime askedAt)
 {
     const std::uint64_t before = std::exchange(m_revision, page.revision);
-    if (!page.saidAt.has_value()) {
-        return;
-    }
-    for (TableRow &row : page.rows) {
-        if (row.revision > before) {
-            row.committedAfter = committedAfter;
+    if (page.saidAt.has_value()) {
+        for (TableRow &row : page.rows) {
+            if (row.revision > before) {
+                row.committedAfter = committedAfter;
+            }
+        }
+        if (!page.clock.has_value()) {
+            page.clock = StoreReading{*page.saidAt, askedAt};
         }
+        m_saidAt = page.saidAt;
+    }
+    if (page.clock.has_value()) {
+        m_clock.note(*page.clock);
     }
-    if (!page.clock.has_value()) {
-        page.clock = StoreReading{*page.saidAt, askedAt};
+}
+
+void TableFollower::noteCurrent(const RowPage &page)
+{
+    const std::optional<StoreTime> currentAt = page.saidAt.has_value() ? page.saidAt : page.currentAt;
+    if (currentAt.has_value() && (!m_currentAt.has_value() || *currentAt > *m_currentAt)) {
+        m_currentAt = currentAt;
+        m_consumer.tableCurrent(m_table, *currentAt);
+    }
+}
+
+void TableFollower::refuse(const RowPage &page)
+{
+    RefusedAnswer refused{page.revision, m_revision, {}};
+    if (page.saidAt.has_value()) {
+        refused.saidAgo = m_clock.age(*page.saidAt, Core::BootClock::now());
     }
-    m_saidAt = page.saidAt;
-    m_clock.note(*page.clock);
+    m_consumer.answerRefused(m_table, refused);
+    noteFailure({Core::ErrorCode::Conflict, "store.follow", m_table, "The store answers from the past."});
 }
 
 bool TableFollower::isBelieved(const Core::Result<RowPage> &page)
@@ -134,7 +161,7 @@
         return false;
     }
     if (page.value().revision < m_revision) {
-        noteFailure({Core::ErrorCode::Conflict, "store.follow", m_table, "The store answers from the past."});
+        refuse(page.value());
         return false;
     }
     return true;
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -11,6 +11,14 @@
 
 namespace Verbena::Store {
 
+/// \brief An answer from the past: it knows less than has been told before.
+struct RefusedAnswer
+{
+    std::uint64_t revision = 0;
+    std::uint64_t knownRevision = 0;
+    std::optional<std::chrono::milliseconds> saidAgo; ///< By the store's clock; nothing if the store did not say when.
+};
+
 /// \brief Takes what a TableFollower learns.
 class RowConsumer
 {
@@ -28,6 +36,12 @@
 
     /// \brief It answers again.
     virtual void sourceRegained(const std::string &table) = 0;
+
+    /// \brief All of \a table is known that the store acknowledged before \a currentAt.
+    virtual void tableCurrent(const std::string &table, StoreTime currentAt) = 0;
+
+    /// \brief \a answer was not taken.
+    virtual void answerRefused(const std::string &table, const RefusedAnswer &answer) = 0;
 };
 
 /// \brief Follows one table for as long as it lives, whatever the store does meanwhile.
@@ -50,6 +64,9 @@
     /// \brief The revision up to which the table is known; 0 before it was read once.
     std::uint64_t revision() const;
 
+    /// \brief How long ago the store may have acknowledged something that is not known here, at most; nothing before the first answer.
+    std::optional<std::chrono::milliseconds> age() const;
+
 private:
     void ask();
     void takeTable(Core::Result<RowPage> page, Core::BootTime askedAt);
@@ -57,6 +74,8 @@
     void noteSaid(RowPage &page, std::optional<StoreTime> committedAfter, Core::BootTime askedAt);
     std::optional<StoreTime> changedAfter(const RowPage &page, Core::BootTime askedAt) const;
     bool isBelieved(const Core::Result<RowPage> &page);
+    void noteCurrent(const RowPage &page);
+    void refuse(const RowPage &page);
     void askAgainAt(Core::TimePoint moment);
     void noteFailure(const Core::Error &error);
     void noteAnswer(const RowPage &page);
@@ -70,6 +89,7 @@
     EventLoop::Timer m_timer;
     std::uint64_t m_revision = 0;
     std::optional<StoreTime> m_saidAt; ///< When the store itself answered last, by its clock.
+    std::optional<StoreTime> m_currentAt; ///< All that it acknowledged before is known.
     StoreClockEstimate m_clock;
     bool m_isTableKnown = false;
     bool m_isLost = false; ///< Nobody answers.
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -162,6 +162,15 @@
     Observe::log(declarationsRegained, {{"table", table}});
 }
 
+// Nothing here is handed on, and what is known of weights only ever rises.
+void WeightsKeeper::tableCurrent(const std::string &, Store::StoreTime)
+{
+}
+
+void WeightsKeeper::answerRefused(const std::string &, const Store::RefusedAnswer &)
+{
+}
+
 // A router may be late, so it can only add to what is known.
 void WeightsKeeper::takeWatch(const verbena::wire::EngineWatch &watch)
 {
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -63,6 +63,8 @@
     void changeRows(const std::string &table, const Store::RowPage &page) override;
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
+    void tableCurrent(const std::string &table, Store::StoreTime currentAt) override;
+    void answerRefused(const std::string &table, const Store::RefusedAnswer &answer) override;
     void takeDeclarations(const std::string &table, const Store::RowPage &page, const Decisions::WeightsNaming &naming);
     Decisions::WeightsNaming dated(const Decisions::WeightsNaming &naming, const Store::TableRow &row) const;
     void takeWatch(const verbena::wire::EngineWatch &watch);
--- a/tests/auto/relay/tst_silentpeers.cpp
+++ b/tests/auto/relay/tst_silentpeers.cpp
@@ -88,6 +88,12 @@
     void sourceRegained(const std::string &) override
     {
     }
+    void tableCurrent(const std::string &, Store::StoreTime) override
+    {
+    }
+    void answerRefused(const std::string &, const Store::RefusedAnswer &) override
+    {
+    }
 
     bool isRead = false;
     std::map<std::string, std::optional<Store::StoreTime>> byKey;
--- a/tests/auto/relay/tst_tablefollower.cpp
+++ b/tests/auto/relay/tst_tablefollower.cpp
@@ -86,6 +86,15 @@
         ++m_returns;
     }
 
+    void tableCurrent(const std::string &, StoreTime currentAt) override
+    {
+        m_currentAt = currentAt;
+    }
+
+    void answerRefused(const std::string &, const RefusedAnswer &) override
+    {
+    }
+
     const std::map<std::string, std::string> &rows() const
     {
         return m_rows;
@@ -110,6 +119,7 @@
 private:
     std::map<std::string, std::string> m_rows;
     std::map<std::string, std::optional<StoreTime>> m_dates;
+    std::optional<StoreTime> m_currentAt;
     int m_losses = 0;
     int m_returns = 0;
 };
