--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -52,10 +52,15 @@
 
 } // namespace
 
-Core::Result<std::unique_ptr<CrashGuard>> CrashGuard::create(
-    EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, Store::RowStore &store, const Http::Endpoint &address, RelayTask &relay)
+Core::Result<std::unique_ptr<CrashGuard>> CrashGuard::create(EventLoop::Loop &loop,
+    Store::RowSource &source,
+    Store::RowMirror &mirror,
+    Store::RowStore &store,
+    const Http::Endpoint &address,
+    RelayTask &relay,
+    const Store::FollowTimes &times)
 {
-    std::unique_ptr<CrashGuard> guard(new CrashGuard(loop, source, mirror, store, relay));
+    std::unique_ptr<CrashGuard> guard(new CrashGuard(loop, source, mirror, store, relay, times));
     auto news = CrashNews::create(loop, address, [raw = guard.get()](const TableRow &row) { raw->takeRow(row, "router"); });
     if (!news) {
         return news.error();
@@ -65,7 +70,8 @@
     return guard;
 }
 
-CrashGuard::CrashGuard(EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, Store::RowStore &store, RelayTask &relay)
+CrashGuard::CrashGuard(
+    EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, Store::RowStore &store, RelayTask &relay, const Store::FollowTimes &times)
     : m_loop(loop)
     , m_mirror(mirror)
     , m_report(mirror)
@@ -73,7 +79,7 @@
     , m_relay(relay)
     , m_writer(loop, store, crashTable)
     , m_timer(loop, [this] { look(); })
-    , m_follower(loop, source, crashTable, followPause, *this)
+    , m_follower(loop, source, crashTable, followPause, *this, times)
 {
     m_timer.startAt(loop.now() + lookPeriod);
 }
@@ -83,6 +89,11 @@
     m_relay.setCrashControl(nullptr);
 }
 
+void CrashGuard::join(TableGossip &gossip)
+{
+    gossip.follow(m_follower, TableGossip::Urgency::OnceAged);
+}
+
 void CrashGuard::showAge(AgeWatch &watch)
 {
     watch.watch(crashTable, [this] { return m_follower.age(); });
@@ -355,9 +366,9 @@
     m_report.regained(table);
 }
 
-void CrashGuard::tableCurrent(const std::string &table, Store::StoreTime currentAt)
+void CrashGuard::tableVerified(const std::string &table, Store::StoreTime verifiedAt, std::uint64_t coveredRevision)
 {
-    m_report.current(table, currentAt);
+    m_report.verified(table, verifiedAt, coveredRevision);
 }
 
 void CrashGuard::answerRefused(const std::string &table, const Store::RefusedAnswer &answer)
--- a/src/libs/relay/crashguard.h
+++ b/src/libs/relay/crashguard.h
@@ -7,6 +7,7 @@
 #include "crashrowwriter.h"
 #include "feedreport.h"
 #include "relaytask.h"
+#include "tablegossip.h"
 
 #include <core/lifetime.h>
 #include <decisions/relay/crashledger.h>
@@ -28,13 +29,21 @@
 {
 public:
     /// \brief Follows \a source, writes to \a store and hands what it learns on by \a mirror; talks to other routers from \a address. Errors: Unavailable.
-    static Core::Result<std::unique_ptr<CrashGuard>> create(
-        EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, Store::RowStore &store, const Http::Endpoint &address, RelayTask &relay);
+    static Core::Result<std::unique_ptr<CrashGuard>> create(EventLoop::Loop &loop,
+        Store::RowSource &source,
+        Store::RowMirror &mirror,
+        Store::RowStore &store,
+        const Http::Endpoint &address,
+        RelayTask &relay,
+        const Store::FollowTimes &times);
     ~CrashGuard() override;
 
     CrashGuard(const CrashGuard &) = delete;
     CrashGuard &operator=(const CrashGuard &) = delete;
 
+    /// \brief Shares the table of crashes with other routers by \a gossip, which lives as long as this.
+    void join(TableGossip &gossip);
+
     /// \brief Lets \a watch follow how old the table of crashes is.
     void showAge(AgeWatch &watch);
 
@@ -71,12 +80,13 @@
         std::uint32_t count = 0;
     };
 
-    CrashGuard(EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, Store::RowStore &store, RelayTask &relay);
+    CrashGuard(
+        EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, Store::RowStore &store, RelayTask &relay, const Store::FollowTimes &times);
     void replaceRows(const std::string &table, const Store::RowPage &page) override;
     void changeRows(const std::string &table, const Store::RowPage &page) override;
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
-    void tableCurrent(const std::string &table, Store::StoreTime currentAt) override;
+    void tableVerified(const std::string &table, Store::StoreTime verifiedAt, std::uint64_t coveredRevision) override;
     void answerRefused(const std::string &table, const Store::RefusedAnswer &answer) override;
     void takeRow(const Store::TableRow &row, const char *toldBy);
     void takeRecord(const Decisions::CrashRecord &record, bool isDeleted, const char *toldBy);
--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -20,8 +20,13 @@
 
 } // namespace
 
-DeploymentFeed::DeploymentFeed(
-    EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, const DeploymentDecoder &decoder, RelayTask &relay, WeightsNamings &namings)
+DeploymentFeed::DeploymentFeed(EventLoop::Loop &loop,
+    Store::RowSource &source,
+    Store::RowMirror &mirror,
+    const DeploymentDecoder &decoder,
+    RelayTask &relay,
+    WeightsNamings &namings,
+    const Store::FollowTimes &times)
     : m_loop(loop)
     , m_mirror(mirror)
     , m_report(mirror)
@@ -36,16 +41,24 @@
                   Observe::log(serverChanged, {{"server", ""}, {"change", "lapsed entries gone"}});
               }
           })
-    , m_declarations(loop, source, m_declarationsTable, declarationsPause, *this)
-    , m_servers(loop, source, m_serversTable, Decisions::registerPause(1), *this)
+    , m_declarations(loop, source, m_declarationsTable, declarationsPause, *this, times)
+    , m_servers(loop, source, m_serversTable, Decisions::registerPause(1), *this, times)
 {
 }
 
 DeploymentFeed::~DeploymentFeed() = default;
 
+void DeploymentFeed::join(TableGossip &gossip)
+{
+    m_gossip = &gossip;
+    gossip.follow(m_declarations, TableGossip::Urgency::AtOnce);
+    gossip.follow(m_servers, TableGossip::Urgency::OnceAged);
+}
+
 void DeploymentFeed::showAges(AgeWatch &watch)
 {
-    watch.watch(m_declarationsTable, [this] { return m_declarations.age(); });
+    watch.watch(
+        m_declarationsTable, [this] { return m_declarations.age(); }, [this] { m_declarations.askBeside(); });
     watch.watch(m_serversTable, [this] { return m_servers.age(); });
 }
 
@@ -62,6 +75,7 @@
         return;
     }
     takeRows(table, page, "table");
+    tellChange(table);
 }
 
 void DeploymentFeed::changeRows(const std::string &table, const Store::RowPage &page)
@@ -71,6 +85,15 @@
         m_servers.setPause(m_relay.registerPause());
     }
     takeRows(table, page, "change");
+    tellChange(table);
+}
+
+// Others may hear of it later, or not at all.
+void DeploymentFeed::tellChange(const std::string &table)
+{
+    if (m_gossip != nullptr && table == m_declarationsTable) {
+        m_gossip->tellChange();
+    }
 }
 
 void DeploymentFeed::takeRows(const std::string &table, const Store::RowPage &page, const std::string &how)
@@ -173,9 +196,9 @@
     }
 }
 
-void DeploymentFeed::tableCurrent(const std::string &table, Store::StoreTime currentAt)
+void DeploymentFeed::tableVerified(const std::string &table, Store::StoreTime verifiedAt, std::uint64_t coveredRevision)
 {
-    m_report.current(table, currentAt);
+    m_report.verified(table, verifiedAt, coveredRevision);
 }
 
 void DeploymentFeed::answerRefused(const std::string &table, const Store::RefusedAnswer &answer)
--- a/src/libs/relay/deploymentfeed.h
+++ b/src/libs/relay/deploymentfeed.h
@@ -5,6 +5,7 @@
 #include "feedreport.h"
 #include "refusedentries.h"
 #include "relaytask.h"
+#include "tablegossip.h"
 #include "weightsnamings.h"
 
 #include <eventloop/timer.h>
@@ -22,10 +23,18 @@
 {
 public:
     /// \brief Follows \a source; what it tells goes on into \a mirror too, and what it says of weights into \a namings.
-    DeploymentFeed(
-        EventLoop::Loop &loop, Store::RowSource &source, Store::RowMirror &mirror, const DeploymentDecoder &decoder, RelayTask &relay, WeightsNamings &namings);
+    DeploymentFeed(EventLoop::Loop &loop,
+        Store::RowSource &source,
+        Store::RowMirror &mirror,
+        const DeploymentDecoder &decoder,
+        RelayTask &relay,
+        WeightsNamings &namings,
+        const Store::FollowTimes &times);
     ~DeploymentFeed() override;
 
+    /// \brief Shares the tables with other routers by \a gossip, which lives as long as this.
+    void join(TableGossip &gossip);
+
     /// \brief Lets \a watch follow how old the tables are.
     void showAges(AgeWatch &watch);
 
@@ -40,12 +49,13 @@
     void changeRows(const std::string &table, const Store::RowPage &page) override;
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
-    void tableCurrent(const std::string &table, Store::StoreTime currentAt) override;
+    void tableVerified(const std::string &table, Store::StoreTime verifiedAt, std::uint64_t coveredRevision) override;
     void answerRefused(const std::string &table, const Store::RefusedAnswer &answer) override;
     void takeRows(const std::string &table, const Store::RowPage &page, const std::string &how);
     void takeRow(const std::string &table, const Store::TableRow &row, const std::string &how);
     void noteClock(const Store::RowPage &page);
     void refuseEntry(const std::string &id, const Core::Error &error);
+    void tellChange(const std::string &table);
     void takeServer(const Decisions::RegisteredServer &server);
     void replaceServers(const Store::RowPage &page);
 
@@ -57,6 +67,7 @@
     WeightsNamings &m_namings;
     std::string m_declarationsTable;
     std::string m_serversTable;
+    TableGossip *m_gossip = nullptr; ///< Nothing before join().
     RefusedEntries m_refused;
     EventLoop::Timer m_lapseTimer;
     Store::TableFollower m_declarations;
--- a/src/libs/relay/enginewatch.cpp
+++ b/src/libs/relay/enginewatch.cpp
@@ -101,7 +101,7 @@
             peer.address.sin_addr.s_addr = router;
             const std::string text = peer.toString();
             const std::string address = text.substr(0, text.rfind(':'));
-            m_peers.addPeer(address);
+            m_peers.book().note(address, now);
             routers.push_back(address);
         }
         m_relay.noteRouters(routers);
--- a/src/libs/relay/feedreport.cpp
+++ b/src/libs/relay/feedreport.cpp
@@ -21,10 +21,10 @@
     Observe::log(feedRegained, {{"table", table}});
 }
 
-void FeedReport::current(const std::string &table, Store::StoreTime currentAt)
+void FeedReport::verified(const std::string &table, Store::StoreTime verifiedAt, std::uint64_t coveredRevision)
 {
     m_isRefusing = false;
-    m_mirror.noteCurrent(table, currentAt);
+    m_mirror.noteVerified(table, verifiedAt, coveredRevision);
 }
 
 void FeedReport::refused(const std::string &table, const Store::RefusedAnswer &answer)
--- a/src/libs/relay/feedreport.h
+++ b/src/libs/relay/feedreport.h
@@ -16,7 +16,7 @@
 
     void lost(const std::string &table, const Core::Error &error);
     void regained(const std::string &table);
-    void current(const std::string &table, Store::StoreTime currentAt);
+    void verified(const std::string &table, Store::StoreTime verifiedAt, std::uint64_t coveredRevision);
 
     /// \brief Logs the first of several refused answers in a row.
     void refused(const std::string &table, const Store::RefusedAnswer &answer);
--- a/src/libs/relay/peerrows.cpp
+++ b/src/libs/relay/peerrows.cpp
@@ -1,6 +1,7 @@
 #include "peerrows.h"
 
 #include "relayevents.h"
+#include "storetimecodec.h"
 
 #include <http/bodycollector.h>
 #include <observe/eventlog.h>
@@ -17,15 +18,6 @@
 constexpr const char *path = "/rows";
 constexpr const char *step = "relay.peer";
 
-// Peers are a millisecond away; one that takes longer is gone, and another one is asked with the next question.
-constexpr std::chrono::milliseconds answerTime{400};
-
-// More than a deployment has in one failure domain; a bound on what is remembered of news from anywhere.
-constexpr std::size_t mostPeers = 256;
-
-// Of what an elected router knows, when it tells others: its longest question to the store, the pause before it, and the answer's way.
-constexpr std::chrono::milliseconds freshTime{1600};
-
 // How soon a peer that waits hears of a change.
 constexpr std::chrono::milliseconds waitingTick{50};
 
@@ -35,22 +27,11 @@
 // What a peer may ask to wait at most.
 constexpr std::chrono::milliseconds longestWait{3000};
 
-// Moments of the store's clock go over the wire plus 1, so that 0 says that there is none.
-std::uint64_t encodeTime(const std::optional<Store::StoreTime> &moment)
-{
-    return moment.has_value() ? static_cast<std::uint64_t>(moment->time_since_epoch().count()) + 1 : 0;
-}
-
-std::optional<Store::StoreTime> decodeTime(std::uint64_t moment)
-{
-    return moment == 0 ? std::nullopt : std::optional(Store::StoreTime(std::chrono::milliseconds(moment - 1)));
-}
-
 std::string encode(const Store::RowPage &page, std::uint64_t since, std::chrono::microseconds age, const std::optional<Store::StoreTime> &storeNow)
 {
     verbena::wire::SettingsPush push;
-    push.set_store_now_ms(encodeTime(storeNow));
-    push.set_current_at_ms(encodeTime(page.currentAt));
+    push.set_store_now_ms(encodeStoreTime(storeNow));
+    push.set_verified_at_ms(encodeStoreTime(page.verifiedAt));
     push.set_highest_revision(page.revision);
     push.set_since_revision(since);
     push.set_covered_revision(page.revision);
@@ -61,47 +42,40 @@
         entry.set_revision(row.revision);
         entry.set_deleted(row.isDeleted);
         entry.set_content(row.value);
-        entry.set_committed_after_ms(encodeTime(row.committedAfter));
+        entry.set_committed_after_ms(encodeStoreTime(row.committedAfter));
     }
     return push.SerializeAsString();
 }
 
-struct PeerPage
-{
-    Store::RowPage page;
-    std::chrono::microseconds age{0}; ///< Since the store said so.
-};
-
-Core::Result<PeerPage> decode(const std::string &body, const std::string &peer, Core::BootTime askedAt)
+Core::Result<Store::RowPage> decode(const std::string &body, const std::string &peer, Core::BootTime askedAt)
 {
     verbena::wire::SettingsPush push;
     if (!push.ParseFromString(body)) {
         return Core::Error{Core::ErrorCode::InvalidArgument, step, peer, "The peer's answer is no message of ours."};
     }
-    PeerPage answer;
-    answer.page.revision = push.covered_revision();
-    answer.page.isSecondHand = true;
-    answer.age = std::chrono::microseconds(push.age_us());
-    answer.page.currentAt = decodeTime(push.current_at_ms());
-    if (const std::optional<Store::StoreTime> storeNow = decodeTime(push.store_now_ms())) {
-        answer.page.clock = Store::StoreReading{*storeNow, askedAt};
+    Store::RowPage page;
+    page.revision = push.covered_revision();
+    page.isSecondHand = true;
+    page.verifiedAt = decodeStoreTime(push.verified_at_ms());
+    if (const std::optional<Store::StoreTime> storeNow = decodeStoreTime(push.store_now_ms())) {
+        page.clock = Store::StoreReading{*storeNow, askedAt};
     }
     for (const verbena::wire::SettingsRow &entry : push.rows()) {
-        answer.page.rows.push_back({entry.path(), entry.content(), entry.revision(), entry.deleted(), decodeTime(entry.committed_after_ms())});
+        page.rows.push_back({entry.path(), entry.content(), entry.revision(), entry.deleted(), decodeStoreTime(entry.committed_after_ms())});
     }
-    return answer;
+    return page;
 }
 
 } // namespace
 
 Core::Result<std::unique_ptr<PeerRows>> PeerRows::create(
-    EventLoop::Loop &loop, const std::string &address, std::uint16_t port, Store::RowSource &store, std::uint64_t seed)
+    EventLoop::Loop &loop, const std::string &address, std::uint16_t port, Store::RowSource &store, std::uint64_t seed, const Store::FollowTimes &times)
 {
     auto client = Http::HttpClient::create(loop);
     if (!client) {
         return client.error();
     }
-    std::unique_ptr<PeerRows> rows(new PeerRows(loop, std::move(client.value()), address, port, store, seed));
+    std::unique_ptr<PeerRows> rows(new PeerRows(loop, std::move(client.value()), address, port, store, seed, times));
     Http::HttpServerOptions options;
     options.address = address;
     options.port = port;
@@ -118,22 +92,22 @@
     const std::string &address,
     std::uint16_t port,
     Store::RowSource &store,
-    std::uint64_t seed)
+    std::uint64_t seed,
+    const Store::FollowTimes &times)
     : m_loop(loop)
     , m_client(std::move(client))
-    , m_address(address)
     , m_port(port)
     , m_store(store)
+    , m_times(times)
     , m_random(seed)
+    , m_book(address, 2 * times.digestPeriod)
     , m_waitingTimer(loop, [this] { answerWaiting(); })
 {
 }
 
-void PeerRows::addPeer(const std::string &address)
+PeerBook &PeerRows::book()
 {
-    if (address != m_address && m_peers.size() < mostPeers) {
-        m_peers.insert(address);
-    }
+    return m_book;
 }
 
 Store::RowMirror &PeerRows::mirror()
@@ -166,21 +140,23 @@
     return m_storeClock.latest(Core::BootClock::now());
 }
 
-bool PeerRows::isFresh(const std::string &table) const
+// How long ago the store may have acknowledged something that is not known here, at most.
+std::optional<std::chrono::milliseconds> PeerRows::age(const std::string &table) const
 {
-    const auto heard = m_heard.find(table);
-    return heard != m_heard.end() && m_loop.now() < heard->second.at + freshTime;
+    const std::optional<Store::StoreTime> verifiedAt = m_mirror.verifiedAt(table);
+    return verifiedAt.has_value() ? m_storeClock.age(*verifiedAt, Core::BootClock::now()) : std::nullopt;
 }
 
 // False while there is nothing to tell yet.
 bool PeerRows::answer(const Waiting &waiting)
 {
     const Core::TimePoint now = m_loop.now();
-    if (!isFresh(waiting.table)) {
+    const std::optional<std::chrono::milliseconds> known = age(waiting.table);
+    if (!known.has_value() || *known > m_times.sharedAge) {
         waiting.exchange->respond(statusBusy, {}, "");
         return true;
     }
-    Store::RowPage page = m_mirror.since(waiting.table, waiting.after);
+    const Store::RowPage page = m_mirror.since(waiting.table, waiting.after);
     if (page.isHistoryLost) {
         waiting.exchange->respond(statusGone, {}, "");
         return true;
@@ -188,10 +164,7 @@
     if (page.rows.empty() && now < waiting.deadline) {
         return false;
     }
-    const Heard &heard = m_heard.at(waiting.table);
-    page.revision = std::max(page.revision, heard.revision);
-    const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - heard.at);
-    waiting.exchange->respond(statusOk, {{"Content-Type", "application/x-protobuf"}}, encode(page, waiting.after, age, storeNow()));
+    waiting.exchange->respond(statusOk, {{"Content-Type", "application/x-protobuf"}}, encode(page, waiting.after, *known, storeNow()));
     return true;
 }
 
@@ -203,56 +176,79 @@
     }
 }
 
-// Notes what the store itself says, once its consumer has taken it.
-Store::RowSource::PageCallback PeerRows::hearing(const std::string &table, PageCallback done)
+// Notes the store's clock in what it says itself.
+Store::RowSource::PageCallback PeerRows::hearing(PageCallback done)
 {
-    return [this, table, askedAt = Core::BootClock::now(), done = std::move(done)](Core::Result<Store::RowPage> page) {
+    return [this, askedAt = Core::BootClock::now(), done = std::move(done)](Core::Result<Store::RowPage> page) {
         if (page && page.value().saidAt.has_value()) {
             page.value().clock = Store::StoreReading{*page.value().saidAt, askedAt};
             m_storeClock.note(*page.value().clock);
         }
-        if (!page || page.value().isHistoryLost || page.value().isSecondHand) {
-            done(std::move(page));
-            return;
-        }
-        const std::uint64_t revision = page.value().revision;
         done(std::move(page));
-        Heard &heard = m_heard[table];
-        heard = {std::max(heard.revision, revision), m_loop.now()};
     };
 }
 
-void PeerRows::awaitFresh(const std::string &peer, const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, PageCallback done)
+void PeerRows::call(const std::string &peer, const std::string &question, std::uint64_t revision, Core::TimePoint deadline, PageCallback done)
 {
-    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(waitEnd - m_loop.now());
     Http::HttpCall call;
-    call.url = "http://" + peer + ':' + std::to_string(m_port) + path + "?table=" + table + "&after=" + std::to_string(revision)
-        + "&wait=" + std::to_string(std::max<std::int64_t>(0, wait.count()));
-    call.deadline = waitEnd + answerTime;
-    const auto take = [this, table, revision, peer, askedAt = Core::BootClock::now(), done = std::move(done)](const Core::Result<Http::HttpReply> &reply) {
-        const Core::Error stale{Core::ErrorCode::Unavailable, step, peer, "The peer does not know what the store says now."};
-        if (!reply || reply.value().status != statusOk) {
-            done(reply ? stale : reply.error());
+    call.url = "http://" + peer + ':' + std::to_string(m_port) + path + question;
+    call.deadline = deadline;
+    const auto take = [this, revision, peer, askedAt = Core::BootClock::now(), done = std::move(done)](const Core::Result<Http::HttpReply> &reply) {
+        const Core::Error unknowing{Core::ErrorCode::Unavailable, step, peer, "The peer does not know what the store says now."};
+        if (reply && reply.value().status == statusGone) {
+            done(Store::RowPage{{}, 0, true});
             return;
         }
-        auto answer = decode(reply.value().body, peer, askedAt);
-        if (!answer || answer.value().page.revision < revision) {
-            done(answer ? stale : answer.error());
+        if (!reply || reply.value().status != statusOk) {
+            done(reply ? unknowing : reply.error());
             return;
         }
-        answer.value().page.isSecondHand = false;
-        const std::uint64_t covered = answer.value().page.revision;
-        const Core::TimePoint saidAt = m_loop.now() - answer.value().age;
-        done(std::move(answer.value().page));
-        Heard &heard = m_heard[table];
-        heard = {std::max(heard.revision, covered), std::max(heard.at, saidAt)};
+        auto page = decode(reply.value().body, peer, askedAt);
+        if (page && page.value().clock.has_value()) {
+            m_storeClock.note(*page.value().clock);
+        }
+        if (page && page.value().revision < revision) {
+            done(unknowing);
+        } else {
+            done(std::move(page));
+        }
     };
     m_client->start(call, std::make_shared<Http::BodyCollector>(take));
 }
 
+void PeerRows::awaitFresh(const std::string &peer, const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, PageCallback done)
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(waitEnd - m_loop.now());
+    const std::string question = "?table=" + table + "&after=" + std::to_string(revision) + "&wait=" + std::to_string(std::max<std::int64_t>(0, wait.count()));
+    const auto take = [peer, done = std::move(done)](Core::Result<Store::RowPage> page) {
+        if (page && page.value().isHistoryLost) {
+            done(Core::Error{Core::ErrorCode::Unavailable, step, peer, "The peer does not know what changed."});
+            return;
+        }
+        if (page) {
+            page.value().isSecondHand = false;
+        }
+        done(std::move(page));
+    };
+    call(peer, question, revision, waitEnd + m_times.peerAnswer, take);
+}
+
+void PeerRows::fetch(const std::string &peer, const std::string &table, std::uint64_t revision, PageCallback done)
+{
+    const std::string question = "?table=" + table + "&after=" + std::to_string(revision);
+    const auto take = [table, peer, revision, done = std::move(done)](Core::Result<Store::RowPage> page) {
+        if (page && !page.value().rows.empty()) {
+            Observe::log(
+                peerAsked, {{"table", table}, {"peer", peer}, {"revision", std::to_string(page.value().revision)}, {"after", std::to_string(revision)}});
+        }
+        done(std::move(page));
+    };
+    call(peer, question, revision, m_loop.now() + m_times.peerAnswer, take);
+}
+
 void PeerRows::readTable(const std::string &table, Core::TimePoint deadline, PageCallback done)
 {
-    m_store.readTable(table, deadline, [this, table, done = hearing(table, std::move(done))](Core::Result<Store::RowPage> page) {
+    m_store.readTable(table, deadline, [this, table, done = hearing(std::move(done))](Core::Result<Store::RowPage> page) {
         if (page) {
             done(std::move(page));
         } else {
@@ -263,42 +259,31 @@
 
 void PeerRows::awaitChanges(const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, Core::TimePoint deadline, PageCallback done)
 {
-    m_store.awaitChanges(
-        table, revision, waitEnd, deadline, [this, table, revision, done = hearing(table, std::move(done))](Core::Result<Store::RowPage> page) {
-            if (page) {
-                done(std::move(page));
-            } else {
-                askPeer(table, revision, page.error(), done);
-            }
-        });
+    m_store.awaitChanges(table, revision, waitEnd, deadline, [this, table, revision, done = hearing(std::move(done))](Core::Result<Store::RowPage> page) {
+        if (page) {
+            done(std::move(page));
+        } else {
+            askPeer(table, revision, page.error(), done);
+        }
+    });
 }
 
 // Only a peer that knows more than the asker has been served by the store since; any other answer leaves the store's failure standing.
 void PeerRows::askPeer(const std::string &table, std::uint64_t revision, const Core::Error &failure, PageCallback done)
 {
-    if (m_peers.empty()) {
+    const std::optional<std::string> peer = m_book.best(m_random, m_loop.now());
+    if (!peer.has_value()) {
         done(failure);
         return;
     }
-    const std::string peer = *std::next(m_peers.begin(), static_cast<long>(m_random.next() % m_peers.size()));
-    Http::HttpCall call;
-    call.url = "http://" + peer + ':' + std::to_string(m_port) + path + "?table=" + table + "&after=" + std::to_string(revision);
-    call.deadline = m_loop.now() + answerTime;
-    const auto take = [table, revision, peer, failure, askedAt = Core::BootClock::now(), done = std::move(done)](const Core::Result<Http::HttpReply> &reply) {
-        if (!reply || reply.value().status != statusOk) {
+    const auto take = [revision, failure, done = std::move(done)](Core::Result<Store::RowPage> page) {
+        if (page && !page.value().isHistoryLost && page.value().revision > revision) {
+            done(std::move(page));
+        } else {
             done(failure);
-            return;
         }
-        auto answer = decode(reply.value().body, peer, askedAt);
-        if (!answer || answer.value().page.revision <= revision) {
-            done(answer ? failure : answer.error());
-            return;
-        }
-        const std::uint64_t covered = answer.value().page.revision;
-        Observe::log(peerAsked, {{"table", table}, {"peer", peer}, {"revision", std::to_string(covered)}, {"after", std::to_string(revision)}});
-        done(std::move(answer.value().page));
     };
-    m_client->start(call, std::make_shared<Http::BodyCollector>(take));
+    fetch(*peer, table, revision, take);
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/peerrows.h
+++ b/src/libs/relay/peerrows.h
@@ -1,17 +1,18 @@
 #pragma once
 
+#include "peerbook.h"
+
 #include <decisions/spread/randomsource.h>
 #include <eventloop/loop.h>
 #include <eventloop/timer.h>
 #include <http/httpclient.h>
 #include <http/httpserver.h>
+#include <store/followtimes.h>
 #include <store/rowmirror.h>
 #include <store/storeclockestimate.h>
 
-#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -25,11 +26,15 @@
 {
 public:
     /// \brief Listens for peers at \a address, port \a port; peers listen at the same port. Errors: Unavailable, Internal.
-    static Core::Result<std::unique_ptr<PeerRows>> create(
-        EventLoop::Loop &loop, const std::string &address, std::uint16_t port, Store::RowSource &store, std::uint64_t seed);
+    static Core::Result<std::unique_ptr<PeerRows>> create(EventLoop::Loop &loop,
+        const std::string &address,
+        std::uint16_t port,
+        Store::RowSource &store,
+        std::uint64_t seed,
+        const Store::FollowTimes &times = Store::FollowTimes::within(std::chrono::seconds(3)));
 
-    /// \brief Another router was heard of at \a address, an IP number.
-    void addPeer(const std::string &address);
+    /// \brief The other routers that can be asked.
+    PeerBook &book();
 
     /// \brief What this process knows, for those who ask.
     Store::RowMirror &mirror();
@@ -38,6 +43,10 @@
     /// for longer than a moment or knows less than the asker.
     void awaitFresh(const std::string &peer, const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, PageCallback done);
 
+    /// \brief Asks the router at \a peer what it knows of changes after \a revision, or of the whole table for 0; history is lost where it cannot tell them
+    /// apart. Errors: Unavailable, also if it knows less than the asker.
+    void fetch(const std::string &peer, const std::string &table, std::uint64_t revision, PageCallback done);
+
     void readTable(const std::string &table, Core::TimePoint deadline, PageCallback done) override;
     void awaitChanges(const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, Core::TimePoint deadline, PageCallback done) override;
 
@@ -47,15 +56,9 @@
         const std::string &address,
         std::uint16_t port,
         Store::RowSource &store,
-        std::uint64_t seed);
+        std::uint64_t seed,
+        const Store::FollowTimes &times);
     void handleRequest(const std::shared_ptr<Http::HttpExchange> &exchange) override;
-    // What the store said of a table last, and when.
-    struct Heard
-    {
-        std::uint64_t revision = 0;
-        Core::TimePoint at;
-    };
-
     // A peer that waits for a change.
     struct Waiting
     {
@@ -65,23 +68,23 @@
         Core::TimePoint deadline;
     };
 
-    PageCallback hearing(const std::string &table, PageCallback done);
+    PageCallback hearing(PageCallback done);
     std::optional<Store::StoreTime> storeNow() const;
-    bool isFresh(const std::string &table) const;
+    std::optional<std::chrono::milliseconds> age(const std::string &table) const;
+    void call(const std::string &peer, const std::string &question, std::uint64_t revision, Core::TimePoint deadline, PageCallback done);
     bool answer(const Waiting &waiting);
     void answerWaiting();
     void askPeer(const std::string &table, std::uint64_t revision, const Core::Error &failure, PageCallback done);
 
     EventLoop::Loop &m_loop;
     std::unique_ptr<Http::HttpClient> m_client;
-    std::string m_address;
     std::uint16_t m_port;
     Store::RowSource &m_store;
+    Store::FollowTimes m_times;
     Decisions::RandomSource m_random;
     Store::RowMirror m_mirror;
     Store::StoreClockEstimate m_storeClock;
-    std::set<std::string> m_peers;
-    std::map<std::string, Heard> m_heard; ///< By table.
+    PeerBook m_book;
     std::vector<Waiting> m_waiting;
     EventLoop::Timer m_waitingTimer;
     std::unique_ptr<Http::HttpServer> m_server;
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -23,7 +23,7 @@
 
 inline constexpr Event cacheLost{2112, Severity::Warning, "cache_lost", "An engine or a store of kept KV cache does not say what it holds."};
 inline constexpr Event cacheFollowed{2113, Severity::Info, "cache_followed", "An engine or a store of kept KV cache says again what it holds."};
-inline constexpr Event peerAsked{2114, Severity::Warning, "peer_asked", "The store did not answer, but another router knew something newer."};
+inline constexpr Event peerAsked{2114, Severity::Info, "peer_asked", "Another router knew changes that were not known here, and has told them."};
 inline constexpr Event weightsDated{2116, Severity::Info, "weights_dated", "The store's record says when newer weights were named."};
 inline constexpr Event weightsRecordFailed{
     2117, Severity::Warning, "weights_record_failed", "When weights were named could not be read from the store or written into it."};
--- a/src/libs/relay/sharedrows.cpp
+++ b/src/libs/relay/sharedrows.cpp
@@ -4,20 +4,12 @@
 
 namespace Verbena::Relay {
 
-using std::chrono::milliseconds;
-
-namespace {
-
-// Of a question to or by an elected router: what the others hear is never much older, and one that is lost holds nobody up for longer.
-constexpr milliseconds sharedWait{1000};
-
-} // namespace
-
-SharedRows::SharedRows(EventLoop::Loop &loop, PeerRows &peers, RelayTask &relay, std::uint64_t seed)
+SharedRows::SharedRows(EventLoop::Loop &loop, PeerRows &peers, RelayTask &relay, std::uint64_t seed, const Store::FollowTimes &times)
     : m_loop(loop)
     , m_peers(peers)
     , m_relay(relay)
     , m_random(seed)
+    , m_times(times)
 {
 }
 
@@ -26,6 +18,19 @@
     m_peers.readTable(table, deadline, std::move(done));
 }
 
+// One that was heard lately, if there is any: others may be gone, which shows only when they do not answer.
+const std::string &SharedRows::choose(const std::vector<std::string> &elected)
+{
+    const std::size_t first = m_random.next() % elected.size();
+    for (std::size_t place = 0; place < elected.size(); ++place) {
+        const std::string &candidate = elected[(first + place) % elected.size()];
+        if (m_peers.book().isHeard(candidate, m_loop.now())) {
+            return candidate;
+        }
+    }
+    return elected[first];
+}
+
 void SharedRows::awaitChanges(const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, Core::TimePoint deadline, PageCallback done)
 {
     const Core::TimePoint now = m_loop.now();
@@ -34,13 +39,13 @@
         m_peers.awaitChanges(table, revision, waitEnd, deadline, std::move(done));
         return;
     }
-    const Core::TimePoint sharedEnd = std::min(waitEnd, now + sharedWait);
+    const Core::TimePoint sharedEnd = std::min(waitEnd, now + m_times.sharedWait);
     const Core::TimePoint sharedDeadline = std::min(deadline, sharedEnd + (deadline - waitEnd));
     if (m_relay.isElected()) {
         m_peers.awaitChanges(table, revision, sharedEnd, sharedDeadline, std::move(done));
         return;
     }
-    const std::string &peer = elected[m_random.next() % elected.size()];
+    const std::string &peer = choose(elected);
     const auto take = [this, table, revision, sharedEnd, sharedDeadline, done = std::move(done)](Core::Result<Store::RowPage> page) {
         if (page) {
             done(std::move(page));
--- a/src/libs/relay/sharedrows.h
+++ b/src/libs/relay/sharedrows.h
@@ -5,9 +5,11 @@
 
 #include <decisions/spread/randomsource.h>
 #include <eventloop/loop.h>
+#include <store/followtimes.h>
 #include <store/rowsource.h>
 
 #include <string>
+#include <vector>
 
 namespace Verbena::Relay {
 
@@ -19,16 +21,23 @@
 class SharedRows : public Store::RowSource
 {
 public:
-    SharedRows(EventLoop::Loop &loop, PeerRows &peers, RelayTask &relay, std::uint64_t seed);
+    SharedRows(EventLoop::Loop &loop,
+        PeerRows &peers,
+        RelayTask &relay,
+        std::uint64_t seed,
+        const Store::FollowTimes &times = Store::FollowTimes::within(std::chrono::seconds(3)));
 
     void readTable(const std::string &table, Core::TimePoint deadline, PageCallback done) override;
     void awaitChanges(const std::string &table, std::uint64_t revision, Core::TimePoint waitEnd, Core::TimePoint deadline, PageCallback done) override;
 
 private:
+    const std::string &choose(const std::vector<std::string> &elected);
+
     EventLoop::Loop &m_loop;
     PeerRows &m_peers;
     RelayTask &m_relay;
     Decisions::RandomSource m_random;
+    Store::FollowTimes m_times;
 };
 
 } // namespace Verbena::Relay
--- a/src/libs/store/rowmirror.cpp
+++ b/src/libs/store/rowmirror.cpp
@@ -18,7 +18,7 @@
 {
     Table before = std::move(m_tables[table]);
     Table &known = m_tables[table];
-    known = {{}, page.revision, page.revision, before.currentAt};
+    known = {{}, page.revision, page.revision, before.verifiedAt};
     for (const TableRow &row : page.rows) {
         const auto entry = before.rows.find(row.key);
         if (entry != before.rows.end()) {
@@ -31,7 +31,7 @@
 void RowMirror::change(const std::string &table, const RowPage &page)
 {
     Table &known = m_tables[table];
-    known.revision = page.revision;
+    known.revision = std::max(known.revision, page.revision);
     for (const TableRow &row : page.rows) {
         note(known.rows[row.key], row);
     }
@@ -41,9 +41,17 @@
     }
 }
 
-void RowMirror::noteCurrent(const std::string &table, StoreTime currentAt)
+void RowMirror::noteVerified(const std::string &table, StoreTime verifiedAt, std::uint64_t coveredRevision)
 {
-    m_tables[table].currentAt = currentAt;
+    Table &known = m_tables[table];
+    known.verifiedAt = verifiedAt;
+    known.revision = std::max(known.revision, coveredRevision);
+}
+
+std::optional<StoreTime> RowMirror::verifiedAt(const std::string &table) const
+{
+    const auto known = m_tables.find(table);
+    return known == m_tables.end() ? std::nullopt : known->second.verifiedAt;
 }
 
 void RowMirror::note(Entry &entry, const TableRow &row)
@@ -78,7 +86,7 @@
         return page;
     }
     page.revision = known->second.revision;
-    page.currentAt = known->second.currentAt;
+    page.verifiedAt = known->second.verifiedAt;
     page.isHistoryLost = revision != 0 && revision < known->second.wholeAt;
     for (const auto &[key, entry] : known->second.rows) {
         if (!page.isHistoryLost && entry.row.revision > revision && !(revision == 0 && entry.row.isDeleted)) {
--- a/src/libs/store/rowmirror.h
+++ b/src/libs/store/rowmirror.h
@@ -19,8 +19,11 @@
     /// \brief Takes changes of \a table.
     void change(const std::string &table, const RowPage &page);
 
-    /// \brief All of \a table is known that the store acknowledged before \a currentAt.
-    void noteCurrent(const std::string &table, StoreTime currentAt);
+    /// \brief All of \a table is known up to \a coveredRevision, and all that the store acknowledged before \a verifiedAt.
+    void noteVerified(const std::string &table, StoreTime verifiedAt, std::uint64_t coveredRevision);
+
+    /// \brief All of \a table is known that the store acknowledged before this moment; nothing if that is not known.
+    std::optional<StoreTime> verifiedAt(const std::string &table) const;
 
     /// \brief What changed in \a table after \a revision; the whole of it for 0.
     ///
@@ -50,7 +53,7 @@
         std::map<std::string, Entry> rows; ///< Deleted ones too, as long as they are remembered.
         std::uint64_t revision = 0;
         std::uint64_t wholeAt = 0; ///< Deletions after this revision are remembered.
-        std::optional<StoreTime> currentAt = {};
+        std::optional<StoreTime> verifiedAt = {};
     };
 
     std::map<std::string, Table> m_tables;
--- a/src/libs/store/rowsource.h
+++ b/src/libs/store/rowsource.h
@@ -22,7 +22,7 @@
     bool isSecondHand = false; ///< Another process told it; the store itself did not answer.
     std::optional<StoreTime> saidAt = {}; ///< When the store itself said so; nothing if another process told it.
     std::optional<StoreReading> clock = {}; ///< Of the store's clock, from whoever answered; nothing if a TableFollower has to note it.
-    std::optional<StoreTime> currentAt = {}; ///< From another process: all that the store acknowledged before is told, or was known to the asker.
+    std::optional<StoreTime> verifiedAt = {}; ///< From another process: all that the store acknowledged before is told, or was known to the asker.
 };
 
 /// \brief Lets a process follow the tables of the platform's store.
--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -11,26 +11,25 @@
 
 namespace {
 
-// A change may be in force a little later than the silence of a dead connection lasts, so each question waits for less than that.
-constexpr milliseconds waitTime{3000};
-
-// An answer that is later than this has been lost: several times what a slow store takes.
-constexpr milliseconds answerTime{700};
-
 // Of the first question after a failure; doubles with each further one, so that a store that comes back is not overrun.
 constexpr milliseconds firstRetry{60};
-constexpr milliseconds longestRetry{500};
 constexpr std::uint32_t mostDoublings = 4;
 
 } // namespace
 
-TableFollower::TableFollower(EventLoop::Loop &loop, RowSource &source, std::string table, milliseconds pause, RowConsumer &consumer)
+TableFollower::TableFollower(EventLoop::Loop &loop, RowSource &source, std::string table, milliseconds pause, RowConsumer &consumer, const FollowTimes &times)
     : m_loop(loop)
     , m_source(source)
-    , m_table(std::move(table))
     , m_pause(pause)
     , m_consumer(consumer)
+    , m_times(times)
     , m_timer(loop, [this] { ask(); })
+    , m_patience(loop,
+          [this] {
+              noteFailure({Core::ErrorCode::DeadlineExceeded, "store.follow", m_table, "No answer came in time."});
+          })
+    , m_knowledge(table)
+    , m_table(std::move(table))
 {
     askAgainAt(loop.now());
 }
@@ -42,111 +41,200 @@
     m_pause = pause;
 }
 
+const std::string &TableFollower::table() const
+{
+    return m_table;
+}
+
 std::uint64_t TableFollower::revision() const
 {
-    return m_revision;
+    return m_knowledge.revision();
 }
 
 std::optional<milliseconds> TableFollower::age() const
 {
-    return m_currentAt.has_value() ? m_clock.age(*m_currentAt, Core::BootClock::now()) : std::nullopt;
+    const std::optional<StoreTime> verifiedAt = m_knowledge.verifiedAt();
+    return verifiedAt.has_value() ? m_clock.age(*verifiedAt, Core::BootClock::now()) : std::nullopt;
 }
 
-void TableFollower::ask()
+TableDigest TableFollower::digest() const
+{
+    return m_knowledge.digest();
+}
+
+TableKnowledge::Comparison TableFollower::compare(const TableDigest &theirs) const
+{
+    return m_knowledge.compare(theirs);
+}
+
+void TableFollower::confirm(const TableDigest &theirs)
+{
+    if (m_knowledge.confirm(theirs)) {
+        noteVerified();
+    }
+}
+
+void TableFollower::offer(RowPage page, std::uint64_t asked)
+{
+    const bool isWhole = asked == 0;
+    if (page.isHistoryLost || page.revision < asked || (!isWhole && !m_knowledge.isRead())) {
+        return;
+    }
+    take({0, asked, Core::BootClock::now(), isWhole, false}, std::move(page));
+}
+
+// A question that waits for a change shows only at its end that the store does not hear it. In that time a change would be missed.
+void TableFollower::askBeside()
 {
     const Core::TimePoint now = m_loop.now();
-    const Core::BootTime askedAt = Core::BootClock::now();
-    if (!m_isTableKnown) {
-        const auto take = [this, askedAt](Core::Result<RowPage> page) {
-            takeTable(std::move(page), askedAt);
-        };
-        m_source.readTable(m_table, now + answerTime, m_lifetime.guard(take));
+    if (m_failures > 0 || !m_isHistoryKnown || now < m_besideDeadline) {
         return;
     }
-    // After a failure a short question shows sooner whether the store is back. A long one that the store never got would hang for 3.7 s, with a change
-    // that was made meanwhile untold.
-    const Core::TimePoint waitEnd = m_failures > 0 ? now : now + waitTime;
-    const auto take = [this, askedAt](Core::Result<RowPage> page) {
-        takeChanges(std::move(page), askedAt);
+    m_besideDeadline = now + m_times.answer;
+    const Question question{0, m_knowledge.revision(), Core::BootClock::now(), false, false};
+    const auto take = [this, question](Core::Result<RowPage> page) {
+        receive(question, std::move(page));
     };
-    m_source.awaitChanges(m_table, m_revision, waitEnd, waitEnd + answerTime, m_lifetime.guard(take));
+    m_source.awaitChanges(m_table, question.revision, now, now + m_times.slowAnswer, m_lifetime.guard(take));
 }
 
-void TableFollower::takeTable(Core::Result<RowPage> page, Core::BootTime askedAt)
+// After a failure a short question shows sooner whether the store is back: a long one that it never got would hang while changes are untold.
+void TableFollower::ask()
 {
-    if (!isBelieved(page)) {
-        return;
+    const Core::TimePoint now = m_loop.now();
+    const bool isWaiting = m_isHistoryKnown && m_failures == 0;
+    const Core::TimePoint waitEnd = isWaiting ? now + m_times.longestWait : now;
+    const Core::TimePoint deadline = isWaiting ? waitEnd + m_times.answer : now + m_times.slowAnswer;
+    const Question question{++m_lastNumber, m_knowledge.revision(), Core::BootClock::now(), !m_isHistoryKnown, isWaiting};
+    m_askedAt = question.askedAt;
+    m_patience.startAt(waitEnd + m_times.answer);
+    const auto take = [this, question](Core::Result<RowPage> page) {
+        receive(question, std::move(page));
+    };
+    if (question.isWhole) {
+        m_source.readTable(m_table, deadline, m_lifetime.guard(take));
+    } else {
+        m_source.awaitChanges(m_table, question.revision, waitEnd, deadline, m_lifetime.guard(take));
     }
-    m_isTableKnown = true;
-    noteSaid(page.value(), m_saidAt, askedAt);
-    m_consumer.replaceRows(m_table, page.value());
-    noteCurrent(page.value());
-    noteAnswer(page.value());
 }
 
-void TableFollower::takeChanges(Core::Result<RowPage> page, Core::BootTime askedAt)
+bool TableFollower::isPresent(const Question &question) const
 {
-    if (page && page.value().isHistoryLost) {
-        m_isTableKnown = false;
-        askAgainAt(m_loop.now());
+    return question.number == m_lastNumber && m_patience.isActive();
+}
+
+// A slow store answers when its question was given up already, and is right all the same.
+void TableFollower::receive(const Question &question, Core::Result<RowPage> page)
+{
+    if (!page || page.value().isHistoryLost || page.value().revision < question.revision) {
+        receiveFailure(question, page);
         return;
     }
-    if (!isBelieved(page)) {
+    const bool isSecondHand = page.value().isSecondHand;
+    take(question, std::move(page.value()));
+    if (isPresent(question)) {
+        noteAnswer(isSecondHand);
+    } else if (!isSecondHand) {
+        m_failures = 0;
+        noteHeard();
+    }
+}
+
+void TableFollower::receiveFailure(const Question &question, const Core::Result<RowPage> &page)
+{
+    if (!isPresent(question)) {
         return;
     }
-    noteSaid(page.value(), changedAfter(page.value(), askedAt), askedAt);
-    if (!page.value().rows.empty()) {
-        m_consumer.changeRows(m_table, page.value());
+    m_patience.stop();
+    if (!page) {
+        noteFailure(page.error());
+    } else if (page.value().isHistoryLost) {
+        m_isHistoryKnown = false;
+        askAgainAt(m_loop.now());
+    } else {
+        refuse(question, page.value());
+    }
+}
+
+// A whole table that others have overtaken meanwhile tells nothing new, but history goes on from there.
+void TableFollower::take(const Question &question, RowPage page)
+{
+    const std::optional<StoreTime> before = m_knowledge.verifiedAt();
+    if (question.isWhole) {
+        takeTable(question, page);
+    } else {
+        takeChanges(question, page);
+    }
+    m_isHistoryKnown = true;
+    const std::optional<StoreTime> verifiedAt = m_knowledge.verifiedAt();
+    if (verifiedAt.has_value() && verifiedAt != before) {
+        noteVerified();
+    }
+}
+
+void TableFollower::noteVerified()
+{
+    m_consumer.tableVerified(m_table, *m_knowledge.verifiedAt(), m_knowledge.revision());
+    const std::optional<milliseconds> known = age();
+    if (known.has_value() && *known < m_times.answer) {
+        noteHeard();
+    }
+}
+
+void TableFollower::takeTable(const Question &question, RowPage &page)
+{
+    const std::uint64_t known = m_knowledge.revision();
+    if (m_knowledge.takeTable(page, question.revision) == TableKnowledge::Verdict::Taken) {
+        date(question, page, known);
+        m_consumer.replaceRows(m_table, page);
+    }
+}
+
+void TableFollower::takeChanges(const Question &question, RowPage &page)
+{
+    const std::uint64_t known = m_knowledge.revision();
+    m_knowledge.takeChanges(page, question.revision);
+    date(question, page, known);
+    if (!page.rows.empty()) {
+        m_consumer.changeRows(m_table, page);
     }
-    noteCurrent(page.value());
-    noteAnswer(page.value());
 }
 
 // The store tells those who wait at once. So a change is older than the answer that tells it only by the time for which no question waited there: from the
-// last answer, when it was given and not when it came, until the present question was sent, whoever sent it in this follower's place.
-std::optional<StoreTime> TableFollower::changedAfter(const RowPage &page, Core::BootTime askedAt) const
+// last answer, when it was given and not when it came, until the present question was sent, whoever sent it in this follower's place. One that does not
+// wait may have been answered long after it was sent, with what was changed long before.
+std::optional<StoreTime> TableFollower::changedAfter(const Question &question, const RowPage &page) const
 {
-    if (!m_saidAt.has_value() || !page.saidAt.has_value()) {
-        return std::nullopt;
+    if (!m_saidAt.has_value() || !question.isWaiting) {
+        return m_saidAt;
     }
-    const Core::BootTime sentAt = page.clock.has_value() ? page.clock->askedAt : askedAt;
+    const Core::BootTime sentAt = page.clock.has_value() ? page.clock->askedAt : question.askedAt;
     const StoreTime sent = m_clock.latest(sentAt).value_or(*page.saidAt);
     const StoreTime::duration unwatched = std::max(StoreTime::duration(0), sent - *m_saidAt);
     return std::max(*m_saidAt, *page.saidAt - unwatched);
 }
 
-// Takes the revision and the clock of the page and dates its new rows. Another process dates what it tells by itself, as well as it can.
-void TableFollower::noteSaid(RowPage &page, std::optional<StoreTime> committedAfter, Core::BootTime askedAt)
+// Dates the rows beyond \a known and takes the clock of the page. Another process dates what it tells by itself, as well as it can.
+void TableFollower::date(const Question &question, RowPage &page, std::uint64_t known)
 {
-    const std::uint64_t before = std::exchange(m_revision, page.revision);
     if (page.saidAt.has_value()) {
+        const std::optional<StoreTime> committedAfter = changedAfter(question, page);
         for (TableRow &row : page.rows) {
-            if (row.revision > before) {
+            if (row.revision > known) {
                 row.committedAfter = committedAfter;
             }
         }
-        if (!page.clock.has_value()) {
-            page.clock = StoreReading{*page.saidAt, askedAt};
-        }
-        m_saidAt = page.saidAt;
+        m_saidAt = std::max(m_saidAt, page.saidAt);
+        page.clock = page.clock.value_or(StoreReading{*page.saidAt, question.askedAt});
     }
     if (page.clock.has_value()) {
         m_clock.note(*page.clock);
     }
 }
 
-void TableFollower::noteCurrent(const RowPage &page)
+void TableFollower::refuse(const Question &question, const RowPage &page)
 {
-    const std::optional<StoreTime> currentAt = page.saidAt.has_value() ? page.saidAt : page.currentAt;
-    if (currentAt.has_value() && (!m_currentAt.has_value() || *currentAt > *m_currentAt)) {
-        m_currentAt = currentAt;
-        m_consumer.tableCurrent(m_table, *currentAt);
-    }
-}
-
-void TableFollower::refuse(const RowPage &page)
-{
-    RefusedAnswer refused{page.revision, m_revision, {}};
+    RefusedAnswer refused{page.revision, question.revision, {}};
     if (page.saidAt.has_value()) {
         refused.saidAgo = m_clock.age(*page.saidAt, Core::BootClock::now());
     }
@@ -154,19 +242,6 @@
     noteFailure({Core::ErrorCode::Conflict, "store.follow", m_table, "The store answers from the past."});
 }
 
-bool TableFollower::isBelieved(const Core::Result<RowPage> &page)
-{
-    if (!page) {
-        noteFailure(page.error());
-        return false;
-    }
-    if (page.value().revision < m_revision) {
-        refuse(page.value());
-        return false;
-    }
-    return true;
-}
-
 void TableFollower::askAgainAt(Core::TimePoint moment)
 {
     m_timer.startAt(moment);
@@ -174,28 +249,41 @@
 
 void TableFollower::noteFailure(const Core::Error &error)
 {
-    if (!m_isLost) {
+    if (!m_isLost && !isServedToOthers()) {
         m_isLost = true;
         m_consumer.sourceLost(m_table, error);
     }
     askAgainAt(m_loop.now() + nextRetry());
 }
 
+// Others heard the store after this follower had asked it, and told so: it turns only some away.
+bool TableFollower::isServedToOthers() const
+{
+    const std::optional<milliseconds> known = age();
+    return known.has_value() && *known < Core::BootClock::now() - m_askedAt;
+}
+
 milliseconds TableFollower::nextRetry()
 {
-    const milliseconds wait = std::min(longestRetry, firstRetry * (1 << std::min(m_failures, mostDoublings)));
+    const milliseconds wait = std::min(m_times.longestRetry, firstRetry * (1 << std::min(m_failures, mostDoublings)));
     ++m_failures;
     return wait;
 }
 
-// What another process told is worth as much, but shows nothing of the store, which has to be asked as after a failure.
-void TableFollower::noteAnswer(const RowPage &page)
+void TableFollower::noteHeard()
 {
     if (m_isLost) {
         m_isLost = false;
         m_consumer.sourceRegained(m_table);
     }
-    if (page.isSecondHand) {
+}
+
+// What another process told is worth as much, but shows nothing of the store, which has to be asked as after a failure.
+void TableFollower::noteAnswer(bool isSecondHand)
+{
+    m_patience.stop();
+    noteHeard();
+    if (isSecondHand) {
         askAgainAt(m_loop.now() + std::max(m_pause, nextRetry()));
         return;
     }
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "followtimes.h"
 #include "rowsource.h"
 #include "storeclockestimate.h"
+#include "tableknowledge.h"
 
 #include <core/lifetime.h>
 #include <eventloop/timer.h>
@@ -37,8 +39,8 @@
     /// \brief It answers again.
     virtual void sourceRegained(const std::string &table) = 0;
 
-    /// \brief All of \a table is known that the store acknowledged before \a currentAt.
-    virtual void tableCurrent(const std::string &table, StoreTime currentAt) = 0;
+    /// \brief All of \a table is known up to \a coveredRevision, and all that the store acknowledged before \a verifiedAt.
+    virtual void tableVerified(const std::string &table, StoreTime verifiedAt, std::uint64_t coveredRevision) = 0;
 
     /// \brief \a answer was not taken.
     virtual void answerRefused(const std::string &table, const RefusedAnswer &answer) = 0;
@@ -47,12 +49,17 @@
 /// \brief Follows one table for as long as it lives, whatever the store does meanwhile.
 ///
 /// What the store says is taken only if its revision has not gone back: one that answers from the past is asked again. Rows that are new are dated as well
-/// as can be proved.
+/// as can be proved. What other processes know can be offered at any moment, so that a question that hangs holds up nothing.
 class TableFollower
 {
 public:
     /// \brief Begins to follow \a table; asks at most once in \a pause, so that changes in quick succession come together.
-    TableFollower(EventLoop::Loop &loop, RowSource &source, std::string table, std::chrono::milliseconds pause, RowConsumer &consumer);
+    TableFollower(EventLoop::Loop &loop,
+        RowSource &source,
+        std::string table,
+        std::chrono::milliseconds pause,
+        RowConsumer &consumer,
+        const FollowTimes &times = FollowTimes::within(std::chrono::seconds(3)));
     ~TableFollower();
 
     TableFollower(const TableFollower &) = delete;
@@ -61,38 +68,74 @@
     /// \brief Asks at most once in \a pause from now on.
     void setPause(std::chrono::milliseconds pause);
 
+    const std::string &table() const;
+
     /// \brief The revision up to which the table is known; 0 before it was read once.
     std::uint64_t revision() const;
 
     /// \brief How long ago the store may have acknowledged something that is not known here, at most; nothing before the first answer.
     std::optional<std::chrono::milliseconds> age() const;
 
+    /// \brief What is known, in short, for other processes.
+    TableDigest digest() const;
+
+    /// \brief What \a theirs means beside what is known here.
+    TableKnowledge::Comparison compare(const TableDigest &theirs) const;
+
+    /// \brief Takes a digest that confirms what is known.
+    void confirm(const TableDigest &theirs);
+
+    /// \brief Takes what another process knows: \a page holds its changes after \a asked, or the whole table for 0.
+    void offer(RowPage page, std::uint64_t asked);
+
+    /// \brief Asks the store once more beside a question that waits there, unless one that should be answered soon is on its way.
+    void askBeside();
+
 private:
+    // What was asked, and what was known then.
+    struct Question
+    {
+        std::uint64_t number = 0; ///< 0 for one that was asked beside, or by another process.
+        std::uint64_t revision = 0;
+        Core::BootTime askedAt;
+        bool isWhole = false;
+        bool isWaiting = false; ///< The store answers as soon as something changes.
+    };
+
     void ask();
-    void takeTable(Core::Result<RowPage> page, Core::BootTime askedAt);
-    void takeChanges(Core::Result<RowPage> page, Core::BootTime askedAt);
-    void noteSaid(RowPage &page, std::optional<StoreTime> committedAfter, Core::BootTime askedAt);
-    std::optional<StoreTime> changedAfter(const RowPage &page, Core::BootTime askedAt) const;
-    bool isBelieved(const Core::Result<RowPage> &page);
-    void noteCurrent(const RowPage &page);
-    void refuse(const RowPage &page);
+    void receive(const Question &question, Core::Result<RowPage> page);
+    void receiveFailure(const Question &question, const Core::Result<RowPage> &page);
+    bool isPresent(const Question &question) const;
+    void take(const Question &question, RowPage page);
+    void takeTable(const Question &question, RowPage &page);
+    void takeChanges(const Question &question, RowPage &page);
+    void date(const Question &question, RowPage &page, std::uint64_t known);
+    std::optional<StoreTime> changedAfter(const Question &question, const RowPage &page) const;
+    void refuse(const Question &question, const RowPage &page);
     void askAgainAt(Core::TimePoint moment);
     void noteFailure(const Core::Error &error);
-    void noteAnswer(const RowPage &page);
+    void noteVerified();
+    bool isServedToOthers() const;
+    void noteAnswer(bool isSecondHand);
+    void noteHeard();
     std::chrono::milliseconds nextRetry();
 
     EventLoop::Loop &m_loop;
     RowSource &m_source;
-    std::string m_table;
     std::chrono::milliseconds m_pause;
     RowConsumer &m_consumer;
-    EventLoop::Timer m_timer;
-    std::uint64_t m_revision = 0;
+    FollowTimes m_times;
+    EventLoop::Timer m_timer; ///< Of the next question.
+    EventLoop::Timer m_patience; ///< Of the present question's answer.
+    TableKnowledge m_knowledge;
+    std::string m_table;
     std::optional<StoreTime> m_saidAt; ///< When the store itself answered last, by its clock.
-    std::optional<StoreTime> m_currentAt; ///< All that it acknowledged before is known.
     StoreClockEstimate m_clock;
-    bool m_isTableKnown = false;
-    bool m_isLost = false; ///< Nobody answers.
+    std::uint64_t m_lastNumber = 0; ///< Of the present question; answers to earlier ones are still worth their rows.
+    Core::BootTime m_askedAt; ///< The present question.
+    Core::TimePoint m_besideDeadline{}; ///< Until then no other question is asked beside.
+    bool m_isHistoryKnown = false; ///< Of what changed since the revision; else the whole table has to be read.
+    bool m_isLost = false; ///< Nobody hears the store.
     std::uint32_t m_failures = 0; ///< Of the store since it answered last.
     Core::Lifetime m_lifetime;
 };
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -163,7 +163,7 @@
 }
 
 // Nothing here is handed on, and what is known of weights only ever rises.
-void WeightsKeeper::tableCurrent(const std::string &, Store::StoreTime)
+void WeightsKeeper::tableVerified(const std::string &, Store::StoreTime, std::uint64_t)
 {
 }
 
@@ -201,7 +201,8 @@
         m_declarations.reset();
     } else if (m_declarations == nullptr) {
         Store::RowConsumer &consumer = *this;
-        m_declarations = std::make_unique<Store::TableFollower>(m_loop, m_rows, m_decoder.tables().declarations, declarationsPause, consumer);
+        m_declarations = std::make_unique<Store::TableFollower>(
+            m_loop, m_rows, m_decoder.tables().declarations, declarationsPause, consumer, Store::FollowTimes::within(m_settings.declarationTime));
     }
     m_watchTimer.startAt(isWatched ? m_watchedUntil : m_loop.now() + watchLifetime);
 }
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -26,6 +26,7 @@
     std::string engineAddress; ///< As the register names it.
     Decisions::WeightsPace pace;
     Decisions::OrderLeaseOptions lease;
+    std::chrono::milliseconds declarationTime{2000}; ///< Within it a change of what operators declare has to be known.
 };
 
 /// \brief Brings the engine beside this process to the newest weights.
@@ -63,7 +64,7 @@
     void changeRows(const std::string &table, const Store::RowPage &page) override;
     void sourceLost(const std::string &table, const Core::Error &error) override;
     void sourceRegained(const std::string &table) override;
-    void tableCurrent(const std::string &table, Store::StoreTime currentAt) override;
+    void tableVerified(const std::string &table, Store::StoreTime verifiedAt, std::uint64_t coveredRevision) override;
     void answerRefused(const std::string &table, const Store::RefusedAnswer &answer) override;
     void takeDeclarations(const std::string &table, const Store::RowPage &page, const Decisions::WeightsNaming &naming);
     Decisions::WeightsNaming dated(const Decisions::WeightsNaming &naming, const Store::TableRow &row) const;
--- a/tests/auto/relay/tst_peerrows.cpp
+++ b/tests/auto/relay/tst_peerrows.cpp
@@ -66,7 +66,7 @@
 
 TEST_F(PeerRowsTest, learnsFromAPeerWhatTheStoreDoesNotSay)
 {
-    m_refused->addPeer(m_network + "1");
+    m_refused->book().note(m_network + "1", m_loop->now());
     const auto page = follow(5);
     ASSERT_TRUE(page) << page.error().message;
     EXPECT_EQ(page.value().revision, 9U);
@@ -77,14 +77,14 @@
 
 TEST_F(PeerRowsTest, takesNothingOldFromAPeer)
 {
-    m_refused->addPeer(m_network + "1");
+    m_refused->book().note(m_network + "1", m_loop->now());
     EXPECT_FALSE(follow(9));
     EXPECT_FALSE(follow(12));
 }
 
 TEST_F(PeerRowsTest, failsAsTheStoreDoesWithoutPeers)
 {
-    m_refused->addPeer(m_network + "2");
+    m_refused->book().note(m_network + "2", m_loop->now());
     const auto page = follow(5);
     ASSERT_FALSE(page);
     EXPECT_EQ(page.error().step, "store");
@@ -121,12 +121,17 @@
         , m_asking(std::move(PeerRows::create(*m_loop, m_network + "2", port, m_refusing, 2).value()))
     {
         m_store.page = {{{"a", "1", 3, false}}, 7, false};
+        m_store.page.saidAt = Store::StoreTime(100s);
         m_elected->mirror().replace("op", {m_store.page.rows, 3, false});
     }
 
+    // The store's word, taken as by a follower.
     void hear()
     {
-        m_elected->awaitChanges("op", 3, m_loop->now(), m_loop->now() + 10s, [](const Core::Result<Store::RowPage> &) {});
+        const auto take = [this](const Core::Result<Store::RowPage> &page) {
+            m_elected->mirror().noteVerified("op", *page.value().saidAt, page.value().revision);
+        };
+        m_elected->awaitChanges("op", 3, m_loop->now(), m_loop->now() + 10s, take);
     }
 
     void ask(std::uint64_t after, std::chrono::milliseconds wait)
@@ -169,6 +174,7 @@
     hear();
     ask(7, 30s);
     m_store.page = {{{"a", "2", 9, false}}, 9, false};
+    m_store.page.saidAt = Store::StoreTime(100s);
     m_elected->mirror().change("op", m_store.page);
     hear();
     const auto page = answer();
@@ -206,6 +212,31 @@
     EXPECT_FALSE(answer());
 }
 
+// An answer that is older than what is known was taken for the store's word of the present, and others were told that nothing had changed.
+TEST_F(FreshRowsTest, takesNothingFromARouterThatHearsOnlyThePast)
+{
+    hear();
+    const Core::TimePoint end = m_loop->now() + 2500ms;
+    m_store.page.revision = 5;
+    while (m_loop->now() < end) {
+        m_store.page.saidAt = *m_store.page.saidAt + 100ms;
+        m_elected->awaitChanges("op", 7, m_loop->now(), m_loop->now() + 10s, [](const Core::Result<Store::RowPage> &) {});
+        const Core::TimePoint next = m_loop->now() + 100ms;
+        Verbena::Test::runUntil(*m_loop, [this, next] { return m_loop->now() >= next; });
+    }
+    ask(7, 0ms);
+    EXPECT_FALSE(answer());
+}
+
+// A router that stood still took what it had heard before for news of the present, as its clock had stood still with it.
+TEST_F(FreshRowsTest, takesNothingFromARouterThatKnowsThatTheStoresClockWentOn)
+{
+    m_elected->mirror().noteVerified("op", Store::StoreTime(95s), 7);
+    m_elected->awaitChanges("other", 3, m_loop->now(), m_loop->now() + 10s, [](const Core::Result<Store::RowPage> &) {});
+    ask(7, 0ms);
+    EXPECT_FALSE(answer());
+}
+
 TEST_F(FreshRowsTest, takesNothingFromARouterThatKnowsLess)
 {
     hear();
--- a/tests/auto/relay/tst_silentpeers.cpp
+++ b/tests/auto/relay/tst_silentpeers.cpp
@@ -88,7 +88,7 @@
     void sourceRegained(const std::string &) override
     {
     }
-    void tableCurrent(const std::string &, Store::StoreTime) override
+    void tableVerified(const std::string &, Store::StoreTime, std::uint64_t) override
     {
     }
     void answerRefused(const std::string &, const Store::RefusedAnswer &) override
--- a/tests/auto/relay/tst_tablefollower.cpp
+++ b/tests/auto/relay/tst_tablefollower.cpp
@@ -86,9 +86,9 @@
         ++m_returns;
     }
 
-    void tableCurrent(const std::string &, StoreTime currentAt) override
+    void tableVerified(const std::string &, StoreTime verifiedAt, std::uint64_t) override
     {
-        m_currentAt = currentAt;
+        m_verifiedAt = verifiedAt;
     }
 
     void answerRefused(const std::string &, const RefusedAnswer &) override
@@ -119,7 +119,7 @@
 private:
     std::map<std::string, std::string> m_rows;
     std::map<std::string, std::optional<StoreTime>> m_dates;
-    std::optional<StoreTime> m_currentAt;
+    std::optional<StoreTime> m_verifiedAt;
     int m_losses = 0;
     int m_returns = 0;
 };
--- a/tests/auto/relay/tst_weightsnamings.cpp
+++ b/tests/auto/relay/tst_weightsnamings.cpp
@@ -213,7 +213,7 @@
     constexpr std::uint16_t port = 7340;
     const auto peer = std::move(PeerRows::create(*m_loop, network + "1", port, refusing, 1).value());
     const auto own = std::move(PeerRows::create(*m_loop, network + "2", port, refusing, 2).value());
-    own->addPeer(network + "1");
+    own->book().note(network + "1", m_loop->now());
     const Store::StoreTime firstNamed(100s);
     peer->mirror().replace("op", {{row(3, 3, std::nullopt)}, 3, false});
     peer->mirror().change("op", {{row(4, 4, firstNamed)}, 4, false});
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -12,6 +12,7 @@
 constexpr const char *model = "m";
 constexpr const char *callersPort = "8782";
 constexpr const char *readinessPort = "8789";
+constexpr const char *peerPort = "7340";
 constexpr std::size_t engineHost = 200;
 
 std::string whole(const std::string &fields, const std::string &body, const std::string &status = "200 OK")
@@ -111,6 +112,9 @@
     registerEngine();
     startAgent();
     m_routers.resize(routers);
+    for (std::size_t index = 0; index < routers; ++index) {
+        m_doors.push_back(std::make_unique<StoreDoor>(*m_loop, m_store));
+    }
     for (std::size_t index = 0; index < routers; ++index) {
         startRouter(index);
     }
@@ -123,16 +127,17 @@
     return networkNumber() + std::to_string(1 + index);
 }
 
-std::string PlatformDeployment::hostFile(const std::string &name, const std::string &ip, const std::string &more) const
+std::string PlatformDeployment::hostFile(const std::string &name, const std::string &ip, const std::string &store, const std::string &more) const
 {
     return m_folder.write(name + ".yaml",
         "nodeName: \"" + name + "\"\nip: \"" + ip + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nbounds:\n  graceS: 8\n  retrySlack: 54\n  versionMs: "
-            + std::to_string(m_longestWeightsUse.count()) + "\nprovider:\n  address: \"" + m_store.address() + "\"\n" + more);
+            + std::to_string(m_longestWeightsUse.count()) + "\nprovider:\n  address: \"" + store + "\"\n" + more);
 }
 
 void PlatformDeployment::startAgent()
 {
-    const std::string file = hostFile("side-1", networkNumber() + std::to_string(engineHost), "app: \"" + m_engine.address() + "\"\nservice: \"reader\"\n");
+    const std::string file
+        = hostFile("side-1", networkNumber() + std::to_string(engineHost), m_store.address(), "app: \"" + m_engine.address() + "\"\nservice: \"reader\"\n");
     m_agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--host", file});
     waitUntilStarted(*m_agent);
 }
@@ -140,8 +145,10 @@
 void PlatformDeployment::startRouter(std::size_t index)
 {
     const std::string ip = hostNumber(index);
-    const std::string file = hostFile(
-        "front-" + std::to_string(index + 1), ip, "listen:\n  front: \"" + ip + ':' + callersPort + "\"\n  ready: \"" + ip + ':' + readinessPort + "\"\n");
+    const std::string file = hostFile("front-" + std::to_string(index + 1),
+        ip,
+        m_doors[index]->address(),
+        "listen:\n  front: \"" + ip + ':' + callersPort + "\"\n  ready: \"" + ip + ':' + readinessPort + "\"\n");
     m_routers[index] = std::make_unique<ChildProcess>("verbena-router", std::vector<std::string>{"--host", file});
     waitUntilStarted(*m_routers[index]);
 }
@@ -163,6 +170,15 @@
     m_routers[index].reset();
 }
 
+void PlatformDeployment::darkenRouter(std::size_t index)
+{
+    m_routers[index].reset();
+    const auto keep = [](const Http::MessageHead &, const std::string &) {
+        return WorkerScript{};
+    };
+    m_dark.push_back(std::make_unique<WorkerFake>(*m_loop, keep, hostNumber(index) + ':' + peerPort));
+}
+
 void PlatformDeployment::restartAgent()
 {
     m_agent.reset();
@@ -212,6 +228,11 @@
     return m_store;
 }
 
+StoreDoor &PlatformDeployment::door(std::size_t router)
+{
+    return *m_doors[router];
+}
+
 EngineFake &PlatformDeployment::engine()
 {
     return m_engine;
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "storedoor.h"
 #include "storestandin.h"
 #include "workerfake.h"
 
@@ -65,6 +66,10 @@
 
     EventLoop::Loop &loop();
     StoreStandin &store();
+
+    /// \brief A router's own way to the store.
+    StoreDoor &door(std::size_t router);
+
     EngineFake &engine();
     ChildProcess &router(std::size_t index = 0);
     ChildProcess &agent();
@@ -75,6 +80,9 @@
     /// \brief Kills a router; restartRouter() starts it again.
     void stopRouter(std::size_t index = 0);
 
+    /// \brief Kills a router, and lets what comes to its host from other routers wait without an answer.
+    void darkenRouter(std::size_t index);
+
     /// \brief Kills the agent and starts it again.
     void restartAgent();
 
@@ -96,7 +104,7 @@
     Http::Endpoint callersEndpoint(std::size_t router = 0) const;
 
 private:
-    std::string hostFile(const std::string &name, const std::string &ip, const std::string &more) const;
+    std::string hostFile(const std::string &name, const std::string &ip, const std::string &store, const std::string &more) const;
     void startRouter(std::size_t index);
     void startAgent();
     static void waitUntilStarted(ChildProcess &process);
@@ -107,7 +115,9 @@
     std::unique_ptr<EventLoop::Loop> m_loop;
     StoreStandin m_store;
     EngineFake m_engine;
+    std::vector<std::unique_ptr<StoreDoor>> m_doors; ///< By router.
     std::vector<std::unique_ptr<ChildProcess>> m_routers;
+    std::vector<std::unique_ptr<WorkerFake>> m_dark;
     std::unique_ptr<ChildProcess> m_agent;
 };
 
