Take a store that turns away only this router for one that serves

Cause: each refusal counted as the store's loss, each word of another router as its return.

TableGossipTest.takesAStoreForServingThatTurnsOnlyItAway failed before (one loss after the other) and passes.

--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -70,6 +70,7 @@
 void TableFollower::confirm(const TableDigest &theirs)
 {
     if (m_knowledge.confirm(theirs)) {
+        m_toldAt = Core::BootClock::now();
         noteVerified();
     }
 }
@@ -80,7 +81,8 @@
     if (page.isHistoryLost || page.revision < asked || (!isWhole && !m_knowledge.isRead())) {
         return;
     }
-    take({0, asked, Core::BootClock::now(), isWhole, false}, std::move(page));
+    m_toldAt = Core::BootClock::now();
+    take({0, asked, m_toldAt, isWhole, false}, std::move(page));
 }
 
 // A question that waits for a change shows only at its end that the store does not hear it. In that time a change would be missed.
@@ -106,7 +108,6 @@
     const Core::TimePoint waitEnd = isWaiting ? now + m_times.longestWait : now;
     const Core::TimePoint deadline = isWaiting ? waitEnd + m_times.answer : now + m_times.slowAnswer;
     const Question question{++m_lastNumber, m_knowledge.revision(), Core::BootClock::now(), !m_isHistoryKnown, isWaiting};
-    m_askedAt = question.askedAt;
     m_patience.startAt(waitEnd + m_times.answer);
     const auto take = [this, question](Core::Result<RowPage> page) {
         receive(question, std::move(page));
@@ -175,8 +176,7 @@
 void TableFollower::noteVerified()
 {
     m_consumer.tableVerified(m_table, *m_knowledge.verifiedAt(), m_knowledge.revision());
-    const std::optional<milliseconds> known = age();
-    if (known.has_value() && *known < m_times.answer) {
+    if (m_isLost && isServedToOthers()) {
         noteHeard();
     }
 }
@@ -249,18 +249,22 @@
 
 void TableFollower::noteFailure(const Core::Error &error)
 {
-    if (!m_isLost && !isServedToOthers()) {
+    const Core::BootTime now = Core::BootClock::now();
+    m_failedSince = m_failures == 0 ? now : m_failedSince;
+    // Others, if any tell what they know, take a moment to tell that the store goes on answering them.
+    const bool areOthersAsked = now - m_toldAt < m_times.bound && now - m_failedSince < m_times.sharedWait;
+    if (!m_isLost && !areOthersAsked && !isServedToOthers()) {
         m_isLost = true;
         m_consumer.sourceLost(m_table, error);
     }
     askAgainAt(m_loop.now() + nextRetry());
 }
 
-// Others heard the store after this follower had asked it, and told so: it turns only some away.
+// Others heard the store since it does not answer here, and told so: it turns only some away.
 bool TableFollower::isServedToOthers() const
 {
     const std::optional<milliseconds> known = age();
-    return known.has_value() && *known < Core::BootClock::now() - m_askedAt;
+    return known.has_value() && *known < m_times.sharedAge && *known < Core::BootClock::now() - m_failedSince;
 }
 
 milliseconds TableFollower::nextRetry()
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -132,7 +132,8 @@
     std::optional<StoreTime> m_saidAt; ///< When the store itself answered last, by its clock.
     StoreClockEstimate m_clock;
     std::uint64_t m_lastNumber = 0; ///< Of the present question; answers to earlier ones are still worth their rows.
-    Core::BootTime m_askedAt; ///< The present question.
+    Core::BootTime m_failedSince; ///< While m_failures is not 0.
+    Core::BootTime m_toldAt; ///< When another process last told something that was not known.
     Core::TimePoint m_besideDeadline{}; ///< Until then no other question is asked beside.
     bool m_isHistoryKnown = false; ///< Of what changed since the revision; else the whole table has to be read.
     bool m_isLost = false; ///< Nobody hears the store.
--- a/tests/auto/relay/tst_tablegossip.cpp
+++ b/tests/auto/relay/tst_tablegossip.cpp
@@ -28,6 +28,7 @@
     std::vector<Store::TableRow> rows;
     std::uint64_t revision = 1;
     bool isSilent = false;
+    bool isBusy = false; ///< Turns whoever asks away at once.
 
     void readTable(const std::string &, Core::TimePoint, PageCallback done) override
     {
@@ -47,6 +48,10 @@
 private:
     void respond(std::uint64_t after, PageCallback done)
     {
+        if (isBusy) {
+            done(Core::Error{Core::ErrorCode::Unavailable, "store", "", "It is busy."});
+            return;
+        }
         if (isSilent) {
             m_unanswered.push_back(std::move(done));
             return;
@@ -189,6 +194,22 @@
     EXPECT_EQ(m_routers[2]->keeper.losses, 0);
 }
 
+// Each answer of the store that turned a router away, and each word of the others after it, made it take the store for lost and for regained by turns, and
+// believe entries that were removed.
+TEST_F(TableGossipTest, takesAStoreForServingThatTurnsOnlyItAway)
+{
+    m_routers[2]->store.isBusy = true;
+    pass(1s);
+    const int losses = m_routers[2]->keeper.losses;
+    EXPECT_LE(losses, 1);
+    pass(5s);
+    EXPECT_EQ(m_routers[2]->keeper.losses, losses);
+    for (const auto &router : m_routers) {
+        router->store.isBusy = true;
+    }
+    EXPECT_TRUE(Verbena::Test::runUntil(*m_loop, [this] { return m_routers[0]->keeper.losses == 1 && m_routers[2]->keeper.losses > 0; }));
+}
+
 TEST_F(TableGossipTest, tellsAChangeAtOnceToARouterThatTheStoreTurnsAway)
 {
     m_routers[2]->store.isSilent = true;
