Give lost calls a class of their own

CrashGuard kept the search for ended backend servers beside the table of crashes and the trials. No behaviour changes; crashledger, crashingrequests and relay pass.

--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -25,12 +25,6 @@
 // Most requests that were lost with a server are answered elsewhere within it, and nothing need be written of them.
 constexpr milliseconds settleTime{1000};
 
-// Many times the way to any backend server; a request that could be sent again waits no longer for it.
-constexpr milliseconds checkTime{50};
-
-// For how long a server that ended is remembered, and the register may still tell that one did: its entries lapse seconds after it.
-constexpr milliseconds endedTime{6000};
-
 constexpr milliseconds lookPeriod{500};
 constexpr milliseconds storeAnswerTime{700};
 
@@ -40,11 +34,6 @@
 // Told to all routers in each look while the store is away.
 constexpr std::size_t mostTold = 64;
 
-std::string lifeOf(const LostCall &call)
-{
-    return call.serverId + '.' + std::to_string(call.incarnation);
-}
-
 TableRow rowOf(const CrashRecord &record, bool isDeleted)
 {
     return {Decisions::rowKey(record), isDeleted ? "" : record.organisation, 0, isDeleted};
@@ -78,6 +67,7 @@
     , m_store(store)
     , m_relay(relay)
     , m_writer(loop, store, crashTable)
+    , m_lost(loop, relay.fleet().servers(), [this](const LostCall &call, const char *proof) { record(call, proof); })
     , m_timer(loop, [this] { look(); })
     , m_follower(loop, source, crashTable, followPause, *this, times)
 {
@@ -109,72 +99,15 @@
     return m_ledger.isSuspected(request);
 }
 
-// A server that was leaving, or whose entry had gone before, may end without a crash.
-bool CrashGuard::isStaying(const LostCall &call) const
-{
-    const auto &servers = m_relay.fleet().servers().servers();
-    const auto known = servers.find(call.serverId);
-    return known != servers.end() && !known->second.isLeaving;
-}
-
-// Whether the register says that the life of the call's server is over.
-bool CrashGuard::hasEnded(const LostCall &call) const
-{
-    const auto &servers = m_relay.fleet().servers().servers();
-    const auto known = servers.find(call.serverId);
-    return known == servers.end() || (call.incarnation != 0 && known->second.incarnation != call.incarnation);
-}
-
 std::uint64_t CrashGuard::noteLost(const LostCall &call, CheckCallback done)
 {
-    const std::string life = lifeOf(call);
-    if (m_ended.contains(life)) {
-        record(call, "seen before");
-        done();
-        return 0;
-    }
-    const auto endpoint = Http::Endpoint::parse(call.address);
-    if (!isStaying(call) || !endpoint) {
-        done();
-        return 0;
-    }
-    Check &check = m_checks[life];
-    check.deadline = m_loop.now() + endedTime;
-    check.suspicions.push_back({call, ++m_lastNumber, std::move(done)});
-    if (check.check == nullptr) {
-        check.check = std::make_unique<ConnectCheck>(
-            m_loop, endpoint.value(), m_loop.now() + checkTime, [this, life](ConnectCheck::Finding finding) { takeFinding(life, finding); });
-    }
-    return m_lastNumber;
-}
-
-void CrashGuard::takeFinding(const std::string &life, ConnectCheck::Finding finding)
-{
-    Check &check = m_checks[life];
-    const std::unique_ptr<ConnectCheck> ended = std::move(check.check);
-    std::vector<CheckCallback> callbacks;
-    for (Suspicion &suspicion : std::exchange(check.suspicions, {})) {
-        if (finding == ConnectCheck::Finding::Refused) {
-            record(suspicion.call, "connection refused");
-        } else {
-            check.doubtful.push_back(suspicion.call);
-        }
-        if (suspicion.done) {
-            callbacks.push_back(std::move(suspicion.done));
-        }
-    }
-    if (finding == ConnectCheck::Finding::Refused) {
-        m_ended[life] = m_loop.now() + endedTime;
-        m_checks.erase(life);
-    }
-    for (const CheckCallback &done : callbacks) {
-        done();
-    }
+    const std::uint64_t number = ++m_lastNumber;
+    return m_lost.note(call, number, std::move(done)) ? number : 0;
 }
 
 void CrashGuard::record(const LostCall &call, const char *proof)
 {
-    const CrashRecord crash{call.request, lifeOf(call), call.organisation};
+    const CrashRecord crash{call.request, LostCalls::lifeOf(call), call.organisation};
     if (!m_ledger.note(crash, m_loop.now())) {
         return;
     }
@@ -294,13 +227,7 @@
             claim.done = nullptr;
         }
     }
-    for (auto &[life, check] : m_checks) {
-        for (Suspicion &suspicion : check.suspicions) {
-            if (suspicion.number == number) {
-                suspicion.done = nullptr;
-            }
-        }
-    }
+    m_lost.withdraw(number);
 }
 
 void CrashGuard::replaceRows(const std::string &table, const Store::RowPage &page)
@@ -381,19 +308,10 @@
     m_news->tell(m_relay.routerAddresses(), rows);
 }
 
-// A router that slept, or was cut off, learns of a loss after its server is back; then the register tells that the server's life is another one.
 void CrashGuard::look()
 {
     const Core::TimePoint now = m_loop.now();
-    for (auto &[life, check] : m_checks) {
-        if (!check.doubtful.empty() && hasEnded(check.doubtful.front())) {
-            for (const LostCall &call : std::exchange(check.doubtful, {})) {
-                record(call, "register");
-            }
-        }
-    }
-    std::erase_if(m_checks, [now](const auto &check) { return check.second.check == nullptr && now >= check.second.deadline; });
-    std::erase_if(m_ended, [now](const auto &ended) { return now >= ended.second; });
+    m_lost.look(now);
     for (const CrashRecord &expired : m_ledger.expire(now)) {
         if (m_relay.isOneOfFew()) {
             m_writer.remove(Decisions::rowKey(expired), now);
--- a/src/libs/relay/crashguard.h
+++ b/src/libs/relay/crashguard.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "agewatch.h"
-#include "connectcheck.h"
 #include "crashcontrol.h"
 #include "crashnews.h"
 #include "crashrowwriter.h"
 #include "feedreport.h"
+#include "lostcalls.h"
 #include "relaytask.h"
 #include "tablegossip.h"
 
@@ -56,23 +56,6 @@
     void noteServed(const Decisions::RequestIdentity &request) override;
 
 private:
-    // A call that was lost, until it is known whether its backend server ended.
-    struct Suspicion
-    {
-        LostCall call;
-        std::uint64_t number = 0;
-        CheckCallback done; ///< Empty once nobody waits.
-    };
-
-    // The calls lost at one life of a backend server.
-    struct Check
-    {
-        std::unique_ptr<ConnectCheck> check; ///< Nothing once it has found what it can.
-        std::vector<Suspicion> suspicions; ///< That wait for what it finds.
-        std::vector<LostCall> doubtful; ///< It found nothing about these.
-        Core::TimePoint deadline; ///< Until then the register may tell.
-    };
-
     struct Claim
     {
         std::uint64_t number = 0;
@@ -92,9 +75,6 @@
     void takeRecord(const Decisions::CrashRecord &record, bool isDeleted, const char *toldBy);
     void record(const LostCall &call, const char *proof);
     void write(const Decisions::RequestIdentity &request);
-    void takeFinding(const std::string &life, ConnectCheck::Finding finding);
-    bool hasEnded(const LostCall &call) const;
-    bool isStaying(const LostCall &call) const;
     void takeClaim(const Decisions::RequestIdentity &request, const Store::CommitAnswer &answer);
     void followTrials(const Decisions::RequestIdentity &request, const Store::CommitAnswer &answer, std::uint32_t count);
     void tell(const std::vector<Store::TableRow> &rows);
@@ -107,9 +87,8 @@
     RelayTask &m_relay;
     Decisions::CrashLedger m_ledger;
     CrashRowWriter m_writer;
+    LostCalls m_lost;
     std::unique_ptr<CrashNews> m_news;
-    std::map<std::string, Check> m_checks; ///< By life of a backend server.
-    std::map<std::string, Core::TimePoint> m_ended; ///< Lives that are known to have ended, and until when that is remembered.
     std::map<Decisions::RequestIdentity, Claim> m_claims;
     std::uint64_t m_lastNumber = 0;
     bool m_isStoreLost = false;
