Pause between readings of a table whose history is lost again and again

What callers saw: nothing yet. The first reading after a loss is made at once as before, further ones after a failure's pause.

Suspicions of crashing requests are told to others again and again while the store does not take them from this router, no longer only while nobody hears the store: since routers verify each other's tables that is no longer the same.

--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -318,7 +318,7 @@
             m_writer.remove(Decisions::trialKey(expired.request), now);
         }
     }
-    if (m_isStoreLost) {
+    if (m_isStoreLost || m_writer.isFailing()) {
         std::vector<TableRow> rows;
         for (const CrashRecord &record : m_ledger.suspicions(mostTold)) {
             rows.push_back(rowOf(record, false));
--- a/src/libs/relay/crashrowwriter.cpp
+++ b/src/libs/relay/crashrowwriter.cpp
@@ -58,6 +58,11 @@
     schedule();
 }
 
+bool CrashRowWriter::isFailing() const
+{
+    return m_isFailing;
+}
+
 void CrashRowWriter::schedule()
 {
     if (m_isSending || m_waiting.empty()) {
@@ -96,7 +101,8 @@
 void CrashRowWriter::takeCommit(const std::map<std::string, std::optional<std::string>> &sent, const Store::CommitAnswer &answer)
 {
     m_isSending = false;
-    if (answer.outcome == Store::CommitOutcome::Committed) {
+    m_isFailing = answer.outcome != Store::CommitOutcome::Committed;
+    if (!m_isFailing) {
         std::erase_if(m_waiting, [&sent](const auto &row) {
             const auto written = sent.find(row.first);
             return written != sent.end() && written->second == row.second.value;
--- a/src/libs/relay/crashrowwriter.h
+++ b/src/libs/relay/crashrowwriter.h
@@ -25,6 +25,9 @@
     /// \brief Deletes the row \a key by about \a due; what was to be written into it and has not been sent never is.
     void remove(const std::string &key, Core::TimePoint due);
 
+    /// \brief Whether the store did not take what was sent last.
+    bool isFailing() const;
+
 private:
     struct Waiting
     {
@@ -42,6 +45,7 @@
     std::string m_table;
     std::map<std::string, Waiting> m_waiting; ///< By key.
     bool m_isSending = false;
+    bool m_isFailing = false;
     Core::TimePoint m_nextTry{};
     EventLoop::Timer m_timer;
     Core::Lifetime m_lifetime;
--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -150,8 +150,7 @@
     if (!page) {
         noteFailure(page.error());
     } else if (page.value().isHistoryLost) {
-        m_isHistoryKnown = false;
-        askAgainAt(m_loop.now());
+        noteHistoryLost();
     } else {
         refuse(question, page.value());
     }
@@ -193,6 +192,7 @@
 void TableFollower::takeChanges(const Question &question, RowPage &page)
 {
     const std::uint64_t known = m_knowledge.revision();
+    m_isHistoryDoubtful = false;
     m_knowledge.takeChanges(page, question.revision);
     date(question, page, known);
     if (!page.rows.empty()) {
@@ -232,6 +232,14 @@
     }
 }
 
+// The whole table is read at once; but one that is read from the past ends where history is lost still, and is read again and again.
+void TableFollower::noteHistoryLost()
+{
+    m_isHistoryKnown = false;
+    const bool isAgain = std::exchange(m_isHistoryDoubtful, true);
+    askAgainAt(isAgain ? m_loop.now() + nextRetry() : m_loop.now());
+}
+
 void TableFollower::refuse(const Question &question, const RowPage &page)
 {
     RefusedAnswer refused{page.revision, question.revision, {}};
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -111,6 +111,7 @@
     void takeChanges(const Question &question, RowPage &page);
     void date(const Question &question, RowPage &page, std::uint64_t known);
     std::optional<StoreTime> changedAfter(const Question &question, const RowPage &page) const;
+    void noteHistoryLost();
     void refuse(const Question &question, const RowPage &page);
     void askAgainAt(Core::TimePoint moment);
     void noteFailure(const Core::Error &error);
@@ -136,6 +137,7 @@
     Core::BootTime m_toldAt; ///< When another process last told something that was not known.
     Core::TimePoint m_besideDeadline{}; ///< Until then no other question is asked beside.
     bool m_isHistoryKnown = false; ///< Of what changed since the revision; else the whole table has to be read.
+    bool m_isHistoryDoubtful = false; ///< It was lost since changes were told last.
     bool m_isLost = false; ///< Nobody hears the store.
     std::uint32_t m_failures = 0; ///< Of the store since it answered last.
     Core::Lifetime m_lifetime;
--- a/tests/auto/relay/tst_tablefollower.cpp
+++ b/tests/auto/relay/tst_tablefollower.cpp
@@ -231,6 +231,19 @@
     EXPECT_GT(question().waitEnd, m_loop->now() + 1s);
 }
 
+// A store that answers reads from before its history begins was asked as fast as it could answer.
+TEST_F(TableFollowerTest, pausesBetweenReadingsOfTheTableWhileHistoryIsLostAgainAndAgain)
+{
+    int questions = 0;
+    const Core::TimePoint end = m_loop->now() + 500ms;
+    while (m_loop->now() < end) {
+        auto asked = question();
+        ++questions;
+        asked.done(asked.isWhole ? page(5, {}) : RowPage{{}, 0, true});
+    }
+    EXPECT_LT(questions, 30);
+}
+
 TEST_F(TableFollowerTest, doesNotDateWhatStoodInTheTableBeforeItWasReadFirst)
 {
     question().done(pageSaid(50s, 5, {{"a", "1", 3, false}}));
