--- /dev/null
+++ b/tests/auto/relay/tst_agewatch.cpp
@@ -0,0 +1,58 @@
+#include <platform/workerfake.h>
+#include <relay/agewatch.h>
+
+#include <gtest/gtest.h>
+
+namespace Verbena::Relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+class AgeWatchTest : public testing::Test
+{
+protected:
+    AgeWatchTest()
+        : m_loop(std::move(EventLoop::Loop::create().value()))
+        , m_watch(*m_loop, m_metrics, 1000ms, 7)
+    {
+        m_watch.watch(
+            "op", [this] { return m_age; }, [this] { ++m_renewals; });
+    }
+
+    void look()
+    {
+        const Core::TimePoint end = m_loop->now() + 600ms;
+        Verbena::Test::runUntil(*m_loop, [this, end] { return m_loop->now() >= end; });
+    }
+
+    std::unique_ptr<EventLoop::Loop> m_loop;
+    Observe::Metrics m_metrics;
+    AgeWatch m_watch;
+    std::optional<milliseconds> m_age;
+    int m_renewals = 0;
+};
+
+TEST_F(AgeWatchTest, hasATableRenewedBeforeItIsTooOld)
+{
+    m_age = 400ms;
+    look();
+    EXPECT_EQ(m_renewals, 0);
+    m_age = 650ms;
+    look();
+    EXPECT_GT(m_renewals, 0);
+}
+
+TEST_F(AgeWatchTest, showsTheAgeOfATableThatWasRead)
+{
+    look();
+    EXPECT_EQ(m_metrics.renderPrometheus().find("table_age_seconds_op"), std::string::npos);
+    m_age = 1500ms;
+    look();
+    EXPECT_NE(m_metrics.renderPrometheus().find("verbena_table_age_seconds_op 1.5"), std::string::npos);
+}
+
+} // namespace
+
+} // namespace Verbena::Relay
--- a/tests/auto/relay/tst_silentpeers.cpp
+++ b/tests/auto/relay/tst_silentpeers.cpp
@@ -141,6 +141,45 @@
     EXPECT_LE(date->time_since_epoch().count(), made.time_since_epoch().count());
 }
 
+// Each question to a router that was gone cost half the time within which a change has to be in force, though others were known to be there.
+TEST(SharedRowsTest, asksAnElectedRouterThatWasHeardLately)
+{
+    const auto loop = std::move(EventLoop::Loop::create().value());
+    const std::string network = "127.82." + std::to_string(1 + getpid() % 250) + '.';
+    constexpr std::uint16_t port = 7340;
+    const Verbena::Test::PlainProtocol protocol;
+    RelaySettings settings;
+    settings.listen = Http::Endpoint::parse("127.0.0.1:0").value();
+    settings.address = network + "1";
+    const auto relay = std::move(RelayTask::create(*loop, settings, protocol).value());
+    std::vector<std::string> routers;
+    for (int number = 10; number < 40; ++number) {
+        routers.push_back(network + std::to_string(number));
+    }
+    relay->noteRouters(routers);
+    const std::vector<std::string> elected = relay->electedRouters();
+    ASSERT_GT(elected.size(), 2U);
+    std::map<std::string, int> asked;
+    std::vector<std::unique_ptr<Verbena::Test::WorkerFake>> fakes;
+    for (const std::string &address : elected) {
+        const auto refuse = [&asked, address](const Http::MessageHead &, const std::string &) {
+            ++asked[address];
+            return Verbena::Test::WorkerScript{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"};
+        };
+        fakes.push_back(std::make_unique<Verbena::Test::WorkerFake>(*loop, refuse, address + ':' + std::to_string(port)));
+    }
+    PromptStore store;
+    const auto peers = std::move(PeerRows::create(*loop, network + "1", port, store, 1).value());
+    SharedRows rows(*loop, *peers, *relay, 1);
+    peers->book().noteSaid(elected[1], Store::StoreTime(std::chrono::seconds(1)), loop->now());
+    int answers = 0;
+    for (int number = 0; number < 10; ++number) {
+        rows.awaitChanges("op", 3, loop->now() + 500ms, loop->now() + 900ms, [&answers](const Core::Result<Store::RowPage> &) { ++answers; });
+    }
+    ASSERT_TRUE(Verbena::Test::runUntil(*loop, [&answers] { return answers == 10; }));
+    EXPECT_EQ(asked, (std::map<std::string, int>{{elected[1], 10}}));
+}
+
 } // namespace
 
 } // namespace Verbena::Relay
