Log how the end of an answer was known and where its bytes ended

The lines of a request could not tell the hypotheses for the broken-off streams apart: request_ended said "answered" whether the server had closed the connection inside an event, between two, or had sent a last chunk.

framing and inside_event stand in request_ended and call_failed now; a scanner finds the ends of events of all streams, resumable or not, with LF, CR LF and CR. No decision depends on them yet.

--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -8,8 +8,34 @@
 
 constexpr std::size_t maximumBufferedBytes = 64 * 1024;
 
+BodyFraming framingOf(const Http::MessageHead &head)
+{
+    if (head.isChunked) {
+        return BodyFraming::Chunks;
+    }
+    if (head.contentLength.has_value()) {
+        return BodyFraming::Length;
+    }
+    return head.isEndedByClose ? BodyFraming::Close : BodyFraming::None;
+}
+
 } // namespace
 
+std::string_view bodyFramingName(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::None:
+        return "none";
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunks:
+        return "chunks";
+    case BodyFraming::Close:
+        return "close";
+    }
+    return "unknown";
+}
+
 AnswerForwarder::AnswerForwarder(const RelayProtocol &protocol, AnswerSink &sink)
     : m_protocol(protocol)
     , m_sink(sink)
@@ -28,15 +54,23 @@
     if (!m_isBegun) {
         m_head = head;
     }
+    m_framing = framingOf(head);
     m_state = State::Buffering;
 }
 
+bool AnswerForwarder::isEventStream() const
+{
+    return m_isStream && isSuccess(m_head.status) && !m_isServerError;
+}
+
 bool AnswerForwarder::receiveBody(std::string_view data)
 {
-    const bool isEvents = m_isStream && isSuccess(m_head.status);
-    if (m_state == State::Buffering && (m_isBegun || (isEvents && !m_isServerError))) {
+    if (m_state == State::Buffering && (m_isBegun || isEventStream())) {
         m_state = State::Forwarding;
     }
+    if (isEventStream()) {
+        m_scanner.skip(data);
+    }
     if (m_state == State::Forwarding) {
         forward(data);
         return true;
@@ -103,6 +137,8 @@
     m_state = State::None;
     m_buffer.clear();
     m_isServerError = false;
+    m_framing = BodyFraming::None;
+    m_scanner.reset();
     m_splitter.discardPending();
 }
 
@@ -116,6 +152,11 @@
     return m_isServerError;
 }
 
+AnswerEnding AnswerForwarder::ending() const
+{
+    return {m_framing, m_scanner.isInsideEvent()};
+}
+
 int AnswerForwarder::status() const
 {
     return m_head.status;
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -4,6 +4,7 @@
 #include "relayprotocol.h"
 
 #include <decisions/relay/relayconfiguration.h>
+#include <http/sseeventscanner.h>
 #include <http/ssesplitter.h>
 
 #include <cstdint>
@@ -13,6 +14,24 @@
 
 namespace Verbena::Relay {
 
+/// \brief How the end of an answer's body is known.
+enum class BodyFraming {
+    None, ///< No answer was received, or it has no body.
+    Length, ///< Its length is stated.
+    Chunks, ///< A last chunk ends it.
+    Close, ///< The end of the connection ends it.
+};
+
+/// \brief Returns the stable name of \a framing for logs.
+std::string_view bodyFramingName(BodyFraming framing);
+
+/// \brief Where the received bytes of an answer end.
+struct AnswerEnding
+{
+    BodyFraming framing = BodyFraming::None;
+    bool isInsideEvent = false; ///< Whether the bytes of a stream end inside an event.
+};
+
 /// \brief Forwards the answer of a backend server to the caller.
 ///
 /// Small answers are buffered until they are complete, so that the request can be sent again if one breaks off. Larger ones and streams are forwarded as they
@@ -55,6 +74,9 @@
     /// \brief Returns whether the current answer is a failure of the backend server.
     bool isServerError() const;
 
+    /// \brief Returns where the answer to the current call ends so far.
+    AnswerEnding ending() const;
+
     /// \brief Returns the status of the first answer, or else of the last one; 0 before any.
     int status() const;
 
@@ -68,6 +90,7 @@
         Forwarding, ///< The answer is forwarded as it arrives.
     };
 
+    bool isEventStream() const;
     void forward(std::string_view data);
     void begin();
 
@@ -78,8 +101,10 @@
     State m_state = State::None;
     bool m_isBegun = false;
     bool m_isServerError = false;
-    Http::MessageHead m_head;
+    BodyFraming m_framing = BodyFraming::None; ///< Of the current call's answer.
+    Http::MessageHead m_head; ///< Head of the first answer that the caller received a part of, or else of the current call's.
     std::string m_buffer;
+    Http::SseEventScanner m_scanner; ///< Follows the events of the current call.
     Http::SseSplitter m_splitter;
 };
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -460,7 +460,7 @@
     const AttemptAction action = chooseAction(failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
     reportFailure({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()},
-        {failure, reason, m_attempts, m_arrivals, failure == CallFailure::Lost ? m_crashes.identity().text() : "", balance, action});
+        {failure, reason, m_attempts, m_arrivals, failure == CallFailure::Lost ? m_crashes.identity().text() : "", balance, action, m_answer.ending()});
     proceed(failure, action);
 }
 
@@ -673,6 +673,7 @@
     report.arrival = m_arrival;
     report.firstPartAfter = m_firstPartAfter;
     report.total = sinceArrival();
+    report.ending = m_answer.ending();
     report.configurationAge = m_context.configurationAge ? m_context.configurationAge() : std::nullopt;
     report.configuration = m_directory != nullptr ? m_directory->version() : 0;
     reportEnd(report, m_context.metrics);
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -17,6 +17,11 @@
     return std::to_string(duration.count());
 }
 
+std::string yesOrNo(bool value)
+{
+    return value ? "yes" : "no";
+}
+
 template<typename Value>
 std::string text(const std::optional<Value> &value)
 {
@@ -46,6 +51,8 @@
             {"identity", report.identity},
             {"resends_left", std::to_string(static_cast<int>(report.balance.available))},
             {"routers", std::to_string(report.balance.routerCount)},
+            {"framing", std::string(bodyFramingName(report.ending.framing))},
+            {"inside_event", yesOrNo(report.ending.isInsideEvent)},
             {"after_ms", text(label.after)},
             {"action", std::string(attemptActionName(report.action))}});
 }
@@ -84,7 +91,7 @@
 
 void reportLeft(const RequestLabel &label, bool isBegun)
 {
-    Observe::log(callerLeft, {{"request", label.attemptId}, {"server", label.serverId}, {"begun", isBegun ? "yes" : "no"}, {"after_ms", text(label.after)}});
+    Observe::log(callerLeft, {{"request", label.attemptId}, {"server", label.serverId}, {"begun", yesOrNo(isBegun)}, {"after_ms", text(label.after)}});
 }
 
 void reportEnd(const RequestReport &report, Observe::Metrics &metrics)
@@ -118,6 +125,8 @@
             {"sent_ms", report.sends > 0 ? text(duration_cast<milliseconds>(choice.sentAt - report.arrival)) : ""},
             {"first_ms", text(report.firstPartAfter)},
             {"total_ms", text(report.total)},
+            {"framing", std::string(bodyFramingName(report.ending.framing))},
+            {"inside_event", yesOrNo(report.ending.isInsideEvent)},
             {"configuration", report.configuration > 0 ? std::to_string(report.configuration) : ""},
             {"configuration_age_ms", text(report.configurationAge)}});
 }
--- a/src/libs/relay/requestreport.h
+++ b/src/libs/relay/requestreport.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "answerforwarder.h"
+
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/fleetchoice.h>
 #include <decisions/relay/resendbudget.h>
@@ -32,6 +34,7 @@
     std::string identity; ///< Digest of the request, if the call was lost.
     Decisions::ResendBalance balance;
     Decisions::AttemptAction action;
+    AnswerEnding ending;
 };
 
 /// \brief Logs a failed call.
@@ -66,6 +69,7 @@
     std::chrono::milliseconds firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative if none came.
     std::chrono::milliseconds total{0};
     std::uint64_t configuration = 0; ///< Version of the configuration; 0 if there was none.
+    AnswerEnding ending = {}; ///< Of the last answer.
     std::optional<std::chrono::milliseconds> configurationAge = {}; ///< Age of the configuration at the end; a change may have been missing for so long.
 };
 
