--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -1,9 +1,4 @@
-#include "plainprotocol.h"
-
-#include <platform/workerfake.h>
-#include <relay/relaytask.h>
-
-#include <gtest/gtest.h>
+#include "relaytest.h"
 
 #include <algorithm>
 #include <array>
@@ -14,34 +9,17 @@
 namespace {
 
 using namespace std::chrono_literals;
+using Test::answer;
 using Test::CallerFake;
-using Test::PlainProtocol;
+using Test::chunk;
+using Test::contains;
+using Test::event;
+using Test::RelayTest;
 using Test::runUntil;
+using Test::streamHead;
 using Test::WorkerFake;
 using Test::WorkerScript;
 
-std::string answer(const Http::MessageHead &head, const std::string &body, const std::string &fields = "Receipt: r\r\n", const std::string &status = "200 OK")
-{
-    return "HTTP/1.1 " + status + "\r\nId: " + *head.field("Id") + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-std::string chunk(const std::string &data)
-{
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx", data.size());
-    return std::string(size.data()) + "\r\n" + data + "\r\n";
-}
-
-std::string streamHead(const Http::MessageHead &head, const std::string &fields = "")
-{
-    return "HTTP/1.1 200 OK\r\nId: " + *head.field("Id") + "\r\nReceipt: r\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n";
-}
-
-std::string event(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + "\n\n";
-}
-
 // Returns the sum of the maximum sizes of the receive buffer at one end and the send buffer at the other, in bytes.
 std::size_t maximumSocketBuffers()
 {
@@ -57,137 +35,6 @@
     return sum;
 }
 
-class RelayTest : public testing::Test
-{
-protected:
-    RelayTest()
-        : m_loop(std::move(EventLoop::Loop::create().value()))
-        , m_relay(std::move(RelayTask::create(*m_loop, settings(), m_protocol).value()))
-    {
-    }
-
-    static RelaySettings settings()
-    {
-        RelaySettings settings;
-        settings.listen = Http::Endpoint::parse("127.0.0.1:0").value();
-        settings.resend = {100, 0, 10s}; // Each request earns many resends; refusals by the budget have tests of their own.
-        settings.routing.isProbing = false;
-        settings.seed = 3;
-        settings.weights.longestUse = 2s;
-        settings.shutdownNotice = 50ms;
-        settings.shutdownGrace = 30s;
-        return settings;
-    }
-
-    // Returns a route with only the settings that the tests need.
-    static Decisions::RelayRoute route(const std::string &prefix, Decisions::RequestKind kind, std::uint32_t attempts = 2)
-    {
-        Decisions::RelayRoute declared;
-        declared.name = prefix;
-        declared.host = "x";
-        declared.prefix = prefix;
-        declared.kind = kind;
-        declared.timeout = 20s;
-        declared.attempts = attempts;
-        declared.services = {{"s", 1.0}};
-        return declared;
-    }
-
-    Decisions::RelayConfiguration configuration(std::uint64_t version = 1)
-    {
-        Decisions::RelayConfiguration declared;
-        declared.version = version;
-        declared.routes = {route("/safe/", Decisions::RequestKind::Idempotent),
-            route("/once/", Decisions::RequestKind::NonIdempotent),
-            route("/stream/", Decisions::RequestKind::Streaming),
-            route("/resume/", Decisions::RequestKind::Streaming)};
-        declared.routes[3].isResumable = true;
-        declared.organisations = {{"dams", {"k"}, std::nullopt, false}};
-        declared.limits.bodyBytes = 1000;
-        return declared;
-    }
-
-    WorkerFake &addWorker(WorkerFake::Answer script)
-    {
-        m_workers.push_back(std::make_unique<WorkerFake>(*m_loop, std::move(script)));
-        const std::string id = "server-" + std::to_string(m_workers.size());
-        m_relay->fleet().servers().set({id, "s", m_workers.back()->address(), "hall", 6, false, {}});
-        return *m_workers.back();
-    }
-
-    void start(WorkerFake::Answer script)
-    {
-        m_relay->setConfiguration(configuration());
-        addWorker(std::move(script));
-    }
-
-    // Starts with one engine that has the first version of the weights.
-    void startOnOldWeights(WorkerFake::Answer script)
-    {
-        start(std::move(script));
-        m_relay->fleet().servers().set({"server-1", "s", m_workers[0]->address(), "hall", 6, false, {{"m", 1}}});
-        EXPECT_TRUE(m_relay->fleet().recordWeightsAnnouncement("m", 1, m_loop->now()));
-    }
-
-    // Returns a caller whose request has reached that engine, which does not answer.
-    std::unique_ptr<CallerFake> waitingCaller(const std::string &path)
-    {
-        startOnOldWeights([](const auto &, const auto &) { return WorkerScript{}; });
-        auto client = caller();
-        client->send(request(path, "Model: m\r\n"));
-        EXPECT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->heads().size() == 1; }));
-        return client;
-    }
-
-    // Announces the second version of the weights, which a second engine has; returns the time of the announcement.
-    Core::TimePoint announceNewWeights()
-    {
-        addWorker([](const auto &head, const auto &) { return WorkerScript{streamHead(head) + chunk(event(1)) + "0\r\n\r\n"}; });
-        m_relay->fleet().servers().set({"server-2", "s", m_workers[1]->address(), "hall", 6, false, {{"m", 2}}});
-        const Core::TimePoint now = m_loop->now();
-        EXPECT_TRUE(m_relay->fleet().recordWeightsAnnouncement("m", 2, now));
-        return now;
-    }
-
-    std::unique_ptr<CallerFake> caller()
-    {
-        return std::make_unique<CallerFake>(*m_loop, m_relay->endpoint());
-    }
-
-    static std::string request(const std::string &path, const std::string &fields = "", const std::string &body = "")
-    {
-        return "POST " + path + " HTTP/1.1\r\nHost: x\r\nId: a1\r\nKey: k\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    }
-
-    // Sends \a text and returns what the caller receives until \a end or the end of the connection.
-    std::string call(const std::string &text, const std::string &end)
-    {
-        const auto client = caller();
-        client->send(text);
-        EXPECT_TRUE(runUntil(*m_loop, [&] { return client->isClosed() || client->received().find(end) != std::string::npos; })) << client->received();
-        return client->received();
-    }
-
-    std::size_t runs() const
-    {
-        std::size_t count = 0;
-        for (const auto &worker : m_workers) {
-            count += worker->heads().size();
-        }
-        return count;
-    }
-
-    PlainProtocol m_protocol;
-    std::unique_ptr<EventLoop::Loop> m_loop;
-    std::unique_ptr<RelayTask> m_relay;
-    std::vector<std::unique_ptr<WorkerFake>> m_workers;
-};
-
-bool contains(const std::string &text, const std::string &part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 TEST_F(RelayTest, relaysARequestAndItsAnswerUnchanged)
 {
     start([](const auto &head, const auto &body) { return WorkerScript{answer(head, "echo " + body)}; });
