--- a/tests/platform/workerfake.cpp
+++ b/tests/platform/workerfake.cpp
@@ -94,13 +94,19 @@
         m_connections.emplace(raw, std::move(connection));
     });
     m_listener = std::move(listener.value());
+    m_address = m_listener->endpoint().toString();
 }
 
 WorkerFake::~WorkerFake() = default;
 
 std::string WorkerFake::address() const
 {
-    return m_listener->endpoint().toString();
+    return m_address;
+}
+
+void WorkerFake::stopListening()
+{
+    m_listener.reset();
 }
 
 const std::vector<Http::MessageHead> &WorkerFake::heads() const
--- a/tests/platform/workerfake.h
+++ b/tests/platform/workerfake.h
@@ -47,6 +47,9 @@
     /// \brief Returns the number of buffered bytes that the kernel has not accepted, for instance because the relay does not read.
     std::size_t waitingBytes() const;
 
+    /// \brief Ends the server: accepts no connection from now on. Open ones end as their scripts say.
+    void stopListening();
+
     /// \brief Sends \a bytes on the connection of the last request.
     void sendMore(const std::string &bytes);
 
@@ -59,7 +62,8 @@
     std::vector<std::string> m_bodies;
     std::map<Connection *, std::unique_ptr<Connection>> m_connections;
     Connection *m_last = nullptr;
-    std::unique_ptr<Http::TcpListener> m_listener;
+    std::unique_ptr<Http::TcpListener> m_listener; ///< Null after the server has ended.
+    std::string m_address;
 };
 
 /// \brief Fake caller: one connection on the test's own event loop that sends and receives plain bytes.
