Take a stream that is closed inside an event for broken off

Callers saw streams framed as complete that had been broken off.

Cause: an answer without length or chunks ends with its connection, and the router took every regular close for the end of the answer, whatever came before it.

Why this works: a stream that ends inside an event has been broken off, so such a close is a lost call like any other: continued after its last whole event where the route allows it, and broken off visibly elsewhere. With a length or a last chunk the server itself says what is complete, and its bytes are passed on as before.

--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -157,6 +157,12 @@
     return {m_framing, m_scanner.isInsideEvent()};
 }
 
+// With a length or a last chunk, the server itself says what is complete.
+bool AnswerForwarder::isBrokenOff() const
+{
+    return m_framing == BodyFraming::Close && m_scanner.isInsideEvent();
+}
+
 int AnswerForwarder::status() const
 {
     return m_head.status;
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -77,6 +77,9 @@
     /// \brief Returns where the answer to the current call ends so far.
     AnswerEnding ending() const;
 
+    /// \brief Returns whether the answer to the current call, whose connection was closed regularly, is known to be incomplete.
+    bool isBrokenOff() const;
+
     /// \brief Returns the status of the first answer, or else of the last one; 0 before any.
     int status() const;
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -400,6 +400,10 @@
 void RelayedRequest::receiveAnswerEnd()
 {
     handleFirstPart();
+    if (m_answer.isBrokenOff()) {
+        callFailed(CallFailure::Lost, "the connection was closed inside an event");
+        return;
+    }
     if (m_answer.isServerError() && !m_answer.isBegun()) {
         handleFailure(CallFailure::ServerError, "the backend server failed");
         return;
