Find the ends of events whose lines end in CR LF or CR

Callers of a resumable route whose backend server ends lines in CR LF got no event before the stream's end, and a stream that broke off had no event to be continued after.

Cause: SseSplitter knew the blank line as two LF only; the standard of server-sent events has CR LF and CR too.

SseSplitter uses the scanner that already follows streams for the log.

--- a/src/libs/http/ssesplitter.cpp
+++ b/src/libs/http/ssesplitter.cpp
@@ -1,18 +1,19 @@
 #include "ssesplitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace Verbena::Http {
 
 namespace {
 
-constexpr std::string_view eventEnd = "\n\n";
+constexpr std::string_view lineEnds = "\r\n";
 constexpr std::string_view idField = "id:";
 
 std::optional<std::uint64_t> idOf(std::string_view event)
 {
     while (!event.empty()) {
-        const std::string_view line = event.substr(0, event.find('\n'));
+        const std::string_view line = event.substr(0, event.find_first_of(lineEnds));
         event.remove_prefix(std::min(event.size(), line.size() + 1));
         if (line.substr(0, idField.size()) != idField) {
             continue;
@@ -30,17 +31,16 @@
 
 std::string SseSplitter::feed(std::string_view bytes)
 {
-    m_pending.append(bytes);
     std::string events;
-    std::size_t begin = 0;
-    for (std::size_t end = m_pending.find(eventEnd); end != std::string::npos; end = m_pending.find(eventEnd, begin)) {
-        const std::string_view event = std::string_view(m_pending).substr(begin, end + eventEnd.size() - begin);
-        if (isNew(event)) {
-            events.append(event);
+    while (const std::optional<std::size_t> end = m_scanner.findEventEnd(bytes)) {
+        m_pending.append(bytes.substr(0, *end));
+        bytes.remove_prefix(*end);
+        if (isNew(m_pending)) {
+            events.append(m_pending);
         }
-        begin = end + eventEnd.size();
+        m_pending.clear();
     }
-    m_pending.erase(0, begin);
+    m_pending.append(bytes);
     return events;
 }
 
@@ -61,12 +61,14 @@
 {
     std::string pending;
     pending.swap(m_pending);
+    m_scanner.reset();
     return pending;
 }
 
 void SseSplitter::discardPending()
 {
     m_pending.clear();
+    m_scanner.reset();
 }
 
 std::optional<std::uint64_t> SseSplitter::lastId() const
--- a/src/libs/http/ssesplitter.h
+++ b/src/libs/http/ssesplitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "sseeventscanner.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,7 +30,8 @@
 private:
     bool isNew(std::string_view event);
 
-    std::string m_pending;
+    SseEventScanner m_scanner;
+    std::string m_pending; ///< The received part of an incomplete event.
     std::optional<std::uint64_t> m_lastId;
 };
 
