Ask whether a server still listens before an answer that it closed is complete

An answer without length or chunks whose server ended between two events of a stream, or anywhere in a plain answer, reached its caller as complete: the kernel closes the connections of a process that ends as regularly as a server does after its last byte. Same class as the streams that were closed inside an event; here the bytes alone do not tell.

The router opens a connection to the server's address before it ends such an answer. Accepted: complete. Refused, or no answer within 120 ms: a lost call like any other. Answers with a length, a last chunk or no body are as before.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -27,6 +27,9 @@
 // only after a second.
 constexpr milliseconds connectTimeout{120};
 
+// Many times the round trip to any backend server.
+constexpr milliseconds serverCheckTimeout{120};
+
 // Subtracted from the time that a backend server is given, for the round trip.
 constexpr milliseconds networkMargin{10};
 
@@ -402,8 +405,38 @@
     handleFirstPart();
     if (m_answer.isBrokenOff()) {
         callFailed(CallFailure::Lost, "the connection was closed inside an event");
+    } else if (m_answer.ending().framing == BodyFraming::Close) {
+        checkServer();
+    } else {
+        completeAnswer();
+    }
+}
+
+// The kernel closes the connections of a process that ends as regularly as a server closes one after a complete answer.
+void RelayedRequest::checkServer()
+{
+    const auto endpoint = Http::Endpoint::parse(m_choice->address);
+    if (!endpoint) {
+        handleServerCheck(ConnectCheck::Finding::Unknown);
+        return;
+    }
+    m_serverCheck = std::make_unique<ConnectCheck>(m_context.loop, endpoint.value(), m_context.loop.now() + serverCheckTimeout,
+        [this](ConnectCheck::Finding finding) { handleServerCheck(finding); });
+}
+
+void RelayedRequest::handleServerCheck(ConnectCheck::Finding finding)
+{
+    const std::unique_ptr<ConnectCheck> ended = std::move(m_serverCheck);
+    if (finding == ConnectCheck::Finding::Listening) {
+        completeAnswer();
         return;
     }
+    const bool isRefused = finding == ConnectCheck::Finding::Refused;
+    callFailed(CallFailure::Lost, isRefused ? "the server ended as it closed the connection" : "the server was silent after it closed the connection");
+}
+
+void RelayedRequest::completeAnswer()
+{
     if (m_answer.isServerError() && !m_answer.isBegun()) {
         handleFailure(CallFailure::ServerError, "the backend server failed");
         return;
@@ -664,6 +697,7 @@
 {
     m_isDone = true;
     m_context.resendQueue.withdraw(m_resendNumber);
+    m_serverCheck.reset();
     m_crashes.end(arrivals());
     if (status == 503) {
         m_usage.release();
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -2,6 +2,7 @@
 
 #include "answerforwarder.h"
 #include "backendcall.h"
+#include "connectcheck.h"
 #include "crashcontrolhandle.h"
 #include "relayprotocol.h"
 #include "resendqueue.h"
@@ -86,6 +87,9 @@
     void receiveAnswerHead(const Http::MessageHead &head) override;
     void receiveAnswerBody(std::string_view data) override;
     void receiveAnswerEnd() override;
+    void checkServer();
+    void handleServerCheck(ConnectCheck::Finding finding);
+    void completeAnswer();
     void callFailed(Decisions::CallFailure failure, std::string_view reason) override;
     void handleFailure(Decisions::CallFailure failure, std::string_view reason);
     void closeCall(Decisions::CallFailure failure);
@@ -133,6 +137,7 @@
     std::vector<std::string> m_excluded;
     std::optional<Decisions::FleetChoice> m_choice; ///< Choice of the current call.
     std::unique_ptr<BackendCall> m_call;
+    std::unique_ptr<ConnectCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
     AnswerForwarder m_answer;
     UsageReservation m_usage;
     CrashControlHandle m_crashes;
--- a/tests/auto/relay/tst_brokenoffanswers.cpp
+++ b/tests/auto/relay/tst_brokenoffanswers.cpp
@@ -4,6 +4,7 @@
 
 namespace {
 
+using Test::answer;
 using Test::chunk;
 using Test::contains;
 using Test::event;
@@ -13,21 +14,40 @@
 
 constexpr const char *lastChunk = "\r\n0\r\n\r\n";
 
+enum class ServerState {
+    Up, ///< Accepts connections after its answer.
+    Ended, ///< Ends together with the connection.
+};
+
 class BrokenOffAnswersTest : public Test::RelayTest
 {
 protected:
-    // Starts with two backend servers whose first answer ends with its connection after \a body; the second one is a whole stream.
-    void startWithUnframedAnswer(const std::string &body)
+    // Starts with two backend servers: the first call is answered with \a unframed, which ends with its connection, and the second one with \a framed.
+    void startWithUnframedAnswer(const std::string &unframed, ServerState state = ServerState::Up, const std::string &framed = chunk(event(2)))
     {
-        const auto script = [this, body](const auto &head, const auto &) {
+        const auto script = [this, unframed, state, framed](const auto &head, const auto &) {
             if (runs() == 1) {
-                return WorkerScript{unframedHead(head) + body, WorkerScript::End::Close};
+                endServers(state);
+                return WorkerScript{unframedHead(head, m_version, m_status) + unframed, WorkerScript::End::Close};
             }
-            return WorkerScript{streamHead(head) + chunk(event(2)) + "0\r\n\r\n"};
+            return WorkerScript{framed.starts_with("whole") ? answer(head, framed) : streamHead(head) + framed + "0\r\n\r\n"};
         };
         start(script);
         addWorker(script);
     }
+
+    // Ends the server that got the first call, if it is to end.
+    void endServers(ServerState state)
+    {
+        for (const auto &worker : m_workers) {
+            if (state == ServerState::Ended && !worker->heads().empty()) {
+                worker->stopListening();
+            }
+        }
+    }
+
+    std::string m_version = "HTTP/1.1";
+    std::string m_status = "200 OK";
 };
 
 // A stream without a length that a backend server broke off inside an event reached its caller with a closing chunk.
@@ -68,6 +88,87 @@
     EXPECT_EQ(runs(), 1U);
 }
 
+// A stream without a length reached its caller as complete although its server had ended between two events.
+TEST_F(BrokenOffAnswersTest, doesNotFrameAStreamAsCompleteWhoseServerEndsBetweenEvents)
+{
+    startWithUnframedAnswer(event(1), ServerState::Ended);
+    const std::string got = call(request("/stream/"), lastChunk);
+    EXPECT_TRUE(contains(got, event(1)));
+    EXPECT_FALSE(contains(got, lastChunk)) << got;
+}
+
+TEST_F(BrokenOffAnswersTest, continuesAStreamWhoseServerEndsBetweenEvents)
+{
+    startWithUnframedAnswer(event(1), ServerState::Ended);
+    const std::string got = call(request("/resume/"), lastChunk);
+    EXPECT_TRUE(contains(got, event(1)));
+    EXPECT_TRUE(contains(got, event(2))) << got;
+    EXPECT_EQ(runs(), 2U);
+}
+
+// The part of a plain answer that had arrived when its server ended was passed on as the whole answer.
+TEST_F(BrokenOffAnswersTest, resendsAnIdempotentRequestWhosePlainAnswerEndsWithItsServer)
+{
+    startWithUnframedAnswer("half", ServerState::Ended, "whole");
+    const std::string got = call(request("/safe/"), "whole");
+    EXPECT_FALSE(contains(got, "half")) << got;
+    EXPECT_TRUE(contains(got, "whole")) << got;
+}
+
+TEST_F(BrokenOffAnswersTest, reportsARequestAsLostWhosePlainAnswerEndsWithItsServer)
+{
+    startWithUnframedAnswer("half", ServerState::Ended);
+    const std::string got = call(request("/once/"), "\r\n\r\n");
+    EXPECT_TRUE(contains(got, "HTTP/1.1 502")) << got;
+    EXPECT_FALSE(contains(got, "half"));
+    EXPECT_EQ(runs(), 1U);
+}
+
+TEST_F(BrokenOffAnswersTest, doesNotPassOnAFailureThatEndsWithItsServer)
+{
+    m_status = "404 Not Found";
+    startWithUnframedAnswer("half", ServerState::Ended);
+    const std::string got = call(request("/once/"), "\r\n\r\n");
+    EXPECT_TRUE(contains(got, "HTTP/1.1 502")) << got;
+}
+
+// Such an answer is too long to be buffered, so that its caller has received a part of it.
+TEST_F(BrokenOffAnswersTest, doesNotFrameALongPlainAnswerAsCompleteWhoseServerEnds)
+{
+    startWithUnframedAnswer(std::string(100'000, 'x'), ServerState::Ended);
+    const std::string got = call(request("/once/"), lastChunk);
+    EXPECT_TRUE(contains(got, "200 OK"));
+    EXPECT_FALSE(contains(got, lastChunk));
+}
+
+TEST_F(BrokenOffAnswersTest, passesOnPlainAnswersWithoutALength)
+{
+    for (const char *version : {"HTTP/1.1", "HTTP/1.0"}) {
+        m_version = version;
+        m_workers.clear();
+        startWithUnframedAnswer("all of it");
+        const std::string got = call(request("/once/"), "all of it");
+        EXPECT_TRUE(contains(got, "200 OK")) << got;
+        EXPECT_TRUE(contains(got, "Content-Length: 9")) << got;
+    }
+}
+
+// These answers have no body, so nothing of them can be missing.
+TEST_F(BrokenOffAnswersTest, passesOnAnswersWithoutABodyWhateverBecomesOfTheirServer)
+{
+    for (const char *status : {"204 No Content", "304 Not Modified"}) {
+        m_status = status;
+        m_workers.clear();
+        startWithUnframedAnswer("", ServerState::Ended);
+        const std::string got = call(request("/once/"), "\r\n\r\n");
+        EXPECT_TRUE(got.starts_with("HTTP/1.1 " + m_status.substr(0, 3))) << got;
+    }
+    m_status = "200 OK";
+    m_workers.clear();
+    startWithUnframedAnswer("", ServerState::Ended);
+    EXPECT_TRUE(contains(call("HEAD /once/ HTTP/1.1\r\nHost: x\r\nId: a1\r\nKey: k\r\n\r\n", "\r\n\r\n"), "200 OK"));
+}
+
 } // namespace
 
 } // namespace Verbena::Relay
