Tell whether a response to our own calls may have been cut

JSON and completions with their end mark were sound.

HttpClient tells receivers when only the close ended a body. An agent asks its server again before such an output is complete; objects and rows of peers without a length are refused.

--- a/src/libs/agent/backendadapter.h
+++ b/src/libs/agent/backendadapter.h
@@ -29,6 +29,7 @@
     };
 
     Kind kind = Kind::Lost;
+    bool isUnframed = false; ///< Whether a complete answer may have been cut, as only the end of its connection ended it.
     int status = 0; ///< HTTP status; 0 if there was none.
     std::string contentType;
     std::string finishReason;
--- a/src/libs/agent/httpadapter.cpp
+++ b/src/libs/agent/httpadapter.cpp
@@ -9,6 +9,9 @@
 // The gate ends a run at its deadline; this ends it if that should fail.
 constexpr std::chrono::seconds deadlineMargin{2};
 
+// Many times what a server beside this agent takes for an answer.
+constexpr std::chrono::seconds serverCheckTimeout{1};
+
 } // namespace
 
 HttpAdapter::HttpAdapter(EventLoop::Loop &loop, std::unique_ptr<Http::HttpClient> client, const BackendWatchOptions &options, BackendListener &listener)
@@ -99,10 +102,38 @@
     if (m_calls.erase(ref) == 0) {
         return;
     }
+    if (end.kind == BackendEnd::Kind::Complete && end.isUnframed) {
+        checkServer(ref, end);
+        return;
+    }
     if (!status && end.kind == BackendEnd::Kind::NotSent) {
         m_watch.noteUnreachable(status.error());
     }
     m_listener.finishRun(ref, end);
 }
 
+// The connections of a process that ends are closed as regularly as one after a complete answer. Any answer shows that the server has not ended.
+void HttpAdapter::checkServer(const Decisions::RequestRef &ref, const BackendEnd &end)
+{
+    Http::HttpCall call;
+    call.url = m_options.url + "/load";
+    call.deadline = m_loop.now() + serverCheckTimeout;
+    const auto handle = [this, ref, end](const Core::Result<Http::HttpReply> &reply) {
+        handleServerCheck(ref, end, reply.has_value());
+    };
+    m_calls[ref] = m_client->start(call, std::make_shared<Http::BodyCollector>(handle));
+}
+
+void HttpAdapter::handleServerCheck(const Decisions::RequestRef &ref, BackendEnd end, bool isUp)
+{
+    if (m_calls.erase(ref) == 0) {
+        return;
+    }
+    if (!isUp) {
+        end.kind = BackendEnd::Kind::Lost;
+        end.detail = "The answer has no length, and the backend server does not answer after it.";
+    }
+    m_listener.finishRun(ref, end);
+}
+
 } // namespace Verbena::Agent
--- a/src/libs/agent/httpadapter.h
+++ b/src/libs/agent/httpadapter.h
@@ -3,6 +3,8 @@
 #include "backendwatch.h"
 #include "runcall.h"
 
+#include <http/bodycollector.h>
+
 #include <unordered_map>
 
 namespace Verbena::Agent {
@@ -36,7 +38,10 @@
     BackendWatch m_watch;
 
 private:
-    std::unordered_map<Decisions::RequestRef, Http::HttpCallId, Decisions::RequestRefHash> m_calls;
+    void checkServer(const Decisions::RequestRef &ref, const BackendEnd &end);
+    void handleServerCheck(const Decisions::RequestRef &ref, BackendEnd end, bool isUp);
+
+    std::unordered_map<Decisions::RequestRef, Http::HttpCallId, Decisions::RequestRefHash> m_calls; ///< Calls of runs, and checks of the server after them.
 };
 
 } // namespace Verbena::Agent
--- a/src/libs/agent/runcall.cpp
+++ b/src/libs/agent/runcall.cpp
@@ -115,6 +115,11 @@
     sendOutput(data, 0);
 }
 
+void ServiceCall::receiveUnframedEnd()
+{
+    m_end.isUnframed = true;
+}
+
 void ServiceCall::finishAnswer(int, BackendEnd &end)
 {
     end.kind = BackendEnd::Kind::Complete;
--- a/src/libs/agent/runcall.h
+++ b/src/libs/agent/runcall.h
@@ -69,6 +69,7 @@
     using RunCall::RunCall;
 
     void receiveData(int status, std::string_view data) override;
+    void receiveUnframedEnd() override;
 
 protected:
     void finishAnswer(int status, BackendEnd &end) override;
--- a/src/libs/http/bodycollector.cpp
+++ b/src/libs/http/bodycollector.cpp
@@ -22,6 +22,11 @@
     }
 }
 
+void BodyCollector::receiveUnframedEnd()
+{
+    m_isUnframed = true;
+}
+
 void BodyCollector::finish(Core::Result<int> status)
 {
     if (!status) {
@@ -29,7 +34,7 @@
     } else if (m_isTooLong) {
         m_callback(Core::Error{Core::ErrorCode::ResourceExhausted, "http.call", "", "The response body is too long."});
     } else {
-        m_callback(HttpReply{status.value(), std::move(m_body)});
+        m_callback(HttpReply{status.value(), std::move(m_body), m_isUnframed});
     }
 }
 
--- a/src/libs/http/bodycollector.h
+++ b/src/libs/http/bodycollector.h
@@ -12,6 +12,7 @@
 {
     int status = 0;
     std::string body;
+    bool isUnframed = false; ///< Whether only the end of the connection ended the body, so that it may be incomplete.
 };
 
 /// \brief Collects the response to one call and passes it to a callback. A body of more than 4 MiB is reported as ResourceExhausted.
@@ -23,12 +24,14 @@
     explicit BodyCollector(Callback callback);
 
     void receiveData(int status, std::string_view data) override;
+    void receiveUnframedEnd() override;
     void finish(Core::Result<int> status) override;
 
 private:
     Callback m_callback;
     std::string m_body;
     bool m_isTooLong = false;
+    bool m_isUnframed = false;
 };
 
 } // namespace Verbena::Http
--- a/src/libs/http/httpcall.cpp
+++ b/src/libs/http/httpcall.cpp
@@ -6,4 +6,8 @@
 {
 }
 
+void HttpReceiver::receiveUnframedEnd()
+{
+}
+
 } // namespace Verbena::Http
--- a/src/libs/http/httpcall.h
+++ b/src/libs/http/httpcall.h
@@ -36,6 +36,9 @@
     /// \brief Receives a part of the response body; \a status is the status code of the response.
     virtual void receiveData(int status, std::string_view data) = 0;
 
+    /// \brief Receives the information that only the end of the connection ended the body, so that it may be incomplete. Called before finish().
+    virtual void receiveUnframedEnd();
+
     /// \brief Receives the end of the call: the status code of a complete response, or the error.
     ///
     /// The error code is Unavailable only if the request cannot have reached the peer, and Unknown otherwise.
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "httpclient.h"
 
+#include "messagereader.h"
+
 #include <eventloop/iowatcher.h>
 #include <eventloop/loop.h>
 
@@ -7,6 +9,13 @@
 
 namespace Verbena::Http {
 
+namespace {
+
+constexpr long statusNoContent = 204;
+constexpr long statusNotModified = 304;
+
+} // namespace
+
 struct HttpClient::Transfer
 {
     ~Transfer()
@@ -21,6 +30,8 @@
     std::string url;
     std::string body;
     std::shared_ptr<HttpReceiver> receiver;
+    bool isHead = false; ///< Whether the request's method is HEAD.
+    bool isChunked = false; ///< Whether the response is sent in chunks.
     bool isPaused = false;
     bool isCancelled = false;
 };
@@ -54,7 +65,9 @@
         const std::size_t begin = line.find_first_not_of(" \t", colon + 1);
         const std::size_t end = line.find_last_not_of(" \t\r\n");
         if (begin != std::string_view::npos && begin <= end) {
-            transfer->receiver->receiveField(line.substr(0, colon), line.substr(begin, end - begin + 1));
+            const std::string_view name = line.substr(0, colon);
+            transfer->isChunked = transfer->isChunked || isSameFieldName(name, "Transfer-Encoding");
+            transfer->receiver->receiveField(name, line.substr(begin, end - begin + 1));
         }
         return size * count;
     }
@@ -103,6 +116,15 @@
         client.processFinished();
     }
 
+    // libcurl reports a response that ends with its connection as complete, wherever it ends.
+    static bool isUnframed(const Transfer &transfer, long status)
+    {
+        curl_off_t length = -1;
+        curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+        const bool hasBody = !transfer.isHead && status != statusNoContent && status != statusNotModified;
+        return hasBody && length < 0 && !transfer.isChunked;
+    }
+
     static Core::ErrorCode codeOf(CURL *easy)
     {
         // A request of which no byte was sent cannot have had an effect. A failure to connect does not prove that: libcurl may have sent a
@@ -152,6 +174,7 @@
     transfer->easy = curl_easy_init();
     transfer->url = call.url;
     transfer->body = call.body;
+    transfer->isHead = call.method == "HEAD";
     transfer->receiver = std::move(receiver);
     for (const std::string &field : call.fields) {
         transfer->fields = curl_slist_append(transfer->fields, field.c_str());
@@ -256,6 +279,9 @@
         if (code == CURLE_OK) {
             long status = 0;
             curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+            if (Internals::isUnframed(*transfer, status)) {
+                transfer->receiver->receiveUnframedEnd();
+            }
             transfer->receiver->finish(static_cast<int>(status));
         } else {
             transfer->receiver->finish(Core::Error{Internals::codeOf(transfer->easy), "http.call", transfer->url, curl_easy_strerror(code)});
--- a/src/libs/relay/peerrowsource.cpp
+++ b/src/libs/relay/peerrowsource.cpp
@@ -199,7 +199,8 @@
             done(Store::RowPage{{}, 0, true});
             return;
         }
-        if (!reply || reply.value().status != statusOk) {
+        // A message that was cut between two of its fields can still be parsed.
+        if (!reply || reply.value().status != statusOk || reply.value().isUnframed) {
             done(reply ? outdated : reply.error());
             return;
         }
--- a/src/libs/store/httpplatform.cpp
+++ b/src/libs/store/httpplatform.cpp
@@ -21,13 +21,20 @@
     std::string body;
 };
 
+// What the end of an answer's connection says of an answer without a length.
+enum class Framing {
+    Optional, ///< The content shows whether it is complete.
+    Required, ///< An answer without a length may be incomplete.
+};
+
 using AnswerCallback = std::function<void(Core::Result<Answer>)>;
 
 class AnswerCollector : public Http::HttpReceiver
 {
 public:
-    explicit AnswerCollector(AnswerCallback done)
+    explicit AnswerCollector(AnswerCallback done, Framing framing = Framing::Optional)
         : m_done(std::move(done))
+        , m_framing(framing)
     {
     }
 
@@ -36,8 +43,16 @@
         m_body.append(data);
     }
 
+    void receiveUnframedEnd() override
+    {
+        m_isUnframed = true;
+    }
+
     void finish(Core::Result<int> status) override
     {
+        if (status && m_isUnframed && m_framing == Framing::Required) {
+            status = Core::Error{Core::ErrorCode::Unknown, "platform.answer", "", "The answer has no length and may be incomplete."};
+        }
         if (!status) {
             m_done(status.error());
             return;
@@ -47,6 +62,8 @@
 
 private:
     AnswerCallback m_done;
+    Framing m_framing;
+    bool m_isUnframed = false;
     std::string m_body;
 };
 
@@ -203,7 +220,7 @@
         return;
     }
     auto callback = decodingCallback("objects.get", m_url, std::move(done), [](const std::string &body) { return Core::Result<std::string>(body); });
-    m_client->start({"GET", m_url + "/objects/" + name, {}, {}, deadline}, std::make_shared<AnswerCollector>(std::move(callback)));
+    m_client->start({"GET", m_url + "/objects/" + name, {}, {}, deadline}, std::make_shared<AnswerCollector>(std::move(callback), Framing::Required));
 }
 
 void HttpPlatform::put(const std::string &name, const std::string &content, Core::TimePoint deadline, PutCallback done)
--- a/tests/auto/relay/tst_peerrowsource.cpp
+++ b/tests/auto/relay/tst_peerrowsource.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <verbena.pb.h>
+
 #include <optional>
 
 #include <unistd.h>
@@ -90,6 +92,22 @@
     EXPECT_EQ(page.error().step, "store");
 }
 
+// Rows of an answer that had been cut between two of them were taken for all changes.
+TEST_F(PeerRowSourceTest, rejectsRowsWithoutALength)
+{
+    verbena::wire::SettingsPush push;
+    push.set_covered_revision(9);
+    push.add_rows()->set_path("a");
+    Verbena::Test::WorkerFake peer(
+        *m_loop,
+        [bytes = push.SerializeAsString()](const auto &, const auto &) {
+            return Verbena::Test::WorkerScript{"HTTP/1.1 200 OK\r\n\r\n" + bytes, Verbena::Test::WorkerScript::End::Close};
+        },
+        m_network + "3:" + std::to_string(port));
+    m_unserved->peerTable().add(m_network + "3", m_loop->now());
+    EXPECT_FALSE(follow(5));
+}
+
 // Store that answers at once with the page that a test sets.
 class AnsweringStore : public Store::RowSource
 {
--- a/tests/auto/store/tst_httpplatform.cpp
+++ b/tests/auto/store/tst_httpplatform.cpp
@@ -1,11 +1,14 @@
 #include <eventloop/loop.h>
 #include <eventloop/timer.h>
+#include <platform/workerfake.h>
 #include <store/httpplatform.h>
 #include <support/childprocess.h>
 #include <support/testhttp.h>
 
 #include <gtest/gtest.h>
 
+#include <optional>
+
 namespace Verbena::Test {
 
 namespace {
@@ -172,6 +175,20 @@
     EXPECT_EQ(hosts()[0].incarnation, 7U);
 }
 
+// An object whose transfer was cut was returned as the whole object.
+TEST(HttpPlatformObjectsTest, rejectsAnObjectWithoutALength)
+{
+    const auto loop = std::move(EventLoop::Loop::create().value());
+    WorkerFake server(*loop, [](const auto &, const auto &) {
+        return WorkerScript{"HTTP/1.1 200 OK\r\n\r\nhalf", WorkerScript::End::Close};
+    });
+    const auto platform = std::move(Store::HttpPlatform::create(*loop, "http://" + server.address()).value());
+    std::optional<Core::Result<std::string>> result;
+    platform->get("name", loop->now() + 20s, [&result](const Core::Result<std::string> &response) { result = response; });
+    ASSERT_TRUE(runUntil(*loop, [&result] { return result.has_value(); }));
+    EXPECT_FALSE(*result);
+}
+
 } // namespace
 
 } // namespace Verbena::Test
