Log the software version of the server and the attempt that a caller resumes

Nothing in the code knew a version of software; the register's entry has one. It is decoded and logged with each request (software), and so is the attempt that the caller names in Resumes (resumes). No decision depends on them yet.

--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -34,6 +34,7 @@
     std::string address;
     std::optional<std::uint64_t> weightsVersion; ///< Version of the weights for which the request is meant.
     std::optional<std::chrono::milliseconds> outdatedFor; ///< Time since newer weights were announced, if it is known; nothing if none were.
+    std::string softwareVersion; ///< Version of the backend server's software; empty if it names none.
     std::string cacheScope; ///< Scope of the cached parts; prompts of different scopes share none.
     std::vector<SharedPart> parts; ///< Shared parts of the prompt in order, without the last one, which belongs to this request alone.
     std::uint32_t warmParts = 0; ///< Number of leading parts assumed to be in the cache of the engine.
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -123,6 +123,7 @@
         server.endpoint = registered.address;
         server.failureDomain = registered.failureDomain;
         server.incarnation = registered.incarnation;
+        server.softwareVersion = registered.softwareVersion;
         for (const ServedWeights &weights : registered.weights) {
             server.served.push_back({poolName(registered.service, weights.model), "", std::to_string(weights.version)});
             ++m_versions[{registered.service, weights.model}][weights.version];
@@ -324,6 +325,7 @@
     choice.serverId = server->name;
     choice.address = server->endpoint;
     choice.incarnation = server->incarnation;
+    choice.softwareVersion = server->softwareVersion;
     choice.limit = m_limits.limit(server->name);
     if (query.prompt == nullptr) {
         choice.work = plainCallWork;
--- a/src/libs/decisions/relay/serverregister.h
+++ b/src/libs/decisions/relay/serverregister.h
@@ -30,6 +30,7 @@
     bool isLeaving = false;
     std::vector<ServedWeights> weights; ///< Served weights; empty for a plain service.
     std::uint64_t incarnation = 0; ///< Identifies one start of the server; 0 if it does not report one. A larger number is not a later start.
+    std::string softwareVersion = {}; ///< Version of its software, which is not that of its weights; empty if it names none. Versions have no order.
 
     bool operator==(const RegisteredServer &) const = default;
 };
--- a/src/libs/decisions/routing/backendserver.h
+++ b/src/libs/decisions/routing/backendserver.h
@@ -43,6 +43,7 @@
     std::string service; ///< Name of the service that it offers; empty for a model engine.
     BackendServerState state = BackendServerState::Live;
     std::uint64_t incarnation = 0; ///< Changes when the server restarts, which loses its caches and requests; 0 if unknown.
+    std::string softwareVersion; ///< Version of its software; empty if it names none.
 };
 
 /// \brief Returns the id of the backend server named \a name; it is the same in every process.
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -705,7 +705,7 @@
     m_deadlineTimer.stop();
     m_weightsTimer.stop();
     m_limitTimer.stop();
-    RequestReport report{status, outcome, {organisationName(), m_route != nullptr ? m_route->name : ""}, m_query.attemptId, m_service};
+    RequestReport report{status, outcome, {organisationName(), m_route != nullptr ? m_route->name : ""}, m_query.attemptId, m_service, m_query.resumedAttemptId};
     report.choice = m_choice.has_value() ? &*m_choice : nullptr;
     report.sends = m_attempts.sends;
     report.arrival = m_arrival;
--- a/src/libs/relay/relayprotocol.h
+++ b/src/libs/relay/relayprotocol.h
@@ -24,6 +24,7 @@
     std::optional<Decisions::PromptOutline> prompt;
     std::optional<std::uint64_t> tokens; ///< Tokens of the prompt plus the maximum of the answer, if the caller states them.
     std::string lastEventId; ///< Event after which the caller resumes a stream; empty if it does not.
+    std::string resumedAttemptId; ///< Attempt that brought the first event of the resumed stream; empty if the caller names none.
 };
 
 /// \brief What the relay adds to a caller's request for the backend server.
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -112,6 +112,8 @@
             {"organisation", report.label.organisation},
             {"service", report.service},
             {"server", choice.serverId},
+            {"software", choice.softwareVersion},
+            {"resumes", report.resumedAttemptId},
             {"weights", text(choice.weightsVersion)},
             {"outdated_ms", text(choice.outdatedFor)},
             {"warm", isChosen ? std::to_string(choice.warmParts) + "/" + std::to_string(choice.parts.size()) : ""},
--- a/src/libs/relay/requestreport.h
+++ b/src/libs/relay/requestreport.h
@@ -63,6 +63,7 @@
     Observe::TenantLabel label;
     std::string attemptId;
     std::string service;
+    std::string resumedAttemptId; ///< Attempt that began the stream that the request resumes; empty if it names none.
     const Decisions::FleetChoice *choice = nullptr; ///< Last choice of a backend server; null if there was none.
     std::uint32_t sends = 0;
     Core::TimePoint arrival{};
--- a/tests/auto/relay/plainprotocol.cpp
+++ b/tests/auto/relay/plainprotocol.cpp
@@ -25,6 +25,7 @@
     query.path = head.target;
     query.key = value(head, "Key");
     query.lastEventId = value(head, "Last-Event-Id");
+    query.resumedAttemptId = value(head, "Resumes");
     if (head.field("Deadline") != nullptr) {
         query.deadline = now + std::chrono::milliseconds(std::stoi(value(head, "Deadline")));
     }
