--- /dev/null
+++ b/tests/auto/platform/tst_resumedstreams.cpp
@@ -0,0 +1,148 @@
+#include <platform/platformdeployment.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Verbena::Test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t routers = 4;
+constexpr int streams = 40;
+
+// The platform demands that at least this share of the resumed streams goes on.
+constexpr double demandedShare = 0.5;
+
+const std::string *attemptOf(const Http::MessageHead &head)
+{
+    return head.field("Verbenaladder-Attempt-Id");
+}
+
+// An engine of one software version. It breaks off each new stream after its first event and completes each resumed one.
+class VersionedEngine
+{
+public:
+    VersionedEngine(PlatformDeployment &deployment, const std::string &id, const std::string &version, std::size_t host)
+        : m_version(version)
+        , m_worker(
+              deployment.loop(), [](const Http::MessageHead &head, const std::string &) { return answer(head); }, deployment.hostNumber(host) + ":0")
+    {
+        deployment.store().put("servers",
+            id,
+            {{"service", "reader"},
+                {"address", m_worker.address()},
+                {"zone", "hall"},
+                {"slots", 96},
+                {"phase", "ready"},
+                {"version", version},
+                {"models", {{{"name", "m"}, {"version", 1}}}},
+                {"sequence", 1}});
+    }
+
+    const std::string &version() const
+    {
+        return m_version;
+    }
+
+    // Returns whether the attempt \a id reached this engine.
+    bool hasRun(const std::string &id) const
+    {
+        const std::vector<Http::MessageHead> &heads = m_worker.heads();
+        return std::any_of(heads.begin(), heads.end(), [&id](const Http::MessageHead &head) { return attemptOf(head) != nullptr && *attemptOf(head) == id; });
+    }
+
+private:
+    static WorkerScript answer(const Http::MessageHead &head)
+    {
+        const std::string *id = attemptOf(head);
+        if (id == nullptr) {
+            return {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"};
+        }
+        const std::string begin = "HTTP/1.1 200 OK\r\nVerbenaladder-Attempt-Id: " + *id + "\r\nVerbenaladder-Server-Stamp: stamp\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const bool isResumed = head.field("Last-Event-Id") != nullptr;
+        return isResumed ? WorkerScript{begin + "11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n"}
+                         : WorkerScript{begin + "11\r\nid: 1\ndata: one\n\n\r\n", WorkerScript::End::Close};
+    }
+
+    std::string m_version;
+    WorkerFake m_worker;
+};
+
+class ResumedStreamsTest : public testing::Test
+{
+protected:
+    ResumedStreamsTest()
+        : m_deployment(routers)
+    {
+        for (std::size_t router = 0; router < routers; ++router) {
+            EXPECT_TRUE(m_deployment.askUntil("200 OK", "secret", "/wall/2f", router));
+        }
+        nlohmann::json configuration = PlatformDeployment::configuration(2);
+        configuration["routes"][0]["resumable"] = true;
+        m_deployment.store().put("op", "config", configuration);
+        for (std::size_t index = 0; index < 4; ++index) {
+            const std::string version = index % 2 == 0 ? "v1" : "v1.1";
+            m_engines.push_back(std::make_unique<VersionedEngine>(m_deployment, "e-" + std::to_string(index), version, 210 + index));
+        }
+        m_deployment.store().remove("servers", "i-1");
+        pass(1s);
+    }
+
+    void pass(std::chrono::milliseconds span)
+    {
+        const Core::TimePoint end = m_deployment.loop().now() + span;
+        m_deployment.runUntil([&] { return m_deployment.loop().now() >= end; });
+    }
+
+    // Sends the attempt \a id to \a router and returns the whole answer.
+    std::string send(std::size_t router, const std::string &id, const std::string &fields = "")
+    {
+        CallerFake caller(m_deployment.loop(), m_deployment.callersEndpoint(router));
+        caller.send("POST /wall/2f HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: " + id
+            + "\r\nVerbenaladder-Model: m\r\nVerbenaladder-Token-Count: 100,10\r\nVerbenaladder-Prompt-Prefix: a:60,b:40\r\n"
+            + "Verbenaladder-Deadline-Ms: 15000\r\nAuthorization: Token secret\r\nContent-Length: 2\r\nConnection: close\r\n" + fields + "\r\nhi");
+        EXPECT_TRUE(m_deployment.runUntil([&] { return caller.isClosed(); })) << caller.received();
+        return caller.received();
+    }
+
+    std::string resume(std::size_t router, const std::string &id, const std::string &begun)
+    {
+        return send(router, id, "Last-Event-Id: 1\r\nResumes: " + begun + "\r\n");
+    }
+
+    // Returns the software version of the engine that ran the attempt \a id; empty if none did.
+    std::string versionOf(const std::string &id) const
+    {
+        const auto engine = std::find_if(m_engines.begin(), m_engines.end(), [&id](const auto &one) { return one->hasRun(id); });
+        return engine == m_engines.end() ? "" : (*engine)->version();
+    }
+
+    PlatformDeployment m_deployment;
+    std::vector<std::unique_ptr<VersionedEngine>> m_engines;
+};
+
+// Callers whose streams had been broken off took them up at another router, which let them go on at any software version.
+TEST_F(ResumedStreamsTest, goOnOnlyAtTheSoftwareVersionThatBeganThem)
+{
+    int resumed = 0;
+    for (int stream = 0; stream < streams; ++stream) {
+        const std::string begun = "a-" + std::to_string(stream);
+        const std::string next = "b-" + std::to_string(stream);
+        const std::size_t router = static_cast<std::size_t>(stream) % routers;
+        EXPECT_NE(send(router, begun).find("id: 1"), std::string::npos);
+        const std::string answer = resume((router + 1) % routers, next, begun);
+        resumed += answer.find("id: 2") != std::string::npos ? 1 : 0;
+        EXPECT_TRUE(versionOf(next).empty() || versionOf(next) == versionOf(begun)) << begun;
+    }
+    EXPECT_GE(resumed, demandedShare * streams);
+}
+
+} // namespace
+
+} // namespace Verbena::Test
