Continue a stream only at the software version that began it

Callers saw streams with events of servers of two software versions, which do not fit together.

Cause: a continuation within one answer, after a lost call or to move off an engine that waits to load, chose among all servers of the service.

The version of the server that brought the first event is a constraint of every later choice, like the excluded servers; it holds for waits for limits, moves and trials, which all choose by the same query. Without a server of that version the stream is broken off at once. Software and weights are two constraints and both bind.

What callers resume at another router is not mended by this.

--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -22,6 +22,7 @@
     std::string route; ///< Name of the route; requests of one route share an estimate of waiting times.
     const PromptOutline *prompt = nullptr; ///< Prompt of a completion; null for a plain call.
     std::string dedicatedTo; ///< Organisation that shares no KV cache with others, if the request belongs to one; else empty.
+    std::optional<std::string> softwareVersion; ///< Software version that the backend server must have; nothing if any will do.
     std::vector<std::string> excluded; ///< Ids of backend servers that were tried before.
     std::uint64_t randomValue = 0; ///< Random value, uniformly distributed over all numbers.
     std::chrono::microseconds latencyTarget{0}; ///< Latency target of the route; zero for none.
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -51,14 +51,24 @@
     return m_limits;
 }
 
-std::optional<milliseconds> RelayFleet::limitDelay(const std::string &service, const std::vector<std::string> &excluded, Core::TimePoint now)
+bool RelayFleet::hasSoftware(const std::string &service, const std::string &softwareVersion)
+{
+    syncWithRegister();
+    return m_software.contains({service, softwareVersion});
+}
+
+std::optional<milliseconds> RelayFleet::limitDelay(const FleetQuery &query, Core::TimePoint now)
 {
     std::optional<milliseconds> delay;
     for (const std::string &id : m_limits.exhausted(now)) {
         const auto server = m_register.servers().find(id);
         const std::optional<Core::TimePoint> next = m_limits.nextSend(id, now);
-        const bool isExcluded = std::find(excluded.begin(), excluded.end(), id) != excluded.end();
-        if (server != m_register.servers().end() && server->second.service == service && next.has_value() && !isExcluded) {
+        const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
+        if (server == m_register.servers().end() || server->second.service != query.service || isExcluded) {
+            continue;
+        }
+        const bool hasSoftware = !query.softwareVersion.has_value() || server->second.softwareVersion == *query.softwareVersion;
+        if (hasSoftware && next.has_value()) {
             const auto left = std::chrono::ceil<milliseconds>(*next - now);
             delay = std::min(delay.value_or(left), left);
         }
@@ -105,6 +115,7 @@
     }
     m_syncedRevision = m_register.revision();
     m_versions.clear();
+    m_software.clear();
     m_homeDomains.clear();
     m_idsByAddress.clear();
     std::vector<BackendServer> fleet;
@@ -117,6 +128,7 @@
         if (registered.isLeaving) {
             continue;
         }
+        m_software.emplace(registered.service, registered.softwareVersion);
         BackendServer server;
         server.id = backendServerId(id);
         server.name = id;
@@ -293,6 +305,7 @@
 RouteDecision RelayFleet::candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
 {
     RouteQuery &route = choice.route;
+    route.softwareVersion = query.softwareVersion;
     for (const std::string &id : query.excluded) {
         route.excluded.push_back(backendServerId(id));
     }
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,9 +41,12 @@
     /// \brief Returns the limits that backend servers have named.
     ServerLimits &limits();
 
-    /// \brief Returns the time until this router may send a request to a server of \a service that is at its limit now; nothing if there is none besides the
-    /// \a excluded ones.
-    std::optional<std::chrono::milliseconds> limitDelay(const std::string &service, const std::vector<std::string> &excluded, Core::TimePoint now);
+    /// \brief Returns the time until this router may send the request of \a query to a server that is at its limit now; nothing if there is none besides the
+    /// excluded ones.
+    std::optional<std::chrono::milliseconds> limitDelay(const FleetQuery &query, Core::TimePoint now);
+
+    /// \brief Returns whether a backend server of \a service with \a softwareVersion takes new requests.
+    bool hasSoftware(const std::string &service, const std::string &softwareVersion);
 
     /// \brief Handles that the backend server of \a choice named \a perSecond as its limit in an answer, or none. Returns whether that changed it.
     bool recordLimit(const FleetChoice &choice, const std::optional<double> &perSecond, Core::TimePoint now);
@@ -133,6 +137,7 @@
     std::map<std::string, WeightsHistory> m_weights; ///< By model.
     std::function<void()> m_announcementObserver;
     std::map<std::pair<std::string, std::string>, std::map<std::uint64_t, std::size_t>> m_versions; ///< Engines at each version, by service and model.
+    std::set<std::pair<std::string, std::string>> m_software; ///< Software versions that take new requests, each with its service.
     HomeDomains m_homeDomains;
     EngineReports m_reports;
     std::unordered_map<std::string, Core::TimePoint> m_agentsPresentUntil; ///< Time until which the agent counts as present, by address of the engine.
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -279,6 +279,10 @@
 
 bool RouteChooser::isUsable(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const
 {
+    const BackendServer *candidate = query.softwareVersion.has_value() ? server(id) : nullptr;
+    if (candidate != nullptr && candidate->softwareVersion != *query.softwareVersion) {
+        return false;
+    }
     return std::find(query.excluded.begin(), query.excluded.end(), id) == query.excluded.end() && !m_loads.isPaused(id, now);
 }
 
--- a/src/libs/decisions/routing/routequery.h
+++ b/src/libs/decisions/routing/routequery.h
@@ -3,6 +3,7 @@
 #include "backendserver.h"
 #include "prefixchain.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
     std::string homeDomain; ///< Failure domain that contains the homes of the prompt; empty if they may be in any.
     std::uint32_t storedPieces = 0; ///< Number of leading pieces that can be imported from the KV store.
     std::uint32_t mark = 0; ///< Mark of the request; agents whose overload level is at or below it refuse the request.
+    std::optional<std::string> softwareVersion; ///< Software version that the backend server must have; nothing if any will do.
     std::vector<BackendServerId> excluded; ///< Backend servers that must not be chosen, as they were tried before or refused the request.
 };
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -176,6 +176,7 @@
     query.route = m_route->name;
     query.prompt = m_query.prompt.has_value() ? &*m_query.prompt : nullptr;
     query.dedicatedTo = m_organisation != nullptr && m_organisation->isDedicated ? m_organisation->name : "";
+    query.softwareVersion = m_softwareVersion;
     query.excluded = m_excluded;
     query.randomValue = m_context.random.next();
     query.latencyTarget = m_route->latencyTarget;
@@ -209,9 +210,10 @@
 void RelayedRequest::dispatch()
 {
     while (!m_isDone) {
-        const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(), m_context.loop.now());
+        const Decisions::FleetQuery query = fleetQuery();
+        const std::optional<FleetChoice> choice = m_context.fleet.choose(query, m_context.loop.now());
         if (!choice.has_value()) {
-            m_limitDelay = m_context.fleet.limitDelay(m_service, m_excluded, m_context.loop.now());
+            m_limitDelay = m_context.fleet.limitDelay(query, m_context.loop.now());
             if (!awaitLimit()) {
                 finish(actionWithoutResend(m_attempts, CallFailure::NotSent));
             }
@@ -358,6 +360,9 @@
     handleFirstPart();
     const bool isForwarded = m_answer.receiveBody(data);
     m_attempts.isAnswerBegun = m_answer.isBegun();
+    if (m_answer.isBegun() && !m_softwareVersion.has_value()) {
+        m_softwareVersion = m_choice->softwareVersion;
+    }
     if (m_sink.bufferedBytes() > maximumUnsentBytes) {
         m_call->setReading(false);
     }
@@ -525,9 +530,15 @@
     });
 }
 
+// What servers of two software versions generate does not fit together.
+bool RelayedRequest::isSoftwareGone() const
+{
+    return m_softwareVersion.has_value() && !m_context.fleet.hasSoftware(m_service, *m_softwareVersion);
+}
+
 bool RelayedRequest::mayResendInTime(CallFailure failure) const
 {
-    return mayResend(m_attempts, failure) && m_context.loop.now() + minimumResendTime < m_deadline;
+    return !isSoftwareGone() && mayResend(m_attempts, failure) && m_context.loop.now() + minimumResendTime < m_deadline;
 }
 
 AttemptAction RelayedRequest::chooseAction(CallFailure failure)
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -94,6 +94,7 @@
     void handleFailure(Decisions::CallFailure failure, std::string_view reason);
     void closeCall(Decisions::CallFailure failure);
     void decide(Decisions::CallFailure failure, std::string_view reason);
+    bool isSoftwareGone() const;
     bool mayResendInTime(Decisions::CallFailure failure) const;
     void proceed(Decisions::CallFailure failure, Decisions::AttemptAction action);
     void awaitTrial(Decisions::CallFailure failure);
@@ -135,6 +136,7 @@
     std::uint32_t m_arrivals = 0; ///< Number of ended calls that reached a backend server, whether they ran or not.
     std::uint64_t m_resendNumber = 0; ///< Number in the resend queue; 0 if the request does not wait there.
     std::vector<std::string> m_excluded;
+    std::optional<std::string> m_softwareVersion; ///< Software version at which the stream has to go on; nothing before its first event.
     std::optional<Decisions::FleetChoice> m_choice; ///< Choice of the current call.
     std::unique_ptr<BackendCall> m_call;
     std::unique_ptr<ConnectCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
