Let callers resume streams only at the software version that began them

Cause: no router read which attempt the caller names, and none could know where that attempt had begun, since the fact died with its router or stayed there.

Routers tell a few routers and agents, chosen by rendezvous hashing, where a stream began, before its first event leaves, and ask them when a caller resumes one. Where a service has had one software version for longer than a stream lasts, nothing is told. What is not known is refused with 503 at once instead of guessed.

--- /dev/null
+++ b/src/libs/decisions/relay/origininquiry.cpp
@@ -0,0 +1,43 @@
+#include "origininquiry.h"
+
+namespace Verbena::Decisions {
+
+OriginInquiry::OriginInquiry(std::string service, std::chrono::milliseconds longestStream, const std::vector<std::string> &keepers)
+    : m_service(std::move(service))
+    , m_longestStream(longestStream)
+    , m_silent(keepers.begin(), keepers.end())
+{
+}
+
+void OriginInquiry::handleAnswer(const std::string &keeper, const OriginAnswer &answer)
+{
+    m_silent.erase(keeper);
+    if (answer.origin.has_value()) {
+        const bool isOther = m_origin.has_value() && *m_origin != *answer.origin;
+        m_origin = answer.origin;
+        m_origin->isDisputed = m_origin->isDisputed || isOther;
+    }
+    if (answer.soleSoftware.has_value() && answer.soleSoftware->duration >= m_longestStream) {
+        m_soleVersion = answer.soleSoftware->version;
+    }
+}
+
+bool OriginInquiry::isDecided() const
+{
+    return m_origin.has_value() || m_silent.empty();
+}
+
+const std::set<std::string> &OriginInquiry::silentKeepers() const
+{
+    return m_silent;
+}
+
+std::optional<StreamOrigin> OriginInquiry::result() const
+{
+    if (m_origin.has_value()) {
+        return m_origin->isDisputed ? std::nullopt : m_origin;
+    }
+    return m_soleVersion.has_value() ? std::optional(StreamOrigin{m_service, *m_soleVersion, false}) : std::nullopt;
+}
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/relay/origininquiry.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "softwareversions.h"
+#include "streamorigins.h"
+
+#include <chrono>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Verbena::Decisions {
+
+/// \brief What one process knows of the origin of a stream.
+struct OriginAnswer
+{
+    std::optional<StreamOrigin> origin; ///< Nothing if the process was not told.
+    std::optional<SoleSoftware> soleSoftware; ///< Only software version of the caller's service, as far as the process follows it.
+};
+
+/// \brief Collects what processes know of the origin of a stream that a caller resumes, and decides where it may go on.
+///
+/// A process that does not answer may have been told, so its silence is not taken for an answer that nothing is known.
+class OriginInquiry
+{
+public:
+    /// \brief Asks for a stream on \a service, of which none lasts longer than \a longestStream, at \a keepers.
+    OriginInquiry(std::string service, std::chrono::milliseconds longestStream, const std::vector<std::string> &keepers);
+
+    /// \brief Handles the answer of \a keeper, or of this process itself if it is empty.
+    void handleAnswer(const std::string &keeper, const OriginAnswer &answer);
+
+    /// \brief Returns whether more answers cannot change the result.
+    bool isDecided() const;
+
+    /// \brief Returns the keepers that have not answered.
+    const std::set<std::string> &silentKeepers() const;
+
+    /// \brief Returns where the stream may go on, by the answers so far; nothing if that is not known.
+    std::optional<StreamOrigin> result() const;
+
+private:
+    std::string m_service;
+    std::chrono::milliseconds m_longestStream;
+    std::set<std::string> m_silent;
+    std::optional<StreamOrigin> m_origin;
+    std::optional<std::string> m_soleVersion; ///< Only version for longer than a stream lasts, by any answer.
+};
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/relay/streamkeepers.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "streamorigins.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Verbena::Decisions {
+
+/// \brief An agent that may keep origins of streams.
+struct KeeperAgent
+{
+    std::string address; ///< IP address of its host.
+    std::string failureDomain;
+
+    auto operator<=>(const KeeperAgent &) const = default;
+};
+
+/// \brief Assigns each stream to the few processes that keep its origin.
+///
+/// Routers and agents are ranked by rendezvous hashing, so routers that know nearly the same processes choose nearly the same ones. Both kinds keep each
+/// origin, since they are stopped and replaced at different times.
+class StreamKeepers
+{
+public:
+    /// \brief Sets the IP addresses of the routers.
+    void setRouters(std::vector<std::string> routers);
+
+    /// \brief Sets the agents.
+    void setAgents(std::vector<KeeperAgent> agents);
+
+    /// \brief Returns the IP addresses of the keepers that are told of the stream \a key: routers, and agents in different failure domains.
+    std::vector<std::string> keepers(const StreamKey &key) const;
+
+    /// \brief Returns the IP addresses of the keepers that are asked for the stream \a key: more than are told, as routers may know other processes.
+    std::vector<std::string> askedKeepers(const StreamKey &key) const;
+
+private:
+    std::vector<std::string> ranked(const StreamKey &key, std::size_t countOfEachKind) const;
+
+    std::vector<std::string> m_routers;
+    std::vector<KeeperAgent> m_agents;
+};
+
+} // namespace Verbena::Decisions
--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -67,6 +67,11 @@
     return m_declarations.age();
 }
 
+std::optional<milliseconds> DeploymentFeed::serversAge() const
+{
+    return m_servers.age();
+}
+
 void DeploymentFeed::replaceRows(const std::string &table, const Store::RowPage &page)
 {
     m_mirror.replace(table, page);
--- a/src/libs/relay/deploymentfeed.h
+++ b/src/libs/relay/deploymentfeed.h
@@ -41,6 +41,9 @@
     /// \brief Returns the maximum age of the operators' declarations; nothing before they were read once.
     std::optional<std::chrono::milliseconds> declarationsAge() const;
 
+    /// \brief Returns the maximum age of the register of backend servers; nothing before it was read once.
+    std::optional<std::chrono::milliseconds> serversAge() const;
+
     DeploymentFeed(const DeploymentFeed &) = delete;
     DeploymentFeed &operator=(const DeploymentFeed &) = delete;
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -8,6 +8,7 @@
 #include <observe/metrics.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Verbena::Relay {
 
@@ -42,6 +43,9 @@
 // Maximum wait of a begun stream for a backend server that is at its limit: callers give up a stream that pauses for longer than about two seconds.
 constexpr milliseconds maximumLimitWait{1500};
 
+// Retry delay for a caller whose stream no server can continue, unless one of its software version is started.
+constexpr milliseconds goneSoftwareDelay{1000};
+
 // Interval between checks whether to move a stream; its events arrive several times as often.
 constexpr milliseconds moveCheckInterval{100};
 
@@ -76,6 +80,8 @@
 RelayedRequest::~RelayedRequest()
 {
     m_context.resendQueue.withdraw(m_resendNumber);
+    withdrawInquiry();
+    endStream(false);
     m_crashes.end(arrivals());
     if (m_isUnanswered) {
         m_context.fleet.recordAbandoned(*m_choice);
@@ -94,14 +100,91 @@
     if (!admit()) {
         return;
     }
-    if (m_organisation != nullptr && m_organisation->usageCap.has_value() && m_usage.isEnabled()) {
+    if (isResumption()) {
+        findOrigin();
+    } else {
         claimUsage();
+    }
+}
+
+bool RelayedRequest::isResumption() const
+{
+    return m_context.origins != nullptr && m_route->kind == RequestKind::Streaming && m_route->isResumable && !m_query.lastEventId.empty();
+}
+
+Decisions::StreamKey RelayedRequest::streamKey() const
+{
+    return {organisationName(), m_query.lastEventId.empty() ? m_query.attemptId : m_query.resumedAttemptId};
+}
+
+// A caller may resume a stream for as long as it would wait for a whole one.
+milliseconds RelayedRequest::longestStream() const
+{
+    return 2 * m_route->timeout;
+}
+
+void RelayedRequest::findOrigin()
+{
+    const auto handle = [this](const std::optional<Decisions::StreamOrigin> &origin) {
+        m_originInquiry = 0;
+        handleOrigin(origin);
+    };
+    if (const std::uint64_t number = m_context.origins->find({streamKey(), m_service, longestStream()}, handle); number != 0) {
+        m_originInquiry = number;
+    }
+}
+
+void RelayedRequest::handleOrigin(const std::optional<Decisions::StreamOrigin> &origin)
+{
+    if (!origin.has_value()) {
+        refuse(503, "It is not known here which software version began the stream; it has not run.");
+        return;
+    }
+    const bool isServed = std::any_of(
+        m_route->services.begin(), m_route->services.end(), [&origin](const Decisions::ServiceShare &share) { return share.service == origin->service; });
+    if (!isServed || !m_context.fleet.hasSoftware(origin->service, origin->softwareVersion)) {
+        refuse(503, "No backend server of the software version that began the stream is left; it has not run.", Decisions::retryDelay(goneSoftwareDelay, remainingTime()));
+        return;
+    }
+    m_service = origin->service;
+    m_softwareVersion = origin->softwareVersion;
+    claimUsage();
+}
+
+// Other routers have to know of the stream before its caller can resume it there.
+void RelayedRequest::beginStream()
+{
+    m_softwareVersion = m_choice->softwareVersion;
+    const Decisions::StreamKey key = streamKey();
+    if (m_context.origins != nullptr && m_route->isResumable && !key.attemptId.empty()) {
+        m_streamNumber = m_context.origins->recordBegun({key, {m_service, *m_softwareVersion}, longestStream()});
+    }
+}
+
+void RelayedRequest::endStream(bool isWhole)
+{
+    if (m_streamNumber != 0) {
+        m_context.origins->recordEnded(std::exchange(m_streamNumber, 0), isWhole);
+    }
+}
+
+void RelayedRequest::withdrawInquiry()
+{
+    if (m_originInquiry != 0) {
+        m_context.origins->withdraw(std::exchange(m_originInquiry, 0));
+    }
+}
+
+void RelayedRequest::claimUsage()
+{
+    if (m_organisation != nullptr && m_organisation->usageCap.has_value() && m_usage.isEnabled()) {
+        claimUsageCap();
     } else {
         begin();
     }
 }
 
-void RelayedRequest::claimUsage()
+void RelayedRequest::claimUsageCap()
 {
     const Decisions::UsageCap &cap = *m_organisation->usageCap;
     const Decisions::UsageClaim claim{m_organisation->name, cap, m_directory->version(), usageCost(cap, m_query.tokens)};
@@ -358,10 +441,11 @@
 void RelayedRequest::receiveAnswerBody(std::string_view data)
 {
     handleFirstPart();
+    const bool wasBegun = m_answer.isBegun();
     const bool isForwarded = m_answer.receiveBody(data);
     m_attempts.isAnswerBegun = m_answer.isBegun();
-    if (m_answer.isBegun() && !m_softwareVersion.has_value()) {
-        m_softwareVersion = m_choice->softwareVersion;
+    if (m_answer.isBegun() && !wasBegun) {
+        beginStream();
     }
     if (m_sink.bufferedBytes() > maximumUnsentBytes) {
         m_call->setReading(false);
@@ -454,6 +538,7 @@
     m_call.reset();
     m_answer.end();
     m_attempts.isAnswerBegun = true;
+    endStream(true);
     logOutcome(m_answer.status(), "answered");
 }
 
@@ -709,6 +794,8 @@
     m_isDone = true;
     m_context.resendQueue.withdraw(m_resendNumber);
     m_serverCheck.reset();
+    withdrawInquiry();
+    endStream(false);
     m_crashes.end(arrivals());
     if (status == 503) {
         m_usage.release();
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -6,6 +6,7 @@
 #include "crashcontrolhandle.h"
 #include "relayprotocol.h"
 #include "resendqueue.h"
+#include "streamorigincontrol.h"
 #include "usagereservation.h"
 
 #include <decisions/relay/attemptpolicy.h>
@@ -43,6 +44,7 @@
     std::function<std::optional<std::chrono::milliseconds>()> configurationAge = {}; ///< Returns the age of the configuration; empty if it is not available.
     UsageControl *usage = nullptr; ///< Null if no usage caps are enforced.
     CrashControl *crashes = nullptr; ///< Null if crashes are not tracked.
+    StreamOriginControl *origins = nullptr; ///< Null if streams may be resumed at any backend server.
 };
 
 /// \brief Relays one request to a backend server and the answer back; destroying it cancels the request.
@@ -73,7 +75,16 @@
 
     bool admit();
     bool isConfigurationOutdated() const;
+    bool isResumption() const;
+    void findOrigin();
+    void handleOrigin(const std::optional<Decisions::StreamOrigin> &origin);
+    Decisions::StreamKey streamKey() const;
+    std::chrono::milliseconds longestStream() const;
+    void beginStream();
+    void endStream(bool isWhole);
+    void withdrawInquiry();
     void claimUsage();
+    void claimUsageCap();
     std::uint32_t arrivals() const;
     bool mayHaveRun() const;
     std::string organisationName() const;
@@ -143,6 +154,8 @@
     AnswerForwarder m_answer;
     UsageReservation m_usage;
     CrashControlHandle m_crashes;
+    std::uint64_t m_originInquiry = 0; ///< Number of the running inquiry where the stream began; 0 if there is none.
+    std::uint64_t m_streamNumber = 0; ///< Number of the running stream for the control of origins; 0 if it is not recorded.
     bool m_isUnanswered = false; ///< Whether the current call counts as load of its backend server.
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -161,6 +161,16 @@
     m_context.crashes = control;
 }
 
+void RelayTask::setStreamOriginControl(StreamOriginControl *control)
+{
+    m_context.origins = control;
+}
+
+std::chrono::milliseconds RelayTask::configurationTime() const
+{
+    return m_settings.configurationTime;
+}
+
 std::vector<std::string> RelayTask::routerAddresses() const
 {
     return m_activeRouters.addresses();
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -71,6 +71,12 @@
     /// \brief Sets the control that tracks crashes; null means that no request is suspected.
     void setCrashControl(CrashControl *control);
 
+    /// \brief Sets the control that knows where streams began; null means that callers may resume them at any backend server.
+    void setStreamOriginControl(StreamOriginControl *control);
+
+    /// \brief Returns the time within which a change of the configuration or of the register has to be in force.
+    std::chrono::milliseconds configurationTime() const;
+
     /// \brief Returns the addresses of the routers that agents reported recently.
     std::vector<std::string> routerAddresses() const;
 
--- /dev/null
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -0,0 +1,266 @@
+#include "streamoriginexchange.h"
+
+#include "relayevents.h"
+#include "streamorigincodec.h"
+
+#include <eventloop/loop.h>
+#include <observe/eventlog.h>
+
+#include <algorithm>
+
+namespace Verbena::Relay {
+
+using Decisions::KeeperAgent;
+using Decisions::OriginAnswer;
+using Decisions::OriginInquiry;
+using Decisions::SoleSoftware;
+using Decisions::StreamOrigin;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Interval at which running streams are checked, so that they are told soon after another software version appears.
+constexpr milliseconds tellInterval{250};
+
+// Interval at which a running stream is told again: keepers may be replaced while it runs.
+constexpr milliseconds repeatInterval{2000};
+
+// Time after which a query is sent a second time, since datagrams may be lost: many times the round trip.
+constexpr milliseconds resendDelay{25};
+
+// Time after which missing answers are not awaited any more; the caller waits meanwhile.
+constexpr milliseconds answerTimeout{80};
+
+constexpr milliseconds checkInterval{10};
+
+// More inquiries at a time than a router that took up all streams of several others would have.
+constexpr std::size_t maximumInquiries = 4096;
+
+} // namespace
+
+Core::Result<std::unique_ptr<StreamOriginExchange>> StreamOriginExchange::create(
+    EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge)
+{
+    auto keeper = StreamOriginKeeper::create(loop, address.address);
+    if (!keeper) {
+        return keeper.error();
+    }
+    std::unique_ptr<StreamOriginExchange> exchange(new StreamOriginExchange(loop, address, relay, std::move(registerAge)));
+    exchange->m_keeper = std::move(keeper.value());
+    exchange->m_keeper->setSoleSoftwareSource([raw = exchange.get()](const std::string &service) { return raw->soleSoftware(service); });
+    exchange->m_keeper->setAnswerReceiver(
+        [raw = exchange.get()](const std::string &from, const verbena::wire::StreamOriginAnswer &answer) { raw->handleAnswer(from, answer); });
+    relay.setStreamOriginControl(exchange.get());
+    return exchange;
+}
+
+StreamOriginExchange::StreamOriginExchange(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge)
+    : m_loop(loop)
+    , m_address(address)
+    , m_relay(relay)
+    , m_registerAge(std::move(registerAge))
+    , m_tellTimer(loop, [this] { tellRunning(); })
+    , m_inquiryTimer(loop, [this] { checkInquiries(); })
+{
+    m_tellTimer.startAt(loop.now());
+}
+
+StreamOriginExchange::~StreamOriginExchange()
+{
+    m_relay.setStreamOriginControl(nullptr);
+}
+
+void StreamOriginExchange::updateFleet()
+{
+    m_software.update(m_relay.fleet().servers(), m_loop.now());
+    m_keepers.setRouters(m_relay.routerAddresses());
+    if (m_agentsRevision != m_relay.fleet().servers().revision()) {
+        updateAgents();
+    }
+}
+
+// An agent runs beside each engine.
+void StreamOriginExchange::updateAgents()
+{
+    m_agentsRevision = m_relay.fleet().servers().revision();
+    std::vector<KeeperAgent> agents;
+    for (const auto &[id, server] : m_relay.fleet().servers().servers()) {
+        const auto endpoint = Http::Endpoint::parse(server.address);
+        if (!server.weights.empty() && endpoint) {
+            agents.push_back({endpoint.value().ipAddress(), server.failureDomain});
+        }
+    }
+    std::sort(agents.begin(), agents.end());
+    agents.erase(std::unique(agents.begin(), agents.end()), agents.end());
+    m_keepers.setAgents(std::move(agents));
+}
+
+// A copy of the register that is old may lack a version that another router has sent streams to since.
+std::optional<SoleSoftware> StreamOriginExchange::soleSoftware(const std::string &service) const
+{
+    const std::optional<milliseconds> age = m_registerAge();
+    if (!age.has_value() || *age > m_relay.configurationTime()) {
+        return std::nullopt;
+    }
+    return m_software.sole(service, m_loop.now());
+}
+
+bool StreamOriginExchange::isSettled(const RunningStream &stream) const
+{
+    const std::optional<SoleSoftware> sole = soleSoftware(stream.origin.service);
+    return sole.has_value() && sole->version == stream.origin.softwareVersion && sole->duration >= stream.longestStream;
+}
+
+std::uint64_t StreamOriginExchange::recordBegun(const RunningStream &stream)
+{
+    const std::uint64_t number = ++m_lastNumber;
+    ToldStream &told = m_running.emplace(number, ToldStream{stream}).first->second;
+    if (!isSettled(stream)) {
+        tell(told);
+    }
+    return number;
+}
+
+void StreamOriginExchange::recordEnded(std::uint64_t number, bool isWhole)
+{
+    const auto running = m_running.find(number);
+    if (running == m_running.end()) {
+        return;
+    }
+    if (!isWhole && !isSettled(running->second.stream)) {
+        tell(running->second);
+    }
+    m_running.erase(running);
+}
+
+// The first repetition follows soon, since datagrams may be lost.
+void StreamOriginExchange::tell(ToldStream &told)
+{
+    told.nextTell = m_loop.now() + (told.tells == 0 ? tellInterval : repeatInterval);
+    ++told.tells;
+    const RunningStream &stream = told.stream;
+    verbena::wire::Envelope message;
+    *message.mutable_stream_origins()->add_origins() = encodeOrigin(stream.key, stream.origin, stream.longestStream);
+    for (const std::string &keeper : m_keepers.keepers(stream.key)) {
+        sendTo(keeper, message);
+    }
+    m_relay.metrics().count("stream_origins_told_total");
+}
+
+void StreamOriginExchange::tellRunning()
+{
+    updateFleet();
+    const Core::TimePoint now = m_loop.now();
+    for (auto &[number, told] : m_running) {
+        if (now >= told.nextTell && !isSettled(told.stream)) {
+            tell(told);
+        }
+    }
+    m_tellTimer.startAt(now + tellInterval);
+}
+
+void StreamOriginExchange::sendTo(const std::string &keeper, const verbena::wire::Envelope &message)
+{
+    if (keeper == m_address.ipAddress()) {
+        m_keeper->send(m_address.address, message);
+    } else if (const auto endpoint = m_address.atPeer(keeper)) {
+        m_keeper->send(endpoint->address, message);
+    }
+}
+
+void StreamOriginExchange::sendQuery(std::uint64_t number, const OriginRequest &request, const std::string &keeper)
+{
+    verbena::wire::Envelope message;
+    verbena::wire::StreamOriginQuery &query = *message.mutable_stream_origin_query();
+    query.set_id(number);
+    query.set_organisation(request.key.organisation);
+    query.set_attempt(request.key.attemptId);
+    query.set_service(request.service);
+    sendTo(keeper, message);
+}
+
+std::uint64_t StreamOriginExchange::find(const OriginRequest &request, Callback done)
+{
+    updateFleet();
+    const bool isNamed = !request.key.attemptId.empty() && m_inquiries.size() < maximumInquiries;
+    const std::vector<std::string> keepers = isNamed ? m_keepers.askedKeepers(request.key) : std::vector<std::string>();
+    OriginInquiry inquiry(request.service, request.longestStream, keepers);
+    inquiry.handleAnswer("", OriginAnswer{std::nullopt, soleSoftware(request.service)});
+    const Core::TimePoint now = m_loop.now();
+    const std::uint64_t number = ++m_lastNumber;
+    const bool isDecided = inquiry.isDecided();
+    m_inquiries.emplace(number, PendingInquiry{request, std::move(inquiry), std::move(done), now + resendDelay, now + answerTimeout});
+    if (isDecided) {
+        decide(number, "nobody asked");
+        return 0;
+    }
+    for (const std::string &keeper : keepers) {
+        sendQuery(number, request, keeper);
+    }
+    if (!m_inquiryTimer.isActive()) {
+        m_inquiryTimer.startAt(now + checkInterval);
+    }
+    return number;
+}
+
+void StreamOriginExchange::withdraw(std::uint64_t number)
+{
+    m_inquiries.erase(number);
+}
+
+void StreamOriginExchange::handleAnswer(const std::string &keeper, const verbena::wire::StreamOriginAnswer &answer)
+{
+    const auto pending = m_inquiries.find(answer.id());
+    if (pending == m_inquiries.end()) {
+        return;
+    }
+    pending->second.inquiry.handleAnswer(keeper, decodeAnswer(answer));
+    if (pending->second.inquiry.isDecided()) {
+        decide(answer.id(), "answered");
+    }
+}
+
+void StreamOriginExchange::checkInquiries()
+{
+    const Core::TimePoint now = m_loop.now();
+    std::vector<std::uint64_t> overdue;
+    for (auto &[number, pending] : m_inquiries) {
+        if (now >= pending.deadline) {
+            overdue.push_back(number);
+        } else if (now >= pending.resendTime && !pending.isResent) {
+            pending.isResent = true;
+            for (const std::string &keeper : pending.inquiry.silentKeepers()) {
+                sendQuery(number, pending.request, keeper);
+            }
+        }
+    }
+    for (const std::uint64_t number : overdue) {
+        decide(number, "timeout");
+    }
+    if (!m_inquiries.empty()) {
+        m_inquiryTimer.startAt(now + checkInterval);
+    }
+}
+
+void StreamOriginExchange::decide(std::uint64_t number, const char *outcome)
+{
+    const auto found = m_inquiries.find(number);
+    if (found == m_inquiries.end()) {
+        return;
+    }
+    const PendingInquiry pending = std::move(found->second);
+    m_inquiries.erase(found);
+    const std::optional<StreamOrigin> origin = pending.inquiry.result();
+    m_relay.metrics().count(origin.has_value() ? "stream_origins_found_total" : "stream_origins_unknown_total");
+    Observe::log(streamResumed,
+        {{"resumes", pending.request.key.attemptId},
+            {"organisation", pending.request.key.organisation},
+            {"service", origin.has_value() ? origin->service : pending.request.service},
+            {"software", origin.has_value() ? origin->softwareVersion : ""},
+            {"known", origin.has_value() ? "yes" : "no"},
+            {"outcome", outcome},
+            {"silent_keepers", std::to_string(pending.inquiry.silentKeepers().size())}});
+    pending.done(origin);
+}
+
+} // namespace Verbena::Relay
--- /dev/null
+++ b/src/libs/relay/streamoriginexchange.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "relaytask.h"
+#include "streamorigincontrol.h"
+#include "streamoriginkeeper.h"
+
+#include <decisions/relay/origininquiry.h>
+#include <decisions/relay/softwareversions.h>
+#include <decisions/relay/streamkeepers.h>
+#include <eventloop/timer.h>
+#include <http/endpoint.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Verbena::Relay {
+
+/// \brief Tells a few other processes where running streams began, and asks them when a caller resumes one.
+///
+/// Nothing is told while a service has had one software version for longer than streams last: then every router knows where its streams may go on.
+class StreamOriginExchange : public StreamOriginControl
+{
+public:
+    /// \brief Returns the maximum age of this router's copy of the register; nothing before it was read.
+    using RegisterAge = std::function<std::optional<std::chrono::milliseconds>()>;
+
+    /// \brief Binds to \a address; routers and agents use the same port on their hosts. \a relay has to live as long as this object. Errors: Unavailable.
+    static Core::Result<std::unique_ptr<StreamOriginExchange>> create(
+        EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge);
+    ~StreamOriginExchange() override;
+
+    StreamOriginExchange(const StreamOriginExchange &) = delete;
+    StreamOriginExchange &operator=(const StreamOriginExchange &) = delete;
+
+    std::uint64_t recordBegun(const RunningStream &stream) override;
+    void recordEnded(std::uint64_t number, bool isWhole) override;
+    std::uint64_t find(const OriginRequest &request, Callback done) override;
+    void withdraw(std::uint64_t number) override;
+
+private:
+    struct ToldStream
+    {
+        RunningStream stream;
+        Core::TimePoint nextTell{}; ///< Time at which it is told again.
+        std::uint32_t tells = 0; ///< Number of times it was told.
+    };
+
+    struct PendingInquiry
+    {
+        OriginRequest request;
+        Decisions::OriginInquiry inquiry;
+        Callback done;
+        Core::TimePoint resendTime;
+        Core::TimePoint deadline;
+        bool isResent = false;
+    };
+
+    StreamOriginExchange(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge);
+    void updateFleet();
+    void updateAgents();
+    std::optional<Decisions::SoleSoftware> soleSoftware(const std::string &service) const;
+    bool isSettled(const RunningStream &stream) const;
+    void tell(ToldStream &told);
+    void tellRunning();
+    void sendTo(const std::string &keeper, const verbena::wire::Envelope &message);
+    void sendQuery(std::uint64_t number, const OriginRequest &request, const std::string &keeper);
+    void handleAnswer(const std::string &keeper, const verbena::wire::StreamOriginAnswer &answer);
+    void checkInquiries();
+    void decide(std::uint64_t number, const char *outcome);
+
+    EventLoop::Loop &m_loop;
+    Http::Endpoint m_address;
+    RelayTask &m_relay;
+    RegisterAge m_registerAge;
+    Decisions::SoftwareVersions m_software;
+    Decisions::StreamKeepers m_keepers;
+    std::optional<std::uint64_t> m_agentsRevision; ///< Revision of the register from which the agents were taken.
+    std::unique_ptr<StreamOriginKeeper> m_keeper;
+    std::map<std::uint64_t, ToldStream> m_running; ///< Running streams, by number.
+    std::map<std::uint64_t, PendingInquiry> m_inquiries; ///< By number.
+    std::uint64_t m_lastNumber = 0;
+    EventLoop::Timer m_tellTimer;
+    EventLoop::Timer m_inquiryTimer;
+};
+
+} // namespace Verbena::Relay
--- a/tests/auto/platform/tst_resumedstreams.cpp
+++ b/tests/auto/platform/tst_resumedstreams.cpp
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <csignal>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,6 +19,9 @@
 constexpr std::size_t routers = 4;
 constexpr int streams = 40;
 
+// Later than the configuration of the deployment.
+constexpr std::uint64_t newConfiguration = 100;
+
 // The platform demands that at least this share of the resumed streams goes on.
 constexpr double demandedShare = 0.5;
 
@@ -28,21 +34,16 @@
 class VersionedEngine
 {
 public:
-    VersionedEngine(PlatformDeployment &deployment, const std::string &id, const std::string &version, std::size_t host)
+    VersionedEngine(PlatformDeployment &deployment, const std::string &version, std::size_t host)
         : m_version(version)
         , m_worker(
               deployment.loop(), [](const Http::MessageHead &head, const std::string &) { return answer(head); }, deployment.hostNumber(host) + ":0")
     {
-        deployment.store().put("servers",
-            id,
-            {{"service", "reader"},
-                {"address", m_worker.address()},
-                {"zone", "hall"},
-                {"slots", 96},
-                {"phase", "ready"},
-                {"version", version},
-                {"models", {{{"name", "m"}, {"version", 1}}}},
-                {"sequence", 1}});
+    }
+
+    std::string address() const
+    {
+        return m_worker.address();
     }
 
     const std::string &version() const
@@ -83,17 +84,74 @@
         for (std::size_t router = 0; router < routers; ++router) {
             EXPECT_TRUE(m_deployment.askUntil("200 OK", "secret", "/wall/2f", router));
         }
-        nlohmann::json configuration = PlatformDeployment::configuration(2);
+        nlohmann::json configuration = PlatformDeployment::configuration(newConfiguration);
         configuration["routes"][0]["resumable"] = true;
         m_deployment.store().put("op", "config", configuration);
         for (std::size_t index = 0; index < 4; ++index) {
             const std::string version = index % 2 == 0 ? "v1" : "v1.1";
-            m_engines.push_back(std::make_unique<VersionedEngine>(m_deployment, "e-" + std::to_string(index), version, 210 + index));
+            m_engines.push_back(std::make_unique<VersionedEngine>(m_deployment, version, 210 + index));
+            putServer("e-" + std::to_string(index), m_engines.back()->address(), version, "ready");
+        }
+        putServer("i-1", m_deployment.engine().address(), "", "draining");
+        for (std::size_t router = 0; router < routers; ++router) {
+            EXPECT_TRUE(m_deployment.runUntil([this, router] { return isPrepared(router); }));
+        }
+    }
+
+    void putServer(const std::string &id, const std::string &address, const std::string &version, const std::string &phase)
+    {
+        m_deployment.store().put("servers",
+            id,
+            {{"service", "reader"},
+                {"address", address},
+                {"zone", "hall"},
+                {"slots", 96},
+                {"phase", phase},
+                {"version", version},
+                {"models", {{{"name", "m"}, {"version", 1}}}},
+                {"sequence", 2}});
+    }
+
+    // Returns whether \a router uses the engines of this test instead of that of the deployment, and knows that streams may be resumed.
+    bool isPrepared(std::size_t router)
+    {
+        const std::size_t before = m_deployment.engine().runs().size();
+        const std::string answer = send(router, "probe-" + std::to_string(m_probes++));
+        return m_deployment.engine().runs().size() == before && answer.find("id: 1") != std::string::npos
+            && hasLogged(router, "\"configuration\":\"" + std::to_string(newConfiguration) + '"');
+    }
+
+    bool hasLogged(std::size_t router, const std::string &text)
+    {
+        std::string &output = m_outputs[router];
+        output += m_deployment.router(router).takeOutput();
+        return output.find(text) != std::string::npos;
+    }
+
+    void waitUntilRoutersKnowEachOther()
+    {
+        for (std::size_t router = 0; router < routers; ++router) {
+            EXPECT_TRUE(m_deployment.runUntil([this, router] { return hasLogged(router, "\"routers\":\"" + std::to_string(routers) + '"'); }));
         }
-        m_deployment.store().remove("servers", "i-1");
         pass(1s);
     }
 
+    // Begins a stream at \a router, calls \a disturb, and resumes the stream at the next router. Returns whether it went on.
+    bool beginAndResume(std::size_t router, const std::function<void()> &disturb)
+    {
+        const std::string number = std::to_string(m_streams++);
+        const std::string begun = "a-" + number;
+        const std::string next = "b-" + number;
+        EXPECT_NE(send(router, begun).find("id: 1"), std::string::npos);
+        disturb();
+        const std::string answer = resume((router + 1) % routers, next, begun);
+        EXPECT_TRUE(versionOf(next).empty() || versionOf(next) == versionOf(begun)) << begun;
+        const bool isRefused = answer.find("HTTP/1.1 503") != std::string::npos && answer.find("Retry-After: ") != std::string::npos;
+        const bool isContinued = answer.find("id: 2") != std::string::npos;
+        EXPECT_TRUE(isContinued || isRefused) << answer;
+        return isContinued;
+    }
+
     void pass(std::chrono::milliseconds span)
     {
         const Core::TimePoint end = m_deployment.loop().now() + span;
@@ -124,6 +182,9 @@
     }
 
     PlatformDeployment m_deployment;
+    std::map<std::size_t, std::string> m_outputs; ///< What each router has logged.
+    int m_probes = 0;
+    int m_streams = 0;
     std::vector<std::unique_ptr<VersionedEngine>> m_engines;
 };
 
@@ -132,17 +193,61 @@
 {
     int resumed = 0;
     for (int stream = 0; stream < streams; ++stream) {
-        const std::string begun = "a-" + std::to_string(stream);
-        const std::string next = "b-" + std::to_string(stream);
+        resumed += beginAndResume(static_cast<std::size_t>(stream) % routers, [] {}) ? 1 : 0;
+    }
+    EXPECT_GE(resumed, demandedShare * streams);
+}
+
+TEST_F(ResumedStreamsTest, goOnAfterTheirRouterWasKilled)
+{
+    waitUntilRoutersKnowEachOther();
+    constexpr int kills = 8;
+    int resumed = 0;
+    for (int kill = 0; kill < kills; ++kill) {
+        const std::size_t router = static_cast<std::size_t>(kill) % routers;
+        resumed += beginAndResume(router, [this, router] { m_deployment.stopRouter(router); }) ? 1 : 0;
+        m_deployment.restartRouter(router);
+        EXPECT_TRUE(m_deployment.runUntil([this, router] { return isPrepared(router); }));
+    }
+    EXPECT_GE(resumed, demandedShare * kills);
+}
+
+TEST_F(ResumedStreamsTest, goOnWhileOtherRoutersStandStill)
+{
+    waitUntilRoutersKnowEachOther();
+    int resumed = 0;
+    for (int stream = 0; stream < streams; ++stream) {
         const std::size_t router = static_cast<std::size_t>(stream) % routers;
-        EXPECT_NE(send(router, begun).find("id: 1"), std::string::npos);
-        const std::string answer = resume((router + 1) % routers, next, begun);
-        resumed += answer.find("id: 2") != std::string::npos ? 1 : 0;
-        EXPECT_TRUE(versionOf(next).empty() || versionOf(next) == versionOf(begun)) << begun;
+        ChildProcess &frozen = m_deployment.router((router + 2) % routers);
+        resumed += beginAndResume(router, [&frozen] { frozen.sendSignal(SIGSTOP); }) ? 1 : 0;
+        frozen.sendSignal(SIGCONT);
     }
     EXPECT_GE(resumed, demandedShare * streams);
 }
 
+TEST_F(ResumedStreamsTest, areRefusedWithoutAnEngineOfTheirVersion)
+{
+    waitUntilRoutersKnowEachOther();
+    EXPECT_NE(send(0, "a").find("id: 1"), std::string::npos);
+    for (std::size_t index = 0; index < m_engines.size(); ++index) {
+        const std::string &version = m_engines[index]->version();
+        putServer("e-" + std::to_string(index), m_engines[index]->address(), version, version == versionOf("a") ? "draining" : "ready");
+    }
+    pass(2s);
+    const std::string answer = resume(1, "b", "a");
+    EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+}
+
+TEST_F(ResumedStreamsTest, areRefusedIfNoAttemptOrAnUnknownOneIsNamed)
+{
+    waitUntilRoutersKnowEachOther();
+    EXPECT_NE(resume(1, "b", "never").find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_NE(send(1, "c", "Last-Event-Id: 1\r\n").find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_TRUE(versionOf("b").empty());
+    EXPECT_TRUE(versionOf("c").empty());
+}
+
 } // namespace
 
 } // namespace Verbena::Test
--- /dev/null
+++ b/tests/auto/relay/tst_streamorigins.cpp
@@ -0,0 +1,216 @@
+#include <decisions/relay/origininquiry.h>
+#include <decisions/relay/softwareversions.h>
+#include <decisions/relay/streamkeepers.h>
+#include <decisions/relay/streamorigins.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto lifetime = 30s;
+const Core::TimePoint start{1h};
+const StreamOrigin origin{"s", "v1"};
+
+StreamKey key(const std::string &attempt, const std::string &organisation = "dams")
+{
+    return {organisation, attempt};
+}
+
+TEST(StreamOriginsTest, returnsAnOriginUntilItExpires)
+{
+    StreamOrigins origins;
+    origins.record(key("a"), origin, start + lifetime, start);
+    EXPECT_EQ(origins.find(key("a"), start + lifetime - 1ms), origin);
+    EXPECT_EQ(origins.find(key("a"), start + lifetime), std::nullopt);
+}
+
+// The key of one organisation must not tell anything of the streams of another one.
+TEST(StreamOriginsTest, returnsNothingToAnotherOrganisation)
+{
+    StreamOrigins origins;
+    origins.record(key("a"), origin, start + lifetime, start);
+    EXPECT_EQ(origins.find(key("a", "quarry"), start), std::nullopt);
+}
+
+TEST(StreamOriginsTest, disputesAnAttemptIdThatWasUsedTwice)
+{
+    StreamOrigins origins;
+    origins.record(key("a"), origin, start + lifetime, start);
+    origins.record(key("a"), origin, start + lifetime, start);
+    EXPECT_FALSE(origins.find(key("a"), start)->isDisputed);
+    origins.record(key("a"), {"s", "v2"}, start + lifetime, start);
+    EXPECT_TRUE(origins.find(key("a"), start)->isDisputed);
+    origins.record(key("a"), origin, start + lifetime, start);
+    EXPECT_TRUE(origins.find(key("a"), start)->isDisputed);
+}
+
+TEST(StreamOriginsTest, removesExpiredEntries)
+{
+    StreamOrigins origins;
+    origins.record(key("a"), origin, start + lifetime, start);
+    origins.record(key("b"), origin, start + 3 * lifetime, start + 2 * lifetime);
+    EXPECT_EQ(origins.size(), 1U);
+}
+
+// A flood of streams of one organisation must not push out those of others.
+RC_GTEST_PROP(StreamOriginsProperty, staysBoundedAndKeepsTheStreamsOfSmallOrganisations, (const std::vector<std::uint8_t> &organisations))
+{
+    constexpr std::size_t maximumEntries = 20;
+    constexpr std::size_t smallCount = 4;
+    StreamOrigins origins(maximumEntries);
+    for (std::size_t stream = 0; stream < smallCount; ++stream) {
+        origins.record(key(std::to_string(stream), "small"), origin, start + lifetime, start);
+    }
+    int number = 0;
+    for (const std::uint8_t organisation : organisations) {
+        origins.record(key("f" + std::to_string(number++), "flood" + std::to_string(organisation % 2)), origin, start + lifetime, start);
+        RC_ASSERT(origins.size() <= maximumEntries);
+    }
+    for (std::size_t stream = 0; stream < smallCount; ++stream) {
+        RC_ASSERT(origins.find(key(std::to_string(stream), "small"), start).has_value());
+    }
+}
+
+class SoftwareVersionsTest : public testing::Test
+{
+protected:
+    void set(const std::string &id, const std::string &version)
+    {
+        m_servers.set({id, "s", "127.0.0.1:1", "hall", 6, false, {}, 0, version});
+    }
+
+    std::optional<SoleSoftware> sole(std::chrono::milliseconds after)
+    {
+        m_software.update(m_servers, start + after);
+        return m_software.sole("s", start + after);
+    }
+
+    ServerRegister m_servers;
+    SoftwareVersions m_software;
+};
+
+TEST_F(SoftwareVersionsTest, knowsAVersionForAsLongAsItWasTheOnlyOne)
+{
+    set("a", "v1");
+    EXPECT_EQ(sole(0s)->duration, 0s);
+    EXPECT_EQ(sole(20s)->duration, 20s);
+    set("b", "v2");
+    EXPECT_FALSE(sole(21s));
+    m_servers.remove("a", start + 22s);
+    EXPECT_EQ(sole(25s)->version, "v2");
+    EXPECT_EQ(sole(25s)->duration, 4s);
+}
+
+TEST_F(SoftwareVersionsTest, knowsNothingOfAServiceWithoutServers)
+{
+    EXPECT_FALSE(sole(0s));
+}
+
+// A process that has just started does not know which versions there were before.
+TEST_F(SoftwareVersionsTest, countsFromTheFirstUpdate)
+{
+    set("a", "v1");
+    EXPECT_EQ(sole(10s)->duration, 0s);
+}
+
+std::vector<KeeperAgent> agents(std::size_t count)
+{
+    std::vector<KeeperAgent> agents;
+    for (std::size_t index = 0; index < count; ++index) {
+        agents.push_back({"10.1.0." + std::to_string(index), "hall-" + std::to_string(index % 3)});
+    }
+    return agents;
+}
+
+TEST(StreamKeepersTest, chooseRoutersAndAgentsOfSeveralFailureDomains)
+{
+    const std::vector<KeeperAgent> all = agents(9);
+    StreamKeepers keepers;
+    keepers.setRouters({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+    keepers.setAgents(all);
+    const std::vector<std::string> chosen = keepers.keepers(key("a"));
+    ASSERT_EQ(chosen.size(), 4U);
+    std::set<std::string> domains;
+    for (const KeeperAgent &agent : all) {
+        if (std::find(chosen.begin(), chosen.end(), agent.address) != chosen.end()) {
+            domains.insert(agent.failureDomain);
+        }
+    }
+    EXPECT_EQ(domains.size(), 2U);
+}
+
+// Routers that do not know the same processes must still find each other's streams.
+RC_GTEST_PROP(StreamKeepersProperty, askAKeeperThatWasToldWhereOneProcessIsUnknown, (const std::string &attempt))
+{
+    StreamKeepers teller;
+    StreamKeepers asker;
+    teller.setAgents(agents(9));
+    std::vector<KeeperAgent> fewer = agents(9);
+    fewer.erase(fewer.begin() + *rc::gen::inRange(0, 9));
+    asker.setAgents(fewer);
+    const std::vector<std::string> told = teller.keepers(key(attempt));
+    const std::vector<std::string> asked = asker.askedKeepers(key(attempt));
+    RC_ASSERT(std::any_of(told.begin(), told.end(), [&asked](const std::string &one) { return std::find(asked.begin(), asked.end(), one) != asked.end(); }));
+}
+
+OriginAnswer soleFor(std::chrono::milliseconds duration)
+{
+    return {std::nullopt, SoleSoftware{"v1", duration}};
+}
+
+TEST(OriginInquiryTest, isDecidedByTheFirstOrigin)
+{
+    OriginInquiry inquiry("s", lifetime, {"a", "b"});
+    EXPECT_FALSE(inquiry.isDecided());
+    inquiry.handleAnswer("a", {});
+    EXPECT_FALSE(inquiry.isDecided());
+    inquiry.handleAnswer("b", {origin, std::nullopt});
+    EXPECT_TRUE(inquiry.isDecided());
+    EXPECT_EQ(inquiry.result(), origin);
+}
+
+TEST(OriginInquiryTest, knowsNothingOfADisputedOrigin)
+{
+    OriginInquiry inquiry("s", lifetime, {"a", "b"});
+    inquiry.handleAnswer("a", {origin, std::nullopt});
+    inquiry.handleAnswer("b", {StreamOrigin{"s", "v2"}, std::nullopt});
+    EXPECT_EQ(inquiry.result(), std::nullopt);
+}
+
+TEST(OriginInquiryTest, takesTheOnlyVersionOfAServiceThatHadNoOtherForLongEnough)
+{
+    OriginInquiry shorter("s", lifetime, {"a"});
+    shorter.handleAnswer("a", soleFor(lifetime - 1ms));
+    EXPECT_EQ(shorter.result(), std::nullopt);
+    OriginInquiry longer("s", lifetime, {"a"});
+    longer.handleAnswer("a", soleFor(lifetime));
+    EXPECT_EQ(longer.result(), origin);
+}
+
+// A keeper's record is newer than what another process believes of the service.
+TEST(OriginInquiryTest, takesAnOriginBeforeTheOnlyVersion)
+{
+    OriginInquiry inquiry("s", lifetime, {"a", "b"});
+    inquiry.handleAnswer("", soleFor(lifetime));
+    inquiry.handleAnswer("a", {StreamOrigin{"s", "v2"}, std::nullopt});
+    EXPECT_EQ(inquiry.result()->softwareVersion, "v2");
+}
+
+TEST(OriginInquiryTest, knowsNothingIfNobodyAnswers)
+{
+    const OriginInquiry inquiry("s", lifetime, {"a", "b"});
+    EXPECT_EQ(inquiry.result(), std::nullopt);
+    EXPECT_EQ(inquiry.silentKeepers().size(), 2U);
+}
+
+} // namespace
+
+} // namespace Verbena::Decisions
