--- a/src/libs/decisions/relay/serverlimits.cpp
+++ b/src/libs/decisions/relay/serverlimits.cpp
@@ -13,8 +13,11 @@
 // Time for which a limit that no answer confirms is kept. By then every router that has requests for the server was allowed one.
 constexpr std::chrono::minutes limitLifetime{5};
 
-// Time for which the end of a limit is kept, so that older news do not begin it again. Also the time for which a limit counts as named lately.
-constexpr std::chrono::seconds endLifetime{15};
+// Time for which the end of a limit is kept, so that older news do not begin it again.
+constexpr std::chrono::seconds endRetention{15};
+
+// Time after an answer for which its limit counts as named lately.
+constexpr std::chrono::seconds recentAnswerTime{15};
 
 // Time for which other routers are told of an answer, so that all learn of it although datagrams are lost.
 constexpr std::chrono::seconds tellingTime{3};
@@ -91,8 +94,8 @@
     if (known != nullptr && observedAt <= known->observedAt) {
         return Change::None;
     }
-    const bool isSameLife = known != nullptr && known->incarnation == news.incarnation;
-    if (isSameLife && known->perSecond.has_value() == news.perSecond.has_value()) {
+    const bool isSameIncarnation = known != nullptr && known->incarnation == news.incarnation;
+    if (isSameIncarnation && known->perSecond.has_value() == news.perSecond.has_value()) {
         const bool isSame = known->perSecond == news.perSecond;
         known->observedAt = observedAt;
         known->perSecond = news.perSecond;
@@ -133,7 +136,7 @@
 {
     std::erase_if(m_entries, [now](const auto &item) {
         const Entry &entry = item.second;
-        return now >= entry.observedAt + (entry.perSecond.has_value() ? std::chrono::seconds(limitLifetime) : endLifetime);
+        return now >= entry.observedAt + (entry.perSecond.has_value() ? std::chrono::seconds(limitLifetime) : endRetention);
     });
 }
 
@@ -192,7 +195,7 @@
 {
     evictExpired(now);
     return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [now](const auto &item) {
-        return item.second.perSecond.has_value() && now < item.second.observedAt + endLifetime;
+        return item.second.perSecond.has_value() && now < item.second.observedAt + recentAnswerTime;
     }));
 }
 
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -22,7 +22,7 @@
     Decisions::ResendLimits resend;
     Decisions::WeightsLimits weights;
     Decisions::RoutingOptions routing;
-    std::uint32_t routerCount = 8; ///< Minimum number of routers that are assumed to share limits, for those of backend servers until it is known.
+    std::uint32_t routerCount = 8; ///< Routers that share the resend budget at least, and the limits of backend servers until agents report the routers.
     std::uint64_t seed = 0;
     std::chrono::milliseconds configurationTime{2000}; ///< Time within which a change of the configuration has to be in force.
     std::chrono::milliseconds shutdownNotice{2900}; ///< Time from the start of a shutdown until the load balancer sends no new callers.
