Resume a stream without a named attempt where only one version was seen

A caller that names nothing cannot be looked up, so the register alone decides: the stream goes on if this process has seen one version only within a stream's life, however short it has been running. With several versions it is refused as before.

--- a/src/libs/decisions/relay/softwareversions.cpp
+++ b/src/libs/decisions/relay/softwareversions.cpp
@@ -41,4 +41,16 @@
     return SoleSoftware{version, std::chrono::duration_cast<std::chrono::milliseconds>(now - since)};
 }
 
+std::optional<std::string> SoftwareVersions::onlySeen(const std::string &service, std::chrono::milliseconds span, Core::TimePoint now) const
+{
+    const std::optional<SoleSoftware> only = sole(service, now);
+    if (!only.has_value()) {
+        return std::nullopt;
+    }
+    const Service &known = m_services.at(service);
+    const bool isOtherSeen
+        = std::any_of(known.lastSeen.begin(), known.lastSeen.end(), [&](const auto &seen) { return seen.first != only->version && now < seen.second + span; });
+    return isOtherSeen ? std::nullopt : std::optional(only->version);
+}
+
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/softwareversions.h
+++ b/src/libs/decisions/relay/softwareversions.h
@@ -26,6 +26,10 @@
     /// \brief Returns the only version that \a service has, and for how long it is known to be the only one; nothing if there are several or none.
     std::optional<SoleSoftware> sole(const std::string &service, Core::TimePoint now) const;
 
+    /// \brief Returns the only version that this process has seen of \a service within the last \a span, however short it has been running; nothing if there
+    /// were several or none is registered.
+    std::optional<std::string> onlySeen(const std::string &service, std::chrono::milliseconds span, Core::TimePoint now) const;
+
 private:
     struct Service
     {
--- a/src/libs/relay/streamoriginexchange.cpp
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -182,11 +182,19 @@
 std::uint64_t StreamOriginExchange::find(const OriginRequest &request, Callback done)
 {
     updateFleet();
-    const bool isNamed = !request.key.attemptId.empty() && m_inquiries.size() < maximumInquiries;
-    const std::vector<std::string> keepers = isNamed ? m_keepers.askedKeepers(request.key) : std::vector<std::string>();
+    const Core::TimePoint now = m_loop.now();
+    if (request.key.attemptId.empty()) {
+        // Nobody can be asked for a stream that the caller does not name.
+        const std::optional<std::string> version = m_software.onlySeen(request.service, request.longestStream, now);
+        const std::optional<StreamOrigin> origin = version.has_value() ? std::optional(StreamOrigin{request.service, *version}) : std::nullopt;
+        report(request, origin, "no attempt named", 0);
+        done(origin);
+        return 0;
+    }
+    const bool isFull = m_inquiries.size() >= maximumInquiries;
+    const std::vector<std::string> keepers = isFull ? std::vector<std::string>() : m_keepers.askedKeepers(request.key);
     OriginInquiry inquiry(request.service, request.longestStream, keepers);
     inquiry.handleAnswer("", OriginAnswer{std::nullopt, soleSoftware(request.service)});
-    const Core::TimePoint now = m_loop.now();
     const std::uint64_t number = ++m_lastNumber;
     const bool isDecided = inquiry.isDecided();
     m_inquiries.emplace(number, PendingInquiry{request, std::move(inquiry), std::move(done), now + resendDelay, now + answerTimeout});
@@ -251,16 +259,21 @@
     const PendingInquiry pending = std::move(found->second);
     m_inquiries.erase(found);
     const std::optional<StreamOrigin> origin = pending.inquiry.result();
+    report(pending.request, origin, outcome, pending.inquiry.silentKeepers().size());
+    pending.done(origin);
+}
+
+void StreamOriginExchange::report(const OriginRequest &request, const std::optional<StreamOrigin> &origin, const char *outcome, std::size_t silentKeepers)
+{
     m_relay.metrics().count(origin.has_value() ? "stream_origins_found_total" : "stream_origins_unknown_total");
     Observe::log(streamResumed,
-        {{"resumes", pending.request.key.attemptId},
-            {"organisation", pending.request.key.organisation},
-            {"service", origin.has_value() ? origin->service : pending.request.service},
+        {{"resumes", request.key.attemptId},
+            {"organisation", request.key.organisation},
+            {"service", origin.has_value() ? origin->service : request.service},
             {"software", origin.has_value() ? origin->softwareVersion : ""},
             {"known", origin.has_value() ? "yes" : "no"},
             {"outcome", outcome},
-            {"silent_keepers", std::to_string(pending.inquiry.silentKeepers().size())}});
-    pending.done(origin);
+            {"silent_keepers", std::to_string(silentKeepers)}});
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/streamoriginexchange.h
+++ b/src/libs/relay/streamoriginexchange.h
@@ -70,6 +70,7 @@
     void handleAnswer(const std::string &keeper, const verbena::wire::StreamOriginAnswer &answer);
     void checkInquiries();
     void decide(std::uint64_t number, const char *outcome);
+    void report(const OriginRequest &request, const std::optional<Decisions::StreamOrigin> &origin, const char *outcome, std::size_t silentKeepers);
 
     EventLoop::Loop &m_loop;
     Http::Endpoint m_address;
--- a/tests/auto/relay/tst_streamorigins.cpp
+++ b/tests/auto/relay/tst_streamorigins.cpp
@@ -114,6 +114,21 @@
     EXPECT_FALSE(sole(0s));
 }
 
+// Callers that named no attempt were refused by a process that had just started, although there was only one version.
+TEST_F(SoftwareVersionsTest, knowsTheOnlyVersionThatItHasSeen)
+{
+    set("a", "v1");
+    EXPECT_TRUE(sole(0s));
+    EXPECT_EQ(m_software.onlySeen("s", 10s, start), "v1");
+    set("b", "v2");
+    EXPECT_FALSE(sole(1s));
+    EXPECT_EQ(m_software.onlySeen("s", 10s, start + 1s), std::nullopt);
+    m_servers.remove("b", start + 2s);
+    EXPECT_TRUE(sole(2s));
+    EXPECT_EQ(m_software.onlySeen("s", 10s, start + 10s), std::nullopt);
+    EXPECT_EQ(m_software.onlySeen("s", 10s, start + 11s), "v1");
+}
+
 // A process that has just started does not know which versions there were before.
 TEST_F(SoftwareVersionsTest, countsFromTheFirstUpdate)
 {
