Keep origins of streams at agents that report, not beside every engine

Found by a new test (all routers killed between first event and resumption), which failed once in two runs: engines without an agent were chosen as keepers, so that an origin could be told to routers and dead addresses only.

Agents that have reported lately are the candidates; a router that has heard of none yet takes all engines. tst_resumedstreams: 7 of 7 tests in each of four runs, among them two new ones (store away, all routers killed).

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -220,14 +220,19 @@
     m_chooser.updateLoad(key, EngineReports::loadReport(status), now);
 }
 
+bool RelayFleet::hasAgent(const std::string &address, Core::TimePoint now) const
+{
+    const auto present = m_agentsPresentUntil.find(address);
+    return present != m_agentsPresentUntil.end() && now < present->second;
+}
+
 std::vector<OrphanedEngine> RelayFleet::orphanedEngines(Core::TimePoint now)
 {
     syncWithRegister();
     std::vector<OrphanedEngine> orphaned;
     for (const auto &[id, server] : m_register.servers()) {
         const BackendServerId key = backendServerId(id);
-        const auto present = m_agentsPresentUntil.find(server.address);
-        if (present != m_agentsPresentUntil.end() && now < present->second) {
+        if (hasAgent(server.address, now)) {
             m_silentSince.erase(key);
             continue;
         }
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -71,6 +71,9 @@
     /// \brief Updates the status of the engine at \a address with the report of its agent, which is valid for EngineReports::lifetime.
     void updateStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now);
 
+    /// \brief Returns whether the agent of the engine at \a address has reported lately.
+    bool hasAgent(const std::string &address, Core::TimePoint now) const;
+
     /// \brief Returns the stores of saved KV cache, which the component that follows them keeps up to date.
     CacheStores &cacheStores();
 
--- a/src/libs/relay/streamoriginexchange.cpp
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -25,6 +25,9 @@
 // Interval at which a running stream is told again: keepers may be replaced while it runs.
 constexpr milliseconds repeatInterval{2000};
 
+// Interval at which agents that have fallen silent are replaced as keepers.
+constexpr milliseconds agentsUpdateInterval{500};
+
 // Time after which a query is sent a second time, since datagrams may be lost: many times the round trip.
 constexpr milliseconds resendDelay{25};
 
@@ -74,22 +77,40 @@
 {
     m_software.update(m_relay.fleet().servers(), m_loop.now());
     m_keepers.setRouters(m_relay.routerAddresses());
-    if (m_agentsRevision != m_relay.fleet().servers().revision()) {
+    const bool hadEngines = !m_engines.empty();
+    if (m_enginesRevision != m_relay.fleet().servers().revision()) {
+        updateEngines();
+    }
+    if (!hadEngines || m_loop.now() >= m_agentsUpdateTime) {
+        m_agentsUpdateTime = m_loop.now() + agentsUpdateInterval;
         updateAgents();
     }
 }
 
-// An agent runs beside each engine.
-void StreamOriginExchange::updateAgents()
+void StreamOriginExchange::updateEngines()
 {
-    m_agentsRevision = m_relay.fleet().servers().revision();
-    std::vector<KeeperAgent> agents;
+    m_enginesRevision = m_relay.fleet().servers().revision();
+    m_engines.clear();
     for (const auto &[id, server] : m_relay.fleet().servers().servers()) {
         const auto endpoint = Http::Endpoint::parse(server.address);
         if (!server.weights.empty() && endpoint) {
-            agents.push_back({endpoint.value().ipAddress(), server.failureDomain});
+            m_engines.push_back({server.address, {endpoint.value().ipAddress(), server.failureDomain}});
+        }
+    }
+}
+
+// Some engines have no agent. A router that has just started has heard of none and takes all engines for candidates.
+void StreamOriginExchange::updateAgents()
+{
+    std::vector<KeeperAgent> all;
+    std::vector<KeeperAgent> present;
+    for (const RegisteredEngine &engine : m_engines) {
+        all.push_back(engine.agent);
+        if (m_relay.fleet().hasAgent(engine.address, m_loop.now())) {
+            present.push_back(engine.agent);
         }
     }
+    std::vector<KeeperAgent> &agents = present.empty() ? all : present;
     std::sort(agents.begin(), agents.end());
     agents.erase(std::unique(agents.begin(), agents.end()), agents.end());
     m_keepers.setAgents(std::move(agents));
@@ -113,6 +134,7 @@
 
 std::uint64_t StreamOriginExchange::recordBegun(const RunningStream &stream)
 {
+    updateFleet();
     const std::uint64_t number = ++m_lastNumber;
     ToldStream &told = m_running.emplace(number, ToldStream{stream}).first->second;
     if (!isSettled(stream)) {
--- a/src/libs/relay/streamoriginexchange.h
+++ b/src/libs/relay/streamoriginexchange.h
@@ -41,6 +41,13 @@
     void withdraw(std::uint64_t number) override;
 
 private:
+    // An engine, beside which an agent may run.
+    struct RegisteredEngine
+    {
+        std::string address;
+        Decisions::KeeperAgent agent;
+    };
+
     struct ToldStream
     {
         RunningStream stream;
@@ -60,6 +67,7 @@
 
     StreamOriginExchange(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge);
     void updateFleet();
+    void updateEngines();
     void updateAgents();
     std::optional<Decisions::SoleSoftware> soleSoftware(const std::string &service) const;
     bool isSettled(const RunningStream &stream) const;
@@ -78,7 +86,9 @@
     RegisterAge m_registerAge;
     Decisions::SoftwareVersions m_software;
     Decisions::StreamKeepers m_keepers;
-    std::optional<std::uint64_t> m_agentsRevision; ///< Revision of the register from which the agents were taken.
+    std::vector<RegisteredEngine> m_engines; ///< Engines in the register.
+    std::optional<std::uint64_t> m_enginesRevision; ///< Revision of the register from which the engines were taken.
+    Core::TimePoint m_agentsUpdateTime{}; ///< Time of the next update of the agents that may keep origins.
     std::unique_ptr<StreamOriginKeeper> m_keeper;
     std::map<std::uint64_t, ToldStream> m_running; ///< Running streams, by number.
     std::map<std::uint64_t, PendingInquiry> m_inquiries; ///< By number.
--- a/tests/auto/platform/tst_resumedstreams.cpp
+++ b/tests/auto/platform/tst_resumedstreams.cpp
@@ -226,6 +226,34 @@
     EXPECT_GE(resumed, demandedShare * streams);
 }
 
+TEST_F(ResumedStreamsTest, goOnWhileTheStoreIsAway)
+{
+    waitUntilRoutersKnowEachOther();
+    m_deployment.store().setMode(StoreStandin::Mode::Silent);
+    int resumed = 0;
+    for (int stream = 0; stream < streams; ++stream) {
+        resumed += beginAndResume(static_cast<std::size_t>(stream) % routers, [] {}) ? 1 : 0;
+    }
+    EXPECT_GE(resumed, demandedShare * streams);
+}
+
+// The origin has to outlive all routers: the agent keeps it as well.
+TEST_F(ResumedStreamsTest, goOnAfterAllRoutersWereKilled)
+{
+    waitUntilRoutersKnowEachOther();
+    EXPECT_NE(send(0, "a").find("id: 1"), std::string::npos);
+    for (std::size_t router = 0; router < routers; ++router) {
+        m_deployment.stopRouter(router);
+    }
+    for (std::size_t router = 0; router < routers; ++router) {
+        m_outputs[router].clear();
+        m_deployment.restartRouter(router);
+        EXPECT_TRUE(m_deployment.runUntil([this, router] { return isPrepared(router); }));
+    }
+    EXPECT_NE(resume(1, "b", "a").find("id: 2"), std::string::npos);
+    EXPECT_EQ(versionOf("b"), versionOf("a"));
+}
+
 TEST_F(ResumedStreamsTest, areRefusedWithoutAnEngineOfTheirVersion)
 {
     waitUntilRoutersKnowEachOther();
