--- a/src/libs/agent/agentcontrol.h
+++ b/src/libs/agent/agentcontrol.h
@@ -14,11 +14,11 @@
 
 namespace Verbena::Agent {
 
-/// \brief The agent's ties to the platform: the settings tree, the host list, leases and orders to the engine.
+/// \brief Connects the agent to the platform: follows the settings tree and the host list, holds leases and sends orders to the engine.
 class AgentControl : public PeerListener
 {
 public:
-    /// \brief Starts at once; \a task has to live longer. Errors: Internal.
+    /// \brief Creates and starts the control; \a task must outlive it. Errors: Internal.
     static Core::Result<std::unique_ptr<AgentControl>> create(EventLoop::Loop &loop, const std::string &platformUrl, AgentTask &task);
 
     ~AgentControl() override;
--- a/src/libs/agent/agentsettings.h
+++ b/src/libs/agent/agentsettings.h
@@ -18,16 +18,16 @@
 
 namespace Verbena::Agent {
 
-/// \brief What kind of backend server an agent stands beside.
+/// \brief The kind of backend server that an agent serves.
 enum class BackendKind {
     Engine,
     Service,
 };
 
-/// \brief Where the files with keys are; without them the agent is open to everybody who can reach it.
+/// \brief Paths of the key files; without them, every process that can reach the agent may connect.
 struct AgentSecurity
 {
-    std::string secretKeyFile; ///< The agent's own CURVE key.
+    std::string secretKeyFile; ///< Secret CURVE key of the agent.
     std::string allowedKeysFile; ///< Public keys of the routers that may connect.
 
     bool isEnabled() const
@@ -36,7 +36,7 @@
     }
 };
 
-/// \brief Where status and metrics are served.
+/// \brief The addresses at which status and metrics are served.
 struct StatusListen
 {
     std::string address;
@@ -46,22 +46,22 @@
 /// \brief The settings of one agent process.
 struct AgentSettings
 {
-    std::string name; ///< Name of the backend server it stands beside.
+    std::string name; ///< Name of the backend server that the agent serves.
     Observe::LogOptions log;
-    std::string endpoint; ///< Where routers connect, for instance "tcp://127.0.0.1:0".
+    std::string endpoint; ///< Endpoint to which routers connect, for instance "tcp://127.0.0.1:0".
     BackendKind kind = BackendKind::Engine;
     BackendWatchOptions backend;
     RunManagerOptions runs;
     AgentSecurity security;
     std::optional<StatusListen> status;
-    std::string platformUrl; ///< Of the platform's table, object store and host list; empty if there is none.
-    std::vector<std::string> treeFiles; ///< The settings tree, in YAML files; may be empty.
-    std::chrono::microseconds leaveGrace{0}; ///< How long a leaving agent without work still refuses what comes.
+    std::string platformUrl; ///< URL of the platform's table, object store and host list; empty if there is none.
+    std::vector<std::string> treeFiles; ///< YAML files with the settings tree; may be empty.
+    std::chrono::microseconds leaveGrace{0}; ///< Time for which a leaving agent without work goes on refusing requests.
 
-    /// \brief Reads and checks a file. Errors name file, line and key of every problem.
+    /// \brief Reads and checks a file. The error names file, line and key of every problem.
     static Core::Result<AgentSettings> fromFile(const std::string &path);
 
-    /// \brief Reads from \a reader; the errors are those of fromFile().
+    /// \brief Reads the settings from \a reader; errors as for fromFile().
     static Core::Result<AgentSettings> read(Settings::SettingsReader &reader);
 };
 
--- a/src/libs/agent/agenttask.h
+++ b/src/libs/agent/agenttask.h
@@ -14,18 +14,18 @@
 
 namespace Verbena::Agent {
 
-/// \brief Takes what routers send besides requests.
+/// \brief Receives the messages of routers that are not requests.
 class PeerListener
 {
 public:
     virtual ~PeerListener() = default;
 
-    /// \brief A router that was not known can be reached now.
+    /// \brief Handles that a router which was not known has connected.
     virtual void peerJoined(const std::string &peer) = 0;
     virtual void receiveFromPeer(const std::string &peer, const verbena::wire::Envelope &message) = 0;
 };
 
-/// \brief The agent process: routers on one side, its backend server on the other.
+/// \brief The agent process, between routers and its backend server.
 class AgentTask : public Wire::MessageReceiver, public RouterSender, public SettingsTree::PeerChannel
 {
 public:
@@ -34,22 +34,22 @@
 
     std::string endpoint() const;
 
-    /// \brief Follows what \a view has in force: shares, and whether this backend server is drained. \a changed is called after that.
+    /// \brief Applies the settings in force in \a view: shares, and whether this backend server is drained. \a changed is called after each change.
     void setSettingsView(std::shared_ptr<Settings::SettingsView> view, std::function<void()> changed = {});
 
-    /// \brief Hands \a listener what routers send besides requests; null for nobody.
+    /// \brief Sets the receiver of messages that are not requests; null for none.
     void setPeerListener(PeerListener *listener);
 
-    /// \brief Called with whatever the backend server says of itself.
+    /// \brief Sets the function that is called with each report of the backend server.
     void setReportCallback(std::function<void(const BackendReport &)> callback);
 
-    /// \brief Notes whether the platform's host list says that this host is leaving.
+    /// \brief Records whether this host is leaving according to the platform's host list.
     void setListedAsLeaving(bool isLeaving);
 
-    /// \brief Takes no new work; \a finished is called once the work at hand is done and routers have had time to learn.
+    /// \brief Accepts no new requests; \a finished is called when the running ones have ended and routers have had time to learn of it.
     void leave(std::function<void()> finished);
 
-    /// \brief Reads the keys of the routers again; after an error those read before stay in use.
+    /// \brief Reads the keys of the routers again; after an error, the previous ones stay in use.
     void reloadKeys();
 
     const AgentSettings &settings() const;
@@ -91,9 +91,9 @@
     std::shared_ptr<Settings::SettingsView> m_view;
     std::function<void()> m_settingsChanged;
     PeerListener *m_peerListener = nullptr;
-    bool m_isDrained = false; ///< By an operator's order.
-    bool m_isListedAsLeaving = false; ///< By the platform's host list.
-    bool m_isEnding = false; ///< The process has been asked to end.
+    bool m_isDrained = false; ///< Whether an operator has ordered this backend server to drain.
+    bool m_isListedAsLeaving = false; ///< Whether this host is leaving according to the platform's host list.
+    bool m_isEnding = false; ///< Whether the process was asked to end.
     std::function<void()> m_finished;
     EventLoop::Timer m_beatTimer;
     EventLoop::Timer m_finishTimer;
--- a/src/libs/agent/backendwatch.h
+++ b/src/libs/agent/backendwatch.h
@@ -11,39 +11,39 @@
 
 namespace Verbena::Agent {
 
-/// \brief How closely a backend server is watched.
+/// \brief Intervals and timeouts of the monitoring of a backend server.
 struct BackendWatchOptions
 {
-    std::string url; ///< Of the backend server, for instance "http://127.0.0.1:8000".
+    std::string url; ///< URL of the backend server, for instance "http://127.0.0.1:8000".
     std::chrono::microseconds loadInterval{200000};
-    std::chrono::microseconds hangTimeout{3000000}; ///< A backend server that does not answer for so long counts as hung.
-    std::chrono::microseconds eventsInterval{50000}; ///< Between two looks for cache events.
+    std::chrono::microseconds hangTimeout{3000000}; ///< Time without an answer after which a backend server counts as hung.
+    std::chrono::microseconds eventsInterval{50000}; ///< Interval between two requests for cache events.
 };
 
-/// \brief Knows whether a backend server answers, and its incarnation.
+/// \brief Monitors whether a backend server answers, and its incarnation.
 ///
-/// Incarnations are numbered anew here: a backend server may give any number, or none at all.
+/// Incarnations are renumbered here, because a backend server may report any number or none.
 class BackendWatch
 {
 public:
     BackendWatch(EventLoop::Loop &loop, Http::HttpClient &client, const BackendWatchOptions &options, BackendListener &listener);
 
-    /// \brief Begins to ask for the load.
+    /// \brief Starts to request the load.
     void start();
 
-    /// \brief A request could not even be sent.
+    /// \brief Handles that a request could not be sent.
     void noteUnreachable(const Core::Error &error);
 
-    /// \brief An answer says that the backend server is at \a incarnation, in its own counting.
+    /// \brief Handles an answer that states \a incarnation, in the backend server's own numbering.
     void noteIncarnation(std::uint64_t incarnation);
 
-    /// \brief True until something speaks against it.
+    /// \brief Returns whether the backend server is available; true until a failure is seen.
     bool isUp() const;
 
-    /// \brief The present incarnation, as listeners know it.
+    /// \brief Returns the present incarnation, in the numbering that listeners get.
     std::uint64_t incarnation() const;
 
-    /// \brief True if \a incarnation, in the backend server's own counting, is the present one.
+    /// \brief Returns whether \a incarnation, in the backend server's own numbering, is the present one.
     bool isPresent(std::uint64_t incarnation) const;
 
 private:
@@ -59,7 +59,7 @@
     BackendListener &m_listener;
     EventLoop::Timer m_timer;
     bool m_isUp = true;
-    bool m_hasTold = false; ///< The backend server tells its incarnation.
+    bool m_hasTold = false; ///< Whether the backend server reports its incarnation.
     std::uint64_t m_toldIncarnation = 0;
     std::uint64_t m_incarnation;
     Core::TimePoint m_hungAt;
--- a/src/libs/agent/cacheeventpoller.h
+++ b/src/libs/agent/cacheeventpoller.h
@@ -8,7 +8,7 @@
 
 namespace Verbena::Agent {
 
-/// \brief Asks an engine what changed in its cache.
+/// \brief Polls an engine for the changes of its cache.
 class CacheEventPoller
 {
 public:
@@ -16,7 +16,7 @@
 
     void start();
 
-    /// \brief The engine was handed \a ref; its events name the request alone.
+    /// \brief Records that \a ref was sent to the engine, whose events name only the request, not the attempt.
     void noteRunStarted(const Decisions::RequestRef &ref);
 
 private:
@@ -31,8 +31,8 @@
     BackendWatch &m_watch;
     BackendListener &m_listener;
     EventLoop::Timer m_timer;
-    std::uint64_t m_askedIncarnation = 0; ///< As the watch knows it.
-    std::uint64_t m_next = 1; ///< Number of the first event that is still to come.
+    std::uint64_t m_askedIncarnation = 0; ///< Incarnation of the last request for events, in the watch's numbering.
+    std::uint64_t m_next = 1; ///< Number of the next event.
     std::unordered_map<std::string, std::uint32_t> m_attempts; ///< Latest attempt of each recent request.
     std::deque<std::string> m_attemptOrder;
 };
--- a/src/libs/agent/completionbody.h
+++ b/src/libs/agent/completionbody.h
@@ -8,9 +8,9 @@
 
 namespace Verbena::Agent {
 
-/// \brief The body that asks an engine for the completion in \a dispatch: streamed, with usage, priority and what to resume after.
+/// \brief Returns the body of the call to an engine for the completion in \a dispatch: streamed, with usage, priority and the text to resume after.
 ///
-/// Cached pieces are kept apart by organisation. Errors: InvalidArgument, if the dispatched body is no JSON object.
+/// Organisations share no cached pieces. Errors: InvalidArgument, if the dispatched body is no JSON object.
 Core::Result<std::string> completionBody(const verbena::wire::Dispatch &dispatch);
 
 } // namespace Verbena::Agent
--- a/src/libs/agent/engineadapter.h
+++ b/src/libs/agent/engineadapter.h
@@ -7,11 +7,11 @@
 
 namespace Verbena::Agent {
 
-/// \brief The way to a model engine: streamed completions, cancel, cache events.
+/// \brief Adapter for a model engine: streamed completions, cancellation, cache events.
 class EngineAdapter : public HttpAdapter
 {
 public:
-    /// \brief Errors: Internal, if there is no HTTP client.
+    /// \brief Creates an adapter. Errors: Internal, if no HTTP client can be created.
     static Core::Result<std::unique_ptr<BackendAdapter>> create(EventLoop::Loop &loop, const BackendWatchOptions &options, BackendListener &listener);
 
     void start() override;
--- a/src/libs/agent/framebuffer.h
+++ b/src/libs/agent/framebuffer.h
@@ -7,37 +7,37 @@
 
 namespace Verbena::Agent {
 
-/// \brief The output of one run that waits for the router to allow frames.
+/// \brief Buffers the output of one run until the router grants credit for frames.
 class FrameBuffer
 {
 public:
-    /// \brief Allows \a credit frames at first; 0 means without limit, and grants change nothing then.
+    /// \brief Starts with credit for \a credit frames; 0 means no limit, and grants then have no effect.
     explicit FrameBuffer(std::uint32_t credit);
 
     void push(std::string_view text, std::uint32_t tokens);
 
-    /// \brief Allows \a frames more.
+    /// \brief Adds credit for \a frames more frames.
     void grant(std::uint32_t frames);
 
-    /// \brief True if a frame may be sent now.
+    /// \brief Returns whether a frame may be sent now.
     bool isReady() const;
 
-    /// \brief What the next frame holds: all that waits.
+    /// \brief Returns the content of the next frame: all buffered output.
     const std::string &text() const;
     std::uint32_t tokens() const;
 
-    /// \brief The sequence number of the next frame, from 1 on.
+    /// \brief Returns the sequence number of the next frame; the first one is 1.
     std::uint64_t sequence() const;
 
-    /// \brief The next frame has been sent.
+    /// \brief Records that the next frame was sent.
     void pop();
 
-    /// \brief Drops what waits; it was never sent, so that the sequence has no gap.
+    /// \brief Discards the buffered output, which was never sent, so the sequence has no gap.
     void clear();
 
     bool isEmpty() const;
 
-    /// \brief True if so much waits that the backend server has to stop.
+    /// \brief Returns whether so much is buffered that reading from the backend server must pause.
     bool isFull() const;
 
 private:
--- a/src/libs/agent/httpadapter.h
+++ b/src/libs/agent/httpadapter.h
@@ -9,7 +9,7 @@
 
 namespace Verbena::Agent {
 
-/// \brief What adapters to backend servers that speak HTTP have in common.
+/// \brief Base class of the adapters for backend servers that speak HTTP.
 class HttpAdapter : public BackendAdapter, public RunCallOwner
 {
 public:
--- a/src/libs/agent/knownrouters.h
+++ b/src/libs/agent/knownrouters.h
@@ -9,15 +9,15 @@
 
 namespace Verbena::Agent {
 
-/// \brief The routers that have been heard of lately, in bounded memory.
+/// \brief The routers that sent a message lately, in bounded memory.
 class KnownRouters
 {
 public:
-    /// \brief Notes a sign of life; true if \a peer was not known.
+    /// \brief Records a message of \a peer; returns whether the router was not known.
     bool noteHeard(const std::string &peer, Core::TimePoint now);
     void forget(const std::string &peer);
 
-    /// \brief Forgets all that were not heard of since \a moment.
+    /// \brief Removes the routers that have sent nothing since \a moment.
     void forgetSilent(Core::TimePoint moment);
 
     const std::vector<std::string> &all() const;
--- a/src/libs/agent/modelordertask.h
+++ b/src/libs/agent/modelordertask.h
@@ -14,17 +14,17 @@
 
 namespace Verbena::Agent {
 
-/// \brief Orders the engine to hold what settings and host list ask of it, under its lease and with a permit for each load.
+/// \brief Orders the engine to load the models that settings and host list assign to it, under its lease and with a permit for each load.
 class ModelOrderTask
 {
 public:
-    /// \brief \a name is that of the engine. \a table and \a backend have to live longer.
+    /// \brief \a name is the engine's name; \a table and \a backend must outlive the task.
     ModelOrderTask(EventLoop::Loop &loop, Store::TableService &table, BackendAdapter &backend, const std::string &name, std::uint64_t seed);
 
     void setSettings(const Settings::InForceSettings &settings);
     void setHosts(const std::vector<Store::HostEntry> &hosts);
 
-    /// \brief Takes what the engine says that it holds; one that does not tell gets no orders.
+    /// \brief Handles the models that the engine reports as loaded; an engine without reports gets no orders.
     void noteReport(const BackendReport &report);
 
     std::uint64_t sentCount() const;
@@ -50,7 +50,7 @@
     std::vector<Store::HostEntry> m_hosts;
     std::vector<Decisions::ModelVersion> m_held;
     bool m_hasReport = false;
-    bool m_isDeclared = false; ///< The settings name this engine.
+    bool m_isDeclared = false; ///< Whether the settings name this engine.
     std::uint64_t m_sentCount = 0;
     std::uint64_t m_fencedCount = 0;
     EventLoop::Timer m_timer;
--- a/src/libs/agent/routeroutput.h
+++ b/src/libs/agent/routeroutput.h
@@ -18,39 +18,39 @@
 public:
     virtual ~RouterSender() = default;
 
-    /// \brief Errors, after which nothing was sent: Unavailable, if the router is gone; ResourceExhausted, if it does not read.
+    /// \brief Errors, after which nothing was sent: Unavailable, if the router has disconnected; ResourceExhausted, if it does not read.
     virtual Core::Result<void> sendToRouter(const std::string &peer, const verbena::wire::Envelope &message) = 0;
 };
 
-/// \brief Takes what a RouterOutput cannot decide.
+/// \brief Receives the events of a RouterOutput that need a decision of its owner.
 class RouterOutputOwner
 {
 public:
     virtual ~RouterOutputOwner() = default;
 
-    /// \brief Nothing reaches the router any more.
+    /// \brief Handles that the router can no longer be reached.
     virtual void routerGone(const std::string &peer) = 0;
 
-    /// \brief The run is to be flushed again.
+    /// \brief Handles that more of the run may be sent.
     virtual void retryRun(const Decisions::RequestRef &ref) = 0;
 };
 
-/// \brief Sends output and replies to routers, and keeps what a router does not read in time.
+/// \brief Sends output and replies to routers, and buffers what a router does not read in time.
 class RouterOutput
 {
 public:
     RouterOutput(EventLoop::Loop &loop, RouterSender &sender, RouterOutputOwner &owner);
 
-    /// \brief Sends a reply now, or as soon as the router reads again.
+    /// \brief Sends a reply now, or when the router reads again.
     void send(const std::string &peer, const verbena::wire::Envelope &message);
 
-    /// \brief Sends what may be sent of \a run; true once all of it has been sent, its end included.
+    /// \brief Sends the output of \a run that may be sent; returns whether all of it was sent, including its end.
     bool flush(AgentRun &run);
 
-    /// \brief Drops what is kept for \a peer.
+    /// \brief Discards the buffered messages to \a peer.
     void forget(const std::string &peer);
 
-    /// \brief True if no reply is kept.
+    /// \brief Returns whether no reply is buffered.
     bool isEmpty() const;
 
 private:
@@ -69,7 +69,7 @@
     EventLoop::Loop &m_loop;
     RouterSender &m_sender;
     RouterOutputOwner &m_owner;
-    verbena::wire::Envelope m_frame; ///< Kept, so that its memory is used again.
+    verbena::wire::Envelope m_frame; ///< Reused for every frame to avoid allocations.
     std::deque<Reply> m_replies;
     std::set<Decisions::RequestRef> m_blocked;
     std::set<std::string> m_gone;
--- a/src/libs/agent/runcall.h
+++ b/src/libs/agent/runcall.h
@@ -9,7 +9,7 @@
 
 namespace Verbena::Agent {
 
-/// \brief Takes what one call at a backend server brings.
+/// \brief Receives the outcome of one call to a backend server.
 class RunCallOwner
 {
 public:
@@ -19,7 +19,7 @@
     virtual void finishCall(const Decisions::RequestRef &ref, const BackendEnd &end, const Core::Result<int> &status) = 0;
 };
 
-/// \brief One run at a backend server over HTTP.
+/// \brief One run at a backend server, as an HTTP call.
 class RunCall : public Http::HttpReceiver
 {
 public:
@@ -29,7 +29,7 @@
     void finish(Core::Result<int> status) override;
 
 protected:
-    /// \brief Sets what the backend server's whole answer with \a status means.
+    /// \brief Sets \a end according to the backend server's answer with \a status.
     virtual void finishAnswer(int status, BackendEnd &end) = 0;
 
     void sendOutput(std::string_view text, std::uint32_t tokens);
@@ -56,13 +56,13 @@
 
     Http::SseParser m_parser;
     CompletionEventReader m_reader;
-    std::string m_batch; ///< Text of the tokens that came together.
+    std::string m_batch; ///< Text of the tokens that were received together.
     std::uint32_t m_batchTokens = 0;
     bool m_isDone = false;
     bool m_isBroken = false;
 };
 
-/// \brief A call of a plain service, whose body is passed on as it is.
+/// \brief A call to a plain service, whose body is forwarded unchanged.
 class ServiceCall : public RunCall
 {
 public:
--- a/src/libs/agent/runmanager.h
+++ b/src/libs/agent/runmanager.h
@@ -18,16 +18,16 @@
 struct RunManagerOptions
 {
     Decisions::AdmissionGateOptions gate;
-    std::size_t maximumBodyBytes = 256UL * 1024 * 1024; ///< Of all requests held.
+    std::size_t maximumBodyBytes = 256UL * 1024 * 1024; ///< Maximum size of the bodies of all held requests together.
 };
 
-/// \brief Takes requests from routers through the gate to the backend server, and the output back.
+/// \brief Passes requests of routers through admission to the backend server, and the output back.
 class RunManager : public BackendListener, public RouterOutputOwner
 {
 public:
     RunManager(EventLoop::Loop &loop, const RunManagerOptions &options, RouterSender &sender, Observe::Metrics &metrics);
 
-    /// \brief Sets the way to the backend server and begins to watch it.
+    /// \brief Sets the adapter for the backend server and starts to monitor it.
     void setBackend(std::unique_ptr<BackendAdapter> backend);
 
     // From routers
@@ -42,7 +42,7 @@
     void setShares(const std::vector<Decisions::FlowShare> &shares);
     void setLeaving(bool isLeaving);
 
-    /// \brief Called with whatever the backend server says of itself.
+    /// \brief Sets the function that is called with each report of the backend server.
     void setReportCallback(std::function<void(const BackendReport &)> callback);
     BackendAdapter &backend();
 
@@ -52,14 +52,14 @@
     const BackendAdapter &backend() const;
     const std::vector<Decisions::ModelVersion> &servedModels() const;
 
-    /// \brief Writes what routers should know, for requests with \a keys, to \a hint.
+    /// \brief Writes the load that routers should know for requests with \a keys to \a hint.
     void fillLoad(const std::vector<Decisions::PrefixKey> &keys, verbena::wire::LoadHint &hint) const;
     std::uint32_t warmPieces(const std::vector<Decisions::PrefixKey> &keys) const;
 
-    /// \brief True if no router waits for anything.
+    /// \brief Returns whether no router waits for an answer.
     bool isIdle() const;
 
-    /// \brief Called whenever the manager has become idle.
+    /// \brief Sets the function that is called whenever the manager has become idle.
     void setIdleCallback(std::function<void()> callback);
 
     void receiveOutput(const Decisions::RequestRef &ref, std::string_view text, std::uint32_t tokens) override;
@@ -96,7 +96,7 @@
     std::unique_ptr<BackendAdapter> m_backend;
     std::deque<Decisions::GateAction> m_actions;
     bool m_isPerforming = false;
-    bool m_isServingAll = true; ///< The engine does not tell what it holds.
+    bool m_isServingAll = true; ///< Whether the engine does not report its models, so that it counts as serving all.
     std::vector<Decisions::ModelVersion> m_served;
     std::function<void()> m_idleCallback;
     std::function<void(const BackendReport &)> m_reportCallback;
--- a/src/libs/agent/serviceadapter.h
+++ b/src/libs/agent/serviceadapter.h
@@ -4,11 +4,11 @@
 
 namespace Verbena::Agent {
 
-/// \brief The way to a plain service: calls are passed on as they are.
+/// \brief Adapter for a plain service; calls are forwarded unchanged.
 class ServiceAdapter : public HttpAdapter
 {
 public:
-    /// \brief Errors: Internal, if there is no HTTP client.
+    /// \brief Creates an adapter. Errors: Internal, if no HTTP client can be created.
     static Core::Result<std::unique_ptr<BackendAdapter>> create(EventLoop::Loop &loop, const BackendWatchOptions &options, BackendListener &listener);
 
     void sendOrder(const Decisions::EngineOrder &order, OrderCallback done) override;
--- a/src/libs/agent/statuspage.h
+++ b/src/libs/agent/statuspage.h
@@ -14,14 +14,14 @@
 class StatusPage : public Http::HttpHandler
 {
 public:
-    /// \brief Starts to listen. Errors: Unavailable, if the address cannot be had.
+    /// \brief Starts to listen. Errors: Unavailable, if the address cannot be bound.
     static Core::Result<std::unique_ptr<StatusPage>> create(
         EventLoop::Loop &loop, const StatusListen &listen, const AgentTask &task, Observe::Metrics &metrics);
 
-    /// \brief Shows what \a control does as well; it has to live longer than the page's last answer.
+    /// \brief Also shows the state of \a control, which must outlive the page's last answer.
     void setControl(const AgentControl *control);
 
-    /// \brief Address and port in use.
+    /// \brief Returns the address and port in use.
     std::string address() const;
 
     void handleRequest(const std::shared_ptr<Http::HttpExchange> &exchange) override;
--- a/src/libs/agent/wireconversion.h
+++ b/src/libs/agent/wireconversion.h
@@ -15,10 +15,10 @@
 
 namespace Verbena::Agent {
 
-/// \brief Why \a dispatch cannot be taken at all; nothing if it can.
+/// \brief Returns why \a dispatch is invalid; nothing if it is valid.
 std::optional<std::string> problemOf(const verbena::wire::Dispatch &dispatch);
 
-/// \brief What the gate has to know of \a run.
+/// \brief Returns the data of \a run that admission needs.
 Decisions::GateRequest gateRequestOf(const AgentRun &run);
 
 std::vector<Decisions::PrefixKey> prefixKeysOf(const google::protobuf::RepeatedField<std::uint64_t> &keys);
@@ -27,10 +27,10 @@
 
 verbena::wire::EndKind endKindOf(BackendEnd::Kind kind);
 
-/// \brief What the gate has to know of the end of \a run.
+/// \brief Returns the data of the end of \a run that admission needs.
 Decisions::RunOutcome outcomeOf(const AgentRun &run, const BackendEnd &end);
 
-/// \brief Writes all but sequence and load of the end of \a run to \a ended.
+/// \brief Writes the end of \a run to \a ended, except for sequence and load.
 void fillEnded(const AgentRun &run, verbena::wire::EndKind kind, const BackendEnd &end, verbena::wire::Ended &ended);
 
 /// \brief Writes \a load and \a heat to \a hint.
