--- a/src/libs/decisions/relay/origininquiry.cpp
+++ b/src/libs/decisions/relay/origininquiry.cpp
@@ -2,16 +2,16 @@
 
 namespace Verbena::Decisions {
 
-OriginInquiry::OriginInquiry(std::string service, std::chrono::milliseconds longestStream, const std::vector<std::string> &keepers)
+OriginInquiry::OriginInquiry(std::string service, std::chrono::milliseconds longestStream, const std::vector<std::string> &replicas)
     : m_service(std::move(service))
     , m_longestStream(longestStream)
-    , m_silent(keepers.begin(), keepers.end())
+    , m_silent(replicas.begin(), replicas.end())
 {
 }
 
-void OriginInquiry::handleAnswer(const std::string &keeper, const OriginAnswer &answer)
+void OriginInquiry::handleAnswer(const std::string &replica, const OriginAnswer &answer)
 {
-    m_silent.erase(keeper);
+    m_silent.erase(replica);
     if (answer.origin.has_value()) {
         const bool isOther = m_origin.has_value() && *m_origin != *answer.origin;
         m_origin = answer.origin;
@@ -27,7 +27,7 @@
     return m_origin.has_value() || m_silent.empty();
 }
 
-const std::set<std::string> &OriginInquiry::silentKeepers() const
+const std::set<std::string> &OriginInquiry::silentReplicas() const
 {
     return m_silent;
 }
--- a/src/libs/decisions/relay/origininquiry.h
+++ b/src/libs/decisions/relay/origininquiry.h
@@ -24,17 +24,17 @@
 class OriginInquiry
 {
 public:
-    /// \brief Asks for a stream on \a service, of which none lasts longer than \a longestStream, at \a keepers.
-    OriginInquiry(std::string service, std::chrono::milliseconds longestStream, const std::vector<std::string> &keepers);
+    /// \brief Asks for a stream on \a service, of which none lasts longer than \a longestStream, at \a replicas.
+    OriginInquiry(std::string service, std::chrono::milliseconds longestStream, const std::vector<std::string> &replicas);
 
-    /// \brief Handles the answer of \a keeper, or of this process itself if it is empty.
-    void handleAnswer(const std::string &keeper, const OriginAnswer &answer);
+    /// \brief Handles the answer of \a replica, or of this process itself if it is empty.
+    void handleAnswer(const std::string &replica, const OriginAnswer &answer);
 
     /// \brief Returns whether more answers cannot change the result.
     bool isDecided() const;
 
-    /// \brief Returns the keepers that have not answered.
-    const std::set<std::string> &silentKeepers() const;
+    /// \brief Returns the replicas that have not answered.
+    const std::set<std::string> &silentReplicas() const;
 
     /// \brief Returns where the stream may go on, by the answers so far; nothing if that is not known.
     std::optional<StreamOrigin> result() const;
--- a/src/libs/decisions/relay/streamkeepers.cpp
+++ b/src/libs/decisions/relay/originreplicas.cpp
@@ -1,4 +1,4 @@
-#include "streamkeepers.h"
+#include "originreplicas.h"
 
 #include <xxhash.h>
 
@@ -47,44 +47,44 @@
 
 } // namespace
 
-void StreamKeepers::setRouters(std::vector<std::string> routers)
+void OriginReplicas::setRouters(std::vector<std::string> routers)
 {
     m_routers = std::move(routers);
 }
 
-void StreamKeepers::setAgents(std::vector<KeeperAgent> agents)
+void OriginReplicas::setAgents(std::vector<ReplicaAgent> agents)
 {
     m_agents = std::move(agents);
 }
 
-std::vector<std::string> StreamKeepers::keepers(const StreamKey &key) const
+std::vector<std::string> OriginReplicas::replicas(const StreamKey &key) const
 {
     return ranked(key, toldOfEachKind);
 }
 
-std::vector<std::string> StreamKeepers::askedKeepers(const StreamKey &key) const
+std::vector<std::string> OriginReplicas::queriedReplicas(const StreamKey &key) const
 {
     return ranked(key, askedOfEachKind);
 }
 
-std::vector<std::string> StreamKeepers::ranked(const StreamKey &key, std::size_t countOfEachKind) const
+std::vector<std::string> OriginReplicas::ranked(const StreamKey &key, std::size_t countOfEachKind) const
 {
     const std::uint64_t seed = seedOf(key);
-    std::vector<std::string> keepers;
+    std::vector<std::string> replicas;
     for (const std::size_t index : highest(m_routers, countOfEachKind, seed, [](const std::string &router) -> const std::string & { return router; })) {
-        keepers.push_back(m_routers[index]);
+        replicas.push_back(m_routers[index]);
     }
     std::vector<std::string> others;
     std::set<std::string> domains;
-    for (const std::size_t index : highest(m_agents, consideredAgents, seed, [](const KeeperAgent &agent) -> const std::string & { return agent.address; })) {
-        const KeeperAgent &agent = m_agents[index];
+    for (const std::size_t index : highest(m_agents, consideredAgents, seed, [](const ReplicaAgent &agent) -> const std::string & { return agent.address; })) {
+        const ReplicaAgent &agent = m_agents[index];
         const bool isOfNewDomain = domains.insert(agent.failureDomain).second;
-        (isOfNewDomain && domains.size() <= countOfEachKind ? keepers : others).push_back(agent.address);
+        (isOfNewDomain && domains.size() <= countOfEachKind ? replicas : others).push_back(agent.address);
     }
     const std::size_t missing = countOfEachKind - std::min(countOfEachKind, domains.size());
     others.resize(std::min(missing, others.size()));
-    keepers.insert(keepers.end(), others.begin(), others.end());
-    return keepers;
+    replicas.insert(replicas.end(), others.begin(), others.end());
+    return replicas;
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/relay/streamorigincodec.h
+++ b/src/libs/relay/streamorigincodec.h
@@ -20,7 +20,7 @@
 /// \brief Encodes \a answer to the query of number \a id for the stream \a key.
 verbena::wire::StreamOriginAnswer encodeAnswer(std::uint64_t id, const Decisions::StreamKey &key, const Decisions::OriginAnswer &answer);
 
-/// \brief Decodes what a keeper knows.
+/// \brief Decodes what a replica knows.
 Decisions::OriginAnswer decodeAnswer(const verbena::wire::StreamOriginAnswer &answer);
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/streamoriginexchange.cpp
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -10,9 +10,9 @@
 
 namespace Verbena::Relay {
 
-using Decisions::KeeperAgent;
 using Decisions::OriginAnswer;
 using Decisions::OriginInquiry;
+using Decisions::ReplicaAgent;
 using Decisions::SoleSoftware;
 using Decisions::StreamOrigin;
 using std::chrono::milliseconds;
@@ -22,10 +22,10 @@
 // Interval at which running streams are checked, so that they are told soon after another software version appears.
 constexpr milliseconds tellInterval{250};
 
-// Interval at which a running stream is told again: keepers may be replaced while it runs.
+// Interval at which a running stream is told again: replicas may be replaced while it runs.
 constexpr milliseconds repeatInterval{2000};
 
-// Interval at which agents that have fallen silent are replaced as keepers.
+// Interval at which agents that have fallen silent are replaced as replicas.
 constexpr milliseconds agentsUpdateInterval{500};
 
 // Time after which a query is sent a second time, since datagrams may be lost: many times the round trip.
@@ -44,14 +44,14 @@
 Core::Result<std::unique_ptr<StreamOriginExchange>> StreamOriginExchange::create(
     EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge)
 {
-    auto keeper = StreamOriginKeeper::create(loop, address.address);
-    if (!keeper) {
-        return keeper.error();
+    auto replica = StreamOriginReplica::create(loop, address.address);
+    if (!replica) {
+        return replica.error();
     }
     std::unique_ptr<StreamOriginExchange> exchange(new StreamOriginExchange(loop, address, relay, std::move(registerAge)));
-    exchange->m_keeper = std::move(keeper.value());
-    exchange->m_keeper->setSoleSoftwareSource([raw = exchange.get()](const std::string &service) { return raw->soleSoftware(service); });
-    exchange->m_keeper->setAnswerReceiver(
+    exchange->m_ownReplica = std::move(replica.value());
+    exchange->m_ownReplica->setSoleSoftwareSource([raw = exchange.get()](const std::string &service) { return raw->soleSoftware(service); });
+    exchange->m_ownReplica->setAnswerReceiver(
         [raw = exchange.get()](const std::string &from, const verbena::wire::StreamOriginAnswer &answer) { raw->handleAnswer(from, answer); });
     relay.setStreamOriginControl(exchange.get());
     return exchange;
@@ -76,7 +76,7 @@
 void StreamOriginExchange::updateFleet()
 {
     m_software.update(m_relay.fleet().servers(), m_loop.now());
-    m_keepers.setRouters(m_relay.routerAddresses());
+    m_replicas.setRouters(m_relay.routerAddresses());
     const bool hadEngines = !m_engines.empty();
     if (m_enginesRevision != m_relay.fleet().servers().revision()) {
         updateEngines();
@@ -102,18 +102,18 @@
 // Some engines have no agent. A router that has just started has heard of none and takes all engines for candidates.
 void StreamOriginExchange::updateAgents()
 {
-    std::vector<KeeperAgent> all;
-    std::vector<KeeperAgent> present;
+    std::vector<ReplicaAgent> all;
+    std::vector<ReplicaAgent> present;
     for (const RegisteredEngine &engine : m_engines) {
         all.push_back(engine.agent);
         if (m_relay.fleet().hasAgent(engine.address, m_loop.now())) {
             present.push_back(engine.agent);
         }
     }
-    std::vector<KeeperAgent> &agents = present.empty() ? all : present;
+    std::vector<ReplicaAgent> &agents = present.empty() ? all : present;
     std::sort(agents.begin(), agents.end());
     agents.erase(std::unique(agents.begin(), agents.end()), agents.end());
-    m_keepers.setAgents(std::move(agents));
+    m_replicas.setAgents(std::move(agents));
 }
 
 // A copy of the register that is old may lack a version that another router has sent streams to since.
@@ -163,8 +163,8 @@
     const RunningStream &stream = told.stream;
     verbena::wire::Envelope message;
     *message.mutable_stream_origins()->add_origins() = encodeOrigin(stream.key, stream.origin, stream.longestStream);
-    for (const std::string &keeper : m_keepers.keepers(stream.key)) {
-        sendTo(keeper, message);
+    for (const std::string &replica : m_replicas.replicas(stream.key)) {
+        sendTo(replica, message);
     }
     m_relay.metrics().count("stream_origins_told_total");
 }
@@ -181,16 +181,16 @@
     m_tellTimer.startAt(now + tellInterval);
 }
 
-void StreamOriginExchange::sendTo(const std::string &keeper, const verbena::wire::Envelope &message)
+void StreamOriginExchange::sendTo(const std::string &replica, const verbena::wire::Envelope &message)
 {
-    if (keeper == m_address.ipAddress()) {
-        m_keeper->send(m_address.address, message);
-    } else if (const auto endpoint = m_address.atPeer(keeper)) {
-        m_keeper->send(endpoint->address, message);
+    if (replica == m_address.ipAddress()) {
+        m_ownReplica->send(m_address.address, message);
+    } else if (const auto endpoint = m_address.atPeer(replica)) {
+        m_ownReplica->send(endpoint->address, message);
     }
 }
 
-void StreamOriginExchange::sendQuery(std::uint64_t number, const OriginRequest &request, const std::string &keeper)
+void StreamOriginExchange::sendQuery(std::uint64_t number, const OriginRequest &request, const std::string &replica)
 {
     verbena::wire::Envelope message;
     verbena::wire::StreamOriginQuery &query = *message.mutable_stream_origin_query();
@@ -198,7 +198,7 @@
     query.set_organisation(request.key.organisation);
     query.set_attempt(request.key.attemptId);
     query.set_service(request.service);
-    sendTo(keeper, message);
+    sendTo(replica, message);
 }
 
 std::uint64_t StreamOriginExchange::find(const OriginRequest &request, Callback done)
@@ -214,8 +214,8 @@
         return 0;
     }
     const bool isFull = m_inquiries.size() >= maximumInquiries;
-    const std::vector<std::string> keepers = isFull ? std::vector<std::string>() : m_keepers.askedKeepers(request.key);
-    OriginInquiry inquiry(request.service, request.longestStream, keepers);
+    const std::vector<std::string> replicas = isFull ? std::vector<std::string>() : m_replicas.queriedReplicas(request.key);
+    OriginInquiry inquiry(request.service, request.longestStream, replicas);
     inquiry.handleAnswer("", OriginAnswer{std::nullopt, soleSoftware(request.service)});
     const std::uint64_t number = ++m_lastNumber;
     const bool isDecided = inquiry.isDecided();
@@ -224,8 +224,8 @@
         decide(number, "nobody asked");
         return 0;
     }
-    for (const std::string &keeper : keepers) {
-        sendQuery(number, request, keeper);
+    for (const std::string &replica : replicas) {
+        sendQuery(number, request, replica);
     }
     if (!m_inquiryTimer.isActive()) {
         m_inquiryTimer.startAt(now + checkInterval);
@@ -238,13 +238,13 @@
     m_inquiries.erase(number);
 }
 
-void StreamOriginExchange::handleAnswer(const std::string &keeper, const verbena::wire::StreamOriginAnswer &answer)
+void StreamOriginExchange::handleAnswer(const std::string &replica, const verbena::wire::StreamOriginAnswer &answer)
 {
     const auto pending = m_inquiries.find(answer.id());
     if (pending == m_inquiries.end()) {
         return;
     }
-    pending->second.inquiry.handleAnswer(keeper, decodeAnswer(answer));
+    pending->second.inquiry.handleAnswer(replica, decodeAnswer(answer));
     if (pending->second.inquiry.isDecided()) {
         decide(answer.id(), "answered");
     }
@@ -259,8 +259,8 @@
             overdue.push_back(number);
         } else if (now >= pending.resendTime && !pending.isResent) {
             pending.isResent = true;
-            for (const std::string &keeper : pending.inquiry.silentKeepers()) {
-                sendQuery(number, pending.request, keeper);
+            for (const std::string &replica : pending.inquiry.silentReplicas()) {
+                sendQuery(number, pending.request, replica);
             }
         }
     }
@@ -281,11 +281,11 @@
     const PendingInquiry pending = std::move(found->second);
     m_inquiries.erase(found);
     const std::optional<StreamOrigin> origin = pending.inquiry.result();
-    report(pending.request, origin, outcome, pending.inquiry.silentKeepers().size());
+    report(pending.request, origin, outcome, pending.inquiry.silentReplicas().size());
     pending.done(origin);
 }
 
-void StreamOriginExchange::report(const OriginRequest &request, const std::optional<StreamOrigin> &origin, const char *outcome, std::size_t silentKeepers)
+void StreamOriginExchange::report(const OriginRequest &request, const std::optional<StreamOrigin> &origin, const char *outcome, std::size_t silentReplicas)
 {
     m_relay.metrics().count(origin.has_value() ? "stream_origins_found_total" : "stream_origins_unknown_total");
     Observe::log(streamResumed,
@@ -295,7 +295,7 @@
             {"software", origin.has_value() ? origin->softwareVersion : ""},
             {"known", origin.has_value() ? "yes" : "no"},
             {"outcome", outcome},
-            {"silent_keepers", std::to_string(silentKeepers)}});
+            {"silent_replicas", std::to_string(silentReplicas)}});
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/streamoriginexchange.h
+++ b/src/libs/relay/streamoriginexchange.h
@@ -2,11 +2,11 @@
 
 #include "relaytask.h"
 #include "streamorigincontrol.h"
-#include "streamoriginkeeper.h"
+#include "streamoriginreplica.h"
 
 #include <decisions/relay/origininquiry.h>
+#include <decisions/relay/originreplicas.h>
 #include <decisions/relay/softwareversions.h>
-#include <decisions/relay/streamkeepers.h>
 #include <eventloop/timer.h>
 #include <http/endpoint.h>
 
@@ -45,7 +45,7 @@
     struct RegisteredEngine
     {
         std::string address;
-        Decisions::KeeperAgent agent;
+        Decisions::ReplicaAgent agent;
     };
 
     struct ToldStream
@@ -73,23 +73,23 @@
     bool isSettled(const RunningStream &stream) const;
     void tell(ToldStream &told);
     void tellRunning();
-    void sendTo(const std::string &keeper, const verbena::wire::Envelope &message);
-    void sendQuery(std::uint64_t number, const OriginRequest &request, const std::string &keeper);
-    void handleAnswer(const std::string &keeper, const verbena::wire::StreamOriginAnswer &answer);
+    void sendTo(const std::string &replica, const verbena::wire::Envelope &message);
+    void sendQuery(std::uint64_t number, const OriginRequest &request, const std::string &replica);
+    void handleAnswer(const std::string &replica, const verbena::wire::StreamOriginAnswer &answer);
     void checkInquiries();
     void decide(std::uint64_t number, const char *outcome);
-    void report(const OriginRequest &request, const std::optional<Decisions::StreamOrigin> &origin, const char *outcome, std::size_t silentKeepers);
+    void report(const OriginRequest &request, const std::optional<Decisions::StreamOrigin> &origin, const char *outcome, std::size_t silentReplicas);
 
     EventLoop::Loop &m_loop;
     Http::Endpoint m_address;
     RelayTask &m_relay;
     RegisterAge m_registerAge;
     Decisions::SoftwareVersions m_software;
-    Decisions::StreamKeepers m_keepers;
+    Decisions::OriginReplicas m_replicas;
     std::vector<RegisteredEngine> m_engines; ///< Engines in the register.
     std::optional<std::uint64_t> m_enginesRevision; ///< Revision of the register from which the engines were taken.
     Core::TimePoint m_agentsUpdateTime{}; ///< Time of the next update of the agents that may keep origins.
-    std::unique_ptr<StreamOriginKeeper> m_keeper;
+    std::unique_ptr<StreamOriginReplica> m_ownReplica;
     std::map<std::uint64_t, ToldStream> m_running; ///< Running streams, by number.
     std::map<std::uint64_t, PendingInquiry> m_inquiries; ///< By number.
     std::uint64_t m_lastNumber = 0;
--- a/src/libs/relay/streamoriginkeeper.cpp
+++ b/src/libs/relay/streamoriginreplica.cpp
@@ -1,4 +1,4 @@
-#include "streamoriginkeeper.h"
+#include "streamoriginreplica.h"
 
 #include "streamorigincodec.h"
 
@@ -19,41 +19,41 @@
 
 } // namespace
 
-Core::Result<std::unique_ptr<StreamOriginKeeper>> StreamOriginKeeper::create(EventLoop::Loop &loop, const sockaddr_in &address)
+Core::Result<std::unique_ptr<StreamOriginReplica>> StreamOriginReplica::create(EventLoop::Loop &loop, const sockaddr_in &address)
 {
-    std::unique_ptr<StreamOriginKeeper> keeper(new StreamOriginKeeper(loop));
-    const auto receive = [raw = keeper.get()](const sockaddr_in &from, const verbena::wire::Envelope &message) {
+    std::unique_ptr<StreamOriginReplica> replica(new StreamOriginReplica(loop));
+    const auto receive = [raw = replica.get()](const sockaddr_in &from, const verbena::wire::Envelope &message) {
         raw->receive(from, message);
     };
     auto socket = Wire::DatagramSocket::bind(loop, address, receive);
     if (!socket) {
         return socket.error();
     }
-    keeper->m_socket = std::move(socket.value());
-    return keeper;
+    replica->m_socket = std::move(socket.value());
+    return replica;
 }
 
-StreamOriginKeeper::StreamOriginKeeper(EventLoop::Loop &loop)
+StreamOriginReplica::StreamOriginReplica(EventLoop::Loop &loop)
     : m_loop(loop)
 {
 }
 
-void StreamOriginKeeper::setSoleSoftwareSource(SoleSoftwareSource source)
+void StreamOriginReplica::setSoleSoftwareSource(SoleSoftwareSource source)
 {
     m_soleSoftware = std::move(source);
 }
 
-void StreamOriginKeeper::setAnswerReceiver(AnswerReceiver receiver)
+void StreamOriginReplica::setAnswerReceiver(AnswerReceiver receiver)
 {
     m_answerReceiver = std::move(receiver);
 }
 
-void StreamOriginKeeper::send(const sockaddr_in &address, const verbena::wire::Envelope &message)
+void StreamOriginReplica::send(const sockaddr_in &address, const verbena::wire::Envelope &message)
 {
     m_socket->send(address, message);
 }
 
-void StreamOriginKeeper::receive(const sockaddr_in &from, const verbena::wire::Envelope &message)
+void StreamOriginReplica::receive(const sockaddr_in &from, const verbena::wire::Envelope &message)
 {
     if (message.has_stream_origins()) {
         for (const verbena::wire::StreamOrigin &told : message.stream_origins().origins()) {
@@ -66,14 +66,14 @@
     }
 }
 
-void StreamOriginKeeper::record(const verbena::wire::StreamOrigin &told)
+void StreamOriginReplica::record(const verbena::wire::StreamOrigin &told)
 {
     const Core::TimePoint now = m_loop.now();
     const milliseconds lifetime = std::min(milliseconds(told.lifetime_ms()), maximumLifetime);
     m_origins.record(decodeKey(told), decodeOrigin(told), now + lifetime, now);
 }
 
-void StreamOriginKeeper::answer(const sockaddr_in &from, const verbena::wire::StreamOriginQuery &query)
+void StreamOriginReplica::answer(const sockaddr_in &from, const verbena::wire::StreamOriginQuery &query)
 {
     const Decisions::StreamKey key{query.organisation(), query.attempt()};
     Decisions::OriginAnswer answer;
--- a/src/libs/relay/streamoriginkeeper.h
+++ b/src/libs/relay/streamoriginreplica.h
@@ -12,32 +12,32 @@
 namespace Verbena::Relay {
 
 /// \brief Keeps origins of streams that routers tell it by datagram, and answers their queries.
-class StreamOriginKeeper
+class StreamOriginReplica
 {
 public:
     /// \brief Returns the only software version of a service, if this process follows it.
     using SoleSoftwareSource = std::function<std::optional<Decisions::SoleSoftware>(const std::string &service)>;
 
     /// \brief Handles messages that are meant for a router.
-    using AnswerReceiver = std::function<void(const std::string &keeper, const verbena::wire::StreamOriginAnswer &answer)>;
+    using AnswerReceiver = std::function<void(const std::string &replica, const verbena::wire::StreamOriginAnswer &answer)>;
 
     /// \brief Binds to \a address. Errors: Unavailable.
-    static Core::Result<std::unique_ptr<StreamOriginKeeper>> create(EventLoop::Loop &loop, const sockaddr_in &address);
+    static Core::Result<std::unique_ptr<StreamOriginReplica>> create(EventLoop::Loop &loop, const sockaddr_in &address);
 
-    StreamOriginKeeper(const StreamOriginKeeper &) = delete;
-    StreamOriginKeeper &operator=(const StreamOriginKeeper &) = delete;
+    StreamOriginReplica(const StreamOriginReplica &) = delete;
+    StreamOriginReplica &operator=(const StreamOriginReplica &) = delete;
 
     /// \brief Sets the function that tells what this process knows of a service's software; without it, nothing.
     void setSoleSoftwareSource(SoleSoftwareSource source);
 
-    /// \brief Sets the function that receives answers of other keepers; without it, they are discarded.
+    /// \brief Sets the function that receives answers of other replicas; without it, they are discarded.
     void setAnswerReceiver(AnswerReceiver receiver);
 
     /// \brief Sends \a message to the process at \a address.
     void send(const sockaddr_in &address, const verbena::wire::Envelope &message);
 
 private:
-    explicit StreamOriginKeeper(EventLoop::Loop &loop);
+    explicit StreamOriginReplica(EventLoop::Loop &loop);
     void receive(const sockaddr_in &from, const verbena::wire::Envelope &message);
     void record(const verbena::wire::StreamOrigin &told);
     void answer(const sockaddr_in &from, const verbena::wire::StreamOriginQuery &query);
--- a/tests/auto/relay/tst_streamorigins.cpp
+++ b/tests/auto/relay/tst_streamorigins.cpp
@@ -1,6 +1,6 @@
 #include <decisions/relay/origininquiry.h>
+#include <decisions/relay/originreplicas.h>
 #include <decisions/relay/softwareversions.h>
-#include <decisions/relay/streamkeepers.h>
 #include <decisions/relay/streamorigins.h>
 
 #include <gtest/gtest.h>
@@ -136,25 +136,25 @@
     EXPECT_EQ(sole(10s)->duration, 0s);
 }
 
-std::vector<KeeperAgent> agents(std::size_t count)
+std::vector<ReplicaAgent> agents(std::size_t count)
 {
-    std::vector<KeeperAgent> agents;
+    std::vector<ReplicaAgent> agents;
     for (std::size_t index = 0; index < count; ++index) {
         agents.push_back({"10.1.0." + std::to_string(index), "hall-" + std::to_string(index % 3)});
     }
     return agents;
 }
 
-TEST(StreamKeepersTest, chooseRoutersAndAgentsOfSeveralFailureDomains)
+TEST(OriginReplicasTest, chooseRoutersAndAgentsOfSeveralFailureDomains)
 {
-    const std::vector<KeeperAgent> all = agents(9);
-    StreamKeepers keepers;
-    keepers.setRouters({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
-    keepers.setAgents(all);
-    const std::vector<std::string> chosen = keepers.keepers(key("a"));
+    const std::vector<ReplicaAgent> all = agents(9);
+    OriginReplicas replicas;
+    replicas.setRouters({"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+    replicas.setAgents(all);
+    const std::vector<std::string> chosen = replicas.replicas(key("a"));
     ASSERT_EQ(chosen.size(), 4U);
     std::set<std::string> domains;
-    for (const KeeperAgent &agent : all) {
+    for (const ReplicaAgent &agent : all) {
         if (std::find(chosen.begin(), chosen.end(), agent.address) != chosen.end()) {
             domains.insert(agent.failureDomain);
         }
@@ -163,16 +163,16 @@
 }
 
 // Routers that do not know the same processes must still find each other's streams.
-RC_GTEST_PROP(StreamKeepersProperty, askAKeeperThatWasToldWhereOneProcessIsUnknown, (const std::string &attempt))
+RC_GTEST_PROP(OriginReplicasProperty, queryAReplicaThatWasToldWhereOneProcessIsUnknown, (const std::string &attempt))
 {
-    StreamKeepers teller;
-    StreamKeepers asker;
+    OriginReplicas teller;
+    OriginReplicas asker;
     teller.setAgents(agents(9));
-    std::vector<KeeperAgent> fewer = agents(9);
+    std::vector<ReplicaAgent> fewer = agents(9);
     fewer.erase(fewer.begin() + *rc::gen::inRange(0, 9));
     asker.setAgents(fewer);
-    const std::vector<std::string> told = teller.keepers(key(attempt));
-    const std::vector<std::string> asked = asker.askedKeepers(key(attempt));
+    const std::vector<std::string> told = teller.replicas(key(attempt));
+    const std::vector<std::string> asked = asker.queriedReplicas(key(attempt));
     RC_ASSERT(std::any_of(told.begin(), told.end(), [&asked](const std::string &one) { return std::find(asked.begin(), asked.end(), one) != asked.end(); }));
 }
 
@@ -210,7 +210,7 @@
     EXPECT_EQ(longer.result(), origin);
 }
 
-// A keeper's record is newer than what another process believes of the service.
+// A replica's record is newer than what another process believes of the service.
 TEST(OriginInquiryTest, takesAnOriginBeforeTheOnlyVersion)
 {
     OriginInquiry inquiry("s", lifetime, {"a", "b"});
@@ -223,7 +223,7 @@
 {
     const OriginInquiry inquiry("s", lifetime, {"a", "b"});
     EXPECT_EQ(inquiry.result(), std::nullopt);
-    EXPECT_EQ(inquiry.silentKeepers().size(), 2U);
+    EXPECT_EQ(inquiry.silentReplicas().size(), 2U);
 }
 
 } // namespace
