Scan each byte of a stream once, and list routers only for streams that are told

Found on reading the change: the bytes of a resumable stream were scanned for the ends of events twice, by AnswerForwarder for the log and by its splitter; the splitter's own state serves now. discardIncompleteEvent() did what prepareNextCall() does before the next call. Each beginning stream copied the addresses of all routers, though nothing is told where a service has one version. Behaviour is as before: the tests of http and relay, tst_limitedservers and tst_resumedstreams pass.

--- a/src/libs/http/ssesplitter.cpp
+++ b/src/libs/http/ssesplitter.cpp
@@ -61,7 +61,6 @@
 {
     std::string pending;
     pending.swap(m_pending);
-    m_scanner.reset();
     return pending;
 }
 
@@ -71,6 +70,11 @@
     m_scanner.reset();
 }
 
+bool SseSplitter::isInsideEvent() const
+{
+    return m_scanner.isInsideEvent();
+}
+
 std::optional<std::uint64_t> SseSplitter::lastId() const
 {
     return m_lastId;
--- a/src/libs/http/ssesplitter.h
+++ b/src/libs/http/ssesplitter.h
@@ -24,6 +24,9 @@
     /// \brief Discards an incomplete event, for a stream that continues on another connection.
     void discardPending();
 
+    /// \brief Returns whether the bytes added since the last discardPending() end inside an event.
+    bool isInsideEvent() const;
+
     /// \brief Returns the id of the last returned event that has one.
     std::optional<std::uint64_t> lastId() const;
 
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -68,7 +68,7 @@
     if (m_state == State::Buffering && (m_isBegun || isEventStream())) {
         m_state = State::Forwarding;
     }
-    if (isEventStream()) {
+    if (isEventStream() && !m_isResumable) {
         m_scanner.skip(data);
     }
     if (m_state == State::Forwarding) {
@@ -127,11 +127,6 @@
     m_sink.abortAnswer();
 }
 
-void AnswerForwarder::discardIncompleteEvent()
-{
-    m_splitter.discardPending();
-}
-
 void AnswerForwarder::prepareNextCall()
 {
     m_state = State::None;
@@ -154,13 +149,18 @@
 
 AnswerEnding AnswerForwarder::ending() const
 {
-    return {m_framing, m_scanner.isInsideEvent()};
+    return {m_framing, isInsideEvent()};
+}
+
+bool AnswerForwarder::isInsideEvent() const
+{
+    return isEventStream() && (m_isResumable ? m_splitter.isInsideEvent() : m_scanner.isInsideEvent());
 }
 
 // With a length or a last chunk, the server itself says what is complete.
 bool AnswerForwarder::isBrokenOff() const
 {
-    return m_framing == BodyFraming::Close && m_scanner.isInsideEvent();
+    return m_framing == BodyFraming::Close && isInsideEvent();
 }
 
 int AnswerForwarder::status() const
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -62,9 +62,6 @@
     /// \brief Ends an answer that is being forwarded so that the caller can tell that it is incomplete.
     void abort();
 
-    /// \brief Discards an incomplete event, since the call has ended.
-    void discardIncompleteEvent();
-
     /// \brief Discards what was received of the current call and not forwarded, before another call.
     void prepareNextCall();
 
@@ -94,6 +91,7 @@
     };
 
     bool isEventStream() const;
+    bool isInsideEvent() const;
     void forward(std::string_view data);
     void begin();
 
@@ -107,8 +105,8 @@
     BodyFraming m_framing = BodyFraming::None; ///< Of the current call's answer.
     Http::MessageHead m_head; ///< Head of the first answer that the caller received a part of, or else of the current call's.
     std::string m_buffer;
-    Http::SseEventScanner m_scanner; ///< Follows the events of the current call.
-    Http::SseSplitter m_splitter;
+    Http::SseEventScanner m_scanner; ///< Follows the events of the current call on a route without m_splitter.
+    Http::SseSplitter m_splitter; ///< Splits resumable streams.
 };
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -559,7 +559,6 @@
         m_context.fleet.recordFailure(*m_choice, isUnreachable ? Decisions::ServerFailure::Unreachable : Decisions::ServerFailure::Full, m_context.loop.now());
     }
     m_call.reset();
-    m_answer.discardIncompleteEvent();
     if (failure == CallFailure::Lost || failure == CallFailure::ServerError) {
         ++m_attempts.runs;
     }
--- a/src/libs/relay/streamoriginexchange.cpp
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -73,9 +73,13 @@
     m_relay.setStreamOriginControl(nullptr);
 }
 
-void StreamOriginExchange::updateFleet()
+void StreamOriginExchange::updateSoftware()
 {
     m_software.update(m_relay.fleet().servers(), m_loop.now());
+}
+
+void StreamOriginExchange::updateReplicas()
+{
     m_replicas.setRouters(m_relay.routerAddresses());
     const bool hadEngines = !m_engines.empty();
     if (m_enginesRevision != m_relay.fleet().servers().revision()) {
@@ -134,10 +138,11 @@
 
 std::uint64_t StreamOriginExchange::recordBegun(const RunningStream &stream)
 {
-    updateFleet();
+    updateSoftware();
     const std::uint64_t number = ++m_lastNumber;
     ToldStream &told = m_running.emplace(number, ToldStream{stream}).first->second;
     if (!isSettled(stream)) {
+        updateReplicas();
         tell(told);
     }
     return number;
@@ -171,7 +176,8 @@
 
 void StreamOriginExchange::tellRunning()
 {
-    updateFleet();
+    updateSoftware();
+    updateReplicas();
     const Core::TimePoint now = m_loop.now();
     for (auto &[number, told] : m_running) {
         if (now >= told.nextTell && !isSettled(told.stream)) {
@@ -203,7 +209,7 @@
 
 std::uint64_t StreamOriginExchange::find(const OriginRequest &request, Callback done)
 {
-    updateFleet();
+    updateSoftware();
     const Core::TimePoint now = m_loop.now();
     if (request.key.attemptId.empty()) {
         // Nobody can be asked for a stream that the caller does not name.
@@ -213,6 +219,7 @@
         done(origin);
         return 0;
     }
+    updateReplicas();
     const bool isFull = m_inquiries.size() >= maximumInquiries;
     const std::vector<std::string> replicas = isFull ? std::vector<std::string>() : m_replicas.queriedReplicas(request.key);
     OriginInquiry inquiry(request.service, request.longestStream, replicas);
--- a/src/libs/relay/streamoriginexchange.h
+++ b/src/libs/relay/streamoriginexchange.h
@@ -66,7 +66,8 @@
     };
 
     StreamOriginExchange(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge);
-    void updateFleet();
+    void updateSoftware();
+    void updateReplicas();
     void updateEngines();
     void updateAgents();
     std::optional<Decisions::SoleSoftware> soleSoftware(const std::string &service) const;
