Use what the project had for field names and waits, and no unused counts

RunCall compared field names by a function of its own beside Http::isSameFieldName; three platform tests had the same wait, which is PlatformDeployment::runFor now; SoftwareVersions counted servers that nobody read.

--- a/src/libs/agent/runcall.cpp
+++ b/src/libs/agent/runcall.cpp
@@ -1,5 +1,7 @@
 #include "runcall.h"
 
+#include <http/messagereader.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -12,14 +14,6 @@
 // An event longer than this is no event of a completion.
 constexpr std::size_t maximumEventBytes = 1024 * 1024;
 
-bool isSameName(std::string_view left, std::string_view right)
-{
-    const auto lower = [](char letter) {
-        return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + ('a' - 'A')) : letter;
-    };
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [&lower](char a, char b) { return lower(a) == lower(b); });
-}
-
 } // namespace
 
 RunCall::RunCall(Decisions::RequestRef ref, RunCallOwner &owner)
@@ -30,9 +24,9 @@
 
 void RunCall::receiveField(std::string_view name, std::string_view value)
 {
-    if (isSameName(name, "Content-Type")) {
+    if (Http::isSameFieldName(name, "Content-Type")) {
         m_end.contentType = value;
-    } else if (isSameName(name, "Engine-Incarnation")) {
+    } else if (Http::isSameFieldName(name, "Engine-Incarnation")) {
         std::uint64_t incarnation = 0;
         if (std::from_chars(value.data(), value.data() + value.size(), incarnation).ec == std::errc()) {
             m_owner.noteEngineIncarnation(incarnation);
--- a/src/libs/decisions/relay/softwareversions.cpp
+++ b/src/libs/decisions/relay/softwareversions.cpp
@@ -11,7 +11,7 @@
     }
     for (const auto &[name, versions] : m_registered) {
         Service &service = m_services.try_emplace(name, Service{now, {}}).first->second;
-        for (const auto &[version, count] : versions) {
+        for (const std::string &version : versions) {
             service.lastSeen[version] = now;
         }
     }
@@ -22,7 +22,7 @@
     m_revision = servers.revision();
     m_registered.clear();
     for (const auto &[id, server] : servers.servers()) {
-        ++m_registered[server.service][server.softwareVersion];
+        m_registered[server.service].insert(server.softwareVersion);
     }
 }
 
@@ -32,7 +32,7 @@
     if (registered == m_registered.end() || registered->second.size() != 1) {
         return std::nullopt;
     }
-    const std::string &version = registered->second.begin()->first;
+    const std::string &version = *registered->second.begin();
     const Service &known = m_services.at(service);
     Core::TimePoint since = known.firstSeen;
     for (const auto &[other, lastSeen] : known.lastSeen) {
--- a/src/libs/decisions/relay/softwareversions.h
+++ b/src/libs/decisions/relay/softwareversions.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Verbena::Decisions {
@@ -40,7 +41,7 @@
     void collect(const ServerRegister &servers);
 
     std::map<std::string, Service> m_services;
-    std::map<std::string, std::map<std::string, std::size_t>> m_registered; ///< Number of servers by service and version.
+    std::map<std::string, std::set<std::string>> m_registered; ///< Registered versions by service.
     std::optional<std::uint64_t> m_revision; ///< Revision of the register from which m_registered was collected.
 };
 
--- a/tests/auto/platform/tst_lateconfigurations.cpp
+++ b/tests/auto/platform/tst_lateconfigurations.cpp
@@ -53,12 +53,6 @@
         return m_deployment.ask(keyOf(m_version), "/wall/2f", router).find("200 OK") != std::string::npos;
     }
 
-    void pass(std::chrono::milliseconds span)
-    {
-        const Core::TimePoint end = m_deployment.loop().now() + span;
-        m_deployment.runUntil([&] { return m_deployment.loop().now() >= end; });
-    }
-
     // How long it took until the routers before \a end had a new configuration.
     std::chrono::milliseconds worstLag(std::size_t end)
     {
@@ -70,7 +64,7 @@
         }
         while (!late.empty() && m_deployment.loop().now() < published + 20s) {
             std::erase_if(late, [this](std::size_t router) { return isInForce(router); });
-            pass(10ms);
+            m_deployment.runFor(10ms);
         }
         EXPECT_TRUE(late.empty());
         return std::chrono::duration_cast<std::chrono::milliseconds>(m_deployment.loop().now() - published);
@@ -84,7 +78,7 @@
 TEST_F(LateConfigurationsTest, comeInTimeToRoutersThatTheStoreTurnsAwayWhileOthersAreDark)
 {
     // All routers have to be named to each other.
-    pass(3s);
+    m_deployment.runFor(3s);
     for (std::size_t router = heard; router < routers; ++router) {
         m_deployment.door(router).close();
     }
@@ -93,7 +87,7 @@
     }
     std::chrono::milliseconds worst{0};
     for (int change = 0; change < changes; ++change) {
-        pass(700ms);
+        m_deployment.runFor(700ms);
         worst = std::max(worst, worstLag(routers - dark));
     }
     RecordProperty("worst_ms", static_cast<int>(worst.count()));
--- a/tests/auto/platform/tst_limitedservers.cpp
+++ b/tests/auto/platform/tst_limitedservers.cpp
@@ -91,17 +91,11 @@
         while (m_deployment.loop().now() < end) {
             const std::string answer = m_deployment.ask("secret", "/wall/2f", m_next++ % routers);
             answered += answer.find("200 OK") != std::string::npos ? 1 : 0;
-            pass(requestInterval);
+            m_deployment.runFor(requestInterval);
         }
         return answered;
     }
 
-    void pass(std::chrono::milliseconds span)
-    {
-        const Core::TimePoint end = m_deployment.loop().now() + span;
-        m_deployment.runUntil([&] { return m_deployment.loop().now() >= end; });
-    }
-
     // Sends requests to all routers in turn without waiting for their answers; each is marked with its router.
     void sendFor(std::chrono::milliseconds span)
     {
@@ -113,7 +107,7 @@
             m_callers.back()->send("POST /wall/2f HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: " + std::to_string(router) + '-'
                 + std::to_string(m_next) + "\r\nVerbenaladder-Model: m\r\nVerbenaladder-Token-Count: 100,10\r\nVerbenaladder-Prompt-Prefix: a:60,b:40\r\n"
                 + "Verbenaladder-Deadline-Ms: 5000\r\nAuthorization: Token secret\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi");
-            pass(sendInterval);
+            m_deployment.runFor(sendInterval);
         }
     }
 
--- a/tests/auto/platform/tst_resumedstreams.cpp
+++ b/tests/auto/platform/tst_resumedstreams.cpp
@@ -134,7 +134,7 @@
         for (std::size_t router = 0; router < routers; ++router) {
             EXPECT_TRUE(m_deployment.runUntil([this, router] { return hasLogged(router, "\"routers\":\"" + std::to_string(routers) + '"'); }));
         }
-        pass(1s);
+        m_deployment.runFor(1s);
     }
 
     // Begins a stream at \a router, calls \a disturb, and resumes the stream at the next router. Returns whether it went on.
@@ -153,12 +153,6 @@
         return isContinued;
     }
 
-    void pass(std::chrono::milliseconds span)
-    {
-        const Core::TimePoint end = m_deployment.loop().now() + span;
-        m_deployment.runUntil([&] { return m_deployment.loop().now() >= end; });
-    }
-
     // Sends the attempt \a id to \a router and returns the whole answer.
     std::string send(std::size_t router, const std::string &id, const std::string &fields = "")
     {
@@ -262,7 +256,7 @@
         const std::string &version = m_engines[index]->version();
         putServer("e-" + std::to_string(index), m_engines[index]->address(), version, version == versionOf("a") ? "draining" : "ready");
     }
-    pass(2s);
+    m_deployment.runFor(2s);
     const std::string answer = resume(1, "b", "a");
     EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
     EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -293,4 +293,10 @@
     return Test::runUntil(*m_loop, isDone);
 }
 
+void PlatformDeployment::runFor(std::chrono::milliseconds span)
+{
+    const Core::TimePoint end = m_loop->now() + span;
+    runUntil([this, end] { return m_loop->now() >= end; });
+}
+
 } // namespace Verbena::Test
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -107,6 +107,9 @@
 
     bool runUntil(const std::function<bool()> &isDone);
 
+    /// \brief Runs the loop for \a span.
+    void runFor(std::chrono::milliseconds span);
+
     /// \brief Returns the loopback address of the host with \a index.
     std::string hostNumber(std::size_t index) const;
 
