Say resume for taking a stream up, and name the two steps of a usage claim

Words of the users' pages had come into an event's text and comments; a comment of OriginInquiry said what the class does not do; claimUsage() and claimUsageCap() did not say which of them begins the request; the check of a server had a copy of connectTimeout.

--- a/src/libs/decisions/relay/origininquiry.h
+++ b/src/libs/decisions/relay/origininquiry.h
@@ -20,7 +20,7 @@
 
 /// \brief Collects what processes know of the origin of a stream that a caller resumes, and decides where it may go on.
 ///
-/// A process that does not answer may have been told, so its silence is not taken for an answer that nothing is known.
+/// Without an origin, the stream may go on only if some process knows one software version to have been the only one for longer than a stream lasts.
 class OriginInquiry
 {
 public:
@@ -30,7 +30,7 @@
     /// \brief Handles the answer of \a replica, or of this process itself if it is empty.
     void handleAnswer(const std::string &replica, const OriginAnswer &answer);
 
-    /// \brief Returns whether more answers cannot change the result.
+    /// \brief Returns whether the result need not wait for more answers: an origin is known, or all replicas have answered.
     bool isDecided() const;
 
     /// \brief Returns the replicas that have not answered.
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -27,9 +27,6 @@
 // only after a second.
 constexpr milliseconds connectTimeout{120};
 
-// Many times the round trip to any backend server.
-constexpr milliseconds serverCheckTimeout{120};
-
 // Subtracted from the time that a backend server is given, for the round trip.
 constexpr milliseconds networkMargin{10};
 
@@ -102,7 +99,7 @@
     if (isResumption()) {
         findOrigin();
     } else {
-        claimUsage();
+        claimUsageOrBegin();
     }
 }
 
@@ -143,7 +140,7 @@
     }
     m_service = origin->service;
     m_softwareVersion = origin->softwareVersion;
-    claimUsage();
+    claimUsageOrBegin();
 }
 
 // Other routers have to know of the stream before its caller can resume it there.
@@ -155,16 +152,16 @@
     }
 }
 
-void RelayedRequest::claimUsage()
+void RelayedRequest::claimUsageOrBegin()
 {
     if (m_organisation != nullptr && m_organisation->usageCap.has_value() && m_usage.isEnabled()) {
-        claimUsageCap();
+        claimUsage();
     } else {
         begin();
     }
 }
 
-void RelayedRequest::claimUsageCap()
+void RelayedRequest::claimUsage()
 {
     const Decisions::UsageCap &cap = *m_organisation->usageCap;
     const Decisions::UsageClaim claim{m_organisation->name, cap, m_directory->version(), usageCost(cap, m_query.tokens)};
@@ -496,7 +493,7 @@
         return;
     }
     m_serverCheck = std::make_unique<ConnectCheck>(
-        m_context.loop, endpoint.value(), m_context.loop.now() + serverCheckTimeout, [this](ConnectCheck::Finding finding) { handleServerCheck(finding); });
+        m_context.loop, endpoint.value(), m_context.loop.now() + connectTimeout, [this](ConnectCheck::Finding finding) { handleServerCheck(finding); });
 }
 
 void RelayedRequest::handleServerCheck(ConnectCheck::Finding finding)
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -81,8 +81,8 @@
     Decisions::StreamKey streamKey() const;
     std::chrono::milliseconds longestStream() const;
     void beginStream();
+    void claimUsageOrBegin();
     void claimUsage();
-    void claimUsageCap();
     Decisions::AttemptState attempts() const;
     std::uint32_t arrivals() const;
     bool mayHaveRun() const;
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -55,6 +55,6 @@
 inline constexpr Event configurationOlder{
     2133, Severity::Warning, "configuration_older", "The store holds an older configuration than the one in force, which stays in force."};
 inline constexpr Event limitChanged{2134, Severity::Warning, "limit_changed", "A backend server has named another limit, or names none any more."};
-inline constexpr Event streamResumed{2135, Severity::Info, "stream_resumed", "A caller takes a stream up; where it began has been looked up."};
+inline constexpr Event streamResumed{2135, Severity::Info, "stream_resumed", "A caller resumes a stream; where it began has been looked up."};
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/streamoriginexchange.cpp
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -36,7 +36,7 @@
 
 constexpr milliseconds checkInterval{10};
 
-// More inquiries at a time than a router that took up all streams of several others would have.
+// More inquiries at a time than a router that resumed all streams of several others would have.
 constexpr std::size_t maximumInquiries = 4096;
 
 } // namespace
--- a/src/libs/relay/streamoriginreplica.h
+++ b/src/libs/relay/streamoriginreplica.h
@@ -18,7 +18,7 @@
     /// \brief Returns the only software version of a service, if this process follows it.
     using SoleSoftwareSource = std::function<std::optional<Decisions::SoleSoftware>(const std::string &service)>;
 
-    /// \brief Handles messages that are meant for a router.
+    /// \brief Receives the answers of other replicas to queries of this process.
     using AnswerReceiver = std::function<void(const std::string &replica, const verbena::wire::StreamOriginAnswer &answer)>;
 
     /// \brief Binds to \a address. Errors: Unavailable.
