Log the shared parts of a lost call's prompt, and whether an event had come

Cause: call_failed named a digest of the whole request only, so no line told which part the lost calls shared, nor whether their answers had begun. Change: call_failed has parts, the first eight that other requests may share, and event_received. Nothing is decided by them.

--- a/src/libs/http/sseeventscanner.cpp
+++ b/src/libs/http/sseeventscanner.cpp
@@ -20,6 +20,7 @@
             m_isAtLineStart = true;
             continue;
         }
+        m_hasEvent = m_hasEvent || m_isInsideEvent;
         m_isInsideEvent = false;
         const bool isLineFeedNext = byte == '\r' && index + 1 < bytes.size() && bytes[index + 1] == '\n';
         m_isAfterCarriageReturn = m_isAfterCarriageReturn && !isLineFeedNext;
@@ -40,6 +41,11 @@
     return m_isInsideEvent;
 }
 
+bool SseEventScanner::hasEvent() const
+{
+    return m_hasEvent;
+}
+
 void SseEventScanner::reset()
 {
     *this = SseEventScanner();
--- a/src/libs/http/sseeventscanner.h
+++ b/src/libs/http/sseeventscanner.h
@@ -23,11 +23,15 @@
     /// \brief Returns whether the bytes scanned so far end inside an event.
     bool isInsideEvent() const;
 
+    /// \brief Returns whether an event has ended since the last reset().
+    bool hasEvent() const;
+
     /// \brief Starts again at the beginning of an event.
     void reset();
 
 private:
     bool m_isInsideEvent = false;
+    bool m_hasEvent = false;
     bool m_isAtLineStart = true;
     bool m_isAfterCarriageReturn = false; ///< Whether a line feed would belong to the line end that was just scanned.
 };
--- a/src/libs/http/ssesplitter.cpp
+++ b/src/libs/http/ssesplitter.cpp
@@ -75,6 +75,11 @@
     return m_scanner.isInsideEvent();
 }
 
+bool SseSplitter::hasEvent() const
+{
+    return m_scanner.hasEvent();
+}
+
 std::optional<std::uint64_t> SseSplitter::lastId() const
 {
     return m_lastId;
--- a/src/libs/http/ssesplitter.h
+++ b/src/libs/http/ssesplitter.h
@@ -27,6 +27,9 @@
     /// \brief Returns whether the bytes added since the last discardPending() end inside an event.
     bool isInsideEvent() const;
 
+    /// \brief Returns whether an event has ended in the bytes added since the last discardPending().
+    bool hasEvent() const;
+
     /// \brief Returns the id of the last returned event that has one.
     std::optional<std::uint64_t> lastId() const;
 
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -149,7 +149,7 @@
 
 AnswerEnding AnswerForwarder::ending() const
 {
-    return {m_framing, isInsideEvent()};
+    return {m_framing, isInsideEvent(), hasEvent()};
 }
 
 bool AnswerForwarder::isInsideEvent() const
@@ -157,6 +157,11 @@
     return isEventStream() && (m_isResumable ? m_splitter.isInsideEvent() : m_scanner.isInsideEvent());
 }
 
+bool AnswerForwarder::hasEvent() const
+{
+    return isEventStream() && (m_isResumable ? m_splitter.hasEvent() : m_scanner.hasEvent());
+}
+
 // With a length or a last chunk, the server itself says what is complete.
 bool AnswerForwarder::isBrokenOff() const
 {
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -30,6 +30,7 @@
 {
     BodyFraming framing = BodyFraming::None;
     bool isInsideEvent = false; ///< Whether the bytes of a stream end inside an event.
+    bool hasEvent = false; ///< Whether a whole event of a stream was received.
 };
 
 /// \brief Forwards the answer of a backend server to the caller.
@@ -74,6 +75,9 @@
     /// \brief Returns where the answer to the current call ends so far.
     AnswerEnding ending() const;
 
+    /// \brief Returns whether the current call's answer is a stream that has brought a whole event.
+    bool hasEvent() const;
+
     /// \brief Returns whether the answer to the current call, whose connection was closed regularly, is known to be incomplete.
     bool isBrokenOff() const;
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -568,7 +568,15 @@
     const AttemptAction action = chooseAction(failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
     reportFailure({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()},
-        {failure, reason, attempts(), m_arrivals, failure == CallFailure::Lost ? m_crashes.identity().text() : "", balance, action, m_answer.ending()});
+        {failure,
+            reason,
+            attempts(),
+            m_arrivals,
+            failure == CallFailure::Lost ? m_crashes.identity().text() : "",
+            failure == CallFailure::Lost ? sharedPartsText(m_query.prompt.has_value() ? &*m_query.prompt : nullptr) : "",
+            balance,
+            action,
+            m_answer.ending()});
     proceed(failure, action);
 }
 
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -2,8 +2,11 @@
 
 #include "relayevents.h"
 
+#include <decisions/relay/promptoutline.h>
 #include <observe/eventlog.h>
 
+#include <algorithm>
+
 namespace Verbena::Relay {
 
 using Decisions::FleetChoice;
@@ -35,8 +38,23 @@
     }
 }
 
+// With ids of the usual length, so many fit into a short line.
+constexpr std::size_t maximumLoggedParts = 8;
+constexpr std::size_t maximumLoggedIdBytes = 32;
+
 } // namespace
 
+std::string sharedPartsText(const Decisions::PromptOutline *prompt)
+{
+    std::string text;
+    const std::size_t sharedParts = prompt == nullptr || prompt->parts.empty() ? 0 : prompt->parts.size() - 1;
+    for (std::size_t index = 0; index < std::min(sharedParts, maximumLoggedParts); ++index) {
+        text += index == 0 ? "" : ",";
+        text += prompt->parts[index].id.substr(0, maximumLoggedIdBytes);
+    }
+    return text;
+}
+
 void reportFailure(const RequestLabel &label, const FailureReport &report)
 {
     Observe::log(callFailedEvent,
@@ -49,10 +67,12 @@
             {"arrivals", std::to_string(report.arrivals)},
             {"service", label.service},
             {"identity", report.identity},
+            {"parts", report.parts},
             {"resends_left", std::to_string(static_cast<int>(report.balance.available))},
             {"routers", std::to_string(report.balance.routerCount)},
             {"framing", std::string(bodyFramingName(report.ending.framing))},
             {"inside_event", yesOrNo(report.ending.isInsideEvent)},
+            {"event_received", yesOrNo(report.ending.hasEvent)},
             {"after_ms", text(label.after)},
             {"action", std::string(attemptActionName(report.action))}});
 }
--- a/src/libs/relay/requestreport.h
+++ b/src/libs/relay/requestreport.h
@@ -32,11 +32,15 @@
     Decisions::AttemptState attempts;
     std::uint32_t arrivals = 0;
     std::string identity; ///< Digest of the request, if the call was lost.
+    std::string parts; ///< Ids of the first parts of the prompt that other requests may share, if the call was lost.
     Decisions::ResendBalance balance;
     Decisions::AttemptAction action;
     AnswerEnding ending;
 };
 
+/// \brief Returns the ids of the first parts of \a prompt that other requests may share, for logs; \a prompt may be null.
+std::string sharedPartsText(const Decisions::PromptOutline *prompt);
+
 /// \brief Logs a failed call.
 void reportFailure(const RequestLabel &label, const FailureReport &report);
 
--- a/tests/auto/http/tst_sseevents.cpp
+++ b/tests/auto/http/tst_sseevents.cpp
@@ -56,6 +56,18 @@
     RC_ASSERT(scanner.isInsideEvent() == !isAtEnd);
 }
 
+// Blank lines before the first event, or a part of it, must not count as an event.
+TEST(SseEventScanner, tellsWhetherAnEventHasEnded)
+{
+    SseEventScanner scanner;
+    scanner.skip("\n\nid: 1\ndata: x\n");
+    EXPECT_FALSE(scanner.hasEvent());
+    scanner.skip("\nid: 2");
+    EXPECT_TRUE(scanner.hasEvent());
+    scanner.reset();
+    EXPECT_FALSE(scanner.hasEvent());
+}
+
 RC_GTEST_PROP(SseSplitter, returnsEachEventAsSoonAsItIsComplete, ())
 {
     const EventStream stream = makeStream(*rc::gen::arbitrary<std::vector<std::uint8_t>>());
