--- a/src/libs/decisions/relay/crashhistory.cpp
+++ b/src/libs/decisions/relay/crashhistory.cpp
@@ -9,27 +9,27 @@
 
 namespace {
 
-// Retention of a request with a single crash. Most requests that only ran beside a crashing one are never sent again; a crashing one is sent again soon.
+// Retention of a subject with a single crash. Most requests that only ran beside a crashing one are never sent again; a crashing one is sent again soon.
 constexpr auto singleCrashRetention = 10min;
 
-// Retention of a suspected request; longer than the longest delay between trials.
+// Retention of a suspected subject; longer than the longest delay between trials.
 constexpr auto suspicionRetention = 48h;
 
 // Time for which cleared crashes are ignored. Other routers may report a crash some time after it was cleared.
 constexpr auto clearedRetention = 1min;
 constexpr std::size_t maximumCleared = 8192;
 
-// Maximum number of requests recorded for one organisation, so that an organisation with many different requests evicts only its own records.
-constexpr std::size_t maximumRequestsPerOrganisation = 512;
+// Maximum number of subjects of one kind recorded for one organisation, so that an organisation with many different ones evicts only its own records.
+constexpr std::size_t maximumEntriesPerGroup = 512;
 
-// Delays from one trial to the next. A request is tried again because the software of the servers may have been fixed.
+// Delays from one trial to the next. A subject is tried again because the software of the servers may have been fixed.
 constexpr std::array<std::chrono::seconds, 4> trialDelays{30s, 5min, 1h, 24h};
 
 } // namespace
 
-std::pair<RequestIdentity, std::string> CrashRecord::key() const
+std::pair<CrashSubject, std::string> CrashRecord::key() const
 {
-    return {request, server};
+    return {subject, server};
 }
 
 bool CrashHistory::record(const CrashRecord &record, Core::TimePoint now)
@@ -38,13 +38,14 @@
     if (cleared != m_cleared.end() && now < cleared->second) {
         return false;
     }
-    auto entry = m_entries.find(record.request);
+    auto entry = m_entries.find(record.subject);
     if (entry == m_entries.end()) {
-        if (!evictForNewRequest(record.organisation)) {
+        const EntryGroup group{record.organisation, record.subject.kind()};
+        if (!evictForNewEntry(group)) {
             return false;
         }
-        entry = m_entries.emplace(record.request, Entry{record.organisation, {}, now}).first;
-        ++m_entryCounts[record.organisation];
+        entry = m_entries.emplace(record.subject, Entry{record.organisation, {}, now}).first;
+        ++m_entryCounts[group];
     }
     if (!entry->second.servers.insert(record.server).second) {
         return false;
@@ -53,16 +54,21 @@
     return true;
 }
 
-// Evicts the oldest request with a single crash; suspected requests stay.
-bool CrashHistory::evictForNewRequest(const std::string &organisation)
+CrashHistory::EntryGroup CrashHistory::groupOf(const Entries::value_type &entry)
 {
-    const auto entryCount = m_entryCounts.find(organisation);
-    if (entryCount == m_entryCounts.end() || entryCount->second < maximumRequestsPerOrganisation) {
+    return {entry.second.organisation, entry.first.kind()};
+}
+
+// Evicts the oldest subject with a single crash; suspected subjects stay.
+bool CrashHistory::evictForNewEntry(const EntryGroup &group)
+{
+    const auto entryCount = m_entryCounts.find(group);
+    if (entryCount == m_entryCounts.end() || entryCount->second < maximumEntriesPerGroup) {
         return true;
     }
     auto oldest = m_entries.end();
     for (auto entry = m_entries.begin(); entry != m_entries.end(); ++entry) {
-        const bool isCandidate = entry->second.organisation == organisation && entry->second.servers.size() < suspicionThreshold;
+        const bool isCandidate = groupOf(*entry) == group && entry->second.servers.size() < suspicionThreshold;
         if (isCandidate && (oldest == m_entries.end() || entry->second.lastCrashAt < oldest->second.lastCrashAt)) {
             oldest = entry;
         }
@@ -76,14 +82,14 @@
 
 void CrashHistory::removeEntry(Entries::iterator entry)
 {
-    const auto entryCount = m_entryCounts.find(entry->second.organisation);
+    const auto entryCount = m_entryCounts.find(groupOf(*entry));
     if (--entryCount->second == 0) {
         m_entryCounts.erase(entryCount);
     }
     m_entries.erase(entry);
 }
 
-void CrashHistory::markCleared(const std::pair<RequestIdentity, std::string> &key, Core::TimePoint now)
+void CrashHistory::markCleared(const std::pair<CrashSubject, std::string> &key, Core::TimePoint now)
 {
     if (m_cleared.size() >= maximumCleared) {
         m_cleared.erase(m_cleared.begin());
@@ -91,7 +97,7 @@
     m_cleared[key] = now + clearedRetention;
 }
 
-void CrashHistory::retract(const std::pair<RequestIdentity, std::string> &key, Core::TimePoint now)
+void CrashHistory::retract(const std::pair<CrashSubject, std::string> &key, Core::TimePoint now)
 {
     markCleared(key, now);
     const auto entry = m_entries.find(key.first);
@@ -100,29 +106,29 @@
     }
 }
 
-std::vector<CrashRecord> CrashHistory::records(const RequestIdentity &request) const
+std::vector<CrashRecord> CrashHistory::records(const CrashSubject &subject) const
 {
     std::vector<CrashRecord> records;
-    const auto entry = m_entries.find(request);
+    const auto entry = m_entries.find(subject);
     if (entry != m_entries.end()) {
         for (const std::string &server : entry->second.servers) {
-            records.push_back({request, server, entry->second.organisation});
+            records.push_back({subject, server, entry->second.organisation});
         }
     }
     return records;
 }
 
-std::vector<CrashRecord> CrashHistory::clear(const RequestIdentity &request, Core::TimePoint now)
+std::vector<CrashRecord> CrashHistory::clear(const CrashSubject &subject, Core::TimePoint now)
 {
-    std::vector<CrashRecord> records = this->records(request);
+    std::vector<CrashRecord> records = this->records(subject);
     if (records.empty()) {
         return records;
     }
     for (const CrashRecord &record : records) {
         markCleared(record.key(), now);
     }
-    removeEntry(m_entries.find(request));
-    m_trials.erase(request);
+    removeEntry(m_entries.find(subject));
+    m_trials.erase(subject);
     return records;
 }
 
@@ -131,21 +137,21 @@
     return m_entries.empty();
 }
 
-std::size_t CrashHistory::crashCount(const RequestIdentity &request) const
+std::size_t CrashHistory::crashCount(const CrashSubject &subject) const
 {
-    const auto entry = m_entries.find(request);
+    const auto entry = m_entries.find(subject);
     return entry == m_entries.end() ? 0 : entry->second.servers.size();
 }
 
-bool CrashHistory::isSuspected(const RequestIdentity &request) const
+bool CrashHistory::isSuspected(const CrashSubject &subject) const
 {
-    return crashCount(request) >= suspicionThreshold;
+    return crashCount(subject) >= suspicionThreshold;
 }
 
 // The delay starts when this process reads of the trial, so that a process that has just started waits for the whole delay and never for less.
-void CrashHistory::setTrials(const RequestIdentity &request, std::uint32_t count, std::uint64_t revision, Core::TimePoint now)
+void CrashHistory::setTrials(const CrashSubject &subject, std::uint32_t count, std::uint64_t revision, Core::TimePoint now)
 {
-    Trials &known = m_trials[request];
+    Trials &known = m_trials[subject];
     if (known.count == count && known.revision == revision) {
         return;
     }
@@ -154,14 +160,14 @@
     known.nextTrialAt = count == 0 ? now : now + trialDelays[std::min<std::size_t>(count, trialDelays.size()) - 1];
 }
 
-void CrashHistory::removeTrials(const RequestIdentity &request)
+void CrashHistory::removeTrials(const CrashSubject &subject)
 {
-    m_trials.erase(request);
+    m_trials.erase(subject);
 }
 
-CrashHistory::Trials CrashHistory::trials(const RequestIdentity &request) const
+CrashHistory::Trials CrashHistory::trials(const CrashSubject &subject) const
 {
-    const auto known = m_trials.find(request);
+    const auto known = m_trials.find(subject);
     return known == m_trials.end() ? Trials() : known->second;
 }
 
@@ -187,23 +193,49 @@
 std::vector<CrashRecord> CrashHistory::suspectedRecords(std::size_t limit) const
 {
     std::vector<CrashRecord> records;
-    for (const auto &[request, entry] : m_entries) {
+    for (const auto &[subject, entry] : m_entries) {
         if (entry.servers.size() < suspicionThreshold) {
             continue;
         }
         for (const std::string &server : entry.servers) {
             if (records.size() < limit) {
-                records.push_back({request, server, entry.organisation});
+                records.push_back({subject, server, entry.organisation});
             }
         }
     }
     return records;
 }
 
-std::size_t CrashHistory::suspectedRequestCount() const
+std::size_t CrashHistory::suspectedCount(CrashSubject::Kind kind) const
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [kind](const auto &entry) {
+        return entry.first.kind() == kind && entry.second.servers.size() >= suspicionThreshold;
+    }));
+}
+
+// A failed trial says nothing about the other suspects, which stay free to run as trials of their own. With equal counts, a whole request is tried before its
+// parts and a later part before an earlier one, which more requests share and which a failed trial would hold back with all of them.
+CrashSubject CrashHistory::trialSubject(const std::vector<CrashSubject> &suspects) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_entries.begin(), m_entries.end(), [](const auto &entry) { return entry.second.servers.size() >= suspicionThreshold; }));
+    CrashSubject chosen = suspects.front();
+    for (const CrashSubject &suspect : suspects) {
+        const std::size_t count = crashCount(suspect);
+        const std::size_t chosenCount = crashCount(chosen);
+        const bool isLaterPart = count == chosenCount && chosen.kind() == CrashSubject::Kind::PromptPart;
+        if (count > chosenCount || isLaterPart) {
+            chosen = suspect;
+        }
+    }
+    return chosen;
+}
+
+Core::TimePoint CrashHistory::nextTrialTime(const std::vector<CrashSubject> &suspects) const
+{
+    Core::TimePoint time{};
+    for (const CrashSubject &suspect : suspects) {
+        time = std::max(time, trials(suspect).nextTrialAt);
+    }
+    return time;
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/crashrow.h
+++ b/src/libs/decisions/relay/crashrow.h
@@ -10,10 +10,10 @@
 
 namespace Verbena::Decisions {
 
-/// \brief The number of trials of a suspected request.
+/// \brief The number of trials of a suspected subject.
 struct TrialCount
 {
-    RequestIdentity request;
+    CrashSubject subject;
     std::uint32_t count = 0;
 };
 
@@ -23,8 +23,8 @@
 /// \brief Returns the key of the row that holds \a record.
 std::string crashRowKey(const CrashRecord &record);
 
-/// \brief Returns the key of the row that counts the trials of \a request.
-std::string trialRowKey(const RequestIdentity &request);
+/// \brief Returns the key of the row that counts the trials of \a subject.
+std::string trialRowKey(const CrashSubject &subject);
 
 /// \brief Decodes the row with \a key and \a value; \a value is empty if the row was deleted. Errors: InvalidArgument.
 Core::Result<CrashRow> decodeCrashRow(const std::string &key, const std::string &value);
--- a/src/libs/relay/crashcontrol.h
+++ b/src/libs/relay/crashcontrol.h
@@ -1,19 +1,20 @@
 #pragma once
 
+#include <decisions/relay/crashsubject.h>
 #include <decisions/relay/fleetchoice.h>
-#include <decisions/relay/requestidentity.h>
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace Verbena::Relay {
 
 /// \brief A call whose connection ended before its answer was complete.
 struct LostCall
 {
-    Decisions::RequestIdentity request;
+    std::vector<Decisions::CrashSubject> subjects; ///< What may have crashed the server if it ended: the request, and parts of its prompt.
     std::string attemptId; ///< Caller's id of the request, for the log.
     std::string organisation;
     std::string serverId;
@@ -25,10 +26,11 @@
 struct TrialVerdict
 {
     bool isGranted = false;
+    Decisions::CrashSubject subject; ///< What the trial is counted for.
     std::chrono::milliseconds retryAfter{0}; ///< Time until another trial may be granted, if this one is not.
 };
 
-/// \brief Keeps track, for all routers together, of requests that crash the backend servers that run them.
+/// \brief Keeps track, for all routers together, of requests and parts of prompts that crash the backend servers that run them.
 class CrashControl
 {
 public:
@@ -37,17 +39,21 @@
 
     virtual ~CrashControl() = default;
 
-    /// \brief Returns whether there are records of any request; without records, identities need not be computed.
+    /// \brief Returns whether there are any records; without records, subjects need not be computed.
     virtual bool hasRecords() const = 0;
 
-    /// \brief Returns whether \a request may run only as a trial.
-    virtual bool isSuspected(const Decisions::RequestIdentity &request) const = 0;
+    /// \brief Returns whether requests with \a subject may run only as trials.
+    virtual bool isSuspected(const Decisions::CrashSubject &subject) const = 0;
 
-    /// \brief Asks for a trial of \a request. Returns a number for withdraw(), or 0 if \a done has already been called.
-    virtual std::uint64_t claimTrial(const Decisions::RequestIdentity &request, TrialCallback done) = 0;
+    /// \brief Returns the number of different servers that crashed while running \a subject since its last success.
+    virtual std::size_t crashCount(const Decisions::CrashSubject &subject) const = 0;
 
-    /// \brief Releases a granted trial of \a request that reached no backend server.
-    virtual void releaseTrial(const Decisions::RequestIdentity &request) = 0;
+    /// \brief Asks for a trial of a request with \a suspects, which must not be empty. Returns a number for withdraw(), or 0 if \a done has already been
+    /// called.
+    virtual std::uint64_t claimTrial(const std::vector<Decisions::CrashSubject> &suspects, TrialCallback done) = 0;
+
+    /// \brief Releases a granted trial of \a subject that reached no backend server.
+    virtual void releaseTrial(const Decisions::CrashSubject &subject) = 0;
 
     /// \brief Checks whether the backend server of \a call has ended and records a crash if so; calls \a done when this is known or cannot be determined soon.
     ///
@@ -57,8 +63,8 @@
     /// \brief Cancels the callback of \a number.
     virtual void withdraw(std::uint64_t number) = 0;
 
-    /// \brief Clears the records of \a request, which a backend server answered completely and survived.
-    virtual void handleSuccess(const Decisions::RequestIdentity &request) = 0;
+    /// \brief Clears the records of \a subjects, which a backend server has run and survived.
+    virtual void handleSuccess(const std::vector<Decisions::CrashSubject> &subjects) = 0;
 };
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/crashcontrolhandle.cpp
+++ b/src/libs/relay/crashcontrolhandle.cpp
@@ -1,10 +1,13 @@
 #include "crashcontrolhandle.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace Verbena::Relay {
 
-CrashControlHandle::CrashControlHandle(CrashControl *control, std::function<Decisions::RequestIdentity()> identity)
+CrashControlHandle::CrashControlHandle(CrashControl *control, std::function<Subjects()> makeSubjects)
     : m_control(control)
-    , m_makeIdentity(std::move(identity))
+    , m_makeSubjects(std::move(makeSubjects))
 {
 }
 
@@ -15,22 +18,49 @@
     }
 }
 
-const Decisions::RequestIdentity &CrashControlHandle::identity()
+const CrashControlHandle::Subjects &CrashControlHandle::subjects()
+{
+    if (m_subjects.empty()) {
+        m_subjects = m_makeSubjects();
+    }
+    return m_subjects;
+}
+
+const Decisions::CrashSubject &CrashControlHandle::request()
+{
+    return subjects().front();
+}
+
+CrashControlHandle::Subjects CrashControlHandle::suspects()
+{
+    Subjects suspects;
+    if (m_control != nullptr && m_control->hasRecords()) {
+        std::copy_if(subjects().begin(), subjects().end(), std::back_inserter(suspects), [this](const auto &each) { return m_control->isSuspected(each); });
+    }
+    return suspects;
+}
+
+std::optional<CrashControlHandle::Suspect> CrashControlHandle::strongestSuspect()
 {
-    if (!m_identity.has_value()) {
-        m_identity = m_makeIdentity();
+    std::optional<Suspect> strongest;
+    for (const Decisions::CrashSubject &suspect : suspects()) {
+        const std::size_t crashes = m_control->crashCount(suspect);
+        if (!strongest.has_value() || crashes > strongest->crashes) {
+            const auto index = std::find(m_subjects.begin(), m_subjects.end(), suspect) - m_subjects.begin();
+            strongest = {suspect, static_cast<std::size_t>(index), crashes};
+        }
     }
-    return *m_identity;
+    return strongest;
 }
 
 bool CrashControlHandle::isSuspected()
 {
-    return m_control != nullptr && m_control->hasRecords() && m_control->isSuspected(identity());
+    return !suspects().empty();
 }
 
 bool CrashControlHandle::isTrialRequired(std::uint32_t arrivals)
 {
-    return isSuspected() && m_trialArrivals != arrivals;
+    return m_trialArrivals != arrivals && isSuspected();
 }
 
 void CrashControlHandle::claimTrial(std::uint32_t arrivals, CrashControl::TrialCallback done)
@@ -38,20 +68,21 @@
     const auto handle = [this, arrivals, done = std::move(done)](const TrialVerdict &verdict) {
         m_pendingNumber = 0;
         m_trialArrivals = verdict.isGranted ? std::optional(arrivals) : std::nullopt;
+        m_trialSubject = verdict.subject;
         done(verdict);
     };
-    if (const std::uint64_t number = m_control->claimTrial(identity(), handle); number != 0) {
+    if (const std::uint64_t number = m_control->claimTrial(suspects(), handle); number != 0) {
         m_pendingNumber = number;
     }
 }
 
-void CrashControlHandle::handleLostCall(LostCall call, CrashControl::CheckCallback done)
+void CrashControlHandle::handleLostCall(LostCall call, bool hasEvent, CrashControl::CheckCallback done)
 {
     if (m_control == nullptr) {
         done();
         return;
     }
-    call.request = identity();
+    call.subjects = hasEvent ? Subjects{request()} : subjects();
     const auto handle = [this, done = std::move(done)] {
         m_pendingNumber = 0;
         done();
@@ -61,11 +92,18 @@
     }
 }
 
+void CrashControlHandle::handleFirstEvent()
+{
+    if (m_control != nullptr && m_control->hasRecords()) {
+        m_control->handleSuccess(Subjects(subjects().begin() + 1, subjects().end()));
+    }
+}
+
 void CrashControlHandle::handleAnswer(bool isSuccess)
 {
     m_trialArrivals.reset();
     if (isSuccess && m_control != nullptr && m_control->hasRecords()) {
-        m_control->handleSuccess(identity());
+        m_control->handleSuccess(subjects());
     }
 }
 
@@ -77,7 +115,7 @@
     m_control->withdraw(m_pendingNumber);
     m_pendingNumber = 0;
     if (m_trialArrivals == arrivals) {
-        m_control->releaseTrial(identity());
+        m_control->releaseTrial(m_trialSubject);
     }
     m_trialArrivals.reset();
 }
--- a/src/libs/relay/crashcontrolhandle.h
+++ b/src/libs/relay/crashcontrolhandle.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 namespace Verbena::Relay {
 
@@ -11,8 +12,10 @@
 class CrashControlHandle
 {
 public:
-    /// \brief \a control may be null; \a identity is called when the identity is first needed.
-    CrashControlHandle(CrashControl *control, std::function<Decisions::RequestIdentity()> identity);
+    using Subjects = std::vector<Decisions::CrashSubject>;
+
+    /// \brief \a control may be null; \a makeSubjects returns the crashSubjects() of the request and is called when they are first needed.
+    CrashControlHandle(CrashControl *control, std::function<Subjects()> makeSubjects);
     ~CrashControlHandle();
 
     CrashControlHandle(const CrashControlHandle &) = delete;
@@ -27,8 +30,12 @@
     /// \brief Asks for a trial of the request after \a arrivals; the trial is one more arrival. \a done may be called before this returns.
     void claimTrial(std::uint32_t arrivals, CrashControl::TrialCallback done);
 
-    /// \brief Reports the lost \a call; calls \a done when it is known whether its server ended, possibly before this returns.
-    void handleLostCall(LostCall call, CrashControl::CheckCallback done);
+    /// \brief Reports the lost \a call, whose subjects are set here; \a hasEvent: an event of its answer was received, so no part of its prompt keeps servers
+    /// from beginning one. Calls \a done when it is known whether its server ended, possibly before this returns.
+    void handleLostCall(LostCall call, bool hasEvent, CrashControl::CheckCallback done);
+
+    /// \brief Records that the first event of a stream was received.
+    void handleFirstEvent();
 
     /// \brief Records that the request got a complete answer, and whether that was a success.
     void handleAnswer(bool isSuccess);
@@ -36,15 +43,30 @@
     /// \brief Ends the request after \a arrivals; releases a trial that reached no backend server.
     void end(std::uint32_t arrivals);
 
-    /// \brief Returns the digest that identifies the request.
-    const Decisions::RequestIdentity &identity();
+    /// \brief Returns the subject of the whole request.
+    const Decisions::CrashSubject &request();
+
+    /// \brief The suspect with the most crashes among the subjects of the request.
+    struct Suspect
+    {
+        Decisions::CrashSubject subject;
+        std::size_t index = 0; ///< Index among the crashSubjects().
+        std::size_t crashes = 0;
+    };
+
+    /// \brief Returns the suspect for which the request is held back; nothing if it is not suspected.
+    std::optional<Suspect> strongestSuspect();
 
 private:
+    const Subjects &subjects();
+    Subjects suspects();
+
     CrashControl *m_control;
-    std::function<Decisions::RequestIdentity()> m_makeIdentity;
-    std::optional<Decisions::RequestIdentity> m_identity;
+    std::function<Subjects()> m_makeSubjects;
+    Subjects m_subjects; ///< Empty until they are needed.
     std::uint64_t m_pendingNumber = 0; ///< Number of the pending callback, for withdraw(); 0 if there is none.
     std::optional<std::uint32_t> m_trialArrivals; ///< Number of arrivals before the last granted trial.
+    Decisions::CrashSubject m_trialSubject; ///< What the last granted trial is counted for.
 };
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -6,12 +6,13 @@
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Verbena::Relay {
 
 using Decisions::CrashRecord;
-using Decisions::RequestIdentity;
+using Decisions::CrashSubject;
 using std::chrono::milliseconds;
 using Store::TableRow;
 
@@ -94,9 +95,14 @@
     return !m_history.isEmpty();
 }
 
-bool CrashGuard::isSuspected(const RequestIdentity &request) const
+bool CrashGuard::isSuspected(const CrashSubject &subject) const
 {
-    return m_history.isSuspected(request);
+    return m_history.isSuspected(subject);
+}
+
+std::size_t CrashGuard::crashCount(const CrashSubject &subject) const
+{
+    return m_history.crashCount(subject);
 }
 
 std::uint64_t CrashGuard::handleLostCall(const LostCall &call, CheckCallback done)
@@ -107,124 +113,163 @@
 
 void CrashGuard::record(const LostCall &call, const char *proof)
 {
-    const CrashRecord crash{call.request, LostCallChecker::incarnationKey(call), call.organisation};
-    if (!m_history.record(crash, m_loop.now())) {
+    std::vector<TableRow> rows;
+    for (const CrashSubject &subject : call.subjects) {
+        const CrashRecord crash{subject, LostCallChecker::incarnationKey(call), call.organisation};
+        if (m_history.record(crash, m_loop.now())) {
+            writeRecords(subject);
+            rows.push_back(rowOf(crash, false));
+            logCrash(crash, call, proof, "this router");
+        }
+    }
+    if (rows.empty()) {
         return;
     }
-    writeRecords(crash.request);
-    announce({rowOf(crash, false)});
+    announce(rows);
     m_relay.metrics().count("crashes_seen_total");
-    Observe::log(crashCounted,
-        {{"identity", crash.request.text()},
-            {"organisation", crash.organisation},
-            {"server", crash.server},
+}
+
+// Many sound parts have a single crash for a moment, so parts are logged once they are suspected.
+void CrashGuard::logCrash(const CrashRecord &record, const LostCall &call, const char *proof, const char *source) const
+{
+    const std::size_t crashes = m_history.crashCount(record.subject);
+    const bool isPart = record.subject.kind() == CrashSubject::Kind::PromptPart;
+    if (isPart && crashes < Decisions::CrashHistory::suspicionThreshold) {
+        return;
+    }
+    Observe::log(isPart ? partSuspected : crashCounted,
+        {{"identity", record.subject.text()},
+            {"organisation", record.organisation},
+            {"server", record.server},
             {"request", call.attemptId},
             {"proof", proof},
-            {"told_by", "this router"},
-            {"crashes", std::to_string(m_history.crashCount(crash.request))}});
+            {"told_by", source},
+            {"crashes", std::to_string(crashes)}});
 }
 
-// Records of a suspected request are written at once, including those received from other routers, which may end before they have written them.
-void CrashGuard::writeRecords(const RequestIdentity &request)
+// Records of a suspected subject are written at once, including those received from other routers, which may end before they have written them. Each crash
+// leaves many sound parts with a single record, which the next answer to any of them clears; these are only sent by datagram.
+void CrashGuard::writeRecords(const CrashSubject &subject)
 {
-    const Core::TimePoint due = m_history.isSuspected(request) ? m_loop.now() : m_loop.now() + writeDelay;
-    for (const CrashRecord &record : m_history.records(request)) {
+    const bool isSuspected = m_history.isSuspected(subject);
+    if (!isSuspected && subject.kind() == CrashSubject::Kind::PromptPart) {
+        return;
+    }
+    const Core::TimePoint due = isSuspected ? m_loop.now() : m_loop.now() + writeDelay;
+    for (const CrashRecord &record : m_history.records(subject)) {
         m_writer.write(Decisions::crashRowKey(record), record.organisation, due);
     }
 }
 
-void CrashGuard::handleSuccess(const RequestIdentity &request)
+void CrashGuard::handleSuccess(const std::vector<CrashSubject> &subjects)
 {
-    const std::uint32_t trials = m_history.trials(request).count;
-    const std::vector<CrashRecord> records = m_history.clear(request, m_loop.now());
-    if (records.empty()) {
-        return;
+    std::vector<TableRow> rows;
+    for (const CrashSubject &subject : subjects) {
+        const std::vector<TableRow> cleared = clear(subject);
+        rows.insert(rows.end(), cleared.begin(), cleared.end());
+    }
+    if (!rows.empty()) {
+        announce(rows);
     }
+}
+
+// Returns the deleted rows, which the other routers have to know.
+std::vector<TableRow> CrashGuard::clear(const CrashSubject &subject)
+{
+    const std::uint32_t trials = m_history.trials(subject).count;
+    const std::vector<CrashRecord> records = m_history.clear(subject, m_loop.now());
+    const bool isWritten = subject.kind() == CrashSubject::Kind::Request || records.size() >= Decisions::CrashHistory::suspicionThreshold || trials > 0;
     std::vector<TableRow> rows;
     for (const CrashRecord &record : records) {
-        m_writer.remove(Decisions::crashRowKey(record), m_loop.now() + writeDelay);
+        if (isWritten) {
+            m_writer.remove(Decisions::crashRowKey(record), m_loop.now() + writeDelay);
+        }
         rows.push_back(rowOf(record, true));
     }
-    if (trials > 0) {
-        m_writer.remove(Decisions::trialRowKey(request), m_loop.now() + writeDelay);
+    if (!records.empty() && trials > 0) {
+        m_writer.remove(Decisions::trialRowKey(subject), m_loop.now() + writeDelay);
     }
-    announce(rows);
     if (records.size() >= Decisions::CrashHistory::suspicionThreshold) {
-        Observe::log(requestCleared, {{"identity", request.text()}, {"crashes", std::to_string(records.size())}, {"trials", std::to_string(trials)}});
+        Observe::log(requestCleared, {{"identity", subject.text()}, {"crashes", std::to_string(records.size())}, {"trials", std::to_string(trials)}});
     }
+    return rows;
 }
 
-std::uint64_t CrashGuard::claimTrial(const RequestIdentity &request, TrialCallback done)
+// All suspects of a request have to be due, but the trial counts for one of them only.
+std::uint64_t CrashGuard::claimTrial(const std::vector<CrashSubject> &suspects, TrialCallback done)
 {
     const Core::TimePoint now = m_loop.now();
-    const Decisions::CrashHistory::Trials trials = m_history.trials(request);
-    if (now < trials.nextTrialAt) {
-        done({false, std::chrono::ceil<milliseconds>(trials.nextTrialAt - now)});
+    const CrashSubject subject = m_history.trialSubject(suspects);
+    const Core::TimePoint nextTrialAt = m_history.nextTrialTime(suspects);
+    if (now < nextTrialAt) {
+        done({false, subject, std::chrono::ceil<milliseconds>(nextTrialAt - now)});
         return 0;
     }
-    if (m_isStoreLost || m_pendingTrials.contains(request)) {
-        done({false, trialDuration});
+    const bool isPending = std::any_of(suspects.begin(), suspects.end(), [this](const CrashSubject &suspect) { return m_pendingTrials.contains(suspect); });
+    if (m_isStoreLost || isPending) {
+        done({false, subject, trialDuration});
         return 0;
     }
-    m_pendingTrials[request] = {++m_lastNumber, std::move(done), trials.count + 1};
-    const auto handleAnswer = [this, request](const Store::CommitAnswer &answer) {
-        handleTrialAnswer(request, answer);
+    const Decisions::CrashHistory::Trials trials = m_history.trials(subject);
+    m_pendingTrials[subject] = {++m_lastNumber, std::move(done), trials.count + 1};
+    const auto handleAnswer = [this, subject](const Store::CommitAnswer &answer) {
+        handleTrialAnswer(subject, answer);
     };
     m_store.commit(crashTable,
-        {{Decisions::trialRowKey(request), std::to_string(trials.count + 1), trials.revision}},
+        {{Decisions::trialRowKey(subject), std::to_string(trials.count + 1), trials.revision}},
         now + commitTimeout,
         m_lifetime.guard(handleAnswer));
     return m_lastNumber;
 }
 
-void CrashGuard::handleTrialAnswer(const RequestIdentity &request, const Store::CommitAnswer &answer)
+void CrashGuard::handleTrialAnswer(const CrashSubject &subject, const Store::CommitAnswer &answer)
 {
-    const PendingTrial pending = std::move(m_pendingTrials[request]);
-    m_pendingTrials.erase(request);
-    updateTrials(request, answer, pending.count);
+    const PendingTrial pending = std::move(m_pendingTrials[subject]);
+    m_pendingTrials.erase(subject);
+    updateTrials(subject, answer, pending.count);
     const bool isGranted = answer.outcome == Store::CommitOutcome::Committed;
     Observe::log(trialDecided,
-        {{"identity", request.text()},
+        {{"identity", subject.text()},
             {"granted", isGranted ? "yes" : "no"},
             {"trial", std::to_string(pending.count)},
-            {"crashes", std::to_string(m_history.crashCount(request))},
+            {"crashes", std::to_string(m_history.crashCount(subject))},
             {"detail", answer.detail}});
     m_relay.metrics().count(isGranted ? "trials_granted_total" : "trials_refused_total");
     if (pending.done) {
-        pending.done({isGranted, trialDuration});
+        pending.done({isGranted, subject, trialDuration});
     } else if (isGranted) {
-        releaseTrial(request);
+        releaseTrial(subject);
     }
 }
 
-void CrashGuard::updateTrials(const RequestIdentity &request, const Store::CommitAnswer &answer, std::uint32_t count)
+void CrashGuard::updateTrials(const CrashSubject &subject, const Store::CommitAnswer &answer, std::uint32_t count)
 {
     if (answer.outcome == Store::CommitOutcome::Committed) {
-        m_history.setTrials(request, count, answer.revision, m_loop.now());
+        m_history.setTrials(subject, count, answer.revision, m_loop.now());
         return;
     }
     if (answer.outcome == Store::CommitOutcome::Conflict && answer.current.empty()) {
-        m_history.removeTrials(request);
+        m_history.removeTrials(subject);
     }
     for (const TableRow &row : answer.current) {
         applyRow(row, "store");
     }
 }
 
-void CrashGuard::releaseTrial(const RequestIdentity &request)
+void CrashGuard::releaseTrial(const CrashSubject &subject)
 {
-    const std::uint32_t count = m_history.trials(request).count;
+    const std::uint32_t count = m_history.trials(subject).count;
     if (count > 1) {
-        m_writer.write(Decisions::trialRowKey(request), std::to_string(count - 1), m_loop.now());
+        m_writer.write(Decisions::trialRowKey(subject), std::to_string(count - 1), m_loop.now());
     } else {
-        m_writer.remove(Decisions::trialRowKey(request), m_loop.now());
-        m_history.removeTrials(request);
+        m_writer.remove(Decisions::trialRowKey(subject), m_loop.now());
+        m_history.removeTrials(subject);
     }
 }
 
 void CrashGuard::withdraw(std::uint64_t number)
 {
-    for (auto &[request, pending] : m_pendingTrials) {
+    for (auto &[subject, pending] : m_pendingTrials) {
         if (pending.number == number) {
             pending.done = nullptr;
         }
@@ -261,9 +306,9 @@
     }
     const auto &trials = std::get<Decisions::TrialCount>(decoded.value());
     if (row.isDeleted) {
-        m_history.removeTrials(trials.request);
+        m_history.removeTrials(trials.subject);
     } else {
-        m_history.setTrials(trials.request, trials.count, row.revision, m_loop.now());
+        m_history.setTrials(trials.subject, trials.count, row.revision, m_loop.now());
     }
 }
 
@@ -272,14 +317,7 @@
     if (isDeleted) {
         m_history.retract(record.key(), m_loop.now());
     } else if (m_history.record(record, m_loop.now())) {
-        Observe::log(crashCounted,
-            {{"identity", record.request.text()},
-                {"organisation", record.organisation},
-                {"server", record.server},
-                {"request", ""},
-                {"proof", ""},
-                {"told_by", source},
-                {"crashes", std::to_string(m_history.crashCount(record.request))}});
+        logCrash(record, {}, "", source);
     }
 }
 
@@ -318,7 +356,7 @@
     for (const CrashRecord &expired : m_history.expire(now)) {
         if (m_relay.isRandomlyChosen()) {
             m_writer.remove(Decisions::crashRowKey(expired), now);
-            m_writer.remove(Decisions::trialRowKey(expired.request), now);
+            m_writer.remove(Decisions::trialRowKey(expired.subject), now);
         }
     }
     if (m_isStoreLost || m_writer.isUnconfirmed()) {
@@ -328,7 +366,8 @@
         }
         announce(rows);
     }
-    m_relay.metrics().setGauge("requests_suspected", static_cast<double>(m_history.suspectedRequestCount()));
+    m_relay.metrics().setGauge("requests_suspected", static_cast<double>(m_history.suspectedCount(CrashSubject::Kind::Request)));
+    m_relay.metrics().setGauge("parts_suspected", static_cast<double>(m_history.suspectedCount(CrashSubject::Kind::PromptPart)));
     m_timer.startAt(now + checkInterval);
 }
 
--- a/src/libs/relay/crashguard.h
+++ b/src/libs/relay/crashguard.h
@@ -21,10 +21,10 @@
 
 namespace Verbena::Relay {
 
-/// \brief Limits, together with all other routers, how many backend servers a request can crash.
+/// \brief Limits, together with all other routers, how many backend servers a request, or a part of prompts, can crash.
 ///
 /// Crashes that one router observes are written to a table of the store that all routers follow, and sent to the other routers by datagram. The table
-/// outlives every process; the datagrams work while the store is unavailable. Trials of a suspected request are granted by a conditional write to the same
+/// outlives every process; the datagrams work while the store is unavailable. Trials of a suspected subject are granted by a conditional write to the same
 /// table, so all routers together grant one at a time.
 class CrashGuard : public CrashControl, private Store::RowConsumer
 {
@@ -51,12 +51,13 @@
     void showAge(TableAgeMonitor &monitor);
 
     bool hasRecords() const override;
-    bool isSuspected(const Decisions::RequestIdentity &request) const override;
-    std::uint64_t claimTrial(const Decisions::RequestIdentity &request, TrialCallback done) override;
-    void releaseTrial(const Decisions::RequestIdentity &request) override;
+    bool isSuspected(const Decisions::CrashSubject &subject) const override;
+    std::size_t crashCount(const Decisions::CrashSubject &subject) const override;
+    std::uint64_t claimTrial(const std::vector<Decisions::CrashSubject> &suspects, TrialCallback done) override;
+    void releaseTrial(const Decisions::CrashSubject &subject) override;
     std::uint64_t handleLostCall(const LostCall &call, CheckCallback done) override;
     void withdraw(std::uint64_t number) override;
-    void handleSuccess(const Decisions::RequestIdentity &request) override;
+    void handleSuccess(const std::vector<Decisions::CrashSubject> &subjects) override;
 
 private:
     struct PendingTrial
@@ -77,9 +78,11 @@
     void applyRow(const Store::TableRow &row, const char *source);
     void applyRecord(const Decisions::CrashRecord &record, bool isDeleted, const char *source);
     void record(const LostCall &call, const char *proof);
-    void writeRecords(const Decisions::RequestIdentity &request);
-    void handleTrialAnswer(const Decisions::RequestIdentity &request, const Store::CommitAnswer &answer);
-    void updateTrials(const Decisions::RequestIdentity &request, const Store::CommitAnswer &answer, std::uint32_t count);
+    void logCrash(const Decisions::CrashRecord &record, const LostCall &call, const char *proof, const char *source) const;
+    std::vector<Store::TableRow> clear(const Decisions::CrashSubject &subject);
+    void writeRecords(const Decisions::CrashSubject &subject);
+    void handleTrialAnswer(const Decisions::CrashSubject &subject, const Store::CommitAnswer &answer);
+    void updateTrials(const Decisions::CrashSubject &subject, const Store::CommitAnswer &answer, std::uint32_t count);
     void announce(const std::vector<Store::TableRow> &rows);
     void checkPeriodically();
 
@@ -92,7 +95,7 @@
     CrashRowWriter m_writer;
     LostCallChecker m_lostCalls;
     std::unique_ptr<CrashGossip> m_gossip;
-    std::map<Decisions::RequestIdentity, PendingTrial> m_pendingTrials;
+    std::map<Decisions::CrashSubject, PendingTrial> m_pendingTrials;
     std::uint64_t m_lastNumber = 0;
     bool m_isStoreLost = false;
     EventLoop::Timer m_timer;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -69,7 +69,7 @@
     , m_usage(context.usage)
     , m_crashes(context.crashes,
           [this] {
-              return Decisions::RequestIdentity::of({organisationName(), m_head.method, m_query.host, m_query.path, m_body});
+              return Decisions::crashSubjects({organisationName(), m_head.method, m_query.host, m_query.path, m_body}, prompt());
           })
     , m_origin(context.origins)
 {
@@ -197,6 +197,11 @@
     return m_organisation != nullptr ? m_organisation->name : "";
 }
 
+const Decisions::PromptOutline *RelayedRequest::prompt() const
+{
+    return m_query.prompt.has_value() ? &*m_query.prompt : nullptr;
+}
+
 bool RelayedRequest::admit()
 {
     RequestAdmission admission = admitRequest(m_context.protocol, m_directory.get(), m_head, m_arrival);
@@ -241,7 +246,7 @@
     Decisions::FleetQuery query;
     query.service = m_service;
     query.route = m_route->name;
-    query.prompt = m_query.prompt.has_value() ? &*m_query.prompt : nullptr;
+    query.prompt = prompt();
     query.dedicatedTo = m_organisation != nullptr && m_organisation->isDedicated ? m_organisation->name : "";
     query.softwareVersion = m_softwareVersion;
     query.excluded = m_excluded;
@@ -250,7 +255,7 @@
     return query;
 }
 
-// A request that several backend servers crashed on is sent only as a trial, which is granted to one router at a time.
+// A request that, itself or with a part of its prompt, several backend servers crashed on is sent only as a trial, which is granted to one router at a time.
 void RelayedRequest::begin()
 {
     if (!m_crashes.isSuspected()) {
@@ -263,7 +268,9 @@
             return;
         }
         recordBarred("turned away");
-        refuse(503, "Backend servers ended under this request; it has not run.", Decisions::retryDelay(verdict.retryAfter, remainingTime()));
+        refuse(503,
+            "Backend servers ended under this request or a part of its prompt; it has not run.",
+            Decisions::retryDelay(verdict.retryAfter, remainingTime()));
     });
 }
 
@@ -271,7 +278,13 @@
 {
     m_context.metrics.count("requests_barred_total");
     const std::string server = m_choice.has_value() ? m_choice->serverId : "";
-    reportBarred({m_query.attemptId, m_service, server, sinceArrival()}, m_crashes.identity().text(), organisationName(), outcome, m_arrivals);
+    BarredReport report{"", "", 0, organisationName(), outcome, m_arrivals};
+    if (const auto suspect = m_crashes.strongestSuspect()) {
+        report.identity = suspect->subject.text();
+        report.part = suspect->index > 0 ? Decisions::sharedParts(prompt())[suspect->index - 1].id : "";
+        report.crashes = suspect->crashes;
+    }
+    reportBarred({m_query.attemptId, m_service, server, sinceArrival()}, report);
 }
 
 void RelayedRequest::dispatch()
@@ -426,7 +439,11 @@
 {
     handleFirstPart();
     const bool wasBegun = m_answer.isBegun();
+    const bool hadEvent = m_answer.ending().hasEvent;
     const bool isForwarded = m_answer.receiveBody(data);
+    if (m_answer.ending().hasEvent && !hadEvent) {
+        m_crashes.handleFirstEvent();
+    }
     if (m_answer.isBegun() && !wasBegun) {
         beginStream();
     }
@@ -532,11 +549,12 @@
         return;
     }
     closeCall(failure);
+    const bool hasEvent = m_answer.ending().hasEvent;
     const LostCall call{{}, m_query.attemptId, organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address};
     if (mayResendInTime(failure)) {
-        m_crashes.handleLostCall(call, [this, failure, text = std::string(reason)] { decide(failure, text); });
+        m_crashes.handleLostCall(call, hasEvent, [this, failure, text = std::string(reason)] { decide(failure, text); });
     } else {
-        m_crashes.handleLostCall(call, [] {});
+        m_crashes.handleLostCall(call, hasEvent, [] {});
         decide(failure, reason);
     }
 }
@@ -572,8 +590,8 @@
             reason,
             attempts(),
             m_arrivals,
-            failure == CallFailure::Lost ? m_crashes.identity().text() : "",
-            failure == CallFailure::Lost ? sharedPartsText(m_query.prompt.has_value() ? &*m_query.prompt : nullptr) : "",
+            failure == CallFailure::Lost ? m_crashes.request().text() : "",
+            failure == CallFailure::Lost ? sharedPartsText(prompt()) : "",
             balance,
             action,
             m_answer.ending()});
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -10,9 +10,9 @@
 #include "usagereservation.h"
 
 #include <decisions/relay/attemptpolicy.h>
+#include <decisions/relay/crashsubject.h>
 #include <decisions/relay/relaydirectory.h>
 #include <decisions/relay/relayfleet.h>
-#include <decisions/relay/requestidentity.h>
 #include <decisions/relay/resendbudget.h>
 #include <decisions/spread/randomsource.h>
 #include <eventloop/timer.h>
@@ -87,6 +87,7 @@
     std::uint32_t arrivals() const;
     bool mayHaveRun() const;
     std::string organisationName() const;
+    const Decisions::PromptOutline *prompt() const;
     void begin();
     void dispatch();
     bool awaitLimit();
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -37,7 +37,7 @@
     2121, Severity::Warning, "router_stood_still", "This process did nothing for a while; what callers sent meanwhile is read now."};
 
 inline constexpr Event crashCounted{2122, Severity::Warning, "crash_counted", "A backend server ended while it ran a request."};
-inline constexpr Event requestCleared{2123, Severity::Info, "request_cleared", "A suspected request was answered whole; it is free again."};
+inline constexpr Event requestCleared{2123, Severity::Info, "request_cleared", "What was suspected to end backend servers was answered; it is free again."};
 inline constexpr Event trialDecided{2124, Severity::Warning, "trial_decided", "A suspected request asked to run once, as the only one of its kind."};
 inline constexpr Event requestBarred{
     2125, Severity::Warning, "request_barred", "A request was turned away, or not sent again, as backend servers ended under it."};
@@ -56,5 +56,6 @@
     2133, Severity::Warning, "configuration_older", "The store holds an older configuration than the one in force, which stays in force."};
 inline constexpr Event limitChanged{2134, Severity::Warning, "limit_changed", "A backend server has named another limit, or names none any more."};
 inline constexpr Event streamResumed{2135, Severity::Info, "stream_resumed", "A caller resumes a stream; where it began has been looked up."};
+inline constexpr Event partSuspected{2136, Severity::Warning, "part_suspected", "Backend servers ended before they had begun to answer a part of a prompt."};
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -77,15 +77,17 @@
             {"action", std::string(attemptActionName(report.action))}});
 }
 
-void reportBarred(const RequestLabel &label, const std::string &identity, const std::string &organisation, std::string_view outcome, std::uint32_t arrivals)
+void reportBarred(const RequestLabel &label, const BarredReport &report)
 {
     Observe::log(requestBarred,
         {{"request", label.attemptId},
-            {"identity", identity},
-            {"organisation", organisation},
+            {"identity", report.identity},
+            {"part", report.part.substr(0, maximumLoggedIdBytes)},
+            {"crashes", std::to_string(report.crashes)},
+            {"organisation", report.organisation},
             {"service", label.service},
-            {"outcome", std::string(outcome)},
-            {"arrivals", std::to_string(arrivals)}});
+            {"outcome", std::string(report.outcome)},
+            {"arrivals", std::to_string(report.arrivals)}});
 }
 
 void reportReplaced(const RequestLabel &label, const std::string &by)
--- a/src/libs/relay/requestreport.h
+++ b/src/libs/relay/requestreport.h
@@ -44,8 +44,19 @@
 /// \brief Logs a failed call.
 void reportFailure(const RequestLabel &label, const FailureReport &report);
 
-/// \brief Logs that a request of \a organisation with \a identity was not sent after \a arrivals because backend servers ended while they ran it.
-void reportBarred(const RequestLabel &label, const std::string &identity, const std::string &organisation, std::string_view outcome, std::uint32_t arrivals);
+/// \brief A request that was not sent, or not sent again, because backend servers ended while they ran it or a part of its prompt.
+struct BarredReport
+{
+    std::string identity; ///< Text of the suspect.
+    std::string part; ///< Id of the suspected part; empty if the whole request is suspected.
+    std::size_t crashes = 0; ///< Crashes of the suspect.
+    std::string organisation;
+    std::string_view outcome;
+    std::uint32_t arrivals = 0;
+};
+
+/// \brief Logs that a request was barred.
+void reportBarred(const RequestLabel &label, const BarredReport &report);
 
 /// \brief Logs that the backend server \a by answered instead of the one that the request was sent to.
 void reportReplaced(const RequestLabel &label, const std::string &by);
--- a/tests/auto/relay/crashmodel.cpp
+++ b/tests/auto/relay/crashmodel.cpp
@@ -1,12 +1,13 @@
 #include "crashmodel.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Verbena::Test {
 
 using namespace std::chrono_literals;
 using Decisions::CrashRecord;
-using Decisions::RequestIdentity;
+using Decisions::CrashSubject;
 
 namespace {
 
@@ -14,21 +15,46 @@
 constexpr auto step = 50ms;
 constexpr auto simulatedTime = 90s;
 constexpr auto contactTime = 3s;
+constexpr const char *organisation = "dams";
+constexpr std::uint64_t rareParts = 12;
 
 // Time from a commit until followers read it.
 constexpr auto followDelay = 50ms;
 
 } // namespace
 
-CrashModel::CrashModel(std::uint64_t seed)
+CrashModel::CrashModel(std::uint64_t seed, Kind kind)
     : m_random(seed)
     , m_now(1h)
     , m_routers(routerCount)
-    , m_crashing(RequestIdentity::of({"dams", "POST", "x", "/p", "bad"}))
-    , m_innocent(RequestIdentity::of({"dams", "GET", "x", "/poll", ""}))
+    , m_kind(kind)
 {
 }
 
+CrashModel::Subjects CrashModel::nextCrashing()
+{
+    if (m_kind == Kind::Request) {
+        return {CrashSubject::ofRequest({organisation, "POST", "x", "/p", "bad"})};
+    }
+    Subjects subjects = nextInnocent();
+    subjects.push_back(CrashSubject::ofPromptPart(organisation, "bad"));
+    return subjects;
+}
+
+CrashModel::Subjects CrashModel::nextInnocent()
+{
+    if (m_kind == Kind::Request) {
+        const CrashSubject poll = CrashSubject::ofRequest({organisation, "GET", "x", "/poll", ""});
+        m_innocent.insert(poll);
+        return {poll};
+    }
+    const CrashSubject shared = CrashSubject::ofPromptPart(organisation, "shared");
+    const CrashSubject rare = CrashSubject::ofPromptPart(organisation, std::to_string(m_random.next() % rareParts));
+    m_innocent.insert(shared);
+    m_innocent.insert(rare);
+    return {CrashSubject::ofRequest({organisation, "POST", "x", "/p", std::to_string(++m_lastRequest)}), shared, rare};
+}
+
 int CrashModel::retries() const
 {
     return m_retries;
@@ -76,7 +102,7 @@
         return;
     }
     router.followedChange = m_now >= m_changedAt + followDelay ? m_changeNumber : 0;
-    std::set<std::pair<RequestIdentity, std::string>> present;
+    std::set<std::pair<CrashSubject, std::string>> present;
     for (const Row &row : m_rows) {
         present.insert(row.record.key());
         if (m_now >= row.visibleTime) {
@@ -120,57 +146,78 @@
     router.unwritten.clear();
 }
 
-void CrashModel::recordCrash(Router &router, const RequestIdentity &request, const std::string &server)
+void CrashModel::recordCrash(Router &router, const Subjects &subjects, const std::string &server)
 {
-    const CrashRecord record{request, server, "dams"};
-    if (router.history.record(record, m_now)) {
-        router.unwritten.push_back(record);
+    for (const CrashSubject &subject : subjects) {
+        const CrashRecord record{subject, server, organisation};
+        if (router.history.record(record, m_now)) {
+            router.unwritten.push_back(record);
+        }
     }
 }
 
-bool CrashModel::claimTrial(Router &router, const RequestIdentity &request)
+CrashModel::Subjects CrashModel::suspectsOf(const Router &router, const Subjects &subjects)
 {
-    const auto known = router.history.trials(request);
-    auto &row = m_trials[request];
-    if (!reaches(router) || m_now < known.nextTrialAt || row.second != known.revision) {
+    Subjects suspects;
+    std::copy_if(subjects.begin(), subjects.end(), std::back_inserter(suspects), [&router](const auto &each) { return router.history.isSuspected(each); });
+    return suspects;
+}
+
+bool CrashModel::mayRun(Router &router, const Subjects &subjects)
+{
+    const Subjects suspects = suspectsOf(router, subjects);
+    return suspects.empty() || claimTrial(router, suspects);
+}
+
+bool CrashModel::claimTrial(Router &router, const Subjects &suspects)
+{
+    const CrashSubject subject = router.history.trialSubject(suspects);
+    const auto known = router.history.trials(subject);
+    auto &row = m_trials[subject];
+    if (!reaches(router) || m_now < router.history.nextTrialTime(suspects) || row.second != known.revision) {
         return false;
     }
     row = {known.count + 1, ++m_revision};
-    router.history.setTrials(request, row.first, row.second, m_now);
+    router.history.setTrials(subject, row.first, row.second, m_now);
     return true;
 }
 
 void CrashModel::sendCrashing(Router &router)
 {
-    if (router.history.isSuspected(m_crashing) && !claimTrial(router, m_crashing)) {
+    const Subjects subjects = nextCrashing();
+    if (!mayRun(router, subjects)) {
         return;
     }
+    const std::size_t knownCrashes = m_kind == Kind::Request ? 3 : 5;
     const bool isConnected = m_now >= router.connectedSince + contactTime && m_now >= m_storeHealthySince + contactTime && !router.isDisconnected;
-    if (m_crashes.size() >= 3 && m_now > m_crashes[2] + contactTime && isConnected) {
+    if (m_crashes.size() >= knownCrashes && m_now > m_crashes[knownCrashes - 1] + contactTime && isConnected) {
         ++m_retries;
     }
     m_crashes.push_back(m_now);
     const std::string server = "s" + std::to_string(m_crashes.size());
-    recordCrash(router, m_crashing, server);
-    // The same server ran the innocent request for another router, which may still be running to observe the crash.
-    recordCrash(m_routers[m_random.next() % m_routers.size()], m_innocent, server);
+    recordCrash(router, subjects, server);
+    // The same server ran an innocent request for another router, which may still be running to observe the crash.
+    recordCrash(m_routers[m_random.next() % m_routers.size()], nextInnocent(), server);
 }
 
-void CrashModel::clear(Router &router)
+void CrashModel::clear(Router &router, const CrashSubject &subject)
 {
-    for (const CrashRecord &record : router.history.clear(m_innocent, m_now)) {
+    for (const CrashRecord &record : router.history.clear(subject, m_now)) {
         std::erase_if(m_rows, [&record](const Row &row) { return row.record.key() == record.key(); });
         markRowsChanged();
     }
-    std::erase_if(router.unwritten, [this](const CrashRecord &record) { return record.request == m_innocent; });
-    m_trials.erase(m_innocent);
-    router.history.removeTrials(m_innocent);
+    std::erase_if(router.unwritten, [&subject](const CrashRecord &record) { return record.subject == subject; });
+    m_trials.erase(subject);
+    router.history.removeTrials(subject);
 }
 
-void CrashModel::sendInnocent(Router &router)
+void CrashModel::sendInnocent(Router &router, const Subjects &subjects)
 {
-    if (reaches(router) && (!router.history.isSuspected(m_innocent) || claimTrial(router, m_innocent))) {
-        clear(router);
+    if (!reaches(router) || !mayRun(router, subjects)) {
+        return;
+    }
+    for (const CrashSubject &subject : subjects) {
+        clear(router, subject);
     }
 }
 
@@ -184,7 +231,7 @@
             follow(router);
         }
         sendCrashing(m_routers[m_random.next() % m_routers.size()]);
-        sendInnocent(m_routers[m_random.next() % m_routers.size()]);
+        sendInnocent(m_routers[m_random.next() % m_routers.size()], nextInnocent());
         m_now += step;
     }
     m_storeAvailableAt = m_now;
@@ -198,7 +245,9 @@
         follow(router);
     }
     for (Router &router : m_routers) {
-        sendInnocent(router);
+        for (const CrashSubject &subject : m_innocent) {
+            sendInnocent(router, {subject});
+        }
     }
     for (Router &router : m_routers) {
         follow(router);
@@ -207,7 +256,9 @@
 
 int CrashModel::routersSuspectingInnocent() const
 {
-    return static_cast<int>(std::count_if(m_routers.begin(), m_routers.end(), [this](const Router &router) { return router.history.isSuspected(m_innocent); }));
+    return static_cast<int>(std::count_if(m_routers.begin(), m_routers.end(), [this](const Router &router) {
+        return std::any_of(m_innocent.begin(), m_innocent.end(), [&router](const auto &each) { return router.history.isSuspected(each); });
+    }));
 }
 
 } // namespace Verbena::Test
--- a/tests/auto/relay/tst_crashguard.cpp
+++ b/tests/auto/relay/tst_crashguard.cpp
@@ -61,10 +61,10 @@
         m_guard = std::move(CrashGuard::create(loop, m_store, m_mirror, m_store, endpoint, *m_relay, Store::FollowTimes::within(2000ms)).value());
     }
 
-    void loseCall(const Decisions::RequestIdentity &request, const std::string &server)
+    void loseCall(const Decisions::CrashSubject &request, const std::string &server)
     {
         bool isChecked = false;
-        m_guard->handleLostCall({request, "a1", "dams", server, 1, refusedAddress}, [&isChecked] { isChecked = true; });
+        m_guard->handleLostCall({{request}, "a1", "dams", server, 1, refusedAddress}, [&isChecked] { isChecked = true; });
         EXPECT_TRUE(runUntil(m_loop, [&isChecked] { return isChecked; }));
     }
 
@@ -106,7 +106,7 @@
     const auto loop = std::move(EventLoop::Loop::create().value());
     GuardedRouter witness(*loop, addressOf(1));
     GuardedRouter other(*loop, addressOf(2));
-    const auto request = Decisions::RequestIdentity::of({"dams", "POST", "x", "/safe/", "crash"});
+    const auto request = Decisions::CrashSubject::ofRequest({"dams", "POST", "x", "/safe/", "crash"});
     witness.loseCall(request, "s1");
     witness.loseCall(request, "s2");
     ASSERT_TRUE(witness.guard().isSuspected(request));
--- a/tests/auto/relay/tst_crashhistory.cpp
+++ b/tests/auto/relay/tst_crashhistory.cpp
@@ -15,9 +15,9 @@
 
 constexpr Core::TimePoint start{1h};
 
-RequestIdentity request(const std::string &body, const std::string &organisation = "dams")
+CrashSubject request(const std::string &body, const std::string &organisation = "dams")
 {
-    return RequestIdentity::of({organisation, "POST", "x", "/p", body});
+    return CrashSubject::ofRequest({organisation, "POST", "x", "/p", body});
 }
 
 CrashRecord crash(const std::string &body, const std::string &server, const std::string &organisation = "dams")
@@ -59,7 +59,7 @@
     history.record(crash("a", "s2", "dams"), start);
     EXPECT_TRUE(history.isSuspected(request("a", "dams")));
     EXPECT_FALSE(history.isSuspected(request("a", "roads")));
-    EXPECT_NE(RequestIdentity::of({"a", "", "", "", "b"}), RequestIdentity::of({"", "", "", "", "ab"}));
+    EXPECT_NE(CrashSubject::ofRequest({"a", "", "", "", "b"}), CrashSubject::ofRequest({"", "", "", "", "ab"}));
 }
 
 // Many different requests of one organisation must not evict the records of others or its own suspected requests.
@@ -108,21 +108,67 @@
     const auto read = decodeCrashRow(crashRowKey(record), record.organisation);
     ASSERT_TRUE(read);
     EXPECT_EQ(std::get<CrashRecord>(read.value()).key(), record.key());
-    const auto trials = decodeCrashRow(trialRowKey(record.request), "3");
+    const auto trials = decodeCrashRow(trialRowKey(record.subject), "3");
     ASSERT_TRUE(trials);
     EXPECT_EQ(std::get<TrialCount>(trials.value()).count, 3U);
     for (const char *key : {"", "crash.", "crash.00", "trial.zz", "other.00112233445566778899aabbccddeeff.s"}) {
         EXPECT_FALSE(decodeCrashRow(key, "")) << key;
     }
-    EXPECT_FALSE(decodeCrashRow(trialRowKey(record.request), "3x"));
+    EXPECT_FALSE(decodeCrashRow(trialRowKey(record.subject), "3x"));
     EXPECT_FALSE(decodeCrashRow(crashRowKey(record).substr(0, crashRowKey(record).size() - 6), ""));
 }
 
+// Rows of parts must not be taken for rows of whole requests.
+TEST(CrashRowTest, tellsPartsFromRequests)
+{
+    const CrashRecord record{CrashSubject::ofPromptPart("dams", "a"), "i-1.0", "dams"};
+    const auto read = decodeCrashRow(crashRowKey(record), record.organisation);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(std::get<CrashRecord>(read.value()).key(), record.key());
+    EXPECT_EQ(std::get<CrashRecord>(read.value()).subject.kind(), CrashSubject::Kind::PromptPart);
+    EXPECT_TRUE(decodeCrashRow(trialRowKey(record.subject), "1"));
+    EXPECT_FALSE(decodeCrashRow("crash.part-00.i-1", ""));
+    EXPECT_FALSE(decodeCrashRow(trialRowKey(record.subject) + ".i-1", "1"));
+}
+
+// The last part of a prompt belongs to one request, and a caller that names many parts must not fill the records.
+TEST(CrashSubjectTest, takesTheSharedPartsOfAPromptUpToALimit)
+{
+    PromptOutline prompt;
+    prompt.parts = {{"first", 1}, {"second", 1}, {"own", 1}};
+    const std::vector<CrashSubject> subjects = crashSubjects({"dams", "POST", "x", "/p", "a"}, &prompt);
+    ASSERT_EQ(subjects.size(), 3U);
+    EXPECT_EQ(subjects[0], request("a"));
+    EXPECT_EQ(subjects[2], CrashSubject::ofPromptPart("dams", "second"));
+    EXPECT_NE(subjects[2], CrashSubject::ofPromptPart("roads", "second"));
+    prompt.parts.resize(1000);
+    EXPECT_LT(crashSubjects({"dams", "POST", "x", "/p", "a"}, &prompt).size(), 20U);
+    EXPECT_EQ(crashSubjects({"dams", "POST", "x", "/p", "a"}, nullptr).size(), 1U);
+}
+
+// A failed trial of a request with several suspects must not hold back those that others share.
+TEST(CrashHistoryTest, countsATrialForTheStrongestSuspectOnly)
+{
+    const CrashSubject shared = CrashSubject::ofPromptPart("dams", "shared");
+    const CrashSubject bad = CrashSubject::ofPromptPart("dams", "bad");
+    CrashHistory history;
+    for (const char *server : {"s1", "s2"}) {
+        history.record({shared, server, "dams"}, start);
+        history.record({bad, server, "dams"}, start);
+    }
+    EXPECT_EQ(history.trialSubject({shared, bad}), bad) << "fewer requests share a later part";
+    history.record({shared, "s3", "dams"}, start);
+    EXPECT_EQ(history.trialSubject({shared, bad}), shared);
+    history.setTrials(bad, 1, 7, start);
+    EXPECT_GT(history.nextTrialTime({shared, bad}), start);
+    EXPECT_LE(history.nextTrialTime({shared}), start);
+}
+
 // For any sequence of kills and lost connections, connected routers must not send a request that crashes its servers to more of them than trials allow.
 TEST(CrashModelTest, allowsAtMostThreeRetriesAfterTheThirdCrash)
 {
     EXPECT_TRUE(rc::check([](std::uint64_t seed) {
-        CrashModel model(seed);
+        CrashModel model(seed, CrashModel::Kind::Request);
         model.run();
         RC_ASSERT(model.retries() <= 3);
     }));
@@ -132,7 +178,27 @@
 TEST(CrashModelTest, clearsARequestThatOnlyRanBesideCrashes)
 {
     EXPECT_TRUE(rc::check([](std::uint64_t seed) {
-        CrashModel model(seed);
+        CrashModel model(seed, CrashModel::Kind::Request);
+        model.run();
+        RC_ASSERT(model.routersSuspectingInnocent() == 0);
+    }));
+}
+
+// Requests of which no two are alike must not reach servers again and again for a part that they share.
+TEST(CrashModelTest, allowsAtMostThreeRetriesOfAPartAfterTheFifthCrash)
+{
+    EXPECT_TRUE(rc::check([](std::uint64_t seed) {
+        CrashModel model(seed, CrashModel::Kind::PromptPart);
+        model.run();
+        RC_ASSERT(model.retries() <= 3);
+    }));
+}
+
+// Parts that sound requests share with crashing ones must not stay refused.
+TEST(CrashModelTest, clearsPartsThatOnlyRanBesideCrashes)
+{
+    EXPECT_TRUE(rc::check([](std::uint64_t seed) {
+        CrashModel model(seed, CrashModel::Kind::PromptPart);
         model.run();
         RC_ASSERT(model.routersSuspectingInnocent() == 0);
     }));
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -4,10 +4,15 @@
 
 namespace {
 
-// Within it all routers know of the third crash; so many more may follow.
+// Within it all routers know of the cause of the last of so many crashes; so many more may follow.
 constexpr std::chrono::seconds contactTime{3};
 constexpr int mostRetries = 3;
 
+int knownCrashes(CrashCause cause)
+{
+    return cause == CrashCause::Request ? 3 : 5;
+}
+
 // The platform allows no shorter interval between orders of two holders.
 constexpr std::chrono::seconds handoverInterval{3};
 
@@ -43,19 +48,22 @@
     }
 }
 
-void Ledger::noteCrash(Core::TimePoint now)
+void Ledger::noteCrash(CrashCause cause, Core::TimePoint now)
 {
-    if (++m_crashes == 3) {
-        m_thirdCrash = now;
+    Crashes &crashes = m_crashes[cause];
+    if (++crashes.count == knownCrashes(cause)) {
+        crashes.knownSince = now;
     }
-    if (m_crashes > 3 && now > m_thirdCrash + contactTime && ++m_retries > mostRetries) {
-        noteBroken("the request that crashes servers reached one again, crash " + std::to_string(m_crashes));
+    if (crashes.count > knownCrashes(cause) && now > crashes.knownSince + contactTime && ++crashes.retries > mostRetries) {
+        const std::string what = cause == CrashCause::Request ? "the request that crashes servers" : "a request with the part that crashes servers";
+        noteBroken(what + " reached one again, crash " + std::to_string(crashes.count));
     }
 }
 
-int Ledger::crashes() const
+int Ledger::crashes(CrashCause cause) const
 {
-    return m_crashes;
+    const auto crashes = m_crashes.find(cause);
+    return crashes == m_crashes.end() ? 0 : crashes->second.count;
 }
 
 // Another process may take over an engine's orders, but only after the interval and with a higher fence.
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -18,6 +18,12 @@
     Core::TimePoint receivedAt;
 };
 
+/// \brief What crashes the backend servers.
+enum class CrashCause {
+    Request, ///< A request that comes again and again.
+    PromptPart, ///< A part of the prompts of different requests.
+};
+
 /// \brief What callers and backend servers saw, held against the promises.
 class Ledger
 {
@@ -36,10 +42,10 @@
 
     void noteServed();
 
-    /// \brief The request that crashes backend servers ended one at \a now.
-    void noteCrash(Core::TimePoint now);
+    /// \brief A backend server ended at \a now by \a cause.
+    void noteCrash(CrashCause cause, Core::TimePoint now);
 
-    int crashes() const;
+    int crashes(CrashCause cause) const;
 
     /// \brief All that was broken, in the order in which it was seen.
     const std::vector<std::string> &broken() const;
@@ -48,15 +54,20 @@
     int runs() const;
 
 private:
+    struct Crashes
+    {
+        int count = 0;
+        Core::TimePoint knownSince{}; ///< Time of the crash after which all routers have to know of the cause.
+        int retries = 0; ///< Crashes later than the contact time after it.
+    };
+
     std::map<std::string, int> m_runs; ///< By id, of requests that may run once.
     std::set<std::string> m_promised;
     std::map<std::string, Order> m_lastOrders; ///< By engine.
     std::vector<std::string> m_broken;
     int m_served = 0;
     int m_allRuns = 0;
-    int m_crashes = 0;
-    Core::TimePoint m_thirdCrash{};
-    int m_retries = 0; ///< Crashes later than the contact time after the third.
+    std::map<CrashCause, Crashes> m_crashes;
 };
 
 } // namespace Verbena::Soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -67,9 +67,8 @@
                 m_world.random(),
                 [this](std::size_t router, const std::string &path, int status) { noteAnswer(router, path, status); }));
         }
-        m_callers.push_back(std::make_unique<SoakCaller>(
-            m_world.loop(), m_world.routerEndpoints(), "crashing", m_world.ledger(), m_world.random(), [](std::size_t, const std::string &, int) {}));
-        m_callers.back()->sendCrashing();
+        startCrashingCaller("crashing", CrashCause::Request);
+        startCrashingCaller("crashing-part", CrashCause::PromptPart);
         // One more for each router asks for the route that only the newest configuration has.
         m_highest.resize(m_world.routerCount());
         for (std::size_t router = 0; router < m_world.routerCount(); ++router) {
@@ -84,6 +83,13 @@
         }
     }
 
+    void startCrashingCaller(const std::string &name, CrashCause cause)
+    {
+        m_callers.push_back(std::make_unique<SoakCaller>(
+            m_world.loop(), m_world.routerEndpoints(), name, m_world.ledger(), m_world.random(), [](std::size_t, const std::string &, int) {}));
+        m_callers.back()->sendCrashing(cause);
+    }
+
     void noteAnswer(std::size_t router, const std::string &path, int status)
     {
         if (m_isCalm && status == 200) {
@@ -227,8 +233,9 @@
     bool report()
     {
         const Ledger &ledger = m_world.ledger();
-        std::cout << "served " << ledger.served() << ", runs " << ledger.runs() << ", crashes " << ledger.crashes() << ", configuration "
-                  << m_world.newestPath() << ", weights " << m_world.newestWeights() << ", broken " << ledger.broken().size() << std::endl;
+        std::cout << "served " << ledger.served() << ", runs " << ledger.runs() << ", crashes " << ledger.crashes(CrashCause::Request) << " and "
+                  << ledger.crashes(CrashCause::PromptPart) << ", configuration " << m_world.newestPath() << ", weights " << m_world.newestWeights()
+                  << ", broken " << ledger.broken().size() << std::endl;
         for (const std::string &what : ledger.broken()) {
             std::cout << "BROKEN: " << what << std::endl;
         }
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -57,9 +57,9 @@
     m_pinnedPath = path;
 }
 
-void SoakCaller::sendCrashing()
+void SoakCaller::sendCrashing(CrashCause cause)
 {
-    m_isCrashing = true;
+    m_crashCause = cause;
 }
 
 void SoakCaller::stop()
@@ -95,13 +95,16 @@
     }
     m_reader = std::make_unique<Http::MessageReader>(Http::MessageReader::Kind::Answers, *this, Http::MessageLimits{});
     m_id = m_name + '.' + std::to_string(++m_count);
-    m_path = m_isCrashing ? "/safe/" : m_path;
-    m_token = m_isCrashing ? crashingToken : "token-" + m_id;
+    if (m_crashCause.has_value()) {
+        m_path = *m_crashCause == CrashCause::Request ? "/safe/" : "/resume/";
+    }
+    m_token = m_crashCause == CrashCause::Request ? crashingToken : "token-" + m_id;
     m_body.clear();
     m_isWaiting = true;
     m_isWhole = false;
+    const std::string parts = m_crashCause == CrashCause::PromptPart ? std::string("a:3,") + crashingPart + ":2,b:5" : "a:5,b:5";
     const std::string model
-        = m_path == "/resume/" ? "Verbenaladder-Model: m\r\nVerbenaladder-Token-Count: 10,10\r\nVerbenaladder-Prompt-Prefix: a:5,b:5\r\n" : "";
+        = m_path == "/resume/" ? "Verbenaladder-Model: m\r\nVerbenaladder-Token-Count: 10,10\r\nVerbenaladder-Prompt-Prefix: " + parts + "\r\n" : "";
     m_channel->write("POST " + m_path + "x HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: " + m_id + "\r\n" + model + "Verbenaladder-Deadline-Ms: "
         + std::to_string(deadlineMilliseconds) + "\r\nAuthorization: Token secret\r\nContent-Length: " + std::to_string(m_token.size()) + "\r\n\r\n" + m_token);
     m_timer.startAt(m_loop.now() + milliseconds(deadlineMilliseconds) + patience);
@@ -162,7 +165,7 @@
     }
     m_listener(m_router, m_path, status);
     if (!m_isStopped) {
-        const milliseconds next = m_isCrashing ? crashingPause : status == 200 ? pause : pauseAfterFailure;
+        const milliseconds next = m_crashCause.has_value() ? crashingPause : status == 200 ? pause : pauseAfterFailure;
         m_timer.startAt(m_loop.now() + next);
     }
 }
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,8 +37,8 @@
     /// \brief Asks for one path of one router only, again and again.
     void pinTo(std::size_t router, const std::string &path);
 
-    /// \brief Sends nothing but the request that crashes the backend servers that run it, to any router.
-    void sendCrashing();
+    /// \brief Sends nothing but requests that crash the backend servers that run them by \a cause, to any router.
+    void sendCrashing(CrashCause cause);
 
     void stop();
 
@@ -73,7 +74,7 @@
     bool m_isWaiting = false;
     bool m_isWhole = false;
     bool m_isStopped = false;
-    bool m_isCrashing = false;
+    std::optional<CrashCause> m_crashCause; ///< What its requests crash backend servers by; nothing if they don't.
 };
 
 } // namespace Verbena::Soak
--- a/tests/soak/soakworker.cpp
+++ b/tests/soak/soakworker.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
+
 namespace Verbena::Soak {
 
 using nlohmann::json;
@@ -117,8 +119,8 @@
             return;
         }
         m_token = m_body;
-        if (m_token == crashingToken) {
-            m_worker.m_ledger.noteCrash(m_worker.m_loop.now());
+        if (const std::optional<CrashCause> cause = crashCause()) {
+            m_worker.m_ledger.noteCrash(*cause, m_worker.m_loop.now());
             m_worker.m_crashObserver();
             return;
         }
@@ -130,6 +132,15 @@
         m_timer.startAt(m_worker.m_loop.now() + workTime);
     }
 
+    std::optional<CrashCause> crashCause() const
+    {
+        if (m_token == crashingToken) {
+            return CrashCause::Request;
+        }
+        const bool hasPart = field(m_head, "Verbenaladder-Prompt-Prefix").find(crashingPart) != std::string::npos;
+        return hasPart ? std::optional(CrashCause::PromptPart) : std::nullopt;
+    }
+
     Fault drawFault()
     {
         if (m_worker.m_random.uniform() >= m_worker.m_faultShare) {
--- a/tests/soak/soakworker.h
+++ b/tests/soak/soakworker.h
@@ -21,6 +21,9 @@
 /// \brief The body that ends the backend server that runs it.
 inline constexpr const char *crashingToken = "crash";
 
+/// \brief The part of a prompt that ends the engine that begins to answer it.
+inline constexpr const char *crashingPart = "bad";
+
 /// \brief The data of event \a number of the stream that the body \a token asks for.
 std::string eventText(int number, const std::string &token);
 
