--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -71,6 +71,24 @@
     m_limit = perSecond;
 }
 
+void EngineFake::sayLeaving()
+{
+    m_isLeaving = true;
+}
+
+void EngineFake::refuse(std::optional<std::chrono::seconds> rest)
+{
+    m_rest = rest;
+    m_askedForRest.clear();
+}
+
+WorkerScript EngineFake::refusal(const std::string &attemptId)
+{
+    const bool isFirst = m_askedForRest.insert(attemptId.substr(0, attemptId.find('-'))).second;
+    const std::string rest = isFirst ? "Retry-After: " + std::to_string(m_rest->count()) + "\r\n" : "";
+    return {whole("Verbenaladder-Attempt-Id: " + attemptId + "\r\nVerbenaladder-Not-Run: 1\r\n" + rest, "", "503 Full")};
+}
+
 void EngineFake::setRunning(int count)
 {
     m_running = count;
@@ -99,8 +117,12 @@
     m_runs.push_back(head);
     m_runTimes.push_back(m_loop.now());
     const std::string *id = head.field("Verbenaladder-Attempt-Id");
+    if (m_rest.has_value()) {
+        return refusal(id == nullptr ? "" : *id);
+    }
+    const std::string leaving = m_isLeaving ? "Server-Leaving: 1\r\n" : "";
     const std::string limit = m_limit.has_value() ? "Server-Limit: " + std::to_string(*m_limit) + "\r\n" : "";
-    const std::string fields = "Verbenaladder-Attempt-Id: " + (id == nullptr ? "" : *id) + "\r\nVerbenaladder-Server-Stamp: stamp\r\n" + limit;
+    const std::string fields = "Verbenaladder-Attempt-Id: " + (id == nullptr ? "" : *id) + "\r\nVerbenaladder-Server-Stamp: stamp\r\n" + limit + leaving;
     return {whole(fields, "id: 1\ndata: answer of version " + std::to_string(m_version) + "\n\n")};
 }
 
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,11 +44,19 @@
     /// \brief Reports \a count running requests from now on.
     void setRunning(int count);
 
+    /// \brief Says in its answers from now on that it leaves.
+    void sayLeaving();
+
+    /// \brief Refuses requests from now on and asks in the first refusal of each router for \a rest; the attempt ids of callers begin with the router's name
+    /// and a hyphen. No value means to run requests again.
+    void refuse(std::optional<std::chrono::seconds> rest);
+
     /// \brief Names \a perSecond as its limit for all routers in its answers from now on; no value means no limit.
     void nameLimit(std::optional<double> perSecond);
 
 private:
     WorkerScript answer(const Http::MessageHead &head, const std::string &body);
+    WorkerScript refusal(const std::string &attemptId);
     std::string order(const std::string &body);
 
     std::uint64_t m_version = 1;
@@ -57,6 +66,9 @@
     std::vector<Http::MessageHead> m_runs;
     std::vector<Core::TimePoint> m_runTimes;
     std::optional<double> m_limit;
+    bool m_isLeaving = false;
+    std::optional<std::chrono::seconds> m_rest;
+    std::set<std::string> m_askedForRest; ///< Routers that were asked for rest.
     EventLoop::Loop &m_loop;
     WorkerFake m_worker;
 };
