--- a/tests/auto/platform/tst_servernotices.cpp
+++ b/tests/auto/platform/tst_servernotices.cpp
@@ -21,6 +21,10 @@
 // From then on a router sends nothing to a server that has said that it leaves.
 constexpr auto leavingTime = 2s;
 
+// From then on, until the end of the rest, so many requests of one router may reach a server that asked for rest.
+constexpr auto restNoticeTime = 500ms;
+constexpr std::size_t mostDuringRest = 2;
+
 class ServerNoticesTest : public testing::Test
 {
 protected:
@@ -138,6 +142,27 @@
     }
 }
 
+// An engine that asked for seconds of rest got requests of the same router again after each tenth of a second.
+TEST_F(ServerNoticesTest, leavesAnEngineAloneThatAsksForRest)
+{
+    constexpr auto rest = 3s;
+    const Core::TimePoint begin = m_deployment.loop().now();
+    m_deployment.engine().refuse(rest);
+    sendFor(rest + 500ms);
+    for (std::size_t router = 0; router < routers; ++router) {
+        const std::vector<Core::TimePoint> times = arrivals(m_deployment.engine(), router);
+        const auto first = std::upper_bound(times.begin(), times.end(), begin);
+        ASSERT_NE(first, times.end()) << router;
+        EXPECT_LE(countBetween(times, *first + restNoticeTime, *first + rest), mostDuringRest) << router;
+    }
+    m_deployment.engine().refuse(std::nullopt);
+    const std::size_t before = m_deployment.engine().runs().size();
+    EXPECT_TRUE(m_deployment.runUntil([&] {
+        sendFor(100ms);
+        return m_deployment.engine().runs().size() > before + routers;
+    })) << "after its rest";
+}
+
 } // namespace
 
 } // namespace Verbena::Test
