Take the word of a server's answer that it leaves

Callers saw nothing; the server got requests 2.2 to 2.9 s after an answer of it had said that it leaves, where 2 s are allowed, and would have cut them at its end.

Cause: a server's leaving was known from its row in the store alone, and the store was out of reach when it was written.

Change: any answer of a server may mark its entry as leaving, until it has restarted; no later row takes that back, also not after the entry was removed. An answer of another incarnation, server or request counts for nothing.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -512,6 +512,11 @@
     }
 }
 
+bool RelayFleet::markLeaving(const FleetChoice &choice)
+{
+    return !isOutdated(choice) && m_register.markLeaving(choice.serverId);
+}
+
 void RelayFleet::markReplaced(const FleetChoice &choice)
 {
     if (!isOutdated(choice)) {
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -115,6 +115,9 @@
     /// \brief Updates the weights of the backend server, which answered with \a version of \a model; an answer takes precedence over its entry.
     void updateWeights(const FleetChoice &choice, const std::string &model, std::uint64_t version);
 
+    /// \brief Handles that an answer of the backend server of \a choice said that it leaves. Returns whether that was not known.
+    bool markLeaving(const FleetChoice &choice);
+
     /// \brief Removes the backend server, as another one answered at its address.
     void markReplaced(const FleetChoice &choice);
 
--- a/src/libs/decisions/relay/serverregister.cpp
+++ b/src/libs/decisions/relay/serverregister.cpp
@@ -10,6 +10,9 @@
 // Number of earlier incarnations kept for each id; no messages of older ones are still in transit.
 constexpr std::size_t maxEarlierIncarnations = 8;
 
+// Many more than leave at a time; those that have ended are never asked for again.
+constexpr std::size_t maxSaidLeaving = 4096;
+
 } // namespace
 
 void ServerRegister::replace(const std::vector<RegisteredServer> &servers, Core::TimePoint now)
@@ -56,7 +59,7 @@
             }
         }
     }
-    updated.isLeaving = updated.isLeaving || entry.isLeaving;
+    updated.isLeaving = updated.isLeaving || entry.isLeaving || hasSaidLeaving(updated);
     if (entry == updated) {
         return;
     }
@@ -64,6 +67,31 @@
     ++m_revision;
 }
 
+// An entry may be removed and written again while its server leaves.
+bool ServerRegister::hasSaidLeaving(const RegisteredServer &server) const
+{
+    const auto said = m_saidLeaving.find(server.id);
+    return said != m_saidLeaving.end() && (said->second == 0 || server.incarnation == 0 || said->second == server.incarnation);
+}
+
+bool ServerRegister::markLeaving(const std::string &id)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return false;
+    }
+    if (m_saidLeaving.size() >= maxSaidLeaving && !m_saidLeaving.contains(id)) {
+        m_saidLeaving.erase(m_saidLeaving.begin());
+    }
+    m_saidLeaving[id] = found->second.incarnation;
+    if (found->second.isLeaving) {
+        return false;
+    }
+    found->second.isLeaving = true;
+    ++m_revision;
+    return true;
+}
+
 void ServerRegister::remove(const std::string &id, Core::TimePoint now)
 {
     if (!m_servers.contains(id)) {
@@ -105,6 +133,7 @@
     }
     entry.incarnation = incarnation;
     entry.isLeaving = false;
+    m_saidLeaving.erase(entry.id);
     ++m_revision;
 }
 
--- a/src/libs/decisions/relay/serverregister.h
+++ b/src/libs/decisions/relay/serverregister.h
@@ -73,6 +73,10 @@
     /// \brief Removes the backend server \a id, which answered that it no longer has this id.
     void markReplaced(const std::string &id);
 
+    /// \brief Marks the backend server \a id, whose answer said so, as leaving until it has restarted, whatever its entry says later. Returns whether it was
+    /// not marked before.
+    bool markLeaving(const std::string &id);
+
     /// \brief Removes the entries whose grace period has ended; returns whether there were any.
     bool expire(Core::TimePoint now);
 
@@ -86,10 +90,12 @@
     bool mayHaveExpired(Core::TimePoint now) const;
     void removeEntry(const std::string &id);
     IncarnationComparison compare(const RegisteredServer &entry, std::uint64_t incarnation) const;
+    bool hasSaidLeaving(const RegisteredServer &server) const;
     void applyRestart(RegisteredServer &entry, std::uint64_t incarnation);
 
     std::map<std::string, RegisteredServer> m_servers;
     std::map<std::string, std::vector<std::uint64_t>> m_earlierIncarnations; ///< Latest earlier incarnations by id.
+    std::map<std::string, std::uint64_t> m_saidLeaving; ///< Incarnations of the servers whose answers said that they leave, by id.
     std::map<std::string, Core::TimePoint> m_missing; ///< Missing entries, and the end of their grace period.
     Core::TimePoint m_graceDeadline{}; ///< Until then a missing entry may have expired in an outage.
     bool m_isStoreLost = false;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -403,7 +403,7 @@
         m_context.fleet.updateWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
     }
     if (meaning != AnswerMeaning::OfAnotherRequest) {
-        recordLimit(marks);
+        recordNotices(marks);
     }
     if (meaning != AnswerMeaning::OfThisRequest) {
         handleFailure(CallFailure::Lost, reasonText(meaning));
@@ -412,11 +412,16 @@
     m_answer.receiveHead(head);
 }
 
-void RelayedRequest::recordLimit(const AnswerMarks &marks)
+// What a backend server says of itself beside the answer to the request, which may be any answer of it.
+void RelayedRequest::recordNotices(const AnswerMarks &marks)
 {
     if (m_context.fleet.recordLimit(*m_choice, marks.limit, m_context.loop.now())) {
         reportLimit(m_choice->serverId, marks.limit, "server");
     }
+    if (marks.isLeaving && m_context.fleet.markLeaving(*m_choice)) {
+        m_context.metrics.count("servers_said_leaving_total");
+        reportLeaving({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()});
+    }
 }
 
 void RelayedRequest::handleNotRun(const AnswerMarks &marks)
@@ -430,7 +435,7 @@
         m_context.fleet.updateWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
     }
     if (!isOther) {
-        recordLimit(marks);
+        recordNotices(marks);
     }
     handleFailure(CallFailure::NotRun, marks.isMisdirected ? "another backend server or other weights are there" : "refused");
 }
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -111,7 +111,7 @@
     void awaitTrial(Decisions::CallFailure failure);
     void recordBarred(const char *outcome);
     void handleNotRun(const AnswerMarks &marks);
-    void recordLimit(const AnswerMarks &marks);
+    void recordNotices(const AnswerMarks &marks);
     void refuseUnplaced();
     Decisions::AttemptAction chooseAction(Decisions::CallFailure failure);
     bool awaitResend(Decisions::CallFailure failure, Core::TimePoint earliest);
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -57,5 +57,6 @@
 inline constexpr Event limitChanged{2134, Severity::Warning, "limit_changed", "A backend server has named another limit, or names none any more."};
 inline constexpr Event streamResumed{2135, Severity::Info, "stream_resumed", "A caller resumes a stream; where it began has been looked up."};
 inline constexpr Event partSuspected{2136, Severity::Warning, "part_suspected", "Backend servers ended before they had begun to answer a part of a prompt."};
+inline constexpr Event serverLeaving{2137, Severity::Info, "server_leaving", "A backend server has said in an answer that it leaves."};
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -95,6 +95,11 @@
     Observe::log(serverChanged, {{"server", label.serverId}, {"change", "replaced"}, {"by", by}, {"request", label.attemptId}});
 }
 
+void reportLeaving(const RequestLabel &label)
+{
+    Observe::log(serverLeaving, {{"server", label.serverId}, {"service", label.service}, {"request", label.attemptId}});
+}
+
 void reportLimit(const std::string &serverId, const std::optional<double> &limit, const std::string &toldBy)
 {
     Observe::log(limitChanged, {{"server", serverId}, {"limit", text(limit)}, {"told_by", toldBy}});
--- a/src/libs/relay/requestreport.h
+++ b/src/libs/relay/requestreport.h
@@ -61,6 +61,9 @@
 /// \brief Logs that the backend server \a by answered instead of the one that the request was sent to.
 void reportReplaced(const RequestLabel &label, const std::string &by);
 
+/// \brief Logs that an answer of its backend server said that the server leaves.
+void reportLeaving(const RequestLabel &label);
+
 /// \brief Logs that the backend server \a serverId named \a limit, or no longer names one; \a toldBy is "server" or the address of the router that said so.
 void reportLimit(const std::string &serverId, const std::optional<double> &limit, const std::string &toldBy);
 
--- a/tests/auto/platform/tst_translation.cpp
+++ b/tests/auto/platform/tst_translation.cpp
@@ -149,6 +149,19 @@
     }
 }
 
+TEST(PlatformProtocolTest, readsWhetherABackendServerLeaves)
+{
+    const auto isLeaving = [](const char *text) {
+        MessageHead head;
+        head.fields = {{"Server-Leaving", text}};
+        return PlatformProtocol().readAnswer(head).isLeaving;
+    };
+    EXPECT_TRUE(isLeaving("1"));
+    EXPECT_FALSE(isLeaving("0"));
+    EXPECT_FALSE(isLeaving(""));
+    EXPECT_FALSE(PlatformProtocol().readAnswer(MessageHead()).isLeaving);
+}
+
 TEST(PlatformProtocolTest, tellsARefusedCallerWhenToComeBack)
 {
     const auto fields = PlatformProtocol().refusalFields({503, "", 250ms}, "9c41");
--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -455,6 +455,26 @@
         7);
 }
 
+// A late row of the store, also after the entry was removed, must not bring back a server that has said itself that it leaves.
+TEST(ServerRegisterTest, keepsWhatAServerSaidOfItsLeavingUntilItRestarts)
+{
+    ServerRegister servers;
+    RegisteredServer server = engine("1");
+    server.incarnation = 7;
+    servers.set(server);
+    EXPECT_TRUE(servers.markLeaving("1"));
+    EXPECT_FALSE(servers.markLeaving("1"));
+    EXPECT_FALSE(servers.markLeaving("2"));
+    servers.set(server);
+    EXPECT_TRUE(servers.servers().at("1").isLeaving);
+    servers.remove("1", start);
+    servers.set(server);
+    EXPECT_TRUE(servers.servers().at("1").isLeaving);
+    server.incarnation = 8;
+    servers.set(server);
+    EXPECT_FALSE(servers.servers().at("1").isLeaving);
+}
+
 TEST(ServerRegisterTest, removesAnEntryAtOnceWhileTheStoreIsAvailable)
 {
     ServerRegister servers;
