Leave a server alone for as long as it asks

Callers saw refusals one after the other: a server in need that had turned a router away with 503 and Retry-After: 3 got up to five requests of it in that time, where two are allowed, and each refusal cost a resend of a bounded number.

Cause: Retry-After of a server's refusal was not read. A refusal kept a server out for 100 ms, and each further one set that anew.

Change: ServerRests keeps the end of each server's rest, which only a later end or another incarnation moves. It and the limits are the reasons of RelayFleet::unavailable, which all choices pass. If all servers of a service rest, requests are refused at once with the earliest end as Retry-After, and streams that have begun wait for it up to their bound.

--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -52,7 +52,7 @@
     std::chrono::microseconds acceptableWait{std::chrono::microseconds::max()}; ///< Maximum wait with which the answer still meets the latency target.
     std::optional<std::chrono::milliseconds> reportAge; ///< Age of the status report on which the expected wait is based.
     std::optional<double> limit; ///< Requests per second that the backend server takes from all routers together, if it named a limit.
-    std::uint32_t limitedServers = 0; ///< Number of backend servers, of any service, that were left out because of their limits.
+    std::uint32_t limitedServers = 0; ///< Number of backend servers, of any service, that were left out because of their limits or because they rest.
     bool isBusyWithWeights = false; ///< Whether the engine loads new weights or is about to, as do all others.
     Core::TimePoint sentAt;
 };
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -57,14 +57,29 @@
     return m_software.contains({service, softwareVersion});
 }
 
-std::optional<milliseconds> RelayFleet::limitDelay(const FleetQuery &query, Core::TimePoint now)
+// Besides the servers that the register says leave, and those that are paused after a failure, this router may send nothing to these now.
+std::vector<std::string> RelayFleet::unavailable(Core::TimePoint now)
+{
+    std::vector<std::string> ids = m_limits.exhausted(now);
+    const std::vector<std::string> resting = m_rests.resting(now);
+    ids.insert(ids.end(), resting.begin(), resting.end());
+    return ids;
+}
+
+std::optional<Core::TimePoint> RelayFleet::nextSend(const std::string &serverId, Core::TimePoint now)
+{
+    const std::optional<Core::TimePoint> next = m_limits.nextSend(serverId, now);
+    return next.has_value() ? std::optional(std::max(*next, m_rests.end(serverId, now).value_or(now))) : std::nullopt;
+}
+
+std::optional<milliseconds> RelayFleet::sendDelay(const FleetQuery &query, Core::TimePoint now)
 {
     std::optional<milliseconds> delay;
-    for (const std::string &id : m_limits.exhausted(now)) {
+    for (const std::string &id : unavailable(now)) {
         const auto server = m_register.servers().find(id);
-        const std::optional<Core::TimePoint> next = m_limits.nextSend(id, now);
+        const std::optional<Core::TimePoint> next = nextSend(id, now);
         const bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (server == m_register.servers().end() || server->second.service != query.service || isExcluded) {
+        if (server == m_register.servers().end() || server->second.service != query.service || server->second.isLeaving || isExcluded) {
             continue;
         }
         const bool hasSoftware = !query.softwareVersion.has_value() || server->second.softwareVersion == *query.softwareVersion;
@@ -76,6 +91,28 @@
     return delay;
 }
 
+std::optional<milliseconds> RelayFleet::restDelay(const std::string &service, Core::TimePoint now) const
+{
+    std::optional<milliseconds> delay;
+    for (const auto &[id, server] : m_register.servers()) {
+        if (server.service != service || server.isLeaving) {
+            continue;
+        }
+        const std::optional<Core::TimePoint> end = m_rests.end(id, now);
+        if (!end.has_value()) {
+            return std::nullopt;
+        }
+        const auto left = std::chrono::ceil<milliseconds>(*end - now);
+        delay = std::min(delay.value_or(left), left);
+    }
+    return delay;
+}
+
+bool RelayFleet::recordRest(const FleetChoice &choice, milliseconds rest, Core::TimePoint now)
+{
+    return !isOutdated(choice) && m_rests.record(choice.serverId, choice.incarnation, now + rest, now);
+}
+
 bool RelayFleet::recordLimit(const FleetChoice &choice, const std::optional<double> &perSecond, Core::TimePoint now)
 {
     return !isOutdated(choice) && m_limits.handleAnswer(choice.serverId, choice.incarnation, perSecond, choice.sentAt, now);
@@ -125,6 +162,7 @@
         }
         updateIncarnation(backendServerId(id), registered.incarnation);
         m_limits.updateIncarnation(id, registered.incarnation);
+        m_rests.updateIncarnation(id, registered.incarnation);
         if (registered.isLeaving) {
             continue;
         }
@@ -407,15 +445,15 @@
 std::optional<FleetChoice> RelayFleet::choose(const FleetQuery &query, Core::TimePoint now)
 {
     syncWithRegister();
-    const std::vector<std::string> exhausted = m_limits.exhausted(now);
-    if (exhausted.empty()) {
+    const std::vector<std::string> excluded = unavailable(now);
+    if (excluded.empty()) {
         return chooseFor(query, now);
     }
     FleetQuery remaining = query;
-    remaining.excluded.insert(remaining.excluded.end(), exhausted.begin(), exhausted.end());
+    remaining.excluded.insert(remaining.excluded.end(), excluded.begin(), excluded.end());
     std::optional<FleetChoice> choice = chooseFor(remaining, now);
     if (choice.has_value()) {
-        choice->limitedServers = static_cast<std::uint32_t>(exhausted.size());
+        choice->limitedServers = static_cast<std::uint32_t>(excluded.size());
     }
     return choice;
 }
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -9,6 +9,7 @@
 #include "prompttransfers.h"
 #include "serverlimits.h"
 #include "serverregister.h"
+#include "serverrests.h"
 #include "weightschoice.h"
 
 #include <decisions/routing/routechooser.h>
@@ -41,9 +42,15 @@
     /// \brief Returns the limits that backend servers have named.
     ServerLimits &limits();
 
-    /// \brief Returns the time until this router may send the request of \a query to a server that is at its limit now; nothing if there is none besides the
-    /// excluded ones.
-    std::optional<std::chrono::milliseconds> limitDelay(const FleetQuery &query, Core::TimePoint now);
+    /// \brief Returns the time until this router may send the request of \a query to a server that is at its limit or rests now; nothing if there is none
+    /// besides the excluded ones.
+    std::optional<std::chrono::milliseconds> sendDelay(const FleetQuery &query, Core::TimePoint now);
+
+    /// \brief Returns the time until the first backend server of \a service ends its rest; nothing unless all that take new requests rest.
+    std::optional<std::chrono::milliseconds> restDelay(const std::string &service, Core::TimePoint now) const;
+
+    /// \brief Handles that the backend server of \a choice refused a request and asked this router for \a rest. Returns whether it did not rest before.
+    bool recordRest(const FleetChoice &choice, std::chrono::milliseconds rest, Core::TimePoint now);
 
     /// \brief Returns whether a backend server of \a service with \a softwareVersion takes new requests.
     bool hasSoftware(const std::string &service, const std::string &softwareVersion);
@@ -123,6 +130,8 @@
 
 private:
     void syncWithRegister();
+    std::vector<std::string> unavailable(Core::TimePoint now);
+    std::optional<Core::TimePoint> nextSend(const std::string &serverId, Core::TimePoint now);
     void updateIncarnation(BackendServerId id, std::uint64_t incarnation);
     const std::string *idAt(const std::string &address, std::uint64_t incarnation) const;
     bool isOutdated(const FleetChoice &choice);
@@ -151,6 +160,7 @@
     std::unordered_map<BackendServerId, std::uint32_t> m_failures; ///< Number of failed connections since the last answer.
     PromptTransfers m_transfers;
     ServerLimits m_limits;
+    ServerRests m_rests;
     std::map<std::string, WaitEstimate> m_estimates; ///< Wait estimates by route.
     std::unordered_map<std::string, std::vector<std::string>> m_idsByAddress; ///< Ids of engines by address; several entries may name the same address.
     std::unordered_map<BackendServerId, std::uint64_t> m_incarnations; ///< Incarnations of the registered backend servers.
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -36,8 +36,8 @@
 // Time until a stream that was refused by the backend server that should have continued it is sent to another one; doubles with each further refusal.
 constexpr milliseconds initialStreamBackoff{100};
 
-// Maximum wait of a begun stream for a backend server that is at its limit: callers give up a stream that pauses for longer than about two seconds.
-constexpr milliseconds maximumLimitWait{1500};
+// Maximum wait of a begun stream for a backend server that is at its limit or rests: callers give up a stream that pauses for longer than about two seconds.
+constexpr milliseconds maximumServerWait{1500};
 
 // Retry delay for a caller whose stream no server can continue, unless one of its software version is started.
 constexpr milliseconds goneSoftwareDelay{1000};
@@ -64,7 +64,7 @@
     , m_arrival(context.loop.now())
     , m_deadlineTimer(context.loop, [this] { handleDeadline(); })
     , m_weightsTimer(context.loop, [this] { handleWeightsTooOld(); })
-    , m_limitTimer(context.loop, [this] { dispatch(); })
+    , m_sendTimer(context.loop, [this] { dispatch(); })
     , m_answer(context.protocol, sink)
     , m_usage(context.usage)
     , m_crashes(context.crashes,
@@ -293,8 +293,8 @@
         const Decisions::FleetQuery query = fleetQuery();
         const std::optional<FleetChoice> choice = m_context.fleet.choose(query, m_context.loop.now());
         if (!choice.has_value()) {
-            m_limitDelay = m_context.fleet.limitDelay(query, m_context.loop.now());
-            if (!awaitLimit()) {
+            m_sendDelay = m_context.fleet.sendDelay(query, m_context.loop.now());
+            if (!awaitServer()) {
                 finish(actionWithoutResend(attempts(), CallFailure::NotSent));
             }
             return;
@@ -306,20 +306,20 @@
 }
 
 // A stream that has begun waits, since what was generated is lost if it is broken off. Its call has been granted already.
-bool RelayedRequest::awaitLimit()
+bool RelayedRequest::awaitServer()
 {
-    if (!m_answer.isBegun() || !m_limitDelay.has_value()) {
+    if (!m_answer.isBegun() || !m_sendDelay.has_value()) {
         return false;
     }
     const Core::TimePoint now = m_context.loop.now();
-    if (!m_limitDeadline.has_value()) {
-        m_limitDeadline = std::min(now + maximumLimitWait, m_deadline - minimumResendTime);
+    if (!m_sendDeadline.has_value()) {
+        m_sendDeadline = std::min(now + maximumServerWait, m_deadline - minimumResendTime);
     }
-    if (now + *m_limitDelay > *m_limitDeadline) {
+    if (now + *m_sendDelay > *m_sendDeadline) {
         return false;
     }
     m_context.metrics.count("stream_waits_for_limits_total");
-    m_limitTimer.startAt(now + *m_limitDelay);
+    m_sendTimer.startAt(now + *m_sendDelay);
     return true;
 }
 
@@ -342,7 +342,7 @@
 bool RelayedRequest::sendTo(const FleetChoice &choice)
 {
     m_choice = choice;
-    m_limitDeadline.reset();
+    m_sendDeadline.reset();
     m_excluded.push_back(choice.serverId);
     if (choice.limitedServers > 0) {
         m_context.metrics.count("choices_beside_limited_servers_total");
@@ -418,6 +418,10 @@
     if (m_context.fleet.recordLimit(*m_choice, marks.limit, m_context.loop.now())) {
         reportLimit(m_choice->serverId, marks.limit, "server");
     }
+    if (marks.rest.has_value() && m_context.fleet.recordRest(*m_choice, *marks.rest, m_context.loop.now())) {
+        m_context.metrics.count("server_rests_total");
+        reportRest({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, *marks.rest);
+    }
     if (marks.isLeaving && m_context.fleet.markLeaving(*m_choice)) {
         m_context.metrics.count("servers_said_leaving_total");
         reportLeaving({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()});
@@ -720,12 +724,17 @@
 
 void RelayedRequest::refuseUnplaced()
 {
-    if (!m_limitDelay.has_value()) {
+    if (const std::optional<milliseconds> rest = m_context.fleet.restDelay(m_service, m_context.loop.now())) {
+        m_context.metrics.count("requests_during_rests_total");
+        refuse(503, "All backend servers have asked for rest; it has not run.", Decisions::retryDelay(*rest, remainingTime()));
+        return;
+    }
+    if (!m_sendDelay.has_value()) {
         refuse(503, "No backend server can take the request now; it has not run.");
         return;
     }
     m_context.metrics.count("requests_over_server_limits_total");
-    refuse(503, "The limits that backend servers named are reached; it has not run.", Decisions::retryDelay(*m_limitDelay, remainingTime()));
+    refuse(503, "The limits that backend servers named are reached; it has not run.", Decisions::retryDelay(*m_sendDelay, remainingTime()));
 }
 
 void RelayedRequest::refuse(int status, std::string_view message, milliseconds retryAfter)
@@ -813,7 +822,7 @@
     }
     m_deadlineTimer.stop();
     m_weightsTimer.stop();
-    m_limitTimer.stop();
+    m_sendTimer.stop();
     RequestReport report{
         status, outcome, {organisationName(), m_route != nullptr ? m_route->name : ""}, m_query.attemptId, m_service, m_query.resumedAttemptId};
     report.choice = m_choice.has_value() ? &*m_choice : nullptr;
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -90,7 +90,7 @@
     const Decisions::PromptOutline *prompt() const;
     void begin();
     void dispatch();
-    bool awaitLimit();
+    bool awaitServer();
     Decisions::FleetQuery fleetQuery();
     void moveOffWaitingEngine();
     bool sendTo(const Decisions::FleetChoice &choice);
@@ -138,7 +138,7 @@
     Core::TimePoint m_deadline; ///< Deadline of the final answer.
     EventLoop::Timer m_deadlineTimer;
     EventLoop::Timer m_weightsTimer; ///< Runs while the current call uses outdated weights and its engine has not begun it.
-    EventLoop::Timer m_limitTimer; ///< Runs while a stream waits for a backend server that is at its limit.
+    EventLoop::Timer m_sendTimer; ///< Runs while a stream waits for a backend server that is at its limit or rests.
     RelayQuery m_query;
     const Decisions::RelayRoute *m_route = nullptr;
     const Decisions::RelayOrganisation *m_organisation = nullptr;
@@ -158,8 +158,8 @@
     bool m_isUnanswered = false; ///< Whether the current call counts as load of its backend server.
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
-    std::optional<std::chrono::milliseconds> m_limitDelay; ///< Time until a limited backend server takes a request, if none could be chosen for its limit.
-    std::optional<Core::TimePoint> m_limitDeadline; ///< Latest time of the next call while a stream waits for a limit.
+    std::optional<std::chrono::milliseconds> m_sendDelay; ///< Time until a limited or resting backend server takes a request, if none could be chosen.
+    std::optional<Core::TimePoint> m_sendDeadline; ///< Latest time of the next call while a stream waits for a backend server.
     bool m_isDone = false;
 };
 
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -58,5 +58,6 @@
 inline constexpr Event streamResumed{2135, Severity::Info, "stream_resumed", "A caller resumes a stream; where it began has been looked up."};
 inline constexpr Event partSuspected{2136, Severity::Warning, "part_suspected", "Backend servers ended before they had begun to answer a part of a prompt."};
 inline constexpr Event serverLeaving{2137, Severity::Info, "server_leaving", "A backend server has said in an answer that it leaves."};
+inline constexpr Event restAsked{2138, Severity::Warning, "rest_asked", "A backend server has refused a request and wants none for a while."};
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relayprotocol.h
+++ b/src/libs/relay/relayprotocol.h
@@ -49,6 +49,7 @@
     bool isNotRun = false; ///< Whether the backend server proved that it did not run the request.
     bool isMisdirected = false; ///< Whether the request reached another backend server or other weights than intended.
     bool hasReceipt = false; ///< Whether the answer has a receipt, which proves that a backend server gave it.
+    std::optional<std::chrono::milliseconds> rest; ///< Time for which the backend server, which refused the request, wants none from this router.
     bool isLeaving = false; ///< Whether the backend server says that it takes no new requests and will end.
     std::optional<std::uint64_t> weightsVersion;
     std::optional<double> limit; ///< Requests per second that the backend server takes from all routers together; nothing if it names no limit.
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -100,6 +100,11 @@
     Observe::log(serverLeaving, {{"server", label.serverId}, {"service", label.service}, {"request", label.attemptId}});
 }
 
+void reportRest(const RequestLabel &label, milliseconds rest)
+{
+    Observe::log(restAsked, {{"server", label.serverId}, {"service", label.service}, {"request", label.attemptId}, {"rest_ms", text(rest)}});
+}
+
 void reportLimit(const std::string &serverId, const std::optional<double> &limit, const std::string &toldBy)
 {
     Observe::log(limitChanged, {{"server", serverId}, {"limit", text(limit)}, {"told_by", toldBy}});
--- a/src/libs/relay/requestreport.h
+++ b/src/libs/relay/requestreport.h
@@ -64,6 +64,9 @@
 /// \brief Logs that an answer of its backend server said that the server leaves.
 void reportLeaving(const RequestLabel &label);
 
+/// \brief Logs that its backend server refused a request and asked for \a rest.
+void reportRest(const RequestLabel &label, std::chrono::milliseconds rest);
+
 /// \brief Logs that the backend server \a serverId named \a limit, or no longer names one; \a toldBy is "server" or the address of the router that said so.
 void reportLimit(const std::string &serverId, const std::optional<double> &limit, const std::string &toldBy);
 
--- a/tests/auto/platform/tst_translation.cpp
+++ b/tests/auto/platform/tst_translation.cpp
@@ -162,6 +162,28 @@
     EXPECT_FALSE(PlatformProtocol().readAnswer(MessageHead()).isLeaving);
 }
 
+// What is no number of seconds must not keep requests away, and a number that no clock can hold must not overflow.
+TEST(PlatformProtocolTest, readsTheRestThatABackendServerAsksFor)
+{
+    const auto restOf = [](const char *text, int status = 503) {
+        MessageHead head;
+        head.status = status;
+        head.fields = {{"Retry-After", text}};
+        return PlatformProtocol().readAnswer(head).rest;
+    };
+    EXPECT_EQ(restOf("3"), std::optional(std::chrono::milliseconds(3000)));
+    EXPECT_EQ(restOf(" 0.25 "), std::optional(std::chrono::milliseconds(250)));
+    EXPECT_TRUE(restOf("1e300").has_value());
+    EXPECT_EQ(restOf("3", 200), std::nullopt);
+    for (const char *text : {"", "-1", "nan", "inf", "soon", "3 s", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+        EXPECT_EQ(restOf(text), std::nullopt) << text;
+    }
+    MessageHead twice;
+    twice.status = 503;
+    twice.fields = {{"Retry-After", "1"}, {"Retry-After", "2"}};
+    EXPECT_EQ(PlatformProtocol().readAnswer(twice).rest, std::nullopt);
+}
+
 TEST(PlatformProtocolTest, tellsARefusedCallerWhenToComeBack)
 {
     const auto fields = PlatformProtocol().refusalFields({503, "", 250ms}, "9c41");
--- a/tests/auto/relay/plainprotocol.cpp
+++ b/tests/auto/relay/plainprotocol.cpp
@@ -51,6 +51,9 @@
     marks.isNotRun = head.field("Not-Run") != nullptr;
     marks.isMisdirected = head.status == 421;
     marks.hasReceipt = head.field("Receipt") != nullptr;
+    if (head.field("Rest") != nullptr) {
+        marks.rest = std::chrono::milliseconds(std::stoi(value(head, "Rest")));
+    }
     marks.isLeaving = head.field("Leaving") != nullptr;
     if (head.field("Limit") != nullptr) {
         marks.limit = std::stod(value(head, "Limit"));
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -280,6 +280,23 @@
     EXPECT_TRUE(contains(got, event(2)));
 }
 
+// Callers of a service whose servers all rest came back at once and were refused again.
+TEST_F(RelayTest, tellsCallersWhenTheFirstServerHasRested)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "", "Not-Run: 1\r\nRest: 4000\r\n", "503 Full")}; });
+    addWorker([](const auto &head, const auto &) { return WorkerScript{answer(head, "", "Not-Run: 1\r\nRest: 2000\r\n", "503 Full")}; });
+    call(request("/safe/", "Deadline: 60000\r\n"), "\r\n\r\n");
+    EXPECT_EQ(runs(), 2U);
+    const std::string got = call(request("/safe/", "Deadline: 60000\r\n"), "\r\n\r\n");
+    EXPECT_EQ(runs(), 2U);
+    EXPECT_TRUE(contains(got, "503")) << got;
+    const std::string field = "Come-Back-Ms: ";
+    ASSERT_TRUE(contains(got, field)) << got;
+    const int comeBack = std::stoi(got.substr(got.find(field) + field.size()));
+    EXPECT_GT(comeBack, 1000);
+    EXPECT_LE(comeBack, 2000);
+}
+
 // Streams of an engine that is lost must not go to another one beyond its limit.
 TEST_F(RelayTest, continuesNoMoreStreamsThanTheLimitOfTheServerThatIsLeft)
 {
