Take an answer without an end in sight for a lost call

Cause: a head is bounded, a body was not.

Change: more than 1 MB of one event, as for agents, or more than 256 MB of a body that is no stream of events, is a lost call: the connection is closed, the request goes on elsewhere where it may, call_failed says why and answers_too_long_total counts it. A stream of many short events may be of any length.

--- a/src/libs/http/sseeventscanner.cpp
+++ b/src/libs/http/sseeventscanner.cpp
@@ -22,10 +22,12 @@
         }
         m_hasEvent = m_hasEvent || m_isInsideEvent;
         m_isInsideEvent = false;
+        m_pendingBytes = 0;
         const bool isLineFeedNext = byte == '\r' && index + 1 < bytes.size() && bytes[index + 1] == '\n';
         m_isAfterCarriageReturn = m_isAfterCarriageReturn && !isLineFeedNext;
         return index + (isLineFeedNext ? 2 : 1);
     }
+    m_pendingBytes += bytes.size();
     return std::nullopt;
 }
 
@@ -41,6 +43,11 @@
     return m_isInsideEvent;
 }
 
+std::size_t SseEventScanner::pendingBytes() const
+{
+    return m_pendingBytes;
+}
+
 bool SseEventScanner::hasEvent() const
 {
     return m_hasEvent;
--- a/src/libs/http/sseeventscanner.h
+++ b/src/libs/http/sseeventscanner.h
@@ -23,6 +23,9 @@
     /// \brief Returns whether the bytes scanned so far end inside an event.
     bool isInsideEvent() const;
 
+    /// \brief Returns the number of scanned bytes since the end of the last event.
+    std::size_t pendingBytes() const;
+
     /// \brief Returns whether an event has ended since the last reset().
     bool hasEvent() const;
 
@@ -32,6 +35,7 @@
 private:
     bool m_isInsideEvent = false;
     bool m_hasEvent = false;
+    std::size_t m_pendingBytes = 0;
     bool m_isAtLineStart = true;
     bool m_isAfterCarriageReturn = false; ///< Whether a line feed would belong to the line end that was just scanned.
 };
--- a/src/libs/http/ssesplitter.cpp
+++ b/src/libs/http/ssesplitter.cpp
@@ -75,6 +75,11 @@
     return m_scanner.isInsideEvent();
 }
 
+std::size_t SseSplitter::pendingBytes() const
+{
+    return m_scanner.pendingBytes();
+}
+
 bool SseSplitter::hasEvent() const
 {
     return m_scanner.hasEvent();
--- a/src/libs/http/ssesplitter.h
+++ b/src/libs/http/ssesplitter.h
@@ -27,6 +27,9 @@
     /// \brief Returns whether the bytes added since the last discardPending() end inside an event.
     bool isInsideEvent() const;
 
+    /// \brief Returns the number of received bytes of an incomplete event.
+    std::size_t pendingBytes() const;
+
     /// \brief Returns whether an event has ended in the bytes added since the last discardPending().
     bool hasEvent() const;
 
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -8,6 +8,12 @@
 
 constexpr std::size_t maximumBufferedBytes = 64 * 1024;
 
+// An event longer than this is no event of a completion.
+constexpr std::size_t maximumEventBytes = 1024 * 1024;
+
+// Many times the longest answer of a service that is no stream of events.
+constexpr std::uint64_t maximumBodyBytes = 256 * 1024 * 1024;
+
 BodyFraming framingOf(const Http::MessageHead &head)
 {
     if (head.isChunked) {
@@ -56,6 +62,7 @@
     }
     m_framing = framingOf(head);
     m_state = State::Buffering;
+    m_bodyBytes = 0;
 }
 
 bool AnswerForwarder::isEventStream() const
@@ -65,6 +72,7 @@
 
 bool AnswerForwarder::receiveBody(std::string_view data)
 {
+    m_bodyBytes += data.size();
     if (m_state == State::Buffering && (m_isBegun || isEventStream())) {
         m_state = State::Forwarding;
     }
@@ -157,6 +165,15 @@
     return isEventStream() && (m_isResumable ? m_splitter.isInsideEvent() : m_scanner.isInsideEvent());
 }
 
+// A stream may be of any length, as its events come one by one until the deadline.
+bool AnswerForwarder::isTooLong() const
+{
+    if (!isEventStream()) {
+        return m_bodyBytes > maximumBodyBytes;
+    }
+    return (m_isResumable ? m_splitter.pendingBytes() : m_scanner.pendingBytes()) > maximumEventBytes;
+}
+
 bool AnswerForwarder::hasEvent() const
 {
     return isEventStream() && (m_isResumable ? m_splitter.hasEvent() : m_scanner.hasEvent());
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -75,6 +75,9 @@
     /// \brief Returns where the answer to the current call ends so far.
     AnswerEnding ending() const;
 
+    /// \brief Returns whether the answer to the current call is longer than any may be, or an event of it is; what follows may have no end.
+    bool isTooLong() const;
+
     /// \brief Returns whether the current call's answer is a stream that has brought a whole event.
     bool hasEvent() const;
 
@@ -109,6 +112,7 @@
     BodyFraming m_framing = BodyFraming::None; ///< Of the current call's answer.
     Http::MessageHead m_head; ///< Head of the first answer that the caller received a part of, or else of the current call's.
     std::string m_buffer;
+    std::uint64_t m_bodyBytes = 0; ///< Received bytes of the current call's body.
     Http::SseEventScanner m_scanner; ///< Follows the events of the current call on a route without m_splitter.
     Http::SseSplitter m_splitter; ///< Splits resumable streams.
 };
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -456,6 +456,11 @@
     if (m_answer.isBegun() && !wasBegun) {
         beginStream();
     }
+    if (m_answer.isTooLong()) {
+        m_context.metrics.count("answers_too_long_total");
+        callFailed(CallFailure::Lost, "the answer is longer than any may be");
+        return;
+    }
     if (m_sink.bufferedBytes() > maximumUnsentBytes) {
         m_call->setReading(false);
     }
