Leave the wait for a backend server to ServerWait, and check a server's end once

RelayedRequest held a timer, a deadline and their rules for streams that wait for a server at its limit or at rest; they are a class of their own now. A server that closed a connection and has ended was asked for its end twice, by the request and by LostCallChecker: the request's finding goes with the lost call now. No decision changes but that the second connection is not made.

--- a/src/libs/relay/crashcontrol.h
+++ b/src/libs/relay/crashcontrol.h
@@ -20,6 +20,7 @@
     std::string serverId;
     std::uint64_t incarnation = 0;
     std::string address;
+    bool hasServerEnded = false; ///< Whether it is known already that the backend server has ended.
 };
 
 /// \brief Tells whether a suspected request may run as a trial, the only one of its kind at a time.
--- a/src/libs/relay/lostcallchecker.cpp
+++ b/src/libs/relay/lostcallchecker.cpp
@@ -57,6 +57,12 @@
         done();
         return false;
     }
+    if (call.hasServerEnded) {
+        m_endedIncarnations[key] = m_loop.now() + retentionTime;
+        m_recorder(call, "connection refused");
+        done();
+        return false;
+    }
     ServerCheck &serverCheck = m_checks[key];
     serverCheck.deadline = m_loop.now() + retentionTime;
     serverCheck.pendingCalls.push_back({call, number, std::move(done)});
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -36,9 +36,6 @@
 // Time until a stream that was refused by the backend server that should have continued it is sent to another one; doubles with each further refusal.
 constexpr milliseconds initialStreamBackoff{100};
 
-// Maximum wait of a begun stream for a backend server that is at its limit or rests: callers give up a stream that pauses for longer than about two seconds.
-constexpr milliseconds maximumServerWait{1500};
-
 // Retry delay for a caller whose stream no server can continue, unless one of its software version is started.
 constexpr milliseconds goneSoftwareDelay{1000};
 
@@ -64,7 +61,7 @@
     , m_arrival(context.loop.now())
     , m_deadlineTimer(context.loop, [this] { handleDeadline(); })
     , m_weightsTimer(context.loop, [this] { handleWeightsTooOld(); })
-    , m_sendTimer(context.loop, [this] { dispatch(); })
+    , m_serverWait(context.loop, [this] { dispatch(); })
     , m_answer(context.protocol, sink)
     , m_usage(context.usage)
     , m_crashes(context.crashes,
@@ -311,15 +308,10 @@
     if (!m_answer.isBegun() || !m_sendDelay.has_value()) {
         return false;
     }
-    const Core::TimePoint now = m_context.loop.now();
-    if (!m_sendDeadline.has_value()) {
-        m_sendDeadline = std::min(now + maximumServerWait, m_deadline - minimumResendTime);
-    }
-    if (now + *m_sendDelay > *m_sendDeadline) {
+    if (!m_serverWait.start(*m_sendDelay, m_deadline - minimumResendTime)) {
         return false;
     }
     m_context.metrics.count("stream_waits_for_limits_total");
-    m_sendTimer.startAt(now + *m_sendDelay);
     return true;
 }
 
@@ -342,8 +334,9 @@
 bool RelayedRequest::sendTo(const FleetChoice &choice)
 {
     m_choice = choice;
-    m_sendDeadline.reset();
+    m_serverWait.handleSent();
     m_excluded.push_back(choice.serverId);
+    m_hasServerEnded = false;
     if (choice.limitedServers > 0) {
         m_context.metrics.count("choices_beside_limited_servers_total");
     }
@@ -534,8 +527,8 @@
         completeAnswer();
         return;
     }
-    const bool isRefused = finding == ConnectCheck::Finding::Refused;
-    callFailed(CallFailure::Lost, isRefused ? "the server ended as it closed the connection" : "the server was silent after it closed the connection");
+    m_hasServerEnded = finding == ConnectCheck::Finding::Refused;
+    callFailed(CallFailure::Lost, m_hasServerEnded ? "the server ended as it closed the connection" : "the server was silent after it closed the connection");
 }
 
 void RelayedRequest::completeAnswer()
@@ -564,7 +557,7 @@
     }
     closeCall(failure);
     const bool hasEvent = m_answer.ending().hasEvent;
-    const LostCall call{{}, m_query.attemptId, organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address};
+    const LostCall call{{}, m_query.attemptId, organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address, m_hasServerEnded};
     if (mayResendInTime(failure)) {
         m_crashes.handleLostCall(call, hasEvent, [this, failure, text = std::string(reason)] { decide(failure, text); });
     } else {
@@ -827,7 +820,7 @@
     }
     m_deadlineTimer.stop();
     m_weightsTimer.stop();
-    m_sendTimer.stop();
+    m_serverWait.stop();
     RequestReport report{
         status, outcome, {organisationName(), m_route != nullptr ? m_route->name : ""}, m_query.attemptId, m_service, m_query.resumedAttemptId};
     report.choice = m_choice.has_value() ? &*m_choice : nullptr;
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -6,6 +6,7 @@
 #include "crashcontrolhandle.h"
 #include "relayprotocol.h"
 #include "resendqueue.h"
+#include "serverwait.h"
 #include "streamoriginhandle.h"
 #include "usagereservation.h"
 
@@ -138,7 +139,7 @@
     Core::TimePoint m_deadline; ///< Deadline of the final answer.
     EventLoop::Timer m_deadlineTimer;
     EventLoop::Timer m_weightsTimer; ///< Runs while the current call uses outdated weights and its engine has not begun it.
-    EventLoop::Timer m_sendTimer; ///< Runs while a stream waits for a backend server that is at its limit or rests.
+    ServerWait m_serverWait;
     RelayQuery m_query;
     const Decisions::RelayRoute *m_route = nullptr;
     const Decisions::RelayOrganisation *m_organisation = nullptr;
@@ -151,6 +152,7 @@
     std::optional<Decisions::FleetChoice> m_choice; ///< Choice of the current call.
     std::unique_ptr<BackendCall> m_call;
     std::unique_ptr<ConnectCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
+    bool m_hasServerEnded = false; ///< Whether that check has found that the server has ended.
     AnswerForwarder m_answer;
     UsageReservation m_usage;
     CrashControlHandle m_crashes;
@@ -159,7 +161,6 @@
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
     std::optional<std::chrono::milliseconds> m_sendDelay; ///< Time until a limited or resting backend server takes a request, if none could be chosen.
-    std::optional<Core::TimePoint> m_sendDeadline; ///< Latest time of the next call while a stream waits for a backend server.
     bool m_isDone = false;
 };
 
