Use the collector of HTTP bodies for the store's answers too

AnswerCollector of HttpPlatform was a twin of BodyCollector without a bound, so a body without end was kept until the call's deadline.

--- a/src/libs/http/bodycollector.cpp
+++ b/src/libs/http/bodycollector.cpp
@@ -2,21 +2,15 @@
 
 namespace Verbena::Http {
 
-namespace {
-
-// Larger than any response of an engine or of the store.
-constexpr std::size_t maximumBodyBytes = 4 * 1024 * 1024;
-
-} // namespace
-
-BodyCollector::BodyCollector(Callback callback)
+BodyCollector::BodyCollector(Callback callback, std::size_t maximumBytes)
     : m_callback(std::move(callback))
+    , m_maximumBytes(maximumBytes)
 {
 }
 
 void BodyCollector::receiveData(int, std::string_view data)
 {
-    m_isTooLong = m_isTooLong || data.size() > maximumBodyBytes - m_body.size();
+    m_isTooLong = m_isTooLong || data.size() > m_maximumBytes - m_body.size();
     if (!m_isTooLong) {
         m_body += data;
     }
--- a/src/libs/store/httpplatform.cpp
+++ b/src/libs/store/httpplatform.cpp
@@ -3,6 +3,7 @@
 #include "platformjson.h"
 
 #include <eventloop/loop.h>
+#include <http/bodycollector.h>
 
 namespace Verbena::Store {
 
@@ -15,11 +16,10 @@
 constexpr int statusTooManyRequests = 429;
 constexpr int statusUnavailable = 503;
 
-struct Answer
-{
-    int status = 0;
-    std::string body;
-};
+// Many times the largest object that the product keeps in the store.
+constexpr std::size_t maximumAnswerBytes = 256 * 1024 * 1024;
+
+using Answer = Http::HttpReply;
 
 // What the end of an answer's connection says of an answer without a length.
 enum class Framing {
@@ -29,43 +29,17 @@
 
 using AnswerCallback = std::function<void(Core::Result<Answer>)>;
 
-class AnswerCollector : public Http::HttpReceiver
+std::shared_ptr<Http::BodyCollector> makeCollector(AnswerCallback done, Framing framing = Framing::Optional)
 {
-public:
-    explicit AnswerCollector(AnswerCallback done, Framing framing = Framing::Optional)
-        : m_done(std::move(done))
-        , m_framing(framing)
-    {
-    }
-
-    void receiveData(int, std::string_view data) override
-    {
-        m_body.append(data);
-    }
-
-    void receiveUnframedEnd() override
-    {
-        m_isUnframed = true;
-    }
-
-    void finish(Core::Result<int> status) override
-    {
-        if (status && m_isUnframed && m_framing == Framing::Required) {
-            status = Core::Error{Core::ErrorCode::Unknown, "platform.answer", "", "The answer has no length and may be incomplete."};
-        }
-        if (!status) {
-            m_done(status.error());
+    const auto handle = [done = std::move(done), framing](const Core::Result<Answer> &answer) {
+        if (answer && answer.value().isUnframed && framing == Framing::Required) {
+            done(Core::Error{Core::ErrorCode::Unknown, "platform.answer", "", "The answer has no length and may be incomplete."});
             return;
         }
-        m_done(Answer{status.value(), std::move(m_body)});
-    }
-
-private:
-    AnswerCallback m_done;
-    Framing m_framing;
-    bool m_isUnframed = false;
-    std::string m_body;
-};
+        done(answer);
+    };
+    return std::make_shared<Http::BodyCollector>(handle, maximumAnswerBytes);
+}
 
 Core::Error errorOf(int status, const char *step, const std::string &peer)
 {
@@ -187,14 +161,14 @@
 void HttpPlatform::get(const std::vector<std::string> &keys, Core::TimePoint deadline, RowsCallback done)
 {
     auto callback = decodingCallback("table.get", m_url, std::move(done), &decodeRows);
-    m_client->start(jsonCall(m_url + "/table/get", encodeKeys(keys), deadline), std::make_shared<AnswerCollector>(std::move(callback)));
+    m_client->start(jsonCall(m_url + "/table/get", encodeKeys(keys), deadline), makeCollector(std::move(callback)));
 }
 
 void HttpPlatform::scan(const std::string &prefix, std::uint64_t sinceRevision, std::size_t limit, Core::TimePoint deadline, RowsCallback done)
 {
     auto callback = decodingCallback("table.scan", m_url, std::move(done), &decodeRows);
     const std::string body = encodeScan({prefix, sinceRevision, limit});
-    m_client->start(jsonCall(m_url + "/table/scan", body, deadline), std::make_shared<AnswerCollector>(std::move(callback)));
+    m_client->start(jsonCall(m_url + "/table/scan", body, deadline), makeCollector(std::move(callback)));
 }
 
 void HttpPlatform::commit(const std::vector<RowWrite> &writes, Core::TimePoint deadline, CommitCallback done)
@@ -210,7 +184,7 @@
     auto callback = [peer = m_url, done = std::move(done)](const Core::Result<Answer> &answer) {
         done(commitAnswerOf(answer, peer));
     };
-    m_client->start(jsonCall(m_url + "/table/commit", encodeWrites(writes), deadline), std::make_shared<AnswerCollector>(std::move(callback)));
+    m_client->start(jsonCall(m_url + "/table/commit", encodeWrites(writes), deadline), makeCollector(std::move(callback)));
 }
 
 void HttpPlatform::get(const std::string &name, Core::TimePoint deadline, GetCallback done)
@@ -220,7 +194,7 @@
         return;
     }
     auto callback = decodingCallback("objects.get", m_url, std::move(done), [](const std::string &body) { return Core::Result<std::string>(body); });
-    m_client->start({"GET", m_url + "/objects/" + name, {}, {}, deadline}, std::make_shared<AnswerCollector>(std::move(callback), Framing::Required));
+    m_client->start({"GET", m_url + "/objects/" + name, {}, {}, deadline}, makeCollector(std::move(callback), Framing::Required));
 }
 
 void HttpPlatform::put(const std::string &name, const std::string &content, Core::TimePoint deadline, PutCallback done)
@@ -230,14 +204,13 @@
         return;
     }
     auto callback = decodingCallback("objects.put", m_url, std::move(done), [](const std::string &) { return Core::Result<void>(Core::success()); });
-    m_client->start({"PUT", m_url + "/objects/" + name, {"Content-Type: application/octet-stream"}, content, deadline},
-        std::make_shared<AnswerCollector>(std::move(callback)));
+    m_client->start({"PUT", m_url + "/objects/" + name, {"Content-Type: application/octet-stream"}, content, deadline}, makeCollector(std::move(callback)));
 }
 
 void HttpPlatform::fetch(Core::TimePoint deadline, ListCallback done)
 {
     auto callback = decodingCallback("hosts.fetch", m_url, std::move(done), &decodeHosts);
-    m_client->start({"GET", m_url + "/hosts", {}, {}, deadline}, std::make_shared<AnswerCollector>(std::move(callback)));
+    m_client->start({"GET", m_url + "/hosts", {}, {}, deadline}, makeCollector(std::move(callback)));
 }
 
 } // namespace Verbena::Store
