--- a/tests/auto/platform/tst_crashingparts.cpp
+++ b/tests/auto/platform/tst_crashingparts.cpp
@@ -18,10 +18,8 @@
 constexpr std::size_t engines = 6;
 constexpr std::size_t fleetHost = 210;
 
-// Within it all routers have to know of the fifth crash, and so many more may come after it.
-constexpr auto contactTime = 3s;
+// After the contact time, all routers have to know of a part that has crashed so many engines.
 constexpr std::size_t knownCrashes = 5;
-constexpr std::size_t mostRetries = 3;
 
 constexpr auto sendInterval = 25ms;
 
@@ -57,13 +55,7 @@
 protected:
     CrashingPartsTest()
         : m_deployment(routers)
-        , m_fleet(m_deployment.loop(),
-              m_deployment.store(),
-              m_deployment.hostNumber(fleetHost),
-              "drafts",
-              engines,
-              700ms,
-              CrashingFleet::Kind::Engines)
+        , m_fleet(m_deployment.loop(), m_deployment.store(), m_deployment.hostNumber(fleetHost), "drafts", engines, 700ms, CrashingFleet::Kind::Engines)
     {
         m_deployment.store().put("op", "config", enginesConfiguration(9));
         for (std::size_t router = 0; router < routers; ++router) {
@@ -107,16 +99,6 @@
         }
     }
 
-    std::size_t retriesInAll() const
-    {
-        const std::vector<Core::TimePoint> &crashes = m_fleet.crashes();
-        if (crashes.size() < knownCrashes) {
-            return 0;
-        }
-        const Core::TimePoint known = crashes[knownCrashes - 1] + contactTime;
-        return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [known](Core::TimePoint at) { return at > known; }));
-    }
-
     // Returns the share of the sound requests, sent at \a begin or later, that were served.
     double servedShare(Core::TimePoint begin) const
     {
@@ -140,10 +122,10 @@
     const Core::TimePoint begin = m_deployment.loop().now();
     sendFor(9s);
     RecordProperty("crashes", static_cast<int>(m_fleet.crashes().size()));
-    RecordProperty("retries", static_cast<int>(retriesInAll()));
+    RecordProperty("retries", static_cast<int>(m_fleet.retriesAfter(knownCrashes)));
     RecordProperty("served percent", static_cast<int>(100 * servedShare(begin + 2 * contactTime)));
-    EXPECT_LE(retriesInAll(), mostRetries);
-    EXPECT_LE(m_fleet.crashes().size(), knownCrashes + mostRetries);
+    EXPECT_LE(m_fleet.retriesAfter(knownCrashes), maximumRetries);
+    EXPECT_LE(m_fleet.crashes().size(), knownCrashes + maximumRetries);
     EXPECT_GE(servedShare(begin + 2 * contactTime), 0.9);
 }
 
@@ -156,8 +138,8 @@
         m_deployment.runFor(500ms);
     }
     RecordProperty("crashes", static_cast<int>(m_fleet.crashes().size()));
-    RecordProperty("retries", static_cast<int>(retriesInAll()));
-    EXPECT_LE(retriesInAll(), mostRetries);
+    RecordProperty("retries", static_cast<int>(m_fleet.retriesAfter(knownCrashes)));
+    EXPECT_LE(m_fleet.retriesAfter(knownCrashes), maximumRetries);
 }
 
 } // namespace
--- a/tests/auto/platform/tst_crashingrequests.cpp
+++ b/tests/auto/platform/tst_crashingrequests.cpp
@@ -3,8 +3,6 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
-
 namespace Verbena::Test {
 
 namespace {
@@ -16,9 +14,8 @@
 constexpr std::size_t servers = 6;
 constexpr std::size_t fleetHost = 210;
 
-// Within it all routers have to know of the third crash, and so many more may come after it.
-constexpr auto contactTime = 3s;
-constexpr std::size_t mostRetries = 3;
+// After the contact time, all routers have to know of a request that has crashed so many servers.
+constexpr std::size_t knownCrashes = 3;
 
 json plainConfiguration(std::uint64_t version)
 {
@@ -73,15 +70,6 @@
         }
     }
 
-    std::size_t retriesInAll() const
-    {
-        const std::vector<Core::TimePoint> &crashes = m_fleet.crashes();
-        if (crashes.size() < 3) {
-            return 0;
-        }
-        return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [&](Core::TimePoint at) { return at > crashes[2] + contactTime; }));
-    }
-
     PlatformDeployment m_deployment;
     CrashingFleet m_fleet;
     std::uint64_t m_lastId = 0;
@@ -92,8 +80,8 @@
 {
     crashFor(8s);
     RecordProperty("crashes", static_cast<int>(m_fleet.crashes().size()));
-    EXPECT_LE(retriesInAll(), mostRetries);
-    EXPECT_LE(m_fleet.crashes().size(), 3 + mostRetries);
+    EXPECT_LE(m_fleet.retriesAfter(knownCrashes), maximumRetries);
+    EXPECT_LE(m_fleet.crashes().size(), knownCrashes + maximumRetries);
     EXPECT_EQ(status(ask("well", 0)), "200");
 }
 
@@ -110,8 +98,8 @@
         }
     }
     RecordProperty("crashes", static_cast<int>(m_fleet.crashes().size()));
-    EXPECT_LE(retriesInAll(), mostRetries);
-    EXPECT_LE(m_fleet.crashes().size(), 3 + mostRetries);
+    EXPECT_LE(m_fleet.retriesAfter(knownCrashes), maximumRetries);
+    EXPECT_LE(m_fleet.crashes().size(), knownCrashes + maximumRetries);
 }
 
 } // namespace
--- a/tests/platform/crashingfleet.cpp
+++ b/tests/platform/crashingfleet.cpp
@@ -2,6 +2,8 @@
 
 #include <eventloop/loop.h>
 
+#include <algorithm>
+
 namespace Verbena::Test {
 
 using namespace std::chrono_literals;
@@ -51,6 +53,15 @@
     return m_crashes;
 }
 
+std::size_t CrashingFleet::retriesAfter(std::size_t knownCrashes) const
+{
+    if (m_crashes.size() < knownCrashes) {
+        return 0;
+    }
+    const Core::TimePoint known = m_crashes[knownCrashes - 1] + contactTime;
+    return static_cast<std::size_t>(std::count_if(m_crashes.begin(), m_crashes.end(), [known](Core::TimePoint at) { return at > known; }));
+}
+
 int CrashingFleet::served() const
 {
     return m_served;
@@ -116,8 +127,7 @@
     if (fieldOf(head, "Verbenaladder-Expect-Instance") != server.id) {
         return {"HTTP/1.1 421 Misdirected\r\nVerbenaladder-Instance-Id: " + server.id + "\r\nContent-Length: 0\r\n\r\n"};
     }
-    const std::string fields
-        = "Verbenaladder-Attempt-Id: " + fieldOf(head, "Verbenaladder-Attempt-Id") + "\r\nVerbenaladder-Server-Stamp: stamp\r\n";
+    const std::string fields = "Verbenaladder-Attempt-Id: " + fieldOf(head, "Verbenaladder-Attempt-Id") + "\r\nVerbenaladder-Server-Stamp: stamp\r\n";
     if (isCrashing(head, body)) {
         return crash(server, fields);
     }
--- a/tests/platform/crashingfleet.h
+++ b/tests/platform/crashingfleet.h
@@ -17,6 +17,10 @@
 /// \brief The part of a prompt that crashes every engine of a CrashingFleet that begins to answer it.
 inline constexpr const char *crashingPart = "bad";
 
+/// \brief Time within which all routers have to know what crashes the servers, and number of arrivals that are allowed later.
+inline constexpr std::chrono::seconds contactTime{3};
+inline constexpr std::size_t maximumRetries = 3;
+
 /// \brief Backend servers that crash on one body, or on one part of a prompt, and restart some time later under a new id.
 class CrashingFleet
 {
@@ -42,6 +46,9 @@
     /// \brief Returns the times at which crashing requests reached a server, in order.
     const std::vector<Core::TimePoint> &crashes() const;
 
+    /// \brief Returns the number of crashes() later than the contact time after the first \a knownCrashes of them.
+    std::size_t retriesAfter(std::size_t knownCrashes) const;
+
     /// \brief Returns the number of other requests that were answered.
     int served() const;
 
