--- a/src/libs/decisions/relay/crashsubject.h
+++ b/src/libs/decisions/relay/crashsubject.h
@@ -33,7 +33,7 @@
         PromptPart,
     };
 
-    /// \brief Creates a subject that differs from all others.
+    /// \brief Creates a subject that equals none of those made from content.
     CrashSubject() = default;
 
     /// \brief Returns the subject for whole requests with \a content.
