Name the suspect of a barred request by the verdict on its trial

CrashControlHandle chose the strongest suspect once more for the log, beside CrashHistory::trialSubject, and the two differed where suspects have as many crashes: request_barred could name another one than trial_decided. The verdict brings the suspect and its crashes now, and CrashControl::crashCount is gone. sharedPartsText had its own rule for the parts that requests share; it asks sharedParts. hasEvent is asked directly.

Nothing is decided differently; in the log only the suspect named in such a tie changes.

--- a/src/libs/relay/crashcontrol.h
+++ b/src/libs/relay/crashcontrol.h
@@ -27,7 +27,8 @@
 struct TrialVerdict
 {
     bool isGranted = false;
-    Decisions::CrashSubject subject; ///< What the trial is counted for.
+    Decisions::CrashSubject subject; ///< The suspect that the trial is counted for.
+    std::size_t crashes = 0; ///< Crashes of the suspect.
     std::chrono::milliseconds retryAfter{0}; ///< Time until another trial may be granted, if this one is not.
 };
 
@@ -46,9 +47,6 @@
     /// \brief Returns whether requests with \a subject may run only as trials.
     virtual bool isSuspected(const Decisions::CrashSubject &subject) const = 0;
 
-    /// \brief Returns the number of different servers that crashed while running \a subject since its last success.
-    virtual std::size_t crashCount(const Decisions::CrashSubject &subject) const = 0;
-
     /// \brief Asks for a trial of a request with \a suspects, which must not be empty. Returns a number for withdraw(), or 0 if \a done has already been
     /// called.
     virtual std::uint64_t claimTrial(const std::vector<Decisions::CrashSubject> &suspects, TrialCallback done) = 0;
--- a/src/libs/relay/crashcontrolhandle.cpp
+++ b/src/libs/relay/crashcontrolhandle.cpp
@@ -40,17 +40,11 @@
     return suspects;
 }
 
-std::optional<CrashControlHandle::Suspect> CrashControlHandle::strongestSuspect()
+std::optional<std::size_t> CrashControlHandle::partIndex(const Decisions::CrashSubject &subject)
 {
-    std::optional<Suspect> strongest;
-    for (const Decisions::CrashSubject &suspect : suspects()) {
-        const std::size_t crashes = m_control->crashCount(suspect);
-        if (!strongest.has_value() || crashes > strongest->crashes) {
-            const auto index = std::find(m_subjects.begin(), m_subjects.end(), suspect) - m_subjects.begin();
-            strongest = {suspect, static_cast<std::size_t>(index), crashes};
-        }
-    }
-    return strongest;
+    const auto firstPart = subjects().begin() + 1;
+    const auto part = std::find(firstPart, subjects().end(), subject);
+    return part == subjects().end() ? std::nullopt : std::optional(static_cast<std::size_t>(part - firstPart));
 }
 
 bool CrashControlHandle::isSuspected()
--- a/src/libs/relay/crashcontrolhandle.h
+++ b/src/libs/relay/crashcontrolhandle.h
@@ -46,16 +46,8 @@
     /// \brief Returns the subject of the whole request.
     const Decisions::CrashSubject &request();
 
-    /// \brief The suspect with the most crashes among the subjects of the request.
-    struct Suspect
-    {
-        Decisions::CrashSubject subject;
-        std::size_t index = 0; ///< Index among the crashSubjects().
-        std::size_t crashes = 0;
-    };
-
-    /// \brief Returns the suspect for which the request is held back; nothing if it is not suspected.
-    std::optional<Suspect> strongestSuspect();
+    /// \brief Returns the index of the shared part of the prompt that \a subject stands for; nothing for the whole request.
+    std::optional<std::size_t> partIndex(const Decisions::CrashSubject &subject);
 
 private:
     const Subjects &subjects();
--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -100,11 +100,6 @@
     return m_history.isSuspected(subject);
 }
 
-std::size_t CrashGuard::crashCount(const CrashSubject &subject) const
-{
-    return m_history.crashCount(subject);
-}
-
 std::uint64_t CrashGuard::handleLostCall(const LostCall &call, CheckCallback done)
 {
     const std::uint64_t number = ++m_lastNumber;
@@ -202,12 +197,12 @@
     const CrashSubject subject = m_history.trialSubject(suspects);
     const Core::TimePoint nextTrialAt = m_history.nextTrialTime(suspects);
     if (now < nextTrialAt) {
-        done({false, subject, std::chrono::ceil<milliseconds>(nextTrialAt - now)});
+        done({false, subject, m_history.crashCount(subject), std::chrono::ceil<milliseconds>(nextTrialAt - now)});
         return 0;
     }
     const bool isPending = std::any_of(suspects.begin(), suspects.end(), [this](const CrashSubject &suspect) { return m_pendingTrials.contains(suspect); });
     if (m_isStoreLost || isPending) {
-        done({false, subject, trialDuration});
+        done({false, subject, m_history.crashCount(subject), trialDuration});
         return 0;
     }
     const Decisions::CrashHistory::Trials trials = m_history.trials(subject);
@@ -236,7 +231,7 @@
             {"detail", answer.detail}});
     m_relay.metrics().count(isGranted ? "trials_granted_total" : "trials_refused_total");
     if (pending.done) {
-        pending.done({isGranted, subject, trialDuration});
+        pending.done({isGranted, subject, m_history.crashCount(subject), trialDuration});
     } else if (isGranted) {
         releaseTrial(subject);
     }
--- a/src/libs/relay/crashguard.h
+++ b/src/libs/relay/crashguard.h
@@ -52,7 +52,6 @@
 
     bool hasRecords() const override;
     bool isSuspected(const Decisions::CrashSubject &subject) const override;
-    std::size_t crashCount(const Decisions::CrashSubject &subject) const override;
     std::uint64_t claimTrial(const std::vector<Decisions::CrashSubject> &suspects, TrialCallback done) override;
     void releaseTrial(const Decisions::CrashSubject &subject) override;
     std::uint64_t handleLostCall(const LostCall &call, CheckCallback done) override;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -264,23 +264,20 @@
             dispatch();
             return;
         }
-        recordBarred("turned away");
+        recordBarred(verdict, "turned away");
         refuse(503,
             "Backend servers ended under this request or a part of its prompt; it has not run.",
             Decisions::retryDelay(verdict.retryAfter, remainingTime()));
     });
 }
 
-void RelayedRequest::recordBarred(const char *outcome)
+void RelayedRequest::recordBarred(const TrialVerdict &verdict, const char *outcome)
 {
     m_context.metrics.count("requests_barred_total");
     const std::string server = m_choice.has_value() ? m_choice->serverId : "";
-    BarredReport report{"", "", 0, organisationName(), outcome, m_arrivals};
-    if (const auto suspect = m_crashes.strongestSuspect()) {
-        report.identity = suspect->subject.text();
-        report.part = suspect->index > 0 ? Decisions::sharedParts(prompt())[suspect->index - 1].id : "";
-        report.crashes = suspect->crashes;
-    }
+    const std::optional<std::size_t> part = m_crashes.partIndex(verdict.subject);
+    const std::string partId = part.has_value() ? Decisions::sharedParts(prompt())[*part].id : "";
+    const BarredReport report{verdict.subject.text(), partId, verdict.crashes, organisationName(), outcome, m_arrivals};
     reportBarred({m_query.attemptId, m_service, server, sinceArrival()}, report);
 }
 
@@ -441,9 +438,9 @@
 {
     handleFirstPart();
     const bool wasBegun = m_answer.isBegun();
-    const bool hadEvent = m_answer.ending().hasEvent;
+    const bool hadEvent = m_answer.hasEvent();
     const bool isForwarded = m_answer.receiveBody(data);
-    if (m_answer.ending().hasEvent && !hadEvent) {
+    if (m_answer.hasEvent() && !hadEvent) {
         m_crashes.handleFirstEvent();
     }
     if (m_answer.isBegun() && !wasBegun) {
@@ -556,7 +553,7 @@
         return;
     }
     closeCall(failure);
-    const bool hasEvent = m_answer.ending().hasEvent;
+    const bool hasEvent = m_answer.hasEvent();
     const LostCall call{{}, m_query.attemptId, organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address, m_hasServerEnded};
     if (mayResendInTime(failure)) {
         m_crashes.handleLostCall(call, hasEvent, [this, failure, text = std::string(reason)] { decide(failure, text); });
@@ -624,7 +621,7 @@
             proceed(failure, chooseAction(failure));
             return;
         }
-        recordBarred("not sent again");
+        recordBarred(verdict, "not sent again");
         finish(actionWithoutResend(attempts(), failure));
     });
 }
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -110,7 +110,7 @@
     bool mayResendInTime(Decisions::CallFailure failure) const;
     void proceed(Decisions::CallFailure failure, Decisions::AttemptAction action);
     void awaitTrial(Decisions::CallFailure failure);
-    void recordBarred(const char *outcome);
+    void recordBarred(const TrialVerdict &verdict, const char *outcome);
     void handleNotRun(const AnswerMarks &marks);
     void recordNotices(const AnswerMarks &marks);
     void refuseUnplaced();
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -2,7 +2,7 @@
 
 #include "relayevents.h"
 
-#include <decisions/relay/promptoutline.h>
+#include <decisions/relay/crashsubject.h>
 #include <observe/eventlog.h>
 
 #include <algorithm>
@@ -47,10 +47,10 @@
 std::string sharedPartsText(const Decisions::PromptOutline *prompt)
 {
     std::string text;
-    const std::size_t sharedParts = prompt == nullptr || prompt->parts.empty() ? 0 : prompt->parts.size() - 1;
-    for (std::size_t index = 0; index < std::min(sharedParts, maximumLoggedParts); ++index) {
+    const std::vector<Decisions::PromptPart> parts = Decisions::sharedParts(prompt);
+    for (std::size_t index = 0; index < std::min(parts.size(), maximumLoggedParts); ++index) {
         text += index == 0 ? "" : ",";
-        text += prompt->parts[index].id.substr(0, maximumLoggedIdBytes);
+        text += parts[index].id.substr(0, maximumLoggedIdBytes);
     }
     return text;
 }
