--- a/src/libs/decisions/relay/usageaccounts.cpp
+++ b/src/libs/decisions/relay/usageaccounts.cpp
@@ -42,7 +42,7 @@
             m_accounts.erase(m_accounts.begin());
         }
         const Core::TimePoint openedAt = std::max(m_start, now - ownedFor);
-        return m_accounts.emplace(claim.organisation, Account{claim.cap, claim.capVersion, UsageBucket(openedAt)}).first->second;
+        return m_accounts.emplace(claim.organisation, Account{claim.cap, claim.capVersion, PrioritizedBucket(openedAt)}).first->second;
     }
     Account &account = found->second;
     if (claim.capVersion > account.capVersion) {
@@ -55,21 +55,14 @@
 UsageVerdict UsageAccounts::tryConsume(const UsageClaim &claim, const UsageClaimant &claimant, Core::TimePoint now)
 {
     Account &entry = account(claim, claimant.ownedFor, now);
-    const BucketSize bucket = bucketSize(entry.cap, reachableFraction(claimant));
-    const double level = entry.bucket.level(bucket, now);
-    if (level < claim.cost) {
-        return {false, timeToFill(claim.cost - level, bucket.perSecond)};
-    }
-    entry.bucket.consume(claim.cost);
-    return {true, {}};
+    return entry.bucket.tryConsume(claim, claim.cost, bucketSize(entry.cap, reachableFraction(claimant)), now);
 }
 
 void UsageAccounts::refund(const UsageClaim &claim, Core::TimePoint now)
 {
     const auto found = m_accounts.find(claim.organisation);
     if (found != m_accounts.end()) {
-        found->second.bucket.level(bucketSize(found->second.cap, 1), now);
-        found->second.bucket.consume(-claim.cost);
+        found->second.bucket.refund(claim.cost, bucketSize(found->second.cap, 1), now);
     }
 }
 
--- a/src/libs/decisions/relay/usageaccounts.h
+++ b/src/libs/decisions/relay/usageaccounts.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "usagebucket.h"
+#include "prioritizedbucket.h"
 #include "usageclaim.h"
 
 #include <core/time.h>
@@ -23,7 +23,7 @@
 /// \brief The usage counters of the organisations that this process owns.
 ///
 /// Limits callers that send several times what their organisation may use over many routers at once, which no router can detect by itself. As one process
-/// counts for all routers, callers of one router may use what other routers left.
+/// counts for all routers, callers of one router may use what other routers left. More urgent requests go before others.
 class UsageAccounts
 {
 public:
@@ -42,7 +42,7 @@
     {
         UsageCap cap;
         std::uint64_t capVersion = 0;
-        UsageBucket bucket;
+        PrioritizedBucket bucket;
     };
 
     Account &account(const UsageClaim &claim, std::chrono::microseconds ownedFor, Core::TimePoint now);
--- a/src/libs/decisions/relay/usageclaim.cpp
+++ b/src/libs/decisions/relay/usageclaim.cpp
@@ -9,6 +9,11 @@
 // Upper limit of the time for which callers are told to wait.
 constexpr std::chrono::seconds maximumFillTime{60};
 
+// Limits of the random part of a retry time: as a fraction of that time, and the least for short ones, over which about as many requests return as a busy
+// organisation may send.
+constexpr double spreadFraction = 0.25;
+constexpr std::chrono::milliseconds minimumSpread{150};
+
 } // namespace
 
 double usageCost(const UsageCap &cap, std::optional<std::uint64_t> tokens)
@@ -26,4 +31,10 @@
     return std::chrono::ceil<std::chrono::milliseconds>(bounded);
 }
 
+std::chrono::milliseconds spreadRetry(std::chrono::milliseconds earliest, double part)
+{
+    const std::chrono::duration<double, std::milli> spread = std::max<std::chrono::duration<double, std::milli>>(minimumSpread, spreadFraction * earliest);
+    return earliest + std::chrono::ceil<std::chrono::milliseconds>(std::clamp(part, 0.0, 1.0) * spread);
+}
+
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/usageshare.cpp
+++ b/src/libs/decisions/relay/usageshare.cpp
@@ -24,7 +24,7 @@
 
 void UsageShare::handleOwnerAnswer(const std::string &organisation, Core::TimePoint now)
 {
-    m_buckets.insert_or_assign(organisation, UsageBucket(now));
+    m_buckets.insert_or_assign(organisation, PrioritizedBucket(now));
 }
 
 // The share may be smaller than any request. So a full one grants a request of any size, which then uses up future refills.
@@ -32,21 +32,15 @@
 {
     const double routers = m_routerCount == 0 ? assumedRouters : m_routerCount;
     const BucketSize part{claim.cap.perSecond / routers, (claim.cap.burst + m_slack) / routers};
-    UsageBucket &bucket = m_buckets.try_emplace(claim.organisation, m_start).first->second;
-    const double level = bucket.level(part, now);
-    const double needed = std::min(claim.cost, part.capacity);
-    if (level < needed) {
-        return {false, timeToFill(needed - level, part.perSecond)};
-    }
-    bucket.consume(claim.cost);
-    return {true, {}};
+    PrioritizedBucket &bucket = m_buckets.try_emplace(claim.organisation, m_start).first->second;
+    return bucket.tryConsume(claim, std::min(claim.cost, part.capacity), part, now);
 }
 
 void UsageShare::refund(const UsageClaim &claim)
 {
     const auto found = m_buckets.find(claim.organisation);
     if (found != m_buckets.end()) {
-        found->second.consume(-claim.cost);
+        found->second.refund(claim.cost);
     }
 }
 
--- a/src/libs/decisions/relay/usageshare.h
+++ b/src/libs/decisions/relay/usageshare.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "usagebucket.h"
+#include "prioritizedbucket.h"
 #include "usageclaim.h"
 
 #include <core/time.h>
@@ -14,7 +14,7 @@
 /// \brief One router's share of the usage caps, used while the owner of a usage counter does not answer.
 ///
 /// Handles owners that are killed or cut off; otherwise either all or none of the requests of their organisations would be refused. Each router uses an equal
-/// part of a cap and of the slack, so that the sum stays within the cap whichever other routers are cut off.
+/// part of a cap and of the slack, so that the sum stays within the cap whichever other routers are cut off. More urgent requests go before others.
 class UsageShare
 {
 public:
@@ -37,7 +37,7 @@
     double m_slack;
     Core::TimePoint m_start;
     std::uint32_t m_routerCount = 0;
-    std::map<std::string, UsageBucket> m_buckets; ///< Buckets by organisation.
+    std::map<std::string, PrioritizedBucket> m_buckets; ///< Buckets by organisation.
 };
 
 } // namespace Verbena::Decisions
