--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -161,14 +161,15 @@
 void RelayedRequest::claimUsage()
 {
     const Decisions::UsageCap &cap = *m_organisation->usageCap;
-    const Decisions::UsageClaim claim{m_organisation->name, cap, m_directory->version(), usageCost(cap, m_query.tokens)};
+    const Decisions::UsageClaim claim{m_organisation->name, cap, m_directory->version(), usageCost(cap, m_query.tokens), priority()};
     m_usage.claim(claim, [this](const Decisions::UsageVerdict &verdict) {
         if (verdict.isGranted) {
             begin();
             return;
         }
         m_context.metrics.count("requests_over_cap_total");
-        refuse(429, "The usage cap of the organisation is reached; it has not run.", Decisions::retryDelay(verdict.retryAfter, remainingTime()));
+        m_context.metrics.count("requests_over_cap_priority_" + std::to_string(priority()) + "_total");
+        refuse(429, "The usage cap of the organisation is reached; it has not run.", verdict.retryAfter);
     });
 }
 
@@ -199,6 +200,12 @@
     return m_query.prompt.has_value() ? &*m_query.prompt : nullptr;
 }
 
+std::uint32_t RelayedRequest::priority() const
+{
+    const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority.has_value();
+    return std::min(lowestPriority, hasOwnPriority ? *m_organisation->priority : m_route->priority);
+}
+
 bool RelayedRequest::admit()
 {
     RequestAdmission admission = admitRequest(m_context.protocol, m_directory.get(), m_head, m_arrival);
@@ -375,8 +382,7 @@
     context.cacheScope = choice.cacheScope;
     context.cacheSource = choice.cacheSource;
     context.cacheStore = choice.cacheStore;
-    const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority.has_value();
-    context.priority = std::min(lowestPriority, hasOwnPriority ? *m_organisation->priority : m_route->priority);
+    context.priority = priority();
     context.lastEventId = m_answer.lastEventId().has_value() ? std::to_string(*m_answer.lastEventId()) : m_query.lastEventId;
     return context;
 }
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -89,6 +89,7 @@
     bool mayHaveRun() const;
     std::string organisationName() const;
     const Decisions::PromptOutline *prompt() const;
+    std::uint32_t priority() const;
     void begin();
     void dispatch();
     bool awaitServer();
--- a/src/libs/relay/usageclient.cpp
+++ b/src/libs/relay/usageclient.cpp
@@ -34,9 +34,10 @@
 
 } // namespace
 
-Core::Result<std::unique_ptr<UsageClient>> UsageClient::create(EventLoop::Loop &loop, const Http::Endpoint &address, double slack, RelayTask &relay)
+Core::Result<std::unique_ptr<UsageClient>> UsageClient::create(
+    EventLoop::Loop &loop, const Http::Endpoint &address, double slack, RelayTask &relay, std::uint64_t seed)
 {
-    std::unique_ptr<UsageClient> client(new UsageClient(loop, address, slack, relay));
+    std::unique_ptr<UsageClient> client(new UsageClient(loop, address, slack, relay, seed));
     auto socket = Wire::DatagramSocket::bind(
         loop, address.address, [raw = client.get()](const sockaddr_in &, const verbena::wire::Envelope &message) { raw->handleMessage(message); });
     if (!socket) {
@@ -47,12 +48,13 @@
     return client;
 }
 
-UsageClient::UsageClient(EventLoop::Loop &loop, const Http::Endpoint &address, double slack, RelayTask &relay)
+UsageClient::UsageClient(EventLoop::Loop &loop, const Http::Endpoint &address, double slack, RelayTask &relay, std::uint64_t seed)
     : m_loop(loop)
     , m_address(address)
     , m_relay(relay)
     , m_owners(loop.now())
     , m_share(slack, loop.now())
+    , m_random(seed)
     , m_timer(loop, [this] { checkPendingClaims(); })
 {
 }
@@ -156,7 +158,7 @@
     const verbena::wire::UsageVerdict &answer = message.usage_verdict();
     const UsageVerdict verdict{answer.granted(), std::chrono::ceil<milliseconds>(std::chrono::microseconds(answer.come_back_us()))};
     if (pending.done) {
-        pending.done(verdict);
+        pending.done(spread(verdict));
     } else if (verdict.isGranted) {
         refund(pending.claim);
     }
@@ -222,7 +224,15 @@
 void UsageClient::decideFromShare(const UsageClaim &claim, const Callback &done)
 {
     m_relay.metrics().count("usage_from_share_total");
-    done(m_share.tryConsume(claim, m_loop.now()));
+    done(spread(m_share.tryConsume(claim, m_loop.now())));
+}
+
+UsageVerdict UsageClient::spread(const UsageVerdict &verdict)
+{
+    if (verdict.isGranted) {
+        return verdict;
+    }
+    return {false, Decisions::spreadRetry(verdict.retryAfter, m_random.uniform())};
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/usageclient.h
+++ b/src/libs/relay/usageclient.h
@@ -5,6 +5,7 @@
 
 #include <decisions/relay/usageowners.h>
 #include <decisions/relay/usageshare.h>
+#include <decisions/spread/randomsource.h>
 #include <eventloop/timer.h>
 #include <wire/datagramsocket.h>
 
@@ -18,10 +19,12 @@
 class UsageClient : public UsageControl
 {
 public:
-    /// \brief Binds to \a address; the agents use the same port on their hosts. \a slack is the part of a cap that all routers together may use on top.
+    /// \brief Binds to \a address; the agents use the same port on their hosts. \a slack is the part of a cap that all routers together may use on top. \a seed
+    /// spreads the times at which refused callers retry.
     ///
     /// Errors: Unavailable.
-    static Core::Result<std::unique_ptr<UsageClient>> create(EventLoop::Loop &loop, const Http::Endpoint &address, double slack, RelayTask &relay);
+    static Core::Result<std::unique_ptr<UsageClient>> create(
+        EventLoop::Loop &loop, const Http::Endpoint &address, double slack, RelayTask &relay, std::uint64_t seed);
     ~UsageClient() override;
 
     UsageClient(const UsageClient &) = delete;
@@ -42,7 +45,8 @@
         bool isResent = false;
     };
 
-    UsageClient(EventLoop::Loop &loop, const Http::Endpoint &address, double slack, RelayTask &relay);
+    UsageClient(EventLoop::Loop &loop, const Http::Endpoint &address, double slack, RelayTask &relay, std::uint64_t seed);
+    Decisions::UsageVerdict spread(const Decisions::UsageVerdict &verdict);
     void updateAgents();
     void send(std::uint64_t number, const Decisions::UsageClaim &claim, const Decisions::UsageOwnerChoice &owner);
     void handleMessage(const verbena::wire::Envelope &message);
@@ -57,6 +61,7 @@
     RelayTask &m_relay;
     Decisions::UsageOwners m_owners;
     Decisions::UsageShare m_share;
+    Decisions::RandomSource m_random;
     std::uint64_t m_agentsRevision = 0;
     std::uint64_t m_lastNumber = 0;
     std::map<std::uint64_t, PendingClaim> m_pendingClaims; ///< By number, so in the order in which they were sent.
--- a/tests/auto/relay/tst_cappedrequests.cpp
+++ b/tests/auto/relay/tst_cappedrequests.cpp
@@ -66,11 +66,13 @@
         route.host = "x";
         route.prefix = "/once/";
         route.timeout = 20s;
+        route.priority = 4;
         route.services = {{"s", 1.0}};
         Decisions::RelayConfiguration declared;
         declared.version = 5;
         declared.routes = {route};
-        declared.organisations = {{"dams", {"k"}, std::nullopt, false, Decisions::UsageCap{10, 10, true, 200}}, {"free", {"f"}, std::nullopt, false, {}}};
+        const Decisions::UsageCap cap{10, 10, true, 200};
+        declared.organisations = {{"dams", {"k"}, std::nullopt, false, cap}, {"locks", {"l"}, 1, false, cap}, {"free", {"f"}, std::nullopt, false, {}}};
         m_relay->setConfiguration(declared);
     }
 
@@ -130,6 +132,26 @@
     EXPECT_TRUE(m_control.refunds.empty());
 }
 
+// A time that was cut to a second and a half brought callers back to a cap that had no room yet.
+TEST_F(CappedRequestTest, tellsItsCallerAnyRetryDelayInFull)
+{
+    start([](const auto &head, const auto &) { return answer(head); });
+    m_control.verdict = UsageVerdict{false, 12s};
+    EXPECT_NE(answerTo(*ask()).find("Come-Back-Ms: 12000"), std::string::npos);
+}
+
+// An organisation's priority goes before its route's, in the order in a cap as at engines.
+TEST_F(CappedRequestTest, claimsWithThePriorityInForce)
+{
+    start([](const auto &head, const auto &) { return answer(head); });
+    m_control.verdict = UsageVerdict{true, {}};
+    answerTo(*ask());
+    answerTo(*ask("l"));
+    ASSERT_EQ(m_control.claims.size(), 2U);
+    EXPECT_EQ(m_control.claims[0].priority, 4U);
+    EXPECT_EQ(m_control.claims[1].priority, 1U);
+}
+
 TEST_F(CappedRequestTest, claimsNothingForAnOrganisationWithoutACap)
 {
     start([](const auto &head, const auto &) { return answer(head); });
