--- a/src/libs/relay/usageclient.cpp
+++ b/src/libs/relay/usageclient.cpp
@@ -143,6 +143,7 @@
     request.set_cost(claim.cost);
     request.set_kept_for_us(static_cast<std::uint64_t>(owner.ownedFor.count()));
     request.set_routers(m_relay.knownRouterCount());
+    request.set_priority(claim.priority.has_value() ? *claim.priority + 1 : 0);
     m_socket->send(agent.value().address, message);
 }
 
--- a/src/libs/weights/usagekeeper.cpp
+++ b/src/libs/weights/usagekeeper.cpp
@@ -17,6 +17,9 @@
     claim.cap.burst = asked.burst();
     claim.capVersion = asked.cap_version();
     claim.cost = asked.cost();
+    if (asked.priority() > 0) {
+        claim.priority = asked.priority() - 1;
+    }
     return claim;
 }
 
