--- a/src/libs/relay/relayprotocol.h
+++ b/src/libs/relay/relayprotocol.h
@@ -3,6 +3,7 @@
 #include <core/result.h>
 #include <core/time.h>
 #include <decisions/relay/promptoutline.h>
+#include <decisions/relay/serverload.h>
 #include <http/messagereader.h>
 
 #include <chrono>
@@ -53,8 +54,7 @@
     bool isLeaving = false; ///< Whether the backend server says that it takes no new requests and will end.
     std::optional<std::uint64_t> weightsVersion;
     std::optional<double> limit; ///< Requests per second that the backend server takes from all routers together; nothing if it names no limit.
-    std::optional<std::uint32_t> running; ///< Number of running requests.
-    std::optional<std::uint32_t> waiting; ///< Number of queued requests.
+    std::optional<Decisions::ServerLoad> load; ///< Load of the backend server; nothing if it reports none that can be understood.
 };
 
 /// \brief An answer by the relay itself to a request that got none from a backend server.
--- a/tests/auto/platform/tst_translation.cpp
+++ b/tests/auto/platform/tst_translation.cpp
@@ -130,10 +130,54 @@
     const Relay::AnswerMarks marks = protocol.readAnswer(head);
     EXPECT_TRUE(marks.isNotRun);
     EXPECT_FALSE(marks.hasReceipt);
-    EXPECT_EQ(marks.waiting, std::optional<std::uint32_t>(1));
+    EXPECT_EQ(marks.load, std::optional(Decisions::ServerLoad{3, 1, 8, std::nullopt}));
     EXPECT_EQ(marks.weightsVersion, std::optional<std::uint64_t>(4));
 }
 
+// A load that cannot be understood must neither keep requests away nor draw them.
+TEST(PlatformProtocolTest, readsTheLoadOfABackendServer)
+{
+    const auto loadOf = [](const std::string &text) {
+        MessageHead head;
+        head.fields = {{"Verbenaladder-Instance-Load", text}};
+        return PlatformProtocol().readAnswer(head).load;
+    };
+    EXPECT_EQ(loadOf("3,1,8,250"), std::optional(Decisions::ServerLoad{3, 1, 8, 2.5}));
+    EXPECT_EQ(loadOf("3, 1, 8, 100"), std::optional(Decisions::ServerLoad{3, 1, 8, 1.0}));
+    for (const char *text : {"3,1,8", "3,1,8,0", "3,1,8,10001", "3,1,8,999999999999"}) {
+        EXPECT_EQ(loadOf(text), std::optional(Decisions::ServerLoad{3, 1, 8, std::nullopt})) << text;
+    }
+    for (const char *text : {"",
+             ",",
+             "3",
+             "3,1",
+             ",,",
+             ",,,",
+             "3,1,",
+             "3,1,8,",
+             "3,1,8,,",
+             "3,1,8,100,1",
+             "-3,1,8",
+             "3,-1,8",
+             "3,1,-8",
+             "3,1,0",
+             "3,1,8,-100",
+             "3,1,8,nan",
+             "3,1,8,inf",
+             "3,1,8,1e999",
+             "a,1,8,100",
+             "3,1,8,fast",
+             "3,1,8.5",
+             "1000001,0,8",
+             "3,99999999999999999999,8,100",
+             "3;1;8"}) {
+        EXPECT_EQ(loadOf(text), std::nullopt) << text;
+    }
+    MessageHead twice;
+    twice.fields = {{"Verbenaladder-Instance-Load", "3,1,8,100"}, {"Verbenaladder-Instance-Load", "0,0,8,100"}};
+    EXPECT_EQ(PlatformProtocol().readAnswer(twice).load, std::nullopt);
+}
+
 // A limit that cannot be understood must not keep requests away.
 TEST(PlatformProtocolTest, readsTheLimitOfABackendServer)
 {
