--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -38,6 +38,7 @@
     std::string softwareVersion; ///< Version of the backend server's software; empty if it names none.
     std::string cacheScope; ///< Scope of the cached parts; prompts of different scopes share none.
     std::vector<SharedPart> parts; ///< Shared parts of the prompt in order, without the last one, which belongs to this request alone.
+    std::uint32_t ownTokens = 0; ///< Tokens of the part that belongs to this request alone.
     std::uint32_t warmParts = 0; ///< Number of leading parts assumed to be in the cache of the engine.
     std::uint32_t storedParts = 0; ///< Number of leading parts that the prompt's store of saved KV cache holds.
     std::string cacheSource; ///< Address of an engine or a store to fetch missing parts from; empty for none.
@@ -52,6 +53,7 @@
     std::chrono::microseconds acceptableWait{std::chrono::microseconds::max()}; ///< Maximum wait with which the answer still meets the latency target.
     std::optional<std::chrono::milliseconds> reportAge; ///< Age of the status report on which the expected wait is based.
     std::optional<double> limit; ///< Requests per second that the backend server takes from all routers together, if it named a limit.
+    std::optional<double> slowness; ///< Time that work takes there relative to the service's average; nothing if no server of the service names its pace.
     std::uint32_t limitedServers = 0; ///< Number of backend servers, of any service, that were left out because of their limits or because they rest.
     bool isBusyWithWeights = false; ///< Whether the engine loads new weights or is about to, as do all others.
     Core::TimePoint sentAt;
--- a/src/libs/decisions/relay/promptkeys.cpp
+++ b/src/libs/decisions/relay/promptkeys.cpp
@@ -34,6 +34,7 @@
 void describePrompt(FleetChoice &choice, const FleetQuery &query)
 {
     choice.cacheScope = cacheScope(query, *choice.weightsVersion);
+    choice.ownTokens = query.prompt->parts.empty() ? query.prompt->promptTokens : query.prompt->parts.back().tokens;
     RouteQuery &route = choice.route;
     route.version = {poolName(query.service, query.prompt->model), "", std::to_string(*choice.weightsVersion)};
     route.root = chain(PrefixKey(0), demandScope(query));
--- a/src/libs/decisions/relay/prompttransfers.cpp
+++ b/src/libs/decisions/relay/prompttransfers.cpp
@@ -35,6 +35,11 @@
 // Time from an announcement until all engines have loaded the new weights and computed the prompts in demand again.
 constexpr milliseconds refillDuration{10000};
 
+microseconds ownPrefill(std::uint32_t tokens)
+{
+    return microseconds(1000) * (tokens / tokensPerMillisecond);
+}
+
 } // namespace
 
 PromptCaches &PromptTransfers::caches()
@@ -49,12 +54,11 @@
 
 RouteCandidate PromptTransfers::cheapest(const RouteDecision &decision, const FleetChoice &choice, Core::TimePoint now) const
 {
-    const std::vector<SharedPart> &parts = choice.parts;
-    const std::uint32_t anywhere = m_caches.warmPartsAnywhere(storeOf(choice), parts, now);
+    const std::uint32_t anywhere = m_caches.warmPartsAnywhere(storeOf(choice), choice.parts, now);
     RouteCandidate best = decision.candidates.front();
-    microseconds lowest = cost(best, parts, anywhere, now);
+    microseconds lowest = cost(best, choice, anywhere, now);
     for (RouteCandidate candidate : decision.candidates) {
-        const microseconds offered = cost(candidate, parts, anywhere, now);
+        const microseconds offered = cost(candidate, choice, anywhere, now);
         if (offered < lowest) {
             lowest = offered;
             best = candidate;
@@ -66,7 +70,7 @@
 microseconds PromptTransfers::work(const RouteCandidate &best, const PromptOutline &prompt)
 {
     const std::uint32_t ownTokens = prompt.parts.empty() ? prompt.promptTokens : prompt.parts.back().tokens;
-    return best.prefill + microseconds(1000) * (ownTokens / tokensPerMillisecond);
+    return best.prefill + ownPrefill(ownTokens);
 }
 
 // The engine asks the store for the parts that it lacks, even if its agent reported that it lacks none: a request in vain costs a millisecond, computing a
@@ -132,16 +136,19 @@
 }
 
 // Returns the wait of a request at the candidate plus the extra cost for the engine: computing parts that nobody caches and fetching those that another engine
-// or store holds.
-microseconds PromptTransfers::cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmPartsAnywhere, Core::TimePoint now) const
+// or store holds. Its own part costs the same everywhere but for the speed of the engine.
+microseconds PromptTransfers::cost(RouteCandidate &candidate, const FleetChoice &choice, std::uint32_t warmPartsAnywhere, Core::TimePoint now) const
 {
+    const std::vector<SharedPart> &parts = choice.parts;
     // Earlier observations of the cache do not count: they may be of other weights.
     candidate.warmPieces = m_caches.warmParts(candidate.id, parts, now).value_or(0);
     candidate.prefill = microseconds(0);
     for (std::uint32_t part = candidate.warmPieces; part < parts.size(); ++part) {
         candidate.prefill += parts[part].tokens * (part < warmPartsAnywhere ? fetchPerToken : prefillPerToken);
     }
-    return candidate.wait + candidate.prefill + (candidate.origin == CandidateOrigin::Home ? microseconds(0) : awayFromHomePenalty);
+    const auto untilFirstToken
+        = std::chrono::duration_cast<microseconds>(candidate.slowness * (candidate.wait + candidate.prefill + ownPrefill(choice.ownTokens)));
+    return untilFirstToken + (candidate.origin == CandidateOrigin::Home ? microseconds(0) : awayFromHomePenalty);
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/prompttransfers.h
+++ b/src/libs/decisions/relay/prompttransfers.h
@@ -41,7 +41,7 @@
     static bool isRefilling(const WeightsHistory &history, Core::TimePoint now);
     static bool isWorthSaving(const PartIndex &store, std::uint64_t randomValue, bool isFilling);
     std::string holderOf(const FleetChoice &choice, const RouteChooser &fleet, Core::TimePoint now) const;
-    std::chrono::microseconds cost(RouteCandidate &candidate, const std::vector<SharedPart> &parts, std::uint32_t warmPartsAnywhere, Core::TimePoint now) const;
+    std::chrono::microseconds cost(RouteCandidate &candidate, const FleetChoice &choice, std::uint32_t warmPartsAnywhere, Core::TimePoint now) const;
 
     PromptCaches m_caches;
 };
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -1,5 +1,6 @@
 #include "relayfleet.h"
 
+#include "plainchoice.h"
 #include "promptkeys.h"
 
 #include <algorithm>
@@ -28,6 +29,9 @@
 // load, and the latency with which the announcement was received.
 constexpr milliseconds callBackMargin{250};
 
+// Searches for a server with a free slot, of three candidates or so each, before a call goes to one that is full.
+constexpr int maximumSearches = 3;
+
 } // namespace
 
 RelayFleet::RelayFleet(const RoutingOptions &routing, const WeightsLimits &weights)
@@ -118,6 +122,26 @@
     return !isOutdated(choice) && m_limits.handleAnswer(choice.serverId, choice.incarnation, perSecond, choice.sentAt, now);
 }
 
+void RelayFleet::recordLoad(const FleetChoice &choice, const ServerLoad &load, Core::TimePoint now)
+{
+    if (isOutdated(choice)) {
+        return;
+    }
+    m_reportedLoads.update(choice.id, load, unansweredCalls(choice.id), now);
+    if (load.pace.has_value()) {
+        m_pace.recordPace(choice.id, *load.pace, now);
+    }
+}
+
+// A request that had to wait shows the load of the server and not its speed.
+void RelayFleet::recordWork(const FleetChoice &choice, Core::TimePoint now)
+{
+    const bool hasWaited = choice.waiting > 0 || m_reportedLoads.isFull(choice.id, 0, now);
+    if (!isOutdated(choice) && !hasWaited) {
+        m_pace.recordWork(choice.id, std::chrono::duration_cast<microseconds>(now - choice.sentAt), choice.work, now);
+    }
+}
+
 bool RelayFleet::applyLimitNews(const ServerLimitNews &news, Core::TimePoint now)
 {
     syncWithRegister();
@@ -167,6 +191,7 @@
             continue;
         }
         m_software.emplace(registered.service, registered.softwareVersion);
+        m_pace.updateServer(backendServerId(id), registered.service, registered.incarnation);
         BackendServer server;
         server.id = backendServerId(id);
         server.name = id;
@@ -194,6 +219,8 @@
     std::erase_if(m_failures, [&](const auto &entry) { return isGone(entry.first); });
     std::erase_if(m_incarnations, [&](const auto &entry) { return isGone(entry.first); });
     m_transfers.caches().removeIf(isGone);
+    m_pace.removeIf(isGone);
+    m_reportedLoads.removeIf(isGone);
 }
 
 // A backend server that restarted under its id is cold and idle. If it still counted as warm, it would get the prompts of its earlier incarnation, all to be
@@ -203,6 +230,7 @@
     std::uint64_t &recorded = m_incarnations[id];
     if (recorded != 0 && recorded != incarnation) {
         m_reports.handleRestart(id);
+        m_reportedLoads.handleRestart(id);
         m_failures.erase(id);
         m_transfers.caches().handleRestart(id);
     }
@@ -371,6 +399,9 @@
         decision = m_chooser.choose(route, now);
         choice.isBusyWithWeights = true;
     }
+    for (RouteCandidate &candidate : decision.candidates) {
+        candidate.slowness = m_pace.slowness(candidate.id, now);
+    }
     return decision;
 }
 
@@ -383,6 +414,7 @@
     choice.incarnation = server->incarnation;
     choice.softwareVersion = server->softwareVersion;
     choice.limit = m_limits.limit(server->name);
+    choice.slowness = m_pace.isNamedIn(query.service) ? std::optional(m_pace.slowness(best.id, now)) : std::nullopt;
     if (query.prompt == nullptr) {
         choice.work = plainCallWork;
         return;
@@ -404,14 +436,52 @@
     choice.routeName = query.route;
     choice.route.service = query.service;
     choice.route.root = PrefixKey(query.randomValue);
-    const RouteDecision decision = candidates(choice, query, now);
-    if (decision.candidates.empty()) {
+    const std::vector<RouteCandidate> found = plainCandidates(choice, query, now);
+    if (found.empty()) {
         return std::nullopt;
     }
-    complete(choice, decision.candidates.front(), query, now);
+    complete(choice, m_pace.isNamedIn(query.service) ? soonest(found, query, now) : found.front(), query, now);
     return choice;
 }
 
+// A service that names no pace is searched once.
+std::vector<RouteCandidate> RelayFleet::plainCandidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const
+{
+    const auto isFull = [&](const RouteCandidate &candidate) {
+        return m_reportedLoads.isFull(candidate.id, unansweredCalls(candidate.id), now);
+    };
+    std::vector<RouteCandidate> found;
+    for (int search = 0; search < (m_pace.isNamedIn(query.service) ? maximumSearches : 1); ++search) {
+        const std::vector<RouteCandidate> further = candidates(choice, query, now).candidates;
+        found.insert(found.end(), further.begin(), further.end());
+        if (further.empty() || !std::all_of(further.begin(), further.end(), isFull)) {
+            break;
+        }
+        for (const RouteCandidate &candidate : further) {
+            choice.route.excluded.push_back(candidate.id);
+        }
+    }
+    return found;
+}
+
+RouteCandidate RelayFleet::soonest(const std::vector<RouteCandidate> &candidates, const FleetQuery &query, Core::TimePoint now) const
+{
+    std::vector<PlainCandidate> rated;
+    for (const RouteCandidate &candidate : candidates) {
+        const std::uint32_t unanswered = unansweredCalls(candidate.id);
+        rated.push_back({m_pace.slowness(candidate.id, now),
+            m_reportedLoads.expectedDelay(candidate.id, unanswered, now),
+            m_reportedLoads.isFull(candidate.id, unanswered, now),
+            unanswered == 0 && m_pace.isDueForTrial(candidate.id, now)});
+    }
+    return candidates[soonestCandidate(rated, query.randomValue)];
+}
+
+std::uint32_t RelayFleet::unansweredCalls(BackendServerId id) const
+{
+    return static_cast<std::uint32_t>(m_chooser.unansweredWork(id) / plainCallWork);
+}
+
 std::optional<FleetChoice> RelayFleet::chooseOn(std::uint64_t weights, const FleetQuery &query, Core::TimePoint now) const
 {
     FleetChoice choice;
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -7,7 +7,9 @@
 #include "homedomains.h"
 #include "orderfailover.h"
 #include "prompttransfers.h"
+#include "reportedloads.h"
 #include "serverlimits.h"
+#include "serverpace.h"
 #include "serverregister.h"
 #include "serverrests.h"
 #include "weightschoice.h"
@@ -58,6 +60,12 @@
     /// \brief Handles that the backend server of \a choice named \a perSecond as its limit in an answer, or none. Returns whether that changed it.
     bool recordLimit(const FleetChoice &choice, const std::optional<double> &perSecond, Core::TimePoint now);
 
+    /// \brief Records \a load, which an answer of the backend server of \a choice reported.
+    void recordLoad(const FleetChoice &choice, const ServerLoad &load, Core::TimePoint now);
+
+    /// \brief Records that the first part of a successful answer to the request of \a choice was received; to be called before recordAnswered().
+    void recordWork(const FleetChoice &choice, Core::TimePoint now);
+
     /// \brief Handles what another router was told of a limit. Returns whether that changed it; news of an earlier incarnation change nothing.
     bool applyLimitNews(const ServerLimitNews &news, Core::TimePoint now);
 
@@ -139,6 +147,9 @@
     RouteDecision candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     std::optional<FleetChoice> chooseFor(const FleetQuery &query, Core::TimePoint now) const;
     std::optional<FleetChoice> choosePlain(const FleetQuery &query, Core::TimePoint now) const;
+    std::vector<RouteCandidate> plainCandidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
+    RouteCandidate soonest(const std::vector<RouteCandidate> &candidates, const FleetQuery &query, Core::TimePoint now) const;
+    std::uint32_t unansweredCalls(BackendServerId id) const;
     std::optional<FleetChoice> chooseOn(std::uint64_t weights, const FleetQuery &query, Core::TimePoint now) const;
     static bool isAcceptable(const FleetChoice &choice);
     static bool isBetter(const FleetChoice &choice, const FleetChoice &other);
@@ -161,6 +172,8 @@
     PromptTransfers m_transfers;
     ServerLimits m_limits;
     ServerRests m_rests;
+    ServerPace m_pace;
+    ReportedLoads m_reportedLoads;
     std::map<std::string, WaitEstimate> m_estimates; ///< Wait estimates by route.
     std::unordered_map<std::string, std::vector<std::string>> m_idsByAddress; ///< Ids of engines by address; several entries may name the same address.
     std::unordered_map<BackendServerId, std::uint64_t> m_incarnations; ///< Incarnations of the registered backend servers.
--- a/src/libs/decisions/routing/routedecision.h
+++ b/src/libs/decisions/routing/routedecision.h
@@ -28,6 +28,7 @@
     std::chrono::microseconds wait{0}; ///< Expected time until prefill begins.
     std::chrono::microseconds prefill{0}; ///< Expected time to compute the missing pieces.
     std::chrono::microseconds import{0}; ///< Expected time to import importedPieces.
+    double slowness = 1; ///< Time that work takes there relative to the service's average.
     double score = 0; ///< Weighted sum of the times above in microseconds; lower is better.
 };
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -405,6 +405,9 @@
 // What a backend server says of itself beside the answer to the request, which may be any answer of it.
 void RelayedRequest::recordNotices(const AnswerMarks &marks)
 {
+    if (marks.load.has_value()) {
+        m_context.fleet.recordLoad(*m_choice, *marks.load, m_context.loop.now());
+    }
     if (m_context.fleet.recordLimit(*m_choice, marks.limit, m_context.loop.now())) {
         reportLimit(m_choice->serverId, marks.limit, "server");
     }
@@ -799,6 +802,9 @@
     }
     m_isUnanswered = false;
     m_weightsTimer.stop();
+    if (isSuccess(m_answer.status()) && !m_answer.isServerError()) {
+        m_context.fleet.recordWork(*m_choice, m_context.loop.now());
+    }
     m_context.fleet.recordAnswered(*m_choice, m_context.loop.now());
     if (m_firstPartAfter.count() < 0) {
         m_firstPartAfter = sinceArrival();
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -153,6 +153,7 @@
             {"waiting", isChosen ? std::to_string(choice.waiting) : ""},
             {"expected_wait_ms", text(choice.expectedWait)},
             {"news_ms", text(choice.reportAge)},
+            {"slowness", text(choice.slowness)},
             {"limit", text(choice.limit)},
             {"limited_servers", isChosen ? std::to_string(choice.limitedServers) : ""},
             {"sends", std::to_string(report.sends)},
