--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -797,6 +797,7 @@
 
 void RelayedRequest::handleFirstPart()
 {
+    m_partTimes.recordPart(m_context.loop.now());
     if (!m_isUnanswered) {
         return;
     }
@@ -830,6 +831,7 @@
     report.sends = m_attempts.sends;
     report.arrival = m_arrival;
     report.firstPartAfter = m_firstPartAfter;
+    report.longestGap = m_partTimes.longestGap();
     report.total = sinceArrival();
     report.ending = m_answer.ending();
     report.configurationAge = m_context.configurationAge ? m_context.configurationAge() : std::nullopt;
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -4,6 +4,7 @@
 #include "backendcall.h"
 #include "connectcheck.h"
 #include "crashcontrolhandle.h"
+#include "parttimes.h"
 #include "relayprotocol.h"
 #include "resendqueue.h"
 #include "serverwait.h"
@@ -160,6 +161,7 @@
     bool m_isUnanswered = false; ///< Whether the current call counts as load of its backend server.
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
+    PartTimes m_partTimes;
     std::optional<std::chrono::milliseconds> m_sendDelay; ///< Time until a limited or resting backend server takes a request, if none could be chosen.
     bool m_isDone = false;
 };
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -159,6 +159,7 @@
             {"sends", std::to_string(report.sends)},
             {"sent_ms", report.sends > 0 ? text(duration_cast<milliseconds>(choice.sentAt - report.arrival)) : ""},
             {"first_ms", text(report.firstPartAfter)},
+            {"longest_gap_ms", text(report.longestGap)},
             {"total_ms", text(report.total)},
             {"framing", std::string(bodyFramingName(report.ending.framing))},
             {"inside_event", yesOrNo(report.ending.isInsideEvent)},
--- a/src/libs/relay/requestreport.h
+++ b/src/libs/relay/requestreport.h
@@ -89,6 +89,7 @@
     std::uint32_t sends = 0;
     Core::TimePoint arrival{};
     std::chrono::milliseconds firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative if none came.
+    std::optional<std::chrono::milliseconds> longestGap = {}; ///< Longest pause between two parts of the answer.
     std::chrono::milliseconds total{0};
     std::uint64_t configuration = 0; ///< Version of the configuration; 0 if there was none.
     AnswerEnding ending = {}; ///< Of the last answer.
