--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -411,6 +411,9 @@
 // What a backend server says of itself beside the answer to the request, which may be any answer of it.
 void RelayedRequest::recordNotices(const AnswerMarks &marks)
 {
+    if (marks.load.has_value()) {
+        m_context.fleet.recordLoad(*m_choice, *marks.load, m_context.loop.now());
+    }
     if (m_context.fleet.recordLimit(*m_choice, marks.limit, m_context.loop.now())) {
         reportLimit(m_choice->serverId, marks.limit, "server");
     }
@@ -800,11 +803,15 @@
 
 void RelayedRequest::handleFirstPart()
 {
+    m_partTimes.recordPart(m_context.loop.now());
     if (!m_isUnanswered) {
         return;
     }
     m_isUnanswered = false;
     m_weightsTimer.stop();
+    if (isSuccess(m_answer.status()) && !m_answer.isServerError()) {
+        m_context.fleet.recordWork(*m_choice, m_context.loop.now());
+    }
     m_context.fleet.recordAnswered(*m_choice, m_context.loop.now());
     if (m_firstPartAfter.count() < 0) {
         m_firstPartAfter = sinceArrival();
@@ -830,6 +837,7 @@
     report.sends = m_attempts.sends;
     report.arrival = m_arrival;
     report.firstPartAfter = m_firstPartAfter;
+    report.longestGap = m_partTimes.longestGap();
     report.total = sinceArrival();
     report.ending = m_answer.ending();
     report.configurationAge = m_context.configurationAge ? m_context.configurationAge() : std::nullopt;
