--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -7,7 +7,9 @@
 #include <cerrno>
 #include <cstring>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -70,7 +72,7 @@
 TcpChannel::TcpChannel(EventLoop::Loop &loop, int descriptor, ChannelObserver &observer, bool isConnected)
     : m_loop(loop)
     , m_descriptor(descriptor)
-    , m_observer(observer)
+    , m_observer(&observer)
     , m_watcher(std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [this](int events) { onReady(events); }))
     , m_flush(loop, [this] { flush(); })
     , m_isConnected(isConnected)
@@ -100,11 +102,37 @@
     }
 }
 
+void TcpChannel::writeNow(std::string_view data)
+{
+    if (m_isBroken) {
+        return;
+    }
+    m_output.append(data);
+    flush();
+}
+
+void TcpChannel::handOver(ChannelObserver &observer)
+{
+    m_observer = &observer;
+    m_hasSent = false;
+    m_output.shrink_to_fit();
+    setReading(true);
+}
+
+bool TcpChannel::isIdle() const
+{
+    if (!m_isConnected || m_isEnded || m_isBroken || bufferedBytes() > 0) {
+        return false;
+    }
+    char next = 0;
+    return recv(m_descriptor, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
 // A send error is not handled here: the loop reports it when the socket becomes ready.
 void TcpChannel::flush()
 {
     if (m_isConnected && !m_isBroken && sendBuffered() && bufferedBytes() == 0) {
-        m_observer.outputDrained();
+        m_observer->outputDrained();
     }
     watch();
 }
@@ -114,6 +142,13 @@
     return m_output.size() - m_outputOffset;
 }
 
+std::size_t TcpChannel::unacknowledgedBytes() const
+{
+    int inKernel = 0;
+    const bool isKnown = ioctl(m_descriptor, SIOCOUTQ, &inKernel) == 0;
+    return bufferedBytes() + (isKnown ? static_cast<std::size_t>(inKernel) : 0);
+}
+
 bool TcpChannel::hasSent() const
 {
     return m_hasSent;
@@ -181,7 +216,7 @@
             return;
         }
         if (bufferedBytes() == 0) {
-            m_observer.outputDrained();
+            m_observer->outputDrained();
             if (isDestroyed) {
                 return;
             }
@@ -232,7 +267,7 @@
     static thread_local std::array<char, readBytes> buffer;
     const ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
     if (count > 0) {
-        m_observer.receiveBytes({buffer.data(), static_cast<std::size_t>(count)});
+        m_observer->receiveBytes({buffer.data(), static_cast<std::size_t>(count)});
         return;
     }
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
@@ -243,7 +278,7 @@
         return;
     }
     m_isEnded = true;
-    m_observer.receiveEnd(ChannelEnd::Closed);
+    m_observer->receiveEnd(ChannelEnd::Closed);
 }
 
 void TcpChannel::handleConnectionFailure()
@@ -254,7 +289,7 @@
     m_outputOffset = 0;
     m_watcher->stop();
     m_watchedEvents = 0;
-    m_observer.receiveEnd(ChannelEnd::Broken);
+    m_observer->receiveEnd(ChannelEnd::Broken);
 }
 
 } // namespace Verbena::Http
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -61,10 +61,22 @@
     /// \brief Queues \a data to be sent together with everything else that is written in this iteration of the loop.
     void write(std::string_view data);
 
+    /// \brief Hands \a data to the kernel at once; hasSent() says whether any of it was accepted.
+    void writeNow(std::string_view data);
+
+    /// \brief Makes \a observer, which must outlive its use of the channel, receive what comes from now on; hasSent() is false again. Resumes reading.
+    void handOver(ChannelObserver &observer);
+
+    /// \brief Returns whether the connection is open at both ends, all written data is sent and nothing waits to be read.
+    bool isIdle() const;
+
     /// \brief Returns the number of written bytes that the kernel has not accepted yet.
     std::size_t bufferedBytes() const;
 
-    /// \brief Returns whether the kernel has accepted any byte.
+    /// \brief Returns the number of written bytes that the peer's host has not acknowledged yet.
+    std::size_t unacknowledgedBytes() const;
+
+    /// \brief Returns whether the kernel has accepted any byte since the last handOver().
     bool hasSent() const;
 
     bool isConnected() const;
@@ -93,7 +105,7 @@
 
     EventLoop::Loop &m_loop;
     int m_descriptor;
-    ChannelObserver &m_observer;
+    ChannelObserver *m_observer; ///< Never null.
     std::unique_ptr<EventLoop::IoWatcher> m_watcher;
     EventLoop::DeferredCall m_flush;
     std::string m_output;
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -1,6 +1,7 @@
 #include "backendcall.h"
 
 #include <eventloop/loop.h>
+#include <http/idletimeout.h>
 
 namespace Verbena::Relay {
 
@@ -12,6 +13,12 @@
 constexpr std::uint32_t maximumHeadBytes = 64 * 1024;
 
 constexpr int firstFinalStatus = 200;
+constexpr int firstServerErrorStatus = 500;
+
+bool keepsConnection(const Http::MessageHead &head)
+{
+    return head.isVersion11 && head.isKeptAlive && !head.isEndedByClose && head.status < firstServerErrorStatus;
+}
 
 } // namespace
 
@@ -25,18 +32,34 @@
     }
     call->m_channel = std::move(channel.value());
     call->m_channel->write(request);
-    call->m_connectTimer.startAt(connectDeadline);
+    call->m_timer.startAt(connectDeadline);
+    return call;
+}
+
+// Nothing may happen between the check and the sending: a connection that the server closed before is known to be unused.
+std::unique_ptr<BackendCall> BackendCall::reuse(
+    EventLoop::Loop &loop, std::unique_ptr<Http::TcpChannel> channel, std::string_view request, Core::TimePoint acknowledgeDeadline, CallObserver &observer)
+{
+    std::unique_ptr<BackendCall> call(new BackendCall(loop, false, observer));
+    channel->handOver(*call);
+    call->m_channel = std::move(channel);
+    call->m_requestBytes = request.size();
+    call->m_isReused = true;
+    if (!call->m_channel->isIdle()) {
+        return nullptr;
+    }
+    call->m_channel->writeNow(request);
+    if (!call->hasSent()) {
+        return nullptr;
+    }
+    call->m_timer.startAt(acknowledgeDeadline);
     return call;
 }
 
 BackendCall::BackendCall(EventLoop::Loop &loop, bool isHead, CallObserver &observer)
     : m_observer(observer)
     , m_reader(Http::MessageReader::Kind::Answers, *this, {maximumHeadBytes, std::nullopt})
-    , m_connectTimer(loop, [this] {
-        if (!m_channel->isConnected()) {
-            m_observer.callFailed(CallFailure::NotSent, "no connection in time");
-        }
-    })
+    , m_timer(loop, [this] { handleTimeout(); })
 {
     if (isHead) {
         m_reader.expectNoBody();
@@ -60,6 +83,23 @@
     return m_isWhole;
 }
 
+bool BackendCall::isReused() const
+{
+    return m_isReused;
+}
+
+// A server may answer before it has read the whole request; what follows would be taken for the rest.
+std::unique_ptr<Http::TcpChannel> BackendCall::releaseChannel()
+{
+    const bool isReusable = m_isWhole && m_isKeptAlive && m_reader.surplusBytes() == 0 && m_channel->isIdle();
+    return isReusable ? std::move(m_channel) : nullptr;
+}
+
+std::optional<std::chrono::seconds> BackendCall::idleTimeout() const
+{
+    return m_idleTimeout;
+}
+
 void BackendCall::setReading(bool isReading)
 {
     m_channel->setReading(isReading);
@@ -67,13 +107,29 @@
 
 void BackendCall::outputDrained()
 {
-    m_connectTimer.stop();
+    if (!m_isReused) {
+        m_timer.stop();
+    }
+}
+
+// The host of an idle connection may be gone without a sign, and TCP would resend the request for seconds.
+void BackendCall::handleTimeout()
+{
+    if (!m_channel->isConnected()) {
+        m_observer.callFailed(CallFailure::NotSent, "no connection in time");
+        return;
+    }
+    if (m_isReused && m_channel->unacknowledgedBytes() >= m_requestBytes) {
+        fail("the request on a kept connection was not acknowledged in time");
+    }
 }
 
 void BackendCall::receiveHead(Http::MessageHead head)
 {
     m_isInterim = head.status < firstFinalStatus;
     if (!m_isInterim) {
+        m_isKeptAlive = keepsConnection(head);
+        m_idleTimeout = Http::idleTimeout(head);
         m_head = std::move(head);
     }
 }
@@ -100,9 +156,11 @@
 void BackendCall::receiveBytes(std::string_view data)
 {
     // Bytes after the complete answer belong to no request and are dropped.
-    if (!m_isWhole) {
-        deliver(readOn(data));
+    if (m_isWhole) {
+        m_isKeptAlive = false;
+        return;
     }
+    deliver(readOn(data));
 }
 
 void BackendCall::receiveEnd(Http::ChannelEnd end)
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -6,6 +6,8 @@
 #include <http/messagereader.h>
 #include <http/tcpchannel.h>
 
+#include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,9 +34,10 @@
     virtual void callFailed(Decisions::CallFailure failure, std::string_view reason) = 0;
 };
 
-/// \brief One request to one backend server, on a connection that is used for nothing else.
+/// \brief One request to one backend server, on a connection that is used for nothing else meanwhile. The request is sent only once.
 ///
-/// On a new connection, no bytes of an earlier answer can be taken for the answer to this request. The request is sent only once.
+/// On a new connection, no bytes of an earlier answer can be taken for the answer to this request. On a kept one, an answer that does not name the request
+/// proves nothing.
 class BackendCall : private Http::ChannelObserver, private Http::MessageSink
 {
 public:
@@ -43,6 +46,15 @@
     /// \a isHead: the request's method is HEAD, so the answer has no body. Errors: Unavailable if no connection can be started.
     static Core::Result<std::unique_ptr<BackendCall>> create(
         EventLoop::Loop &loop, const Http::Endpoint &endpoint, std::string_view request, bool isHead, Core::TimePoint connectDeadline, CallObserver &observer);
+
+    /// \brief Sends \a request, head and body, on the idle \a channel; returns null if the backend server cannot have received any of it.
+    ///
+    /// The call fails with Lost if nothing of the request has been acknowledged by \a acknowledgeDeadline.
+    static std::unique_ptr<BackendCall> reuse(EventLoop::Loop &loop,
+        std::unique_ptr<Http::TcpChannel> channel,
+        std::string_view request,
+        Core::TimePoint acknowledgeDeadline,
+        CallObserver &observer);
     ~BackendCall() override;
 
     BackendCall(const BackendCall &) = delete;
@@ -54,6 +66,15 @@
     /// \brief Returns whether the whole answer has been received, even if the observer has not been notified yet.
     bool isWhole() const;
 
+    /// \brief Returns whether the connection has served another call before.
+    bool isReused() const;
+
+    /// \brief Gives the connection away after the whole answer; returns null if it may not serve another call. Ends the use of this call.
+    std::unique_ptr<Http::TcpChannel> releaseChannel();
+
+    /// \brief Returns the time after which the backend server closes an idle connection, if its answer says so.
+    std::optional<std::chrono::seconds> idleTimeout() const;
+
     /// \brief Pauses or resumes reading the answer.
     void setReading(bool isReading);
 
@@ -68,17 +89,22 @@
     std::optional<Http::MessageFault> readOn(std::string_view data);
     void deliver(std::optional<Http::MessageFault> fault);
     void fail(std::string_view reason);
+    void handleTimeout();
 
     CallObserver &m_observer;
     Http::MessageReader m_reader;
-    EventLoop::Timer m_connectTimer;
+    EventLoop::Timer m_timer; ///< Runs until there is a connection, or on a kept one until the request should have been acknowledged.
     std::unique_ptr<Http::TcpChannel> m_channel;
+    bool m_isReused = false;
+    std::size_t m_requestBytes = 0; ///< Size of the request on a kept connection.
 
     // Parsed from the last bytes and delivered to the observer after the reader has returned, as the observer may destroy this call.
     std::optional<Http::MessageHead> m_head;
     std::string m_body;
     bool m_isInterim = false; ///< Whether the last head was interim (1xx), so that another one follows.
     bool m_isWhole = false;
+    bool m_isKeptAlive = false; ///< Whether the answer lets the connection serve further calls.
+    std::optional<std::chrono::seconds> m_idleTimeout;
     bool *m_isDestroyed = nullptr; ///< Set to true by the destructor; not null while the observer is being notified.
 };
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -1,8 +1,8 @@
 #include "relayedrequest.h"
 
-#include "answermeaning.h"
 #include "requestadmission.h"
 #include "requestreport.h"
+#include "serverconnections.h"
 
 #include <eventloop/loop.h>
 #include <observe/metrics.h>
@@ -49,6 +49,11 @@
 // Backend servers have ten priorities, 0 to 9.
 constexpr std::uint32_t lowestPriority = 9;
 
+Decisions::ServerInstance serverOf(const FleetChoice &choice)
+{
+    return {choice.serverId, choice.address, choice.incarnation};
+}
+
 } // namespace
 
 RelayedRequest::RelayedRequest(
@@ -341,16 +346,7 @@
     const Core::TimePoint now = m_context.loop.now();
     m_context.fleet.recordSent(*m_choice, now);
     m_isUnanswered = true;
-    Core::Result<std::unique_ptr<BackendCall>> call = Core::Error{Core::ErrorCode::InvalidArgument, "relay.address", choice.address, "No address."};
-    const auto endpoint = Http::Endpoint::parse(choice.address);
-    if (endpoint) {
-        call = BackendCall::create(m_context.loop,
-            endpoint.value(),
-            callText(m_context.protocol, m_head, m_body, callContext(choice)),
-            m_head.method == "HEAD",
-            now + connectTimeout,
-            *this);
-    }
+    Core::Result<std::unique_ptr<BackendCall>> call = openCall(choice);
     if (call) {
         m_call = std::move(call.value());
         updateCallBackTimer();
@@ -364,6 +360,36 @@
     return false;
 }
 
+Core::Result<std::unique_ptr<BackendCall>> RelayedRequest::openCall(const FleetChoice &choice)
+{
+    const auto endpoint = Http::Endpoint::parse(choice.address);
+    if (!endpoint) {
+        return endpoint.error();
+    }
+    m_isConnectionKept = m_context.connections != nullptr && Decisions::mayKeepConnection(connectionUse());
+    const std::string text = callText(m_context.protocol, m_head, m_body, callContext(choice));
+    if (m_isConnectionKept) {
+        if (auto call = m_context.connections->reuse(serverOf(choice), connectionUse(), text, *this)) {
+            return call;
+        }
+    }
+    m_context.metrics.count("server_connections_opened_total");
+    return BackendCall::create(m_context.loop, endpoint.value(), text, m_head.method == "HEAD", m_context.loop.now() + connectTimeout, *this);
+}
+
+Decisions::KeptConnectionUse RelayedRequest::connectionUse()
+{
+    return {m_route->isRepeatable(), m_answer.isBegun(), !m_query.attemptId.empty(), m_head.method == "HEAD", m_crashes.isSuspected()};
+}
+
+void RelayedRequest::keepConnection()
+{
+    if (m_isConnectionKept) {
+        m_context.connections->keep(serverOf(*m_choice), *m_call);
+    }
+    m_call.reset();
+}
+
 CallContext RelayedRequest::callContext(const FleetChoice &choice) const
 {
     CallContext context;
@@ -377,6 +403,7 @@
     context.cacheStore = choice.cacheStore;
     const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority.has_value();
     context.priority = std::min(lowestPriority, hasOwnPriority ? *m_organisation->priority : m_route->priority);
+    context.isConnectionKept = m_isConnectionKept;
     context.lastEventId = m_answer.lastEventId().has_value() ? std::to_string(*m_answer.lastEventId()) : m_query.lastEventId;
     return context;
 }
@@ -384,7 +411,7 @@
 void RelayedRequest::receiveAnswerHead(const Http::MessageHead &head)
 {
     const AnswerMarks marks = m_context.protocol.readAnswer(head);
-    const AnswerMeaning meaning = classifyAnswer(head.status, marks, m_query.attemptId, m_answer.isBegun());
+    const AnswerMeaning meaning = meaningOf(head.status, marks);
     if (meaning == AnswerMeaning::NotRun) {
         handleNotRun(marks);
         return;
@@ -399,9 +426,18 @@
         handleFailure(CallFailure::Lost, reasonText(meaning));
         return;
     }
+    m_isConnectionKept = m_isConnectionKept && !marks.attemptId.empty() && !marks.isLeaving;
     m_answer.receiveHead(head);
 }
 
+AnswerMeaning RelayedRequest::meaningOf(int status, const AnswerMarks &marks) const
+{
+    if (m_call->isReused() && marks.attemptId.empty()) {
+        return AnswerMeaning::OfAnotherRequest;
+    }
+    return classifyAnswer(status, marks, m_query.attemptId, m_answer.isBegun());
+}
+
 // What a backend server says of itself beside the answer to the request, which may be any answer of it.
 void RelayedRequest::recordNotices(const AnswerMarks &marks)
 {
@@ -535,11 +571,11 @@
         return;
     }
     m_crashes.handleAnswer(isSuccess(m_answer.status()));
+    keepConnection();
     if (m_answer.isBuffered()) {
         finish(AttemptAction::PassAnswer);
         return;
     }
-    m_call.reset();
     m_answer.end();
     m_origin.end(true);
     logOutcome(m_answer.status(), "answered");
@@ -578,6 +614,9 @@
         m_context.fleet.recordFailure(*m_choice, isUnreachable ? Decisions::ServerFailure::Unreachable : Decisions::ServerFailure::Full, m_context.loop.now());
     }
     m_call.reset();
+    if (m_context.connections != nullptr) {
+        m_context.connections->drop(m_choice->address, DropReason::CallFailed);
+    }
     if (failure == CallFailure::Lost || failure == CallFailure::ServerError) {
         ++m_attempts.runs;
     }
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "answerforwarder.h"
+#include "answermeaning.h"
 #include "backendcall.h"
 #include "connectcheck.h"
 #include "crashcontrolhandle.h"
@@ -12,6 +13,7 @@
 
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/crashsubject.h>
+#include <decisions/relay/keptconnections.h>
 #include <decisions/relay/relaydirectory.h>
 #include <decisions/relay/relayfleet.h>
 #include <decisions/relay/resendbudget.h>
@@ -31,6 +33,8 @@
 
 namespace Verbena::Relay {
 
+class ServerConnections;
+
 /// \brief State that all requests of one relay share.
 struct RelayContext
 {
@@ -46,6 +50,7 @@
     UsageControl *usage = nullptr; ///< Null if no usage caps are enforced.
     CrashControl *crashes = nullptr; ///< Null if crashes are not tracked.
     StreamOriginControl *origins = nullptr; ///< Null if streams may be resumed at any backend server.
+    ServerConnections *connections = nullptr; ///< Null if each call opens a connection of its own.
 };
 
 /// \brief Relays one request to a backend server and the answer back; destroying it cancels the request.
@@ -95,6 +100,10 @@
     Decisions::FleetQuery fleetQuery();
     void moveOffWaitingEngine();
     bool sendTo(const Decisions::FleetChoice &choice);
+    Core::Result<std::unique_ptr<BackendCall>> openCall(const Decisions::FleetChoice &choice);
+    Decisions::KeptConnectionUse connectionUse();
+    void keepConnection();
+    AnswerMeaning meaningOf(int status, const AnswerMarks &marks) const;
     CallContext callContext(const Decisions::FleetChoice &choice) const;
     void receiveAnswerHead(const Http::MessageHead &head) override;
     void receiveAnswerBody(std::string_view data) override;
@@ -151,6 +160,7 @@
     std::optional<std::string> m_softwareVersion; ///< Software version at which the stream has to go on; nothing before its first event.
     std::optional<Decisions::FleetChoice> m_choice; ///< Choice of the current call.
     std::unique_ptr<BackendCall> m_call;
+    bool m_isConnectionKept = false; ///< Whether the current call's connection may serve others afterwards.
     std::unique_ptr<ConnectCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
     bool m_hasServerEnded = false; ///< Whether that check has found that the server has ended.
     AnswerForwarder m_answer;
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -60,4 +60,7 @@
 inline constexpr Event serverLeaving{2137, Severity::Info, "server_leaving", "A backend server has said in an answer that it leaves."};
 inline constexpr Event restAsked{2138, Severity::Warning, "rest_asked", "A backend server has refused a request and wants none for a while."};
 
+inline constexpr Event strayBytesReceived{
+    2145, Severity::Warning, "stray_bytes_received", "A backend server sent bytes on an idle connection; they belong to no request."};
+
 } // namespace Verbena::Relay
--- a/src/libs/relay/relayprotocol.cpp
+++ b/src/libs/relay/relayprotocol.cpp
@@ -20,7 +20,10 @@
     if (!body.empty() || head.contentLength.has_value() || head.isChunked) {
         text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
     }
-    text.append("Connection: close\r\n\r\n").append(body);
+    if (!context.isConnectionKept) {
+        text.append("Connection: close\r\n");
+    }
+    text.append("\r\n").append(body);
     return text;
 }
 
--- a/src/libs/relay/relayprotocol.h
+++ b/src/libs/relay/relayprotocol.h
@@ -39,6 +39,7 @@
     std::string cacheStore; ///< Address to save parts at; empty for none.
     std::string lastEventId;
     std::uint32_t priority = 5; ///< Priority from 0 (first) to 9 (last).
+    bool isConnectionKept = false; ///< Whether the connection may serve further calls afterwards.
 };
 
 /// \brief The parts of a backend server's answer that are meant for the relay.
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -63,6 +63,10 @@
     m_activityTimer.startAt(loop.now() + activityInterval);
     m_fleet.setAnnouncementObserver([this] { handleNewWeights(); });
     m_fleet.limits().setAssumedRouters(settings.routerCount);
+    if (settings.keepsConnections) {
+        m_serverConnections = std::make_unique<ServerConnections>(loop, m_fleet.servers(), m_metrics);
+        m_context.connections = m_serverConnections.get();
+    }
 }
 
 RelayTask::~RelayTask() = default;
@@ -193,6 +197,11 @@
     return Decisions::registerPollInterval(isElected() ? 2 * Decisions::electedRouterCount : m_routerCount);
 }
 
+const ServerConnections *RelayTask::serverConnections() const
+{
+    return m_serverConnections.get();
+}
+
 Observe::Metrics &RelayTask::metrics()
 {
     return m_metrics;
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callerconnection.h"
+#include "serverconnections.h"
 
 #include <decisions/relay/activerouters.h>
 #include <decisions/relay/stalldetector.h>
@@ -27,6 +28,7 @@
     std::chrono::milliseconds configurationTime{2000}; ///< Time within which a change of the configuration has to be in force.
     std::chrono::milliseconds shutdownNotice{2900}; ///< Time from the start of a shutdown until the load balancer sends no new callers.
     std::chrono::milliseconds shutdownGrace{7000}; ///< Time from the start of a shutdown after which the process ends even if requests are running.
+    bool keepsConnections = false; ///< Whether calls that may be repeated use connections to backend servers one after the other.
 };
 
 /// \brief Server for callers that use a RelayProtocol; owns their connections and the state that their requests share.
@@ -91,6 +93,9 @@
     /// \brief Returns the interval at which this router polls the register for changes.
     std::chrono::milliseconds registerPause() const;
 
+    /// \brief Returns the idle connections to backend servers; null if each call opens a connection of its own.
+    const ServerConnections *serverConnections() const;
+
     /// \brief Returns the metrics of the relay.
     Observe::Metrics &metrics();
 
@@ -136,6 +141,7 @@
     Core::TimePoint m_routersUpdateTime{}; ///< Time of the next update of the routers that share limits.
     Decisions::RandomSource m_random;
     Observe::Metrics m_metrics;
+    std::unique_ptr<ServerConnections> m_serverConnections; ///< Null if each call opens a connection of its own.
     RelayContext m_context;
     std::function<void()> m_weightsObserver;
     std::shared_ptr<const Decisions::RelayDirectory> m_directory;
