--- a/src/libs/decisions/relay/relaydirectory.cpp
+++ b/src/libs/decisions/relay/relaydirectory.cpp
@@ -25,6 +25,7 @@
         m_routes[lowerCase(route.host)][route.prefix] = &route;
     }
     for (const RelayOrganisation &organisation : m_configuration.organisations) {
+        m_hasUsageCaps = m_hasUsageCaps || organisation.usageCap.has_value();
         for (const std::string &key : organisation.keys) {
             m_organisations[key] = &organisation;
         }
@@ -76,6 +77,11 @@
     return !m_configuration.organisations.empty();
 }
 
+bool RelayDirectory::hasUsageCaps() const
+{
+    return m_hasUsageCaps;
+}
+
 const std::string &RelayDirectory::service(const RelayRoute &route, std::uint64_t randomValue)
 {
     double total = 0;
--- a/src/libs/decisions/relay/relaydirectory.h
+++ b/src/libs/decisions/relay/relaydirectory.h
@@ -30,6 +30,9 @@
     /// \brief Returns whether callers need a key.
     bool hasOrganisations() const;
 
+    /// \brief Returns whether any organisation has a usage cap, so that organisations compete for a capacity that does not suffice for all.
+    bool hasUsageCaps() const;
+
     /// \brief Returns the service of \a route for a request with \a randomValue, uniformly distributed over all numbers.
     static const std::string &service(const RelayRoute &route, std::uint64_t randomValue);
 
@@ -52,6 +55,7 @@
     TextMap<TextMap<const RelayRoute *>> m_routes; ///< Routes by host, then by prefix.
     TextMap<const RelayOrganisation *> m_organisations; ///< Organisations by key.
     std::vector<const RelayService *> m_cacheStores;
+    bool m_hasUsageCaps = false;
 };
 
 } // namespace Verbena::Decisions
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -329,16 +329,33 @@
     if (m_attempts.sends > 0 || !choice.expectedWait.has_value()) {
         return false;
     }
-    const auto retryAfter = Decisions::refusalRetryDelay({*choice.expectedWait, choice.acceptableWait, remainingTime()});
+    const Core::TimePoint now = m_context.loop.now();
+    const std::chrono::microseconds acceptable = acceptableWait(choice);
+    const auto retryAfter = Decisions::refusalRetryDelay({*choice.expectedWait, acceptable, remainingTime()});
     if (!retryAfter.has_value()) {
+        m_context.shedder.recordAdmitted(m_service, priority(), now);
         return false;
     }
+    m_context.shedder.recordRefused(m_service, priority(), now);
     m_choice = choice;
+    m_choice->acceptableWait = acceptable;
     m_context.metrics.count("requests_turned_away_total");
+    if (*choice.expectedWait <= std::min(choice.acceptableWait, remainingTime())) {
+        m_context.metrics.count("requests_yielded_total");
+    }
     refuse(503, "Too much waits at the backend servers; it has not run.", *retryAfter);
     return true;
 }
 
+// Without usage caps the capacity is meant to suffice for all organisations, and priorities order requests at the engines only.
+std::chrono::microseconds RelayedRequest::acceptableWait(const FleetChoice &choice) const
+{
+    if (!m_directory->hasUsageCaps()) {
+        return choice.acceptableWait;
+    }
+    return m_context.shedder.acceptableWait(m_service, priority(), choice.acceptableWait, m_context.loop.now());
+}
+
 // Returns false if the call could not be started; then either the request has been finished or the caller tries the next backend server.
 bool RelayedRequest::sendTo(const FleetChoice &choice)
 {
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -15,6 +15,7 @@
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/crashsubject.h>
 #include <decisions/relay/keptconnections.h>
+#include <decisions/relay/loadshedder.h>
 #include <decisions/relay/relaydirectory.h>
 #include <decisions/relay/relayfleet.h>
 #include <decisions/relay/resendbudget.h>
@@ -43,6 +44,7 @@
     const RelayProtocol &protocol;
     Decisions::RelayFleet &fleet;
     Decisions::ResendBudget &budget;
+    Decisions::LoadShedder &shedder;
     ResendQueue &resendQueue;
     Decisions::RandomSource &random;
     Observe::Metrics &metrics;
@@ -133,6 +135,7 @@
     void finish(Decisions::AttemptAction action);
     void refuse(int status, std::string_view message, std::chrono::milliseconds retryAfter = defaultRetryDelay);
     bool refuseIfOverloaded(const Decisions::FleetChoice &choice);
+    std::chrono::microseconds acceptableWait(const Decisions::FleetChoice &choice) const;
     void handleDeadline();
     std::optional<Core::TimePoint> callBackTime() const;
     void handleWeightsTooOld();
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -48,10 +48,11 @@
     , m_protocol(protocol)
     , m_fleet(settings.routing, settings.weights)
     , m_budget(settings.resend, settings.routerCount, loop.now())
+    , m_shedder(settings.priorityGap)
     , m_resendQueue(loop, m_budget, loop.now() + budgetFillTime)
     , m_activeRouters(settings.routerCount)
     , m_random(settings.seed)
-    , m_context{m_loop, m_protocol, m_fleet, m_budget, m_resendQueue, m_random, m_metrics, settings.configurationTime}
+    , m_context{m_loop, m_protocol, m_fleet, m_budget, m_shedder, m_resendQueue, m_random, m_metrics, settings.configurationTime}
     , m_stallDetector(loop.now())
     , m_activityTimer(loop,
           [this] {
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -24,6 +24,7 @@
     Decisions::WeightsLimits weights;
     Decisions::RoutingOptions routing;
     std::uint32_t routerCount = 8; ///< Routers that share the resend budget at least, and the limits of backend servers until agents report the routers.
+    std::uint32_t priorityGap = 1; ///< While requests are refused, those that are less urgent by so many priorities yield, if there are usage caps; 0: none do.
     std::uint64_t seed = 0;
     std::chrono::milliseconds configurationTime{2000}; ///< Time within which a change of the configuration has to be in force.
     std::chrono::milliseconds shutdownNotice{2900}; ///< Time from the start of a shutdown until the load balancer sends no new callers.
@@ -135,6 +136,7 @@
     const RelayProtocol &m_protocol;
     Decisions::RelayFleet m_fleet;
     Decisions::ResendBudget m_budget;
+    Decisions::LoadShedder m_shedder;
     ResendQueue m_resendQueue;
     std::uint32_t m_routerCount = 1;
     Decisions::ActiveRouters m_activeRouters;
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -42,6 +42,13 @@
 constexpr std::size_t maximumLoggedParts = 8;
 constexpr std::size_t maximumLoggedIdBytes = 32;
 
+// A request without a target, or without a report on its engine, may wait for any time.
+std::string acceptableWaitText(const Decisions::FleetChoice &choice)
+{
+    const bool isLimited = choice.expectedWait.has_value() && choice.acceptableWait != std::chrono::microseconds::max();
+    return isLimited ? text(duration_cast<milliseconds>(choice.acceptableWait)) : "";
+}
+
 } // namespace
 
 std::string sharedPartsText(const Decisions::PromptOutline *prompt)
@@ -152,6 +159,7 @@
             {"stored", isChosen ? std::to_string(choice.storedParts) : ""},
             {"waiting", isChosen ? std::to_string(choice.waiting) : ""},
             {"expected_wait_ms", text(choice.expectedWait)},
+            {"acceptable_wait_ms", acceptableWaitText(choice)},
             {"news_ms", text(choice.reportAge)},
             {"slowness", text(choice.slowness)},
             {"limit", text(choice.limit)},
