--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -227,7 +227,8 @@
         const std::string_view rest = std::string_view(m_buffer).substr(used);
         if (!m_parser->isHeadDone()) {
             // The parser unfolds folded fields before it reports them, so they are detected here.
-            const std::string_view head = rest.substr(0, rest.find("\r\n\r\n"));
+            // The parser takes whole field lines, so a rest that begins with a line end has no field left; what follows is the body.
+            const std::string_view head = rest.starts_with("\r\n") ? std::string_view() : rest.substr(0, rest.find("\r\n\r\n"));
             if (head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos) {
                 return MessageFault::Malformed;
             }
--- a/tests/auto/http/tst_messagereader.cpp
+++ b/tests/auto/http/tst_messagereader.cpp
@@ -62,6 +62,30 @@
 
 const std::string chunkedRequest = "POST /a/b?c=d HTTP/1.1\r\nHost: x.example\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwarm\r\n7\r\n prompt\r\n0\r\n\r\n";
 
+// A head was cut between its last two bytes, and a body with a line that begins with a space was taken for a folded field.
+TEST(MessageReaderTest, takesNoBodyForAFoldedFieldAfterAnyCut)
+{
+    for (std::size_t cut = 0; cut <= chunkedRequest.size(); ++cut) {
+        Recorder recorder;
+        MessageReader reader(MessageReader::Kind::Requests, recorder, {});
+        EXPECT_FALSE(reader.feed(chunkedRequest.substr(0, cut)).has_value()) << cut;
+        EXPECT_FALSE(reader.feed(chunkedRequest.substr(cut)).has_value()) << cut;
+        EXPECT_TRUE(reader.isDone()) << cut;
+    }
+}
+
+// No cut may hide a folded field.
+TEST(MessageReaderTest, rejectsAFoldedFieldAfterAnyCut)
+{
+    const std::string folded = "POST /a HTTP/1.1\r\nHost: x.example\r\nMark: a\r\n b\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t cut = 0; cut <= folded.size(); ++cut) {
+        Recorder recorder;
+        MessageReader reader(MessageReader::Kind::Requests, recorder, {});
+        const bool isRejectedEarly = reader.feed(folded.substr(0, cut)).has_value();
+        EXPECT_TRUE(isRejectedEarly || reader.feed(folded.substr(cut)).has_value()) << cut;
+    }
+}
+
 TEST(MessageReaderTest, parsesARequestReceivedInAnyPieces)
 {
     EXPECT_TRUE(rc::check([] {
