--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -71,6 +71,15 @@
     if (m_isDestroyed != nullptr) {
         *m_isDestroyed = true;
     }
+    if (m_channel != nullptr && isUnacknowledged()) {
+        m_channel->resetOnClose();
+    }
+}
+
+// The kernel would go on sending the request after an orderly close, and a server that is reached again later would run it.
+bool BackendCall::isUnacknowledged() const
+{
+    return m_isReused && m_channel->unacknowledgedBytes() >= m_requestBytes;
 }
 
 bool BackendCall::hasSent() const
@@ -88,10 +97,10 @@
     return m_isReused;
 }
 
-// A server may answer before it has read the whole request; what follows would be taken for the rest.
+// A server may answer before it has read the whole request; what follows would be taken for the rest, and what is not acknowledged for the next request.
 std::unique_ptr<Http::TcpChannel> BackendCall::releaseChannel()
 {
-    const bool isReusable = m_isWhole && m_isKeptAlive && m_reader.surplusBytes() == 0 && m_channel->isIdle();
+    const bool isReusable = m_isWhole && m_isKeptAlive && m_reader.surplusBytes() == 0 && m_channel->isIdle() && m_channel->unacknowledgedBytes() == 0;
     return isReusable ? std::move(m_channel) : nullptr;
 }
 
@@ -119,7 +128,7 @@
         m_observer.callFailed(CallFailure::NotSent, "no connection in time");
         return;
     }
-    if (m_isReused && m_channel->unacknowledgedBytes() >= m_requestBytes) {
+    if (isUnacknowledged()) {
         fail("the request on a kept connection was not acknowledged in time");
     }
 }
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -90,6 +90,7 @@
     void deliver(std::optional<Http::MessageFault> fault);
     void fail(std::string_view reason);
     void handleTimeout();
+    bool isUnacknowledged() const;
 
     CallObserver &m_observer;
     Http::MessageReader m_reader;
