--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -53,6 +53,7 @@
     std::chrono::microseconds acceptableWait{std::chrono::microseconds::max()}; ///< Maximum wait with which the answer still meets the latency target.
     std::optional<std::chrono::milliseconds> reportAge; ///< Age of the status report on which the expected wait is based.
     std::optional<double> limit; ///< Requests per second that the backend server takes from all routers together, if it named a limit.
+    double expectedDelay = 0; ///< Expected delay of a plain call by requests before it, in multiples of its work.
     std::optional<double> slowness; ///< Time that work takes there relative to the service's average; nothing if no server of the service names its pace.
     std::uint32_t limitedServers = 0; ///< Number of backend servers, of any service, that were left out because of their limits or because they rest.
     bool isBusyWithWeights = false; ///< Whether the engine loads new weights or is about to, as do all others.
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -133,12 +133,14 @@
     }
 }
 
-// A request that had to wait shows the load of the server and not its speed.
+// The delay of a plain call is estimated from reports; how long a prompt waited at an engine is not known well enough.
 void RelayFleet::recordWork(const FleetChoice &choice, Core::TimePoint now)
 {
-    const bool hasWaited = choice.waiting > 0 || m_reportedLoads.isFull(choice.id, 0, now);
+    const bool isPrompt = choice.weightsVersion.has_value();
+    const bool hasWaited = isPrompt && (choice.waiting > 0 || m_reportedLoads.isFull(choice.id, 0, now));
     if (!isOutdated(choice) && !hasWaited) {
-        m_pace.recordWork(choice.id, std::chrono::duration_cast<microseconds>(now - choice.sentAt), choice.work, now);
+        const auto expected = std::chrono::duration_cast<microseconds>(choice.work * (1 + choice.expectedDelay));
+        m_pace.recordWork(choice.id, std::chrono::duration_cast<microseconds>(now - choice.sentAt), expected, now);
     }
 }
 
@@ -441,6 +443,7 @@
         return std::nullopt;
     }
     complete(choice, m_pace.isNamedIn(query.service) ? soonest(found, query, now) : found.front(), query, now);
+    choice.expectedDelay = m_reportedLoads.expectedDelay(choice.id, unansweredCalls(choice.id), now);
     return choice;
 }
 
--- a/tests/auto/relay/tst_serverpace.cpp
+++ b/tests/auto/relay/tst_serverpace.cpp
@@ -222,6 +222,14 @@
     EXPECT_GT(named.calls("slow"), 20U);
 }
 
+// While all servers were full, nothing was learned, and calls went to one that had slowed down.
+TEST(PlainChoiceTest, learnsOfASlowServerUnderOverload)
+{
+    PlainFleet named(true);
+    PlainFleet unnamed(false);
+    EXPECT_LT(named.replay(2000, 2ms), unnamed.replay(2000, 2ms));
+}
+
 // A full server sheds calls while another has free slots.
 TEST(PlainChoiceTest, avoidsServersThatReportThemselvesFull)
 {
