--- a/src/libs/decisions/relay/admission.cpp
+++ b/src/libs/decisions/relay/admission.cpp
@@ -32,8 +32,7 @@
 // be refused.
 constexpr double minimumWaitFraction = 0.25;
 
-// Limits of the retry delay. Callers that retry sooner find the same queue; with a longer delay they would have given up.
-constexpr milliseconds minimumRetryDelay{150};
+// With a longer retry delay callers would have given up.
 constexpr milliseconds maximumRetryDelay{1500};
 
 // Callers are told to retry after at most a third of their remaining time.
--- a/src/libs/decisions/relay/admission.h
+++ b/src/libs/decisions/relay/admission.h
@@ -8,6 +8,9 @@
 
 namespace Verbena::Decisions {
 
+/// \brief Lower limit of the time after which a refused caller should retry. Callers that retry sooner find the same load.
+inline constexpr std::chrono::milliseconds minimumRetryDelay{150};
+
 /// \brief Estimates how long requests wait at engines, from the requests that this router has sent.
 class WaitEstimate
 {
--- a/src/libs/decisions/relay/usagereserve.cpp
+++ b/src/libs/decisions/relay/usagereserve.cpp
@@ -15,8 +15,11 @@
 // Time constant of the exponential decay of claims. A few claims of a small organisation fall into it.
 constexpr Seconds decayTime{4};
 
-// Time after its last claim, or refusal, for which a priority counts.
-constexpr std::chrono::seconds memory{10};
+// Time after its last claim for which a priority counts.
+constexpr std::chrono::seconds claimLifetime{10};
+
+// Callers are told to retry by up to this part of the time later than it names, so that they do not all come back together.
+constexpr int returnDelayDivisor = 4;
 
 // Time for which the expected claims of more urgent priorities are reserved: an increase that lasts longer lowers what the less urgent leave.
 constexpr Seconds reservedTime{1};
@@ -42,15 +45,18 @@
     const auto elapsed = std::max(now, m_advancedAt) - m_advancedAt;
     for (Claims &claims : m_claims) {
         decay(claims, elapsed);
-        if (claims.claimedAt.has_value() && now > *claims.claimedAt + memory) {
-            claims = {};
-        } else if (claims.refusedAt.has_value() && now <= *claims.refusedAt + memory) {
+        if (claims.claimedAt.has_value() && now > *claims.claimedAt + claimLifetime) {
+            claims.costSum = 0;
+            claims.countSum = 0;
+            claims.claimedAt.reset();
+        }
+        if (claims.owedUntil.has_value() && now <= *claims.owedUntil) {
             const double gained = owedPart * size.perSecond * Seconds(elapsed).count();
             claims.owed = std::min({claims.owed + gained, claims.owedLimit, size.capacity});
         } else {
             claims.owed = 0;
             claims.owedLimit = 0;
-            claims.refusedAt.reset();
+            claims.owedUntil.reset();
         }
     }
     m_advancedAt += elapsed;
@@ -113,7 +119,7 @@
 {
     double part = 1;
     for (std::uint32_t lessUrgent = priority + 1; lessUrgent < priorityCount; ++lessUrgent) {
-        part -= m_claims.at(lessUrgent).refusedAt.has_value() ? owedPart : 0;
+        part -= m_claims.at(lessUrgent).owedUntil.has_value() ? owedPart : 0;
     }
     return part;
 }
@@ -124,13 +130,13 @@
         return timeToFill(cost - level, size.perSecond);
     }
     Claims &claims = m_claims.at(priority);
-    claims.refusedAt = now;
     claims.owedLimit = std::max(claims.owedLimit, cost);
     const milliseconds untilFull = timeToFill(size.capacity - level, size.perSecond);
     const milliseconds untilAboveHeld = timeToFill(cost + held(priority, size) - level, refillPart(priority) * size.perSecond);
     const milliseconds untilOwed = std::max(timeToFill(cost - claims.owed, owedPart * size.perSecond), timeToFill(cost - level, size.perSecond));
-    const milliseconds earliest = std::min(untilFull, untilAboveHeld);
-    return untilOwed <= memory ? std::min(earliest, untilOwed) : earliest;
+    const milliseconds named = std::min({untilFull, untilAboveHeld, untilOwed});
+    claims.owedUntil = now + std::max<milliseconds>(claimLifetime, named + named / returnDelayDivisor + claimLifetime);
+    return named;
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/usagereserve.h
+++ b/src/libs/decisions/relay/usagereserve.h
@@ -44,7 +44,7 @@
         std::optional<Core::TimePoint> claimedAt; ///< Time of the last claim; nothing if there was none lately.
         double owed = 0;
         double owedLimit = 0; ///< Cost of the largest claim that was refused lately.
-        std::optional<Core::TimePoint> refusedAt; ///< Time of the last refusal; nothing if there was none lately.
+        std::optional<Core::TimePoint> owedUntil; ///< Time until which a refused caller is expected back; nothing if none is.
     };
 
     void advance(const BucketSize &size, Core::TimePoint now);
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -174,7 +174,7 @@
         }
         m_context.metrics.count("requests_over_cap_total");
         m_context.metrics.count("requests_over_cap_priority_" + std::to_string(priority()) + "_total");
-        refuse(429, "The usage cap of the organisation is reached; it has not run.", verdict.retryAfter);
+        refuse(429, "The usage cap of the organisation is reached; it has not run.", std::max(verdict.retryAfter, Decisions::minimumRetryDelay));
     });
 }
 
@@ -865,7 +865,9 @@
     }
     m_isUnanswered = false;
     m_weightsTimer.stop();
-    if (isSuccess(m_answer.status()) && !m_answer.isServerError()) {
+    // Other completions begin their answer only after all of it has been generated.
+    const bool showsSpeed = !m_query.prompt.has_value() || m_route->kind == RequestKind::Streaming;
+    if (showsSpeed && isSuccess(m_answer.status()) && !m_answer.isServerError()) {
         m_context.fleet.recordWork(*m_choice, m_context.loop.now());
     }
     m_context.fleet.recordAnswered(*m_choice, m_context.loop.now());
--- a/tests/auto/relay/tst_serverpace.cpp
+++ b/tests/auto/relay/tst_serverpace.cpp
@@ -100,19 +100,19 @@
 // Whatever servers name, a choice between them must stay possible.
 TEST(ServerPace, isBounded)
 {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         ServerPace pace;
         Core::TimePoint now = start;
         pace.updateServer(BackendServerId(1), "", 0);
         pace.updateServer(BackendServerId(2), "", 0);
         for (const auto &[named, elapsed] : *rc::gen::arbitrary<std::vector<std::pair<std::uint32_t, std::int32_t>>>()) {
             now += microseconds(named % 5'000'000);
-            pace.recordPace(BackendServerId(named % 3), (named + 1) / 100.0, now);
+            pace.recordPace(BackendServerId(named % 3), (named + 1.0) / 100, now);
             pace.recordWork(BackendServerId(elapsed % 3), microseconds(elapsed), microseconds(named), now);
             const double slowness = pace.slowness(BackendServerId(1), now + microseconds(named));
             RC_ASSERT(slowness >= 0.25 && slowness <= 4);
         }
-    });
+    }));
 }
 
 RoutingOptions options()
--- a/tests/auto/relay/tst_usageorder.cpp
+++ b/tests/auto/relay/tst_usageorder.cpp
@@ -171,6 +171,24 @@
     EXPECT_TRUE(accounts.tryConsume(claim(9'000, 0), connected, start + verdict.retryAfter).isGranted);
 }
 
+// A caller that obeyed a time above ten seconds found that what it was owed had been forgotten.
+TEST(UsageOrderTest, grantsTheLargeRequestOfALoneCallerWhoReturnsWhenTold)
+{
+    const UsageCap large{1'000, 30'000, true, 1};
+    UsageAccounts accounts(0, start - 1h);
+    int granted = 0;
+    Core::TimePoint returnsAt = start + 1s;
+    for (Core::TimePoint now = start; now < start + 900s; now += 100ms) {
+        accounts.tryConsume({"dams", large, 1, 200, 0}, connected, now);
+        if (now >= returnsAt) {
+            const UsageVerdict verdict = accounts.tryConsume({"dams", large, 1, 12'000, 2}, connected, now);
+            granted += verdict.isGranted ? 1 : 0;
+            returnsAt = now + spreadRetry(verdict.retryAfter, 1);
+        }
+    }
+    EXPECT_GE(granted, 4);
+}
+
 // The owner is lost: long prompts used up the share of each router.
 TEST(UsageOrderTest, keepsTheOrderInTheShareOfARouter)
 {
