--- /dev/null
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -0,0 +1,164 @@
+#include "memorybudget.h"
+
+#include <algorithm>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+// Part of a process's memory that bytes for callers and servers may take. The rest is for the program, its tables, requests and the system's own buffers, and
+// for the spare room of buffers that grow by doubling.
+constexpr std::uint64_t budgetDivisor = 4;
+
+// Memory is short from a half of the budget on, until three eighths.
+constexpr std::uint64_t shortDivisor = 2;
+constexpr std::uint64_t enoughNumerator = 3;
+constexpr std::uint64_t enoughDivisor = 8;
+
+// Part of what is left that one request's body may take while memory is short.
+constexpr std::uint64_t bodyDivisor = 8;
+
+// Part of what is left that may wait for one caller: with n slow callers, they hold n parts of n + 64 of the budget.
+constexpr std::uint64_t unsentDivisor = 64;
+
+// Keeps a fast caller busy over any round trip.
+constexpr std::uint64_t maximumUnsentBytes = 256 * 1024;
+
+// A few events of a stream, without which reading would pause at each of them.
+constexpr std::uint64_t minimumUnsentBytes = 4 * 1024;
+
+// Many round trips to any caller; one that reads has read by then.
+constexpr std::chrono::milliseconds minimumUnreadTime{100};
+
+} // namespace
+
+std::string_view heldKindName(HeldKind kind)
+{
+    switch (kind) {
+    case HeldKind::RequestBodies:
+        return "request_bodies";
+    case HeldKind::PartialAnswers:
+        return "partial_answers";
+    case HeldKind::UnsentToCallers:
+        return "unsent_to_callers";
+    case HeldKind::UnsentToServers:
+        return "unsent_to_servers";
+    }
+    return "unknown";
+}
+
+MemoryBudget::MemoryBudget(std::optional<std::uint64_t> processBytes)
+{
+    if (processBytes.has_value()) {
+        m_limit = *processBytes / budgetDivisor;
+    }
+}
+
+void MemoryBudget::change(HeldKind kind, std::uint64_t before, std::uint64_t after)
+{
+    std::uint64_t &held = m_held[static_cast<std::size_t>(kind)];
+    held = held - before + after;
+    m_sum = m_sum - before + after;
+    updateShortage();
+}
+
+void MemoryBudget::updateShortage()
+{
+    if (!m_limit.has_value()) {
+        return;
+    }
+    if (m_isShort) {
+        m_isShort = m_sum > *m_limit * enoughNumerator / enoughDivisor;
+    } else {
+        m_isShort = m_sum > *m_limit / shortDivisor;
+    }
+}
+
+std::uint64_t MemoryBudget::held(HeldKind kind) const
+{
+    return m_held[static_cast<std::size_t>(kind)];
+}
+
+std::uint64_t MemoryBudget::held() const
+{
+    return m_sum;
+}
+
+std::optional<std::uint64_t> MemoryBudget::limit() const
+{
+    return m_limit;
+}
+
+std::uint64_t MemoryBudget::left() const
+{
+    return *m_limit > m_sum ? *m_limit - m_sum : 0;
+}
+
+bool MemoryBudget::isShort() const
+{
+    return m_isShort;
+}
+
+bool MemoryBudget::isExceeded() const
+{
+    return m_limit.has_value() && m_sum > *m_limit;
+}
+
+// What is left includes what the request itself has reserved, so that a body which arrives in parts is judged like one whose length was known.
+bool MemoryBudget::admitsBody(std::uint64_t bytes, std::uint64_t reserved) const
+{
+    if (!m_limit.has_value() || bytes <= reserved) {
+        return true;
+    }
+    const std::uint64_t room = left() + reserved;
+    return bytes <= (m_isShort ? room / bodyDivisor : room);
+}
+
+std::uint64_t MemoryBudget::unsentBound() const
+{
+    return m_limit.has_value() ? std::clamp(left() / unsentDivisor, minimumUnsentBytes, maximumUnsentBytes) : maximumUnsentBytes;
+}
+
+std::vector<UnreadCaller> MemoryBudget::callersToCut(std::vector<UnreadCaller> callers, Core::TimePoint now) const
+{
+    std::vector<UnreadCaller> cut;
+    if (!isExceeded()) {
+        return cut;
+    }
+    std::sort(callers.begin(), callers.end(), [](const UnreadCaller &left, const UnreadCaller &right) { return left.lastReadAt < right.lastReadAt; });
+    std::uint64_t freed = 0;
+    for (const UnreadCaller &caller : callers) {
+        if (m_sum <= *m_limit + freed || now - caller.lastReadAt < minimumUnreadTime) {
+            break;
+        }
+        freed += caller.unsentBytes;
+        cut.push_back(caller);
+    }
+    return cut;
+}
+
+HeldBytes::HeldBytes(MemoryBudget &budget, HeldKind kind)
+    : m_budget(budget)
+    , m_kind(kind)
+{
+}
+
+HeldBytes::~HeldBytes()
+{
+    set(0);
+}
+
+void HeldBytes::set(std::uint64_t bytes)
+{
+    if (bytes != m_bytes) {
+        m_budget.change(m_kind, m_bytes, bytes);
+        m_bytes = bytes;
+    }
+}
+
+std::uint64_t HeldBytes::bytes() const
+{
+    return m_bytes;
+}
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/decisions/relay/memorybudget.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <core/time.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace Verbena::Decisions {
+
+/// \brief What a router holds bytes for.
+enum class HeldKind {
+    RequestBodies, ///< Bodies of requests, until their end.
+    PartialAnswers, ///< Answers and events that are forwarded only when they are complete.
+    UnsentToCallers,
+    UnsentToServers,
+};
+
+inline constexpr std::array<HeldKind, 4> heldKinds{HeldKind::RequestBodies, HeldKind::PartialAnswers, HeldKind::UnsentToCallers, HeldKind::UnsentToServers};
+
+/// \brief Returns the stable name of \a kind for logs and metrics.
+std::string_view heldKindName(HeldKind kind);
+
+/// \brief A caller that has not read all of what was written for it.
+struct UnreadCaller
+{
+    std::size_t index = 0; ///< Number by which the owner of the connections knows it.
+    std::uint64_t unsentBytes = 0;
+    Core::TimePoint lastReadAt; ///< When the caller last read something, or else when the first of these bytes was written.
+};
+
+/// \brief Counts the bytes that a router holds for callers and backend servers, and decides what is given up when memory is short.
+///
+/// Every bound is a fraction of what is left, so that it tightens before memory is used up however many connections there are. In this order: reading the
+/// answers of slow callers pauses, requests with large bodies are refused, callers that do not read are cut off.
+class MemoryBudget
+{
+public:
+    /// \brief Creates the budget of a process that may use \a processBytes of memory; no value means that nothing is limited.
+    explicit MemoryBudget(std::optional<std::uint64_t> processBytes);
+
+    /// \brief Records that what one holder holds of \a kind has changed from \a before to \a after bytes.
+    void change(HeldKind kind, std::uint64_t before, std::uint64_t after);
+
+    /// \brief Returns the bytes held of \a kind.
+    std::uint64_t held(HeldKind kind) const;
+
+    /// \brief Returns all bytes held.
+    std::uint64_t held() const;
+
+    /// \brief Returns the most bytes that may be held; empty if nothing is limited.
+    std::optional<std::uint64_t> limit() const;
+
+    /// \brief Returns whether memory is short; ends only well below where it begins.
+    bool isShort() const;
+
+    /// \brief Returns whether more is held than may be.
+    bool isExceeded() const;
+
+    /// \brief Returns whether a request whose body has \a bytes, \a reserved of which are counted already, may be read.
+    bool admitsBody(std::uint64_t bytes, std::uint64_t reserved) const;
+
+    /// \brief Returns how many bytes may wait to be sent to one caller before reading for it pauses.
+    std::uint64_t unsentBound() const;
+
+    /// \brief Returns which of \a callers have to be cut off at \a now, those that have not read for longest first, until no more is held than may be.
+    std::vector<UnreadCaller> callersToCut(std::vector<UnreadCaller> callers, Core::TimePoint now) const;
+
+private:
+    std::uint64_t left() const;
+    void updateShortage();
+
+    std::optional<std::uint64_t> m_limit;
+    std::array<std::uint64_t, heldKinds.size()> m_held{};
+    std::uint64_t m_sum = 0;
+    bool m_isShort = false;
+};
+
+/// \brief The bytes that one holder holds of one kind; they are counted until it is destroyed.
+class HeldBytes
+{
+public:
+    HeldBytes(MemoryBudget &budget, HeldKind kind);
+    ~HeldBytes();
+
+    HeldBytes(const HeldBytes &) = delete;
+    HeldBytes &operator=(const HeldBytes &) = delete;
+
+    void set(std::uint64_t bytes);
+    std::uint64_t bytes() const;
+
+private:
+    MemoryBudget &m_budget;
+    HeldKind m_kind;
+    std::uint64_t m_bytes = 0;
+};
+
+} // namespace Verbena::Decisions
--- /dev/null
+++ b/src/libs/http/bytemeter.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstddef>
+
+namespace Verbena::Http {
+
+/// \brief Interface that is told how many written bytes a connection holds; destroying it ends the count.
+class ByteMeter
+{
+public:
+    virtual ~ByteMeter() = default;
+
+    /// \brief Notes that the connection holds \a bytes now.
+    virtual void setBytes(std::size_t bytes) = 0;
+};
+
+} // namespace Verbena::Http
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -18,6 +18,9 @@
 // Large enough to receive most responses and prompts in one read. The buffer is shared by all channels of a thread.
 constexpr std::size_t readBytes = 64 * 1024;
 
+// Capacity that a channel keeps after everything was sent: enough for most messages, and little beside the other state of a connection.
+constexpr std::size_t keptOutputBytes = 16 * 1024;
+
 // Time without acknowledgement after which the peer is considered gone. Callers and backend servers are a few milliseconds away, and a lost packet is
 // retransmitted several times within this time.
 constexpr unsigned userTimeoutMilliseconds = 4000;
@@ -95,6 +98,7 @@
     // Everything written in one iteration of the loop is sent together.
     const bool isFirst = bufferedBytes() == 0;
     m_output.append(data);
+    updateMeter();
     if (isFirst) {
         m_flush.schedule();
     }
@@ -114,6 +118,19 @@
     return m_output.size() - m_outputOffset;
 }
 
+void TcpChannel::setMeter(std::unique_ptr<ByteMeter> meter)
+{
+    m_meter = std::move(meter);
+    updateMeter();
+}
+
+void TcpChannel::updateMeter()
+{
+    if (m_meter != nullptr) {
+        m_meter->setBytes(m_output.size());
+    }
+}
+
 bool TcpChannel::hasSent() const
 {
     return m_hasSent;
@@ -214,19 +231,35 @@
     while (bufferedBytes() > 0) {
         const ssize_t sent = send(m_descriptor, m_output.data() + m_outputOffset, bufferedBytes(), MSG_NOSIGNAL);
         if (sent < 0) {
-            return errno == EAGAIN || errno == EINTR;
+            const bool isToBeContinued = errno == EAGAIN || errno == EINTR;
+            releaseSent();
+            return isToBeContinued;
         }
         m_hasSent = true;
         m_outputOffset += static_cast<std::size_t>(sent);
+        m_observer.outputSent();
     }
-    m_output.clear();
-    m_outputOffset = 0;
+    releaseSent();
     if (m_isShuttingDown) {
         shutdown(m_descriptor, SHUT_WR);
     }
     return true;
 }
 
+// A peer that always leaves something unread must not make the channel keep all that it has read before. At most half of the buffer has been sent, so that
+// each byte is moved once on average.
+void TcpChannel::releaseSent()
+{
+    if (bufferedBytes() == 0 && m_output.capacity() > keptOutputBytes) {
+        m_output = std::string();
+        m_outputOffset = 0;
+    } else if (m_outputOffset >= bufferedBytes()) {
+        m_output.erase(0, m_outputOffset);
+        m_outputOffset = 0;
+    }
+    updateMeter();
+}
+
 void TcpChannel::readAvailable()
 {
     static thread_local std::array<char, readBytes> buffer;
@@ -250,8 +283,9 @@
 {
     m_isBroken = true;
     m_isEnded = true;
-    m_output.clear();
+    m_output = std::string();
     m_outputOffset = 0;
+    updateMeter();
     m_watcher->stop();
     m_watchedEvents = 0;
     m_observer.receiveEnd(ChannelEnd::Broken);
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bytemeter.h"
 #include "endpoint.h"
 
 #include <core/result.h>
@@ -35,6 +36,11 @@
     /// \brief Receives the end of the incoming data. After Broken, no data can be sent either.
     virtual void receiveEnd(ChannelEnd end) = 0;
 
+    /// \brief Notifies that the kernel has accepted some of the written data, since the peer reads. Must not destroy the channel.
+    virtual void outputSent()
+    {
+    }
+
     /// \brief Notifies that the kernel has accepted all written data. Must not destroy the channel.
     virtual void outputDrained()
     {
@@ -64,6 +70,9 @@
     /// \brief Returns the number of written bytes that the kernel has not accepted yet.
     std::size_t bufferedBytes() const;
 
+    /// \brief Sets the meter that is told how many written bytes are held from now on; null for none.
+    void setMeter(std::unique_ptr<ByteMeter> meter);
+
     /// \brief Returns whether the kernel has accepted any byte.
     bool hasSent() const;
 
@@ -87,6 +96,8 @@
     void watch();
     void flush();
     bool sendBuffered();
+    void releaseSent();
+    void updateMeter();
     bool finishConnect();
     void readAvailable();
     void handleConnectionFailure();
@@ -97,7 +108,8 @@
     std::unique_ptr<EventLoop::IoWatcher> m_watcher;
     EventLoop::DeferredCall m_flush;
     std::string m_output;
-    std::size_t m_outputOffset = 0;
+    std::size_t m_outputOffset = 0; ///< Number of bytes at the start of m_output that the kernel has accepted.
+    std::unique_ptr<ByteMeter> m_meter;
     bool m_isConnected;
     bool m_isRefused = false;
     bool m_isReading = true;
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -81,6 +81,7 @@
     }
     if (m_state == State::Forwarding) {
         forward(data);
+        notePending();
         return true;
     }
     m_buffer.append(data);
@@ -90,9 +91,15 @@
         buffered.swap(m_buffer);
         forward(buffered);
     }
+    notePending();
     return false;
 }
 
+void AnswerForwarder::notePending()
+{
+    m_sink.setPendingBytes(m_buffer.size() + (m_isResumable ? m_splitter.pendingBytes() : 0));
+}
+
 void AnswerForwarder::forward(std::string_view data)
 {
     const std::string forwarded = m_isResumable ? m_splitter.feed(data) : std::string(data);
@@ -143,6 +150,7 @@
     m_framing = BodyFraming::None;
     m_scanner.reset();
     m_splitter.discardPending();
+    m_sink.setPendingBytes(0);
 }
 
 bool AnswerForwarder::isBegun() const
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -101,6 +101,7 @@
     bool isInsideEvent() const;
     void forward(std::string_view data);
     void begin();
+    void notePending();
 
     const RelayProtocol &m_protocol;
     AnswerSink &m_sink;
--- a/src/libs/relay/answersink.h
+++ b/src/libs/relay/answersink.h
@@ -31,8 +31,11 @@
     /// \brief Ends the answer so that the caller can tell that it is incomplete.
     virtual void abortAnswer() = 0;
 
-    /// \brief Returns the number of bytes that have been written but not yet sent to the caller.
-    virtual std::size_t bufferedBytes() const = 0;
+    /// \brief Notes that \a bytes of the answer are held until more of it has been received.
+    virtual void setPendingBytes(std::size_t bytes) = 0;
+
+    /// \brief Returns whether so much waits to be sent to the caller that reading the answer has to pause until it has been sent.
+    virtual bool isFull() const = 0;
 };
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -60,6 +60,11 @@
     return m_isWhole;
 }
 
+void BackendCall::setMeter(std::unique_ptr<Http::ByteMeter> meter)
+{
+    m_channel->setMeter(std::move(meter));
+}
+
 void BackendCall::setReading(bool isReading)
 {
     m_channel->setReading(isReading);
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -54,6 +54,9 @@
     /// \brief Returns whether the whole answer has been received, even if the observer has not been notified yet.
     bool isWhole() const;
 
+    /// \brief Sets the meter that is told how many bytes of the request are not sent yet.
+    void setMeter(std::unique_ptr<Http::ByteMeter> meter);
+
     /// \brief Pauses or resumes reading the answer.
     void setReading(bool isReading);
 
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -2,6 +2,7 @@
 
 #include <eventloop/loop.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -14,6 +15,9 @@
 // Time that a caller has to read the last answer and close the connection.
 constexpr std::chrono::milliseconds lingerTime{1500};
 
+// Time after which a caller whose request was refused for lack of memory should retry; callers that read have read what waits for them by then.
+constexpr std::chrono::milliseconds memoryRetryDelay{500};
+
 const char *reasonPhrase(int status)
 {
     switch (status) {
@@ -61,11 +65,14 @@
 CallerConnection::CallerConnection(EventLoop::Loop &loop, int descriptor, ConnectionOwner &owner)
     : m_loop(loop)
     , m_owner(owner)
+    , m_requestBytes(owner.memory().budget(), Decisions::HeldKind::RequestBodies)
+    , m_pendingBytes(owner.memory().budget(), Decisions::HeldKind::PartialAnswers)
     , m_channel(Http::TcpChannel::adopt(loop, descriptor, *this))
     , m_reader(Http::MessageReader::Kind::Requests, *this, messageLimits(owner.limits()))
     , m_timer(loop, [this] { handleTimeout(); })
     , m_finish(loop, [this] { finishExchange(); })
 {
+    m_channel->setMeter(createMeter(&owner.memory().budget(), Decisions::HeldKind::UnsentToCallers));
     m_timer.startAt(m_loop.now() + owner.limits().idleTimeout);
 }
 
@@ -73,7 +80,23 @@
 
 bool CallerConnection::isBusy() const
 {
-    return m_state != State::Reading || m_reader.hasBegun();
+    return m_state != State::Reading || m_reader.hasBegun() || unsentBytes() > 0;
+}
+
+std::size_t CallerConnection::unsentBytes() const
+{
+    return m_channel->bufferedBytes();
+}
+
+Core::TimePoint CallerConnection::lastReadAt() const
+{
+    return m_lastReadAt;
+}
+
+void CallerConnection::cutOff()
+{
+    m_channel->resetOnClose();
+    m_owner.connectionEnded(this);
 }
 
 void CallerConnection::endIfIdle()
@@ -102,6 +125,10 @@
         refuse(*fault);
         return;
     }
+    if (!reserveBody()) {
+        refuseForMemory();
+        return;
+    }
     if (m_reader.isDone()) {
         answerRequest();
         return;
@@ -117,8 +144,14 @@
     m_owner.connectionEnded(this);
 }
 
+void CallerConnection::outputSent()
+{
+    m_lastReadAt = m_loop.now();
+}
+
 void CallerConnection::outputDrained()
 {
+    m_channel->setReading(true);
     if (m_state == State::Answering && m_request != nullptr && !m_isAnswerEnded) {
         m_request->outputDrained();
     }
@@ -165,12 +198,42 @@
     }
 }
 
-void CallerConnection::refuse(const Refusal &refusal)
+// A body whose length is known is reserved whole, so that a request that is let in can be read to its end.
+bool CallerConnection::reserveBody()
+{
+    if (!m_reader.isHeadDone()) {
+        return true;
+    }
+    const std::uint64_t bytes = std::max<std::uint64_t>(m_head.contentLength.value_or(0), m_body.size());
+    if (!m_owner.memory().budget().admitsBody(bytes, m_requestBytes.bytes())) {
+        return false;
+    }
+    m_requestBytes.set(bytes);
+    return true;
+}
+
+void CallerConnection::refuseForMemory()
+{
+    m_owner.memory().reportRefusal(std::max<std::uint64_t>(m_head.contentLength.value_or(0), m_body.size()));
+    refuse({503, "There is too little memory for the body of the request; it has not run.", memoryRetryDelay}, m_head);
+}
+
+void CallerConnection::refuse(const Refusal &refusal, const Http::MessageHead &head)
 {
     m_state = State::Answering;
     m_isClosing = true;
     m_isHead = false;
-    respond(refusal.status, m_owner.refusalFields(refusal), refusal.message);
+    m_body = std::string();
+    m_requestBytes.set(0);
+    respond(refusal.status, m_owner.refusalFields(refusal, head), refusal.message);
+}
+
+void CallerConnection::send(std::string_view data)
+{
+    if (unsentBytes() == 0) {
+        m_lastReadAt = m_loop.now();
+    }
+    m_channel->write(data);
 }
 
 std::string CallerConnection::headText(int status, const std::vector<HttpField> &fields) const
@@ -202,7 +265,7 @@
         text.append(body);
     }
     m_isClosing = m_isClosing || m_owner.isDraining();
-    m_channel->write(text);
+    send(text);
     m_isAnswerEnded = true;
     m_finish.schedule();
 }
@@ -219,7 +282,7 @@
         text.append("Transfer-Encoding: chunked\r\n");
     }
     text.append("\r\n");
-    m_channel->write(text);
+    send(text);
 }
 
 void CallerConnection::write(std::string_view data)
@@ -228,19 +291,19 @@
         return;
     }
     if (!m_isChunked) {
-        m_channel->write(data);
+        send(data);
         return;
     }
     std::string chunk;
     chunk.reserve(data.size() + 20);
     appendChunk(chunk, data);
-    m_channel->write(chunk);
+    send(chunk);
 }
 
 void CallerConnection::endAnswer()
 {
     if (m_isChunked && !m_isHead) {
-        m_channel->write("0\r\n\r\n");
+        send("0\r\n\r\n");
     }
     m_isChunked = false;
     m_isAnswerEnded = true;
@@ -258,9 +321,14 @@
     m_finish.schedule();
 }
 
-std::size_t CallerConnection::bufferedBytes() const
+void CallerConnection::setPendingBytes(std::size_t bytes)
 {
-    return m_channel->bufferedBytes();
+    m_pendingBytes.set(bytes);
+}
+
+bool CallerConnection::isFull() const
+{
+    return unsentBytes() > m_owner.memory().budget().unsentBound();
 }
 
 void CallerConnection::finishExchange()
@@ -270,6 +338,8 @@
     }
     m_isAnswerEnded = false;
     m_request.reset();
+    m_requestBytes.set(0);
+    m_pendingBytes.set(0);
     if (m_state == State::Lingering) {
         m_owner.connectionEnded(this);
         return;
@@ -282,6 +352,8 @@
     m_head = {};
     m_body.clear();
     (void)m_reader.next();
+    // A caller that sends requests and does not read the answers gets no further ones.
+    m_channel->setReading(!isFull());
     m_timer.startAt(m_loop.now() + m_owner.limits().idleTimeout);
 }
 
@@ -292,12 +364,18 @@
     m_timer.startAt(m_loop.now() + lingerTime);
 }
 
+// An answer that is ready is delivered as long as its caller reads.
 void CallerConnection::handleTimeout()
 {
     if (m_state == State::Reading && m_reader.hasBegun()) {
         refuse({408, "The request did not come in time.", std::nullopt});
         return;
     }
+    const Core::TimePoint patienceEnd = m_lastReadAt + (m_state == State::Lingering ? lingerTime : m_owner.limits().idleTimeout);
+    if (unsentBytes() > 0 && m_loop.now() < patienceEnd) {
+        m_timer.startAt(patienceEnd);
+        return;
+    }
     m_owner.connectionEnded(this);
 }
 
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "memoryguard.h"
 #include "relayedrequest.h"
 
 #include <decisions/relay/relayconfiguration.h>
@@ -30,8 +31,11 @@
     /// \brief Returns whether connections should be closed after their current answer.
     virtual bool isDraining() const = 0;
 
-    /// \brief Returns the header fields of the answer to a request that could not be read.
-    virtual std::vector<Http::HttpField> refusalFields(const Refusal &refusal) const = 0;
+    /// \brief Returns the header fields of the answer to a request that was not read; \a head is empty if it is unknown.
+    virtual std::vector<Http::HttpField> refusalFields(const Refusal &refusal, const Http::MessageHead &head) const = 0;
+
+    /// \brief Returns what counts the bytes that connections hold.
+    virtual MemoryGuard &memory() = 0;
 
     /// \brief Destroys \a connection, which has ended.
     virtual void connectionEnded(CallerConnection *connection) = 0;
@@ -50,9 +54,18 @@
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
 
-    /// \brief Returns whether a request is being read or answered.
+    /// \brief Returns whether a request is being read or answered, or an answer has not been sent completely.
     bool isBusy() const;
 
+    /// \brief Returns the number of bytes that the caller has not read.
+    std::size_t unsentBytes() const;
+
+    /// \brief Returns when the caller last read something of its answers, or when the first unsent bytes were written.
+    Core::TimePoint lastReadAt() const;
+
+    /// \brief Resets the connection, so that the caller can tell that its answer is incomplete, and ends it.
+    void cutOff();
+
     /// \brief Closes the connection if it is idle.
     void endIfIdle();
 
@@ -64,7 +77,8 @@
     void write(std::string_view data) override;
     void endAnswer() override;
     void abortAnswer() override;
-    std::size_t bufferedBytes() const override;
+    void setPendingBytes(std::size_t bytes) override;
+    bool isFull() const override;
 
 private:
     enum class State {
@@ -75,13 +89,17 @@
 
     void receiveBytes(std::string_view data) override;
     void receiveEnd(Http::ChannelEnd end) override;
+    void outputSent() override;
     void outputDrained() override;
     void receiveHead(Http::MessageHead head) override;
     void receiveBody(std::string_view data) override;
     void receiveEnd() override;
     void answerRequest();
     void refuse(Http::MessageFault fault);
-    void refuse(const Refusal &refusal);
+    void refuse(const Refusal &refusal, const Http::MessageHead &head = {});
+    bool reserveBody();
+    void refuseForMemory();
+    void send(std::string_view data);
     std::string headText(int status, const std::vector<Http::HttpField> &fields) const;
     void finishExchange();
     void linger();
@@ -89,6 +107,8 @@
 
     EventLoop::Loop &m_loop;
     ConnectionOwner &m_owner;
+    Decisions::HeldBytes m_requestBytes; ///< Of the request that is being read or answered.
+    Decisions::HeldBytes m_pendingBytes; ///< Of its answer.
     std::unique_ptr<Http::TcpChannel> m_channel;
     Http::MessageReader m_reader;
     EventLoop::Timer m_timer;
@@ -97,6 +117,7 @@
     Http::MessageHead m_head;
     std::string m_body;
     std::unique_ptr<RelayedRequest> m_request;
+    Core::TimePoint m_lastReadAt;
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
     bool m_isAnswerEnded = false;
     bool m_isChunked = false;
--- /dev/null
+++ b/src/libs/relay/memoryguard.cpp
@@ -0,0 +1,122 @@
+#include "memoryguard.h"
+
+#include "callerconnection.h"
+#include "relayevents.h"
+
+#include <observe/eventlog.h>
+#include <observe/metrics.h>
+
+#include <string>
+
+namespace Verbena::Relay {
+
+namespace {
+
+class BudgetMeter : public Http::ByteMeter
+{
+public:
+    BudgetMeter(Decisions::MemoryBudget &budget, Decisions::HeldKind kind)
+        : m_held(budget, kind)
+    {
+    }
+
+    void setBytes(std::size_t bytes) override
+    {
+        m_held.set(bytes);
+    }
+
+private:
+    Decisions::HeldBytes m_held;
+};
+
+} // namespace
+
+std::unique_ptr<Http::ByteMeter> createMeter(Decisions::MemoryBudget *budget, Decisions::HeldKind kind)
+{
+    return budget != nullptr ? std::make_unique<BudgetMeter>(*budget, kind) : nullptr;
+}
+
+MemoryGuard::MemoryGuard(std::optional<std::uint64_t> processBytes, Observe::Metrics &metrics)
+    : m_budget(processBytes)
+    , m_metrics(metrics)
+{
+}
+
+Decisions::MemoryBudget &MemoryGuard::budget()
+{
+    return m_budget;
+}
+
+void MemoryGuard::reportRefusal(std::uint64_t bodyBytes)
+{
+    m_metrics.count("requests_refused_for_memory_total");
+    Observe::log(bodyRefused,
+        {{"body_bytes", std::to_string(bodyBytes)},
+            {"held_bytes", std::to_string(m_budget.held())},
+            {"limit_bytes", std::to_string(m_budget.limit().value_or(0))}});
+}
+
+bool MemoryGuard::check()
+{
+    if (m_budget.held() != m_reportedBytes) {
+        reportHeld();
+    }
+    if (m_budget.isShort() != m_isReportedShort) {
+        reportShortage();
+    }
+    return m_budget.isExceeded();
+}
+
+void MemoryGuard::reportHeld()
+{
+    m_reportedBytes = m_budget.held();
+    for (const Decisions::HeldKind kind : Decisions::heldKinds) {
+        const auto bytes = static_cast<double>(m_budget.held(kind));
+        m_metrics.setGauge("memory_held_" + std::string(Decisions::heldKindName(kind)) + "_bytes", bytes);
+    }
+}
+
+void MemoryGuard::reportShortage()
+{
+    m_isReportedShort = m_budget.isShort();
+    const auto held = [this](Decisions::HeldKind kind) {
+        return std::to_string(m_budget.held(kind));
+    };
+    Observe::log(m_isReportedShort ? memoryShort : memoryEnough,
+        {{"held_bytes", std::to_string(m_budget.held())},
+            {"limit_bytes", std::to_string(m_budget.limit().value_or(0))},
+            {"request_bodies", held(Decisions::HeldKind::RequestBodies)},
+            {"partial_answers", held(Decisions::HeldKind::PartialAnswers)},
+            {"unsent_to_callers", held(Decisions::HeldKind::UnsentToCallers)},
+            {"unsent_to_servers", held(Decisions::HeldKind::UnsentToServers)}});
+}
+
+std::vector<CallerConnection *> MemoryGuard::connectionsToCut(const std::vector<CallerConnection *> &connections, Core::TimePoint now)
+{
+    std::vector<Decisions::UnreadCaller> unread;
+    for (std::size_t index = 0; index < connections.size(); ++index) {
+        const std::size_t unsent = connections[index]->unsentBytes();
+        if (unsent > 0) {
+            unread.push_back({index, unsent, connections[index]->lastReadAt()});
+        }
+    }
+    std::vector<CallerConnection *> cut;
+    for (const Decisions::UnreadCaller &caller : m_budget.callersToCut(std::move(unread), now)) {
+        reportCut(caller, now);
+        cut.push_back(connections[caller.index]);
+    }
+    return cut;
+}
+
+void MemoryGuard::reportCut(const Decisions::UnreadCaller &caller, Core::TimePoint now)
+{
+    m_metrics.count("callers_cut_for_memory_total");
+    const auto unread = std::chrono::duration_cast<std::chrono::milliseconds>(now - caller.lastReadAt);
+    Observe::log(callerCut,
+        {{"unsent_bytes", std::to_string(caller.unsentBytes)},
+            {"unread_ms", std::to_string(unread.count())},
+            {"held_bytes", std::to_string(m_budget.held())},
+            {"limit_bytes", std::to_string(m_budget.limit().value_or(0))}});
+}
+
+} // namespace Verbena::Relay
--- /dev/null
+++ b/src/libs/relay/memoryguard.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <decisions/relay/memorybudget.h>
+#include <http/bytemeter.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Verbena::Observe {
+class Metrics;
+}
+
+namespace Verbena::Relay {
+
+class CallerConnection;
+
+/// \brief Returns a meter that counts the unsent bytes of one connection in \a budget, or null if \a budget is null.
+std::unique_ptr<Http::ByteMeter> createMeter(Decisions::MemoryBudget *budget, Decisions::HeldKind kind);
+
+/// \brief Holds a router to its memory budget, and reports what it holds and what it gave up.
+class MemoryGuard
+{
+public:
+    MemoryGuard(std::optional<std::uint64_t> processBytes, Observe::Metrics &metrics);
+
+    Decisions::MemoryBudget &budget();
+
+    /// \brief Reports that a request was refused because of its body of \a bodyBytes, or of so many at least.
+    void reportRefusal(std::uint64_t bodyBytes);
+
+    /// \brief Reports what is held and whether that has become short or no longer is. Returns whether callers may have to be cut off.
+    bool check();
+
+    /// \brief Returns which of \a connections have to be cut off at \a now.
+    std::vector<CallerConnection *> connectionsToCut(const std::vector<CallerConnection *> &connections, Core::TimePoint now);
+
+private:
+    void reportHeld();
+    void reportShortage();
+    void reportCut(const Decisions::UnreadCaller &caller, Core::TimePoint now);
+
+    Decisions::MemoryBudget m_budget;
+    Observe::Metrics &m_metrics;
+    std::uint64_t m_reportedBytes = 0;
+    bool m_isReportedShort = false;
+};
+
+} // namespace Verbena::Relay
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -20,9 +20,6 @@
 
 namespace {
 
-// Bytes buffered for a slow caller before reading from the backend server pauses.
-constexpr std::size_t maximumUnsentBytes = 256 * 1024;
-
 // Many times the round trip to any backend server. Without a connection by then, the server is unreachable or a packet was lost, and TCP would resend that
 // only after a second.
 constexpr milliseconds connectTimeout{120};
@@ -353,6 +350,7 @@
     }
     if (call) {
         m_call = std::move(call.value());
+        m_call->setMeter(createMeter(m_context.memory, Decisions::HeldKind::UnsentToServers));
         updateCallBackTimer();
         return true;
     }
@@ -451,7 +449,8 @@
         callFailed(CallFailure::Lost, "the answer is longer than any may be");
         return;
     }
-    if (m_sink.bufferedBytes() > maximumUnsentBytes) {
+    if (m_sink.isFull()) {
+        m_context.metrics.count("answers_paused_total");
         m_call->setReading(false);
     }
     if (isForwarded) {
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -4,6 +4,7 @@
 #include "backendcall.h"
 #include "connectcheck.h"
 #include "crashcontrolhandle.h"
+#include "memoryguard.h"
 #include "relayprotocol.h"
 #include "resendqueue.h"
 #include "serverwait.h"
@@ -46,6 +47,7 @@
     UsageControl *usage = nullptr; ///< Null if no usage caps are enforced.
     CrashControl *crashes = nullptr; ///< Null if crashes are not tracked.
     StreamOriginControl *origins = nullptr; ///< Null if streams may be resumed at any backend server.
+    Decisions::MemoryBudget *memory = nullptr; ///< Null if bytes held are not counted.
 };
 
 /// \brief Relays one request to a backend server and the answer back; destroying it cancels the request.
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -59,5 +59,9 @@
 inline constexpr Event partSuspected{2136, Severity::Warning, "part_suspected", "Backend servers ended before they had begun to answer a part of a prompt."};
 inline constexpr Event serverLeaving{2137, Severity::Info, "server_leaving", "A backend server has said in an answer that it leaves."};
 inline constexpr Event restAsked{2138, Severity::Warning, "rest_asked", "A backend server has refused a request and wants none for a while."};
+inline constexpr Event memoryShort{2150, Severity::Warning, "memory_short", "Bytes held for callers and backend servers leave little memory."};
+inline constexpr Event memoryEnough{2151, Severity::Info, "memory_enough", "Bytes held for callers and backend servers leave enough memory again."};
+inline constexpr Event bodyRefused{2152, Severity::Warning, "body_refused", "A request was refused since there is too little memory for its body."};
+inline constexpr Event callerCut{2153, Severity::Warning, "caller_cut", "A caller that did not read was cut off since memory was used up."};
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -51,11 +51,13 @@
     , m_resendQueue(loop, m_budget, loop.now() + budgetFillTime)
     , m_activeRouters(settings.routerCount)
     , m_random(settings.seed)
+    , m_memory(settings.memoryBytes, m_metrics)
     , m_context{m_loop, m_protocol, m_fleet, m_budget, m_resendQueue, m_random, m_metrics, settings.configurationTime}
     , m_stallDetector(loop.now())
     , m_activityTimer(loop,
           [this] {
               recordActivity();
+              relieveMemory();
               m_activityTimer.startAt(m_loop.now() + activityInterval);
           })
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
@@ -63,6 +65,7 @@
     m_activityTimer.startAt(loop.now() + activityInterval);
     m_fleet.setAnnouncementObserver([this] { handleNewWeights(); });
     m_fleet.limits().setAssumedRouters(settings.routerCount);
+    m_context.memory = &m_memory.budget();
 }
 
 RelayTask::~RelayTask() = default;
@@ -117,6 +120,26 @@
     }
 }
 
+MemoryGuard &RelayTask::memory()
+{
+    return m_memory;
+}
+
+void RelayTask::relieveMemory()
+{
+    if (!m_memory.check()) {
+        return;
+    }
+    std::vector<CallerConnection *> connections;
+    connections.reserve(m_connections.size());
+    for (const auto &[connection, owned] : m_connections) {
+        connections.push_back(connection);
+    }
+    for (CallerConnection *connection : m_memory.connectionsToCut(connections, m_loop.now())) {
+        connection->cutOff();
+    }
+}
+
 bool RelayTask::isRandomlyChosen()
 {
     return m_random.next() % m_routerCount < expectedChosenRouters;
@@ -258,9 +281,10 @@
     return m_isDraining;
 }
 
-std::vector<Http::HttpField> RelayTask::refusalFields(const Refusal &refusal) const
+std::vector<Http::HttpField> RelayTask::refusalFields(const Refusal &refusal, const Http::MessageHead &head) const
 {
-    return m_protocol.refusalFields(refusal, "");
+    const auto query = m_protocol.readQuery(head, m_loop.now());
+    return m_protocol.refusalFields(refusal, query ? query.value().attemptId : "");
 }
 
 void RelayTask::beginShutdown(std::function<void()> done)
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -23,6 +23,7 @@
     Decisions::WeightsLimits weights;
     Decisions::RoutingOptions routing;
     std::uint32_t routerCount = 8; ///< Routers that share the resend budget at least, and the limits of backend servers until agents report the routers.
+    std::optional<std::uint64_t> memoryBytes; ///< Memory that this process may use; no value means that nothing is limited.
     std::uint64_t seed = 0;
     std::chrono::milliseconds configurationTime{2000}; ///< Time within which a change of the configuration has to be in force.
     std::chrono::milliseconds shutdownNotice{2900}; ///< Time from the start of a shutdown until the load balancer sends no new callers.
@@ -117,10 +118,12 @@
     std::unique_ptr<RelayedRequest> beginRequest(Http::MessageHead head, std::string body, AnswerSink &sink) override;
     Decisions::RelayLimits limits() const override;
     bool isDraining() const override;
-    std::vector<Http::HttpField> refusalFields(const Refusal &refusal) const override;
+    std::vector<Http::HttpField> refusalFields(const Refusal &refusal, const Http::MessageHead &head) const override;
+    MemoryGuard &memory() override;
     void connectionEnded(CallerConnection *connection) override;
     void handleNewWeights();
     void recordActivity();
+    void relieveMemory();
     void acceptCaller(int descriptor);
     void closeListener();
     void continueShutdown();
@@ -136,6 +139,7 @@
     Core::TimePoint m_routersUpdateTime{}; ///< Time of the next update of the routers that share limits.
     Decisions::RandomSource m_random;
     Observe::Metrics m_metrics;
+    MemoryGuard m_memory;
     RelayContext m_context;
     std::function<void()> m_weightsObserver;
     std::shared_ptr<const Decisions::RelayDirectory> m_directory;
--- a/tests/auto/platform/tst_translation.cpp
+++ b/tests/auto/platform/tst_translation.cpp
@@ -341,6 +341,8 @@
   quotaSlack: 72000
   budgetWindowS: 10
   versionMs: 8000
+limits:
+  memoryMb: 110
 provider:
   address: "10.200.1.7:8784"
 somethingNew: {a: 1}
@@ -358,6 +360,7 @@
     EXPECT_EQ(file.value().longestWeightsUse, 8s);
     EXPECT_EQ(file.value().resendWindow, 10s);
     EXPECT_EQ(file.value().resendSlack, 54);
+    EXPECT_EQ(file.value().memoryBytes, 110'000'000U);
 }
 
 TEST(NodeFileTest, namesEachFieldThatIsWrong)
--- a/tests/auto/relay/plainprotocol.cpp
+++ b/tests/auto/relay/plainprotocol.cpp
@@ -72,12 +72,16 @@
     return fields;
 }
 
-std::vector<HttpField> PlainProtocol::refusalFields(const Relay::Refusal &refusal, const std::string &) const
+std::vector<HttpField> PlainProtocol::refusalFields(const Relay::Refusal &refusal, const std::string &attemptId) const
 {
-    if (!refusal.retryAfter.has_value()) {
-        return {};
+    std::vector<HttpField> fields;
+    if (!attemptId.empty()) {
+        fields.push_back({"Id", attemptId});
+    }
+    if (refusal.retryAfter.has_value()) {
+        fields.push_back({"Come-Back-Ms", std::to_string(refusal.retryAfter->count())});
     }
-    return {{"Come-Back-Ms", std::to_string(refusal.retryAfter->count())}};
+    return fields;
 }
 
 } // namespace Verbena::Test
--- /dev/null
+++ b/tests/auto/relay/tst_memorybudget.cpp
@@ -0,0 +1,107 @@
+#include <decisions/relay/memorybudget.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <memory>
+
+namespace Verbena::Decisions {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The smallest hosts' memory, and what of it bytes may take.
+constexpr std::uint64_t hostBytes = 88'000'000;
+constexpr std::uint64_t budgetBytes = hostBytes / 4;
+
+// Bytes that one read from a backend server may bring.
+constexpr std::uint64_t readBytes = 64 * 1024;
+
+const Core::TimePoint start{};
+
+// All callers of a small router stop to read while their streams go on; each of them held 256 KiB.
+RC_GTEST_PROP(MemoryBudgetTest, boundsWhatSlowCallersHoldHoweverManyTheyAre, ())
+{
+    const auto count = *rc::gen::inRange<std::size_t>(1, 3000);
+    const auto piece = *rc::gen::inRange<std::uint64_t>(100, 4000);
+    MemoryBudget budget(hostBytes);
+    std::vector<std::unique_ptr<HeldBytes>> callers;
+    for (std::size_t number = 0; number < count; ++number) {
+        callers.push_back(std::make_unique<HeldBytes>(budget, HeldKind::UnsentToCallers));
+    }
+    bool isAnyRead = true;
+    while (isAnyRead) {
+        isAnyRead = false;
+        for (const auto &caller : callers) {
+            if (caller->bytes() <= budget.unsentBound()) {
+                caller->set(caller->bytes() + piece);
+                isAnyRead = true;
+            }
+        }
+    }
+    RC_ASSERT(budget.held() <= budgetBytes + piece);
+    callers.clear();
+    RC_ASSERT(budget.held() == 0U);
+}
+
+TEST(MemoryBudgetTest, limitsNothingWhereNoMemoryIsNamed)
+{
+    MemoryBudget budget(std::nullopt);
+    HeldBytes held(budget, HeldKind::UnsentToCallers);
+    held.set(100 * hostBytes);
+    EXPECT_FALSE(budget.isShort());
+    EXPECT_FALSE(budget.isExceeded());
+    EXPECT_TRUE(budget.admitsBody(hostBytes, 0));
+    EXPECT_EQ(budget.unsentBound(), 256U * 1024);
+    EXPECT_TRUE(budget.callersToCut({{0, 100 * hostBytes, start}}, start + 1h).empty());
+}
+
+TEST(MemoryBudgetTest, refusesLargeBodiesFirstWhereMemoryIsShort)
+{
+    MemoryBudget budget(hostBytes);
+    HeldBytes held(budget, HeldKind::UnsentToCallers);
+    EXPECT_TRUE(budget.admitsBody(budgetBytes, 0));
+    EXPECT_FALSE(budget.admitsBody(budgetBytes + 1, 0));
+    held.set(budgetBytes * 3 / 4);
+    const std::uint64_t left = budgetBytes - held.bytes();
+    EXPECT_TRUE(budget.admitsBody(left / 8, 0));
+    EXPECT_FALSE(budget.admitsBody(left / 8 + 1, 0));
+    held.set(budgetBytes);
+    EXPECT_FALSE(budget.admitsBody(1, 0));
+    EXPECT_TRUE(budget.admitsBody(0, 0));
+    EXPECT_TRUE(budget.admitsBody(1000, 1000));
+}
+
+TEST(MemoryBudgetTest, doesNotSwingBetweenShortAndEnough)
+{
+    MemoryBudget budget(hostBytes);
+    HeldBytes held(budget, HeldKind::PartialAnswers);
+    held.set(budgetBytes / 2);
+    EXPECT_FALSE(budget.isShort());
+    held.set(budgetBytes / 2 + 1);
+    EXPECT_TRUE(budget.isShort());
+    held.set(budgetBytes / 2 - readBytes);
+    EXPECT_TRUE(budget.isShort());
+    held.set(budgetBytes * 3 / 8);
+    EXPECT_FALSE(budget.isShort());
+}
+
+TEST(MemoryBudgetTest, cutsOffThoseThatHaveNotReadForLongestAndNoMoreThanNeeded)
+{
+    MemoryBudget budget(hostBytes);
+    HeldBytes held(budget, HeldKind::UnsentToCallers);
+    const std::vector<UnreadCaller> callers{{0, 5000, start + 900ms}, {1, 3000, start + 500ms}, {2, 3000, start}, {3, 9000, start + 700ms}};
+    held.set(budgetBytes);
+    EXPECT_TRUE(budget.callersToCut(callers, start + 1s).empty());
+    held.set(budgetBytes + 4000);
+    const std::vector<UnreadCaller> cut = budget.callersToCut(callers, start + 1s);
+    ASSERT_EQ(cut.size(), 2U);
+    EXPECT_EQ(cut[0].index, 2U);
+    EXPECT_EQ(cut[1].index, 1U);
+    EXPECT_TRUE(budget.callersToCut({{0, 5000, start + 950ms}}, start + 1s).empty());
+}
+
+} // namespace
+
+} // namespace Verbena::Decisions
