--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -28,6 +28,8 @@
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
 
+thread_local std::size_t openChannels = 0;
+
 template<typename Value>
 void setOption(int descriptor, int level, int option, const Value &value)
 {
@@ -78,11 +80,13 @@
     , m_flush(loop, [this] { flush(); })
     , m_isConnected(isConnected)
 {
+    ++openChannels;
     watch();
 }
 
 TcpChannel::~TcpChannel()
 {
+    --openChannels;
     if (m_isDestroyed != nullptr) {
         *m_isDestroyed = true;
     }
@@ -90,6 +94,11 @@
     close(m_descriptor);
 }
 
+std::size_t TcpChannel::openCount()
+{
+    return openChannels;
+}
+
 void TcpChannel::write(std::string_view data)
 {
     if (m_isBroken) {
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -64,6 +64,9 @@
     TcpChannel(const TcpChannel &) = delete;
     TcpChannel &operator=(const TcpChannel &) = delete;
 
+    /// \brief Returns the number of open channels of this thread.
+    static std::size_t openCount();
+
     /// \brief Queues \a data to be sent together with everything else that is written in this iteration of the loop.
     void write(std::string_view data);
 
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -63,5 +63,6 @@
 inline constexpr Event memoryEnough{2151, Severity::Info, "memory_enough", "Bytes held for callers and backend servers leave enough memory again."};
 inline constexpr Event bodyRefused{2152, Severity::Warning, "body_refused", "A request was refused since there is too little memory for its body."};
 inline constexpr Event callerCut{2153, Severity::Warning, "caller_cut", "A caller that did not read was cut off since memory was used up."};
+inline constexpr Event routerBehind{2154, Severity::Warning, "router_behind", "This router falls behind its callers or catches up, or wants new ones or none."};
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -52,17 +52,14 @@
     , m_activeRouters(settings.routerCount)
     , m_random(settings.seed)
     , m_memory(settings.memoryBytes, m_metrics)
+    , m_intake(settings.descriptors, settings.seed, loop.now(), m_metrics)
     , m_context{m_loop, m_protocol, m_fleet, m_budget, m_resendQueue, m_random, m_metrics, settings.configurationTime}
     , m_stallDetector(loop.now())
-    , m_activityTimer(loop,
-          [this] {
-              recordActivity();
-              relieveMemory();
-              m_activityTimer.startAt(m_loop.now() + activityInterval);
-          })
+    , m_activityTimer(loop, [this] { handleActivityTimer(); })
+    , m_activityDue(loop.now() + activityInterval)
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
 {
-    m_activityTimer.startAt(loop.now() + activityInterval);
+    m_activityTimer.startAt(m_activityDue);
     m_fleet.setAnnouncementObserver([this] { handleNewWeights(); });
     m_fleet.limits().setAssumedRouters(settings.routerCount);
     m_context.memory = &m_memory.budget();
@@ -120,6 +117,16 @@
     }
 }
 
+void RelayTask::handleActivityTimer()
+{
+    const Core::TimePoint now = m_loop.now();
+    recordActivity();
+    relieveMemory();
+    m_intake.record(m_activityDue, now, m_memory.budget().isShort());
+    m_activityDue = now + activityInterval;
+    m_activityTimer.startAt(m_activityDue);
+}
+
 MemoryGuard &RelayTask::memory()
 {
     return m_memory;
@@ -228,7 +235,7 @@
 
 bool RelayTask::isReady() const
 {
-    return m_directory != nullptr && !m_isDraining && m_fleet.hasServers();
+    return m_directory != nullptr && !m_isDraining && m_fleet.hasServers() && m_intake.wantsCallers();
 }
 
 Http::Endpoint RelayTask::endpoint() const
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callerconnection.h"
+#include "intakemonitor.h"
 
 #include <decisions/relay/activerouters.h>
 #include <decisions/relay/stalldetector.h>
@@ -24,6 +25,7 @@
     Decisions::RoutingOptions routing;
     std::uint32_t routerCount = 8; ///< Routers that share the resend budget at least, and the limits of backend servers until agents report the routers.
     std::optional<std::uint64_t> memoryBytes; ///< Memory that this process may use; no value means that nothing is limited.
+    std::optional<std::uint64_t> descriptors; ///< Descriptors that this process may open; without a value it wants callers however busy it is.
     std::uint64_t seed = 0;
     std::chrono::milliseconds configurationTime{2000}; ///< Time within which a change of the configuration has to be in force.
     std::chrono::milliseconds shutdownNotice{2900}; ///< Time from the start of a shutdown until the load balancer sends no new callers.
@@ -124,6 +126,7 @@
     void handleNewWeights();
     void recordActivity();
     void relieveMemory();
+    void handleActivityTimer();
     void acceptCaller(int descriptor);
     void closeListener();
     void continueShutdown();
@@ -140,6 +143,7 @@
     Decisions::RandomSource m_random;
     Observe::Metrics m_metrics;
     MemoryGuard m_memory;
+    IntakeMonitor m_intake;
     RelayContext m_context;
     std::function<void()> m_weightsObserver;
     std::shared_ptr<const Decisions::RelayDirectory> m_directory;
@@ -147,6 +151,7 @@
     std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
     Decisions::StallDetector m_stallDetector;
     EventLoop::Timer m_activityTimer;
+    Core::TimePoint m_activityDue; ///< When m_activityTimer fires if the event loop is not late.
     EventLoop::Timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
     bool m_isDraining = false;
--- a/tests/auto/platform/tst_translation.cpp
+++ b/tests/auto/platform/tst_translation.cpp
@@ -343,6 +343,7 @@
   versionMs: 8000
 limits:
   memoryMb: 110
+  maxFds: 4200
 provider:
   address: "10.200.1.7:8784"
 somethingNew: {a: 1}
@@ -361,6 +362,7 @@
     EXPECT_EQ(file.value().resendWindow, 10s);
     EXPECT_EQ(file.value().resendSlack, 54);
     EXPECT_EQ(file.value().memoryBytes, 110'000'000U);
+    EXPECT_EQ(file.value().descriptors, 4200U);
 }
 
 TEST(NodeFileTest, namesEachFieldThatIsWrong)
