--- a/src/libs/http/bytemeter.h
+++ b/src/libs/http/bytemeter.h
@@ -4,7 +4,7 @@
 
 namespace Verbena::Http {
 
-/// \brief Interface that is told how many written bytes a connection holds; destroying it ends the count.
+/// \brief Interface that is told how much memory a connection holds for written bytes; destroying it ends the count.
 class ByteMeter
 {
 public:
--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -29,8 +29,8 @@
 
 namespace {
 
-// Capacity that a reader keeps between messages: enough for most of them, and little beside the other state of a connection.
-constexpr std::size_t keptBufferBytes = 16 * 1024;
+// Capacity that a reader keeps while it holds no bytes: enough for most heads, and little beside the other state of a connection.
+constexpr std::size_t keptBufferBytes = 2 * 1024;
 
 // Returns whether the head contains something that the parser accepts, but that proxies are known to interpret differently.
 bool isAmbiguous(const MessageHead &head)
@@ -218,9 +218,6 @@
 
 std::optional<MessageFault> MessageReader::next()
 {
-    if (m_buffer.empty() && m_buffer.capacity() > keptBufferBytes) {
-        m_buffer = std::string();
-    }
     m_parser = makeParser();
     return parse();
 }
@@ -250,6 +247,9 @@
         }
     }
     m_buffer.erase(0, used);
+    if (m_buffer.empty() && m_buffer.capacity() > keptBufferBytes) {
+        m_buffer = std::string();
+    }
     return fault;
 }
 
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -18,8 +18,8 @@
 // Large enough to receive most responses and prompts in one read. The buffer is shared by all channels of a thread.
 constexpr std::size_t readBytes = 64 * 1024;
 
-// Capacity that a channel keeps after everything was sent: enough for most messages, and little beside the other state of a connection.
-constexpr std::size_t keptOutputBytes = 16 * 1024;
+// Capacity that a channel keeps after everything was sent: enough for events and heads, and little beside the other state of a connection.
+constexpr std::size_t keptOutputBytes = 2 * 1024;
 
 // Time without acknowledgement after which the peer is considered gone. Callers and backend servers are a few milliseconds away, and a lost packet is
 // retransmitted several times within this time.
@@ -136,7 +136,7 @@
 void TcpChannel::updateMeter()
 {
     if (m_meter != nullptr) {
-        m_meter->setBytes(m_output.size());
+        m_meter->setBytes(m_output.capacity());
     }
 }
 
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -73,7 +73,7 @@
     /// \brief Returns the number of written bytes that the kernel has not accepted yet.
     std::size_t bufferedBytes() const;
 
-    /// \brief Sets the meter that is told how many written bytes are held from now on; null for none.
+    /// \brief Sets the meter that is told from now on how much memory is held for written bytes; null for none.
     void setMeter(std::unique_ptr<ByteMeter> meter);
 
     /// \brief Returns whether the kernel has accepted any byte.
