--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "answerforwarder.h"
+#include "answermeaning.h"
 #include "backendcall.h"
 #include "connectcheck.h"
 #include "crashcontrolhandle.h"
 #include "memoryguard.h"
+#include "parttimes.h"
 #include "relayprotocol.h"
 #include "resendqueue.h"
 #include "serverwait.h"
@@ -13,6 +15,7 @@
 
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/crashsubject.h>
+#include <decisions/relay/keptconnections.h>
 #include <decisions/relay/relaydirectory.h>
 #include <decisions/relay/relayfleet.h>
 #include <decisions/relay/resendbudget.h>
@@ -32,6 +35,8 @@
 
 namespace Verbena::Relay {
 
+class ServerConnections;
+
 /// \brief State that all requests of one relay share.
 struct RelayContext
 {
@@ -48,6 +53,7 @@
     CrashControl *crashes = nullptr; ///< Null if crashes are not tracked.
     StreamOriginControl *origins = nullptr; ///< Null if streams may be resumed at any backend server.
     Decisions::MemoryBudget *memory = nullptr; ///< Null if bytes held are not counted.
+    ServerConnections *connections = nullptr; ///< Null if each call opens a connection of its own.
 };
 
 /// \brief Relays one request to a backend server and the answer back; destroying it cancels the request.
@@ -91,12 +97,17 @@
     bool mayHaveRun() const;
     std::string organisationName() const;
     const Decisions::PromptOutline *prompt() const;
+    std::uint32_t priority() const;
     void begin();
     void dispatch();
     bool awaitServer();
     Decisions::FleetQuery fleetQuery();
     void moveOffWaitingEngine();
     bool sendTo(const Decisions::FleetChoice &choice);
+    Core::Result<std::unique_ptr<BackendCall>> openCall(const Decisions::FleetChoice &choice);
+    Decisions::KeptConnectionUse connectionUse();
+    void keepConnection();
+    AnswerMeaning meaningOf(int status, const AnswerMarks &marks) const;
     CallContext callContext(const Decisions::FleetChoice &choice) const;
     void receiveAnswerHead(const Http::MessageHead &head) override;
     void receiveAnswerBody(std::string_view data) override;
@@ -153,6 +164,7 @@
     std::optional<std::string> m_softwareVersion; ///< Software version at which the stream has to go on; nothing before its first event.
     std::optional<Decisions::FleetChoice> m_choice; ///< Choice of the current call.
     std::unique_ptr<BackendCall> m_call;
+    bool m_isConnectionKept = false; ///< Whether the current call's connection may serve others afterwards.
     std::unique_ptr<ConnectCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
     bool m_hasServerEnded = false; ///< Whether that check has found that the server has ended.
     AnswerForwarder m_answer;
@@ -162,6 +174,7 @@
     bool m_isUnanswered = false; ///< Whether the current call counts as load of its backend server.
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
+    PartTimes m_partTimes;
     std::optional<std::chrono::milliseconds> m_sendDelay; ///< Time until a limited or resting backend server takes a request, if none could be chosen.
     bool m_isDone = false;
 };
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -2,6 +2,7 @@
 
 #include "callerconnection.h"
 #include "intakemonitor.h"
+#include "serverconnections.h"
 
 #include <decisions/relay/activerouters.h>
 #include <decisions/relay/stalldetector.h>
@@ -30,6 +31,7 @@
     std::chrono::milliseconds configurationTime{2000}; ///< Time within which a change of the configuration has to be in force.
     std::chrono::milliseconds shutdownNotice{2900}; ///< Time from the start of a shutdown until the load balancer sends no new callers.
     std::chrono::milliseconds shutdownGrace{7000}; ///< Time from the start of a shutdown after which the process ends even if requests are running.
+    bool keepsConnections = false; ///< Whether calls that may be repeated use connections to backend servers one after the other.
 };
 
 /// \brief Server for callers that use a RelayProtocol; owns their connections and the state that their requests share.
@@ -94,6 +96,9 @@
     /// \brief Returns the interval at which this router polls the register for changes.
     std::chrono::milliseconds registerPause() const;
 
+    /// \brief Returns the idle connections to backend servers; null if each call opens a connection of its own.
+    const ServerConnections *serverConnections() const;
+
     /// \brief Returns the metrics of the relay.
     Observe::Metrics &metrics();
 
@@ -144,6 +149,7 @@
     Observe::Metrics m_metrics;
     MemoryGuard m_memory;
     IntakeMonitor m_intake;
+    std::unique_ptr<ServerConnections> m_serverConnections; ///< Null if each call opens a connection of its own.
     RelayContext m_context;
     std::function<void()> m_weightsObserver;
     std::shared_ptr<const Decisions::RelayDirectory> m_directory;
