--- a/tests/auto/relay/tst_serverconnections.cpp
+++ b/tests/auto/relay/tst_serverconnections.cpp
@@ -89,6 +89,18 @@
     EXPECT_EQ(m_workers[0]->heads().at(0).field("Connection"), nullptr);
 }
 
+// An idle connection was counted at the room of its last request, which it had given back.
+TEST_F(ServerConnectionsTest, countsAnIdleConnectionAtTheRoomThatItKeeps)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok", kept)}; });
+    for (const char *id : {"1", "2"}) {
+        ask("/safe/", id, "ok");
+        ASSERT_EQ(idleCount(), 1U);
+        EXPECT_TRUE(runUntil(*m_loop, [&] { return counter("memory_held_unsent_to_servers_bytes") == std::string().capacity(); }));
+    }
+    EXPECT_EQ(counter("server_connections_reused_total"), 1U);
+}
+
 // The loss of a request that must not run twice cannot be mended, and a kept connection is lost more often than a new one.
 TEST_F(ServerConnectionsTest, opensAConnectionForEachCallThatMayNotBeRepeated)
 {
