--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -20,6 +20,9 @@
 // Large enough to receive most responses and prompts in one read. The buffer is shared by all channels of a thread.
 constexpr std::size_t readBytes = 64 * 1024;
 
+// Capacity that a channel keeps after everything was sent: enough for events and heads, and little beside the other state of a connection.
+constexpr std::size_t keptOutputBytes = 2 * 1024;
+
 // Time without acknowledgement after which the peer is considered gone. Callers and backend servers are a few milliseconds away, and a lost packet is
 // retransmitted several times within this time.
 constexpr unsigned userTimeoutMilliseconds = 4000;
@@ -27,6 +30,8 @@
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
 
+thread_local std::size_t openChannels = 0;
+
 template<typename Value>
 void setOption(int descriptor, int level, int option, const Value &value)
 {
@@ -77,11 +82,13 @@
     , m_flush(loop, [this] { flush(); })
     , m_isConnected(isConnected)
 {
+    ++openChannels;
     watch();
 }
 
 TcpChannel::~TcpChannel()
 {
+    --openChannels;
     if (m_isDestroyed != nullptr) {
         *m_isDestroyed = true;
     }
@@ -89,6 +96,11 @@
     close(m_descriptor);
 }
 
+std::size_t TcpChannel::openCount()
+{
+    return openChannels;
+}
+
 void TcpChannel::write(std::string_view data)
 {
     if (m_isBroken) {
@@ -97,6 +109,7 @@
     // Everything written in one iteration of the loop is sent together.
     const bool isFirst = bufferedBytes() == 0;
     m_output.append(data);
+    updateMeter();
     if (isFirst) {
         m_flush.schedule();
     }
@@ -108,6 +121,7 @@
         return;
     }
     m_output.append(data);
+    updateMeter();
     flush();
 }
 
@@ -116,6 +130,7 @@
     m_observer = &observer;
     m_hasSent = false;
     m_output.shrink_to_fit();
+    updateMeter();
     setReading(true);
 }
 
@@ -142,6 +157,19 @@
     return m_output.size() - m_outputOffset;
 }
 
+void TcpChannel::setMeter(std::unique_ptr<ByteMeter> meter)
+{
+    m_meter = std::move(meter);
+    updateMeter();
+}
+
+void TcpChannel::updateMeter()
+{
+    if (m_meter != nullptr) {
+        m_meter->setBytes(m_output.capacity());
+    }
+}
+
 std::size_t TcpChannel::unacknowledgedBytes() const
 {
     int inKernel = 0;
@@ -249,19 +277,35 @@
     while (bufferedBytes() > 0) {
         const ssize_t sent = send(m_descriptor, m_output.data() + m_outputOffset, bufferedBytes(), MSG_NOSIGNAL);
         if (sent < 0) {
-            return errno == EAGAIN || errno == EINTR;
+            const bool isToBeContinued = errno == EAGAIN || errno == EINTR;
+            releaseSent();
+            return isToBeContinued;
         }
         m_hasSent = true;
         m_outputOffset += static_cast<std::size_t>(sent);
+        m_observer->outputSent();
     }
-    m_output.clear();
-    m_outputOffset = 0;
+    releaseSent();
     if (m_isShuttingDown) {
         shutdown(m_descriptor, SHUT_WR);
     }
     return true;
 }
 
+// A peer that always leaves something unread must not make the channel keep all that it has read before. At most half of the buffer has been sent, so that
+// each byte is moved once on average.
+void TcpChannel::releaseSent()
+{
+    if (bufferedBytes() == 0 && m_output.capacity() > keptOutputBytes) {
+        m_output = std::string();
+        m_outputOffset = 0;
+    } else if (m_outputOffset >= bufferedBytes()) {
+        m_output.erase(0, m_outputOffset);
+        m_outputOffset = 0;
+    }
+    updateMeter();
+}
+
 void TcpChannel::readAvailable()
 {
     static thread_local std::array<char, readBytes> buffer;
@@ -285,8 +329,9 @@
 {
     m_isBroken = true;
     m_isEnded = true;
-    m_output.clear();
+    m_output = std::string();
     m_outputOffset = 0;
+    updateMeter();
     m_watcher->stop();
     m_watchedEvents = 0;
     m_observer->receiveEnd(ChannelEnd::Broken);
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bytemeter.h"
 #include "endpoint.h"
 
 #include <core/result.h>
@@ -35,6 +36,11 @@
     /// \brief Receives the end of the incoming data. After Broken, no data can be sent either.
     virtual void receiveEnd(ChannelEnd end) = 0;
 
+    /// \brief Notifies that the kernel has accepted some of the written data, since the peer reads. Must not destroy the channel.
+    virtual void outputSent()
+    {
+    }
+
     /// \brief Notifies that the kernel has accepted all written data. Must not destroy the channel.
     virtual void outputDrained()
     {
@@ -58,6 +64,9 @@
     TcpChannel(const TcpChannel &) = delete;
     TcpChannel &operator=(const TcpChannel &) = delete;
 
+    /// \brief Returns the number of open channels of this thread.
+    static std::size_t openCount();
+
     /// \brief Queues \a data to be sent together with everything else that is written in this iteration of the loop.
     void write(std::string_view data);
 
@@ -73,6 +82,9 @@
     /// \brief Returns the number of written bytes that the kernel has not accepted yet.
     std::size_t bufferedBytes() const;
 
+    /// \brief Sets the meter that is told from now on how much memory is held for written bytes; null for none.
+    void setMeter(std::unique_ptr<ByteMeter> meter);
+
     /// \brief Returns the number of written bytes that the peer's host has not acknowledged yet.
     std::size_t unacknowledgedBytes() const;
 
@@ -99,6 +111,8 @@
     void watch();
     void flush();
     bool sendBuffered();
+    void releaseSent();
+    void updateMeter();
     bool finishConnect();
     void readAvailable();
     void handleConnectionFailure();
@@ -109,7 +123,8 @@
     std::unique_ptr<EventLoop::IoWatcher> m_watcher;
     EventLoop::DeferredCall m_flush;
     std::string m_output;
-    std::size_t m_outputOffset = 0;
+    std::size_t m_outputOffset = 0; ///< Number of bytes at the start of m_output that the kernel has accepted.
+    std::unique_ptr<ByteMeter> m_meter;
     bool m_isConnected;
     bool m_isRefused = false;
     bool m_isReading = true;
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -92,6 +92,11 @@
     return m_isWhole;
 }
 
+void BackendCall::setMeter(std::unique_ptr<Http::ByteMeter> meter)
+{
+    m_channel->setMeter(std::move(meter));
+}
+
 bool BackendCall::isReused() const
 {
     return m_isReused;
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -5,6 +5,7 @@
 #include "backendcall.h"
 #include "connectcheck.h"
 #include "crashcontrolhandle.h"
+#include "memoryguard.h"
 #include "parttimes.h"
 #include "relayprotocol.h"
 #include "resendqueue.h"
@@ -53,6 +54,7 @@
     UsageControl *usage = nullptr; ///< Null if no usage caps are enforced.
     CrashControl *crashes = nullptr; ///< Null if crashes are not tracked.
     StreamOriginControl *origins = nullptr; ///< Null if streams may be resumed at any backend server.
+    Decisions::MemoryBudget *memory = nullptr; ///< Null if bytes held are not counted.
     ServerConnections *connections = nullptr; ///< Null if each call opens a connection of its own.
 };
 
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callerconnection.h"
+#include "intakemonitor.h"
 #include "serverconnections.h"
 
 #include <decisions/relay/activerouters.h>
@@ -25,6 +26,8 @@
     Decisions::RoutingOptions routing;
     std::uint32_t routerCount = 8; ///< Routers that share the resend budget at least, and the limits of backend servers until agents report the routers.
     std::uint32_t priorityGap = 1; ///< While requests are refused, those that are less urgent by so many priorities yield, if there are usage caps; 0: none do.
+    std::optional<std::uint64_t> memoryBytes; ///< Memory that this process may use; no value means that nothing is limited.
+    std::optional<std::uint64_t> descriptors; ///< Descriptors that this process may open; without a value it wants callers however busy it is.
     std::uint64_t seed = 0;
     std::chrono::milliseconds configurationTime{2000}; ///< Time within which a change of the configuration has to be in force.
     std::chrono::milliseconds shutdownNotice{2900}; ///< Time from the start of a shutdown until the load balancer sends no new callers.
@@ -123,10 +126,13 @@
     std::unique_ptr<RelayedRequest> beginRequest(Http::MessageHead head, std::string body, AnswerSink &sink) override;
     Decisions::RelayLimits limits() const override;
     bool isDraining() const override;
-    std::vector<Http::HttpField> refusalFields(const Refusal &refusal) const override;
+    std::vector<Http::HttpField> refusalFields(const Refusal &refusal, const Http::MessageHead &head) const override;
+    MemoryGuard &memory() override;
     void connectionEnded(CallerConnection *connection) override;
     void handleNewWeights();
     void recordActivity();
+    void relieveMemory();
+    void handleActivityTimer();
     void acceptCaller(int descriptor);
     void closeListener();
     void continueShutdown();
@@ -143,6 +149,8 @@
     Core::TimePoint m_routersUpdateTime{}; ///< Time of the next update of the routers that share limits.
     Decisions::RandomSource m_random;
     Observe::Metrics m_metrics;
+    MemoryGuard m_memory;
+    IntakeMonitor m_intake;
     std::unique_ptr<ServerConnections> m_serverConnections; ///< Null if each call opens a connection of its own.
     RelayContext m_context;
     std::function<void()> m_weightsObserver;
@@ -151,6 +159,7 @@
     std::unordered_map<CallerConnection *, std::unique_ptr<CallerConnection>> m_connections;
     Decisions::StallDetector m_stallDetector;
     EventLoop::Timer m_activityTimer;
+    Core::TimePoint m_activityDue; ///< When m_activityTimer fires if the event loop is not late.
     EventLoop::Timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
     bool m_isDraining = false;
