--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -29,6 +29,9 @@
 
 namespace {
 
+// Capacity that a reader keeps while it holds no bytes: enough for most heads, and little beside the other state of a connection.
+constexpr std::size_t keptBufferBytes = 2 * 1024;
+
 // Returns whether the head contains something that the parser accepts, but that proxies are known to interpret differently.
 bool isAmbiguous(const MessageHead &head)
 {
@@ -245,6 +248,9 @@
         }
     }
     m_buffer.erase(0, used);
+    if (m_buffer.empty() && m_buffer.capacity() > keptBufferBytes) {
+        m_buffer = std::string();
+    }
     return fault;
 }
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -20,9 +20,6 @@
 
 namespace {
 
-// Bytes buffered for a slow caller before reading from the backend server pauses.
-constexpr std::size_t maximumUnsentBytes = 256 * 1024;
-
 // Many times the round trip to any backend server. Without a connection by then, the server is unreachable or a packet was lost, and TCP would resend that
 // only after a second.
 constexpr milliseconds connectTimeout{120};
@@ -174,7 +171,7 @@
         }
         m_context.metrics.count("requests_over_cap_total");
         m_context.metrics.count("requests_over_cap_priority_" + std::to_string(priority()) + "_total");
-        refuse(429, "The usage cap of the organisation is reached; it has not run.", verdict.retryAfter);
+        refuse(429, "The usage cap of the organisation is reached; it has not run.", std::max(verdict.retryAfter, Decisions::minimumRetryDelay));
     });
 }
 
@@ -373,6 +370,7 @@
     Core::Result<std::unique_ptr<BackendCall>> call = openCall(choice);
     if (call) {
         m_call = std::move(call.value());
+        m_call->setMeter(createMeter(m_context.memory, Decisions::HeldKind::UnsentToServers));
         updateCallBackTimer();
         return true;
     }
@@ -513,7 +511,8 @@
         callFailed(CallFailure::Lost, "the answer is longer than any may be");
         return;
     }
-    if (m_sink.bufferedBytes() > maximumUnsentBytes) {
+    if (m_sink.isFull()) {
+        m_context.metrics.count("answers_paused_total");
         m_call->setReading(false);
     }
     if (isForwarded) {
@@ -865,7 +864,9 @@
     }
     m_isUnanswered = false;
     m_weightsTimer.stop();
-    if (isSuccess(m_answer.status()) && !m_answer.isServerError()) {
+    // Other completions begin their answer only after all of it has been generated.
+    const bool showsSpeed = !m_query.prompt.has_value() || m_route->kind == RequestKind::Streaming;
+    if (showsSpeed && isSuccess(m_answer.status()) && !m_answer.isServerError()) {
         m_context.fleet.recordWork(*m_choice, m_context.loop.now());
     }
     m_context.fleet.recordAnswered(*m_choice, m_context.loop.now());
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -52,18 +52,18 @@
     , m_resendQueue(loop, m_budget, loop.now() + budgetFillTime)
     , m_activeRouters(settings.routerCount)
     , m_random(settings.seed)
+    , m_memory(settings.memoryBytes, m_metrics)
+    , m_intake(settings.descriptors, settings.seed, loop.now(), m_metrics)
     , m_context{m_loop, m_protocol, m_fleet, m_budget, m_shedder, m_resendQueue, m_random, m_metrics, settings.configurationTime}
     , m_stallDetector(loop.now())
-    , m_activityTimer(loop,
-          [this] {
-              recordActivity();
-              m_activityTimer.startAt(m_loop.now() + activityInterval);
-          })
+    , m_activityTimer(loop, [this] { handleActivityTimer(); })
+    , m_activityDue(loop.now() + activityInterval)
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
 {
-    m_activityTimer.startAt(loop.now() + activityInterval);
+    m_activityTimer.startAt(m_activityDue);
     m_fleet.setAnnouncementObserver([this] { handleNewWeights(); });
     m_fleet.limits().setAssumedRouters(settings.routerCount);
+    m_context.memory = &m_memory.budget();
     if (settings.keepsConnections) {
         m_serverConnections = std::make_unique<ServerConnections>(loop, m_fleet.servers(), m_metrics);
         m_context.connections = m_serverConnections.get();
@@ -122,6 +122,36 @@
     }
 }
 
+void RelayTask::handleActivityTimer()
+{
+    const Core::TimePoint now = m_loop.now();
+    recordActivity();
+    relieveMemory();
+    m_intake.record(m_activityDue, now, m_memory.budget().isShort());
+    m_activityDue = now + activityInterval;
+    m_activityTimer.startAt(m_activityDue);
+}
+
+MemoryGuard &RelayTask::memory()
+{
+    return m_memory;
+}
+
+void RelayTask::relieveMemory()
+{
+    if (!m_memory.check()) {
+        return;
+    }
+    std::vector<CallerConnection *> connections;
+    connections.reserve(m_connections.size());
+    for (const auto &[connection, owned] : m_connections) {
+        connections.push_back(connection);
+    }
+    for (CallerConnection *connection : m_memory.connectionsToCut(connections, m_loop.now())) {
+        connection->cutOff();
+    }
+}
+
 bool RelayTask::isRandomlyChosen()
 {
     return m_random.next() % m_routerCount < expectedChosenRouters;
@@ -215,7 +245,7 @@
 
 bool RelayTask::isReady() const
 {
-    return m_directory != nullptr && !m_isDraining && m_fleet.hasServers();
+    return m_directory != nullptr && !m_isDraining && m_fleet.hasServers() && m_intake.wantsCallers();
 }
 
 Http::Endpoint RelayTask::endpoint() const
@@ -268,9 +298,10 @@
     return m_isDraining;
 }
 
-std::vector<Http::HttpField> RelayTask::refusalFields(const Refusal &refusal) const
+std::vector<Http::HttpField> RelayTask::refusalFields(const Refusal &refusal, const Http::MessageHead &head) const
 {
-    return m_protocol.refusalFields(refusal, "");
+    const auto query = m_protocol.readQuery(head, m_loop.now());
+    return m_protocol.refusalFields(refusal, query ? query.value().attemptId : "");
 }
 
 void RelayTask::beginShutdown(std::function<void()> done)
--- a/tests/auto/relay/tst_serverpace.cpp
+++ b/tests/auto/relay/tst_serverpace.cpp
@@ -5,9 +5,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <array>
 #include <map>
-#include <queue>
 
 namespace Verbena::Decisions {
 
@@ -100,19 +100,19 @@
 // Whatever servers name, a choice between them must stay possible.
 TEST(ServerPace, isBounded)
 {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         ServerPace pace;
         Core::TimePoint now = start;
         pace.updateServer(BackendServerId(1), "", 0);
         pace.updateServer(BackendServerId(2), "", 0);
         for (const auto &[named, elapsed] : *rc::gen::arbitrary<std::vector<std::pair<std::uint32_t, std::int32_t>>>()) {
             now += microseconds(named % 5'000'000);
-            pace.recordPace(BackendServerId(named % 3), (named + 1) / 100.0, now);
+            pace.recordPace(BackendServerId(named % 3), (named + 1.0) / 100, now);
             pace.recordWork(BackendServerId(elapsed % 3), microseconds(elapsed), microseconds(named), now);
             const double slowness = pace.slowness(BackendServerId(1), now + microseconds(named));
             RC_ASSERT(slowness >= 0.25 && slowness <= 4);
         }
-    });
+    }));
 }
 
 RoutingOptions options()
@@ -152,6 +152,11 @@
         m_fleet.recordAnswered(choice, m_now);
     }
 
+    void answerWithoutLoad(const FleetChoice &choice)
+    {
+        m_fleet.recordAnswered(choice, m_now);
+    }
+
     // Returns the mean time to an answer.
     microseconds replay(int calls, std::chrono::milliseconds interval)
     {
@@ -176,9 +181,6 @@
         return m_servers.at(id).calls;
     }
 
-    RelayFleet m_fleet{options(), {}};
-    Core::TimePoint m_now = start;
-
 private:
     struct Server
     {
@@ -202,6 +204,8 @@
         m_now = until;
     }
 
+    RelayFleet m_fleet{options(), {}};
+    Core::TimePoint m_now = start;
     bool m_isPaceNamed;
     std::map<std::string, Server> m_servers{{"fast", {0.6, {}, 0}}, {"usual", {1, {}, 0}}, {"slow", {1.6, {}, 0}}};
     std::multimap<Core::TimePoint, FleetChoice> m_calls; ///< By the time of their answer.
@@ -222,6 +226,14 @@
     EXPECT_GT(named.calls("slow"), 20U);
 }
 
+// While all servers were full, nothing was learned, and calls went to one that had slowed down.
+TEST(PlainChoiceTest, learnsOfASlowServerUnderOverload)
+{
+    PlainFleet named(true);
+    PlainFleet unnamed(false);
+    EXPECT_LT(named.replay(2000, 2ms), unnamed.replay(2000, 2ms));
+}
+
 // A full server sheds calls while another has free slots.
 TEST(PlainChoiceTest, avoidsServersThatReportThemselvesFull)
 {
@@ -253,7 +265,7 @@
         ASSERT_EQ(choice.serverId, expected.serverId);
         EXPECT_EQ(choice.slowness, std::nullopt);
         reporting.answer(choice, 6, static_cast<std::uint32_t>(call % 7));
-        silent.m_fleet.recordAnswered(expected, silent.m_now);
+        silent.answerWithoutLoad(expected);
     }
 }
 
