--- a/src/libs/decisions/relay/loadshedder.cpp
+++ b/src/libs/decisions/relay/loadshedder.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// Time constant of the decay: longer than the reading of some long prompts, so that room that was just given is not taken back before it is seen.
+// Time constant of the decay: longer than it takes to read some long prompts, so that refusals count until their effect on the queues is seen.
 constexpr std::chrono::seconds decayTime{2};
 
 // Fraction of refused urgent requests at which requests of low priority may not wait at all.
--- a/src/libs/decisions/relay/loadshedder.h
+++ b/src/libs/decisions/relay/loadshedder.h
@@ -13,7 +13,7 @@
 ///
 /// Answers load that exceeds what the engines of a service can begin in time, of which much is of low priority: long prompts of a background task, for
 /// instance, in front of which short urgent ones wait. Engines order only what has reached them, and read a prompt that they have begun to its end. So requests
-/// of low priority give way here: the wait that is acceptable for them gets shorter, down to none, as more urgent requests are refused.
+/// of low priority give way here: the larger the refused fraction of a more urgent priority, the shorter the wait that is acceptable for them, down to none.
 class LoadShedder
 {
 public:
--- a/src/libs/decisions/relay/memorybudget.h
+++ b/src/libs/decisions/relay/memorybudget.h
@@ -39,7 +39,7 @@
 class MemoryBudget
 {
 public:
-    /// \brief Creates the budget of a process that may use \a processBytes of memory; no value means that nothing is limited.
+    /// \brief Creates the budget of a process that may use \a processBytes of memory; without a value only what waits for one caller is limited.
     explicit MemoryBudget(std::optional<std::uint64_t> processBytes);
 
     /// \brief Records that what one holder holds of \a kind has changed from \a before to \a after bytes.
@@ -51,7 +51,7 @@
     /// \brief Returns all bytes held.
     std::uint64_t held() const;
 
-    /// \brief Returns the most bytes that may be held; empty if nothing is limited.
+    /// \brief Returns the most bytes that may be held; empty if the sum is not limited.
     std::optional<std::uint64_t> limit() const;
 
     /// \brief Returns whether memory is short; ends only well below where it begins.
--- a/src/libs/decisions/relay/plainchoice.cpp
+++ b/src/libs/decisions/relay/plainchoice.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // All routers would try a server at the same moment if each did with its next call.
-constexpr std::uint64_t callsPerTrial = 8;
+constexpr std::uint64_t callsPerMeasurement = 8;
 
 bool isEndingSooner(const PlainCandidate &candidate, const PlainCandidate &other)
 {
@@ -22,12 +22,12 @@
 
 std::size_t soonestCandidate(const std::vector<PlainCandidate> &candidates, std::uint64_t randomValue)
 {
-    const auto isOnTrial = [](const PlainCandidate &candidate) {
-        return candidate.isDueForTrial && !candidate.isFull;
+    const auto isToBeMeasured = [](const PlainCandidate &candidate) {
+        return candidate.isDueForMeasurement && !candidate.isFull;
     };
-    const auto trial = std::find_if(candidates.begin(), candidates.end(), isOnTrial);
-    const bool isTrying = trial != candidates.end() && randomValue % callsPerTrial == 0;
-    const auto best = isTrying ? trial : std::min_element(candidates.begin(), candidates.end(), isEndingSooner);
+    const auto unmeasured = std::find_if(candidates.begin(), candidates.end(), isToBeMeasured);
+    const bool isMeasuring = unmeasured != candidates.end() && randomValue % callsPerMeasurement == 0;
+    const auto best = isMeasuring ? unmeasured : std::min_element(candidates.begin(), candidates.end(), isEndingSooner);
     return static_cast<std::size_t>(best - candidates.begin());
 }
 
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -475,7 +475,7 @@
         rated.push_back({m_pace.slowness(candidate.id, now),
             m_reportedLoads.expectedDelay(candidate.id, unanswered, now),
             m_reportedLoads.isFull(candidate.id, unanswered, now),
-            unanswered == 0 && m_pace.isDueForTrial(candidate.id, now)});
+            unanswered == 0 && m_pace.isDueForMeasurement(candidate.id, now)});
     }
     return candidates[soonestCandidate(rated, query.randomValue)];
 }
--- a/src/libs/decisions/relay/serverpace.cpp
+++ b/src/libs/decisions/relay/serverpace.cpp
@@ -30,7 +30,7 @@
 // One sample may be an outlier.
 constexpr std::size_t minimumSamples = 2;
 
-constexpr milliseconds trialInterval{2000};
+constexpr milliseconds silenceBeforeMeasurement{2000};
 
 // Part of each measured time that does not depend on the work: network and the step of an engine that is under way.
 constexpr milliseconds fixedTime{10};
@@ -167,10 +167,10 @@
     return bounded(learnedSlowness(server->second, service, now) * currentPace(server->second, now));
 }
 
-bool ServerPace::isDueForTrial(BackendServerId id, Core::TimePoint now) const
+bool ServerPace::isDueForMeasurement(BackendServerId id, Core::TimePoint now) const
 {
     const auto server = m_servers.find(id);
-    return server != m_servers.end() && now >= server->second.heardAt + trialInterval;
+    return server != m_servers.end() && now >= server->second.heardAt + silenceBeforeMeasurement;
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/serverpace.h
+++ b/src/libs/decisions/relay/serverpace.h
@@ -41,7 +41,7 @@
     double slowness(BackendServerId id, Core::TimePoint now) const;
 
     /// \brief Returns whether so little was heard of \a id lately that a request should find out how fast it is.
-    bool isDueForTrial(BackendServerId id, Core::TimePoint now) const;
+    bool isDueForMeasurement(BackendServerId id, Core::TimePoint now) const;
 
 private:
     static constexpr std::size_t outlierWindow = 3; ///< Samples of which the median counts, so that a single outlier does not.
--- a/src/libs/decisions/relay/usagereserve.cpp
+++ b/src/libs/decisions/relay/usagereserve.cpp
@@ -18,7 +18,7 @@
 // Time after its last claim for which a priority counts.
 constexpr std::chrono::seconds claimLifetime{10};
 
-// Callers are told to retry by up to this part of the time later than it names, so that they do not all come back together.
+// Callers are told to retry later than the time named here by up to this time divided by this number; see spreadRetry().
 constexpr int returnDelayDivisor = 4;
 
 // Time for which the expected claims of more urgent priorities are reserved: an increase that lasts longer lowers what the less urgent leave.
--- a/src/libs/decisions/relay/usagereserve.h
+++ b/src/libs/decisions/relay/usagereserve.h
@@ -21,7 +21,7 @@
 public:
     static constexpr std::uint32_t priorityCount = 10;
 
-    /// \brief Records a claim that requires \a cost of a bucket of \a size. Times must not decrease.
+    /// \brief Records a claim that requires \a cost of a bucket of \a size. Times must not decrease; the functions below are of the time of the last claim.
     void recordClaim(std::uint32_t priority, double cost, const BucketSize &size, Core::TimePoint now);
 
     /// \brief Returns the level that a claim of \a priority has to leave for others.
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -81,7 +81,7 @@
     }
     if (m_state == State::Forwarding) {
         forward(data);
-        notePending();
+        updatePendingBytes();
         return true;
     }
     m_buffer.append(data);
@@ -91,11 +91,11 @@
         buffered.swap(m_buffer);
         forward(buffered);
     }
-    notePending();
+    updatePendingBytes();
     return false;
 }
 
-void AnswerForwarder::notePending()
+void AnswerForwarder::updatePendingBytes()
 {
     m_sink.setPendingBytes(m_buffer.size() + (m_isResumable ? m_splitter.pendingBytes() : 0));
 }
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -101,7 +101,7 @@
     bool isInsideEvent() const;
     void forward(std::string_view data);
     void begin();
-    void notePending();
+    void updatePendingBytes();
 
     const RelayProtocol &m_protocol;
     AnswerSink &m_sink;
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -371,9 +371,9 @@
         refuse({408, "The request did not come in time.", std::nullopt});
         return;
     }
-    const Core::TimePoint patienceEnd = m_lastReadAt + (m_state == State::Lingering ? lingerTime : m_owner.limits().idleTimeout);
-    if (unsentBytes() > 0 && m_loop.now() < patienceEnd) {
-        m_timer.startAt(patienceEnd);
+    const Core::TimePoint readDeadline = m_lastReadAt + (m_state == State::Lingering ? lingerTime : m_owner.limits().idleTimeout);
+    if (unsentBytes() > 0 && m_loop.now() < readDeadline) {
+        m_timer.startAt(readDeadline);
         return;
     }
     m_owner.connectionEnded(this);
--- a/src/libs/relay/memoryguard.h
+++ b/src/libs/relay/memoryguard.h
@@ -33,7 +33,7 @@
     /// \brief Reports what is held and whether that has become short or no longer is. Returns whether callers may have to be cut off.
     bool check();
 
-    /// \brief Returns which of \a connections have to be cut off at \a now.
+    /// \brief Chooses which of \a connections are cut off at \a now and reports them; the owner has to cut them off.
     std::vector<CallerConnection *> connectionsToCut(const std::vector<CallerConnection *> &connections, Core::TimePoint now);
 
 private:
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -337,6 +337,7 @@
     m_choice = choice;
     m_choice->acceptableWait = acceptable;
     m_context.metrics.count("requests_turned_away_total");
+    // Its own target and time would have admitted it.
     if (*choice.expectedWait <= std::min(choice.acceptableWait, remainingTime())) {
         m_context.metrics.count("requests_yielded_total");
     }
@@ -404,7 +405,7 @@
     return {m_route->isRepeatable(), m_answer.isBegun(), !m_query.attemptId.empty(), m_head.method == "HEAD", m_crashes.isSuspected()};
 }
 
-void RelayedRequest::keepConnection()
+void RelayedRequest::endCall()
 {
     if (m_isConnectionKept) {
         m_context.connections->keep(serverOf(*m_choice), *m_call);
@@ -596,7 +597,7 @@
         return;
     }
     m_crashes.handleAnswer(isSuccess(m_answer.status()));
-    keepConnection();
+    endCall();
     if (m_answer.isBuffered()) {
         finish(AttemptAction::PassAnswer);
         return;
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -108,7 +108,7 @@
     bool sendTo(const Decisions::FleetChoice &choice);
     Core::Result<std::unique_ptr<BackendCall>> openCall(const Decisions::FleetChoice &choice);
     Decisions::KeptConnectionUse connectionUse();
-    void keepConnection();
+    void endCall();
     AnswerMeaning meaningOf(int status, const AnswerMarks &marks) const;
     CallContext callContext(const Decisions::FleetChoice &choice) const;
     void receiveAnswerHead(const Http::MessageHead &head) override;
--- a/src/libs/relay/serverconnections.cpp
+++ b/src/libs/relay/serverconnections.cpp
@@ -56,6 +56,7 @@
     }
 
 private:
+    // Passes a copy of the address, as this object is destroyed with the other connections to it.
     void receiveBytes(std::string_view data) override
     {
         m_owner.handleStrayBytes(std::string(m_address), data.size());
--- a/tests/auto/relay/tst_callerintake.cpp
+++ b/tests/auto/relay/tst_callerintake.cpp
@@ -40,7 +40,8 @@
     int changes = 0;
 };
 
-// All routers of a domain fall behind for as long as the day lasts: none misses its duty, most stay, and each pause is one that the balancer notices.
+// All routers of a domain fall behind for as long as the day lasts: none pauses for an eighth of the time, most stay, and each pause is one that the balancer
+// notices.
 RC_GTEST_PROP(CallerIntakeTest, keepsMostOfADomainAndEachRoutersDuty, ())
 {
     const auto first = *rc::gen::inRange<std::uint64_t>(0, 1'000'000);
--- a/tests/auto/relay/tst_serverpace.cpp
+++ b/tests/auto/relay/tst_serverpace.cpp
@@ -89,8 +89,8 @@
 TEST_F(ServerPaceTest, forgetsWithTimeAndIncarnation)
 {
     replay(50, true);
-    EXPECT_FALSE(m_pace.isDueForTrial(BackendServerId(4), m_now + 1s));
-    EXPECT_TRUE(m_pace.isDueForTrial(BackendServerId(4), m_now + 3s));
+    EXPECT_FALSE(m_pace.isDueForMeasurement(BackendServerId(4), m_now + 1s));
+    EXPECT_TRUE(m_pace.isDueForMeasurement(BackendServerId(4), m_now + 3s));
     EXPECT_EQ(slowness(4, m_now + 11s), 1);
     EXPECT_GT(slowness(4, m_now + 1s), 1.4);
     m_pace.updateServer(BackendServerId(4), "s", 8);
