--- a/tests/auto/relay/tst_heldbytes.cpp
+++ b/tests/auto/relay/tst_heldbytes.cpp
@@ -83,13 +83,14 @@
 
 TEST_F(HeldBytesTest, refusesALargeBodyWhileOthersAreReadAndTakesSmallOnes)
 {
+    constexpr std::size_t largeBodyBytes = budgetBytes * 3 / 4;
     startWithBodies([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
     const auto first = caller();
-    first->send(headOf("/once/", budgetBytes * 3 / 4));
-    ASSERT_TRUE(runUntil(*m_loop, [&] { return metric("memory_held_request_bodies_bytes") == budgetBytes * 3 / 4; }));
+    first->send(headOf("/once/", largeBodyBytes));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return metric("memory_held_request_bodies_bytes") == largeBodyBytes; }));
     EXPECT_TRUE(contains(call(headOf("/once/", budgetBytes / 8), "has not run."), "HTTP/1.1 503"));
     EXPECT_TRUE(contains(call(request("/safe/", "", "small"), "ok"), "200 OK"));
-    first->send(std::string(budgetBytes * 3 / 4, 'x'));
+    first->send(std::string(largeBodyBytes, 'x'));
     ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(first->received(), "ok"); }));
     EXPECT_EQ(runs(), 2U);
     ASSERT_TRUE(runUntil(*m_loop, [&] { return metric("memory_held_request_bodies_bytes") == 0; }));
