--- a/src/libs/decisions/relay/usagereserve.cpp
+++ b/src/libs/decisions/relay/usagereserve.cpp
@@ -18,9 +18,6 @@
 // Time after its last claim for which a priority counts.
 constexpr std::chrono::seconds claimLifetime{10};
 
-// Callers are told to retry later than the time named here by up to this time divided by this number; see spreadRetry().
-constexpr int returnDelayDivisor = 4;
-
 // Time for which the expected claims of more urgent priorities are reserved: an increase that lasts longer lowers what the less urgent leave.
 constexpr Seconds reservedTime{1};
 
@@ -135,7 +132,7 @@
     const milliseconds untilAboveHeld = timeToFill(cost + held(priority, size) - level, refillPart(priority) * size.perSecond);
     const milliseconds untilOwed = std::max(timeToFill(cost - claims.owed, owedPart * size.perSecond), timeToFill(cost - level, size.perSecond));
     const milliseconds named = std::min({untilFull, untilAboveHeld, untilOwed});
-    claims.owedUntil = now + std::max<milliseconds>(claimLifetime, named + named / returnDelayDivisor + claimLifetime);
+    claims.owedUntil = now + spreadRetry(named, 1) + claimLifetime;
     return named;
 }
 
