--- a/src/libs/decisions/relay/enginestatus.h
+++ b/src/libs/decisions/relay/enginestatus.h
@@ -23,6 +23,7 @@
     std::uint32_t waiting = 0;
     std::uint64_t usedTokens = 0; ///< Number of tokens in its KV cache memory that cannot be evicted.
     std::uint64_t totalTokens = 0;
+    std::optional<double> pace = std::nullopt; ///< Time that work takes now, relative to the usual; nothing if the engine names none.
     std::optional<std::vector<PartKey>> parts; ///< Cached prompt parts; nothing if they have not changed.
 };
 
--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -26,6 +26,7 @@
     std::vector<std::string> excluded; ///< Ids of backend servers that were tried before.
     std::uint64_t randomValue = 0; ///< Random value, uniformly distributed over all numbers.
     std::chrono::microseconds latencyTarget{0}; ///< Latency target of the route; zero for none.
+    std::chrono::microseconds pauseTarget{0}; ///< Target of the route for the longest pause in a stream; zero for none.
 };
 
 /// \brief The backend server chosen for a request, with the state on which the choice was based.
@@ -54,6 +55,9 @@
     std::optional<std::chrono::milliseconds> reportAge; ///< Age of the status report on which the expected wait is based.
     std::optional<double> limit; ///< Requests per second that the backend server takes from all routers together, if it named a limit.
     double expectedDelay = 0; ///< Expected delay of a plain call by requests before it, in multiples of its work.
+    std::chrono::microseconds latencyTarget{0}; ///< Latency target of the route; zero for none.
+    double lastingSlowness = 1; ///< Slowness without short slowdowns and recoveries.
+    double lateFraction = 0; ///< Estimated fraction of streams of the route whose longest pause exceeds its target there.
     std::optional<double> slowness; ///< Time that work takes there relative to the service's average; nothing if no server of the service names its pace.
     std::uint32_t limitedServers = 0; ///< Number of backend servers, of any service, that were left out because of their limits or because they rest.
     bool isBusyWithWeights = false; ///< Whether the engine loads new weights or is about to, as do all others.
--- a/src/libs/decisions/relay/prompttransfers.cpp
+++ b/src/libs/decisions/relay/prompttransfers.cpp
@@ -148,7 +148,9 @@
     }
     const auto untilFirstToken
         = std::chrono::duration_cast<microseconds>(candidate.slowness * (candidate.wait + candidate.prefill + ownPrefill(choice.ownTokens)));
-    return untilFirstToken + (candidate.origin == CandidateOrigin::Home ? microseconds(0) : awayFromHomePenalty);
+    // A late pause is worth as much to the caller as a late first event.
+    const auto latePauses = std::chrono::duration_cast<microseconds>(candidate.lateFraction * choice.latencyTarget);
+    return untilFirstToken + latePauses + (candidate.origin == CandidateOrigin::Home ? microseconds(0) : awayFromHomePenalty);
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/prompttransfers.h
+++ b/src/libs/decisions/relay/prompttransfers.h
@@ -35,9 +35,11 @@
     /// model.
     void planTransfers(FleetChoice &choice, const FleetQuery &query, const WeightsHistory &history, const RouteChooser &fleet, Core::TimePoint now) const;
 
+    /// \brief Returns whether the shared parts of the prompt are so long that fetching them saves time.
+    static bool isWorthTransferring(const FleetChoice &choice);
+
 private:
     const CacheStore *storeOf(const FleetChoice &choice) const;
-    static bool isWorthTransferring(const FleetChoice &choice);
     static bool isRefilling(const WeightsHistory &history, Core::TimePoint now);
     static bool isWorthSaving(const PartIndex &store, std::uint64_t randomValue, bool isFilling);
     std::string holderOf(const FleetChoice &choice, const RouteChooser &fleet, Core::TimePoint now) const;
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -32,6 +32,9 @@
 // Searches for a server with a free slot, of three candidates or so each, before a call goes to one that is full.
 constexpr int maximumSearches = 3;
 
+// Random engines that are considered for a prompt with short shared parts: where a few of ten are fast, one of them almost surely is.
+constexpr std::uint32_t samplesForSpeed = 8;
+
 } // namespace
 
 RelayFleet::RelayFleet(const RoutingOptions &routing, const WeightsLimits &weights)
@@ -144,6 +147,13 @@
     }
 }
 
+void RelayFleet::recordLongestPause(const FleetChoice &choice, microseconds longest)
+{
+    if (choice.slowness.has_value()) {
+        m_pauses[choice.routeName].addSample(longest, choice.lastingSlowness);
+    }
+}
+
 bool RelayFleet::applyLimitNews(const ServerLimitNews &news, Core::TimePoint now)
 {
     syncWithRegister();
@@ -286,6 +296,9 @@
         m_register.updateWeights(id, weights.model, weights.version);
     }
     m_chooser.updateLoad(key, EngineReports::loadReport(status), now);
+    if (status.pace.has_value()) {
+        m_pace.recordPace(key, *status.pace, now);
+    }
 }
 
 bool RelayFleet::hasAgent(const std::string &address, Core::TimePoint now) const
@@ -401,10 +414,21 @@
         decision = m_chooser.choose(route, now);
         choice.isBusyWithWeights = true;
     }
+    rateSpeed(decision, query, now);
+    return decision;
+}
+
+void RelayFleet::rateSpeed(RouteDecision &decision, const FleetQuery &query, Core::TimePoint now) const
+{
+    if (!m_pace.isNamedIn(query.service)) {
+        return;
+    }
+    const auto pauses = query.pauseTarget > microseconds(0) ? m_pauses.find(query.route) : m_pauses.end();
     for (RouteCandidate &candidate : decision.candidates) {
         candidate.slowness = m_pace.slowness(candidate.id, now);
+        candidate.lastingSlowness = m_pace.lastingSlowness(candidate.id, now);
+        candidate.lateFraction = pauses == m_pauses.end() ? 0 : pauses->second.lateFraction(candidate.lastingSlowness, query.pauseTarget);
     }
-    return decision;
 }
 
 void RelayFleet::complete(FleetChoice &choice, const RouteCandidate &best, const FleetQuery &query, Core::TimePoint now) const
@@ -417,6 +441,8 @@
     choice.softwareVersion = server->softwareVersion;
     choice.limit = m_limits.limit(server->name);
     choice.slowness = m_pace.isNamedIn(query.service) ? std::optional(m_pace.slowness(best.id, now)) : std::nullopt;
+    choice.lastingSlowness = best.lastingSlowness;
+    choice.lateFraction = best.lateFraction;
     if (query.prompt == nullptr) {
         choice.work = plainCallWork;
         return;
@@ -490,10 +516,15 @@
     FleetChoice choice;
     choice.routeName = query.route;
     choice.weightsVersion = weights;
+    choice.latencyTarget = query.latencyTarget;
     describePrompt(choice, query);
     if (m_transfers.isStorable(choice)) {
         choice.route.homeDomain = m_homeDomains.homeOf(query.service, query.prompt->model, choice.route.keys.back());
     }
+    if (m_pace.isNamedIn(query.service) && !PromptTransfers::isWorthTransferring(choice)) {
+        // Its cache is worth little, so the speed of the engine decides.
+        choice.route.extraSamples = samplesForSpeed;
+    }
     const RouteDecision decision = candidates(choice, query, now);
     if (decision.candidates.empty()) {
         return std::nullopt;
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -6,6 +6,7 @@
 #include "fleetchoice.h"
 #include "homedomains.h"
 #include "orderfailover.h"
+#include "pauseestimate.h"
 #include "prompttransfers.h"
 #include "reportedloads.h"
 #include "serverlimits.h"
@@ -66,6 +67,9 @@
     /// \brief Records that the first part of a successful answer to the request of \a choice was received; to be called before recordAnswered().
     void recordWork(const FleetChoice &choice, Core::TimePoint now);
 
+    /// \brief Records that \a longest was the longest pause in the whole stream that the backend server of \a choice sent.
+    void recordLongestPause(const FleetChoice &choice, std::chrono::microseconds longest);
+
     /// \brief Handles what another router was told of a limit. Returns whether that changed it; news of an earlier incarnation change nothing.
     bool applyLimitNews(const ServerLimitNews &news, Core::TimePoint now);
 
@@ -145,6 +149,7 @@
     bool isOutdated(const FleetChoice &choice);
     const WeightsHistory &weightsHistory(const FleetQuery &query) const;
     RouteDecision candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
+    void rateSpeed(RouteDecision &decision, const FleetQuery &query, Core::TimePoint now) const;
     std::optional<FleetChoice> chooseFor(const FleetQuery &query, Core::TimePoint now) const;
     std::optional<FleetChoice> choosePlain(const FleetQuery &query, Core::TimePoint now) const;
     std::vector<RouteCandidate> plainCandidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
@@ -175,6 +180,7 @@
     ServerPace m_pace;
     ReportedLoads m_reportedLoads;
     std::map<std::string, WaitEstimate> m_estimates; ///< Wait estimates by route.
+    std::map<std::string, PauseEstimate> m_pauses; ///< Pauses in streams by route.
     std::unordered_map<std::string, std::vector<std::string>> m_idsByAddress; ///< Ids of engines by address; several entries may name the same address.
     std::unordered_map<BackendServerId, std::uint64_t> m_incarnations; ///< Incarnations of the registered backend servers.
     std::uint64_t m_syncedRevision = 0;
--- a/src/libs/decisions/relay/serverpace.cpp
+++ b/src/libs/decisions/relay/serverpace.cpp
@@ -21,11 +21,17 @@
 constexpr milliseconds paceLifetime{500};
 
 constexpr Seconds smoothingTime{1};
+// Many times the length of a short slowdown.
+constexpr Seconds paceSmoothingTime{5};
 // Where samples are rarer than that, each still counts for half only.
 constexpr double maximumSampleWeight = 0.5;
 
 // One of many routers gets an answer of each engine every few seconds.
 constexpr Seconds costLifetime{10};
+constexpr Seconds meanPaceLifetime{10};
+
+// Some seconds of one router's answers, or some hundred milliseconds of the reports of many agents.
+constexpr std::size_t pacesInMean = 256;
 
 // One sample may be an outlier.
 constexpr std::size_t minimumSamples = 2;
@@ -81,9 +87,24 @@
         return;
     }
     server->second.pace = bounded(pace);
+    smoothPace(server->second, now);
     server->second.pacedAt = now;
     server->second.heardAt = now;
-    m_services[server->second.service].isNamed = true;
+    Service &service = m_services[server->second.service];
+    service.isNamed = true;
+    addPace(service, server->second.pace);
+}
+
+void ServerPace::smoothPace(Server &server, Core::TimePoint now)
+{
+    const double weight = std::min(maximumSampleWeight, 1 - std::exp(-(Seconds(now - server.pacedAt) / paceSmoothingTime)));
+    server.meanPace += weight * (server.pace - server.meanPace);
+}
+
+void ServerPace::addPace(Service &service, double pace)
+{
+    service.paceCount = std::min(service.paceCount + 1, pacesInMean);
+    service.meanPace += (pace - service.meanPace) / static_cast<double>(service.paceCount);
 }
 
 // The measured time is divided by the pace at that moment. Whether servers name their pace relative to what they themselves usually need, or to what any of
@@ -96,7 +117,7 @@
     }
     Server &server = found->second;
     const double ratio = Seconds(elapsed) / Seconds(std::max(microseconds(0), expected) + fixedTime);
-    const double cost = std::clamp(ratio / currentPace(server, now), lowestCost, highestCost);
+    const double cost = std::clamp(ratio / currentPace(server, m_services[server.service], now), lowestCost, highestCost);
     server.latestCosts[server.sampleCount % outlierWindow] = cost;
     ++server.sampleCount;
     server.heardAt = now;
@@ -141,9 +162,16 @@
     return found != m_services.end() && found->second.isNamed;
 }
 
-double ServerPace::currentPace(const Server &server, Core::TimePoint now)
+// All servers slow down at times, so only the difference to the others says that a server is slow.
+double ServerPace::lastingPace(const Server &server, const Service &service, Core::TimePoint now)
+{
+    return 1 + (server.meanPace / service.meanPace - 1) * confidence(now - server.pacedAt, paceLifetime, meanPaceLifetime);
+}
+
+double ServerPace::currentPace(const Server &server, const Service &service, Core::TimePoint now)
 {
-    return 1 + (server.pace - 1) * confidence(now - server.pacedAt, freshPaceAge, paceLifetime);
+    const double lasting = lastingPace(server, service, now);
+    return lasting + (server.pace - lasting) * confidence(now - server.pacedAt, freshPaceAge, paceLifetime);
 }
 
 double ServerPace::learnedSlowness(const Server &server, const Service &service, Core::TimePoint now)
@@ -155,6 +183,16 @@
 }
 
 double ServerPace::slowness(BackendServerId id, Core::TimePoint now) const
+{
+    return scaledSlowness(id, &currentPace, now);
+}
+
+double ServerPace::lastingSlowness(BackendServerId id, Core::TimePoint now) const
+{
+    return scaledSlowness(id, &lastingPace, now);
+}
+
+double ServerPace::scaledSlowness(BackendServerId id, PaceFunction paceOf, Core::TimePoint now) const
 {
     const auto server = m_servers.find(id);
     if (server == m_servers.end()) {
@@ -164,7 +202,7 @@
     if (!service.isNamed) {
         return 1;
     }
-    return bounded(learnedSlowness(server->second, service, now) * currentPace(server->second, now));
+    return bounded(learnedSlowness(server->second, service, now) * paceOf(server->second, service, now));
 }
 
 bool ServerPace::isDueForMeasurement(BackendServerId id, Core::TimePoint now) const
--- a/src/libs/decisions/relay/serverpace.h
+++ b/src/libs/decisions/relay/serverpace.h
@@ -16,8 +16,8 @@
 
 /// \brief How long work takes at the backend servers of a service relative to each other, as one router sees it.
 ///
-/// Two things are combined: what a server's answers cost on average, compared with the median of its service, and the pace that it last named, which is
-/// relative to what work usually takes there. Where nothing is heard, both decay to the average.
+/// Two things are combined: what a server's answers cost on average, compared with the median of its service, and the pace that it names. The last pace it
+/// named counts for some hundred milliseconds, and the mean of those before it for seconds. Where nothing is heard, all decay to the average.
 class ServerPace
 {
 public:
@@ -40,6 +40,9 @@
     /// pace.
     double slowness(BackendServerId id, Core::TimePoint now) const;
 
+    /// \brief Returns slowness() without short slowdowns and recoveries: what work of several seconds that begins now will take at \a id.
+    double lastingSlowness(BackendServerId id, Core::TimePoint now) const;
+
     /// \brief Returns whether so little was heard of \a id lately that a request should find out how fast it is.
     bool isDueForMeasurement(BackendServerId id, Core::TimePoint now) const;
 
@@ -56,6 +59,7 @@
         double cost = 0; ///< Smoothed time per expected time at the usual pace.
         Core::TimePoint sampledAt{};
         double pace = 1;
+        double meanPace = 1; ///< Smoothed over seconds.
         Core::TimePoint pacedAt{};
         Core::TimePoint heardAt{};
     };
@@ -63,12 +67,20 @@
     struct Service
     {
         bool isNamed = false; ///< Whether any server has named a pace.
+        double meanPace = 1; ///< Of all servers, over the latest paces that they named.
+        std::size_t paceCount = 0; ///< Number of paces in that mean.
         std::vector<double> latestCosts; ///< Of all servers; the oldest is replaced.
         std::size_t next = 0; ///< Index of the oldest.
         double median = 0; ///< Of latestCosts; 0 before any.
     };
 
-    static double currentPace(const Server &server, Core::TimePoint now);
+    using PaceFunction = double (*)(const Server &server, const Service &service, Core::TimePoint now);
+
+    static void smoothPace(Server &server, Core::TimePoint now);
+    static void addPace(Service &service, double pace);
+    static double lastingPace(const Server &server, const Service &service, Core::TimePoint now);
+    static double currentPace(const Server &server, const Service &service, Core::TimePoint now);
+    double scaledSlowness(BackendServerId id, PaceFunction paceOf, Core::TimePoint now) const;
     static double robustCost(const Server &server);
     static void smoothCost(Server &server, Core::TimePoint now);
     static void addCost(Service &service, double cost);
--- a/src/libs/decisions/routing/routedecision.h
+++ b/src/libs/decisions/routing/routedecision.h
@@ -29,6 +29,8 @@
     std::chrono::microseconds prefill{0}; ///< Expected time to compute the missing pieces.
     std::chrono::microseconds import{0}; ///< Expected time to import importedPieces.
     double slowness = 1; ///< Time that work takes there relative to the service's average.
+    double lastingSlowness = 1; ///< Slowness without short slowdowns and recoveries.
+    double lateFraction = 0; ///< Estimated fraction of streams that would have a pause above the target of their route.
     double score = 0; ///< Weighted sum of the times above in microseconds; lower is better.
 };
 
--- a/src/libs/relay/enginemonitor.cpp
+++ b/src/libs/relay/enginemonitor.cpp
@@ -2,6 +2,8 @@
 
 #include <eventloop/loop.h>
 
+#include <cmath>
+
 namespace Verbena::Relay {
 
 namespace {
@@ -25,6 +27,9 @@
     status.waiting = report.waiting();
     status.usedTokens = report.used_tokens();
     status.totalTokens = report.total_tokens();
+    if (std::isfinite(report.pace()) && report.pace() > 0) {
+        status.pace = report.pace();
+    }
     if (report.has_parts()) {
         status.parts.emplace();
         for (const std::uint64_t part : report.parts()) {
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -258,6 +258,7 @@
     query.excluded = m_excluded;
     query.randomValue = m_context.random.next();
     query.latencyTarget = m_route->latencyTarget;
+    query.pauseTarget = m_route->pauseTarget;
     return query;
 }
 
@@ -604,9 +605,18 @@
     }
     m_answer.end();
     m_origin.end(true);
+    recordPauses();
     logOutcome(m_answer.status(), "answered");
 }
 
+// In a stream that went on elsewhere the longest pause may be that of the change.
+void RelayedRequest::recordPauses()
+{
+    if (m_route->kind == RequestKind::Streaming && m_attempts.sends == 1 && isSuccess(m_answer.status())) {
+        m_context.fleet.recordLongestPause(*m_choice, m_partTimes.longestGap().value_or(milliseconds(0)));
+    }
+}
+
 // If the connection was lost, the backend server may have crashed. A request that can be sent again waits until this is known.
 void RelayedRequest::callFailed(CallFailure failure, std::string_view reason)
 {
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -117,6 +117,7 @@
     void checkServer();
     void handleServerCheck(ConnectCheck::Finding finding);
     void completeAnswer();
+    void recordPauses();
     void callFailed(Decisions::CallFailure failure, std::string_view reason) override;
     void handleFailure(Decisions::CallFailure failure, std::string_view reason);
     void closeCall(Decisions::CallFailure failure);
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -162,6 +162,7 @@
             {"acceptable_wait_ms", acceptableWaitText(choice)},
             {"news_ms", text(choice.reportAge)},
             {"slowness", text(choice.slowness)},
+            {"late_fraction", isChosen && choice.slowness.has_value() ? text(std::optional(choice.lateFraction)) : ""},
             {"limit", text(choice.limit)},
             {"limited_servers", isChosen ? std::to_string(choice.limitedServers) : ""},
             {"sends", std::to_string(report.sends)},
--- a/src/libs/weights/enginecontrol.h
+++ b/src/libs/weights/enginecontrol.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
     std::uint32_t waiting = 0;
     std::uint64_t usedTokens = 0; ///< Tokens in memory that cannot be evicted.
     std::uint64_t totalTokens = 0;
+    std::optional<double> pace = std::nullopt; ///< Time that work takes now, relative to the usual; nothing if it names none.
 };
 
 /// \brief Handling of running requests when an engine loads new weights.
--- a/src/libs/weights/newspublisher.cpp
+++ b/src/libs/weights/newspublisher.cpp
@@ -96,6 +96,7 @@
     news.set_waiting(status.waiting);
     news.set_used_tokens(status.usedTokens);
     news.set_total_tokens(status.totalTokens);
+    news.set_pace(status.pace.value_or(0));
     // The hashes of cached parts are by far the longest part of the status; a router that misses them receives them again soon.
     news.set_has_parts(status.parts.has_value());
     if (status.parts.has_value()) {
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -343,6 +343,7 @@
     status.waiting = report.waiting;
     status.usedTokens = report.usedTokens;
     status.totalTokens = report.totalTokens;
+    status.pace = report.pace;
     m_cache.setCapacity(report.totalTokens);
     const Core::TimePoint now = m_loop.now();
     if (m_cache.index().revision() != m_publishedRevision || now >= m_wholeCachePublishedAt + wholeCacheInterval) {
