--- a/src/libs/decisions/relay/serverlimits.cpp
+++ b/src/libs/decisions/relay/serverlimits.cpp
@@ -87,6 +87,12 @@
     return takeReport(news.serverId, update(news, now - news.age, now), now);
 }
 
+// A router that started lately does not know the incarnation yet; its news are of the one that is known here.
+bool ServerLimits::isOtherIncarnation(const Entry &entry, std::uint64_t incarnation)
+{
+    return entry.incarnation != 0 && incarnation != 0 && entry.incarnation != incarnation;
+}
+
 ServerLimits::Change ServerLimits::update(const ServerLimitNews &news, Core::TimePoint observedAt, Core::TimePoint now)
 {
     evictExpired(now);
@@ -94,10 +100,10 @@
     if (known != nullptr && observedAt <= known->observedAt) {
         return Change::None;
     }
-    const bool isSameIncarnation = known != nullptr && known->incarnation == news.incarnation;
-    if (isSameIncarnation && known->perSecond.has_value() == news.perSecond.has_value()) {
+    if (known != nullptr && !isOtherIncarnation(*known, news.incarnation) && known->perSecond.has_value() == news.perSecond.has_value()) {
         const bool isSame = known->perSecond == news.perSecond;
         known->observedAt = observedAt;
+        known->incarnation = news.incarnation != 0 ? news.incarnation : known->incarnation;
         known->perSecond = news.perSecond;
         known->share.setLimit(news.perSecond.value_or(0));
         return isSame ? Change::None : Change::Number;
@@ -202,7 +208,7 @@
 void ServerLimits::updateIncarnation(const std::string &serverId, std::uint64_t incarnation)
 {
     const Entry *entry = find(serverId);
-    if (entry != nullptr && entry->incarnation != 0 && incarnation != 0 && entry->incarnation != incarnation) {
+    if (entry != nullptr && isOtherIncarnation(*entry, incarnation)) {
         m_entries.erase(serverId);
     }
 }
--- a/src/libs/decisions/relay/serverlimits.h
+++ b/src/libs/decisions/relay/serverlimits.h
@@ -86,6 +86,7 @@
     };
 
     Entry *find(const std::string &serverId);
+    static bool isOtherIncarnation(const Entry &entry, std::uint64_t incarnation);
     Change update(const ServerLimitNews &news, Core::TimePoint observedAt, Core::TimePoint now);
     bool takeReport(const std::string &serverId, Change change, Core::TimePoint now);
     void evictExpired(Core::TimePoint now);
--- a/tests/auto/relay/tst_serverlimits.cpp
+++ b/tests/auto/relay/tst_serverlimits.cpp
@@ -253,6 +253,20 @@
     EXPECT_EQ(limits.limit(server), std::nullopt);
 }
 
+// News of a router that had just started began the share of every other router anew, empty.
+TEST(ServerLimitsTest, keepTheirShareWhenARouterThatDoesNotKnowTheIncarnationTellsTheLimit)
+{
+    ServerLimits limits;
+    limits.setRouters(addressOf(0), {addressOf(1)});
+    limits.handleAnswer(server, 7, 1.0, at(0s), at(0s));
+    EXPECT_FALSE(limits.handleNews({server, 0, 1.0, 0ms}, at(5s)));
+    EXPECT_EQ(limits.nextSend(server, at(5s)), std::optional(at(5s)));
+    EXPECT_FALSE(limits.handleAnswer(server, 7, 1.0, at(5s), at(6s)));
+    EXPECT_EQ(limits.nextSend(server, at(6s)), std::optional(at(6s)));
+    EXPECT_TRUE(limits.handleNews({server, 8, 1.0, 0ms}, at(7s)));
+    EXPECT_NE(limits.nextSend(server, at(7s)), std::optional(at(7s)));
+}
+
 TEST(ServerLimitsTest, endWhenTheServerRestartsOrNothingIsHeardOfIt)
 {
     ServerLimits limits;
