--- a/src/libs/decisions/relay/relayconfiguration.h
+++ b/src/libs/decisions/relay/relayconfiguration.h
@@ -50,6 +50,7 @@
 {
     std::string name;
     std::uint32_t engineSlots = 0; ///< Number of requests that one engine runs at once; 0 for a plain service.
+    std::string healthPath; ///< Path of the health check; empty if it has none.
     std::string cacheStore; ///< Address of the store of saved KV cache; empty if the service is none.
     std::string failureDomain; ///< Failure domain of the store.
     std::uint64_t cacheTokens = 0; ///< Number of tokens that an engine or the store can cache.
--- a/src/libs/decisions/relay/relaydirectory.cpp
+++ b/src/libs/decisions/relay/relaydirectory.cpp
@@ -98,6 +98,13 @@
     return route.services.back().service;
 }
 
+std::string RelayDirectory::healthPath(const std::string &service) const
+{
+    const std::vector<RelayService> &services = m_configuration.services;
+    const auto found = std::find_if(services.begin(), services.end(), [&service](const RelayService &one) { return one.name == service; });
+    return found == services.end() ? "" : found->healthPath;
+}
+
 const std::vector<const RelayService *> &RelayDirectory::cacheStores() const
 {
     return m_cacheStores;
--- a/src/libs/decisions/relay/relaydirectory.h
+++ b/src/libs/decisions/relay/relaydirectory.h
@@ -36,6 +36,9 @@
     /// \brief Returns the service of \a route for a request with \a randomValue, uniformly distributed over all numbers.
     static const std::string &service(const RelayRoute &route, std::uint64_t randomValue);
 
+    /// \brief Returns the path of the health check of \a service; empty if it is not known.
+    std::string healthPath(const std::string &service) const;
+
     /// \brief Returns the services that are stores of saved KV cache.
     const std::vector<const RelayService *> &cacheStores() const;
 
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -125,6 +125,11 @@
     return !isOutdated(choice) && m_limits.handleAnswer(choice.serverId, choice.incarnation, perSecond, choice.sentAt, now);
 }
 
+bool RelayFleet::namesPace(const std::string &service) const
+{
+    return m_pace.isNamedIn(service);
+}
+
 void RelayFleet::recordLoad(const FleetChoice &choice, const ServerLoad &load, Core::TimePoint now)
 {
     if (isOutdated(choice)) {
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -61,6 +61,9 @@
     /// \brief Handles that the backend server of \a choice named \a perSecond as its limit in an answer, or none. Returns whether that changed it.
     bool recordLimit(const FleetChoice &choice, const std::optional<double> &perSecond, Core::TimePoint now);
 
+    /// \brief Returns whether any backend server of \a service has named its pace.
+    bool namesPace(const std::string &service) const;
+
     /// \brief Records \a load, which an answer of the backend server of \a choice reported.
     void recordLoad(const FleetChoice &choice, const ServerLoad &load, Core::TimePoint now);
 
--- a/src/libs/relay/enginemonitor.cpp
+++ b/src/libs/relay/enginemonitor.cpp
@@ -82,6 +82,9 @@
 {
     verbena::wire::Envelope message;
     verbena::wire::EngineWatch &watch = *message.mutable_engine_watch();
+    if (m_relay.fleet().namesPace(server.service)) {
+        watch.set_pace_path(m_relay.healthPath(server.service));
+    }
     for (const Decisions::ServedWeights &weights : server.weights) {
         for (const Decisions::AnnouncedSlot &announced : m_rolloutPlan.slots(weights.model, id, weights.version, m_loop.now())) {
             verbena::wire::WeightsTurn &entry = *watch.add_turns();
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -228,6 +228,11 @@
     return Decisions::registerPollInterval(isElected() ? 2 * Decisions::electedRouterCount : m_routerCount);
 }
 
+std::string RelayTask::healthPath(const std::string &service) const
+{
+    return m_directory == nullptr ? "" : m_directory->healthPath(service);
+}
+
 const ServerConnections *RelayTask::serverConnections() const
 {
     return m_serverConnections.get();
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -97,6 +97,9 @@
     /// \brief Returns the interval at which this router polls the register for changes.
     std::chrono::milliseconds registerPause() const;
 
+    /// \brief Returns the path of the health check of \a service; empty if it is not known.
+    std::string healthPath(const std::string &service) const;
+
     /// \brief Returns the idle connections to backend servers; null if each call opens a connection of its own.
     const ServerConnections *serverConnections() const;
 
--- a/src/libs/weights/enginecontrol.h
+++ b/src/libs/weights/enginecontrol.h
@@ -24,7 +24,6 @@
     std::uint32_t waiting = 0;
     std::uint64_t usedTokens = 0; ///< Tokens in memory that cannot be evicted.
     std::uint64_t totalTokens = 0;
-    std::optional<double> pace = std::nullopt; ///< Time that work takes now, relative to the usual; nothing if it names none.
 };
 
 /// \brief Handling of running requests when an engine loads new weights.
@@ -49,6 +48,7 @@
 {
 public:
     using ReportCallback = std::function<void(Core::Result<EngineReport>)>;
+    using PaceCallback = std::function<void(const Core::Result<std::optional<double>> &pace)>;
     using OrderCallback = std::function<void(Decisions::OrderAnswer)>;
 
     virtual ~EngineControl() = default;
@@ -56,6 +56,9 @@
     /// \brief Requests a status report.
     virtual void readReport(Core::TimePoint deadline, ReportCallback done) = 0;
 
+    /// \brief Requests the time that work takes now, relative to the usual, which the engine names in answers for \a path; nothing if it names none.
+    virtual void readPace(const std::string &path, Core::TimePoint deadline, PaceCallback done) = 0;
+
     /// \brief Sends an order.
     virtual void orderWeights(const WeightsOrder &order, Core::TimePoint deadline, OrderCallback done) = 0;
 };
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -101,6 +101,7 @@
     , m_engine(engine)
     , m_news(news)
     , m_cache(loop, caches, settings.engineAddress)
+    , m_pace(loop, engine)
     , m_timer(loop, [this] { requestReport(); })
     , m_lease(settings.lease, {settings.host, true, ""})
     , m_watchedUntil(loop.now() + watchTimeout)
@@ -175,6 +176,7 @@
 void WeightsKeeper::handleWatch(const verbena::wire::EngineWatch &watch)
 {
     m_watchedUntil = m_loop.now() + watchTimeout;
+    m_pace.request(watch.pace_path());
     for (const verbena::wire::WeightsTurn &turn : watch.turns()) {
         applySlot(turn);
     }
@@ -343,7 +345,7 @@
     status.waiting = report.waiting;
     status.usedTokens = report.usedTokens;
     status.totalTokens = report.totalTokens;
-    status.pace = report.pace;
+    status.pace = m_pace.pace();
     m_cache.setCapacity(report.totalTokens);
     const Core::TimePoint now = m_loop.now();
     if (m_cache.index().revision() != m_publishedRevision || now >= m_wholeCachePublishedAt + wholeCacheInterval) {
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -2,6 +2,7 @@
 
 #include "enginecontrol.h"
 #include "newspublisher.h"
+#include "pacereader.h"
 
 #include <core/lifetime.h>
 #include <decisions/relay/orderlease.h>
@@ -98,6 +99,7 @@
     EngineControl &m_engine;
     NewsPublisher &m_news;
     Relay::CacheMonitor m_cache;
+    PaceReader m_pace;
     std::uint64_t m_publishedRevision = 0; ///< Published revision of the cache index.
     Core::TimePoint m_wholeCachePublishedAt{}; ///< Time of the last publication of the whole cache index.
     EventLoop::Timer m_timer;
