--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -419,15 +419,20 @@
         decision = m_chooser.choose(route, now);
         choice.isBusyWithWeights = true;
     }
-    rateSpeed(decision, query, now);
+    if (isPlacedBySpeed(choice, query)) {
+        rateSpeed(decision, query, now);
+    }
     return decision;
 }
 
+// Prompts with long shared parts stay where these are cached: if all went to the fast engines, their parts would be computed again there and evict others.
+bool RelayFleet::isPlacedBySpeed(const FleetChoice &choice, const FleetQuery &query) const
+{
+    return m_pace.isNamedIn(query.service) && !PromptTransfers::isWorthTransferring(choice);
+}
+
 void RelayFleet::rateSpeed(RouteDecision &decision, const FleetQuery &query, Core::TimePoint now) const
 {
-    if (!m_pace.isNamedIn(query.service)) {
-        return;
-    }
     const auto pauses = query.pauseTarget > microseconds(0) ? m_pauses.find(query.route) : m_pauses.end();
     for (RouteCandidate &candidate : decision.candidates) {
         candidate.slowness = m_pace.slowness(candidate.id, now);
@@ -526,8 +531,7 @@
     if (m_transfers.isStorable(choice)) {
         choice.route.homeDomain = m_homeDomains.homeOf(query.service, query.prompt->model, choice.route.keys.back());
     }
-    if (m_pace.isNamedIn(query.service) && !PromptTransfers::isWorthTransferring(choice)) {
-        // Its cache is worth little, so the speed of the engine decides.
+    if (isPlacedBySpeed(choice, query)) {
         choice.route.extraSamples = samplesForSpeed;
     }
     const RouteDecision decision = candidates(choice, query, now);
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -152,6 +152,7 @@
     bool isOutdated(const FleetChoice &choice);
     const WeightsHistory &weightsHistory(const FleetQuery &query) const;
     RouteDecision candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
+    bool isPlacedBySpeed(const FleetChoice &choice, const FleetQuery &query) const;
     void rateSpeed(RouteDecision &decision, const FleetQuery &query, Core::TimePoint now) const;
     std::optional<FleetChoice> chooseFor(const FleetQuery &query, Core::TimePoint now) const;
     std::optional<FleetChoice> choosePlain(const FleetQuery &query, Core::TimePoint now) const;
