--- a/src/libs/decisions/relay/loadshedder.cpp
+++ b/src/libs/decisions/relay/loadshedder.cpp
@@ -15,6 +15,9 @@
 // Fraction of refused urgent requests at which requests of low priority may not wait at all.
 constexpr double fullPressure = 0.05;
 
+// A smaller fraction would shorten a wait by less than anyone notices.
+constexpr double noPressure = 0.001;
+
 // Stands for an unlimited acceptable wait, of a request without a target.
 constexpr microseconds longestWait{5'000'000};
 
@@ -73,7 +76,7 @@
             pressure = std::max(pressure, refusedFraction(outcomes, now));
         }
     }
-    if (pressure == 0) {
+    if (pressure < noPressure) {
         return acceptable;
     }
     const auto wait = static_cast<double>(std::min(acceptable, longestWait).count());
--- a/src/libs/decisions/relay/pauseestimate.cpp
+++ b/src/libs/decisions/relay/pauseestimate.cpp
@@ -11,7 +11,7 @@
 // Some seconds of one router's streams, in which the load hardly changes.
 constexpr std::size_t sampleWindow = 64;
 
-// Fewer say little of a fraction.
+// With fewer samples one late stream would change the fraction by more than an eighth.
 constexpr std::size_t minimumSamples = 8;
 
 } // namespace
@@ -32,8 +32,8 @@
     if (m_latest.size() < minimumSamples) {
         return 0;
     }
-    const double longestInTime = static_cast<double>(target.count()) / slowness;
-    const auto late = std::count_if(m_latest.begin(), m_latest.end(), [longestInTime](double pause) { return pause > longestInTime; });
+    const double scaledTarget = static_cast<double>(target.count()) / slowness;
+    const auto late = std::count_if(m_latest.begin(), m_latest.end(), [scaledTarget](double pause) { return pause > scaledTarget; });
     return static_cast<double>(late) / static_cast<double>(m_latest.size());
 }
 
--- a/src/libs/decisions/relay/pauseestimate.h
+++ b/src/libs/decisions/relay/pauseestimate.h
@@ -9,7 +9,7 @@
 /// \brief Estimates how many streams of a route have a pause above its target, by the speed of the backend server.
 ///
 /// An engine reads the prompts of new requests between the tokens of its streams, so all of them pause meanwhile, and for longer where work takes longer.
-/// Learned from the streams of one router; each counts at servers of any speed.
+/// Learned from one router's streams. Each pause is scaled to a server of average speed, so that a stream at one server counts for all.
 class PauseEstimate
 {
 public:
--- a/src/libs/decisions/relay/prompttransfers.cpp
+++ b/src/libs/decisions/relay/prompttransfers.cpp
@@ -49,7 +49,7 @@
 
 bool PromptTransfers::isStorable(const FleetChoice &choice) const
 {
-    return m_caches.stores().hasStores() && isWorthTransferring(choice);
+    return m_caches.stores().hasStores() && hasLongSharedParts(choice);
 }
 
 RouteCandidate PromptTransfers::cheapest(const RouteDecision &decision, const FleetChoice &choice, Core::TimePoint now) const
@@ -98,12 +98,12 @@
 // parts.
 const CacheStore *PromptTransfers::storeOf(const FleetChoice &choice) const
 {
-    return isWorthTransferring(choice) ? m_caches.stores().storeOf(choice.route.keys.back(), choice.route.homeDomain) : nullptr;
+    return hasLongSharedParts(choice) ? m_caches.stores().storeOf(choice.route.keys.back(), choice.route.homeDomain) : nullptr;
 }
 
 // Computing a short part is faster than fetching it: an engine runs its transfers one after the other, and that of a long prompt takes up to a tenth of a
 // second. Many short prompts, each saved with the part that belongs to its request alone, would also evict the few long ones from the store.
-bool PromptTransfers::isWorthTransferring(const FleetChoice &choice)
+bool PromptTransfers::hasLongSharedParts(const FleetChoice &choice)
 {
     if (choice.parts.empty()) {
         return false;
@@ -148,7 +148,7 @@
     }
     const auto untilFirstToken
         = std::chrono::duration_cast<microseconds>(candidate.slowness * (candidate.wait + candidate.prefill + ownPrefill(choice.ownTokens)));
-    // A late pause is worth as much to the caller as a late first event.
+    // To the caller a late pause is as bad as a late first event, so it costs the route's whole latency target.
     const auto latePauses = std::chrono::duration_cast<microseconds>(candidate.lateFraction * choice.latencyTarget);
     return untilFirstToken + latePauses + (candidate.origin == CandidateOrigin::Home ? microseconds(0) : awayFromHomePenalty);
 }
--- a/src/libs/decisions/relay/prompttransfers.h
+++ b/src/libs/decisions/relay/prompttransfers.h
@@ -35,8 +35,8 @@
     /// model.
     void planTransfers(FleetChoice &choice, const FleetQuery &query, const WeightsHistory &history, const RouteChooser &fleet, Core::TimePoint now) const;
 
-    /// \brief Returns whether the shared parts of the prompt are so long that fetching them saves time.
-    static bool isWorthTransferring(const FleetChoice &choice);
+    /// \brief Returns whether the shared parts of the prompt are so long that an engine which has them cached saves noticeable time.
+    static bool hasLongSharedParts(const FleetChoice &choice);
 
 private:
     const CacheStore *storeOf(const FleetChoice &choice) const;
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -32,7 +32,8 @@
 // Searches for a server with a free slot, of three candidates or so each, before a call goes to one that is full.
 constexpr int maximumSearches = 3;
 
-// Random engines that are considered for a prompt with short shared parts: where a few of ten are fast, one of them almost surely is.
+// Random engines that are considered in addition for a prompt with short shared parts. If three of ten engines are fast, eight contain a fast one in 94 of
+// 100 cases.
 constexpr std::uint32_t samplesForSpeed = 8;
 
 } // namespace
@@ -428,7 +429,7 @@
 // Prompts with long shared parts stay where these are cached: if all went to the fast engines, their parts would be computed again there and evict others.
 bool RelayFleet::isPlacedBySpeed(const FleetChoice &choice, const FleetQuery &query) const
 {
-    return m_pace.isNamedIn(query.service) && !PromptTransfers::isWorthTransferring(choice);
+    return m_pace.isNamedIn(query.service) && !PromptTransfers::hasLongSharedParts(choice);
 }
 
 void RelayFleet::rateSpeed(RouteDecision &decision, const FleetQuery &query, Core::TimePoint now) const
@@ -451,7 +452,7 @@
     choice.softwareVersion = server->softwareVersion;
     choice.limit = m_limits.limit(server->name);
     choice.slowness = m_pace.isNamedIn(query.service) ? std::optional(m_pace.slowness(best.id, now)) : std::nullopt;
-    choice.lastingSlowness = best.lastingSlowness;
+    choice.lastingSlowness = m_pace.lastingSlowness(best.id, now);
     choice.lateFraction = best.lateFraction;
     if (query.prompt == nullptr) {
         choice.work = plainCallWork;
@@ -538,7 +539,8 @@
     if (decision.candidates.empty()) {
         return std::nullopt;
     }
-    complete(choice, choice.parts.empty() ? decision.candidates.front() : m_transfers.cheapest(decision, choice, now), query, now);
+    const bool isFirstBest = choice.parts.empty() && !isPlacedBySpeed(choice, query);
+    complete(choice, isFirstBest ? decision.candidates.front() : m_transfers.cheapest(decision, choice, now), query, now);
     return choice;
 }
 
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -70,7 +70,8 @@
     /// \brief Records that the first part of a successful answer to the request of \a choice was received; to be called before recordAnswered().
     void recordWork(const FleetChoice &choice, Core::TimePoint now);
 
-    /// \brief Records that \a longest was the longest pause in the whole stream that the backend server of \a choice sent.
+    /// \brief Records that \a longest was the longest pause in the whole stream of \a choice, for the pauses expected on its route. Does nothing if no server
+    /// of the service names its pace.
     void recordLongestPause(const FleetChoice &choice, std::chrono::microseconds longest);
 
     /// \brief Handles what another router was told of a limit. Returns whether that changed it; news of an earlier incarnation change nothing.
--- a/src/libs/decisions/relay/serverlimits.cpp
+++ b/src/libs/decisions/relay/serverlimits.cpp
@@ -207,10 +207,15 @@
 
 void ServerLimits::updateIncarnation(const std::string &serverId, std::uint64_t incarnation)
 {
-    const Entry *entry = find(serverId);
-    if (entry != nullptr && isOtherIncarnation(*entry, incarnation)) {
+    Entry *entry = find(serverId);
+    if (entry == nullptr || incarnation == 0) {
+        return;
+    }
+    if (isOtherIncarnation(*entry, incarnation)) {
         m_entries.erase(serverId);
+        return;
     }
+    entry->incarnation = incarnation;
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/serverpace.cpp
+++ b/src/libs/decisions/relay/serverpace.cpp
@@ -20,17 +20,19 @@
 constexpr milliseconds freshPaceAge{100};
 constexpr milliseconds paceLifetime{500};
 
-constexpr Seconds smoothingTime{1};
-// Many times the length of a short slowdown.
+// Time constant with which costs of a server are averaged.
+constexpr Seconds costSmoothingTime{1};
+// Time constant with which paces of a server are averaged: many times the length of a short slowdown.
 constexpr Seconds paceSmoothingTime{5};
 // Where samples are rarer than that, each still counts for half only.
 constexpr double maximumSampleWeight = 0.5;
 
 // One of many routers gets an answer of each engine every few seconds.
 constexpr Seconds costLifetime{10};
+// After this silence a server is taken for one of average pace.
 constexpr Seconds meanPaceLifetime{10};
 
-// Some seconds of one router's answers, or some hundred milliseconds of the reports of many agents.
+// Paces of all servers over which the service's mean runs: some seconds of one router's answers, less where agents report.
 constexpr std::size_t pacesInMean = 256;
 
 // One sample may be an outlier.
@@ -128,7 +130,7 @@
 void ServerPace::smoothCost(Server &server, Core::TimePoint now)
 {
     const double sample = robustCost(server);
-    const double weight = std::min(maximumSampleWeight, 1 - std::exp(-(Seconds(now - server.sampledAt) / smoothingTime)));
+    const double weight = std::min(maximumSampleWeight, 1 - std::exp(-(Seconds(now - server.sampledAt) / costSmoothingTime)));
     server.cost = server.sampleCount == 1 ? sample : server.cost + weight * (sample - server.cost);
     server.sampledAt = now;
 }
@@ -168,6 +170,7 @@
     return 1 + (server.meanPace / service.meanPace - 1) * confidence(now - server.pacedAt, paceLifetime, meanPaceLifetime);
 }
 
+// The last pace is relative to the usual and the lasting one to the service, so a server that was not heard of for 0.5 s seems faster while all are slow.
 double ServerPace::currentPace(const Server &server, const Service &service, Core::TimePoint now)
 {
     const double lasting = lastingPace(server, service, now);
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -25,7 +25,7 @@
 constexpr double branchFactor = 1.2;
 constexpr std::size_t maximumHolderCandidates = 4;
 constexpr std::size_t loadSamples = 4; // Random backend servers of which the least loaded becomes a candidate.
-constexpr std::size_t firstExtraSample = loadSamples + 1; // The numbers before it draw the other random backend servers.
+constexpr std::size_t firstExtraSample = loadSamples + 1; // addLeastLoaded() draws with lower numbers.
 constexpr std::size_t spareCount = 1;
 constexpr std::size_t extraNeighbours = 4; // Looked up in addition, as the nearest backend servers may be unusable.
 constexpr std::chrono::milliseconds idleWait{50}; // A backend server with a shorter expected wait counts as idle.
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -515,6 +515,7 @@
     }
     if (m_sink.isFull()) {
         m_context.metrics.count("answers_paused_total");
+        m_wasPaused = true;
         m_call->setReading(false);
     }
     if (isForwarded) {
@@ -609,10 +610,10 @@
     logOutcome(m_answer.status(), "answered");
 }
 
-// In a stream that went on elsewhere the longest pause may be that of the change.
+// In a stream that went on elsewhere the longest pause may be that of the change, and in one that its caller read slowly, the caller's.
 void RelayedRequest::recordPauses()
 {
-    if (m_route->kind == RequestKind::Streaming && m_attempts.sends == 1 && isSuccess(m_answer.status())) {
+    if (m_route->kind == RequestKind::Streaming && m_attempts.sends == 1 && !m_wasPaused && isSuccess(m_answer.status())) {
         m_context.fleet.recordLongestPause(*m_choice, m_partTimes.longestGap().value_or(milliseconds(0)));
     }
 }
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -179,6 +179,7 @@
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
     PartTimes m_partTimes;
+    bool m_wasPaused = false; ///< Whether reading the answer has paused for the caller, so that its pauses say nothing of the backend server.
     std::optional<std::chrono::milliseconds> m_sendDelay; ///< Time until a limited or resting backend server takes a request, if none could be chosen.
     bool m_isDone = false;
 };
--- a/src/libs/weights/enginecontrol.h
+++ b/src/libs/weights/enginecontrol.h
@@ -56,7 +56,8 @@
     /// \brief Requests a status report.
     virtual void readReport(Core::TimePoint deadline, ReportCallback done) = 0;
 
-    /// \brief Requests the time that work takes now, relative to the usual, which the engine names in answers for \a path; nothing if it names none.
+    /// \brief Requests the pace that the engine names in its answer to GET \a path: the time that work takes now, relative to the usual. \a done gets nothing
+    /// if the answer names none, and an error if there is no successful answer by \a deadline.
     virtual void readPace(const std::string &path, Core::TimePoint deadline, PaceCallback done) = 0;
 
     /// \brief Sends an order.
--- a/src/libs/weights/pacereader.cpp
+++ b/src/libs/weights/pacereader.cpp
@@ -2,21 +2,20 @@
 
 #include <eventloop/loop.h>
 
+#include <utility>
+
 namespace Verbena::Weights {
 
 using std::chrono::milliseconds;
 
 namespace {
 
-// A mean over seconds needs several readings; short slowdowns are over before a router could use a newer one.
+// The router averages over seconds, for which this is often enough; short slowdowns end before any reading reaches it.
 constexpr milliseconds readInterval{500};
 
 // Routers send a watch message every 1.2 s, of which some may be lost.
 constexpr milliseconds requestLifetime{4000};
 
-// A reading that two later ones failed to confirm says nothing of the engine any more.
-constexpr milliseconds paceLifetime{1500};
-
 // The engine runs on this host, so an answer that takes longer is lost.
 constexpr milliseconds readTimeout{400};
 
@@ -31,7 +30,7 @@
 
 void PaceReader::request(const std::string &path)
 {
-    if (path.empty()) {
+    if (!path.starts_with('/')) {
         return;
     }
     const bool wasRequested = m_loop.now() < m_requestedUntil;
@@ -42,9 +41,14 @@
     }
 }
 
-std::optional<double> PaceReader::pace() const
+std::optional<double> PaceReader::takePace()
+{
+    return std::exchange(m_pace, std::nullopt);
+}
+
+void PaceReader::restart()
 {
-    return m_loop.now() < m_validUntil ? m_pace : std::nullopt;
+    m_pace.reset();
 }
 
 void PaceReader::read()
@@ -63,10 +67,7 @@
 void PaceReader::handlePace(const Core::Result<std::optional<double>> &pace)
 {
     m_isReading = false;
-    if (pace) {
-        m_pace = pace.value();
-        m_validUntil = m_loop.now() + paceLifetime;
-    }
+    m_pace = pace ? pace.value() : std::nullopt;
     m_timer.startAt(m_loop.now() + readInterval);
 }
 
--- a/src/libs/weights/pacereader.h
+++ b/src/libs/weights/pacereader.h
@@ -19,11 +19,14 @@
     PaceReader(const PaceReader &) = delete;
     PaceReader &operator=(const PaceReader &) = delete;
 
-    /// \brief Handles that a router wants the pace, which the engine names in answers for \a path. Does nothing if \a path is empty.
+    /// \brief Handles that a router wants the pace, which the engine names in answers for \a path. Does nothing unless \a path begins with a slash.
     void request(const std::string &path);
 
-    /// \brief Returns the last pace; nothing if the engine has named none lately.
-    std::optional<double> pace() const;
+    /// \brief Returns the pace that was read since the last call; nothing if there is none. Each reading is returned once, so that none counts twice.
+    std::optional<double> takePace();
+
+    /// \brief Discards the last reading, as the engine has restarted.
+    void restart();
 
 private:
     void read();
@@ -34,8 +37,7 @@
     std::string m_path;
     Core::TimePoint m_requestedUntil{};
     bool m_isReading = false;
-    std::optional<double> m_pace;
-    Core::TimePoint m_validUntil{}; ///< Of m_pace.
+    std::optional<double> m_pace; ///< Empty once it has been returned.
     EventLoop::Timer m_timer;
     Core::Lifetime m_lifetime;
 };
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -325,6 +325,7 @@
         target.isOrdered = false;
     }
     m_cache.restart();
+    m_pace.restart();
 }
 
 void WeightsKeeper::publish(const EngineReport &report, bool isSilent)
@@ -345,7 +346,7 @@
     status.waiting = report.waiting;
     status.usedTokens = report.usedTokens;
     status.totalTokens = report.totalTokens;
-    status.pace = m_pace.pace();
+    status.pace = m_pace.takePace();
     m_cache.setCapacity(report.totalTokens);
     const Core::TimePoint now = m_loop.now();
     if (m_cache.index().revision() != m_publishedRevision || now >= m_wholeCachePublishedAt + wholeCacheInterval) {
--- a/tests/auto/platform/tst_pacereader.cpp
+++ b/tests/auto/platform/tst_pacereader.cpp
@@ -54,32 +54,45 @@
 TEST_F(PaceReaderTest, readsNothingUntilAsked)
 {
     m_reader.request("");
+    m_reader.request("alive");
+    m_reader.request("@other.example/alive");
     EXPECT_TRUE(m_engine.paths.empty());
-    EXPECT_EQ(m_reader.pace(), std::nullopt);
+    EXPECT_EQ(m_reader.takePace(), std::nullopt);
 }
 
 TEST_F(PaceReaderTest, readsNowAndThenAndStopsWhenNoRouterAsksAnyMore)
 {
     m_reader.request("/alive");
-    EXPECT_EQ(m_reader.pace(), std::optional(1.6));
+    EXPECT_EQ(m_reader.takePace(), std::optional(1.6));
     m_engine.pace = 0.6;
-    EXPECT_TRUE(runUntil([this] { return m_reader.pace() == std::optional(0.6); }));
+    EXPECT_TRUE(runUntil([this] { return m_reader.takePace() == std::optional(0.6); }));
     EXPECT_EQ(m_engine.paths.back(), "/alive");
-    EXPECT_TRUE(runUntil([this] { return !m_reader.pace().has_value(); }));
+    const Core::TimePoint end = m_loop->now() + 6s;
+    EXPECT_TRUE(runUntil([&] { return m_loop->now() >= end; }));
+    EXPECT_GE(m_engine.paths.size(), 3U);
     EXPECT_LE(m_engine.paths.size(), 10U);
 }
 
-// The pace of an engine that hangs must not be told for as long as routers ask.
-TEST_F(PaceReaderTest, forgetsThePaceOfAnEngineThatDoesNotAnswer)
+// A reading that was told with each report counted as a new one, and that of an engine that hangs for as long as routers asked.
+TEST_F(PaceReaderTest, tellsEachReadingOnce)
 {
     m_reader.request("/alive");
+    EXPECT_EQ(m_reader.takePace(), std::optional(1.6));
+    EXPECT_EQ(m_reader.takePace(), std::nullopt);
     m_engine.isAnswering = false;
-    EXPECT_TRUE(runUntil([this] {
-        m_reader.request("/alive");
-        return !m_reader.pace().has_value();
-    }));
+    const std::size_t before = m_engine.paths.size();
+    EXPECT_TRUE(runUntil([&] { return m_engine.paths.size() > before; }));
+    EXPECT_EQ(m_reader.takePace(), std::nullopt);
     m_engine.isAnswering = true;
-    EXPECT_TRUE(runUntil([this] { return m_reader.pace().has_value(); }));
+    EXPECT_TRUE(runUntil([this] { return m_reader.takePace().has_value(); }));
+}
+
+// The pace of an engine before its restart says nothing of it afterwards.
+TEST_F(PaceReaderTest, discardsAReadingWhenTheEngineRestarts)
+{
+    m_reader.request("/alive");
+    m_reader.restart();
+    EXPECT_EQ(m_reader.takePace(), std::nullopt);
 }
 
 // An engine that names no pace is not taken for one of average pace.
@@ -88,7 +101,7 @@
     m_engine.pace = std::nullopt;
     m_reader.request("/alive");
     EXPECT_EQ(m_engine.paths.size(), 1U);
-    EXPECT_EQ(m_reader.pace(), std::nullopt);
+    EXPECT_EQ(m_reader.takePace(), std::nullopt);
 }
 
 } // namespace
--- a/tests/auto/relay/tst_loadshedder.cpp
+++ b/tests/auto/relay/tst_loadshedder.cpp
@@ -110,4 +110,15 @@
     EXPECT_GT(shedder.acceptableWait(service, background, 900ms, start + 30s), 800ms);
 }
 
+// One refusal limited the wait of requests without a target for many minutes.
+TEST(LoadShedderTest, forgetsARefusalWithinSeconds)
+{
+    LoadShedder shedder(1);
+    for (int request = 0; request < 5; ++request) {
+        shedder.recordRefused(service, urgent, start);
+    }
+    EXPECT_LT(shedder.acceptableWait(service, background, std::chrono::microseconds::max(), start), 1s);
+    EXPECT_EQ(shedder.acceptableWait(service, background, std::chrono::microseconds::max(), start + 30s), std::chrono::microseconds::max());
+}
+
 } // namespace Verbena::Decisions
--- a/tests/auto/relay/tst_pauseestimate.cpp
+++ b/tests/auto/relay/tst_pauseestimate.cpp
@@ -32,8 +32,12 @@
 TEST(PauseEstimateTest, isZeroUntilSeveralStreamsAreKnown)
 {
     PauseEstimate estimate;
-    estimate.addSample(2s, 1);
+    for (int stream = 0; stream < 7; ++stream) {
+        estimate.addSample(2s, 1);
+    }
     EXPECT_EQ(estimate.lateFraction(1, pauseTarget), 0);
+    estimate.addSample(2s, 1);
+    EXPECT_EQ(estimate.lateFraction(1, pauseTarget), 1);
 }
 
 TEST(PauseEstimateTest, isAFractionThatGrowsWithSlowness)
@@ -64,7 +68,7 @@
         }
     }
 
-    // Returns the number of streams with a late pause among \a streams short ones, of which each engine reads long prompts now and then.
+    // Returns how many of \a streams have a late pause; every third meets a long prompt at its engine.
     int replay(int streams)
     {
         int late = 0;
@@ -140,7 +144,7 @@
     std::uint64_t m_queryCount = 0;
 };
 
-// Nearly all streams at slow engines had a late pause, and a third of the streams went there.
+// A third of the streams went to lastingly slow engines, where every third of them had a late pause; elsewhere none had.
 TEST(EngineChoiceTest, keepsShortStreamsAwayFromLastinglySlowEngines)
 {
     constexpr int streams = 1000;
--- a/tests/auto/relay/tst_serverlimits.cpp
+++ b/tests/auto/relay/tst_serverlimits.cpp
@@ -253,7 +253,7 @@
     EXPECT_EQ(limits.limit(server), std::nullopt);
 }
 
-// News of a router that had just started began the share of every other router anew, empty.
+// A router that has just started does not know the incarnation; its news must not empty the shares of the others.
 TEST(ServerLimitsTest, keepTheirShareWhenARouterThatDoesNotKnowTheIncarnationTellsTheLimit)
 {
     ServerLimits limits;
@@ -267,6 +267,17 @@
     EXPECT_NE(limits.nextSend(server, at(7s)), std::optional(at(7s)));
 }
 
+// A limit that was heard before the incarnation was known outlived the restart of its server.
+TEST(ServerLimitsTest, endWithTheIncarnationThatBecameKnownLater)
+{
+    ServerLimits limits;
+    limits.handleNews({server, 0, 1.0, 0ms}, at(0s));
+    limits.updateIncarnation(server, 7);
+    EXPECT_EQ(limits.limit(server), 1.0);
+    limits.updateIncarnation(server, 8);
+    EXPECT_EQ(limits.limit(server), std::nullopt);
+}
+
 TEST(ServerLimitsTest, endWhenTheServerRestartsOrNothingIsHeardOfIt)
 {
     ServerLimits limits;
