--- a/src/libs/decisions/relay/callerintake.cpp
+++ b/src/libs/decisions/relay/callerintake.cpp
@@ -28,7 +28,8 @@
 // Part of the time that a router may pause, with a margin to the eighth that is the most a balancer may be told no.
 constexpr double pauseShare = 0.1;
 
-// Turns of a round; as a pause is as long as a turn at most, the routers of two turns of six can pause at one moment.
+// Each router counts turns from its own start. A pause begins within a turn and lasts as long as one at most, so that on average a third of the routers or
+// fewer pause at one moment.
 constexpr std::uint64_t turns = 6;
 constexpr milliseconds turnTime = longestPause;
 constexpr milliseconds roundTime = turnTime * turns;
--- a/src/libs/decisions/relay/callerintake.h
+++ b/src/libs/decisions/relay/callerintake.h
@@ -26,7 +26,7 @@
     /// \brief Creates the decision of a process that began at \a start; without a limit of \a descriptors it always wants callers.
     CallerIntake(std::optional<std::uint64_t> descriptors, std::uint64_t seed, Core::TimePoint start);
 
-    /// \brief Records \a load at \a now; called several times a second. Returns whether the decision has changed.
+    /// \brief Records \a load at \a now; called ten times a second. Returns whether the decision has changed.
     bool record(const RouterLoad &load, Core::TimePoint now);
 
     /// \brief Returns whether the load balancer should send new callers.
--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -55,7 +55,7 @@
     std::optional<std::chrono::milliseconds> reportAge; ///< Age of the status report on which the expected wait is based.
     std::optional<double> limit; ///< Requests per second that the backend server takes from all routers together, if it named a limit.
     double expectedDelay = 0; ///< Expected delay of a plain call by requests before it, in multiples of its work.
-    std::chrono::microseconds latencyTarget{0}; ///< Latency target of the route; zero for none.
+    std::chrono::microseconds latencyTarget{0}; ///< Latency target of the route, which a late pause costs; zero for none.
     double lastingSlowness = 1; ///< Slowness without short slowdowns and recoveries.
     double lateFraction = 0; ///< Estimated fraction of streams of the route whose longest pause exceeds its target there.
     std::optional<double> slowness; ///< Time that work takes there relative to the service's average; nothing if no server of the service names its pace.
--- a/src/libs/decisions/relay/keptconnections.h
+++ b/src/libs/decisions/relay/keptconnections.h
@@ -64,7 +64,7 @@
     /// \brief Keeps an idle connection to \a server for calls before \a deadline; returns its number.
     Number keep(const ServerInstance &server, Core::TimePoint deadline);
 
-    /// \brief Gives up the connections beyond the limits, the least recently used first, and returns them.
+    /// \brief Gives up the least recently used connections to \a address beyond the limit for one server, then those beyond the total limit, and returns them.
     std::vector<Number> removeExcess(const std::string &address);
 
     /// \brief Takes an idle connection to \a server for a call; returns nothing if there is none that the call may use.
--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -18,7 +18,7 @@
 // Part of what is left that one request's body may take while memory is short.
 constexpr std::uint64_t bodyDivisor = 8;
 
-// Part of what is left that may wait for one caller: with n slow callers, they hold n parts of n + 64 of the budget.
+// Part of what is left that may wait for one caller. n callers that do not read thus hold n / (n + 64) of the budget together: half at 64, never all.
 constexpr std::uint64_t unsentDivisor = 64;
 
 // Keeps a fast caller busy over any round trip.
--- a/src/libs/decisions/relay/memorybudget.h
+++ b/src/libs/decisions/relay/memorybudget.h
@@ -67,6 +67,8 @@
     std::uint64_t unsentBound() const;
 
     /// \brief Returns which of \a callers have to be cut off at \a now, those that have not read for longest first, until no more is held than may be.
+    ///
+    /// What a cut frees is estimated by its unsent bytes, so that more callers may be cut off than is necessary.
     std::vector<UnreadCaller> callersToCut(std::vector<UnreadCaller> callers, Core::TimePoint now) const;
 
 private:
--- a/src/libs/decisions/relay/relayconfiguration.h
+++ b/src/libs/decisions/relay/relayconfiguration.h
@@ -30,7 +30,7 @@
     std::string prefix; ///< Path prefix; begins and ends with a slash.
     RequestKind kind = RequestKind::NonIdempotent;
     std::chrono::milliseconds timeout{0}; ///< Maximum time until a caller gets a final answer.
-    std::chrono::milliseconds latencyTarget{0}; ///< Target for the time until the answer, or until the first event of a stream.
+    std::chrono::milliseconds latencyTarget{0}; ///< Target for the time until the answer, or until the first event of a stream; zero for none.
     std::chrono::milliseconds pauseTarget{0}; ///< Target for the longest pause between two events of a stream; zero for none.
     std::uint32_t attempts = 1; ///< Maximum number of backend servers that may run one request.
     std::uint32_t priority = 0; ///< Priority; 0 is the most urgent.
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -34,7 +34,7 @@
 
 // Random engines that are considered in addition for a prompt with short shared parts. If three of ten engines are fast, eight contain a fast one in 94 of
 // 100 cases.
-constexpr std::uint32_t samplesForSpeed = 8;
+constexpr std::uint32_t randomServersForSpeed = 8;
 
 } // namespace
 
@@ -128,7 +128,7 @@
 
 bool RelayFleet::namesPace(const std::string &service) const
 {
-    return m_pace.isNamedIn(service);
+    return m_pace.namesPace(service);
 }
 
 void RelayFleet::recordLoad(const FleetChoice &choice, const ServerLoad &load, Core::TimePoint now)
@@ -421,18 +421,19 @@
         choice.isBusyWithWeights = true;
     }
     if (isPlacedBySpeed(choice, query)) {
-        rateSpeed(decision, query, now);
+        setExpectedSpeed(decision, query, now);
     }
     return decision;
 }
 
-// Prompts with long shared parts stay where these are cached: if all went to the fast engines, their parts would be computed again there and evict others.
+// Short shared parts are computed quickly anywhere. Prompts with long ones stay where these are cached: if all went to the fast engines, their parts would be
+// computed again there and evict others.
 bool RelayFleet::isPlacedBySpeed(const FleetChoice &choice, const FleetQuery &query) const
 {
-    return m_pace.isNamedIn(query.service) && !PromptTransfers::hasLongSharedParts(choice);
+    return m_pace.namesPace(query.service) && !PromptTransfers::hasLongSharedParts(choice);
 }
 
-void RelayFleet::rateSpeed(RouteDecision &decision, const FleetQuery &query, Core::TimePoint now) const
+void RelayFleet::setExpectedSpeed(RouteDecision &decision, const FleetQuery &query, Core::TimePoint now) const
 {
     const auto pauses = query.pauseTarget > microseconds(0) ? m_pauses.find(query.route) : m_pauses.end();
     for (RouteCandidate &candidate : decision.candidates) {
@@ -451,7 +452,7 @@
     choice.incarnation = server->incarnation;
     choice.softwareVersion = server->softwareVersion;
     choice.limit = m_limits.limit(server->name);
-    choice.slowness = m_pace.isNamedIn(query.service) ? std::optional(m_pace.slowness(best.id, now)) : std::nullopt;
+    choice.slowness = m_pace.namesPace(query.service) ? std::optional(m_pace.slowness(best.id, now)) : std::nullopt;
     choice.lastingSlowness = m_pace.lastingSlowness(best.id, now);
     choice.lateFraction = best.lateFraction;
     if (query.prompt == nullptr) {
@@ -479,7 +480,7 @@
     if (found.empty()) {
         return std::nullopt;
     }
-    complete(choice, m_pace.isNamedIn(query.service) ? soonest(found, query, now) : found.front(), query, now);
+    complete(choice, m_pace.namesPace(query.service) ? soonest(found, query, now) : found.front(), query, now);
     choice.expectedDelay = m_reportedLoads.expectedDelay(choice.id, unansweredCalls(choice.id), now);
     return choice;
 }
@@ -491,7 +492,7 @@
         return m_reportedLoads.isFull(candidate.id, unansweredCalls(candidate.id), now);
     };
     std::vector<RouteCandidate> found;
-    for (int search = 0; search < (m_pace.isNamedIn(query.service) ? maximumSearches : 1); ++search) {
+    for (int search = 0; search < (m_pace.namesPace(query.service) ? maximumSearches : 1); ++search) {
         const std::vector<RouteCandidate> further = candidates(choice, query, now).candidates;
         found.insert(found.end(), further.begin(), further.end());
         if (further.empty() || !std::all_of(further.begin(), further.end(), isFull)) {
@@ -533,7 +534,7 @@
         choice.route.homeDomain = m_homeDomains.homeOf(query.service, query.prompt->model, choice.route.keys.back());
     }
     if (isPlacedBySpeed(choice, query)) {
-        choice.route.extraSamples = samplesForSpeed;
+        choice.route.extraRandomServers = randomServersForSpeed;
     }
     const RouteDecision decision = candidates(choice, query, now);
     if (decision.candidates.empty()) {
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -154,7 +154,7 @@
     const WeightsHistory &weightsHistory(const FleetQuery &query) const;
     RouteDecision candidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     bool isPlacedBySpeed(const FleetChoice &choice, const FleetQuery &query) const;
-    void rateSpeed(RouteDecision &decision, const FleetQuery &query, Core::TimePoint now) const;
+    void setExpectedSpeed(RouteDecision &decision, const FleetQuery &query, Core::TimePoint now) const;
     std::optional<FleetChoice> chooseFor(const FleetQuery &query, Core::TimePoint now) const;
     std::optional<FleetChoice> choosePlain(const FleetQuery &query, Core::TimePoint now) const;
     std::vector<RouteCandidate> plainCandidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
--- a/src/libs/decisions/relay/serverpace.cpp
+++ b/src/libs/decisions/relay/serverpace.cpp
@@ -158,7 +158,7 @@
     service.median = *middle;
 }
 
-bool ServerPace::isNamedIn(const std::string &service) const
+bool ServerPace::namesPace(const std::string &service) const
 {
     const auto found = m_services.find(service);
     return found != m_services.end() && found->second.isNamed;
--- a/src/libs/decisions/relay/serverpace.h
+++ b/src/libs/decisions/relay/serverpace.h
@@ -34,7 +34,7 @@
     void recordWork(BackendServerId id, std::chrono::microseconds elapsed, std::chrono::microseconds expected, Core::TimePoint now);
 
     /// \brief Returns whether any backend server of \a service has named a pace.
-    bool isNamedIn(const std::string &service) const;
+    bool namesPace(const std::string &service) const;
 
     /// \brief Returns the time that work takes at \a id relative to the service's average, from 0.25 to 4; 1 for all servers of a service that never named a
     /// pace.
@@ -60,8 +60,8 @@
         Core::TimePoint sampledAt{};
         double pace = 1;
         double meanPace = 1; ///< Smoothed over seconds.
-        Core::TimePoint pacedAt{};
-        Core::TimePoint heardAt{};
+        Core::TimePoint pacedAt{}; ///< Time at which pace was named.
+        Core::TimePoint heardAt{}; ///< Time at which it last answered or named a pace.
     };
 
     struct Service
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -25,7 +25,7 @@
 constexpr double branchFactor = 1.2;
 constexpr std::size_t maximumHolderCandidates = 4;
 constexpr std::size_t loadSamples = 4; // Random backend servers of which the least loaded becomes a candidate.
-constexpr std::size_t firstExtraSample = loadSamples + 1; // addLeastLoaded() draws with lower numbers.
+constexpr std::size_t firstExtraDraw = loadSamples + 1; // addLeastLoaded() draws with lower numbers.
 constexpr std::size_t spareCount = 1;
 constexpr std::size_t extraNeighbours = 4; // Looked up in addition, as the nearest backend servers may be unusable.
 constexpr std::chrono::milliseconds idleWait{50}; // A backend server with a shorter expected wait counts as idle.
@@ -199,7 +199,7 @@
     }
     addHolders(search);
     addLeastLoaded(search);
-    addSamples(search);
+    addRandomServers(search);
     if (search.candidates.empty()) {
         addFallback(search);
     }
@@ -372,11 +372,11 @@
     }
 }
 
-void RouteChooser::addSamples(Search &search) const
+void RouteChooser::addRandomServers(Search &search) const
 {
     const std::vector<BackendServerId> &members = search.pool.placement.members();
-    for (std::size_t i = 0; i < search.query.extraSamples; ++i) {
-        addCandidate(search, members[randomValue(search.query, firstExtraSample + i) % members.size()], CandidateOrigin::Load, 0);
+    for (std::size_t i = 0; i < search.query.extraRandomServers; ++i) {
+        addCandidate(search, members[randomValue(search.query, firstExtraDraw + i) % members.size()], CandidateOrigin::Load, 0);
     }
 }
 
--- a/src/libs/decisions/routing/routechooser.h
+++ b/src/libs/decisions/routing/routechooser.h
@@ -116,7 +116,7 @@
     RouteDecision rankCandidates(Search search) const;
     RouteDecision applyOverloadLevels(Search search) const;
     void addLeastLoaded(Search &search) const;
-    void addSamples(Search &search) const;
+    void addRandomServers(Search &search) const;
     void addFallback(Search &search) const;
     std::uint32_t warmPieces(BackendServerId id, const RouteQuery &query, Core::TimePoint now) const;
     void evaluate(RouteCandidate &candidate, const Search &search) const;
--- a/platform/fieldtext.h
+++ b/src/libs/http/fieldtext.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string_view>
 
-namespace Verbena::Platform {
+namespace Verbena::Http {
 
 /// \brief Returns \a text without spaces and tabs at both ends.
 inline std::string_view trimmed(std::string_view text)
@@ -35,10 +35,10 @@
 }
 
 /// \brief Returns the finite number of 0 or more that \a text holds; nothing if it holds none.
-inline std::optional<double> rateOf(std::string_view text)
+inline std::optional<double> nonNegativeNumberOf(std::string_view text)
 {
     const std::optional<double> rate = numberOf<double>(trimmed(text));
     return rate.has_value() && std::isfinite(*rate) && *rate >= 0 ? rate : std::nullopt;
 }
 
-} // namespace Verbena::Platform
+} // namespace Verbena::Http
