--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -32,6 +32,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -553,7 +554,8 @@
         return processes;
     }
 
-    pid_t start(const std::vector<std::string> &command, const std::string &output)
+    // maximumDescriptors: the limit of the machine that the process keeps to; 0 for none.
+    pid_t start(const std::vector<std::string> &command, const std::string &output, unsigned maximumDescriptors = 0)
     {
         std::vector<char *> arguments;
         for (const std::string &word : command) {
@@ -565,6 +567,10 @@
             const int fd = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(fd, STDOUT_FILENO);
             dup2(fd, STDERR_FILENO);
+            if (maximumDescriptors > 0) {
+                const rlimit limit{maximumDescriptors, maximumDescriptors};
+                setrlimit(RLIMIT_NOFILE, &limit);
+            }
             execv(arguments[0], arguments.data());
             _exit(127);
         }
@@ -680,6 +686,7 @@
     std::string ip;
     bool isFront = true;
     int memoryMb = 110;
+    unsigned maxFds = 4200;
     std::string engine; // IP:PORT of the worker beside a side machine.
 };
 
@@ -697,7 +704,7 @@
     }
     text << "portRange:\n  - " << peerPort << "\n  - " << peerPort + 15
          << "\nseeds: []\nbootstrap: true\ncountsAsLoss: false\nlimits:\n  cpuShare: 0.19\n  cpus: 1\n  memoryMb: " << options.memoryMb
-         << "\n  maxFds: 4200\n  linkMbps: 1000.0\n  diskMb: 0\ndataDir: null\ndiscovery: \"platform\"\nentry: \"vip\"\nheartbeatMs: 1200\n"
+         << "\n  maxFds: " << options.maxFds << "\n  linkMbps: 1000.0\n  diskMb: 0\ndataDir: null\ndiscovery: \"platform\"\nentry: \"vip\"\nheartbeatMs: 1200\n"
          << "bounds:\n  reuseAfterS: 2\n  contactMs: 3000\n  drainMs: 2000\n  graceS: 8\n  lostMs: 200\n  configApplyMs: 2000\n  downgradeMs: 250\n"
          << "  retryBudgetRatio: 0.2\n  budgetWindowS: 10\n  retrySlack: 54\n  leaseMs: 3000\n  thawMs: 300\n  versionMs: 8000\n";
     if (!options.engine.empty()) {
@@ -715,7 +722,7 @@
     const std::string program = options.isFront ? "target/bin/verbena-router" : "target/bin/verbena-agent";
     const std::string file = hostFile(options);
     record(options.name + " is started: " + program + " --host FILE");
-    return Processes::instance().start({program, "--host", file}, folder() + "/" + options.name + ".log");
+    return Processes::instance().start({program, "--host", file}, folder() + "/" + options.name + ".log", options.maxFds);
 }
 
 struct Route
