--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -687,6 +687,7 @@
     bool isFront = true;
     int memoryMb = 110;
     unsigned maxFds = 4200;
+    unsigned descriptors = 0; // Limit that the process keeps to; 0: maxFds.
     std::string engine; // IP:PORT of the worker beside a side machine.
 };
 
@@ -722,7 +723,7 @@
     const std::string program = options.isFront ? "target/bin/verbena-router" : "target/bin/verbena-agent";
     const std::string file = hostFile(options);
     record(options.name + " is started: " + program + " --host FILE");
-    return Processes::instance().start({program, "--host", file}, folder() + "/" + options.name + ".log", options.maxFds);
+    return Processes::instance().start({program, "--host", file}, folder() + "/" + options.name + ".log", options.descriptors > 0 ? options.descriptors : options.maxFds);
 }
 
 struct Route
