Start the processes of the review's scripts in groups of their own

A project test failed once because the shell that had started it ended while its agent was stopped: the kernel continues the stopped processes of a group that is orphaned so. The scripts of review/ stop processes too. Each process now has a group of its own and ends with its starter.

--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -32,6 +32,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -564,6 +565,9 @@
         arguments.push_back(nullptr);
         const pid_t pid = fork();
         if (pid == 0) {
+            // A group of its own: the kernel continues the stopped processes of a group whose starter ends. It still ends with this program.
+            setpgid(0, 0);
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int fd = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(fd, STDOUT_FILENO);
             dup2(fd, STDERR_FILENO);
