--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -18,6 +18,13 @@
 // Part of what is left that one request's body may take while memory is short.
 constexpr std::uint64_t bodyDivisor = 8;
 
+// Requests up to this size, head and body, may take a part of the budget whatever else is held.
+constexpr std::uint64_t smallRequestBytes = 16 * 1024;
+constexpr std::uint64_t smallRequestsDivisor = 4;
+
+// Part of the budget that is reserved for a body of unknown size, unless less is allowed: some of them can be read at a time, however large bodies may be.
+constexpr std::uint64_t unknownBodyDivisor = 4;
+
 // Part of what is left that may wait for one caller. n callers that do not read thus hold n / (n + 64) of the budget together: half at 64, never all.
 constexpr std::uint64_t unsentDivisor = 64;
 
@@ -35,6 +42,8 @@
 std::string_view heldKindName(HeldKind kind)
 {
     switch (kind) {
+    case HeldKind::RequestHeads:
+        return "request_heads";
     case HeldKind::RequestBodies:
         return "request_bodies";
     case HeldKind::PartialAnswers:
@@ -110,10 +119,34 @@
     if (!m_limit.has_value() || bytes <= reserved) {
         return true;
     }
+    const std::uint64_t requests = held(HeldKind::RequestHeads) + held(HeldKind::RequestBodies) - reserved;
+    if (isSmall(bytes) && requests + bytes <= *m_limit / smallRequestsDivisor) {
+        return true;
+    }
     const std::uint64_t room = left() + reserved;
     return bytes <= (m_isShort ? room / bodyDivisor : room);
 }
 
+bool MemoryBudget::isSmall(std::uint64_t bytes)
+{
+    return bytes <= smallRequestBytes;
+}
+
+bool MemoryBudget::canHold(std::uint64_t bytes) const
+{
+    return !m_limit.has_value() || bytes <= *m_limit;
+}
+
+bool MemoryBudget::hasRoom(std::uint64_t bytes, std::uint64_t reserved) const
+{
+    return !m_limit.has_value() || bytes <= left() + reserved;
+}
+
+std::uint64_t MemoryBudget::unknownBodyBytes(std::uint64_t limit) const
+{
+    return m_limit.has_value() ? std::min(limit, *m_limit / unknownBodyDivisor) : 0;
+}
+
 std::uint64_t MemoryBudget::unsentBound() const
 {
     return m_limit.has_value() ? std::clamp(left() / unsentDivisor, minimumUnsentBytes, maximumUnsentBytes) : maximumUnsentBytes;
--- a/src/libs/decisions/relay/memorybudget.h
+++ b/src/libs/decisions/relay/memorybudget.h
@@ -13,13 +13,15 @@
 
 /// \brief What a router holds bytes for.
 enum class HeldKind {
+    RequestHeads, ///< Heads of requests, until their end.
     RequestBodies, ///< Bodies of requests, until their end.
     PartialAnswers, ///< Answers and events that are forwarded only when they are complete.
     UnsentToCallers,
     UnsentToServers,
 };
 
-inline constexpr std::array<HeldKind, 4> heldKinds{HeldKind::RequestBodies, HeldKind::PartialAnswers, HeldKind::UnsentToCallers, HeldKind::UnsentToServers};
+inline constexpr std::array<HeldKind, 5> heldKinds{
+    HeldKind::RequestHeads, HeldKind::RequestBodies, HeldKind::PartialAnswers, HeldKind::UnsentToCallers, HeldKind::UnsentToServers};
 
 /// \brief Returns the stable name of \a kind for logs and metrics.
 std::string_view heldKindName(HeldKind kind);
@@ -28,14 +30,15 @@
 struct UnreadCaller
 {
     std::size_t index = 0; ///< Number by which the owner of the connections knows it.
-    std::uint64_t unsentBytes = 0;
+    std::uint64_t unsentBytes = 0; ///< Memory that is freed when it is cut off.
     Core::TimePoint lastReadAt; ///< When the caller last read something, or else when the first of these bytes was written.
 };
 
 /// \brief Counts the bytes that a router holds for callers and backend servers, and decides what is given up when memory is short.
 ///
 /// Every bound is a fraction of what is left, so that it tightens before memory is used up however many connections there are. In this order: reading the
-/// answers of slow callers pauses, requests with large bodies are refused, callers that do not read are cut off.
+/// answers of slow callers pauses, requests with large bodies are not read, callers that do not read are cut off. Small requests have a part of their own, so
+/// that slow callers alone do not close a router to them.
 class MemoryBudget
 {
 public:
@@ -60,9 +63,21 @@
     /// \brief Returns whether more is held than may be.
     bool isExceeded() const;
 
-    /// \brief Returns whether a request whose body has \a bytes, \a reserved of which are counted already, may be read.
+    /// \brief Returns whether a request that takes \a bytes, \a reserved of which are counted already, may be read.
     bool admitsBody(std::uint64_t bytes, std::uint64_t reserved) const;
 
+    /// \brief Returns whether a request that takes \a bytes is small, so that it may be read while larger ones may not.
+    static bool isSmall(std::uint64_t bytes);
+
+    /// \brief Returns whether \a bytes could be held if nothing else was.
+    bool canHold(std::uint64_t bytes) const;
+
+    /// \brief Returns whether there is room for \a bytes, \a reserved of which are counted already.
+    bool hasRoom(std::uint64_t bytes, std::uint64_t reserved) const;
+
+    /// \brief Returns the bytes that are to be reserved for a body of unknown size that is not small and has \a limit bytes at most.
+    std::uint64_t unknownBodyBytes(std::uint64_t limit) const;
+
     /// \brief Returns how many bytes may wait to be sent to one caller before reading for it pauses.
     std::uint64_t unsentBound() const;
 
--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -1,5 +1,7 @@
 #include "messagereader.h"
 
+#include <core/freetext.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -78,6 +80,7 @@
     virtual bool hasBegun() const = 0;
     virtual bool isDone() const = 0;
     virtual bool isHeadDone() const = 0;
+    virtual std::size_t fieldBytes() const = 0;
 };
 
 template<bool isRequest>
@@ -129,6 +132,11 @@
         return this->is_header_done();
     }
 
+    std::size_t fieldBytes() const override
+    {
+        return m_fieldBytes;
+    }
+
 private:
     void on_request_impl(beast::http::verb, beast::string_view method, beast::string_view target, int version, beast::error_code &) override
     {
@@ -146,6 +154,7 @@
     void on_field_impl(beast::http::field, beast::string_view name, beast::string_view value, beast::error_code &) override
     {
         m_head.fields.push_back({std::string(view(name)), std::string(view(value))});
+        m_fieldBytes += 2 * sizeof(HttpField) + name.size() + value.size(); // A vector that grows has room for twice its elements.
     }
 
     void on_header_impl(beast::error_code &error) override
@@ -190,6 +199,7 @@
 
     MessageSink &m_sink;
     MessageHead m_head;
+    std::size_t m_fieldBytes = 0;
 };
 
 MessageReader::MessageReader(Kind kind, MessageSink &sink, const MessageLimits &limits)
@@ -249,7 +259,7 @@
     }
     m_buffer.erase(0, used);
     if (m_buffer.empty() && m_buffer.capacity() > keptBufferBytes) {
-        m_buffer = std::string();
+        Core::freeText(m_buffer);
     }
     return fault;
 }
@@ -293,6 +303,22 @@
     return m_faultDetail;
 }
 
+std::size_t MessageReader::headBytes() const
+{
+    return m_parser->fieldBytes() + (isHeadDone() ? 0 : m_buffer.size());
+}
+
+void MessageReader::discard()
+{
+    m_parser = makeParser();
+    dropSurplus();
+}
+
+void MessageReader::dropSurplus()
+{
+    Core::freeText(m_buffer);
+}
+
 std::size_t MessageReader::surplusBytes() const
 {
     return m_buffer.size();
--- a/src/libs/http/messagereader.h
+++ b/src/libs/http/messagereader.h
@@ -97,12 +97,21 @@
     /// \brief Returns whether the head of the current message is complete.
     bool isHeadDone() const;
 
+    /// \brief Returns the memory that the head of the current message takes, as text that is not parsed yet and as header fields.
+    std::size_t headBytes() const;
+
+    /// \brief Frees what was received of the current message, which will not be read to its end.
+    void discard();
+
     /// \brief Returns a description of the last parse error, for logs.
     const std::string &faultDetail() const;
 
     /// \brief Returns the number of buffered bytes that were not parsed yet.
     std::size_t surplusBytes() const;
 
+    /// \brief Frees the buffered bytes that were not parsed yet, which belong to no message that will be read.
+    void dropSurplus();
+
 private:
     class Parser;
     template<bool isRequest>
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -1,8 +1,10 @@
 #include "tcpchannel.h"
 
+#include <core/freetext.h>
 #include <eventloop/iowatcher.h>
 #include <eventloop/loop.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -11,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 namespace Verbena::Http {
@@ -23,6 +26,9 @@
 // Capacity that a channel keeps after everything was sent: enough for events and heads, and little beside the other state of a connection.
 constexpr std::size_t keptOutputBytes = 2 * 1024;
 
+// A body that is longer is sent from where it is kept; a shorter one is copied, so that it leaves together with its head in one call.
+constexpr std::size_t longestCopiedBody = 16 * 1024;
+
 // Time without acknowledgement after which the peer is considered gone. Callers and backend servers are a few milliseconds away, and a lost packet is
 // retransmitted several times within this time.
 constexpr unsigned userTimeoutMilliseconds = 4000;
@@ -58,6 +64,7 @@
         return Core::Error{Core::ErrorCode::Unavailable, "http.socket", endpoint.toString(), std::strerror(errno)};
     }
     setOptions(descriptor);
+    setOption(descriptor, SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
     const int status = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&endpoint.address), sizeof endpoint.address);
     if (status != 0 && errno != EINPROGRESS) {
         const std::string reason = std::strerror(errno);
@@ -108,6 +115,7 @@
     }
     // Everything written in one iteration of the loop is sent together.
     const bool isFirst = bufferedBytes() == 0;
+    unshareBody();
     m_output.append(data);
     updateMeter();
     if (isFirst) {
@@ -115,16 +123,54 @@
     }
 }
 
-void TcpChannel::writeNow(std::string_view data)
+void TcpChannel::write(const OutgoingMessage &message)
 {
     if (m_isBroken) {
         return;
     }
-    m_output.append(data);
-    updateMeter();
+    const bool isFirst = bufferedBytes() == 0;
+    append(message);
+    if (isFirst) {
+        m_flush.schedule();
+    }
+}
+
+void TcpChannel::writeNow(const OutgoingMessage &message)
+{
+    if (m_isBroken) {
+        return;
+    }
+    append(message);
     flush();
 }
 
+void TcpChannel::append(const OutgoingMessage &message)
+{
+    unshareBody();
+    m_output.append(message.head);
+    if (message.bodyBytes() > longestCopiedBody) {
+        m_body = message.body;
+    } else if (message.body != nullptr) {
+        m_output.append(*message.body);
+    }
+    updateMeter();
+}
+
+// Only one body can be sent from where it is kept, and only as the last of what is written.
+void TcpChannel::unshareBody()
+{
+    if (m_body != nullptr) {
+        m_output.append(*m_body, m_bodyOffset);
+        m_body.reset();
+        m_bodyOffset = 0;
+    }
+}
+
+std::size_t TcpChannel::unsentBodyBytes() const
+{
+    return m_body == nullptr ? 0 : m_body->size() - m_bodyOffset;
+}
+
 void TcpChannel::handOver(ChannelObserver &observer)
 {
     m_observer = &observer;
@@ -154,7 +200,12 @@
 
 std::size_t TcpChannel::bufferedBytes() const
 {
-    return m_output.size() - m_outputOffset;
+    return m_output.size() - m_outputOffset + unsentBodyBytes();
+}
+
+std::size_t TcpChannel::heldBytes() const
+{
+    return m_output.capacity();
 }
 
 void TcpChannel::setMeter(std::unique_ptr<ByteMeter> meter)
@@ -166,7 +217,7 @@
 void TcpChannel::updateMeter()
 {
     if (m_meter != nullptr) {
-        m_meter->setBytes(m_output.capacity());
+        m_meter->setBytes(heldBytes());
     }
 }
 
@@ -275,14 +326,16 @@
 bool TcpChannel::sendBuffered()
 {
     while (bufferedBytes() > 0) {
-        const ssize_t sent = send(m_descriptor, m_output.data() + m_outputOffset, bufferedBytes(), MSG_NOSIGNAL);
+        const ssize_t sent = sendSome();
         if (sent < 0) {
             const bool isToBeContinued = errno == EAGAIN || errno == EINTR;
             releaseSent();
             return isToBeContinued;
         }
         m_hasSent = true;
-        m_outputOffset += static_cast<std::size_t>(sent);
+        const std::size_t ofOutput = std::min(static_cast<std::size_t>(sent), m_output.size() - m_outputOffset);
+        m_outputOffset += ofOutput;
+        m_bodyOffset += static_cast<std::size_t>(sent) - ofOutput;
         m_observer->outputSent();
     }
     releaseSent();
@@ -292,14 +345,35 @@
     return true;
 }
 
+ssize_t TcpChannel::sendSome()
+{
+    if (m_body == nullptr) {
+        return send(m_descriptor, m_output.data() + m_outputOffset, m_output.size() - m_outputOffset, MSG_NOSIGNAL);
+    }
+    if (m_outputOffset == m_output.size()) {
+        return send(m_descriptor, m_body->data() + m_bodyOffset, unsentBodyBytes(), MSG_NOSIGNAL);
+    }
+    std::array<iovec, 2> parts{iovec{m_output.data() + m_outputOffset, m_output.size() - m_outputOffset},
+        iovec{const_cast<char *>(m_body->data()) + m_bodyOffset, unsentBodyBytes()}};
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = parts.size();
+    return sendmsg(m_descriptor, &message, MSG_NOSIGNAL);
+}
+
 // A peer that always leaves something unread must not make the channel keep all that it has read before. At most half of the buffer has been sent, so that
 // each byte is moved once on average.
 void TcpChannel::releaseSent()
 {
-    if (bufferedBytes() == 0 && m_output.capacity() > keptOutputBytes) {
-        m_output = std::string();
+    if (unsentBodyBytes() == 0) {
+        m_body.reset();
+        m_bodyOffset = 0;
+    }
+    const std::size_t unsent = m_output.size() - m_outputOffset;
+    if (unsent == 0 && m_output.capacity() > keptOutputBytes) {
+        Core::freeText(m_output);
         m_outputOffset = 0;
-    } else if (m_outputOffset >= bufferedBytes()) {
+    } else if (m_outputOffset >= unsent) {
         m_output.erase(0, m_outputOffset);
         m_outputOffset = 0;
     }
@@ -329,8 +403,10 @@
 {
     m_isBroken = true;
     m_isEnded = true;
-    m_output = std::string();
+    Core::freeText(m_output);
     m_outputOffset = 0;
+    m_body.reset();
+    m_bodyOffset = 0;
     updateMeter();
     m_watcher->stop();
     m_watchedEvents = 0;
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -2,6 +2,7 @@
 
 #include "bytemeter.h"
 #include "endpoint.h"
+#include "outgoingmessage.h"
 
 #include <core/result.h>
 #include <eventloop/deferredcall.h>
@@ -11,6 +12,8 @@
 #include <string>
 #include <string_view>
 
+#include <sys/types.h>
+
 namespace Verbena::EventLoop {
 class IoWatcher;
 class Loop;
@@ -18,6 +21,12 @@
 
 namespace Verbena::Http {
 
+/// \brief Room in the kernel for what the peer has sent and nobody has read, in bytes.
+///
+/// Enough for a round trip of a few milliseconds at ten megabytes per second. It counts as memory of this process, also while reading pauses, so that it must
+/// not grow as large as the kernel would let it.
+inline constexpr int receiveBufferBytes = 64 * 1024;
+
 /// \brief How a connection ended.
 enum class ChannelEnd {
     Closed, ///< The peer closed its side regularly.
@@ -70,8 +79,11 @@
     /// \brief Queues \a data to be sent together with everything else that is written in this iteration of the loop.
     void write(std::string_view data);
 
-    /// \brief Hands \a data to the kernel at once; hasSent() says whether any of it was accepted.
-    void writeNow(std::string_view data);
+    /// \brief Queues \a message in the same way; a large body is not copied.
+    void write(const OutgoingMessage &message);
+
+    /// \brief Hands \a message to the kernel at once; hasSent() says whether any of it was accepted. A large body is not copied.
+    void writeNow(const OutgoingMessage &message);
 
     /// \brief Makes \a observer, which must outlive its use of the channel, receive what comes from now on; hasSent() is false again. Resumes reading.
     void handOver(ChannelObserver &observer);
@@ -82,6 +94,9 @@
     /// \brief Returns the number of written bytes that the kernel has not accepted yet.
     std::size_t bufferedBytes() const;
 
+    /// \brief Returns the memory that is held for written bytes, without a body that is shared.
+    std::size_t heldBytes() const;
+
     /// \brief Sets the meter that is told from now on how much memory is held for written bytes; null for none.
     void setMeter(std::unique_ptr<ByteMeter> meter);
 
@@ -111,6 +126,10 @@
     void watch();
     void flush();
     bool sendBuffered();
+    void append(const OutgoingMessage &message);
+    void unshareBody();
+    std::size_t unsentBodyBytes() const;
+    ssize_t sendSome();
     void releaseSent();
     void updateMeter();
     bool finishConnect();
@@ -124,6 +143,8 @@
     EventLoop::DeferredCall m_flush;
     std::string m_output;
     std::size_t m_outputOffset = 0; ///< Number of bytes at the start of m_output that the kernel has accepted.
+    SharedBody m_body; ///< Follows m_output; null if nothing does.
+    std::size_t m_bodyOffset = 0; ///< Number of bytes at the start of m_body that the kernel has accepted.
     std::unique_ptr<ByteMeter> m_meter;
     bool m_isConnected;
     bool m_isRefused = false;
--- a/src/libs/http/tcplistener.cpp
+++ b/src/libs/http/tcplistener.cpp
@@ -1,5 +1,7 @@
 #include "tcplistener.h"
 
+#include "tcpchannel.h"
+
 #include <eventloop/iowatcher.h>
 #include <eventloop/loop.h>
 
@@ -33,6 +35,8 @@
     std::unique_ptr<TcpListener> listener(new TcpListener(loop, descriptor, std::move(acceptor)));
     const int isReused = 1;
     (void)setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &isReused, sizeof isReused);
+    // Accepted connections inherit it. If it cannot be set, the kernel lets the buffers grow.
+    (void)setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
     if (bind(descriptor, reinterpret_cast<const sockaddr *>(&endpoint.address), sizeof endpoint.address) != 0) {
         return fail("http.bind");
     }
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -41,18 +41,18 @@
 class BackendCall : private Http::ChannelObserver, private Http::MessageSink
 {
 public:
-    /// \brief Connects and sends \a request, head and body; fails with NotSent if there is no connection by \a connectDeadline.
+    /// \brief Connects and sends \a request; fails with NotSent if there is no connection by \a connectDeadline.
     ///
     /// \a isHead: the request's method is HEAD, so the answer has no body. Errors: Unavailable if no connection can be started.
     static Core::Result<std::unique_ptr<BackendCall>> create(
-        EventLoop::Loop &loop, const Http::Endpoint &endpoint, std::string_view request, bool isHead, Core::TimePoint connectDeadline, CallObserver &observer);
+        EventLoop::Loop &loop, const Http::Endpoint &endpoint, const Http::OutgoingMessage &request, bool isHead, Core::TimePoint connectDeadline, CallObserver &observer);
 
-    /// \brief Sends \a request, head and body, on the idle \a channel; returns null if the backend server cannot have received any of it.
+    /// \brief Sends \a request on the idle \a channel; returns null if the backend server cannot have received any of it.
     ///
     /// The call fails with Lost if nothing of the request has been acknowledged by \a acknowledgeDeadline.
     static std::unique_ptr<BackendCall> reuse(EventLoop::Loop &loop,
         std::unique_ptr<Http::TcpChannel> channel,
-        std::string_view request,
+        const Http::OutgoingMessage &request,
         Core::TimePoint acknowledgeDeadline,
         CallObserver &observer);
     ~BackendCall() override;
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -1,5 +1,6 @@
 #include "callerconnection.h"
 
+#include <core/freetext.h>
 #include <eventloop/loop.h>
 
 #include <algorithm>
@@ -15,6 +16,9 @@
 // Time that a caller has to read the last answer and close the connection.
 constexpr std::chrono::milliseconds lingerTime{1500};
 
+// Part of its size by which the room for a body of unknown size grows when it is full.
+constexpr std::size_t bodyGrowthDivisor = 4;
+
 // Time after which a caller whose request was refused for lack of memory should retry; callers that read have read what waits for them by then.
 constexpr std::chrono::milliseconds memoryRetryDelay{500};
 
@@ -65,6 +69,7 @@
 CallerConnection::CallerConnection(EventLoop::Loop &loop, int descriptor, ConnectionOwner &owner)
     : m_loop(loop)
     , m_owner(owner)
+    , m_headBytes(owner.memory().budget(), Decisions::HeldKind::RequestHeads)
     , m_requestBytes(owner.memory().budget(), Decisions::HeldKind::RequestBodies)
     , m_pendingBytes(owner.memory().budget(), Decisions::HeldKind::PartialAnswers)
     , m_channel(Http::TcpChannel::adopt(loop, descriptor, *this))
@@ -76,7 +81,10 @@
     m_timer.startAt(m_loop.now() + owner.limits().idleTimeout);
 }
 
-CallerConnection::~CallerConnection() = default;
+CallerConnection::~CallerConnection()
+{
+    releaseRequest();
+}
 
 bool CallerConnection::isBusy() const
 {
@@ -88,11 +96,26 @@
     return m_channel->bufferedBytes();
 }
 
+std::size_t CallerConnection::heldBytes() const
+{
+    return m_channel->heldBytes();
+}
+
 Core::TimePoint CallerConnection::lastReadAt() const
 {
     return m_lastReadAt;
 }
 
+// The system has room for new bytes only now and then, while a caller reads all the time; what it has not acknowledged tells more.
+void CallerConnection::updateLastRead()
+{
+    const std::size_t unacknowledged = m_channel->unacknowledgedBytes();
+    if (m_unacknowledgedBytes.has_value() && unacknowledged < *m_unacknowledgedBytes) {
+        m_lastReadAt = m_loop.now();
+    }
+    m_unacknowledgedBytes = unacknowledged;
+}
+
 void CallerConnection::cutOff()
 {
     m_channel->resetOnClose();
@@ -118,6 +141,11 @@
     if (m_state == State::Lingering) {
         return;
     }
+    // A request that waits for memory after it was read whole; what follows it belongs to no request that will be read.
+    if (m_waitNumber != 0) {
+        m_isClosing = true;
+        return;
+    }
     const bool isFirst = !m_reader.hasBegun();
     const bool wasHeadDone = m_reader.isHeadDone();
     const std::optional<Http::MessageFault> fault = m_reader.feed(data);
@@ -125,8 +153,7 @@
         refuse(*fault);
         return;
     }
-    if (!reserveBody()) {
-        refuseForMemory();
+    if (!mayReadOn()) {
         return;
     }
     if (m_reader.isDone()) {
@@ -164,6 +191,10 @@
 
 void CallerConnection::receiveBody(std::string_view data)
 {
+    const std::size_t size = m_body.size() + data.size();
+    if (size > m_body.capacity()) {
+        m_body.reserve(std::max<std::uint64_t>(size, std::min<std::uint64_t>(size + m_body.size() / bodyGrowthDivisor, m_owner.limits().bodyBytes)));
+    }
     m_body.append(data);
 }
 
@@ -177,9 +208,11 @@
     m_timer.stop();
     m_isVersion11 = m_head.isVersion11;
     m_isHead = m_head.method == "HEAD";
-    m_isClosing = !m_head.isKeptAlive || m_reader.surplusBytes() > 0;
+    m_isClosing = m_isClosing || !m_head.isKeptAlive || m_reader.surplusBytes() > 0;
+    m_reader.dropSurplus();
     m_isAnswerEnded = false;
-    m_request = m_owner.beginRequest(std::move(m_head), std::move(m_body), *this);
+    const Http::SharedBody body = m_body.empty() ? nullptr : std::make_shared<const std::string>(std::move(m_body));
+    m_request = m_owner.beginRequest(std::move(m_head), body, *this);
     m_request->start();
 }
 
@@ -198,23 +231,98 @@
     }
 }
 
-// A body whose length is known is reserved whole, so that a request that is let in can be read to its end.
-bool CallerConnection::reserveBody()
+// A body is reserved whole, so that a request that is let in can be read to its end. Returns whether it can be read on now.
+bool CallerConnection::mayReadOn()
 {
-    if (!m_reader.isHeadDone()) {
+    if (m_owner.bodies().queue().admits(demand())) {
+        reserveRequest();
         return true;
     }
-    const std::uint64_t bytes = std::max<std::uint64_t>(m_head.contentLength.value_or(0), m_body.size());
-    if (!m_owner.memory().budget().admitsBody(bytes, m_requestBytes.bytes())) {
+    const bool mayWait = m_reader.isHeadDone() && m_owner.bodies().queue().mayWait(demand(), m_reader.headBytes() + waitingBodyBytes());
+    if (!mayWait || m_owner.latestBodyStart(m_head) <= m_loop.now()) {
+        refuseForMemory();
         return false;
     }
-    m_requestBytes.set(bytes);
-    return true;
+    awaitMemory();
+    return false;
+}
+
+std::uint64_t CallerConnection::bodyRoom() const
+{
+    return m_body.empty() ? 0 : m_body.capacity();
+}
+
+// Of a body that is not read on, the kernel may hold some more.
+std::uint64_t CallerConnection::waitingBodyBytes() const
+{
+    return bodyRoom() + (m_reader.isDone() ? 0 : Http::receiveBufferBytes);
+}
+
+// A body without a length is taken for as long as it may be once it is not small.
+std::uint64_t CallerConnection::bodyDemand() const
+{
+    const std::uint64_t held = std::max<std::uint64_t>(m_head.contentLength.value_or(0), bodyRoom());
+    if (!m_reader.isHeadDone() || m_head.contentLength.has_value() || m_reader.isDone() || Decisions::MemoryBudget::isSmall(held)) {
+        return held;
+    }
+    return std::max(held, m_owner.memory().budget().unknownBodyBytes(m_owner.limits().bodyBytes));
+}
+
+Decisions::RequestDemand CallerConnection::demand() const
+{
+    return {m_reader.headBytes() + bodyDemand(), m_headBytes.bytes() + m_requestBytes.bytes(), m_isBodyBegun};
+}
+
+void CallerConnection::reserveRequest()
+{
+    m_headBytes.set(m_reader.headBytes());
+    m_requestBytes.set(bodyDemand());
+    m_body.reserve(m_head.contentLength.value_or(0));
+    m_isBodyBegun = m_reader.isHeadDone();
+}
+
+// What the caller sends meanwhile stays in the kernel, which counts as well. A request that has been read whole goes on reading, to notice that its caller leaves.
+void CallerConnection::awaitMemory()
+{
+    m_headBytes.set(m_reader.headBytes());
+    m_requestBytes.set(waitingBodyBytes());
+    m_waitingSince = m_loop.now();
+    m_waitNumber = m_owner.bodies().wait(demand(), [this] { readOn(); });
+    m_channel->setReading(m_reader.isDone());
+    m_timer.startAt(m_owner.latestBodyStart(m_head));
+}
+
+void CallerConnection::readOn()
+{
+    m_waitNumber = 0;
+    reserveRequest();
+    m_channel->setReading(true);
+    if (m_reader.isDone()) {
+        answerRequest();
+        return;
+    }
+    m_timer.startAt(m_loop.now() + m_owner.limits().headerTimeout);
+}
+
+void CallerConnection::endWait()
+{
+    m_owner.bodies().withdraw(m_waitNumber);
+    m_waitNumber = 0;
+}
+
+void CallerConnection::releaseRequest()
+{
+    endWait();
+    m_isBodyBegun = false;
+    m_headBytes.set(0);
+    m_requestBytes.set(0);
+    m_owner.bodies().handleRoom();
 }
 
 void CallerConnection::refuseForMemory()
 {
-    m_owner.memory().reportRefusal(std::max<std::uint64_t>(m_head.contentLength.value_or(0), m_body.size()));
+    const auto waited = m_waitNumber != 0 ? m_loop.now() - m_waitingSince : Core::Clock::duration::zero();
+    m_owner.memory().reportRefusal(demand().bytes, std::chrono::duration_cast<std::chrono::milliseconds>(waited));
     refuse({503, "There is too little memory for the body of the request; it has not run.", memoryRetryDelay}, m_head);
 }
 
@@ -223,8 +331,10 @@
     m_state = State::Answering;
     m_isClosing = true;
     m_isHead = false;
-    m_body = std::string();
-    m_requestBytes.set(0);
+    Core::freeText(m_body);
+    m_reader.discard();
+    m_channel->setReading(true);
+    releaseRequest();
     respond(refusal.status, m_owner.refusalFields(refusal, head), refusal.message);
 }
 
@@ -338,7 +448,7 @@
     }
     m_isAnswerEnded = false;
     m_request.reset();
-    m_requestBytes.set(0);
+    releaseRequest();
     m_pendingBytes.set(0);
     if (m_state == State::Lingering) {
         m_owner.connectionEnded(this);
@@ -367,6 +477,10 @@
 // An answer that is ready is delivered as long as its caller reads.
 void CallerConnection::handleTimeout()
 {
+    if (m_waitNumber != 0) {
+        refuseForMemory();
+        return;
+    }
     if (m_state == State::Reading && m_reader.hasBegun()) {
         refuse({408, "The request did not come in time.", std::nullopt});
         return;
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bodyadmission.h"
 #include "memoryguard.h"
 #include "relayedrequest.h"
 
@@ -23,7 +24,7 @@
     virtual ~ConnectionOwner() = default;
 
     /// \brief Creates the handler of a complete request; its answer goes to \a sink.
-    virtual std::unique_ptr<RelayedRequest> beginRequest(Http::MessageHead head, std::string body, AnswerSink &sink) = 0;
+    virtual std::unique_ptr<RelayedRequest> beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink) = 0;
 
     /// \brief Returns the limits for this caller's requests.
     virtual Decisions::RelayLimits limits() const = 0;
@@ -37,6 +38,12 @@
     /// \brief Returns what counts the bytes that connections hold.
     virtual MemoryGuard &memory() = 0;
 
+    /// \brief Returns what lets requests wait for memory.
+    virtual BodyAdmission &bodies() = 0;
+
+    /// \brief Returns until when the request with \a head may wait to be read; not later than now if it will be refused.
+    virtual Core::TimePoint latestBodyStart(const Http::MessageHead &head) const = 0;
+
     /// \brief Destroys \a connection, which has ended.
     virtual void connectionEnded(CallerConnection *connection) = 0;
 };
@@ -60,9 +67,15 @@
     /// \brief Returns the number of bytes that the caller has not read.
     std::size_t unsentBytes() const;
 
+    /// \brief Returns the memory that is freed when the connection is cut off.
+    std::size_t heldBytes() const;
+
     /// \brief Returns when the caller last read something of its answers, or when the first unsent bytes were written.
     Core::TimePoint lastReadAt() const;
 
+    /// \brief Brings lastReadAt() up to date; to be called several times per second while memory is short.
+    void updateLastRead();
+
     /// \brief Resets the connection, so that the caller can tell that its answer is incomplete, and ends it.
     void cutOff();
 
@@ -97,8 +110,17 @@
     void answerRequest();
     void refuse(Http::MessageFault fault);
     void refuse(const Refusal &refusal, const Http::MessageHead &head = {});
-    bool reserveBody();
+    bool mayReadOn();
+    std::uint64_t bodyRoom() const;
+    std::uint64_t waitingBodyBytes() const;
+    std::uint64_t bodyDemand() const;
+    Decisions::RequestDemand demand() const;
+    void reserveRequest();
+    void awaitMemory();
+    void readOn();
+    void endWait();
     void refuseForMemory();
+    void releaseRequest();
     void send(std::string_view data);
     std::string headText(int status, const std::vector<Http::HttpField> &fields) const;
     void finishExchange();
@@ -107,7 +129,8 @@
 
     EventLoop::Loop &m_loop;
     ConnectionOwner &m_owner;
-    Decisions::HeldBytes m_requestBytes; ///< Of the request that is being read or answered.
+    Decisions::HeldBytes m_headBytes; ///< Of the head of the request that is being read or answered.
+    Decisions::HeldBytes m_requestBytes; ///< Of its body.
     Decisions::HeldBytes m_pendingBytes; ///< Of its answer.
     std::unique_ptr<Http::TcpChannel> m_channel;
     Http::MessageReader m_reader;
@@ -116,8 +139,12 @@
     State m_state = State::Reading;
     Http::MessageHead m_head;
     std::string m_body;
+    bool m_isBodyBegun = false; ///< Whether the request was let in after its head.
+    std::uint64_t m_waitNumber = 0; ///< Number of the wait for memory; 0 while the request does not wait.
+    Core::TimePoint m_waitingSince; ///< Begin of that wait.
     std::unique_ptr<RelayedRequest> m_request;
     Core::TimePoint m_lastReadAt;
+    std::optional<std::size_t> m_unacknowledgedBytes; ///< At the last updateLastRead().
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
     bool m_isAnswerEnded = false;
     bool m_isChunked = false;
--- a/src/libs/relay/memoryguard.cpp
+++ b/src/libs/relay/memoryguard.cpp
@@ -47,11 +47,12 @@
     return m_budget;
 }
 
-void MemoryGuard::reportRefusal(std::uint64_t bodyBytes)
+void MemoryGuard::reportRefusal(std::uint64_t bytes, std::chrono::milliseconds waited)
 {
     m_metrics.count("requests_refused_for_memory_total");
     Observe::log(bodyRefused,
-        {{"body_bytes", std::to_string(bodyBytes)},
+        {{"body_bytes", std::to_string(bytes)},
+            {"waited_ms", std::to_string(waited.count())},
             {"held_bytes", std::to_string(m_budget.held())},
             {"limit_bytes", std::to_string(m_budget.limit().value_or(0))}});
 }
@@ -85,6 +86,7 @@
     Observe::log(m_isReportedShort ? memoryShort : memoryEnough,
         {{"held_bytes", std::to_string(m_budget.held())},
             {"limit_bytes", std::to_string(m_budget.limit().value_or(0))},
+            {"request_heads", held(Decisions::HeldKind::RequestHeads)},
             {"request_bodies", held(Decisions::HeldKind::RequestBodies)},
             {"partial_answers", held(Decisions::HeldKind::PartialAnswers)},
             {"unsent_to_callers", held(Decisions::HeldKind::UnsentToCallers)},
@@ -95,10 +97,7 @@
 {
     std::vector<Decisions::UnreadCaller> unread;
     for (std::size_t index = 0; index < connections.size(); ++index) {
-        const std::size_t unsent = connections[index]->unsentBytes();
-        if (unsent > 0) {
-            unread.push_back({index, unsent, connections[index]->lastReadAt()});
-        }
+        unread.push_back({index, connections[index]->heldBytes(), connections[index]->lastReadAt()});
     }
     std::vector<CallerConnection *> cut;
     for (const Decisions::UnreadCaller &caller : m_budget.callersToCut(std::move(unread), now)) {
--- a/src/libs/relay/memoryguard.h
+++ b/src/libs/relay/memoryguard.h
@@ -3,6 +3,7 @@
 #include <decisions/relay/memorybudget.h>
 #include <http/bytemeter.h>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -27,13 +28,13 @@
 
     Decisions::MemoryBudget &budget();
 
-    /// \brief Reports that a request was refused because of its body of \a bodyBytes, or of so many at least.
-    void reportRefusal(std::uint64_t bodyBytes);
+    /// \brief Reports that a request was refused, after it had waited for the time \a waited, as it takes \a bytes, or so many at least.
+    void reportRefusal(std::uint64_t bytes, std::chrono::milliseconds waited);
 
     /// \brief Reports what is held and whether that has become short or no longer is. Returns whether callers may have to be cut off.
     bool check();
 
-    /// \brief Chooses which of \a connections are cut off at \a now and reports them; the owner has to cut them off.
+    /// \brief Chooses which of \a connections, none of which has read all of its answer, are cut off at \a now and reports them; the owner has to cut them off.
     std::vector<CallerConnection *> connectionsToCut(const std::vector<CallerConnection *> &connections, Core::TimePoint now);
 
 private:
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -54,7 +54,7 @@
 } // namespace
 
 RelayedRequest::RelayedRequest(
-    const RelayContext &context, std::shared_ptr<const Decisions::RelayDirectory> directory, Http::MessageHead head, std::string body, AnswerSink &sink)
+    const RelayContext &context, std::shared_ptr<const Decisions::RelayDirectory> directory, Http::MessageHead head, Http::SharedBody body, AnswerSink &sink)
     : m_context(context)
     , m_directory(std::move(directory))
     , m_head(std::move(head))
@@ -68,7 +68,7 @@
     , m_usage(context.usage)
     , m_crashes(context.crashes,
           [this] {
-              return Decisions::crashSubjects({organisationName(), m_head.method, m_query.host, m_query.path, m_body}, prompt());
+              return Decisions::crashSubjects({organisationName(), m_head.method, m_query.host, m_query.path, this->body()}, prompt());
           })
     , m_origin(context.origins)
 {
@@ -90,6 +90,11 @@
     }
 }
 
+std::string_view RelayedRequest::body() const
+{
+    return m_body == nullptr ? std::string_view() : std::string_view(*m_body);
+}
+
 void RelayedRequest::start()
 {
     if (!admit()) {
@@ -391,14 +396,14 @@
         return endpoint.error();
     }
     m_isConnectionKept = m_context.connections != nullptr && Decisions::mayKeepConnection(connectionUse());
-    const std::string text = callText(m_context.protocol, m_head, m_body, callContext(choice));
+    const Http::OutgoingMessage message = callMessage(m_context.protocol, m_head, m_body, callContext(choice));
     if (m_isConnectionKept) {
-        if (auto call = m_context.connections->reuse(serverOf(choice), connectionUse(), text, *this)) {
+        if (auto call = m_context.connections->reuse(serverOf(choice), connectionUse(), message, *this)) {
             return call;
         }
     }
     m_context.metrics.count("server_connections_opened_total");
-    return BackendCall::create(m_context.loop, endpoint.value(), text, m_head.method == "HEAD", m_context.loop.now() + connectTimeout, *this);
+    return BackendCall::create(m_context.loop, endpoint.value(), message, m_head.method == "HEAD", m_context.loop.now() + connectTimeout, *this);
 }
 
 Decisions::KeptConnectionUse RelayedRequest::connectionUse()
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -64,7 +64,7 @@
 public:
     /// \brief \a directory is the configuration that applies to the request; null if there is none yet.
     RelayedRequest(
-        const RelayContext &context, std::shared_ptr<const Decisions::RelayDirectory> directory, Http::MessageHead head, std::string body, AnswerSink &sink);
+        const RelayContext &context, std::shared_ptr<const Decisions::RelayDirectory> directory, Http::MessageHead head, Http::SharedBody body, AnswerSink &sink);
     ~RelayedRequest() override;
 
     RelayedRequest(const RelayedRequest &) = delete;
@@ -90,6 +90,7 @@
     void findOrigin();
     void handleOrigin(const std::optional<Decisions::StreamOrigin> &origin);
     Decisions::StreamKey streamKey() const;
+    std::string_view body() const;
     std::chrono::milliseconds longestStream() const;
     void beginStream();
     void claimUsageOrBegin();
@@ -150,7 +151,7 @@
     const RelayContext &m_context;
     std::shared_ptr<const Decisions::RelayDirectory> m_directory;
     Http::MessageHead m_head;
-    std::string m_body;
+    Http::SharedBody m_body; ///< Kept until the end, since the request may be sent again.
     AnswerSink &m_sink;
     Core::TimePoint m_arrival;
     Core::TimePoint m_deadline; ///< Deadline of the final answer.
--- a/src/libs/relay/relayprotocol.h
+++ b/src/libs/relay/relayprotocol.h
@@ -5,6 +5,7 @@
 #include <decisions/relay/promptoutline.h>
 #include <decisions/relay/serverload.h>
 #include <http/messagereader.h>
+#include <http/outgoingmessage.h>
 
 #include <chrono>
 #include <cstdint>
@@ -88,7 +89,7 @@
     virtual std::vector<Http::HttpField> refusalFields(const Refusal &refusal, const std::string &attemptId) const = 0;
 };
 
-/// \brief Returns the whole call to a backend server in \a protocol: the forwarded fields of \a head, \a context and \a body.
-std::string callText(const RelayProtocol &protocol, const Http::MessageHead &head, const std::string &body, const CallContext &context);
+/// \brief Returns the call to a backend server in \a protocol: the forwarded fields of \a head, \a context and \a body.
+Http::OutgoingMessage callMessage(const RelayProtocol &protocol, const Http::MessageHead &head, Http::SharedBody body, const CallContext &context);
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -1,6 +1,7 @@
 #include "relaytask.h"
 
 #include "relayevents.h"
+#include "requestadmission.h"
 
 #include <decisions/relay/registerpollinterval.h>
 #include <eventloop/loop.h>
@@ -53,6 +54,7 @@
     , m_activeRouters(settings.routerCount)
     , m_random(settings.seed)
     , m_memory(settings.memoryBytes, m_metrics)
+    , m_bodies(loop, m_memory.budget(), m_metrics)
     , m_intake(settings.descriptors, settings.seed, loop.now(), m_metrics)
     , m_context{m_loop, m_protocol, m_fleet, m_budget, m_shedder, m_resendQueue, m_random, m_metrics, settings.configurationTime}
     , m_stallDetector(loop.now())
@@ -127,6 +129,7 @@
     const Core::TimePoint now = m_loop.now();
     recordActivity();
     relieveMemory();
+    m_bodies.handleRoom();
     m_intake.record(m_activityDue, now, m_memory.budget().isShort());
     m_activityDue = now + activityInterval;
     m_activityTimer.startAt(m_activityDue);
@@ -137,15 +140,37 @@
     return m_memory;
 }
 
+BodyAdmission &RelayTask::bodies()
+{
+    return m_bodies;
+}
+
+Core::TimePoint RelayTask::latestBodyStart(const Http::MessageHead &head) const
+{
+    const Core::TimePoint now = m_loop.now();
+    const RequestAdmission admission = admitRequest(m_protocol, m_directory.get(), head, now);
+    if (admission.refusal.has_value()) {
+        return now;
+    }
+    const Core::TimePoint routeDeadline = now + admission.route->timeout;
+    return Decisions::latestBodyStart(now, std::min(admission.query.deadline.value_or(routeDeadline), routeDeadline), admission.route->isRepeatable());
+}
+
 void RelayTask::relieveMemory()
 {
-    if (!m_memory.check()) {
+    const bool isExceeded = m_memory.check();
+    if (!m_memory.budget().isShort()) {
         return;
     }
     std::vector<CallerConnection *> connections;
-    connections.reserve(m_connections.size());
     for (const auto &[connection, owned] : m_connections) {
-        connections.push_back(connection);
+        if (connection->unsentBytes() > 0) {
+            connection->updateLastRead();
+            connections.push_back(connection);
+        }
+    }
+    if (!isExceeded) {
+        return;
     }
     for (CallerConnection *connection : m_memory.connectionsToCut(connections, m_loop.now())) {
         connection->cutOff();
@@ -286,7 +311,7 @@
     m_connections.erase(connection);
 }
 
-std::unique_ptr<RelayedRequest> RelayTask::beginRequest(Http::MessageHead head, std::string body, AnswerSink &sink)
+std::unique_ptr<RelayedRequest> RelayTask::beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink)
 {
     recordActivity();
     const bool isAccepting = m_listener != nullptr;
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -126,11 +126,13 @@
 
 private:
     RelayTask(EventLoop::Loop &loop, const RelaySettings &settings, const RelayProtocol &protocol);
-    std::unique_ptr<RelayedRequest> beginRequest(Http::MessageHead head, std::string body, AnswerSink &sink) override;
+    std::unique_ptr<RelayedRequest> beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink) override;
     Decisions::RelayLimits limits() const override;
     bool isDraining() const override;
     std::vector<Http::HttpField> refusalFields(const Refusal &refusal, const Http::MessageHead &head) const override;
     MemoryGuard &memory() override;
+    BodyAdmission &bodies() override;
+    Core::TimePoint latestBodyStart(const Http::MessageHead &head) const override;
     void connectionEnded(CallerConnection *connection) override;
     void handleNewWeights();
     void recordActivity();
@@ -153,6 +155,7 @@
     Decisions::RandomSource m_random;
     Observe::Metrics m_metrics;
     MemoryGuard m_memory;
+    BodyAdmission m_bodies;
     IntakeMonitor m_intake;
     std::unique_ptr<ServerConnections> m_serverConnections; ///< Null if each call opens a connection of its own.
     RelayContext m_context;
--- a/src/libs/relay/serverconnections.cpp
+++ b/src/libs/relay/serverconnections.cpp
@@ -86,7 +86,7 @@
 ServerConnections::~ServerConnections() = default;
 
 std::unique_ptr<BackendCall> ServerConnections::reuse(
-    const ServerInstance &server, const Decisions::KeptConnectionUse &use, std::string_view request, CallObserver &observer)
+    const ServerInstance &server, const Decisions::KeptConnectionUse &use, const Http::OutgoingMessage &request, CallObserver &observer)
 {
     dropChanged();
     const Core::TimePoint now = m_loop.now();
--- a/src/libs/relay/serverconnections.h
+++ b/src/libs/relay/serverconnections.h
@@ -47,7 +47,7 @@
     ///
     /// If this returns null, the server has received nothing of the request.
     std::unique_ptr<BackendCall> reuse(
-        const Decisions::ServerInstance &server, const Decisions::KeptConnectionUse &use, std::string_view request, CallObserver &observer);
+        const Decisions::ServerInstance &server, const Decisions::KeptConnectionUse &use, const Http::OutgoingMessage &request, CallObserver &observer);
 
     /// \brief Keeps the connection of \a call to \a server, whose whole answer has arrived, if it may serve another call. Ends the use of \a call.
     void keep(const Decisions::ServerInstance &server, BackendCall &call);
--- /dev/null
+++ b/tests/auto/platform/tst_hostlimits.cpp
@@ -0,0 +1,194 @@
+#include <platform/platformdeployment.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Verbena::Test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr HostLimits hostLimits{64, 4100};
+constexpr std::int64_t bytesPerMegabyte = 1'000'000;
+
+// What a router holds at rest, at most; the processes of sanitized builds hold more, so that tests look at what is added to it.
+constexpr std::int64_t restBytes = 30 * bytesPerMegabyte;
+constexpr std::int64_t hostBytes = std::int64_t(hostLimits.memoryMegabytes) * bytesPerMegabyte;
+
+constexpr std::size_t serverHost = 210;
+constexpr std::uint64_t newConfiguration = 9;
+
+class HostLimitsTest : public testing::Test
+{
+protected:
+    HostLimitsTest()
+        : m_deployment(1)
+        , m_server(
+              m_deployment.loop(),
+              [](const Http::MessageHead &head, const std::string &) { return answer(head); },
+              m_deployment.hostNumber(serverHost) + ":0")
+    {
+        nlohmann::json configuration = PlatformDeployment::configuration(newConfiguration);
+        nlohmann::json route = configuration["routes"][0];
+        route["name"] = "load";
+        route["prefix"] = "/load/";
+        route["kind"] = "non_idempotent";
+        route["service"] = "loader";
+        configuration["routes"].push_back(route);
+        configuration["services"].push_back({{"name", "loader"}});
+        configuration["limits"]["maxBodyBytes"] = 4'194'304;
+        m_deployment.store().put("op", "config", configuration);
+        m_deployment.store().put("servers",
+            "i-2",
+            {{"service", "loader"}, {"address", m_server.address()}, {"zone", "hall"}, {"slots", 96}, {"phase", "ready"}, {"sequence", 1}});
+        m_deployment.setHostLimits(hostLimits);
+        m_deployment.restartRouter();
+        EXPECT_TRUE(m_deployment.runUntil([this] { return isServed(); }));
+        m_heldAtRest = heldBytes();
+    }
+
+    static WorkerScript answer(const Http::MessageHead &head)
+    {
+        if (head.target == "/load/unanswered") {
+            return {};
+        }
+        const std::string *id = head.field("Verbenaladder-Attempt-Id");
+        return {"HTTP/1.1 200 OK\r\nVerbenaladder-Attempt-Id: " + (id == nullptr ? "" : *id)
+            + "\r\nVerbenaladder-Server-Stamp: stamp\r\nContent-Length: 2\r\n\r\nok"};
+    }
+
+    // Returns the head of a request of which \a fields state how its body is framed.
+    static std::string headOf(std::size_t number, const std::string &fields)
+    {
+        return "POST /load/a HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: l" + std::to_string(number)
+            + "\r\nVerbenaladder-Deadline-Ms: 15000\r\nAuthorization: Token secret\r\nConnection: close\r\n" + fields;
+    }
+
+    // Returns whether a small request is served.
+    bool isServed()
+    {
+        CallerFake caller(m_deployment.loop(), m_deployment.callersEndpoint());
+        caller.send(headOf(++m_asked, "Content-Length: 2\r\n\r\nhi"));
+        EXPECT_TRUE(m_deployment.runUntil([&caller] { return caller.isClosed(); }));
+        return caller.received().starts_with("HTTP/1.1 200");
+    }
+
+    // Returns the anonymous memory of the router.
+    std::int64_t heldBytes()
+    {
+        std::ifstream status("/proc/" + std::to_string(m_deployment.router().pid()) + "/status");
+        std::string word;
+        while (status >> word) {
+            std::int64_t kibibytes = 0;
+            if (word == "RssAnon:" && status >> kibibytes) {
+                return kibibytes * 1024;
+            }
+        }
+        return 0;
+    }
+
+    CallerFake &addCaller()
+    {
+        m_callers.push_back(std::make_unique<CallerFake>(m_deployment.loop(), m_deployment.callersEndpoint()));
+        return *m_callers.back();
+    }
+
+    // Runs until \a isDone; returns the most that the router has held meanwhile beyond what it held at rest.
+    std::int64_t mostAddedUntil(const std::function<bool()> &isDone)
+    {
+        std::int64_t most = 0;
+        EXPECT_TRUE(m_deployment.runUntil([&] {
+            most = std::max(most, heldBytes() - m_heldAtRest);
+            return isDone();
+        }));
+        return most;
+    }
+
+    bool areAllClosed() const
+    {
+        return std::all_of(m_callers.begin(), m_callers.end(), [](const auto &caller) { return caller->isClosed(); });
+    }
+
+    std::size_t countAnswers(const std::string &begin) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_callers.begin(), m_callers.end(), [&begin](const auto &caller) { return caller->received().starts_with(begin); }));
+    }
+
+    PlatformDeployment m_deployment;
+    WorkerFake m_server;
+    std::vector<std::unique_ptr<CallerFake>> m_callers;
+    std::int64_t m_heldAtRest = 0;
+    std::size_t m_asked = 100'000; ///< Number of the last small request, in its id.
+};
+
+constexpr std::size_t uploads = 32;
+constexpr std::size_t bodyBytes = 4'000'000;
+
+// A router read all bodies at once, held each of them twice, and was killed for its memory with all that ran on it.
+TEST_F(HostLimitsTest, isNotOutgrownByManyLargeBodies)
+{
+    const std::string body(bodyBytes, 'b');
+    for (std::size_t number = 0; number < uploads; ++number) {
+        addCaller().send(headOf(number, "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n") + body);
+    }
+    EXPECT_LT(mostAddedUntil([this] { return areAllClosed(); }), hostBytes - restBytes);
+    EXPECT_EQ(countAnswers("HTTP/1.1 200") + countAnswers("HTTP/1.1 503"), uploads);
+    EXPECT_GE(countAnswers("HTTP/1.1 200"), uploads / 2);
+}
+
+// The same, where no length says beforehand how much will come.
+TEST_F(HostLimitsTest, isNotOutgrownByManyLargeBodiesInChunks)
+{
+    constexpr std::size_t chunkBytes = 50'000;
+    std::string body;
+    for (std::size_t sent = 0; sent < bodyBytes; sent += chunkBytes) {
+        body += "c350\r\n" + std::string(chunkBytes, 'b') + "\r\n";
+    }
+    for (std::size_t number = 0; number < uploads; ++number) {
+        addCaller().send(headOf(number, "Transfer-Encoding: chunked\r\n\r\n") + body + "0\r\n\r\n");
+    }
+    EXPECT_LT(mostAddedUntil([this] { return areAllClosed(); }), hostBytes - restBytes);
+    EXPECT_EQ(countAnswers("HTTP/1.1 200") + countAnswers("HTTP/1.1 503"), uploads);
+    EXPECT_GE(countAnswers("HTTP/1.1 200"), uploads / 4);
+}
+
+// Heads of many short fields within the limit took some thirteen times their size, and nothing counted them.
+TEST_F(HostLimitsTest, isNotOutgrownByManyLongHeads)
+{
+    constexpr std::size_t heads = 500;
+    constexpr std::size_t headBytes = 16'000;
+    std::string fields;
+    while (fields.size() < headBytes) {
+        fields += "a:b\r\n";
+    }
+    for (std::size_t number = 0; number < heads; ++number) {
+        addCaller().send("POST /load/a HTTP/1.1\r\nHost: x.example\r\n" + fields);
+    }
+    const Core::TimePoint end = m_deployment.loop().now() + 2s;
+    EXPECT_LT(mostAddedUntil([this, end] { return m_deployment.loop().now() >= end; }), hostBytes - restBytes);
+    EXPECT_TRUE(isServed());
+}
+
+// What callers sent behind their requests was kept until the answers.
+TEST_F(HostLimitsTest, isNotOutgrownByWhatFollowsRequests)
+{
+    constexpr std::size_t requests = 600;
+    const std::string rest(63'000, 'x');
+    for (std::size_t number = 0; number < requests; ++number) {
+        addCaller().send("POST /load/unanswered HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: u" + std::to_string(number)
+            + "\r\nAuthorization: Token secret\r\nContent-Length: 0\r\n\r\n" + rest);
+    }
+    EXPECT_LT(mostAddedUntil([this] { return m_server.openCount() >= requests; }), hostBytes - restBytes);
+}
+
+} // namespace
+
+} // namespace Verbena::Test
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -73,6 +74,13 @@
     WorkerFake m_worker;
 };
 
+/// \brief What the settings of a router's process let it use.
+struct HostLimits
+{
+    std::uint64_t memoryMegabytes = 0;
+    std::uint64_t descriptors = 0;
+};
+
 /// \brief Real router and agent processes on loopback addresses, with fakes of the platform on the test's own event loop.
 ///
 /// Each host has its own loopback address, so that all hosts use the same ports, as on the platform.
@@ -96,6 +104,9 @@
     ChildProcess &router(std::size_t index = 0);
     ChildProcess &agent();
 
+    /// \brief Names \a limits in the settings of routers that are started from now on.
+    void setHostLimits(const HostLimits &limits);
+
     /// \brief Kills a router and restarts it.
     void restartRouter(std::size_t index = 0);
 
@@ -137,6 +148,7 @@
 
     TemporaryFolder m_folder;
     std::chrono::milliseconds m_longestWeightsUse;
+    std::string m_limits; ///< Section of the routers' settings; empty if they name no limits.
     std::unique_ptr<EventLoop::Loop> m_loop;
     StoreStandin m_store;
     EngineFake m_engine;
