Do not let a router that has just started guess where an unnamed stream began

Callers saw (as reported): after all routers had been killed during a release, or just after the old servers had left, streams that were taken up again ran to their end on another software version than they had begun on, with nothing to show it (ORDER).

Cause: for a caller that names no attempt, the router took the only version that it had seen, however short it had been running. One that has just started has seen nothing of what left before, and no process was left that had. The age of its copy of the register was not asked either, as it is for named attempts.

Change: the store keeps which versions services had lately: a row for each version with resumable streams, from its first server until its streams cannot be resumed any more, written by a few of all routers. A router reads them once, after the register; a recorded version that is not registered counts as just gone. Until then, and while the register's copy is too old, callers that name no attempt are refused (503, not run). A router that has read that there was one version only lets them go on at once.

SoftwareVersionsTest.knowsTheOnlyVersionThatItHasSeen asserted the guess; the tests in its place ask for as much after the record was read, and for no guess before. CrashRowWriter is RowWriter, since it now writes two tables; its event names the table.

The requests of ResumedStreamsTest no longer have one body: with engines that break off all streams and leave the register, one body for all looks like a request that crashes servers.

--- a/src/libs/decisions/relay/relaydirectory.cpp
+++ b/src/libs/decisions/relay/relaydirectory.cpp
@@ -18,11 +18,20 @@
 
 } // namespace
 
+// A caller may resume a stream for as long as it would wait for a whole one.
+std::chrono::milliseconds longestStream(const RelayRoute &route)
+{
+    return 2 * route.timeout;
+}
+
 RelayDirectory::RelayDirectory(RelayConfiguration configuration)
     : m_configuration(std::move(configuration))
 {
     for (const RelayRoute &route : m_configuration.routes) {
         m_routes[lowerCase(route.host)][route.prefix] = &route;
+        if (route.kind == RequestKind::Streaming && route.isResumable) {
+            addResumable(route);
+        }
     }
     for (const RelayOrganisation &organisation : m_configuration.organisations) {
         m_hasUsageCaps = m_hasUsageCaps || organisation.usageCap.has_value();
@@ -37,6 +46,24 @@
     }
 }
 
+void RelayDirectory::addResumable(const RelayRoute &route)
+{
+    m_longestStream = std::max(m_longestStream, Decisions::longestStream(route));
+    for (const ServiceShare &share : route.services) {
+        m_resumableServices.insert(share.service);
+    }
+}
+
+bool RelayDirectory::hasResumableStreams(const std::string &service) const
+{
+    return m_resumableServices.contains(service);
+}
+
+std::chrono::milliseconds RelayDirectory::longestStream() const
+{
+    return m_longestStream;
+}
+
 std::uint64_t RelayDirectory::version() const
 {
     return m_configuration.version;
--- a/src/libs/decisions/relay/relaydirectory.h
+++ b/src/libs/decisions/relay/relaydirectory.h
@@ -2,6 +2,8 @@
 
 #include "relayconfiguration.h"
 
+#include <chrono>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -9,6 +11,9 @@
 
 namespace Verbena::Decisions {
 
+/// \brief Returns the longest time for which a stream of \a route may be resumed after it began.
+std::chrono::milliseconds longestStream(const RelayRoute &route);
+
 /// \brief One version of the configuration, immutable and indexed for lookups.
 class RelayDirectory
 {
@@ -33,6 +38,12 @@
     /// \brief Returns whether any organisation has a usage cap, so that organisations compete for a capacity that does not suffice for all.
     bool hasUsageCaps() const;
 
+    /// \brief Returns whether a route with streams that may be resumed leads to \a service.
+    bool hasResumableStreams(const std::string &service) const;
+
+    /// \brief Returns the longest time for which a stream of any route may be resumed after it began; 0 if none may.
+    std::chrono::milliseconds longestStream() const;
+
     /// \brief Returns the service of \a route for a request with \a randomValue, uniformly distributed over all numbers.
     static const std::string &service(const RelayRoute &route, std::uint64_t randomValue);
 
@@ -54,10 +65,14 @@
     template<typename Value>
     using TextMap = std::unordered_map<std::string, Value, TextHash, std::equal_to<>>;
 
+    void addResumable(const RelayRoute &route);
+
     RelayConfiguration m_configuration;
     TextMap<TextMap<const RelayRoute *>> m_routes; ///< Routes by host, then by prefix.
     TextMap<const RelayOrganisation *> m_organisations; ///< Organisations by key.
     std::vector<const RelayService *> m_cacheStores;
+    std::set<std::string> m_resumableServices; ///< Services with streams that may be resumed.
+    std::chrono::milliseconds m_longestStream{0};
     bool m_hasUsageCaps = false;
 };
 
--- a/src/libs/decisions/relay/softwareversions.cpp
+++ b/src/libs/decisions/relay/softwareversions.cpp
@@ -4,13 +4,20 @@
 
 namespace Verbena::Decisions {
 
+namespace {
+
+// Longer than any stream lasts.
+constexpr std::chrono::hours learntTime{24};
+
+} // namespace
+
 void SoftwareVersions::update(const ServerRegister &servers, Core::TimePoint now)
 {
     if (m_revision != servers.revision()) {
         collect(servers);
     }
     for (const auto &[name, versions] : m_registered) {
-        Service &service = m_services.try_emplace(name, Service{now, {}}).first->second;
+        Service &service = m_services.try_emplace(name, Service{m_knownSince.value_or(now), {}}).first->second;
         for (const std::string &version : versions) {
             service.lastSeen[version] = now;
         }
@@ -34,23 +41,34 @@
     }
     const std::string &version = *registered->second.begin();
     const Service &known = m_services.at(service);
-    Core::TimePoint since = known.firstSeen;
+    Core::TimePoint since = known.knownSince;
     for (const auto &[other, lastSeen] : known.lastSeen) {
         since = other == version ? since : std::max(since, lastSeen);
     }
     return SoleSoftware{version, std::chrono::duration_cast<std::chrono::milliseconds>(now - since)};
 }
 
-std::optional<std::string> SoftwareVersions::onlySeen(const std::string &service, std::chrono::milliseconds span, Core::TimePoint now) const
+void SoftwareVersions::learn(const std::set<ServiceSoftware> &recorded, Core::TimePoint now)
 {
-    const std::optional<SoleSoftware> only = sole(service, now);
-    if (!only.has_value()) {
-        return std::nullopt;
+    m_knownSince = now - learntTime;
+    for (auto &[name, service] : m_services) {
+        service.knownSince = std::min(service.knownSince, *m_knownSince);
     }
-    const Service &known = m_services.at(service);
-    const bool isOtherSeen
-        = std::any_of(known.lastSeen.begin(), known.lastSeen.end(), [&](const auto &seen) { return seen.first != only->version && now < seen.second + span; });
-    return isOtherSeen ? std::nullopt : std::optional(only->version);
+    for (const ServiceSoftware &software : recorded) {
+        Service &service = m_services.try_emplace(software.service, Service{*m_knownSince, {}}).first->second;
+        service.lastSeen[software.version] = now;
+    }
+}
+
+std::set<ServiceSoftware> SoftwareVersions::registered() const
+{
+    std::set<ServiceSoftware> all;
+    for (const auto &[service, versions] : m_registered) {
+        for (const std::string &version : versions) {
+            all.insert({service, version});
+        }
+    }
+    return all;
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/relay/crashguard.h
+++ b/src/libs/relay/crashguard.h
@@ -2,10 +2,10 @@
 
 #include "crashcontrol.h"
 #include "crashgossip.h"
-#include "crashrowwriter.h"
 #include "feedreporter.h"
 #include "lostcallchecker.h"
 #include "relaytask.h"
+#include "rowwriter.h"
 #include "tableagemonitor.h"
 #include "tablegossip.h"
 
@@ -91,7 +91,7 @@
     Store::RowStore &m_store;
     RelayTask &m_relay;
     Decisions::CrashHistory m_history;
-    CrashRowWriter m_writer;
+    RowWriter m_writer;
     LostCallChecker m_lostCalls;
     std::unique_ptr<CrashGossip> m_gossip;
     std::map<Decisions::CrashSubject, PendingTrial> m_pendingTrials;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -117,10 +117,9 @@
     return {organisationName(), m_query.lastEventId.empty() ? m_query.attemptId : m_query.resumedAttemptId};
 }
 
-// A caller may resume a stream for as long as it would wait for a whole one.
 milliseconds RelayedRequest::longestStream() const
 {
-    return 2 * m_route->timeout;
+    return Decisions::longestStream(*m_route);
 }
 
 void RelayedRequest::findOrigin()
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -41,7 +41,7 @@
 inline constexpr Event trialDecided{2124, Severity::Warning, "trial_decided", "A suspected request asked to run once, as the only one of its kind."};
 inline constexpr Event requestBarred{
     2125, Severity::Warning, "request_barred", "A request was turned away, or not sent again, as backend servers ended under it."};
-inline constexpr Event crashRowsUnwritten{2126, Severity::Warning, "crash_rows_unwritten", "The store did not take rows of crashes; they are sent again."};
+inline constexpr Event rowsUnwritten{2126, Severity::Warning, "rows_unwritten", "The store did not take rows of one of the router's own tables; they are sent again."};
 inline constexpr Event crashRowRefused{2127, Severity::Warning, "crash_row_refused", "A row of the table of crashes could not be read."};
 
 inline constexpr Event answerFromThePast{
@@ -59,6 +59,10 @@
 inline constexpr Event partSuspected{2136, Severity::Warning, "part_suspected", "Backend servers ended before they had begun to answer a part of a prompt."};
 inline constexpr Event serverLeaving{2137, Severity::Info, "server_leaving", "A backend server has said in an answer that it leaves."};
 inline constexpr Event restAsked{2138, Severity::Warning, "rest_asked", "A backend server has refused a request and wants none for a while."};
+inline constexpr Event softwareRead{2139, Severity::Info, "software_read", "The software versions that services had before this router started are known."};
+inline constexpr Event softwareUnread{
+    2140, Severity::Warning, "software_unread", "The store did not tell which software versions services had; it is asked again."};
+inline constexpr Event softwareRowRefused{2141, Severity::Warning, "software_row_refused", "A row of the table of software versions could not be read."};
 inline constexpr Event memoryShort{2150, Severity::Warning, "memory_short", "Bytes held for callers and backend servers leave little memory."};
 inline constexpr Event memoryEnough{2151, Severity::Info, "memory_enough", "Bytes held for callers and backend servers leave enough memory again."};
 inline constexpr Event bodyRefused{2152, Severity::Warning, "body_refused", "A request was refused since there is too little memory for its body."};
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -253,6 +253,16 @@
     return Decisions::registerPollInterval(isElected() ? 2 * Decisions::electedRouterCount : m_routerCount);
 }
 
+bool RelayTask::hasResumableStreams(const std::string &service) const
+{
+    return m_directory != nullptr && m_directory->hasResumableStreams(service);
+}
+
+std::chrono::milliseconds RelayTask::longestStream() const
+{
+    return m_directory == nullptr ? std::chrono::milliseconds(0) : m_directory->longestStream();
+}
+
 std::string RelayTask::healthPath(const std::string &service) const
 {
     return m_directory == nullptr ? "" : m_directory->healthPath(service);
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -97,6 +97,12 @@
     /// \brief Returns the interval at which this router polls the register for changes.
     std::chrono::milliseconds registerPause() const;
 
+    /// \brief Returns whether a route with streams that may be resumed leads to \a service.
+    bool hasResumableStreams(const std::string &service) const;
+
+    /// \brief Returns the longest time for which a stream of any route may be resumed after it began; 0 if there is no configuration.
+    std::chrono::milliseconds longestStream() const;
+
     /// \brief Returns the path of the health check of \a service; empty if it is not known.
     std::string healthPath(const std::string &service) const;
 
--- a/src/libs/relay/crashrowwriter.cpp
+++ b/src/libs/relay/rowwriter.cpp
@@ -1,4 +1,4 @@
-#include "crashrowwriter.h"
+#include "rowwriter.h"
 
 #include "relayevents.h"
 
@@ -23,12 +23,12 @@
 constexpr milliseconds commitTimeout{700};
 constexpr milliseconds retryDelay{300};
 
-// Reached only if the store is unavailable during many crashes; from then on a new row displaces a pending one, as the newest are the most useful.
+// Reached only if the store is unavailable during many changes; from then on a new row displaces a pending one, as the newest are the most useful.
 constexpr std::size_t maximumPendingRows = 4096;
 
 } // namespace
 
-CrashRowWriter::CrashRowWriter(EventLoop::Loop &loop, Store::RowStore &store, std::string table)
+RowWriter::RowWriter(EventLoop::Loop &loop, Store::RowStore &store, std::string table)
     : m_loop(loop)
     , m_store(store)
     , m_table(std::move(table))
@@ -36,7 +36,7 @@
 {
 }
 
-void CrashRowWriter::write(const std::string &key, const std::string &value, Core::TimePoint due)
+void RowWriter::write(const std::string &key, const std::string &value, Core::TimePoint due)
 {
     if (m_pendingRows.size() >= maximumPendingRows && !m_pendingRows.contains(key)) {
         m_pendingRows.erase(m_pendingRows.begin());
@@ -47,7 +47,7 @@
     schedule();
 }
 
-void CrashRowWriter::remove(const std::string &key, Core::TimePoint due)
+void RowWriter::remove(const std::string &key, Core::TimePoint due)
 {
     const auto pending = m_pendingRows.find(key);
     if (pending != m_pendingRows.end() && pending->second.value.has_value() && !pending->second.isSent) {
@@ -58,12 +58,12 @@
     schedule();
 }
 
-bool CrashRowWriter::isUnconfirmed() const
+bool RowWriter::isUnconfirmed() const
 {
     return m_isSending || m_isFailing;
 }
 
-void CrashRowWriter::schedule()
+void RowWriter::schedule()
 {
     if (m_isSending || m_pendingRows.empty()) {
         return;
@@ -75,7 +75,7 @@
     m_timer.startAt(std::max(m_nextAttempt, first + batchDelay));
 }
 
-void CrashRowWriter::send()
+void RowWriter::send()
 {
     const Core::TimePoint now = m_loop.now();
     std::map<std::string, std::optional<std::string>> sent;
@@ -98,7 +98,7 @@
     m_store.commit(m_table, writes, now + commitTimeout, m_lifetime.guard(handleAnswer));
 }
 
-void CrashRowWriter::handleCommitAnswer(const std::map<std::string, std::optional<std::string>> &sent, const Store::CommitAnswer &answer)
+void RowWriter::handleCommitAnswer(const std::map<std::string, std::optional<std::string>> &sent, const Store::CommitAnswer &answer)
 {
     m_isSending = false;
     m_isFailing = answer.outcome != Store::CommitOutcome::Committed;
@@ -109,7 +109,7 @@
         });
     } else {
         m_nextAttempt = m_loop.now() + retryDelay;
-        Observe::log(crashRowsUnwritten, {{"rows", std::to_string(m_pendingRows.size())}, {"detail", answer.detail}});
+        Observe::log(rowsUnwritten, {{"table", m_table}, {"rows", std::to_string(m_pendingRows.size())}, {"detail", answer.detail}});
     }
     schedule();
 }
--- a/src/libs/relay/crashrowwriter.h
+++ b/src/libs/relay/rowwriter.h
@@ -11,13 +11,13 @@
 namespace Verbena::Relay {
 
 /// \brief Writes rows in any order and retries until the store has committed them.
-class CrashRowWriter
+class RowWriter
 {
 public:
-    CrashRowWriter(EventLoop::Loop &loop, Store::RowStore &store, std::string table);
+    RowWriter(EventLoop::Loop &loop, Store::RowStore &store, std::string table);
 
-    CrashRowWriter(const CrashRowWriter &) = delete;
-    CrashRowWriter &operator=(const CrashRowWriter &) = delete;
+    RowWriter(const RowWriter &) = delete;
+    RowWriter &operator=(const RowWriter &) = delete;
 
     /// \brief Writes \a value into the row \a key at about \a due; a later call for the same key replaces the value.
     void write(const std::string &key, const std::string &value, Core::TimePoint due);
--- a/src/libs/relay/streamoriginexchange.cpp
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -41,14 +41,19 @@
 
 } // namespace
 
-Core::Result<std::unique_ptr<StreamOriginExchange>> StreamOriginExchange::create(
-    EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge)
+Core::Result<std::unique_ptr<StreamOriginExchange>> StreamOriginExchange::create(EventLoop::Loop &loop,
+    const Http::Endpoint &address,
+    RelayTask &relay,
+    Store::RowSource &source,
+    Store::RowStore &store,
+    std::uint64_t seed,
+    RegisterAge registerAge)
 {
     auto replica = StreamOriginReplica::create(loop, address.address);
     if (!replica) {
         return replica.error();
     }
-    std::unique_ptr<StreamOriginExchange> exchange(new StreamOriginExchange(loop, address, relay, std::move(registerAge)));
+    std::unique_ptr<StreamOriginExchange> exchange(new StreamOriginExchange(loop, address, relay, source, store, seed, std::move(registerAge)));
     exchange->m_ownReplica = std::move(replica.value());
     exchange->m_ownReplica->setSoleSoftwareSource([raw = exchange.get()](const std::string &service) { return raw->soleSoftware(service); });
     exchange->m_ownReplica->setAnswerReceiver(
@@ -57,11 +62,18 @@
     return exchange;
 }
 
-StreamOriginExchange::StreamOriginExchange(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge)
+StreamOriginExchange::StreamOriginExchange(EventLoop::Loop &loop,
+    const Http::Endpoint &address,
+    RelayTask &relay,
+    Store::RowSource &source,
+    Store::RowStore &store,
+    std::uint64_t seed,
+    RegisterAge registerAge)
     : m_loop(loop)
     , m_address(address)
     , m_relay(relay)
     , m_registerAge(std::move(registerAge))
+    , m_softwareRows(loop, source, store, relay, m_software, seed)
     , m_tellTimer(loop, [this] { tellRunning(); })
     , m_inquiryTimer(loop, [this] { checkInquiries(); })
 {
@@ -76,6 +88,9 @@
 void StreamOriginExchange::updateSoftware()
 {
     m_software.update(m_relay.fleet().servers(), m_loop.now());
+    if (m_registerAge().has_value()) {
+        m_softwareRows.update();
+    }
 }
 
 void StreamOriginExchange::updateReplicas()
@@ -212,11 +227,7 @@
     updateSoftware();
     const Core::TimePoint now = m_loop.now();
     if (request.key.attemptId.empty()) {
-        // Nobody can be asked for a stream that the caller does not name.
-        const std::optional<std::string> version = m_software.onlySeen(request.service, request.longestStream, now);
-        const std::optional<StreamOrigin> origin = version.has_value() ? std::optional(StreamOrigin{request.service, *version}) : std::nullopt;
-        report(request, origin, "no attempt named", 0);
-        done(origin);
+        findUnnamed(request, done);
         return 0;
     }
     updateReplicas();
@@ -240,6 +251,16 @@
     return number;
 }
 
+// Nobody can be asked for a stream that the caller does not name. It may have begun at any version of its time.
+void StreamOriginExchange::findUnnamed(const OriginRequest &request, const Callback &done)
+{
+    const std::optional<SoleSoftware> sole = soleSoftware(request.service);
+    const bool isKnown = sole.has_value() && sole->duration >= request.longestStream;
+    const std::optional<StreamOrigin> origin = isKnown ? std::optional(StreamOrigin{request.service, sole->version}) : std::nullopt;
+    report(request, origin, "no attempt named", 0);
+    done(origin);
+}
+
 void StreamOriginExchange::withdraw(std::uint64_t number)
 {
     m_inquiries.erase(number);
--- a/src/libs/relay/streamoriginexchange.h
+++ b/src/libs/relay/streamoriginexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relaytask.h"
+#include "softwarerows.h"
 #include "streamorigincontrol.h"
 #include "streamoriginreplica.h"
 
@@ -27,9 +28,15 @@
     /// \brief Returns the maximum age of this router's copy of the register; nothing before it was read.
     using RegisterAge = std::function<std::optional<std::chrono::milliseconds>()>;
 
-    /// \brief Binds to \a address; routers and agents use the same port on their hosts. \a relay has to live as long as this object. Errors: Unavailable.
-    static Core::Result<std::unique_ptr<StreamOriginExchange>> create(
-        EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge);
+    /// \brief Binds to \a address; routers and agents use the same port on their hosts. Which software versions there were before is read from \a source
+    /// and written to \a store. All references have to live as long as this object. Errors: Unavailable.
+    static Core::Result<std::unique_ptr<StreamOriginExchange>> create(EventLoop::Loop &loop,
+        const Http::Endpoint &address,
+        RelayTask &relay,
+        Store::RowSource &source,
+        Store::RowStore &store,
+        std::uint64_t seed,
+        RegisterAge registerAge);
     ~StreamOriginExchange() override;
 
     StreamOriginExchange(const StreamOriginExchange &) = delete;
@@ -65,7 +72,14 @@
         bool isResent = false;
     };
 
-    StreamOriginExchange(EventLoop::Loop &loop, const Http::Endpoint &address, RelayTask &relay, RegisterAge registerAge);
+    StreamOriginExchange(EventLoop::Loop &loop,
+        const Http::Endpoint &address,
+        RelayTask &relay,
+        Store::RowSource &source,
+        Store::RowStore &store,
+        std::uint64_t seed,
+        RegisterAge registerAge);
+    void findUnnamed(const OriginRequest &request, const Callback &done);
     void updateSoftware();
     void updateReplicas();
     void updateEngines();
@@ -86,6 +100,7 @@
     RelayTask &m_relay;
     RegisterAge m_registerAge;
     Decisions::SoftwareVersions m_software;
+    SoftwareRows m_softwareRows;
     Decisions::OriginReplicas m_replicas;
     std::vector<RegisteredEngine> m_engines; ///< Engines in the register.
     std::optional<std::uint64_t> m_enginesRevision; ///< Revision of the register from which the engines were taken.
--- a/tests/auto/platform/tst_resumedstreams.cpp
+++ b/tests/auto/platform/tst_resumedstreams.cpp
@@ -129,6 +129,18 @@
         return output.find(text) != std::string::npos;
     }
 
+    void restartAllRouters()
+    {
+        for (std::size_t router = 0; router < routers; ++router) {
+            m_deployment.stopRouter(router);
+        }
+        for (std::size_t router = 0; router < routers; ++router) {
+            m_outputs[router].clear();
+            m_deployment.restartRouter(router);
+            EXPECT_TRUE(m_deployment.runUntil([this, router] { return isPrepared(router); }));
+        }
+    }
+
     void waitUntilRoutersKnowEachOther()
     {
         for (std::size_t router = 0; router < routers; ++router) {
@@ -153,13 +165,13 @@
         return isContinued;
     }
 
-    // Sends the attempt \a id to \a router and returns the whole answer.
+    // Sends the attempt \a id to \a router and returns the whole answer. No two requests are alike, so that none is suspected of crashes where servers leave.
     std::string send(std::size_t router, const std::string &id, const std::string &fields = "")
     {
         CallerFake caller(m_deployment.loop(), m_deployment.callersEndpoint(router));
         caller.send("POST /wall/2f HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: " + id
             + "\r\nVerbenaladder-Model: m\r\nVerbenaladder-Token-Count: 100,10\r\nVerbenaladder-Prompt-Prefix: a:60,b:40\r\n"
-            + "Verbenaladder-Deadline-Ms: 15000\r\nAuthorization: Token secret\r\nContent-Length: 2\r\nConnection: close\r\n" + fields + "\r\nhi");
+            + "Verbenaladder-Deadline-Ms: 15000\r\nAuthorization: Token secret\r\nContent-Length: " + std::to_string(id.size()) + "\r\nConnection: close\r\n" + fields + "\r\n" + id);
         EXPECT_TRUE(m_deployment.runUntil([&] { return caller.isClosed(); })) << caller.received();
         return caller.received();
     }
@@ -236,14 +248,7 @@
 {
     waitUntilRoutersKnowEachOther();
     EXPECT_NE(send(0, "a").find("id: 1"), std::string::npos);
-    for (std::size_t router = 0; router < routers; ++router) {
-        m_deployment.stopRouter(router);
-    }
-    for (std::size_t router = 0; router < routers; ++router) {
-        m_outputs[router].clear();
-        m_deployment.restartRouter(router);
-        EXPECT_TRUE(m_deployment.runUntil([this, router] { return isPrepared(router); }));
-    }
+    restartAllRouters();
     EXPECT_NE(resume(1, "b", "a").find("id: 2"), std::string::npos);
     EXPECT_EQ(versionOf("b"), versionOf("a"));
 }
@@ -271,6 +276,52 @@
     EXPECT_TRUE(versionOf("c").empty());
 }
 
+// All routers were killed after the servers of an old version had left; the new ones had seen one version only, and let its streams go on there.
+TEST_F(ResumedStreamsTest, areNotGuessedByRoutersThatHaveNotSeenTheVersionsBefore)
+{
+    waitUntilRoutersKnowEachOther();
+    EXPECT_NE(send(0, "a").find("id: 1"), std::string::npos);
+    const std::string left = versionOf("a");
+    for (std::size_t index = 0; index < m_engines.size(); ++index) {
+        if (m_engines[index]->version() == left) {
+            m_deployment.store().remove("servers", "e-" + std::to_string(index));
+        }
+    }
+    m_deployment.store().remove("servers", "i-1");
+    m_deployment.runFor(1s);
+    restartAllRouters();
+    for (std::size_t router = 0; router < routers; ++router) {
+        const std::string id = "b-" + std::to_string(router);
+        const std::string answer = send(router, id, "Last-Event-Id: 1\r\n");
+        EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+        EXPECT_TRUE(versionOf(id).empty());
+    }
+}
+
+// Nobody is left who could say which versions there were, but the store has a record of it.
+TEST_F(ResumedStreamsTest, goOnWithoutANameWhereThereWasOneVersionOnly)
+{
+    for (std::size_t index = 0; index < m_engines.size(); ++index) {
+        putServer("e-" + std::to_string(index), m_engines[index]->address(), "v1", "ready");
+    }
+    m_deployment.store().remove("servers", "i-1");
+    const std::string onlyRow = "6.reader.v1";
+    const auto keys = [this] {
+        return m_deployment.store().keys("verbena_software");
+    };
+    EXPECT_TRUE(m_deployment.runUntil([&] { return keys().size() == 3; }));
+    for (const std::string &key : keys()) {
+        if (key != onlyRow) {
+            m_deployment.store().remove("verbena_software", key);
+        }
+    }
+    ASSERT_EQ(keys(), std::vector<std::string>{onlyRow});
+    restartAllRouters();
+    EXPECT_TRUE(m_deployment.runUntil([this] { return hasLogged(1, "\"software_read\""); }));
+    const std::string answer = send(1, "b", "Last-Event-Id: 1\r\n");
+    EXPECT_NE(answer.find("id: 2"), std::string::npos) << answer;
+}
+
 } // namespace
 
 } // namespace Verbena::Test
--- a/tests/auto/relay/tst_streamorigins.cpp
+++ b/tests/auto/relay/tst_streamorigins.cpp
@@ -1,6 +1,6 @@
 #include <decisions/relay/origininquiry.h>
 #include <decisions/relay/originreplicas.h>
-#include <decisions/relay/softwareversions.h>
+#include <decisions/relay/softwarerecord.h>
 #include <decisions/relay/streamorigins.h>
 
 #include <gtest/gtest.h>
@@ -114,19 +114,70 @@
     EXPECT_FALSE(sole(0s));
 }
 
-// Callers that named no attempt were refused by a process that had just started, although there was only one version.
-TEST_F(SoftwareVersionsTest, knowsTheOnlyVersionThatItHasSeen)
+// A process that had just started took the only version that it saw for the only one there had been.
+TEST_F(SoftwareVersionsTest, learnsWhichVersionsThereWereBeforeItStarted)
+{
+    set("a", "v2");
+    EXPECT_LT(sole(0s)->duration, 10s);
+    m_software.learn({{"s", "v1"}, {"s", "v2"}, {"other", "v1"}}, start + 1s);
+    EXPECT_EQ(sole(1s)->duration, 0s);
+    EXPECT_EQ(sole(11s)->duration, 10s);
+    set("b", "v3");
+    EXPECT_FALSE(sole(12s));
+    m_servers.remove("b", start + 13s);
+    EXPECT_EQ(sole(13s)->duration, 1s);
+}
+
+// Callers that name no attempt were refused after each start, although there was only one version.
+TEST_F(SoftwareVersionsTest, learnsThatThereWasNoOtherVersion)
 {
     set("a", "v1");
     EXPECT_TRUE(sole(0s));
-    EXPECT_EQ(m_software.onlySeen("s", 10s, start), "v1");
-    set("b", "v2");
-    EXPECT_FALSE(sole(1s));
-    EXPECT_EQ(m_software.onlySeen("s", 10s, start + 1s), std::nullopt);
-    m_servers.remove("b", start + 2s);
-    EXPECT_TRUE(sole(2s));
-    EXPECT_EQ(m_software.onlySeen("s", 10s, start + 10s), std::nullopt);
-    EXPECT_EQ(m_software.onlySeen("s", 10s, start + 11s), "v1");
+    m_software.learn({{"s", "v1"}}, start);
+    EXPECT_GE(sole(0s)->duration, 1h);
+    m_servers.set({"c", "late", "127.0.0.1:1", "hall", 6, false, {}, 0, "v1"});
+    m_software.update(m_servers, start + 1s);
+    EXPECT_GE(m_software.sole("late", start + 1s)->duration, 1h);
+}
+
+TEST_F(SoftwareVersionsTest, recordsEachVersionUntilItsStreamsCannotBeResumed)
+{
+    const ServiceSoftware first{"s", "v1"};
+    const ServiceSoftware second{"s", "v2"};
+    const auto isOne = [](const std::vector<SoftwareChange> &changes, const ServiceSoftware &software, bool isRemoved) {
+        return changes.size() == 1 && changes.front().software == software && changes.front().isRemoved == isRemoved;
+    };
+    SoftwareRecord record;
+    record.set({first}, {first}, start);
+    EXPECT_TRUE(record.changes({first}, 10s, start).empty());
+    EXPECT_TRUE(isOne(record.changes({first, second}, 10s, start + 1s), second, false));
+    EXPECT_TRUE(record.changes({second}, 10s, start + 10s).empty());
+    EXPECT_TRUE(isOne(record.changes({second}, 10s, start + 11s), first, true));
+    EXPECT_TRUE(record.changes({second}, 10s, start + 12s).empty());
+    EXPECT_TRUE(isOne(record.changes({first, second}, 10s, start + 13s), first, false));
+}
+
+// Whoever reads the record does not know when a version left that is not registered.
+TEST_F(SoftwareVersionsTest, keepsARecordedVersionForAsLongAsIfItHadJustLeft)
+{
+    const ServiceSoftware gone{"s", "v1"};
+    SoftwareRecord record;
+    record.set({gone}, {}, start);
+    EXPECT_TRUE(record.changes({}, 10s, start + 9s).empty());
+    EXPECT_EQ(record.changes({}, 10s, start + 10s).size(), 1U);
+}
+
+RC_GTEST_PROP(SoftwareRowProperty, holdsAnyNames, (const std::string &service, const std::string &version))
+{
+    const ServiceSoftware software{service, version};
+    RC_ASSERT(decodeSoftwareRow(softwareRowKey(software)).value() == software);
+}
+
+RC_GTEST_PROP(SoftwareRowProperty, refusesOtherKeys, (const std::string &key))
+{
+    const auto software = decodeSoftwareRow(key);
+    const bool isRight = !software || softwareRowKey(software.value()) == key || key.starts_with('0');
+    RC_ASSERT(isRight);
 }
 
 // A process that has just started does not know which versions there were before.
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -65,6 +65,21 @@
     tellFollowers();
 }
 
+std::vector<std::string> StoreStandin::keys(const std::string &table) const
+{
+    std::vector<std::string> keys;
+    const auto rows = m_tables.find(table);
+    if (rows == m_tables.end()) {
+        return keys;
+    }
+    for (const auto &[key, row] : rows->second) {
+        if (!row.isDeleted) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
 void StoreStandin::compact()
 {
     m_compacted = m_version;
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -36,6 +36,9 @@
     void put(const std::string &table, const std::string &key, const nlohmann::json &value);
     void remove(const std::string &table, const std::string &key);
 
+    /// \brief Returns the keys of the rows of \a table.
+    std::vector<std::string> keys(const std::string &table) const;
+
     /// \brief Writes a row whose value on the wire is \a encoded, which may be invalid.
     void putEncoded(const std::string &table, const std::string &key, const std::string &encoded);
 
