End the connections of a relay with the control that their requests use

Change: a relay that loses a control ends its connections first, while the control lives; an answer without a length or chunks is reset, so that it does not look complete.

--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -122,6 +122,14 @@
     m_owner.connectionEnded(this);
 }
 
+void CallerConnection::markIncomplete()
+{
+    // Without a length or chunks, only a reset tells the caller that the answer is incomplete.
+    if (m_state == State::Answering && !m_isAnswerEnded && !m_isChunked) {
+        m_channel->resetOnClose();
+    }
+}
+
 void CallerConnection::endIfIdle()
 {
     if (!isBusy()) {
@@ -422,10 +430,7 @@
 
 void CallerConnection::abortAnswer()
 {
-    // Without a length or chunks, only a reset tells the caller that the answer is incomplete.
-    if (!m_isChunked) {
-        m_channel->resetOnClose();
-    }
+    markIncomplete();
     m_isAnswerEnded = true;
     m_state = State::Lingering;
     m_finish.schedule();
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -79,6 +79,9 @@
     /// \brief Resets the connection, so that the caller can tell that its answer is incomplete, and ends it.
     void cutOff();
 
+    /// \brief Lets the caller tell, when the connection is destroyed, that an answer which has begun is incomplete.
+    void markIncomplete();
+
     /// \brief Closes the connection if it is idle.
     void endIfIdle();
 
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -213,16 +213,19 @@
 
 void RelayTask::setUsageControl(UsageControl *control)
 {
+    abandonConnections();
     m_context.usage = control;
 }
 
 void RelayTask::setCrashControl(CrashControl *control)
 {
+    abandonConnections();
     m_context.crashes = control;
 }
 
 void RelayTask::setStreamOriginControl(StreamOriginControl *control)
 {
+    abandonConnections();
     m_context.origins = control;
 }
 
@@ -370,6 +373,15 @@
     }
 }
 
+// Requests hold the controls that they began with, and tell them of their end.
+void RelayTask::abandonConnections()
+{
+    for (const auto &[raw, connection] : m_connections) {
+        connection->markIncomplete();
+    }
+    m_connections.clear();
+}
+
 void RelayTask::continueShutdown()
 {
     const Core::TimePoint now = m_loop.now();
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -71,7 +71,7 @@
     /// \brief Returns routerCount(), or 0 if no agent has reported any router yet.
     std::uint32_t knownRouterCount() const;
 
-    /// \brief Sets the control of usage caps; null means that usage is not limited.
+    /// \brief Sets the control of usage caps; null means that usage is not limited. Like the next two: open connections end with the control that they use.
     void setUsageControl(UsageControl *control);
 
     /// \brief Sets the control that tracks crashes; null means that no request is suspected.
@@ -146,6 +146,7 @@
     void handleActivityTimer();
     void acceptCaller(int descriptor);
     void closeListener();
+    void abandonConnections();
     void continueShutdown();
 
     EventLoop::Loop &m_loop;
