Ask who listens where a server may have ended with its answer

Cause: the check after such an answer asked whether anybody listens, not who.

Change: ServerCheck, out of RelayedRequest, goes on to ask the service's health path for the server that answered; another one says at once that it is not meant. Silence counts as the same one, which may be busy; a connection that breaks counts as lost.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -576,23 +576,21 @@
 // The kernel closes the connections of a process that ends as regularly as a server closes one after a complete answer.
 void RelayedRequest::checkServer()
 {
-    const auto endpoint = Http::Endpoint::parse(m_choice->address);
-    if (!endpoint) {
-        handleServerCheck(ConnectCheck::Finding::Unknown);
-        return;
-    }
-    m_serverCheck = std::make_unique<ConnectCheck>(
-        m_context.loop, endpoint.value(), m_context.loop.now() + connectTimeout, [this](ConnectCheck::Finding finding) { handleServerCheck(finding); });
+    m_serverCheck = std::make_unique<ServerCheck>(m_context.loop,
+        m_context.protocol,
+        serverOf(*m_choice),
+        m_directory->healthPath(m_service),
+        [this](ServerCheck::Finding finding) { handleServerCheck(finding); });
 }
 
-void RelayedRequest::handleServerCheck(ConnectCheck::Finding finding)
+void RelayedRequest::handleServerCheck(ServerCheck::Finding finding)
 {
-    const std::unique_ptr<ConnectCheck> ended = std::move(m_serverCheck);
-    if (finding == ConnectCheck::Finding::Listening) {
+    const std::unique_ptr<ServerCheck> ended = std::move(m_serverCheck);
+    if (finding == ServerCheck::Finding::Running) {
         completeAnswer();
         return;
     }
-    m_hasServerEnded = finding == ConnectCheck::Finding::Refused;
+    m_hasServerEnded = finding == ServerCheck::Finding::Ended;
     callFailed(CallFailure::Lost, m_hasServerEnded ? "the server ended as it closed the connection" : "the server was silent after it closed the connection");
 }
 
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -3,12 +3,12 @@
 #include "answerforwarder.h"
 #include "answermeaning.h"
 #include "backendcall.h"
-#include "connectcheck.h"
 #include "crashcontrolhandle.h"
 #include "memoryguard.h"
 #include "parttimes.h"
 #include "relayprotocol.h"
 #include "resendqueue.h"
+#include "servercheck.h"
 #include "serverwait.h"
 #include "streamoriginhandle.h"
 #include "usagereservation.h"
@@ -116,7 +116,7 @@
     void receiveAnswerBody(std::string_view data) override;
     void receiveAnswerEnd() override;
     void checkServer();
-    void handleServerCheck(ConnectCheck::Finding finding);
+    void handleServerCheck(ServerCheck::Finding finding);
     void completeAnswer();
     void recordPauses();
     void callFailed(Decisions::CallFailure failure, std::string_view reason) override;
@@ -170,7 +170,7 @@
     std::optional<Decisions::FleetChoice> m_choice; ///< Choice of the current call.
     std::unique_ptr<BackendCall> m_call;
     bool m_isConnectionKept = false; ///< Whether the current call's connection may serve others afterwards.
-    std::unique_ptr<ConnectCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
+    std::unique_ptr<ServerCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
     bool m_hasServerEnded = false; ///< Whether that check has found that the server has ended.
     AnswerForwarder m_answer;
     UsageReservation m_usage;
--- a/tests/auto/relay/tst_brokenoffanswers.cpp
+++ b/tests/auto/relay/tst_brokenoffanswers.cpp
@@ -185,6 +185,60 @@
     }
 }
 
+class RestartedServerTest : public BrokenOffAnswersTest
+{
+protected:
+    // Starts with one backend server that ends each answer with its connection, and answers \a health when it is asked who it is.
+    void startWithHealth(const std::string &unframed, const std::string &health)
+    {
+        Decisions::RelayConfiguration declared = configuration();
+        declared.services.resize(1);
+        declared.services[0].name = "s";
+        declared.services[0].healthPath = "/health";
+        m_relay->setConfiguration(declared);
+        addWorker([this, unframed, health](const auto &head, const auto &) {
+            if (head.target == "/health") {
+                m_askedFor = *head.field("Server");
+                return WorkerScript{health, health.empty() ? WorkerScript::End::Reset : WorkerScript::End::Keep};
+            }
+            return WorkerScript{unframedHead(head) + unframed, WorkerScript::End::Close};
+        });
+    }
+
+    std::string m_askedFor;
+};
+
+// A server that was started at the address of the one that had crashed was taken for that one, and the cut answer for a whole one.
+TEST_F(RestartedServerTest, loseTheAnswersOfTheOneBefore)
+{
+    startWithHealth("half", "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(contains(call(request("/once/"), "have run."), "HTTP/1.1 502"));
+    EXPECT_EQ(m_askedFor, "server-1");
+}
+
+TEST_F(RestartedServerTest, cutTheStreamsOfTheOneBefore)
+{
+    startWithHealth(event(1), "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+    const std::string got = call(request("/stream/"), lastChunk);
+    EXPECT_TRUE(contains(got, event(1)));
+    EXPECT_FALSE(contains(got, lastChunk)) << got;
+}
+
+TEST_F(RestartedServerTest, areNotSuspectedWhereTheSameOneAnswers)
+{
+    for (const char *health : {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"}) {
+        m_relay->fleet().servers().replace({}, m_loop->now());
+        startWithHealth("whole", health);
+        EXPECT_TRUE(contains(call(request("/once/"), "whole"), "HTTP/1.1 200"));
+    }
+}
+
+TEST_F(RestartedServerTest, areUnknownWhereNobodyAnswers)
+{
+    startWithHealth("half", "");
+    EXPECT_TRUE(contains(call(request("/once/"), "have run."), "HTTP/1.1 502"));
+}
+
 } // namespace
 
 } // namespace Verbena::Relay
