Keep descriptors for new callers and for calls to backend servers

Change: the limit is passed on, less 200 for files. ConnectionLimit: from five eighths on answers end their connections, from six eighths on the longest idle ones are closed, from seven on new ones are; the rest is for calls.

--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -76,6 +76,7 @@
     , m_reader(Http::MessageReader::Kind::Requests, *this, messageLimits(owner.limits()))
     , m_timer(loop, [this] { handleTimeout(); })
     , m_finish(loop, [this] { finishExchange(); })
+    , m_idleSince(loop.now())
 {
     m_channel->setMeter(createMeter(&owner.memory().budget(), Decisions::HeldKind::UnsentToCallers));
     m_timer.startAt(m_loop.now() + owner.limits().idleTimeout);
@@ -91,6 +92,11 @@
     return m_state != State::Reading || m_reader.hasBegun() || unsentBytes() > 0;
 }
 
+Core::TimePoint CallerConnection::idleSince() const
+{
+    return m_idleSince;
+}
+
 std::size_t CallerConnection::unsentBytes() const
 {
     return m_channel->bufferedBytes();
@@ -464,6 +470,7 @@
         return;
     }
     m_state = State::Reading;
+    m_idleSince = m_loop.now();
     m_head = {};
     m_body.clear();
     (void)m_reader.next();
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -29,7 +29,7 @@
     /// \brief Returns the limits for this caller's requests.
     virtual Decisions::RelayLimits limits() const = 0;
 
-    /// \brief Returns whether connections should be closed after their current answer.
+    /// \brief Returns whether connections should be closed after their current answer, as this process ends or has too many.
     virtual bool isDraining() const = 0;
 
     /// \brief Returns the header fields of the answer to a request that was not read; \a head is empty if it is unknown.
@@ -64,6 +64,9 @@
     /// \brief Returns whether a request is being read or answered, or an answer has not been sent completely.
     bool isBusy() const;
 
+    /// \brief Returns when the connection was opened or its last answer ended.
+    Core::TimePoint idleSince() const;
+
     /// \brief Returns the number of bytes that the caller has not read.
     std::size_t unsentBytes() const;
 
@@ -146,6 +149,7 @@
     std::uint64_t m_waitNumber = 0; ///< Number of the wait for memory; 0 while the request does not wait.
     Core::TimePoint m_waitingSince; ///< Begin of that wait.
     std::unique_ptr<RelayedRequest> m_request;
+    Core::TimePoint m_idleSince;
     Core::TimePoint m_lastReadAt;
     std::optional<std::size_t> m_unacknowledgedBytes; ///< At the last updateLastRead().
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 
+#include <unistd.h>
+
 namespace Verbena::Relay {
 
 namespace {
@@ -56,6 +58,7 @@
     , m_memory(settings.memoryBytes, m_metrics)
     , m_bodies(loop, m_memory.budget(), m_metrics)
     , m_intake(settings.descriptors, settings.seed, loop.now(), m_metrics)
+    , m_connectionLimit(settings.descriptors)
     , m_context{m_loop, m_protocol, m_fleet, m_budget, m_shedder, m_resendQueue, m_random, m_metrics, settings.configurationTime}
     , m_stallDetector(loop.now())
     , m_activityTimer(loop, [this] { handleActivityTimer(); })
@@ -314,11 +317,37 @@
 
 void RelayTask::acceptCaller(int descriptor)
 {
+    closeIdleConnections(m_connectionLimit.excess(Http::TcpChannel::openCount() + 1));
+    if (!m_connectionLimit.admits(Http::TcpChannel::openCount())) {
+        m_metrics.count("connections_closed_for_descriptors_total");
+        close(descriptor);
+        return;
+    }
     auto connection = std::make_unique<CallerConnection>(m_loop, descriptor, *this);
     CallerConnection *raw = connection.get();
     m_connections.emplace(raw, std::move(connection));
 }
 
+// A caller whose connection is closed while it is idle opens another one for its next request.
+void RelayTask::closeIdleConnections(std::size_t count)
+{
+    if (count == 0) {
+        return;
+    }
+    std::vector<CallerConnection *> idle;
+    for (const auto &[connection, owned] : m_connections) {
+        if (!connection->isBusy()) {
+            idle.push_back(connection);
+        }
+    }
+    const auto last = idle.begin() + static_cast<std::ptrdiff_t>(std::min(count, idle.size()));
+    std::partial_sort(idle.begin(), last, idle.end(), [](const CallerConnection *left, const CallerConnection *right) {
+        return left->idleSince() < right->idleSince();
+    });
+    m_metrics.count("idle_connections_closed_for_descriptors_total", static_cast<std::uint64_t>(last - idle.begin()));
+    std::for_each(idle.begin(), last, [this](CallerConnection *connection) { connectionEnded(connection); });
+}
+
 void RelayTask::connectionEnded(CallerConnection *connection)
 {
     m_connections.erase(connection);
@@ -338,7 +367,7 @@
 
 bool RelayTask::isDraining() const
 {
-    return m_isDraining;
+    return m_isDraining || m_connectionLimit.isCrowded(Http::TcpChannel::openCount());
 }
 
 std::vector<Http::HttpField> RelayTask::refusalFields(const Refusal &refusal, const Http::MessageHead &head) const
--- a/tests/auto/platform/tst_hostlimits.cpp
+++ b/tests/auto/platform/tst_hostlimits.cpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include <sys/resource.h>
+
 namespace Verbena::Test {
 
 namespace {
@@ -111,6 +113,16 @@
         return most;
     }
 
+    // Closes the connections that the router has closed, as callers do.
+    void hangUpClosed()
+    {
+        for (const auto &caller : m_callers) {
+            if (caller->isClosed()) {
+                caller->hangUp();
+            }
+        }
+    }
+
     bool areAllClosed() const
     {
         return std::all_of(m_callers.begin(), m_callers.end(), [](const auto &caller) { return caller->isClosed(); });
@@ -189,6 +201,28 @@
     EXPECT_LT(mostAddedUntil([this] { return m_server.openCount() >= requests; }), hostBytes - restBytes);
 }
 
+// A router that was out of descriptors took no new caller for seconds while it said that it was ready, and then refused all for want of one for its calls.
+TEST_F(HostLimitsTest, takesNewCallersWhileMoreConnectionsAreKeptThanItMayOpen)
+{
+    constexpr std::uint64_t connections = 200;
+    constexpr rlim_t filesOfTheProcess = 60;
+    constexpr std::size_t callers = 400;
+    m_deployment.setHostLimits({hostLimits.memoryMegabytes, 200 + connections});
+    m_deployment.restartRouter();
+    const rlimit limit{connections + filesOfTheProcess, connections + filesOfTheProcess};
+    ASSERT_EQ(prlimit(m_deployment.router().pid(), RLIMIT_NOFILE, &limit, nullptr), 0);
+    ASSERT_TRUE(m_deployment.runUntil([this] { return isServed(); }));
+    const Core::TimePoint deadline = m_deployment.loop().now() + 30s;
+    for (std::size_t number = 0; number < callers; ++number) {
+        CallerFake &caller = addCaller();
+        caller.send("POST /load/a HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: k" + std::to_string(number)
+            + "\r\nAuthorization: Token secret\r\nContent-Length: 2\r\n\r\nhi");
+        EXPECT_TRUE(m_deployment.runUntil([&] { return caller.received().find("ok") != std::string::npos || m_deployment.loop().now() > deadline; }));
+        hangUpClosed();
+    }
+    EXPECT_EQ(countAnswers("HTTP/1.1 200"), callers);
+}
+
 } // namespace
 
 } // namespace Verbena::Test
