--- a/src/libs/decisions/relay/bodyqueue.h
+++ b/src/libs/decisions/relay/bodyqueue.h
@@ -33,7 +33,8 @@
     /// \brief Returns whether a request with \a demand may be read on at once.
     bool admits(const RequestDemand &demand) const;
 
-    /// \brief Returns whether a request with \a demand may wait: it has not begun, it will fit in the end, and there is room for the \a waiting bytes that it holds until then.
+    /// \brief Returns whether a request with \a demand may wait: it has not begun, it will fit in the end, and there is room for the \a waiting bytes that it
+    /// holds until then.
     bool mayWait(const RequestDemand &demand, std::uint64_t waiting) const;
 
     /// \brief Adds a request with \a demand as the last one; returns its number.
--- a/src/libs/decisions/relay/connectionlimit.h
+++ b/src/libs/decisions/relay/connectionlimit.h
@@ -7,8 +7,8 @@
 
 /// \brief Decides how many connections a router keeps open, so that some descriptors remain for new callers and for calls to backend servers.
 ///
-/// From five eighths of the limit on, answers end their connections; from six eighths on, the connections that have been idle for longest are closed; from seven
-/// eighths on, new ones are. What is left is for calls.
+/// From five eighths of the limit on, answers end their connections; from six eighths on, the connections that have been idle for longest are closed; from
+/// seven eighths on, new ones are. What is left is for calls.
 class ConnectionLimit
 {
 public:
--- a/src/libs/decisions/relay/softwarerecord.cpp
+++ b/src/libs/decisions/relay/softwarerecord.cpp
@@ -19,8 +19,7 @@
     }
 }
 
-std::vector<SoftwareChange> SoftwareRecord::changes(
-    const std::set<ServiceSoftware> &registered, std::chrono::milliseconds longestStream, Core::TimePoint now)
+std::vector<SoftwareChange> SoftwareRecord::changes(const std::set<ServiceSoftware> &registered, std::chrono::milliseconds longestStream, Core::TimePoint now)
 {
     std::vector<SoftwareChange> changes;
     for (const ServiceSoftware &software : registered) {
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -353,8 +353,8 @@
     if (m_outputOffset == m_output.size()) {
         return send(m_descriptor, m_body->data() + m_bodyOffset, unsentBodyBytes(), MSG_NOSIGNAL);
     }
-    std::array<iovec, 2> parts{iovec{m_output.data() + m_outputOffset, m_output.size() - m_outputOffset},
-        iovec{const_cast<char *>(m_body->data()) + m_bodyOffset, unsentBodyBytes()}};
+    std::array<iovec, 2> parts{
+        iovec{m_output.data() + m_outputOffset, m_output.size() - m_outputOffset}, iovec{const_cast<char *>(m_body->data()) + m_bodyOffset, unsentBodyBytes()}};
     msghdr message{};
     message.msg_iov = parts.data();
     message.msg_iovlen = parts.size();
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -22,8 +22,12 @@
 
 } // namespace
 
-Core::Result<std::unique_ptr<BackendCall>> BackendCall::create(
-    EventLoop::Loop &loop, const Http::Endpoint &endpoint, const Http::OutgoingMessage &request, bool isHead, Core::TimePoint connectDeadline, CallObserver &observer)
+Core::Result<std::unique_ptr<BackendCall>> BackendCall::create(EventLoop::Loop &loop,
+    const Http::Endpoint &endpoint,
+    const Http::OutgoingMessage &request,
+    bool isHead,
+    Core::TimePoint connectDeadline,
+    CallObserver &observer)
 {
     std::unique_ptr<BackendCall> call(new BackendCall(loop, isHead, observer));
     auto channel = Http::TcpChannel::connect(loop, endpoint, *call);
@@ -37,8 +41,11 @@
 }
 
 // Nothing may happen between the check and the sending: a connection that the server closed before is known to be unused.
-std::unique_ptr<BackendCall> BackendCall::reuse(
-    EventLoop::Loop &loop, std::unique_ptr<Http::TcpChannel> channel, const Http::OutgoingMessage &request, Core::TimePoint acknowledgeDeadline, CallObserver &observer)
+std::unique_ptr<BackendCall> BackendCall::reuse(EventLoop::Loop &loop,
+    std::unique_ptr<Http::TcpChannel> channel,
+    const Http::OutgoingMessage &request,
+    Core::TimePoint acknowledgeDeadline,
+    CallObserver &observer)
 {
     std::unique_ptr<BackendCall> call(new BackendCall(loop, false, observer));
     channel->handOver(*call);
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -44,8 +44,12 @@
     /// \brief Connects and sends \a request; fails with NotSent if there is no connection by \a connectDeadline.
     ///
     /// \a isHead: the request's method is HEAD, so the answer has no body. Errors: Unavailable if no connection can be started.
-    static Core::Result<std::unique_ptr<BackendCall>> create(
-        EventLoop::Loop &loop, const Http::Endpoint &endpoint, const Http::OutgoingMessage &request, bool isHead, Core::TimePoint connectDeadline, CallObserver &observer);
+    static Core::Result<std::unique_ptr<BackendCall>> create(EventLoop::Loop &loop,
+        const Http::Endpoint &endpoint,
+        const Http::OutgoingMessage &request,
+        bool isHead,
+        Core::TimePoint connectDeadline,
+        CallObserver &observer);
 
     /// \brief Sends \a request on the idle \a channel; returns null if the backend server cannot have received any of it.
     ///
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -295,7 +295,8 @@
     m_isBodyBegun = m_reader.isHeadDone();
 }
 
-// What the caller sends meanwhile stays in the kernel, which counts as well. A request that has been read whole goes on reading, to notice that its caller leaves.
+// What the caller sends meanwhile stays in the kernel, which counts as well. A request that has been read whole goes on reading, to notice that its caller
+// leaves.
 void CallerConnection::awaitMemory()
 {
     m_headBytes.set(m_reader.headBytes());
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -576,11 +576,10 @@
 // The kernel closes the connections of a process that ends as regularly as a server closes one after a complete answer.
 void RelayedRequest::checkServer()
 {
-    m_serverCheck = std::make_unique<ServerCheck>(m_context.loop,
-        m_context.protocol,
-        serverOf(*m_choice),
-        m_directory->healthPath(m_service),
-        [this](ServerCheck::Finding finding) { handleServerCheck(finding); });
+    m_serverCheck = std::make_unique<ServerCheck>(
+        m_context.loop, m_context.protocol, serverOf(*m_choice), m_directory->healthPath(m_service), [this](ServerCheck::Finding finding) {
+            handleServerCheck(finding);
+        });
 }
 
 void RelayedRequest::handleServerCheck(ServerCheck::Finding finding)
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -63,8 +63,11 @@
 {
 public:
     /// \brief \a directory is the configuration that applies to the request; null if there is none yet.
-    RelayedRequest(
-        const RelayContext &context, std::shared_ptr<const Decisions::RelayDirectory> directory, Http::MessageHead head, Http::SharedBody body, AnswerSink &sink);
+    RelayedRequest(const RelayContext &context,
+        std::shared_ptr<const Decisions::RelayDirectory> directory,
+        Http::MessageHead head,
+        Http::SharedBody body,
+        AnswerSink &sink);
     ~RelayedRequest() override;
 
     RelayedRequest(const RelayedRequest &) = delete;
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -41,7 +41,8 @@
 inline constexpr Event trialDecided{2124, Severity::Warning, "trial_decided", "A suspected request asked to run once, as the only one of its kind."};
 inline constexpr Event requestBarred{
     2125, Severity::Warning, "request_barred", "A request was turned away, or not sent again, as backend servers ended under it."};
-inline constexpr Event rowsUnwritten{2126, Severity::Warning, "rows_unwritten", "The store did not take rows of one of the router's own tables; they are sent again."};
+inline constexpr Event rowsUnwritten{
+    2126, Severity::Warning, "rows_unwritten", "The store did not take rows of one of the router's own tables; they are sent again."};
 inline constexpr Event crashRowRefused{2127, Severity::Warning, "crash_row_refused", "A row of the table of crashes could not be read."};
 
 inline constexpr Event answerFromThePast{
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -341,9 +341,8 @@
         }
     }
     const auto last = idle.begin() + static_cast<std::ptrdiff_t>(std::min(count, idle.size()));
-    std::partial_sort(idle.begin(), last, idle.end(), [](const CallerConnection *left, const CallerConnection *right) {
-        return left->idleSince() < right->idleSince();
-    });
+    std::partial_sort(
+        idle.begin(), last, idle.end(), [](const CallerConnection *left, const CallerConnection *right) { return left->idleSince() < right->idleSince(); });
     m_metrics.count("idle_connections_closed_for_descriptors_total", static_cast<std::uint64_t>(last - idle.begin()));
     std::for_each(idle.begin(), last, [this](CallerConnection *connection) { connectionEnded(connection); });
 }
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -28,7 +28,8 @@
     std::uint32_t routerCount = 8; ///< Routers that share the resend budget at least, and the limits of backend servers until agents report the routers.
     std::uint32_t priorityGap = 1; ///< While requests are refused, those that are less urgent by so many priorities yield, if there are usage caps; 0: none do.
     std::optional<std::uint64_t> memoryBytes; ///< Memory that this process may use; without a value only what waits for one caller is limited.
-    std::optional<std::uint64_t> descriptors; ///< Descriptors that this process may open for connections; without a value it takes and wants callers however many it has.
+    std::optional<std::uint64_t>
+        descriptors; ///< Descriptors that this process may open for connections; without a value it takes and wants callers however many it has.
     std::uint64_t seed = 0;
     std::chrono::milliseconds configurationTime{2000}; ///< Time within which a change of the configuration has to be in force.
     std::chrono::milliseconds shutdownNotice{2900}; ///< Time from the start of a shutdown until the load balancer sends no new callers.
--- a/src/libs/relay/servercheck.h
+++ b/src/libs/relay/servercheck.h
@@ -30,8 +30,7 @@
 
     /// \brief Checks \a server; without a \a healthPath it cannot be asked who it is. Calls \a done once, after this has returned. \a done may destroy the
     /// check, and \a protocol must live as long.
-    ServerCheck(
-        EventLoop::Loop &loop, const RelayProtocol &protocol, const Decisions::ServerInstance &server, const std::string &healthPath, Callback done);
+    ServerCheck(EventLoop::Loop &loop, const RelayProtocol &protocol, const Decisions::ServerInstance &server, const std::string &healthPath, Callback done);
     ~ServerCheck() override;
 
     ServerCheck(const ServerCheck &) = delete;
--- a/src/libs/relay/softwarerows.cpp
+++ b/src/libs/relay/softwarerows.cpp
@@ -27,12 +27,8 @@
 
 } // namespace
 
-SoftwareRows::SoftwareRows(EventLoop::Loop &loop,
-    Store::RowSource &source,
-    Store::RowStore &store,
-    RelayTask &relay,
-    Decisions::SoftwareVersions &versions,
-    std::uint64_t seed)
+SoftwareRows::SoftwareRows(
+    EventLoop::Loop &loop, Store::RowSource &source, Store::RowStore &store, RelayTask &relay, Decisions::SoftwareVersions &versions, std::uint64_t seed)
     : m_loop(loop)
     , m_source(source)
     , m_relay(relay)
--- a/src/libs/relay/softwarerows.h
+++ b/src/libs/relay/softwarerows.h
@@ -20,12 +20,8 @@
 {
 public:
     /// \brief Reads from \a source and writes to \a store; \a versions learns what was read. All must live as long as this object.
-    SoftwareRows(EventLoop::Loop &loop,
-        Store::RowSource &source,
-        Store::RowStore &store,
-        RelayTask &relay,
-        Decisions::SoftwareVersions &versions,
-        std::uint64_t seed);
+    SoftwareRows(
+        EventLoop::Loop &loop, Store::RowSource &source, Store::RowStore &store, RelayTask &relay, Decisions::SoftwareVersions &versions, std::uint64_t seed);
 
     SoftwareRows(const SoftwareRows &) = delete;
     SoftwareRows &operator=(const SoftwareRows &) = delete;
--- a/tests/auto/http/tst_cutanswers.cpp
+++ b/tests/auto/http/tst_cutanswers.cpp
@@ -50,7 +50,9 @@
 
     std::unique_ptr<EventLoop::Loop> m_loop = std::move(EventLoop::Loop::create().value());
     WorkerScript m_script;
-    WorkerFake m_server{*m_loop, [this](const auto &, const auto &) { return m_script; }};
+    WorkerFake m_server{*m_loop, [this](const auto &, const auto &) {
+                            return m_script;
+                        }};
     std::unique_ptr<HttpClient> m_client = std::move(HttpClient::create(*m_loop).value());
 };
 
--- a/tests/auto/platform/tst_platformstore.cpp
+++ b/tests/auto/platform/tst_platformstore.cpp
@@ -174,7 +174,9 @@
 
     std::unique_ptr<EventLoop::Loop> m_loop = std::move(EventLoop::Loop::create().value());
     std::string m_bytes;
-    WorkerFake m_server{*m_loop, [this](const auto &, const auto &) { return WorkerScript{m_bytes, WorkerScript::End::Close}; }};
+    WorkerFake m_server{*m_loop, [this](const auto &, const auto &) {
+                            return WorkerScript{m_bytes, WorkerScript::End::Close};
+                        }};
     std::unique_ptr<PlatformStore> m_store;
 };
 
--- a/tests/auto/platform/tst_resumedstreams.cpp
+++ b/tests/auto/platform/tst_resumedstreams.cpp
@@ -171,7 +171,8 @@
         CallerFake caller(m_deployment.loop(), m_deployment.callersEndpoint(router));
         caller.send("POST /wall/2f HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: " + id
             + "\r\nVerbenaladder-Model: m\r\nVerbenaladder-Token-Count: 100,10\r\nVerbenaladder-Prompt-Prefix: a:60,b:40\r\n"
-            + "Verbenaladder-Deadline-Ms: 15000\r\nAuthorization: Token secret\r\nContent-Length: " + std::to_string(id.size()) + "\r\nConnection: close\r\n" + fields + "\r\n" + id);
+            + "Verbenaladder-Deadline-Ms: 15000\r\nAuthorization: Token secret\r\nContent-Length: " + std::to_string(id.size()) + "\r\nConnection: close\r\n"
+            + fields + "\r\n" + id);
         EXPECT_TRUE(m_deployment.runUntil([&] { return caller.isClosed(); })) << caller.received();
         return caller.received();
     }
--- a/tests/auto/platform/tst_shutdown.cpp
+++ b/tests/auto/platform/tst_shutdown.cpp
@@ -33,9 +33,8 @@
     configuration["routes"][0]["service"] = "briefs";
     configuration["services"].push_back({{"name", "briefs"}});
     deployment.store().put("op", "config", configuration);
-    deployment.store().put("servers",
-        "i-2",
-        {{"service", "briefs"}, {"address", server.address()}, {"zone", "hall"}, {"slots", 96}, {"phase", "ready"}, {"sequence", 1}});
+    deployment.store().put(
+        "servers", "i-2", {{"service", "briefs"}, {"address", server.address()}, {"zone", "hall"}, {"slots", 96}, {"phase", "ready"}, {"sequence", 1}});
     std::vector<std::unique_ptr<CallerFake>> callers;
     const auto hasBegun = [&callers] {
         return callers.back()->received().find("id: 1") != std::string::npos;
