Send what follows requests a few at a time in the test of it

With the address sanitizer and beside other tests all 600 connections to the test's own server were refused: the test's loop took longer than the 120 ms in which a router wants a connection, as it sent 38 MB at once.

--- a/tests/auto/platform/tst_hostlimits.cpp
+++ b/tests/auto/platform/tst_hostlimits.cpp
@@ -199,13 +199,18 @@
 TEST_F(HostLimitsTest, isNotOutgrownByWhatFollowsRequests)
 {
     constexpr std::size_t requests = 600;
+    constexpr std::size_t requestsAtOnce = 10;
     const std::string rest(63'000, 'x');
-    for (std::size_t number = 0; number < requests; ++number) {
+    std::int64_t most = 0;
+    for (std::size_t number = 1; number <= requests; ++number) {
         addCaller().send("POST /load/unanswered HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: u" + std::to_string(number)
             + "\r\nAuthorization: Token secret\r\nContent-Length: 0\r\n\r\n" + rest);
+        if (number % requestsAtOnce == 0) {
+            most = std::max(most, mostAddedUntil([this, number] { return m_server.openCount() + countAnswers("HTTP/1.1 503") >= number; }));
+        }
     }
-    expectWithinHost(mostAddedUntil([this] { return m_server.openCount() + countAnswers("HTTP/1.1 503") >= requests; }));
-    EXPECT_GT(m_server.openCount(), 0U);
+    expectWithinHost(most);
+    EXPECT_GE(m_server.openCount(), requests / 2);
 }
 
 // A router that was out of descriptors took no new caller for seconds while it said that it was ready, and then refused all for want of one for its calls.
