Name what newcomers stumble over in the memory of requests, and share a timeout

Behaviour is unchanged. reserveOrWait() was called mayReadOn(), although it reserves, waits or refuses; m_bodyBytes counted the body under the name of the request; isHead of a transfer stood beside isHeadDone with another meaning. The time for a connection to a backend server stood twice and is BackendCall::connectTimeout; ServerCheck parses its endpoint once; a request that does not wait no longer walks the queue at its end.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -31,7 +31,7 @@
     std::string url;
     std::string body;
     std::shared_ptr<HttpReceiver> receiver;
-    bool isHead = false; ///< Whether the request's method is HEAD.
+    bool isHeadRequest = false; ///< Whether the request's method is HEAD.
     bool isHeadDone = false; ///< Whether the empty line that ends the head of the final response was received.
     bool isChunked = false; ///< Whether the response is sent in chunks.
     bool isPaused = false;
@@ -133,7 +133,7 @@
     {
         curl_off_t length = -1;
         curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
-        const bool hasBody = !transfer.isHead && status != statusNoContent && status != statusNotModified;
+        const bool hasBody = !transfer.isHeadRequest && status != statusNoContent && status != statusNotModified;
         return hasBody && length < 0 && !transfer.isChunked;
     }
 
@@ -195,7 +195,7 @@
     transfer->easy = curl_easy_init();
     transfer->url = call.url;
     transfer->body = call.body;
-    transfer->isHead = call.method == "HEAD";
+    transfer->isHeadRequest = call.method == "HEAD";
     transfer->receiver = std::move(receiver);
     for (const std::string &field : call.fields) {
         transfer->fields = curl_slist_append(transfer->fields, field.c_str());
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -41,6 +41,11 @@
 class BackendCall : private Http::ChannelObserver, private Http::MessageSink
 {
 public:
+    /// \brief Time after which a backend server without a connection counts as unreachable: many times the round trip to any of them.
+    ///
+    /// Later the server is gone or a packet was lost, and TCP would resend that only after a second.
+    static constexpr std::chrono::milliseconds connectTimeout{120};
+
     /// \brief Connects and sends \a request; fails with NotSent if there is no connection by \a connectDeadline.
     ///
     /// \a isHead: the request's method is HEAD, so the answer has no body. Errors: Unavailable if no connection can be started.
--- a/src/libs/relay/bodyadmission.cpp
+++ b/src/libs/relay/bodyadmission.cpp
@@ -26,13 +26,14 @@
     return number;
 }
 
-// A request that leaves the head of the queue may make room for the next one.
 void BodyAdmission::withdraw(std::uint64_t number)
 {
-    m_queue.remove(number);
-    if (m_callbacks.erase(number) > 0) {
-        handleRoom();
+    if (m_callbacks.erase(number) == 0) {
+        return;
     }
+    m_queue.remove(number);
+    // The next one may fit where this one did not.
+    handleRoom();
 }
 
 void BodyAdmission::handleRoom()
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -70,7 +70,7 @@
     : m_loop(loop)
     , m_owner(owner)
     , m_headBytes(owner.memory().budget(), Decisions::HeldKind::RequestHeads)
-    , m_requestBytes(owner.memory().budget(), Decisions::HeldKind::RequestBodies)
+    , m_bodyBytes(owner.memory().budget(), Decisions::HeldKind::RequestBodies)
     , m_pendingBytes(owner.memory().budget(), Decisions::HeldKind::PartialAnswers)
     , m_channel(Http::TcpChannel::adopt(loop, descriptor, *this))
     , m_reader(Http::MessageReader::Kind::Requests, *this, messageLimits(owner.limits()))
@@ -167,7 +167,7 @@
         refuse(*fault);
         return;
     }
-    if (!mayReadOn()) {
+    if (!reserveOrWait()) {
         return;
     }
     if (m_reader.isDone()) {
@@ -245,8 +245,8 @@
     }
 }
 
-// A body is reserved whole, so that a request that is let in can be read to its end. Returns whether it can be read on now.
-bool CallerConnection::mayReadOn()
+// A body is reserved whole, so that a request that is let in can be read to its end. Returns false if the request waits or has been refused.
+bool CallerConnection::reserveOrWait()
 {
     if (m_owner.bodies().queue().admits(demand())) {
         reserveRequest();
@@ -284,13 +284,13 @@
 
 Decisions::RequestDemand CallerConnection::demand() const
 {
-    return {m_reader.headBytes() + bodyDemand(), m_headBytes.bytes() + m_requestBytes.bytes(), m_isBodyBegun};
+    return {m_reader.headBytes() + bodyDemand(), m_headBytes.bytes() + m_bodyBytes.bytes(), m_isBodyBegun};
 }
 
 void CallerConnection::reserveRequest()
 {
     m_headBytes.set(m_reader.headBytes());
-    m_requestBytes.set(bodyDemand());
+    m_bodyBytes.set(bodyDemand());
     m_body.reserve(m_head.contentLength.value_or(0));
     m_isBodyBegun = m_reader.isHeadDone();
 }
@@ -300,7 +300,7 @@
 void CallerConnection::awaitMemory()
 {
     m_headBytes.set(m_reader.headBytes());
-    m_requestBytes.set(waitingBodyBytes());
+    m_bodyBytes.set(waitingBodyBytes());
     m_waitingSince = m_loop.now();
     m_waitNumber = m_owner.bodies().wait(demand(), [this] { readOn(); });
     m_channel->setReading(m_reader.isDone());
@@ -330,7 +330,7 @@
     endWait();
     m_isBodyBegun = false;
     m_headBytes.set(0);
-    m_requestBytes.set(0);
+    m_bodyBytes.set(0);
     m_owner.bodies().handleRoom();
 }
 
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -116,7 +116,7 @@
     void answerRequest();
     void refuse(Http::MessageFault fault);
     void refuse(const Refusal &refusal, const Http::MessageHead &head = {});
-    bool mayReadOn();
+    bool reserveOrWait();
     std::uint64_t bodyRoom() const;
     std::uint64_t waitingBodyBytes() const;
     std::uint64_t bodyDemand() const;
@@ -136,7 +136,7 @@
     EventLoop::Loop &m_loop;
     ConnectionOwner &m_owner;
     Decisions::HeldBytes m_headBytes; ///< Of the head of the request that is being read or answered.
-    Decisions::HeldBytes m_requestBytes; ///< Of its body.
+    Decisions::HeldBytes m_bodyBytes; ///< Of its body.
     Decisions::HeldBytes m_pendingBytes; ///< Of its answer.
     std::unique_ptr<Http::TcpChannel> m_channel;
     Http::MessageReader m_reader;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -20,10 +20,6 @@
 
 namespace {
 
-// Many times the round trip to any backend server. Without a connection by then, the server is unreachable or a packet was lost, and TCP would resend that
-// only after a second.
-constexpr milliseconds connectTimeout{120};
-
 // Subtracted from the time that a backend server is given, for the round trip.
 constexpr milliseconds networkMargin{10};
 
@@ -402,7 +398,7 @@
         }
     }
     m_context.metrics.count("server_connections_opened_total");
-    return BackendCall::create(m_context.loop, endpoint.value(), message, m_head.method == "HEAD", m_context.loop.now() + connectTimeout, *this);
+    return BackendCall::create(m_context.loop, endpoint.value(), message, m_head.method == "HEAD", m_context.loop.now() + BackendCall::connectTimeout, *this);
 }
 
 Decisions::KeptConnectionUse RelayedRequest::connectionUse()
--- a/src/libs/relay/servercheck.cpp
+++ b/src/libs/relay/servercheck.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-// Many times the round trip to any backend server.
-constexpr milliseconds connectTimeout{120};
-
 // Time that the server has to say who it is. A process that is not the one that is asked for says so at once.
 constexpr milliseconds questionTimeout{120};
 
@@ -36,8 +33,9 @@
         finish(Finding::Unknown);
         return;
     }
+    m_endpoint = endpoint.value();
     m_connection = std::make_unique<ConnectCheck>(
-        loop, endpoint.value(), loop.now() + connectTimeout, [this](ConnectCheck::Finding finding) { handleConnection(finding); });
+        loop, m_endpoint, loop.now() + BackendCall::connectTimeout, [this](ConnectCheck::Finding finding) { handleConnection(finding); });
 }
 
 ServerCheck::~ServerCheck() = default;
@@ -64,9 +62,7 @@
     context.serverId = m_server.id;
     context.timeLeft = questionTimeout;
     const Core::TimePoint deadline = m_loop.now() + questionTimeout;
-    // The address was parsed when the connection was tried.
-    const auto endpoint = Http::Endpoint::parse(m_server.address);
-    auto call = BackendCall::create(m_loop, endpoint.value(), callMessage(m_protocol, head, nullptr, context), false, deadline, *this);
+    auto call = BackendCall::create(m_loop, m_endpoint, callMessage(m_protocol, head, nullptr, context), false, deadline, *this);
     if (!call) {
         finish(Finding::Unknown);
         return;
--- a/src/libs/relay/servercheck.h
+++ b/src/libs/relay/servercheck.h
@@ -48,6 +48,7 @@
     EventLoop::Loop &m_loop;
     const RelayProtocol &m_protocol;
     Decisions::ServerInstance m_server;
+    Http::Endpoint m_endpoint; ///< Of the server.
     std::string m_healthPath;
     Callback m_done;
     Finding m_finding = Finding::Unknown;
