Say for what requests waited when their callers left

caller_left said after how long a caller had left, and not when its call had been sent, how old the report of the agent beside its engine was, nor whether the server's host had acknowledged anything, so that the hypotheses on runs that outlive their callers could not be told apart. It says so now, with a counter for each of five causes. An engine counts as silent, for this line only, when its agent has not reported for 0.8 s while others have.

--- a/src/libs/decisions/relay/enginereports.cpp
+++ b/src/libs/decisions/relay/enginereports.cpp
@@ -46,6 +46,9 @@
 // idle for seconds.
 constexpr milliseconds unknownStartDelay{2700};
 
+// After a time without any report, from the first one on, the time until those of all other agents have arrived: an agent reports at least every 250 ms.
+constexpr milliseconds reportsReturnTime{500};
+
 bool isMemoryFull(const EngineStatus &status)
 {
     return static_cast<double>(status.usedTokens) > fullMemoryFraction * static_cast<double>(status.totalTokens);
@@ -60,6 +63,10 @@
 
 void EngineReports::update(BackendServerId id, const EngineStatus &status, Core::TimePoint now)
 {
+    if (now >= m_newestReportAt + silenceTime) {
+        m_silenceKnownFrom = now + reportsReturnTime;
+    }
+    m_newestReportAt = now;
     StatusReport &report = m_reports[id];
     report.status = status;
     report.deadline = now + lifetime;
@@ -110,7 +117,19 @@
     if (report == m_reports.end() || now >= report->second.deadline) {
         return std::nullopt;
     }
-    return EngineQueue{estimateWaiting(report->second), std::chrono::duration_cast<milliseconds>(now - (report->second.deadline - lifetime))};
+    return EngineQueue{estimateWaiting(report->second), age(report->second, now)};
+}
+
+std::optional<milliseconds> EngineReports::reportAge(BackendServerId id, Core::TimePoint now) const
+{
+    const auto report = m_reports.find(id);
+    return report == m_reports.end() ? std::nullopt : std::optional(age(report->second, now));
+}
+
+bool EngineReports::isSilent(BackendServerId id, Core::TimePoint now) const
+{
+    const auto report = m_reports.find(id);
+    return report != m_reports.end() && isSilent(report->second, now);
 }
 
 bool EngineReports::isWaitingToLoad(BackendServerId id, Core::TimePoint now) const
@@ -177,6 +196,22 @@
     return now + unknownStartDelay + unanswered * std::min(m_routerCount, maxScaledRouters) >= until;
 }
 
+Core::TimePoint EngineReports::receivedAt(const StatusReport &report)
+{
+    return report.deadline - lifetime;
+}
+
+milliseconds EngineReports::age(const StatusReport &report, Core::TimePoint now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - receivedAt(report));
+}
+
+// Counted up to the newest report and not up to now: a router that stood still, is slow or is cut off hears nothing of any agent.
+bool EngineReports::isSilent(const StatusReport &report, Core::TimePoint now) const
+{
+    return now >= m_silenceKnownFrom && m_newestReportAt >= receivedAt(report) + silenceTime;
+}
+
 // Adds the requests that routers have sent since the last report to those that it lists. Other routers choose alike, so each is assumed to have sent as much
 // as this one; a single request is no evidence of that. Without this estimate all routers together would fill the queue of an engine between two of its
 // reports, above all that of an engine that has just loaded new weights and looks idle.
--- a/src/libs/decisions/relay/enginereports.h
+++ b/src/libs/decisions/relay/enginereports.h
@@ -29,6 +29,9 @@
     /// \brief Validity of a status report. Agents report several times a second; without a report for this long an agent counts as silent.
     static constexpr std::chrono::milliseconds lifetime{1500};
 
+    /// \brief Time without a report, while others report, after which an engine counts as silent: so many reports in a row are hardly ever lost.
+    static constexpr std::chrono::milliseconds silenceTime{800};
+
     /// \brief Sets the number of routers, including this one, that send requests to the same engines.
     void setRouterCount(std::uint32_t count);
 
@@ -53,6 +56,12 @@
     /// \brief Returns the estimated queue of the engine \a id, or nothing if its agent is silent.
     std::optional<EngineQueue> queue(BackendServerId id, Core::TimePoint now) const;
 
+    /// \brief Returns the time since the last report on the engine \a id; nothing if its agent never reported.
+    std::optional<std::chrono::milliseconds> reportAge(BackendServerId id, Core::TimePoint now) const;
+
+    /// \brief Returns whether the engine \a id is silent: its agent, and probably its host, has stopped while other agents report.
+    bool isSilent(BackendServerId id, Core::TimePoint now) const;
+
     /// \brief Returns whether the engine \a id loads new weights or finishes its requests in order to load them.
     bool isWaitingToLoad(BackendServerId id, Core::TimePoint now) const;
 
@@ -81,10 +90,15 @@
         std::uint32_t sentSince = 0; ///< Number of requests that this router has sent since, which the status does not include.
     };
 
+    static Core::TimePoint receivedAt(const StatusReport &report);
+    bool isSilent(const StatusReport &report, Core::TimePoint now) const;
+    static std::chrono::milliseconds age(const StatusReport &report, Core::TimePoint now);
     std::uint32_t estimateWaiting(const StatusReport &report) const;
     static bool isBusyWithWeights(const StatusReport &report, std::uint32_t outputTokens, Core::TimePoint now);
 
     std::unordered_map<BackendServerId, StatusReport> m_reports;
+    Core::TimePoint m_newestReportAt{}; ///< Time at which any agent last reported.
+    Core::TimePoint m_silenceKnownFrom{}; ///< Before this time, an agent without a report may have had no time to send one.
     std::uint32_t m_routerCount = 1;
 };
 
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -609,6 +609,16 @@
     return m_reports.isWaitingToLoad(choice.id, now);
 }
 
+bool RelayFleet::isSilent(const FleetChoice &choice, Core::TimePoint now) const
+{
+    return m_reports.isSilent(choice.id, now);
+}
+
+std::optional<milliseconds> RelayFleet::reportAge(const FleetChoice &choice, Core::TimePoint now) const
+{
+    return m_reports.reportAge(choice.id, now);
+}
+
 std::optional<Core::TimePoint> RelayFleet::callBackTime(const FleetChoice &choice, const std::string &model) const
 {
     const auto history = m_weights.find(model);
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -123,6 +123,12 @@
     /// The time changes when newer weights are announced.
     std::optional<Core::TimePoint> callBackTime(const FleetChoice &choice, const std::string &model) const;
 
+    /// \brief Returns whether the engine of \a choice is silent: its agent, and probably its host, has stopped while other agents report.
+    bool isSilent(const FleetChoice &choice, Core::TimePoint now) const;
+
+    /// \brief Returns the time since the agent of the engine of \a choice last reported; nothing if it never did.
+    std::optional<std::chrono::milliseconds> reportAge(const FleetChoice &choice, Core::TimePoint now) const;
+
     /// \brief Records that the request of \a choice was sent.
     void recordSent(FleetChoice &choice, Core::TimePoint now);
 
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -35,6 +35,7 @@
         return channel.error();
     }
     call->m_channel = std::move(channel.value());
+    call->m_requestBytes = request.bytes();
     call->m_channel->write(request);
     call->m_timer.startAt(connectDeadline);
     return call;
@@ -78,7 +79,7 @@
     if (m_isDestroyed != nullptr) {
         *m_isDestroyed = true;
     }
-    if (m_channel != nullptr && isUnacknowledged()) {
+    if (m_channel != nullptr && m_isReused && isUnacknowledged()) {
         m_channel->resetOnClose();
     }
 }
@@ -86,7 +87,7 @@
 // The kernel would go on sending the request after an orderly close, and a server that is reached again later would run it.
 bool BackendCall::isUnacknowledged() const
 {
-    return m_isReused && m_channel->unacknowledgedBytes() >= m_requestBytes;
+    return m_channel->unacknowledgedBytes() >= m_requestBytes;
 }
 
 bool BackendCall::hasSent() const
@@ -140,7 +141,7 @@
         m_observer.callFailed(CallFailure::NotSent, "no connection in time");
         return;
     }
-    if (isUnacknowledged()) {
+    if (m_isReused && isUnacknowledged()) {
         fail("the request on a kept connection was not acknowledged in time");
     }
 }
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -72,6 +72,9 @@
     /// \brief Returns whether any byte of the request may have reached the backend server.
     bool hasSent() const;
 
+    /// \brief Returns whether the server's host has acknowledged nothing of the request.
+    bool isUnacknowledged() const;
+
     /// \brief Returns whether the whole answer has been received, even if the observer has not been notified yet.
     bool isWhole() const;
 
@@ -102,14 +105,13 @@
     void deliver(std::optional<Http::MessageFault> fault);
     void fail(std::string_view reason);
     void handleTimeout();
-    bool isUnacknowledged() const;
 
     CallObserver &m_observer;
     Http::MessageReader m_reader;
     EventLoop::Timer m_timer; ///< Runs until there is a connection, or on a kept one until the request should have been acknowledged.
     std::unique_ptr<Http::TcpChannel> m_channel;
     bool m_isReused = false;
-    std::size_t m_requestBytes = 0; ///< Size of the request on a kept connection.
+    std::size_t m_requestBytes = 0; ///< Size of the request.
 
     // Parsed from the last bytes and delivered to the observer after the reader has returned, as the observer may destroy this call.
     std::optional<Http::MessageHead> m_head;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -81,11 +81,31 @@
         if (!mayHaveRun()) {
             m_usage.release();
         }
-        m_context.metrics.count("requests_left_total");
-        reportLeft({m_query.attemptId, m_service, m_choice.has_value() ? m_choice->serverId : "", sinceArrival()}, m_answer.isBegun());
+        reportLeft({m_query.attemptId, m_service, m_choice.has_value() ? m_choice->serverId : "", sinceArrival()}, leftReport(), m_context.metrics);
     }
 }
 
+LeftReport RelayedRequest::leftReport() const
+{
+    LeftReport report;
+    report.isBegun = m_answer.isBegun();
+    report.sends = m_attempts.sends;
+    if (m_call == nullptr) {
+        return report;
+    }
+    const Core::TimePoint now = m_context.loop.now();
+    report.sentAgo = duration_cast<milliseconds>(now - m_choice->sentAt);
+    report.reportAge = m_context.fleet.reportAge(*m_choice, now);
+    if (m_call->isUnacknowledged()) {
+        report.waitingFor = LeftWaitingFor::Acknowledgement;
+    } else if (m_context.fleet.isSilent(*m_choice, now)) {
+        report.waitingFor = LeftWaitingFor::SilentEngine;
+    } else {
+        report.waitingFor = m_isUnanswered ? LeftWaitingFor::Begin : LeftWaitingFor::Rest;
+    }
+    return report;
+}
+
 std::string_view RelayedRequest::body() const
 {
     return m_body == nullptr ? std::string_view() : std::string_view(*m_body);
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -7,6 +7,7 @@
 #include "memoryguard.h"
 #include "parttimes.h"
 #include "relayprotocol.h"
+#include "requestreport.h"
 #include "resendqueue.h"
 #include "servercheck.h"
 #include "serverwait.h"
@@ -93,6 +94,7 @@
     void findOrigin();
     void handleOrigin(const std::optional<Decisions::StreamOrigin> &origin);
     Decisions::StreamKey streamKey() const;
+    LeftReport leftReport() const;
     std::string_view body() const;
     std::chrono::milliseconds longestStream() const;
     void beginStream();
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -42,6 +42,23 @@
 constexpr std::size_t maximumLoggedParts = 8;
 constexpr std::size_t maximumLoggedIdBytes = 32;
 
+std::string_view leftWaitingForName(LeftWaitingFor cause)
+{
+    switch (cause) {
+    case LeftWaitingFor::Server:
+        return "server";
+    case LeftWaitingFor::Acknowledgement:
+        return "acknowledgement";
+    case LeftWaitingFor::SilentEngine:
+        return "silent_engine";
+    case LeftWaitingFor::Begin:
+        return "begin";
+    case LeftWaitingFor::Rest:
+        return "rest";
+    }
+    return "unknown";
+}
+
 // A request without a target, or without a report on its engine, may wait for any time.
 std::string acceptableWaitText(const Decisions::FleetChoice &choice)
 {
@@ -128,9 +145,20 @@
             {"after_ms", text(label.after)}});
 }
 
-void reportLeft(const RequestLabel &label, bool isBegun)
+void reportLeft(const RequestLabel &label, const LeftReport &report, Observe::Metrics &metrics)
 {
-    Observe::log(callerLeft, {{"request", label.attemptId}, {"server", label.serverId}, {"begun", yesOrNo(isBegun)}, {"after_ms", text(label.after)}});
+    const std::string waitingFor(leftWaitingForName(report.waitingFor));
+    metrics.count("requests_left_total");
+    metrics.count("requests_left_waiting_for_" + waitingFor + "_total");
+    Observe::log(callerLeft,
+        {{"request", label.attemptId},
+            {"server", label.serverId},
+            {"begun", yesOrNo(report.isBegun)},
+            {"waiting_for", waitingFor},
+            {"sends", std::to_string(report.sends)},
+            {"sent_ago_ms", text(report.sentAgo)},
+            {"news_ms", text(report.reportAge)},
+            {"after_ms", text(label.after)}});
 }
 
 void reportEnd(const RequestReport &report, Observe::Metrics &metrics)
--- a/src/libs/relay/requestreport.h
+++ b/src/libs/relay/requestreport.h
@@ -73,8 +73,27 @@
 /// \brief Logs that a stream is resumed on the backend server \a to after event \a lastId.
 void reportMove(const RequestLabel &label, const std::string &to, std::uint64_t lastId);
 
-/// \brief Logs that the caller closed its connection; \a isBegun: it had received a part of its answer.
-void reportLeft(const RequestLabel &label, bool isBegun);
+/// \brief What a request waited for when its caller closed the connection.
+enum class LeftWaitingFor {
+    Server, ///< It had not been sent, or waited to be sent again.
+    Acknowledgement, ///< The host of its backend server had acknowledged nothing of it.
+    SilentEngine, ///< The agent beside its engine had been silent for some reports.
+    Begin, ///< Its backend server had not begun to answer.
+    Rest, ///< The rest of an answer that had begun.
+};
+
+/// \brief A request whose caller closed the connection before its answer was whole.
+struct LeftReport
+{
+    LeftWaitingFor waitingFor = LeftWaitingFor::Server;
+    bool isBegun = false; ///< Whether the caller had received a part of its answer.
+    std::uint32_t sends = 0;
+    std::optional<std::chrono::milliseconds> sentAgo; ///< Time since it was sent to its backend server.
+    std::optional<std::chrono::milliseconds> reportAge; ///< Time since the agent beside that server reported.
+};
+
+/// \brief Logs that the caller of a request left and counts it in \a metrics.
+void reportLeft(const RequestLabel &label, const LeftReport &report, Observe::Metrics &metrics);
 
 /// \brief The outcome of a request with the data that explain it.
 struct RequestReport
