Take requests off engines that have fallen silent

What callers saw: hosts beside engines stood still for seconds, and what waited at their engines waited until its callers left; the engines then worked on it for nobody. Requests went on being sent there.

Cause: a router asked for the silence of an agent only when it chose an engine, and there it let each router send two requests to each silent engine, which is more than a router of a large fleet sends there in seconds. Nothing looked at the calls that were running.

Ten times a second, what waits at silent engines and may be sent again is sent elsewhere, within the resends and the attempts of its route, those with the least time left first. What may run once stays. New requests go there only as a trial, one a second from all routers together. An engine that answers counts as present until its agent reports again.

--- a/src/libs/decisions/relay/enginereports.cpp
+++ b/src/libs/decisions/relay/enginereports.cpp
@@ -17,9 +17,12 @@
 // shorter.
 constexpr milliseconds isolationTimeout{6000};
 
-// Maximum number of unanswered requests that a router sends to an engine whose agent is silent.
+// Maximum number of unanswered requests that a router sends to an engine whose report has expired.
 constexpr std::uint32_t maxSentToSilent = 2;
 
+// Average interval at which any of the routers sends a request to a silent engine, in case only its agent has stopped.
+constexpr milliseconds trialInterval{1000};
+
 // An engine that is about to load weights first finishes its requests. To keep that short, requests that would still run by then are sent elsewhere. A step
 // generates one token for each request and takes 4 to 10 ms in the deployments in use; the prefill of a prompt takes some tenths of a second.
 constexpr milliseconds timePerToken{6};
@@ -72,13 +75,28 @@
     report.deadline = now + lifetime;
     report.sentSince = 0;
     report.status.parts.reset();
+    report.hasSignSince = false;
+    report.nextTrial = now + silenceTime + trialInterval * m_routerCount;
+}
+
+void EngineReports::recordSent(BackendServerId id, Core::TimePoint now)
+{
+    const auto report = m_reports.find(id);
+    if (report == m_reports.end()) {
+        return;
+    }
+    ++report->second.sentSince;
+    if (isSilent(report->second, now)) {
+        report->second.nextTrial = now + trialInterval * m_routerCount;
+    }
 }
 
-void EngineReports::recordSent(BackendServerId id)
+// What came before the engine counted as silent was sent before its host stopped.
+void EngineReports::recordSign(BackendServerId id, Core::TimePoint now)
 {
     const auto report = m_reports.find(id);
-    if (report != m_reports.end()) {
-        ++report->second.sentSince;
+    if (report != m_reports.end() && isSilent(report->second, now)) {
+        report->second.hasSignSince = true;
     }
 }
 
@@ -132,6 +150,11 @@
     return report != m_reports.end() && isSilent(report->second, now);
 }
 
+std::size_t EngineReports::silentCount(Core::TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_reports.begin(), m_reports.end(), [&](const auto &entry) { return isSilent(entry.second, now); }));
+}
+
 bool EngineReports::isWaitingToLoad(BackendServerId id, Core::TimePoint now) const
 {
     const auto report = m_reports.find(id);
@@ -159,7 +182,8 @@
 void EngineReports::addSilent(std::vector<BackendServerId> &ids, Core::TimePoint now) const
 {
     for (const auto &[id, report] : m_reports) {
-        if (now >= report.deadline && report.sentSince >= maxSentToSilent) {
+        const bool isTried = now >= report.deadline && report.sentSince >= maxSentToSilent;
+        if (isTried || (isSilent(report, now) && now < report.nextTrial)) {
             ids.push_back(id);
         }
     }
@@ -209,7 +233,7 @@
 // Counted up to the newest report and not up to now: a router that stood still, is slow or is cut off hears nothing of any agent.
 bool EngineReports::isSilent(const StatusReport &report, Core::TimePoint now) const
 {
-    return now >= m_silenceKnownFrom && m_newestReportAt >= receivedAt(report) + silenceTime;
+    return !report.hasSignSince && now >= m_silenceKnownFrom && m_newestReportAt >= receivedAt(report) + silenceTime;
 }
 
 // Adds the requests that routers have sent since the last report to those that it lists. Other routers choose alike, so each is assumed to have sent as much
--- a/src/libs/decisions/relay/enginereports.h
+++ b/src/libs/decisions/relay/enginereports.h
@@ -39,7 +39,11 @@
     void update(BackendServerId id, const EngineStatus &status, Core::TimePoint now);
 
     /// \brief Records that this router sent a request to the engine \a id.
-    void recordSent(BackendServerId id);
+    void recordSent(BackendServerId id, Core::TimePoint now);
+
+    /// \brief Records that anything of an answer came from the engine \a id. An engine that answers while its agent is silent counts as present until its
+    /// agent reports again.
+    void recordSign(BackendServerId id, Core::TimePoint now);
 
     /// \brief Records that the engine \a id answered a request.
     void recordAnswered(BackendServerId id, Core::TimePoint now);
@@ -62,13 +66,17 @@
     /// \brief Returns whether the engine \a id is silent: its agent, and probably its host, has stopped while other agents report.
     bool isSilent(BackendServerId id, Core::TimePoint now) const;
 
+    /// \brief Returns the number of silent engines.
+    std::size_t silentCount(Core::TimePoint now) const;
+
     /// \brief Returns whether the engine \a id loads new weights or finishes its requests in order to load them.
     bool isWaitingToLoad(BackendServerId id, Core::TimePoint now) const;
 
     /// \brief Returns whether this router has probably lost its connection to the agents.
     bool isLikelyIsolated(Core::TimePoint now) const;
 
-    /// \brief Adds the engines to \a ids whose agents are silent and that have received enough requests to find out whether they still answer.
+    /// \brief Adds the engines to \a ids that are silent, unless it is this router's turn to find out whether they still answer, and those that have got
+    /// enough requests without an answer since their report expired.
     void addSilent(std::vector<BackendServerId> &ids, Core::TimePoint now) const;
 
     /// \brief Adds the engines to \a ids that load new weights, or will start to before they have generated \a outputTokens.
@@ -88,6 +96,8 @@
         EngineStatus status;
         Core::TimePoint deadline;
         std::uint32_t sentSince = 0; ///< Number of requests that this router has sent since, which the status does not include.
+        bool hasSignSince = false; ///< Whether the engine, after it had fallen silent, has sent anything.
+        Core::TimePoint nextTrial; ///< Time at which this router may send a request to the engine although it is silent.
     };
 
     static Core::TimePoint receivedAt(const StatusReport &report);
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -412,13 +412,16 @@
         return {};
     }
     m_reports.addSilent(route.excluded, now);
+    const std::size_t heard = route.excluded.size();
     m_reports.addBusyWithWeights(route.excluded, query.prompt->maximumOutputTokens, now);
     RouteDecision decision = m_chooser.choose(route, now);
-    if (decision.candidates.empty() && route.excluded.size() > usable) {
-        // An engine that is busy with weights is better than none.
-        route.excluded.resize(usable);
-        decision = m_chooser.choose(route, now);
-        choice.isBusyWithWeights = true;
+    // An engine that is busy with weights is better than none, and so is, after these, a silent one.
+    for (const std::size_t excluded : {heard, usable}) {
+        if (decision.candidates.empty() && route.excluded.size() > excluded) {
+            route.excluded.resize(excluded);
+            decision = m_chooser.choose(route, now);
+            choice.isBusyWithWeights = true;
+        }
     }
     if (isPlacedBySpeed(choice, query)) {
         setExpectedSpeed(decision, query, now);
@@ -614,6 +617,11 @@
     return m_reports.isSilent(choice.id, now);
 }
 
+std::size_t RelayFleet::silentCount(Core::TimePoint now) const
+{
+    return m_reports.silentCount(now);
+}
+
 std::optional<milliseconds> RelayFleet::reportAge(const FleetChoice &choice, Core::TimePoint now) const
 {
     return m_reports.reportAge(choice.id, now);
@@ -634,10 +642,17 @@
     choice.sentAt = now;
     m_limits.recordSent(choice.serverId, now);
     m_chooser.recordDispatch(choice.id, choice.route, choice.work, now);
-    m_reports.recordSent(choice.id);
+    m_reports.recordSent(choice.id, now);
     m_transfers.caches().recordSent(choice.id, choice.parts, now);
 }
 
+void RelayFleet::recordSign(const FleetChoice &choice, Core::TimePoint now)
+{
+    if (!isOutdated(choice)) {
+        m_reports.recordSign(choice.id, now);
+    }
+}
+
 void RelayFleet::recordAnswered(const FleetChoice &choice, Core::TimePoint now)
 {
     if (isOutdated(choice)) {
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -126,12 +126,18 @@
     /// \brief Returns whether the engine of \a choice is silent: its agent, and probably its host, has stopped while other agents report.
     bool isSilent(const FleetChoice &choice, Core::TimePoint now) const;
 
+    /// \brief Returns the number of silent engines.
+    std::size_t silentCount(Core::TimePoint now) const;
+
     /// \brief Returns the time since the agent of the engine of \a choice last reported; nothing if it never did.
     std::optional<std::chrono::milliseconds> reportAge(const FleetChoice &choice, Core::TimePoint now) const;
 
     /// \brief Records that the request of \a choice was sent.
     void recordSent(FleetChoice &choice, Core::TimePoint now);
 
+    /// \brief Records that anything of an answer to the request of \a choice was received.
+    void recordSign(const FleetChoice &choice, Core::TimePoint now);
+
     /// \brief Records that the first part of the answer was received.
     void recordAnswered(const FleetChoice &choice, Core::TimePoint now);
 
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -375,11 +375,9 @@
     return text;
 }
 
-void CallerConnection::handleNewWeights()
+RelayedRequest *CallerConnection::request() const
 {
-    if (m_request != nullptr) {
-        m_request->updateCallBackTimer();
-    }
+    return m_request.get();
 }
 
 void CallerConnection::respond(int status, const std::vector<HttpField> &fields, std::string_view body)
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -88,8 +88,8 @@
     /// \brief Closes the connection if it is idle.
     void endIfIdle();
 
-    /// \brief Handles the announcement of new weights.
-    void handleNewWeights();
+    /// \brief Returns the request that is being handled; null if there is none. It lives until the loop's next iteration at least.
+    RelayedRequest *request() const;
 
     void respond(int status, const std::vector<Http::HttpField> &fields, std::string_view body) override;
     void beginAnswer(int status, const std::vector<Http::HttpField> &fields, std::optional<std::uint64_t> length) override;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -35,6 +35,9 @@
 // Interval between checks whether to move a stream; its events arrive several times as often.
 constexpr milliseconds moveCheckInterval{100};
 
+// Time that a silent engine has to answer a request that was sent to find out whether it does.
+constexpr milliseconds silentEngineTime{500};
+
 // Delay before a call is called back at once because of newer weights. An announcement that is received late counts as old until the store has returned its
 // time, some milliseconds later.
 constexpr milliseconds minimumCallBackDelay{100};
@@ -81,13 +84,13 @@
         if (!mayHaveRun()) {
             m_usage.release();
         }
-        reportLeft({m_query.attemptId, m_service, m_choice.has_value() ? m_choice->serverId : "", sinceArrival()}, leftReport(), m_context.metrics);
+        reportLeft({m_query.attemptId, m_service, m_choice.has_value() ? m_choice->serverId : "", sinceArrival()}, waitReport(), m_context.metrics);
     }
 }
 
-LeftReport RelayedRequest::leftReport() const
+WaitReport RelayedRequest::waitReport() const
 {
-    LeftReport report;
+    WaitReport report;
     report.isBegun = m_answer.isBegun();
     report.sends = m_attempts.sends;
     if (m_call == nullptr) {
@@ -97,11 +100,11 @@
     report.sentAgo = duration_cast<milliseconds>(now - m_choice->sentAt);
     report.reportAge = m_context.fleet.reportAge(*m_choice, now);
     if (m_call->isUnacknowledged()) {
-        report.waitingFor = LeftWaitingFor::Acknowledgement;
+        report.waitingFor = WaitingFor::Acknowledgement;
     } else if (m_context.fleet.isSilent(*m_choice, now)) {
-        report.waitingFor = LeftWaitingFor::SilentEngine;
+        report.waitingFor = WaitingFor::SilentEngine;
     } else {
-        report.waitingFor = m_isUnanswered ? LeftWaitingFor::Begin : LeftWaitingFor::Rest;
+        report.waitingFor = m_isUnanswered ? WaitingFor::Begin : WaitingFor::Rest;
     }
     return report;
 }
@@ -453,6 +456,7 @@
 
 void RelayedRequest::receiveAnswerHead(const Http::MessageHead &head)
 {
+    m_context.fleet.recordSign(*m_choice, m_context.loop.now());
     const AnswerMarks marks = m_context.protocol.readAnswer(head);
     const AnswerMeaning meaning = meaningOf(head.status, marks);
     if (meaning == AnswerMeaning::NotRun) {
@@ -518,6 +522,7 @@
 
 void RelayedRequest::receiveAnswerBody(std::string_view data)
 {
+    m_context.fleet.recordSign(*m_choice, m_context.loop.now());
     handleFirstPart();
     const bool wasBegun = m_answer.isBegun();
     const bool hadEvent = m_answer.hasEvent();
@@ -561,15 +566,68 @@
     }
     m_context.metrics.count("streams_moved_total");
     reportMove({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, choice->serverId, *m_answer.lastEventId());
+    moveTo(*choice);
+}
+
+void RelayedRequest::moveTo(const FleetChoice &choice)
+{
+    if (m_isUnanswered) {
+        m_isUnanswered = false;
+        m_context.fleet.recordAbandoned(*m_choice);
+    }
     m_call.reset();
     m_answer.prepareNextCall();
     ++m_attempts.runs;
     ++m_arrivals;
-    if (!sendTo(*choice) && !m_isDone) {
+    if (!sendTo(choice) && !m_isDone) {
         dispatch();
     }
 }
 
+Core::TimePoint RelayedRequest::deadline() const
+{
+    return m_deadline;
+}
+
+bool RelayedRequest::isAtSilentEngine() const
+{
+    const Core::TimePoint now = m_context.loop.now();
+    const bool isWaiting = !m_isDone && m_call != nullptr && !m_call->isWhole();
+    return isWaiting && now >= m_choice->sentAt + silentEngineTime && m_context.fleet.isSilent(*m_choice, now);
+}
+
+bool RelayedRequest::mayFailOver()
+{
+    Decisions::AttemptState next = attempts();
+    ++next.runs;
+    const bool hasTime = m_context.loop.now() + minimumResendTime < m_deadline;
+    return isAtSilentEngine() && mayResend(next, CallFailure::Lost) && hasTime && !isSoftwareGone() && !m_crashes.isSuspected();
+}
+
+// A caller does not wait until the host of its engine wakes, and an engine that wakes begins what waits there before it learns that nobody wants it any more.
+// What may run only once stays, as the engine may still answer.
+void RelayedRequest::failOver()
+{
+    const Core::TimePoint now = m_context.loop.now();
+    if (!mayFailOver()) {
+        return;
+    }
+    if (m_context.budget.balance(m_service, resendPurpose(), now).available < 1) {
+        m_context.metrics.count("failovers_without_budget_total");
+        return;
+    }
+    const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(), now);
+    if (!choice.has_value() || m_context.fleet.isSilent(*choice, now) || !m_context.budget.tryConsume(m_service, resendPurpose(), now)) {
+        return;
+    }
+    m_context.metrics.count("requests_failed_over_total");
+    reportFailover({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, choice->serverId, waitReport());
+    if (m_context.connections != nullptr) {
+        m_context.connections->drop(m_choice->address, DropReason::CallFailed);
+    }
+    moveTo(*choice);
+}
+
 void RelayedRequest::outputDrained()
 {
     if (m_call != nullptr) {
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -80,6 +80,15 @@
     /// \brief Resumes reading the answer after all written bytes have been sent to the caller.
     void outputDrained();
 
+    /// \brief Returns the deadline of the final answer.
+    Core::TimePoint deadline() const;
+
+    /// \brief Returns whether the request waits for an engine that has fallen silent.
+    bool isAtSilentEngine() const;
+
+    /// \brief Sends the request, or the rest of its stream, to another engine if it waits for a silent one and may be sent again.
+    void failOver();
+
     /// \brief Recomputes when the current call, if its engine has not begun it, has to be called back because of newer weights.
     void updateCallBackTimer();
 
@@ -94,7 +103,7 @@
     void findOrigin();
     void handleOrigin(const std::optional<Decisions::StreamOrigin> &origin);
     Decisions::StreamKey streamKey() const;
-    LeftReport leftReport() const;
+    WaitReport waitReport() const;
     std::string_view body() const;
     std::chrono::milliseconds longestStream() const;
     void beginStream();
@@ -111,6 +120,8 @@
     bool awaitServer();
     Decisions::FleetQuery fleetQuery();
     void moveOffWaitingEngine();
+    void moveTo(const Decisions::FleetChoice &choice);
+    bool mayFailOver();
     bool sendTo(const Decisions::FleetChoice &choice);
     Core::Result<std::unique_ptr<BackendCall>> openCall(const Decisions::FleetChoice &choice);
     Decisions::KeptConnectionUse connectionUse();
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -70,6 +70,8 @@
 inline constexpr Event callerCut{2153, Severity::Warning, "caller_cut", "A caller that did not read was cut off since memory was used up."};
 inline constexpr Event routerBehind{2154, Severity::Warning, "router_behind", "This router falls behind its callers or catches up, or wants new ones or none."};
 
+inline constexpr Event requestFailedOver{2142, Severity::Info, "request_failed_over", "A request is sent elsewhere, as its engine has fallen silent."};
+
 inline constexpr Event strayBytesReceived{
     2145, Severity::Warning, "stray_bytes_received", "A backend server sent bytes on an idle connection; they belong to no request."};
 
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -132,6 +132,7 @@
     const Core::TimePoint now = m_loop.now();
     recordActivity();
     relieveMemory();
+    failOverSilentEngines();
     m_bodies.handleRoom();
     m_intake.record(m_activityDue, now, m_memory.budget().isShort());
     m_activityDue = now + activityInterval;
@@ -180,6 +181,28 @@
     }
 }
 
+// The budget may not suffice for all, so the callers that have the least time left come first.
+void RelayTask::failOverSilentEngines()
+{
+    const std::size_t silent = m_fleet.silentCount(m_loop.now());
+    m_metrics.setGauge("engines_silent", static_cast<double>(silent));
+    if (silent == 0) {
+        return;
+    }
+    std::vector<RelayedRequest *> waiting;
+    for (const auto &[raw, connection] : m_connections) {
+        RelayedRequest *request = connection->request();
+        if (request != nullptr && request->isAtSilentEngine()) {
+            waiting.push_back(request);
+        }
+    }
+    std::sort(
+        waiting.begin(), waiting.end(), [](const RelayedRequest *left, const RelayedRequest *right) { return left->deadline() < right->deadline(); });
+    for (RelayedRequest *request : waiting) {
+        request->failOver();
+    }
+}
+
 bool RelayTask::isRandomlyChosen()
 {
     return m_random.next() % m_routerCount < expectedChosenRouters;
@@ -188,7 +211,9 @@
 void RelayTask::handleNewWeights()
 {
     for (const auto &[raw, connection] : m_connections) {
-        connection->handleNewWeights();
+        if (RelayedRequest *request = connection->request()) {
+            request->updateCallBackTimer();
+        }
     }
 }
 
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -145,6 +145,7 @@
     void handleNewWeights();
     void recordActivity();
     void relieveMemory();
+    void failOverSilentEngines();
     void handleActivityTimer();
     void acceptCaller(int descriptor);
     void closeIdleConnections(std::size_t count);
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -42,18 +42,18 @@
 constexpr std::size_t maximumLoggedParts = 8;
 constexpr std::size_t maximumLoggedIdBytes = 32;
 
-std::string_view leftWaitingForName(LeftWaitingFor cause)
+std::string_view waitingForName(WaitingFor waitingFor)
 {
-    switch (cause) {
-    case LeftWaitingFor::Server:
+    switch (waitingFor) {
+    case WaitingFor::Server:
         return "server";
-    case LeftWaitingFor::Acknowledgement:
+    case WaitingFor::Acknowledgement:
         return "acknowledgement";
-    case LeftWaitingFor::SilentEngine:
+    case WaitingFor::SilentEngine:
         return "silent_engine";
-    case LeftWaitingFor::Begin:
+    case WaitingFor::Begin:
         return "begin";
-    case LeftWaitingFor::Rest:
+    case WaitingFor::Rest:
         return "rest";
     }
     return "unknown";
@@ -145,9 +145,9 @@
             {"after_ms", text(label.after)}});
 }
 
-void reportLeft(const RequestLabel &label, const LeftReport &report, Observe::Metrics &metrics)
+void reportLeft(const RequestLabel &label, const WaitReport &report, Observe::Metrics &metrics)
 {
-    const std::string waitingFor(leftWaitingForName(report.waitingFor));
+    const std::string waitingFor(waitingForName(report.waitingFor));
     metrics.count("requests_left_total");
     metrics.count("requests_left_waiting_for_" + waitingFor + "_total");
     Observe::log(callerLeft,
@@ -161,6 +161,20 @@
             {"after_ms", text(label.after)}});
 }
 
+void reportFailover(const RequestLabel &label, const std::string &to, const WaitReport &report)
+{
+    Observe::log(requestFailedOver,
+        {{"request", label.attemptId},
+            {"server", label.serverId},
+            {"service", label.service},
+            {"to", to},
+            {"begun", yesOrNo(report.isBegun)},
+            {"sends", std::to_string(report.sends)},
+            {"sent_ago_ms", text(report.sentAgo)},
+            {"news_ms", text(report.reportAge)},
+            {"after_ms", text(label.after)}});
+}
+
 void reportEnd(const RequestReport &report, Observe::Metrics &metrics)
 {
     metrics.count("requests_" + std::to_string(report.status) + "_total");
--- a/src/libs/relay/requestreport.h
+++ b/src/libs/relay/requestreport.h
@@ -73,8 +73,8 @@
 /// \brief Logs that a stream is resumed on the backend server \a to after event \a lastId.
 void reportMove(const RequestLabel &label, const std::string &to, std::uint64_t lastId);
 
-/// \brief What a request waited for when its caller closed the connection.
-enum class LeftWaitingFor {
+/// \brief What a request waits for.
+enum class WaitingFor {
     Server, ///< It had not been sent, or waited to be sent again.
     Acknowledgement, ///< The host of its backend server had acknowledged nothing of it.
     SilentEngine, ///< The agent beside its engine had been silent for some reports.
@@ -82,10 +82,10 @@
     Rest, ///< The rest of an answer that had begun.
 };
 
-/// \brief A request whose caller closed the connection before its answer was whole.
-struct LeftReport
+/// \brief The state of a request that waits for its answer or the rest of it.
+struct WaitReport
 {
-    LeftWaitingFor waitingFor = LeftWaitingFor::Server;
+    WaitingFor waitingFor = WaitingFor::Server;
     bool isBegun = false; ///< Whether the caller had received a part of its answer.
     std::uint32_t sends = 0;
     std::optional<std::chrono::milliseconds> sentAgo; ///< Time since it was sent to its backend server.
@@ -93,7 +93,10 @@
 };
 
 /// \brief Logs that the caller of a request left and counts it in \a metrics.
-void reportLeft(const RequestLabel &label, const LeftReport &report, Observe::Metrics &metrics);
+void reportLeft(const RequestLabel &label, const WaitReport &report, Observe::Metrics &metrics);
+
+/// \brief Logs that a request that waited for a silent engine is sent to the engine \a to.
+void reportFailover(const RequestLabel &label, const std::string &to, const WaitReport &report);
 
 /// \brief The outcome of a request with the data that explain it.
 struct RequestReport
