Let the register decide where a stream goes on only if it was verified since

What callers saw (a report of other operators): a stream that had begun at a new software version, through other routers, went on at another version at a router that had not heard of the new one.

Cause: a copy of the register that was younger than two to three seconds counted as the truth. For a named attempt nobody was asked then, and answers to other routers carried the same claim.

Change: replicas are always asked, and without an origin the register decides only once it has been verified after the request was read. The router asks the store for changes meanwhile. Claims of other routers are no longer sent.

The tests of OriginInquiry now say when the register was verified: the old ones asserted that a claim of any age decides.

--- a/src/libs/decisions/relay/origininquiry.cpp
+++ b/src/libs/decisions/relay/origininquiry.cpp
@@ -9,22 +9,32 @@
 {
 }
 
-void OriginInquiry::handleAnswer(const std::string &replica, const OriginAnswer &answer)
+void OriginInquiry::handleAnswer(const std::string &replica, const std::optional<StreamOrigin> &origin)
 {
     m_silent.erase(replica);
-    if (answer.origin.has_value()) {
-        const bool isOther = m_origin.has_value() && *m_origin != *answer.origin;
-        m_origin = answer.origin;
+    if (origin.has_value()) {
+        const bool isOther = m_origin.has_value() && *m_origin != *origin;
+        m_origin = origin;
         m_origin->isDisputed = m_origin->isDisputed || isOther;
     }
-    if (answer.soleSoftware.has_value() && answer.soleSoftware->duration >= m_longestStream) {
-        m_soleVersion = answer.soleSoftware->version;
+}
+
+void OriginInquiry::handleRegister(const std::optional<SoleSoftware> &sole)
+{
+    m_isRegisterKnown = true;
+    if (sole.has_value() && sole->duration >= m_longestStream) {
+        m_soleVersion = sole->version;
     }
 }
 
+bool OriginInquiry::isRegisterKnown() const
+{
+    return m_isRegisterKnown;
+}
+
 bool OriginInquiry::isDecided() const
 {
-    return m_origin.has_value() || m_silent.empty();
+    return m_origin.has_value() || m_soleVersion.has_value() || (m_isRegisterKnown && m_silent.empty());
 }
 
 const std::set<std::string> &OriginInquiry::silentReplicas() const
--- a/src/libs/decisions/relay/origininquiry.h
+++ b/src/libs/decisions/relay/origininquiry.h
@@ -11,32 +11,32 @@
 
 namespace Verbena::Decisions {
 
-/// \brief What one process knows of the origin of a stream.
-struct OriginAnswer
-{
-    std::optional<StreamOrigin> origin; ///< Nothing if the process was not told.
-    std::optional<SoleSoftware> soleSoftware; ///< Only software version of the caller's service, as far as the process follows it.
-};
-
-/// \brief Collects what processes know of the origin of a stream that a caller resumes, and decides where it may go on.
+/// \brief Collects what is known of the origin of a stream that a caller resumes, and decides where it may go on.
 ///
-/// Without an origin, the stream may go on only if some process knows one software version to have been the only one for longer than a stream lasts.
+/// Without an origin, the stream may go on only if the register, as of a moment after the inquiry began, shows one software version to have been the only one
+/// for longer than a stream lasts. A copy that is older may lack the version at which the stream began.
 class OriginInquiry
 {
 public:
     /// \brief Asks for a stream on \a service, of which none lasts longer than \a longestStream, at \a replicas.
     OriginInquiry(std::string service, std::chrono::milliseconds longestStream, const std::vector<std::string> &replicas);
 
-    /// \brief Handles the answer of \a replica, or of this process itself if it is empty.
-    void handleAnswer(const std::string &replica, const OriginAnswer &answer);
+    /// \brief Handles the answer of \a replica; \a origin is empty if it was not told of the stream.
+    void handleAnswer(const std::string &replica, const std::optional<StreamOrigin> &origin);
+
+    /// \brief Handles that the register was verified after the inquiry began; \a sole is the only software version of the service by it, if there is one.
+    void handleRegister(const std::optional<SoleSoftware> &sole);
+
+    /// \brief Returns whether the register has been verified since the inquiry began.
+    bool isRegisterKnown() const;
 
-    /// \brief Returns whether the result need not wait for more answers: an origin is known, or all replicas have answered.
+    /// \brief Returns whether the result need not wait for more: it is known, or all that were asked have answered.
     bool isDecided() const;
 
     /// \brief Returns the replicas that have not answered.
     const std::set<std::string> &silentReplicas() const;
 
-    /// \brief Returns where the stream may go on, by the answers so far; nothing if that is not known.
+    /// \brief Returns where the stream may go on, by what is known so far; nothing if that is not known.
     std::optional<StreamOrigin> result() const;
 
 private:
@@ -44,7 +44,8 @@
     std::chrono::milliseconds m_longestStream;
     std::set<std::string> m_silent;
     std::optional<StreamOrigin> m_origin;
-    std::optional<std::string> m_soleVersion; ///< Only version for longer than a stream lasts, by any answer.
+    bool m_isRegisterKnown = false;
+    std::optional<std::string> m_soleVersion; ///< Only version for longer than a stream lasts, by the register.
 };
 
 } // namespace Verbena::Decisions
--- a/src/libs/relay/deploymentfeed.cpp
+++ b/src/libs/relay/deploymentfeed.cpp
@@ -58,7 +58,7 @@
 void DeploymentFeed::monitorAges(TableAgeMonitor &monitor)
 {
     monitor.add(
-        m_declarationsTable, [this] { return m_declarations.age(); }, [this] { m_declarations.pollNow(); });
+        m_declarationsTable, [this] { return m_declarations.age(); }, [this] { (void)m_declarations.pollNow(); });
     monitor.add(m_serversTable, [this] { return m_servers.age(); });
 }
 
@@ -67,11 +67,16 @@
     return m_declarations.age();
 }
 
-std::optional<milliseconds> DeploymentFeed::serversAge() const
+std::optional<milliseconds> DeploymentFeed::registerAge() const
 {
     return m_servers.age();
 }
 
+bool DeploymentFeed::renewRegister()
+{
+    return m_servers.pollNow();
+}
+
 void DeploymentFeed::replaceRows(const std::string &table, const Store::RowPage &page)
 {
     m_mirror.replace(table, page);
--- a/src/libs/relay/deploymentfeed.h
+++ b/src/libs/relay/deploymentfeed.h
@@ -2,6 +2,7 @@
 
 #include "deploymentdecoder.h"
 #include "feedreporter.h"
+#include "registercopy.h"
 #include "rejectedentries.h"
 #include "relaytask.h"
 #include "tableagemonitor.h"
@@ -19,7 +20,7 @@
 namespace Verbena::Relay {
 
 /// \brief Applies to a relay what operators and backend servers write into the store.
-class DeploymentFeed : private Store::RowConsumer
+class DeploymentFeed : public RegisterCopy, private Store::RowConsumer
 {
 public:
     /// \brief Follows \a source. Its rows are also copied into \a mirror, and announced weights are passed on to \a announcements.
@@ -41,8 +42,8 @@
     /// \brief Returns the maximum age of the operators' declarations; nothing before they were read once.
     std::optional<std::chrono::milliseconds> declarationsAge() const;
 
-    /// \brief Returns the maximum age of the register of backend servers; nothing before it was read once.
-    std::optional<std::chrono::milliseconds> serversAge() const;
+    std::optional<std::chrono::milliseconds> registerAge() const override;
+    bool renewRegister() override;
 
     DeploymentFeed(const DeploymentFeed &) = delete;
     DeploymentFeed &operator=(const DeploymentFeed &) = delete;
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -196,8 +196,7 @@
             waiting.push_back(request);
         }
     }
-    std::sort(
-        waiting.begin(), waiting.end(), [](const RelayedRequest *left, const RelayedRequest *right) { return left->deadline() < right->deadline(); });
+    std::sort(waiting.begin(), waiting.end(), [](const RelayedRequest *left, const RelayedRequest *right) { return left->deadline() < right->deadline(); });
     for (RelayedRequest *request : waiting) {
         request->failOver();
     }
--- a/src/libs/relay/streamorigincodec.cpp
+++ b/src/libs/relay/streamorigincodec.cpp
@@ -5,7 +5,6 @@
 
 namespace Verbena::Relay {
 
-using Decisions::OriginAnswer;
 using Decisions::StreamKey;
 using Decisions::StreamOrigin;
 using std::chrono::milliseconds;
@@ -41,31 +40,19 @@
     return {origin.service(), origin.software_version(), origin.is_disputed()};
 }
 
-verbena::wire::StreamOriginAnswer encodeAnswer(std::uint64_t id, const StreamKey &key, const OriginAnswer &answer)
+verbena::wire::StreamOriginAnswer encodeAnswer(std::uint64_t id, const StreamKey &key, const std::optional<StreamOrigin> &origin)
 {
     verbena::wire::StreamOriginAnswer message;
     message.set_id(id);
-    if (answer.origin.has_value()) {
-        *message.mutable_origin() = encodeOrigin(key, *answer.origin, milliseconds(0));
-    }
-    if (answer.soleSoftware.has_value()) {
-        message.set_has_sole_software(true);
-        message.set_sole_software_version(answer.soleSoftware->version);
-        message.set_sole_software_ms(encodeDuration(answer.soleSoftware->duration));
+    if (origin.has_value()) {
+        *message.mutable_origin() = encodeOrigin(key, *origin, milliseconds(0));
     }
     return message;
 }
 
-OriginAnswer decodeAnswer(const verbena::wire::StreamOriginAnswer &answer)
+std::optional<StreamOrigin> decodeAnswer(const verbena::wire::StreamOriginAnswer &answer)
 {
-    OriginAnswer decoded;
-    if (answer.has_origin()) {
-        decoded.origin = decodeOrigin(answer.origin());
-    }
-    if (answer.has_sole_software()) {
-        decoded.soleSoftware = Decisions::SoleSoftware{answer.sole_software_version(), milliseconds(answer.sole_software_ms())};
-    }
-    return decoded;
+    return answer.has_origin() ? std::optional(decodeOrigin(answer.origin())) : std::nullopt;
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/streamorigincodec.h
+++ b/src/libs/relay/streamorigincodec.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include <decisions/relay/origininquiry.h>
+#include <decisions/relay/streamorigins.h>
 
 #include <verbena.pb.h>
 
 #include <chrono>
+#include <optional>
 
 namespace Verbena::Relay {
 
@@ -17,10 +18,10 @@
 /// \brief Decodes where a stream began.
 Decisions::StreamOrigin decodeOrigin(const verbena::wire::StreamOrigin &origin);
 
-/// \brief Encodes \a answer to the query of number \a id for the stream \a key.
-verbena::wire::StreamOriginAnswer encodeAnswer(std::uint64_t id, const Decisions::StreamKey &key, const Decisions::OriginAnswer &answer);
+/// \brief Encodes the answer to the query of number \a id for the stream \a key; \a origin is empty if it was not told.
+verbena::wire::StreamOriginAnswer encodeAnswer(std::uint64_t id, const Decisions::StreamKey &key, const std::optional<Decisions::StreamOrigin> &origin);
 
-/// \brief Decodes what a replica knows.
-Decisions::OriginAnswer decodeAnswer(const verbena::wire::StreamOriginAnswer &answer);
+/// \brief Decodes what a replica was told; nothing if it was not.
+std::optional<Decisions::StreamOrigin> decodeAnswer(const verbena::wire::StreamOriginAnswer &answer);
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/streamoriginexchange.cpp
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -10,7 +10,6 @@
 
 namespace Verbena::Relay {
 
-using Decisions::OriginAnswer;
 using Decisions::OriginInquiry;
 using Decisions::ReplicaAgent;
 using Decisions::SoleSoftware;
@@ -34,6 +33,9 @@
 // Time after which missing answers are not awaited any more; the caller waits meanwhile.
 constexpr milliseconds answerTimeout{80};
 
+// Several times the response time of a slow store.
+constexpr milliseconds registerTimeout{700};
+
 constexpr milliseconds checkInterval{10};
 
 // More inquiries at a time than a router that resumed all streams of several others would have.
@@ -47,15 +49,14 @@
     Store::RowSource &source,
     Store::RowStore &store,
     std::uint64_t seed,
-    RegisterAge registerAge)
+    RegisterCopy &registerCopy)
 {
     auto replica = StreamOriginReplica::create(loop, address.address);
     if (!replica) {
         return replica.error();
     }
-    std::unique_ptr<StreamOriginExchange> exchange(new StreamOriginExchange(loop, address, relay, source, store, seed, std::move(registerAge)));
+    std::unique_ptr<StreamOriginExchange> exchange(new StreamOriginExchange(loop, address, relay, source, store, seed, registerCopy));
     exchange->m_ownReplica = std::move(replica.value());
-    exchange->m_ownReplica->setSoleSoftwareSource([raw = exchange.get()](const std::string &service) { return raw->soleSoftware(service); });
     exchange->m_ownReplica->setAnswerReceiver(
         [raw = exchange.get()](const std::string &from, const verbena::wire::StreamOriginAnswer &answer) { raw->handleAnswer(from, answer); });
     relay.setStreamOriginControl(exchange.get());
@@ -68,11 +69,11 @@
     Store::RowSource &source,
     Store::RowStore &store,
     std::uint64_t seed,
-    RegisterAge registerAge)
+    RegisterCopy &registerCopy)
     : m_loop(loop)
     , m_address(address)
     , m_relay(relay)
-    , m_registerAge(std::move(registerAge))
+    , m_registerCopy(registerCopy)
     , m_softwareRows(loop, source, store, relay, m_software, seed)
     , m_tellTimer(loop, [this] { tellRunning(); })
     , m_inquiryTimer(loop, [this] { checkInquiries(); })
@@ -88,7 +89,7 @@
 void StreamOriginExchange::updateSoftware()
 {
     m_software.update(m_relay.fleet().servers(), m_loop.now());
-    if (m_registerAge().has_value()) {
+    if (m_registerCopy.registerAge().has_value()) {
         m_softwareRows.update();
     }
 }
@@ -135,10 +136,10 @@
     m_replicas.setAgents(std::move(agents));
 }
 
-// A copy of the register that is old may lack a version that another router has sent streams to since.
+// By a copy of the register that is old, a stream counts as one that has to be told.
 std::optional<SoleSoftware> StreamOriginExchange::soleSoftware(const std::string &service) const
 {
-    const std::optional<milliseconds> age = m_registerAge();
+    const std::optional<milliseconds> age = m_registerCopy.registerAge();
     if (!age.has_value() || *age > m_relay.configurationTime()) {
         return std::nullopt;
     }
@@ -218,49 +219,40 @@
     query.set_id(number);
     query.set_organisation(request.key.organisation);
     query.set_attempt(request.key.attemptId);
-    query.set_service(request.service);
     sendTo(replica, message);
 }
 
+// Nobody can be asked for a stream that the caller does not name.
 std::uint64_t StreamOriginExchange::find(const OriginRequest &request, Callback done)
 {
     updateSoftware();
+    updateReplicas();
     const Core::TimePoint now = m_loop.now();
-    if (request.key.attemptId.empty()) {
-        findUnnamed(request, done);
+    if (m_inquiries.size() >= maximumInquiries) {
+        report(request, std::nullopt, "too many inquiries", 0);
+        done(std::nullopt);
         return 0;
     }
-    updateReplicas();
-    const bool isFull = m_inquiries.size() >= maximumInquiries;
-    const std::vector<std::string> replicas = isFull ? std::vector<std::string>() : m_replicas.queriedReplicas(request.key);
-    OriginInquiry inquiry(request.service, request.longestStream, replicas);
-    inquiry.handleAnswer("", OriginAnswer{std::nullopt, soleSoftware(request.service)});
+    const std::vector<std::string> replicas = request.key.attemptId.empty() ? std::vector<std::string>() : m_replicas.queriedReplicas(request.key);
     const std::uint64_t number = ++m_lastNumber;
-    const bool isDecided = inquiry.isDecided();
-    m_inquiries.emplace(number, PendingInquiry{request, std::move(inquiry), std::move(done), now + resendDelay, now + answerTimeout});
-    if (isDecided) {
-        decide(number, "nobody asked");
-        return 0;
-    }
+    m_inquiries.emplace(number,
+        PendingInquiry{request,
+            OriginInquiry(request.service, request.longestStream, replicas),
+            std::move(done),
+            Core::BootClock::now(),
+            now + resendDelay,
+            now + answerTimeout,
+            now + registerTimeout});
     for (const std::string &replica : replicas) {
         sendQuery(number, request, replica);
     }
+    (void)m_registerCopy.renewRegister();
     if (!m_inquiryTimer.isActive()) {
         m_inquiryTimer.startAt(now + checkInterval);
     }
     return number;
 }
 
-// Nobody can be asked for a stream that the caller does not name. It may have begun at any version of its time.
-void StreamOriginExchange::findUnnamed(const OriginRequest &request, const Callback &done)
-{
-    const std::optional<SoleSoftware> sole = soleSoftware(request.service);
-    const bool isKnown = sole.has_value() && sole->duration >= request.longestStream;
-    const std::optional<StreamOrigin> origin = isKnown ? std::optional(StreamOrigin{request.service, sole->version}) : std::nullopt;
-    report(request, origin, "no attempt named", 0);
-    done(origin);
-}
-
 void StreamOriginExchange::withdraw(std::uint64_t number)
 {
     m_inquiries.erase(number);
@@ -278,20 +270,56 @@
     }
 }
 
+// A version that was registered later than \a time cannot have begun a stream that its caller resumed before.
+bool StreamOriginExchange::isRegisterVerifiedSince(Core::BootTime time) const
+{
+    const std::optional<milliseconds> age = m_registerCopy.registerAge();
+    return age.has_value() && Core::BootClock::now() - *age >= time;
+}
+
+void StreamOriginExchange::checkRegister()
+{
+    updateSoftware();
+    for (auto &[number, pending] : m_inquiries) {
+        if (!pending.inquiry.isRegisterKnown() && isRegisterVerifiedSince(pending.begin)) {
+            pending.inquiry.handleRegister(m_software.sole(pending.request.service, m_loop.now()));
+        }
+    }
+}
+
+void StreamOriginExchange::resendQueries(std::uint64_t number, PendingInquiry &pending)
+{
+    pending.isResent = true;
+    for (const std::string &replica : pending.inquiry.silentReplicas()) {
+        sendQuery(number, pending.request, replica);
+    }
+}
+
 void StreamOriginExchange::checkInquiries()
 {
+    checkRegister();
     const Core::TimePoint now = m_loop.now();
+    std::vector<std::uint64_t> decided;
     std::vector<std::uint64_t> overdue;
+    bool isRegisterAwaited = false;
     for (auto &[number, pending] : m_inquiries) {
-        if (now >= pending.deadline) {
-            overdue.push_back(number);
+        isRegisterAwaited = isRegisterAwaited || !pending.inquiry.isRegisterKnown();
+        if (pending.inquiry.isDecided()) {
+            decided.push_back(number);
         } else if (now >= pending.resendTime && !pending.isResent) {
-            pending.isResent = true;
-            for (const std::string &replica : pending.inquiry.silentReplicas()) {
-                sendQuery(number, pending.request, replica);
-            }
+            resendQueries(number, pending);
+        }
+    }
+    const bool canRenew = isRegisterAwaited && m_registerCopy.renewRegister();
+    for (const auto &[number, pending] : m_inquiries) {
+        const bool isRegisterDue = canRenew && !pending.inquiry.isRegisterKnown();
+        if (!pending.inquiry.isDecided() && now >= (isRegisterDue ? pending.registerDeadline : pending.answerDeadline)) {
+            overdue.push_back(number);
         }
     }
+    for (const std::uint64_t number : decided) {
+        decide(number, "answered");
+    }
     for (const std::uint64_t number : overdue) {
         decide(number, "timeout");
     }
--- a/src/libs/relay/streamoriginexchange.h
+++ b/src/libs/relay/streamoriginexchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "registercopy.h"
 #include "relaytask.h"
 #include "softwarerows.h"
 #include "streamorigincontrol.h"
@@ -25,9 +26,6 @@
 class StreamOriginExchange : public StreamOriginControl
 {
 public:
-    /// \brief Returns the maximum age of this router's copy of the register; nothing before it was read.
-    using RegisterAge = std::function<std::optional<std::chrono::milliseconds>()>;
-
     /// \brief Binds to \a address; routers and agents use the same port on their hosts. Which software versions there were before is read from \a source
     /// and written to \a store. All references have to live as long as this object. Errors: Unavailable.
     static Core::Result<std::unique_ptr<StreamOriginExchange>> create(EventLoop::Loop &loop,
@@ -36,7 +34,7 @@
         Store::RowSource &source,
         Store::RowStore &store,
         std::uint64_t seed,
-        RegisterAge registerAge);
+        RegisterCopy &registerCopy);
     ~StreamOriginExchange() override;
 
     StreamOriginExchange(const StreamOriginExchange &) = delete;
@@ -67,8 +65,10 @@
         OriginRequest request;
         Decisions::OriginInquiry inquiry;
         Callback done;
+        Core::BootTime begin;
         Core::TimePoint resendTime;
-        Core::TimePoint deadline;
+        Core::TimePoint answerDeadline; ///< Time until which answers of replicas are awaited.
+        Core::TimePoint registerDeadline; ///< Time until which the register's verification is awaited, if the store can be expected to answer.
         bool isResent = false;
     };
 
@@ -78,8 +78,7 @@
         Store::RowSource &source,
         Store::RowStore &store,
         std::uint64_t seed,
-        RegisterAge registerAge);
-    void findUnnamed(const OriginRequest &request, const Callback &done);
+        RegisterCopy &registerCopy);
     void updateSoftware();
     void updateReplicas();
     void updateEngines();
@@ -91,14 +90,17 @@
     void sendTo(const std::string &replica, const verbena::wire::Envelope &message);
     void sendQuery(std::uint64_t number, const OriginRequest &request, const std::string &replica);
     void handleAnswer(const std::string &replica, const verbena::wire::StreamOriginAnswer &answer);
+    bool isRegisterVerifiedSince(Core::BootTime time) const;
+    void checkRegister();
     void checkInquiries();
+    void resendQueries(std::uint64_t number, PendingInquiry &pending);
     void decide(std::uint64_t number, const char *outcome);
     void report(const OriginRequest &request, const std::optional<Decisions::StreamOrigin> &origin, const char *outcome, std::size_t silentReplicas);
 
     EventLoop::Loop &m_loop;
     Http::Endpoint m_address;
     RelayTask &m_relay;
-    RegisterAge m_registerAge;
+    RegisterCopy &m_registerCopy;
     Decisions::SoftwareVersions m_software;
     SoftwareRows m_softwareRows;
     Decisions::OriginReplicas m_replicas;
--- a/src/libs/relay/streamoriginreplica.cpp
+++ b/src/libs/relay/streamoriginreplica.cpp
@@ -38,11 +38,6 @@
 {
 }
 
-void StreamOriginReplica::setSoleSoftwareSource(SoleSoftwareSource source)
-{
-    m_soleSoftware = std::move(source);
-}
-
 void StreamOriginReplica::setAnswerReceiver(AnswerReceiver receiver)
 {
     m_answerReceiver = std::move(receiver);
@@ -76,13 +71,8 @@
 void StreamOriginReplica::answer(const sockaddr_in &from, const verbena::wire::StreamOriginQuery &query)
 {
     const Decisions::StreamKey key{query.organisation(), query.attempt()};
-    Decisions::OriginAnswer answer;
-    answer.origin = m_origins.find(key, m_loop.now());
-    if (m_soleSoftware) {
-        answer.soleSoftware = m_soleSoftware(query.service());
-    }
     verbena::wire::Envelope message;
-    *message.mutable_stream_origin_answer() = encodeAnswer(query.id(), key, answer);
+    *message.mutable_stream_origin_answer() = encodeAnswer(query.id(), key, m_origins.find(key, m_loop.now()));
     m_socket->send(from, message);
 }
 
--- a/src/libs/relay/streamoriginreplica.h
+++ b/src/libs/relay/streamoriginreplica.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <core/result.h>
-#include <decisions/relay/origininquiry.h>
+#include <decisions/relay/streamorigins.h>
 #include <wire/datagramsocket.h>
 
 #include <functional>
@@ -15,9 +15,6 @@
 class StreamOriginReplica
 {
 public:
-    /// \brief Returns the only software version of a service, if this process follows it.
-    using SoleSoftwareSource = std::function<std::optional<Decisions::SoleSoftware>(const std::string &service)>;
-
     /// \brief Receives the answers of other replicas to queries of this process.
     using AnswerReceiver = std::function<void(const std::string &replica, const verbena::wire::StreamOriginAnswer &answer)>;
 
@@ -27,9 +24,6 @@
     StreamOriginReplica(const StreamOriginReplica &) = delete;
     StreamOriginReplica &operator=(const StreamOriginReplica &) = delete;
 
-    /// \brief Sets the function that tells what this process knows of a service's software; without it, nothing.
-    void setSoleSoftwareSource(SoleSoftwareSource source);
-
     /// \brief Sets the function that receives answers of other replicas; without it, they are discarded.
     void setAnswerReceiver(AnswerReceiver receiver);
 
@@ -44,7 +38,6 @@
 
     EventLoop::Loop &m_loop;
     Decisions::StreamOrigins m_origins;
-    SoleSoftwareSource m_soleSoftware;
     AnswerReceiver m_answerReceiver;
     std::unique_ptr<Wire::DatagramSocket> m_socket;
 };
--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -86,18 +86,25 @@
 }
 
 // A long poll that never reached the store is detected only when it times out, and changes would be missed until then.
-void TableFollower::pollNow()
+bool TableFollower::pollNow()
 {
     const Core::TimePoint now = m_loop.now();
-    if (m_failures > 0 || !m_isHistoryKnown || now < m_pollDeadline) {
-        return;
+    if (m_failures > 0 || !m_isHistoryKnown) {
+        return false;
+    }
+    if (now < m_pollDeadline) {
+        return true;
     }
     m_pollDeadline = now + m_times.answerTimeout;
     const Request request{0, m_version.revision(), Core::BootClock::now(), false, false};
     const auto handle = [this, request](Core::Result<RowPage> page) {
+        if (page) {
+            m_pollDeadline = {};
+        }
         handlePage(request, std::move(page));
     };
     m_source.awaitChanges(m_table, request.revision, now, now + m_times.slowAnswerTimeout, m_lifetime.guard(handle));
+    return true;
 }
 
 bool TableFollower::reread(std::function<void()> done)
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -90,7 +90,9 @@
     void offer(RowPage page, std::uint64_t requestedRevision);
 
     /// \brief Sends a request without waiting time in addition to the pending long poll, unless a request that should be answered soon is pending.
-    void pollNow();
+    ///
+    /// Returns false if no answer can be expected, as the store fails.
+    bool pollNow();
 
     /// \brief Reads the whole table from the store, as some rows may be missing or wrong; \a done is called if the rows changed by that. Returns false and does
     /// nothing if that was requested shortly before.
@@ -141,7 +143,7 @@
     std::uint64_t m_lastRequestNumber = 0; ///< Number of the current request; rows in answers to earlier requests are still applied.
     Core::BootTime m_failedSince; ///< Time of the first failure; valid while m_failures is not 0.
     Core::BootTime m_lastPeerUpdateAt; ///< Time of the last new data from another process.
-    Core::TimePoint m_pollDeadline{}; ///< Time until which pollNow() sends no further request.
+    Core::TimePoint m_pollDeadline{}; ///< Time until which pollNow() sends no further request, unless the last one has been answered.
     Core::TimePoint m_rereadDeadline{}; ///< Time until which reread() sends no further request.
     bool m_isHistoryKnown = false; ///< Whether changes after the revision can be requested; otherwise the whole table has to be read.
     bool m_wasHistoryLost = false; ///< Whether the history was lost since changes were last received.
--- a/tests/auto/platform/tst_resumedstreams.cpp
+++ b/tests/auto/platform/tst_resumedstreams.cpp
@@ -154,6 +154,33 @@
         m_deployment.runFor(1s);
     }
 
+    // Leaves the first version alone in the register and in the record of versions, and restarts all routers.
+    void leaveOneVersion()
+    {
+        for (std::size_t index = 0; index < m_engines.size(); ++index) {
+            putServer("e-" + std::to_string(index), m_engines[index]->address(), "v1", "ready");
+        }
+        putServer("i-1", m_deployment.engine().address(), "v1", "draining");
+        const std::string onlyRow = "6.reader.v1";
+        const auto keys = [this] {
+            return m_deployment.store().keys("verbena_software");
+        };
+        EXPECT_TRUE(m_deployment.runUntil([&] { return keys().size() == 3; }));
+        // What the routers have sent reaches the store before rows are removed as if their time had passed.
+        stopAllRouters();
+        m_deployment.runFor(500ms);
+        for (const std::string &key : keys()) {
+            if (key != onlyRow) {
+                m_deployment.store().remove("verbena_software", key);
+            }
+        }
+        ASSERT_EQ(keys(), std::vector<std::string>{onlyRow});
+        restartAllRouters();
+        for (std::size_t router = 0; router < routers; ++router) {
+            EXPECT_TRUE(m_deployment.runUntil([this, router] { return hasLogged(router, "\"software_read\""); }));
+        }
+    }
+
     // Begins a stream at \a router, calls \a disturb, and resumes the stream at the next router. Returns whether it went on.
     bool beginAndResume(std::size_t router, const std::function<void()> &disturb)
     {
@@ -307,28 +334,37 @@
 // Nobody is left who could say which versions there were, but the store has a record of it.
 TEST_F(ResumedStreamsTest, goOnWithoutANameWhereThereWasOneVersionOnly)
 {
+    leaveOneVersion();
+    const std::string answer = send(1, "b", "Last-Event-Id: 1\r\n");
+    EXPECT_NE(answer.find("id: 2"), std::string::npos) << answer;
+}
+
+// A router that did not hear of the register for a second took the version that it had seen for the only one, after streams had begun on a new one elsewhere.
+TEST_F(ResumedStreamsTest, areNotGuessedByARouterThatHasNotSeenANewVersion)
+{
+    leaveOneVersion();
+    waitUntilRoutersKnowEachOther();
+    EXPECT_NE(resume(1, "known", "never").find("id: 2"), std::string::npos);
+    m_deployment.door(1).close();
+    // The requests that the store has received already are answered by this change, and the next ones not at all.
+    putServer("e-0", m_engines[0]->address(), "v1", "draining");
+    m_deployment.runFor(200ms);
+    VersionedEngine newer(m_deployment, "v2", 220);
+    putServer("e-new", newer.address(), "v2", "ready");
     for (std::size_t index = 0; index < m_engines.size(); ++index) {
-        putServer("e-" + std::to_string(index), m_engines[index]->address(), "v1", "ready");
+        putServer("e-" + std::to_string(index), m_engines[index]->address(), "v1", "draining");
     }
-    m_deployment.store().remove("servers", "i-1");
-    const std::string onlyRow = "6.reader.v1";
-    const auto keys = [this] {
-        return m_deployment.store().keys("verbena_software");
-    };
-    EXPECT_TRUE(m_deployment.runUntil([&] { return keys().size() == 3; }));
-    // What the routers have sent reaches the store before rows are removed as if their time had passed.
-    stopAllRouters();
-    m_deployment.runFor(500ms);
-    for (const std::string &key : keys()) {
-        if (key != onlyRow) {
-            m_deployment.store().remove("verbena_software", key);
-        }
+    int begun = 0;
+    EXPECT_TRUE(m_deployment.runUntil(
+        [&] { return send(0, "a-" + std::to_string(++begun)).find("id: 1") != std::string::npos && newer.hasRun("a-" + std::to_string(begun)); }));
+    const std::string named = resume(1, "named", "a-" + std::to_string(begun));
+    const std::string unnamed = send(1, "unnamed", "Last-Event-Id: 1\r\n");
+    EXPECT_EQ(versionOf("named"), "") << named;
+    EXPECT_EQ(versionOf("unnamed"), "") << unnamed;
+    for (const std::string &answer : {named, unnamed}) {
+        EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+        EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
     }
-    ASSERT_EQ(keys(), std::vector<std::string>{onlyRow});
-    restartAllRouters();
-    EXPECT_TRUE(m_deployment.runUntil([this] { return hasLogged(1, "\"software_read\""); }));
-    const std::string answer = send(1, "b", "Last-Event-Id: 1\r\n");
-    EXPECT_NE(answer.find("id: 2"), std::string::npos) << answer;
 }
 
 } // namespace
--- a/tests/auto/relay/tst_streamorigins.cpp
+++ b/tests/auto/relay/tst_streamorigins.cpp
@@ -227,18 +227,18 @@
     RC_ASSERT(std::any_of(told.begin(), told.end(), [&asked](const std::string &one) { return std::find(asked.begin(), asked.end(), one) != asked.end(); }));
 }
 
-OriginAnswer soleFor(std::chrono::milliseconds duration)
+SoleSoftware soleFor(std::chrono::milliseconds duration)
 {
-    return {std::nullopt, SoleSoftware{"v1", duration}};
+    return {"v1", duration};
 }
 
 TEST(OriginInquiryTest, isDecidedByTheFirstOrigin)
 {
     OriginInquiry inquiry("s", lifetime, {"a", "b"});
     EXPECT_FALSE(inquiry.isDecided());
-    inquiry.handleAnswer("a", {});
+    inquiry.handleAnswer("a", std::nullopt);
     EXPECT_FALSE(inquiry.isDecided());
-    inquiry.handleAnswer("b", {origin, std::nullopt});
+    inquiry.handleAnswer("b", origin);
     EXPECT_TRUE(inquiry.isDecided());
     EXPECT_EQ(inquiry.result(), origin);
 }
@@ -246,27 +246,52 @@
 TEST(OriginInquiryTest, knowsNothingOfADisputedOrigin)
 {
     OriginInquiry inquiry("s", lifetime, {"a", "b"});
-    inquiry.handleAnswer("a", {origin, std::nullopt});
-    inquiry.handleAnswer("b", {StreamOrigin{"s", "v2"}, std::nullopt});
+    inquiry.handleAnswer("a", origin);
+    inquiry.handleAnswer("b", StreamOrigin{"s", "v2"});
     EXPECT_EQ(inquiry.result(), std::nullopt);
 }
 
 TEST(OriginInquiryTest, takesTheOnlyVersionOfAServiceThatHadNoOtherForLongEnough)
 {
     OriginInquiry shorter("s", lifetime, {"a"});
-    shorter.handleAnswer("a", soleFor(lifetime - 1ms));
+    shorter.handleAnswer("a", std::nullopt);
+    shorter.handleRegister(soleFor(lifetime - 1ms));
+    EXPECT_TRUE(shorter.isDecided());
     EXPECT_EQ(shorter.result(), std::nullopt);
     OriginInquiry longer("s", lifetime, {"a"});
-    longer.handleAnswer("a", soleFor(lifetime));
+    longer.handleRegister(soleFor(lifetime));
+    EXPECT_TRUE(longer.isDecided());
     EXPECT_EQ(longer.result(), origin);
 }
 
-// A replica's record is newer than what another process believes of the service.
+// Replicas that were not told say nothing about a version that this process may not have heard of.
+TEST(OriginInquiryTest, isNotDecidedByReplicasThatWereNotToldBeforeTheRegisterIsVerified)
+{
+    OriginInquiry inquiry("s", lifetime, {"a", "b"});
+    inquiry.handleAnswer("a", std::nullopt);
+    inquiry.handleAnswer("b", std::nullopt);
+    EXPECT_FALSE(inquiry.isDecided());
+    EXPECT_EQ(inquiry.result(), std::nullopt);
+    inquiry.handleRegister(std::nullopt);
+    EXPECT_TRUE(inquiry.isDecided());
+    EXPECT_EQ(inquiry.result(), std::nullopt);
+}
+
+TEST(OriginInquiryTest, awaitsReplicasWhereTheRegisterShowsSeveralVersions)
+{
+    OriginInquiry inquiry("s", lifetime, {"a"});
+    inquiry.handleRegister(std::nullopt);
+    EXPECT_FALSE(inquiry.isDecided());
+    inquiry.handleAnswer("a", origin);
+    EXPECT_EQ(inquiry.result(), origin);
+}
+
+// A replica's record names the stream itself.
 TEST(OriginInquiryTest, takesAnOriginBeforeTheOnlyVersion)
 {
     OriginInquiry inquiry("s", lifetime, {"a", "b"});
-    inquiry.handleAnswer("", soleFor(lifetime));
-    inquiry.handleAnswer("a", {StreamOrigin{"s", "v2"}, std::nullopt});
+    inquiry.handleRegister(soleFor(lifetime));
+    inquiry.handleAnswer("a", StreamOrigin{"s", "v2"});
     EXPECT_EQ(inquiry.result()->softwareVersion, "v2");
 }
 
