Reset calls that nothing acknowledged, and resend them soon where they may run again

What callers saw: hosts beside engines stopped; requests that were sent there afterwards, on connections that the kernels still accepted, waited until their callers left, and the engines ran them for nobody when they woke.

Cause: only kept connections were watched for an acknowledgement and reset. On a new one the kernel went on sending after the orderly close.

Change: a call of which nothing was acknowledged is reset whenever it is given up. One that may run again fails after 0.25 s, as "unacknowledged", and is sent elsewhere within the resends; it does not count as a run of its route, and is never answered as not run. What may run once waits.

Only engines with a report of the last 0.4 s are chosen now, an engine counts as silent after 0.6 s, and a call is taken off it only without a byte for 0.5 s. What may not be sent again and has no byte of an answer gets 502 once its engine has been silent for two seconds.

Result: StoppedHostsTest, 2 of 3 failed with the reset and the time limit of new connections taken out, all pass with them. UnacknowledgedCallTest expects the new name of the failure; its bound is the same.

--- a/src/libs/decisions/relay/attemptpolicy.cpp
+++ b/src/libs/decisions/relay/attemptpolicy.cpp
@@ -41,6 +41,8 @@
         return "not_sent";
     case CallFailure::NotRun:
         return "not_run";
+    case CallFailure::Unacknowledged:
+        return "unacknowledged";
     case CallFailure::Lost:
         return "lost";
     case CallFailure::ServerError:
@@ -59,7 +61,7 @@
     }
     const bool isProvedNotRun = failure == CallFailure::NotSent || failure == CallFailure::NotRun;
     if (isProvedNotRun) {
-        return state.runs == 0 || (state.isRepeatable && state.runs < state.maximumRuns);
+        return state.runs + state.unacknowledged == 0 || (state.isRepeatable && state.runs < state.maximumRuns);
     }
     return state.isRepeatable && state.runs < state.maximumRuns;
 }
@@ -79,7 +81,8 @@
     if (failure == CallFailure::ServerError) {
         return AttemptAction::PassAnswer;
     }
-    return state.runs == 0 ? AttemptAction::Refuse : AttemptAction::ReportLost;
+    const bool isProvedNotRun = state.runs + state.unacknowledged == 0 && failure != CallFailure::Unacknowledged;
+    return isProvedNotRun ? AttemptAction::Refuse : AttemptAction::ReportLost;
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/attemptpolicy.h
+++ b/src/libs/decisions/relay/attemptpolicy.h
@@ -11,6 +11,7 @@
 enum class CallFailure {
     NotSent, ///< No connection could be made, so no byte of the request was sent.
     NotRun, ///< The backend server confirmed that it did not run the request.
+    Unacknowledged, ///< The server's host acknowledged nothing, and the connection was reset: the request has hardly run, which is not proved.
     Lost, ///< The connection broke, or the received data is no answer to this request.
     ServerError, ///< A complete answer reports a failure of the backend server.
 };
@@ -40,6 +41,7 @@
     std::uint32_t maximumRuns = 1; ///< Maximum number of backend servers that may run the request.
     std::uint32_t sends = 0; ///< Number of calls with any outcome.
     bool isAnswerBegun = false; ///< Whether the caller has received a part of the answer.
+    std::uint32_t unacknowledged = 0; ///< Number of calls of which nothing was acknowledged; they do not count as runs.
 };
 
 /// \brief Returns whether a request may be sent to another backend server after \a failure, if the resend budget and the deadline allow it.
--- a/src/libs/decisions/relay/enginereports.cpp
+++ b/src/libs/decisions/relay/enginereports.cpp
@@ -20,6 +20,9 @@
 // Maximum number of unanswered requests that a router sends to an engine whose report has expired.
 constexpr std::uint32_t maxSentToSilent = 2;
 
+// Time without a report, while others report, after which one must be missing.
+constexpr milliseconds lateReportTime{400};
+
 // Average interval at which any of the routers sends a request to a silent engine, in case only its agent has stopped.
 constexpr milliseconds trialInterval{1000};
 
@@ -189,6 +192,15 @@
     }
 }
 
+void EngineReports::addLate(std::vector<BackendServerId> &ids) const
+{
+    for (const auto &[id, report] : m_reports) {
+        if (m_newestReportAt >= receivedAt(report) + lateReportTime) {
+            ids.push_back(id);
+        }
+    }
+}
+
 void EngineReports::addBusyWithWeights(std::vector<BackendServerId> &ids, std::uint32_t outputTokens, Core::TimePoint now) const
 {
     for (const auto &[id, report] : m_reports) {
--- a/src/libs/decisions/relay/enginereports.h
+++ b/src/libs/decisions/relay/enginereports.h
@@ -30,7 +30,7 @@
     static constexpr std::chrono::milliseconds lifetime{1500};
 
     /// \brief Time without a report, while others report, after which an engine counts as silent: so many reports in a row are hardly ever lost.
-    static constexpr std::chrono::milliseconds silenceTime{800};
+    static constexpr std::chrono::milliseconds silenceTime{600};
 
     /// \brief Sets the number of routers, including this one, that send requests to the same engines.
     void setRouterCount(std::uint32_t count);
@@ -79,6 +79,9 @@
     /// enough requests without an answer since their report expired.
     void addSilent(std::vector<BackendServerId> &ids, Core::TimePoint now) const;
 
+    /// \brief Adds the engines to \a ids whose report is late: they may have fallen silent together with others.
+    void addLate(std::vector<BackendServerId> &ids) const;
+
     /// \brief Adds the engines to \a ids that load new weights, or will start to before they have generated \a outputTokens.
     void addBusyWithWeights(std::vector<BackendServerId> &ids, std::uint32_t outputTokens, Core::TimePoint now) const;
 
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -404,6 +404,9 @@
     if (query.prompt == nullptr) {
         return m_chooser.choose(route, now);
     }
+    if (query.isFailover) {
+        m_reports.addLate(route.excluded);
+    }
     const std::size_t tried = route.excluded.size();
     excludeLateStarters(choice, query, now);
     const std::size_t usable = route.excluded.size();
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -25,11 +25,11 @@
 Core::Result<std::unique_ptr<BackendCall>> BackendCall::create(EventLoop::Loop &loop,
     const Http::Endpoint &endpoint,
     const Http::OutgoingMessage &request,
-    bool isHead,
+    const CallOptions &options,
     Core::TimePoint connectDeadline,
     CallObserver &observer)
 {
-    std::unique_ptr<BackendCall> call(new BackendCall(loop, isHead, observer));
+    std::unique_ptr<BackendCall> call(new BackendCall(loop, options, observer));
     auto channel = Http::TcpChannel::connect(loop, endpoint, *call);
     if (!channel) {
         return channel.error();
@@ -48,7 +48,7 @@
     Core::TimePoint acknowledgeDeadline,
     CallObserver &observer)
 {
-    std::unique_ptr<BackendCall> call(new BackendCall(loop, false, observer));
+    std::unique_ptr<BackendCall> call(new BackendCall(loop, {.isRepeatable = true}, observer));
     channel->handOver(*call);
     call->m_channel = std::move(channel);
     call->m_requestBytes = request.bytes();
@@ -64,12 +64,14 @@
     return call;
 }
 
-BackendCall::BackendCall(EventLoop::Loop &loop, bool isHead, CallObserver &observer)
-    : m_observer(observer)
+BackendCall::BackendCall(EventLoop::Loop &loop, const CallOptions &options, CallObserver &observer)
+    : m_loop(loop)
+    , m_observer(observer)
     , m_reader(Http::MessageReader::Kind::Answers, *this, {maximumHeadBytes, std::nullopt})
     , m_timer(loop, [this] { handleTimeout(); })
+    , m_isRepeatable(options.isRepeatable)
 {
-    if (isHead) {
+    if (options.isHead) {
         m_reader.expectNoBody();
     }
 }
@@ -79,7 +81,7 @@
     if (m_isDestroyed != nullptr) {
         *m_isDestroyed = true;
     }
-    if (m_channel != nullptr && m_isReused && isUnacknowledged()) {
+    if (m_channel != nullptr && !m_isWhole && isUnacknowledged()) {
         m_channel->resetOnClose();
     }
 }
@@ -129,20 +131,24 @@
 
 void BackendCall::outputDrained()
 {
-    if (!m_isReused) {
-        m_timer.stop();
+    if (m_isReused) {
+        return;
+    }
+    m_timer.stop();
+    if (m_isRepeatable) {
+        m_timer.startAt(m_loop.now() + acknowledgeTimeout);
     }
 }
 
-// The host of an idle connection may be gone without a sign, and TCP would resend the request for seconds.
+// A host may stop without a sign, and TCP would resend the request for seconds.
 void BackendCall::handleTimeout()
 {
     if (!m_channel->isConnected()) {
         m_observer.callFailed(CallFailure::NotSent, "no connection in time");
         return;
     }
-    if (m_isReused && isUnacknowledged()) {
-        fail("the request on a kept connection was not acknowledged in time");
+    if (isUnacknowledged()) {
+        m_observer.callFailed(CallFailure::Unacknowledged, "the request was not acknowledged in time");
     }
 }
 
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -30,10 +30,17 @@
     /// \brief Handles the end of a complete answer.
     virtual void receiveAnswerEnd() = 0;
 
-    /// \brief Handles a call that brings no complete answer: NotSent, or Lost if the request may have arrived.
+    /// \brief Handles a call that brings no complete answer: NotSent, Unacknowledged, or Lost if the request may have arrived.
     virtual void callFailed(Decisions::CallFailure failure, std::string_view reason) = 0;
 };
 
+/// \brief Properties of the request of a call.
+struct CallOptions
+{
+    bool isHead = false; ///< Whether its method is HEAD, so that the answer has no body.
+    bool isRepeatable = false; ///< Whether it may run again, so that the call fails with Unacknowledged where nothing acknowledges it.
+};
+
 /// \brief One request to one backend server, on a connection that is used for nothing else meanwhile. The request is sent only once.
 ///
 /// On a new connection, no bytes of an earlier answer can be taken for the answer to this request. On a kept one, an answer that does not name the request
@@ -46,19 +53,22 @@
     /// Later the server is gone or a packet was lost, and TCP would resend that only after a second.
     static constexpr std::chrono::milliseconds connectTimeout{120};
 
-    /// \brief Connects and sends \a request; fails with NotSent if there is no connection by \a connectDeadline.
-    ///
-    /// \a isHead: the request's method is HEAD, so the answer has no body. Errors: Unavailable if no connection can be started.
+    /// \brief Time after which a host that has acknowledged nothing of a request counts as stopped. TCP resends a lost packet within
+    /// it, after 200 ms at least.
+    static constexpr std::chrono::milliseconds acknowledgeTimeout{250};
+
+    /// \brief Connects and sends \a request; fails with NotSent if there is no connection by \a connectDeadline. Errors: Unavailable if no connection can be
+    /// started.
     static Core::Result<std::unique_ptr<BackendCall>> create(EventLoop::Loop &loop,
         const Http::Endpoint &endpoint,
         const Http::OutgoingMessage &request,
-        bool isHead,
+        const CallOptions &options,
         Core::TimePoint connectDeadline,
         CallObserver &observer);
 
     /// \brief Sends \a request on the idle \a channel; returns null if the backend server cannot have received any of it.
     ///
-    /// The call fails with Lost if nothing of the request has been acknowledged by \a acknowledgeDeadline.
+    /// The request may run again; the call fails with Unacknowledged if nothing of it has been acknowledged by \a acknowledgeDeadline.
     static std::unique_ptr<BackendCall> reuse(EventLoop::Loop &loop,
         std::unique_ptr<Http::TcpChannel> channel,
         const Http::OutgoingMessage &request,
@@ -94,7 +104,7 @@
     void setReading(bool isReading);
 
 private:
-    BackendCall(EventLoop::Loop &loop, bool isHead, CallObserver &observer);
+    BackendCall(EventLoop::Loop &loop, const CallOptions &options, CallObserver &observer);
     void receiveBytes(std::string_view data) override;
     void receiveEnd(Http::ChannelEnd end) override;
     void outputDrained() override;
@@ -106,10 +116,12 @@
     void fail(std::string_view reason);
     void handleTimeout();
 
+    EventLoop::Loop &m_loop;
     CallObserver &m_observer;
     Http::MessageReader m_reader;
-    EventLoop::Timer m_timer; ///< Runs until there is a connection, or on a kept one until the request should have been acknowledged.
+    EventLoop::Timer m_timer; ///< Runs until there is a connection, and then until a request that may run again should have been acknowledged.
     std::unique_ptr<Http::TcpChannel> m_channel;
+    bool m_isRepeatable;
     bool m_isReused = false;
     std::size_t m_requestBytes = 0; ///< Size of the request.
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -35,9 +35,13 @@
 // Interval between checks whether to move a stream; its events arrive several times as often.
 constexpr milliseconds moveCheckInterval{100};
 
-// Time that a silent engine has to answer a request that was sent to find out whether it does.
+// Time without a sign of a silent engine after which a request is taken off it; between the events of a stream much less passes.
 constexpr milliseconds silentEngineTime{500};
 
+// Time since the last report after which an engine counts as lost for what cannot be sent again. Few hosts that stand still for longer wake before callers give
+// up, which they do after two seconds without an event at the earliest.
+constexpr milliseconds lostEngineTime{2000};
+
 // Delay before a call is called back at once because of newer weights. An announcement that is received late counts as old until the store has returned its
 // time, some milliseconds later.
 constexpr milliseconds minimumCallBackDelay{100};
@@ -212,7 +216,7 @@
 
 bool RelayedRequest::mayHaveRun() const
 {
-    return m_attempts.runs > 0 || (m_call != nullptr && m_call->hasSent());
+    return m_attempts.runs + m_attempts.unacknowledged > 0 || (m_call != nullptr && m_call->hasSent());
 }
 
 std::string RelayedRequest::organisationName() const
@@ -382,6 +386,7 @@
 bool RelayedRequest::sendTo(const FleetChoice &choice)
 {
     m_choice = choice;
+    m_lastSignAt = m_context.loop.now();
     m_serverWait.handleSent();
     m_excluded.push_back(choice.serverId);
     m_hasServerEnded = false;
@@ -421,7 +426,8 @@
         }
     }
     m_context.metrics.count("server_connections_opened_total");
-    return BackendCall::create(m_context.loop, endpoint.value(), message, m_head.method == "HEAD", m_context.loop.now() + BackendCall::connectTimeout, *this);
+    const CallOptions options{m_head.method == "HEAD", m_route->isRepeatable()};
+    return BackendCall::create(m_context.loop, endpoint.value(), message, options, m_context.loop.now() + BackendCall::connectTimeout, *this);
 }
 
 Decisions::KeptConnectionUse RelayedRequest::connectionUse()
@@ -456,7 +462,7 @@
 
 void RelayedRequest::receiveAnswerHead(const Http::MessageHead &head)
 {
-    m_context.fleet.recordSign(*m_choice, m_context.loop.now());
+    recordSign();
     const AnswerMarks marks = m_context.protocol.readAnswer(head);
     const AnswerMeaning meaning = meaningOf(head.status, marks);
     if (meaning == AnswerMeaning::NotRun) {
@@ -522,7 +528,7 @@
 
 void RelayedRequest::receiveAnswerBody(std::string_view data)
 {
-    m_context.fleet.recordSign(*m_choice, m_context.loop.now());
+    recordSign();
     handleFirstPart();
     const bool wasBegun = m_answer.isBegun();
     const bool hadEvent = m_answer.hasEvent();
@@ -575,15 +581,20 @@
         m_isUnanswered = false;
         m_context.fleet.recordAbandoned(*m_choice);
     }
+    recordEndedCall(presentFailure());
     m_call.reset();
     m_answer.prepareNextCall();
-    ++m_attempts.runs;
-    ++m_arrivals;
     if (!sendTo(choice) && !m_isDone) {
         dispatch();
     }
 }
 
+void RelayedRequest::recordSign()
+{
+    m_lastSignAt = m_context.loop.now();
+    m_context.fleet.recordSign(*m_choice, m_lastSignAt);
+}
+
 Core::TimePoint RelayedRequest::deadline() const
 {
     return m_deadline;
@@ -593,22 +604,46 @@
 {
     const Core::TimePoint now = m_context.loop.now();
     const bool isWaiting = !m_isDone && m_call != nullptr && !m_call->isWhole();
-    return isWaiting && now >= m_choice->sentAt + silentEngineTime && m_context.fleet.isSilent(*m_choice, now);
+    return isWaiting && now >= m_lastSignAt + silentEngineTime && m_context.fleet.isSilent(*m_choice, now);
 }
 
-bool RelayedRequest::mayFailOver()
+CallFailure RelayedRequest::presentFailure() const
+{
+    return m_call->isUnacknowledged() ? CallFailure::Unacknowledged : CallFailure::Lost;
+}
+
+Decisions::AttemptState RelayedRequest::attemptsAfterPresent() const
 {
     Decisions::AttemptState next = attempts();
-    ++next.runs;
+    next.runs += presentFailure() == CallFailure::Lost ? 1 : 0;
+    return next;
+}
+
+bool RelayedRequest::mayFailOver()
+{
     const bool hasTime = m_context.loop.now() + minimumResendTime < m_deadline;
-    return isAtSilentEngine() && mayResend(next, CallFailure::Lost) && hasTime && !isSoftwareGone() && !m_crashes.isSuspected();
+    return mayResend(attemptsAfterPresent(), presentFailure()) && hasTime && !isSoftwareGone() && !m_crashes.isSuspected();
+}
+
+// The engine may have begun what may run only once, or as often as its route allows, so this is not sent again. Its caller learns that soon enough to decide
+// for itself, and not when its patience ends.
+bool RelayedRequest::isGivenUp() const
+{
+    const std::optional<milliseconds> silence = m_context.fleet.reportAge(*m_choice, m_context.loop.now());
+    return !m_answer.isBegun() && !mayResend(attemptsAfterPresent(), presentFailure()) && silence.has_value() && *silence >= lostEngineTime;
 }
 
 // A caller does not wait until the host of its engine wakes, and an engine that wakes begins what waits there before it learns that nobody wants it any more.
-// What may run only once stays, as the engine may still answer.
 void RelayedRequest::failOver()
 {
     const Core::TimePoint now = m_context.loop.now();
+    if (!isAtSilentEngine()) {
+        return;
+    }
+    if (isGivenUp()) {
+        handleFailure(CallFailure::Lost, "the engine has been silent for too long");
+        return;
+    }
     if (!mayFailOver()) {
         return;
     }
@@ -616,8 +651,10 @@
         m_context.metrics.count("failovers_without_budget_total");
         return;
     }
-    const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(), now);
-    if (!choice.has_value() || m_context.fleet.isSilent(*choice, now) || !m_context.budget.tryConsume(m_service, resendPurpose(), now)) {
+    Decisions::FleetQuery query = fleetQuery();
+    query.isFailover = true;
+    const std::optional<FleetChoice> choice = m_context.fleet.choose(query, now);
+    if (!choice.has_value() || !m_context.budget.tryConsume(m_service, resendPurpose(), now)) {
         return;
     }
     m_context.metrics.count("requests_failed_over_total");
@@ -719,20 +756,28 @@
 
 void RelayedRequest::closeCall(CallFailure failure)
 {
-    const bool hasSent = m_call->hasSent();
+    recordEndedCall(failure);
     if (m_isUnanswered) {
         m_isUnanswered = false;
-        const bool isUnreachable = failure == CallFailure::NotSent || failure == CallFailure::Lost;
+        const bool isUnreachable = failure == CallFailure::NotSent || failure == CallFailure::Unacknowledged || failure == CallFailure::Lost;
         m_context.fleet.recordFailure(*m_choice, isUnreachable ? Decisions::ServerFailure::Unreachable : Decisions::ServerFailure::Full, m_context.loop.now());
     }
     m_call.reset();
     if (m_context.connections != nullptr) {
         m_context.connections->drop(m_choice->address, DropReason::CallFailed);
     }
+}
+
+void RelayedRequest::recordEndedCall(CallFailure failure)
+{
+    if (failure == CallFailure::Unacknowledged) {
+        ++m_attempts.unacknowledged;
+        return;
+    }
     if (failure == CallFailure::Lost || failure == CallFailure::ServerError) {
         ++m_attempts.runs;
     }
-    m_arrivals += hasSent ? 1 : 0;
+    m_arrivals += m_call->hasSent() ? 1 : 0;
 }
 
 void RelayedRequest::decide(CallFailure failure, std::string_view reason)
@@ -797,7 +842,7 @@
     if (m_crashes.isTrialRequired(m_arrivals)) {
         return AttemptAction::AwaitTrial;
     }
-    if (m_arrivals == 0) {
+    if (m_arrivals + m_attempts.unacknowledged == 0) {
         return AttemptAction::SendAgain;
     }
     const std::optional<Core::TimePoint> earliest = backoffEnd(failure);
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -86,7 +86,8 @@
     /// \brief Returns whether the request waits for an engine that has fallen silent.
     bool isAtSilentEngine() const;
 
-    /// \brief Sends the request, or the rest of its stream, to another engine if it waits for a silent one and may be sent again.
+    /// \brief Sends the request, or the rest of its stream, to another engine if it waits for a silent one and may be sent again. Answers it as lost if it may
+    /// not and the engine has been silent for long.
     void failOver();
 
     /// \brief Recomputes when the current call, if its engine has not begun it, has to be called back because of newer weights.
@@ -121,7 +122,12 @@
     Decisions::FleetQuery fleetQuery();
     void moveOffWaitingEngine();
     void moveTo(const Decisions::FleetChoice &choice);
+    void recordSign();
+    Decisions::CallFailure presentFailure() const;
+    Decisions::AttemptState attemptsAfterPresent() const;
     bool mayFailOver();
+    bool isGivenUp() const;
+    void recordEndedCall(Decisions::CallFailure failure);
     bool sendTo(const Decisions::FleetChoice &choice);
     Core::Result<std::unique_ptr<BackendCall>> openCall(const Decisions::FleetChoice &choice);
     Decisions::KeptConnectionUse connectionUse();
@@ -179,7 +185,7 @@
     const Decisions::RelayOrganisation *m_organisation = nullptr;
     std::string m_service;
     Decisions::AttemptState m_attempts; ///< Without whether an answer has begun; see attempts().
-    std::uint32_t m_arrivals = 0; ///< Number of ended calls that reached a backend server, whether they ran or not.
+    std::uint32_t m_arrivals = 0; ///< Number of ended calls that may have reached a backend server, whether they ran or not.
     std::uint64_t m_resendNumber = 0; ///< Number in the resend queue; 0 if the request does not wait there.
     std::vector<std::string> m_excluded;
     std::optional<std::string> m_softwareVersion; ///< Software version at which the stream has to go on; nothing before its first event.
@@ -193,6 +199,7 @@
     CrashControlHandle m_crashes;
     StreamOriginHandle m_origin;
     bool m_isUnanswered = false; ///< Whether the current call counts as load of its backend server.
+    Core::TimePoint m_lastSignAt{}; ///< Time at which the current call was made, or anything of its answer last came.
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
     PartTimes m_partTimes;
--- a/src/libs/relay/servercheck.cpp
+++ b/src/libs/relay/servercheck.cpp
@@ -62,7 +62,7 @@
     context.serverId = m_server.id;
     context.timeLeft = questionTimeout;
     const Core::TimePoint deadline = m_loop.now() + questionTimeout;
-    auto call = BackendCall::create(m_loop, m_endpoint, callMessage(m_protocol, head, nullptr, context), false, deadline, *this);
+    auto call = BackendCall::create(m_loop, m_endpoint, callMessage(m_protocol, head, nullptr, context), {.isRepeatable = true}, deadline, *this);
     if (!call) {
         finish(Finding::Unknown);
         return;
--- a/src/libs/relay/serverconnections.cpp
+++ b/src/libs/relay/serverconnections.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-// Lets TCP send a lost packet once more, which takes 200 ms at least, and ends the wait for a host that is gone soon after.
-constexpr milliseconds acknowledgeTimeout{250};
-
 std::string_view reasonName(DropReason reason)
 {
     switch (reason) {
@@ -92,7 +89,7 @@
     const Core::TimePoint now = m_loop.now();
     while (const auto number = m_kept.take(server, use, now)) {
         auto channel = m_idle.extract(*number).mapped()->takeChannel();
-        auto call = BackendCall::reuse(m_loop, std::move(channel), request, now + acknowledgeTimeout, observer);
+        auto call = BackendCall::reuse(m_loop, std::move(channel), request, now + BackendCall::acknowledgeTimeout, observer);
         if (call != nullptr) {
             m_metrics.count("server_connections_reused_total");
             return call;
--- a/tests/auto/relay/tst_keptcalls.cpp
+++ b/tests/auto/relay/tst_keptcalls.cpp
@@ -51,7 +51,7 @@
         m_servers.set({"s1", "s", m_worker->address(), "hall", 6, false, {}});
         m_server.address = m_worker->address();
         const auto endpoint = Http::Endpoint::parse(m_worker->address()).value();
-        const auto call = std::move(BackendCall::create(*m_loop, endpoint, question, false, m_loop->now() + 10s, m_first).value());
+        const auto call = std::move(BackendCall::create(*m_loop, endpoint, question, {}, m_loop->now() + 10s, m_first).value());
         EXPECT_TRUE(runUntil(*m_loop, [this] { return m_first.isEnded; }));
         m_connections.keep(m_server, *call);
         EXPECT_TRUE(m_connections.hasIdle(m_server.address, m_loop->now()));
@@ -129,7 +129,7 @@
     const auto call = BackendCall::reuse(*loop, std::move(channel), question, loop->now() + 50ms, recorder);
     ASSERT_NE(call, nullptr);
     ASSERT_TRUE(runUntil(*loop, [&] { return recorder.failure.has_value(); }));
-    EXPECT_EQ(recorder.failure, Decisions::CallFailure::Lost);
+    EXPECT_EQ(recorder.failure, Decisions::CallFailure::Unacknowledged);
     close(listener);
 }
 
