Answer what cannot leave a silent engine once the engine counts as lost

What waits without a byte of an answer gets 502 once the last report is two seconds old and it could not be sent elsewhere. Callers of requests that may run again can then try another router. A stream that has begun is not cut.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -38,8 +38,8 @@
 // Time without a sign of a silent engine after which a request is taken off it; between the events of a stream much less passes.
 constexpr milliseconds silentEngineTime{500};
 
-// Time since the last report after which an engine counts as lost for what cannot be sent again. Few hosts that stand still for longer wake before callers give
-// up, which they do after two seconds without an event at the earliest.
+// Time since the last report after which an engine counts as lost for what cannot be sent elsewhere. Callers give up after two seconds without an event at the
+// earliest.
 constexpr milliseconds lostEngineTime{2000};
 
 // Delay before a call is called back at once because of newer weights. An announcement that is received late counts as old until the store has returned its
@@ -625,37 +625,39 @@
     return mayResend(attemptsAfterPresent(), presentFailure()) && hasTime && !isSoftwareGone() && !m_crashes.isSuspected();
 }
 
-// The engine may have begun what may run only once, or as often as its route allows, so this is not sent again. Its caller learns that soon enough to decide
-// for itself, and not when its patience ends.
-bool RelayedRequest::isGivenUp() const
+bool RelayedRequest::isEngineLost() const
 {
     const std::optional<milliseconds> silence = m_context.fleet.reportAge(*m_choice, m_context.loop.now());
-    return !m_answer.isBegun() && !mayResend(attemptsAfterPresent(), presentFailure()) && silence.has_value() && *silence >= lostEngineTime;
+    return silence.has_value() && *silence >= lostEngineTime;
 }
 
 // A caller does not wait until the host of its engine wakes, and an engine that wakes begins what waits there before it learns that nobody wants it any more.
+// A caller that cannot be helped here learns that soon enough to decide for itself, and not when its patience ends.
 void RelayedRequest::failOver()
 {
-    const Core::TimePoint now = m_context.loop.now();
-    if (!isAtSilentEngine()) {
+    if (!isAtSilentEngine() || tryFailOver()) {
         return;
     }
-    if (isGivenUp()) {
+    if (!m_answer.isBegun() && isEngineLost()) {
         handleFailure(CallFailure::Lost, "the engine has been silent for too long");
-        return;
     }
+}
+
+bool RelayedRequest::tryFailOver()
+{
+    const Core::TimePoint now = m_context.loop.now();
     if (!mayFailOver()) {
-        return;
+        return false;
     }
     if (m_context.budget.balance(m_service, resendPurpose(), now).available < 1) {
         m_context.metrics.count("failovers_without_budget_total");
-        return;
+        return false;
     }
     Decisions::FleetQuery query = fleetQuery();
     query.isFailover = true;
     const std::optional<FleetChoice> choice = m_context.fleet.choose(query, now);
     if (!choice.has_value() || !m_context.budget.tryConsume(m_service, resendPurpose(), now)) {
-        return;
+        return false;
     }
     m_context.metrics.count("requests_failed_over_total");
     reportFailover({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, choice->serverId, waitReport());
@@ -663,6 +665,7 @@
         m_context.connections->drop(m_choice->address, DropReason::CallFailed);
     }
     moveTo(*choice);
+    return true;
 }
 
 void RelayedRequest::outputDrained()
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -86,8 +86,8 @@
     /// \brief Returns whether the request waits for an engine that has fallen silent.
     bool isAtSilentEngine() const;
 
-    /// \brief Sends the request, or the rest of its stream, to another engine if it waits for a silent one and may be sent again. Answers it as lost if it may
-    /// not and the engine has been silent for long.
+    /// \brief Sends the request, or the rest of its stream, to another engine if it waits for a silent one and may be sent again. Otherwise answers
+    /// it as lost if the engine has been silent for long.
     void failOver();
 
     /// \brief Recomputes when the current call, if its engine has not begun it, has to be called back because of newer weights.
@@ -126,7 +126,8 @@
     Decisions::CallFailure presentFailure() const;
     Decisions::AttemptState attemptsAfterPresent() const;
     bool mayFailOver();
-    bool isGivenUp() const;
+    bool tryFailOver();
+    bool isEngineLost() const;
     void recordEndedCall(Decisions::CallFailure failure);
     bool sendTo(const Decisions::FleetChoice &choice);
     Core::Result<std::unique_ptr<BackendCall>> openCall(const Decisions::FleetChoice &choice);
