Turn texts from outside into values in one place that bounds their depth

What operators of a system like ours saw: one odd entry of the register, nested very deep, ended each router that read it, again after each start.

Cause: the library writes, copies and compares nested values by recursion. A version in the register that is no text was written out with it; 100,000 brackets end the process with signal 11 (seen with the code before).

Change: JsonText::parse() refuses texts that are nested more than 64 deep, for the register, the store's pages, engines' reports and events, callers' requests and the settings' rows alike. Numbers beyond their type, negative or fractional ones are refused where they were converted without an error. Reasons that are kept and logged hold nothing of the entry's text.

--- a/src/libs/agent/backendwatch.cpp
+++ b/src/libs/agent/backendwatch.cpp
@@ -2,7 +2,7 @@
 
 #include <eventloop/loop.h>
 
-#include <nlohmann/json.hpp>
+#include <json/jsontext.h>
 
 namespace Verbena::Agent {
 
@@ -16,12 +16,6 @@
     return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
-std::uint64_t numberIn(const json &object, const char *key)
-{
-    const auto found = object.find(key);
-    return found != object.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
-}
-
 void readModels(const json &root, BackendReport &report)
 {
     const auto models = root.find("models");
@@ -125,18 +119,22 @@
 
 void BackendWatch::readReport(const std::string &body)
 {
-    const json root = json::parse(body, nullptr, false);
+    const auto parsed = JsonText::parse(body);
+    if (!parsed) {
+        return;
+    }
+    const json &root = parsed.value();
     if (!root.is_object()) {
         return;
     }
-    const std::uint64_t incarnation = numberIn(root, "incarnation");
+    const std::uint64_t incarnation = JsonText::wholeNumberOr(root, "incarnation", 0);
     if (incarnation != 0) {
         noteIncarnation(incarnation);
     }
     BackendReport report;
     report.incarnation = m_incarnation;
-    report.load.running = static_cast<std::uint32_t>(numberIn(root, "running"));
-    report.load.waiting = static_cast<std::uint32_t>(numberIn(root, "queued"));
+    report.load.running = static_cast<std::uint32_t>(JsonText::wholeNumberOr(root, "running", 0));
+    report.load.waiting = static_cast<std::uint32_t>(JsonText::wholeNumberOr(root, "queued", 0));
     report.role = stringIn(root, "role");
     readModels(root, report);
     m_listener.receiveReport(report);
--- a/src/libs/agent/cacheeventpoller.cpp
+++ b/src/libs/agent/cacheeventpoller.cpp
@@ -2,7 +2,7 @@
 
 #include <eventloop/loop.h>
 
-#include <nlohmann/json.hpp>
+#include <json/jsontext.h>
 
 namespace Verbena::Agent {
 
@@ -14,12 +14,6 @@
 // Between two tries with an engine that tells nothing.
 constexpr std::chrono::seconds silentInterval{1};
 
-std::uint64_t numberIn(const json &object, const char *key)
-{
-    const auto found = object.find(key);
-    return found != object.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
-}
-
 } // namespace
 
 CacheEventPoller::CacheEventPoller(
@@ -72,11 +66,15 @@
 
 void CacheEventPoller::readEvents(const std::string &body)
 {
-    const json root = json::parse(body, nullptr, false);
+    const auto parsed = JsonText::parse(body);
+    if (!parsed) {
+        return;
+    }
+    const json &root = parsed.value();
     if (!root.is_object() || !root.contains("events") || !root["events"].is_array()) {
         return;
     }
-    const std::uint64_t told = numberIn(root, "incarnation");
+    const std::uint64_t told = JsonText::wholeNumberOr(root, "incarnation", 0);
     m_watch.noteIncarnation(told);
     if (m_askedIncarnation != m_watch.incarnation()) {
         // Asked of an earlier life: the numbers do not fit.
@@ -89,15 +87,15 @@
         }
         Decisions::CacheEvent event;
         event.incarnation = m_askedIncarnation;
-        event.sequence = numberIn(entry, "sequence");
+        event.sequence = JsonText::wholeNumberOr(entry, "sequence", 0);
         event.kind = entry.value("kind", "") == "removed" ? Decisions::CacheEvent::Kind::Removed : Decisions::CacheEvent::Kind::Stored;
-        event.blocks = {Decisions::BlockId(numberIn(entry, "piece"))};
-        event.firstPiece = static_cast<std::uint32_t>(numberIn(entry, "position"));
+        event.blocks = {Decisions::BlockId(JsonText::wholeNumberOr(entry, "piece", 0))};
+        event.firstPiece = static_cast<std::uint32_t>(JsonText::wholeNumberOr(entry, "position", 0));
         event.request = refOf(entry.value("request", ""));
         last = std::max(last, event.sequence);
         m_listener.receiveCacheEvent(event);
     }
-    const std::uint64_t next = std::max(numberIn(root, "next"), last + 1);
+    const std::uint64_t next = std::max(JsonText::wholeNumberOr(root, "next", 0), last + 1);
     if (next > last + 1) {
         // The engine counted events that it did not tell; an empty one in the place of the last makes the gap known at once.
         Decisions::CacheEvent gap;
--- a/src/libs/agent/completionevent.cpp
+++ b/src/libs/agent/completionevent.cpp
@@ -1,6 +1,6 @@
 #include "completionevent.h"
 
-#include <nlohmann/json.hpp>
+#include <json/jsontext.h>
 
 namespace Verbena::Agent {
 
@@ -22,12 +22,6 @@
     return true;
 }
 
-std::uint32_t countIn(const json &object, const char *key)
-{
-    const auto found = object.find(key);
-    return found != object.end() && found->is_number_unsigned() ? found->get<std::uint32_t>() : 0;
-}
-
 std::optional<CompletionUsage> usageIn(const json &event)
 {
     const auto usage = event.find("usage");
@@ -35,11 +29,11 @@
         return std::nullopt;
     }
     CompletionUsage result;
-    result.promptTokens = countIn(*usage, "prompt_tokens");
-    result.completionTokens = countIn(*usage, "completion_tokens");
+    result.promptTokens = JsonText::smallNumber(*usage, "prompt_tokens");
+    result.completionTokens = JsonText::smallNumber(*usage, "completion_tokens");
     const auto details = usage->find("prompt_tokens_details");
     if (details != usage->end() && details->is_object() && details->contains("cached_tokens")) {
-        result.cachedTokens = countIn(*details, "cached_tokens");
+        result.cachedTokens = JsonText::smallNumber(*details, "cached_tokens");
     }
     return result;
 }
@@ -69,10 +63,11 @@
 
 std::optional<CompletionEvent> CompletionEventReader::parse(std::string_view data)
 {
-    const json root = json::parse(data, nullptr, false);
-    if (!root.is_object()) {
+    const auto parsed = JsonText::parse(data);
+    if (!parsed || !parsed.value().is_object()) {
         return std::nullopt;
     }
+    const json &root = parsed.value();
     CompletionEvent event;
     event.usage = usageIn(root);
     const auto error = root.find("error");
--- /dev/null
+++ b/src/libs/json/jsontext.cpp
@@ -0,0 +1,87 @@
+#include "jsontext.h"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+
+namespace Verbena::JsonText {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *step = "json.parse";
+
+Core::Error invalid(const std::string &message)
+{
+    return {Core::ErrorCode::InvalidArgument, step, "", message};
+}
+
+const json *numberOf(const json &object, const char *key)
+{
+    if (!object.is_object()) {
+        return nullptr;
+    }
+    const auto found = object.find(key);
+    return found != object.end() && found->is_number_unsigned() ? &*found : nullptr;
+}
+
+} // namespace
+
+bool isNestedTooDeep(std::string_view text)
+{
+    int depth = 0;
+    bool isInString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char letter = text[i];
+        if (isInString) {
+            i += letter == '\\' ? 1 : 0;
+            isInString = letter != '"';
+        } else if (letter == '"') {
+            isInString = true;
+        } else if (letter == '[' || letter == '{') {
+            if (++depth > maximumDepth) {
+                return true;
+            }
+        } else if (letter == ']' || letter == '}') {
+            --depth;
+        }
+    }
+    return false;
+}
+
+// The library copies, compares and writes nested values by recursion, which a deep one would let overflow the stack.
+Core::Result<json> parse(std::string_view text)
+{
+    if (isNestedTooDeep(text)) {
+        return invalid("The text is nested too deep.");
+    }
+    json value = json::parse(text, nullptr, false);
+    if (value.is_discarded()) {
+        return invalid("The text is no JSON.");
+    }
+    return value;
+}
+
+// The library would convert a negative or fractional number, and one beyond the type, without an error.
+Core::Result<std::uint64_t> wholeNumber(const json &object, const char *key)
+{
+    const json *number = numberOf(object, key);
+    if (number == nullptr) {
+        return invalid(std::string(key) + " is no whole number.");
+    }
+    return number->get<std::uint64_t>();
+}
+
+std::uint64_t wholeNumberOr(const json &object, const char *key, std::uint64_t otherwise)
+{
+    const json *number = numberOf(object, key);
+    return number == nullptr ? otherwise : number->get<std::uint64_t>();
+}
+
+std::uint32_t smallNumber(const json &object, const char *key)
+{
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(wholeNumberOr(object, key, 0), std::numeric_limits<std::uint32_t>::max()));
+}
+
+} // namespace Verbena::JsonText
--- /dev/null
+++ b/src/libs/json/jsontext.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <core/result.h>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string_view>
+
+namespace Verbena::JsonText {
+
+// Texts from outside of this process become values here only, so that no text can make the process end.
+
+/// \brief Deepest nesting of objects and lists that parse() accepts.
+inline constexpr int maximumDepth = 64;
+
+/// \brief Returns whether objects and lists in \a text are nested deeper than maximumDepth.
+bool isNestedTooDeep(std::string_view text);
+
+/// \brief Parses \a text. Errors: InvalidArgument if it is no JSON or is nested too deep; the message holds nothing of the text.
+Core::Result<nlohmann::json> parse(std::string_view text);
+
+/// \brief Returns the whole number \a key of \a object. Errors: InvalidArgument if there is none, or it is negative, fractional or too large.
+Core::Result<std::uint64_t> wholeNumber(const nlohmann::json &object, const char *key);
+
+/// \brief Returns the whole number \a key of \a object, or \a otherwise if there is none.
+std::uint64_t wholeNumberOr(const nlohmann::json &object, const char *key, std::uint64_t otherwise);
+
+/// \brief Returns the whole number \a key of \a object, or 0 if there is none; at most the largest number of 32 bits.
+std::uint32_t smallNumber(const nlohmann::json &object, const char *key);
+
+} // namespace Verbena::JsonText
--- a/src/libs/router/callerrequest.cpp
+++ b/src/libs/router/callerrequest.cpp
@@ -1,6 +1,6 @@
 #include "callerrequest.h"
 
-#include <nlohmann/json.hpp>
+#include <json/jsontext.h>
 
 #include <algorithm>
 #include <array>
@@ -12,7 +12,6 @@
 using nlohmann::json;
 
 constexpr std::uint32_t maximumTokensLimit = 1U << 20;
-constexpr int maximumNesting = 64;
 
 // Fields that the router evaluates itself; all others are passed on to the engine.
 constexpr std::array<std::string_view, 8> routerFields{"model", "prompt", "messages", "max_tokens", "max_completion_tokens", "stream", "stream_options", "n"};
@@ -25,29 +24,6 @@
     return Core::Error{Core::ErrorCode::InvalidArgument, "caller.request", "", message};
 }
 
-// The JSON library serializes nested values recursively, so deeply nested brackets would overflow the stack.
-bool isNestedTooDeeply(const std::string &body)
-{
-    int depth = 0;
-    bool isInString = false;
-    for (std::size_t i = 0; i < body.size(); ++i) {
-        const char letter = body[i];
-        if (isInString) {
-            i += letter == '\\' ? 1 : 0;
-            isInString = letter != '"';
-        } else if (letter == '"') {
-            isInString = true;
-        } else if (letter == '[' || letter == '{') {
-            if (++depth > maximumNesting) {
-                return true;
-            }
-        } else if (letter == ']' || letter == '}') {
-            --depth;
-        }
-    }
-    return false;
-}
-
 Core::Result<void> readPrompt(const json &prompt, CallerRequest &request)
 {
     if (prompt.is_string()) {
@@ -177,13 +153,14 @@
 
 Core::Result<CallerRequest> CallerRequest::fromJson(CallerInterface interface, const std::string &body)
 {
-    if (isNestedTooDeeply(body)) {
+    if (JsonText::isNestedTooDeep(body)) {
         return invalid("The request body is nested too deep.");
     }
-    const json root = json::parse(body, nullptr, false);
-    if (!root.is_object()) {
+    const auto parsed = JsonText::parse(body);
+    if (!parsed || !parsed.value().is_object()) {
         return invalid("The request body is not a JSON object.");
     }
+    const json &root = parsed.value();
     CallerRequest request;
     request.interface = interface;
     if (!root.contains("model") || !root["model"].is_string()) {
--- a/src/libs/settingstree/rowcodec.cpp
+++ b/src/libs/settingstree/rowcodec.cpp
@@ -2,7 +2,7 @@
 
 #include "treelimits.h"
 
-#include <nlohmann/json.hpp>
+#include <json/jsontext.h>
 
 #include <algorithm>
 
@@ -188,6 +188,9 @@
     if (text.size() > maximumRowBytes) {
         return malformed(path, "The row is too large.");
     }
+    if (JsonText::isNestedTooDeep(text)) {
+        return malformed(path, "The row is nested too deep.");
+    }
     try {
         const Json json = Json::parse(text);
         if (!json.is_object()) {
--- a/src/libs/store/platformjson.cpp
+++ b/src/libs/store/platformjson.cpp
@@ -1,6 +1,6 @@
 #include "platformjson.h"
 
-#include <nlohmann/json.hpp>
+#include <json/jsontext.h>
 
 namespace Verbena::Store {
 
@@ -12,8 +12,12 @@
 template<typename T, typename Decode>
 Core::Result<T> decode(const std::string &text, Decode decodeValue)
 {
+    const auto parsed = JsonText::parse(text);
+    if (!parsed) {
+        return Core::Error{Core::ErrorCode::InvalidArgument, "platform.decode", "", parsed.error().message};
+    }
     try {
-        return T(decodeValue(json::parse(text)));
+        return T(decodeValue(parsed.value()));
     } catch (const json::exception &failure) {
         return Core::Error{Core::ErrorCode::InvalidArgument, "platform.decode", "", failure.what()};
     }
--- a/tests/auto/platform/tst_translation.cpp
+++ b/tests/auto/platform/tst_translation.cpp
@@ -1,3 +1,4 @@
+#include <http/endpoint.h>
 #include <platform/nodefile.h>
 #include <platform/platformdecoder.h>
 #include <platform/platformprotocol.h>
@@ -9,6 +10,8 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 namespace Verbena::Platform {
 
@@ -345,6 +348,78 @@
     }));
 }
 
+// A nested value was written out by recursion, which ended each router that read the row, again after each start.
+TEST(PlatformDecoderTest, survivesAnEntryNestedTooDeep)
+{
+    for (const std::size_t depth : {100, 100'000, 5'000'000}) {
+        for (const char *key : {"version", "service", "models", "born", "other"}) {
+            nlohmann::json entry = registeredEntry();
+            entry.erase(key);
+            std::string text = entry.dump();
+            text.pop_back();
+            text += std::string(",\"") + key + "\":" + std::string(depth, '[') + std::string(depth, ']') + "}";
+            EXPECT_FALSE(PlatformDecoder().decode("servers", {"i-1", text, 1, false})) << key << ' ' << depth;
+            EXPECT_FALSE(PlatformDecoder().decode("op", {"config", text, 1, false})) << key << ' ' << depth;
+        }
+    }
+}
+
+TEST(PlatformDecoderTest, takesNoServerFromAKeyOrAddressThatCannotBePassedOn)
+{
+    for (const char *key : {"", "a b", "a\r\nX: 1", "\xc3\xbc"}) {
+        EXPECT_FALSE(PlatformDecoder().decode("servers", {key, registeredEntry().dump(), 1, false})) << key;
+    }
+    for (const char *address : {"1.2.3.4:0", "1.2.3.4:65536", "1.2.3.4:99999999999999999999", "1.2.3.4:-1"}) {
+        nlohmann::json entry = registeredEntry();
+        entry["address"] = address;
+        EXPECT_FALSE(PlatformDecoder().decode("servers", {"i-1", entry.dump(), 1, false})) << address;
+    }
+}
+
+// Numbers beyond their type were converted, to anything.
+TEST(PlatformDecoderTest, takesNoNumberThatIsNoVersion)
+{
+    for (const char *number : {"-1", "1.5", "1e300", "99999999999999999999999", "\"7\"", "null"}) {
+        const std::string version = std::string(R"({"version":)") + number;
+        EXPECT_FALSE(PlatformDecoder().decode("op", {"config", version + R"(,"routes":[],"services":[]})", 1, false})) << number;
+        EXPECT_FALSE(PlatformDecoder().decode("op", {"version/m", version + R"(,"model":"m"})", 1, false})) << number;
+    }
+}
+
+rc::Gen<nlohmann::json> anyValue(int depth)
+{
+    const rc::Gen<nlohmann::json> plain = rc::gen::oneOf(rc::gen::map(rc::gen::arbitrary<double>(), [](double value) { return nlohmann::json(value); }),
+        rc::gen::map(rc::gen::arbitrary<std::int64_t>(), [](std::int64_t value) { return nlohmann::json(value); }),
+        rc::gen::map(rc::gen::inRange(0, 400), [](int size) { return nlohmann::json(std::string(static_cast<std::size_t>(size), 'x')); }),
+        rc::gen::elementOf(std::vector<nlohmann::json>{nullptr, true, "ready", "", 1e300, std::numeric_limits<std::uint64_t>::max()}));
+    if (depth == 0) {
+        return plain;
+    }
+    const auto nested = rc::gen::map(rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::pair(anyValue(depth - 1), anyValue(depth - 1))),
+        [](const std::pair<bool, std::pair<nlohmann::json, nlohmann::json>> &drawn) {
+            const auto &[isList, values] = drawn;
+            return isList ? nlohmann::json::array({values.first, values.second}) : nlohmann::json{{"name", values.first}, {"version", values.second}};
+        });
+    return rc::gen::oneOf(plain, nested);
+}
+
+// Whatever another program writes into one field, the entry names a server that can be passed on, or none.
+TEST(PlatformDecoderTest, survivesAnyValueInAnyField)
+{
+    EXPECT_TRUE(rc::check([] {
+        const std::vector<std::string> keys{"service", "address", "zone", "version", "slots", "phase", "sequence", "models", "born", "coldLeftMs"};
+        nlohmann::json entry = registeredEntry();
+        entry[*rc::gen::elementOf(keys)] = *anyValue(3);
+        const auto row = PlatformDecoder().decode("servers", {"i-1", entry.dump(), 1, false});
+        if (row) {
+            const auto &server = std::get<Decisions::RegisteredServer>(row.value());
+            RC_ASSERT(server.service.size() + server.softwareVersion.size() + server.failureDomain.size() <= 3 * 200U);
+            RC_ASSERT(Http::Endpoint::parse(server.address).has_value());
+        }
+        (void)PlatformDecoder().decode("op", {"config", entry.dump(), 1, false});
+    }));
+}
+
 TEST(PlatformDecoderTest, namesTheRowThatItCannotUnderstand)
 {
     const auto row = PlatformDecoder().decode("op", {"config", R"({"version":"seven","routes":[],"services":[]})", 1, false});
