--- a/tests/auto/platform/tst_translation.cpp
+++ b/tests/auto/platform/tst_translation.cpp
@@ -388,7 +388,7 @@
 
 rc::Gen<nlohmann::json> anyValue(int depth)
 {
-    const rc::Gen<nlohmann::json> plain = rc::gen::oneOf(rc::gen::map(rc::gen::arbitrary<double>(), [](double value) { return nlohmann::json(value); }),
+    rc::Gen<nlohmann::json> plain = rc::gen::oneOf(rc::gen::map(rc::gen::arbitrary<double>(), [](double value) { return nlohmann::json(value); }),
         rc::gen::map(rc::gen::arbitrary<std::int64_t>(), [](std::int64_t value) { return nlohmann::json(value); }),
         rc::gen::map(rc::gen::inRange(0, 400), [](int size) { return nlohmann::json(std::string(static_cast<std::size_t>(size), 'x')); }),
         rc::gen::elementOf(std::vector<nlohmann::json>{nullptr, true, "ready", "", 1e300, std::numeric_limits<std::uint64_t>::max()}));
--- a/tests/auto/relay/tst_silentengines.cpp
+++ b/tests/auto/relay/tst_silentengines.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using Test::answer;
 using Test::CallerFake;
 using Test::chunk;
 using Test::contains;
