Read the change once more: names, twins and work done twice

AttemptState::mayHaveRun() stands for a sum that stood four times. - Look-ups of streams are checked in one loop. A look-up that ends is not asked for again in the same check. - Two tests share RelayTest::runFor().

--- a/src/libs/agent/backendwatch.cpp
+++ b/src/libs/agent/backendwatch.cpp
@@ -1,7 +1,6 @@
 #include "backendwatch.h"
 
 #include <eventloop/loop.h>
-
 #include <json/jsontext.h>
 
 namespace Verbena::Agent {
--- a/src/libs/agent/completionevent.cpp
+++ b/src/libs/agent/completionevent.cpp
@@ -29,11 +29,11 @@
         return std::nullopt;
     }
     CompletionUsage result;
-    result.promptTokens = JsonText::smallNumber(*usage, "prompt_tokens");
-    result.completionTokens = JsonText::smallNumber(*usage, "completion_tokens");
+    result.promptTokens = JsonText::wholeNumber32(*usage, "prompt_tokens");
+    result.completionTokens = JsonText::wholeNumber32(*usage, "completion_tokens");
     const auto details = usage->find("prompt_tokens_details");
     if (details != usage->end() && details->is_object() && details->contains("cached_tokens")) {
-        result.cachedTokens = JsonText::smallNumber(*details, "cached_tokens");
+        result.cachedTokens = JsonText::wholeNumber32(*details, "cached_tokens");
     }
     return result;
 }
--- a/src/libs/decisions/relay/attemptpolicy.cpp
+++ b/src/libs/decisions/relay/attemptpolicy.cpp
@@ -61,7 +61,7 @@
     }
     const bool isProvedNotRun = failure == CallFailure::NotSent || failure == CallFailure::NotRun;
     if (isProvedNotRun) {
-        return state.runs + state.unacknowledged == 0 || (state.isRepeatable && state.runs < state.maximumRuns);
+        return !state.mayHaveRun() || (state.isRepeatable && state.runs < state.maximumRuns);
     }
     return state.isRepeatable && state.runs < state.maximumRuns;
 }
@@ -81,7 +81,7 @@
     if (failure == CallFailure::ServerError) {
         return AttemptAction::PassAnswer;
     }
-    const bool isProvedNotRun = state.runs + state.unacknowledged == 0 && failure != CallFailure::Unacknowledged;
+    const bool isProvedNotRun = !state.mayHaveRun() && failure != CallFailure::Unacknowledged;
     return isProvedNotRun ? AttemptAction::Refuse : AttemptAction::ReportLost;
 }
 
--- a/src/libs/decisions/relay/attemptpolicy.h
+++ b/src/libs/decisions/relay/attemptpolicy.h
@@ -42,6 +42,12 @@
     std::uint32_t sends = 0; ///< Number of calls with any outcome.
     bool isAnswerBegun = false; ///< Whether the caller has received a part of the answer.
     std::uint32_t unacknowledged = 0; ///< Number of calls of which nothing was acknowledged; they do not count as runs.
+
+    /// \brief Returns whether any of the ended calls may have run the request.
+    bool mayHaveRun() const
+    {
+        return runs + unacknowledged > 0;
+    }
 };
 
 /// \brief Returns whether a request may be sent to another backend server after \a failure, if the resend budget and the deadline allow it.
--- a/src/libs/decisions/relay/enginereports.cpp
+++ b/src/libs/decisions/relay/enginereports.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds isolationTimeout{6000};
 
 // Maximum number of unanswered requests that a router sends to an engine whose report has expired.
-constexpr std::uint32_t maxSentToSilent = 2;
+constexpr std::uint32_t maxSentAfterExpiry = 2;
 
 // Time without a report, while others report, after which one must be missing.
 constexpr milliseconds lateReportTime{400};
@@ -78,7 +78,7 @@
     report.deadline = now + lifetime;
     report.sentSince = 0;
     report.status.parts.reset();
-    report.hasSignSince = false;
+    report.isActiveSince = false;
     report.nextTrial = now + silenceTime + trialInterval * m_routerCount;
 }
 
@@ -95,11 +95,11 @@
 }
 
 // What came before the engine counted as silent was sent before its host stopped.
-void EngineReports::recordSign(BackendServerId id, Core::TimePoint now)
+void EngineReports::recordActivity(BackendServerId id, Core::TimePoint now)
 {
     const auto report = m_reports.find(id);
     if (report != m_reports.end() && isSilent(report->second, now)) {
-        report->second.hasSignSince = true;
+        report->second.isActiveSince = true;
     }
 }
 
@@ -185,7 +185,7 @@
 void EngineReports::addSilent(std::vector<BackendServerId> &ids, Core::TimePoint now) const
 {
     for (const auto &[id, report] : m_reports) {
-        const bool isTried = now >= report.deadline && report.sentSince >= maxSentToSilent;
+        const bool isTried = now >= report.deadline && report.sentSince >= maxSentAfterExpiry;
         if (isTried || (isSilent(report, now) && now < report.nextTrial)) {
             ids.push_back(id);
         }
@@ -245,7 +245,7 @@
 // Counted up to the newest report and not up to now: a router that stood still, is slow or is cut off hears nothing of any agent.
 bool EngineReports::isSilent(const StatusReport &report, Core::TimePoint now) const
 {
-    return !report.hasSignSince && now >= m_silenceKnownFrom && m_newestReportAt >= receivedAt(report) + silenceTime;
+    return !report.isActiveSince && now >= m_silenceKnownFrom && m_newestReportAt >= receivedAt(report) + silenceTime;
 }
 
 // Adds the requests that routers have sent since the last report to those that it lists. Other routers choose alike, so each is assumed to have sent as much
--- a/src/libs/decisions/relay/enginereports.h
+++ b/src/libs/decisions/relay/enginereports.h
@@ -26,7 +26,7 @@
 class EngineReports
 {
 public:
-    /// \brief Validity of a status report. Agents report several times a second; without a report for this long an agent counts as silent.
+    /// \brief Validity of a status report. Agents report several times a second; afterwards the report says nothing of the engine's load.
     static constexpr std::chrono::milliseconds lifetime{1500};
 
     /// \brief Time without a report, while others report, after which an engine counts as silent: so many reports in a row are hardly ever lost.
@@ -43,7 +43,7 @@
 
     /// \brief Records that anything of an answer came from the engine \a id. An engine that answers while its agent is silent counts as present until its
     /// agent reports again.
-    void recordSign(BackendServerId id, Core::TimePoint now);
+    void recordActivity(BackendServerId id, Core::TimePoint now);
 
     /// \brief Records that the engine \a id answered a request.
     void recordAnswered(BackendServerId id, Core::TimePoint now);
@@ -57,7 +57,7 @@
     /// \brief Returns the load that \a status describes.
     static LoadReport loadReport(const EngineStatus &status);
 
-    /// \brief Returns the estimated queue of the engine \a id, or nothing if its agent is silent.
+    /// \brief Returns the estimated queue of the engine \a id, or nothing if its report has expired.
     std::optional<EngineQueue> queue(BackendServerId id, Core::TimePoint now) const;
 
     /// \brief Returns the time since the last report on the engine \a id; nothing if its agent never reported.
@@ -99,7 +99,7 @@
         EngineStatus status;
         Core::TimePoint deadline;
         std::uint32_t sentSince = 0; ///< Number of requests that this router has sent since, which the status does not include.
-        bool hasSignSince = false; ///< Whether the engine, after it had fallen silent, has sent anything.
+        bool isActiveSince = false; ///< Whether the engine has sent anything after it had fallen silent.
         Core::TimePoint nextTrial; ///< Time at which this router may send a request to the engine although it is silent.
     };
 
--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -23,7 +23,7 @@
     const PromptOutline *prompt = nullptr; ///< Prompt of a completion; null for a plain call.
     std::string dedicatedTo; ///< Organisation that shares no KV cache with others, if the request belongs to one; else empty.
     std::optional<std::string> softwareVersion; ///< Software version that the backend server must have; nothing if any will do.
-    bool isFailover = false; ///< Whether the request waited for a silent engine, so that only engines are chosen that were heard of a moment ago.
+    bool needsTimelyReport = false; ///< Whether engines are left out whose report is late.
     std::vector<std::string> excluded; ///< Ids of backend servers that were tried before.
     std::uint64_t randomValue = 0; ///< Random value, uniformly distributed over all numbers.
     std::chrono::microseconds latencyTarget{0}; ///< Latency target of the route; zero for none.
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -404,7 +404,7 @@
     if (query.prompt == nullptr) {
         return m_chooser.choose(route, now);
     }
-    if (query.isFailover) {
+    if (query.needsTimelyReport) {
         m_reports.addLate(route.excluded);
     }
     const std::size_t tried = route.excluded.size();
@@ -649,10 +649,10 @@
     m_transfers.caches().recordSent(choice.id, choice.parts, now);
 }
 
-void RelayFleet::recordSign(const FleetChoice &choice, Core::TimePoint now)
+void RelayFleet::recordActivity(const FleetChoice &choice, Core::TimePoint now)
 {
     if (!isOutdated(choice)) {
-        m_reports.recordSign(choice.id, now);
+        m_reports.recordActivity(choice.id, now);
     }
 }
 
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -136,7 +136,7 @@
     void recordSent(FleetChoice &choice, Core::TimePoint now);
 
     /// \brief Records that anything of an answer to the request of \a choice was received.
-    void recordSign(const FleetChoice &choice, Core::TimePoint now);
+    void recordActivity(const FleetChoice &choice, Core::TimePoint now);
 
     /// \brief Records that the first part of the answer was received.
     void recordAnswered(const FleetChoice &choice, Core::TimePoint now);
--- a/src/libs/json/jsontext.cpp
+++ b/src/libs/json/jsontext.cpp
@@ -10,9 +10,7 @@
 
 namespace {
 
-constexpr const char *step = "json.parse";
-
-Core::Error invalid(const std::string &message)
+Core::Error invalid(const char *step, const std::string &message)
 {
     return {Core::ErrorCode::InvalidArgument, step, "", message};
 }
@@ -51,14 +49,14 @@
 }
 
 // The library copies, compares and writes nested values by recursion, which a deep one would let overflow the stack.
-Core::Result<json> parse(std::string_view text)
+Core::Result<json> parse(std::string_view text, const char *step)
 {
     if (isNestedTooDeep(text)) {
-        return invalid("The text is nested too deep.");
+        return invalid(step, "The text is nested too deep.");
     }
     json value = json::parse(text, nullptr, false);
     if (value.is_discarded()) {
-        return invalid("The text is no JSON.");
+        return invalid(step, "The text is no JSON.");
     }
     return value;
 }
@@ -68,7 +66,7 @@
 {
     const json *number = numberOf(object, key);
     if (number == nullptr) {
-        return invalid(std::string(key) + " is no whole number.");
+        return invalid("json.number", std::string(key) + " is no whole number.");
     }
     return number->get<std::uint64_t>();
 }
@@ -79,9 +77,16 @@
     return number == nullptr ? otherwise : number->get<std::uint64_t>();
 }
 
-std::uint32_t smallNumber(const json &object, const char *key)
+std::uint32_t wholeNumber32(const json &object, const char *key)
+{
+    const json *number = numberOf(object, key);
+    return number == nullptr ? 0 : toWholeNumber32(*number);
+}
+
+std::uint32_t toWholeNumber32(const json &value)
 {
-    return static_cast<std::uint32_t>(std::min<std::uint64_t>(wholeNumberOr(object, key, 0), std::numeric_limits<std::uint32_t>::max()));
+    const std::uint64_t number = value.is_number_unsigned() ? value.get<std::uint64_t>() : 0;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(number, std::numeric_limits<std::uint32_t>::max()));
 }
 
 } // namespace Verbena::JsonText
--- a/src/libs/json/jsontext.h
+++ b/src/libs/json/jsontext.h
@@ -9,7 +9,7 @@
 
 namespace Verbena::JsonText {
 
-// Texts from outside of this process become values here only, so that no text can make the process end.
+// For JSON texts that other programs wrote: none of them may make this process end.
 
 /// \brief Deepest nesting of objects and lists that parse() accepts.
 inline constexpr int maximumDepth = 64;
@@ -17,8 +17,8 @@
 /// \brief Returns whether objects and lists in \a text are nested deeper than maximumDepth.
 bool isNestedTooDeep(std::string_view text);
 
-/// \brief Parses \a text. Errors: InvalidArgument if it is no JSON or is nested too deep; the message holds nothing of the text.
-Core::Result<nlohmann::json> parse(std::string_view text);
+/// \brief Parses \a text. Errors, with \a step: InvalidArgument if it is no JSON or is nested too deep; the message holds nothing of the text.
+Core::Result<nlohmann::json> parse(std::string_view text, const char *step = "json.parse");
 
 /// \brief Returns the whole number \a key of \a object. Errors: InvalidArgument if there is none, or it is negative, fractional or too large.
 Core::Result<std::uint64_t> wholeNumber(const nlohmann::json &object, const char *key);
@@ -27,6 +27,9 @@
 std::uint64_t wholeNumberOr(const nlohmann::json &object, const char *key, std::uint64_t otherwise);
 
 /// \brief Returns the whole number \a key of \a object, or 0 if there is none; at most the largest number of 32 bits.
-std::uint32_t smallNumber(const nlohmann::json &object, const char *key);
+std::uint32_t wholeNumber32(const nlohmann::json &object, const char *key);
+
+/// \brief Returns \a value if it is a whole number, or 0; at most the largest number of 32 bits.
+std::uint32_t toWholeNumber32(const nlohmann::json &value);
 
 } // namespace Verbena::JsonText
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -76,6 +76,7 @@
     }
 }
 
+// The kernel would go on sending the request after an orderly close, and a server that is reached again later would run it.
 BackendCall::~BackendCall()
 {
     if (m_isDestroyed != nullptr) {
@@ -86,7 +87,6 @@
     }
 }
 
-// The kernel would go on sending the request after an orderly close, and a server that is reached again later would run it.
 bool BackendCall::isUnacknowledged() const
 {
     return m_channel->unacknowledgedBytes() >= m_requestBytes;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -35,7 +35,7 @@
 // Interval between checks whether to move a stream; its events arrive several times as often.
 constexpr milliseconds moveCheckInterval{100};
 
-// Time without a sign of a silent engine after which a request is taken off it; between the events of a stream much less passes.
+// Time without a byte from a silent engine after which a request is taken off it; between the events of a stream much less passes.
 constexpr milliseconds silentEngineTime{500};
 
 // Time since the last report after which an engine counts as lost for what cannot be sent elsewhere. Callers give up after two seconds without an event at the
@@ -216,7 +216,7 @@
 
 bool RelayedRequest::mayHaveRun() const
 {
-    return m_attempts.runs + m_attempts.unacknowledged > 0 || (m_call != nullptr && m_call->hasSent());
+    return m_attempts.mayHaveRun() || (m_call != nullptr && m_call->hasSent());
 }
 
 std::string RelayedRequest::organisationName() const
@@ -386,7 +386,7 @@
 bool RelayedRequest::sendTo(const FleetChoice &choice)
 {
     m_choice = choice;
-    m_lastSignAt = m_context.loop.now();
+    m_lastActivityAt = m_context.loop.now();
     m_serverWait.handleSent();
     m_excluded.push_back(choice.serverId);
     m_hasServerEnded = false;
@@ -462,7 +462,7 @@
 
 void RelayedRequest::receiveAnswerHead(const Http::MessageHead &head)
 {
-    recordSign();
+    recordEngineActivity();
     const AnswerMarks marks = m_context.protocol.readAnswer(head);
     const AnswerMeaning meaning = meaningOf(head.status, marks);
     if (meaning == AnswerMeaning::NotRun) {
@@ -528,7 +528,7 @@
 
 void RelayedRequest::receiveAnswerBody(std::string_view data)
 {
-    recordSign();
+    recordEngineActivity();
     handleFirstPart();
     const bool wasBegun = m_answer.isBegun();
     const bool hadEvent = m_answer.hasEvent();
@@ -581,7 +581,7 @@
         m_isUnanswered = false;
         m_context.fleet.recordAbandoned(*m_choice);
     }
-    recordEndedCall(presentFailure());
+    recordEndedCall(failureIfAbandoned());
     m_call.reset();
     m_answer.prepareNextCall();
     if (!sendTo(choice) && !m_isDone) {
@@ -589,10 +589,10 @@
     }
 }
 
-void RelayedRequest::recordSign()
+void RelayedRequest::recordEngineActivity()
 {
-    m_lastSignAt = m_context.loop.now();
-    m_context.fleet.recordSign(*m_choice, m_lastSignAt);
+    m_lastActivityAt = m_context.loop.now();
+    m_context.fleet.recordActivity(*m_choice, m_lastActivityAt);
 }
 
 Core::TimePoint RelayedRequest::deadline() const
@@ -604,25 +604,25 @@
 {
     const Core::TimePoint now = m_context.loop.now();
     const bool isWaiting = !m_isDone && m_call != nullptr && !m_call->isWhole();
-    return isWaiting && now >= m_lastSignAt + silentEngineTime && m_context.fleet.isSilent(*m_choice, now);
+    return isWaiting && now >= m_lastActivityAt + silentEngineTime && m_context.fleet.isSilent(*m_choice, now);
 }
 
-CallFailure RelayedRequest::presentFailure() const
+CallFailure RelayedRequest::failureIfAbandoned() const
 {
     return m_call->isUnacknowledged() ? CallFailure::Unacknowledged : CallFailure::Lost;
 }
 
-Decisions::AttemptState RelayedRequest::attemptsAfterPresent() const
+Decisions::AttemptState RelayedRequest::attemptsIfAbandoned() const
 {
     Decisions::AttemptState next = attempts();
-    next.runs += presentFailure() == CallFailure::Lost ? 1 : 0;
+    next.runs += failureIfAbandoned() == CallFailure::Lost ? 1 : 0;
     return next;
 }
 
 bool RelayedRequest::mayFailOver()
 {
     const bool hasTime = m_context.loop.now() + minimumResendTime < m_deadline;
-    return mayResend(attemptsAfterPresent(), presentFailure()) && hasTime && !isSoftwareGone() && !m_crashes.isSuspected();
+    return mayResend(attemptsIfAbandoned(), failureIfAbandoned()) && hasTime && !isSoftwareGone() && !m_crashes.isSuspected();
 }
 
 bool RelayedRequest::isEngineLost() const
@@ -654,7 +654,7 @@
         return false;
     }
     Decisions::FleetQuery query = fleetQuery();
-    query.isFailover = true;
+    query.needsTimelyReport = true;
     const std::optional<FleetChoice> choice = m_context.fleet.choose(query, now);
     if (!choice.has_value() || !m_context.budget.tryConsume(m_service, resendPurpose(), now)) {
         return false;
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -122,9 +122,10 @@
     Decisions::FleetQuery fleetQuery();
     void moveOffWaitingEngine();
     void moveTo(const Decisions::FleetChoice &choice);
-    void recordSign();
-    Decisions::CallFailure presentFailure() const;
-    Decisions::AttemptState attemptsAfterPresent() const;
+    void recordEngineActivity();
+    /// \brief Returns how the current call would count if it were given up now.
+    Decisions::CallFailure failureIfAbandoned() const;
+    Decisions::AttemptState attemptsIfAbandoned() const;
     bool mayFailOver();
     bool tryFailOver();
     bool isEngineLost() const;
@@ -200,7 +201,7 @@
     CrashControlHandle m_crashes;
     StreamOriginHandle m_origin;
     bool m_isUnanswered = false; ///< Whether the current call counts as load of its backend server.
-    Core::TimePoint m_lastSignAt{}; ///< Time at which the current call was made, or anything of its answer last came.
+    Core::TimePoint m_lastActivityAt{}; ///< Time at which the current call was made, or anything of its answer last came.
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
     PartTimes m_partTimes;
--- a/src/libs/relay/streamoriginexchange.cpp
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -299,24 +299,21 @@
 {
     checkRegister();
     const Core::TimePoint now = m_loop.now();
+    const bool isRegisterAwaited
+        = std::any_of(m_inquiries.begin(), m_inquiries.end(), [](const auto &entry) { return !entry.second.inquiry.isRegisterKnown(); });
+    const bool isRegisterExpected = isRegisterAwaited && m_registerCopy.renewRegister();
     std::vector<std::uint64_t> decided;
     std::vector<std::uint64_t> overdue;
-    bool isRegisterAwaited = false;
     for (auto &[number, pending] : m_inquiries) {
-        isRegisterAwaited = isRegisterAwaited || !pending.inquiry.isRegisterKnown();
+        const bool awaitsRegister = isRegisterExpected && !pending.inquiry.isRegisterKnown();
         if (pending.inquiry.isDecided()) {
             decided.push_back(number);
+        } else if (now >= (awaitsRegister ? pending.registerDeadline : pending.answerDeadline)) {
+            overdue.push_back(number);
         } else if (now >= pending.resendTime && !pending.isResent) {
             resendQueries(number, pending);
         }
     }
-    const bool canRenew = isRegisterAwaited && m_registerCopy.renewRegister();
-    for (const auto &[number, pending] : m_inquiries) {
-        const bool isRegisterDue = canRenew && !pending.inquiry.isRegisterKnown();
-        if (!pending.inquiry.isDecided() && now >= (isRegisterDue ? pending.registerDeadline : pending.answerDeadline)) {
-            overdue.push_back(number);
-        }
-    }
     for (const std::uint64_t number : decided) {
         decide(number, "answered");
     }
--- a/src/libs/router/callerrequest.cpp
+++ b/src/libs/router/callerrequest.cpp
@@ -156,11 +156,10 @@
     if (JsonText::isNestedTooDeep(body)) {
         return invalid("The request body is nested too deep.");
     }
-    const auto parsed = JsonText::parse(body);
-    if (!parsed || !parsed.value().is_object()) {
+    const json root = json::parse(body, nullptr, false);
+    if (!root.is_object()) {
         return invalid("The request body is not a JSON object.");
     }
-    const json &root = parsed.value();
     CallerRequest request;
     request.interface = interface;
     if (!root.contains("model") || !root["model"].is_string()) {
--- a/src/libs/store/platformjson.cpp
+++ b/src/libs/store/platformjson.cpp
@@ -12,12 +12,9 @@
 template<typename T, typename Decode>
 Core::Result<T> decode(const std::string &text, Decode decodeValue)
 {
-    const auto parsed = JsonText::parse(text);
-    if (!parsed) {
-        return Core::Error{Core::ErrorCode::InvalidArgument, "platform.decode", "", parsed.error().message};
-    }
+    BOOST_OUTCOME_TRY(value, JsonText::parse(text, "platform.decode"));
     try {
-        return T(decodeValue(parsed.value()));
+        return T(decodeValue(value));
     } catch (const json::exception &failure) {
         return Core::Error{Core::ErrorCode::InvalidArgument, "platform.decode", "", failure.what()};
     }
--- a/tests/auto/relay/relaytest.cpp
+++ b/tests/auto/relay/relaytest.cpp
@@ -142,6 +142,12 @@
     return client->received();
 }
 
+void RelayTest::runFor(std::chrono::milliseconds span)
+{
+    const Core::TimePoint end = m_loop->now() + span;
+    EXPECT_TRUE(runUntil(*m_loop, [&] { return m_loop->now() >= end; }));
+}
+
 std::size_t RelayTest::runs() const
 {
     std::size_t count = 0;
--- a/tests/auto/relay/relaytest.h
+++ b/tests/auto/relay/relaytest.h
@@ -66,6 +66,9 @@
     /// \brief Sends \a text and returns what the caller receives until \a end or the end of the connection.
     std::string call(const std::string &text, const std::string &end);
 
+    /// \brief Runs the loop for \a span.
+    void runFor(std::chrono::milliseconds span);
+
     /// \brief Returns the number of requests that reached the backend servers.
     std::size_t runs() const;
 
--- a/tests/auto/relay/tst_silentengines.cpp
+++ b/tests/auto/relay/tst_silentengines.cpp
@@ -96,12 +96,6 @@
         return contains(client.received(), "\r\n0\r\n\r\n");
     }
 
-    void runFor(std::chrono::milliseconds span)
-    {
-        const Core::TimePoint end = m_loop->now() + span;
-        EXPECT_TRUE(runUntil(*m_loop, [&] { return m_loop->now() >= end; }));
-    }
-
     EventLoop::Timer m_reports;
     std::set<std::size_t> m_reporting; ///< Engines whose agents report.
     std::size_t m_silent = 0; ///< Engine whose agent fell silent.
--- a/tests/auto/relay/tst_stoppedhosts.cpp
+++ b/tests/auto/relay/tst_stoppedhosts.cpp
@@ -100,12 +100,6 @@
         return client;
     }
 
-    void runFor(std::chrono::milliseconds span)
-    {
-        const Core::TimePoint end = m_loop->now() + span;
-        EXPECT_TRUE(runUntil(*m_loop, [&] { return m_loop->now() >= end; }));
-    }
-
     StoppedHost m_host;
 };
 
