Let timers decide after everything that has arrived is read

Callers saw requests end without an answer whose bytes had come long before a deadline at which their connection was closed. libev runs timers before sockets at equal priority, and a process that is continued by SIGCONT returns from its wait interrupted, so that a whole iteration runs timers without having asked the sockets.

--- a/src/libs/eventloop/iowatcher.cpp
+++ b/src/libs/eventloop/iowatcher.cpp
@@ -12,6 +12,8 @@
     ev_io_init(
         &m_watcher, [](struct ev_loop *, ev_io *watcher, int events) { static_cast<IoWatcher *>(watcher->data)->m_callback(events); }, descriptor, EV_READ);
     m_watcher.data = this;
+    // What has arrived is read before a timer that expires in the same iteration decides on it.
+    ev_set_priority(&m_watcher, EV_MAXPRI);
 }
 
 IoWatcher::~IoWatcher()
--- a/src/libs/eventloop/timer.h
+++ b/src/libs/eventloop/timer.h
@@ -10,7 +10,7 @@
 
 class Loop;
 
-/// \brief A timer that calls a function once at a given time.
+/// \brief A timer that calls a function once at a given time, after everything that had arrived at the watched descriptors by then.
 class Timer
 {
 public:
@@ -20,15 +20,20 @@
     Timer(const Timer &) = delete;
     Timer &operator=(const Timer &) = delete;
 
-    /// \brief Starts the timer, replacing an earlier start. If \a time is in the past, it expires as soon as possible.
+    /// \brief Starts the timer, replacing an earlier start. If \a time is in the past, it expires as soon as the descriptors have been handled.
     void startAt(Core::TimePoint time);
 
     void stop();
     bool isActive() const;
 
 private:
+    void start(double seconds);
+    void expire();
+
     Loop &m_loop;
     std::function<void()> m_callback;
+    Core::TimePoint m_time{};
+    bool m_isPostponed = false; ///< Whether the time has passed and the timer waits for the descriptors to be handled.
     ev_timer m_watcher;
 };
 
