Answer what has arrived before connections are closed at a shutdown

Cause: the listener was closed with what waited in its queue, and connections counted as idle by what had been read of them. Now the queue is accepted before the listener closes, a connection with unread bytes or a new caller is not idle, at an idle timeout as well; requests that cannot be sent any more are refused a quarter of a second before the grace period ends, and those that may have run get 502. The own interface accepts its queue and reads what has arrived in the same way.

--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <unistd.h>
 
 namespace Verbena::Http {
@@ -17,6 +18,9 @@
 // An oversized body of unknown length is read and discarded up to this multiple of the limit, so that its sender receives the response.
 constexpr std::size_t maximumDiscardFactor = 4;
 
+// More than enough for a full queue of connections; at its limit of connections, the server accepts none.
+constexpr int maximumRunsToAccept = 200;
+
 } // namespace
 
 // Callbacks of libmicrohttpd, which are plain functions; their context arguments are the server and the exchange.
@@ -205,14 +209,29 @@
     return MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
 }
 
+bool HttpServer::hasWaitingConnection() const
+{
+    pollfd listener{MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd, POLLIN, 0};
+    return poll(&listener, 1, 0) == 1;
+}
+
+// Peers count connections that wait as established. libmicrohttpd accepts some of them each time that it runs.
 void HttpServer::stopListening()
 {
+    for (int run = 0; run < maximumRunsToAccept && hasWaitingConnection(); ++run) {
+        MHD_run(m_daemon);
+    }
     const MHD_socket socket = MHD_quiesce_daemon(m_daemon);
     if (socket != MHD_INVALID_SOCKET) {
         close(socket);
     }
 }
 
+void HttpServer::readArrived()
+{
+    MHD_run(m_daemon);
+}
+
 void HttpServer::scheduleRun()
 {
     m_run.schedule();
--- a/src/libs/http/httpserver.h
+++ b/src/libs/http/httpserver.h
@@ -49,9 +49,12 @@
     /// \brief Returns the number of connections, including idle ones.
     std::size_t connectionCount() const;
 
-    /// \brief Closes the listening socket; open connections stay usable.
+    /// \brief Accepts the connections that wait and closes the listening socket; open connections stay usable.
     void stopListening();
 
+    /// \brief Reads what has arrived on all connections, so that openExchangeCount() includes these requests.
+    void readArrived();
+
 private:
     friend class HttpExchange;
     struct Callbacks;
@@ -60,6 +63,7 @@
     void scheduleRun();
     void runDaemon();
     void abortOpenExchanges();
+    bool hasWaitingConnection() const;
 
     EventLoop::Loop &m_loop;
     HttpServerOptions m_options;
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -185,8 +185,19 @@
     if (!m_isConnected || m_isEnded || m_isBroken || bufferedBytes() > 0) {
         return false;
     }
+    return peek() < 0 && errno == EAGAIN;
+}
+
+bool TcpChannel::hasUnreadBytes() const
+{
+    return !m_isEnded && peek() > 0;
+}
+
+// Returns what recv() would for one byte, and leaves the byte.
+ssize_t TcpChannel::peek() const
+{
     char next = 0;
-    return recv(m_descriptor, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+    return recv(m_descriptor, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
 }
 
 // A send error is not handled here: the loop reports it when the socket becomes ready.
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -91,6 +91,9 @@
     /// \brief Returns whether the connection is open at both ends, all written data is sent and nothing waits to be read.
     bool isIdle() const;
 
+    /// \brief Returns whether bytes of the peer wait to be read.
+    bool hasUnreadBytes() const;
+
     /// \brief Returns the number of written bytes that the kernel has not accepted yet.
     std::size_t bufferedBytes() const;
 
@@ -122,6 +125,7 @@
 
 private:
     TcpChannel(EventLoop::Loop &loop, int descriptor, ChannelObserver &observer, bool isConnected);
+    ssize_t peek() const;
     void onReady(int events);
     void watch();
     void flush();
--- a/src/libs/http/tcplistener.cpp
+++ b/src/libs/http/tcplistener.cpp
@@ -25,32 +25,37 @@
 
 Core::Result<std::unique_ptr<TcpListener>> TcpListener::create(EventLoop::Loop &loop, const Endpoint &endpoint, Acceptor acceptor)
 {
-    const auto fail = [&endpoint](const char *step) {
-        return Core::Error{Core::ErrorCode::Unavailable, step, endpoint.toString(), std::strerror(errno)};
-    };
+    BOOST_OUTCOME_TRY(listener, bind(loop, endpoint, std::move(acceptor)));
+    BOOST_OUTCOME_TRY(listener->listen());
+    return std::move(listener);
+}
+
+Core::Result<std::unique_ptr<TcpListener>> TcpListener::bind(EventLoop::Loop &loop, const Endpoint &endpoint, Acceptor acceptor)
+{
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
-        return fail("http.socket");
+        return errorAt("http.socket", endpoint);
     }
     std::unique_ptr<TcpListener> listener(new TcpListener(loop, descriptor, std::move(acceptor)));
     const int isReused = 1;
     (void)setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &isReused, sizeof isReused);
     // Accepted connections inherit it. If it cannot be set, the kernel lets the buffers grow.
     (void)setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
-    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&endpoint.address), sizeof endpoint.address) != 0) {
-        return fail("http.bind");
+    if (::bind(descriptor, reinterpret_cast<const sockaddr *>(&endpoint.address), sizeof endpoint.address) != 0) {
+        return errorAt("http.bind", endpoint);
     }
-    if (listen(descriptor, backlog) != 0) {
-        return fail("http.listen");
-    }
-    listener->m_watcher->start(EV_READ);
     return listener;
 }
 
+Core::Error TcpListener::errorAt(const char *step, const Endpoint &endpoint)
+{
+    return {Core::ErrorCode::Unavailable, step, endpoint.toString(), std::strerror(errno)};
+}
+
 TcpListener::TcpListener(EventLoop::Loop &loop, int descriptor, Acceptor acceptor)
     : m_descriptor(descriptor)
     , m_acceptor(std::move(acceptor))
-    , m_watcher(std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [this](int) { acceptAll(); }))
+    , m_watcher(std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [this](int) { acceptSome(); }))
 {
 }
 
@@ -60,6 +65,15 @@
     close(m_descriptor);
 }
 
+Core::Result<void> TcpListener::listen()
+{
+    if (::listen(m_descriptor, backlog) != 0) {
+        return errorAt("http.listen", endpoint());
+    }
+    m_watcher->start(EV_READ);
+    return Core::success();
+}
+
 Endpoint TcpListener::endpoint() const
 {
     Endpoint bound;
@@ -68,15 +82,30 @@
     return bound;
 }
 
-void TcpListener::acceptAll()
+void TcpListener::acceptSome()
+{
+    for (int accepted = 0; accepted < maximumAcceptsPerWakeUp && acceptOne(); ++accepted) {
+    }
+}
+
+void TcpListener::acceptWaiting()
 {
-    for (int accepted = 0; accepted < maximumAcceptsPerWakeUp; ++accepted) {
-        const int descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (descriptor < 0) {
-            return;
-        }
+    for (int accepted = 0; accepted < backlog && acceptOne(); ++accepted) {
+    }
+}
+
+// Returns false if no connection waits or the system refuses to hand it over.
+bool TcpListener::acceptOne()
+{
+    const int descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor >= 0) {
         m_acceptor(descriptor);
+        return true;
+    }
+    if (errno == ECONNABORTED || errno == EINTR) {
+        return true;
     }
+    return false;
 }
 
 } // namespace Verbena::Http
--- a/src/libs/http/tcplistener.h
+++ b/src/libs/http/tcplistener.h
@@ -28,12 +28,23 @@
     TcpListener(const TcpListener &) = delete;
     TcpListener &operator=(const TcpListener &) = delete;
 
+    /// \brief Binds \a endpoint without listening yet, so that callers are refused. Errors: as create().
+    static Core::Result<std::unique_ptr<TcpListener>> bind(EventLoop::Loop &loop, const Endpoint &endpoint, Acceptor acceptor);
+
+    /// \brief Starts to accept connections. Errors: Unavailable, if another process listens on the address.
+    Core::Result<void> listen();
+
+    /// \brief Accepts all connections that wait; their peers already count them as established.
+    void acceptWaiting();
+
     /// \brief Returns the address in use, including a port chosen by the system.
     Endpoint endpoint() const;
 
 private:
     TcpListener(EventLoop::Loop &loop, int descriptor, Acceptor acceptor);
-    void acceptAll();
+    static Core::Error errorAt(const char *step, const Endpoint &endpoint);
+    void acceptSome();
+    bool acceptOne();
 
     int m_descriptor;
     Acceptor m_acceptor;
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -22,6 +22,12 @@
 // Time after which a caller whose request was refused for lack of memory should retry; callers that read have read what waits for them by then.
 constexpr std::chrono::milliseconds memoryRetryDelay{500};
 
+// The same for a caller of a router that is about to end; another router takes its request at once.
+constexpr std::chrono::milliseconds endRetryDelay{20};
+
+// Time that a caller has from the accept of its connection until its first request arrives before the connection counts as idle.
+constexpr std::chrono::milliseconds firstRequestTime{500};
+
 const char *reasonPhrase(int status)
 {
     switch (status) {
@@ -77,6 +83,7 @@
     , m_timer(loop, [this] { handleTimeout(); })
     , m_finish(loop, [this] { finishExchange(); })
     , m_idleSince(loop.now())
+    , m_firstRequestDeadline(m_idleSince + firstRequestTime)
 {
     m_channel->setMeter(createMeter(&owner.memory().budget(), Decisions::HeldKind::UnsentToCallers));
     m_timer.startAt(m_loop.now() + owner.limits().idleTimeout);
@@ -136,10 +143,29 @@
     }
 }
 
-void CallerConnection::endIfIdle()
+// A caller takes what it has sent for accepted, whether it was read or is still in the kernel.
+bool CallerConnection::endIfIdle()
 {
-    if (!isBusy()) {
-        m_owner.connectionEnded(this);
+    if (isBusy() || m_channel->hasUnreadBytes() || m_loop.now() < m_firstRequestDeadline) {
+        return false;
+    }
+    m_owner.connectionEnded(this);
+    return true;
+}
+
+void CallerConnection::refuseUnsent()
+{
+    if (m_request != nullptr) {
+        m_request->refuseUnsent();
+    } else if (m_state == State::Reading && m_reader.hasBegun()) {
+        refuse({503, "This router ends; the request was not read whole and has not run.", endRetryDelay}, m_head);
+    }
+}
+
+void CallerConnection::giveUp()
+{
+    if (m_request != nullptr) {
+        m_request->giveUp();
     }
 }
 
@@ -470,6 +496,7 @@
     }
     m_state = State::Reading;
     m_idleSince = m_loop.now();
+    m_firstRequestDeadline = {};
     m_head = {};
     m_body.clear();
     (void)m_reader.next();
@@ -496,6 +523,11 @@
         refuse({408, "The request did not come in time.", std::nullopt});
         return;
     }
+    // A request has come at the last moment; it is read in the next iteration of the loop.
+    if (m_state == State::Reading && m_channel->hasUnreadBytes()) {
+        m_timer.startAt(m_loop.now() + m_owner.limits().headerTimeout);
+        return;
+    }
     const Core::TimePoint readDeadline = m_lastReadAt + (m_state == State::Lingering ? lingerTime : m_owner.limits().idleTimeout);
     if (unsentBytes() > 0 && m_loop.now() < readDeadline) {
         m_timer.startAt(readDeadline);
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -85,8 +85,15 @@
     /// \brief Lets the caller tell, when the connection is destroyed, that an answer which has begun is incomplete.
     void markIncomplete();
 
-    /// \brief Closes the connection if it is idle.
-    void endIfIdle();
+    /// \brief Closes the connection if it is idle: nothing has arrived that is not answered, and a new caller has had time to send its request. Returns
+    /// whether it was closed.
+    bool endIfIdle();
+
+    /// \brief Refuses a request that is still being read or has not been sent to a backend server, as the process is about to end.
+    void refuseUnsent();
+
+    /// \brief Ends a request that has no complete answer, as the process ends.
+    void giveUp();
 
     /// \brief Returns the request that is being handled; null if there is none. It lives until the loop's next iteration at least.
     RelayedRequest *request() const;
@@ -150,6 +157,7 @@
     Core::TimePoint m_waitingSince; ///< Begin of that wait.
     std::unique_ptr<RelayedRequest> m_request;
     Core::TimePoint m_idleSince;
+    Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
     Core::TimePoint m_lastReadAt;
     std::optional<std::size_t> m_unacknowledgedBytes; ///< At the last updateLastRead().
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -957,6 +957,30 @@
     }
 }
 
+void RelayedRequest::refuseUnsent()
+{
+    if (m_isDone || m_call != nullptr || m_answer.isBegun() || mayHaveRun()) {
+        return;
+    }
+    refuse(503, "This router ends; the request has not run.");
+}
+
+void RelayedRequest::giveUp()
+{
+    if (m_isDone) {
+        return;
+    }
+    const bool mayHaveBegun = mayHaveRun();
+    m_call.reset();
+    if (m_answer.isBegun()) {
+        finish(AttemptAction::CutStream);
+    } else if (mayHaveBegun) {
+        finish(AttemptAction::ReportLost);
+    } else {
+        refuse(503, "This router ends; the request has not run.");
+    }
+}
+
 // Only streams that have not begun are called back. The first event shows that a stream has begun; for other answers the start cannot be observed, so these
 // calls are not called back.
 std::optional<Core::TimePoint> RelayedRequest::callBackTime() const
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -90,6 +90,12 @@
     /// it as lost if the engine has been silent for long.
     void failOver();
 
+    /// \brief Refuses the request if it waits to be sent and cannot have run, as the process is about to end.
+    void refuseUnsent();
+
+    /// \brief Answers the request as lost, or cuts its answer, as the process ends; refuses it if it cannot have run.
+    void giveUp();
+
     /// \brief Recomputes when the current call, if its engine has not begun it, has to be called back because of newer weights.
     void updateCallBackTimer();
 
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -72,6 +72,10 @@
 
 inline constexpr Event requestFailedOver{2142, Severity::Info, "request_failed_over", "A request is sent elsewhere, as its engine has fallen silent."};
 
+inline constexpr Event callersListenerClosed{
+    2155, Severity::Info, "callers_listener_closed", "The router that ends takes no new connections; those that waited were accepted."};
+inline constexpr Event drainEnded{2156, Severity::Info, "drain_ended", "The router that ends has answered its callers, or its time is over."};
+
 inline constexpr Event strayBytesReceived{
     2145, Severity::Warning, "stray_bytes_received", "A backend server sent bytes on an idle connection; they belong to no request."};
 
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -24,6 +24,9 @@
 // Interval at which a relay that shuts down checks whether it is done.
 constexpr std::chrono::milliseconds shutdownCheckInterval{50};
 
+// Time before the end of the grace period at which requests that wait to be sent are refused, so that their callers get the answer.
+constexpr std::chrono::milliseconds refusalMargin{250};
+
 // Interval at which a list of routers with as many entries as before is compared in full; agents report it many times per second.
 constexpr std::chrono::milliseconds routersUpdateInterval{1000};
 
@@ -36,7 +39,7 @@
 Core::Result<std::unique_ptr<RelayTask>> RelayTask::create(EventLoop::Loop &loop, const RelaySettings &settings, const RelayProtocol &protocol)
 {
     std::unique_ptr<RelayTask> task(new RelayTask(loop, settings, protocol));
-    auto listener = Http::TcpListener::create(loop, settings.listen, [raw = task.get()](int descriptor) { raw->acceptCaller(descriptor); });
+    auto listener = Http::TcpListener::bind(loop, settings.listen, [raw = task.get()](int descriptor) { raw->acceptCaller(descriptor); });
     if (!listener) {
         return listener.error();
     }
@@ -45,6 +48,11 @@
     return task;
 }
 
+Core::Result<void> RelayTask::listen()
+{
+    return m_listener->listen();
+}
+
 RelayTask::RelayTask(EventLoop::Loop &loop, const RelaySettings &settings, const RelayProtocol &protocol)
     : m_loop(loop)
     , m_settings(settings)
@@ -135,6 +143,7 @@
     failOverSilentEngines();
     m_bodies.handleRoom();
     m_intake.record(m_activityDue, now, m_memory.budget().isShort());
+    m_metrics.recordDuration("loop_late_seconds", {}, std::chrono::duration_cast<std::chrono::microseconds>(now - m_activityDue));
     m_activityDue = now + activityInterval;
     m_activityTimer.startAt(m_activityDue);
 }
@@ -367,8 +376,25 @@
     const auto last = idle.begin() + static_cast<std::ptrdiff_t>(std::min(count, idle.size()));
     std::partial_sort(
         idle.begin(), last, idle.end(), [](const CallerConnection *left, const CallerConnection *right) { return left->idleSince() < right->idleSince(); });
-    m_metrics.count("idle_connections_closed_for_descriptors_total", static_cast<std::uint64_t>(last - idle.begin()));
-    std::for_each(idle.begin(), last, [this](CallerConnection *connection) { connectionEnded(connection); });
+    const auto closed = std::count_if(idle.begin(), last, [](CallerConnection *connection) { return connection->endIfIdle(); });
+    m_metrics.count("idle_connections_closed_for_descriptors_total", static_cast<std::uint64_t>(closed));
+}
+
+std::vector<CallerConnection *> RelayTask::connections() const
+{
+    std::vector<CallerConnection *> connections;
+    connections.reserve(m_connections.size());
+    for (const auto &[connection, owned] : m_connections) {
+        connections.push_back(connection);
+    }
+    return connections;
+}
+
+void RelayTask::closeAllIdleConnections()
+{
+    const std::vector<CallerConnection *> open = connections();
+    const auto closed = std::count_if(open.begin(), open.end(), [](CallerConnection *connection) { return connection->endIfIdle(); });
+    m_metrics.count("idle_connections_closed_for_shutdown_total", static_cast<std::uint64_t>(closed));
 }
 
 void RelayTask::connectionEnded(CallerConnection *connection)
@@ -408,23 +434,47 @@
     m_shutdownDone = std::move(done);
     m_noticeEnd = m_loop.now() + m_settings.shutdownNotice;
     m_graceEnd = m_loop.now() + m_settings.shutdownGrace;
+    m_refusalTime = m_graceEnd - refusalMargin;
     Observe::log(drainBegun, {{"connections", std::to_string(m_connections.size())}});
     continueShutdown();
 }
 
-// Closes the listener so that new callers go to another router at once; their requests might not end in time here.
+// Closes the listener so that new callers go to another router at once; their requests might not end in time here. Those whose connections wait in its queue
+// count them as accepted, and get an answer.
 void RelayTask::closeListener()
 {
+    const std::size_t accepted = m_connections.size();
+    m_listener->acceptWaiting();
     m_listener.reset();
-    std::vector<CallerConnection *> connections;
-    for (const auto &[connection, owned] : m_connections) {
-        connections.push_back(connection);
+    Observe::log(callersListenerClosed,
+        {{"connections", std::to_string(m_connections.size())},
+            {"queued", std::to_string(m_connections.size() - accepted)},
+            {"late_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.now() - m_noticeEnd).count())}});
+}
+
+void RelayTask::refuseUnsentRequests()
+{
+    for (CallerConnection *connection : connections()) {
+        connection->refuseUnsent();
     }
-    for (CallerConnection *connection : connections) {
-        connection->endIfIdle();
+}
+
+void RelayTask::giveUpRequests()
+{
+    m_isGivenUp = true;
+    for (CallerConnection *connection : connections()) {
+        connection->giveUp();
     }
 }
 
+// What is left is cut off by the end of the process.
+void RelayTask::reportEnd(Core::TimePoint now)
+{
+    Observe::log(drainEnded,
+        {{"unanswered", std::to_string(m_connections.size())},
+            {"left_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_graceEnd - now).count())}});
+}
+
 // Requests hold the controls that they began with, and tell them of their end.
 void RelayTask::abandonConnections()
 {
@@ -440,14 +490,21 @@
     if (now >= m_noticeEnd && m_listener != nullptr) {
         closeListener();
     }
-    const auto isBusy = [](const auto &entry) {
-        return entry.second->isBusy();
-    };
-    const bool isIdle = std::none_of(m_connections.begin(), m_connections.end(), isBusy);
-    if ((now >= m_noticeEnd && isIdle) || now >= m_graceEnd) {
+    if (now >= m_noticeEnd) {
+        closeAllIdleConnections();
+    }
+    if (now >= m_refusalTime) {
+        refuseUnsentRequests();
+    }
+    if ((now >= m_noticeEnd && m_connections.empty()) || m_isGivenUp) {
+        reportEnd(now);
         m_shutdownDone();
         return;
     }
+    // Their answers are sent before the next check.
+    if (now >= m_graceEnd) {
+        giveUpRequests();
+    }
     m_shutdownTimer.startAt(now + shutdownCheckInterval);
 }
 
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -41,13 +41,16 @@
 class RelayTask : public ConnectionOwner
 {
 public:
-    /// \brief Starts listening; requests are refused until there is a configuration. Errors: Unavailable.
+    /// \brief Binds the address without listening yet; requests are refused until there is a configuration. Errors: Unavailable.
     static Core::Result<std::unique_ptr<RelayTask>> create(EventLoop::Loop &loop, const RelaySettings &settings, const RelayProtocol &protocol);
     ~RelayTask() override;
 
     RelayTask(const RelayTask &) = delete;
     RelayTask &operator=(const RelayTask &) = delete;
 
+    /// \brief Starts to accept callers. Errors: Unavailable, if another process listens on the address.
+    Core::Result<void> listen();
+
     /// \brief Applies \a configuration if it is newer than the current one; running requests keep theirs. Returns whether it was applied.
     bool setConfiguration(Decisions::RelayConfiguration configuration);
 
@@ -149,7 +152,12 @@
     void handleActivityTimer();
     void acceptCaller(int descriptor);
     void closeIdleConnections(std::size_t count);
+    void closeAllIdleConnections();
+    std::vector<CallerConnection *> connections() const;
     void closeListener();
+    void refuseUnsentRequests();
+    void giveUpRequests();
+    void reportEnd(Core::TimePoint now);
     void abandonConnections();
     void continueShutdown();
 
@@ -182,7 +190,9 @@
     std::function<void()> m_shutdownDone;
     bool m_isDraining = false;
     Core::TimePoint m_noticeEnd;
+    Core::TimePoint m_refusalTime; ///< When requests are refused that cannot be sent any more before the grace period ends.
     Core::TimePoint m_graceEnd;
+    bool m_isGivenUp = false; ///< Whether the requests that were left at the end of the grace period have been given up.
 };
 
 } // namespace Verbena::Relay
--- a/src/libs/router/routertask.cpp
+++ b/src/libs/router/routertask.cpp
@@ -355,12 +355,13 @@
     m_isListening = false;
     m_server->stopListening();
     Observe::log(listenerClosed, {{"in_flight", std::to_string(m_tasks.size())}});
-    finishShutdownIfIdle();
+    m_shutdownTimer.startAt(m_loop.now() + shutdownCheckInterval);
 }
 
 // Terminates because every running request ends at its deadline.
 void RouterTask::finishShutdownIfIdle()
 {
+    m_server->readArrived();
     if (m_server->openExchangeCount() > 0) {
         m_shutdownTimer.startAt(m_loop.now() + shutdownCheckInterval);
         return;
--- a/tests/auto/platform/tst_shutdown.cpp
+++ b/tests/auto/platform/tst_shutdown.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
 #include <string>
@@ -54,6 +55,74 @@
     EXPECT_EQ(callers.back()->received().find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+constexpr std::size_t keptCallers = 20;
+constexpr std::size_t newCallers = 120;
+
+std::string request(std::size_t number)
+{
+    return "POST /wall/a HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: k" + std::to_string(number)
+        + "\r\nVerbenaladder-Deadline-Ms: 20000\r\nAuthorization: Token secret\r\nContent-Length: 2\r\n\r\nhi";
+}
+
+std::size_t countAnswers(const std::string &received)
+{
+    std::size_t count = 0;
+    for (std::size_t at = received.find("HTTP/1.1 "); at != std::string::npos; at = received.find("HTTP/1.1 ", at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+// A router that stood still when it was to close its listener closed connections with the requests that had come meanwhile, read or not.
+TEST(ShutdownTest, answersRequestsThatCameWhileItStoodStill)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("HTTP/1.1 200"));
+    std::vector<std::unique_ptr<CallerFake>> callers;
+    for (std::size_t number = 0; number < keptCallers; ++number) {
+        callers.push_back(std::make_unique<CallerFake>(deployment.loop(), deployment.callersEndpoint()));
+        callers.back()->send(request(number));
+        ASSERT_TRUE(deployment.runUntil([&callers] { return countAnswers(callers.back()->received()) == 1; }));
+    }
+    deployment.router().sendSignal(SIGTERM);
+    deployment.runFor(std::chrono::milliseconds(2600));
+    deployment.router().sendSignal(SIGSTOP);
+    for (std::size_t number = 0; number < keptCallers; ++number) {
+        callers[number]->send(request(keptCallers + number));
+    }
+    for (std::size_t number = 0; number < newCallers; ++number) {
+        callers.push_back(std::make_unique<CallerFake>(deployment.loop(), deployment.callersEndpoint()));
+        callers.back()->send(request(2 * keptCallers + number));
+    }
+    deployment.runFor(std::chrono::milliseconds(1000));
+    deployment.router().sendSignal(SIGCONT);
+    EXPECT_TRUE(deployment.runUntil([&callers] { return std::all_of(callers.begin(), callers.end(), [](const auto &caller) { return caller->isClosed(); }); }));
+    for (std::size_t number = 0; number < callers.size(); ++number) {
+        EXPECT_EQ(countAnswers(callers[number]->received()), number < keptCallers ? 2U : 1U) << "caller " << number;
+    }
+    callers.clear();
+    EXPECT_EQ(deployment.router().waitForExit(), 0);
+}
+
+// A request that was still being read when the grace period ended was cut off without an answer.
+TEST(ShutdownTest, refusesWhatIsNotReadWhenItsGracePeriodEnds)
+{
+    PlatformDeployment deployment;
+    nlohmann::json configuration = PlatformDeployment::configuration(9);
+    configuration["limits"]["headerTimeoutMs"] = 20000;
+    deployment.store().put("op", "config", configuration);
+    ASSERT_TRUE(deployment.askUntil("HTTP/1.1 200"));
+    deployment.runFor(std::chrono::milliseconds(2500)); // Until the change is in force.
+    CallerFake reading(deployment.loop(), deployment.callersEndpoint());
+    const std::string whole = request(1);
+    deployment.router().sendSignal(SIGTERM);
+    reading.send(whole.substr(0, whole.size() - 1));
+    ASSERT_TRUE(deployment.runUntil([&reading] { return reading.isClosed(); }));
+    EXPECT_EQ(countAnswers(reading.received()), 1U);
+    reading.hangUp();
+    EXPECT_EQ(deployment.router().waitForExit(), 0);
+}
+
 } // namespace
 
 } // namespace Verbena::Test
--- a/tests/auto/relay/relaytest.cpp
+++ b/tests/auto/relay/relaytest.cpp
@@ -43,6 +43,7 @@
     : m_loop(std::move(EventLoop::Loop::create().value()))
     , m_relay(std::move(Relay::RelayTask::create(*m_loop, settings(), m_protocol).value()))
 {
+    EXPECT_TRUE(m_relay->listen());
 }
 
 Relay::RelaySettings RelayTest::settings()
--- a/tests/auto/relay/tst_cappedrequests.cpp
+++ b/tests/auto/relay/tst_cappedrequests.cpp
@@ -60,6 +60,7 @@
         settings.routerCount = 1;
         settings.routing.isProbing = false;
         m_relay = std::move(RelayTask::create(*m_loop, settings, m_protocol).value());
+        EXPECT_TRUE(m_relay->listen());
         m_relay->setUsageControl(&m_control);
         Decisions::RelayRoute route;
         route.name = "r";
--- a/tests/auto/relay/tst_crashguard.cpp
+++ b/tests/auto/relay/tst_crashguard.cpp
@@ -54,6 +54,7 @@
         settings.listen = Http::Endpoint::parse("127.0.0.1:0").value();
         settings.address = address;
         m_relay = std::move(RelayTask::create(loop, settings, m_protocol).value());
+        EXPECT_TRUE(m_relay->listen());
         for (const char *server : {"s1", "s2"}) {
             m_relay->fleet().servers().set({server, "s", refusedAddress, "hall", 6, false, {}, 1});
         }
--- a/tests/auto/relay/tst_heldbytes.cpp
+++ b/tests/auto/relay/tst_heldbytes.cpp
@@ -44,6 +44,7 @@
         RelaySettings small = settings();
         small.memoryBytes = processBytes;
         m_relay = std::move(RelayTask::create(*m_loop, small, m_protocol).value());
+        EXPECT_TRUE(m_relay->listen());
     }
 
     void startWithBodies(WorkerFake::Answer script)
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -556,6 +556,7 @@
     longNotice.shutdownNotice = 10min;
     longNotice.shutdownGrace = 20min;
     m_relay = std::move(RelayTask::create(*m_loop, longNotice, m_protocol).value());
+    EXPECT_TRUE(m_relay->listen());
     start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
     const auto existing = caller();
     existing->send(request("/safe/"));
--- a/tests/auto/relay/tst_resendqueue.cpp
+++ b/tests/auto/relay/tst_resendqueue.cpp
@@ -134,6 +134,7 @@
         settings.routing.isProbing = false;
         settings.seed = 3;
         m_relay = std::move(RelayTask::create(*m_loop, settings, m_protocol).value());
+        EXPECT_TRUE(m_relay->listen());
         Decisions::RelayConfiguration declared;
         declared.version = 1;
         Decisions::RelayRoute route;
--- a/tests/auto/relay/tst_serverconnections.cpp
+++ b/tests/auto/relay/tst_serverconnections.cpp
@@ -25,6 +25,7 @@
         RelaySettings keeping = settings();
         keeping.keepsConnections = true;
         m_relay = std::move(RelayTask::create(*m_loop, keeping, m_protocol).value());
+        EXPECT_TRUE(m_relay->listen());
     }
 
     std::size_t idleCount() const
--- a/tests/auto/relay/tst_silentengines.cpp
+++ b/tests/auto/relay/tst_silentengines.cpp
@@ -180,6 +180,7 @@
     Relay::RelaySettings scarce = settings();
     scarce.resend = {1.9, 0, 10s}; // One resend for two requests.
     m_relay = std::move(Relay::RelayTask::create(*m_loop, scarce, m_protocol).value());
+    EXPECT_TRUE(m_relay->listen());
     const auto hang = [](const Http::MessageHead &, const std::string &) {
         return WorkerScript{};
     };
--- a/tests/auto/relay/tst_silentpeers.cpp
+++ b/tests/auto/relay/tst_silentpeers.cpp
@@ -110,6 +110,7 @@
     settings.listen = Http::Endpoint::parse("127.0.0.1:0").value();
     settings.address = network + "1";
     const auto relay = std::move(RelayTask::create(*loop, settings, protocol).value());
+    ASSERT_TRUE(relay->listen());
     std::vector<std::string> routers;
     for (int number = 10; number < 40; ++number) {
         routers.push_back(network + std::to_string(number));
@@ -153,6 +154,7 @@
     settings.listen = Http::Endpoint::parse("127.0.0.1:0").value();
     settings.address = network + "1";
     const auto relay = std::move(RelayTask::create(*loop, settings, protocol).value());
+    ASSERT_TRUE(relay->listen());
     std::vector<std::string> routers;
     for (int number = 10; number < 40; ++number) {
         routers.push_back(network + std::to_string(number));
--- a/tests/auto/relay/tst_weightsannouncements.cpp
+++ b/tests/auto/relay/tst_weightsannouncements.cpp
@@ -82,6 +82,7 @@
         settings.listen = Http::Endpoint::parse("127.0.0.1:0").value();
         settings.routerCount = 1;
         m_relay = std::move(RelayTask::create(*m_loop, settings, m_protocol).value());
+        EXPECT_TRUE(m_relay->listen());
         m_announcements = std::make_unique<WeightsAnnouncements>(*m_loop, m_records, *m_relay, 8000ms);
     }
 
