Answer callers where descriptors are short, by the limit that is in force

Callers got no answer: 370 of 600 with a soft limit of 256 descriptors, with 2.5 s of processor time used in three seconds. Cause: the host's file alone was counted, the soft limit of the process was not looked at, accept failed with EMFILE and left the listener ready, so that the loop asked again and again; beyond the file's limit, connections were closed without an answer.

--- a/src/libs/decisions/relay/connectionlimit.cpp
+++ b/src/libs/decisions/relay/connectionlimit.cpp
@@ -9,6 +9,9 @@
 constexpr std::uint64_t excessEighths = 6;
 constexpr std::uint64_t fullEighths = 7;
 
+// Sixteenths of the limit.
+constexpr std::uint64_t refusalSixteenths = 15;
+
 // Part of the limit by which the number of connections falls below the bound once it has passed it, so that idle ones are not looked for at each new one.
 constexpr std::uint64_t excessMarginDivisor = 32;
 
@@ -37,4 +40,9 @@
     return !m_descriptors.has_value() || open < *m_descriptors * fullEighths / 8;
 }
 
+bool ConnectionLimit::admitsRefusal(std::uint64_t open) const
+{
+    return !m_descriptors.has_value() || open < *m_descriptors * refusalSixteenths / 16;
+}
+
 } // namespace Verbena::Decisions
--- a/src/libs/http/tcplistener.cpp
+++ b/src/libs/http/tcplistener.cpp
@@ -21,6 +21,9 @@
 // Limits the connections accepted at once, so that a flood of new connections does not delay the open ones.
 constexpr int maximumAcceptsPerWakeUp = 64;
 
+// Time after which a connection that the system refused to hand over is tried again.
+constexpr std::chrono::milliseconds refusalPause{50};
+
 } // namespace
 
 Core::Result<std::unique_ptr<TcpListener>> TcpListener::create(EventLoop::Loop &loop, const Endpoint &endpoint, Acceptor acceptor)
@@ -53,9 +56,11 @@
 }
 
 TcpListener::TcpListener(EventLoop::Loop &loop, int descriptor, Acceptor acceptor)
-    : m_descriptor(descriptor)
+    : m_loop(loop)
+    , m_descriptor(descriptor)
     , m_acceptor(std::move(acceptor))
     , m_watcher(std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [this](int) { acceptSome(); }))
+    , m_pauseTimer(loop, [this] { m_watcher->start(EV_READ); })
 {
 }
 
@@ -84,7 +89,7 @@
 
 void TcpListener::acceptSome()
 {
-    for (int accepted = 0; accepted < maximumAcceptsPerWakeUp && acceptOne(); ++accepted) {
+    for (int accepted = 0; accepted < maximumAcceptsPerWakeUp && !m_pauseTimer.isActive() && acceptOne(); ++accepted) {
     }
 }
 
@@ -105,7 +110,23 @@
     if (errno == ECONNABORTED || errno == EINTR) {
         return true;
     }
+    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+        ++m_refusals;
+        pauseUntil(m_loop.now() + refusalPause);
+    }
     return false;
 }
 
+// The waiting connection would keep the socket ready, and the loop busy, all the time.
+void TcpListener::pauseUntil(Core::TimePoint time)
+{
+    m_watcher->stop();
+    m_pauseTimer.startAt(time);
+}
+
+std::uint64_t TcpListener::refusalCount() const
+{
+    return m_refusals;
+}
+
 } // namespace Verbena::Http
--- a/src/libs/http/tcplistener.h
+++ b/src/libs/http/tcplistener.h
@@ -3,7 +3,9 @@
 #include "endpoint.h"
 
 #include <core/result.h>
+#include <eventloop/timer.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -37,6 +39,12 @@
     /// \brief Accepts all connections that wait; their peers already count them as established.
     void acceptWaiting();
 
+    /// \brief Leaves connections waiting until \a time.
+    void pauseUntil(Core::TimePoint time);
+
+    /// \brief Returns how often accepting has paused because the system refused a descriptor or memory.
+    std::uint64_t refusalCount() const;
+
     /// \brief Returns the address in use, including a port chosen by the system.
     Endpoint endpoint() const;
 
@@ -46,9 +54,12 @@
     void acceptSome();
     bool acceptOne();
 
+    EventLoop::Loop &m_loop;
     int m_descriptor;
     Acceptor m_acceptor;
     std::unique_ptr<EventLoop::IoWatcher> m_watcher;
+    EventLoop::Timer m_pauseTimer; ///< Runs while accepting is paused.
+    std::uint64_t m_refusals = 0;
 };
 
 } // namespace Verbena::Http
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -22,6 +22,9 @@
 // Time after which a caller whose request was refused for lack of memory should retry; callers that read have read what waits for them by then.
 constexpr std::chrono::milliseconds memoryRetryDelay{500};
 
+// The same for a caller whose request was refused for lack of descriptors; its retry may reach another router.
+constexpr std::chrono::milliseconds descriptorRetryDelay{250};
+
 // The same for a caller of a router that is about to end; another router takes its request at once.
 constexpr std::chrono::milliseconds endRetryDelay{20};
 
@@ -153,6 +156,11 @@
     return true;
 }
 
+void CallerConnection::refuseNextRequest()
+{
+    m_isNextRefused = true;
+}
+
 void CallerConnection::refuseUnsent()
 {
     if (m_request != nullptr) {
@@ -244,6 +252,10 @@
 
 void CallerConnection::answerRequest()
 {
+    if (m_isNextRefused) {
+        refuse({503, "This router has too many connections; the request has not run.", descriptorRetryDelay}, m_head);
+        return;
+    }
     m_state = State::Answering;
     m_timer.stop();
     m_isVersion11 = m_head.isVersion11;
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -89,6 +89,9 @@
     /// whether it was closed.
     bool endIfIdle();
 
+    /// \brief Refuses the caller's next request, which has not run, and ends the connection after it.
+    void refuseNextRequest();
+
     /// \brief Refuses a request that is still being read or has not been sent to a backend server, as the process is about to end.
     void refuseUnsent();
 
@@ -160,6 +163,7 @@
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
     Core::TimePoint m_lastReadAt;
     std::optional<std::size_t> m_unacknowledgedBytes; ///< At the last updateLastRead().
+    bool m_isNextRefused = false; ///< Whether the next request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
     bool m_isAnswerEnded = false;
     bool m_isChunked = false;
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -9,8 +9,6 @@
 
 #include <algorithm>
 
-#include <unistd.h>
-
 namespace Verbena::Relay {
 
 namespace {
@@ -27,6 +25,9 @@
 // Time before the end of the grace period at which requests that wait to be sent are refused, so that their callers get the answer.
 constexpr std::chrono::milliseconds refusalMargin{250};
 
+// Time for which new connections wait while descriptors are short.
+constexpr std::chrono::milliseconds acceptPause{20};
+
 // Interval at which a list of routers with as many entries as before is compared in full; agents report it many times per second.
 constexpr std::chrono::milliseconds routersUpdateInterval{1000};
 
@@ -144,6 +145,9 @@
     m_bodies.handleRoom();
     m_intake.record(m_activityDue, now, m_memory.budget().isShort());
     m_metrics.recordDuration("loop_late_seconds", {}, std::chrono::duration_cast<std::chrono::microseconds>(now - m_activityDue));
+    if (m_listener != nullptr) {
+        m_metrics.setGauge("accepts_refused_by_system", static_cast<double>(m_listener->refusalCount()));
+    }
     m_activityDue = now + activityInterval;
     m_activityTimer.startAt(m_activityDue);
 }
@@ -351,14 +355,19 @@
 void RelayTask::acceptCaller(int descriptor)
 {
     closeIdleConnections(m_connectionLimit.excess(Http::TcpChannel::openCount() + 1));
-    if (!m_connectionLimit.admits(Http::TcpChannel::openCount())) {
-        m_metrics.count("connections_closed_for_descriptors_total");
-        close(descriptor);
-        return;
-    }
+    const bool isAdmitted = m_connectionLimit.admits(Http::TcpChannel::openCount());
     auto connection = std::make_unique<CallerConnection>(m_loop, descriptor, *this);
     CallerConnection *raw = connection.get();
     m_connections.emplace(raw, std::move(connection));
+    if (isAdmitted) {
+        return;
+    }
+    m_metrics.count("connections_refused_for_descriptors_total");
+    raw->refuseNextRequest();
+    if (!m_connectionLimit.admitsRefusal(Http::TcpChannel::openCount())) {
+        m_metrics.count("accept_pauses_for_descriptors_total");
+        m_listener->pauseUntil(m_loop.now() + acceptPause);
+    }
 }
 
 // A caller whose connection is closed while it is idle opens another one for its next request.
--- a/tests/auto/platform/tst_hostlimits.cpp
+++ b/tests/auto/platform/tst_hostlimits.cpp
@@ -25,6 +25,7 @@
 constexpr std::int64_t hostBytes = std::int64_t(hostLimits.memoryMegabytes) * bytesPerMegabyte;
 
 constexpr std::size_t serverHost = 210;
+constexpr rlim_t smallLimit = 256;
 constexpr std::uint64_t newConfiguration = 9;
 
 class HostLimitsTest : public testing::Test
@@ -129,6 +130,28 @@
 #endif
     }
 
+    // Checks that callers that come at once, far more than \a limit allows to be connected, are served or refused.
+    void expectAllAnswered(const rlimit &limit)
+    {
+        constexpr std::size_t callers = 600;
+        m_deployment.setHostLimits({hostLimits.memoryMegabytes, hostLimits.descriptors, limit});
+        m_deployment.restartRouter();
+        ASSERT_TRUE(m_deployment.runUntil([this] { return isServed(); }));
+        for (std::size_t number = 0; number < callers; ++number) {
+            addCaller().send("POST /load/a HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: a" + std::to_string(number)
+                + "\r\nVerbenaladder-Deadline-Ms: 15000\r\nAuthorization: Token secret\r\nContent-Length: 2\r\n\r\nhi");
+        }
+        const auto hasAnswer = [](const auto &caller) {
+            return !caller->received().empty();
+        };
+        const Core::TimePoint end = m_deployment.loop().now() + 10s;
+        EXPECT_TRUE(m_deployment.runUntil([&] {
+            hangUpClosed();
+            return std::all_of(m_callers.begin(), m_callers.end(), hasAnswer) || m_deployment.loop().now() >= end;
+        }));
+        EXPECT_EQ(countAnswers("HTTP/1.1 200") + countAnswers("HTTP/1.1 503"), callers);
+    }
+
     bool areAllClosed() const
     {
         return std::all_of(m_callers.begin(), m_callers.end(), [](const auto &caller) { return caller->isClosed(); });
@@ -235,6 +258,20 @@
     EXPECT_EQ(countAnswers("HTTP/1.1 200"), callers);
 }
 
+// A soft limit far below what the host's file names left callers without an answer, while the router asked for their connections all the time.
+TEST_F(HostLimitsTest, answersAllCallersUnderASmallSoftLimit)
+{
+    rlimit limit{};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+    expectAllAnswered({smallLimit, limit.rlim_max});
+}
+
+// The same where the system allows no more; connections beyond the limit were closed without an answer.
+TEST_F(HostLimitsTest, answersAllCallersUnderASmallHardLimit)
+{
+    expectAllAnswered({smallLimit, smallLimit});
+}
+
 } // namespace
 
 } // namespace Verbena::Test
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -184,7 +184,7 @@
         ip,
         m_doors[index]->address(),
         "listen:\n  front: \"" + ip + ':' + callersPort + "\"\n  ready: \"" + ip + ':' + readinessPort + "\"\n" + m_limits);
-    m_routers[index] = std::make_unique<ChildProcess>("verbena-router", std::vector<std::string>{"--host", file});
+    m_routers[index] = std::make_unique<ChildProcess>("verbena-router", std::vector<std::string>{"--host", file}, m_systemDescriptors);
     waitUntilStarted(*m_routers[index]);
 }
 
@@ -196,6 +196,7 @@
 
 void PlatformDeployment::setHostLimits(const HostLimits &limits)
 {
+    m_systemDescriptors = limits.systemDescriptors;
     m_limits = "limits:\n  memoryMb: " + std::to_string(limits.memoryMegabytes) + "\n  maxFds: " + std::to_string(limits.descriptors) + "\n";
 }
 
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -18,6 +18,8 @@
 #include <string>
 #include <vector>
 
+#include <sys/resource.h>
+
 namespace Verbena::Test {
 
 /// \brief Fake engine of the platform that answers prompts, reports its status and accepts orders to load weights.
@@ -79,6 +81,7 @@
 {
     std::uint64_t memoryMegabytes = 0;
     std::uint64_t descriptors = 0;
+    std::optional<rlimit> systemDescriptors = std::nullopt; ///< Limits that the system sets; without a value those of the test.
 };
 
 /// \brief Real router and agent processes on loopback addresses, with fakes of the platform on the test's own event loop.
@@ -148,6 +151,7 @@
 
     TemporaryFolder m_folder;
     std::chrono::milliseconds m_longestWeightsUse;
+    std::optional<rlimit> m_systemDescriptors; ///< Of routers.
     std::string m_limits; ///< Section of the routers' settings; empty if they name no limits.
     std::unique_ptr<EventLoop::Loop> m_loop;
     StoreStandin m_store;
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -6,7 +6,6 @@
 
 #include <fcntl.h>
 #include <poll.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -22,7 +21,7 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments)
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::optional<rlimit> &descriptors)
 {
     std::array<int, 2> ends{};
     if (pipe2(ends.data(), O_CLOEXEC) != 0) {
@@ -35,15 +34,17 @@
         words.push_back(const_cast<char *>(argument.c_str()));
     }
     words.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-    const int status = posix_spawn(&m_pid, path.c_str(), &actions, nullptr, words.data(), environ);
-    posix_spawn_file_actions_destroy(&actions);
-    close(ends[1]);
-    if (status != 0) {
-        m_pid = -1;
+    m_pid = fork();
+    if (m_pid == 0) {
+        (void)dup2(ends[1], STDOUT_FILENO);
+        (void)signal(SIGPIPE, SIG_DFL);
+        if (descriptors.has_value()) {
+            (void)setrlimit(RLIMIT_NOFILE, &*descriptors);
+        }
+        execv(path.c_str(), words.data());
+        _exit(EXIT_FAILURE);
     }
+    close(ends[1]);
 }
 
 ChildProcess::~ChildProcess()
@@ -51,7 +52,15 @@
     sendSignal(SIGCONT);
     sendSignal(SIGKILL);
     waitForExit();
-    close(m_output);
+    closeOutput();
+}
+
+void ChildProcess::closeOutput()
+{
+    if (m_output >= 0) {
+        close(m_output);
+        m_output = -1;
+    }
 }
 
 std::string ChildProcess::waitForLine(const std::string &prefix)
@@ -101,12 +110,27 @@
 int ChildProcess::waitForExit()
 {
     if (m_pid <= 0) {
-        return 0;
+        return m_exitStatus;
     }
     int status = 0;
     waitpid(m_pid, &status, 0);
+    recordExit(status);
+    return m_exitStatus;
+}
+
+bool ChildProcess::isRunning()
+{
+    int status = 0;
+    if (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == m_pid) {
+        recordExit(status);
+    }
+    return m_pid > 0;
+}
+
+void ChildProcess::recordExit(int status)
+{
     m_pid = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    m_exitStatus = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
 pid_t ChildProcess::pid() const
--- a/tests/support/temporaryfolder.cpp
+++ b/tests/support/temporaryfolder.cpp
@@ -27,4 +27,9 @@
     return path;
 }
 
+const std::string &TemporaryFolder::path() const
+{
+    return m_path;
+}
+
 } // namespace Verbena::Test
--- a/tests/support/temporaryfolder.h
+++ b/tests/support/temporaryfolder.h
@@ -17,6 +17,8 @@
     /// \brief Writes \a text to the file \a name and returns its path.
     std::string write(const std::string &name, const std::string &text) const;
 
+    const std::string &path() const;
+
 private:
     std::string m_path;
 };
