Hold signals while a process starts, and ignore SIGPIPE

Processes ended by themselves: by SIGPIPE once the reader of their log was gone, and by SIGHUP or SIGTERM that came before the handlers were set, after the command line and the host file had been read. SIGPIPE is ignored now, the write says that it failed; SIGHUP, SIGTERM and SIGINT are blocked in the first line of main() and stay pending until their watchers exist, which unblock them.

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -4,6 +4,7 @@
 #include <agent/statuspage.h>
 #include <application/processreport.h>
 #include <application/standardoptions.h>
+#include <application/startsignals.h>
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
 #include <observe/eventlog.h>
@@ -16,6 +17,7 @@
 int main(int argc, char **argv)
 {
     using namespace Verbena;
+    Application::holdSignals();
     const auto options = Application::StandardOptions::parseWithHost(
         argc, argv, "Stands beside one backend server and decides what it runs and when. SIGHUP makes it read its key and tree files again.", VERBENA_VERSION);
     if (!options.hostPath.empty()) {
--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -2,6 +2,7 @@
 
 #include <application/processreport.h>
 #include <application/standardoptions.h>
+#include <application/startsignals.h>
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
 #include <platform/platformprograms.h>
@@ -14,6 +15,7 @@
 int main(int argc, char **argv)
 {
     using namespace Verbena;
+    Application::holdSignals();
     const auto options = Application::StandardOptions::parseWithHost(
         argc, argv, "Routes callers' requests to the backend servers where their prompts are warm.", VERBENA_VERSION);
     if (!options.hostPath.empty()) {
--- /dev/null
+++ b/src/libs/application/startsignals.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace Verbena::Application {
+
+/// \brief Keeps SIGHUP, SIGTERM and SIGINT pending until an EventLoop::SignalWatcher handles them, and ignores SIGPIPE.
+///
+/// To be called first in main(), as threads inherit the signal mask.
+void holdSignals();
+
+/// \brief Returns whether a SIGTERM or SIGINT is pending.
+bool isEndRequested();
+
+} // namespace Verbena::Application
--- a/src/libs/eventloop/signalwatcher.cpp
+++ b/src/libs/eventloop/signalwatcher.cpp
@@ -2,6 +2,10 @@
 
 #include "loop.h"
 
+#include <csignal>
+
+#include <pthread.h>
+
 namespace Verbena::EventLoop {
 
 SignalWatcher::SignalWatcher(Loop &loop, int signalNumber, std::function<void()> callback)
@@ -12,6 +16,11 @@
         &m_watcher, [](struct ev_loop *, ev_signal *watcher, int) { static_cast<SignalWatcher *>(watcher->data)->m_callback(); }, signalNumber);
     m_watcher.data = this;
     ev_signal_start(m_loop.handle(), &m_watcher);
+    // A signal that came before is pending if the program has blocked it, and is handled now.
+    sigset_t handled;
+    sigemptyset(&handled);
+    sigaddset(&handled, signalNumber);
+    (void)pthread_sigmask(SIG_UNBLOCK, &handled, nullptr);
 }
 
 SignalWatcher::~SignalWatcher()
