Try the start again where what stops it may pass

Processes did not start: a port that the process before still held ended the new one at once, with status 1, and a host file that was not whole yet with status 2. Cause: the start tried each step once. A wrong address, a wrong file and a refused permission still end the process.

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -2,8 +2,10 @@
 #include <agent/agentevents.h>
 #include <agent/agenttask.h>
 #include <agent/statuspage.h>
+#include <application/descriptorlimit.h>
 #include <application/processreport.h>
 #include <application/standardoptions.h>
+#include <application/startattempts.h>
 #include <application/startsignals.h>
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
@@ -14,9 +16,79 @@
 #include <csignal>
 #include <iostream>
 
+namespace {
+
+using namespace Verbena;
+
+// Time within which the process before, which may still hold the ports, has ended.
+constexpr std::chrono::seconds startTime{10};
+
+Core::Result<std::unique_ptr<Agent::StatusPage>> openStatusPage(
+    EventLoop::Loop &loop, const Agent::AgentSettings &settings, const Agent::AgentTask &agent, Observe::Metrics &metrics)
+{
+    if (!settings.status) {
+        return std::unique_ptr<Agent::StatusPage>();
+    }
+    return Agent::StatusPage::create(loop, *settings.status, agent, metrics);
+}
+
+Core::Result<std::unique_ptr<Agent::AgentControl>> followPlatform(EventLoop::Loop &loop, const Agent::AgentSettings &settings, Agent::AgentTask &agent)
+{
+    if (settings.platformUrl.empty()) {
+        return std::unique_ptr<Agent::AgentControl>();
+    }
+    return Agent::AgentControl::create(loop, settings.platformUrl, agent);
+}
+
+void reload(Agent::AgentTask &agent, SettingsTree::StaticSettingsView *view)
+{
+    agent.reloadKeys();
+    if (view == nullptr) {
+        return;
+    }
+    const auto read = view->reload();
+    if (!read) {
+        Observe::log(Agent::agentSettingsInvalid, read.error());
+    }
+}
+
+Core::Result<void> serve(const Agent::AgentSettings &settings)
+{
+    BOOST_OUTCOME_TRY(loop, EventLoop::Loop::create());
+    Observe::Metrics metrics;
+    BOOST_OUTCOME_TRY(agent, Agent::AgentTask::create(*loop, settings, metrics));
+    BOOST_OUTCOME_TRY(page, openStatusPage(*loop, settings, *agent, metrics));
+    std::shared_ptr<SettingsTree::StaticSettingsView> view;
+    if (!settings.treeFiles.empty()) {
+        BOOST_OUTCOME_TRY(read, SettingsTree::StaticSettingsView::fromFiles(settings.treeFiles));
+        view = std::move(read);
+        agent->setSettingsView(view);
+    }
+    BOOST_OUTCOME_TRY(control, followPlatform(*loop, settings, *agent));
+    if (page != nullptr && control != nullptr) {
+        page->setControl(control.get());
+    }
+    const auto end = [&loop, &agent](int signalNumber) {
+        Application::reportSignal(signalNumber);
+        agent->leave([&loop] { loop->stop(); });
+    };
+    const EventLoop::SignalWatcher terminate(*loop, SIGTERM, [&end] { end(SIGTERM); });
+    const EventLoop::SignalWatcher interrupt(*loop, SIGINT, [&end] { end(SIGINT); });
+    const EventLoop::SignalWatcher hangUp(*loop, SIGHUP, [&agent, &view] { reload(*agent, view.get()); });
+    if (page != nullptr) {
+        std::cout << "listening status " << page->address() << std::endl;
+    }
+    std::cout << "listening zmq " << agent->endpoint() << std::endl;
+    Application::reportStart(VERBENA_VERSION, agent->endpoint());
+    loop->run();
+    Application::reportStop();
+    return Core::success();
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
-    using namespace Verbena;
     Application::holdSignals();
     const auto options = Application::StandardOptions::parseWithHost(
         argc, argv, "Stands beside one backend server and decides what it runs and when. SIGHUP makes it read its key and tree files again.", VERBENA_VERSION);
@@ -34,65 +106,6 @@
         return 0;
     }
     Observe::configureLog(settings.value().log);
-    const auto loop = EventLoop::Loop::create();
-    if (!loop) {
-        return Application::reportStartFailure(loop.error());
-    }
-    EventLoop::Loop &running = *loop.value();
-    Observe::Metrics metrics;
-    const auto task = Agent::AgentTask::create(running, settings.value(), metrics);
-    if (!task) {
-        return Application::reportStartFailure(task.error());
-    }
-    Agent::AgentTask &agent = *task.value();
-    std::unique_ptr<Agent::StatusPage> page;
-    if (settings.value().status) {
-        auto opened = Agent::StatusPage::create(running, *settings.value().status, agent, metrics);
-        if (!opened) {
-            return Application::reportStartFailure(opened.error());
-        }
-        page = std::move(opened.value());
-        std::cout << "listening status " << page->address() << std::endl;
-    }
-    std::shared_ptr<SettingsTree::StaticSettingsView> view;
-    if (!settings.value().treeFiles.empty()) {
-        auto read = SettingsTree::StaticSettingsView::fromFiles(settings.value().treeFiles);
-        if (!read) {
-            return Application::reportStartFailure(read.error());
-        }
-        view = std::move(read.value());
-        agent.setSettingsView(view);
-    }
-    std::unique_ptr<Agent::AgentControl> control;
-    if (!settings.value().platformUrl.empty()) {
-        auto started = Agent::AgentControl::create(running, settings.value().platformUrl, agent);
-        if (!started) {
-            return Application::reportStartFailure(started.error());
-        }
-        control = std::move(started.value());
-        if (page) {
-            page->setControl(control.get());
-        }
-    }
-    const auto end = [&running, &agent](int signalNumber) {
-        Application::reportSignal(signalNumber);
-        agent.leave([&running] { running.stop(); });
-    };
-    EventLoop::SignalWatcher terminate(running, SIGTERM, [&end] { end(SIGTERM); });
-    EventLoop::SignalWatcher interrupt(running, SIGINT, [&end] { end(SIGINT); });
-    EventLoop::SignalWatcher reload(running, SIGHUP, [&agent, &view] {
-        agent.reloadKeys();
-        if (!view) {
-            return;
-        }
-        const auto read = view->reload();
-        if (!read) {
-            Observe::log(Agent::agentSettingsInvalid, read.error());
-        }
-    });
-    std::cout << "listening zmq " << agent.endpoint() << std::endl;
-    Application::reportStart(VERBENA_VERSION, agent.endpoint());
-    running.run();
-    Application::reportStop();
-    return 0;
+    (void)Application::raiseDescriptorLimit();
+    return Application::serveWithRetries(Core::Clock::now() + startTime, [&settings] { return serve(settings.value()); });
 }
--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -1,7 +1,9 @@
 #include "routercontrol.h"
 
+#include <application/descriptorlimit.h>
 #include <application/processreport.h>
 #include <application/standardoptions.h>
+#include <application/startattempts.h>
 #include <application/startsignals.h>
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
@@ -12,9 +14,62 @@
 #include <csignal>
 #include <iostream>
 
+namespace {
+
+using namespace Verbena;
+
+// Time within which the process before, which may still hold the port, has ended.
+constexpr std::chrono::seconds startTime{10};
+
+/// \brief What a router needs beside its task, which refers to it.
+struct Environment
+{
+    std::unique_ptr<Router::RouterControl> control; ///< Null if the settings tree is read from files.
+    Router::RouterServices services;
+};
+
+using SettingsView = std::shared_ptr<SettingsTree::StaticSettingsView>; // Null if the settings tree is read from the platform.
+
+Core::Result<Environment> createEnvironment(EventLoop::Loop &loop, const Router::RouterSettings &settings, const SettingsView &view)
+{
+    if (view != nullptr) {
+        return Environment{nullptr, {view, std::make_shared<Router::RefusingClaimService>()}};
+    }
+    BOOST_OUTCOME_TRY(control, Router::RouterControl::create(loop, settings));
+    const Router::RouterServices services = control->services();
+    return Environment{std::move(control), services};
+}
+
+Core::Result<void> serve(const Router::RouterSettings &settings, const SettingsView &view)
+{
+    BOOST_OUTCOME_TRY(loop, EventLoop::Loop::create());
+    BOOST_OUTCOME_TRY(environment, createEnvironment(*loop, settings, view));
+    BOOST_OUTCOME_TRY(task, Router::RouterTask::create(*loop, settings, environment.services));
+    if (environment.control) {
+        environment.control->attach(*task);
+    }
+    const EventLoop::SignalWatcher terminate(*loop, SIGTERM, [&loop, &task] {
+        Application::reportSignal(SIGTERM);
+        task->beginShutdown([&loop] { loop->stop(); });
+    });
+    const EventLoop::SignalWatcher interrupt(*loop, SIGINT, [&loop] {
+        Application::reportSignal(SIGINT);
+        loop->stop();
+    });
+    // Unhandled, SIGHUP would end the process. It is only logged, as the router has no files to reload.
+    const EventLoop::SignalWatcher hangUp(*loop, SIGHUP, [] { Application::reportSignal(SIGHUP); });
+    const std::string endpoint = settings.listen.address + ":" + std::to_string(task->port());
+    std::cout << "listening http " << endpoint << std::endl;
+    Application::reportStart(VERBENA_VERSION, endpoint);
+    loop->run();
+    Application::reportStop();
+    return Core::success();
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
-    using namespace Verbena;
     Application::holdSignals();
     const auto options = Application::StandardOptions::parseWithHost(
         argc, argv, "Routes callers' requests to the backend servers where their prompts are warm.", VERBENA_VERSION);
@@ -32,47 +87,14 @@
         return 0;
     }
     Observe::configureLog(settings.value().log);
-    const auto loop = EventLoop::Loop::create();
-    if (!loop) {
-        return Application::reportStartFailure(loop.error());
-    }
-    EventLoop::Loop &running = *loop.value();
-    std::unique_ptr<Router::RouterControl> control;
-    Router::RouterServices services;
+    SettingsView view;
     if (settings.value().platformUrl.empty()) {
-        auto view = SettingsTree::StaticSettingsView::fromFiles(settings.value().treeFiles);
-        if (!view) {
-            return Application::reportSettingsError("verbena-router", view.error());
-        }
-        services = {std::move(view.value()), std::make_shared<Router::RefusingClaimService>()};
-    } else {
-        auto started = Router::RouterControl::create(running, settings.value());
-        if (!started) {
-            return Application::reportStartFailure(started.error());
+        auto read = SettingsTree::StaticSettingsView::fromFiles(settings.value().treeFiles);
+        if (!read) {
+            return Application::reportSettingsError("verbena-router", read.error());
         }
-        control = std::move(started.value());
-        services = control->services();
+        view = std::move(read.value());
     }
-    const auto task = Router::RouterTask::create(running, settings.value(), services);
-    if (!task) {
-        return Application::reportStartFailure(task.error());
-    }
-    if (control) {
-        control->attach(*task.value());
-    }
-    EventLoop::SignalWatcher terminate(running, SIGTERM, [&running, &task] {
-        Application::reportSignal(SIGTERM);
-        task.value()->beginShutdown([&running] { running.stop(); });
-    });
-    EventLoop::SignalWatcher interrupt(running, SIGINT, [&running] {
-        Application::reportSignal(SIGINT);
-        running.stop();
-    });
-    // Unhandled, SIGHUP would end the process. It is only logged, as the router has no files to reload.
-    EventLoop::SignalWatcher hangUp(running, SIGHUP, [] { Application::reportSignal(SIGHUP); });
-    std::cout << "listening http " << settings.value().listen.address << ":" << task.value()->port() << std::endl;
-    Application::reportStart(VERBENA_VERSION, settings.value().listen.address + ":" + std::to_string(task.value()->port()));
-    running.run();
-    Application::reportStop();
-    return 0;
+    (void)Application::raiseDescriptorLimit();
+    return Application::serveWithRetries(Core::Clock::now() + startTime, [&] { return serve(settings.value(), view); });
 }
--- a/src/libs/application/processevents.h
+++ b/src/libs/application/processevents.h
@@ -12,5 +12,6 @@
 inline constexpr Event processStopped{1002, Severity::Info, "process_stopped", "The process has ended its work."};
 inline constexpr Event settingsRefused{1003, Severity::Error, "settings_refused", "The settings file is wrong, so that the process does not start."};
 inline constexpr Event startFailed{1004, Severity::Error, "start_failed", "The process could not start."};
+inline constexpr Event startDelayed{1005, Severity::Warning, "start_delayed", "A step of the start failed and is tried again."};
 
 } // namespace Verbena::Application
--- a/src/libs/application/processreport.cpp
+++ b/src/libs/application/processreport.cpp
@@ -13,6 +13,7 @@
     // The log options are in the file that is wrong, so the log uses its defaults.
     Observe::configureLog({.process = process});
     Observe::log(settingsRefused, error);
+    Observe::flushLog();
     std::cerr << error.toString() << '\n';
     return invalidSettingsStatus;
 }
@@ -20,6 +21,7 @@
 int reportStartFailure(const Core::Error &error)
 {
     Observe::log(startFailed, error);
+    Observe::flushLog();
     std::cerr << error.toString() << '\n';
     return startFailedStatus;
 }
@@ -39,6 +41,13 @@
     Observe::log(processStopped);
 }
 
+int reportEndBeforeStart()
+{
+    reportStop();
+    Observe::flushLog();
+    return 0;
+}
+
 int printSettingsDescription(const std::function<void(Settings::SettingsReader &)> &read)
 {
     Settings::SettingsReader reader = Settings::SettingsReader::forDescription();
--- /dev/null
+++ b/tests/auto/platform/tst_processstart.cpp
@@ -0,0 +1,173 @@
+#include <support/childprocess.h>
+#include <support/temporaryfolder.h>
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace Verbena::Test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char *linePrefix = "{\"time\"";
+
+// Time that the earlier process, or an incomplete file, stays in the way of the new process.
+constexpr std::chrono::milliseconds obstacleTime{300};
+
+/// \brief Starts real processes with a host file, without a store or backend servers. The parameter is the program.
+class ProcessStartTest : public testing::TestWithParam<const char *>
+{
+protected:
+    ProcessStartTest()
+    {
+        // A process that has ended does not read its pipe.
+        (void)std::signal(SIGPIPE, SIG_IGN);
+    }
+
+    // Returns the address of a host; the addresses differ between test processes that run at the same time.
+    static std::string address(std::size_t host)
+    {
+        const auto pid = static_cast<unsigned>(getpid());
+        return "127." + std::to_string(1 + pid / 250 % 250) + '.' + std::to_string(1 + pid % 250) + '.' + std::to_string(1 + host);
+    }
+
+    static std::string hostText(std::size_t host)
+    {
+        const std::string ip = address(host);
+        return "nodeName: \"host-" + std::to_string(host) + "\"\nip: \"" + ip + "\"\nzone: \"hall\"\nlisten:\n  front: \"" + ip + ":8782\"\n  ready: \"" + ip
+            + ":8789\"\nportRange: [7340, 7355]\napp: \"" + ip + ":8080\"\nservice: \"reader\"\nbounds:\n  graceS: 8\nprovider:\n  address: \"" + ip
+            + ":8784\"\n  form: \"table\"\n";
+    }
+
+    std::string writeHostFile(std::size_t host, const std::string &text)
+    {
+        return m_folder.write("host-" + std::to_string(host) + ".yaml", text);
+    }
+
+    std::unique_ptr<ChildProcess> start(std::size_t host)
+    {
+        return std::make_unique<ChildProcess>(GetParam(), std::vector<std::string>{"--host", writeHostFile(host, hostText(host))});
+    }
+
+    // Starts a process whose host file is a pipe, and returns once it waits for what writePipe() writes.
+    std::unique_ptr<ChildProcess> startReadingPipe()
+    {
+        const std::string path = m_folder.path() + "/host-0.yaml";
+        EXPECT_EQ(mkfifo(path.c_str(), S_IRUSR | S_IWUSR), 0);
+        auto process = std::make_unique<ChildProcess>(GetParam(), std::vector<std::string>{"--host", path});
+        while (m_pipe < 0 && process->isRunning()) {
+            m_pipe = open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        }
+        return process;
+    }
+
+    void writePipe()
+    {
+        const std::string text = hostText(0);
+        (void)!write(m_pipe, text.data(), text.size());
+        close(m_pipe);
+    }
+
+    static bool isUp(ChildProcess &process)
+    {
+        std::string line = process.waitForLine(linePrefix);
+        while (!line.empty() && line.find("\"process_started\"") == std::string::npos) {
+            line = process.waitForLine(linePrefix);
+        }
+        return !line.empty();
+    }
+
+private:
+    TemporaryFolder m_folder;
+    int m_pipe = -1; ///< Writing end of the pipe that stands for the host file.
+};
+
+// A log collector that restarted ended the processes whose output it read.
+TEST_P(ProcessStartTest, outlivesTheReaderOfItsLog)
+{
+    const auto process = start(0);
+    ASSERT_TRUE(isUp(*process));
+    process->closeOutput();
+    process->sendSignal(SIGHUP);
+    std::this_thread::sleep_for(1s);
+    EXPECT_TRUE(process->isRunning()) << process->waitForExit();
+}
+
+// SIGHUP says that the host file has changed; a process that was just starting was ended by it.
+TEST_P(ProcessStartTest, isNotEndedByAHangUpWhileItStarts)
+{
+    const auto process = startReadingPipe();
+    process->sendSignal(SIGHUP);
+    writePipe();
+    EXPECT_TRUE(isUp(*process)) << process->waitForExit();
+}
+
+// SIGTERM during the start ended the process by the signal instead of in order.
+TEST_P(ProcessStartTest, endsInOrderWhenTerminatedWhileItStarts)
+{
+    const auto process = startReadingPipe();
+    process->sendSignal(SIGTERM);
+    writePipe();
+    EXPECT_EQ(process->waitForExit(), 0);
+}
+
+// A process that found its ports still taken by the one before it gave up at once.
+TEST_P(ProcessStartTest, waitsForThePortsOfItsPredecessor)
+{
+    const auto predecessor = start(0);
+    ASSERT_TRUE(isUp(*predecessor));
+    const auto successor = start(0);
+    std::this_thread::sleep_for(obstacleTime);
+    predecessor->sendSignal(SIGKILL);
+    predecessor->waitForExit();
+    EXPECT_TRUE(isUp(*successor)) << successor->waitForExit();
+}
+
+// A process whose ports stay taken has to be ended by SIGTERM while it waits for them.
+TEST_P(ProcessStartTest, endsInOrderWhileItWaitsForItsPorts)
+{
+    const auto predecessor = start(0);
+    ASSERT_TRUE(isUp(*predecessor));
+    const auto successor = start(0);
+    std::this_thread::sleep_for(obstacleTime);
+    successor->sendSignal(SIGTERM);
+    EXPECT_EQ(successor->waitForExit(), 0);
+    EXPECT_TRUE(predecessor->isRunning());
+}
+
+// A host file that was still being written was taken for a wrong one.
+TEST_P(ProcessStartTest, readsAHostFileThatIsCompletedLate)
+{
+    const std::string text = hostText(0);
+    const std::string path = writeHostFile(0, text.substr(0, text.size() / 2));
+    ChildProcess process(GetParam(), {"--host", path});
+    std::this_thread::sleep_for(obstacleTime);
+    writeHostFile(0, text);
+    EXPECT_TRUE(isUp(process)) << process.waitForExit();
+}
+
+// A host file that stays wrong has to end the process with the status of wrong settings.
+TEST_P(ProcessStartTest, refusesAHostFileThatStaysIncomplete)
+{
+    ChildProcess process(GetParam(), {"--host", writeHostFile(0, "nodeName: \"host\"\n")});
+    EXPECT_EQ(process.waitForExit(), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Programs, ProcessStartTest, testing::Values("verbena-router", "verbena-agent"), [](const auto &program) {
+    return std::string(program.param).substr(std::string("verbena-").size());
+});
+
+} // namespace
+
+} // namespace Verbena::Test
