Draw in the soak what real machines do, and judge ends and missing answers

It draws now: a successor that starts while the process before still holds its ports, readers of logs that go away, small soft limits of descriptors, host files that are completed late. A process that ends by itself is a broken promise, and so is a request that a router, which was not killed, left without an answer once it had reached a backend server or more than 0.2 s after it was sent.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -8,6 +8,9 @@
 constexpr std::chrono::seconds contactTime{3};
 constexpr int mostRetries = 3;
 
+// A request may cross the close of its connection for so long.
+constexpr std::chrono::milliseconds crossingTime{200};
+
 int knownCrashes(CrashCause cause)
 {
     return cause == CrashCause::Request ? 3 : 5;
@@ -26,6 +29,7 @@
 void Ledger::noteRun(const std::string &id, bool mayRepeat)
 {
     ++m_allRuns;
+    m_passedOn.insert(id);
     if (mayRepeat) {
         return;
     }
@@ -37,6 +41,14 @@
     }
 }
 
+void Ledger::noteUnanswered(const std::string &id, std::chrono::milliseconds waited)
+{
+    if (m_passedOn.contains(id) || waited > crossingTime) {
+        const std::string passed = m_passedOn.contains(id) ? ", after it had reached a backend server" : "";
+        noteBroken("request " + id + " ended without an answer " + std::to_string(waited.count()) + " ms after it was sent" + passed);
+    }
+}
+
 void Ledger::notePromise(const std::string &id, bool mayRepeat)
 {
     if (mayRepeat) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -31,6 +31,9 @@
     /// \brief A backend server began to run the request \a id.
     void noteRun(const std::string &id, bool mayRepeat);
 
+    /// \brief A router that was not killed ended the connection of the request \a id without an answer, \a waited after it was sent.
+    void noteUnanswered(const std::string &id, std::chrono::milliseconds waited);
+
     /// \brief A caller was told that the request \a id has not run and never will.
     void notePromise(const std::string &id, bool mayRepeat);
 
@@ -62,6 +65,7 @@
     };
 
     std::map<std::string, int> m_runs; ///< By id, of requests that may run once.
+    std::set<std::string> m_passedOn; ///< Ids of all requests that reached a backend server.
     std::set<std::string> m_promised;
     std::map<std::string, Order> m_lastOrders; ///< By engine.
     std::vector<std::string> m_broken;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -60,24 +60,20 @@
     void startCallers()
     {
         for (std::size_t number = 0; number < callerCount; ++number) {
-            m_callers.push_back(std::make_unique<SoakCaller>(m_world.loop(),
-                m_world.routerEndpoints(),
-                "c" + std::to_string(number),
-                m_world.ledger(),
-                m_world.random(),
-                [this](std::size_t router, const std::string &path, int status) { noteAnswer(router, path, status); }));
+            m_callers.push_back(std::make_unique<SoakCaller>(
+                m_world.loop(), m_world.routerEndpoints(), "c" + std::to_string(number), m_world.ledger(), m_world.random(), [this](const Outcome &outcome) {
+                    noteOutcome(outcome);
+                }));
         }
         startCrashingCaller("crashing", CrashCause::Request);
         startCrashingCaller("crashing-part", CrashCause::PromptPart);
         // One more for each router asks for the route that only the newest configuration has.
         m_highest.resize(m_world.routerCount());
         for (std::size_t router = 0; router < m_world.routerCount(); ++router) {
-            m_callers.push_back(std::make_unique<SoakCaller>(m_world.loop(),
-                m_world.routerEndpoints(),
-                "p" + std::to_string(router),
-                m_world.ledger(),
-                m_world.random(),
-                [this](std::size_t asked, const std::string &path, int status) { noteProbe(asked, path, status); }));
+            m_callers.push_back(std::make_unique<SoakCaller>(
+                m_world.loop(), m_world.routerEndpoints(), "p" + std::to_string(router), m_world.ledger(), m_world.random(), [this](const Outcome &outcome) {
+                    noteProbe(outcome);
+                }));
             m_callers.back()->pinTo(router, m_world.newestPath());
             m_probers.push_back(m_callers.back().get());
         }
@@ -86,25 +82,36 @@
     void startCrashingCaller(const std::string &name, CrashCause cause)
     {
         m_callers.push_back(std::make_unique<SoakCaller>(
-            m_world.loop(), m_world.routerEndpoints(), name, m_world.ledger(), m_world.random(), [](std::size_t, const std::string &, int) {}));
+            m_world.loop(), m_world.routerEndpoints(), name, m_world.ledger(), m_world.random(), [this](const Outcome &outcome) { checkAnswered(outcome); }));
         m_callers.back()->sendCrashing(cause);
     }
 
-    void noteAnswer(std::size_t router, const std::string &path, int status)
+    // A router that was not killed answers what it was sent, also when it ends or has stood still.
+    void checkAnswered(const Outcome &outcome)
     {
-        if (m_isCalm && status == 200) {
-            m_servedInCalm.insert({router, path});
+        if (outcome.isUnanswered && !m_world.wasKilledSince(outcome.router, outcome.sentAt)) {
+            m_world.ledger().noteUnanswered(outcome.id, std::chrono::duration_cast<std::chrono::milliseconds>(m_world.loop().now() - outcome.sentAt));
+        }
+    }
+
+    void noteOutcome(const Outcome &outcome)
+    {
+        checkAnswered(outcome);
+        if (m_isCalm && outcome.status == 200) {
+            m_servedInCalm.insert({outcome.router, outcome.path});
         }
     }
 
     // A router that has shown a configuration may not answer by an older one until it is started again.
-    void noteProbe(std::size_t router, const std::string &path, int status)
+    void noteProbe(const Outcome &outcome)
     {
+        checkAnswered(outcome);
+        const std::size_t router = outcome.router;
         if (m_world.takeRestart(router)) {
             m_highest[router] = 0;
         }
-        const int version = std::stoi(path.substr(2));
-        if (status == 200) {
+        const int version = std::stoi(outcome.path.substr(2));
+        if (outcome.status == 200) {
             if (version < m_highest[router]) {
                 m_world.ledger().noteBroken("router " + std::to_string(router) + " went back to configuration " + std::to_string(version));
             }
@@ -147,7 +154,7 @@
         const std::size_t router = random.next() % m_world.routerCount();
         const std::size_t worker = random.next() % m_world.workerCount();
         const auto mode = static_cast<FaultyProxy::Mode>(1 + random.next() % 4);
-        switch (random.next() % 12) {
+        switch (random.next() % 15) {
         case 0:
             m_world.signalRouter(router, SIGKILL);
             break;
@@ -189,6 +196,15 @@
         case 10:
             m_world.nameWeights();
             break;
+        case 11:
+            m_world.replaceRouter(router);
+            break;
+        case 12:
+            m_world.leaveRouterLog(router);
+            break;
+        case 13:
+            m_world.leaveAgentLog(worker);
+            break;
         default:
             m_world.crashWorker(worker);
             m_world.worker(random.next()).setFaultShare(random.uniform() * mostFaultShare);
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -102,6 +102,8 @@
     m_body.clear();
     m_isWaiting = true;
     m_isWhole = false;
+    m_hasReceived = false;
+    m_sentAt = m_loop.now();
     const std::string parts = m_crashCause == CrashCause::PromptPart ? std::string("a:3,") + crashingPart + ":2,b:5" : "a:5,b:5";
     const std::string model
         = m_path == "/resume/" ? "Verbenaladder-Model: m\r\nVerbenaladder-Token-Count: 10,10\r\nVerbenaladder-Prompt-Prefix: " + parts + "\r\n" : "";
@@ -116,6 +118,7 @@
         m_ledger.noteBroken("bytes came to " + m_name + " that nobody asked for");
         return;
     }
+    m_hasReceived = true;
     if (m_reader->feed(data).has_value()) {
         m_ledger.noteBroken("an answer to " + m_id + " is no HTTP");
     }
@@ -160,10 +163,11 @@
     } else {
         checkPart();
     }
+    const bool isUnanswered = !m_hasReceived && m_channel->hasSent();
     if (!isWhole || !m_head.isKeptAlive) {
         m_channel.reset();
     }
-    m_listener(m_router, m_path, status);
+    m_listener({m_router, m_path, status, m_id, m_sentAt, isUnanswered});
     if (!m_isStopped) {
         const milliseconds next = m_crashCause.has_value() ? crashingPause : status == 200 ? pause : pauseAfterFailure;
         m_timer.startAt(m_loop.now() + next);
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -16,12 +16,23 @@
 
 namespace Verbena::Soak {
 
+/// \brief How one request of a caller ended.
+struct Outcome
+{
+    std::size_t router = 0;
+    std::string path;
+    int status = 0; ///< 0 if the connection ended first.
+    std::string id;
+    Core::TimePoint sentAt;
+    bool isUnanswered = false; ///< Whether the request was sent and not a byte of an answer came.
+};
+
 /// \brief A caller that asks one thing after the other, keeps its connection as long as it may, and checks every answer.
 class SoakCaller : public Http::ChannelObserver, public Http::MessageSink
 {
 public:
-    /// \brief Told of each answer: the router that gave it, the path, and the status; 0 if the connection ended first.
-    using Listener = std::function<void(std::size_t router, const std::string &path, int status)>;
+    /// \brief Function that is called when a request has ended.
+    using Listener = std::function<void(const Outcome &outcome)>;
 
     SoakCaller(EventLoop::Loop &loop,
         std::vector<Http::Endpoint> routers,
@@ -67,6 +78,8 @@
     std::string m_path;
     std::string m_pinnedPath;
     std::string m_id;
+    Core::TimePoint m_sentAt;
+    bool m_hasReceived = false; ///< Whether any byte of the current answer has come.
     std::string m_token;
     Http::MessageHead m_head;
     std::string m_body;
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <sys/wait.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace Verbena::Soak {
@@ -33,11 +33,10 @@
         {"resumable", isResumable}};
 }
 
-bool hasEnded(const Test::ChildProcess &process)
-{
-    siginfo_t info{};
-    return waitid(P_PID, static_cast<id_t>(process.pid()), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid != 0;
-}
+// Share of starts with a soft limit of descriptors far below the hard one, and of those whose host file is not whole at first.
+constexpr double smallLimitShare = 0.3;
+constexpr double incompleteFileShare = 0.2;
+constexpr rlim_t smallLimit = 96;
 
 } // namespace
 
@@ -77,40 +76,45 @@
     return "127." + std::to_string(1 + pid / 250 % 250) + '.' + std::to_string(1 + pid % 250) + '.' + std::to_string(number);
 }
 
-std::string SoakWorld::hostFile(const std::string &name, const std::string &address, const std::string &store, const std::string &more) const
+std::string SoakWorld::hostFile(const std::string &name, const std::string &address, const std::string &store, const std::string &more)
+{
+    const std::string text = "nodeName: \"" + name + "\"\nip: \"" + address
+        + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nbounds:\n  graceS: 6\n  retrySlack: 500\n" + more + "provider:\n  address: \"" + store + "\"\n";
+    if (m_random.uniform() >= incompleteFileShare) {
+        return m_folder.write(name + ".yaml", text);
+    }
+    m_incompleteFiles[name + ".yaml"] = text;
+    return m_folder.write(name + ".yaml", text.substr(0, text.size() / 2));
+}
+
+SoakWorld::Process SoakWorld::start(const std::string &program, const std::string &name, const std::string &hostFile)
 {
-    return m_folder.write(name + ".yaml",
-        "nodeName: \"" + name + "\"\nip: \"" + address
-            + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nbounds:\n  graceS: 6\n  retrySlack: 500\nprovider:\n  address: \"" + store + "\"\n" + more);
+    std::optional<rlimit> limit;
+    rlimit system{};
+    if (m_random.uniform() < smallLimitShare && getrlimit(RLIMIT_NOFILE, &system) == 0) {
+        limit = rlimit{smallLimit, system.rlim_max};
+    }
+    return {std::make_unique<Test::ChildProcess>(program, std::vector<std::string>{"--host", hostFile}, limit), name};
 }
 
 void SoakWorld::startRouter(std::size_t index)
 {
     Router &router = m_routers[index];
-    const std::string file = hostFile("front-" + std::to_string(index),
+    const std::string name = "front-" + std::to_string(index);
+    const std::string file = hostFile(name,
         router.ip,
         router.store->address(),
         "listen:\n  front: \"" + router.ip + ':' + callersPort + "\"\n  ready: \"" + router.ip + ':' + readinessPort + "\"\n");
-    router.process = std::make_unique<Test::ChildProcess>("verbena-router", std::vector<std::string>{"--host", file});
+    router.process = start("verbena-router", name, file);
     router.isRestarted = true;
-    checkStarted(*router.process, "verbena-router");
 }
 
 void SoakWorld::startAgent(std::size_t index)
 {
     Worker &worker = m_workers[index];
-    const std::string file
-        = hostFile("side-" + std::to_string(index), worker.ip, m_store.address(), "app: \"" + worker.proxy->address() + "\"\nservice: \"reader\"\n");
-    worker.agent = std::make_unique<Test::ChildProcess>("verbena-agent", std::vector<std::string>{"--host", file});
-    checkStarted(*worker.agent, "verbena-agent");
-}
-
-// A program that is missing, or is being built, never comes back: that says nothing of the promises, so the run says it by itself.
-void SoakWorld::checkStarted(const Test::ChildProcess &process, const std::string &program)
-{
-    if (process.pid() < 0) {
-        m_ledger.noteBroken(program + " could not be started; was it replaced while the soak ran?");
-    }
+    const std::string name = "side-" + std::to_string(index);
+    const std::string file = hostFile(name, worker.ip, m_store.address(), "app: \"" + worker.proxy->address() + "\"\nservice: \"reader\"\n");
+    worker.agent = start("verbena-agent", name, file);
 }
 
 void SoakWorld::registerWorker(std::size_t index)
@@ -178,32 +182,91 @@
     return true;
 }
 
+void SoakWorld::signal(Process &process, int signalNumber)
+{
+    if (process.child == nullptr) {
+        return;
+    }
+    process.isKilled = process.isKilled || signalNumber == SIGKILL;
+    process.child->sendSignal(signalNumber);
+}
+
 void SoakWorld::signalRouter(std::size_t index, int signalNumber)
 {
-    m_routers[index].process->sendSignal(signalNumber);
+    Router &router = m_routers[index];
+    if (signalNumber == SIGKILL) {
+        router.lastKill = m_loop->now();
+    }
+    signal(router.process, signalNumber);
 }
 
 void SoakWorld::signalAgent(std::size_t index, int signalNumber)
 {
-    m_workers[index % m_engines].agent->sendSignal(signalNumber);
+    signal(m_workers[index % m_engines].agent, signalNumber);
+}
+
+bool SoakWorld::wasKilledSince(std::size_t index, Core::TimePoint time) const
+{
+    return m_routers[index].lastKill >= time;
+}
+
+void SoakWorld::replaceRouter(std::size_t index)
+{
+    Router &router = m_routers[index];
+    if (router.predecessor.child != nullptr) {
+        return;
+    }
+    router.predecessor = std::move(router.process);
+    signal(router.predecessor, SIGCONT);
+    signal(router.predecessor, SIGTERM);
+    startRouter(index);
+}
+
+void SoakWorld::leaveRouterLog(std::size_t index)
+{
+    m_routers[index].process.child->closeOutput();
+}
+
+void SoakWorld::leaveAgentLog(std::size_t index)
+{
+    m_workers[index % m_engines].agent.child->closeOutput();
 }
 
 void SoakWorld::restartEnded()
 {
+    for (const auto &[name, text] : std::exchange(m_incompleteFiles, {})) {
+        m_folder.write(name, text);
+    }
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
-        if (hasEnded(*m_routers[index].process)) {
-            m_routers[index].process.reset();
+        (void)takeEnd(m_routers[index].predecessor);
+        if (takeEnd(m_routers[index].process)) {
             startRouter(index);
         }
     }
     for (std::size_t index = 0; index < m_engines; ++index) {
-        if (hasEnded(*m_workers[index].agent)) {
-            m_workers[index].agent.reset();
+        if (takeEnd(m_workers[index].agent)) {
             startAgent(index);
         }
     }
 }
 
+// Returns whether the process has ended, and takes it for broken if it did so by itself. A signal that comes while the system still loads the program has its
+// default effect.
+bool SoakWorld::takeEnd(Process &process)
+{
+    if (process.child == nullptr || process.child->isRunning()) {
+        return false;
+    }
+    collectLog(process);
+    const int status = process.child->waitForExit();
+    const bool isEndedWhileLoading = !process.isUp && (status == -SIGTERM || status == -SIGHUP);
+    if (status != 0 && !(process.isKilled && status == -SIGKILL) && !isEndedWhileLoading) {
+        m_ledger.noteBroken(process.name + " ended by itself, status " + std::to_string(status));
+    }
+    process = {};
+    return true;
+}
+
 void SoakWorld::endCrashing()
 {
     for (const std::size_t index : std::exchange(m_crashing, {})) {
@@ -211,13 +274,24 @@
     }
 }
 
+void SoakWorld::collectLog(Process &process)
+{
+    if (process.child == nullptr) {
+        return;
+    }
+    const std::string output = process.child->takeOutput();
+    process.isUp = process.isUp || !output.empty();
+    m_logs[process.name] += output;
+}
+
 void SoakWorld::collectLogs()
 {
-    for (std::size_t index = 0; index < m_routers.size(); ++index) {
-        m_logs["front-" + std::to_string(index)] += m_routers[index].process->takeOutput();
+    for (Router &router : m_routers) {
+        collectLog(router.predecessor);
+        collectLog(router.process);
     }
-    for (std::size_t index = 0; index < m_engines; ++index) {
-        m_logs["side-" + std::to_string(index)] += m_workers[index].agent->takeOutput();
+    for (Worker &worker : m_workers) {
+        collectLog(worker.agent);
     }
 }
 
@@ -266,13 +340,11 @@
     for (Worker &worker : m_workers) {
         worker.proxy->setMode(FaultyProxy::Mode::Pass);
         worker.server->setFaultShare(0);
-        if (worker.agent != nullptr) {
-            worker.agent->sendSignal(SIGCONT);
-        }
+        signal(worker.agent, SIGCONT);
     }
     for (Router &router : m_routers) {
         router.store->setMode(FaultyProxy::Mode::Pass);
-        router.process->sendSignal(SIGCONT);
+        signal(router.process, SIGCONT);
     }
 }
 
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -59,7 +59,17 @@
     void signalRouter(std::size_t index, int signalNumber);
     void signalAgent(std::size_t index, int signalNumber);
 
-    /// \brief Starts what has ended; to be called now and then.
+    /// \brief Asks router \a index to end and starts its successor at once, while it still holds its ports.
+    void replaceRouter(std::size_t index);
+
+    /// \brief Goes away as the reader of the log of router \a index, or of agent \a index.
+    void leaveRouterLog(std::size_t index);
+    void leaveAgentLog(std::size_t index);
+
+    /// \brief Returns whether router \a index was killed after \a time.
+    bool wasKilledSince(std::size_t index, Core::TimePoint time) const;
+
+    /// \brief Starts what has ended, and completes the host files of what has started; to be called now and then.
     void restartEnded();
 
     /// \brief Ends the backend servers that a request has crashed; to be called now and then.
@@ -83,27 +93,41 @@
     void heal();
 
 private:
+    /// \brief A process with what is needed to judge its end.
+    struct Process
+    {
+        std::unique_ptr<Test::ChildProcess> child;
+        std::string name;
+        bool isKilled = false; ///< Whether it got a SIGKILL.
+        bool isUp = false; ///< Whether it has logged anything.
+    };
+
     struct Worker
     {
         std::unique_ptr<SoakWorker> server;
         std::unique_ptr<FaultyProxy> proxy;
         std::string ip;
-        std::unique_ptr<Test::ChildProcess> agent; ///< Of an engine.
+        Process agent; ///< Of an engine.
     };
 
     struct Router
     {
-        std::unique_ptr<Test::ChildProcess> process;
+        Process process;
+        Process predecessor; ///< Still ends, after replaceRouter().
         std::unique_ptr<FaultyProxy> store; ///< Its way to the store.
+        Core::TimePoint lastKill;
         std::string ip;
         bool isRestarted = false;
     };
 
     std::string ip(std::size_t number) const;
-    std::string hostFile(const std::string &name, const std::string &address, const std::string &store, const std::string &more) const;
+    std::string hostFile(const std::string &name, const std::string &address, const std::string &store, const std::string &more);
+    Process start(const std::string &program, const std::string &name, const std::string &hostFile);
+    void signal(Process &process, int signalNumber);
+    void collectLog(Process &process);
+    bool takeEnd(Process &process);
     void startRouter(std::size_t index);
     void startAgent(std::size_t index);
-    void checkStarted(const Test::ChildProcess &process, const std::string &program);
     void registerWorker(std::size_t index);
     void writeConfiguration();
 
@@ -116,6 +140,7 @@
     std::vector<Router> m_routers;
     std::size_t m_engines;
     std::map<std::string, std::string> m_logs; ///< By name of the process.
+    std::map<std::string, std::string> m_incompleteFiles; ///< The whole text of host files of which only a part is written yet, by name.
     std::set<std::size_t> m_crashing; ///< Backend servers that end with the next endCrashing().
     int m_configuration = 1;
     std::uint64_t m_weights = 1;
