--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -78,8 +78,7 @@
 CallerConnection::CallerConnection(EventLoop::Loop &loop, int descriptor, ConnectionOwner &owner)
     : m_loop(loop)
     , m_owner(owner)
-    , m_headBytes(owner.memory().budget(), Decisions::HeldKind::RequestHeads)
-    , m_bodyBytes(owner.memory().budget(), Decisions::HeldKind::RequestBodies)
+    , m_memory(owner.memory(), owner.bodies())
     , m_pendingBytes(owner.memory().budget(), Decisions::HeldKind::PartialAnswers)
     , m_channel(Http::TcpChannel::adopt(loop, descriptor, *this))
     , m_reader(Http::MessageReader::Kind::Requests, *this, messageLimits(owner.limits()))
@@ -92,10 +91,7 @@
     m_timer.startAt(m_loop.now() + owner.limits().idleTimeout);
 }
 
-CallerConnection::~CallerConnection()
-{
-    releaseRequest();
-}
+CallerConnection::~CallerConnection() = default;
 
 bool CallerConnection::isBusy() const
 {
@@ -190,7 +186,7 @@
         return;
     }
     // A request that waits for memory after it was read whole; what follows it belongs to no request that will be read.
-    if (m_waitNumber != 0) {
+    if (m_memory.isWaiting()) {
         m_isClosing = true;
         return;
     }
@@ -283,15 +279,14 @@
     }
 }
 
-// A body is reserved whole, so that a request that is let in can be read to its end. Returns false if the request waits or has been refused.
+// Returns false if the request waits or has been refused.
 bool CallerConnection::reserveOrWait()
 {
-    if (m_owner.bodies().queue().admits(demand())) {
-        reserveRequest();
+    if (m_memory.reserve(extent())) {
+        m_body.reserve(m_head.contentLength.value_or(0));
         return true;
     }
-    const bool mayWait = m_reader.isHeadDone() && m_owner.bodies().queue().mayWait(demand(), m_reader.headBytes() + waitingBodyBytes());
-    if (!mayWait || m_owner.latestBodyStart(m_head) <= m_loop.now()) {
+    if (!m_memory.mayWait(extent()) || m_owner.latestBodyStart(m_head) <= m_loop.now()) {
         refuseForMemory();
         return false;
     }
@@ -299,56 +294,25 @@
     return false;
 }
 
-std::uint64_t CallerConnection::bodyRoom() const
-{
-    return m_body.empty() ? 0 : m_body.capacity();
-}
-
-// Of a body that is not read on, the kernel may hold some more.
-std::uint64_t CallerConnection::waitingBodyBytes() const
-{
-    return bodyRoom() + (m_reader.isDone() ? 0 : Http::receiveBufferBytes);
-}
-
-// A body without a length is taken for as long as it may be once it is not small.
-std::uint64_t CallerConnection::bodyDemand() const
-{
-    const std::uint64_t held = std::max<std::uint64_t>(m_head.contentLength.value_or(0), bodyRoom());
-    if (!m_reader.isHeadDone() || m_head.contentLength.has_value() || m_reader.isDone() || Decisions::MemoryBudget::isSmall(held)) {
-        return held;
-    }
-    return std::max(held, m_owner.memory().budget().unknownBodyBytes(m_owner.limits().bodyBytes));
-}
-
-Decisions::RequestDemand CallerConnection::demand() const
+RequestExtent CallerConnection::extent() const
 {
-    return {m_reader.headBytes() + bodyDemand(), m_headBytes.bytes() + m_bodyBytes.bytes(), m_isBodyBegun};
-}
-
-void CallerConnection::reserveRequest()
-{
-    m_headBytes.set(m_reader.headBytes());
-    m_bodyBytes.set(bodyDemand());
-    m_body.reserve(m_head.contentLength.value_or(0));
-    m_isBodyBegun = m_reader.isHeadDone();
+    const std::uint64_t bodyRoom = m_body.empty() ? 0 : m_body.capacity();
+    return {m_reader.headBytes(), bodyRoom, m_head.contentLength, m_owner.limits().bodyBytes, m_reader.isHeadDone(), m_reader.isDone()};
 }
 
 // What the caller sends meanwhile stays in the kernel, which counts as well. A request that has been read whole goes on reading, to notice that its caller
 // leaves.
 void CallerConnection::awaitMemory()
 {
-    m_headBytes.set(m_reader.headBytes());
-    m_bodyBytes.set(waitingBodyBytes());
-    m_waitingSince = m_loop.now();
-    m_waitNumber = m_owner.bodies().wait(demand(), [this] { readOn(); });
+    m_memory.wait(extent(), m_loop.now(), [this] { readOn(); });
     m_channel->setReading(m_reader.isDone());
     m_timer.startAt(m_owner.latestBodyStart(m_head));
 }
 
 void CallerConnection::readOn()
 {
-    m_waitNumber = 0;
-    reserveRequest();
+    m_memory.reserveWaiting(extent());
+    m_body.reserve(m_head.contentLength.value_or(0));
     m_channel->setReading(true);
     if (m_reader.isDone()) {
         answerRequest();
@@ -357,25 +321,9 @@
     m_timer.startAt(m_loop.now() + m_owner.limits().headerTimeout);
 }
 
-void CallerConnection::endWait()
-{
-    m_owner.bodies().withdraw(m_waitNumber);
-    m_waitNumber = 0;
-}
-
-void CallerConnection::releaseRequest()
-{
-    endWait();
-    m_isBodyBegun = false;
-    m_headBytes.set(0);
-    m_bodyBytes.set(0);
-    m_owner.bodies().handleRoom();
-}
-
 void CallerConnection::refuseForMemory()
 {
-    const auto waited = m_waitNumber != 0 ? m_loop.now() - m_waitingSince : Core::Clock::duration::zero();
-    m_owner.memory().reportRefusal(demand().bytes, std::chrono::duration_cast<std::chrono::milliseconds>(waited));
+    m_memory.reportRefusal(extent(), m_loop.now());
     refuse({503, "There is too little memory for the body of the request; it has not run.", memoryRetryDelay}, m_head);
 }
 
@@ -387,7 +335,7 @@
     Core::freeText(m_body);
     m_reader.discard();
     m_channel->setReading(true);
-    releaseRequest();
+    m_memory.release();
     respond(refusal.status, m_owner.refusalFields(refusal, head), refusal.message);
 }
 
@@ -496,7 +444,7 @@
     }
     m_isAnswerEnded = false;
     m_request.reset();
-    releaseRequest();
+    m_memory.release();
     m_pendingBytes.set(0);
     if (m_state == State::Lingering) {
         m_owner.connectionEnded(this);
@@ -527,7 +475,7 @@
 // An answer that is ready is delivered as long as its caller reads.
 void CallerConnection::handleTimeout()
 {
-    if (m_waitNumber != 0) {
+    if (m_memory.isWaiting()) {
         refuseForMemory();
         return;
     }
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "bodyadmission.h"
-#include "memoryguard.h"
 #include "relayedrequest.h"
+#include "requestmemory.h"
 
 #include <decisions/relay/relayconfiguration.h>
 #include <eventloop/deferredcall.h>
@@ -127,16 +126,10 @@
     void refuse(Http::MessageFault fault);
     void refuse(const Refusal &refusal, const Http::MessageHead &head = {});
     bool reserveOrWait();
-    std::uint64_t bodyRoom() const;
-    std::uint64_t waitingBodyBytes() const;
-    std::uint64_t bodyDemand() const;
-    Decisions::RequestDemand demand() const;
-    void reserveRequest();
+    RequestExtent extent() const;
     void awaitMemory();
     void readOn();
-    void endWait();
     void refuseForMemory();
-    void releaseRequest();
     void send(std::string_view data);
     std::string headText(int status, const std::vector<Http::HttpField> &fields) const;
     void finishExchange();
@@ -145,8 +138,7 @@
 
     EventLoop::Loop &m_loop;
     ConnectionOwner &m_owner;
-    Decisions::HeldBytes m_headBytes; ///< Of the head of the request that is being read or answered.
-    Decisions::HeldBytes m_bodyBytes; ///< Of its body.
+    RequestMemory m_memory; ///< Of the request that is being read or answered.
     Decisions::HeldBytes m_pendingBytes; ///< Of its answer.
     std::unique_ptr<Http::TcpChannel> m_channel;
     Http::MessageReader m_reader;
@@ -155,9 +147,6 @@
     State m_state = State::Reading;
     Http::MessageHead m_head;
     std::string m_body;
-    bool m_isBodyBegun = false; ///< Whether the request was let in after its head.
-    std::uint64_t m_waitNumber = 0; ///< Number of the wait for memory; 0 while the request does not wait.
-    Core::TimePoint m_waitingSince; ///< Begin of that wait.
     std::unique_ptr<RelayedRequest> m_request;
     Core::TimePoint m_idleSince;
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
