--- a/src/libs/eventloop/iowatcher.cpp
+++ b/src/libs/eventloop/iowatcher.cpp
@@ -10,7 +10,7 @@
     , m_callback(std::move(callback))
 {
     ev_io_init(
-        &m_watcher, [](struct ev_loop *, ev_io *watcher, int events) { static_cast<IoWatcher *>(watcher->data)->m_callback(events); }, descriptor, EV_READ);
+        &m_watcher, [](struct ev_loop *, ev_io *watcher, int events) { static_cast<IoWatcher *>(watcher->data)->handle(events); }, descriptor, EV_READ);
     m_watcher.data = this;
     // What has arrived is read before a timer that expires in the same iteration decides on it.
     ev_set_priority(&m_watcher, EV_MAXPRI);
@@ -21,6 +21,12 @@
     stop();
 }
 
+void IoWatcher::handle(int events)
+{
+    m_loop.recordHandled();
+    m_callback(events);
+}
+
 void IoWatcher::start(int events)
 {
     stop();
--- a/src/libs/eventloop/iowatcher.h
+++ b/src/libs/eventloop/iowatcher.h
@@ -22,6 +22,8 @@
     void stop();
 
 private:
+    void handle(int events);
+
     Loop &m_loop;
     int m_descriptor;
     std::function<void(int)> m_callback;
--- a/src/libs/eventloop/loop.cpp
+++ b/src/libs/eventloop/loop.cpp
@@ -3,6 +3,10 @@
 #include "deferredcall.h"
 
 #include <algorithm>
+#include <array>
+
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace Verbena::EventLoop {
 
@@ -11,6 +15,30 @@
 // Deferred calls may schedule further calls. After this many rounds, the loop polls the file descriptors again.
 constexpr int maximumDeferredRounds = 16;
 
+// Number of ready descriptors that libev asks for at once at first; if there were as many, there may be more.
+constexpr std::size_t descriptorsPerPoll = 64;
+
+// libev ends the process if the descriptors by which it learns of signals are refused.
+bool mayOpenSignalDescriptors()
+{
+    std::array<int, 2> ends{};
+    if (pipe2(ends.data(), O_CLOEXEC) != 0) {
+        return false;
+    }
+    close(ends[0]);
+    close(ends[1]);
+    return true;
+}
+
+// Makes libev open these descriptors now.
+void openSignalDescriptors(struct ev_loop *handle)
+{
+    ev_async opener;
+    ev_async_init(&opener, [](struct ev_loop *, ev_async *, int) {});
+    ev_async_start(handle, &opener);
+    ev_async_stop(handle, &opener);
+}
+
 } // namespace
 
 Core::Result<std::unique_ptr<Loop>> Loop::create()
@@ -19,13 +47,18 @@
     if (handle == nullptr) {
         return Core::Error{Core::ErrorCode::Internal, "eventloop.create", "", "The epoll back end is not available."};
     }
+    if (!mayOpenSignalDescriptors()) {
+        ev_loop_destroy(handle);
+        return Core::Error{Core::ErrorCode::Internal, "eventloop.create", "", "There is no descriptor left for signals."};
+    }
+    openSignalDescriptors(handle);
     return std::unique_ptr<Loop>(new Loop(handle));
 }
 
 Loop::Loop(struct ev_loop *handle)
     : m_handle(handle)
 {
-    ev_prepare_init(&m_prepare, [](struct ev_loop *, ev_prepare *watcher, int) { static_cast<Loop *>(watcher->data)->runDeferred(); });
+    ev_prepare_init(&m_prepare, [](struct ev_loop *, ev_prepare *watcher, int) { static_cast<Loop *>(watcher->data)->beginIteration(); });
     m_prepare.data = this;
     ev_prepare_start(m_handle, &m_prepare);
     ev_idle_init(&m_idle, [](struct ev_loop *, ev_idle *, int) {});
@@ -74,6 +107,28 @@
     std::replace(m_running.begin(), m_running.end(), call, static_cast<DeferredCall *>(nullptr));
 }
 
+void Loop::beginIteration()
+{
+    runDeferred();
+    m_handledCount = 0;
+    m_hasRemainder = false;
+}
+
+void Loop::recordHandled()
+{
+    ++m_handledCount;
+}
+
+void Loop::recordRemainder()
+{
+    m_hasRemainder = true;
+}
+
+bool Loop::mayHaveRemainder() const
+{
+    return m_hasRemainder || m_handledCount >= descriptorsPerPoll;
+}
+
 void Loop::runDeferred()
 {
     for (int round = 0; round < maximumDeferredRounds && !m_deferred.empty(); ++round) {
--- a/src/libs/eventloop/loop.h
+++ b/src/libs/eventloop/loop.h
@@ -5,6 +5,7 @@
 
 #include <ev.h>
 
+#include <cstddef>
 #include <memory>
 #include <vector>
 
@@ -16,7 +17,7 @@
 class Loop
 {
 public:
-    /// \brief Creates a loop. Errors: Internal, if the kernel provides no epoll descriptor.
+    /// \brief Creates a loop. Errors: Internal, if the kernel provides no epoll descriptor or none for signals.
     static Core::Result<std::unique_ptr<Loop>> create();
     ~Loop();
 
@@ -35,6 +36,15 @@
     /// \brief Returns the current time.
     Core::TimePoint now() const;
 
+    /// \brief Records that a descriptor has been handled in this iteration.
+    void recordHandled();
+
+    /// \brief Records that more has arrived at a descriptor than is handled in this iteration.
+    void recordRemainder();
+
+    /// \brief Returns whether more may have arrived than has been handled in this iteration.
+    bool mayHaveRemainder() const;
+
     /// \brief Returns the underlying libev loop, for the watchers of this library.
     struct ev_loop *handle() const;
 
@@ -44,11 +54,14 @@
     explicit Loop(struct ev_loop *handle);
     void enqueue(DeferredCall *call);
     void remove(DeferredCall *call);
+    void beginIteration();
     void runDeferred();
 
     struct ev_loop *m_handle;
     ev_prepare m_prepare;
     ev_idle m_idle;
+    std::size_t m_handledCount = 0; ///< Number of descriptors that were handled in this iteration.
+    bool m_hasRemainder = false; ///< As recorded in this iteration.
     std::vector<DeferredCall *> m_deferred;
     std::vector<DeferredCall *> m_running;
 };
--- a/src/libs/eventloop/signalwatcher.cpp
+++ b/src/libs/eventloop/signalwatcher.cpp
@@ -17,15 +17,22 @@
     m_watcher.data = this;
     ev_signal_start(m_loop.handle(), &m_watcher);
     // A signal that came before is pending if the program has blocked it, and is handled now.
-    sigset_t handled;
-    sigemptyset(&handled);
-    sigaddset(&handled, signalNumber);
-    (void)pthread_sigmask(SIG_UNBLOCK, &handled, nullptr);
+    setBlocked(false);
 }
 
+// Without its watcher the signal would have its default effect, and end a process that is shutting down.
 SignalWatcher::~SignalWatcher()
 {
+    setBlocked(true);
     ev_signal_stop(m_loop.handle(), &m_watcher);
 }
 
+void SignalWatcher::setBlocked(bool isBlocked) const
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    sigaddset(&handled, m_watcher.signum);
+    (void)pthread_sigmask(isBlocked ? SIG_BLOCK : SIG_UNBLOCK, &handled, nullptr);
+}
+
 } // namespace Verbena::EventLoop
--- a/src/libs/eventloop/signalwatcher.h
+++ b/src/libs/eventloop/signalwatcher.h
@@ -8,7 +8,7 @@
 
 class Loop;
 
-/// \brief Watcher that calls a function on the loop each time the process receives a signal.
+/// \brief Watcher that calls a function on the loop each time the process receives a signal, which is blocked once the watcher is gone.
 class SignalWatcher
 {
 public:
@@ -19,6 +19,8 @@
     SignalWatcher &operator=(const SignalWatcher &) = delete;
 
 private:
+    void setBlocked(bool isBlocked) const;
+
     Loop &m_loop;
     std::function<void()> m_callback;
     ev_signal m_watcher;
--- a/src/libs/eventloop/timer.cpp
+++ b/src/libs/eventloop/timer.cpp
@@ -11,6 +11,9 @@
 // A timer that expires later than this after its time belongs to a process that was stopped or busy.
 constexpr std::chrono::milliseconds lateness{20};
 
+// Number of iterations for which a late timer waits at most, so that a flood cannot hold it back.
+constexpr int maximumPostponements = 8;
+
 } // namespace
 
 Timer::Timer(Loop &loop, std::function<void()> callback)
@@ -44,21 +47,22 @@
 }
 
 // A stopped process returns from waiting by the signal that continues it, without having asked which sockets are ready. Its timers wait for one more iteration,
-// so that they decide on what has arrived and not only on what was read before.
+// or until all that had arrived is handled, so that they do not decide only on what was read before.
 void Timer::expire()
 {
-    if (!m_isPostponed && m_loop.now() - m_time > lateness) {
-        m_isPostponed = true;
+    const bool isToWait = m_postponements == 0 || (m_loop.mayHaveRemainder() && m_postponements < maximumPostponements);
+    if (isToWait && m_loop.now() - m_time > lateness) {
+        ++m_postponements;
         start(0);
         return;
     }
-    m_isPostponed = false;
+    m_postponements = 0;
     m_callback();
 }
 
 void Timer::stop()
 {
-    m_isPostponed = false;
+    m_postponements = 0;
     ev_timer_stop(m_loop.handle(), &m_watcher);
 }
 
--- a/src/libs/eventloop/timer.h
+++ b/src/libs/eventloop/timer.h
@@ -33,7 +33,7 @@
     Loop &m_loop;
     std::function<void()> m_callback;
     Core::TimePoint m_time{};
-    bool m_isPostponed = false; ///< Whether the time has passed and the timer waits for the descriptors to be handled.
+    int m_postponements = 0; ///< Number of iterations for which the timer has waited after its time for the descriptors to be handled.
     ev_timer m_watcher;
 };
 
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -219,7 +219,7 @@
 void HttpServer::stopListening()
 {
     for (int run = 0; run < maximumRunsToAccept && hasWaitingConnection(); ++run) {
-        MHD_run(m_daemon);
+        runDaemon();
     }
     const MHD_socket socket = MHD_quiesce_daemon(m_daemon);
     if (socket != MHD_INVALID_SOCKET) {
@@ -227,9 +227,11 @@
     }
 }
 
+// A connection that was just accepted is read in the second run.
 void HttpServer::readArrived()
 {
-    MHD_run(m_daemon);
+    runDaemon();
+    runDaemon();
 }
 
 void HttpServer::scheduleRun()
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -55,20 +55,36 @@
     setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
+Core::ErrorCode connectErrorCode(int error)
+{
+    switch (error) {
+    case ECONNREFUSED:
+        return Core::ErrorCode::NotFound;
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EADDRNOTAVAIL:
+        return Core::ErrorCode::ResourceExhausted;
+    default:
+        return Core::ErrorCode::Unavailable;
+    }
+}
+
 } // namespace
 
 Core::Result<std::unique_ptr<TcpChannel>> TcpChannel::connect(EventLoop::Loop &loop, const Endpoint &endpoint, ChannelObserver &observer)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
-        return Core::Error{Core::ErrorCode::Unavailable, "http.socket", endpoint.toString(), std::strerror(errno)};
+        return Core::Error{connectErrorCode(errno), "http.socket", endpoint.toString(), std::strerror(errno)};
     }
     setOptions(descriptor);
     setOption(descriptor, SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
     const int status = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&endpoint.address), sizeof endpoint.address);
     if (status != 0 && errno != EINPROGRESS) {
         const std::string reason = std::strerror(errno);
-        const Core::ErrorCode code = errno == ECONNREFUSED ? Core::ErrorCode::NotFound : Core::ErrorCode::Unavailable;
+        const Core::ErrorCode code = connectErrorCode(errno);
         close(descriptor);
         return Core::Error{code, "http.connect", endpoint.toString(), reason};
     }
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -63,7 +63,8 @@
 class TcpChannel
 {
 public:
-    /// \brief Starts to connect to \a endpoint. Errors: NotFound, if the connection is refused at once; Unavailable, if another system call fails.
+    /// \brief Starts to connect to \a endpoint. Errors: NotFound, if the connection is refused at once; ResourceExhausted, if this
+    /// host has no descriptor, port or memory for it; Unavailable, if another system call fails.
     static Core::Result<std::unique_ptr<TcpChannel>> connect(EventLoop::Loop &loop, const Endpoint &endpoint, ChannelObserver &observer);
 
     /// \brief Creates a channel that takes ownership of the accepted socket \a descriptor.
--- a/src/libs/http/tcplistener.cpp
+++ b/src/libs/http/tcplistener.cpp
@@ -60,7 +60,7 @@
     , m_descriptor(descriptor)
     , m_acceptor(std::move(acceptor))
     , m_watcher(std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [this](int) { acceptSome(); }))
-    , m_pauseTimer(loop, [this] { m_watcher->start(EV_READ); })
+    , m_refusalTimer(loop, [this] { watch(); })
 {
 }
 
@@ -75,7 +75,8 @@
     if (::listen(m_descriptor, backlog) != 0) {
         return errorAt("http.listen", endpoint());
     }
-    m_watcher->start(EV_READ);
+    m_isListening = true;
+    watch();
     return Core::success();
 }
 
@@ -89,39 +90,67 @@
 
 void TcpListener::acceptSome()
 {
-    for (int accepted = 0; accepted < maximumAcceptsPerWakeUp && !m_pauseTimer.isActive() && acceptOne(); ++accepted) {
+    for (int accepted = 0; accepted < maximumAcceptsPerWakeUp; ++accepted) {
+        if (m_isPaused || acceptOne() != Accepted::One) {
+            return;
+        }
     }
+    m_loop.recordRemainder();
 }
 
-void TcpListener::acceptWaiting()
+bool TcpListener::acceptWaiting()
 {
-    for (int accepted = 0; accepted < backlog && acceptOne(); ++accepted) {
+    Accepted last = Accepted::One;
+    for (int accepted = 0; accepted <= backlog && !m_isPaused && last == Accepted::One; ++accepted) {
+        last = acceptOne();
     }
+    return last == Accepted::NoneWaiting;
 }
 
-// Returns false if no connection waits or the system refuses to hand it over.
-bool TcpListener::acceptOne()
+TcpListener::Accepted TcpListener::acceptOne()
 {
     const int descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor >= 0) {
         m_acceptor(descriptor);
-        return true;
+        return Accepted::One;
     }
     if (errno == ECONNABORTED || errno == EINTR) {
-        return true;
+        return Accepted::One;
     }
-    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-        ++m_refusals;
-        pauseUntil(m_loop.now() + refusalPause);
+    if (errno != EMFILE && errno != ENFILE && errno != ENOBUFS && errno != ENOMEM) {
+        return Accepted::NoneWaiting;
     }
-    return false;
+    // The waiting connection would keep the socket ready, and the loop busy, all the time.
+    ++m_refusals;
+    m_refusalTimer.startAt(m_loop.now() + refusalPause);
+    watch();
+    return Accepted::Refused;
 }
 
-// The waiting connection would keep the socket ready, and the loop busy, all the time.
-void TcpListener::pauseUntil(Core::TimePoint time)
+void TcpListener::pause()
 {
-    m_watcher->stop();
-    m_pauseTimer.startAt(time);
+    m_isPaused = true;
+    watch();
+}
+
+void TcpListener::resume()
+{
+    m_isPaused = false;
+    watch();
+}
+
+bool TcpListener::isPaused() const
+{
+    return m_isPaused;
+}
+
+void TcpListener::watch()
+{
+    if (m_isListening && !m_isPaused && !m_refusalTimer.isActive()) {
+        m_watcher->start(EV_READ);
+    } else {
+        m_watcher->stop();
+    }
 }
 
 std::uint64_t TcpListener::refusalCount() const
--- a/src/libs/http/tcplistener.h
+++ b/src/libs/http/tcplistener.h
@@ -36,11 +36,14 @@
     /// \brief Starts to accept connections. Errors: Unavailable, if another process listens on the address.
     Core::Result<void> listen();
 
-    /// \brief Accepts all connections that wait; their peers already count them as established.
-    void acceptWaiting();
+    /// \brief Accepts the connections that wait, as their peers already count them as established. Returns whether none is left; there may be if the system
+    /// refuses a descriptor or the acceptor pauses.
+    bool acceptWaiting();
 
-    /// \brief Leaves connections waiting until \a time.
-    void pauseUntil(Core::TimePoint time);
+    /// \brief Leaves new connections waiting until resume().
+    void pause();
+    void resume();
+    bool isPaused() const;
 
     /// \brief Returns how often accepting has paused because the system refused a descriptor or memory.
     std::uint64_t refusalCount() const;
@@ -51,14 +54,23 @@
 private:
     TcpListener(EventLoop::Loop &loop, int descriptor, Acceptor acceptor);
     static Core::Error errorAt(const char *step, const Endpoint &endpoint);
+    enum class Accepted {
+        One,
+        NoneWaiting,
+        Refused, ///< The system refuses a descriptor or memory.
+    };
+
     void acceptSome();
-    bool acceptOne();
+    Accepted acceptOne();
+    void watch();
 
     EventLoop::Loop &m_loop;
     int m_descriptor;
     Acceptor m_acceptor;
     std::unique_ptr<EventLoop::IoWatcher> m_watcher;
-    EventLoop::Timer m_pauseTimer; ///< Runs while accepting is paused.
+    EventLoop::Timer m_refusalTimer; ///< Runs while the system may refuse descriptors.
+    bool m_isListening = false;
+    bool m_isPaused = false;
     std::uint64_t m_refusals = 0;
 };
 
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -142,10 +142,15 @@
     }
 }
 
+bool CallerConnection::mayBeIdle() const
+{
+    return !isBusy() && m_loop.now() >= m_firstRequestDeadline;
+}
+
 // A caller takes what it has sent for accepted, whether it was read or is still in the kernel.
 bool CallerConnection::endIfIdle()
 {
-    if (isBusy() || m_channel->hasUnreadBytes() || m_loop.now() < m_firstRequestDeadline) {
+    if (!mayBeIdle() || m_channel->hasUnreadBytes()) {
         return false;
     }
     m_owner.connectionEnded(this);
@@ -206,6 +211,7 @@
     }
     // The time limit covers the whole head, but restarts with each part of the body.
     if (isFirst || m_reader.isHeadDone() || wasHeadDone) {
+        m_isLastLook = false;
         m_timer.startAt(m_loop.now() + m_owner.limits().headerTimeout);
     }
 }
@@ -331,7 +337,7 @@
 {
     m_state = State::Answering;
     m_isClosing = true;
-    m_isHead = false;
+    m_isHead = head.method == "HEAD";
     Core::freeText(m_body);
     m_reader.discard();
     m_channel->setReading(true);
@@ -457,6 +463,7 @@
     m_state = State::Reading;
     m_idleSince = m_loop.now();
     m_firstRequestDeadline = {};
+    m_isLastLook = false;
     m_head = {};
     m_body.clear();
     (void)m_reader.next();
@@ -479,13 +486,14 @@
         refuseForMemory();
         return;
     }
-    if (m_state == State::Reading && m_reader.hasBegun()) {
-        refuse({408, "The request did not come in time.", std::nullopt});
+    // What has come at the last moment is read in the next iteration of the loop.
+    if (m_state == State::Reading && !m_isLastLook && m_channel->hasUnreadBytes()) {
+        m_isLastLook = true;
+        m_timer.startAt(m_loop.now());
         return;
     }
-    // A request has come at the last moment; it is read in the next iteration of the loop.
-    if (m_state == State::Reading && m_channel->hasUnreadBytes()) {
-        m_timer.startAt(m_loop.now() + m_owner.limits().headerTimeout);
+    if (m_state == State::Reading && m_reader.hasBegun()) {
+        refuse({408, "The request did not come in time.", std::nullopt});
         return;
     }
     const Core::TimePoint readDeadline = m_lastReadAt + (m_state == State::Lingering ? lingerTime : m_owner.limits().idleTimeout);
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -405,8 +405,15 @@
         return true;
     }
     m_isUnanswered = false;
-    m_context.fleet.recordFailure(choice, Decisions::ServerFailure::Unreachable, now);
-    if (!mayResend(attempts(), CallFailure::NotSent)) {
+    // Where this host has no descriptor or port left, the server has done nothing wrong, and another one could not be reached either.
+    const bool isRefusedHere = call.error().code == Core::ErrorCode::ResourceExhausted;
+    if (isRefusedHere) {
+        m_context.metrics.count("calls_refused_by_system_total");
+        m_context.fleet.recordAbandoned(choice);
+    } else {
+        m_context.fleet.recordFailure(choice, Decisions::ServerFailure::Unreachable, now);
+    }
+    if (isRefusedHere || !mayResend(attempts(), CallFailure::NotSent)) {
         finish(actionWithoutResend(attempts(), CallFailure::NotSent));
     }
     return false;
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -25,9 +25,6 @@
 // Time before the end of the grace period at which requests that wait to be sent are refused, so that their callers get the answer.
 constexpr std::chrono::milliseconds refusalMargin{250};
 
-// Time for which new connections wait while descriptors are short.
-constexpr std::chrono::milliseconds acceptPause{20};
-
 // Interval at which a list of routers with as many entries as before is compared in full; agents report it many times per second.
 constexpr std::chrono::milliseconds routersUpdateInterval{1000};
 
@@ -72,6 +69,7 @@
     , m_stallDetector(loop.now())
     , m_activityTimer(loop, [this] { handleActivityTimer(); })
     , m_activityDue(loop.now() + activityInterval)
+    , m_resume(loop, [this] { resumeAccepting(); })
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
 {
     m_activityTimer.startAt(m_activityDue);
@@ -354,6 +352,7 @@
 
 void RelayTask::acceptCaller(int descriptor)
 {
+    ++m_acceptedCount;
     closeIdleConnections(m_connectionLimit.excess(Http::TcpChannel::openCount() + 1));
     const bool isAdmitted = m_connectionLimit.admits(Http::TcpChannel::openCount());
     auto connection = std::make_unique<CallerConnection>(m_loop, descriptor, *this);
@@ -366,7 +365,18 @@
     raw->refuseNextRequest();
     if (!m_connectionLimit.admitsRefusal(Http::TcpChannel::openCount())) {
         m_metrics.count("accept_pauses_for_descriptors_total");
-        m_listener->pauseUntil(m_loop.now() + acceptPause);
+        m_listener->pause();
+    }
+}
+
+void RelayTask::resumeAccepting()
+{
+    if (m_listener == nullptr || !m_listener->isPaused()) {
+        return;
+    }
+    closeIdleConnections(m_connectionLimit.excess(Http::TcpChannel::openCount() + 1));
+    if (m_connectionLimit.admitsRefusal(Http::TcpChannel::openCount())) {
+        m_listener->resume();
     }
 }
 
@@ -378,7 +388,7 @@
     }
     std::vector<CallerConnection *> idle;
     for (const auto &[connection, owned] : m_connections) {
-        if (!connection->isBusy()) {
+        if (connection->mayBeIdle()) {
             idle.push_back(connection);
         }
     }
@@ -409,13 +419,13 @@
 void RelayTask::connectionEnded(CallerConnection *connection)
 {
     m_connections.erase(connection);
+    m_resume.schedule();
 }
 
 std::unique_ptr<RelayedRequest> RelayTask::beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink)
 {
     recordActivity();
-    const bool isAccepting = m_listener != nullptr;
-    return std::make_unique<RelayedRequest>(m_context, isAccepting ? m_directory : nullptr, std::move(head), std::move(body), sink);
+    return std::make_unique<RelayedRequest>(m_context, m_isAccepting ? m_directory : nullptr, std::move(head), std::move(body), sink);
 }
 
 Decisions::RelayLimits RelayTask::limits() const
@@ -452,12 +462,15 @@
 // count them as accepted, and get an answer.
 void RelayTask::closeListener()
 {
-    const std::size_t accepted = m_connections.size();
-    m_listener->acceptWaiting();
+    m_isAccepting = false;
+    const std::uint64_t acceptedBefore = m_acceptedCount;
+    if (!m_listener->acceptWaiting() && m_loop.now() < m_refusalTime) {
+        return;
+    }
     m_listener.reset();
     Observe::log(callersListenerClosed,
         {{"connections", std::to_string(m_connections.size())},
-            {"queued", std::to_string(m_connections.size() - accepted)},
+            {"queued", std::to_string(m_acceptedCount - acceptedBefore)},
             {"late_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.now() - m_noticeEnd).count())}});
 }
 
@@ -505,7 +518,7 @@
     if (now >= m_refusalTime) {
         refuseUnsentRequests();
     }
-    if ((now >= m_noticeEnd && m_connections.empty()) || m_isGivenUp) {
+    if ((m_listener == nullptr && m_connections.empty()) || m_isGivenUp) {
         reportEnd(now);
         m_shutdownDone();
         return;
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -151,6 +151,7 @@
     void failOverSilentEngines();
     void handleActivityTimer();
     void acceptCaller(int descriptor);
+    void resumeAccepting();
     void closeIdleConnections(std::size_t count);
     void closeAllIdleConnections();
     std::vector<CallerConnection *> connections() const;
@@ -186,8 +187,11 @@
     Decisions::StallDetector m_stallDetector;
     EventLoop::Timer m_activityTimer;
     Core::TimePoint m_activityDue; ///< When m_activityTimer fires if the event loop is not late.
+    EventLoop::DeferredCall m_resume; ///< Resumes accepting if it is paused and there is room.
     EventLoop::Timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
+    std::uint64_t m_acceptedCount = 0; ///< Number of connections that were accepted.
+    bool m_isAccepting = true; ///< Whether requests are served; false once the router that ends has closed its door.
     bool m_isDraining = false;
     Core::TimePoint m_noticeEnd;
     Core::TimePoint m_refusalTime; ///< When requests are refused that cannot be sent any more before the grace period ends.
--- a/src/libs/wire/datagramsocket.cpp
+++ b/src/libs/wire/datagramsocket.cpp
@@ -37,7 +37,8 @@
 }
 
 DatagramSocket::DatagramSocket(EventLoop::Loop &loop, int descriptor, Receiver receiver)
-    : m_descriptor(descriptor)
+    : m_loop(loop)
+    , m_descriptor(descriptor)
     , m_receiver(std::move(receiver))
     , m_watcher(std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [this](int) { receiveAll(); }))
 {
@@ -70,6 +71,7 @@
             m_receiver(from, message);
         }
     }
+    m_loop.recordRemainder();
 }
 
 } // namespace Verbena::Wire
--- a/src/libs/wire/datagramsocket.h
+++ b/src/libs/wire/datagramsocket.h
@@ -38,6 +38,7 @@
     DatagramSocket(EventLoop::Loop &loop, int descriptor, Receiver receiver);
     void receiveAll();
 
+    EventLoop::Loop &m_loop;
     int m_descriptor;
     Receiver m_receiver;
     std::unique_ptr<EventLoop::IoWatcher> m_watcher;
--- a/tests/auto/eventloop/tst_timer.cpp
+++ b/tests/auto/eventloop/tst_timer.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <sys/time.h>
 #include <unistd.h>
@@ -88,7 +89,39 @@
     ASSERT_EQ(sigaction(SIGALRM, &before, nullptr), 0);
 }
 
-// A timer that is started again by its own function, or for a time long past, still expires.
+// A late timer decided after one iteration, which asks for 64 descriptors at most.
+TEST_F(TimerTest, expiresAfterAllOfManyDescriptorsAreRead)
+{
+    constexpr std::size_t count = 200;
+    std::vector<std::array<int, 2>> pipes(count);
+    std::vector<std::unique_ptr<IoWatcher>> readers;
+    std::size_t readCount = 0;
+    for (std::array<int, 2> &pipeEnds : pipes) {
+        ASSERT_EQ(pipe(pipeEnds.data()), 0);
+        readers.push_back(std::make_unique<IoWatcher>(*m_loop, pipeEnds[0], [&](int) {
+            char byte = 0;
+            (void)!read(pipeEnds[0], &byte, 1);
+            ++readCount;
+        }));
+        readers.back()->start(EV_READ);
+        (void)!write(pipeEnds[1], "x", 1);
+    }
+    std::size_t readBefore = 0;
+    Timer late(*m_loop, [&] {
+        readBefore = readCount;
+        m_loop->stop();
+    });
+    late.startAt(m_loop->now() - 100ms);
+    m_loop->run();
+    EXPECT_EQ(readBefore, count);
+    readers.clear();
+    for (const std::array<int, 2> &pipeEnds : pipes) {
+        close(pipeEnds[0]);
+        close(pipeEnds[1]);
+    }
+}
+
+// A timer for a time long past still expires, and once only.
 TEST_F(TimerTest, expiresOnceForATimeLongPast)
 {
     m_timer->startAt(m_loop->now() - 1h);
--- a/tests/auto/platform/tst_hostlimits.cpp
+++ b/tests/auto/platform/tst_hostlimits.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <sys/resource.h>
+#include <unistd.h>
 
 namespace Verbena::Test {
 
@@ -26,6 +27,9 @@
 
 constexpr std::size_t serverHost = 210;
 constexpr rlim_t smallLimit = 256;
+
+// Field of /proc/PID/stat that holds the processor time in the kernel; the one before holds that of the program itself.
+constexpr int lastTimeField = 15;
 constexpr std::uint64_t newConfiguration = 9;
 
 class HostLimitsTest : public testing::Test
@@ -150,6 +154,22 @@
             return std::all_of(m_callers.begin(), m_callers.end(), hasAnswer) || m_deployment.loop().now() >= end;
         }));
         EXPECT_EQ(countAnswers("HTTP/1.1 200") + countAnswers("HTTP/1.1 503"), callers);
+        // While callers keep their connections, a router that is not asked anything is at rest.
+        const double before = processorSeconds();
+        m_deployment.runFor(1s);
+        EXPECT_LT(processorSeconds() - before, 0.5);
+    }
+
+    // Returns the processor time that the router has used.
+    double processorSeconds()
+    {
+        std::ifstream stat("/proc/" + std::to_string(m_deployment.router().pid()) + "/stat");
+        std::string word;
+        double ticks = 0;
+        for (int field = 1; field <= lastTimeField && stat >> word; ++field) {
+            ticks += field >= lastTimeField - 1 ? std::stod(word) : 0;
+        }
+        return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
     }
 
     bool areAllClosed() const
@@ -264,6 +284,7 @@
     rlimit limit{};
     ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
     expectAllAnswered({smallLimit, limit.rlim_max});
+    EXPECT_GE(countAnswers("HTTP/1.1 200"), m_callers.size() * 9 / 10);
 }
 
 // The same where the system allows no more; connections beyond the limit were closed without an answer.
--- a/tests/auto/platform/tst_processstart.cpp
+++ b/tests/auto/platform/tst_processstart.cpp
@@ -22,9 +22,6 @@
 
 constexpr const char *linePrefix = "{\"time\"";
 
-// Time that the earlier process, or an incomplete file, stays in the way of the new process.
-constexpr std::chrono::milliseconds obstacleTime{300};
-
 /// \brief Starts real processes with a host file, without a store or backend servers. The parameter is the program.
 class ProcessStartTest : public testing::TestWithParam<const char *>
 {
@@ -79,15 +76,27 @@
         close(m_pipe);
     }
 
-    static bool isUp(ChildProcess &process)
+    // Waits until \a process has logged the event \a name; returns false if its log ends before.
+    static bool waitForEvent(ChildProcess &process, const std::string &name)
     {
         std::string line = process.waitForLine(linePrefix);
-        while (!line.empty() && line.find("\"process_started\"") == std::string::npos) {
+        while (!line.empty() && line.find('"' + name + '"') == std::string::npos) {
             line = process.waitForLine(linePrefix);
         }
         return !line.empty();
     }
 
+    static bool isUp(ChildProcess &process)
+    {
+        return waitForEvent(process, "process_started");
+    }
+
+    // Waits until \a process has met what keeps it from starting.
+    static bool isDelayed(ChildProcess &process)
+    {
+        return waitForEvent(process, "start_delayed");
+    }
+
 private:
     TemporaryFolder m_folder;
     int m_pipe = -1; ///< Writing end of the pipe that stands for the host file.
@@ -122,13 +131,42 @@
     EXPECT_EQ(process->waitForExit(), 0);
 }
 
+// A second signal that came while the process ended had its default effect.
+TEST_P(ProcessStartTest, endsInOrderHoweverManySignalsCome)
+{
+    const auto process = start(0);
+    ASSERT_TRUE(isUp(*process));
+    while (process->isRunning()) {
+        process->sendSignal(SIGTERM);
+        process->sendSignal(SIGHUP);
+    }
+    EXPECT_EQ(process->waitForExit(), 0);
+}
+
+// Few descriptors made a library end the process by a signal of its own.
+TEST_P(ProcessStartTest, isNotAbortedForWantOfDescriptors)
+{
+    constexpr rlim_t fewest = 4;
+    constexpr rlim_t most = 44;
+    std::vector<std::unique_ptr<ChildProcess>> processes;
+    for (rlim_t descriptors = fewest; descriptors <= most; ++descriptors) {
+        const std::string file = writeHostFile(descriptors, hostText(descriptors));
+        processes.push_back(std::make_unique<ChildProcess>(GetParam(), std::vector<std::string>{"--host", file}, rlimit{descriptors, descriptors}));
+    }
+    std::this_thread::sleep_for(1s);
+    for (const auto &process : processes) {
+        process->sendSignal(SIGTERM);
+        EXPECT_GE(process->waitForExit(), 0);
+    }
+}
+
 // A process that found its ports still taken by the one before it gave up at once.
 TEST_P(ProcessStartTest, waitsForThePortsOfItsPredecessor)
 {
     const auto predecessor = start(0);
     ASSERT_TRUE(isUp(*predecessor));
     const auto successor = start(0);
-    std::this_thread::sleep_for(obstacleTime);
+    EXPECT_TRUE(isDelayed(*successor));
     predecessor->sendSignal(SIGKILL);
     predecessor->waitForExit();
     EXPECT_TRUE(isUp(*successor)) << successor->waitForExit();
@@ -140,7 +178,7 @@
     const auto predecessor = start(0);
     ASSERT_TRUE(isUp(*predecessor));
     const auto successor = start(0);
-    std::this_thread::sleep_for(obstacleTime);
+    EXPECT_TRUE(isDelayed(*successor));
     successor->sendSignal(SIGTERM);
     EXPECT_EQ(successor->waitForExit(), 0);
     EXPECT_TRUE(predecessor->isRunning());
@@ -152,7 +190,7 @@
     const std::string text = hostText(0);
     const std::string path = writeHostFile(0, text.substr(0, text.size() / 2));
     ChildProcess process(GetParam(), {"--host", path});
-    std::this_thread::sleep_for(obstacleTime);
+    EXPECT_TRUE(isDelayed(process));
     writeHostFile(0, text);
     EXPECT_TRUE(isUp(process)) << process.waitForExit();
 }
--- a/tests/auto/relay/tst_silentengines.cpp
+++ b/tests/auto/relay/tst_silentengines.cpp
@@ -130,7 +130,7 @@
     runFor(patience);
     EXPECT_EQ(runs(), 1U);
     m_workers[m_silent]->sendMore(wholeStream(m_workers[m_silent]->heads().front(), 1));
-    EXPECT_TRUE(isAnsweredInTime(*client));
+    EXPECT_TRUE(isAnsweredInTime(*client)) << client->received();
 }
 
 // Each router sent two requests to each engine whose agent was silent, which was all that many routers send there in seconds.
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -94,7 +94,11 @@
     if (m_random.uniform() < smallLimitShare && getrlimit(RLIMIT_NOFILE, &system) == 0) {
         limit = rlimit{smallLimit, system.rlim_max};
     }
-    return {std::make_unique<Test::ChildProcess>(program, std::vector<std::string>{"--host", hostFile}, limit), name};
+    Process process{std::make_unique<Test::ChildProcess>(program, std::vector<std::string>{"--host", hostFile}, limit), name};
+    if (process.child->pid() < 0) {
+        m_ledger.noteBroken(program + " could not be started");
+    }
+    return process;
 }
 
 void SoakWorld::startRouter(std::size_t index)
@@ -182,11 +186,27 @@
     return true;
 }
 
+// Returns whether a process neither blocks nor handles a signal yet, by what the system says of it.
+bool SoakWorld::isLoading(const Process &process, int signalNumber)
+{
+    std::ifstream status("/proc/" + std::to_string(process.child->pid()) + "/status");
+    const std::uint64_t bit = std::uint64_t(1) << (signalNumber - 1);
+    std::string word;
+    while (status >> word) {
+        std::string mask;
+        if ((word == "SigBlk:" || word == "SigCgt:") && status >> mask && (std::stoull(mask, nullptr, 16) & bit) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void SoakWorld::signal(Process &process, int signalNumber)
 {
     if (process.child == nullptr) {
         return;
     }
+    process.isSignalledWhileLoading = process.isSignalledWhileLoading || isLoading(process, signalNumber);
     process.isKilled = process.isKilled || signalNumber == SIGKILL;
     process.child->sendSignal(signalNumber);
 }
@@ -259,9 +279,10 @@
     }
     collectLog(process);
     const int status = process.child->waitForExit();
-    const bool isEndedWhileLoading = !process.isUp && (status == -SIGTERM || status == -SIGHUP);
+    const bool isEndedWhileLoading = process.isSignalledWhileLoading && (status == -SIGTERM || status == -SIGHUP);
     if (status != 0 && !(process.isKilled && status == -SIGKILL) && !isEndedWhileLoading) {
-        m_ledger.noteBroken(process.name + " ended by itself, status " + std::to_string(status));
+        const char *missing = status == Test::ChildProcess::notExecutedStatus ? "; was the program replaced while the soak ran?" : "";
+        m_ledger.noteBroken(process.name + " ended by itself, status " + std::to_string(status) + missing);
     }
     process = {};
     return true;
@@ -280,7 +301,6 @@
         return;
     }
     const std::string output = process.child->takeOutput();
-    process.isUp = process.isUp || !output.empty();
     m_logs[process.name] += output;
 }
 
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -99,7 +99,7 @@
         std::unique_ptr<Test::ChildProcess> child;
         std::string name;
         bool isKilled = false; ///< Whether it got a SIGKILL.
-        bool isUp = false; ///< Whether it has logged anything.
+        bool isSignalledWhileLoading = false; ///< Whether it got a signal before the first instruction of the program.
     };
 
     struct Worker
@@ -123,6 +123,7 @@
     std::string ip(std::size_t number) const;
     std::string hostFile(const std::string &name, const std::string &address, const std::string &store, const std::string &more);
     Process start(const std::string &program, const std::string &name, const std::string &hostFile);
+    static bool isLoading(const Process &process, int signalNumber);
     void signal(Process &process, int signalNumber);
     void collectLog(Process &process);
     bool takeEnd(Process &process);
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -42,7 +42,7 @@
             (void)setrlimit(RLIMIT_NOFILE, &*descriptors);
         }
         execv(path.c_str(), words.data());
-        _exit(EXIT_FAILURE);
+        _exit(notExecutedStatus);
     }
     close(ends[1]);
 }
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -13,6 +13,9 @@
 class ChildProcess
 {
 public:
+    /// \brief The exit status of a process whose program could not be executed.
+    static constexpr int notExecutedStatus = 127;
+
     /// \brief Starts \a program from the build's bin folder. It may open as many descriptors as this process may, or as \a descriptors says.
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::optional<rlimit> &descriptors = std::nullopt);
     ~ChildProcess();
