--- a/tests/auto/platform/tst_processstart.cpp
+++ b/tests/auto/platform/tst_processstart.cpp
@@ -156,6 +156,8 @@
     std::this_thread::sleep_for(1s);
     for (const auto &process : processes) {
         process->sendSignal(SIGTERM);
+    }
+    for (const auto &process : processes) {
         EXPECT_GE(process->waitForExit(), 0);
     }
 }
