Wake an engine in a test before it counts as lost, and test what follows if it does not wake

Its engine woke two seconds after its last request, and an engine counts as lost two seconds after its agent's last report, which came up to an interval earlier: a check of the router in between answers 502, as it should. The engine wakes at 1.7 s now, and a second test holds the router to the 502: not before that, and within half a second after the two seconds.

--- a/tests/auto/relay/tst_silentengines.cpp
+++ b/tests/auto/relay/tst_silentengines.cpp
@@ -23,6 +23,13 @@
 // Callers give up a stream that brings nothing for two seconds.
 constexpr std::chrono::milliseconds patience{2000};
 
+// Time without a report after which an engine counts as lost, and the time by which a test may find that later: a few checks of the router.
+constexpr std::chrono::milliseconds lostTime{2000};
+constexpr std::chrono::milliseconds lostTolerance{500};
+
+// An engine that wakes by then does not count as lost, even if it reported last a whole interval before its agent fell silent.
+constexpr std::chrono::milliseconds wakeTime{1700};
+
 // As often as agents report.
 constexpr std::chrono::milliseconds reportInterval{250};
 
@@ -127,12 +134,24 @@
 {
     startEngines();
     const auto client = callerAtSilentEngine("/stream/");
-    runFor(patience);
+    runFor(wakeTime);
     EXPECT_EQ(runs(), 1U);
     m_workers[m_silent]->sendMore(wholeStream(m_workers[m_silent]->heads().front(), 1));
     EXPECT_TRUE(isAnsweredInTime(*client)) << client->received();
 }
 
+// Its caller learns that it is lost once the engine counts as lost, neither before nor when its patience has long ended.
+TEST_F(SilentEnginesTest, loseWhatMayRunOnlyOnceIfTheyDoNotWake)
+{
+    startEngines();
+    const auto client = callerAtSilentEngine("/stream/");
+    runFor(wakeTime);
+    EXPECT_EQ(client->received(), "");
+    runFor(lostTime + lostTolerance - wakeTime);
+    EXPECT_TRUE(contains(client->received(), "HTTP/1.1 502")) << client->received();
+    EXPECT_EQ(runs(), 1U);
+}
+
 // Each router sent two requests to each engine whose agent was silent, which was all that many routers send there in seconds.
 TEST_F(SilentEnginesTest, getNoNewRequests)
 {
