Name what newcomers stumble over in the start, the listener and the shutdown

Found by a reader who had not seen the change: three meanings of refusing, a flag that said accepting for serving, the same list of errors twice, a function with three jobs, spans without a type, comments that restated. No change of behaviour but for two: the count of queued connections covers all tries to close the listener, and requests that wait when the router ends are told to come back after 20 ms as those that are half read.

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -20,9 +20,6 @@
 
 using namespace Verbena;
 
-// Time within which the process before, which may still hold the ports, has ended.
-constexpr std::chrono::seconds startTime{10};
-
 Core::Result<std::unique_ptr<Agent::StatusPage>> openStatusPage(
     EventLoop::Loop &loop, const Agent::AgentSettings &settings, const Agent::AgentTask &agent, Observe::Metrics &metrics)
 {
@@ -89,7 +86,7 @@
 
 int main(int argc, char **argv)
 {
-    Application::holdSignals();
+    Application::prepareSignals();
     const auto options = Application::StandardOptions::parseWithHost(
         argc, argv, "Stands beside one backend server and decides what it runs and when. SIGHUP makes it read its key and tree files again.", VERBENA_VERSION);
     if (!options.hostPath.empty()) {
@@ -107,5 +104,5 @@
     }
     Observe::configureLog(settings.value().log);
     (void)Application::raiseDescriptorLimit();
-    return Application::serveWithRetries(Core::Clock::now() + startTime, [&settings] { return serve(settings.value()); });
+    return Application::serveWithRetries(Core::Clock::now() + Application::defaultStartTime, [&settings] { return serve(settings.value()); });
 }
--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -18,9 +18,6 @@
 
 using namespace Verbena;
 
-// Time within which the process before, which may still hold the port, has ended.
-constexpr std::chrono::seconds startTime{10};
-
 /// \brief What a router needs beside its task, which refers to it.
 struct Environment
 {
@@ -70,7 +67,7 @@
 
 int main(int argc, char **argv)
 {
-    Application::holdSignals();
+    Application::prepareSignals();
     const auto options = Application::StandardOptions::parseWithHost(
         argc, argv, "Routes callers' requests to the backend servers where their prompts are warm.", VERBENA_VERSION);
     if (!options.hostPath.empty()) {
@@ -96,5 +93,5 @@
         view = std::move(read.value());
     }
     (void)Application::raiseDescriptorLimit();
-    return Application::serveWithRetries(Core::Clock::now() + startTime, [&] { return serve(settings.value(), view); });
+    return Application::serveWithRetries(Core::Clock::now() + Application::defaultStartTime, [&] { return serve(settings.value(), view); });
 }
--- a/src/libs/application/processreport.h
+++ b/src/libs/application/processreport.h
@@ -30,7 +30,7 @@
 /// \brief Logs that the process ends.
 void reportStop();
 
-/// \brief Does the same for a process that was asked to end before it had started; returns the exit status.
+/// \brief Logs the end of a process that was asked to end before it had started; returns its exit status.
 int reportEndBeforeStart();
 
 /// \brief Prints all settings keys that \a read requests as a Markdown table; returns the exit status.
--- a/src/libs/application/startattempts.cpp
+++ b/src/libs/application/startattempts.cpp
@@ -12,13 +12,13 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds attemptPause{25};
+constexpr std::chrono::milliseconds retryInterval{25};
 
 // Interval at which a failure that stays the same is logged again.
 constexpr std::chrono::milliseconds reportInterval{1000};
 
 // Returns whether a start that failed with \a code may succeed later, for instance since another process holds a port.
-bool isPassing(Core::ErrorCode code)
+bool isTransient(Core::ErrorCode code)
 {
     return code != Core::ErrorCode::InvalidArgument && code != Core::ErrorCode::PermissionDenied && code != Core::ErrorCode::NotFound;
 }
@@ -30,22 +30,22 @@
 {
 }
 
-bool StartAttempts::awaitNext(const Core::Error &error)
+bool StartAttempts::waitForRetry(const Core::Error &error)
 {
     const Core::TimePoint now = Core::Clock::now();
-    m_isEnded = isEndRequested();
-    if (m_isEnded || now >= m_deadline) {
+    m_isEndRequested = Application::isEndRequested();
+    if (m_isEndRequested || now >= m_deadline) {
         return false;
     }
     ++m_failures;
     report(error, now);
-    std::this_thread::sleep_for(attemptPause);
+    std::this_thread::sleep_for(retryInterval);
     return true;
 }
 
-bool StartAttempts::isEnded() const
+bool StartAttempts::isEndRequested() const
 {
-    return m_isEnded;
+    return m_isEndRequested;
 }
 
 void StartAttempts::report(const Core::Error &error, Core::TimePoint now)
@@ -65,10 +65,10 @@
 {
     StartAttempts attempts(deadline);
     Core::Result<void> served = serve();
-    while (!served && isPassing(served.error().code) && attempts.awaitNext(served.error())) {
+    while (!served && isTransient(served.error().code) && attempts.waitForRetry(served.error())) {
         served = serve();
     }
-    if (attempts.isEnded()) {
+    if (attempts.isEndRequested()) {
         return reportEndBeforeStart();
     }
     return served ? 0 : reportStartFailure(served.error());
--- a/src/libs/application/startattempts.h
+++ b/src/libs/application/startattempts.h
@@ -8,9 +8,9 @@
 
 namespace Verbena::Application {
 
-/// \brief Decides how often a step of the start is tried that may succeed later, and waits between the tries.
+/// \brief Limits the retries of a step of the start to a deadline, and waits between them.
 ///
-/// A port may still be held by the process before or by an outgoing connection, and a file may still be being written.
+/// A port may still be held by the predecessor or by an outgoing connection, and a file may still be being written.
 class StartAttempts
 {
 public:
@@ -18,11 +18,11 @@
     explicit StartAttempts(Core::TimePoint deadline);
 
     /// \brief Waits before the next try of the step that failed with \a error, which is logged. Returns false if there is to be none: the deadline has
-    /// passed or isEnded().
-    bool awaitNext(const Core::Error &error);
+    /// passed or isEndRequested().
+    bool waitForRetry(const Core::Error &error);
 
-    /// \brief Returns whether the process was asked to end meanwhile.
-    bool isEnded() const;
+    /// \brief Returns whether SIGTERM or SIGINT stopped the retries.
+    bool isEndRequested() const;
 
 private:
     void report(const Core::Error &error, Core::TimePoint now);
@@ -31,11 +31,14 @@
     Core::TimePoint m_nextReport{}; ///< Time from which the same failure is logged again.
     std::string m_reported; ///< The failure that was logged last.
     unsigned m_failures = 0;
-    bool m_isEnded = false;
+    bool m_isEndRequested = false;
 };
 
-/// \brief Calls \a serve, which returns once the process has done its work, and calls it again until \a deadline if the start fails for a reason that may pass.
-/// Returns the exit status of the process.
+/// \brief Time from the start of a process until its predecessor, which may still hold its ports, has ended, unless the settings say more.
+inline constexpr std::chrono::seconds defaultStartTime{10};
+
+/// \brief Calls \a serve again until \a deadline if it fails for a reason that may pass, and returns the exit status of the process. \a serve returns once the
+/// process has done its work; it returns an error only if the start failed.
 int serveWithRetries(Core::TimePoint deadline, const std::function<Core::Result<void>()> &serve);
 
 } // namespace Verbena::Application
--- a/src/libs/application/startsignals.cpp
+++ b/src/libs/application/startsignals.cpp
@@ -6,7 +6,7 @@
 
 namespace Verbena::Application {
 
-void holdSignals()
+void prepareSignals()
 {
     sigset_t held;
     sigemptyset(&held);
--- a/src/libs/application/startsignals.h
+++ b/src/libs/application/startsignals.h
@@ -5,7 +5,7 @@
 /// \brief Keeps SIGHUP, SIGTERM and SIGINT pending until an EventLoop::SignalWatcher handles them, and ignores SIGPIPE.
 ///
 /// To be called first in main(), as threads inherit the signal mask.
-void holdSignals();
+void prepareSignals();
 
 /// \brief Returns whether a SIGTERM or SIGINT is pending.
 bool isEndRequested();
--- a/src/libs/decisions/relay/connectionlimit.cpp
+++ b/src/libs/decisions/relay/connectionlimit.cpp
@@ -9,7 +9,7 @@
 constexpr std::uint64_t excessEighths = 6;
 constexpr std::uint64_t fullEighths = 7;
 
-// Sixteenths of the limit.
+// Sixteenths of the limit; the rest stays for calls to backend servers.
 constexpr std::uint64_t refusalSixteenths = 15;
 
 // Part of the limit by which the number of connections falls below the bound once it has passed it, so that idle ones are not looked for at each new one.
--- a/src/libs/eventloop/iowatcher.cpp
+++ b/src/libs/eventloop/iowatcher.cpp
@@ -23,7 +23,7 @@
 
 void IoWatcher::handle(int events)
 {
-    m_loop.recordHandled();
+    m_loop.countReadyDescriptor();
     m_callback(events);
 }
 
--- a/src/libs/eventloop/loop.cpp
+++ b/src/libs/eventloop/loop.cpp
@@ -18,8 +18,8 @@
 // Number of ready descriptors that libev asks for at once at first; if there were as many, there may be more.
 constexpr std::size_t descriptorsPerPoll = 64;
 
-// libev ends the process if the descriptors by which it learns of signals are refused.
-bool mayOpenSignalDescriptors()
+// libev aborts the process if it cannot open the descriptors by which it learns of signals, so that they are tried first.
+bool canOpenSignalDescriptors()
 {
     std::array<int, 2> ends{};
     if (pipe2(ends.data(), O_CLOEXEC) != 0) {
@@ -47,7 +47,7 @@
     if (handle == nullptr) {
         return Core::Error{Core::ErrorCode::Internal, "eventloop.create", "", "The epoll back end is not available."};
     }
-    if (!mayOpenSignalDescriptors()) {
+    if (!canOpenSignalDescriptors()) {
         ev_loop_destroy(handle);
         return Core::Error{Core::ErrorCode::Internal, "eventloop.create", "", "There is no descriptor left for signals."};
     }
@@ -107,26 +107,27 @@
     std::replace(m_running.begin(), m_running.end(), call, static_cast<DeferredCall *>(nullptr));
 }
 
+// Runs once the previous iteration has handled its descriptors and timers.
 void Loop::beginIteration()
 {
     runDeferred();
-    m_handledCount = 0;
-    m_hasRemainder = false;
+    m_readyCount = 0;
+    m_hasUnreadInput = false;
 }
 
-void Loop::recordHandled()
+void Loop::countReadyDescriptor()
 {
-    ++m_handledCount;
+    ++m_readyCount;
 }
 
-void Loop::recordRemainder()
+void Loop::recordUnreadInput()
 {
-    m_hasRemainder = true;
+    m_hasUnreadInput = true;
 }
 
-bool Loop::mayHaveRemainder() const
+bool Loop::mayHaveUnreadInput() const
 {
-    return m_hasRemainder || m_handledCount >= descriptorsPerPoll;
+    return m_hasUnreadInput || m_readyCount >= descriptorsPerPoll;
 }
 
 void Loop::runDeferred()
--- a/src/libs/eventloop/loop.h
+++ b/src/libs/eventloop/loop.h
@@ -37,13 +37,13 @@
     Core::TimePoint now() const;
 
     /// \brief Records that a descriptor has been handled in this iteration.
-    void recordHandled();
+    void countReadyDescriptor();
 
     /// \brief Records that more has arrived at a descriptor than is handled in this iteration.
-    void recordRemainder();
+    void recordUnreadInput();
 
     /// \brief Returns whether more may have arrived than has been handled in this iteration.
-    bool mayHaveRemainder() const;
+    bool mayHaveUnreadInput() const;
 
     /// \brief Returns the underlying libev loop, for the watchers of this library.
     struct ev_loop *handle() const;
@@ -60,8 +60,8 @@
     struct ev_loop *m_handle;
     ev_prepare m_prepare;
     ev_idle m_idle;
-    std::size_t m_handledCount = 0; ///< Number of descriptors that were handled in this iteration.
-    bool m_hasRemainder = false; ///< As recorded in this iteration.
+    std::size_t m_readyCount = 0; ///< Number of descriptors that were handled in this iteration.
+    bool m_hasUnreadInput = false; ///< As recorded in this iteration.
     std::vector<DeferredCall *> m_deferred;
     std::vector<DeferredCall *> m_running;
 };
--- a/src/libs/eventloop/signalwatcher.h
+++ b/src/libs/eventloop/signalwatcher.h
@@ -8,7 +8,8 @@
 
 class Loop;
 
-/// \brief Watcher that calls a function on the loop each time the process receives a signal, which is blocked once the watcher is gone.
+/// \brief Watcher that calls a function on the loop each time the process receives a signal. Unblocks the signal in the calling thread while the watcher
+/// exists, and blocks it afterwards.
 class SignalWatcher
 {
 public:
--- a/src/libs/eventloop/timer.cpp
+++ b/src/libs/eventloop/timer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // A timer that expires later than this after its time belongs to a process that was stopped or busy.
-constexpr std::chrono::milliseconds lateness{20};
+constexpr std::chrono::milliseconds lateThreshold{20};
 
 // Number of iterations for which a late timer waits at most, so that a flood cannot hold it back.
 constexpr int maximumPostponements = 8;
@@ -36,13 +36,12 @@
     m_time = time;
     // libev timers are relative to the start of the iteration, which may be well before this call.
     ev_now_update(m_loop.handle());
-    const std::chrono::duration<double> left = time - m_loop.now();
-    start(left.count());
+    startIn(time - m_loop.now());
 }
 
-void Timer::start(double seconds)
+void Timer::startIn(std::chrono::duration<double> left)
 {
-    ev_timer_set(&m_watcher, std::max(0., seconds), 0.);
+    ev_timer_set(&m_watcher, std::max(0., left.count()), 0.);
     ev_timer_start(m_loop.handle(), &m_watcher);
 }
 
@@ -50,16 +49,20 @@
 // or until all that had arrived is handled, so that they do not decide only on what was read before.
 void Timer::expire()
 {
-    const bool isToWait = m_postponements == 0 || (m_loop.mayHaveRemainder() && m_postponements < maximumPostponements);
-    if (isToWait && m_loop.now() - m_time > lateness) {
+    if (mayPostpone() && m_loop.now() - m_time > lateThreshold) {
         ++m_postponements;
-        start(0);
+        startIn(std::chrono::seconds(0));
         return;
     }
     m_postponements = 0;
     m_callback();
 }
 
+bool Timer::mayPostpone() const
+{
+    return m_postponements == 0 || (m_loop.mayHaveUnreadInput() && m_postponements < maximumPostponements);
+}
+
 void Timer::stop()
 {
     m_postponements = 0;
--- a/src/libs/eventloop/timer.h
+++ b/src/libs/eventloop/timer.h
@@ -10,7 +10,9 @@
 
 class Loop;
 
-/// \brief A timer that calls a function once at a given time, after everything that had arrived at the watched descriptors by then.
+/// \brief A timer that calls a function once at a given time.
+///
+/// In an iteration of the loop, descriptors are handled first; a timer that is late waits a bounded number of iterations for what has arrived.
 class Timer
 {
 public:
@@ -27,7 +29,8 @@
     bool isActive() const;
 
 private:
-    void start(double seconds);
+    void startIn(std::chrono::duration<double> left);
+    bool mayPostpone() const;
     void expire();
 
     Loop &m_loop;
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -18,7 +18,7 @@
 // An oversized body of unknown length is read and discarded up to this multiple of the limit, so that its sender receives the response.
 constexpr std::size_t maximumDiscardFactor = 4;
 
-// More than enough for a full queue of connections; at its limit of connections, the server accepts none.
+// Bounds the loop, as a server at its limit of connections accepts none; each run accepts several of those that wait.
 constexpr int maximumRunsToAccept = 200;
 
 } // namespace
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -1,5 +1,7 @@
 #include "tcpchannel.h"
 
+#include "resourceshortage.h"
+
 #include <core/freetext.h>
 #include <eventloop/iowatcher.h>
 #include <eventloop/loop.h>
@@ -57,18 +59,11 @@
 
 Core::ErrorCode connectErrorCode(int error)
 {
-    switch (error) {
-    case ECONNREFUSED:
+    if (error == ECONNREFUSED) {
         return Core::ErrorCode::NotFound;
-    case EMFILE:
-    case ENFILE:
-    case ENOBUFS:
-    case ENOMEM:
-    case EADDRNOTAVAIL:
-        return Core::ErrorCode::ResourceExhausted;
-    default:
-        return Core::ErrorCode::Unavailable;
     }
+    const bool isExhausted = isResourceShortage(error) || error == EADDRNOTAVAIL;
+    return isExhausted ? Core::ErrorCode::ResourceExhausted : Core::ErrorCode::Unavailable;
 }
 
 } // namespace
--- a/src/libs/http/tcplistener.cpp
+++ b/src/libs/http/tcplistener.cpp
@@ -1,5 +1,6 @@
 #include "tcplistener.h"
 
+#include "resourceshortage.h"
 #include "tcpchannel.h"
 
 #include <eventloop/iowatcher.h>
@@ -22,7 +23,7 @@
 constexpr int maximumAcceptsPerWakeUp = 64;
 
 // Time after which a connection that the system refused to hand over is tried again.
-constexpr std::chrono::milliseconds refusalPause{50};
+constexpr std::chrono::milliseconds acceptRetryDelay{50};
 
 } // namespace
 
@@ -60,7 +61,7 @@
     , m_descriptor(descriptor)
     , m_acceptor(std::move(acceptor))
     , m_watcher(std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [this](int) { acceptSome(); }))
-    , m_refusalTimer(loop, [this] { watch(); })
+    , m_acceptRetryTimer(loop, [this] { watch(); })
 {
 }
 
@@ -91,40 +92,40 @@
 void TcpListener::acceptSome()
 {
     for (int accepted = 0; accepted < maximumAcceptsPerWakeUp; ++accepted) {
-        if (m_isPaused || acceptOne() != Accepted::One) {
+        if (m_isPaused || acceptOne() != AcceptStep::Continue) {
             return;
         }
     }
-    m_loop.recordRemainder();
+    m_loop.recordUnreadInput();
 }
 
 bool TcpListener::acceptWaiting()
 {
-    Accepted last = Accepted::One;
-    for (int accepted = 0; accepted <= backlog && !m_isPaused && last == Accepted::One; ++accepted) {
+    AcceptStep last = AcceptStep::Continue;
+    for (int accepted = 0; accepted <= backlog && !m_isPaused && last == AcceptStep::Continue; ++accepted) {
         last = acceptOne();
     }
-    return last == Accepted::NoneWaiting;
+    return last == AcceptStep::QueueEmpty;
 }
 
-TcpListener::Accepted TcpListener::acceptOne()
+TcpListener::AcceptStep TcpListener::acceptOne()
 {
     const int descriptor = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor >= 0) {
         m_acceptor(descriptor);
-        return Accepted::One;
+        return AcceptStep::Continue;
     }
     if (errno == ECONNABORTED || errno == EINTR) {
-        return Accepted::One;
+        return AcceptStep::Continue;
     }
-    if (errno != EMFILE && errno != ENFILE && errno != ENOBUFS && errno != ENOMEM) {
-        return Accepted::NoneWaiting;
+    if (!isResourceShortage(errno)) {
+        return AcceptStep::QueueEmpty;
     }
     // The waiting connection would keep the socket ready, and the loop busy, all the time.
-    ++m_refusals;
-    m_refusalTimer.startAt(m_loop.now() + refusalPause);
+    ++m_failedAccepts;
+    m_acceptRetryTimer.startAt(m_loop.now() + acceptRetryDelay);
     watch();
-    return Accepted::Refused;
+    return AcceptStep::OutOfResources;
 }
 
 void TcpListener::pause()
@@ -146,16 +147,16 @@
 
 void TcpListener::watch()
 {
-    if (m_isListening && !m_isPaused && !m_refusalTimer.isActive()) {
+    if (m_isListening && !m_isPaused && !m_acceptRetryTimer.isActive()) {
         m_watcher->start(EV_READ);
     } else {
         m_watcher->stop();
     }
 }
 
-std::uint64_t TcpListener::refusalCount() const
+std::uint64_t TcpListener::failedAcceptCount() const
 {
-    return m_refusals;
+    return m_failedAccepts;
 }
 
 } // namespace Verbena::Http
--- a/src/libs/http/tcplistener.h
+++ b/src/libs/http/tcplistener.h
@@ -46,7 +46,7 @@
     bool isPaused() const;
 
     /// \brief Returns how often accepting has paused because the system refused a descriptor or memory.
-    std::uint64_t refusalCount() const;
+    std::uint64_t failedAcceptCount() const;
 
     /// \brief Returns the address in use, including a port chosen by the system.
     Endpoint endpoint() const;
@@ -54,24 +54,24 @@
 private:
     TcpListener(EventLoop::Loop &loop, int descriptor, Acceptor acceptor);
     static Core::Error errorAt(const char *step, const Endpoint &endpoint);
-    enum class Accepted {
-        One,
-        NoneWaiting,
-        Refused, ///< The system refuses a descriptor or memory.
+    enum class AcceptStep {
+        Continue,
+        QueueEmpty,
+        OutOfResources, ///< The system refuses a descriptor or memory.
     };
 
     void acceptSome();
-    Accepted acceptOne();
+    AcceptStep acceptOne();
     void watch();
 
     EventLoop::Loop &m_loop;
     int m_descriptor;
     Acceptor m_acceptor;
     std::unique_ptr<EventLoop::IoWatcher> m_watcher;
-    EventLoop::Timer m_refusalTimer; ///< Runs while the system may refuse descriptors.
+    EventLoop::Timer m_acceptRetryTimer; ///< Active while accepting waits for the system to have descriptors again.
     bool m_isListening = false;
     bool m_isPaused = false;
-    std::uint64_t m_refusals = 0;
+    std::uint64_t m_failedAccepts = 0;
 };
 
 } // namespace Verbena::Http
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -25,10 +25,7 @@
 // The same for a caller whose request was refused for lack of descriptors; its retry may reach another router.
 constexpr std::chrono::milliseconds descriptorRetryDelay{250};
 
-// The same for a caller of a router that is about to end; another router takes its request at once.
-constexpr std::chrono::milliseconds endRetryDelay{20};
-
-// Time that a caller has from the accept of its connection until its first request arrives before the connection counts as idle.
+// Time that a caller has from the accept of its connection until its first request arrives before the connection counts as idle: several round trips.
 constexpr std::chrono::milliseconds firstRequestTime{500};
 
 const char *reasonPhrase(int status)
@@ -142,7 +139,7 @@
     }
 }
 
-bool CallerConnection::mayBeIdle() const
+bool CallerConnection::isIdleCandidate() const
 {
     return !isBusy() && m_loop.now() >= m_firstRequestDeadline;
 }
@@ -150,7 +147,7 @@
 // A caller takes what it has sent for accepted, whether it was read or is still in the kernel.
 bool CallerConnection::endIfIdle()
 {
-    if (!mayBeIdle() || m_channel->hasUnreadBytes()) {
+    if (!isIdleCandidate() || m_channel->hasUnreadBytes()) {
         return false;
     }
     m_owner.connectionEnded(this);
@@ -159,7 +156,7 @@
 
 void CallerConnection::refuseNextRequest()
 {
-    m_isNextRefused = true;
+    m_isOverDescriptorLimit = true;
 }
 
 void CallerConnection::refuseUnsent()
@@ -167,7 +164,7 @@
     if (m_request != nullptr) {
         m_request->refuseUnsent();
     } else if (m_state == State::Reading && m_reader.hasBegun()) {
-        refuse({503, "This router ends; the request was not read whole and has not run.", endRetryDelay}, m_head);
+        refuse({503, "This router ends; the request was not read whole and has not run.", RelayedRequest::endRetryDelay}, m_head);
     }
 }
 
@@ -211,7 +208,7 @@
     }
     // The time limit covers the whole head, but restarts with each part of the body.
     if (isFirst || m_reader.isHeadDone() || wasHeadDone) {
-        m_isLastLook = false;
+        m_isTimeoutPostponed = false;
         m_timer.startAt(m_loop.now() + m_owner.limits().headerTimeout);
     }
 }
@@ -254,7 +251,7 @@
 
 void CallerConnection::answerRequest()
 {
-    if (m_isNextRefused) {
+    if (m_isOverDescriptorLimit) {
         refuse({503, "This router has too many connections; the request has not run.", descriptorRetryDelay}, m_head);
         return;
     }
@@ -288,7 +285,7 @@
 // Returns false if the request waits or has been refused.
 bool CallerConnection::reserveOrWait()
 {
-    if (m_memory.reserve(extent())) {
+    if (m_memory.tryReserve(extent())) {
         m_body.reserve(m_head.contentLength.value_or(0));
         return true;
     }
@@ -302,8 +299,12 @@
 
 RequestExtent CallerConnection::extent() const
 {
-    const std::uint64_t bodyRoom = m_body.empty() ? 0 : m_body.capacity();
-    return {m_reader.headBytes(), bodyRoom, m_head.contentLength, m_owner.limits().bodyBytes, m_reader.isHeadDone(), m_reader.isDone()};
+    return {.headBytes = m_reader.headBytes(),
+        .bodyCapacity = m_body.empty() ? 0 : m_body.capacity(),
+        .contentLength = m_head.contentLength,
+        .maximumBodyBytes = m_owner.limits().bodyBytes,
+        .isHeadRead = m_reader.isHeadDone(),
+        .isWholeRead = m_reader.isDone()};
 }
 
 // What the caller sends meanwhile stays in the kernel, which counts as well. A request that has been read whole goes on reading, to notice that its caller
@@ -317,7 +318,7 @@
 
 void CallerConnection::readOn()
 {
-    m_memory.reserveWaiting(extent());
+    m_memory.endWait(extent());
     m_body.reserve(m_head.contentLength.value_or(0));
     m_channel->setReading(true);
     if (m_reader.isDone()) {
@@ -462,8 +463,8 @@
     }
     m_state = State::Reading;
     m_idleSince = m_loop.now();
-    m_firstRequestDeadline = {};
-    m_isLastLook = false;
+    m_firstRequestDeadline = {}; // For the first request only.
+    m_isTimeoutPostponed = false;
     m_head = {};
     m_body.clear();
     (void)m_reader.next();
@@ -487,8 +488,8 @@
         return;
     }
     // What has come at the last moment is read in the next iteration of the loop.
-    if (m_state == State::Reading && !m_isLastLook && m_channel->hasUnreadBytes()) {
-        m_isLastLook = true;
+    if (m_state == State::Reading && !m_isTimeoutPostponed && m_channel->hasUnreadBytes()) {
+        m_isTimeoutPostponed = true;
         m_timer.startAt(m_loop.now());
         return;
     }
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -84,10 +84,11 @@
     /// \brief Lets the caller tell, when the connection is destroyed, that an answer which has begun is incomplete.
     void markIncomplete();
 
-    /// \brief Returns whether no request is being read or answered, and a new caller has had time to send its request.
-    bool mayBeIdle() const;
+    /// \brief Returns whether no request is being read or answered, and a new caller has had time to send its request; without asking the system what has
+    /// arrived.
+    bool isIdleCandidate() const;
 
-    /// \brief Closes the connection if it is idle: mayBeIdle(), and nothing has arrived. Returns whether it was closed.
+    /// \brief Closes the connection if it is idle: isIdleCandidate(), and nothing has arrived. Returns whether it was closed.
     bool endIfIdle();
 
     /// \brief Refuses the caller's next request, which has not run, and ends the connection after it.
@@ -154,8 +155,8 @@
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
     Core::TimePoint m_lastReadAt;
     std::optional<std::size_t> m_unacknowledgedBytes; ///< At the last updateLastRead().
-    bool m_isLastLook = false; ///< Whether the time limit has passed and what had arrived by then is still read.
-    bool m_isNextRefused = false; ///< Whether the next request is refused for lack of descriptors.
+    bool m_isTimeoutPostponed = false; ///< Whether the time limit has passed and was postponed once to read what had arrived.
+    bool m_isOverDescriptorLimit = false; ///< Whether the caller's request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
     bool m_isAnswerEnded = false;
     bool m_isChunked = false;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -405,18 +405,23 @@
         return true;
     }
     m_isUnanswered = false;
-    // Where this host has no descriptor or port left, the server has done nothing wrong, and another one could not be reached either.
-    const bool isRefusedHere = call.error().code == Core::ErrorCode::ResourceExhausted;
-    if (isRefusedHere) {
+    handleUnopenedCall(call.error().code);
+    return false;
+}
+
+// Where this host has no descriptor or port left, the server has done nothing wrong, and another one could not be reached either.
+void RelayedRequest::handleUnopenedCall(Core::ErrorCode code)
+{
+    if (code == Core::ErrorCode::ResourceExhausted) {
         m_context.metrics.count("calls_refused_by_system_total");
-        m_context.fleet.recordAbandoned(choice);
-    } else {
-        m_context.fleet.recordFailure(choice, Decisions::ServerFailure::Unreachable, now);
+        m_context.fleet.recordAbandoned(*m_choice);
+        finish(actionWithoutResend(attempts(), CallFailure::NotSent));
+        return;
     }
-    if (isRefusedHere || !mayResend(attempts(), CallFailure::NotSent)) {
+    m_context.fleet.recordFailure(*m_choice, Decisions::ServerFailure::Unreachable, m_context.loop.now());
+    if (!mayResend(attempts(), CallFailure::NotSent)) {
         finish(actionWithoutResend(attempts(), CallFailure::NotSent));
     }
-    return false;
 }
 
 Core::Result<std::unique_ptr<BackendCall>> RelayedRequest::openCall(const FleetChoice &choice)
@@ -969,7 +974,7 @@
     if (m_isDone || m_call != nullptr || m_answer.isBegun() || mayHaveRun()) {
         return;
     }
-    refuse(503, "This router ends; the request has not run.");
+    refuseForEnd();
 }
 
 void RelayedRequest::giveUp()
@@ -977,15 +982,23 @@
     if (m_isDone) {
         return;
     }
+    // Asked before the call is reset, as it counts.
     const bool mayHaveBegun = mayHaveRun();
     m_call.reset();
     if (m_answer.isBegun()) {
         finish(AttemptAction::CutStream);
-    } else if (mayHaveBegun) {
+        return;
+    }
+    if (mayHaveBegun) {
         finish(AttemptAction::ReportLost);
-    } else {
-        refuse(503, "This router ends; the request has not run.");
+        return;
     }
+    refuseForEnd();
+}
+
+void RelayedRequest::refuseForEnd()
+{
+    refuse(503, "This router ends; the request has not run.", endRetryDelay);
 }
 
 // Only streams that have not begun are called back. The first event shows that a stream has begun; for other answers the start cannot be observed, so these
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -63,6 +63,9 @@
 class RelayedRequest : private CallObserver
 {
 public:
+    /// \brief Time after which a caller that is refused as this router ends should retry; another router takes its request at once.
+    static constexpr std::chrono::milliseconds endRetryDelay{20};
+
     /// \brief \a directory is the configuration that applies to the request; null if there is none yet.
     RelayedRequest(const RelayContext &context,
         std::shared_ptr<const Decisions::RelayDirectory> directory,
@@ -171,6 +174,8 @@
     bool refuseIfOverloaded(const Decisions::FleetChoice &choice);
     std::chrono::microseconds acceptableWait(const Decisions::FleetChoice &choice) const;
     void handleDeadline();
+    void refuseForEnd();
+    void handleUnopenedCall(Core::ErrorCode code);
     std::optional<Core::TimePoint> callBackTime() const;
     void handleWeightsTooOld();
     void handleFirstPart();
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -22,8 +22,8 @@
 // Interval at which a relay that shuts down checks whether it is done.
 constexpr std::chrono::milliseconds shutdownCheckInterval{50};
 
-// Time before the end of the grace period at which requests that wait to be sent are refused, so that their callers get the answer.
-constexpr std::chrono::milliseconds refusalMargin{250};
+// Time before the end of the grace period at which requests that have not been sent to a backend server are refused.
+constexpr std::chrono::milliseconds unsentRefusalMargin{250};
 
 // Interval at which a list of routers with as many entries as before is compared in full; agents report it many times per second.
 constexpr std::chrono::milliseconds routersUpdateInterval{1000};
@@ -144,7 +144,7 @@
     m_intake.record(m_activityDue, now, m_memory.budget().isShort());
     m_metrics.recordDuration("loop_late_seconds", {}, std::chrono::duration_cast<std::chrono::microseconds>(now - m_activityDue));
     if (m_listener != nullptr) {
-        m_metrics.setGauge("accepts_refused_by_system", static_cast<double>(m_listener->refusalCount()));
+        m_metrics.setGauge("accepts_failed", static_cast<double>(m_listener->failedAcceptCount()));
     }
     m_activityDue = now + activityInterval;
     m_activityTimer.startAt(m_activityDue);
@@ -388,7 +388,7 @@
     }
     std::vector<CallerConnection *> idle;
     for (const auto &[connection, owned] : m_connections) {
-        if (connection->mayBeIdle()) {
+        if (connection->isIdleCandidate()) {
             idle.push_back(connection);
         }
     }
@@ -399,7 +399,8 @@
     m_metrics.count("idle_connections_closed_for_descriptors_total", static_cast<std::uint64_t>(closed));
 }
 
-std::vector<CallerConnection *> RelayTask::connections() const
+// A copy, as ending a connection removes it from m_connections.
+std::vector<CallerConnection *> RelayTask::connectionSnapshot() const
 {
     std::vector<CallerConnection *> connections;
     connections.reserve(m_connections.size());
@@ -411,7 +412,7 @@
 
 void RelayTask::closeAllIdleConnections()
 {
-    const std::vector<CallerConnection *> open = connections();
+    const std::vector<CallerConnection *> open = connectionSnapshot();
     const auto closed = std::count_if(open.begin(), open.end(), [](CallerConnection *connection) { return connection->endIfIdle(); });
     m_metrics.count("idle_connections_closed_for_shutdown_total", static_cast<std::uint64_t>(closed));
 }
@@ -425,7 +426,7 @@
 std::unique_ptr<RelayedRequest> RelayTask::beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink)
 {
     recordActivity();
-    return std::make_unique<RelayedRequest>(m_context, m_isAccepting ? m_directory : nullptr, std::move(head), std::move(body), sink);
+    return std::make_unique<RelayedRequest>(m_context, m_isServingRequests ? m_directory : nullptr, std::move(head), std::move(body), sink);
 }
 
 Decisions::RelayLimits RelayTask::limits() const
@@ -453,30 +454,39 @@
     m_shutdownDone = std::move(done);
     m_noticeEnd = m_loop.now() + m_settings.shutdownNotice;
     m_graceEnd = m_loop.now() + m_settings.shutdownGrace;
-    m_refusalTime = m_graceEnd - refusalMargin;
+    m_unsentRefusalTime = m_graceEnd - unsentRefusalMargin;
     Observe::log(drainBegun, {{"connections", std::to_string(m_connections.size())}});
     continueShutdown();
 }
 
 // Closes the listener so that new callers go to another router at once; their requests might not end in time here. Those whose connections wait in its queue
 // count them as accepted, and get an answer.
-void RelayTask::closeListener()
+void RelayTask::tryCloseListener()
 {
-    m_isAccepting = false;
-    const std::uint64_t acceptedBefore = m_acceptedCount;
-    if (!m_listener->acceptWaiting() && m_loop.now() < m_refusalTime) {
+    if (m_isServingRequests) {
+        m_isServingRequests = false;
+        m_acceptedAtNoticeEnd = m_acceptedCount;
+    }
+    if (!m_listener->acceptWaiting() && m_loop.now() < m_unsentRefusalTime) {
+        // The next check tries again.
         return;
     }
     m_listener.reset();
+    reportListenerClosed();
+}
+
+void RelayTask::reportListenerClosed()
+{
+    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.now() - m_noticeEnd);
     Observe::log(callersListenerClosed,
         {{"connections", std::to_string(m_connections.size())},
-            {"queued", std::to_string(m_acceptedCount - acceptedBefore)},
-            {"late_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.now() - m_noticeEnd).count())}});
+            {"queued", std::to_string(m_acceptedCount - m_acceptedAtNoticeEnd)},
+            {"late_ms", std::to_string(late.count())}});
 }
 
 void RelayTask::refuseUnsentRequests()
 {
-    for (CallerConnection *connection : connections()) {
+    for (CallerConnection *connection : connectionSnapshot()) {
         connection->refuseUnsent();
     }
 }
@@ -484,7 +494,7 @@
 void RelayTask::giveUpRequests()
 {
     m_isGivenUp = true;
-    for (CallerConnection *connection : connections()) {
+    for (CallerConnection *connection : connectionSnapshot()) {
         connection->giveUp();
     }
 }
@@ -493,7 +503,7 @@
 void RelayTask::reportEnd(Core::TimePoint now)
 {
     Observe::log(drainEnded,
-        {{"unanswered", std::to_string(m_connections.size())},
+        {{"connections", std::to_string(m_connections.size())},
             {"left_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_graceEnd - now).count())}});
 }
 
@@ -510,12 +520,12 @@
 {
     const Core::TimePoint now = m_loop.now();
     if (now >= m_noticeEnd && m_listener != nullptr) {
-        closeListener();
+        tryCloseListener();
     }
     if (now >= m_noticeEnd) {
         closeAllIdleConnections();
     }
-    if (now >= m_refusalTime) {
+    if (now >= m_unsentRefusalTime) {
         refuseUnsentRequests();
     }
     if ((m_listener == nullptr && m_connections.empty()) || m_isGivenUp) {
@@ -523,7 +533,7 @@
         m_shutdownDone();
         return;
     }
-    // Their answers are sent before the next check.
+    // The timer runs once more, so that the answers of these requests are sent.
     if (now >= m_graceEnd) {
         giveUpRequests();
     }
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -41,14 +41,14 @@
 class RelayTask : public ConnectionOwner
 {
 public:
-    /// \brief Binds the address without listening yet; requests are refused until there is a configuration. Errors: Unavailable.
+    /// \brief Binds the address without listening yet. Errors: Unavailable.
     static Core::Result<std::unique_ptr<RelayTask>> create(EventLoop::Loop &loop, const RelaySettings &settings, const RelayProtocol &protocol);
     ~RelayTask() override;
 
     RelayTask(const RelayTask &) = delete;
     RelayTask &operator=(const RelayTask &) = delete;
 
-    /// \brief Starts to accept callers. Errors: Unavailable, if another process listens on the address.
+    /// \brief Starts to accept callers; requests are refused until there is a configuration. Errors: Unavailable, if another process listens on the address.
     Core::Result<void> listen();
 
     /// \brief Applies \a configuration if it is newer than the current one; running requests keep theirs. Returns whether it was applied.
@@ -154,10 +154,11 @@
     void resumeAccepting();
     void closeIdleConnections(std::size_t count);
     void closeAllIdleConnections();
-    std::vector<CallerConnection *> connections() const;
-    void closeListener();
+    std::vector<CallerConnection *> connectionSnapshot() const;
+    void tryCloseListener();
     void refuseUnsentRequests();
     void giveUpRequests();
+    void reportListenerClosed();
     void reportEnd(Core::TimePoint now);
     void abandonConnections();
     void continueShutdown();
@@ -191,10 +192,11 @@
     EventLoop::Timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
     std::uint64_t m_acceptedCount = 0; ///< Number of connections that were accepted.
-    bool m_isAccepting = true; ///< Whether requests are served; false once the router that ends has closed its door.
+    std::uint64_t m_acceptedAtNoticeEnd = 0; ///< The same when the notice ended.
+    bool m_isServingRequests = true; ///< Whether new requests are served; false from the end of the notice on.
     bool m_isDraining = false;
     Core::TimePoint m_noticeEnd;
-    Core::TimePoint m_refusalTime; ///< When requests are refused that cannot be sent any more before the grace period ends.
+    Core::TimePoint m_unsentRefusalTime; ///< When requests are refused that have not been sent to a backend server.
     Core::TimePoint m_graceEnd;
     bool m_isGivenUp = false; ///< Whether the requests that were left at the end of the grace period have been given up.
 };
--- a/src/libs/relay/requestmemory.cpp
+++ b/src/libs/relay/requestmemory.cpp
@@ -11,7 +11,7 @@
 // Of a body that is not read on, the kernel may hold some more.
 std::uint64_t waitingBodyBytes(const RequestExtent &extent)
 {
-    return extent.bodyRoom + (extent.isDone ? 0 : Http::receiveBufferBytes);
+    return extent.bodyCapacity + (extent.isWholeRead ? 0 : Http::receiveBufferBytes);
 }
 
 } // namespace
@@ -30,7 +30,7 @@
 }
 
 // A body is reserved whole, so that a request that is let in can be read to its end.
-bool RequestMemory::reserve(const RequestExtent &extent)
+bool RequestMemory::tryReserve(const RequestExtent &extent)
 {
     if (!m_bodies.queue().admits(demand(extent))) {
         return false;
@@ -41,7 +41,7 @@
 
 bool RequestMemory::mayWait(const RequestExtent &extent) const
 {
-    return extent.isHeadDone && m_bodies.queue().mayWait(demand(extent), extent.headBytes + waitingBodyBytes(extent));
+    return extent.isHeadRead && m_bodies.queue().mayWait(demand(extent), extent.headBytes + waitingBodyBytes(extent));
 }
 
 void RequestMemory::wait(const RequestExtent &extent, Core::TimePoint now, std::function<void()> admitted)
@@ -52,7 +52,7 @@
     m_waitNumber = m_bodies.wait(demand(extent), std::move(admitted));
 }
 
-void RequestMemory::reserveWaiting(const RequestExtent &extent)
+void RequestMemory::endWait(const RequestExtent &extent)
 {
     m_waitNumber = 0;
     hold(extent);
@@ -82,11 +82,11 @@
 // A body without a length is taken for as long as it may be once it is not small.
 std::uint64_t RequestMemory::bodyDemand(const RequestExtent &extent) const
 {
-    const std::uint64_t held = std::max<std::uint64_t>(extent.contentLength.value_or(0), extent.bodyRoom);
-    if (!extent.isHeadDone || extent.contentLength.has_value() || extent.isDone || Decisions::MemoryBudget::isSmall(held)) {
+    const std::uint64_t held = std::max<std::uint64_t>(extent.contentLength.value_or(0), extent.bodyCapacity);
+    if (!extent.isHeadRead || extent.contentLength.has_value() || extent.isWholeRead || Decisions::MemoryBudget::isSmall(held)) {
         return held;
     }
-    return std::max(held, m_memory.budget().unknownBodyBytes(extent.longestBody));
+    return std::max(held, m_memory.budget().unknownBodyBytes(extent.maximumBodyBytes));
 }
 
 Decisions::RequestDemand RequestMemory::demand(const RequestExtent &extent) const
@@ -98,7 +98,7 @@
 {
     m_headBytes.set(extent.headBytes);
     m_bodyBytes.set(bodyDemand(extent));
-    m_isBodyBegun = extent.isHeadDone;
+    m_isBodyBegun = extent.isHeadRead;
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/requestmemory.h
+++ b/src/libs/relay/requestmemory.h
@@ -15,11 +15,11 @@
 struct RequestExtent
 {
     std::uint64_t headBytes = 0; ///< Memory that the head takes.
-    std::uint64_t bodyRoom = 0; ///< Memory that the part of the body which has been read takes.
+    std::uint64_t bodyCapacity = 0; ///< Memory that the part of the body which has been read takes.
     std::optional<std::uint64_t> contentLength; ///< Length of the body, if the head names it.
-    std::uint64_t longestBody = 0; ///< Length that a body may have.
-    bool isHeadDone = false;
-    bool isDone = false;
+    std::uint64_t maximumBodyBytes = 0; ///< Length that a body may have.
+    bool isHeadRead = false; ///< Whether the whole head has been read.
+    bool isWholeRead = false; ///< Whether head and body have been read.
 };
 
 /// \brief The memory that one request of a caller holds until its answer has ended, or waits for.
@@ -34,23 +34,23 @@
     RequestMemory &operator=(const RequestMemory &) = delete;
 
     /// \brief Returns whether a request of \a extent has its memory, and reserves it if so.
-    bool reserve(const RequestExtent &extent);
+    bool tryReserve(const RequestExtent &extent);
 
-    /// \brief Returns whether a request of \a extent, which reserve() has not admitted, may wait.
+    /// \brief Returns whether a request of \a extent, which tryReserve() has not admitted, may wait.
     bool mayWait(const RequestExtent &extent) const;
 
-    /// \brief Waits from \a now on; \a admitted is called when it is the request's turn, and then has to call reserveWaiting().
+    /// \brief Waits from \a now on; \a admitted is called when it is the request's turn, and then has to call endWait().
     void wait(const RequestExtent &extent, Core::TimePoint now, std::function<void()> admitted);
 
     /// \brief Ends the wait and reserves the memory of a request of \a extent.
-    void reserveWaiting(const RequestExtent &extent);
+    void endWait(const RequestExtent &extent);
 
     bool isWaiting() const;
 
     /// \brief Reports that the request of \a extent is refused at \a now.
     void reportRefusal(const RequestExtent &extent, Core::TimePoint now);
 
-    /// \brief Frees the memory, or ends the wait for it.
+    /// \brief Frees the memory and ends a wait for it.
     void release();
 
 private:
--- a/src/libs/wire/datagramsocket.cpp
+++ b/src/libs/wire/datagramsocket.cpp
@@ -71,7 +71,7 @@
             m_receiver(from, message);
         }
     }
-    m_loop.recordRemainder();
+    m_loop.recordUnreadInput();
 }
 
 } // namespace Verbena::Wire
--- a/tests/auto/platform/tst_processstart.cpp
+++ b/tests/auto/platform/tst_processstart.cpp
@@ -159,6 +159,7 @@
     }
     for (const auto &process : processes) {
         EXPECT_GE(process->waitForExit(), 0);
+        EXPECT_EQ(process->waitForExit() == ChildProcess::notExecutedStatus, false);
     }
 }
 
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -8,7 +8,7 @@
 constexpr std::chrono::seconds contactTime{3};
 constexpr int mostRetries = 3;
 
-// A request may cross the close of its connection for so long.
+// Time within which a request may have been sent while its router was closing the idle connection.
 constexpr std::chrono::milliseconds crossingTime{200};
 
 int knownCrashes(CrashCause cause)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -200,10 +200,10 @@
             m_world.replaceRouter(router);
             break;
         case 12:
-            m_world.leaveRouterLog(router);
+            m_world.closeRouterLog(router);
             break;
         case 13:
-            m_world.leaveAgentLog(worker);
+            m_world.closeAgentLog(worker);
             break;
         default:
             m_world.crashWorker(worker);
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -242,12 +242,12 @@
     startRouter(index);
 }
 
-void SoakWorld::leaveRouterLog(std::size_t index)
+void SoakWorld::closeRouterLog(std::size_t index)
 {
     m_routers[index].process.child->closeOutput();
 }
 
-void SoakWorld::leaveAgentLog(std::size_t index)
+void SoakWorld::closeAgentLog(std::size_t index)
 {
     m_workers[index % m_engines].agent.child->closeOutput();
 }
@@ -258,13 +258,13 @@
         m_folder.write(name, text);
     }
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
-        (void)takeEnd(m_routers[index].predecessor);
-        if (takeEnd(m_routers[index].process)) {
+        (void)reapIfEnded(m_routers[index].predecessor);
+        if (reapIfEnded(m_routers[index].process)) {
             startRouter(index);
         }
     }
     for (std::size_t index = 0; index < m_engines; ++index) {
-        if (takeEnd(m_workers[index].agent)) {
+        if (reapIfEnded(m_workers[index].agent)) {
             startAgent(index);
         }
     }
@@ -272,7 +272,7 @@
 
 // Returns whether the process has ended, and takes it for broken if it did so by itself. A signal that comes while the system still loads the program has its
 // default effect.
-bool SoakWorld::takeEnd(Process &process)
+bool SoakWorld::reapIfEnded(Process &process)
 {
     if (process.child == nullptr || process.child->isRunning()) {
         return false;
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -62,9 +62,9 @@
     /// \brief Asks router \a index to end and starts its successor at once, while it still holds its ports.
     void replaceRouter(std::size_t index);
 
-    /// \brief Goes away as the reader of the log of router \a index, or of agent \a index.
-    void leaveRouterLog(std::size_t index);
-    void leaveAgentLog(std::size_t index);
+    /// \brief Closes the reading end of the log of router \a index, or of agent \a index.
+    void closeRouterLog(std::size_t index);
+    void closeAgentLog(std::size_t index);
 
     /// \brief Returns whether router \a index was killed after \a time.
     bool wasKilledSince(std::size_t index, Core::TimePoint time) const;
@@ -126,7 +126,7 @@
     static bool isLoading(const Process &process, int signalNumber);
     void signal(Process &process, int signalNumber);
     void collectLog(Process &process);
-    bool takeEnd(Process &process);
+    bool reapIfEnded(Process &process);
     void startRouter(std::size_t index);
     void startAgent(std::size_t index);
     void registerWorker(std::size_t index);
