End a call that is given up in one place

giveUp() repeated how handleDeadline() ends a call: whether the request may have run is asked before the call is reset. abandonCall() does both now, and the two functions differ only in what they answer.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -958,8 +958,7 @@
     if (m_isDone) {
         return;
     }
-    const bool mayHaveBegun = mayHaveRun();
-    m_call.reset();
+    const bool mayHaveBegun = abandonCall();
     if (m_answer.isBegun()) {
         finish(AttemptAction::CutStream);
     } else if (mayHaveBegun) {
@@ -982,18 +981,22 @@
     if (m_isDone) {
         return;
     }
-    // Asked before the call is reset, as it counts.
-    const bool mayHaveBegun = mayHaveRun();
-    m_call.reset();
+    const bool mayHaveBegun = abandonCall();
     if (m_answer.isBegun()) {
         finish(AttemptAction::CutStream);
-        return;
-    }
-    if (mayHaveBegun) {
+    } else if (mayHaveBegun) {
         finish(AttemptAction::ReportLost);
-        return;
+    } else {
+        refuseForEnd();
     }
-    refuseForEnd();
+}
+
+// Asks before the call is reset, as it counts.
+bool RelayedRequest::abandonCall()
+{
+    const bool mayHaveBegun = mayHaveRun();
+    m_call.reset();
+    return mayHaveBegun;
 }
 
 void RelayedRequest::refuseForEnd()
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -174,6 +174,8 @@
     bool refuseIfOverloaded(const Decisions::FleetChoice &choice);
     std::chrono::microseconds acceptableWait(const Decisions::FleetChoice &choice) const;
     void handleDeadline();
+    /// \brief Ends the current call, if there is one. Returns whether the request may have run.
+    bool abandonCall();
     void refuseForEnd();
     void handleUnopenedCall(Core::ErrorCode code);
     std::optional<Core::TimePoint> callBackTime() const;
