--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -1,6 +1,5 @@
 #include "weightskeeper.h"
 
-#include "ordertable.h"
 #include "weightsevents.h"
 
 #include <eventloop/loop.h>
@@ -96,14 +95,13 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_rows(rows)
-    , m_orderRows(orderRows)
     , m_decoder(decoder)
     , m_engine(engine)
     , m_news(news)
     , m_cache(loop, caches, settings.engineAddress)
     , m_pace(loop, engine)
     , m_timer(loop, [this] { requestReport(); })
-    , m_lease(settings.lease, {settings.host, true, ""})
+    , m_lease(loop, settings.lease, settings.host, settings.engineAddress, orderRows, [this](Core::TimePoint nextStep) { scheduleReport(nextStep); })
     , m_watchedUntil(loop.now() + watchTimeout)
     , m_watchTimer(loop, [this] { followStoreIfUnwatched(); })
 {
@@ -281,16 +279,21 @@
     scheduleReport(m_loop.now());
 }
 
+bool WeightsKeeper::isRequestPending() const
+{
+    return m_isRequestPending || m_lease.isRequestPending();
+}
+
 void WeightsKeeper::scheduleReport(Core::TimePoint time)
 {
-    if (!m_isRequestPending) {
+    if (!isRequestPending()) {
         m_timer.startAt(time);
     }
 }
 
 void WeightsKeeper::requestReport()
 {
-    if (m_isRequestPending) {
+    if (isRequestPending()) {
         return;
     }
     m_isRequestPending = true;
@@ -335,7 +338,7 @@
     status.incarnation = report.incarnation;
     status.weights = report.weights;
     // A pending request may be an order, which new requests would have to wait for.
-    status.isLoading = report.isCarryingOutOrder || m_isRequestPending;
+    status.isLoading = report.isCarryingOutOrder || isRequestPending();
     for (const Decisions::ServedWeights &weights : report.weights) {
         const auto target = m_targets.find(weights.model);
         if (target != m_targets.end() && weights.version < target->second.version && target->second.loadTime != Core::TimePoint::max()) {
@@ -406,8 +409,8 @@
 
 void WeightsKeeper::order(const std::string &model, std::uint64_t version, std::uint64_t expectedOrders)
 {
-    if (!m_lease.mayOrder(Core::BootClock::now())) {
-        obtainLease();
+    if (!m_lease.mayOrder()) {
+        m_lease.obtain();
         return;
     }
     m_isRequestPending = true;
@@ -425,80 +428,4 @@
     m_engine.orderWeights(weightsOrder, m_loop.now() + engineTimeout, m_lifetime.guard(handle));
 }
 
-// Sends the next request to the store that is needed before an order; the next report follows.
-void WeightsKeeper::obtainLease()
-{
-    const Core::BootTime now = Core::BootClock::now();
-    if (!m_lease.isHeld()) {
-        commitLease(m_lease.acquisitionWrite(m_settings.engineAddress));
-    } else if (m_lease.isHandoverComplete()) {
-        confirmLease();
-    } else if (m_lease.mayCompleteHandover(now)) {
-        commitLease(m_lease.completionWrite(m_settings.engineAddress));
-    } else if (const auto wait = m_lease.takeUnreportedWait(now)) {
-        Observe::log(orderWaits, {{"engine", m_settings.engineAddress}, {"after", m_lease.holder()->previousHost}, {"in_ms", std::to_string(wait->count())}});
-    }
-}
-
-void WeightsKeeper::commitLease(const Store::RowWrite &write)
-{
-    m_isRequestPending = true;
-    const Core::BootTime requestedAt = Core::BootClock::now();
-    const auto handle = [this, write, requestedAt](const Store::CommitAnswer &answer) {
-        m_isRequestPending = false;
-        handleLeaseAnswer(write, answer, requestedAt);
-        const bool isAnswered = answer.outcome != Store::CommitOutcome::NotSent;
-        scheduleReport(m_loop.now() + (isAnswered && m_lease.isHeld() ? milliseconds(0) : retryDelay));
-    };
-    m_orderRows.commit(orderTable, {write}, m_loop.now() + storeTimeout, m_lifetime.guard(handle));
-}
-
-void WeightsKeeper::handleLeaseAnswer(const Store::RowWrite &write, const Store::CommitAnswer &answer, Core::BootTime requestedAt)
-{
-    switch (answer.outcome) {
-    case Store::CommitOutcome::Committed: {
-        const bool wasHeld = m_lease.isHeld();
-        m_lease.handleCommitted(write, answer.revision, requestedAt, Core::BootClock::now());
-        if (!wasHeld && m_lease.isHeld()) {
-            Observe::log(
-                ordersTaken, {{"engine", m_settings.engineAddress}, {"revision", std::to_string(answer.revision)}, {"after", m_lease.holder()->previousHost}});
-        }
-        return;
-    }
-    case Store::CommitOutcome::Conflict:
-        for (const Store::TableRow &row : answer.current) {
-            if (row.key == m_settings.engineAddress) {
-                m_lease.handleRow(row, requestedAt, Core::BootClock::now());
-            }
-        }
-        if (answer.current.empty()) {
-            confirmLease();
-        }
-        return;
-    case Store::CommitOutcome::Unknown:
-        // The outcome has to be known before the next write.
-        confirmLease();
-        return;
-    case Store::CommitOutcome::NotSent:
-        Observe::log(orderRowMissing, {{"engine", m_settings.engineAddress}, {"detail", answer.detail}});
-        return;
-    }
-}
-
-void WeightsKeeper::confirmLease()
-{
-    m_isRequestPending = true;
-    const Core::BootTime requestedAt = Core::BootClock::now();
-    const auto handle = [this, requestedAt](const Core::Result<std::optional<Store::TableRow>> &row) {
-        m_isRequestPending = false;
-        if (row) {
-            m_lease.handleRow(row.value(), requestedAt, Core::BootClock::now());
-        } else {
-            Observe::log(orderRowMissing, row.error(), {{"engine", m_settings.engineAddress}});
-        }
-        scheduleReport(m_loop.now() + (row ? milliseconds(0) : retryDelay));
-    };
-    m_orderRows.readRow(orderTable, m_settings.engineAddress, m_loop.now() + storeTimeout, m_lifetime.guard(handle));
-}
-
 } // namespace Verbena::Weights
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -2,10 +2,10 @@
 
 #include "enginecontrol.h"
 #include "newspublisher.h"
+#include "orderleaseclient.h"
 #include "pacereader.h"
 
 #include <core/lifetime.h>
-#include <decisions/relay/orderlease.h>
 #include <decisions/relay/weightsschedule.h>
 #include <eventloop/timer.h>
 #include <relay/cachemonitor.h>
@@ -85,16 +85,13 @@
     void recordSilence(bool isSilent, const Core::Error *error);
     Core::TimePoint orderIfDue(const EngineReport &report);
     void order(const std::string &model, std::uint64_t version, std::uint64_t expectedOrders);
-    void obtainLease();
-    void commitLease(const Store::RowWrite &write);
-    void confirmLease();
-    void handleLeaseAnswer(const Store::RowWrite &write, const Store::CommitAnswer &answer, Core::BootTime requestedAt);
+    /// \brief Returns whether a request to the engine, or to the store for the lease, is pending.
+    bool isRequestPending() const;
     void scheduleReport(Core::TimePoint time);
 
     EventLoop::Loop &m_loop;
     WeightsSettings m_settings;
     Store::RowSource &m_rows;
-    Store::RowStore &m_orderRows;
     const Relay::DeploymentDecoder &m_decoder;
     EngineControl &m_engine;
     NewsPublisher &m_news;
@@ -105,8 +102,8 @@
     EventLoop::Timer m_timer;
     std::map<std::string, Target> m_targets; ///< By model.
     std::map<std::string, std::uint64_t> m_inPlace; ///< Loaded version by model.
-    Decisions::OrderLease m_lease;
-    bool m_isRequestPending = false; ///< Whether a request to the engine or the store is pending.
+    OrderLeaseClient m_lease;
+    bool m_isRequestPending = false; ///< Whether a request to the engine is pending.
     bool m_isSilent = false;
     EngineReport m_lastReport;
     Store::StoreClockEstimate m_storeClock;
