Bound all that arrives of a message, whatever part it belongs to

Interim heads without end cost it a full core, and fields of a head that came in small pieces were taken without end too, as Boost.Beast compares its limit with the bytes of one call.

MessageReader appended to its buffer and relied on Beast's header limit, which counts what a call is given before the head is complete and nothing after it.

MessageBudget now counts what is parsed of a message from its first byte to its last, interim heads included, which the reader skips itself. What can't be parsed yet is bounded like a head; all that is no body by four heads, 16 bytes a chunk and the size of the body; interim heads by 16; fields by the text of all of them. A fault is typed by its bound and sticks: nothing is held or read after it. Callers get 431, 413 or 400 and request_too_long names the bound; calls are lost and counted in answers_too_long_<bound>_total. Open lines are not parsed again before another line end has come, and each byte is looked at once for folds. What a call holds beside its body counts as a partial answer in the memory budget.

Bytes that a caller sends beside its answer are read up to the size of one more request.

--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -34,6 +34,12 @@
 // Capacity that a reader keeps while it holds no bytes: enough for most heads, and little beside the other state of a connection.
 constexpr std::size_t keptBufferBytes = 2 * 1024;
 
+// Colon and line end.
+constexpr std::size_t fieldMarkBytes = 3;
+
+constexpr int statusesPerClass = 100;
+constexpr int interimClass = 1;
+
 // Returns whether the head contains something that the parser accepts, but that proxies are known to interpret differently.
 bool isAmbiguous(const MessageHead &head)
 {
@@ -80,6 +86,7 @@
     virtual bool hasBegun() const = 0;
     virtual bool isDone() const = 0;
     virtual bool isHeadDone() const = 0;
+    virtual bool isInterim() const = 0;
     virtual std::size_t fieldBytes() const = 0;
 };
 
@@ -89,8 +96,10 @@
     using Base = beast::http::basic_parser<isRequest>;
 
 public:
-    TypedParser(MessageSink &sink, const MessageLimits &limits)
+    TypedParser(MessageSink &sink, const MessageLimits &limits, MessageBudget &budget)
         : m_sink(sink)
+        , m_budget(budget)
+        , m_headerBytes(limits.headerBytes)
     {
         this->eager(true);
         this->header_limit(limits.headerBytes);
@@ -132,6 +141,11 @@
         return this->is_header_done();
     }
 
+    bool isInterim() const override
+    {
+        return m_isInterim;
+    }
+
     std::size_t fieldBytes() const override
     {
         return m_fieldBytes;
@@ -148,11 +162,21 @@
     void on_response_impl(int code, beast::string_view, int version, beast::error_code &) override
     {
         m_head.status = code;
+        m_isInterim = code / statusesPerClass == interimClass;
         m_head.isVersion11 = version == 11;
     }
 
-    void on_field_impl(beast::http::field, beast::string_view name, beast::string_view value, beast::error_code &) override
+    // The parser bounds the fields that come together only. Those of a trailer are not passed on.
+    void on_field_impl(beast::http::field, beast::string_view name, beast::string_view value, beast::error_code &error) override
     {
+        if (this->is_header_done()) {
+            return;
+        }
+        m_fieldTextBytes += name.size() + value.size() + fieldMarkBytes;
+        if (m_fieldTextBytes > m_headerBytes) {
+            error = beast::http::error::header_limit;
+            return;
+        }
         m_head.fields.push_back({std::string(view(name)), std::string(view(value))});
         m_fieldBytes += 2 * sizeof(HttpField) + name.size() + value.size(); // A vector that grows has room for twice its elements.
     }
@@ -169,7 +193,9 @@
             error = beast::http::error::bad_transfer_encoding;
             return;
         }
-        m_sink.receiveHead(std::move(m_head));
+        if (!m_isInterim) {
+            m_sink.receiveHead(std::move(m_head));
+        }
     }
 
     void on_body_init_impl(const boost::optional<std::uint64_t> &, beast::error_code &) override
@@ -178,27 +204,36 @@
 
     std::size_t on_body_impl(beast::string_view body, beast::error_code &) override
     {
+        m_budget.addBody(body.size());
         m_sink.receiveBody(view(body));
         return body.size();
     }
 
     void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code &) override
     {
+        m_budget.addChunk();
     }
 
     std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body, beast::error_code &) override
     {
+        m_budget.addBody(body.size());
         m_sink.receiveBody(view(body));
         return body.size();
     }
 
     void on_finish_impl(beast::error_code &) override
     {
-        m_sink.receiveEnd();
+        if (!m_isInterim) {
+            m_sink.receiveEnd();
+        }
     }
 
     MessageSink &m_sink;
+    MessageBudget &m_budget;
+    std::size_t m_headerBytes;
     MessageHead m_head;
+    bool m_isInterim = false;
+    std::size_t m_fieldTextBytes = 0;
     std::size_t m_fieldBytes = 0;
 };
 
@@ -206,6 +241,7 @@
     : m_kind(kind)
     , m_sink(sink)
     , m_limits(limits)
+    , m_budget(limits.headerBytes)
     , m_parser(makeParser())
 {
 }
@@ -214,60 +250,152 @@
 
 std::unique_ptr<MessageReader::Parser> MessageReader::makeParser()
 {
+    std::unique_ptr<Parser> parser;
     if (m_kind == Kind::Requests) {
-        return std::make_unique<TypedParser<true>>(m_sink, m_limits);
+        parser = std::make_unique<TypedParser<true>>(m_sink, m_limits, m_budget);
+    } else {
+        parser = std::make_unique<TypedParser<false>>(m_sink, m_limits, m_budget);
+    }
+    if (!m_isBodyExpected) {
+        parser->skipBody();
     }
-    return std::make_unique<TypedParser<false>>(m_sink, m_limits);
+    return parser;
 }
 
+void MessageReader::startMessage()
+{
+    m_budget = MessageBudget(m_limits.headerBytes);
+    m_folds = FoldScanner();
+    m_scannedBytes = 0;
+    m_isLineOpen = false;
+    m_isBodyExpected = true;
+    m_fault.reset();
+    m_parser = makeParser();
+}
+
+// While a line is open, only another line end lets the parser go on; it would look at parts of what it has each time.
 std::optional<MessageFault> MessageReader::feed(std::string_view data)
 {
+    if (m_fault.has_value()) {
+        return m_fault;
+    }
     m_buffer.append(data);
+    if (m_isLineOpen && data.find('\n') == std::string_view::npos) {
+        if (const std::optional<MessageFault> fault = exceededBound(0)) {
+            fail(*fault);
+        }
+        return m_fault;
+    }
     return parse();
 }
 
 std::optional<MessageFault> MessageReader::next()
 {
-    m_parser = makeParser();
+    startMessage();
     return parse();
 }
 
 std::optional<MessageFault> MessageReader::parse()
 {
     std::size_t used = 0;
-    std::optional<MessageFault> fault;
-    while (!m_parser->isDone() && used < m_buffer.size()) {
-        const std::string_view rest = std::string_view(m_buffer).substr(used);
-        if (!m_parser->isHeadDone()) {
-            // The parser unfolds folded fields before it reports them, so they are detected here.
-            // The parser takes whole field lines, so a rest that begins with a line end has no field left; what follows is the body.
-            const std::string_view head = rest.starts_with("\r\n") ? std::string_view() : rest.substr(0, rest.find("\r\n\r\n"));
-            if (head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos) {
-                return MessageFault::Malformed;
-            }
+    m_isLineOpen = false;
+    if (const std::optional<MessageFault> fault = parseBuffer(used)) {
+        fail(*fault);
+        return m_fault;
+    }
+    m_buffer.erase(0, used);
+    m_scannedBytes -= std::min(m_scannedBytes, used);
+    if (m_buffer.empty() && m_buffer.capacity() > keptBufferBytes) {
+        Core::freeText(m_buffer);
+    }
+    return std::nullopt;
+}
+
+std::optional<MessageFault> MessageReader::parseBuffer(std::size_t &used)
+{
+    while (!m_parser->isDone() && !m_isLineOpen && used < m_buffer.size()) {
+        if (isFolded(used)) {
+            m_faultDetail = "folded field";
+            return MessageFault::Malformed;
         }
         beast::error_code error;
-        used += m_parser->put(rest, error);
-        if (error == beast::http::error::need_more) {
-            break;
-        }
-        if (error) {
-            fault = faultOf(error);
+        const std::size_t parsed = m_parser->put(std::string_view(m_buffer).substr(used), error);
+        used += parsed;
+        m_budget.addParsed(parsed);
+        m_isLineOpen = error == beast::http::error::need_more;
+        if (error && !m_isLineOpen) {
             m_faultDetail = error.message();
-            break;
+            return faultOf(error);
+        }
+        if (m_parser->isDone() && m_parser->isInterim()) {
+            endInterimHead(used);
+        }
+        if (const std::optional<MessageFault> fault = exceededBound(used)) {
+            return fault;
         }
     }
-    m_buffer.erase(0, used);
-    if (m_buffer.empty() && m_buffer.capacity() > keptBufferBytes) {
-        Core::freeText(m_buffer);
+    return std::nullopt;
+}
+
+// The parser unfolds folded fields before it reports them, so they are found here.
+bool MessageReader::isFolded(std::size_t used)
+{
+    if (m_parser->isHeadDone()) {
+        return false;
     }
-    return fault;
+    const std::size_t begin = std::max(used, m_scannedBytes);
+    m_scannedBytes = m_buffer.size();
+    return m_folds.scan(std::string_view(m_buffer).substr(begin));
+}
+
+void MessageReader::endInterimHead(std::size_t used)
+{
+    m_budget.addInterimHead();
+    m_folds = FoldScanner();
+    m_scannedBytes = used;
+    m_parser = makeParser();
+}
+
+std::optional<MessageFault> MessageReader::exceededBound(std::size_t used) const
+{
+    if (m_budget.hasTooManyInterimHeads()) {
+        return MessageFault::TooManyInterimHeads;
+    }
+    const std::string_view rest = std::string_view(m_buffer).substr(used);
+    const std::string_view held = m_parser->isDone() || !m_isLineOpen ? std::string_view() : rest;
+    if (m_budget.isPartTooLong(held.size())) {
+        return tooLongPart(held);
+    }
+    if (m_budget.isFramingTooLarge(held.size())) {
+        return m_parser->isHeadDone() ? MessageFault::FramingTooLarge : MessageFault::HeaderTooLarge;
+    }
+    return std::nullopt;
+}
+
+// The parser takes the last chunk together with its trailer. What is held between chunks begins with the line end of the chunk before.
+MessageFault MessageReader::tooLongPart(std::string_view held) const
+{
+    constexpr std::size_t chunkEndBytes = 2;
+    if (!m_parser->isHeadDone()) {
+        return MessageFault::HeaderTooLarge;
+    }
+    return held.find('\n', chunkEndBytes) == std::string_view::npos ? MessageFault::ChunkLineTooLong : MessageFault::TrailerTooLarge;
+}
+
+void MessageReader::fail(MessageFault fault)
+{
+    m_fault = fault;
+    if (const std::optional<std::string_view> bound = exceededBoundName(fault)) {
+        m_faultDetail = "more than the bound on its " + std::string(*bound);
+    }
+    m_scannedBytes = 0;
+    Core::freeText(m_buffer);
 }
 
 std::optional<MessageFault> MessageReader::feedEnd()
 {
-    if (m_parser->isDone()) {
-        return std::nullopt;
+    if (m_fault.has_value() || m_parser->isDone()) {
+        return m_fault;
     }
     if (!m_parser->hasBegun()) {
         return MessageFault::Truncated;
@@ -280,12 +408,13 @@
 
 void MessageReader::expectNoBody()
 {
+    m_isBodyExpected = false;
     m_parser->skipBody();
 }
 
 bool MessageReader::hasBegun() const
 {
-    return m_parser->hasBegun() || !m_buffer.empty();
+    return m_budget.hasBegun() || m_parser->hasBegun() || !m_buffer.empty();
 }
 
 bool MessageReader::isDone() const
@@ -305,17 +434,18 @@
 
 std::size_t MessageReader::headBytes() const
 {
-    return m_parser->fieldBytes() + (isHeadDone() ? 0 : m_buffer.size());
+    return m_parser->fieldBytes() + m_buffer.size();
 }
 
 void MessageReader::discard()
 {
-    m_parser = makeParser();
+    startMessage();
     dropSurplus();
 }
 
 void MessageReader::dropSurplus()
 {
+    m_scannedBytes = 0;
     Core::freeText(m_buffer);
 }
 
--- a/src/libs/http/messagereader.h
+++ b/src/libs/http/messagereader.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "foldscanner.h"
 #include "httpexchange.h"
+#include "messagebudget.h"
+#include "messagefault.h"
 
 #include <core/result.h>
 
@@ -49,22 +52,17 @@
 /// \brief Maximum sizes of the parts of a message.
 struct MessageLimits
 {
-    std::uint32_t headerBytes = 16 * 1024; ///< Maximum size of the head.
+    std::uint32_t headerBytes = 16 * 1024; ///< Maximum size of the head, and of every other part that is no body; see MessageBudget.
     std::optional<std::uint64_t> bodyBytes; ///< Maximum size of the body; no value means no limit.
 };
 
-/// \brief Reason why a message cannot be parsed.
-enum class MessageFault {
-    Malformed, ///< The message is not valid HTTP, or its length is ambiguous.
-    HeaderTooLarge,
-    BodyTooLarge,
-    Truncated, ///< The connection was closed before the message was complete.
-};
-
 /// \brief A strict parser that splits the bytes of one connection into HTTP/1.1 messages.
 ///
 /// Rejects everything that two implementations could interpret differently: both Content-Length and Transfer-Encoding, a repeated length, a transfer
 /// coding other than chunked, folded fields and bare line feeds.
+///
+/// Interim answers (1xx) belong to the message that follows them and are skipped. All that arrives of a message is bounded, whatever part it belongs to. After
+/// a fault nothing is read or held until next() or discard().
 class MessageReader
 {
 public:
@@ -97,7 +95,7 @@
     /// \brief Returns whether the head of the current message is complete.
     bool isHeadDone() const;
 
-    /// \brief Returns the memory that the head of the current message takes, as text that is not parsed yet and as header fields.
+    /// \brief Returns the memory that the current message takes beside its body, as text that is not parsed yet and as header fields.
     std::size_t headBytes() const;
 
     /// \brief Frees what was received of the current message, which will not be read to its end.
@@ -118,13 +116,26 @@
     class TypedParser;
 
     std::unique_ptr<Parser> makeParser();
+    void startMessage();
     std::optional<MessageFault> parse();
+    std::optional<MessageFault> parseBuffer(std::size_t &used);
+    bool isFolded(std::size_t used);
+    void endInterimHead(std::size_t used);
+    std::optional<MessageFault> exceededBound(std::size_t used) const;
+    MessageFault tooLongPart(std::string_view held) const;
+    void fail(MessageFault fault);
 
     Kind m_kind;
     MessageSink &m_sink;
     MessageLimits m_limits;
+    MessageBudget m_budget; ///< Of the current message.
+    FoldScanner m_folds; ///< Of the current head.
+    bool m_isBodyExpected = true; ///< Whether the current message may have a body.
     std::unique_ptr<Parser> m_parser;
     std::string m_buffer;
+    std::size_t m_scannedBytes = 0; ///< Number of bytes at the start of m_buffer that were scanned for folds.
+    bool m_isLineOpen = false; ///< Whether m_buffer holds a line, or a part of several lines, that needs another line end before it can be parsed.
+    std::optional<MessageFault> m_fault; ///< Of the current message.
     std::string m_faultDetail;
 };
 
--- a/src/libs/http/ssesplitter.cpp
+++ b/src/libs/http/ssesplitter.cpp
@@ -37,6 +37,9 @@
         bytes.remove_prefix(*end);
         if (isNew(m_pending)) {
             events.append(m_pending);
+            m_returnedBytes += m_pending.size();
+        } else {
+            m_skippedBytes += m_pending.size();
         }
         m_pending.clear();
     }
@@ -67,6 +70,7 @@
 void SseSplitter::discardPending()
 {
     m_pending.clear();
+    m_skippedBytes = 0;
     m_scanner.reset();
 }
 
@@ -85,6 +89,16 @@
     return m_scanner.hasEvent();
 }
 
+std::uint64_t SseSplitter::returnedBytes() const
+{
+    return m_returnedBytes;
+}
+
+std::uint64_t SseSplitter::skippedBytes() const
+{
+    return m_skippedBytes;
+}
+
 std::optional<std::uint64_t> SseSplitter::lastId() const
 {
     return m_lastId;
--- a/src/libs/http/ssesplitter.h
+++ b/src/libs/http/ssesplitter.h
@@ -33,6 +33,12 @@
     /// \brief Returns whether an event has ended in the bytes added since the last discardPending().
     bool hasEvent() const;
 
+    /// \brief Returns the number of bytes of all returned events.
+    std::uint64_t returnedBytes() const;
+
+    /// \brief Returns the number of bytes of the events that were skipped since the last discardPending().
+    std::uint64_t skippedBytes() const;
+
     /// \brief Returns the id of the last returned event that has one.
     std::optional<std::uint64_t> lastId() const;
 
@@ -42,6 +48,8 @@
     SseEventScanner m_scanner;
     std::string m_pending; ///< The received part of an incomplete event.
     std::optional<std::uint64_t> m_lastId;
+    std::uint64_t m_returnedBytes = 0;
+    std::uint64_t m_skippedBytes = 0;
 };
 
 } // namespace Verbena::Http
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -173,13 +173,16 @@
     return isEventStream() && (m_isResumable ? m_splitter.isInsideEvent() : m_scanner.isInsideEvent());
 }
 
-// A stream may be of any length, as its events come one by one until the deadline.
-bool AnswerForwarder::isTooLong() const
+// A stream may be of any length, as its events come one by one until the deadline; those that the caller has already come once more at most.
+std::optional<std::string_view> AnswerForwarder::exceededBoundName() const
 {
     if (!isEventStream()) {
-        return m_bodyBytes > maximumBodyBytes;
+        return m_bodyBytes > maximumBodyBytes ? std::optional("body") : std::nullopt;
     }
-    return (m_isResumable ? m_splitter.pendingBytes() : m_scanner.pendingBytes()) > maximumEventBytes;
+    if ((m_isResumable ? m_splitter.pendingBytes() : m_scanner.pendingBytes()) > maximumEventBytes) {
+        return "event";
+    }
+    return m_splitter.skippedBytes() > m_splitter.returnedBytes() + maximumEventBytes ? std::optional("skipped_events") : std::nullopt;
 }
 
 bool AnswerForwarder::hasEvent() const
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -75,8 +75,9 @@
     /// \brief Returns where the answer to the current call ends so far.
     AnswerEnding ending() const;
 
-    /// \brief Returns whether the answer to the current call is longer than any may be, or an event of it is; what follows may have no end.
-    bool isTooLong() const;
+    /// \brief Returns the stable name of the bound that the body of the current call's answer exceeds, so that what follows may have no end; nothing if it
+    /// exceeds none.
+    std::optional<std::string_view> exceededBoundName() const;
 
     /// \brief Returns whether the current call's answer is a stream that has brought a whole event.
     bool hasEvent() const;
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -12,7 +12,6 @@
 // Backend servers send short heads; a longer one is malformed.
 constexpr std::uint32_t maximumHeadBytes = 64 * 1024;
 
-constexpr int firstFinalStatus = 200;
 constexpr int firstServerErrorStatus = 500;
 
 bool keepsConnection(const Http::MessageHead &head)
@@ -20,6 +19,14 @@
     return head.isVersion11 && head.isKeptAlive && !head.isEndedByClose && head.status < firstServerErrorStatus;
 }
 
+std::string_view faultText(Http::MessageFault fault)
+{
+    if (Http::exceededBoundName(fault).has_value()) {
+        return "the answer has no end in sight: ";
+    }
+    return fault == Http::MessageFault::Truncated ? "the answer broke off: " : "the answer is no HTTP: ";
+}
+
 } // namespace
 
 Core::Result<std::unique_ptr<BackendCall>> BackendCall::create(EventLoop::Loop &loop,
@@ -107,6 +114,16 @@
     m_channel->setMeter(std::move(meter));
 }
 
+void BackendCall::setAnswerMeter(std::unique_ptr<Http::ByteMeter> meter)
+{
+    m_answerMeter = std::move(meter);
+}
+
+std::optional<Http::MessageFault> BackendCall::answerFault() const
+{
+    return m_fault;
+}
+
 bool BackendCall::isReused() const
 {
     return m_isReused;
@@ -154,12 +171,9 @@
 
 void BackendCall::receiveHead(Http::MessageHead head)
 {
-    m_isInterim = head.status < firstFinalStatus;
-    if (!m_isInterim) {
-        m_isKeptAlive = keepsConnection(head);
-        m_idleTimeout = Http::idleTimeout(head);
-        m_head = std::move(head);
-    }
+    m_isKeptAlive = keepsConnection(head);
+    m_idleTimeout = Http::idleTimeout(head);
+    m_head = std::move(head);
 }
 
 void BackendCall::receiveBody(std::string_view data)
@@ -169,16 +183,7 @@
 
 void BackendCall::receiveEnd()
 {
-    m_isWhole = !m_isInterim;
-}
-
-std::optional<Http::MessageFault> BackendCall::readOn(std::string_view data)
-{
-    std::optional<Http::MessageFault> fault = m_reader.feed(data);
-    while (!fault.has_value() && m_reader.isDone() && !m_isWhole) {
-        fault = m_reader.next();
-    }
-    return fault;
+    m_isWhole = true;
 }
 
 void BackendCall::receiveBytes(std::string_view data)
@@ -188,7 +193,11 @@
         m_isKeptAlive = false;
         return;
     }
-    deliver(readOn(data));
+    const std::optional<Http::MessageFault> fault = m_reader.feed(data);
+    if (m_answerMeter != nullptr) {
+        m_answerMeter->setBytes(m_reader.headBytes());
+    }
+    deliver(fault);
 }
 
 void BackendCall::receiveEnd(Http::ChannelEnd end)
@@ -227,8 +236,8 @@
     if (m_isWhole) {
         m_observer.receiveAnswerEnd();
     } else if (fault.has_value()) {
-        const std::string detail = m_reader.faultDetail();
-        fail((*fault == Http::MessageFault::Truncated ? "the answer broke off: " : "the answer is no HTTP: ") + detail);
+        m_fault = fault;
+        fail(std::string(faultText(*fault)) + m_reader.faultDetail());
     }
 }
 
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -3,6 +3,7 @@
 #include <core/result.h>
 #include <decisions/relay/attemptpolicy.h>
 #include <eventloop/timer.h>
+#include <http/bytemeter.h>
 #include <http/messagereader.h>
 #include <http/tcpchannel.h>
 
@@ -91,6 +92,12 @@
     /// \brief Sets the meter that is told how many bytes of the request are not sent yet.
     void setMeter(std::unique_ptr<Http::ByteMeter> meter);
 
+    /// \brief Sets the meter that is told how many bytes of the answer are held beside its body.
+    void setAnswerMeter(std::unique_ptr<Http::ByteMeter> meter);
+
+    /// \brief Returns why the answer could not be read to its end; nothing if it was whole or the connection ended.
+    std::optional<Http::MessageFault> answerFault() const;
+
     /// \brief Returns whether the connection has served another call before.
     bool isReused() const;
 
@@ -111,7 +118,6 @@
     void receiveHead(Http::MessageHead head) override;
     void receiveBody(std::string_view data) override;
     void receiveEnd() override;
-    std::optional<Http::MessageFault> readOn(std::string_view data);
     void deliver(std::optional<Http::MessageFault> fault);
     void fail(std::string_view reason);
     void handleTimeout();
@@ -121,6 +127,8 @@
     Http::MessageReader m_reader;
     EventLoop::Timer m_timer; ///< Runs until there is a connection, and then until a request that may run again should have been acknowledged.
     std::unique_ptr<Http::TcpChannel> m_channel;
+    std::unique_ptr<Http::ByteMeter> m_answerMeter; ///< Null if nothing counts what is held of the answer.
+    std::optional<Http::MessageFault> m_fault;
     bool m_isRepeatable;
     bool m_isReused = false;
     std::size_t m_requestBytes = 0; ///< Size of the request.
@@ -128,7 +136,6 @@
     // Parsed from the last bytes and delivered to the observer after the reader has returned, as the observer may destroy this call.
     std::optional<Http::MessageHead> m_head;
     std::string m_body;
-    bool m_isInterim = false; ///< Whether the last head was interim (1xx), so that another one follows.
     bool m_isWhole = false;
     bool m_isKeptAlive = false; ///< Whether the answer lets the connection serve further calls.
     std::optional<std::chrono::seconds> m_idleTimeout;
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -65,6 +65,26 @@
     text.append(size.data(), end).append("\r\n").append(data).append("\r\n");
 }
 
+Refusal refusalOf(Http::MessageFault fault)
+{
+    switch (fault) {
+    case Http::MessageFault::HeaderTooLarge:
+        return {431, "The header of the request is too large.", std::nullopt};
+    case Http::MessageFault::TrailerTooLarge:
+        return {431, "The trailer of the request is too large.", std::nullopt};
+    case Http::MessageFault::BodyTooLarge:
+        return {413, "The body of the request is too large.", std::nullopt};
+    case Http::MessageFault::FramingTooLarge:
+        return {413, "The chunks of the request carry too much beside the body.", std::nullopt};
+    case Http::MessageFault::ChunkLineTooLong:
+    case Http::MessageFault::TooManyInterimHeads:
+    case Http::MessageFault::Malformed:
+    case Http::MessageFault::Truncated:
+        break;
+    }
+    return {400, "The request is not proper HTTP/1.1.", std::nullopt};
+}
+
 Http::MessageLimits messageLimits(const Decisions::RelayLimits &limits)
 {
     return {limits.headerBytes, limits.bodyBytes};
@@ -180,16 +200,9 @@
     if (m_isAnswerEnded && m_state == State::Answering) {
         finishExchange();
     }
-    if (m_state == State::Answering) {
-        m_isClosing = true;
-        return;
-    }
-    if (m_state == State::Lingering) {
-        return;
-    }
-    // A request that waits for memory after it was read whole; what follows it belongs to no request that will be read.
-    if (m_memory.isWaiting()) {
-        m_isClosing = true;
+    // A request that waits for memory was read whole; what follows it belongs to no request that will be read.
+    if (m_state != State::Reading || m_memory.isWaiting()) {
+        drop(data.size());
         return;
     }
     const bool isFirst = !m_reader.hasBegun();
@@ -199,6 +212,10 @@
         refuse(*fault);
         return;
     }
+    if (m_reader.isDone() && m_reader.surplusBytes() > 0) {
+        drop(m_reader.surplusBytes());
+        m_reader.dropSurplus();
+    }
     if (!reserveOrWait()) {
         return;
     }
@@ -213,6 +230,28 @@
     }
 }
 
+// What a caller was about to send when it got its answer is taken from it, so that it reads the answer. More than one more request is not: the rest stays with
+// the caller.
+void CallerConnection::drop(std::size_t bytes)
+{
+    m_isClosing = true;
+    m_droppedBytes += bytes;
+    if (mayTakeNoMore()) {
+        m_channel->setReading(false);
+    }
+}
+
+bool CallerConnection::mayTakeNoMore() const
+{
+    const Decisions::RelayLimits limits = m_owner.limits();
+    return m_droppedBytes > limits.headerBytes + limits.bodyBytes;
+}
+
+void CallerConnection::resumeReading()
+{
+    m_channel->setReading(!mayTakeNoMore());
+}
+
 void CallerConnection::receiveEnd(Http::ChannelEnd)
 {
     m_owner.connectionEnded(this);
@@ -225,7 +264,7 @@
 
 void CallerConnection::outputDrained()
 {
-    m_channel->setReading(true);
+    resumeReading();
     if (m_state == State::Answering && m_request != nullptr && !m_isAnswerEnded) {
         m_request->outputDrained();
     }
@@ -259,8 +298,7 @@
     m_timer.stop();
     m_isVersion11 = m_head.isVersion11;
     m_isHead = m_head.method == "HEAD";
-    m_isClosing = m_isClosing || !m_head.isKeptAlive || m_reader.surplusBytes() > 0;
-    m_reader.dropSurplus();
+    m_isClosing = m_isClosing || !m_head.isKeptAlive;
     m_isAnswerEnded = false;
     const Http::SharedBody body = m_body.empty() ? nullptr : std::make_shared<const std::string>(std::move(m_body));
     m_request = m_owner.beginRequest(std::move(m_head), body, *this);
@@ -269,17 +307,11 @@
 
 void CallerConnection::refuse(Http::MessageFault fault)
 {
-    switch (fault) {
-    case Http::MessageFault::HeaderTooLarge:
-        refuse({431, "The header of the request is too large.", std::nullopt});
-        break;
-    case Http::MessageFault::BodyTooLarge:
-        refuse({413, "The body of the request is too large.", std::nullopt});
-        break;
-    default:
-        refuse({400, "The request is not proper HTTP/1.1.", std::nullopt});
-        break;
+    const Refusal refusal = refusalOf(fault);
+    if (const std::optional<std::string_view> bound = Http::exceededBoundName(fault)) {
+        m_owner.reportTooLong(*bound, refusal.status);
     }
+    refuse(refusal);
 }
 
 // Returns false if the request waits or has been refused.
@@ -320,7 +352,7 @@
 {
     m_memory.endWait(extent());
     m_body.reserve(m_head.contentLength.value_or(0));
-    m_channel->setReading(true);
+    resumeReading();
     if (m_reader.isDone()) {
         answerRequest();
         return;
@@ -341,7 +373,7 @@
     m_isHead = head.method == "HEAD";
     Core::freeText(m_body);
     m_reader.discard();
-    m_channel->setReading(true);
+    resumeReading();
     m_memory.release();
     respond(refusal.status, m_owner.refusalFields(refusal, head), refusal.message);
 }
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -9,8 +9,10 @@
 #include <http/messagereader.h>
 #include <http/tcpchannel.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace Verbena::Relay {
 
@@ -34,6 +36,9 @@
     /// \brief Returns the header fields of the answer to a request that was not read; \a head is empty if it is unknown.
     virtual std::vector<Http::HttpField> refusalFields(const Refusal &refusal, const Http::MessageHead &head) const = 0;
 
+    /// \brief Reports a request that was refused with \a status as it exceeds the bound with the name \a bound.
+    virtual void reportTooLong(std::string_view bound, int status) = 0;
+
     /// \brief Returns what counts the bytes that connections hold.
     virtual MemoryGuard &memory() = 0;
 
@@ -126,12 +131,15 @@
     void receiveBody(std::string_view data) override;
     void receiveEnd() override;
     void answerRequest();
+    void drop(std::size_t bytes);
+    bool mayTakeNoMore() const;
     void refuse(Http::MessageFault fault);
     void refuse(const Refusal &refusal, const Http::MessageHead &head = {});
     bool reserveOrWait();
     RequestExtent extent() const;
     void awaitMemory();
     void readOn();
+    void resumeReading();
     void refuseForMemory();
     void send(std::string_view data);
     std::string headText(int status, const std::vector<Http::HttpField> &fields) const;
@@ -151,6 +159,7 @@
     Http::MessageHead m_head;
     std::string m_body;
     std::unique_ptr<RelayedRequest> m_request;
+    std::uint64_t m_droppedBytes = 0; ///< Received bytes that belong to no request that is read.
     Core::TimePoint m_idleSince;
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
     Core::TimePoint m_lastReadAt;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -401,6 +401,7 @@
     if (call) {
         m_call = std::move(call.value());
         m_call->setMeter(createMeter(m_context.memory, Decisions::HeldKind::UnsentToServers));
+        m_call->setAnswerMeter(createMeter(m_context.memory, Decisions::HeldKind::PartialAnswers));
         updateCallBackTimer();
         return true;
     }
@@ -551,9 +552,9 @@
     if (m_answer.isBegun() && !wasBegun) {
         beginStream();
     }
-    if (m_answer.isTooLong()) {
-        m_context.metrics.count("answers_too_long_total");
-        callFailed(CallFailure::Lost, "the answer is longer than any may be");
+    if (const std::optional<std::string_view> bound = m_answer.exceededBoundName()) {
+        countTooLong(*bound);
+        callFailed(CallFailure::Lost, "the answer is longer than any may be: more than the bound on its " + std::string(*bound));
         return;
     }
     if (m_sink.isFull()) {
@@ -745,9 +746,20 @@
     }
 }
 
+void RelayedRequest::countTooLong(std::string_view bound)
+{
+    m_context.metrics.count("answers_too_long_total");
+    m_context.metrics.count("answers_too_long_" + std::string(bound) + "_total");
+}
+
 // If the connection was lost, the backend server may have crashed. A request that can be sent again waits until this is known.
 void RelayedRequest::callFailed(CallFailure failure, std::string_view reason)
 {
+    if (const std::optional<Http::MessageFault> fault = m_call->answerFault()) {
+        if (const std::optional<std::string_view> bound = Http::exceededBoundName(*fault)) {
+            countTooLong(*bound);
+        }
+    }
     if (failure != CallFailure::Lost) {
         handleFailure(failure, reason);
         return;
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -153,6 +153,7 @@
     void completeAnswer();
     void recordPauses();
     void callFailed(Decisions::CallFailure failure, std::string_view reason) override;
+    void countTooLong(std::string_view bound);
     void handleFailure(Decisions::CallFailure failure, std::string_view reason);
     void closeCall(Decisions::CallFailure failure);
     void decide(Decisions::CallFailure failure, std::string_view reason);
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -64,6 +64,7 @@
 inline constexpr Event softwareUnread{
     2140, Severity::Warning, "software_unread", "The store did not tell which software versions services had; it is asked again."};
 inline constexpr Event softwareRowRefused{2141, Severity::Warning, "software_row_refused", "A row of the table of software versions could not be read."};
+inline constexpr Event requestTooLong{2146, Severity::Warning, "request_too_long", "A request was refused as a part of it exceeds its bound."};
 inline constexpr Event memoryShort{2150, Severity::Warning, "memory_short", "Bytes held for callers and backend servers leave little memory."};
 inline constexpr Event memoryEnough{2151, Severity::Info, "memory_enough", "Bytes held for callers and backend servers leave enough memory again."};
 inline constexpr Event bodyRefused{2152, Severity::Warning, "body_refused", "A request was refused since there is too little memory for its body."};
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -445,6 +445,13 @@
     return m_protocol.refusalFields(refusal, query ? query.value().attemptId : "");
 }
 
+void RelayTask::reportTooLong(std::string_view bound, int status)
+{
+    m_metrics.count("requests_too_long_total");
+    m_metrics.count("requests_too_long_" + std::string(bound) + "_total");
+    Observe::log(requestTooLong, {{"bound", std::string(bound)}, {"status", std::to_string(status)}});
+}
+
 void RelayTask::beginShutdown(std::function<void()> done)
 {
     if (m_isDraining) {
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -141,6 +141,7 @@
     Decisions::RelayLimits limits() const override;
     bool isDraining() const override;
     std::vector<Http::HttpField> refusalFields(const Refusal &refusal, const Http::MessageHead &head) const override;
+    void reportTooLong(std::string_view bound, int status) override;
     MemoryGuard &memory() override;
     BodyAdmission &bodies() override;
     Core::TimePoint latestBodyStart(const Http::MessageHead &head) const override;
--- a/tests/auto/platform/tst_hostlimits.cpp
+++ b/tests/auto/platform/tst_hostlimits.cpp
@@ -63,6 +63,9 @@
         if (head.target == "/load/unanswered") {
             return {};
         }
+        if (head.target == "/load/endless") {
+            return {"HTTP/1.1 200 OK\r\nVerbenaladder-Server-Stamp: stamp\r\nTransfer-Encoding: chunked\r\n\r\n"};
+        }
         const std::string *id = head.field("Verbenaladder-Attempt-Id");
         return {"HTTP/1.1 200 OK\r\nVerbenaladder-Attempt-Id: " + (id == nullptr ? "" : *id)
             + "\r\nVerbenaladder-Server-Stamp: stamp\r\nContent-Length: 2\r\n\r\nok"};
@@ -86,12 +89,18 @@
 
     // Returns the anonymous memory of the router.
     std::int64_t heldBytes()
+    {
+        return memoryBytes("RssAnon:");
+    }
+
+    // Returns what the system says of the router's memory in the line \a name.
+    std::int64_t memoryBytes(const std::string &name)
     {
         std::ifstream status("/proc/" + std::to_string(m_deployment.router().pid()) + "/status");
         std::string word;
         while (status >> word) {
             std::int64_t kibibytes = 0;
-            if (word == "RssAnon:" && status >> kibibytes) {
+            if (word == name && status >> kibibytes) {
                 return kibibytes * 1024;
             }
         }
@@ -190,6 +199,9 @@
     std::size_t m_asked = 100'000; ///< Number of the last small request, in its id.
 };
 
+// More than the host could hold.
+constexpr std::size_t mostSentBytes = std::size_t(2) * hostBytes;
+
 constexpr std::size_t uploads = 32;
 constexpr std::size_t bodyBytes = 4'000'000;
 
@@ -256,6 +268,34 @@
     EXPECT_GE(m_server.openCount(), requests / 2);
 }
 
+// A trailer of a caller, and the size line of a chunk of a server, were kept whole as long as they came.
+TEST_F(HostLimitsTest, isNotOutgrownByMessagesWithoutEnd)
+{
+    const std::string piece(64 * 1024, '0');
+    CallerFake &sender = addCaller();
+    sender.send(headOf(1, "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX: "));
+    CallerFake &reader = addCaller();
+    reader.send("GET /load/endless HTTP/1.1\r\nHost: x.example\r\nAuthorization: Token secret\r\nConnection: close\r\n\r\n");
+    EXPECT_TRUE(m_deployment.runUntil([this] { return m_server.heads().back().target == "/load/endless"; }));
+    std::size_t sentByCaller = 0;
+    std::size_t sentByServer = 0;
+    EXPECT_TRUE(m_deployment.runUntil([&] {
+        if (!sender.isClosed() && sender.waitingBytes() == 0) {
+            sender.send(piece);
+            sentByCaller += piece.size();
+        }
+        if (m_server.openCount() > 0 && m_server.waitingBytes() == 0) {
+            m_server.sendMore(piece);
+            sentByServer += piece.size();
+        }
+        return (sender.isClosed() || sentByCaller >= mostSentBytes) && (reader.isClosed() || sentByServer >= mostSentBytes);
+    }));
+    expectWithinHost(memoryBytes("VmHWM:") - restBytes);
+    EXPECT_EQ(countAnswers("HTTP/1.1 431"), 1U);
+    EXPECT_EQ(countAnswers("HTTP/1.1 502"), 1U);
+    EXPECT_TRUE(m_deployment.runUntil([this] { return isServed(); }));
+}
+
 // A router that was out of descriptors took no new caller for seconds while it said that it was ready, and then refused all for want of one for its calls.
 TEST_F(HostLimitsTest, takesNewCallersWhileMoreConnectionsAreKeptThanItMayOpen)
 {
--- a/tests/auto/relay/tst_endlessanswers.cpp
+++ b/tests/auto/relay/tst_endlessanswers.cpp
@@ -30,8 +30,8 @@
         addWorker(script);
     }
 
-    // Sends a request to \a path and bytes without end to the router until it closes the call or has taken too many. Returns how many it was sent.
-    std::size_t sendEndless(const std::string &path)
+    // Sends a request to \a path and \a piece without end to the router until it closes the call or has taken too many. Returns how many bytes it was sent.
+    std::size_t sendEndless(const std::string &path, const std::string &piece = chunk(std::string(pieceBytes, 'x')))
     {
         m_caller = caller();
         m_caller->send(request(path));
@@ -39,8 +39,8 @@
         runUntil(*m_loop, [&] {
             for (const auto &worker : m_workers) {
                 if (m_isEndless && !worker->heads().empty() && worker->openCount() > 0 && sent < endlessBytes && worker->waitingBytes() == 0) {
-                    worker->sendMore(chunk(std::string(pieceBytes, 'x')));
-                    sent += pieceBytes;
+                    worker->sendMore(piece);
+                    sent += piece.size();
                 }
             }
             const bool isOver = runs() > 1 || m_caller->isClosed();
@@ -87,6 +87,47 @@
     EXPECT_EQ(runs(), 1U);
 }
 
+// The lines between chunks were kept whole in memory, and so was a trailer.
+TEST_F(EndlessAnswersTest, asksAnotherServerWhereASizeLineHasNoEnd)
+{
+    startEndless("", chunk("whole") + "0\r\n\r\n");
+    EXPECT_LT(sendEndless("/safe/", std::string(pieceBytes, '0')), endlessBytes);
+    EXPECT_TRUE(runUntil(*m_loop, [this] { return contains(m_caller->received(), "whole"); }));
+    EXPECT_EQ(runs(), 2U);
+}
+
+// Events that the caller had already were skipped for as long as they came.
+TEST_F(EndlessAnswersTest, resumesAStreamElsewhereThatBringsOldEventsOnly)
+{
+    startEndless(chunk(event(2)), chunk(event(3)) + "0\r\n\r\n");
+    std::string oldEvents;
+    while (oldEvents.size() < pieceBytes) {
+        oldEvents += chunk(event(1));
+    }
+    EXPECT_LT(sendEndless("/resume/", oldEvents), endlessBytes);
+    EXPECT_TRUE(runUntil(*m_loop, [this] { return contains(m_caller->received(), event(3)); }));
+    EXPECT_EQ(runs(), 2U);
+}
+
+// A caller that goes on sending beside its answer was read at full speed until that answer came.
+TEST_F(EndlessAnswersTest, takesNoMoreThanOneRequestBesideAnAnswer)
+{
+    start([](const auto &, const auto &) { return WorkerScript{}; });
+    m_caller = caller();
+    m_caller->send(request("/once/"));
+    ASSERT_TRUE(runUntil(*m_loop, [this] { return runs() == 1; }));
+    std::size_t sent = 0;
+    const Core::TimePoint end = m_loop->now() + std::chrono::milliseconds(500);
+    runUntil(*m_loop, [&] {
+        if (sent < 4 * endlessBytes && m_caller->waitingBytes() == 0) {
+            m_caller->send(std::string(pieceBytes, 'x'));
+            sent += pieceBytes;
+        }
+        return m_loop->now() >= end;
+    });
+    EXPECT_LT(sent, 4 * endlessBytes);
+}
+
 } // namespace
 
 } // namespace Verbena::Relay
--- a/tests/platform/workerfake.cpp
+++ b/tests/platform/workerfake.cpp
@@ -135,7 +135,9 @@
 
 void WorkerFake::sendMore(const std::string &bytes)
 {
-    m_last->send(bytes);
+    if (m_last != nullptr) {
+        m_last->send(bytes);
+    }
 }
 
 CallerFake::CallerFake(EventLoop::Loop &loop, const Http::Endpoint &endpoint)
@@ -168,6 +170,11 @@
     m_isClosed = true;
 }
 
+std::size_t CallerFake::waitingBytes() const
+{
+    return m_channel == nullptr ? 0 : m_channel->bufferedBytes();
+}
+
 void CallerFake::read()
 {
     widen(m_slowSocket);
--- a/tests/platform/workerfake.h
+++ b/tests/platform/workerfake.h
@@ -50,7 +50,7 @@
     /// \brief Ends the server: accepts no connection from now on. Open ones end as their scripts say.
     void stopListening();
 
-    /// \brief Sends \a bytes on the connection of the last request.
+    /// \brief Sends \a bytes on the connection of the last request, if it is open.
     void sendMore(const std::string &bytes);
 
 private:
@@ -78,6 +78,9 @@
     void send(const std::string &bytes);
     void hangUp();
 
+    /// \brief Returns the number of sent bytes that the kernel has not accepted, for instance because the relay does not read.
+    std::size_t waitingBytes() const;
+
     /// \brief Starts to read, for a caller of createSlow().
     void read();
 
