Refuse answers with a status below 100

BackendCall took each status below 200 for an interim answer, while Boost.Beast reads a body behind those below 100: their body was passed on before any head. MessageReader refuses such a status now. MessageReaderTest.rejectsStatusesBelow100: no fault and the body received on, passes with this change.

--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -159,8 +159,12 @@
         m_head.isVersion11 = version == 11;
     }
 
-    void on_response_impl(int code, beast::string_view, int version, beast::error_code &) override
+    void on_response_impl(int code, beast::string_view, int version, beast::error_code &error) override
     {
+        if (code < statusesPerClass) {
+            error = beast::http::error::bad_status;
+            return;
+        }
         m_head.status = code;
         m_isInterim = code / statusesPerClass == interimClass;
         m_head.isVersion11 = version == 11;
--- a/tests/auto/http/tst_messagereader.cpp
+++ b/tests/auto/http/tst_messagereader.cpp
@@ -189,6 +189,29 @@
     EXPECT_TRUE(reader.isDone());
 }
 
+// After an interim answer to HEAD the body was waited for until the deadline.
+TEST(MessageReaderTest, expectsNoBodyAfterHeadAndAnInterimAnswer)
+{
+    Recorder recorder;
+    MessageReader reader(MessageReader::Kind::Answers, recorder, {});
+    reader.expectNoBody();
+    EXPECT_FALSE(reader.feed("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n").has_value());
+    while (reader.isDone() && reader.surplusBytes() > 0) {
+        EXPECT_FALSE(reader.next().has_value());
+    }
+    EXPECT_TRUE(reader.isDone());
+    EXPECT_EQ(recorder.heads().back().status, 200);
+}
+
+// The body of an answer with such a status was taken for that of the answer after it.
+TEST(MessageReaderTest, rejectsStatusesBelow100)
+{
+    Recorder recorder;
+    MessageReader reader(MessageReader::Kind::Answers, recorder, {});
+    EXPECT_EQ(reader.feed("HTTP/1.1 050 Odd\r\nContent-Length: 5\r\n\r\nwhole"), MessageFault::Malformed);
+    EXPECT_TRUE(recorder.body().empty());
+}
+
 TEST(SseSplitterTest, returnsCompleteEventsReceivedInAnyPieces)
 {
     EXPECT_TRUE(rc::check([] {
