Send only what can end before the router does

Callers whose requests a router took after SIGTERM waited for up to seven seconds and then got 502: where servers worked 6 s, 34 of 66 requests, half of which may not be repeated (stop_kept_6s). With a grace period of 2 s the process ended after 3 s and would have been killed.

A router served all requests up to the end of its notice of 2.9 s, a constant that knew neither the grace period nor what a request needs, and gave up at the end what still ran.

ShutdownPlan now says whether a request can be expected to end in time, by what RunTimes learns for its route: the last 64 times from sending to the end of an answer, and the calls that have been running for longer than any of these while little ended. It is asked when a request is sent, sent again or moved, and twenty times a second while it waits. What can't be expected to end is refused, not run. The times follow from the grace period; what a stalled process doesn't know of the signal's time counts against it. The shutdown has left RelayTask for RelayShutdown. drain_ended says how many requests were refused and cut.

PlannedStopTest passes, 8 of 8. stop_kept_6s: none cut, 20 answered, 46 refused; ended after 7.1 s. stop_grace_2s: none cut, ended after 1.6 s. stop_grace_4s and stop_kept_4500ms: 24 and 6 cut before, none now; there nothing was known of the route, and some that would have ended were refused.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -694,6 +694,16 @@
     }
 }
 
+RunTimes &RelayFleet::runTimes()
+{
+    return m_runTimes;
+}
+
+void RelayFleet::recordRunTime(const FleetChoice &choice, Core::TimePoint now)
+{
+    m_runTimes.record(choice.routeName, std::chrono::duration_cast<std::chrono::milliseconds>(now - choice.sentAt), now);
+}
+
 bool RelayFleet::markLeaving(const FleetChoice &choice)
 {
     return !isOutdated(choice) && m_register.markLeaving(choice.serverId);
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -9,6 +9,7 @@
 #include "pauseestimate.h"
 #include "prompttransfers.h"
 #include "reportedloads.h"
+#include "runtimes.h"
 #include "serverlimits.h"
 #include "serverpace.h"
 #include "serverregister.h"
@@ -70,6 +71,12 @@
     /// \brief Records that the first part of a successful answer to the request of \a choice was received; to be called before recordAnswered().
     void recordWork(const FleetChoice &choice, Core::TimePoint now);
 
+    /// \brief Returns how long calls take.
+    RunTimes &runTimes();
+
+    /// \brief Records that the call of \a choice has its whole answer at \a now, or did not have it until then.
+    void recordRunTime(const FleetChoice &choice, Core::TimePoint now);
+
     /// \brief Records that \a longest was the longest pause in the whole stream of \a choice, for the pauses expected on its route. Does nothing if no server
     /// of the service names its pace.
     void recordLongestPause(const FleetChoice &choice, std::chrono::microseconds longest);
@@ -195,6 +202,7 @@
     ServerLimits m_limits;
     ServerRests m_rests;
     ServerPace m_pace;
+    RunTimes m_runTimes;
     ReportedLoads m_reportedLoads;
     std::map<std::string, WaitEstimate> m_estimates; ///< Wait estimates by route.
     std::map<std::string, PauseEstimate> m_pauses; ///< Pauses in streams by route.
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -159,11 +159,9 @@
     m_isOverDescriptorLimit = true;
 }
 
-void CallerConnection::refuseUnsent()
+void CallerConnection::refuseUnread()
 {
-    if (m_request != nullptr) {
-        m_request->refuseUnsent();
-    } else if (m_state == State::Reading && m_reader.hasBegun()) {
+    if (m_request == nullptr && m_state == State::Reading && m_reader.hasBegun()) {
         refuse({503, "This router ends; the request was not read whole and has not run.", RelayedRequest::endRetryDelay}, m_head);
     }
 }
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -94,8 +94,8 @@
     /// \brief Refuses the caller's next request, which has not run, and ends the connection after it.
     void refuseNextRequest();
 
-    /// \brief Refuses a request that is still being read or has not been sent to a backend server, as the process is about to end.
-    void refuseUnsent();
+    /// \brief Refuses a request that is still being read, as the process is about to end.
+    void refuseUnread();
 
     /// \brief Ends a request that has no complete answer, as the process ends.
     void giveUp();
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -1,5 +1,6 @@
 #include "relayedrequest.h"
 
+#include "relayshutdown.h"
 #include "requestadmission.h"
 #include "requestreport.h"
 #include "serverconnections.h"
@@ -320,6 +321,7 @@
 
 void RelayedRequest::dispatch()
 {
+    endIfTooLate();
     while (!m_isDone) {
         const Decisions::FleetQuery query = fleetQuery();
         const std::optional<FleetChoice> choice = m_context.fleet.choose(query, m_context.loop.now());
@@ -572,8 +574,7 @@
 {
     const Core::TimePoint now = m_context.loop.now();
     const bool isMovable = m_route->isResumable && m_answer.lastEventId().has_value() && !m_call->isWhole() && mayMoveStream(attempts());
-    if (!isMovable || now < m_nextMoveCheck || now + minimumResendTime >= m_deadline || !m_context.fleet.isWaitingToLoad(*m_choice, now)
-        || m_crashes.isSuspected()) {
+    if (!isMovable || now < m_nextMoveCheck || !hasTimeToResend() || !m_context.fleet.isWaitingToLoad(*m_choice, now) || m_crashes.isSuspected()) {
         return;
     }
     m_nextMoveCheck = now + moveCheckInterval;
@@ -633,8 +634,7 @@
 
 bool RelayedRequest::mayFailOver()
 {
-    const bool hasTime = m_context.loop.now() + minimumResendTime < m_deadline;
-    return mayResend(attemptsIfAbandoned(), failureIfAbandoned()) && hasTime && !isSoftwareGone() && !m_crashes.isSuspected();
+    return mayResend(attemptsIfAbandoned(), failureIfAbandoned()) && hasTimeToResend() && !isSoftwareGone() && !m_crashes.isSuspected();
 }
 
 bool RelayedRequest::isEngineLost() const
@@ -726,6 +726,7 @@
         return;
     }
     m_crashes.handleAnswer(isSuccess(m_answer.status()));
+    recordRunTime();
     endCall();
     if (m_answer.isBuffered()) {
         finish(AttemptAction::PassAnswer);
@@ -745,6 +746,15 @@
     }
 }
 
+// The last call of a stream that went on elsewhere has only the rest of it.
+void RelayedRequest::recordRunTime()
+{
+    const bool isRest = m_route->kind == RequestKind::Streaming && (m_attempts.sends > 1 || !m_query.lastEventId.empty());
+    if (m_call != nullptr && !isRest) {
+        m_context.fleet.recordRunTime(*m_choice, m_context.loop.now());
+    }
+}
+
 // If the connection was lost, the backend server may have crashed. A request that can be sent again waits until this is known.
 void RelayedRequest::callFailed(CallFailure failure, std::string_view reason)
 {
@@ -845,7 +855,12 @@
 
 bool RelayedRequest::mayResendInTime(CallFailure failure) const
 {
-    return !isSoftwareGone() && mayResend(attempts(), failure) && m_context.loop.now() + minimumResendTime < m_deadline;
+    return !isSoftwareGone() && mayResend(attempts(), failure) && hasTimeToResend();
+}
+
+bool RelayedRequest::hasTimeToResend() const
+{
+    return m_context.loop.now() + minimumResendTime < m_deadline && isExpectedToEnd();
 }
 
 AttemptAction RelayedRequest::chooseAction(CallFailure failure)
@@ -935,6 +950,11 @@
         refuse(503, "All backend servers have asked for rest; it has not run.", Decisions::retryDelay(*rest, remainingTime()));
         return;
     }
+    if (!isExpectedToEnd()) {
+        m_context.shutdown->recordRefusal();
+        refuseForEnd();
+        return;
+    }
     if (!m_sendDelay.has_value()) {
         refuse(503, "No backend server can take the request now; it has not run.");
         return;
@@ -958,6 +978,7 @@
     if (m_isDone) {
         return;
     }
+    recordRunTime();
     const bool mayHaveBegun = abandonCall();
     if (m_answer.isBegun()) {
         finish(AttemptAction::CutStream);
@@ -968,12 +989,27 @@
     }
 }
 
-void RelayedRequest::refuseUnsent()
+std::optional<Decisions::RunningCall> RelayedRequest::runningCall() const
+{
+    if (m_isDone || m_call == nullptr) {
+        return std::nullopt;
+    }
+    return Decisions::RunningCall{m_route->name, m_choice->sentAt};
+}
+
+bool RelayedRequest::isExpectedToEnd() const
+{
+    const milliseconds elapsed = m_answer.isBegun() ? sinceArrival() : milliseconds(0);
+    return m_context.shutdown->isExpectedToEnd({m_route->name, m_route->isRepeatable(), m_deadline, elapsed});
+}
+
+void RelayedRequest::endIfTooLate()
 {
-    if (m_isDone || m_call != nullptr || m_answer.isBegun() || mayHaveRun()) {
+    if (m_isDone || m_call != nullptr || m_serverCheck != nullptr || isExpectedToEnd()) {
         return;
     }
-    refuseForEnd();
+    m_context.shutdown->recordRefusal();
+    giveUp();
 }
 
 void RelayedRequest::giveUp()
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -37,6 +37,7 @@
 
 namespace Verbena::Relay {
 
+class RelayShutdown;
 class ServerConnections;
 
 /// \brief State that all requests of one relay share.
@@ -57,6 +58,7 @@
     StreamOriginControl *origins = nullptr; ///< Null if streams may be resumed at any backend server.
     Decisions::MemoryBudget *memory = nullptr; ///< Null if bytes held are not counted.
     ServerConnections *connections = nullptr; ///< Null if each call opens a connection of its own.
+    RelayShutdown *shutdown = nullptr; ///< Knows which requests can end in time while this router ends; never null for a request.
 };
 
 /// \brief Relays one request to a backend server and the answer back; destroying it cancels the request.
@@ -93,8 +95,11 @@
     /// it as lost if the engine has been silent for long.
     void failOver();
 
-    /// \brief Refuses the request if it waits to be sent and cannot have run, as the process is about to end.
-    void refuseUnsent();
+    /// \brief Returns the current call; nothing if the request waits to be sent or has its whole answer.
+    std::optional<Decisions::RunningCall> runningCall() const;
+
+    /// \brief Gives the request up if it waits to be sent and cannot be expected to end before the process does.
+    void endIfTooLate();
 
     /// \brief Answers the request as lost, or cuts its answer, as the process ends; refuses it if it cannot have run.
     void giveUp();
@@ -152,6 +157,7 @@
     void handleServerCheck(ServerCheck::Finding finding);
     void completeAnswer();
     void recordPauses();
+    void recordRunTime();
     void callFailed(Decisions::CallFailure failure, std::string_view reason) override;
     void handleFailure(Decisions::CallFailure failure, std::string_view reason);
     void closeCall(Decisions::CallFailure failure);
@@ -177,6 +183,8 @@
     /// \brief Ends the current call, if there is one. Returns whether the request may have run.
     bool abandonCall();
     void refuseForEnd();
+    bool isExpectedToEnd() const;
+    bool hasTimeToResend() const;
     void handleUnopenedCall(Core::ErrorCode code);
     std::optional<Core::TimePoint> callBackTime() const;
     void handleWeightsTooOld();
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -19,12 +19,6 @@
 // By then, a process that gets requests has earned several resends.
 constexpr std::chrono::seconds budgetFillTime{3};
 
-// Interval at which a relay that shuts down checks whether it is done.
-constexpr std::chrono::milliseconds shutdownCheckInterval{50};
-
-// Time before the end of the grace period at which requests that have not been sent to a backend server are refused.
-constexpr std::chrono::milliseconds unsentRefusalMargin{250};
-
 // Interval at which a list of routers with as many entries as before is compared in full; agents report it many times per second.
 constexpr std::chrono::milliseconds routersUpdateInterval{1000};
 
@@ -69,13 +63,15 @@
     , m_stallDetector(loop.now())
     , m_activityTimer(loop, [this] { handleActivityTimer(); })
     , m_activityDue(loop.now() + activityInterval)
+    , m_lastActivityDue(loop.now())
     , m_resume(loop, [this] { resumeAccepting(); })
-    , m_shutdownTimer(loop, [this] { continueShutdown(); })
+    , m_shutdown(loop, m_metrics, m_fleet.runTimes(), *this)
 {
     m_activityTimer.startAt(m_activityDue);
     m_fleet.setAnnouncementObserver([this] { handleNewWeights(); });
     m_fleet.limits().setAssumedRouters(settings.routerCount);
     m_context.memory = &m_memory.budget();
+    m_context.shutdown = &m_shutdown;
     if (settings.keepsConnections) {
         m_serverConnections = std::make_unique<ServerConnections>(loop, m_fleet.servers(), m_metrics);
         m_context.connections = m_serverConnections.get();
@@ -146,6 +142,7 @@
     if (m_listener != nullptr) {
         m_metrics.setGauge("accepts_failed", static_cast<double>(m_listener->failedAcceptCount()));
     }
+    m_lastActivityDue = m_activityDue;
     m_activityDue = now + activityInterval;
     m_activityTimer.startAt(m_activityDue);
 }
@@ -168,7 +165,8 @@
         return now;
     }
     const Core::TimePoint routeDeadline = now + admission.route->timeout;
-    return Decisions::latestBodyStart(now, std::min(admission.query.deadline.value_or(routeDeadline), routeDeadline), admission.route->isRepeatable());
+    const Core::TimePoint deadline = std::min(admission.query.deadline.value_or(routeDeadline), routeDeadline);
+    return std::min(Decisions::latestBodyStart(now, deadline, admission.route->isRepeatable()), m_shutdown.latestStart());
 }
 
 void RelayTask::relieveMemory()
@@ -326,7 +324,7 @@
 
 bool RelayTask::isReady() const
 {
-    return m_directory != nullptr && !m_isDraining && m_fleet.hasServers() && m_intake.wantsCallers();
+    return m_directory != nullptr && !m_shutdown.isBegun() && m_fleet.hasServers() && m_intake.wantsCallers();
 }
 
 Http::Endpoint RelayTask::endpoint() const
@@ -410,11 +408,24 @@
     return connections;
 }
 
-void RelayTask::closeAllIdleConnections()
+std::size_t RelayTask::connectionCount() const
+{
+    return m_connections.size();
+}
+
+std::uint64_t RelayTask::acceptedCount() const
+{
+    return m_acceptedCount;
+}
+
+bool RelayTask::acceptWaiting()
+{
+    return m_listener->acceptWaiting();
+}
+
+void RelayTask::closeListener()
 {
-    const std::vector<CallerConnection *> open = connectionSnapshot();
-    const auto closed = std::count_if(open.begin(), open.end(), [](CallerConnection *connection) { return connection->endIfIdle(); });
-    m_metrics.count("idle_connections_closed_for_shutdown_total", static_cast<std::uint64_t>(closed));
+    m_listener.reset();
 }
 
 void RelayTask::connectionEnded(CallerConnection *connection)
@@ -426,7 +437,7 @@
 std::unique_ptr<RelayedRequest> RelayTask::beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink)
 {
     recordActivity();
-    return std::make_unique<RelayedRequest>(m_context, m_isServingRequests ? m_directory : nullptr, std::move(head), std::move(body), sink);
+    return std::make_unique<RelayedRequest>(m_context, m_shutdown.isServingRequests() ? m_directory : nullptr, std::move(head), std::move(body), sink);
 }
 
 Decisions::RelayLimits RelayTask::limits() const
@@ -436,7 +447,7 @@
 
 bool RelayTask::isDraining() const
 {
-    return m_isDraining || m_connectionLimit.isCrowded(Http::TcpChannel::openCount());
+    return m_shutdown.isBegun() || m_connectionLimit.isCrowded(Http::TcpChannel::openCount());
 }
 
 std::vector<Http::HttpField> RelayTask::refusalFields(const Refusal &refusal, const Http::MessageHead &head) const
@@ -445,66 +456,12 @@
     return m_protocol.refusalFields(refusal, query ? query.value().attemptId : "");
 }
 
+// A process that stood still does not know how long ago it was asked to end. It was asked after its event loop was last on time.
 void RelayTask::beginShutdown(std::function<void()> done)
 {
-    if (m_isDraining) {
-        return;
-    }
-    m_isDraining = true;
-    m_shutdownDone = std::move(done);
-    m_noticeEnd = m_loop.now() + m_settings.shutdownNotice;
-    m_graceEnd = m_loop.now() + m_settings.shutdownGrace;
-    m_unsentRefusalTime = m_graceEnd - unsentRefusalMargin;
-    Observe::log(drainBegun, {{"connections", std::to_string(m_connections.size())}});
-    continueShutdown();
-}
-
-// Closes the listener so that new callers go to another router at once; their requests might not end in time here. Those whose connections wait in its queue
-// count them as accepted, and get an answer.
-void RelayTask::tryCloseListener()
-{
-    if (m_isServingRequests) {
-        m_isServingRequests = false;
-        m_acceptedAtNoticeEnd = m_acceptedCount;
-    }
-    if (!m_listener->acceptWaiting() && m_loop.now() < m_unsentRefusalTime) {
-        // The next check tries again.
-        return;
-    }
-    m_listener.reset();
-    reportListenerClosed();
-}
-
-void RelayTask::reportListenerClosed()
-{
-    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.now() - m_noticeEnd);
-    Observe::log(callersListenerClosed,
-        {{"connections", std::to_string(m_connections.size())},
-            {"queued", std::to_string(m_acceptedCount - m_acceptedAtNoticeEnd)},
-            {"late_ms", std::to_string(late.count())}});
-}
-
-void RelayTask::refuseUnsentRequests()
-{
-    for (CallerConnection *connection : connectionSnapshot()) {
-        connection->refuseUnsent();
-    }
-}
-
-void RelayTask::giveUpRequests()
-{
-    m_isGivenUp = true;
-    for (CallerConnection *connection : connectionSnapshot()) {
-        connection->giveUp();
-    }
-}
-
-// What is left is cut off by the end of the process.
-void RelayTask::reportEnd(Core::TimePoint now)
-{
-    Observe::log(drainEnded,
-        {{"connections", std::to_string(m_connections.size())},
-            {"left_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_graceEnd - now).count())}});
+    const Core::TimePoint now = m_loop.now();
+    const Core::TimePoint asked = std::min(now, now < m_activityDue ? m_lastActivityDue : m_activityDue);
+    m_shutdown.begin(Decisions::ShutdownPlan(now, asked, m_settings.shutdownNotice, m_settings.shutdownGrace), std::move(done));
 }
 
 // Requests hold the controls that they began with, and tell them of their end.
@@ -516,28 +473,4 @@
     m_connections.clear();
 }
 
-void RelayTask::continueShutdown()
-{
-    const Core::TimePoint now = m_loop.now();
-    if (now >= m_noticeEnd && m_listener != nullptr) {
-        tryCloseListener();
-    }
-    if (now >= m_noticeEnd) {
-        closeAllIdleConnections();
-    }
-    if (now >= m_unsentRefusalTime) {
-        refuseUnsentRequests();
-    }
-    if ((m_listener == nullptr && m_connections.empty()) || m_isGivenUp) {
-        reportEnd(now);
-        m_shutdownDone();
-        return;
-    }
-    // The timer runs once more, so that the answers of these requests are sent.
-    if (now >= m_graceEnd) {
-        giveUpRequests();
-    }
-    m_shutdownTimer.startAt(now + shutdownCheckInterval);
-}
-
 } // namespace Verbena::Relay
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -2,6 +2,7 @@
 
 #include "callerconnection.h"
 #include "intakemonitor.h"
+#include "relayshutdown.h"
 #include "serverconnections.h"
 
 #include <decisions/relay/activerouters.h>
@@ -33,12 +34,12 @@
     std::uint64_t seed = 0;
     std::chrono::milliseconds configurationTime{2000}; ///< Time within which a change of the configuration has to be in force.
     std::chrono::milliseconds shutdownNotice{2900}; ///< Time from the start of a shutdown until the load balancer sends no new callers.
-    std::chrono::milliseconds shutdownGrace{7000}; ///< Time from the start of a shutdown after which the process ends even if requests are running.
+    std::chrono::milliseconds shutdownGrace{8000}; ///< Time from the start of a shutdown within which the process ends even if requests are running.
     bool keepsConnections = false; ///< Whether calls that may be repeated use connections to backend servers one after the other.
 };
 
 /// \brief Server for callers that use a RelayProtocol; owns their connections and the state that their requests share.
-class RelayTask : public ConnectionOwner
+class RelayTask : public ConnectionOwner, private ShutdownOwner
 {
 public:
     /// \brief Binds the address without listening yet. Errors: Unavailable.
@@ -132,7 +133,8 @@
     /// \brief Returns the stores of saved KV cache in the current configuration.
     std::vector<Decisions::RelayService> cacheStores() const;
 
-    /// \brief Becomes not ready, accepts requests until the notice period has passed, and calls \a done when none is running or the grace period ends.
+    /// \brief Becomes not ready, serves the requests that can be expected to end in time until the notice has passed, and calls \a done when no caller is left,
+    /// before the grace period ends.
     void beginShutdown(std::function<void()> done);
 
 private:
@@ -153,15 +155,12 @@
     void acceptCaller(int descriptor);
     void resumeAccepting();
     void closeIdleConnections(std::size_t count);
-    void closeAllIdleConnections();
-    std::vector<CallerConnection *> connectionSnapshot() const;
-    void tryCloseListener();
-    void refuseUnsentRequests();
-    void giveUpRequests();
-    void reportListenerClosed();
-    void reportEnd(Core::TimePoint now);
+    std::vector<CallerConnection *> connectionSnapshot() const override;
+    std::size_t connectionCount() const override;
+    std::uint64_t acceptedCount() const override;
+    bool acceptWaiting() override;
+    void closeListener() override;
     void abandonConnections();
-    void continueShutdown();
 
     EventLoop::Loop &m_loop;
     RelaySettings m_settings;
@@ -188,17 +187,10 @@
     Decisions::StallDetector m_stallDetector;
     EventLoop::Timer m_activityTimer;
     Core::TimePoint m_activityDue; ///< When m_activityTimer fires if the event loop is not late.
+    Core::TimePoint m_lastActivityDue; ///< The same for the last time that it fired.
     EventLoop::DeferredCall m_resume; ///< Resumes accepting if it is paused and there is room.
-    EventLoop::Timer m_shutdownTimer;
-    std::function<void()> m_shutdownDone;
+    RelayShutdown m_shutdown;
     std::uint64_t m_acceptedCount = 0; ///< Number of connections that were accepted.
-    std::uint64_t m_acceptedAtNoticeEnd = 0; ///< The same when the notice ended.
-    bool m_isServingRequests = true; ///< Whether new requests are served; false from the end of the notice on.
-    bool m_isDraining = false;
-    Core::TimePoint m_noticeEnd;
-    Core::TimePoint m_unsentRefusalTime; ///< When requests are refused that have not been sent to a backend server.
-    Core::TimePoint m_graceEnd;
-    bool m_isGivenUp = false; ///< Whether the requests that were left at the end of the grace period have been given up.
 };
 
 } // namespace Verbena::Relay
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -165,8 +165,9 @@
 std::string PlatformDeployment::hostFile(const std::string &name, const std::string &ip, const std::string &store, const std::string &more) const
 {
     return m_folder.write(name + ".yaml",
-        "nodeName: \"" + name + "\"\nip: \"" + ip + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nbounds:\n  graceS: 8\n  retrySlack: 54\n  versionMs: "
-            + std::to_string(m_longestWeightsUse.count()) + "\nprovider:\n  address: \"" + store + "\"\n" + more);
+        "nodeName: \"" + name + "\"\nip: \"" + ip
+            + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nbounds:\n  retrySlack: 54\n  graceS: " + std::to_string(m_grace.count())
+            + "\n  versionMs: " + std::to_string(m_longestWeightsUse.count()) + "\nprovider:\n  address: \"" + store + "\"\n" + more);
 }
 
 void PlatformDeployment::startAgent()
@@ -200,6 +201,11 @@
     m_limits = "limits:\n  memoryMb: " + std::to_string(limits.memoryMegabytes) + "\n  maxFds: " + std::to_string(limits.descriptors) + "\n";
 }
 
+void PlatformDeployment::setGrace(std::chrono::seconds grace)
+{
+    m_grace = grace;
+}
+
 void PlatformDeployment::restartRouter(std::size_t index)
 {
     m_routers[index].reset();
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -110,6 +110,9 @@
     /// \brief Names \a limits in the settings of routers that are started from now on.
     void setHostLimits(const HostLimits &limits);
 
+    /// \brief Names \a grace as the time from SIGTERM to SIGKILL in the settings of processes that are started from now on.
+    void setGrace(std::chrono::seconds grace);
+
     /// \brief Kills a router and restarts it.
     void restartRouter(std::size_t index = 0);
 
@@ -151,6 +154,7 @@
 
     TemporaryFolder m_folder;
     std::chrono::milliseconds m_longestWeightsUse;
+    std::chrono::seconds m_grace{8};
     std::optional<rlimit> m_systemDescriptors; ///< Of routers.
     std::string m_limits; ///< Section of the routers' settings; empty if they name no limits.
     std::unique_ptr<EventLoop::Loop> m_loop;
--- a/tests/platform/workerfake.cpp
+++ b/tests/platform/workerfake.cpp
@@ -20,6 +20,7 @@
         , m_channel(Http::TcpChannel::adopt(worker.m_loop, descriptor, *this))
         , m_reader(Http::MessageReader::Kind::Requests, *this, {})
         , m_close(worker.m_loop, [this] { m_worker.m_connections.erase(this); })
+        , m_work(worker.m_loop, [this] { run(); })
     {
     }
 
@@ -43,14 +44,23 @@
         m_worker.m_heads.push_back(m_head);
         m_worker.m_bodies.push_back(m_body);
         m_worker.m_last = this;
-        const WorkerScript script = m_worker.m_answer(m_head, m_body);
-        m_channel->write(script.bytes);
-        if (script.end == WorkerScript::End::Keep) {
+        m_script = m_worker.m_answer(m_head, m_body);
+        if (m_script.after > 0ms) {
+            m_work.startAt(m_worker.m_loop.now() + m_script.after);
+            return;
+        }
+        run();
+    }
+
+    void run()
+    {
+        m_channel->write(m_script.bytes);
+        if (m_script.end == WorkerScript::End::Keep) {
             m_body.clear();
             (void)m_reader.next();
             return;
         }
-        if (script.end == WorkerScript::End::Reset) {
+        if (m_script.end == WorkerScript::End::Reset) {
             m_channel->resetOnClose();
         }
         m_close.schedule();
@@ -80,6 +90,8 @@
     std::unique_ptr<Http::TcpChannel> m_channel;
     Http::MessageReader m_reader;
     EventLoop::DeferredCall m_close;
+    EventLoop::Timer m_work; ///< Runs until the bytes of m_script are sent.
+    WorkerScript m_script;
     Http::MessageHead m_head;
     std::string m_body;
 };
--- a/tests/platform/workerfake.h
+++ b/tests/platform/workerfake.h
@@ -5,6 +5,7 @@
 #include <http/tcpchannel.h>
 #include <http/tcplistener.h>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,8 +23,9 @@
         Reset,
     };
 
-    std::string bytes; ///< Sent at once.
+    std::string bytes;
     End end = End::Keep;
+    std::chrono::milliseconds after{0}; ///< Time until the bytes are sent.
 };
 
 /// \brief Fake backend server on the test's own event loop that answers with any bytes that a test provides.
