End routers and agents of the product in a bounded time

A router or an agent of the product that got SIGTERM went on until the last deadline of its requests, whatever its starter allowed. Where that was less, the process was killed, and its requests ended without an answer.

shutdown.grace (80 s) bounds the end of a router: half a second before, each request that is left gets an error with the code router_ending (503 if it has not run, else 502), and its attempt is cancelled. leave_timeout (80 s) bounds that of an agent: what still runs is cancelled, its routers are told, and runs_given_up says how many. 80 s is below the 90 s that service managers usually wait.

--- a/src/libs/agent/agentsettings.cpp
+++ b/src/libs/agent/agentsettings.cpp
@@ -69,6 +69,7 @@
         reader.addProblem("settings_tree_files", "The settings tree comes from files or from the platform, not from both.");
     }
     settings.leaveGrace = reader.span("leave_grace", 1s, 0us, 600s);
+    settings.leaveTimeout = reader.span("leave_timeout", 80s, 10ms, 24h);
     if (reader.has("status")) {
         SettingsReader status = reader.section("status");
         settings.status = StatusListen{status.string("address", "127.0.0.1"), static_cast<std::uint16_t>(status.integer("port", 0, 0, 65535))};
--- a/src/libs/agent/agentsettings.h
+++ b/src/libs/agent/agentsettings.h
@@ -57,6 +57,7 @@
     std::string platformUrl; ///< URL of the platform's table, object store and host list; empty if there is none.
     std::vector<std::string> treeFiles; ///< YAML files with the settings tree; may be empty.
     std::chrono::microseconds leaveGrace{0}; ///< Time for which a leaving agent without work goes on refusing requests.
+    std::chrono::microseconds leaveTimeout{0}; ///< Time from the start of leaving after which a process that was asked to end cancels what still runs.
 
     /// \brief Reads and checks a file. The error names file, line and key of every problem.
     static Core::Result<AgentSettings> fromFile(const std::string &path);
--- a/src/libs/agent/agenttask.cpp
+++ b/src/libs/agent/agenttask.cpp
@@ -52,6 +52,7 @@
     , m_runs(loop, settings.runs, *this, metrics)
     , m_beatTimer(loop, [this] { beat(); })
     , m_finishTimer(loop, [this] { m_finished(); })
+    , m_giveUpTimer(loop, [this] { giveUpRuns(); })
 {
     m_runs.setIdleCallback([this] { checkFinished(); });
 }
@@ -117,6 +118,7 @@
     }
     m_isEnding = true;
     m_finished = std::move(finished);
+    m_giveUpTimer.startAt(m_loop.now() + m_settings.leaveTimeout);
     updateLeaving();
     checkFinished();
 }
@@ -292,6 +294,20 @@
     }
 }
 
+// A router that grants no credit would keep what was cancelled here for ever, so the process ends without regard to it.
+void AgentTask::giveUpRuns()
+{
+    Observe::log(runsGivenUp, {{"runs", std::to_string(m_runs.runs().size())}});
+    for (const std::string &peer : m_runs.runs().peers()) {
+        for (const Decisions::RequestRef &ref : m_runs.runs().runsOf(peer)) {
+            m_runs.cancel(peer, ref);
+        }
+    }
+    if (!m_finishTimer.isActive()) {
+        m_finishTimer.startAt(m_loop.now() + m_settings.leaveGrace);
+    }
+}
+
 void AgentTask::checkFinished()
 {
     if (m_isEnding && m_runs.isIdle() && !m_finishTimer.isActive()) {
--- a/src/libs/agent/agenttask.h
+++ b/src/libs/agent/agenttask.h
@@ -78,6 +78,7 @@
     void applySettings();
     void updateLeaving();
     void checkFinished();
+    void giveUpRuns();
 
     EventLoop::Loop &m_loop;
     AgentSettings m_settings;
@@ -97,6 +98,7 @@
     std::function<void()> m_finished;
     EventLoop::Timer m_beatTimer;
     EventLoop::Timer m_finishTimer;
+    EventLoop::Timer m_giveUpTimer; ///< Runs while the process waits for its last runs to end.
 };
 
 } // namespace Verbena::Agent
--- a/src/libs/router/requestfailure.cpp
+++ b/src/libs/router/requestfailure.cpp
@@ -89,6 +89,14 @@
     return failure;
 }
 
+RequestFailure shutdownFailure(Decisions::RunState run)
+{
+    const int status = run == Decisions::RunState::NotRun ? unavailableStatus : badGatewayStatus;
+    RequestFailure failure = serverFailure(status, "router_ending", "The router ends before the answer is whole.");
+    failure.run = run;
+    return failure;
+}
+
 RequestFailure invalidRequest(int status, const std::string &code, const std::string &message)
 {
     RequestFailure failure;
--- a/src/libs/router/requestfailure.h
+++ b/src/libs/router/requestfailure.h
@@ -17,6 +17,9 @@
 /// \brief Returns the error for an answer of a plain service that exceeds the router's limit.
 RequestFailure tooLargeFailure(Decisions::RunState run);
 
+/// \brief Returns the error for a request that is given up since the router ends.
+RequestFailure shutdownFailure(Decisions::RunState run);
+
 /// \brief Returns the error for an invalid request, which has not been run.
 RequestFailure invalidRequest(int status, const std::string &code, const std::string &message);
 
--- a/src/libs/router/requesttask.cpp
+++ b/src/libs/router/requesttask.cpp
@@ -324,6 +324,19 @@
     }
 }
 
+void RequestTask::giveUp()
+{
+    if (m_isFinished) {
+        return;
+    }
+    const RequestFailure failure = shutdownFailure(m_tracker.runState());
+    perform(m_tracker.handleCallerGone());
+    m_context.metrics.count("requests_failed_total");
+    Observe::log(requestFailed, {{"request", m_plan.id}, {"code", failure.code}, {"run", runStateName(failure.run)}});
+    m_writer->fail(failure);
+    end();
+}
+
 void RequestTask::onConnectTimeout()
 {
     if (m_isWaitingForLink) {
--- a/src/libs/router/requesttask.h
+++ b/src/libs/router/requesttask.h
@@ -38,6 +38,9 @@
     /// \brief Handles that an attempt at \a server gets no further messages.
     void handleAgentLost(Decisions::BackendServerId server);
 
+    /// \brief Answers the caller that the router ends, and cancels the attempt.
+    void giveUp();
+
 private:
     void receiveClaim(const ClaimAnswer &answer);
     void perform(const Decisions::AttemptActions &actions);
--- a/src/libs/router/routersettings.cpp
+++ b/src/libs/router/routersettings.cpp
@@ -86,7 +86,9 @@
     readRequests(reader.section("requests"), settings.requests);
     readStreams(reader.section("streams"), settings.streams);
     readLinks(reader.section("links"), settings.links);
-    settings.shutdownNotice = reader.section("shutdown").span("notice", settings.shutdownNotice, 0ms, 10min);
+    SettingsReader shutdown = reader.section("shutdown");
+    settings.shutdownNotice = shutdown.span("notice", settings.shutdownNotice, 0ms, 10min);
+    settings.shutdownGrace = shutdown.span("grace", settings.shutdownGrace, 1s, 24h);
     settings.recomputationWeight = reader.section("routing").number("recomputation_weight", 0, 0, 1000);
     BOOST_OUTCOME_TRY(reader.finish());
     return settings;
--- a/src/libs/router/routersettings.h
+++ b/src/libs/router/routersettings.h
@@ -71,6 +71,7 @@
     StreamSettings streams;
     LinkSettings links;
     std::chrono::microseconds shutdownNotice = std::chrono::seconds(5); ///< Time after SIGTERM during which the router still accepts connections.
+    std::chrono::microseconds shutdownGrace = std::chrono::seconds(80); ///< Time after SIGTERM within which the process ends.
     double recomputationWeight = 0; ///< Weight of recomputed tokens relative to the time to first token.
 
     Observe::LogOptions log;
--- a/src/libs/router/routertask.cpp
+++ b/src/libs/router/routertask.cpp
@@ -25,6 +25,9 @@
 constexpr int unavailableStatus = 503;
 constexpr std::chrono::milliseconds shutdownCheckInterval{20};
 constexpr std::chrono::seconds hotPrefixLifetime{2};
+
+// Time between giving up requests and the end of the process, for their answers to be written and read.
+constexpr std::chrono::milliseconds lastAnswersTime{500};
 constexpr std::string_view servicesPath = "/v1/services/";
 
 std::uint64_t newIncarnation()
@@ -347,7 +350,10 @@
     m_isReady = false;
     m_shutdownDone = std::move(done);
     Observe::log(shutdownBegun, {{"in_flight", std::to_string(m_tasks.size())}});
-    m_shutdownTimer.startAt(m_loop.now() + m_settings.shutdownNotice);
+    const Core::TimePoint now = m_loop.now();
+    m_shutdownEnd = now + m_settings.shutdownGrace;
+    m_giveUpTime = m_shutdownEnd - lastAnswersTime;
+    m_shutdownTimer.startAt(std::min(now + m_settings.shutdownNotice, m_giveUpTime));
 }
 
 void RouterTask::stopListening()
@@ -358,11 +364,21 @@
     m_shutdownTimer.startAt(m_loop.now() + shutdownCheckInterval);
 }
 
-// Terminates because every running request ends at its deadline.
+void RouterTask::giveUpRequests()
+{
+    for (const std::shared_ptr<RequestTask> &task : runningTasks()) {
+        task->giveUp();
+    }
+}
+
 void RouterTask::finishShutdownIfIdle()
 {
     m_server->readArrived();
-    if (m_server->openExchangeCount() > 0) {
+    const Core::TimePoint now = m_loop.now();
+    if (now >= m_giveUpTime) {
+        giveUpRequests();
+    }
+    if (m_server->openExchangeCount() > 0 && now < m_shutdownEnd) {
         m_shutdownTimer.startAt(m_loop.now() + shutdownCheckInterval);
         return;
     }
--- a/src/libs/router/routertask.h
+++ b/src/libs/router/routertask.h
@@ -82,6 +82,7 @@
     RouterStatus status() const;
     void stopListening();
     void finishShutdownIfIdle();
+    void giveUpRequests();
 
     EventLoop::Loop &m_loop;
     RouterSettings m_settings;
@@ -106,6 +107,8 @@
     bool m_isListening = true;
     EventLoop::Timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
+    Core::TimePoint m_giveUpTime; ///< When a shutdown gives the requests up that are left.
+    Core::TimePoint m_shutdownEnd; ///< When the process ends even if callers have not read their answers.
 };
 
 } // namespace Verbena::Router
--- a/tests/auto/agent/tst_agent.cpp
+++ b/tests/auto/agent/tst_agent.cpp
@@ -246,6 +246,20 @@
     EXPECT_EQ(harness.agent->waitForExit(), 0);
 }
 
+// An agent that was asked to end went on as long as its longest run, whatever its starter allowed.
+TEST(AgentTest, cancelsWhatRunsWhenItsTimeToLeaveIsOver)
+{
+    AgentHarness harness("engine", slowEngine, "leave_timeout: 300ms\n");
+    const auto router = harness.connect();
+    ASSERT_TRUE(router);
+    router->dispatch(completion("running", "a", manyTokens));
+    ASSERT_TRUE(harness.runUntil([&] { return router->attempt("running").tokens > 0; }));
+    harness.agent->sendSignal(SIGTERM);
+    ASSERT_TRUE(harness.runUntil([&] { return router->attempt("running").isOver(); }));
+    EXPECT_EQ(router->attempt("running").ended->kind(), verbena::wire::END_KIND_CANCELLED);
+    EXPECT_EQ(harness.agent->waitForExit(), 0);
+}
+
 TEST(AgentTest, endsARunAtItsDeadline)
 {
     AgentHarness harness("engine", slowEngine);
--- a/tests/auto/path/tst_failures.cpp
+++ b/tests/auto/path/tst_failures.cpp
@@ -493,8 +493,8 @@
 class TerminationTest : public FailureTest
 {
 protected:
-    TerminationTest()
-        : FailureTest(optionsWithLongNotice())
+    explicit TerminationTest(const DeploymentOptions &chosen = optionsWithLongNotice())
+        : FailureTest(chosen)
     {
         setSlowFactor(100);
     }
@@ -563,6 +563,39 @@
     EXPECT_EQ(m_deployment.router().waitForExit(), 0);
 }
 
+/// The same with a router that has a short grace period.
+class ShortGraceTest : public TerminationTest
+{
+protected:
+    ShortGraceTest()
+        : TerminationTest(optionsWithShortGrace())
+    {
+    }
+
+    static DeploymentOptions optionsWithShortGrace()
+    {
+        DeploymentOptions hasty = options();
+        hasty.routerSettings = "shutdown: {notice: 300ms, grace: 1500ms}\n";
+        return hasty;
+    }
+};
+
+// A router that was asked to end went on as long as its longest request, whatever its starter allowed, which cut it without an answer.
+TEST_F(ShortGraceTest, answersWhatIsLeftWhenTheGracePeriodIsOver)
+{
+    std::future<TestAnswer> streamed = begin("streamed");
+    std::future<TestAnswer> buffered = std::async(std::launch::async, [this] { return m_deployment.post("/v1/completions", completion("b", false).dump()); });
+    while (startedRequests() < 2) {
+        std::this_thread::yield();
+    }
+    m_deployment.router().sendSignal(SIGTERM);
+    EXPECT_NE(streamed.get().body.find("router_ending"), std::string::npos);
+    const TestAnswer answer = buffered.get();
+    EXPECT_EQ(answer.status, 502);
+    EXPECT_NE(answer.body.find("router_ending"), std::string::npos);
+    EXPECT_EQ(m_deployment.router().waitForExit(), 0);
+}
+
 class MalformedRequestTest : public FailureTest, public testing::WithParamInterface<const char *>
 {
 };
