--- a/tests/auto/platform/tst_plannedstops.cpp
+++ b/tests/auto/platform/tst_plannedstops.cpp
@@ -238,6 +238,21 @@
     expectEachPassedOnIsAnswered();
 }
 
+// What runs longer than the grace period gets an answer in time, and the last line says how much that was.
+TEST_F(PlannedStopTest, answersAndCountsWhatItCuts)
+{
+    start(2s);
+    m_work = 20s;
+    sendRequests();
+    m_deployment.runFor(interval);
+    term();
+    runUntilEnd();
+    for (const Sent &sent : m_sent) {
+        EXPECT_TRUE(sent.caller->received().starts_with("HTTP/1.1 502")) << sent.id << ": " << sent.caller->received();
+    }
+    EXPECT_NE(m_deployment.router().takeOutput().find("\"cut\":\"2\""), std::string::npos);
+}
+
 // A second SIGTERM and a SIGHUP neither end the router at once nor begin its time anew.
 TEST_F(PlannedStopTest, goesOnAfterASecondTermAndAHangUp)
 {
