Bound all that arrives of the answer to a call

A server that ended its report with a trailer that has no end took its agent beyond its host's memory, and any part without end (a body, an extension of a chunk, 1xx heads) was read until the call's deadline.

The cause: BodyCollector stopped keeping a body that was too long, and nothing stopped the call; the callbacks of libcurl see neither the sizes of chunks nor their extensions, and the callback for lines took every trailer.

EndlessCallsTest draws the part, the size of the pieces and so the pace.

AnswerMeter counts what libcurl reads from the connection, by its debug callback, and what of it is body. Each call names its AnswerLimits; beyond them the callbacks of body, lines and progress end the call and with it the connection. What belongs to no body may have 64 KiB and 8 bytes for each byte of body, so that chunks of one byte pass and extensions without end don't. GET and HEAD end with ResourceExhausted, others with Unknown, as they may have had their effect. The bound on the body moves from BodyCollector to the call. The operator's tool took the first 16 MiB of a longer answer for the whole one; it is an error now.

--- a/src/libs/agent/backendwatch.cpp
+++ b/src/libs/agent/backendwatch.cpp
@@ -96,6 +96,7 @@
     Http::HttpCall call;
     call.url = m_options.url + "/load";
     call.deadline = m_loop.now() + m_options.hangTimeout;
+    call.limits.bodyBytes = Http::AnswerLimits::statusBodyBytes;
     m_client.start(call, std::make_shared<Http::BodyCollector>([this](const Core::Result<Http::HttpReply> &reply) { receiveLoad(reply); }));
 }
 
--- a/src/libs/agent/engineadapter.cpp
+++ b/src/libs/agent/engineadapter.cpp
@@ -76,6 +76,7 @@
     call.fields = {"Content-Type: application/json"};
     call.body = nlohmann::json{{"request", ref.request}}.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     call.deadline = m_loop.now() + cancelTimeout;
+    call.limits.bodyBytes = Http::AnswerLimits::statusBodyBytes;
     const std::string request = ref.request;
     m_client->start(call, std::make_shared<Http::BodyCollector>([this, request](const Core::Result<Http::HttpReply> &) { finishCancel(request); }));
 }
@@ -119,6 +120,7 @@
                     .dump();
     // Nothing of the order may be written after the end of the lease it is given under.
     call.deadline = order.sendBy;
+    call.limits.bodyBytes = Http::AnswerLimits::statusBodyBytes;
     m_client->start(
         call, std::make_shared<Http::BodyCollector>([done = std::move(done)](const Core::Result<Http::HttpReply> &reply) { done(orderAnswerOf(reply)); }));
 }
--- a/src/libs/agent/httpadapter.cpp
+++ b/src/libs/agent/httpadapter.cpp
@@ -40,6 +40,8 @@
         return;
     }
     call.value().deadline = deadline + deadlineMargin;
+    // The answer is sent on as it comes, and its reading pauses while the router takes none.
+    call.value().limits.bodyBytes.reset();
     m_calls[ref] = m_client->start(call.value(), makeRunCall(ref));
 }
 
@@ -118,6 +120,7 @@
     Http::HttpCall call;
     call.url = m_options.url + "/load";
     call.deadline = m_loop.now() + serverCheckTimeout;
+    call.limits.bodyBytes = Http::AnswerLimits::statusBodyBytes;
     const auto handle = [this, ref, end](const Core::Result<Http::HttpReply> &reply) {
         handleServerCheck(ref, end, reply.has_value());
     };
--- a/src/libs/http/httpcall.cpp
+++ b/src/libs/http/httpcall.cpp
@@ -6,6 +6,11 @@
 {
 }
 
+bool HttpReceiver::isTakingMore() const
+{
+    return true;
+}
+
 void HttpReceiver::receiveUnframedEnd()
 {
 }
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -1,9 +1,12 @@
 #include "httpclient.h"
 
+#include "answermeter.h"
+#include "callevents.h"
 #include "messagereader.h"
 
 #include <eventloop/iowatcher.h>
 #include <eventloop/loop.h>
+#include <observe/eventlog.h>
 
 #include <curl/curl.h>
 
@@ -15,10 +18,20 @@
 constexpr long statusNoContent = 204;
 constexpr long statusNotModified = 304;
 
+// The log is shared by all calls, so that one peer must not fill it.
+constexpr std::chrono::seconds tooLongLogInterval{1};
+
+constexpr const char *noUseLimit = "use";
+
 } // namespace
 
 struct HttpClient::Transfer
 {
+    explicit Transfer(const AnswerLimits &limits)
+        : meter(limits)
+    {
+    }
+
     ~Transfer()
     {
         curl_easy_cleanup(easy);
@@ -31,6 +44,9 @@
     std::string url;
     std::string body;
     std::shared_ptr<HttpReceiver> receiver;
+    AnswerMeter meter;
+    const char *exceededLimit = nullptr; ///< Name of the limit because of which the call was ended; null if none was.
+    bool isSafe = false; ///< Whether the request's method has no effect.
     bool isHeadRequest = false; ///< Whether the request's method is HEAD.
     bool isHeadDone = false; ///< Whether the empty line that ends the head of the final response was received.
     bool isChunked = false; ///< Whether the response is sent in chunks.
@@ -50,10 +66,44 @@
         if (transfer->isCancelled) {
             return 0;
         }
+        transfer->meter.addBody(size * count);
+        if (transfer->meter.excess() == AnswerExcess::Body) {
+            transfer->exceededLimit = nameOf(AnswerExcess::Body);
+            return 0;
+        }
         transfer->receiver->receiveData(static_cast<int>(statusOf(*transfer)), std::string_view(data, size * count));
+        if (!transfer->isCancelled && !transfer->receiver->isTakingMore()) {
+            transfer->exceededLimit = noUseLimit;
+            return 0;
+        }
         return size * count;
     }
 
+    // Called for all that is read from a connection, as the other callbacks see neither the sizes of chunks nor their extensions.
+    static int onTraffic(CURL *, curl_infotype type, char *, std::size_t size, void *context)
+    {
+        if (type == CURLINFO_HEADER_IN || type == CURLINFO_DATA_IN) {
+            static_cast<Transfer *>(context)->meter.addReceived(size);
+        }
+        return 0;
+    }
+
+    // What a paused transfer has read is not handed on yet, so that it can't be told which part it belongs to.
+    static bool checkLimits(Transfer &transfer)
+    {
+        const std::optional<AnswerExcess> excess = transfer.isPaused ? std::nullopt : transfer.meter.excess();
+        if (excess.has_value()) {
+            transfer.exceededLimit = nameOf(*excess);
+        }
+        return !excess.has_value();
+    }
+
+    // Called whenever a transfer has gone on; another value than 0 ends it.
+    static int onProgress(void *context, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+    {
+        return checkLimits(*static_cast<Transfer *>(context)) ? 0 : 1;
+    }
+
     static long statusOf(const Transfer &transfer)
     {
         long status = 0;
@@ -66,6 +116,9 @@
     {
         auto *transfer = static_cast<Transfer *>(context);
         std::string_view line(data, size * count);
+        if (!checkLimits(*transfer)) {
+            return 0;
+        }
         if (line == "\r\n" || line == "\n") {
             transfer->isHeadDone = statusOf(*transfer) >= firstFinalStatus;
             return size * count;
@@ -190,12 +243,13 @@
 
 HttpCallId HttpClient::start(const HttpCall &call, std::shared_ptr<HttpReceiver> receiver)
 {
-    auto transfer = std::make_unique<Transfer>();
+    auto transfer = std::make_unique<Transfer>(call.limits);
     transfer->id = ++m_lastId;
     transfer->easy = curl_easy_init();
     transfer->url = call.url;
     transfer->body = call.body;
     transfer->isHeadRequest = call.method == "HEAD";
+    transfer->isSafe = transfer->isHeadRequest || call.method == "GET";
     transfer->receiver = std::move(receiver);
     for (const std::string &field : call.fields) {
         transfer->fields = curl_slist_append(transfer->fields, field.c_str());
@@ -239,6 +293,12 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Internals::onField);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &Internals::onTraffic);
+    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &Internals::onProgress);
+    curl_easy_setopt(easy, CURLOPT_XFERINFODATA, &transfer);
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(call.deadline - m_loop.now());
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(std::max<std::int64_t>(1, left.count())));
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
@@ -297,6 +357,13 @@
         if (transfer->isCancelled) {
             continue;
         }
+        if (transfer->exceededLimit != nullptr) {
+            const auto errorCode = transfer->isSafe ? Core::ErrorCode::ResourceExhausted : Core::ErrorCode::Unknown;
+            const Core::Error error{errorCode, "http.call", transfer->url, "The response is too long."};
+            recordTooLong(error, transfer->exceededLimit);
+            transfer->receiver->finish(error);
+            continue;
+        }
         if (const char *failure = Internals::failureOf(*transfer, code)) {
             transfer->receiver->finish(Core::Error{Internals::codeOf(transfer->easy), "http.call", transfer->url, failure});
             continue;
@@ -309,6 +376,17 @@
     }
 }
 
+void HttpClient::recordTooLong(const Core::Error &error, const char *limit)
+{
+    ++m_tooLongCount;
+    if (m_loop.now() < m_nextTooLongLog) {
+        return;
+    }
+    Observe::log(callAnswerTooLong, error, {{"limit", limit}, {"count", std::to_string(m_tooLongCount)}});
+    m_tooLongCount = 0;
+    m_nextTooLongLog = m_loop.now() + tooLongLogInterval;
+}
+
 void HttpClient::removeCancelled()
 {
     std::vector<std::uint64_t> cancelled;
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -48,6 +48,7 @@
     void processFinished();
     void addWaiting();
     void removeCancelled();
+    void recordTooLong(const Core::Error &error, const char *limit);
 
     EventLoop::Loop &m_loop;
     void *m_multi = nullptr;
@@ -55,6 +56,8 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
     std::vector<std::uint64_t> m_waiting;
     std::vector<std::uint64_t> m_cancelled;
+    std::uint64_t m_tooLongCount = 0; ///< Calls whose answers were too long and that no logged line counts.
+    Core::TimePoint m_nextTooLongLog;
     EventLoop::Timer m_timer;
     EventLoop::DeferredCall m_add;
     EventLoop::DeferredCall m_remove;
--- a/src/libs/load/loadtask.cpp
+++ b/src/libs/load/loadtask.cpp
@@ -12,6 +12,9 @@
 constexpr std::chrono::milliseconds progressInterval{250};
 constexpr std::chrono::seconds runsTimeout{20};
 
+// A list of some million runs.
+constexpr std::uint64_t maximumRunsBytes = 256 * 1024 * 1024;
+
 } // namespace
 
 /// Checks one answer and records its latencies.
@@ -178,6 +181,8 @@
     const Core::TimePoint now = Core::Clock::now();
     m_report.recordLateness(now - due);
     call.deadline = now + m_options.timeout;
+    // Streams are checked event by event and not kept.
+    call.limits.bodyBytes.reset();
     m_client->start(call, std::make_shared<AnswerReceiver>(*this, std::move(request)));
 }
 
@@ -205,6 +210,7 @@
         Http::HttpCall call;
         call.url = url + "/runs";
         call.deadline = m_loop.now() + runsTimeout;
+        call.limits.bodyBytes = maximumRunsBytes;
         m_client->start(call, std::make_shared<RunsReceiver>(*this, call.url));
     }
     if (m_pendingRunLists == 0) {
--- a/src/libs/operator/processclient.cpp
+++ b/src/libs/operator/processclient.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-constexpr std::size_t maximumAnswerBytes = 16 * 1024 * 1024;
+constexpr std::uint64_t maximumAnswerBytes = 16 * 1024 * 1024;
 
 class AnswerCollector : public Http::HttpReceiver
 {
 public:
     void receiveData(int, std::string_view data) override
     {
-        m_body.append(data.substr(0, maximumAnswerBytes - m_body.size()));
+        m_body.append(data);
     }
 
     void finish(Core::Result<int> status) override
@@ -72,6 +72,7 @@
 Core::Result<ProcessAnswer> ProcessClient::run(Http::HttpCall call)
 {
     call.deadline = m_loop.now() + m_timeout;
+    call.limits.bodyBytes = maximumAnswerBytes;
     const auto collector = std::make_shared<AnswerCollector>();
     m_client->start(call, collector);
     while (!collector->result().has_value()) {
--- a/src/libs/relay/cachemonitor.cpp
+++ b/src/libs/relay/cachemonitor.cpp
@@ -22,7 +22,7 @@
 // Changes are fetched in groups, so that a busy cache does not get a request for each.
 constexpr milliseconds minimumPause{200};
 
-// Time until a failed request is repeated; longer if the cache reported too many requesters.
+// Time until a failed request is repeated; longer if the cache reported too many requesters or answered too much.
 constexpr milliseconds retryInterval{500};
 constexpr milliseconds crowdedRetryInterval{10'000};
 
--- a/src/libs/store/httpplatform.cpp
+++ b/src/libs/store/httpplatform.cpp
@@ -17,7 +17,7 @@
 constexpr int statusUnavailable = 503;
 
 // Many times the largest object that the product keeps in the store.
-constexpr std::size_t maximumAnswerBytes = 256 * 1024 * 1024;
+constexpr std::uint64_t maximumAnswerBytes = 256 * 1024 * 1024;
 
 using Answer = Http::HttpReply;
 
@@ -38,7 +38,7 @@
         }
         done(answer);
     };
-    return std::make_shared<Http::BodyCollector>(handle, maximumAnswerBytes);
+    return std::make_shared<Http::BodyCollector>(handle);
 }
 
 Core::Error errorOf(int status, const char *step, const std::string &peer)
@@ -122,9 +122,27 @@
     return {Core::ErrorCode::InvalidArgument, step, peer, "An object name may contain only letters, digits and the characters - _ . /."};
 }
 
+Http::HttpCall makeCall(const std::string &method, const std::string &url, Core::TimePoint deadline)
+{
+    Http::HttpCall call;
+    call.method = method;
+    call.url = url;
+    call.deadline = deadline;
+    call.limits.bodyBytes = maximumAnswerBytes;
+    return call;
+}
+
+Http::HttpCall bodyCall(const std::string &method, const std::string &url, const std::string &type, std::string body, Core::TimePoint deadline)
+{
+    Http::HttpCall call = makeCall(method, url, deadline);
+    call.fields = {"Content-Type: " + type};
+    call.body = std::move(body);
+    return call;
+}
+
 Http::HttpCall jsonCall(const std::string &url, std::string body, Core::TimePoint deadline)
 {
-    return {"POST", url, {"Content-Type: application/json"}, std::move(body), deadline};
+    return bodyCall("POST", url, "application/json", std::move(body), deadline);
 }
 
 } // namespace
@@ -194,7 +212,7 @@
         return;
     }
     auto callback = decodingCallback("objects.get", m_url, std::move(done), [](const std::string &body) { return Core::Result<std::string>(body); });
-    m_client->start({"GET", m_url + "/objects/" + name, {}, {}, deadline}, makeCollector(std::move(callback), Framing::Required));
+    m_client->start(makeCall("GET", m_url + "/objects/" + name, deadline), makeCollector(std::move(callback), Framing::Required));
 }
 
 void HttpPlatform::put(const std::string &name, const std::string &content, Core::TimePoint deadline, PutCallback done)
@@ -204,13 +222,13 @@
         return;
     }
     auto callback = decodingCallback("objects.put", m_url, std::move(done), [](const std::string &) { return Core::Result<void>(Core::success()); });
-    m_client->start({"PUT", m_url + "/objects/" + name, {"Content-Type: application/octet-stream"}, content, deadline}, makeCollector(std::move(callback)));
+    m_client->start(bodyCall("PUT", m_url + "/objects/" + name, "application/octet-stream", content, deadline), makeCollector(std::move(callback)));
 }
 
 void HttpPlatform::fetch(Core::TimePoint deadline, ListCallback done)
 {
     auto callback = decodingCallback("hosts.fetch", m_url, std::move(done), &decodeHosts);
-    m_client->start({"GET", m_url + "/hosts", {}, {}, deadline}, makeCollector(std::move(callback)));
+    m_client->start(makeCall("GET", m_url + "/hosts", deadline), makeCollector(std::move(callback)));
 }
 
 } // namespace Verbena::Store
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -71,6 +71,11 @@
     m_limit = perSecond;
 }
 
+void EngineFake::reportWith(std::optional<std::string> bytes)
+{
+    m_report = std::move(bytes);
+}
+
 void EngineFake::sayLeaving()
 {
     m_isLeaving = true;
@@ -96,6 +101,9 @@
 
 WorkerScript EngineFake::answer(const Http::MessageHead &head, const std::string &body)
 {
+    if (head.target == "/report" && m_report.has_value()) {
+        return {*m_report};
+    }
     if (head.target == "/report") {
         const json report{{"models", {{{"name", model}, {"version", m_version}}}},
             {"born", 1'770'000'000'000},
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -47,6 +47,9 @@
     /// \brief Reports \a count running requests from now on.
     void setRunning(int count);
 
+    /// \brief Answers requests for its report with \a bytes from now on; no value means to report again.
+    void reportWith(std::optional<std::string> bytes);
+
     /// \brief Says in its answers from now on that it leaves.
     void sayLeaving();
 
@@ -65,6 +68,7 @@
     std::uint64_t m_version = 1;
     bool m_isHoldingOrders = false;
     int m_running = 0;
+    std::optional<std::string> m_report;
     std::vector<nlohmann::json> m_orders;
     std::vector<Http::MessageHead> m_runs;
     std::vector<Core::TimePoint> m_runTimes;
