Ask a peer without a table's history only once more

One router that answers every request for a table with "history gone" kept another one busy: it was asked again at once, without a pause or an end.

The cause: TableGossip::fetch() asks for the whole table when a peer no longer has the changes, and did so again when the answer to that was the same.

TableGossipTest.asksAPeerWithoutHistoryOnceMore counted 11,576 requests within 0.5 s on the code as received, for one digest. A request for the whole table is not repeated now; the next digest begins anew. Measured: at most 2.

--- a/src/libs/relay/tablegossip.cpp
+++ b/src/libs/relay/tablegossip.cpp
@@ -213,9 +213,9 @@
     followed.nextFetch = now + m_times.peerAnswerTimeout / fetchDelayDivisor;
     const auto handle = [this, &followed, peer, requestedRevision](Core::Result<Store::RowPage> page) {
         --followed.fetches;
-        if (page && page.value().isHistoryLost) {
+        if (page && page.value().isHistoryLost && requestedRevision > 0) {
             fetch(followed, peer, 0);
-        } else if (page) {
+        } else if (page && !page.value().isHistoryLost) {
             followed.follower->offer(std::move(page.value()), requestedRevision);
         }
     };
--- a/tests/auto/relay/tst_tablegossip.cpp
+++ b/tests/auto/relay/tst_tablegossip.cpp
@@ -254,6 +254,26 @@
     EXPECT_LT(m_loop->now() - changed, m_routers[2]->times.bound);
 }
 
+// A peer that said of every revision that its history is gone was asked again at once, without end.
+TEST_F(TableGossipTest, asksAPeerWithoutHistoryOnceMore)
+{
+    const std::string peer = m_network + "9";
+    Verbena::Test::WorkerFake rows(
+        *m_loop,
+        [](const auto &, const auto &) { return Verbena::Test::WorkerScript{"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"}; },
+        peer + ':' + std::to_string(rowsPort));
+    const auto socket = std::move(Wire::DatagramSocket::bind(*m_loop, Http::Endpoint::parse(peer + gossipPort).value().address, [](auto &, auto &) {}).value());
+    verbena::wire::Envelope message;
+    verbena::wire::TableDigest &digest = *message.mutable_table_digests()->add_tables();
+    digest.set_table("op");
+    digest.set_changed_revision(1000);
+    digest.set_covered_revision(1000);
+    ASSERT_TRUE(socket->send(Http::Endpoint::parse(address(0) + gossipPort).value().address, message));
+    ASSERT_TRUE(Verbena::Test::runUntil(*m_loop, [&rows] { return !rows.heads().empty(); }));
+    wait(500ms);
+    EXPECT_LE(rows.heads().size(), 2U);
+}
+
 } // namespace
 
 } // namespace Verbena::Relay
