--- a/tests/auto/platform/tst_platformstore.cpp
+++ b/tests/auto/platform/tst_platformstore.cpp
@@ -209,6 +209,46 @@
     EXPECT_TRUE(follow(gone).value().isHistoryLost);
 }
 
+class EndlessPagesTest : public testing::Test
+{
+protected:
+    std::string keyOfNext()
+    {
+        return m_isAdvancing ? std::to_string(firstKey + ++m_pages) : "same";
+    }
+
+    Core::Result<Store::RowPage> read()
+    {
+        const auto store = std::move(PlatformStore::create(*m_loop, m_server.address()).value());
+        std::optional<Core::Result<Store::RowPage>> result;
+        store->readTable("op", m_loop->now() + 20s, [&result](Core::Result<Store::RowPage> page) { result = std::move(page); });
+        EXPECT_TRUE(runUntil(*m_loop, [&result] { return result.has_value(); }));
+        return std::move(*result);
+    }
+
+    static constexpr int firstKey = 1'000'000;
+
+    std::unique_ptr<EventLoop::Loop> m_loop = std::move(EventLoop::Loop::create().value());
+    bool m_isAdvancing = false;
+    int m_pages = 0;
+    std::string m_value = std::string(1024 * 1024, 'A');
+    WorkerFake m_server{*m_loop, [this](const auto &, const auto &) {
+                            const std::string body
+                                = R"({"ver":7,"nowMs":1,"morePages":true,"rows":[{"key":")" + keyOfNext() + R"(","ver":1,"value":")" + m_value + "\"}]}";
+                            return WorkerScript{"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+                        }};
+};
+
+// A store that announced more pages without end was read until the deadline, and all pages were kept.
+TEST_F(EndlessPagesTest, endWithoutATable)
+{
+    EXPECT_EQ(read().error().code, Core::ErrorCode::InvalidArgument);
+    EXPECT_LE(m_server.heads().size(), 2U);
+    m_isAdvancing = true;
+    EXPECT_EQ(read().error().code, Core::ErrorCode::ResourceExhausted);
+    EXPECT_LE(m_server.heads().size(), 60U);
+}
+
 } // namespace
 
 } // namespace Verbena::Platform
