Refuse JSON texts that take many times their length

An answer of an engine or the store within its limit of 4 MiB could take more memory than a router's host allows.

The cause: an empty object takes three bytes of text and some 80 bytes of memory, and JsonText::parse() bounded the depth alone.

Texts with more than 400,000 objects and lists or 1,200,000 values are refused; 4 MiB of cache events are not.

--- a/src/libs/json/jsontext.cpp
+++ b/src/libs/json/jsontext.cpp
@@ -48,12 +48,37 @@
     return false;
 }
 
+bool hasTooManyValues(std::string_view text)
+{
+    if (text.size() <= maximumContainers) {
+        return false;
+    }
+    std::size_t containers = 0;
+    std::size_t separators = 0;
+    bool isInString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char letter = text[i];
+        if (isInString) {
+            i += letter == '\\' ? 1 : 0;
+            isInString = letter != '"';
+            continue;
+        }
+        isInString = letter == '"';
+        containers += letter == '[' || letter == '{' ? 1 : 0;
+        separators += letter == ',' ? 1 : 0;
+    }
+    return containers > maximumContainers || containers + separators > maximumValues;
+}
+
 // The library copies, compares and writes nested values by recursion, which a deep one would let overflow the stack.
 Core::Result<json> parse(std::string_view text, const char *step)
 {
     if (isNestedTooDeep(text)) {
         return invalid(step, "The text is nested too deep.");
     }
+    if (hasTooManyValues(text)) {
+        return invalid(step, "The text has too many values.");
+    }
     json value = json::parse(text, nullptr, false);
     if (value.is_discarded()) {
         return invalid(step, "The text is no JSON.");
--- a/src/libs/json/jsontext.h
+++ b/src/libs/json/jsontext.h
@@ -14,10 +14,20 @@
 /// \brief Deepest nesting of objects and lists that parse() accepts.
 inline constexpr int maximumDepth = 64;
 
+/// \brief Most objects and lists in a text that parse() accepts. Each takes some 80 bytes, but two or three in the text.
+inline constexpr std::size_t maximumContainers = 400'000;
+
+/// \brief Most values in a text that parse() accepts. Each takes 16 bytes, but two in the text.
+inline constexpr std::size_t maximumValues = 1'200'000;
+
+/// \brief Returns whether \a text has more than maximumContainers or maximumValues, so that its values may take many times its length.
+bool hasTooManyValues(std::string_view text);
+
 /// \brief Returns whether objects and lists in \a text are nested deeper than maximumDepth.
 bool isNestedTooDeep(std::string_view text);
 
-/// \brief Parses \a text. Errors, with \a step: InvalidArgument if it is no JSON or is nested too deep; the message holds nothing of the text.
+/// \brief Parses \a text. Errors, with \a step: InvalidArgument if it is no JSON, is nested too deep or has too many values; the message holds nothing of the
+/// text.
 Core::Result<nlohmann::json> parse(std::string_view text, const char *step = "json.parse");
 
 /// \brief Returns the whole number \a key of \a object. Errors: InvalidArgument if there is none, or it is negative, fractional or too large.
