End a run's call once its answer is of no use

An engine whose stream held something that is no event, or an event or an error text without end, was read on until the run's deadline.

The cause: CompletionCall noted that the stream was broken, and nothing ended the call: a receiver had no way to say so.

CompletionCallTest asks the call after what is no event, after 1 MiB of one event and after 1 MiB of a refusal. The client ends the call as soon as the receiver takes no more; the reason that the run names stays.

--- a/src/libs/agent/runcall.cpp
+++ b/src/libs/agent/runcall.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t maximumDetail = 1024;
 // An event longer than this is no event of a completion.
 constexpr std::size_t maximumEventBytes = 1024 * 1024;
+// Many times the longest text that explains a refusal.
+constexpr std::size_t maximumErrorBytes = 1024 * 1024;
 
 } // namespace
 
@@ -42,7 +44,8 @@
     } else {
         const bool isSent = status.error().code != Core::ErrorCode::Unavailable;
         m_end.kind = isSent ? BackendEnd::Kind::Lost : BackendEnd::Kind::NotSent;
-        m_end.detail = status.error().message;
+        // A call that ended early has said why.
+        m_end.detail = m_end.detail.empty() ? status.error().message : m_end.detail;
     }
     m_owner.finishCall(m_ref, m_end, status);
 }
@@ -55,6 +58,7 @@
 void CompletionCall::receiveData(int status, std::string_view data)
 {
     if (status != statusOk) {
+        m_errorBytes += data.size();
         m_end.detail += data.substr(0, maximumDetail - std::min(maximumDetail, m_end.detail.size()));
         return;
     }
@@ -70,6 +74,11 @@
     }
 }
 
+bool CompletionCall::isTakingMore() const
+{
+    return !m_isBroken && m_errorBytes <= maximumErrorBytes;
+}
+
 void CompletionCall::receiveEvent(std::string_view data)
 {
     if (data == "[DONE]") {
--- a/src/libs/agent/runcall.h
+++ b/src/libs/agent/runcall.h
@@ -47,6 +47,7 @@
     using RunCall::RunCall;
 
     void receiveData(int status, std::string_view data) override;
+    bool isTakingMore() const override;
 
 protected:
     void finishAnswer(int status, BackendEnd &end) override;
@@ -58,6 +59,7 @@
     CompletionEventReader m_reader;
     std::string m_batch; ///< Text of the tokens that were received together.
     std::uint32_t m_batchTokens = 0;
+    std::size_t m_errorBytes = 0; ///< Body of an answer that is no stream.
     bool m_isDone = false;
     bool m_isBroken = false;
 };
