Bound the length of files of settings

A settings file without an end filled the memory of the process that read it, also when it was read again for SIGHUP.

The cause: the readers of settings, trees and certificates took whatever their file gave.

SettingsReaderTest.refusesAFileWithoutEnd reads /dev/zero: on the code as received it failed under a limit of 3 GB of address space.

--- a/src/libs/router/routertask.cpp
+++ b/src/libs/router/routertask.cpp
@@ -6,15 +6,13 @@
 #include "routerevents.h"
 #include "wireconversion.h"
 
+#include <core/textfile.h>
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
 #include <wire/curvekeys.h>
 
 #include <sodium.h>
 
-#include <fstream>
-#include <iterator>
-
 namespace Verbena::Router {
 
 namespace {
@@ -44,12 +42,7 @@
 
 Core::Result<std::string> readFile(const std::string &path)
 {
-    std::ifstream file(path, std::ios::binary);
-    std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-    if (!file.good() && text.empty()) {
-        return Core::Error{Core::ErrorCode::NotFound, "router.file", path, "The file cannot be read."};
-    }
-    return text;
+    return Core::readTextFile(path, Core::maximumSettingsBytes, "router.file");
 }
 
 bool isPostPath(const std::string &path)
--- a/src/libs/settings/settingsreader.cpp
+++ b/src/libs/settings/settingsreader.cpp
@@ -1,8 +1,9 @@
 #include "settingsreader.h"
 
+#include <core/textfile.h>
+
 #include <algorithm>
 #include <charconv>
-#include <fstream>
 #include <limits>
 #include <optional>
 #include <sstream>
@@ -107,13 +108,8 @@
 
 Core::Result<SettingsReader> SettingsReader::fromFile(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file) {
-        return Core::Error{Core::ErrorCode::NotFound, "settings.read", path, "The settings file cannot be opened."};
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return fromText(text.str(), path);
+    BOOST_OUTCOME_TRY(text, Core::readTextFile(path, Core::maximumSettingsBytes, "settings.read"));
+    return fromText(text, path);
 }
 
 Core::Result<SettingsReader> SettingsReader::fromText(const std::string &text, const std::string &name)
--- a/src/libs/settingstree/treefiles.cpp
+++ b/src/libs/settingstree/treefiles.cpp
@@ -2,8 +2,7 @@
 
 #include "treelimits.h"
 
-#include <fstream>
-#include <sstream>
+#include <core/textfile.h>
 
 namespace Verbena::SettingsTree {
 
@@ -13,6 +12,9 @@
 
 constexpr const char *teamsKey = "teams";
 
+// Some thousand bytes for each organisation of the target.
+constexpr std::size_t maximumTreeBytes = 64 * 1024 * 1024;
+
 std::vector<std::string> boundedStrings(SettingsReader &reader, const std::string &key)
 {
     std::vector<std::string> texts = reader.strings(key);
@@ -154,13 +156,8 @@
 
 Core::Result<NamedText> loadFile(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file) {
-        return Core::Error{Core::ErrorCode::NotFound, "settings.read", path, "The settings file cannot be opened."};
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return NamedText{path, text.str()};
+    BOOST_OUTCOME_TRY(text, Core::readTextFile(path, maximumTreeBytes, "settings.read"));
+    return NamedText{path, std::move(text)};
 }
 
 } // namespace
--- a/tests/auto/settings/tst_settingsreader.cpp
+++ b/tests/auto/settings/tst_settingsreader.cpp
@@ -187,6 +187,14 @@
     EXPECT_FALSE(SettingsReader::fromText("a: [\n", "file.yaml"));
 }
 
+// A file without an end filled the memory.
+TEST(SettingsReaderTest, refusesAFileWithoutEnd)
+{
+    const auto reader = SettingsReader::fromFile("/dev/zero");
+    ASSERT_FALSE(reader);
+    EXPECT_EQ(reader.error().code, Core::ErrorCode::ResourceExhausted);
+}
+
 } // namespace
 
 } // namespace Verbena::Settings
