Bound the length of a message between processes

One message of any length was received whole before anybody looked at it.

The cause: ZeroMQ has no limit on messages unless ZMQ_MAXMSGSIZE is set.

WireTest.losesAPeerThatSendsATooLongMessage sends 80 MiB: the code as received handed them over as one invalid message. The limit is 64 MiB, several times the settings tree of the target; ZeroMQ closes the connection of a peer that announces more.

--- a/src/libs/wire/messagesocket.cpp
+++ b/src/libs/wire/messagesocket.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t arenaBlockSize = 1024;
 // Number of messages that ZeroMQ queues for one peer before it refuses to send more.
 constexpr int highWaterMark = 10000;
+// Several times the settings tree of the target, the longest message; ZeroMQ closes the connection of a peer that announces a longer one.
+constexpr std::int64_t maximumMessageBytes = 64 * 1024 * 1024;
 constexpr std::chrono::milliseconds reconnectInterval{50};
 constexpr std::chrono::milliseconds maximumReconnectInterval{1000};
 // Time for messages sent right before the process ends to reach their peers.
@@ -82,6 +84,7 @@
     setOption(socket, ZMQ_LINGER, isRouter ? linger : std::chrono::milliseconds(0));
     setOption(socket, ZMQ_SNDHWM, highWaterMark);
     setOption(socket, ZMQ_RCVHWM, highWaterMark);
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &maximumMessageBytes, sizeof maximumMessageBytes);
     setOption(socket, ZMQ_RECONNECT_IVL, reconnectInterval);
     setOption(socket, ZMQ_RECONNECT_IVL_MAX, maximumReconnectInterval);
     setOption(socket, ZMQ_HANDSHAKE_IVL, handshakeTimeout);
--- a/tests/auto/wire/tst_wire.cpp
+++ b/tests/auto/wire/tst_wire.cpp
@@ -186,6 +186,22 @@
     zmq_close(socket);
 }
 
+// One message of any length was held whole before anybody looked at it.
+TEST_F(WireTest, losesAPeerThatSendsATooLongMessage)
+{
+    Recorder server;
+    const auto bound = std::move(MessageSocket::bind(*m_loop, m_context, "tcp://127.0.0.1:*", {}, server).value());
+    void *socket = zmq_socket(m_context.handle(), ZMQ_DEALER);
+    const int linger = 0;
+    zmq_setsockopt(socket, ZMQ_LINGER, &linger, sizeof linger);
+    zmq_connect(socket, bound->endpoint().c_str());
+    const std::string message(80 * 1024 * 1024, '\xff');
+    zmq_send(socket, message.data(), message.size(), 0);
+    EXPECT_TRUE(runUntil([&] { return server.lostCount > 0 || server.invalidCount > 0; }));
+    EXPECT_EQ(server.invalidCount, 0);
+    zmq_close(socket);
+}
+
 TEST(CurveKeysTest, readsKeyFilesAndNeverRevealsASecret)
 {
     const TemporaryFolder folder;
