Bound what packets of any sender can make a process record

Anyone who can send datagrams to a router could name routers and limited servers without end, and to an agent models without end: each took memory, and each further limited server made every answer of a server slower.

The cause: PeerTable and others have a bound, ActiveRouters, ServerLimits and the targets of WeightsKeeper had none.

The bounds are 4,096 routers, 4,096 servers (more than a region of the target has of either) and 256 models. Answers of servers themselves are recorded as before. The bound on models has no test.

--- a/src/libs/decisions/relay/activerouters.cpp
+++ b/src/libs/decisions/relay/activerouters.cpp
@@ -12,6 +12,9 @@
 // Two windows of the resend budget, whose window is the longest of all limits that routers share.
 constexpr std::chrono::seconds retention{20};
 
+// More than the target has. Bounds the memory for addresses from packets of any sender.
+constexpr std::size_t maximumRouters = 4096;
+
 } // namespace
 
 ActiveRouters::ActiveRouters(std::uint32_t assumed)
@@ -21,7 +24,9 @@
 
 void ActiveRouters::record(const std::string &address, Core::TimePoint now)
 {
-    m_deadlines[address] = now + retention;
+    if (m_deadlines.size() < maximumRouters || m_deadlines.contains(address)) {
+        m_deadlines[address] = now + retention;
+    }
 }
 
 std::uint32_t ActiveRouters::count(Core::TimePoint now)
--- a/src/libs/decisions/relay/serverlimits.cpp
+++ b/src/libs/decisions/relay/serverlimits.cpp
@@ -28,6 +28,9 @@
 // Part of the number told last, below which other routers are told without delay.
 constexpr double urgentPart = 0.5;
 
+// More than the servers of a region of the target. Bounds the memory for ids from packets of any sender.
+constexpr std::size_t maximumEntries = 4096;
+
 std::uint64_t score(const std::string &serverId, const std::string &router)
 {
     return XXH64(router.data(), router.size(), XXH64(serverId.data(), serverId.size(), 0));
@@ -84,6 +87,12 @@
 
 bool ServerLimits::handleNews(const ServerLimitNews &news, Core::TimePoint now)
 {
+    if (m_entries.size() >= maximumEntries && find(news.serverId) == nullptr) {
+        evictExpired(now);
+        if (m_entries.size() >= maximumEntries) {
+            return false;
+        }
+    }
     return takeReport(news.serverId, update(news, now - news.age, now), now);
 }
 
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// Many times the models of the target. Bounds the memory for names from packets of any sender.
+constexpr std::size_t maximumModels = 256;
+
 // Changes of declarations are requested again without a pause.
 constexpr milliseconds declarationsPollInterval{0};
 
@@ -185,6 +188,9 @@
 // Routers that started recently or have outdated data may send a later slot than others; the earliest one counts.
 void WeightsKeeper::applySlot(const verbena::wire::WeightsTurn &message)
 {
+    if (m_targets.size() >= maximumModels && !m_targets.contains(message.model())) {
+        return;
+    }
     const Decisions::RolloutSlot slot{message.engines(), message.before(), message.done()};
     const Decisions::WeightsAnnouncement announcement = announcementOf(message, m_loop.now());
     const bool isNews = applyAnnouncement({message.model(), message.version()});
--- a/tests/auto/relay/tst_fleet.cpp
+++ b/tests/auto/relay/tst_fleet.cpp
@@ -426,6 +426,19 @@
     EXPECT_EQ(census.count(start + 30s), 1U);
 }
 
+// Anyone may send packets that name routers; each address took memory for 20 s.
+TEST(ActiveRoutersTest, keepABoundedNumberOfAddresses)
+{
+    ActiveRouters census(8);
+    census.record("10.0.0.1", start);
+    for (int router = 0; router < 20'000; ++router) {
+        census.record("forged-" + std::to_string(router), start + 15s);
+    }
+    EXPECT_LE(census.count(start + 15s), 4096U);
+    census.record("10.0.0.1", start + 16s);
+    EXPECT_EQ(census.count(start + 35s + 500ms), 1U);
+}
+
 // All routers have to elect the same few, in whatever order they learned of each other.
 TEST(ActiveRoutersTest, electsTheSameRoutersEverywhere)
 {
--- a/tests/auto/relay/tst_serverlimits.cpp
+++ b/tests/auto/relay/tst_serverlimits.cpp
@@ -352,6 +352,18 @@
     EXPECT_EQ(told, 2);
 }
 
+// Anyone may send packets that name servers; each id took memory for 5 min.
+TEST(ServerLimitsTest, keepABoundedNumberOfServersOfPackets)
+{
+    ServerLimits limits;
+    for (int number = 0; number < 5000; ++number) {
+        limits.handleNews({"forged-" + std::to_string(number), 1, 5.0}, at(0ms));
+    }
+    EXPECT_LE(limits.limitedCount(at(1ms)), 4096U);
+    limits.handleAnswer(server, 1, 3.0, at(1ms), at(2ms));
+    EXPECT_EQ(limits.limit(server), 3.0);
+}
+
 } // namespace
 
 } // namespace Verbena::Decisions
