Take no bodies with requests for rows

A host that posts to a router's interface for other routers could make it hold 8 MiB for each of 4,096 connections, and 32 KiB for the head of each.

The cause: the interface used the limits of the callers' one, though its requests are one short line.

PeerRowSourceTest.refusesRequestsWithBodies announces a body of 1 MB: the code as received waited for it and answered nothing within the test's 60 s. The head may have 8 KiB now and a body none.

Measured: the request is answered with 413 at once.

--- a/src/libs/relay/peerrowsource.cpp
+++ b/src/libs/relay/peerrowsource.cpp
@@ -24,6 +24,9 @@
 // Maximum number of pending requests; more than twice the number of routers that are not elected in any deployment.
 constexpr std::size_t maximumPendingRequests = 8192;
 
+// Requests of peers are one short line and have no body; each connection may take this much at once.
+constexpr std::size_t maximumHeadBytes = 8 * 1024;
+
 // Maximum time that a peer may request to wait.
 constexpr std::chrono::milliseconds maximumWait{3000};
 
@@ -79,6 +82,8 @@
     Http::HttpServerOptions options;
     options.address = address;
     options.port = port;
+    options.maximumBodyBytes = 0;
+    options.maximumHeaderBytes = maximumHeadBytes;
     auto server = Http::HttpServer::create(loop, options, *rows);
     if (!server) {
         return server.error();
--- a/tests/auto/relay/tst_peerrowsource.cpp
+++ b/tests/auto/relay/tst_peerrowsource.cpp
@@ -292,6 +292,15 @@
     EXPECT_EQ(mirror.changesSince("other", 0).revision, 0U);
 }
 
+// Each of some thousand connections could make a router hold 8 MiB of a body that no request for rows has.
+TEST_F(PeerRowSourceTest, refusesRequestsWithBodies)
+{
+    Verbena::Test::CallerFake caller(*m_loop, Http::Endpoint::parse(m_network + "1:" + std::to_string(port)).value());
+    caller.send("POST /rows?table=op&after=5 HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n");
+    EXPECT_TRUE(Verbena::Test::runUntil(*m_loop, [&caller] { return !caller.received().empty(); }));
+    EXPECT_TRUE(caller.received().starts_with("HTTP/1.1 413"));
+}
+
 } // namespace
 
 } // namespace Verbena::Relay
