Hold signals before the libraries are loaded

Callers saw routers and agents end by themselves in the first 17 ms of a start: a platform that sends SIGHUP for each change of the settings file met processes whose libraries the system was still loading, and the signal had its default effect.

Cause: prepareSignals() stood first in main(), but the system loads 52 libraries before that.

Evidence, on the code as received: six new cases of ProcessStartTest hold a start in the midst of loading by a pipe in place of one library, and send SIGHUP, SIGTERM or SIGINT; all fail, the processes end by -1, -15 and -2.

Change: router and agent are a small program that needs the C library alone. It holds the signals in its first line and opens the rest, the present main as a module, from lib/verbenaladder beside its own folder, in the same process. A module that cannot be loaded ends the start with status 1 and start_failed, step program.load, on standard error.

--- a/cmake/verbena.cmake
+++ b/cmake/verbena.cmake
@@ -11,6 +11,8 @@
 function(verbena_add_library name)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;PRIVATE_DEPENDS" ${ARGN})
     add_library(verbena_${name} STATIC ${ARG_SOURCES})
+    # Modules hold them, and show nothing of them.
+    set_target_properties(verbena_${name} PROPERTIES POSITION_INDEPENDENT_CODE ON CXX_VISIBILITY_PRESET hidden VISIBILITY_INLINES_HIDDEN ON)
     target_link_libraries(verbena_${name} PUBLIC verbena_options ${ARG_DEPENDS} PRIVATE ${ARG_PRIVATE_DEPENDS})
 endfunction()
 
@@ -24,6 +26,31 @@
     install(TARGETS ${binary} RUNTIME DESTINATION bin)
 endfunction()
 
+# verbena_add_server(<binary> SOURCES ... DEPENDS ...): a program that holds its signals before it loads its libraries. SOURCES define verbenaMain() and
+# become a module, which a program linked with the C library alone opens.
+function(verbena_add_server binary)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    set(module ${binary}-module)
+    set(folder lib/verbenaladder) # Seen from the folder above that of the program, in the build and where it is installed.
+    add_library(${module} MODULE ${ARG_SOURCES})
+    set_target_properties(${module} PROPERTIES
+        PREFIX "" OUTPUT_NAME ${binary} LIBRARY_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/${folder}
+        CXX_VISIBILITY_PRESET hidden VISIBILITY_INLINES_HIDDEN ON)
+    target_compile_definitions(${module} PRIVATE VERBENA_VERSION="${PROJECT_VERSION}")
+    target_link_libraries(${module} PRIVATE verbena_options verbena_loader ${ARG_DEPENDS})
+    # A missing symbol is found when the module is linked, or at the latest when it is loaded.
+    target_link_options(${module} PRIVATE -Wl,-z,defs -Wl,-z,now -Wl,--version-script=${CMAKE_SOURCE_DIR}/cmake/module.map)
+    set_target_properties(${module} PROPERTIES LINK_DEPENDS ${CMAKE_SOURCE_DIR}/cmake/module.map)
+
+    add_executable(${binary} ${CMAKE_SOURCE_DIR}/src/apps/loader/main.cpp)
+    target_compile_definitions(${binary} PRIVATE VERBENA_PROGRAM="${binary}" VERBENA_MODULE="../${folder}/${binary}.so")
+    target_link_libraries(${binary} PRIVATE verbena_options verbena_loader)
+    target_link_options(${binary} PRIVATE -Wl,--as-needed -Wl,-z,now) # The compiler names its own libraries to the linker, used or not.
+    add_dependencies(${binary} ${module})
+    install(TARGETS ${binary} RUNTIME DESTINATION bin)
+    install(TARGETS ${module} LIBRARY DESTINATION ${folder})
+endfunction()
+
 # verbena_add_test(<name> SOURCES ... DEPENDS ...): a GoogleTest program, with RapidCheck at hand.
 function(verbena_add_test name)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -6,9 +6,9 @@
 #include <application/processreport.h>
 #include <application/standardoptions.h>
 #include <application/startattempts.h>
-#include <application/startsignals.h>
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
+#include <loader/programentry.h>
 #include <observe/eventlog.h>
 #include <platform/platformprograms.h>
 #include <settingstree/staticsettingsview.h>
@@ -84,9 +84,8 @@
 
 } // namespace
 
-int main(int argc, char **argv)
+int verbenaMain(int argc, char **argv)
 {
-    Application::prepareSignals();
     const auto options = Application::StandardOptions::parseWithHost(
         argc, argv, "Stands beside one backend server and decides what it runs and when. SIGHUP makes it read its key and tree files again.", VERBENA_VERSION);
     if (!options.hostPath.empty()) {
--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -4,9 +4,9 @@
 #include <application/processreport.h>
 #include <application/standardoptions.h>
 #include <application/startattempts.h>
-#include <application/startsignals.h>
 #include <eventloop/loop.h>
 #include <eventloop/signalwatcher.h>
+#include <loader/programentry.h>
 #include <platform/platformprograms.h>
 #include <router/routertask.h>
 #include <settingstree/staticsettingsview.h>
@@ -65,9 +65,8 @@
 
 } // namespace
 
-int main(int argc, char **argv)
+int verbenaMain(int argc, char **argv)
 {
-    Application::prepareSignals();
     const auto options = Application::StandardOptions::parseWithHost(
         argc, argv, "Routes callers' requests to the backend servers where their prompts are warm.", VERBENA_VERSION);
     if (!options.hostPath.empty()) {
--- a/src/libs/application/processreport.h
+++ b/src/libs/application/processreport.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "exitstatus.h"
+
 #include <core/error.h>
 #include <observe/eventlog.h>
 #include <settings/settingsreader.h>
@@ -9,12 +11,6 @@
 
 namespace Verbena::Application {
 
-/// \brief The exit status of a program whose settings are wrong.
-inline constexpr int invalidSettingsStatus = 2;
-
-/// \brief The exit status of a program that could not start.
-inline constexpr int startFailedStatus = 1;
-
 /// \brief Logs why the settings of \a process are wrong and prints the reason on standard error; returns the exit status.
 int reportSettingsError(const std::string &process, const Core::Error &error);
 
--- a/tests/auto/docs/tst_packaging.py
+++ b/tests/auto/docs/tst_packaging.py
@@ -1,6 +1,7 @@
 """Installs into a folder and tries what was installed: programs, units and example settings."""
 
 import re
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -10,10 +11,11 @@
 SOURCE = Path(__file__).resolve().parents[3]
 BUILD = Path(sys.argv.pop(1)) if len(sys.argv) > 1 else SOURCE / "build"
 SERVER_PROGRAMS = ("router", "agent")
+START_FAILED = 1
 
 
-def run(*command):
-    return subprocess.run([str(word) for word in command], capture_output=True, text=True, timeout=60, check=False)
+def run(*command, **options):
+    return subprocess.run([str(word) for word in command], capture_output=True, text=True, timeout=60, check=False, **options)
 
 
 class PackagingTest(unittest.TestCase):
@@ -37,6 +39,25 @@
             self.assertEqual(told.returncode, 0, program)
             self.assertIn("version", told.stdout, program)
 
+    def test_a_server_without_its_module_says_that_it_cannot_start(self):
+        for role in SERVER_PROGRAMS:
+            alone = self.prefix / "alone/bin" / f"verbena-{role}"
+            alone.parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy(self.prefix / "bin" / alone.name, alone)
+            started = run(alone, "--version")
+            self.assertEqual(started.returncode, START_FAILED, started.stderr)
+            self.assertRegex(started.stderr, rf"ERROR {alone.name} 1004 start_failed .*step=program.load peer=\S*{alone.name}.so")
+
+    def test_a_server_takes_no_module_from_a_folder_that_its_caller_names(self):
+        with tempfile.TemporaryDirectory() as folder:
+            named = Path(folder) / "lib/verbenaladder"
+            named.mkdir(parents=True)
+            for role in SERVER_PROGRAMS:
+                (named / f"verbena-{role}.so").write_text("no module")
+                (named.parent / f"verbena-{role}").symlink_to(self.prefix / "bin" / f"verbena-{role}")
+                started = run(named.parent / f"verbena-{role}", "--version", cwd=named, env={"LD_LIBRARY_PATH": str(named)})
+                self.assertEqual(started.returncode, 0, started.stderr)
+
     def test_units_run_installed_programs_with_options_that_they_take(self):
         units = list((self.prefix / "lib/systemd/system").glob("*.service"))
         self.assertEqual(len(units), len(SERVER_PROGRAMS))
--- a/tests/auto/platform/tst_processstart.cpp
+++ b/tests/auto/platform/tst_processstart.cpp
@@ -3,14 +3,19 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include <elf.h>
 #include <fcntl.h>
+#include <link.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -22,6 +27,44 @@
 
 constexpr const char *linePrefix = "{\"time\"";
 
+// A library that both programs need and no sanitizer does, and the variable that names a folder in which the system looks for it first.
+constexpr const char *lateLibrary = "libev.so.4";
+constexpr const char *libraryPath = "LD_LIBRARY_PATH";
+
+// What every program needs. The sanitizers' libraries, and what these need, come with each program that is built with them.
+#ifdef __SANITIZE_ADDRESS__
+constexpr std::array earlyLibraries{"libc.so.", "libasan.so.", "libubsan.so.", "libstdc++.so.", "libm.so.", "libgcc_s.so."};
+#else
+constexpr std::array earlyLibraries{"libc.so."};
+#endif
+
+bool isEarly(const std::string &library)
+{
+    return std::any_of(earlyLibraries.begin(), earlyLibraries.end(), [&library](const char *name) { return library.starts_with(name); });
+}
+
+/// \brief Sets a variable for the processes that are started while this object exists.
+class EnvironmentVariable
+{
+public:
+    EnvironmentVariable(const char *name, const std::string &value)
+        : m_name(name)
+    {
+        setenv(name, value.c_str(), 1);
+    }
+
+    ~EnvironmentVariable()
+    {
+        unsetenv(m_name);
+    }
+
+    EnvironmentVariable(const EnvironmentVariable &) = delete;
+    EnvironmentVariable &operator=(const EnvironmentVariable &) = delete;
+
+private:
+    const char *m_name;
+};
+
 /// \brief Starts real processes with a host file, without a store or backend servers. The parameter is the program.
 class ProcessStartTest : public testing::TestWithParam<const char *>
 {
@@ -60,20 +103,49 @@
     // Starts a process whose host file is a pipe, and returns once it waits for what writePipe() writes.
     std::unique_ptr<ChildProcess> startReadingPipe()
     {
-        const std::string path = m_folder.path() + "/host-0.yaml";
-        EXPECT_EQ(mkfifo(path.c_str(), S_IRUSR | S_IWUSR), 0);
+        const std::string path = makePipe("host-0.yaml");
         auto process = std::make_unique<ChildProcess>(GetParam(), std::vector<std::string>{"--host", path});
-        while (m_pipe < 0 && process->isRunning()) {
-            m_pipe = open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
-        }
+        waitForReader(path, *process);
         return process;
     }
 
     void writePipe()
     {
-        const std::string text = hostText(0);
-        (void)!write(m_pipe, text.data(), text.size());
-        close(m_pipe);
+        writePipe(hostText(0));
+    }
+
+    // Starts a process one of whose libraries is a pipe at first, and returns once the system waits for what goOnLoading() writes.
+    std::unique_ptr<ChildProcess> startLoadingLibraries()
+    {
+        const std::string path = makePipe(lateLibrary);
+        const EnvironmentVariable folder(libraryPath, m_folder.path());
+        auto process = start(0);
+        waitForReader(path, *process);
+        return process;
+    }
+
+    // Writes the head of a library for machines of another word size, so that the system looks further.
+    void goOnLoading()
+    {
+        ElfW(Ehdr) head{};
+        std::copy_n(ELFMAG, SELFMAG, head.e_ident);
+        head.e_ident[EI_CLASS] = sizeof(void *) == sizeof(std::uint64_t) ? ELFCLASS32 : ELFCLASS64;
+        writePipe({reinterpret_cast<const char *>(&head), sizeof head});
+    }
+
+    // The libraries that the system loads before it runs the program, as it lists them itself.
+    static std::vector<std::string> librariesBeforeMain()
+    {
+        const EnvironmentVariable listing("LD_TRACE_LOADED_OBJECTS", "1");
+        ChildProcess process(GetParam(), {});
+        std::vector<std::string> libraries;
+        for (std::string line = process.waitForLine("\t"); !line.empty(); line = process.waitForLine("\t")) {
+            const std::size_t end = line.find(" => ");
+            if (end != std::string::npos) {
+                libraries.push_back(line.substr(0, end));
+            }
+        }
+        return libraries;
     }
 
     // Waits until \a process has logged the event \a name; returns false if its log ends before.
@@ -98,8 +170,28 @@
     }
 
 private:
+    std::string makePipe(const std::string &name)
+    {
+        std::string path = m_folder.path() + '/' + name;
+        EXPECT_EQ(mkfifo(path.c_str(), S_IRUSR | S_IWUSR), 0);
+        return path;
+    }
+
+    void waitForReader(const std::string &pipe, ChildProcess &process)
+    {
+        while (m_pipe < 0 && process.isRunning()) {
+            m_pipe = open(pipe.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        }
+    }
+
+    void writePipe(const std::string &text) const
+    {
+        (void)!write(m_pipe, text.data(), text.size());
+        close(m_pipe);
+    }
+
     TemporaryFolder m_folder;
-    int m_pipe = -1; ///< Writing end of the pipe that stands for the host file.
+    int m_pipe = -1; ///< Writing end of the pipe that stands for a file of the process.
 };
 
 // A log collector that restarted ended the processes whose output it read.
@@ -131,6 +223,41 @@
     EXPECT_EQ(process->waitForExit(), 0);
 }
 
+// SIGHUP ended a process whose libraries the system was just loading.
+TEST_P(ProcessStartTest, isNotEndedByAHangUpWhileItsLibrariesAreLoaded)
+{
+    const auto process = startLoadingLibraries();
+    process->sendSignal(SIGHUP);
+    goOnLoading();
+    EXPECT_TRUE(isUp(*process)) << process->waitForExit();
+}
+
+// SIGTERM and SIGINT ended it by the signal instead of in order.
+TEST_P(ProcessStartTest, endsInOrderWhenTerminatedWhileItsLibrariesAreLoaded)
+{
+    const auto process = startLoadingLibraries();
+    process->sendSignal(SIGTERM);
+    goOnLoading();
+    EXPECT_EQ(process->waitForExit(), 0);
+}
+
+TEST_P(ProcessStartTest, endsInOrderWhenInterruptedWhileItsLibrariesAreLoaded)
+{
+    const auto process = startLoadingLibraries();
+    process->sendSignal(SIGINT);
+    goOnLoading();
+    EXPECT_EQ(process->waitForExit(), 0);
+}
+
+// Each library that the system loads before the program holds its signals lengthened the time in which one ends the process.
+TEST_P(ProcessStartTest, isNotDelayedByLibrariesBeforeItHoldsSignals)
+{
+    std::vector<std::string> libraries = librariesBeforeMain();
+    EXPECT_FALSE(libraries.empty());
+    std::erase_if(libraries, isEarly);
+    EXPECT_EQ(libraries, std::vector<std::string>());
+}
+
 // A second signal that came while the process ended had its default effect.
 TEST_P(ProcessStartTest, endsInOrderHoweverManySignalsCome)
 {
