--- a/tests/soak/faultyproxy.cpp
+++ b/tests/soak/faultyproxy.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::chrono::milliseconds delayTime{120};
 
+// A side that has sent so much that the other has not taken is not read on.
+constexpr std::size_t mostWaiting = 1024 * 1024;
+
 } // namespace
 
 // One connection through the proxy.
@@ -61,6 +64,7 @@
         if (!m_held.empty()) {
             m_timer.startAt(m_held.front().at);
         }
+        updateReading();
     }
 
 private:
@@ -92,6 +96,11 @@
             m_link.hold(m_isCaller, true, "");
         }
 
+        void outputSent() override
+        {
+            m_link.updateReading();
+        }
+
     private:
         Link &m_link;
         bool m_isCaller;
@@ -104,6 +113,24 @@
         deliverDue();
     }
 
+    std::size_t waiting(bool isFromCaller) const
+    {
+        const Http::TcpChannel *to = isFromCaller ? m_target.get() : m_caller.get();
+        std::size_t bytes = to == nullptr ? 0 : to->bufferedBytes();
+        for (const Held &held : m_held) {
+            bytes += held.isFromCaller == isFromCaller ? held.bytes.size() : 0;
+        }
+        return bytes;
+    }
+
+    void updateReading()
+    {
+        m_caller->setReading(waiting(true) < mostWaiting);
+        if (m_target != nullptr) {
+            m_target->setReading(waiting(false) < mostWaiting);
+        }
+    }
+
     FaultyProxy &m_proxy;
     Side m_fromCaller;
     Side m_fromTarget;
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -26,26 +26,61 @@
 
 } // namespace
 
+Ledger::Ledger(std::function<Core::TimePoint()> now)
+    : m_now(std::move(now))
+    , m_begin(m_now())
+{
+}
+
 void Ledger::noteRun(const std::string &id, bool mayRepeat)
 {
     ++m_allRuns;
     m_passedOn.insert(id);
+    ++m_running[id];
     if (mayRepeat) {
         return;
     }
     if (++m_runs[id] > 1) {
-        noteBroken("request " + id + " ran twice");
+        noteBroken("request " + id, "ran twice");
     }
     if (m_promised.contains(id)) {
-        noteBroken("request " + id + " ran after its caller was told that it never would");
+        noteBroken("request " + id, "ran after its caller was told that it never would");
+    }
+}
+
+void Ledger::noteRunEnd(const std::string &id)
+{
+    const auto running = m_running.find(id);
+    if (running != m_running.end() && --running->second == 0) {
+        m_running.erase(running);
     }
 }
 
-void Ledger::noteUnanswered(const std::string &id, std::chrono::milliseconds waited)
+bool Ledger::isRunning(const std::string &id) const
+{
+    return m_running.contains(id);
+}
+
+bool Ledger::hasReachedServer(const std::string &id) const
+{
+    return m_passedOn.contains(id);
+}
+
+void Ledger::noteBrokenOff(const std::string &id)
+{
+    m_brokenOff.insert(id);
+}
+
+bool Ledger::isBrokenOff(const std::string &id) const
+{
+    return m_brokenOff.contains(id);
+}
+
+void Ledger::noteUnanswered(const std::string &router, const std::string &id, std::chrono::milliseconds waited)
 {
     if (m_passedOn.contains(id) || waited > crossingTime) {
         const std::string passed = m_passedOn.contains(id) ? ", after it had reached a backend server" : "";
-        noteBroken("request " + id + " ended without an answer " + std::to_string(waited.count()) + " ms after it was sent" + passed);
+        noteBroken(router, "ended the request " + id + " without an answer " + std::to_string(waited.count()) + " ms after it was sent" + passed);
     }
 }
 
@@ -56,7 +91,7 @@
     }
     m_promised.insert(id);
     if (m_runs.contains(id)) {
-        noteBroken("request " + id + " was said not to have run, and had");
+        noteBroken("request " + id, "was said not to have run, and had");
     }
 }
 
@@ -68,7 +103,7 @@
     }
     if (crashes.count > knownCrashes(cause) && now > crashes.knownSince + contactTime && ++crashes.retries > mostRetries) {
         const std::string what = cause == CrashCause::Request ? "the request that crashes servers" : "a request with the part that crashes servers";
-        noteBroken(what + " reached one again, crash " + std::to_string(crashes.count));
+        noteBroken(what, "reached one again, crash " + std::to_string(crashes.count));
     }
 }
 
@@ -88,18 +123,18 @@
         const bool isOther = last.holder != order.holder;
         const std::string orders = describe(order) + ", " + std::to_string(interval.count()) + " ms after " + describe(last);
         if (isOther && (interval < handoverInterval || last.fence == order.fence)) {
-            noteBroken("engine " + engine + " got orders of two holders: " + orders);
+            noteBroken("engine " + engine, "got orders of two holders: " + orders);
         }
         if (last.fence > order.fence) {
-            noteBroken("engine " + engine + " got a fence below an earlier one: " + orders);
+            noteBroken("engine " + engine, "got a fence below an earlier one: " + orders);
         }
     }
     m_lastOrders[engine] = order;
 }
 
-void Ledger::noteBroken(const std::string &what)
+void Ledger::noteBroken(const std::string &where, const std::string &what)
 {
-    m_broken.push_back(what);
+    m_broken.push_back({std::chrono::duration_cast<std::chrono::milliseconds>(m_now() - m_begin), where, what});
 }
 
 void Ledger::noteServed()
@@ -107,7 +142,7 @@
     ++m_served;
 }
 
-const std::vector<std::string> &Ledger::broken() const
+const std::vector<Verdict> &Ledger::broken() const
 {
     return m_broken;
 }
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -3,6 +3,7 @@
 #include <core/time.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -24,15 +25,38 @@
     PromptPart, ///< A part of the prompts of different requests.
 };
 
+/// \brief A promise that was broken.
+struct Verdict
+{
+    std::chrono::milliseconds at{0}; ///< Since the run began.
+    std::string where; ///< Process, backend server or request.
+    std::string what;
+};
+
 /// \brief What callers and backend servers saw, held against the promises.
 class Ledger
 {
 public:
+    /// \brief The time of verdicts is that of \a now, from now on.
+    explicit Ledger(std::function<Core::TimePoint()> now);
+
     /// \brief A backend server began to run the request \a id.
     void noteRun(const std::string &id, bool mayRepeat);
 
-    /// \brief A router that was not killed ended the connection of the request \a id without an answer, \a waited after it was sent.
-    void noteUnanswered(const std::string &id, std::chrono::milliseconds waited);
+    /// \brief A backend server has ended its work on the request \a id.
+    void noteRunEnd(const std::string &id);
+
+    /// \brief Returns whether a backend server is at work on the request \a id.
+    bool isRunning(const std::string &id) const;
+
+    bool hasReachedServer(const std::string &id) const;
+
+    /// \brief A backend server broke off its answer to the request \a id, or sends it without end.
+    void noteBrokenOff(const std::string &id);
+    bool isBrokenOff(const std::string &id) const;
+
+    /// \brief The router \a router, which was not killed, ended the connection of the request \a id without an answer, \a waited after it was sent.
+    void noteUnanswered(const std::string &router, const std::string &id, std::chrono::milliseconds waited);
 
     /// \brief A caller was told that the request \a id has not run and never will.
     void notePromise(const std::string &id, bool mayRepeat);
@@ -40,8 +64,8 @@
     /// \brief An engine received \a order.
     void noteOrder(const std::string &engine, const Order &order);
 
-    /// \brief Something was seen that must not be.
-    void noteBroken(const std::string &what);
+    /// \brief Something was seen at \a where that must not be.
+    void noteBroken(const std::string &where, const std::string &what);
 
     void noteServed();
 
@@ -51,7 +75,7 @@
     int crashes(CrashCause cause) const;
 
     /// \brief All that was broken, in the order in which it was seen.
-    const std::vector<std::string> &broken() const;
+    const std::vector<Verdict> &broken() const;
 
     int served() const;
     int runs() const;
@@ -64,11 +88,15 @@
         int retries = 0; ///< Crashes later than the contact time after it.
     };
 
+    std::function<Core::TimePoint()> m_now;
+    Core::TimePoint m_begin;
+    std::map<std::string, int> m_running; ///< Number of servers at work, by id.
+    std::set<std::string> m_brokenOff;
     std::map<std::string, int> m_runs; ///< By id, of requests that may run once.
     std::set<std::string> m_passedOn; ///< Ids of all requests that reached a backend server.
     std::set<std::string> m_promised;
     std::map<std::string, Order> m_lastOrders; ///< By engine.
-    std::vector<std::string> m_broken;
+    std::vector<Verdict> m_broken;
     int m_served = 0;
     int m_allRuns = 0;
     std::map<CrashCause, Crashes> m_crashes;
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -1,5 +1,6 @@
 #include "soakcaller.h"
 
+#include "soakroutes.h"
 #include "soakworker.h"
 
 #include <eventloop/loop.h>
@@ -12,8 +13,8 @@
 
 constexpr milliseconds pause{5};
 constexpr milliseconds pauseAfterFailure{40};
-constexpr milliseconds crashingPause{100};
-constexpr int deadlineMilliseconds = 3000;
+constexpr milliseconds rarePause{100};
+constexpr std::size_t shownBytes = 200;
 
 // A router that gives no final answer for so long after the deadline has lost the request.
 constexpr milliseconds patience{20'000};
@@ -21,9 +22,19 @@
 // Of requests that go to the router that was asked last, on the same connection.
 constexpr double stayShare = 0.8;
 
-bool mayRepeat(const std::string &path)
+// A caller closes an answer that grows so large: no proper one does.
+constexpr std::size_t largestAnswer = 256 * 1024;
+
+std::string expectedAnswer(const std::string &path, const std::string &token)
 {
-    return path.rfind("/once/", 0) != 0;
+    if (!isStream(path)) {
+        return answerText(token);
+    }
+    std::string events;
+    for (int number = 1; number <= streamEvents; ++number) {
+        events += eventText(number, token);
+    }
+    return events;
 }
 
 } // namespace
@@ -57,6 +68,16 @@
     m_pinnedPath = path;
 }
 
+void SoakCaller::askFor(std::vector<std::string> paths)
+{
+    m_paths = std::move(paths);
+}
+
+void SoakCaller::sendEndless()
+{
+    m_isEndless = true;
+}
+
 void SoakCaller::sendCrashing(CrashCause cause)
 {
     m_crashCause = cause;
@@ -76,8 +97,7 @@
         return;
     }
     if (m_pinnedPath.empty()) {
-        static const std::vector<std::string> paths{"/safe/", "/once/", "/resume/"};
-        m_path = paths[m_random.next() % paths.size()];
+        m_path = m_paths[m_random.next() % m_paths.size()];
         if (m_channel == nullptr || m_random.uniform() > stayShare) {
             m_router = m_random.next() % m_routers.size();
             m_channel.reset();
@@ -93,12 +113,26 @@
         }
         m_channel = std::move(channel.value());
     }
+    send();
+}
+
+std::string SoakCaller::drawToken() const
+{
+    if (m_isEndless) {
+        return endlessToken;
+    }
+    return m_crashCause == CrashCause::Request ? crashingToken : "token-" + m_id;
+}
+
+void SoakCaller::send()
+{
     m_reader = std::make_unique<Http::MessageReader>(Http::MessageReader::Kind::Answers, *this, Http::MessageLimits{});
     m_id = m_name + '.' + std::to_string(++m_count);
     if (m_crashCause.has_value()) {
         m_path = *m_crashCause == CrashCause::Request ? "/safe/" : "/resume/";
     }
-    m_token = m_crashCause == CrashCause::Request ? crashingToken : "token-" + m_id;
+    m_token = drawToken();
+    m_head = {};
     m_body.clear();
     m_isWaiting = true;
     m_isWhole = false;
@@ -107,22 +141,23 @@
     const std::string parts = m_crashCause == CrashCause::PromptPart ? std::string("a:3,") + crashingPart + ":2,b:5" : "a:5,b:5";
     const std::string model
         = m_path == "/resume/" ? "Verbenaladder-Model: m\r\nVerbenaladder-Token-Count: 10,10\r\nVerbenaladder-Prompt-Prefix: " + parts + "\r\n" : "";
+    const milliseconds deadline = deadlineOf(m_path);
     m_channel->write("POST " + m_path + "x HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: " + m_id + "\r\n" + model + "Verbenaladder-Deadline-Ms: "
-        + std::to_string(deadlineMilliseconds) + "\r\nAuthorization: Token secret\r\nContent-Length: " + std::to_string(m_token.size()) + "\r\n\r\n" + m_token);
-    m_timer.startAt(m_loop.now() + milliseconds(deadlineMilliseconds) + patience);
+        + std::to_string(deadline.count()) + "\r\nAuthorization: Token secret\r\nContent-Length: " + std::to_string(m_token.size()) + "\r\n\r\n" + m_token);
+    m_timer.startAt(m_sentAt + deadline + patience);
 }
 
 void SoakCaller::receiveBytes(std::string_view data)
 {
     if (!m_isWaiting || m_isWhole) {
-        m_ledger.noteBroken("bytes came to " + m_name + " that nobody asked for");
+        m_ledger.noteBroken("caller " + m_name, "got bytes that nobody asked for");
         return;
     }
     m_hasReceived = true;
     if (m_reader->feed(data).has_value()) {
-        m_ledger.noteBroken("an answer to " + m_id + " is no HTTP");
+        m_ledger.noteBroken("request " + m_id, "got an answer that is no HTTP");
     }
-    if (m_isWhole) {
+    if (m_isWhole || m_body.size() > largestAnswer) {
         m_finished.schedule();
     }
 }
@@ -164,12 +199,13 @@
         checkPart();
     }
     const bool isUnanswered = !m_hasReceived && m_channel->hasSent();
+    const bool isCut = m_hasReceived && !isWhole;
     if (!isWhole || !m_head.isKeptAlive) {
         m_channel.reset();
     }
-    m_listener({m_router, m_path, status, m_id, m_sentAt, isUnanswered});
+    m_listener({m_router, m_path, status, m_id, m_sentAt, m_loop.now(), isUnanswered, isCut});
     if (!m_isStopped) {
-        const milliseconds next = m_crashCause.has_value() ? crashingPause : status == 200 ? pause : pauseAfterFailure;
+        const milliseconds next = m_crashCause.has_value() || m_isEndless ? rarePause : status == 200 ? pause : pauseAfterFailure;
         m_timer.startAt(m_loop.now() + next);
     }
 }
@@ -177,20 +213,12 @@
 void SoakCaller::checkWhole()
 {
     switch (m_head.status) {
-    case 200: {
-        std::string expected = answerText(m_token);
-        if (m_path == "/resume/") {
-            expected.clear();
-            for (int number = 1; number <= streamEvents; ++number) {
-                expected += eventText(number, m_token);
-            }
-        }
-        if (m_body != expected) {
-            m_ledger.noteBroken("request " + m_id + " got another answer than its own: " + m_body.substr(0, 200));
+    case 200:
+        if (m_body != expectedAnswer(m_path, m_token)) {
+            m_ledger.noteBroken("request " + m_id, "got another answer than its own: " + m_body.substr(0, shownBytes));
         }
         m_ledger.noteServed();
         break;
-    }
     case 503:
         m_ledger.notePromise(m_id, mayRepeat(m_path));
         break;
@@ -199,11 +227,11 @@
         break;
     case 404:
         if (m_pinnedPath.empty()) {
-            m_ledger.noteBroken("request " + m_id + " on a route that always was got 404");
+            m_ledger.noteBroken("request " + m_id, "on a route that always was got 404");
         }
         break;
     default:
-        m_ledger.noteBroken("request " + m_id + " got status " + std::to_string(m_head.status));
+        m_ledger.noteBroken("request " + m_id, "got status " + std::to_string(m_head.status));
         break;
     }
 }
@@ -211,12 +239,8 @@
 // What came of a stream that broke off must be its beginning.
 void SoakCaller::checkPart() const
 {
-    std::string expected;
-    for (int number = 1; number <= streamEvents; ++number) {
-        expected += eventText(number, m_token);
-    }
-    if (m_path == "/resume/" && !m_body.empty() && m_head.status == 200 && expected.substr(0, m_body.size()) != m_body) {
-        m_ledger.noteBroken("the stream " + m_id + " is not the beginning of its own: " + m_body.substr(0, 200));
+    if (isStream(m_path) && !m_isEndless && m_head.status == 200 && !expectedAnswer(m_path, m_token).starts_with(m_body)) {
+        m_ledger.noteBroken("request " + m_id, "got a stream that is not the beginning of its own: " + m_body.substr(0, shownBytes));
     }
 }
 
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -24,7 +24,9 @@
     int status = 0; ///< 0 if the connection ended first.
     std::string id;
     Core::TimePoint sentAt;
+    Core::TimePoint endedAt;
     bool isUnanswered = false; ///< Whether the request was sent and not a byte of an answer came.
+    bool isCut = false; ///< Whether some of an answer came, and not all of it.
 };
 
 /// \brief A caller that asks one thing after the other, keeps its connection as long as it may, and checks every answer.
@@ -48,6 +50,12 @@
     /// \brief Asks for one path of one router only, again and again.
     void pinTo(std::size_t router, const std::string &path);
 
+    /// \brief Asks for \a paths only.
+    void askFor(std::vector<std::string> paths);
+
+    /// \brief Sends nothing but requests whose answers have a part without end, to any router.
+    void sendEndless();
+
     /// \brief Sends nothing but requests that crash the backend servers that run them by \a cause, to any router.
     void sendCrashing(CrashCause cause);
 
@@ -61,6 +69,8 @@
     void receiveEnd() override;
     void ask();
     void finish(bool isWhole);
+    void send();
+    std::string drawToken() const;
     void checkWhole();
     void checkPart() const;
 
@@ -75,6 +85,7 @@
     std::unique_ptr<Http::TcpChannel> m_channel;
     std::unique_ptr<Http::MessageReader> m_reader;
     std::size_t m_router = 0;
+    std::vector<std::string> m_paths{"/safe/", "/once/", "/resume/"};
     std::string m_path;
     std::string m_pinnedPath;
     std::string m_id;
@@ -87,6 +98,7 @@
     bool m_isWaiting = false;
     bool m_isWhole = false;
     bool m_isStopped = false;
+    bool m_isEndless = false; ///< Whether it asks for answers without end.
     std::optional<CrashCause> m_crashCause; ///< What its requests crash backend servers by; nothing if they don't.
 };
 
--- /dev/null
+++ b/tests/soak/soakfaults.cpp
@@ -0,0 +1,310 @@
+#include "soakfaults.h"
+
+#include <algorithm>
+#include <cmath>
+#include <csignal>
+
+namespace Verbena::Soak {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// Between two faults on average; each lasts up to longestFault, so that several overlap.
+constexpr milliseconds faultPause{250};
+constexpr milliseconds longestFault{1500};
+
+// Planned work leaves some calm, in which the routers learn how long requests take.
+constexpr milliseconds plannedPause{1500};
+
+constexpr milliseconds shortestFreeze{200};
+constexpr milliseconds longestFreeze{2000};
+constexpr double mostFaultShare = 0.3;
+constexpr double plannedShare = 0.4;
+
+// Time that slow requests take at the servers.
+constexpr milliseconds leastWork{50};
+constexpr milliseconds mostWork{6000};
+constexpr double mostGrowth = 4;
+
+// Further signals come within it after a SIGTERM.
+constexpr milliseconds longestStop{8000};
+constexpr double secondSignalShare = 0.4;
+
+constexpr milliseconds longestSeriesPause{600};
+constexpr milliseconds tickTime{20};
+
+milliseconds clampWork(double time)
+{
+    return milliseconds(static_cast<int>(std::clamp(time, static_cast<double>(leastWork.count()), static_cast<double>(mostWork.count()))));
+}
+
+} // namespace
+
+SoakFaults::SoakFaults(SoakWorld &world, FaultMix mix)
+    : m_world(world)
+    , m_isPlanned(mix == FaultMix::Planned || (mix == FaultMix::Drawn && world.random().uniform() < plannedShare))
+    , m_strikeTimer(world.loop(), [this] { strike(); })
+    , m_tick(world.loop(), [this] { tick(); })
+{
+    using F = SoakFaults;
+    m_strikes = {&F::endRouter, &F::endRouter, &F::endRouters, &F::replaceRouter, &F::hangUpRouter, &F::hangUpAgent, &F::changeConfiguration, &F::growWork};
+    m_pause = plannedPause;
+    if (!m_isPlanned) {
+        m_strikes.insert(m_strikes.end(),
+            {&F::killRouter,
+                &F::freezeRouter,
+                &F::endAgent,
+                &F::killAgent,
+                &F::freezeAgent,
+                &F::harmWorkerPath,
+                &F::harmStorePath,
+                &F::harmStore,
+                &F::nameWeights,
+                &F::closeLog,
+                &F::closeLog,
+                &F::crashWorker,
+                &F::answerCallsWithoutEnd});
+        m_pause = faultPause;
+    }
+    const double growth = static_cast<double>(mostWork.count()) / static_cast<double>(leastWork.count());
+    m_workTime = clampWork(static_cast<double>(leastWork.count()) * std::pow(growth, world.random().uniform()));
+    m_world.setWorkTime(m_workTime);
+}
+
+bool SoakFaults::isPlanned() const
+{
+    return m_isPlanned;
+}
+
+void SoakFaults::startAt(Core::TimePoint time)
+{
+    m_strikeTimer.startAt(time);
+    m_tick.startAt(time);
+}
+
+void SoakFaults::stop()
+{
+    m_strikeTimer.stop();
+    m_tick.stop();
+    m_later.clear();
+}
+
+void SoakFaults::tick()
+{
+    const Core::TimePoint now = m_world.loop().now();
+    std::vector<Later> due;
+    std::erase_if(m_later, [&](Later &later) {
+        const bool isDue = later.at <= now;
+        if (isDue) {
+            due.push_back(std::move(later));
+        }
+        return isDue;
+    });
+    for (const Later &later : due) {
+        later.act();
+    }
+    m_tick.startAt(now + tickTime);
+}
+
+void SoakFaults::strike()
+{
+    (this->*m_strikes[m_world.random().next() % m_strikes.size()])();
+    const double pause = m_world.random().exponential() * static_cast<double>(m_pause.count());
+    m_strikeTimer.startAt(m_world.loop().now() + milliseconds(static_cast<int>(pause)));
+}
+
+void SoakFaults::actLater(milliseconds span, std::function<void()> act)
+{
+    m_later.push_back({m_world.loop().now() + span, std::move(act)});
+}
+
+milliseconds SoakFaults::drawSpan(milliseconds longest)
+{
+    return milliseconds(static_cast<int>(m_world.random().uniform() * static_cast<double>(longest.count())));
+}
+
+std::size_t SoakFaults::drawRouter()
+{
+    return m_world.random().next() % m_world.routerCount();
+}
+
+std::size_t SoakFaults::drawWorker()
+{
+    return m_world.random().next() % m_world.workerCount();
+}
+
+FaultyProxy::Mode SoakFaults::drawMode()
+{
+    constexpr int harmfulModes = 4;
+    return static_cast<FaultyProxy::Mode>(1 + m_world.random().next() % harmfulModes);
+}
+
+void SoakFaults::disturbFor(milliseconds span)
+{
+    m_world.disturbances().note(m_world.loop().now() + span);
+}
+
+void SoakFaults::killRouter()
+{
+    disturbFor({});
+    m_world.signalRouter(drawRouter(), SIGKILL);
+}
+
+void SoakFaults::endRouter()
+{
+    const std::size_t router = drawRouter();
+    m_world.signalRouter(router, SIGTERM);
+    signalDuringStop(router);
+}
+
+// One after the other, faster than they end.
+void SoakFaults::endRouters()
+{
+    milliseconds at{0};
+    for (std::size_t router = 0; router < m_world.routerCount(); ++router) {
+        actLater(at, [this, router] { m_world.signalRouter(router, SIGTERM); });
+        at += drawSpan(longestSeriesPause);
+        signalDuringStop(router);
+    }
+}
+
+void SoakFaults::replaceRouter()
+{
+    const std::size_t router = drawRouter();
+    m_world.replaceRouter(router);
+    signalDuringStop(router);
+}
+
+void SoakFaults::signalDuringStop(std::size_t router)
+{
+    for (const int number : {SIGHUP, SIGTERM}) {
+        if (m_world.random().uniform() < secondSignalShare) {
+            actLater(drawSpan(longestStop), [this, router, number] { m_world.signalRouter(router, number); });
+        }
+    }
+}
+
+void SoakFaults::hangUpRouter()
+{
+    m_world.signalRouter(drawRouter(), SIGHUP);
+}
+
+void SoakFaults::freezeRouter()
+{
+    const std::size_t router = drawRouter();
+    const milliseconds span = shortestFreeze + drawSpan(longestFreeze - shortestFreeze);
+    disturbFor(span);
+    m_world.signalRouter(router, SIGSTOP);
+    actLater(span, [this, router] { m_world.signalRouter(router, SIGCONT); });
+}
+
+void SoakFaults::endAgent()
+{
+    disturbFor({});
+    m_world.signalAgent(drawWorker(), SIGTERM);
+}
+
+void SoakFaults::killAgent()
+{
+    disturbFor({});
+    m_world.signalAgent(drawWorker(), SIGKILL);
+}
+
+void SoakFaults::hangUpAgent()
+{
+    m_world.signalAgent(drawWorker(), SIGHUP);
+}
+
+void SoakFaults::freezeAgent()
+{
+    const std::size_t worker = drawWorker();
+    const milliseconds span = shortestFreeze + drawSpan(longestFreeze - shortestFreeze);
+    disturbFor(span);
+    m_world.signalAgent(worker, SIGSTOP);
+    actLater(span, [this, worker] { m_world.signalAgent(worker, SIGCONT); });
+}
+
+void SoakFaults::harmWorkerPath()
+{
+    const std::size_t worker = drawWorker();
+    const milliseconds span = drawSpan(longestFault);
+    disturbFor(span);
+    m_world.workerProxy(worker).setMode(drawMode());
+    actLater(span, [this, worker] { m_world.workerProxy(worker).setMode(FaultyProxy::Mode::Pass); });
+}
+
+void SoakFaults::harmStorePath()
+{
+    const std::size_t router = drawRouter();
+    const milliseconds span = drawSpan(longestFault);
+    disturbFor(span);
+    m_world.storeProxy(router).setMode(drawMode());
+    actLater(span, [this, router] { m_world.storeProxy(router).setMode(FaultyProxy::Mode::Pass); });
+}
+
+void SoakFaults::harmStore()
+{
+    constexpr int harmfulModes = 3;
+    const milliseconds span = drawSpan(longestFault);
+    m_world.disturbances().noteStore(m_world.loop().now() + span);
+    m_world.store().setMode(static_cast<Test::StoreStandin::Mode>(1 + m_world.random().next() % harmfulModes));
+    actLater(span, [this] { m_world.store().setMode(Test::StoreStandin::Mode::Well); });
+}
+
+// Alone, or several in a series.
+void SoakFaults::changeConfiguration()
+{
+    constexpr int longestSeries = 4;
+    constexpr double compactShare = 0.3;
+    const auto count = static_cast<int>(1 + m_world.random().next() % longestSeries);
+    milliseconds at{0};
+    for (int change = 0; change < count; ++change) {
+        actLater(at, [this] { m_world.changeConfiguration(); });
+        at += drawSpan(longestSeriesPause);
+    }
+    if (m_world.random().uniform() < compactShare) {
+        m_world.store().compact();
+    }
+}
+
+void SoakFaults::nameWeights()
+{
+    disturbFor({});
+    m_world.nameWeights();
+}
+
+void SoakFaults::closeLog()
+{
+    if (m_world.random().uniform() < 0.5) {
+        m_world.closeRouterLog(drawRouter());
+    } else {
+        m_world.closeAgentLog(drawWorker());
+    }
+}
+
+void SoakFaults::crashWorker()
+{
+    disturbFor({});
+    m_world.crashWorker(drawWorker());
+    m_world.worker(drawWorker()).setFaultShare(m_world.random().uniform() * mostFaultShare);
+}
+
+void SoakFaults::answerCallsWithoutEnd()
+{
+    const std::size_t worker = drawWorker();
+    const milliseconds span = 2 * drawSpan(longestFault);
+    disturbFor(span);
+    m_world.worker(worker).setEndlessCalls(true);
+    actLater(span, [this, worker] { m_world.worker(worker).setEndlessCalls(false); });
+}
+
+// Work becomes longer and longer, and then short again.
+void SoakFaults::growWork()
+{
+    const bool isLongest = m_workTime == mostWork;
+    m_workTime = isLongest ? leastWork : clampWork(static_cast<double>(m_workTime.count()) * (1 + m_world.random().uniform() * (mostGrowth - 1)));
+    m_world.setWorkTime(m_workTime);
+}
+
+} // namespace Verbena::Soak
--- /dev/null
+++ b/tests/soak/soakrun.cpp
@@ -0,0 +1,173 @@
+#include "soakrun.h"
+
+#include "soakroutes.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace Verbena::Soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds tickTime{50};
+constexpr std::size_t endlessCallers = 2;
+
+} // namespace
+
+SoakRun::SoakRun(RunSettings settings)
+    : m_settings(std::move(settings))
+    , m_world(m_settings.seed, m_settings.size)
+    , m_judge(m_world.ledger())
+    , m_faults(m_world, m_settings.mix)
+    , m_end(m_world.loop().now() + m_settings.length)
+    , m_tick(m_world.loop(), [this] { tick(); })
+{
+}
+
+bool SoakRun::play()
+{
+    startCallers();
+    startProbers();
+    m_faults.startAt(m_world.loop().now() + 1s);
+    tick();
+    wait([this] { return m_world.loop().now() >= m_end; }, m_settings.length + 60s);
+    m_faults.stop();
+    m_endless.clear();
+    m_isCalm = true;
+    m_world.heal();
+    checkRecovery();
+    return report();
+}
+
+void SoakRun::startCallers()
+{
+    const std::size_t count = m_settings.size.callersPerRouter * m_world.routerCount();
+    for (std::size_t number = 0; number < count; ++number) {
+        startCaller("c" + std::to_string(number), &SoakRun::noteOutcome);
+        startCaller("s" + std::to_string(number), &SoakRun::judge).askFor({"/slow/", "/slow-once/", "/long/"});
+    }
+    for (std::size_t number = 0; number < m_world.routerCount(); ++number) {
+        m_holders.push_back(std::make_unique<HoldingCaller>(m_world.loop(), m_world.routerEndpoints()[number], "h" + std::to_string(number)));
+    }
+    if (m_faults.isPlanned()) {
+        return;
+    }
+    startCaller("crashing", &SoakRun::judge).sendCrashing(CrashCause::Request);
+    startCaller("crashing-part", &SoakRun::judge).sendCrashing(CrashCause::PromptPart);
+    startCaller("endless", &SoakRun::judge).sendEndless();
+    for (std::size_t number = 0; number < endlessCallers; ++number) {
+        m_endless.push_back(std::make_unique<EndlessCaller>(m_world.loop(), m_world.routerEndpoints(), m_world.random()));
+    }
+}
+
+SoakCaller &SoakRun::startCaller(const std::string &name, void (SoakRun::*note)(const Outcome &outcome))
+{
+    m_callers.push_back(std::make_unique<SoakCaller>(
+        m_world.loop(), m_world.routerEndpoints(), name, m_world.ledger(), m_world.random(), [this, note](const Outcome &outcome) { (this->*note)(outcome); }));
+    return *m_callers.back();
+}
+
+// One more for each router asks for the route that only the newest configuration has.
+void SoakRun::startProbers()
+{
+    m_highest.resize(m_world.routerCount());
+    for (std::size_t router = 0; router < m_world.routerCount(); ++router) {
+        SoakCaller &prober = startCaller("p" + std::to_string(router), &SoakRun::noteProbe);
+        prober.pinTo(router, m_world.newestPath());
+        m_probers.push_back(&prober);
+    }
+}
+
+void SoakRun::judge(const Outcome &outcome)
+{
+    m_judge.judge(outcome, m_world.pastSince(outcome.router, outcome.path, outcome.sentAt));
+}
+
+void SoakRun::noteOutcome(const Outcome &outcome)
+{
+    judge(outcome);
+    if (m_isCalm && outcome.status == 200) {
+        m_servedInCalm.insert({outcome.router, outcome.path});
+    }
+}
+
+// A router that has shown a configuration may not answer by an older one until it is started again.
+void SoakRun::noteProbe(const Outcome &outcome)
+{
+    judge(outcome);
+    const std::size_t router = outcome.router;
+    if (m_world.takeRestart(router)) {
+        m_highest[router] = 0;
+    }
+    const int version = std::stoi(outcome.path.substr(2));
+    if (outcome.status == 200) {
+        if (version < m_highest[router]) {
+            m_world.ledger().noteBroken("front-" + std::to_string(router), "went back to configuration " + std::to_string(version));
+        }
+        m_highest[router] = std::max(m_highest[router], version);
+    }
+    m_probers[router]->pinTo(router, m_world.newestPath());
+}
+
+void SoakRun::tick()
+{
+    if (!m_settings.areLogsUnread) {
+        m_world.collectLogs();
+    }
+    m_world.restartEnded();
+    m_world.endCrashing();
+    m_tick.startAt(m_world.loop().now() + tickTime);
+}
+
+bool SoakRun::wait(const std::function<bool()> &isDone, std::chrono::seconds patience)
+{
+    const Core::TimePoint deadline = m_world.loop().now() + patience;
+    while (!isDone()) {
+        if (m_world.loop().now() > deadline) {
+            return false;
+        }
+        m_world.loop().runOnce();
+    }
+    return true;
+}
+
+// Generous, so that a busy machine changes nothing: what comes back at all comes back within seconds.
+void SoakRun::checkRecovery()
+{
+    constexpr std::chrono::seconds patience{60};
+    constexpr std::size_t kinds = 3;
+    Ledger &ledger = m_world.ledger();
+    if (!wait([this] { return m_servedInCalm.size() == kinds * m_world.routerCount(); }, patience)) {
+        ledger.noteBroken("recovery", "not every router served every kind of request again");
+    }
+    const int newest = std::stoi(m_world.newestPath().substr(2));
+    const auto isInForce = [this, newest] {
+        return std::all_of(m_highest.begin(), m_highest.end(), [newest](int version) { return version == newest; });
+    };
+    if (!wait(isInForce, patience)) {
+        ledger.noteBroken("recovery", "the newest configuration is not in force everywhere");
+    }
+    if (!wait([this] { return m_world.hasNewestWeightsEverywhere(); }, patience)) {
+        ledger.noteBroken("recovery", "not every engine got the newest weights");
+    }
+}
+
+bool SoakRun::report()
+{
+    const Ledger &ledger = m_world.ledger();
+    std::cout << (m_faults.isPlanned() ? "planned" : "all") << " faults, served " << ledger.served() << ", runs " << ledger.runs() << ", crashes "
+              << ledger.crashes(CrashCause::Request) << " and " << ledger.crashes(CrashCause::PromptPart) << ", configuration " << m_world.newestPath()
+              << ", weights " << m_world.newestWeights() << ", broken " << ledger.broken().size() << std::endl;
+    for (const Verdict &verdict : ledger.broken()) {
+        std::cout << "BROKEN: seed " << m_settings.seed << " at " << verdict.at.count() << " ms: " << verdict.where << ' ' << verdict.what << std::endl;
+    }
+    if (!ledger.broken().empty() && !m_settings.logFolder.empty()) {
+        m_world.collectLogs();
+        m_world.writeLogs(m_settings.logFolder);
+    }
+    return ledger.broken().empty();
+}
+
+} // namespace Verbena::Soak
--- a/tests/soak/soakworker.cpp
+++ b/tests/soak/soakworker.cpp
@@ -1,5 +1,8 @@
 #include "soakworker.h"
 
+#include "endlesssource.h"
+#include "soakroutes.h"
+
 #include <eventloop/deferredcall.h>
 #include <eventloop/loop.h>
 
@@ -60,11 +63,27 @@
     {
     }
 
+    ~Connection() override
+    {
+        endWork();
+    }
+
+    // What is at work now ends without its answer, by the server's fault.
+    void breakOff()
+    {
+        if (m_isWorking) {
+            m_worker.m_ledger.noteBrokenOff(m_id);
+        }
+    }
+
 private:
     enum class Fault { None, Lose, Cut, Cross, Refuse };
 
     void receiveBytes(std::string_view data) override
     {
+        if (m_endless != nullptr) {
+            return;
+        }
         (void)m_reader.feed(data);
         if (m_reader.isDone()) {
             handle();
@@ -94,7 +113,10 @@
 
     void handle()
     {
-        if (m_head.target == "/report") {
+        const bool isCall = m_head.target == "/report" || m_head.target.starts_with("/kv-events");
+        if (isCall && m_worker.m_hasEndlessCalls) {
+            sendEndless("", m_head.target == "/report" ? m_worker.report() : R"({"bootEpoch":1,"next":1,"lost":false,"events":[]})");
+        } else if (m_head.target == "/report") {
             m_channel->write(whole("200 OK", "", m_worker.report()));
         } else if (m_head.target == "/order") {
             m_channel->write(whole(m_worker.takeOrder(m_body), "", ""));
@@ -119,17 +141,47 @@
             return;
         }
         m_token = m_body;
+        m_id = field(m_head, "Verbenaladder-Attempt-Id");
         if (const std::optional<CrashCause> cause = crashCause()) {
+            m_worker.m_ledger.noteBrokenOff(m_id);
             m_worker.m_ledger.noteCrash(*cause, m_worker.m_loop.now());
             m_worker.m_crashObserver();
             return;
         }
-        m_id = field(m_head, "Verbenaladder-Attempt-Id");
-        m_worker.m_ledger.noteRun(m_id, m_head.target.rfind("/once/", 0) != 0);
+        m_worker.m_ledger.noteRun(m_id, mayRepeat(m_head.target));
+        m_isWorking = true;
+        if (m_fault != Fault::None) {
+            breakOff();
+        }
         const std::string last = field(m_head, "Last-Event-Id");
         m_nextEvent = last.empty() ? 1 : std::stoi(last) + 1;
-        m_isStream = m_head.target.rfind("/resume/", 0) == 0;
-        m_timer.startAt(m_worker.m_loop.now() + workTime);
+        m_isStream = isStream(m_head.target);
+        m_hasHead = false;
+        const milliseconds work = isSlow(m_head.target) ? drawWorkTime() : workTime;
+        m_eventPause = isSlow(m_head.target) ? work / streamEvents : eventPause;
+        m_timer.startAt(m_worker.m_loop.now() + (m_isStream ? m_eventPause : work));
+    }
+
+    milliseconds drawWorkTime()
+    {
+        constexpr double least = 0.9;
+        constexpr double spread = 0.2;
+        const double factor = least + spread * m_worker.m_random.uniform();
+        return milliseconds(static_cast<int>(factor * static_cast<double>(m_worker.m_workTime.count())));
+    }
+
+    // From now on this connection does nothing but send.
+    void sendEndless(const std::string &fields, const std::string &body)
+    {
+        m_endless = std::make_unique<EndlessSource>(m_worker.m_loop, *m_channel, drawEndlessAnswer(m_worker.m_random, fields, body), m_worker.m_random);
+    }
+
+    void endWork()
+    {
+        if (m_isWorking) {
+            m_worker.m_ledger.noteRunEnd(m_id);
+        }
+        m_isWorking = false;
     }
 
     std::optional<CrashCause> crashCause() const
@@ -151,7 +203,10 @@
 
     void goOn()
     {
-        if (m_fault == Fault::Lose) {
+        if (m_token == endlessToken) {
+            breakOff();
+            sendEndless(fields(), m_isStream ? eventText(1, m_token) : answerText(m_token));
+        } else if (m_fault == Fault::Lose) {
             m_channel->resetOnClose();
             m_close.schedule();
         } else if (m_isStream) {
@@ -175,6 +230,7 @@
             return;
         }
         m_channel->write(answer);
+        endWork();
     }
 
     void sendEvent()
@@ -185,6 +241,7 @@
         }
         if (m_nextEvent > streamEvents) {
             m_channel->write("0\r\n\r\n");
+            endWork();
             return;
         }
         const std::string text = eventText(m_nextEvent, m_token);
@@ -195,7 +252,7 @@
         }
         m_channel->write(chunk(text));
         ++m_nextEvent;
-        m_timer.startAt(m_worker.m_loop.now() + eventPause);
+        m_timer.startAt(m_worker.m_loop.now() + m_eventPause);
     }
 
     SoakWorker &m_worker;
@@ -208,6 +265,9 @@
     std::string m_id;
     std::string m_token;
     Fault m_fault = Fault::None;
+    std::unique_ptr<EndlessSource> m_endless; ///< Null unless this connection sends without end.
+    milliseconds m_eventPause{0};
+    bool m_isWorking = false;
     bool m_isStream = false;
     bool m_hasHead = false;
     int m_nextEvent = 1;
@@ -253,6 +313,9 @@
 {
     ++m_life;
     m_orders = 0;
+    for (const auto &[raw, connection] : m_connections) {
+        raw->breakOff();
+    }
     m_connections.clear();
 }
 
@@ -266,6 +329,16 @@
     m_faultShare = share;
 }
 
+void SoakWorker::setWorkTime(milliseconds time)
+{
+    m_workTime = time;
+}
+
+void SoakWorker::setEndlessCalls(bool isEndless)
+{
+    m_hasEndlessCalls = isEndless;
+}
+
 std::string SoakWorker::report() const
 {
     return json{{"models", {{{"name", "m"}, {"version", m_version}}}},
--- a/tests/soak/soakworker.h
+++ b/tests/soak/soakworker.h
@@ -21,6 +21,9 @@
 /// \brief The body that ends the backend server that runs it.
 inline constexpr const char *crashingToken = "crash";
 
+/// \brief The body whose answer has a part without end.
+inline constexpr const char *endlessToken = "endless";
+
 /// \brief The part of a prompt that ends the engine that begins to answer it.
 inline constexpr const char *crashingPart = "bad";
 
@@ -57,6 +60,12 @@
     /// \brief Share of requests that go wrong.
     void setFaultShare(double share);
 
+    /// \brief Time that the work on a slow request takes from now on, give or take a tenth.
+    void setWorkTime(std::chrono::milliseconds time);
+
+    /// \brief Whether its answers to calls that are no requests have a part without end.
+    void setEndlessCalls(bool isEndless);
+
 private:
     class Connection;
 
@@ -72,6 +81,8 @@
     std::uint64_t m_version = 1;
     std::uint64_t m_orders = 0;
     double m_faultShare = 0;
+    std::chrono::milliseconds m_workTime{50};
+    bool m_hasEndlessCalls = false;
     std::function<void()> m_crashObserver;
     std::map<Connection *, std::unique_ptr<Connection>> m_connections;
     std::unique_ptr<Http::TcpListener> m_listener;
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -1,61 +1,55 @@
 #include "soakworld.h"
 
-#include <csignal>
-#include <fstream>
+#include "soakroutes.h"
 
-#include <nlohmann/json.hpp>
+#include <csignal>
 
 #include <sys/resource.h>
 #include <unistd.h>
 
 namespace Verbena::Soak {
 
-using nlohmann::json;
-
 namespace {
 
 constexpr const char *callersPort = "8782";
 constexpr const char *readinessPort = "8789";
 constexpr std::size_t firstWorkerHost = 100;
 
-json route(const std::string &prefix, const char *kind, const char *service, bool isResumable)
-{
-    return {{"name", prefix},
-        {"hostname", "x.example"},
-        {"prefix", prefix},
-        {"kind", kind},
-        {"timeoutMs", 3000},
-        {"targetLatencyMs", 1000},
-        {"priority", 1},
-        {"service", service},
-        {"attempts", 2},
-        {"public", false},
-        {"resumable", isResumable}};
-}
-
 // Share of starts with a soft limit of descriptors far below the hard one, and of those whose host file is not whole at first.
 constexpr double smallLimitShare = 0.3;
 constexpr double incompleteFileShare = 0.2;
 constexpr rlim_t smallLimit = 96;
 
+// Share of starts that are followed by a SIGHUP in the first milliseconds, as a platform sends that changes a file of settings.
+constexpr double earlyHangUpShare = 0.3;
+constexpr double latestEarlyHangUp = 20;
+
+constexpr std::uint64_t routerMegabytes = 110;
+constexpr std::uint64_t agentMegabytes = 192;
+
+// Drawn for each run.
+constexpr std::chrono::seconds graces[] = {std::chrono::seconds(2), std::chrono::seconds(4), std::chrono::seconds(6), std::chrono::seconds(8)};
+
 } // namespace
 
 SoakWorld::SoakWorld(std::uint64_t seed, const WorldSize &size)
     : m_loop(std::move(EventLoop::Loop::create().value()))
     , m_random(seed)
+    , m_ledger([this] { return m_loop->now(); })
     , m_store(*m_loop)
-    , m_engines(size.engines)
+    , m_size(size)
+    , m_grace(graces[m_random.next() % std::size(graces)])
 {
     writeConfiguration();
-    m_workers.resize(size.engines + size.services);
+    m_workers.resize(size.engines + size.services + size.slowServices);
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
         Worker &worker = m_workers[index];
         worker.ip = ip(firstWorkerHost + index);
-        worker.server = std::make_unique<SoakWorker>(*m_loop, worker.ip, "w" + std::to_string(index), index < m_engines, m_ledger, m_random);
+        worker.server = std::make_unique<SoakWorker>(*m_loop, worker.ip, "w" + std::to_string(index), index < m_size.engines, m_ledger, m_random);
         worker.server->setCrashObserver([this, index] { m_crashing.insert(index); });
         worker.proxy = std::make_unique<FaultyProxy>(*m_loop, worker.ip + ":0", worker.server->address());
         registerWorker(index);
-        if (index < m_engines) {
+        if (index < m_size.engines) {
             startAgent(index);
         }
     }
@@ -76,27 +70,21 @@
     return "127." + std::to_string(1 + pid / 250 % 250) + '.' + std::to_string(1 + pid % 250) + '.' + std::to_string(number);
 }
 
-std::string SoakWorld::hostFile(const std::string &name, const std::string &address, const std::string &store, const std::string &more)
-{
-    const std::string text = "nodeName: \"" + name + "\"\nip: \"" + address
-        + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nbounds:\n  graceS: 6\n  retrySlack: 500\n" + more + "provider:\n  address: \"" + store + "\"\n";
-    if (m_random.uniform() >= incompleteFileShare) {
-        return m_folder.write(name + ".yaml", text);
-    }
-    m_incompleteFiles[name + ".yaml"] = text;
-    return m_folder.write(name + ".yaml", text.substr(0, text.size() / 2));
-}
-
-SoakWorld::Process SoakWorld::start(const std::string &program, const std::string &name, const std::string &hostFile)
+std::unique_ptr<SupervisedProcess> SoakWorld::start(const std::string &program, const HostSettings &settings)
 {
-    std::optional<rlimit> limit;
+    ProcessTerms terms{program,
+        settings.name,
+        m_files.write(settings, m_random.uniform() < incompleteFileShare),
+        std::nullopt,
+        settings.grace,
+        settings.memoryMegabytes << 20U};
     rlimit system{};
     if (m_random.uniform() < smallLimitShare && getrlimit(RLIMIT_NOFILE, &system) == 0) {
-        limit = rlimit{smallLimit, system.rlim_max};
+        terms.descriptors = rlimit{smallLimit, system.rlim_max};
     }
-    Process process{std::make_unique<Test::ChildProcess>(program, std::vector<std::string>{"--host", hostFile}, limit), name};
-    if (process.child->pid() < 0) {
-        m_ledger.noteBroken(program + " could not be started");
+    auto process = std::make_unique<SupervisedProcess>(*m_loop, m_ledger, std::move(terms));
+    if (m_random.uniform() < earlyHangUpShare) {
+        process->hangUpEarly(std::chrono::milliseconds(static_cast<int>(m_random.uniform() * latestEarlyHangUp)));
     }
     return process;
 }
@@ -104,54 +92,35 @@
 void SoakWorld::startRouter(std::size_t index)
 {
     Router &router = m_routers[index];
-    const std::string name = "front-" + std::to_string(index);
-    const std::string file = hostFile(name,
-        router.ip,
-        router.store->address(),
-        "listen:\n  front: \"" + router.ip + ':' + callersPort + "\"\n  ready: \"" + router.ip + ':' + readinessPort + "\"\n");
-    router.process = start("verbena-router", name, file);
+    const std::string more = "listen:\n  front: \"" + router.ip + ':' + callersPort + "\"\n  ready: \"" + router.ip + ':' + readinessPort + "\"\n";
+    router.process = start("verbena-router", {"front-" + std::to_string(index), router.ip, router.store->address(), m_grace, routerMegabytes, more});
     router.isRestarted = true;
 }
 
 void SoakWorld::startAgent(std::size_t index)
 {
     Worker &worker = m_workers[index];
-    const std::string name = "side-" + std::to_string(index);
-    const std::string file = hostFile(name, worker.ip, m_store.address(), "app: \"" + worker.proxy->address() + "\"\nservice: \"reader\"\n");
-    worker.agent = start("verbena-agent", name, file);
+    const std::string more = "app: \"" + worker.proxy->address() + "\"\nservice: \"reader\"\n";
+    worker.agent = start("verbena-agent", {"side-" + std::to_string(index), worker.ip, m_store.address(), m_grace, agentMegabytes, more});
 }
 
-void SoakWorld::registerWorker(std::size_t index)
+std::string SoakWorld::service(std::size_t index) const
 {
-    const Worker &worker = m_workers[index];
-    json models = json::array();
-    if (index < m_engines) {
-        models.push_back({{"name", "m"}, {"version", worker.server->version()}});
+    if (index < m_size.engines) {
+        return "reader";
     }
-    m_store.put("servers",
-        worker.server->id(),
-        {{"service", index < m_engines ? "reader" : "register"},
-            {"address", worker.proxy->address()},
-            {"zone", "hall"},
-            {"slots", 96},
-            {"phase", "ready"},
-            {"models", models},
-            {"sequence", 1}});
+    return index < m_size.engines + m_size.services ? "register" : "press";
+}
+
+void SoakWorld::registerWorker(std::size_t index)
+{
+    const SoakWorker &server = *m_workers[index].server;
+    m_store.put("servers", server.id(), serverRow(service(index), m_workers[index].proxy->address(), server.isEngine() ? server.version() : 0));
 }
 
 void SoakWorld::writeConfiguration()
 {
-    m_store.put("op",
-        "config",
-        {{"version", m_configuration},
-            {"routes",
-                {route("/safe/", "idempotent", "register", false),
-                    route("/once/", "non_idempotent", "register", false),
-                    route("/resume/", "streaming", "reader", true),
-                    route(newestPath(), "idempotent", "register", false)}},
-            {"services", {{{"name", "reader"}, {"engine", {{"slots", 96}}}}, {{"name", "register"}}}},
-            {"limits", {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 100000}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}},
-            {"tenants", {{{"name", "dams"}, {"apiKeys", {"secret"}}, {"dedicated", false}}}}});
+    m_store.put("op", "config", configurationRow(m_configuration, newestPath()));
 }
 
 std::string SoakWorld::newestPath() const
@@ -178,7 +147,7 @@
 
 bool SoakWorld::hasNewestWeightsEverywhere() const
 {
-    for (std::size_t index = 0; index < m_engines; ++index) {
+    for (std::size_t index = 0; index < m_size.engines; ++index) {
         if (m_workers[index].server->version() < m_weights) {
             return false;
         }
@@ -186,106 +155,99 @@
     return true;
 }
 
-// Returns whether a process neither blocks nor handles a signal yet, by what the system says of it.
-bool SoakWorld::isLoading(const Process &process, int signalNumber)
+void SoakWorld::signalRouter(std::size_t index, int signalNumber)
 {
-    std::ifstream status("/proc/" + std::to_string(process.child->pid()) + "/status");
-    const std::uint64_t bit = std::uint64_t(1) << (signalNumber - 1);
-    std::string word;
-    while (status >> word) {
-        std::string mask;
-        if ((word == "SigBlk:" || word == "SigCgt:") && status >> mask && (std::stoull(mask, nullptr, 16) & bit) != 0) {
-            return false;
-        }
+    Router &router = m_routers[index];
+    if (signalNumber == SIGKILL) {
+        router.lastKill = m_loop->now();
     }
-    return true;
+    if (signalNumber == SIGTERM && !router.process->terminatedAt().has_value()) {
+        router.stops.push_back({m_loop->now(), m_grace});
+    }
+    if (router.predecessor != nullptr) {
+        router.predecessor->signal(signalNumber);
+    }
+    router.process->signal(signalNumber);
 }
 
-void SoakWorld::signal(Process &process, int signalNumber)
+void SoakWorld::signalAgent(std::size_t index, int signalNumber)
 {
-    if (process.child == nullptr) {
-        return;
-    }
-    process.isSignalledWhileLoading = process.isSignalledWhileLoading || isLoading(process, signalNumber);
-    process.isKilled = process.isKilled || signalNumber == SIGKILL;
-    process.child->sendSignal(signalNumber);
+    m_workers[index % m_size.engines].agent->signal(signalNumber);
 }
 
-void SoakWorld::signalRouter(std::size_t index, int signalNumber)
+RouterPast SoakWorld::pastSince(std::size_t index, const std::string &path, Core::TimePoint time) const
 {
-    Router &router = m_routers[index];
-    if (signalNumber == SIGKILL) {
-        router.lastKill = m_loop->now();
-    }
-    signal(router.process, signalNumber);
+    const Router &router = m_routers[index];
+    const bool isDisturbed = m_disturbances.isAnySince(time, isStream(path));
+    return {router.process->terms().name, router.lastKill >= time, isDisturbed, router.stops};
 }
 
-void SoakWorld::signalAgent(std::size_t index, int signalNumber)
+Disturbances &SoakWorld::disturbances()
 {
-    signal(m_workers[index % m_engines].agent, signalNumber);
+    return m_disturbances;
 }
 
-bool SoakWorld::wasKilledSince(std::size_t index, Core::TimePoint time) const
+void SoakWorld::setWorkTime(std::chrono::milliseconds time)
 {
-    return m_routers[index].lastKill >= time;
+    for (Worker &worker : m_workers) {
+        worker.server->setWorkTime(time);
+    }
 }
 
 void SoakWorld::replaceRouter(std::size_t index)
 {
     Router &router = m_routers[index];
-    if (router.predecessor.child != nullptr) {
+    if (router.predecessor != nullptr) {
         return;
     }
+    signalRouter(index, SIGCONT);
+    signalRouter(index, SIGTERM);
     router.predecessor = std::move(router.process);
-    signal(router.predecessor, SIGCONT);
-    signal(router.predecessor, SIGTERM);
     startRouter(index);
 }
 
 void SoakWorld::closeRouterLog(std::size_t index)
 {
-    m_routers[index].process.child->closeOutput();
+    m_routers[index].process->closeOutput();
 }
 
 void SoakWorld::closeAgentLog(std::size_t index)
 {
-    m_workers[index % m_engines].agent.child->closeOutput();
+    m_workers[index % m_size.engines].agent->closeOutput();
 }
 
 void SoakWorld::restartEnded()
 {
-    for (const auto &[name, text] : std::exchange(m_incompleteFiles, {})) {
-        m_folder.write(name, text);
-    }
+    m_files.complete();
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
-        (void)reapIfEnded(m_routers[index].predecessor);
-        if (reapIfEnded(m_routers[index].process)) {
+        Router &router = m_routers[index];
+        (void)reapIfEnded(router.predecessor, router.lastKill);
+        if (reapIfEnded(router.process, router.lastKill)) {
             startRouter(index);
         }
     }
-    for (std::size_t index = 0; index < m_engines; ++index) {
-        if (reapIfEnded(m_workers[index].agent)) {
+    for (std::size_t index = 0; index < m_size.engines; ++index) {
+        Core::TimePoint killedAt;
+        if (reapIfEnded(m_workers[index].agent, killedAt)) {
             startAgent(index);
         }
+        m_disturbances.note(killedAt);
     }
 }
 
-// Returns whether the process has ended, and takes it for broken if it did so by itself. A signal that comes while the system still loads the program has its
-// default effect.
-bool SoakWorld::reapIfEnded(Process &process)
+// Returns whether the process has ended; killedAt becomes the time of its SIGKILL, if it got one.
+bool SoakWorld::reapIfEnded(std::unique_ptr<SupervisedProcess> &process, Core::TimePoint &killedAt)
 {
-    if (process.child == nullptr || process.child->isRunning()) {
+    if (process == nullptr) {
         return false;
     }
-    collectLog(process);
-    const int status = process.child->waitForExit();
-    const bool isEndedWhileLoading = process.isSignalledWhileLoading && (status == -SIGTERM || status == -SIGHUP);
-    if (status != 0 && !(process.isKilled && status == -SIGKILL) && !isEndedWhileLoading) {
-        const char *missing = status == Test::ChildProcess::notExecutedStatus ? "; was the program replaced while the soak ran?" : "";
-        m_ledger.noteBroken(process.name + " ended by itself, status " + std::to_string(status) + missing);
+    const bool hasEnded = process->check();
+    killedAt = std::max(killedAt, process->killedAt().value_or(killedAt));
+    if (hasEnded) {
+        m_logs.collect(process.get());
+        process.reset();
     }
-    process = {};
-    return true;
+    return hasEnded;
 }
 
 void SoakWorld::endCrashing()
@@ -295,33 +257,20 @@
     }
 }
 
-void SoakWorld::collectLog(Process &process)
-{
-    if (process.child == nullptr) {
-        return;
-    }
-    const std::string output = process.child->takeOutput();
-    m_logs[process.name] += output;
-}
-
 void SoakWorld::collectLogs()
 {
     for (Router &router : m_routers) {
-        collectLog(router.predecessor);
-        collectLog(router.process);
+        m_logs.collect(router.predecessor.get());
+        m_logs.collect(router.process.get());
     }
     for (Worker &worker : m_workers) {
-        collectLog(worker.agent);
+        m_logs.collect(worker.agent.get());
     }
 }
 
 void SoakWorld::writeLogs(const std::string &folder) const
 {
-    for (const auto &[name, text] : m_logs) {
-        std::string path = folder;
-        path.append("/").append(name).append(".log");
-        std::ofstream(path) << text;
-    }
+    m_logs.write(folder);
 }
 
 bool SoakWorld::takeRestart(std::size_t index)
@@ -360,11 +309,16 @@
     for (Worker &worker : m_workers) {
         worker.proxy->setMode(FaultyProxy::Mode::Pass);
         worker.server->setFaultShare(0);
-        signal(worker.agent, SIGCONT);
+        worker.server->setEndlessCalls(false);
+        if (worker.agent != nullptr) {
+            worker.agent->signal(SIGCONT);
+        }
     }
     for (Router &router : m_routers) {
         router.store->setMode(FaultyProxy::Mode::Pass);
-        signal(router.process, SIGCONT);
+    }
+    for (std::size_t index = 0; index < m_routers.size(); ++index) {
+        signalRouter(index, SIGCONT);
     }
 }
 
@@ -402,6 +356,11 @@
     return m_routers.size();
 }
 
+const WorldSize &SoakWorld::size() const
+{
+    return m_size;
+}
+
 std::size_t SoakWorld::workerCount() const
 {
     return m_workers.size();
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -1,16 +1,18 @@
 #pragma once
 
+#include "answerjudge.h"
+#include "disturbances.h"
 #include "faultyproxy.h"
+#include "hostfiles.h"
 #include "ledger.h"
+#include "processlogs.h"
 #include "soakworker.h"
+#include "supervisedprocess.h"
 
 #include <decisions/spread/randomsource.h>
 #include <eventloop/loop.h>
 #include <platform/storestandin.h>
-#include <support/childprocess.h>
-#include <support/temporaryfolder.h>
 
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -24,6 +26,8 @@
     std::size_t routers = 3;
     std::size_t engines = 3;
     std::size_t services = 2;
+    std::size_t slowServices = 2;
+    std::size_t callersPerRouter = 4; ///< Of each kind.
 };
 
 /// \brief Real routers and agents as processes, behind proxies, between fakes of all else.
@@ -43,6 +47,7 @@
     std::vector<Http::Endpoint> routerEndpoints() const;
     std::size_t routerCount() const;
     std::size_t workerCount() const;
+    const WorldSize &size() const;
 
     /// \brief Names the path that only the newest configuration has.
     std::string newestPath() const;
@@ -55,7 +60,7 @@
     std::uint64_t newestWeights() const;
     bool hasNewestWeightsEverywhere() const;
 
-    /// \brief Sends a signal to router \a index; one that ends it is followed by a start.
+    /// \brief Sends a signal to router \a index and to its predecessor that still ends; one that ends it is followed by a start.
     void signalRouter(std::size_t index, int signalNumber);
     void signalAgent(std::size_t index, int signalNumber);
 
@@ -66,8 +71,13 @@
     void closeRouterLog(std::size_t index);
     void closeAgentLog(std::size_t index);
 
-    /// \brief Returns whether router \a index was killed after \a time.
-    bool wasKilledSince(std::size_t index, Core::TimePoint time) const;
+    /// \brief What befell router \a index since a request for \a path was sent to it at \a time.
+    RouterPast pastSince(std::size_t index, const std::string &path, Core::TimePoint time) const;
+
+    Disturbances &disturbances();
+
+    /// \brief Time that slow requests take from now on.
+    void setWorkTime(std::chrono::milliseconds time);
 
     /// \brief Starts what has ended, and completes the host files of what has started; to be called now and then.
     void restartEnded();
@@ -93,55 +103,45 @@
     void heal();
 
 private:
-    /// \brief A process with what is needed to judge its end.
-    struct Process
-    {
-        std::unique_ptr<Test::ChildProcess> child;
-        std::string name;
-        bool isKilled = false; ///< Whether it got a SIGKILL.
-        bool isSignalledWhileLoading = false; ///< Whether it got a signal before the first instruction of the program.
-    };
-
     struct Worker
     {
         std::unique_ptr<SoakWorker> server;
         std::unique_ptr<FaultyProxy> proxy;
         std::string ip;
-        Process agent; ///< Of an engine.
+        std::unique_ptr<SupervisedProcess> agent; ///< Of an engine.
     };
 
     struct Router
     {
-        Process process;
-        Process predecessor; ///< Still ends, after replaceRouter().
+        std::unique_ptr<SupervisedProcess> process;
+        std::unique_ptr<SupervisedProcess> predecessor; ///< Still ends, after replaceRouter().
         std::unique_ptr<FaultyProxy> store; ///< Its way to the store.
         Core::TimePoint lastKill;
+        std::vector<PlannedStop> stops;
         std::string ip;
         bool isRestarted = false;
     };
 
     std::string ip(std::size_t number) const;
-    std::string hostFile(const std::string &name, const std::string &address, const std::string &store, const std::string &more);
-    Process start(const std::string &program, const std::string &name, const std::string &hostFile);
-    static bool isLoading(const Process &process, int signalNumber);
-    void signal(Process &process, int signalNumber);
-    void collectLog(Process &process);
-    bool reapIfEnded(Process &process);
+    std::unique_ptr<SupervisedProcess> start(const std::string &program, const HostSettings &settings);
+    bool reapIfEnded(std::unique_ptr<SupervisedProcess> &process, Core::TimePoint &killedAt);
+    std::string service(std::size_t index) const;
     void startRouter(std::size_t index);
     void startAgent(std::size_t index);
     void registerWorker(std::size_t index);
     void writeConfiguration();
 
-    Test::TemporaryFolder m_folder;
+    HostFiles m_files;
+    ProcessLogs m_logs;
     std::unique_ptr<EventLoop::Loop> m_loop;
     Decisions::RandomSource m_random;
     Ledger m_ledger;
     Test::StoreStandin m_store;
     std::vector<Worker> m_workers; ///< Engines first.
     std::vector<Router> m_routers;
-    std::size_t m_engines;
-    std::map<std::string, std::string> m_logs; ///< By name of the process.
-    std::map<std::string, std::string> m_incompleteFiles; ///< The whole text of host files of which only a part is written yet, by name.
+    WorldSize m_size;
+    std::chrono::seconds m_grace;
+    Disturbances m_disturbances;
     std::set<std::size_t> m_crashing; ///< Backend servers that end with the next endCrashing().
     int m_configuration = 1;
     std::uint64_t m_weights = 1;
--- /dev/null
+++ b/tests/soak/supervisedprocess.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "ledger.h"
+
+#include <eventloop/loop.h>
+#include <eventloop/timer.h>
+#include <support/childprocess.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Verbena::Soak {
+
+/// \brief What a process is started with and what its host allows it.
+struct ProcessTerms
+{
+    std::string program;
+    std::string name;
+    std::string hostFile;
+    std::optional<rlimit> descriptors;
+    std::chrono::milliseconds grace{0}; ///< From SIGTERM to SIGKILL.
+    std::uint64_t memoryBytes = 0;
+};
+
+/// \brief One process of the project as its host sees it: it is signalled, killed at the end of its grace period or at its limit of memory, and its end judged.
+class SupervisedProcess
+{
+public:
+    SupervisedProcess(EventLoop::Loop &loop, Ledger &ledger, ProcessTerms terms);
+
+    SupervisedProcess(const SupervisedProcess &) = delete;
+    SupervisedProcess &operator=(const SupervisedProcess &) = delete;
+
+    /// \brief Sends \a signalNumber; from the first SIGTERM on, the grace period runs.
+    void signal(int signalNumber);
+
+    /// \brief Sends SIGHUP \a delay after the system has begun to execute the program.
+    void hangUpEarly(std::chrono::milliseconds delay);
+
+    /// \brief Holds the process to its memory and its grace period; to be called now and then. Returns whether it has ended.
+    bool check();
+
+    /// \brief Time of the SIGKILL that ended it by no fault of its own, or because of one that is noted; nothing if there was none.
+    std::optional<Core::TimePoint> killedAt() const;
+
+    /// \brief Time of the first SIGTERM.
+    std::optional<Core::TimePoint> terminatedAt() const;
+
+    const ProcessTerms &terms() const;
+    std::string takeOutput();
+    void closeOutput();
+
+private:
+    struct SentSignal
+    {
+        int number;
+        Core::TimePoint at;
+    };
+
+    bool isExecuting() const;
+    bool isLoading(int signalNumber) const;
+    void checkMemory();
+    void checkGrace();
+    void judgeEnd();
+    void noteBroken(const std::string &what);
+    std::string history() const;
+
+    EventLoop::Loop &m_loop;
+    Ledger &m_ledger;
+    ProcessTerms m_terms;
+    Test::ChildProcess m_child;
+    pid_t m_pid;
+    Core::TimePoint m_startedAt;
+    EventLoop::Timer m_hangUp;
+    std::optional<std::chrono::milliseconds> m_hangUpDelay; ///< From the begin of the execution, until that is seen.
+    std::vector<SentSignal> m_signals;
+    std::optional<Core::TimePoint> m_terminatedAt;
+    std::optional<Core::TimePoint> m_killedAt;
+    std::optional<Core::TimePoint> m_lastStop; ///< Last begin or end of a time in which it stood still.
+    bool m_isStopped = false;
+    bool m_isEndedWhileLoading = false; ///< Whether a signal that asks it to end came before it could be blocked or handled.
+};
+
+} // namespace Verbena::Soak
