--- a/tests/soak/answerjudge.h
+++ b/tests/soak/answerjudge.h
@@ -32,6 +32,9 @@
     /// \brief Judges \a outcome; those of a route tell how long its answers take at a router.
     void judge(const Outcome &outcome, const RouterPast &past);
 
+    /// \brief Number of requests that came during a stop and were given up, without anything that would have told how long they take.
+    int unforeseen() const;
+
 private:
     struct Answered
     {
@@ -45,6 +48,7 @@
     bool wasForeseeable(const Outcome &outcome, const PlannedStop &stop) const;
 
     Ledger &m_ledger;
+    int m_unforeseen = 0;
     std::map<std::pair<std::size_t, std::string>, std::deque<Answered>> m_answered; ///< Latest ones, by router and path.
 };
 
