--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -161,6 +161,9 @@
               << ledger.crashes(CrashCause::Request) << " and " << ledger.crashes(CrashCause::PromptPart) << ", configuration " << m_world.newestPath()
               << ", weights " << m_world.newestWeights() << ", given up in stops, not to be foreseen: " << m_judge.unforeseen() << ", broken "
               << ledger.broken().size() << std::endl;
+    for (const auto &[program, megabytes] : ledger.peaks()) {
+        std::cout << "  peak of " << program << ": " << megabytes << " MB" << std::endl;
+    }
     for (const Verdict &verdict : ledger.broken()) {
         std::cout << "BROKEN: seed " << m_settings.seed << " at " << verdict.at.count() << " ms: " << verdict.where << ' ' << verdict.what << std::endl;
     }
