--- a/tests/soak/holdingcaller.cpp
+++ b/tests/soak/holdingcaller.cpp
@@ -8,9 +8,9 @@
 
 } // namespace
 
-HoldingCaller::HoldingCaller(EventLoop::Loop &loop, Http::Endpoint router, std::string id)
+HoldingCaller::HoldingCaller(EventLoop::Loop &loop, const Http::Endpoint &router, std::string id)
     : m_loop(loop)
-    , m_router(std::move(router))
+    , m_router(router)
     , m_id(std::move(id))
     , m_timer(loop, [this] { ask(); })
 {
--- a/tests/soak/holdingcaller.h
+++ b/tests/soak/holdingcaller.h
@@ -13,7 +13,7 @@
 class HoldingCaller : private Http::ChannelObserver
 {
 public:
-    HoldingCaller(EventLoop::Loop &loop, Http::Endpoint router, std::string id);
+    HoldingCaller(EventLoop::Loop &loop, const Http::Endpoint &router, std::string id);
 
 private:
     void receiveBytes(std::string_view data) override;
