Count a stall only for a SIGTERM that came with it, and keep what a server answered

A router that had stood still took the stall off its grace period for another 100 ms, so that calls that ran were answered 502 long before the end, and without any stall it dated SIGTERM up to 100 ms early. The time that the loop should have come is kept for the same iteration only. PlannedStopTest.keepsItsWholeGraceAfterAStallThatIsOver holds it.

A server's error that waited for a resend was replaced by 502 when the time became too short; it is passed on. Run times are learned from successes only, as a quick refusal says nothing of work. After an answer, four bodies of the largest size are read and dropped in place of one, so that a caller that sends a body that is too large finds its 413 and no reset.

--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Bodies of the largest size that are read and dropped after an answer; one that is refused may be larger.
+constexpr std::uint64_t refusedBodies = 4;
+
 // Time that a caller has to read the last answer and close the connection.
 constexpr std::chrono::milliseconds lingerTime{1500};
 
@@ -228,8 +231,7 @@
     }
 }
 
-// What a caller was about to send when it got its answer is taken from it, so that it reads the answer. More than one more request is not: the rest stays with
-// the caller.
+// What a caller was about to send when it got its answer is taken from it, so that it reads the answer.
 void CallerConnection::drop(std::size_t bytes)
 {
     m_isClosing = true;
@@ -239,10 +241,14 @@
     }
 }
 
+// Beside an answer, one more request: the rest stays with the caller. After it, bodies that were refused for their size, as a caller that has to send on before
+// it reads would find a reset in place of its answer.
 bool CallerConnection::mayTakeNoMore() const
 {
     const Decisions::RelayLimits limits = m_owner.limits();
-    return m_droppedBytes > limits.headerBytes + limits.bodyBytes;
+    const std::uint64_t bodies = m_state == State::Lingering ? refusedBodies : 1;
+    const std::uint64_t dropped = m_droppedBytes - std::min<std::uint64_t>(m_droppedBytes, limits.headerBytes);
+    return dropped / bodies > limits.bodyBytes;
 }
 
 void CallerConnection::resumeReading()
@@ -507,6 +513,7 @@
 {
     m_state = State::Lingering;
     m_channel->shutdownOutput();
+    resumeReading();
     m_timer.startAt(m_loop.now() + lingerTime);
 }
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -388,6 +388,7 @@
 bool RelayedRequest::sendTo(const FleetChoice &choice)
 {
     m_choice = choice;
+    m_lastFailure.reset();
     m_lastActivityAt = m_context.loop.now();
     m_serverWait.handleSent();
     m_excluded.push_back(choice.serverId);
@@ -727,7 +728,10 @@
         return;
     }
     m_crashes.handleAnswer(isSuccess(m_answer.status()));
-    recordRunTime();
+    // A refusal says nothing of how long work takes.
+    if (isSuccess(m_answer.status())) {
+        recordRunTime();
+    }
     endCall();
     if (m_answer.isBuffered()) {
         finish(AttemptAction::PassAnswer);
@@ -820,6 +824,7 @@
 void RelayedRequest::decide(CallFailure failure, std::string_view reason)
 {
     const Decisions::ResendBalance balance = m_context.budget.balance(m_service, resendPurpose(), m_context.loop.now());
+    m_lastFailure = failure;
     const AttemptAction action = chooseAction(failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
     reportFailure({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()},
@@ -922,6 +927,11 @@
 
 void RelayedRequest::sendAgain()
 {
+    // While a server error that can be passed on is still there.
+    endIfTooLate();
+    if (m_isDone) {
+        return;
+    }
     m_answer.prepareNextCall();
     dispatch();
 }
@@ -1021,7 +1031,12 @@
         return;
     }
     m_context.shutdown->recordRefusal();
-    giveUp();
+    const bool hasAnswer = m_lastFailure.has_value() && actionWithoutResend(attempts(), *m_lastFailure) == AttemptAction::PassAnswer;
+    if (hasAnswer) {
+        finish(AttemptAction::PassAnswer);
+    } else {
+        giveUp();
+    }
 }
 
 void RelayedRequest::giveUp()
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -209,6 +209,7 @@
     const Decisions::RelayOrganisation *m_organisation = nullptr;
     std::string m_service;
     Decisions::AttemptState m_attempts; ///< Without whether an answer has begun; see attempts().
+    std::optional<Decisions::CallFailure> m_lastFailure; ///< How the last call failed; nothing before, and after the next one was made.
     std::uint32_t m_arrivals = 0; ///< Number of ended calls that may have reached a backend server, whether they ran or not.
     std::uint64_t m_resendNumber = 0; ///< Number in the resend queue; 0 if the request does not wait there.
     std::vector<std::string> m_excluded;
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -63,7 +63,7 @@
     , m_stallDetector(loop.now())
     , m_activityTimer(loop, [this] { handleActivityTimer(); })
     , m_activityDue(loop.now() + activityInterval)
-    , m_lastActivityDue(loop.now())
+    , m_forgetActivity(loop, [this] { m_handledActivityDue.reset(); })
     , m_resume(loop, [this] { resumeAccepting(); })
     , m_shutdown(loop, m_metrics, m_fleet.runTimes(), *this)
 {
@@ -142,7 +142,8 @@
     if (m_listener != nullptr) {
         m_metrics.setGauge("accepts_failed", static_cast<double>(m_listener->failedAcceptCount()));
     }
-    m_lastActivityDue = m_activityDue;
+    m_handledActivityDue = m_activityDue;
+    m_forgetActivity.schedule();
     m_activityDue = now + activityInterval;
     m_activityTimer.startAt(m_activityDue);
 }
@@ -463,11 +464,12 @@
     Observe::log(requestTooLong, {{"bound", std::string(bound)}, {"status", std::to_string(status)}});
 }
 
-// A process that stood still does not know how long ago it was asked to end. It was asked after its event loop was last on time.
+// A process that stood still does not know how long ago it was asked to end. It was asked after the time at which its event loop should have come next, which
+// the timer may have replaced in this iteration of the loop.
 void RelayTask::beginShutdown(std::function<void()> done)
 {
     const Core::TimePoint now = m_loop.now();
-    const Core::TimePoint asked = std::min(now, now < m_activityDue ? m_lastActivityDue : m_activityDue);
+    const Core::TimePoint asked = std::min(now, m_handledActivityDue.value_or(m_activityDue));
     m_shutdown.begin(Decisions::ShutdownPlan(now, asked, m_settings.shutdownNotice, m_settings.shutdownGrace), std::move(done));
 }
 
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -188,7 +188,8 @@
     Decisions::StallDetector m_stallDetector;
     EventLoop::Timer m_activityTimer;
     Core::TimePoint m_activityDue; ///< When m_activityTimer fires if the event loop is not late.
-    Core::TimePoint m_lastActivityDue; ///< The same for the last time that it fired.
+    std::optional<Core::TimePoint> m_handledActivityDue; ///< The same before it fired, if it fired in this iteration of the loop.
+    EventLoop::DeferredCall m_forgetActivity; ///< Resets m_handledActivityDue.
     EventLoop::DeferredCall m_resume; ///< Resumes accepting if it is paused and there is room.
     RelayShutdown m_shutdown;
     std::uint64_t m_acceptedCount = 0; ///< Number of connections that were accepted.
--- a/tests/auto/platform/tst_plannedstops.cpp
+++ b/tests/auto/platform/tst_plannedstops.cpp
@@ -285,6 +285,23 @@
     expectEachPassedOnIsAnswered();
 }
 
+// A stall that was over when the router was asked to end was taken off its grace period, so that running requests were cut long before its end.
+TEST_F(PlannedStopTest, keepsItsWholeGraceAfterAStallThatIsOver)
+{
+    start(4s);
+    m_work = 2500ms;
+    m_deployment.router().sendSignal(SIGSTOP);
+    m_deployment.runFor(1500ms);
+    m_deployment.router().sendSignal(SIGCONT);
+    m_termAt = m_deployment.loop().now();
+    sendRequests();
+    m_deployment.runFor(40ms);
+    term();
+    runUntilEnd();
+    expectEachPassedOnIsAnswered();
+    EXPECT_EQ(countAnswered(-lead, lead), m_sent.size());
+}
+
 } // namespace
 
 } // namespace Verbena::Test
