--- a/tests/soak/answerjudge.h
+++ b/tests/soak/answerjudge.h
@@ -12,6 +12,7 @@
 {
     Core::TimePoint at;
     std::chrono::milliseconds grace{0};
+    Core::TimePoint startedAt; ///< Start of the process, which knows nothing of earlier answers.
 };
 
 /// \brief What befell the router of a request, as far as it excuses an answer that is not whole.
--- a/tests/soak/supervisedprocess.cpp
+++ b/tests/soak/supervisedprocess.cpp
@@ -207,6 +207,11 @@
     return m_killedAt;
 }
 
+Core::TimePoint SupervisedProcess::startedAt() const
+{
+    return m_startedAt;
+}
+
 std::optional<Core::TimePoint> SupervisedProcess::terminatedAt() const
 {
     return m_terminatedAt;
--- a/tests/soak/supervisedprocess.h
+++ b/tests/soak/supervisedprocess.h
@@ -44,6 +44,8 @@
     /// \brief Time of the SIGKILL that ended it by no fault of its own, or because of one that is noted; nothing if there was none.
     std::optional<Core::TimePoint> killedAt() const;
 
+    Core::TimePoint startedAt() const;
+
     /// \brief Time of the first SIGTERM.
     std::optional<Core::TimePoint> terminatedAt() const;
 
