Send no request that a shutdown gives up at once

Callers whose requests became whole while a router gave up what was left got 502 with Verbena-Run: unknown, so a once-only request could not be repeated although nothing had to be sent.

Cause: RouterTask started tasks during the whole shutdown, whatever time was left, also after m_giveUpTime; each was dispatched and given up within 20 ms. shutdown.notice could also be longer than shutdown.grace, so that the listener stayed open until requests were given up.

Change: from 100 ms before requests are given up, a router that ends answers new ones with 503 router_ending, not-run, and sends nothing. A notice that is not more than 500 ms shorter than the grace is a settings problem that names both keys.

--- a/src/libs/router/routersettings.cpp
+++ b/src/libs/router/routersettings.cpp
@@ -56,6 +56,17 @@
     }
 }
 
+void readShutdown(SettingsReader shutdown, RouterSettings &settings)
+{
+    settings.shutdownNotice = shutdown.span("notice", settings.shutdownNotice, 0ms, 10min);
+    settings.shutdownGrace = shutdown.span("grace", settings.shutdownGrace, 1s, 24h);
+    if (settings.shutdownNotice >= settings.shutdownGrace - lastAnswersTime) {
+        shutdown.addProblem("notice",
+            "It must be more than " + std::to_string(lastAnswersTime.count())
+                + "ms shorter than shutdown.grace, as requests that are left are given up that long before its end.");
+    }
+}
+
 } // namespace
 
 Core::Result<RouterSettings> RouterSettings::fromFile(const std::string &path)
@@ -86,9 +97,7 @@
     readRequests(reader.section("requests"), settings.requests);
     readStreams(reader.section("streams"), settings.streams);
     readLinks(reader.section("links"), settings.links);
-    SettingsReader shutdown = reader.section("shutdown");
-    settings.shutdownNotice = shutdown.span("notice", settings.shutdownNotice, 0ms, 10min);
-    settings.shutdownGrace = shutdown.span("grace", settings.shutdownGrace, 1s, 24h);
+    readShutdown(reader.section("shutdown"), settings);
     settings.recomputationWeight = reader.section("routing").number("recomputation_weight", 0, 0, 1000);
     BOOST_OUTCOME_TRY(reader.finish());
     return settings;
--- a/src/libs/router/routersettings.h
+++ b/src/libs/router/routersettings.h
@@ -53,6 +53,9 @@
     std::string agentPublicKey; ///< CURVE key; empty for no encryption.
 };
 
+/// Time between giving up requests and the end of the process, for their answers to be written and read.
+inline constexpr std::chrono::milliseconds lastAnswersTime{500};
+
 /// \brief The settings of one router process.
 struct RouterSettings
 {
--- a/src/libs/router/routertask.cpp
+++ b/src/libs/router/routertask.cpp
@@ -24,8 +24,8 @@
 constexpr std::chrono::milliseconds shutdownCheckInterval{20};
 constexpr std::chrono::seconds hotPrefixLifetime{2};
 
-// Time between giving up requests and the end of the process, for their answers to be written and read.
-constexpr std::chrono::milliseconds lastAnswersTime{500};
+// A request that begins with less time than this before it would be given up is not expected to be whole.
+constexpr std::chrono::milliseconds shortestRunTime{100};
 constexpr std::string_view servicesPath = "/v1/services/";
 
 std::uint64_t newIncarnation()
@@ -159,6 +159,8 @@
     }
     if (isPostPath(exchange->path()) && m_settingsRevision == 0) {
         respondFailure(*exchange, {}, limitFailure(unavailableStatus, "starting", "The router has not learned the settings yet.", std::chrono::seconds(1)));
+    } else if (isPostPath(exchange->path()) && m_loop.now() >= m_refusalTime) {
+        respondFailure(*exchange, {}, shutdownFailure(Decisions::RunState::NotRun));
     } else if (isPostPath(exchange->path())) {
         handlePost(exchange);
     } else {
@@ -346,6 +348,7 @@
     const Core::TimePoint now = m_loop.now();
     m_shutdownEnd = now + m_settings.shutdownGrace;
     m_giveUpTime = m_shutdownEnd - lastAnswersTime;
+    m_refusalTime = m_giveUpTime - shortestRunTime;
     m_shutdownTimer.startAt(std::min(now + m_settings.shutdownNotice, m_giveUpTime));
 }
 
--- a/src/libs/router/routertask.h
+++ b/src/libs/router/routertask.h
@@ -107,6 +107,7 @@
     bool m_isListening = true;
     EventLoop::Timer m_shutdownTimer;
     std::function<void()> m_shutdownDone;
+    Core::TimePoint m_refusalTime = Core::TimePoint::max(); ///< From when on a shutdown answers new requests with an error instead of sending them.
     Core::TimePoint m_giveUpTime; ///< When a shutdown gives the requests up that are left.
     Core::TimePoint m_shutdownEnd; ///< When the process ends even if callers have not read their answers.
 };
--- a/tests/auto/path/tst_failures.cpp
+++ b/tests/auto/path/tst_failures.cpp
@@ -115,7 +115,14 @@
         const std::string body = completion.dump();
         const std::string request = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer secret\r\nContent-Length: "
             + std::to_string(body.size()) + "\r\n\r\n" + body;
-        EXPECT_EQ(send(m_socket, request.data(), request.size(), MSG_NOSIGNAL), static_cast<ssize_t>(request.size()));
+        sendBytes(request);
+    }
+
+    /// Sends \a bytes, which need not be a whole request.
+    RawCaller(const std::string &url, const std::string &bytes)
+        : m_socket(connectSmall(addressOf(url)))
+    {
+        sendBytes(bytes);
     }
 
     ~RawCaller()
@@ -126,8 +133,13 @@
     RawCaller(const RawCaller &) = delete;
     RawCaller &operator=(const RawCaller &) = delete;
 
-    /// Reads the answer to its end and returns its body without the chunked encoding.
-    std::string readAll() const
+    void sendBytes(const std::string &bytes) const
+    {
+        EXPECT_EQ(send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+    }
+
+    /// Reads the answer to its end and returns it as it came.
+    std::string readBytes() const
     {
         widen(m_socket);
         std::string answer;
@@ -136,6 +148,13 @@
         while ((count = recv(m_socket, part.data(), part.size(), 0)) > 0) {
             answer.append(part.data(), static_cast<std::size_t>(count));
         }
+        return answer;
+    }
+
+    /// Reads the answer to its end and returns its body without the chunked encoding.
+    std::string readAll() const
+    {
+        const std::string answer = readBytes();
         std::string body;
         std::size_t begin = answer.find("\r\n\r\n") + 4;
         while (begin < answer.size()) {
@@ -596,6 +615,25 @@
     EXPECT_EQ(m_deployment.router().waitForExit(), 0);
 }
 
+// A request whose last byte came at that time was sent to a backend server and cut at once, so nobody knew whether it had run.
+TEST_F(ShortGraceTest, sendsNoRequestThatItWouldGiveUpAtOnce)
+{
+    const std::string body = completion("late", false).dump();
+    const std::string head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer secret\r\nVerbena-Idempotent: false\r\n";
+    const RawCaller late(m_deployment.routerUrl(), head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, body.size() - 1));
+    std::future<TestAnswer> running = begin("running");
+    while (startedRequests() < 1) {
+        std::this_thread::yield();
+    }
+    m_deployment.router().sendSignal(SIGTERM);
+    EXPECT_NE(running.get().body.find("router_ending"), std::string::npos);
+    late.sendBytes(body.substr(body.size() - 1));
+    const std::string answer = late.readBytes();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_NE(answer.find("Verbena-Run: not-run"), std::string::npos) << answer;
+    EXPECT_EQ(m_deployment.router().waitForExit(), 0);
+}
+
 class MalformedRequestTest : public FailureTest, public testing::WithParamInterface<const char *>
 {
 };
