Tell routers of finished answers that an ending agent drops

A router that had granted no credit for the rest of a finished answer heard nothing when leave_timeout of its agent passed, so its caller waited until the connection counted as lost. An agent without runs warned of runs_given_up where leave_grace is longer than leave_timeout.

Cause: AgentTask::giveUpRuns cancelled such a run as if its router had asked for it, which erases it and its unsent rest without a message. With a leave_grace of 0 the process ended in the same iteration. The give-up timer went on while leave_grace ran.

Evidence, on: AgentTest.tellsThatAFinishedAnswerIsLostWhenItsTimeToLeaveIsOver saw the agent end without an Ended message; AgentTest.warnsOfNoRunsGivenUpWhenNothingRuns found the event with runs=0.

Change: RunManager::giveUpRuns sends Ended as lost for a finished answer with unsent frames, and leaves an end that only waits to be sent as it is. The process stays at least 100 ms after that. The give-up timer stops once leave_grace runs, and the event needs a run. The harness lets a test choose leave_grace, which it gave as 10 ms before and still does where the test is silent.

--- a/src/libs/agent/agentevents.h
+++ b/src/libs/agent/agentevents.h
@@ -22,6 +22,6 @@
     3009, Severity::Error, "agent_settings_invalid", "The settings tree cannot be read; what was read before stays in force."};
 inline constexpr Event orderTaken{3010, Severity::Info, "order_taken", "The engine took an order to load or unload weights."};
 inline constexpr Event orderFailed{3011, Severity::Warning, "order_failed", "The engine did not take an order, or its answer was lost; it is repeated."};
-inline constexpr Event runsGivenUp{3012, Severity::Warning, "runs_given_up", "The agent ends; what still ran is cancelled, and its routers are told."};
+inline constexpr Event runsGivenUp{3012, Severity::Warning, "runs_given_up", "The agent ends; what is left is cancelled or cut, and its routers are told."};
 
 } // namespace Verbena::Agent
--- a/src/libs/agent/agenttask.cpp
+++ b/src/libs/agent/agenttask.cpp
@@ -9,6 +9,8 @@
 #include <observe/eventlog.h>
 #include <wire/curvekeys.h>
 
+#include <algorithm>
+
 namespace Verbena::Agent {
 
 namespace {
@@ -16,6 +18,9 @@
 constexpr std::chrono::seconds beatInterval{1};
 constexpr std::chrono::minutes routerMemory{2};
 
+// Time between giving up runs and the end of the process, for routers to be told.
+constexpr std::chrono::milliseconds lastMessagesTime{100};
+
 std::uint64_t newIncarnation()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
@@ -294,23 +299,20 @@
     }
 }
 
-// A router that grants no credit would keep what was cancelled here for ever, so the process ends without regard to it.
+// A router that reads nothing would keep what it was told here for ever, so the process ends without regard to it.
 void AgentTask::giveUpRuns()
 {
-    Observe::log(runsGivenUp, {{"runs", std::to_string(m_runs.runs().size())}});
-    for (const std::string &peer : m_runs.runs().peers()) {
-        for (const Decisions::RequestRef &ref : m_runs.runs().runsOf(peer)) {
-            m_runs.cancel(peer, ref);
-        }
-    }
-    if (!m_finishTimer.isActive()) {
-        m_finishTimer.startAt(m_loop.now() + m_settings.leaveGrace);
+    m_finishTimer.startAt(m_loop.now() + std::max<std::chrono::microseconds>(m_settings.leaveGrace, lastMessagesTime));
+    if (m_runs.runs().size() > 0) {
+        Observe::log(runsGivenUp, {{"runs", std::to_string(m_runs.runs().size())}});
+        m_runs.giveUpRuns();
     }
 }
 
 void AgentTask::checkFinished()
 {
     if (m_isEnding && m_runs.isIdle() && !m_finishTimer.isActive()) {
+        m_giveUpTimer.stop();
         m_finishTimer.startAt(m_loop.now() + m_settings.leaveGrace);
     }
 }
--- a/src/libs/agent/runmanager.cpp
+++ b/src/libs/agent/runmanager.cpp
@@ -138,6 +138,34 @@
     }
 }
 
+void RunManager::giveUpRuns()
+{
+    for (const std::string &peer : m_runs.peers()) {
+        for (const Decisions::RequestRef &ref : m_runs.runsOf(peer)) {
+            giveUp(ref);
+        }
+    }
+}
+
+void RunManager::giveUp(const Decisions::RequestRef &ref)
+{
+    AgentRun *run = m_runs.find(ref);
+    if (run == nullptr) {
+        return;
+    }
+    if (!run->end) {
+        perform(m_gate.cancel(ref, m_loop.now()));
+        return;
+    }
+    // An end without frames is whole and only waits to be sent.
+    if (!run->frames.isEmpty()) {
+        run->frames.clear();
+        run->end->set_kind(verbena::wire::END_KIND_ENGINE_LOST);
+        run->end->set_detail("The agent ended before the rest of the answer was asked for.");
+        flush(*run);
+    }
+}
+
 const Decisions::AdmissionGate &RunManager::gate() const
 {
     return m_gate;
--- a/src/libs/agent/runmanager.h
+++ b/src/libs/agent/runmanager.h
@@ -42,6 +42,10 @@
     void setShares(const std::vector<Decisions::FlowShare> &shares);
     void setLeaving(bool isLeaving);
 
+    /// \brief Ends every attempt that is held: what runs is cancelled, and the rest of a finished answer for which there is no credit is dropped. Routers
+    /// are told of each.
+    void giveUpRuns();
+
     /// \brief Sets the function that is called with each report of the backend server.
     void setReportCallback(std::function<void(const BackendReport &)> callback);
     BackendAdapter &backend();
@@ -80,6 +84,7 @@
     void performOne(const Decisions::DropQueued &action);
     void performOne(const Decisions::CancelRun &action);
     void serveModelOf(const verbena::wire::Dispatch &dispatch);
+    void giveUp(const Decisions::RequestRef &ref);
     void sendAdmitted(const AgentRun &run);
     void setEnd(AgentRun &run, verbena::wire::EndKind kind, const BackendEnd &end);
     void flush(AgentRun &run);
--- a/tests/auto/agent/agentharness.cpp
+++ b/tests/auto/agent/agentharness.cpp
@@ -142,8 +142,9 @@
 void AgentHarness::startAgent()
 {
     agent.reset();
+    const std::string leaveGrace = m_settings.find("leave_grace:") == std::string::npos ? "leave_grace: 10ms\n" : "";
     const std::string text = "name: agent1\nendpoint: \"" + (endpoint.empty() ? "tcp://127.0.0.1:*" : endpoint) + "\"\nbackend_url: http://" + m_backendAddress
-        + "\nkind: " + m_role + "\nleave_grace: 10ms\nstatus: {port: 0}\n" + m_settings;
+        + "\nkind: " + m_role + "\nstatus: {port: 0}\n" + leaveGrace + m_settings;
     agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--settings", folder.write("agent.yaml", text)});
     m_statusAddress = agent->waitForLine("listening status ");
     endpoint = agent->waitForLine("listening zmq ");
--- a/tests/auto/agent/tst_agent.cpp
+++ b/tests/auto/agent/tst_agent.cpp
@@ -260,6 +260,37 @@
     EXPECT_EQ(harness.agent->waitForExit(), 0);
 }
 
+// A router that had granted no credit for the rest of a finished answer waited for it in vain.
+TEST(AgentTest, tellsThatAFinishedAnswerIsLostWhenItsTimeToLeaveIsOver)
+{
+    AgentHarness harness("engine", quickEngine, "leave_timeout: 300ms\nleave_grace: 0us\n");
+    const auto router = harness.connect();
+    ASSERT_TRUE(router);
+    Dispatch dispatch = completion("r1", "a", 50);
+    dispatch.set_frame_credit(2);
+    router->dispatch(dispatch);
+    ASSERT_TRUE(harness.runUntil([&] { return harness.metrics().find("verbena_agent_ended_total 1") != std::string::npos; }));
+    harness.agent->sendSignal(SIGTERM);
+    const ReceivedAttempt &received = router->attempt("r1");
+    EXPECT_TRUE(harness.runUntil([&] { return received.isOver() || !harness.agent->isRunning(); }));
+    ASSERT_TRUE(received.ended);
+    EXPECT_EQ(received.ended->kind(), verbena::wire::END_KIND_ENGINE_LOST);
+    EXPECT_TRUE(received.isInOrder);
+    EXPECT_EQ(harness.agent->waitForExit(), 0);
+}
+
+// An agent that had nothing to do warned of runs that it gave up.
+TEST(AgentTest, warnsOfNoRunsGivenUpWhenNothingRuns)
+{
+    testing::internal::CaptureStderr();
+    AgentHarness harness("engine", quickEngine, "leave_timeout: 100ms\nleave_grace: 500ms\n");
+    harness.agent->sendSignal(SIGTERM);
+    EXPECT_EQ(harness.agent->waitForExit(), 0);
+    const std::string events = testing::internal::GetCapturedStderr();
+    EXPECT_NE(events.find("agent_leaving"), std::string::npos) << events;
+    EXPECT_EQ(events.find("runs_given_up"), std::string::npos) << events;
+}
+
 TEST(AgentTest, endsARunAtItsDeadline)
 {
     AgentHarness harness("engine", slowEngine);
