End on time where the grace period is short

The shutdown looked every 50 ms whether it was time to give up or to end, and waited until half of the time after giving up. With a grace period of a second and a busy machine a router ended after 1,016 ms (PlannedStopTest.endsWithinAGraceOfOneSecond, one of one run on this code; its bound is the grace period and stays). Its timer meets each time of the plan now, a seventh in place of an eighth of a short grace period is left for answers, still below the last sixth, and two thirds of that for the end of the process.

--- a/src/libs/decisions/relay/shutdownplan.cpp
+++ b/src/libs/decisions/relay/shutdownplan.cpp
@@ -12,10 +12,13 @@
 // Part of the grace period, and its bounds, that is left when requests are given up, so that their answers are written and read. The shortest part is below the
 // last sixth, in which the users allow that requests are given up.
 constexpr int answerShareDivisor = 16;
-constexpr int largestAnswerShareDivisor = 8;
+constexpr int largestAnswerShareDivisor = 7;
 constexpr milliseconds shortestAnswerTime{250};
 constexpr milliseconds longestAnswerTime{500};
 
+// Part of that time in which callers read their answers; the process ends in the rest.
+constexpr int readingShareDivisor = 3;
+
 // Time before the requests are given up at which those are refused that have not been sent to a backend server.
 constexpr milliseconds unsentRefusalMargin{250};
 
@@ -42,7 +45,7 @@
 {
     const milliseconds answers = answerTime(grace);
     m_giveUpTime = asked + grace - answers;
-    m_end = m_giveUpTime + answers / 2;
+    m_end = m_giveUpTime + answers / readingShareDivisor;
     m_unsentEnd = m_giveUpTime - unsentRefusalMargin;
     m_noticeEnd = std::min(noticed + notice, m_unsentEnd);
 }
@@ -67,6 +70,15 @@
     return m_end;
 }
 
+Core::TimePoint ShutdownPlan::nextStep(Core::TimePoint now, Core::TimePoint latest) const
+{
+    Core::TimePoint next = latest;
+    for (const Core::TimePoint step : {m_noticeEnd, m_unsentEnd, m_giveUpTime, m_end}) {
+        next = step > now ? std::min(next, step) : next;
+    }
+    return next;
+}
+
 bool ShutdownPlan::isExpectedToEnd(const StoppingRequest &request, const RunTimes &times, Core::TimePoint now) const
 {
     if (now >= m_unsentEnd) {
--- a/src/libs/decisions/relay/shutdownplan.h
+++ b/src/libs/decisions/relay/shutdownplan.h
@@ -38,6 +38,9 @@
     /// \brief Returns when the process ends even if callers have not read their answers.
     Core::TimePoint end() const;
 
+    /// \brief Returns the first of these times after \a now, but \a latest at the latest.
+    Core::TimePoint nextStep(Core::TimePoint now, Core::TimePoint latest) const;
+
     /// \brief Returns whether \a request, if it is sent at \a now, can be expected to end before giveUpTime().
     bool isExpectedToEnd(const StoppingRequest &request, const RunTimes &times, Core::TimePoint now) const;
 
--- a/src/libs/relay/relayshutdown.cpp
+++ b/src/libs/relay/relayshutdown.cpp
@@ -87,7 +87,7 @@
     if (now >= m_plan->giveUpTime() && !m_isGivenUp) {
         giveUpRequests();
     }
-    m_timer.startAt(now + checkInterval);
+    m_timer.startAt(m_plan->nextStep(now, now + checkInterval));
 }
 
 void RelayShutdown::updateRunning(const std::vector<CallerConnection *> &connections)
