Bound the bytes of a followed table, whoever sends them

Callers would have seen a router or an agent end for want of memory: the bound of a table stood on the scan of PlatformStore only. A store that answers each long poll with under 4 MiB of new keys, or a router with such pages, stays within the limit of every call while the follower and the mirror keep all rows. The mirror bounded the number of its tombstones but not their bytes.

A page with which the table would exceed maximumTableBytes is refused before anything of it is applied: a page that the source requested counts as a failure of the source (feed_lost once, next request after the usual pause), a page of another router is logged with it as the peer, once until its rows are taken again (peer_rows_refused).

--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -77,6 +77,9 @@
     2155, Severity::Info, "callers_listener_closed", "The router that ends takes no new connections; those that waited were accepted."};
 inline constexpr Event drainEnded{2156, Severity::Info, "drain_ended", "The router that ends has answered its callers, or its time is over."};
 
+inline constexpr Event peerRowsRefused{
+    2157, Severity::Warning, "peer_rows_refused", "Rows of another router were not taken, as the table would be longer than a process keeps."};
+
 inline constexpr Event strayBytesReceived{
     2145, Severity::Warning, "stray_bytes_received", "A backend server sent bytes on an idle connection; they belong to no request."};
 
--- a/src/libs/relay/tablegossip.cpp
+++ b/src/libs/relay/tablegossip.cpp
@@ -202,6 +202,16 @@
     return ours.verifiedAt.has_value() && (!theirs.verifiedAt.has_value() || *ours.verifiedAt > *theirs.verifiedAt + m_times.digestPeriod);
 }
 
+// Digests make a router fetch the same rows again and again.
+void TableGossip::offer(Followed &followed, const std::string &peer, Store::RowPage page, std::uint64_t requestedRevision)
+{
+    const auto offered = followed.follower->offer(std::move(page), requestedRevision);
+    if (!offered && !followed.isRefused) {
+        Observe::log(peerRowsRefused, {offered.error().code, offered.error().step, peer, offered.error().message}, {{"table", followed.follower->table()}});
+    }
+    followed.isRefused = !offered;
+}
+
 // A peer that has read the whole table since then can return only the whole table.
 void TableGossip::fetch(Followed &followed, const std::string &peer, std::uint64_t requestedRevision)
 {
@@ -216,7 +226,7 @@
         if (page && page.value().isHistoryLost && requestedRevision > 0) {
             fetch(followed, peer, 0);
         } else if (page && !page.value().isHistoryLost) {
-            followed.follower->offer(std::move(page.value()), requestedRevision);
+            offer(followed, peer, std::move(page.value()), requestedRevision);
         }
     };
     m_peers.fetch(peer, followed.follower->table(), requestedRevision, m_lifetime.guard(handle));
--- a/src/libs/relay/tablegossip.h
+++ b/src/libs/relay/tablegossip.h
@@ -50,6 +50,7 @@
         Urgency urgency = Urgency::WhenOutdated;
         std::size_t fetches = 0; ///< Number of fetches in progress.
         Core::TimePoint nextFetch{}; ///< Earliest time of another fetch while one is in progress.
+        bool isRefused = false; ///< Whether the rows of the last fetch were refused, so that this has been logged.
     };
 
     TableGossip(EventLoop::Loop &loop, const Http::Endpoint &address, PeerRowSource &peers, const Store::FollowTimes &times, std::uint64_t seed);
@@ -62,6 +63,7 @@
     bool applyDigest(Followed &followed, const std::string &peer, const Store::TableDigest &theirs);
     void handleDifference(Store::TableFollower &follower, const std::string &peer, const Store::TableDigest &theirs);
     bool isHelpful(const Store::TableDigest &theirs, const Store::TableDigest &ours) const;
+    static void offer(Followed &followed, const std::string &peer, Store::RowPage page, std::uint64_t requestedRevision);
     void fetch(Followed &followed, const std::string &peer, std::uint64_t requestedRevision);
 
     EventLoop::Loop &m_loop;
--- a/src/libs/store/rowmirror.cpp
+++ b/src/libs/store/rowmirror.cpp
@@ -1,5 +1,7 @@
 #include "rowmirror.h"
 
+#include "tablesize.h"
+
 #include <algorithm>
 
 namespace Verbena::Store {
@@ -22,6 +24,7 @@
     for (const TableRow &row : page.rows) {
         const auto entry = before.rows.find(row.key);
         if (entry != before.rows.end()) {
+            tableState.tombstoneBytes += tombstoneBytes(entry->second.row);
             tableState.rows.emplace(row.key, std::move(entry->second));
         }
     }
@@ -33,14 +36,24 @@
     Table &tableState = m_tables[table];
     tableState.revision = std::max(tableState.revision, page.revision);
     for (const TableRow &row : page.rows) {
-        recordChange(tableState.rows[row.key], row);
+        Entry &entry = tableState.rows[row.key];
+        tableState.tombstoneBytes -= tombstoneBytes(entry.row);
+        recordChange(entry, row);
+        tableState.tombstoneBytes += tombstoneBytes(row);
     }
-    if (tableState.rows.size() > maximumRowsWithTombstones) {
+    if (tableState.rows.size() > maximumRowsWithTombstones || tableState.tombstoneBytes > maximumTableBytes) {
         std::erase_if(tableState.rows, [](const auto &entry) { return entry.second.row.isDeleted; });
+        tableState.tombstoneBytes = 0;
         tableState.historyStart = tableState.revision;
     }
 }
 
+// The rows themselves are bounded by those who follow the table.
+std::size_t RowMirror::tombstoneBytes(const TableRow &row)
+{
+    return row.isDeleted ? heldBytes(row) : 0;
+}
+
 void RowMirror::setVerified(const std::string &table, StoreTime verifiedAt, std::uint64_t coveredRevision)
 {
     Table &tableState = m_tables[table];
--- a/src/libs/store/rowmirror.h
+++ b/src/libs/store/rowmirror.h
@@ -45,6 +45,7 @@
         std::uint64_t evictedRevision = 0; ///< Revision of the last change before those in changes; 0 if there is none.
     };
 
+    static std::size_t tombstoneBytes(const TableRow &row);
     static void recordChange(Entry &entry, const TableRow &row);
     static TableRow rowSince(const Entry &entry, std::uint64_t revision);
 
@@ -54,6 +55,7 @@
         std::uint64_t revision = 0;
         std::uint64_t historyStart = 0; ///< Revision after which the tombstones of all deleted rows are kept.
         std::optional<StoreTime> verifiedAt = {};
+        std::size_t tombstoneBytes = 0; ///< By heldBytes(), of the deleted rows.
     };
 
     std::map<std::string, Table> m_tables;
--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -75,14 +75,16 @@
     }
 }
 
-void TableFollower::offer(RowPage page, std::uint64_t requestedRevision)
+Core::Result<void> TableFollower::offer(RowPage page, std::uint64_t requestedRevision)
 {
     const bool isWhole = requestedRevision == 0;
     if (page.isHistoryLost || page.revision < requestedRevision || (!isWhole && !m_version.isRead())) {
-        return;
+        return Core::success();
     }
-    m_lastPeerUpdateAt = Core::BootClock::now();
-    apply({0, requestedRevision, m_lastPeerUpdateAt, isWhole, false}, std::move(page));
+    const Core::BootTime now = Core::BootClock::now();
+    BOOST_OUTCOME_TRY(apply({0, requestedRevision, now, isWhole, false}, std::move(page)));
+    m_lastPeerUpdateAt = now;
+    return Core::success();
 }
 
 // A long poll that never reached the store is detected only when it times out, and changes would be missed until then.
@@ -129,8 +131,7 @@
         return;
     }
     const std::uint64_t hashBefore = m_version.digest().contentHash;
-    apply(request, std::move(page.value()));
-    if (m_version.digest().contentHash != hashBefore) {
+    if (apply(request, std::move(page.value())) && m_version.digest().contentHash != hashBefore) {
         done();
     }
 }
@@ -168,7 +169,10 @@
         return;
     }
     const bool isFromPeer = page.value().isFromPeer;
-    apply(request, std::move(page.value()));
+    if (const auto applied = apply(request, std::move(page.value())); !applied) {
+        handleRefusedPage(request, applied.error());
+        return;
+    }
     if (isCurrent(request)) {
         handleAnswer(isFromPeer);
     } else if (!isFromPeer) {
@@ -192,20 +196,31 @@
     }
 }
 
+// The same rows would come again at once, so the next request waits as after any other failure.
+void TableFollower::handleRefusedPage(const Request &request, const Core::Error &error)
+{
+    if (isCurrent(request)) {
+        m_answerTimer.stop();
+        handleFailure(error);
+    }
+}
+
+Core::Error TableFollower::tooLongError() const
+{
+    return {Core::ErrorCode::ResourceExhausted, "store.follow", m_table, "The table would be longer than a process keeps."};
+}
+
 // A whole table that was superseded by data of other processes brings no new rows, but changes can be requested again from then on.
-void TableFollower::apply(const Request &request, RowPage page)
+Core::Result<void> TableFollower::apply(const Request &request, RowPage page)
 {
     const std::optional<StoreTime> before = m_version.verifiedAt();
-    if (request.isWhole) {
-        applyTable(request, page);
-    } else {
-        applyChanges(request, page);
-    }
+    BOOST_OUTCOME_TRY(request.isWhole ? applyTable(request, page) : applyChanges(request, page));
     m_isHistoryKnown = true;
     const std::optional<StoreTime> verifiedAt = m_version.verifiedAt();
     if (verifiedAt.has_value() && verifiedAt != before) {
         handleVerified();
     }
+    return Core::success();
 }
 
 void TableFollower::handleVerified()
@@ -216,24 +231,32 @@
     }
 }
 
-void TableFollower::applyTable(const Request &request, RowPage &page)
+Core::Result<void> TableFollower::applyTable(const Request &request, RowPage &page)
 {
     const std::uint64_t knownRevision = m_version.revision();
-    if (m_version.applyTable(page, request.revision) == TableVersion::ApplyResult::Applied) {
+    const TableVersion::ApplyResult result = m_version.applyTable(page, request.revision);
+    if (result == TableVersion::ApplyResult::TooLong) {
+        return tooLongError();
+    }
+    if (result == TableVersion::ApplyResult::Applied) {
         setCommitTimes(request, page, knownRevision);
         m_consumer.replaceRows(m_table, page);
     }
+    return Core::success();
 }
 
-void TableFollower::applyChanges(const Request &request, RowPage &page)
+Core::Result<void> TableFollower::applyChanges(const Request &request, RowPage &page)
 {
     const std::uint64_t knownRevision = m_version.revision();
     m_wasHistoryLost = false;
-    m_version.applyChanges(page, request.revision);
+    if (m_version.applyChanges(page, request.revision) == TableVersion::ApplyResult::TooLong) {
+        return tooLongError();
+    }
     setCommitTimes(request, page, knownRevision);
     if (!page.rows.empty()) {
         m_consumer.changeRows(m_table, page);
     }
+    return Core::success();
 }
 
 // The store answers a long poll as soon as something changes. So a change can be older than the answer that reports it only by the time for which no long
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -50,7 +50,8 @@
 /// \brief Follows one table of the store through outages, stale answers and lost history.
 ///
 /// An answer is applied only if its revision has not decreased; after a stale answer the request is sent again. New rows get the latest commit time that can
-/// be proven. Data from other processes can be offered at any time, so that a request that hangs blocks nothing.
+/// be proven. A page with which the table would be longer than maximumTableBytes counts as a failure of its source. Data from other processes can be offered at
+/// any time, so that a request that hangs blocks nothing.
 class TableFollower
 {
 public:
@@ -87,7 +88,9 @@
     void confirm(const TableDigest &theirs);
 
     /// \brief Applies data of another process: \a page holds the changes after \a requestedRevision, or the whole table for 0.
-    void offer(RowPage page, std::uint64_t requestedRevision);
+    ///
+    /// Errors: ResourceExhausted, if the table would be longer than a process keeps; the rows stay as they are.
+    Core::Result<void> offer(RowPage page, std::uint64_t requestedRevision);
 
     /// \brief Sends a request without waiting time in addition to the pending long poll, unless a request that should be answered soon is pending.
     ///
@@ -112,10 +115,12 @@
     void sendRequest();
     void handlePage(const Request &request, Core::Result<RowPage> page);
     void handleFailedRequest(const Request &request, const Core::Result<RowPage> &page);
+    void handleRefusedPage(const Request &request, const Core::Error &error);
     bool isCurrent(const Request &request) const;
-    void apply(const Request &request, RowPage page);
-    void applyTable(const Request &request, RowPage &page);
-    void applyChanges(const Request &request, RowPage &page);
+    Core::Result<void> apply(const Request &request, RowPage page);
+    Core::Result<void> applyTable(const Request &request, RowPage &page);
+    Core::Result<void> applyChanges(const Request &request, RowPage &page);
+    Core::Error tooLongError() const;
     void setCommitTimes(const Request &request, RowPage &page, std::uint64_t knownRevision);
     std::optional<StoreTime> earliestCommitTime(const Request &request, const RowPage &page) const;
     void handleHistoryLost();
--- a/src/libs/store/tableversion.cpp
+++ b/src/libs/store/tableversion.cpp
@@ -1,5 +1,7 @@
 #include "tableversion.h"
 
+#include "tablesize.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -45,6 +47,9 @@
     if (page.revision < m_revision) {
         return ApplyResult::Superseded;
     }
+    if (heldBytes(page.rows) > maximumTableBytes) {
+        return ApplyResult::TooLong;
+    }
     m_isRead = true;
     m_revision = page.revision;
     m_changedRevision = page.revision;
@@ -62,6 +67,9 @@
         return ApplyResult::Stale;
     }
     std::erase_if(page.rows, [this](const TableRow &row) { return row.revision <= m_revision; });
+    if (m_contents.heldBytesAfter(page.rows) > maximumTableBytes) {
+        return ApplyResult::TooLong;
+    }
     for (const TableRow &row : page.rows) {
         m_changedRevision = std::max(m_changedRevision, row.revision);
     }
--- a/src/libs/store/tableversion.h
+++ b/src/libs/store/tableversion.h
@@ -18,6 +18,7 @@
         Applied,
         Superseded, ///< The page was valid, but a later revision has been applied since.
         Stale, ///< The page is older than the revision with which it was requested.
+        TooLong, ///< The table would be longer than maximumTableBytes.
     };
 
     /// \brief Result of comparing the digest of another process.
@@ -39,10 +40,10 @@
     /// \brief Returns whether the table was read at least once.
     bool isRead() const;
 
-    /// \brief Applies the whole table, requested when the version was at \a requestedRevision.
+    /// \brief Applies the whole table, unless it is too long, requested when the version was at \a requestedRevision.
     ApplyResult applyTable(const RowPage &page, std::uint64_t requestedRevision);
 
-    /// \brief Applies the changes after \a requestedRevision and removes those from \a page that were applied before.
+    /// \brief Applies the changes after \a requestedRevision, unless the table would be too long, and removes those from \a page that were applied before.
     ApplyResult applyChanges(RowPage &page, std::uint64_t requestedRevision);
 
     /// \brief Returns the digest to be sent to other processes.
--- a/tests/auto/relay/tst_peerrowsource.cpp
+++ b/tests/auto/relay/tst_peerrowsource.cpp
@@ -1,5 +1,6 @@
 #include <platform/workerfake.h>
 #include <relay/peerrowsource.h>
+#include <store/tablesize.h>
 
 #include <gtest/gtest.h>
 
@@ -282,6 +283,19 @@
     EXPECT_EQ(mirror.changesSince("op", 12).rows.at(0).committedAfter, Store::StoreTime(30s));
 }
 
+// Tombstones with long keys would take ever more memory, as only their number was bounded.
+TEST(RowMirrorTest, removesTombstonesBeyondTheBoundOfATable)
+{
+    Store::RowMirror mirror;
+    mirror.replace("op", {{{"a", "1", 1, false}}, 1, false});
+    const std::uint64_t last = 2 * Store::maximumTableBytes / (1024 * 1024);
+    for (std::uint64_t revision = 2; revision <= last; ++revision) {
+        mirror.applyChanges("op", {{{std::string(1024 * 1024, 'k') + std::to_string(revision), "", revision, true}}, revision, false});
+    }
+    EXPECT_TRUE(mirror.changesSince("op", 1).isHistoryLost);
+    EXPECT_EQ(mirror.changesSince("op", 0).rows.size(), 1U);
+}
+
 TEST(RowMirrorTest, reportsLostHistoryBeforeTheFirstWholeTable)
 {
     Store::RowMirror mirror;
--- a/tests/auto/relay/tst_tablefollower.cpp
+++ b/tests/auto/relay/tst_tablefollower.cpp
@@ -1,4 +1,5 @@
 #include <store/tablefollower.h>
+#include <store/tablesize.h>
 
 #include <eventloop/loop.h>
 #include <eventloop/timer.h>
@@ -315,6 +316,29 @@
     EXPECT_TRUE(m_mirror.rows().empty());
 }
 
+// A store, or another process, could let a process hold ever more by pages that are each within the limit of a call.
+TEST_F(TableFollowerTest, refusesPagesBeyondTheBoundOfATable)
+{
+    const std::string value(4 * 1024 * 1024, 'v');
+    request().done(page(1, {{"kept", "1", 1, false}}));
+    std::size_t held = 0;
+    for (std::uint64_t revision = 2; revision < 32 && m_mirror.losses() == 0; ++revision) {
+        request().done(page(revision, {{"key" + std::to_string(revision), value, revision, false}}));
+        held = m_mirror.rows().size() * value.size();
+    }
+    EXPECT_EQ(m_mirror.losses(), 1);
+    EXPECT_LE(held, maximumTableBytes);
+    const std::uint64_t revision = m_follower->revision();
+    const auto refused = m_follower->offer(page(revision + 1, {{"peer", value, revision + 1, false}}), revision);
+    EXPECT_FALSE(refused);
+    EXPECT_EQ(m_follower->revision(), revision);
+    EXPECT_EQ(m_mirror.rows().at("kept"), "1");
+    EXPECT_FALSE(m_mirror.rows().contains("peer"));
+    request().done(page(revision + 2, {{"key2", value, revision + 1, false}, {"key2", "", revision + 2, true}, {"new", value, revision + 2, false}}));
+    EXPECT_TRUE(m_mirror.rows().contains("new"));
+    EXPECT_EQ(m_mirror.regains(), 1);
+}
+
 // Whatever happens to single answers, the mirror finally holds the same rows as a reader of the whole table.
 TEST_F(TableFollowerTest, matchesANaiveReaderAfterAnyFailures)
 {
