Bound answers of the table service by what they are about

Callers saw nothing; the bound of 256 MiB for objects stood on every call of HttpPlatform, so that a faulty store could make a process hold and parse hundreds of megabytes as rows or as the list of hosts.

Evidence, on the code as received: with 20 MiB for /hosts and 80 MiB for /table/get, refusesRowsAndHostsBeyondTheLargestProperAnswer took all three answers (hosts, rows and an object of 80 MiB).

Rows may take 64 MiB now: a page of 500 rows at maximumRowBytes (64 KiB), twice for the escapes of JSON. The list of hosts may take 16 MiB, a kilobyte for each of 3,000 nodes and 10,000 workers with room for those that leave; an answer to a put 1 MiB as every status. Objects keep 256 MiB.

The test passes, with hosts and rows refused and the object taken; tst_store passes (10).

--- a/src/libs/store/httpplatform.cpp
+++ b/src/libs/store/httpplatform.cpp
@@ -17,7 +17,13 @@
 constexpr int statusUnavailable = 503;
 
 // Many times the largest object that the product keeps in the store.
-constexpr std::uint64_t maximumAnswerBytes = 256 * 1024 * 1024;
+constexpr std::uint64_t maximumObjectBytes = 256 * 1024 * 1024;
+
+// Pages have 500 rows of at most 64 KiB, which take up to twice as much as JSON text.
+constexpr std::uint64_t maximumRowsBytes = 64 * 1024 * 1024;
+
+// A kilobyte for each of the nodes and backend servers of the target.
+constexpr std::uint64_t maximumHostsBytes = 16 * 1024 * 1024;
 
 using Answer = Http::HttpReply;
 
@@ -122,27 +128,31 @@
     return {Core::ErrorCode::InvalidArgument, step, peer, "An object name may contain only letters, digits and the characters - _ . /."};
 }
 
-Http::HttpCall makeCall(const std::string &method, const std::string &url, Core::TimePoint deadline)
+Http::HttpCall makeCall(const std::string &method, const std::string &url, std::uint64_t maximumBytes, Core::TimePoint deadline)
 {
     Http::HttpCall call;
     call.method = method;
     call.url = url;
     call.deadline = deadline;
-    call.limits.bodyBytes = maximumAnswerBytes;
+    call.limits.bodyBytes = maximumBytes;
     return call;
 }
 
-Http::HttpCall bodyCall(const std::string &method, const std::string &url, const std::string &type, std::string body, Core::TimePoint deadline)
+Http::HttpCall putCall(const std::string &url, std::string body, Core::TimePoint deadline)
 {
-    Http::HttpCall call = makeCall(method, url, deadline);
-    call.fields = {"Content-Type: " + type};
+    Http::HttpCall call = makeCall("PUT", url, Http::AnswerLimits::statusBodyBytes, deadline);
+    call.fields = {"Content-Type: application/octet-stream"};
     call.body = std::move(body);
     return call;
 }
 
-Http::HttpCall jsonCall(const std::string &url, std::string body, Core::TimePoint deadline)
+// A commit that conflicts is answered with rows.
+Http::HttpCall rowsCall(const std::string &url, std::string body, Core::TimePoint deadline)
 {
-    return bodyCall("POST", url, "application/json", std::move(body), deadline);
+    Http::HttpCall call = makeCall("POST", url, maximumRowsBytes, deadline);
+    call.fields = {"Content-Type: application/json"};
+    call.body = std::move(body);
+    return call;
 }
 
 } // namespace
@@ -179,14 +189,14 @@
 void HttpPlatform::get(const std::vector<std::string> &keys, Core::TimePoint deadline, RowsCallback done)
 {
     auto callback = decodingCallback("table.get", m_url, std::move(done), &decodeRows);
-    m_client->start(jsonCall(m_url + "/table/get", encodeKeys(keys), deadline), makeCollector(std::move(callback)));
+    m_client->start(rowsCall(m_url + "/table/get", encodeKeys(keys), deadline), makeCollector(std::move(callback)));
 }
 
 void HttpPlatform::scan(const std::string &prefix, std::uint64_t sinceRevision, std::size_t limit, Core::TimePoint deadline, RowsCallback done)
 {
     auto callback = decodingCallback("table.scan", m_url, std::move(done), &decodeRows);
     const std::string body = encodeScan({prefix, sinceRevision, limit});
-    m_client->start(jsonCall(m_url + "/table/scan", body, deadline), makeCollector(std::move(callback)));
+    m_client->start(rowsCall(m_url + "/table/scan", body, deadline), makeCollector(std::move(callback)));
 }
 
 void HttpPlatform::commit(const std::vector<RowWrite> &writes, Core::TimePoint deadline, CommitCallback done)
@@ -202,7 +212,7 @@
     auto callback = [peer = m_url, done = std::move(done)](const Core::Result<Answer> &answer) {
         done(commitAnswerOf(answer, peer));
     };
-    m_client->start(jsonCall(m_url + "/table/commit", encodeWrites(writes), deadline), makeCollector(std::move(callback)));
+    m_client->start(rowsCall(m_url + "/table/commit", encodeWrites(writes), deadline), makeCollector(std::move(callback)));
 }
 
 void HttpPlatform::get(const std::string &name, Core::TimePoint deadline, GetCallback done)
@@ -212,7 +222,7 @@
         return;
     }
     auto callback = decodingCallback("objects.get", m_url, std::move(done), [](const std::string &body) { return Core::Result<std::string>(body); });
-    m_client->start(makeCall("GET", m_url + "/objects/" + name, deadline), makeCollector(std::move(callback), Framing::Required));
+    m_client->start(makeCall("GET", m_url + "/objects/" + name, maximumObjectBytes, deadline), makeCollector(std::move(callback), Framing::Required));
 }
 
 void HttpPlatform::put(const std::string &name, const std::string &content, Core::TimePoint deadline, PutCallback done)
@@ -222,13 +232,13 @@
         return;
     }
     auto callback = decodingCallback("objects.put", m_url, std::move(done), [](const std::string &) { return Core::Result<void>(Core::success()); });
-    m_client->start(bodyCall("PUT", m_url + "/objects/" + name, "application/octet-stream", content, deadline), makeCollector(std::move(callback)));
+    m_client->start(putCall(m_url + "/objects/" + name, content, deadline), makeCollector(std::move(callback)));
 }
 
 void HttpPlatform::fetch(Core::TimePoint deadline, ListCallback done)
 {
     auto callback = decodingCallback("hosts.fetch", m_url, std::move(done), &decodeHosts);
-    m_client->start(makeCall("GET", m_url + "/hosts", deadline), makeCollector(std::move(callback)));
+    m_client->start(makeCall("GET", m_url + "/hosts", maximumHostsBytes, deadline), makeCollector(std::move(callback)));
 }
 
 } // namespace Verbena::Store
--- a/tests/auto/store/tst_httpplatform.cpp
+++ b/tests/auto/store/tst_httpplatform.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <optional>
 
 namespace Verbena::Test {
@@ -187,6 +188,25 @@
     EXPECT_FALSE(*result);
 }
 
+// Answers about rows and hosts could be as long as an object.
+TEST(HttpPlatformBoundsTest, refusesRowsAndHostsBeyondTheLargestProperAnswer)
+{
+    constexpr std::size_t mebibyte = 1024 * 1024;
+    const auto loop = std::move(EventLoop::Loop::create().value());
+    WorkerFake server(*loop, [](const Http::MessageHead &head, const auto &) {
+        const std::size_t padding = (head.target == "/hosts" ? 20 : 80) * mebibyte;
+        const std::string body = R"({"rows": [], "hosts": []})" + std::string(padding, ' ');
+        return WorkerScript{"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+    });
+    const auto platform = std::move(Store::HttpPlatform::create(*loop, "http://" + server.address()).value());
+    std::map<std::string, bool> isTaken;
+    platform->fetch(loop->now() + 20s, [&isTaken](const auto &hosts) { isTaken["hosts"] = hosts.has_value(); });
+    platform->get(std::vector<std::string>{"a"}, loop->now() + 20s, [&isTaken](const auto &rows) { isTaken["rows"] = rows.has_value(); });
+    platform->get("object", loop->now() + 20s, [&isTaken](const Core::Result<std::string> &object) { isTaken["object"] = object.has_value(); });
+    ASSERT_TRUE(runUntil(*loop, [&isTaken] { return isTaken.size() == 3; }));
+    EXPECT_EQ(isTaken, (std::map<std::string, bool>{{"hosts", false}, {"rows", false}, {"object", true}}));
+}
+
 } // namespace
 
 } // namespace Verbena::Test
