--- a/src/libs/store/rowmirror.cpp
+++ b/src/libs/store/rowmirror.cpp
@@ -39,7 +39,7 @@
         Entry &entry = tableState.rows[row.key];
         tableState.tombstoneBytes -= tombstoneBytes(entry.row);
         recordChange(entry, row);
-        tableState.tombstoneBytes += tombstoneBytes(row);
+        tableState.tombstoneBytes += tombstoneBytes(entry.row);
     }
     if (tableState.rows.size() > maximumRowsWithTombstones || tableState.tombstoneBytes > maximumTableBytes) {
         std::erase_if(tableState.rows, [](const auto &entry) { return entry.second.row.isDeleted; });
