Admit the models of the engine, whatever packets named before

Callers would have got old weights: an agent kept the first 256 models that packets named, for good. One packet of any sender with so many names made it ignore the turn of a new model that its own engine serves.

A model that the engine's last report names displaces one that it does not name. Others are refused as before, so that the number stays bounded; a plan whose model was displaced meanwhile is dropped.

--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -186,7 +186,7 @@
 // Routers that started recently or have outdated data may send a later slot than others; the earliest one counts.
 void WeightsKeeper::applySlot(const verbena::wire::WeightsTurn &message)
 {
-    if (m_targets.size() >= maximumModels && !m_targets.contains(message.model())) {
+    if (!admit(message.model())) {
         return;
     }
     const Decisions::RolloutSlot slot{message.engines(), message.before(), message.done()};
@@ -201,6 +201,27 @@
     }
 }
 
+// Packets may name any models, so that those of the engine displace others.
+bool WeightsKeeper::admit(const std::string &model)
+{
+    if (m_targets.contains(model) || m_targets.size() < maximumModels) {
+        return true;
+    }
+    const auto displaced = std::find_if(m_targets.begin(), m_targets.end(), [this](const auto &target) { return !isServed(target.first); });
+    if (displaced == m_targets.end() || !isServed(model)) {
+        return false;
+    }
+    m_targets.erase(displaced);
+    return true;
+}
+
+// Returns whether the engine serves the model according to its last report.
+bool WeightsKeeper::isServed(const std::string &model) const
+{
+    const std::vector<Decisions::ServedWeights> &served = m_lastReport.weights;
+    return std::any_of(served.begin(), served.end(), [&model](const Decisions::ServedWeights &weights) { return weights.model == model; });
+}
+
 void WeightsKeeper::followStoreIfUnwatched()
 {
     const bool isWatched = m_loop.now() < m_watchedUntil;
@@ -256,6 +277,9 @@
 
 void WeightsKeeper::planWithRegister(const std::string &model, const Decisions::WeightsAnnouncement &announcement, const Core::Result<Store::RowPage> &page)
 {
+    if (!m_targets.contains(model)) {
+        return; // Displaced by another model.
+    }
     if (!page) {
         planSlot(model, announcement, Decisions::hashedRolloutSlot(m_settings.engineAddress, m_targets[model].version));
         return;
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -72,6 +72,8 @@
     void handleWatch(const verbena::wire::EngineWatch &watch);
     void followStoreIfUnwatched();
     void applySlot(const verbena::wire::WeightsTurn &told);
+    bool admit(const std::string &model);
+    bool isServed(const std::string &model) const;
     bool applyAnnouncement(const Relay::AnnouncedWeights &named);
     bool isOutOfDate(const std::string &model, std::uint64_t version) const;
     bool isPending(const std::string &model, const Target &target) const;
