--- a/tests/auto/platform/tst_weightskeeper.cpp
+++ b/tests/auto/platform/tst_weightskeeper.cpp
@@ -94,6 +94,7 @@
     const WeightsKeeper keeper(*loop, {"host", "engine", {}, {}}, stub, stub, stub, stub, stub, *news);
     ASSERT_TRUE(Verbena::Test::runUntil(*loop, [&stub] { return stub.reports > 0; }));
     std::vector<std::string> others;
+    others.reserve(256);
     for (int number = 0; number < 256; ++number) {
         others.push_back(std::to_string(number));
     }
