--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -22,7 +22,7 @@
 std::string_view faultText(Http::MessageFault fault)
 {
     if (Http::exceededBoundName(fault).has_value()) {
-        return "the answer has no end in sight: ";
+        return "a part of the answer is too long: ";
     }
     return fault == Http::MessageFault::Truncated ? "the answer broke off: " : "the answer is no HTTP: ";
 }
--- a/tests/soak/answerjudge.h
+++ b/tests/soak/answerjudge.h
@@ -15,12 +15,12 @@
     Core::TimePoint startedAt; ///< Start of the process, which knows nothing of earlier answers.
 };
 
-/// \brief What befell the router of a request, as far as it excuses an answer that is not whole.
+/// \brief What happened to the router of a request, as far as it excuses an answer that is not whole.
 struct RouterPast
 {
     std::string name;
     bool isKilled = false; ///< Whether it was killed after the request was sent.
-    bool isDisturbed = false; ///< Whether anything unplanned befell it, the servers or the ways between from some seconds before the request to its end.
+    bool isDisturbed = false; ///< Whether anything unplanned happened to it, the servers or the ways between, from some seconds before the request to its end.
     std::vector<PlannedStop> stops;
 };
 
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -71,7 +71,7 @@
     void closeRouterLog(std::size_t index);
     void closeAgentLog(std::size_t index);
 
-    /// \brief What befell router \a index since a request for \a path was sent to it at \a time.
+    /// \brief What happened to router \a index since a request for \a path was sent to it at \a time.
     RouterPast pastSince(std::size_t index, const std::string &path, Core::TimePoint time) const;
 
     Disturbances &disturbances();
