Ask once since when an engine has had no agent

AgentPresence answered whether an engine is orphaned and, in a second call with a value for a case that cannot be, since when. One call answers both. No change of behaviour; relaydecisions passes.

--- a/src/libs/decisions/relay/agentpresence.cpp
+++ b/src/libs/decisions/relay/agentpresence.cpp
@@ -22,20 +22,14 @@
     return present != m_presentUntil.end() && now < present->second;
 }
 
-bool AgentPresence::isOrphaned(BackendServerId id, const std::string &address, Core::TimePoint now)
+std::optional<Core::TimePoint> AgentPresence::orphanedSince(BackendServerId id, const std::string &address, Core::TimePoint now)
 {
     if (isPresent(address, now)) {
         m_absentSince.erase(id);
-        return false;
+        return std::nullopt;
     }
     const Core::TimePoint since = m_absentSince.try_emplace(id, now).first->second;
-    return now >= since + agentTimeout;
-}
-
-std::optional<Core::TimePoint> AgentPresence::absentSince(BackendServerId id) const
-{
-    const auto since = m_absentSince.find(id);
-    return since == m_absentSince.end() ? std::nullopt : std::optional(since->second);
+    return now >= since + agentTimeout ? std::optional(since) : std::nullopt;
 }
 
 void AgentPresence::removeIf(const std::function<bool(const std::string &)> &isUnusedAddress, const std::function<bool(BackendServerId)> &isGone)
--- a/src/libs/decisions/relay/agentpresence.h
+++ b/src/libs/decisions/relay/agentpresence.h
@@ -20,13 +20,11 @@
     /// \brief Returns whether the agent of the engine at \a address has reported lately.
     bool isPresent(const std::string &address, Core::TimePoint now) const;
 
-    /// \brief Returns whether the agent of the engine \a id at \a address has been absent for long enough that its orders have to come from elsewhere.
+    /// \brief Returns since when the agent of the engine \a id at \a address has been absent, if that is long enough that its orders have to come from
+    /// elsewhere; nothing otherwise.
     ///
     /// To be called several times a second for each engine, as the absence counts from the first call that finds it.
-    bool isOrphaned(BackendServerId id, const std::string &address, Core::TimePoint now);
-
-    /// \brief Returns the time at which the agent of \a id was first found absent; nothing if it was present at the last check.
-    std::optional<Core::TimePoint> absentSince(BackendServerId id) const;
+    std::optional<Core::TimePoint> orphanedSince(BackendServerId id, const std::string &address, Core::TimePoint now);
 
     /// \brief Removes the addresses and engines for which the functions return true.
     void removeIf(const std::function<bool(const std::string &)> &isUnusedAddress, const std::function<bool(BackendServerId)> &isGone);
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -314,14 +314,15 @@
     std::vector<OrphanedEngine> orphaned;
     for (const auto &[id, server] : m_register.servers()) {
         const BackendServerId key = backendServerId(id);
-        if (!m_agents.isOrphaned(key, server.address, now) || server.isLeaving) {
+        const std::optional<Core::TimePoint> since = m_agents.orphanedSince(key, server.address, now);
+        if (!since.has_value() || server.isLeaving) {
             continue;
         }
         for (const ServedWeights &weights : server.weights) {
             const auto announced = m_weights.find(weights.model);
             const bool isBehind = announced != m_weights.end() && weights.version < announced->second.newest();
             if (isBehind) {
-                orphaned.push_back({id, server.address, weights.model, announced->second.newest(), m_agents.absentSince(key).value_or(now)});
+                orphaned.push_back({id, server.address, weights.model, announced->second.newest(), *since});
             }
         }
     }
