Scan JSON texts in one place, and say once what tests repeated

isNestedTooDeep() and hasTooManyValues() both walked the text and passed over its strings; one function does.

--- a/src/libs/json/jsontext.cpp
+++ b/src/libs/json/jsontext.cpp
@@ -24,28 +24,36 @@
     return found != object.end() && found->is_number_unsigned() ? &*found : nullptr;
 }
 
-} // namespace
-
-bool isNestedTooDeep(std::string_view text)
+// Calls \a visit with each letter of \a text outside of strings, until it returns false.
+template<typename Visitor>
+void visitOutsideStrings(std::string_view text, Visitor visit)
 {
-    int depth = 0;
     bool isInString = false;
     for (std::size_t i = 0; i < text.size(); ++i) {
         const char letter = text[i];
         if (isInString) {
             i += letter == '\\' ? 1 : 0;
             isInString = letter != '"';
-        } else if (letter == '"') {
-            isInString = true;
-        } else if (letter == '[' || letter == '{') {
-            if (++depth > maximumDepth) {
-                return true;
-            }
-        } else if (letter == ']' || letter == '}') {
-            --depth;
+            continue;
+        }
+        isInString = letter == '"';
+        if (!visit(letter)) {
+            return;
         }
     }
-    return false;
+}
+
+} // namespace
+
+bool isNestedTooDeep(std::string_view text)
+{
+    int depth = 0;
+    visitOutsideStrings(text, [&depth](char letter) {
+        depth += letter == '[' || letter == '{' ? 1 : 0;
+        depth -= letter == ']' || letter == '}' ? 1 : 0;
+        return depth <= maximumDepth;
+    });
+    return depth > maximumDepth;
 }
 
 bool hasTooManyValues(std::string_view text)
@@ -55,19 +63,15 @@
     }
     std::size_t containers = 0;
     std::size_t separators = 0;
-    bool isInString = false;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const char letter = text[i];
-        if (isInString) {
-            i += letter == '\\' ? 1 : 0;
-            isInString = letter != '"';
-            continue;
-        }
-        isInString = letter == '"';
+    const auto isExceeded = [&containers, &separators] {
+        return containers > maximumContainers || containers + separators > maximumValues;
+    };
+    visitOutsideStrings(text, [&](char letter) {
         containers += letter == '[' || letter == '{' ? 1 : 0;
         separators += letter == ',' ? 1 : 0;
-    }
-    return containers > maximumContainers || containers + separators > maximumValues;
+        return !isExceeded();
+    });
+    return isExceeded();
 }
 
 // The library copies, compares and writes nested values by recursion, which a deep one would let overflow the stack.
--- a/tests/auto/platform/tst_plannedstops.cpp
+++ b/tests/auto/platform/tst_plannedstops.cpp
@@ -102,11 +102,12 @@
         m_deployment.runFor(100ms);
     }
 
-    /// \brief Sends requests from before SIGTERM to the end of the process.
-    void playStop()
+    /// \brief Sends requests from \a before SIGTERM to the end of the process, where the server takes \a workAfter for each from SIGTERM on.
+    void playStop(milliseconds before, milliseconds workAfter)
     {
-        m_termAt = m_deployment.loop().now() + lead;
-        sendFor(lead);
+        m_termAt = m_deployment.loop().now() + before;
+        sendFor(before);
+        m_work = workAfter;
         term();
         sendFor(m_grace);
         runUntilEnd();
@@ -184,7 +185,7 @@
 {
     start(8s);
     m_work = 300ms;
-    playStop();
+    playStop(lead, m_work);
     expectEachPassedOnIsAnswered();
     EXPECT_EQ(countAnswered(-lead, 2700ms), countSent(-lead, 2700ms));
 }
@@ -194,11 +195,7 @@
 {
     start(8s);
     m_work = 2s;
-    m_termAt = m_deployment.loop().now() + 3s;
-    sendFor(3s);
-    term();
-    sendFor(8s);
-    runUntilEnd();
+    playStop(3s, m_work);
     expectEachPassedOnIsAnswered();
     EXPECT_EQ(countAnswered(-3s, 2700ms), countSent(-3s, 2700ms));
 }
@@ -208,7 +205,7 @@
 {
     start(8s);
     m_work = 6s;
-    playStop();
+    playStop(lead, m_work);
     expectEachPassedOnIsAnswered();
     EXPECT_EQ(countAnswered(-lead, 0ms), countSent(-lead, 0ms));
 }
@@ -218,12 +215,7 @@
 {
     start(8s);
     m_work = 300ms;
-    m_termAt = m_deployment.loop().now() + 2s;
-    sendFor(2s);
-    m_work = 6s;
-    term();
-    sendFor(8s);
-    runUntilEnd();
+    playStop(2s, 6s);
     expectEachPassedOnIsAnswered();
 }
 
@@ -232,7 +224,7 @@
 {
     start(2s);
     m_work = 500ms;
-    playStop();
+    playStop(lead, m_work);
     expectEachPassedOnIsAnswered();
     EXPECT_GT(countAnswered(0ms, 2s), 0U);
 }
@@ -241,7 +233,7 @@
 {
     start(1s);
     m_work = 200ms;
-    playStop();
+    playStop(lead, m_work);
     expectEachPassedOnIsAnswered();
 }
 
--- a/tests/auto/wire/tst_wire.cpp
+++ b/tests/auto/wire/tst_wire.cpp
@@ -91,6 +91,16 @@
         return std::move(MessageSocket::connect(*m_loop, m_context, endpoint, security, recorder).value());
     }
 
+    /// \brief Returns a socket that sends what the test gives it, connected to \a endpoint; the caller closes it.
+    void *connectRaw(const std::string &endpoint)
+    {
+        void *socket = zmq_socket(m_context.handle(), ZMQ_DEALER);
+        const int linger = 0;
+        zmq_setsockopt(socket, ZMQ_LINGER, &linger, sizeof linger);
+        zmq_connect(socket, endpoint.c_str());
+        return socket;
+    }
+
     static void sendHello(MessageSocket &socket, const std::string &name)
     {
         verbena::wire::Envelope envelope;
@@ -174,10 +184,7 @@
 {
     Recorder server;
     const auto bound = std::move(MessageSocket::bind(*m_loop, m_context, "tcp://127.0.0.1:*", {}, server).value());
-    void *socket = zmq_socket(m_context.handle(), ZMQ_DEALER);
-    const int linger = 0;
-    zmq_setsockopt(socket, ZMQ_LINGER, &linger, sizeof linger);
-    zmq_connect(socket, bound->endpoint().c_str());
+    void *socket = connectRaw(bound->endpoint());
     zmq_send(socket, "", 0, 0);
     zmq_send(socket, "\xff\xff\xff", 3, 0);
     zmq_send(socket, "a", 1, ZMQ_SNDMORE);
@@ -191,10 +198,7 @@
 {
     Recorder server;
     const auto bound = std::move(MessageSocket::bind(*m_loop, m_context, "tcp://127.0.0.1:*", {}, server).value());
-    void *socket = zmq_socket(m_context.handle(), ZMQ_DEALER);
-    const int linger = 0;
-    zmq_setsockopt(socket, ZMQ_LINGER, &linger, sizeof linger);
-    zmq_connect(socket, bound->endpoint().c_str());
+    void *socket = connectRaw(bound->endpoint());
     const std::string message(80 * 1024 * 1024, '\xff');
     zmq_send(socket, message.data(), message.size(), 0);
     EXPECT_TRUE(runUntil([&] { return server.lostCount > 0 || server.invalidCount > 0; }));
