Ask for the time that is left only during a shutdown

Each event of a resumable stream asked whether its request can end in time, and copied the route's name for it, while no shutdown had begun. No change of behaviour; relay, shutdown, plannedstops, resumedstreams and silentengines pass.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -1019,8 +1019,12 @@
     return Decisions::RunningCall{m_route->name, m_choice->sentAt};
 }
 
+// Asked for each event of a stream.
 bool RelayedRequest::isExpectedToEnd() const
 {
+    if (!m_context.shutdown->isBegun()) {
+        return true;
+    }
     const milliseconds elapsed = m_answer.isBegun() ? sinceArrival() : milliseconds(0);
     return m_context.shutdown->isExpectedToEnd({m_route->name, m_route->isRepeatable(), m_deadline, elapsed});
 }
