Count a model that an entry names twice once

Cause: a list was checked for its form, and the choice took its members for different servers: Placement::nearest() looked for as many different members as its pool had entries.

ServedModels holds each model once, with the newest version, for entries of the register, reports of engines and news of agents; BackendServer::served is a set; a Placement counts each member once, and its search has an end of its own.

Before: Placement.ServersThatAreNamedTwiceAreSearchedForWithoutEnd is falsified after five cases.

--- a/src/libs/decisions/relay/enginestatus.h
+++ b/src/libs/decisions/relay/enginestatus.h
@@ -15,7 +15,7 @@
 struct EngineStatus
 {
     std::uint64_t incarnation = 0; ///< Identifies one start of the engine; 0 if it does not report one.
-    std::vector<ServedWeights> weights;
+    ServedModels weights;
     bool isSilent = false; ///< Whether the engine does not answer its agent.
     bool isLoading = false; ///< Whether the engine accepts no new requests for now.
     std::optional<Core::TimePoint> loadTime; ///< Time at which the engine will start to load new weights.
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -215,7 +215,7 @@
         server.incarnation = registered.incarnation;
         server.softwareVersion = registered.softwareVersion;
         for (const ServedWeights &weights : registered.weights) {
-            server.served.push_back({poolName(registered.service, weights.model), "", std::to_string(weights.version)});
+            server.served.insert({poolName(registered.service, weights.model), "", std::to_string(weights.version)});
             ++m_versions[{registered.service, weights.model}][weights.version];
             m_homeDomains.addEngine(registered.service, weights.model, registered.failureDomain);
         }
--- a/src/libs/decisions/relay/serverregister.cpp
+++ b/src/libs/decisions/relay/serverregister.cpp
@@ -52,12 +52,8 @@
     RegisteredServer updated = server;
     updated.incarnation = server.incarnation == 0 ? entry.incarnation : server.incarnation;
     // An entry is written only now and then; what the server answered meanwhile is newer, and versions of weights only increase.
-    for (ServedWeights &weights : updated.weights) {
-        for (const ServedWeights &before : entry.weights) {
-            if (before.model == weights.model) {
-                weights.version = std::max(weights.version, before.version);
-            }
-        }
+    for (const ServedWeights &before : entry.weights) {
+        updated.weights.raise(before.model, before.version);
     }
     updated.isLeaving = updated.isLeaving || entry.isLeaving || hasSaidLeaving(updated);
     if (entry == updated) {
@@ -176,14 +172,8 @@
 void ServerRegister::updateWeights(const std::string &id, const std::string &model, std::uint64_t version)
 {
     const auto found = m_servers.find(id);
-    if (found == m_servers.end()) {
-        return;
-    }
-    for (ServedWeights &weights : found->second.weights) {
-        if (weights.model == model && weights.version < version) {
-            weights.version = version;
-            ++m_revision;
-        }
+    if (found != m_servers.end() && found->second.weights.raise(model, version)) {
+        ++m_revision;
     }
 }
 
--- a/src/libs/decisions/relay/serverregister.h
+++ b/src/libs/decisions/relay/serverregister.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "servedmodels.h"
+
 #include <core/time.h>
 #include <decisions/routing/backendserver.h>
 
@@ -10,15 +12,6 @@
 
 namespace Verbena::Decisions {
 
-/// \brief The version of a model's weights that a backend server runs.
-struct ServedWeights
-{
-    std::string model;
-    std::uint64_t version = 0;
-
-    bool operator==(const ServedWeights &) const = default;
-};
-
 /// \brief A backend server, as described by its own entry in the register.
 struct RegisteredServer
 {
@@ -28,7 +21,7 @@
     std::string failureDomain;
     std::uint32_t slots = 0; ///< Number of requests that it runs at once.
     bool isLeaving = false;
-    std::vector<ServedWeights> weights; ///< Served weights; empty for a plain service.
+    ServedModels weights; ///< Served weights; empty for a plain service.
     std::uint64_t incarnation = 0; ///< Identifies one start of the server; 0 if it does not report one. A larger number is not a later start.
     std::string softwareVersion = {}; ///< Version of its software, which is not that of its weights; empty if it names none. Versions have no order.
 
--- a/src/libs/decisions/routing/backendserver.h
+++ b/src/libs/decisions/routing/backendserver.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <tuple>
-#include <vector>
 
 namespace Verbena::Decisions {
 
@@ -39,7 +39,7 @@
     std::string name;
     std::string endpoint; ///< Address on which its agent listens, for instance "tcp://127.0.0.1:7000".
     std::string failureDomain;
-    std::vector<ModelVersion> served;
+    std::set<ModelVersion> served;
     std::string service; ///< Name of the service that it offers; empty for a model engine.
     BackendServerState state = BackendServerState::Live;
     std::uint64_t incarnation = 0; ///< Changes when the server restarts, which loses its caches and requests; 0 if unknown.
--- a/src/libs/decisions/routing/declaredserver.cpp
+++ b/src/libs/decisions/routing/declaredserver.cpp
@@ -11,7 +11,7 @@
     server.failureDomain = declared.failureDomain;
     server.service = declared.service;
     for (const std::string &model : declared.models) {
-        server.served.push_back(declaredVersion(model, settings));
+        server.served.insert(declaredVersion(model, settings));
     }
     return server;
 }
--- a/src/libs/decisions/routing/placement.cpp
+++ b/src/libs/decisions/routing/placement.cpp
@@ -40,6 +40,7 @@
     : m_members(pool.begin(), pool.end())
 {
     std::sort(m_members.begin(), m_members.end());
+    m_members.erase(std::unique(m_members.begin(), m_members.end()), m_members.end());
     m_ring.reserve(m_members.size() * pointsPerServer);
     for (const BackendServerId id : m_members) {
         for (std::size_t point = 0; point < pointsPerServer; ++point) {
@@ -79,7 +80,9 @@
         nextPoints[probe] = firstPointAt(probes[probe]);
     }
     result.reserve(wanted);
-    while (result.size() < wanted) {
+    // In as many steps each probe has passed every point.
+    const std::size_t maximumSteps = m_ring.size() * probesPerKey;
+    for (std::size_t step = 0; step < maximumSteps && result.size() < wanted; ++step) {
         std::size_t nearestProbe = 0;
         Neighbour best{~std::uint64_t{0}, BackendServerId(~std::uint64_t{0})};
         for (std::size_t probe = 0; probe < probesPerKey; ++probe) {
--- a/src/libs/decisions/routing/placement.h
+++ b/src/libs/decisions/routing/placement.h
@@ -17,7 +17,7 @@
 public:
     Placement() = default;
 
-    /// \brief Creates a placement of the backend servers of \a pool, which may be in any order.
+    /// \brief Creates a placement of the backend servers of \a pool, which may be in any order; one that is named more than once counts once.
     explicit Placement(std::span<const BackendServerId> pool);
 
     /// \brief Returns the \a count backend servers that are nearest to \a key, nearest first; fewer if the pool is smaller.
--- a/src/libs/relay/enginemonitor.cpp
+++ b/src/libs/relay/enginemonitor.cpp
@@ -16,7 +16,7 @@
     Decisions::EngineStatus status;
     status.incarnation = report.incarnation();
     for (const verbena::wire::EngineWeights &weights : report.weights()) {
-        status.weights.push_back({weights.model(), weights.version()});
+        status.weights.record(weights.model(), weights.version());
     }
     status.isSilent = report.silent();
     status.isLoading = report.loading();
--- a/src/libs/weights/enginecontrol.h
+++ b/src/libs/weights/enginecontrol.h
@@ -17,7 +17,7 @@
 struct EngineReport
 {
     std::uint64_t incarnation = 0; ///< Differs between starts of the engine; 0 if it is not reported.
-    std::vector<Decisions::ServedWeights> weights;
+    Decisions::ServedModels weights;
     bool isCarryingOutOrder = false;
     std::uint64_t acceptedOrders = 0; ///< Number of accepted orders since the start.
     std::uint32_t running = 0;
--- a/src/libs/weights/weightsfailover.cpp
+++ b/src/libs/weights/weightsfailover.cpp
@@ -158,14 +158,13 @@
         Observe::log(engineSilent, report.error(), {{"engine", engine.address}});
         return;
     }
-    const std::vector<Decisions::ServedWeights> &served = report.value().weights;
-    const auto weights = std::find_if(served.begin(), served.end(), [&engine](const Decisions::ServedWeights &one) { return one.model == engine.model; });
-    if (weights == served.end()) {
+    const std::optional<std::uint64_t> served = report.value().weights.versionOf(engine.model);
+    if (!served.has_value()) {
         return;
     }
-    if (weights->version >= engine.version) {
-        m_fleet.servers().updateWeights(engine.id, engine.model, weights->version);
-        Observe::log(weightsInPlace, {{"engine", engine.address}, {"model", engine.model}, {"version", std::to_string(weights->version)}});
+    if (*served >= engine.version) {
+        m_fleet.servers().updateWeights(engine.id, engine.model, *served);
+        Observe::log(weightsInPlace, {{"engine", engine.address}, {"model", engine.model}, {"version", std::to_string(*served)}});
     } else if (!report.value().isCarryingOutOrder) {
         m_failover.markReachable(engine.address, m_loop.now());
         order(engine, report.value().acceptedOrders);
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -75,11 +75,9 @@
         if (server == nullptr || server->isLeaving) {
             continue;
         }
-        for (const Decisions::ServedWeights &weights : server->weights) {
-            if (weights.model == model) {
-                holders.push_back({server->id, weights.version});
-                self = server->address == address ? server->id : self;
-            }
+        if (const std::optional<std::uint64_t> version = server->weights.versionOf(model)) {
+            holders.push_back({server->id, *version});
+            self = server->address == address ? server->id : self;
         }
     }
     return holders;
@@ -218,8 +216,7 @@
 // Returns whether the engine serves the model according to its last report.
 bool WeightsKeeper::isServed(const std::string &model) const
 {
-    const std::vector<Decisions::ServedWeights> &served = m_lastReport.weights;
-    return std::any_of(served.begin(), served.end(), [&model](const Decisions::ServedWeights &weights) { return weights.model == model; });
+    return m_lastReport.weights.versionOf(model).has_value();
 }
 
 void WeightsKeeper::followStoreIfUnwatched()
@@ -261,10 +258,8 @@
 {
     const auto inPlace = m_inPlace.find(model);
     const bool isInPlace = inPlace != m_inPlace.end() && inPlace->second >= version;
-    const std::vector<Decisions::ServedWeights> &served = m_lastReport.weights;
-    return !isInPlace && std::none_of(served.begin(), served.end(), [&](const Decisions::ServedWeights &weights) {
-        return weights.model == model && weights.version >= version;
-    });
+    const std::optional<std::uint64_t> served = m_lastReport.weights.versionOf(model);
+    return !isInPlace && !(served.has_value() && *served >= version);
 }
 
 void WeightsKeeper::plan(const std::string &model, const Decisions::WeightsAnnouncement &announcement)
--- a/tests/auto/control/tst_membership.cpp
+++ b/tests/auto/control/tst_membership.cpp
@@ -60,7 +60,7 @@
 {
     const std::vector<BackendServer> fleet = m_membership.fleet();
     ASSERT_EQ(fleet.size(), 4U);
-    EXPECT_EQ(fleet[0].served.at(1), (ModelVersion{"analyst", "wall", "7"}));
+    EXPECT_TRUE(fleet[0].served.contains(ModelVersion{"analyst", "wall", "7"}));
     m_settings.backendServers["e1"].isDrained = true;
     m_settings.backendServers.erase("e2");
     m_membership.setSettings(m_settings);
--- a/tests/auto/platform/tst_translation.cpp
+++ b/tests/auto/platform/tst_translation.cpp
@@ -296,6 +296,22 @@
 TEST(PlatformDecoderTest, readsWhichStartAnEntryIsOf)
 {
     const auto server = PlatformDecoder().decode("servers", {"i-1", registeredEntry().dump(), 1, false});
+// A server counted twice among those of a model that its entry named twice, and the choice among them had no end.
+TEST(PlatformDecoderTest, modelThatIsNamedTwiceCountsTwice)
+{
+    for (const char *models :
+        {R"([{"name":"m","version":1},{"name":"m","version":1}])", R"([{"name":"m","version":2},{"name":"n","version":7},{"name":"m","version":1}])"}) {
+        const std::string entry
+            = R"({"service":"s1","address":"1.2.3.4:5","zone":"hall","slots":96,"phase":"ready","sequence":4,"models":)" + std::string(models) + "}";
+        const auto server = PlatformDecoder().decode("servers", {"i-1", entry, 1, false});
+        ASSERT_TRUE(server);
+        const Decisions::ServedModels &served = std::get<Decisions::RegisteredServer>(server.value()).weights;
+        EXPECT_EQ(std::count_if(served.begin(), served.end(), [](const Decisions::ServedWeights &weights) { return weights.model == "m"; }), 1);
+        EXPECT_EQ(served.size(), served.versionOf("n").has_value() ? 2U : 1U);
+        EXPECT_EQ(served.versionOf("m"), served.versionOf("n").has_value() ? 2U : 1U);
+    }
+}
+
     ASSERT_TRUE(server) << server.error().message;
     EXPECT_EQ(std::get<Decisions::RegisteredServer>(server.value()).incarnation, 1'770'000'000'123U);
 }
--- a/tests/auto/routing/tst_placement.cpp
+++ b/tests/auto/routing/tst_placement.cpp
@@ -39,6 +39,18 @@
     }));
 }
 
+// The search for as many different servers as the pool had entries did not end.
+TEST(Placement, ServersThatAreNamedTwiceAreSearchedForWithoutEnd)
+{
+    EXPECT_TRUE(rc::check("doubled entries change nothing", [](const std::set<std::uint64_t> &ids, std::uint64_t key) {
+        const std::vector<BackendServerId> pool = poolOf(ids);
+        std::vector<BackendServerId> doubled = pool;
+        doubled.insert(doubled.end(), pool.begin(), pool.end());
+        RC_ASSERT(Placement(doubled).members() == pool);
+        RC_ASSERT(Placement(doubled).nearest(PrefixKey(key), doubled.size()) == Placement(pool).nearest(PrefixKey(key), pool.size()));
+    }));
+}
+
 TEST(Placement, LossOfAServerMovesOnlyItsKeys)
 {
     EXPECT_TRUE(rc::check("the other backend servers keep their order", [](std::set<std::uint64_t> ids, std::uint64_t key) {
--- a/tests/benchmarks/slopes/routerslopes.cpp
+++ b/tests/benchmarks/slopes/routerslopes.cpp
@@ -112,7 +112,7 @@
         declared.name = server.name;
         declared.endpoint = server.endpoint;
         declared.failureDomain = server.failureDomain;
-        declared.models = {server.served.front().model};
+        declared.models = {server.served.begin()->model};
         settings.backendServers.emplace(server.name, declared);
         hosts.push_back({server.name, server.endpoint, server.failureDomain, 1, false});
     }
