End a process whose event loop computes without end

Nothing noticed a router that computed without end: no line, no answer to readiness or SIGTERM, until it was killed.

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -3,6 +3,7 @@
 #include <agent/agenttask.h>
 #include <agent/statuspage.h>
 #include <application/descriptorlimit.h>
+#include <application/loopguard.h>
 #include <application/processreport.h>
 #include <application/standardoptions.h>
 #include <application/startattempts.h>
@@ -69,6 +70,7 @@
         Application::reportSignal(signalNumber);
         agent->leave([&loop] { loop->stop(); });
     };
+    const auto watchdog = Application::watchLoop(*loop);
     const EventLoop::SignalWatcher terminate(*loop, SIGTERM, [&end] { end(SIGTERM); });
     const EventLoop::SignalWatcher interrupt(*loop, SIGINT, [&end] { end(SIGINT); });
     const EventLoop::SignalWatcher hangUp(*loop, SIGHUP, [&agent, &view] { reload(*agent, view.get()); });
--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -1,6 +1,7 @@
 #include "routercontrol.h"
 
 #include <application/descriptorlimit.h>
+#include <application/loopguard.h>
 #include <application/processreport.h>
 #include <application/standardoptions.h>
 #include <application/startattempts.h>
@@ -45,6 +46,7 @@
     if (environment.control) {
         environment.control->attach(*task);
     }
+    const auto watchdog = Application::watchLoop(*loop);
     const EventLoop::SignalWatcher terminate(*loop, SIGTERM, [&loop, &task] {
         Application::reportSignal(SIGTERM);
         task->beginShutdown([&loop] { loop->stop(); });
