Leave callers that pause to the limits on reading

A caller that read nothing for six seconds of an answer of 12 MB was cut off, 4 of 4, though idleTimeoutMs promised 15 s: TCP_USER_TIMEOUT of four seconds counts a closed window, whose probes the caller's host answers, as time without an acknowledgement. The same on calls to servers that read a body slowly.

TcpChannel looks once a second at what the kernel holds: where nothing is under way and bytes wait, the window is closed, and the option is off until it opens. A host that acknowledges nothing counts as gone after four seconds as before; deadlines and the idle timeout bound the rest.

--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -5,6 +5,7 @@
 #include <core/freetext.h>
 #include <eventloop/iowatcher.h>
 #include <eventloop/loop.h>
+#include <eventloop/timer.h>
 
 #include <algorithm>
 #include <array>
@@ -38,6 +39,15 @@
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
 
+// Interval at which a peer that does not take what is written is looked at; a few times within the time above.
+constexpr std::chrono::milliseconds windowCheckInterval{1000};
+
+// Bytes handed to the kernel after which the peer is looked at; less than this has room in any peer's window.
+constexpr std::size_t uncheckedBytesBound = 4 * 1024;
+
+// Leaves a connection whose peer has closed its window to the kernel's count of probes without an answer.
+constexpr unsigned noUserTimeout = 0;
+
 thread_local std::size_t openChannels = 0;
 
 template<typename Value>
@@ -352,21 +362,70 @@
         if (sent < 0) {
             const bool isToBeContinued = errno == EAGAIN || errno == EINTR;
             releaseSent();
+            watchWindow();
             return isToBeContinued;
         }
         m_hasSent = true;
+        m_uncheckedBytes += static_cast<std::size_t>(sent);
         const std::size_t ofOutput = std::min(static_cast<std::size_t>(sent), m_output.size() - m_outputOffset);
         m_outputOffset += ofOutput;
         m_bodyOffset += static_cast<std::size_t>(sent) - ofOutput;
         m_observer->outputSent();
     }
     releaseSent();
+    if (m_uncheckedBytes >= uncheckedBytesBound) {
+        watchWindow();
+    }
     if (m_isShuttingDown) {
         shutdown(m_descriptor, SHUT_WR);
     }
     return true;
 }
 
+void TcpChannel::watchWindow()
+{
+    if (m_windowTimer == nullptr) {
+        m_windowTimer = std::make_unique<EventLoop::Timer>(m_loop, [this] { checkWindow(); });
+    }
+    if (!m_windowTimer->isActive()) {
+        m_windowTimer->startAt(m_loop.now() + windowCheckInterval);
+    }
+}
+
+// The kernel counts the time for which a peer reads nothing as time without an acknowledgement, though the peer's host answers each probe of its window.
+void TcpChannel::checkWindow()
+{
+    const std::optional<KernelQueue> queue = m_isBroken ? std::nullopt : kernelQueue();
+    if (!queue.has_value()) {
+        return;
+    }
+    // Bytes wait, and none of them are under way.
+    setPatient(queue->bytes > 0 && queue->bytes == queue->unsentBytes);
+    if (queue->bytes > 0 || bufferedBytes() > 0) {
+        watchWindow();
+    } else {
+        m_uncheckedBytes = 0;
+    }
+}
+
+std::optional<TcpChannel::KernelQueue> TcpChannel::kernelQueue() const
+{
+    int bytes = 0;
+    int unsentBytes = 0;
+    if (ioctl(m_descriptor, SIOCOUTQ, &bytes) != 0 || ioctl(m_descriptor, SIOCOUTQNSD, &unsentBytes) != 0) {
+        return std::nullopt;
+    }
+    return KernelQueue{static_cast<std::size_t>(bytes), static_cast<std::size_t>(unsentBytes)};
+}
+
+void TcpChannel::setPatient(bool isPatient)
+{
+    if (m_isPatient != isPatient) {
+        m_isPatient = isPatient;
+        setOption(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, isPatient ? noUserTimeout : userTimeoutMilliseconds);
+    }
+}
+
 ssize_t TcpChannel::sendSome()
 {
     if (m_body == nullptr) {
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,7 @@
 namespace Verbena::EventLoop {
 class IoWatcher;
 class Loop;
+class Timer;
 } // namespace Verbena::EventLoop
 
 namespace Verbena::Http {
@@ -59,7 +61,8 @@
 /// \brief A TCP connection on an event loop.
 ///
 /// Unlike the clients of the libraries in use, it reports what a relay needs to know: whether any byte of a request may have been sent, and whether the peer
-/// has gone while nothing is read from it.
+/// has gone while nothing is read from it. A peer whose host acknowledges nothing counts as gone after some seconds; how long one may take to read is for the
+/// owner of the channel to limit.
 class TcpChannel
 {
 public:
@@ -125,6 +128,13 @@
     void resetOnClose();
 
 private:
+    // Bytes that the kernel has accepted and the peer's host has not acknowledged.
+    struct KernelQueue
+    {
+        std::size_t bytes = 0;
+        std::size_t unsentBytes = 0; ///< Of these, what has not been sent, as the peer's window has no room for it.
+    };
+
     TcpChannel(EventLoop::Loop &loop, int descriptor, ChannelObserver &observer, bool isConnected);
     ssize_t peek() const;
     void onReady(int events);
@@ -140,12 +150,18 @@
     bool finishConnect();
     void readAvailable();
     void handleConnectionFailure();
+    void watchWindow();
+    void checkWindow();
+    std::optional<KernelQueue> kernelQueue() const;
+    void setPatient(bool isPatient);
 
     EventLoop::Loop &m_loop;
     int m_descriptor;
     ChannelObserver *m_observer; ///< Never null.
     std::unique_ptr<EventLoop::IoWatcher> m_watcher;
     EventLoop::DeferredCall m_flush;
+    std::unique_ptr<EventLoop::Timer> m_windowTimer; ///< Runs while the kernel holds bytes; null before the first check.
+    std::size_t m_uncheckedBytes = 0; ///< Number of bytes that the kernel has accepted since it was last seen to hold none.
     std::string m_output;
     std::size_t m_outputOffset = 0; ///< Number of bytes at the start of m_output that the kernel has accepted.
     SharedBody m_body; ///< Follows m_output; null if nothing does.
@@ -158,6 +174,7 @@
     bool m_isBroken = false;
     bool m_hasSent = false;
     bool m_isShuttingDown = false;
+    bool m_isPatient = false; ///< Whether the peer has closed its window and has no time limit of the kernel.
     int m_watchedEvents = 0;
     bool *m_isDestroyed = nullptr; ///< Points to a flag for the destructor while onReady() runs; otherwise null.
 };
