--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -37,6 +37,11 @@
 // Colon and line end.
 constexpr std::size_t fieldMarkBytes = 3;
 
+constexpr std::string_view lineEnd = "\r\n";
+
+// Of one message; more are no habit of a client.
+constexpr std::size_t maximumEmptyLines = 4;
+
 constexpr int statusesPerClass = 100;
 constexpr int interimClass = 1;
 
@@ -271,6 +276,7 @@
     m_budget = MessageBudget(m_limits.headerBytes);
     m_folds = FoldScanner();
     m_scannedBytes = 0;
+    m_emptyLines = 0;
     m_isLineOpen = false;
     m_isBodyExpected = true;
     m_fault.reset();
@@ -303,6 +309,9 @@
 {
     std::size_t used = 0;
     m_isLineOpen = false;
+    if (!skipEmptyLines()) {
+        return std::nullopt;
+    }
     if (const std::optional<MessageFault> fault = parseBuffer(used)) {
         fail(*fault);
         return m_fault;
@@ -315,6 +324,19 @@
     return std::nullopt;
 }
 
+// Returns false if the buffer holds the first half of a line end, so that it is not known yet whether a request has begun.
+bool MessageReader::skipEmptyLines()
+{
+    if (m_kind != Kind::Requests || m_parser->hasBegun()) {
+        return true;
+    }
+    while (m_emptyLines < maximumEmptyLines && m_buffer.starts_with(lineEnd)) {
+        m_buffer.erase(0, lineEnd.size());
+        ++m_emptyLines;
+    }
+    return m_emptyLines == maximumEmptyLines || m_buffer != lineEnd.substr(0, 1);
+}
+
 std::optional<MessageFault> MessageReader::parseBuffer(std::size_t &used)
 {
     while (!m_parser->isDone() && !m_isLineOpen && used < m_buffer.size()) {
--- a/src/libs/http/messagereader.h
+++ b/src/libs/http/messagereader.h
@@ -61,6 +61,8 @@
 /// Rejects everything that two implementations could interpret differently: both Content-Length and Transfer-Encoding, a repeated length, a transfer
 /// coding other than chunked, folded fields and bare line feeds.
 ///
+/// A few empty lines before a request are skipped, as older clients send one after a body (RFC 9112, 2.2).
+///
 /// Interim answers (1xx) belong to the message that follows them and are skipped. All that arrives of a message is bounded, whatever part it belongs to. After
 /// a fault nothing is read or held until next() or discard().
 class MessageReader
@@ -123,6 +125,7 @@
     void endInterimHead(std::size_t used);
     std::optional<MessageFault> exceededBound(std::size_t used) const;
     MessageFault tooLongPart(std::string_view held) const;
+    bool skipEmptyLines();
     void fail(MessageFault fault);
 
     Kind m_kind;
@@ -134,6 +137,7 @@
     std::unique_ptr<Parser> m_parser;
     std::string m_buffer;
     std::size_t m_scannedBytes = 0; ///< Number of bytes at the start of m_buffer that were scanned for folds.
+    std::size_t m_emptyLines = 0; ///< Number of empty lines that were skipped before the current message.
     bool m_isLineOpen = false; ///< Whether m_buffer holds a line, or a part of several lines, that needs another line end before it can be parsed.
     std::optional<MessageFault> m_fault; ///< Of the current message.
     std::string m_faultDetail;
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -2,6 +2,8 @@
 
 #include <core/freetext.h>
 #include <eventloop/loop.h>
+#include <http/idletimeout.h>
+#include <http/requesttarget.h>
 
 #include <algorithm>
 #include <array>
@@ -217,6 +219,10 @@
         drop(m_reader.surplusBytes());
         m_reader.dropSurplus();
     }
+    // Empty lines before a request begin none.
+    if (!m_reader.hasBegun()) {
+        return;
+    }
     if (!reserveOrWait()) {
         return;
     }
@@ -278,6 +284,7 @@
 {
     m_head = std::move(head);
 }
+    Http::useOriginForm(m_head);
 
 void CallerConnection::receiveBody(std::string_view data)
 {
