Ask callers for the body that they hold back

A caller that sent Expect: 100-continue and waited was never asked for its body, and got 408 (RFC 9110, 10.1.1). It is asked as soon as there is room for the body; one that is too long is refused at once.

--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -230,6 +230,7 @@
         answerRequest();
         return;
     }
+    inviteBody();
     // The time limit covers the whole head, but restarts with each part of the body.
     if (isFirst || m_reader.isHeadDone() || wasHeadDone) {
         m_isTimeoutPostponed = false;
@@ -368,9 +369,21 @@
         answerRequest();
         return;
     }
+    inviteBody();
     m_timer.startAt(m_loop.now() + m_owner.limits().headerTimeout);
 }
 
+// A caller that asks first gets its answer as soon as there is room for its body (RFC 9110, 10.1.1). One that has sent a part of it waits for none.
+void CallerConnection::inviteBody()
+{
+    const std::string *expectation = m_reader.isHeadDone() ? m_head.field("Expect") : nullptr;
+    const bool isAsked = expectation != nullptr && Http::isSameFieldName(*expectation, "100-continue") && m_head.isVersion11;
+    if (isAsked && m_body.empty() && !m_isBodyInvited) {
+        m_isBodyInvited = true;
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
 void CallerConnection::refuseForMemory()
 {
     m_memory.reportRefusal(extent(), m_loop.now());
@@ -519,6 +532,7 @@
 void CallerConnection::linger()
 {
     m_state = State::Lingering;
+    m_isBodyInvited = false;
     m_channel->shutdownOutput();
     resumeReading();
     m_timer.startAt(m_loop.now() + lingerTime);
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -144,6 +144,7 @@
     void send(std::string_view data);
     std::string headText(int status, const std::vector<Http::HttpField> &fields) const;
     void finishExchange();
+    void inviteBody();
     void linger();
     void handleTimeout();
 
@@ -167,6 +168,7 @@
     bool m_isTimeoutPostponed = false; ///< Whether the time limit has passed and was postponed once to read what had arrived.
     bool m_isOverDescriptorLimit = false; ///< Whether the caller's request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
+    bool m_isBodyInvited = false; ///< Whether the caller was told to send the body that it holds back.
     bool m_isAnswerEnded = false;
     bool m_isChunked = false;
     bool m_isVersion11 = true;
