Tell callers for how long an idle connection lives

Callers that paused for about as long as the idle timeout sent their next request while their connection was being closed: 75 of 529 with an idle timeout of 60 ms (none was passed on), and nothing told them how long a connection lives.

Answers carry Keep-Alive with the whole seconds of the timeout, less a quarter of a second for a request that is under way; the connection lives for as long as its last answer said, whatever the limits become. A timeout that leaves no second to name ends the connection with the answer.

--- a/src/libs/http/idletimeout.cpp
+++ b/src/libs/http/idletimeout.cpp
@@ -11,6 +11,9 @@
 
 constexpr std::string_view parameter = "timeout=";
 
+// Time for which a request that is sent at the end of the announced time may be under way.
+constexpr std::chrono::milliseconds arrivalMargin{250};
+
 std::optional<std::chrono::seconds> timeoutIn(std::string_view item)
 {
     if (!isSameFieldName(item.substr(0, parameter.size()), parameter)) {
@@ -31,4 +34,10 @@
     return timeout;
 }
 
+std::optional<std::chrono::seconds> announcedIdleTimeout(std::chrono::milliseconds timeout)
+{
+    const auto announced = std::chrono::floor<std::chrono::seconds>(timeout - arrivalMargin);
+    return announced.count() > 0 ? std::optional(announced) : std::nullopt;
+}
+
 } // namespace Verbena::Http
--- a/src/libs/http/idletimeout.h
+++ b/src/libs/http/idletimeout.h
@@ -10,4 +10,7 @@
 /// \brief Returns the time after which the sender of \a head closes an idle connection, by its Keep-Alive field; nothing if it names none.
 std::optional<std::chrono::seconds> idleTimeout(const MessageHead &head);
 
+/// \brief Returns the idle timeout to announce on a connection that is closed after \a timeout without a request; nothing if that is too short to announce.
+std::optional<std::chrono::seconds> announcedIdleTimeout(std::chrono::milliseconds timeout);
+
 } // namespace Verbena::Http
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -284,8 +284,8 @@
 void CallerConnection::receiveHead(Http::MessageHead head)
 {
     m_head = std::move(head);
-}
     Http::useOriginForm(m_head);
+}
 
 void CallerConnection::receiveBody(std::string_view data)
 {
@@ -410,6 +410,13 @@
     m_channel->write(data);
 }
 
+// A caller that is not told how long an idle connection lives sends its next request while the connection is closed, and cannot know whether it has run.
+void CallerConnection::updateClosing()
+{
+    m_answerLimits = m_owner.limits();
+    m_isClosing = m_isClosing || m_owner.isDraining() || !Http::announcedIdleTimeout(m_answerLimits.idleTimeout).has_value();
+}
+
 std::string CallerConnection::headText(int status, const std::vector<HttpField> &fields) const
 {
     std::string text;
@@ -418,8 +425,11 @@
     for (const HttpField &field : fields) {
         text.append(field.name).append(": ").append(field.value).append("\r\n");
     }
-    if (m_isClosing || m_owner.isDraining()) {
+    const auto idleTimeout = Http::announcedIdleTimeout(m_answerLimits.idleTimeout);
+    if (m_isClosing || !idleTimeout.has_value()) {
         text.append("Connection: close\r\n");
+    } else {
+        text.append("Connection: keep-alive\r\nKeep-Alive: timeout=").append(std::to_string(idleTimeout->count())).append("\r\n");
     }
     return text;
 }
@@ -431,12 +441,12 @@
 
 void CallerConnection::respond(int status, const std::vector<HttpField> &fields, std::string_view body)
 {
+    updateClosing();
     std::string text = headText(status, fields);
     text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
     if (!m_isHead) {
         text.append(body);
     }
-    m_isClosing = m_isClosing || m_owner.isDraining();
     send(text);
     m_isAnswerEnded = true;
     m_finish.schedule();
@@ -446,7 +456,8 @@
 {
     m_isChunked = !length.has_value() && m_isVersion11;
     // An HTTP/1.0 caller recognises the end of an answer without a length by the end of the connection.
-    m_isClosing = m_isClosing || m_owner.isDraining() || (!length.has_value() && !m_isVersion11);
+    m_isClosing = m_isClosing || (!length.has_value() && !m_isVersion11);
+    updateClosing();
     std::string text = headText(status, fields);
     if (length.has_value()) {
         text.append("Content-Length: ").append(std::to_string(*length)).append("\r\n");
@@ -521,18 +532,18 @@
     m_idleSince = m_loop.now();
     m_firstRequestDeadline = {}; // For the first request only.
     m_isTimeoutPostponed = false;
+    m_isBodyInvited = false;
     m_head = {};
     m_body.clear();
     (void)m_reader.next();
     // A caller that sends requests and does not read the answers gets no further ones.
     m_channel->setReading(!isFull());
-    m_timer.startAt(m_loop.now() + m_owner.limits().idleTimeout);
+    m_timer.startAt(m_loop.now() + std::max(m_answerLimits.idleTimeout, m_owner.limits().idleTimeout));
 }
 
 void CallerConnection::linger()
 {
     m_state = State::Lingering;
-    m_isBodyInvited = false;
     m_channel->shutdownOutput();
     resumeReading();
     m_timer.startAt(m_loop.now() + lingerTime);
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -142,9 +142,10 @@
     void resumeReading();
     void refuseForMemory();
     void send(std::string_view data);
+    void updateClosing();
     std::string headText(int status, const std::vector<Http::HttpField> &fields) const;
-    void finishExchange();
     void inviteBody();
+    void finishExchange();
     void linger();
     void handleTimeout();
 
@@ -161,14 +162,15 @@
     std::string m_body;
     std::unique_ptr<RelayedRequest> m_request;
     std::uint64_t m_droppedBytes = 0; ///< Received bytes that belong to no request that is read.
+    Decisions::RelayLimits m_answerLimits; ///< Those under which the last answer began; their idle timeout is announced in it.
     Core::TimePoint m_idleSince;
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
     Core::TimePoint m_lastReadAt;
     std::optional<std::size_t> m_unacknowledgedBytes; ///< At the last updateLastRead().
     bool m_isTimeoutPostponed = false; ///< Whether the time limit has passed and was postponed once to read what had arrived.
+    bool m_isBodyInvited = false; ///< Whether the caller was told to send the body that it holds back.
     bool m_isOverDescriptorLimit = false; ///< Whether the caller's request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
-    bool m_isBodyInvited = false; ///< Whether the caller was told to send the body that it holds back.
     bool m_isAnswerEnded = false;
     bool m_isChunked = false;
     bool m_isVersion11 = true;
--- /dev/null
+++ b/tests/auto/relay/tst_callerforms.cpp
@@ -0,0 +1,197 @@
+#include "relaytest.h"
+
+#include <algorithm>
+
+namespace Verbena::Relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Test::answer;
+using Test::CallerFake;
+using Test::contains;
+using Test::RelayTest;
+using Test::runUntil;
+using Test::WorkerScript;
+
+// More than what the system holds for a caller that does not read, on its side and on the router's.
+constexpr std::size_t longAnswerBytes = 12'000'000;
+
+// Longer than the time without an acknowledgement after which a caller's host counts as gone, and shorter than the idle timeout.
+constexpr std::chrono::milliseconds readingPause{6000};
+
+// Habits of callers that HTTP allows, and what becomes of their requests.
+class CallerFormsTest : public RelayTest
+{
+protected:
+    void startEcho()
+    {
+        start([](const auto &head, const auto &body) { return WorkerScript{answer(head, "echo " + body)}; });
+    }
+
+    void startEchoWithIdleTimeout(std::chrono::milliseconds timeout)
+    {
+        startEcho();
+        auto declared = configuration(2);
+        declared.limits.idleTimeout = timeout;
+        EXPECT_TRUE(m_relay->setConfiguration(std::move(declared)));
+    }
+
+    static std::string expecting(const std::string &version)
+    {
+        return "POST /safe/ " + version + "\r\nHost: x\r\nId: a1\r\nKey: k\r\nExpect: 100-Continue\r\nContent-Length: 4\r\n\r\n";
+    }
+};
+
+} // namespace
+
+// The body never came, as its caller waited to be asked for it.
+TEST_F(CallerFormsTest, callerWaitsInVainToBeAskedForItsBody)
+{
+    startEcho();
+    const auto client = caller();
+    client->send(expecting("HTTP/1.1"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(client->received(), "\r\n\r\n"); }));
+    EXPECT_EQ(client->received(), "HTTP/1.1 100 Continue\r\n\r\n");
+    EXPECT_EQ(runs(), 0U);
+    client->send("body");
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(client->received(), "echo body"); })) << client->received();
+    EXPECT_EQ(m_workers[0]->heads().at(0).field("Expect"), nullptr);
+}
+
+TEST_F(CallerFormsTest, asksForABodyOnceForEachRequest)
+{
+    startEcho();
+    const auto client = caller();
+    for (std::size_t number = 1; number <= 2; ++number) {
+        client->send(expecting("HTTP/1.1"));
+        ASSERT_TRUE(runUntil(*m_loop, [&] { return client->received().ends_with("100 Continue\r\n\r\n"); })) << client->received();
+        client->send("bo");
+        runFor(20ms);
+        client->send("dy");
+        ASSERT_TRUE(runUntil(*m_loop, [&] { return client->received().ends_with("echo body"); })) << client->received();
+        EXPECT_EQ(runs(), number);
+    }
+}
+
+TEST_F(CallerFormsTest, asksNobodyWhoDoesNotWait)
+{
+    startEcho();
+    EXPECT_TRUE(call(expecting("HTTP/1.1") + "body", "echo body").starts_with("HTTP/1.1 200"));
+    EXPECT_TRUE(call(expecting("HTTP/1.0") + "body", "echo body").starts_with("HTTP/1.1 200"));
+}
+
+TEST_F(CallerFormsTest, asksForNoBodyThatIsTooLong)
+{
+    startEcho();
+    const std::string head = "POST /safe/ HTTP/1.1\r\nHost: x\r\nId: a1\r\nKey: k\r\nExpect: 100-continue\r\nContent-Length: 1001\r\n\r\n";
+    EXPECT_TRUE(call(head, "\r\n\r\n").starts_with("HTTP/1.1 413"));
+}
+
+TEST_F(CallerFormsTest, requestInAbsoluteFormIsRefused)
+{
+    startEcho();
+    const auto client = caller();
+    std::size_t asked = 0;
+    for (const char *host : {"x", "other"}) {
+        client->send("GET http://X:8782/safe/a?b=c HTTP/1.1\r\nHost: " + std::string(host) + "\r\nId: a1\r\nKey: k\r\n\r\n");
+        ++asked;
+        ASSERT_TRUE(runUntil(*m_loop, [&] { return runs() == asked && client->received().ends_with("echo "); })) << client->received();
+        EXPECT_EQ(m_workers[0]->heads().back().target, "/safe/a?b=c");
+    }
+}
+
+TEST_F(CallerFormsTest, refusesAbsoluteFormsThatNameNoHost)
+{
+    startEcho();
+    for (const char *target : {"http://", "http:///safe/", "http://user@x/safe/", "https://x/safe/", "ftp://x/safe/"}) {
+        const std::string got = call("GET " + std::string(target) + " HTTP/1.1\r\nHost: x\r\nId: a1\r\nKey: k\r\n\r\n", "\r\n\r\n");
+        EXPECT_TRUE(got.starts_with("HTTP/1.1 4")) << target << ": " << got;
+    }
+    EXPECT_EQ(runs(), 0U);
+}
+
+TEST_F(CallerFormsTest, requestAfterAnEmptyLineIsRefused)
+{
+    startEcho();
+    const auto client = caller();
+    for (std::size_t number = 1; number <= 2; ++number) {
+        client->send("\r");
+        runFor(10ms);
+        client->send("\n" + request("/safe/", "", "body"));
+        ASSERT_TRUE(runUntil(*m_loop, [&] { return runs() == number && client->received().ends_with("echo body"); })) << client->received();
+    }
+}
+
+TEST_F(CallerFormsTest, refusesEmptyLinesWithoutEnd)
+{
+    startEcho();
+    const std::string got = call("\r\n\r\n\r\n\r\n\r\n\r\n" + request("/safe/", "", "body"), "\r\n\r\n");
+    EXPECT_TRUE(got.starts_with("HTTP/1.1 400")) << got;
+    EXPECT_EQ(runs(), 0U);
+}
+
+// A connection on which only empty lines have come is an idle one, and is closed without an answer to a request that never came.
+TEST_F(CallerFormsTest, takesEmptyLinesForNoRequest)
+{
+    startEchoWithIdleTimeout(1500ms);
+    const auto client = caller();
+    client->send("\r\n\r\n");
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return client->isClosed(); }));
+    EXPECT_EQ(client->received(), "");
+}
+
+// Callers sent their next request while their connection was being closed, as nothing had told them for how long it lives.
+TEST_F(CallerFormsTest, idleTimeoutIsAnnouncedByNothing)
+{
+    startEchoWithIdleTimeout(2500ms);
+    const auto client = caller();
+    client->send(request("/safe/", "", "body"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return client->received().ends_with("echo body"); }));
+    EXPECT_TRUE(contains(client->received(), "\r\nConnection: keep-alive\r\nKeep-Alive: timeout=2\r\n")) << client->received();
+    // A lower limit is in force for answers after it.
+    auto lower = configuration(3);
+    lower.limits.idleTimeout = 1ms;
+    EXPECT_TRUE(m_relay->setConfiguration(std::move(lower)));
+    runFor(2s);
+    EXPECT_FALSE(client->isClosed());
+    client->send(request("/safe/", "", "next"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return client->isClosed(); }));
+    EXPECT_TRUE(client->received().ends_with("echo next")) << client->received();
+    EXPECT_TRUE(contains(client->received(), "\r\nConnection: close\r\n")) << client->received();
+}
+
+// An answer was cut after four seconds in which its caller read nothing, though the caller's host was there all the time.
+TEST_F(CallerFormsTest, answerIsCutWhileItsCallerPauses)
+{
+    const std::string body(longAnswerBytes, 'x');
+    start([&body](const auto &head, const auto &) { return WorkerScript{answer(head, body)}; });
+    const auto client = CallerFake::createSlow(*m_loop, m_relay->endpoint());
+    client->send(request("/safe/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return runs() == 1; }));
+    runFor(readingPause);
+    client->read();
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return client->isClosed() || client->received().size() > longAnswerBytes; }));
+    EXPECT_EQ(static_cast<std::size_t>(std::count(client->received().begin(), client->received().end(), 'x')), longAnswerBytes);
+}
+
+// A caller that never reads again does not hold its connection for ever.
+TEST_F(CallerFormsTest, endsAnswersThatNobodyReads)
+{
+    const std::string body(longAnswerBytes, 'x');
+    start([&body](const auto &head, const auto &) { return WorkerScript{answer(head, body)}; });
+    auto declared = configuration(2);
+    declared.limits.idleTimeout = 1500ms;
+    for (Decisions::RelayRoute &each : declared.routes) {
+        each.timeout = 5s;
+    }
+    EXPECT_TRUE(m_relay->setConfiguration(std::move(declared)));
+    const std::size_t openBefore = Http::TcpChannel::openCount();
+    const auto client = CallerFake::createSlow(*m_loop, m_relay->endpoint());
+    client->send(request("/safe/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return runs() == 1; }));
+    // What is left is the caller's own end.
+    EXPECT_TRUE(runUntil(*m_loop, [&] { return Http::TcpChannel::openCount() == openBefore + 1; }));
+}
+
+} // namespace Verbena::Relay
