Leave a moved stream a place to go on

What ends with its backend server runs nowhere any more, so that its run counts no longer against the attempts of the route, if the server is proved to have ended; a lost call waits for that check also where its attempts are used up. And a router that ends moves no stream: it has no time to go on once more, and what it runs holds no engine for long.

Requests that crash servers are held by CrashGuard, and sends by their own bound, as before.

--- a/src/libs/decisions/relay/attemptpolicy.cpp
+++ b/src/libs/decisions/relay/attemptpolicy.cpp
@@ -61,9 +61,9 @@
     }
     const bool isProvedNotRun = failure == CallFailure::NotSent || failure == CallFailure::NotRun;
     if (isProvedNotRun) {
-        return !state.mayHaveRun() || (state.isRepeatable && state.runs < state.maximumRuns);
+        return !state.mayHaveRun() || state.mayRunOnceMore();
     }
-    return state.isRepeatable && state.runs < state.maximumRuns;
+    return state.mayRunOnceMore();
 }
 
 bool mayMoveStream(const AttemptState &state)
--- a/src/libs/decisions/relay/attemptpolicy.h
+++ b/src/libs/decisions/relay/attemptpolicy.h
@@ -42,6 +42,13 @@
     std::uint32_t sends = 0; ///< Number of calls with any outcome.
     bool isAnswerBegun = false; ///< Whether the caller has received a part of the answer.
     std::uint32_t unacknowledged = 0; ///< Number of calls of which nothing was acknowledged; they do not count as runs.
+    std::uint32_t endedRuns = 0; ///< Number of runs that ended with their backend servers; they do not count against the maximum.
+
+    /// \brief Returns whether one more backend server may run the request.
+    bool mayRunOnceMore() const
+    {
+        return isRepeatable && runs - endedRuns < maximumRuns;
+    }
 
     /// \brief Returns whether any of the ended calls may have run the request.
     bool mayHaveRun() const
--- a/src/libs/relay/crashcontrol.h
+++ b/src/libs/relay/crashcontrol.h
@@ -23,6 +23,12 @@
     bool hasServerEnded = false; ///< Whether it is known already that the backend server has ended.
 };
 
+/// \brief Whether the backend server of a lost call is known to have ended.
+enum class ServerEnd {
+    Proved,
+    Unknown,
+};
+
 /// \brief Tells whether a suspected request may run as a trial, the only one of its kind at a time.
 struct TrialVerdict
 {
@@ -37,7 +43,7 @@
 {
 public:
     using TrialCallback = std::function<void(const TrialVerdict &verdict)>;
-    using CheckCallback = std::function<void()>;
+    using CheckCallback = std::function<void(ServerEnd end)>;
 
     virtual ~CrashControl() = default;
 
--- a/src/libs/relay/crashcontrolhandle.cpp
+++ b/src/libs/relay/crashcontrolhandle.cpp
@@ -73,13 +73,13 @@
 void CrashControlHandle::handleLostCall(LostCall call, bool hasEvent, CrashControl::CheckCallback done)
 {
     if (m_control == nullptr) {
-        done();
+        done(ServerEnd::Unknown);
         return;
     }
     call.subjects = hasEvent ? Subjects{request()} : subjects();
-    const auto handle = [this, done = std::move(done)] {
+    const auto handle = [this, done = std::move(done)](ServerEnd end) {
         m_pendingNumber = 0;
-        done();
+        done(end);
     };
     if (const std::uint64_t number = m_control->handleLostCall(call, handle); number != 0) {
         m_pendingNumber = number;
--- a/src/libs/relay/lostcallchecker.cpp
+++ b/src/libs/relay/lostcallchecker.cpp
@@ -49,18 +49,18 @@
     const std::string key = incarnationKey(call);
     if (m_endedIncarnations.contains(key)) {
         m_recorder(call, "seen before");
-        done();
+        done(ServerEnd::Proved);
         return false;
     }
     const auto endpoint = Http::Endpoint::parse(call.address);
     if (!isStaying(call) || !endpoint) {
-        done();
+        done(call.hasServerEnded || hasEnded(call) ? ServerEnd::Proved : ServerEnd::Unknown);
         return false;
     }
     if (call.hasServerEnded) {
         m_endedIncarnations[key] = m_loop.now() + retentionTime;
         m_recorder(call, "connection refused");
-        done();
+        done(ServerEnd::Proved);
         return false;
     }
     ServerCheck &serverCheck = m_checks[key];
@@ -92,8 +92,9 @@
         m_endedIncarnations[key] = m_loop.now() + retentionTime;
         m_checks.erase(key);
     }
+    const ServerEnd end = finding == ConnectCheck::Finding::Refused ? ServerEnd::Proved : ServerEnd::Unknown;
     for (const CrashControl::CheckCallback &done : callbacks) {
-        done();
+        done(end);
     }
 }
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -571,12 +571,14 @@
 }
 
 // An engine that is about to load new weights finishes its running requests first and accepts no new ones meanwhile. One long stream would keep it idle
-// otherwise, so the stream is resumed on another engine, where it costs only a short prompt; the caller sees a pause.
+// otherwise, so the stream is resumed on another engine, where it costs only a short prompt; the caller sees a pause. A router that ends has no time to go on
+// once more if the other engine fails, and its streams hold no engine for long.
 void RelayedRequest::moveOffWaitingEngine()
 {
     const Core::TimePoint now = m_context.loop.now();
     const bool isMovable = m_route->isResumable && m_answer.lastEventId().has_value() && !m_call->isWhole() && mayMoveStream(attempts());
-    if (!isMovable || now < m_nextMoveCheck || !hasTimeToResend() || !m_context.fleet.isWaitingToLoad(*m_choice, now) || m_crashes.isSuspected()) {
+    if (!isMovable || m_context.shutdown->isBegun() || now < m_nextMoveCheck || !hasTimeToResend() || !m_context.fleet.isWaitingToLoad(*m_choice, now)
+        || m_crashes.isSuspected()) {
         return;
     }
     m_nextMoveCheck = now + moveCheckInterval;
@@ -781,14 +783,25 @@
     closeCall(failure);
     const bool hasEvent = m_answer.hasEvent();
     const LostCall call{{}, m_query.attemptId, organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address, m_hasServerEnded};
-    if (mayResendInTime(failure)) {
-        m_crashes.handleLostCall(call, hasEvent, [this, failure, text = std::string(reason)] { decide(failure, text); });
+    if (mayResendAfterCheck(failure)) {
+        m_crashes.handleLostCall(call, hasEvent, [this, failure, text = std::string(reason)](ServerEnd end) {
+            m_attempts.endedRuns += end == ServerEnd::Proved ? 1 : 0;
+            decide(failure, text);
+        });
     } else {
-        m_crashes.handleLostCall(call, hasEvent, [] {});
+        m_crashes.handleLostCall(call, hasEvent, [](ServerEnd) {});
         decide(failure, reason);
     }
 }
 
+// The check may find that the run of the lost call does not count.
+bool RelayedRequest::mayResendAfterCheck(CallFailure failure) const
+{
+    Decisions::AttemptState state = attempts();
+    ++state.endedRuns;
+    return mayResend(state, failure) && hasTimeToResend() && !isSoftwareGone();
+}
+
 void RelayedRequest::handleFailure(CallFailure failure, std::string_view reason)
 {
     closeCall(failure);
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -165,6 +165,7 @@
     void decide(Decisions::CallFailure failure, std::string_view reason);
     bool isSoftwareGone() const;
     bool mayResendInTime(Decisions::CallFailure failure) const;
+    bool mayResendAfterCheck(Decisions::CallFailure failure) const;
     void proceed(Decisions::CallFailure failure, Decisions::AttemptAction action);
     void awaitTrial(Decisions::CallFailure failure);
     void recordBarred(const TrialVerdict &verdict, const char *outcome);
--- a/tests/auto/relay/tst_crashguard.cpp
+++ b/tests/auto/relay/tst_crashguard.cpp
@@ -65,7 +65,7 @@
     void loseCall(const Decisions::CrashSubject &request, const std::string &server)
     {
         bool isChecked = false;
-        m_guard->handleLostCall({{request}, "a1", "dams", server, 1, refusedAddress}, [&isChecked] { isChecked = true; });
+        m_guard->handleLostCall({{request}, "a1", "dams", server, 1, refusedAddress}, [&isChecked](ServerEnd) { isChecked = true; });
         EXPECT_TRUE(runUntil(m_loop, [&isChecked] { return isChecked; }));
     }
 
--- a/tests/auto/relay/tst_directory.cpp
+++ b/tests/auto/relay/tst_directory.cpp
@@ -134,6 +134,21 @@
     EXPECT_EQ(actionWithoutResend(state(RequestKind::Idempotent, true, 2), CallFailure::ServerError), AttemptAction::PassAnswer);
 }
 
+// A server that ended runs nothing any more, so that its run takes no attempt from the request.
+TEST(AttemptPolicyTest, runThatEndedWithItsServerUsesUpAnAttempt)
+{
+    AttemptState lost = state(RequestKind::Idempotent, true, 2);
+    lost.endedRuns = 1;
+    EXPECT_TRUE(mayResend(lost, CallFailure::Lost));
+    EXPECT_TRUE(mayResend(lost, CallFailure::NotRun));
+    EXPECT_EQ(actionWithoutResend(lost, CallFailure::Lost), AttemptAction::ReportLost);
+    lost.runs = 3;
+    EXPECT_FALSE(mayResend(lost, CallFailure::Lost));
+    lost.isRepeatable = false;
+    lost.endedRuns = 3;
+    EXPECT_FALSE(mayResend(lost, CallFailure::Lost));
+}
+
 TEST(AttemptPolicyTest, resumesOnlyResumableStreamsAfterTheyHaveStarted)
 {
     AttemptState begun = state(RequestKind::Streaming, true, 1);
