Tell routers that an agent ends as planned

A router took an engine for silent 0.6 s after the last news of its agent, also while only the agent was restarted: requests were taken off a sound engine and their work thrown away, and what may run once got 502 after two seconds.

An agent that ends says so to those who watch it, and its engine counts from then on as one without an agent. One that is killed says nothing, and is judged as before.

SilentEnginesTest.areThoseWhoseAgentsEndAsPlanned

--- a/src/libs/decisions/relay/enginereports.cpp
+++ b/src/libs/decisions/relay/enginereports.cpp
@@ -116,6 +116,11 @@
     m_reports.erase(id);
 }
 
+void EngineReports::handleAgentEnd(BackendServerId id)
+{
+    m_reports.erase(id);
+}
+
 void EngineReports::removeIf(const std::function<bool(BackendServerId)> &isGone)
 {
     std::erase_if(m_reports, [&isGone](const auto &entry) { return isGone(entry.first); });
--- a/src/libs/decisions/relay/enginereports.h
+++ b/src/libs/decisions/relay/enginereports.h
@@ -51,6 +51,9 @@
     /// \brief Discards the report on the engine \a id, which has restarted.
     void handleRestart(BackendServerId id);
 
+    /// \brief Discards the report on the engine \a id, as its agent ends regularly and there will be no more.
+    void handleAgentEnd(BackendServerId id);
+
     /// \brief Removes the engines for which \a isGone returns true.
     void removeIf(const std::function<bool(BackendServerId)> &isGone);
 
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -303,6 +303,20 @@
     }
 }
 
+// The engine counts as one without an agent from now on, and not as silent.
+void RelayFleet::handleAgentEnd(const std::string &address)
+{
+    syncWithRegister();
+    const auto ids = m_idsByAddress.find(address);
+    if (ids == m_idsByAddress.end()) {
+        return;
+    }
+    m_agents.recordEnd(address);
+    for (const std::string &id : ids->second) {
+        m_reports.handleAgentEnd(backendServerId(id));
+    }
+}
+
 bool RelayFleet::hasAgent(const std::string &address, Core::TimePoint now) const
 {
     return m_agents.isPresent(address, now);
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -102,6 +102,9 @@
     /// \brief Updates the status of the engine at \a address with the report of its agent, which is valid for EngineReports::lifetime.
     void updateStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now);
 
+    /// \brief Handles that the agent of the engine at \a address ends regularly: its silence says nothing of the engine.
+    void handleAgentEnd(const std::string &address);
+
     /// \brief Returns whether the agent of the engine at \a address has reported lately.
     bool hasAgent(const std::string &address, Core::TimePoint now) const;
 
--- a/src/libs/relay/enginemonitor.cpp
+++ b/src/libs/relay/enginemonitor.cpp
@@ -101,7 +101,10 @@
 
 void EngineMonitor::handleReport(const verbena::wire::Envelope &message)
 {
-    if (message.has_engine_news()) {
+    if (message.has_engine_news() && message.engine_news().agent_ends()) {
+        m_relay.fleet().handleAgentEnd(message.engine_news().address());
+        m_relay.metrics().count("agents_ended_total");
+    } else if (message.has_engine_news()) {
         const Core::TimePoint now = m_loop.now();
         std::vector<std::string> routers;
         for (const std::uint32_t router : message.engine_news().routers()) {
--- a/src/libs/weights/newspublisher.cpp
+++ b/src/libs/weights/newspublisher.cpp
@@ -114,4 +114,15 @@
     }
 }
 
+void NewsPublisher::publishEnd()
+{
+    verbena::wire::Envelope message;
+    verbena::wire::EngineNews &news = *message.mutable_engine_news();
+    news.set_address(m_engineAddress);
+    news.set_agent_ends(true);
+    for (const Watcher &watcher : m_watchers) {
+        m_socket->send(watcher.address, message);
+    }
+}
+
 } // namespace Verbena::Weights
--- a/src/libs/weights/newspublisher.h
+++ b/src/libs/weights/newspublisher.h
@@ -31,6 +31,9 @@
     /// \brief Sends \a status to all routers that watch the engine.
     void publish(const Decisions::EngineStatus &status);
 
+    /// \brief Tells all routers that watch the engine that there will be no more news, since this process ends.
+    void publishEnd();
+
 private:
     struct Watcher
     {
--- a/tests/auto/relay/tst_silentengines.cpp
+++ b/tests/auto/relay/tst_silentengines.cpp
@@ -193,6 +193,19 @@
     EXPECT_TRUE(isUsed);
 }
 
+// Requests were taken off sound engines, or answered as lost, while only the agent beside them was restarted.
+TEST_F(SilentEnginesTest, areThoseWhoseAgentsEndAsPlanned)
+{
+    startEngines();
+    const auto client = callerAtSilentEngine("/stream/");
+    m_relay->fleet().handleAgentEnd(m_workers[m_silent]->address());
+    runFor(lostTime + lostTolerance);
+    EXPECT_EQ(client->received(), "");
+    m_workers[m_silent]->sendMore(wholeStream(m_workers[m_silent]->heads().front(), 1));
+    EXPECT_TRUE(isAnsweredInTime(*client)) << client->received();
+    EXPECT_EQ(runs(), 1U);
+}
+
 // With few resends left, the caller that will leave first was not the first to be helped.
 TEST_F(SilentEnginesTest, giveUpTheMostUrgentRequestFirst)
 {
