Take a deadline far away for one

A caller that named a deadline of 2^63 - 1 ms was refused at once: the moment could not be computed, and lay in the past. PlatformProtocolTest.deadlineFarAwayLiesInThePast

--- a/tests/auto/platform/tst_translation.cpp
+++ b/tests/auto/platform/tst_translation.cpp
@@ -79,6 +79,16 @@
     EXPECT_FALSE(protocol.readQuery(head, now));
 }
 
+// A deadline far away lay in the past, as its moment could not be computed, and its request was refused at once.
+TEST(PlatformProtocolTest, deadlineFarAwayLiesInThePast)
+{
+    for (const char *far : {"9223372036854775807", "9300000000000", "86400001"}) {
+        const auto query = PlatformProtocol().readQuery(request({{"Verbenaladder-Deadline-Ms", far}}), now);
+        ASSERT_TRUE(query);
+        EXPECT_EQ(query.value().deadline, now + 24h) << far;
+    }
+}
+
 // Whatever a caller invents, a backend server sees only the router's word on who asks and how it is to be run.
 TEST(PlatformProtocolTest, passesNothingOnThatIsTheRoutersToSay)
 {
@@ -286,16 +296,6 @@
     EXPECT_TRUE(std::holds_alternative<std::monostate>(decoder.decode("op", {"other", "{", 3, false}).value()));
 }
 
-nlohmann::json registeredEntry()
-{
-    return nlohmann::json::parse(
-        R"({"service":"s1","address":"1.2.3.4:5","zone":"hall","version":"v1","slots":96,"phase":"ready","coldLeftMs":0,"stage":"combined",)"
-        R"("models":[{"name":"m","version":3,"adapters":[]}],"sequence":4,"born":1770000000123})");
-}
-
-TEST(PlatformDecoderTest, readsWhichStartAnEntryIsOf)
-{
-    const auto server = PlatformDecoder().decode("servers", {"i-1", registeredEntry().dump(), 1, false});
 // A server counted twice among those of a model that its entry named twice, and the choice among them had no end.
 TEST(PlatformDecoderTest, modelThatIsNamedTwiceCountsTwice)
 {
@@ -312,6 +312,16 @@
     }
 }
 
+nlohmann::json registeredEntry()
+{
+    return nlohmann::json::parse(
+        R"({"service":"s1","address":"1.2.3.4:5","zone":"hall","version":"v1","slots":96,"phase":"ready","coldLeftMs":0,"stage":"combined",)"
+        R"("models":[{"name":"m","version":3,"adapters":[]}],"sequence":4,"born":1770000000123})");
+}
+
+TEST(PlatformDecoderTest, readsWhichStartAnEntryIsOf)
+{
+    const auto server = PlatformDecoder().decode("servers", {"i-1", registeredEntry().dump(), 1, false});
     ASSERT_TRUE(server) << server.error().message;
     EXPECT_EQ(std::get<Decisions::RegisteredServer>(server.value()).incarnation, 1'770'000'000'123U);
 }
