Draw odd entries, ends of agents and forms of requests in the soak

The soak's callers wrote all requests alike, its register had proper entries only, and agents ended beside other disturbances alone. Now callers draw absolute forms, empty lines, bodies that are held back and deadlines far away; entries of servers name their models twice, and others are odd in a part; agents end as planned work.

--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -142,8 +142,9 @@
     const std::string model
         = m_path == "/resume/" ? "Verbenaladder-Model: m\r\nVerbenaladder-Token-Count: 10,10\r\nVerbenaladder-Prompt-Prefix: " + parts + "\r\n" : "";
     const milliseconds deadline = deadlineOf(m_path);
-    m_channel->write("POST " + m_path + "x HTTP/1.1\r\nHost: x.example\r\nVerbenaladder-Attempt-Id: " + m_id + "\r\n" + model + "Verbenaladder-Deadline-Ms: "
-        + std::to_string(deadline.count()) + "\r\nAuthorization: Token secret\r\nContent-Length: " + std::to_string(m_token.size()) + "\r\n\r\n" + m_token);
+    const RequestForm form = drawForm(m_random);
+    m_isBodyHeld = form == RequestForm::Expecting;
+    m_channel->write(headText({m_path + 'x', m_id, model, deadline, m_token}, form) + (m_isBodyHeld ? "" : m_token));
     m_timer.startAt(m_sentAt + deadline + patience);
 }
 
@@ -153,7 +154,11 @@
         m_ledger.noteBroken("caller " + m_name, "got bytes that nobody asked for");
         return;
     }
-    m_hasReceived = true;
+    if (m_isBodyHeld && data.starts_with("HTTP/1.1 100")) {
+        sendHeldBody();
+    } else {
+        m_hasReceived = true;
+    }
     if (m_reader->feed(data).has_value()) {
         m_ledger.noteBroken("request " + m_id, "got an answer that is no HTTP");
     }
@@ -162,6 +167,12 @@
     }
 }
 
+void SoakCaller::sendHeldBody()
+{
+    m_isBodyHeld = false;
+    m_channel->write(m_token);
+}
+
 void SoakCaller::receiveEnd(Http::ChannelEnd)
 {
     if (m_isWaiting) {
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ledger.h"
+#include "requestform.h"
 
 #include <decisions/spread/randomsource.h>
 #include <eventloop/deferredcall.h>
@@ -70,6 +71,7 @@
     void ask();
     void finish(bool isWhole);
     void send();
+    void sendHeldBody();
     std::string drawToken() const;
     void checkWhole();
     void checkPart() const;
@@ -92,6 +94,7 @@
     Core::TimePoint m_sentAt;
     bool m_hasReceived = false; ///< Whether any byte of the current answer has come.
     std::string m_token;
+    bool m_isBodyHeld = false; ///< Whether the body of the current request waits to be asked for.
     Http::MessageHead m_head;
     std::string m_body;
     int m_count = 0;
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -52,13 +52,22 @@
     , m_tick(world.loop(), [this] { tick(); })
 {
     using F = SoakFaults;
-    m_strikes = {&F::endRouter, &F::endRouter, &F::endRouters, &F::replaceRouter, &F::hangUpRouter, &F::hangUpAgent, &F::changeConfiguration, &F::growWork};
+    m_strikes = {&F::endRouter,
+        &F::endRouter,
+        &F::endRouters,
+        &F::replaceRouter,
+        &F::hangUpRouter,
+        &F::hangUpAgent,
+        &F::changeConfiguration,
+        &F::growWork,
+        &F::endAgent,
+        &F::nameModelsTwice};
     m_pause = plannedPause;
     if (!m_isPlanned) {
         m_strikes.insert(m_strikes.end(),
             {&F::killRouter,
                 &F::freezeRouter,
-                &F::endAgent,
+                &F::writeOddEntry,
                 &F::killAgent,
                 &F::freezeAgent,
                 &F::harmWorkerPath,
@@ -205,7 +214,6 @@
 
 void SoakFaults::endAgent()
 {
-    disturbFor({});
     m_world.signalAgent(drawWorker(), SIGTERM);
 }
 
@@ -303,6 +311,20 @@
     actLater(span, [this, worker] { m_world.worker(worker).setEndlessCalls(false); });
 }
 
+// Such an entry says nothing new, and disturbs nobody.
+void SoakFaults::nameModelsTwice()
+{
+    const std::size_t engine = m_world.random().next() % m_world.size().engines;
+    m_world.nameModelsTwice(engine);
+    actLater(drawSpan(longestFault), [this, engine] { m_world.registerWorker(engine); });
+}
+
+void SoakFaults::writeOddEntry()
+{
+    disturbFor({});
+    m_world.writeOddEntry(drawWorker());
+}
+
 // Work becomes longer and longer, and then short again.
 void SoakFaults::growWork()
 {
--- a/tests/soak/soakfaults.h
+++ b/tests/soak/soakfaults.h
@@ -67,6 +67,8 @@
     void crashWorker();
     void answerCallsWithoutEnd();
     void growWork();
+    void nameModelsTwice();
+    void writeOddEntry();
 
     void signalDuringStop(std::size_t router);
 
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -1,5 +1,6 @@
 #include "soakworld.h"
 
+#include "oddentry.h"
 #include "soakroutes.h"
 
 #include <csignal>
@@ -11,6 +12,9 @@
 
 namespace {
 
+// Many more names than backend servers would make tables long.
+constexpr std::size_t maximumOddEntries = 8;
+
 constexpr const char *callersPort = "8782";
 constexpr const char *readinessPort = "8789";
 constexpr std::size_t firstWorkerHost = 100;
@@ -30,6 +34,11 @@
 // Drawn for each run.
 constexpr std::chrono::seconds graces[] = {std::chrono::seconds(2), std::chrono::seconds(4), std::chrono::seconds(8), std::chrono::seconds(8)};
 
+std::string oddName(std::size_t number)
+{
+    return "odd-" + std::to_string(number);
+}
+
 } // namespace
 
 SoakWorld::SoakWorld(std::uint64_t seed, const WorldSize &size)
@@ -112,10 +121,25 @@
     return index < m_size.engines + m_size.services ? "register" : "press";
 }
 
-void SoakWorld::registerWorker(std::size_t index)
+nlohmann::json SoakWorld::workerRow(std::size_t index) const
 {
     const SoakWorker &server = *m_workers[index].server;
-    m_store.put("servers", server.id(), serverRow(service(index), m_workers[index].proxy->address(), server.isEngine() ? server.version() : 0));
+    return serverRow(service(index), m_workers[index].proxy->address(), server.isEngine() ? server.version() : 0);
+}
+
+void SoakWorld::registerWorker(std::size_t index)
+{
+    m_store.put("servers", m_workers[index].server->id(), workerRow(index));
+}
+
+void SoakWorld::nameModelsTwice(std::size_t index)
+{
+    m_store.put("servers", m_workers[index].server->id(), withModelsTwice(workerRow(index)));
+}
+
+void SoakWorld::writeOddEntry(std::size_t index)
+{
+    m_store.put("servers", oddName(m_random.next() % maximumOddEntries), oddEntry(workerRow(index), m_random));
 }
 
 void SoakWorld::writeConfiguration()
@@ -320,6 +344,12 @@
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
         signalRouter(index, SIGCONT);
     }
+    for (std::size_t index = 0; index < m_workers.size(); ++index) {
+        registerWorker(index);
+    }
+    for (std::size_t number = 0; number < maximumOddEntries; ++number) {
+        m_store.remove("servers", oddName(number));
+    }
 }
 
 EventLoop::Loop &SoakWorld::loop()
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -94,6 +94,13 @@
     /// \brief Whether router \a index was started anew since the last question.
     bool takeRestart(std::size_t index);
 
+    /// \brief Makes the entry of engine \a index name its model twice, or properly again.
+    void nameModelsTwice(std::size_t index);
+    void registerWorker(std::size_t index);
+
+    /// \brief Writes an entry of a server that is none, like that of backend server \a index but for an odd part.
+    void writeOddEntry(std::size_t index);
+
     void crashWorker(std::size_t index);
     SoakWorker &worker(std::size_t index);
     FaultyProxy &workerProxy(std::size_t index);
@@ -128,7 +135,7 @@
     std::string service(std::size_t index) const;
     void startRouter(std::size_t index);
     void startAgent(std::size_t index);
-    void registerWorker(std::size_t index);
+    nlohmann::json workerRow(std::size_t index) const;
     void writeConfiguration();
 
     HostFiles m_files;
