Bound the numbers that other processes name

A time in a message was taken as it came: one that is too long to be computed with lay in the past. News of a load in 2^63 us made an engine count as waiting to load, so that streams were moved off it; a claim of usage whose cost or cap is no number stayed in the account of its organisation and took its cap off, or gave it nothing more.

--- a/src/libs/agent/runtable.cpp
+++ b/src/libs/agent/runtable.cpp
@@ -1,12 +1,14 @@
 #include "runtable.h"
 
+#include <core/boundedspan.h>
+
 namespace Verbena::Agent {
 
 AgentRun::AgentRun(std::string router, const verbena::wire::Dispatch &received, Core::TimePoint now)
     : peer(std::move(router))
     , dispatch(received)
     , receivedAt(now)
-    , deadline(now + std::chrono::microseconds(received.deadline_left_us()))
+    , deadline(now + Core::boundedSpan<std::chrono::microseconds>(received.deadline_left_us()))
     , frames(received.frame_credit())
 {
 }
--- a/src/libs/relay/enginemonitor.cpp
+++ b/src/libs/relay/enginemonitor.cpp
@@ -1,5 +1,6 @@
 #include "enginemonitor.h"
 
+#include <core/boundedspan.h>
 #include <eventloop/loop.h>
 
 #include <cmath>
@@ -21,7 +22,7 @@
     status.isSilent = report.silent();
     status.isLoading = report.loading();
     if (report.load_in_us() > 0) {
-        status.loadTime = now + std::chrono::microseconds(report.load_in_us() - 1);
+        status.loadTime = now + Core::boundedSpan<std::chrono::microseconds>(report.load_in_us() - 1);
     }
     status.running = report.running();
     status.waiting = report.waiting();
--- a/src/libs/relay/usageclient.cpp
+++ b/src/libs/relay/usageclient.cpp
@@ -2,6 +2,7 @@
 
 #include "relayevents.h"
 
+#include <core/boundedspan.h>
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
 
@@ -157,7 +158,7 @@
     m_pendingClaims.erase(found);
     recordOwnerAnswer(pending);
     const verbena::wire::UsageVerdict &answer = message.usage_verdict();
-    const UsageVerdict verdict{answer.granted(), std::chrono::ceil<milliseconds>(std::chrono::microseconds(answer.come_back_us()))};
+    const UsageVerdict verdict{answer.granted(), std::chrono::ceil<milliseconds>(Core::boundedSpan<std::chrono::microseconds>(answer.come_back_us()))};
     if (pending.done) {
         pending.done(spread(verdict));
     } else if (verdict.isGranted) {
--- a/src/libs/router/requestmeter.cpp
+++ b/src/libs/router/requestmeter.cpp
@@ -1,5 +1,7 @@
 #include "requestmeter.h"
 
+#include <core/boundedspan.h>
+
 #include <algorithm>
 
 namespace Verbena::Router {
@@ -35,7 +37,7 @@
 
 void RequestMeter::recordEnd(const verbena::wire::Ended &ended)
 {
-    m_metrics.recordDuration(queueWait, m_tenant, std::chrono::microseconds(ended.queue_wait_us()));
+    m_metrics.recordDuration(queueWait, m_tenant, Core::boundedSpan<std::chrono::microseconds>(ended.queue_wait_us()));
     const std::uint32_t cached = std::min(ended.cached_tokens(), ended.prompt_tokens());
     m_metrics.recordAmount(cachedTokens, m_tenant, cached);
     m_metrics.recordAmount(recomputedTokens, m_tenant, ended.prompt_tokens() - cached);
--- a/src/libs/router/requesttask.cpp
+++ b/src/libs/router/requesttask.cpp
@@ -4,6 +4,7 @@
 #include "routerevents.h"
 #include "wireconversion.h"
 
+#include <core/boundedspan.h>
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
 
@@ -217,7 +218,8 @@
         m_context.chooser.recordRefusal(m_server, m_plan.query, routeRefusalOf(refused), m_expectedWork, m_context.loop.now());
     }
     m_context.metrics.count("attempts_refused_total");
-    perform(m_tracker.handleRefusal(refused.attempt(), attemptRefusalOf(refused.reason()), std::chrono::microseconds(refused.retry_after_us())));
+    perform(
+        m_tracker.handleRefusal(refused.attempt(), attemptRefusalOf(refused.reason()), Core::boundedSpan<std::chrono::microseconds>(refused.retry_after_us())));
 }
 
 void RequestTask::receiveFrame(const verbena::wire::Frame &frame)
--- a/src/libs/router/wireconversion.cpp
+++ b/src/libs/router/wireconversion.cpp
@@ -1,5 +1,7 @@
 #include "wireconversion.h"
 
+#include <core/boundedspan.h>
+
 namespace Verbena::Router {
 
 namespace {
@@ -59,7 +61,7 @@
 Decisions::RouteRefusal routeRefusalOf(const verbena::wire::Refused &refused)
 {
     Decisions::RouteRefusal refusal;
-    refusal.retryAfter = std::chrono::microseconds(refused.retry_after_us());
+    refusal.retryAfter = Core::boundedSpan<std::chrono::microseconds>(refused.retry_after_us());
     refusal.isUnavailable = refused.reason() == verbena::wire::REFUSAL_REASON_LEAVING || refused.reason() == verbena::wire::REFUSAL_REASON_ENGINE_DOWN;
     if (!refused.redirect().empty()) {
         refusal.redirect = Decisions::backendServerId(refused.redirect());
@@ -71,11 +73,11 @@
 {
     Decisions::LoadReport report;
     report.incarnation = hint.incarnation();
-    report.queuedWork = std::chrono::microseconds(hint.queued_work_us());
+    report.queuedWork = Core::boundedSpan<std::chrono::microseconds>(hint.queued_work_us());
     report.running = hint.running();
     report.queued = hint.queued();
     report.overloadLevel = hint.overload_level();
-    report.prefillPerPiece = std::chrono::microseconds(hint.prefill_us_per_piece());
+    report.prefillPerPiece = Core::boundedSpan<std::chrono::microseconds>(hint.prefill_us_per_piece());
     report.isLeaving = hint.leaving();
     return report;
 }
--- a/src/libs/weights/usagekeeper.cpp
+++ b/src/libs/weights/usagekeeper.cpp
@@ -1,7 +1,10 @@
 #include "usagekeeper.h"
 
+#include <core/boundedspan.h>
 #include <eventloop/loop.h>
 
+#include <cmath>
+
 namespace Verbena::Weights {
 
 using Decisions::UsageClaim;
@@ -23,6 +26,13 @@
     return claim;
 }
 
+// A number that is none, or a cap below zero, would stay in the account of its organisation.
+bool isSensible(const UsageClaim &claim)
+{
+    const bool isFinite = std::isfinite(claim.cost) && std::isfinite(claim.cap.perSecond) && std::isfinite(claim.cap.burst);
+    return isFinite && claim.cap.perSecond >= 0 && claim.cap.burst >= 0;
+}
+
 } // namespace
 
 Core::Result<std::unique_ptr<UsageKeeper>> UsageKeeper::create(
@@ -52,12 +62,15 @@
 void UsageKeeper::handleClaim(const sockaddr_in &from, const verbena::wire::UsageClaim &asked)
 {
     UsageClaim claim = decodeClaim(asked);
+    if (!isSensible(claim)) {
+        return;
+    }
     if (claim.cost < 0) {
         claim.cost = -claim.cost;
         m_ledger.refund(claim, m_loop.now());
         return;
     }
-    const Decisions::UsageClaimant claimant{std::chrono::microseconds(asked.kept_for_us()), asked.routers(), m_routersHeard()};
+    const Decisions::UsageClaimant claimant{Core::boundedSpan<std::chrono::microseconds>(asked.kept_for_us()), asked.routers(), m_routersHeard()};
     const UsageVerdict verdict = m_ledger.tryConsume(claim, claimant, m_loop.now());
     verbena::wire::Envelope message;
     verbena::wire::UsageVerdict &told = *message.mutable_usage_verdict();
