--- a/tests/soak/oddentry.cpp
+++ b/tests/soak/oddentry.cpp
@@ -36,13 +36,13 @@
 
 void changePart(json &holder, Decisions::RandomSource &random)
 {
-    enum Change { Replace, Drop, Double, changeCount };
+    enum Change { Replace, Drop, Double, ChangeCount };
     auto part = std::next(holder.begin(), static_cast<std::ptrdiff_t>(random.next() % holder.size()));
     if (part->is_structured() && !part->empty() && random.uniform() < deeperShare) {
         changePart(*part, random);
         return;
     }
-    switch (random.next() % changeCount) {
+    switch (random.next() % ChangeCount) {
     case Drop:
         holder.erase(part);
         return;
