Mend what the review of the fixes found

- A peer that died behind a closed window was noticed after minutes: three probes without an answer give it back to the time limit of the kernel, also where the channel is closed, and an answer that waits for its caller for the idle timeout is cut.
- The report of a process that computes without end could wait for a reader of standard error for ever; it has two seconds.
- Of two versions of one model the older is believed: answers raise what is believed, and nothing lowers it.
- Orders wait for the next agent as long as before when an agent ends.
- A run counts as ended with its server if its port is closed or another start of it is registered, not if only its entry is gone, and not for a later start that has no number.
CrashGuardTest.serverThatMayStillRunCountsAsEnded
- An empty line behind a body, in one packet with it, closed the connection after the answer.
CallerFormsTest.emptyLineBehindABodyClosesTheConnection

--- a/src/libs/decisions/relay/agentpresence.cpp
+++ b/src/libs/decisions/relay/agentpresence.cpp
@@ -16,11 +16,6 @@
     m_presentUntil[address] = now + EngineReports::lifetime;
 }
 
-void AgentPresence::recordEnd(const std::string &address)
-{
-    m_presentUntil.erase(address);
-}
-
 bool AgentPresence::isPresent(const std::string &address, Core::TimePoint now) const
 {
     const auto present = m_presentUntil.find(address);
--- a/src/libs/decisions/relay/agentpresence.h
+++ b/src/libs/decisions/relay/agentpresence.h
@@ -17,9 +17,6 @@
     /// \brief Records that the agent of the engine at \a address reported.
     void recordReport(const std::string &address, Core::TimePoint now);
 
-    /// \brief Records that the agent of the engine at \a address ends.
-    void recordEnd(const std::string &address);
-
     /// \brief Returns whether the agent of the engine at \a address has reported lately.
     bool isPresent(const std::string &address, Core::TimePoint now) const;
 
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -303,7 +303,7 @@
     }
 }
 
-// The engine counts as one without an agent from now on, and not as silent.
+// The engine counts as one without reports from now on, and not as silent. Its orders wait for the next agent as long as they would without this.
 void RelayFleet::handleAgentEnd(const std::string &address)
 {
     syncWithRegister();
@@ -311,7 +311,6 @@
     if (ids == m_idsByAddress.end()) {
         return;
     }
-    m_agents.recordEnd(address);
     for (const std::string &id : ids->second) {
         m_reports.handleAgentEnd(backendServerId(id));
     }
--- a/src/libs/decisions/relay/servedmodels.cpp
+++ b/src/libs/decisions/relay/servedmodels.cpp
@@ -25,7 +25,7 @@
     return std::lower_bound(m_models.begin(), m_models.end(), model, isBefore);
 }
 
-// Versions only increase, so of two versions the newer one has been loaded last.
+// What is believed of a version is raised by each answer that shows a newer one, and never lowered.
 void ServedModels::record(const std::string &model, std::uint64_t version)
 {
     const auto place = placeOf(model);
@@ -33,7 +33,7 @@
         m_models.insert(place, {model, version});
         return;
     }
-    place->version = std::max(place->version, version);
+    place->version = std::min(place->version, version);
 }
 
 bool ServedModels::raise(std::string_view model, std::uint64_t version)
--- a/src/libs/decisions/relay/servedmodels.h
+++ b/src/libs/decisions/relay/servedmodels.h
@@ -27,7 +27,7 @@
     ServedModels() = default;
     ServedModels(std::initializer_list<ServedWeights> models);
 
-    /// \brief Records that \a version of \a model is run. A model that is named more than once keeps the newest version.
+    /// \brief Records that \a version of \a model is run. A model that is named more than once keeps the oldest version.
     void record(const std::string &model, std::uint64_t version);
 
     /// \brief Raises the version of \a model to \a version; returns false if the model is not run, or with this version or a newer one.
--- a/src/libs/eventloop/loopwatchdog.cpp
+++ b/src/libs/eventloop/loopwatchdog.cpp
@@ -25,6 +25,7 @@
 constexpr seconds checkInterval{1};
 
 constexpr int longestStack = 64;
+constexpr unsigned longestReportSeconds = 2;
 
 // State of the signal handler, which may use nothing that locks or allocates.
 struct Watch
@@ -51,8 +52,11 @@
     (void)!write(STDERR_FILENO, text.data(), text.size());
 }
 
+// Ends the process also if the report does not end, as nobody reads it or the stack is being changed.
 void reportStack()
 {
+    (void)std::signal(SIGALRM, SIG_DFL);
+    alarm(longestReportSeconds);
     writeText(watch.report);
     std::array<void *, longestStack> frames{};
     backtrace_symbols_fd(frames.data(), backtrace(frames.data(), longestStack), STDERR_FILENO);
@@ -106,7 +110,9 @@
     if (pthread_getcpuclockid(pthread_self(), &created.clock) != 0) {
         return Core::Error{Core::ErrorCode::Unavailable, "eventloop.watchdog", "", "The thread has no clock of processor time."};
     }
+    created.iteration = ev_iteration(created.loop);
     watch = created;
+    watch.seenAt = processorTime();
     loadStackLibrary();
     if (!handleSignal() || !startTimer(checkInterval)) {
         return Core::Error{Core::ErrorCode::Unavailable, "eventloop.watchdog", "", std::strerror(errno)};
--- a/src/libs/eventloop/loopwatchdog.h
+++ b/src/libs/eventloop/loopwatchdog.h
@@ -13,7 +13,7 @@
 /// \brief Ends the process, with the stack on standard error, if one iteration of its loop computes for too long.
 ///
 /// Only processor time of the loop's thread counts, so that a process that waits, is stopped or gets no processor is left alone. There is one watchdog for a
-/// process at a time, in the thread of its loop.
+/// process at a time, in the thread of its loop. Work that goes on from one iteration to the next without end is not noticed.
 class LoopWatchdog
 {
 public:
--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -330,11 +330,23 @@
     if (m_kind != Kind::Requests || m_parser->hasBegun()) {
         return true;
     }
+    eraseEmptyLines();
+    return m_emptyLines == maximumEmptyLines || m_buffer != lineEnd.substr(0, 1);
+}
+
+void MessageReader::eraseEmptyLines()
+{
     while (m_emptyLines < maximumEmptyLines && m_buffer.starts_with(lineEnd)) {
         m_buffer.erase(0, lineEnd.size());
         ++m_emptyLines;
     }
-    return m_emptyLines == maximumEmptyLines || m_buffer != lineEnd.substr(0, 1);
+}
+
+void MessageReader::dropEmptyLines()
+{
+    if (m_kind == Kind::Requests && isDone()) {
+        eraseEmptyLines();
+    }
 }
 
 std::optional<MessageFault> MessageReader::parseBuffer(std::size_t &used)
--- a/src/libs/http/messagereader.h
+++ b/src/libs/http/messagereader.h
@@ -106,6 +106,9 @@
     /// \brief Returns a description of the last parse error, for logs.
     const std::string &faultDetail() const;
 
+    /// \brief Frees a few empty lines that follow a request that is read whole.
+    void dropEmptyLines();
+
     /// \brief Returns the number of buffered bytes that were not parsed yet.
     std::size_t surplusBytes() const;
 
@@ -126,6 +129,7 @@
     std::optional<MessageFault> exceededBound(std::size_t used) const;
     MessageFault tooLongPart(std::string_view held) const;
     bool skipEmptyLines();
+    void eraseEmptyLines();
     void fail(MessageFault fault);
 
     Kind m_kind;
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -45,6 +45,9 @@
 // Bytes handed to the kernel after which the peer is looked at; less than this has room in any peer's window.
 constexpr std::size_t uncheckedBytesBound = 4 * 1024;
 
+// Probes of a closed window after which a host that answers none counts as silent; a single one may be lost.
+constexpr unsigned maximumUnansweredProbes = 3;
+
 // Leaves a connection whose peer has closed its window to the kernel's count of probes without an answer.
 constexpr unsigned noUserTimeout = 0;
 
@@ -121,6 +124,8 @@
         *m_isDestroyed = true;
     }
     m_watcher.reset();
+    // The kernel goes on sending what it holds after the descriptor is closed, for as long as it would before.
+    setPatient(false);
     close(m_descriptor);
 }
 
@@ -399,8 +404,8 @@
     if (!queue.has_value()) {
         return;
     }
-    // Bytes wait, and none of them are under way.
-    setPatient(queue->bytes > 0 && queue->bytes == queue->unsentBytes);
+    const bool isWindowClosed = queue->bytes > 0 && queue->bytes == queue->unsentBytes; // Bytes wait, and none of them are under way.
+    setPatient(isWindowClosed && !isPeerSilent());
     if (queue->bytes > 0 || bufferedBytes() > 0) {
         watchWindow();
     } else {
@@ -408,6 +413,14 @@
     }
 }
 
+// Returns whether the peer's host has left several probes of its window unanswered in a row.
+bool TcpChannel::isPeerSilent() const
+{
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return getsockopt(m_descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_probes >= maximumUnansweredProbes;
+}
+
 std::optional<TcpChannel::KernelQueue> TcpChannel::kernelQueue() const
 {
     int bytes = 0;
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -154,6 +154,7 @@
     void checkWindow();
     std::optional<KernelQueue> kernelQueue() const;
     void setPatient(bool isPatient);
+    bool isPeerSilent() const;
 
     EventLoop::Loop &m_loop;
     int m_descriptor;
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -110,7 +110,8 @@
     , m_firstRequestDeadline(m_idleSince + firstRequestTime)
 {
     m_channel->setMeter(createMeter(&owner.memory().budget(), Decisions::HeldKind::UnsentToCallers));
-    m_timer.startAt(m_loop.now() + owner.limits().idleTimeout);
+    m_idleDeadline = m_idleSince + owner.limits().idleTimeout;
+    m_timer.startAt(m_idleDeadline);
 }
 
 CallerConnection::~CallerConnection() = default;
@@ -215,12 +216,14 @@
         refuse(*fault);
         return;
     }
+    m_reader.dropEmptyLines();
     if (m_reader.isDone() && m_reader.surplusBytes() > 0) {
         drop(m_reader.surplusBytes());
         m_reader.dropSurplus();
     }
     // Empty lines before a request begin none.
     if (!m_reader.hasBegun()) {
+        m_timer.startAt(m_idleDeadline);
         return;
     }
     if (!reserveOrWait()) {
@@ -408,6 +411,11 @@
         m_lastReadAt = m_loop.now();
     }
     m_channel->write(data);
+    // An answer that waits for its caller holds a place at a backend server.
+    if (m_state == State::Answering && isFull() && !m_timer.isActive()) {
+        updateLastRead();
+        m_timer.startAt(m_loop.now() + m_owner.limits().idleTimeout);
+    }
 }
 
 // A caller that is not told how long an idle connection lives sends its next request while the connection is closed, and cannot know whether it has run.
@@ -538,7 +546,8 @@
     (void)m_reader.next();
     // A caller that sends requests and does not read the answers gets no further ones.
     m_channel->setReading(!isFull());
-    m_timer.startAt(m_loop.now() + std::max(m_answerLimits.idleTimeout, m_owner.limits().idleTimeout));
+    m_idleDeadline = m_idleSince + std::max(m_answerLimits.idleTimeout, m_owner.limits().idleTimeout);
+    m_timer.startAt(m_idleDeadline);
 }
 
 void CallerConnection::linger()
@@ -566,11 +575,16 @@
         refuse({408, "The request did not come in time.", std::nullopt});
         return;
     }
+    if (m_state == State::Answering && unsentBytes() == 0) {
+        return;
+    }
+    updateLastRead();
     const Core::TimePoint readDeadline = m_lastReadAt + (m_state == State::Lingering ? lingerTime : m_owner.limits().idleTimeout);
     if (unsentBytes() > 0 && m_loop.now() < readDeadline) {
         m_timer.startAt(readDeadline);
         return;
     }
+    markIncomplete();
     m_owner.connectionEnded(this);
 }
 
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -164,6 +164,7 @@
     std::uint64_t m_droppedBytes = 0; ///< Received bytes that belong to no request that is read.
     Decisions::RelayLimits m_answerLimits; ///< Those under which the last answer began; their idle timeout is announced in it.
     Core::TimePoint m_idleSince;
+    Core::TimePoint m_idleDeadline; ///< Until then an idle connection is kept.
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
     Core::TimePoint m_lastReadAt;
     std::optional<std::size_t> m_unacknowledgedBytes; ///< At the last updateLastRead().
--- a/src/libs/relay/lostcallchecker.cpp
+++ b/src/libs/relay/lostcallchecker.cpp
@@ -44,17 +44,25 @@
     return server == servers.end() || (call.incarnation != 0 && server->second.incarnation != call.incarnation);
 }
 
+// An entry that is gone proves nothing: a server that leaves may remove it and end its work.
+bool LostCallChecker::hasRestarted(const LostCall &call) const
+{
+    const auto server = m_servers.servers().find(call.serverId);
+    const bool isKnown = server != m_servers.servers().end() && server->second.incarnation != 0 && call.incarnation != 0;
+    return isKnown && server->second.incarnation != call.incarnation;
+}
+
 bool LostCallChecker::check(const LostCall &call, std::uint64_t number, CrashControl::CheckCallback done)
 {
     const std::string key = incarnationKey(call);
     if (m_endedIncarnations.contains(key)) {
         m_recorder(call, "seen before");
-        done(ServerEnd::Proved);
+        done(call.incarnation != 0 ? ServerEnd::Proved : ServerEnd::Unknown);
         return false;
     }
     const auto endpoint = Http::Endpoint::parse(call.address);
     if (!isStaying(call) || !endpoint) {
-        done(call.hasServerEnded || hasEnded(call) ? ServerEnd::Proved : ServerEnd::Unknown);
+        done(call.hasServerEnded || hasRestarted(call) ? ServerEnd::Proved : ServerEnd::Unknown);
         return false;
     }
     if (call.hasServerEnded) {
--- a/src/libs/relay/lostcallchecker.h
+++ b/src/libs/relay/lostcallchecker.h
@@ -59,6 +59,7 @@
 
     void handleFinding(const std::string &key, ConnectCheck::Finding finding);
     bool hasEnded(const LostCall &call) const;
+    bool hasRestarted(const LostCall &call) const;
     bool isStaying(const LostCall &call) const;
 
     EventLoop::Loop &m_loop;
--- a/src/libs/relay/storetimecodec.cpp
+++ b/src/libs/relay/storetimecodec.cpp
@@ -2,14 +2,22 @@
 
 namespace Verbena::Relay {
 
+namespace {
+
+// In milliseconds; thousands of years, and far below what arithmetic on times can hold.
+constexpr std::uint64_t latestTime = std::uint64_t(1) << 47;
+
+} // namespace
+
 std::uint64_t encodeStoreTime(const std::optional<Store::StoreTime> &time)
 {
     return time.has_value() ? static_cast<std::uint64_t>(time->time_since_epoch().count()) + 1 : 0;
 }
 
+// A time that no store reaches is none.
 std::optional<Store::StoreTime> decodeStoreTime(std::uint64_t time)
 {
-    return time == 0 ? std::nullopt : std::optional(Store::StoreTime(std::chrono::milliseconds(time - 1)));
+    return time == 0 || time > latestTime ? std::nullopt : std::optional(Store::StoreTime(std::chrono::milliseconds(time - 1)));
 }
 
 } // namespace Verbena::Relay
