--- a/tests/auto/platform/tst_platformpath.cpp
+++ b/tests/auto/platform/tst_platformpath.cpp
@@ -40,6 +40,24 @@
     }
 }
 
+// From the next request on, the router computed without end and answered nobody.
+TEST(PlatformPathTest, entryThatNamesAModelTwiceStopsItsRouters)
+{
+    PlatformDeployment deployment;
+    ASSERT_TRUE(deployment.askUntil("answer of version 1"));
+    const json model{{"name", "m"}, {"version", 1}};
+    json entry{{"service", "reader"}, {"zone", "hall"}, {"slots", 96}, {"phase", "ready"}, {"sequence", 2}};
+    entry["address"] = deployment.engine().address();
+    entry["models"] = json::array({model, model});
+    deployment.store().put("servers", "i-1", entry);
+    deployment.runFor(std::chrono::milliseconds(500));
+    for (int number = 0; number < 3; ++number) {
+        EXPECT_TRUE(contains(deployment.ask(), "answer of version 1"));
+    }
+    deployment.router().sendSignal(SIGTERM);
+    EXPECT_EQ(deployment.router().waitForExit(), 0);
+}
+
 TEST(PlatformPathTest, takesNewConfigurationsAndNoOldOnes)
 {
     PlatformDeployment deployment;
