--- a/src/libs/application/loopguard.cpp
+++ b/src/libs/application/loopguard.cpp
@@ -16,7 +16,7 @@
 // Written past the log, which may be what computes.
 std::string reportLine()
 {
-    return "ERROR " + std::to_string(processStuck.number) + ' ' + std::string(processStuck.name) + " " + std::string(processStuck.text) + '\n';
+    return "ERROR " + std::to_string(processStuck.number) + ' ' + processStuck.name + ' ' + processStuck.text + '\n';
 }
 
 } // namespace
--- a/src/libs/decisions/relay/enginereports.cpp
+++ b/src/libs/decisions/relay/enginereports.cpp
@@ -111,12 +111,7 @@
     }
 }
 
-void EngineReports::handleRestart(BackendServerId id)
-{
-    m_reports.erase(id);
-}
-
-void EngineReports::handleAgentEnd(BackendServerId id)
+void EngineReports::discard(BackendServerId id)
 {
     m_reports.erase(id);
 }
--- a/src/libs/decisions/relay/enginereports.h
+++ b/src/libs/decisions/relay/enginereports.h
@@ -48,11 +48,8 @@
     /// \brief Records that the engine \a id answered a request.
     void recordAnswered(BackendServerId id, Core::TimePoint now);
 
-    /// \brief Discards the report on the engine \a id, which has restarted.
-    void handleRestart(BackendServerId id);
-
-    /// \brief Discards the report on the engine \a id, as its agent ends regularly and there will be no more.
-    void handleAgentEnd(BackendServerId id);
+    /// \brief Discards the report on the engine \a id, which has restarted, or whose agent ends and will report no more.
+    void discard(BackendServerId id);
 
     /// \brief Removes the engines for which \a isGone returns true.
     void removeIf(const std::function<bool(BackendServerId)> &isGone);
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -243,7 +243,7 @@
 {
     std::uint64_t &recorded = m_incarnations[id];
     if (recorded != 0 && recorded != incarnation) {
-        m_reports.handleRestart(id);
+        m_reports.discard(id);
         m_reportedLoads.handleRestart(id);
         m_failures.erase(id);
         m_transfers.caches().handleRestart(id);
@@ -312,7 +312,7 @@
         return;
     }
     for (const std::string &id : ids->second) {
-        m_reports.handleAgentEnd(backendServerId(id));
+        m_reports.discard(backendServerId(id));
     }
 }
 
--- a/src/libs/http/messagereader.h
+++ b/src/libs/http/messagereader.h
@@ -141,7 +141,7 @@
     std::unique_ptr<Parser> m_parser;
     std::string m_buffer;
     std::size_t m_scannedBytes = 0; ///< Number of bytes at the start of m_buffer that were scanned for folds.
-    std::size_t m_emptyLines = 0; ///< Number of empty lines that were skipped before the current message.
+    std::size_t m_emptyLines = 0; ///< Number of empty lines that were skipped before and behind the current message.
     bool m_isLineOpen = false; ///< Whether m_buffer holds a line, or a part of several lines, that needs another line end before it can be parsed.
     std::optional<MessageFault> m_fault; ///< Of the current message.
     std::string m_faultDetail;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -638,7 +638,7 @@
 
 bool RelayedRequest::mayFailOver()
 {
-    return mayResend(attemptsIfAbandoned(), failureIfAbandoned()) && hasTimeToResend() && !isSoftwareGone() && !m_crashes.isSuspected();
+    return mayResendInTime(attemptsIfAbandoned(), failureIfAbandoned()) && !m_crashes.isSuspected();
 }
 
 bool RelayedRequest::isEngineLost() const
@@ -799,7 +799,7 @@
 {
     Decisions::AttemptState state = attempts();
     ++state.endedRuns;
-    return mayResend(state, failure) && hasTimeToResend() && !isSoftwareGone();
+    return mayResendInTime(state, failure);
 }
 
 void RelayedRequest::handleFailure(CallFailure failure, std::string_view reason)
@@ -883,9 +883,9 @@
     return m_softwareVersion.has_value() && !m_context.fleet.hasSoftware(m_service, *m_softwareVersion);
 }
 
-bool RelayedRequest::mayResendInTime(CallFailure failure) const
+bool RelayedRequest::mayResendInTime(const Decisions::AttemptState &state, CallFailure failure) const
 {
-    return !isSoftwareGone() && mayResend(attempts(), failure) && hasTimeToResend();
+    return !isSoftwareGone() && mayResend(state, failure) && hasTimeToResend();
 }
 
 bool RelayedRequest::hasTimeToResend() const
@@ -896,7 +896,7 @@
 AttemptAction RelayedRequest::chooseAction(CallFailure failure)
 {
     const Core::TimePoint now = m_context.loop.now();
-    if (!mayResendInTime(failure)) {
+    if (!mayResendInTime(attempts(), failure)) {
         return actionWithoutResend(attempts(), failure);
     }
     if (m_crashes.isTrialRequired(m_arrivals)) {
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -164,7 +164,7 @@
     void closeCall(Decisions::CallFailure failure);
     void decide(Decisions::CallFailure failure, std::string_view reason);
     bool isSoftwareGone() const;
-    bool mayResendInTime(Decisions::CallFailure failure) const;
+    bool mayResendInTime(const Decisions::AttemptState &state, Decisions::CallFailure failure) const;
     bool mayResendAfterCheck(Decisions::CallFailure failure) const;
     void proceed(Decisions::CallFailure failure, Decisions::AttemptAction action);
     void awaitTrial(Decisions::CallFailure failure);
--- a/src/libs/relay/storetimecodec.cpp
+++ b/src/libs/relay/storetimecodec.cpp
@@ -2,13 +2,6 @@
 
 namespace Verbena::Relay {
 
-namespace {
-
-// In milliseconds; thousands of years, and far below what arithmetic on times can hold.
-constexpr std::uint64_t latestTime = std::uint64_t(1) << 47;
-
-} // namespace
-
 std::uint64_t encodeStoreTime(const std::optional<Store::StoreTime> &time)
 {
     return time.has_value() ? static_cast<std::uint64_t>(time->time_since_epoch().count()) + 1 : 0;
@@ -17,7 +10,7 @@
 // A time that no store reaches is none.
 std::optional<Store::StoreTime> decodeStoreTime(std::uint64_t time)
 {
-    return time == 0 || time > latestTime ? std::nullopt : std::optional(Store::StoreTime(std::chrono::milliseconds(time - 1)));
+    return time == 0 || time > Store::latestStoreTime ? std::nullopt : std::optional(Store::StoreTime(std::chrono::milliseconds(time - 1)));
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/store/storetime.h
+++ b/src/libs/store/storetime.h
@@ -3,6 +3,7 @@
 #include <core/boottime.h>
 
 #include <chrono>
+#include <cstdint>
 
 namespace Verbena::Store {
 
@@ -16,6 +17,9 @@
 /// \brief Time point of the store's clock.
 using StoreTime = StoreClock::time_point;
 
+/// \brief The largest time, in milliseconds, that is taken for one of a store: thousands of years, so that ages can be computed without an overflow.
+inline constexpr std::uint64_t latestStoreTime = std::uint64_t(1) << 47;
+
 /// \brief Reading of the store's clock in the answer to a request that was sent at requestedAt. It is not later than the store's clock was when the answer
 /// arrived.
 struct StoreReading
--- a/src/libs/weights/newspublisher.cpp
+++ b/src/libs/weights/newspublisher.cpp
@@ -109,9 +109,7 @@
         m_lastNamedWatcher = (m_lastNamedWatcher + 1) % m_watchers.size();
         news.add_routers(m_watchers[m_lastNamedWatcher].address.sin_addr.s_addr);
     }
-    for (const Watcher &watcher : m_watchers) {
-        m_socket->send(watcher.address, message);
-    }
+    sendToWatchers(message);
 }
 
 void NewsPublisher::publishEnd()
@@ -120,6 +118,11 @@
     verbena::wire::EngineNews &news = *message.mutable_engine_news();
     news.set_address(m_engineAddress);
     news.set_agent_ends(true);
+    sendToWatchers(message);
+}
+
+void NewsPublisher::sendToWatchers(const verbena::wire::Envelope &message)
+{
     for (const Watcher &watcher : m_watchers) {
         m_socket->send(watcher.address, message);
     }
--- a/src/libs/weights/newspublisher.h
+++ b/src/libs/weights/newspublisher.h
@@ -43,6 +43,7 @@
 
     NewsPublisher(EventLoop::Loop &loop, const std::string &engineAddress);
     void recordWatcher(const sockaddr_in &address);
+    void sendToWatchers(const verbena::wire::Envelope &message);
 
     EventLoop::Loop &m_loop;
     std::string m_engineAddress;
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -94,8 +94,10 @@
     /// \brief Whether router \a index was started anew since the last question.
     bool takeRestart(std::size_t index);
 
-    /// \brief Makes the entry of engine \a index name its model twice, or properly again.
+    /// \brief Makes the entry of engine \a index name its model twice.
     void nameModelsTwice(std::size_t index);
+
+    /// \brief Writes the proper entry of backend server \a index.
     void registerWorker(std::size_t index);
 
     /// \brief Writes an entry of a server that is none, like that of backend server \a index but for an odd part.
