Read signals in their turn, so that they never interrupt work

Cause: a signal was handled at once, by a handler that interrupted what the loop computed. The test sends two signals in a loop without a pause; the processor time of the thread went into entering and leaving handlers, the work that each iteration had to do hardly went on, and the watchdog counted 5 s of processor time in one iteration. The time was real, but it was not the iteration's.

Change: SignalWatcher reads a signal descriptor. The signal stays blocked, so that one is pending at most and nothing is interrupted; one is read in an iteration. ProcessSignals opens the descriptors early in a start, where their lack can be told as an error, and says once what three programs wrote each for themselves. The loop no longer opens libev's own descriptors.

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -5,16 +5,15 @@
 #include <application/descriptorlimit.h>
 #include <application/loopguard.h>
 #include <application/processreport.h>
+#include <application/processsignals.h>
 #include <application/standardoptions.h>
 #include <application/startattempts.h>
 #include <eventloop/loop.h>
-#include <eventloop/signalwatcher.h>
 #include <loader/programentry.h>
 #include <observe/eventlog.h>
 #include <platform/platformprograms.h>
 #include <settingstree/staticsettingsview.h>
 
-#include <csignal>
 #include <iostream>
 
 namespace {
@@ -53,6 +52,7 @@
 Core::Result<void> serve(const Agent::AgentSettings &settings)
 {
     BOOST_OUTCOME_TRY(loop, EventLoop::Loop::create());
+    BOOST_OUTCOME_TRY(signals, Application::ProcessSignals::create(*loop));
     Observe::Metrics metrics;
     BOOST_OUTCOME_TRY(agent, Agent::AgentTask::create(*loop, settings, metrics));
     BOOST_OUTCOME_TRY(page, openStatusPage(*loop, settings, *agent, metrics));
@@ -66,14 +66,13 @@
     if (page != nullptr && control != nullptr) {
         page->setControl(control.get());
     }
-    const auto end = [&loop, &agent](int signalNumber) {
-        Application::reportSignal(signalNumber);
+    const auto end = [&loop, &agent] {
         agent->leave([&loop] { loop->stop(); });
     };
     const auto watchdog = Application::watchLoop(*loop);
-    const EventLoop::SignalWatcher terminate(*loop, SIGTERM, [&end] { end(SIGTERM); });
-    const EventLoop::SignalWatcher interrupt(*loop, SIGINT, [&end] { end(SIGINT); });
-    const EventLoop::SignalWatcher hangUp(*loop, SIGHUP, [&agent, &view] { reload(*agent, view.get()); });
+    signals->setHandlers({.terminate = end, .interrupt = end, .hangUp = [&agent, &view] {
+                              reload(*agent, view.get());
+                          }});
     if (page != nullptr) {
         std::cout << "listening status " << page->address() << std::endl;
     }
--- a/src/apps/load/main.cpp
+++ b/src/apps/load/main.cpp
@@ -111,7 +111,10 @@
         return fail(task.error());
     }
     Load::LoadTask &running = *task.value();
-    const EventLoop::SignalWatcher interrupt(*loop.value(), SIGINT, [&running] { running.stopSending(); });
+    const auto interrupt = EventLoop::SignalWatcher::create(*loop.value(), SIGINT, [&running] { running.stopSending(); });
+    if (!interrupt) {
+        return fail(interrupt.error());
+    }
     running.start();
     loop.value()->run();
     std::cerr << running.problems();
--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -3,16 +3,15 @@
 #include <application/descriptorlimit.h>
 #include <application/loopguard.h>
 #include <application/processreport.h>
+#include <application/processsignals.h>
 #include <application/standardoptions.h>
 #include <application/startattempts.h>
 #include <eventloop/loop.h>
-#include <eventloop/signalwatcher.h>
 #include <loader/programentry.h>
 #include <platform/platformprograms.h>
 #include <router/routertask.h>
 #include <settingstree/staticsettingsview.h>
 
-#include <csignal>
 #include <iostream>
 
 namespace {
@@ -41,22 +40,18 @@
 Core::Result<void> serve(const Router::RouterSettings &settings, const SettingsView &view)
 {
     BOOST_OUTCOME_TRY(loop, EventLoop::Loop::create());
+    BOOST_OUTCOME_TRY(signals, Application::ProcessSignals::create(*loop));
     BOOST_OUTCOME_TRY(environment, createEnvironment(*loop, settings, view));
     BOOST_OUTCOME_TRY(task, Router::RouterTask::create(*loop, settings, environment.services));
     if (environment.control) {
         environment.control->attach(*task);
     }
     const auto watchdog = Application::watchLoop(*loop);
-    const EventLoop::SignalWatcher terminate(*loop, SIGTERM, [&loop, &task] {
-        Application::reportSignal(SIGTERM);
-        task->beginShutdown([&loop] { loop->stop(); });
+    // SIGHUP is only logged, as the router has no files to reload.
+    signals->setHandlers({
+        .terminate = [&loop, &task] { task->beginShutdown([&loop] { loop->stop(); }); },
+        .interrupt = [&loop] { loop->stop(); },
     });
-    const EventLoop::SignalWatcher interrupt(*loop, SIGINT, [&loop] {
-        Application::reportSignal(SIGINT);
-        loop->stop();
-    });
-    // Unhandled, SIGHUP would end the process. It is only logged, as the router has no files to reload.
-    const EventLoop::SignalWatcher hangUp(*loop, SIGHUP, [] { Application::reportSignal(SIGHUP); });
     const std::string endpoint = settings.listen.address + ":" + std::to_string(task->port());
     std::cout << "listening http " << endpoint << std::endl;
     Application::reportStart(VERBENA_VERSION, endpoint);
--- a/src/apps/standin/main.cpp
+++ b/src/apps/standin/main.cpp
@@ -23,8 +23,11 @@
 
 int runUntilSignal(EventLoop::Loop &loop, std::uint16_t port)
 {
-    EventLoop::SignalWatcher terminate(loop, SIGTERM, [&loop] { stopFor(loop, SIGTERM); });
-    EventLoop::SignalWatcher interrupt(loop, SIGINT, [&loop] { stopFor(loop, SIGINT); });
+    const auto terminate = EventLoop::SignalWatcher::create(loop, SIGTERM, [&loop] { stopFor(loop, SIGTERM); });
+    const auto interrupt = EventLoop::SignalWatcher::create(loop, SIGINT, [&loop] { stopFor(loop, SIGINT); });
+    if (!terminate || !interrupt) {
+        return Application::reportStartFailure(terminate ? interrupt.error() : terminate.error());
+    }
     const std::string address = "127.0.0.1:" + std::to_string(port);
     std::cout << "listening http " << address << std::endl;
     Application::reportStart(VERBENA_VERSION, address);
--- a/src/libs/eventloop/loop.cpp
+++ b/src/libs/eventloop/loop.cpp
@@ -3,10 +3,6 @@
 #include "deferredcall.h"
 
 #include <algorithm>
-#include <array>
-
-#include <fcntl.h>
-#include <unistd.h>
 
 namespace Verbena::EventLoop {
 
@@ -18,27 +14,6 @@
 // Number of ready descriptors that libev asks for at once at first; if there were as many, there may be more.
 constexpr std::size_t descriptorsPerPoll = 64;
 
-// libev aborts the process if it cannot open the descriptors by which it learns of signals, so that they are tried first.
-bool canOpenSignalDescriptors()
-{
-    std::array<int, 2> ends{};
-    if (pipe2(ends.data(), O_CLOEXEC) != 0) {
-        return false;
-    }
-    close(ends[0]);
-    close(ends[1]);
-    return true;
-}
-
-// Makes libev open these descriptors now.
-void openSignalDescriptors(struct ev_loop *handle)
-{
-    ev_async opener;
-    ev_async_init(&opener, [](struct ev_loop *, ev_async *, int) {});
-    ev_async_start(handle, &opener);
-    ev_async_stop(handle, &opener);
-}
-
 } // namespace
 
 Core::Result<std::unique_ptr<Loop>> Loop::create()
@@ -47,11 +22,6 @@
     if (handle == nullptr) {
         return Core::Error{Core::ErrorCode::Internal, "eventloop.create", "", "The epoll back end is not available."};
     }
-    if (!canOpenSignalDescriptors()) {
-        ev_loop_destroy(handle);
-        return Core::Error{Core::ErrorCode::Internal, "eventloop.create", "", "There is no descriptor left for signals."};
-    }
-    openSignalDescriptors(handle);
     return std::unique_ptr<Loop>(new Loop(handle));
 }
 
--- a/src/libs/eventloop/loop.h
+++ b/src/libs/eventloop/loop.h
@@ -17,7 +17,7 @@
 class Loop
 {
 public:
-    /// \brief Creates a loop. Errors: Internal, if the kernel provides no epoll descriptor or none for signals.
+    /// \brief Creates a loop. Errors: Internal, if the kernel provides no epoll descriptor.
     static Core::Result<std::unique_ptr<Loop>> create();
     ~Loop();
 
--- a/src/libs/eventloop/signalwatcher.cpp
+++ b/src/libs/eventloop/signalwatcher.cpp
@@ -1,38 +1,51 @@
 #include "signalwatcher.h"
 
-#include "loop.h"
-
+#include <cerrno>
 #include <csignal>
+#include <cstring>
 
 #include <pthread.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
 
 namespace Verbena::EventLoop {
 
-SignalWatcher::SignalWatcher(Loop &loop, int signalNumber, std::function<void()> callback)
-    : m_loop(loop)
+// A signal that came before is pending if the program has blocked it, and is read in the loop's first iteration.
+Core::Result<std::unique_ptr<SignalWatcher>> SignalWatcher::create(Loop &loop, int signalNumber, std::function<void()> callback)
+{
+    sigset_t watched;
+    sigemptyset(&watched);
+    sigaddset(&watched, signalNumber);
+    const int descriptor = signalfd(-1, &watched, SFD_NONBLOCK | SFD_CLOEXEC);
+    if (descriptor < 0) {
+        return Core::Error{Core::ErrorCode::Internal, "eventloop.signal", "", std::strerror(errno)};
+    }
+    (void)pthread_sigmask(SIG_BLOCK, &watched, nullptr);
+    return std::unique_ptr<SignalWatcher>(new SignalWatcher(loop, descriptor, std::move(callback)));
+}
+
+SignalWatcher::SignalWatcher(Loop &loop, int descriptor, std::function<void()> callback)
+    : m_descriptor(descriptor)
     , m_callback(std::move(callback))
+    , m_watcher(loop, descriptor, [this](int) { read(); })
 {
-    ev_signal_init(
-        &m_watcher, [](struct ev_loop *, ev_signal *watcher, int) { static_cast<SignalWatcher *>(watcher->data)->m_callback(); }, signalNumber);
-    m_watcher.data = this;
-    ev_signal_start(m_loop.handle(), &m_watcher);
-    // A signal that came before is pending if the program has blocked it, and is handled now.
-    setBlocked(false);
+    m_watcher.start(EV_READ);
 }
 
-// Without its watcher the signal would have its default effect, and end a process that is shutting down.
+// The signal stays blocked: its default effect would end a process that is shutting down.
 SignalWatcher::~SignalWatcher()
 {
-    setBlocked(true);
-    ev_signal_stop(m_loop.handle(), &m_watcher);
+    m_watcher.stop();
+    close(m_descriptor);
 }
 
-void SignalWatcher::setBlocked(bool isBlocked) const
+// Reads one signal: they may come faster than they are read.
+void SignalWatcher::read()
 {
-    sigset_t handled;
-    sigemptyset(&handled);
-    sigaddset(&handled, m_watcher.signum);
-    (void)pthread_sigmask(isBlocked ? SIG_BLOCK : SIG_UNBLOCK, &handled, nullptr);
+    signalfd_siginfo received{};
+    if (::read(m_descriptor, &received, sizeof received) == static_cast<ssize_t>(sizeof received)) {
+        m_callback();
+    }
 }
 
 } // namespace Verbena::EventLoop
--- a/src/libs/eventloop/signalwatcher.h
+++ b/src/libs/eventloop/signalwatcher.h
@@ -1,30 +1,37 @@
 #pragma once
 
-#include <ev.h>
+#include "iowatcher.h"
+
+#include <core/result.h>
 
 #include <functional>
+#include <memory>
 
 namespace Verbena::EventLoop {
 
 class Loop;
 
-/// \brief Watcher that calls a function on the loop each time the process receives a signal. Unblocks the signal in the calling thread while the watcher
-/// exists, and blocks it afterwards.
+/// \brief Watcher that calls a function on the loop each time the process receives a signal.
+///
+/// The signal is blocked in the calling thread from then on, also after the end of the watcher, and read in the turn of a descriptor: it never interrupts what
+/// the loop computes, however often it comes. Threads that were started before must have it blocked.
 class SignalWatcher
 {
 public:
-    SignalWatcher(Loop &loop, int signalNumber, std::function<void()> callback);
+    /// \brief Watches \a signalNumber; the loop must outlive the watcher. Errors: Internal, if no descriptor is left.
+    static Core::Result<std::unique_ptr<SignalWatcher>> create(Loop &loop, int signalNumber, std::function<void()> callback);
     ~SignalWatcher();
 
     SignalWatcher(const SignalWatcher &) = delete;
     SignalWatcher &operator=(const SignalWatcher &) = delete;
 
 private:
-    void setBlocked(bool isBlocked) const;
+    SignalWatcher(Loop &loop, int descriptor, std::function<void()> callback);
+    void read();
 
-    Loop &m_loop;
+    int m_descriptor;
     std::function<void()> m_callback;
-    ev_signal m_watcher;
+    IoWatcher m_watcher;
 };
 
 } // namespace Verbena::EventLoop
