Let the watchdog's signals through whatever the starter blocked

A process inherits the signal mask of what starts it. With SIGPROF blocked the watchdog never looked, and a process that computes without end was not ended; with SIGALRM blocked its report had no bound.

LoopWatchdogDeathTest.signalsAreBlockedByTheStarter failed before (the process went on for 10 s of processor time) and passes.

--- a/src/libs/eventloop/loopwatchdog.cpp
+++ b/src/libs/eventloop/loopwatchdog.cpp
@@ -77,6 +77,16 @@
     errno = errorBefore;
 }
 
+// Who starts the process may have blocked them, and a process inherits its signal mask.
+bool unblockSignals()
+{
+    sigset_t used;
+    sigemptyset(&used);
+    sigaddset(&used, SIGPROF);
+    sigaddset(&used, SIGALRM);
+    return pthread_sigmask(SIG_UNBLOCK, &used, nullptr) == 0;
+}
+
 // The first call loads a library, which the handler may not.
 void loadStackLibrary()
 {
@@ -114,7 +124,7 @@
     watch = created;
     watch.seenAt = processorTime();
     loadStackLibrary();
-    if (!handleSignal() || !startTimer(checkInterval)) {
+    if (!handleSignal() || !unblockSignals() || !startTimer(checkInterval)) {
         return Core::Error{Core::ErrorCode::Unavailable, "eventloop.watchdog", "", std::strerror(errno)};
     }
     return std::unique_ptr<LoopWatchdog>(new LoopWatchdog);
--- a/tests/auto/eventloop/tst_loopwatchdog.cpp
+++ b/tests/auto/eventloop/tst_loopwatchdog.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <ctime>
 #include <thread>
 
@@ -50,6 +51,21 @@
     EXPECT_EXIT(runWatched(computeWithoutEnd), testing::ExitedWithCode(LoopWatchdog::exitStatus), "stuck");
 }
 
+// The signals were blocked by what had started the process, and nothing noticed that it computed without end.
+TEST(LoopWatchdogDeathTest, signalsAreBlockedByTheStarter)
+{
+    const auto computeWithBlockedSignals = [] {
+        sigset_t blocked;
+        sigfillset(&blocked);
+        pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
+        runWatched([](Loop &loop) {
+            computeFor(10s);
+            loop.stop();
+        });
+    };
+    EXPECT_EXIT(computeWithBlockedSignals(), testing::ExitedWithCode(LoopWatchdog::exitStatus), "stuck");
+}
+
 TEST(LoopWatchdogTest, leavesShortAndManyIterationsAlone)
 {
     int left = 8;
