Resume streams at other routers in the soak

Streams that may go on elsewhere were asked for in one piece and were short, and all engines had one software version, so that nothing showed whether the parts of a stream fit together. A ResumingCaller leaves some streams in the middle and resumes what ended too soon at any router, with Last-Event-Id and Resumes. All parts together must be the beginning of its own stream, then the whole of it, by one software version: events name the version of the engine that made them, and half of the runs have two. Long streams come on a route of their own and are judged for cuts as other slow answers. In the calm after the faults each such caller has to resume a stream.

--- a/tests/soak/requestform.cpp
+++ b/tests/soak/requestform.cpp
@@ -19,6 +19,11 @@
     return random.uniform() < plainShare ? RequestForm::Plain : otherForms[random.next() % otherForms.size()];
 }
 
+std::string promptFields(const std::string &parts)
+{
+    return "Verbenaladder-Model: m\r\nVerbenaladder-Token-Count: 10,10\r\nVerbenaladder-Prompt-Prefix: " + parts + "\r\n";
+}
+
 std::string headText(const RequestParts &parts, RequestForm form)
 {
     const std::string begin = form == RequestForm::AfterEmptyLine ? "\r\n" : "";
--- a/tests/soak/requestform.h
+++ b/tests/soak/requestform.h
@@ -30,6 +30,9 @@
 /// \brief Returns a form; most are plain.
 RequestForm drawForm(Decisions::RandomSource &random);
 
+/// \brief Returns the lines of a request with a prompt that consists of \a parts.
+std::string promptFields(const std::string &parts);
+
 /// \brief Returns the request without its body.
 std::string headText(const RequestParts &parts, RequestForm form);
 
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -2,6 +2,7 @@
 
 #include "soakroutes.h"
 #include "soakworker.h"
+#include "streamtext.h"
 
 #include <eventloop/loop.h>
 
@@ -25,16 +26,9 @@
 // A caller closes an answer that grows so large: no proper one does.
 constexpr std::size_t largestAnswer = 256 * 1024;
 
-std::string expectedAnswer(const std::string &path, const std::string &token)
+bool isWholeAnswer(const std::string &body, const std::string &path, const std::string &token)
 {
-    if (!isStream(path)) {
-        return answerText(token);
-    }
-    std::string events;
-    for (int number = 1; number <= streamEvents; ++number) {
-        events += eventText(number, token);
-    }
-    return events;
+    return isStream(path) ? isWholeStream(body, token) : body == answerText(token);
 }
 
 } // namespace
@@ -124,6 +118,11 @@
     return m_crashCause == CrashCause::Request ? crashingToken : "token-" + m_id;
 }
 
+std::string SoakCaller::drawParts() const
+{
+    return m_crashCause == CrashCause::PromptPart ? std::string("a:3,") + crashingPart + ":2,b:5" : "a:5,b:5";
+}
+
 void SoakCaller::send()
 {
     m_reader = std::make_unique<Http::MessageReader>(Http::MessageReader::Kind::Answers, *this, Http::MessageLimits{});
@@ -138,13 +137,11 @@
     m_isWhole = false;
     m_hasReceived = false;
     m_sentAt = m_loop.now();
-    const std::string parts = m_crashCause == CrashCause::PromptPart ? std::string("a:3,") + crashingPart + ":2,b:5" : "a:5,b:5";
-    const std::string model
-        = m_path == "/resume/" ? "Verbenaladder-Model: m\r\nVerbenaladder-Token-Count: 10,10\r\nVerbenaladder-Prompt-Prefix: " + parts + "\r\n" : "";
+    const std::string prompt = isResumable(m_path) ? promptFields(drawParts()) : "";
     const milliseconds deadline = deadlineOf(m_path);
     const RequestForm form = drawForm(m_random);
     m_isBodyHeld = form == RequestForm::Expecting;
-    m_channel->write(headText({m_path + 'x', m_id, model, deadline, m_token}, form) + (m_isBodyHeld ? "" : m_token));
+    m_channel->write(headText({m_path + 'x', m_id, prompt, deadline, m_token}, form) + (m_isBodyHeld ? "" : m_token));
     m_timer.startAt(m_sentAt + deadline + patience);
 }
 
@@ -225,7 +222,7 @@
 {
     switch (m_head.status) {
     case 200:
-        if (!m_isEndless && m_body != expectedAnswer(m_path, m_token)) {
+        if (!m_isEndless && !isWholeAnswer(m_body, m_path, m_token)) {
             m_ledger.noteBroken("request " + m_id, "got another answer than its own: " + m_body.substr(0, shownBytes));
         }
         m_ledger.noteServed();
@@ -250,7 +247,7 @@
 // What came of a stream that broke off must be its beginning.
 void SoakCaller::checkPart() const
 {
-    if (isStream(m_path) && !m_isEndless && m_head.status == 200 && !expectedAnswer(m_path, m_token).starts_with(m_body)) {
+    if (isStream(m_path) && !m_isEndless && m_head.status == 200 && !isBeginningOfStream(m_body, m_token)) {
         m_ledger.noteBroken("request " + m_id, "got a stream that is not the beginning of its own: " + m_body.substr(0, shownBytes));
     }
 }
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ledger.h"
+#include "outcome.h"
 #include "requestform.h"
 
 #include <decisions/spread/randomsource.h>
@@ -17,19 +18,6 @@
 
 namespace Verbena::Soak {
 
-/// \brief How one request of a caller ended.
-struct Outcome
-{
-    std::size_t router = 0;
-    std::string path;
-    int status = 0; ///< 0 if the connection ended first.
-    std::string id;
-    Core::TimePoint sentAt;
-    Core::TimePoint endedAt;
-    bool isUnanswered = false; ///< Whether the request was sent and not a byte of an answer came.
-    bool isCut = false; ///< Whether some of an answer came, and not all of it.
-};
-
 /// \brief A caller that asks one thing after the other, keeps its connection as long as it may, and checks every answer.
 class SoakCaller : public Http::ChannelObserver, public Http::MessageSink
 {
@@ -73,6 +61,7 @@
     void send();
     void sendHeldBody();
     std::string drawToken() const;
+    std::string drawParts() const;
     void checkWhole();
     void checkPart() const;
 
--- a/tests/soak/soakroutes.cpp
+++ b/tests/soak/soakroutes.cpp
@@ -16,12 +16,17 @@
 
 bool isStream(const std::string &path)
 {
-    return path.starts_with("/resume/") || path.starts_with("/long/");
+    return isResumable(path) || path.starts_with("/long/");
+}
+
+bool isResumable(const std::string &path)
+{
+    return path.starts_with("/resume");
 }
 
 bool isSlow(const std::string &path)
 {
-    return path.starts_with("/slow") || path.starts_with("/long/");
+    return path.starts_with("/slow") || path.starts_with("/long/") || path.starts_with("/resume-long/");
 }
 
 std::chrono::milliseconds deadlineOf(const std::string &path)
--- a/tests/soak/soakroutes.h
+++ b/tests/soak/soakroutes.h
@@ -11,6 +11,9 @@
 /// \brief Returns whether the answer to \a path is a stream of events.
 bool isStream(const std::string &path);
 
+/// \brief Returns whether requests for \a path carry a prompt for an engine, whose stream may go on at another one.
+bool isResumable(const std::string &path);
+
 /// \brief Returns whether the backend server works on \a path as long as its work time says, and not a few milliseconds.
 bool isSlow(const std::string &path);
 
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -29,6 +29,7 @@
 bool SoakRun::play()
 {
     startCallers();
+    startResumers();
     startProbers();
     m_faults.startAt(m_world.loop().now() + 1s);
     tick();
@@ -37,6 +38,9 @@
     m_endless.clear();
     m_isCalm = true;
     m_world.heal();
+    for (const auto &caller : m_resumers) {
+        caller->startAnew();
+    }
     checkRecovery();
     return report();
 }
@@ -46,7 +50,7 @@
     const std::size_t count = m_settings.size.callersPerRouter * m_world.routerCount();
     for (std::size_t number = 0; number < count; ++number) {
         startCaller("c" + std::to_string(number), &SoakRun::noteOutcome);
-        startCaller("s" + std::to_string(number), &SoakRun::judge).askFor({"/slow/", "/slow-once/", "/long/"});
+        startCaller("s" + std::to_string(number), &SoakRun::judge).askFor({"/slow/", "/slow-once/", "/long/", "/resume-long/"});
     }
     for (std::size_t number = 0; number < m_world.routerCount(); ++number) {
         m_holders.push_back(std::make_unique<HoldingCaller>(m_world.loop(), m_world.routerEndpoints()[number], "h" + std::to_string(number)));
@@ -69,6 +73,16 @@
     return *m_callers.back();
 }
 
+void SoakRun::startResumers()
+{
+    for (std::size_t number = 0; number < m_settings.size.callersPerRouter * m_world.routerCount(); ++number) {
+        m_resumers.push_back(std::make_unique<ResumingCaller>(
+            m_world.loop(), m_world.routerEndpoints(), "r" + std::to_string(number), m_world.ledger(), m_world.random(), [this](const Outcome &outcome) {
+                judge(outcome);
+            }));
+    }
+}
+
 // One more for each router asks for the route that only the newest configuration has.
 void SoakRun::startProbers()
 {
@@ -149,6 +163,12 @@
     if (!wait(isInForce, patience)) {
         ledger.noteBroken("recovery", "the newest configuration is not in force everywhere");
     }
+    const auto hasResumed = [this] {
+        return std::all_of(m_resumers.begin(), m_resumers.end(), [](const auto &caller) { return caller->resumed() > 0; });
+    };
+    if (!wait(hasResumed, patience)) {
+        ledger.noteBroken("recovery", "not every caller could resume a stream again");
+    }
     if (!wait([this] { return m_world.hasNewestWeightsEverywhere(); }, patience)) {
         ledger.noteBroken("recovery", "not every engine got the newest weights");
     }
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -2,6 +2,7 @@
 
 #include "endlesscaller.h"
 #include "holdingcaller.h"
+#include "resumingcaller.h"
 #include "soakfaults.h"
 
 #include <set>
@@ -31,6 +32,7 @@
 private:
     void startCallers();
     SoakCaller &startCaller(const std::string &name, void (SoakRun::*note)(const Outcome &outcome));
+    void startResumers();
     void startProbers();
     void noteOutcome(const Outcome &outcome);
     void noteProbe(const Outcome &outcome);
@@ -47,6 +49,7 @@
     Core::TimePoint m_end;
     EventLoop::Timer m_tick;
     std::vector<std::unique_ptr<SoakCaller>> m_callers;
+    std::vector<std::unique_ptr<ResumingCaller>> m_resumers;
     std::vector<std::unique_ptr<HoldingCaller>> m_holders;
     std::vector<std::unique_ptr<EndlessCaller>> m_endless;
     std::vector<SoakCaller *> m_probers;
--- a/tests/soak/soakworker.cpp
+++ b/tests/soak/soakworker.cpp
@@ -2,6 +2,7 @@
 
 #include "endlesssource.h"
 #include "soakroutes.h"
+#include "streamtext.h"
 
 #include <eventloop/deferredcall.h>
 #include <eventloop/loop.h>
@@ -40,11 +41,6 @@
 
 } // namespace
 
-std::string eventText(int number, const std::string &token)
-{
-    return "id: " + std::to_string(number) + "\ndata: " + token + ' ' + std::to_string(number) + "\n\n";
-}
-
 std::string answerText(const std::string &token)
 {
     return "answer to " + token;
@@ -200,7 +196,7 @@
     {
         if (m_token == endlessToken) {
             breakOff();
-            sendEndless(fields(), m_isStream ? eventText(1, m_token) : answerText(m_token));
+            sendEndless(fields(), m_isStream ? eventText(1, m_token, m_worker.m_terms.software) : answerText(m_token));
         } else if (m_fault == Fault::Lose) {
             m_channel->resetOnClose();
             m_close.schedule();
@@ -239,7 +235,7 @@
             endWork();
             return;
         }
-        const std::string text = eventText(m_nextEvent, m_token);
+        const std::string text = eventText(m_nextEvent, m_token, m_worker.m_terms.software);
         if (m_fault == Fault::Cut && m_nextEvent == streamEvents / 2) {
             m_channel->write(chunk(text.substr(0, text.size() / 2)));
             m_close.schedule();
@@ -268,10 +264,9 @@
     int m_nextEvent = 1;
 };
 
-SoakWorker::SoakWorker(EventLoop::Loop &loop, const std::string &ip, const std::string &name, bool isEngine, Ledger &ledger, Decisions::RandomSource &random)
+SoakWorker::SoakWorker(EventLoop::Loop &loop, const std::string &ip, WorkerTerms terms, Ledger &ledger, Decisions::RandomSource &random)
     : m_loop(loop)
-    , m_name(name)
-    , m_isEngine(isEngine)
+    , m_terms(std::move(terms))
     , m_ledger(ledger)
     , m_random(random)
     , m_listener(std::move(Http::TcpListener::create(loop, Http::Endpoint::parse(ip + ":0").value(), [this](int descriptor) {
@@ -291,7 +286,7 @@
 
 std::string SoakWorker::id() const
 {
-    return m_name + "-life-" + std::to_string(m_life);
+    return m_terms.name + "-life-" + std::to_string(m_life);
 }
 
 std::uint64_t SoakWorker::version() const
@@ -299,9 +294,9 @@
     return m_version;
 }
 
-bool SoakWorker::isEngine() const
+const WorkerTerms &SoakWorker::terms() const
 {
-    return m_isEngine;
+    return m_terms;
 }
 
 void SoakWorker::crash()
@@ -349,7 +344,7 @@
 std::string SoakWorker::takeOrder(const std::string &body)
 {
     const json order = json::parse(body);
-    m_ledger.noteOrder(m_name, {order.at("holder").get<std::string>(), order.at("fencingToken").get<std::uint64_t>(), m_loop.now()});
+    m_ledger.noteOrder(m_terms.name, {order.at("holder").get<std::string>(), order.at("fencingToken").get<std::uint64_t>(), m_loop.now()});
     if (order.at("expectedRev").get<std::uint64_t>() != m_orders) {
         return "409 Conflict";
     }
--- a/tests/soak/soakworker.h
+++ b/tests/soak/soakworker.h
@@ -15,9 +15,6 @@
 
 namespace Verbena::Soak {
 
-/// \brief Number of events in a whole stream.
-inline constexpr int streamEvents = 12;
-
 /// \brief The body that ends the backend server that runs it.
 inline constexpr const char *crashingToken = "crash";
 
@@ -27,17 +24,22 @@
 /// \brief The part of a prompt that ends the engine that begins to answer it.
 inline constexpr const char *crashingPart = "bad";
 
-/// \brief The data of event \a number of the stream that the body \a token asks for.
-std::string eventText(int number, const std::string &token);
-
 /// \brief What the backend server answers to a plain request with the body \a token.
 std::string answerText(const std::string &token);
 
+/// \brief What a backend server is.
+struct WorkerTerms
+{
+    std::string name;
+    bool isEngine = false;
+    std::string software; ///< Its version.
+};
+
 /// \brief A backend server with faults of its own: it loses, cuts, crosses and refuses answers.
 class SoakWorker
 {
 public:
-    SoakWorker(EventLoop::Loop &loop, const std::string &ip, const std::string &name, bool isEngine, Ledger &ledger, Decisions::RandomSource &random);
+    SoakWorker(EventLoop::Loop &loop, const std::string &ip, WorkerTerms terms, Ledger &ledger, Decisions::RandomSource &random);
     ~SoakWorker();
 
     SoakWorker(const SoakWorker &) = delete;
@@ -49,7 +51,7 @@
     std::string id() const;
 
     std::uint64_t version() const;
-    bool isEngine() const;
+    const WorkerTerms &terms() const;
 
     /// \brief Ends all connections and begins another life, with the weights that it had.
     void crash();
@@ -73,8 +75,7 @@
     std::string takeOrder(const std::string &body);
 
     EventLoop::Loop &m_loop;
-    std::string m_name;
-    bool m_isEngine;
+    WorkerTerms m_terms;
     Ledger &m_ledger;
     Decisions::RandomSource &m_random;
     int m_life = 1;
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -2,6 +2,7 @@
 
 #include "oddentry.h"
 #include "soakroutes.h"
+#include "streamtext.h"
 
 #include <csignal>
 
@@ -48,13 +49,16 @@
     , m_store(*m_loop)
     , m_size(size)
     , m_grace(graces[m_random.next() % std::size(graces)])
+    , m_softwareVersions(1 + m_random.next() % softwareVersions().size())
 {
     writeConfiguration();
     m_workers.resize(size.engines + size.services + size.slowServices);
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
         Worker &worker = m_workers[index];
         worker.ip = ip(firstWorkerHost + index);
-        worker.server = std::make_unique<SoakWorker>(*m_loop, worker.ip, "w" + std::to_string(index), index < m_size.engines, m_ledger, m_random);
+        const std::string &software = softwareVersions()[index % m_softwareVersions];
+        worker.server
+            = std::make_unique<SoakWorker>(*m_loop, worker.ip, WorkerTerms{"w" + std::to_string(index), index < m_size.engines, software}, m_ledger, m_random);
         worker.server->setCrashObserver([this, index] { m_crashing.insert(index); });
         worker.proxy = std::make_unique<FaultyProxy>(*m_loop, worker.ip + ":0", worker.server->address());
         registerWorker(index);
@@ -124,7 +128,7 @@
 nlohmann::json SoakWorld::workerRow(std::size_t index) const
 {
     const SoakWorker &server = *m_workers[index].server;
-    return serverRow(service(index), m_workers[index].proxy->address(), server.isEngine() ? server.version() : 0);
+    return serverRow(service(index), m_workers[index].proxy->address(), server.terms().software, server.terms().isEngine ? server.version() : 0);
 }
 
 void SoakWorld::registerWorker(std::size_t index)
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -150,6 +150,7 @@
     std::vector<Router> m_routers;
     WorldSize m_size;
     std::chrono::seconds m_grace;
+    std::size_t m_softwareVersions; ///< Of its backend servers at the same time.
     Disturbances m_disturbances;
     std::set<std::size_t> m_crashing; ///< Backend servers that end with the next endCrashing().
     int m_configuration = 1;
--- a/tests/soak/worldsettings.cpp
+++ b/tests/soak/worldsettings.cpp
@@ -40,6 +40,7 @@
             {route("/safe/", "idempotent", "register", false),
                 route("/once/", "non_idempotent", "register", false),
                 route("/resume/", "streaming", "reader", true),
+                route("/resume-long/", "streaming", "reader", true, slowTimeoutMilliseconds),
                 route("/slow/", "idempotent", "press", false, slowTimeoutMilliseconds),
                 route("/slow-once/", "non_idempotent", "press", false, slowTimeoutMilliseconds),
                 route("/long/", "streaming", "press", false, slowTimeoutMilliseconds),
@@ -49,13 +50,20 @@
         {"tenants", {{{"name", "dams"}, {"apiKeys", {"secret"}}, {"dedicated", false}}}}};
 }
 
-json serverRow(const std::string &service, const std::string &address, std::uint64_t weights)
+json serverRow(const std::string &service, const std::string &address, const std::string &software, std::uint64_t weights)
 {
     json models = json::array();
     if (weights != 0) {
         models.push_back({{"name", "m"}, {"version", weights}});
     }
-    return {{"service", service}, {"address", address}, {"zone", "hall"}, {"slots", 96}, {"phase", "ready"}, {"models", models}, {"sequence", 1}};
+    return {{"service", service},
+        {"address", address},
+        {"zone", "hall"},
+        {"slots", 96},
+        {"phase", "ready"},
+        {"version", software},
+        {"models", models},
+        {"sequence", 1}};
 }
 
 } // namespace Verbena::Soak
--- a/tests/soak/worldsettings.h
+++ b/tests/soak/worldsettings.h
@@ -25,7 +25,7 @@
 /// \brief Returns the configuration \a version, in which \a newestPath exists besides the routes that always do.
 nlohmann::json configurationRow(int version, const std::string &newestPath);
 
-/// \brief Returns the row of a backend server of \a service at \a address; an engine has weights of \a weights.
-nlohmann::json serverRow(const std::string &service, const std::string &address, std::uint64_t weights);
+/// \brief Returns the row of a backend server of \a service at \a address with the version \a software; an engine has weights of \a weights.
+nlohmann::json serverRow(const std::string &service, const std::string &address, const std::string &software, std::uint64_t weights);
 
 } // namespace Verbena::Soak
