Lose packets and change messages on the soak's links

Connections in the soak were late, silent or reset as a whole, callers had no link at all, and messages between routers and agents were never touched. FaultyProxy gets a mode in which pieces stall for the time of a retransmission (200 ms to 3 s), what follows comes in one burst, and some connections break within a piece; each direction is held up by itself. Some callers come through such a link to each router, and so do the rows that routers ask each other for. DatagramLinks lie between processes of different groups: each group has ports of its own, and the links hold those of the others at each address. Datagrams are lost, late, doubled, old, or well-formed with one odd part (extreme, doubled, left out, moved); reports and cache events of engines get odd parts too.

--- a/tests/soak/faultyproxy.cpp
+++ b/tests/soak/faultyproxy.cpp
@@ -1,15 +1,25 @@
 #include "faultyproxy.h"
 
+#include "heldqueue.h"
+#include "lossdraw.h"
+
 #include <eventloop/loop.h>
 
-#include <deque>
+#include <algorithm>
+#include <optional>
 #include <vector>
 
 namespace Verbena::Soak {
 
+using std::chrono::milliseconds;
+
 namespace {
 
-constexpr std::chrono::milliseconds delayTime{120};
+constexpr milliseconds delayTime{120};
+
+// An end of a side waits so long for the other to take what came before it, and is tried again after a moment.
+constexpr milliseconds longestEnd{3000};
+constexpr milliseconds retryTime{1};
 
 // A side that has sent so much that the other has not taken is not read on.
 constexpr std::size_t mostWaiting = 1024 * 1024;
@@ -22,8 +32,8 @@
 public:
     Link(FaultyProxy &proxy, int descriptor)
         : m_proxy(proxy)
-        , m_fromCaller(*this, true)
-        , m_fromTarget(*this, false)
+        , m_fromCaller(*this, m_toTarget)
+        , m_fromTarget(*this, m_toCaller)
         , m_caller(Http::TcpChannel::adopt(proxy.m_loop, descriptor, m_fromCaller))
         , m_timer(proxy.m_loop, [this] { deliverDue(); })
     {
@@ -34,6 +44,11 @@
         }
     }
 
+    bool hasTarget() const
+    {
+        return m_target != nullptr;
+    }
+
     void reset()
     {
         m_caller->resetOnClose();
@@ -42,58 +57,38 @@
         }
     }
 
-    // Goes on with what was held up.
+    // Goes on with what was held up. The link may be gone afterwards.
     void deliverDue()
     {
-        if (m_proxy.m_mode == Mode::Silence) {
+        const bool isSilent = m_proxy.m_mode == Mode::Silence;
+        const bool isMute = isSilent || m_proxy.m_mode == Mode::MuteAnswers;
+        if ((!isSilent && hasEnded(m_toTarget, *m_target)) || (!isMute && hasEnded(m_toCaller, *m_caller))) {
+            m_proxy.m_links.erase(this);
             return;
         }
-        const Core::TimePoint now = m_proxy.m_loop.now();
-        while (!m_held.empty() && m_held.front().at <= now && !(m_proxy.m_mode == Mode::MuteAnswers && !m_held.front().isFromCaller)) {
-            const Held held = std::move(m_held.front());
-            m_held.pop_front();
-            if (held.isEnd) {
-                m_proxy.m_links.erase(this);
-                return;
-            }
-            Http::TcpChannel *to = held.isFromCaller ? m_target.get() : m_caller.get();
-            if (to != nullptr) {
-                to->write(held.bytes);
-            }
-        }
-        if (!m_held.empty()) {
-            m_timer.startAt(m_held.front().at);
-        }
+        startTimer(isSilent ? std::nullopt : m_toTarget.nextTime(), isMute ? std::nullopt : m_toCaller.nextTime());
         updateReading();
     }
 
 private:
-    struct Held
-    {
-        Core::TimePoint at;
-        bool isFromCaller;
-        bool isEnd;
-        std::string bytes;
-    };
-
     // One end of the link.
     class Side : public Http::ChannelObserver
     {
     public:
-        Side(Link &link, bool isCaller)
+        Side(Link &link, HeldQueue &held)
             : m_link(link)
-            , m_isCaller(isCaller)
+            , m_held(held)
         {
         }
 
         void receiveBytes(std::string_view data) override
         {
-            m_link.hold(m_isCaller, false, std::string(data));
+            m_link.hold(m_held, HeldQueue::Kind::Bytes, data);
         }
 
         void receiveEnd(Http::ChannelEnd) override
         {
-            m_link.hold(m_isCaller, true, "");
+            m_link.hold(m_held, HeldQueue::Kind::End, {});
         }
 
         void outputSent() override
@@ -103,45 +98,76 @@
 
     private:
         Link &m_link;
-        bool m_isCaller;
+        HeldQueue &m_held;
     };
 
-    void hold(bool isFromCaller, bool isEnd, std::string bytes)
+    void hold(HeldQueue &held, HeldQueue::Kind kind, std::string_view bytes)
     {
-        const Core::TimePoint now = m_proxy.m_loop.now();
-        m_held.push_back({m_proxy.m_mode == Mode::Delay ? now + delayTime : now, isFromCaller, isEnd, std::move(bytes)});
+        const Core::TimePoint at = m_proxy.m_loop.now() + drawDelay();
+        const bool isCut = m_proxy.m_mode == Mode::Lossy && drawCut(m_proxy.m_random);
+        held.add({at, kind, std::string(isCut ? bytes.substr(0, bytes.size() / 2) : bytes)});
+        if (isCut) {
+            held.add({at, HeldQueue::Kind::Cut, {}});
+        }
         deliverDue();
     }
 
-    std::size_t waiting(bool isFromCaller) const
+    milliseconds drawDelay()
     {
-        const Http::TcpChannel *to = isFromCaller ? m_target.get() : m_caller.get();
-        std::size_t bytes = to == nullptr ? 0 : to->bufferedBytes();
-        for (const Held &held : m_held) {
-            bytes += held.isFromCaller == isFromCaller ? held.bytes.size() : 0;
+        switch (m_proxy.m_mode) {
+        case Mode::Delay:
+            return delayTime;
+        case Mode::Lossy:
+            return drawStall(m_proxy.m_random);
+        default:
+            return milliseconds(0);
         }
-        return bytes;
     }
 
-    void updateReading()
+    // Writes what is due, and returns whether the link ends with it. An end waits until what came before it is written.
+    bool hasEnded(HeldQueue &held, Http::TcpChannel &to)
     {
-        m_caller->setReading(waiting(true) < mostWaiting);
-        if (m_target != nullptr) {
-            m_target->setReading(waiting(false) < mostWaiting);
+        const Core::TimePoint now = m_proxy.m_loop.now();
+        for (const HeldQueue::Item *item = held.due(now); item != nullptr; item = held.due(now)) {
+            if (item->kind == HeldQueue::Kind::Cut) {
+                reset();
+                return true;
+            }
+            if (item->kind == HeldQueue::Kind::End) {
+                return to.bufferedBytes() == 0 || now > item->at + longestEnd;
+            }
+            to.write(held.take().bytes);
+        }
+        return false;
+    }
+
+    void startTimer(std::optional<Core::TimePoint> one, std::optional<Core::TimePoint> other)
+    {
+        if (one.has_value() || other.has_value()) {
+            const Core::TimePoint next = std::min(one.value_or(Core::TimePoint::max()), other.value_or(Core::TimePoint::max()));
+            m_timer.startAt(std::max(next, m_proxy.m_loop.now() + retryTime));
         }
     }
 
+    void updateReading()
+    {
+        m_caller->setReading(m_toTarget.bytes() + m_target->bufferedBytes() < mostWaiting);
+        m_target->setReading(m_toCaller.bytes() + m_caller->bufferedBytes() < mostWaiting);
+    }
+
     FaultyProxy &m_proxy;
+    HeldQueue m_toTarget;
+    HeldQueue m_toCaller;
     Side m_fromCaller;
     Side m_fromTarget;
     std::unique_ptr<Http::TcpChannel> m_caller;
-    std::unique_ptr<Http::TcpChannel> m_target;
-    std::deque<Held> m_held;
+    std::unique_ptr<Http::TcpChannel> m_target; ///< Null if the target refused at once.
     EventLoop::Timer m_timer;
 };
 
-FaultyProxy::FaultyProxy(EventLoop::Loop &loop, const std::string &address, const std::string &target)
+FaultyProxy::FaultyProxy(EventLoop::Loop &loop, const std::string &address, const std::string &target, Decisions::RandomSource &random)
     : m_loop(loop)
+    , m_random(random)
     , m_target(target)
     , m_listener(std::move(Http::TcpListener::create(loop, Http::Endpoint::parse(address).value(), [this](int descriptor) { accept(descriptor); }).value()))
 {
@@ -154,12 +180,6 @@
     return m_listener->endpoint().toString();
 }
 
-void FaultyProxy::setTarget(const std::string &target)
-{
-    m_target = target;
-    resetAll();
-}
-
 void FaultyProxy::setMode(Mode mode)
 {
     m_mode = mode;
@@ -179,7 +199,7 @@
 void FaultyProxy::accept(int descriptor)
 {
     auto link = std::make_unique<Link>(*this, descriptor);
-    if (m_mode == Mode::Reset) {
+    if (m_mode == Mode::Reset || !link->hasTarget()) {
         link->reset();
         return;
     }
--- a/tests/soak/faultyproxy.h
+++ b/tests/soak/faultyproxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <decisions/spread/randomsource.h>
 #include <eventloop/timer.h>
 #include <http/tcpchannel.h>
 #include <http/tcplistener.h>
@@ -17,13 +18,14 @@
     enum class Mode {
         Pass,
         Delay, ///< Everything comes late.
+        Lossy, ///< Packets are lost: pieces stall for the time of a retransmission, then all behind them comes at once; some links break within a piece.
         Silence, ///< Nothing comes through, either way, and nobody is told.
         MuteAnswers, ///< What the caller sends comes through, answers do not.
         Reset, ///< Connections are reset, new ones at once.
     };
 
     /// \brief Listens at \a address, IP:PORT, for \a target.
-    FaultyProxy(EventLoop::Loop &loop, const std::string &address, const std::string &target);
+    FaultyProxy(EventLoop::Loop &loop, const std::string &address, const std::string &target, Decisions::RandomSource &random);
     ~FaultyProxy();
 
     FaultyProxy(const FaultyProxy &) = delete;
@@ -31,9 +33,6 @@
 
     std::string address() const;
 
-    /// \brief Sends connections elsewhere from now on; those that are open are reset.
-    void setTarget(const std::string &target);
-
     void setMode(Mode mode);
 
 private:
@@ -43,6 +42,7 @@
     void resetAll();
 
     EventLoop::Loop &m_loop;
+    Decisions::RandomSource &m_random;
     std::string m_target;
     Mode m_mode = Mode::Pass;
     std::map<Link *, std::unique_ptr<Link>> m_links;
--- a/tests/soak/soakfaults.cpp
+++ b/tests/soak/soakfaults.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds faultPause{250};
 constexpr milliseconds longestFault{1500};
 
+// Links that lose packets show it over some retransmissions.
+constexpr milliseconds longestLinkFault{5000};
+
 // Planned work leaves some calm, in which the routers learn how long requests take.
 constexpr milliseconds plannedPause{1500};
 
@@ -72,6 +75,11 @@
                 &F::freezeAgent,
                 &F::harmWorkerPath,
                 &F::harmStorePath,
+                &F::harmCallerLink,
+                &F::harmRouterNews,
+                &F::harmAgentNews,
+                &F::sendOddMessages,
+                &F::reportOddly,
                 &F::harmStore,
                 &F::nameWeights,
                 &F::closeLog,
@@ -149,10 +157,16 @@
 
 FaultyProxy::Mode SoakFaults::drawMode()
 {
-    constexpr int harmfulModes = 4;
+    constexpr int harmfulModes = 5;
     return static_cast<FaultyProxy::Mode>(1 + m_world.random().next() % harmfulModes);
 }
 
+DatagramFault SoakFaults::drawNewsFault()
+{
+    constexpr int harmfulFaults = 4;
+    return static_cast<DatagramFault>(m_world.random().next() % harmfulFaults);
+}
+
 void SoakFaults::disturbFor(milliseconds span)
 {
     m_world.disturbances().note(m_world.loop().now() + span);
@@ -255,6 +269,62 @@
     actLater(span, [this, router] { m_world.storeProxy(router).setMode(FaultyProxy::Mode::Pass); });
 }
 
+// Only callers that use the link are concerned.
+void SoakFaults::harmCallerLink()
+{
+    const std::size_t router = drawRouter();
+    const milliseconds span = drawSpan(longestLinkFault);
+    const Core::TimePoint end = m_world.loop().now() + span;
+    m_world.setLinkMode(router, drawMode(), end);
+    actLater(span, [this, router] { m_world.setLinkMode(router, FaultyProxy::Mode::Pass, m_world.loop().now()); });
+}
+
+void SoakFaults::harmRouterNews()
+{
+    const std::size_t router = drawRouter();
+    const milliseconds span = drawSpan(longestLinkFault);
+    disturbFor(span);
+    m_world.setRouterNews(router, drawNewsFault());
+    m_world.setPeerMode(router, drawMode());
+    actLater(span, [this, router] {
+        m_world.setRouterNews(router, std::nullopt);
+        m_world.setPeerMode(router, FaultyProxy::Mode::Pass);
+    });
+}
+
+void SoakFaults::harmAgentNews()
+{
+    const std::size_t agent = drawWorker();
+    const milliseconds span = drawSpan(longestLinkFault);
+    disturbFor(span);
+    m_world.setAgentNews(agent, drawNewsFault());
+    actLater(span, [this, agent] { m_world.setAgentNews(agent, std::nullopt); });
+}
+
+void SoakFaults::sendOddMessages()
+{
+    const milliseconds span = drawSpan(longestLinkFault);
+    disturbFor(span);
+    if (m_world.random().uniform() < 0.5) {
+        const std::size_t router = drawRouter();
+        m_world.setRouterNews(router, DatagramFault::Odd);
+        actLater(span, [this, router] { m_world.setRouterNews(router, std::nullopt); });
+    } else {
+        const std::size_t agent = drawWorker();
+        m_world.setAgentNews(agent, DatagramFault::Odd);
+        actLater(span, [this, agent] { m_world.setAgentNews(agent, std::nullopt); });
+    }
+}
+
+void SoakFaults::reportOddly()
+{
+    const std::size_t worker = m_world.random().next() % m_world.size().engines;
+    const milliseconds span = drawSpan(longestLinkFault);
+    disturbFor(span);
+    m_world.worker(worker).setOddCalls(true);
+    actLater(span, [this, worker] { m_world.worker(worker).setOddCalls(false); });
+}
+
 void SoakFaults::harmStore()
 {
     constexpr int harmfulModes = 3;
--- a/tests/soak/soakfaults.h
+++ b/tests/soak/soakfaults.h
@@ -46,6 +46,7 @@
     std::size_t drawRouter();
     std::size_t drawWorker();
     FaultyProxy::Mode drawMode();
+    DatagramFault drawNewsFault();
     void disturbFor(std::chrono::milliseconds span);
 
     void killRouter();
@@ -60,6 +61,11 @@
     void freezeAgent();
     void harmWorkerPath();
     void harmStorePath();
+    void harmCallerLink();
+    void harmRouterNews();
+    void harmAgentNews();
+    void sendOddMessages();
+    void reportOddly();
     void harmStore();
     void changeConfiguration();
     void nameWeights();
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -29,6 +29,7 @@
 bool SoakRun::play()
 {
     startCallers();
+    startLinkedCallers();
     startResumers();
     startProbers();
     m_faults.startAt(m_world.loop().now() + 1s);
@@ -66,10 +67,18 @@
     }
 }
 
-SoakCaller &SoakRun::startCaller(const std::string &name, void (SoakRun::*note)(const Outcome &outcome))
+void SoakRun::startLinkedCallers()
 {
+    for (std::size_t number = 0; number < m_settings.size.callersPerRouter * m_world.routerCount(); ++number) {
+        startCaller("l" + std::to_string(number), &SoakRun::judgeLinked, true).askFor({"/safe/", "/once/", "/slow/", "/resume/", "/resume-long/"});
+    }
+}
+
+SoakCaller &SoakRun::startCaller(const std::string &name, void (SoakRun::*note)(const Outcome &outcome), bool isLinked)
+{
+    const std::vector<Http::Endpoint> routers = isLinked ? m_world.linkEndpoints() : m_world.routerEndpoints();
     m_callers.push_back(std::make_unique<SoakCaller>(
-        m_world.loop(), m_world.routerEndpoints(), name, m_world.ledger(), m_world.random(), [this, note](const Outcome &outcome) { (this->*note)(outcome); }));
+        m_world.loop(), routers, name, m_world.ledger(), m_world.random(), [this, note](const Outcome &outcome) { (this->*note)(outcome); }));
     return *m_callers.back();
 }
 
@@ -99,6 +108,14 @@
     m_judge.judge(outcome, m_world.pastSince(outcome.router, outcome.path, outcome.sentAt));
 }
 
+// What a harmed link did to an answer says nothing of its router. Callers themselves check that what came is theirs.
+void SoakRun::judgeLinked(const Outcome &outcome)
+{
+    if (!m_world.isLinkHarmedSince(outcome.router, outcome.sentAt)) {
+        judge(outcome);
+    }
+}
+
 void SoakRun::noteOutcome(const Outcome &outcome)
 {
     judge(outcome);
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -31,12 +31,14 @@
 
 private:
     void startCallers();
-    SoakCaller &startCaller(const std::string &name, void (SoakRun::*note)(const Outcome &outcome));
+    void startLinkedCallers();
+    SoakCaller &startCaller(const std::string &name, void (SoakRun::*note)(const Outcome &outcome), bool isLinked = false);
     void startResumers();
     void startProbers();
     void noteOutcome(const Outcome &outcome);
     void noteProbe(const Outcome &outcome);
     void judge(const Outcome &outcome);
+    void judgeLinked(const Outcome &outcome);
     void tick();
     bool wait(const std::function<bool()> &isDone, std::chrono::seconds patience);
     void checkRecovery();
--- a/tests/soak/soakworker.cpp
+++ b/tests/soak/soakworker.cpp
@@ -1,14 +1,13 @@
 #include "soakworker.h"
 
 #include "endlesssource.h"
+#include "oddentry.h"
 #include "soakroutes.h"
 #include "streamtext.h"
 
 #include <eventloop/deferredcall.h>
 #include <eventloop/loop.h>
 
-#include <nlohmann/json.hpp>
-
 #include <optional>
 
 namespace Verbena::Soak {
@@ -106,13 +105,13 @@
     {
         const bool isCall = m_head.target == "/report" || m_head.target.starts_with("/kv-events");
         if (isCall && m_worker.m_hasEndlessCalls) {
-            sendEndless("", m_head.target == "/report" ? m_worker.report() : R"({"bootEpoch":1,"next":1,"lost":false,"events":[]})");
+            sendEndless("", m_head.target == "/report" ? m_worker.report() : m_worker.cacheEvents());
         } else if (m_head.target == "/report") {
             m_channel->write(whole("200 OK", "", m_worker.report()));
         } else if (m_head.target == "/order") {
             m_channel->write(whole(m_worker.takeOrder(m_body), "", ""));
         } else if (m_head.target.rfind("/kv-events", 0) == 0) {
-            m_channel->write(whole("200 OK", "", R"({"bootEpoch":1,"next":1,"lost":false,"events":[]})"));
+            m_channel->write(whole("200 OK", "", m_worker.cacheEvents()));
         } else {
             serve();
         }
@@ -329,16 +328,30 @@
     m_hasEndlessCalls = isEndless;
 }
 
-std::string SoakWorker::report() const
+void SoakWorker::setOddCalls(bool isOdd)
+{
+    m_hasOddCalls = isOdd;
+}
+
+std::string SoakWorker::callText(json answer)
+{
+    return (m_hasOddCalls ? oddEntry(answer, m_random) : answer).dump();
+}
+
+std::string SoakWorker::cacheEvents()
+{
+    return callText({{"bootEpoch", 1}, {"next", 1}, {"lost", false}, {"events", json::array()}});
+}
+
+std::string SoakWorker::report()
 {
-    return json{{"models", {{{"name", "m"}, {"version", m_version}}}},
+    return callText({{"models", {{{"name", "m"}, {"version", m_version}}}},
         {"busy", false},
         {"sequence", m_orders},
         {"queued", 0},
         {"running", m_connections.size()},
         {"kvUsed", 0},
-        {"kvTotal", 1000}}
-        .dump();
+        {"kvTotal", 1000}});
 }
 
 std::string SoakWorker::takeOrder(const std::string &body)
--- a/tests/soak/soakworker.h
+++ b/tests/soak/soakworker.h
@@ -8,6 +8,8 @@
 #include <http/tcpchannel.h>
 #include <http/tcplistener.h>
 
+#include <nlohmann/json.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -68,10 +70,15 @@
     /// \brief Whether its answers to calls that are no requests have a part without end.
     void setEndlessCalls(bool isEndless);
 
+    /// \brief Whether its answers to calls that are no requests are well-formed and say something odd.
+    void setOddCalls(bool isOdd);
+
 private:
     class Connection;
 
-    std::string report() const;
+    std::string report();
+    std::string cacheEvents();
+    std::string callText(nlohmann::json answer);
     std::string takeOrder(const std::string &body);
 
     EventLoop::Loop &m_loop;
@@ -84,6 +91,7 @@
     double m_faultShare = 0;
     std::chrono::milliseconds m_workTime{50};
     bool m_hasEndlessCalls = false;
+    bool m_hasOddCalls = false;
     std::function<void()> m_crashObserver;
     std::map<Connection *, std::unique_ptr<Connection>> m_connections;
     std::unique_ptr<Http::TcpListener> m_listener;
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -16,6 +16,14 @@
 // Many more names than backend servers would make tables long.
 constexpr std::size_t maximumOddEntries = 8;
 
+// Agents don't talk to each other; routers of one group do so without a link.
+constexpr std::size_t agentGroup = 0;
+
+std::size_t routerGroup(std::size_t index)
+{
+    return 1 + index % (DatagramLinks::groups - 1);
+}
+
 constexpr const char *callersPort = "8782";
 constexpr const char *readinessPort = "8789";
 constexpr std::size_t firstWorkerHost = 100;
@@ -47,6 +55,7 @@
     , m_random(seed)
     , m_ledger([this] { return m_loop->now(); })
     , m_store(*m_loop)
+    , m_links(*m_loop, m_random)
     , m_size(size)
     , m_grace(graces[m_random.next() % std::size(graces)])
     , m_softwareVersions(1 + m_random.next() % softwareVersions().size())
@@ -60,16 +69,17 @@
         worker.server
             = std::make_unique<SoakWorker>(*m_loop, worker.ip, WorkerTerms{"w" + std::to_string(index), index < m_size.engines, software}, m_ledger, m_random);
         worker.server->setCrashObserver([this, index] { m_crashing.insert(index); });
-        worker.proxy = std::make_unique<FaultyProxy>(*m_loop, worker.ip + ":0", worker.server->address());
+        worker.proxy = std::make_unique<FaultyProxy>(*m_loop, worker.ip + ":0", worker.server->address(), m_random);
         registerWorker(index);
         if (index < m_size.engines) {
+            m_links.add(worker.ip, agentGroup);
             startAgent(index);
         }
     }
     m_routers.resize(size.routers);
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
         m_routers[index].ip = ip(1 + index);
-        m_routers[index].store = std::make_unique<FaultyProxy>(*m_loop, "127.0.0.1:0", m_store.address());
+        openWays(index);
         startRouter(index);
     }
 }
@@ -102,11 +112,27 @@
     return process;
 }
 
+void SoakWorld::openWays(std::size_t index)
+{
+    Router &router = m_routers[index];
+    router.store = std::make_unique<FaultyProxy>(*m_loop, "127.0.0.1:0", m_store.address(), m_random);
+    router.link = std::make_unique<FaultyProxy>(*m_loop, "127.0.0.1:0", router.ip + ':' + callersPort, m_random);
+    m_links.add(router.ip, routerGroup(index));
+    const std::string target = router.ip + ':' + std::to_string(DatagramLinks::firstPort(routerGroup(index)));
+    for (std::size_t group = 0; group < DatagramLinks::groups; ++group) {
+        if (group != routerGroup(index)) {
+            const std::string address = router.ip + ':' + std::to_string(DatagramLinks::firstPort(group));
+            router.peers.push_back(std::make_unique<FaultyProxy>(*m_loop, address, target, m_random));
+        }
+    }
+}
+
 void SoakWorld::startRouter(std::size_t index)
 {
     Router &router = m_routers[index];
     const std::string more = "listen:\n  front: \"" + router.ip + ':' + callersPort + "\"\n  ready: \"" + router.ip + ':' + readinessPort + "\"\n";
-    router.process = start("verbena-router", {"front-" + std::to_string(index), router.ip, router.store->address(), m_grace, routerMegabytes, more});
+    router.process = start("verbena-router",
+        {"front-" + std::to_string(index), router.ip, router.store->address(), m_grace, DatagramLinks::firstPort(routerGroup(index)), routerMegabytes, more});
     router.isRestarted = true;
 }
 
@@ -114,7 +140,8 @@
 {
     Worker &worker = m_workers[index];
     const std::string more = "app: \"" + worker.proxy->address() + "\"\nservice: \"reader\"\n";
-    worker.agent = start("verbena-agent", {"side-" + std::to_string(index), worker.ip, m_store.address(), m_grace, agentMegabytes, more});
+    worker.agent = start(
+        "verbena-agent", {"side-" + std::to_string(index), worker.ip, m_store.address(), m_grace, DatagramLinks::firstPort(agentGroup), agentMegabytes, more});
 }
 
 std::string SoakWorld::service(std::size_t index) const
@@ -331,19 +358,57 @@
     return *m_routers[index % m_routers.size()].store;
 }
 
+void SoakWorld::setLinkMode(std::size_t index, FaultyProxy::Mode mode, Core::TimePoint end)
+{
+    m_routers[index].linkEnd = std::max(m_routers[index].linkEnd, end);
+    m_routers[index].link->setMode(mode);
+}
+
+void SoakWorld::setPeerMode(std::size_t index, FaultyProxy::Mode mode)
+{
+    for (const auto &peer : m_routers[index].peers) {
+        peer->setMode(mode);
+    }
+}
+
+void SoakWorld::setRouterNews(std::size_t index, std::optional<DatagramFault> fault)
+{
+    setNews(m_routers[index].ip, fault);
+}
+
+void SoakWorld::setAgentNews(std::size_t index, std::optional<DatagramFault> fault)
+{
+    setNews(m_workers[index % m_size.engines].ip, fault);
+}
+
+void SoakWorld::setNews(const std::string &ip, std::optional<DatagramFault> fault)
+{
+    if (fault.has_value()) {
+        m_links.setFault(ip, *fault);
+    } else {
+        m_links.endFault(ip);
+    }
+}
+
 void SoakWorld::heal()
 {
+    m_links.heal();
     m_store.setMode(Test::StoreStandin::Mode::Well);
     for (Worker &worker : m_workers) {
         worker.proxy->setMode(FaultyProxy::Mode::Pass);
         worker.server->setFaultShare(0);
         worker.server->setEndlessCalls(false);
+        worker.server->setOddCalls(false);
         if (worker.agent != nullptr) {
             worker.agent->signal(SIGCONT);
         }
     }
     for (Router &router : m_routers) {
         router.store->setMode(FaultyProxy::Mode::Pass);
+        router.link->setMode(FaultyProxy::Mode::Pass);
+        for (const auto &peer : router.peers) {
+            peer->setMode(FaultyProxy::Mode::Pass);
+        }
     }
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
         signalRouter(index, SIGCONT);
@@ -385,6 +450,22 @@
     return endpoints;
 }
 
+std::vector<Http::Endpoint> SoakWorld::linkEndpoints() const
+{
+    std::vector<Http::Endpoint> endpoints;
+    for (const Router &router : m_routers) {
+        endpoints.push_back(Http::Endpoint::parse(router.link->address()).value());
+    }
+    return endpoints;
+}
+
+// What a link holds up comes a while after it is sound again.
+bool SoakWorld::isLinkHarmedSince(std::size_t index, Core::TimePoint time) const
+{
+    constexpr std::chrono::seconds longestStall{4};
+    return m_routers[index].linkEnd + longestStall >= time;
+}
+
 std::size_t SoakWorld::routerCount() const
 {
     return m_routers.size();
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "answerjudge.h"
+#include "datagramlinks.h"
 #include "disturbances.h"
 #include "faultyproxy.h"
 #include "hostfiles.h"
@@ -45,6 +46,12 @@
     Ledger &ledger();
     Test::StoreStandin &store();
     std::vector<Http::Endpoint> routerEndpoints() const;
+
+    /// \brief Endpoints of links to the routers, in the same order.
+    std::vector<Http::Endpoint> linkEndpoints() const;
+
+    /// \brief Returns whether the link to router \a index was not sound at some time since \a time.
+    bool isLinkHarmedSince(std::size_t index, Core::TimePoint time) const;
     std::size_t routerCount() const;
     std::size_t workerCount() const;
     const WorldSize &size() const;
@@ -108,6 +115,16 @@
     FaultyProxy &workerProxy(std::size_t index);
     FaultyProxy &storeProxy(std::size_t index);
 
+    /// \brief Harms the link between callers and router \a index until \a end, when it has to be called with the mode Pass.
+    void setLinkMode(std::size_t index, FaultyProxy::Mode mode, Core::TimePoint end);
+
+    /// \brief Sets what happens to connections of other routers to router \a index.
+    void setPeerMode(std::size_t index, FaultyProxy::Mode mode);
+
+    /// \brief Lets \a fault happen to the datagrams of router \a index, or of agent \a index; nothing ends it.
+    void setRouterNews(std::size_t index, std::optional<DatagramFault> fault);
+    void setAgentNews(std::size_t index, std::optional<DatagramFault> fault);
+
     /// \brief Ends every fault.
     void heal();
 
@@ -125,6 +142,9 @@
         std::unique_ptr<SupervisedProcess> process;
         std::unique_ptr<SupervisedProcess> predecessor; ///< Still ends, after replaceRouter().
         std::unique_ptr<FaultyProxy> store; ///< Its way to the store.
+        std::unique_ptr<FaultyProxy> link; ///< A way of callers to it.
+        std::vector<std::unique_ptr<FaultyProxy>> peers; ///< Ways of other routers to it.
+        Core::TimePoint linkEnd; ///< Until when its link was harmed.
         Core::TimePoint lastKill;
         std::vector<PlannedStop> stops;
         std::string ip;
@@ -134,6 +154,8 @@
     std::string ip(std::size_t number) const;
     std::unique_ptr<SupervisedProcess> start(const std::string &program, const HostSettings &settings);
     bool reapIfEnded(std::unique_ptr<SupervisedProcess> &process, Core::TimePoint &killedAt);
+    void setNews(const std::string &ip, std::optional<DatagramFault> fault);
+    void openWays(std::size_t index);
     std::string service(std::size_t index) const;
     void startRouter(std::size_t index);
     void startAgent(std::size_t index);
@@ -146,6 +168,7 @@
     Decisions::RandomSource m_random;
     Ledger m_ledger;
     Test::StoreStandin m_store;
+    DatagramLinks m_links;
     std::vector<Worker> m_workers; ///< Engines first.
     std::vector<Router> m_routers;
     WorldSize m_size;
--- a/tests/soak/worldsettings.cpp
+++ b/tests/soak/worldsettings.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int shortTimeoutMilliseconds = 3000;
+constexpr int portsOfHost = 16;
 constexpr int slowTimeoutMilliseconds = 15'000;
 
 json route(const std::string &prefix, const char *kind, const char *service, bool isResumable, int timeout = shortTimeoutMilliseconds)
@@ -28,9 +29,9 @@
 
 std::string hostFileText(const HostSettings &settings)
 {
-    return "nodeName: \"" + settings.name + "\"\nip: \"" + settings.ip + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nlimits:\n  memoryMb: "
-        + std::to_string(settings.memoryMegabytes) + "\nbounds:\n  graceS: " + std::to_string(settings.grace.count()) + "\n  retrySlack: 500\n" + settings.more
-        + "provider:\n  address: \"" + settings.store + "\"\n";
+    return "nodeName: \"" + settings.name + "\"\nip: \"" + settings.ip + "\"\nzone: \"hall\"\nportRange: [" + std::to_string(settings.firstPort) + ", "
+        + std::to_string(settings.firstPort + portsOfHost - 1) + "]\nlimits:\n  memoryMb: " + std::to_string(settings.memoryMegabytes) + "\nbounds:\n  graceS: "
+        + std::to_string(settings.grace.count()) + "\n  retrySlack: 500\n" + settings.more + "provider:\n  address: \"" + settings.store + "\"\n";
 }
 
 json configurationRow(int version, const std::string &newestPath)
--- a/tests/soak/worldsettings.h
+++ b/tests/soak/worldsettings.h
@@ -15,6 +15,7 @@
     std::string ip;
     std::string store; ///< Address, IP:PORT.
     std::chrono::seconds grace{6}; ///< From SIGTERM to SIGKILL.
+    std::uint16_t firstPort = 0; ///< Of those for messages between processes.
     std::uint64_t memoryMegabytes = 0; ///< What the process may hold.
     std::string more; ///< Further lines.
 };
