--- a/tests/soak/faultyproxy.h
+++ b/tests/soak/faultyproxy.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Verbena::Soak {
 
@@ -35,6 +36,9 @@
 
     void setMode(Mode mode);
 
+    /// \brief Returns whether the target refused the connection of the request with this header line, so that nothing of it reached the target.
+    bool hasRefused(const std::string &headerLine) const;
+
 private:
     class Link;
 
@@ -45,6 +49,7 @@
     Decisions::RandomSource &m_random;
     std::string m_target;
     Mode m_mode = Mode::Pass;
+    std::vector<std::string> m_refused; ///< Beginnings of the requests whose connections the target refused.
     std::map<Link *, std::unique_ptr<Link>> m_links;
     std::unique_ptr<Http::TcpListener> m_listener;
 };
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -45,6 +45,9 @@
     /// \brief Sends nothing but requests whose answers have a part without end, to any router.
     void sendEndless();
 
+    /// \brief Sends large bodies only.
+    void sendLarge();
+
     /// \brief Sends nothing but requests that crash the backend servers that run them by \a cause, to any router.
     void sendCrashing(CrashCause cause);
 
@@ -90,6 +93,7 @@
     bool m_isWaiting = false;
     bool m_isWhole = false;
     bool m_isStopped = false;
+    bool m_isLarge = false; ///< Whether its bodies are large.
     bool m_isEndless = false; ///< Whether it asks for answers without end.
     std::optional<CrashCause> m_crashCause; ///< What its requests crash backend servers by; nothing if they don't.
 };
--- a/tests/soak/soakfaults.h
+++ b/tests/soak/soakfaults.h
@@ -55,6 +55,13 @@
     void replaceRouter();
     void hangUpRouter();
     void freezeRouter();
+    void floodRouter();
+    void floodAgent();
+    void floodRouterStop();
+    void freezeEngine();
+    void freezeHost();
+    void freezeInSeries();
+    void freezeDuringWork();
     void endAgent();
     void killAgent();
     void hangUpAgent();
@@ -77,6 +84,11 @@
     void writeOddEntry();
 
     void signalDuringStop(std::size_t router);
+    void flood(const std::function<void()> &send);
+    std::chrono::milliseconds drawFreeze();
+    void freezeRouterFor(std::size_t router, std::chrono::milliseconds span);
+    void freezeAgentFor(std::size_t agent, std::chrono::milliseconds span);
+    void freezeEngineFor(std::size_t engine, std::chrono::milliseconds span);
 
     SoakWorld &m_world;
     std::vector<Strike> m_strikes;
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -32,6 +32,7 @@
 private:
     void startCallers();
     void startLinkedCallers();
+    void startLargeCallers();
     SoakCaller &startCaller(const std::string &name, void (SoakRun::*note)(const Outcome &outcome), bool isLinked = false);
     void startResumers();
     void startProbers();
@@ -43,9 +44,12 @@
     bool wait(const std::function<bool()> &isDone, std::chrono::seconds patience);
     void checkRecovery();
     bool report();
+    int resumed() const;
+    std::size_t halfOfCallers() const;
 
     RunSettings m_settings;
     SoakWorld m_world;
+    bool m_hasLargeBodies; ///< Whether the run brings routers near their limit of memory.
     AnswerJudge m_judge;
     SoakFaults m_faults;
     Core::TimePoint m_end;
@@ -57,6 +61,7 @@
     std::vector<SoakCaller *> m_probers;
     std::vector<int> m_highest; ///< Configuration that each router has shown since its start.
     std::set<std::pair<std::size_t, std::string>> m_servedInCalm;
+    int m_resumedUnderFaults = 0;
     bool m_isCalm = false;
 };
 
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -52,10 +52,16 @@
 
     /// \brief Returns whether the link to router \a index was not sound at some time since \a time.
     bool isLinkHarmedSince(std::size_t index, Core::TimePoint time) const;
+
+    /// \brief Returns whether router \a index refused the connection of the request \a id behind its link, where the caller could not see it.
+    bool hasLinkRefused(std::size_t index, const std::string &id) const;
     std::size_t routerCount() const;
     std::size_t workerCount() const;
     const WorldSize &size() const;
 
+    /// \brief Memory that each router may hold, in megabytes.
+    std::uint64_t routerMegabytes() const;
+
     /// \brief Names the path that only the newest configuration has.
     std::string newestPath() const;
 
@@ -71,6 +77,10 @@
     void signalRouter(std::size_t index, int signalNumber);
     void signalAgent(std::size_t index, int signalNumber);
 
+    /// \brief Start of the process that is router \a index, or agent \a index, now.
+    Core::TimePoint routerStart(std::size_t index) const;
+    Core::TimePoint agentStart(std::size_t index) const;
+
     /// \brief Asks router \a index to end and starts its successor at once, while it still holds its ports.
     void replaceRouter(std::size_t index);
 
@@ -121,6 +131,8 @@
     /// \brief Sets what happens to connections of other routers to router \a index.
     void setPeerMode(std::size_t index, FaultyProxy::Mode mode);
 
+    const DatagramLinks &datagrams() const;
+
     /// \brief Lets \a fault happen to the datagrams of router \a index, or of agent \a index; nothing ends it.
     void setRouterNews(std::size_t index, std::optional<DatagramFault> fault);
     void setAgentNews(std::size_t index, std::optional<DatagramFault> fault);
@@ -173,6 +185,7 @@
     std::vector<Router> m_routers;
     WorldSize m_size;
     std::chrono::seconds m_grace;
+    std::uint64_t m_routerMegabytes; ///< Limit of memory of each router.
     std::size_t m_softwareVersions; ///< Of its backend servers at the same time.
     Disturbances m_disturbances;
     std::set<std::size_t> m_crashing; ///< Backend servers that end with the next endCrashing().
