Begin the soak's allowance for first instructions when the program is prepared

The allowance of a millisecond of processor began when the link to the program changed; from then on the system still frees the copy of the soak's memory, which counted too, and the statistics that were read lag by a tick. The allowance begins there now, read from the clock of the process, and is as long as before.

--- a/tests/soak/supervisedprocess.cpp
+++ b/tests/soak/supervisedprocess.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <csignal>
 #include <cstring>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <thread>
 
 namespace Verbena::Soak {
@@ -34,10 +36,22 @@
 
 std::chrono::nanoseconds processorTime(pid_t pid)
 {
-    std::ifstream statistics("/proc/" + std::to_string(pid) + "/schedstat");
-    std::int64_t used = 0;
-    statistics >> used;
-    return std::chrono::nanoseconds(used);
+    clockid_t clock{};
+    timespec used{};
+    if (clock_getcpuclockid(pid, &clock) != 0 || clock_gettime(clock, &used) != 0) {
+        return std::chrono::nanoseconds(0);
+    }
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
+// Returns whether the system has prepared the memory of the program of \a pid. Until then it frees that of the process that was copied, which may take longer
+// than the first instructions; the vector of the new program has its end only.
+bool isPrepared(pid_t pid)
+{
+    constexpr std::size_t emptyVector = 2 * sizeof(unsigned long);
+    std::ifstream file("/proc/" + std::to_string(pid) + "/auxv", std::ios::binary);
+    const std::string vector{std::istreambuf_iterator<char>(file), {}};
+    return vector.size() > emptyVector;
 }
 
 // The line of /proc/PID/status that begins with a word; empty if there is none, as for a process that has ended.
@@ -103,7 +117,8 @@
 bool SupervisedProcess::isExecuting() const
 {
     std::error_code error;
-    return std::filesystem::read_symlink("/proc/" + std::to_string(m_pid) + "/exe", error) != std::filesystem::read_symlink("/proc/self/exe", error);
+    const std::string own = std::filesystem::read_symlink("/proc/self/exe", error);
+    return std::filesystem::read_symlink("/proc/" + std::to_string(m_pid) + "/exe", error) != own && isPrepared(m_pid);
 }
 
 // Returns whether the process neither blocks nor handles a signal yet, by what the system says of it.
