--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ledger.h"
+#include "outcome.h"
 #include "requestform.h"
 
 #include <decisions/spread/randomsource.h>
@@ -17,19 +18,6 @@
 
 namespace Verbena::Soak {
 
-/// \brief How one request of a caller ended.
-struct Outcome
-{
-    std::size_t router = 0;
-    std::string path;
-    int status = 0; ///< 0 if the connection ended first.
-    std::string id;
-    Core::TimePoint sentAt;
-    Core::TimePoint endedAt;
-    bool isUnanswered = false; ///< Whether the request was sent and not a byte of an answer came.
-    bool isCut = false; ///< Whether some of an answer came, and not all of it.
-};
-
 /// \brief A caller that asks one thing after the other, keeps its connection as long as it may, and checks every answer.
 class SoakCaller : public Http::ChannelObserver, public Http::MessageSink
 {
@@ -57,6 +45,9 @@
     /// \brief Sends nothing but requests whose answers have a part without end, to any router.
     void sendEndless();
 
+    /// \brief Sends large bodies only.
+    void sendLarge();
+
     /// \brief Sends nothing but requests that crash the backend servers that run them by \a cause, to any router.
     void sendCrashing(CrashCause cause);
 
@@ -73,6 +64,7 @@
     void send();
     void sendHeldBody();
     std::string drawToken() const;
+    std::string drawParts() const;
     void checkWhole();
     void checkPart() const;
 
@@ -101,6 +93,7 @@
     bool m_isWaiting = false;
     bool m_isWhole = false;
     bool m_isStopped = false;
+    bool m_isLarge = false; ///< Whether its bodies are large.
     bool m_isEndless = false; ///< Whether it asks for answers without end.
     std::optional<CrashCause> m_crashCause; ///< What its requests crash backend servers by; nothing if they don't.
 };
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -14,11 +14,16 @@
 constexpr std::chrono::milliseconds tickTime{50};
 constexpr std::size_t endlessCallers = 2;
 
+// Share of runs in which many large bodies come at once, and how many callers send them to all routers together.
+constexpr double largeBodiesShare = 0.4;
+constexpr std::size_t largeCallers = 200;
+
 } // namespace
 
 SoakRun::SoakRun(RunSettings settings)
     : m_settings(std::move(settings))
     , m_world(m_settings.seed, m_settings.size)
+    , m_hasLargeBodies(m_world.random().uniform() < largeBodiesShare)
     , m_judge(m_world.ledger())
     , m_faults(m_world, m_settings.mix)
     , m_end(m_world.loop().now() + m_settings.length)
@@ -29,6 +34,9 @@
 bool SoakRun::play()
 {
     startCallers();
+    startLinkedCallers();
+    startLargeCallers();
+    startResumers();
     startProbers();
     m_faults.startAt(m_world.loop().now() + 1s);
     tick();
@@ -37,6 +45,10 @@
     m_endless.clear();
     m_isCalm = true;
     m_world.heal();
+    m_resumedUnderFaults = resumed();
+    for (const auto &caller : m_resumers) {
+        caller->startAnew();
+    }
     checkRecovery();
     return report();
 }
@@ -46,10 +58,11 @@
     const std::size_t count = m_settings.size.callersPerRouter * m_world.routerCount();
     for (std::size_t number = 0; number < count; ++number) {
         startCaller("c" + std::to_string(number), &SoakRun::noteOutcome);
-        startCaller("s" + std::to_string(number), &SoakRun::judge).askFor({"/slow/", "/slow-once/", "/long/"});
+        startCaller("s" + std::to_string(number), &SoakRun::judge).askFor({"/slow/", "/slow-once/", "/long/", "/resume-long/"});
     }
     for (std::size_t number = 0; number < m_world.routerCount(); ++number) {
-        m_holders.push_back(std::make_unique<HoldingCaller>(m_world.loop(), m_world.routerEndpoints()[number], "h" + std::to_string(number)));
+        m_holders.push_back(std::make_unique<HoldingCaller>(m_world.loop(), m_world.routerEndpoints()[number], "h" + std::to_string(number), true));
+        m_holders.push_back(std::make_unique<HoldingCaller>(m_world.loop(), m_world.routerEndpoints()[number], "k" + std::to_string(number), false));
     }
     if (m_faults.isPlanned()) {
         return;
@@ -62,13 +75,45 @@
     }
 }
 
-SoakCaller &SoakRun::startCaller(const std::string &name, void (SoakRun::*note)(const Outcome &outcome))
+std::size_t SoakRun::halfOfCallers() const
+{
+    return std::max<std::size_t>(1, m_settings.size.callersPerRouter / 2) * m_world.routerCount();
+}
+
+void SoakRun::startLinkedCallers()
+{
+    for (std::size_t number = 0; number < halfOfCallers(); ++number) {
+        startCaller("l" + std::to_string(number), &SoakRun::judgeLinked, true).askFor({"/safe/", "/once/", "/slow/", "/resume/", "/resume-long/"});
+    }
+}
+
+void SoakRun::startLargeCallers()
 {
+    for (std::size_t number = 0; m_hasLargeBodies && number < largeCallers; ++number) {
+        SoakCaller &caller = startCaller("m" + std::to_string(number), &SoakRun::judge);
+        caller.askFor({"/slow/", "/slow-once/"});
+        caller.sendLarge();
+    }
+}
+
+SoakCaller &SoakRun::startCaller(const std::string &name, void (SoakRun::*note)(const Outcome &outcome), bool isLinked)
+{
+    const std::vector<Http::Endpoint> routers = isLinked ? m_world.linkEndpoints() : m_world.routerEndpoints();
     m_callers.push_back(std::make_unique<SoakCaller>(
-        m_world.loop(), m_world.routerEndpoints(), name, m_world.ledger(), m_world.random(), [this, note](const Outcome &outcome) { (this->*note)(outcome); }));
+        m_world.loop(), routers, name, m_world.ledger(), m_world.random(), [this, note](const Outcome &outcome) { (this->*note)(outcome); }));
     return *m_callers.back();
 }
 
+void SoakRun::startResumers()
+{
+    for (std::size_t number = 0; number < halfOfCallers(); ++number) {
+        m_resumers.push_back(std::make_unique<ResumingCaller>(
+            m_world.loop(), m_world.routerEndpoints(), "r" + std::to_string(number), m_world.ledger(), m_world.random(), [this](const Outcome &outcome) {
+                judge(outcome);
+            }));
+    }
+}
+
 // One more for each router asks for the route that only the newest configuration has.
 void SoakRun::startProbers()
 {
@@ -85,6 +130,15 @@
     m_judge.judge(outcome, m_world.pastSince(outcome.router, outcome.path, outcome.sentAt));
 }
 
+// What a harmed link did to an answer says nothing of its router. Callers themselves check that what came is theirs.
+void SoakRun::judgeLinked(const Outcome &outcome)
+{
+    const bool isRefused = outcome.isUnanswered && m_world.hasLinkRefused(outcome.router, outcome.id);
+    if (!isRefused && !m_world.isLinkHarmedSince(outcome.router, outcome.sentAt)) {
+        judge(outcome);
+    }
+}
+
 void SoakRun::noteOutcome(const Outcome &outcome)
 {
     judge(outcome);
@@ -149,15 +203,32 @@
     if (!wait(isInForce, patience)) {
         ledger.noteBroken("recovery", "the newest configuration is not in force everywhere");
     }
+    const auto hasResumed = [this] {
+        return std::all_of(m_resumers.begin(), m_resumers.end(), [](const auto &caller) { return caller->resumed() > 0; });
+    };
+    if (!wait(hasResumed, patience)) {
+        ledger.noteBroken("recovery", "not every caller could resume a stream again");
+    }
     if (!wait([this] { return m_world.hasNewestWeightsEverywhere(); }, patience)) {
         ledger.noteBroken("recovery", "not every engine got the newest weights");
     }
 }
 
+int SoakRun::resumed() const
+{
+    int resumed = m_resumedUnderFaults;
+    for (const auto &caller : m_resumers) {
+        resumed += caller->resumed();
+    }
+    return resumed;
+}
+
 bool SoakRun::report()
 {
     const Ledger &ledger = m_world.ledger();
-    std::cout << (m_faults.isPlanned() ? "planned" : "all") << " faults, served " << ledger.served() << ", runs " << ledger.runs() << ", crashes "
+    std::cout << (m_faults.isPlanned() ? "planned" : "all") << " faults, " << (m_hasLargeBodies ? "large bodies, " : "") << "routers of "
+              << m_world.routerMegabytes() << " MB, resumed " << resumed() << ", datagrams " << m_world.datagrams().received() << ", harmed "
+              << m_world.datagrams().harmed() << ", served " << ledger.served() << ", runs " << ledger.runs() << ", crashes "
               << ledger.crashes(CrashCause::Request) << " and " << ledger.crashes(CrashCause::PromptPart) << ", configuration " << m_world.newestPath()
               << ", weights " << m_world.newestWeights() << ", given up in stops, not to be foreseen: " << m_judge.unforeseen() << ", broken "
               << ledger.broken().size() << std::endl;
--- a/tests/soak/worldsettings.cpp
+++ b/tests/soak/worldsettings.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int shortTimeoutMilliseconds = 3000;
+constexpr int portsOfHost = 16;
 constexpr int slowTimeoutMilliseconds = 15'000;
 
 json route(const std::string &prefix, const char *kind, const char *service, bool isResumable, int timeout = shortTimeoutMilliseconds)
@@ -28,9 +29,9 @@
 
 std::string hostFileText(const HostSettings &settings)
 {
-    return "nodeName: \"" + settings.name + "\"\nip: \"" + settings.ip + "\"\nzone: \"hall\"\nportRange: [7340, 7355]\nlimits:\n  memoryMb: "
-        + std::to_string(settings.memoryMegabytes) + "\nbounds:\n  graceS: " + std::to_string(settings.grace.count()) + "\n  retrySlack: 500\n" + settings.more
-        + "provider:\n  address: \"" + settings.store + "\"\n";
+    return "nodeName: \"" + settings.name + "\"\nip: \"" + settings.ip + "\"\nzone: \"hall\"\nportRange: [" + std::to_string(settings.firstPort) + ", "
+        + std::to_string(settings.firstPort + portsOfHost - 1) + "]\nlimits:\n  memoryMb: " + std::to_string(settings.memoryMegabytes) + "\nbounds:\n  graceS: "
+        + std::to_string(settings.grace.count()) + "\n  retrySlack: 500\n" + settings.more + "provider:\n  address: \"" + settings.store + "\"\n";
 }
 
 json configurationRow(int version, const std::string &newestPath)
@@ -40,6 +41,7 @@
             {route("/safe/", "idempotent", "register", false),
                 route("/once/", "non_idempotent", "register", false),
                 route("/resume/", "streaming", "reader", true),
+                route("/resume-long/", "streaming", "reader", true, slowTimeoutMilliseconds),
                 route("/slow/", "idempotent", "press", false, slowTimeoutMilliseconds),
                 route("/slow-once/", "non_idempotent", "press", false, slowTimeoutMilliseconds),
                 route("/long/", "streaming", "press", false, slowTimeoutMilliseconds),
@@ -49,13 +51,20 @@
         {"tenants", {{{"name", "dams"}, {"apiKeys", {"secret"}}, {"dedicated", false}}}}};
 }
 
-json serverRow(const std::string &service, const std::string &address, std::uint64_t weights)
+json serverRow(const std::string &service, const std::string &address, const std::string &software, std::uint64_t weights)
 {
     json models = json::array();
     if (weights != 0) {
         models.push_back({{"name", "m"}, {"version", weights}});
     }
-    return {{"service", service}, {"address", address}, {"zone", "hall"}, {"slots", 96}, {"phase", "ready"}, {"models", models}, {"sequence", 1}};
+    return {{"service", service},
+        {"address", address},
+        {"zone", "hall"},
+        {"slots", 96},
+        {"phase", "ready"},
+        {"version", software},
+        {"models", models},
+        {"sequence", 1}};
 }
 
 } // namespace Verbena::Soak
