--- /dev/null
+++ b/src/libs/http/peerwindow.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+
+namespace Verbena::EventLoop {
+class Loop;
+class Timer;
+} // namespace Verbena::EventLoop
+
+namespace Verbena::Http {
+
+/// \brief Tells a peer that reads nothing from one whose host is gone, while bytes wait for it in the kernel.
+class PeerWindow
+{
+public:
+    /// \brief Time without an acknowledgement after which the kernel ends a connection whose peer has room for what is sent.
+    static constexpr std::chrono::milliseconds hostTimeout{4000};
+
+    /// \brief Watches the connection of the socket \a descriptor, which must stay open until release().
+    PeerWindow(EventLoop::Loop &loop, int descriptor);
+    ~PeerWindow();
+
+    PeerWindow(const PeerWindow &) = delete;
+    PeerWindow &operator=(const PeerWindow &) = delete;
+
+    /// \brief Notes that the kernel has accepted \a bytes.
+    void recordSent(std::size_t bytes);
+
+    /// \brief Looks at the peer if enough was sent since it was last seen to have taken everything.
+    void watchIfMuchWasSent();
+
+    /// \brief Looks at the peer after a while.
+    void watch();
+
+    /// \brief Stops to watch, as the connection has ended.
+    void stop();
+
+    /// \brief Leaves what the kernel still holds to its own limit, as the socket is about to be closed.
+    void release();
+
+private:
+    // Bytes that the kernel has accepted and the peer's host has not acknowledged.
+    struct KernelQueue
+    {
+        std::size_t bytes = 0;
+        std::size_t unsentBytes = 0; ///< Of these, what has not been sent, as the peer's window has no room for it.
+    };
+
+    void check();
+    std::optional<KernelQueue> kernelQueue() const;
+    void setPatient(bool isPatient);
+    bool isPeerSilent() const;
+
+    EventLoop::Loop &m_loop;
+    int m_descriptor;
+    std::unique_ptr<EventLoop::Timer> m_timer; ///< Runs while the kernel holds bytes; null before the first check.
+    std::size_t m_uncheckedBytes = 0; ///< Number of bytes that the kernel has accepted since it was last seen to hold none.
+    bool m_isPatient = false; ///< Whether the peer has closed its window and has no time limit of the kernel.
+};
+
+} // namespace Verbena::Http
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -1,11 +1,11 @@
 #include "tcpchannel.h"
 
 #include "resourceshortage.h"
+#include "socketoption.h"
 
 #include <core/freetext.h>
 #include <eventloop/iowatcher.h>
 #include <eventloop/loop.h>
-#include <eventloop/timer.h>
 
 #include <algorithm>
 #include <array>
@@ -32,42 +32,22 @@
 // A body that is longer is sent from where it is kept; a shorter one is copied, so that it leaves together with its head in one call.
 constexpr std::size_t longestCopiedBody = 16 * 1024;
 
-// Time without acknowledgement after which the peer is considered gone. Callers and backend servers are a few milliseconds away, and a lost packet is
-// retransmitted several times within this time.
-constexpr unsigned userTimeoutMilliseconds = 4000;
+// Probes of an idle connection.
 constexpr int keepAliveIdleSeconds = 2;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
 
-// Interval at which a peer that does not take what is written is looked at; a few times within the time above.
-constexpr std::chrono::milliseconds windowCheckInterval{1000};
-
-// Bytes handed to the kernel after which the peer is looked at; less than this has room in any peer's window.
-constexpr std::size_t uncheckedBytesBound = 4 * 1024;
-
-// Probes of a closed window after which a host that answers none counts as silent; a single one may be lost.
-constexpr unsigned maximumUnansweredProbes = 3;
-
-// Leaves a connection whose peer has closed its window to the kernel's count of probes without an answer.
-constexpr unsigned noUserTimeout = 0;
-
 thread_local std::size_t openChannels = 0;
 
-template<typename Value>
-void setOption(int descriptor, int level, int option, const Value &value)
-{
-    // If the kernel does not support an option, only the detection of a failed host takes longer.
-    (void)setsockopt(descriptor, level, option, &value, sizeof value);
-}
-
 void setOptions(int descriptor)
 {
-    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMilliseconds);
-    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setSocketOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    // Callers and backend servers are a few milliseconds away, and a lost packet is retransmitted several times within this time.
+    setSocketOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<unsigned>(PeerWindow::hostTimeout.count()));
+    setSocketOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setSocketOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setSocketOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setSocketOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
 Core::ErrorCode connectErrorCode(int error)
@@ -88,7 +68,7 @@
         return Core::Error{connectErrorCode(errno), "http.socket", endpoint.toString(), std::strerror(errno)};
     }
     setOptions(descriptor);
-    setOption(descriptor, SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
+    setSocketOption(descriptor, SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
     const int status = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&endpoint.address), sizeof endpoint.address);
     if (status != 0 && errno != EINPROGRESS) {
         const std::string reason = std::strerror(errno);
@@ -106,11 +86,11 @@
 }
 
 TcpChannel::TcpChannel(EventLoop::Loop &loop, int descriptor, ChannelObserver &observer, bool isConnected)
-    : m_loop(loop)
-    , m_descriptor(descriptor)
+    : m_descriptor(descriptor)
     , m_observer(&observer)
     , m_watcher(std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [this](int events) { onReady(events); }))
     , m_flush(loop, [this] { flush(); })
+    , m_window(loop, descriptor)
     , m_isConnected(isConnected)
 {
     ++openChannels;
@@ -124,8 +104,7 @@
         *m_isDestroyed = true;
     }
     m_watcher.reset();
-    // The kernel goes on sending what it holds after the descriptor is closed, for as long as it would before.
-    setPatient(false);
+    m_window.release();
     close(m_descriptor);
 }
 
@@ -296,7 +275,7 @@
 
 void TcpChannel::resetOnClose()
 {
-    setOption(m_descriptor, SOL_SOCKET, SO_LINGER, linger{1, 0});
+    setSocketOption(m_descriptor, SOL_SOCKET, SO_LINGER, linger{1, 0});
 }
 
 void TcpChannel::watch()
@@ -367,78 +346,24 @@
         if (sent < 0) {
             const bool isToBeContinued = errno == EAGAIN || errno == EINTR;
             releaseSent();
-            watchWindow();
+            m_window.watch();
             return isToBeContinued;
         }
         m_hasSent = true;
-        m_uncheckedBytes += static_cast<std::size_t>(sent);
+        m_window.recordSent(static_cast<std::size_t>(sent));
         const std::size_t ofOutput = std::min(static_cast<std::size_t>(sent), m_output.size() - m_outputOffset);
         m_outputOffset += ofOutput;
         m_bodyOffset += static_cast<std::size_t>(sent) - ofOutput;
         m_observer->outputSent();
     }
     releaseSent();
-    if (m_uncheckedBytes >= uncheckedBytesBound) {
-        watchWindow();
-    }
+    m_window.watchIfMuchWasSent();
     if (m_isShuttingDown) {
         shutdown(m_descriptor, SHUT_WR);
     }
     return true;
 }
 
-void TcpChannel::watchWindow()
-{
-    if (m_windowTimer == nullptr) {
-        m_windowTimer = std::make_unique<EventLoop::Timer>(m_loop, [this] { checkWindow(); });
-    }
-    if (!m_windowTimer->isActive()) {
-        m_windowTimer->startAt(m_loop.now() + windowCheckInterval);
-    }
-}
-
-// The kernel counts the time for which a peer reads nothing as time without an acknowledgement, though the peer's host answers each probe of its window.
-void TcpChannel::checkWindow()
-{
-    const std::optional<KernelQueue> queue = m_isBroken ? std::nullopt : kernelQueue();
-    if (!queue.has_value()) {
-        return;
-    }
-    const bool isWindowClosed = queue->bytes > 0 && queue->bytes == queue->unsentBytes; // Bytes wait, and none of them are under way.
-    setPatient(isWindowClosed && !isPeerSilent());
-    if (queue->bytes > 0 || bufferedBytes() > 0) {
-        watchWindow();
-    } else {
-        m_uncheckedBytes = 0;
-    }
-}
-
-// Returns whether the peer's host has left several probes of its window unanswered in a row.
-bool TcpChannel::isPeerSilent() const
-{
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    return getsockopt(m_descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_probes >= maximumUnansweredProbes;
-}
-
-std::optional<TcpChannel::KernelQueue> TcpChannel::kernelQueue() const
-{
-    int bytes = 0;
-    int unsentBytes = 0;
-    if (ioctl(m_descriptor, SIOCOUTQ, &bytes) != 0 || ioctl(m_descriptor, SIOCOUTQNSD, &unsentBytes) != 0) {
-        return std::nullopt;
-    }
-    return KernelQueue{static_cast<std::size_t>(bytes), static_cast<std::size_t>(unsentBytes)};
-}
-
-void TcpChannel::setPatient(bool isPatient)
-{
-    if (m_isPatient != isPatient) {
-        m_isPatient = isPatient;
-        setOption(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, isPatient ? noUserTimeout : userTimeoutMilliseconds);
-    }
-}
-
 ssize_t TcpChannel::sendSome()
 {
     if (m_body == nullptr) {
@@ -502,6 +427,7 @@
     m_body.reset();
     m_bodyOffset = 0;
     updateMeter();
+    m_window.stop();
     m_watcher->stop();
     m_watchedEvents = 0;
     m_observer->receiveEnd(ChannelEnd::Broken);
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -3,13 +3,13 @@
 #include "bytemeter.h"
 #include "endpoint.h"
 #include "outgoingmessage.h"
+#include "peerwindow.h"
 
 #include <core/result.h>
 #include <eventloop/deferredcall.h>
 
 #include <cstddef>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,7 +18,6 @@
 namespace Verbena::EventLoop {
 class IoWatcher;
 class Loop;
-class Timer;
 } // namespace Verbena::EventLoop
 
 namespace Verbena::Http {
@@ -128,13 +127,6 @@
     void resetOnClose();
 
 private:
-    // Bytes that the kernel has accepted and the peer's host has not acknowledged.
-    struct KernelQueue
-    {
-        std::size_t bytes = 0;
-        std::size_t unsentBytes = 0; ///< Of these, what has not been sent, as the peer's window has no room for it.
-    };
-
     TcpChannel(EventLoop::Loop &loop, int descriptor, ChannelObserver &observer, bool isConnected);
     ssize_t peek() const;
     void onReady(int events);
@@ -150,19 +142,12 @@
     bool finishConnect();
     void readAvailable();
     void handleConnectionFailure();
-    void watchWindow();
-    void checkWindow();
-    std::optional<KernelQueue> kernelQueue() const;
-    void setPatient(bool isPatient);
-    bool isPeerSilent() const;
 
-    EventLoop::Loop &m_loop;
     int m_descriptor;
     ChannelObserver *m_observer; ///< Never null.
     std::unique_ptr<EventLoop::IoWatcher> m_watcher;
     EventLoop::DeferredCall m_flush;
-    std::unique_ptr<EventLoop::Timer> m_windowTimer; ///< Runs while the kernel holds bytes; null before the first check.
-    std::size_t m_uncheckedBytes = 0; ///< Number of bytes that the kernel has accepted since it was last seen to hold none.
+    PeerWindow m_window;
     std::string m_output;
     std::size_t m_outputOffset = 0; ///< Number of bytes at the start of m_output that the kernel has accepted.
     SharedBody m_body; ///< Follows m_output; null if nothing does.
@@ -175,7 +160,6 @@
     bool m_isBroken = false;
     bool m_hasSent = false;
     bool m_isShuttingDown = false;
-    bool m_isPatient = false; ///< Whether the peer has closed its window and has no time limit of the kernel.
     int m_watchedEvents = 0;
     bool *m_isDestroyed = nullptr; ///< Points to a flag for the destructor while onReady() runs; otherwise null.
 };
