Notice hosts that are gone behind a closed window

Without a user timeout the kernel probes a closed window ever more rarely, up to every two minutes, and three probes without an answer took minutes. And a peer that read a little between two pauses was cut: the kernel goes on counting from the first time the window closed, while the timeout had been set back to 4 s.

The timeout is now extended by 8 s from each check at which the host was there, which also makes the kernel probe at least that often; two probes without an answer and 11 s of silence end it. A host with room in its window that acknowledges nothing counts as gone after 4 s as before.

--- a/src/libs/http/peerwindow.cpp
+++ b/src/libs/http/peerwindow.cpp
@@ -20,11 +20,14 @@
 // Less than this has room in any peer's window.
 constexpr std::size_t uncheckedBytesBound = 4 * 1024;
 
-// Probes of a closed window after which a host that answers none counts as silent; a single one may be lost.
-constexpr unsigned maximumUnansweredProbes = 3;
+// Time for which the kernel waits for an answer to a probe of a closed window, also while this process stands still for a moment; it probes at least as often.
+constexpr std::chrono::milliseconds probeTimeout{8000};
 
-// Leaves a connection whose peer has closed its window to the kernel's count of probes without an answer.
-constexpr unsigned noUserTimeout = 0;
+// Probes in a row after which a host that answers none counts as silent; a single one may be lost.
+constexpr unsigned maximumUnansweredProbes = 2;
+
+// Time that has to pass without an acknowledgement besides: a probe, its answer and two checks.
+constexpr std::chrono::milliseconds silenceBound = probeTimeout + 3 * checkInterval;
 
 } // namespace
 
@@ -63,34 +66,42 @@
     m_timer.reset();
 }
 
-// The kernel goes on sending what it holds after the descriptor is closed, for as long as it would before.
-void PeerWindow::release()
-{
-    setPatient(false);
-}
-
-// The kernel counts the time for which a peer reads nothing as time without an acknowledgement, though the peer's host answers each probe of its window.
 void PeerWindow::check()
 {
     const std::optional<KernelQueue> queue = kernelQueue();
     if (!queue.has_value()) {
         return;
     }
-    const bool isClosed = queue->bytes > 0 && queue->bytes == queue->unsentBytes; // Bytes wait, and none of them are under way.
-    setPatient(isClosed && !isPeerSilent());
-    if (queue->bytes > 0) {
-        watch();
-    } else {
+    if (queue->bytes == 0) {
         m_uncheckedBytes = 0;
+        m_closedSince.reset();
+        setTimeout(hostTimeout);
+        return;
     }
+    const bool isClosed = queue->bytes == queue->unsentBytes; // Bytes wait, and none of them are under way.
+    if (isClosed && !m_closedSince.has_value()) {
+        m_closedSince = m_loop.now() - checkInterval;
+    }
+    setTimeout(m_closedSince.has_value() && isHostThere(isClosed) ? extendedTimeout() : hostTimeout);
+    watch();
 }
 
-// Returns whether the peer's host has left several probes of its window unanswered in a row.
-bool PeerWindow::isPeerSilent() const
+// The kernel counts from the time at which the window closed, whether the peer's host answers the probes or not, and would probe ever more rarely without a
+// timeout. It may go on counting after the peer has read a little, so that only an empty queue begins anew.
+std::chrono::milliseconds PeerWindow::extendedTimeout() const
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(m_loop.now() - *m_closedSince) + probeTimeout;
+}
+
+bool PeerWindow::isHostThere(bool isClosed) const
 {
     tcp_info info{};
     socklen_t size = sizeof info;
-    return getsockopt(m_descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_probes >= maximumUnansweredProbes;
+    if (getsockopt(m_descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return false;
+    }
+    const std::chrono::milliseconds silence(info.tcpi_last_ack_recv);
+    return isClosed ? info.tcpi_probes < maximumUnansweredProbes || silence <= silenceBound : silence <= hostTimeout;
 }
 
 std::optional<PeerWindow::KernelQueue> PeerWindow::kernelQueue() const
@@ -103,11 +114,11 @@
     return KernelQueue{static_cast<std::size_t>(bytes), static_cast<std::size_t>(unsentBytes)};
 }
 
-void PeerWindow::setPatient(bool isPatient)
+void PeerWindow::setTimeout(std::chrono::milliseconds timeout)
 {
-    if (m_isPatient != isPatient) {
-        m_isPatient = isPatient;
-        setSocketOption(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, isPatient ? noUserTimeout : static_cast<unsigned>(hostTimeout.count()));
+    if (timeout != m_timeout) {
+        m_timeout = timeout;
+        setSocketOption(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<unsigned>(timeout.count()));
     }
 }
 
--- a/src/libs/http/peerwindow.h
+++ b/src/libs/http/peerwindow.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <core/time.h>
+
 #include <chrono>
 #include <cstddef>
 #include <memory>
@@ -19,7 +21,7 @@
     /// \brief Time without an acknowledgement after which the kernel ends a connection whose peer has room for what is sent.
     static constexpr std::chrono::milliseconds hostTimeout{4000};
 
-    /// \brief Watches the connection of the socket \a descriptor, which must stay open until release().
+    /// \brief Watches the connection of the socket \a descriptor, which must outlive it.
     PeerWindow(EventLoop::Loop &loop, int descriptor);
     ~PeerWindow();
 
@@ -38,9 +40,6 @@
     /// \brief Stops to watch, as the connection has ended.
     void stop();
 
-    /// \brief Leaves what the kernel still holds to its own limit, as the socket is about to be closed.
-    void release();
-
 private:
     // Bytes that the kernel has accepted and the peer's host has not acknowledged.
     struct KernelQueue
@@ -51,14 +50,16 @@
 
     void check();
     std::optional<KernelQueue> kernelQueue() const;
-    void setPatient(bool isPatient);
-    bool isPeerSilent() const;
+    bool isHostThere(bool isClosed) const;
+    std::chrono::milliseconds extendedTimeout() const;
+    void setTimeout(std::chrono::milliseconds timeout);
 
     EventLoop::Loop &m_loop;
     int m_descriptor;
     std::unique_ptr<EventLoop::Timer> m_timer; ///< Runs while the kernel holds bytes; null before the first check.
     std::size_t m_uncheckedBytes = 0; ///< Number of bytes that the kernel has accepted since it was last seen to hold none.
-    bool m_isPatient = false; ///< Whether the peer has closed its window and has no time limit of the kernel.
+    std::optional<Core::TimePoint> m_closedSince; ///< When the window closed at the earliest; none if it has not since the kernel held nothing.
+    std::chrono::milliseconds m_timeout = hostTimeout; ///< Time for which the kernel waits for an acknowledgement.
 };
 
 } // namespace Verbena::Http
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -104,7 +104,7 @@
         *m_isDestroyed = true;
     }
     m_watcher.reset();
-    m_window.release();
+    m_window.stop();
     close(m_descriptor);
 }
 
