Refuse before the body what is refused whatever its body is

Callers that sent Expect: 100-continue with an unknown key, for a path without a route or to a router over its limit of connections were asked for the body, and refused when they had sent it. They now get the final answer, and the connection is closed, as nobody can tell whether the body follows.

CallerFormsTest.callerWithAnUnknownKeyIsAskedForItsBody got 100 Continue when RelayTask::isRefused() was switched off.

--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -233,7 +233,9 @@
         answerRequest();
         return;
     }
-    inviteBody();
+    if (isInvitationAwaited() && !inviteBody()) {
+        return;
+    }
     // The time limit covers the whole head, but restarts with each part of the body.
     if (isFirst || m_reader.isHeadDone() || wasHeadDone) {
         m_isTimeoutPostponed = false;
@@ -372,19 +374,31 @@
         answerRequest();
         return;
     }
-    inviteBody();
+    if (isInvitationAwaited() && !inviteBody()) {
+        return;
+    }
     m_timer.startAt(m_loop.now() + m_owner.limits().headerTimeout);
 }
 
 // A caller that asks first gets its answer as soon as there is room for its body (RFC 9110, 10.1.1). One that has sent a part of it waits for none.
-void CallerConnection::inviteBody()
+bool CallerConnection::isInvitationAwaited() const
 {
     const std::string *expectation = m_reader.isHeadDone() ? m_head.field("Expect") : nullptr;
     const bool isAsked = expectation != nullptr && Http::isSameFieldName(*expectation, "100-continue") && m_head.isVersion11;
-    if (isAsked && m_body.empty() && !m_isBodyInvited) {
-        m_isBodyInvited = true;
-        send("HTTP/1.1 100 Continue\r\n\r\n");
+    return isAsked && m_body.empty() && !m_isBodyInvited;
+}
+
+// Returns false if the request is refused: its body would be sent for nothing. Nobody can tell whether it follows nevertheless, so the connection is closed.
+bool CallerConnection::inviteBody()
+{
+    if (m_isOverDescriptorLimit || m_owner.isRefused(m_head)) {
+        m_isClosing = true;
+        answerRequest();
+        return false;
     }
+    m_isBodyInvited = true;
+    send("HTTP/1.1 100 Continue\r\n\r\n");
+    return true;
 }
 
 void CallerConnection::refuseForMemory()
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -27,6 +27,9 @@
     /// \brief Creates the handler of a complete request; its answer goes to \a sink.
     virtual std::unique_ptr<RelayedRequest> beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink) = 0;
 
+    /// \brief Returns whether a request with \a head would be refused if it began now, whatever its body is.
+    virtual bool isRefused(const Http::MessageHead &head) const = 0;
+
     /// \brief Returns the limits for this caller's requests.
     virtual Decisions::RelayLimits limits() const = 0;
 
@@ -144,7 +147,8 @@
     void send(std::string_view data);
     void updateClosing();
     std::string headText(int status, const std::vector<Http::HttpField> &fields) const;
-    void inviteBody();
+    bool isInvitationAwaited() const;
+    bool inviteBody();
     void finishExchange();
     void linger();
     void handleTimeout();
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -438,7 +438,17 @@
 std::unique_ptr<RelayedRequest> RelayTask::beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink)
 {
     recordActivity();
-    return std::make_unique<RelayedRequest>(m_context, m_shutdown.isServingRequests() ? m_directory : nullptr, std::move(head), std::move(body), sink);
+    return std::make_unique<RelayedRequest>(m_context, servedDirectory(), std::move(head), std::move(body), sink);
+}
+
+bool RelayTask::isRefused(const Http::MessageHead &head) const
+{
+    return admitRequest(m_protocol, servedDirectory().get(), head, m_loop.now()).refusal.has_value();
+}
+
+std::shared_ptr<const Decisions::RelayDirectory> RelayTask::servedDirectory() const
+{
+    return m_shutdown.isServingRequests() ? m_directory : nullptr;
 }
 
 Decisions::RelayLimits RelayTask::limits() const
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -140,6 +140,8 @@
 private:
     RelayTask(EventLoop::Loop &loop, const RelaySettings &settings, const RelayProtocol &protocol);
     std::unique_ptr<RelayedRequest> beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink) override;
+    bool isRefused(const Http::MessageHead &head) const override;
+    std::shared_ptr<const Decisions::RelayDirectory> servedDirectory() const;
     Decisions::RelayLimits limits() const override;
     bool isDraining() const override;
     std::vector<Http::HttpField> refusalFields(const Refusal &refusal, const Http::MessageHead &head) const override;
--- a/tests/auto/relay/tst_callerforms.cpp
+++ b/tests/auto/relay/tst_callerforms.cpp
@@ -88,6 +88,34 @@
     EXPECT_TRUE(call(head, "\r\n\r\n").starts_with("HTTP/1.1 413"));
 }
 
+// Callers sent long bodies for which they could only be refused.
+TEST_F(CallerFormsTest, callerWithAnUnknownKeyIsAskedForItsBody)
+{
+    startEcho();
+    const std::string line = "POST /safe/ HTTP/1.1\r\nHost: x\r\nId: a1\r\n";
+    const std::string rest = "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n";
+    const std::string denied = call(line + "Key: none\r\n" + rest, "\r\n\r\n");
+    EXPECT_TRUE(denied.starts_with("HTTP/1.1 401")) << denied;
+    EXPECT_TRUE(contains(denied, "\r\nConnection: close\r\n")) << denied;
+    EXPECT_TRUE(call("POST /none HTTP/1.1\r\nHost: x\r\nId: a1\r\nKey: k\r\n" + rest, "\r\n\r\n").starts_with("HTTP/1.1 404"));
+    EXPECT_EQ(runs(), 0U);
+}
+
+// What follows nevertheless is no request of its own.
+TEST_F(CallerFormsTest, answersOnceACallerThatSendsABodyAfterItsRefusal)
+{
+    startEcho();
+    const auto client = caller();
+    const std::string smuggled = request("/safe/", "", "body");
+    const std::string length = std::to_string(smuggled.size());
+    client->send("POST /safe/ HTTP/1.1\r\nHost: x\r\nId: a1\r\nKey: none\r\nExpect: 100-continue\r\nContent-Length: " + length + "\r\n\r\n");
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(client->received(), "HTTP/1.1 401"); }));
+    client->send(smuggled);
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return client->isClosed(); }));
+    EXPECT_FALSE(contains(client->received(), "HTTP/1.1 200")) << client->received();
+    EXPECT_EQ(runs(), 0U);
+}
+
 TEST_F(CallerFormsTest, requestInAbsoluteFormIsRefused)
 {
     startEcho();
