Count the time of callers from what they have read

Two limits counted from the moment at which the system held the whole answer. An answer that closes its connection was cut 1.5 s after it, however long its caller may take to read (idleTimeoutMs); and the idle timeout had begun for a caller that was still reading, so that its next request, sent within the time that Keep-Alive announces, met a closed connection.

The end of an answer now counts as under way until the caller's host has it, looked at four times a second; a caller that reads nothing is given up after the idle timeout as before.

--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -18,9 +18,15 @@
 // Bodies of the largest size that are read and dropped after an answer; one that is refused may be larger.
 constexpr std::uint64_t refusedBodies = 4;
 
-// Time that a caller has to read the last answer and close the connection.
+// Time that a caller has to close the connection when it has the last answer.
 constexpr std::chrono::milliseconds lingerTime{1500};
 
+// Interval at which a caller is looked at that has not read the whole of an answer that has ended.
+constexpr std::chrono::milliseconds deliveryCheckInterval{250};
+
+// The end of an answer that any caller's host takes at once, whether the caller reads or not.
+constexpr std::size_t promptBytes = 4 * 1024;
+
 // Part of its size by which the room for a body of unknown size grows when it is full.
 constexpr std::size_t bodyGrowthDivisor = 4;
 
@@ -118,7 +124,7 @@
 
 bool CallerConnection::isBusy() const
 {
-    return m_state != State::Reading || m_reader.hasBegun() || unsentBytes() > 0;
+    return m_state != State::Reading || m_reader.hasBegun() || m_isDelivering || unsentBytes() > 0;
 }
 
 Core::TimePoint CallerConnection::idleSince() const
@@ -223,7 +229,9 @@
     }
     // Empty lines before a request begin none.
     if (!m_reader.hasBegun()) {
-        m_timer.startAt(m_idleDeadline);
+        if (!m_isDelivering) {
+            m_timer.startAt(m_idleDeadline);
+        }
         return;
     }
     if (!reserveOrWait()) {
@@ -312,6 +320,7 @@
         return;
     }
     m_state = State::Answering;
+    m_isDelivering = false;
     m_timer.stop();
     m_isVersion11 = m_head.isVersion11;
     m_isHead = m_head.method == "HEAD";
@@ -410,6 +419,7 @@
 void CallerConnection::refuse(const Refusal &refusal, const Http::MessageHead &head)
 {
     m_state = State::Answering;
+    m_isDelivering = false;
     m_isClosing = true;
     m_isHead = head.method == "HEAD";
     Core::freeText(m_body);
@@ -560,7 +570,28 @@
     (void)m_reader.next();
     // A caller that sends requests and does not read the answers gets no further ones.
     m_channel->setReading(!isFull());
-    m_idleDeadline = m_idleSince + std::max(m_answerLimits.idleTimeout, m_owner.limits().idleTimeout);
+    awaitDelivery();
+}
+
+// The system may hold the end of an answer for long, and what is promised to a caller counts from the moment at which it has the answer.
+void CallerConnection::awaitDelivery()
+{
+    updateLastRead();
+    m_isDelivering = m_unacknowledgedBytes.value_or(0) > promptBytes;
+    if (m_isDelivering) {
+        m_timer.startAt(m_loop.now() + deliveryCheckInterval);
+    } else {
+        awaitCaller();
+    }
+}
+
+void CallerConnection::awaitCaller()
+{
+    if (m_state == State::Lingering) {
+        m_timer.startAt(m_loop.now() + lingerTime);
+        return;
+    }
+    m_idleDeadline = m_loop.now() + std::max(m_answerLimits.idleTimeout, m_owner.limits().idleTimeout);
     m_timer.startAt(m_idleDeadline);
 }
 
@@ -569,7 +600,7 @@
     m_state = State::Lingering;
     m_channel->shutdownOutput();
     resumeReading();
-    m_timer.startAt(m_loop.now() + lingerTime);
+    awaitDelivery();
 }
 
 // An answer that is ready is delivered as long as its caller reads.
@@ -593,9 +624,16 @@
         return;
     }
     updateLastRead();
-    const Core::TimePoint readDeadline = m_lastReadAt + (m_state == State::Lingering ? lingerTime : m_owner.limits().idleTimeout);
-    if (unsentBytes() > 0 && m_loop.now() < readDeadline) {
-        m_timer.startAt(readDeadline);
+    if (m_isDelivering && m_unacknowledgedBytes == 0U) {
+        m_isDelivering = false;
+        awaitCaller();
+        return;
+    }
+    const Core::TimePoint now = m_loop.now();
+    const Core::TimePoint readDeadline = m_lastReadAt + m_owner.limits().idleTimeout;
+    const bool isBeingRead = m_isDelivering || m_state == State::Answering;
+    if (isBeingRead && now < readDeadline) {
+        m_timer.startAt(m_isDelivering ? std::min(readDeadline, now + deliveryCheckInterval) : readDeadline);
         return;
     }
     markIncomplete();
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -150,6 +150,8 @@
     bool isInvitationAwaited() const;
     bool inviteBody();
     void finishExchange();
+    void awaitDelivery();
+    void awaitCaller();
     void linger();
     void handleTimeout();
 
@@ -173,6 +175,7 @@
     Core::TimePoint m_lastReadAt;
     std::optional<std::size_t> m_unacknowledgedBytes; ///< At the last updateLastRead().
     bool m_isTimeoutPostponed = false; ///< Whether the time limit has passed and was postponed once to read what had arrived.
+    bool m_isDelivering = false; ///< Whether the last answer has ended, and its caller had not read it whole when it was last looked at.
     bool m_isBodyInvited = false; ///< Whether the caller was told to send the body that it holds back.
     bool m_isOverDescriptorLimit = false; ///< Whether the caller's request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
--- a/tests/auto/relay/tst_callerforms.cpp
+++ b/tests/auto/relay/tst_callerforms.cpp
@@ -17,6 +17,9 @@
 // More than what the system holds for a caller that does not read, on its side and on the router's.
 constexpr std::size_t longAnswerBytes = 12'000'000;
 
+// More than what the system holds for such a caller, and less than what is held before the backend server has to wait.
+constexpr std::size_t answerEndBytes = 300'000;
+
 // Longer than the time without an acknowledgement after which a caller's host counts as gone, and shorter than the idle timeout.
 constexpr std::chrono::milliseconds readingPause{6000};
 
@@ -37,6 +40,30 @@
         EXPECT_TRUE(m_relay->setConfiguration(std::move(declared)));
     }
 
+    // Starts a backend server whose answers have as many bytes as the request asks for.
+    void startAnswering(std::chrono::milliseconds idleTimeout)
+    {
+        start([](const auto &head, const auto &body) { return WorkerScript{answer(head, std::string(std::stoul(body), 'x'))}; });
+        auto declared = configuration(2);
+        declared.limits.idleTimeout = idleTimeout;
+        EXPECT_TRUE(m_relay->setConfiguration(std::move(declared)));
+    }
+
+    // Returns a caller that reads nothing of the answer that it has asked for.
+    std::unique_ptr<CallerFake> pausingCaller(std::size_t bytes, const std::string &fields = "")
+    {
+        auto client = CallerFake::createSlow(*m_loop, m_relay->endpoint());
+        const std::size_t before = runs();
+        client->send(request("/safe/", fields, std::to_string(bytes)));
+        EXPECT_TRUE(runUntil(*m_loop, [&] { return runs() == before + 1; }));
+        return client;
+    }
+
+    static std::size_t answerBytes(const CallerFake &client)
+    {
+        return static_cast<std::size_t>(std::count(client.received().begin(), client.received().end(), 'x'));
+    }
+
     static std::string expecting(const std::string &version)
     {
         return "POST /safe/ " + version + "\r\nHost: x\r\nId: a1\r\nKey: k\r\nExpect: 100-Continue\r\nContent-Length: 4\r\n\r\n";
@@ -204,33 +231,55 @@
 // An answer was cut after four seconds in which its caller read nothing, though the caller's host was there all the time.
 TEST_F(CallerFormsTest, answerIsCutWhileItsCallerPauses)
 {
-    const std::string body(longAnswerBytes, 'x');
-    start([&body](const auto &head, const auto &) { return WorkerScript{answer(head, body)}; });
-    const auto client = CallerFake::createSlow(*m_loop, m_relay->endpoint());
-    client->send(request("/safe/"));
-    ASSERT_TRUE(runUntil(*m_loop, [&] { return runs() == 1; }));
+    startAnswering(15s);
+    const auto client = pausingCaller(longAnswerBytes);
     runFor(readingPause);
     client->read();
     ASSERT_TRUE(runUntil(*m_loop, [&] { return client->isClosed() || client->received().size() > longAnswerBytes; }));
-    EXPECT_EQ(static_cast<std::size_t>(std::count(client->received().begin(), client->received().end(), 'x')), longAnswerBytes);
+    EXPECT_EQ(answerBytes(*client), longAnswerBytes);
 }
 
-// A caller that never reads again does not hold its connection for ever.
+// The end of an answer that closes its connection was cut after a second and a half, though its caller had ten times as long to read it.
+TEST_F(CallerFormsTest, closingAnswerIsCutWhileItsCallerPauses)
+{
+    startAnswering(15s);
+    const auto client = pausingCaller(answerEndBytes, "Connection: close\r\n");
+    runFor(readingPause);
+    client->read();
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return client->isClosed(); }));
+    EXPECT_EQ(answerBytes(*client), answerEndBytes);
+}
+
+// The idle timeout began when the system held the whole answer, so that a caller that had just read it met a closing connection.
+TEST_F(CallerFormsTest, connectionCountsAsIdleWhileItsCallerReads)
+{
+    startAnswering(2500ms);
+    const auto client = pausingCaller(answerEndBytes);
+    runFor(1500ms);
+    client->read();
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return client->isClosed() || client->received().size() > answerEndBytes; }));
+    EXPECT_TRUE(contains(client->received(), "\r\nKeep-Alive: timeout=2\r\n"));
+    runFor(1800ms);
+    client->send(request("/safe/", "", "1"));
+    EXPECT_TRUE(runUntil(*m_loop, [&] { return client->isClosed() || runs() == 2; }));
+    EXPECT_EQ(runs(), 2U);
+}
+
+// A caller that never reads again holds neither its connection nor memory for ever.
 TEST_F(CallerFormsTest, endsAnswersThatNobodyReads)
 {
-    const std::string body(longAnswerBytes, 'x');
-    start([&body](const auto &head, const auto &) { return WorkerScript{answer(head, body)}; });
-    auto declared = configuration(2);
-    declared.limits.idleTimeout = 1500ms;
-    EXPECT_TRUE(m_relay->setConfiguration(std::move(declared)));
-    const std::size_t openBefore = Http::TcpChannel::openCount();
-    const auto client = CallerFake::createSlow(*m_loop, m_relay->endpoint());
-    client->send(request("/safe/"));
-    ASSERT_TRUE(runUntil(*m_loop, [&] { return runs() == 1; }));
-    const Core::TimePoint begin = m_loop->now();
-    // What is left is the caller's own end.
-    EXPECT_TRUE(runUntil(*m_loop, [&] { return Http::TcpChannel::openCount() == openBefore + 1; }));
-    EXPECT_LT(m_loop->now() - begin, 5s);
+    startAnswering(1500ms);
+    for (const std::size_t bytes : {longAnswerBytes, answerEndBytes}) {
+        for (const char *fields : {"", "Connection: close\r\n"}) {
+            const std::size_t openBefore = Http::TcpChannel::openCount();
+            const auto client = pausingCaller(bytes, fields);
+            const Core::TimePoint begin = m_loop->now();
+            // What is left is the caller's own end.
+            EXPECT_TRUE(runUntil(*m_loop, [openBefore] { return Http::TcpChannel::openCount() <= openBefore + 1; }));
+            EXPECT_LT(m_loop->now() - begin, 5s) << bytes << ' ' << fields;
+            EXPECT_EQ(static_cast<ConnectionOwner &>(*m_relay).memory().budget().held(), 0U) << bytes << ' ' << fields;
+        }
+    }
 }
 
 } // namespace Verbena::Relay
