Bring our own interface to the habits of callers

Requests in absolute form had the scheme in their path, so that no page was found, and no answer said for how long an idle connection lives. Both as in the relay now. Expect: 100-continue and empty lines around requests held already; tests keep them.

--- a/src/libs/http/httpexchange.cpp
+++ b/src/libs/http/httpexchange.cpp
@@ -1,6 +1,7 @@
 #include "httpexchange.h"
 
 #include "httpserver.h"
+#include "idletimeout.h"
 
 #include <eventloop/iowatcher.h>
 
@@ -18,6 +19,8 @@
 // Number of sent bytes at the front of the output buffer at which they are erased.
 constexpr std::size_t compactionBytes = 64 * 1024;
 
+constexpr const char *keepAliveField = "Keep-Alive";
+
 bool hasHungUp(int descriptor)
 {
     pollfd entry{descriptor, POLLRDHUP, 0};
@@ -172,15 +175,27 @@
     for (const HttpField &field : m_fields) {
         MHD_add_response_header(response, field.name.c_str(), field.value.c_str());
     }
-    if (m_isClosing) {
-        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
-    }
+    announceEnd(response);
     m_isQueued = true;
     const int queued = MHD_queue_response(m_connection, static_cast<unsigned>(m_status), response);
     MHD_destroy_response(response);
     return queued;
 }
 
+// A caller that is not told how long an idle connection lives sends its next request while the connection is closed, and cannot know whether it has run.
+void HttpExchange::announceEnd(MHD_Response *response) const
+{
+    const auto idleTimeout = announcedIdleTimeout(m_server->m_options.idleTimeout);
+    if (m_isClosing || !idleTimeout.has_value()) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+        return;
+    }
+    if (m_isKeptByCaller) {
+        const std::string parameter = "timeout=" + std::to_string(idleTimeout->count());
+        MHD_add_response_header(response, keepAliveField, parameter.c_str());
+    }
+}
+
 long HttpExchange::readStream(char *buffer, std::size_t size)
 {
     const std::size_t count = std::min(size, bufferedBytes());
--- a/src/libs/http/httpexchange.h
+++ b/src/libs/http/httpexchange.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 struct MHD_Connection;
+struct MHD_Response;
 
 namespace Verbena::EventLoop {
 class IoWatcher;
@@ -80,6 +81,7 @@
     explicit HttpExchange(HttpServer *server);
     void wake();
     int queueResponse();
+    void announceEnd(MHD_Response *response) const;
     long readStream(char *buffer, std::size_t size);
     void suspend();
     void watchForHangUp();
@@ -95,6 +97,7 @@
     std::size_t m_receivedBytes = 0;
     bool m_isQueued = false;
     bool m_isClosing = false;
+    bool m_isKeptByCaller = false; ///< Whether the caller may send further requests on its connection.
     std::string m_method;
     std::string m_path;
     std::string m_body;
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -1,5 +1,8 @@
 #include "httpserver.h"
 
+#include "fieldtext.h"
+#include "requesttarget.h"
+
 #include <eventloop/loop.h>
 
 #include <microhttpd.h>
@@ -21,6 +24,16 @@
 // Bounds the loop, as a server at its limit of connections accepts none; each run accepts several of those that wait.
 constexpr int maximumRunsToAccept = 200;
 
+// Returns the path of a request whose target may be in absolute form.
+std::string pathOf(const std::string &target)
+{
+    MessageHead head;
+    head.target = target;
+    head.fields = {{MHD_HTTP_HEADER_HOST, ""}};
+    useOriginForm(head);
+    return head.target;
+}
+
 } // namespace
 
 // Callbacks of libmicrohttpd, which are plain functions; their context arguments are the server and the exchange.
@@ -29,14 +42,15 @@
     using Handle = std::shared_ptr<HttpExchange>;
 
     static MHD_Result onAccess(
-        void *context, MHD_Connection *connection, const char *url, const char *method, const char *, const char *data, std::size_t *size, void **slot)
+        void *context, MHD_Connection *connection, const char *url, const char *method, const char *version, const char *data, std::size_t *size, void **slot)
     {
         auto *server = static_cast<HttpServer *>(context);
         if (*slot == nullptr) {
             auto *created = new Handle(new HttpExchange(server));
             (*created)->m_connection = connection;
             (*created)->m_method = method;
-            (*created)->m_path = url;
+            (*created)->m_path = pathOf(url);
+            (*created)->m_isKeptByCaller = std::string_view(version) == MHD_HTTP_VERSION_1_1 && !asksForEnd(**created);
             *slot = created;
             return refuseAnnouncedBody(*server, **created);
         }
@@ -53,6 +67,14 @@
         return answerOrWait(*exchange);
     }
 
+    static bool asksForEnd(const HttpExchange &exchange)
+    {
+        const std::string options = exchange.header(MHD_HTTP_HEADER_CONNECTION).value_or("");
+        bool isClosing = false;
+        forEachItem(options, [&isClosing](std::string_view option) { isClosing = isClosing || isSameFieldName(option, "close"); });
+        return isClosing;
+    }
+
     // Answers a request whose Content-Length is too large before its body is sent.
     static MHD_Result refuseAnnouncedBody(HttpServer &server, HttpExchange &exchange)
     {
--- a/tests/auto/http/tst_httpserver.cpp
+++ b/tests/auto/http/tst_httpserver.cpp
@@ -176,6 +176,58 @@
     EXPECT_TRUE(readAnswer(chunked, "body_too_large").starts_with("HTTP/1.1 413"));
 }
 
+// Callers sent their next request while their connection was being closed, as nothing had told them for how long it lives.
+TEST_F(HttpServerTest, idleTimeoutIsAnnouncedByNothing)
+{
+    const RawConnection kept(m_server->port());
+    kept.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_NE(readAnswer(kept, "fine").find("\r\nKeep-Alive: timeout=59\r\n"), std::string::npos);
+    const RawConnection closing(m_server->port());
+    closing.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    EXPECT_EQ(readAnswer(closing, "fine").find("\r\nKeep-Alive:"), std::string::npos);
+    const RawConnection older(m_server->port());
+    older.send("GET / HTTP/1.0\r\n\r\n");
+    EXPECT_EQ(readAnswer(older, "fine").find("\r\nKeep-Alive:"), std::string::npos);
+}
+
+// The path was taken to begin with the scheme, so that no page was found.
+TEST_F(HttpServerTest, requestInAbsoluteFormHasAnotherPath)
+{
+    m_handle = [](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->respond(200, {}, exchange->path() + ' ' + exchange->queryArgument("b").value_or("none") + " fine");
+    };
+    const RawConnection connection(m_server->port());
+    connection.send("GET http://x:8080/a?b=c HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(readAnswer(connection, "fine").ends_with("\r\n\r\n/a c fine"));
+    connection.send("GET http://x HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(readAnswer(connection, "fine").ends_with("\r\n\r\n/ none fine"));
+}
+
+TEST_F(HttpServerTest, asksCallersForTheBodyThatTheyHoldBack)
+{
+    m_handle = [](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->respond(200, {}, exchange->body());
+    };
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: ";
+    const RawConnection connection(m_server->port());
+    connection.send(head + "4\r\n\r\n");
+    EXPECT_EQ(readAnswer(connection, "\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+    connection.send("body");
+    EXPECT_TRUE(readAnswer(connection, "body").starts_with("HTTP/1.1 200"));
+    const RawConnection tooLong(m_server->port());
+    tooLong.send(head + "101\r\n\r\n");
+    EXPECT_TRUE(readAnswer(tooLong, "body_too_large").starts_with("HTTP/1.1 413"));
+}
+
+TEST_F(HttpServerTest, skipsEmptyLinesAroundRequests)
+{
+    const RawConnection connection(m_server->port());
+    for (int number = 0; number < 2; ++number) {
+        connection.send("\r\nPOST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody\r\n");
+        EXPECT_TRUE(readAnswer(connection, "fine").starts_with("HTTP/1.1 200"));
+    }
+}
+
 TEST_F(HttpServerTest, canBeDestroyedWhileCallersWait)
 {
     const RawConnection connection(m_server->port());
