Give what a caller's connection announces and drops to classes

AnswerHead writes heads, BodyInvitation asks for bodies, DroppedBytes counts what belongs to no request and AnswerDelivery follows how far answers are read. No change of behaviour.

--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -15,18 +15,12 @@
 
 namespace {
 
-// Bodies of the largest size that are read and dropped after an answer; one that is refused may be larger.
-constexpr std::uint64_t refusedBodies = 4;
-
 // Time that a caller has to close the connection when it has the last answer.
 constexpr std::chrono::milliseconds lingerTime{1500};
 
 // Interval at which a caller is looked at that has not read the whole of an answer that has ended.
 constexpr std::chrono::milliseconds deliveryCheckInterval{250};
 
-// The end of an answer that any caller's host takes at once, whether the caller reads or not.
-constexpr std::size_t promptBytes = 4 * 1024;
-
 // Part of its size by which the room for a body of unknown size grows when it is full.
 constexpr std::size_t bodyGrowthDivisor = 4;
 
@@ -39,36 +33,6 @@
 // Time that a caller has from the accept of its connection until its first request arrives before the connection counts as idle: several round trips.
 constexpr std::chrono::milliseconds firstRequestTime{500};
 
-const char *reasonPhrase(int status)
-{
-    switch (status) {
-    case 200:
-        return "OK";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Content Too Large";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 500:
-        return "Internal Server Error";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
-}
-
 void appendChunk(std::string &text, std::string_view data)
 {
     std::array<char, 16> size{};
@@ -124,7 +88,7 @@
 
 bool CallerConnection::isBusy() const
 {
-    return m_state != State::Reading || m_reader.hasBegun() || m_isDelivering || unsentBytes() > 0;
+    return m_state != State::Reading || m_reader.hasBegun() || m_delivery.isPending() || unsentBytes() > 0;
 }
 
 Core::TimePoint CallerConnection::idleSince() const
@@ -144,17 +108,12 @@
 
 Core::TimePoint CallerConnection::lastReadAt() const
 {
-    return m_lastReadAt;
+    return m_delivery.lastReadAt();
 }
 
-// The system has room for new bytes only now and then, while a caller reads all the time; what it has not acknowledged tells more.
 void CallerConnection::updateLastRead()
 {
-    const std::size_t unacknowledged = m_channel->unacknowledgedBytes();
-    if (m_unacknowledgedBytes.has_value() && unacknowledged < *m_unacknowledgedBytes) {
-        m_lastReadAt = m_loop.now();
-    }
-    m_unacknowledgedBytes = unacknowledged;
+    m_delivery.recordUnacknowledged(m_channel->unacknowledgedBytes(), m_loop.now());
 }
 
 void CallerConnection::cutOff()
@@ -229,7 +188,7 @@
     }
     // Empty lines before a request begin none.
     if (!m_reader.hasBegun()) {
-        if (!m_isDelivering) {
+        if (!m_delivery.isPending()) {
             m_timer.startAt(m_idleDeadline);
         }
         return;
@@ -241,7 +200,7 @@
         answerRequest();
         return;
     }
-    if (isInvitationAwaited() && !inviteBody()) {
+    if (!inviteBody()) {
         return;
     }
     // The time limit covers the whole head, but restarts with each part of the body.
@@ -255,20 +214,15 @@
 void CallerConnection::drop(std::size_t bytes)
 {
     m_isClosing = true;
-    m_droppedBytes += bytes;
+    m_dropped.add(bytes);
     if (mayTakeNoMore()) {
         m_channel->setReading(false);
     }
 }
 
-// Beside an answer, one more request: the rest stays with the caller. After it, bodies that were refused for their size, as a caller that has to send on before
-// it reads would find a reset in place of its answer.
 bool CallerConnection::mayTakeNoMore() const
 {
-    const Decisions::RelayLimits limits = m_owner.limits();
-    const std::uint64_t bodies = m_state == State::Lingering ? refusedBodies : 1;
-    const std::uint64_t dropped = m_droppedBytes - std::min<std::uint64_t>(m_droppedBytes, limits.headerBytes);
-    return dropped / bodies > limits.bodyBytes;
+    return m_dropped.isEnough(m_owner.limits(), m_state == State::Lingering);
 }
 
 void CallerConnection::resumeReading()
@@ -283,7 +237,7 @@
 
 void CallerConnection::outputSent()
 {
-    m_lastReadAt = m_loop.now();
+    m_delivery.recordRead(m_loop.now());
 }
 
 void CallerConnection::outputDrained()
@@ -320,7 +274,7 @@
         return;
     }
     m_state = State::Answering;
-    m_isDelivering = false;
+    m_delivery.beginAnswer();
     m_timer.stop();
     m_isVersion11 = m_head.isVersion11;
     m_isHead = m_head.method == "HEAD";
@@ -383,30 +337,25 @@
         answerRequest();
         return;
     }
-    if (isInvitationAwaited() && !inviteBody()) {
+    if (!inviteBody()) {
         return;
     }
     m_timer.startAt(m_loop.now() + m_owner.limits().headerTimeout);
 }
 
-// A caller that asks first gets its answer as soon as there is room for its body (RFC 9110, 10.1.1). One that has sent a part of it waits for none.
-bool CallerConnection::isInvitationAwaited() const
-{
-    const std::string *expectation = m_reader.isHeadDone() ? m_head.field("Expect") : nullptr;
-    const bool isAsked = expectation != nullptr && Http::isSameFieldName(*expectation, "100-continue") && m_head.isVersion11;
-    return isAsked && m_body.empty() && !m_isBodyInvited;
-}
-
-// Returns false if the request is refused: its body would be sent for nothing. Nobody can tell whether it follows nevertheless, so the connection is closed.
+// A caller that asks first gets its answer as soon as there is room for its body. Returns false if the request is refused instead: its body would be sent for
+// nothing. Nobody can tell whether it follows nevertheless, so the connection is closed.
 bool CallerConnection::inviteBody()
 {
+    if (!m_reader.isHeadDone() || !m_body.empty() || !m_invitation.isAwaited(m_head)) {
+        return true;
+    }
     if (m_isOverDescriptorLimit || m_owner.isRefused(m_head)) {
         m_isClosing = true;
         answerRequest();
         return false;
     }
-    m_isBodyInvited = true;
-    send("HTTP/1.1 100 Continue\r\n\r\n");
+    send(m_invitation.take());
     return true;
 }
 
@@ -419,7 +368,7 @@
 void CallerConnection::refuse(const Refusal &refusal, const Http::MessageHead &head)
 {
     m_state = State::Answering;
-    m_isDelivering = false;
+    m_delivery.beginAnswer();
     m_isClosing = true;
     m_isHead = head.method == "HEAD";
     Core::freeText(m_body);
@@ -432,7 +381,7 @@
 void CallerConnection::send(std::string_view data)
 {
     if (unsentBytes() == 0) {
-        m_lastReadAt = m_loop.now();
+        m_delivery.recordRead(m_loop.now());
     }
     m_channel->write(data);
     // An answer that waits for its caller holds a place at a backend server.
@@ -449,21 +398,11 @@
     m_isClosing = m_isClosing || m_owner.isDraining() || !Http::announcedIdleTimeout(m_answerLimits.idleTimeout).has_value();
 }
 
-std::string CallerConnection::headText(int status, const std::vector<HttpField> &fields) const
+AnswerHead CallerConnection::answerHead(int status, const std::vector<HttpField> &fields) const
 {
-    std::string text;
-    text.reserve(512);
-    text.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reasonPhrase(status)).append("\r\n");
-    for (const HttpField &field : fields) {
-        text.append(field.name).append(": ").append(field.value).append("\r\n");
-    }
-    const auto idleTimeout = Http::announcedIdleTimeout(m_answerLimits.idleTimeout);
-    if (m_isClosing || !idleTimeout.has_value()) {
-        text.append("Connection: close\r\n");
-    } else {
-        text.append("Connection: keep-alive\r\nKeep-Alive: timeout=").append(std::to_string(idleTimeout->count())).append("\r\n");
-    }
-    return text;
+    AnswerHead head(status, fields);
+    head.setIdleTimeout(m_isClosing ? std::nullopt : Http::announcedIdleTimeout(m_answerLimits.idleTimeout));
+    return head;
 }
 
 RelayedRequest *CallerConnection::request() const
@@ -474,12 +413,9 @@
 void CallerConnection::respond(int status, const std::vector<HttpField> &fields, std::string_view body)
 {
     updateClosing();
-    std::string text = headText(status, fields);
-    text.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
-    if (!m_isHead) {
-        text.append(body);
-    }
-    send(text);
+    AnswerHead head = answerHead(status, fields);
+    head.setBodyLength(body.size());
+    send(m_isHead ? head.text() : head.text().append(body));
     m_isAnswerEnded = true;
     m_finish.schedule();
 }
@@ -490,14 +426,13 @@
     // An HTTP/1.0 caller recognises the end of an answer without a length by the end of the connection.
     m_isClosing = m_isClosing || (!length.has_value() && !m_isVersion11);
     updateClosing();
-    std::string text = headText(status, fields);
+    AnswerHead head = answerHead(status, fields);
     if (length.has_value()) {
-        text.append("Content-Length: ").append(std::to_string(*length)).append("\r\n");
+        head.setBodyLength(*length);
     } else if (m_isChunked) {
-        text.append("Transfer-Encoding: chunked\r\n");
+        head.setChunked();
     }
-    text.append("\r\n");
-    send(text);
+    send(head.text());
 }
 
 void CallerConnection::write(std::string_view data)
@@ -564,7 +499,7 @@
     m_idleSince = m_loop.now();
     m_firstRequestDeadline = {}; // For the first request only.
     m_isTimeoutPostponed = false;
-    m_isBodyInvited = false;
+    m_invitation = {};
     m_head = {};
     m_body.clear();
     (void)m_reader.next();
@@ -577,8 +512,8 @@
 void CallerConnection::awaitDelivery()
 {
     updateLastRead();
-    m_isDelivering = m_unacknowledgedBytes.value_or(0) > promptBytes;
-    if (m_isDelivering) {
+    m_delivery.finishAnswer();
+    if (m_delivery.isPending()) {
         m_timer.startAt(m_loop.now() + deliveryCheckInterval);
     } else {
         awaitCaller();
@@ -624,16 +559,14 @@
         return;
     }
     updateLastRead();
-    if (m_isDelivering && m_unacknowledgedBytes == 0U) {
-        m_isDelivering = false;
+    if (m_delivery.endIfRead()) {
         awaitCaller();
         return;
     }
     const Core::TimePoint now = m_loop.now();
-    const Core::TimePoint readDeadline = m_lastReadAt + m_owner.limits().idleTimeout;
-    const bool isBeingRead = m_isDelivering || m_state == State::Answering;
-    if (isBeingRead && now < readDeadline) {
-        m_timer.startAt(m_isDelivering ? std::min(readDeadline, now + deliveryCheckInterval) : readDeadline);
+    const Core::TimePoint readDeadline = m_delivery.lastReadAt() + m_owner.limits().idleTimeout;
+    if ((m_delivery.isPending() || m_state == State::Answering) && now < readDeadline) {
+        m_timer.startAt(m_delivery.isPending() ? std::min(readDeadline, now + deliveryCheckInterval) : readDeadline);
         return;
     }
     markIncomplete();
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "answerdelivery.h"
+#include "answerhead.h"
+#include "bodyinvitation.h"
+#include "droppedbytes.h"
 #include "relayedrequest.h"
 #include "requestmemory.h"
 
@@ -146,8 +150,7 @@
     void refuseForMemory();
     void send(std::string_view data);
     void updateClosing();
-    std::string headText(int status, const std::vector<Http::HttpField> &fields) const;
-    bool isInvitationAwaited() const;
+    AnswerHead answerHead(int status, const std::vector<Http::HttpField> &fields) const;
     bool inviteBody();
     void finishExchange();
     void awaitDelivery();
@@ -167,16 +170,14 @@
     Http::MessageHead m_head;
     std::string m_body;
     std::unique_ptr<RelayedRequest> m_request;
-    std::uint64_t m_droppedBytes = 0; ///< Received bytes that belong to no request that is read.
+    DroppedBytes m_dropped;
+    BodyInvitation m_invitation; ///< Of the request that is being read.
+    AnswerDelivery m_delivery;
     Decisions::RelayLimits m_answerLimits; ///< Those under which the last answer began; their idle timeout is announced in it.
     Core::TimePoint m_idleSince;
     Core::TimePoint m_idleDeadline; ///< Until then an idle connection is kept.
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
-    Core::TimePoint m_lastReadAt;
-    std::optional<std::size_t> m_unacknowledgedBytes; ///< At the last updateLastRead().
     bool m_isTimeoutPostponed = false; ///< Whether the time limit has passed and was postponed once to read what had arrived.
-    bool m_isDelivering = false; ///< Whether the last answer has ended, and its caller had not read it whole when it was last looked at.
-    bool m_isBodyInvited = false; ///< Whether the caller was told to send the body that it holds back.
     bool m_isOverDescriptorLimit = false; ///< Whether the caller's request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
     bool m_isAnswerEnded = false;
