Watch each peer for which bytes wait

A window was looked at only when 4 KB had been sent since it was last seen empty. By reading, a caller that stops to read a stream of small events could be cut after four seconds. The timer now runs from the first byte until the kernel holds none.

--- a/src/libs/http/peerwindow.cpp
+++ b/src/libs/http/peerwindow.cpp
@@ -17,9 +17,6 @@
 // A few times within the time after which a host counts as gone.
 constexpr std::chrono::milliseconds checkInterval{1000};
 
-// Less than this has room in any peer's window.
-constexpr std::size_t uncheckedBytesBound = 4 * 1024;
-
 // Time for which the kernel waits for an answer to a probe of a closed window, also while this process stands still for a moment; it probes at least as often.
 constexpr std::chrono::milliseconds probeTimeout{8000};
 
@@ -39,18 +36,6 @@
 
 PeerWindow::~PeerWindow() = default;
 
-void PeerWindow::recordSent(std::size_t bytes)
-{
-    m_uncheckedBytes += bytes;
-}
-
-void PeerWindow::watchIfMuchWasSent()
-{
-    if (m_uncheckedBytes >= uncheckedBytesBound) {
-        watch();
-    }
-}
-
 void PeerWindow::watch()
 {
     if (m_timer == nullptr) {
@@ -73,7 +58,6 @@
         return;
     }
     if (queue->bytes == 0) {
-        m_uncheckedBytes = 0;
         m_closedSince.reset();
         setTimeout(hostTimeout);
         return;
--- a/src/libs/http/peerwindow.h
+++ b/src/libs/http/peerwindow.h
@@ -28,13 +28,7 @@
     PeerWindow(const PeerWindow &) = delete;
     PeerWindow &operator=(const PeerWindow &) = delete;
 
-    /// \brief Notes that the kernel has accepted \a bytes.
-    void recordSent(std::size_t bytes);
-
-    /// \brief Looks at the peer if enough was sent since it was last seen to have taken everything.
-    void watchIfMuchWasSent();
-
-    /// \brief Looks at the peer after a while.
+    /// \brief Looks at the peer after a while, and then until the kernel holds nothing. To be called whenever something was written.
     void watch();
 
     /// \brief Stops to watch, as the connection has ended.
@@ -57,7 +51,6 @@
     EventLoop::Loop &m_loop;
     int m_descriptor;
     std::unique_ptr<EventLoop::Timer> m_timer; ///< Runs while the kernel holds bytes; null before the first check.
-    std::size_t m_uncheckedBytes = 0; ///< Number of bytes that the kernel has accepted since it was last seen to hold none.
     std::optional<Core::TimePoint> m_closedSince; ///< When the window closed at the earliest; none if it has not since the kernel held nothing.
     std::chrono::milliseconds m_timeout = hostTimeout; ///< Time for which the kernel waits for an acknowledgement.
 };
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -341,23 +341,23 @@
 
 bool TcpChannel::sendBuffered()
 {
+    if (bufferedBytes() > 0) {
+        m_window.watch();
+    }
     while (bufferedBytes() > 0) {
         const ssize_t sent = sendSome();
         if (sent < 0) {
             const bool isToBeContinued = errno == EAGAIN || errno == EINTR;
             releaseSent();
-            m_window.watch();
             return isToBeContinued;
         }
         m_hasSent = true;
-        m_window.recordSent(static_cast<std::size_t>(sent));
         const std::size_t ofOutput = std::min(static_cast<std::size_t>(sent), m_output.size() - m_outputOffset);
         m_outputOffset += ofOutput;
         m_bodyOffset += static_cast<std::size_t>(sent) - ofOutput;
         m_observer->outputSent();
     }
     releaseSent();
-    m_window.watchIfMuchWasSent();
     if (m_isShuttingDown) {
         shutdown(m_descriptor, SHUT_WR);
     }
