Close connections whose answers only the system holds

A router that is short of descriptors could not close connections whose callers had not read the end of an answer, and would have refused new callers meanwhile. They are closed after the idle ones, those first that have read nothing for longest; the system goes on sending for some seconds. A shutdown leaves them their time.

endsAnswersThatNobodyReads counts connections exactly again.

makesRoomWhileCallersHaveNotReadTheirAnswers fails if such connections may not be closed: the sixteenth caller was refused.

--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -88,7 +88,7 @@
 
 bool CallerConnection::isBusy() const
 {
-    return m_state != State::Reading || m_reader.hasBegun() || m_delivery.isPending() || unsentBytes() > 0;
+    return m_state != State::Reading || m_reader.hasBegun() || unsentBytes() > 0;
 }
 
 Core::TimePoint CallerConnection::idleSince() const
@@ -135,10 +135,31 @@
     return !isBusy() && m_loop.now() >= m_firstRequestDeadline;
 }
 
-// A caller takes what it has sent for accepted, whether it was read or is still in the kernel.
 bool CallerConnection::endIfIdle()
 {
-    if (!isIdleCandidate() || m_channel->hasUnreadBytes()) {
+    return isIdleCandidate() && !m_delivery.isPending() && endIfNothingArrived();
+}
+
+bool CallerConnection::isDelivering() const
+{
+    return m_delivery.isPending();
+}
+
+bool CallerConnection::mayMakeRoom() const
+{
+    return isIdleCandidate() || (m_state == State::Lingering && m_delivery.isPending() && unsentBytes() == 0);
+}
+
+// The system goes on sending what it holds for some seconds.
+bool CallerConnection::makeRoom()
+{
+    return mayMakeRoom() && endIfNothingArrived();
+}
+
+// A caller takes what it has sent for accepted, whether it was read or is still in the kernel.
+bool CallerConnection::endIfNothingArrived()
+{
+    if (m_channel->hasUnreadBytes()) {
         return false;
     }
     m_owner.connectionEnded(this);
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -100,9 +100,18 @@
     /// arrived.
     bool isIdleCandidate() const;
 
-    /// \brief Closes the connection if it is idle: isIdleCandidate(), and nothing has arrived. Returns whether it was closed.
+    /// \brief Closes the connection if it is idle: isIdleCandidate(), the last answer has been read, and nothing has arrived. Returns whether it was closed.
     bool endIfIdle();
 
+    /// \brief Returns whether the last answer has ended, and its caller had not read it whole when it was last looked at.
+    bool isDelivering() const;
+
+    /// \brief Returns whether the connection may be closed for want of descriptors: it is idle, or only the system holds the end of its last answer.
+    bool mayMakeRoom() const;
+
+    /// \brief Closes the connection if mayMakeRoom() and nothing has arrived. Returns whether it was closed.
+    bool makeRoom();
+
     /// \brief Refuses the caller's next request, which has not run, and ends the connection after it.
     void refuseNextRequest();
 
@@ -137,6 +146,7 @@
     void receiveHead(Http::MessageHead head) override;
     void receiveBody(std::string_view data) override;
     void receiveEnd() override;
+    bool endIfNothingArrived();
     void answerRequest();
     void drop(std::size_t bytes);
     bool mayTakeNoMore() const;
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -26,6 +26,15 @@
 // third of them are lost. If all did, each agent of a large fleet would get thousands of messages at once.
 constexpr std::uint32_t expectedChosenRouters = 8;
 
+// Callers that still read come after those that are idle, and among them those first that have read nothing for longest.
+bool isClosedBefore(const CallerConnection *left, const CallerConnection *right)
+{
+    if (left->isDelivering() != right->isDelivering()) {
+        return right->isDelivering();
+    }
+    return left->isDelivering() ? left->lastReadAt() < right->lastReadAt() : left->idleSince() < right->idleSince();
+}
+
 } // namespace
 
 Core::Result<std::unique_ptr<RelayTask>> RelayTask::create(EventLoop::Loop &loop, const RelaySettings &settings, const RelayProtocol &protocol)
@@ -387,14 +396,13 @@
     }
     std::vector<CallerConnection *> idle;
     for (const auto &[connection, owned] : m_connections) {
-        if (connection->isIdleCandidate()) {
+        if (connection->mayMakeRoom()) {
             idle.push_back(connection);
         }
     }
     const auto last = idle.begin() + static_cast<std::ptrdiff_t>(std::min(count, idle.size()));
-    std::partial_sort(
-        idle.begin(), last, idle.end(), [](const CallerConnection *left, const CallerConnection *right) { return left->idleSince() < right->idleSince(); });
-    const auto closed = std::count_if(idle.begin(), last, [](CallerConnection *connection) { return connection->endIfIdle(); });
+    std::partial_sort(idle.begin(), last, idle.end(), isClosedBefore);
+    const auto closed = std::count_if(idle.begin(), last, [](CallerConnection *connection) { return connection->makeRoom(); });
     m_metrics.count("idle_connections_closed_for_descriptors_total", static_cast<std::uint64_t>(closed));
 }
 
--- a/tests/auto/relay/tst_callerforms.cpp
+++ b/tests/auto/relay/tst_callerforms.cpp
@@ -20,6 +20,9 @@
 // More than what the system holds for such a caller, and less than what is held before the backend server has to wait.
 constexpr std::size_t answerEndBytes = 300'000;
 
+// What the system holds for such a caller, and its host does not.
+constexpr std::size_t heldBytes = 50'000;
+
 // Longer than the time without an acknowledgement after which a caller's host counts as gone, and shorter than the idle timeout.
 constexpr std::chrono::milliseconds readingPause{6000};
 
@@ -275,11 +278,27 @@
             const auto client = pausingCaller(bytes, fields);
             const Core::TimePoint begin = m_loop->now();
             // What is left is the caller's own end.
-            EXPECT_TRUE(runUntil(*m_loop, [openBefore] { return Http::TcpChannel::openCount() <= openBefore + 1; }));
+            EXPECT_TRUE(runUntil(*m_loop, [openBefore] { return Http::TcpChannel::openCount() == openBefore + 1; }));
             EXPECT_LT(m_loop->now() - begin, 5s) << bytes << ' ' << fields;
             EXPECT_EQ(static_cast<ConnectionOwner &>(*m_relay).memory().budget().held(), 0U) << bytes << ' ' << fields;
         }
     }
 }
 
+// What only the system holds for callers that do not read must not keep others out.
+TEST_F(CallerFormsTest, makesRoomWhileCallersHaveNotReadTheirAnswers)
+{
+    RelaySettings limited = settings();
+    limited.descriptors = 32;
+    m_relay = std::move(RelayTask::create(*m_loop, limited, m_protocol).value());
+    ASSERT_TRUE(m_relay->listen());
+    startAnswering(15s);
+    std::vector<std::unique_ptr<CallerFake>> callers;
+    for (int number = 0; number < 16; ++number) {
+        callers.push_back(pausingCaller(heldBytes));
+        runFor(20ms);
+    }
+    EXPECT_EQ(runs(), callers.size());
+}
+
 } // namespace Verbena::Relay
