--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -26,6 +26,15 @@
 // third of them are lost. If all did, each agent of a large fleet would get thousands of messages at once.
 constexpr std::uint32_t expectedChosenRouters = 8;
 
+// Callers that still read come after those that are idle, and among them those first that have read nothing for longest.
+bool isClosedBefore(const CallerConnection *left, const CallerConnection *right)
+{
+    if (left->isDelivering() != right->isDelivering()) {
+        return right->isDelivering();
+    }
+    return left->isDelivering() ? left->lastReadAt() < right->lastReadAt() : left->idleSince() < right->idleSince();
+}
+
 } // namespace
 
 Core::Result<std::unique_ptr<RelayTask>> RelayTask::create(EventLoop::Loop &loop, const RelaySettings &settings, const RelayProtocol &protocol)
@@ -387,14 +396,13 @@
     }
     std::vector<CallerConnection *> idle;
     for (const auto &[connection, owned] : m_connections) {
-        if (connection->isIdleCandidate()) {
+        if (connection->mayMakeRoom()) {
             idle.push_back(connection);
         }
     }
     const auto last = idle.begin() + static_cast<std::ptrdiff_t>(std::min(count, idle.size()));
-    std::partial_sort(
-        idle.begin(), last, idle.end(), [](const CallerConnection *left, const CallerConnection *right) { return left->idleSince() < right->idleSince(); });
-    const auto closed = std::count_if(idle.begin(), last, [](CallerConnection *connection) { return connection->endIfIdle(); });
+    std::partial_sort(idle.begin(), last, idle.end(), isClosedBefore);
+    const auto closed = std::count_if(idle.begin(), last, [](CallerConnection *connection) { return connection->makeRoom(); });
     m_metrics.count("idle_connections_closed_for_descriptors_total", static_cast<std::uint64_t>(closed));
 }
 
@@ -438,7 +446,17 @@
 std::unique_ptr<RelayedRequest> RelayTask::beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink)
 {
     recordActivity();
-    return std::make_unique<RelayedRequest>(m_context, m_shutdown.isServingRequests() ? m_directory : nullptr, std::move(head), std::move(body), sink);
+    return std::make_unique<RelayedRequest>(m_context, servedDirectory(), std::move(head), std::move(body), sink);
+}
+
+bool RelayTask::isRefused(const Http::MessageHead &head) const
+{
+    return admitRequest(m_protocol, servedDirectory().get(), head, m_loop.now()).refusal.has_value();
+}
+
+std::shared_ptr<const Decisions::RelayDirectory> RelayTask::servedDirectory() const
+{
+    return m_shutdown.isServingRequests() ? m_directory : nullptr;
 }
 
 Decisions::RelayLimits RelayTask::limits() const
