Take the account of a request's calls out of RelayedRequest

Which servers a request was sent to, which calls may have run it and which count as arrivals is an account without I/O of its own. RequestAttempts holds it; nothing that callers or servers see changes.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -97,7 +97,7 @@
 {
     WaitReport report;
     report.isBegun = m_answer.isBegun();
-    report.sends = m_attempts.sends;
+    report.sends = m_attempts.sends();
     if (m_call == nullptr) {
         return report;
     }
@@ -205,14 +205,12 @@
 
 Decisions::AttemptState RelayedRequest::attempts() const
 {
-    Decisions::AttemptState state = m_attempts;
-    state.isAnswerBegun = m_answer.isBegun();
-    return state;
+    return m_attempts.state(m_answer.isBegun());
 }
 
 std::uint32_t RelayedRequest::arrivals() const
 {
-    return m_arrivals + (m_call != nullptr && m_call->hasSent() ? 1 : 0);
+    return m_attempts.arrivals() + (m_call != nullptr && m_call->hasSent() ? 1 : 0);
 }
 
 bool RelayedRequest::mayHaveRun() const
@@ -253,9 +251,7 @@
     }
     m_service = Decisions::RelayDirectory::service(*m_route, m_context.random.next());
     m_answer.setRoute(*m_route);
-    m_attempts.kind = m_route->kind;
-    m_attempts.isRepeatable = m_route->isRepeatable();
-    m_attempts.maximumRuns = m_route->attempts;
+    m_attempts.setRoute(*m_route);
     m_deadline = m_arrival + m_route->timeout;
     if (m_query.deadline.has_value()) {
         m_deadline = std::min(m_deadline, *m_query.deadline);
@@ -283,7 +279,7 @@
     query.prompt = prompt();
     query.dedicatedTo = m_organisation != nullptr && m_organisation->isDedicated ? m_organisation->name : "";
     query.softwareVersion = m_softwareVersion;
-    query.excluded = m_excluded;
+    query.excluded = m_attempts.servers();
     query.randomValue = m_context.random.next();
     query.latencyTarget = m_route->latencyTarget;
     query.pauseTarget = m_route->pauseTarget;
@@ -297,7 +293,7 @@
         dispatch();
         return;
     }
-    m_crashes.claimTrial(m_arrivals, [this](const TrialVerdict &verdict) {
+    m_crashes.claimTrial(m_attempts.arrivals(), [this](const TrialVerdict &verdict) {
         if (verdict.isGranted) {
             dispatch();
             return;
@@ -315,7 +311,7 @@
     const std::string server = m_choice.has_value() ? m_choice->serverId : "";
     const std::optional<std::size_t> part = m_crashes.partIndex(verdict.subject);
     const std::string partId = part.has_value() ? Decisions::sharedParts(prompt())[*part].id : "";
-    const BarredReport report{verdict.subject.text(), partId, verdict.crashes, organisationName(), outcome, m_arrivals};
+    const BarredReport report{verdict.subject.text(), partId, verdict.crashes, organisationName(), outcome, m_attempts.arrivals()};
     reportBarred({m_query.attemptId, m_service, server, sinceArrival()}, report);
 }
 
@@ -353,7 +349,7 @@
 
 bool RelayedRequest::refuseIfOverloaded(const FleetChoice &choice)
 {
-    if (m_attempts.sends > 0 || !choice.expectedWait.has_value()) {
+    if (m_attempts.sends() > 0 || !choice.expectedWait.has_value()) {
         return false;
     }
     const Core::TimePoint now = m_context.loop.now();
@@ -391,12 +387,11 @@
     m_lastFailure.reset();
     m_lastActivityAt = m_context.loop.now();
     m_serverWait.handleSent();
-    m_excluded.push_back(choice.serverId);
     m_hasServerEnded = false;
     if (choice.limitedServers > 0) {
         m_context.metrics.count("choices_beside_limited_servers_total");
     }
-    ++m_attempts.sends;
+    m_attempts.recordSend(choice.serverId);
     const Core::TimePoint now = m_context.loop.now();
     m_context.fleet.recordSent(*m_choice, now);
     m_isUnanswered = true;
@@ -598,7 +593,7 @@
         m_isUnanswered = false;
         m_context.fleet.recordAbandoned(*m_choice);
     }
-    recordEndedCall(failureIfAbandoned());
+    m_attempts.recordEnd(failureIfAbandoned(), m_call->hasSent());
     m_call.reset();
     m_answer.prepareNextCall();
     if (!sendTo(choice) && !m_isDone) {
@@ -631,9 +626,7 @@
 
 Decisions::AttemptState RelayedRequest::attemptsIfAbandoned() const
 {
-    Decisions::AttemptState next = attempts();
-    next.runs += failureIfAbandoned() == CallFailure::Lost ? 1 : 0;
-    return next;
+    return m_attempts.stateAfter(failureIfAbandoned(), m_answer.isBegun());
 }
 
 bool RelayedRequest::mayFailOver()
@@ -748,7 +741,7 @@
 // In a stream that went on elsewhere the longest pause may be that of the change, and in one that its caller read slowly, the caller's.
 void RelayedRequest::recordPauses()
 {
-    if (m_route->kind == RequestKind::Streaming && m_attempts.sends == 1 && !m_wasPaused && isSuccess(m_answer.status())) {
+    if (m_route->kind == RequestKind::Streaming && m_attempts.sends() == 1 && !m_wasPaused && isSuccess(m_answer.status())) {
         m_context.fleet.recordLongestPause(*m_choice, m_partTimes.longestGap().value_or(milliseconds(0)));
     }
 }
@@ -762,7 +755,7 @@
 // The last call of a stream that went on elsewhere has only the rest of it.
 void RelayedRequest::recordRunTime()
 {
-    const bool isRest = m_route->kind == RequestKind::Streaming && (m_attempts.sends > 1 || !m_query.lastEventId.empty());
+    const bool isRest = m_route->kind == RequestKind::Streaming && (m_attempts.sends() > 1 || !m_query.lastEventId.empty());
     if (m_call != nullptr && !isRest) {
         m_context.fleet.recordRunTime(*m_choice, m_context.loop.now());
     }
@@ -785,7 +778,9 @@
     const LostCall call{{}, m_query.attemptId, organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address, m_hasServerEnded};
     if (mayResendAfterCheck(failure)) {
         m_crashes.handleLostCall(call, hasEvent, [this, failure, text = std::string(reason)](ServerEnd end) {
-            m_attempts.endedRuns += end == ServerEnd::Proved ? 1 : 0;
+            if (end == ServerEnd::Proved) {
+                m_attempts.recordServerEnd();
+            }
             decide(failure, text);
         });
     } else {
@@ -810,7 +805,7 @@
 
 void RelayedRequest::closeCall(CallFailure failure)
 {
-    recordEndedCall(failure);
+    m_attempts.recordEnd(failure, m_call->hasSent());
     if (m_isUnanswered) {
         m_isUnanswered = false;
         const bool isUnreachable = failure == CallFailure::NotSent || failure == CallFailure::Unacknowledged || failure == CallFailure::Lost;
@@ -822,18 +817,6 @@
     }
 }
 
-void RelayedRequest::recordEndedCall(CallFailure failure)
-{
-    if (failure == CallFailure::Unacknowledged) {
-        ++m_attempts.unacknowledged;
-        return;
-    }
-    if (failure == CallFailure::Lost || failure == CallFailure::ServerError) {
-        ++m_attempts.runs;
-    }
-    m_arrivals += m_call->hasSent() ? 1 : 0;
-}
-
 void RelayedRequest::decide(CallFailure failure, std::string_view reason)
 {
     const Decisions::ResendBalance balance = m_context.budget.balance(m_service, resendPurpose(), m_context.loop.now());
@@ -844,7 +827,7 @@
         {failure,
             reason,
             attempts(),
-            m_arrivals,
+            m_attempts.arrivals(),
             failure == CallFailure::Lost ? m_crashes.request().text() : "",
             failure == CallFailure::Lost ? sharedPartsText(prompt()) : "",
             balance,
@@ -867,7 +850,7 @@
 // During a series of crashes, a request that did not cause them may be suspected after two losses; a successful trial clears it.
 void RelayedRequest::awaitTrial(CallFailure failure)
 {
-    m_crashes.claimTrial(m_arrivals, [this, failure](const TrialVerdict &verdict) {
+    m_crashes.claimTrial(m_attempts.arrivals(), [this, failure](const TrialVerdict &verdict) {
         if (verdict.isGranted) {
             proceed(failure, chooseAction(failure));
             return;
@@ -899,10 +882,10 @@
     if (!mayResendInTime(attempts(), failure)) {
         return actionWithoutResend(attempts(), failure);
     }
-    if (m_crashes.isTrialRequired(m_arrivals)) {
+    if (m_crashes.isTrialRequired(m_attempts.arrivals())) {
         return AttemptAction::AwaitTrial;
     }
-    if (m_arrivals + m_attempts.unacknowledged == 0) {
+    if (m_attempts.isUnsent()) {
         return AttemptAction::SendAgain;
     }
     const std::optional<Core::TimePoint> earliest = backoffEnd(failure);
@@ -921,10 +904,10 @@
 // of them at once would use up the budget. Returns nothing if the request may be sent again at once.
 std::optional<Core::TimePoint> RelayedRequest::backoffEnd(CallFailure failure) const
 {
-    if (!m_answer.isBegun() || failure != CallFailure::NotRun || m_attempts.sends < 2) {
+    if (!m_answer.isBegun() || failure != CallFailure::NotRun || m_attempts.sends() < 2) {
         return std::nullopt;
     }
-    return m_context.loop.now() + initialStreamBackoff * (1 << (m_attempts.sends - 2));
+    return m_context.loop.now() + initialStreamBackoff * (1 << (m_attempts.sends() - 2));
 }
 
 bool RelayedRequest::awaitResend(CallFailure failure, Core::TimePoint earliest)
@@ -932,7 +915,7 @@
     m_resendNumber = m_context.resendQueue.wait(m_service, resendPurpose(), earliest, [this, failure](bool isGranted) {
         m_resendNumber = 0;
         m_context.metrics.count(isGranted ? "resends_total" : "resends_refused_total");
-        const AttemptAction resend = m_crashes.isTrialRequired(m_arrivals) ? AttemptAction::AwaitTrial : AttemptAction::SendAgain;
+        const AttemptAction resend = m_crashes.isTrialRequired(m_attempts.arrivals()) ? AttemptAction::AwaitTrial : AttemptAction::SendAgain;
         proceed(failure, isGranted ? resend : actionWithoutResend(attempts(), failure));
     });
     return m_resendNumber != 0;
@@ -1153,7 +1136,7 @@
     RequestReport report{
         status, outcome, {organisationName(), m_route != nullptr ? m_route->name : ""}, m_query.attemptId, m_service, m_query.resumedAttemptId};
     report.choice = m_choice.has_value() ? &*m_choice : nullptr;
-    report.sends = m_attempts.sends;
+    report.sends = m_attempts.sends();
     report.arrival = m_arrival;
     report.firstPartAfter = m_firstPartAfter;
     report.longestGap = m_partTimes.longestGap();
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -20,6 +20,7 @@
 #include <decisions/relay/loadshedder.h>
 #include <decisions/relay/relaydirectory.h>
 #include <decisions/relay/relayfleet.h>
+#include <decisions/relay/requestattempts.h>
 #include <decisions/relay/resendbudget.h>
 #include <decisions/spread/randomsource.h>
 #include <eventloop/timer.h>
@@ -143,7 +144,6 @@
     bool mayFailOver();
     bool tryFailOver();
     bool isEngineLost() const;
-    void recordEndedCall(Decisions::CallFailure failure);
     bool sendTo(const Decisions::FleetChoice &choice);
     Core::Result<std::unique_ptr<BackendCall>> openCall(const Decisions::FleetChoice &choice);
     Decisions::KeptConnectionUse connectionUse();
@@ -209,11 +209,9 @@
     const Decisions::RelayRoute *m_route = nullptr;
     const Decisions::RelayOrganisation *m_organisation = nullptr;
     std::string m_service;
-    Decisions::AttemptState m_attempts; ///< Without whether an answer has begun; see attempts().
+    Decisions::RequestAttempts m_attempts;
     std::optional<Decisions::CallFailure> m_lastFailure; ///< How the last call failed; nothing before, and after the next one was made.
-    std::uint32_t m_arrivals = 0; ///< Number of ended calls that may have reached a backend server, whether they ran or not.
     std::uint64_t m_resendNumber = 0; ///< Number in the resend queue; 0 if the request does not wait there.
-    std::vector<std::string> m_excluded;
     std::optional<std::string> m_softwareVersion; ///< Software version at which the stream has to go on; nothing before its first event.
     std::optional<Decisions::FleetChoice> m_choice; ///< Choice of the current call.
     std::unique_ptr<BackendCall> m_call;
