Let a stream go back to the engine that it was taken off

A router moves a stream off an engine that waits to load weights. If the host of the next engine then froze or was cut off, nothing was proved of it, both attempts of the route were used up, and the caller's stream was cut or waited there until its caller left, although it would have gone on where it was.

Attempts bound the servers that run a request. The one that a router took it off has run it and may do so once more, so a stream or request whose attempts are used up may go back there, if that server reports; it never runs at more servers than its route allows. Each such call takes a resend of the budget.

--- a/src/libs/decisions/relay/attemptpolicy.cpp
+++ b/src/libs/decisions/relay/attemptpolicy.cpp
@@ -63,13 +63,15 @@
     if (isProvedNotRun) {
         return !state.mayHaveRun() || state.mayRunOnceMore();
     }
-    return state.mayRunOnceMore();
+    // The server's own answer is better than none, which is what may come of a return.
+    return failure == CallFailure::ServerError ? state.mayRunElsewhere() : state.mayRunOnceMore();
 }
 
 bool mayMoveStream(const AttemptState &state)
 {
     AttemptState moved = state;
     ++moved.runs;
+    moved.mayReturn = false;
     return state.isAnswerBegun && mayResend(moved, CallFailure::Lost);
 }
 
--- a/src/libs/decisions/relay/attemptpolicy.h
+++ b/src/libs/decisions/relay/attemptpolicy.h
@@ -43,11 +43,19 @@
     bool isAnswerBegun = false; ///< Whether the caller has received a part of the answer.
     std::uint32_t unacknowledged = 0; ///< Number of calls of which nothing was acknowledged; they do not count as runs.
     std::uint32_t endedRuns = 0; ///< Number of runs that ended with their backend servers; they do not count against the maximum.
+    std::uint32_t repeatedRuns = 0; ///< Number of runs at a backend server that had run the request before; they do not count either.
+    bool mayReturn = false; ///< Whether the request may go back to the backend server that it was last taken off.
 
-    /// \brief Returns whether one more backend server may run the request.
+    /// \brief Returns whether a backend server that has not run the request may run it.
+    bool mayRunElsewhere() const
+    {
+        return isRepeatable && runs - endedRuns - repeatedRuns < maximumRuns;
+    }
+
+    /// \brief Returns whether any backend server may run the request once more.
     bool mayRunOnceMore() const
     {
-        return isRepeatable && runs - endedRuns < maximumRuns;
+        return isRepeatable && (mayReturn || mayRunElsewhere());
     }
 
     /// \brief Returns whether any of the ended calls may have run the request.
--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -24,6 +24,7 @@
     std::string dedicatedTo; ///< Organisation that shares no KV cache with others, if the request belongs to one; else empty.
     std::optional<std::string> softwareVersion; ///< Software version that the backend server must have; nothing if any will do.
     bool needsTimelyReport = false; ///< Whether engines are left out whose report is late.
+    std::optional<std::string> onlyServer; ///< Id of the only backend server that may be chosen; nothing if any may.
     std::vector<std::string> excluded; ///< Ids of backend servers that were tried before.
     std::uint64_t randomValue = 0; ///< Random value, uniformly distributed over all numbers.
     std::chrono::microseconds latencyTarget{0}; ///< Latency target of the route; zero for none.
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -405,6 +405,9 @@
 {
     RouteQuery &route = choice.route;
     route.softwareVersion = query.softwareVersion;
+    if (query.onlyServer.has_value()) {
+        route.only = backendServerId(*query.onlyServer);
+    }
     for (const std::string &id : query.excluded) {
         route.excluded.push_back(backendServerId(id));
     }
--- a/src/libs/decisions/relay/requestattempts.cpp
+++ b/src/libs/decisions/relay/requestattempts.cpp
@@ -1,5 +1,7 @@
 #include "requestattempts.h"
 
+#include <algorithm>
+
 namespace Verbena::Decisions {
 
 namespace {
@@ -27,13 +29,33 @@
 void RequestAttempts::recordEnd(CallFailure failure, bool hasSent)
 {
     count(m_state, failure);
+    if (mayBeRun(failure)) {
+        m_ranAt.push_back(m_servers.back());
+    }
     m_arrivals += failure != CallFailure::Unacknowledged && hasSent ? 1 : 0;
 }
 
-void RequestAttempts::count(AttemptState &state, CallFailure failure)
+void RequestAttempts::count(AttemptState &state, CallFailure failure) const
 {
-    state.unacknowledged += failure == CallFailure::Unacknowledged ? 1 : 0;
+    const std::string &server = m_servers.back();
+    const bool isUnacknowledged = failure == CallFailure::Unacknowledged;
+    const bool isRepeated = std::find(m_ranAt.begin(), m_ranAt.end(), server) != m_ranAt.end();
+    state.unacknowledged += isUnacknowledged ? 1 : 0;
     state.runs += mayBeRun(failure) ? 1 : 0;
+    state.repeatedRuns += mayBeRun(failure) && isRepeated ? 1 : 0;
+    if (server == m_left && (mayBeRun(failure) || isUnacknowledged)) {
+        state.mayReturn = false;
+    }
+}
+
+// Only a server that is counted among those that ran the request may run it again without taking an attempt.
+void RequestAttempts::recordLeave(CallFailure failure, bool hasSent)
+{
+    recordEnd(failure, hasSent);
+    if (failure == CallFailure::Lost) {
+        m_left = m_servers.back();
+        m_state.mayReturn = true;
+    }
 }
 
 void RequestAttempts::recordServerEnd()
@@ -75,9 +97,18 @@
     return m_state.mayHaveRun();
 }
 
-const std::vector<std::string> &RequestAttempts::servers() const
+// Attempts bound the servers that run a request. Where they are used up, it may still go on at the one that this router took it off, if that reports.
+void RequestAttempts::limit(FleetQuery &query, const AttemptState &state) const
 {
-    return m_servers;
+    query.excluded = m_servers;
+    if (!state.mayReturn) {
+        return;
+    }
+    std::erase(query.excluded, m_left);
+    if (!state.mayRunElsewhere()) {
+        query.onlyServer = m_left;
+        query.needsTimelyReport = true;
+    }
 }
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/requestattempts.h
+++ b/src/libs/decisions/relay/requestattempts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "attemptpolicy.h"
+#include "fleetchoice.h"
 
 #include <cstdint>
 #include <string>
@@ -21,6 +22,9 @@
     /// \brief Records that the last call ended with \a failure; \a hasSent is whether any of the request was sent.
     void recordEnd(CallFailure failure, bool hasSent);
 
+    /// \brief Records that this router itself ends the last call with \a failure, although it might have gone on.
+    void recordLeave(CallFailure failure, bool hasSent);
+
     /// \brief Records that the backend server of the last call is proved to have ended with its run.
     void recordServerEnd();
 
@@ -42,15 +46,17 @@
     /// \brief Returns whether any of the ended calls may have run the request.
     bool mayHaveRun() const;
 
-    /// \brief Returns the ids of the backend servers that calls were made to.
-    const std::vector<std::string> &servers() const;
+    /// \brief Limits \a query to the backend servers that a request in \a state may be sent to.
+    void limit(FleetQuery &query, const AttemptState &state) const;
 
 private:
-    static void count(AttemptState &state, CallFailure failure);
+    void count(AttemptState &state, CallFailure failure) const;
 
     AttemptState m_state; ///< Without whether an answer has begun.
     std::uint32_t m_arrivals = 0;
-    std::vector<std::string> m_servers;
+    std::vector<std::string> m_servers; ///< Ids of the backend servers that calls were made to, in order.
+    std::vector<std::string> m_ranAt; ///< Ids of those that may have run the request in an ended call.
+    std::string m_left; ///< Id of the one that this router last took the request off; empty if there is none.
 };
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/routing/routechooser.cpp
+++ b/src/libs/decisions/routing/routechooser.cpp
@@ -191,6 +191,10 @@
         return {};
     }
     Search search{query, now, *pool, {}};
+    if (query.only.has_value()) {
+        addMember(search, *query.only, CandidateOrigin::Load);
+        return rankCandidates(std::move(search));
+    }
     const SharedPrefix home = homePrefix(search);
     addHomes(search, home, CandidateOrigin::Home);
     addSpares(search, home);
@@ -213,11 +217,8 @@
         return {};
     }
     Search search{query, now, *pool, {}};
-    const std::vector<BackendServerId> &members = pool->placement.members();
     for (const RouteCandidate &candidate : candidates.candidates) {
-        if (std::binary_search(members.begin(), members.end(), candidate.id)) {
-            addCandidate(search, candidate.id, candidate.origin, 0);
-        }
+        addMember(search, candidate.id, candidate.origin);
     }
     return search.candidates.empty() ? choose(query, now) : rankCandidates(std::move(search));
 }
@@ -304,6 +305,12 @@
     return true;
 }
 
+bool RouteChooser::addMember(Search &search, BackendServerId id, CandidateOrigin origin) const
+{
+    const std::vector<BackendServerId> &members = search.pool.placement.members();
+    return std::binary_search(members.begin(), members.end(), id) && addCandidate(search, id, origin, 0);
+}
+
 // Holders of the longest prefix come first, as they save the most prefill.
 void RouteChooser::addHolders(Search &search) const
 {
--- a/src/libs/decisions/routing/routechooser.h
+++ b/src/libs/decisions/routing/routechooser.h
@@ -113,6 +113,7 @@
     void addHolders(Search &search) const;
     void addHomes(Search &search, const SharedPrefix &prefix, CandidateOrigin origin) const;
     void addSpares(Search &search, const SharedPrefix &prefix) const;
+    bool addMember(Search &search, BackendServerId id, CandidateOrigin origin) const;
     RouteDecision rankCandidates(Search search) const;
     RouteDecision applyOverloadLevels(Search search) const;
     void addLeastLoaded(Search &search) const;
--- a/src/libs/decisions/routing/routequery.h
+++ b/src/libs/decisions/routing/routequery.h
@@ -21,6 +21,7 @@
     std::uint32_t extraRandomServers = 0; ///< Number of random backend servers that become candidates besides the others.
     std::uint32_t mark = 0; ///< Mark of the request; agents whose overload level is at or below it refuse the request.
     std::optional<std::string> softwareVersion; ///< Software version that the backend server must have; nothing if any will do.
+    std::optional<BackendServerId> only; ///< The only backend server that may be chosen; nothing if any may.
     std::vector<BackendServerId> excluded; ///< Backend servers that must not be chosen, as they were tried before or refused the request.
 };
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -271,7 +271,7 @@
     return !age.has_value() || *age > m_context.configurationTime;
 }
 
-Decisions::FleetQuery RelayedRequest::fleetQuery()
+Decisions::FleetQuery RelayedRequest::fleetQuery(const Decisions::AttemptState &state)
 {
     Decisions::FleetQuery query;
     query.service = m_service;
@@ -279,7 +279,7 @@
     query.prompt = prompt();
     query.dedicatedTo = m_organisation != nullptr && m_organisation->isDedicated ? m_organisation->name : "";
     query.softwareVersion = m_softwareVersion;
-    query.excluded = m_attempts.servers();
+    m_attempts.limit(query, state);
     query.randomValue = m_context.random.next();
     query.latencyTarget = m_route->latencyTarget;
     query.pauseTarget = m_route->pauseTarget;
@@ -319,7 +319,7 @@
 {
     endIfTooLate();
     while (!m_isDone) {
-        const Decisions::FleetQuery query = fleetQuery();
+        const Decisions::FleetQuery query = fleetQuery(attempts());
         const std::optional<FleetChoice> choice = m_context.fleet.choose(query, m_context.loop.now());
         if (!choice.has_value()) {
             m_sendDelay = m_context.fleet.sendDelay(query, m_context.loop.now());
@@ -577,7 +577,7 @@
         return;
     }
     m_nextMoveCheck = now + moveCheckInterval;
-    const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(), now);
+    const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(attemptsIfAbandoned()), now);
     if (!choice.has_value() || choice->isBusyWithWeights || choice->waiting > 0
         || !m_context.budget.tryConsume(m_service, Decisions::ResendPurpose::Move, now)) {
         return;
@@ -593,7 +593,7 @@
         m_isUnanswered = false;
         m_context.fleet.recordAbandoned(*m_choice);
     }
-    m_attempts.recordEnd(failureIfAbandoned(), m_call->hasSent());
+    m_attempts.recordLeave(failureIfAbandoned(), m_call->hasSent());
     m_call.reset();
     m_answer.prepareNextCall();
     if (!sendTo(choice) && !m_isDone) {
@@ -662,7 +662,7 @@
         m_context.metrics.count("failovers_without_budget_total");
         return false;
     }
-    Decisions::FleetQuery query = fleetQuery();
+    Decisions::FleetQuery query = fleetQuery(attemptsIfAbandoned());
     query.needsTimelyReport = true;
     const std::optional<FleetChoice> choice = m_context.fleet.choose(query, now);
     if (!choice.has_value() || !m_context.budget.tryConsume(m_service, resendPurpose(), now)) {
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -134,7 +134,8 @@
     void begin();
     void dispatch();
     bool awaitServer();
-    Decisions::FleetQuery fleetQuery();
+    /// \brief Returns the requirements on the next backend server if the request is then in \a state.
+    Decisions::FleetQuery fleetQuery(const Decisions::AttemptState &state);
     void moveOffWaitingEngine();
     void moveTo(const Decisions::FleetChoice &choice);
     void recordEngineActivity();
--- a/tests/auto/relay/tst_directory.cpp
+++ b/tests/auto/relay/tst_directory.cpp
@@ -1,5 +1,6 @@
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/relaydirectory.h>
+#include <decisions/relay/requestattempts.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -149,6 +150,48 @@
     EXPECT_FALSE(mayResend(lost, CallFailure::Lost));
 }
 
+// Attempts bound the servers that run a request, and a server that runs it again is no further one.
+TEST(AttemptPolicyTest, returnsOnlyToAServerThatRanTheRequest)
+{
+    AttemptState lost = state(RequestKind::Streaming, true, 2);
+    lost.isAnswerBegun = true;
+    lost.mayReturn = true;
+    EXPECT_TRUE(mayResend(lost, CallFailure::Lost));
+    EXPECT_FALSE(lost.mayRunElsewhere());
+    EXPECT_FALSE(mayResend(lost, CallFailure::ServerError));
+    EXPECT_FALSE(mayMoveStream(lost));
+    lost.mayReturn = false;
+    lost.runs = 3;
+    lost.repeatedRuns = 1;
+    EXPECT_FALSE(mayResend(lost, CallFailure::Lost));
+    lost.isRepeatable = false;
+    lost.mayReturn = true;
+    EXPECT_FALSE(mayResend(lost, CallFailure::Lost));
+}
+
+TEST(RequestAttemptsTest, allowsOnlyTheServerThatWasLeftOnceAttemptsAreUsedUp)
+{
+    RelayRoute route;
+    route.kind = RequestKind::Streaming;
+    route.isResumable = true;
+    route.attempts = 2;
+    RequestAttempts attempts;
+    attempts.setRoute(route);
+    attempts.recordSend("a");
+    attempts.recordLeave(CallFailure::Lost, true);
+    attempts.recordSend("b");
+    FleetQuery query;
+    attempts.limit(query, attempts.stateAfter(CallFailure::Lost, true));
+    EXPECT_EQ(query.onlyServer, "a");
+    EXPECT_EQ(query.excluded, std::vector<std::string>{"b"});
+    attempts.recordEnd(CallFailure::Lost, true);
+    attempts.recordSend("a");
+    EXPECT_TRUE(attempts.stateAfter(CallFailure::NotRun, true).mayRunOnceMore());
+    attempts.recordEnd(CallFailure::Lost, true);
+    EXPECT_FALSE(attempts.state(true).mayRunOnceMore());
+    EXPECT_EQ(attempts.state(true).repeatedRuns, 1U);
+}
+
 TEST(AttemptPolicyTest, resumesOnlyResumableStreamsAfterTheyHaveStarted)
 {
     AttemptState begun = state(RequestKind::Streaming, true, 1);
