Let a request that was called back wait for an engine

A stream that waits at an engine whose weights become too old is called back, since nothing may begin on them any more. If no other engine had newer weights at that moment, or attempts were used up, its caller got 502 at once, although its own engine was about to load them and would have been free.

CalledBackStreamTest, isLostThoughItsEngineGetsNewWeights and isLostThoughAnotherEngineGetsNewWeights: both fail on the code before, both pass now.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -47,6 +47,9 @@
 // time, some milliseconds later.
 constexpr milliseconds minimumCallBackDelay{100};
 
+// Interval between searches for a backend server for a request that this router took off one.
+constexpr milliseconds searchInterval{100};
+
 // Backend servers have ten priorities, 0 to 9.
 constexpr std::uint32_t lowestPriority = 9;
 
@@ -334,16 +337,19 @@
     }
 }
 
-// A stream that has begun waits, since what was generated is lost if it is broken off. Its call has been granted already.
+// A stream that has begun waits, since what was generated is lost if it is broken off, and so does what this router took off a server where it would have gone
+// on waiting. Its call has been granted already.
 bool RelayedRequest::awaitServer()
 {
-    if (!m_answer.isBegun() || !m_sendDelay.has_value()) {
+    const bool isTakenOff = attempts().mayReturn;
+    const std::optional<milliseconds> delay = isTakenOff && !m_sendDelay.has_value() ? searchInterval : m_sendDelay;
+    const bool mayWait = m_answer.isBegun() || isTakenOff;
+    if (!mayWait || !delay.has_value() || !m_serverWait.start(*delay, m_deadline - minimumResendTime)) {
         return false;
     }
-    if (!m_serverWait.start(*m_sendDelay, m_deadline - minimumResendTime)) {
-        return false;
+    if (m_sendDelay.has_value()) {
+        m_context.metrics.count("stream_waits_for_limits_total");
     }
-    m_context.metrics.count("stream_waits_for_limits_total");
     return true;
 }
 
@@ -1087,6 +1093,7 @@
 }
 
 // Closing the connection makes the engine drop a queued request. The engine may have begun it just before, so a request that must not run twice fails here.
+// Nothing may begin on these weights any more even if no other engine can take it; it then waits for one, which may be this one with newer weights.
 void RelayedRequest::handleWeightsTooOld()
 {
     const std::optional<Core::TimePoint> callBackAt = callBackTime();
@@ -1098,7 +1105,10 @@
     m_isUnanswered = false;
     m_context.fleet.recordAbandoned(*m_choice);
     m_context.metrics.count("calls_called_back_total");
-    handleFailure(m_call->hasSent() ? CallFailure::Lost : CallFailure::NotSent, "weights too old before the engine began");
+    const CallFailure failure = m_call->hasSent() ? CallFailure::Lost : CallFailure::NotSent;
+    m_attempts.recordLeave(failure, m_call->hasSent());
+    m_call.reset();
+    decide(failure, "weights too old before the engine began");
 }
 
 void RelayedRequest::handleFirstPart()
--- a/src/libs/relay/serverwait.h
+++ b/src/libs/relay/serverwait.h
@@ -8,7 +8,7 @@
 
 namespace Verbena::Relay {
 
-/// \brief Lets a stream that has begun wait for a backend server that is at its limit or rests.
+/// \brief Lets a request that this router took off a backend server, or a stream that has begun, wait for one that can take it.
 class ServerWait
 {
 public:
--- a/tests/auto/relay/tst_givenupcalls.cpp
+++ b/tests/auto/relay/tst_givenupcalls.cpp
@@ -163,8 +163,62 @@
     std::size_t m_first = 0;
 };
 
+// A stream that waits at an engine whose weights become too old. The second time, an engine runs it whole.
+class CalledBackStreamTest : public RelayTest
+{
+protected:
+    void callBack()
+    {
+        startOnOldWeights([this](const auto &head, const auto &) { return runs() == 1 ? WorkerScript{} : wholeStream(head); });
+        m_client = caller();
+        m_client->send(request("/resume/", "Model: m\r\n"));
+        ASSERT_TRUE(runUntil(*m_loop, [this] { return runs() == 1; }));
+        ASSERT_TRUE(m_relay->fleet().recordWeightsAnnouncement("m", 2, m_loop->now()));
+        ASSERT_TRUE(runUntil(*m_loop, [this] { return m_workers[0]->openCount() == 0; }));
+    }
+
+    static WorkerScript wholeStream(const Http::MessageHead &head)
+    {
+        return {streamHead(head) + chunk(event(1)) + "0\r\n\r\n"};
+    }
+
+    void registerWithNewWeights(std::size_t number)
+    {
+        const std::string id = "server-" + std::to_string(number + 1);
+        m_relay->fleet().servers().set({id, "s", m_workers[number]->address(), "hall", 6, false, {{"m", 2}}});
+    }
+
+    void expectWhole()
+    {
+        EXPECT_TRUE(runUntil(*m_loop, [this] { return m_client->isClosed() || contains(m_client->received(), "\r\n\r\n"); }));
+        EXPECT_TRUE(contains(m_client->received(), event(1))) << m_client->received();
+        EXPECT_EQ(runs(), 2U);
+    }
+
+    std::unique_ptr<CallerFake> m_client;
+};
+
 } // namespace
 
+// A stream was called back from an engine that was about to load the new weights, and answered as lost at once, as no other engine had them yet.
+TEST_F(CalledBackStreamTest, isLostThoughItsEngineGetsNewWeights)
+{
+    callBack();
+    runFor(300ms);
+    registerWithNewWeights(0);
+    expectWhole();
+}
+
+// The same where another engine has them a moment later.
+TEST_F(CalledBackStreamTest, isLostThoughAnotherEngineGetsNewWeights)
+{
+    callBack();
+    runFor(300ms);
+    addWorker([](const auto &head, const auto &) { return wholeStream(head); });
+    registerWithNewWeights(1);
+    expectWhole();
+}
+
 // A stream was moved off an engine that waited to load weights; its new engine ended, and the move had used up the attempt that was left.
 TEST_F(GivenUpCallsTest, movedStreamIsCutWhenItsNewEngineEnds)
 {
