Test through real processes that an agent says that it ends

A router and two engines with an agent each: the requests at an engine whose agent ends as planned run to their end there, and those at one whose agent is killed are taken off or answered as lost.

--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -94,6 +94,11 @@
     return {whole("Verbenaladder-Attempt-Id: " + attemptId + "\r\nVerbenaladder-Not-Run: 1\r\n" + rest, "", "503 Full")};
 }
 
+void EngineFake::workFor(std::chrono::milliseconds time)
+{
+    m_work = time;
+}
+
 void EngineFake::setRunning(int count)
 {
     m_running = count;
@@ -131,7 +136,7 @@
     const std::string leaving = m_isLeaving ? "Server-Leaving: 1\r\n" : "";
     const std::string limit = m_limit.has_value() ? "Server-Limit: " + std::to_string(*m_limit) + "\r\n" : "";
     const std::string fields = "Verbenaladder-Attempt-Id: " + (id == nullptr ? "" : *id) + "\r\nVerbenaladder-Server-Stamp: stamp\r\n" + limit + leaving;
-    return {whole(fields, "id: 1\ndata: answer of version " + std::to_string(m_version) + "\n\n")};
+    return {whole(fields, "id: 1\ndata: answer of version " + std::to_string(m_version) + "\n\n"), WorkerScript::End::Keep, m_work};
 }
 
 std::string EngineFake::order(const std::string &body)
@@ -180,10 +185,17 @@
 
 void PlatformDeployment::startAgent()
 {
-    const std::string file
-        = hostFile("side-1", networkNumber() + std::to_string(engineHost), m_store.address(), "app: \"" + m_engine.address() + "\"\nservice: \"reader\"\n");
-    m_agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--host", file});
-    waitUntilStarted(*m_agent);
+    m_agent = startFurtherAgent("side-1", m_engine, "reader");
+}
+
+std::unique_ptr<ChildProcess> PlatformDeployment::startFurtherAgent(const std::string &name, const EngineFake &engine, const std::string &service)
+{
+    const std::string address = engine.address();
+    const std::string ip = address.substr(0, address.rfind(':'));
+    const std::string file = hostFile(name, ip, m_store.address(), "app: \"" + address + "\"\nservice: \"" + service + "\"\n");
+    auto agent = std::make_unique<ChildProcess>("verbena-agent", std::vector<std::string>{"--host", file});
+    waitUntilStarted(*agent);
+    return agent;
 }
 
 void PlatformDeployment::startRouter(std::size_t index)
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -44,6 +44,9 @@
     /// \brief Returns the arrival times of runs().
     const std::vector<Core::TimePoint> &runTimes() const;
 
+    /// \brief Answers requests of callers after \a time from now on.
+    void workFor(std::chrono::milliseconds time);
+
     /// \brief Reports \a count running requests from now on.
     void setRunning(int count);
 
@@ -68,6 +71,7 @@
     std::uint64_t m_version = 1;
     bool m_isHoldingOrders = false;
     int m_running = 0;
+    std::chrono::milliseconds m_work{0}; ///< Time that it takes for the request of a caller.
     std::optional<std::string> m_report;
     std::vector<nlohmann::json> m_orders;
     std::vector<Http::MessageHead> m_runs;
@@ -129,6 +133,9 @@
     /// \brief Kills the agent and restarts it.
     void restartAgent();
 
+    /// \brief Starts an agent on the host \a name, beside \a engine, which serves \a service.
+    std::unique_ptr<ChildProcess> startFurtherAgent(const std::string &name, const EngineFake &engine, const std::string &service);
+
     /// \brief Returns the initial configuration with \a version, which tests modify and write again.
     static nlohmann::json configuration(std::uint64_t version);
 
