Take what is known of a request out of RelayedRequest

RequestFacts holds what admission found and what follows from it alone: route, organisation, service, deadline, priority, key of the stream. RelayContext has a header of its own. Nothing that callers or servers see changes.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -50,9 +50,6 @@
 // Interval between searches for a backend server for a request that this router took off one.
 constexpr milliseconds searchInterval{100};
 
-// Backend servers have ten priorities, 0 to 9.
-constexpr std::uint32_t lowestPriority = 9;
-
 Decisions::ServerInstance serverOf(const FleetChoice &choice)
 {
     return {choice.serverId, choice.address, choice.incarnation};
@@ -63,11 +60,8 @@
 RelayedRequest::RelayedRequest(
     const RelayContext &context, std::shared_ptr<const Decisions::RelayDirectory> directory, Http::MessageHead head, Http::SharedBody body, AnswerSink &sink)
     : m_context(context)
-    , m_directory(std::move(directory))
-    , m_head(std::move(head))
-    , m_body(std::move(body))
+    , m_facts{std::move(directory), std::move(head), std::move(body), context.loop.now()}
     , m_sink(sink)
-    , m_arrival(context.loop.now())
     , m_deadlineTimer(context.loop, [this] { handleDeadline(); })
     , m_weightsTimer(context.loop, [this] { handleWeightsTooOld(); })
     , m_serverWait(context.loop, [this] { dispatch(); })
@@ -75,7 +69,8 @@
     , m_usage(context.usage)
     , m_crashes(context.crashes,
           [this] {
-              return Decisions::crashSubjects({organisationName(), m_head.method, m_query.host, m_query.path, this->body()}, prompt());
+              return Decisions::crashSubjects(
+                  {m_facts.organisationName(), m_facts.head.method, m_facts.query.host, m_facts.query.path, m_facts.body()}, m_facts.prompt());
           })
     , m_origin(context.origins)
 {
@@ -92,7 +87,7 @@
         if (!mayHaveRun()) {
             m_usage.release();
         }
-        reportLeft({m_query.attemptId, m_service, m_choice.has_value() ? m_choice->serverId : "", sinceArrival()}, waitReport(), m_context.metrics);
+        reportLeft(label(), waitReport(), m_context.metrics);
     }
 }
 
@@ -117,11 +112,6 @@
     return report;
 }
 
-std::string_view RelayedRequest::body() const
-{
-    return m_body == nullptr ? std::string_view() : std::string_view(*m_body);
-}
-
 void RelayedRequest::start()
 {
     if (!admit()) {
@@ -136,22 +126,13 @@
 
 bool RelayedRequest::isResumption() const
 {
-    return m_origin.isEnabled() && m_route->kind == RequestKind::Streaming && m_route->isResumable && !m_query.lastEventId.empty();
-}
-
-Decisions::StreamKey RelayedRequest::streamKey() const
-{
-    return {organisationName(), m_query.lastEventId.empty() ? m_query.attemptId : m_query.resumedAttemptId};
-}
-
-milliseconds RelayedRequest::longestStream() const
-{
-    return Decisions::longestStream(*m_route);
+    return m_origin.isEnabled() && m_facts.isResumption();
 }
 
 void RelayedRequest::findOrigin()
 {
-    m_origin.find({streamKey(), m_service, longestStream()}, [this](const std::optional<Decisions::StreamOrigin> &origin) { handleOrigin(origin); });
+    m_origin.find({m_facts.streamKey(), m_facts.service, Decisions::longestStream(*m_facts.route)},
+        [this](const std::optional<Decisions::StreamOrigin> &origin) { handleOrigin(origin); });
 }
 
 void RelayedRequest::handleOrigin(const std::optional<Decisions::StreamOrigin> &origin)
@@ -160,15 +141,16 @@
         refuse(503, "It is not known here which software version began the stream; it has not run.");
         return;
     }
-    const bool isServed = std::any_of(
-        m_route->services.begin(), m_route->services.end(), [&origin](const Decisions::ServiceShare &share) { return share.service == origin->service; });
+    const bool isServed = std::any_of(m_facts.route->services.begin(), m_facts.route->services.end(), [&origin](const Decisions::ServiceShare &share) {
+        return share.service == origin->service;
+    });
     if (!isServed || !m_context.fleet.hasSoftware(origin->service, origin->softwareVersion)) {
         refuse(503,
             "No backend server of the software version that began the stream is left; it has not run.",
             Decisions::retryDelay(goneSoftwareDelay, remainingTime()));
         return;
     }
-    m_service = origin->service;
+    m_facts.service = origin->service;
     m_softwareVersion = origin->softwareVersion;
     claimUsageOrBegin();
 }
@@ -177,14 +159,14 @@
 void RelayedRequest::beginStream()
 {
     m_softwareVersion = m_choice->softwareVersion;
-    if (m_route->isResumable) {
-        m_origin.begin({streamKey(), {m_service, *m_softwareVersion}, longestStream()});
+    if (m_facts.route->isResumable) {
+        m_origin.begin({m_facts.streamKey(), {m_facts.service, *m_softwareVersion}, Decisions::longestStream(*m_facts.route)});
     }
 }
 
 void RelayedRequest::claimUsageOrBegin()
 {
-    if (m_organisation != nullptr && m_organisation->usageCap.has_value() && m_usage.isEnabled()) {
+    if (m_facts.organisation != nullptr && m_facts.organisation->usageCap.has_value() && m_usage.isEnabled()) {
         claimUsage();
     } else {
         begin();
@@ -193,15 +175,15 @@
 
 void RelayedRequest::claimUsage()
 {
-    const Decisions::UsageCap &cap = *m_organisation->usageCap;
-    const Decisions::UsageClaim claim{m_organisation->name, cap, m_directory->version(), usageCost(cap, m_query.tokens), priority()};
+    const Decisions::UsageCap &cap = *m_facts.organisation->usageCap;
+    const Decisions::UsageClaim claim{m_facts.organisation->name, cap, m_facts.directory->version(), usageCost(cap, m_facts.query.tokens), m_facts.priority()};
     m_usage.claim(claim, [this](const Decisions::UsageVerdict &verdict) {
         if (verdict.isGranted) {
             begin();
             return;
         }
         m_context.metrics.count("requests_over_cap_total");
-        m_context.metrics.count("requests_over_cap_priority_" + std::to_string(priority()) + "_total");
+        m_context.metrics.count("requests_over_cap_priority_" + std::to_string(m_facts.priority()) + "_total");
         refuse(429, "The usage cap of the organisation is reached; it has not run.", std::max(verdict.retryAfter, Decisions::minimumRetryDelay));
     });
 }
@@ -221,28 +203,12 @@
     return m_attempts.mayHaveRun() || (m_call != nullptr && m_call->hasSent());
 }
 
-std::string RelayedRequest::organisationName() const
-{
-    return m_organisation != nullptr ? m_organisation->name : "";
-}
-
-const Decisions::PromptOutline *RelayedRequest::prompt() const
-{
-    return m_query.prompt.has_value() ? &*m_query.prompt : nullptr;
-}
-
-std::uint32_t RelayedRequest::priority() const
-{
-    const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority.has_value();
-    return std::min(lowestPriority, hasOwnPriority ? *m_organisation->priority : m_route->priority);
-}
-
 bool RelayedRequest::admit()
 {
-    RequestAdmission admission = admitRequest(m_context.protocol, m_directory.get(), m_head, m_arrival);
-    m_query = std::move(admission.query);
-    m_route = admission.route;
-    m_organisation = admission.organisation;
+    RequestAdmission admission = admitRequest(m_context.protocol, m_facts.directory.get(), m_facts.head, m_facts.arrival);
+    m_facts.query = std::move(admission.query);
+    m_facts.route = admission.route;
+    m_facts.organisation = admission.organisation;
     if (admission.refusal.has_value()) {
         const bool isDenied = admission.refusal->status == 401 || admission.refusal->status == 404;
         if (isDenied && isConfigurationOutdated()) {
@@ -252,15 +218,12 @@
         }
         return false;
     }
-    m_service = Decisions::RelayDirectory::service(*m_route, m_context.random.next());
-    m_answer.setRoute(*m_route);
-    m_attempts.setRoute(*m_route);
-    m_deadline = m_arrival + m_route->timeout;
-    if (m_query.deadline.has_value()) {
-        m_deadline = std::min(m_deadline, *m_query.deadline);
-    }
-    m_deadlineTimer.startAt(m_deadline);
-    m_context.budget.recordRequest(m_service, m_arrival);
+    m_facts.service = Decisions::RelayDirectory::service(*m_facts.route, m_context.random.next());
+    m_answer.setRoute(*m_facts.route);
+    m_attempts.setRoute(*m_facts.route);
+    m_facts.setDeadline();
+    m_deadlineTimer.startAt(m_facts.deadline);
+    m_context.budget.recordRequest(m_facts.service, m_facts.arrival);
     return true;
 }
 
@@ -276,16 +239,10 @@
 
 Decisions::FleetQuery RelayedRequest::fleetQuery(const Decisions::AttemptState &state)
 {
-    Decisions::FleetQuery query;
-    query.service = m_service;
-    query.route = m_route->name;
-    query.prompt = prompt();
-    query.dedicatedTo = m_organisation != nullptr && m_organisation->isDedicated ? m_organisation->name : "";
+    Decisions::FleetQuery query = m_facts.fleetQuery();
     query.softwareVersion = m_softwareVersion;
-    m_attempts.limit(query, state);
     query.randomValue = m_context.random.next();
-    query.latencyTarget = m_route->latencyTarget;
-    query.pauseTarget = m_route->pauseTarget;
+    m_attempts.limit(query, state);
     return query;
 }
 
@@ -311,11 +268,10 @@
 void RelayedRequest::recordBarred(const TrialVerdict &verdict, const char *outcome)
 {
     m_context.metrics.count("requests_barred_total");
-    const std::string server = m_choice.has_value() ? m_choice->serverId : "";
     const std::optional<std::size_t> part = m_crashes.partIndex(verdict.subject);
-    const std::string partId = part.has_value() ? Decisions::sharedParts(prompt())[*part].id : "";
-    const BarredReport report{verdict.subject.text(), partId, verdict.crashes, organisationName(), outcome, m_attempts.arrivals()};
-    reportBarred({m_query.attemptId, m_service, server, sinceArrival()}, report);
+    const std::string partId = part.has_value() ? Decisions::sharedParts(m_facts.prompt())[*part].id : "";
+    const BarredReport report{verdict.subject.text(), partId, verdict.crashes, m_facts.organisationName(), outcome, m_attempts.arrivals()};
+    reportBarred(label(), report);
 }
 
 void RelayedRequest::dispatch()
@@ -344,7 +300,7 @@
     const bool isTakenOff = attempts().mayReturn;
     const std::optional<milliseconds> delay = isTakenOff && !m_sendDelay.has_value() ? searchInterval : m_sendDelay;
     const bool mayWait = m_answer.isBegun() || isTakenOff;
-    if (!mayWait || !delay.has_value() || !m_serverWait.start(*delay, m_deadline - minimumResendTime)) {
+    if (!mayWait || !delay.has_value() || !m_serverWait.start(*delay, m_facts.deadline - minimumResendTime)) {
         return false;
     }
     if (m_sendDelay.has_value()) {
@@ -362,10 +318,10 @@
     const std::chrono::microseconds acceptable = acceptableWait(choice);
     const auto retryAfter = Decisions::refusalRetryDelay({*choice.expectedWait, acceptable, remainingTime()});
     if (!retryAfter.has_value()) {
-        m_context.shedder.recordAdmitted(m_service, priority(), now);
+        m_context.shedder.recordAdmitted(m_facts.service, m_facts.priority(), now);
         return false;
     }
-    m_context.shedder.recordRefused(m_service, priority(), now);
+    m_context.shedder.recordRefused(m_facts.service, m_facts.priority(), now);
     m_choice = choice;
     m_choice->acceptableWait = acceptable;
     m_context.metrics.count("requests_turned_away_total");
@@ -380,10 +336,10 @@
 // Without usage caps the capacity is meant to suffice for all organisations, and priorities order requests at the engines only.
 std::chrono::microseconds RelayedRequest::acceptableWait(const FleetChoice &choice) const
 {
-    if (!m_directory->hasUsageCaps()) {
+    if (!m_facts.directory->hasUsageCaps()) {
         return choice.acceptableWait;
     }
-    return m_context.shedder.acceptableWait(m_service, priority(), choice.acceptableWait, m_context.loop.now());
+    return m_context.shedder.acceptableWait(m_facts.service, m_facts.priority(), choice.acceptableWait, m_context.loop.now());
 }
 
 // Returns false if the call could not be started; then either the request has been finished or the caller tries the next backend server.
@@ -436,20 +392,20 @@
         return endpoint.error();
     }
     m_isConnectionKept = m_context.connections != nullptr && Decisions::mayKeepConnection(connectionUse());
-    const Http::OutgoingMessage message = callMessage(m_context.protocol, m_head, m_body, callContext(choice));
+    const Http::OutgoingMessage message = callMessage(m_context.protocol, m_facts.head, m_facts.sharedBody, callContext(choice));
     if (m_isConnectionKept) {
         if (auto call = m_context.connections->reuse(serverOf(choice), connectionUse(), message, *this)) {
             return call;
         }
     }
     m_context.metrics.count("server_connections_opened_total");
-    const CallOptions options{m_head.method == "HEAD", m_route->isRepeatable()};
+    const CallOptions options{m_facts.head.method == "HEAD", m_facts.route->isRepeatable()};
     return BackendCall::create(m_context.loop, endpoint.value(), message, options, m_context.loop.now() + BackendCall::connectTimeout, *this);
 }
 
 Decisions::KeptConnectionUse RelayedRequest::connectionUse()
 {
-    return {m_route->isRepeatable(), m_answer.isBegun(), !m_query.attemptId.empty(), m_head.method == "HEAD", m_crashes.isSuspected()};
+    return {m_facts.route->isRepeatable(), m_answer.isBegun(), !m_facts.query.attemptId.empty(), m_facts.head.method == "HEAD", m_crashes.isSuspected()};
 }
 
 void RelayedRequest::endCall()
@@ -464,16 +420,16 @@
 {
     CallContext context;
     context.serverId = choice.serverId;
-    context.organisation = organisationName();
+    context.organisation = m_facts.organisationName();
     const auto left = duration_cast<milliseconds>(remainingTime()) - networkMargin;
     context.timeLeft = std::max(milliseconds(1), left);
     context.weightsVersion = choice.weightsVersion;
     context.cacheScope = choice.cacheScope;
     context.cacheSource = choice.cacheSource;
     context.cacheStore = choice.cacheStore;
-    context.priority = priority();
+    context.priority = m_facts.priority();
     context.isConnectionKept = m_isConnectionKept;
-    context.lastEventId = m_answer.lastEventId().has_value() ? std::to_string(*m_answer.lastEventId()) : m_query.lastEventId;
+    context.lastEventId = m_answer.lastEventId().has_value() ? std::to_string(*m_answer.lastEventId()) : m_facts.query.lastEventId;
     return context;
 }
 
@@ -486,8 +442,8 @@
         handleNotRun(marks);
         return;
     }
-    if (meaning != AnswerMeaning::OfAnotherRequest && marks.weightsVersion.has_value() && m_query.prompt.has_value()) {
-        m_context.fleet.updateWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
+    if (meaning != AnswerMeaning::OfAnotherRequest && marks.weightsVersion.has_value() && m_facts.query.prompt.has_value()) {
+        m_context.fleet.updateWeights(*m_choice, m_facts.query.prompt->model, *marks.weightsVersion);
     }
     if (meaning != AnswerMeaning::OfAnotherRequest) {
         recordNotices(marks);
@@ -505,7 +461,7 @@
     if (m_call->isReused() && marks.attemptId.empty()) {
         return AnswerMeaning::OfAnotherRequest;
     }
-    return classifyAnswer(status, marks, m_query.attemptId, m_answer.isBegun());
+    return classifyAnswer(status, marks, m_facts.query.attemptId, m_answer.isBegun());
 }
 
 // What a backend server says of itself beside the answer to the request, which may be any answer of it.
@@ -519,11 +475,11 @@
     }
     if (marks.rest.has_value() && m_context.fleet.recordRest(*m_choice, *marks.rest, m_context.loop.now())) {
         m_context.metrics.count("server_rests_total");
-        reportRest({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, *marks.rest);
+        reportRest(label(), *marks.rest);
     }
     if (marks.isLeaving && m_context.fleet.markLeaving(*m_choice)) {
         m_context.metrics.count("servers_said_leaving_total");
-        reportLeaving({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()});
+        reportLeaving(label());
     }
 }
 
@@ -532,10 +488,10 @@
     const bool isOther = !marks.serverId.empty() && marks.serverId != m_choice->serverId;
     if (isOther) {
         m_context.fleet.markReplaced(*m_choice);
-        reportReplaced({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, marks.serverId);
+        reportReplaced(label(), marks.serverId);
     }
-    if (marks.weightsVersion.has_value() && m_query.prompt.has_value() && !isOther) {
-        m_context.fleet.updateWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
+    if (marks.weightsVersion.has_value() && m_facts.query.prompt.has_value() && !isOther) {
+        m_context.fleet.updateWeights(*m_choice, m_facts.query.prompt->model, *marks.weightsVersion);
     }
     if (!isOther) {
         recordNotices(marks);
@@ -577,7 +533,7 @@
 void RelayedRequest::moveOffWaitingEngine()
 {
     const Core::TimePoint now = m_context.loop.now();
-    const bool isMovable = m_route->isResumable && m_answer.lastEventId().has_value() && !m_call->isWhole() && mayMoveStream(attempts());
+    const bool isMovable = m_facts.route->isResumable && m_answer.lastEventId().has_value() && !m_call->isWhole() && mayMoveStream(attempts());
     if (!isMovable || m_context.shutdown->isBegun() || now < m_nextMoveCheck || !hasTimeToResend() || !m_context.fleet.isWaitingToLoad(*m_choice, now)
         || m_crashes.isSuspected()) {
         return;
@@ -585,11 +541,11 @@
     m_nextMoveCheck = now + moveCheckInterval;
     const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(attemptsIfAbandoned()), now);
     if (!choice.has_value() || choice->isBusyWithWeights || choice->waiting > 0
-        || !m_context.budget.tryConsume(m_service, Decisions::ResendPurpose::Move, now)) {
+        || !m_context.budget.tryConsume(m_facts.service, Decisions::ResendPurpose::Move, now)) {
         return;
     }
     m_context.metrics.count("streams_moved_total");
-    reportMove({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, choice->serverId, *m_answer.lastEventId());
+    reportMove(label(), choice->serverId, *m_answer.lastEventId());
     moveTo(*choice);
 }
 
@@ -615,7 +571,7 @@
 
 Core::TimePoint RelayedRequest::deadline() const
 {
-    return m_deadline;
+    return m_facts.deadline;
 }
 
 bool RelayedRequest::isAtSilentEngine() const
@@ -664,18 +620,18 @@
     if (!mayFailOver()) {
         return false;
     }
-    if (m_context.budget.balance(m_service, resendPurpose(), now).available < 1) {
+    if (m_context.budget.balance(m_facts.service, resendPurpose(), now).available < 1) {
         m_context.metrics.count("failovers_without_budget_total");
         return false;
     }
     Decisions::FleetQuery query = fleetQuery(attemptsIfAbandoned());
     query.needsTimelyReport = true;
     const std::optional<FleetChoice> choice = m_context.fleet.choose(query, now);
-    if (!choice.has_value() || !m_context.budget.tryConsume(m_service, resendPurpose(), now)) {
+    if (!choice.has_value() || !m_context.budget.tryConsume(m_facts.service, resendPurpose(), now)) {
         return false;
     }
     m_context.metrics.count("requests_failed_over_total");
-    reportFailover({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, choice->serverId, waitReport());
+    reportFailover(label(), choice->serverId, waitReport());
     if (m_context.connections != nullptr) {
         m_context.connections->drop(m_choice->address, DropReason::CallFailed);
     }
@@ -706,7 +662,7 @@
 void RelayedRequest::checkServer()
 {
     m_serverCheck = std::make_unique<ServerCheck>(
-        m_context.loop, m_context.protocol, serverOf(*m_choice), m_directory->healthPath(m_service), [this](ServerCheck::Finding finding) {
+        m_context.loop, m_context.protocol, serverOf(*m_choice), m_facts.directory->healthPath(m_facts.service), [this](ServerCheck::Finding finding) {
             handleServerCheck(finding);
         });
 }
@@ -747,7 +703,7 @@
 // In a stream that went on elsewhere the longest pause may be that of the change, and in one that its caller read slowly, the caller's.
 void RelayedRequest::recordPauses()
 {
-    if (m_route->kind == RequestKind::Streaming && m_attempts.sends() == 1 && !m_wasPaused && isSuccess(m_answer.status())) {
+    if (m_facts.route->kind == RequestKind::Streaming && m_attempts.sends() == 1 && !m_wasPaused && isSuccess(m_answer.status())) {
         m_context.fleet.recordLongestPause(*m_choice, m_partTimes.longestGap().value_or(milliseconds(0)));
     }
 }
@@ -761,7 +717,7 @@
 // The last call of a stream that went on elsewhere has only the rest of it.
 void RelayedRequest::recordRunTime()
 {
-    const bool isRest = m_route->kind == RequestKind::Streaming && (m_attempts.sends() > 1 || !m_query.lastEventId.empty());
+    const bool isRest = m_facts.route->kind == RequestKind::Streaming && (m_attempts.sends() > 1 || !m_facts.query.lastEventId.empty());
     if (m_call != nullptr && !isRest) {
         m_context.fleet.recordRunTime(*m_choice, m_context.loop.now());
     }
@@ -781,7 +737,8 @@
     }
     closeCall(failure);
     const bool hasEvent = m_answer.hasEvent();
-    const LostCall call{{}, m_query.attemptId, organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address, m_hasServerEnded};
+    const LostCall call{
+        {}, m_facts.query.attemptId, m_facts.organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address, m_hasServerEnded};
     if (mayResendAfterCheck(failure)) {
         m_crashes.handleLostCall(call, hasEvent, [this, failure, text = std::string(reason)](ServerEnd end) {
             if (end == ServerEnd::Proved) {
@@ -825,17 +782,17 @@
 
 void RelayedRequest::decide(CallFailure failure, std::string_view reason)
 {
-    const Decisions::ResendBalance balance = m_context.budget.balance(m_service, resendPurpose(), m_context.loop.now());
+    const Decisions::ResendBalance balance = m_context.budget.balance(m_facts.service, resendPurpose(), m_context.loop.now());
     m_lastFailure = failure;
     const AttemptAction action = chooseAction(failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
-    reportFailure({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()},
+    reportFailure(label(),
         {failure,
             reason,
             attempts(),
             m_attempts.arrivals(),
             failure == CallFailure::Lost ? m_crashes.request().text() : "",
-            failure == CallFailure::Lost ? sharedPartsText(prompt()) : "",
+            failure == CallFailure::Lost ? sharedPartsText(m_facts.prompt()) : "",
             balance,
             action,
             m_answer.ending()});
@@ -869,7 +826,7 @@
 // What servers of two software versions generate does not fit together.
 bool RelayedRequest::isSoftwareGone() const
 {
-    return m_softwareVersion.has_value() && !m_context.fleet.hasSoftware(m_service, *m_softwareVersion);
+    return m_softwareVersion.has_value() && !m_context.fleet.hasSoftware(m_facts.service, *m_softwareVersion);
 }
 
 bool RelayedRequest::mayResendInTime(const Decisions::AttemptState &state, CallFailure failure) const
@@ -879,7 +836,7 @@
 
 bool RelayedRequest::hasTimeToResend() const
 {
-    return m_context.loop.now() + minimumResendTime < m_deadline && isExpectedToEnd();
+    return m_context.loop.now() + minimumResendTime < m_facts.deadline && isExpectedToEnd();
 }
 
 AttemptAction RelayedRequest::chooseAction(CallFailure failure)
@@ -895,7 +852,7 @@
         return AttemptAction::SendAgain;
     }
     const std::optional<Core::TimePoint> earliest = backoffEnd(failure);
-    if (!earliest.has_value() && m_context.budget.tryConsume(m_service, resendPurpose(), now)) {
+    if (!earliest.has_value() && m_context.budget.tryConsume(m_facts.service, resendPurpose(), now)) {
         m_context.metrics.count("resends_total");
         return AttemptAction::SendAgain;
     }
@@ -918,7 +875,7 @@
 
 bool RelayedRequest::awaitResend(CallFailure failure, Core::TimePoint earliest)
 {
-    m_resendNumber = m_context.resendQueue.wait(m_service, resendPurpose(), earliest, [this, failure](bool isGranted) {
+    m_resendNumber = m_context.resendQueue.wait(m_facts.service, resendPurpose(), earliest, [this, failure](bool isGranted) {
         m_resendNumber = 0;
         m_context.metrics.count(isGranted ? "resends_total" : "resends_refused_total");
         const AttemptAction resend = m_crashes.isTrialRequired(m_attempts.arrivals()) ? AttemptAction::AwaitTrial : AttemptAction::SendAgain;
@@ -969,7 +926,7 @@
 
 void RelayedRequest::refuseUnplaced()
 {
-    if (const std::optional<milliseconds> rest = m_context.fleet.restDelay(m_service, m_context.loop.now())) {
+    if (const std::optional<milliseconds> rest = m_context.fleet.restDelay(m_facts.service, m_context.loop.now())) {
         m_context.metrics.count("requests_during_rests_total");
         refuse(503, "All backend servers have asked for rest; it has not run.", Decisions::retryDelay(*rest, remainingTime()));
         return;
@@ -993,7 +950,7 @@
     if (status == 503 || status == 429) {
         refusal.retryAfter = retryAfter;
     }
-    m_sink.respond(status, m_context.protocol.refusalFields(refusal, m_query.attemptId), message);
+    m_sink.respond(status, m_context.protocol.refusalFields(refusal, m_facts.query.attemptId), message);
     logOutcome(status, message);
 }
 
@@ -1018,7 +975,7 @@
     if (m_isDone || m_call == nullptr) {
         return std::nullopt;
     }
-    return Decisions::RunningCall{m_route->name, m_choice->sentAt};
+    return Decisions::RunningCall{m_facts.route->name, m_choice->sentAt};
 }
 
 // Asked for each event of a stream.
@@ -1028,7 +985,7 @@
         return true;
     }
     const milliseconds elapsed = m_answer.isBegun() ? sinceArrival() : milliseconds(0);
-    return m_context.shutdown->isExpectedToEnd({m_route->name, m_route->isRepeatable(), m_deadline, elapsed});
+    return m_context.shutdown->isExpectedToEnd({m_facts.route->name, m_facts.route->isRepeatable(), m_facts.deadline, elapsed});
 }
 
 void RelayedRequest::endIfTooLate()
@@ -1077,10 +1034,10 @@
 // calls are not called back.
 std::optional<Core::TimePoint> RelayedRequest::callBackTime() const
 {
-    if (m_isDone || m_call == nullptr || !m_isUnanswered || !m_query.prompt.has_value() || m_route->kind != RequestKind::Streaming) {
+    if (m_isDone || m_call == nullptr || !m_isUnanswered || !m_facts.query.prompt.has_value() || m_facts.route->kind != RequestKind::Streaming) {
         return std::nullopt;
     }
-    return m_context.fleet.callBackTime(*m_choice, m_query.prompt->model);
+    return m_context.fleet.callBackTime(*m_choice, m_facts.query.prompt->model);
 }
 
 void RelayedRequest::updateCallBackTimer()
@@ -1120,7 +1077,7 @@
     m_isUnanswered = false;
     m_weightsTimer.stop();
     // Other completions begin their answer only after all of it has been generated.
-    const bool showsSpeed = !m_query.prompt.has_value() || m_route->kind == RequestKind::Streaming;
+    const bool showsSpeed = !m_facts.query.prompt.has_value() || m_facts.route->kind == RequestKind::Streaming;
     if (showsSpeed && isSuccess(m_answer.status()) && !m_answer.isServerError()) {
         m_context.fleet.recordWork(*m_choice, m_context.loop.now());
     }
@@ -1143,28 +1100,37 @@
     m_deadlineTimer.stop();
     m_weightsTimer.stop();
     m_serverWait.stop();
-    RequestReport report{
-        status, outcome, {organisationName(), m_route != nullptr ? m_route->name : ""}, m_query.attemptId, m_service, m_query.resumedAttemptId};
+    RequestReport report{status,
+        outcome,
+        {m_facts.organisationName(), m_facts.route != nullptr ? m_facts.route->name : ""},
+        m_facts.query.attemptId,
+        m_facts.service,
+        m_facts.query.resumedAttemptId};
     report.choice = m_choice.has_value() ? &*m_choice : nullptr;
     report.sends = m_attempts.sends();
-    report.arrival = m_arrival;
+    report.arrival = m_facts.arrival;
     report.firstPartAfter = m_firstPartAfter;
     report.longestGap = m_partTimes.longestGap();
     report.total = sinceArrival();
     report.ending = m_answer.ending();
     report.configurationAge = m_context.configurationAge ? m_context.configurationAge() : std::nullopt;
-    report.configuration = m_directory != nullptr ? m_directory->version() : 0;
+    report.configuration = m_facts.directory != nullptr ? m_facts.directory->version() : 0;
     reportEnd(report, m_context.metrics);
 }
 
 std::chrono::microseconds RelayedRequest::remainingTime() const
 {
-    return duration_cast<std::chrono::microseconds>(m_deadline - m_context.loop.now());
+    return duration_cast<std::chrono::microseconds>(m_facts.deadline - m_context.loop.now());
+}
+
+RequestLabel RelayedRequest::label() const
+{
+    return {m_facts.query.attemptId, m_facts.service, m_choice.has_value() ? m_choice->serverId : "", sinceArrival()};
 }
 
 milliseconds RelayedRequest::sinceArrival() const
 {
-    return duration_cast<milliseconds>(m_context.loop.now() - m_arrival);
+    return duration_cast<milliseconds>(m_context.loop.now() - m_facts.arrival);
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -6,9 +6,9 @@
 #include "crashcontrolhandle.h"
 #include "memoryguard.h"
 #include "parttimes.h"
-#include "relayprotocol.h"
+#include "relaycontext.h"
+#include "requestfacts.h"
 #include "requestreport.h"
-#include "resendqueue.h"
 #include "servercheck.h"
 #include "serverwait.h"
 #include "streamoriginhandle.h"
@@ -17,12 +17,8 @@
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/crashsubject.h>
 #include <decisions/relay/keptconnections.h>
-#include <decisions/relay/loadshedder.h>
 #include <decisions/relay/relaydirectory.h>
-#include <decisions/relay/relayfleet.h>
 #include <decisions/relay/requestattempts.h>
-#include <decisions/relay/resendbudget.h>
-#include <decisions/spread/randomsource.h>
 #include <eventloop/timer.h>
 
 #include <functional>
@@ -32,36 +28,8 @@
 #include <string_view>
 #include <vector>
 
-namespace Verbena::Observe {
-class Metrics;
-}
-
 namespace Verbena::Relay {
 
-class RelayShutdown;
-class ServerConnections;
-
-/// \brief State that all requests of one relay share.
-struct RelayContext
-{
-    EventLoop::Loop &loop;
-    const RelayProtocol &protocol;
-    Decisions::RelayFleet &fleet;
-    Decisions::ResendBudget &budget;
-    Decisions::LoadShedder &shedder;
-    ResendQueue &resendQueue;
-    Decisions::RandomSource &random;
-    Observe::Metrics &metrics;
-    std::chrono::milliseconds configurationTime; ///< Time within which a change of the configuration has to be in force.
-    std::function<std::optional<std::chrono::milliseconds>()> configurationAge = {}; ///< Returns the age of the configuration; empty if it is not available.
-    UsageControl *usage = nullptr; ///< Null if no usage caps are enforced.
-    CrashControl *crashes = nullptr; ///< Null if crashes are not tracked.
-    StreamOriginControl *origins = nullptr; ///< Null if streams may be resumed at any backend server.
-    Decisions::MemoryBudget *memory = nullptr; ///< Null if bytes held are not counted.
-    ServerConnections *connections = nullptr; ///< Null if each call opens a connection of its own.
-    RelayShutdown *shutdown = nullptr; ///< Knows which requests can end in time while this router ends; never null for a request.
-};
-
 /// \brief Relays one request to a backend server and the answer back; destroying it cancels the request.
 class RelayedRequest : private CallObserver
 {
@@ -114,23 +82,20 @@
     static constexpr std::chrono::milliseconds defaultRetryDelay{250};
 
     bool admit();
+    RequestLabel label() const;
+    std::chrono::milliseconds sinceArrival() const;
+    std::chrono::microseconds remainingTime() const;
     bool isConfigurationOutdated() const;
     bool isResumption() const;
     void findOrigin();
     void handleOrigin(const std::optional<Decisions::StreamOrigin> &origin);
-    Decisions::StreamKey streamKey() const;
     WaitReport waitReport() const;
-    std::string_view body() const;
-    std::chrono::milliseconds longestStream() const;
     void beginStream();
     void claimUsageOrBegin();
     void claimUsage();
     Decisions::AttemptState attempts() const;
     std::uint32_t arrivals() const;
     bool mayHaveRun() const;
-    std::string organisationName() const;
-    const Decisions::PromptOutline *prompt() const;
-    std::uint32_t priority() const;
     void begin();
     void dispatch();
     bool awaitServer();
@@ -193,23 +158,13 @@
     void handleWeightsTooOld();
     void handleFirstPart();
     void logOutcome(int status, std::string_view outcome);
-    std::chrono::milliseconds sinceArrival() const;
-    std::chrono::microseconds remainingTime() const;
 
     const RelayContext &m_context;
-    std::shared_ptr<const Decisions::RelayDirectory> m_directory;
-    Http::MessageHead m_head;
-    Http::SharedBody m_body; ///< Kept until the end, since the request may be sent again.
+    RequestFacts m_facts;
     AnswerSink &m_sink;
-    Core::TimePoint m_arrival;
-    Core::TimePoint m_deadline; ///< Deadline of the final answer.
     EventLoop::Timer m_deadlineTimer;
     EventLoop::Timer m_weightsTimer; ///< Runs while the current call uses outdated weights and its engine has not begun it.
     ServerWait m_serverWait;
-    RelayQuery m_query;
-    const Decisions::RelayRoute *m_route = nullptr;
-    const Decisions::RelayOrganisation *m_organisation = nullptr;
-    std::string m_service;
     Decisions::RequestAttempts m_attempts;
     std::optional<Decisions::CallFailure> m_lastFailure; ///< How the last call failed; nothing before, and after the next one was made.
     std::uint64_t m_resendNumber = 0; ///< Number in the resend queue; 0 if the request does not wait there.
