Take the call to a backend server out of RelayedRequest

ServerCall holds the choice and the connection of the current call, and tells the fleet what it learns from it: load, weights, limits, rests, silence. Nothing that callers or servers see changes.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -21,9 +21,6 @@
 
 namespace {
 
-// Subtracted from the time that a backend server is given, for the round trip.
-constexpr milliseconds networkMargin{10};
-
 // With less remaining time than this, a request is not sent again.
 constexpr milliseconds minimumResendTime{40};
 
@@ -36,13 +33,6 @@
 // Interval between checks whether to move a stream; its events arrive several times as often.
 constexpr milliseconds moveCheckInterval{100};
 
-// Time without a byte from a silent engine after which a request is taken off it; between the events of a stream much less passes.
-constexpr milliseconds silentEngineTime{500};
-
-// Time since the last report after which an engine counts as lost for what cannot be sent elsewhere. Callers give up after two seconds without an event at the
-// earliest.
-constexpr milliseconds lostEngineTime{2000};
-
 // Delay before a call is called back at once because of newer weights. An announcement that is received late counts as old until the store has returned its
 // time, some milliseconds later.
 constexpr milliseconds minimumCallBackDelay{100};
@@ -50,11 +40,6 @@
 // Interval between searches for a backend server for a request that this router took off one.
 constexpr milliseconds searchInterval{100};
 
-Decisions::ServerInstance serverOf(const FleetChoice &choice)
-{
-    return {choice.serverId, choice.address, choice.incarnation};
-}
-
 } // namespace
 
 RelayedRequest::RelayedRequest(
@@ -65,6 +50,7 @@
     , m_deadlineTimer(context.loop, [this] { handleDeadline(); })
     , m_weightsTimer(context.loop, [this] { handleWeightsTooOld(); })
     , m_serverWait(context.loop, [this] { dispatch(); })
+    , m_call(context, m_facts, *this)
     , m_answer(context.protocol, sink)
     , m_usage(context.usage)
     , m_crashes(context.crashes,
@@ -80,35 +66,19 @@
 {
     m_context.resendQueue.withdraw(m_resendNumber);
     m_crashes.end(arrivals());
-    if (m_isUnanswered) {
-        m_context.fleet.recordAbandoned(*m_choice);
-    }
     if (!m_isDone) {
         if (!mayHaveRun()) {
             m_usage.release();
         }
-        reportLeft(label(), waitReport(), m_context.metrics);
+        reportLeft(m_call.label(), waitReport(), m_context.metrics);
     }
 }
 
 WaitReport RelayedRequest::waitReport() const
 {
-    WaitReport report;
+    WaitReport report = m_call.waitReport();
     report.isBegun = m_answer.isBegun();
     report.sends = m_attempts.sends();
-    if (m_call == nullptr) {
-        return report;
-    }
-    const Core::TimePoint now = m_context.loop.now();
-    report.sentAgo = duration_cast<milliseconds>(now - m_choice->sentAt);
-    report.reportAge = m_context.fleet.reportAge(*m_choice, now);
-    if (m_call->isUnacknowledged()) {
-        report.waitingFor = WaitingFor::Acknowledgement;
-    } else if (m_context.fleet.isSilent(*m_choice, now)) {
-        report.waitingFor = WaitingFor::SilentEngine;
-    } else {
-        report.waitingFor = m_isUnanswered ? WaitingFor::Begin : WaitingFor::Rest;
-    }
     return report;
 }
 
@@ -158,7 +128,7 @@
 // Other routers have to know of the stream before its caller can resume it there.
 void RelayedRequest::beginStream()
 {
-    m_softwareVersion = m_choice->softwareVersion;
+    m_softwareVersion = m_call.choice()->softwareVersion;
     if (m_facts.route->isResumable) {
         m_origin.begin({m_facts.streamKey(), {m_facts.service, *m_softwareVersion}, Decisions::longestStream(*m_facts.route)});
     }
@@ -195,12 +165,12 @@
 
 std::uint32_t RelayedRequest::arrivals() const
 {
-    return m_attempts.arrivals() + (m_call != nullptr && m_call->hasSent() ? 1 : 0);
+    return m_attempts.arrivals() + (m_call.hasSent() ? 1 : 0);
 }
 
 bool RelayedRequest::mayHaveRun() const
 {
-    return m_attempts.mayHaveRun() || (m_call != nullptr && m_call->hasSent());
+    return m_attempts.mayHaveRun() || m_call.hasSent();
 }
 
 bool RelayedRequest::admit()
@@ -271,7 +241,7 @@
     const std::optional<std::size_t> part = m_crashes.partIndex(verdict.subject);
     const std::string partId = part.has_value() ? Decisions::sharedParts(m_facts.prompt())[*part].id : "";
     const BarredReport report{verdict.subject.text(), partId, verdict.crashes, m_facts.organisationName(), outcome, m_attempts.arrivals()};
-    reportBarred(label(), report);
+    reportBarred(m_call.label(), report);
 }
 
 void RelayedRequest::dispatch()
@@ -322,8 +292,9 @@
         return false;
     }
     m_context.shedder.recordRefused(m_facts.service, m_facts.priority(), now);
-    m_choice = choice;
-    m_choice->acceptableWait = acceptable;
+    FleetChoice refused = choice;
+    refused.acceptableWait = acceptable;
+    m_call.setChoice(refused);
     m_context.metrics.count("requests_turned_away_total");
     // Its own target and time would have admitted it.
     if (*choice.expectedWait <= std::min(choice.acceptableWait, remainingTime())) {
@@ -345,163 +316,63 @@
 // Returns false if the call could not be started; then either the request has been finished or the caller tries the next backend server.
 bool RelayedRequest::sendTo(const FleetChoice &choice)
 {
-    m_choice = choice;
     m_lastFailure.reset();
-    m_lastActivityAt = m_context.loop.now();
     m_serverWait.handleSent();
     m_hasServerEnded = false;
     if (choice.limitedServers > 0) {
         m_context.metrics.count("choices_beside_limited_servers_total");
     }
     m_attempts.recordSend(choice.serverId);
-    const Core::TimePoint now = m_context.loop.now();
-    m_context.fleet.recordSent(*m_choice, now);
-    m_isUnanswered = true;
-    Core::Result<std::unique_ptr<BackendCall>> call = openCall(choice);
-    if (call) {
-        m_call = std::move(call.value());
-        m_call->setMeter(createMeter(m_context.memory, Decisions::HeldKind::UnsentToServers));
-        m_call->setAnswerMeter(createMeter(m_context.memory, Decisions::HeldKind::PartialAnswers));
-        updateCallBackTimer();
-        return true;
-    }
-    m_isUnanswered = false;
-    handleUnopenedCall(call.error().code);
-    return false;
-}
-
-// Where this host has no descriptor or port left, the server has done nothing wrong, and another one could not be reached either.
-void RelayedRequest::handleUnopenedCall(Core::ErrorCode code)
-{
-    if (code == Core::ErrorCode::ResourceExhausted) {
-        m_context.metrics.count("calls_refused_by_system_total");
-        m_context.fleet.recordAbandoned(*m_choice);
-        finish(actionWithoutResend(attempts(), CallFailure::NotSent));
-        return;
-    }
-    m_context.fleet.recordFailure(*m_choice, Decisions::ServerFailure::Unreachable, m_context.loop.now());
-    if (!mayResend(attempts(), CallFailure::NotSent)) {
-        finish(actionWithoutResend(attempts(), CallFailure::NotSent));
-    }
-}
-
-Core::Result<std::unique_ptr<BackendCall>> RelayedRequest::openCall(const FleetChoice &choice)
-{
-    const auto endpoint = Http::Endpoint::parse(choice.address);
-    if (!endpoint) {
-        return endpoint.error();
-    }
-    m_isConnectionKept = m_context.connections != nullptr && Decisions::mayKeepConnection(connectionUse());
-    const Http::OutgoingMessage message = callMessage(m_context.protocol, m_facts.head, m_facts.sharedBody, callContext(choice));
-    if (m_isConnectionKept) {
-        if (auto call = m_context.connections->reuse(serverOf(choice), connectionUse(), message, *this)) {
-            return call;
-        }
+    const Core::Result<void> opened = m_call.open(choice, progress());
+    if (!opened) {
+        handleUnopenedCall(opened.error().code);
+        return false;
     }
-    m_context.metrics.count("server_connections_opened_total");
-    const CallOptions options{m_facts.head.method == "HEAD", m_facts.route->isRepeatable()};
-    return BackendCall::create(m_context.loop, endpoint.value(), message, options, m_context.loop.now() + BackendCall::connectTimeout, *this);
+    updateCallBackTimer();
+    return true;
 }
 
-Decisions::KeptConnectionUse RelayedRequest::connectionUse()
+CallProgress RelayedRequest::progress()
 {
-    return {m_facts.route->isRepeatable(), m_answer.isBegun(), !m_facts.query.attemptId.empty(), m_facts.head.method == "HEAD", m_crashes.isSuspected()};
+    CallProgress progress;
+    progress.isAnswerBegun = m_answer.isBegun();
+    progress.isSuspected = m_context.connections != nullptr && m_crashes.isSuspected();
+    progress.lastEventId = m_answer.lastEventId().has_value() ? std::to_string(*m_answer.lastEventId()) : m_facts.query.lastEventId;
+    return progress;
 }
 
-void RelayedRequest::endCall()
+// Where this host has no descriptor or port left, another server could not be reached either.
+void RelayedRequest::handleUnopenedCall(Core::ErrorCode code)
 {
-    if (m_isConnectionKept) {
-        m_context.connections->keep(serverOf(*m_choice), *m_call);
+    if (code == Core::ErrorCode::ResourceExhausted || !mayResend(attempts(), CallFailure::NotSent)) {
+        finish(actionWithoutResend(attempts(), CallFailure::NotSent));
     }
-    m_call.reset();
-}
-
-CallContext RelayedRequest::callContext(const FleetChoice &choice) const
-{
-    CallContext context;
-    context.serverId = choice.serverId;
-    context.organisation = m_facts.organisationName();
-    const auto left = duration_cast<milliseconds>(remainingTime()) - networkMargin;
-    context.timeLeft = std::max(milliseconds(1), left);
-    context.weightsVersion = choice.weightsVersion;
-    context.cacheScope = choice.cacheScope;
-    context.cacheSource = choice.cacheSource;
-    context.cacheStore = choice.cacheStore;
-    context.priority = m_facts.priority();
-    context.isConnectionKept = m_isConnectionKept;
-    context.lastEventId = m_answer.lastEventId().has_value() ? std::to_string(*m_answer.lastEventId()) : m_facts.query.lastEventId;
-    return context;
 }
 
 void RelayedRequest::receiveAnswerHead(const Http::MessageHead &head)
 {
-    recordEngineActivity();
+    m_call.recordActivity();
     const AnswerMarks marks = m_context.protocol.readAnswer(head);
-    const AnswerMeaning meaning = meaningOf(head.status, marks);
+    const AnswerMeaning meaning = m_call.meaningOf(head.status, marks, m_answer.isBegun());
     if (meaning == AnswerMeaning::NotRun) {
-        handleNotRun(marks);
+        m_call.recordRefusal(marks);
+        handleFailure(CallFailure::NotRun, marks.isMisdirected ? "another backend server or other weights are there" : "refused");
         return;
     }
-    if (meaning != AnswerMeaning::OfAnotherRequest && marks.weightsVersion.has_value() && m_facts.query.prompt.has_value()) {
-        m_context.fleet.updateWeights(*m_choice, m_facts.query.prompt->model, *marks.weightsVersion);
-    }
     if (meaning != AnswerMeaning::OfAnotherRequest) {
-        recordNotices(marks);
+        m_call.recordMarks(marks);
     }
     if (meaning != AnswerMeaning::OfThisRequest) {
         handleFailure(CallFailure::Lost, reasonText(meaning));
         return;
     }
-    m_isConnectionKept = m_isConnectionKept && !marks.attemptId.empty() && !marks.isLeaving;
+    m_call.recordHead(marks);
     m_answer.receiveHead(head);
 }
 
-AnswerMeaning RelayedRequest::meaningOf(int status, const AnswerMarks &marks) const
-{
-    if (m_call->isReused() && marks.attemptId.empty()) {
-        return AnswerMeaning::OfAnotherRequest;
-    }
-    return classifyAnswer(status, marks, m_facts.query.attemptId, m_answer.isBegun());
-}
-
-// What a backend server says of itself beside the answer to the request, which may be any answer of it.
-void RelayedRequest::recordNotices(const AnswerMarks &marks)
-{
-    if (marks.load.has_value()) {
-        m_context.fleet.recordLoad(*m_choice, *marks.load, m_context.loop.now());
-    }
-    if (m_context.fleet.recordLimit(*m_choice, marks.limit, m_context.loop.now())) {
-        reportLimit(m_choice->serverId, marks.limit, "server");
-    }
-    if (marks.rest.has_value() && m_context.fleet.recordRest(*m_choice, *marks.rest, m_context.loop.now())) {
-        m_context.metrics.count("server_rests_total");
-        reportRest(label(), *marks.rest);
-    }
-    if (marks.isLeaving && m_context.fleet.markLeaving(*m_choice)) {
-        m_context.metrics.count("servers_said_leaving_total");
-        reportLeaving(label());
-    }
-}
-
-void RelayedRequest::handleNotRun(const AnswerMarks &marks)
-{
-    const bool isOther = !marks.serverId.empty() && marks.serverId != m_choice->serverId;
-    if (isOther) {
-        m_context.fleet.markReplaced(*m_choice);
-        reportReplaced(label(), marks.serverId);
-    }
-    if (marks.weightsVersion.has_value() && m_facts.query.prompt.has_value() && !isOther) {
-        m_context.fleet.updateWeights(*m_choice, m_facts.query.prompt->model, *marks.weightsVersion);
-    }
-    if (!isOther) {
-        recordNotices(marks);
-    }
-    handleFailure(CallFailure::NotRun, marks.isMisdirected ? "another backend server or other weights are there" : "refused");
-}
-
 void RelayedRequest::receiveAnswerBody(std::string_view data)
 {
-    recordEngineActivity();
+    m_call.recordActivity();
     handleFirstPart();
     const bool wasBegun = m_answer.isBegun();
     const bool hadEvent = m_answer.hasEvent();
@@ -520,7 +391,7 @@
     if (m_sink.isFull()) {
         m_context.metrics.count("answers_paused_total");
         m_wasPaused = true;
-        m_call->setReading(false);
+        m_call.setReading(false);
     }
     if (isForwarded) {
         moveOffWaitingEngine();
@@ -533,8 +404,8 @@
 void RelayedRequest::moveOffWaitingEngine()
 {
     const Core::TimePoint now = m_context.loop.now();
-    const bool isMovable = m_facts.route->isResumable && m_answer.lastEventId().has_value() && !m_call->isWhole() && mayMoveStream(attempts());
-    if (!isMovable || m_context.shutdown->isBegun() || now < m_nextMoveCheck || !hasTimeToResend() || !m_context.fleet.isWaitingToLoad(*m_choice, now)
+    const bool isMovable = m_facts.route->isResumable && m_answer.lastEventId().has_value() && !m_call.isWhole() && mayMoveStream(attempts());
+    if (!isMovable || m_context.shutdown->isBegun() || now < m_nextMoveCheck || !hasTimeToResend() || !m_call.isEngineWaitingToLoad()
         || m_crashes.isSuspected()) {
         return;
     }
@@ -545,30 +416,20 @@
         return;
     }
     m_context.metrics.count("streams_moved_total");
-    reportMove(label(), choice->serverId, *m_answer.lastEventId());
+    reportMove(m_call.label(), choice->serverId, *m_answer.lastEventId());
     moveTo(*choice);
 }
 
 void RelayedRequest::moveTo(const FleetChoice &choice)
 {
-    if (m_isUnanswered) {
-        m_isUnanswered = false;
-        m_context.fleet.recordAbandoned(*m_choice);
-    }
-    m_attempts.recordLeave(failureIfAbandoned(), m_call->hasSent());
-    m_call.reset();
+    m_attempts.recordLeave(m_call.failureIfAbandoned(), m_call.hasSent());
+    m_call.abandon();
     m_answer.prepareNextCall();
     if (!sendTo(choice) && !m_isDone) {
         dispatch();
     }
 }
 
-void RelayedRequest::recordEngineActivity()
-{
-    m_lastActivityAt = m_context.loop.now();
-    m_context.fleet.recordActivity(*m_choice, m_lastActivityAt);
-}
-
 Core::TimePoint RelayedRequest::deadline() const
 {
     return m_facts.deadline;
@@ -576,30 +437,17 @@
 
 bool RelayedRequest::isAtSilentEngine() const
 {
-    const Core::TimePoint now = m_context.loop.now();
-    const bool isWaiting = !m_isDone && m_call != nullptr && !m_call->isWhole();
-    return isWaiting && now >= m_lastActivityAt + silentEngineTime && m_context.fleet.isSilent(*m_choice, now);
-}
-
-CallFailure RelayedRequest::failureIfAbandoned() const
-{
-    return m_call->isUnacknowledged() ? CallFailure::Unacknowledged : CallFailure::Lost;
+    return !m_isDone && m_call.isAtSilentEngine();
 }
 
 Decisions::AttemptState RelayedRequest::attemptsIfAbandoned() const
 {
-    return m_attempts.stateAfter(failureIfAbandoned(), m_answer.isBegun());
+    return m_attempts.stateAfter(m_call.failureIfAbandoned(), m_answer.isBegun());
 }
 
 bool RelayedRequest::mayFailOver()
 {
-    return mayResendInTime(attemptsIfAbandoned(), failureIfAbandoned()) && !m_crashes.isSuspected();
-}
-
-bool RelayedRequest::isEngineLost() const
-{
-    const std::optional<milliseconds> silence = m_context.fleet.reportAge(*m_choice, m_context.loop.now());
-    return silence.has_value() && *silence >= lostEngineTime;
+    return mayResendInTime(attemptsIfAbandoned(), m_call.failureIfAbandoned()) && !m_crashes.isSuspected();
 }
 
 // A caller does not wait until the host of its engine wakes, and an engine that wakes begins what waits there before it learns that nobody wants it any more.
@@ -609,7 +457,7 @@
     if (!isAtSilentEngine() || tryFailOver()) {
         return;
     }
-    if (!m_answer.isBegun() && isEngineLost()) {
+    if (!m_answer.isBegun() && m_call.isEngineLost()) {
         handleFailure(CallFailure::Lost, "the engine has been silent for too long");
     }
 }
@@ -631,19 +479,15 @@
         return false;
     }
     m_context.metrics.count("requests_failed_over_total");
-    reportFailover(label(), choice->serverId, waitReport());
-    if (m_context.connections != nullptr) {
-        m_context.connections->drop(m_choice->address, DropReason::CallFailed);
-    }
+    reportFailover(m_call.label(), choice->serverId, waitReport());
+    m_call.dropConnections();
     moveTo(*choice);
     return true;
 }
 
 void RelayedRequest::outputDrained()
 {
-    if (m_call != nullptr) {
-        m_call->setReading(true);
-    }
+    m_call.setReading(true);
 }
 
 void RelayedRequest::receiveAnswerEnd()
@@ -662,7 +506,7 @@
 void RelayedRequest::checkServer()
 {
     m_serverCheck = std::make_unique<ServerCheck>(
-        m_context.loop, m_context.protocol, serverOf(*m_choice), m_facts.directory->healthPath(m_facts.service), [this](ServerCheck::Finding finding) {
+        m_context.loop, m_context.protocol, m_call.server(), m_facts.directory->healthPath(m_facts.service), [this](ServerCheck::Finding finding) {
             handleServerCheck(finding);
         });
 }
@@ -689,7 +533,7 @@
     if (isSuccess(m_answer.status())) {
         recordRunTime();
     }
-    endCall();
+    m_call.end();
     if (m_answer.isBuffered()) {
         finish(AttemptAction::PassAnswer);
         return;
@@ -704,7 +548,7 @@
 void RelayedRequest::recordPauses()
 {
     if (m_facts.route->kind == RequestKind::Streaming && m_attempts.sends() == 1 && !m_wasPaused && isSuccess(m_answer.status())) {
-        m_context.fleet.recordLongestPause(*m_choice, m_partTimes.longestGap().value_or(milliseconds(0)));
+        m_context.fleet.recordLongestPause(*m_call.choice(), m_partTimes.longestGap().value_or(milliseconds(0)));
     }
 }
 
@@ -718,15 +562,15 @@
 void RelayedRequest::recordRunTime()
 {
     const bool isRest = m_facts.route->kind == RequestKind::Streaming && (m_attempts.sends() > 1 || !m_facts.query.lastEventId.empty());
-    if (m_call != nullptr && !isRest) {
-        m_context.fleet.recordRunTime(*m_choice, m_context.loop.now());
+    if (!isRest) {
+        m_call.recordRunTime();
     }
 }
 
 // If the connection was lost, the backend server may have crashed. A request that can be sent again waits until this is known.
 void RelayedRequest::callFailed(CallFailure failure, std::string_view reason)
 {
-    if (const std::optional<Http::MessageFault> fault = m_call->answerFault()) {
+    if (const std::optional<Http::MessageFault> fault = m_call.answerFault()) {
         if (const std::optional<std::string_view> bound = Http::exceededBoundName(*fault)) {
             countTooLong(*bound);
         }
@@ -737,8 +581,8 @@
     }
     closeCall(failure);
     const bool hasEvent = m_answer.hasEvent();
-    const LostCall call{
-        {}, m_facts.query.attemptId, m_facts.organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address, m_hasServerEnded};
+    const Decisions::ServerInstance server = m_call.server();
+    const LostCall call{{}, m_facts.query.attemptId, m_facts.organisationName(), server.id, server.incarnation, server.address, m_hasServerEnded};
     if (mayResendAfterCheck(failure)) {
         m_crashes.handleLostCall(call, hasEvent, [this, failure, text = std::string(reason)](ServerEnd end) {
             if (end == ServerEnd::Proved) {
@@ -768,16 +612,8 @@
 
 void RelayedRequest::closeCall(CallFailure failure)
 {
-    m_attempts.recordEnd(failure, m_call->hasSent());
-    if (m_isUnanswered) {
-        m_isUnanswered = false;
-        const bool isUnreachable = failure == CallFailure::NotSent || failure == CallFailure::Unacknowledged || failure == CallFailure::Lost;
-        m_context.fleet.recordFailure(*m_choice, isUnreachable ? Decisions::ServerFailure::Unreachable : Decisions::ServerFailure::Full, m_context.loop.now());
-    }
-    m_call.reset();
-    if (m_context.connections != nullptr) {
-        m_context.connections->drop(m_choice->address, DropReason::CallFailed);
-    }
+    m_attempts.recordEnd(failure, m_call.hasSent());
+    m_call.fail(failure);
 }
 
 void RelayedRequest::decide(CallFailure failure, std::string_view reason)
@@ -786,7 +622,7 @@
     m_lastFailure = failure;
     const AttemptAction action = chooseAction(failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
-    reportFailure(label(),
+    reportFailure(m_call.label(),
         {failure,
             reason,
             attempts(),
@@ -972,10 +808,10 @@
 
 std::optional<Decisions::RunningCall> RelayedRequest::runningCall() const
 {
-    if (m_isDone || m_call == nullptr) {
+    if (m_isDone || !m_call.isOpen()) {
         return std::nullopt;
     }
-    return Decisions::RunningCall{m_facts.route->name, m_choice->sentAt};
+    return Decisions::RunningCall{m_facts.route->name, m_call.choice()->sentAt};
 }
 
 // Asked for each event of a stream.
@@ -990,7 +826,7 @@
 
 void RelayedRequest::endIfTooLate()
 {
-    if (m_isDone || m_call != nullptr || m_serverCheck != nullptr || isExpectedToEnd()) {
+    if (m_isDone || m_call.isOpen() || m_serverCheck != nullptr || isExpectedToEnd()) {
         return;
     }
     m_context.shutdown->recordRefusal();
@@ -1030,21 +866,11 @@
     refuse(503, "This router ends; the request has not run.", endRetryDelay);
 }
 
-// Only streams that have not begun are called back. The first event shows that a stream has begun; for other answers the start cannot be observed, so these
-// calls are not called back.
-std::optional<Core::TimePoint> RelayedRequest::callBackTime() const
-{
-    if (m_isDone || m_call == nullptr || !m_isUnanswered || !m_facts.query.prompt.has_value() || m_facts.route->kind != RequestKind::Streaming) {
-        return std::nullopt;
-    }
-    return m_context.fleet.callBackTime(*m_choice, m_facts.query.prompt->model);
-}
-
 void RelayedRequest::updateCallBackTimer()
 {
     m_weightsTimer.stop();
-    const std::optional<Core::TimePoint> callBackAt = callBackTime();
-    if (callBackAt.has_value()) {
+    const std::optional<Core::TimePoint> callBackAt = m_call.callBackTime();
+    if (!m_isDone && callBackAt.has_value()) {
         m_weightsTimer.startAt(std::max(*callBackAt, m_context.loop.now() + minimumCallBackDelay));
     }
 }
@@ -1053,35 +879,27 @@
 // Nothing may begin on these weights any more even if no other engine can take it; it then waits for one, which may be this one with newer weights.
 void RelayedRequest::handleWeightsTooOld()
 {
-    const std::optional<Core::TimePoint> callBackAt = callBackTime();
-    if (!callBackAt.has_value() || m_context.loop.now() < *callBackAt) {
+    const std::optional<Core::TimePoint> callBackAt = m_call.callBackTime();
+    if (m_isDone || !callBackAt.has_value() || m_context.loop.now() < *callBackAt) {
         updateCallBackTimer();
         return;
     }
-    // The wait is not recorded as a failure of the engine.
-    m_isUnanswered = false;
-    m_context.fleet.recordAbandoned(*m_choice);
     m_context.metrics.count("calls_called_back_total");
-    const CallFailure failure = m_call->hasSent() ? CallFailure::Lost : CallFailure::NotSent;
-    m_attempts.recordLeave(failure, m_call->hasSent());
-    m_call.reset();
+    const CallFailure failure = m_call.hasSent() ? CallFailure::Lost : CallFailure::NotSent;
+    m_attempts.recordLeave(failure, m_call.hasSent());
+    // The wait is not recorded as a failure of the engine.
+    m_call.abandon();
     decide(failure, "weights too old before the engine began");
 }
 
 void RelayedRequest::handleFirstPart()
 {
     m_partTimes.recordPart(m_context.loop.now());
-    if (!m_isUnanswered) {
+    if (!m_call.isUnanswered()) {
         return;
     }
-    m_isUnanswered = false;
     m_weightsTimer.stop();
-    // Other completions begin their answer only after all of it has been generated.
-    const bool showsSpeed = !m_facts.query.prompt.has_value() || m_facts.route->kind == RequestKind::Streaming;
-    if (showsSpeed && isSuccess(m_answer.status()) && !m_answer.isServerError()) {
-        m_context.fleet.recordWork(*m_choice, m_context.loop.now());
-    }
-    m_context.fleet.recordAnswered(*m_choice, m_context.loop.now());
+    m_call.recordFirstPart(isSuccess(m_answer.status()) && !m_answer.isServerError());
     if (m_firstPartAfter.count() < 0) {
         m_firstPartAfter = sinceArrival();
     }
@@ -1106,7 +924,7 @@
         m_facts.query.attemptId,
         m_facts.service,
         m_facts.query.resumedAttemptId};
-    report.choice = m_choice.has_value() ? &*m_choice : nullptr;
+    report.choice = m_call.choice();
     report.sends = m_attempts.sends();
     report.arrival = m_facts.arrival;
     report.firstPartAfter = m_firstPartAfter;
@@ -1123,11 +941,6 @@
     return duration_cast<std::chrono::microseconds>(m_facts.deadline - m_context.loop.now());
 }
 
-RequestLabel RelayedRequest::label() const
-{
-    return {m_facts.query.attemptId, m_facts.service, m_choice.has_value() ? m_choice->serverId : "", sinceArrival()};
-}
-
 milliseconds RelayedRequest::sinceArrival() const
 {
     return duration_cast<milliseconds>(m_context.loop.now() - m_facts.arrival);
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -1,14 +1,13 @@
 #pragma once
 
 #include "answerforwarder.h"
-#include "answermeaning.h"
 #include "backendcall.h"
 #include "crashcontrolhandle.h"
-#include "memoryguard.h"
 #include "parttimes.h"
 #include "relaycontext.h"
 #include "requestfacts.h"
 #include "requestreport.h"
+#include "servercall.h"
 #include "servercheck.h"
 #include "serverwait.h"
 #include "streamoriginhandle.h"
@@ -16,7 +15,6 @@
 
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/crashsubject.h>
-#include <decisions/relay/keptconnections.h>
 #include <decisions/relay/relaydirectory.h>
 #include <decisions/relay/requestattempts.h>
 #include <eventloop/timer.h>
@@ -82,7 +80,6 @@
     static constexpr std::chrono::milliseconds defaultRetryDelay{250};
 
     bool admit();
-    RequestLabel label() const;
     std::chrono::milliseconds sinceArrival() const;
     std::chrono::microseconds remainingTime() const;
     bool isConfigurationOutdated() const;
@@ -103,19 +100,11 @@
     Decisions::FleetQuery fleetQuery(const Decisions::AttemptState &state);
     void moveOffWaitingEngine();
     void moveTo(const Decisions::FleetChoice &choice);
-    void recordEngineActivity();
-    /// \brief Returns how the current call would count if it were given up now.
-    Decisions::CallFailure failureIfAbandoned() const;
     Decisions::AttemptState attemptsIfAbandoned() const;
     bool mayFailOver();
     bool tryFailOver();
-    bool isEngineLost() const;
+    CallProgress progress();
     bool sendTo(const Decisions::FleetChoice &choice);
-    Core::Result<std::unique_ptr<BackendCall>> openCall(const Decisions::FleetChoice &choice);
-    Decisions::KeptConnectionUse connectionUse();
-    void endCall();
-    AnswerMeaning meaningOf(int status, const AnswerMarks &marks) const;
-    CallContext callContext(const Decisions::FleetChoice &choice) const;
     void receiveAnswerHead(const Http::MessageHead &head) override;
     void receiveAnswerBody(std::string_view data) override;
     void receiveAnswerEnd() override;
@@ -135,8 +124,6 @@
     void proceed(Decisions::CallFailure failure, Decisions::AttemptAction action);
     void awaitTrial(Decisions::CallFailure failure);
     void recordBarred(const TrialVerdict &verdict, const char *outcome);
-    void handleNotRun(const AnswerMarks &marks);
-    void recordNotices(const AnswerMarks &marks);
     void refuseUnplaced();
     Decisions::AttemptAction chooseAction(Decisions::CallFailure failure);
     bool awaitResend(Decisions::CallFailure failure, Core::TimePoint earliest);
@@ -154,7 +141,6 @@
     bool isExpectedToEnd() const;
     bool hasTimeToResend() const;
     void handleUnopenedCall(Core::ErrorCode code);
-    std::optional<Core::TimePoint> callBackTime() const;
     void handleWeightsTooOld();
     void handleFirstPart();
     void logOutcome(int status, std::string_view outcome);
@@ -169,17 +155,13 @@
     std::optional<Decisions::CallFailure> m_lastFailure; ///< How the last call failed; nothing before, and after the next one was made.
     std::uint64_t m_resendNumber = 0; ///< Number in the resend queue; 0 if the request does not wait there.
     std::optional<std::string> m_softwareVersion; ///< Software version at which the stream has to go on; nothing before its first event.
-    std::optional<Decisions::FleetChoice> m_choice; ///< Choice of the current call.
-    std::unique_ptr<BackendCall> m_call;
-    bool m_isConnectionKept = false; ///< Whether the current call's connection may serve others afterwards.
+    ServerCall m_call;
     std::unique_ptr<ServerCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
     bool m_hasServerEnded = false; ///< Whether that check has found that the server has ended.
     AnswerForwarder m_answer;
     UsageReservation m_usage;
     CrashControlHandle m_crashes;
     StreamOriginHandle m_origin;
-    bool m_isUnanswered = false; ///< Whether the current call counts as load of its backend server.
-    Core::TimePoint m_lastActivityAt{}; ///< Time at which the current call was made, or anything of its answer last came.
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
     PartTimes m_partTimes;
