--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -27,9 +27,6 @@
 // Time until a stream that was refused by the backend server that should have continued it is sent to another one; doubles with each further refusal.
 constexpr milliseconds initialStreamBackoff{100};
 
-// Retry delay for a caller whose stream no server can continue, unless one of its software version is started.
-constexpr milliseconds goneSoftwareDelay{1000};
-
 // Interval between checks whether to move a stream; its events arrive several times as often.
 constexpr milliseconds moveCheckInterval{100};
 
@@ -50,15 +47,13 @@
     , m_deadlineTimer(context.loop, [this] { handleDeadline(); })
     , m_weightsTimer(context.loop, [this] { handleWeightsTooOld(); })
     , m_serverWait(context.loop, [this] { dispatch(); })
+    , m_preparation(context, m_facts, [this](const std::optional<Refusal> &refusal) { handlePreparation(refusal); })
     , m_call(context, m_facts, *this)
     , m_answer(context.protocol, sink)
-    , m_usage(context.usage)
-    , m_crashes(context.crashes,
-          [this] {
-              return Decisions::crashSubjects(
-                  {m_facts.organisationName(), m_facts.head.method, m_facts.query.host, m_facts.query.path, m_facts.body()}, m_facts.prompt());
-          })
-    , m_origin(context.origins)
+    , m_crashes(context.crashes, [this] {
+        return Decisions::crashSubjects(
+            {m_facts.organisationName(), m_facts.head.method, m_facts.query.host, m_facts.query.path, m_facts.body()}, m_facts.prompt());
+    })
 {
 }
 
@@ -68,7 +63,7 @@
     m_crashes.end(arrivals());
     if (!m_isDone) {
         if (!mayHaveRun()) {
-            m_usage.release();
+            m_preparation.releaseUsage();
         }
         reportLeft(m_call.label(), waitReport(), m_context.metrics);
     }
@@ -84,80 +79,20 @@
 
 void RelayedRequest::start()
 {
-    if (!admit()) {
-        return;
-    }
-    if (isResumption()) {
-        findOrigin();
-    } else {
-        claimUsageOrBegin();
+    if (admit()) {
+        m_preparation.start();
     }
 }
 
-bool RelayedRequest::isResumption() const
+void RelayedRequest::handlePreparation(const std::optional<Refusal> &refusal)
 {
-    return m_origin.isEnabled() && m_facts.isResumption();
-}
-
-void RelayedRequest::findOrigin()
-{
-    m_origin.find({m_facts.streamKey(), m_facts.service, Decisions::longestStream(*m_facts.route)},
-        [this](const std::optional<Decisions::StreamOrigin> &origin) { handleOrigin(origin); });
-}
-
-void RelayedRequest::handleOrigin(const std::optional<Decisions::StreamOrigin> &origin)
-{
-    if (!origin.has_value()) {
-        refuse(503, "It is not known here which software version began the stream; it has not run.");
-        return;
-    }
-    const bool isServed = std::any_of(m_facts.route->services.begin(), m_facts.route->services.end(), [&origin](const Decisions::ServiceShare &share) {
-        return share.service == origin->service;
-    });
-    if (!isServed || !m_context.fleet.hasSoftware(origin->service, origin->softwareVersion)) {
-        refuse(503,
-            "No backend server of the software version that began the stream is left; it has not run.",
-            Decisions::retryDelay(goneSoftwareDelay, remainingTime()));
-        return;
-    }
-    m_facts.service = origin->service;
-    m_softwareVersion = origin->softwareVersion;
-    claimUsageOrBegin();
-}
-
-// Other routers have to know of the stream before its caller can resume it there.
-void RelayedRequest::beginStream()
-{
-    m_softwareVersion = m_call.choice()->softwareVersion;
-    if (m_facts.route->isResumable) {
-        m_origin.begin({m_facts.streamKey(), {m_facts.service, *m_softwareVersion}, Decisions::longestStream(*m_facts.route)});
-    }
-}
-
-void RelayedRequest::claimUsageOrBegin()
-{
-    if (m_facts.organisation != nullptr && m_facts.organisation->usageCap.has_value() && m_usage.isEnabled()) {
-        claimUsage();
+    if (refusal.has_value()) {
+        refuse(refusal->status, refusal->message, refusal->retryAfter.value_or(defaultRetryDelay));
     } else {
         begin();
     }
 }
 
-void RelayedRequest::claimUsage()
-{
-    const Decisions::UsageCap &cap = *m_facts.organisation->usageCap;
-    const Decisions::UsageClaim claim{m_facts.organisation->name, cap, m_facts.directory->version(), usageCost(cap, m_facts.query.tokens), m_facts.priority()};
-    m_usage.claim(claim, [this](const Decisions::UsageVerdict &verdict) {
-        if (verdict.isGranted) {
-            begin();
-            return;
-        }
-        m_context.metrics.count("requests_over_cap_total");
-        m_context.metrics.count("requests_over_cap_priority_" + std::to_string(m_facts.priority()) + "_total");
-        refuse(429, "The usage cap of the organisation is reached; it has not run.", std::max(verdict.retryAfter, Decisions::minimumRetryDelay));
-    });
-}
-
 Decisions::AttemptState RelayedRequest::attempts() const
 {
     return m_attempts.state(m_answer.isBegun());
@@ -210,7 +145,7 @@
 Decisions::FleetQuery RelayedRequest::fleetQuery(const Decisions::AttemptState &state)
 {
     Decisions::FleetQuery query = m_facts.fleetQuery();
-    query.softwareVersion = m_softwareVersion;
+    query.softwareVersion = m_preparation.softwareVersion();
     query.randomValue = m_context.random.next();
     m_attempts.limit(query, state);
     return query;
@@ -381,7 +316,7 @@
         m_crashes.handleFirstEvent();
     }
     if (m_answer.isBegun() && !wasBegun) {
-        beginStream();
+        m_preparation.beginStream(m_call.choice()->softwareVersion);
     }
     if (const std::optional<std::string_view> bound = m_answer.exceededBoundName()) {
         countTooLong(*bound);
@@ -539,7 +474,7 @@
         return;
     }
     m_answer.end();
-    m_origin.end(true);
+    m_preparation.endStream(true);
     recordPauses();
     logOutcome(m_answer.status(), "answered");
 }
@@ -659,15 +594,9 @@
     });
 }
 
-// What servers of two software versions generate does not fit together.
-bool RelayedRequest::isSoftwareGone() const
-{
-    return m_softwareVersion.has_value() && !m_context.fleet.hasSoftware(m_facts.service, *m_softwareVersion);
-}
-
 bool RelayedRequest::mayResendInTime(const Decisions::AttemptState &state, CallFailure failure) const
 {
-    return !isSoftwareGone() && mayResend(state, failure) && hasTimeToResend();
+    return !m_preparation.isSoftwareGone() && mayResend(state, failure) && hasTimeToResend();
 }
 
 bool RelayedRequest::hasTimeToResend() const
@@ -910,10 +839,10 @@
     m_isDone = true;
     m_context.resendQueue.withdraw(m_resendNumber);
     m_serverCheck.reset();
-    m_origin.end(false);
+    m_preparation.endStream(false);
     m_crashes.end(arrivals());
     if (status == 503) {
-        m_usage.release();
+        m_preparation.releaseUsage();
     }
     m_deadlineTimer.stop();
     m_weightsTimer.stop();
@@ -938,7 +867,7 @@
 
 std::chrono::microseconds RelayedRequest::remainingTime() const
 {
-    return duration_cast<std::chrono::microseconds>(m_facts.deadline - m_context.loop.now());
+    return m_facts.remainingTime(m_context.loop.now());
 }
 
 milliseconds RelayedRequest::sinceArrival() const
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -6,12 +6,11 @@
 #include "parttimes.h"
 #include "relaycontext.h"
 #include "requestfacts.h"
+#include "requestpreparation.h"
 #include "requestreport.h"
 #include "servercall.h"
 #include "servercheck.h"
 #include "serverwait.h"
-#include "streamoriginhandle.h"
-#include "usagereservation.h"
 
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/crashsubject.h>
@@ -83,16 +82,11 @@
     std::chrono::milliseconds sinceArrival() const;
     std::chrono::microseconds remainingTime() const;
     bool isConfigurationOutdated() const;
-    bool isResumption() const;
-    void findOrigin();
-    void handleOrigin(const std::optional<Decisions::StreamOrigin> &origin);
     WaitReport waitReport() const;
-    void beginStream();
-    void claimUsageOrBegin();
-    void claimUsage();
     Decisions::AttemptState attempts() const;
     std::uint32_t arrivals() const;
     bool mayHaveRun() const;
+    void handlePreparation(const std::optional<Refusal> &refusal);
     void begin();
     void dispatch();
     bool awaitServer();
@@ -118,7 +112,6 @@
     void handleFailure(Decisions::CallFailure failure, std::string_view reason);
     void closeCall(Decisions::CallFailure failure);
     void decide(Decisions::CallFailure failure, std::string_view reason);
-    bool isSoftwareGone() const;
     bool mayResendInTime(const Decisions::AttemptState &state, Decisions::CallFailure failure) const;
     bool mayResendAfterCheck(Decisions::CallFailure failure) const;
     void proceed(Decisions::CallFailure failure, Decisions::AttemptAction action);
@@ -151,17 +144,15 @@
     EventLoop::Timer m_deadlineTimer;
     EventLoop::Timer m_weightsTimer; ///< Runs while the current call uses outdated weights and its engine has not begun it.
     ServerWait m_serverWait;
+    RequestPreparation m_preparation;
     Decisions::RequestAttempts m_attempts;
     std::optional<Decisions::CallFailure> m_lastFailure; ///< How the last call failed; nothing before, and after the next one was made.
     std::uint64_t m_resendNumber = 0; ///< Number in the resend queue; 0 if the request does not wait there.
-    std::optional<std::string> m_softwareVersion; ///< Software version at which the stream has to go on; nothing before its first event.
     ServerCall m_call;
     std::unique_ptr<ServerCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
     bool m_hasServerEnded = false; ///< Whether that check has found that the server has ended.
     AnswerForwarder m_answer;
-    UsageReservation m_usage;
     CrashControlHandle m_crashes;
-    StreamOriginHandle m_origin;
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
     PartTimes m_partTimes;
--- a/src/libs/relay/requestfacts.cpp
+++ b/src/libs/relay/requestfacts.cpp
@@ -21,6 +21,11 @@
     }
 }
 
+std::chrono::microseconds RequestFacts::remainingTime(Core::TimePoint now) const
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(deadline - now);
+}
+
 std::string_view RequestFacts::body() const
 {
     return sharedBody == nullptr ? std::string_view() : std::string_view(*sharedBody);
--- a/src/libs/relay/requestfacts.h
+++ b/src/libs/relay/requestfacts.h
@@ -32,6 +32,9 @@
     /// \brief Sets the deadline by what the route and the caller allow.
     void setDeadline();
 
+    /// \brief Returns the time until the deadline at \a now; negative after it.
+    std::chrono::microseconds remainingTime(Core::TimePoint now) const;
+
     std::string_view body() const;
 
     /// \brief Returns the name of the organisation; empty if the request needs no key.
