Let a later row withdraw a version of weights

One row with a very large version of a model's weights made all that engines serve too old, and a row that mended it changed nothing until the routers started anew; the record of announcements then brought it back to those that started. Versions were only ever raised.

Of two rows the one with the higher revision counts, also if it names a lower version: what is above it is withdrawn from the history, the record and the rollout plan. An older row changes nothing, and a version that is named again is as old as it was. A router ignores versions of the record above the newest row that it knows.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -179,6 +179,14 @@
     return isNewer;
 }
 
+void RelayFleet::withdrawWeightsAbove(const std::string &model, std::uint64_t version)
+{
+    const auto history = m_weights.find(model);
+    if (history != m_weights.end() && history->second.withdrawAbove(version) && m_announcementObserver) {
+        m_announcementObserver();
+    }
+}
+
 void RelayFleet::setAnnouncementObserver(std::function<void()> observer)
 {
     m_announcementObserver = std::move(observer);
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -96,7 +96,10 @@
     /// A later call for the same version corrects the time; Core::TimePoint::min() means that the time is not known.
     bool recordWeightsAnnouncement(const std::string &model, std::uint64_t version, Core::TimePoint at);
 
-    /// \brief Sets \a observer, which is called when newer weights are announced: waiting calls may have to be called back, or sooner than before.
+    /// \brief Handles that \a version of the weights of \a model is the newest, though others above it were announced before.
+    void withdrawWeightsAbove(const std::string &model, std::uint64_t version);
+
+    /// \brief Sets \a observer, which is called when other weights become the newest: waiting calls may have to be called back, sooner or later than before.
     void setAnnouncementObserver(std::function<void()> observer);
 
     /// \brief Updates the status of the engine at \a address with the report of its agent, which is valid for EngineReports::lifetime.
--- a/src/libs/decisions/relay/rolloutplan.cpp
+++ b/src/libs/decisions/relay/rolloutplan.cpp
@@ -26,6 +26,16 @@
     });
 }
 
+void RolloutPlan::withdrawFrom(Engine &engine, std::uint64_t version)
+{
+    if (engine.newest.version > version) {
+        engine.newest = {};
+    }
+    if (engine.firstMissing.has_value() && engine.firstMissing->version >= version) {
+        engine.firstMissing.reset();
+    }
+}
+
 void RolloutPlan::assignSlots(Engines &engines, const WeightsGoal &goal)
 {
     const std::map<std::string, RolloutSlot> slots = rolloutSlots(goal.holders, goal.version);
@@ -34,6 +44,7 @@
         if (engine.newest.version == goal.version) {
             continue;
         }
+        withdrawFrom(engine, goal.version);
         if (!engine.firstMissing.has_value() || engine.firstMissing->version <= holder.version) {
             engine.firstMissing = engine.newest.version > holder.version ? std::optional(engine.newest) : std::nullopt;
         }
--- a/src/libs/decisions/relay/rolloutplan.h
+++ b/src/libs/decisions/relay/rolloutplan.h
@@ -53,6 +53,8 @@
     using Engines = std::map<std::string, Engine>; // By id.
 
     static bool hasCurrentSlots(const Engines &engines, const WeightsGoal &goal);
+    // Removes what is planned for versions above \a version, and for that version before it is planned anew.
+    static void withdrawFrom(Engine &engine, std::uint64_t version);
     static void assignSlots(Engines &engines, const WeightsGoal &goal);
     static AnnouncedSlot announcedSlot(const VersionSlot &slot, Core::TimePoint now);
 
--- a/src/libs/decisions/relay/weightschoice.cpp
+++ b/src/libs/decisions/relay/weightschoice.cpp
@@ -46,6 +46,11 @@
     return isNewer;
 }
 
+bool WeightsHistory::withdrawAbove(std::uint64_t version)
+{
+    return std::erase_if(m_announcements, [version](const Announcement &announcement) { return announcement.version > version; }) > 0;
+}
+
 std::uint64_t WeightsHistory::newest() const
 {
     return m_announcements.empty() ? 0 : m_announcements.back().version;
--- a/src/libs/decisions/relay/weightschoice.h
+++ b/src/libs/decisions/relay/weightschoice.h
@@ -25,6 +25,9 @@
     /// Returns whether the version is newer than all before.
     bool record(std::uint64_t version, Core::TimePoint at);
 
+    /// \brief Removes the versions above \a version, whose announcement was withdrawn; returns whether there were any.
+    bool withdrawAbove(std::uint64_t version);
+
     /// \brief Returns the newest version, or 0 if none was announced.
     std::uint64_t newest() const;
 
--- a/src/libs/decisions/relay/weightsrecord.cpp
+++ b/src/libs/decisions/relay/weightsrecord.cpp
@@ -68,9 +68,30 @@
     }
 }
 
+void WeightsRecord::withdrawAbove(std::uint64_t version)
+{
+    std::erase_if(m_entries, [version](const DatedWeights &dated) { return dated.version > version; });
+}
+
 bool WeightsRecord::contains(std::uint64_t version) const
 {
-    return std::any_of(m_entries.begin(), m_entries.end(), [version](const DatedWeights &dated) { return dated.version == version; });
+    return notBefore(version).has_value();
+}
+
+std::optional<Store::StoreTime> WeightsRecord::notBefore(std::uint64_t version) const
+{
+    const auto found = std::find_if(m_entries.begin(), m_entries.end(), [version](const DatedWeights &dated) { return dated.version == version; });
+    return found == m_entries.end() ? std::nullopt : std::optional(found->notBefore);
+}
+
+std::uint64_t WeightsRecord::newestUpTo(std::uint64_t version) const
+{
+    std::uint64_t newest = 0;
+    for (const DatedWeights &dated : m_entries) {
+        newest = dated.after <= version ? std::max(newest, dated.after) : newest;
+        newest = dated.version <= version ? std::max(newest, dated.version) : newest;
+    }
+    return newest;
 }
 
 const std::vector<DatedWeights> &WeightsRecord::entries() const
--- a/src/libs/decisions/relay/weightsrecord.h
+++ b/src/libs/decisions/relay/weightsrecord.h
@@ -4,6 +4,7 @@
 #include <store/storetime.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,9 +36,18 @@
     /// \brief Adds all entries of \a other.
     void merge(const WeightsRecord &other);
 
+    /// \brief Removes the entries above \a version, whose announcements were withdrawn.
+    void withdrawAbove(std::uint64_t version);
+
     /// \brief Returns whether there is an entry for \a version.
     bool contains(std::uint64_t version) const;
 
+    /// \brief Returns the time of the entry for \a version, or nothing if there is none.
+    std::optional<Store::StoreTime> notBefore(std::uint64_t version) const;
+
+    /// \brief Returns the newest version up to \a version of which the entries say that it was announced; 0 if there is none.
+    std::uint64_t newestUpTo(std::uint64_t version) const;
+
     /// \brief Returns the latest announcements, by increasing version.
     const std::vector<DatedWeights> &entries() const;
 
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -80,6 +80,9 @@
 inline constexpr Event peerRowsRefused{
     2157, Severity::Warning, "peer_rows_refused", "Rows of another router were not taken, as the table would be longer than a process keeps."};
 
+inline constexpr Event weightsWithdrawn{
+    2158, Severity::Warning, "weights_withdrawn", "A later row names an older version of a model's weights as the newest; it counts."};
+
 inline constexpr Event strayBytesReceived{
     2145, Severity::Warning, "stray_bytes_received", "A backend server sent bytes on an idle connection; they belong to no request."};
 
--- a/src/libs/relay/weightsannouncements.cpp
+++ b/src/libs/relay/weightsannouncements.cpp
@@ -54,12 +54,18 @@
 void WeightsAnnouncements::handleAnnouncement(const AnnouncedWeights &weights, const Store::TableRow &row, const std::string &source)
 {
     Model &model = m_models[weights.model];
-    if (weights.version <= model.newest) {
+    if (row.revision < model.revision || (row.revision == model.revision && weights.version <= model.newest)) {
         return;
     }
-    if (row.committedAfter.has_value()) {
-        model.record.add({model.newest, weights.version, *row.committedAfter});
+    model.revision = row.revision;
+    if (weights.version == model.newest) {
+        return;
+    }
+    const std::uint64_t before = weights.version < model.newest ? withdraw(weights, model) : model.newest;
+    if (row.committedAfter.has_value() && before < weights.version) {
+        model.record.add({before, weights.version, *row.committedAfter});
     }
+    model.previous = before;
     model.newest = weights.version;
     model.expiryTime = m_loop.now() + m_maximumUseTime;
     model.nextTry = m_loop.now();
@@ -82,21 +88,35 @@
     runPendingSteps();
 }
 
+// A later row names a lower version if an earlier one was written in error. Returns the newest version up to that of \a weights that was announced before the
+// withdrawn ones.
+std::uint64_t WeightsAnnouncements::withdraw(const AnnouncedWeights &weights, Model &model)
+{
+    Observe::log(weightsWithdrawn, {{"model", weights.model}, {"version", std::to_string(model.newest)}, {"newest", std::to_string(weights.version)}});
+    const std::uint64_t known = model.previous <= weights.version ? model.previous : 0;
+    const std::uint64_t before = std::max(known, model.record.newestUpTo(weights.version));
+    model.record.withdrawAbove(weights.version);
+    m_relay.fleet().withdrawWeightsAbove(weights.model, weights.version);
+    return before;
+}
+
 std::optional<milliseconds> WeightsAnnouncements::age(const Model &model) const
 {
-    if (!model.record.contains(model.newest)) {
-        return std::nullopt;
-    }
-    return m_clock.age(model.record.entries().back().notBefore, Core::BootClock::now());
+    const std::optional<Store::StoreTime> notBefore = model.record.notBefore(model.newest);
+    return notBefore.has_value() ? m_clock.age(*notBefore, Core::BootClock::now()) : std::nullopt;
 }
 
-// Between two announcements in the record there may have been others at unknown times, so the versions below are treated as too old.
+// Between two announcements in the record there may have been others at unknown times, so the versions below are treated as too old. Versions above the newest
+// were withdrawn, or their row is about to come.
 void WeightsAnnouncements::updateFleet(const std::string &name, const Model &model)
 {
     const Core::TimePoint now = m_loop.now();
     const Core::BootTime bootNow = Core::BootClock::now();
     std::uint64_t before = 0;
     for (const Decisions::DatedWeights &dated : model.record.entries()) {
+        if (dated.version > model.newest) {
+            break;
+        }
         if (dated.after > before) {
             m_relay.fleet().recordWeightsAnnouncement(name, dated.after, Core::TimePoint::min());
         }
--- a/src/libs/relay/weightsannouncements.h
+++ b/src/libs/relay/weightsannouncements.h
@@ -47,7 +47,9 @@
 
     struct Model
     {
-        std::uint64_t newest = 0;
+        std::uint64_t newest = 0; ///< Version that the latest known row names.
+        std::uint64_t revision = 0; ///< Revision of that row.
+        std::uint64_t previous = 0; ///< Newest version of which an earlier row is known, up to the newest.
         Decisions::WeightsRecord record;
         std::uint64_t rowRevision = 0; ///< Revision of the record in the store; 0 while there is no known record.
         Step step = Step::Nothing;
@@ -58,6 +60,7 @@
         Core::TimePoint expiryTime{}; ///< Time from which the previous weights are too old in any case.
     };
 
+    std::uint64_t withdraw(const AnnouncedWeights &weights, Model &model);
     std::optional<std::chrono::milliseconds> age(const Model &model) const;
     void updateFleet(const std::string &name, const Model &model);
     void announce(Model &model);
--- a/tests/auto/relay/tst_rolloutplan.cpp
+++ b/tests/auto/relay/tst_rolloutplan.cpp
@@ -29,6 +29,19 @@
     return planned;
 }
 
+// Agents kept being told of a version that had been written in error and mended.
+TEST(RolloutPlanTest, tellsOfAVersionThatWasWithdrawn)
+{
+    RolloutPlan plan;
+    plan.update(goals(1000, start, fleet(9)));
+    for (const std::uint64_t version : {std::uint64_t(2), std::uint64_t(3)}) {
+        plan.update(goals(version, start + 1s, fleet(9)));
+        for (const AnnouncedSlot &announced : plan.slots(model, "0", 1, start + 1s)) {
+            EXPECT_LE(announced.version, version);
+        }
+    }
+}
+
 // A router that has just started reads which weights are announced before it reads which engines serve the model. Slots computed from that empty fleet and
 // sent to all agents made nine engines load in the same millisecond, so that none was left to serve:
 //   weights_planned version=2 engines=0 before=0 in_ms=0
--- a/tests/auto/relay/tst_weightsannouncements.cpp
+++ b/tests/auto/relay/tst_weightsannouncements.cpp
@@ -16,6 +16,8 @@
 
 using namespace std::chrono_literals;
 
+constexpr std::uint64_t writtenInError = std::uint64_t(1) << 60;
+
 // Answers each commit after 1 ms with the answer that a test sets, and records the values to be written.
 class RecordStore : public Store::RowStore
 {
@@ -97,6 +99,13 @@
         return {"version/m", std::to_string(version), revision, false, committedAfter};
     }
 
+    std::optional<Core::TimePoint> callBackTime(std::uint64_t version) const
+    {
+        Decisions::FleetChoice choice;
+        choice.weightsVersion = version;
+        return m_relay->fleet().callBackTime(choice, "m");
+    }
+
     Verbena::Test::PlainProtocol m_protocol;
     std::unique_ptr<EventLoop::Loop> m_loop;
     RecordStore m_records;
@@ -194,6 +203,52 @@
     EXPECT_LE(m_records.values.size(), 4U);
 }
 
+// One row with a very large version, mended a moment later, made all that engines serve too old until the routers started anew.
+TEST_F(WeightsAnnouncementsTest, versionWrittenInErrorOutlivesTheRowThatMendsIt)
+{
+    m_announcements->addClockReading({Store::StoreTime(100s), Core::BootClock::now()});
+    m_announcements->handleAnnouncement({"m", 3}, row(3, 3, Store::StoreTime(90s)), "change");
+    m_announcements->handleAnnouncement({"m", writtenInError}, row(writtenInError, 4, Store::StoreTime(99s)), "change");
+    EXPECT_EQ(m_relay->fleet().weightsGoals().at("m").version, writtenInError);
+    m_announcements->handleAnnouncement({"m", 4}, row(4, 5, Store::StoreTime(100s)), "change");
+    EXPECT_EQ(m_relay->fleet().weightsGoals().at("m").version, 4U);
+    EXPECT_GT(callBackTime(3), m_loop->now() + 5s);
+    EXPECT_LT(callBackTime(2), m_loop->now());
+    wait(50ms);
+    ASSERT_FALSE(m_records.values.empty());
+    EXPECT_TRUE(Decisions::WeightsRecord::decode(m_records.values.back()));
+}
+
+TEST_F(WeightsAnnouncementsTest, takesNoOlderRowForAMendedOne)
+{
+    m_announcements->handleAnnouncement({"m", 4}, row(4, 5, std::nullopt), "change");
+    m_announcements->handleAnnouncement({"m", 3}, row(3, 4, std::nullopt), "table");
+    m_announcements->handleAnnouncement({"m", writtenInError}, row(writtenInError, 4, std::nullopt), "table");
+    EXPECT_EQ(m_relay->fleet().weightsGoals().at("m").version, 4U);
+}
+
+// The record keeps the time of a version that was withdrawn.
+TEST_F(WeightsAnnouncementsTest, routerThatStartsBelievesAWithdrawnVersionInTheRecord)
+{
+    m_records.record = Store::TableRow{"m", "2 3 90000\n3 " + std::to_string(writtenInError) + " 95000\n", 9, false, {}};
+    m_announcements->addClockReading({Store::StoreTime(100s), Core::BootClock::now()});
+    m_announcements->handleAnnouncement({"m", 3}, row(3, 7, std::nullopt), "table");
+    wait(50ms);
+    EXPECT_EQ(m_relay->fleet().weightsGoals().at("m").version, 3U);
+    EXPECT_EQ(callBackTime(3), std::nullopt);
+}
+
+// A version that is named again after one in error is as old as it was.
+TEST_F(WeightsAnnouncementsTest, olderWeightsAreUsedForLongerAfterAVersionInError)
+{
+    m_announcements->addClockReading({Store::StoreTime(100s), Core::BootClock::now()});
+    m_announcements->handleAnnouncement({"m", 3}, row(3, 3, Store::StoreTime(90s)), "change");
+    m_announcements->handleAnnouncement({"m", writtenInError}, row(writtenInError, 4, Store::StoreTime(99s)), "change");
+    m_announcements->handleAnnouncement({"m", 3}, row(3, 5, Store::StoreTime(100s)), "change");
+    EXPECT_LT(callBackTime(2), m_loop->now());
+    EXPECT_EQ(callBackTime(3), std::nullopt);
+}
+
 // A time in the future of the store's clock is wrong: the row was corrupted, or the store's clock was reset. If it were used, old weights would be allowed
 // until that time.
 TEST_F(WeightsAnnouncementsTest, ignoresATimeInTheFuture)
