Believe the latest news of a server's weights

An odd version in one entry, report or answer of a backend server was believed until the server started anew, as what is believed was only ever raised.

A higher version still counts whoever names it. A lower one counts if it is certainly later: the next word of the source that named the higher one, or the answer to a request that was sent after the higher one was learned. An entry that was written before an answer, and a report that lags, change nothing.

--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -63,6 +63,7 @@
     std::uint32_t limitedServers = 0; ///< Number of backend servers, of any service, that were left out because of their limits or because they rest.
     bool isBusyWithWeights = false; ///< Whether the engine loads new weights or is about to, as do all others.
     Core::TimePoint sentAt;
+    std::uint64_t weightsNews = 0; ///< Number of the last news of weights when the request was sent.
 };
 
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -303,7 +303,7 @@
         m_transfers.caches().updateReport(key, status.parts, now + EngineReports::lifetime);
     }
     for (const ServedWeights &weights : status.weights) {
-        m_register.updateWeights(id, weights.model, weights.version);
+        m_register.updateWeights(id, weights.model, weights.version, {WeightsSource::Report, 0});
     }
     m_chooser.updateLoad(key, EngineReports::loadReport(status), now);
     if (status.pace.has_value()) {
@@ -658,6 +658,7 @@
 void RelayFleet::recordSent(FleetChoice &choice, Core::TimePoint now)
 {
     choice.sentAt = now;
+    choice.weightsNews = m_register.lastWeightsNews();
     m_limits.recordSent(choice.serverId, now);
     m_chooser.recordDispatch(choice.id, choice.route, choice.work, now);
     m_reports.recordSent(choice.id, now);
@@ -705,7 +706,7 @@
 void RelayFleet::updateWeights(const FleetChoice &choice, const std::string &model, std::uint64_t version)
 {
     if (!isOutdated(choice)) {
-        m_register.updateWeights(choice.serverId, model, version);
+        m_register.updateWeights(choice.serverId, model, version, {WeightsSource::Answer, choice.weightsNews});
     }
 }
 
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -161,7 +161,7 @@
     /// \brief Records that the call ended without information on the backend server.
     void recordAbandoned(const FleetChoice &choice);
 
-    /// \brief Updates the weights of the backend server, which answered with \a version of \a model; an answer takes precedence over its entry.
+    /// \brief Updates the weights of the backend server, which answered with \a version of \a model; the answer takes precedence over its entry.
     void updateWeights(const FleetChoice &choice, const std::string &model, std::uint64_t version);
 
     /// \brief Handles that an answer of the backend server of \a choice said that it leaves. Returns whether that was not known.
--- a/src/libs/decisions/relay/servedmodels.cpp
+++ b/src/libs/decisions/relay/servedmodels.cpp
@@ -25,7 +25,7 @@
     return std::lower_bound(m_models.begin(), m_models.end(), model, isBefore);
 }
 
-// What is believed of a version is raised by each answer that shows a newer one, and never lowered.
+// The oldest version of several is raised by the next answer that shows a newer one.
 void ServedModels::record(const std::string &model, std::uint64_t version)
 {
     const auto place = placeOf(model);
@@ -36,14 +36,12 @@
     place->version = std::min(place->version, version);
 }
 
-bool ServedModels::raise(std::string_view model, std::uint64_t version)
+void ServedModels::replace(std::string_view model, std::uint64_t version)
 {
     const auto place = placeOf(model);
-    if (place == m_models.end() || place->model != model || place->version >= version) {
-        return false;
+    if (place != m_models.end() && place->model == model) {
+        place->version = version;
     }
-    place->version = version;
-    return true;
 }
 
 std::optional<std::uint64_t> ServedModels::versionOf(std::string_view model) const
--- a/src/libs/decisions/relay/servedmodels.h
+++ b/src/libs/decisions/relay/servedmodels.h
@@ -30,8 +30,8 @@
     /// \brief Records that \a version of \a model is run. A model that is named more than once keeps the oldest version.
     void record(const std::string &model, std::uint64_t version);
 
-    /// \brief Raises the version of \a model to \a version; returns false if the model is not run, or with this version or a newer one.
-    bool raise(std::string_view model, std::uint64_t version);
+    /// \brief Replaces the version of \a model, which has no effect if the model is not run.
+    void replace(std::string_view model, std::uint64_t version);
 
     /// \brief Returns the version of \a model, or nothing if it is not run.
     std::optional<std::uint64_t> versionOf(std::string_view model) const;
--- a/src/libs/decisions/relay/serverregister.cpp
+++ b/src/libs/decisions/relay/serverregister.cpp
@@ -47,14 +47,12 @@
     if (comparison == IncarnationComparison::Restarted) {
         applyRestart(entry, server.incarnation);
         entry = server;
+        applyEntryWeights(entry);
         return;
     }
     RegisteredServer updated = server;
     updated.incarnation = server.incarnation == 0 ? entry.incarnation : server.incarnation;
-    // An entry is written only now and then; what the server answered meanwhile is newer, and versions of weights only increase.
-    for (const ServedWeights &before : entry.weights) {
-        updated.weights.raise(before.model, before.version);
-    }
+    applyEntryWeights(updated);
     updated.isLeaving = updated.isLeaving || entry.isLeaving || hasSaidLeaving(updated);
     if (entry == updated) {
         return;
@@ -63,6 +61,13 @@
     ++m_revision;
 }
 
+void ServerRegister::applyEntryWeights(RegisteredServer &server)
+{
+    WeightsBelief &belief = m_weights[server.id];
+    belief.applyEntry(server.weights, ++m_weightsNews);
+    server.weights = belief.models();
+}
+
 // An entry may be removed and written again while its server leaves.
 bool ServerRegister::hasSaidLeaving(const RegisteredServer &server) const
 {
@@ -104,6 +109,7 @@
 {
     m_missing.erase(id);
     m_earlierIncarnations.erase(id);
+    m_weights.erase(id);
     m_servers.erase(id);
     ++m_revision;
 }
@@ -130,6 +136,7 @@
     entry.incarnation = incarnation;
     entry.isLeaving = false;
     m_saidLeaving.erase(entry.id);
+    m_weights[entry.id].handleRestart();
     ++m_revision;
 }
 
@@ -169,14 +176,21 @@
     }
 }
 
-void ServerRegister::updateWeights(const std::string &id, const std::string &model, std::uint64_t version)
+void ServerRegister::updateWeights(const std::string &id, const std::string &model, std::uint64_t version, const WeightsEvidence &evidence)
 {
     const auto found = m_servers.find(id);
-    if (found != m_servers.end() && found->second.weights.raise(model, version)) {
+    const auto belief = m_weights.find(id);
+    if (found != m_servers.end() && belief != m_weights.end() && belief->second.apply(model, version, evidence, ++m_weightsNews)) {
+        found->second.weights = belief->second.models();
         ++m_revision;
     }
 }
 
+std::uint64_t ServerRegister::lastWeightsNews() const
+{
+    return m_weightsNews;
+}
+
 void ServerRegister::markReplaced(const std::string &id)
 {
     if (m_servers.contains(id)) {
--- a/src/libs/decisions/relay/serverregister.h
+++ b/src/libs/decisions/relay/serverregister.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "servedmodels.h"
+#include "weightsbelief.h"
 
 #include <core/time.h>
 #include <decisions/routing/backendserver.h>
@@ -60,8 +61,11 @@
     /// \brief Updates the incarnation of the backend server \a id; after a restart its weights are those of its entry.
     IncarnationComparison updateIncarnation(const std::string &id, std::uint64_t incarnation);
 
-    /// \brief Updates the weights of a backend server that answered with \a version of \a model; an answer takes precedence over its entry.
-    void updateWeights(const std::string &id, const std::string &model, std::uint64_t version);
+    /// \brief Updates the weights of a backend server of which \a evidence shows that it runs \a version of \a model.
+    void updateWeights(const std::string &id, const std::string &model, std::uint64_t version, const WeightsEvidence &evidence = {});
+
+    /// \brief Returns the number of the last news of weights; news have increasing numbers.
+    std::uint64_t lastWeightsNews() const;
 
     /// \brief Removes the backend server \a id, which answered that it no longer has this id.
     void markReplaced(const std::string &id);
@@ -83,10 +87,13 @@
     bool mayHaveExpired(Core::TimePoint now) const;
     void removeEntry(const std::string &id);
     IncarnationComparison compare(const RegisteredServer &entry, std::uint64_t incarnation) const;
+    void applyEntryWeights(RegisteredServer &server);
     bool hasSaidLeaving(const RegisteredServer &server) const;
     void applyRestart(RegisteredServer &entry, std::uint64_t incarnation);
 
     std::map<std::string, RegisteredServer> m_servers;
+    std::map<std::string, WeightsBelief> m_weights; ///< By id, of which the servers have the believed versions.
+    std::uint64_t m_weightsNews = 0;
     std::map<std::string, std::vector<std::uint64_t>> m_earlierIncarnations; ///< Latest earlier incarnations by id.
     std::map<std::string, std::uint64_t> m_saidLeaving; ///< Incarnations of the servers whose answers said that they leave, by id.
     std::map<std::string, Core::TimePoint> m_missing; ///< Missing entries, and the end of their grace period.
--- a/src/libs/weights/weightsfailover.cpp
+++ b/src/libs/weights/weightsfailover.cpp
@@ -163,7 +163,7 @@
         return;
     }
     if (*served >= engine.version) {
-        m_fleet.servers().updateWeights(engine.id, engine.model, *served);
+        m_fleet.servers().updateWeights(engine.id, engine.model, *served, {Decisions::WeightsSource::Report, 0});
         Observe::log(weightsInPlace, {{"engine", engine.address}, {"model", engine.model}, {"version", std::to_string(*served)}});
     } else if (!report.value().isCarryingOutOrder) {
         m_failover.markReachable(engine.address, m_loop.now());
--- a/tests/auto/relay/tst_restarts.cpp
+++ b/tests/auto/relay/tst_restarts.cpp
@@ -16,6 +16,8 @@
 // The system clock was set back before the engine restarted.
 constexpr std::uint64_t secondIncarnation = firstIncarnation - 5'000;
 
+constexpr std::uint64_t oddVersion = std::uint64_t(1) << 60;
+
 RegisteredServer engine(const std::string &id, std::uint64_t incarnation, std::uint64_t version = 1)
 {
     RegisteredServer server{id, "reader", "10.0.0." + id + ":8000", "hall", 96, false, {{"m", version}}};
@@ -23,6 +25,11 @@
     return server;
 }
 
+std::uint64_t versionIn(const ServerRegister &servers)
+{
+    return servers.servers().at("1").weights.front().version;
+}
+
 EngineStatus status(std::uint64_t incarnation, std::uint64_t version = 1)
 {
     EngineStatus report;
@@ -45,6 +52,46 @@
     EXPECT_FALSE(servers.servers().at("1").isLeaving);
 }
 
+// One odd version in an entry, a report or an answer was believed until the server started anew.
+TEST(ServerRegisterWeightsTest, oddVersionOutlivesTheNewsThatMendIt)
+{
+    for (const WeightsSource source : {WeightsSource::Entry, WeightsSource::Report, WeightsSource::Answer}) {
+        ServerRegister servers;
+        servers.set(engine("1", firstIncarnation, 3));
+        if (source == WeightsSource::Entry) {
+            servers.set(engine("1", firstIncarnation, oddVersion));
+        } else {
+            servers.updateWeights("1", "m", oddVersion, {source, 0});
+        }
+        EXPECT_EQ(versionIn(servers), oddVersion);
+        const std::uint64_t sentAfter = servers.lastWeightsNews();
+        servers.updateWeights("1", "m", 3, {WeightsSource::Answer, sentAfter - 1});
+        EXPECT_EQ(versionIn(servers), oddVersion);
+        ServerRegister mendedByAnswer = servers;
+        mendedByAnswer.updateWeights("1", "m", 3, {WeightsSource::Answer, sentAfter});
+        EXPECT_EQ(versionIn(mendedByAnswer), 3U);
+        servers.set(engine("1", firstIncarnation, 4));
+        EXPECT_EQ(versionIn(servers), source == WeightsSource::Entry ? 4U : oddVersion);
+        servers.updateWeights("1", "m", 4, {WeightsSource::Report, 0});
+        EXPECT_EQ(versionIn(servers), source == WeightsSource::Answer ? oddVersion : 4U);
+    }
+}
+
+// The entry is written now and then, and a report lags behind: neither proves that the server went back.
+TEST(ServerRegisterWeightsTest, keepsAnAnswerOverOlderNews)
+{
+    ServerRegister servers;
+    servers.set(engine("1", firstIncarnation, 2));
+    servers.updateWeights("1", "m", 3);
+    RegisteredServer entry = engine("1", firstIncarnation, 2);
+    entry.slots = 7;
+    servers.set(entry);
+    servers.updateWeights("1", "m", 2, {WeightsSource::Report, 0});
+    servers.updateWeights("1", "m", 2);
+    EXPECT_EQ(versionIn(servers), 3U);
+    EXPECT_EQ(servers.servers().at("1").slots, 7U);
+}
+
 TEST(ServerRegisterRestartTest, ignoresALateEntryOfAnEarlierIncarnation)
 {
     ServerRegister servers;
