Let agents give up a version that the store no longer names

An agent that was told of a version in error ordered it until it ended, and did not order the one that the operator then named.

A later row lowers the target of an agent that reads the store itself. If a router names a lower version two seconds after the higher one, the agent reads the table, and what both name becomes the target; one of them alone may have outdated data. At most one such read in two seconds.

--- a/src/libs/weights/weightsevents.h
+++ b/src/libs/weights/weightsevents.h
@@ -20,5 +20,7 @@
 inline constexpr Event ordersTaken{3109, Severity::Info, "orders_taken", "This process gives an engine its orders from now on."};
 inline constexpr Event orderWaits{
     3110, Severity::Info, "order_waits", "An engine's order is due, but waits until the host that gave it its orders before has been waited out."};
+inline constexpr Event weightsTargetWithdrawn{
+    3111, Severity::Warning, "weights_target_withdrawn", "A later row names an older version of a model's weights as the newest; it becomes the target."};
 
 } // namespace Verbena::Weights
--- a/src/libs/weights/weightskeeper.cpp
+++ b/src/libs/weights/weightskeeper.cpp
@@ -44,6 +44,9 @@
 // Several times the latency of a slow store.
 constexpr milliseconds storeTimeout{700};
 
+// Time after which all routers have heard of newer weights, and interval at which a target is compared with the store while one names older ones.
+constexpr milliseconds targetCheckInterval{2000};
+
 // Older announcements are treated alike, as their rollout slot has passed; keeps times from an invalid packet within the range of the clock.
 constexpr std::chrono::hours maximumAge{1};
 
@@ -138,7 +141,7 @@
             continue; // Routers report invalid rows.
         }
         if (const auto *named = std::get_if<Relay::AnnouncedWeights>(&decoded.value())) {
-            if (applyAnnouncement(*named)) {
+            if (applyRow(*named, row.revision)) {
                 plan(named->model, withCommitTime(announcement, row));
             }
         }
@@ -162,7 +165,7 @@
     Observe::log(declarationsRegained, {{"table", table}});
 }
 
-// Versions of weights only rise, so the age of a copy does not matter here.
+// A row counts by its revision, so the age of a copy does not matter here.
 void WeightsKeeper::tableVerified(const std::string &, Store::StoreTime, std::uint64_t)
 {
 }
@@ -171,7 +174,7 @@
 {
 }
 
-// A router may have outdated data, so its message never lowers a version.
+// A router may have outdated data, so its message alone never lowers a version.
 void WeightsKeeper::handleWatch(const verbena::wire::EngineWatch &watch)
 {
     m_watchedUntil = m_loop.now() + watchTimeout;
@@ -191,6 +194,9 @@
     const Decisions::WeightsAnnouncement announcement = announcementOf(message, m_loop.now());
     const bool isNews = applyAnnouncement({message.model(), message.version()});
     const Target &target = m_targets[message.model()];
+    if (message.version() < target.version) {
+        checkTarget(message.model(), message.version());
+    }
     if (isNews && slot.engines == 0) {
         plan(message.model(), announcement);
     } else if (isNews
@@ -243,10 +249,67 @@
         target.loadTime = Core::TimePoint::max();
     }
     target.version = named.version;
+    target.namedAt = m_loop.now();
     target.isOrdered = false;
     return true;
 }
 
+// Returns whether the row changes the version. Of two rows the one with the higher revision counts, also if it names a lower version.
+bool WeightsKeeper::applyRow(const Relay::AnnouncedWeights &named, std::uint64_t revision)
+{
+    const std::uint64_t before = m_targets[named.model].revision;
+    if (revision < before) {
+        return false;
+    }
+    const bool isLower = before != 0 && revision > before && named.version < m_targets[named.model].version;
+    const bool isChanged = isLower ? withdrawTarget(named) : applyAnnouncement(named);
+    Target &target = m_targets[named.model];
+    if (target.version == named.version) {
+        target.revision = revision;
+    }
+    return isChanged;
+}
+
+// Forgets the version that was named in error together with its rollout slot. Returns true, as the version changes.
+bool WeightsKeeper::withdrawTarget(const Relay::AnnouncedWeights &named)
+{
+    Target &target = m_targets[named.model];
+    Observe::log(weightsTargetWithdrawn, {{"model", named.model}, {"version", std::to_string(target.version)}, {"newest", std::to_string(named.version)}});
+    target = {};
+    return applyAnnouncement(named);
+}
+
+// A router that names a lower version long after the higher one either has outdated data or has seen that the higher one was named in error. The store tells.
+void WeightsKeeper::checkTarget(const std::string &model, std::uint64_t version)
+{
+    const Core::TimePoint now = m_loop.now();
+    if (now < m_targets[model].namedAt + targetCheckInterval || now < m_nextTargetCheck) {
+        return;
+    }
+    m_nextTargetCheck = now + targetCheckInterval;
+    const auto handle = [this, model, version](const Core::Result<Store::RowPage> &page) {
+        if (page) {
+            handleDeclaredTarget({model, version}, page.value());
+        }
+    };
+    m_rows.readTable(m_decoder.tables().declarations, now + storeTimeout, m_lifetime.guard(handle));
+}
+
+void WeightsKeeper::handleDeclaredTarget(const Relay::AnnouncedWeights &told, const Store::RowPage &page)
+{
+    for (const Store::TableRow &row : page.rows) {
+        const auto decoded = m_decoder.decode(m_decoder.tables().declarations, row);
+        const auto *named = decoded ? std::get_if<Relay::AnnouncedWeights>(&decoded.value()) : nullptr;
+        const auto target = m_targets.find(told.model);
+        const bool isSame = named != nullptr && named->model == told.model && named->version == told.version;
+        if (isSame && target != m_targets.end() && told.version < target->second.version && row.revision > target->second.revision) {
+            withdrawTarget(told);
+            m_targets[told.model].revision = row.revision;
+            plan(told.model, {Core::TimePoint::min(), m_loop.now()});
+        }
+    }
+}
+
 // Returns whether the engine still waits for its rollout slot or the order. The next version then uses the same slot.
 bool WeightsKeeper::isPending(const std::string &model, const Target &target) const
 {
--- a/src/libs/weights/weightskeeper.h
+++ b/src/libs/weights/weightskeeper.h
@@ -57,6 +57,8 @@
     struct Target
     {
         std::uint64_t version = 0;
+        std::uint64_t revision = 0; ///< Revision of the row that names the version; 0 if only routers have named it.
+        Core::TimePoint namedAt{}; ///< Time at which this process learned of the version.
         Core::TimePoint loadTime = Core::TimePoint::max();
         bool isOrdered = false; ///< Whether the engine has accepted the order to load them.
     };
@@ -75,6 +77,10 @@
     bool admit(const std::string &model);
     bool isServed(const std::string &model) const;
     bool applyAnnouncement(const Relay::AnnouncedWeights &named);
+    bool applyRow(const Relay::AnnouncedWeights &named, std::uint64_t revision);
+    bool withdrawTarget(const Relay::AnnouncedWeights &named);
+    void checkTarget(const std::string &model, std::uint64_t version);
+    void handleDeclaredTarget(const Relay::AnnouncedWeights &told, const Store::RowPage &page);
     bool isOutOfDate(const std::string &model, std::uint64_t version) const;
     bool isPending(const std::string &model, const Target &target) const;
     void plan(const std::string &model, const Decisions::WeightsAnnouncement &announcement);
@@ -103,6 +109,7 @@
     Core::TimePoint m_wholeCachePublishedAt{}; ///< Time of the last publication of the whole cache index.
     EventLoop::Timer m_timer;
     std::map<std::string, Target> m_targets; ///< By model.
+    Core::TimePoint m_nextTargetCheck{};
     std::map<std::string, std::uint64_t> m_inPlace; ///< Loaded version by model.
     OrderLeaseClient m_lease;
     bool m_isRequestPending = false; ///< Whether a request to the engine is pending.
