Give up a cap whose version nobody names any more

One claim of usage with a very large version of its cap held that cap until the agent ended, as a lower version never replaced it.

A cap holds for 5 s after the last claim that names its version or a higher one; then that of the next claim replaces it. An older configuration replaces a newer one only while no router claims with the newer one.

UsageAccountsTest.capOfAnOddVersionStaysForGood fails on the code before and passes now.

--- a/src/libs/decisions/relay/usageaccounts.cpp
+++ b/src/libs/decisions/relay/usageaccounts.cpp
@@ -9,6 +9,9 @@
 // More than any deployment has. Limits the memory that packets from unknown senders can allocate.
 constexpr std::size_t maximumAccounts = 65536;
 
+// Time without a claim that names the version of a cap, after which a claim with an older one replaces it. Every router has a new configuration by then.
+constexpr std::chrono::seconds capLifetime{5};
+
 // Returns the fraction of the cap that this process may grant. Routers that are cut off from this process use their own share of the cap, which is reserved
 // for them.
 double reachableFraction(const UsageClaimant &claimant)
@@ -42,14 +45,22 @@
             m_accounts.erase(m_accounts.begin());
         }
         const Core::TimePoint openedAt = std::max(m_start, now - ownedFor);
-        return m_accounts.emplace(claim.organisation, Account{claim.cap, claim.capVersion, PrioritizedBucket(openedAt)}).first->second;
+        return m_accounts.emplace(claim.organisation, Account{claim.cap, claim.capVersion, now, PrioritizedBucket(openedAt)}).first->second;
     }
-    Account &account = found->second;
-    if (claim.capVersion > account.capVersion) {
-        account.cap = claim.cap;
-        account.capVersion = claim.capVersion;
+    updateCap(found->second, claim, now);
+    return found->second;
+}
+
+// Versions of configurations rise, and some routers get a new one later than others. A version that is no longer named was none; if only routers with an older
+// configuration claim, their requests are all that the older cap applies to.
+void UsageAccounts::updateCap(Account &account, const UsageClaim &claim, Core::TimePoint now)
+{
+    if (claim.capVersion < account.capVersion && now < account.confirmedAt + capLifetime) {
+        return;
     }
-    return account;
+    account.cap = claim.cap;
+    account.capVersion = claim.capVersion;
+    account.confirmedAt = now;
 }
 
 UsageVerdict UsageAccounts::tryConsume(const UsageClaim &claim, const UsageClaimant &claimant, Core::TimePoint now)
--- a/src/libs/decisions/relay/usageaccounts.h
+++ b/src/libs/decisions/relay/usageaccounts.h
@@ -42,10 +42,12 @@
     {
         UsageCap cap;
         std::uint64_t capVersion = 0;
+        Core::TimePoint confirmedAt; ///< Time of the last claim that named this version.
         PrioritizedBucket bucket;
     };
 
     Account &account(const UsageClaim &claim, std::chrono::microseconds ownedFor, Core::TimePoint now);
+    static void updateCap(Account &account, const UsageClaim &claim, Core::TimePoint now);
     BucketSize bucketSize(const UsageCap &cap, double part) const;
 
     double m_slack;
--- a/tests/auto/relay/tst_usagecaps.cpp
+++ b/tests/auto/relay/tst_usagecaps.cpp
@@ -79,6 +79,32 @@
     }));
 }
 
+// One claim with a version that no configuration has held its cap until the agent ended.
+TEST(UsageAccountsTest, capOfAnOddVersionStaysForGood)
+{
+    UsageAccounts accounts(0, start - 1h);
+    const UsageCap odd{1e9, 1e9, true, 1};
+    accounts.tryConsume(claim(1, std::uint64_t(1) << 63, odd), connectedClaimant(), start);
+    double sum = 0;
+    for (Core::TimePoint now = start + 6s; now < start + 16s; now += 10ms) {
+        sum += accounts.tryConsume(claim(5), connectedClaimant(), now).isGranted ? 5 : 0;
+    }
+    EXPECT_LE(sum, 200 + 10 * 100);
+}
+
+// A router with an older configuration claims all the time beside one with the newest.
+TEST(UsageAccountsTest, capOfAnOlderConfigurationNeverReturnsWhileTheNewerOneIsNamed)
+{
+    UsageAccounts accounts(0, start - 1h);
+    const UsageCap older{1e9, 1e9, true, 1};
+    double sum = 0;
+    for (Core::TimePoint now = start; now < start + 20s; now += 1s) {
+        sum += accounts.tryConsume(claim(1, 2), connectedClaimant(), now).isGranted ? 1 : 0;
+        sum += accounts.tryConsume(claim(1e6, 1, older), connectedClaimant(), now + 500ms).isGranted ? 1e6 : 0;
+    }
+    EXPECT_LE(sum, 200 + 20 * 100);
+}
+
 // All callers of one organisation are sent to a few of many routers, as by a load balancer that hashes them. A fixed part of the cap for each router would
 // leave most of it unused.
 TEST(UsageAccountsTest, grantsTheWholeCapToAnyRouters)
