Bound rollout slots by the number of engines

A slot behind all engines of the fleet, in a datagram of any sender, delayed the load of an engine for up to years; the sum of two numbers could overflow.

A position behind the last engine counts as that of the last one.

WeightsScheduleTest.slotBehindTheLastEngineNeverComes fails on the code before and passes now.

--- a/src/libs/decisions/relay/weightsschedule.cpp
+++ b/src/libs/decisions/relay/weightsschedule.cpp
@@ -78,13 +78,14 @@
         return std::min(planned, announcement.isTimeKnown() ? announcement.announcedAt : announcement.receivedAt);
     }
     const std::size_t size = groupSize(slot.engines, options);
+    const std::uint64_t last = slot.engines - 1;
     if (!announcement.isTimeKnown()) {
         // Loading all at once would take as long, since more engines than one group slow each other down, but the first engine would be back only with the
         // last one.
-        const auto group = static_cast<int>(slot.position / size);
+        const auto group = static_cast<int>(std::min<std::uint64_t>(slot.position, last) / size);
         return std::min(planned, announcement.receivedAt + group * options.loadDuration);
     }
-    const auto group = static_cast<int>((slot.completed + slot.position) / size);
+    const auto group = static_cast<int>(std::min(std::uint64_t(slot.completed) + slot.position, last) / size);
     return std::min(planned, announcement.announcedAt + options.noticePeriod + group * groupStep(slot.engines, options, size));
 }
 
--- a/src/libs/decisions/relay/weightsschedule.h
+++ b/src/libs/decisions/relay/weightsschedule.h
@@ -57,6 +57,8 @@
 /// The spread of load times prevents a fleet whose engines all come back cold at once. If versions follow each other faster than they can be loaded, an engine
 /// whose wait began again with each of them would never load, so an engine keeps the load time that is already \a planned if it is earlier.
 ///
+/// A position behind the last engine counts as that of the last one, as slots come from other processes.
+///
 /// If the time of the announcement is not known, no process uses the old weights any more, so the groups load one immediately after the other.
 Core::TimePoint weightsLoadTime(
     const RolloutSlot &slot, const RolloutOptions &options, const WeightsAnnouncement &announcement, Core::TimePoint planned = Core::TimePoint::max());
--- a/tests/auto/relay/tst_weights.cpp
+++ b/tests/auto/relay/tst_weights.cpp
@@ -7,6 +7,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -54,6 +55,21 @@
     EXPECT_LT(newer, 700);
 }
 
+// A slot behind all engines of the fleet, in a packet of any sender, delayed the load for years.
+TEST(WeightsScheduleTest, slotBehindTheLastEngineNeverComes)
+{
+    EXPECT_TRUE(rc::check([] {
+        const auto any = rc::gen::element<std::uint32_t>(0, 1, 2, 96, 10'000, 1U << 31, std::numeric_limits<std::uint32_t>::max());
+        const RolloutSlot slot{*any, *any, *any};
+        const RolloutOptions options;
+        for (const Core::TimePoint announcedAt : {start, Core::TimePoint::min()}) {
+            const Core::TimePoint loadTime = weightsLoadTime(slot, options, {announcedAt, start});
+            RC_ASSERT(loadTime >= start);
+            RC_ASSERT(loadTime <= start + options.noticePeriod + options.duration);
+        }
+    }));
+}
+
 // One of twenty streams lasts for three seconds. If the engine had to finish it first, it would accept no new work for as long.
 TEST(WeightsScheduleTest, doesNotDelayALoadForTheLongestStream)
 {
