Bound resends also if their window is no time

With `budgetWindowS: 0` in the node file the level of a resend budget became no number, and each resend was granted from then on.

A window lasts for a millisecond at least.

ResendBudgetTest.windowOfNoTimeGrantsAnyResend fails on the code before and passes now.

--- a/src/libs/decisions/relay/resendbudget.cpp
+++ b/src/libs/decisions/relay/resendbudget.cpp
@@ -21,6 +21,9 @@
 constexpr double earnedSlackFraction = 0.2;
 constexpr double keptSlackFraction = 0.4;
 
+// A shorter window would be divided by as zero.
+constexpr std::chrono::milliseconds shortestWindow{1};
+
 // Time after a stall in which a process reads the requests that were sent during the stall.
 constexpr std::chrono::milliseconds backlogDuration{500};
 
@@ -49,6 +52,7 @@
     , m_start(start)
     , m_backlogEnd(start)
 {
+    m_limits.window = std::max(shortestWindow, m_limits.window);
 }
 
 void ResendBudget::setRouterCount(std::uint32_t count)
--- a/tests/auto/relay/tst_resendbudget.cpp
+++ b/tests/auto/relay/tst_resendbudget.cpp
@@ -35,6 +35,17 @@
     EXPECT_LE(model.excess(), 0);
 }
 
+// A window of no time made the level no number, and then each resend was granted.
+TEST(ResendBudgetTest, windowOfNoTimeGrantsAnyResend)
+{
+    ResendBudget budget({0.2, 10, 0ms}, 1, Core::TimePoint() + 1h);
+    int granted = 0;
+    for (int resend = 0; resend < 1000; ++resend) {
+        granted += budget.tryConsume("reader", ResendPurpose::Failure, Core::TimePoint() + 1h) ? 1 : 0;
+    }
+    EXPECT_LE(granted, 10);
+}
+
 struct Disruption
 {
     int atStep = 0;
