Keep pauses between requests whatever the bound is

With `configApplyMs` of 0 to 5 in the node file, the periods of digests and of retries were zero, so that requests and datagrams followed each other from one iteration of the event loop to the next without an end.

FollowTimesTest.boundOfNoTimeLeavesNoPauses fails on the code before and passes now.

--- a/src/libs/store/followtimes.h
+++ b/src/libs/store/followtimes.h
@@ -17,8 +17,8 @@
     std::chrono::milliseconds sharedMaximumAge; ///< Maximum age of the data that such a process passes on.
     std::chrono::milliseconds digestPeriod; ///< Interval between two digests that a process sends to others.
 
-    /// \brief Returns the times for changes that have to be in force within \a bound.
-    static FollowTimes within(std::chrono::milliseconds bound);
+    /// \brief Returns the times for changes that have to be in force within \a wanted, none of which is zero.
+    static FollowTimes within(std::chrono::milliseconds wanted);
 };
 
 } // namespace Verbena::Store
--- a/tests/auto/relay/tst_tablefollower.cpp
+++ b/tests/auto/relay/tst_tablefollower.cpp
@@ -173,6 +173,17 @@
 
 const Core::Error unavailable{Core::ErrorCode::Unavailable, "store", "", "The store is unavailable."};
 
+// A bound of no time, or of a few milliseconds, made periods and pauses zero.
+TEST(FollowTimesTest, boundOfNoTimeLeavesNoPauses)
+{
+    for (const auto bound : {0ms, 1ms, 5ms, 2000ms}) {
+        const FollowTimes times = FollowTimes::within(bound);
+        for (const auto time : {times.answerTimeout, times.maximumRetryInterval, times.peerAnswerTimeout, times.sharedMaximumWait, times.digestPeriod}) {
+            EXPECT_GE(time, 10ms);
+        }
+    }
+}
+
 TEST_F(TableFollowerTest, readsTheTableAndThenItsChanges)
 {
     request().done(page(5, {{"a", "1", 3, false}, {"b", "1", 5, false}}));
