--- a/src/libs/decisions/control/lease.cpp
+++ b/src/libs/decisions/control/lease.cpp
@@ -9,6 +9,11 @@
 
 using std::chrono::milliseconds;
 
+constexpr char separator = ' ';
+
+// No lease lasts until then, in the year 2200; the clock's range ends in 2262.
+constexpr std::int64_t latestExpiryMilliseconds = 7'258'118'400'000;
+
 Core::Error invalidRowError()
 {
     return {Core::ErrorCode::InvalidArgument, "leases.decode", "", "The row does not hold a lease."};
@@ -19,7 +24,7 @@
 std::string LeaseRecord::encode() const
 {
     const auto expiryCount = std::chrono::duration_cast<milliseconds>(expiry.time_since_epoch()).count();
-    return std::to_string(fencingNumber) + ' ' + std::to_string(expiryCount) + ' ' + token;
+    return std::to_string(fencingNumber) + separator + std::to_string(expiryCount) + separator + token;
 }
 
 Core::Result<LeaseRecord> LeaseRecord::decode(const std::string &text)
@@ -28,11 +33,11 @@
     std::int64_t expiryCount = 0;
     const char *end = text.data() + text.size();
     const auto number = std::from_chars(text.data(), end, record.fencingNumber);
-    if (number.ec != std::errc() || number.ptr == end) {
+    if (number.ec != std::errc() || number.ptr == end || *number.ptr != separator) {
         return invalidRowError();
     }
     const auto expiry = std::from_chars(number.ptr + 1, end, expiryCount);
-    if (expiry.ec != std::errc() || expiry.ptr == end) {
+    if (expiry.ec != std::errc() || expiry.ptr == end || *expiry.ptr != separator || expiryCount < 0 || expiryCount > latestExpiryMilliseconds) {
         return invalidRowError();
     }
     record.expiry = Core::WallTime(milliseconds(expiryCount));
