Take an overtaken report for no news of lower weights

On a link that reorders, a report with the version before lowered what is believed of an engine until the next report, so that it was left out or called back. Reports have no number.

Two reports that follow each other have to name the same lower version.

--- a/src/libs/decisions/relay/weightsbelief.cpp
+++ b/src/libs/decisions/relay/weightsbelief.cpp
@@ -5,13 +5,13 @@
 
 namespace Verbena::Decisions {
 
-// An answer may overtake another one, so the time at which the server was asked decides.
-bool WeightsBelief::isLater(const WeightsEvidence &evidence, const Origin &origin)
+// An answer may overtake another one, so the time at which the server was asked decides. A report may overtake another one too, so two have to agree.
+bool WeightsBelief::isLater(std::uint64_t version, const WeightsEvidence &evidence, Origin &origin)
 {
     if (evidence.source == WeightsSource::Answer) {
         return evidence.askedAfter >= origin.number;
     }
-    return evidence.source == origin.source;
+    return evidence.source == origin.source && std::exchange(origin.lowerReport, version) == version;
 }
 
 void WeightsBelief::applyEntry(const ServedModels &models, std::uint64_t number)
@@ -24,7 +24,7 @@
         if (believed.has_value() && *believed >= named.version && origin.source != WeightsSource::Entry) {
             m_models.replace(named.model, *believed);
         } else if (believed != named.version) {
-            origin = {WeightsSource::Entry, number};
+            origin = {WeightsSource::Entry, number, std::nullopt};
         }
     }
 }
@@ -38,12 +38,13 @@
     Origin &origin = m_origins[model];
     if (version == *believed) {
         origin.source = std::max(origin.source, evidence.source);
+        origin.lowerReport.reset();
         return false;
     }
-    if (version < *believed && !isLater(evidence, origin)) {
+    if (version < *believed && !isLater(version, evidence, origin)) {
         return false;
     }
-    origin = {evidence.source, number};
+    origin = {evidence.source, number, std::nullopt};
     m_models.replace(model, version);
     return true;
 }
--- a/src/libs/decisions/relay/weightsbelief.h
+++ b/src/libs/decisions/relay/weightsbelief.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace Verbena::Decisions {
@@ -25,8 +26,8 @@
 
 /// \brief The weights that a backend server is believed to run, from its entry, the reports of its agent and its answers.
 ///
-/// Versions rise, so a higher one counts whoever names it. A lower one counts only if it is certainly later than what is believed: the next word of the source
-/// that named the higher one, or the answer to a request that was sent after the higher one was learned.
+/// Versions rise, so a higher one counts whoever names it. A lower one counts only if it is certainly later than what is believed: the next entry or
+/// two further reports if the higher one came from such, or the answer to a request that was sent after the higher one was learned.
 class WeightsBelief
 {
 public:
@@ -47,9 +48,10 @@
     {
         WeightsSource source = WeightsSource::Entry;
         std::uint64_t number = 0;
+        std::optional<std::uint64_t> lowerReport; ///< Lower version that the last report named; nothing if it named none.
     };
 
-    static bool isLater(const WeightsEvidence &evidence, const Origin &origin);
+    static bool isLater(std::uint64_t version, const WeightsEvidence &evidence, Origin &origin);
 
     ServedModels m_models;
     std::map<std::string, Origin, std::less<>> m_origins; ///< By model.
--- a/tests/auto/relay/tst_restarts.cpp
+++ b/tests/auto/relay/tst_restarts.cpp
@@ -73,10 +73,23 @@
         servers.set(engine("1", firstIncarnation, 4));
         EXPECT_EQ(versionIn(servers), source == WeightsSource::Entry ? 4U : oddVersion);
         servers.updateWeights("1", "m", 4, {WeightsSource::Report, 0});
+        EXPECT_EQ(versionIn(servers), source == WeightsSource::Entry ? 4U : oddVersion);
+        servers.updateWeights("1", "m", 4, {WeightsSource::Report, 0});
         EXPECT_EQ(versionIn(servers), source == WeightsSource::Answer ? oddVersion : 4U);
     }
 }
 
+// A link that reorders delivered an older report after a newer one.
+TEST(ServerRegisterWeightsTest, reportThatWasOvertakenLowersTheVersion)
+{
+    ServerRegister servers;
+    servers.set(engine("1", firstIncarnation, 2));
+    for (const std::uint64_t version : {3U, 2U, 3U, 2U, 3U}) {
+        servers.updateWeights("1", "m", version, {WeightsSource::Report, 0});
+        EXPECT_EQ(versionIn(servers), 3U);
+    }
+}
+
 // The entry is written now and then, and a report lags behind: neither proves that the server went back.
 TEST(ServerRegisterWeightsTest, keepsAnAnswerOverOlderNews)
 {
