--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -179,6 +179,14 @@
     return isNewer;
 }
 
+void RelayFleet::withdrawWeightsAbove(const std::string &model, std::uint64_t version)
+{
+    const auto history = m_weights.find(model);
+    if (history != m_weights.end() && history->second.withdrawAbove(version) && m_announcementObserver) {
+        m_announcementObserver();
+    }
+}
+
 void RelayFleet::setAnnouncementObserver(std::function<void()> observer)
 {
     m_announcementObserver = std::move(observer);
@@ -295,7 +303,7 @@
         m_transfers.caches().updateReport(key, status.parts, now + EngineReports::lifetime);
     }
     for (const ServedWeights &weights : status.weights) {
-        m_register.updateWeights(id, weights.model, weights.version);
+        m_register.updateWeights(id, weights.model, weights.version, {WeightsSource::Report, 0});
     }
     m_chooser.updateLoad(key, EngineReports::loadReport(status), now);
     if (status.pace.has_value()) {
@@ -653,6 +661,7 @@
 void RelayFleet::recordSent(FleetChoice &choice, Core::TimePoint now)
 {
     choice.sentAt = now;
+    choice.weightsNews = m_register.lastWeightsNews();
     m_limits.recordSent(choice.serverId, now);
     m_chooser.recordDispatch(choice.id, choice.route, choice.work, now);
     m_reports.recordSent(choice.id, now);
@@ -700,7 +709,7 @@
 void RelayFleet::updateWeights(const FleetChoice &choice, const std::string &model, std::uint64_t version)
 {
     if (!isOutdated(choice)) {
-        m_register.updateWeights(choice.serverId, model, version);
+        m_register.updateWeights(choice.serverId, model, version, {WeightsSource::Answer, choice.weightsNews});
     }
 }
 
