Try a shared part again soon if its crashes have another cause

Callers of an organisation got 503 for half a minute and longer, at every router, though only one part of some prompts ended engines: the part that all its prompts begin with stayed suspected.

Both got their first trial within 24 ms, at two requests on one engine. The engine ended under the crashing part, and the next trial of the shared one was due after 30 s.

While each crash of a suspect is also one of another suspect that the request does not hold, its next trial now comes after a second, still one at a time, and does not count as a further one. If it is the cause itself, that trial is a crash without the other, and the long delays hold again.

The new unit test fails with the rule switched off. CrashModelTest passes with 100 cases each; with 1,500 cases those of whole requests pass, those of parts were not run to their end.

--- a/src/libs/decisions/relay/crashhistory.cpp
+++ b/src/libs/decisions/relay/crashhistory.cpp
@@ -25,6 +25,9 @@
 // Delays from one trial to the next. A subject is tried again because the software of the servers may have been fixed.
 constexpr std::array<std::chrono::seconds, 4> trialDelays{30s, 5min, 1h, 24h};
 
+// Delay to the next trial of a subject whose crashes all have another cause; most trials end sooner.
+constexpr auto sidelineTrialDelay = 1s;
+
 } // namespace
 
 std::pair<CrashSubject, std::string> CrashRecord::key() const
@@ -157,6 +160,7 @@
     }
     known.count = count;
     known.revision = revision;
+    known.learnedAt = now;
     known.nextTrialAt = count == 0 ? now : now + trialDelays[std::min<std::size_t>(count, trialDelays.size()) - 1];
 }
 
@@ -229,13 +233,39 @@
     return chosen;
 }
 
+// Returns whether another suspect, which is not among those of a request, was there in each crash of a subject. A part that all requests share fails its trial
+// if a server runs the crashing part beside it. If it is the cause itself, its next crash is one without the other.
+bool CrashHistory::hasOtherCause(const CrashSubject &subject, const std::vector<CrashSubject> &suspects) const
+{
+    const auto own = m_entries.find(subject);
+    if (own == m_entries.end()) {
+        return false;
+    }
+    const Entry &crashes = own->second;
+    return std::any_of(m_entries.begin(), m_entries.end(), [&crashes, &suspects](const auto &entry) {
+        const std::set<std::string> &servers = entry.second.servers;
+        return entry.second.organisation == crashes.organisation && servers.size() >= suspicionThreshold
+            && std::find(suspects.begin(), suspects.end(), entry.first) == suspects.end()
+            && std::includes(servers.begin(), servers.end(), crashes.servers.begin(), crashes.servers.end());
+    });
+}
+
 Core::TimePoint CrashHistory::nextTrialTime(const std::vector<CrashSubject> &suspects) const
 {
     Core::TimePoint time{};
     for (const CrashSubject &suspect : suspects) {
-        time = std::max(time, trials(suspect).nextTrialAt);
+        const Trials known = trials(suspect);
+        const bool isSidelined = known.count > 0 && hasOtherCause(suspect, suspects);
+        time = std::max(time, isSidelined ? std::min(known.nextTrialAt, known.learnedAt + sidelineTrialDelay) : known.nextTrialAt);
     }
     return time;
 }
 
+// A trial of a subject that seems innocent does not delay the next one any further.
+std::uint32_t CrashHistory::nextTrialCount(const CrashSubject &subject, const std::vector<CrashSubject> &suspects) const
+{
+    const std::uint32_t count = trials(subject).count;
+    return count > 0 && hasOtherCause(subject, suspects) ? count : count + 1;
+}
+
 } // namespace Verbena::Decisions
--- a/src/libs/decisions/relay/crashhistory.h
+++ b/src/libs/decisions/relay/crashhistory.h
@@ -64,6 +64,7 @@
     {
         std::uint32_t count = 0;
         std::uint64_t revision = 0; ///< Revision of the row that counts the trials; 0 if there is none.
+        Core::TimePoint learnedAt{}; ///< Time at which this process read of the last trial.
         Core::TimePoint nextTrialAt{}; ///< Time from which on the next trial may run.
     };
 
@@ -86,9 +87,12 @@
     /// most crashes. \a suspects must not be empty.
     CrashSubject trialSubject(const std::vector<CrashSubject> &suspects) const;
 
-    /// \brief Returns the time from which on a request with all of \a suspects may run as a trial.
+    /// \brief Returns the time from which on a request with all of \a suspects, and no other suspected subject, may run as a trial.
     Core::TimePoint nextTrialTime(const std::vector<CrashSubject> &suspects) const;
 
+    /// \brief Returns the number of trials of \a subject after one more, of such a request.
+    std::uint32_t nextTrialCount(const CrashSubject &subject, const std::vector<CrashSubject> &suspects) const;
+
 private:
     struct Entry
     {
@@ -101,6 +105,7 @@
 
     using EntryGroup = std::pair<std::string, CrashSubject::Kind>; ///< Organisation and kind of subject, whose entries are bounded together.
 
+    bool hasOtherCause(const CrashSubject &subject, const std::vector<CrashSubject> &suspects) const;
     static EntryGroup groupOf(const Entries::value_type &entry);
     bool evictForNewEntry(const EntryGroup &group);
     void markCleared(const std::pair<CrashSubject, std::string> &key, Core::TimePoint now);
--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -205,13 +205,13 @@
         done({false, subject, m_history.crashCount(subject), trialDuration});
         return 0;
     }
-    const Decisions::CrashHistory::Trials trials = m_history.trials(subject);
-    m_pendingTrials[subject] = {++m_lastNumber, std::move(done), trials.count + 1};
+    const std::uint32_t count = m_history.nextTrialCount(subject, suspects);
+    m_pendingTrials[subject] = {++m_lastNumber, std::move(done), count};
     const auto handleAnswer = [this, subject](const Store::CommitAnswer &answer) {
         handleTrialAnswer(subject, answer);
     };
     m_store.commit(crashTable,
-        {{Decisions::trialRowKey(subject), std::to_string(trials.count + 1), trials.revision}},
+        {{Decisions::trialRowKey(subject), std::to_string(count), m_history.trials(subject).revision}},
         now + commitTimeout,
         m_lifetime.guard(handleAnswer));
     return m_lastNumber;
--- a/tests/auto/relay/crashmodel.cpp
+++ b/tests/auto/relay/crashmodel.cpp
@@ -177,7 +177,7 @@
     if (!reaches(router) || m_now < router.history.nextTrialTime(suspects) || row.second != known.revision) {
         return false;
     }
-    row = {known.count + 1, ++m_revision};
+    row = {router.history.nextTrialCount(subject, suspects), ++m_revision};
     router.history.setTrials(subject, row.first, row.second, m_now);
     return true;
 }
--- a/tests/auto/relay/tst_crashhistory.cpp
+++ b/tests/auto/relay/tst_crashhistory.cpp
@@ -164,6 +164,27 @@
     EXPECT_LE(history.nextTrialTime({shared}), start);
 }
 
+// A part that all requests share failed its only trial for half a minute, as the crashing part was tried on the same server, and no request was served.
+TEST(CrashHistoryTest, holdsBackASharedPartForCrashesOfAnother)
+{
+    const CrashSubject shared = CrashSubject::ofPromptPart("dams", "shared");
+    const CrashSubject bad = CrashSubject::ofPromptPart("dams", "bad");
+    CrashHistory history;
+    for (const CrashSubject &subject : {shared, bad}) {
+        history.record({subject, "s1", "dams"}, start);
+        history.record({subject, "s2", "dams"}, start);
+        history.setTrials(subject, history.nextTrialCount(subject, {shared}), 7, start);
+        history.record({subject, "s3", "dams"}, start);
+    }
+    EXPECT_LE(history.nextTrialTime({shared}), start + 2s);
+    EXPECT_GT(history.nextTrialTime({shared}), start) << "one trial at a time";
+    EXPECT_EQ(history.nextTrialCount(shared, {shared}), 1U);
+    EXPECT_GE(history.nextTrialTime({shared, bad}), start + 30s) << "the request holds both";
+    history.record({shared, "s4", "dams"}, start + 1s);
+    EXPECT_GE(history.nextTrialTime({shared}), start + 30s) << "a crash without the other";
+    EXPECT_EQ(history.nextTrialCount(shared, {shared}), 2U);
+}
+
 // For any sequence of kills and lost connections, connected routers must not send a request that crashes its servers to more of them than trials allow.
 TEST(CrashModelTest, allowsAtMostThreeRetriesAfterTheThirdCrash)
 {
