Leave a busy router under SIGTERM its whole grace period

Requests that had been passed on were cut up to two seconds before the end of the grace period.

Cause: a router takes off its grace the time for which its event loop may have been late when SIGTERM came. It took that from the timer of its activity, which waits for up to eight iterations while there is more to read than one iteration handles, as with hundreds of callers. In each of these iterations the loop would have noticed the signal.

The loop now says when its previous iteration began to wait; a signal that is handled came after that. A process that stood still keeps its bound.

--- a/src/libs/eventloop/loop.cpp
+++ b/src/libs/eventloop/loop.cpp
@@ -57,6 +57,8 @@
 
 Loop::Loop(struct ev_loop *handle)
     : m_handle(handle)
+    , m_waitBegin(now())
+    , m_previousWaitBegin(m_waitBegin)
 {
     ev_prepare_init(&m_prepare, [](struct ev_loop *, ev_prepare *watcher, int) { static_cast<Loop *>(watcher->data)->beginIteration(); });
     m_prepare.data = this;
@@ -107,10 +109,18 @@
     std::replace(m_running.begin(), m_running.end(), call, static_cast<DeferredCall *>(nullptr));
 }
 
+// What came while the previous iteration handled its events is handled by this one. What ended its wait without an event, as a stopped process is woken, too.
+Core::TimePoint Loop::previousWaitBegin() const
+{
+    return m_previousWaitBegin;
+}
+
 // Runs once the previous iteration has handled its descriptors and timers.
 void Loop::beginIteration()
 {
     runDeferred();
+    m_previousWaitBegin = m_waitBegin;
+    m_waitBegin = now();
     m_readyCount = 0;
     m_hasUnreadInput = false;
 }
--- a/src/libs/eventloop/loop.h
+++ b/src/libs/eventloop/loop.h
@@ -45,6 +45,9 @@
     /// \brief Returns whether more may have arrived than has been handled in this iteration.
     bool mayHaveUnreadInput() const;
 
+    /// \brief Returns when the previous iteration began to wait for events. A signal that is handled now came after that.
+    Core::TimePoint previousWaitBegin() const;
+
     /// \brief Returns the underlying libev loop, for the watchers of this library.
     struct ev_loop *handle() const;
 
@@ -60,6 +63,8 @@
     struct ev_loop *m_handle;
     ev_prepare m_prepare;
     ev_idle m_idle;
+    Core::TimePoint m_waitBegin; ///< When this iteration began to wait for events.
+    Core::TimePoint m_previousWaitBegin;
     std::size_t m_readyCount = 0; ///< Number of descriptors that were handled in this iteration.
     bool m_hasUnreadInput = false; ///< As recorded in this iteration.
     std::vector<DeferredCall *> m_deferred;
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -465,11 +465,12 @@
 }
 
 // A process that stood still does not know how long ago it was asked to end. It was asked after the time at which its event loop should have come next, which
-// the timer may have replaced in this iteration of the loop.
+// the timer may have replaced in this iteration of the loop. A timer of a busy process may wait for several iterations, in each of which it would have noticed.
 void RelayTask::beginShutdown(std::function<void()> done)
 {
     const Core::TimePoint now = m_loop.now();
-    const Core::TimePoint asked = std::min(now, m_handledActivityDue.value_or(m_activityDue));
+    const Core::TimePoint loopDue = m_handledActivityDue.value_or(m_activityDue);
+    const Core::TimePoint asked = std::min(now, std::max(loopDue, m_loop.previousWaitBegin()));
     m_shutdown.begin(Decisions::ShutdownPlan(now, asked, m_settings.shutdownNotice, m_settings.shutdownGrace), std::move(done));
 }
 
