Search in turns for the engine that a request goes back to

A stream that was called back for newer weights got 502 at once while another engine had asked for a rest longer than 1.5 s, although its own engine was about to be ready; after a refusal by its own engine it was sent again at once, up to four times, each a resend of the budget. A request without a prompt might go back to an engine whose report is late.

The wait followed the shortest delay of any server, whether the request may go there or not, and the backoff after a refusal held only for answers that had begun.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -419,12 +419,12 @@
     for (const std::string &id : query.excluded) {
         route.excluded.push_back(backendServerId(id));
     }
-    if (query.prompt == nullptr) {
-        return m_chooser.choose(route, now);
-    }
     if (query.needsTimelyReport) {
         m_reports.addLate(route.excluded);
     }
+    if (query.prompt == nullptr) {
+        return m_chooser.choose(route, now);
+    }
     const std::size_t tried = route.excluded.size();
     excludeLateStarters(choice, query, now);
     const std::size_t usable = route.excluded.size();
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -199,11 +199,11 @@
 }
 
 // A stream that has begun waits, since what was generated is lost if it is broken off, and so does what this router took off a server where it would have gone
-// on waiting. Its call has been granted already.
+// on waiting: that server may take it again at any moment, whatever others ask for. Its call has been granted already.
 bool RelayedRequest::awaitServer()
 {
     const bool isTakenOff = attempts().mayReturn;
-    const std::optional<milliseconds> delay = isTakenOff && !m_sendDelay.has_value() ? searchInterval : m_sendDelay;
+    const std::optional<milliseconds> delay = isTakenOff ? searchInterval : m_sendDelay;
     const bool mayWait = m_answer.isBegun() || isTakenOff;
     if (!mayWait || !delay.has_value() || !m_serverWait.start(*delay, m_facts.deadline - minimumResendTime)) {
         return false;
@@ -629,10 +629,12 @@
 }
 
 // Backend servers that refuse the continuation of a stream are likely to be busy with the streams of the same failure, and have capacity again soon. Trying all
-// of them at once would use up the budget. Returns nothing if the request may be sent again at once.
+// of them at once would use up the budget, and so would one that a request goes back to before it is ready. Returns nothing if the request may be sent again at
+// once.
 std::optional<Core::TimePoint> RelayedRequest::backoffEnd(CallFailure failure) const
 {
-    if (!m_answer.isBegun() || failure != CallFailure::NotRun || m_attempts.sends() < 2) {
+    const bool mayWait = m_answer.isBegun() || attempts().mayReturn;
+    if (!mayWait || failure != CallFailure::NotRun || m_attempts.sends() < 2) {
         return std::nullopt;
     }
     return m_context.loop.now() + initialStreamBackoff * (1 << (m_attempts.sends() - 2));
--- a/tests/auto/relay/tst_givenupcalls.cpp
+++ b/tests/auto/relay/tst_givenupcalls.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using Test::answer;
 using Test::CallerFake;
 using Test::chunk;
 using Test::contains;
@@ -167,12 +168,20 @@
 class CalledBackStreamTest : public RelayTest
 {
 protected:
-    void callBack()
+    // The engine refuses the stream as often as \a refusals says when it comes back.
+    void beginStream(std::size_t refusals = 0)
     {
-        startOnOldWeights([this](const auto &head, const auto &) { return runs() == 1 ? WorkerScript{} : wholeStream(head); });
+        startOnOldWeights([this, refusals](const auto &head, const auto &) {
+            const WorkerScript later = runs() <= refusals + 1 ? WorkerScript{answer(head, "", "Not-Run: 1\r\n", "503 Loading")} : wholeStream(head);
+            return runs() == 1 ? WorkerScript{} : later;
+        });
         m_client = caller();
         m_client->send(request("/resume/", "Model: m\r\n"));
         ASSERT_TRUE(runUntil(*m_loop, [this] { return runs() == 1; }));
+    }
+
+    void callBack()
+    {
         ASSERT_TRUE(m_relay->fleet().recordWeightsAnnouncement("m", 2, m_loop->now()));
         ASSERT_TRUE(runUntil(*m_loop, [this] { return m_workers[0]->openCount() == 0; }));
     }
@@ -203,6 +212,7 @@
 // A stream was called back from an engine that was about to load the new weights, and answered as lost at once, as no other engine had them yet.
 TEST_F(CalledBackStreamTest, isLostThoughItsEngineGetsNewWeights)
 {
+    beginStream();
     callBack();
     runFor(300ms);
     registerWithNewWeights(0);
@@ -212,6 +222,7 @@
 // The same where another engine has them a moment later.
 TEST_F(CalledBackStreamTest, isLostThoughAnotherEngineGetsNewWeights)
 {
+    beginStream();
     callBack();
     runFor(300ms);
     addWorker([](const auto &head, const auto &) { return wholeStream(head); });
@@ -219,6 +230,33 @@
     expectWhole();
 }
 
+// The same while another engine had asked for a rest that is longer than the wait.
+TEST_F(CalledBackStreamTest, isLostWhileAnotherEngineRests)
+{
+    beginStream();
+    addWorker([](const auto &head, const auto &) { return wholeStream(head); });
+    m_relay->fleet().servers().set({"server-2", "s", m_workers[1]->address(), "hall", 6, false, {{"m", 1}}});
+    Decisions::FleetChoice resting;
+    resting.serverId = "server-2";
+    m_relay->fleet().recordRest(resting, 5s, m_loop->now());
+    callBack();
+    runFor(300ms);
+    registerWithNewWeights(0);
+    expectWhole();
+}
+
+// The engine was not ready yet when its stream came back, and was asked again and again without a pause.
+TEST_F(CalledBackStreamTest, goesBackWithoutAPause)
+{
+    beginStream(2);
+    callBack();
+    registerWithNewWeights(0);
+    const Core::TimePoint begin = m_loop->now();
+    EXPECT_TRUE(runUntil(*m_loop, [this] { return m_client->isClosed() || contains(m_client->received(), event(1)); }));
+    EXPECT_TRUE(contains(m_client->received(), event(1))) << m_client->received();
+    EXPECT_GE(m_loop->now() - begin, 20ms);
+}
+
 // A stream was moved off an engine that waited to load weights; its new engine ended, and the move had used up the attempt that was left.
 TEST_F(GivenUpCallsTest, movedStreamIsCutWhenItsNewEngineEnds)
 {
