Release what a property of host files reads

Readers of sections and their document own each other until finish() or finishKnown(), which NodeFile::fromFile calls and the property did not. It now reads as fromFile does.

--- a/tests/auto/platform/tst_oddrows.cpp
+++ b/tests/auto/platform/tst_oddrows.cpp
@@ -374,6 +374,7 @@
         auto reader = Settings::SettingsReader::fromText(text, "boot.yaml");
         RC_ASSERT(reader);
         const NodeFile file = NodeFile::read(reader.value());
+        (void)reader.value().finishKnown();
         RC_ASSERT(file.resendRatio >= 0 && file.resendRatio <= 1);
         RC_ASSERT(std::isfinite(file.resendSlack) && std::isfinite(file.usageSlack));
         for (const auto span : {file.resendWindow, file.shutdownGrace, file.longestWeightsUse, file.configurationTime, file.ordersHandOver}) {
