--- a/src/libs/decisions/relay/fleetchoice.h
+++ b/src/libs/decisions/relay/fleetchoice.h
@@ -24,6 +24,7 @@
     std::string dedicatedTo; ///< Organisation that shares no KV cache with others, if the request belongs to one; else empty.
     std::optional<std::string> softwareVersion; ///< Software version that the backend server must have; nothing if any will do.
     bool needsTimelyReport = false; ///< Whether engines are left out whose report is late.
+    std::optional<std::string> onlyServer; ///< Id of the only backend server that may be chosen; nothing if any may.
     std::vector<std::string> excluded; ///< Ids of backend servers that were tried before.
     std::uint64_t randomValue = 0; ///< Random value, uniformly distributed over all numbers.
     std::chrono::microseconds latencyTarget{0}; ///< Latency target of the route; zero for none.
@@ -63,6 +64,7 @@
     std::uint32_t limitedServers = 0; ///< Number of backend servers, of any service, that were left out because of their limits or because they rest.
     bool isBusyWithWeights = false; ///< Whether the engine loads new weights or is about to, as do all others.
     Core::TimePoint sentAt;
+    std::uint64_t weightsNews = 0; ///< Number of the last news of weights when the request was sent.
 };
 
 } // namespace Verbena::Decisions
--- a/src/libs/eventloop/loop.cpp
+++ b/src/libs/eventloop/loop.cpp
@@ -3,10 +3,6 @@
 #include "deferredcall.h"
 
 #include <algorithm>
-#include <array>
-
-#include <fcntl.h>
-#include <unistd.h>
 
 namespace Verbena::EventLoop {
 
@@ -18,27 +14,6 @@
 // Number of ready descriptors that libev asks for at once at first; if there were as many, there may be more.
 constexpr std::size_t descriptorsPerPoll = 64;
 
-// libev aborts the process if it cannot open the descriptors by which it learns of signals, so that they are tried first.
-bool canOpenSignalDescriptors()
-{
-    std::array<int, 2> ends{};
-    if (pipe2(ends.data(), O_CLOEXEC) != 0) {
-        return false;
-    }
-    close(ends[0]);
-    close(ends[1]);
-    return true;
-}
-
-// Makes libev open these descriptors now.
-void openSignalDescriptors(struct ev_loop *handle)
-{
-    ev_async opener;
-    ev_async_init(&opener, [](struct ev_loop *, ev_async *, int) {});
-    ev_async_start(handle, &opener);
-    ev_async_stop(handle, &opener);
-}
-
 } // namespace
 
 Core::Result<std::unique_ptr<Loop>> Loop::create()
@@ -47,16 +22,13 @@
     if (handle == nullptr) {
         return Core::Error{Core::ErrorCode::Internal, "eventloop.create", "", "The epoll back end is not available."};
     }
-    if (!canOpenSignalDescriptors()) {
-        ev_loop_destroy(handle);
-        return Core::Error{Core::ErrorCode::Internal, "eventloop.create", "", "There is no descriptor left for signals."};
-    }
-    openSignalDescriptors(handle);
     return std::unique_ptr<Loop>(new Loop(handle));
 }
 
 Loop::Loop(struct ev_loop *handle)
     : m_handle(handle)
+    , m_waitBegin(now())
+    , m_previousWaitBegin(m_waitBegin)
 {
     ev_prepare_init(&m_prepare, [](struct ev_loop *, ev_prepare *watcher, int) { static_cast<Loop *>(watcher->data)->beginIteration(); });
     m_prepare.data = this;
@@ -107,10 +79,18 @@
     std::replace(m_running.begin(), m_running.end(), call, static_cast<DeferredCall *>(nullptr));
 }
 
+// What came while the previous iteration handled its events is handled by this one. What ended its wait without an event, as a stopped process is woken, too.
+Core::TimePoint Loop::previousWaitBegin() const
+{
+    return m_previousWaitBegin;
+}
+
 // Runs once the previous iteration has handled its descriptors and timers.
 void Loop::beginIteration()
 {
     runDeferred();
+    m_previousWaitBegin = m_waitBegin;
+    m_waitBegin = now();
     m_readyCount = 0;
     m_hasUnreadInput = false;
 }
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "answerdelivery.h"
+#include "answerhead.h"
+#include "bodyinvitation.h"
+#include "droppedbytes.h"
 #include "relayedrequest.h"
 #include "requestmemory.h"
 
@@ -27,6 +31,9 @@
     /// \brief Creates the handler of a complete request; its answer goes to \a sink.
     virtual std::unique_ptr<RelayedRequest> beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink) = 0;
 
+    /// \brief Returns whether a request with \a head would be refused if it began now, whatever its body is.
+    virtual bool isRefused(const Http::MessageHead &head) const = 0;
+
     /// \brief Returns the limits for this caller's requests.
     virtual Decisions::RelayLimits limits() const = 0;
 
@@ -93,9 +100,18 @@
     /// arrived.
     bool isIdleCandidate() const;
 
-    /// \brief Closes the connection if it is idle: isIdleCandidate(), and nothing has arrived. Returns whether it was closed.
+    /// \brief Closes the connection if it is idle: isIdleCandidate(), the last answer has been read, and nothing has arrived. Returns whether it was closed.
     bool endIfIdle();
 
+    /// \brief Returns whether the last answer has ended, and its caller had not read it whole when it was last looked at.
+    bool isDelivering() const;
+
+    /// \brief Returns whether the connection may be closed for want of descriptors: it is idle, or only the system holds the end of its last answer.
+    bool mayMakeRoom() const;
+
+    /// \brief Closes the connection if mayMakeRoom() and nothing has arrived. Returns whether it was closed.
+    bool makeRoom();
+
     /// \brief Refuses the caller's next request, which has not run, and ends the connection after it.
     void refuseNextRequest();
 
@@ -130,6 +146,7 @@
     void receiveHead(Http::MessageHead head) override;
     void receiveBody(std::string_view data) override;
     void receiveEnd() override;
+    bool endIfNothingArrived();
     void answerRequest();
     void drop(std::size_t bytes);
     bool mayTakeNoMore() const;
@@ -143,9 +160,11 @@
     void refuseForMemory();
     void send(std::string_view data);
     void updateClosing();
-    std::string headText(int status, const std::vector<Http::HttpField> &fields) const;
-    void inviteBody();
+    AnswerHead answerHead(int status, const std::vector<Http::HttpField> &fields) const;
+    bool inviteBody();
     void finishExchange();
+    void awaitDelivery();
+    void awaitCaller();
     void linger();
     void handleTimeout();
 
@@ -161,15 +180,14 @@
     Http::MessageHead m_head;
     std::string m_body;
     std::unique_ptr<RelayedRequest> m_request;
-    std::uint64_t m_droppedBytes = 0; ///< Received bytes that belong to no request that is read.
+    DroppedBytes m_dropped;
+    BodyInvitation m_invitation; ///< Of the request that is being read.
+    AnswerDelivery m_delivery;
     Decisions::RelayLimits m_answerLimits; ///< Those under which the last answer began; their idle timeout is announced in it.
     Core::TimePoint m_idleSince;
     Core::TimePoint m_idleDeadline; ///< Until then an idle connection is kept.
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
-    Core::TimePoint m_lastReadAt;
-    std::optional<std::size_t> m_unacknowledgedBytes; ///< At the last updateLastRead().
     bool m_isTimeoutPostponed = false; ///< Whether the time limit has passed and was postponed once to read what had arrived.
-    bool m_isBodyInvited = false; ///< Whether the caller was told to send the body that it holds back.
     bool m_isOverDescriptorLimit = false; ///< Whether the caller's request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
     bool m_isAnswerEnded = false;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -21,60 +21,39 @@
 
 namespace {
 
-// Subtracted from the time that a backend server is given, for the round trip.
-constexpr milliseconds networkMargin{10};
-
 // With less remaining time than this, a request is not sent again.
 constexpr milliseconds minimumResendTime{40};
 
 // Time until a stream that was refused by the backend server that should have continued it is sent to another one; doubles with each further refusal.
 constexpr milliseconds initialStreamBackoff{100};
 
-// Retry delay for a caller whose stream no server can continue, unless one of its software version is started.
-constexpr milliseconds goneSoftwareDelay{1000};
-
 // Interval between checks whether to move a stream; its events arrive several times as often.
 constexpr milliseconds moveCheckInterval{100};
 
-// Time without a byte from a silent engine after which a request is taken off it; between the events of a stream much less passes.
-constexpr milliseconds silentEngineTime{500};
-
-// Time since the last report after which an engine counts as lost for what cannot be sent elsewhere. Callers give up after two seconds without an event at the
-// earliest.
-constexpr milliseconds lostEngineTime{2000};
-
 // Delay before a call is called back at once because of newer weights. An announcement that is received late counts as old until the store has returned its
 // time, some milliseconds later.
 constexpr milliseconds minimumCallBackDelay{100};
 
-// Backend servers have ten priorities, 0 to 9.
-constexpr std::uint32_t lowestPriority = 9;
-
-Decisions::ServerInstance serverOf(const FleetChoice &choice)
-{
-    return {choice.serverId, choice.address, choice.incarnation};
-}
+// Interval between searches for a backend server for a request that this router took off one.
+constexpr milliseconds searchInterval{100};
 
 } // namespace
 
 RelayedRequest::RelayedRequest(
     const RelayContext &context, std::shared_ptr<const Decisions::RelayDirectory> directory, Http::MessageHead head, Http::SharedBody body, AnswerSink &sink)
     : m_context(context)
-    , m_directory(std::move(directory))
-    , m_head(std::move(head))
-    , m_body(std::move(body))
+    , m_facts{std::move(directory), std::move(head), std::move(body), context.loop.now()}
     , m_sink(sink)
-    , m_arrival(context.loop.now())
     , m_deadlineTimer(context.loop, [this] { handleDeadline(); })
     , m_weightsTimer(context.loop, [this] { handleWeightsTooOld(); })
     , m_serverWait(context.loop, [this] { dispatch(); })
+    , m_preparation(context, m_facts, [this](const std::optional<Refusal> &refusal) { handlePreparation(refusal); })
+    , m_call(context, m_facts, *this)
     , m_answer(context.protocol, sink)
-    , m_usage(context.usage)
-    , m_crashes(context.crashes,
-          [this] {
-              return Decisions::crashSubjects({organisationName(), m_head.method, m_query.host, m_query.path, this->body()}, prompt());
-          })
-    , m_origin(context.origins)
+    , m_crashes(context.crashes, [this] {
+        return Decisions::crashSubjects(
+            {m_facts.organisationName(), m_facts.head.method, m_facts.query.host, m_facts.query.path, m_facts.body()}, m_facts.prompt());
+    })
 {
 }
 
@@ -82,166 +61,59 @@
 {
     m_context.resendQueue.withdraw(m_resendNumber);
     m_crashes.end(arrivals());
-    if (m_isUnanswered) {
-        m_context.fleet.recordAbandoned(*m_choice);
-    }
     if (!m_isDone) {
         if (!mayHaveRun()) {
-            m_usage.release();
+            m_preparation.releaseUsage();
         }
-        reportLeft({m_query.attemptId, m_service, m_choice.has_value() ? m_choice->serverId : "", sinceArrival()}, waitReport(), m_context.metrics);
+        reportLeft(m_call.label(), waitReport(), m_context.metrics);
     }
 }
 
 WaitReport RelayedRequest::waitReport() const
 {
-    WaitReport report;
+    WaitReport report = m_call.waitReport();
     report.isBegun = m_answer.isBegun();
-    report.sends = m_attempts.sends;
-    if (m_call == nullptr) {
-        return report;
-    }
-    const Core::TimePoint now = m_context.loop.now();
-    report.sentAgo = duration_cast<milliseconds>(now - m_choice->sentAt);
-    report.reportAge = m_context.fleet.reportAge(*m_choice, now);
-    if (m_call->isUnacknowledged()) {
-        report.waitingFor = WaitingFor::Acknowledgement;
-    } else if (m_context.fleet.isSilent(*m_choice, now)) {
-        report.waitingFor = WaitingFor::SilentEngine;
-    } else {
-        report.waitingFor = m_isUnanswered ? WaitingFor::Begin : WaitingFor::Rest;
-    }
+    report.sends = m_attempts.sends();
     return report;
 }
 
-std::string_view RelayedRequest::body() const
-{
-    return m_body == nullptr ? std::string_view() : std::string_view(*m_body);
-}
-
 void RelayedRequest::start()
 {
-    if (!admit()) {
-        return;
-    }
-    if (isResumption()) {
-        findOrigin();
-    } else {
-        claimUsageOrBegin();
+    if (admit()) {
+        m_preparation.start();
     }
 }
 
-bool RelayedRequest::isResumption() const
+void RelayedRequest::handlePreparation(const std::optional<Refusal> &refusal)
 {
-    return m_origin.isEnabled() && m_route->kind == RequestKind::Streaming && m_route->isResumable && !m_query.lastEventId.empty();
-}
-
-Decisions::StreamKey RelayedRequest::streamKey() const
-{
-    return {organisationName(), m_query.lastEventId.empty() ? m_query.attemptId : m_query.resumedAttemptId};
-}
-
-milliseconds RelayedRequest::longestStream() const
-{
-    return Decisions::longestStream(*m_route);
-}
-
-void RelayedRequest::findOrigin()
-{
-    m_origin.find({streamKey(), m_service, longestStream()}, [this](const std::optional<Decisions::StreamOrigin> &origin) { handleOrigin(origin); });
-}
-
-void RelayedRequest::handleOrigin(const std::optional<Decisions::StreamOrigin> &origin)
-{
-    if (!origin.has_value()) {
-        refuse(503, "It is not known here which software version began the stream; it has not run.");
-        return;
-    }
-    const bool isServed = std::any_of(
-        m_route->services.begin(), m_route->services.end(), [&origin](const Decisions::ServiceShare &share) { return share.service == origin->service; });
-    if (!isServed || !m_context.fleet.hasSoftware(origin->service, origin->softwareVersion)) {
-        refuse(503,
-            "No backend server of the software version that began the stream is left; it has not run.",
-            Decisions::retryDelay(goneSoftwareDelay, remainingTime()));
-        return;
-    }
-    m_service = origin->service;
-    m_softwareVersion = origin->softwareVersion;
-    claimUsageOrBegin();
-}
-
-// Other routers have to know of the stream before its caller can resume it there.
-void RelayedRequest::beginStream()
-{
-    m_softwareVersion = m_choice->softwareVersion;
-    if (m_route->isResumable) {
-        m_origin.begin({streamKey(), {m_service, *m_softwareVersion}, longestStream()});
-    }
-}
-
-void RelayedRequest::claimUsageOrBegin()
-{
-    if (m_organisation != nullptr && m_organisation->usageCap.has_value() && m_usage.isEnabled()) {
-        claimUsage();
+    if (refusal.has_value()) {
+        refuse(refusal->status, refusal->message, refusal->retryAfter.value_or(defaultRetryDelay));
     } else {
         begin();
     }
 }
 
-void RelayedRequest::claimUsage()
-{
-    const Decisions::UsageCap &cap = *m_organisation->usageCap;
-    const Decisions::UsageClaim claim{m_organisation->name, cap, m_directory->version(), usageCost(cap, m_query.tokens), priority()};
-    m_usage.claim(claim, [this](const Decisions::UsageVerdict &verdict) {
-        if (verdict.isGranted) {
-            begin();
-            return;
-        }
-        m_context.metrics.count("requests_over_cap_total");
-        m_context.metrics.count("requests_over_cap_priority_" + std::to_string(priority()) + "_total");
-        refuse(429, "The usage cap of the organisation is reached; it has not run.", std::max(verdict.retryAfter, Decisions::minimumRetryDelay));
-    });
-}
-
 Decisions::AttemptState RelayedRequest::attempts() const
 {
-    Decisions::AttemptState state = m_attempts;
-    state.isAnswerBegun = m_answer.isBegun();
-    return state;
+    return m_attempts.state(m_answer.isBegun());
 }
 
 std::uint32_t RelayedRequest::arrivals() const
 {
-    return m_arrivals + (m_call != nullptr && m_call->hasSent() ? 1 : 0);
+    return m_attempts.arrivals() + (m_call.hasSent() ? 1 : 0);
 }
 
 bool RelayedRequest::mayHaveRun() const
 {
-    return m_attempts.mayHaveRun() || (m_call != nullptr && m_call->hasSent());
-}
-
-std::string RelayedRequest::organisationName() const
-{
-    return m_organisation != nullptr ? m_organisation->name : "";
-}
-
-const Decisions::PromptOutline *RelayedRequest::prompt() const
-{
-    return m_query.prompt.has_value() ? &*m_query.prompt : nullptr;
-}
-
-std::uint32_t RelayedRequest::priority() const
-{
-    const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority.has_value();
-    return std::min(lowestPriority, hasOwnPriority ? *m_organisation->priority : m_route->priority);
+    return m_attempts.mayHaveRun() || m_call.hasSent();
 }
 
 bool RelayedRequest::admit()
 {
-    RequestAdmission admission = admitRequest(m_context.protocol, m_directory.get(), m_head, m_arrival);
-    m_query = std::move(admission.query);
-    m_route = admission.route;
-    m_organisation = admission.organisation;
+    RequestAdmission admission = admitRequest(m_context.protocol, m_facts.directory.get(), m_facts.head, m_facts.arrival);
+    m_facts.query = std::move(admission.query);
+    m_facts.route = admission.route;
+    m_facts.organisation = admission.organisation;
     if (admission.refusal.has_value()) {
         const bool isDenied = admission.refusal->status == 401 || admission.refusal->status == 404;
         if (isDenied && isConfigurationOutdated()) {
@@ -251,17 +123,12 @@
         }
         return false;
     }
-    m_service = Decisions::RelayDirectory::service(*m_route, m_context.random.next());
-    m_answer.setRoute(*m_route);
-    m_attempts.kind = m_route->kind;
-    m_attempts.isRepeatable = m_route->isRepeatable();
-    m_attempts.maximumRuns = m_route->attempts;
-    m_deadline = m_arrival + m_route->timeout;
-    if (m_query.deadline.has_value()) {
-        m_deadline = std::min(m_deadline, *m_query.deadline);
-    }
-    m_deadlineTimer.startAt(m_deadline);
-    m_context.budget.recordRequest(m_service, m_arrival);
+    m_facts.service = Decisions::RelayDirectory::service(*m_facts.route, m_context.random.next());
+    m_answer.setRoute(*m_facts.route);
+    m_attempts.setRoute(*m_facts.route);
+    m_facts.setDeadline();
+    m_deadlineTimer.startAt(m_facts.deadline);
+    m_context.budget.recordRequest(m_facts.service, m_facts.arrival);
     return true;
 }
 
@@ -275,18 +142,12 @@
     return !age.has_value() || *age > m_context.configurationTime;
 }
 
-Decisions::FleetQuery RelayedRequest::fleetQuery()
+Decisions::FleetQuery RelayedRequest::fleetQuery(const Decisions::AttemptState &state)
 {
-    Decisions::FleetQuery query;
-    query.service = m_service;
-    query.route = m_route->name;
-    query.prompt = prompt();
-    query.dedicatedTo = m_organisation != nullptr && m_organisation->isDedicated ? m_organisation->name : "";
-    query.softwareVersion = m_softwareVersion;
-    query.excluded = m_excluded;
+    Decisions::FleetQuery query = m_facts.fleetQuery();
+    query.softwareVersion = m_preparation.softwareVersion();
     query.randomValue = m_context.random.next();
-    query.latencyTarget = m_route->latencyTarget;
-    query.pauseTarget = m_route->pauseTarget;
+    m_attempts.limit(query, state);
     return query;
 }
 
@@ -297,7 +158,7 @@
         dispatch();
         return;
     }
-    m_crashes.claimTrial(m_arrivals, [this](const TrialVerdict &verdict) {
+    m_crashes.claimTrial(m_attempts.arrivals(), [this](const TrialVerdict &verdict) {
         if (verdict.isGranted) {
             dispatch();
             return;
@@ -312,18 +173,17 @@
 void RelayedRequest::recordBarred(const TrialVerdict &verdict, const char *outcome)
 {
     m_context.metrics.count("requests_barred_total");
-    const std::string server = m_choice.has_value() ? m_choice->serverId : "";
     const std::optional<std::size_t> part = m_crashes.partIndex(verdict.subject);
-    const std::string partId = part.has_value() ? Decisions::sharedParts(prompt())[*part].id : "";
-    const BarredReport report{verdict.subject.text(), partId, verdict.crashes, organisationName(), outcome, m_arrivals};
-    reportBarred({m_query.attemptId, m_service, server, sinceArrival()}, report);
+    const std::string partId = part.has_value() ? Decisions::sharedParts(m_facts.prompt())[*part].id : "";
+    const BarredReport report{verdict.subject.text(), partId, verdict.crashes, m_facts.organisationName(), outcome, m_attempts.arrivals()};
+    reportBarred(m_call.label(), report);
 }
 
 void RelayedRequest::dispatch()
 {
     endIfTooLate();
     while (!m_isDone) {
-        const Decisions::FleetQuery query = fleetQuery();
+        const Decisions::FleetQuery query = fleetQuery(attempts());
         const std::optional<FleetChoice> choice = m_context.fleet.choose(query, m_context.loop.now());
         if (!choice.has_value()) {
             m_sendDelay = m_context.fleet.sendDelay(query, m_context.loop.now());
@@ -338,34 +198,38 @@
     }
 }
 
-// A stream that has begun waits, since what was generated is lost if it is broken off. Its call has been granted already.
+// A stream that has begun waits, since what was generated is lost if it is broken off, and so does what this router took off a server where it would have gone
+// on waiting: that server may take it again at any moment, whatever others ask for. Its call has been granted already.
 bool RelayedRequest::awaitServer()
 {
-    if (!m_answer.isBegun() || !m_sendDelay.has_value()) {
+    const bool isTakenOff = attempts().mayReturn;
+    const std::optional<milliseconds> delay = isTakenOff ? searchInterval : m_sendDelay;
+    const bool mayWait = m_answer.isBegun() || isTakenOff;
+    if (!mayWait || !delay.has_value() || !m_serverWait.start(*delay, m_facts.deadline - minimumResendTime)) {
         return false;
     }
-    if (!m_serverWait.start(*m_sendDelay, m_deadline - minimumResendTime)) {
-        return false;
+    if (m_sendDelay.has_value()) {
+        m_context.metrics.count("stream_waits_for_limits_total");
     }
-    m_context.metrics.count("stream_waits_for_limits_total");
     return true;
 }
 
 bool RelayedRequest::refuseIfOverloaded(const FleetChoice &choice)
 {
-    if (m_attempts.sends > 0 || !choice.expectedWait.has_value()) {
+    if (m_attempts.sends() > 0 || !choice.expectedWait.has_value()) {
         return false;
     }
     const Core::TimePoint now = m_context.loop.now();
     const std::chrono::microseconds acceptable = acceptableWait(choice);
     const auto retryAfter = Decisions::refusalRetryDelay({*choice.expectedWait, acceptable, remainingTime()});
     if (!retryAfter.has_value()) {
-        m_context.shedder.recordAdmitted(m_service, priority(), now);
+        m_context.shedder.recordAdmitted(m_facts.service, m_facts.priority(), now);
         return false;
     }
-    m_context.shedder.recordRefused(m_service, priority(), now);
-    m_choice = choice;
-    m_choice->acceptableWait = acceptable;
+    m_context.shedder.recordRefused(m_facts.service, m_facts.priority(), now);
+    FleetChoice refused = choice;
+    refused.acceptableWait = acceptable;
+    m_call.setChoice(refused);
     m_context.metrics.count("requests_turned_away_total");
     // Its own target and time would have admitted it.
     if (*choice.expectedWait <= std::min(choice.acceptableWait, remainingTime())) {
@@ -378,173 +242,72 @@
 // Without usage caps the capacity is meant to suffice for all organisations, and priorities order requests at the engines only.
 std::chrono::microseconds RelayedRequest::acceptableWait(const FleetChoice &choice) const
 {
-    if (!m_directory->hasUsageCaps()) {
+    if (!m_facts.directory->hasUsageCaps()) {
         return choice.acceptableWait;
     }
-    return m_context.shedder.acceptableWait(m_service, priority(), choice.acceptableWait, m_context.loop.now());
+    return m_context.shedder.acceptableWait(m_facts.service, m_facts.priority(), choice.acceptableWait, m_context.loop.now());
 }
 
 // Returns false if the call could not be started; then either the request has been finished or the caller tries the next backend server.
 bool RelayedRequest::sendTo(const FleetChoice &choice)
 {
-    m_choice = choice;
     m_lastFailure.reset();
-    m_lastActivityAt = m_context.loop.now();
     m_serverWait.handleSent();
-    m_excluded.push_back(choice.serverId);
     m_hasServerEnded = false;
     if (choice.limitedServers > 0) {
         m_context.metrics.count("choices_beside_limited_servers_total");
     }
-    ++m_attempts.sends;
-    const Core::TimePoint now = m_context.loop.now();
-    m_context.fleet.recordSent(*m_choice, now);
-    m_isUnanswered = true;
-    Core::Result<std::unique_ptr<BackendCall>> call = openCall(choice);
-    if (call) {
-        m_call = std::move(call.value());
-        m_call->setMeter(createMeter(m_context.memory, Decisions::HeldKind::UnsentToServers));
-        m_call->setAnswerMeter(createMeter(m_context.memory, Decisions::HeldKind::PartialAnswers));
-        updateCallBackTimer();
-        return true;
-    }
-    m_isUnanswered = false;
-    handleUnopenedCall(call.error().code);
-    return false;
-}
-
-// Where this host has no descriptor or port left, the server has done nothing wrong, and another one could not be reached either.
-void RelayedRequest::handleUnopenedCall(Core::ErrorCode code)
-{
-    if (code == Core::ErrorCode::ResourceExhausted) {
-        m_context.metrics.count("calls_refused_by_system_total");
-        m_context.fleet.recordAbandoned(*m_choice);
-        finish(actionWithoutResend(attempts(), CallFailure::NotSent));
-        return;
-    }
-    m_context.fleet.recordFailure(*m_choice, Decisions::ServerFailure::Unreachable, m_context.loop.now());
-    if (!mayResend(attempts(), CallFailure::NotSent)) {
-        finish(actionWithoutResend(attempts(), CallFailure::NotSent));
-    }
-}
-
-Core::Result<std::unique_ptr<BackendCall>> RelayedRequest::openCall(const FleetChoice &choice)
-{
-    const auto endpoint = Http::Endpoint::parse(choice.address);
-    if (!endpoint) {
-        return endpoint.error();
-    }
-    m_isConnectionKept = m_context.connections != nullptr && Decisions::mayKeepConnection(connectionUse());
-    const Http::OutgoingMessage message = callMessage(m_context.protocol, m_head, m_body, callContext(choice));
-    if (m_isConnectionKept) {
-        if (auto call = m_context.connections->reuse(serverOf(choice), connectionUse(), message, *this)) {
-            return call;
-        }
+    m_attempts.recordSend(choice.serverId);
+    const Core::Result<void> opened = m_call.open(choice, progress());
+    if (!opened) {
+        handleUnopenedCall(opened.error().code);
+        return false;
     }
-    m_context.metrics.count("server_connections_opened_total");
-    const CallOptions options{m_head.method == "HEAD", m_route->isRepeatable()};
-    return BackendCall::create(m_context.loop, endpoint.value(), message, options, m_context.loop.now() + BackendCall::connectTimeout, *this);
+    updateCallBackTimer();
+    return true;
 }
 
-Decisions::KeptConnectionUse RelayedRequest::connectionUse()
+CallProgress RelayedRequest::progress()
 {
-    return {m_route->isRepeatable(), m_answer.isBegun(), !m_query.attemptId.empty(), m_head.method == "HEAD", m_crashes.isSuspected()};
+    CallProgress progress;
+    progress.isAnswerBegun = m_answer.isBegun();
+    progress.isSuspected = m_context.connections != nullptr && m_crashes.isSuspected();
+    progress.lastEventId = m_answer.lastEventId().has_value() ? std::to_string(*m_answer.lastEventId()) : m_facts.query.lastEventId;
+    return progress;
 }
 
-void RelayedRequest::endCall()
+// Where this host has no descriptor or port left, another server could not be reached either.
+void RelayedRequest::handleUnopenedCall(Core::ErrorCode code)
 {
-    if (m_isConnectionKept) {
-        m_context.connections->keep(serverOf(*m_choice), *m_call);
+    if (code == Core::ErrorCode::ResourceExhausted || !mayResend(attempts(), CallFailure::NotSent)) {
+        finish(actionWithoutResend(attempts(), CallFailure::NotSent));
     }
-    m_call.reset();
-}
-
-CallContext RelayedRequest::callContext(const FleetChoice &choice) const
-{
-    CallContext context;
-    context.serverId = choice.serverId;
-    context.organisation = organisationName();
-    const auto left = duration_cast<milliseconds>(remainingTime()) - networkMargin;
-    context.timeLeft = std::max(milliseconds(1), left);
-    context.weightsVersion = choice.weightsVersion;
-    context.cacheScope = choice.cacheScope;
-    context.cacheSource = choice.cacheSource;
-    context.cacheStore = choice.cacheStore;
-    context.priority = priority();
-    context.isConnectionKept = m_isConnectionKept;
-    context.lastEventId = m_answer.lastEventId().has_value() ? std::to_string(*m_answer.lastEventId()) : m_query.lastEventId;
-    return context;
 }
 
 void RelayedRequest::receiveAnswerHead(const Http::MessageHead &head)
 {
-    recordEngineActivity();
+    m_call.recordActivity();
     const AnswerMarks marks = m_context.protocol.readAnswer(head);
-    const AnswerMeaning meaning = meaningOf(head.status, marks);
+    const AnswerMeaning meaning = m_call.meaningOf(head.status, marks, m_answer.isBegun());
     if (meaning == AnswerMeaning::NotRun) {
-        handleNotRun(marks);
+        m_call.recordRefusal(marks);
+        handleFailure(CallFailure::NotRun, marks.isMisdirected ? "another backend server or other weights are there" : "refused");
         return;
     }
-    if (meaning != AnswerMeaning::OfAnotherRequest && marks.weightsVersion.has_value() && m_query.prompt.has_value()) {
-        m_context.fleet.updateWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
-    }
     if (meaning != AnswerMeaning::OfAnotherRequest) {
-        recordNotices(marks);
+        m_call.recordMarks(marks);
     }
     if (meaning != AnswerMeaning::OfThisRequest) {
         handleFailure(CallFailure::Lost, reasonText(meaning));
         return;
     }
-    m_isConnectionKept = m_isConnectionKept && !marks.attemptId.empty() && !marks.isLeaving;
+    m_call.recordHead(marks);
     m_answer.receiveHead(head);
 }
 
-AnswerMeaning RelayedRequest::meaningOf(int status, const AnswerMarks &marks) const
-{
-    if (m_call->isReused() && marks.attemptId.empty()) {
-        return AnswerMeaning::OfAnotherRequest;
-    }
-    return classifyAnswer(status, marks, m_query.attemptId, m_answer.isBegun());
-}
-
-// What a backend server says of itself beside the answer to the request, which may be any answer of it.
-void RelayedRequest::recordNotices(const AnswerMarks &marks)
-{
-    if (marks.load.has_value()) {
-        m_context.fleet.recordLoad(*m_choice, *marks.load, m_context.loop.now());
-    }
-    if (m_context.fleet.recordLimit(*m_choice, marks.limit, m_context.loop.now())) {
-        reportLimit(m_choice->serverId, marks.limit, "server");
-    }
-    if (marks.rest.has_value() && m_context.fleet.recordRest(*m_choice, *marks.rest, m_context.loop.now())) {
-        m_context.metrics.count("server_rests_total");
-        reportRest({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, *marks.rest);
-    }
-    if (marks.isLeaving && m_context.fleet.markLeaving(*m_choice)) {
-        m_context.metrics.count("servers_said_leaving_total");
-        reportLeaving({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()});
-    }
-}
-
-void RelayedRequest::handleNotRun(const AnswerMarks &marks)
-{
-    const bool isOther = !marks.serverId.empty() && marks.serverId != m_choice->serverId;
-    if (isOther) {
-        m_context.fleet.markReplaced(*m_choice);
-        reportReplaced({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, marks.serverId);
-    }
-    if (marks.weightsVersion.has_value() && m_query.prompt.has_value() && !isOther) {
-        m_context.fleet.updateWeights(*m_choice, m_query.prompt->model, *marks.weightsVersion);
-    }
-    if (!isOther) {
-        recordNotices(marks);
-    }
-    handleFailure(CallFailure::NotRun, marks.isMisdirected ? "another backend server or other weights are there" : "refused");
-}
-
 void RelayedRequest::receiveAnswerBody(std::string_view data)
 {
-    recordEngineActivity();
+    m_call.recordActivity();
     handleFirstPart();
     const bool wasBegun = m_answer.isBegun();
     const bool hadEvent = m_answer.hasEvent();
@@ -553,7 +316,7 @@
         m_crashes.handleFirstEvent();
     }
     if (m_answer.isBegun() && !wasBegun) {
-        beginStream();
+        m_preparation.beginStream(m_call.choice()->softwareVersion);
     }
     if (const std::optional<std::string_view> bound = m_answer.exceededBoundName()) {
         countTooLong(*bound);
@@ -563,7 +326,7 @@
     if (m_sink.isFull()) {
         m_context.metrics.count("answers_paused_total");
         m_wasPaused = true;
-        m_call->setReading(false);
+        m_call.setReading(false);
     }
     if (isForwarded) {
         moveOffWaitingEngine();
@@ -576,75 +339,50 @@
 void RelayedRequest::moveOffWaitingEngine()
 {
     const Core::TimePoint now = m_context.loop.now();
-    const bool isMovable = m_route->isResumable && m_answer.lastEventId().has_value() && !m_call->isWhole() && mayMoveStream(attempts());
-    if (!isMovable || m_context.shutdown->isBegun() || now < m_nextMoveCheck || !hasTimeToResend() || !m_context.fleet.isWaitingToLoad(*m_choice, now)
+    const bool isMovable = m_facts.route->isResumable && m_answer.lastEventId().has_value() && !m_call.isWhole() && mayMoveStream(attempts());
+    if (!isMovable || m_context.shutdown->isBegun() || now < m_nextMoveCheck || !hasTimeToResend() || !m_call.isEngineWaitingToLoad()
         || m_crashes.isSuspected()) {
         return;
     }
     m_nextMoveCheck = now + moveCheckInterval;
-    const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(), now);
+    const std::optional<FleetChoice> choice = m_context.fleet.choose(fleetQuery(attemptsIfAbandoned()), now);
     if (!choice.has_value() || choice->isBusyWithWeights || choice->waiting > 0
-        || !m_context.budget.tryConsume(m_service, Decisions::ResendPurpose::Move, now)) {
+        || !m_context.budget.tryConsume(m_facts.service, Decisions::ResendPurpose::Move, now)) {
         return;
     }
     m_context.metrics.count("streams_moved_total");
-    reportMove({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, choice->serverId, *m_answer.lastEventId());
+    reportMove(m_call.label(), choice->serverId, *m_answer.lastEventId());
     moveTo(*choice);
 }
 
 void RelayedRequest::moveTo(const FleetChoice &choice)
 {
-    if (m_isUnanswered) {
-        m_isUnanswered = false;
-        m_context.fleet.recordAbandoned(*m_choice);
-    }
-    recordEndedCall(failureIfAbandoned());
-    m_call.reset();
+    m_attempts.recordLeave(m_call.failureIfAbandoned(), m_call.hasSent());
+    m_call.abandon();
     m_answer.prepareNextCall();
     if (!sendTo(choice) && !m_isDone) {
         dispatch();
     }
 }
 
-void RelayedRequest::recordEngineActivity()
-{
-    m_lastActivityAt = m_context.loop.now();
-    m_context.fleet.recordActivity(*m_choice, m_lastActivityAt);
-}
-
 Core::TimePoint RelayedRequest::deadline() const
 {
-    return m_deadline;
+    return m_facts.deadline;
 }
 
 bool RelayedRequest::isAtSilentEngine() const
 {
-    const Core::TimePoint now = m_context.loop.now();
-    const bool isWaiting = !m_isDone && m_call != nullptr && !m_call->isWhole();
-    return isWaiting && now >= m_lastActivityAt + silentEngineTime && m_context.fleet.isSilent(*m_choice, now);
-}
-
-CallFailure RelayedRequest::failureIfAbandoned() const
-{
-    return m_call->isUnacknowledged() ? CallFailure::Unacknowledged : CallFailure::Lost;
+    return !m_isDone && m_call.isAtSilentEngine();
 }
 
 Decisions::AttemptState RelayedRequest::attemptsIfAbandoned() const
 {
-    Decisions::AttemptState next = attempts();
-    next.runs += failureIfAbandoned() == CallFailure::Lost ? 1 : 0;
-    return next;
+    return m_attempts.stateAfter(m_call.failureIfAbandoned(), m_answer.isBegun());
 }
 
 bool RelayedRequest::mayFailOver()
 {
-    return mayResendInTime(attemptsIfAbandoned(), failureIfAbandoned()) && !m_crashes.isSuspected();
-}
-
-bool RelayedRequest::isEngineLost() const
-{
-    const std::optional<milliseconds> silence = m_context.fleet.reportAge(*m_choice, m_context.loop.now());
-    return silence.has_value() && *silence >= lostEngineTime;
+    return mayResendInTime(attemptsIfAbandoned(), m_call.failureIfAbandoned()) && !m_crashes.isSuspected();
 }
 
 // A caller does not wait until the host of its engine wakes, and an engine that wakes begins what waits there before it learns that nobody wants it any more.
@@ -654,7 +392,7 @@
     if (!isAtSilentEngine() || tryFailOver()) {
         return;
     }
-    if (!m_answer.isBegun() && isEngineLost()) {
+    if (!m_answer.isBegun() && m_call.isEngineLost()) {
         handleFailure(CallFailure::Lost, "the engine has been silent for too long");
     }
 }
@@ -665,30 +403,26 @@
     if (!mayFailOver()) {
         return false;
     }
-    if (m_context.budget.balance(m_service, resendPurpose(), now).available < 1) {
+    if (m_context.budget.balance(m_facts.service, resendPurpose(), now).available < 1) {
         m_context.metrics.count("failovers_without_budget_total");
         return false;
     }
-    Decisions::FleetQuery query = fleetQuery();
+    Decisions::FleetQuery query = fleetQuery(attemptsIfAbandoned());
     query.needsTimelyReport = true;
     const std::optional<FleetChoice> choice = m_context.fleet.choose(query, now);
-    if (!choice.has_value() || !m_context.budget.tryConsume(m_service, resendPurpose(), now)) {
+    if (!choice.has_value() || !m_context.budget.tryConsume(m_facts.service, resendPurpose(), now)) {
         return false;
     }
     m_context.metrics.count("requests_failed_over_total");
-    reportFailover({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()}, choice->serverId, waitReport());
-    if (m_context.connections != nullptr) {
-        m_context.connections->drop(m_choice->address, DropReason::CallFailed);
-    }
+    reportFailover(m_call.label(), choice->serverId, waitReport());
+    m_call.dropConnections();
     moveTo(*choice);
     return true;
 }
 
 void RelayedRequest::outputDrained()
 {
-    if (m_call != nullptr) {
-        m_call->setReading(true);
-    }
+    m_call.setReading(true);
 }
 
 void RelayedRequest::receiveAnswerEnd()
@@ -707,7 +441,7 @@
 void RelayedRequest::checkServer()
 {
     m_serverCheck = std::make_unique<ServerCheck>(
-        m_context.loop, m_context.protocol, serverOf(*m_choice), m_directory->healthPath(m_service), [this](ServerCheck::Finding finding) {
+        m_context.loop, m_context.protocol, m_call.server(), m_facts.directory->healthPath(m_facts.service), [this](ServerCheck::Finding finding) {
             handleServerCheck(finding);
         });
 }
@@ -734,13 +468,13 @@
     if (isSuccess(m_answer.status())) {
         recordRunTime();
     }
-    endCall();
+    m_call.end();
     if (m_answer.isBuffered()) {
         finish(AttemptAction::PassAnswer);
         return;
     }
     m_answer.end();
-    m_origin.end(true);
+    m_preparation.endStream(true);
     recordPauses();
     logOutcome(m_answer.status(), "answered");
 }
@@ -748,8 +482,8 @@
 // In a stream that went on elsewhere the longest pause may be that of the change, and in one that its caller read slowly, the caller's.
 void RelayedRequest::recordPauses()
 {
-    if (m_route->kind == RequestKind::Streaming && m_attempts.sends == 1 && !m_wasPaused && isSuccess(m_answer.status())) {
-        m_context.fleet.recordLongestPause(*m_choice, m_partTimes.longestGap().value_or(milliseconds(0)));
+    if (m_facts.route->kind == RequestKind::Streaming && m_attempts.sends() == 1 && !m_wasPaused && isSuccess(m_answer.status())) {
+        m_context.fleet.recordLongestPause(*m_call.choice(), m_partTimes.longestGap().value_or(milliseconds(0)));
     }
 }
 
@@ -762,16 +496,16 @@
 // The last call of a stream that went on elsewhere has only the rest of it.
 void RelayedRequest::recordRunTime()
 {
-    const bool isRest = m_route->kind == RequestKind::Streaming && (m_attempts.sends > 1 || !m_query.lastEventId.empty());
-    if (m_call != nullptr && !isRest) {
-        m_context.fleet.recordRunTime(*m_choice, m_context.loop.now());
+    const bool isRest = m_facts.route->kind == RequestKind::Streaming && (m_attempts.sends() > 1 || !m_facts.query.lastEventId.empty());
+    if (!isRest) {
+        m_call.recordRunTime();
     }
 }
 
 // If the connection was lost, the backend server may have crashed. A request that can be sent again waits until this is known.
 void RelayedRequest::callFailed(CallFailure failure, std::string_view reason)
 {
-    if (const std::optional<Http::MessageFault> fault = m_call->answerFault()) {
+    if (const std::optional<Http::MessageFault> fault = m_call.answerFault()) {
         if (const std::optional<std::string_view> bound = Http::exceededBoundName(*fault)) {
             countTooLong(*bound);
         }
@@ -782,10 +516,13 @@
     }
     closeCall(failure);
     const bool hasEvent = m_answer.hasEvent();
-    const LostCall call{{}, m_query.attemptId, organisationName(), m_choice->serverId, m_choice->incarnation, m_choice->address, m_hasServerEnded};
+    const Decisions::ServerInstance server = m_call.server();
+    const LostCall call{{}, m_facts.query.attemptId, m_facts.organisationName(), server.id, server.incarnation, server.address, m_hasServerEnded};
     if (mayResendAfterCheck(failure)) {
         m_crashes.handleLostCall(call, hasEvent, [this, failure, text = std::string(reason)](ServerEnd end) {
-            m_attempts.endedRuns += end == ServerEnd::Proved ? 1 : 0;
+            if (end == ServerEnd::Proved) {
+                m_attempts.recordServerEnd();
+            }
             decide(failure, text);
         });
     } else {
@@ -810,43 +547,23 @@
 
 void RelayedRequest::closeCall(CallFailure failure)
 {
-    recordEndedCall(failure);
-    if (m_isUnanswered) {
-        m_isUnanswered = false;
-        const bool isUnreachable = failure == CallFailure::NotSent || failure == CallFailure::Unacknowledged || failure == CallFailure::Lost;
-        m_context.fleet.recordFailure(*m_choice, isUnreachable ? Decisions::ServerFailure::Unreachable : Decisions::ServerFailure::Full, m_context.loop.now());
-    }
-    m_call.reset();
-    if (m_context.connections != nullptr) {
-        m_context.connections->drop(m_choice->address, DropReason::CallFailed);
-    }
-}
-
-void RelayedRequest::recordEndedCall(CallFailure failure)
-{
-    if (failure == CallFailure::Unacknowledged) {
-        ++m_attempts.unacknowledged;
-        return;
-    }
-    if (failure == CallFailure::Lost || failure == CallFailure::ServerError) {
-        ++m_attempts.runs;
-    }
-    m_arrivals += m_call->hasSent() ? 1 : 0;
+    m_attempts.recordEnd(failure, m_call.hasSent());
+    m_call.fail(failure);
 }
 
 void RelayedRequest::decide(CallFailure failure, std::string_view reason)
 {
-    const Decisions::ResendBalance balance = m_context.budget.balance(m_service, resendPurpose(), m_context.loop.now());
+    const Decisions::ResendBalance balance = m_context.budget.balance(m_facts.service, resendPurpose(), m_context.loop.now());
     m_lastFailure = failure;
     const AttemptAction action = chooseAction(failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
-    reportFailure({m_query.attemptId, m_service, m_choice->serverId, sinceArrival()},
+    reportFailure(m_call.label(),
         {failure,
             reason,
             attempts(),
-            m_arrivals,
+            m_attempts.arrivals(),
             failure == CallFailure::Lost ? m_crashes.request().text() : "",
-            failure == CallFailure::Lost ? sharedPartsText(prompt()) : "",
+            failure == CallFailure::Lost ? sharedPartsText(m_facts.prompt()) : "",
             balance,
             action,
             m_answer.ending()});
@@ -867,7 +584,7 @@
 // During a series of crashes, a request that did not cause them may be suspected after two losses; a successful trial clears it.
 void RelayedRequest::awaitTrial(CallFailure failure)
 {
-    m_crashes.claimTrial(m_arrivals, [this, failure](const TrialVerdict &verdict) {
+    m_crashes.claimTrial(m_attempts.arrivals(), [this, failure](const TrialVerdict &verdict) {
         if (verdict.isGranted) {
             proceed(failure, chooseAction(failure));
             return;
@@ -877,20 +594,14 @@
     });
 }
 
-// What servers of two software versions generate does not fit together.
-bool RelayedRequest::isSoftwareGone() const
-{
-    return m_softwareVersion.has_value() && !m_context.fleet.hasSoftware(m_service, *m_softwareVersion);
-}
-
 bool RelayedRequest::mayResendInTime(const Decisions::AttemptState &state, CallFailure failure) const
 {
-    return !isSoftwareGone() && mayResend(state, failure) && hasTimeToResend();
+    return !m_preparation.isSoftwareGone() && mayResend(state, failure) && hasTimeToResend();
 }
 
 bool RelayedRequest::hasTimeToResend() const
 {
-    return m_context.loop.now() + minimumResendTime < m_deadline && isExpectedToEnd();
+    return m_context.loop.now() + minimumResendTime < m_facts.deadline && isExpectedToEnd();
 }
 
 AttemptAction RelayedRequest::chooseAction(CallFailure failure)
@@ -899,14 +610,14 @@
     if (!mayResendInTime(attempts(), failure)) {
         return actionWithoutResend(attempts(), failure);
     }
-    if (m_crashes.isTrialRequired(m_arrivals)) {
+    if (m_crashes.isTrialRequired(m_attempts.arrivals())) {
         return AttemptAction::AwaitTrial;
     }
-    if (m_arrivals + m_attempts.unacknowledged == 0) {
+    if (m_attempts.isUnsent()) {
         return AttemptAction::SendAgain;
     }
     const std::optional<Core::TimePoint> earliest = backoffEnd(failure);
-    if (!earliest.has_value() && m_context.budget.tryConsume(m_service, resendPurpose(), now)) {
+    if (!earliest.has_value() && m_context.budget.tryConsume(m_facts.service, resendPurpose(), now)) {
         m_context.metrics.count("resends_total");
         return AttemptAction::SendAgain;
     }
@@ -918,21 +629,23 @@
 }
 
 // Backend servers that refuse the continuation of a stream are likely to be busy with the streams of the same failure, and have capacity again soon. Trying all
-// of them at once would use up the budget. Returns nothing if the request may be sent again at once.
+// of them at once would use up the budget, and so would one that a request goes back to before it is ready. Returns nothing if the request may be sent again at
+// once.
 std::optional<Core::TimePoint> RelayedRequest::backoffEnd(CallFailure failure) const
 {
-    if (!m_answer.isBegun() || failure != CallFailure::NotRun || m_attempts.sends < 2) {
+    const bool mayWait = m_answer.isBegun() || attempts().mayReturn;
+    if (!mayWait || failure != CallFailure::NotRun || m_attempts.sends() < 2) {
         return std::nullopt;
     }
-    return m_context.loop.now() + initialStreamBackoff * (1 << (m_attempts.sends - 2));
+    return m_context.loop.now() + initialStreamBackoff * (1 << (m_attempts.sends() - 2));
 }
 
 bool RelayedRequest::awaitResend(CallFailure failure, Core::TimePoint earliest)
 {
-    m_resendNumber = m_context.resendQueue.wait(m_service, resendPurpose(), earliest, [this, failure](bool isGranted) {
+    m_resendNumber = m_context.resendQueue.wait(m_facts.service, resendPurpose(), earliest, [this, failure](bool isGranted) {
         m_resendNumber = 0;
         m_context.metrics.count(isGranted ? "resends_total" : "resends_refused_total");
-        const AttemptAction resend = m_crashes.isTrialRequired(m_arrivals) ? AttemptAction::AwaitTrial : AttemptAction::SendAgain;
+        const AttemptAction resend = m_crashes.isTrialRequired(m_attempts.arrivals()) ? AttemptAction::AwaitTrial : AttemptAction::SendAgain;
         proceed(failure, isGranted ? resend : actionWithoutResend(attempts(), failure));
     });
     return m_resendNumber != 0;
@@ -980,7 +693,7 @@
 
 void RelayedRequest::refuseUnplaced()
 {
-    if (const std::optional<milliseconds> rest = m_context.fleet.restDelay(m_service, m_context.loop.now())) {
+    if (const std::optional<milliseconds> rest = m_context.fleet.restDelay(m_facts.service, m_context.loop.now())) {
         m_context.metrics.count("requests_during_rests_total");
         refuse(503, "All backend servers have asked for rest; it has not run.", Decisions::retryDelay(*rest, remainingTime()));
         return;
@@ -1004,7 +717,7 @@
     if (status == 503 || status == 429) {
         refusal.retryAfter = retryAfter;
     }
-    m_sink.respond(status, m_context.protocol.refusalFields(refusal, m_query.attemptId), message);
+    m_sink.respond(status, m_context.protocol.refusalFields(refusal, m_facts.query.attemptId), message);
     logOutcome(status, message);
 }
 
@@ -1026,10 +739,10 @@
 
 std::optional<Decisions::RunningCall> RelayedRequest::runningCall() const
 {
-    if (m_isDone || m_call == nullptr) {
+    if (m_isDone || !m_call.isOpen()) {
         return std::nullopt;
     }
-    return Decisions::RunningCall{m_route->name, m_choice->sentAt};
+    return Decisions::RunningCall{m_facts.route->name, m_call.choice()->sentAt};
 }
 
 // Asked for each event of a stream.
@@ -1039,12 +752,12 @@
         return true;
     }
     const milliseconds elapsed = m_answer.isBegun() ? sinceArrival() : milliseconds(0);
-    return m_context.shutdown->isExpectedToEnd({m_route->name, m_route->isRepeatable(), m_deadline, elapsed});
+    return m_context.shutdown->isExpectedToEnd({m_facts.route->name, m_facts.route->isRepeatable(), m_facts.deadline, elapsed});
 }
 
 void RelayedRequest::endIfTooLate()
 {
-    if (m_isDone || m_call != nullptr || m_serverCheck != nullptr || isExpectedToEnd()) {
+    if (m_isDone || m_call.isOpen() || m_serverCheck != nullptr || isExpectedToEnd()) {
         return;
     }
     m_context.shutdown->recordRefusal();
@@ -1084,54 +797,40 @@
     refuse(503, "This router ends; the request has not run.", endRetryDelay);
 }
 
-// Only streams that have not begun are called back. The first event shows that a stream has begun; for other answers the start cannot be observed, so these
-// calls are not called back.
-std::optional<Core::TimePoint> RelayedRequest::callBackTime() const
-{
-    if (m_isDone || m_call == nullptr || !m_isUnanswered || !m_query.prompt.has_value() || m_route->kind != RequestKind::Streaming) {
-        return std::nullopt;
-    }
-    return m_context.fleet.callBackTime(*m_choice, m_query.prompt->model);
-}
-
 void RelayedRequest::updateCallBackTimer()
 {
     m_weightsTimer.stop();
-    const std::optional<Core::TimePoint> callBackAt = callBackTime();
-    if (callBackAt.has_value()) {
+    const std::optional<Core::TimePoint> callBackAt = m_call.callBackTime();
+    if (!m_isDone && callBackAt.has_value()) {
         m_weightsTimer.startAt(std::max(*callBackAt, m_context.loop.now() + minimumCallBackDelay));
     }
 }
 
 // Closing the connection makes the engine drop a queued request. The engine may have begun it just before, so a request that must not run twice fails here.
+// Nothing may begin on these weights any more even if no other engine can take it; it then waits for one, which may be this one with newer weights.
 void RelayedRequest::handleWeightsTooOld()
 {
-    const std::optional<Core::TimePoint> callBackAt = callBackTime();
-    if (!callBackAt.has_value() || m_context.loop.now() < *callBackAt) {
+    const std::optional<Core::TimePoint> callBackAt = m_call.callBackTime();
+    if (m_isDone || !callBackAt.has_value() || m_context.loop.now() < *callBackAt) {
         updateCallBackTimer();
         return;
     }
-    // The wait is not recorded as a failure of the engine.
-    m_isUnanswered = false;
-    m_context.fleet.recordAbandoned(*m_choice);
     m_context.metrics.count("calls_called_back_total");
-    handleFailure(m_call->hasSent() ? CallFailure::Lost : CallFailure::NotSent, "weights too old before the engine began");
+    const CallFailure failure = m_call.hasSent() ? CallFailure::Lost : CallFailure::NotSent;
+    m_attempts.recordLeave(failure, m_call.hasSent());
+    // The wait is not recorded as a failure of the engine.
+    m_call.abandon();
+    decide(failure, "weights too old before the engine began");
 }
 
 void RelayedRequest::handleFirstPart()
 {
     m_partTimes.recordPart(m_context.loop.now());
-    if (!m_isUnanswered) {
+    if (!m_call.isUnanswered()) {
         return;
     }
-    m_isUnanswered = false;
     m_weightsTimer.stop();
-    // Other completions begin their answer only after all of it has been generated.
-    const bool showsSpeed = !m_query.prompt.has_value() || m_route->kind == RequestKind::Streaming;
-    if (showsSpeed && isSuccess(m_answer.status()) && !m_answer.isServerError()) {
-        m_context.fleet.recordWork(*m_choice, m_context.loop.now());
-    }
-    m_context.fleet.recordAnswered(*m_choice, m_context.loop.now());
+    m_call.recordFirstPart(isSuccess(m_answer.status()) && !m_answer.isServerError());
     if (m_firstPartAfter.count() < 0) {
         m_firstPartAfter = sinceArrival();
     }
@@ -1142,36 +841,40 @@
     m_isDone = true;
     m_context.resendQueue.withdraw(m_resendNumber);
     m_serverCheck.reset();
-    m_origin.end(false);
+    m_preparation.endStream(false);
     m_crashes.end(arrivals());
     if (status == 503) {
-        m_usage.release();
+        m_preparation.releaseUsage();
     }
     m_deadlineTimer.stop();
     m_weightsTimer.stop();
     m_serverWait.stop();
-    RequestReport report{
-        status, outcome, {organisationName(), m_route != nullptr ? m_route->name : ""}, m_query.attemptId, m_service, m_query.resumedAttemptId};
-    report.choice = m_choice.has_value() ? &*m_choice : nullptr;
-    report.sends = m_attempts.sends;
-    report.arrival = m_arrival;
+    RequestReport report{status,
+        outcome,
+        {m_facts.organisationName(), m_facts.route != nullptr ? m_facts.route->name : ""},
+        m_facts.query.attemptId,
+        m_facts.service,
+        m_facts.query.resumedAttemptId};
+    report.choice = m_call.choice();
+    report.sends = m_attempts.sends();
+    report.arrival = m_facts.arrival;
     report.firstPartAfter = m_firstPartAfter;
     report.longestGap = m_partTimes.longestGap();
     report.total = sinceArrival();
     report.ending = m_answer.ending();
     report.configurationAge = m_context.configurationAge ? m_context.configurationAge() : std::nullopt;
-    report.configuration = m_directory != nullptr ? m_directory->version() : 0;
+    report.configuration = m_facts.directory != nullptr ? m_facts.directory->version() : 0;
     reportEnd(report, m_context.metrics);
 }
 
 std::chrono::microseconds RelayedRequest::remainingTime() const
 {
-    return duration_cast<std::chrono::microseconds>(m_deadline - m_context.loop.now());
+    return m_facts.remainingTime(m_context.loop.now());
 }
 
 milliseconds RelayedRequest::sinceArrival() const
 {
-    return duration_cast<milliseconds>(m_context.loop.now() - m_arrival);
+    return duration_cast<milliseconds>(m_context.loop.now() - m_facts.arrival);
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -1,27 +1,21 @@
 #pragma once
 
 #include "answerforwarder.h"
-#include "answermeaning.h"
 #include "backendcall.h"
 #include "crashcontrolhandle.h"
-#include "memoryguard.h"
 #include "parttimes.h"
-#include "relayprotocol.h"
+#include "relaycontext.h"
+#include "requestfacts.h"
+#include "requestpreparation.h"
 #include "requestreport.h"
-#include "resendqueue.h"
+#include "servercall.h"
 #include "servercheck.h"
 #include "serverwait.h"
-#include "streamoriginhandle.h"
-#include "usagereservation.h"
 
 #include <decisions/relay/attemptpolicy.h>
 #include <decisions/relay/crashsubject.h>
-#include <decisions/relay/keptconnections.h>
-#include <decisions/relay/loadshedder.h>
 #include <decisions/relay/relaydirectory.h>
-#include <decisions/relay/relayfleet.h>
-#include <decisions/relay/resendbudget.h>
-#include <decisions/spread/randomsource.h>
+#include <decisions/relay/requestattempts.h>
 #include <eventloop/timer.h>
 
 #include <functional>
@@ -31,36 +25,8 @@
 #include <string_view>
 #include <vector>
 
-namespace Verbena::Observe {
-class Metrics;
-}
-
 namespace Verbena::Relay {
 
-class RelayShutdown;
-class ServerConnections;
-
-/// \brief State that all requests of one relay share.
-struct RelayContext
-{
-    EventLoop::Loop &loop;
-    const RelayProtocol &protocol;
-    Decisions::RelayFleet &fleet;
-    Decisions::ResendBudget &budget;
-    Decisions::LoadShedder &shedder;
-    ResendQueue &resendQueue;
-    Decisions::RandomSource &random;
-    Observe::Metrics &metrics;
-    std::chrono::milliseconds configurationTime; ///< Time within which a change of the configuration has to be in force.
-    std::function<std::optional<std::chrono::milliseconds>()> configurationAge = {}; ///< Returns the age of the configuration; empty if it is not available.
-    UsageControl *usage = nullptr; ///< Null if no usage caps are enforced.
-    CrashControl *crashes = nullptr; ///< Null if crashes are not tracked.
-    StreamOriginControl *origins = nullptr; ///< Null if streams may be resumed at any backend server.
-    Decisions::MemoryBudget *memory = nullptr; ///< Null if bytes held are not counted.
-    ServerConnections *connections = nullptr; ///< Null if each call opens a connection of its own.
-    RelayShutdown *shutdown = nullptr; ///< Knows which requests can end in time while this router ends; never null for a request.
-};
-
 /// \brief Relays one request to a backend server and the answer back; destroying it cancels the request.
 class RelayedRequest : private CallObserver
 {
@@ -113,43 +79,26 @@
     static constexpr std::chrono::milliseconds defaultRetryDelay{250};
 
     bool admit();
+    std::chrono::milliseconds sinceArrival() const;
+    std::chrono::microseconds remainingTime() const;
     bool isConfigurationOutdated() const;
-    bool isResumption() const;
-    void findOrigin();
-    void handleOrigin(const std::optional<Decisions::StreamOrigin> &origin);
-    Decisions::StreamKey streamKey() const;
     WaitReport waitReport() const;
-    std::string_view body() const;
-    std::chrono::milliseconds longestStream() const;
-    void beginStream();
-    void claimUsageOrBegin();
-    void claimUsage();
     Decisions::AttemptState attempts() const;
     std::uint32_t arrivals() const;
     bool mayHaveRun() const;
-    std::string organisationName() const;
-    const Decisions::PromptOutline *prompt() const;
-    std::uint32_t priority() const;
+    void handlePreparation(const std::optional<Refusal> &refusal);
     void begin();
     void dispatch();
     bool awaitServer();
-    Decisions::FleetQuery fleetQuery();
+    /// \brief Returns the requirements on the next backend server if the request is then in \a state.
+    Decisions::FleetQuery fleetQuery(const Decisions::AttemptState &state);
     void moveOffWaitingEngine();
     void moveTo(const Decisions::FleetChoice &choice);
-    void recordEngineActivity();
-    /// \brief Returns how the current call would count if it were given up now.
-    Decisions::CallFailure failureIfAbandoned() const;
     Decisions::AttemptState attemptsIfAbandoned() const;
     bool mayFailOver();
     bool tryFailOver();
-    bool isEngineLost() const;
-    void recordEndedCall(Decisions::CallFailure failure);
+    CallProgress progress();
     bool sendTo(const Decisions::FleetChoice &choice);
-    Core::Result<std::unique_ptr<BackendCall>> openCall(const Decisions::FleetChoice &choice);
-    Decisions::KeptConnectionUse connectionUse();
-    void endCall();
-    AnswerMeaning meaningOf(int status, const AnswerMarks &marks) const;
-    CallContext callContext(const Decisions::FleetChoice &choice) const;
     void receiveAnswerHead(const Http::MessageHead &head) override;
     void receiveAnswerBody(std::string_view data) override;
     void receiveAnswerEnd() override;
@@ -163,14 +112,11 @@
     void handleFailure(Decisions::CallFailure failure, std::string_view reason);
     void closeCall(Decisions::CallFailure failure);
     void decide(Decisions::CallFailure failure, std::string_view reason);
-    bool isSoftwareGone() const;
     bool mayResendInTime(const Decisions::AttemptState &state, Decisions::CallFailure failure) const;
     bool mayResendAfterCheck(Decisions::CallFailure failure) const;
     void proceed(Decisions::CallFailure failure, Decisions::AttemptAction action);
     void awaitTrial(Decisions::CallFailure failure);
     void recordBarred(const TrialVerdict &verdict, const char *outcome);
-    void handleNotRun(const AnswerMarks &marks);
-    void recordNotices(const AnswerMarks &marks);
     void refuseUnplaced();
     Decisions::AttemptAction chooseAction(Decisions::CallFailure failure);
     bool awaitResend(Decisions::CallFailure failure, Core::TimePoint earliest);
@@ -188,44 +134,25 @@
     bool isExpectedToEnd() const;
     bool hasTimeToResend() const;
     void handleUnopenedCall(Core::ErrorCode code);
-    std::optional<Core::TimePoint> callBackTime() const;
     void handleWeightsTooOld();
     void handleFirstPart();
     void logOutcome(int status, std::string_view outcome);
-    std::chrono::milliseconds sinceArrival() const;
-    std::chrono::microseconds remainingTime() const;
 
     const RelayContext &m_context;
-    std::shared_ptr<const Decisions::RelayDirectory> m_directory;
-    Http::MessageHead m_head;
-    Http::SharedBody m_body; ///< Kept until the end, since the request may be sent again.
+    RequestFacts m_facts;
     AnswerSink &m_sink;
-    Core::TimePoint m_arrival;
-    Core::TimePoint m_deadline; ///< Deadline of the final answer.
     EventLoop::Timer m_deadlineTimer;
     EventLoop::Timer m_weightsTimer; ///< Runs while the current call uses outdated weights and its engine has not begun it.
     ServerWait m_serverWait;
-    RelayQuery m_query;
-    const Decisions::RelayRoute *m_route = nullptr;
-    const Decisions::RelayOrganisation *m_organisation = nullptr;
-    std::string m_service;
-    Decisions::AttemptState m_attempts; ///< Without whether an answer has begun; see attempts().
+    RequestPreparation m_preparation;
+    Decisions::RequestAttempts m_attempts;
     std::optional<Decisions::CallFailure> m_lastFailure; ///< How the last call failed; nothing before, and after the next one was made.
-    std::uint32_t m_arrivals = 0; ///< Number of ended calls that may have reached a backend server, whether they ran or not.
     std::uint64_t m_resendNumber = 0; ///< Number in the resend queue; 0 if the request does not wait there.
-    std::vector<std::string> m_excluded;
-    std::optional<std::string> m_softwareVersion; ///< Software version at which the stream has to go on; nothing before its first event.
-    std::optional<Decisions::FleetChoice> m_choice; ///< Choice of the current call.
-    std::unique_ptr<BackendCall> m_call;
-    bool m_isConnectionKept = false; ///< Whether the current call's connection may serve others afterwards.
+    ServerCall m_call;
     std::unique_ptr<ServerCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
     bool m_hasServerEnded = false; ///< Whether that check has found that the server has ended.
     AnswerForwarder m_answer;
-    UsageReservation m_usage;
     CrashControlHandle m_crashes;
-    StreamOriginHandle m_origin;
-    bool m_isUnanswered = false; ///< Whether the current call counts as load of its backend server.
-    Core::TimePoint m_lastActivityAt{}; ///< Time at which the current call was made, or anything of its answer last came.
     Core::TimePoint m_nextMoveCheck{}; ///< Earliest time of the next check whether to move the stream.
     std::chrono::milliseconds m_firstPartAfter{-1}; ///< Time from arrival to the first part of an answer; negative before.
     PartTimes m_partTimes;
--- a/tests/soak/soakworker.cpp
+++ b/tests/soak/soakworker.cpp
@@ -1,13 +1,13 @@
 #include "soakworker.h"
 
 #include "endlesssource.h"
+#include "oddentry.h"
 #include "soakroutes.h"
+#include "streamtext.h"
 
 #include <eventloop/deferredcall.h>
 #include <eventloop/loop.h>
 
-#include <nlohmann/json.hpp>
-
 #include <optional>
 
 namespace Verbena::Soak {
@@ -40,11 +40,6 @@
 
 } // namespace
 
-std::string eventText(int number, const std::string &token)
-{
-    return "id: " + std::to_string(number) + "\ndata: " + token + ' ' + std::to_string(number) + "\n\n";
-}
-
 std::string answerText(const std::string &token)
 {
     return "answer to " + token;
@@ -110,13 +105,13 @@
     {
         const bool isCall = m_head.target == "/report" || m_head.target.starts_with("/kv-events");
         if (isCall && m_worker.m_hasEndlessCalls) {
-            sendEndless("", m_head.target == "/report" ? m_worker.report() : R"({"bootEpoch":1,"next":1,"lost":false,"events":[]})");
+            sendEndless("", m_head.target == "/report" ? m_worker.report() : m_worker.cacheEvents());
         } else if (m_head.target == "/report") {
             m_channel->write(whole("200 OK", "", m_worker.report()));
         } else if (m_head.target == "/order") {
             m_channel->write(whole(m_worker.takeOrder(m_body), "", ""));
         } else if (m_head.target.rfind("/kv-events", 0) == 0) {
-            m_channel->write(whole("200 OK", "", R"({"bootEpoch":1,"next":1,"lost":false,"events":[]})"));
+            m_channel->write(whole("200 OK", "", m_worker.cacheEvents()));
         } else {
             serve();
         }
@@ -200,7 +195,7 @@
     {
         if (m_token == endlessToken) {
             breakOff();
-            sendEndless(fields(), m_isStream ? eventText(1, m_token) : answerText(m_token));
+            sendEndless(fields(), m_isStream ? eventText(1, m_token, m_worker.m_terms.software) : answerText(m_token));
         } else if (m_fault == Fault::Lose) {
             m_channel->resetOnClose();
             m_close.schedule();
@@ -239,7 +234,7 @@
             endWork();
             return;
         }
-        const std::string text = eventText(m_nextEvent, m_token);
+        const std::string text = eventText(m_nextEvent, m_token, m_worker.m_terms.software);
         if (m_fault == Fault::Cut && m_nextEvent == streamEvents / 2) {
             m_channel->write(chunk(text.substr(0, text.size() / 2)));
             m_close.schedule();
@@ -268,10 +263,9 @@
     int m_nextEvent = 1;
 };
 
-SoakWorker::SoakWorker(EventLoop::Loop &loop, const std::string &ip, const std::string &name, bool isEngine, Ledger &ledger, Decisions::RandomSource &random)
+SoakWorker::SoakWorker(EventLoop::Loop &loop, const std::string &ip, WorkerTerms terms, Ledger &ledger, Decisions::RandomSource &random)
     : m_loop(loop)
-    , m_name(name)
-    , m_isEngine(isEngine)
+    , m_terms(std::move(terms))
     , m_ledger(ledger)
     , m_random(random)
     , m_listener(std::move(Http::TcpListener::create(loop, Http::Endpoint::parse(ip + ":0").value(), [this](int descriptor) {
@@ -291,7 +285,7 @@
 
 std::string SoakWorker::id() const
 {
-    return m_name + "-life-" + std::to_string(m_life);
+    return m_terms.name + "-life-" + std::to_string(m_life);
 }
 
 std::uint64_t SoakWorker::version() const
@@ -299,9 +293,9 @@
     return m_version;
 }
 
-bool SoakWorker::isEngine() const
+const WorkerTerms &SoakWorker::terms() const
 {
-    return m_isEngine;
+    return m_terms;
 }
 
 void SoakWorker::crash()
@@ -334,22 +328,36 @@
     m_hasEndlessCalls = isEndless;
 }
 
-std::string SoakWorker::report() const
+void SoakWorker::setOddCalls(bool isOdd)
+{
+    m_hasOddCalls = isOdd;
+}
+
+std::string SoakWorker::callText(const json &answer)
+{
+    return (m_hasOddCalls ? oddEntry(answer, m_random) : answer).dump();
+}
+
+std::string SoakWorker::cacheEvents()
+{
+    return callText({{"bootEpoch", 1}, {"next", 1}, {"lost", false}, {"events", json::array()}});
+}
+
+std::string SoakWorker::report()
 {
-    return json{{"models", {{{"name", "m"}, {"version", m_version}}}},
+    return callText({{"models", {{{"name", "m"}, {"version", m_version}}}},
         {"busy", false},
         {"sequence", m_orders},
         {"queued", 0},
         {"running", m_connections.size()},
         {"kvUsed", 0},
-        {"kvTotal", 1000}}
-        .dump();
+        {"kvTotal", 1000}});
 }
 
 std::string SoakWorker::takeOrder(const std::string &body)
 {
     const json order = json::parse(body);
-    m_ledger.noteOrder(m_name, {order.at("holder").get<std::string>(), order.at("fencingToken").get<std::uint64_t>(), m_loop.now()});
+    m_ledger.noteOrder(m_terms.name, {order.at("holder").get<std::string>(), order.at("fencingToken").get<std::uint64_t>(), m_loop.now()});
     if (order.at("expectedRev").get<std::uint64_t>() != m_orders) {
         return "409 Conflict";
     }
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -2,6 +2,7 @@
 
 #include "oddentry.h"
 #include "soakroutes.h"
+#include "streamtext.h"
 
 #include <csignal>
 
@@ -15,6 +16,14 @@
 // Many more names than backend servers would make tables long.
 constexpr std::size_t maximumOddEntries = 8;
 
+// Agents don't talk to each other; routers of one group do so without a link.
+constexpr std::size_t agentGroup = 0;
+
+std::size_t routerGroup(std::size_t index)
+{
+    return 1 + index % (DatagramLinks::groups - 1);
+}
+
 constexpr const char *callersPort = "8782";
 constexpr const char *readinessPort = "8789";
 constexpr std::size_t firstWorkerHost = 100;
@@ -28,7 +37,8 @@
 constexpr double earlyHangUpShare = 0.3;
 constexpr double latestEarlyHangUp = 20;
 
-constexpr std::uint64_t routerMegabytes = 110;
+// Drawn for each run.
+constexpr std::uint64_t routerLimits[] = {110, 110, 64, 48};
 constexpr std::uint64_t agentMegabytes = 192;
 
 // Drawn for each run.
@@ -46,26 +56,32 @@
     , m_random(seed)
     , m_ledger([this] { return m_loop->now(); })
     , m_store(*m_loop)
+    , m_links(*m_loop, m_random)
     , m_size(size)
     , m_grace(graces[m_random.next() % std::size(graces)])
+    , m_routerMegabytes(routerLimits[m_random.next() % std::size(routerLimits)])
+    , m_softwareVersions(1 + m_random.next() % softwareVersions().size())
 {
     writeConfiguration();
     m_workers.resize(size.engines + size.services + size.slowServices);
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
         Worker &worker = m_workers[index];
         worker.ip = ip(firstWorkerHost + index);
-        worker.server = std::make_unique<SoakWorker>(*m_loop, worker.ip, "w" + std::to_string(index), index < m_size.engines, m_ledger, m_random);
+        const std::string &software = softwareVersions()[index % m_softwareVersions];
+        worker.server
+            = std::make_unique<SoakWorker>(*m_loop, worker.ip, WorkerTerms{"w" + std::to_string(index), index < m_size.engines, software}, m_ledger, m_random);
         worker.server->setCrashObserver([this, index] { m_crashing.insert(index); });
-        worker.proxy = std::make_unique<FaultyProxy>(*m_loop, worker.ip + ":0", worker.server->address());
+        worker.proxy = std::make_unique<FaultyProxy>(*m_loop, worker.ip + ":0", worker.server->address(), m_random);
         registerWorker(index);
         if (index < m_size.engines) {
+            m_links.add(worker.ip, agentGroup);
             startAgent(index);
         }
     }
     m_routers.resize(size.routers);
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
         m_routers[index].ip = ip(1 + index);
-        m_routers[index].store = std::make_unique<FaultyProxy>(*m_loop, "127.0.0.1:0", m_store.address());
+        openWays(index);
         startRouter(index);
     }
 }
@@ -98,11 +114,27 @@
     return process;
 }
 
+void SoakWorld::openWays(std::size_t index)
+{
+    Router &router = m_routers[index];
+    router.store = std::make_unique<FaultyProxy>(*m_loop, "127.0.0.1:0", m_store.address(), m_random);
+    router.link = std::make_unique<FaultyProxy>(*m_loop, "127.0.0.1:0", router.ip + ':' + callersPort, m_random);
+    m_links.add(router.ip, routerGroup(index));
+    const std::string target = router.ip + ':' + std::to_string(DatagramLinks::firstPort(routerGroup(index)));
+    for (std::size_t group = 0; group < DatagramLinks::groups; ++group) {
+        if (group != routerGroup(index)) {
+            const std::string address = router.ip + ':' + std::to_string(DatagramLinks::firstPort(group));
+            router.peers.push_back(std::make_unique<FaultyProxy>(*m_loop, address, target, m_random));
+        }
+    }
+}
+
 void SoakWorld::startRouter(std::size_t index)
 {
     Router &router = m_routers[index];
     const std::string more = "listen:\n  front: \"" + router.ip + ':' + callersPort + "\"\n  ready: \"" + router.ip + ':' + readinessPort + "\"\n";
-    router.process = start("verbena-router", {"front-" + std::to_string(index), router.ip, router.store->address(), m_grace, routerMegabytes, more});
+    router.process = start("verbena-router",
+        {"front-" + std::to_string(index), router.ip, router.store->address(), m_grace, DatagramLinks::firstPort(routerGroup(index)), m_routerMegabytes, more});
     router.isRestarted = true;
 }
 
@@ -110,7 +142,8 @@
 {
     Worker &worker = m_workers[index];
     const std::string more = "app: \"" + worker.proxy->address() + "\"\nservice: \"reader\"\n";
-    worker.agent = start("verbena-agent", {"side-" + std::to_string(index), worker.ip, m_store.address(), m_grace, agentMegabytes, more});
+    worker.agent = start(
+        "verbena-agent", {"side-" + std::to_string(index), worker.ip, m_store.address(), m_grace, DatagramLinks::firstPort(agentGroup), agentMegabytes, more});
 }
 
 std::string SoakWorld::service(std::size_t index) const
@@ -124,7 +157,7 @@
 nlohmann::json SoakWorld::workerRow(std::size_t index) const
 {
     const SoakWorker &server = *m_workers[index].server;
-    return serverRow(service(index), m_workers[index].proxy->address(), server.isEngine() ? server.version() : 0);
+    return serverRow(service(index), m_workers[index].proxy->address(), server.terms().software, server.terms().isEngine ? server.version() : 0);
 }
 
 void SoakWorld::registerWorker(std::size_t index)
@@ -194,6 +227,16 @@
     router.process->signal(signalNumber);
 }
 
+Core::TimePoint SoakWorld::routerStart(std::size_t index) const
+{
+    return m_routers[index].process->startedAt();
+}
+
+Core::TimePoint SoakWorld::agentStart(std::size_t index) const
+{
+    return m_workers[index % m_size.engines].agent->startedAt();
+}
+
 void SoakWorld::signalAgent(std::size_t index, int signalNumber)
 {
     m_workers[index % m_size.engines].agent->signal(signalNumber);
@@ -327,19 +370,62 @@
     return *m_routers[index % m_routers.size()].store;
 }
 
+void SoakWorld::setLinkMode(std::size_t index, FaultyProxy::Mode mode, Core::TimePoint end)
+{
+    m_routers[index].linkEnd = std::max(m_routers[index].linkEnd, end);
+    m_routers[index].link->setMode(mode);
+}
+
+void SoakWorld::setPeerMode(std::size_t index, FaultyProxy::Mode mode)
+{
+    for (const auto &peer : m_routers[index].peers) {
+        peer->setMode(mode);
+    }
+}
+
+const DatagramLinks &SoakWorld::datagrams() const
+{
+    return m_links;
+}
+
+void SoakWorld::setRouterNews(std::size_t index, std::optional<DatagramFault> fault)
+{
+    setNews(m_routers[index].ip, fault);
+}
+
+void SoakWorld::setAgentNews(std::size_t index, std::optional<DatagramFault> fault)
+{
+    setNews(m_workers[index % m_size.engines].ip, fault);
+}
+
+void SoakWorld::setNews(const std::string &ip, std::optional<DatagramFault> fault)
+{
+    if (fault.has_value()) {
+        m_links.setFault(ip, *fault);
+    } else {
+        m_links.endFault(ip);
+    }
+}
+
 void SoakWorld::heal()
 {
+    m_links.heal();
     m_store.setMode(Test::StoreStandin::Mode::Well);
     for (Worker &worker : m_workers) {
         worker.proxy->setMode(FaultyProxy::Mode::Pass);
         worker.server->setFaultShare(0);
         worker.server->setEndlessCalls(false);
+        worker.server->setOddCalls(false);
         if (worker.agent != nullptr) {
             worker.agent->signal(SIGCONT);
         }
     }
     for (Router &router : m_routers) {
         router.store->setMode(FaultyProxy::Mode::Pass);
+        router.link->setMode(FaultyProxy::Mode::Pass);
+        for (const auto &peer : router.peers) {
+            peer->setMode(FaultyProxy::Mode::Pass);
+        }
     }
     for (std::size_t index = 0; index < m_routers.size(); ++index) {
         signalRouter(index, SIGCONT);
@@ -381,11 +467,37 @@
     return endpoints;
 }
 
+std::vector<Http::Endpoint> SoakWorld::linkEndpoints() const
+{
+    std::vector<Http::Endpoint> endpoints;
+    for (const Router &router : m_routers) {
+        endpoints.push_back(Http::Endpoint::parse(router.link->address()).value());
+    }
+    return endpoints;
+}
+
+// What a link holds up comes a while after it is sound again.
+bool SoakWorld::isLinkHarmedSince(std::size_t index, Core::TimePoint time) const
+{
+    constexpr std::chrono::seconds longestStall{4};
+    return m_routers[index].linkEnd + longestStall >= time;
+}
+
+bool SoakWorld::hasLinkRefused(std::size_t index, const std::string &id) const
+{
+    return m_routers[index].link->hasRefused("Verbenaladder-Attempt-Id: " + id);
+}
+
 std::size_t SoakWorld::routerCount() const
 {
     return m_routers.size();
 }
 
+std::uint64_t SoakWorld::routerMegabytes() const
+{
+    return m_routerMegabytes;
+}
+
 const WorldSize &SoakWorld::size() const
 {
     return m_size;
