--- a/src/libs/decisions/relay/crashhistory.cpp
+++ b/src/libs/decisions/relay/crashhistory.cpp
@@ -26,7 +26,7 @@
 constexpr std::array<std::chrono::seconds, 4> trialDelays{30s, 5min, 1h, 24h};
 
 // Delay to the next trial of a subject whose crashes all have another cause; most trials end sooner.
-constexpr auto sidelineTrialDelay = 1s;
+constexpr auto otherCauseTrialDelay = 1s;
 
 } // namespace
 
@@ -255,8 +255,8 @@
     Core::TimePoint time{};
     for (const CrashSubject &suspect : suspects) {
         const Trials known = trials(suspect);
-        const bool isSidelined = known.count > 0 && hasOtherCause(suspect, suspects);
-        time = std::max(time, isSidelined ? std::min(known.nextTrialAt, known.learnedAt + sidelineTrialDelay) : known.nextTrialAt);
+        const bool seemsInnocent = known.count > 0 && hasOtherCause(suspect, suspects);
+        time = std::max(time, seemsInnocent ? std::min(known.nextTrialAt, known.learnedAt + otherCauseTrialDelay) : known.nextTrialAt);
     }
     return time;
 }
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -221,7 +221,7 @@
         answerRequest();
         return;
     }
-    if (!inviteBody()) {
+    if (!answerExpectation()) {
         return;
     }
     // The time limit covers the whole head, but restarts with each part of the body.
@@ -358,7 +358,7 @@
         answerRequest();
         return;
     }
-    if (!inviteBody()) {
+    if (!answerExpectation()) {
         return;
     }
     m_timer.startAt(m_loop.now() + m_owner.limits().headerTimeout);
@@ -366,9 +366,9 @@
 
 // A caller that asks first gets its answer as soon as there is room for its body. Returns false if the request is refused instead: its body would be sent for
 // nothing. Nobody can tell whether it follows nevertheless, so the connection is closed.
-bool CallerConnection::inviteBody()
+bool CallerConnection::answerExpectation()
 {
-    if (!m_reader.isHeadDone() || !m_body.empty() || !m_invitation.isAwaited(m_head)) {
+    if (!m_reader.isHeadDone() || !m_body.empty() || !m_expectation.isPending(m_head)) {
         return true;
     }
     if (m_isOverDescriptorLimit || m_owner.isRefused(m_head)) {
@@ -376,7 +376,7 @@
         answerRequest();
         return false;
     }
-    send(m_invitation.take());
+    send(m_expectation.takeAnswer());
     return true;
 }
 
@@ -520,7 +520,7 @@
     m_idleSince = m_loop.now();
     m_firstRequestDeadline = {}; // For the first request only.
     m_isTimeoutPostponed = false;
-    m_invitation = {};
+    m_expectation = {};
     m_head = {};
     m_body.clear();
     (void)m_reader.next();
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -2,7 +2,7 @@
 
 #include "answerdelivery.h"
 #include "answerhead.h"
-#include "bodyinvitation.h"
+#include "continueexpectation.h"
 #include "droppedbytes.h"
 #include "relayedrequest.h"
 #include "requestmemory.h"
@@ -161,7 +161,7 @@
     void send(std::string_view data);
     void updateClosing();
     AnswerHead answerHead(int status, const std::vector<Http::HttpField> &fields) const;
-    bool inviteBody();
+    bool answerExpectation();
     void finishExchange();
     void awaitDelivery();
     void awaitCaller();
@@ -181,7 +181,7 @@
     std::string m_body;
     std::unique_ptr<RelayedRequest> m_request;
     DroppedBytes m_dropped;
-    BodyInvitation m_invitation; ///< Of the request that is being read.
+    ContinueExpectation m_expectation; ///< Of the request that is being read.
     AnswerDelivery m_delivery;
     Decisions::RelayLimits m_answerLimits; ///< Those under which the last answer began; their idle timeout is announced in it.
     Core::TimePoint m_idleSince;
