Notice during a stop that work has just become slower

Callers of a route whose work had just become slower saw their requests taken by a router under SIGTERM and given up seconds later (502): the router judged by the fraction of the last 64 answers, of which most had ended before the change, while all of the latest ones had taken longer than was left.

Where half or more of the latest eight answers took longer than is left, that fraction counts; below a half so few say little of a rare kind of call, and the whole window decides as before.

--- a/src/libs/decisions/relay/runtimes.cpp
+++ b/src/libs/decisions/relay/runtimes.cpp
@@ -13,6 +13,10 @@
 // Some seconds of one router's calls on a busy route; an eighth of them is eight calls.
 constexpr std::size_t sampleWindow = 64;
 
+// Of a change of the work, half of so many calls tell before an eighth of the window above does. Fewer of them say nothing.
+constexpr std::size_t latestWindow = 8;
+constexpr std::size_t fewestOfLatest = 4;
+
 // On a quiet route older answers say little of what its servers do now.
 constexpr std::chrono::minutes sampleLifetime{5};
 
@@ -60,13 +64,14 @@
 
 std::vector<RunTimes::Sample> RunTimes::recentSamples(const std::string &route, Core::TimePoint now) const
 {
-    std::vector<Sample> samples;
     const auto known = m_routes.find(route);
-    if (known != m_routes.end()) {
-        std::copy_if(known->second.latest.begin(), known->second.latest.end(), std::back_inserter(samples), [now](const Sample &sample) {
-            return now < sample.endedAt + sampleLifetime;
-        });
+    if (known == m_routes.end()) {
+        return {};
     }
+    const std::vector<Sample> &kept = known->second.latest;
+    std::vector<Sample> samples;
+    std::rotate_copy(kept.begin(), kept.begin() + static_cast<std::ptrdiff_t>(known->second.next), kept.end(), std::back_inserter(samples));
+    std::erase_if(samples, [now](const Sample &sample) { return now >= sample.endedAt + sampleLifetime; });
     return samples;
 }
 
@@ -81,7 +86,21 @@
     if (comparable == 0) {
         return std::max(overdue, fractionLastingTo(longest, elapsed));
     }
-    return std::max(overdue, static_cast<double>(countAbove(longest)) / static_cast<double>(comparable));
+    return std::max({overdue, static_cast<double>(countAbove(longest)) / static_cast<double>(comparable), latestFraction(samples, elapsed, longest)});
+}
+
+// The fraction of the latest answers, if it is so large that the work must have changed; else 0, as so few say little of a rare kind of call.
+double RunTimes::latestFraction(std::vector<Sample> samples, milliseconds elapsed, milliseconds longest)
+{
+    std::erase_if(samples, [elapsed](const Sample &sample) { return sample.took <= elapsed; });
+    const std::size_t count = std::min(samples.size(), latestWindow);
+    if (count < fewestOfLatest) {
+        return 0;
+    }
+    const auto latest = samples.end() - static_cast<std::ptrdiff_t>(count);
+    const auto above = std::count_if(latest, samples.end(), [longest](const Sample &sample) { return sample.took > longest; });
+    const double fraction = static_cast<double>(above) / static_cast<double>(count);
+    return fraction >= 0.5 ? fraction : 0;
 }
 
 // Calls that run for longer than any answer took are of a kind that the answers say nothing of. How many calls are of that kind follows from how many answers
