Leave callers that pause for a moment their answers when memory is short

Callers whose requests had run got no answer at all: with many large requests at once a router passed its budget for bytes, and cut off callers that had read nothing for 100 ms, a moment for which any process may stand still.

The budget was passed since what is read of an answer at once, up to 64 KB, and what is kept of it until it is whole did not follow the bound on what may wait for a caller, which falls as memory runs out. Both do now: no more is read at once than may wait, and an answer is forwarded as it arrives beyond that bound while memory is short. Beyond the budget callers have a second, and beyond one and a half budgets, three eighths of the process's memory, 100 ms as before.

--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -34,8 +34,16 @@
 // A few events of a stream, without which reading would pause at each of them.
 constexpr std::uint64_t minimumUnsentBytes = 4 * 1024;
 
-// Many round trips to any caller; one that reads has read by then.
-constexpr std::chrono::milliseconds minimumUnreadTime{100};
+// Most answers that are no streams are shorter.
+constexpr std::uint64_t maximumBufferedBytes = 64 * 1024;
+
+// Time without reading after which a caller may be cut off: its process may stand still for a moment, and its answer may be the only one that there is.
+constexpr std::chrono::milliseconds minimumUnreadTime{1000};
+
+// The same where so much is held that the process may soon be killed, with all that runs on it: many round trips to any caller.
+constexpr std::chrono::milliseconds minimumUnreadTimeInDanger{100};
+constexpr std::uint64_t dangerNumerator = 3;
+constexpr std::uint64_t dangerDivisor = 2;
 
 } // namespace
 
@@ -152,6 +160,16 @@
     return m_limit.has_value() ? std::clamp(left() / unsentDivisor, minimumUnsentBytes, maximumUnsentBytes) : maximumUnsentBytes;
 }
 
+std::uint64_t MemoryBudget::bufferBound() const
+{
+    return m_isShort ? std::min(unsentBound(), maximumBufferedBytes) : maximumBufferedBytes;
+}
+
+std::chrono::milliseconds MemoryBudget::unreadTime(std::uint64_t held) const
+{
+    return held > *m_limit * dangerNumerator / dangerDivisor ? minimumUnreadTimeInDanger : minimumUnreadTime;
+}
+
 std::vector<UnreadCaller> MemoryBudget::callersToCut(std::vector<UnreadCaller> callers, Core::TimePoint now) const
 {
     std::vector<UnreadCaller> cut;
@@ -161,7 +179,7 @@
     std::sort(callers.begin(), callers.end(), [](const UnreadCaller &left, const UnreadCaller &right) { return left.lastReadAt < right.lastReadAt; });
     std::uint64_t freed = 0;
     for (const UnreadCaller &caller : callers) {
-        if (m_sum <= *m_limit + freed || now - caller.lastReadAt < minimumUnreadTime) {
+        if (m_sum <= *m_limit + freed || now - caller.lastReadAt < unreadTime(m_sum - freed)) {
             break;
         }
         freed += caller.unsentBytes;
--- a/src/libs/decisions/relay/memorybudget.h
+++ b/src/libs/decisions/relay/memorybudget.h
@@ -3,6 +3,7 @@
 #include <core/time.h>
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -81,6 +82,9 @@
     /// \brief Returns how many bytes may wait to be sent to one caller before reading for it pauses.
     std::uint64_t unsentBound() const;
 
+    /// \brief Returns how many bytes of an answer may be held until it is complete, so that its request can be sent again if it breaks off.
+    std::uint64_t bufferBound() const;
+
     /// \brief Returns which of \a callers have to be cut off at \a now, those that have not read for longest first, until no more is held than may be.
     ///
     /// What a cut frees is estimated by its unsent bytes, so that more callers may be cut off than is necessary.
@@ -88,6 +92,8 @@
 
 private:
     std::uint64_t left() const;
+    /// \brief Returns the time without reading after which a caller may be cut off while \a held bytes are held, more than the limit.
+    std::chrono::milliseconds unreadTime(std::uint64_t held) const;
     void updateShortage();
 
     std::optional<std::uint64_t> m_limit;
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -91,6 +91,7 @@
     , m_watcher(std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [this](int events) { onReady(events); }))
     , m_flush(loop, [this] { flush(); })
     , m_window(loop, descriptor)
+    , m_readBound(readBytes)
     , m_isConnected(isConnected)
 {
     ++openChannels;
@@ -180,6 +181,7 @@
 {
     m_observer = &observer;
     m_hasSent = false;
+    m_readBound = readBytes;
     m_output.shrink_to_fit();
     updateMeter();
     setReading(true);
@@ -265,6 +267,11 @@
     watch();
 }
 
+void TcpChannel::setReadBound(std::size_t bytes)
+{
+    m_readBound = std::clamp<std::size_t>(bytes, 1, readBytes);
+}
+
 void TcpChannel::shutdownOutput()
 {
     m_isShuttingDown = true;
@@ -402,7 +409,7 @@
 void TcpChannel::readAvailable()
 {
     static thread_local std::array<char, readBytes> buffer;
-    const ssize_t count = recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    const ssize_t count = recv(m_descriptor, buffer.data(), m_readBound, 0);
     if (count > 0) {
         m_observer->receiveBytes({buffer.data(), static_cast<std::size_t>(count)});
         return;
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -120,6 +120,9 @@
     /// \brief Pauses or resumes reading, to apply back-pressure to the peer.
     void setReading(bool isReading);
 
+    /// \brief Reads no more than \a bytes at once until the next handOver(); at least one, and at most what is read without a bound.
+    void setReadBound(std::size_t bytes);
+
     /// \brief Closes the sending side after the buffered data has been sent.
     void shutdownOutput();
 
@@ -153,6 +156,7 @@
     SharedBody m_body; ///< Follows m_output; null if nothing does.
     std::size_t m_bodyOffset = 0; ///< Number of bytes at the start of m_body that the kernel has accepted.
     std::unique_ptr<ByteMeter> m_meter;
+    std::size_t m_readBound; ///< Most bytes that are read at once.
     bool m_isConnected;
     bool m_isRefused = false;
     bool m_isReading = true;
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr std::size_t maximumBufferedBytes = 64 * 1024;
-
 // An event longer than this is no event of a completion.
 constexpr std::size_t maximumEventBytes = 1024 * 1024;
 
@@ -85,7 +83,7 @@
         return true;
     }
     m_buffer.append(data);
-    if (m_buffer.size() > maximumBufferedBytes) {
+    if (m_buffer.size() > m_sink.bufferBound()) {
         m_state = State::Forwarding;
         std::string buffered;
         buffered.swap(m_buffer);
--- a/src/libs/relay/answersink.h
+++ b/src/libs/relay/answersink.h
@@ -34,6 +34,9 @@
     /// \brief Notes that \a bytes of the answer are held until more of it has been received.
     virtual void setPendingBytes(std::size_t bytes) = 0;
 
+    /// \brief Returns how many bytes of an answer may be held until it is complete; beyond, it is forwarded as it arrives.
+    virtual std::size_t bufferBound() const = 0;
+
     /// \brief Returns whether so much waits to be sent to the caller that reading the answer has to pause until it has been sent.
     virtual bool isFull() const = 0;
 };
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -141,6 +141,11 @@
     return m_idleTimeout;
 }
 
+void BackendCall::setReadBound(std::size_t bytes)
+{
+    m_channel->setReadBound(bytes);
+}
+
 void BackendCall::setReading(bool isReading)
 {
     m_channel->setReading(isReading);
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -107,6 +107,9 @@
     /// \brief Returns the time after which the backend server closes an idle connection, if its answer says so.
     std::optional<std::chrono::seconds> idleTimeout() const;
 
+    /// \brief Reads no more than \a bytes of the answer at once.
+    void setReadBound(std::size_t bytes);
+
     /// \brief Pauses or resumes reading the answer.
     void setReading(bool isReading);
 
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -494,6 +494,11 @@
     m_pendingBytes.set(bytes);
 }
 
+std::size_t CallerConnection::bufferBound() const
+{
+    return m_owner.memory().budget().bufferBound();
+}
+
 bool CallerConnection::isFull() const
 {
     return unsentBytes() > m_owner.memory().budget().unsentBound();
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -130,6 +130,7 @@
     void endAnswer() override;
     void abortAnswer() override;
     void setPendingBytes(std::size_t bytes) override;
+    std::size_t bufferBound() const override;
     bool isFull() const override;
 
 private:
--- a/src/libs/relay/servercall.cpp
+++ b/src/libs/relay/servercall.cpp
@@ -54,6 +54,7 @@
         m_call = std::move(call.value());
         m_call->setMeter(createMeter(m_context.memory, Decisions::HeldKind::UnsentToServers));
         m_call->setAnswerMeter(createMeter(m_context.memory, Decisions::HeldKind::PartialAnswers));
+        updateReadBound();
         return Core::success();
     }
     if (call.error().code == Core::ErrorCode::ResourceExhausted) {
@@ -211,10 +212,19 @@
 
 void ServerCall::recordActivity()
 {
+    updateReadBound();
     m_lastActivityAt = m_context.loop.now();
     m_context.fleet.recordActivity(*m_choice, m_lastActivityAt);
 }
 
+// What is read at once waits for the caller at once, and must not pass the bound by much.
+void ServerCall::updateReadBound()
+{
+    if (m_context.memory != nullptr) {
+        m_call->setReadBound(m_context.memory->unsentBound());
+    }
+}
+
 AnswerMeaning ServerCall::meaningOf(int status, const AnswerMarks &marks, bool isAnswerBegun) const
 {
     if (m_call->isReused() && marks.attemptId.empty()) {
--- a/src/libs/relay/servercall.h
+++ b/src/libs/relay/servercall.h
@@ -125,6 +125,7 @@
     Decisions::KeptConnectionUse connectionUse(const CallProgress &progress) const;
     CallContext callContext(const CallProgress &progress) const;
     void updateWeights(const AnswerMarks &marks);
+    void updateReadBound();
 
     const RelayContext &m_context;
     const RequestFacts &m_facts;
