Take no answer about another stream for one's own

A router asks a few processes where a stream began, and recognised the answer by a number alone. Each start counted from one, and the address of its predecessor is its own: an answer that comes late, or again, answered whatever inquiry had that number. So did a keeper's verdict on a usage claim. Numbers now begin at a random one (MessageNumbers), and an answer counts only if it names the stream and comes from a process that was asked.

OriginInquiryTest.isNotAnsweredByWhatIsSaidOfAnotherStream, isNotAnsweredByAProcessThatWasNotAsked and MessageNumbersProperty are new; they use the new signatures and do not compile on the code before.

--- a/src/libs/decisions/relay/origininquiry.cpp
+++ b/src/libs/decisions/relay/origininquiry.cpp
@@ -2,19 +2,26 @@
 
 namespace Verbena::Decisions {
 
-OriginInquiry::OriginInquiry(std::string service, std::chrono::milliseconds longestStream, const std::vector<std::string> &replicas)
-    : m_service(std::move(service))
+OriginInquiry::OriginInquiry(StreamKey key, std::string service, std::chrono::milliseconds longestStream, const std::vector<std::string> &replicas)
+    : m_key(std::move(key))
+    , m_service(std::move(service))
     , m_longestStream(longestStream)
-    , m_silent(replicas.begin(), replicas.end())
+    , m_asked(replicas.begin(), replicas.end())
+    , m_silent(m_asked)
 {
 }
 
-void OriginInquiry::handleAnswer(const std::string &replica, const std::optional<StreamOrigin> &origin)
+// The wrong origin would join the parts of two streams, while a missing answer costs a short wait.
+void OriginInquiry::handleAnswer(const std::string &replica, const std::optional<ToldOrigin> &told)
 {
+    const bool isOfOther = told.has_value() && told->key != m_key;
+    if (isOfOther || !m_asked.contains(replica)) {
+        return;
+    }
     m_silent.erase(replica);
-    if (origin.has_value()) {
-        const bool isOther = m_origin.has_value() && *m_origin != *origin;
-        m_origin = origin;
+    if (told.has_value()) {
+        const bool isOther = m_origin.has_value() && *m_origin != told->origin;
+        m_origin = told->origin;
         m_origin->isDisputed = m_origin->isDisputed || isOther;
     }
 }
--- a/src/libs/decisions/relay/streamorigins.h
+++ b/src/libs/decisions/relay/streamorigins.h
@@ -15,6 +15,8 @@
 {
     std::string organisation; ///< Organisation of the caller; empty on a public route. Callers of others cannot look the stream up.
     std::string attemptId;
+
+    bool operator==(const StreamKey &) const = default;
 };
 
 /// \brief Where a stream began, and so where alone it may go on.
--- a/src/libs/relay/streamorigincodec.cpp
+++ b/src/libs/relay/streamorigincodec.cpp
@@ -7,6 +7,7 @@
 
 using Decisions::StreamKey;
 using Decisions::StreamOrigin;
+using Decisions::ToldOrigin;
 using std::chrono::milliseconds;
 
 namespace {
@@ -50,9 +51,9 @@
     return message;
 }
 
-std::optional<StreamOrigin> decodeAnswer(const verbena::wire::StreamOriginAnswer &answer)
+std::optional<ToldOrigin> decodeAnswer(const verbena::wire::StreamOriginAnswer &answer)
 {
-    return answer.has_origin() ? std::optional(decodeOrigin(answer.origin())) : std::nullopt;
+    return answer.has_origin() ? std::optional(ToldOrigin{decodeKey(answer.origin()), decodeOrigin(answer.origin())}) : std::nullopt;
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/streamorigincodec.h
+++ b/src/libs/relay/streamorigincodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <decisions/relay/streamorigins.h>
+#include <decisions/relay/origininquiry.h>
 
 #include <verbena.pb.h>
 
@@ -22,6 +22,6 @@
 verbena::wire::StreamOriginAnswer encodeAnswer(std::uint64_t id, const Decisions::StreamKey &key, const std::optional<Decisions::StreamOrigin> &origin);
 
 /// \brief Decodes what a replica was told; nothing if it was not.
-std::optional<Decisions::StreamOrigin> decodeAnswer(const verbena::wire::StreamOriginAnswer &answer);
+std::optional<Decisions::ToldOrigin> decodeAnswer(const verbena::wire::StreamOriginAnswer &answer);
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/streamoriginexchange.cpp
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -75,6 +75,7 @@
     , m_relay(relay)
     , m_registerCopy(registerCopy)
     , m_softwareRows(loop, source, store, relay, m_software, seed)
+    , m_numbers(seed)
     , m_tellTimer(loop, [this] { tellRunning(); })
     , m_inquiryTimer(loop, [this] { checkInquiries(); })
 {
@@ -155,7 +156,7 @@
 std::uint64_t StreamOriginExchange::recordBegun(const RunningStream &stream)
 {
     updateSoftware();
-    const std::uint64_t number = ++m_lastNumber;
+    const std::uint64_t number = m_numbers.next();
     ToldStream &told = m_running.emplace(number, ToldStream{stream}).first->second;
     if (!isSettled(stream)) {
         updateReplicas();
@@ -234,10 +235,10 @@
         return 0;
     }
     const std::vector<std::string> replicas = request.key.attemptId.empty() ? std::vector<std::string>() : m_replicas.queriedReplicas(request.key);
-    const std::uint64_t number = ++m_lastNumber;
+    const std::uint64_t number = m_numbers.next();
     m_inquiries.emplace(number,
         PendingInquiry{request,
-            OriginInquiry(request.service, request.longestStream, replicas),
+            OriginInquiry(request.key, request.service, request.longestStream, replicas),
             std::move(done),
             Core::BootClock::now(),
             now + resendDelay,
--- a/src/libs/relay/streamoriginexchange.h
+++ b/src/libs/relay/streamoriginexchange.h
@@ -9,6 +9,7 @@
 #include <decisions/relay/origininquiry.h>
 #include <decisions/relay/originreplicas.h>
 #include <decisions/relay/softwareversions.h>
+#include <decisions/spread/messagenumbers.h>
 #include <eventloop/timer.h>
 #include <http/endpoint.h>
 
@@ -110,7 +111,7 @@
     std::unique_ptr<StreamOriginReplica> m_ownReplica;
     std::map<std::uint64_t, ToldStream> m_running; ///< Running streams, by number.
     std::map<std::uint64_t, PendingInquiry> m_inquiries; ///< By number.
-    std::uint64_t m_lastNumber = 0;
+    Decisions::MessageNumbers m_numbers; ///< Of running streams and of inquiries.
     EventLoop::Timer m_tellTimer;
     EventLoop::Timer m_inquiryTimer;
 };
--- a/src/libs/relay/usageclient.cpp
+++ b/src/libs/relay/usageclient.cpp
@@ -56,6 +56,7 @@
     , m_owners(loop.now())
     , m_share(slack, loop.now())
     , m_random(seed)
+    , m_numbers(seed)
     , m_timer(loop, [this] { checkPendingClaims(); })
 {
 }
@@ -91,7 +92,7 @@
         decideFromShare(claim, done);
         return 0;
     }
-    const std::uint64_t number = ++m_lastNumber;
+    const std::uint64_t number = m_numbers.next();
     const bool isSilent = m_silentSince.contains(owner->address);
     // A silent owner is still asked so that this router notices when it answers again.
     m_pendingClaims.emplace(number, PendingClaim{claim, owner->address, isSilent ? Callback() : done, now + resendDelay, now + answerTimeout});
--- a/src/libs/relay/usageclient.h
+++ b/src/libs/relay/usageclient.h
@@ -5,6 +5,7 @@
 
 #include <decisions/relay/usageowners.h>
 #include <decisions/relay/usageshare.h>
+#include <decisions/spread/messagenumbers.h>
 #include <decisions/spread/randomsource.h>
 #include <eventloop/timer.h>
 #include <wire/datagramsocket.h>
@@ -63,7 +64,7 @@
     Decisions::UsageShare m_share;
     Decisions::RandomSource m_random;
     std::uint64_t m_agentsRevision = 0;
-    std::uint64_t m_lastNumber = 0;
+    Decisions::MessageNumbers m_numbers; ///< Of claims.
     std::map<std::uint64_t, PendingClaim> m_pendingClaims; ///< By number, so in the order in which they were sent.
     std::map<std::string, Core::TimePoint> m_silentSince; ///< Time since which an owner has not answered, by address of its engine.
     EventLoop::Timer m_timer;
--- a/tests/auto/relay/tst_streamorigins.cpp
+++ b/tests/auto/relay/tst_streamorigins.cpp
@@ -2,6 +2,7 @@
 #include <decisions/relay/originreplicas.h>
 #include <decisions/relay/softwarerecord.h>
 #include <decisions/relay/streamorigins.h>
+#include <decisions/spread/messagenumbers.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -227,6 +228,11 @@
     RC_ASSERT(std::any_of(told.begin(), told.end(), [&asked](const std::string &one) { return std::find(asked.begin(), asked.end(), one) != asked.end(); }));
 }
 
+ToldOrigin told(const StreamOrigin &where, const std::string &attempt = "stream")
+{
+    return {key(attempt), where};
+}
+
 SoleSoftware soleFor(std::chrono::milliseconds duration)
 {
     return {"v1", duration};
@@ -234,31 +240,31 @@
 
 TEST(OriginInquiryTest, isDecidedByTheFirstOrigin)
 {
-    OriginInquiry inquiry("s", lifetime, {"a", "b"});
+    OriginInquiry inquiry(key("stream"), "s", lifetime, {"a", "b"});
     EXPECT_FALSE(inquiry.isDecided());
     inquiry.handleAnswer("a", std::nullopt);
     EXPECT_FALSE(inquiry.isDecided());
-    inquiry.handleAnswer("b", origin);
+    inquiry.handleAnswer("b", told(origin));
     EXPECT_TRUE(inquiry.isDecided());
     EXPECT_EQ(inquiry.result(), origin);
 }
 
 TEST(OriginInquiryTest, knowsNothingOfADisputedOrigin)
 {
-    OriginInquiry inquiry("s", lifetime, {"a", "b"});
-    inquiry.handleAnswer("a", origin);
-    inquiry.handleAnswer("b", StreamOrigin{"s", "v2"});
+    OriginInquiry inquiry(key("stream"), "s", lifetime, {"a", "b"});
+    inquiry.handleAnswer("a", told(origin));
+    inquiry.handleAnswer("b", told({"s", "v2"}));
     EXPECT_EQ(inquiry.result(), std::nullopt);
 }
 
 TEST(OriginInquiryTest, takesTheOnlyVersionOfAServiceThatHadNoOtherForLongEnough)
 {
-    OriginInquiry shorter("s", lifetime, {"a"});
+    OriginInquiry shorter(key("stream"), "s", lifetime, {"a"});
     shorter.handleAnswer("a", std::nullopt);
     shorter.handleRegister(soleFor(lifetime - 1ms));
     EXPECT_TRUE(shorter.isDecided());
     EXPECT_EQ(shorter.result(), std::nullopt);
-    OriginInquiry longer("s", lifetime, {"a"});
+    OriginInquiry longer(key("stream"), "s", lifetime, {"a"});
     longer.handleRegister(soleFor(lifetime));
     EXPECT_TRUE(longer.isDecided());
     EXPECT_EQ(longer.result(), origin);
@@ -267,7 +273,7 @@
 // Replicas that were not told say nothing about a version that this process may not have heard of.
 TEST(OriginInquiryTest, isNotDecidedByReplicasThatWereNotToldBeforeTheRegisterIsVerified)
 {
-    OriginInquiry inquiry("s", lifetime, {"a", "b"});
+    OriginInquiry inquiry(key("stream"), "s", lifetime, {"a", "b"});
     inquiry.handleAnswer("a", std::nullopt);
     inquiry.handleAnswer("b", std::nullopt);
     EXPECT_FALSE(inquiry.isDecided());
@@ -279,25 +285,53 @@
 
 TEST(OriginInquiryTest, awaitsReplicasWhereTheRegisterShowsSeveralVersions)
 {
-    OriginInquiry inquiry("s", lifetime, {"a"});
+    OriginInquiry inquiry(key("stream"), "s", lifetime, {"a"});
     inquiry.handleRegister(std::nullopt);
     EXPECT_FALSE(inquiry.isDecided());
-    inquiry.handleAnswer("a", origin);
+    inquiry.handleAnswer("a", told(origin));
     EXPECT_EQ(inquiry.result(), origin);
 }
 
 // A replica's record names the stream itself.
 TEST(OriginInquiryTest, takesAnOriginBeforeTheOnlyVersion)
 {
-    OriginInquiry inquiry("s", lifetime, {"a", "b"});
+    OriginInquiry inquiry(key("stream"), "s", lifetime, {"a", "b"});
     inquiry.handleRegister(soleFor(lifetime));
-    inquiry.handleAnswer("a", StreamOrigin{"s", "v2"});
+    inquiry.handleAnswer("a", told({"s", "v2"}));
     EXPECT_EQ(inquiry.result()->softwareVersion, "v2");
 }
 
+// A late answer to a process's predecessor, or a repeated one, joined the parts of streams of two software versions.
+TEST(OriginInquiryTest, isNotAnsweredByWhatIsSaidOfAnotherStream)
+{
+    OriginInquiry inquiry(key("stream"), "s", lifetime, {"a", "b"});
+    inquiry.handleAnswer("a", told({"s", "v2"}, "another"));
+    inquiry.handleAnswer("b", ToldOrigin{key("stream", "quarry"), {"s", "v2"}});
+    EXPECT_FALSE(inquiry.isDecided());
+    EXPECT_EQ(inquiry.silentReplicas().size(), 2U);
+    inquiry.handleAnswer("a", told(origin));
+    EXPECT_EQ(inquiry.result(), origin);
+}
+
+TEST(OriginInquiryTest, isNotAnsweredByAProcessThatWasNotAsked)
+{
+    OriginInquiry inquiry(key("stream"), "s", lifetime, {"a"});
+    inquiry.handleAnswer("c", told({"s", "v2"}));
+    EXPECT_FALSE(inquiry.isDecided());
+}
+
+RC_GTEST_PROP(MessageNumbersProperty, differFromThoseOfAnEarlierStart, (std::uint64_t earlier, std::uint64_t later))
+{
+    constexpr std::uint64_t messages = 1'000'000;
+    RC_PRE(earlier != later);
+    const std::uint64_t first = MessageNumbers(earlier).next();
+    const std::uint64_t second = MessageNumbers(later).next();
+    RC_ASSERT(std::max(first, second) - std::min(first, second) > messages);
+}
+
 TEST(OriginInquiryTest, knowsNothingIfNobodyAnswers)
 {
-    const OriginInquiry inquiry("s", lifetime, {"a", "b"});
+    const OriginInquiry inquiry(key("stream"), "s", lifetime, {"a", "b"});
     EXPECT_EQ(inquiry.result(), std::nullopt);
     EXPECT_EQ(inquiry.silentReplicas().size(), 2U);
 }
