Let fake servers survive a stranger's request

Its fake servers dereference the id of each request, and a request that names none ended the program: RelayTest.serverEndsByARequestOfAnotherProcess, on the code before, by SIGSEGV. That this is what ended it is likely and not shown. A fake that closed a connection also kept a pointer to it for the next sendMore().

--- a/tests/auto/relay/plainprotocol.cpp
+++ b/tests/auto/relay/plainprotocol.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+std::string requestId(const Http::MessageHead &head)
+{
+    return value(head, "Id");
+}
+
 Core::Result<Relay::RelayQuery> PlainProtocol::readQuery(const Http::MessageHead &head, Core::TimePoint now) const
 {
     if (head.field("Host") == nullptr) {
--- a/tests/auto/relay/plainprotocol.h
+++ b/tests/auto/relay/plainprotocol.h
@@ -4,6 +4,9 @@
 
 namespace Verbena::Test {
 
+/// \brief Returns the id of the request with \a head; empty if it names none, as one that is meant for a process that had the port before.
+std::string requestId(const Http::MessageHead &head);
+
 /// \brief A minimal protocol for tests; its HTTP fields are named after the members of the relay's types.
 class PlainProtocol : public Relay::RelayProtocol
 {
--- a/tests/auto/relay/relaytest.cpp
+++ b/tests/auto/relay/relaytest.cpp
@@ -9,7 +9,7 @@
 
 std::string answer(const Http::MessageHead &head, const std::string &body, const std::string &fields, const std::string &status)
 {
-    return "HTTP/1.1 " + status + "\r\nId: " + *head.field("Id") + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + status + "\r\nId: " + requestId(head) + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string chunk(const std::string &data)
@@ -21,12 +21,12 @@
 
 std::string streamHead(const Http::MessageHead &head, const std::string &fields)
 {
-    return "HTTP/1.1 200 OK\r\nId: " + *head.field("Id") + "\r\nReceipt: r\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n";
+    return "HTTP/1.1 200 OK\r\nId: " + requestId(head) + "\r\nReceipt: r\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n";
 }
 
 std::string unframedHead(const Http::MessageHead &head, const std::string &version, const std::string &status)
 {
-    return version + " " + status + "\r\nId: " + *head.field("Id") + "\r\nReceipt: r\r\n\r\n";
+    return version + " " + status + "\r\nId: " + requestId(head) + "\r\nReceipt: r\r\n\r\n";
 }
 
 std::string event(int id)
--- a/tests/auto/relay/tst_cappedrequests.cpp
+++ b/tests/auto/relay/tst_cappedrequests.cpp
@@ -85,7 +85,7 @@
 
     static WorkerScript answer(const Http::MessageHead &head, const std::string &fields = "Receipt: r\r\n", const std::string &status = "200 OK")
     {
-        return {"HTTP/1.1 " + status + "\r\nId: " + *head.field("Id") + "\r\n" + fields + "Content-Length: 2\r\n\r\nok"};
+        return {"HTTP/1.1 " + status + "\r\nId: " + Verbena::Test::requestId(head) + "\r\n" + fields + "Content-Length: 2\r\n\r\nok"};
     }
 
     std::unique_ptr<CallerFake> ask(const std::string &key = "k")
--- a/tests/auto/relay/tst_relay.cpp
+++ b/tests/auto/relay/tst_relay.cpp
@@ -47,6 +47,15 @@
     EXPECT_EQ(head.field("Key"), nullptr);
 }
 
+// A port is used again: what another process still sends to a server that has ended took this one down.
+TEST_F(RelayTest, serverEndsByARequestOfAnotherProcess)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
+    CallerFake stranger(*m_loop, Http::Endpoint::parse(m_workers[0]->address()).value());
+    stranger.send("GET /other HTTP/1.1\r\nHost: y\r\n\r\n");
+    EXPECT_TRUE(runUntil(*m_loop, [&] { return contains(stranger.received(), "ok"); }));
+}
+
 TEST_F(RelayTest, refusesUnknownPathsAndKeys)
 {
     start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
--- a/tests/platform/workerfake.cpp
+++ b/tests/platform/workerfake.cpp
@@ -24,6 +24,11 @@
     {
     }
 
+    ~Connection() override
+    {
+        m_worker.m_last = m_worker.m_last == this ? nullptr : m_worker.m_last;
+    }
+
     void send(const std::string &bytes)
     {
         m_channel->write(bytes);
@@ -68,7 +73,6 @@
 
     void receiveEnd(Http::ChannelEnd) override
     {
-        m_worker.m_last = m_worker.m_last == this ? nullptr : m_worker.m_last;
         m_worker.m_connections.erase(this);
     }
 
