End the notice of a busy router's stop on time

Whether requests are served follows from the time itself, and the first caller that comes after the notice ends it in the same iteration: the listener and idle connections are closed.

BusyStopTest.newCallersAreTakenAfterTheNotice is new; what stands in stopWhileBusy() is the same for the other test.

--- a/src/libs/relay/relayshutdown.cpp
+++ b/src/libs/relay/relayshutdown.cpp
@@ -27,6 +27,7 @@
     , m_times(times)
     , m_owner(owner)
     , m_timer(loop, [this] { advance(); })
+    , m_endNotice(loop, [this] { endNotice(); })
 {
 }
 
@@ -48,7 +49,26 @@
 
 bool RelayShutdown::isServingRequests() const
 {
-    return m_isServingRequests;
+    return m_isServingRequests && !isNoticeOver();
+}
+
+bool RelayShutdown::isNoticeOver() const
+{
+    return m_plan.has_value() && m_loop.now() >= m_plan->noticeEnd();
+}
+
+// The timer waits while there is much to read, and a busy relay would take request after request that it has no time for.
+void RelayShutdown::endNoticeIfDue()
+{
+    if (m_isListening && isNoticeOver()) {
+        m_endNotice.schedule();
+    }
+}
+
+void RelayShutdown::endNotice()
+{
+    tryCloseListener();
+    closeIdleConnections();
 }
 
 Core::TimePoint RelayShutdown::latestStart() const
@@ -72,8 +92,7 @@
     const Core::TimePoint now = m_loop.now();
     updateRunning(m_owner.connectionSnapshot());
     if (now >= m_plan->noticeEnd()) {
-        tryCloseListener();
-        closeIdleConnections();
+        endNotice();
     }
     endLateRequests();
     if (now >= m_plan->unsentEnd()) {
--- a/src/libs/relay/relayshutdown.h
+++ b/src/libs/relay/relayshutdown.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <decisions/relay/shutdownplan.h>
+#include <eventloop/deferredcall.h>
 #include <eventloop/timer.h>
 
 #include <chrono>
@@ -65,11 +66,16 @@
     /// \brief Returns whether \a request can be expected to end in time if it is sent now; true before the shutdown.
     bool isExpectedToEnd(const Decisions::StoppingRequest &request) const;
 
+    /// \brief Ends the notice in this iteration of the loop if its time has come; to be called when anything of a caller comes.
+    void endNoticeIfDue();
+
     /// \brief Records that a request was refused, not sent again or no longer kept waiting since it could not be expected to end in time.
     void recordRefusal();
 
 private:
     void advance();
+    bool isNoticeOver() const;
+    void endNotice();
     void updateRunning(const std::vector<CallerConnection *> &connections);
     void closeIdleConnections();
     void tryCloseListener();
@@ -86,6 +92,7 @@
     Decisions::RunTimes &m_times;
     ShutdownOwner &m_owner;
     EventLoop::Timer m_timer;
+    EventLoop::DeferredCall m_endNotice;
     std::optional<Decisions::ShutdownPlan> m_plan; ///< Nothing before the shutdown.
     std::function<void()> m_done;
     std::uint64_t m_acceptedAtNoticeEnd = 0; ///< Number of connections that had been accepted when the notice ended.
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -361,6 +361,7 @@
 void RelayTask::acceptCaller(int descriptor)
 {
     ++m_acceptedCount;
+    m_shutdown.endNoticeIfDue();
     closeIdleConnections(m_connectionLimit.excess(Http::TcpChannel::openCount() + 1));
     const bool isAdmitted = m_connectionLimit.admits(Http::TcpChannel::openCount());
     auto connection = std::make_unique<CallerConnection>(m_loop, descriptor, *this);
@@ -446,6 +447,7 @@
 std::unique_ptr<RelayedRequest> RelayTask::beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink)
 {
     recordActivity();
+    m_shutdown.endNoticeIfDue();
     return std::make_unique<RelayedRequest>(m_context, servedDirectory(), std::move(head), std::move(body), sink);
 }
 
--- a/tests/auto/relay/tst_busystops.cpp
+++ b/tests/auto/relay/tst_busystops.cpp
@@ -44,22 +44,25 @@
         close(m_ends[1]);
     }
 
-    // Asks the relay to end in the last of the iterations in which it is busy.
-    void stopWhileBusy()
+    // Asks the relay to end while it is busy; it is so for \a iterationsAfter iterations more.
+    void stopWhileBusy(int iterationsAfter = 0)
     {
-        int iterations = 0;
-        m_unread = std::make_unique<EventLoop::IoWatcher>(*m_loop, m_ends[0], [this, &iterations](int) {
+        m_unread = std::make_unique<EventLoop::IoWatcher>(*m_loop, m_ends[0], [this, iterationsAfter](int) {
             m_loop->recordUnreadInput();
             std::this_thread::sleep_for(iterationTime);
-            if (++iterations == iterationsBeforeStop) {
+            ++m_iterations;
+            if (m_iterations == iterationsBeforeStop) {
                 m_relay->beginShutdown([] {});
+            }
+            if (m_iterations == iterationsBeforeStop + iterationsAfter) {
                 m_unread->stop();
             }
         });
         m_unread->start(EV_READ);
-        EXPECT_TRUE(runUntil(*m_loop, [&iterations] { return iterations == iterationsBeforeStop; }));
+        EXPECT_TRUE(runUntil(*m_loop, [this] { return m_iterations == iterationsBeforeStop; }));
     }
 
+    int m_iterations = 0;
     std::array<int, 2> m_ends{};
     std::unique_ptr<EventLoop::IoWatcher> m_unread;
 };
@@ -80,4 +83,23 @@
     EXPECT_TRUE(client->received().starts_with("HTTP/1.1 200")) << client->received();
 }
 
+// A busy router took requests long after its notice, and had no time left to answer them.
+TEST_F(BusyStopTest, newCallersAreTakenAfterTheNotice)
+{
+    constexpr int iterationsAfter = 7; // Fewer than those for which a timer waits.
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, "ok")}; });
+    stopWhileBusy(iterationsAfter);
+    ASSERT_TRUE(runUntil(*m_loop, [this] { return m_iterations == iterationsBeforeStop + 1; }));
+    const std::unique_ptr<CallerFake> first = caller();
+    first->send(request("/once/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&first] { return contains(first->received(), "\r\n\r\n"); }));
+    EXPECT_TRUE(first->received().starts_with("HTTP/1.1 503")) << first->received();
+    const std::unique_ptr<CallerFake> second = caller();
+    second->send(request("/once/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&second] { return second->isClosed(); }));
+    EXPECT_EQ(second->received(), "");
+    EXPECT_LT(m_iterations, iterationsBeforeStop + iterationsAfter);
+    EXPECT_EQ(runs(), 0U);
+}
+
 } // namespace Verbena::Relay
