Believe reports of an engine that never started again

One EngineNews that named an odd incarnation (1, or the largest number) was taken for a restart. The real incarnation then counted as an earlier one, and every later report of that engine as late, until its entry left the register: the router knew neither its load nor its weights nor when it loads, and would send requests into loads, or to others only, as its weights seem to grow old.

Reports on an earlier start that come for a second, without one on the present start between them, are no late ones (EarlierStartReports); the start that they name becomes the present one again. Reports of a silent engine do not count, as its agent repeats what it said last. For that second the odd incarnation is believed, as before.

FleetRestartTest.oddIncarnationOutlivesItsReport fails before (the odd incarnation and version 1 instead of 4 after two seconds of reports) and passes. believesLateReportsOfAnEarlierIncarnation passes on both and bounds the change. Real processes were not run.

--- a/src/libs/decisions/relay/relayfleet.cpp
+++ b/src/libs/decisions/relay/relayfleet.cpp
@@ -237,6 +237,7 @@
         return m_chooser.server(id) == nullptr;
     };
     m_reports.removeIf(isGone);
+    m_earlierStarts.removeIf(isGone);
     m_agents.removeIf([this](const std::string &address) { return !m_idsByAddress.contains(address); }, isGone);
     std::erase_if(m_failures, [&](const auto &entry) { return isGone(entry.first); });
     std::erase_if(m_incarnations, [&](const auto &entry) { return isGone(entry.first); });
@@ -282,6 +283,23 @@
     return recorded != m_incarnations.end() && choice.incarnation != 0 && recorded->second != choice.incarnation;
 }
 
+// Updates the incarnation. A start that was never one, from a report or an entry that was odd, would otherwise make all reports on the real one late for good.
+// An agent repeats the last report of an engine that is silent, so only one of an engine that answers shows which start it is.
+bool RelayFleet::isOutdatedReport(const std::string &id, const EngineStatus &status, Core::TimePoint now)
+{
+    const BackendServerId key = backendServerId(id);
+    if (m_register.updateIncarnation(id, status.incarnation) != IncarnationComparison::Outdated) {
+        m_earlierStarts.discard(key);
+        return false;
+    }
+    if (status.isSilent || !m_earlierStarts.record(key, status.incarnation, now)) {
+        return true;
+    }
+    m_earlierStarts.discard(key);
+    m_register.restoreIncarnation(id, status.incarnation);
+    return false;
+}
+
 void RelayFleet::updateStatus(const std::string &address, const EngineStatus &status, Core::TimePoint now)
 {
     syncWithRegister();
@@ -293,7 +311,7 @@
     // ever come.
     m_agents.recordReport(address, now);
     const std::string id = *recorded;
-    if (m_register.updateIncarnation(id, status.incarnation) == IncarnationComparison::Outdated) {
+    if (isOutdatedReport(id, status, now)) {
         return;
     }
     syncWithRegister();
--- a/src/libs/decisions/relay/relayfleet.h
+++ b/src/libs/decisions/relay/relayfleet.h
@@ -2,6 +2,7 @@
 
 #include "admission.h"
 #include "agentpresence.h"
+#include "earlierstartreports.h"
 #include "enginereports.h"
 #include "enginestatus.h"
 #include "fleetchoice.h"
@@ -185,6 +186,7 @@
     std::optional<FleetChoice> choosePlain(const FleetQuery &query, Core::TimePoint now) const;
     std::vector<RouteCandidate> plainCandidates(FleetChoice &choice, const FleetQuery &query, Core::TimePoint now) const;
     RouteCandidate soonest(const std::vector<RouteCandidate> &candidates, const FleetQuery &query, Core::TimePoint now) const;
+    bool isOutdatedReport(const std::string &id, const EngineStatus &status, Core::TimePoint now);
     std::uint32_t unansweredCalls(BackendServerId id) const;
     std::optional<FleetChoice> chooseOn(std::uint64_t weights, const FleetQuery &query, Core::TimePoint now) const;
     static bool isAcceptable(const FleetChoice &choice);
@@ -203,6 +205,7 @@
     HomeDomains m_homeDomains;
     EngineReports m_reports;
     AgentPresence m_agents;
+    EarlierStartReports m_earlierStarts;
     std::unordered_map<BackendServerId, std::uint32_t> m_failures; ///< Number of failed connections since the last answer.
     PromptTransfers m_transfers;
     ServerLimits m_limits;
--- a/src/libs/decisions/relay/serverregister.cpp
+++ b/src/libs/decisions/relay/serverregister.cpp
@@ -157,6 +157,16 @@
     return comparison;
 }
 
+void ServerRegister::restoreIncarnation(const std::string &id, std::uint64_t incarnation)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return;
+    }
+    std::erase(m_earlierIncarnations[id], incarnation);
+    applyRestart(found->second, incarnation);
+}
+
 bool ServerRegister::mayHaveExpired(Core::TimePoint now) const
 {
     return m_isStoreLost || now < m_graceDeadline;
--- a/src/libs/decisions/relay/serverregister.h
+++ b/src/libs/decisions/relay/serverregister.h
@@ -61,6 +61,9 @@
     /// \brief Updates the incarnation of the backend server \a id; after a restart its weights are those of its entry.
     IncarnationComparison updateIncarnation(const std::string &id, std::uint64_t incarnation);
 
+    /// \brief Makes \a incarnation, which was taken for an earlier one of the backend server \a id, the present one again.
+    void restoreIncarnation(const std::string &id, std::uint64_t incarnation);
+
     /// \brief Updates the weights of a backend server of which \a evidence shows that it runs \a version of \a model.
     void updateWeights(const std::string &id, const std::string &model, std::uint64_t version, const WeightsEvidence &evidence = {});
 
--- a/tests/auto/relay/tst_restarts.cpp
+++ b/tests/auto/relay/tst_restarts.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <limits>
 #include <set>
 
 namespace Verbena::Decisions {
@@ -227,6 +228,38 @@
     EXPECT_EQ(chooseFirst().warmParts, 0U);
 }
 
+// One report that named an odd incarnation took all later ones of its engine for late.
+TEST_F(FleetRestartTest, oddIncarnationOutlivesItsReport)
+{
+    for (const std::uint64_t odd : {std::uint64_t(1), std::numeric_limits<std::uint64_t>::max()}) {
+        m_fleet.updateStatus("10.0.0.1:8000", status(odd), m_now);
+        for (const auto end = m_now + 2s; m_now < end; m_now += 250ms) {
+            m_fleet.updateStatus("10.0.0.1:8000", status(firstIncarnation, 4), m_now);
+        }
+        EXPECT_EQ(m_fleet.servers().servers().at("1").incarnation, firstIncarnation);
+        EXPECT_EQ(m_fleet.servers().servers().at("1").weights.front().version, 4U);
+    }
+}
+
+// An agent repeats what the engine said last while the new one does not answer it yet; single reports may be late.
+TEST_F(FleetRestartTest, believesLateReportsOfAnEarlierIncarnation)
+{
+    m_fleet.servers().set(engine("1", secondIncarnation));
+    EngineStatus silent = status(firstIncarnation);
+    silent.isSilent = true;
+    for (const auto end = m_now + 5s; m_now < end; m_now += 250ms) {
+        m_fleet.updateStatus("10.0.0.1:8000", silent, m_now);
+    }
+    for (int count = 0; count < 8; ++count, m_now += 250ms) {
+        m_fleet.updateStatus("10.0.0.1:8000", status(firstIncarnation), m_now);
+        m_fleet.updateStatus("10.0.0.1:8000", status(secondIncarnation), m_now);
+    }
+    for (int count = 0; count < 4; ++count, m_now += 10s) {
+        m_fleet.updateStatus("10.0.0.1:8000", status(firstIncarnation), m_now);
+    }
+    EXPECT_EQ(m_fleet.servers().servers().at("1").incarnation, secondIncarnation);
+}
+
 // A connection that breaks with the old incarnation is no evidence against the new one.
 TEST_F(FleetRestartTest, ignoresFailuresOfAnEarlierIncarnation)
 {
