Refuse times in the future from other processes

One datagram of digests that named a time in the far future, up to the bound of storetimecodec, confirmed a table as verified at that time. Later times never replace it, and a time after the store's clock has no age: the router did not know how old its table was, told others so by its own digests, and all three routers of the test were without an age two seconds later. Such routers answer peers that want fresh rows with 503 and report the store as lost with its first failure. Nothing but a start of all of them together would have ended it.

The estimate of the store's clock is never too low, so a later time of a peer, in a digest or with its rows, is none. Before the first reading of that clock times are taken as before.

TableGossipTest.timeInTheFutureIsBelievedByAllRouters and TableFollowerTest.timeInTheFutureOutlivesThePageThatNamedIt fail before and pass. Real processes were not run. That peers get 503 and that a loss is reported at once was read in the code.

--- a/src/libs/store/tablefollower.cpp
+++ b/src/libs/store/tablefollower.cpp
@@ -67,9 +67,16 @@
     return m_version.compare(theirs);
 }
 
+// No process knows what the store will acknowledge later. Such a time would hide all real ones, and be passed on.
+bool TableFollower::isInFuture(const std::optional<StoreTime> &time) const
+{
+    const std::optional<StoreTime> present = m_clock.latest(Core::BootClock::now());
+    return present.has_value() && time > present;
+}
+
 void TableFollower::confirm(const TableDigest &theirs)
 {
-    if (m_version.confirm(theirs)) {
+    if (!isInFuture(theirs.verifiedAt) && m_version.confirm(theirs)) {
         m_lastPeerUpdateAt = Core::BootClock::now();
         handleVerified();
     }
@@ -213,6 +220,9 @@
 // A whole table that was superseded by data of other processes brings no new rows, but changes can be requested again from then on.
 Core::Result<void> TableFollower::apply(const Request &request, RowPage page)
 {
+    if (isInFuture(page.verifiedAt)) {
+        page.verifiedAt.reset();
+    }
     const std::optional<StoreTime> before = m_version.verifiedAt();
     BOOST_OUTCOME_TRY(request.isWhole ? applyTable(request, page) : applyChanges(request, page));
     m_isHistoryKnown = true;
--- a/src/libs/store/tablefollower.h
+++ b/src/libs/store/tablefollower.h
@@ -116,6 +116,7 @@
     void handlePage(const Request &request, Core::Result<RowPage> page);
     void handleFailedRequest(const Request &request, const Core::Result<RowPage> &page);
     void handleRefusedPage(const Request &request, const Core::Error &error);
+    bool isInFuture(const std::optional<StoreTime> &time) const;
     bool isCurrent(const Request &request) const;
     Core::Result<void> apply(const Request &request, RowPage page);
     Core::Result<void> applyTable(const Request &request, RowPage &page);
--- a/tests/auto/relay/tst_tablefollower.cpp
+++ b/tests/auto/relay/tst_tablefollower.cpp
@@ -319,6 +319,18 @@
     EXPECT_EQ(m_mirror.committedAfter("b"), std::nullopt);
 }
 
+// A time in the far future that came with rows of another process left the table without an age for good.
+TEST_F(TableFollowerTest, timeInTheFutureOutlivesThePageThatNamedIt)
+{
+    request().done(answeredPage(50s, 5, {}));
+    RowPage odd = page(6, {{"a", "1", 6, false}});
+    odd.isFromPeer = true;
+    odd.verifiedAt = StoreTime(milliseconds(latestStoreTime - 1));
+    EXPECT_TRUE(m_follower->offer(odd, 5));
+    EXPECT_EQ(m_mirror.rows().at("a"), "1");
+    EXPECT_LT(m_follower->age().value_or(1h), 10s);
+}
+
 TEST_F(TableFollowerTest, ignoresAnAnswerAfterItsDestruction)
 {
     auto late = request();
--- a/tests/auto/relay/tst_tablegossip.cpp
+++ b/tests/auto/relay/tst_tablegossip.cpp
@@ -254,6 +254,26 @@
     EXPECT_LT(m_loop->now() - changed, m_routers[2]->times.bound);
 }
 
+// One digest that named a time in the far future left its receiver, and by its digests all others, without an age for good.
+TEST_F(TableGossipTest, timeInTheFutureIsBelievedByAllRouters)
+{
+    const auto sender = Wire::DatagramSocket::bind(
+        *m_loop, Http::Endpoint::parse(address(3) + gossipPort).value().address, [](const sockaddr_in &, const verbena::wire::Envelope &) {});
+    const Store::TableDigest digest = m_routers[0]->follower.digest();
+    verbena::wire::Envelope message;
+    verbena::wire::TableDigest &entry = *message.mutable_table_digests()->add_tables();
+    entry.set_table(digest.table);
+    entry.set_changed_revision(digest.changedRevision);
+    entry.set_covered_revision(digest.coveredRevision);
+    entry.set_verified_at_ms(Store::latestStoreTime);
+    entry.set_content_hash(digest.contentHash);
+    EXPECT_TRUE(sender.value()->send(Http::Endpoint::parse(address(0) + gossipPort).value().address, message));
+    wait(2s);
+    for (const auto &router : m_routers) {
+        EXPECT_LT(router->follower.age().value_or(1h), 2s);
+    }
+}
+
 // A peer that said of every revision that its history is gone was asked again at once, without end.
 TEST_F(TableGossipTest, asksAPeerWithoutHistoryOnceMore)
 {
