Refuse a peer's clock that lies before its times

A page of rows of another router names the store's clock, and the time at which its rows were verified. A clock that was far too low was taken for the best reading, as lower ones bound the offset better; then every real time lies in the future and has no age, in this router and, as it passes its clock on, in those that read from it (the latter was read in the code).

The store's clock cannot stand before a time that the store has named, in the page or in its rows. Where it does, no time of the page is believed; its rows are. A clock that is too low by less than the age of the page is not found so.

PeerRowSourceTest.peersClockThatLiesBeforeItsTimesIsBelieved fails before, for the page's time and for a row's, and passes. Real processes were not run.

--- a/src/libs/relay/peerrowsource.cpp
+++ b/src/libs/relay/peerrowsource.cpp
@@ -8,6 +8,8 @@
 
 #include <verbena.pb.h>
 
+#include <algorithm>
+
 namespace Verbena::Relay {
 
 namespace {
@@ -50,6 +52,24 @@
     return push.SerializeAsString();
 }
 
+// The store's clock cannot stand before a time that the store has named. Which of the two is wrong does not show, so no time of the page is believed.
+void removeContradictoryTimes(Store::RowPage &page)
+{
+    const auto isAfterClock = [&page](const std::optional<Store::StoreTime> &time) {
+        return page.clock.has_value() && time > page.clock->storeTime;
+    };
+    const bool isAnyRowAfterClock
+        = std::any_of(page.rows.begin(), page.rows.end(), [&isAfterClock](const Store::TableRow &row) { return isAfterClock(row.committedAfter); });
+    if (!isAfterClock(page.verifiedAt) && !isAnyRowAfterClock) {
+        return;
+    }
+    page.clock.reset();
+    page.verifiedAt.reset();
+    for (Store::TableRow &row : page.rows) {
+        row.committedAfter.reset();
+    }
+}
+
 Core::Result<Store::RowPage> decode(const std::string &body, const std::string &peer, Core::BootTime requestedAt)
 {
     verbena::wire::SettingsPush push;
@@ -66,6 +86,7 @@
     for (const verbena::wire::SettingsRow &entry : push.rows()) {
         page.rows.push_back({entry.path(), entry.content(), entry.revision(), entry.deleted(), decodeStoreTime(entry.committed_after_ms())});
     }
+    removeContradictoryTimes(page);
     return page;
 }
 
--- a/tests/auto/relay/tst_peerrowsource.cpp
+++ b/tests/auto/relay/tst_peerrowsource.cpp
@@ -109,6 +109,31 @@
     EXPECT_FALSE(follow(5));
 }
 
+// A clock that stood before a time that the store had named was believed; lower readings count, so that no age was known any more.
+TEST_F(PeerRowSourceTest, peersClockThatLiesBeforeItsTimesIsBelieved)
+{
+    std::string answer;
+    Verbena::Test::WorkerFake peer(
+        *m_loop, [&answer](const auto &, const auto &) { return Verbena::Test::WorkerScript{answer}; }, m_network + "3:" + std::to_string(port));
+    m_unserved->peerTable().add(m_network + "3", m_loop->now());
+    for (const bool isRowLater : {false, true}) {
+        verbena::wire::SettingsPush push;
+        push.set_covered_revision(9);
+        push.set_store_now_ms(2);
+        push.set_verified_at_ms(isRowLater ? 2 : 1'000'000);
+        verbena::wire::SettingsRow &row = *push.add_rows();
+        row.set_path("a");
+        row.set_committed_after_ms(isRowLater ? 1'000'000 : 2);
+        const std::string bytes = push.SerializeAsString();
+        answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bytes.size()) + "\r\n\r\n" + bytes;
+        const auto page = follow(5);
+        ASSERT_TRUE(page) << page.error().message;
+        EXPECT_FALSE(page.value().clock.has_value());
+        EXPECT_FALSE(page.value().verifiedAt.has_value());
+        EXPECT_FALSE(page.value().rows.at(0).committedAfter.has_value());
+    }
+}
+
 // Store that answers at once with the page that a test sets.
 class AnsweringStore : public Store::RowSource
 {
