Give the soak's callers one base

SoakCaller and ResumingCaller each had their own connection, timer, reader, waiting state and way to send and receive. ConnectedCaller has them; the two classes keep what they ask for and how they judge it.

--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -4,8 +4,6 @@
 #include "soakworker.h"
 #include "streamtext.h"
 
-#include <eventloop/loop.h>
-
 namespace Verbena::Soak {
 
 using std::chrono::milliseconds;
@@ -15,10 +13,6 @@
 constexpr milliseconds pause{5};
 constexpr milliseconds pauseAfterFailure{40};
 constexpr milliseconds rarePause{100};
-constexpr std::size_t shownBytes = 200;
-
-// A router that gives no final answer for so long after the deadline has lost the request.
-constexpr milliseconds patience{20'000};
 
 // Of requests that go to the router that was asked last, on the same connection.
 constexpr double stayShare = 0.8;
@@ -36,29 +30,6 @@
 
 } // namespace
 
-SoakCaller::SoakCaller(
-    EventLoop::Loop &loop, std::vector<Http::Endpoint> routers, const std::string &name, Ledger &ledger, Decisions::RandomSource &random, Listener listener)
-    : m_loop(loop)
-    , m_routers(std::move(routers))
-    , m_name(name)
-    , m_ledger(ledger)
-    , m_random(random)
-    , m_listener(std::move(listener))
-    , m_timer(loop,
-          [this] {
-              if (m_isWaiting) {
-                  finish(false);
-              } else {
-                  ask();
-              }
-          })
-    , m_finished(loop, [this] { finish(m_isWhole); })
-{
-    m_timer.startAt(loop.now());
-}
-
-SoakCaller::~SoakCaller() = default;
-
 void SoakCaller::pinTo(std::size_t router, const std::string &path)
 {
     m_router = router;
@@ -88,9 +59,7 @@
 void SoakCaller::stop()
 {
     m_isStopped = true;
-    m_isWaiting = false;
-    m_timer.stop();
-    m_channel.reset();
+    abandon();
 }
 
 void SoakCaller::ask()
@@ -98,24 +67,25 @@
     if (m_isStopped) {
         return;
     }
-    if (m_pinnedPath.empty()) {
-        m_path = m_paths[m_random.next() % m_paths.size()];
-        if (m_channel == nullptr || m_random.uniform() > stayShare) {
-            m_router = m_random.next() % m_routers.size();
-            m_channel.reset();
-        }
-    } else {
+    drawTarget();
+    if (m_channel == nullptr && !connect()) {
+        askAfter(pauseAfterFailure);
+        return;
+    }
+    sendNext();
+}
+
+void SoakCaller::drawTarget()
+{
+    if (!m_pinnedPath.empty()) {
         m_path = m_pinnedPath;
+        return;
     }
-    if (m_channel == nullptr) {
-        auto channel = Http::TcpChannel::connect(m_loop, m_routers[m_router], *this);
-        if (!channel) {
-            m_timer.startAt(m_loop.now() + pauseAfterFailure);
-            return;
-        }
-        m_channel = std::move(channel.value());
+    m_path = m_paths[m_random.next() % m_paths.size()];
+    if (m_channel == nullptr || m_random.uniform() > stayShare) {
+        m_router = m_random.next() % m_routers.size();
+        m_channel.reset();
     }
-    send();
 }
 
 std::string SoakCaller::drawToken() const
@@ -135,65 +105,16 @@
     return m_crashCause == CrashCause::PromptPart ? std::string("a:3,") + crashingPart + ":2,b:5" : "a:5,b:5";
 }
 
-void SoakCaller::send()
+void SoakCaller::sendNext()
 {
-    m_reader = std::make_unique<Http::MessageReader>(Http::MessageReader::Kind::Answers, *this, Http::MessageLimits{});
-    m_id = m_name + '.' + std::to_string(++m_count);
+    prepare();
     if (m_crashCause.has_value()) {
         m_path = *m_crashCause == CrashCause::Request ? "/safe/" : "/resume/";
     }
     m_token = drawToken();
-    m_head = {};
     m_body.clear();
-    m_isWaiting = true;
-    m_isWhole = false;
-    m_hasReceived = false;
-    m_sentAt = m_loop.now();
     const std::string prompt = isResumable(m_path) ? promptFields(drawParts()) : "";
-    const milliseconds deadline = deadlineOf(m_path);
-    const RequestForm form = drawForm(m_random);
-    m_isBodyHeld = form == RequestForm::Expecting;
-    m_channel->write(headText({m_path + 'x', m_id, prompt, deadline, m_token}, form) + (m_isBodyHeld ? "" : m_token));
-    m_timer.startAt(m_sentAt + deadline + patience);
-}
-
-void SoakCaller::receiveBytes(std::string_view data)
-{
-    if (!m_isWaiting || m_isWhole) {
-        m_ledger.noteBroken("caller " + m_name, "got bytes that nobody asked for");
-        return;
-    }
-    if (m_isBodyHeld && data.starts_with("HTTP/1.1 100")) {
-        sendHeldBody();
-    } else {
-        m_hasReceived = true;
-    }
-    if (m_reader->feed(data).has_value()) {
-        m_ledger.noteBroken("request " + m_id, "got an answer that is no HTTP");
-    }
-    if (m_isWhole || m_body.size() > largestAnswer) {
-        m_finished.schedule();
-    }
-}
-
-void SoakCaller::sendHeldBody()
-{
-    m_isBodyHeld = false;
-    m_channel->write(m_token);
-}
-
-void SoakCaller::receiveEnd(Http::ChannelEnd)
-{
-    if (m_isWaiting) {
-        m_finished.schedule();
-        return;
-    }
-    m_channel.reset();
-}
-
-void SoakCaller::receiveHead(Http::MessageHead head)
-{
-    m_head = std::move(head);
+    send(prompt, drawForm(m_random));
 }
 
 void SoakCaller::receiveBody(std::string_view data)
@@ -201,32 +122,27 @@
     m_body.append(data);
 }
 
-void SoakCaller::receiveEnd()
+bool SoakCaller::hasEnough() const
 {
-    m_isWhole = true;
+    return m_body.size() > largestAnswer;
 }
 
-void SoakCaller::finish(bool isWhole)
+void SoakCaller::conclude(bool isTimedOut)
 {
-    if (!m_isWaiting) {
-        return;
-    }
-    m_isWaiting = false;
-    const int status = isWhole ? m_head.status : 0;
-    if (isWhole) {
+    // An answer that becomes whole only now is too late.
+    m_isWhole = m_isWhole && !isTimedOut;
+    if (m_isWhole) {
         checkWhole();
     } else {
         checkPart();
     }
-    const bool isUnanswered = !m_hasReceived && m_channel->hasSent();
-    const bool isCut = m_hasReceived && !isWhole;
-    if (!isWhole || !m_head.isKeptAlive) {
+    const Outcome ended = outcome();
+    if (!m_isWhole || !m_head.isKeptAlive) {
         m_channel.reset();
     }
-    m_listener({m_router, m_path, status, m_id, m_sentAt, m_loop.now(), isUnanswered, isCut});
+    m_listener(ended);
     if (!m_isStopped) {
-        const milliseconds next = m_crashCause.has_value() || m_isEndless ? rarePause : status == 200 ? pause : pauseAfterFailure;
-        m_timer.startAt(m_loop.now() + next);
+        askAfter(m_crashCause.has_value() || m_isEndless ? rarePause : ended.status == 200 ? pause : pauseAfterFailure);
     }
 }
 
@@ -235,7 +151,7 @@
     switch (m_head.status) {
     case 200:
         if (!m_isEndless && !isWholeAnswer(m_body, m_path, m_token)) {
-            m_ledger.noteBroken("request " + m_id, "got another answer than its own: " + m_body.substr(0, shownBytes));
+            noteBroken("got another answer than its own: " + m_body.substr(0, shownBytes));
         }
         m_ledger.noteServed();
         break;
@@ -247,11 +163,11 @@
         break;
     case 404:
         if (m_pinnedPath.empty()) {
-            m_ledger.noteBroken("request " + m_id, "on a route that always was got 404");
+            noteBroken("on a route that always was got 404");
         }
         break;
     default:
-        m_ledger.noteBroken("request " + m_id, "got status " + std::to_string(m_head.status));
+        noteBroken("got status " + std::to_string(m_head.status));
         break;
     }
 }
@@ -260,7 +176,7 @@
 void SoakCaller::checkPart() const
 {
     if (isStream(m_path) && !m_isEndless && m_head.status == 200 && !isBeginningOfStream(m_body, m_token)) {
-        m_ledger.noteBroken("request " + m_id, "got a stream that is not the beginning of its own: " + m_body.substr(0, shownBytes));
+        noteBroken("got a stream that is not the beginning of its own: " + m_body.substr(0, shownBytes));
     }
 }
 
