Declare the least urgent priority once

Change: relayconfiguration.h, which declares the priorities of routes and organisations, declares leastUrgentPriority. No behaviour changes.

--- a/src/libs/decisions/relay/prioritizedbucket.cpp
+++ b/src/libs/decisions/relay/prioritizedbucket.cpp
@@ -11,7 +11,7 @@
 
 std::uint32_t boundedPriority(std::uint32_t priority)
 {
-    return std::min(priority, UsageReserve::priorityCount - 1);
+    return std::min(priority, leastUrgentPriority);
 }
 
 } // namespace
--- a/src/libs/decisions/relay/relayconfiguration.h
+++ b/src/libs/decisions/relay/relayconfiguration.h
@@ -8,6 +8,9 @@
 
 namespace Verbena::Decisions {
 
+/// \brief The priority of the requests that give way to all others; 0 is the most urgent, so there are ten priorities.
+inline constexpr std::uint32_t leastUrgentPriority = 9;
+
 /// \brief How often a request may run.
 enum class RequestKind {
     Idempotent, ///< May run more than once.
--- a/src/libs/decisions/relay/usagereserve.h
+++ b/src/libs/decisions/relay/usagereserve.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relayconfiguration.h"
 #include "usagebucket.h"
 
 #include <core/time.h>
@@ -15,11 +16,11 @@
 ///
 /// Claims leave a reserve for the more urgent ones, as large as these are expected to need soon; there is none if no more urgent claims come. Each priority
 /// whose claims are refused is owed a small part of the rate, which the more urgent claims leave in turn, so that none is refused for good. Priorities are
-/// from 0, the most urgent, to 9.
+/// from 0, the most urgent, to leastUrgentPriority.
 class UsageReserve
 {
 public:
-    static constexpr std::uint32_t priorityCount = 10;
+    static constexpr std::uint32_t priorityCount = leastUrgentPriority + 1;
 
     /// \brief Records a claim that requires \a cost of a bucket of \a size. Times must not decrease; the functions below are of the time of the last claim.
     void recordClaim(std::uint32_t priority, double cost, const BucketSize &size, Core::TimePoint now);
--- a/src/libs/relay/requestfacts.cpp
+++ b/src/libs/relay/requestfacts.cpp
@@ -6,13 +6,6 @@
 
 using Decisions::RequestKind;
 
-namespace {
-
-// Backend servers have ten priorities, 0 to 9.
-constexpr std::uint32_t lowestPriority = 9;
-
-} // namespace
-
 void RequestFacts::setDeadline()
 {
     deadline = arrival + route->timeout;
@@ -44,7 +37,7 @@
 std::uint32_t RequestFacts::priority() const
 {
     const bool hasOwnPriority = organisation != nullptr && organisation->priority.has_value();
-    return std::min(lowestPriority, hasOwnPriority ? *organisation->priority : route->priority);
+    return std::min(Decisions::leastUrgentPriority, hasOwnPriority ? *organisation->priority : route->priority);
 }
 
 bool RequestFacts::isResumption() const
