Give the resends of a request a class of their own

Cause: RelayedRequest held, beside the course of a request, what is left for sending it again: its time, its purpose in the resend budget, the backoff and its place in the resend queue.

Change: RequestResends has these; it knows the context and the facts of the request, and is told the state of its attempts. No behaviour is meant to change; in two places the clock is read once more, and a request that is destroyed leaves the resend queue at the end of its destructor instead of at its beginning.

--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -21,12 +21,6 @@
 
 namespace {
 
-// With less remaining time than this, a request is not sent again.
-constexpr milliseconds minimumResendTime{40};
-
-// Time until a stream that was refused by the backend server that should have continued it is sent to another one; doubles with each further refusal.
-constexpr milliseconds initialStreamBackoff{100};
-
 // Interval between checks whether to move a stream; its events arrive several times as often.
 constexpr milliseconds moveCheckInterval{100};
 
@@ -48,6 +42,7 @@
     , m_weightsTimer(context.loop, [this] { handleWeightsTooOld(); })
     , m_serverWait(context.loop, [this] { dispatch(); })
     , m_preparation(context, m_facts, [this](const std::optional<Refusal> &refusal) { handlePreparation(refusal); })
+    , m_resends(context, m_facts)
     , m_call(context, m_facts, *this)
     , m_answer(context.protocol, sink)
     , m_crashes(context.crashes, [this] {
@@ -59,7 +54,6 @@
 
 RelayedRequest::~RelayedRequest()
 {
-    m_context.resendQueue.withdraw(m_resendNumber);
     m_crashes.end(arrivals());
     if (!m_isDone) {
         if (!mayHaveRun()) {
@@ -205,7 +199,7 @@
     const bool isTakenOff = attempts().mayReturn;
     const std::optional<milliseconds> delay = isTakenOff ? searchInterval : m_sendDelay;
     const bool mayWait = m_answer.isBegun() || isTakenOff;
-    if (!mayWait || !delay.has_value() || !m_serverWait.start(*delay, m_facts.deadline - minimumResendTime)) {
+    if (!mayWait || !delay.has_value() || !m_serverWait.start(*delay, m_resends.latestSend())) {
         return false;
     }
     if (m_sendDelay.has_value()) {
@@ -339,7 +333,7 @@
 {
     const Core::TimePoint now = m_context.loop.now();
     const bool isMovable = m_facts.route->isResumable && m_answer.lastEventId().has_value() && !m_call.isWhole() && mayMoveStream(attempts());
-    if (!isMovable || m_context.shutdown->isBegun() || now < m_nextMoveCheck || !hasTimeToResend() || !m_call.isEngineWaitingToLoad()
+    if (!isMovable || m_context.shutdown->isBegun() || now < m_nextMoveCheck || !m_resends.hasTime(m_answer.isBegun()) || !m_call.isEngineWaitingToLoad()
         || m_crashes.isSuspected()) {
         return;
     }
@@ -402,14 +396,14 @@
     if (!mayFailOver()) {
         return false;
     }
-    if (m_context.budget.balance(m_facts.service, resendPurpose(), now).available < 1) {
+    if (m_resends.balance(m_answer.isBegun()).available < 1) {
         m_context.metrics.count("failovers_without_budget_total");
         return false;
     }
     Decisions::FleetQuery query = fleetQuery(attemptsIfAbandoned());
     query.needsTimelyReport = true;
     const std::optional<FleetChoice> choice = m_context.fleet.choose(query, now);
-    if (!choice.has_value() || !m_context.budget.tryConsume(m_facts.service, resendPurpose(), now)) {
+    if (!choice.has_value() || !m_resends.tryConsume(m_answer.isBegun())) {
         return false;
     }
     m_context.metrics.count("requests_failed_over_total");
@@ -554,7 +548,7 @@
 
 void RelayedRequest::decide(CallFailure failure, std::string_view reason)
 {
-    const Decisions::ResendBalance balance = m_context.budget.balance(m_facts.service, resendPurpose(), m_context.loop.now());
+    const Decisions::ResendBalance balance = m_resends.balance(m_answer.isBegun());
     const AttemptAction action = chooseAction(failure);
     m_context.metrics.count(std::string("calls_failed_") + std::string(callFailureName(failure)) + "_total");
     reportFailure(m_call.label(),
@@ -596,19 +590,14 @@
 
 bool RelayedRequest::mayResendInTime(const Decisions::AttemptState &state, CallFailure failure) const
 {
-    return !m_preparation.isSoftwareGone() && mayResend(state, failure) && hasTimeToResend();
-}
-
-bool RelayedRequest::hasTimeToResend() const
-{
-    return m_context.loop.now() + minimumResendTime < m_facts.deadline && isExpectedToEnd();
+    return !m_preparation.isSoftwareGone() && mayResend(state, failure) && m_resends.hasTime(state.isAnswerBegun);
 }
 
 AttemptAction RelayedRequest::chooseAction(CallFailure failure)
 {
-    const Core::TimePoint now = m_context.loop.now();
-    if (!mayResendInTime(attempts(), failure)) {
-        return actionWithoutResend(attempts(), failure);
+    const Decisions::AttemptState state = attempts();
+    if (!mayResendInTime(state, failure)) {
+        return actionWithoutResend(state, failure);
     }
     if (m_crashes.isTrialRequired(m_attempts.arrivals())) {
         return AttemptAction::AwaitTrial;
@@ -616,39 +605,13 @@
     if (m_attempts.isUnsent()) {
         return AttemptAction::SendAgain;
     }
-    const std::optional<Core::TimePoint> earliest = backoffEnd(failure);
-    if (!earliest.has_value() && m_context.budget.tryConsume(m_facts.service, resendPurpose(), now)) {
-        m_context.metrics.count("resends_total");
-        return AttemptAction::SendAgain;
-    }
-    if (awaitResend(failure, earliest.value_or(now))) {
-        return AttemptAction::AwaitResend;
-    }
-    m_context.metrics.count("resends_refused_total");
-    return actionWithoutResend(attempts(), failure);
+    return m_resends.claim(state, failure, [this, failure](bool isGranted) { handleResend(failure, isGranted); });
 }
 
-// Backend servers that refuse the continuation of a stream are likely to be busy with the streams of the same failure, and have capacity again soon. Trying all
-// of them at once would use up the budget, and so would one that a request goes back to before it is ready. Returns nothing if the request may be sent again at
-// once.
-std::optional<Core::TimePoint> RelayedRequest::backoffEnd(CallFailure failure) const
+void RelayedRequest::handleResend(CallFailure failure, bool isGranted)
 {
-    const bool mayWait = m_answer.isBegun() || attempts().mayReturn;
-    if (!mayWait || failure != CallFailure::NotRun || m_attempts.sends() < 2) {
-        return std::nullopt;
-    }
-    return m_context.loop.now() + initialStreamBackoff * (1 << (m_attempts.sends() - 2));
-}
-
-bool RelayedRequest::awaitResend(CallFailure failure, Core::TimePoint earliest)
-{
-    m_resendNumber = m_context.resendQueue.wait(m_facts.service, resendPurpose(), earliest, [this, failure](bool isGranted) {
-        m_resendNumber = 0;
-        m_context.metrics.count(isGranted ? "resends_total" : "resends_refused_total");
-        const AttemptAction resend = m_crashes.isTrialRequired(m_attempts.arrivals()) ? AttemptAction::AwaitTrial : AttemptAction::SendAgain;
-        proceed(failure, isGranted ? resend : actionWithoutResend(attempts(), failure));
-    });
-    return m_resendNumber != 0;
+    const AttemptAction resend = m_crashes.isTrialRequired(m_attempts.arrivals()) ? AttemptAction::AwaitTrial : AttemptAction::SendAgain;
+    proceed(failure, isGranted ? resend : actionWithoutResend(attempts(), failure));
 }
 
 void RelayedRequest::sendAgain()
@@ -657,11 +620,6 @@
     dispatch();
 }
 
-Decisions::ResendPurpose RelayedRequest::resendPurpose() const
-{
-    return m_answer.isBegun() ? Decisions::ResendPurpose::BegunStream : Decisions::ResendPurpose::Failure;
-}
-
 void RelayedRequest::finish(AttemptAction action)
 {
     m_call.reset();
@@ -693,7 +651,7 @@
         refuse(503, "All backend servers have asked for rest; it has not run.", Decisions::retryDelay(*rest, remainingTime()));
         return;
     }
-    if (!isExpectedToEnd()) {
+    if (!m_resends.isExpectedToEnd(m_answer.isBegun())) {
         m_context.shutdown->recordRefusal();
         refuseForEnd();
         return;
@@ -741,19 +699,9 @@
     return Decisions::RunningCall{m_facts.route->name, m_call.choice()->sentAt};
 }
 
-// Asked for each event of a stream.
-bool RelayedRequest::isExpectedToEnd() const
-{
-    if (!m_context.shutdown->isBegun()) {
-        return true;
-    }
-    const milliseconds elapsed = m_answer.isBegun() ? sinceArrival() : milliseconds(0);
-    return m_context.shutdown->isExpectedToEnd({m_facts.route->name, m_facts.route->isRepeatable(), m_facts.deadline, elapsed});
-}
-
 void RelayedRequest::endIfTooLate()
 {
-    if (m_isDone || m_call.isOpen() || m_serverCheck != nullptr || isExpectedToEnd()) {
+    if (m_isDone || m_call.isOpen() || m_serverCheck != nullptr || m_resends.isExpectedToEnd(m_answer.isBegun())) {
         return;
     }
     m_context.shutdown->recordRefusal();
@@ -828,7 +776,7 @@
 void RelayedRequest::logOutcome(int status, std::string_view outcome)
 {
     m_isDone = true;
-    m_context.resendQueue.withdraw(m_resendNumber);
+    m_resends.withdraw();
     m_serverCheck.reset();
     m_preparation.endStream(false);
     m_crashes.end(arrivals());
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -8,6 +8,7 @@
 #include "requestfacts.h"
 #include "requestpreparation.h"
 #include "requestreport.h"
+#include "requestresends.h"
 #include "servercall.h"
 #include "servercheck.h"
 #include "serverwait.h"
@@ -119,10 +120,8 @@
     void recordBarred(const TrialVerdict &verdict, const char *outcome);
     void refuseUnplaced();
     Decisions::AttemptAction chooseAction(Decisions::CallFailure failure);
-    bool awaitResend(Decisions::CallFailure failure, Core::TimePoint earliest);
-    std::optional<Core::TimePoint> backoffEnd(Decisions::CallFailure failure) const;
+    void handleResend(Decisions::CallFailure failure, bool isGranted);
     void sendAgain();
-    Decisions::ResendPurpose resendPurpose() const;
     void finish(Decisions::AttemptAction action);
     void refuse(int status, std::string_view message, std::chrono::milliseconds retryAfter = defaultRetryDelay);
     bool refuseIfOverloaded(const Decisions::FleetChoice &choice);
@@ -131,8 +130,6 @@
     /// \brief Ends the current call, if there is one. Returns whether the request may have run.
     bool abandonCall();
     void refuseForEnd();
-    bool isExpectedToEnd() const;
-    bool hasTimeToResend() const;
     void handleUnopenedCall(Core::ErrorCode code);
     void handleWeightsTooOld();
     void handleFirstPart();
@@ -146,7 +143,7 @@
     ServerWait m_serverWait;
     RequestPreparation m_preparation;
     Decisions::RequestAttempts m_attempts;
-    std::uint64_t m_resendNumber = 0; ///< Number in the resend queue; 0 if the request does not wait there.
+    RequestResends m_resends;
     ServerCall m_call;
     std::unique_ptr<ServerCheck> m_serverCheck; ///< Runs after the current call's answer ended with its connection.
     bool m_hasServerEnded = false; ///< Whether that check has found that the server has ended.
