Say once what two places said of expiries and of Keep-Alive

The latest expiry that makes sense stood in seconds for claims and in milliseconds for leases, and the parameter of a Keep-Alive field in its reader and in two writers. latestExpiry and keepAliveText() serve both. Behaviour is the same.

--- a/src/libs/decisions/control/claimrecord.cpp
+++ b/src/libs/decisions/control/claimrecord.cpp
@@ -1,5 +1,7 @@
 #include "claimrecord.h"
 
+#include "latestexpiry.h"
+
 #include <xxhash.h>
 
 #include <array>
@@ -16,9 +18,6 @@
 constexpr std::size_t claimedLines = 4;
 constexpr std::size_t doneLines = 6;
 
-// No claim lasts until then, in the year 2200; the clock's range ends in 2262.
-constexpr std::int64_t latestExpirySeconds = 7'258'118'400;
-
 Core::Error invalidRowError()
 {
     return {Core::ErrorCode::InvalidArgument, "claims.decode", "", "The row does not hold a claim."};
@@ -71,7 +70,7 @@
     }
     const auto hash = parseNumber<std::uint64_t>(lines[1]);
     const auto seconds = parseNumber<std::int64_t>(lines[2]);
-    if (!hash || !seconds || *seconds < 0 || *seconds > latestExpirySeconds || (lines[3] != claimedState && lines[3] != doneState)) {
+    if (!hash || !seconds || *seconds < 0 || std::chrono::seconds(*seconds) > latestExpiry || (lines[3] != claimedState && lines[3] != doneState)) {
         return invalidRowError();
     }
     ClaimRecord record{lines[0], *hash, Core::WallTime(std::chrono::seconds(*seconds)), std::nullopt};
--- a/src/libs/decisions/control/lease.cpp
+++ b/src/libs/decisions/control/lease.cpp
@@ -1,5 +1,7 @@
 #include "lease.h"
 
+#include "latestexpiry.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -11,9 +13,6 @@
 
 constexpr char separator = ' ';
 
-// No lease lasts until then, in the year 2200; the clock's range ends in 2262.
-constexpr std::int64_t latestExpiryMilliseconds = 7'258'118'400'000;
-
 Core::Error invalidRowError()
 {
     return {Core::ErrorCode::InvalidArgument, "leases.decode", "", "The row does not hold a lease."};
@@ -37,7 +36,7 @@
         return invalidRowError();
     }
     const auto expiry = std::from_chars(number.ptr + 1, end, expiryCount);
-    if (expiry.ec != std::errc() || expiry.ptr == end || *expiry.ptr != separator || expiryCount < 0 || expiryCount > latestExpiryMilliseconds) {
+    if (expiry.ec != std::errc() || expiry.ptr == end || *expiry.ptr != separator || expiryCount < 0 || milliseconds(expiryCount) > latestExpiry) {
         return invalidRowError();
     }
     record.expiry = Core::WallTime(milliseconds(expiryCount));
--- a/src/libs/http/httpexchange.cpp
+++ b/src/libs/http/httpexchange.cpp
@@ -191,8 +191,7 @@
         return;
     }
     if (m_isKeptByCaller) {
-        const std::string parameter = "timeout=" + std::to_string(idleTimeout->count());
-        MHD_add_response_header(response, keepAliveField, parameter.c_str());
+        MHD_add_response_header(response, keepAliveField, keepAliveText(*idleTimeout).c_str());
     }
 }
 
--- a/src/libs/http/idletimeout.cpp
+++ b/src/libs/http/idletimeout.cpp
@@ -40,4 +40,9 @@
     return announced.count() > 0 ? std::optional(announced) : std::nullopt;
 }
 
+std::string keepAliveText(std::chrono::seconds timeout)
+{
+    return std::string(parameter) + std::to_string(timeout.count());
+}
+
 } // namespace Verbena::Http
--- a/src/libs/relay/answerhead.cpp
+++ b/src/libs/relay/answerhead.cpp
@@ -1,5 +1,7 @@
 #include "answerhead.h"
 
+#include <http/idletimeout.h>
+
 namespace Verbena::Relay {
 
 namespace {
@@ -51,7 +53,7 @@
 void AnswerHead::setIdleTimeout(std::optional<std::chrono::seconds> timeout)
 {
     if (timeout.has_value()) {
-        m_text.append("Connection: keep-alive\r\nKeep-Alive: timeout=").append(std::to_string(timeout->count())).append("\r\n");
+        m_text.append("Connection: keep-alive\r\nKeep-Alive: ").append(Http::keepAliveText(*timeout)).append("\r\n");
     } else {
         m_text.append("Connection: close\r\n");
     }
