Name the fraction that shows changed work, and a time of the soak's judge

The fraction stood as a bare 0.5, and noticeDelay, the time within which a caller detects a cut, beside noticeTime, which is about SIGTERM. Behaviour is the same.

--- a/src/libs/decisions/relay/runtimes.cpp
+++ b/src/libs/decisions/relay/runtimes.cpp
@@ -13,9 +13,11 @@
 // Some seconds of one router's calls on a busy route; an eighth of them is eight calls.
 constexpr std::size_t sampleWindow = 64;
 
-// Of a change of the work, half of so many calls tell before an eighth of the window above does. Fewer of them say nothing.
+// The latest calls tell of a change of the work before an eighth of the window above does: the work has changed if so large a fraction of them took longer.
+// Fewer than the smallest number say nothing.
 constexpr std::size_t latestWindow = 8;
 constexpr std::size_t fewestOfLatest = 4;
+constexpr double changedFraction = 0.5;
 
 // On a quiet route older answers say little of what its servers do now.
 constexpr std::chrono::minutes sampleLifetime{5};
@@ -101,7 +103,7 @@
     const auto latest = samples.end() - static_cast<std::ptrdiff_t>(count);
     const auto above = std::count_if(latest, samples.end(), [longest](const Sample &sample) { return sample.took > longest; });
     const double fraction = static_cast<double>(above) / static_cast<double>(count);
-    return fraction >= 0.5 ? fraction : 0;
+    return fraction >= changedFraction ? fraction : 0;
 }
 
 // Calls that run for longer than any answer took are of a kind that the answers say nothing of. How many calls are of that kind follows from how many answers
--- a/tests/soak/answerjudge.cpp
+++ b/tests/soak/answerjudge.cpp
@@ -16,8 +16,8 @@
 constexpr int gracePartsBeforeTheLast = 5;
 constexpr int graceParts = 6;
 
-// Time within which a caller has noticed a cut, with many processes on the machine; the servers go on meanwhile, as they are in the same process.
-constexpr milliseconds noticeDelay{1000};
+// Time within which a caller detects a cut, with many processes on the machine; the servers go on meanwhile, as they are in the same process.
+constexpr milliseconds cutDetectionTime{1000};
 
 // Planned work lasts so long beyond the grace period.
 constexpr milliseconds afterGrace{1000};
@@ -76,7 +76,7 @@
 {
     const bool isAllowed = std::any_of(past.stops.begin(), past.stops.end(), [&](const PlannedStop &stop) {
         const Core::TimePoint lastPart = stop.at + stop.grace * gracePartsBeforeTheLast / graceParts;
-        const bool wasAtWork = m_ledger.wasAtWork(outcome.id, std::max(lastPart, outcome.endedAt - noticeDelay));
+        const bool wasAtWork = m_ledger.wasAtWork(outcome.id, std::max(lastPart, outcome.endedAt - cutDetectionTime));
         return wasAtWork && outcome.sentAt <= stop.at + noticeTime && outcome.endedAt >= lastPart && outcome.endedAt <= stop.at + stop.grace + afterGrace;
     });
     if (!isAllowed && !isExcused(outcome, past)) {
