Say of each close of a caller's connection why, and what was due

Nobody could tell from the logs which close of a connection had left a request without an answer, whether that request had been passed on, or how long it had waited: a close wrote no line, and caller_left is written whoever closed.

Each close now goes through connectionEnded() with one CloseReason and writes one line, caller_connection_closed (2159), with what was due, the request and its server, whether it had been passed on, how long it had waited and what was dropped; each reason has counters. AnswerEncoder, which turns answers into bytes, is taken out of CallerConnection, so that what is due can be told there.

--- /dev/null
+++ b/src/libs/relay/answerencoder.cpp
@@ -0,0 +1,86 @@
+#include "answerencoder.h"
+
+#include <array>
+#include <charconv>
+
+namespace Verbena::Relay {
+
+namespace {
+
+// Room for the size of a chunk and its line ends.
+constexpr std::size_t chunkFrameBytes = 20;
+
+constexpr std::size_t longestChunkSize = 16;
+
+} // namespace
+
+void AnswerEncoder::beginAnswer(const Http::MessageHead &head)
+{
+    m_isVersion11 = head.isVersion11;
+    m_isHead = head.method == "HEAD";
+    m_isChunked = false;
+    m_isHeadBegun = false;
+}
+
+bool AnswerEncoder::endsByClose(std::optional<std::uint64_t> length) const
+{
+    return !length.has_value() && !m_isVersion11;
+}
+
+std::string AnswerEncoder::whole(AnswerHead head, std::string_view body)
+{
+    head.setBodyLength(body.size());
+    m_isHeadBegun = true;
+    std::string text = head.text();
+    if (!m_isHead) {
+        text.append(body);
+    }
+    return text;
+}
+
+std::string AnswerEncoder::head(AnswerHead head, std::optional<std::uint64_t> length)
+{
+    m_isChunked = !length.has_value() && m_isVersion11;
+    m_isHeadBegun = true;
+    if (length.has_value()) {
+        head.setBodyLength(*length);
+    } else if (m_isChunked) {
+        head.setChunked();
+    }
+    return head.text();
+}
+
+std::string AnswerEncoder::part(std::string_view data) const
+{
+    if (data.empty() || m_isHead) {
+        return {};
+    }
+    if (!m_isChunked) {
+        return std::string(data);
+    }
+    std::array<char, longestChunkSize> size{};
+    const auto sizeEnd = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16).ptr;
+    std::string chunk;
+    chunk.reserve(data.size() + chunkFrameBytes);
+    chunk.append(size.data(), sizeEnd).append("\r\n").append(data).append("\r\n");
+    return chunk;
+}
+
+std::string AnswerEncoder::end()
+{
+    const bool hasLastChunk = m_isChunked && !m_isHead;
+    m_isChunked = false;
+    return hasLastChunk ? "0\r\n\r\n" : "";
+}
+
+bool AnswerEncoder::isHeadBegun() const
+{
+    return m_isHeadBegun;
+}
+
+bool AnswerEncoder::isEndAmbiguous() const
+{
+    return !m_isChunked;
+}
+
+} // namespace Verbena::Relay
--- /dev/null
+++ b/src/libs/relay/answerencoder.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "answerhead.h"
+
+#include <http/messagereader.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Verbena::Relay {
+
+/// \brief Turns the answers to one caller's requests, one at a time, into the bytes that are sent.
+class AnswerEncoder
+{
+public:
+    /// \brief Begins the answer to the request with \a head, which is empty if the request was not read.
+    void beginAnswer(const Http::MessageHead &head);
+
+    /// \brief Returns whether the caller recognises the end of an answer of \a length only by the end of its connection.
+    bool endsByClose(std::optional<std::uint64_t> length) const;
+
+    /// \brief Returns a whole answer.
+    std::string whole(AnswerHead head, std::string_view body);
+
+    /// \brief Returns the head of an answer of \a length bytes, or of unknown length.
+    std::string head(AnswerHead head, std::optional<std::uint64_t> length);
+
+    /// \brief Returns the bytes for the next part of the body; none if the caller gets no body.
+    std::string part(std::string_view data) const;
+
+    /// \brief Returns what ends the answer.
+    std::string end();
+
+    /// \brief Returns whether the head of the answer was returned.
+    bool isHeadBegun() const;
+
+    /// \brief Returns whether a caller whose connection ends now could take the part of an answer for the whole of it.
+    bool isEndAmbiguous() const;
+
+private:
+    bool m_isChunked = false;
+    bool m_isVersion11 = true;
+    bool m_isHead = false; ///< Whether the request's method is HEAD, so that its answer has no body.
+    bool m_isHeadBegun = false;
+};
+
+} // namespace Verbena::Relay
--- /dev/null
+++ b/src/libs/relay/callerclose.cpp
@@ -0,0 +1,91 @@
+#include "callerclose.h"
+
+#include "relayevents.h"
+
+#include <observe/eventlog.h>
+#include <observe/metrics.h>
+
+namespace Verbena::Relay {
+
+namespace {
+
+std::string_view openExchangeName(OpenExchange exchange)
+{
+    switch (exchange) {
+    case OpenExchange::None:
+        return "none";
+    case OpenExchange::Request:
+        return "request";
+    case OpenExchange::Answer:
+        return "answer";
+    case OpenExchange::Rest:
+        return "rest";
+    case OpenExchange::Delivery:
+        return "delivery";
+    }
+    return "";
+}
+
+const char *yesOrNo(bool value)
+{
+    return value ? "yes" : "no";
+}
+
+// Requests whose caller gets no answer, or a part of one.
+bool isUnanswered(const CallerCloseReport &report)
+{
+    return report.exchange == OpenExchange::Answer || report.exchange == OpenExchange::Rest;
+}
+
+} // namespace
+
+std::string_view closeReasonName(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::Answered:
+        return "answered";
+    case CloseReason::CallerClosed:
+        return "caller_closed";
+    case CloseReason::CallerReset:
+        return "caller_reset";
+    case CloseReason::RequestIncomplete:
+        return "request_incomplete";
+    case CloseReason::AnswerUnread:
+        return "answer_unread";
+    case CloseReason::AnswerBrokenOff:
+        return "answer_broken_off";
+    case CloseReason::IdleTimeout:
+        return "idle_timeout";
+    case CloseReason::MemoryShortage:
+        return "memory_shortage";
+    case CloseReason::DescriptorShortage:
+        return "descriptor_shortage";
+    case CloseReason::Shutdown:
+        return "shutdown";
+    case CloseReason::ProcessEnd:
+        return "process_end";
+    case CloseReason::ControlsReplaced:
+        return "controls_replaced";
+    }
+    return "";
+}
+
+void reportClose(const CallerCloseReport &report, Observe::Metrics &metrics)
+{
+    const std::string reason(closeReasonName(report.reason));
+    metrics.count("caller_connections_closed_" + reason + "_total");
+    if (isUnanswered(report)) {
+        metrics.count((report.isPassedOn ? "requests_unanswered_passed_on_" : "requests_unanswered_not_passed_on_") + reason + "_total");
+    }
+    Observe::log(callerConnectionClosed,
+        {{"reason", reason},
+            {"due", std::string(openExchangeName(report.exchange))},
+            {"request", report.attemptId},
+            {"server", report.serverId},
+            {"passed_on", yesOrNo(report.isPassedOn)},
+            {"waited_ms", std::to_string(report.waited.count())},
+            {"idle_ms", std::to_string(report.idle.count())},
+            {"unsent_bytes", std::to_string(report.unsentBytes)}});
+}
+
+} // namespace Verbena::Relay
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -6,12 +6,12 @@
 #include <http/requesttarget.h>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 namespace Verbena::Relay {
 
 using Http::HttpField;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -33,13 +33,6 @@
 // Time that a caller has from the accept of its connection until its first request arrives before the connection counts as idle: several round trips.
 constexpr std::chrono::milliseconds firstRequestTime{500};
 
-void appendChunk(std::string &text, std::string_view data)
-{
-    std::array<char, 16> size{};
-    const auto end = std::to_chars(size.data(), size.data() + size.size(), data.size(), 16).ptr;
-    text.append(size.data(), end).append("\r\n").append(data).append("\r\n");
-}
-
 Refusal refusalOf(Http::MessageFault fault)
 {
     switch (fault) {
@@ -119,13 +112,13 @@
 void CallerConnection::cutOff()
 {
     m_channel->resetOnClose();
-    m_owner.connectionEnded(this);
+    m_owner.connectionEnded(this, CloseReason::MemoryShortage);
 }
 
 void CallerConnection::markIncomplete()
 {
     // Without a length or chunks, only a reset tells the caller that the answer is incomplete.
-    if (m_state == State::Answering && !m_isAnswerEnded && !m_isChunked) {
+    if (m_state == State::Answering && !m_isAnswerEnded && m_encoder.isEndAmbiguous()) {
         m_channel->resetOnClose();
     }
 }
@@ -137,7 +130,7 @@
 
 bool CallerConnection::endIfIdle()
 {
-    return isIdleCandidate() && !m_delivery.isPending() && endIfNothingArrived();
+    return isIdleCandidate() && !m_delivery.isPending() && endIfNothingArrived(CloseReason::Shutdown);
 }
 
 bool CallerConnection::isDelivering() const
@@ -153,16 +146,16 @@
 // The system goes on sending what it holds for some seconds.
 bool CallerConnection::makeRoom()
 {
-    return mayMakeRoom() && endIfNothingArrived();
+    return mayMakeRoom() && endIfNothingArrived(CloseReason::DescriptorShortage);
 }
 
 // A caller takes what it has sent for accepted, whether it was read or is still in the kernel.
-bool CallerConnection::endIfNothingArrived()
+bool CallerConnection::endIfNothingArrived(CloseReason reason)
 {
     if (m_channel->hasUnreadBytes()) {
         return false;
     }
-    m_owner.connectionEnded(this);
+    m_owner.connectionEnded(this, reason);
     return true;
 }
 
@@ -214,6 +207,9 @@
         }
         return;
     }
+    if (isFirst) {
+        m_requestBegin = m_loop.now();
+    }
     if (!reserveOrWait()) {
         return;
     }
@@ -251,9 +247,57 @@
     m_channel->setReading(!mayTakeNoMore());
 }
 
-void CallerConnection::receiveEnd(Http::ChannelEnd)
+void CallerConnection::receiveEnd(Http::ChannelEnd end)
+{
+    m_owner.connectionEnded(this, end == Http::ChannelEnd::Broken ? CloseReason::CallerReset : closeReasonAtEnd());
+}
+
+CloseReason CallerConnection::closeReasonAtEnd() const
+{
+    if (m_state == State::Lingering) {
+        return CloseReason::Answered;
+    }
+    return m_state == State::Reading && m_reader.hasBegun() ? CloseReason::RequestIncomplete : CloseReason::CallerClosed;
+}
+
+bool CallerConnection::hasWaitingRequest() const
+{
+    const bool waitsForMemory = m_memory.isWaiting() && m_reader.isDone();
+    return waitsForMemory || (m_state == State::Answering && !m_isAnswerEnded);
+}
+
+bool CallerConnection::isUndelivered() const
+{
+    return unsentBytes() > 0 || m_delivery.isPending();
+}
+
+OpenExchange CallerConnection::openExchange() const
+{
+    if (hasWaitingRequest() || m_isAborted) {
+        return m_encoder.isHeadBegun() ? OpenExchange::Rest : OpenExchange::Answer;
+    }
+    if (m_state == State::Reading && m_reader.hasBegun()) {
+        return OpenExchange::Request;
+    }
+    return isUndelivered() ? OpenExchange::Delivery : OpenExchange::None;
+}
+
+CallerCloseReport CallerConnection::closeReport(CloseReason reason) const
 {
-    m_owner.connectionEnded(this);
+    const Core::TimePoint now = m_loop.now();
+    CallerCloseReport report;
+    report.reason = reason;
+    report.exchange = openExchange();
+    if (m_request != nullptr) {
+        report.attemptId = m_request->attemptId();
+        report.serverId = m_request->serverId();
+        report.isPassedOn = m_request->isPassedOn();
+    }
+    const bool isIdle = report.exchange == OpenExchange::None;
+    report.waited = isIdle ? milliseconds(0) : duration_cast<milliseconds>(now - m_requestBegin);
+    report.idle = isIdle ? duration_cast<milliseconds>(now - m_idleSince) : milliseconds(0);
+    report.unsentBytes = unsentBytes();
+    return report;
 }
 
 void CallerConnection::outputSent()
@@ -297,8 +341,7 @@
     m_state = State::Answering;
     m_delivery.beginAnswer();
     m_timer.stop();
-    m_isVersion11 = m_head.isVersion11;
-    m_isHead = m_head.method == "HEAD";
+    m_encoder.beginAnswer(m_head);
     m_isClosing = m_isClosing || !m_head.isKeptAlive;
     m_isAnswerEnded = false;
     const Http::SharedBody body = m_body.empty() ? nullptr : std::make_shared<const std::string>(std::move(m_body));
@@ -345,6 +388,7 @@
 void CallerConnection::awaitMemory()
 {
     m_memory.wait(extent(), m_loop.now(), [this] { readOn(); });
+    m_encoder.beginAnswer(m_head);
     m_channel->setReading(m_reader.isDone());
     m_timer.startAt(m_owner.latestBodyStart(m_head));
 }
@@ -391,7 +435,7 @@
     m_state = State::Answering;
     m_delivery.beginAnswer();
     m_isClosing = true;
-    m_isHead = head.method == "HEAD";
+    m_encoder.beginAnswer(head);
     Core::freeText(m_body);
     m_reader.discard();
     resumeReading();
@@ -434,49 +478,32 @@
 void CallerConnection::respond(int status, const std::vector<HttpField> &fields, std::string_view body)
 {
     updateClosing();
-    AnswerHead head = answerHead(status, fields);
-    head.setBodyLength(body.size());
-    send(m_isHead ? head.text() : head.text().append(body));
+    send(m_encoder.whole(answerHead(status, fields), body));
     m_isAnswerEnded = true;
     m_finish.schedule();
 }
 
 void CallerConnection::beginAnswer(int status, const std::vector<HttpField> &fields, std::optional<std::uint64_t> length)
 {
-    m_isChunked = !length.has_value() && m_isVersion11;
-    // An HTTP/1.0 caller recognises the end of an answer without a length by the end of the connection.
-    m_isClosing = m_isClosing || (!length.has_value() && !m_isVersion11);
+    m_isClosing = m_isClosing || m_encoder.endsByClose(length);
     updateClosing();
-    AnswerHead head = answerHead(status, fields);
-    if (length.has_value()) {
-        head.setBodyLength(*length);
-    } else if (m_isChunked) {
-        head.setChunked();
-    }
-    send(head.text());
+    send(m_encoder.head(answerHead(status, fields), length));
 }
 
 void CallerConnection::write(std::string_view data)
 {
-    if (data.empty() || m_isHead) {
-        return;
-    }
-    if (!m_isChunked) {
-        send(data);
-        return;
+    const std::string part = m_encoder.part(data);
+    if (!part.empty()) {
+        send(part);
     }
-    std::string chunk;
-    chunk.reserve(data.size() + 20);
-    appendChunk(chunk, data);
-    send(chunk);
 }
 
 void CallerConnection::endAnswer()
 {
-    if (m_isChunked && !m_isHead) {
-        send("0\r\n\r\n");
+    const std::string end = m_encoder.end();
+    if (!end.empty()) {
+        send(end);
     }
-    m_isChunked = false;
     m_isAnswerEnded = true;
     m_finish.schedule();
 }
@@ -484,6 +511,7 @@
 void CallerConnection::abortAnswer()
 {
     markIncomplete();
+    m_isAborted = true;
     m_isAnswerEnded = true;
     m_state = State::Lingering;
     m_finish.schedule();
@@ -509,14 +537,14 @@
     if (!m_isAnswerEnded) {
         return;
     }
+    if (m_isAborted) {
+        m_owner.connectionEnded(this, CloseReason::AnswerBrokenOff);
+        return;
+    }
     m_isAnswerEnded = false;
     m_request.reset();
     m_memory.release();
     m_pendingBytes.set(0);
-    if (m_state == State::Lingering) {
-        m_owner.connectionEnded(this);
-        return;
-    }
     if (m_isClosing) {
         linger();
         return;
@@ -596,7 +624,15 @@
         return;
     }
     markIncomplete();
-    m_owner.connectionEnded(this);
+    m_owner.connectionEnded(this, timeoutReason());
+}
+
+CloseReason CallerConnection::timeoutReason() const
+{
+    if (m_state == State::Answering || isUndelivered()) {
+        return CloseReason::AnswerUnread;
+    }
+    return m_state == State::Lingering ? CloseReason::Answered : CloseReason::IdleTimeout;
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "answerdelivery.h"
-#include "answerhead.h"
+#include "answerencoder.h"
+#include "callerclose.h"
 #include "continueexpectation.h"
 #include "droppedbytes.h"
 #include "relayedrequest.h"
@@ -55,8 +56,8 @@
     /// \brief Returns until when the request with \a head may wait to be read; not later than now if it will be refused.
     virtual Core::TimePoint latestBodyStart(const Http::MessageHead &head) const = 0;
 
-    /// \brief Destroys \a connection, which has ended.
-    virtual void connectionEnded(CallerConnection *connection) = 0;
+    /// \brief Destroys \a connection, which has ended for \a reason.
+    virtual void connectionEnded(CallerConnection *connection, CloseReason reason) = 0;
 };
 
 /// \brief A caller's connection: strictly reads one request at a time and writes its answer.
@@ -90,7 +91,7 @@
     /// \brief Brings lastReadAt() up to date; to be called several times per second while memory is short.
     void updateLastRead();
 
-    /// \brief Resets the connection, so that the caller can tell that its answer is incomplete, and ends it.
+    /// \brief Resets the connection for want of memory, so that the caller can tell that its answer is incomplete, and ends it.
     void cutOff();
 
     /// \brief Lets the caller tell, when the connection is destroyed, that an answer which has begun is incomplete.
@@ -100,7 +101,8 @@
     /// arrived.
     bool isIdleCandidate() const;
 
-    /// \brief Closes the connection if it is idle: isIdleCandidate(), the last answer has been read, and nothing has arrived. Returns whether it was closed.
+    /// \brief Closes the connection, as this router ends, if it is idle: isIdleCandidate(), the last answer has been read, and nothing has arrived. Returns
+    /// whether it was closed.
     bool endIfIdle();
 
     /// \brief Returns whether the last answer has ended, and its caller had not read it whole when it was last looked at.
@@ -121,6 +123,9 @@
     /// \brief Ends a request that has no complete answer, as the process ends.
     void giveUp();
 
+    /// \brief Returns what is due on the connection, which is about to be closed for \a reason.
+    CallerCloseReport closeReport(CloseReason reason) const;
+
     /// \brief Returns the request that is being handled; null if there is none. It lives until the loop's next iteration at least.
     RelayedRequest *request() const;
 
@@ -147,7 +152,12 @@
     void receiveHead(Http::MessageHead head) override;
     void receiveBody(std::string_view data) override;
     void receiveEnd() override;
-    bool endIfNothingArrived();
+    CloseReason closeReasonAtEnd() const;
+    CloseReason timeoutReason() const;
+    OpenExchange openExchange() const;
+    bool hasWaitingRequest() const;
+    bool isUndelivered() const;
+    bool endIfNothingArrived(CloseReason reason);
     void answerRequest();
     void drop(std::size_t bytes);
     bool mayTakeNoMore() const;
@@ -181,10 +191,12 @@
     Http::MessageHead m_head;
     std::string m_body;
     std::unique_ptr<RelayedRequest> m_request;
+    AnswerEncoder m_encoder; ///< Of the last answer.
     DroppedBytes m_dropped;
     ContinueExpectation m_expectation; ///< Of the request that is being read.
     AnswerDelivery m_delivery;
     Decisions::RelayLimits m_answerLimits; ///< Those under which the last answer began; their idle timeout is announced in it.
+    Core::TimePoint m_requestBegin; ///< When the first byte of the request came that is being read or answered.
     Core::TimePoint m_idleSince;
     Core::TimePoint m_idleDeadline; ///< Until then an idle connection is kept.
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
@@ -192,9 +204,7 @@
     bool m_isOverDescriptorLimit = false; ///< Whether the caller's request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
     bool m_isAnswerEnded = false;
-    bool m_isChunked = false;
-    bool m_isVersion11 = true;
-    bool m_isHead = false;
+    bool m_isAborted = false; ///< Whether the answer ends as incomplete.
 };
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -97,6 +97,21 @@
     return m_attempts.arrivals() + (m_call.hasSent() ? 1 : 0);
 }
 
+const std::string &RelayedRequest::attemptId() const
+{
+    return m_facts.query.attemptId;
+}
+
+std::string RelayedRequest::serverId() const
+{
+    return m_call.label().serverId;
+}
+
+bool RelayedRequest::isPassedOn() const
+{
+    return arrivals() > 0;
+}
+
 bool RelayedRequest::mayHaveRun() const
 {
     return m_attempts.mayHaveRun() || m_call.hasSent();
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -55,6 +55,15 @@
     /// \brief Returns the deadline of the final answer.
     Core::TimePoint deadline() const;
 
+    /// \brief Returns the id of the request; empty if it names none.
+    const std::string &attemptId() const;
+
+    /// \brief Returns the id of its last backend server; empty if there is none.
+    std::string serverId() const;
+
+    /// \brief Returns whether the request has reached a backend server.
+    bool isPassedOn() const;
+
     /// \brief Returns whether the request waits for an engine that has fallen silent.
     bool isAtSilentEngine() const;
 
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -83,6 +83,9 @@
 inline constexpr Event weightsWithdrawn{
     2158, Severity::Warning, "weights_withdrawn", "A later row names an older version of a model's weights as the newest; it counts."};
 
+inline constexpr Event callerConnectionClosed{
+    2159, Severity::Info, "caller_connection_closed", "A caller's connection was closed; what was due on it is given."};
+
 inline constexpr Event strayBytesReceived{
     2145, Severity::Warning, "stray_bytes_received", "A backend server sent bytes on an idle connection; they belong to no request."};
 
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -87,7 +87,10 @@
     }
 }
 
-RelayTask::~RelayTask() = default;
+RelayTask::~RelayTask()
+{
+    abandonConnections(CloseReason::ProcessEnd);
+}
 
 bool RelayTask::setConfiguration(Decisions::RelayConfiguration configuration)
 {
@@ -259,19 +262,19 @@
 
 void RelayTask::setUsageControl(UsageControl *control)
 {
-    abandonConnections();
+    abandonConnections(control == nullptr ? CloseReason::ProcessEnd : CloseReason::ControlsReplaced);
     m_context.usage = control;
 }
 
 void RelayTask::setCrashControl(CrashControl *control)
 {
-    abandonConnections();
+    abandonConnections(control == nullptr ? CloseReason::ProcessEnd : CloseReason::ControlsReplaced);
     m_context.crashes = control;
 }
 
 void RelayTask::setStreamOriginControl(StreamOriginControl *control)
 {
-    abandonConnections();
+    abandonConnections(control == nullptr ? CloseReason::ProcessEnd : CloseReason::ControlsReplaced);
     m_context.origins = control;
 }
 
@@ -438,8 +441,9 @@
     m_listener.reset();
 }
 
-void RelayTask::connectionEnded(CallerConnection *connection)
+void RelayTask::connectionEnded(CallerConnection *connection, CloseReason reason)
 {
+    reportClose(connection->closeReport(reason), m_metrics);
     m_connections.erase(connection);
     m_resume.schedule();
 }
@@ -495,9 +499,10 @@
 }
 
 // Requests hold the controls that they began with, and tell them of their end.
-void RelayTask::abandonConnections()
+void RelayTask::abandonConnections(CloseReason reason)
 {
     for (const auto &[raw, connection] : m_connections) {
+        reportClose(connection->closeReport(reason), m_metrics);
         connection->markIncomplete();
     }
     m_connections.clear();
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -149,7 +149,7 @@
     MemoryGuard &memory() override;
     BodyAdmission &bodies() override;
     Core::TimePoint latestBodyStart(const Http::MessageHead &head) const override;
-    void connectionEnded(CallerConnection *connection) override;
+    void connectionEnded(CallerConnection *connection, CloseReason reason) override;
     void handleNewWeights();
     void recordActivity();
     void relieveMemory();
@@ -163,7 +163,7 @@
     std::uint64_t acceptedCount() const override;
     bool acceptWaiting() override;
     void closeListener() override;
-    void abandonConnections();
+    void abandonConnections(CloseReason reason);
 
     EventLoop::Loop &m_loop;
     RelaySettings m_settings;
