Answer callers that have ended their sending side

What had been written of a long answer was thrown away in the same way.

Cause: the end of what a peer sends was taken for its leaving. Both send the same FIN; only data tells them apart, as a host whose process has closed the connection resets it.

HalfClosedCaller decides and HalfCloseWatch asks: an interim answer before the head, a leading zero of the next chunk's size within a body. A reset ends the work; otherwise the request goes on. What cannot be asked goes on for 0.4 s, and to its end if it may run once and a server has it. Written answers are delivered before the connection closes.

--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -14,6 +14,7 @@
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -256,6 +257,12 @@
     return m_isConnected;
 }
 
+bool TcpChannel::isReset() const
+{
+    pollfd state{m_descriptor, 0, 0};
+    return m_isBroken || (poll(&state, 1, 0) > 0 && (state.revents & POLLERR) != 0);
+}
+
 bool TcpChannel::isRefused() const
 {
     return m_isRefused;
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -114,6 +114,9 @@
 
     bool isConnected() const;
 
+    /// \brief Returns whether the peer's host has reset the connection. The event loop does not report it once the incoming data has ended.
+    bool isReset() const;
+
     /// \brief Returns whether the peer's host refused the connection because nothing listens on the port.
     bool isRefused() const;
 
--- a/src/libs/relay/answerencoder.cpp
+++ b/src/libs/relay/answerencoder.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::size_t longestChunkSize = 16;
 
+// A client has to accept interim answers that it did not ask for (RFC 9110, 15.2), and some accept no other than this one.
+constexpr std::string_view interimAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
 } // namespace
 
 void AnswerEncoder::beginAnswer(const Http::MessageHead &head)
@@ -83,4 +86,14 @@
     return !m_isChunked;
 }
 
+bool AnswerEncoder::canProbe() const
+{
+    return m_isVersion11 && (!m_isHeadBegun || (m_isChunked && !m_isHead));
+}
+
+std::string_view AnswerEncoder::probe() const
+{
+    return m_isHeadBegun ? "0" : interimAnswer;
+}
+
 } // namespace Verbena::Relay
--- a/src/libs/relay/answerencoder.h
+++ b/src/libs/relay/answerencoder.h
@@ -39,6 +39,12 @@
     /// \brief Returns whether a caller whose connection ends now could take the part of an answer for the whole of it.
     bool isEndAmbiguous() const;
 
+    /// \brief Returns whether there are bytes that may be sent now and change no answer.
+    bool canProbe() const;
+
+    /// \brief Returns such bytes: an interim answer, or, within a body that comes in chunks, a leading zero of the next chunk's size.
+    std::string_view probe() const;
+
 private:
     bool m_isChunked = false;
     bool m_isVersion11 = true;
--- a/src/libs/relay/callerclose.cpp
+++ b/src/libs/relay/callerclose.cpp
@@ -50,6 +50,8 @@
         return "caller_reset";
     case CloseReason::RequestIncomplete:
         return "request_incomplete";
+    case CloseReason::CallerUnknown:
+        return "caller_unknown";
     case CloseReason::AnswerUnread:
         return "answer_unread";
     case CloseReason::AnswerBrokenOff:
@@ -85,7 +87,8 @@
             {"passed_on", yesOrNo(report.isPassedOn)},
             {"waited_ms", std::to_string(report.waited.count())},
             {"idle_ms", std::to_string(report.idle.count())},
-            {"unsent_bytes", std::to_string(report.unsentBytes)}});
+            {"unsent_bytes", std::to_string(report.unsentBytes)},
+            {"half_closed", yesOrNo(report.isHalfClosed)}});
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/callerclose.h
+++ b/src/libs/relay/callerclose.h
@@ -14,9 +14,10 @@
 /// \brief Why a caller's connection was closed.
 enum class CloseReason {
     Answered, ///< After its last answer, which announced it, and which the caller's host has.
-    CallerClosed, ///< The caller closed it, or its sending side.
+    CallerClosed, ///< The caller closed it while nothing was due to it.
     CallerReset, ///< The caller reset it, or its host is silent.
     RequestIncomplete, ///< The caller ended its sending side within a request.
+    CallerUnknown, ///< The caller ended its sending side, and nothing could be sent to it that would show whether it waits for its answer.
     AnswerUnread, ///< The caller read nothing of its answer for the idle timeout.
     AnswerBrokenOff, ///< The answer could not be completed, and the caller can tell.
     IdleTimeout,
@@ -50,6 +51,7 @@
     std::chrono::milliseconds waited{0}; ///< Time since the first byte of the request; zero if nothing was due.
     std::chrono::milliseconds idle{0}; ///< Time since the last answer ended, or since the connection was opened; zero if something was due.
     std::size_t unsentBytes = 0; ///< Written bytes that the system had not accepted; they are lost.
+    bool isHalfClosed = false; ///< Whether the caller had ended its sending side before.
 };
 
 /// \brief Logs the close of a caller's connection and counts it in \a metrics.
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -69,6 +69,7 @@
     , m_reader(Http::MessageReader::Kind::Requests, *this, messageLimits(owner.limits()))
     , m_timer(loop, [this] { handleTimeout(); })
     , m_finish(loop, [this] { finishExchange(); })
+    , m_halfClose(loop, *this)
     , m_idleSince(loop.now())
     , m_firstRequestDeadline(m_idleSince + firstRequestTime)
 {
@@ -247,17 +248,37 @@
     m_channel->setReading(!mayTakeNoMore());
 }
 
+// A FIN says that no more requests come, not that nobody reads what is due.
 void CallerConnection::receiveEnd(Http::ChannelEnd end)
 {
-    m_owner.connectionEnded(this, end == Http::ChannelEnd::Broken ? CloseReason::CallerReset : closeReasonAtEnd());
+    if (end == Http::ChannelEnd::Broken) {
+        m_owner.connectionEnded(this, CloseReason::CallerReset);
+        return;
+    }
+    handleHalfClose();
 }
 
+void CallerConnection::handleHalfClose()
+{
+    m_isClosing = true;
+    m_halfClose.begin();
+    if (hasWaitingRequest() || m_isAnswerEnded) {
+        return;
+    }
+    if (!isUndelivered()) {
+        m_owner.connectionEnded(this, closeReasonAtEnd());
+    } else if (m_state != State::Lingering) {
+        linger();
+    }
+}
+
+// The reason of a close after the caller's FIN, when nothing has to be delivered.
 CloseReason CallerConnection::closeReasonAtEnd() const
 {
     if (m_state == State::Lingering) {
         return CloseReason::Answered;
     }
-    return m_state == State::Reading && m_reader.hasBegun() ? CloseReason::RequestIncomplete : CloseReason::CallerClosed;
+    return m_reader.hasBegun() ? CloseReason::RequestIncomplete : CloseReason::CallerClosed;
 }
 
 bool CallerConnection::hasWaitingRequest() const
@@ -271,6 +292,31 @@
     return unsentBytes() > 0 || m_delivery.isPending();
 }
 
+std::optional<Decisions::HalfClosedRequest> CallerConnection::waitingRequest() const
+{
+    if (!hasWaitingRequest()) {
+        return std::nullopt;
+    }
+    const bool endsWithCaller = m_request == nullptr || m_request->endsWithCaller();
+    return Decisions::HalfClosedRequest{endsWithCaller, m_encoder.canProbe() && unsentBytes() == 0};
+}
+
+bool CallerConnection::isReset() const
+{
+    return m_channel->isReset();
+}
+
+void CallerConnection::writeProbe()
+{
+    send(m_encoder.probe());
+}
+
+void CallerConnection::closeForLeftCaller(CloseReason reason)
+{
+    markIncomplete();
+    m_owner.connectionEnded(this, reason);
+}
+
 OpenExchange CallerConnection::openExchange() const
 {
     if (hasWaitingRequest() || m_isAborted) {
@@ -297,6 +343,7 @@
     report.waited = isIdle ? milliseconds(0) : duration_cast<milliseconds>(now - m_requestBegin);
     report.idle = isIdle ? duration_cast<milliseconds>(now - m_idleSince) : milliseconds(0);
     report.unsentBytes = unsentBytes();
+    report.isHalfClosed = m_halfClose.isBegun();
     return report;
 }
 
@@ -311,6 +358,9 @@
     if (m_state == State::Answering && m_request != nullptr && !m_isAnswerEnded) {
         m_request->outputDrained();
     }
+    if (m_state == State::Lingering && m_halfClose.isBegun() && !m_delivery.isPending()) {
+        awaitCaller();
+    }
 }
 
 void CallerConnection::receiveHead(Http::MessageHead head)
@@ -449,6 +499,7 @@
         m_delivery.recordRead(m_loop.now());
     }
     m_channel->write(data);
+    m_halfClose.recordWrite();
     // An answer that waits for its caller holds a place at a backend server.
     if (m_state == State::Answering && isFull() && !m_timer.isActive()) {
         updateLastRead();
@@ -577,7 +628,9 @@
 void CallerConnection::awaitCaller()
 {
     if (m_state == State::Lingering) {
-        m_timer.startAt(m_loop.now() + lingerTime);
+        // A caller that has ended its sending side has nothing more to send that would take the answer from it.
+        const bool isDone = m_halfClose.isBegun() && unsentBytes() == 0;
+        m_timer.startAt(m_loop.now() + (isDone ? milliseconds(0) : lingerTime));
         return;
     }
     m_idleDeadline = m_loop.now() + std::max(m_answerLimits.idleTimeout, m_owner.limits().idleTimeout);
@@ -612,6 +665,11 @@
     if (m_state == State::Answering && unsentBytes() == 0) {
         return;
     }
+    // What the system held for a caller whose host has reset the connection is never acknowledged.
+    if (m_halfClose.isBegun() && m_channel->isReset()) {
+        m_owner.connectionEnded(this, CloseReason::CallerReset);
+        return;
+    }
     updateLastRead();
     if (m_delivery.endIfRead()) {
         awaitCaller();
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -5,6 +5,7 @@
 #include "callerclose.h"
 #include "continueexpectation.h"
 #include "droppedbytes.h"
+#include "halfclosewatch.h"
 #include "relayedrequest.h"
 #include "requestmemory.h"
 
@@ -64,7 +65,9 @@
 ///
 /// Bytes that arrive before the answer has been sent are never parsed as a request, because they may come from request smuggling. The answer is still
 /// sent, and the connection is closed after it.
-class CallerConnection : public AnswerSink, private Http::ChannelObserver, private Http::MessageSink
+///
+/// A caller that ends its sending side gets the answer to its request unless it is found to have left (HalfCloseWatch).
+class CallerConnection : public AnswerSink, private Http::ChannelObserver, private Http::MessageSink, private HalfClosedConnection
 {
 public:
     CallerConnection(EventLoop::Loop &loop, int descriptor, ConnectionOwner &owner);
@@ -152,6 +155,11 @@
     void receiveHead(Http::MessageHead head) override;
     void receiveBody(std::string_view data) override;
     void receiveEnd() override;
+    std::optional<Decisions::HalfClosedRequest> waitingRequest() const override;
+    bool isReset() const override;
+    void writeProbe() override;
+    void closeForLeftCaller(CloseReason reason) override;
+    void handleHalfClose();
     CloseReason closeReasonAtEnd() const;
     CloseReason timeoutReason() const;
     OpenExchange openExchange() const;
@@ -192,6 +200,7 @@
     std::string m_body;
     std::unique_ptr<RelayedRequest> m_request;
     AnswerEncoder m_encoder; ///< Of the last answer.
+    HalfCloseWatch m_halfClose;
     DroppedBytes m_dropped;
     ContinueExpectation m_expectation; ///< Of the request that is being read.
     AnswerDelivery m_delivery;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -112,6 +112,11 @@
     return arrivals() > 0;
 }
 
+bool RelayedRequest::endsWithCaller() const
+{
+    return !mayHaveRun() || m_facts.route->kind != RequestKind::NonIdempotent;
+}
+
 bool RelayedRequest::mayHaveRun() const
 {
     return m_attempts.mayHaveRun() || m_call.hasSent();
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -64,6 +64,9 @@
     /// \brief Returns whether the request has reached a backend server.
     bool isPassedOn() const;
 
+    /// \brief Returns whether its work should end once its caller has left: not if it may run only once and has been passed on, as it runs on anyway.
+    bool endsWithCaller() const;
+
     /// \brief Returns whether the request waits for an engine that has fallen silent.
     bool isAtSilentEngine() const;
 
--- /dev/null
+++ b/tests/auto/relay/tst_halfclosedcallers.cpp
@@ -0,0 +1,222 @@
+#include "relaytest.h"
+
+namespace Verbena::Relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Test::answer;
+using Test::CallerFake;
+using Test::chunk;
+using Test::contains;
+using Test::event;
+using Test::runUntil;
+using Test::streamHead;
+using Test::WorkerScript;
+
+// Longer than the time for which a request goes on whose caller is known to have left, or cannot be asked.
+constexpr std::chrono::milliseconds longWork{900};
+
+// Time within which the work of a caller that has left has to end.
+constexpr std::chrono::milliseconds leaveBound{500};
+
+// More than what the system holds for a caller that does not read, and less than what is held before the backend server has to wait.
+constexpr std::size_t longAnswerBytes = 300'000;
+
+const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+
+// Callers that end their sending side after a whole request.
+class HalfClosedCallersTest : public Test::RelayTest
+{
+protected:
+    void startWorking(std::chrono::milliseconds work)
+    {
+        start([work](const auto &head, const auto &body) { return WorkerScript{answer(head, "echo " + body), WorkerScript::End::Keep, work}; });
+    }
+
+    // Starts with a backend server that does not answer by itself.
+    void startSilent()
+    {
+        start([](const auto &, const auto &) { return WorkerScript{}; });
+    }
+
+    std::unique_ptr<CallerFake> halfClosedCaller(const std::string &text)
+    {
+        auto client = caller();
+        client->send(text);
+        client->endSending();
+        return client;
+    }
+
+    std::string received(const CallerFake &client)
+    {
+        EXPECT_TRUE(runUntil(*m_loop, [&] { return client.isClosed(); }));
+        return client.received();
+    }
+
+    bool hasReached(std::size_t count)
+    {
+        return runUntil(*m_loop, [this, count] { return runs() == count; });
+    }
+
+    // Expects that the backend server's work ends in time once the caller has closed its connection.
+    void expectEndOfWork(CallerFake &client)
+    {
+        ASSERT_TRUE(hasReached(1));
+        client.hangUp();
+        const Core::TimePoint left = m_loop->now();
+        ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->openCount() == 0; }));
+        EXPECT_LT(m_loop->now() - left, leaveBound);
+    }
+
+    static std::string versionTen(const std::string &path)
+    {
+        return "GET " + path + " HTTP/1.0\r\nHost: x\r\nId: a1\r\nKey: k\r\n\r\n";
+    }
+
+    bool hasMetric(const std::string &name) const
+    {
+        return contains(m_relay->metrics().renderPrometheus(), "\nverbena_" + name + " 1");
+    }
+};
+
+TEST_F(HalfClosedCallersTest, callerThatEndsItsSendingSideGetsNoAnswer)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{answer(head, event(1)), WorkerScript::End::Keep, longWork}; });
+    for (const char *path : {"/safe/", "/once/", "/stream/", "/resume/"}) {
+        const auto client = halfClosedCaller(request(path, "", "body"));
+        const std::string got = received(*client);
+        EXPECT_TRUE(contains(got, event(1))) << path << got;
+        EXPECT_TRUE(got.starts_with(interim)) << path << got;
+        EXPECT_TRUE(contains(got, "HTTP/1.1 200 OK\r\n")) << path << got;
+        EXPECT_TRUE(contains(got, "Connection: close\r\n")) << path << got;
+    }
+    EXPECT_EQ(runs(), 4U);
+}
+
+TEST_F(HalfClosedCallersTest, answersInAStopToo)
+{
+    startWorking(longWork);
+    const auto client = halfClosedCaller(request("/once/", "", "body"));
+    ASSERT_TRUE(hasReached(1));
+    bool isDone = false;
+    m_relay->beginShutdown([&isDone] { isDone = true; });
+    ASSERT_TRUE(runUntil(*m_loop, [&isDone] { return isDone; }));
+    EXPECT_TRUE(received(*client).ends_with("echo body")) << client->received();
+}
+
+// What a backend server has may run only once, and runs on whether its caller reads or not.
+TEST_F(HalfClosedCallersTest, oldCallerThatEndsItsSendingSideLosesTheAnswerToWhatHasRun)
+{
+    startWorking(longWork);
+    const auto client = halfClosedCaller(versionTen("/once/"));
+    const std::string got = received(*client);
+    EXPECT_TRUE(got.starts_with("HTTP/1.1 200 OK\r\n")) << got;
+    EXPECT_TRUE(got.ends_with("echo ")) << got;
+}
+
+TEST_F(HalfClosedCallersTest, answersOldCallersThatCannotBeAskedIfItIsQuick)
+{
+    startWorking(200ms);
+    EXPECT_TRUE(received(*halfClosedCaller(versionTen("/safe/"))).ends_with("echo "));
+}
+
+TEST_F(HalfClosedCallersTest, endsTheWorkOfOldCallersThatCannotBeAsked)
+{
+    startSilent();
+    const auto client = halfClosedCaller(versionTen("/safe/"));
+    ASSERT_TRUE(hasReached(1));
+    const Core::TimePoint sent = m_loop->now();
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return m_workers[0]->openCount() == 0; }));
+    EXPECT_LT(m_loop->now() - sent, leaveBound);
+    EXPECT_TRUE(hasMetric("requests_unanswered_passed_on_caller_unknown_total"));
+}
+
+TEST_F(HalfClosedCallersTest, endsTheWorkOfCallersThatHaveLeft)
+{
+    for (const char *path : {"/safe/", "/stream/", "/resume/"}) {
+        m_workers.clear();
+        m_relay = std::move(RelayTask::create(*m_loop, settings(), m_protocol).value());
+        ASSERT_TRUE(m_relay->listen());
+        startSilent();
+        const auto client = caller();
+        client->send(request(path, "", "body"));
+        expectEndOfWork(*client);
+        EXPECT_TRUE(hasMetric("requests_unanswered_passed_on_caller_reset_total")) << path;
+    }
+}
+
+TEST_F(HalfClosedCallersTest, endsTheWorkOfCallersThatEndTheirSendingSideAndLeaveAMomentLater)
+{
+    startSilent();
+    const auto client = halfClosedCaller(request("/safe/", "", "body"));
+    ASSERT_TRUE(hasReached(1));
+    runFor(100ms);
+    expectEndOfWork(*client);
+}
+
+TEST_F(HalfClosedCallersTest, endsStreamsThatPauseWhenTheirCallerLeaves)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{streamHead(head) + chunk(event(1))}; });
+    const auto client = caller();
+    client->send(request("/stream/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(client->received(), "token1"); }));
+    expectEndOfWork(*client);
+    EXPECT_TRUE(hasMetric("requests_unanswered_passed_on_caller_reset_total"));
+}
+
+// A probe within a body that comes in chunks must leave the body as it is.
+TEST_F(HalfClosedCallersTest, goesOnWithAStreamWhoseCallerEndsItsSendingSide)
+{
+    start([](const auto &head, const auto &) { return WorkerScript{streamHead(head) + chunk(event(1))}; });
+    const auto client = caller();
+    client->send(request("/stream/"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return contains(client->received(), "token1"); }));
+    client->endSending();
+    runFor(longWork);
+    m_workers[0]->sendMore(chunk(event(2)));
+    runFor(longWork);
+    m_workers[0]->sendMore("0\r\n\r\n");
+    const std::string got = received(*client);
+    const std::string size = chunk(event(2)).substr(0, chunk(event(2)).find('\r'));
+    EXPECT_TRUE(contains(got, "0" + size + "\r\n" + event(2) + "\r\n")) << got;
+    EXPECT_TRUE(got.ends_with("0\r\n\r\n")) << got;
+}
+
+// What had been written of an answer was thrown away when its caller ended its sending side before it had read it.
+TEST_F(HalfClosedCallersTest, restOfALongAnswerIsThrownAway)
+{
+    for (const char *fields : {"", "Connection: close\r\n"}) {
+        m_workers.clear();
+        m_relay = std::move(RelayTask::create(*m_loop, settings(), m_protocol).value());
+        ASSERT_TRUE(m_relay->listen());
+        start([](const auto &head, const auto &) { return WorkerScript{answer(head, std::string(longAnswerBytes, 'x'))}; });
+        const auto client = CallerFake::createSlow(*m_loop, m_relay->endpoint());
+        client->send(request("/safe/", fields));
+        ASSERT_TRUE(hasReached(1));
+        runFor(100ms);
+        client->endSending();
+        runFor(100ms);
+        client->read();
+        const std::string got = received(*client);
+        EXPECT_TRUE(got.ends_with(std::string(longAnswerBytes, 'x'))) << got.size();
+    }
+}
+
+TEST_F(HalfClosedCallersTest, closesAtOnceWhatNothingIsDueOn)
+{
+    startWorking(0ms);
+    const auto client = caller();
+    client->send(request("/safe/", "", "body"));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return client->received().ends_with("echo body"); }));
+    client->endSending();
+    EXPECT_FALSE(contains(received(*client), interim));
+    EXPECT_TRUE(hasMetric("caller_connections_closed_caller_closed_total"));
+    const auto incomplete = halfClosedCaller("POST /safe/ HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nbody");
+    EXPECT_EQ(received(*incomplete), "");
+    EXPECT_TRUE(hasMetric("caller_connections_closed_request_incomplete_total"));
+}
+
+} // namespace
+
+} // namespace Verbena::Relay
--- a/tests/platform/workerfake.cpp
+++ b/tests/platform/workerfake.cpp
@@ -186,6 +186,11 @@
     m_isClosed = true;
 }
 
+void CallerFake::endSending()
+{
+    m_channel->shutdownOutput();
+}
+
 std::size_t CallerFake::waitingBytes() const
 {
     return m_channel == nullptr ? 0 : m_channel->bufferedBytes();
--- a/tests/platform/workerfake.h
+++ b/tests/platform/workerfake.h
@@ -80,6 +80,9 @@
     void send(const std::string &bytes);
     void hangUp();
 
+    /// \brief Ends the sending side after what was sent, and goes on receiving.
+    void endSending();
+
     /// \brief Returns the number of sent bytes that the kernel has not accepted, for instance because the relay does not read.
     std::size_t waitingBytes() const;
 
