--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -109,7 +109,7 @@
 
 bool RelayedRequest::isPassedOn() const
 {
-    return arrivals() > 0;
+    return m_wasPassedOn || arrivals() > 0;
 }
 
 bool RelayedRequest::endsWithCaller() const
@@ -642,7 +642,7 @@
 
 void RelayedRequest::finish(AttemptAction action)
 {
-    m_call.reset();
+    resetCall();
     switch (action) {
     case AttemptAction::PassAnswer:
         m_answer.sendError();
@@ -746,10 +746,16 @@
 bool RelayedRequest::abandonCall()
 {
     const bool mayHaveBegun = mayHaveRun();
-    m_call.reset();
+    resetCall();
     return mayHaveBegun;
 }
 
+void RelayedRequest::resetCall()
+{
+    m_wasPassedOn = isPassedOn();
+    m_call.reset();
+}
+
 void RelayedRequest::refuseForEnd()
 {
     refuse(503, "This router ends; the request has not run.", endRetryDelay);
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -141,6 +141,7 @@
     void handleDeadline();
     /// \brief Ends the current call, if there is one. Returns whether the request may have run.
     bool abandonCall();
+    void resetCall();
     void refuseForEnd();
     void handleUnopenedCall(Core::ErrorCode code);
     void handleWeightsTooOld();
@@ -166,6 +167,7 @@
     PartTimes m_partTimes;
     bool m_wasPaused = false; ///< Whether reading the answer has paused for the caller, so that its pauses say nothing of the backend server.
     std::optional<std::chrono::milliseconds> m_sendDelay; ///< Time until a limited or resting backend server takes a request, if none could be chosen.
+    bool m_wasPassedOn = false; ///< Whether it had reached a backend server when a call was given up.
     bool m_isDone = false;
 };
 
