--- a/tests/soak/connectedcaller.cpp
+++ b/tests/soak/connectedcaller.cpp
@@ -13,6 +13,15 @@
 // A router that gives no final answer for so long after the deadline has lost the request.
 constexpr milliseconds patience{20'000};
 
+// An interim answer is nothing of the answer itself.
+constexpr std::string_view interimLine = "HTTP/1.1 100";
+constexpr std::string_view answerLine = "HTTP/1.1 ";
+
+bool isInterim(std::string_view data)
+{
+    return data.starts_with(interimLine) && data.find(answerLine, 1) == std::string_view::npos;
+}
+
 } // namespace
 
 ConnectedCaller::ConnectedCaller(
@@ -84,6 +93,9 @@
     m_isBodyHeld = form == RequestForm::Expecting;
     const milliseconds deadline = deadlineOf(m_path);
     m_channel->write(headText({m_path + 'x', m_id, fields, deadline, m_token}, form) + (m_isBodyHeld ? "" : m_token));
+    if (form == RequestForm::HalfClosed) {
+        m_channel->shutdownOutput();
+    }
     m_timer.startAt(m_sentAt + deadline + patience);
 }
 
@@ -105,11 +117,11 @@
         m_ledger.noteBroken("caller " + m_name, "got bytes that nobody asked for");
         return;
     }
-    if (m_isBodyHeld && data.starts_with("HTTP/1.1 100")) {
+    const bool isInterimOnly = isInterim(data);
+    m_hasReceived = m_hasReceived || !isInterimOnly;
+    if (m_isBodyHeld && isInterimOnly) {
         m_isBodyHeld = false;
         m_channel->write(m_token);
-    } else {
-        m_hasReceived = true;
     }
     if (m_reader->feed(data).has_value()) {
         noteBroken("got an answer that is no HTTP");
--- a/tests/soak/requestform.cpp
+++ b/tests/soak/requestform.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr double plainShare = 0.6;
-constexpr std::array<RequestForm, 4> otherForms{RequestForm::Absolute, RequestForm::AfterEmptyLine, RequestForm::Expecting, RequestForm::FarDeadline};
+constexpr std::array<RequestForm, 5> otherForms{
+    RequestForm::Absolute, RequestForm::AfterEmptyLine, RequestForm::Expecting, RequestForm::FarDeadline, RequestForm::HalfClosed};
 
 constexpr const char *host = "x.example";
 constexpr const char *farDeadline = "9223372036854775807";
--- a/tests/soak/requestform.h
+++ b/tests/soak/requestform.h
@@ -15,6 +15,7 @@
     AfterEmptyLine,
     Expecting, ///< With a body that is held back until it is asked for.
     FarDeadline, ///< With a deadline that no clock reaches.
+    HalfClosed, ///< With the end of the caller's sending side right behind it.
 };
 
 /// \brief The parts of a request.
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -46,6 +46,11 @@
     m_isEndless = true;
 }
 
+void SoakCaller::keepSendingSide()
+{
+    m_keepsSendingSide = true;
+}
+
 void SoakCaller::sendLarge()
 {
     m_isLarge = true;
@@ -114,7 +119,13 @@
     m_token = drawToken();
     m_body.clear();
     const std::string prompt = isResumable(m_path) ? promptFields(drawParts()) : "";
-    send(prompt, drawForm(m_random));
+    send(prompt, drawOwnForm());
+}
+
+RequestForm SoakCaller::drawOwnForm() const
+{
+    const RequestForm form = drawForm(m_random);
+    return m_keepsSendingSide && form == RequestForm::HalfClosed ? RequestForm::Plain : form;
 }
 
 void SoakCaller::receiveBody(std::string_view data)
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -23,6 +23,9 @@
     /// \brief Sends nothing but requests whose answers have a part without end, to any router.
     void sendEndless();
 
+    /// \brief Goes on sending after its requests, as the link that it uses passes no half-closed connection on.
+    void keepSendingSide();
+
     /// \brief Sends large bodies only.
     void sendLarge();
 
@@ -40,6 +43,7 @@
     void sendNext();
     std::string drawToken() const;
     std::string drawParts() const;
+    RequestForm drawOwnForm() const;
     void checkWhole();
     void checkPart() const;
 
@@ -47,6 +51,7 @@
     std::string m_pinnedPath;
     std::string m_body;
     bool m_isStopped = false;
+    bool m_keepsSendingSide = false;
     bool m_isLarge = false; ///< Whether its bodies are large.
     bool m_isEndless = false; ///< Whether it asks for answers without end.
     std::optional<CrashCause> m_crashCause; ///< What its requests crash backend servers by; nothing if they don't.
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -83,7 +83,9 @@
 void SoakRun::startLinkedCallers()
 {
     for (std::size_t number = 0; number < halfOfCallers(); ++number) {
-        startCaller("l" + std::to_string(number), &SoakRun::judgeLinked, true).askFor({"/safe/", "/once/", "/slow/", "/resume/", "/resume-long/"});
+        SoakCaller &caller = startCaller("l" + std::to_string(number), &SoakRun::judgeLinked, true);
+        caller.askFor({"/safe/", "/once/", "/slow/", "/resume/", "/resume-long/"});
+        caller.keepSendingSide();
     }
 }
 
