Say how long after a caller's FIN its connection was closed

half_closed_ms in place of yes or no: it tells how soon a caller that has left is found. Tests halfclosedcaller(s), callerforms, heldbytes and relay pass.

--- a/src/libs/relay/callerclose.cpp
+++ b/src/libs/relay/callerclose.cpp
@@ -3,6 +3,7 @@
 #include "relayevents.h"
 
 #include <observe/eventlog.h>
+#include <observe/fieldvalue.h>
 #include <observe/metrics.h>
 
 namespace Verbena::Relay {
@@ -26,11 +27,6 @@
     return "";
 }
 
-const char *yesOrNo(bool value)
-{
-    return value ? "yes" : "no";
-}
-
 // Requests whose caller gets no answer, or a part of one.
 bool isUnanswered(const CallerCloseReport &report)
 {
@@ -84,11 +80,11 @@
             {"due", std::string(openExchangeName(report.exchange))},
             {"request", report.attemptId},
             {"server", report.serverId},
-            {"passed_on", yesOrNo(report.isPassedOn)},
-            {"waited_ms", std::to_string(report.waited.count())},
-            {"idle_ms", std::to_string(report.idle.count())},
+            {"passed_on", Observe::yesOrNo(report.isPassedOn)},
+            {"waited_ms", Observe::millisecondsText(report.waited)},
+            {"idle_ms", Observe::millisecondsText(report.idle)},
             {"unsent_bytes", std::to_string(report.unsentBytes)},
-            {"half_closed", yesOrNo(report.isHalfClosed)}});
+            {"half_closed_ms", Observe::millisecondsText(report.halfClosedFor)}});
 }
 
 } // namespace Verbena::Relay
--- a/src/libs/relay/callerclose.h
+++ b/src/libs/relay/callerclose.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -51,7 +52,7 @@
     std::chrono::milliseconds waited{0}; ///< Time since the first byte of the request; zero if nothing was due.
     std::chrono::milliseconds idle{0}; ///< Time since the last answer ended, or since the connection was opened; zero if something was due.
     std::size_t unsentBytes = 0; ///< Written bytes that the system had not accepted; they are lost.
-    bool isHalfClosed = false; ///< Whether the caller had ended its sending side before.
+    std::optional<std::chrono::milliseconds> halfClosedFor; ///< Time since the caller ended its sending side; nothing if it had not.
 };
 
 /// \brief Logs the close of a caller's connection and counts it in \a metrics.
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -1,5 +1,7 @@
 #include "callerconnection.h"
 
+#include "messagerefusal.h"
+
 #include <core/freetext.h>
 #include <eventloop/loop.h>
 #include <http/idletimeout.h>
@@ -33,26 +35,6 @@
 // Time that a caller has from the accept of its connection until its first request arrives before the connection counts as idle: several round trips.
 constexpr std::chrono::milliseconds firstRequestTime{500};
 
-Refusal refusalOf(Http::MessageFault fault)
-{
-    switch (fault) {
-    case Http::MessageFault::HeaderTooLarge:
-        return {431, "The header of the request is too large.", std::nullopt};
-    case Http::MessageFault::TrailerTooLarge:
-        return {431, "The trailer of the request is too large.", std::nullopt};
-    case Http::MessageFault::BodyTooLarge:
-        return {413, "The body of the request is too large.", std::nullopt};
-    case Http::MessageFault::FramingTooLarge:
-        return {413, "The chunks of the request carry too much beside the body.", std::nullopt};
-    case Http::MessageFault::ChunkLineTooLong:
-    case Http::MessageFault::TooManyInterimHeads:
-    case Http::MessageFault::Malformed:
-    case Http::MessageFault::Truncated:
-        break;
-    }
-    return {400, "The request is not proper HTTP/1.1.", std::nullopt};
-}
-
 Http::MessageLimits messageLimits(const Decisions::RelayLimits &limits)
 {
     return {limits.headerBytes, limits.bodyBytes};
@@ -343,7 +325,9 @@
     report.waited = isIdle ? milliseconds(0) : duration_cast<milliseconds>(now - m_requestBegin);
     report.idle = isIdle ? duration_cast<milliseconds>(now - m_idleSince) : milliseconds(0);
     report.unsentBytes = unsentBytes();
-    report.isHalfClosed = m_halfClose.isBegun();
+    if (m_halfClose.isBegun()) {
+        report.halfClosedFor = duration_cast<milliseconds>(now - *m_halfClose.begunAt());
+    }
     return report;
 }
 
--- a/src/libs/relay/crashguard.cpp
+++ b/src/libs/relay/crashguard.cpp
@@ -5,6 +5,7 @@
 #include <decisions/relay/crashrow.h>
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
+#include <observe/fieldvalue.h>
 
 #include <algorithm>
 #include <utility>
@@ -225,7 +226,7 @@
     const bool isGranted = answer.outcome == Store::CommitOutcome::Committed;
     Observe::log(trialDecided,
         {{"identity", subject.text()},
-            {"granted", isGranted ? "yes" : "no"},
+            {"granted", Observe::yesOrNo(isGranted)},
             {"trial", std::to_string(pending.count)},
             {"crashes", std::to_string(m_history.crashCount(subject))},
             {"detail", answer.detail}});
--- a/src/libs/relay/halfclosewatch.cpp
+++ b/src/libs/relay/halfclosewatch.cpp
@@ -13,7 +13,8 @@
 
 void HalfCloseWatch::begin()
 {
-    m_caller.emplace(m_loop.now());
+    m_begunAt = m_loop.now();
+    m_caller.emplace(*m_begunAt);
     m_timer.startAt(m_loop.now());
 }
 
@@ -22,6 +23,11 @@
     return m_caller.has_value();
 }
 
+std::optional<Core::TimePoint> HalfCloseWatch::begunAt() const
+{
+    return m_begunAt;
+}
+
 void HalfCloseWatch::recordWrite()
 {
     if (m_caller.has_value()) {
--- a/src/libs/relay/halfclosewatch.h
+++ b/src/libs/relay/halfclosewatch.h
@@ -49,6 +49,9 @@
     /// \brief Returns whether the caller has ended its sending side.
     bool isBegun() const;
 
+    /// \brief Returns when the caller ended its sending side; nothing if it has not.
+    std::optional<Core::TimePoint> begunAt() const;
+
     /// \brief Records that a part of the answer was written.
     void recordWrite();
 
@@ -58,6 +61,7 @@
     EventLoop::Loop &m_loop;
     HalfClosedConnection &m_connection;
     EventLoop::Timer m_timer;
+    std::optional<Core::TimePoint> m_begunAt;
     std::optional<Decisions::HalfClosedCaller> m_caller; ///< Nothing before the caller's FIN.
 };
 
--- a/src/libs/relay/intakemonitor.cpp
+++ b/src/libs/relay/intakemonitor.cpp
@@ -4,6 +4,7 @@
 
 #include <http/tcpchannel.h>
 #include <observe/eventlog.h>
+#include <observe/fieldvalue.h>
 #include <observe/metrics.h>
 
 #include <string>
@@ -33,11 +34,11 @@
     m_metrics.setGauge("router_behind", m_wasBehind ? 1 : 0);
     m_metrics.setGauge("router_wants_callers", wantsCallers() ? 1 : 0);
     Observe::log(routerBehind,
-        {{"behind", m_wasBehind ? "yes" : "no"},
-            {"wants_callers", wantsCallers() ? "yes" : "no"},
+        {{"behind", Observe::yesOrNo(m_wasBehind)},
+            {"wants_callers", Observe::yesOrNo(wantsCallers())},
             {"lag_ms", std::to_string(m_intake.averageLag().count())},
             {"connections", std::to_string(load.connections)},
-            {"memory_short", load.isMemoryShort ? "yes" : "no"}});
+            {"memory_short", Observe::yesOrNo(load.isMemoryShort)}});
 }
 
 bool IntakeMonitor::wantsCallers() const
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -6,6 +6,7 @@
 #include <decisions/relay/registerpollinterval.h>
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
+#include <observe/fieldvalue.h>
 
 #include <algorithm>
 
@@ -102,7 +103,7 @@
     m_directory = std::make_shared<const Decisions::RelayDirectory>(std::move(configuration));
     Observe::log(configurationTaken, {{"version", std::to_string(m_directory->version())}, {"before", std::to_string(before)}});
     if (!wasReady) {
-        Observe::log(readinessChanged, {{"ready", isReady() ? "yes" : "no"}, {"reason", "configuration known"}});
+        Observe::log(readinessChanged, {{"ready", Observe::yesOrNo(isReady())}, {"reason", "configuration known"}});
     }
     return true;
 }
--- a/src/libs/relay/requestreport.cpp
+++ b/src/libs/relay/requestreport.cpp
@@ -4,12 +4,14 @@
 
 #include <decisions/relay/crashsubject.h>
 #include <observe/eventlog.h>
+#include <observe/fieldvalue.h>
 
 #include <algorithm>
 
 namespace Verbena::Relay {
 
 using Decisions::FleetChoice;
+using Observe::yesOrNo;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
@@ -20,11 +22,6 @@
     return std::to_string(duration.count());
 }
 
-std::string yesOrNo(bool value)
-{
-    return value ? "yes" : "no";
-}
-
 template<typename Value>
 std::string text(const std::optional<Value> &value)
 {
--- a/src/libs/relay/streamoriginexchange.cpp
+++ b/src/libs/relay/streamoriginexchange.cpp
@@ -5,6 +5,7 @@
 
 #include <eventloop/loop.h>
 #include <observe/eventlog.h>
+#include <observe/fieldvalue.h>
 
 #include <algorithm>
 
@@ -347,7 +348,7 @@
             {"organisation", request.key.organisation},
             {"service", origin.has_value() ? origin->service : request.service},
             {"software", origin.has_value() ? origin->softwareVersion : ""},
-            {"known", origin.has_value() ? "yes" : "no"},
+            {"known", Observe::yesOrNo(origin.has_value())},
             {"outcome", outcome},
             {"silent_replicas", std::to_string(silentReplicas)}});
 }
