Ask half-closed callers only after a tenth of a second

A client that ends its sending side and does not understand interim answers, though it has to, took the first of them for its answer; most answers of plain services come sooner than it need be sent. Work for callers that have left ends 0.1 s later, within the half second that it may take.

--- a/src/libs/decisions/relay/halfclosedcaller.cpp
+++ b/src/libs/decisions/relay/halfclosedcaller.cpp
@@ -6,8 +6,11 @@
 
 namespace {
 
+// Many answers come sooner, and some simple clients do not understand an interim answer.
+constexpr std::chrono::milliseconds firstProbeDelay{100};
+
 // A caller that ends its sending side and closes the connection a moment later is found by the second probe, within the time for which work may go on.
-constexpr std::chrono::milliseconds firstProbePause{250};
+constexpr std::chrono::milliseconds secondProbeDelay{250};
 
 // A reset comes after a round trip.
 constexpr std::chrono::milliseconds shortestCheckPause{10};
@@ -18,7 +21,7 @@
 HalfClosedCaller::HalfClosedCaller(Core::TimePoint now)
     : m_lastWriteAt(now)
     , m_unprobedDeadline(now + unprobedTime)
-    , m_nextProbe(now)
+    , m_nextProbe(now + firstProbeDelay)
 {
 }
 
@@ -27,7 +30,7 @@
     ++m_writes;
     m_lastWriteAt = now;
     // The pauses double, so that a request of minutes has few interim answers.
-    m_nextProbe = now + firstProbePause * (1 << std::max(m_probes - 1, 0));
+    m_nextProbe = now + secondProbeDelay * (1 << std::max(m_probes - 1, 0));
 }
 
 HalfClosedStep HalfClosedCaller::nextStep(const HalfClosedRequest &request, Core::TimePoint now)
--- a/tests/auto/relay/tst_halfclosedcallers.cpp
+++ b/tests/auto/relay/tst_halfclosedcallers.cpp
@@ -94,6 +94,13 @@
     EXPECT_EQ(runs(), 4U);
 }
 
+// Some simple clients take an interim answer for the answer itself.
+TEST_F(HalfClosedCallersTest, sendsNothingBeforeAnAnswerThatIsQuick)
+{
+    startWorking(20ms);
+    EXPECT_TRUE(received(*halfClosedCaller(request("/safe/", "", "body"))).starts_with("HTTP/1.1 200"));
+}
+
 TEST_F(HalfClosedCallersTest, answersInAStopToo)
 {
     startWorking(longWork);
