--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -2,10 +2,8 @@
 
 #include "messagerefusal.h"
 
-#include <core/freetext.h>
 #include <eventloop/loop.h>
 #include <http/idletimeout.h>
-#include <http/requesttarget.h>
 
 #include <algorithm>
 
@@ -23,9 +21,6 @@
 // Interval at which a caller is looked at that has not read the whole of an answer that has ended.
 constexpr std::chrono::milliseconds deliveryCheckInterval{250};
 
-// Part of its size by which the room for a body of unknown size grows when it is full.
-constexpr std::size_t bodyGrowthDivisor = 4;
-
 // Time after which a caller whose request was refused for lack of memory should retry; callers that read have read what waits for them by then.
 constexpr std::chrono::milliseconds memoryRetryDelay{500};
 
@@ -35,11 +30,6 @@
 // Time that a caller has from the accept of its connection until its first request arrives before the connection counts as idle: several round trips.
 constexpr std::chrono::milliseconds firstRequestTime{500};
 
-Http::MessageLimits messageLimits(const Decisions::RelayLimits &limits)
-{
-    return {limits.headerBytes, limits.bodyBytes};
-}
-
 } // namespace
 
 CallerConnection::CallerConnection(EventLoop::Loop &loop, int descriptor, ConnectionOwner &owner)
@@ -48,7 +38,7 @@
     , m_memory(owner.memory(), owner.bodies())
     , m_pendingBytes(owner.memory().budget(), Decisions::HeldKind::PartialAnswers)
     , m_channel(Http::TcpChannel::adopt(loop, descriptor, *this))
-    , m_reader(Http::MessageReader::Kind::Requests, *this, messageLimits(owner.limits()))
+    , m_reader(owner.limits())
     , m_timer(loop, [this] { handleTimeout(); })
     , m_finish(loop, [this] { finishExchange(); })
     , m_halfClose(loop, *this)
@@ -150,7 +140,7 @@
 void CallerConnection::refuseUnread()
 {
     if (m_request == nullptr && m_state == State::Reading && m_reader.hasBegun()) {
-        refuse({503, "This router ends; the request was not read whole and has not run.", RelayedRequest::endRetryDelay}, m_head);
+        refuse({503, "This router ends; the request was not read whole and has not run.", RelayedRequest::endRetryDelay}, m_reader.head());
     }
 }
 
@@ -173,15 +163,13 @@
     }
     const bool isFirst = !m_reader.hasBegun();
     const bool wasHeadDone = m_reader.isHeadDone();
-    const std::optional<Http::MessageFault> fault = m_reader.feed(data);
+    const std::optional<Http::MessageFault> fault = m_reader.feed(data, m_owner.limits().bodyBytes);
     if (fault.has_value()) {
         refuse(*fault);
         return;
     }
-    m_reader.dropEmptyLines();
-    if (m_reader.isDone() && m_reader.surplusBytes() > 0) {
-        drop(m_reader.surplusBytes());
-        m_reader.dropSurplus();
+    if (const std::size_t surplus = m_reader.dropSurplus(); surplus > 0) {
+        drop(surplus);
     }
     // Empty lines before a request begin none.
     if (!m_reader.hasBegun()) {
@@ -347,39 +335,19 @@
     }
 }
 
-void CallerConnection::receiveHead(Http::MessageHead head)
-{
-    m_head = std::move(head);
-    Http::useOriginForm(m_head);
-}
-
-void CallerConnection::receiveBody(std::string_view data)
-{
-    const std::size_t size = m_body.size() + data.size();
-    if (size > m_body.capacity()) {
-        m_body.reserve(std::max<std::uint64_t>(size, std::min<std::uint64_t>(size + m_body.size() / bodyGrowthDivisor, m_owner.limits().bodyBytes)));
-    }
-    m_body.append(data);
-}
-
-void CallerConnection::receiveEnd()
-{
-}
-
 void CallerConnection::answerRequest()
 {
     if (m_isOverDescriptorLimit) {
-        refuse({503, "This router has too many connections; the request has not run.", descriptorRetryDelay}, m_head);
+        refuse({503, "This router has too many connections; the request has not run.", descriptorRetryDelay}, m_reader.head());
         return;
     }
     m_state = State::Answering;
     m_delivery.beginAnswer();
     m_timer.stop();
-    m_encoder.beginAnswer(m_head);
-    m_isClosing = m_isClosing || !m_head.isKeptAlive;
+    m_encoder.beginAnswer(m_reader.head());
+    m_isClosing = m_isClosing || !m_reader.head().isKeptAlive;
     m_isAnswerEnded = false;
-    const Http::SharedBody body = m_body.empty() ? nullptr : std::make_shared<const std::string>(std::move(m_body));
-    m_request = m_owner.beginRequest(std::move(m_head), body, *this);
+    m_request = m_owner.beginRequest(m_reader.takeHead(), m_reader.takeBody(), *this);
     m_request->start();
 }
 
@@ -396,10 +364,10 @@
 bool CallerConnection::reserveOrWait()
 {
     if (m_memory.tryReserve(extent())) {
-        m_body.reserve(m_head.contentLength.value_or(0));
+        m_reader.reserveBody();
         return true;
     }
-    if (!m_memory.mayWait(extent()) || m_owner.latestBodyStart(m_head) <= m_loop.now()) {
+    if (!m_memory.mayWait(extent()) || m_owner.latestBodyStart(m_reader.head()) <= m_loop.now()) {
         refuseForMemory();
         return false;
     }
@@ -409,12 +377,7 @@
 
 RequestExtent CallerConnection::extent() const
 {
-    return {.headBytes = m_reader.headBytes(),
-        .bodyCapacity = m_body.empty() ? 0 : m_body.capacity(),
-        .contentLength = m_head.contentLength,
-        .maximumBodyBytes = m_owner.limits().bodyBytes,
-        .isHeadRead = m_reader.isHeadDone(),
-        .isWholeRead = m_reader.isDone()};
+    return m_reader.extent(m_owner.limits().bodyBytes);
 }
 
 // What the caller sends meanwhile stays in the kernel, which counts as well. A request that has been read whole goes on reading, to notice that its caller
@@ -422,15 +385,15 @@
 void CallerConnection::awaitMemory()
 {
     m_memory.wait(extent(), m_loop.now(), [this] { readOn(); });
-    m_encoder.beginAnswer(m_head);
+    m_encoder.beginAnswer(m_reader.head());
     m_channel->setReading(m_reader.isDone());
-    m_timer.startAt(m_owner.latestBodyStart(m_head));
+    m_timer.startAt(m_owner.latestBodyStart(m_reader.head()));
 }
 
 void CallerConnection::readOn()
 {
     m_memory.endWait(extent());
-    m_body.reserve(m_head.contentLength.value_or(0));
+    m_reader.reserveBody();
     resumeReading();
     if (m_reader.isDone()) {
         answerRequest();
@@ -446,10 +409,10 @@
 // nothing. Nobody can tell whether it follows nevertheless, so the connection is closed.
 bool CallerConnection::answerExpectation()
 {
-    if (!m_reader.isHeadDone() || !m_body.empty() || !m_expectation.isPending(m_head)) {
+    if (!m_reader.isHeadDone() || m_reader.hasBody() || !m_expectation.isPending(m_reader.head())) {
         return true;
     }
-    if (m_isOverDescriptorLimit || m_owner.isRefused(m_head)) {
+    if (m_isOverDescriptorLimit || m_owner.isRefused(m_reader.head())) {
         m_isClosing = true;
         answerRequest();
         return false;
@@ -461,7 +424,7 @@
 void CallerConnection::refuseForMemory()
 {
     m_memory.reportRefusal(extent(), m_loop.now());
-    refuse({503, "There is too little memory for the body of the request; it has not run.", memoryRetryDelay}, m_head);
+    refuse({503, "There is too little memory for the body of the request; it has not run.", memoryRetryDelay}, m_reader.head());
 }
 
 void CallerConnection::refuse(const Refusal &refusal, const Http::MessageHead &head)
@@ -470,7 +433,6 @@
     m_delivery.beginAnswer();
     m_isClosing = true;
     m_encoder.beginAnswer(head);
-    Core::freeText(m_body);
     m_reader.discard();
     resumeReading();
     m_memory.release();
@@ -589,9 +551,7 @@
     m_firstRequestDeadline = {}; // For the first request only.
     m_isTimeoutPostponed = false;
     m_expectation = {};
-    m_head = {};
-    m_body.clear();
-    (void)m_reader.next();
+    m_reader.next();
     // A caller that sends requests and does not read the answers gets no further ones.
     m_channel->setReading(!isFull());
     awaitDelivery();
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -8,11 +8,11 @@
 #include "halfclosewatch.h"
 #include "relayedrequest.h"
 #include "requestmemory.h"
+#include "requestreader.h"
 
 #include <decisions/relay/relayconfiguration.h>
 #include <eventloop/deferredcall.h>
 #include <eventloop/timer.h>
-#include <http/messagereader.h>
 #include <http/tcpchannel.h>
 
 #include <cstdint>
@@ -67,7 +67,7 @@
 /// sent, and the connection is closed after it.
 ///
 /// A caller that ends its sending side gets the answer to its request unless it is found to have left (HalfCloseWatch).
-class CallerConnection : public AnswerSink, private Http::ChannelObserver, private Http::MessageSink, private HalfClosedConnection
+class CallerConnection : public AnswerSink, private Http::ChannelObserver, private HalfClosedConnection
 {
 public:
     CallerConnection(EventLoop::Loop &loop, int descriptor, ConnectionOwner &owner);
@@ -152,9 +152,6 @@
     void receiveEnd(Http::ChannelEnd end) override;
     void outputSent() override;
     void outputDrained() override;
-    void receiveHead(Http::MessageHead head) override;
-    void receiveBody(std::string_view data) override;
-    void receiveEnd() override;
     std::optional<Decisions::HalfClosedRequest> waitingRequest() const override;
     bool isReset() const override;
     void writeProbe() override;
@@ -192,12 +189,10 @@
     RequestMemory m_memory; ///< Of the request that is being read or answered.
     Decisions::HeldBytes m_pendingBytes; ///< Of its answer.
     std::unique_ptr<Http::TcpChannel> m_channel;
-    Http::MessageReader m_reader;
+    RequestReader m_reader;
     EventLoop::Timer m_timer;
     EventLoop::DeferredCall m_finish;
     State m_state = State::Reading;
-    Http::MessageHead m_head;
-    std::string m_body;
     std::unique_ptr<RelayedRequest> m_request;
     AnswerEncoder m_encoder; ///< Of the last answer.
     HalfCloseWatch m_halfClose;
