--- a/src/libs/relay/callerclose.h
+++ b/src/libs/relay/callerclose.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,7 +14,7 @@
 
 /// \brief Why a caller's connection was closed.
 enum class CloseReason {
-    Answered, ///< After its last answer, which announced it, and which the caller's host has.
+    Answered, ///< After its last answer, which announced it.
     CallerClosed, ///< The caller closed it while nothing was due to it.
     CallerReset, ///< The caller reset it, or its host is silent.
     RequestIncomplete, ///< The caller ended its sending side within a request.
@@ -51,7 +52,7 @@
     std::chrono::milliseconds waited{0}; ///< Time since the first byte of the request; zero if nothing was due.
     std::chrono::milliseconds idle{0}; ///< Time since the last answer ended, or since the connection was opened; zero if something was due.
     std::size_t unsentBytes = 0; ///< Written bytes that the system had not accepted; they are lost.
-    bool isHalfClosed = false; ///< Whether the caller had ended its sending side before.
+    std::optional<std::chrono::milliseconds> halfClosedFor; ///< Time since the caller ended its sending side; nothing if it had not.
 };
 
 /// \brief Logs the close of a caller's connection and counts it in \a metrics.
