--- a/cmake/verbena.cmake
+++ b/cmake/verbena.cmake
@@ -12,7 +12,7 @@
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;PRIVATE_DEPENDS" ${ARGN})
     add_library(verbena_${name} STATIC ${ARG_SOURCES})
     # Modules hold them, and show nothing of them.
-    set_target_properties(verbena_${name} PROPERTIES POSITION_INDEPENDENT_CODE ON CXX_VISIBILITY_PRESET hidden VISIBILITY_INLINES_HIDDEN ON)
+    set_target_properties(verbena_${name} PROPERTIES CXX_VISIBILITY_PRESET hidden VISIBILITY_INLINES_HIDDEN ON)
     target_link_libraries(verbena_${name} PUBLIC verbena_options ${ARG_DEPENDS} PRIVATE ${ARG_PRIVATE_DEPENDS})
 endfunction()
 
