--- a/cmake/verbena.cmake
+++ b/cmake/verbena.cmake
@@ -55,6 +55,11 @@
     install(TARGETS ${module} LIBRARY DESTINATION ${folder})
 endfunction()
 
+# Label of tests that judge neither times nor other programs, as those of these libraries do. scripts/check-cross also runs them under the emulator of the other
+# architecture.
+set(VERBENA_EMULATED_LABEL emulated)
+set(VERBENA_EMULATED_LIBRARIES verbena_decisions verbena_observe verbena_settings verbena_store verbena_virtualspread nlohmann_json::nlohmann_json)
+
 # verbena_add_test(<name> SOURCES ... DEPENDS ...): a GoogleTest program, with RapidCheck at hand.
 function(verbena_add_test name)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
@@ -65,4 +70,8 @@
     set_target_properties(tst_${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
     add_test(NAME ${name} COMMAND tst_${name})
     set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202;VERBENA_BIN=${CMAKE_BINARY_DIR}/bin" TIMEOUT 300)
+    list(REMOVE_ITEM ARG_DEPENDS ${VERBENA_EMULATED_LIBRARIES})
+    if(NOT ARG_DEPENDS)
+        set_property(TEST ${name} PROPERTY LABELS ${VERBENA_EMULATED_LABEL})
+    endif()
 endfunction()
