Let the sanitizer stop numbers beyond the type to which they are converted

Cause: a floating point number beyond the range of an integer becomes another integer on x86-64 than on arm64, and the sanitizers' group "undefined" leaves this check out. Limits, rests and paces come as such numbers from backend servers, peers and files.

Change: float-cast-overflow in the sanitized build.

Measured: a program that converts 1e300 to an int passes without it and is stopped with it.

--- a/cmake/verbena.cmake
+++ b/cmake/verbena.cmake
@@ -7,8 +7,9 @@
     target_compile_options(verbena_options INTERFACE $<$<CONFIG:Release>:-Wno-restrict>)
 endif()
 if(VERBENA_SANITIZE)
-    target_compile_options(verbena_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
-    target_link_options(verbena_options INTERFACE -fsanitize=address,undefined)
+    # A number beyond the type to which it is converted becomes another value on x86-64 than on arm64.
+    target_compile_options(verbena_options INTERFACE -fsanitize=address,undefined,float-cast-overflow -fno-sanitize-recover=all -fno-omit-frame-pointer)
+    target_link_options(verbena_options INTERFACE -fsanitize=address,undefined,float-cast-overflow)
 endif()
 
 # verbena_add_library(<name> SOURCES ... DEPENDS ... PRIVATE_DEPENDS ...)
