--- a/tests/auto/mixedfleet/fleetwords.cpp
+++ b/tests/auto/mixedfleet/texthelpers.cpp
@@ -1,4 +1,4 @@
-#include "fleetwords.h"
+#include "texthelpers.h"
 
 #include <array>
 #include <cstdio>
--- a/tests/auto/mixedfleet/tst_agreedmembers.cpp
+++ b/tests/auto/mixedfleet/tst_agreedmembers.cpp
@@ -1,4 +1,4 @@
-#include "fleetwords.h"
+#include "texthelpers.h"
 
 #include <decisions/relay/activerouters.h>
 #include <decisions/relay/homedomains.h>
--- a/tests/auto/mixedfleet/tst_exchangedbytes.cpp
+++ b/tests/auto/mixedfleet/tst_exchangedbytes.cpp
@@ -1,4 +1,4 @@
-#include "fleetwords.h"
+#include "texthelpers.h"
 
 #include <decisions/control/claimrecord.h>
 #include <relay/streamorigincodec.h>
