--- a/tests/auto/mixedfleet/tst_agreedkeys.cpp
+++ b/tests/auto/mixedfleet/tst_agreedkeys.cpp
@@ -31,6 +31,7 @@
 std::vector<std::string> hexKeys(const std::vector<PrefixKey> &keys)
 {
     std::vector<std::string> words;
+    words.reserve(keys.size());
     for (const PrefixKey key : keys) {
         words.push_back(hexKey(key));
     }
