Say once how long the work of a caller that has left may go on

Read again: the stopped host's test had the bound of the half-closed callers' tests under a second name; both take it from their fixture now, with the value and the checks as they were.

--- a/tests/auto/relay/relaytest.h
+++ b/tests/auto/relay/relaytest.h
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -36,6 +37,9 @@
 class RelayTest : public testing::Test
 {
 protected:
+    /// \brief Time within which the work of a caller that has left has to end.
+    static constexpr std::chrono::milliseconds leaveBound{500};
+
     RelayTest();
 
     static Relay::RelaySettings settings();
--- a/tests/auto/relay/tst_halfclosedcallers.cpp
+++ b/tests/auto/relay/tst_halfclosedcallers.cpp
@@ -21,9 +21,6 @@
 // Longer than the time for which a request goes on whose caller is known to have left, or cannot be asked.
 constexpr std::chrono::milliseconds longWork{900};
 
-// Time within which the work of a caller that has left has to end.
-constexpr std::chrono::milliseconds leaveBound{500};
-
 // More than what the system holds for a caller that does not read, and less than what is held before the backend server has to wait.
 constexpr std::size_t longAnswerBytes = 300'000;
 
--- a/tests/auto/relay/tst_stoppedhosts.cpp
+++ b/tests/auto/relay/tst_stoppedhosts.cpp
@@ -21,9 +21,6 @@
 // Longer than any TCP header, and shorter than any request.
 constexpr std::uint32_t longestHeader = 60;
 
-// Time after which no request of a caller that has left may reach a backend server.
-constexpr std::chrono::milliseconds longestUseAfterLeaving{500};
-
 // A host that stopped right after it had accepted a connection: the kernel drops what brings data, and so acknowledges nothing, until the host wakes.
 class StoppedHost
 {
@@ -112,7 +109,7 @@
     const auto client = callerAtStoppedHost("/once/");
     runFor(100ms);
     client->hangUp();
-    const Core::TimePoint deadline = m_loop->now() + longestUseAfterLeaving;
+    const Core::TimePoint deadline = m_loop->now() + leaveBound;
     // Until the router knows, what it has sent may still arrive.
     EXPECT_TRUE(runUntil(*m_loop, [this] { return metric("requests_unanswered_passed_on_caller_reset_total") == 1; }));
     EXPECT_LE(m_loop->now(), deadline);
