Compile with Boost 1.76 and newer

What callers saw: the deploy file's build with Debian 13 (Boost 1.83) ended in three units with "'text' was not declared in this scope".

Cause: since Boost 1.76 BOOST_OUTCOME_TRY(name, ...) assigns to a name, where older releases declare it.

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -51,18 +51,18 @@
 
 Core::Result<void> serve(const Agent::AgentSettings &settings)
 {
-    BOOST_OUTCOME_TRY(loop, EventLoop::Loop::create());
-    BOOST_OUTCOME_TRY(signals, Application::ProcessSignals::create(*loop));
+    VERBENA_TRY(loop, EventLoop::Loop::create());
+    VERBENA_TRY(signals, Application::ProcessSignals::create(*loop));
     Observe::Metrics metrics;
-    BOOST_OUTCOME_TRY(agent, Agent::AgentTask::create(*loop, settings, metrics));
-    BOOST_OUTCOME_TRY(page, openStatusPage(*loop, settings, *agent, metrics));
+    VERBENA_TRY(agent, Agent::AgentTask::create(*loop, settings, metrics));
+    VERBENA_TRY(page, openStatusPage(*loop, settings, *agent, metrics));
     std::shared_ptr<SettingsTree::StaticSettingsView> view;
     if (!settings.treeFiles.empty()) {
-        BOOST_OUTCOME_TRY(read, SettingsTree::StaticSettingsView::fromFiles(settings.treeFiles));
+        VERBENA_TRY(read, SettingsTree::StaticSettingsView::fromFiles(settings.treeFiles));
         view = std::move(read);
         agent->setSettingsView(view);
     }
-    BOOST_OUTCOME_TRY(control, followPlatform(*loop, settings, *agent));
+    VERBENA_TRY(control, followPlatform(*loop, settings, *agent));
     if (page != nullptr && control != nullptr) {
         page->setControl(control.get());
     }
--- a/src/apps/router/main.cpp
+++ b/src/apps/router/main.cpp
@@ -32,17 +32,17 @@
     if (view != nullptr) {
         return Environment{nullptr, {view, std::make_shared<Router::RefusingClaimService>()}};
     }
-    BOOST_OUTCOME_TRY(control, Router::RouterControl::create(loop, settings));
+    VERBENA_TRY(control, Router::RouterControl::create(loop, settings));
     const Router::RouterServices services = control->services();
     return Environment{std::move(control), services};
 }
 
 Core::Result<void> serve(const Router::RouterSettings &settings, const SettingsView &view)
 {
-    BOOST_OUTCOME_TRY(loop, EventLoop::Loop::create());
-    BOOST_OUTCOME_TRY(signals, Application::ProcessSignals::create(*loop));
-    BOOST_OUTCOME_TRY(environment, createEnvironment(*loop, settings, view));
-    BOOST_OUTCOME_TRY(task, Router::RouterTask::create(*loop, settings, environment.services));
+    VERBENA_TRY(loop, EventLoop::Loop::create());
+    VERBENA_TRY(signals, Application::ProcessSignals::create(*loop));
+    VERBENA_TRY(environment, createEnvironment(*loop, settings, view));
+    VERBENA_TRY(task, Router::RouterTask::create(*loop, settings, environment.services));
     if (environment.control) {
         environment.control->attach(*task);
     }
--- a/src/apps/router/routercontrol.cpp
+++ b/src/apps/router/routercontrol.cpp
@@ -32,12 +32,12 @@
 
 Core::Result<std::unique_ptr<RouterControl>> RouterControl::create(EventLoop::Loop &loop, const RouterSettings &settings)
 {
-    BOOST_OUTCOME_TRY(platform, Store::HttpPlatform::create(loop, settings.platformUrl));
+    VERBENA_TRY(platform, Store::HttpPlatform::create(loop, settings.platformUrl));
     const std::uint64_t seed = Core::randomSeed();
     std::unique_ptr<RouterControl> control(new RouterControl(loop, settings, std::move(platform), seed));
     SettingsTree::SettingsTaskOptions options;
     options.seed = seed;
-    BOOST_OUTCOME_TRY(task, SettingsTree::SettingsTask::create(loop, options, control->m_table, control->m_platform.get(), *control));
+    VERBENA_TRY(task, SettingsTree::SettingsTask::create(loop, options, control->m_table, control->m_platform.get(), *control));
     control->m_settings = std::move(task);
     control->m_claims = std::make_shared<Control::TableClaimService>(control->m_table, loop, Decisions::ClaimOptions(), settings.name, seed + 1);
     return control;
--- a/src/apps/verbenactl/toolplatform.cpp
+++ b/src/apps/verbenactl/toolplatform.cpp
@@ -9,8 +9,8 @@
     if (arguments.platformUrl.empty()) {
         return Core::Error{Core::ErrorCode::InvalidArgument, "platform.connect", "", "Give the platform's address with --platform."};
     }
-    BOOST_OUTCOME_TRY(loop, EventLoop::Loop::create());
-    BOOST_OUTCOME_TRY(platform, Store::HttpPlatform::create(*loop, arguments.platformUrl));
+    VERBENA_TRY(loop, EventLoop::Loop::create());
+    VERBENA_TRY(platform, Store::HttpPlatform::create(*loop, arguments.platformUrl));
     return std::unique_ptr<ToolPlatform>(new ToolPlatform(std::move(loop), std::move(platform), arguments.timeout));
 }
 
@@ -52,7 +52,7 @@
 {
     Operator::OperatorIdentity identity{arguments.operatorName, {}};
     if (!arguments.operatorKeyFile.empty()) {
-        BOOST_OUTCOME_TRY(key, readFirstLine(arguments.operatorKeyFile));
+        VERBENA_TRY(key, readFirstLine(arguments.operatorKeyFile));
         identity.key = key;
     }
     return identity;
--- a/src/libs/agent/agentcontrol.cpp
+++ b/src/libs/agent/agentcontrol.cpp
@@ -9,12 +9,12 @@
 
 Core::Result<std::unique_ptr<AgentControl>> AgentControl::create(EventLoop::Loop &loop, const std::string &platformUrl, AgentTask &task)
 {
-    BOOST_OUTCOME_TRY(platform, Store::HttpPlatform::create(loop, platformUrl));
+    VERBENA_TRY(platform, Store::HttpPlatform::create(loop, platformUrl));
     const std::uint64_t seed = Core::randomSeed();
     std::unique_ptr<AgentControl> control(new AgentControl(loop, task, std::move(platform), seed));
     SettingsTree::SettingsTaskOptions options;
     options.seed = seed;
-    BOOST_OUTCOME_TRY(settings, SettingsTree::SettingsTask::create(loop, options, control->m_table, control->m_platform.get(), task));
+    VERBENA_TRY(settings, SettingsTree::SettingsTask::create(loop, options, control->m_table, control->m_platform.get(), task));
     control->m_settings = std::move(settings);
     AgentControl *self = control.get();
     task.setSettingsView(control->m_settings, [self] { self->applySettings(); });
--- a/src/libs/agent/agentsettings.cpp
+++ b/src/libs/agent/agentsettings.cpp
@@ -47,7 +47,7 @@
 
 Core::Result<AgentSettings> AgentSettings::fromFile(const std::string &path)
 {
-    BOOST_OUTCOME_TRY(reader, SettingsReader::fromFile(path));
+    VERBENA_TRY(reader, SettingsReader::fromFile(path));
     return read(reader);
 }
 
--- a/src/libs/agent/agenttask.cpp
+++ b/src/libs/agent/agenttask.cpp
@@ -66,15 +66,15 @@
 {
     Wire::SocketSecurity security;
     if (m_settings.security.isEnabled()) {
-        BOOST_OUTCOME_TRY(keys, Wire::CurveKeys::fromSecretKeyFile(m_settings.security.secretKeyFile));
+        VERBENA_TRY(keys, Wire::CurveKeys::fromSecretKeyFile(m_settings.security.secretKeyFile));
         security.ownPublicKey = keys.publicKey;
         security.ownSecretKey = keys.secretKey;
-        BOOST_OUTCOME_TRY(allowed, Wire::readPublicKeys(m_settings.security.allowedKeysFile));
-        BOOST_OUTCOME_TRY(authenticator, Wire::PeerAuthenticator::create(m_loop, m_context));
+        VERBENA_TRY(allowed, Wire::readPublicKeys(m_settings.security.allowedKeysFile));
+        VERBENA_TRY(authenticator, Wire::PeerAuthenticator::create(m_loop, m_context));
         m_authenticator = std::move(authenticator);
         m_authenticator->setAllowedKeys(allowed);
     }
-    BOOST_OUTCOME_TRY(opened, Wire::MessageSocket::bind(m_loop, m_context, m_settings.endpoint, security, *this));
+    VERBENA_TRY(opened, Wire::MessageSocket::bind(m_loop, m_context, m_settings.endpoint, security, *this));
     m_socket = std::move(opened);
     return Core::success();
 }
@@ -82,7 +82,7 @@
 Core::Result<void> AgentTask::openBackend()
 {
     const auto create = m_settings.kind == BackendKind::Engine ? &EngineAdapter::create : &ServiceAdapter::create;
-    BOOST_OUTCOME_TRY(backend, create(m_loop, m_settings.backend, m_runs));
+    VERBENA_TRY(backend, create(m_loop, m_settings.backend, m_runs));
     m_runs.setBackend(std::move(backend));
     return Core::success();
 }
--- a/src/libs/agent/engineadapter.cpp
+++ b/src/libs/agent/engineadapter.cpp
@@ -33,7 +33,7 @@
 
 Core::Result<std::unique_ptr<BackendAdapter>> EngineAdapter::create(EventLoop::Loop &loop, const BackendWatchOptions &options, BackendListener &listener)
 {
-    BOOST_OUTCOME_TRY(client, Http::HttpClient::create(loop));
+    VERBENA_TRY(client, Http::HttpClient::create(loop));
     return std::unique_ptr<BackendAdapter>(new EngineAdapter(loop, std::move(client), options, listener));
 }
 
@@ -132,7 +132,7 @@
 
 Core::Result<Http::HttpCall> EngineAdapter::makeCall(const verbena::wire::Dispatch &dispatch) const
 {
-    BOOST_OUTCOME_TRY(body, completionBody(dispatch));
+    VERBENA_TRY(body, completionBody(dispatch));
     Http::HttpCall call;
     call.method = "POST";
     call.url = m_options.url + dispatch.path();
--- a/src/libs/agent/serviceadapter.cpp
+++ b/src/libs/agent/serviceadapter.cpp
@@ -4,7 +4,7 @@
 
 Core::Result<std::unique_ptr<BackendAdapter>> ServiceAdapter::create(EventLoop::Loop &loop, const BackendWatchOptions &options, BackendListener &listener)
 {
-    BOOST_OUTCOME_TRY(client, Http::HttpClient::create(loop));
+    VERBENA_TRY(client, Http::HttpClient::create(loop));
     return std::unique_ptr<BackendAdapter>(new ServiceAdapter(loop, std::move(client), options, listener));
 }
 
--- a/src/libs/agent/statuspage.cpp
+++ b/src/libs/agent/statuspage.cpp
@@ -18,7 +18,7 @@
     options.address = listen.address;
     options.port = listen.port;
     options.maximumConnections = maximumConnections;
-    BOOST_OUTCOME_TRY(opened, Http::HttpServer::create(loop, options, *page));
+    VERBENA_TRY(opened, Http::HttpServer::create(loop, options, *page));
     page->m_server = std::move(opened);
     return page;
 }
--- a/src/libs/application/processsignals.cpp
+++ b/src/libs/application/processsignals.cpp
@@ -23,7 +23,7 @@
             (m_handlers.*handler)();
         }
     };
-    BOOST_OUTCOME_TRY(watcher, EventLoop::SignalWatcher::create(loop, signalNumber, handle));
+    VERBENA_TRY(watcher, EventLoop::SignalWatcher::create(loop, signalNumber, handle));
     m_watchers.push_back(std::move(watcher));
     return Core::success();
 }
--- a/src/libs/core/result.h
+++ b/src/libs/core/result.h
@@ -3,6 +3,15 @@
 #include "error.h"
 
 #include <boost/outcome.hpp>
+#include <boost/version.hpp>
+
+/// \brief Declares \a name as the success value of the Result that follows it, or returns that result's Error.
+// The macro takes a declaration from Boost 1.76 on, and a name in older releases.
+#if BOOST_VERSION >= 107600
+#define VERBENA_TRY(name, ...) BOOST_OUTCOME_TRYA(auto &&name, __VA_ARGS__)
+#else
+#define VERBENA_TRY(name, ...) BOOST_OUTCOME_TRYA(name, __VA_ARGS__)
+#endif
 
 namespace Verbena::Core {
 
--- a/src/libs/http/tcplistener.cpp
+++ b/src/libs/http/tcplistener.cpp
@@ -29,7 +29,7 @@
 
 Core::Result<std::unique_ptr<TcpListener>> TcpListener::create(EventLoop::Loop &loop, const Endpoint &endpoint, Acceptor acceptor)
 {
-    BOOST_OUTCOME_TRY(listener, bind(loop, endpoint, std::move(acceptor)));
+    VERBENA_TRY(listener, bind(loop, endpoint, std::move(acceptor)));
     BOOST_OUTCOME_TRY(listener->listen());
     return std::move(listener);
 }
--- a/src/libs/load/loadtask.cpp
+++ b/src/libs/load/loadtask.cpp
@@ -103,7 +103,7 @@
         return Core::Error{Core::ErrorCode::InvalidArgument, "load.start", "", "No target is given."};
     }
     std::unique_ptr<LoadTask> task(new LoadTask(loop, options));
-    BOOST_OUTCOME_TRY(created, Http::HttpClient::create(loop));
+    VERBENA_TRY(created, Http::HttpClient::create(loop));
     task->m_client = std::move(created);
     return task;
 }
--- a/src/libs/operator/changehistory.cpp
+++ b/src/libs/operator/changehistory.cpp
@@ -65,7 +65,7 @@
 
 Core::Result<std::vector<HistoryEntry>> ChangeHistory::entries(const std::string &path)
 {
-    BOOST_OUTCOME_TRY(rows, m_table.scan(ringPrefix(path), 0, entriesPerRow));
+    VERBENA_TRY(rows, m_table.scan(ringPrefix(path), 0, entriesPerRow));
     std::vector<HistoryEntry> found;
     for (const Store::TableRow &row : rows) {
         found.push_back(decodeEntry(path, row));
@@ -75,7 +75,7 @@
 
 Core::Result<Store::RowWrite> ChangeHistory::record(const RowChange &change, const ChangeStamp &stamp)
 {
-    BOOST_OUTCOME_TRY(rows, m_table.scan(ringPrefix(change.path), 0, entriesPerRow));
+    VERBENA_TRY(rows, m_table.scan(ringPrefix(change.path), 0, entriesPerRow));
     // Slots are filled in order; then the oldest one, which has the lowest revision, is overwritten.
     const std::string slot = rows.size() < entriesPerRow ? ringPrefix(change.path) + std::to_string(rows.size()) : rows.front().key;
     return Store::RowWrite{slot, encodeEntry(change, stamp).dump(-1, ' ', false, Json::error_handler_t::replace), std::nullopt};
--- a/src/libs/operator/changeplan.cpp
+++ b/src/libs/operator/changeplan.cpp
@@ -96,8 +96,8 @@
     }
     SettingsTree::Tree tree;
     for (const auto &[key, content] : contents) {
-        BOOST_OUTCOME_TRY(path, SettingsTree::TreePath::fromString(key));
-        BOOST_OUTCOME_TRY(decoded, SettingsTree::decodeRow(path, content));
+        VERBENA_TRY(path, SettingsTree::TreePath::fromString(key));
+        VERBENA_TRY(decoded, SettingsTree::decodeRow(path, content));
         tree.emplace(key, std::move(decoded));
     }
     return tree;
--- a/src/libs/operator/processclient.cpp
+++ b/src/libs/operator/processclient.cpp
@@ -41,7 +41,7 @@
 
 Core::Result<std::unique_ptr<ProcessClient>> ProcessClient::create(EventLoop::Loop &loop, std::chrono::milliseconds timeout)
 {
-    BOOST_OUTCOME_TRY(client, Http::HttpClient::create(loop));
+    VERBENA_TRY(client, Http::HttpClient::create(loop));
     return std::unique_ptr<ProcessClient>(new ProcessClient(loop, timeout, std::move(client)));
 }
 
--- a/src/libs/operator/settingseditor.cpp
+++ b/src/libs/operator/settingseditor.cpp
@@ -36,10 +36,10 @@
 
 Core::Result<CheckedChange> SettingsEditor::check(const DesiredChange &desired, SettingsTree::TreeFiles *files)
 {
-    BOOST_OUTCOME_TRY(current, m_table.readTree());
+    VERBENA_TRY(current, m_table.readTree());
     CheckedChange change;
     change.changes = planChanges(current, desired);
-    BOOST_OUTCOME_TRY(whole, treeAfter(current, change.changes));
+    VERBENA_TRY(whole, treeAfter(current, change.changes));
     if (files != nullptr) {
         BOOST_OUTCOME_TRY(files->checkWhole(whole));
     } else {
@@ -89,7 +89,7 @@
     std::vector<Store::RowWrite> writes;
     for (const RowChange &row : change.changes) {
         writes.push_back({row.path, row.after, row.expectedRevision});
-        BOOST_OUTCOME_TRY(record, m_history.record(row, stamp));
+        VERBENA_TRY(record, m_history.record(row, stamp));
         writes.push_back(std::move(record));
     }
     return writes;
--- a/src/libs/operator/treetable.cpp
+++ b/src/libs/operator/treetable.cpp
@@ -34,7 +34,7 @@
     std::size_t limit = pageRows;
     while (true) {
         const std::uint64_t since = store.cursor();
-        BOOST_OUTCOME_TRY(rows, scan(std::string(SettingsTree::treePrefix), since, limit));
+        VERBENA_TRY(rows, scan(std::string(SettingsTree::treePrefix), since, limit));
         Decisions::SettingsDelta delta = Decisions::deltaOfTablePage(since, limit, SettingsTree::settingsRowsOf(std::move(rows)));
         const bool isLast = delta.isLast();
         // If a page contains only one commit, it has to grow until it contains all of that commit.
--- a/src/libs/router/agentlink.cpp
+++ b/src/libs/router/agentlink.cpp
@@ -25,7 +25,7 @@
     AgentListener &listener)
 {
     std::unique_ptr<AgentLink> link(new AgentLink(loop, server, settings, listener));
-    BOOST_OUTCOME_TRY(opened, Wire::MessageSocket::connect(loop, context, server.endpoint, security, *link));
+    VERBENA_TRY(opened, Wire::MessageSocket::connect(loop, context, server.endpoint, security, *link));
     link->m_socket = std::move(opened);
     link->onTimer();
     return link;
--- a/src/libs/router/agentlinks.cpp
+++ b/src/libs/router/agentlinks.cpp
@@ -65,7 +65,7 @@
     Wire::SocketSecurity security = m_security;
     const auto key = m_agentKeys.find(server.id);
     security.serverPublicKey = key == m_agentKeys.end() ? std::string() : key->second;
-    BOOST_OUTCOME_TRY(link, AgentLink::connect(m_loop, m_context, server, security, m_settings, m_listener));
+    VERBENA_TRY(link, AgentLink::connect(m_loop, m_context, server, security, m_settings, m_listener));
     Entry &entry = m_links[server.id];
     entry.link = std::move(link);
     return entry.link.get();
--- a/src/libs/router/callerrequest.cpp
+++ b/src/libs/router/callerrequest.cpp
@@ -73,7 +73,7 @@
         if (!message.is_object() || !message.contains("role") || !message["role"].is_string() || !message.contains("content")) {
             return invalid("Each message must have the fields 'role' and 'content'.");
         }
-        BOOST_OUTCOME_TRY(content, readContent(message["content"]));
+        VERBENA_TRY(content, readContent(message["content"]));
         request.promptText += "<|" + message["role"].get<std::string>() + "|>\n" + content + "\n";
     }
     request.promptText += "<|assistant|>\n";
@@ -107,13 +107,13 @@
 
 Core::Result<void> readStream(const json &root, CallerRequest &request)
 {
-    BOOST_OUTCOME_TRY(isStream, readFlag(root, "stream"));
+    VERBENA_TRY(isStream, readFlag(root, "stream"));
     request.isStream = isStream;
     if (root.contains("stream_options") && !root["stream_options"].is_null()) {
         if (!root["stream_options"].is_object()) {
             return invalid("The field 'stream_options' must be an object.");
         }
-        BOOST_OUTCOME_TRY(isUsageWanted, readFlag(root["stream_options"], "include_usage"));
+        VERBENA_TRY(isUsageWanted, readFlag(root["stream_options"], "include_usage"));
         request.isUsageWanted = isUsageWanted;
     }
     return Core::success();
--- a/src/libs/router/requestfactory.cpp
+++ b/src/libs/router/requestfactory.cpp
@@ -190,7 +190,7 @@
     if (options.idempotencyKey.size() > maximumKeyLength || !isVisibleAscii(options.idempotencyKey)) {
         return invalid("The header field Idempotency-Key must have at most 256 visible ASCII characters.");
     }
-    BOOST_OUTCOME_TRY(deadline, readDeadline(exchange));
+    VERBENA_TRY(deadline, readDeadline(exchange));
     options.deadline = deadline;
     return options;
 }
@@ -213,7 +213,7 @@
 Core::Result<RequestPlan> RequestFactory::planCompletion(
     const Http::HttpExchange &exchange, const CallerRequest &request, const Settings::TeamSettings &team) const
 {
-    BOOST_OUTCOME_TRY(options, readOptions(exchange, team));
+    VERBENA_TRY(options, readOptions(exchange, team));
     return RequestPlan::forCompletion(request, options, team, *m_inForce, m_settings);
 }
 
--- a/src/libs/router/routersettings.cpp
+++ b/src/libs/router/routersettings.cpp
@@ -71,7 +71,7 @@
 
 Core::Result<RouterSettings> RouterSettings::fromFile(const std::string &path)
 {
-    BOOST_OUTCOME_TRY(reader, SettingsReader::fromFile(path));
+    VERBENA_TRY(reader, SettingsReader::fromFile(path));
     return read(reader);
 }
 
--- a/src/libs/router/routertask.cpp
+++ b/src/libs/router/routertask.cpp
@@ -90,7 +90,7 @@
     if (m_settings.secretKeyFile.empty()) {
         return Core::success();
     }
-    BOOST_OUTCOME_TRY(keys, Wire::CurveKeys::fromSecretKeyFile(m_settings.secretKeyFile));
+    VERBENA_TRY(keys, Wire::CurveKeys::fromSecretKeyFile(m_settings.secretKeyFile));
     m_links.setOwnKeys(keys.publicKey, keys.secretKey);
     return Core::success();
 }
@@ -99,12 +99,12 @@
 {
     Http::HttpServerOptions options = m_settings.listen;
     if (!m_settings.certificateFile.empty()) {
-        BOOST_OUTCOME_TRY(certificate, readFile(m_settings.certificateFile));
-        BOOST_OUTCOME_TRY(privateKey, readFile(m_settings.privateKeyFile));
+        VERBENA_TRY(certificate, readFile(m_settings.certificateFile));
+        VERBENA_TRY(privateKey, readFile(m_settings.privateKeyFile));
         options.certificatePem = certificate;
         options.privateKeyPem = privateKey;
     }
-    BOOST_OUTCOME_TRY(opened, Http::HttpServer::create(m_loop, options, *this));
+    VERBENA_TRY(opened, Http::HttpServer::create(m_loop, options, *this));
     m_server = std::move(opened);
     return Core::success();
 }
--- a/src/libs/settings/settingsreader.cpp
+++ b/src/libs/settings/settingsreader.cpp
@@ -108,7 +108,7 @@
 
 Core::Result<SettingsReader> SettingsReader::fromFile(const std::string &path)
 {
-    BOOST_OUTCOME_TRY(text, Core::readTextFile(path, Core::maximumSettingsBytes, "settings.read"));
+    VERBENA_TRY(text, Core::readTextFile(path, Core::maximumSettingsBytes, "settings.read"));
     return fromText(text, path);
 }
 
--- a/src/libs/settingstree/staticsettingsview.cpp
+++ b/src/libs/settingstree/staticsettingsview.cpp
@@ -30,7 +30,7 @@
 
 Core::Result<void> StaticSettingsView::reload()
 {
-    BOOST_OUTCOME_TRY(tree, readWholeTree(m_paths));
+    VERBENA_TRY(tree, readWholeTree(m_paths));
     const std::uint64_t revision = m_current->revision + 1;
     std::vector<ChangedRow> rows;
     for (const auto &[path, content] : tree) {
--- a/src/libs/settingstree/treefiles.cpp
+++ b/src/libs/settingstree/treefiles.cpp
@@ -156,7 +156,7 @@
 
 Core::Result<NamedText> loadFile(const std::string &path)
 {
-    BOOST_OUTCOME_TRY(text, Core::readTextFile(path, maximumTreeBytes, "settings.read"));
+    VERBENA_TRY(text, Core::readTextFile(path, maximumTreeBytes, "settings.read"));
     return NamedText{path, std::move(text)};
 }
 
@@ -166,7 +166,7 @@
 {
     std::vector<NamedText> texts;
     for (const std::string &path : paths) {
-        BOOST_OUTCOME_TRY(text, loadFile(path));
+        VERBENA_TRY(text, loadFile(path));
         texts.push_back(std::move(text));
     }
     return readTexts(texts);
@@ -274,7 +274,7 @@
 
 Core::Result<Tree> readWholeTree(const std::vector<std::string> &paths)
 {
-    BOOST_OUTCOME_TRY(files, TreeFiles::read(paths));
+    VERBENA_TRY(files, TreeFiles::read(paths));
     BOOST_OUTCOME_TRY(files.checkWhole(files.rows()));
     return files.rows();
 }
--- a/src/libs/standin/enginestandin.cpp
+++ b/src/libs/standin/enginestandin.cpp
@@ -60,7 +60,7 @@
 {
     std::unique_ptr<EngineStandin> engine(new EngineStandin(loop, options));
     EngineStandin *self = engine.get();
-    BOOST_OUTCOME_TRY(opened, FaultyServer::create(loop, options.port, options.faults, *engine));
+    VERBENA_TRY(opened, FaultyServer::create(loop, options.port, options.faults, *engine));
     engine->m_server = std::move(opened);
     engine->m_batch = std::make_unique<EngineBatch>(loop, engine->m_options, engine->m_cache, engine->m_runs, engine->m_server->faults());
     engine->m_server->setChangedCallback([self] { self->m_batch->resume(); });
--- a/src/libs/standin/faults.cpp
+++ b/src/libs/standin/faults.cpp
@@ -51,7 +51,7 @@
     Faults changed = *this;
     try {
         if (root.contains("crash")) {
-            BOOST_OUTCOME_TRY(point, crashPointOf(root["crash"].get<std::string>()));
+            VERBENA_TRY(point, crashPointOf(root["crash"].get<std::string>()));
             changed.crash = point;
         }
         changed.crashToken = root.value("crash_token", crashToken);
--- a/src/libs/standin/faultyserver.cpp
+++ b/src/libs/standin/faultyserver.cpp
@@ -54,7 +54,7 @@
     Http::HttpServerOptions options;
     options.port = port;
     options.maximumConnections = maximumConnections;
-    BOOST_OUTCOME_TRY(opened, Http::HttpServer::create(m_loop, options, *this));
+    VERBENA_TRY(opened, Http::HttpServer::create(m_loop, options, *this));
     m_port = opened->port();
     m_servers.push_back(std::move(opened));
     return Core::success();
--- a/src/libs/standin/platformstandin.cpp
+++ b/src/libs/standin/platformstandin.cpp
@@ -58,7 +58,7 @@
     std::unique_ptr<PlatformStandin> platform(new PlatformStandin(loop));
     Http::HttpServerOptions options;
     options.port = port;
-    BOOST_OUTCOME_TRY(opened, Http::HttpServer::create(loop, options, *platform));
+    VERBENA_TRY(opened, Http::HttpServer::create(loop, options, *platform));
     platform->m_server = std::move(opened);
     return platform;
 }
--- a/src/libs/standin/servicestandin.cpp
+++ b/src/libs/standin/servicestandin.cpp
@@ -21,7 +21,7 @@
 {
     std::unique_ptr<ServiceStandin> service(new ServiceStandin(loop, options));
     ServiceStandin *self = service.get();
-    BOOST_OUTCOME_TRY(opened, FaultyServer::create(loop, options.port, options.faults, *service));
+    VERBENA_TRY(opened, FaultyServer::create(loop, options.port, options.faults, *service));
     service->m_server = std::move(opened);
     service->m_server->setChangedCallback([self] { self->finishDueCalls(); });
     return service;
--- a/src/libs/store/httpplatform.cpp
+++ b/src/libs/store/httpplatform.cpp
@@ -159,7 +159,7 @@
 
 Core::Result<std::unique_ptr<HttpPlatform>> HttpPlatform::create(EventLoop::Loop &loop, const std::string &url)
 {
-    BOOST_OUTCOME_TRY(client, Http::HttpClient::create(loop));
+    VERBENA_TRY(client, Http::HttpClient::create(loop));
     return std::unique_ptr<HttpPlatform>(new HttpPlatform(loop, url, std::move(client)));
 }
 
--- a/src/libs/store/platformjson.cpp
+++ b/src/libs/store/platformjson.cpp
@@ -12,7 +12,7 @@
 template<typename T, typename Decode>
 Core::Result<T> decode(const std::string &text, Decode decodeValue)
 {
-    BOOST_OUTCOME_TRY(value, JsonText::parse(text, "platform.decode"));
+    VERBENA_TRY(value, JsonText::parse(text, "platform.decode"));
     try {
         return T(decodeValue(value));
     } catch (const json::exception &failure) {
--- a/src/libs/wire/messagesocket.cpp
+++ b/src/libs/wire/messagesocket.cpp
@@ -104,7 +104,7 @@
     zmq_getsockopt(socket, ZMQ_LAST_ENDPOINT, last.data(), &size);
     result->m_endpoint = last.data();
     MessageSocket *self = result.get();
-    BOOST_OUTCOME_TRY(monitor, SocketMonitor::create(loop, context, socket, [self](ConnectionChange change, const std::string &address) {
+    VERBENA_TRY(monitor, SocketMonitor::create(loop, context, socket, [self](ConnectionChange change, const std::string &address) {
         self->m_receiver.connectionChanged(change, address);
     }));
     result->m_monitor = std::move(monitor);
--- a/tests/auto/operator/tst_settingseditor.cpp
+++ b/tests/auto/operator/tst_settingseditor.cpp
@@ -37,7 +37,7 @@
 
     Core::Result<CheckedChange> check(const std::string &yaml, std::vector<std::string> pruned = {})
     {
-        BOOST_OUTCOME_TRY(files, SettingsTree::TreeFiles::readTexts({{"change.yaml", yaml}}));
+        VERBENA_TRY(files, SettingsTree::TreeFiles::readTexts({{"change.yaml", yaml}}));
         return m_editor.check({files.rows(), std::move(pruned)}, &files);
     }
 
