Sort the whole array of a server's costs

What callers saw: the deploy file's build with GCC 14, and with GCC 12 and the sanitizers on either architecture, ended with -Werror=array-bounds.

Cause: the compiler takes the sort of a part, whose size it does not know, for one beyond the end of the array.

Change: what lies behind the part is infinite, and the whole array is sorted; the median of the part is the same value.

Result: the unit compiles without a warning in each of these builds.

--- a/src/libs/decisions/relay/serverpace.cpp
+++ b/src/libs/decisions/relay/serverpace.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 
 namespace Verbena::Decisions {
@@ -140,7 +141,9 @@
 {
     std::array<double, outlierWindow> costs = server.latestCosts;
     const std::size_t count = std::min(server.sampleCount, outlierWindow);
-    std::sort(costs.begin(), costs.begin() + static_cast<std::ptrdiff_t>(count));
+    // The size of a whole array is known to the compiler, which would warn of a sort beyond the end of a part.
+    std::fill(costs.begin() + static_cast<std::ptrdiff_t>(count), costs.end(), std::numeric_limits<double>::infinity());
+    std::sort(costs.begin(), costs.end());
     return costs[(count - 1) / 2];
 }
 
