Look for a router's end at each moment, not each 100 ms

Cause: the test looked for the router's end after each 100 ms of sending; the router had ended some 909 ms after SIGTERM.

Change: the test's loop stops as soon as the process has ended. The bound is unchanged.

--- a/tests/auto/platform/tst_plannedstops.cpp
+++ b/tests/auto/platform/tst_plannedstops.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t serverHost = 210;
 constexpr milliseconds interval{100};
 constexpr milliseconds lead{500}; // Requests are sent from so long before SIGTERM on.
+constexpr milliseconds longestDelay{5000}; // A router that ends later than that is taken for one that does not end.
 
 // Time after main() in which the address sanitizer looks for leaks before the process ends.
 #ifdef __SANITIZE_ADDRESS__
@@ -87,15 +88,20 @@
     {
         for (milliseconds sent{0}; sent < span && m_deployment.router().isRunning(); sent += interval) {
             sendRequests();
-            m_deployment.runFor(interval);
+            runWhileRouterRuns(interval);
         }
     }
 
+    /// \brief Runs until the router's process has ended, but for \a longest at most.
+    void runWhileRouterRuns(milliseconds longest)
+    {
+        const Core::TimePoint latest = m_deployment.loop().now() + longest;
+        m_deployment.runUntil([this, latest] { return !m_deployment.router().isRunning() || m_deployment.loop().now() >= latest; });
+    }
+
     void runUntilEnd()
     {
-        while (m_deployment.router().isRunning() && sinceTerm() < m_grace + 5s) {
-            m_deployment.runFor(20ms);
-        }
+        runWhileRouterRuns(m_grace + longestDelay);
         m_endedAfter = sinceTerm();
         EXPECT_LT(m_endedAfter, m_grace + leakCheckTime);
         EXPECT_EQ(m_deployment.router().waitForExit(), 0);
