--- a/tests/auto/relay/relaytest.cpp
+++ b/tests/auto/relay/relaytest.cpp
@@ -1,8 +1,5 @@
 #include "relaytest.h"
 
-#include <array>
-#include <cstdio>
-
 namespace Verbena::Test {
 
 using namespace std::chrono_literals;
@@ -12,13 +9,6 @@
     return "HTTP/1.1 " + status + "\r\nId: " + requestId(head) + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string chunk(const std::string &data)
-{
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx", data.size());
-    return std::string(size.data()) + "\r\n" + data + "\r\n";
-}
-
 std::string streamHead(const Http::MessageHead &head, const std::string &fields)
 {
     return "HTTP/1.1 200 OK\r\nId: " + requestId(head) + "\r\nReceipt: r\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n";
--- a/tests/auto/relay/relaytest.h
+++ b/tests/auto/relay/relaytest.h
@@ -4,6 +4,7 @@
 
 #include <platform/workerfake.h>
 #include <relay/relaytask.h>
+#include <support/chunk.h>
 
 #include <gtest/gtest.h>
 
@@ -17,9 +18,6 @@
 /// \brief Returns a whole answer with a length to the request with \a head.
 std::string answer(const Http::MessageHead &head, const std::string &body, const std::string &fields = "Receipt: r\r\n", const std::string &status = "200 OK");
 
-/// \brief Returns \a data as one chunk of a chunked body.
-std::string chunk(const std::string &data);
-
 /// \brief Returns the head of a chunked stream that answers the request with \a head.
 std::string streamHead(const Http::MessageHead &head, const std::string &fields = "");
 
--- a/tests/soak/endlesssource.cpp
+++ b/tests/soak/endlesssource.cpp
@@ -1,9 +1,13 @@
 #include "endlesssource.h"
 
+#include <support/chunk.h>
+
 #include <cmath>
 
 namespace Verbena::Soak {
 
+using Test::chunk;
+
 namespace {
 
 constexpr std::size_t largestPiece = 65'536;
@@ -18,13 +22,6 @@
 constexpr int answerParts = static_cast<int>(EndlessPart::AfterTheWhole) + 1;
 constexpr int requestParts = static_cast<int>(EndlessPart::NoHttp);
 
-std::string chunk(const std::string &data)
-{
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", data.size());
-    return size + data + "\r\n";
-}
-
 // A message that begins with \a start, its first line and fields, and whose body is \a body.
 EndlessMessage withoutEnd(EndlessPart part, const std::string &start, const std::string &body)
 {
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 
 #include <fcntl.h>
@@ -42,6 +43,7 @@
             (void)setrlimit(RLIMIT_NOFILE, &*descriptors);
         }
         execv(path.c_str(), words.data());
+        dprintf(STDERR_FILENO, "%s cannot be run; VERBENA_BIN names the folder of the programs.\n", path.c_str());
         _exit(notExecutedStatus);
     }
     close(ends[1]);
