--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -44,6 +44,7 @@
     bool wait(const std::function<bool()> &isDone, std::chrono::seconds patience);
     void checkRecovery();
     bool report();
+    void reportBroken();
     int resumed() const;
     std::size_t halfOfCallers() const;
 
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -340,6 +340,11 @@
     m_logs.write(folder);
 }
 
+std::vector<std::string> SoakWorld::logLinesOf(const std::string &id, std::size_t most) const
+{
+    return m_logs.linesOf(id, most);
+}
+
 bool SoakWorld::takeRestart(std::size_t index)
 {
     const bool isRestarted = m_routers[index].isRestarted;
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -108,6 +108,9 @@
     /// \brief Writes the logs of all processes to files in \a folder.
     void writeLogs(const std::string &folder) const;
 
+    /// \brief Returns the collected log lines that name the request \a id, at most \a most.
+    std::vector<std::string> logLinesOf(const std::string &id, std::size_t most) const;
+
     /// \brief Whether router \a index was started anew since the last question.
     bool takeRestart(std::size_t index);
 
