--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -3,6 +3,7 @@
 #include "answerdelivery.h"
 #include "answerencoder.h"
 #include "callerclose.h"
+#include "connectionowner.h"
 #include "continueexpectation.h"
 #include "droppedbytes.h"
 #include "halfclosewatch.h"
@@ -22,45 +23,6 @@
 
 namespace Verbena::Relay {
 
-class CallerConnection;
-
-/// \brief Interface of the task that owns a caller's connection.
-class ConnectionOwner
-{
-public:
-    virtual ~ConnectionOwner() = default;
-
-    /// \brief Creates the handler of a complete request; its answer goes to \a sink.
-    virtual std::unique_ptr<RelayedRequest> beginRequest(Http::MessageHead head, Http::SharedBody body, AnswerSink &sink) = 0;
-
-    /// \brief Returns whether a request with \a head would be refused if it began now, whatever its body is.
-    virtual bool isRefused(const Http::MessageHead &head) const = 0;
-
-    /// \brief Returns the limits for this caller's requests.
-    virtual Decisions::RelayLimits limits() const = 0;
-
-    /// \brief Returns whether connections should be closed after their current answer, as this process ends or has too many.
-    virtual bool isDraining() const = 0;
-
-    /// \brief Returns the header fields of the answer to a request that was not read; \a head is empty if it is unknown.
-    virtual std::vector<Http::HttpField> refusalFields(const Refusal &refusal, const Http::MessageHead &head) const = 0;
-
-    /// \brief Reports a request that was refused with \a status as it exceeds the bound with the name \a bound.
-    virtual void reportTooLong(std::string_view bound, int status) = 0;
-
-    /// \brief Returns what counts the bytes that connections hold.
-    virtual MemoryGuard &memory() = 0;
-
-    /// \brief Returns what lets requests wait for memory.
-    virtual BodyAdmission &bodies() = 0;
-
-    /// \brief Returns until when the request with \a head may wait to be read; not later than now if it will be refused.
-    virtual Core::TimePoint latestBodyStart(const Http::MessageHead &head) const = 0;
-
-    /// \brief Destroys \a connection, which has ended for \a reason.
-    virtual void connectionEnded(CallerConnection *connection, CloseReason reason) = 0;
-};
-
 /// \brief A caller's connection: strictly reads one request at a time and writes its answer.
 ///
 /// Bytes that arrive before the answer has been sent are never parsed as a request, because they may come from request smuggling. The answer is still
