Do not come up after a request to end

Cause: the signal is pending until the loop runs; nothing looked for it in a start that succeeds, and when it came is not known.

No caller is accepted, so nothing is lost.

--- a/src/libs/application/startattempts.cpp
+++ b/src/libs/application/startattempts.cpp
@@ -61,8 +61,12 @@
     Observe::flushLog();
 }
 
+// A router that came up all the same would count its grace period from then on.
 int serveWithRetries(Core::TimePoint deadline, const std::function<Core::Result<void>()> &serve)
 {
+    if (isEndRequested()) {
+        return reportEndBeforeStart();
+    }
     StartAttempts attempts(deadline);
     Core::Result<void> served = serve();
     while (!served && isTransient(served.error().code) && attempts.waitForRetry(served.error())) {
--- a/src/libs/application/startattempts.h
+++ b/src/libs/application/startattempts.h
@@ -38,7 +38,7 @@
 inline constexpr std::chrono::seconds defaultStartTime{10};
 
 /// \brief Calls \a serve again until \a deadline if it fails for a reason that may pass, and returns the exit status of the process. \a serve returns once the
-/// process has done its work; it returns an error only if the start failed.
+/// process has done its work; it returns an error only if the start failed. A process that has been asked to end by then does not start.
 int serveWithRetries(Core::TimePoint deadline, const std::function<Core::Result<void>()> &serve);
 
 } // namespace Verbena::Application
--- a/tests/auto/platform/tst_processstart.cpp
+++ b/tests/auto/platform/tst_processstart.cpp
@@ -223,6 +223,16 @@
     EXPECT_EQ(process->waitForExit(), 0);
 }
 
+// A process that was told to end while it started came up, and a router counted its grace period from then on.
+TEST_P(ProcessStartTest, doesNotComeUpWhenTerminatedWhileItStarts)
+{
+    const auto process = startReadingPipe();
+    process->sendSignal(SIGTERM);
+    writePipe();
+    EXPECT_FALSE(isUp(*process));
+    EXPECT_EQ(process->waitForExit(), 0);
+}
+
 // SIGHUP ended a process whose libraries the system was just loading.
 TEST_P(ProcessStartTest, isNotEndedByAHangUpWhileItsLibrariesAreLoaded)
 {
@@ -249,6 +259,16 @@
     EXPECT_EQ(process->waitForExit(), 0);
 }
 
+// The same while its libraries were loaded.
+TEST_P(ProcessStartTest, doesNotComeUpWhenTerminatedWhileItsLibrariesAreLoaded)
+{
+    const auto process = startLoadingLibraries();
+    process->sendSignal(SIGTERM);
+    goOnLoading();
+    EXPECT_FALSE(isUp(*process));
+    EXPECT_EQ(process->waitForExit(), 0);
+}
+
 // Each library that the system loads before the program holds its signals lengthened the time in which one ends the process.
 TEST_P(ProcessStartTest, isNotDelayedByLibrariesBeforeItHoldsSignals)
 {
