--- a/tests/platform/workerfake.cpp
+++ b/tests/platform/workerfake.cpp
@@ -202,6 +202,11 @@
     m_channel->setReading(true);
 }
 
+void CallerFake::setReading(bool isReading)
+{
+    m_channel->setReading(isReading);
+}
+
 const std::string &CallerFake::received() const
 {
     return m_received;
--- a/tests/platform/workerfake.h
+++ b/tests/platform/workerfake.h
@@ -89,6 +89,9 @@
     /// \brief Starts to read, for a caller of createSlow().
     void read();
 
+    /// \brief Pauses or resumes reading, for a caller whose host takes what comes.
+    void setReading(bool isReading);
+
     /// \brief Returns all received bytes.
     const std::string &received() const;
     bool isClosed() const;
--- /dev/null
+++ b/tests/support/socketqueues.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+#include <netinet/in.h>
+
+namespace Verbena::Test {
+
+/// \brief What the system holds for the connections of one address, in bytes.
+struct SocketQueues
+{
+    std::uint64_t unacknowledgedBytes = 0; ///< Sent by the owner of the address; the far side has not acknowledged it.
+    std::uint64_t unreadBytes = 0; ///< Received for the owner of the address, which has not read it.
+};
+
+/// \brief Returns what the system holds for all TCP connections whose near end has the address \a local.
+SocketQueues queuesOf(const in_addr &local);
+
+} // namespace Verbena::Test
