Bound and count what the kernel holds for each connection

What callers saw: requests that ended with the router's process. Suspected, not shown, to be the cause there; the kernel's memory for sockets counts in a small machine's or a control group's.

Cause: the memory budget counted a byte until send() took it, and no socket had a bound on its send buffer, so that the kernel took up to 3.8 MB for each caller that did not read.

Change: all TCP sockets have a send buffer of at most 256 KiB of kernel memory: those of callers and backend servers, of libcurl, libmicrohttpd and ZeroMQ; the latter three had no bound on what they receive either (33 MB here). For a caller and for the body of a request the bound follows what is left of the memory budget, as the bound on unsent bytes does. What the kernel holds counts in the budget as in_kernel_for_callers and in_kernel_for_servers, so that gauges and memory_short tell it from what the process holds, and a caller that reads nothing is cut off for it. The system is asked for it after each 16 KiB and once a second, ten times a second while memory is short; on a reset nothing is held.

Tried and not kept: a receive buffer that shrinks with the budget. With 16 KiB and loopback's segments of 64 KiB, 8 MB took 52 s.

--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -60,6 +60,10 @@
         return "unsent_to_callers";
     case HeldKind::UnsentToServers:
         return "unsent_to_servers";
+    case HeldKind::InKernelForCallers:
+        return "in_kernel_for_callers";
+    case HeldKind::InKernelForServers:
+        return "in_kernel_for_servers";
     }
     return "unknown";
 }
--- a/src/libs/decisions/relay/memorybudget.h
+++ b/src/libs/decisions/relay/memorybudget.h
@@ -19,10 +19,17 @@
     PartialAnswers, ///< Answers and events that are forwarded only when they are complete.
     UnsentToCallers,
     UnsentToServers,
+    InKernelForCallers, ///< Sent, and not taken by the caller's host.
+    InKernelForServers, ///< Sent, and not taken by the server's host.
 };
 
-inline constexpr std::array<HeldKind, 5> heldKinds{
-    HeldKind::RequestHeads, HeldKind::RequestBodies, HeldKind::PartialAnswers, HeldKind::UnsentToCallers, HeldKind::UnsentToServers};
+inline constexpr std::array<HeldKind, 7> heldKinds{HeldKind::RequestHeads,
+    HeldKind::RequestBodies,
+    HeldKind::PartialAnswers,
+    HeldKind::UnsentToCallers,
+    HeldKind::UnsentToServers,
+    HeldKind::InKernelForCallers,
+    HeldKind::InKernelForServers};
 
 /// \brief Returns the stable name of \a kind for logs and metrics.
 std::string_view heldKindName(HeldKind kind);
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -3,6 +3,7 @@
 #include "answermeter.h"
 #include "callevents.h"
 #include "messagereader.h"
+#include "socketbuffers.h"
 
 #include <eventloop/iowatcher.h>
 #include <eventloop/loop.h>
@@ -137,6 +138,12 @@
         return size * count;
     }
 
+    static int onNewSocket(void *, curl_socket_t socket, curlsocktype)
+    {
+        boundSocketBuffers(socket, callReceiveBufferBytes);
+        return CURL_SOCKOPT_OK;
+    }
+
     static int onSocket(CURL *, curl_socket_t socket, int what, void *context, void *socketContext)
     {
         auto *client = static_cast<HttpClient *>(context);
@@ -289,6 +296,7 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Internals::onNewSocket);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Internals::onData);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Internals::onField);
--- a/src/libs/http/httpserver.cpp
+++ b/src/libs/http/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "fieldtext.h"
 #include "requesttarget.h"
+#include "socketbuffers.h"
 
 #include <eventloop/loop.h>
 
@@ -175,6 +176,7 @@
     if (server->m_daemon == nullptr) {
         return Core::Error{Core::ErrorCode::Unavailable, "http.listen", peer, "The server cannot listen on this address."};
     }
+    boundSocketBuffers(MHD_get_daemon_info(server->m_daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd);
     const MHD_DaemonInfo *info = MHD_get_daemon_info(server->m_daemon, MHD_DAEMON_INFO_EPOLL_FD);
     HttpServer *self = server.get();
     server->m_watcher = std::make_unique<EventLoop::IoWatcher>(loop, info->epoll_fd, [self](int) { self->runDaemon(); });
--- a/src/libs/http/peerwindow.cpp
+++ b/src/libs/http/peerwindow.cpp
@@ -28,9 +28,10 @@
 
 } // namespace
 
-PeerWindow::PeerWindow(EventLoop::Loop &loop, int descriptor)
+PeerWindow::PeerWindow(EventLoop::Loop &loop, int descriptor, std::function<void()> checked)
     : m_loop(loop)
     , m_descriptor(descriptor)
+    , m_checked(std::move(checked))
 {
 }
 
@@ -39,7 +40,10 @@
 void PeerWindow::watch()
 {
     if (m_timer == nullptr) {
-        m_timer = std::make_unique<EventLoop::Timer>(m_loop, [this] { check(); });
+        m_timer = std::make_unique<EventLoop::Timer>(m_loop, [this] {
+            check();
+            m_checked();
+        });
     }
     if (!m_timer->isActive()) {
         m_timer->startAt(m_loop.now() + checkInterval);
--- a/src/libs/http/peerwindow.h
+++ b/src/libs/http/peerwindow.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -21,8 +22,8 @@
     /// \brief Time without an acknowledgement after which the kernel ends a connection whose peer has room for what is sent.
     static constexpr std::chrono::milliseconds hostTimeout{4000};
 
-    /// \brief Watches the connection of the socket \a descriptor, which must outlive it.
-    PeerWindow(EventLoop::Loop &loop, int descriptor);
+    /// \brief Watches the connection of the socket \a descriptor, which must outlive it. \a checked is called after each look at the peer.
+    PeerWindow(EventLoop::Loop &loop, int descriptor, std::function<void()> checked);
     ~PeerWindow();
 
     PeerWindow(const PeerWindow &) = delete;
@@ -50,6 +51,7 @@
 
     EventLoop::Loop &m_loop;
     int m_descriptor;
+    std::function<void()> m_checked;
     std::unique_ptr<EventLoop::Timer> m_timer; ///< Runs while the kernel holds bytes; null before the first check.
     std::optional<Core::TimePoint> m_closedSince; ///< When the window closed at the earliest; none if it has not since the kernel held nothing.
     std::chrono::milliseconds m_timeout = hostTimeout; ///< Time for which the kernel waits for an acknowledgement.
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -69,7 +69,7 @@
         return Core::Error{connectErrorCode(errno), "http.socket", endpoint.toString(), std::strerror(errno)};
     }
     setOptions(descriptor);
-    setSocketOption(descriptor, SOL_SOCKET, SO_RCVBUF, receiveBufferBytes);
+    boundSocketBuffers(descriptor);
     const int status = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&endpoint.address), sizeof endpoint.address);
     if (status != 0 && errno != EINPROGRESS) {
         const std::string reason = std::strerror(errno);
@@ -91,7 +91,8 @@
     , m_observer(&observer)
     , m_watcher(std::make_unique<EventLoop::IoWatcher>(loop, descriptor, [this](int events) { onReady(events); }))
     , m_flush(loop, [this] { flush(); })
-    , m_window(loop, descriptor)
+    , m_buffers(descriptor)
+    , m_window(loop, descriptor, [this] { updateKernelBytes(); })
     , m_readBound(readBytes)
     , m_isConnected(isConnected)
 {
@@ -240,6 +241,35 @@
     }
 }
 
+void TcpChannel::setKernelMeter(std::unique_ptr<ByteMeter> meter)
+{
+    m_kernelMeter = std::move(meter);
+    updateKernelMeter();
+}
+
+void TcpChannel::updateKernelMeter()
+{
+    if (m_kernelMeter != nullptr) {
+        m_kernelMeter->setBytes(kernelBytes());
+    }
+}
+
+std::size_t TcpChannel::kernelBytes() const
+{
+    return m_isBroken ? 0 : m_buffers.sentBytes();
+}
+
+void TcpChannel::updateKernelBytes()
+{
+    m_buffers.update();
+    updateKernelMeter();
+}
+
+void TcpChannel::setSendBound(std::size_t bytes)
+{
+    m_buffers.setSendBound(bytes);
+}
+
 std::size_t TcpChannel::unacknowledgedBytes() const
 {
     int inKernel = 0;
@@ -370,6 +400,7 @@
             return isToBeContinued;
         }
         m_hasSent = true;
+        m_buffers.recordSent(static_cast<std::size_t>(sent));
         const std::size_t ofOutput = std::min(static_cast<std::size_t>(sent), m_output.size() - m_outputOffset);
         m_outputOffset += ofOutput;
         m_bodyOffset += static_cast<std::size_t>(sent) - ofOutput;
@@ -415,6 +446,7 @@
         m_outputOffset = 0;
     }
     updateMeter();
+    updateKernelMeter();
 }
 
 void TcpChannel::readAvailable()
@@ -445,6 +477,7 @@
     m_body.reset();
     m_bodyOffset = 0;
     updateMeter();
+    updateKernelMeter();
     m_window.stop();
     m_watcher->stop();
     m_watchedEvents = 0;
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -4,6 +4,7 @@
 #include "endpoint.h"
 #include "outgoingmessage.h"
 #include "peerwindow.h"
+#include "socketbuffers.h"
 
 #include <core/result.h>
 #include <eventloop/deferredcall.h>
@@ -22,12 +23,6 @@
 
 namespace Verbena::Http {
 
-/// \brief Room in the kernel for what the peer has sent and nobody has read, in bytes.
-///
-/// Enough for a round trip of a few milliseconds at ten megabytes per second. It counts as memory of this process, also while reading pauses, so that it must
-/// not grow as large as the kernel would let it.
-inline constexpr int receiveBufferBytes = 64 * 1024;
-
 /// \brief How a connection ended.
 enum class ChannelEnd {
     Closed, ///< The peer closed its side regularly.
@@ -106,6 +101,18 @@
     /// \brief Sets the meter that is told from now on how much memory is held for written bytes; null for none.
     void setMeter(std::unique_ptr<ByteMeter> meter);
 
+    /// \brief Sets the meter that is told from now on how much memory the kernel holds for sent bytes, about once a second while it does; null for none.
+    void setKernelMeter(std::unique_ptr<ByteMeter> meter);
+
+    /// \brief Returns the memory that the kernel holds for sent bytes, as last told to the meter.
+    std::size_t kernelBytes() const;
+
+    /// \brief Brings kernelBytes() up to date.
+    void updateKernelBytes();
+
+    /// \brief Lets the kernel hold no more than \a bytes of what is sent from now on. What it holds already stays.
+    void setSendBound(std::size_t bytes);
+
     /// \brief Returns the number of written bytes that the peer's host has not acknowledged yet.
     std::size_t unacknowledgedBytes() const;
 
@@ -146,6 +153,7 @@
     ssize_t sendSome();
     void releaseSent();
     void updateMeter();
+    void updateKernelMeter();
     bool finishConnect();
     void readAvailable();
     void handleConnectionFailure();
@@ -154,12 +162,14 @@
     ChannelObserver *m_observer; ///< Never null.
     std::unique_ptr<EventLoop::IoWatcher> m_watcher;
     EventLoop::DeferredCall m_flush;
+    SocketBuffers m_buffers;
     PeerWindow m_window;
     std::string m_output;
     std::size_t m_outputOffset = 0; ///< Number of bytes at the start of m_output that the kernel has accepted.
     SharedBody m_body; ///< Follows m_output; null if nothing does.
     std::size_t m_bodyOffset = 0; ///< Number of bytes at the start of m_body that the kernel has accepted.
     std::unique_ptr<ByteMeter> m_meter;
+    std::unique_ptr<ByteMeter> m_kernelMeter;
     std::size_t m_readBound; ///< Most bytes that are read at once.
     bool m_isConnected;
     bool m_isRefused = false;
--- a/src/libs/http/tcplistener.cpp
+++ b/src/libs/http/tcplistener.cpp
@@ -1,7 +1,7 @@
 #include "tcplistener.h"
 
 #include "resourceshortage.h"
-#include "tcpchannel.h"
+#include "socketbuffers.h"
 
 #include <eventloop/iowatcher.h>
 #include <eventloop/loop.h>
@@ -43,8 +43,7 @@
     std::unique_ptr<TcpListener> listener(new TcpListener(loop, descriptor, std::move(acceptor)));
     const int isReused = 1;
     (void)setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &isReused, sizeof isReused);
-    // Accepted connections inherit it. If it cannot be set, the kernel lets the buffers grow.
-    (void)setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+    boundSocketBuffers(descriptor);
     if (::bind(descriptor, reinterpret_cast<const sockaddr *>(&endpoint.address), sizeof endpoint.address) != 0) {
         return errorAt("http.bind", endpoint);
     }
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -114,6 +114,16 @@
     m_channel->setMeter(std::move(meter));
 }
 
+void BackendCall::setKernelMeter(std::unique_ptr<Http::ByteMeter> meter)
+{
+    m_channel->setKernelMeter(std::move(meter));
+}
+
+void BackendCall::setSendBound(std::size_t bytes)
+{
+    m_channel->setSendBound(bytes);
+}
+
 void BackendCall::setAnswerMeter(std::unique_ptr<Http::ByteMeter> meter)
 {
     m_answerMeter = std::move(meter);
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -92,6 +92,12 @@
     /// \brief Sets the meter that is told how many bytes of the request are not sent yet.
     void setMeter(std::unique_ptr<Http::ByteMeter> meter);
 
+    /// \brief Sets the meter that is told how much memory the kernel holds for the request.
+    void setKernelMeter(std::unique_ptr<Http::ByteMeter> meter);
+
+    /// \brief Lets the kernel hold no more than \a bytes of what is not sent yet.
+    void setSendBound(std::size_t bytes);
+
     /// \brief Sets the meter that is told how many bytes of the answer are held beside its body.
     void setAnswerMeter(std::unique_ptr<Http::ByteMeter> meter);
 
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -46,6 +46,7 @@
     , m_firstRequestDeadline(m_idleSince + firstRequestTime)
 {
     m_channel->setMeter(createMeter(&owner.memory().budget(), Decisions::HeldKind::UnsentToCallers));
+    m_channel->setKernelMeter(createMeter(&owner.memory().budget(), Decisions::HeldKind::InKernelForCallers));
     m_idleDeadline = m_idleSince + owner.limits().idleTimeout;
     m_timer.startAt(m_idleDeadline);
 }
@@ -67,9 +68,14 @@
     return m_channel->bufferedBytes();
 }
 
+bool CallerConnection::hasUntakenBytes() const
+{
+    return unsentBytes() > 0 || m_channel->kernelBytes() > 0;
+}
+
 std::size_t CallerConnection::heldBytes() const
 {
-    return m_channel->heldBytes();
+    return m_channel->heldBytes() + m_channel->kernelBytes();
 }
 
 Core::TimePoint CallerConnection::lastReadAt() const
@@ -79,6 +85,7 @@
 
 void CallerConnection::updateLastRead()
 {
+    m_channel->updateKernelBytes();
     m_delivery.recordUnacknowledged(m_channel->unacknowledgedBytes(), m_loop.now());
 }
 
@@ -446,6 +453,7 @@
     if (unsentBytes() == 0) {
         m_delivery.recordRead(m_loop.now());
     }
+    m_channel->setSendBound(m_owner.memory().budget().unsentBound());
     m_channel->write(data);
     m_halfClose.recordWrite();
     // An answer that waits for its caller holds a place at a backend server.
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -47,6 +47,9 @@
     /// \brief Returns the number of bytes that the caller has not read.
     std::size_t unsentBytes() const;
 
+    /// \brief Returns whether the caller's host has not taken all that was written for it, as far as is known.
+    bool hasUntakenBytes() const;
+
     /// \brief Returns the memory that is freed when the connection is cut off.
     std::size_t heldBytes() const;
 
--- a/src/libs/relay/memoryguard.cpp
+++ b/src/libs/relay/memoryguard.cpp
@@ -90,7 +90,9 @@
             {"request_bodies", held(Decisions::HeldKind::RequestBodies)},
             {"partial_answers", held(Decisions::HeldKind::PartialAnswers)},
             {"unsent_to_callers", held(Decisions::HeldKind::UnsentToCallers)},
-            {"unsent_to_servers", held(Decisions::HeldKind::UnsentToServers)}});
+            {"unsent_to_servers", held(Decisions::HeldKind::UnsentToServers)},
+            {"in_kernel_for_callers", held(Decisions::HeldKind::InKernelForCallers)},
+            {"in_kernel_for_servers", held(Decisions::HeldKind::InKernelForServers)}});
 }
 
 std::vector<CallerConnection *> MemoryGuard::connectionsToCut(const std::vector<CallerConnection *> &connections, Core::TimePoint now)
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -197,7 +197,7 @@
     }
     std::vector<CallerConnection *> connections;
     for (const auto &[connection, owned] : m_connections) {
-        if (connection->unsentBytes() > 0) {
+        if (connection->hasUntakenBytes()) {
             connection->updateLastRead();
             connections.push_back(connection);
         }
--- a/src/libs/relay/servercall.cpp
+++ b/src/libs/relay/servercall.cpp
@@ -54,7 +54,9 @@
         m_call = std::move(call.value());
         m_call->setMeter(createMeter(m_context.memory, Decisions::HeldKind::UnsentToServers));
         m_call->setAnswerMeter(createMeter(m_context.memory, Decisions::HeldKind::PartialAnswers));
+        m_call->setKernelMeter(createMeter(m_context.memory, Decisions::HeldKind::InKernelForServers));
         updateReadBound();
+        updateSendBound();
         return Core::success();
     }
     if (call.error().code == Core::ErrorCode::ResourceExhausted) {
@@ -226,6 +228,14 @@
     }
 }
 
+// The body of the request is counted whole beside what the kernel has taken of it.
+void ServerCall::updateSendBound()
+{
+    if (m_context.memory != nullptr) {
+        m_call->setSendBound(m_context.memory->unsentBound());
+    }
+}
+
 AnswerMeaning ServerCall::meaningOf(int status, const AnswerMarks &marks, bool isAnswerBegun) const
 {
     if (m_call->isReused() && marks.attemptId.empty()) {
--- a/src/libs/relay/servercall.h
+++ b/src/libs/relay/servercall.h
@@ -126,6 +126,7 @@
     CallContext callContext(const CallProgress &progress) const;
     void updateWeights(const AnswerMarks &marks);
     void updateReadBound();
+    void updateSendBound();
 
     const RelayContext &m_context;
     const RequestFacts &m_facts;
--- a/src/libs/wire/messagesocket.cpp
+++ b/src/libs/wire/messagesocket.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::milliseconds linger{500};
 // Time after which a refused peer, which gets no reply, tries again.
 constexpr std::chrono::milliseconds handshakeTimeout{2000};
+// Room in the kernel for what waits for one peer, and for what has come from it; the kernel takes up to twice as much memory for each.
+constexpr int kernelBufferBytes = 128 * 1024;
+
 constexpr std::chrono::milliseconds heartbeatInterval{1000};
 constexpr std::chrono::milliseconds heartbeatTimeout{3000};
 
@@ -84,6 +87,8 @@
     setOption(socket, ZMQ_LINGER, isRouter ? linger : std::chrono::milliseconds(0));
     setOption(socket, ZMQ_SNDHWM, highWaterMark);
     setOption(socket, ZMQ_RCVHWM, highWaterMark);
+    setOption(socket, ZMQ_SNDBUF, kernelBufferBytes);
+    setOption(socket, ZMQ_RCVBUF, kernelBufferBytes);
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &maximumMessageBytes, sizeof maximumMessageBytes);
     setOption(socket, ZMQ_RECONNECT_IVL, reconnectInterval);
     setOption(socket, ZMQ_RECONNECT_IVL_MAX, maximumReconnectInterval);
