Read what came before a write failed, and know a break from an end

What callers saw: 502 in place of an answer that their server had given whole, also to requests that may not be repeated, and 503 for those that came next, as the server was rested.

Cause: TcpChannel writes before it reads and took the failed write of a request's body for the end of the connection, although the server's whole answer waited to be read. Beside it: send() and a look for bytes take the socket's error, after which the kernel reports a reset as an orderly end. The class: an error of one direction taken for the state of both.

Change: a channel remembers that a call has taken the error, and reports any end after it as a break. Where its owner wants the rest, as a call to a backend server does until its answer is whole, it drops what it was to send and goes on reading, also after a pause, and then reports the break, so that an answer without a length stays incomplete. Callers' connections end at once, as before. call_failed says whether the request had been sent whole.

--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -51,6 +51,12 @@
     setSocketOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
+// Returns whether the call that failed with \a error may be tried again later.
+bool isTemporary(int error)
+{
+    return error == EAGAIN || error == EINTR;
+}
+
 Core::ErrorCode connectErrorCode(int error)
 {
     if (error == ECONNREFUSED) {
@@ -118,7 +124,7 @@
 
 void TcpChannel::write(std::string_view data)
 {
-    if (m_isBroken) {
+    if (m_isBroken || m_hasFailed) {
         return;
     }
     // Everything written in one iteration of the loop is sent together.
@@ -133,7 +139,7 @@
 
 void TcpChannel::write(const OutgoingMessage &message)
 {
-    if (m_isBroken) {
+    if (m_isBroken || m_hasFailed) {
         return;
     }
     const bool isFirst = bufferedBytes() == 0;
@@ -145,7 +151,7 @@
 
 void TcpChannel::writeNow(const OutgoingMessage &message)
 {
-    if (m_isBroken) {
+    if (m_isBroken || m_hasFailed) {
         return;
     }
     append(message);
@@ -189,24 +195,26 @@
     setReading(true);
 }
 
-bool TcpChannel::isIdle() const
+bool TcpChannel::isIdle()
 {
-    if (!m_isConnected || m_isEnded || m_isBroken || bufferedBytes() > 0) {
+    if (!m_isConnected || m_isEnded || m_isBroken || m_hasFailed || bufferedBytes() > 0) {
         return false;
     }
     return peek() < 0 && errno == EAGAIN;
 }
 
-bool TcpChannel::hasUnreadBytes() const
+bool TcpChannel::hasUnreadBytes()
 {
     return !m_isEnded && peek() > 0;
 }
 
 // Returns what recv() would for one byte, and leaves the byte.
-ssize_t TcpChannel::peek() const
+ssize_t TcpChannel::peek()
 {
     char next = 0;
-    return recv(m_descriptor, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t count = recv(m_descriptor, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    m_hasFailed = m_hasFailed || (count < 0 && !isTemporary(errno));
+    return count;
 }
 
 // A send error is not handled here: the loop reports it when the socket becomes ready.
@@ -256,7 +264,7 @@
 
 std::size_t TcpChannel::kernelBytes() const
 {
-    return m_isBroken ? 0 : m_buffers.sentBytes();
+    return m_isBroken || m_hasFailed ? 0 : m_buffers.sentBytes();
 }
 
 void TcpChannel::updateKernelBytes()
@@ -290,7 +298,7 @@
 bool TcpChannel::isReset() const
 {
     pollfd state{m_descriptor, 0, 0};
-    return m_isBroken || (poll(&state, 1, 0) > 0 && (state.revents & POLLERR) != 0);
+    return m_isBroken || m_hasFailed || (poll(&state, 1, 0) > 0 && (state.revents & POLLERR) != 0);
 }
 
 bool TcpChannel::isRefused() const
@@ -351,14 +359,14 @@
     bool isDestroyed = false;
     m_isDestroyed = &isDestroyed;
     if ((events & EV_WRITE) != 0) {
-        if ((!m_isConnected && !finishConnect()) || !sendBuffered()) {
+        if ((!m_isConnected && !finishConnect()) || (!sendBuffered() && !isSendFailureHandled())) {
             handleConnectionFailure();
             if (!isDestroyed) {
                 m_isDestroyed = nullptr;
             }
             return;
         }
-        if (bufferedBytes() == 0) {
+        if (!m_hasFailed && bufferedBytes() == 0) {
             m_observer->outputDrained();
             if (isDestroyed) {
                 return;
@@ -389,15 +397,18 @@
 
 bool TcpChannel::sendBuffered()
 {
+    if (m_hasFailed) {
+        return false;
+    }
     if (bufferedBytes() > 0) {
         m_window.watch();
     }
     while (bufferedBytes() > 0) {
         const ssize_t sent = sendSome();
         if (sent < 0) {
-            const bool isToBeContinued = errno == EAGAIN || errno == EINTR;
+            m_hasFailed = !isTemporary(errno);
             releaseSent();
-            return isToBeContinued;
+            return !m_hasFailed;
         }
         m_hasSent = true;
         m_buffers.recordSent(static_cast<std::size_t>(sent));
@@ -413,6 +424,27 @@
     return true;
 }
 
+// What has come before the failure may be a whole answer; its end is then reported when it has been read.
+bool TcpChannel::isSendFailureHandled()
+{
+    if (m_isEnded || !m_observer->isRestWanted()) {
+        return false;
+    }
+    dropOutput();
+    return true;
+}
+
+void TcpChannel::dropOutput()
+{
+    Core::freeText(m_output);
+    m_outputOffset = 0;
+    m_body.reset();
+    m_bodyOffset = 0;
+    updateMeter();
+    updateKernelMeter();
+    m_window.stop();
+}
+
 ssize_t TcpChannel::sendSome()
 {
     if (m_body == nullptr) {
@@ -457,10 +489,10 @@
         m_observer->receiveBytes({buffer.data(), static_cast<std::size_t>(count)});
         return;
     }
-    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+    if (count < 0 && isTemporary(errno)) {
         return;
     }
-    if (count < 0) {
+    if (count < 0 || m_hasFailed) {
         handleConnectionFailure();
         return;
     }
@@ -472,13 +504,7 @@
 {
     m_isBroken = true;
     m_isEnded = true;
-    Core::freeText(m_output);
-    m_outputOffset = 0;
-    m_body.reset();
-    m_bodyOffset = 0;
-    updateMeter();
-    updateKernelMeter();
-    m_window.stop();
+    dropOutput();
     m_watcher->stop();
     m_watchedEvents = 0;
     m_observer->receiveEnd(ChannelEnd::Broken);
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -41,6 +41,13 @@
     /// \brief Receives the end of the incoming data. After Broken, no data can be sent either.
     virtual void receiveEnd(ChannelEnd end) = 0;
 
+    /// \brief Returns whether what the peer sent before the connection broke is read to its end although nothing can be sent any more, also while reading
+    /// pauses. Otherwise receiveEnd() follows at once.
+    virtual bool isRestWanted() const
+    {
+        return false;
+    }
+
     /// \brief Notifies that the kernel has accepted some of the written data, since the peer reads. Must not destroy the channel.
     virtual void outputSent()
     {
@@ -87,10 +94,10 @@
     void handOver(ChannelObserver &observer);
 
     /// \brief Returns whether the connection is open at both ends, all written data is sent and nothing waits to be read.
-    bool isIdle() const;
+    bool isIdle();
 
     /// \brief Returns whether bytes of the peer wait to be read.
-    bool hasUnreadBytes() const;
+    bool hasUnreadBytes();
 
     /// \brief Returns the number of written bytes that the kernel has not accepted yet.
     std::size_t bufferedBytes() const;
@@ -142,11 +149,13 @@
 
 private:
     TcpChannel(EventLoop::Loop &loop, int descriptor, ChannelObserver &observer, bool isConnected);
-    ssize_t peek() const;
+    ssize_t peek();
     void onReady(int events);
     void watch();
     void flush();
     bool sendBuffered();
+    bool isSendFailureHandled();
+    void dropOutput();
     void append(const OutgoingMessage &message);
     void unshareBody();
     std::size_t unsentBodyBytes() const;
@@ -175,7 +184,8 @@
     bool m_isRefused = false;
     bool m_isReading = true;
     bool m_isEnded = false; ///< True once the peer sends nothing more.
-    bool m_isBroken = false;
+    bool m_isBroken = false; ///< True once the observer was told that the connection broke.
+    bool m_hasFailed = false; ///< True once a call has taken the socket's error, after which the kernel reports the end as an orderly one.
     bool m_hasSent = false;
     bool m_isShuttingDown = false;
     bool m_isResetOnClose = false;
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -163,6 +163,7 @@
 
 void BackendCall::outputDrained()
 {
+    m_isRequestSent = true;
     if (m_isReused) {
         return;
     }
@@ -221,12 +222,18 @@
         return;
     }
     if (end == Http::ChannelEnd::Broken) {
-        fail("the connection broke");
+        fail(m_isRequestSent ? "the connection broke" : "the connection broke before the request was sent whole");
         return;
     }
     deliver(m_reader.feedEnd());
 }
 
+// A server may answer before it has read the whole request and then end the connection with the rest of it unread.
+bool BackendCall::isRestWanted() const
+{
+    return !m_isWhole;
+}
+
 void BackendCall::deliver(std::optional<Http::MessageFault> fault)
 {
     bool isDestroyed = false;
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -123,6 +123,7 @@
     BackendCall(EventLoop::Loop &loop, const CallOptions &options, CallObserver &observer);
     void receiveBytes(std::string_view data) override;
     void receiveEnd(Http::ChannelEnd end) override;
+    bool isRestWanted() const override;
     void outputDrained() override;
     void receiveHead(Http::MessageHead head) override;
     void receiveBody(std::string_view data) override;
@@ -141,6 +142,7 @@
     bool m_isRepeatable;
     bool m_isReused = false;
     std::size_t m_requestBytes = 0; ///< Size of the request.
+    bool m_isRequestSent = false; ///< Whether the kernel has accepted the whole request.
 
     // Parsed from the last bytes and delivered to the observer after the reader has returned, as the observer may destroy this call.
     std::optional<Http::MessageHead> m_head;
