Take an answer with a status beyond 599 for none

What callers saw: 000 and 099 were refused already (502); 600, 700 and 999 were passed on with their server's stamp. RFC 9110 (15) calls all of them invalid. It allows to treat them as 5xx; chosen is what holds for 000, as a server that names such a status is in trouble, and what its caller makes of the number is not known: no answer, a lost call, 502 or another server where the request may be repeated. The same for calls by libcurl, where an answer to a write leaves its outcome unknown.

BrokenOffAnswersTest.givesACallerAStatusThatIsNone and CutAnswersTest.areAnswersWithAStatusThatIsNone fail before for 600 and 999, and pass.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr long firstFinalStatus = 200;
+constexpr long lastStatus = 599;
 constexpr long statusNoContent = 204;
 constexpr long statusNotModified = 304;
 
@@ -50,6 +51,7 @@
     bool isSafe = false; ///< Whether the request's method has no effect.
     bool isHeadRequest = false; ///< Whether the request's method is HEAD.
     bool isHeadDone = false; ///< Whether the empty line that ends the head of the final response was received.
+    bool isStatusInvalid = false; ///< Whether the final response has a status that HTTP does not know.
     bool isChunked = false; ///< Whether the response is sent in chunks.
     bool isPaused = false;
     bool isCancelled = false;
@@ -122,7 +124,8 @@
         }
         if (line == "\r\n" || line == "\n") {
             transfer->isHeadDone = statusOf(*transfer) >= firstFinalStatus;
-            return size * count;
+            transfer->isStatusInvalid = statusOf(*transfer) > lastStatus;
+            return transfer->isStatusInvalid ? 0 : size * count;
         }
         const std::size_t colon = line.find(':');
         if (colon == std::string_view::npos || transfer->isCancelled) {
@@ -200,6 +203,9 @@
     // Returns why the call of \a transfer failed; null if it did not. libcurl reports a head that ends after its first line as a whole response.
     static const char *failureOf(const Transfer &transfer, CURLcode code)
     {
+        if (transfer.isStatusInvalid) {
+            return "The status of the response is none.";
+        }
         if (code != CURLE_OK) {
             return curl_easy_strerror(code);
         }
--- a/src/libs/http/messagereader.cpp
+++ b/src/libs/http/messagereader.cpp
@@ -44,6 +44,7 @@
 
 constexpr int statusesPerClass = 100;
 constexpr int interimClass = 1;
+constexpr int lastClass = 5;
 
 // Returns whether the head contains something that the parser accepts, but that proxies are known to interpret differently.
 bool isAmbiguous(const MessageHead &head)
@@ -166,12 +167,13 @@
 
     void on_response_impl(int code, beast::string_view, int version, beast::error_code &error) override
     {
-        if (code < statusesPerClass) {
+        const int statusClass = code / statusesPerClass;
+        if (statusClass < interimClass || statusClass > lastClass) {
             error = beast::http::error::bad_status;
             return;
         }
         m_head.status = code;
-        m_isInterim = code / statusesPerClass == interimClass;
+        m_isInterim = statusClass == interimClass;
         m_head.isVersion11 = version == 11;
     }
 
--- a/tests/auto/http/tst_cutanswers.cpp
+++ b/tests/auto/http/tst_cutanswers.cpp
@@ -99,6 +99,16 @@
     EXPECT_EQ(call(heads[9], close).value().status, 200);
 }
 
+// A server in trouble named a status that is none, and it was given to the caller.
+TEST_F(CutAnswersTest, areAnswersWithAStatusThatIsNone)
+{
+    for (const char *status : {"000", "099", "600", "999"}) {
+        const auto reply = call(std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 5\r\n\r\nwhole", WorkerScript::End::Keep);
+        EXPECT_FALSE(reply) << status;
+        EXPECT_TRUE(reply || reply.error().code == Core::ErrorCode::Unknown) << status;
+    }
+}
+
 // The reader of the relay's calls knows a cut head from a whole one.
 TEST(CutHeadsTest, areTruncatedWhereverTheyEnd)
 {
--- a/tests/auto/relay/tst_brokenoffanswers.cpp
+++ b/tests/auto/relay/tst_brokenoffanswers.cpp
@@ -185,6 +185,20 @@
     }
 }
 
+// A server in trouble named a status that is none, and its caller got it as the answer.
+TEST_F(BrokenOffAnswersTest, givesACallerAStatusThatIsNone)
+{
+    for (const char *status : {"000 X", "099 X", "600 X", "999 X"}) {
+        for (const char *path : {"/once/", "/safe/", "/stream/"}) {
+            m_relay->fleet().servers().replace({}, m_loop->now());
+            start([status](const auto &head, const auto &) { return WorkerScript{answer(head, "whole", "Receipt: r\r\n", status)}; });
+            const std::string got = call(request(path), "\r\n\r\n");
+            EXPECT_TRUE(got.starts_with("HTTP/1.1 502")) << status << path << got;
+            EXPECT_FALSE(contains(got, "Receipt")) << status << path << got;
+        }
+    }
+}
+
 class RestartedServerTest : public BrokenOffAnswersTest
 {
 protected:
