Give the bytes that wait to be sent a class of their own

TcpChannel held the text, the shared body behind it and both offsets, and sent, released and counted them among its events; OutputQueue does that now.

--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -3,7 +3,6 @@
 #include "resourceshortage.h"
 #include "socketoption.h"
 
-#include <core/freetext.h>
 #include <eventloop/iowatcher.h>
 #include <eventloop/loop.h>
 
@@ -17,7 +16,6 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
-#include <sys/uio.h>
 #include <unistd.h>
 
 namespace Verbena::Http {
@@ -27,12 +25,6 @@
 // Large enough to receive most responses and prompts in one read. The buffer is shared by all channels of a thread.
 constexpr std::size_t readBytes = 64 * 1024;
 
-// Capacity that a channel keeps after everything was sent: enough for events and heads, and little beside the other state of a connection.
-constexpr std::size_t keptOutputBytes = 2 * 1024;
-
-// A body that is longer is sent from where it is kept; a shorter one is copied, so that it leaves together with its head in one call.
-constexpr std::size_t longestCopiedBody = 16 * 1024;
-
 // Probes of an idle connection.
 constexpr int keepAliveIdleSeconds = 2;
 constexpr int keepAliveIntervalSeconds = 1;
@@ -129,7 +121,6 @@
     }
     // Everything written in one iteration of the loop is sent together.
     const bool isFirst = bufferedBytes() == 0;
-    unshareBody();
     m_output.append(data);
     updateMeter();
     if (isFirst) {
@@ -143,7 +134,8 @@
         return;
     }
     const bool isFirst = bufferedBytes() == 0;
-    append(message);
+    m_output.append(message);
+    updateMeter();
     if (isFirst) {
         m_flush.schedule();
     }
@@ -154,35 +146,9 @@
     if (m_isBroken || m_hasFailed) {
         return;
     }
-    append(message);
-    flush();
-}
-
-void TcpChannel::append(const OutgoingMessage &message)
-{
-    unshareBody();
-    m_output.append(message.head);
-    if (message.bodyBytes() > longestCopiedBody) {
-        m_body = message.body;
-    } else if (message.body != nullptr) {
-        m_output.append(*message.body);
-    }
+    m_output.append(message);
     updateMeter();
-}
-
-// Only one body can be sent from where it is kept, and only as the last of what is written.
-void TcpChannel::unshareBody()
-{
-    if (m_body != nullptr) {
-        m_output.append(*m_body, m_bodyOffset);
-        m_body.reset();
-        m_bodyOffset = 0;
-    }
-}
-
-std::size_t TcpChannel::unsentBodyBytes() const
-{
-    return m_body == nullptr ? 0 : m_body->size() - m_bodyOffset;
+    flush();
 }
 
 void TcpChannel::handOver(ChannelObserver &observer)
@@ -190,7 +156,7 @@
     m_observer = &observer;
     m_hasSent = false;
     m_readBound = readBytes;
-    m_output.shrink_to_fit();
+    m_output.shrink();
     updateMeter();
     setReading(true);
 }
@@ -228,12 +194,12 @@
 
 std::size_t TcpChannel::bufferedBytes() const
 {
-    return m_output.size() - m_outputOffset + unsentBodyBytes();
+    return m_output.bytes();
 }
 
 std::size_t TcpChannel::heldBytes() const
 {
-    return m_output.capacity();
+    return m_output.heldBytes();
 }
 
 void TcpChannel::setMeter(std::unique_ptr<ByteMeter> meter)
@@ -255,6 +221,12 @@
     updateKernelMeter();
 }
 
+void TcpChannel::updateMeters()
+{
+    updateMeter();
+    updateKernelMeter();
+}
+
 void TcpChannel::updateKernelMeter()
 {
     if (m_kernelMeter != nullptr) {
@@ -359,7 +331,7 @@
     bool isDestroyed = false;
     m_isDestroyed = &isDestroyed;
     if ((events & EV_WRITE) != 0) {
-        if ((!m_isConnected && !finishConnect()) || (!sendBuffered() && !isSendFailureHandled())) {
+        if ((!m_isConnected && !finishConnect()) || (!sendBuffered() && !keepReading())) {
             handleConnectionFailure();
             if (!isDestroyed) {
                 m_isDestroyed = nullptr;
@@ -403,29 +375,32 @@
     if (bufferedBytes() > 0) {
         m_window.watch();
     }
-    while (bufferedBytes() > 0) {
-        const ssize_t sent = sendSome();
-        if (sent < 0) {
-            m_hasFailed = !isTemporary(errno);
-            releaseSent();
-            return !m_hasFailed;
-        }
-        m_hasSent = true;
-        m_buffers.recordSent(static_cast<std::size_t>(sent));
-        const std::size_t ofOutput = std::min(static_cast<std::size_t>(sent), m_output.size() - m_outputOffset);
-        m_outputOffset += ofOutput;
-        m_bodyOffset += static_cast<std::size_t>(sent) - ofOutput;
-        m_observer->outputSent();
+    while (bufferedBytes() > 0 && sendOnce()) {
     }
-    releaseSent();
-    if (m_isShuttingDown) {
+    m_output.release();
+    updateMeters();
+    if (m_isShuttingDown && !m_hasFailed && bufferedBytes() == 0) {
         shutdown(m_descriptor, SHUT_WR);
     }
+    return !m_hasFailed;
+}
+
+// Returns false if the kernel accepts nothing for now, or never again.
+bool TcpChannel::sendOnce()
+{
+    const ssize_t sent = m_output.sendTo(m_descriptor);
+    if (sent < 0) {
+        m_hasFailed = !isTemporary(errno);
+        return false;
+    }
+    m_hasSent = true;
+    m_buffers.recordSent(static_cast<std::size_t>(sent));
+    m_observer->outputSent();
     return true;
 }
 
-// What has come before the failure may be a whole answer; its end is then reported when it has been read.
-bool TcpChannel::isSendFailureHandled()
+// Returns false if nobody wants what has come before the failure. It may be a whole answer; the failure is reported when it has been read.
+bool TcpChannel::keepReading()
 {
     if (m_isEnded || !m_observer->isRestWanted()) {
         return false;
@@ -436,51 +411,11 @@
 
 void TcpChannel::dropOutput()
 {
-    Core::freeText(m_output);
-    m_outputOffset = 0;
-    m_body.reset();
-    m_bodyOffset = 0;
-    updateMeter();
-    updateKernelMeter();
+    m_output.clear();
+    updateMeters();
     m_window.stop();
 }
 
-ssize_t TcpChannel::sendSome()
-{
-    if (m_body == nullptr) {
-        return send(m_descriptor, m_output.data() + m_outputOffset, m_output.size() - m_outputOffset, MSG_NOSIGNAL);
-    }
-    if (m_outputOffset == m_output.size()) {
-        return send(m_descriptor, m_body->data() + m_bodyOffset, unsentBodyBytes(), MSG_NOSIGNAL);
-    }
-    std::array<iovec, 2> parts{
-        iovec{m_output.data() + m_outputOffset, m_output.size() - m_outputOffset}, iovec{const_cast<char *>(m_body->data()) + m_bodyOffset, unsentBodyBytes()}};
-    msghdr message{};
-    message.msg_iov = parts.data();
-    message.msg_iovlen = parts.size();
-    return sendmsg(m_descriptor, &message, MSG_NOSIGNAL);
-}
-
-// A peer that always leaves something unread must not make the channel keep all that it has read before. At most half of the buffer has been sent, so that
-// each byte is moved once on average.
-void TcpChannel::releaseSent()
-{
-    if (unsentBodyBytes() == 0) {
-        m_body.reset();
-        m_bodyOffset = 0;
-    }
-    const std::size_t unsent = m_output.size() - m_outputOffset;
-    if (unsent == 0 && m_output.capacity() > keptOutputBytes) {
-        Core::freeText(m_output);
-        m_outputOffset = 0;
-    } else if (m_outputOffset >= unsent) {
-        m_output.erase(0, m_outputOffset);
-        m_outputOffset = 0;
-    }
-    updateMeter();
-    updateKernelMeter();
-}
-
 void TcpChannel::readAvailable()
 {
     static thread_local std::array<char, readBytes> buffer;
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -3,6 +3,7 @@
 #include "bytemeter.h"
 #include "endpoint.h"
 #include "outgoingmessage.h"
+#include "outputqueue.h"
 #include "peerwindow.h"
 #include "socketbuffers.h"
 
@@ -154,13 +155,10 @@
     void watch();
     void flush();
     bool sendBuffered();
-    bool isSendFailureHandled();
+    bool sendOnce();
+    bool keepReading();
     void dropOutput();
-    void append(const OutgoingMessage &message);
-    void unshareBody();
-    std::size_t unsentBodyBytes() const;
-    ssize_t sendSome();
-    void releaseSent();
+    void updateMeters();
     void updateMeter();
     void updateKernelMeter();
     bool finishConnect();
@@ -173,10 +171,7 @@
     EventLoop::DeferredCall m_flush;
     SocketBuffers m_buffers;
     PeerWindow m_window;
-    std::string m_output;
-    std::size_t m_outputOffset = 0; ///< Number of bytes at the start of m_output that the kernel has accepted.
-    SharedBody m_body; ///< Follows m_output; null if nothing does.
-    std::size_t m_bodyOffset = 0; ///< Number of bytes at the start of m_body that the kernel has accepted.
+    OutputQueue m_output;
     std::unique_ptr<ByteMeter> m_meter;
     std::unique_ptr<ByteMeter> m_kernelMeter;
     std::size_t m_readBound; ///< Most bytes that are read at once.
--- a/tests/auto/platform/tst_unreadanswers.cpp
+++ b/tests/auto/platform/tst_unreadanswers.cpp
@@ -34,7 +34,9 @@
     UnreadAnswersTest()
         : m_deployment(1)
         , m_server(
-              m_deployment.loop(), [this](const Http::MessageHead &head, const std::string &) { return answer(head); }, m_deployment.hostNumber(serverHost) + ":0")
+              m_deployment.loop(),
+              [this](const Http::MessageHead &head, const std::string &) { return answer(head); },
+              m_deployment.hostNumber(serverHost) + ":0")
     {
         nlohmann::json configuration = PlatformDeployment::configuration(newConfiguration);
         nlohmann::json route = configuration["routes"][0];
