Judge in the soak what the system holds for a router's callers

The soak judged a process by its own memory alone, and none of its callers left a long answer unread. Twelve callers of one router now ask for bodies without end and read nothing, and a router's host is taken for exceeded by its resident memory together with what /proc/net/tcp names for its connections.

--- a/tests/auto/platform/tst_unreadanswers.cpp
+++ b/tests/auto/platform/tst_unreadanswers.cpp
@@ -85,7 +85,7 @@
         const Core::TimePoint end = m_deployment.loop().now() + span;
         std::uint64_t most = 0;
         EXPECT_TRUE(m_deployment.runUntil([&] {
-            most = std::max(most, queuesOf(m_deployment.callersEndpoint().address.sin_addr).unacknowledgedBytes);
+            most = std::max(most, queuesByAddress()[m_deployment.callersEndpoint().address.sin_addr.s_addr].unacknowledgedBytes);
             return m_deployment.loop().now() >= end;
         }));
         return most;
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -4,6 +4,7 @@
 #include "holdingcaller.h"
 #include "resumingcaller.h"
 #include "soakfaults.h"
+#include "unreadingcaller.h"
 
 #include <set>
 
@@ -59,6 +60,7 @@
     std::vector<std::unique_ptr<ResumingCaller>> m_resumers;
     std::vector<std::unique_ptr<HoldingCaller>> m_holders;
     std::vector<std::unique_ptr<EndlessCaller>> m_endless;
+    std::vector<std::unique_ptr<UnreadingCaller>> m_unreading;
     std::vector<SoakCaller *> m_probers;
     std::vector<int> m_highest; ///< Configuration that each router has shown since its start.
     std::set<std::pair<std::size_t, std::string>> m_servedInCalm;
--- a/tests/support/socketqueues.cpp
+++ b/tests/support/socketqueues.cpp
@@ -29,22 +29,23 @@
 
 } // namespace
 
-SocketQueues queuesOf(const in_addr &local)
+std::map<in_addr_t, SocketQueues> queuesByAddress()
 {
     std::ifstream connections("/proc/net/tcp");
     std::string text;
     std::getline(connections, text);
-    SocketQueues sum;
+    std::map<in_addr_t, SocketQueues> queues;
     while (std::getline(connections, text)) {
         std::istringstream fields(text);
         ConnectionLine line;
-        if (!(fields >> line) || line.state == listening || std::stoul(line.local, nullptr, hexadecimal) != local.s_addr) {
+        if (!(fields >> line) || line.state == listening) {
             continue;
         }
+        SocketQueues &sum = queues[static_cast<in_addr_t>(std::stoul(line.local, nullptr, hexadecimal))];
         sum.unacknowledgedBytes += std::stoul(line.queues, nullptr, hexadecimal);
         sum.unreadBytes += std::stoul(line.queues.substr(line.queues.find(':') + 1), nullptr, hexadecimal);
     }
-    return sum;
+    return queues;
 }
 
 } // namespace Verbena::Test
--- a/tests/support/socketqueues.h
+++ b/tests/support/socketqueues.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 
 #include <netinet/in.h>
 
@@ -13,7 +14,7 @@
     std::uint64_t unreadBytes = 0; ///< Received for the owner of the address, which has not read it.
 };
 
-/// \brief Returns what the system holds for all TCP connections whose near end has the address \a local.
-SocketQueues queuesOf(const in_addr &local);
+/// \brief Returns what the system holds for the TCP connections of this machine, by the address of their near end.
+std::map<in_addr_t, SocketQueues> queuesByAddress();
 
 } // namespace Verbena::Test
