Read the answer to a call by libcurl before its upload fails

A call whose server answers and ends while its body is being sent failed with "Failed sending data to the peer", its outcome unknown, though the whole answer had come.

Cause: libcurl was told of what can be sent together with what can be read, and ends a call at its first failed write. Now it reads what has come first, also what came since the event loop looked, and a failed write fails no call whose answer is whole by its length. An answer in chunks still fails, as libcurl does not tell that it has seen the last chunk; it is never taken for whole.

--- a/src/libs/http/answermeter.cpp
+++ b/src/libs/http/answermeter.cpp
@@ -29,6 +29,11 @@
     m_bodyBytes += bytes;
 }
 
+std::uint64_t AnswerMeter::bodyBytes() const
+{
+    return m_bodyBytes;
+}
+
 std::optional<AnswerExcess> AnswerMeter::excess() const
 {
     if (m_limits.bodyBytes.has_value() && m_bodyBytes > *m_limits.bodyBytes) {
--- a/src/libs/http/answermeter.h
+++ b/src/libs/http/answermeter.h
@@ -28,6 +28,9 @@
     /// \brief Counts \a bytes of the body, which addReceived() counted too.
     void addBody(std::size_t bytes);
 
+    /// \brief Returns the bytes of the body.
+    std::uint64_t bodyBytes() const;
+
     /// \brief Returns the limit that is exceeded; nothing while the answer may go on. To be asked when all that was read has been handed on.
     std::optional<AnswerExcess> excess() const;
 
--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -11,6 +11,8 @@
 
 #include <curl/curl.h>
 
+#include <poll.h>
+
 namespace Verbena::Http {
 
 namespace {
@@ -57,6 +59,13 @@
     bool isCancelled = false;
 };
 
+// What libcurl wants to know of a socket.
+struct HttpClient::SocketWatch
+{
+    std::unique_ptr<EventLoop::IoWatcher> watcher;
+    bool isReading = false;
+};
+
 // Callbacks of libcurl, which are plain functions; their context argument is the client or the transfer.
 struct HttpClient::Internals
 {
@@ -150,26 +159,38 @@
     static int onSocket(CURL *, curl_socket_t socket, int what, void *context, void *socketContext)
     {
         auto *client = static_cast<HttpClient *>(context);
-        auto *watcher = static_cast<EventLoop::IoWatcher *>(socketContext);
+        auto *watch = static_cast<SocketWatch *>(socketContext);
         if (what == CURL_POLL_REMOVE) {
-            delete watcher;
+            delete watch;
             curl_multi_assign(client->m_multi, socket, nullptr);
             return 0;
         }
-        if (watcher == nullptr) {
-            watcher = new EventLoop::IoWatcher(client->m_loop, socket, [client, socket](int events) { onReady(*client, socket, events); });
-            curl_multi_assign(client->m_multi, socket, watcher);
+        if (watch == nullptr) {
+            watch = new SocketWatch;
+            watch->watcher = std::make_unique<EventLoop::IoWatcher>(
+                client->m_loop, socket, [client, watch, socket](int events) { onReady(*client, *watch, socket, events); });
+            curl_multi_assign(client->m_multi, socket, watch);
         }
-        const int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
-        watcher->start(events);
+        watch->isReading = (what & CURL_POLL_IN) != 0;
+        const int events = (watch->isReading ? EV_READ : 0) | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+        watch->watcher->start(events);
         return 0;
     }
 
-    static void onReady(HttpClient &client, curl_socket_t socket, int events)
+    // Returns whether there is something to read by now, the end of the connection too.
+    static bool hasInput(curl_socket_t socket)
+    {
+        pollfd state{socket, POLLIN, 0};
+        return poll(&state, 1, 0) > 0;
+    }
+
+    // What has come is read before more is sent: a peer may have answered and ended the connection, and a failed write ends the call. What can be sent then is
+    // reported again.
+    static void onReady(HttpClient &client, const SocketWatch &watch, curl_socket_t socket, int events)
     {
-        const int flags = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+        const bool isToBeRead = watch.isReading && ((events & EV_READ) != 0 || hasInput(socket));
         int running = 0;
-        curl_multi_socket_action(client.m_multi, socket, flags, &running);
+        curl_multi_socket_action(client.m_multi, socket, isToBeRead ? CURL_CSELECT_IN : CURL_CSELECT_OUT, &running);
         client.processFinished();
     }
 
@@ -200,12 +221,23 @@
         return hasBody && length < 0 && !transfer.isChunked;
     }
 
+    // Only a length tells here that nothing of a response is missing; libcurl does not tell that it has seen the last chunk.
+    static bool isWhole(const Transfer &transfer)
+    {
+        curl_off_t length = -1;
+        curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+        return transfer.isHeadDone && !transfer.isChunked && length >= 0 && transfer.meter.bodyBytes() == static_cast<std::uint64_t>(length);
+    }
+
     // Returns why the call of \a transfer failed; null if it did not. libcurl reports a head that ends after its first line as a whole response.
     static const char *failureOf(const Transfer &transfer, CURLcode code)
     {
         if (transfer.isStatusInvalid) {
             return "The status of the response is none.";
         }
+        if (code == CURLE_SEND_ERROR && isWhole(transfer)) {
+            return nullptr;
+        }
         if (code != CURLE_OK) {
             return curl_easy_strerror(code);
         }
--- a/src/libs/http/httpclient.h
+++ b/src/libs/http/httpclient.h
@@ -41,6 +41,7 @@
 
 private:
     struct Transfer;
+    struct SocketWatch;
     struct Internals;
 
     explicit HttpClient(EventLoop::Loop &loop);
--- a/tests/auto/relay/tst_earlyanswers.cpp
+++ b/tests/auto/relay/tst_earlyanswers.cpp
@@ -1,12 +1,6 @@
 #include "relaytest.h"
 
-#include <eventloop/iowatcher.h>
-
-#include <array>
-#include <map>
-
-#include <sys/socket.h>
-#include <unistd.h>
+#include <platform/earlyserver.h>
 
 namespace Verbena::Relay {
 
@@ -14,8 +8,9 @@
 
 using Test::chunk;
 using Test::contains;
+using Test::EarlyEnd;
+using Test::EarlyServer;
 using Test::event;
-using Test::runUntil;
 
 // More than what the system holds for a server that does not read.
 constexpr std::size_t uploadBytes = 12'000'000;
@@ -23,67 +18,6 @@
 constexpr const char *answerBegin = "HTTP/1.1 200 OK\r\nId: a1\r\nReceipt: r\r\n";
 constexpr const char *lastChunk = "\r\n0\r\n\r\n";
 
-/// \brief How a server ends the connection of a request that it has not read whole. Both reach the relay as a reset.
-enum class EarlyEnd {
-    Close,
-    Reset,
-};
-
-// A backend server that answers a request when it has its head, reads nothing more and ends the connection at once.
-class EarlyServer
-{
-public:
-    EarlyServer(EventLoop::Loop &loop, std::string answer, EarlyEnd end)
-        : m_loop(loop)
-        , m_answer(std::move(answer))
-        , m_end(end)
-        , m_listener(
-              std::move(Http::TcpListener::create(loop, Http::Endpoint::parse("127.0.0.1:0").value(), [this](int descriptor) { accept(descriptor); }).value()))
-    {
-    }
-
-    std::string address() const
-    {
-        return m_listener->endpoint().toString();
-    }
-
-    std::size_t answered() const
-    {
-        return m_answered;
-    }
-
-private:
-    void accept(int descriptor)
-    {
-        auto watcher = std::make_unique<EventLoop::IoWatcher>(m_loop, descriptor, [this, descriptor](int) { answer(descriptor); });
-        watcher->start(EV_READ);
-        m_watchers[descriptor] = std::move(watcher);
-    }
-
-    void answer(int descriptor)
-    {
-        std::array<char, 1024> begin{};
-        const ssize_t count = recv(descriptor, begin.data(), begin.size(), 0);
-        m_watchers[descriptor]->stop();
-        if (count > 0) {
-            ++m_answered;
-            EXPECT_EQ(send(descriptor, m_answer.data(), m_answer.size(), MSG_NOSIGNAL), static_cast<ssize_t>(m_answer.size()));
-        }
-        if (m_end == EarlyEnd::Reset) {
-            const linger atOnce{1, 0};
-            EXPECT_EQ(setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce), 0);
-        }
-        close(descriptor);
-    }
-
-    EventLoop::Loop &m_loop;
-    std::string m_answer;
-    EarlyEnd m_end;
-    std::map<int, std::unique_ptr<EventLoop::IoWatcher>> m_watchers; ///< By descriptor.
-    std::size_t m_answered = 0;
-    std::unique_ptr<Http::TcpListener> m_listener;
-};
-
 class EarlyAnswersTest : public Test::RelayTest
 {
 protected:
