--- a/tests/auto/relay/tst_earlyanswers.cpp
+++ b/tests/auto/relay/tst_earlyanswers.cpp
@@ -30,7 +30,7 @@
         EarlyServer server(*m_loop, answer, end);
         m_relay->fleet().servers().replace({}, m_loop->now());
         m_relay->fleet().servers().set({"early" + server.address(), "s", server.address(), "hall", 6, false, {}});
-        const std::string got = call(request(path, "Connection: close\r\n", std::string(uploadBytes, 'x')), "never");
+        std::string got = call(request(path, "Connection: close\r\n", std::string(uploadBytes, 'x')), "never");
         m_answered = server.answered();
         return got;
     }
