--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -233,7 +233,7 @@
     static const char *failureOf(const Transfer &transfer, CURLcode code)
     {
         if (transfer.isStatusInvalid) {
-            return "The status of the response is none.";
+            return "The response has no valid status.";
         }
         if (code == CURLE_SEND_ERROR && isWhole(transfer)) {
             return nullptr;
