Ask the kernel what it holds before callers are cut off

A review of the bound on the kernel's memory found two faults by reading. While memory was short, a caller was listed as one that reads nothing by a count that was up to a second old, and could be cut off though it had taken everything; and what the kernel held for backend servers was brought up to date once a second only, so that uploads which are read well made memory look short. Now both are asked ten times a second while memory is short, before anybody is listed, and a connection that is kept for another call is asked when it is given back.

No test shows either fault; one that was tried for the first passed without the mend, and was not kept. HeldBytesTest passes, 8 of 8.

--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Part of a process's memory that bytes for callers and servers may take. The rest is for the program, its tables, requests, the system's own buffers and
-// what the allocator keeps.
+// Part of a process's memory that bytes for callers and servers may take. What the kernel holds of what was sent is in it. The rest is for the
+// program, its tables, requests, the kernel's receive buffers and what the allocator keeps.
 constexpr std::uint64_t budgetDivisor = 4;
 
 // Memory is short from a half of the budget on, until three eighths.
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -119,6 +119,11 @@
     m_channel->setKernelMeter(std::move(meter));
 }
 
+void BackendCall::updateKernelBytes()
+{
+    m_channel->updateKernelBytes();
+}
+
 void BackendCall::setSendBound(std::size_t bytes)
 {
     m_channel->setSendBound(bytes);
@@ -143,6 +148,7 @@
 std::unique_ptr<Http::TcpChannel> BackendCall::releaseChannel()
 {
     const bool isReusable = m_isWhole && m_isKeptAlive && m_reader.surplusBytes() == 0 && m_channel->isIdle() && m_channel->unacknowledgedBytes() == 0;
+    m_channel->updateKernelBytes();
     return isReusable ? std::move(m_channel) : nullptr;
 }
 
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -95,6 +95,9 @@
     /// \brief Sets the meter that is told how much memory the kernel holds for the request.
     void setKernelMeter(std::unique_ptr<Http::ByteMeter> meter);
 
+    /// \brief Brings up to date what the kernel holds for the request.
+    void updateKernelBytes();
+
     /// \brief Lets the kernel hold no more than \a bytes of what is not sent yet.
     void setSendBound(std::size_t bytes);
 
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -83,9 +83,16 @@
     return m_delivery.lastReadAt();
 }
 
-void CallerConnection::updateLastRead()
+void CallerConnection::updateKernelBytes()
 {
     m_channel->updateKernelBytes();
+    if (m_request != nullptr) {
+        m_request->updateKernelBytes();
+    }
+}
+
+void CallerConnection::updateLastRead()
+{
     m_delivery.recordUnacknowledged(m_channel->unacknowledgedBytes(), m_loop.now());
 }
 
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -56,6 +56,9 @@
     /// \brief Returns when the caller last read something of its answers, or when the first unsent bytes were written.
     Core::TimePoint lastReadAt() const;
 
+    /// \brief Brings up to date what the kernel holds for the caller, and for the backend server of its request.
+    void updateKernelBytes();
+
     /// \brief Brings lastReadAt() up to date; to be called several times per second while memory is short.
     void updateLastRead();
 
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -388,6 +388,11 @@
     return !m_isDone && m_call.isAtSilentEngine();
 }
 
+void RelayedRequest::updateKernelBytes()
+{
+    m_call.updateKernelBytes();
+}
+
 Decisions::AttemptState RelayedRequest::attemptsIfAbandoned() const
 {
     return m_attempts.stateAfter(m_call.failureIfAbandoned(), m_answer.isBegun());
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -70,6 +70,9 @@
     /// \brief Returns whether the request waits for an engine that has fallen silent.
     bool isAtSilentEngine() const;
 
+    /// \brief Brings up to date what the kernel holds for the backend server.
+    void updateKernelBytes();
+
     /// \brief Sends the request, or the rest of its stream, to another engine if it waits for a silent one and may be sent again. Otherwise answers
     /// it as lost if the engine has been silent for long.
     void failOver();
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -197,6 +197,7 @@
     }
     std::vector<CallerConnection *> connections;
     for (const auto &[connection, owned] : m_connections) {
+        connection->updateKernelBytes();
         if (connection->hasUntakenBytes()) {
             connection->updateLastRead();
             connections.push_back(connection);
--- a/src/libs/relay/servercall.cpp
+++ b/src/libs/relay/servercall.cpp
@@ -151,6 +151,13 @@
     }
 }
 
+void ServerCall::updateKernelBytes()
+{
+    if (m_call != nullptr) {
+        m_call->updateKernelBytes();
+    }
+}
+
 CallFailure ServerCall::failureIfAbandoned() const
 {
     return m_call->isUnacknowledged() ? CallFailure::Unacknowledged : CallFailure::Lost;
--- a/src/libs/relay/servercall.h
+++ b/src/libs/relay/servercall.h
@@ -57,6 +57,9 @@
     /// \brief Returns why the answer could not be read to its end; nothing if it was whole or the connection ended.
     std::optional<Http::MessageFault> answerFault() const;
 
+    /// \brief Brings up to date what the kernel holds for the backend server.
+    void updateKernelBytes();
+
     /// \brief Pauses or resumes reading the answer.
     void setReading(bool isReading);
 
