Say once what stood twice in the bound on the kernel's memory

Found by reading the change again; no check, bound or assertion changes.

- The kernel is not asked about a connection of which it holds nothing: while memory is short that was a call for each idle connection, ten times a second.
- The bytes that a host has not acknowledged are asked for in one place of the channel, SocketBuffers.
- Whether a response has a valid status follows from its status and is no state of its own.
- A connection is asked only where it is kept.
- The test's reader of /proc/net/tcp returns the one sum that is used; two tests of host limits declare their server by the same function.

--- a/src/libs/http/httpclient.cpp
+++ b/src/libs/http/httpclient.cpp
@@ -53,7 +53,6 @@
     bool isSafe = false; ///< Whether the request's method has no effect.
     bool isHeadRequest = false; ///< Whether the request's method is HEAD.
     bool isHeadDone = false; ///< Whether the empty line that ends the head of the final response was received.
-    bool isStatusInvalid = false; ///< Whether the final response has a status that HTTP does not know.
     bool isChunked = false; ///< Whether the response is sent in chunks.
     bool isPaused = false;
     bool isCancelled = false;
@@ -123,6 +122,11 @@
         return status;
     }
 
+    static bool isStatusInvalid(const Transfer &transfer)
+    {
+        return statusOf(transfer) > lastStatus;
+    }
+
     // Called for each line of the head, also for the first and for the empty one that ends it.
     static std::size_t onField(char *data, std::size_t size, std::size_t count, void *context)
     {
@@ -133,8 +137,7 @@
         }
         if (line == "\r\n" || line == "\n") {
             transfer->isHeadDone = statusOf(*transfer) >= firstFinalStatus;
-            transfer->isStatusInvalid = statusOf(*transfer) > lastStatus;
-            return transfer->isStatusInvalid ? 0 : size * count;
+            return isStatusInvalid(*transfer) ? 0 : size * count;
         }
         const std::size_t colon = line.find(':');
         if (colon == std::string_view::npos || transfer->isCancelled) {
@@ -232,7 +235,7 @@
     // Returns why the call of \a transfer failed; null if it did not. libcurl reports a head that ends after its first line as a whole response.
     static const char *failureOf(const Transfer &transfer, CURLcode code)
     {
-        if (transfer.isStatusInvalid) {
+        if (isStatusInvalid(transfer)) {
             return "The response has no valid status.";
         }
         if (code == CURLE_SEND_ERROR && isWhole(transfer)) {
--- a/src/libs/http/socketbuffers.cpp
+++ b/src/libs/http/socketbuffers.cpp
@@ -61,8 +61,12 @@
     }
 }
 
+// Where nothing was held, nothing is held until something is sent.
 void SocketBuffers::update()
 {
+    if (m_sentBytes == 0) {
+        return;
+    }
     m_sentBytes = askSystem();
     m_sentSinceUpdate = 0;
 }
@@ -81,6 +85,11 @@
     if (isKnown && size > SK_MEMINFO_WMEM_QUEUED * sizeof(std::uint32_t)) {
         return memory[SK_MEMINFO_WMEM_QUEUED];
     }
+    return unacknowledgedBytes();
+}
+
+std::size_t SocketBuffers::unacknowledgedBytes() const
+{
     int bytes = 0;
     return ioctl(m_descriptor, SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
 }
--- a/src/libs/http/socketbuffers.h
+++ b/src/libs/http/socketbuffers.h
@@ -42,6 +42,9 @@
     /// \brief Returns the memory that the kernel holds for what was sent. Before update(), bytes that the peer's host has taken since may count.
     std::size_t sentBytes() const;
 
+    /// \brief Returns the number of sent bytes that the peer's host has not acknowledged yet.
+    std::size_t unacknowledgedBytes() const;
+
 private:
     std::size_t askSystem() const;
 
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -11,10 +11,8 @@
 #include <cerrno>
 #include <cstring>
 
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -252,9 +250,7 @@
 
 std::size_t TcpChannel::unacknowledgedBytes() const
 {
-    int inKernel = 0;
-    const bool isKnown = ioctl(m_descriptor, SIOCOUTQ, &inKernel) == 0;
-    return bufferedBytes() + (isKnown ? static_cast<std::size_t>(inKernel) : 0);
+    return bufferedBytes() + m_buffers.unacknowledgedBytes();
 }
 
 bool TcpChannel::hasSent() const
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -148,8 +148,11 @@
 std::unique_ptr<Http::TcpChannel> BackendCall::releaseChannel()
 {
     const bool isReusable = m_isWhole && m_isKeptAlive && m_reader.surplusBytes() == 0 && m_channel->isIdle() && m_channel->unacknowledgedBytes() == 0;
+    if (!isReusable) {
+        return nullptr;
+    }
     m_channel->updateKernelBytes();
-    return isReusable ? std::move(m_channel) : nullptr;
+    return std::move(m_channel);
 }
 
 std::optional<std::chrono::seconds> BackendCall::idleTimeout() const
--- a/src/libs/wire/messagesocket.cpp
+++ b/src/libs/wire/messagesocket.cpp
@@ -24,7 +24,6 @@
 constexpr std::chrono::milliseconds handshakeTimeout{2000};
 // Room in the kernel for what waits for one peer, and for what has come from it; the kernel takes up to twice as much memory for each.
 constexpr int kernelBufferBytes = 128 * 1024;
-
 constexpr std::chrono::milliseconds heartbeatInterval{1000};
 constexpr std::chrono::milliseconds heartbeatTimeout{3000};
 
--- a/tests/auto/platform/tst_hostlimits.cpp
+++ b/tests/auto/platform/tst_hostlimits.cpp
@@ -41,17 +41,8 @@
               m_deployment.loop(), [](const Http::MessageHead &head, const std::string &) { return answer(head); }, m_deployment.hostNumber(serverHost) + ":0")
     {
         nlohmann::json configuration = PlatformDeployment::configuration(newConfiguration);
-        nlohmann::json route = configuration["routes"][0];
-        route["name"] = "load";
-        route["prefix"] = "/load/";
-        route["kind"] = "non_idempotent";
-        route["service"] = "loader";
-        configuration["routes"].push_back(route);
-        configuration["services"].push_back({{"name", "loader"}});
         configuration["limits"]["maxBodyBytes"] = 4'194'304;
-        m_deployment.store().put("op", "config", configuration);
-        m_deployment.store().put(
-            "servers", "i-2", {{"service", "loader"}, {"address", m_server.address()}, {"zone", "hall"}, {"slots", 96}, {"phase", "ready"}, {"sequence", 1}});
+        m_deployment.addLoadedServer(configuration, m_server.address());
         m_deployment.setHostLimits(hostLimits);
         m_deployment.restartRouter();
         EXPECT_TRUE(m_deployment.runUntil([this] { return isServed(); }));
--- a/tests/auto/platform/tst_unreadanswers.cpp
+++ b/tests/auto/platform/tst_unreadanswers.cpp
@@ -39,17 +39,8 @@
               m_deployment.hostNumber(serverHost) + ":0")
     {
         nlohmann::json configuration = PlatformDeployment::configuration(newConfiguration);
-        nlohmann::json route = configuration["routes"][0];
-        route["name"] = "load";
-        route["prefix"] = "/load/";
-        route["kind"] = "non_idempotent";
-        route["service"] = "loader";
-        route["timeoutMs"] = 30'000;
-        configuration["routes"].push_back(route);
-        configuration["services"].push_back({{"name", "loader"}});
-        m_deployment.store().put("op", "config", configuration);
-        m_deployment.store().put(
-            "servers", "i-2", {{"service", "loader"}, {"address", m_server.address()}, {"zone", "hall"}, {"slots", 96}, {"phase", "ready"}, {"sequence", 1}});
+        configuration["routes"][0]["timeoutMs"] = 30'000; // Inherited by the route of the server.
+        m_deployment.addLoadedServer(configuration, m_server.address());
         m_deployment.setHostLimits(hostLimits);
         m_deployment.restartRouter();
         EXPECT_TRUE(m_deployment.runUntil([this] { return isServed(); }));
@@ -85,7 +76,7 @@
         const Core::TimePoint end = m_deployment.loop().now() + span;
         std::uint64_t most = 0;
         EXPECT_TRUE(m_deployment.runUntil([&] {
-            most = std::max(most, queuesByAddress()[m_deployment.callersEndpoint().address.sin_addr.s_addr].unacknowledgedBytes);
+            most = std::max(most, unacknowledgedBytesFrom(m_deployment.callersEndpoint().address.sin_addr));
             return m_deployment.loop().now() >= end;
         }));
         return most;
--- a/tests/platform/platformdeployment.cpp
+++ b/tests/platform/platformdeployment.cpp
@@ -320,6 +320,19 @@
     return Http::Endpoint::parse(hostNumber(router) + ':' + callersPort).value();
 }
 
+void PlatformDeployment::addLoadedServer(nlohmann::json configuration, const std::string &address)
+{
+    nlohmann::json route = configuration["routes"][0];
+    route["name"] = "load";
+    route["prefix"] = "/load/";
+    route["kind"] = "non_idempotent";
+    route["service"] = "loader";
+    configuration["routes"].push_back(route);
+    configuration["services"].push_back({{"name", "loader"}});
+    m_store.put("op", "config", configuration);
+    m_store.put("servers", "i-2", {{"service", "loader"}, {"address", address}, {"zone", "hall"}, {"slots", 96}, {"phase", "ready"}, {"sequence", 1}});
+}
+
 std::string PlatformDeployment::ask(const std::string &key, const std::string &path, std::size_t router)
 {
     CallerFake caller(*m_loop, callersEndpoint(router));
--- a/tests/platform/platformdeployment.h
+++ b/tests/platform/platformdeployment.h
@@ -139,6 +139,9 @@
     /// \brief Returns the initial configuration with \a version, which tests modify and write again.
     static nlohmann::json configuration(std::uint64_t version);
 
+    /// \brief Writes \a configuration with one route more, /load/, which is like the first but not idempotent, and the server at \a address for it.
+    void addLoadedServer(nlohmann::json configuration, const std::string &address);
+
     /// \brief Sends a prompt with \a key to a router and returns the whole answer.
     std::string ask(const std::string &key = "secret", const std::string &path = "/wall/2f", std::size_t router = 0);
 
--- a/tests/support/socketqueues.cpp
+++ b/tests/support/socketqueues.cpp
@@ -29,23 +29,21 @@
 
 } // namespace
 
-std::map<in_addr_t, SocketQueues> queuesByAddress()
+std::uint64_t unacknowledgedBytesFrom(const in_addr &local)
 {
     std::ifstream connections("/proc/net/tcp");
     std::string text;
     std::getline(connections, text);
-    std::map<in_addr_t, SocketQueues> queues;
+    std::uint64_t sum = 0;
     while (std::getline(connections, text)) {
         std::istringstream fields(text);
         ConnectionLine line;
-        if (!(fields >> line) || line.state == listening) {
+        if (!(fields >> line) || line.state == listening || std::stoul(line.local, nullptr, hexadecimal) != local.s_addr) {
             continue;
         }
-        SocketQueues &sum = queues[static_cast<in_addr_t>(std::stoul(line.local, nullptr, hexadecimal))];
-        sum.unacknowledgedBytes += std::stoul(line.queues, nullptr, hexadecimal);
-        sum.unreadBytes += std::stoul(line.queues.substr(line.queues.find(':') + 1), nullptr, hexadecimal);
+        sum += std::stoul(line.queues, nullptr, hexadecimal);
     }
-    return queues;
+    return sum;
 }
 
 } // namespace Verbena::Test
--- a/tests/support/socketqueues.h
+++ b/tests/support/socketqueues.h
@@ -1,20 +1,12 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 
 #include <netinet/in.h>
 
 namespace Verbena::Test {
 
-/// \brief What the system holds for the connections of one address, in bytes.
-struct SocketQueues
-{
-    std::uint64_t unacknowledgedBytes = 0; ///< Sent by the owner of the address; the far side has not acknowledged it.
-    std::uint64_t unreadBytes = 0; ///< Received for the owner of the address, which has not read it.
-};
-
-/// \brief Returns what the system holds for the TCP connections of this machine, by the address of their near end.
-std::map<in_addr_t, SocketQueues> queuesByAddress();
+/// \brief Returns how many bytes that were sent from the address \a local the system holds, as their far sides have not acknowledged them.
+std::uint64_t unacknowledgedBytesFrom(const in_addr &local);
 
 } // namespace Verbena::Test
