--- a/tests/platform/workerfake.cpp
+++ b/tests/platform/workerfake.cpp
@@ -76,6 +76,13 @@
         m_worker.m_connections.erase(this);
     }
 
+    void outputDrained() override
+    {
+        if (!m_script.endless.empty()) {
+            m_channel->write(m_script.endless);
+        }
+    }
+
     void receiveHead(Http::MessageHead head) override
     {
         m_head = std::move(head);
@@ -212,6 +219,11 @@
     return m_received;
 }
 
+void CallerFake::forgetReceived()
+{
+    m_received.clear();
+}
+
 bool CallerFake::isClosed() const
 {
     return m_isClosed;
--- a/tests/platform/workerfake.h
+++ b/tests/platform/workerfake.h
@@ -26,6 +26,7 @@
     std::string bytes;
     End end = End::Keep;
     std::chrono::milliseconds after{0}; ///< Time until the bytes are sent.
+    std::string endless = {}; ///< Sent again and again afterwards, as fast as the relay reads; empty for nothing.
 };
 
 /// \brief Fake backend server on the test's own event loop that answers with any bytes that a test provides.
@@ -94,6 +95,9 @@
 
     /// \brief Returns all received bytes.
     const std::string &received() const;
+
+    /// \brief Forgets the received bytes, for a caller of which only the connection matters from now on.
+    void forgetReceived();
     bool isClosed() const;
 
     /// \brief Returns whether the connection ended by a reset.
--- a/tests/support/socketqueues.cpp
+++ b/tests/support/socketqueues.cpp
@@ -1,6 +1,7 @@
 #include "socketqueues.h"
 
 #include <fstream>
+#include <functional>
 #include <sstream>
 #include <string>
 
@@ -27,22 +28,42 @@
 
 constexpr const char *listening = "0A"; // Its queues count connections.
 
-} // namespace
-
-std::uint64_t unacknowledgedBytesFrom(const in_addr &local)
+// Calls \a visit with each connection of the system.
+void visitConnections(const std::function<void(const ConnectionLine &line)> &visit)
 {
     std::ifstream connections("/proc/net/tcp");
     std::string text;
     std::getline(connections, text);
-    std::uint64_t sum = 0;
     while (std::getline(connections, text)) {
         std::istringstream fields(text);
         ConnectionLine line;
-        if (!(fields >> line) || line.state == listening || std::stoul(line.local, nullptr, hexadecimal) != local.s_addr) {
-            continue;
+        if (fields >> line && line.state != listening) {
+            visit(line);
         }
-        sum += std::stoul(line.queues, nullptr, hexadecimal);
     }
+}
+
+bool isAt(const std::string &end, const in_addr &address)
+{
+    return std::stoul(end, nullptr, hexadecimal) == address.s_addr;
+}
+
+} // namespace
+
+std::uint64_t unacknowledgedBytesFrom(const in_addr &local)
+{
+    std::uint64_t sum = 0;
+    visitConnections([&](const ConnectionLine &line) { sum += isAt(line.local, local) ? std::stoul(line.queues, nullptr, hexadecimal) : 0; });
+    return sum;
+}
+
+std::uint64_t unreadBytesFrom(const in_addr &remote)
+{
+    std::uint64_t sum = 0;
+    visitConnections([&](const ConnectionLine &line) {
+        const std::string unread = line.queues.substr(line.queues.find(':') + 1);
+        sum += isAt(line.remote, remote) ? std::stoul(unread, nullptr, hexadecimal) : 0;
+    });
     return sum;
 }
 
