Pass on errors of streams that may be resumed as they are

What callers saw: a proper error of 300,000 bytes arrived in part, with a last chunk, as a whole answer; an error that broke off was joined with the stream of the next server under the status of the error; an error without end made routers run out of memory.

Cause: whether bytes are split into events was decided anew for each part of an answer, and a part that had been passed on made the rest of an error look like a stream. The splitter leaves out events that came before and keeps what is no whole event, here without a bound. What had begun on such a route was also taken for a stream that another server may go on with.

Now an answer is split if it is a stream of events from its head on, and only such a stream goes on elsewhere.

--- a/src/libs/decisions/relay/attemptpolicy.cpp
+++ b/src/libs/decisions/relay/attemptpolicy.cpp
@@ -56,7 +56,7 @@
     if (state.sends >= (state.isAnswerBegun ? maximumStreamSends : maximumSends)) {
         return false;
     }
-    if (state.isAnswerBegun && !(state.kind == RequestKind::Streaming && state.isRepeatable)) {
+    if (state.isAnswerBegun && !(state.kind == RequestKind::Streaming && state.isRepeatable && state.isContinuable)) {
         return false;
     }
     const bool isProvedNotRun = failure == CallFailure::NotSent || failure == CallFailure::NotRun;
--- a/src/libs/decisions/relay/attemptpolicy.h
+++ b/src/libs/decisions/relay/attemptpolicy.h
@@ -41,6 +41,7 @@
     std::uint32_t maximumRuns = 1; ///< Maximum number of backend servers that may run the request.
     std::uint32_t sends = 0; ///< Number of calls with any outcome.
     bool isAnswerBegun = false; ///< Whether the caller has received a part of the answer.
+    bool isContinuable = true; ///< Whether that part is of a stream, and not of an error.
     std::uint32_t unacknowledged = 0; ///< Number of calls of which nothing was acknowledged; they do not count as runs.
     std::uint32_t endedRuns = 0; ///< Number of runs that ended with their backend servers; they do not count against the maximum.
     std::uint32_t repeatedRuns = 0; ///< Number of runs at a backend server that had run the request before; they do not count either.
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -71,6 +71,12 @@
     return m_isStream && isSuccess(m_head.status) && !m_isServerError;
 }
 
+// What is no stream of events has no parts that a caller could have already, and is kept only up to the bounds of other answers.
+bool AnswerForwarder::isSplit() const
+{
+    return m_isResumable && isEventStream();
+}
+
 bool AnswerForwarder::receiveBody(std::string_view data)
 {
     m_bodyBytes += data.size();
@@ -104,8 +110,7 @@
 
 void AnswerForwarder::forward(std::string_view data)
 {
-    const bool isSplit = m_isResumable && (m_isBegun || isEventStream());
-    const std::string forwarded = isSplit ? m_splitter.feed(data) : std::string(data);
+    const std::string forwarded = isSplit() ? m_splitter.feed(data) : std::string(data);
     if (forwarded.empty()) {
         return;
     }
@@ -121,7 +126,7 @@
     }
     m_isBegun = true;
     m_error.reset();
-    m_sink.beginAnswer(m_head.status, m_protocol.answerFields(m_head), m_isResumable ? std::optional<std::uint64_t>() : m_head.contentLength);
+    m_sink.beginAnswer(m_head.status, m_protocol.answerFields(m_head), isSplit() ? std::optional<std::uint64_t>() : m_head.contentLength);
 }
 
 bool AnswerForwarder::isBuffered() const
@@ -174,6 +179,11 @@
     return m_isBegun;
 }
 
+bool AnswerForwarder::isContinuable() const
+{
+    return m_isStream && isSuccess(m_head.status);
+}
+
 bool AnswerForwarder::isServerError() const
 {
     return m_isServerError;
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -75,6 +75,9 @@
     /// \brief Returns whether the caller has received a part of an answer.
     bool isBegun() const;
 
+    /// \brief Returns whether that part, if there is one, is of a stream, which another backend server may continue.
+    bool isContinuable() const;
+
     /// \brief Returns whether the current answer is a failure of the backend server.
     bool isServerError() const;
 
@@ -112,6 +115,7 @@
     };
 
     bool isEventStream() const;
+    bool isSplit() const;
     bool isInsideEvent() const;
     void forward(std::string_view data);
     void begin();
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -89,7 +89,14 @@
 
 Decisions::AttemptState RelayedRequest::attempts() const
 {
-    return m_attempts.state(m_answer.isBegun());
+    return withAnswer(m_attempts.state(m_answer.isBegun()));
+}
+
+// Adds to \a state what the answer allows.
+Decisions::AttemptState RelayedRequest::withAnswer(Decisions::AttemptState state) const
+{
+    state.isContinuable = m_answer.isContinuable();
+    return state;
 }
 
 std::uint32_t RelayedRequest::arrivals() const
@@ -328,7 +335,7 @@
     if (m_answer.hasEvent() && !hadEvent) {
         m_crashes.handleFirstEvent();
     }
-    if (m_answer.isBegun() && !wasBegun) {
+    if (m_answer.isBegun() && !wasBegun && m_answer.isContinuable()) {
         m_preparation.beginStream(m_call.choice()->softwareVersion);
     }
     if (const std::optional<std::string_view> bound = m_answer.exceededBoundName()) {
@@ -395,7 +402,7 @@
 
 Decisions::AttemptState RelayedRequest::attemptsIfAbandoned() const
 {
-    return m_attempts.stateAfter(m_call.failureIfAbandoned(), m_answer.isBegun());
+    return withAnswer(m_attempts.stateAfter(m_call.failureIfAbandoned(), m_answer.isBegun()));
 }
 
 bool RelayedRequest::mayFailOver()
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -100,6 +100,7 @@
     bool isConfigurationOutdated() const;
     WaitReport waitReport() const;
     Decisions::AttemptState attempts() const;
+    Decisions::AttemptState withAnswer(Decisions::AttemptState state) const;
     std::uint32_t arrivals() const;
     bool mayHaveRun() const;
     void handlePreparation(const std::optional<Refusal> &refusal);
--- a/tests/auto/relay/tst_endlesserrors.cpp
+++ b/tests/auto/relay/tst_endlesserrors.cpp
@@ -12,6 +12,8 @@
 using Test::streamHead;
 using Test::WorkerScript;
 
+constexpr std::size_t statusLength = 3; // Routers word the rest of the line themselves.
+
 // More than a router keeps of an error until it is whole.
 constexpr std::size_t longErrorBytes = 300'000;
 
@@ -50,7 +52,7 @@
     const auto client = caller();
     client->send(request("/resume/", "Connection: close\r\n"));
     ASSERT_TRUE(runUntil(*m_loop, [&] { return client->isClosed(); }));
-    EXPECT_TRUE(client->received().starts_with(std::string("HTTP/1.1 ") + GetParam()));
+    EXPECT_TRUE(client->received().starts_with("HTTP/1.1 " + std::string(GetParam()).substr(0, statusLength)));
     EXPECT_TRUE(contains(client->received(), "Content-Length: " + std::to_string(longErrorBytes)));
     EXPECT_TRUE(client->received().ends_with("\r\n\r\n" + error));
 }
