Count what a router has received and not read

Cause: the kernel's receive buffers count toward the memory of a host (some 110 KB a call that is not read), and nothing counted them; nor did anything tell what the process takes beyond what is counted.

The sum is a kind of its own in the budget, in the gauges and in memory_short, which names the peak of the resident memory as well.

--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Part of a process's memory that bytes for callers and servers may take. What the kernel holds of what was sent is in it. The rest is for the
-// program, its tables, requests, the kernel's receive buffers and what the allocator keeps.
+// Part of a process's memory that bytes for callers and servers may take, what the kernel holds of them included. The rest is for the program, its tables,
+// requests and what the allocator keeps.
 constexpr std::uint64_t budgetDivisor = 4;
 
 // Memory is short from a half of the budget on, until three eighths.
@@ -64,6 +64,8 @@
         return "in_kernel_for_callers";
     case HeldKind::InKernelForServers:
         return "in_kernel_for_servers";
+    case HeldKind::UnreadInKernel:
+        return "unread_in_kernel";
     }
     return "unknown";
 }
@@ -120,6 +122,11 @@
     return m_isShort;
 }
 
+bool MemoryBudget::couldBeShort(std::uint64_t bytes) const
+{
+    return m_limit.has_value() && (m_isShort || m_sum + bytes > *m_limit / shortDivisor);
+}
+
 bool MemoryBudget::isExceeded() const
 {
     return m_limit.has_value() && m_sum > *m_limit;
--- a/src/libs/decisions/relay/memorybudget.h
+++ b/src/libs/decisions/relay/memorybudget.h
@@ -21,15 +21,17 @@
     UnsentToServers,
     InKernelForCallers, ///< Sent, and not taken by the caller's host.
     InKernelForServers, ///< Sent, and not taken by the server's host.
+    UnreadInKernel, ///< Received on the connections of a request that has no whole answer, and not read.
 };
 
-inline constexpr std::array<HeldKind, 7> heldKinds{HeldKind::RequestHeads,
+inline constexpr std::array<HeldKind, 8> heldKinds{HeldKind::RequestHeads,
     HeldKind::RequestBodies,
     HeldKind::PartialAnswers,
     HeldKind::UnsentToCallers,
     HeldKind::UnsentToServers,
     HeldKind::InKernelForCallers,
-    HeldKind::InKernelForServers};
+    HeldKind::InKernelForServers,
+    HeldKind::UnreadInKernel};
 
 /// \brief Returns the stable name of \a kind for logs and metrics.
 std::string_view heldKindName(HeldKind kind);
@@ -71,6 +73,9 @@
     /// \brief Returns whether more is held than may be.
     bool isExceeded() const;
 
+    /// \brief Returns whether memory is short, or would be if \a bytes more were held, which nobody has counted yet.
+    bool couldBeShort(std::uint64_t bytes) const;
+
     /// \brief Returns whether a request that takes \a bytes, \a reserved of which are counted already, may be read.
     bool admitsBody(std::uint64_t bytes, std::uint64_t reserved) const;
 
--- a/src/libs/http/socketbuffers.cpp
+++ b/src/libs/http/socketbuffers.cpp
@@ -78,14 +78,27 @@
 
 // Small parts take many times their size. Where the system does not tell the memory, their sum is what is known.
 std::size_t SocketBuffers::askSystem() const
+{
+    const std::optional<std::size_t> bytes = memoryInfo(SK_MEMINFO_WMEM_QUEUED);
+    return bytes.has_value() ? *bytes : unacknowledgedBytes();
+}
+
+// Returns the value \a index of what the system tells of the socket's memory, if it tells that.
+std::optional<std::size_t> SocketBuffers::memoryInfo(std::size_t index) const
 {
     std::array<std::uint32_t, SK_MEMINFO_VARS> memory{};
     socklen_t size = sizeof memory;
     const bool isKnown = getsockopt(m_descriptor, SOL_SOCKET, SO_MEMINFO, memory.data(), &size) == 0;
-    if (isKnown && size > SK_MEMINFO_WMEM_QUEUED * sizeof(std::uint32_t)) {
-        return memory[SK_MEMINFO_WMEM_QUEUED];
+    return isKnown && size > index * sizeof(std::uint32_t) ? std::optional<std::size_t>(memory[index]) : std::nullopt;
+}
+
+std::size_t SocketBuffers::unreadBytes() const
+{
+    if (const std::optional<std::size_t> bytes = memoryInfo(SK_MEMINFO_RMEM_ALLOC)) {
+        return *bytes;
     }
-    return unacknowledgedBytes();
+    int bytes = 0;
+    return ioctl(m_descriptor, SIOCINQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
 }
 
 std::size_t SocketBuffers::unacknowledgedBytes() const
--- a/src/libs/http/socketbuffers.h
+++ b/src/libs/http/socketbuffers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 
 namespace Verbena::Http {
 
@@ -16,7 +17,10 @@
 /// not grow as large as the kernel would let it.
 inline constexpr int receiveBufferBytes = 64 * 1024;
 
-/// \brief The same for calls by libcurl, which also fetch objects from a store.
+/// \brief The most memory that the kernel takes for a receive buffer of receiveBufferBytes.
+inline constexpr std::size_t receiveMemoryBytes = 2 * std::size_t(receiveBufferBytes);
+
+/// \brief As receiveBufferBytes for calls by libcurl, which also fetch objects from a store.
 inline constexpr int callReceiveBufferBytes = 128 * 1024;
 
 /// \brief Gives the socket \a descriptor a send buffer of sendBufferBytes and a receive buffer of \a receiveBytes; sockets that are accepted from a listening
@@ -45,8 +49,12 @@
     /// \brief Returns the number of sent bytes that the peer's host has not acknowledged yet.
     std::size_t unacknowledgedBytes() const;
 
+    /// \brief Returns the memory that the kernel holds for what was received and nobody has read.
+    std::size_t unreadBytes() const;
+
 private:
     std::size_t askSystem() const;
+    std::optional<std::size_t> memoryInfo(std::size_t index) const;
 
     int m_descriptor;
     std::size_t m_sendBound = sendBufferBytes;
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -243,6 +243,20 @@
     updateKernelMeter();
 }
 
+void TcpChannel::setUnreadMeter(std::unique_ptr<ByteMeter> meter)
+{
+    m_unreadMeter = std::move(meter);
+}
+
+std::size_t TcpChannel::updateUnreadBytes()
+{
+    const std::size_t bytes = m_buffers.unreadBytes();
+    if (m_unreadMeter != nullptr) {
+        m_unreadMeter->setBytes(bytes);
+    }
+    return bytes;
+}
+
 void TcpChannel::setSendBound(std::size_t bytes)
 {
     m_buffers.setSendBound(bytes);
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -118,6 +118,12 @@
     /// \brief Brings kernelBytes() up to date.
     void updateKernelBytes();
 
+    /// \brief Sets the meter that updateUnreadBytes() tells how much memory the kernel holds for what was received and not read; null for none.
+    void setUnreadMeter(std::unique_ptr<ByteMeter> meter);
+
+    /// \brief Asks the kernel what it holds of what was received and not read; returns that memory.
+    std::size_t updateUnreadBytes();
+
     /// \brief Lets the kernel hold no more than \a bytes of what is sent from now on. What it holds already stays.
     void setSendBound(std::size_t bytes);
 
@@ -174,6 +180,7 @@
     OutputQueue m_output;
     std::unique_ptr<ByteMeter> m_meter;
     std::unique_ptr<ByteMeter> m_kernelMeter;
+    std::unique_ptr<ByteMeter> m_unreadMeter;
     std::size_t m_readBound; ///< Most bytes that are read at once.
     bool m_isConnected;
     bool m_isRefused = false;
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -124,6 +124,16 @@
     m_channel->updateKernelBytes();
 }
 
+void BackendCall::setUnreadMeter(std::unique_ptr<Http::ByteMeter> meter)
+{
+    m_channel->setUnreadMeter(std::move(meter));
+}
+
+std::size_t BackendCall::updateUnreadBytes()
+{
+    return m_channel->updateUnreadBytes();
+}
+
 void BackendCall::setSendBound(std::size_t bytes)
 {
     m_channel->setSendBound(bytes);
@@ -152,6 +162,7 @@
         return nullptr;
     }
     m_channel->updateKernelBytes();
+    m_channel->setUnreadMeter(nullptr);
     return std::move(m_channel);
 }
 
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -98,6 +98,12 @@
     /// \brief Brings up to date what the kernel holds for the request.
     void updateKernelBytes();
 
+    /// \brief Sets the meter that updateUnreadBytes() tells how much memory the kernel holds for the part of the answer that is not read.
+    void setUnreadMeter(std::unique_ptr<Http::ByteMeter> meter);
+
+    /// \brief Asks the kernel what it holds for the part of the answer that is not read; returns that memory.
+    std::size_t updateUnreadBytes();
+
     /// \brief Lets the kernel hold no more than \a bytes of what is not sent yet.
     void setSendBound(std::size_t bytes);
 
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -47,6 +47,7 @@
 {
     m_channel->setMeter(createMeter(&owner.memory().budget(), Decisions::HeldKind::UnsentToCallers));
     m_channel->setKernelMeter(createMeter(&owner.memory().budget(), Decisions::HeldKind::InKernelForCallers));
+    m_channel->setUnreadMeter(createMeter(&owner.memory().budget(), Decisions::HeldKind::UnreadInKernel));
     m_idleDeadline = m_idleSince + owner.limits().idleTimeout;
     m_timer.startAt(m_idleDeadline);
 }
@@ -91,6 +92,17 @@
     }
 }
 
+void CallerConnection::updateUnreadBytes()
+{
+    m_unreadFromCaller = m_channel->updateUnreadBytes();
+    m_unreadFromServer = m_request != nullptr ? m_request->updateUnreadBytes() : 0;
+}
+
+bool CallerConnection::mayHaveUnreadBytes() const
+{
+    return m_request != nullptr || m_unreadFromCaller > 0;
+}
+
 void CallerConnection::updateLastRead()
 {
     m_delivery.recordUnacknowledged(m_channel->unacknowledgedBytes(), m_loop.now());
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -59,6 +59,12 @@
     /// \brief Brings up to date what the kernel holds for the caller, and for the backend server of its request.
     void updateKernelBytes();
 
+    /// \brief Asks the kernel what it holds of what the caller and the backend server of its request have sent.
+    void updateUnreadBytes();
+
+    /// \brief Returns whether a request is being handled, or bytes of the caller were unread at the last updateUnreadBytes().
+    bool mayHaveUnreadBytes() const;
+
     /// \brief Brings lastReadAt() up to date; to be called several times per second while memory is short.
     void updateLastRead();
 
@@ -173,6 +179,8 @@
     Core::TimePoint m_idleSince;
     Core::TimePoint m_idleDeadline; ///< Until then an idle connection is kept.
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
+    std::size_t m_unreadFromCaller = 0; ///< Memory that the kernel held of what the caller had sent, when it was last asked.
+    std::size_t m_unreadFromServer = 0; ///< The same of the answer to its request.
     bool m_isTimeoutPostponed = false; ///< Whether the time limit has passed and was postponed once to read what had arrived.
     bool m_isOverDescriptorLimit = false; ///< Whether the caller's request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
--- a/src/libs/relay/memoryguard.cpp
+++ b/src/libs/relay/memoryguard.cpp
@@ -8,10 +8,21 @@
 
 #include <string>
 
+#include <sys/resource.h>
+
 namespace Verbena::Relay {
 
 namespace {
 
+constexpr std::uint64_t bytesPerKibibyte = 1024;
+
+// Beside what is counted, it tells whether something else takes the host's memory.
+std::uint64_t peakResidentBytes()
+{
+    rusage usage{};
+    return getrusage(RUSAGE_SELF, &usage) == 0 ? static_cast<std::uint64_t>(usage.ru_maxrss) * bytesPerKibibyte : 0;
+}
+
 class BudgetMeter : public Http::ByteMeter
 {
 public:
@@ -75,6 +86,7 @@
         const auto bytes = static_cast<double>(m_budget.held(kind));
         m_metrics.setGauge("memory_held_" + std::string(Decisions::heldKindName(kind)) + "_bytes", bytes);
     }
+    m_metrics.setGauge("memory_peak_resident_bytes", static_cast<double>(peakResidentBytes()));
 }
 
 void MemoryGuard::reportShortage()
@@ -92,7 +104,9 @@
             {"unsent_to_callers", held(Decisions::HeldKind::UnsentToCallers)},
             {"unsent_to_servers", held(Decisions::HeldKind::UnsentToServers)},
             {"in_kernel_for_callers", held(Decisions::HeldKind::InKernelForCallers)},
-            {"in_kernel_for_servers", held(Decisions::HeldKind::InKernelForServers)}});
+            {"in_kernel_for_servers", held(Decisions::HeldKind::InKernelForServers)},
+            {"unread_in_kernel", held(Decisions::HeldKind::UnreadInKernel)},
+            {"peak_resident_bytes", std::to_string(peakResidentBytes())}});
 }
 
 std::vector<CallerConnection *> MemoryGuard::connectionsToCut(const std::vector<CallerConnection *> &connections, Core::TimePoint now)
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -400,6 +400,11 @@
     m_call.updateKernelBytes();
 }
 
+std::size_t RelayedRequest::updateUnreadBytes()
+{
+    return m_call.updateUnreadBytes();
+}
+
 Decisions::AttemptState RelayedRequest::attemptsIfAbandoned() const
 {
     return withAnswer(m_attempts.stateAfter(m_call.failureIfAbandoned(), m_answer.isBegun()));
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -153,6 +153,7 @@
     void handleNewWeights();
     void recordActivity();
     void relieveMemory();
+    void updateUnreadBytes();
     void failOverSilentEngines();
     void handleActivityTimer();
     void acceptCaller(int descriptor);
--- a/src/libs/relay/servercall.cpp
+++ b/src/libs/relay/servercall.cpp
@@ -55,6 +55,7 @@
         m_call->setMeter(createMeter(m_context.memory, Decisions::HeldKind::UnsentToServers));
         m_call->setAnswerMeter(createMeter(m_context.memory, Decisions::HeldKind::PartialAnswers));
         m_call->setKernelMeter(createMeter(m_context.memory, Decisions::HeldKind::InKernelForServers));
+        m_call->setUnreadMeter(createMeter(m_context.memory, Decisions::HeldKind::UnreadInKernel));
         updateReadBound();
         updateSendBound();
         return Core::success();
@@ -158,6 +159,11 @@
     }
 }
 
+std::size_t ServerCall::updateUnreadBytes()
+{
+    return m_call != nullptr ? m_call->updateUnreadBytes() : 0;
+}
+
 CallFailure ServerCall::failureIfAbandoned() const
 {
     return m_call->isUnacknowledged() ? CallFailure::Unacknowledged : CallFailure::Lost;
