Bound what all parts of answers hold together, and give up those that hold most

What callers saw: routers that asked a server for streams that may be resumed ran out of memory and ended, with the requests of all callers; memory_short was the last that they said, and nothing was given up.

Cause: an event may take a megabyte, of which the room that its text takes can be twice as much, in each call, whatever is left; and beyond the budget only callers that do not read were cut off, while these had read everything. The class: bytes that are counted and bounded by nothing that acts.

Now a part that is held until more has come may take a thirteenth of what is left and itself, a short one as long as all take no more than a quarter, and what it takes is counted with its room. Beyond the budget the calls that hold most are given up until the rest fits, heads that have not come whole included; answer_given_up names the server.

--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -1,13 +1,14 @@
 #include "memorybudget.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Verbena::Decisions {
 
 namespace {
 
-// Part of a process's memory that bytes for callers and servers may take, what the kernel holds of them included. The rest is for the program, its tables,
-// requests and what the allocator keeps.
+// Part of a process's memory that bytes for callers and servers may take. What the kernel holds of what was sent is in it. The rest is for the
+// program, its tables, requests, the kernel's receive buffers and what the allocator keeps.
 constexpr std::uint64_t budgetDivisor = 4;
 
 // Memory is short from a half of the budget on, until three eighths.
@@ -37,6 +38,14 @@
 // Most answers that are no streams are shorter.
 constexpr std::uint64_t maximumBufferedBytes = 64 * 1024;
 
+// Part of what is left that a part of an answer may take which is held until more of it has come. n of them thus hold n / (n + 12) of the budget together, and
+// an event of a megabyte has room where little else is held.
+constexpr std::uint64_t partDivisor = 12;
+
+// Parts up to this size, as the events of most streams are, may be held as long as all answers take no more than a part of the budget.
+constexpr std::uint64_t smallPartBytes = 16 * 1024;
+constexpr std::uint64_t answersDivisor = 4;
+
 // Time without reading after which a caller may be cut off: its process may stand still for a moment, and its answer may be the only one that there is.
 constexpr std::chrono::milliseconds minimumUnreadTime{1000};
 
@@ -81,8 +90,11 @@
 {
     std::uint64_t &held = m_held[static_cast<std::size_t>(kind)];
     held = held - before + after;
-    m_sum = m_sum - before + after;
-    updateShortage();
+    // A receive buffer has a bound of its own, and what is in it is freed by reading, not by giving something up.
+    if (kind != HeldKind::UnreadInKernel) {
+        m_sum = m_sum - before + after;
+        updateShortage();
+    }
 }
 
 void MemoryBudget::updateShortage()
@@ -176,6 +188,34 @@
     return m_isShort ? std::min(unsentBound(), maximumBufferedBytes) : maximumBufferedBytes;
 }
 
+std::uint64_t MemoryBudget::partBound(std::uint64_t taken) const
+{
+    if (!m_limit.has_value()) {
+        return std::numeric_limits<std::uint64_t>::max();
+    }
+    const std::uint64_t bound = (left() + taken) / (partDivisor + 1);
+    return held(HeldKind::PartialAnswers) <= *m_limit / answersDivisor ? std::max(bound, smallPartBytes) : bound;
+}
+
+std::vector<HeldAnswer> MemoryBudget::answersToGiveUp(std::vector<HeldAnswer> answers) const
+{
+    std::vector<HeldAnswer> givenUp;
+    if (!isExceeded() || held(HeldKind::PartialAnswers) <= *m_limit / answersDivisor) {
+        return givenUp;
+    }
+    const std::uint64_t excess = std::min(m_sum - *m_limit, held(HeldKind::PartialAnswers) - *m_limit / answersDivisor);
+    std::sort(answers.begin(), answers.end(), [](const HeldAnswer &left, const HeldAnswer &right) { return left.bytes > right.bytes; });
+    std::uint64_t freed = 0;
+    for (const HeldAnswer &answer : answers) {
+        if (freed >= excess || answer.bytes == 0) {
+            break;
+        }
+        freed += answer.bytes;
+        givenUp.push_back(answer);
+    }
+    return givenUp;
+}
+
 std::chrono::milliseconds MemoryBudget::unreadTime(std::uint64_t held) const
 {
     return held > *m_limit * dangerNumerator / dangerDivisor ? minimumUnreadTimeInDanger : minimumUnreadTime;
--- a/src/libs/decisions/relay/memorybudget.h
+++ b/src/libs/decisions/relay/memorybudget.h
@@ -21,7 +21,7 @@
     UnsentToServers,
     InKernelForCallers, ///< Sent, and not taken by the caller's host.
     InKernelForServers, ///< Sent, and not taken by the server's host.
-    UnreadInKernel, ///< Received on the connections of a request that has no whole answer, and not read.
+    UnreadInKernel, ///< Received on the connections of a request that has no whole answer, and not read; no part of the budget.
 };
 
 inline constexpr std::array<HeldKind, 8> heldKinds{HeldKind::RequestHeads,
@@ -44,11 +44,18 @@
     Core::TimePoint lastReadAt; ///< When the caller last read something, or else when the first of these bytes was written.
 };
 
+/// \brief A request whose answer has not come whole.
+struct HeldAnswer
+{
+    std::size_t index = 0; ///< Number by which the owner of the requests knows it.
+    std::uint64_t bytes = 0; ///< Memory that is freed when the answer is given up.
+};
+
 /// \brief Counts the bytes that a router holds for callers and backend servers, and decides what is given up when memory is short.
 ///
 /// Every bound is a fraction of what is left, so that it tightens before memory is used up however many connections there are. In this order: reading the
-/// answers of slow callers pauses, requests with large bodies are not read, callers that do not read are cut off. Small requests have a part of their own, so
-/// that slow callers alone do not close a router to them.
+/// answers of slow callers pauses, requests with large bodies are not read, callers that do not read are cut off, answers that are held until more of them has
+/// come are given up. Small requests and short parts of answers have parts of their own, so that slow callers alone do not close a router to them.
 class MemoryBudget
 {
 public:
@@ -61,7 +68,7 @@
     /// \brief Returns the bytes held of \a kind.
     std::uint64_t held(HeldKind kind) const;
 
-    /// \brief Returns all bytes held.
+    /// \brief Returns all bytes held of the kinds that the budget is for.
     std::uint64_t held() const;
 
     /// \brief Returns the most bytes that may be held; empty if the sum is not limited.
@@ -97,6 +104,13 @@
     /// \brief Returns how many bytes of an answer may be held until it is complete, so that its request can be sent again if it breaks off.
     std::uint64_t bufferBound() const;
 
+    /// \brief Returns the memory that a part of an answer which is held until more of it has come may take, \a taken of which it takes already.
+    std::uint64_t partBound(std::uint64_t taken) const;
+
+    /// \brief Returns which of \a answers have to be given up, those that hold most first, until no more is held than may be, or answers hold no more than the
+    /// part of the budget that is theirs.
+    std::vector<HeldAnswer> answersToGiveUp(std::vector<HeldAnswer> answers) const;
+
     /// \brief Returns which of \a callers have to be cut off at \a now, those that have not read for longest first, until no more is held than may be.
     ///
     /// What a cut frees is estimated by its unsent bytes, so that more callers may be cut off than is necessary.
--- a/src/libs/http/ssesplitter.cpp
+++ b/src/libs/http/ssesplitter.cpp
@@ -10,6 +10,17 @@
 constexpr std::string_view lineEnds = "\r\n";
 constexpr std::string_view idField = "id:";
 
+// Room that is kept for the next event; few events are longer.
+constexpr std::size_t keptBytes = 4 * 1024;
+
+void empty(std::string &text)
+{
+    text.clear();
+    if (text.capacity() > keptBytes) {
+        text.shrink_to_fit();
+    }
+}
+
 std::optional<std::uint64_t> idOf(std::string_view event)
 {
     while (!event.empty()) {
@@ -41,7 +52,7 @@
         } else {
             m_skippedBytes += m_pending.size();
         }
-        m_pending.clear();
+        empty(m_pending);
     }
     m_pending.append(bytes);
     return events;
@@ -69,7 +80,7 @@
 
 void SseSplitter::discardPending()
 {
-    m_pending.clear();
+    empty(m_pending);
     m_skippedBytes = 0;
     m_scanner.reset();
 }
@@ -84,6 +95,11 @@
     return m_scanner.pendingBytes();
 }
 
+std::size_t SseSplitter::heldBytes() const
+{
+    return m_pending.capacity();
+}
+
 bool SseSplitter::hasEvent() const
 {
     return m_scanner.hasEvent();
--- a/src/libs/http/ssesplitter.h
+++ b/src/libs/http/ssesplitter.h
@@ -30,6 +30,9 @@
     /// \brief Returns the number of received bytes of an incomplete event.
     std::size_t pendingBytes() const;
 
+    /// \brief Returns the memory that is held for an incomplete event.
+    std::size_t heldBytes() const;
+
     /// \brief Returns whether an event has ended in the bytes added since the last discardPending().
     bool hasEvent() const;
 
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -104,8 +104,8 @@
 
 void AnswerForwarder::updatePendingBytes()
 {
-    const std::size_t errorBytes = m_error.has_value() ? m_error->body.size() : 0;
-    m_sink.setPendingBytes(m_buffer.size() + errorBytes + (m_isResumable ? m_splitter.pendingBytes() : 0));
+    const std::size_t errorBytes = m_error.has_value() ? m_error->body.capacity() : 0;
+    m_sink.setPendingBytes(m_buffer.capacity() + errorBytes + (m_isResumable ? m_splitter.heldBytes() : 0));
 }
 
 void AnswerForwarder::forward(std::string_view data)
@@ -208,6 +208,9 @@
     if ((m_isResumable ? m_splitter.pendingBytes() : m_scanner.pendingBytes()) > maximumEventBytes) {
         return "event";
     }
+    if (m_isResumable && m_splitter.pendingBytes() > 0 && m_splitter.heldBytes() > m_sink.partBound()) {
+        return "memory";
+    }
     return m_splitter.skippedBytes() > m_splitter.returnedBytes() + maximumEventBytes ? std::optional("skipped_events") : std::nullopt;
 }
 
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -129,9 +129,9 @@
     m_channel->setUnreadMeter(std::move(meter));
 }
 
-std::size_t BackendCall::updateUnreadBytes()
+void BackendCall::updateUnreadBytes()
 {
-    return m_channel->updateUnreadBytes();
+    m_channel->updateUnreadBytes();
 }
 
 void BackendCall::setSendBound(std::size_t bytes)
@@ -144,6 +144,11 @@
     m_answerMeter = std::move(meter);
 }
 
+std::size_t BackendCall::answerHeadBytes() const
+{
+    return m_reader.headBytes();
+}
+
 std::optional<Http::MessageFault> BackendCall::answerFault() const
 {
     return m_fault;
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -101,8 +101,8 @@
     /// \brief Sets the meter that updateUnreadBytes() tells how much memory the kernel holds for the part of the answer that is not read.
     void setUnreadMeter(std::unique_ptr<Http::ByteMeter> meter);
 
-    /// \brief Asks the kernel what it holds for the part of the answer that is not read; returns that memory.
-    std::size_t updateUnreadBytes();
+    /// \brief Asks the kernel what it holds for the part of the answer that is not read.
+    void updateUnreadBytes();
 
     /// \brief Lets the kernel hold no more than \a bytes of what is not sent yet.
     void setSendBound(std::size_t bytes);
@@ -110,6 +110,9 @@
     /// \brief Sets the meter that is told how many bytes of the answer are held beside its body.
     void setAnswerMeter(std::unique_ptr<Http::ByteMeter> meter);
 
+    /// \brief Returns the memory that is held of the answer beside its body.
+    std::size_t answerHeadBytes() const;
+
     /// \brief Returns why the answer could not be read to its end; nothing if it was whole or the connection ended.
     std::optional<Http::MessageFault> answerFault() const;
 
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -95,7 +95,9 @@
 void CallerConnection::updateUnreadBytes()
 {
     m_unreadFromCaller = m_channel->updateUnreadBytes();
-    m_unreadFromServer = m_request != nullptr ? m_request->updateUnreadBytes() : 0;
+    if (m_request != nullptr) {
+        m_request->updateUnreadBytes();
+    }
 }
 
 bool CallerConnection::mayHaveUnreadBytes() const
@@ -108,6 +110,11 @@
     m_delivery.recordUnacknowledged(m_channel->unacknowledgedBytes(), m_loop.now());
 }
 
+std::size_t CallerConnection::answerBytes() const
+{
+    return m_pendingBytes.bytes() + (m_request != nullptr ? m_request->answerHeadBytes() : 0);
+}
+
 void CallerConnection::cutOff()
 {
     m_channel->resetOnClose();
@@ -564,6 +571,11 @@
     return m_owner.memory().budget().bufferBound();
 }
 
+std::uint64_t CallerConnection::partBound() const
+{
+    return m_owner.memory().budget().partBound(m_pendingBytes.bytes());
+}
+
 bool CallerConnection::isFull() const
 {
     return unsentBytes() > m_owner.memory().budget().unsentBound();
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -68,6 +68,9 @@
     /// \brief Brings lastReadAt() up to date; to be called several times per second while memory is short.
     void updateLastRead();
 
+    /// \brief Returns the memory that is held of an answer until more of it has come.
+    std::size_t answerBytes() const;
+
     /// \brief Resets the connection for want of memory, so that the caller can tell that its answer is incomplete, and ends it.
     void cutOff();
 
@@ -113,6 +116,7 @@
     void abortAnswer() override;
     void setPendingBytes(std::size_t bytes) override;
     std::size_t bufferBound() const override;
+    std::uint64_t partBound() const override;
     bool isFull() const override;
 
 private:
@@ -180,7 +184,6 @@
     Core::TimePoint m_idleDeadline; ///< Until then an idle connection is kept.
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
     std::size_t m_unreadFromCaller = 0; ///< Memory that the kernel held of what the caller had sent, when it was last asked.
-    std::size_t m_unreadFromServer = 0; ///< The same of the answer to its request.
     bool m_isTimeoutPostponed = false; ///< Whether the time limit has passed and was postponed once to read what had arrived.
     bool m_isOverDescriptorLimit = false; ///< Whether the caller's request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
--- a/src/libs/relay/memoryguard.cpp
+++ b/src/libs/relay/memoryguard.cpp
@@ -123,6 +123,32 @@
     return cut;
 }
 
+std::vector<CallerConnection *> MemoryGuard::answersToGiveUp(const std::vector<CallerConnection *> &connections)
+{
+    std::vector<Decisions::HeldAnswer> answers;
+    for (std::size_t index = 0; index < connections.size(); ++index) {
+        answers.push_back({index, connections[index]->answerBytes()});
+    }
+    std::vector<CallerConnection *> givenUp;
+    for (const Decisions::HeldAnswer &answer : m_budget.answersToGiveUp(std::move(answers))) {
+        reportGivenUp(*connections[answer.index], answer.bytes);
+        givenUp.push_back(connections[answer.index]);
+    }
+    return givenUp;
+}
+
+void MemoryGuard::reportGivenUp(const CallerConnection &connection, std::uint64_t bytes)
+{
+    m_metrics.count("answers_given_up_for_memory_total");
+    const RelayedRequest *request = connection.request();
+    Observe::log(answerGivenUp,
+        {{"request", request != nullptr ? request->attemptId() : ""},
+            {"server", request != nullptr ? request->serverId() : ""},
+            {"answer_bytes", std::to_string(bytes)},
+            {"held_bytes", std::to_string(m_budget.held())},
+            {"limit_bytes", std::to_string(m_budget.limit().value_or(0))}});
+}
+
 void MemoryGuard::reportCut(const Decisions::UnreadCaller &caller, Core::TimePoint now)
 {
     m_metrics.count("callers_cut_for_memory_total");
--- a/src/libs/relay/memoryguard.h
+++ b/src/libs/relay/memoryguard.h
@@ -37,10 +37,14 @@
     /// \brief Chooses which of \a connections, none of which has read all of its answer, are cut off at \a now and reports them; the owner has to cut them off.
     std::vector<CallerConnection *> connectionsToCut(const std::vector<CallerConnection *> &connections, Core::TimePoint now);
 
+    /// \brief Chooses on which of \a connections the answer is given up and reports it; the owner has to give them up.
+    std::vector<CallerConnection *> answersToGiveUp(const std::vector<CallerConnection *> &connections);
+
 private:
     void reportHeld();
     void reportShortage();
     void reportCut(const Decisions::UnreadCaller &caller, Core::TimePoint now);
+    void reportGivenUp(const CallerConnection &connection, std::uint64_t bytes);
 
     Decisions::MemoryBudget m_budget;
     Observe::Metrics &m_metrics;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -400,9 +400,26 @@
     m_call.updateKernelBytes();
 }
 
-std::size_t RelayedRequest::updateUnreadBytes()
+void RelayedRequest::updateUnreadBytes()
 {
-    return m_call.updateUnreadBytes();
+    m_call.updateUnreadBytes();
+}
+
+std::size_t RelayedRequest::answerHeadBytes() const
+{
+    return m_call.answerHeadBytes();
+}
+
+// Nothing says that the backend server has failed, and others may need it.
+void RelayedRequest::giveUpAnswer()
+{
+    if (m_isDone || !m_call.isOpen()) {
+        return;
+    }
+    const CallFailure failure = CallFailure::Lost;
+    m_attempts.recordEnd(failure, m_call.hasSent());
+    m_call.abandon();
+    decide(failure, "memory is used up, and the answer holds much of it");
 }
 
 Decisions::AttemptState RelayedRequest::attemptsIfAbandoned() const
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -73,8 +73,14 @@
     /// \brief Brings up to date what the kernel holds for the backend server.
     void updateKernelBytes();
 
-    /// \brief Asks the kernel what it holds of the backend server's answer; returns that memory.
-    std::size_t updateUnreadBytes();
+    /// \brief Asks the kernel what it holds of the backend server's answer.
+    void updateUnreadBytes();
+
+    /// \brief Returns the memory that is held of the head of the backend server's answer.
+    std::size_t answerHeadBytes() const;
+
+    /// \brief Gives up the current call, as memory is used up.
+    void giveUpAnswer();
 
     /// \brief Sends the request, or the rest of its stream, to another engine if it waits for a silent one and may be sent again. Otherwise answers
     /// it as lost if the engine has been silent for long.
--- a/src/libs/relay/relayevents.h
+++ b/src/libs/relay/relayevents.h
@@ -86,6 +86,8 @@
 inline constexpr Event callerConnectionClosed{
     2159, Severity::Info, "caller_connection_closed", "A caller's connection was closed; what was due on it is given."};
 
+inline constexpr Event answerGivenUp{2160, Severity::Warning, "answer_given_up", "An answer that had not come whole was given up since memory was used up."};
+
 inline constexpr Event strayBytesReceived{
     2145, Severity::Warning, "stray_bytes_received", "A backend server sent bytes on an idle connection; they belong to no request."};
 
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -229,6 +229,18 @@
     for (CallerConnection *connection : m_memory.connectionsToCut(connections, m_loop.now())) {
         connection->cutOff();
     }
+    giveUpAnswers();
+}
+
+// Whatever has no end must not take the process with it; those that hold most are the fewest to give up.
+void RelayTask::giveUpAnswers()
+{
+    const std::vector<CallerConnection *> connections = connectionSnapshot();
+    for (CallerConnection *connection : m_memory.answersToGiveUp(connections)) {
+        if (RelayedRequest *request = connection->request()) {
+            request->giveUpAnswer();
+        }
+    }
 }
 
 // The budget may not suffice for all, so the callers that have the least time left come first.
--- a/src/libs/relay/relaytask.h
+++ b/src/libs/relay/relaytask.h
@@ -154,6 +154,7 @@
     void recordActivity();
     void relieveMemory();
     void updateUnreadBytes();
+    void giveUpAnswers();
     void failOverSilentEngines();
     void handleActivityTimer();
     void acceptCaller(int descriptor);
--- a/src/libs/relay/servercall.cpp
+++ b/src/libs/relay/servercall.cpp
@@ -159,9 +159,16 @@
     }
 }
 
-std::size_t ServerCall::updateUnreadBytes()
+void ServerCall::updateUnreadBytes()
 {
-    return m_call != nullptr ? m_call->updateUnreadBytes() : 0;
+    if (m_call != nullptr) {
+        m_call->updateUnreadBytes();
+    }
+}
+
+std::size_t ServerCall::answerHeadBytes() const
+{
+    return m_call != nullptr ? m_call->answerHeadBytes() : 0;
 }
 
 CallFailure ServerCall::failureIfAbandoned() const
--- a/src/libs/relay/servercall.h
+++ b/src/libs/relay/servercall.h
@@ -60,8 +60,11 @@
     /// \brief Brings up to date what the kernel holds for the backend server.
     void updateKernelBytes();
 
-    /// \brief Asks the kernel what it holds for the part of the answer that is not read; returns that memory.
-    std::size_t updateUnreadBytes();
+    /// \brief Asks the kernel what it holds for the part of the answer that is not read.
+    void updateUnreadBytes();
+
+    /// \brief Returns the memory that is held of the answer beside its body.
+    std::size_t answerHeadBytes() const;
 
     /// \brief Pauses or resumes reading the answer.
     void setReading(bool isReading);
--- a/tests/auto/relay/tst_heldbytes.cpp
+++ b/tests/auto/relay/tst_heldbytes.cpp
@@ -235,6 +235,34 @@
     ASSERT_TRUE(runUntil(*m_loop, [&] { return metric("memory_held_unsent_to_callers_bytes") == 0; }));
 }
 
+// Heads that come slowly and whole only in the end were kept beyond the budget until the deadlines of their requests.
+TEST_F(HeldBytesTest, keepsPartsOfAnswersBeyondTheBudget)
+{
+    constexpr std::size_t callers = 40;
+    constexpr std::size_t headBytes = 60'000;
+    start([](const auto &head, const auto &) {
+        const std::string part = "HTTP/1.1 200 OK\r\nPadding: " + std::string(headBytes, 'x');
+        return WorkerScript{head.target == "/once/" ? part : answer(head, "ok")};
+    });
+    std::vector<std::unique_ptr<CallerFake>> waiting;
+    for (std::size_t number = 0; number < callers; ++number) {
+        waiting.push_back(caller());
+        waiting.back()->send(request("/once/"));
+    }
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return runs() == callers; }));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return metric("answers_given_up_for_memory_total") > 0; }));
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return metric("memory_held_partial_answers_bytes") <= budgetBytes; }));
+    const auto isAnswered = [](const auto &client) {
+        return client->received().starts_with("HTTP/1.1 502");
+    };
+    const auto answered = [&] {
+        return std::count_if(waiting.begin(), waiting.end(), isAnswered);
+    };
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return answered() == static_cast<std::ptrdiff_t>(metric("answers_given_up_for_memory_total")); }));
+    EXPECT_LT(answered(), static_cast<std::ptrdiff_t>(callers));
+    EXPECT_TRUE(contains(call(request("/safe/"), "ok"), "200 OK"));
+}
+
 } // namespace
 
 } // namespace Verbena::Relay
--- a/tests/auto/relay/tst_memorybudget.cpp
+++ b/tests/auto/relay/tst_memorybudget.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <limits>
 #include <memory>
 
 namespace Verbena::Decisions {
@@ -21,6 +23,9 @@
 // Requests up to this size have a part of the budget of their own.
 constexpr std::uint64_t smallRequestBytes = 16 * 1024;
 
+// Events up to this size may be held while answers take no more than their part of the budget.
+constexpr std::uint64_t shortEventBytes = 16 * 1024;
+
 const Core::TimePoint start{};
 
 // All callers of a small router stop to read while their streams go on; each of them held 256 KiB.
@@ -142,6 +147,74 @@
     EXPECT_EQ(budget.callersToCut(callers, start + 150ms).size(), 2U);
 }
 
+// Parts of answers grew to a megabyte each however many there were.
+RC_GTEST_PROP(MemoryBudgetTest, boundsWhatPartsOfAnswersHoldHoweverManyTheyAre, ())
+{
+    const auto count = *rc::gen::inRange<std::size_t>(1, 400);
+    const auto piece = *rc::gen::inRange<std::uint64_t>(100, readBytes);
+    const auto slow = *rc::gen::inRange<std::uint64_t>(0, budgetBytes);
+    MemoryBudget budget(hostBytes);
+    HeldBytes slowCallers(budget, HeldKind::UnsentToCallers);
+    slowCallers.set(slow);
+    std::vector<std::unique_ptr<HeldBytes>> answers;
+    for (std::size_t number = 0; number < count; ++number) {
+        answers.push_back(std::make_unique<HeldBytes>(budget, HeldKind::PartialAnswers));
+    }
+    bool isAnyRead = true;
+    while (isAnyRead) {
+        isAnyRead = false;
+        for (const auto &answer : answers) {
+            answer->set(answer->bytes() + piece);
+            const bool isTooMuch = answer->bytes() > budget.partBound(answer->bytes());
+            answer->set(isTooMuch ? answer->bytes() - piece : answer->bytes());
+            isAnyRead = isAnyRead || !isTooMuch;
+        }
+    }
+    RC_ASSERT(budget.held(HeldKind::PartialAnswers) <= std::max(budgetBytes - slow, budgetBytes / 4) + piece);
+}
+
+TEST(MemoryBudgetTest, keepsAPartForShortEventsWhateverSlowCallersHold)
+{
+    MemoryBudget budget(hostBytes);
+    HeldBytes slow(budget, HeldKind::UnsentToCallers);
+    HeldBytes answers(budget, HeldKind::PartialAnswers);
+    slow.set(2 * budgetBytes);
+    EXPECT_EQ(budget.partBound(0), shortEventBytes);
+    answers.set(budgetBytes / 4 + 1);
+    EXPECT_EQ(budget.partBound(0), 0U);
+    EXPECT_EQ(MemoryBudget(std::nullopt).partBound(0), std::numeric_limits<std::uint64_t>::max());
+    EXPECT_GE(MemoryBudget(hostBytes).partBound(0), 1024U * 1024);
+}
+
+// Answers that held more than the budget were kept until their deadline, and the process was killed for them.
+TEST(MemoryBudgetTest, givesUpNothingButCallersThatDoNotRead)
+{
+    MemoryBudget budget(hostBytes);
+    HeldBytes answers(budget, HeldKind::PartialAnswers);
+    HeldBytes others(budget, HeldKind::RequestBodies);
+    const std::vector<HeldAnswer> held{{0, 3000}, {1, 9000}, {2, 5000}, {3, 0}};
+    answers.set(budgetBytes / 2);
+    others.set(budgetBytes / 2);
+    EXPECT_TRUE(budget.answersToGiveUp(held).empty());
+    others.set(budgetBytes / 2 + 10'000);
+    const std::vector<HeldAnswer> givenUp = budget.answersToGiveUp(held);
+    ASSERT_EQ(givenUp.size(), 2U);
+    EXPECT_EQ(givenUp[0].index, 1U);
+    EXPECT_EQ(givenUp[1].index, 2U);
+}
+
+TEST(MemoryBudgetTest, givesUpNoAnswersForWhatCallersDoNotRead)
+{
+    MemoryBudget budget(hostBytes);
+    HeldBytes slow(budget, HeldKind::UnsentToCallers);
+    HeldBytes answers(budget, HeldKind::PartialAnswers);
+    slow.set(2 * budgetBytes);
+    answers.set(budgetBytes / 4);
+    EXPECT_TRUE(budget.answersToGiveUp({{0, budgetBytes / 4}}).empty());
+    answers.set(budgetBytes / 4 + 1);
+    EXPECT_EQ(budget.answersToGiveUp({{0, 1000}, {1, 1000}}).size(), 1U);
+}
+
 } // namespace
 
 } // namespace Verbena::Decisions
