Bound the receive buffers of all calls together, and what they read in a turn

What callers saw: beside 200 and 400 calls without an end requests were answered after seconds, and some 110 KB a call lay unread in the kernel.

Cause: a receive buffer took up to 128 KB of memory and a call read up to 64 KiB in each turn of the event loop, however many calls there were.

Now a call that begins among many others gets a smaller receive buffer, so that all take about a quarter of the process's memory, and all together read half a megabyte a turn.

--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -38,6 +38,17 @@
 // Most answers that are no streams are shorter.
 constexpr std::uint64_t maximumBufferedBytes = 64 * 1024;
 
+// Part of a process's memory that receive buffers of calls may take, beside the budget, and the number of calls up to which each has nearly the same. The
+// system takes twice the room for a buffer.
+constexpr std::uint64_t receiveDivisor = 4;
+constexpr std::uint64_t evenCalls = 64;
+constexpr std::uint64_t memoryOfReceivedByte = 2;
+constexpr std::uint64_t minimumReceiveBytes = 8 * 1024;
+
+// Bytes that all calls together read in one turn of the event loop, some milliseconds of work, so that no request waits for long behind answers without an end.
+constexpr std::uint64_t turnBytes = 512 * 1024;
+constexpr std::uint64_t minimumReadBytes = 1024;
+
 // Part of what is left that a part of an answer may take which is held until more of it has come. n of them thus hold n / (n + 12) of the budget together, and
 // an event of a megabyte has room where little else is held.
 constexpr std::uint64_t partDivisor = 12;
@@ -183,6 +194,21 @@
     return m_limit.has_value() ? std::clamp(left() / unsentDivisor, minimumUnsentBytes, maximumUnsentBytes) : maximumUnsentBytes;
 }
 
+std::uint64_t MemoryBudget::receiveBound(std::size_t calls, std::uint64_t most) const
+{
+    if (!m_limit.has_value()) {
+        return most;
+    }
+    const std::uint64_t share = *m_limit * budgetDivisor / receiveDivisor / memoryOfReceivedByte / (evenCalls + calls);
+    return std::clamp(share, minimumReceiveBytes, most);
+}
+
+std::uint64_t MemoryBudget::readBound(std::size_t calls) const
+{
+    const std::uint64_t share = turnBytes / std::max<std::size_t>(calls, 1);
+    return std::min(std::max(share, minimumReadBytes), unsentBound());
+}
+
 std::uint64_t MemoryBudget::bufferBound() const
 {
     return m_isShort ? std::min(unsentBound(), maximumBufferedBytes) : maximumBufferedBytes;
--- a/src/libs/decisions/relay/memorybudget.h
+++ b/src/libs/decisions/relay/memorybudget.h
@@ -101,6 +101,12 @@
     /// \brief Returns how many bytes may wait to be sent to one caller before reading for it pauses.
     std::uint64_t unsentBound() const;
 
+    /// \brief Returns the room for what one of \a calls open calls has received and nobody has read, \a most at most. It holds from the start of the call.
+    std::uint64_t receiveBound(std::size_t calls, std::uint64_t most) const;
+
+    /// \brief Returns how many bytes one of \a calls open calls may read at once.
+    std::uint64_t readBound(std::size_t calls) const;
+
     /// \brief Returns how many bytes of an answer may be held until it is complete, so that its request can be sent again if it breaks off.
     std::uint64_t bufferBound() const;
 
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -58,14 +58,14 @@
 
 } // namespace
 
-Core::Result<std::unique_ptr<TcpChannel>> TcpChannel::connect(EventLoop::Loop &loop, const Endpoint &endpoint, ChannelObserver &observer)
+Core::Result<std::unique_ptr<TcpChannel>> TcpChannel::connect(EventLoop::Loop &loop, const Endpoint &endpoint, ChannelObserver &observer, int receiveBytes)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
         return Core::Error{connectErrorCode(errno), "http.socket", endpoint.toString(), std::strerror(errno)};
     }
     setOptions(descriptor);
-    boundSocketBuffers(descriptor);
+    boundSocketBuffers(descriptor, receiveBytes);
     const int status = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&endpoint.address), sizeof endpoint.address);
     if (status != 0 && errno != EINPROGRESS) {
         const std::string reason = std::strerror(errno);
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -68,9 +68,10 @@
 class TcpChannel
 {
 public:
-    /// \brief Starts to connect to \a endpoint. Errors: NotFound, if the connection is refused at once; ResourceExhausted, if this
-    /// host has no descriptor, port or memory for it; Unavailable, if another system call fails.
-    static Core::Result<std::unique_ptr<TcpChannel>> connect(EventLoop::Loop &loop, const Endpoint &endpoint, ChannelObserver &observer);
+    /// \brief Starts to connect to \a endpoint with a receive buffer of \a receiveBytes. Errors: NotFound, if the connection is refused at once;
+    /// ResourceExhausted, if this host has no descriptor, port or memory for it; Unavailable, if another system call fails.
+    static Core::Result<std::unique_ptr<TcpChannel>> connect(
+        EventLoop::Loop &loop, const Endpoint &endpoint, ChannelObserver &observer, int receiveBytes = receiveBufferBytes);
 
     /// \brief Creates a channel that takes ownership of the accepted socket \a descriptor.
     static std::unique_ptr<TcpChannel> adopt(EventLoop::Loop &loop, int descriptor, ChannelObserver &observer);
--- a/src/libs/relay/backendcall.cpp
+++ b/src/libs/relay/backendcall.cpp
@@ -14,6 +14,8 @@
 
 constexpr int firstServerErrorStatus = 500;
 
+thread_local std::size_t openCalls = 0;
+
 bool keepsConnection(const Http::MessageHead &head)
 {
     return head.isVersion11 && head.isKeptAlive && !head.isEndedByClose && head.status < firstServerErrorStatus;
@@ -37,7 +39,7 @@
     CallObserver &observer)
 {
     std::unique_ptr<BackendCall> call(new BackendCall(loop, options, observer));
-    auto channel = Http::TcpChannel::connect(loop, endpoint, *call);
+    auto channel = Http::TcpChannel::connect(loop, endpoint, *call, options.receiveBytes);
     if (!channel) {
         return channel.error();
     }
@@ -78,6 +80,7 @@
     , m_timer(loop, [this] { handleTimeout(); })
     , m_isRepeatable(options.isRepeatable)
 {
+    ++openCalls;
     if (options.isHead) {
         m_reader.expectNoBody();
     }
@@ -86,6 +89,7 @@
 // The kernel would go on sending the request after an orderly close, and a server that is reached again later would run it.
 BackendCall::~BackendCall()
 {
+    --openCalls;
     if (m_isDestroyed != nullptr) {
         *m_isDestroyed = true;
     }
@@ -94,6 +98,11 @@
     }
 }
 
+std::size_t BackendCall::openCount()
+{
+    return openCalls;
+}
+
 bool BackendCall::isUnacknowledged() const
 {
     return m_channel->unacknowledgedBytes() >= m_requestBytes;
--- a/src/libs/relay/backendcall.h
+++ b/src/libs/relay/backendcall.h
@@ -40,6 +40,7 @@
 {
     bool isHead = false; ///< Whether its method is HEAD, so that the answer has no body.
     bool isRepeatable = false; ///< Whether it may run again, so that the call fails with Unacknowledged where nothing acknowledges it.
+    int receiveBytes = Http::receiveBufferBytes; ///< Room in the kernel for the part of its answer that is not read.
 };
 
 /// \brief One request to one backend server, on a connection that is used for nothing else meanwhile. The request is sent only once.
@@ -77,6 +78,9 @@
         CallObserver &observer);
     ~BackendCall() override;
 
+    /// \brief Returns the number of open calls of this thread.
+    static std::size_t openCount();
+
     BackendCall(const BackendCall &) = delete;
     BackendCall &operator=(const BackendCall &) = delete;
 
--- a/src/libs/relay/servercall.cpp
+++ b/src/libs/relay/servercall.cpp
@@ -83,7 +83,7 @@
         }
     }
     m_context.metrics.count("server_connections_opened_total");
-    const CallOptions options{m_facts.head.method == "HEAD", m_facts.route->isRepeatable()};
+    const CallOptions options{m_facts.head.method == "HEAD", m_facts.route->isRepeatable(), receiveBytes()};
     return BackendCall::create(m_context.loop, endpoint.value(), message, options, m_context.loop.now() + BackendCall::connectTimeout, m_observer);
 }
 
@@ -240,11 +240,19 @@
     m_context.fleet.recordActivity(*m_choice, m_lastActivityAt);
 }
 
+int ServerCall::receiveBytes() const
+{
+    if (m_context.memory == nullptr) {
+        return Http::receiveBufferBytes;
+    }
+    return static_cast<int>(m_context.memory->receiveBound(BackendCall::openCount(), Http::receiveBufferBytes));
+}
+
 // What is read at once waits for the caller at once, and must not pass the bound by much.
 void ServerCall::updateReadBound()
 {
     if (m_context.memory != nullptr) {
-        m_call->setReadBound(m_context.memory->unsentBound());
+        m_call->setReadBound(m_context.memory->readBound(BackendCall::openCount()));
     }
 }
 
--- a/src/libs/relay/servercall.h
+++ b/src/libs/relay/servercall.h
@@ -134,6 +134,7 @@
     Decisions::KeptConnectionUse connectionUse(const CallProgress &progress) const;
     CallContext callContext(const CallProgress &progress) const;
     void updateWeights(const AnswerMarks &marks);
+    int receiveBytes() const;
     void updateReadBound();
     void updateSendBound();
 
--- a/tests/auto/relay/tst_memorybudget.cpp
+++ b/tests/auto/relay/tst_memorybudget.cpp
@@ -215,6 +215,31 @@
     EXPECT_EQ(budget.answersToGiveUp({{0, 1000}, {1, 1000}}).size(), 1U);
 }
 
+// Receive buffers took 128 KB each however many calls there were.
+RC_GTEST_PROP(MemoryBudgetTest, boundsReceiveBuffersHoweverManyCallsThereAre, ())
+{
+    constexpr std::uint64_t mostReceiveBytes = 64 * 1024;
+    const auto calls = *rc::gen::inRange<std::size_t>(1, 600);
+    const MemoryBudget budget(hostBytes);
+    std::uint64_t sum = 0;
+    for (std::size_t open = 0; open < calls; ++open) {
+        sum += 2 * budget.receiveBound(open, mostReceiveBytes);
+    }
+    RC_ASSERT(sum <= hostBytes / 4 + calls * hostBytes / 4 / 400);
+    RC_ASSERT(MemoryBudget(std::nullopt).receiveBound(calls, mostReceiveBytes) == mostReceiveBytes);
+}
+
+// One turn of the loop read 64 KiB for each call, and requests beside hundreds of endless answers waited for seconds.
+RC_GTEST_PROP(MemoryBudgetTest, boundsWhatAllCallsReadInATurn, ())
+{
+    const auto calls = *rc::gen::inRange<std::size_t>(0, 500);
+    const MemoryBudget budget(hostBytes);
+    const std::uint64_t bytes = budget.readBound(calls);
+    RC_ASSERT(bytes >= 1024U);
+    RC_ASSERT(calls * bytes <= 512U * 1024);
+    RC_ASSERT(calls > 8 || bytes >= readBytes);
+}
+
 } // namespace
 
 } // namespace Verbena::Decisions
