Give up an answer without blaming its server, and only where that frees memory

Found by the review, by reading; no test shows the first two. - An answer that had come whole and waited for the check of its server could be given up; the check then completed the next call. - A request that waited to be sent again was chosen again and again, freed nothing, and hid that others had to go; what it held stayed with its next call. - While memory was used up, every event of a few bytes was too much; parts up to 4 KiB always have room now. - An event beyond the memory that is left was reported as a lost server. Its text counts now, not its room, so that one of a megabyte fits on the smallest hosts. - Errors are kept up to the bound of other answers. - Receive buffers took up to two fifths of a process's memory for 400 calls; now a quarter. - The peak of the resident memory is that of this process and not of its starter.

--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -38,14 +38,14 @@
 // Most answers that are no streams are shorter.
 constexpr std::uint64_t maximumBufferedBytes = 64 * 1024;
 
-// Part of a process's memory that receive buffers of calls may take, beside the budget, and the number of calls up to which each has nearly the same. The
-// system takes twice the room for a buffer.
-constexpr std::uint64_t receiveDivisor = 4;
+// n calls get receive buffers that take log(1 + n / 64) eighths of a process's memory together, a quarter for 400, beside the budget. The system takes twice the
+// room for a buffer.
+constexpr std::uint64_t receiveDivisor = 8;
 constexpr std::uint64_t evenCalls = 64;
 constexpr std::uint64_t memoryOfReceivedByte = 2;
 constexpr std::uint64_t minimumReceiveBytes = 8 * 1024;
 
-// Bytes that all calls together read in one turn of the event loop, some milliseconds of work, so that no request waits for long behind answers without an end.
+// Bytes that all calls together read in one turn of the event loop, so that no request waits for long behind answers without an end.
 constexpr std::uint64_t turnBytes = 512 * 1024;
 constexpr std::uint64_t minimumReadBytes = 1024;
 
@@ -57,6 +57,9 @@
 constexpr std::uint64_t smallPartBytes = 16 * 1024;
 constexpr std::uint64_t answersDivisor = 4;
 
+// A part that is shorter is never too much: many streams are inside an event at any moment, and none of them is to blame.
+constexpr std::uint64_t minimumPartBytes = 4 * 1024;
+
 // Time without reading after which a caller may be cut off: its process may stand still for a moment, and its answer may be the only one that there is.
 constexpr std::chrono::milliseconds minimumUnreadTime{1000};
 
@@ -219,7 +222,7 @@
     if (!m_limit.has_value()) {
         return std::numeric_limits<std::uint64_t>::max();
     }
-    const std::uint64_t bound = (left() + taken) / (partDivisor + 1);
+    const std::uint64_t bound = std::max((left() + taken) / (partDivisor + 1), minimumPartBytes);
     return held(HeldKind::PartialAnswers) <= *m_limit / answersDivisor ? std::max(bound, smallPartBytes) : bound;
 }
 
--- a/src/libs/http/ssesplitter.cpp
+++ b/src/libs/http/ssesplitter.cpp
@@ -13,7 +13,7 @@
 // Room that is kept for the next event; few events are longer.
 constexpr std::size_t keptBytes = 4 * 1024;
 
-void empty(std::string &text)
+void release(std::string &text)
 {
     text.clear();
     if (text.capacity() > keptBytes) {
@@ -52,7 +52,7 @@
         } else {
             m_skippedBytes += m_pending.size();
         }
-        empty(m_pending);
+        release(m_pending);
     }
     m_pending.append(bytes);
     return events;
@@ -80,7 +80,7 @@
 
 void SseSplitter::discardPending()
 {
-    empty(m_pending);
+    release(m_pending);
     m_skippedBytes = 0;
     m_scanner.reset();
 }
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// A failure of a backend server that is longer is forwarded as it arrives.
-constexpr std::size_t longestKeptError = 64 * 1024;
-
 // An event longer than this is no event of a completion.
 constexpr std::size_t maximumEventBytes = 1024 * 1024;
 
@@ -92,7 +89,7 @@
         return true;
     }
     m_buffer.append(data);
-    if (m_buffer.size() > (m_isServerError ? longestKeptError : m_sink.bufferBound())) {
+    if (m_buffer.size() > m_sink.bufferBound()) {
         m_state = State::Forwarding;
         std::string buffered;
         buffered.swap(m_buffer);
@@ -105,7 +102,12 @@
 void AnswerForwarder::updatePendingBytes()
 {
     const std::size_t errorBytes = m_error.has_value() ? m_error->body.capacity() : 0;
-    m_sink.setPendingBytes(m_buffer.capacity() + errorBytes + (m_isResumable ? m_splitter.heldBytes() : 0));
+    m_sink.setPendingBytes(heldBytes() + errorBytes);
+}
+
+std::size_t AnswerForwarder::heldBytes() const
+{
+    return m_buffer.capacity() + (m_isResumable ? m_splitter.heldBytes() : 0);
 }
 
 void AnswerForwarder::forward(std::string_view data)
@@ -141,6 +143,7 @@
 
 void AnswerForwarder::keepError()
 {
+    m_buffer.shrink_to_fit();
     m_error = WholeAnswer{m_head, std::move(m_buffer)};
     m_buffer.clear();
 }
@@ -166,7 +169,8 @@
 void AnswerForwarder::prepareNextCall()
 {
     m_state = State::None;
-    m_buffer.clear();
+    m_buffer = {};
+    m_buffer.shrink_to_fit();
     m_isServerError = false;
     m_framing = BodyFraming::None;
     m_scanner.reset();
@@ -208,12 +212,14 @@
     if ((m_isResumable ? m_splitter.pendingBytes() : m_scanner.pendingBytes()) > maximumEventBytes) {
         return "event";
     }
-    if (m_isResumable && m_splitter.pendingBytes() > 0 && m_splitter.heldBytes() > m_sink.partBound()) {
-        return "memory";
-    }
     return m_splitter.skippedBytes() > m_splitter.returnedBytes() + maximumEventBytes ? std::optional("skipped_events") : std::nullopt;
 }
 
+bool AnswerForwarder::isBeyondMemory() const
+{
+    return isSplit() && m_splitter.pendingBytes() > m_sink.partBound();
+}
+
 bool AnswerForwarder::hasEvent() const
 {
     return isEventStream() && (m_isResumable ? m_splitter.hasEvent() : m_scanner.hasEvent());
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -84,10 +84,16 @@
     /// \brief Returns where the answer to the current call ends so far.
     AnswerEnding ending() const;
 
-    /// \brief Returns the stable name of the bound that the body of the current call's answer exceeds, so that what follows may have no end or no room;
-    /// nothing if it exceeds none.
+    /// \brief Returns the stable name of the bound that the body of the current call's answer exceeds, so that what follows may have no end; nothing if it
+    /// exceeds none.
     std::optional<std::string_view> exceededBoundName() const;
 
+    /// \brief Returns whether an event of the current call's answer that is not whole is longer than memory allows for.
+    bool isBeyondMemory() const;
+
+    /// \brief Returns the memory that is held of the current call's answer until more of it has come.
+    std::size_t heldBytes() const;
+
     /// \brief Returns whether the current call's answer is a stream that has brought a whole event.
     bool hasEvent() const;
 
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -110,11 +110,6 @@
     m_delivery.recordUnacknowledged(m_channel->unacknowledgedBytes(), m_loop.now());
 }
 
-std::size_t CallerConnection::answerBytes() const
-{
-    return m_pendingBytes.bytes() + (m_request != nullptr ? m_request->answerHeadBytes() : 0);
-}
-
 void CallerConnection::cutOff()
 {
     m_channel->resetOnClose();
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -68,9 +68,6 @@
     /// \brief Brings lastReadAt() up to date; to be called several times per second while memory is short.
     void updateLastRead();
 
-    /// \brief Returns the memory that is held of an answer until more of it has come.
-    std::size_t answerBytes() const;
-
     /// \brief Resets the connection for want of memory, so that the caller can tell that its answer is incomplete, and ends it.
     void cutOff();
 
--- a/src/libs/relay/memoryguard.cpp
+++ b/src/libs/relay/memoryguard.cpp
@@ -1,26 +1,33 @@
 #include "memoryguard.h"
 
 #include "callerconnection.h"
+#include "relayedrequest.h"
 #include "relayevents.h"
 
 #include <observe/eventlog.h>
 #include <observe/metrics.h>
 
+#include <fstream>
 #include <string>
 
-#include <sys/resource.h>
-
 namespace Verbena::Relay {
 
 namespace {
 
 constexpr std::uint64_t bytesPerKibibyte = 1024;
 
-// Beside what is counted, it tells whether something else takes the host's memory.
+// Returns the most memory that this process has had; 0 if the system does not tell. Beside what is counted, it tells whether something else takes the memory.
 std::uint64_t peakResidentBytes()
 {
-    rusage usage{};
-    return getrusage(RUSAGE_SELF, &usage) == 0 ? static_cast<std::uint64_t>(usage.ru_maxrss) * bytesPerKibibyte : 0;
+    std::ifstream status("/proc/self/status");
+    std::string word;
+    while (status >> word) {
+        std::uint64_t kibibytes = 0;
+        if (word == "VmHWM:" && status >> kibibytes) {
+            return kibibytes * bytesPerKibibyte;
+        }
+    }
+    return 0;
 }
 
 class BudgetMeter : public Http::ByteMeter
@@ -86,7 +93,6 @@
         const auto bytes = static_cast<double>(m_budget.held(kind));
         m_metrics.setGauge("memory_held_" + std::string(Decisions::heldKindName(kind)) + "_bytes", bytes);
     }
-    m_metrics.setGauge("memory_peak_resident_bytes", static_cast<double>(peakResidentBytes()));
 }
 
 void MemoryGuard::reportShortage()
@@ -123,27 +129,26 @@
     return cut;
 }
 
-std::vector<CallerConnection *> MemoryGuard::answersToGiveUp(const std::vector<CallerConnection *> &connections)
+std::vector<RelayedRequest *> MemoryGuard::answersToGiveUp(const std::vector<RelayedRequest *> &requests)
 {
     std::vector<Decisions::HeldAnswer> answers;
-    for (std::size_t index = 0; index < connections.size(); ++index) {
-        answers.push_back({index, connections[index]->answerBytes()});
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        answers.push_back({index, requests[index]->heldAnswerBytes()});
     }
-    std::vector<CallerConnection *> givenUp;
+    std::vector<RelayedRequest *> givenUp;
     for (const Decisions::HeldAnswer &answer : m_budget.answersToGiveUp(std::move(answers))) {
-        reportGivenUp(*connections[answer.index], answer.bytes);
-        givenUp.push_back(connections[answer.index]);
+        reportGivenUp(*requests[answer.index], answer.bytes);
+        givenUp.push_back(requests[answer.index]);
     }
     return givenUp;
 }
 
-void MemoryGuard::reportGivenUp(const CallerConnection &connection, std::uint64_t bytes)
+void MemoryGuard::reportGivenUp(const RelayedRequest &request, std::uint64_t bytes)
 {
     m_metrics.count("answers_given_up_for_memory_total");
-    const RelayedRequest *request = connection.request();
     Observe::log(answerGivenUp,
-        {{"request", request != nullptr ? request->attemptId() : ""},
-            {"server", request != nullptr ? request->serverId() : ""},
+        {{"request", request.attemptId()},
+            {"server", request.serverId()},
             {"answer_bytes", std::to_string(bytes)},
             {"held_bytes", std::to_string(m_budget.held())},
             {"limit_bytes", std::to_string(m_budget.limit().value_or(0))}});
--- a/src/libs/relay/memoryguard.h
+++ b/src/libs/relay/memoryguard.h
@@ -16,6 +16,7 @@
 namespace Verbena::Relay {
 
 class CallerConnection;
+class RelayedRequest;
 
 /// \brief Returns a meter that counts the unsent bytes of one connection in \a budget, or null if \a budget is null.
 std::unique_ptr<Http::ByteMeter> createMeter(Decisions::MemoryBudget *budget, Decisions::HeldKind kind);
@@ -37,14 +38,14 @@
     /// \brief Chooses which of \a connections, none of which has read all of its answer, are cut off at \a now and reports them; the owner has to cut them off.
     std::vector<CallerConnection *> connectionsToCut(const std::vector<CallerConnection *> &connections, Core::TimePoint now);
 
-    /// \brief Chooses on which of \a connections the answer is given up and reports it; the owner has to give them up.
-    std::vector<CallerConnection *> answersToGiveUp(const std::vector<CallerConnection *> &connections);
+    /// \brief Chooses on which of \a requests the current call is given up and reports it; the owner has to give them up.
+    std::vector<RelayedRequest *> answersToGiveUp(const std::vector<RelayedRequest *> &requests);
 
 private:
     void reportHeld();
     void reportShortage();
     void reportCut(const Decisions::UnreadCaller &caller, Core::TimePoint now);
-    void reportGivenUp(const CallerConnection &connection, std::uint64_t bytes);
+    void reportGivenUp(const RelayedRequest &request, std::uint64_t bytes);
 
     Decisions::MemoryBudget m_budget;
     Observe::Metrics &m_metrics;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -343,6 +343,11 @@
         callFailed(CallFailure::Lost, "the answer is longer than any may be: more than the bound on its " + std::string(*bound));
         return;
     }
+    if (m_answer.isBeyondMemory()) {
+        m_context.metrics.count("answers_given_up_for_memory_total");
+        giveUpAnswer();
+        return;
+    }
     if (m_sink.isFull()) {
         m_context.metrics.count("answers_paused_total");
         m_wasPaused = true;
@@ -405,21 +410,30 @@
     m_call.updateUnreadBytes();
 }
 
-std::size_t RelayedRequest::answerHeadBytes() const
+// What has come whole is passed on soon, and the check that follows some answers belongs to the call.
+bool RelayedRequest::mayGiveUpAnswer() const
 {
-    return m_call.answerHeadBytes();
+    return !m_isDone && m_call.isOpen() && !m_call.isWhole() && m_serverCheck == nullptr;
+}
+
+std::size_t RelayedRequest::heldAnswerBytes() const
+{
+    return mayGiveUpAnswer() ? m_answer.heldBytes() + m_call.answerHeadBytes() : 0;
 }
 
 // Nothing says that the backend server has failed, and others may need it.
 void RelayedRequest::giveUpAnswer()
 {
-    if (m_isDone || !m_call.isOpen()) {
+    if (!mayGiveUpAnswer()) {
         return;
     }
     const CallFailure failure = CallFailure::Lost;
     m_attempts.recordEnd(failure, m_call.hasSent());
     m_call.abandon();
     decide(failure, "memory is used up, and the answer holds much of it");
+    if (!m_isDone && !m_call.isOpen()) {
+        m_answer.prepareNextCall();
+    }
 }
 
 Decisions::AttemptState RelayedRequest::attemptsIfAbandoned() const
--- a/src/libs/relay/relayedrequest.h
+++ b/src/libs/relay/relayedrequest.h
@@ -76,10 +76,10 @@
     /// \brief Asks the kernel what it holds of the backend server's answer.
     void updateUnreadBytes();
 
-    /// \brief Returns the memory that is held of the head of the backend server's answer.
-    std::size_t answerHeadBytes() const;
+    /// \brief Returns the memory that giveUpAnswer() frees.
+    std::size_t heldAnswerBytes() const;
 
-    /// \brief Gives up the current call, as memory is used up.
+    /// \brief Gives up the current call for want of memory, if its answer has not come whole.
     void giveUpAnswer();
 
     /// \brief Sends the request, or the rest of its stream, to another engine if it waits for a silent one and may be sent again. Otherwise answers
@@ -121,6 +121,7 @@
     void moveOffWaitingEngine();
     void moveTo(const Decisions::FleetChoice &choice);
     Decisions::AttemptState attemptsIfAbandoned() const;
+    bool mayGiveUpAnswer() const;
     bool mayFailOver();
     bool tryFailOver();
     CallProgress progress();
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -189,7 +189,7 @@
     return std::min(Decisions::latestBodyStart(now, deadline, admission.route->isRepeatable()), m_shutdown.latestStart());
 }
 
-// The kernel is asked only where the open requests are so many that what it holds for them could make memory short.
+// The kernel is asked only where the open requests are so many that what it holds for them is no small part of the memory.
 void RelayTask::updateUnreadBytes()
 {
     std::vector<CallerConnection *> connections;
@@ -235,12 +235,15 @@
 // Whatever has no end must not take the process with it; those that hold most are the fewest to give up.
 void RelayTask::giveUpAnswers()
 {
-    const std::vector<CallerConnection *> connections = connectionSnapshot();
-    for (CallerConnection *connection : m_memory.answersToGiveUp(connections)) {
-        if (RelayedRequest *request = connection->request()) {
-            request->giveUpAnswer();
+    std::vector<RelayedRequest *> requests;
+    for (const auto &[connection, owned] : m_connections) {
+        if (connection->request() != nullptr) {
+            requests.push_back(connection->request());
         }
     }
+    for (RelayedRequest *request : m_memory.answersToGiveUp(requests)) {
+        request->giveUpAnswer();
+    }
 }
 
 // The budget may not suffice for all, so the callers that have the least time left come first.
--- a/src/libs/relay/servercall.cpp
+++ b/src/libs/relay/servercall.cpp
@@ -83,7 +83,7 @@
         }
     }
     m_context.metrics.count("server_connections_opened_total");
-    const CallOptions options{m_facts.head.method == "HEAD", m_facts.route->isRepeatable(), receiveBytes()};
+    const CallOptions options{m_facts.head.method == "HEAD", m_facts.route->isRepeatable(), receiveBufferBytes()};
     return BackendCall::create(m_context.loop, endpoint.value(), message, options, m_context.loop.now() + BackendCall::connectTimeout, m_observer);
 }
 
@@ -240,7 +240,7 @@
     m_context.fleet.recordActivity(*m_choice, m_lastActivityAt);
 }
 
-int ServerCall::receiveBytes() const
+int ServerCall::receiveBufferBytes() const
 {
     if (m_context.memory == nullptr) {
         return Http::receiveBufferBytes;
--- a/src/libs/relay/servercall.h
+++ b/src/libs/relay/servercall.h
@@ -134,7 +134,7 @@
     Decisions::KeptConnectionUse connectionUse(const CallProgress &progress) const;
     CallContext callContext(const CallProgress &progress) const;
     void updateWeights(const AnswerMarks &marks);
-    int receiveBytes() const;
+    int receiveBufferBytes() const;
     void updateReadBound();
     void updateSendBound();
 
