Take a cache event of odd types for one without them

What callers saw: an agent would end by itself, with the requests at its engine, where the engine names the kind or the request of a cache event by anything but a text.

Cause: a value of another type throws, and nothing catches it. The texts of an engine's answers are read by one function now, which stood twice. Found by the review of another fault.

--- a/src/libs/agent/backendwatch.cpp
+++ b/src/libs/agent/backendwatch.cpp
@@ -9,12 +9,6 @@
 
 using nlohmann::json;
 
-std::string stringIn(const json &object, const char *key)
-{
-    const auto found = object.find(key);
-    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
-}
-
 void readModels(const json &root, BackendReport &report)
 {
     const auto models = root.find("models");
@@ -24,7 +18,7 @@
     report.hasModels = true;
     for (const json &model : *models) {
         if (model.is_object()) {
-            report.models.push_back({stringIn(model, "model"), stringIn(model, "adapter"), stringIn(model, "version")});
+            report.models.push_back({JsonText::textOrEmpty(model, "model"), JsonText::textOrEmpty(model, "adapter"), JsonText::textOrEmpty(model, "version")});
         }
     }
 }
@@ -135,7 +129,7 @@
     report.incarnation = m_incarnation;
     report.load.running = static_cast<std::uint32_t>(JsonText::wholeNumberOr(root, "running", 0));
     report.load.waiting = static_cast<std::uint32_t>(JsonText::wholeNumberOr(root, "queued", 0));
-    report.role = stringIn(root, "role");
+    report.role = JsonText::textOrEmpty(root, "role");
     readModels(root, report);
     m_listener.receiveReport(report);
 }
--- a/src/libs/agent/cacheeventpoller.cpp
+++ b/src/libs/agent/cacheeventpoller.cpp
@@ -87,10 +87,10 @@
         Decisions::CacheEvent event;
         event.incarnation = m_askedIncarnation;
         event.sequence = JsonText::wholeNumberOr(entry, "sequence", 0);
-        event.kind = entry.value("kind", "") == "removed" ? Decisions::CacheEvent::Kind::Removed : Decisions::CacheEvent::Kind::Stored;
+        event.kind = JsonText::textOrEmpty(entry, "kind") == "removed" ? Decisions::CacheEvent::Kind::Removed : Decisions::CacheEvent::Kind::Stored;
         event.blocks = {Decisions::BlockId(JsonText::wholeNumberOr(entry, "piece", 0))};
         event.firstPiece = static_cast<std::uint32_t>(JsonText::wholeNumberOr(entry, "position", 0));
-        event.request = refOf(entry.value("request", ""));
+        event.request = refOf(JsonText::textOrEmpty(entry, "request"));
         last = std::max(last, event.sequence);
         m_listener.receiveCacheEvent(event);
     }
--- a/src/libs/agent/completionevent.cpp
+++ b/src/libs/agent/completionevent.cpp
@@ -38,12 +38,6 @@
     return result;
 }
 
-std::string stringIn(const json &object, const char *key)
-{
-    const auto found = object.find(key);
-    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
-}
-
 } // namespace
 
 std::optional<CompletionEvent> CompletionEventReader::read(std::string_view data)
@@ -72,13 +66,13 @@
     event.usage = usageIn(root);
     const auto error = root.find("error");
     if (error != root.end()) {
-        m_error = error->is_object() ? stringIn(*error, "message") : error->dump();
+        m_error = error->is_object() ? JsonText::textOrEmpty(*error, "message") : error->dump();
         event.error = m_error;
     }
     const auto choices = root.find("choices");
     if (choices != root.end() && choices->is_array() && !choices->empty() && choices->front().is_object()) {
-        m_text = stringIn(choices->front(), "text");
-        m_finishReason = stringIn(choices->front(), "finish_reason");
+        m_text = JsonText::textOrEmpty(choices->front(), "text");
+        m_finishReason = JsonText::textOrEmpty(choices->front(), "finish_reason");
         event.text = m_text;
         event.finishReason = m_finishReason;
     }
--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -38,8 +38,8 @@
 // Most answers that are no streams are shorter.
 constexpr std::uint64_t maximumBufferedBytes = 64 * 1024;
 
-// n calls get receive buffers that take log(1 + n / 64) eighths of a process's memory together, a quarter for 400, beside the budget. The system takes twice the
-// room for a buffer.
+// n calls get receive buffers that take log(1 + n / 64) eighths of a process's memory together, a quarter for 400, beside the budget. The system takes twice
+// the room for a buffer.
 constexpr std::uint64_t receiveDivisor = 8;
 constexpr std::uint64_t evenCalls = 64;
 constexpr std::uint64_t memoryOfReceivedByte = 2;
--- a/src/libs/json/jsontext.cpp
+++ b/src/libs/json/jsontext.cpp
@@ -106,6 +106,12 @@
     return number == nullptr ? otherwise : number->get<std::uint64_t>();
 }
 
+std::string textOrEmpty(const json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
 std::uint32_t wholeNumber32(const json &object, const char *key)
 {
     const json *number = numberOf(object, key);
--- a/src/libs/json/jsontext.h
+++ b/src/libs/json/jsontext.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace Verbena::JsonText {
@@ -36,6 +37,9 @@
 /// \brief Returns the whole number \a key of \a object, or \a otherwise if there is none.
 std::uint64_t wholeNumberOr(const nlohmann::json &object, const char *key, std::uint64_t otherwise);
 
+/// \brief Returns the text \a key of \a object, or an empty one if there is none.
+std::string textOrEmpty(const nlohmann::json &object, const char *key);
+
 /// \brief Returns the whole number \a key of \a object, or 0 if there is none; at most the largest number of 32 bits.
 std::uint32_t wholeNumber32(const nlohmann::json &object, const char *key);
 
