--- a/src/libs/relay/memoryguard.cpp
+++ b/src/libs/relay/memoryguard.cpp
@@ -143,9 +143,8 @@
     return givenUp;
 }
 
-void MemoryGuard::reportGivenUp(const RelayedRequest &request, std::uint64_t bytes)
+void MemoryGuard::reportGivenUp(const RelayedRequest &request, std::uint64_t bytes) const
 {
-    m_metrics.count("answers_given_up_for_memory_total");
     Observe::log(answerGivenUp,
         {{"request", request.attemptId()},
             {"server", request.serverId()},
--- a/src/libs/relay/memoryguard.h
+++ b/src/libs/relay/memoryguard.h
@@ -45,7 +45,7 @@
     void reportHeld();
     void reportShortage();
     void reportCut(const Decisions::UnreadCaller &caller, Core::TimePoint now);
-    void reportGivenUp(const RelayedRequest &request, std::uint64_t bytes);
+    void reportGivenUp(const RelayedRequest &request, std::uint64_t bytes) const;
 
     Decisions::MemoryBudget m_budget;
     Observe::Metrics &m_metrics;
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -344,7 +344,6 @@
         return;
     }
     if (m_answer.isBeyondMemory()) {
-        m_context.metrics.count("answers_given_up_for_memory_total");
         giveUpAnswer();
         return;
     }
@@ -427,6 +426,7 @@
     if (!mayGiveUpAnswer()) {
         return;
     }
+    m_context.metrics.count("answers_given_up_for_memory_total");
     const CallFailure failure = CallFailure::Lost;
     m_attempts.recordEnd(failure, m_call.hasSent());
     m_call.abandon();
