--- a/tests/auto/relay/tst_heldbytes.cpp
+++ b/tests/auto/relay/tst_heldbytes.cpp
@@ -16,6 +16,7 @@
 using Test::CallerFake;
 using Test::chunk;
 using Test::contains;
+using Test::event;
 using Test::runUntil;
 using Test::streamHead;
 using Test::WorkerFake;
@@ -263,6 +264,24 @@
     EXPECT_TRUE(contains(call(request("/safe/"), "ok"), "200 OK"));
 }
 
+// An event that is proper, but longer than this router has room for, may have room elsewhere on the way.
+TEST_F(HeldBytesTest, goesOnElsewhereWithAStreamWhoseEventIsBeyondMemory)
+{
+    const std::string longEvent = "id: 2\ndata: " + std::string(budgetBytes / 4, 'x');
+    const auto script = [&](const auto &head, const auto &) {
+        const std::string rest = runs() == 1 ? chunk(event(1)) + chunk(longEvent) : chunk(event(2)) + "0\r\n\r\n";
+        return WorkerScript{streamHead(head) + rest};
+    };
+    start(script);
+    addWorker(script);
+    const std::string received = call(request("/resume/"), "\r\n0\r\n\r\n");
+    EXPECT_TRUE(contains(received, event(1)));
+    EXPECT_TRUE(contains(received, event(2)));
+    EXPECT_EQ(metric("answers_given_up_for_memory_total"), 1);
+    EXPECT_EQ(runs(), 2U);
+    ASSERT_TRUE(runUntil(*m_loop, [&] { return metric("memory_held_partial_answers_bytes") == 0; }));
+}
+
 } // namespace
 
 } // namespace Verbena::Relay
