Bound the text that is kept of a completion

What callers would see: a router of the product's own interface that runs out of memory by an engine that does not end its answer.

Cause: the class of the incident of endless streams. The text of a completion that is collected whole, or kept so that its stream can go on elsewhere, was trusted to end with the tokens that were asked for, and nothing held the engine to them.

LongCompletionsTest.areKeptWithoutABound: failed before (200, and a stream with its end), passes now.

--- a/src/libs/router/completionwriter.cpp
+++ b/src/libs/router/completionwriter.cpp
@@ -103,7 +103,7 @@
     respondFailure(*m_exchange, m_requestId, failure);
 }
 
-// The stored text is limited by the requested number of tokens and does not wait for the caller to read.
+// The stored text does not wait for the caller to read.
 std::size_t WholeCompletionWriter::bufferedBytes() const
 {
     return 0;
--- a/src/libs/router/requestfailure.cpp
+++ b/src/libs/router/requestfailure.cpp
@@ -84,7 +84,7 @@
 
 RequestFailure tooLargeFailure(Decisions::RunState run)
 {
-    RequestFailure failure = serverFailure(badGatewayStatus, "answer_too_large", "The answer of the service is larger than the router passes on.");
+    RequestFailure failure = serverFailure(badGatewayStatus, "answer_too_large", "The answer is larger than the router passes on.");
     failure.run = run;
     return failure;
 }
--- a/src/libs/router/requesttask.cpp
+++ b/src/libs/router/requesttask.cpp
@@ -244,9 +244,11 @@
     grantCredit();
 }
 
+// What is kept of a completion is bounded by nothing else: an engine may send more than it was asked for.
 bool RequestTask::isAnswerTooLarge() const
 {
-    return !m_plan.policy.isResumable && m_writer->bufferedBytes() > m_context.settings.streams.maximumAnswerBytes;
+    const std::size_t serviceBytes = m_plan.policy.isResumable ? 0 : m_writer->bufferedBytes();
+    return std::max(serviceBytes, m_writer->deliveredText().size()) > m_context.settings.streams.maximumAnswerBytes;
 }
 
 // While a caller does not read, the agent gets no credit, so the agent and through it the engine send no more.
--- a/src/libs/router/routersettings.h
+++ b/src/libs/router/routersettings.h
@@ -32,7 +32,7 @@
 {
     std::uint32_t frameCredit = 64; ///< Number of frames that an agent may send without new credit.
     std::size_t maximumBufferedBytes = 256 * 1024; ///< Unread bytes above which agents get no more credit.
-    std::size_t maximumAnswerBytes = 8 * 1024 * 1024; ///< Maximum answer of a plain service.
+    std::size_t maximumAnswerBytes = 8 * 1024 * 1024; ///< Maximum answer of a plain service, and maximum text that is kept of a completion.
 };
 
 /// \brief Settings of the connections to agents.
--- a/tests/auto/path/tst_path.cpp
+++ b/tests/auto/path/tst_path.cpp
@@ -68,6 +68,24 @@
     }
 }
 
+// The text of a completion was kept however long an engine made it.
+TEST(LongCompletionsTest, areKeptWithoutABound)
+{
+    DeploymentOptions options;
+    options.routerSettings = "streams: {maximum_answer_bytes: 1024}\n";
+    const TestDeployment deployment(options);
+    nlohmann::json request{{"model", "analyst"}, {"prompt", "piezometer 7"}, {"max_tokens", 1000}};
+    const TestAnswer whole = deployment.post("/v1/completions", request.dump());
+    EXPECT_EQ(whole.status, 502);
+    EXPECT_NE(whole.body.find("answer_too_large"), std::string::npos);
+    request["stream"] = true;
+    const TestAnswer streamed = deployment.post("/v1/completions", request.dump());
+    EXPECT_NE(streamed.body.find("answer_too_large"), std::string::npos);
+    EXPECT_EQ(streamed.body.find("[DONE]"), std::string::npos);
+    request["max_tokens"] = 5;
+    EXPECT_EQ(textOfStream(deployment.post("/v1/completions", request.dump()).body), Standin::AnswerText("piezometer 7").firstTokens(5));
+}
+
 } // namespace
 
 } // namespace Verbena::Test
