Ask for unread bytes only where it matters, and keep the answer in one place

The function that asked the kernel also returned the answer, which a connection of a caller kept a second time; the channel keeps it now, as it does for what was sent. All connections were listed ten times a second before it was decided whether to ask, also where no memory is named; the number of open calls decides first.

--- a/src/libs/http/socketbuffers.cpp
+++ b/src/libs/http/socketbuffers.cpp
@@ -92,7 +92,17 @@
     return isKnown && size > index * sizeof(std::uint32_t) ? std::optional<std::size_t>(memory[index]) : std::nullopt;
 }
 
+void SocketBuffers::updateUnread()
+{
+    m_unreadBytes = askUnread();
+}
+
 std::size_t SocketBuffers::unreadBytes() const
+{
+    return m_unreadBytes;
+}
+
+std::size_t SocketBuffers::askUnread() const
 {
     if (const std::optional<std::size_t> bytes = memoryInfo(SK_MEMINFO_RMEM_ALLOC)) {
         return *bytes;
--- a/src/libs/http/socketbuffers.h
+++ b/src/libs/http/socketbuffers.h
@@ -49,17 +49,22 @@
     /// \brief Returns the number of sent bytes that the peer's host has not acknowledged yet.
     std::size_t unacknowledgedBytes() const;
 
-    /// \brief Returns the memory that the kernel holds for what was received and nobody has read.
+    /// \brief Brings unreadBytes() up to date.
+    void updateUnread();
+
+    /// \brief Returns the memory that the kernel held, at the last updateUnread(), for what was received and nobody had read.
     std::size_t unreadBytes() const;
 
 private:
     std::size_t askSystem() const;
+    std::size_t askUnread() const;
     std::optional<std::size_t> memoryInfo(std::size_t index) const;
 
     int m_descriptor;
     std::size_t m_sendBound = sendBufferBytes;
     std::size_t m_sentBytes = 0;
     std::size_t m_sentSinceUpdate = 0; ///< Counted in m_sentBytes as they were sent.
+    std::size_t m_unreadBytes = 0;
 };
 
 } // namespace Verbena::Http
--- a/src/libs/http/tcpchannel.cpp
+++ b/src/libs/http/tcpchannel.cpp
@@ -248,13 +248,17 @@
     m_unreadMeter = std::move(meter);
 }
 
-std::size_t TcpChannel::updateUnreadBytes()
+std::size_t TcpChannel::unreadBytes() const
 {
-    const std::size_t bytes = m_buffers.unreadBytes();
+    return m_buffers.unreadBytes();
+}
+
+void TcpChannel::updateUnreadBytes()
+{
+    m_buffers.updateUnread();
     if (m_unreadMeter != nullptr) {
-        m_unreadMeter->setBytes(bytes);
+        m_unreadMeter->setBytes(unreadBytes());
     }
-    return bytes;
 }
 
 void TcpChannel::setSendBound(std::size_t bytes)
--- a/src/libs/http/tcpchannel.h
+++ b/src/libs/http/tcpchannel.h
@@ -119,11 +119,14 @@
     /// \brief Brings kernelBytes() up to date.
     void updateKernelBytes();
 
-    /// \brief Sets the meter that updateUnreadBytes() tells how much memory the kernel holds for what was received and not read; null for none.
+    /// \brief Sets the meter that updateUnreadBytes() tells unreadBytes(); null for none.
     void setUnreadMeter(std::unique_ptr<ByteMeter> meter);
 
-    /// \brief Asks the kernel what it holds of what was received and not read; returns that memory.
-    std::size_t updateUnreadBytes();
+    /// \brief Returns the memory that the kernel held, at the last updateUnreadBytes(), for what was received and not read.
+    std::size_t unreadBytes() const;
+
+    /// \brief Brings unreadBytes() up to date.
+    void updateUnreadBytes();
 
     /// \brief Lets the kernel hold no more than \a bytes of what is sent from now on. What it holds already stays.
     void setSendBound(std::size_t bytes);
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -169,7 +169,7 @@
 void AnswerForwarder::prepareNextCall()
 {
     m_state = State::None;
-    m_buffer = {};
+    m_buffer.clear();
     m_buffer.shrink_to_fit();
     m_isServerError = false;
     m_framing = BodyFraming::None;
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -94,7 +94,7 @@
 
 void CallerConnection::updateUnreadBytes()
 {
-    m_unreadFromCaller = m_channel->updateUnreadBytes();
+    m_channel->updateUnreadBytes();
     if (m_request != nullptr) {
         m_request->updateUnreadBytes();
     }
@@ -102,7 +102,7 @@
 
 bool CallerConnection::mayHaveUnreadBytes() const
 {
-    return m_request != nullptr || m_unreadFromCaller > 0;
+    return m_request != nullptr || m_channel->unreadBytes() > 0;
 }
 
 void CallerConnection::updateLastRead()
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -180,7 +180,6 @@
     Core::TimePoint m_idleSince;
     Core::TimePoint m_idleDeadline; ///< Until then an idle connection is kept.
     Core::TimePoint m_firstRequestDeadline; ///< Until then, a new caller whose request is on its way is not idle.
-    std::size_t m_unreadFromCaller = 0; ///< Memory that the kernel held of what the caller had sent, when it was last asked.
     bool m_isTimeoutPostponed = false; ///< Whether the time limit has passed and was postponed once to read what had arrived.
     bool m_isOverDescriptorLimit = false; ///< Whether the caller's request is refused for lack of descriptors.
     bool m_isClosing = false; ///< Whether the connection is closed after the current answer.
--- a/src/libs/relay/relaytask.cpp
+++ b/src/libs/relay/relaytask.cpp
@@ -189,22 +189,18 @@
     return std::min(Decisions::latestBodyStart(now, deadline, admission.route->isRepeatable()), m_shutdown.latestStart());
 }
 
-// The kernel is asked only where the open requests are so many that what it holds for them is no small part of the memory.
+// The kernel is asked only where the open calls are so many that what it holds for them and their callers is no small part of the memory.
 void RelayTask::updateUnreadBytes()
 {
-    std::vector<CallerConnection *> connections;
-    for (const auto &[connection, owned] : m_connections) {
-        if (connection->mayHaveUnreadBytes()) {
-            connections.push_back(connection);
-        }
-    }
     const Decisions::MemoryBudget &budget = m_memory.budget();
     const bool isAnyCounted = budget.held(Decisions::HeldKind::UnreadInKernel) > 0;
-    if (!isAnyCounted && !budget.couldBeShort(connections.size() * 2 * Http::receiveMemoryBytes)) {
+    if (!isAnyCounted && !budget.couldBeShort(BackendCall::openCount() * 2 * Http::receiveMemoryBytes)) {
         return;
     }
-    for (CallerConnection *connection : connections) {
-        connection->updateUnreadBytes();
+    for (const auto &[connection, owned] : m_connections) {
+        if (connection->mayHaveUnreadBytes()) {
+            connection->updateUnreadBytes();
+        }
     }
 }
 
--- a/tests/auto/http/tst_socketbuffers.cpp
+++ b/tests/auto/http/tst_socketbuffers.cpp
@@ -110,12 +110,14 @@
     std::size_t counted = 0;
     m_farSide->setUnreadMeter(std::make_unique<LastBytes>(counted));
     fill();
-    EXPECT_GE(m_farSide->updateUnreadBytes(), std::size_t(receiveBufferBytes) / 4);
+    m_farSide->updateUnreadBytes();
+    EXPECT_GE(m_farSide->unreadBytes(), std::size_t(receiveBufferBytes) / 4);
     EXPECT_GE(counted, std::size_t(receiveBufferBytes) / 4);
     EXPECT_LE(counted, receiveMemoryBytes + segmentBytes);
     m_farSide->setReading(true);
     EXPECT_TRUE(runUntil(*m_loop, [this] { return m_received == longMessageBytes; }));
-    EXPECT_EQ(m_farSide->updateUnreadBytes(), 0U);
+    m_farSide->updateUnreadBytes();
+    EXPECT_EQ(m_farSide->unreadBytes(), 0U);
 }
 
 // What a peer that reads has taken is counted no longer, without another write.
