--- a/src/libs/relay/memoryguard.cpp
+++ b/src/libs/relay/memoryguard.cpp
@@ -4,32 +4,18 @@
 #include "relayedrequest.h"
 #include "relayevents.h"
 
+#include <core/processmemory.h>
 #include <observe/eventlog.h>
 #include <observe/metrics.h>
 
-#include <fstream>
 #include <string>
 
+#include <unistd.h>
+
 namespace Verbena::Relay {
 
 namespace {
 
-constexpr std::uint64_t bytesPerKibibyte = 1024;
-
-// Returns the most memory that this process has had; 0 if the system does not tell. Beside what is counted, it tells whether something else takes the memory.
-std::uint64_t peakResidentBytes()
-{
-    std::ifstream status("/proc/self/status");
-    std::string word;
-    while (status >> word) {
-        std::uint64_t kibibytes = 0;
-        if (word == "VmHWM:" && status >> kibibytes) {
-            return kibibytes * bytesPerKibibyte;
-        }
-    }
-    return 0;
-}
-
 class BudgetMeter : public Http::ByteMeter
 {
 public:
@@ -112,7 +98,7 @@
             {"in_kernel_for_callers", held(Decisions::HeldKind::InKernelForCallers)},
             {"in_kernel_for_servers", held(Decisions::HeldKind::InKernelForServers)},
             {"unread_in_kernel", held(Decisions::HeldKind::UnreadInKernel)},
-            {"peak_resident_bytes", std::to_string(peakResidentBytes())}});
+            {"peak_resident_bytes", std::to_string(Core::processMemory(getpid(), "VmHWM:"))}});
 }
 
 std::vector<CallerConnection *> MemoryGuard::connectionsToCut(const std::vector<CallerConnection *> &connections, Core::TimePoint now)
--- a/tests/auto/platform/tst_endlessengine.cpp
+++ b/tests/auto/platform/tst_endlessengine.cpp
@@ -1,9 +1,8 @@
+#include <core/processmemory.h>
 #include <platform/platformdeployment.h>
 
 #include <gtest/gtest.h>
 
-#include <fstream>
-
 namespace Verbena::Test {
 
 namespace {
@@ -17,15 +16,7 @@
 
 std::int64_t peakBytes(pid_t process)
 {
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string word;
-    while (status >> word) {
-        std::int64_t kibibytes = 0;
-        if (word == "VmHWM:" && status >> kibibytes) {
-            return kibibytes * 1024;
-        }
-    }
-    return 0;
+    return static_cast<std::int64_t>(Core::processMemory(process, "VmHWM:"));
 }
 
 std::string repeated(const std::string &unit)
--- a/tests/auto/platform/tst_hostlimits.cpp
+++ b/tests/auto/platform/tst_hostlimits.cpp
@@ -1,3 +1,4 @@
+#include <core/processmemory.h>
 #include <platform/platformdeployment.h>
 
 #include <gtest/gtest.h>
@@ -87,15 +88,7 @@
     // Returns what the system says of the router's memory in the line \a name.
     std::int64_t memoryBytes(const std::string &name)
     {
-        std::ifstream status("/proc/" + std::to_string(m_deployment.router().pid()) + "/status");
-        std::string word;
-        while (status >> word) {
-            std::int64_t kibibytes = 0;
-            if (word == name && status >> kibibytes) {
-                return kibibytes * 1024;
-            }
-        }
-        return 0;
+        return static_cast<std::int64_t>(Core::processMemory(m_deployment.router().pid(), name));
     }
 
     CallerFake &addCaller()
--- a/tests/platform/smallhosttest.cpp
+++ b/tests/platform/smallhosttest.cpp
@@ -1,16 +1,14 @@
 #include "smallhosttest.h"
 
+#include <core/processmemory.h>
 #include <support/socketqueues.h>
 
-#include <fstream>
-
 namespace Verbena::Test {
 
 namespace {
 
 constexpr std::size_t serverHost = 210;
 constexpr std::uint64_t newConfiguration = 9;
-constexpr std::uint64_t bytesPerKibibyte = 1024;
 
 WorkerScript shortAnswer(const std::string &head)
 {
@@ -71,15 +69,7 @@
 
 std::uint64_t SmallHostTest::routerBytes()
 {
-    std::ifstream status("/proc/" + std::to_string(m_deployment.router().pid()) + "/status");
-    std::string word;
-    while (status >> word) {
-        std::uint64_t kibibytes = 0;
-        if (word == "RssAnon:" && status >> kibibytes) {
-            return kibibytes * bytesPerKibibyte;
-        }
-    }
-    return 0;
+    return Core::processMemory(m_deployment.router().pid(), "RssAnon:");
 }
 
 std::uint64_t SmallHostTest::hostBytesInUse()
--- a/tests/soak/supervisedprocess.cpp
+++ b/tests/soak/supervisedprocess.cpp
@@ -1,5 +1,7 @@
 #include "supervisedprocess.h"
 
+#include <core/processmemory.h>
+
 #include <algorithm>
 #include <csignal>
 #include <cstring>
@@ -170,14 +172,13 @@
 // The host kills what takes more than it may.
 void SupervisedProcess::checkMemory()
 {
-    constexpr std::uint64_t kilobyte = 1024;
-    const std::string peak = statusWord(m_pid, "VmHWM:");
-    if (peak.empty() || !isExecuting()) {
+    const std::uint64_t peak = Core::processMemory(m_pid, "VmHWM:");
+    if (peak == 0 || !isExecuting()) {
         return;
     }
-    const std::uint64_t megabytes = std::stoull(peak) / kilobyte;
+    const std::uint64_t megabytes = peak >> 20U;
     m_ledger.notePeak(m_terms.program, megabytes);
-    if (isMemoryJudged && !m_killedAt.has_value() && std::stoull(peak) * kilobyte > m_terms.memoryBytes) {
+    if (isMemoryJudged && !m_killedAt.has_value() && peak > m_terms.memoryBytes) {
         noteBroken("took " + std::to_string(megabytes) + " MB where its host allows " + std::to_string(m_terms.memoryBytes >> 20U));
         signal(SIGKILL);
     }
