Call an incomplete event by its name

"A part of an answer" stood for it beside parts of the budget and of prompts. The factor between a socket buffer and its memory stood in three places; the budget's bound on receive buffers is in memory now, as its other bounds are. The bounds are the same.

--- a/src/libs/decisions/relay/memorybudget.cpp
+++ b/src/libs/decisions/relay/memorybudget.cpp
@@ -38,27 +38,26 @@
 // Most answers that are no streams are shorter.
 constexpr std::uint64_t maximumBufferedBytes = 64 * 1024;
 
-// n calls get receive buffers that take log(1 + n / 64) eighths of a process's memory together, a quarter for 400, beside the budget. The system takes twice
-// the room for a buffer.
+// Part of a process's memory that is shared by the receive buffers of the open calls and of so many calls more. n calls that begin one after the other thus
+// take log(1 + n / 64) eighths of the memory together, a quarter for 400.
 constexpr std::uint64_t receiveDivisor = 8;
-constexpr std::uint64_t evenCalls = 64;
-constexpr std::uint64_t memoryOfReceivedByte = 2;
-constexpr std::uint64_t minimumReceiveBytes = 8 * 1024;
+constexpr std::uint64_t additionalCalls = 64;
+constexpr std::uint64_t minimumReceiveMemory = 16 * 1024;
 
 // Bytes that all calls together read in one turn of the event loop, so that no request waits for long behind answers without an end.
 constexpr std::uint64_t turnBytes = 512 * 1024;
 constexpr std::uint64_t minimumReadBytes = 1024;
 
-// Part of what is left that a part of an answer may take which is held until more of it has come. n of them thus hold n / (n + 12) of the budget together, and
-// an event of a megabyte has room where little else is held.
-constexpr std::uint64_t partDivisor = 12;
+// Part of what is left that an incomplete event may take. n of them thus hold n / (n + 12) of the budget together, and an event of a megabyte has room where
+// little else is held.
+constexpr std::uint64_t eventDivisor = 12;
 
-// Parts up to this size, as the events of most streams are, may be held as long as all answers take no more than a part of the budget.
-constexpr std::uint64_t smallPartBytes = 16 * 1024;
-constexpr std::uint64_t answersDivisor = 4;
+// Events up to this size, as those of most streams are, may be held as long as all incomplete answers take no more than a part of the budget.
+constexpr std::uint64_t shortEventBytes = 16 * 1024;
+constexpr std::uint64_t incompleteAnswersDivisor = 4;
 
-// A part that is shorter is never too much: many streams are inside an event at any moment, and none of them is to blame.
-constexpr std::uint64_t minimumPartBytes = 4 * 1024;
+// An event that is shorter is never too much: many streams are inside an event at any moment, and none of them is to blame.
+constexpr std::uint64_t minimumEventBytes = 4 * 1024;
 
 // Time without reading after which a caller may be cut off: its process may stand still for a moment, and its answer may be the only one that there is.
 constexpr std::chrono::milliseconds minimumUnreadTime{1000};
@@ -202,8 +201,8 @@
     if (!m_limit.has_value()) {
         return most;
     }
-    const std::uint64_t share = *m_limit * budgetDivisor / receiveDivisor / memoryOfReceivedByte / (evenCalls + calls);
-    return std::clamp(share, minimumReceiveBytes, most);
+    const std::uint64_t processBytes = *m_limit * budgetDivisor;
+    return std::clamp(processBytes / receiveDivisor / (additionalCalls + calls), minimumReceiveMemory, most);
 }
 
 std::uint64_t MemoryBudget::readBound(std::size_t calls) const
@@ -217,25 +216,26 @@
     return m_isShort ? std::min(unsentBound(), maximumBufferedBytes) : maximumBufferedBytes;
 }
 
-std::uint64_t MemoryBudget::partBound(std::uint64_t taken) const
+std::uint64_t MemoryBudget::eventBound(std::uint64_t taken) const
 {
     if (!m_limit.has_value()) {
         return std::numeric_limits<std::uint64_t>::max();
     }
-    const std::uint64_t bound = std::max((left() + taken) / (partDivisor + 1), minimumPartBytes);
-    return held(HeldKind::PartialAnswers) <= *m_limit / answersDivisor ? std::max(bound, smallPartBytes) : bound;
+    const bool hasPartLeft = held(HeldKind::PartialAnswers) <= *m_limit / incompleteAnswersDivisor;
+    return std::max((left() + taken) / (eventDivisor + 1), hasPartLeft ? shortEventBytes : minimumEventBytes);
 }
 
-std::vector<HeldAnswer> MemoryBudget::answersToGiveUp(std::vector<HeldAnswer> answers) const
+std::vector<IncompleteAnswer> MemoryBudget::answersToGiveUp(std::vector<IncompleteAnswer> answers) const
 {
-    std::vector<HeldAnswer> givenUp;
-    if (!isExceeded() || held(HeldKind::PartialAnswers) <= *m_limit / answersDivisor) {
+    std::vector<IncompleteAnswer> givenUp;
+    const std::uint64_t answerBytes = held(HeldKind::PartialAnswers);
+    if (!isExceeded() || answerBytes <= *m_limit / incompleteAnswersDivisor) {
         return givenUp;
     }
-    const std::uint64_t excess = std::min(m_sum - *m_limit, held(HeldKind::PartialAnswers) - *m_limit / answersDivisor);
-    std::sort(answers.begin(), answers.end(), [](const HeldAnswer &left, const HeldAnswer &right) { return left.bytes > right.bytes; });
+    const std::uint64_t excess = std::min(m_sum - *m_limit, answerBytes - *m_limit / incompleteAnswersDivisor);
+    std::sort(answers.begin(), answers.end(), [](const IncompleteAnswer &left, const IncompleteAnswer &right) { return left.bytes > right.bytes; });
     std::uint64_t freed = 0;
-    for (const HeldAnswer &answer : answers) {
+    for (const IncompleteAnswer &answer : answers) {
         if (freed >= excess || answer.bytes == 0) {
             break;
         }
--- a/src/libs/decisions/relay/memorybudget.h
+++ b/src/libs/decisions/relay/memorybudget.h
@@ -45,7 +45,7 @@
 };
 
 /// \brief A request whose answer has not come whole.
-struct HeldAnswer
+struct IncompleteAnswer
 {
     std::size_t index = 0; ///< Number by which the owner of the requests knows it.
     std::uint64_t bytes = 0; ///< Memory that is freed when the answer is given up.
@@ -54,8 +54,8 @@
 /// \brief Counts the bytes that a router holds for callers and backend servers, and decides what is given up when memory is short.
 ///
 /// Every bound is a fraction of what is left, so that it tightens before memory is used up however many connections there are. In this order: reading the
-/// answers of slow callers pauses, requests with large bodies are not read, callers that do not read are cut off, answers that are held until more of them has
-/// come are given up. Small requests and short parts of answers have parts of their own, so that slow callers alone do not close a router to them.
+/// answers of slow callers pauses, requests with large bodies are not read, callers that do not read are cut off, incomplete answers are given up. Small
+/// requests and short events have parts of their own, so that slow callers alone do not close a router to them.
 class MemoryBudget
 {
 public:
@@ -80,7 +80,7 @@
     /// \brief Returns whether more is held than may be.
     bool isExceeded() const;
 
-    /// \brief Returns whether memory is short, or would be if \a bytes more were held, which nobody has counted yet.
+    /// \brief Returns whether memory is short, or would be if \a bytes more were held.
     bool couldBeShort(std::uint64_t bytes) const;
 
     /// \brief Returns whether a request that takes \a bytes, \a reserved of which are counted already, may be read.
@@ -101,7 +101,7 @@
     /// \brief Returns how many bytes may wait to be sent to one caller before reading for it pauses.
     std::uint64_t unsentBound() const;
 
-    /// \brief Returns the room for what one of \a calls open calls has received and nobody has read, \a most at most. It holds from the start of the call.
+    /// \brief Returns the memory, \a most at most, that the kernel may take for what a call that begins beside \a calls open ones receives.
     std::uint64_t receiveBound(std::size_t calls, std::uint64_t most) const;
 
     /// \brief Returns how many bytes one of \a calls open calls may read at once.
@@ -110,12 +110,12 @@
     /// \brief Returns how many bytes of an answer may be held until it is complete, so that its request can be sent again if it breaks off.
     std::uint64_t bufferBound() const;
 
-    /// \brief Returns the memory that a part of an answer which is held until more of it has come may take, \a taken of which it takes already.
-    std::uint64_t partBound(std::uint64_t taken) const;
+    /// \brief Returns how long an incomplete event may be, for which \a taken bytes of memory are held already.
+    std::uint64_t eventBound(std::uint64_t taken) const;
 
     /// \brief Returns which of \a answers have to be given up, those that hold most first, until no more is held than may be, or answers hold no more than the
     /// part of the budget that is theirs.
-    std::vector<HeldAnswer> answersToGiveUp(std::vector<HeldAnswer> answers) const;
+    std::vector<IncompleteAnswer> answersToGiveUp(std::vector<IncompleteAnswer> answers) const;
 
     /// \brief Returns which of \a callers have to be cut off at \a now, those that have not read for longest first, until no more is held than may be.
     ///
--- a/src/libs/http/socketbuffers.cpp
+++ b/src/libs/http/socketbuffers.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-// The kernel doubles the size that it is given, for what it holds beside the bytes themselves.
-constexpr std::size_t kernelFactor = 2;
-
 // The kernel makes smaller buffers this large.
 constexpr std::size_t minimumSendBytes = 4 * 1024;
 
@@ -26,7 +23,7 @@
 
 void setSendBuffer(int descriptor, std::size_t bytes)
 {
-    setSocketOption(descriptor, SOL_SOCKET, SO_SNDBUF, static_cast<int>(bytes / kernelFactor));
+    setSocketOption(descriptor, SOL_SOCKET, SO_SNDBUF, static_cast<int>(bytes / bufferMemoryFactor));
 }
 
 } // namespace
--- a/src/libs/http/socketbuffers.h
+++ b/src/libs/http/socketbuffers.h
@@ -5,6 +5,9 @@
 
 namespace Verbena::Http {
 
+/// \brief Memory that the kernel takes for each byte of the size that a socket buffer is given.
+inline constexpr int bufferMemoryFactor = 2;
+
 /// \brief Most that the kernel holds of what has been sent to one peer, in bytes of its memory, unless less is set.
 ///
 /// Enough for two and a half megabytes per second over a round trip of 100 ms. It counts as memory of this host, so that it must not grow as large as the
@@ -18,7 +21,7 @@
 inline constexpr int receiveBufferBytes = 64 * 1024;
 
 /// \brief The most memory that the kernel takes for a receive buffer of receiveBufferBytes.
-inline constexpr std::size_t receiveMemoryBytes = 2 * std::size_t(receiveBufferBytes);
+inline constexpr std::size_t receiveMemoryBytes = std::size_t(bufferMemoryFactor) * receiveBufferBytes;
 
 /// \brief As receiveBufferBytes for calls by libcurl, which also fetch objects from a store.
 inline constexpr int callReceiveBufferBytes = 128 * 1024;
--- a/src/libs/relay/answerforwarder.cpp
+++ b/src/libs/relay/answerforwarder.cpp
@@ -215,9 +215,9 @@
     return m_splitter.skippedBytes() > m_splitter.returnedBytes() + maximumEventBytes ? std::optional("skipped_events") : std::nullopt;
 }
 
-bool AnswerForwarder::isBeyondMemory() const
+bool AnswerForwarder::isEventBeyondMemory() const
 {
-    return isSplit() && m_splitter.pendingBytes() > m_sink.partBound();
+    return isSplit() && m_splitter.pendingBytes() > m_sink.eventBound();
 }
 
 bool AnswerForwarder::hasEvent() const
--- a/src/libs/relay/answerforwarder.h
+++ b/src/libs/relay/answerforwarder.h
@@ -88,8 +88,8 @@
     /// exceeds none.
     std::optional<std::string_view> exceededBoundName() const;
 
-    /// \brief Returns whether an event of the current call's answer that is not whole is longer than memory allows for.
-    bool isBeyondMemory() const;
+    /// \brief Returns whether an incomplete event of the current call's answer is longer than memory allows for.
+    bool isEventBeyondMemory() const;
 
     /// \brief Returns the memory that is held of the current call's answer until more of it has come.
     std::size_t heldBytes() const;
--- a/src/libs/relay/answersink.h
+++ b/src/libs/relay/answersink.h
@@ -37,8 +37,8 @@
     /// \brief Returns how many bytes of an answer may be held until it is complete; beyond, it is forwarded as it arrives.
     virtual std::size_t bufferBound() const = 0;
 
-    /// \brief Returns the memory that a part of an answer may take which is held until more of it has come.
-    virtual std::uint64_t partBound() const = 0;
+    /// \brief Returns how long an incomplete event may be that is held until it is complete; beyond, its answer is given up.
+    virtual std::uint64_t eventBound() const = 0;
 
     /// \brief Returns whether so much waits to be sent to the caller that reading the answer has to pause until it has been sent.
     virtual bool isFull() const = 0;
--- a/src/libs/relay/callerconnection.cpp
+++ b/src/libs/relay/callerconnection.cpp
@@ -566,9 +566,9 @@
     return m_owner.memory().budget().bufferBound();
 }
 
-std::uint64_t CallerConnection::partBound() const
+std::uint64_t CallerConnection::eventBound() const
 {
-    return m_owner.memory().budget().partBound(m_pendingBytes.bytes());
+    return m_owner.memory().budget().eventBound(m_pendingBytes.bytes());
 }
 
 bool CallerConnection::isFull() const
--- a/src/libs/relay/callerconnection.h
+++ b/src/libs/relay/callerconnection.h
@@ -113,7 +113,7 @@
     void abortAnswer() override;
     void setPendingBytes(std::size_t bytes) override;
     std::size_t bufferBound() const override;
-    std::uint64_t partBound() const override;
+    std::uint64_t eventBound() const override;
     bool isFull() const override;
 
 private:
--- a/src/libs/relay/memoryguard.cpp
+++ b/src/libs/relay/memoryguard.cpp
@@ -117,12 +117,12 @@
 
 std::vector<RelayedRequest *> MemoryGuard::answersToGiveUp(const std::vector<RelayedRequest *> &requests)
 {
-    std::vector<Decisions::HeldAnswer> answers;
+    std::vector<Decisions::IncompleteAnswer> answers;
     for (std::size_t index = 0; index < requests.size(); ++index) {
         answers.push_back({index, requests[index]->heldAnswerBytes()});
     }
     std::vector<RelayedRequest *> givenUp;
-    for (const Decisions::HeldAnswer &answer : m_budget.answersToGiveUp(std::move(answers))) {
+    for (const Decisions::IncompleteAnswer &answer : m_budget.answersToGiveUp(std::move(answers))) {
         reportGivenUp(*requests[answer.index], answer.bytes);
         givenUp.push_back(requests[answer.index]);
     }
--- a/src/libs/relay/relayedrequest.cpp
+++ b/src/libs/relay/relayedrequest.cpp
@@ -343,7 +343,7 @@
         callFailed(CallFailure::Lost, "the answer is longer than any may be: more than the bound on its " + std::string(*bound));
         return;
     }
-    if (m_answer.isBeyondMemory()) {
+    if (m_answer.isEventBeyondMemory()) {
         giveUpAnswer();
         return;
     }
--- a/src/libs/relay/servercall.cpp
+++ b/src/libs/relay/servercall.cpp
@@ -245,7 +245,8 @@
     if (m_context.memory == nullptr) {
         return Http::receiveBufferBytes;
     }
-    return static_cast<int>(m_context.memory->receiveBound(BackendCall::openCount(), Http::receiveBufferBytes));
+    const std::uint64_t memory = m_context.memory->receiveBound(BackendCall::openCount(), Http::receiveMemoryBytes);
+    return static_cast<int>(memory) / Http::bufferMemoryFactor;
 }
 
 // What is read at once waits for the caller at once, and must not pass the bound by much.
--- a/tests/auto/relay/tst_memorybudget.cpp
+++ b/tests/auto/relay/tst_memorybudget.cpp
@@ -27,7 +27,7 @@
 constexpr std::uint64_t shortEventBytes = 16 * 1024;
 
 // No event that is shorter is given up.
-constexpr std::uint64_t shortestPartBytes = 4 * 1024;
+constexpr std::uint64_t shortestEventBytes = 4 * 1024;
 
 const Core::TimePoint start{};
 
@@ -150,8 +150,8 @@
     EXPECT_EQ(budget.callersToCut(callers, start + 150ms).size(), 2U);
 }
 
-// Parts of answers grew to a megabyte each however many there were.
-RC_GTEST_PROP(MemoryBudgetTest, boundsWhatPartsOfAnswersHoldHoweverManyTheyAre, ())
+// Incomplete events grew to a megabyte each however many there were.
+RC_GTEST_PROP(MemoryBudgetTest, boundsWhatIncompleteEventsHoldHoweverManyTheyAre, ())
 {
     const auto count = *rc::gen::inRange<std::size_t>(1, 400);
     const auto piece = *rc::gen::inRange<std::uint64_t>(100, readBytes);
@@ -168,12 +168,12 @@
         isAnyRead = false;
         for (const auto &answer : answers) {
             answer->set(answer->bytes() + piece);
-            const bool isTooMuch = answer->bytes() > budget.partBound(answer->bytes());
+            const bool isTooMuch = answer->bytes() > budget.eventBound(answer->bytes());
             answer->set(isTooMuch ? answer->bytes() - piece : answer->bytes());
             isAnyRead = isAnyRead || !isTooMuch;
         }
     }
-    RC_ASSERT(budget.held(HeldKind::PartialAnswers) <= std::max(budgetBytes - slow, budgetBytes / 4) + piece + count * shortestPartBytes);
+    RC_ASSERT(budget.held(HeldKind::PartialAnswers) <= std::max(budgetBytes - slow, budgetBytes / 4) + piece + count * shortestEventBytes);
 }
 
 TEST(MemoryBudgetTest, keepsAPartForShortEventsWhateverSlowCallersHold)
@@ -182,11 +182,11 @@
     HeldBytes slow(budget, HeldKind::UnsentToCallers);
     HeldBytes answers(budget, HeldKind::PartialAnswers);
     slow.set(2 * budgetBytes);
-    EXPECT_EQ(budget.partBound(0), shortEventBytes);
+    EXPECT_EQ(budget.eventBound(0), shortEventBytes);
     answers.set(budgetBytes / 4 + 1);
-    EXPECT_EQ(budget.partBound(0), shortestPartBytes);
-    EXPECT_EQ(MemoryBudget(std::nullopt).partBound(0), std::numeric_limits<std::uint64_t>::max());
-    EXPECT_GE(MemoryBudget(hostBytes).partBound(0), 1024U * 1024);
+    EXPECT_EQ(budget.eventBound(0), shortestEventBytes);
+    EXPECT_EQ(MemoryBudget(std::nullopt).eventBound(0), std::numeric_limits<std::uint64_t>::max());
+    EXPECT_GE(MemoryBudget(hostBytes).eventBound(0), 1024U * 1024);
 }
 
 // Answers that held more than the budget were kept until their deadline, and the process was killed for them.
@@ -195,12 +195,12 @@
     MemoryBudget budget(hostBytes);
     HeldBytes answers(budget, HeldKind::PartialAnswers);
     HeldBytes others(budget, HeldKind::RequestBodies);
-    const std::vector<HeldAnswer> held{{0, 3000}, {1, 9000}, {2, 5000}, {3, 0}};
+    const std::vector<IncompleteAnswer> held{{0, 3000}, {1, 9000}, {2, 5000}, {3, 0}};
     answers.set(budgetBytes / 2);
     others.set(budgetBytes / 2);
     EXPECT_TRUE(budget.answersToGiveUp(held).empty());
     others.set(budgetBytes / 2 + 10'000);
-    const std::vector<HeldAnswer> givenUp = budget.answersToGiveUp(held);
+    const std::vector<IncompleteAnswer> givenUp = budget.answersToGiveUp(held);
     ASSERT_EQ(givenUp.size(), 2U);
     EXPECT_EQ(givenUp[0].index, 1U);
     EXPECT_EQ(givenUp[1].index, 2U);
@@ -221,15 +221,15 @@
 // Receive buffers took 128 KB each however many calls there were.
 RC_GTEST_PROP(MemoryBudgetTest, boundsReceiveBuffersHoweverManyCallsThereAre, ())
 {
-    constexpr std::uint64_t mostReceiveBytes = 64 * 1024;
+    constexpr std::uint64_t mostMemory = 128 * 1024;
     const auto calls = *rc::gen::inRange<std::size_t>(1, 600);
     const MemoryBudget budget(hostBytes);
     std::uint64_t sum = 0;
     for (std::size_t open = 0; open < calls; ++open) {
-        sum += 2 * budget.receiveBound(open, mostReceiveBytes);
+        sum += budget.receiveBound(open, mostMemory);
     }
     RC_ASSERT(sum <= hostBytes / 8 + calls * hostBytes / 8 / 400);
-    RC_ASSERT(MemoryBudget(std::nullopt).receiveBound(calls, mostReceiveBytes) == mostReceiveBytes);
+    RC_ASSERT(MemoryBudget(std::nullopt).receiveBound(calls, mostMemory) == mostMemory);
 }
 
 // One turn of the loop read 64 KiB for each call, and requests beside hundreds of endless answers waited for seconds.
