Show the other forms of endless answers, and share what two tests of small hosts do

A field line, junk for a chunk's size and a huge length behind 200 and 500 are judged like the other forms. Behind the first two the only server is refused for a while, which the test expects. What both tests measure stands in their fixture; their bounds are the same.

--- a/tests/auto/platform/tst_endlessstreams.cpp
+++ b/tests/auto/platform/tst_endlessstreams.cpp
@@ -20,6 +20,7 @@
     const char *status;
     const char *framing;
     const char *piece; ///< Sent without end, so often that it fills a packet.
+    const char *answerBeside = "HTTP/1.1 200"; ///< Begin of the answer to another request to the same server.
 };
 
 std::ostream &operator<<(std::ostream &output, const EndlessForm &form)
@@ -46,19 +47,6 @@
         })
     {
     }
-
-    // Returns the most that the router and its connections take within \a span, while \a asked read.
-    std::uint64_t mostInUseWithin(std::chrono::milliseconds span, const std::vector<std::unique_ptr<CallerFake>> &asked)
-    {
-        const Core::TimePoint end = m_deployment.loop().now() + span;
-        std::uint64_t most = 0;
-        EXPECT_TRUE(m_deployment.runUntil([&] {
-            std::for_each(asked.begin(), asked.end(), [](const auto &caller) { caller->forgetReceived(); });
-            most = std::max(most, hostBytesInUse());
-            return m_deployment.loop().now() >= end;
-        }));
-        return most;
-    }
 };
 
 // Answers without an end made a router outgrow its host, with all that ran on it.
@@ -68,26 +56,33 @@
     for (std::size_t number = 0; number < callers; ++number) {
         asked.push_back(ask("/brief/a"));
     }
-    const std::uint64_t most = mostInUseWithin(playTime, asked);
-    // The address sanitizer keeps freed memory, so that its builds say nothing of it.
-#ifndef __SANITIZE_ADDRESS__
-    EXPECT_LT(most, hostLimits.memoryMegabytes * bytesPerMegabyte);
-#endif
-    RecordProperty("most_in_use", std::to_string(most));
-    EXPECT_TRUE(isServed());
+    expectWithinHost(playTime, [&asked] { std::for_each(asked.begin(), asked.end(), [](const auto &caller) { caller->forgetReceived(); }); });
+    EXPECT_TRUE(askShort().starts_with(GetParam().answerBeside));
 }
 
 constexpr const char *chunked = "Transfer-Encoding: chunked\r\n\r\n";
 constexpr const char *oneChunk = "Transfer-Encoding: chunked\r\n\r\nfffffffff\r\n";
 constexpr const char *unframed = "\r\n";
+constexpr const char *fieldLine = "X: ";
+constexpr const char *hugeLength = "Content-Length: 99999999999\r\n\r\n";
+constexpr const char *junk = "zz junk ";
 constexpr const char *text = "xxxxxxxxxxxxxxxx";
 constexpr const char *smallChunk = "1\r\nx\r\n";
 constexpr const char *noEvent = "9\r\ndata: xyz\r\n";
 constexpr const char *wholeEvents = "14\r\nid: 1\ndata: answer\n\n\r\n";
 
+// The only server has brought no part of any answer and is left alone for a while.
+constexpr const char *refused = "HTTP/1.1 503";
+
 INSTANTIATE_TEST_SUITE_P(Forms,
     EndlessStreamsTest,
-    testing::Values(EndlessForm{"one_chunk_200", "200 OK", oneChunk, text},
+    testing::Values(EndlessForm{"field_line_200", "200 OK", fieldLine, text, refused},
+        EndlessForm{"field_line_500", "500 X", fieldLine, text, refused},
+        EndlessForm{"chunk_size_junk_200", "200 OK", chunked, junk, refused},
+        EndlessForm{"chunk_size_junk_500", "500 X", chunked, junk, refused},
+        EndlessForm{"huge_length_200", "200 OK", hugeLength, text},
+        EndlessForm{"huge_length_500", "500 X", hugeLength, text},
+        EndlessForm{"one_chunk_200", "200 OK", oneChunk, text},
         EndlessForm{"one_chunk_500", "500 X", oneChunk, text},
         EndlessForm{"one_chunk_404", "404 X", oneChunk, text},
         EndlessForm{"no_length_200", "200 OK", unframed, text},
--- a/tests/auto/platform/tst_unreadanswers.cpp
+++ b/tests/auto/platform/tst_unreadanswers.cpp
@@ -58,18 +58,6 @@
         }
     }
 
-    // Returns the most that \a bytes returns within \a span.
-    std::uint64_t mostWithin(std::chrono::milliseconds span, const std::function<std::uint64_t()> &bytes)
-    {
-        const Core::TimePoint end = m_deployment.loop().now() + span;
-        std::uint64_t most = 0;
-        EXPECT_TRUE(m_deployment.runUntil([&] {
-            most = std::max(most, bytes());
-            return m_deployment.loop().now() >= end;
-        }));
-        return most;
-    }
-
     std::vector<std::unique_ptr<CallerFake>> m_slow;
 };
 
@@ -93,12 +81,7 @@
 TEST_F(UnreadAnswersTest, systemHoldsMoreOfWhatServersHaveSentThanTheHostHas)
 {
     addSlowCallers(manyCallers, "/load/endless");
-    const std::uint64_t most = mostWithin(pause, [this] { return hostBytesInUse(); });
-    // The address sanitizer keeps freed memory, so that its builds say nothing of it.
-#ifndef __SANITIZE_ADDRESS__
-    EXPECT_LT(most, hostLimits.memoryMegabytes * bytesPerMegabyte);
-#endif
-    RecordProperty("most_in_use", std::to_string(most));
+    expectWithinHost(pause);
     EXPECT_TRUE(isServed());
 }
 
--- a/tests/platform/smallhosttest.cpp
+++ b/tests/platform/smallhosttest.cpp
@@ -3,6 +3,8 @@
 #include <core/processmemory.h>
 #include <support/socketqueues.h>
 
+#include <algorithm>
+
 namespace Verbena::Test {
 
 namespace {
@@ -60,11 +62,16 @@
     return caller;
 }
 
-bool SmallHostTest::isServed()
+std::string SmallHostTest::askShort()
 {
     const auto caller = ask(shortPath);
     EXPECT_TRUE(m_deployment.runUntil([&caller] { return caller->isClosed(); }));
-    return caller->received().starts_with("HTTP/1.1 200");
+    return caller->received();
+}
+
+bool SmallHostTest::isServed()
+{
+    return askShort().starts_with("HTTP/1.1 200");
 }
 
 std::uint64_t SmallHostTest::routerBytes()
@@ -78,4 +85,27 @@
     return routerBytes() + unacknowledgedBytesFrom(m_deployment.callersEndpoint().address.sin_addr) + unreadBytesFrom(server);
 }
 
+std::uint64_t SmallHostTest::mostWithin(std::chrono::milliseconds span, const std::function<std::uint64_t()> &bytes)
+{
+    const Core::TimePoint end = m_deployment.loop().now() + span;
+    std::uint64_t most = 0;
+    EXPECT_TRUE(m_deployment.runUntil([&] {
+        most = std::max(most, bytes());
+        return m_deployment.loop().now() >= end;
+    }));
+    return most;
+}
+
+void SmallHostTest::expectWithinHost(std::chrono::milliseconds span, const std::function<void()> &turn)
+{
+    const std::uint64_t most = mostWithin(span, [&] {
+        turn();
+        return hostBytesInUse();
+    });
+    RecordProperty("most_in_use", std::to_string(most));
+#ifndef __SANITIZE_ADDRESS__
+    EXPECT_LT(most, hostLimits.memoryMegabytes * bytesPerMegabyte);
+#endif
+}
+
 } // namespace Verbena::Test
--- a/tests/platform/smallhosttest.h
+++ b/tests/platform/smallhosttest.h
@@ -5,7 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,6 +40,9 @@
     /// \brief Returns a caller that has asked for \a path.
     std::unique_ptr<CallerFake> ask(const std::string &path);
 
+    /// \brief Returns the status line and all else that a caller gets for a request to shortPath.
+    std::string askShort();
+
     /// \brief Returns whether a request of a caller that reads is served.
     bool isServed();
 
@@ -48,6 +53,15 @@
     /// its server's answers it has not read.
     std::uint64_t hostBytesInUse();
 
+    /// \brief Runs for \a span; returns the most that \a bytes has returned meanwhile.
+    std::uint64_t mostWithin(std::chrono::milliseconds span, const std::function<std::uint64_t()> &bytes);
+
+    /// \brief Checks that hostBytesInUse() stays within the host's memory for \a span; \a turn is called again and again meanwhile.
+    ///
+    /// The address sanitizer keeps freed memory, so that its builds only run.
+    void expectWithinHost(
+        std::chrono::milliseconds span, const std::function<void()> &turn = [] {});
+
     PlatformDeployment m_deployment;
     WorkerFake m_server;
 
