--- a/src/libs/json/jsontext.h
+++ b/src/libs/json/jsontext.h
@@ -37,7 +37,7 @@
 /// \brief Returns the whole number \a key of \a object, or \a otherwise if there is none.
 std::uint64_t wholeNumberOr(const nlohmann::json &object, const char *key, std::uint64_t otherwise);
 
-/// \brief Returns the text \a key of \a object, or an empty one if there is none.
+/// \brief Returns the text \a key of \a object, or an empty one if there is none or \a object is another value.
 std::string textOrEmpty(const nlohmann::json &object, const char *key);
 
 /// \brief Returns the whole number \a key of \a object, or 0 if there is none; at most the largest number of 32 bits.
--- a/src/libs/operator/changehistory.cpp
+++ b/src/libs/operator/changehistory.cpp
@@ -1,6 +1,6 @@
 #include "changehistory.h"
 
-#include <nlohmann/json.hpp>
+#include <json/jsontext.h>
 
 #include <ctime>
 
@@ -34,13 +34,10 @@
     entry.path = path;
     entry.revision = row.revision;
     const Json json = Json::parse(row.value, nullptr, false);
-    const auto text = [&json](const char *key) {
-        return json.is_object() && json.contains(key) && json.at(key).is_string() ? json.at(key).get<std::string>() : "";
-    };
-    entry.author = text("by");
-    entry.changedAt = text("at");
-    entry.changeId = text("change");
-    entry.content = text("content");
+    entry.author = JsonText::textOrEmpty(json, "by");
+    entry.changedAt = JsonText::textOrEmpty(json, "at");
+    entry.changeId = JsonText::textOrEmpty(json, "change");
+    entry.content = JsonText::textOrEmpty(json, "content");
     entry.isDeleted = json.is_object() && json.contains("deleted");
     return entry;
 }
--- a/src/libs/operator/requeststory.cpp
+++ b/src/libs/operator/requeststory.cpp
@@ -1,6 +1,6 @@
 #include "requeststory.h"
 
-#include <nlohmann/json.hpp>
+#include <json/jsontext.h>
 
 #include <algorithm>
 #include <array>
@@ -40,12 +40,6 @@
     return std::find(container.begin(), container.end(), value) != container.end();
 }
 
-std::string fieldText(const json &object, const char *name)
-{
-    const auto found = object.find(name);
-    return found == object.end() || !found->is_string() ? std::string() : found->get<std::string>();
-}
-
 Core::Result<void> readLines(const std::string &path, const std::function<void(const LogLine &)> &take)
 {
     std::ifstream file(path);
@@ -67,15 +61,15 @@
 Core::Result<LogLine> LogLine::fromText(std::string_view text)
 {
     const json object = json::parse(text, nullptr, false);
-    if (!object.is_object() || fieldText(object, "time").size() < secondsLength) {
+    if (!object.is_object() || JsonText::textOrEmpty(object, "time").size() < secondsLength) {
         return Core::Error{Core::ErrorCode::InvalidArgument, "operator.log", "", "This is no line of a log."};
     }
     LogLine line;
-    line.time = fieldText(object, "time");
-    line.process = fieldText(object, "process");
-    line.event = fieldText(object, "event");
-    line.request = fieldText(object, "request");
-    line.server = fieldText(object, "server");
+    line.time = JsonText::textOrEmpty(object, "time");
+    line.process = JsonText::textOrEmpty(object, "process");
+    line.event = JsonText::textOrEmpty(object, "event");
+    line.request = JsonText::textOrEmpty(object, "request");
+    line.server = JsonText::textOrEmpty(object, "server");
     for (const auto &[name, value] : object.items()) {
         if (!contains(shownElsewhere, name)) {
             line.details += ' ' + name + '=' + (value.is_string() ? value.get<std::string>() : value.dump());
